--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"runtime/debug"
 
-	"olivelift/internal/wire"
-	"olivelift/policy"
+	"hazelwheel/internal/wire"
+	"hazelwheel/policy"
 )
 
 func main() {
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"olivelift/internal/wire"
+	"hazelwheel/internal/wire"
 )
 
 var le = binary.LittleEndian
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -8,7 +8,7 @@
 	"io"
 	"math"
 
-	"olivelift/policy"
+	"hazelwheel/policy"
 )
 
 // Codes of the event records.
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"olivelift/policy"
+	"hazelwheel/policy"
 )
 
 func unhex(t *testing.T, lines ...string) []byte {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"olivelift/policy"
+	"hazelwheel/policy"
 )
 
 // message is the settings text as it comes; keys that are not named here are skipped.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"olivelift/policy"
+	"hazelwheel/policy"
 )
 
 // printer carries out actions by printing the ones that matter here.
