--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,142 @@
+// Package config reads what a sidecar is told at its start: the GW_ variables and the file that GW_CONFIG
+// names, both checked. An error is one line that names the field at fault.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+)
+
+// The variables that a sidecar reads. Where one is set it takes the place of the file's field.
+const (
+	EnvName      = "GW_NAME"
+	EnvListen    = "GW_LISTEN"
+	EnvDiscovery = "GW_DISCOVERY"
+	EnvFile      = "GW_CONFIG"
+)
+
+// What a sidecar lives by where the file sets no limits.
+const (
+	defaultCores    = 1
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	// Fewer descriptors than leastSockets leave no room for traffic beside what the process itself holds.
+	leastSockets = 64
+)
+
+// Limits bound what the process may use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config is all that a sidecar is told.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     json.RawMessage // a list of hosts in discovery's form, as last held; may be empty
+	Settings  Settings
+}
+
+// file is the configuration's text.
+type file struct {
+	Name, Listen, Discovery, Seed string
+	Limits                        Limits
+	Known, Settings               json.RawMessage
+}
+
+// Load reads the file at path, then the variables that getenv knows.
+func Load(path string, getenv func(string) string) (Config, error) {
+	if path == "" {
+		return Config{}, fmt.Errorf("%s: not set, and no --config given", EnvFile)
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("%s: %w", EnvFile, err)
+	}
+	return parse(raw, getenv)
+}
+
+func parse(raw []byte, getenv func(string) string) (Config, error) {
+	f := file{Limits: Limits{Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return Config{}, fmt.Errorf("%s: not the JSON that is wanted: %w", EnvFile, err)
+	}
+	for name, field := range map[string]*string{EnvName: &f.Name, EnvListen: &f.Listen, EnvDiscovery: &f.Discovery} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
+	if f.Seed != "" {
+		seed, err := strconv.ParseUint(f.Seed, 16, 64)
+		if err != nil {
+			return c, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", f.Seed)
+		}
+		c.Seed = seed
+	}
+	if len(f.Settings) == 0 {
+		return c, fmt.Errorf("settings: missing")
+	}
+	var err error
+	if c.Settings, err = ParseSettings(f.Settings); err != nil {
+		return c, err
+	}
+	return c, c.validate()
+}
+
+func (c *Config) validate() error {
+	if c.Name == "" {
+		return fmt.Errorf("name: missing")
+	}
+	for field, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
+			return fmt.Errorf("%s: %q is not an address and port", field, address)
+		}
+	}
+	s := &c.Settings.Policy
+	checks := []struct {
+		field string
+		ok    bool
+	}{
+		{"limits.cores", c.Limits.Cores > 0},
+		{"limits.memory_mb", c.Limits.MemoryMB >= 16},
+		{"limits.sockets", c.Limits.Sockets >= leastSockets},
+		{"settings.classes", len(s.Classes) > 0},
+		{"settings.limits.connectTimeoutS", c.Settings.ConnectTimeoutS > 0},
+		{"settings.limits.connIdleS", s.ConnIdleS >= 0},
+		{"settings.limits.sendCap", s.MaxAttempts >= 0},
+		{"settings.limits.maxRetryAfterS", s.MaxRetryAfterS >= 0},
+		{"settings.roundS", s.TickS >= 0},
+		{"settings.selfIndex", s.Self >= 0},
+		{"settings.replicasOfMe", s.Replicas >= 1},
+		{"settings.obligations.answerSlackS", c.Settings.AnswerSlackS >= 0},
+	}
+	seen := map[string]bool{}
+	for i, class := range s.Classes {
+		at := fmt.Sprintf("settings.classes[%d].", i)
+		checks = append(checks, []struct {
+			field string
+			ok    bool
+		}{
+			{at + "name", class.Name != "" && !seen[class.Name]},
+			{at + "giveUpS", class.GiveUpS > 0},
+			{at + "objectiveS", class.AimS > 0},
+			{at + "windowS", class.WindowS >= 0},
+		}...)
+		seen[class.Name] = true
+	}
+	for _, check := range checks {
+		if !check.ok {
+			return fmt.Errorf("%s: missing, or out of range", check.field)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/http1/message.go
@@ -0,0 +1,467 @@
+package http1
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Error says why a message can't be read, with the status that tells a client so.
+type Error struct {
+	Status int
+	Reason string
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("http: %s (%d)", e.Reason, e.Status) }
+
+func malformed(reason string) error { return &Error{400, reason} }
+
+// Limits bound what a message may take.
+type Limits struct {
+	Head int // bytes of the first line and the header fields; also of a chunked body's trailers
+	Body int // bytes of the body that are held
+}
+
+// Field is one header field.
+type Field struct{ Name, Value string }
+
+// Header holds header fields in their order.
+type Header []Field
+
+// Get returns the first value of a field, "" if it is absent.
+func (h Header) Get(name string) string {
+	for _, f := range h {
+		if strings.EqualFold(f.Name, name) {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// has tells whether a comma-separated field holds a token.
+func (h Header) has(name, token string) bool {
+	for _, f := range h {
+		if !strings.EqualFold(f.Name, name) {
+			continue
+		}
+		for part := range strings.SplitSeq(f.Value, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hopByHop are the fields that concern one connection alone, and those that framing writes anew.
+var hopByHop = map[string]bool{
+	"connection": true, "keep-alive": true, "proxy-authenticate": true, "proxy-authorization": true,
+	"proxy-connection": true, "te": true, "trailer": true, "transfer-encoding": true, "upgrade": true,
+	"content-length": true, "expect": true,
+}
+
+// EndToEnd returns the fields that a proxy passes on.
+func (h Header) EndToEnd() Header {
+	kept := make(Header, 0, len(h))
+	for _, f := range h {
+		if !hopByHop[strings.ToLower(f.Name)] && !h.has("Connection", f.Name) {
+			kept = append(kept, f)
+		}
+	}
+	return kept
+}
+
+// body stages of a message.
+type stage uint8
+
+const (
+	inHead stage = iota
+	inBody
+	inChunkSize
+	inChunk
+	inChunkEnd
+	inTrailer
+	untilEnd // the body ends with the connection
+	complete
+)
+
+// message is what requests and responses have in common.
+type message struct {
+	Header Header
+	Body   []byte // for a stream the reader may take bytes off its front
+
+	limits Limits
+	stage  stage
+	line   int // bytes of the present line that hold no end
+	taken  int // bytes of lines, against the limit
+	first  string
+	left   int // bytes of the body or chunk to come
+	chunks bool
+	minor  int
+}
+
+// reset makes ready for the next message; the body's memory is not used again, somebody may hold it.
+func (m *message) reset() { *m = message{limits: m.limits} }
+
+// nextLine takes one line off buf, without its end.
+func (m *message) nextLine(buf *Buffer) (line []byte, ok bool, err error) {
+	raw := buf.Bytes()
+	end := bytes.IndexByte(raw[m.line:], '\n')
+	if end < 0 {
+		m.line = len(raw)
+		if m.taken+m.line > m.limits.Head {
+			return nil, false, &Error{431, "head too large"}
+		}
+		return nil, false, nil
+	}
+	end += m.line
+	if m.taken += end + 1; m.taken > m.limits.Head {
+		return nil, false, &Error{431, "head too large"}
+	}
+	// A bare line feed is an end to some readers and not to others: two that disagree see two messages.
+	if end == 0 || raw[end-1] != '\r' {
+		return nil, false, malformed("line without carriage return")
+	}
+	m.line = 0
+	buf.Discard(end + 1)
+	return raw[:end-1], true, nil
+}
+
+// readHead takes lines until the head is whole.
+func (m *message) readHead(buf *Buffer) (done bool, err error) {
+	for {
+		line, ok, err := m.nextLine(buf)
+		switch {
+		case err != nil || !ok:
+			return false, err
+		case m.first == "" && len(line) == 0: // an empty line before a message means nothing
+		case m.first == "":
+			m.first = string(line)
+		case len(line) == 0:
+			m.taken = 0
+			return true, nil
+		default:
+			f, err := field(line)
+			if err != nil {
+				return false, err
+			}
+			m.Header = append(m.Header, f)
+		}
+	}
+}
+
+func field(line []byte) (Field, error) {
+	name, value, ok := bytes.Cut(line, []byte{':'})
+	if !ok || !token(name) {
+		return Field{}, malformed("bad header field")
+	}
+	value = bytes.Trim(value, " \t")
+	for _, c := range value {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return Field{}, malformed("bad header value")
+		}
+	}
+	return Field{string(name), string(value)}, nil
+}
+
+// token tells whether b is a token as RFC 9110 has it.
+func token[T ~string | ~[]byte](b T) bool {
+	for i := range len(b) {
+		c := b[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// frame finds how the body is delimited; none is the stage of a message that names no length.
+func (m *message) frame(none stage) error {
+	length := -1
+	for _, f := range m.Header {
+		switch {
+		case strings.EqualFold(f.Name, "Transfer-Encoding"):
+			if !strings.EqualFold(f.Value, "chunked") || m.chunks {
+				return &Error{501, "transfer coding not supported"}
+			}
+			m.chunks = true
+		case strings.EqualFold(f.Name, "Content-Length"):
+			n, err := strconv.ParseUint(f.Value, 10, 62)
+			if err != nil || length >= 0 && length != int(n) {
+				return malformed("bad Content-Length")
+			}
+			length = int(n)
+		}
+	}
+	switch {
+	case m.chunks && (length >= 0 || m.minor == 0):
+		return malformed("length and chunks") // where readers choose differently a request can be smuggled
+	case m.chunks:
+		m.stage = inChunkSize
+	case length > m.limits.Body:
+		return &Error{413, "body too large"}
+	case length >= 0:
+		m.stage, m.left = inBody, length
+	default:
+		m.stage = none
+	}
+	return nil
+}
+
+// readBody takes what has come of the body.
+func (m *message) readBody(buf *Buffer) error {
+	for {
+		switch m.stage {
+		case inBody, inChunk:
+			if m.left -= m.take(buf, m.left); m.left > 0 {
+				return nil
+			}
+			if m.stage++; m.stage == inChunkSize {
+				m.stage = complete
+			}
+		case inChunkSize:
+			if err := m.chunkSize(buf); err != nil || m.stage == inChunkSize {
+				return err
+			}
+		case inChunkEnd:
+			line, ok, err := m.nextLine(buf)
+			if err != nil || !ok {
+				return err
+			}
+			if len(line) > 0 {
+				return malformed("chunk longer than its size")
+			}
+			m.stage, m.taken = inChunkSize, 0
+		case inTrailer:
+			line, ok, err := m.nextLine(buf)
+			if err != nil || !ok {
+				return err
+			}
+			if len(line) == 0 {
+				m.stage = complete
+			} else if _, err := field(line); err != nil {
+				return err
+			}
+		case untilEnd:
+			if len(m.Body)+buf.Len() > m.limits.Body {
+				return &Error{413, "body too large"}
+			}
+			m.take(buf, buf.Len())
+			return nil
+		default:
+			return nil
+		}
+	}
+}
+
+func (m *message) take(buf *Buffer, most int) int {
+	n := min(most, buf.Len())
+	m.Body = append(m.Body, buf.Bytes()[:n]...)
+	buf.Discard(n)
+	return n
+}
+
+func (m *message) chunkSize(buf *Buffer) error {
+	line, ok, err := m.nextLine(buf)
+	if err != nil || !ok {
+		return err
+	}
+	digits, _, _ := bytes.Cut(line, []byte{';'})
+	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 31)
+	switch {
+	case err != nil:
+		return malformed("bad chunk size")
+	case len(m.Body)+int(size) > m.limits.Body:
+		return &Error{413, "body too large"}
+	case size == 0:
+		m.stage, m.taken = inTrailer, 0
+	default:
+		m.stage, m.left, m.taken = inChunk, int(size), 0
+	}
+	return nil
+}
+
+// keep tells whether the connection stays open after the message.
+func (m *message) keep() bool {
+	return !m.Header.has("Connection", "close") && (m.minor > 0 || m.Header.has("Connection", "keep-alive"))
+}
+
+// version reads HTTP/1.x.
+func (m *message) version(text string) error {
+	switch text {
+	case "HTTP/1.1":
+		m.minor = 1
+	case "HTTP/1.0":
+	default:
+		if strings.HasPrefix(text, "HTTP/") {
+			return &Error{505, "version not supported"}
+		}
+		return malformed("bad first line")
+	}
+	return nil
+}
+
+// RequestParser reads requests from a client. After Next has returned true the fields hold one request,
+// until the next call.
+type RequestParser struct {
+	message
+	Method string
+	Target string
+}
+
+// NewRequestParser returns a parser of requests within limits.
+func NewRequestParser(limits Limits) RequestParser {
+	return RequestParser{message: message{limits: limits}}
+}
+
+// Next reads on from buf and tells whether a request is whole. After an error nothing more can be read.
+func (p *RequestParser) Next(buf *Buffer) (bool, error) {
+	if p.stage == complete {
+		p.reset()
+	}
+	if p.stage == inHead {
+		if done, err := p.readHead(buf); err != nil || !done {
+			return false, err
+		}
+		if err := p.start(); err != nil {
+			return false, err
+		}
+	}
+	err := p.readBody(buf)
+	return p.stage == complete, err
+}
+
+func (p *RequestParser) start() error {
+	method, rest, _ := strings.Cut(p.first, " ")
+	target, version, ok := strings.Cut(rest, " ")
+	if !ok || !token(method) || target == "" {
+		return malformed("bad request line")
+	}
+	for i := range len(target) {
+		if target[i] <= ' ' || target[i] >= 0x7f {
+			return malformed("bad target")
+		}
+	}
+	if err := p.version(version); err != nil {
+		return err
+	}
+	hosts := 0
+	for _, f := range p.Header {
+		if strings.EqualFold(f.Name, "Host") {
+			hosts++
+		}
+	}
+	if hosts > 1 || hosts == 0 && p.minor > 0 {
+		return malformed("one Host is needed")
+	}
+	p.Method, p.Target = method, target
+	return p.frame(complete)
+}
+
+// Begun tells whether part of a request has been read.
+func (p *RequestParser) Begun() bool {
+	return p.stage != complete && (p.stage != inHead || p.first != "")
+}
+
+// WantsContinue tells whether the client waits for word before it sends the body.
+func (p *RequestParser) WantsContinue() bool {
+	return p.stage != inHead && p.stage != complete && len(p.Body) == 0 && p.Header.has("Expect", "100-continue")
+}
+
+// Keep tells whether the client wants the connection kept.
+func (p *RequestParser) Keep() bool { return p.keep() }
+
+// ResponseParser reads the response to one request that was not HEAD.
+type ResponseParser struct {
+	message
+	Status int
+}
+
+// NewResponseParser returns a parser of responses within limits.
+func NewResponseParser(limits Limits) ResponseParser {
+	return ResponseParser{message: message{limits: limits}}
+}
+
+// Next reads on from buf and tells whether the response is whole. Interim responses are skipped.
+func (p *ResponseParser) Next(buf *Buffer) (bool, error) {
+	for p.stage == inHead {
+		if done, err := p.readHead(buf); err != nil || !done {
+			return false, err
+		}
+		if err := p.start(); err != nil {
+			return false, err
+		}
+	}
+	err := p.readBody(buf)
+	return p.stage == complete, err
+}
+
+func (p *ResponseParser) start() error {
+	version, rest, _ := strings.Cut(p.first, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.ParseUint(code, 10, 16)
+	if err != nil || len(code) != 3 || status < 100 {
+		return malformed("bad status line")
+	}
+	if err := p.version(version); err != nil {
+		return err
+	}
+	switch p.Status = int(status); {
+	case status == 101:
+		return malformed("protocol switched unasked")
+	case status < 200:
+		p.reset()
+		return nil
+	case status == 204 || status == 304:
+		p.stage = complete
+		return nil
+	}
+	return p.frame(untilEnd)
+}
+
+// HeadRead tells whether the status and the header fields are there.
+func (p *ResponseParser) HeadRead() bool { return p.stage != inHead }
+
+// Begun tells whether anything of the response has come.
+func (p *ResponseParser) Begun() bool { return p.stage != inHead || p.first != "" }
+
+// End tells the parser that the connection has ended, and returns whether that makes the response whole.
+func (p *ResponseParser) End() bool {
+	if p.stage == untilEnd {
+		p.stage = complete
+	}
+	return p.stage == complete
+}
+
+// Keep tells whether the connection can carry another request.
+func (p *ResponseParser) Keep() bool { return p.keep() }
+
+// AppendHeader appends header fields and the empty line after them, with the length of a body.
+func AppendHeader(dst []byte, h Header, length int) []byte {
+	for _, f := range h {
+		dst = append(append(append(append(dst, f.Name...), ": "...), f.Value...), "\r\n"...)
+	}
+	if length >= 0 {
+		dst = append(dst, "Content-Length: "...)
+		dst = append(strconv.AppendInt(dst, int64(length), 10), "\r\n"...)
+	}
+	return append(dst, "\r\n"...)
+}
+
+// AppendRequest appends a request. Without a body its length is not written.
+func AppendRequest(dst []byte, method, target string, h Header, body []byte) []byte {
+	dst = append(append(append(append(dst, method...), ' '), target...), " HTTP/1.1\r\n"...)
+	length := len(body)
+	if length == 0 && method == "GET" {
+		length = -1
+	}
+	return append(AppendHeader(dst, h, length), body...)
+}
+
+// AppendResponse appends a response; its reason phrase is left empty.
+func AppendResponse(dst []byte, status int, h Header, body []byte) []byte {
+	dst = strconv.AppendInt(append(dst, "HTTP/1.1 "...), int64(status), 10)
+	return append(AppendHeader(append(dst, " \r\n"...), h, len(body)), body...)
+}
--- /dev/null
+++ b/internal/sidecar/actions.go
@@ -0,0 +1,75 @@
+package sidecar
+
+import (
+	"hazelwheel/policy"
+)
+
+// Sidecar carries out what the decisions ask for. The calls come while an event is being handled and never
+// call back: what follows from them at once waits in the queue.
+var _ policy.Actions = (*Sidecar)(nil)
+
+// Send starts the next execution of a request.
+func (s *Sidecar) Send(id, host uint32) {
+	r := s.requests[id]
+	if r == nil {
+		s.log.Error("send for an unknown request", "request", id)
+		return
+	}
+	e := &execution{request: r, number: r.sent, host: host, sentAt: s.eventAt,
+		until: r.deadline - s.answerRoom(), exchange: r.call.exchange()}
+	r.sent++
+	r.out[e.number] = e
+	s.counters.Executions++
+	if r.answered || len(r.out) > 1 && !s.cfg.Settings.Policy.SecondCopies {
+		s.finish(e, &execError{notConnected, overtaken, nil})
+		return
+	}
+	s.begin(e)
+}
+
+// Cancel ends the wait for one execution.
+func (s *Sidecar) Cancel(id uint32, attempt int) {
+	if r := s.requests[id]; r != nil && r.out[attempt] != nil {
+		s.abandon(r.out[attempt], cancelled)
+	}
+}
+
+// Probe asks a server for a sign of life.
+func (s *Sidecar) Probe(host uint32) {
+	s.counters.Probes++
+	s.begin(&execution{host: host, sentAt: s.eventAt, until: s.eventAt + probeWaitS, exchange: s.probe()})
+}
+
+// CloseIdle closes the idle links to a server.
+func (s *Sidecar) CloseIdle(host uint32) {
+	for _, l := range s.idle[host] {
+		l.close()
+	}
+}
+
+// Refuse is a final answer: trying again is harmless.
+func (s *Sidecar) Refuse(id uint32, retryAfterS float64) {
+	if r := s.requests[id]; r != nil && !r.answered {
+		s.counters.Throttled++
+		s.answer(r, func() { r.origin.throttle(retryAfterS) })
+	}
+}
+
+// Fail is a final answer that promises nothing.
+func (s *Sidecar) Fail(id uint32) {
+	if r := s.requests[id]; r != nil && !r.answered {
+		s.counters.Failed++
+		s.answer(r, func() { r.origin.fail(s.clock.now() >= r.deadline-2*s.answerRoom()) })
+	}
+}
+
+// WakeAfter asks for a call of Wake.
+func (s *Sidecar) WakeAfter(seconds float64) {
+	s.timers.at(s.eventAt+seconds, func() { s.push(s.balancer.Wake) })
+}
+
+// Watch subscribes to changes of the list.
+func (s *Sidecar) Watch() { s.watch() }
+
+// Log records a change of state for the operators.
+func (s *Sidecar) Log(text string) { s.log.Info(text) }
--- /dev/null
+++ b/internal/sidecar/clientlink.go
@@ -0,0 +1,227 @@
+package sidecar
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"hazelwheel/internal/http1"
+	"hazelwheel/policy"
+)
+
+const (
+	// mostAhead is what a client may send while its request is out; one that sends more is cut off.
+	mostAhead = mostHead + mostBody
+	// lingerS is how long a link that said its last is read on: closing it on bytes that nobody has read
+	// would reset it, and the client could lose the answer.
+	lingerS = 1.0
+	// longestS bounds what a client may ask us to wait.
+	longestS = 3600.0
+)
+
+// clientLink is a connection from the application. It speaks HTTP/1.1, one request at a time.
+type clientLink struct {
+	s       *Sidecar
+	conn    gnet.Conn
+	buf     http1.Buffer
+	parser  http1.RequestParser
+	request *request // the one that is out
+	keep    bool     // the client wants the link kept after it
+	told    bool     // 100 Continue is sent
+	last    bool     // the last answer is written
+	shut    bool     // and no byte is left to send
+	throng  bool     // the link is beyond the limit on descriptors
+	linger  *timer
+}
+
+func (l *clientLink) opened(c gnet.Conn) { l.conn = c }
+
+// traffic reads what the client says.
+func (l *clientLink) traffic(data []byte) {
+	if l.last {
+		return
+	}
+	l.buf.Write(data)
+	if l.request != nil && l.buf.Len() > mostAhead {
+		l.s.closeConn(l.conn)
+		return
+	}
+	l.next()
+}
+
+// next takes up the requests that have come, until one is out.
+func (l *clientLink) next() {
+	for l.request == nil && !l.last {
+		whole, err := l.parser.Next(&l.buf)
+		if err != nil {
+			l.malformed(err)
+			return
+		}
+		if !whole {
+			if !l.told && l.parser.WantsContinue() {
+				l.told = true
+				l.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			}
+			return
+		}
+		l.keep, l.told = l.parser.Keep(), false
+		l.route()
+	}
+}
+
+func (l *clientLink) malformed(err error) {
+	var e *http1.Error
+	if !errors.As(err, &e) {
+		e = &http1.Error{Status: 400, Reason: err.Error()}
+	}
+	l.keep = false
+	l.decline(e.Status, e.Reason)
+}
+
+// decline answers a message that is no request to decide on.
+func (l *clientLink) decline(status int, why string, more ...http1.Field) {
+	l.s.counters.Malformed++
+	l.respond(status, append(more, textPlain), []byte(why+"\n"))
+}
+
+var textPlain = http1.Field{Name: "Content-Type", Value: "text/plain"}
+
+// route answers what concerns the sidecar itself, and hands on the rest.
+func (l *clientLink) route() {
+	p := &l.parser
+	path, _, _ := strings.Cut(p.Target, "?")
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	class, ok := l.s.classes[name]
+	switch {
+	case ok:
+		l.take(class)
+	case path == "/ready" && p.Method == "GET":
+		l.respond(200, http1.Header{textPlain}, []byte("ready\n"))
+	case path == "/counters" && p.Method == "GET":
+		l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, l.s.countersText())
+	default:
+		l.decline(404, "no such class of requests")
+	}
+}
+
+// take checks a request of a class and hands it to the decisions.
+func (l *clientLink) take(class int) {
+	p, c := &l.parser, &l.s.cfg.Settings.Policy.Classes[class]
+	method := "POST"
+	if c.Effect == policy.Safe {
+		method = "GET"
+	}
+	patience, ok := c.GiveUpS, true
+	if text := p.Header.Get(fieldPatience); text != "" {
+		patience, ok = parsePatience(text)
+	}
+	switch {
+	case p.Method != method:
+		l.decline(405, "class "+c.Name+" takes "+method, http1.Field{Name: "Allow", Value: method})
+		return
+	case p.Header.Get(fieldID) == "":
+		l.decline(400, fieldID+" is missing")
+		return
+	case c.Effect == policy.Keyed && p.Header.Get(fieldKey) == "":
+		l.decline(400, fieldKey+" is missing")
+		return
+	case !ok:
+		l.decline(400, fieldPatience+" is not a number with m or u")
+		return
+	case l.throng:
+		l.s.counters.Requests++
+		l.s.counters.Throttled++
+		l.keep = false
+		l.throttle(l.s.cfg.Settings.Policy.MaxRetryAfterS)
+		return
+	}
+	r := &request{deadline: l.s.clock.now() + min(patience, longestS), call: newHTTPCall(l.s, p), origin: l}
+	l.request = r
+	l.s.take(r, policy.Request{Class: class, Repeat: p.Header.Get(fieldRetry) == "1"})
+}
+
+// serve passes on a server's answer.
+func (l *clientLink) serve(x exchange) {
+	p := &x.(*httpExchange).parser
+	l.respond(p.Status, p.Header.EndToEnd(), p.Body)
+}
+
+// throttle refuses.
+func (l *clientLink) throttle(retryAfterS float64) {
+	after := strconv.FormatFloat(max(retryAfterS, 0), 'f', 3, 64)
+	l.respond(503, http1.Header{{Name: fieldRetryAfter, Value: after}, textPlain}, []byte("throttled\n"))
+}
+
+// fail says that there is no answer.
+func (l *clientLink) fail(late bool) {
+	if late {
+		l.respond(504, http1.Header{textPlain}, []byte("no answer in time\n"))
+		return
+	}
+	l.respond(502, http1.Header{textPlain}, []byte("no answer\n"))
+}
+
+// respond writes an answer and makes ready for the next request.
+func (l *clientLink) respond(status int, h http1.Header, body []byte) {
+	if l.request = nil; l.conn == nil {
+		return
+	}
+	if !l.keep || l.s.draining {
+		l.last = true
+		h = append(h[:len(h):len(h)], http1.Field{Name: "Connection", Value: "close"})
+	}
+	l.s.scratch = http1.AppendResponse(l.s.scratch[:0], status, h, body)
+	if l.write(l.s.scratch); l.last && l.conn != nil {
+		l.finish()
+		return
+	}
+	// The next request may be in the buffer already; it is taken up as an event of its own.
+	if l.buf.Len() > 0 {
+		l.s.push(func(float64) { l.next() })
+	}
+}
+
+func (l *clientLink) write(b []byte) {
+	l.conn.Write(b) // gnet keeps what the socket does not take, and closes the link on an error
+}
+
+// finish ends the link after its last answer: no more is sent, and what comes is read and dropped until
+// the client has closed or the time is over.
+func (l *clientLink) finish() {
+	if l.conn == nil {
+		return
+	}
+	now := l.s.clock.now()
+	if l.linger == nil {
+		l.linger = l.s.timers.at(now+lingerS, func() { l.s.closeConn(l.conn) })
+	}
+	if l.conn.OutboundBuffered() > 0 { // a slow reader; gnet does not tell when all is sent
+		l.s.timers.at(now+flushEveryS, l.finish)
+		return
+	}
+	if !l.shut {
+		l.shut = true
+		_ = unix.Shutdown(l.conn.Fd(), unix.SHUT_WR) // fails only if the client has closed
+	}
+}
+
+const flushEveryS = 0.01
+
+// idle tells whether nothing of a request has come and none is out.
+func (l *clientLink) idle() bool {
+	return l.request == nil && !l.last && l.buf.Len() == 0 && !l.parser.Begun()
+}
+
+// ended takes the client's departure.
+func (l *clientLink) ended(error) {
+	l.conn = nil
+	l.s.timers.stop(l.linger)
+	delete(l.s.clients, l)
+	if r := l.request; r != nil {
+		l.request = nil
+		l.s.abandoned(r)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/counters.go
@@ -0,0 +1,62 @@
+package sidecar
+
+import (
+	"encoding/json"
+
+	"hazelwheel/policy"
+)
+
+// outcomes counts executions or probes by how they ended.
+type outcomes [policy.NotSent + 1]uint64
+
+var outcomeNames = [len(outcomes{})]string{"ok", "host_error", "rejected", "timed_out", "connect_failed", "reset",
+	"cancelled", "not_sent"}
+
+func (o *outcomes) count(outcome policy.Outcome) { o[outcome]++ }
+
+func (o *outcomes) named() map[string]uint64 {
+	m := make(map[string]uint64, len(o))
+	for i, n := range o {
+		m[outcomeNames[i]] = n
+	}
+	return m
+}
+
+// counters count what the sidecar takes in, sends and answers.
+type counters struct {
+	Requests  uint64 `json:"requests"`  // taken whole from clients
+	Open      int    `json:"open"`      // of these, not answered yet
+	Served    uint64 `json:"served"`    // answered with what a server said
+	Throttled uint64 `json:"throttled"` // refused
+	Failed    uint64 `json:"failed"`    // answered without a server's answer
+	Abandoned uint64 `json:"abandoned"` // whose client went away
+	Overdue   uint64 `json:"overdue"`   // failed because the decisions were late
+	Malformed uint64 `json:"malformed"` // messages answered with 4xx or 501 and never handed on
+
+	Executions uint64 `json:"executions"`
+	Probes     uint64 `json:"probes"`
+	Dials      uint64 `json:"dials"` // server links opened
+	Watches    uint64 `json:"watches"`
+	Lists      uint64 `json:"lists"`       // objects taken from discovery
+	ListFailed uint64 `json:"list_failed"` // watches that failed
+	Panics     uint64 `json:"panics"`
+
+	Descriptors int     `json:"descriptors"` // held by links now
+	LateMS      float64 `json:"late_ms"`     // how late the latest of all timers was
+
+	executions, probes outcomes
+}
+
+// text returns the counters as JSON.
+func (c *counters) text() []byte {
+	type plain counters
+	raw, err := json.Marshal(struct {
+		*plain
+		ExecutionEnds map[string]uint64 `json:"execution_ends"`
+		ProbeEnds     map[string]uint64 `json:"probe_ends"`
+	}{(*plain)(c), c.executions.named(), c.probes.named()})
+	if err != nil { // numbers and names always marshal
+		panic(err)
+	}
+	return append(raw, '\n')
+}
--- /dev/null
+++ b/internal/sidecar/execution.go
@@ -0,0 +1,171 @@
+package sidecar
+
+import (
+	"hazelwheel/internal/http1"
+	"hazelwheel/policy"
+)
+
+// progress is how far an execution has come.
+type progress uint8
+
+const (
+	notConnected progress = iota
+	partlyWritten
+	writtenWhole
+	answering
+)
+
+func (p progress) String() string {
+	return [...]string{"not connected", "partly written", "written whole", "answering"}[p]
+}
+
+// cause is what ended an execution before its answer.
+type cause uint8
+
+const (
+	broke     cause = iota // the link did not come up, broke, or brought no sense
+	timedOut               // the wait was over
+	cancelled              // the decisions called it off
+	overtaken              // its request or its server was no longer to be served when the link was up
+)
+
+func (c cause) String() string {
+	return [...]string{"broke", "timed out", "cancelled", "overtaken"}[c]
+}
+
+// execError is the end of an execution without an answer, and how far it had come.
+type execError struct {
+	progress progress
+	cause    cause
+	err      error // what the network said, if anything
+}
+
+func (e *execError) Error() string {
+	text := e.cause.String() + ", " + e.progress.String()
+	if e.err != nil {
+		text += ": " + e.err.Error()
+	}
+	return text
+}
+
+func (e *execError) Unwrap() error { return e.err }
+
+// outcome tells the decisions how an execution ended. Danger: an outcome that claims too much (that nothing
+// can have run) makes a request run twice. A server begins a request with its last byte, so only what broke
+// before that byte was written is known never to have run.
+func (e *execError) outcome() policy.Outcome {
+	unwritten := e.progress == notConnected || e.progress == partlyWritten
+	switch {
+	case e.cause == overtaken && unwritten, e.cause == cancelled && e.progress == notConnected:
+		return policy.NotSent
+	case e.cause == cancelled:
+		return policy.Cancelled
+	case e.cause == timedOut && e.progress != notConnected:
+		return policy.TimedOut
+	case unwritten:
+		return policy.ConnectFailed
+	default:
+		return policy.Reset
+	}
+}
+
+// exchange is one protocol's side of an execution: it writes the request to a server link and reads the
+// answer off it. A request carries one for each execution, in the protocol that it came in.
+type exchange interface {
+	// append appends the request; the server is told how long anybody waits for its answer.
+	append(dst []byte, leftS float64) []byte
+	// read reads on from what the link has received and tells whether the answer is whole.
+	read(buf *http1.Buffer) (bool, error)
+	// begun tells whether any of the answer has come.
+	begun() bool
+	// end takes the end of the link and tells whether that makes the answer whole.
+	end() bool
+	// verdict tells what a whole answer means, the load report it holds, and whether the link can be kept.
+	verdict() (outcome policy.Outcome, report policy.Report, keep bool)
+}
+
+// execution is one attempt of a request at a server, or a probe of it, which has no request. It ends with
+// exactly one outcome.
+type execution struct {
+	request  *request // nil for a probe
+	number   int
+	host     uint32
+	sentAt   float64
+	until    float64 // when the wait is over
+	exchange exchange
+	link     *serverLink
+	progress progress
+	timer    *timer
+	over     bool
+}
+
+// finish ends an execution. err is nil where a whole answer has come.
+func (s *Sidecar) finish(e *execution, err *execError) {
+	if e.over {
+		return
+	}
+	e.over = true
+	s.timers.stop(e.timer)
+	result := policy.Result{Host: e.host, Attempt: e.number}
+	if err != nil {
+		result.Outcome = err.outcome()
+		s.log.Debug("execution ended", "host", e.host, "probe", e.request == nil, "error", err)
+	} else {
+		result.Outcome, result.Report, _ = e.exchange.verdict()
+	}
+	if e.request == nil {
+		s.counters.probes.count(result.Outcome)
+		s.push(func(now float64) {
+			result.DelayS = now - e.sentAt
+			s.balancer.ProbeDone(now, result)
+		})
+		return
+	}
+	s.counters.executions.count(result.Outcome)
+	r := e.request
+	delete(r.out, e.number)
+	result.ID = r.id
+	if result.Outcome == policy.OK && !r.answered {
+		s.counters.Served++
+		s.answer(r, func() { r.origin.serve(e.exchange) })
+	}
+	result.Final = r.answered
+	s.push(func(now float64) {
+		result.DelayS = now - e.sentAt
+		result.Final = result.Final || r.answered
+		s.balancer.AttemptDone(now, result)
+		s.forget(r)
+	})
+}
+
+// begin starts an execution on an idle server link, or on a new one.
+func (s *Sidecar) begin(e *execution) {
+	h := s.hosts.Host(e.host)
+	if h == nil || e.until <= s.clock.now() {
+		s.finish(e, &execError{notConnected, overtaken, nil})
+		return
+	}
+	e.timer = s.timers.at(e.until, func() { s.abandon(e, timedOut) })
+	if l := s.idleLink(h); l != nil {
+		l.begin(e)
+		return
+	}
+	s.dial(h, e)
+}
+
+// abandon gives an execution up. Its link is closed before the outcome is told: nothing may be sent again
+// while a copy is still out on an open link, and no late answer may meet another request.
+func (s *Sidecar) abandon(e *execution, why cause) {
+	if e.over {
+		return
+	}
+	l, err := e.link, &execError{e.progress, why, nil}
+	l.execution = nil
+	if l.conn == nil {
+		l.stopDial()
+	} else {
+		err.progress = l.progress(e)
+		l.close()
+	}
+	s.finish(e, err)
+}
--- /dev/null
+++ b/internal/sidecar/request.go
@@ -0,0 +1,85 @@
+package sidecar
+
+import "hazelwheel/policy"
+
+// origin is where a request's answer goes: a client link, in whatever protocol it speaks. Each request gets
+// one call, unless its client has gone.
+type origin interface {
+	// serve passes on a server's answer.
+	serve(x exchange)
+	// throttle refuses: trying again is harmless, best after the given time.
+	throttle(retryAfterS float64)
+	// fail says that there is no answer and that the request may have run; late, that time ran out.
+	fail(late bool)
+}
+
+// call is what a request asks for, in its protocol.
+type call interface {
+	// exchange returns the call's side of one execution.
+	exchange() exchange
+}
+
+// request is one that a client link has brought whole and that has not been answered, or has executions out.
+type request struct {
+	id       uint32
+	deadline float64
+	call     call
+	origin   origin
+	sent     int // executions begun
+	out      map[int]*execution
+	answered bool // it has its final answer, or nobody waits for one
+	safety   *timer
+}
+
+// take hands a request to the decisions.
+func (s *Sidecar) take(r *request, q policy.Request) {
+	for s.requests[s.lastID] != nil || s.lastID == 0 {
+		s.lastID++ // the counter has come round: an id may only be used again when it is free
+	}
+	r.id, r.out = s.lastID, map[int]*execution{}
+	s.lastID++
+	s.requests[r.id] = r
+	s.counters.Requests++
+	s.counters.Open++
+	q.ID, q.Deadline = r.id, r.deadline
+	// Whatever the decisions do, the client gets its one answer in time.
+	r.safety = s.timers.at(r.deadline+s.slack/2, func() {
+		s.counters.Overdue++
+		s.answer(r, func() { r.origin.fail(true) })
+		s.push(func(now float64) { s.balancer.Abandoned(now, r.id) })
+	})
+	s.push(func(now float64) {
+		if !r.answered { // its client may have gone since
+			s.balancer.Request(now, q)
+		}
+	})
+}
+
+// answer gives a request its final answer by calling give, unless it has had one.
+func (s *Sidecar) answer(r *request, give func()) {
+	if r.answered {
+		return
+	}
+	r.answered = true
+	s.timers.stop(r.safety)
+	s.counters.Open--
+	give()
+	s.push(func(float64) { s.forget(r) })
+}
+
+// forget drops a request that is answered and has nothing out.
+func (s *Sidecar) forget(r *request) {
+	if r.answered && len(r.out) == 0 && s.requests[r.id] == r {
+		delete(s.requests, r.id)
+	}
+}
+
+// abandoned takes the departure of a request's client.
+func (s *Sidecar) abandoned(r *request) {
+	if r.answered {
+		return
+	}
+	s.counters.Abandoned++
+	s.answer(r, func() {})
+	s.push(func(now float64) { s.balancer.Abandoned(now, r.id) })
+}
--- /dev/null
+++ b/internal/sidecar/serverlink.go
@@ -0,0 +1,234 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"hazelwheel/internal/hostgroup"
+	"hazelwheel/internal/http1"
+	"hazelwheel/policy"
+)
+
+// errStray is the end of a link that said something nobody had asked for.
+var errStray = errors.New("unasked bytes")
+
+// errDescriptors is the end of a dial that the limit on descriptors forbids.
+var errDescriptors = errors.New("no descriptors left")
+
+// serverLink is a connection to a server. It carries one execution at a time.
+type serverLink struct {
+	s         *Sidecar
+	host      uint32
+	address   string
+	conn      gnet.Conn // nil until it is up
+	stopDial  context.CancelFunc
+	buf       http1.Buffer
+	execution *execution // nil while idle
+	retire    *timer
+	writing   bool
+	closed    bool
+}
+
+// idleLink takes the link to a server that was used last, nil if there is none. The newest is the least
+// likely to have been closed by the other side, and the others can grow old and be retired.
+func (s *Sidecar) idleLink(h *hostgroup.Host) *serverLink {
+	for {
+		links := s.idle[h.ID]
+		if len(links) == 0 {
+			return nil
+		}
+		l := links[len(links)-1]
+		if l.address == h.Address {
+			l.unidle()
+			return l
+		}
+		l.close() // the server has moved
+	}
+}
+
+// unidle takes a link from the idle ones.
+func (l *serverLink) unidle() {
+	links := l.s.idle[l.host]
+	if i := slices.Index(links, l); i >= 0 {
+		l.s.idle[l.host] = slices.Delete(links, i, i+1)
+	}
+	l.s.timers.stop(l.retire)
+}
+
+// rest puts a link among the idle ones. Danger: a request that is written to a link after the server's side
+// has closed it is lost, and one that must not run twice with it. Links are retired well before that.
+func (l *serverLink) rest() {
+	l.execution = nil
+	l.s.idle[l.host] = append(l.s.idle[l.host], l)
+	if limit := l.s.cfg.Settings.Policy.ConnIdleS; limit > 0 {
+		l.retire = l.s.timers.at(l.s.clock.now()+min(0.8*limit, max(limit-0.5, 0.5*limit)), l.close)
+	}
+}
+
+// dial opens a link for an execution. The connecting runs beside the event loop: gnet's own dialing would
+// block it, or go on without an end.
+func (s *Sidecar) dial(h *hostgroup.Host, e *execution) {
+	l := &serverLink{s: s, host: h.ID, address: h.Address, execution: e}
+	e.link = l
+	if !s.room(dialDescriptors) {
+		s.finish(e, &execError{notConnected, broke, errDescriptors})
+		return
+	}
+	s.counters.Dials++
+	until := min(e.until, s.clock.now()+s.cfg.Settings.ConnectTimeoutS)
+	l.stopDial = s.connect(h.Address, until, l, func(err error) {
+		if e := l.execution; e != nil {
+			l.execution = nil
+			s.finish(e, &execError{notConnected, broke, err})
+		}
+	})
+}
+
+// dialDescriptors is what a dial may hold: gnet duplicates the descriptor before the dialed one is closed.
+const dialDescriptors = 2
+
+// connect opens a connection in the background. It comes up as a call of l.opened on the event loop, or else
+// failed is called there.
+func (s *Sidecar) connect(address string, until float64, l link, failed func(error)) context.CancelFunc {
+	ctx, cancel := context.WithDeadline(context.Background(), s.clock.time(until))
+	s.dialing += dialDescriptors
+	settled := func(err error) {
+		s.post(func() {
+			s.dialing -= dialDescriptors
+			cancel()
+			if err != nil {
+				failed(err)
+			}
+		})
+	}
+	go func() {
+		dialer := net.Dialer{KeepAlive: -1}
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			settled(err)
+			return
+		}
+		result, err := s.loop.Enroll(gnet.NewContext(context.Background(), l), conn)
+		if err != nil {
+			conn.Close()
+			settled(err)
+			return
+		}
+		settled((<-result).Err)
+	}()
+	return cancel
+}
+
+// opened takes the link into use. Danger: while it was connecting its request may have ended, and its server
+// may have been told to drain; both are looked at again before the first byte.
+func (l *serverLink) opened(c gnet.Conn) {
+	l.conn = c
+	e, may := l.execution, l.s.mayServe(l.host)
+	if e != nil && (e.request == nil || may && !e.request.answered) {
+		l.begin(e)
+		return
+	}
+	if l.execution = nil; may {
+		l.rest()
+	} else {
+		l.close()
+	}
+	if e != nil {
+		l.s.finish(e, &execError{notConnected, overtaken, nil})
+	}
+}
+
+// mayServe tells whether a server may still be sent something new.
+func (s *Sidecar) mayServe(host uint32) bool {
+	h := s.hosts.Host(host)
+	return h != nil && (h.State == policy.Ready || h.State == policy.Gone && s.cfg.Settings.Policy.OnlyDrainBinds)
+}
+
+// begin writes an execution's request.
+func (l *serverLink) begin(e *execution) {
+	l.execution, e.link = e, l
+	e.progress = partlyWritten
+	l.s.scratch = e.exchange.append(l.s.scratch[:0], e.until-l.s.clock.now())
+	l.writing = true
+	_, err := l.conn.Write(l.s.scratch) // gnet closes the link on an error, which ends the execution
+	l.writing = false
+	if err == nil && l.execution == e {
+		e.progress = l.progress(e)
+	}
+}
+
+// progress tells how far the link's execution has come by now.
+func (l *serverLink) progress(e *execution) progress {
+	switch {
+	case e.progress == partlyWritten && !l.writing && l.conn.OutboundBuffered() == 0:
+		e.progress = writtenWhole
+	}
+	if e.progress == writtenWhole && e.exchange.begun() {
+		e.progress = answering
+	}
+	return e.progress
+}
+
+// traffic reads what the server says.
+func (l *serverLink) traffic(data []byte) {
+	l.buf.Write(data)
+	e := l.execution
+	if e == nil {
+		l.s.log.Debug("server link closed", "host", l.host, "error", errStray)
+		l.close()
+		return
+	}
+	done, err := e.exchange.read(&l.buf)
+	if err != nil {
+		l.execution = nil
+		far := l.progress(e)
+		l.close()
+		l.s.finish(e, &execError{far, broke, err})
+		return
+	}
+	if done {
+		l.complete(e)
+	}
+}
+
+// complete ends an execution whose answer is whole. The link is kept only if nothing is left on it, neither
+// of the answer nor of the request.
+func (l *serverLink) complete(e *execution) {
+	_, _, keep := e.exchange.verdict()
+	if keep && l.buf.Len() == 0 && l.conn.OutboundBuffered() == 0 && l.s.mayServe(l.host) {
+		l.rest()
+	} else {
+		l.execution = nil
+		l.close()
+	}
+	l.s.finish(e, nil)
+}
+
+// ended takes the end of the connection, from whatever side.
+func (l *serverLink) ended(err error) {
+	l.closed = true
+	l.unidle()
+	e := l.execution
+	if e == nil {
+		return
+	}
+	l.execution = nil
+	if e.exchange.end() {
+		l.s.finish(e, nil)
+		return
+	}
+	l.s.finish(e, &execError{l.progress(e), broke, err})
+}
+
+// close ends the connection at once.
+func (l *serverLink) close() {
+	if !l.closed {
+		l.closed = true
+		l.unidle()
+		l.s.closeConn(l.conn)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/watch.go
@@ -0,0 +1,180 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strconv"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"hazelwheel/internal/http1"
+	"hazelwheel/policy"
+)
+
+const (
+	// headWaitS is how long discovery may take to begin its answer; it works through calls in turn and
+	// gives those up that wait too long.
+	headWaitS = 3.0
+	// silenceS without a byte ends a watch: discovery sends an empty line every 2 s while nothing changes.
+	silenceS = 5.0
+	// mostList bounds one line of discovery.
+	mostList = 8 << 20
+	// rewatchS is the wait before a watch that nobody asks for is begun again.
+	rewatchS = 1.0
+)
+
+var (
+	errSilent  = errors.New("silence")
+	errRefused = errors.New("refused")
+	errEnded   = errors.New("ended")
+)
+
+// watcher is a watch on discovery's list.
+type watcher struct {
+	s        *Sidecar
+	conn     gnet.Conn
+	stopDial context.CancelFunc
+	buf      http1.Buffer
+	parser   http1.ResponseParser
+	alive    *timer
+	over     bool
+	heard    bool // a line has come
+}
+
+// watch begins a watch. One that is up already answers for it; one that has not begun to answer is dropped.
+func (s *Sidecar) watch() {
+	if w := s.watcher; w != nil {
+		if w.heard {
+			s.push(func(now float64) { s.balancer.Hosts(now, policy.ListDelta, nil) })
+			return
+		}
+		w.stop()
+	}
+	now := s.clock.now()
+	w := &watcher{s: s, parser: http1.NewResponseParser(http1.Limits{Head: mostHead, Body: mostList})}
+	s.watcher = w
+	s.counters.Watches++
+	w.alive = s.timers.at(now+headWaitS, func() { w.fail(errSilent) })
+	w.stopDial = s.connect(s.cfg.Discovery, now+s.cfg.Settings.ConnectTimeoutS, w, w.fail)
+}
+
+// opened asks for the changes since the list that is held.
+func (w *watcher) opened(c gnet.Conn) {
+	w.conn = c
+	if w.over {
+		w.s.closeConn(c)
+		return
+	}
+	target := "/v1/endpoints?follow=1"
+	if index, ok := w.s.hosts.Index(); ok {
+		target += "&since=" + strconv.FormatUint(index, 10)
+	}
+	h := http1.Header{{Name: "Host", Value: w.s.cfg.Discovery}}
+	c.Write(http1.AppendRequest(nil, "GET", target, h, nil))
+}
+
+// traffic takes the lines that have come.
+func (w *watcher) traffic(data []byte) {
+	if w.over {
+		return
+	}
+	w.buf.Write(data)
+	done, err := w.parser.Next(&w.buf)
+	if err == nil && w.parser.HeadRead() && w.parser.Status != 200 {
+		err = errRefused
+	}
+	for err == nil {
+		line, rest, ok := bytes.Cut(w.parser.Body, []byte{'\n'})
+		if !ok {
+			break
+		}
+		w.parser.Body = rest
+		err = w.line(bytes.TrimSpace(line))
+	}
+	if err == nil && done {
+		err = errEnded
+	}
+	if err != nil {
+		w.fail(err)
+		return
+	}
+	if w.parser.HeadRead() {
+		w.s.timers.stop(w.alive)
+		w.alive = w.s.timers.at(w.s.clock.now()+silenceS, func() { w.fail(errSilent) })
+	}
+}
+
+// line takes one line: an object with changes, or an empty sign of life. The first of either tells the
+// decisions that the watch is up.
+func (w *watcher) line(line []byte) error {
+	if len(line) == 0 {
+		if !w.heard {
+			w.heard = true
+			w.s.push(func(now float64) { w.s.balancer.Hosts(now, policy.ListDelta, nil) })
+		}
+		return nil
+	}
+	w.heard = true
+	return w.s.list(line, policy.ListDelta)
+}
+
+// list applies one object of discovery and tells the decisions; kind is what an object with changes is.
+func (s *Sidecar) list(raw []byte, kind policy.ListKind) error {
+	snapshot, infos, err := s.hosts.Apply(raw, s.clock.now())
+	if err != nil {
+		return err
+	}
+	s.counters.Lists++
+	if snapshot && kind == policy.ListDelta {
+		kind = policy.ListFull
+	}
+	s.push(func(now float64) { s.balancer.Hosts(now, kind, infos) })
+	for id, links := range s.idle { // nothing new goes to these
+		for len(links) > 0 && !s.mayServe(id) {
+			links[0].close()
+			links = s.idle[id]
+		}
+		if len(links) == 0 {
+			delete(s.idle, id)
+		}
+	}
+	return nil
+}
+
+// stop ends a watch without a word.
+func (w *watcher) stop() {
+	w.over = true
+	w.s.timers.stop(w.alive)
+	w.stopDial()
+	w.s.closeConn(w.conn)
+	if w.s.watcher == w {
+		w.s.watcher = nil
+	}
+}
+
+// fail ends a watch that brings nothing more. The decisions ask again; where they never ask, since the
+// list comes unasked, the sidecar does.
+func (w *watcher) fail(err error) {
+	if w.over {
+		return
+	}
+	s := w.s
+	w.stop()
+	s.counters.ListFailed++
+	s.log.Debug("watch failed", "error", err)
+	if s.cfg.Settings.Policy.AskForList {
+		s.push(func(now float64) { s.balancer.Hosts(now, policy.ListFailed, nil) })
+		return
+	}
+	s.timers.at(s.clock.now()+rewatchS, s.watch)
+}
+
+// ended takes the end of the connection.
+func (w *watcher) ended(err error) {
+	w.conn = nil
+	if err == nil {
+		err = errEnded
+	}
+	w.fail(err)
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 
+	"hazelwheel/internal/config"
 	"hazelwheel/policy"
 )
 
@@ -172,8 +173,8 @@
 	if err != nil {
 		return 0, s, fmt.Errorf("settings: %w", err)
 	}
-	s, err = parseSettings(raw)
-	return le.Uint64(r[6:]), s, err
+	settings, err := config.ParseSettings(raw)
+	return le.Uint64(r[6:]), settings.Policy, err
 }
 
 var listKinds = [...]policy.ListKind{policy.ListFull, policy.ListDelta, policy.ListFailed, policy.ListCached}
