Listen with SO_REUSEADDR so that a restart is not kept off by closed connections

The faulty lines: claim binds with SO_REUSEADDR, but the listener that gnet opened had only SO_REUSEPORT, so its closed connections blocked the bind.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -100,8 +100,10 @@
 	}
 	// With ReusePort the loop accepts by itself, one connection at a time, and each can be turned away
 	// before the next takes a descriptor. Danger: gnet ends the engine when an accept fails.
+	// ReuseAddr is for the next start: without it the connections that this one closed stand in the way of
+	// claim for a minute.
 	err := gnet.Run(&handler{s: s}, "tcp://"+s.cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
-		gnet.WithTicker(true), gnet.WithLogger(gnetLogger{s.log}))
+		gnet.WithReuseAddr(true), gnet.WithTicker(true), gnet.WithLogger(gnetLogger{s.log}))
 	s.log.Info("counters at exit", "counters", string(s.countersText()))
 	return err
 }
