--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,65 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const sound = `{"name":"n3","listen":"10.0.0.4:3000","discovery":"10.2.0.1:8500","seed":"8c1f30d27a5be964",
+	"limits":{"cores":0.5,"memory_mb":2048,"sockets":4096},"known":{"index":41},"later":1,
+	"settings":{"classes":[{"name":"a","effect":"free","giveUpS":3,"objectiveS":1}],"replicasOfMe":3,
+	"limits":{"connectTimeoutS":0.25}}}`
+
+func nothing(string) string { return "" }
+
+func TestLoad(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, []byte(sound), 0o600))
+	c, err := Load(path, func(name string) string {
+		return map[string]string{EnvName: "n4", EnvListen: "127.0.0.1:1", EnvDiscovery: "127.0.0.1:2"}[name]
+	})
+	require.NoError(t, err)
+	assert.Equal(t, []any{"n4", "127.0.0.1:1", "127.0.0.1:2", uint64(0x8c1f30d27a5be964)},
+		[]any{c.Name, c.Listen, c.Discovery, c.Seed})
+	assert.Equal(t, Limits{0.5, 2048, 4096}, c.Limits)
+	assert.Equal(t, 0.25, c.Settings.ConnectTimeoutS)
+
+	_, err = Load("", nothing)
+	assert.ErrorContains(t, err, "GW_CONFIG")
+	_, err = Load(path+"x", nothing)
+	assert.ErrorContains(t, err, "GW_CONFIG")
+}
+
+// An error is one line that begins with the field.
+func TestFaultsAreNamed(t *testing.T) {
+	for _, c := range []struct{ from, to, field string }{
+		{`"n3"`, `""`, "name"},
+		{`10.0.0.4:3000`, `somewhere:3000`, "listen"},
+		{`10.0.0.4:3000`, `10.0.0.4:0`, "listen"},
+		{`10.2.0.1:8500`, ``, "discovery"},
+		{`8c1f30d27a5be964`, `x`, "seed"},
+		{`"cores":0.5`, `"cores":0`, "limits.cores"},
+		{`2048`, `1`, "limits.memory_mb"},
+		{`4096`, `10`, "limits.sockets"},
+		{`"settings"`, `"other"`, "settings"},
+		{`0.25`, `0`, "settings.limits.connectTimeoutS"},
+		{`"replicasOfMe":3`, `"replicasOfMe":0`, "settings.replicasOfMe"},
+		{`"free"`, `"odd"`, "settings"},
+		{`"giveUpS":3`, `"giveUpS":0`, "settings.classes[0].giveUpS"},
+		{`"giveUpS":3`, `"giveUpS":"3"`, "settings"},
+		{`}]`, `},{"name":"a","effect":"free","giveUpS":3,"objectiveS":1}]`, "settings.classes[1].name"},
+		{`{"name":"n3"`, `{"name":3`, "GW_CONFIG"},
+		{`{"name"`, `{name`, "GW_CONFIG"},
+	} {
+		_, err := parse([]byte(strings.Replace(sound, c.from, c.to, 1)), nothing)
+		if assert.Error(t, err, c.field) {
+			assert.True(t, strings.HasPrefix(err.Error(), c.field+":"), "%s: %v", c.field, err)
+			assert.NotContains(t, err.Error(), "\n")
+		}
+	}
+}
--- /dev/null
+++ b/internal/hostgroup/hostgroup_test.go
@@ -0,0 +1,60 @@
+package hostgroup
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/policy"
+)
+
+func apply(t *testing.T, g *Group, now float64, text string) (bool, []policy.HostInfo) {
+	snapshot, infos, err := g.Apply([]byte(text), now)
+	require.NoError(t, err)
+	return snapshot, infos
+}
+
+func TestApply(t *testing.T) {
+	const now = 1.8e9
+	g := New([]string{"a", "b"}, []string{"m1", "m2"})
+	_, held := g.Index()
+	assert.False(t, held)
+	snapshot, infos := apply(t, g, now, `{"index":41,"snapshot":true,"endpoints":[
+		{"name":"s-5be2a07c","address":"10.1.0.18:3000","zone":"b","type":"m2","group":3,"status":"SERVING","weight":1.5,"since_ms":0},
+		{"name":"box","address":"10.1.0.19:3000","zone":"c","type":"m9","status":"DRAINING","weight":1,"since_ms":1799999999500},
+		{"address":"10.1.0.20:3000"},
+		{"name":"s-00000007","address":"10.1.0.21:3000","zone":"d","type":"m1","status":"NEW","weight":-1,"since_ms":-5}]}`)
+	assert.True(t, snapshot)
+	assert.Equal(t, []policy.HostInfo{
+		{ID: 0x5be2a07c, Zone: 1, Kind: 1, Cell: 3, State: policy.Ready, Size: 1.5},
+		// A server that began before this program must not look as if it had begun long ago: it is cold.
+		{ID: ID("box"), Zone: 2, Kind: 2, State: policy.Draining, Size: 1, Started: now - 0.5},
+		{ID: 7, Zone: 3, Kind: 0, State: policy.Draining},
+	}, infos)
+	index, held := g.Index()
+	assert.True(t, held)
+	assert.EqualValues(t, 41, index)
+
+	_, infos = apply(t, g, now+1, `{"index":42,"snapshot":false,"endpoints":[{"name":"box","status":"DELETED"}]}`)
+	assert.Equal(t, policy.Gone, infos[0].State)
+	assert.Equal(t, policy.Gone, g.Host(ID("box")).State)
+	assert.Equal(t, "10.1.0.19:3000", g.Host(ID("box")).Address)
+	apply(t, g, now+2, `{"index":43,"snapshot":true,"endpoints":[{"name":"s-00000007","status":"SERVING"}]}`)
+	assert.Equal(t, policy.Gone, g.Host(0x5be2a07c).State, "a whole list that leaves a server out says that it is gone")
+	assert.Equal(t, policy.Ready, g.Host(7).State)
+	apply(t, g, now+2+forgetAfterS+1, `{"index":44}`)
+	assert.Nil(t, g.Host(0x5be2a07c))
+	_, _, err := g.Apply([]byte(`{"index":`), now)
+	assert.Error(t, err)
+}
+
+// All sidecars order the servers alike, whatever they heard of first.
+func TestIDs(t *testing.T) {
+	assert.EqualValues(t, 0x5be2a07c, ID("s-5be2a07c"))
+	assert.Equal(t, ID("readings-1.example"), ID("readings-1.example"))
+	assert.NotEqual(t, ID("readings-1.example"), ID("readings-2.example"))
+	g := New(nil, nil)
+	_, infos := apply(t, g, 1, `{"endpoints":[{"name":"a-00000001"},{"name":"b-00000001"},{"name":"a-00000001"}]}`)
+	assert.EqualValues(t, []uint32{1, 2, 1}, []uint32{infos[0].ID, infos[1].ID, infos[2].ID}, "names that clash stay apart")
+}
