Close all idle links of a server without a panic

Cause: CloseIdle ranged over a list that each close shortens; slices.Delete leaves nil behind. Ruled out: the loop in list (watch.go), which read the list anew; it now calls CloseIdle. TestIdleLinks fails without this.

--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -40,10 +40,10 @@
 	s.begin(&execution{host: host, sentAt: s.eventAt, until: s.eventAt + probeWaitS, exchange: s.probe()})
 }
 
-// CloseIdle closes the idle links to a server.
+// CloseIdle closes the idle links to a server. Danger: each close takes its link off the list.
 func (s *Sidecar) CloseIdle(host uint32) {
-	for _, l := range s.idle[host] {
-		l.close()
+	for len(s.idle[host]) > 0 {
+		s.idle[host][0].close()
 	}
 }
 
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -150,8 +150,8 @@
 }
 
 func (b *bell) opened(gnet.Conn) {}
-func (b *bell) traffic([]byte) {}
-func (b *bell) ended(error)    {}
+func (b *bell) traffic([]byte)   {}
+func (b *bell) ended(error)      {}
 
 // claim finds out whether an address can be listened at. Danger: ReusePort lets a second process share the
 // port, and each would get a part of the clients.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hazelwheel/internal/config"
+	"hazelwheel/internal/hostgroup"
 	"hazelwheel/policy"
 )
 
@@ -114,3 +115,25 @@
 	s.take(r, policy.Request{})
 	assert.EqualValues(t, 3, r.id, "an id that is in use is passed over")
 }
+
+// The newest idle link is used first, and closing them all spares none: each close shortens the list.
+func TestIdleLinks(t *testing.T) {
+	s := newTestSidecar(t)
+	h := &hostgroup.Host{ID: 7, Address: "a"}
+	var links []*serverLink
+	for range 4 {
+		l := &serverLink{s: s, host: h.ID, address: h.Address}
+		links = append(links, l)
+		l.rest()
+	}
+	assert.Same(t, links[3], s.idleLink(h))
+	s.CloseIdle(h.ID)
+	assert.Empty(t, s.idle[h.ID])
+	for i, l := range links {
+		assert.Equal(t, i < 3, l.closed, i)
+	}
+	links[3].rest()
+	h.Address = "b"
+	assert.Nil(t, s.idleLink(h), "a link to where the server was is of no use")
+	assert.True(t, links[3].closed)
+}
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -132,12 +132,9 @@
 		kind = policy.ListFull
 	}
 	s.push(func(now float64) { s.balancer.Hosts(now, kind, infos) })
-	for id, links := range s.idle { // nothing new goes to these
-		for len(links) > 0 && !s.mayServe(id) {
-			links[0].close()
-			links = s.idle[id]
-		}
-		if len(links) == 0 {
+	for id := range s.idle {
+		if !s.mayServe(id) { // nothing new goes there
+			s.CloseIdle(id)
 			delete(s.idle, id)
 		}
 	}
