Read a server's 503 to a probe as turned away, or as timed out when it came late

Cause: httpExchange.verdict (http.go) reads a 503 without Not-Started as an error; servers answer probes so without that field, at once when they are full and after 400 ms when the probe waited in vain. The module takes a turned-away probe as a sign of life, an error as silence, so full servers were shut out. Ruled out: requests' own outcomes (same shares), latency through the sidecar (0.1 ms), list changes (same times). TestProbesTurnedAway fails without this.

--- a/cmd/hazelwheel/hosts_test.go
+++ b/cmd/hazelwheel/hosts_test.go
@@ -89,6 +89,22 @@
 	}
 }
 
+// A full server turns probes away, which shows that it lives; one with a long line lets them wait first.
+func TestProbesTurnedAway(t *testing.T) {
+	full, slow := newServer(t, "s-00000001", says(503, "")), newServer(t, "s-00000002", nil)
+	slow.set(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(300 * time.Millisecond)
+		w.WriteHeader(503)
+	})
+	w := newWorld(t, full, slow)
+	w.limit("probes", true)
+	w.start()
+	w.eventually("an end of each kind", func() bool {
+		return w.ends("probe_ends", "rejected") > 0 && w.ends("probe_ends", "timed_out") > 0
+	})
+	assert.Zero(t, w.ends("probe_ends", "host_error"))
+}
+
 func TestCommands(t *testing.T) {
 	w := newWorld(t)
 	raw, err := program("check", "--config", w.config()).CombinedOutput()
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -114,6 +114,12 @@
 		result.Outcome, result.Report, _ = e.exchange.verdict()
 	}
 	if e.request == nil {
+		// A server turns a probe away at once, or after it has waited in line for as long as probes may.
+		// Danger: the first shows that it lives, and the second that its line is long; taken for one another,
+		// or for an error, they shut out servers that are merely full.
+		if result.Outcome == policy.Rejected && s.clock.now()-e.sentAt > probeWaitS/2 {
+			result.Outcome = policy.TimedOut
+		}
 		s.counters.probes.count(result.Outcome)
 		s.push(func(now float64) {
 			result.DelayS = now - e.sentAt
--- a/internal/sidecar/http.go
+++ b/internal/sidecar/http.go
@@ -125,9 +125,13 @@
 	return &httpProbe{httpExchange{call: c, parser: http1.NewResponseParser(httpLimits)}}
 }
 
-// verdict reads the report from the body, where it comes so.
+// verdict reads the report from the body, where it comes so. A probe runs nothing: a server that does not serve
+// one has turned it away, and need not say so as it must of a request.
 func (x *httpProbe) verdict() (policy.Outcome, policy.Report, bool) {
 	outcome, report, keep := x.httpExchange.verdict()
+	if x.parser.Status == 503 {
+		outcome = policy.Rejected
+	}
 	if x.call.s.cfg.Settings.Policy.ReportsOnProbe && x.parser.Status == 200 {
 		report = x.call.s.report(string(x.parser.Body))
 	}
