Use as many processors as the limits say; answer 408 to requests that never end

Guess that was wrong: one processor more than the limits say would keep timers punctual while the loop blocks in the kernel. A client link whose request has begun and is not whole after 5 s is answered 408, and a new link that says nothing counts as resting after 1 s: both held descriptors for ever. The counters at exit go to standard output as plain JSON.

--- a/cmd/hazelwheel/main.go
+++ b/cmd/hazelwheel/main.go
@@ -36,6 +36,7 @@
 	}
 }
 
+// serve ends with the counters on standard output.
 func serve(_ context.Context, c *cli.Command) error {
 	cfg, err := config.Load(c.String("config"), os.Getenv)
 	if err != nil {
@@ -49,7 +50,9 @@
 	if err != nil {
 		return err
 	}
-	return s.Run()
+	err = s.Run()
+	fmt.Fprintf(c.Root().Writer, "%s", s.Counters())
+	return err
 }
 
 func check(_ context.Context, c *cli.Command) error {
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -18,27 +18,34 @@
 	// lingerS is how long a link that said its last is read on: closing it on bytes that nobody has read
 	// would reset it, and the client could lose the answer.
 	lingerS = 1.0
+	// arrivalS is how long a request may take to arrive once it has begun; a client that never ends one
+	// would hold a descriptor for ever.
+	arrivalS = 5.0
+	// freshS is how long a new link is taken to be about to carry its first request.
+	freshS = 1.0
 	// longestS bounds what a client may ask us to wait.
 	longestS = 3600.0
 )
 
 // clientLink is a connection from the application. It speaks HTTP/1.1, one request at a time.
 type clientLink struct {
-	s        *Sidecar
-	conn     gnet.Conn
-	buf      http1.Buffer
-	parser   http1.RequestParser
-	request  *request // the one that is out
-	keep     bool     // the client wants the link kept after it
-	told     bool     // 100 Continue is sent
-	last     bool     // the last answer is written
-	shut     bool     // and no byte is left to send
-	throng   bool     // the link is beyond the limit on descriptors
-	linger   *timer
-	restedAt float64 // when it last answered; 0: never
-}
-
-func (l *clientLink) opened(c gnet.Conn) { l.conn = c }
+	s          *Sidecar
+	conn       gnet.Conn
+	buf        http1.Buffer
+	parser     http1.RequestParser
+	request    *request // the one that is out
+	keep       bool     // the client wants the link kept after it
+	told       bool     // 100 Continue is sent
+	last       bool     // the last answer is written
+	shut       bool     // and no byte is left to send
+	throng     bool     // the link is beyond the limit on descriptors
+	linger     *timer
+	arrival    *timer  // of the request that is on its way in
+	restedAt   float64 // when it last answered; 0: never
+	freshUntil float64
+}
+
+func (l *clientLink) opened(c gnet.Conn) { l.conn, l.freshUntil = c, l.s.clock.now()+freshS }
 
 // traffic reads what the client says.
 func (l *clientLink) traffic(data []byte) {
@@ -62,18 +69,31 @@
 			return
 		}
 		if !whole {
+			if l.arrival == nil && (l.buf.Len() > 0 || l.parser.Begun()) {
+				l.arrival = l.s.timers.at(l.s.clock.now()+arrivalS, func() {
+					l.malformed(&http1.Error{Status: 408, Reason: "request did not arrive"})
+				})
+			}
 			if !l.told && l.parser.WantsContinue() {
 				l.told = true
 				l.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 			}
 			return
 		}
+		l.endArrival()
 		l.keep, l.told = l.parser.Keep(), false
 		l.route()
 	}
 }
 
+// endArrival notes that no request is on its way in.
+func (l *clientLink) endArrival() {
+	l.s.timers.stop(l.arrival)
+	l.arrival = nil
+}
+
 func (l *clientLink) malformed(err error) {
+	l.endArrival()
 	var e *http1.Error
 	if !errors.As(err, &e) {
 		e = &http1.Error{Status: 400, Reason: err.Error()}
@@ -102,7 +122,7 @@
 	case path == "/ready" && p.Method == "GET":
 		l.respond(200, http1.Header{textPlain}, []byte("ready\n"))
 	case path == "/counters" && p.Method == "GET":
-		l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, l.s.countersText())
+		l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, l.s.Counters())
 	default:
 		l.decline(404, "no such class of requests")
 	}
@@ -221,6 +241,7 @@
 func (l *clientLink) ended(error) {
 	l.conn = nil
 	l.s.timers.stop(l.linger)
+	l.endArrival()
 	delete(l.s.clients, l)
 	if r := l.request; r != nil {
 		l.request = nil
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -72,8 +72,8 @@
 // exchange is one protocol's side of an execution: it writes the request to a server link and reads the
 // answer off it. A request carries one for each execution, in the protocol that it came in.
 type exchange interface {
-	// append appends the request; the server is told how long anybody waits for its answer.
-	append(dst []byte, leftS float64) []byte
+	// append appends the request; the server is told until when anybody waits for its answer.
+	append(dst []byte, until float64) []byte
 	// read reads on from what the link has received and tells whether the answer is whole.
 	read(buf *http1.Buffer) (bool, error)
 	// begun tells whether any of the answer has come.
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -113,7 +113,7 @@
 	}
 	var oldest *clientLink
 	for l := range s.clients {
-		if l.idle() && l.restedAt > 0 && (oldest == nil || l.restedAt < oldest.restedAt) {
+		if l.idle() && (l.restedAt > 0 || l.freshUntil < s.clock.now()) && (oldest == nil || l.restedAt < oldest.restedAt) {
 			oldest = l
 		}
 	}
--- a/internal/sidecar/http.go
+++ b/internal/sidecar/http.go
@@ -58,9 +58,9 @@
 	parser http1.ResponseParser
 }
 
-func (x *httpExchange) append(dst []byte, leftS float64) []byte {
+func (x *httpExchange) append(dst []byte, until float64) []byte {
 	h := append(x.call.header[:len(x.call.header):len(x.call.header)],
-		http1.Field{Name: fieldPatience, Value: formatPatience(leftS)})
+		http1.Field{Name: fieldPatience, Value: formatPatience(until - x.call.s.clock.now())})
 	return http1.AppendRequest(dst, x.call.method, x.call.target, h, x.call.body)
 }
 
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -167,7 +167,7 @@
 func (l *serverLink) begin(e *execution) {
 	l.execution, e.link = e, l
 	e.progress = partlyWritten
-	l.s.scratch = e.exchange.append(l.s.scratch[:0], e.until-l.s.clock.now())
+	l.s.scratch = e.exchange.append(l.s.scratch[:0], e.until)
 	l.writing = true
 	_, err := l.conn.Write(l.s.scratch) // gnet closes the link on an error, which ends the execution
 	l.writing = false
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -91,9 +91,7 @@
 
 // Run serves until the process is told to end and all that was taken is answered.
 func (s *Sidecar) Run() error {
-	// The loop blocks in the kernel holding a processor until the runtime notices: with a second one the
-	// timers need not wait for that.
-	runtime.GOMAXPROCS(int(math.Ceil(s.cfg.Limits.Cores)) + 1)
+	runtime.GOMAXPROCS(int(math.Ceil(s.cfg.Limits.Cores)))
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.cfg.Limits.MemoryMB) * (1 << 20)))
 	if err := claim(s.cfg.Listen); err != nil {
 		return fmt.Errorf("listen %s: %w", s.cfg.Listen, err)
@@ -102,10 +100,8 @@
 	// before the next takes a descriptor. Danger: gnet ends the engine when an accept fails.
 	// ReuseAddr is for the next start: without it the connections that this one closed stand in the way of
 	// claim for a minute.
-	err := gnet.Run(&handler{s: s}, "tcp://"+s.cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
+	return gnet.Run(&handler{s: s}, "tcp://"+s.cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
 		gnet.WithReuseAddr(true), gnet.WithTicker(true), gnet.WithLogger(gnetLogger{s.log}))
-	s.log.Info("counters at exit", "counters", string(s.countersText()))
-	return err
 }
 
 // start begins work; it is the loop's first task.
@@ -205,7 +201,8 @@
 	}
 }
 
-func (s *Sidecar) countersText() []byte {
+// Counters returns the counters as JSON. Once Run has returned it may be called from outside the loop.
+func (s *Sidecar) Counters() []byte {
 	s.counters.Descriptors = s.conns + s.dialing
 	return s.counters.text()
 }
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -160,6 +160,9 @@
 	}
 	s := w.s
 	w.stop()
+	if s.stopping {
+		return
+	}
 	s.counters.ListFailed++
 	s.log.Debug("watch failed", "error", err)
 	if s.cfg.Settings.Policy.AskForList {
