--- a/cmd/hazelwheel/serve_test.go
+++ b/cmd/hazelwheel/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -272,6 +273,25 @@
 	require.NoError(t, w.cmd.Process.Signal(unix.Signal(0)))
 }
 
+// With more servers than descriptors, idle links make room for new ones.
+func TestServerLinksMakeRoom(t *testing.T) {
+	s := newServer(t, "", says(200, ""))
+	w := newWorld(t)
+	for i := range 60 {
+		e := s.endpoint()
+		e.Name = fmt.Sprintf("s-%08x", i)
+		w.known = append(w.known, e)
+	}
+	w.limits["sockets"] = 64
+	w.start()
+	for range 300 {
+		require.Equal(t, 200, w.ask("write", "", "").status)
+	}
+	_, _, closed := s.counts()
+	assert.Positive(t, closed)
+	assert.LessOrEqual(t, w.counter("descriptors"), 40.0)
+}
+
 func TestEnd(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, ""))
 	w := newWorld(t, s).start()
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -128,6 +128,20 @@
 	return raw[:end-1], true, nil
 }
 
+// next reads on; start takes a whole head and finds the stage after it, or that another head follows.
+func (m *message) next(buf *Buffer, start func() error) (bool, error) {
+	for m.stage == inHead {
+		if done, err := m.readHead(buf); err != nil || !done {
+			return false, err
+		}
+		if err := start(); err != nil {
+			return false, err
+		}
+	}
+	err := m.readBody(buf)
+	return m.stage == complete, err
+}
+
 // readHead takes lines until the head is whole.
 func (m *message) readHead(buf *Buffer) (done bool, err error) {
 	for {
@@ -323,16 +337,7 @@
 	if p.stage == complete {
 		p.reset()
 	}
-	if p.stage == inHead {
-		if done, err := p.readHead(buf); err != nil || !done {
-			return false, err
-		}
-		if err := p.start(); err != nil {
-			return false, err
-		}
-	}
-	err := p.readBody(buf)
-	return p.stage == complete, err
+	return p.next(buf, p.start)
 }
 
 func (p *RequestParser) start() error {
@@ -388,16 +393,7 @@
 
 // Next reads on from buf and tells whether the response is whole. Interim responses are skipped.
 func (p *ResponseParser) Next(buf *Buffer) (bool, error) {
-	for p.stage == inHead {
-		if done, err := p.readHead(buf); err != nil || !done {
-			return false, err
-		}
-		if err := p.start(); err != nil {
-			return false, err
-		}
-	}
-	err := p.readBody(buf)
-	return p.stage == complete, err
+	return p.next(buf, p.start)
 }
 
 func (p *ResponseParser) start() error {
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -75,7 +75,7 @@
 func (s *Sidecar) dial(h *hostgroup.Host, e *execution) {
 	l := &serverLink{s: s, host: h.ID, address: h.Address, execution: e}
 	e.link = l
-	if !s.room(dialDescriptors) && !s.closeIdlest() {
+	if !s.makeRoom() {
 		s.finish(e, &execError{notConnected, broke, errDescriptors})
 		return
 	}
@@ -89,18 +89,21 @@
 	})
 }
 
-// closeIdlest makes room for a dial by closing the idle link that has rested longest.
-func (s *Sidecar) closeIdlest() bool {
-	var oldest *serverLink
-	for _, links := range s.idle {
-		if len(links) > 0 && (oldest == nil || links[0].restedAt < oldest.restedAt) {
-			oldest = links[0]
+// makeRoom closes the idle links that have rested longest until a dial has room, and tells whether it has.
+func (s *Sidecar) makeRoom() bool {
+	for !s.room(dialDescriptors) {
+		var oldest *serverLink
+		for _, links := range s.idle {
+			if len(links) > 0 && (oldest == nil || links[0].restedAt < oldest.restedAt) {
+				oldest = links[0]
+			}
+		}
+		if oldest == nil {
+			return false
 		}
-	}
-	if oldest != nil {
 		oldest.close()
 	}
-	return s.room(dialDescriptors)
+	return true
 }
 
 // dialDescriptors is what a dial may hold: gnet duplicates the descriptor before the dialed one is closed.
