--- a/cmd/hazelwheel/serve_test.go
+++ b/cmd/hazelwheel/serve_test.go
@@ -98,6 +98,7 @@
 	assert.Greater(t, p.took, 1900*time.Millisecond)
 	assert.Less(t, p.took, 4*time.Second)
 	assert.Zero(t, w.counter("overdue"), "the decisions answered, not the net below them")
+	assert.EqualValues(t, 1, w.ends("execution_ends", "timed_out"))
 	w.eventually("the given-up link is closed", func() bool { _, _, closed := s.counts(); return closed == 1 })
 	s.set(says(200, "own"))
 	assert.Equal(t, "own", w.ask("write", "", "").body, "the late answer meets no other request")
@@ -125,6 +126,7 @@
 	c.Close()
 	w.eventually("abandoned", func() bool { return w.counter("abandoned") == 1 && w.counter("open") == 0 })
 	w.eventually("the execution is called off", func() bool { _, _, closed := s.counts(); return closed == 1 })
+	assert.EqualValues(t, 1, w.ends("execution_ends", "cancelled"))
 }
 
 func TestClientInput(t *testing.T) {
