--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -62,7 +62,7 @@
 
 // next takes up the requests that have come, until one is out.
 func (l *clientLink) next() {
-	for l.request == nil && !l.last {
+	for l.conn != nil && l.request == nil && !l.last { // a link may have gone since this was queued
 		whole, err := l.parser.Next(&l.buf)
 		if err != nil {
 			l.malformed(err)
