--- a/cmd/hazelwheel/hosts_test.go
+++ b/cmd/hazelwheel/hosts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -116,6 +117,16 @@
 		assert.Error(t, err)
 		assert.Equal(t, "hazelwheel: limits.sockets: missing, or out of range\n", string(raw))
 	}
+	w.limits["sockets"] = 100
+	path := w.config()
+	text, err := os.ReadFile(path)
+	assert.NoError(t, err)
+	assert.NoError(t, os.WriteFile(path, []byte(strings.Replace(string(text), `"index":7`, `"index":"x"`, 1)), 0o600))
+	for _, command := range []string{"check", "serve"} {
+		raw, err = program(command, "--config", path).CombinedOutput()
+		assert.Error(t, err)
+		assert.Contains(t, string(raw), "hazelwheel: known: ")
+	}
 	raw, err = program("version").CombinedOutput()
 	assert.NoError(t, err)
 	assert.True(t, strings.HasPrefix(string(raw), "hazelwheel "), string(raw))
--- a/cmd/hazelwheel/main.go
+++ b/cmd/hazelwheel/main.go
@@ -60,6 +60,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := sidecar.New(cfg, slog.New(slog.DiscardHandler)); err != nil { // what it is told must be usable, too
+		return err
+	}
 	s := cfg.Settings.Policy
 	fmt.Fprintf(c.Root().Writer, "%s: listens at %s, discovery at %s, %d classes, instance %d of %d\n",
 		cfg.Name, cfg.Listen, cfg.Discovery, len(s.Classes), s.Self+1, s.Replicas)
