--- a/cmd/hazelwheel/main.go
+++ b/cmd/hazelwheel/main.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -38,6 +40,9 @@
 
 // serve ends with the counters on standard output.
 func serve(_ context.Context, c *cli.Command) error {
+	// Danger: a SIGHUP that nobody catches ends the process, also while it is still reading its configuration.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	cfg, err := config.Load(c.String("config"), os.Getenv)
 	if err != nil {
 		return err
@@ -50,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	err = s.Run()
+	err = s.Run(hangups, func() (config.Config, error) { return cfg.Reload(c.String("config"), os.Getenv) })
 	fmt.Fprintf(c.Root().Writer, "%s", s.Counters())
 	return err
 }
--- a/cmd/hazelwheel/serve_test.go
+++ b/cmd/hazelwheel/serve_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -305,7 +306,7 @@
 	})
 	late := w.askAside("write", "", "")
 	w.eventually("the execution", func() bool { return s.got() == 2 })
-	w.signal()
+	w.signal(syscall.SIGTERM)
 	// A link that rests carries what comes soon after the word to end; its answer says that it is the last.
 	s.set(says(200, ""))
 	w.eventually("ending", func() bool { return w.ask("read", "", "").last })
@@ -348,7 +349,7 @@
 		}()
 		w.start()
 		assert.NoError(t, <-answered)
-		w.signal()
+		w.signal(syscall.SIGTERM)
 		require.NoError(t, w.cmd.Wait())
 	}
 }
--- a/cmd/hazelwheel/world_test.go
+++ b/cmd/hazelwheel/world_test.go
@@ -44,8 +44,11 @@
 	settings  map[string]any
 	limits    map[string]any
 	known     []endpoint
+	path      string   // of the configuration
+	env       []string // of the program
 	cmd       *exec.Cmd
-	log, out  bytes.Buffer
+	log       syncBuffer
+	out       bytes.Buffer
 	client    http.Client
 }
 
@@ -82,6 +85,25 @@
 	return w
 }
 
+// syncBuffer can be read while the program writes to it.
+type syncBuffer struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.text = append(b.text, p...)
+	return len(p), nil
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return string(b.text)
+}
+
 func freeAddress(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -96,9 +118,11 @@
 		"seed": "8c1f30d27a5be964", "limits": w.limits, "settings": w.settings,
 		"known": map[string]any{"index": 7, "snapshot": true, "endpoints": w.known}})
 	require.NoError(w, err)
-	path := filepath.Join(w.TempDir(), "config.json")
-	require.NoError(w, os.WriteFile(path, raw, 0o600))
-	return path
+	if w.path == "" {
+		w.path = filepath.Join(w.TempDir(), "config.json")
+	}
+	require.NoError(w, os.WriteFile(w.path, raw, 0o600))
+	return w.path
 }
 
 func program(args ...string) *exec.Cmd {
@@ -111,6 +135,7 @@
 func (w *world) start() *world {
 	w.cmd = program("serve", "--verbose", "--config", w.config())
 	w.cmd.Stderr, w.cmd.Stdout = &w.log, &w.out
+	w.cmd.Env = append(w.cmd.Env, w.env...)
 	require.NoError(w, w.cmd.Start())
 	w.Cleanup(func() {
 		_ = w.cmd.Process.Kill()
@@ -139,7 +164,7 @@
 	}
 }
 
-func (w *world) signal() { require.NoError(w, w.cmd.Process.Signal(syscall.SIGTERM)) }
+func (w *world) signal(s syscall.Signal) { require.NoError(w, w.cmd.Process.Signal(s)) }
 
 // counters asks the program for all its counters.
 func (w *world) counters() map[string]any {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,7 +10,8 @@
 	"strconv"
 )
 
-// The variables that a sidecar reads. Where one is set it takes the place of the file's field.
+// The variables that a sidecar reads. Where one is set it takes the place of the file's field, unless the file has
+// been given another word since the start.
 const (
 	EnvName      = "GW_NAME"
 	EnvListen    = "GW_LISTEN"
@@ -43,6 +44,8 @@
 	Limits    Limits
 	Known     json.RawMessage // a list of hosts in discovery's form, as last held; may be empty
 	Settings  Settings
+
+	began [3]string // what the file itself said at the start, as names has it
 }
 
 // file is the configuration's text.
@@ -52,8 +55,19 @@
 	Known, Settings               json.RawMessage
 }
 
+// names are the fields that variables stand for.
+func (f *file) names() [3]string { return [3]string{f.Name, f.Listen, f.Discovery} }
+
 // Load reads the file at path, then the variables that getenv knows.
-func Load(path string, getenv func(string) string) (Config, error) {
+func Load(path string, getenv func(string) string) (Config, error) { return load(path, getenv, nil) }
+
+// Reload reads the file of a running program again; c is what that program has had so far. Danger: the variables
+// are as old as the process. A field that the file has changed since is newer than its variable, and goes before it.
+func (c *Config) Reload(path string, getenv func(string) string) (Config, error) {
+	return load(path, getenv, &c.began)
+}
+
+func load(path string, getenv func(string) string, began *[3]string) (Config, error) {
 	if path == "" {
 		return Config{}, fmt.Errorf("%s: not set, and no --config given", EnvFile)
 	}
@@ -61,20 +75,25 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("%s: %w", EnvFile, err)
 	}
-	return parse(raw, getenv)
+	return parse(raw, getenv, began)
 }
 
-func parse(raw []byte, getenv func(string) string) (Config, error) {
+// parse reads a file's text; began is what its names were at the start, nil at the start itself.
+func parse(raw []byte, getenv func(string) string, began *[3]string) (Config, error) {
 	f := file{Limits: Limits{Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}}
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return Config{}, fmt.Errorf("%s: not the JSON that is wanted: %w", EnvFile, err)
 	}
-	for name, field := range map[string]*string{EnvName: &f.Name, EnvListen: &f.Listen, EnvDiscovery: &f.Discovery} {
-		if v := getenv(name); v != "" {
+	says := f.names()
+	if began == nil {
+		began = &says
+	}
+	for i, field := range []*string{&f.Name, &f.Listen, &f.Discovery} {
+		if v := getenv([...]string{EnvName, EnvListen, EnvDiscovery}[i]); v != "" && says[i] == began[i] {
 			*field = v
 		}
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known, began: *began}
 	if f.Seed != "" {
 		seed, err := strconv.ParseUint(f.Seed, 16, 64)
 		if err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -35,6 +35,29 @@
 	assert.ErrorContains(t, err, "GW_CONFIG")
 }
 
+// A variable gives way to what its field in the file has said since the start, and to no other field.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(discovery string) {
+		text := strings.Replace(sound, "10.2.0.1:8500", discovery, 1)
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	}
+	getenv := func(name string) string {
+		return map[string]string{EnvName: "n4", EnvDiscovery: "127.0.0.1:2"}[name]
+	}
+	write("127.0.0.1:1")
+	c, err := Load(path, getenv)
+	require.NoError(t, err)
+	for _, step := range [][2]string{{"127.0.0.1:1", "127.0.0.1:2"}, {"127.0.0.1:3", "127.0.0.1:3"},
+		{"127.0.0.1:3", "127.0.0.1:3"}, {"127.0.0.1:1", "127.0.0.1:2"}} {
+		write(step[0])
+		c, err = c.Reload(path, getenv)
+		require.NoError(t, err)
+		assert.Equal(t, step[1], c.Discovery)
+		assert.Equal(t, "n4", c.Name)
+	}
+}
+
 // An error is one line that begins with the field.
 func TestFaultsAreNamed(t *testing.T) {
 	for _, c := range []struct{ from, to, field string }{
@@ -56,7 +79,7 @@
 		{`{"name":"n3"`, `{"name":3`, "GW_CONFIG"},
 		{`{"name"`, `{name`, "GW_CONFIG"},
 	} {
-		_, err := parse([]byte(strings.Replace(sound, c.from, c.to, 1)), nothing)
+		_, err := parse([]byte(strings.Replace(sound, c.from, c.to, 1)), nothing, nil)
 		if assert.Error(t, err, c.field) {
 			assert.True(t, strings.HasPrefix(err.Error(), c.field+":"), "%s: %v", c.field, err)
 			assert.NotContains(t, err.Error(), "\n")
--- a/internal/hostgroup/hostgroup.go
+++ b/internal/hostgroup/hostgroup.go
@@ -73,6 +73,9 @@
 // Index returns the version of the list that is held; ok is false while there is none.
 func (g *Group) Index() (index uint64, ok bool) { return g.index, g.held }
 
+// Unversion keeps the list and drops its version: another discovery service counts its own.
+func (g *Group) Unversion() { g.held = false }
+
 // Host returns the server with an id, nil if it is unknown.
 func (g *Group) Host(id uint32) *Host { return g.byID[id] }
 
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -39,7 +39,10 @@
 	Watches    uint64 `json:"watches"`
 	Lists      uint64 `json:"lists"`       // objects taken from discovery
 	ListFailed uint64 `json:"list_failed"` // watches that failed
-	Panics     uint64 `json:"panics"`
+	Reloads    uint64 `json:"reloads"`     // configurations taken into use while running
+
+	ReloadFailed uint64 `json:"reload_failed"` // configurations that could not be read or were not valid
+	Panics       uint64 `json:"panics"`
 
 	Descriptors int     `json:"descriptors"` // held by links now
 	LateMS      float64 `json:"late_ms"`     // how late the latest of all timers was
--- /dev/null
+++ b/internal/sidecar/reload.go
@@ -0,0 +1,69 @@
+package sidecar
+
+import (
+	"math"
+	"reflect"
+	"runtime"
+	"runtime/debug"
+
+	"hazelwheel/internal/config"
+)
+
+// heedHangups reads the configuration again at each SIGHUP. Those that come while it is being read count as one
+// more: the file is read again after the last of them.
+func (s *Sidecar) heedHangups() {
+	for range s.hangups {
+		cfg, err := s.load()
+		s.post(func() { s.reload(cfg, err) })
+	}
+}
+
+// reload takes a new configuration into use, or keeps the old one where it is at fault.
+func (s *Sidecar) reload(cfg config.Config, err error) {
+	if err != nil {
+		s.counters.ReloadFailed++
+		s.log.Error("the configuration stays as it was", "error", err)
+		return
+	}
+	s.counters.Reloads++
+	old := &s.cfg
+	for _, fixed := range []struct {
+		field   string
+		changed bool
+	}{
+		{"name", cfg.Name != old.Name},
+		{"listen", cfg.Listen != old.Listen},
+		// The decisions have learned under these settings; none of them is taken without the others.
+		{"settings", !reflect.DeepEqual(cfg.Settings, old.Settings)},
+	} {
+		if fixed.changed {
+			s.log.Warn("this change waits for a restart", "field", fixed.field)
+		}
+	}
+	if cfg.Limits != old.Limits {
+		old.Limits = cfg.Limits
+		s.obeyLimits()
+	}
+	s.log.Info("configuration read", "discovery", cfg.Discovery, "before", old.Discovery)
+	if cfg.Discovery != old.Discovery {
+		old.Discovery = cfg.Discovery
+		s.rewatch()
+	}
+}
+
+// obeyLimits gives the runtime what the limits say.
+func (s *Sidecar) obeyLimits() {
+	runtime.GOMAXPROCS(int(math.Ceil(s.cfg.Limits.Cores)))
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.cfg.Limits.MemoryMB) * (1 << 20)))
+}
+
+// rewatch begins a watch at another discovery service at once, whatever the present one is about. The list is
+// kept until the new service has told its own. Danger: its versions need not be those of the old service, and
+// changes since a version that it counts otherwise would leave entries out; the whole list is asked for.
+func (s *Sidecar) rewatch() {
+	if s.watcher != nil {
+		s.watcher.stop()
+	}
+	s.hosts.Unversion()
+	s.watch()
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,10 +10,8 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"math"
 	"os"
 	"os/signal"
-	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -66,6 +64,9 @@
 	scratch  []byte
 	draining bool
 	stopping bool
+
+	hangups <-chan os.Signal
+	load    func() (config.Config, error) // reads the configuration again
 }
 
 // New returns a sidecar that has not begun.
@@ -89,10 +90,11 @@
 // answerRoom is how long before its deadline a request's wait ends.
 func (s *Sidecar) answerRoom() float64 { return min(mostAnswerRoomS, s.slack) }
 
-// Run serves until the process is told to end and all that was taken is answered.
-func (s *Sidecar) Run() error {
-	runtime.GOMAXPROCS(int(math.Ceil(s.cfg.Limits.Cores)))
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.cfg.Limits.MemoryMB) * (1 << 20)))
+// Run serves until the process is told to end and all that was taken is answered. Each hangup has load called,
+// beside the event loop, for a new configuration.
+func (s *Sidecar) Run(hangups <-chan os.Signal, load func() (config.Config, error)) error {
+	s.hangups, s.load = hangups, load
+	s.obeyLimits()
 	if err := claim(s.cfg.Listen); err != nil {
 		return fmt.Errorf("listen %s: %w", s.cfg.Listen, err)
 	}
@@ -119,6 +121,7 @@
 		<-signals // a second one does not wait
 		os.Exit(1)
 	}()
+	go s.heedHangups()
 	s.log.Info("serving", "name", s.cfg.Name, "listen", s.cfg.Listen)
 }
 
