Leave hosts that turn requests away alone for a while, and take noise for an error

`learn` took nothing from a turned-away attempt, so a host that drains or is full looked idle and got every pick.

A first line is judged as it comes.

Idle links are looked at (MSG_PEEK) before use; one whose answer has only just come is taken last.

--- a/cmd/hazelwheel/serve_test.go
+++ b/cmd/hazelwheel/serve_test.go
@@ -61,7 +61,10 @@
 		{"another success", "write", says(202, ""), 1},
 		{"broken before the answer", "write", breaks(""), 1},
 		{"broken in the answer", "write", breaks("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), 1},
-		{"no HTTP", "write", breaks("220 ready\r\n"), 1},
+		{"no HTTP, must not run twice", "write", breaks("220 ready\r\n"), 1},
+		{"no HTTP, safe", "read", breaks("220 ready\r\n"), 2},
+		{"3 GB, keyed", "alert", breaks("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nxxxx"), 2},
+		{"lengths that differ, safe", "read", breaks("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx"), 2},
 		{"body beyond all bounds", "write", says(200, strings.Repeat("x", 65<<10)), 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -139,6 +139,18 @@
 	assert.False(t, p.End(), "a body that is cut off is not whole")
 }
 
+// Noise is known by its first bytes, though no line of it ever ends.
+func TestNoiseIsKnownEarly(t *testing.T) {
+	for text, bad := range map[string]bool{"": false, "HT": false, "\r\nHTTP/1.1 2": false, "HTTP/1.1 200 OK\r\nA": false,
+		"HTTQ": true, "\x00\xff": true, "HTTP/2.0 200 OK\r\n": true, "HTTP/1.1 2x0 OK\r\nA": true,
+		"HTTP/1.1 100 C\r\n\r\nx": true} {
+		p, buf := NewResponseParser(limits), Buffer{}
+		buf.Write([]byte(text))
+		_, err := p.Next(&buf)
+		assert.Equal(t, bad, err != nil, "%q: %v", text, err)
+	}
+}
+
 func TestEndToEnd(t *testing.T) {
 	h := Header{{"Connection", "x-one, close"}, {"X-One", "1"}, {"X-Two", "2"}, {"Transfer-Encoding", "chunked"}}
 	assert.Equal(t, Header{{"X-Two", "2"}}, h.EndToEnd())
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -393,20 +393,44 @@
 
 // Next reads on from buf and tells whether the response is whole. Interim responses are skipped.
 func (p *ResponseParser) Next(buf *Buffer) (bool, error) {
-	return p.next(buf, p.start)
+	done, err := p.next(buf, p.start)
+	if err == nil && p.stage == inHead {
+		err = p.early(buf)
+	}
+	return done, err
 }
 
-func (p *ResponseParser) start() error {
+// early looks at a head that is not whole. Danger: noise may hold no line's end for as long as anybody waits.
+func (p *ResponseParser) early(buf *Buffer) error {
+	if p.first != "" {
+		_, err := p.status()
+		return err
+	}
+	const begin = "HTTP/1."
+	came := bytes.TrimLeft(buf.Bytes(), "\r\n")
+	if n := min(len(came), len(begin)); string(came[:n]) != begin[:n] {
+		return malformed("no HTTP")
+	}
+	return nil
+}
+
+// status reads the status line.
+func (p *ResponseParser) status() (int, error) {
 	version, rest, _ := strings.Cut(p.first, " ")
 	code, _, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(code, 10, 16)
 	if err != nil || len(code) != 3 || status < 100 {
-		return malformed("bad status line")
+		return 0, malformed("bad status line")
 	}
-	if err := p.version(version); err != nil {
+	return int(status), p.version(version)
+}
+
+func (p *ResponseParser) start() error {
+	status, err := p.status()
+	if err != nil {
 		return err
 	}
-	switch p.Status = int(status); {
+	switch p.Status = status; {
 	case status == 101:
 		return malformed("protocol switched unasked")
 	case status < 200:
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -23,14 +23,15 @@
 type cause uint8
 
 const (
-	broke     cause = iota // the link did not come up, broke, or brought no sense
+	broke     cause = iota // the link did not come up, or broke
 	timedOut               // the wait was over
 	cancelled              // the decisions called it off
 	overtaken              // its request or its server was no longer to be served when the link was up
+	spoilt                 // the server brought no sense
 )
 
 func (c cause) String() string {
-	return [...]string{"broke", "timed out", "cancelled", "overtaken"}[c]
+	return [...]string{"broke", "timed out", "cancelled", "overtaken", "spoilt"}[c]
 }
 
 // execError is the end of an execution without an answer, and how far it had come.
@@ -54,6 +55,11 @@
 // can have run) makes a request run twice. A server begins a request with its last byte, so only what broke
 // before that byte was written is known never to have run.
 func (e *execError) outcome() policy.Outcome {
+	if e.cause == spoilt {
+		// The server is there and has said something: it erred, whatever it said. Danger: taken for a broken
+		// connection, two such answers in a row would shut a sound server out.
+		return policy.HostError
+	}
 	unwritten := e.progress == notConnected || e.progress == partlyWritten
 	switch {
 	case e.cause == overtaken && unwritten, e.cause == cancelled && e.progress == notConnected:
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"hazelwheel/internal/hostgroup"
 	"hazelwheel/internal/http1"
@@ -34,8 +35,12 @@
 	closed    bool
 }
 
+// settleS is how long after an answer more of it, or the link's end, may well be on the way.
+const settleS = 0.002
+
 // idleLink takes the link to a server that was used last, nil if there is none. The newest is the least
-// likely to have been closed by the other side, and the others can grow old and be retired.
+// likely to have been closed by the other side for its rest, and the others can grow old and be retired. One
+// whose last answer has only just come is taken when there is no other.
 func (s *Sidecar) idleLink(h *hostgroup.Host) *serverLink {
 	for {
 		links := s.idle[h.ID]
@@ -43,14 +48,26 @@
 			return nil
 		}
 		l := links[len(links)-1]
-		if l.address == h.Address {
+		for i := len(links) - 2; i >= 0 && l.restedAt > s.clock.now()-settleS; i-- {
+			l = links[i]
+		}
+		if l.address == h.Address && l.quiet() {
 			l.unidle()
 			return l
 		}
-		l.close() // the server has moved
+		l.close() // the server has moved, or the link is of no more use
 	}
 }
 
+// quiet tells whether nothing waits in the link's socket: no bytes and no end. Danger: the event loop learns of
+// sockets in turns, and what has come since its last look is unknown to it. A request written to a link that its
+// server has closed is lost; one written behind unread bytes would be answered with them.
+func (l *serverLink) quiet() bool {
+	var b [1]byte
+	_, _, err := unix.Recvfrom(l.conn.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return errors.Is(err, unix.EAGAIN)
+}
+
 // unidle takes a link from the idle ones.
 func (l *serverLink) unidle() {
 	links := l.s.idle[l.host]
@@ -204,7 +221,7 @@
 		l.execution = nil
 		far := l.progress(e)
 		l.close()
-		l.s.finish(e, &execError{far, broke, err})
+		l.s.finish(e, &execError{far, spoilt, err})
 		return
 	}
 	if done {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -6,8 +6,10 @@
 	"math"
 	"testing"
 
+	"github.com/panjf2000/gnet/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/hostgroup"
@@ -22,6 +24,7 @@
 		timedOut:  {policy.ConnectFailed, policy.TimedOut, policy.TimedOut, policy.TimedOut},
 		cancelled: {policy.NotSent, policy.Cancelled, policy.Cancelled, policy.Cancelled},
 		overtaken: {policy.NotSent, policy.NotSent, policy.Reset, policy.Reset},
+		spoilt:    {policy.HostError, policy.HostError, policy.HostError, policy.HostError},
 	}
 	for c, row := range table {
 		for p, want := range row {
@@ -116,15 +119,38 @@
 	assert.EqualValues(t, 3, r.id, "an id that is in use is passed over")
 }
 
+// testLoop and testConn are a socket without an event loop that reads it.
+type testLoop struct{ gnet.EventLoop }
+
+func (testLoop) Close(c gnet.Conn) error { return unix.Close(c.Fd()) }
+
+type testConn struct {
+	gnet.Conn
+	fd, far int
+}
+
+func (c *testConn) Fd() int { return c.fd }
+
+// restingLink returns a link that has rested for a while.
+func restingLink(t *testing.T, s *Sidecar, h *hostgroup.Host) (*serverLink, *testConn) {
+	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	c := &testConn{fd: fds[0], far: fds[1]}
+	s.loop = testLoop{}
+	l := &serverLink{s: s, host: h.ID, address: h.Address, conn: c}
+	l.rest()
+	l.restedAt -= 2 * settleS
+	return l, c
+}
+
 // The newest idle link is used first, and closing them all spares none: each close shortens the list.
 func TestIdleLinks(t *testing.T) {
 	s := newTestSidecar(t)
 	h := &hostgroup.Host{ID: 7, Address: "a"}
 	var links []*serverLink
 	for range 4 {
-		l := &serverLink{s: s, host: h.ID, address: h.Address}
+		l, _ := restingLink(t, s, h)
 		links = append(links, l)
-		l.rest()
 	}
 	assert.Same(t, links[3], s.idleLink(h))
 	s.CloseIdle(h.ID)
@@ -137,3 +163,22 @@
 	assert.Nil(t, s.idleLink(h), "a link to where the server was is of no use")
 	assert.True(t, links[3].closed)
 }
+
+// What the event loop has not read yet decides, too: bytes that would answer the next request, or the link's end.
+func TestIdleLinkIsLookedAtBeforeUse(t *testing.T) {
+	s := newTestSidecar(t)
+	h := &hostgroup.Host{ID: 7, Address: "a"}
+	sound, _ := restingLink(t, s, h)
+	noisy, c := restingLink(t, s, h)
+	_, err := unix.Write(c.far, []byte("HTTP/1.1 200 OK\r\n"))
+	require.NoError(t, err)
+	ended, c := restingLink(t, s, h)
+	require.NoError(t, unix.Close(c.far))
+	fresh, _ := restingLink(t, s, h)
+	fresh.restedAt = s.clock.now() + 1
+	assert.Same(t, sound, s.idleLink(h))
+	assert.True(t, noisy.closed)
+	assert.True(t, ended.closed)
+	assert.Same(t, fresh, s.idleLink(h), "better than a new one")
+	assert.Nil(t, s.idleLink(h))
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,8 +19,7 @@
 	outageGaps  = 2.5  // a silence of so many cadences may have been a restart
 	probeEvery  = 1.0  // cadence of the probes that feed phi
 	jitter      = 0.1  // part of the cadence by which probes are spread
-	sigmaMin    = 0.1  // floor and cap of sigma, as parts of the cadence
-	sigmaMax    = 0.2  //
+	sigmaMin    = 0.1  // floor of sigma, as a part of the cadence; its cap is twice that
 	phiCut      = 3.0  // above it a member is drawn half as often
 	phiOut      = 8.0  // above it a member gets probes and no traffic
 	subsetMin   = 4    // members of a proxy without traffic, beyond its part of the fleet
@@ -38,6 +37,7 @@
 	relax       = 0.98 // what estimates keep at each request that nobody could take
 	lineWeight  = 1.5  // a line probably grows before a request comes to its head
 	doubt       = 1.3  // a guessed time may well be so many times longer
+	shunPart    = 0.05 // of the aim: shortest pause after a host has turned a request away
 )
 
 // New returns a Balancer that has not been told of any host yet.
@@ -45,11 +45,10 @@
 	b := &Balancer{s: s, do: do, rng: rand.New(rand.NewPCG(seed, ^seed)),
 		field: slices.Index(s.ReportFields, FieldInflight),
 		hosts: map[uint32]*host{}, byID: map[uint32]*request{}, meanGap: 1, budget: 3,
-		rtt: 2 * s.TickS, aim: math.Inf(1)}
+		rtt: 2 * s.TickS, aim: math.Inf(1), asked: make([]float64, len(s.Tenants))}
 	b.reports = b.field >= 0 && (s.ReportsOnProbe || s.ReportsOnAnswer)
 	b.polls = b.reports && s.ReportsOnProbe && s.Probes
 	b.classMean, b.tries = make([]float64, len(s.Classes)), make([]try, len(s.Classes))
-	b.asked = make([]float64, len(s.Tenants))
 	for i := len(s.Classes) - 1; i >= 0; i-- {
 		b.classMean[i], b.svc, b.aim = s.Classes[i].AimS/5, s.Classes[i].AimS/4, min(b.aim, s.Classes[i].AimS)
 	}
@@ -98,11 +97,11 @@
 		if h.State != Gone {
 			h.goneAt = now
 		}
-		old := !h.member && len(h.outs) == 0 && now-h.goneAt > forgetAfter
-		if old {
-			delete(b.hosts, h.ID)
+		if h.member || len(h.outs) > 0 || now-h.goneAt <= forgetAfter {
+			return false
 		}
-		return old
+		delete(b.hosts, h.ID)
+		return true
 	})
 	b.watching = kind != ListCached
 	if !b.watching {
@@ -213,7 +212,7 @@
 	}
 	mean := sum / float64(len(h.gaps))
 	sigma := math.Sqrt(max(sq/float64(len(h.gaps))-mean*mean, 0))
-	return Phi((b.now-h.answered)/h.every, mean, min(max(sigma, sigmaMin), sigmaMax))
+	return Phi((b.now-h.answered)/h.every, mean, min(max(sigma, sigmaMin), 2*sigmaMin))
 }
 
 // readPhi reads every member's suspicion. Danger: when most members fall silent it is the network or
@@ -242,10 +241,7 @@
 	if 2*high <= len(b.members) {
 		return
 	}
-	low := math.Inf(1)
-	for _, h := range b.members {
-		low = min(low, h.phi)
-	}
+	low := slices.MinFunc(b.members, func(x, y *host) int { return cmp.Compare(x.phi, y.phi) }).phi
 	for _, h := range b.members {
 		h.phi -= low
 	}
@@ -443,7 +439,7 @@
 	// Danger: many proxies that may each have one request out overfill a host together. A limit below one is
 	// the part of the windows in which this proxy may use the host at all.
 	limit := h.limit * b.strength(h)
-	if !b.reports && (float64(len(h.outs)) >= max(limit, 1) || h.winLuck >= limit) {
+	if b.now < h.shunned || !b.reports && (float64(len(h.outs)) >= max(limit, 1) || h.winLuck >= limit) {
 		return false
 	}
 	hinted, guessed := b.expect(h, r)
@@ -764,7 +760,7 @@
 	x := 6.0 // a host that fails fast must not look quick
 	switch res.Outcome {
 	case OK:
-		h.refused, h.servedAt = 0, b.now
+		h.refused, h.turned, h.servedAt = 0, 0, b.now
 		x = min(res.DelayS/o.expected, 10)
 		b.learnTimes(h, r, res.DelayS, o)
 	case HostError, Reset, TimedOut, ConnectFailed:
@@ -778,6 +774,12 @@
 		if res.Outcome == ConnectFailed || res.Outcome == Reset {
 			h.refused, h.refusedAt, b.phiAt = h.refused+1, b.now, b.now-1
 		}
+	case Rejected:
+		// Danger: a host that drains before the list says so, or whose line is full, turns everything away at
+		// once; so it looks idle and would get every pick. It gets nothing for a while, longer each time.
+		h.turned++
+		h.shunned = b.now + min(shunPart*b.aim*math.Exp2(h.turned), probeEvery)
+		return false
 	default:
 		return false
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -471,6 +471,34 @@
 	t.Error("the host is never tried again")
 }
 
+// A host that turns everything away at once never holds a request, and so looks idle. It is tried now and then, and
+// trusted again at its first answer.
+func TestHostThatTurnsAwayIsLeftAlone(t *testing.T) {
+	r := newRecorder(t, plain())
+	r.list(ListFull, ready(1, 2)...)
+	play := func(first uint32, how Outcome) (tried int) {
+		for i := range uint32(400) {
+			r.advance(r.now + 0.01)
+			q := r.request(Request{ID: first + i, Deadline: r.now + 0.9})
+			for n := 0; n < len(q.sends); n++ { // a repeat follows within the call
+				if q.sends[n].host == 2 {
+					r.finish(q, n, OK)
+				} else {
+					tried++
+					r.finish(q, n, how)
+				}
+			}
+		}
+		return tried
+	}
+	if n := play(1, Rejected); n < 3 || n > 12 {
+		t.Errorf("%d of 400 requests go to a host that takes none, want a few", n)
+	}
+	if n := play(1000, OK); n < 80 {
+		t.Errorf("%d of 400 requests go to it once it answers, want about half", n)
+	}
+}
+
 func TestBurstingTenantWaitsItsTurn(t *testing.T) {
 	s := plain()
 	s.Tenants = []Tenant{{Name: "a", Share: 0.5}, {Name: "b", Share: 0.3}, {Name: "c", Share: 0.2}}
--- a/policy/state.go
+++ b/policy/state.go
@@ -57,6 +57,8 @@
 	refused   int     // connections refused or broken in a row
 	refusedAt float64
 	rampFrom  float64 // when trust began to come back
+	turned    float64 // attempts turned away since the last answer
+	shunned   float64 // until then it gets nothing new, for having turned attempts away
 
 	outs     []out
 	servedAt float64 // last answer over a connection
