Keep the pause after turned-away requests by class, and prefer hosts of the own zone

`turned` and `shunned` are per class now, and an answer forgives half.

The settings tell the own zone (`locality`) and the price of crossing (`deductions.crossZone`), and nothing read them: 71 % of the requests crossed.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -35,6 +35,8 @@
 		MaxRetryAfterS, ConnIdleS    float64
 		ConnectTimeoutS              float64
 	}
+	Locality    *int
+	Deductions  struct{ CrossZone float64 }
 	Obligations struct {
 		AnswerSlackS                     float64
 		AskWithinS, ColdFrom, ColdS      float64
@@ -83,6 +85,9 @@
 		ColdFrom: m.Obligations.ColdFrom, ColdS: m.Obligations.ColdS,
 		ColdMultiple: m.Obligations.FallMultiple, ColdWindowS: m.Obligations.FallS,
 	}
+	if m.Locality != nil { // without a place every zone is as far
+		s.Policy.Zone, s.Policy.CrossZone = *m.Locality, m.Deductions.CrossZone
+	}
 	for _, name := range m.Report.Fields {
 		s.Policy.ReportFields = append(s.Policy.ReportFields, fields[name])
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -65,6 +65,9 @@
 	Self     int // this proxy's number, from 0
 	Replicas int // how many proxies there are
 
+	Zone      int     // this proxy's own, as in HostInfo
+	CrossZone float64 // price of an attempt in another zone, in parts of a request's worth; 0: none
+
 	TickS           float64 // least time between two events
 	Probes          bool
 	Cancel          bool
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,6 +37,7 @@
 	relax       = 0.98 // what estimates keep at each request that nobody could take
 	lineWeight  = 1.5  // a line probably grows before a request comes to its head
 	doubt       = 1.3  // a guessed time may well be so many times longer
+	farWeight   = 20.0 // how much dearer a host of another zone is, for the price of crossing
 	shunPart    = 0.05 // of the aim: shortest pause after a host has turned a request away
 )
 
@@ -103,8 +104,7 @@
 		delete(b.hosts, h.ID)
 		return true
 	})
-	b.watching = kind != ListCached
-	if !b.watching {
+	if b.watching = kind != ListCached; !b.watching {
 		b.askAt = now + b.rng.Float64()*0.2
 		b.due(b.askAt)
 	}
@@ -114,7 +114,8 @@
 
 // reset starts a host's life.
 func (b *Balancer) reset(h *host) {
-	*h = host{HostInfo: h.HostInfo, outs: h.outs, ratio: 1, member: h.member, gaps: h.gaps[:0]}
+	*h = host{HostInfo: h.HostInfo, outs: h.outs, ratio: 1, member: h.member, gaps: h.gaps[:0],
+		turned: make([]float64, len(b.s.Classes)), shunned: make([]float64, len(b.s.Classes))}
 	if h.member {
 		b.enlist(h)
 	}
@@ -360,7 +361,7 @@
 		h.polledAt = b.now
 		b.do.Probe(h.ID)
 	}
-	for i := range b.members { // a partial shuffle: its head is the draw
+	for i := 0; i < len(b.members) && left > 0; i++ { // a partial shuffle: its head is the draw
 		j := i + b.rng.IntN(len(b.members)-i)
 		b.members[i], b.members[j] = b.members[j], b.members[i]
 		h := b.members[i]
@@ -371,9 +372,7 @@
 			h.polledAt = b.now
 			b.do.Probe(h.ID)
 		}
-		if left--; left == 0 {
-			return
-		}
+		left--
 	}
 }
 
@@ -439,7 +438,7 @@
 	// Danger: many proxies that may each have one request out overfill a host together. A limit below one is
 	// the part of the windows in which this proxy may use the host at all.
 	limit := h.limit * b.strength(h)
-	if b.now < h.shunned || !b.reports && (float64(len(h.outs)) >= max(limit, 1) || h.winLuck >= limit) {
+	if b.now < h.shunned[r.Request.Class] || !b.reports && (float64(len(h.outs)) >= max(limit, 1) || h.winLuck >= limit) {
 		return false
 	}
 	hinted, guessed := b.expect(h, r)
@@ -472,7 +471,11 @@
 		if fresh && !b.fresh(h) || !b.polls && !b.candidate(h) || h.phi > phiOut || !b.fits(h, r) {
 			continue
 		}
-		if c := b.cost(h, r); c < least {
+		c := b.cost(h, r)
+		if h.Zone != b.s.Zone {
+			c *= 1 + farWeight*b.s.CrossZone
+		}
+		if c < least {
 			best, least = h, c
 		}
 	}
@@ -526,10 +529,8 @@
 	b.budget = min(b.budget+repeatRate, 10)
 	if r.HasWork {
 		r.aim += c.Stretch * q.Work
-		b.meanWork += 0.02 * (min(q.Work, 4*b.meanWork) - b.meanWork)
-		if b.meanWork == 0 {
-			b.meanWork = q.Work
-		}
+		mean := cmp.Or(b.meanWork, q.Work)
+		b.meanWork = mean + 0.02*(min(q.Work, 4*mean)-mean)
 		r.units = q.Work / b.meanWork
 	}
 	r.aim = min(r.aim, q.Deadline, aim)
@@ -647,7 +648,7 @@
 	b.rate, b.rateAt = b.usualRate()+r.units/rateMemory, b.now
 	r.attempts = append(r.attempts, attempt{host: h, sentAt: b.now, ran: true})
 	hinted, guessed := b.expect(h, r)
-	o := out{id: r.ID, sentAt: b.now, expected: max(hinted+guessed, 1e-6), line: b.line(h)}
+	o := out{id: r.ID, class: r.Request.Class, sentAt: b.now, expected: max(hinted+guessed, 1e-6), line: b.line(h)}
 	if len(h.outs) == 0 && b.now-h.servedAt < b.s.ConnIdleS {
 		if o.idle = b.now - h.servedAt; o.idle > b.dropAge && b.now < b.dropUntil {
 			b.do.CloseIdle(h.ID)
@@ -680,10 +681,8 @@
 
 // mayRefuse tells whether the client may be told that trying again is harmless.
 func (b *Balancer) mayRefuse(r *request) bool {
-	if r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll {
-		return true
-	}
-	return !slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.ran })
+	return r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll ||
+		!slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.ran })
 }
 
 // finish forgets a request that has its final answer and cancels what is still out for it.
@@ -760,7 +759,8 @@
 	x := 6.0 // a host that fails fast must not look quick
 	switch res.Outcome {
 	case OK:
-		h.refused, h.turned, h.servedAt = 0, 0, b.now
+		h.refused, h.servedAt = 0, b.now
+		h.turned[o.class] /= 2
 		x = min(res.DelayS/o.expected, 10)
 		b.learnTimes(h, r, res.DelayS, o)
 	case HostError, Reset, TimedOut, ConnectFailed:
@@ -775,10 +775,10 @@
 			h.refused, h.refusedAt, b.phiAt = h.refused+1, b.now, b.now-1
 		}
 	case Rejected:
-		// Danger: a host that drains before the list says so, or whose line is full, turns everything away at
-		// once; so it looks idle and would get every pick. It gets nothing for a while, longer each time.
-		h.turned++
-		h.shunned = b.now + min(shunPart*b.aim*math.Exp2(h.turned), probeEvery)
+		// Danger: a host that drains unlisted, is full or fails one class turns that away soon; it looks idle and
+		// would get every pick. It gets nothing of that class for a while, longer each time.
+		h.turned[o.class] = min(h.turned[o.class]+1, 8)
+		h.shunned[o.class] = b.now + min(shunPart*b.aim*math.Exp2(h.turned[o.class]), 2*probeEvery)
 		return false
 	default:
 		return false
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -499,6 +499,56 @@
 	}
 }
 
+// A host that fails one class is left to the others, whose answers tell nothing of that class.
+func TestHostThatTurnsOneClassAway(t *testing.T) {
+	r := newRecorder(t, plain())
+	r.list(ListFull, ready(1, 2)...)
+	tried := [2]int{}
+	for i := range uint32(800) {
+		r.advance(r.now + 0.005)
+		q := r.request(Request{ID: 1 + i, Class: int(i) % 2, Deadline: r.now + 0.9})
+		for n := 0; n < len(q.sends); n++ {
+			how := OK
+			if q.sends[n].host == 1 {
+				if tried[q.Class]++; q.Class == 0 {
+					how = Rejected
+				}
+			}
+			r.finish(q, n, how)
+		}
+	}
+	if tried[0] < 3 || tried[0] > 12 || tried[1] < 80 {
+		t.Errorf("the host gets %d of the 400 requests that it takes none of, and %d of the 400 others", tried[0], tried[1])
+	}
+}
+
+// Crossing to another zone has its price: of hosts that do equally well the near one is taken, and the far one while
+// the near one is busy.
+func TestOwnZoneGoesFirst(t *testing.T) {
+	s := plain()
+	s.Zone, s.CrossZone = 1, 0.06
+	r := newRecorder(t, s)
+	hosts := ready(1, 2)
+	hosts[1].Zone = 1
+	r.list(ListFull, hosts...)
+	sent := map[uint32]int{}
+	for i := range uint32(50) {
+		r.advance(r.now + 0.02)
+		q := r.request(Request{ID: 1 + i, Deadline: r.now + 0.9})
+		sent[q.sends[0].host]++
+		r.finish(q, 0, OK)
+	}
+	if sent[2] < 45 {
+		t.Errorf("%d of 50 requests stay in the zone", sent[2])
+	}
+	for i := range uint32(10) { // these stay out
+		sent[r.request(Request{ID: 100 + i, Deadline: r.now + 0.9}).sends[0].host]++
+	}
+	if sent[1] < 2 {
+		t.Errorf("%d requests go to the other zone while the near host is busy", sent[1])
+	}
+}
+
 func TestBurstingTenantWaitsItsTurn(t *testing.T) {
 	s := plain()
 	s.Tenants = []Tenant{{Name: "a", Share: 0.5}, {Name: "b", Share: 0.3}, {Name: "c", Share: 0.2}}
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,6 +32,7 @@
 // out is an attempt in flight, as its host sees it.
 type out struct {
 	id       uint32
+	class    int
 	sentAt   float64
 	expected float64
 	line     float64 // the line that was expected
@@ -56,9 +57,9 @@
 	phi       float64 // suspicion at the last reading
 	refused   int     // connections refused or broken in a row
 	refusedAt float64
-	rampFrom  float64 // when trust began to come back
-	turned    float64 // attempts turned away since the last answer
-	shunned   float64 // until then it gets nothing new, for having turned attempts away
+	rampFrom  float64   // when trust began to come back
+	turned    []float64 // attempts of each class turned away in a row; each answer forgives half
+	shunned   []float64 // until then it gets nothing new of the class
 
 	outs     []out
 	servedAt float64 // last answer over a connection
