Close silent client links, spare those that ask, and refuse the id of an open request

Read in the code and confirmed: `clientRoom` closed the link that had rested longest for any newcomer, so a flood of links that say nothing cost the usual clients theirs; silent links had no end; `arrivalS` was 5 s where 3 s from the opening are owed; nothing looked for an id that is open already.

Also: a 200 with neither a length nor an announced end is taken for spoilt, one that is reset is never whole, a spoilt answer to a probe finds the server alive, empty buffers of resting links are given back, Retry-After follows the settings.

--- a/cmd/hazelwheel/hosts_test.go
+++ b/cmd/hazelwheel/hosts_test.go
@@ -106,6 +106,16 @@
 	assert.Zero(t, w.ends("probe_ends", "host_error"))
 }
 
+// A probe whose answer can't be read has found its server alive, and says nothing of its load.
+func TestSpoiltProbes(t *testing.T) {
+	w := newWorld(t, newServer(t, "s-00000001", breaks("\x00\x01noise")))
+	w.limit("probes", true)
+	w.settings["report"] = map[string]any{"how": "on_probe", "fields": []string{"pending"}}
+	w.start()
+	w.eventually("a probe", func() bool { return w.ends("probe_ends", "ok") > 0 })
+	assert.Zero(t, w.ends("probe_ends", "host_error")+w.ends("probe_ends", "reset"))
+}
+
 func TestCommands(t *testing.T) {
 	w := newWorld(t)
 	raw, err := program("check", "--config", w.config()).CombinedOutput()
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -16,6 +16,7 @@
 	HostTypes       []string // likewise
 	ReportFields    []string // names of the values of a load report, in the order of policy.Report
 	ConnectTimeoutS float64  // a connection that is not up by then has failed
+	RetryAfter      bool     // a refused client is told when to come again
 	AnswerSlackS    float64  // how long after the deadline an answer still counts
 }
 
@@ -31,6 +32,7 @@
 	Discovery      string
 	Limits         struct {
 		Cancel, Probes, SecondCopies bool
+		RetryAfter                   *bool
 		SendCap                      int
 		MaxRetryAfterS, ConnIdleS    float64
 		ConnectTimeoutS              float64
@@ -72,6 +74,7 @@
 	}
 	s := Settings{
 		Zones: m.Dcs, HostTypes: m.HostTypes, ReportFields: m.Report.Fields,
+		RetryAfter:      m.Limits.RetryAfter == nil || *m.Limits.RetryAfter,
 		ConnectTimeoutS: m.Limits.ConnectTimeoutS, AnswerSlackS: m.Obligations.AnswerSlackS,
 	}
 	s.Policy = policy.Settings{
--- a/internal/http1/buffer.go
+++ b/internal/http1/buffer.go
@@ -25,6 +25,17 @@
 // Len returns how many bytes are unread.
 func (b *Buffer) Len() int { return len(b.data) - b.from }
 
+// restingRoom is the memory that an empty buffer may keep.
+const restingRoom = 4 << 10
+
+// Rest gives back the memory of an empty buffer that has grown. Danger: hundreds of links that rest would each hold
+// what their largest message took.
+func (b *Buffer) Rest() {
+	if b.Len() == 0 && cap(b.data) > restingRoom {
+		b.data, b.from = nil, 0
+	}
+}
+
 // Discard marks n bytes as read.
 func (b *Buffer) Discard(n int) {
 	if b.from += n; b.from >= len(b.data) {
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -367,6 +367,14 @@
 	return p.frame(complete)
 }
 
+// Rest drops the request that was read last, which may hold a large body.
+func (p *RequestParser) Rest() {
+	if p.stage == complete {
+		p.reset()
+		p.Method, p.Target = "", ""
+	}
+}
+
 // Begun tells whether part of a request has been read.
 func (p *RequestParser) Begun() bool {
 	return p.stage != complete && (p.stage != inHead || p.first != "")
@@ -440,7 +448,15 @@
 		p.stage = complete
 		return nil
 	}
-	return p.frame(untilEnd)
+	if err := p.frame(untilEnd); err != nil {
+		return err
+	}
+	if p.stage == untilEnd && p.keep() {
+		// Danger: a body that ends with the connection looks whole wherever it is cut. It is taken only from a
+		// server that has said that it will end it so.
+		return malformed("neither a length nor an end")
+	}
+	return nil
 }
 
 // HeadRead tells whether the status and the header fields are there.
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -15,41 +15,44 @@
 const (
 	// mostAhead is what a client may send while its request is out; one that sends more is cut off.
 	mostAhead = mostHead + mostBody
-	// lingerS is how long a link that said its last is read on: closing it on bytes that nobody has read
-	// would reset it, and the client could lose the answer.
-	lingerS = 1.0
+	// lingerS is how long a link that said its last is read on after the last bytes: closing it on bytes that
+	// nobody has read would reset it, and the client could lose the answer. lingerMostS bounds it in all.
+	lingerS     = 1.0
+	lingerMostS = 4.0
 	// arrivalS is how long a request may take to arrive once it has begun; a client that never ends one
-	// would hold a descriptor for ever.
-	arrivalS = 5.0
-	// freshS is how long a new link is taken to be about to carry its first request.
-	freshS = 1.0
+	// would hold a descriptor for ever. The first on a link has arrived firstS after the link was opened.
+	arrivalS = 2.5
+	firstS   = 2.8
 	// longestS bounds what a client may ask us to wait.
 	longestS = 3600.0
 )
 
 // clientLink is a connection from the application. It speaks HTTP/1.1, one request at a time.
 type clientLink struct {
-	s          *Sidecar
-	conn       gnet.Conn
-	buf        http1.Buffer
-	parser     http1.RequestParser
-	request    *request // the one that is out
-	keep       bool     // the client wants the link kept after it
-	told       bool     // 100 Continue is sent
-	last       bool     // the last answer is written
-	shut       bool     // and no byte is left to send
-	throng     bool     // the link is beyond the limit on descriptors
-	linger     *timer
-	arrival    *timer  // of the request that is on its way in
-	restedAt   float64 // when it last answered; 0: never
-	freshUntil float64
-}
-
-func (l *clientLink) opened(c gnet.Conn) { l.conn, l.freshUntil = c, l.s.clock.now()+freshS }
+	s        *Sidecar
+	conn     gnet.Conn
+	buf      http1.Buffer
+	parser   http1.RequestParser
+	request  *request // the one that is out
+	keep     bool     // the client wants the link kept after it
+	told     bool     // 100 Continue is sent
+	last     bool     // the last answer is written
+	shut     bool     // and no byte is left to send
+	throng   bool     // the link is beyond the limit on descriptors
+	linger   *timer
+	arrival  *timer // of the request that is on its way in
+	openedAt float64
+	restedAt float64 // when it last answered; 0: never
+	shutAt   float64 // when it was shut
+	heardAt  float64 // when bytes last came after that
+}
+
+func (l *clientLink) opened(c gnet.Conn) { l.conn = c }
 
 // traffic reads what the client says.
 func (l *clientLink) traffic(data []byte) {
 	if l.last {
+		l.heardAt = l.s.clock.now()
 		return
 	}
 	l.buf.Write(data)
@@ -70,7 +73,11 @@
 		}
 		if !whole {
 			if l.arrival == nil && (l.buf.Len() > 0 || l.parser.Begun()) {
-				l.arrival = l.s.timers.at(l.s.clock.now()+arrivalS, func() {
+				by := l.s.clock.now() + arrivalS
+				if l.restedAt == 0 {
+					by = min(by, l.openedAt+firstS)
+				}
+				l.arrival = l.s.timers.at(by, func() {
 					l.malformed(&http1.Error{Status: 408, Reason: "request did not arrive"})
 				})
 			}
@@ -83,6 +90,7 @@
 		l.endArrival()
 		l.keep, l.told = l.parser.Keep(), false
 		l.route()
+		l.parser.Rest()
 	}
 }
 
@@ -135,6 +143,7 @@
 	if c.Effect == policy.Safe {
 		method = "GET"
 	}
+	id := p.Header.Get(fieldID)
 	patience, ok := c.GiveUpS, true
 	if text := p.Header.Get(fieldPatience); text != "" {
 		patience, ok = parsePatience(text)
@@ -143,23 +152,27 @@
 	case p.Method != method:
 		l.decline(405, "class "+c.Name+" takes "+method, http1.Field{Name: "Allow", Value: method})
 		return
-	case p.Header.Get(fieldID) == "":
+	case id == "":
 		l.decline(400, fieldID+" is missing")
 		return
+	case l.s.named[id] != nil:
+		// Danger: two executions with one id look like a second copy to a server, which may drop the wrong one.
+		l.decline(409, fieldID+" is that of an open request")
+		return
 	case c.Effect == policy.Keyed && p.Header.Get(fieldKey) == "":
 		l.decline(400, fieldKey+" is missing")
 		return
 	case !ok:
 		l.decline(400, fieldPatience+" is not a number with m or u")
 		return
-	case l.throng:
+	case l.throng && !l.s.room(serverRoom):
 		l.s.counters.Requests++
 		l.s.counters.Throttled++
 		l.keep = false
 		l.throttle(l.s.cfg.Settings.Policy.MaxRetryAfterS)
 		return
 	}
-	r := &request{deadline: l.s.clock.now() + min(patience, longestS), call: newHTTPCall(l.s, p), origin: l}
+	r := &request{name: id, deadline: l.s.clock.now() + min(patience, longestS), call: newHTTPCall(l.s, p), origin: l}
 	l.request = r
 	l.s.take(r, policy.Request{Class: class, Repeat: p.Header.Get(fieldRetry) == "1"})
 }
@@ -172,8 +185,12 @@
 
 // throttle refuses.
 func (l *clientLink) throttle(retryAfterS float64) {
-	after := strconv.FormatFloat(max(retryAfterS, 0), 'f', 3, 64)
-	l.respond(503, http1.Header{{Name: fieldRetryAfter, Value: after}, textPlain}, []byte("throttled\n"))
+	h := http1.Header{textPlain}
+	if l.s.cfg.Settings.RetryAfter {
+		after := strconv.FormatFloat(max(retryAfterS, 0), 'f', 3, 64)
+		h = append(h, http1.Field{Name: fieldRetryAfter, Value: after})
+	}
+	l.respond(503, h, []byte("throttled\n"))
 }
 
 // fail says that there is no answer.
@@ -200,6 +217,7 @@
 		return
 	}
 	l.restedAt = l.s.clock.now()
+	l.buf.Rest()
 	// The next request may be in the buffer already; it is taken up as an event of its own.
 	if l.buf.Len() > 0 {
 		l.s.push(func(float64) { l.next() })
@@ -218,20 +236,29 @@
 	}
 	now := l.s.clock.now()
 	if l.linger == nil {
-		l.linger = l.s.timers.at(now+lingerS, func() { l.s.closeConn(l.conn) })
+		l.linger = l.s.timers.at(now+lingerS, func() { l.leave(now + lingerMostS) })
 	}
 	if l.conn.OutboundBuffered() > 0 { // a slow reader; gnet does not tell when all is sent
 		l.s.timers.at(now+flushEveryS, l.finish)
 		return
 	}
 	if !l.shut {
-		l.shut = true
+		l.shut, l.shutAt = true, now
 		_ = unix.Shutdown(l.conn.Fd(), unix.SHUT_WR) // fails only if the client has closed
 	}
 }
 
 const flushEveryS = 0.01
 
+// leave closes a link that lingers once its client has been silent for a while, at the latest at the given time.
+func (l *clientLink) leave(latest float64) {
+	if at := min(l.heardAt+lingerS, latest); at > l.s.clock.now() {
+		l.linger = l.s.timers.at(at, func() { l.leave(latest) })
+		return
+	}
+	l.s.closeConn(l.conn)
+}
+
 // idle tells whether nothing of a request has come and none is out.
 func (l *clientLink) idle() bool {
 	return l.request == nil && !l.last && l.buf.Len() == 0 && !l.parser.Begun()
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -126,6 +126,10 @@
 		if result.Outcome == policy.Rejected && s.clock.now()-e.sentAt > probeWaitS/2 {
 			result.Outcome = policy.TimedOut
 		}
+		// What nobody can read tells nothing of the load, but its server is there and has come to the probe.
+		if err != nil && err.cause == spoilt {
+			result.Outcome = policy.OK
+		}
 		s.counters.probes.count(result.Outcome)
 		s.push(func(now float64) {
 			result.DelayS = now - e.sentAt
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -61,7 +61,7 @@
 	}
 	l, dialed := c.Context().(link)
 	if !dialed {
-		client := &clientLink{s: s, parser: http1.NewRequestParser(httpLimits)}
+		client := &clientLink{s: s, openedAt: s.clock.now(), parser: http1.NewRequestParser(httpLimits)}
 		client.throng = !s.clientRoom()
 		s.clients[client] = struct{}{}
 		l = client
@@ -104,27 +104,6 @@
 	})
 }
 
-// clientRoom tells whether one more client link leaves enough descriptors for the servers. Where it does not,
-// the link that has rested longest is closed for it; where none rests, the newcomer's request is throttled.
-// Danger: a link that has not carried a request yet is not at rest; its first is on the way.
-func (s *Sidecar) clientRoom() bool {
-	if len(s.clients) < (s.cfg.Limits.Sockets-spareDescriptors)*3/4 {
-		return true
-	}
-	var oldest *clientLink
-	for l := range s.clients {
-		if l.idle() && (l.restedAt > 0 || l.freshUntil < s.clock.now()) && (oldest == nil || l.restedAt < oldest.restedAt) {
-			oldest = l
-		}
-	}
-	if oldest == nil {
-		return false
-	}
-	oldest.last = true
-	oldest.finish()
-	return true
-}
-
 // bell is a pair of sockets whose one end gnet holds. gnet tells its event loop only to connections, and the
 // sidecar needs the loop before it has any.
 type bell struct{ far int }
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -22,6 +22,7 @@
 // request is one that a client link has brought whole and that has not been answered, or has executions out.
 type request struct {
 	id       uint32
+	name     string // its client's id of it
 	deadline float64
 	call     call
 	origin   origin
@@ -38,7 +39,7 @@
 	}
 	r.id, r.out = s.lastID, map[int]*execution{}
 	s.lastID++
-	s.requests[r.id] = r
+	s.requests[r.id], s.named[r.name] = r, r
 	s.counters.Requests++
 	s.counters.Open++
 	q.ID, q.Deadline = r.id, r.deadline
@@ -63,6 +64,9 @@
 	r.answered = true
 	s.timers.stop(r.safety)
 	s.counters.Open--
+	if len(r.out) == 0 {
+		s.unname(r)
+	}
 	give()
 	s.push(func(float64) { s.forget(r) })
 }
@@ -71,6 +75,14 @@
 func (s *Sidecar) forget(r *request) {
 	if r.answered && len(r.out) == 0 && s.requests[r.id] == r {
 		delete(s.requests, r.id)
+		s.unname(r)
+	}
+}
+
+// unname frees a request's name. Danger: by then another may have it.
+func (s *Sidecar) unname(r *request) {
+	if s.named[r.name] == r {
+		delete(s.named, r.name)
 	}
 }
 
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"slices"
 
@@ -51,7 +52,7 @@
 		for i := len(links) - 2; i >= 0 && l.restedAt > s.clock.now()-settleS; i-- {
 			l = links[i]
 		}
-		if l.address == h.Address && l.quiet() {
+		if l.address == h.Address && quiet(l.conn) {
 			l.unidle()
 			return l
 		}
@@ -59,12 +60,12 @@
 	}
 }
 
-// quiet tells whether nothing waits in the link's socket: no bytes and no end. Danger: the event loop learns of
+// quiet tells whether nothing waits in a connection's socket: no bytes and no end. Danger: the event loop learns of
 // sockets in turns, and what has come since its last look is unknown to it. A request written to a link that its
 // server has closed is lost; one written behind unread bytes would be answered with them.
-func (l *serverLink) quiet() bool {
+func quiet(c gnet.Conn) bool {
 	var b [1]byte
-	_, _, err := unix.Recvfrom(l.conn.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	_, _, err := unix.Recvfrom(c.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	return errors.Is(err, unix.EAGAIN)
 }
 
@@ -81,6 +82,7 @@
 // has closed it is lost, and one that must not run twice with it. Links are retired well before that.
 func (l *serverLink) rest() {
 	l.execution, l.restedAt = nil, l.s.clock.now()
+	l.buf.Rest()
 	l.s.idle[l.host] = append(l.s.idle[l.host], l)
 	if limit := l.s.cfg.Settings.Policy.ConnIdleS; limit > 0 {
 		l.retire = l.s.timers.at(l.restedAt+min(0.8*limit, max(limit-0.5, 0.5*limit)), l.close)
@@ -251,7 +253,7 @@
 		return
 	}
 	l.execution = nil
-	if e.exchange.end() {
+	if (err == nil || errors.Is(err, io.EOF)) && e.exchange.end() {
 		l.s.finish(e, nil)
 		return
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -53,6 +53,7 @@
 	depth    int // of callbacks within each other
 
 	requests map[uint32]*request
+	named    map[string]*request // by their clients' ids
 	lastID   uint32
 	clients  map[*clientLink]struct{}
 	idle     map[uint32][]*serverLink
@@ -72,7 +73,7 @@
 // New returns a sidecar that has not begun.
 func New(cfg config.Config, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{cfg: cfg, log: log, clock: newClock(), classes: map[string]int{}, lastID: 1,
-		requests: map[uint32]*request{}, clients: map[*clientLink]struct{}{}, idle: map[uint32][]*serverLink{},
+		requests: map[uint32]*request{}, named: map[string]*request{}, clients: map[*clientLink]struct{}{}, idle: map[uint32][]*serverLink{},
 		hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS}
 	s.timers.clock = s.clock
 	for i, c := range cfg.Settings.Policy.Classes {
@@ -110,6 +111,7 @@
 func (s *Sidecar) start() {
 	s.timers.ring = func() { s.post(func() {}) }
 	s.timers.arm()
+	s.sweep()
 	if !s.cfg.Settings.Policy.AskForList {
 		s.watch()
 	}
