Pause a class at a host that fails it, and hold broken connections against the link alone

`learn` now pauses the class there, as after requests that are turned away, twice as fast; the more errors come from anywhere, the less.

A reset that is quicker than any work now tells of the connection alone on links of whatever age, one in the answer is an error of the host, and a probe whose link breaks is begun again on a new one.

--- a/cmd/hazelwheel/hosts_test.go
+++ b/cmd/hazelwheel/hosts_test.go
@@ -106,6 +106,20 @@
 	assert.Zero(t, w.ends("probe_ends", "host_error"))
 }
 
+// A probe whose link breaks is begun again on a new one: it asks after the server, not the link.
+func TestProbeOnABrokenLink(t *testing.T) {
+	s := newServer(t, "s-00000001", nil)
+	s.set(func(w http.ResponseWriter, r *http.Request) {
+		s.set(says(200, ""))
+		breaks("")(w, r)
+	})
+	w := newWorld(t, s)
+	w.limit("probes", true)
+	w.start()
+	w.eventually("its answer", func() bool { return w.ends("probe_ends", "ok") > 0 })
+	assert.Zero(t, w.ends("probe_ends", "reset"))
+}
+
 // A probe whose answer can't be read has found its server alive, and says nothing of its load.
 func TestSpoiltProbes(t *testing.T) {
 	w := newWorld(t, newServer(t, "s-00000001", breaks("\x00\x01noise")))
--- a/cmd/hazelwheel/serve_test.go
+++ b/cmd/hazelwheel/serve_test.go
@@ -61,6 +61,8 @@
 		{"504 that may have run", "write", says(504, "", "Not-Started", "0"), 1},
 		{"another success", "write", says(202, ""), 1},
 		{"broken before the answer", "write", breaks(""), 1},
+		{"broken at once, safe", "read", breaks(""), 2},
+		{"broken in the answer, safe", "read", breaks("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), 2},
 		{"broken in the answer", "write", breaks("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), 1},
 		{"no HTTP, must not run twice", "write", breaks("220 ready\r\n"), 1},
 		{"no HTTP, safe", "read", breaks("220 ready\r\n"), 2},
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -55,9 +55,9 @@
 // can have run) makes a request run twice. A server begins a request with its last byte, so only what broke
 // before that byte was written is known never to have run.
 func (e *execError) outcome() policy.Outcome {
-	if e.cause == spoilt {
-		// The server is there and has said something: it erred, whatever it said. Danger: taken for a broken
-		// connection, two such answers in a row would shut a sound server out.
+	if e.cause == spoilt || e.cause == broke && e.progress == answering {
+		// The server is there, it has come to the request and has said something: it erred, whatever it said.
+		// Danger: taken for a server that died, two such answers in a row would shut a sound one out.
 		return policy.HostError
 	}
 	unwritten := e.progress == notConnected || e.progress == partlyWritten
@@ -103,11 +103,12 @@
 	progress progress
 	timer    *timer
 	over     bool
+	second   bool // a probe that has been begun again
 }
 
 // finish ends an execution. err is nil where a whole answer has come.
 func (s *Sidecar) finish(e *execution, err *execError) {
-	if e.over {
+	if e.over || s.probeAgain(e, err) {
 		return
 	}
 	e.over = true
@@ -154,6 +155,18 @@
 	})
 }
 
+// probeAgain begins a probe once more, on a new link, where its link broke. Danger: a probe asks after the server;
+// a link's end says nothing of it, and a sound server that seems silent is shut out and then taken for cold.
+func (s *Sidecar) probeAgain(e *execution, err *execError) bool {
+	h := s.hosts.Host(e.host)
+	if e.request != nil || e.second || h == nil || err == nil || err.cause != broke || err.progress == notConnected {
+		return false
+	}
+	e.second, e.progress, e.exchange = true, notConnected, s.probe()
+	s.dial(h, e)
+	return true
+}
+
 // begin starts an execution on an idle server link, or on a new one.
 func (s *Sidecar) begin(e *execution) {
 	h := s.hosts.Host(e.host)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -129,9 +129,7 @@
 	}
 	h.member, h.met, h.answered, h.planned = true, false, b.now, b.cadence()
 	h.every = h.planned
-	if h.limit == 0 {
-		h.limit = firstLine / b.peers
-	}
+	h.limit = cmp.Or(h.limit, firstLine/b.peers)
 	h.nextProbe = b.now + b.rng.Float64()*h.every
 	b.due(h.nextProbe)
 }
@@ -282,7 +280,7 @@
 		h.refused = 0
 		b.probeAnswered(h, cadence, sent, r)
 	}
-	b.learnLine(h, r.Outcome == OK, r.DelayS)
+	b.learnLine(h, r.Outcome, r.DelayS)
 	if b.polls {
 		b.pump()
 	}
@@ -313,10 +311,11 @@
 
 // learnLine takes the delay of a probe for the line at a host: a deep probe waits and is served like a
 // request, so where reports are absent it tells the load; a shallow one tells no line and does no harm.
-func (b *Balancer) learnLine(h *host, ok bool, delay float64) {
-	if b.reports {
+func (b *Balancer) learnLine(h *host, how Outcome, delay float64) {
+	if b.reports || how == Reset || how == ConnectFailed { // a connection's end tells no line
 		return
 	}
+	ok := how == OK
 	if ok && (b.base == 0 || delay < b.base) {
 		b.base = delay
 	}
@@ -767,6 +766,7 @@
 		if res.Outcome == HostError {
 			// Danger: useless requests that fail anywhere condemn sound hosts. The more of all attempts err,
 			// the less an error accuses its host. A quick one costs no repeat.
+			b.shun(h, o.class, 2-2*min(3*b.errors, 1))
 			x -= 5 * min(3*b.errors, 1)
 			b.errors += 0.05
 			b.budget += max(1-4*res.DelayS/o.expected, 0)
@@ -775,10 +775,7 @@
 			h.refused, h.refusedAt, b.phiAt = h.refused+1, b.now, b.now-1
 		}
 	case Rejected:
-		// Danger: a host that drains unlisted, is full or fails one class turns that away soon; it looks idle and
-		// would get every pick. It gets nothing of that class for a while, longer each time.
-		h.turned[o.class] = min(h.turned[o.class]+1, 8)
-		h.shunned[o.class] = b.now + min(shunPart*b.aim*math.Exp2(h.turned[o.class]), 2*probeEvery)
+		b.shun(h, o.class, 1)
 		return false
 	default:
 		return false
@@ -790,6 +787,13 @@
 	return false
 }
 
+// shun leaves a host alone for a class. Danger: one that drains unlisted, is full or fails one class answers that
+// soon; it looks idle and would get every pick. It gets nothing of the class for a while, longer each time.
+func (b *Balancer) shun(h *host, class int, step float64) {
+	h.turned[class] = min(h.turned[class]+step, 8)
+	h.shunned[class] = b.now + min(shunPart*b.aim*math.Exp2(h.turned[class]), 2*probeEvery)
+}
+
 // lostIdle tells whether an attempt was lost with a connection that was dropped unseen while idle. Danger:
 // most of what a proxy with little traffic sends is lost so. Evidence that it is the connection and not the
 // host: only attempts on idle ones are lost, in a row, at any host. For a while connections that were idle
@@ -798,13 +802,13 @@
 	if (res.Outcome == OK || res.Outcome == HostError) && o.idle > 0 {
 		b.deadIdle *= 0.5
 	}
+	quick := res.Outcome == Reset && res.DelayS < 0.25*o.expected // nothing but a dead connection is so quick
 	if o.idle < 0.2 || res.Outcome != Reset && res.Outcome != TimedOut {
-		return false
+		return quick
 	}
 	if b.deadIdle++; b.now >= b.dropUntil || o.idle < 2*b.dropAge {
 		b.dropAge = 0.5 * o.idle
 	}
-	quick := res.Outcome == Reset && res.DelayS < 0.25*o.expected // nothing but a dead connection is so quick
 	if b.deadIdle > 1.5 || quick {
 		if b.now >= b.dropUntil {
 			b.do.Log("connections die while idle: closing idle ones before sends")
@@ -864,12 +868,9 @@
 		h.winSent, h.winFrom, h.winLuck = 0, b.now, b.rng.Float64()
 	}
 	strength := b.strength(h)
-	if strength >= 1 {
-		return true
-	}
 	warm := max(b.capacity, 0.6*float64(len(b.members)), 1)
 	room := 0.5 * b.s.ColdMultiple * strength * b.usualRate() * b.s.ColdWindowS / warm
-	return h.winSent+h.winPrev < room && (room >= 1 || h.winSent+h.winPrev == 0 && h.winLuck < room)
+	return strength >= 1 || h.winSent+h.winPrev < room && (room >= 1 || h.winSent+h.winPrev == 0 && h.winLuck < room)
 }
 
 // --- Time ---
--- a/policy/state.go
+++ b/policy/state.go
@@ -58,7 +58,7 @@
 	refused   int     // connections refused or broken in a row
 	refusedAt float64
 	rampFrom  float64   // when trust began to come back
-	turned    []float64 // attempts of each class turned away in a row; each answer forgives half
+	turned    []float64 // attempts of each class turned away or failed in a row; each answer forgives half
 	shunned   []float64 // until then it gets nothing new of the class
 
 	outs     []out
