--- a/cmd/hazelwheel/serve_test.go
+++ b/cmd/hazelwheel/serve_test.go
@@ -231,6 +231,7 @@
 		assert.False(t, os.IsTimeout(err))
 	}
 	assert.Less(t, time.Since(began), patience/2)
+	assert.Positive(t, w.counter("retired"))
 }
 
 // A request with the id of one that is open is answered with an error; the first goes on.
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -391,9 +391,13 @@
 // ResponseParser reads the response to one request that was not HEAD.
 type ResponseParser struct {
 	message
-	Status int
+	Status  int
+	interim int // responses that came before the final one
 }
 
+// mostInterim bounds the interim responses to one request.
+const mostInterim = 100
+
 // NewResponseParser returns a parser of responses within limits.
 func NewResponseParser(limits Limits) ResponseParser {
 	return ResponseParser{message: message{limits: limits}}
@@ -442,6 +446,9 @@
 	case status == 101:
 		return malformed("protocol switched unasked")
 	case status < 200:
+		if p.interim++; p.interim > mostInterim {
+			return malformed("interim responses without end")
+		}
 		p.reset()
 		return nil
 	case status == 204 || status == 304:
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -60,6 +60,9 @@
 		l.openedAt, l.restedAt = l.s.clock.now(), 0 // as one whose first request is on the way
 		return
 	}
+	if !l.shut {
+		l.s.counters.Retired++
+	}
 	l.s.closeConn(l.conn)
 }
 
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -32,6 +32,7 @@
 	Abandoned uint64 `json:"abandoned"` // whose client went away
 	Overdue   uint64 `json:"overdue"`   // failed because the decisions were late
 	Malformed uint64 `json:"malformed"` // messages answered with 4xx or 501 and never handed on
+	Retired   uint64 `json:"retired"`   // client links closed since they said nothing, or rested
 
 	Executions uint64 `json:"executions"`
 	Probes     uint64 `json:"probes"`
