End links with their answer once client links are a fifth of the descriptors

Clients that ask once and stay held all that the application may hold; the rest found no connection. Ruled out: CPU (0.08 s a second at most), the throttle (0 by 4.4 s), the servers (all answers within 0.16 s).

--- a/cmd/hazelwheel/serve_test.go
+++ b/cmd/hazelwheel/serve_test.go
@@ -234,6 +234,24 @@
 	assert.Positive(t, w.counter("retired"))
 }
 
+// Clients that ask once and stay do not hold ever more connections: once links are many, answers end them.
+func TestClientsThatStay(t *testing.T) {
+	w := newWorld(t, newServer(t, "s-00000001", says(200, "")))
+	w.limits["sockets"] = 100
+	w.start()
+	for i := range 60 {
+		_, c, r := w.speak("GET /read HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nRequest-Timeout: 8000m\r\n\r\n")
+		if i < 30 {
+			continue // a fifth of the descriptors may stay
+		}
+		_, err := r.ReadByte()
+		require.ErrorIs(t, err, io.EOF, "the answer was the last on its link")
+		c.Close()
+	}
+	w.eventually("those that stayed are retired", func() bool { return w.counter("retired") >= 1 })
+	assert.EqualValues(t, 60, w.counter("served"))
+}
+
 // A request with the id of one that is open is answered with an error; the first goes on.
 func TestIDOfAnOpenRequest(t *testing.T) {
 	s, release := newServer(t, "s-00000001", nil), make(chan struct{})
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -207,7 +207,7 @@
 	if l.request = nil; l.conn == nil {
 		return
 	}
-	if !l.keep || l.s.draining {
+	if !l.keep || l.s.draining || l.s.crowded() {
 		l.last = true
 		h = append(h[:len(h):len(h)], http1.Field{Name: "Connection", Value: "close"})
 	}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -1,12 +1,14 @@
 package sidecar
 
 const (
-	// freshS is how long a new link is taken to be about to carry its first request.
-	freshS = 0.05
+	// freshS is how long a new link is taken to be about to carry its first request. Whether that waits in the
+	// socket is looked at, too.
+	freshS = 0.01
 	// silentS after it was opened a link that has said nothing is closed.
 	silentS = 2.2
-	// restS is how long links rest undisturbed, however many there are.
-	restS = 2.0
+	// briefS is how long links rest undisturbed, however many there are, and restS while there are not too many.
+	briefS = 0.1
+	restS  = 2.0
 	// sweepEveryS is the time between two looks for such links.
 	sweepEveryS = 0.2
 )
@@ -17,6 +19,11 @@
 // mostClients is how many client links leave enough descriptors for the servers.
 func (s *Sidecar) mostClients() int { return (s.cfg.Limits.Sockets - spareDescriptors) * 3 / 4 }
 
+// crowded tells whether client links are so many that none is kept for its own sake. Danger: clients that ask once and
+// stay come to hold all the connections that the application may have, long before the descriptors here run out; its
+// other requests then find none. So from there on an answer is the last on its link.
+func (s *Sidecar) crowded() bool { return len(s.clients) > s.cfg.Limits.Sockets/5 }
+
 // clientRoom tells whether there is room for one more client link. Where there is none a link is closed for it;
 // where none can be spared, the newcomer's request is throttled unless enough descriptors are left.
 func (s *Sidecar) clientRoom() bool {
@@ -46,8 +53,8 @@
 		return 1, l.shutAt
 	case !l.idle():
 		return 0, 0
-	case l.restedAt > 0 && l.restedAt < now-restS:
-		return 2, l.restedAt
+	case l.restedAt > 0 && l.restedAt < now-briefS:
+		return 2, l.restedAt // the clients that ask once and stay are more than there is room for
 	case l.restedAt == 0 && l.openedAt < now-freshS:
 		return 1, l.openedAt
 	}
@@ -68,7 +75,7 @@
 
 // sweep closes links that have never said anything, and where links are many also those that rest.
 func (s *Sidecar) sweep() {
-	now, many := s.clock.now(), len(s.clients) > s.mostClients()/2
+	now, many := s.clock.now(), s.crowded()
 	for l := range s.clients {
 		silent := l.restedAt == 0 && l.openedAt < now-silentS
 		if l.idle() && (silent || many && l.restedAt > 0 && l.restedAt < now-restS) {
