--- a/cmd/hazelwheel/serve_test.go
+++ b/cmd/hazelwheel/serve_test.go
@@ -240,16 +240,21 @@
 	w := newWorld(t, newServer(t, "s-00000001", says(200, "")))
 	w.limits["sockets"] = 100
 	w.start()
+	const ask = "GET /read HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n"
 	for range 30 {
 		c, err := net.Dial("tcp", w.listen)
 		require.NoError(t, err)
 		defer c.Close()
-		io.WriteString(c, "GET /read HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n")
+		io.WriteString(c, ask)
 		answer, err := http.ReadResponse(bufio.NewReader(c), nil)
 		require.NoError(t, err)
 		assert.Equal(t, 200, answer.StatusCode)
 		if answer.Close {
 			assert.Greater(t, w.counter("served"), 15.0, "a few may stay")
+			_, _, r := w.speak(ask + ask)
+			answer, err = http.ReadResponse(r, nil)
+			require.NoError(t, err, "what came behind a request is not dropped")
+			assert.True(t, answer.Close)
 			return
 		}
 	}
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -207,7 +207,8 @@
 	if l.request = nil; l.conn == nil {
 		return
 	}
-	if !l.keep || l.s.draining || l.s.crowded() {
+	// Danger: what has come behind the request is taken, and is owed its answer here.
+	if !l.keep || l.s.draining || l.s.crowded() && l.buf.Len() == 0 {
 		l.last = true
 		h = append(h[:len(h):len(h)], http1.Field{Name: "Connection", Value: "close"})
 	}
