--- a/policy/policy.go
+++ b/policy/policy.go
@@ -436,8 +436,8 @@
 func (b *Balancer) fits(h *host, r *request) bool {
 	// Danger: many proxies that may each have one request out overfill a host together. A limit below one is
 	// the part of the windows in which this proxy may use the host at all.
-	limit := h.limit * b.strength(h)
-	if b.now < h.shunned[r.Request.Class] || !b.reports && (float64(len(h.outs)) >= max(limit, 1) || h.winLuck >= limit) {
+	limit, outs := h.limit*b.strength(h), float64(len(h.outs))
+	if b.now < h.shunned[r.Request.Class] || !b.reports && (outs >= max(limit, 1) || h.winLuck >= limit) {
 		return false
 	}
 	hinted, guessed := b.expect(h, r)
@@ -646,8 +646,8 @@
 	h.winSent += r.units
 	b.rate, b.rateAt = b.usualRate()+r.units/rateMemory, b.now
 	r.attempts = append(r.attempts, attempt{host: h, sentAt: b.now, ran: true})
-	hinted, guessed := b.expect(h, r)
-	o := out{id: r.ID, class: r.Request.Class, sentAt: b.now, expected: max(hinted+guessed, 1e-6), line: b.line(h)}
+	hint, guess := b.expect(h, r)
+	o := out{id: r.ID, class: r.Request.Class, sentAt: b.now, expected: max(hint+guess, 1e-6), line: b.line(h)}
 	if len(h.outs) == 0 && b.now-h.servedAt < b.s.ConnIdleS {
 		if o.idle = b.now - h.servedAt; o.idle > b.dropAge && b.now < b.dropUntil {
 			b.do.CloseIdle(h.ID)
@@ -787,8 +787,8 @@
 	return false
 }
 
-// shun leaves a host alone for a class. Danger: one that drains unlisted, is full or fails one class answers that
-// soon; it looks idle and would get every pick. It gets nothing of the class for a while, longer each time.
+// shun leaves a host alone for a class, longer each time. Danger: one that drains unlisted, is full or fails
+// one class answers that soon; it looks idle and would get every pick.
 func (b *Balancer) shun(h *host, class int, step float64) {
 	h.turned[class] = min(h.turned[class]+step, 8)
 	h.shunned[class] = b.now + min(shunPart*b.aim*math.Exp2(h.turned[class]), 2*probeEvery)
@@ -867,10 +867,10 @@
 		}
 		h.winSent, h.winFrom, h.winLuck = 0, b.now, b.rng.Float64()
 	}
-	strength := b.strength(h)
+	strength, sent := b.strength(h), h.winSent+h.winPrev
 	warm := max(b.capacity, 0.6*float64(len(b.members)), 1)
 	room := 0.5 * b.s.ColdMultiple * strength * b.usualRate() * b.s.ColdWindowS / warm
-	return strength >= 1 || h.winSent+h.winPrev < room && (room >= 1 || h.winSent+h.winPrev == 0 && h.winLuck < room)
+	return strength >= 1 || sent < room && (room >= 1 || sent == 0 && h.winLuck < room)
 }
 
 // --- Time ---
