--- a/policy/policy.go
+++ b/policy/policy.go
@@ -646,8 +646,8 @@
 	h.winSent += r.units
 	b.rate, b.rateAt = b.usualRate()+r.units/rateMemory, b.now
 	r.attempts = append(r.attempts, attempt{host: h, sentAt: b.now, ran: true})
-	hint, guess := b.expect(h, r)
-	o := out{id: r.ID, class: r.Request.Class, sentAt: b.now, expected: max(hint+guess, 1e-6), line: b.line(h)}
+	hint, rest := b.expect(h, r)
+	o := out{id: r.ID, class: r.Request.Class, sentAt: b.now, expected: max(hint+rest, 1e-6), line: b.line(h)}
 	if len(h.outs) == 0 && b.now-h.servedAt < b.s.ConnIdleS {
 		if o.idle = b.now - h.servedAt; o.idle > b.dropAge && b.now < b.dropUntil {
 			b.do.CloseIdle(h.ID)
