Add drills: delay or abort a share of a class's requests while a drill runs

The operators rehearse slow and failed reads.

- internal/features reads the file; a fault is one line that names the field, and exit code 2.
- internal/drill draws which requests are touched, with a random source that is not the module's: a drill must not change what the decisions draw.
- The delay comes before the module gets the request, cut so that a fifth of the time is left.

Readings: an abort is a throttle to the client and counts as one; drills of one class stand side by side on one draw, so that each has its whole share.

--- /dev/null
+++ b/cmd/hazelwheel/drill_test.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const drillSecret = " a secret\twith \x01 odd bytes "
+
+// withDrills names a file of features with some drills.
+func (w *world) withDrills(drills string) *world {
+	w.features = fmt.Sprintf(`{"drills":[%s],"drills.secret_sha256":"%x"}`, drills, sha256.Sum256([]byte(drillSecret)))
+	return w
+}
+
+// run runs a command of the program to its end and returns its exit code and all it prints.
+func run(t *testing.T, args ...string) (code int, text string) {
+	out, err := program(args...).CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		require.NoError(t, err)
+	}
+	if exit != nil {
+		code = exit.ExitCode()
+	}
+	return code, string(out)
+}
+
+// file writes a file of the test's own.
+func (w *world) file(name, text string) string {
+	path := filepath.Join(w.TempDir(), name)
+	require.NoError(w, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func (w *world) drill(name, secret string) (int, string) {
+	return run(w.T, "drill", "start", "--config", w.path, "--name", name, "--secret-file", w.file("secret", secret))
+}
+
+// drillHits returns how many requests the first drill has touched.
+func (w *world) drillHits() float64 {
+	return w.counters()["hazelwheel_drill_hits"].([]any)[0].(map[string]any)["hits"].(float64)
+}
+
+// Of 1000 requests about a tenth is delayed, and the log names each of them. The bounds are over six standard
+// deviations away: chance alone does not break them once in a hundred million runs.
+func TestDrillDelaysItsShare(t *testing.T) {
+	s := newServer(t, "s-00000001", says(200, ""))
+	w := newWorld(t, s).withDrills(`{"name":"lag1","class":"read","share":10,"delay_ms":400}`).start()
+	for range 20 {
+		assert.Equal(t, 200, w.ask("read", "", "").status)
+	}
+	assert.Zero(t, w.drillHits(), "a drill runs when it is started")
+	code, text := w.drill("lag1", drillSecret+"\n")
+	require.Zero(t, code, text)
+
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	took, slow := map[string]time.Duration{}, 0
+	for range 20 {
+		all.Go(func() {
+			for range 50 {
+				r := w.request("read", "", "")
+				p := w.do(r)
+				assert.NoError(t, p.err)
+				assert.Equal(t, 200, p.status)
+				mu.Lock()
+				took[r.Header.Get("Request-Id")] = p.took
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	w.logs("drill=lag1 request_id=", int(w.drillHits()))
+	log := w.log.String()
+	for id, d := range took {
+		if strings.Contains(log, "drill=lag1 request_id="+id+"\n") {
+			slow++
+			assert.GreaterOrEqual(t, d, 400*time.Millisecond)
+		}
+	}
+	assert.InDelta(t, 100, slow, 60)
+	assert.EqualValues(t, slow, w.drillHits())
+	assert.NotContains(t, log, "secret\\twith")
+	for range 5 {
+		assert.Equal(t, 200, w.ask("write", "", "").status, "other classes are left alone")
+	}
+	assert.EqualValues(t, slow, w.drillHits())
+}
+
+// Who does not know the secret starts nothing, and is told nothing; the sidecar's log tells of the attempt.
+func TestDrillIsRefused(t *testing.T) {
+	w := newWorld(t, newServer(t, "s-00000001", says(200, ""))).withDrills(`{"name":"a","class":"read","share":100,"abort":"503"}`).start()
+	for _, c := range []struct {
+		name, secret, says string
+	}{{"a", "wrong", "wrong secret"}, {"a", drillSecret + "\n\n", "wrong secret"}, {"b", "wrong", "wrong secret"},
+		{"b", drillSecret, "no such drill"}, {"../counters", drillSecret, "404"}} {
+		code, text := w.drill(c.name, c.secret)
+		assert.Equal(t, 2, code, text)
+		assert.Contains(t, text, c.says)
+		assert.Equal(t, 1, strings.Count(text, "\n"), text)
+	}
+	w.logs(`msg="drill refused" error="wrong secret"`, 3)
+	assert.Equal(t, 200, w.ask("read", "", "").status)
+
+	code, text := w.drill("a", drillSecret)
+	require.Zero(t, code, text)
+	p := w.ask("read", "", "")
+	assert.Equal(t, 503, p.status)
+	assert.NotEmpty(t, p.header.Get("Retry-After"))
+	assert.EqualValues(t, 1, w.counter("throttled"))
+	assert.EqualValues(t, 1, w.drillHits())
+
+	w.signal(syscall.SIGTERM)
+	w.eventually("the end", func() bool {
+		c, err := net.Dial("tcp", w.listen)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	code, text = w.drill("a", drillSecret)
+	assert.Equal(t, 1, code, text)
+}
+
+// Without a hash there is no such path, whatever drills the file holds.
+func TestNoDrillWithoutHash(t *testing.T) {
+	w := newWorld(t, newServer(t, "s-00000001", says(200, "")))
+	w.features = `{"drills":[{"name":"a","class":"read","share":100,"abort":"503"}]}`
+	w.start()
+	for _, path := range []string{"drills/a", "nothing"} {
+		status, _, _ := w.speak("POST /" + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		assert.Equal(t, 404, status)
+	}
+	code, text := w.drill("a", "")
+	assert.Equal(t, 2, code, text)
+	assert.Equal(t, 200, w.ask("read", "", "").status)
+}
+
+// A delayed request is open like any other: its id is taken, its client may go, the sidecar does not end before it
+// has its answer, and the decisions keep a part of its time.
+func TestDelayedRequestsAreOpen(t *testing.T) {
+	s := newServer(t, "s-00000001", says(200, ""))
+	w := newWorld(t, s).withDrills(`{"name":"a","class":"read","share":100,"delay_ms":60000},
+		{"name":"b","class":"write","share":100,"delay_ms":600}`)
+	w.settings["classes"].([]map[string]any)[0]["objectiveS"] = 0.5 // what is left must do for a send
+	w.start()
+	for _, name := range []string{"a", "b"} {
+		code, text := w.drill(name, drillSecret)
+		require.Zero(t, code, text)
+	}
+	c, err := net.Dial("tcp", w.listen)
+	require.NoError(t, err)
+	fmt.Fprintf(c, "GET /read HTTP/1.1\r\nHost: h\r\nRequest-Id: gone\r\n\r\n")
+	w.eventually("one is delayed", func() bool { return w.counter("open") == 1 })
+	assert.Equal(t, 409, w.ask("read", "", "", "Request-Id", "gone").status)
+	c.Close()
+	w.eventually("its client's departure", func() bool { return w.counter("abandoned") == 1 && w.counter("open") == 0 })
+
+	began := time.Now()
+	cut := w.ask("read", "", "", "Request-Timeout", "1500m")
+	assert.Equal(t, 200, cut.status, "the delay is cut to leave time for the send")
+	assert.GreaterOrEqual(t, time.Since(began), 1200*time.Millisecond)
+
+	last := w.askAside("write", "", "")
+	w.eventually("another is delayed", func() bool { return w.counter("open") == 1 })
+	w.signal(syscall.SIGTERM)
+	assert.Equal(t, 200, (<-last).status)
+	require.NoError(t, w.cmd.Wait())
+	assert.Equal(t, 2, s.got(), "what was abandoned was never sent")
+}
+
+// A file at fault ends the program before it begins, with one line that names the field.
+func TestFeaturesAtFault(t *testing.T) {
+	w := newWorld(t, newServer(t, "s-00000001", says(200, "")))
+	path := w.file("features.json", `{"drills":[{"name":"a","class":"read","shares":1}]}`)
+	for _, command := range []string{"serve", "check"} {
+		code, text := run(t, command, "--config", w.config(), "--features", path)
+		assert.Equal(t, 2, code)
+		assert.Equal(t, "hazelwheel: features: drills[0].shares: unknown field\n", text)
+	}
+}
--- a/cmd/hazelwheel/main.go
+++ b/cmd/hazelwheel/main.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"hazelwheel/internal/config"
+	"hazelwheel/internal/features"
 	"hazelwheel/internal/sidecar"
 )
 
@@ -26,24 +27,43 @@
 
 func command() *cli.Command {
 	file := &cli.StringFlag{Name: "config", Usage: "the configuration `FILE`", Sources: cli.EnvVars(config.EnvFile)}
+	extras := &cli.StringFlag{Name: "features", Usage: "the operators' `FILE` of features; without it all are off"}
+	drill := []cli.Flag{file, &cli.StringFlag{Name: "name", Usage: "the drill's `NAME`", Required: true},
+		&cli.StringFlag{Name: "secret-file", Usage: "the `FILE` that holds the secret", Required: true}}
 	verbose := &cli.BoolFlag{Name: "verbose", Usage: "log every execution that ends without an answer"}
 	return &cli.Command{
 		Name:  "hazelwheel",
 		Usage: "a sidecar balancer",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve the application beside it", Flags: []cli.Flag{file, verbose}, Action: serve},
-			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{file}, Action: check},
+			{Name: "serve", Usage: "serve the application beside it", Flags: []cli.Flag{file, extras, verbose}, Action: serve},
+			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{file, extras}, Action: check},
+			{Name: "drill", Usage: "rehearse slow and failed requests", Commands: []*cli.Command{
+				{Name: "start", Usage: "start a drill at the running sidecar", Flags: drill, Action: startDrill},
+			}},
 			{Name: "version", Usage: "print the version", Action: version},
 		},
 	}
 }
 
+// load reads the configuration and the file of features, if one is named.
+func load(c *cli.Command) (cfg config.Config, on features.Features, err error) {
+	if cfg, err = config.Load(c.String("config"), os.Getenv); err != nil {
+		return cfg, on, err
+	}
+	if path := c.String("features"); path != "" {
+		if on, err = features.Load(path, &cfg); err != nil {
+			return cfg, on, fault(err)
+		}
+	}
+	return cfg, on, nil
+}
+
 // serve ends with the counters on standard output.
 func serve(_ context.Context, c *cli.Command) error {
 	// Danger: a SIGHUP that nobody catches ends the process, also while it is still reading its configuration.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	cfg, err := config.Load(c.String("config"), os.Getenv)
+	cfg, on, err := load(c)
 	if err != nil {
 		return err
 	}
@@ -51,7 +71,7 @@
 	if c.Bool("verbose") {
 		level = slog.LevelDebug
 	}
-	s, err := sidecar.New(cfg, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	s, err := sidecar.New(cfg, on, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
 	if err != nil {
 		return err
 	}
@@ -61,11 +81,11 @@
 }
 
 func check(_ context.Context, c *cli.Command) error {
-	cfg, err := config.Load(c.String("config"), os.Getenv)
+	cfg, on, err := load(c)
 	if err != nil {
 		return err
 	}
-	if _, err := sidecar.New(cfg, slog.New(slog.DiscardHandler)); err != nil { // what it is told must be usable, too
+	if _, err := sidecar.New(cfg, on, slog.New(slog.DiscardHandler)); err != nil { // what it is told must be usable, too
 		return err
 	}
 	s := cfg.Settings.Policy
--- a/cmd/hazelwheel/reload_test.go
+++ b/cmd/hazelwheel/reload_test.go
@@ -48,7 +48,7 @@
 		w.signal(syscall.SIGHUP)
 		w.eventually(counter, func() bool { return w.counter(counter) == n })
 		assert.Equal(t, 200, w.ask("write", "", "").status)
-		assert.Contains(t, w.log.String(), log)
+		w.logs(log, 1)
 	}
 	require.NoError(t, os.WriteFile(w.path, []byte("{"), 0o600))
 	reload("reload_failed", "not the JSON", 1)
--- a/cmd/hazelwheel/world_test.go
+++ b/cmd/hazelwheel/world_test.go
@@ -45,6 +45,7 @@
 	limits    map[string]any
 	known     []endpoint
 	path      string   // of the configuration
+	features  string   // the text of the file of features; empty: none is named
 	env       []string // of the program
 	cmd       *exec.Cmd
 	log       syncBuffer
@@ -133,7 +134,11 @@
 
 // start runs the program until it is ready. A program that still runs at the end of the test is ended there.
 func (w *world) start() *world {
-	w.cmd = program("serve", "--verbose", "--config", w.config())
+	args := []string{"serve", "--verbose", "--config", w.config()}
+	if w.features != "" {
+		args = append(args, "--features", w.file("features.json", w.features))
+	}
+	w.cmd = program(args...)
 	w.cmd.Stderr, w.cmd.Stdout = &w.log, &w.out
 	w.cmd.Env = append(w.cmd.Env, w.env...)
 	require.NoError(w, w.cmd.Start())
@@ -164,6 +169,13 @@
 	}
 }
 
+// logs waits until the program's log holds a text so many times. Danger: the log comes through a pipe of its own, and
+// what an answer tells of may not have come through it yet.
+func (w *world) logs(text string, times int) {
+	w.Helper()
+	w.eventually(text, func() bool { return strings.Count(w.log.String(), text) == times })
+}
+
 func (w *world) signal(s syscall.Signal) { require.NoError(w, w.cmd.Process.Signal(s)) }
 
 // counters asks the program for all its counters.
--- /dev/null
+++ b/internal/drill/drill_test.go
@@ -0,0 +1,58 @@
+package drill
+
+import (
+	"crypto/sha256"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Shares are exact for an even draw, drills of one class stand side by side, and each has its own time.
+func TestShares(t *testing.T) {
+	sum := sha256.Sum256([]byte("s3"))
+	s := New(Settings{Secret: sum[:], List: []Drill{{Name: "a", Class: "c", Share: 10, DurationS: 60},
+		{Name: "b", Class: "c", Share: 25, DurationS: 30}, {Name: "none", Class: "c", DurationS: 99}, {Name: "x", Class: "d", Share: 100, DurationS: 99}}})
+	n := 0
+	s.draw = func() float64 { n++; return float64(n%1000) / 1000 }
+	round := func(now float64) (a, b, other int) {
+		for range 1000 {
+			switch d := s.Hit(now, "c"); {
+			case d == nil:
+			case d.Name == "a":
+				a++
+			case d.Name == "b":
+				b++
+			default:
+				other++
+			}
+		}
+		return a, b, other
+	}
+	expect := func(now float64, a, b int) {
+		x, y, other := round(now)
+		assert.Equal(t, [3]int{a, b, 0}, [3]int{x, y, other}, "at %v", now)
+	}
+	start := func(now float64, name string) {
+		_, err := s.Start(now, []byte("s3"), name)
+		assert.NoError(t, err)
+	}
+	expect(0, 0, 0)
+	start(0, "none")
+	start(0, "a")
+	expect(59, 100, 0)
+	start(59, "b")
+	expect(59, 100, 250)
+	expect(60, 0, 250)
+	start(61, "a")
+	start(88, "b")
+	expect(117, 100, 250)
+	expect(118, 100, 0)
+	assert.Equal(t, []Hits{{"a", "c", 400}, {"b", "c", 750}, {"none", "c", 0}, {"x", "d", 0}}, s.Hits())
+
+	for name, want := range map[string]error{"s3": ErrUnknown, "s3 ": ErrSecret, "": ErrSecret} {
+		_, err := s.Start(0, []byte(name), "nobody's")
+		assert.ErrorIs(t, err, want)
+	}
+	_, err := New(Settings{List: s.List}).Start(0, nil, "a")
+	assert.ErrorIs(t, err, ErrSecret, "without a hash no secret is right")
+}
--- /dev/null
+++ b/internal/features/features.go
@@ -0,0 +1,198 @@
+// Package features reads the operators' file of features. It is theirs and not the platform's: what it does not
+// switch on is off. An error is one line that names the field at fault.
+package features
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/drill"
+)
+
+// Features is what the file switches on; the zero value is none.
+type Features struct {
+	Drills drill.Settings
+}
+
+// Load reads the file at path, for the program that c configures.
+func Load(path string, c *config.Config) (Features, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Features{}, fmt.Errorf("features: %w", err)
+	}
+	f, err := parse(raw, c)
+	if err != nil {
+		return Features{}, fmt.Errorf("features: %w", err)
+	}
+	return f, nil
+}
+
+func parse(raw []byte, c *config.Config) (f Features, err error) {
+	o, err := readObject("", raw)
+	if err != nil {
+		return f, err
+	}
+	f.readDrills(o, c)
+	return f, o.rest()
+}
+
+func (f *Features) readDrills(o *object, c *config.Config) {
+	names := map[string]bool{}
+	for _, e := range o.list("drills") {
+		d := drill.Drill{Abort: "none", DurationS: 60}
+		field(e, "name", &d.Name, "a name of its own, of at most 64 letters, digits, '.', '_' and '-'",
+			func(s string) bool { return plainName(s) && !names[s] })
+		field(e, "class", &d.Class, "a class of the settings", func(s string) bool { return hasClass(c, s) })
+		field(e, "share", &d.Share, "0 to 100", func(v float64) bool { return v >= 0 && v <= 100 })
+		field(e, "delay_ms", &d.DelayMS, "0 to 3600000", func(v float64) bool { return v >= 0 && v <= 3.6e6 })
+		field(e, "abort", &d.Abort, `"none" or "503"`, func(s string) bool { return s == "none" || s == "503" })
+		field(e, "duration_s", &d.DurationS, "more than 0, at most 86400", func(v float64) bool { return v > 0 && v <= 86400 })
+		e.need("name", "class")
+		names[d.Name] = true
+		f.Drills.List = append(f.Drills.List, d)
+	}
+	var hash string
+	field(o, "drills.secret_sha256", &hash, "the 64 hexadecimal digits of a SHA-256", func(s string) bool {
+		sum, err := hex.DecodeString(s)
+		f.Drills.Secret = sum
+		return err == nil && len(sum) == sha256.Size
+	})
+}
+
+func hasClass(c *config.Config, name string) bool {
+	for _, class := range c.Settings.Policy.Classes {
+		if class.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// plainName tells whether a name means the same in a path, a log line and a figure.
+func plainName(s string) bool {
+	odd := func(r rune) bool {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		return !letter && !strings.ContainsRune("._-", r)
+	}
+	return strings.Trim(s, ".") != "" && len(s) <= 64 && !strings.ContainsFunc(s, odd)
+}
+
+// object is a JSON object that is read field by field. The first fault in it is kept; what has not been read in
+// the end is unknown.
+type object struct {
+	at     string // its place in the file, with a dot behind it
+	fields map[string]json.RawMessage
+	read   map[string]bool
+	parts  []*object
+	err    error
+}
+
+// readObject takes an object apart. Danger: of a field that comes twice the JSON package keeps the last without a
+// word, and the operator may have meant the first.
+func readObject(at string, raw json.RawMessage) (*object, error) {
+	o := &object{at: at, fields: map[string]json.RawMessage{}, read: map[string]bool{}}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	where := strings.TrimSuffix(at, ".")
+	if where == "" {
+		where = "the file"
+	}
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		return o, fmt.Errorf("%s: not a JSON object", where)
+	}
+	for d.More() {
+		name, err := d.Token()
+		var value json.RawMessage
+		if err == nil {
+			err = d.Decode(&value)
+		}
+		if err != nil {
+			return o, fmt.Errorf("%s: not JSON: %w", where, err)
+		}
+		key := name.(string) // More is true and no error came, so it is one
+		if _, twice := o.fields[key]; twice {
+			return o, fmt.Errorf("%s%s: given twice", at, key)
+		}
+		o.fields[key] = value
+	}
+	if _, err := d.Token(); err != nil {
+		return o, fmt.Errorf("%s: not JSON: %w", where, err)
+	}
+	if d.More() {
+		return o, fmt.Errorf("%s: more follows the object", where)
+	}
+	return o, nil
+}
+
+func (o *object) fail(name, want string) {
+	if o.err == nil {
+		o.err = fmt.Errorf("%s%s: %s", o.at, name, want)
+	}
+}
+
+// take returns a field's text and marks it as known.
+func (o *object) take(name string) (json.RawMessage, bool) {
+	raw, ok := o.fields[name]
+	o.read[name] = true
+	return raw, ok
+}
+
+// field reads a field into v, if it is there.
+func field[T any](o *object, name string, v *T, want string, good func(T) bool) {
+	raw, ok := o.take(name)
+	if !ok {
+		return
+	}
+	if string(raw) == "null" || json.Unmarshal(raw, v) != nil || !good(*v) {
+		o.fail(name, "want "+want)
+	}
+}
+
+// need fails for the first of the names that is absent.
+func (o *object) need(names ...string) {
+	for _, name := range names {
+		if _, ok := o.fields[name]; !ok {
+			o.fail(name, "missing")
+		}
+	}
+}
+
+// list returns the objects of a list.
+func (o *object) list(name string) []*object {
+	var raws []json.RawMessage
+	field(o, name, &raws, "a list", func([]json.RawMessage) bool { return true })
+	var parts []*object
+	for i, raw := range raws {
+		e, err := readObject(fmt.Sprintf("%s%s[%d].", o.at, name, i), raw)
+		e.err = err
+		parts = append(parts, e)
+	}
+	o.parts = append(o.parts, parts...)
+	return parts
+}
+
+// rest returns the first fault: of the parts, of the object, or a field that nobody has read.
+func (o *object) rest() error {
+	for _, p := range o.parts {
+		if err := p.rest(); err != nil {
+			return err
+		}
+	}
+	if o.err != nil {
+		return o.err
+	}
+	for _, name := range slices.Sorted(maps.Keys(o.fields)) {
+		if !o.read[name] {
+			return errors.New(o.at + name + ": unknown field")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/features/features_test.go
@@ -0,0 +1,76 @@
+package features
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/drill"
+	"hazelwheel/policy"
+)
+
+const hash = "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"
+
+func read(text string) (Features, error) {
+	c := config.Config{Listen: "127.0.0.1:3000"}
+	c.Settings.Policy.Classes = []policy.Class{{Name: "latest-reading"}, {Name: "log-calibration"}}
+	return parse([]byte(text), &c)
+}
+
+// The page's examples hold, with the defaults that it names.
+func TestExamples(t *testing.T) {
+	f, err := read(`{"drills":[{"name":"lag1","class":"latest-reading","share":10,"delay_ms":800},
+		{"name":"x","class":"log-calibration","abort":"503","duration_s":5}],"drills.secret_sha256":"` + hash + `"}`)
+	require.NoError(t, err)
+	assert.Equal(t, []drill.Drill{{Name: "lag1", Class: "latest-reading", Share: 10, DelayMS: 800, Abort: "none", DurationS: 60},
+		{Name: "x", Class: "log-calibration", Abort: "503", DurationS: 5}}, f.Drills.List)
+	assert.Len(t, f.Drills.Secret, 32)
+
+	f, err = read(`{}`)
+	require.NoError(t, err)
+	assert.Zero(t, f, "what the file does not name is off")
+	_, err = Load(filepath.Join(t.TempDir(), "none.json"), &config.Config{})
+	assert.ErrorIs(t, err, os.ErrNotExist)
+}
+
+// A fault is one line that begins with the field: whatever an operator mistypes must not quietly mean something else.
+func TestFaultsAreNamed(t *testing.T) {
+	d := func(more string) string { return `{"drills":[{"name":"a","class":"latest-reading"` + more + `}]}` }
+	for _, c := range []struct{ text, begins string }{
+		{``, "the file: not"},
+		{`[]`, "the file: not"},
+		{`{"drills":[]`, "the file: not"},
+		{`{} {}`, "the file: more"},
+		{`{"drils":[]}`, "drils: unknown"},
+		{`{"Drills":[]}`, "Drills: unknown"},
+		{`{"drills":[],"drills":[]}`, "drills: given twice"},
+		{`{"drills":{}}`, "drills: want a list"},
+		{`{"drills":null}`, "drills: want"},
+		{`{"drills":[7]}`, "drills[0]: not"},
+		{`{"drills":[{"class":"latest-reading"}]}`, "drills[0].name: missing"},
+		{`{"drills":[{"name":"a"}]}`, "drills[0].class: missing"},
+		{`{"drills":[{"name":"a b","class":"latest-reading"}]}`, "drills[0].name: want"},
+		{`{"drills":[{"name":"..","class":"latest-reading"}]}`, "drills[0].name: want"},
+		{`{"drills":[{"name":"a","class":"read"}]}`, "drills[0].class: want"},
+		{d(`,"share":101`), "drills[0].share: want"},
+		{d(`,"share":"10"`), "drills[0].share: want"},
+		{d(`,"delay_ms":-1`), "drills[0].delay_ms: want"},
+		{d(`,"abort":"500"`), "drills[0].abort: want"},
+		{d(`,"duration_s":0`), "drills[0].duration_s: want"},
+		{d(`,"speed":1`), "drills[0].speed: unknown"},
+		{strings.Replace(d(``), `}]`, `},{"name":"a","class":"latest-reading"}]`, 1), "drills[1].name: want"},
+		{`{"drills.secret_sha256":"12"}`, "drills.secret_sha256: want"},
+		{`{"drills.secret_sha256":7}`, "drills.secret_sha256: want"},
+	} {
+		_, err := read(c.text)
+		if assert.Error(t, err, c.text) {
+			assert.True(t, strings.HasPrefix(err.Error(), c.begins), "%s: %v", c.text, err)
+			assert.NotContains(t, err.Error(), "\n")
+		}
+	}
+}
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -124,6 +124,7 @@
 	path, _, _ := strings.Cut(p.Target, "?")
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	class, ok := l.s.classes[name]
+	drill, armed := l.s.drillName(path)
 	switch {
 	case ok:
 		l.take(class)
@@ -131,6 +132,8 @@
 		l.respond(200, http1.Header{textPlain}, []byte("ready\n"))
 	case path == "/counters" && p.Method == "GET":
 		l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, l.s.Counters())
+	case armed:
+		l.startDrill(drill)
 	default:
 		l.decline(404, "no such class of requests")
 	}
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"hazelwheel/internal/drill"
 	"hazelwheel/policy"
 )
 
@@ -48,6 +49,8 @@
 	Descriptors int     `json:"descriptors"` // held by links now
 	LateMS      float64 `json:"late_ms"`     // how late the latest of all timers was
 
+	DrillHits []drill.Hits `json:"hazelwheel_drill_hits,omitempty"` // requests that each drill has touched
+
 	executions, probes outcomes
 }
 
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -30,6 +30,7 @@
 	out      map[int]*execution
 	answered bool // it has its final answer, or nobody waits for one
 	safety   *timer
+	delay    *timer // of the drill that holds it back
 }
 
 // take hands a request to the decisions.
@@ -49,11 +50,16 @@
 		s.answer(r, func() { r.origin.fail(true) })
 		s.push(func(now float64) { s.balancer.Abandoned(now, r.id) })
 	})
-	s.push(func(now float64) {
-		if !r.answered { // its client may have gone since
-			s.balancer.Request(now, q)
-		}
-	})
+	decide := func() {
+		s.push(func(now float64) {
+			if !r.answered { // its client may have gone since
+				s.balancer.Request(now, q)
+			}
+		})
+	}
+	if !s.drilled(r, q.Class, decide) {
+		decide()
+	}
 }
 
 // answer gives a request its final answer by calling give, unless it has had one.
@@ -63,6 +69,7 @@
 	}
 	r.answered = true
 	s.timers.stop(r.safety)
+	s.timers.stop(r.delay)
 	s.counters.Open--
 	if len(r.out) == 0 {
 		s.unname(r)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -18,6 +18,8 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"hazelwheel/internal/config"
+	"hazelwheel/internal/drill"
+	"hazelwheel/internal/features"
 	"hazelwheel/internal/hostgroup"
 	"hazelwheel/policy"
 )
@@ -58,6 +60,7 @@
 	clients  map[*clientLink]struct{}
 	idle     map[uint32][]*serverLink
 	watcher  *watcher
+	drills   *drill.Set
 	slack    float64
 
 	conns    int // connections that gnet holds
@@ -71,10 +74,11 @@
 }
 
 // New returns a sidecar that has not begun.
-func New(cfg config.Config, log *slog.Logger) (*Sidecar, error) {
+func New(cfg config.Config, on features.Features, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{cfg: cfg, log: log, clock: newClock(), classes: map[string]int{}, lastID: 1,
 		requests: map[uint32]*request{}, named: map[string]*request{}, clients: map[*clientLink]struct{}{}, idle: map[uint32][]*serverLink{},
-		hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS}
+		hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
+		drills: drill.New(on.Drills)}
 	s.timers.clock = s.clock
 	for i, c := range cfg.Settings.Policy.Classes {
 		s.classes[c.Name] = i
@@ -209,5 +213,6 @@
 // Counters returns the counters as JSON. Once Run has returned it may be called from outside the loop.
 func (s *Sidecar) Counters() []byte {
 	s.counters.Descriptors = s.conns + s.dialing
+	s.counters.DrillHits = s.drills.Hits()
 	return s.counters.text()
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"hazelwheel/internal/config"
+	"hazelwheel/internal/features"
 	"hazelwheel/internal/hostgroup"
 	"hazelwheel/policy"
 )
@@ -40,7 +41,7 @@
 	var cfg config.Config
 	cfg.Settings.Policy.Classes = []policy.Class{{Name: "read", AimS: 1, GiveUpS: 3}}
 	cfg.Settings.ReportFields = []string{"cpu_share", "failed_ps", "pending"}
-	s, err := New(cfg, slog.New(slog.DiscardHandler))
+	s, err := New(cfg, features.Features{}, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	return s
 }
