Add rewrites: rules that add, drop or rename header fields, and Forwarded

Stations' gateways send fields that servers must not see, and servers return debug fields. internal/rewrite makes the operators' rules on a copy of the end-to-end fields, once for each request, so that every execution begins with the same header.

Danger met: Connection may name any field, and a key that it takes off lets a request run twice. With rewrites on the protected fields stay; without, all is as before.

--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -16,11 +16,14 @@
 
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/drill"
+	"hazelwheel/internal/http1"
+	"hazelwheel/internal/rewrite"
 )
 
 // Features is what the file switches on; the zero value is none.
 type Features struct {
-	Drills drill.Settings
+	Drills   drill.Settings
+	Rewrites rewrite.Settings
 }
 
 // Load reads the file at path, for the program that c configures.
@@ -42,6 +45,7 @@
 		return f, err
 	}
 	f.readDrills(o, c)
+	f.readRewrites(o, c)
 	return f, o.rest()
 }
 
@@ -68,6 +72,38 @@
 	})
 }
 
+func (f *Features) readRewrites(o *object, c *config.Config) {
+	field(o, "rewrites.forwarded", &f.Rewrites.Forwarded, "true or false", func(bool) bool { return true })
+	name := func(s string) bool { return http1.Token(s) && rewrite.Free(s) }
+	const wantName = "the name of a header field that is neither protected nor hop-by-hop"
+	for _, e := range o.list("rewrites") {
+		var r rewrite.Rule
+		field(e, "dir", &r.Dir, `"in" or "out"`, func(s string) bool { return s == rewrite.In || s == rewrite.Out })
+		field(e, "op", &r.Op, `"add", "drop" or "rename"`, func(s string) bool {
+			return s == rewrite.Add || s == rewrite.Drop || s == rewrite.Rename
+		})
+		field(e, "name", &r.Name, wantName, name)
+		e.need("dir", "when", "op", "name")
+		switch r.Op { // elsewhere value and to mean nothing and are unknown
+		case rewrite.Add:
+			field(e, "value", &r.Value, "text without control bytes", func(s string) bool {
+				return !strings.ContainsFunc(s, func(c rune) bool { return c < ' ' || c == 0x7f })
+			})
+			e.need("value")
+		case rewrite.Rename:
+			field(e, "to", &r.To, wantName, name)
+			e.need("to")
+		}
+		when := e.part("when")
+		field(when, "class", &r.Class, "a class of the settings", func(s string) bool { return hasClass(c, s) })
+		field(when, "path_prefix", &r.PathPrefix, `a path from its "/"`, func(s string) bool { return strings.HasPrefix(s, "/") })
+		if len(when.fields) == 0 {
+			e.fail("when", "want path_prefix, class or both")
+		}
+		f.Rewrites.Rules = append(f.Rewrites.Rules, r)
+	}
+}
+
 func hasClass(c *config.Config, name string) bool {
 	for _, class := range c.Settings.Policy.Classes {
 		if class.Name == name {
@@ -165,6 +201,18 @@
 	}
 }
 
+// part returns the object in a field; an empty one where it is absent.
+func (o *object) part(name string) *object {
+	raw, ok := o.take(name)
+	if !ok {
+		raw = json.RawMessage("{}")
+	}
+	p, err := readObject(o.at+name+".", raw)
+	p.err = err
+	o.parts = append(o.parts, p)
+	return p
+}
+
 // list returns the objects of a list.
 func (o *object) list(name string) []*object {
 	var raws []json.RawMessage
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -11,6 +11,7 @@
 
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/drill"
+	"hazelwheel/internal/rewrite"
 	"hazelwheel/policy"
 )
 
@@ -31,6 +32,12 @@
 		{Name: "x", Class: "log-calibration", Abort: "503", DurationS: 5}}, f.Drills.List)
 	assert.Len(t, f.Drills.Secret, 32)
 
+	f, err = read(`{"rewrites":[{"dir":"in","when":{"class":"log-calibration"},"op":"drop","name":"X-Station-Debug"},
+		{"dir":"out","when":{"path_prefix":"/l"},"op":"rename","name":"X-A","to":"X-B"}]}`)
+	require.NoError(t, err)
+	assert.Equal(t, rewrite.Settings{Rules: []rewrite.Rule{{Dir: "in", Class: "log-calibration", Op: "drop", Name: "X-Station-Debug"},
+		{Dir: "out", PathPrefix: "/l", Op: "rename", Name: "X-A", To: "X-B"}}}, f.Rewrites)
+
 	f, err = read(`{}`)
 	require.NoError(t, err)
 	assert.Zero(t, f, "what the file does not name is off")
@@ -41,6 +48,7 @@
 // A fault is one line that begins with the field: whatever an operator mistypes must not quietly mean something else.
 func TestFaultsAreNamed(t *testing.T) {
 	d := func(more string) string { return `{"drills":[{"name":"a","class":"latest-reading"` + more + `}]}` }
+	r := func(more string) string { return `{"rewrites":[{"dir":"in","when":{"path_prefix":"/"},` + more + `}]}` }
 	for _, c := range []struct{ text, begins string }{
 		{``, "the file: not"},
 		{`[]`, "the file: not"},
@@ -66,6 +74,23 @@
 		{strings.Replace(d(``), `}]`, `},{"name":"a","class":"latest-reading"}]`, 1), "drills[1].name: want"},
 		{`{"drills.secret_sha256":"12"}`, "drills.secret_sha256: want"},
 		{`{"drills.secret_sha256":7}`, "drills.secret_sha256: want"},
+		{`{"rewrites.forwarded":1}`, "rewrites.forwarded: want"},
+		{r(`"op":"drop","name":"Request-ID"`), "rewrites[0].name: want"},
+		{r(`"op":"add","name":"X-A","value":"a\u000d\u000aHost: x"`), "rewrites[0].value: want"},
+		{r(`"op":"add","name":"X-A"`), "rewrites[0].value: missing"},
+		{r(`"op":"add","name":"X A","value":"1"`), "rewrites[0].name: want"},
+		{r(`"op":"rename","name":"X-A","to":"server-load"`), "rewrites[0].to: want"},
+		{r(`"op":"rename","name":"X-A","to":"Transfer-Encoding"`), "rewrites[0].to: want"},
+		{r(`"op":"rename","name":"X-A"`), "rewrites[0].to: missing"},
+		{r(`"op":"drop","name":"X-A","value":"1"`), "rewrites[0].value: unknown"},
+		{r(`"op":"set","name":"X-A"`), "rewrites[0].op: want"},
+		{r(`"name":"X-A"`), "rewrites[0].op: missing"},
+		{`{"rewrites":[{"dir":"both","when":{"path_prefix":"/"},"op":"drop","name":"X-A"}]}`, "rewrites[0].dir: want"},
+		{`{"rewrites":[{"dir":"in","op":"drop","name":"X-A"}]}`, "rewrites[0].when: missing"},
+		{`{"rewrites":[{"dir":"in","when":{},"op":"drop","name":"X-A"}]}`, "rewrites[0].when: want"},
+		{`{"rewrites":[{"dir":"in","when":{"clas":"x"},"op":"drop","name":"X-A"}]}`, "rewrites[0].when.clas: unknown"},
+		{`{"rewrites":[{"dir":"in","when":{"class":"x"},"op":"drop","name":"X-A"}]}`, "rewrites[0].when.class: want"},
+		{`{"rewrites":[{"dir":"in","when":{"path_prefix":"l"},"op":"drop","name":"X-A"}]}`, "rewrites[0].when.path_prefix: want"},
 	} {
 		_, err := read(c.text)
 		if assert.Error(t, err, c.text) {
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -61,11 +62,15 @@
 	"content-length": true, "expect": true,
 }
 
-// EndToEnd returns the fields that a proxy passes on.
-func (h Header) EndToEnd() Header {
+// HopByHop tells whether a field is of one connection or its framing, whatever Connection says.
+func HopByHop(name string) bool { return hopByHop[strings.ToLower(name)] }
+
+// EndToEnd returns the fields that a proxy passes on; of those that Connection names, only the ones in spite.
+func (h Header) EndToEnd(spite ...string) Header {
 	kept := make(Header, 0, len(h))
 	for _, f := range h {
-		if !hopByHop[strings.ToLower(f.Name)] && !h.has("Connection", f.Name) {
+		named := func(name string) bool { return strings.EqualFold(name, f.Name) }
+		if !HopByHop(f.Name) && (!h.has("Connection", f.Name) || slices.ContainsFunc(spite, named)) {
 			kept = append(kept, f)
 		}
 	}
@@ -179,6 +184,9 @@
 	return Field{string(name), string(value)}, nil
 }
 
+// Token tells whether a name is one that a header field can have.
+func Token(name string) bool { return token(name) }
+
 // token tells whether b is a token as RFC 9110 has it.
 func token[T ~string | ~[]byte](b T) bool {
 	for i := range len(b) {
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -175,15 +175,15 @@
 		l.throttle(l.s.cfg.Settings.Policy.MaxRetryAfterS)
 		return
 	}
-	r := &request{name: id, deadline: l.s.clock.now() + min(patience, longestS), call: newHTTPCall(l.s, p), origin: l}
+	r := &request{name: id, deadline: l.s.clock.now() + min(patience, longestS), call: newHTTPCall(l.s, p, c.Name, l.conn.RemoteAddr()), origin: l}
 	l.request = r
 	l.s.take(r, policy.Request{Class: class, Repeat: p.Header.Get(fieldRetry) == "1"})
 }
 
 // serve passes on a server's answer.
 func (l *clientLink) serve(x exchange) {
-	p := &x.(*httpExchange).parser
-	l.respond(p.Status, p.Header.EndToEnd(), p.Body)
+	h := x.(*httpExchange)
+	l.respond(h.parser.Status, h.header(), h.parser.Body)
 }
 
 // throttle refuses.
--- a/internal/sidecar/http.go
+++ b/internal/sidecar/http.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -35,16 +37,28 @@
 	method, target string
 	header         http1.Header // passed on; Request-Timeout is written anew
 	body           []byte
+	class          string
 }
 
 func (c *httpCall) exchange() exchange {
 	return &httpExchange{call: c, parser: http1.NewResponseParser(httpLimits)}
 }
 
-// newHTTPCall takes over a parsed request.
-func newHTTPCall(s *Sidecar, p *http1.RequestParser) *httpCall {
-	c := &httpCall{s: s, method: p.Method, target: p.Target, body: p.Body}
-	for _, f := range p.Header.EndToEnd() {
+// newHTTPCall takes over a parsed request of a class that has come from an address. Its header is rewritten here, once
+// for all executions: each begins with the same.
+func newHTTPCall(s *Sidecar, p *http1.RequestParser, class string, from net.Addr) *httpCall {
+	c := &httpCall{s: s, method: p.Method, target: p.Target, body: p.Body, class: class}
+	header := p.Header
+	if s.rewrites.On() {
+		var client netip.Addr
+		if tcp, ok := from.(*net.TCPAddr); ok {
+			client = tcp.AddrPort().Addr()
+		}
+		header = s.rewrites.Request(header, class, c.path(), client)
+	} else {
+		header = header.EndToEnd()
+	}
+	for _, f := range header {
 		if !strings.EqualFold(f.Name, fieldPatience) {
 			c.header = append(c.header, f)
 		}
@@ -52,6 +66,12 @@
 	return c
 }
 
+// path returns the target less its query.
+func (c *httpCall) path() string {
+	path, _, _ := strings.Cut(c.target, "?")
+	return path
+}
+
 // httpExchange is one execution of an httpCall.
 type httpExchange struct {
 	call   *httpCall
@@ -68,6 +88,14 @@
 func (x *httpExchange) begun() bool                          { return x.parser.Begun() }
 func (x *httpExchange) end() bool                            { return x.parser.End() }
 
+// header returns what the client is sent of an answer's header.
+func (x *httpExchange) header() http1.Header {
+	if r := &x.call.s.rewrites; r.On() {
+		return r.Answer(x.parser.Header, x.call.class, x.call.path())
+	}
+	return x.parser.Header.EndToEnd()
+}
+
 // verdict reads the status. Only a server's word that it has not started proves that nothing has run.
 func (x *httpExchange) verdict() (policy.Outcome, policy.Report, bool) {
 	p := &x.parser
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"hazelwheel/internal/drill"
 	"hazelwheel/internal/features"
 	"hazelwheel/internal/hostgroup"
+	"hazelwheel/internal/rewrite"
 	"hazelwheel/policy"
 )
 
@@ -61,6 +62,7 @@
 	idle     map[uint32][]*serverLink
 	watcher  *watcher
 	drills   *drill.Set
+	rewrites rewrite.Settings
 	slack    float64
 
 	conns    int // connections that gnet holds
@@ -78,7 +80,7 @@
 	s := &Sidecar{cfg: cfg, log: log, clock: newClock(), classes: map[string]int{}, lastID: 1,
 		requests: map[uint32]*request{}, named: map[string]*request{}, clients: map[*clientLink]struct{}{}, idle: map[uint32][]*serverLink{},
 		hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
-		drills: drill.New(on.Drills)}
+		drills: drill.New(on.Drills), rewrites: on.Rewrites}
 	s.timers.clock = s.clock
 	for i, c := range cfg.Settings.Policy.Classes {
 		s.classes[c.Name] = i
