Add health: a side port that says with reasons whether the instance is ready

At handover between shifts the operators need reasons.

servers_usable is asked of the module by Usable, which changes nothing. For it the doubt about a member is a function of its own in policy/usable.go; readPhi calls it and decides as before.

Readings: the list's age counts from the last thing read from discovery, empty lines too; a list that discovery says is unchanged counts as loaded; when all servers fall silent none is usable, though the decisions go on with the least suspected.

--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -10,12 +10,14 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/netip"
 	"os"
 	"slices"
 	"strings"
 
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/drill"
+	"hazelwheel/internal/health"
 	"hazelwheel/internal/http1"
 	"hazelwheel/internal/rewrite"
 )
@@ -24,6 +26,7 @@
 type Features struct {
 	Drills   drill.Settings
 	Rewrites rewrite.Settings
+	Health   health.Settings
 }
 
 // Load reads the file at path, for the program that c configures.
@@ -46,6 +49,7 @@
 	}
 	f.readDrills(o, c)
 	f.readRewrites(o, c)
+	f.readHealth(o, c)
 	return f, o.rest()
 }
 
@@ -104,6 +108,18 @@
 	}
 }
 
+func (f *Features) readHealth(o *object, c *config.Config) {
+	f.Health = health.Settings{MaxListAgeMS: 6000, MinUsable: 1, MaxInflight: 256}
+	o.unfold("health", "port", "max_list_age_ms", "min_usable", "max_inflight")
+	field(o, "health.port", &f.Health.Port, "1 to 65535, and not the port of the listen address", func(v int) bool {
+		listen, err := netip.ParseAddrPort(c.Listen)
+		return v >= 1 && v <= 65535 && (err != nil || int(listen.Port()) != v)
+	})
+	field(o, "health.max_list_age_ms", &f.Health.MaxListAgeMS, "0 or more", func(v float64) bool { return v >= 0 })
+	field(o, "health.min_usable", &f.Health.MinUsable, "a whole number from 0", func(v int) bool { return v >= 0 })
+	field(o, "health.max_inflight", &f.Health.MaxInflight, "a whole number from 0", func(v int) bool { return v >= 0 })
+}
+
 func hasClass(c *config.Config, name string) bool {
 	for _, class := range c.Settings.Policy.Classes {
 		if class.Name == name {
@@ -213,6 +229,28 @@
 	return p
 }
 
+// unfold takes the fields of an object that is written out as settings with its name and a dot before theirs.
+func (o *object) unfold(name string, known ...string) {
+	raw, ok := o.take(name)
+	if !ok {
+		return
+	}
+	p, err := readObject(o.at+name+".", raw)
+	o.parts = append(o.parts, p)
+	p.err = err
+	for _, field := range known {
+		value, ok := p.take(field)
+		if !ok {
+			continue
+		}
+		dotted := name + "." + field
+		if _, twice := o.fields[dotted]; twice {
+			o.fail(dotted, "given twice, also in "+name)
+		}
+		o.fields[dotted] = value
+	}
+}
+
 // list returns the objects of a list.
 func (o *object) list(name string) []*object {
 	var raws []json.RawMessage
--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,60 @@
+package health
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Each threshold has its own reason, and the ages grow though the loop says nothing more.
+func TestReasons(t *testing.T) {
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	port := probe.Addr().(*net.TCPAddr).Port
+	require.NoError(t, probe.Close())
+	now := 1000.0
+	h := New(Settings{Port: port, MaxListAgeMS: 6000, MinUsable: 1, MaxInflight: 256}, func() float64 { return now }, slog.New(slog.DiscardHandler))
+	require.NoError(t, h.Listen("127.0.0.1"))
+	client := http.Client{Timeout: 20 * time.Second}
+	expect := func(path string, status int, body string) {
+		t.Helper()
+		r, err := client.Get(fmt.Sprintf("http://127.0.0.1:%d%s", port, path))
+		require.NoError(t, err)
+		defer r.Body.Close()
+		text, err := io.ReadAll(r.Body)
+		require.NoError(t, err)
+		assert.Equal(t, status, r.StatusCode)
+		if body != "" {
+			assert.Equal(t, body+"\n", string(text))
+		}
+	}
+	expect("/started", 503, `{"started":false,"reasons":["no list loaded"]}`)
+	h.Beat(Snapshot{At: 1000, ListAt: 999.5, Started: true, Usable: 1, Inflight: 256})
+	now = 1001
+	expect("/started", 200, `{"started":true,"reasons":[]}`)
+	expect("/alive", 200, `{"alive":true,"reasons":[],"loop_stall_ms":1000}`)
+	expect("/ready", 200, `{"ready":true,"reasons":[],"list_age_ms":1500,"servers_usable":1,"inflight":256}`)
+	now = 1001.001
+	expect("/alive", 503, `{"alive":false,"reasons":["loop_stall_ms 1001 > 1000"],"loop_stall_ms":1001}`)
+	h.Beat(Snapshot{At: 1001, ListAt: 991.901, Started: true, Inflight: 257, Draining: true})
+	expect("/ready", 503, `{"ready":false,"reasons":["list_age_ms 9100 > 6000","servers_usable 0 < 1","inflight 257 > 256",`+
+		`"draining"],"list_age_ms":9100,"servers_usable":0,"inflight":257}`)
+	expect("/alive", 200, "")
+	expect("/other", 404, "")
+
+	// Connections that say nothing hold up nobody for long.
+	for range 2 * mostConnections {
+		c, err := net.Dial("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		require.NoError(t, err)
+		defer c.Close()
+	}
+	expect("/alive", 200, "")
+	assert.Error(t, New(h.settings, h.now, slog.Default()).Listen("127.0.0.1"), "the port is taken")
+}
--- /dev/null
+++ b/internal/sidecar/beat.go
@@ -0,0 +1,31 @@
+package sidecar
+
+import (
+	"net/netip"
+
+	"hazelwheel/internal/health"
+)
+
+// beatEveryS is the time between two beats of the event loop.
+const beatEveryS = 0.1
+
+// beat tells the side port how the loop is, again and again. Danger: the port must answer while the loop stalls, so it
+// never asks the loop.
+func (s *Sidecar) beat() {
+	now := s.clock.now()
+	s.health.Beat(health.Snapshot{At: now, ListAt: s.listAt, Started: s.listed, Draining: s.draining,
+		Usable: s.balancer.Usable(now), Inflight: s.counters.Open})
+	s.timers.at(now+beatEveryS, s.beat)
+}
+
+// listenSide opens the side port on the host of the listen address, if there is one.
+func (s *Sidecar) listenSide() error {
+	if s.health == nil {
+		return nil
+	}
+	a, err := netip.ParseAddrPort(s.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	return s.health.Listen(a.Addr().String())
+}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -17,7 +17,7 @@
 const serverRoom = 16
 
 // mostClients is how many client links leave enough descriptors for the servers.
-func (s *Sidecar) mostClients() int { return (s.cfg.Limits.Sockets - spareDescriptors) * 3 / 4 }
+func (s *Sidecar) mostClients() int { return s.mostLinks() * 3 / 4 }
 
 // crowded tells whether client links are so many that none is kept for its own sake. Danger: clients that ask once and
 // stay come to hold all the connections that the application may have, long before the descriptors here run out; its
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/drill"
 	"hazelwheel/internal/features"
+	"hazelwheel/internal/health"
 	"hazelwheel/internal/hostgroup"
 	"hazelwheel/internal/rewrite"
 	"hazelwheel/policy"
@@ -63,6 +64,10 @@
 	watcher  *watcher
 	drills   *drill.Set
 	rewrites rewrite.Settings
+	health   *health.Server // nil: there is no side port
+	listAt   float64        // when anything was last read from discovery
+	listed   bool           // a list has been read from discovery
+	reserved int            // descriptors that are kept for features
 	slack    float64
 
 	conns    int // connections that gnet holds
@@ -82,6 +87,10 @@
 		hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
 		drills: drill.New(on.Drills), rewrites: on.Rewrites}
 	s.timers.clock = s.clock
+	if s.listAt = s.clock.now(); on.Health.On() {
+		s.health = health.New(on.Health, s.clock.now, log)
+		s.reserved += health.Descriptors
+	}
 	for i, c := range cfg.Settings.Policy.Classes {
 		s.classes[c.Name] = i
 	}
@@ -105,6 +114,9 @@
 	if err := claim(s.cfg.Listen); err != nil {
 		return fmt.Errorf("listen %s: %w", s.cfg.Listen, err)
 	}
+	if err := s.listenSide(); err != nil {
+		return err
+	}
 	// With ReusePort the loop accepts by itself, one connection at a time, and each can be turned away
 	// before the next takes a descriptor. Danger: gnet ends the engine when an accept fails.
 	// ReuseAddr is for the next start: without it the connections that this one closed stand in the way of
@@ -118,6 +130,9 @@
 	s.timers.ring = func() { s.post(func() {}) }
 	s.timers.arm()
 	s.sweep()
+	if s.health != nil {
+		s.beat()
+	}
 	if !s.cfg.Settings.Policy.AskForList {
 		s.watch()
 	}
@@ -202,9 +217,12 @@
 
 // room tells whether n more descriptors can be held.
 func (s *Sidecar) room(n int) bool {
-	return s.conns+s.dialing+n <= s.cfg.Limits.Sockets-spareDescriptors
+	return s.conns+s.dialing+n <= s.mostLinks()
 }
 
+// mostLinks is how many descriptors links may hold.
+func (s *Sidecar) mostLinks() int { return s.cfg.Limits.Sockets - spareDescriptors - s.reserved }
+
 // closeConn closes a connection at once; nil is none.
 func (s *Sidecar) closeConn(c gnet.Conn) {
 	if c != nil {
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -92,6 +92,11 @@
 		w.parser.Body = rest
 		err = w.line(bytes.TrimSpace(line))
 	}
+	if err == nil && w.parser.HeadRead() { // an empty line, too, says that the list is as it was
+		w.s.listAt = w.s.clock.now()
+		_, held := w.s.hosts.Index()
+		w.s.listed = w.s.listed || held && w.heard
+	}
 	if err == nil && done {
 		err = errEnded
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,4 +1,5 @@
-// The interface (settings, events, actions) is in api.go, what is remembered in state.go, decisions here.
+// The interface (settings, events, actions) is in api.go, what is remembered in state.go, what can be asked in usable.go,
+// decisions here.
 
 package policy
 
@@ -225,15 +226,7 @@
 	b.phiAt, b.capacity = b.now, 0
 	for _, h := range b.members {
 		b.capacity += b.strength(h)
-		// Danger: probes notice a dead host late, and until then requests die on it. Two connections that
-		// fail in a row shut it out till an answer or for two seconds; this hurts a host that is only full.
-		if h.phi = 0; b.now-h.refusedAt < 2*probeEvery {
-			h.phi = (phiOut + 1) / 2 * float64(h.refused)
-		}
-		if b.s.Probes {
-			h.phi += b.suspicion(h)
-		}
-		if h.phi > phiOut {
+		if h.phi = b.doubt(h); h.phi > phiOut {
 			high++
 		}
 	}
