Let the module write all it remembers as a checkpoint, and restore it

One visitor writes and reads each type, so that the two can't part. Links are numbers of places; hosts that only requests still know have places of their own, since a host that was forgotten and listed again is not the one that an old attempt went to. The state of the random numbers is kept as the PCG writes it; floats keep their bits.

Tried by taking single fields out of the visitor and linking hosts by id: each such change fails the test of fields, the random run, or both.

--- /dev/null
+++ b/policy/checkpoint_test.go
@@ -0,0 +1,364 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"unsafe"
+)
+
+// tape writes down the actions of a Balancer.
+type tape struct {
+	said  []string
+	sends [][2]uint32
+	probe []uint32
+	wakes []float64
+}
+
+func (t *tape) note(form string, args ...any) { t.said = append(t.said, fmt.Sprintf(form, args...)) }
+
+func (t *tape) Send(id, host uint32) {
+	t.note("send %d %d", id, host)
+	t.sends = append(t.sends, [2]uint32{id, host})
+}
+func (t *tape) Cancel(id uint32, n int) { t.note("cancel %d %d", id, n) }
+func (t *tape) Probe(host uint32) {
+	t.note("probe %d", host)
+	t.probe = append(t.probe, host)
+}
+func (t *tape) CloseIdle(host uint32)           { t.note("close %d", host) }
+func (t *tape) Refuse(id uint32, after float64) { t.note("refuse %d %v", id, after) }
+func (t *tape) Fail(id uint32)                  { t.note("fail %d", id) }
+func (t *tape) WakeAfter(s float64)             { t.note("wake %v", s); t.wakes = append(t.wakes, s) }
+func (t *tape) Watch()                          { t.note("watch") }
+func (t *tape) Log(text string)                 { t.note("log %s", text) }
+func (t *tape) take() string                    { s := strings.Join(t.said, "\n"); t.said = nil; return s }
+
+// variety are settings that reach all of the module between them.
+func variety() []Settings {
+	tenants := polled()
+	tenants.Tenants = []Tenant{{"a", 0.7, 9}, {"b", 0.3, 4}}
+	tenants.CrossZone, tenants.SizesKnown, tenants.AskForList = 0.05, true, true
+	lines := plain()
+	lines.Probes, lines.OnlyDrainBinds, lines.SecondCopies, lines.ConnIdleS, lines.AskForList = true, true, false, 5, true
+	answers := plain()
+	answers.ReportsOnAnswer, answers.ReportFields, answers.Replicas, answers.Self = true, []ReportField{FieldQueue, FieldInflight}, 3, 2
+	for i := range answers.Classes { // requests that outlive the hosts that they went to
+		answers.Classes[i].AimS, answers.Classes[i].GiveUpS = 800, 1000
+	}
+	return []Settings{plain(), polled(), tenants, lines, answers}
+}
+
+// anyRun feeds a Balancer with random events and calls step after each, with the event, to be given to another.
+func anyRun(s Settings, seed uint64, steps int, acts *tape, step func(i int, b *Balancer, event func(*Balancer))) *Balancer {
+	rng := rand.New(rand.NewPCG(seed, 77))
+	now, nextID := 1.7e9, uint32(1)
+	b := New(s, seed, acts)
+	var out [][2]uint32
+	tries := map[uint32]int{}
+	started := make([]float64, 30)
+	states := make([]HostState, 30)
+	for i := range steps {
+		now += 0.02 * rng.ExpFloat64()
+		if rng.IntN(2000) == 0 {
+			now += 70 // long enough for hosts to be forgotten
+		}
+		report := Report{N: 2, Values: [4]float32{float32(rng.IntN(9)), float32(rng.IntN(9))}}
+		if rng.IntN(9) == 0 {
+			report.Values[0] = float32(math.NaN())
+		}
+		var event func(*Balancer)
+		switch x := rng.IntN(100); {
+		case i == 0 || x < 4:
+			kind, list := ListKind(rng.IntN(4)), []HostInfo(nil)
+			if i == 0 {
+				kind = ListFull
+			}
+			for h := range states {
+				switch rng.IntN(8) {
+				case 0:
+					states[h] = HostState(rng.IntN(3))
+				case 1:
+					started[h] = now - 2*rng.Float64()
+				}
+				if i == 0 {
+					states[h] = Ready
+				}
+				if kind == ListFull && states[h] != Gone || kind == ListDelta && rng.IntN(3) == 0 || kind == ListCached {
+					list = append(list, HostInfo{ID: uint32(h*7 + 1), Zone: h % 3, Cell: h % 5, State: states[h], Size: 1 + float64(h%2), Started: started[h]})
+				}
+			}
+			at := now
+			event = func(b *Balancer) { b.Hosts(at, kind, list) }
+		case x < 35:
+			q := Request{ID: nextID, Class: rng.IntN(len(s.Classes)), Tenant: rng.IntN(2), Key: rng.Uint64(),
+				Deadline: now + s.Classes[0].GiveUpS*(0.3+rng.Float64()), Work: rng.ExpFloat64(), HasWork: rng.IntN(2) == 0, Repeat: rng.IntN(4) == 0}
+			nextID++
+			at := now
+			event = func(b *Balancer) { b.Request(at, q) }
+		case x < 65 && len(out) > 0:
+			j := rng.IntN(len(out))
+			o := out[j]
+			out = slices.Delete(out, j, j+1)
+			n := tries[o[0]] - 1 // the last one; the module passes over what does not fit
+			res := Result{ID: o[0], Attempt: n, Host: o[1], Outcome: Outcome(rng.IntN(8)), DelayS: rng.ExpFloat64() * 0.1, Report: report}
+			if rng.IntN(2) == 0 {
+				res.Outcome, res.Final = OK, true
+			}
+			at := now
+			event = func(b *Balancer) { b.AttemptDone(at, res) }
+		case x < 80 && len(acts.probe) > 0:
+			host := acts.probe[0]
+			acts.probe = acts.probe[1:]
+			res := Result{Host: host, Outcome: Outcome(rng.IntN(6)), DelayS: rng.Float64() * 0.05, Report: report}
+			if rng.IntN(3) > 0 {
+				res.Outcome = OK
+			}
+			at := now
+			event = func(b *Balancer) { b.ProbeDone(at, res) }
+		case x < 82:
+			at, id := now, nextID-uint32(rng.IntN(10))-1
+			event = func(b *Balancer) { b.Abandoned(at, id) }
+		default:
+			if len(acts.wakes) > 0 {
+				now += min(acts.wakes[len(acts.wakes)-1], 0.1)
+			}
+			at := now
+			event = func(b *Balancer) { b.Wake(at) }
+		}
+		acts.sends = acts.sends[:0]
+		event(b)
+		for _, o := range acts.sends {
+			tries[o[0]]++
+			out = append(out, o)
+		}
+		step(i, b, event)
+	}
+	return b
+}
+
+// A Balancer that was restored at any moment goes on as the original does, event by event.
+func TestRestoredActsAlike(t *testing.T) {
+	const steps, every = 6000, 150
+	for n, s := range variety() {
+		var restored *Balancer
+		acts, copied := &tape{}, &tape{}
+		did := map[string]int{}
+		anyRun(s, uint64(n+1), steps, acts, func(i int, b *Balancer, event func(*Balancer)) {
+			want := acts.take()
+			for line := range strings.Lines(want) {
+				did[strings.Fields(line)[0]]++
+			}
+			if restored != nil {
+				event(restored)
+				if got := copied.take(); want != got {
+					t.Fatalf("settings %d, event %d: the original did\n%s\nthe copy\n%s", n, i, want, got)
+				}
+			}
+			if i%every == every-1 {
+				state, ok := b.Checkpoint(nil, 1<<20)
+				if !ok {
+					t.Fatalf("settings %d, event %d: no checkpoint", n, i)
+				}
+				var err error
+				if restored, err = Restore(s, state, copied); err != nil {
+					t.Fatalf("settings %d, event %d: %v", n, i, err)
+				}
+			}
+		})
+		for _, kind := range []string{"send", "refuse", "wake"} { // a run in which nothing happens proves nothing
+			if did[kind] < 100 {
+				t.Errorf("settings %d: %d times %s", n, did[kind], kind)
+			}
+		}
+	}
+}
+
+// fill gives every number, truth and string below v a value of its own that is not the zero one. What links and
+// indices rest on is left as the run has made it.
+func fill(v reflect.Value, next *float64, seen map[unsafe.Pointer]bool) {
+	*next++
+	switch v.Kind() {
+	case reflect.Pointer:
+		if v.IsNil() || seen[v.UnsafePointer()] {
+			return
+		}
+		seen[v.UnsafePointer()] = true
+		fill(v.Elem(), next, seen)
+	case reflect.Struct:
+		for i := range v.NumField() {
+			f := v.Field(i)
+			switch v.Type().Field(i).Name {
+			case "s", "do", "pcg", "rng", "ID", "id", "index":
+			case "class", "Class":
+				if f.Kind() == reflect.Int {
+					set(f).SetInt(int64(*next)%2 + 1) // the others follow it
+				}
+			default:
+				fill(set(f), next, seen)
+			}
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			fill(v.Index(i), next, seen)
+		}
+	case reflect.Float32, reflect.Float64:
+		if v.SetFloat(*next + 0.25); int(*next)%10 == 0 {
+			v.SetFloat(math.Inf(1 - int(*next)%4))
+		}
+	case reflect.Int:
+		v.SetInt(int64(*next))
+	case reflect.Uint8:
+		v.SetUint(uint64(*next)%2 + 1)
+	case reflect.Uint32, reflect.Uint64:
+		v.SetUint(uint64(*next))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Map: // filled by the slices that hold the same
+	default:
+		panic("nothing is known of " + v.Type().String())
+	}
+}
+
+// set returns a field that may be set though it is not exported.
+func set(f reflect.Value) reflect.Value {
+	return reflect.NewAt(f.Type(), unsafe.Pointer(f.UnsafeAddr())).Elem()
+}
+
+// differ reports what is not alike below two values, pointer by pointer, and slices that hold nothing to compare.
+func differ(t *testing.T, at string, a, b reflect.Value, seen map[unsafe.Pointer]unsafe.Pointer, held map[string]bool) {
+	t.Helper()
+	switch a.Kind() {
+	case reflect.Pointer:
+		if a.IsNil() != b.IsNil() {
+			t.Errorf("%s: one is nil", at)
+			return
+		}
+		if a.IsNil() {
+			return
+		}
+		if twin, known := seen[a.UnsafePointer()]; known {
+			if twin != b.UnsafePointer() {
+				t.Errorf("%s: another link", at)
+			}
+			return
+		}
+		seen[a.UnsafePointer()] = b.UnsafePointer()
+		differ(t, at, a.Elem(), b.Elem(), seen, held)
+	case reflect.Struct:
+		for i := range a.NumField() {
+			if f := a.Type().Field(i).Name; f != "s" && f != "do" && f != "rng" {
+				differ(t, a.Type().Name()+"."+f, a.Field(i), b.Field(i), seen, held)
+			}
+		}
+	case reflect.Slice:
+		held[at] = held[at] || a.Len() > 0
+		if a.Len() != b.Len() {
+			t.Errorf("%s: %d and %d", at, a.Len(), b.Len())
+			return
+		}
+		for i := range a.Len() {
+			differ(t, at, a.Index(i), b.Index(i), seen, held)
+		}
+	case reflect.Map:
+		if a.Len() != b.Len() {
+			t.Errorf("%s: %d and %d", at, a.Len(), b.Len())
+			return
+		}
+		for _, k := range a.MapKeys() {
+			if !b.MapIndex(k).IsValid() {
+				t.Errorf("%s: %v is missing", at, k)
+				continue
+			}
+			differ(t, at, a.MapIndex(k), b.MapIndex(k), seen, held)
+		}
+	default:
+		if !a.Equal(b) {
+			t.Errorf("%s: %v and %v", at, a, b)
+		}
+	}
+}
+
+// Every field that a Balancer remembers is in its checkpoint: all are filled, and one that is not kept comes back as
+// zero. A host that the list has dropped and named again is two.
+func TestCheckpointKeepsEveryField(t *testing.T) {
+	s := variety()[2]
+	var b *Balancer
+	for seed := uint64(1); b == nil; seed++ { // until a run ends with an instance of everything
+		x := anyRun(s, seed, 300, &tape{}, func(int, *Balancer, func(*Balancer)) {})
+		sent := slices.IndexFunc(x.live, func(r *request) bool { return len(r.attempts) > 0 })
+		if sent >= 0 && len(x.live) > 1 && len(x.unserved) > 0 && slices.ContainsFunc(x.order, func(h *host) bool { return len(h.outs) > 0 }) {
+			b = x
+			gone := *x.order[0]
+			gone.outs, gone.gaps = slices.Clone(gone.outs), slices.Clone(gone.gaps)
+			gone.turned, gone.shunned = slices.Clone(gone.turned), slices.Clone(gone.shunned)
+			x.live[sent].attempts[0].host, x.live[sent].suspect = &gone, x.order[1]
+			x.live[1-min(sent, 1)].suspect = &gone
+		}
+	}
+	next := 0.0
+	fill(reflect.ValueOf(b), &next, map[unsafe.Pointer]bool{})
+	for _, r := range b.live {
+		r.class = &b.s.Classes[r.Request.Class]
+	}
+	state, ok := b.Checkpoint(nil, 1<<20)
+	if !ok {
+		t.Fatal("no checkpoint")
+	}
+	restored, err := Restore(s, state, &tape{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := map[string]bool{}
+	differ(t, "", reflect.ValueOf(b), reflect.ValueOf(restored), map[unsafe.Pointer]unsafe.Pointer{}, held)
+	for at, some := range held {
+		if !some {
+			t.Errorf("%s: the run left nothing in it to be kept", at)
+		}
+	}
+}
+
+// What is not a whole checkpoint restores nothing, and none is written beyond its bound.
+func TestBrokenCheckpoints(t *testing.T) {
+	s := variety()[2]
+	b := anyRun(s, 3, 500, &tape{}, func(int, *Balancer, func(*Balancer)) {})
+	state, _ := b.Checkpoint(nil, 1<<20)
+	for n := range state {
+		if _, err := Restore(s, state[:n], &tape{}); err == nil {
+			t.Fatalf("%d of %d bytes were taken", n, len(state))
+		}
+		room := make([]byte, 0, n)
+		if got, ok := b.Checkpoint(room, n); ok || len(got) > n {
+			t.Fatalf("%d bytes held %d", n, len(state))
+		}
+	}
+	if _, ok := b.Checkpoint(nil, len(state)); !ok {
+		t.Error("the exact room is enough")
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 20000 { // noise may restore something odd, but must not panic
+		broken := slices.Clone(state)
+		broken[1+rng.IntN(len(state)-1)] ^= byte(1 + rng.IntN(255))
+		Restore(s, broken, &tape{})
+	}
+	if _, err := Restore(s, append(state, 0), &tape{}); err == nil {
+		t.Error("more than a checkpoint was taken")
+	}
+}
+
+// A checkpoint holds the event loop; so it must not cost much.
+func BenchmarkCheckpoint(b *testing.B) {
+	live := anyRun(variety()[2], 3, 5000, &tape{}, func(int, *Balancer, func(*Balancer)) {})
+	room := make([]byte, 0, 1<<16)
+	for b.Loop() {
+		if _, ok := live.Checkpoint(room, cap(room)); !ok {
+			b.Fatal("no room")
+		}
+	}
+	state, _ := live.Checkpoint(room, cap(room))
+	b.ReportMetric(float64(len(state)), "bytes")
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,5 @@
-// The interface (settings, events, actions) is in api.go, what is remembered in state.go, what can be asked in usable.go,
-// decisions here.
+// The interface (settings, events, actions) is in api.go, what is remembered in state.go, what can be
+// asked in usable.go, decisions here.
 
 package policy
 
@@ -44,7 +44,8 @@
 
 // New returns a Balancer that has not been told of any host yet.
 func New(s Settings, seed uint64, do Actions) *Balancer {
-	b := &Balancer{s: s, do: do, rng: rand.New(rand.NewPCG(seed, ^seed)),
+	pcg := rand.NewPCG(seed, ^seed)
+	b := &Balancer{s: s, do: do, pcg: pcg, rng: rand.New(pcg),
 		field: slices.Index(s.ReportFields, FieldInflight),
 		hosts: map[uint32]*host{}, byID: map[uint32]*request{}, meanGap: 1, budget: 3,
 		rtt: 2 * s.TickS, aim: math.Inf(1), asked: make([]float64, len(s.Tenants))}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,4 +1,5 @@
-// What a Balancer remembers. This file holds types alone; every decision is in policy.go.
+// What a Balancer remembers. This file holds types alone; every decision is in policy.go. What is added here is added
+// to checkpoint.go, too.
 
 package policy
 
@@ -81,6 +82,7 @@
 type Balancer struct {
 	s     Settings
 	do    Actions
+	pcg   *rand.PCG // the state of rng
 	rng   *rand.Rand
 	now   float64
 	wake  float64 // the next wake-up, if armed
