--- /dev/null
+++ b/cmd/hazelwheel/capture_test.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// busy returns a world of three servers, of which two fail at times, with a capture.
+func busy(t *testing.T, settings string) *world {
+	var n atomic.Int64
+	odd := func(w http.ResponseWriter, r *http.Request) {
+		switch i := n.Add(1); {
+		case i%7 == 0:
+			says(503, "", "Not-Started", "1")(w, r)
+		case i%11 == 0:
+			breaks("")(w, r)
+		case i%13 == 0:
+			says(500, "")(w, r)
+		default:
+			says(200, "ok", "Server-Load", "queue=2")(w, r)
+		}
+	}
+	servers := []*server{newServer(t, "s-00000001", says(200, "")), newServer(t, "s-00000002", odd), newServer(t, "s-5be2a07c", odd)}
+	w := newWorld(t, servers...)
+	w.limit("probes", true)
+	w.settings["report"] = map[string]any{"how": "on_probe", "fields": []string{"pending", "cpu_share"}}
+	w.discovery.answers <- list(line(t, 8, true, servers...))
+	w.features = `{"capture":{` + settings + `}}`
+	return w
+}
+
+// load sends some requests, several at a time.
+func (w *world) load(requests int) {
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for i := range requests / 8 {
+				w.do(w.request([]string{"read", "write", "alert"}[i%3], "/7", "x"))
+			}
+		})
+	}
+	all.Wait()
+}
+
+// dump has the capture written and returns the log from there on.
+func (w *world) dump() string {
+	before := strings.Count(w.log.String(), `"k":"end"}`)
+	w.signal(syscall.SIGUSR1)
+	w.logs(`"k":"end"}`, before+1)
+	text := w.log.String()
+	return text[strings.LastIndex(text, `"k":"dump"}`)-len(`{"t":1234567890123,`):]
+}
+
+func (w *world) replay(text string) (int, string) {
+	return run(w.T, "capture", "replay", "--in", w.file("capture.log", text))
+}
+
+var summary = regexp.MustCompile(`(\d+) events replayed, (\d+) decisions compared, (\d+) differ; (\d+) lines truncated, (\d+) lines not compared`)
+
+// compared returns how many decisions a replay has compared.
+func compared(t *testing.T, text string) int {
+	m := summary.FindStringSubmatch(text)
+	require.NotNil(t, m, text)
+	n, err := strconv.Atoi(m[2])
+	require.NoError(t, err)
+	return n
+}
+
+// What a running sidecar has recorded replays without a difference, also once the ring has dropped its start; a
+// decision that was changed is found.
+func TestCaptureReplays(t *testing.T) {
+	w := busy(t, `"max_bytes":131072`).start()
+	w.load(80)
+	first := w.dump()
+	assert.Contains(t, first, `"k":"start"`)
+	w.load(1600)
+	dump := w.dump()
+	assert.NotContains(t, dump, `"k":"start"`, "the ring has dropped its start")
+	assert.Regexp(t, `\{"t":\d{13},"k":"dec","id":"[0-9a-f]{16}","class":"(read|write|alert)","to":"s-(0000000\d|5be2a07c)"`, dump)
+	stats := w.counters()["capture"].(map[string]any)
+	assert.Greater(t, stats["segments"], 4.0)
+	assert.Zero(t, stats["lost"].(float64)+stats["no_checkpoint"].(float64))
+	t.Logf("a checkpoint held the loop for %v us at the most", stats["checkpoint_max_us"])
+
+	for _, text := range []string{first, dump, w.log.String()} { // the whole log holds two dumps
+		code, said := w.replay(text)
+		assert.Zero(t, code, said)
+		assert.Greater(t, compared(t, said), 40)
+		assert.Contains(t, said, " 0 differ; 0 lines truncated, 0 lines not compared")
+	}
+	lines := strings.SplitAfter(dump, "\n")
+	at := 0
+	for !strings.Contains(lines[at], `"do":"send"`) {
+		at++
+	}
+	lines[at] = regexp.MustCompile(`"to":"[^"]*"(.*)"host":\d+`).ReplaceAllString(lines[at], `"to":"s-0000000f"$1"host":15`)
+	code, said := w.replay(strings.Join(lines, ""))
+	assert.Equal(t, 1, code, said)
+	assert.Contains(t, said, fmt.Sprintf("line %d: recorded %s", at+1, lines[at]))
+	assert.Contains(t, said, fmt.Sprintf("line %d: replayed {", at+1))
+	assert.Contains(t, said, " 1 differ;")
+	code, said = w.replay(dump[:strings.LastIndex(dump[:len(dump)/2], "\n")+20])
+	assert.Zero(t, code, said)
+	assert.Contains(t, said, " 0 differ; 1 lines truncated")
+	for _, text := range []string{"", "time=x level=INFO msg=nothing\n"} {
+		code, said = w.replay(text)
+		assert.Equal(t, 2, code, said)
+	}
+	code, said = run(t, "capture", "replay", "--in", filepath.Join(t.TempDir(), "none"))
+	assert.Equal(t, 2, code, said)
+}
+
+// SIGUSR1 is caught while the program still reads its configuration, and while it drains; a dump that has begun is
+// written to its end.
+func TestDumpAtAnyTime(t *testing.T) {
+	let := make(chan struct{})
+	w := newWorld(t, newServer(t, "s-00000001", func(http.ResponseWriter, *http.Request) { <-let }))
+	raw, err := os.ReadFile(w.config())
+	require.NoError(t, err)
+	require.NoError(t, os.Remove(w.path))
+	require.NoError(t, unix.Mkfifo(w.path, 0o600))
+	w.cmd = program("serve", "--config", w.path, "--features", w.file("features.json", `{"capture":{}}`))
+	w.cmd.Stderr, w.cmd.Stdout = &w.log, &w.out
+	require.NoError(t, w.cmd.Start())
+	t.Cleanup(func() { _ = w.cmd.Process.Kill() })
+	f, err := os.OpenFile(w.path, os.O_WRONLY, 0) // returns once the program has come to read it
+	require.NoError(t, err)
+	w.signal(syscall.SIGUSR1)
+	_, err = f.Write(raw)
+	require.NoError(t, err)
+	require.NoError(t, f.Close())
+	w.logs(`"k":"end"}`, 1)
+
+	last := w.askAside("write", "", "")
+	w.eventually("a request is out", func() bool { return w.counter("executions") == 1 })
+	w.signal(syscall.SIGTERM)
+	w.logs("msg=ending", 1)
+	assert.Contains(t, w.dump(), `"do":"send"`)
+	close(let)
+	assert.Equal(t, 200, (<-last).status)
+	assert.NoError(t, w.cmd.Wait())
+}
+
+// Without the file SIGUSR1 does what it always did: nothing.
+func TestNoCapture(t *testing.T) {
+	w := newWorld(t, newServer(t, "s-00000001", says(200, ""))).start()
+	w.signal(syscall.SIGUSR1)
+	for range 20 {
+		assert.Equal(t, 200, w.ask("read", "", "").status)
+	}
+	assert.NotContains(t, w.log.String(), `{"t":`)
+	assert.NotContains(t, w.counters(), "capture")
+	assert.NotContains(t, w.counters(), "hazelwheel_drill_hits")
+}
+
+// With a folder the segments are written there while the sidecar serves, to the last line at its end.
+func TestCaptureFiles(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "capture")
+	w := busy(t, `"max_bytes":131072,"dir":"`+dir+`"`).start()
+	w.load(800)
+	w.signal(syscall.SIGTERM)
+	require.NoError(t, w.cmd.Wait())
+	names, err := filepath.Glob(filepath.Join(dir, "capture-*.jsonl"))
+	require.NoError(t, err)
+	assert.NotEmpty(t, names)
+	assert.LessOrEqual(t, len(names), 4)
+	for _, name := range names {
+		code, said := run(t, "capture", "replay", "--in", name)
+		assert.Zero(t, code, said)
+		assert.Contains(t, said, " 0 differ; 0 lines truncated, 0 lines not compared")
+	}
+	assert.Contains(t, w.out.String(), `"disk_errors":0`)
+}
--- a/cmd/hazelwheel/main.go
+++ b/cmd/hazelwheel/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"hazelwheel/internal/capture"
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/features"
 	"hazelwheel/internal/sidecar"
@@ -30,6 +31,7 @@
 	extras := &cli.StringFlag{Name: "features", Usage: "the operators' `FILE` of features; without it all are off"}
 	drill := []cli.Flag{file, &cli.StringFlag{Name: "name", Usage: "the drill's `NAME`", Required: true},
 		&cli.StringFlag{Name: "secret-file", Usage: "the `FILE` that holds the secret", Required: true}}
+	in := &cli.StringFlag{Name: "in", Usage: "the `FILE` that holds a capture", Required: true}
 	verbose := &cli.BoolFlag{Name: "verbose", Usage: "log every execution that ends without an answer"}
 	return &cli.Command{
 		Name:  "hazelwheel",
@@ -40,6 +42,9 @@
 			{Name: "drill", Usage: "rehearse slow and failed requests", Commands: []*cli.Command{
 				{Name: "start", Usage: "start a drill at the running sidecar", Flags: drill, Action: startDrill},
 			}},
+			{Name: "capture", Usage: "look into what the decisions knew", Commands: []*cli.Command{
+				{Name: "replay", Usage: "feed a capture through the decisions and print what differs", Flags: []cli.Flag{in}, Action: replay},
+			}},
 			{Name: "version", Usage: "print the version", Action: version},
 		},
 	}
@@ -63,10 +68,18 @@
 	// Danger: a SIGHUP that nobody catches ends the process, also while it is still reading its configuration.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	// The same of SIGUSR1, where there may be a capture to dump; without the file of features nothing heeds it.
+	dumps := make(chan os.Signal, 1)
+	if c.String("features") != "" {
+		signal.Notify(dumps, syscall.SIGUSR1)
+	}
 	cfg, on, err := load(c)
 	if err != nil {
 		return err
 	}
+	if !on.Capture.On {
+		signal.Stop(dumps)
+	}
 	level := slog.LevelInfo
 	if c.Bool("verbose") {
 		level = slog.LevelDebug
@@ -75,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	err = s.Run(hangups, func() (config.Config, error) { return cfg.Reload(c.String("config"), os.Getenv) })
+	err = s.Run(hangups, dumps, func() (config.Config, error) { return cfg.Reload(c.String("config"), os.Getenv) })
 	fmt.Fprintf(c.Root().Writer, "%s", s.Counters())
 	return err
 }
@@ -94,6 +107,24 @@
 	return nil
 }
 
+// replay ends with 1 where decisions differ, and with 2 where there is nothing to replay.
+func replay(_ context.Context, c *cli.Command) error {
+	f, err := os.Open(c.String("in"))
+	if err != nil {
+		return fault(err)
+	}
+	defer f.Close()
+	tally, err := capture.Replay(f, c.Root().Writer)
+	fmt.Fprintln(c.Root().Writer, tally)
+	switch {
+	case err != nil:
+		return fault(fmt.Errorf("%s: %w", c.String("in"), err))
+	case tally.Differ > 0:
+		return fmt.Errorf("%d decisions differ", tally.Differ)
+	}
+	return nil
+}
+
 func version(_ context.Context, c *cli.Command) error {
 	text := "unknown"
 	if info, ok := debug.ReadBuildInfo(); ok {
--- /dev/null
+++ b/internal/capture/capture_test.go
@@ -0,0 +1,424 @@
+package capture
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"iter"
+	"log/slog"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/policy"
+)
+
+// rig is decisions whose events and actions are recorded as the sidecar records them.
+type rig struct {
+	*policy.Balancer
+	*Recorder
+	t     *testing.T
+	now   float64
+	rng   *rand.Rand
+	hosts []policy.HostInfo
+	open  map[uint32]Label
+	sent  [][2]uint32
+	last  uint32
+	ended []uint32 // requests that nobody speaks of after this event
+	tries map[uint32]int
+	probe []uint32
+	wakes []float64
+}
+
+func newRig(t *testing.T, s Settings, hosts int) *rig {
+	r := &rig{t: t, now: 1.7e9, rng: rand.New(rand.NewPCG(5, 5)), open: map[uint32]Label{}, tries: map[uint32]int{}}
+	under := policy.Settings{Classes: []policy.Class{{Name: "read", AimS: 0.3, GiveUpS: 1}, {Name: "write", Effect: policy.Unsafe, AimS: 1, GiveUpS: 2}},
+		Replicas: 1, TickS: 0.001, MaxAttempts: 3, Cancel: true, MaxRetryAfterS: 2, ColdFrom: 0.3, ColdS: 8, ColdMultiple: 3, ColdWindowS: 2,
+		Probes: true, ReportsOnProbe: true, ReportFields: []policy.ReportField{policy.FieldInflight}, AskForList: true, AskWithinS: 10}
+	var err error
+	r.Recorder, err = New(s, under, 7, r.now, r, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	r.Balancer = policy.New(under, 7, r)
+	for i := range hosts {
+		r.hosts = append(r.hosts, policy.HostInfo{ID: uint32(i + 1), State: policy.Ready, Size: 1})
+	}
+	r.list(policy.ListFull)
+	return r
+}
+
+func (r *rig) HostName(id uint32) string { return fmt.Sprintf("s-%08x", id) }
+func (r *rig) HostNames() iter.Seq2[uint32, string] {
+	return func(yield func(uint32, string) bool) {
+		for _, h := range r.hosts {
+			if !yield(h.ID, r.HostName(h.ID)) {
+				return
+			}
+		}
+	}
+}
+func (r *rig) RequestLabels() iter.Seq2[uint32, Label] { return maps.All(r.open) }
+
+func (r *rig) decide(id uint32, d Decision) {
+	d.Request, d.ID, d.Class = id, r.open[id].ID, r.open[id].Class
+	r.Decide(d)
+}
+func (r *rig) Send(id, host uint32) {
+	r.decide(id, Decision{Do: Send, Host: host})
+	r.sent = append(r.sent, [2]uint32{id, host})
+	r.tries[id]++
+}
+func (r *rig) Cancel(id uint32, n int) { r.decide(id, Decision{Do: Cancel, Attempt: n}) }
+func (r *rig) Refuse(id uint32, after float64) {
+	r.decide(id, Decision{Do: Refuse, After: after})
+	r.ended = append(r.ended, id)
+}
+func (r *rig) Fail(id uint32) {
+	r.decide(id, Decision{Do: Fail})
+	r.ended = append(r.ended, id)
+}
+func (r *rig) CloseIdle(host uint32) { r.Decide(Decision{Do: CloseIdle, Host: host}) }
+func (r *rig) Watch()                { r.Decide(Decision{Do: Watch}) }
+func (r *rig) Log(text string)       { r.Decide(Decision{Do: Log, Text: text}) }
+func (r *rig) Probe(host uint32) {
+	r.Decide(Decision{Do: Probe, Host: host})
+	r.probe = append(r.probe, host)
+}
+func (r *rig) WakeAfter(s float64) {
+	r.Decide(Decision{Do: Wake, After: s})
+	r.wakes = append(r.wakes, r.now+s)
+}
+
+func (r *rig) list(kind policy.ListKind) {
+	r.Recorder.Hosts(r.now, kind, r.hosts)
+	r.Balancer.Hosts(r.now, kind, r.hosts)
+}
+
+// run plays some random events.
+func (r *rig) run(events int) *rig {
+	for range events {
+		r.now += 0.01 * r.rng.ExpFloat64()
+		for _, id := range r.ended {
+			delete(r.open, id)
+		}
+		r.ended = nil
+		x := r.rng.IntN(100)
+		switch {
+		case x == 0:
+			i := r.rng.IntN(len(r.hosts))
+			r.hosts[i].State, r.hosts[i].Started = policy.HostState(1+r.rng.IntN(2)), r.now
+			r.list(policy.ListKind(r.rng.IntN(3)))
+		case x < 35:
+			r.last++
+			r.open[r.last] = Label{fmt.Sprintf("id \"%d\" \\ \xff{\"t\":", r.last), "read"}
+			q := policy.Request{ID: r.last, Class: r.rng.IntN(2), Deadline: r.now + 1, Repeat: x%2 == 0}
+			r.Recorder.Request(r.now, q, r.open[q.ID])
+			r.Balancer.Request(r.now, q)
+		case x < 60 && len(r.sent) > 0:
+			o := r.sent[0]
+			r.sent = r.sent[1:]
+			res := policy.Result{ID: o[0], Attempt: r.tries[o[0]] - 1, Host: o[1], Outcome: policy.Outcome(r.rng.IntN(8)), DelayS: r.rng.Float64() / 10}
+			if x%3 > 0 {
+				res.Outcome, res.Final = policy.OK, true
+			}
+			r.Recorder.Outcome(r.now, res, r.open[o[0]])
+			r.Balancer.AttemptDone(r.now, res)
+			if res.Final {
+				r.ended = append(r.ended, o[0])
+			}
+		case x < 80 && len(r.probe) > 0:
+			res := policy.Result{Host: r.probe[0], DelayS: r.rng.Float64() / 50}
+			r.probe = r.probe[1:]
+			res.Report = policy.Report{N: 2, Values: [4]float32{float32(r.rng.IntN(5)) / 3, float32(math.NaN())}}
+			r.Recorder.Probe(r.now, res)
+			r.Balancer.ProbeDone(r.now, res)
+		case x < 82 && r.last > 0:
+			id := r.last - uint32(r.rng.IntN(3))
+			r.Recorder.Gone(r.now, id, r.open[id])
+			r.Balancer.Abandoned(r.now, id)
+			r.ended = append(r.ended, id)
+		case len(r.wakes) > 0:
+			r.now = max(r.now, min(r.wakes[0], r.now+0.05))
+			r.wakes = r.wakes[1:]
+			r.Recorder.Wake(r.now)
+			r.Balancer.Wake(r.now)
+		}
+	}
+	return r
+}
+
+// settings of a ring that a short run wraps.
+var small = Settings{On: true, MaxBytes: 128 << 10, Files: 4}
+
+func replayed(t *testing.T, text string) (Tally, string) {
+	var out strings.Builder
+	tally, err := Replay(strings.NewReader(text), &out)
+	require.NoError(t, err, "%v", tally)
+	return tally, out.String()
+}
+
+// A ring that has dropped its start replays without a difference: each segment begins with the state of the decisions.
+// Dumps stand among the lines of a log, in pieces that other lines may come between.
+func TestWrappedRingReplays(t *testing.T) {
+	r := newRig(t, small, 9).run(50)
+	early := string(r.Dump(r.now))
+	tally, out := replayed(t, early)
+	assert.Zero(t, tally.Differ, out)
+	assert.Equal(t, 1, tally.Segments, "the start")
+	r.run(20000)
+	late := string(r.Dump(r.now))
+	assert.NotContains(t, late, `"k":"start"`)
+	assert.LessOrEqual(t, len(late), small.MaxBytes+2*lostRoom)
+	assert.Greater(t, len(late), small.MaxBytes/2)
+	tally, out = replayed(t, late)
+	assert.Zero(t, tally.Differ, out)
+	assert.Zero(t, tally.Skipped+tally.Truncated)
+	assert.Equal(t, 4, tally.Segments)
+	assert.Greater(t, tally.Compared, 200)
+	assert.Greater(t, r.Stats().Segments, 30)
+	assert.Zero(t, r.Stats().Lost+r.Stats().NoState)
+
+	const log = "time=2026-12-01T10:00:00.000Z level=INFO msg=\"a \\\"k\\\": b\" x={}\n"
+	var both strings.Builder
+	for _, dump := range []string{early, late} {
+		for line := range strings.Lines(dump) {
+			both.WriteString(log + line)
+		}
+	}
+	all, out := replayed(t, both.String()+"{\"requests\":5}\n")
+	assert.Zero(t, all.Differ+all.Truncated+all.Skipped, out)
+	assert.Equal(t, 5, all.Segments)
+	assert.Greater(t, all.Compared, tally.Compared)
+}
+
+// A decision that differs is printed, and so is one that is missing or too much; the rest still fits.
+func TestDifferencesAreFound(t *testing.T) {
+	dump := string(newRig(t, small, 9).run(5000).Dump(0))
+	lines := strings.SplitAfter(dump, "\n")
+	send := func(text string) bool { return strings.Contains(text, `"do":"send"`) }
+	at := len(lines) / 3
+	for !send(lines[at]) {
+		at++
+	}
+	for name, change := range map[string]func(string) string{
+		"another server": func(s string) string { return regexp.MustCompile(`"host":\d+`).ReplaceAllString(s, `"host":99`) },
+		"another name": func(s string) string {
+			return regexp.MustCompile(`"to":"[^"]*"`).ReplaceAllString(s, `"to":"s-5be2a07c"`)
+		},
+		"another action": func(s string) string { return strings.Replace(s, `"send"`, `"fail"`, 1) },
+		"missing":        func(string) string { return "" },
+		"too much":       func(s string) string { return s + strings.Replace(s, `"send"`, `"probe"`, 1) },
+	} {
+		changed := append(append(append([]string{}, lines[:at]...), change(lines[at])), lines[at+1:]...)
+		tally, out := replayed(t, strings.Join(changed, ""))
+		assert.Equal(t, 1, tally.Differ, "%s: %s", name, out)
+		assert.Equal(t, 2, strings.Count(out, "\n"), "%s: %s", name, out)
+		assert.Contains(t, out, fmt.Sprintf("line %d: ", at+1+map[string]int{"missing": -1, "too much": 1}[name]), name)
+	}
+	last := len(lines) - 2 // the end
+	assert.Contains(t, lines[last], `"end"`)
+	for !strings.Contains(lines[last], `"dec"`) {
+		last--
+	}
+	tally, _ := replayed(t, strings.Join(append(lines[:last:last], lines[last+1:]...), ""))
+	assert.Equal(t, 1, tally.Differ, "the last decision of a whole dump counts, too")
+}
+
+// A line that was cut, at whatever end, leads to no false difference. Where it may have been an input nothing is
+// compared until the next checkpoint.
+func TestTruncatedLines(t *testing.T) {
+	lines := strings.SplitAfter(string(newRig(t, small, 9).run(5000).Dump(0)), "\n")
+	lines = lines[1 : len(lines)-2] // what frames the dump may be cut without a loss
+	rng := rand.New(rand.NewPCG(9, 9))
+	skipped, torn := 0, 0
+	for range 150 {
+		at := rng.IntN(len(lines))
+		whole := strings.TrimSpace(lines[at])
+		cut := 1 + rng.IntN(len(whole)-2)
+		piece := whole[:cut] + []string{"\n", ""}[rng.IntN(2)]
+		if rng.IntN(4) == 0 {
+			piece = whole[min(cut, len(whole)-20):] + "\n"
+		}
+		if !strings.Contains(piece, `":`) && !strings.HasPrefix(lineStart, strings.TrimSpace(piece)) {
+			continue // too little is left to be told from a log
+		}
+		changed := strings.Join(lines[:at], "") + piece + strings.Join(lines[at+1:], "")
+		tally, out := replayed(t, changed)
+		require.Zero(t, tally.Differ, "%q: %s", piece, out)
+		require.Equal(t, 1, tally.Truncated, "%q", piece)
+		if torn++; tally.Skipped > 0 {
+			skipped++
+		}
+	}
+	assert.Greater(t, torn, 80)
+	assert.Greater(t, skipped, 20)
+	assert.Greater(t, torn-skipped, 20, "after a cut decision all is compared on")
+
+	_, err := Replay(strings.NewReader("time=x level=INFO msg=y\n"+lines[len(lines)-1]), io.Discard)
+	assert.ErrorIs(t, err, ErrNothing, "without a state there is nothing to replay")
+	_, err = Replay(strings.NewReader(""), io.Discard)
+	assert.ErrorIs(t, err, ErrNothing)
+}
+
+// Lines cost no memory, and a checkpoint holds the decisions for little time and none either but for its names.
+func TestLinesTakeNoMemory(t *testing.T) {
+	r := newRig(t, Settings{On: true, MaxBytes: 16 << 20, Files: 4}, 9).run(500)
+	q, id := policy.Request{ID: 5, Deadline: 1.7e9}, Label{"9b1f03aa5c7e2d41", "raise-alert"}
+	res := policy.Result{ID: 5, Host: 3, DelayS: 0.1, Report: policy.Report{N: 4}}
+	host := "s-5be2a07c"
+	r.Recorder.source = named{r, host}
+	assert.Zero(t, testing.AllocsPerRun(1000, func() {
+		r.Recorder.Request(r.now, q, id)
+		r.Recorder.Outcome(r.now, res, id)
+		r.Recorder.Probe(r.now, res)
+		r.Recorder.Wake(r.now)
+		r.Recorder.Gone(r.now, 5, id)
+		r.Recorder.Hosts(r.now, policy.ListDelta, r.hosts)
+		r.Decide(Decision{Do: Send, Request: 5, Host: 3, ID: id.ID, Class: id.Class})
+		r.Decide(Decision{Do: Refuse, Request: 5, After: 0.7, ID: id.ID, Class: id.Class})
+	}))
+}
+
+// named gives all hosts one name, made beforehand.
+type named struct {
+	*rig
+	name string
+}
+
+func (n named) HostName(uint32) string { return n.name }
+
+// The lines hold what the operators' example names.
+func TestDecisionLine(t *testing.T) {
+	d := Decision{ID: "9b1f03aa5c7e2d41", Class: "raise-alert", To: "s-5be2a07c", Do: Send, Request: 17, Host: 1541578876}
+	assert.Equal(t, `{"t":1718000000123,"k":"dec","id":"9b1f03aa5c7e2d41","class":"raise-alert","to":"s-5be2a07c","do":"send","req":17,"host":1541578876}`+"\n",
+		string(d.append(nil, 1718000000.1235)))
+}
+
+// A checkpoint that would fill half of its segment is left out, which the segment says; the ring goes on, and so does a
+// replay as long as nothing before is dropped. An event with no room ends its segment.
+func TestNoRoom(t *testing.T) {
+	r := newRig(t, Settings{On: true, MaxBytes: 64 << 10, Files: 4}, 40)
+	for r.Stats().Segments < 3 {
+		r.run(10)
+	}
+	dump := string(r.Dump(0))
+	assert.Contains(t, dump, `"k":"nostate"`)
+	assert.NotContains(t, dump, `"state":"`)
+	tally, out := replayed(t, dump)
+	assert.Zero(t, tally.Differ+tally.Skipped, out)
+	for r.Stats().Segments < 9 {
+		r.run(10)
+	}
+	_, err := Replay(bytes.NewReader(r.Dump(0)), io.Discard)
+	assert.ErrorIs(t, err, ErrNothing)
+
+	r = newRig(t, Settings{On: true, MaxBytes: 64 << 10, Files: 4}, 12).run(50)
+	few := r.hosts
+	for i := range 500 {
+		r.hosts = append(r.hosts, policy.HostInfo{ID: uint32(1000 + i), State: policy.Gone})
+	}
+	r.list(policy.ListDelta)
+	r.hosts = few
+	r.run(5)
+	dump = string(r.Dump(0))
+	assert.Contains(t, dump, `"k":"lost"`)
+	tally, out = replayed(t, dump)
+	assert.Zero(t, tally.Differ, out)
+	assert.NotZero(t, r.Stats().Lost)
+}
+
+func files(t *testing.T, dir string) (names []string, size int64) {
+	entries, err := os.ReadDir(dir)
+	require.NoError(t, err)
+	for _, e := range entries {
+		info, err := e.Info()
+		require.NoError(t, err)
+		names, size = append(names, filepath.Join(dir, e.Name())), size+info.Size()
+	}
+	return names, size
+}
+
+// Files hold the segments, under one cap with those of earlier runs; each replays by itself.
+func TestFiles(t *testing.T) {
+	s := small
+	s.Dir = filepath.Join(t.TempDir(), "deep", "capture")
+	require.NoError(t, os.MkdirAll(s.Dir, 0o755))
+	for i := range 9 {
+		name := fmt.Sprintf("capture-%013d-%09d.jsonl", 1600000000000, i)
+		require.NoError(t, os.WriteFile(filepath.Join(s.Dir, name), make([]byte, 20<<10), 0o600))
+	}
+	require.NoError(t, os.WriteFile(filepath.Join(s.Dir, "notes.txt"), nil, 0o600))
+	r := newRig(t, s, 9)
+	for i := range 400 {
+		r.run(10)
+		r.Flush()
+		for len(r.disk.free) < mostChunks { // until the writer has all
+			time.Sleep(50 * time.Microsecond)
+		}
+		names, size := files(t, s.Dir)
+		require.LessOrEqual(t, len(names), s.Files+1, i)
+		require.LessOrEqual(t, size, int64(s.MaxBytes), i)
+	}
+	r.Recorder.Close()
+	names, _ := files(t, s.Dir)
+	assert.Contains(t, names, filepath.Join(s.Dir, "notes.txt"), "what is not ours stays")
+	require.Len(t, names, s.Files+1)
+	all := ""
+	for _, name := range names[:s.Files] {
+		text, err := os.ReadFile(name)
+		require.NoError(t, err)
+		tally, out := replayed(t, string(text))
+		assert.Zero(t, tally.Differ+tally.Skipped+tally.Truncated, out)
+		all += string(text)
+	}
+	tally, out := replayed(t, all)
+	assert.Zero(t, tally.Differ+tally.Skipped+tally.Truncated, out)
+	assert.Equal(t, s.Files, tally.Segments)
+	assert.Zero(t, r.Stats().DiskErrors+r.Stats().DiskLost)
+}
+
+// warnings counts what is logged.
+type warnings struct {
+	slog.Handler
+	n *atomic.Int64
+}
+
+func (w warnings) Write(p []byte) (int, error) { w.n.Add(1); return len(p), nil }
+
+// A disk that can't be written to is logged, and one that takes nothing is waited for by nobody.
+func TestBadDisk(t *testing.T) {
+	s := small
+	s.Dir = filepath.Join(t.TempDir(), "file")
+	require.NoError(t, os.WriteFile(s.Dir, nil, 0o600))
+	r := newRig(t, s, 9)
+	w := warnings{n: &atomic.Int64{}}
+	r.disk.log = slog.New(slog.NewTextHandler(w, nil))
+	for range 300 {
+		r.run(10)
+		r.Flush()
+	}
+	r.Recorder.Close()
+	assert.NotZero(t, r.Stats().DiskErrors)
+	assert.NotZero(t, w.n.Load())
+	tally, out := replayed(t, string(r.Dump(0)))
+	assert.Zero(t, tally.Differ, out)
+
+	d := &disk{log: slog.New(slog.NewTextHandler(w, nil)), queue: make(chan chunk, mostChunks), free: make(chan []byte, mostChunks)}
+	for range mostChunks { // and nobody who writes
+		d.free <- make([]byte, 0, chunkBytes)
+	}
+	for range 100 {
+		d.write(1, make([]byte, chunkBytes+1))
+	}
+	assert.EqualValues(t, 96*(chunkBytes+1), d.lost)
+	assert.Len(t, d.queue, mostChunks)
+}
--- /dev/null
+++ b/internal/capture/recorder.go
@@ -0,0 +1,362 @@
+package capture
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"iter"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"hazelwheel/policy"
+)
+
+// Settings say how much is kept, and where.
+type Settings struct {
+	On       bool
+	MaxBytes int
+	Files    int    // segments
+	Dir      string // where they are written; empty: nowhere
+}
+
+// LeastSegment is the least that a segment may hold.
+const LeastSegment = 8 << 10
+
+// Label is how a request is called outside.
+type Label struct{ ID, Class string }
+
+// Source is the program whose decisions are recorded.
+type Source interface {
+	// Checkpoint appends the state of the decisions, as policy.Balancer does.
+	Checkpoint(dst []byte, most int) ([]byte, bool)
+	// HostName names a host, "" if it is not known.
+	HostName(id uint32) string
+	// HostNames and RequestLabels name all that the decisions may speak of.
+	HostNames() iter.Seq2[uint32, string]
+	RequestLabels() iter.Seq2[uint32, Label]
+}
+
+// Stats tell what a recorder has done.
+type Stats struct {
+	Lines      uint64 `json:"lines"`
+	Lost       uint64 `json:"lost"`          // lines without room
+	Segments   int    `json:"segments"`      // begun
+	NoState    uint64 `json:"no_checkpoint"` // segments whose checkpoint would have filled half of them
+	HeldUS     int64  `json:"checkpoint_max_us"`
+	Dumps      uint64 `json:"dumps"`
+	DiskErrors uint64 `json:"disk_errors"`
+	DiskLost   uint64 `json:"disk_lost_bytes"`
+}
+
+// Recorder keeps the lines in a ring of segments. Its memory is taken at the start, and lines are appended without more.
+// It belongs to the event loop. A nil Recorder records nothing.
+type Recorder struct {
+	source   Source
+	settings []byte // of the decisions, as JSON
+	ring     [][]byte
+	size     int // of a segment
+	at       int // the present one
+	now      float64
+	room     []byte // the memory of a line
+	head     []byte // of a segment's head
+	state    []byte // of a checkpoint
+	cut      bool   // a line was lost; nothing more goes into this segment
+	stats    Stats
+	disk     *disk
+	flushed  int // bytes of the present segment that the disk's writer has been given
+}
+
+// lostRoom is kept in each segment for the line that ends it early.
+const lostRoom = 64
+
+// New returns a recorder of decisions that have not been told anything yet.
+func New(s Settings, under policy.Settings, seed uint64, now float64, source Source, log *slog.Logger) (*Recorder, error) {
+	raw, err := json.Marshal(under)
+	if err != nil {
+		return nil, fmt.Errorf("capture: settings: %w", err)
+	}
+	c := &Recorder{source: source, settings: raw, size: s.MaxBytes / s.Files, now: now}
+	if s.Dir != "" {
+		c.disk = newDisk(s, now, log)
+	}
+	for range s.Files {
+		c.ring = append(c.ring, make([]byte, 0, c.size))
+	}
+	c.room, c.head = make([]byte, 0, c.size/2), make([]byte, 0, c.size/2)
+	c.state = make([]byte, 0, base64.StdEncoding.DecodedLen(c.size/2))
+	text := append(strconv.AppendUint(append(c.begin(kindStart), `,"seed":"`...), seed, 16), `","settings":`...)
+	c.headed(append(append(text, raw...), "}\n"...), true)
+	return c, nil
+}
+
+// begin clears the present segment and returns the begin of its head.
+func (c *Recorder) begin(kind string) []byte {
+	c.stats.Segments++
+	c.ring[c.at], c.cut, c.flushed = c.ring[c.at][:0], false, 0
+	return c.heading(kind)
+}
+
+func (c *Recorder) heading(kind string) []byte {
+	return appendInt(append(appendInput(c.head[:0], c.now, kind), `,"segment":`...), int64(c.stats.Segments))
+}
+
+// headed writes the head of the present segment. One that is not whole, or would fill half of it, is left out.
+func (c *Recorder) headed(text []byte, whole bool) {
+	if !whole || len(text) > c.size/2 {
+		text = append(c.heading(kindNoState), "}\n"...)
+		c.stats.NoState++
+	}
+	c.ring[c.at] = append(c.ring[c.at], text...)
+	c.stats.Lines++
+}
+
+// roll drops the oldest segment and begins a new one in its place, with the state of the decisions as they are before
+// the event at hand. Danger: without it nothing that follows could be replayed once the start is dropped.
+func (c *Recorder) roll() {
+	began := time.Now()
+	c.Flush()
+	c.at = (c.at + 1) % len(c.ring)
+	state, whole := c.source.Checkpoint(c.state[:0], cap(c.state))
+	text := append(append(c.begin(kindState), `,"settings":`...), c.settings...)
+	text = base64.StdEncoding.AppendEncode(append(c.appendNames(text), `,"state":"`...), state)
+	c.headed(append(text, "\"}\n"...), whole)
+	c.stats.HeldUS = max(c.stats.HeldUS, time.Since(began).Microseconds())
+}
+
+// appendNames writes what the decisions' numbers are called outside.
+func (c *Recorder) appendNames(dst []byte) []byte {
+	dst = append(dst, `,"names":[`...)
+	comma := false
+	next := func() {
+		if comma {
+			dst = append(dst, ',')
+		}
+		comma = true
+	}
+	for id, name := range c.source.HostNames() {
+		next()
+		dst = appendInt(append(dst, `{"host":`...), int64(id))
+		dst = append(appendString(append(dst, `,"to":`...), label(name)), '}')
+	}
+	dst = append(dst, `],"open":[`...)
+	comma = false
+	for id, l := range c.source.RequestLabels() {
+		next()
+		dst = appendInt(append(dst, `{"req":`...), int64(id))
+		dst = appendString(append(dst, `,"id":`...), label(l.ID))
+		dst = append(appendString(append(dst, `,"class":`...), label(l.Class)), '}')
+	}
+	return append(dst, ']')
+}
+
+// input takes the line of an event that the decisions are told next. A segment must have room for what follows from
+// it; where it may not, a new one begins first.
+func (c *Recorder) input(text []byte) {
+	text = append(text, "}\n"...)
+	if c.disk != nil && len(c.ring[c.at])-c.flushed >= chunkBytes {
+		c.Flush()
+	}
+	if c.cut || len(c.ring[c.at])+len(text)+c.size/8 > c.size {
+		c.roll()
+	}
+	c.put(text)
+}
+
+// put appends a line, or marks the segment as cut off here. The decisions go on from a state that only the next
+// checkpoint tells.
+func (c *Recorder) put(text []byte) {
+	seg := c.ring[c.at]
+	switch {
+	case c.cut:
+		c.stats.Lost++
+	case len(seg)+len(text)+lostRoom > c.size:
+		c.ring[c.at] = append(appendHead(seg, c.now, kindLost), "}\n"...)
+		c.cut = true
+		c.stats.Lost++
+	default:
+		c.ring[c.at] = append(seg, text...)
+		c.stats.Lines++
+	}
+}
+
+// begun begins the line of an input at the exact time that the decisions are told.
+func (c *Recorder) begun(now float64, kind string) []byte {
+	c.now = now
+	return appendInput(c.room[:0], now, kind)
+}
+
+// Hosts notes a list of hosts.
+func (c *Recorder) Hosts(now float64, kind policy.ListKind, list []policy.HostInfo) {
+	if c == nil {
+		return
+	}
+	text := append(appendInt(append(c.begun(now, kindHosts), `,"list":`...), int64(kind)), `,"hosts":[`...)
+	for i, h := range list {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = appendHost(text, h, c.source.HostName(h.ID))
+	}
+	c.input(append(text, ']'))
+}
+
+// Request notes a request from a client.
+func (c *Recorder) Request(now float64, q policy.Request, l Label) {
+	if c == nil {
+		return
+	}
+	text := appendLabel(c.begun(now, kindRequest), l)
+	text = appendInt(append(text, `,"req":`...), int64(q.ID))
+	text = appendInt(append(text, `,"class_no":`...), int64(q.Class))
+	text = appendFloat(append(text, `,"deadline":`...), q.Deadline)
+	if q.Tenant != 0 {
+		text = appendInt(append(text, `,"tenant":`...), int64(q.Tenant))
+	}
+	if q.Key != 0 {
+		text = strconv.AppendUint(append(text, `,"key":`...), q.Key, 10)
+	}
+	if q.HasWork {
+		text = appendFloat(append(text, `,"has_work":true,"work":`...), q.Work)
+	}
+	c.input(appendBool(text, "repeat", q.Repeat))
+}
+
+// Outcome notes the end of an attempt.
+func (c *Recorder) Outcome(now float64, r policy.Result, l Label) {
+	if c == nil {
+		return
+	}
+	text := appendInt(append(appendLabel(c.begun(now, kindOutcome), l), `,"req":`...), int64(r.ID))
+	text = appendInt(append(text, `,"attempt":`...), int64(r.Attempt))
+	c.input(appendBool(c.appendResult(text, r), "final", r.Final))
+}
+
+// Probe notes the end of a probe.
+func (c *Recorder) Probe(now float64, r policy.Result) {
+	if c != nil {
+		c.input(c.appendResult(c.begun(now, kindProbe), r))
+	}
+}
+
+// Wake notes a wake-up.
+func (c *Recorder) Wake(now float64) {
+	if c != nil {
+		c.input(c.begun(now, kindWake))
+	}
+}
+
+// Gone notes the departure of a request's client.
+func (c *Recorder) Gone(now float64, request uint32, l Label) {
+	if c != nil {
+		c.input(appendInt(append(appendLabel(c.begun(now, kindGone), l), `,"req":`...), int64(request)))
+	}
+}
+
+// Decide notes an action of the decisions. It belongs to the event that was noted last.
+func (c *Recorder) Decide(d Decision) {
+	if c == nil {
+		return
+	}
+	if d.Host != 0 {
+		d.To = c.source.HostName(d.Host)
+	}
+	d.ID, d.Class, d.To, d.Text = label(d.ID), label(d.Class), label(d.To), label(d.Text)
+	c.put(d.append(c.room[:0], c.now))
+}
+
+func appendLabel(dst []byte, l Label) []byte {
+	dst = appendString(append(dst, `,"id":`...), label(l.ID))
+	return appendString(append(dst, `,"class":`...), label(l.Class))
+}
+
+// appendResult writes what executions and probes have in common.
+func (c *Recorder) appendResult(dst []byte, r policy.Result) []byte {
+	dst = appendString(append(dst, `,"to":`...), label(c.source.HostName(r.Host)))
+	dst = appendInt(append(dst, `,"host":`...), int64(r.Host))
+	dst = appendInt(append(dst, `,"outcome":`...), int64(r.Outcome))
+	dst = appendFloat(append(dst, `,"delay":`...), r.DelayS)
+	if r.Report.N == 0 {
+		return dst
+	}
+	dst = append(dst, `,"report":[`...)
+	for i, v := range r.Report.Values[:r.Report.N] {
+		if i > 0 {
+			dst = append(dst, ',')
+		}
+		dst = appendFloat(dst, float64(v))
+	}
+	return append(dst, ']')
+}
+
+// Dump returns a copy of all segments, the oldest first.
+func (c *Recorder) Dump(now float64) []byte {
+	c.stats.Dumps++
+	all := 2 * lostRoom
+	for _, seg := range c.ring {
+		all += len(seg)
+	}
+	dst := append(appendHead(make([]byte, 0, all), now, kindDump), "}\n"...)
+	for i := range c.ring {
+		dst = append(dst, c.ring[(c.at+1+i)%len(c.ring)]...)
+	}
+	return append(appendHead(dst, now, kindEnd), "}\n"...)
+}
+
+// writeAtOnce bounds one write of a dump.
+const writeAtOnce = 4 << 10
+
+// Write writes a dump in pieces of whole lines, so that other lines can come between them. Danger: whoever writes to
+// the same file waits for one piece, and while nobody reads that is for ever; a dump in one piece would hold up the log,
+// and with it the event loop, until all of it is read.
+func Write(w io.Writer, dump []byte) error {
+	for len(dump) > 0 {
+		n := min(len(dump), writeAtOnce)
+		if i := bytes.LastIndexByte(dump[:n], '\n'); i >= 0 {
+			n = i + 1
+		} else if i := bytes.IndexByte(dump[n:], '\n'); i >= 0 {
+			n += i + 1
+		}
+		if _, err := w.Write(dump[:n]); err != nil {
+			return err
+		}
+		dump = dump[n:]
+	}
+	return nil
+}
+
+// ToDisk tells whether segments are written to files.
+func (c *Recorder) ToDisk() bool { return c != nil && c.disk != nil }
+
+// Flush hands what is new to the disk's writer, if there is one. It is called between events: a file then ends with a
+// whole one.
+func (c *Recorder) Flush() {
+	if !c.ToDisk() {
+		return
+	}
+	seg := c.ring[c.at]
+	c.disk.write(c.stats.Segments, seg[c.flushed:])
+	c.flushed = len(seg)
+}
+
+// Close hands on the rest and waits until it is written, or for as long as a disk may take.
+func (c *Recorder) Close() {
+	if c.ToDisk() {
+		c.Flush()
+		c.disk.close()
+	}
+}
+
+// Stats returns what has been done so far; nil where nothing is recorded.
+func (c *Recorder) Stats() *Stats {
+	if c == nil {
+		return nil
+	}
+	s := c.stats
+	if c.disk != nil {
+		s.DiskErrors, s.DiskLost = c.disk.errors.Load(), c.disk.lost
+	}
+	return &s
+}
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 
+	"hazelwheel/internal/capture"
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/drill"
 	"hazelwheel/internal/health"
@@ -27,6 +28,7 @@
 	Drills   drill.Settings
 	Rewrites rewrite.Settings
 	Health   health.Settings
+	Capture  capture.Settings
 }
 
 // Load reads the file at path, for the program that c configures.
@@ -50,6 +52,7 @@
 	f.readDrills(o, c)
 	f.readRewrites(o, c)
 	f.readHealth(o, c)
+	f.readCapture(o)
 	return f, o.rest()
 }
 
@@ -120,6 +123,22 @@
 	field(o, "health.max_inflight", &f.Health.MaxInflight, "a whole number from 0", func(v int) bool { return v >= 0 })
 }
 
+// readCapture takes any word of capture for a switch; an empty object is one with nothing but defaults.
+func (f *Features) readCapture(o *object) {
+	c := &f.Capture
+	c.MaxBytes, c.Files = 512<<10, 4
+	for name := range o.fields {
+		c.On = c.On || name == "capture" || strings.HasPrefix(name, "capture.")
+	}
+	o.unfold("capture", "max_bytes", "files", "dir")
+	field(o, "capture.files", &c.Files, "1 to 64", func(v int) bool { return v >= 1 && v <= 64 })
+	field(o, "capture.max_bytes", &c.MaxBytes, "a whole number up to 67108864", func(v int) bool { return v <= 64<<20 })
+	if c.Files > 0 && c.MaxBytes/c.Files < capture.LeastSegment {
+		o.fail("capture.max_bytes", fmt.Sprintf("want at least %d for each of capture.files", capture.LeastSegment))
+	}
+	field(o, "capture.dir", &c.Dir, "the path of a folder", func(s string) bool { return s != "" })
+}
+
 func hasClass(c *config.Config, name string) bool {
 	for _, class := range c.Settings.Policy.Classes {
 		if class.Name == name {
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"hazelwheel/internal/capture"
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/drill"
 	"hazelwheel/internal/health"
@@ -46,9 +47,19 @@
 		assert.Equal(t, health.Settings{Port: 9000, MaxListAgeMS: 6000, MinUsable: 1, MaxInflight: 7}, f.Health)
 	}
 
+	for text, want := range map[string]capture.Settings{
+		`{"capture":{}}`:      {On: true, MaxBytes: 524288, Files: 4},
+		`{"capture.files":2}`: {On: true, MaxBytes: 524288, Files: 2},
+		`{"capture":{"dir":"/tmp/x","max_bytes":65536},"capture.files":8}`: {On: true, MaxBytes: 65536, Files: 8, Dir: "/tmp/x"},
+	} {
+		f, err = read(text)
+		require.NoError(t, err)
+		assert.Equal(t, want, f.Capture)
+	}
+
 	f, err = read(`{}`)
 	require.NoError(t, err)
-	assert.False(t, f.Drills.List != nil || f.Drills.Secret != nil || f.Rewrites.On() || f.Health.On(), "what is not named is off")
+	assert.False(t, f.Drills.List != nil || f.Drills.Secret != nil || f.Rewrites.On() || f.Health.On() || f.Capture.On, "what is not named is off")
 	_, err = Load(filepath.Join(t.TempDir(), "none.json"), &config.Config{})
 	assert.ErrorIs(t, err, os.ErrNotExist)
 }
@@ -100,6 +111,14 @@
 		{`{"rewrites":[{"dir":"in","when":{"class":"x"},"op":"drop","name":"X-A"}]}`, "rewrites[0].when.class: want"},
 		{`{"rewrites":[{"dir":"in","when":{"path_prefix":"l"},"op":"drop","name":"X-A"}]}`, "rewrites[0].when.path_prefix: want"},
 		{`{"health":{"port":9000},"health.port":9000}`, "health.port: given twice"},
+		{`{"capture":true}`, "capture: not"},
+		{`{"capture":{"file":4}}`, "capture.file: unknown"},
+		{`{"capture":{"files":4},"capture.files":4}`, "capture.files: given twice"},
+		{`{"capture.files":0}`, "capture.files: want"},
+		{`{"capture.max_bytes":1e9}`, "capture.max_bytes: want"},
+		{`{"capture.max_bytes":32767}`, "capture.max_bytes: want at least"},
+		{`{"capture.files":65}`, "capture.files: want"},
+		{`{"capture.dir":""}`, "capture.dir: want"},
 		{`{"health":9000}`, "health: not"},
 		{`{"health":{"ports":9000}}`, "health.ports: unknown"},
 		{`{"health.port":3000}`, "health.port: want"},
--- a/internal/hostgroup/hostgroup.go
+++ b/internal/hostgroup/hostgroup.go
@@ -79,6 +79,15 @@
 // Host returns the server with an id, nil if it is unknown.
 func (g *Group) Host(id uint32) *Host { return g.byID[id] }
 
+// Names calls yield with the id and the name of each server that is known.
+func (g *Group) Names(yield func(id uint32, name string) bool) {
+	for id, h := range g.byID {
+		if !yield(id, h.Name) {
+			return
+		}
+	}
+}
+
 // Apply takes one object of discovery. The times of the result are in seconds of Unix time, as now is.
 func (g *Group) Apply(raw []byte, now float64) (snapshot bool, infos []policy.HostInfo, err error) {
 	var l list
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"hazelwheel/internal/capture"
 	"hazelwheel/policy"
 )
 
@@ -10,6 +11,7 @@
 
 // Send starts the next execution of a request.
 func (s *Sidecar) Send(id, host uint32) {
+	s.noteFor(id, capture.Decision{Do: capture.Send, Host: host})
 	r := s.requests[id]
 	if r == nil {
 		s.log.Error("send for an unknown request", "request", id)
@@ -29,6 +31,7 @@
 
 // Cancel ends the wait for one execution.
 func (s *Sidecar) Cancel(id uint32, attempt int) {
+	s.noteFor(id, capture.Decision{Do: capture.Cancel, Attempt: attempt})
 	if r := s.requests[id]; r != nil && r.out[attempt] != nil {
 		s.abandon(r.out[attempt], cancelled)
 	}
@@ -36,12 +39,19 @@
 
 // Probe asks a server for a sign of life.
 func (s *Sidecar) Probe(host uint32) {
+	s.capture.Decide(capture.Decision{Do: capture.Probe, Host: host})
 	s.counters.Probes++
 	s.begin(&execution{host: host, sentAt: s.eventAt, until: s.eventAt + probeWaitS, exchange: s.probe()})
 }
 
-// CloseIdle closes the idle links to a server. Danger: each close takes its link off the list.
+// CloseIdle closes the idle links to a server.
 func (s *Sidecar) CloseIdle(host uint32) {
+	s.capture.Decide(capture.Decision{Do: capture.CloseIdle, Host: host})
+	s.closeIdle(host)
+}
+
+// closeIdle closes them, on whoever's word. Danger: each close takes its link off the list.
+func (s *Sidecar) closeIdle(host uint32) {
 	for len(s.idle[host]) > 0 {
 		s.idle[host][0].close()
 	}
@@ -49,6 +59,7 @@
 
 // Refuse is a final answer: trying again is harmless.
 func (s *Sidecar) Refuse(id uint32, retryAfterS float64) {
+	s.noteFor(id, capture.Decision{Do: capture.Refuse, After: retryAfterS})
 	if r := s.requests[id]; r != nil && !r.answered {
 		s.counters.Throttled++
 		s.answer(r, func() { r.origin.throttle(retryAfterS) })
@@ -57,6 +68,7 @@
 
 // Fail is a final answer that promises nothing.
 func (s *Sidecar) Fail(id uint32) {
+	s.noteFor(id, capture.Decision{Do: capture.Fail})
 	if r := s.requests[id]; r != nil && !r.answered {
 		s.counters.Failed++
 		s.answer(r, func() { r.origin.fail(s.clock.now() >= r.deadline-2*s.answerRoom()) })
@@ -65,11 +77,23 @@
 
 // WakeAfter asks for a call of Wake.
 func (s *Sidecar) WakeAfter(seconds float64) {
-	s.timers.at(s.eventAt+seconds, func() { s.push(s.balancer.Wake) })
+	s.capture.Decide(capture.Decision{Do: capture.Wake, After: seconds})
+	s.timers.at(s.eventAt+seconds, func() {
+		s.push(func(now float64) {
+			s.capture.Wake(now)
+			s.balancer.Wake(now)
+		})
+	})
 }
 
 // Watch subscribes to changes of the list.
-func (s *Sidecar) Watch() { s.watch() }
+func (s *Sidecar) Watch() {
+	s.capture.Decide(capture.Decision{Do: capture.Watch})
+	s.watch()
+}
 
 // Log records a change of state for the operators.
-func (s *Sidecar) Log(text string) { s.log.Info(text) }
+func (s *Sidecar) Log(text string) {
+	s.capture.Decide(capture.Decision{Do: capture.Log, Text: text})
+	s.log.Info(text)
+}
--- a/internal/sidecar/beat_test.go
+++ b/internal/sidecar/beat_test.go
@@ -56,7 +56,7 @@
 	s, err := New(cfg, features.Features{Health: health.Settings{Port: side, MaxListAgeMS: 6000, MinUsable: 1, MaxInflight: 256}}, slog.New(log))
 	require.NoError(t, err)
 	hangups, ended := make(chan os.Signal, 1), make(chan error)
-	go func() { ended <- s.Run(hangups, func() (config.Config, error) { return cfg, nil }) }()
+	go func() { ended <- s.Run(hangups, nil, func() (config.Config, error) { return cfg, nil }) }()
 
 	answers := func(path string, want int) string {
 		var text []byte
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -175,7 +175,7 @@
 		l.throttle(l.s.cfg.Settings.Policy.MaxRetryAfterS)
 		return
 	}
-	r := &request{name: id, deadline: l.s.clock.now() + min(patience, longestS), call: newHTTPCall(l.s, p, c.Name, l.conn.RemoteAddr()), origin: l}
+	r := &request{name: id, class: c.Name, deadline: l.s.clock.now() + min(patience, longestS), call: newHTTPCall(l.s, p, c.Name, l.conn.RemoteAddr()), origin: l}
 	l.request = r
 	l.s.take(r, policy.Request{Class: class, Repeat: p.Header.Get(fieldRetry) == "1"})
 }
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"hazelwheel/internal/capture"
 	"hazelwheel/internal/drill"
 	"hazelwheel/policy"
 )
@@ -51,6 +52,8 @@
 
 	DrillHits []drill.Hits `json:"hazelwheel_drill_hits,omitempty"` // requests that each drill has touched
 
+	Capture *capture.Stats `json:"capture,omitempty"`
+
 	executions, probes outcomes
 }
 
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -134,6 +134,7 @@
 		s.counters.probes.count(result.Outcome)
 		s.push(func(now float64) {
 			result.DelayS = now - e.sentAt
+			s.capture.Probe(now, result)
 			s.balancer.ProbeDone(now, result)
 		})
 		return
@@ -150,6 +151,7 @@
 	s.push(func(now float64) {
 		result.DelayS = now - e.sentAt
 		result.Final = result.Final || r.answered
+		s.capture.Outcome(now, result, r.label())
 		s.balancer.AttemptDone(now, result)
 		s.forget(r)
 	})
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -23,6 +23,7 @@
 type request struct {
 	id       uint32
 	name     string // its client's id of it
+	class    string
 	deadline float64
 	call     call
 	origin   origin
@@ -48,11 +49,12 @@
 	r.safety = s.timers.at(r.deadline+s.slack/2, func() {
 		s.counters.Overdue++
 		s.answer(r, func() { r.origin.fail(true) })
-		s.push(func(now float64) { s.balancer.Abandoned(now, r.id) })
+		s.tellAbandoned(r)
 	})
 	decide := func() {
 		s.push(func(now float64) {
 			if !r.answered { // its client may have gone since
+				s.capture.Request(now, q, r.label())
 				s.balancer.Request(now, q)
 			}
 		})
@@ -100,5 +102,13 @@
 	}
 	s.counters.Abandoned++
 	s.answer(r, func() {})
-	s.push(func(now float64) { s.balancer.Abandoned(now, r.id) })
+	s.tellAbandoned(r)
+}
+
+// tellAbandoned tells the decisions that nothing is owed to a request any more.
+func (s *Sidecar) tellAbandoned(r *request) {
+	s.push(func(now float64) {
+		s.capture.Gone(now, r.id, r.label())
+		s.balancer.Abandoned(now, r.id)
+	})
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -13,10 +13,12 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"github.com/panjf2000/gnet/v2"
 
+	"hazelwheel/internal/capture"
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/drill"
 	"hazelwheel/internal/features"
@@ -67,7 +69,8 @@
 	health   *health.Server // nil: there is no side port
 	listAt   float64        // when anything was last read from discovery
 	listed   bool           // a list has been read from discovery
-	reserved int            // descriptors that are kept for features
+	capture  *capture.Recorder
+	reserved int // descriptors that are kept for features
 	slack    float64
 
 	conns    int // connections that gnet holds
@@ -76,13 +79,17 @@
 	draining bool
 	stopping bool
 
+	dumping sync.Mutex    // held while a dump of the capture is written
+	over    chan struct{} // closed once the event loop has gone
+
 	hangups <-chan os.Signal
+	dumps   <-chan os.Signal
 	load    func() (config.Config, error) // reads the configuration again
 }
 
 // New returns a sidecar that has not begun.
 func New(cfg config.Config, on features.Features, log *slog.Logger) (*Sidecar, error) {
-	s := &Sidecar{cfg: cfg, log: log, clock: newClock(), classes: map[string]int{}, lastID: 1,
+	s := &Sidecar{cfg: cfg, log: log, clock: newClock(), classes: map[string]int{}, lastID: 1, over: make(chan struct{}),
 		requests: map[uint32]*request{}, named: map[string]*request{}, clients: map[*clientLink]struct{}{}, idle: map[uint32][]*serverLink{},
 		hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
 		drills: drill.New(on.Drills), rewrites: on.Rewrites}
@@ -95,6 +102,15 @@
 		s.classes[c.Name] = i
 	}
 	s.balancer = policy.New(cfg.Settings.Policy, cfg.Seed, s)
+	if on.Capture.On {
+		var err error
+		if s.capture, err = capture.New(on.Capture, cfg.Settings.Policy, cfg.Seed, s.clock.now(), witness{s}, log); err != nil {
+			return nil, err
+		}
+		if on.Capture.Dir != "" {
+			s.reserved += capture.DiskDescriptors
+		}
+	}
 	if len(cfg.Known) > 0 {
 		if err := s.list(cfg.Known, policy.ListCached); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
@@ -107,9 +123,10 @@
 func (s *Sidecar) answerRoom() float64 { return min(mostAnswerRoomS, s.slack) }
 
 // Run serves until the process is told to end and all that was taken is answered. Each hangup has load called,
-// beside the event loop, for a new configuration.
-func (s *Sidecar) Run(hangups <-chan os.Signal, load func() (config.Config, error)) error {
-	s.hangups, s.load = hangups, load
+// beside the event loop, for a new configuration; each signal in dumps has the capture written to standard error.
+func (s *Sidecar) Run(hangups, dumps <-chan os.Signal, load func() (config.Config, error)) error {
+	s.hangups, s.dumps, s.load = hangups, dumps, load
+	defer s.endCapture()
 	s.obeyLimits()
 	if err := claim(s.cfg.Listen); err != nil {
 		return fmt.Errorf("listen %s: %w", s.cfg.Listen, err)
@@ -145,6 +162,12 @@
 		os.Exit(1)
 	}()
 	go s.heedHangups()
+	if s.capture != nil {
+		go s.heedDumps()
+	}
+	if s.capture.ToDisk() {
+		s.flushCapture()
+	}
 	s.log.Info("serving", "name", s.cfg.Name, "listen", s.cfg.Listen)
 }
 
@@ -233,6 +256,6 @@
 // Counters returns the counters as JSON. Once Run has returned it may be called from outside the loop.
 func (s *Sidecar) Counters() []byte {
 	s.counters.Descriptors = s.conns + s.dialing
-	s.counters.DrillHits = s.drills.Hits()
+	s.counters.DrillHits, s.counters.Capture = s.drills.Hits(), s.capture.Stats()
 	return s.counters.text()
 }
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -46,7 +46,7 @@
 func (s *Sidecar) watch() {
 	if w := s.watcher; w != nil {
 		if w.heard {
-			s.push(func(now float64) { s.balancer.Hosts(now, policy.ListDelta, nil) })
+			s.tellHosts(policy.ListDelta, nil)
 			return
 		}
 		w.stop()
@@ -116,7 +116,7 @@
 	if len(line) == 0 {
 		if !w.heard {
 			w.heard = true
-			w.s.push(func(now float64) { w.s.balancer.Hosts(now, policy.ListDelta, nil) })
+			w.s.tellHosts(policy.ListDelta, nil)
 		}
 		return nil
 	}
@@ -136,16 +136,24 @@
 	if snapshot && kind == policy.ListDelta {
 		kind = policy.ListFull
 	}
-	s.push(func(now float64) { s.balancer.Hosts(now, kind, infos) })
+	s.tellHosts(kind, infos)
 	for id := range s.idle {
 		if !s.mayServe(id) { // nothing new goes there
-			s.CloseIdle(id)
+			s.closeIdle(id)
 			delete(s.idle, id)
 		}
 	}
 	return nil
 }
 
+// tellHosts tells the decisions of a list.
+func (s *Sidecar) tellHosts(kind policy.ListKind, infos []policy.HostInfo) {
+	s.push(func(now float64) {
+		s.capture.Hosts(now, kind, infos)
+		s.balancer.Hosts(now, kind, infos)
+	})
+}
+
 // stop ends a watch without a word.
 func (w *watcher) stop() {
 	w.over = true
@@ -171,7 +179,7 @@
 	s.counters.ListFailed++
 	s.log.Debug("watch failed", "error", err)
 	if s.cfg.Settings.Policy.AskForList {
-		s.push(func(now float64) { s.balancer.Hosts(now, policy.ListFailed, nil) })
+		s.tellHosts(policy.ListFailed, nil)
 		return
 	}
 	s.timers.at(s.clock.now()+rewatchS, s.watch)
