--- a/cmd/hazelwheel/capture_test.go
+++ b/cmd/hazelwheel/capture_test.go
@@ -154,6 +154,39 @@
 	assert.NoError(t, w.cmd.Wait())
 }
 
+// A dump that nobody reads holds up neither requests, nor lines of the log, nor the end.
+func TestUnreadDump(t *testing.T) {
+	r, stderr, err := os.Pipe()
+	require.NoError(t, err)
+	defer r.Close()
+	defer stderr.Close()
+	w := busy(t, "")
+	w.cmd = program("serve", "--config", w.config(), "--features", w.file("features.json", w.features))
+	w.cmd.Stderr, w.cmd.Stdout = stderr, &w.out
+	require.NoError(t, w.cmd.Start())
+	t.Cleanup(func() { _ = w.cmd.Process.Kill() })
+	w.eventually("ready", func() bool {
+		resp, err := outside.Get("http://" + w.listen + "/ready")
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err == nil
+	})
+	w.load(400)
+	w.signal(syscall.SIGUSR1)
+	w.eventually("the dump has come to a stop", func() bool {
+		unread, err := unix.IoctlGetInt(int(r.Fd()), unix.TIOCINQ)
+		return err == nil && unread > 16<<10
+	})
+	for range 20 { // each reload logs a line
+		before := w.counter("reloads")
+		w.signal(syscall.SIGHUP)
+		w.eventually("a reload", func() bool { return w.counter("reloads") > before })
+	}
+	w.signal(syscall.SIGTERM)
+	assert.NoError(t, w.cmd.Wait())
+}
+
 // Without the file SIGUSR1 does what it always did: nothing.
 func TestNoCapture(t *testing.T) {
 	w := newWorld(t, newServer(t, "s-00000001", says(200, ""))).start()
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -1,11 +1,9 @@
 package capture
 
 import (
-	"bytes"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"io"
 	"iter"
 	"log/slog"
 	"strconv"
@@ -305,28 +303,6 @@
 	return append(appendHead(dst, now, kindEnd), "}\n"...)
 }
 
-// writeAtOnce bounds one write of a dump.
-const writeAtOnce = 4 << 10
-
-// Write writes a dump in pieces of whole lines, so that other lines can come between them. Danger: whoever writes to
-// the same file waits for one piece, and while nobody reads that is for ever; a dump in one piece would hold up the log,
-// and with it the event loop, until all of it is read.
-func Write(w io.Writer, dump []byte) error {
-	for len(dump) > 0 {
-		n := min(len(dump), writeAtOnce)
-		if i := bytes.LastIndexByte(dump[:n], '\n'); i >= 0 {
-			n = i + 1
-		} else if i := bytes.IndexByte(dump[n:], '\n'); i >= 0 {
-			n += i + 1
-		}
-		if _, err := w.Write(dump[:n]); err != nil {
-			return err
-		}
-		dump = dump[n:]
-	}
-	return nil
-}
-
 // ToDisk tells whether segments are written to files.
 func (c *Recorder) ToDisk() bool { return c != nil && c.disk != nil }
 
--- a/internal/sidecar/capture.go
+++ b/internal/sidecar/capture.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"os"
+	"time"
 
 	"hazelwheel/internal/capture"
 )
@@ -81,10 +82,21 @@
 	}
 }
 
-// endCapture ends the capture once the event loop has gone: what is being written is written to its end.
+// dumpWithinS is how long a dump may go on once the event loop has gone.
+const dumpWithinS = 2
+
+// endCapture ends the capture once the event loop has gone: what is being written is written to its end, unless nobody
+// reads it.
 func (s *Sidecar) endCapture() {
 	close(s.over)
-	s.dumping.Lock()
-	defer s.dumping.Unlock()
 	s.capture.Close()
+	idle := make(chan struct{})
+	go func() {
+		s.dumping.Lock()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-time.After(dumpWithinS * time.Second):
+	}
 }
