Tell the decisions how long a drill held a request, so that slow ones are not refused

Seen when the README was tried: of 30 readings 5 were delayed by 800 ms, and all 5 were throttled. The cause is Balancer.lateness: 2.2 s of 3 s left looks like a client's later try whose first began 0.8 s ago, beyond the aim of 600 ms. Ruled out: the cut of the delay (2.4 s) and the host's limit. A request that a bad uplink delays comes with its whole time.

Request.Held is counted in. The test of checkpoints failed until the field was kept, as it should.

--- a/cmd/hazelwheel/drill_test.go
+++ b/cmd/hazelwheel/drill_test.go
@@ -183,6 +183,22 @@
 	assert.Equal(t, 2, s.got(), "what was abandoned was never sent")
 }
 
+// A read that is delayed beyond its aim is slow, not refused: what is left of its time must not be taken for that of a
+// client's later try, whose aim has passed.
+func TestDelayBeyondTheAim(t *testing.T) {
+	w := newWorld(t, newServer(t, "s-00000001", says(200, ""))).withDrills(`{"name":"a","class":"read","share":100,"delay_ms":900}`)
+	w.settings["classes"].([]map[string]any)[0]["objectiveS"] = 0.6
+	w.start()
+	for range 5 { // how long clients wait is learned
+		w.ask("read", "", "")
+	}
+	code, text := w.drill("a", drillSecret)
+	require.Zero(t, code, text)
+	p := w.ask("read", "", "")
+	assert.Equal(t, 200, p.status)
+	assert.GreaterOrEqual(t, p.took, 900*time.Millisecond)
+}
+
 // A file at fault ends the program before it begins, with one line that names the field.
 func TestFeaturesAtFault(t *testing.T) {
 	w := newWorld(t, newServer(t, "s-00000001", says(200, "")))
@@ -192,4 +208,9 @@
 		assert.Equal(t, 2, code)
 		assert.Equal(t, "hazelwheel: features: drills[0].shares: unknown field\n", text)
 	}
+	path = w.file("features.json", `{"drills":[{"name":"a","class":"read"}],"rewrites.forwarded":true,"health.port":9000,"capture":{}}`)
+	code, text := run(t, "check", "--config", w.config(), "--features", path)
+	assert.Zero(t, code, text)
+	assert.Contains(t, text, "features: rewrites (0 rules), health (port 9000), capture (524288 bytes in 4 segments)\n",
+		"drills without a secret are off")
 }
--- a/cmd/hazelwheel/main.go
+++ b/cmd/hazelwheel/main.go
@@ -104,6 +104,9 @@
 	s := cfg.Settings.Policy
 	fmt.Fprintf(c.Root().Writer, "%s: listens at %s, discovery at %s, %d classes, instance %d of %d\n",
 		cfg.Name, cfg.Listen, cfg.Discovery, len(s.Classes), s.Self+1, s.Replicas)
+	if c.String("features") != "" {
+		fmt.Fprintf(c.Root().Writer, "%s: features: %s\n", cfg.Name, &on)
+	}
 	return nil
 }
 
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -120,7 +120,7 @@
 		case x < 35:
 			r.last++
 			r.open[r.last] = Label{fmt.Sprintf("id \"%d\" \\ \xff{\"t\":", r.last), "read"}
-			q := policy.Request{ID: r.last, Class: r.rng.IntN(2), Deadline: r.now + 1, Repeat: x%2 == 0}
+			q := policy.Request{ID: r.last, Class: r.rng.IntN(2), Deadline: r.now + 1, Repeat: x%2 == 0, Held: float64(x%3) / 10}
 			r.Recorder.Request(r.now, q, r.open[q.ID])
 			r.Balancer.Request(r.now, q)
 		case x < 60 && len(r.sent) > 0:
--- a/internal/capture/line.go
+++ b/internal/capture/line.go
@@ -224,6 +224,7 @@
 	Work     number     `json:"work"`
 	HasWork  bool       `json:"has_work"`
 	Repeat   bool       `json:"repeat"`
+	Held     number     `json:"held"`
 	Outcome  uint8      `json:"outcome"`
 	Delay    number     `json:"delay"`
 	Final    bool       `json:"final"`
@@ -256,5 +257,5 @@
 
 func (l *line) request() policy.Request {
 	return policy.Request{ID: l.Request, Class: l.ClassNo, Tenant: l.Tenant, Key: l.Key, Deadline: float64(l.Deadline),
-		Work: float64(l.Work), HasWork: l.HasWork, Repeat: l.Repeat}
+		Work: float64(l.Work), HasWork: l.HasWork, Repeat: l.Repeat, Held: float64(l.Held)}
 }
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -219,6 +219,9 @@
 	if q.HasWork {
 		text = appendFloat(append(text, `,"has_work":true,"work":`...), q.Work)
 	}
+	if q.Held != 0 {
+		text = appendFloat(append(text, `,"held":`...), q.Held)
+	}
 	c.input(appendBool(text, "repeat", q.Repeat))
 }
 
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -31,6 +31,27 @@
 	Capture  capture.Settings
 }
 
+// String says in a few words what is on.
+func (f *Features) String() string {
+	var on []string
+	if n := len(f.Drills.List); n > 0 && len(f.Drills.Secret) > 0 {
+		on = append(on, fmt.Sprintf("drills (%d)", n))
+	}
+	if f.Rewrites.On() {
+		on = append(on, fmt.Sprintf("rewrites (%d rules)", len(f.Rewrites.Rules)))
+	}
+	if f.Health.On() {
+		on = append(on, fmt.Sprintf("health (port %d)", f.Health.Port))
+	}
+	if f.Capture.On {
+		on = append(on, fmt.Sprintf("capture (%d bytes in %d segments)", f.Capture.MaxBytes, f.Capture.Files))
+	}
+	if len(on) == 0 {
+		return "none"
+	}
+	return strings.Join(on, ", ")
+}
+
 // Load reads the file at path, for the program that c configures.
 func Load(path string, c *config.Config) (Features, error) {
 	raw, err := os.ReadFile(path)
@@ -72,10 +93,11 @@
 		f.Drills.List = append(f.Drills.List, d)
 	}
 	var hash string
-	field(o, "drills.secret_sha256", &hash, "the 64 hexadecimal digits of a SHA-256", func(s string) bool {
+	nothing := sha256.Sum256(nil) // a secret that everybody has
+	field(o, "drills.secret_sha256", &hash, "the 64 hexadecimal digits of a secret's SHA-256", func(s string) bool {
 		sum, err := hex.DecodeString(s)
 		f.Drills.Secret = sum
-		return err == nil && len(sum) == sha256.Size
+		return err == nil && len(sum) == sha256.Size && !bytes.Equal(sum, nothing[:])
 	})
 }
 
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -92,6 +92,7 @@
 		{d(`,"speed":1`), "drills[0].speed: unknown"},
 		{strings.Replace(d(``), `}]`, `},{"name":"a","class":"latest-reading"}]`, 1), "drills[1].name: want"},
 		{`{"drills.secret_sha256":"12"}`, "drills.secret_sha256: want"},
+		{`{"drills.secret_sha256":"e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"}`, "drills.secret_sha256: want"},
 		{`{"drills.secret_sha256":7}`, "drills.secret_sha256: want"},
 		{`{"rewrites.forwarded":1}`, "rewrites.forwarded: want"},
 		{r(`"op":"drop","name":"Request-ID"`), "rewrites[0].name: want"},
--- a/internal/sidecar/drills.go
+++ b/internal/sidecar/drills.go
@@ -26,27 +26,31 @@
 		l.decline(405, "a drill is started by POST", http1.Field{Name: "Allow", Value: "POST"})
 		return
 	}
+	var d drill.Drill
 	secret, err := base64.StdEncoding.DecodeString(p.Header.Get(DrillSecret))
 	if err != nil {
-		secret = nil
+		err = drill.ErrSecret
+	} else {
+		d, err = l.s.drills.Start(l.s.clock.now(), secret, name)
 	}
-	d, err := l.s.drills.Start(l.s.clock.now(), secret, name)
-	switch {
-	case errors.Is(err, drill.ErrSecret):
-		l.s.log.Warn("drill refused", "error", err)
-		l.decline(403, err.Error())
-	case err != nil:
+	if err != nil {
 		l.s.log.Warn("drill refused", "error", err)
-		l.decline(404, err.Error())
-	default:
-		l.s.log.Info("drill started", "drill", d.Name, "class", d.Class, "duration_s", d.DurationS)
-		l.respond(200, http1.Header{textPlain}, []byte("drill "+d.Name+" started\n"))
+		status := 404
+		if errors.Is(err, drill.ErrSecret) {
+			status = 403
+		}
+		l.decline(status, err.Error())
+		return
 	}
+	l.s.log.Info("drill started", "drill", d.Name, "class", d.Class, "duration_s", d.DurationS)
+	l.respond(200, http1.Header{textPlain}, []byte("drill "+d.Name+" started\n"))
 }
 
 // drilled tells whether a drill has taken a request up; then it calls decide when the delay is over, or aborts the
-// request. Until then the request is open like any other: its client may go, and its deadline holds.
-func (s *Sidecar) drilled(r *request, class int, decide func()) bool {
+// request. Until then the request is open like any other: its client may go, and its deadline holds. Danger: what is left
+// of its time looks like that of a client's later try, and one whose aim has passed since its first is refused; so the
+// decisions are told how long it was held.
+func (s *Sidecar) drilled(r *request, class int, decide func(held float64)) bool {
 	now := s.clock.now()
 	d := s.drills.Hit(now, s.cfg.Settings.Policy.Classes[class].Name)
 	if d == nil {
@@ -60,7 +64,7 @@
 			s.counters.Throttled++
 			s.answer(r, func() { r.origin.throttle(s.cfg.Settings.Policy.MaxRetryAfterS) })
 		default:
-			decide()
+			decide(s.clock.now() - now)
 		}
 	})
 	return true
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -51,7 +51,8 @@
 		s.answer(r, func() { r.origin.fail(true) })
 		s.tellAbandoned(r)
 	})
-	decide := func() {
+	decide := func(held float64) {
+		q.Held = held
 		s.push(func(now float64) {
 			if !r.answered { // its client may have gone since
 				s.capture.Request(now, q, r.label())
@@ -60,7 +61,7 @@
 		})
 	}
 	if !s.drilled(r, q.Class, decide) {
-		decide()
+		decide(0)
 	}
 }
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -131,6 +131,7 @@
 	Work     float64 // expected work in seconds of a standard core, if HasWork
 	HasWork  bool
 	Repeat   bool
+	Held     float64 // seconds that the host program has held it back; they are no sign of an earlier try
 }
 
 // Outcome tells how an attempt or a probe ended.
--- a/policy/checkpoint_test.go
+++ b/policy/checkpoint_test.go
@@ -96,7 +96,7 @@
 			event = func(b *Balancer) { b.Hosts(at, kind, list) }
 		case x < 35:
 			q := Request{ID: nextID, Class: rng.IntN(len(s.Classes)), Tenant: rng.IntN(2), Key: rng.Uint64(),
-				Deadline: now + s.Classes[0].GiveUpS*(0.3+rng.Float64()), Work: rng.ExpFloat64(), HasWork: rng.IntN(2) == 0, Repeat: rng.IntN(4) == 0}
+				Deadline: now + s.Classes[0].GiveUpS*(0.3+rng.Float64()), Work: rng.ExpFloat64(), HasWork: rng.IntN(2) == 0, Repeat: rng.IntN(4) == 0, Held: float64(rng.IntN(2))}
 			nextID++
 			at := now
 			event = func(b *Balancer) { b.Request(at, q) }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -535,7 +535,7 @@
 // lost once the aim of the first has passed. A try that is shorter than its class's usual one was cut by the
 // client's total wait, which tells when that began. It hurts where clients are of unlike patience.
 func (b *Balancer) lateness(q Request) float64 {
-	u, left := &b.tries[q.Class], q.Deadline-b.now
+	u, left := &b.tries[q.Class], q.Deadline-b.now+q.Held
 	switch {
 	case left < 0.98*u.usual:
 		return max(b.s.Classes[q.Class].GiveUpS-left, 0)
