Pass over log lines that a collector has put words before, and bound the capture by memory

capture.max_bytes may be a quarter of limits.memory_mb at the most: the ring is there from the start, and a dump makes a copy of it.

--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -191,10 +191,10 @@
 	var both strings.Builder
 	for _, dump := range []string{early, late} {
 		for line := range strings.Lines(dump) {
-			both.WriteString(log + line)
+			both.WriteString(log + "[13.84] " + line)
 		}
 	}
-	all, out := replayed(t, both.String()+"{\"requests\":5}\n")
+	all, out := replayed(t, both.String()+"[20.01] {\"requests\":5}\n")
 	assert.Zero(t, all.Differ+all.Truncated+all.Skipped, out)
 	assert.Equal(t, 5, all.Segments)
 	assert.Greater(t, all.Compared, tally.Compared)
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -103,12 +103,15 @@
 	r.torn(text)
 }
 
-// torn tells whether a text that does not begin like a line is a piece of one, and not of the log round it.
+// torn tells whether a text that does not begin like a line is a piece of one, and not of the log round it: no line
+// with a level, and no whole object, whatever a collector of logs has put before it.
 func torn(text string) bool {
 	if text != "" && strings.HasPrefix(lineStart, text) {
 		return true
 	}
-	return strings.Contains(text, `":`) && !strings.Contains(text, "level=") && !json.Valid([]byte(text))
+	i := strings.IndexByte(text, '{')
+	whole := i >= 0 && json.Valid([]byte(text[i:]))
+	return strings.Contains(text, `":`) && !strings.Contains(text, "level=") && !whole
 }
 
 // torn passes over a piece of a line. Danger: one that may have been an input leaves the state behind it unknown; the
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -73,7 +73,7 @@
 	f.readDrills(o, c)
 	f.readRewrites(o, c)
 	f.readHealth(o, c)
-	f.readCapture(o)
+	f.readCapture(o, c)
 	return f, o.rest()
 }
 
@@ -146,7 +146,7 @@
 }
 
 // readCapture takes any word of capture for a switch; an empty object is one with nothing but defaults.
-func (f *Features) readCapture(o *object) {
+func (f *Features) readCapture(o *object, cfg *config.Config) {
 	c := &f.Capture
 	c.MaxBytes, c.Files = 512<<10, 4
 	for name := range o.fields {
@@ -158,6 +158,10 @@
 	if c.Files > 0 && c.MaxBytes/c.Files < capture.LeastSegment {
 		o.fail("capture.max_bytes", fmt.Sprintf("want at least %d for each of capture.files", capture.LeastSegment))
 	}
+	// Danger: the ring is there from the start, and a dump copies it; the sidecar is killed beyond its memory.
+	if most := cfg.Limits.MemoryMB << 20 / 4; c.On && c.MaxBytes > most {
+		o.fail("capture.max_bytes", fmt.Sprintf("want at most %d, a quarter of limits.memory_mb", most))
+	}
 	field(o, "capture.dir", &c.Dir, "the path of a folder", func(s string) bool { return s != "" })
 }
 
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -20,7 +20,7 @@
 const hash = "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"
 
 func read(text string) (Features, error) {
-	c := config.Config{Listen: "127.0.0.1:3000"}
+	c := config.Config{Listen: "127.0.0.1:3000", Limits: config.Limits{MemoryMB: 64}}
 	c.Settings.Policy.Classes = []policy.Class{{Name: "latest-reading"}, {Name: "log-calibration"}}
 	return parse([]byte(text), &c)
 }
@@ -118,6 +118,7 @@
 		{`{"capture.files":0}`, "capture.files: want"},
 		{`{"capture.max_bytes":1e9}`, "capture.max_bytes: want"},
 		{`{"capture.max_bytes":32767}`, "capture.max_bytes: want at least"},
+		{`{"capture.max_bytes":16777217}`, "capture.max_bytes: want at most 16777216"},
 		{`{"capture.files":65}`, "capture.files: want"},
 		{`{"capture.dir":""}`, "capture.dir: want"},
 		{`{"health":9000}`, "health: not"},
