Leave half of the log's socket to others, too, while a dump is written

What holds for a pipe holds for a socket that collects the log: with the look at it taken out, the test's sidecar stalls at its next message.

--- a/cmd/hazelwheel/capture_test.go
+++ b/cmd/hazelwheel/capture_test.go
@@ -156,8 +156,19 @@
 
 // A dump that nobody reads holds up neither requests, nor lines of the log, nor the end.
 func TestUnreadDump(t *testing.T) {
-	r, stderr, err := os.Pipe()
-	require.NoError(t, err)
+	t.Run("pipe", func(t *testing.T) {
+		r, stderr, err := os.Pipe()
+		require.NoError(t, err)
+		dumpUnread(t, r, stderr)
+	})
+	t.Run("socket", func(t *testing.T) {
+		fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+		require.NoError(t, err)
+		dumpUnread(t, os.NewFile(uintptr(fds[0]), "reader"), os.NewFile(uintptr(fds[1]), "log"))
+	})
+}
+
+func dumpUnread(t *testing.T, r, stderr *os.File) {
 	defer r.Close()
 	defer stderr.Close()
 	w := busy(t, "")
--- a/internal/capture/dump.go
+++ b/internal/capture/dump.go
@@ -17,7 +17,7 @@
 
 // Write writes a dump in pieces of whole lines, so that lines of a log can come between them. Danger: whoever writes to
 // the same file waits for the piece that is being written, and what fills a pipe that nobody reads stops the next line
-// of the log, and with it the event loop. Half of a pipe is left to others.
+// of the log, and with it the event loop. Half of a pipe or socket is left to others.
 func Write(f *os.File, dump []byte) error {
 	for len(dump) > 0 {
 		n := min(len(dump), writeAtOnce)
@@ -37,14 +37,18 @@
 	return nil
 }
 
-// room tells whether n bytes leave half of a pipe to others; what is no pipe has room. A line that is longer than that
-// waits until the pipe is empty.
+// room tells whether n bytes leave half of a pipe or socket to others; what is neither has room. A line that is longer
+// than that waits until all is read.
 func room(f *os.File, n int) bool {
 	fd := f.Fd()
+	ask := uint(unix.TIOCINQ)
 	size, err := unix.FcntlInt(fd, unix.F_GETPIPE_SZ, 0)
 	if err != nil {
-		return true
+		ask = unix.TIOCOUTQ
+		if size, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF); err != nil {
+			return true
+		}
 	}
-	unread, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+	unread, err := unix.IoctlGetInt(int(fd), ask)
 	return err != nil || unread == 0 || unread+n <= size/2
 }
