--- /dev/null
+++ b/cmd/hazellab/main.go
@@ -0,0 +1,29 @@
+// Command hazellab is the project's laboratory: it plays the sidecar's world, in simulated time and on real sockets,
+// and judges what comes of it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "hazellab:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:     "hazellab",
+		Usage:    "play the sidecar's world and judge what comes of it",
+		Commands: []*cli.Command{},
+	}
+}
+
+// fault is an error by which the program ends with 2: what it was told is wrong.
+func fault(err error) error { return cli.Exit("hazellab: "+err.Error(), 2) }
