Put the core on the seam: links, dialing, clock and alarm through netio

Need: the networking code is to run unchanged in simulated time, and admission and drain are to be tested there. Change: what was handler.go, the clock and the dialing goes to netio/sockets; signals, dumps and the runtime's limits to internal/process.

--- a/cmd/hazelwheel/main.go
+++ b/cmd/hazelwheel/main.go
@@ -16,7 +16,7 @@
 	"hazelwheel/internal/capture"
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/features"
-	"hazelwheel/internal/sidecar"
+	"hazelwheel/internal/process"
 )
 
 func main() {
@@ -84,7 +84,7 @@
 	if c.Bool("verbose") {
 		level = slog.LevelDebug
 	}
-	s, err := sidecar.New(cfg, on, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	s, err := process.New(cfg, on, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
 	if err != nil {
 		return err
 	}
@@ -98,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := sidecar.New(cfg, on, slog.New(slog.DiscardHandler)); err != nil { // what it is told must be usable, too
+	if _, err := process.New(cfg, on, slog.New(slog.DiscardHandler)); err != nil { // what it is told must be usable, too
 		return err
 	}
 	s := cfg.Settings.Policy
--- a/internal/hostgroup/hostgroup.go
+++ b/internal/hostgroup/hostgroup.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -79,10 +81,10 @@
 // Host returns the server with an id, nil if it is unknown.
 func (g *Group) Host(id uint32) *Host { return g.byID[id] }
 
-// Names calls yield with the id and the name of each server that is known.
+// Names calls yield with the id and the name of each server that is known, by id.
 func (g *Group) Names(yield func(id uint32, name string) bool) {
-	for id, h := range g.byID {
-		if !yield(id, h.Name) {
+	for _, id := range slices.Sorted(maps.Keys(g.byID)) {
+		if !yield(id, g.byID[id].Name) {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/netio/sockets/sockets.go
@@ -0,0 +1,200 @@
+// Package sockets is the seam's real side: one gnet event loop, the machine's sockets and its clock.
+package sockets
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	gneterrors "github.com/panjf2000/gnet/v2/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"hazelwheel/internal/netio"
+)
+
+// Net is an event loop that has not begun to turn, or turns. What netio.Net says of the loop's own goroutine holds.
+type Net struct {
+	listen string
+	log    *slog.Logger
+	clock  clock
+	host   netio.Host
+	loop   gnet.EventLoop
+
+	alarm    *time.Timer
+	stopping bool
+
+	mu      sync.Mutex
+	posted  []func() // before there was a loop
+	started bool     // the loop takes posts itself
+	over    bool     // the loop has gone
+}
+
+var _ netio.Net = (*Net)(nil)
+
+// New returns a loop that is to listen at an address and port.
+func New(listen string, log *slog.Logger) *Net {
+	return &Net{listen: listen, log: log, clock: newClock()}
+}
+
+// Run listens and calls host until Stop is called.
+func (n *Net) Run(host netio.Host) error {
+	n.host = host
+	defer func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.over = true
+	}()
+	if err := claim(n.listen); err != nil {
+		return fmt.Errorf("listen %s: %w", n.listen, err)
+	}
+	// With ReusePort the loop accepts by itself, one connection at a time, and each can be turned away
+	// before the next takes a descriptor. Danger: gnet ends the engine when an accept fails.
+	// ReuseAddr is for the next start: without it the connections that this one closed stand in the way of
+	// claim for a minute.
+	return gnet.Run(&handler{n: n}, "tcp://"+n.listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
+		gnet.WithReuseAddr(true), gnet.WithTicker(true), gnet.WithLogger(gnetLogger{n.log}))
+}
+
+// Now is on the machine's monotonic clock.
+func (n *Net) Now() float64 { return n.clock.now() }
+
+// errShutdown, returned by a task, ends gnet's event loop.
+var errShutdown = gneterrors.ErrEngineShutdown
+
+// errOver is the end of what is asked for after the loop has gone.
+var errOver = errors.New("the event loop has gone")
+
+// Post may be called before Run, too; what is posted then is called right after Host.Start.
+func (n *Net) Post(f func()) {
+	n.mu.Lock()
+	if !n.started && !n.over {
+		n.posted = append(n.posted, f)
+		n.mu.Unlock()
+		return
+	}
+	n.mu.Unlock()
+	n.execute(f)
+}
+
+// execute has the loop, which is there, call f.
+func (n *Net) execute(f func()) {
+	run := gnet.RunnableFunc(func(context.Context) error {
+		f()
+		if n.stopping {
+			return errShutdown
+		}
+		return nil
+	})
+	if n.loop == nil {
+		n.log.Error("not posted", "error", errOver)
+	} else if err := n.loop.Execute(context.Background(), run); err != nil {
+		n.log.Error("not posted", "error", err)
+	}
+}
+
+// start takes the loop into use.
+func (n *Net) start(loop gnet.EventLoop) {
+	n.loop = loop
+	n.host.Start()
+	n.mu.Lock()
+	posted := n.posted
+	n.posted, n.started = nil, true
+	n.mu.Unlock()
+	for _, f := range posted {
+		n.execute(f)
+	}
+}
+
+// Alarm sets the one runtime timer.
+func (n *Net) Alarm(at float64) {
+	wait := max(time.Until(n.clock.time(at)), 0)
+	if n.alarm == nil {
+		n.alarm = time.AfterFunc(wait, func() { n.execute(n.host.Alarm) })
+		return
+	}
+	n.alarm.Reset(wait)
+}
+
+// Dial connects beside the event loop: gnet's own dialing would block it, or go on without an end.
+func (n *Net) Dial(address string, until float64, context_ any, done func(error)) func() {
+	ctx, cancel := context.WithDeadline(context.Background(), n.clock.time(until))
+	settled := func(err error) {
+		n.execute(func() {
+			cancel()
+			done(err)
+		})
+	}
+	go func() {
+		dialer := net.Dialer{KeepAlive: -1}
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			settled(err)
+			return
+		}
+		result, err := n.loop.Enroll(gnet.NewContext(context.Background(), context_), conn)
+		if err != nil {
+			conn.Close()
+			settled(err)
+			return
+		}
+		settled((<-result).Err)
+	}()
+	return cancel
+}
+
+// Close gives back the descriptor at once.
+func (n *Net) Close(c netio.Conn) {
+	if c != nil {
+		_ = n.loop.Close(c.(gnet.Conn)) // an error concerns a connection that is gone already
+	}
+}
+
+// CloseWrite sends the end behind the last byte.
+func (n *Net) CloseWrite(c netio.Conn) {
+	_ = unix.Shutdown(c.(gnet.Conn).Fd(), unix.SHUT_WR) // fails only if the peer has closed
+}
+
+// Quiet costs a system call.
+func (n *Net) Quiet(c netio.Conn) bool {
+	var b [1]byte
+	_, _, err := unix.Recvfrom(c.(gnet.Conn).Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// StopListening is not there yet: gnet ends with its listener.
+func (n *Net) StopListening() {}
+
+// Stop ends Run.
+func (n *Net) Stop() {
+	n.stopping = true
+	n.execute(func() {})
+}
+
+// claim finds out whether an address can be listened at. Danger: ReusePort lets a second process share the
+// port, and each would get a part of the clients.
+func claim(address string) error {
+	a, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return err
+	}
+	family, sa := unix.AF_INET, unix.Sockaddr(nil)
+	if ip := a.IP.To4(); ip != nil {
+		sa = &unix.SockaddrInet4{Port: a.Port, Addr: [4]byte(ip)}
+	} else {
+		family, sa = unix.AF_INET6, &unix.SockaddrInet6{Port: a.Port, Addr: [16]byte(a.IP.To16())}
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	defer unix.Close(fd)
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return err
+	}
+	return unix.Bind(fd, sa)
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,118 @@
+// Package process runs a sidecar as a process of its own: on the machine's sockets, within the limits that it is told,
+// and by the signals that the platform and the operators send it.
+package process
+
+import (
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"hazelwheel/internal/capture"
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/features"
+	"hazelwheel/internal/netio/sockets"
+	"hazelwheel/internal/sidecar"
+)
+
+const (
+	// memoryShare is the part of the memory limit that the garbage collector aims to stay under; the rest
+	// is for what it does not count.
+	memoryShare = 0.75
+	// dumpWithin is how long a dump may go on once the event loop has gone.
+	dumpWithin = 2 * time.Second
+)
+
+// Process is a sidecar with the loop that calls it.
+type Process struct {
+	*sidecar.Sidecar
+	loop    *sockets.Net
+	log     *slog.Logger
+	dumping sync.Mutex    // held while a dump of the capture is written
+	over    chan struct{} // closed once the event loop has gone
+}
+
+// New returns a process that does not serve yet.
+func New(cfg config.Config, on features.Features, log *slog.Logger) (*Process, error) {
+	loop := sockets.New(cfg.Listen, log)
+	s, err := sidecar.New(cfg, on, loop, log)
+	if err != nil {
+		return nil, err
+	}
+	s.Limits = obey
+	return &Process{Sidecar: s, loop: loop, log: log, over: make(chan struct{})}, nil
+}
+
+// obey gives the runtime what the limits say.
+func obey(l config.Limits) {
+	runtime.GOMAXPROCS(int(math.Ceil(l.Cores)))
+	debug.SetMemoryLimit(int64(memoryShare * float64(l.MemoryMB) * (1 << 20)))
+}
+
+// Run serves until the process is told to end and all that was taken is answered. Each hangup has load called,
+// beside the event loop, for a new configuration; each signal in dumps has the capture written to standard error.
+func (p *Process) Run(hangups, dumps <-chan os.Signal, load func() (config.Config, error)) error {
+	defer p.end()
+	if err := p.ListenSide(); err != nil {
+		return err
+	}
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ends
+		p.Do(p.Drain)
+		<-ends // a second one does not wait
+		os.Exit(1)
+	}()
+	go p.heedHangups(hangups, load)
+	go p.heedDumps(dumps)
+	return p.loop.Run(p.Sidecar)
+}
+
+// heedHangups reads the configuration again at each SIGHUP. Those that come while it is being read count as one
+// more: the file is read again after the last of them.
+func (p *Process) heedHangups(hangups <-chan os.Signal, load func() (config.Config, error)) {
+	for range hangups {
+		cfg, err := load()
+		p.Do(func() { p.Reload(cfg, err) })
+	}
+}
+
+// heedDumps writes the capture to standard error at each signal, one dump at a time. Danger: whoever reads that may be
+// slow; so the loop makes a copy and goes on.
+func (p *Process) heedDumps(dumps <-chan os.Signal) {
+	for range dumps {
+		p.dumping.Lock()
+		text := make(chan []byte, 1)
+		p.Do(func() { text <- p.Dump() })
+		select {
+		case dump := <-text:
+			if err := capture.Write(os.Stderr, dump); err != nil {
+				p.log.Error("capture can't be written", "error", err)
+			}
+		case <-p.over: // the event loop has gone
+		}
+		p.dumping.Unlock()
+	}
+}
+
+// end ends the capture once the event loop has gone: what is being written is written to its end, unless nobody
+// reads it.
+func (p *Process) end() {
+	close(p.over)
+	p.Sidecar.End()
+	idle := make(chan struct{})
+	go func() {
+		p.dumping.Lock()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-time.After(dumpWithin):
+	}
+}
--- a/internal/sidecar/beat_test.go
+++ b/internal/process/process_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package process
 
 import (
 	"context"
--- a/internal/sidecar/beat.go
+++ b/internal/sidecar/beat.go
@@ -12,14 +12,14 @@
 // beat tells the side port how the loop is, again and again. Danger: the port must answer while the loop stalls, so it
 // never asks the loop.
 func (s *Sidecar) beat() {
-	now := s.clock.now()
+	now := s.now()
 	s.health.Beat(health.Snapshot{At: now, ListAt: s.listAt, Started: s.listed, Draining: s.draining,
 		Usable: s.balancer.Usable(now), Inflight: s.counters.Open})
 	s.timers.at(now+beatEveryS, s.beat)
 }
 
-// listenSide opens the side port on the host of the listen address, if there is one.
-func (s *Sidecar) listenSide() error {
+// ListenSide opens the side port on the host of the listen address, if there is one.
+func (s *Sidecar) ListenSide() error {
 	if s.health == nil {
 		return nil
 	}
--- a/internal/sidecar/capture.go
+++ b/internal/sidecar/capture.go
@@ -2,8 +2,8 @@
 
 import (
 	"iter"
-	"os"
-	"time"
+	"maps"
+	"slices"
 
 	"hazelwheel/internal/capture"
 )
@@ -35,8 +35,8 @@
 // RequestLabels names the requests that the decisions may still speak of.
 func (w witness) RequestLabels() iter.Seq2[uint32, capture.Label] {
 	return func(yield func(uint32, capture.Label) bool) {
-		for id, r := range w.requests {
-			if !yield(id, r.label()) {
+		for _, id := range slices.Sorted(maps.Keys(w.requests)) {
+			if !yield(id, w.requests[id].label()) {
 				return
 			}
 		}
@@ -61,42 +61,16 @@
 // flushCapture hands what is new to the capture's files, again and again.
 func (s *Sidecar) flushCapture() {
 	s.capture.Flush()
-	s.timers.at(s.clock.now()+captureFlushS, s.flushCapture)
+	s.timers.at(s.now()+captureFlushS, s.flushCapture)
 }
 
-// heedDumps writes the capture to standard error at each signal, one dump at a time. Danger: whoever reads that may be
-// slow; so the loop makes a copy and goes on.
-func (s *Sidecar) heedDumps() {
-	for range s.dumps {
-		s.dumping.Lock()
-		text := make(chan []byte, 1)
-		s.post(func() { text <- s.capture.Dump(s.clock.now()) })
-		select {
-		case dump := <-text:
-			if err := capture.Write(os.Stderr, dump); err != nil {
-				s.log.Error("capture can't be written", "error", err)
-			}
-		case <-s.over: // the event loop has gone
-		}
-		s.dumping.Unlock()
+// Dump returns the capture's segments as text, empty where there is none. It is for the loop.
+func (s *Sidecar) Dump() []byte {
+	if s.capture == nil {
+		return nil
 	}
+	return s.capture.Dump(s.now())
 }
 
-// dumpWithinS is how long a dump may go on once the event loop has gone.
-const dumpWithinS = 2
-
-// endCapture ends the capture once the event loop has gone: what is being written is written to its end, unless nobody
-// reads it.
-func (s *Sidecar) endCapture() {
-	close(s.over)
-	s.capture.Close()
-	idle := make(chan struct{})
-	go func() {
-		s.dumping.Lock()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-	case <-time.After(dumpWithinS * time.Second):
-	}
-}
+// End ends the capture once the loop has gone.
+func (s *Sidecar) End() { s.capture.Close() }
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -5,10 +5,8 @@
 	"strconv"
 	"strings"
 
-	"github.com/panjf2000/gnet/v2"
-	"golang.org/x/sys/unix"
-
 	"hazelwheel/internal/http1"
+	"hazelwheel/internal/netio"
 	"hazelwheel/policy"
 )
 
@@ -30,7 +28,8 @@
 // clientLink is a connection from the application. It speaks HTTP/1.1, one request at a time.
 type clientLink struct {
 	s        *Sidecar
-	conn     gnet.Conn
+	conn     netio.Conn
+	place    int // in Sidecar.clients
 	buf      http1.Buffer
 	parser   http1.RequestParser
 	request  *request // the one that is out
@@ -47,12 +46,30 @@
 	heardAt  float64 // when bytes last came after that
 }
 
-func (l *clientLink) opened(c gnet.Conn) { l.conn = c }
+// newClient returns the link of a connection that was accepted.
+func (s *Sidecar) newClient() *clientLink {
+	l := &clientLink{s: s, openedAt: s.now(), parser: http1.NewRequestParser(httpLimits)}
+	l.throng = !s.clientRoom()
+	l.place = len(s.clients)
+	s.clients = append(s.clients, l)
+	return l
+}
+
+// leaveClients takes the link from the sidecar's.
+func (l *clientLink) leaveClients() {
+	all := l.s.clients
+	last := all[len(all)-1]
+	all[l.place], last.place = last, l.place
+	all[len(all)-1] = nil
+	l.s.clients = all[:len(all)-1]
+}
+
+func (l *clientLink) opened(c netio.Conn) { l.conn = c }
 
 // traffic reads what the client says.
 func (l *clientLink) traffic(data []byte) {
 	if l.last {
-		l.heardAt = l.s.clock.now()
+		l.heardAt = l.s.now()
 		return
 	}
 	l.buf.Write(data)
@@ -73,7 +90,7 @@
 		}
 		if !whole {
 			if l.arrival == nil && (l.buf.Len() > 0 || l.parser.Begun()) {
-				by := l.s.clock.now() + arrivalS
+				by := l.s.now() + arrivalS
 				if l.restedAt == 0 {
 					by = min(by, l.openedAt+firstS)
 				}
@@ -175,7 +192,7 @@
 		l.throttle(l.s.cfg.Settings.Policy.MaxRetryAfterS)
 		return
 	}
-	r := &request{name: id, class: c.Name, deadline: l.s.clock.now() + min(patience, longestS), call: newHTTPCall(l.s, p, c.Name, l.conn.RemoteAddr()), origin: l}
+	r := &request{name: id, class: c.Name, deadline: l.s.now() + min(patience, longestS), call: newHTTPCall(l.s, p, c.Name, l.conn.RemoteAddr()), origin: l}
 	l.request = r
 	l.s.take(r, policy.Request{Class: class, Repeat: p.Header.Get(fieldRetry) == "1"})
 }
@@ -220,7 +237,7 @@
 		l.finish()
 		return
 	}
-	l.restedAt = l.s.clock.now()
+	l.restedAt = l.s.now()
 	l.buf.Rest()
 	// The next request may be in the buffer already; it is taken up as an event of its own.
 	if l.buf.Len() > 0 {
@@ -238,7 +255,7 @@
 	if l.conn == nil {
 		return
 	}
-	now := l.s.clock.now()
+	now := l.s.now()
 	if l.linger == nil {
 		l.linger = l.s.timers.at(now+lingerS, func() { l.leave(now + lingerMostS) })
 	}
@@ -248,7 +265,7 @@
 	}
 	if !l.shut {
 		l.shut, l.shutAt = true, now
-		_ = unix.Shutdown(l.conn.Fd(), unix.SHUT_WR) // fails only if the client has closed
+		l.s.net.CloseWrite(l.conn)
 	}
 }
 
@@ -256,7 +273,7 @@
 
 // leave closes a link that lingers once its client has been silent for a while, at the latest at the given time.
 func (l *clientLink) leave(latest float64) {
-	if at := min(l.heardAt+lingerS, latest); at > l.s.clock.now() {
+	if at := min(l.heardAt+lingerS, latest); at > l.s.now() {
 		l.linger = l.s.timers.at(at, func() { l.leave(latest) })
 		return
 	}
@@ -273,7 +290,7 @@
 	l.conn = nil
 	l.s.timers.stop(l.linger)
 	l.endArrival()
-	delete(l.s.clients, l)
+	l.leaveClients()
 	if r := l.request; r != nil {
 		l.request = nil
 		l.s.abandoned(r)
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -27,11 +27,11 @@
 // clientRoom tells whether there is room for one more client link. Where there is none a link is closed for it;
 // where none can be spared, the newcomer's request is throttled unless enough descriptors are left.
 func (s *Sidecar) clientRoom() bool {
-	for now := s.clock.now(); len(s.clients) >= s.mostClients(); {
+	for now := s.now(); len(s.clients) >= s.mostClients(); {
 		var spare *clientLink
 		var worth int
 		var since float64
-		for l := range s.clients {
+		for _, l := range s.clients {
 			if w, at := l.spare(now); w > 0 && (spare == nil || w < worth || w == worth && at < since) {
 				spare, worth, since = l, w, at
 			}
@@ -63,8 +63,8 @@
 
 // retire closes a link that is of no more use, unless a request waits in its socket.
 func (l *clientLink) retire() {
-	if !l.shut && !quiet(l.conn) {
-		l.openedAt, l.restedAt = l.s.clock.now(), 0 // as one whose first request is on the way
+	if !l.shut && !l.s.net.Quiet(l.conn) {
+		l.openedAt, l.restedAt = l.s.now(), 0 // as one whose first request is on the way
 		return
 	}
 	if !l.shut {
@@ -75,8 +75,9 @@
 
 // sweep closes links that have never said anything, and where links are many also those that rest.
 func (s *Sidecar) sweep() {
-	now, many := s.clock.now(), s.crowded()
-	for l := range s.clients {
+	now, many := s.now(), s.crowded()
+	for i := len(s.clients) - 1; i >= 0; i-- { // Danger: a link that goes leaves its place to the last one
+		l := s.clients[i]
 		silent := l.restedAt == 0 && l.openedAt < now-silentS
 		if l.idle() && (silent || many && l.restedAt > 0 && l.restedAt < now-restS) {
 			l.retire()
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -7,32 +7,32 @@
 	drainEveryS = 0.01
 )
 
-// drain begins the end: every answer from now on is the last on its link.
-func (s *Sidecar) drain() {
+// Drain begins the end: every answer from now on is the last on its link.
+func (s *Sidecar) Drain() {
 	if s.draining {
 		return
 	}
 	s.draining = true
 	s.log.Info("ending", "open", s.counters.Open)
-	s.timers.at(s.clock.now()+stragglersS, s.leave)
+	s.timers.at(s.now()+stragglersS, s.leave)
 }
 
 // leave closes the links that are idle, and ends the loop once there is no other.
 func (s *Sidecar) leave() {
-	for l := range s.clients {
-		if l.idle() {
+	for i := len(s.clients) - 1; i >= 0; i-- { // Danger: a link that goes leaves its place to the last one
+		if l := s.clients[i]; l.idle() {
 			l.last = true
 			l.finish()
 		}
 	}
 	busy := s.counters.Open > 0
-	for l := range s.clients {
+	for _, l := range s.clients {
 		busy = busy || !l.shut
 	}
 	if busy {
-		s.timers.at(s.clock.now()+drainEveryS, s.leave)
+		s.timers.at(s.now()+drainEveryS, s.leave)
 		return
 	}
 	s.stopping = true
-	s.post(func() {})
+	s.net.Stop()
 }
--- a/internal/sidecar/drills.go
+++ b/internal/sidecar/drills.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		err = drill.ErrSecret
 	} else {
-		d, err = l.s.drills.Start(l.s.clock.now(), secret, name)
+		d, err = l.s.drills.Start(l.s.now(), secret, name)
 	}
 	if err != nil {
 		l.s.log.Warn("drill refused", "error", err)
@@ -51,7 +51,7 @@
 // of its time looks like that of a client's later try, and one whose aim has passed since its first is refused; so the
 // decisions are told how long it was held.
 func (s *Sidecar) drilled(r *request, class int, decide func(held float64)) bool {
-	now := s.clock.now()
+	now := s.now()
 	d := s.drills.Hit(now, s.cfg.Settings.Policy.Classes[class].Name)
 	if d == nil {
 		return false
@@ -64,7 +64,7 @@
 			s.counters.Throttled++
 			s.answer(r, func() { r.origin.throttle(s.cfg.Settings.Policy.MaxRetryAfterS) })
 		default:
-			decide(s.clock.now() - now)
+			decide(s.now() - now)
 		}
 	})
 	return true
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -124,7 +124,7 @@
 		// A server turns a probe away at once, or after it has waited in line for as long as probes may.
 		// Danger: the first shows that it lives, and the second that its line is long; taken for one another,
 		// or for an error, they shut out servers that are merely full.
-		if result.Outcome == policy.Rejected && s.clock.now()-e.sentAt > probeWaitS/2 {
+		if result.Outcome == policy.Rejected && s.now()-e.sentAt > probeWaitS/2 {
 			result.Outcome = policy.TimedOut
 		}
 		// What nobody can read tells nothing of the load, but its server is there and has come to the probe.
@@ -172,7 +172,7 @@
 // begin starts an execution on an idle server link, or on a new one.
 func (s *Sidecar) begin(e *execution) {
 	h := s.hosts.Host(e.host)
-	if h == nil || e.until <= s.clock.now() {
+	if h == nil || e.until <= s.now() {
 		s.finish(e, &execError{notConnected, overtaken, nil})
 		return
 	}
--- a/internal/sidecar/http.go
+++ b/internal/sidecar/http.go
@@ -80,7 +80,7 @@
 
 func (x *httpExchange) append(dst []byte, until float64) []byte {
 	h := append(x.call.header[:len(x.call.header):len(x.call.header)],
-		http1.Field{Name: fieldPatience, Value: formatPatience(until - x.call.s.clock.now())})
+		http1.Field{Name: fieldPatience, Value: formatPatience(until - x.call.s.now())})
 	return http1.AppendRequest(dst, x.call.method, x.call.target, h, x.call.body)
 }
 
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -1,25 +1,13 @@
 package sidecar
 
 import (
-	"math"
 	"reflect"
-	"runtime"
-	"runtime/debug"
 
 	"hazelwheel/internal/config"
 )
 
-// heedHangups reads the configuration again at each SIGHUP. Those that come while it is being read count as one
-// more: the file is read again after the last of them.
-func (s *Sidecar) heedHangups() {
-	for range s.hangups {
-		cfg, err := s.load()
-		s.post(func() { s.reload(cfg, err) })
-	}
-}
-
-// reload takes a new configuration into use, or keeps the old one where it is at fault.
-func (s *Sidecar) reload(cfg config.Config, err error) {
+// Reload takes a new configuration into use, or keeps the old one where it is at fault.
+func (s *Sidecar) Reload(cfg config.Config, err error) {
 	if err != nil {
 		s.counters.ReloadFailed++
 		s.log.Error("the configuration stays as it was", "error", err)
@@ -51,10 +39,11 @@
 	}
 }
 
-// obeyLimits gives the runtime what the limits say.
+// obeyLimits passes on what the limits say.
 func (s *Sidecar) obeyLimits() {
-	runtime.GOMAXPROCS(int(math.Ceil(s.cfg.Limits.Cores)))
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.cfg.Limits.MemoryMB) * (1 << 20)))
+	if s.Limits != nil {
+		s.Limits(s.cfg.Limits)
+	}
 }
 
 // rewatch begins a watch at another discovery service at once, whatever the present one is about. The list is
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -1,17 +1,14 @@
 package sidecar
 
 import (
-	"context"
+	"cmp"
 	"errors"
 	"io"
-	"net"
 	"slices"
 
-	"github.com/panjf2000/gnet/v2"
-	"golang.org/x/sys/unix"
-
 	"hazelwheel/internal/hostgroup"
 	"hazelwheel/internal/http1"
+	"hazelwheel/internal/netio"
 	"hazelwheel/policy"
 )
 
@@ -26,8 +23,8 @@
 	s         *Sidecar
 	host      uint32
 	address   string
-	conn      gnet.Conn // nil until it is up
-	stopDial  context.CancelFunc
+	conn      netio.Conn // nil until it is up
+	stopDial  func()
 	buf       http1.Buffer
 	execution *execution // nil while idle
 	retire    *timer
@@ -49,10 +46,12 @@
 			return nil
 		}
 		l := links[len(links)-1]
-		for i := len(links) - 2; i >= 0 && l.restedAt > s.clock.now()-settleS; i-- {
+		for i := len(links) - 2; i >= 0 && l.restedAt > s.now()-settleS; i-- {
 			l = links[i]
 		}
-		if l.address == h.Address && quiet(l.conn) {
+		// Danger: a request written to a link that its server has closed is lost; one written behind unread bytes
+		// would be answered with them.
+		if l.address == h.Address && s.net.Quiet(l.conn) {
 			l.unidle()
 			return l
 		}
@@ -60,15 +59,6 @@
 	}
 }
 
-// quiet tells whether nothing waits in a connection's socket: no bytes and no end. Danger: the event loop learns of
-// sockets in turns, and what has come since its last look is unknown to it. A request written to a link that its
-// server has closed is lost; one written behind unread bytes would be answered with them.
-func quiet(c gnet.Conn) bool {
-	var b [1]byte
-	_, _, err := unix.Recvfrom(c.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return errors.Is(err, unix.EAGAIN)
-}
-
 // unidle takes a link from the idle ones.
 func (l *serverLink) unidle() {
 	links := l.s.idle[l.host]
@@ -81,7 +71,7 @@
 // rest puts a link among the idle ones. Danger: a request that is written to a link after the server's side
 // has closed it is lost, and one that must not run twice with it. Links are retired well before that.
 func (l *serverLink) rest() {
-	l.execution, l.restedAt = nil, l.s.clock.now()
+	l.execution, l.restedAt = nil, l.s.now()
 	l.buf.Rest()
 	l.s.idle[l.host] = append(l.s.idle[l.host], l)
 	if limit := l.s.cfg.Settings.Policy.ConnIdleS; limit > 0 {
@@ -89,8 +79,7 @@
 	}
 }
 
-// dial opens a link for an execution. The connecting runs beside the event loop: gnet's own dialing would
-// block it, or go on without an end.
+// dial opens a link for an execution.
 func (s *Sidecar) dial(h *hostgroup.Host, e *execution) {
 	l := &serverLink{s: s, host: h.ID, address: h.Address, execution: e}
 	e.link = l
@@ -99,7 +88,7 @@
 		return
 	}
 	s.counters.Dials++
-	until := min(e.until, s.clock.now()+s.cfg.Settings.ConnectTimeoutS)
+	until := min(e.until, s.now()+s.cfg.Settings.ConnectTimeoutS)
 	l.stopDial = s.connect(h.Address, until, l, func(err error) {
 		if e := l.execution; e != nil {
 			l.execution = nil
@@ -113,7 +102,7 @@
 	for !s.room(dialDescriptors) {
 		var oldest *serverLink
 		for _, links := range s.idle {
-			if len(links) > 0 && (oldest == nil || links[0].restedAt < oldest.restedAt) {
+			if len(links) > 0 && (oldest == nil || links[0].older(oldest)) {
 				oldest = links[0]
 			}
 		}
@@ -125,44 +114,29 @@
 	return true
 }
 
-// dialDescriptors is what a dial may hold: gnet duplicates the descriptor before the dialed one is closed.
+// older tells whether a link has rested longer than another.
+func (l *serverLink) older(other *serverLink) bool {
+	return cmp.Or(cmp.Compare(l.restedAt, other.restedAt), cmp.Compare(l.host, other.host)) < 0
+}
+
+// dialDescriptors is what a dial may hold: the loop duplicates the descriptor before the dialed one is closed.
 const dialDescriptors = 2
 
-// connect opens a connection in the background. It comes up as a call of l.opened on the event loop, or else
-// failed is called there.
-func (s *Sidecar) connect(address string, until float64, l link, failed func(error)) context.CancelFunc {
-	ctx, cancel := context.WithDeadline(context.Background(), s.clock.time(until))
+// connect opens a connection. It comes up as a call of l.opened, or else failed is called.
+func (s *Sidecar) connect(address string, until float64, l link, failed func(error)) func() {
 	s.dialing += dialDescriptors
-	settled := func(err error) {
-		s.post(func() {
-			s.dialing -= dialDescriptors
-			cancel()
-			if err != nil {
+	return s.net.Dial(address, until, l, func(err error) {
+		s.enter(func() {
+			if s.dialing -= dialDescriptors; err != nil {
 				failed(err)
 			}
 		})
-	}
-	go func() {
-		dialer := net.Dialer{KeepAlive: -1}
-		conn, err := dialer.DialContext(ctx, "tcp", address)
-		if err != nil {
-			settled(err)
-			return
-		}
-		result, err := s.loop.Enroll(gnet.NewContext(context.Background(), l), conn)
-		if err != nil {
-			conn.Close()
-			settled(err)
-			return
-		}
-		settled((<-result).Err)
-	}()
-	return cancel
+	})
 }
 
 // opened takes the link into use. Danger: while it was connecting its request may have ended, and its server
 // may have been told to drain; both are looked at again before the first byte.
-func (l *serverLink) opened(c gnet.Conn) {
+func (l *serverLink) opened(c netio.Conn) {
 	l.conn = c
 	e, may := l.execution, l.s.mayServe(l.host)
 	if e != nil && (e.request == nil || may && !e.request.answered) {
--- a/internal/sidecar/timers.go
+++ b/internal/sidecar/timers.go
@@ -1,29 +1,6 @@
 package sidecar
 
-import (
-	"container/heap"
-	"time"
-)
-
-// clock gives the time in seconds of Unix time, read once and then counted by the monotonic clock: a step of
-// the machine's clock moves nothing. Danger: on a clock that began at 0, whatever started before this program
-// would have a start of 0 or less, which the decisions read as long ago, and a cold server as warm.
-type clock struct {
-	start time.Time
-	base  float64
-}
-
-func newClock() clock {
-	now := time.Now()
-	return clock{now, float64(now.UnixMicro()) / 1e6}
-}
-
-func (c clock) now() float64 { return c.base + time.Since(c.start).Seconds() }
-
-// time returns the point of time that at stands for.
-func (c clock) time(at float64) time.Time {
-	return c.start.Add(time.Duration((at - c.base) * float64(time.Second)))
-}
+import "container/heap"
 
 // timer is a call that is due at a time.
 type timer struct {
@@ -32,13 +9,11 @@
 	index int // in the heap; -1: fired or stopped
 }
 
-// timers holds what is due on the event loop, and one runtime timer for the first of it.
+// timers holds what is due on the event loop, and sets the loop's one alarm for the first of it.
 type timers struct {
 	heap  timerHeap
-	clock clock
-	armed float64 // when the runtime timer fires; 0: it is not armed
-	alarm *time.Timer
-	ring  func() // called off the loop when the alarm fires
+	armed float64          // when the alarm goes off; 0: it is not set
+	alarm func(at float64) // sets it
 }
 
 // at arranges a call.
@@ -66,16 +41,11 @@
 
 // arm sets the alarm to the first call.
 func (t *timers) arm() {
-	if len(t.heap) == 0 || t.ring == nil || t.armed > 0 && t.armed <= t.heap[0].at {
+	if len(t.heap) == 0 || t.alarm == nil || t.armed > 0 && t.armed <= t.heap[0].at {
 		return
 	}
 	t.armed = t.heap[0].at
-	wait := max(time.Until(t.clock.time(t.armed)), 0)
-	if t.alarm == nil {
-		t.alarm = time.AfterFunc(wait, t.ring)
-		return
-	}
-	t.alarm.Reset(wait)
+	t.alarm(t.armed)
 }
 
 type timerHeap []*timer
