--- /dev/null
+++ b/cmd/hazellab/load.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"hazelwheel/internal/lab/load"
+	"hazelwheel/internal/lab/standin"
+)
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "ask a sidecar in an open or a closed loop, and tell what came of it",
+		Description: "A class is NAME:safe, NAME:keyed or NAME:unsafe, or one of the stand-in's names; with =SHARE behind it\n" +
+			"it has that part of the requests. Several classes stand apart by commas.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "target", Value: "127.0.0.1:3000", Usage: "the sidecar's `ADDRESS`"},
+			&cli.StringFlag{Name: "from", Usage: "the source `ADDRESS`"},
+			&cli.StringFlag{Name: "class", Value: standin.SafeClass, Usage: "the classes"},
+			&cli.StringFlag{Name: "rate", Usage: "open loop: requests a second, or stages like 100:5s,100-400:10s,0:2s; without it the loop is closed"},
+			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "how long, where the rate has no stages"},
+			&cli.BoolFlag{Name: "poisson", Usage: "arrivals by chance; otherwise even"},
+			&cli.IntFlag{Name: "links", Value: 64, Usage: "connections that are kept"},
+			&cli.FloatFlag{Name: "new", Usage: "share of requests that each come on a connection of their own, 0 to 1"},
+			&cli.IntFlag{Name: "body", Value: 64, Usage: "bytes of a POST's body"},
+			&cli.DurationFlag{Name: "patience", Value: 2 * time.Second, Usage: "the Request-Timeout"},
+			&cli.IntFlag{Name: "threads", Value: 1, Usage: "threads, each with its share of links and rate"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of ids, classes and arrivals"},
+			&cli.BoolFlag{Name: "seconds", Usage: "print a line for each second, too"},
+			&cli.StringFlag{Name: "json", Usage: "write the whole result to this `FILE`; - for standard output, in place of the lines"},
+		},
+		Action: runLoad,
+	}
+}
+
+func runLoad(ctx context.Context, c *cli.Command) error {
+	p := load.Plan{Target: c.String("target"), For: c.Duration("for"), Poisson: c.Bool("poisson"), Links: c.Int("links"),
+		New: c.Float("new"), Body: c.Int("body"), Patience: c.Duration("patience"), Threads: c.Int("threads"), Seed: c.Uint64("seed")}
+	var err error
+	if p.Classes, err = parseClasses(c.String("class")); err != nil {
+		return fault(err)
+	}
+	if text := c.String("rate"); text != "" {
+		if p.Stages, err = parseStages(text, p.For); err != nil {
+			return fault(err)
+		}
+	}
+	if text := c.String("from"); text != "" {
+		if p.From, err = netip.ParseAddr(text); err != nil {
+			return fault(fmt.Errorf("from: %w", err))
+		}
+	}
+	if err := p.Err(); err != nil {
+		return fault(err)
+	}
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	r, err := load.Run(ctx, &p)
+	if r == nil {
+		return err
+	}
+	if errors.Is(err, context.Canceled) {
+		fmt.Fprintln(os.Stderr, "hazellab: ended before its time; the figures are partial")
+	}
+	path := c.String("json")
+	if path != "-" {
+		r.Print(c.Root().Writer, c.Bool("seconds"))
+	}
+	if path != "" {
+		raw, jsonErr := json.Marshal(r)
+		if jsonErr != nil {
+			return jsonErr
+		}
+		if path == "-" {
+			fmt.Fprintf(c.Root().Writer, "%s\n", raw)
+		} else if err := os.WriteFile(path, raw, 0o644); err != nil {
+			return err
+		}
+	}
+	return err
+}
+
+// parseClasses reads classes like raise-alert=1,other:safe=3.
+func parseClasses(text string) ([]load.Class, error) {
+	var all []load.Class
+	for _, part := range strings.Split(text, ",") {
+		name, share, weighted := strings.Cut(part, "=")
+		c := load.Class{Share: 1}
+		if weighted {
+			var err error
+			if c.Share, err = strconv.ParseFloat(share, 64); err != nil || c.Share <= 0 {
+				return nil, fmt.Errorf("class: %q has no share above 0", part)
+			}
+		}
+		name, effect, given := strings.Cut(name, ":")
+		if !given {
+			effect = map[string]string{standin.SafeClass: "safe", standin.KeyedClass: "keyed", standin.UnsafeClass: "unsafe"}[name]
+		}
+		switch effect {
+		case "safe":
+			c.Safe = true
+		case "keyed":
+			c.Keyed = true
+		case "unsafe":
+		default:
+			return nil, fmt.Errorf("class: %q is neither :safe, :keyed nor :unsafe", part)
+		}
+		c.Name = name
+		all = append(all, c)
+	}
+	return all, nil
+}
+
+// parseStages reads a rate, or stages like 100:5s,100-400:10s.
+func parseStages(text string, whole time.Duration) ([]load.Stage, error) {
+	var all []load.Stage
+	for _, part := range strings.Split(text, ",") {
+		rates, length, staged := strings.Cut(part, ":")
+		s := load.Stage{For: whole}
+		var err error
+		if staged {
+			if s.For, err = time.ParseDuration(length); err != nil {
+				return nil, fmt.Errorf("rate: %q: %w", part, err)
+			}
+		}
+		from, to, ramp := strings.Cut(rates, "-")
+		if s.From, err = strconv.ParseFloat(from, 64); err == nil && ramp {
+			s.To, err = strconv.ParseFloat(to, 64)
+		} else {
+			s.To = s.From
+		}
+		if err != nil {
+			return nil, fmt.Errorf("rate: %q: not a rate, nor two with - between", part)
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -19,9 +19,12 @@
 
 func command() *cli.Command {
 	return &cli.Command{
-		Name:     "hazellab",
-		Usage:    "play the sidecar's world and judge what comes of it",
-		Commands: []*cli.Command{},
+		Name:  "hazellab",
+		Usage: "play the sidecar's world and judge what comes of it",
+		Commands: []*cli.Command{
+			standinCommand(),
+			loadCommand(),
+		},
 	}
 }
 
--- /dev/null
+++ b/cmd/hazellab/signals.go
@@ -0,0 +1,14 @@
+package main
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+)
+
+// untilSignal returns a context that ends with Ctrl-C or a word to end. A second one ends the program at once.
+func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
--- /dev/null
+++ b/internal/lab/load/plan.go
@@ -0,0 +1,138 @@
+// Package load is the laboratory's client: it asks a sidecar for what a plan says, from a few threads that cost little,
+// and tells what came of each request. In an open loop the time to an answer counts from when the request was due, so a
+// sidecar that stalls, and a client that stalls, show as waiting and not as requests that were never sent.
+//
+// Danger: it reads answers that say their length (Content-Length); an answer in chunks counts as failed.
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Class is one kind of request that a plan sends.
+type Class struct {
+	Name  string  `json:"name"`  // the first part of the path
+	Safe  bool    `json:"safe"`  // a GET without a body; otherwise a POST
+	Keyed bool    `json:"keyed"` // with an Idempotency-Key
+	Share float64 `json:"share"` // of all requests, in proportion to the other classes' shares; above 0
+}
+
+// Stage is a part of an open loop: the rate goes from one figure to another, both in requests a second.
+type Stage struct {
+	From, To float64
+	For      time.Duration
+}
+
+// Plan is what to send, and for how long.
+type Plan struct {
+	Target   string        // the sidecar's address and port
+	From     netip.Addr    // the address to send from; the zero value leaves it to the system
+	Classes  []Class       // at least one
+	Stages   []Stage       // the open loop; none: a closed loop, in which each link asks again with each answer
+	For      time.Duration // how long a closed loop lasts; an open one lasts as long as its stages
+	Poisson  bool          // arrivals by chance; otherwise evenly
+	Links    int           // kept connections, at least 1
+	New      float64       // the share of requests that each come on a connection of their own, 0 to 1
+	Body     int           // bytes of a POST's body
+	Patience time.Duration // the Request-Timeout, after which the client gives up
+	Threads  int           // at least 1; each has its share of the links and of the rate
+	Seed     uint64        // of ids, classes and arrivals
+}
+
+const (
+	mostLinks = 20000
+	mostFor   = time.Hour
+)
+
+// Err returns what is wrong with the plan, in words that name the field.
+func (p *Plan) Err() error {
+	total := p.Length()
+	checks := []struct {
+		ok   bool
+		what string
+	}{
+		{len(p.Classes) > 0, "classes: none"},
+		{p.Links >= 1 && p.Links <= mostLinks, fmt.Sprintf("links: %d, not 1 to %d", p.Links, mostLinks)},
+		{p.Threads >= 1 && p.Threads <= p.Links, fmt.Sprintf("threads: %d, not 1 to the number of links", p.Threads)},
+		{p.New >= 0 && p.New <= 1, fmt.Sprintf("new: %g, not 0 to 1", p.New)},
+		{p.Body >= 0 && p.Body <= 64<<10, fmt.Sprintf("body: %d, not 0 to 65536", p.Body)},
+		{p.Patience > 0, "patience: not above 0"},
+		{total > 0 && total <= mostFor, fmt.Sprintf("for: %s, not above 0 and at most %s", total, mostFor)},
+	}
+	for _, c := range checks {
+		if !c.ok {
+			return fmt.Errorf("%s", c.what)
+		}
+	}
+	if _, err := netip.ParseAddrPort(p.Target); err != nil {
+		return fmt.Errorf("target: %q is not an address and port", p.Target)
+	}
+	for _, c := range p.Classes {
+		if c.Name == "" || c.Share <= 0 {
+			return fmt.Errorf("classes: %q with share %g: a name and a share above 0 are wanted", c.Name, c.Share)
+		}
+	}
+	for _, s := range p.Stages {
+		if s.From < 0 || s.To < 0 || s.For <= 0 {
+			return fmt.Errorf("stages: %g to %g for %s: no rate may be below 0 and no time 0", s.From, s.To, s.For)
+		}
+	}
+	return nil
+}
+
+// Length returns how long requests are sent.
+func (p *Plan) Length() time.Duration {
+	if len(p.Stages) == 0 {
+		return p.For
+	}
+	var d time.Duration
+	for _, s := range p.Stages {
+		d += s.For
+	}
+	return d
+}
+
+// arrivals are the times at which requests of an open loop are due, for one of several threads.
+type arrivals struct {
+	stages []Stage
+	share  float64               // of the rate that is this thread's
+	gap    func(float64) float64 // from the mean number of requests to the next one's number
+	began  time.Duration         // of the present stage
+	at     time.Duration
+}
+
+// next returns when the request after the one before is due; ok is false after the last.
+func (a *arrivals) next() (at time.Duration, ok bool) {
+	left := a.gap(1) // in requests
+	for len(a.stages) > 0 {
+		s := a.stages[0]
+		end := a.began + s.For
+		// The number of requests until x seconds from here is r*x + slope*x*x/2; the stage is walked in steps that
+		// are short beside it.
+		slope := (s.To - s.From) * a.share / s.For.Seconds()
+		for a.at < end {
+			rate := s.From*a.share + slope*(a.at-a.began).Seconds()
+			step := end - a.at
+			if slope != 0 {
+				step = min(step, 10*time.Millisecond)
+			}
+			if mass := rate * step.Seconds(); mass < left {
+				left -= mass
+				a.at += step
+				continue
+			}
+			a.at += time.Duration(left / rate * float64(time.Second))
+			return a.at, a.at < end || len(a.stages) > 1
+		}
+		a.stages, a.began, a.at = a.stages[1:], end, end
+	}
+	return 0, false
+}
+
+// MarshalJSON writes durations in seconds.
+func (s Stage) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]float64{"from": s.From, "to": s.To, "for_s": s.For.Seconds()})
+}
--- /dev/null
+++ b/internal/lab/load/result.go
@@ -0,0 +1,213 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Outcome is what came of a request.
+type Outcome int
+
+const (
+	Served     Outcome = iota // 200
+	Refused                   // 429 or 503: nothing has run
+	Failed                    // any other answer
+	Broken                    // the connection ended without a whole answer
+	Unanswered                // sent, and no answer until the client's patience ended
+	Unsent                    // no connection was free or came up until the client's patience ended
+	outcomes
+)
+
+var outcomeNames = [outcomes]string{"served", "refused", "failed", "broken", "unanswered", "unsent"}
+
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Counts are requests by what came of them.
+type Counts struct {
+	Offered    int64 `json:"offered"`
+	Served     int64 `json:"served"`
+	Refused    int64 `json:"refused"`
+	Failed     int64 `json:"failed"`
+	Broken     int64 `json:"broken"`
+	Unanswered int64 `json:"unanswered"`
+	Unsent     int64 `json:"unsent"`
+}
+
+func (c *Counts) of(o Outcome) *int64 {
+	return [outcomes]*int64{&c.Served, &c.Refused, &c.Failed, &c.Broken, &c.Unanswered, &c.Unsent}[o]
+}
+
+func (c *Counts) add(o *Counts) {
+	c.Offered += o.Offered
+	for i := range outcomes {
+		*c.of(i) += *o.of(i)
+	}
+}
+
+// Share returns which part of what was offered came to an outcome, 0 to 1.
+func (c Counts) Share(o Outcome) float64 {
+	if c.Offered == 0 {
+		return 0
+	}
+	return float64(*c.of(o)) / float64(c.Offered)
+}
+
+// Times are percentiles of the time to an answer, in milliseconds.
+type Times struct {
+	P50  float64 `json:"p50_ms"`
+	P90  float64 `json:"p90_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	Max  float64 `json:"max_ms"`
+}
+
+// Second is what came of the requests that were due in one second of the run.
+type Second struct {
+	Counts
+	Times
+	Answered int64 `json:"answered"` // answers of any status that came in this second
+}
+
+// Result is what came of a plan.
+type Result struct {
+	Counts
+	Times                                // of what was served
+	Classes            map[string]Counts `json:"classes"`
+	ClassTimes         map[string]Times  `json:"class_times"` // of what was served
+	Seconds            []Second          `json:"seconds"`
+	ForS               float64           `json:"for_s"`
+	ServedPS           float64           `json:"served_ps"`     // a second, within the time in which requests were sent
+	Opened             int64             `json:"opened"`        // connections
+	OpenFailed         int64             `json:"open_failed"`   // dials that were refused or never came up
+	Resent             int64             `json:"resent"`        // requests that a closing link crossed, sent once more
+	OwnLateP99         float64           `json:"own_late_ms"`   // 99th percentile of how late this client sent though a link was free
+	Unread             int64             `json:"unread_format"` // answers in a form that this client does not read; part of failed
+	BeganMS            int64             `json:"began_ms"`      // Unix time
+	Histogram          string            `json:"histogram"`     // of what was served, in microseconds: HdrHistogram, V2, compressed, base64
+	served             *hdrhistogram.Histogram
+	classes            []*hdrhistogram.Histogram
+	late               *hdrhistogram.Histogram
+	seconds            []*hdrhistogram.Histogram
+	byClass            []Counts
+	servedInTime       int64
+	answeredBeyondTime int64
+}
+
+const longestUS = 600 * 1000 * 1000
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, longestUS, 3) }
+
+// newResult returns an empty one for a plan.
+func newResult(p *Plan) *Result {
+	r := &Result{served: newHistogram(), late: newHistogram(), byClass: make([]Counts, len(p.Classes))}
+	for range p.Classes {
+		r.classes = append(r.classes, newHistogram())
+	}
+	return r
+}
+
+// second returns the entry of a second from the start of the run.
+func (r *Result) second(at time.Duration) (*Second, *hdrhistogram.Histogram) {
+	i := max(int(at/time.Second), 0)
+	for len(r.Seconds) <= i {
+		r.Seconds = append(r.Seconds, Second{})
+		r.seconds = append(r.seconds, hdrhistogram.New(1, longestUS, 2))
+	}
+	return &r.Seconds[i], r.seconds[i]
+}
+
+// offered notes a request that was due at a time of the run.
+func (r *Result) offered(class int, due time.Duration) {
+	r.Offered++
+	r.byClass[class].Offered++
+	s, _ := r.second(due)
+	s.Offered++
+}
+
+// ended notes what came of it.
+func (r *Result) ended(class int, due, at, length time.Duration, o Outcome) {
+	*r.of(o)++
+	*r.byClass[class].of(o)++
+	s, h := r.second(due)
+	*s.of(o)++
+	if o <= Failed && at < length {
+		then, _ := r.second(at)
+		then.Answered++
+	}
+	if o != Served {
+		return
+	}
+	if at < length {
+		r.servedInTime++
+	}
+	us := max(int64((at-due)/time.Microsecond), 1)
+	_ = r.served.RecordValue(min(us, longestUS)) // fails only above longestUS
+	_ = r.classes[class].RecordValue(min(us, longestUS))
+	_ = h.RecordValue(min(us, longestUS))
+}
+
+func (r *Result) merge(o *Result) {
+	r.add(&o.Counts)
+	r.Opened, r.OpenFailed, r.Resent, r.Unread = r.Opened+o.Opened, r.OpenFailed+o.OpenFailed, r.Resent+o.Resent, r.Unread+o.Unread
+	r.servedInTime += o.servedInTime
+	r.served.Merge(o.served)
+	r.late.Merge(o.late)
+	for i := range o.byClass {
+		r.byClass[i].add(&o.byClass[i])
+		r.classes[i].Merge(o.classes[i])
+	}
+	for i := range o.Seconds {
+		s, h := r.second(time.Duration(i) * time.Second)
+		s.add(&o.Seconds[i].Counts)
+		s.Answered += o.Seconds[i].Answered
+		h.Merge(o.seconds[i])
+	}
+}
+
+// finish works out what is reported.
+func (r *Result) finish(p *Plan) error {
+	r.Classes, r.ClassTimes = map[string]Counts{}, map[string]Times{}
+	for i, c := range p.Classes {
+		r.Classes[c.Name] = r.byClass[i]
+		r.ClassTimes[c.Name] = times(r.classes[i])
+	}
+	for i := range r.Seconds {
+		r.Seconds[i].Times = times(r.seconds[i])
+	}
+	r.Times = times(r.served)
+	r.OwnLateP99 = float64(r.late.ValueAtQuantile(99)) / 1000
+	r.ForS = p.Length().Seconds()
+	r.ServedPS = float64(r.servedInTime) / r.ForS
+	raw, err := r.served.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	r.Histogram = string(raw)
+	return err
+}
+
+func times(h *hdrhistogram.Histogram) Times {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Times{at(50), at(90), at(99), at(99.9), float64(h.Max()) / 1000}
+}
+
+// Print writes the result as lines for people; with seconds also one line for each second.
+func (r *Result) Print(w io.Writer, seconds bool) {
+	fmt.Fprintf(w, "offered %d, served %d (%.2f %%, %.0f/s), refused %d (%.2f %%), failed %d, broken %d, unanswered %d, unsent %d\n",
+		r.Offered, r.Served, 100*r.Share(Served), r.ServedPS, r.Refused, 100*r.Share(Refused),
+		r.Failed, r.Broken, r.Unanswered, r.Unsent)
+	fmt.Fprintf(w, "time to an answer of what was served, ms: p50 %.2f, p90 %.2f, p99 %.2f, p99.9 %.2f, max %.2f\n",
+		r.P50, r.P90, r.P99, r.P999, r.Max)
+	fmt.Fprintf(w, "connections opened %d, dials failed %d, requests sent once more %d, sent late by this client itself: p99 %.2f ms\n",
+		r.Opened, r.OpenFailed, r.Resent, r.OwnLateP99)
+	if r.Unread > 0 {
+		fmt.Fprintf(w, "%d answers had a form that this client does not read\n", r.Unread)
+	}
+	if !seconds {
+		return
+	}
+	for i, s := range r.Seconds {
+		fmt.Fprintf(w, "%4d s: offered %6d, served %6d, refused %5d, failed %5d, other %5d, p50 %8.2f, p99 %8.2f, max %8.2f ms\n", i,
+			s.Offered, s.Served, s.Refused, s.Failed, s.Broken+s.Unanswered+s.Unsent, s.P50, s.P99, s.Max)
+	}
+}
--- /dev/null
+++ b/internal/lab/load/worker.go
@@ -0,0 +1,518 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// lookEvery is the time between two looks for requests whose client has lost patience and links to open again.
+	lookEvery = 20 * time.Millisecond
+	// dialAgain is how long a link that could not be opened rests.
+	dialAgain = 10 * time.Millisecond
+	// mostNew is how many connections for one request each a thread holds at most; the requests beyond them wait.
+	mostNew = 2000
+	// readyWithin is how long the kept links have to come up before the run begins.
+	readyWithin = 5 * time.Second
+)
+
+// worker is one thread with its own links, poll and figures.
+type worker struct {
+	plan     *Plan
+	ctx      context.Context
+	to, from unix.Sockaddr
+	family   int
+	rng      *rand.Rand
+	began    time.Time
+	length   time.Duration
+	closed   bool // loop: each link asks again
+	arrivals arrivals
+	next     time.Duration // when the next request is due
+	more     bool          // there is a next one
+
+	poll    int
+	links   map[int32]*link // by socket
+	kept    []*link
+	idle    []*link
+	fresh   int   // connections for one request each that are open
+	waiting []job // due, and no link was free
+	waitNew []job
+	out     int // requests that are sent and not answered
+	lookAt  time.Duration
+
+	shares  []float64 // of the classes, added up
+	request [][]byte  // of each class, with an id to be written at idAt
+	idAt    []int
+	keyAt   []int
+	buf     []byte
+	result  *Result
+}
+
+func newWorker(ctx context.Context, p *Plan, index int) (*worker, error) {
+	w := &worker{plan: p, ctx: ctx, length: p.Length(), closed: len(p.Stages) == 0, links: map[int32]*link{},
+		rng: rand.New(rand.NewPCG(p.Seed, uint64(index))), buf: make([]byte, 128<<10), result: newResult(p)}
+	var err error
+	if w.to, w.from, w.family, err = addresses(p); err != nil {
+		return nil, err
+	}
+	n := p.Links / p.Threads
+	if index < p.Links%p.Threads {
+		n++
+	}
+	for range n {
+		w.kept = append(w.kept, &link{fd: -1, kept: true})
+	}
+	total := 0.0
+	for _, c := range p.Classes {
+		total += c.Share
+		w.shares = append(w.shares, total)
+		w.template(c)
+	}
+	w.arrivals = arrivals{stages: p.Stages, share: 1 / float64(p.Threads), gap: func(mean float64) float64 { return mean }}
+	if p.Poisson {
+		w.arrivals.gap = func(mean float64) float64 { return mean * w.rng.ExpFloat64() }
+	} else if index > 0 && len(p.Stages) > 0 {
+		// The threads' even arrivals are set off against each other, so that together they are even, too.
+		first := true
+		w.arrivals.gap = func(mean float64) float64 {
+			if first {
+				first = false
+				return mean * float64(index) / float64(p.Threads)
+			}
+			return mean
+		}
+	}
+	w.poll, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	return w, err
+}
+
+// template prepares a class's request.
+func (w *worker) template(c Class) {
+	method := "POST"
+	if c.Safe {
+		method = "GET"
+	}
+	text := fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: service.internal\r\nRequest-Timeout: %dm\r\nRequest-Id: ",
+		method, c.Name, w.plan.Patience.Milliseconds())
+	w.idAt = append(w.idAt, len(text))
+	text += "0000000000000000\r\n"
+	key := -1
+	if c.Keyed {
+		text += "Idempotency-Key: "
+		key = len(text)
+		text += "0000000000000000\r\n"
+	}
+	w.keyAt = append(w.keyAt, key)
+	if c.Safe {
+		text += "\r\n"
+	} else {
+		text += fmt.Sprintf("Content-Length: %d\r\n\r\n", w.plan.Body)
+	}
+	b := []byte(text)
+	if !c.Safe {
+		for range w.plan.Body {
+			b = append(b, 'x')
+		}
+	}
+	w.request = append(w.request, b)
+}
+
+func (w *worker) now() time.Duration { return time.Since(w.began) }
+
+// run sends until the plan's time is over and then waits for what is out, no longer than the client's patience.
+func (w *worker) run(start <-chan time.Time, ready chan<- struct{}) {
+	runtime.LockOSThread() // the poll's short waits need a thread whose timers are exact
+	defer runtime.UnlockOSThread()
+	_ = unix.Prctl(unix.PR_SET_TIMERSLACK, 1, 0, 0, 0)
+	defer w.shut()
+	w.began = time.Now()
+	for _, l := range w.kept {
+		w.open(l)
+	}
+	// Danger: with the clock at nought links that come up are not put to work yet; see wake.
+	w.more = false
+	for until := w.now() + readyWithin; w.now() < until && w.countOpening() > 0 && w.ctx.Err() == nil; {
+		w.turn(until)
+	}
+	ready <- struct{}{}
+	w.began = <-start
+	for _, l := range w.kept {
+		l.again = 0 // what was noted before is of another clock
+	}
+	w.turnUntil(0)
+	w.next, w.more = w.arrivals.next()
+	if w.closed {
+		for _, l := range append([]*link(nil), w.idle...) {
+			w.wake(l)
+		}
+	}
+	for w.ctx.Err() == nil {
+		now := w.now()
+		if now >= w.length && (w.out == 0 && len(w.waiting) == 0 && len(w.waitNew) == 0 || now >= w.length+w.plan.Patience+lookEvery) {
+			break
+		}
+		for w.more && w.next <= now {
+			w.offer(w.next)
+			w.next, w.more = w.arrivals.next()
+		}
+		if now >= w.lookAt {
+			w.look(now)
+			w.lookAt = now + lookEvery
+		}
+		until := w.lookAt
+		if w.more {
+			until = min(until, w.next)
+		}
+		w.turn(until)
+	}
+	w.abandon()
+}
+
+// turnUntil handles what comes until a time of the run.
+func (w *worker) turnUntil(at time.Duration) {
+	for now := w.now(); now < at && w.ctx.Err() == nil; now = w.now() {
+		w.turn(at)
+	}
+}
+
+func (w *worker) countOpening() (n int) {
+	for _, l := range w.kept {
+		if l.state == opening {
+			n++
+		}
+	}
+	return n
+}
+
+// turn waits for sockets until a time of the run at the latest, and handles what they say.
+func (w *worker) turn(until time.Duration) {
+	var events [256]unix.EpollEvent
+	wait := unix.NsecToTimespec(max(int64(until-w.now()), 0))
+	n, _, errno := unix.Syscall6(unix.SYS_EPOLL_PWAIT2, uintptr(w.poll), uintptr(unsafe.Pointer(&events[0])),
+		uintptr(len(events)), uintptr(unsafe.Pointer(&wait)), 0, 0)
+	if errno != 0 {
+		return // interrupted by a signal
+	}
+	for _, e := range events[:n] {
+		if l := w.links[e.Fd]; l != nil {
+			w.event(l, e.Events)
+		}
+	}
+}
+
+// offer takes up a request that is due.
+func (w *worker) offer(due time.Duration) {
+	j := job{due: due, class: w.class()}
+	w.result.offered(j.class, due)
+	if w.plan.New > 0 && w.rng.Float64() < w.plan.New {
+		w.waitNew = append(w.waitNew, j)
+		w.openNew()
+		return
+	}
+	if l := w.free(); l != nil {
+		_ = w.result.late.RecordValue(max(int64((w.now()-due)/time.Microsecond), 1))
+		w.send(l, j)
+		return
+	}
+	w.waiting = append(w.waiting, j)
+}
+
+func (w *worker) class() int {
+	if len(w.shares) == 1 {
+		return 0
+	}
+	x := w.rng.Float64() * w.shares[len(w.shares)-1]
+	for i, s := range w.shares {
+		if x < s {
+			return i
+		}
+	}
+	return len(w.shares) - 1
+}
+
+// free takes the kept link that was used last of those that are free.
+func (w *worker) free() *link {
+	for n := len(w.idle); n > 0; n = len(w.idle) {
+		l := w.idle[n-1]
+		w.idle = w.idle[:n-1]
+		if l.state == idle {
+			return l
+		}
+	}
+	return nil
+}
+
+// wake gives a free link its next request, or lays it by.
+func (w *worker) wake(l *link) {
+	l.state = idle
+	switch {
+	case w.closed && w.result.BeganMS > 0 && w.now() < w.length:
+		j := job{due: w.now(), class: w.class()}
+		w.result.offered(j.class, j.due)
+		w.send(l, j)
+	case len(w.waiting) > 0:
+		j := w.waiting[0]
+		w.waiting = w.waiting[1:]
+		w.send(l, j)
+	default:
+		w.idle = append(w.idle, l)
+	}
+}
+
+// openNew opens connections for the requests that each want their own.
+func (w *worker) openNew() {
+	for len(w.waitNew) > 0 && w.fresh < mostNew {
+		l := &link{fd: -1, has: true, job: w.waitNew[0]}
+		w.waitNew = w.waitNew[1:]
+		w.fresh++
+		w.open(l)
+	}
+}
+
+// open begins to open a link.
+func (w *worker) open(l *link) {
+	fd, err := dial(w.to, w.from, w.family)
+	if err == nil {
+		err = unix.EpollCtl(w.poll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Fd: int32(fd),
+			Events: unix.EPOLLIN | unix.EPOLLOUT | unix.EPOLLRDHUP | edge})
+		if err != nil {
+			unix.Close(fd)
+		}
+	}
+	if err != nil {
+		w.result.OpenFailed++
+		w.lost(l)
+		return
+	}
+	l.fd, l.state, l.carried = fd, opening, 0
+	w.links[int32(fd)] = l
+}
+
+const edge = 1 << 31 // EPOLLET, which the package has as a negative number
+
+// event handles what a socket says.
+func (w *worker) event(l *link, events uint32) {
+	if l.state == opening {
+		if events&(unix.EPOLLOUT|unix.EPOLLERR|unix.EPOLLHUP) == 0 {
+			return
+		}
+		if code, err := unix.GetsockoptInt(l.fd, unix.SOL_SOCKET, unix.SO_ERROR); err != nil || code != 0 {
+			w.result.OpenFailed++
+			w.close(l)
+			w.lost(l)
+			return
+		}
+		w.result.Opened++
+		if l.has {
+			l.state = idle
+			w.send(l, l.job)
+		} else {
+			w.wake(l)
+		}
+		if l.state == down {
+			return
+		}
+	}
+	if events&unix.EPOLLOUT != 0 && len(l.pending) > 0 {
+		w.write(l, l.pending)
+	}
+	if l.fd >= 0 && events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
+		w.read(l, events&(unix.EPOLLRDHUP|unix.EPOLLERR|unix.EPOLLHUP) != 0)
+	}
+}
+
+// send writes a request on a link that is free.
+func (w *worker) send(l *link, j job) {
+	b := w.request[j.class]
+	hex(b[w.idAt[j.class]:], w.rng.Uint64())
+	if at := w.keyAt[j.class]; at >= 0 {
+		hex(b[at:], w.rng.Uint64())
+	}
+	l.state, l.has, l.job = busy, true, j
+	l.reply.reset()
+	w.out++
+	w.write(l, b)
+}
+
+func hex(b []byte, x uint64) {
+	const digits = "0123456789abcdef"
+	for i := range 16 {
+		b[i] = digits[x>>(60-4*i)&15]
+	}
+}
+
+// write sends what the socket takes and keeps the rest for when it takes more. An error shows at the next read.
+func (w *worker) write(l *link, b []byte) {
+	n, err := unix.Write(l.fd, b)
+	if err != nil {
+		n = 0
+	}
+	if n < len(b) {
+		l.pending = append([]byte(nil), b[n:]...)
+	} else {
+		l.pending = nil
+	}
+}
+
+// read takes what the socket holds; ended says that it may have come to its end.
+func (w *worker) read(l *link, ended bool) {
+	fd := l.fd
+	for l.fd == fd {
+		n, err := unix.Read(fd, w.buf)
+		switch {
+		case err == unix.EINTR:
+			continue
+		case err == unix.EAGAIN:
+			return
+		case err != nil || n == 0:
+			w.ended(l)
+			return
+		}
+		if l.state == busy && l.reply.take(w.buf[:n]) {
+			w.answered(l)
+		}
+		if n < len(w.buf) && !ended {
+			return
+		}
+	}
+}
+
+// answered notes a whole answer and frees the link.
+func (w *worker) answered(l *link) {
+	o := l.reply.outcome()
+	if l.reply.odd {
+		w.result.Unread++
+	}
+	last := l.reply.last || l.reply.odd || !l.kept
+	w.done(l, o)
+	l.carried++
+	if last {
+		w.close(l)
+		w.lost(l)
+		return
+	}
+	w.wake(l)
+}
+
+// done notes what came of a link's request.
+func (w *worker) done(l *link, o Outcome) {
+	w.out--
+	l.has = false
+	w.result.ended(l.job.class, l.job.due, w.now(), w.length, o)
+}
+
+// ended takes the end of a connection by the other side.
+func (w *worker) ended(l *link) {
+	was, began, carried := l.state, l.reply.any, l.carried
+	w.close(l)
+	if was == busy {
+		if carried > 0 && !began && !l.job.again {
+			// The sidecar may close a link that rests, and this crossed the request: it is sent once more on a new one.
+			w.out--
+			w.result.Resent++
+			l.job.again = true
+			extra := &link{fd: -1, has: true, job: l.job}
+			l.has = false
+			w.fresh++
+			w.open(extra)
+		} else {
+			w.done(l, Broken)
+		}
+	}
+	w.lost(l)
+}
+
+// close closes a link's socket.
+func (w *worker) close(l *link) {
+	if l.fd >= 0 {
+		delete(w.links, int32(l.fd))
+		unix.Close(l.fd)
+	}
+	l.fd, l.state, l.pending = -1, down, nil
+}
+
+// lost decides what follows on a link that has no socket: a kept one is opened again, at once if it was up.
+func (w *worker) lost(l *link) {
+	if !l.kept {
+		w.fresh--
+		if l.has { // it never came up
+			w.result.ended(l.job.class, l.job.due, w.now(), w.length, Unsent)
+			l.has = false
+		}
+		if len(w.waitNew) > 0 {
+			w.openNew()
+		}
+		return
+	}
+	if l.again = w.now(); l.carried == 0 {
+		l.again += dialAgain // Danger: a sidecar that refuses, or closes at once, would be asked without a pause
+		return
+	}
+	l.carried = 0
+	if w.now() < w.length {
+		w.open(l)
+	}
+}
+
+// look opens links again, and ends what the client has waited for in vain.
+func (w *worker) look(now time.Duration) {
+	for _, l := range w.kept {
+		if l.state == down && l.again <= now && now < w.length {
+			w.open(l)
+		}
+	}
+	oldest := now - w.plan.Patience
+	for _, l := range w.links {
+		if l.has && l.job.due <= oldest {
+			w.giveUp(l)
+		}
+	}
+	w.waiting = w.unsent(w.waiting, oldest)
+	w.waitNew = w.unsent(w.waitNew, oldest)
+}
+
+// giveUp leaves a request as a client does that has waited long enough: it closes the connection.
+func (w *worker) giveUp(l *link) {
+	sent := l.state == busy
+	w.close(l)
+	if sent {
+		w.done(l, Unanswered)
+	}
+	w.lost(l)
+}
+
+// unsent ends the requests that were due before a time and never found a link, and returns the others.
+func (w *worker) unsent(jobs []job, oldest time.Duration) []job {
+	i := 0
+	for ; i < len(jobs) && jobs[i].due <= oldest; i++ {
+		w.result.ended(jobs[i].class, jobs[i].due, w.now(), w.length, Unsent)
+	}
+	return jobs[i:]
+}
+
+// abandon ends what is left when the run ends.
+func (w *worker) abandon() {
+	for _, l := range w.links {
+		if l.has && l.state == busy {
+			w.done(l, Unanswered)
+		} else if l.has {
+			w.result.ended(l.job.class, l.job.due, w.now(), w.length, Unsent)
+		}
+	}
+	w.unsent(w.waiting, 1<<62)
+	w.unsent(w.waitNew, 1<<62)
+}
+
+// shut closes all sockets.
+func (w *worker) shut() {
+	for _, l := range w.links {
+		unix.Close(l.fd)
+	}
+	unix.Close(w.poll)
+}
--- /dev/null
+++ b/internal/lab/standin/config.go
@@ -0,0 +1,53 @@
+package standin
+
+import "encoding/json"
+
+// Sidecar is what a sidecar beside the stand-ins is told.
+type Sidecar struct {
+	Name, Listen, Discovery string
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Pushed                  bool // discovery pushes; otherwise it is asked
+	Zones                   []string
+	Replicas, Self          int
+}
+
+// Classes of the configuration, as the shipped example has them.
+const (
+	SafeClass   = "latest-reading"
+	KeyedClass  = "raise-alert"
+	UnsafeClass = "log-calibration"
+)
+
+type object = map[string]any
+
+// Config returns the text of the sidecar's configuration file.
+func (s *Sidecar) Config() ([]byte, error) {
+	discovery := "on_request"
+	if s.Pushed {
+		discovery = "pushed"
+	}
+	return json.MarshalIndent(object{
+		"name": s.Name, "listen": s.Listen, "discovery": s.Discovery, "seed": "8c1f30d27a5be964",
+		"limits": object{"cores": s.Cores, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
+		"known":  object{"index": 0, "snapshot": true, "endpoints": []any{}},
+		"settings": object{
+			"classes": []object{
+				{"name": SafeClass, "effect": "free", "dedupScope": "all", "giveUpS": 3.0, "objectiveS": 0.6,
+					"importance": 1.0, "lateWorth": 0.2, "windowS": 5.0},
+				{"name": UnsafeClass, "effect": "single_shot", "dedupScope": "all", "giveUpS": 3.0, "objectiveS": 1.0,
+					"importance": 5.0, "lateWorth": 0.3, "windowS": 5.0},
+				{"name": KeyedClass, "effect": "guarded", "dedupScope": "zone", "giveUpS": 2.5, "objectiveS": 1.0,
+					"importance": 10.0, "lateWorth": 0.25, "windowS": 12.0},
+			},
+			"dcs": s.Zones, "locality": 0, "deductions": object{"crossZone": 0.06},
+			"hostTypes": []string{"large", "medium", "small"}, "discovery": discovery,
+			"limits": object{"cancel": true, "probes": true, "secondCopies": false, "sendCap": 3, "connIdleS": 5.0,
+				"connectTimeoutS": 0.25, "maxRetryAfterS": 1.5, "retryAfter": true},
+			"obligations": object{"answerSlackS": 0.02, "askWithinS": 10.0, "drainGraceS": 0.75, "coldFrom": 0.14,
+				"coldS": 24.0, "fallMultiple": 2.5, "fallS": 1.0},
+			"replicasOfMe": max(s.Replicas, 1), "selfIndex": s.Self,
+			"report": object{"how": "off"}, "roundS": 0.005, "weights": "rough",
+		},
+	}, "", "  ")
+}
--- /dev/null
+++ b/internal/lab/standin/discovery.go
@@ -0,0 +1,66 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+)
+
+// quietEvery is how often a watch brings an empty line while nothing changes.
+const quietEvery = 2 * time.Second
+
+// Discovery lists boxes at an address, also to watches, until Close.
+type Discovery struct {
+	server http.Server
+	done   chan struct{}
+	boxes  []Box
+}
+
+// StartDiscovery begins to list.
+func StartDiscovery(address string, boxes []Box) (*Discovery, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	d := &Discovery{done: make(chan struct{}), boxes: boxes}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/endpoints", d.list)
+	d.server.Handler = mux
+	go d.server.Serve(l) // returns when the server is closed
+	return d, nil
+}
+
+// Close ends the watches and the listening.
+func (d *Discovery) Close() error {
+	close(d.done)
+	return d.server.Close()
+}
+
+// listIndex is the version of the list, which never changes.
+const listIndex = 1
+
+// list answers with the whole list, and goes on with empty lines where a watch is asked for.
+func (d *Discovery) list(w http.ResponseWriter, r *http.Request) {
+	follow := r.FormValue("follow") == "1"
+	if !follow || r.FormValue("since") != "1" {
+		if err := json.NewEncoder(w).Encode(map[string]any{"index": listIndex, "snapshot": true, "endpoints": d.boxes}); err != nil {
+			return
+		}
+	}
+	tick := time.NewTicker(quietEvery)
+	defer tick.Stop()
+	for follow {
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-d.done:
+			return
+		case <-tick.C:
+			w.Write([]byte("\n"))
+		}
+	}
+}
