--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -24,6 +24,7 @@
 		Commands: []*cli.Command{
 			standinCommand(),
 			loadCommand(),
+			floodCommand(),
 		},
 	}
 }
--- a/internal/lab/load/link.go
+++ b/internal/lab/load/link.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // linkState says what a connection is about.
@@ -138,25 +136,3 @@
 	}
 	return Failed
 }
-
-// dial begins to open a socket to an address, from another one if that is given.
-func dial(to, from unix.Sockaddr, family int) (fd int, err error) {
-	fd, err = unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return -1, err
-	}
-	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-	if from != nil {
-		// Danger: without this the port is chosen at the bind, for all targets at once, and ports run out early.
-		_ = unix.SetsockoptInt(fd, unix.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1)
-		if err := unix.Bind(fd, from); err != nil {
-			unix.Close(fd)
-			return -1, err
-		}
-	}
-	if err := unix.Connect(fd, to); err != nil && err != unix.EINPROGRESS {
-		unix.Close(fd)
-		return -1, err
-	}
-	return fd, nil
-}
--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -67,8 +67,12 @@
 			return fmt.Errorf("%s", c.what)
 		}
 	}
-	if _, err := netip.ParseAddrPort(p.Target); err != nil {
+	target, err := netip.ParseAddrPort(p.Target)
+	switch {
+	case err != nil:
 		return fmt.Errorf("target: %q is not an address and port", p.Target)
+	case p.From.IsValid() && p.From.Is6() != target.Addr().Is6():
+		return fmt.Errorf("from: %s and the target %s are not of one family", p.From, p.Target)
 	}
 	for _, c := range p.Classes {
 		if c.Name == "" || c.Share <= 0 {
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"fmt"
-	"net/netip"
 	"sync"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // Run carries out a plan. It returns when its time is over and what is out has been answered, at most the client's
@@ -49,29 +45,3 @@
 	}
 	return sum, ctx.Err()
 }
-
-// addresses returns where a plan's connections go and where they come from.
-func addresses(p *Plan) (to, from unix.Sockaddr, family int, err error) {
-	target, err := netip.ParseAddrPort(p.Target)
-	if err != nil {
-		return nil, nil, 0, err
-	}
-	family = unix.AF_INET
-	if target.Addr().Is6() {
-		family = unix.AF_INET6
-	}
-	if p.From.IsValid() {
-		if p.From.Is6() != target.Addr().Is6() {
-			return nil, nil, 0, fmt.Errorf("from: %s and the target %s are not of one family", p.From, p.Target)
-		}
-		from = sockaddr(netip.AddrPortFrom(p.From, 0))
-	}
-	return sockaddr(target), from, family, nil
-}
-
-func sockaddr(a netip.AddrPort) unix.Sockaddr {
-	if a.Addr().Is6() {
-		return &unix.SockaddrInet6{Port: int(a.Port()), Addr: a.Addr().As16()}
-	}
-	return &unix.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()}
-}
--- a/internal/lab/load/worker.go
+++ b/internal/lab/load/worker.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"runtime"
 	"time"
 	"unsafe"
 
 	"golang.org/x/sys/unix"
+
+	"hazelwheel/internal/lab/sock"
 )
 
 const (
@@ -26,8 +29,7 @@
 type worker struct {
 	plan     *Plan
 	ctx      context.Context
-	to, from unix.Sockaddr
-	family   int
+	to       netip.AddrPort
 	rng      *rand.Rand
 	began    time.Time
 	length   time.Duration
@@ -58,7 +60,7 @@
 	w := &worker{plan: p, ctx: ctx, length: p.Length(), closed: len(p.Stages) == 0, links: map[int32]*link{},
 		rng: rand.New(rand.NewPCG(p.Seed, uint64(index))), buf: make([]byte, 128<<10), result: newResult(p)}
 	var err error
-	if w.to, w.from, w.family, err = addresses(p); err != nil {
+	if w.to, err = netip.ParseAddrPort(p.Target); err != nil {
 		return nil, err
 	}
 	n := p.Links / p.Threads
@@ -277,7 +279,7 @@
 
 // open begins to open a link.
 func (w *worker) open(l *link) {
-	fd, err := dial(w.to, w.from, w.family)
+	fd, err := sock.Dial(w.to, w.plan.From)
 	if err == nil {
 		err = unix.EpollCtl(w.poll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Fd: int32(fd),
 			Events: unix.EPOLLIN | unix.EPOLLOUT | unix.EPOLLRDHUP | edge})
