--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -25,6 +25,7 @@
 			standinCommand(),
 			loadCommand(),
 			floodCommand(),
+			proxyCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/lab/process/process.go
@@ -0,0 +1,218 @@
+// Package process starts the laboratory's child processes on cores of their own and sees to it that none stays behind.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Spec is a process to be started.
+type Spec struct {
+	Name  string // what errors call it
+	Path  string
+	Args  []string
+	Cores []int     // the cores it may run on; none: all
+	Out   io.Writer // standard output; nil: dropped
+	Log   io.Writer // standard error; nil: dropped
+}
+
+// Child is a process that was started.
+type Child struct {
+	name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error // of Wait, once done is closed
+}
+
+// Group is the processes of one run.
+type Group struct {
+	mu       sync.Mutex
+	children []*Child
+}
+
+// starts are carried out by one thread that lasts as long as the program. Danger: a child dies with the thread that
+// started it (Pdeathsig), and the cores that it may use are its thread's.
+var (
+	starts    = make(chan func())
+	startOnce sync.Once
+)
+
+func onStarter(f func()) {
+	startOnce.Do(func() {
+		go func() {
+			runtime.LockOSThread()
+			for g := range starts {
+				g()
+			}
+		}()
+	})
+	done := make(chan struct{})
+	starts <- func() { defer close(done); f() }
+	<-done
+}
+
+// Start starts a process. It gets a group of its own, so that Ctrl-C at the terminal reaches the laboratory alone, which
+// then ends it in order; and it is killed should the laboratory itself be killed.
+func (g *Group) Start(s Spec) (*Child, error) {
+	c := &Child{name: s.Name, cmd: exec.Command(s.Path, s.Args...), done: make(chan struct{})}
+	c.cmd.Stdout, c.cmd.Stderr = s.Out, s.Log
+	c.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	var err error
+	onStarter(func() {
+		var before, set unix.CPUSet
+		if len(s.Cores) > 0 {
+			if err = unix.SchedGetaffinity(0, &before); err != nil {
+				return
+			}
+			for _, core := range s.Cores {
+				set.Set(core)
+			}
+			if err = unix.SchedSetaffinity(0, &set); err != nil {
+				err = fmt.Errorf("cores %v: %w", s.Cores, err)
+				return
+			}
+			defer unix.SchedSetaffinity(0, &before)
+		}
+		err = c.cmd.Start()
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", s.Name, err)
+	}
+	go func() {
+		c.err = c.cmd.Wait()
+		close(c.done)
+	}()
+	g.mu.Lock()
+	g.children = append(g.children, c)
+	g.mu.Unlock()
+	return c, nil
+}
+
+// End kills what still runs of the group and waits for it.
+func (g *Group) End() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.children {
+		select {
+		case <-c.done:
+		default:
+			_ = c.cmd.Process.Kill() // fails only where it has ended
+		}
+	}
+	for _, c := range g.children {
+		<-c.done
+	}
+	g.children = nil
+}
+
+// Signal sends a signal to a process.
+func (c *Child) Signal(s syscall.Signal) error { return c.cmd.Process.Signal(s) }
+
+// Done is closed when the process has ended.
+func (c *Child) Done() <-chan struct{} { return c.done }
+
+// ErrStillRuns says that a process has not ended by the time it was given.
+var ErrStillRuns = errors.New("still runs")
+
+// Wait waits for the process's end and returns how it ended; ErrStillRuns at the given time, or ctx's error before.
+func (c *Child) Wait(ctx context.Context, by time.Time) error {
+	timer := time.NewTimer(time.Until(by))
+	defer timer.Stop()
+	select {
+	case <-c.done:
+	case <-timer.C:
+		return fmt.Errorf("%s: %w", c.name, ErrStillRuns)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if c.err != nil {
+		return fmt.Errorf("%s: %w", c.name, c.err)
+	}
+	return nil
+}
+
+// Usage is what a process has used.
+type Usage struct {
+	RSS, Peak int64         // bytes of memory now and at most
+	CPU       time.Duration // by all its threads, user and system
+}
+
+// Usage returns what a running process has used; an error where it has ended.
+func (c *Child) Usage() (u Usage, err error) {
+	dir := "/proc/" + strconv.Itoa(c.cmd.Process.Pid) + "/"
+	status, err := os.ReadFile(dir + "status")
+	if err != nil {
+		return u, fmt.Errorf("%s: %w", c.name, err)
+	}
+	for line := range strings.Lines(string(status)) {
+		name, rest, _ := strings.Cut(line, ":")
+		if name == "VmRSS" || name == "VmHWM" {
+			kb, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			if err != nil {
+				return u, err
+			}
+			if name == "VmRSS" {
+				u.RSS = kb << 10
+			} else {
+				u.Peak = kb << 10
+			}
+		}
+	}
+	stat, err := os.ReadFile(dir + "stat")
+	if err != nil {
+		return u, fmt.Errorf("%s: %w", c.name, err)
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	for _, f := range fields[11:13] { // utime and stime, in hundredths of a second
+		ticks, err := strconv.ParseInt(f, 10, 64)
+		if err != nil {
+			return u, err
+		}
+		u.CPU += time.Duration(ticks) * 10 * time.Millisecond
+	}
+	return u, nil
+}
+
+// Ready waits until an address takes connections, until a process ends or until the given time.
+func (c *Child) Ready(ctx context.Context, address string, by time.Time) error {
+	for {
+		conn, err := net.DialTimeout("tcp", address, time.Until(by))
+		if err == nil {
+			return conn.Close()
+		}
+		select {
+		case <-c.done:
+			return fmt.Errorf("%s ended before it listened at %s: %v", c.name, address, c.err)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(5 * time.Millisecond):
+		}
+		if time.Now().After(by) {
+			return fmt.Errorf("%s does not listen at %s: %w", c.name, address, err)
+		}
+	}
+}
+
+// FreePort returns a port that nobody listens at on a loopback address. Danger: another may take it before it is used;
+// whoever starts a listener there learns it from its error.
+func FreePort(address string) (int, error) {
+	l, err := net.Listen("tcp", address+":0")
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port, nil
+}
