--- /dev/null
+++ b/cmd/hazellab/pressure.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"runtime"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"hazelwheel/internal/lab/pressure"
+)
+
+func pressureCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "pressure",
+		Usage: "measure what a sidecar does when it is pressed: floods, load beyond its core, drains, answers nobody reads",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "binary", Required: true, Usage: "the hazelwheel `FILE` to measure"},
+			&cli.StringFlag{Name: "vs", Usage: "another hazelwheel `FILE`, measured in turns with the first"},
+			&cli.StringSliceFlag{Name: "beside", Usage: "a plain balancer to measure where that makes sense: a kind of hazellab proxy"},
+			&cli.StringFlag{Name: "cores", Value: "2,3,4-5,6-7", Usage: "the cores of the program, the boxes, the load and the flood; none: left to the system"},
+			&cli.IntFlag{Name: "repeats", Value: 1, Usage: "runs of each"},
+			&cli.StringFlag{Name: "only", Usage: "a `REGEXP` of the measurements' names"},
+			&cli.StringFlag{Name: "json", Usage: "write all values to this `FILE`, too"},
+		},
+		Action: runPressure,
+	}
+}
+
+func runPressure(ctx context.Context, c *cli.Command) error {
+	s := pressure.Settings{Repeats: c.Int("repeats"), Say: os.Stderr}
+	if s.Repeats < 1 || s.Repeats > 100 {
+		return fault(fmt.Errorf("repeats: %d, not 1 to 100", s.Repeats))
+	}
+	var err error
+	if text := c.String("only"); text != "" {
+		if s.Only, err = regexp.Compile(text); err != nil {
+			return fault(fmt.Errorf("only: %w", err))
+		}
+	}
+	if s.Cores, err = parseCores(c.String("cores")); err != nil {
+		return fault(err)
+	}
+	for _, path := range []string{c.String("binary"), c.String("vs")} {
+		if path == "" {
+			continue
+		}
+		if path, err = filepath.Abs(path); err != nil {
+			return err
+		}
+		if _, err := os.Stat(path); err != nil {
+			return fault(err)
+		}
+		s.Programs = append(s.Programs, pressure.Program{Name: filepath.Base(path), Path: path})
+	}
+	if len(s.Programs) == 2 && s.Programs[0].Name == s.Programs[1].Name {
+		s.Programs[0].Name, s.Programs[1].Name = s.Programs[0].Name+" A", s.Programs[1].Name+" B"
+	}
+	for _, kind := range c.StringSlice("beside") {
+		s.Programs = append(s.Programs, pressure.Program{Name: kind, Proxy: kind})
+	}
+	if s.Self, err = os.Executable(); err != nil {
+		return err
+	}
+	if s.Dir, err = os.MkdirTemp("", "hazellab"); err != nil {
+		return err
+	}
+	defer os.RemoveAll(s.Dir)
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	rows, err := pressure.Run(ctx, &s)
+	pressure.Table(c.Root().Writer, rows, s.Programs)
+	fmt.Fprintf(c.Root().Writer, "\n%d cores, %s; program, boxes, load and flood on cores %s; %d runs each, in turns; load average at the end %s\n",
+		runtime.NumCPU(), runtime.Version(), c.String("cores"), s.Repeats, loadAverage())
+	if err != nil {
+		fmt.Fprintln(c.Root().Writer, "\nPartial: it ended before its time.")
+	}
+	if path := c.String("json"); path != "" {
+		raw, jsonErr := json.MarshalIndent(rows, "", " ")
+		if jsonErr == nil {
+			jsonErr = os.WriteFile(path, raw, 0o644)
+		}
+		if err == nil {
+			err = jsonErr
+		}
+	}
+	return err
+}
+
+func loadAverage() string {
+	raw, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return strings.Join(strings.Fields(string(raw))[:3], " ")
+}
+
+// parseCores reads four lists of cores, like 2,3,4-5,6-7.
+func parseCores(text string) (c pressure.Cores, err error) {
+	if text == "none" {
+		return c, nil
+	}
+	parts := strings.Split(text, ",")
+	if len(parts) != 4 {
+		return c, fmt.Errorf("cores: %q is not four parts", text)
+	}
+	for i, to := range []*[]int{&c.Program, &c.Boxes, &c.Load, &c.Flood} {
+		from, end, ranged := strings.Cut(parts[i], "-")
+		if !ranged {
+			end = from
+		}
+		a, err1 := strconv.Atoi(from)
+		b, err2 := strconv.Atoi(end)
+		if err1 != nil || err2 != nil || a < 0 || b < a || b >= 1024 {
+			return c, fmt.Errorf("cores: %q is neither a core nor a range", parts[i])
+		}
+		for ; a <= b; a++ {
+			*to = append(*to, a)
+		}
+	}
+	return c, nil
+}
--- a/internal/lab/load/result.go
+++ b/internal/lab/load/result.go
@@ -40,7 +40,8 @@
 	return [outcomes]*int64{&c.Served, &c.Refused, &c.Failed, &c.Broken, &c.Unanswered, &c.Unsent}[o]
 }
 
-func (c *Counts) add(o *Counts) {
+// Add adds others to the counts.
+func (c *Counts) Add(o *Counts) {
 	c.Offered += o.Offered
 	for i := range outcomes {
 		*c.of(i) += *o.of(i)
@@ -150,18 +151,18 @@
 }
 
 func (r *Result) merge(o *Result) {
-	r.add(&o.Counts)
+	r.Add(&o.Counts)
 	r.Opened, r.OpenFailed, r.Resent, r.Unread = r.Opened+o.Opened, r.OpenFailed+o.OpenFailed, r.Resent+o.Resent, r.Unread+o.Unread
 	r.servedInTime += o.servedInTime
 	r.served.Merge(o.served)
 	r.late.Merge(o.late)
 	for i := range o.byClass {
-		r.byClass[i].add(&o.byClass[i])
+		r.byClass[i].Add(&o.byClass[i])
 		r.classes[i].Merge(o.classes[i])
 	}
 	for i := range o.Seconds {
 		s, h := r.second(time.Duration(i) * time.Second)
-		s.add(&o.Seconds[i].Counts)
+		s.Add(&o.Seconds[i].Counts)
 		s.Answered += o.Seconds[i].Answered
 		h.Merge(o.seconds[i])
 	}
