Let boxes work on so many requests at a time and be in trouble, and test the laboratory's clients

An experiment needs boxes that have a capacity and can hang, crash, slow down and err; load counts what was served by its worth and in steps of any length.

--- a/cmd/hazellab/load.go
+++ b/cmd/hazellab/load.go
@@ -36,7 +36,9 @@
 			&cli.DurationFlag{Name: "patience", Value: 2 * time.Second, Usage: "the Request-Timeout"},
 			&cli.IntFlag{Name: "threads", Value: 1, Usage: "threads, each with its share of links and rate"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of ids, classes and arrivals"},
-			&cli.BoolFlag{Name: "seconds", Usage: "print a line for each second, too"},
+			&cli.DurationFlag{Name: "step", Value: time.Second, Usage: "length of the series' steps"},
+			&cli.BoolFlag{Name: "steps", Usage: "print a line for each step, too"},
+			&cli.StringFlag{Name: "plan", Usage: "take all that is asked, but for --target, from this `FILE` of JSON"},
 			&cli.StringFlag{Name: "json", Usage: "write the whole result to this `FILE`; - for standard output, in place of the lines"},
 		},
 		Action: runLoad,
@@ -44,22 +46,10 @@
 }
 
 func runLoad(ctx context.Context, c *cli.Command) error {
-	p := load.Plan{Target: c.String("target"), For: c.Duration("for"), Poisson: c.Bool("poisson"), Links: c.Int("links"),
-		New: c.Float("new"), Body: c.Int("body"), Patience: c.Duration("patience"), Threads: c.Int("threads"), Seed: c.Uint64("seed")}
-	var err error
-	if p.Classes, err = parseClasses(c.String("class")); err != nil {
+	p, err := planOf(c)
+	if err != nil {
 		return fault(err)
 	}
-	if text := c.String("rate"); text != "" {
-		if p.Stages, err = parseStages(text, p.For); err != nil {
-			return fault(err)
-		}
-	}
-	if text := c.String("from"); text != "" {
-		if p.From, err = netip.ParseAddr(text); err != nil {
-			return fault(fmt.Errorf("from: %w", err))
-		}
-	}
 	if err := p.Err(); err != nil {
 		return fault(err)
 	}
@@ -74,7 +64,7 @@
 	}
 	path := c.String("json")
 	if path != "-" {
-		r.Print(c.Root().Writer, c.Bool("seconds"))
+		r.Print(c.Root().Writer, c.Bool("steps"))
 	}
 	if path != "" {
 		raw, jsonErr := json.Marshal(r)
@@ -90,6 +80,38 @@
 	return err
 }
 
+// planOf returns what the command line asks for.
+func planOf(c *cli.Command) (p load.Plan, err error) {
+	if path := c.String("plan"); path != "" {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			return p, err
+		}
+		if err := json.Unmarshal(raw, &p); err != nil {
+			return p, fmt.Errorf("%s: %w", path, err)
+		}
+		p.Target = c.String("target")
+		return p, nil
+	}
+	p = load.Plan{Target: c.String("target"), For: c.Duration("for"), Poisson: c.Bool("poisson"), Links: c.Int("links"),
+		New: c.Float("new"), Body: c.Int("body"), Patience: c.Duration("patience"), Threads: c.Int("threads"),
+		Seed: c.Uint64("seed"), Step: c.Duration("step")}
+	if p.Classes, err = parseClasses(c.String("class")); err != nil {
+		return p, err
+	}
+	if text := c.String("rate"); text != "" {
+		if p.Stages, err = parseStages(text, p.For); err != nil {
+			return p, err
+		}
+	}
+	if text := c.String("from"); text != "" {
+		if p.From, err = netip.ParseAddr(text); err != nil {
+			return p, fmt.Errorf("from: %w", err)
+		}
+	}
+	return p, nil
+}
+
 // parseClasses reads classes like raise-alert=1,other:safe=3.
 func parseClasses(text string) ([]load.Class, error) {
 	var all []load.Class
--- /dev/null
+++ b/cmd/hazellab/main_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/lab/load"
+)
+
+// The tests start this test binary again as the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("RUN_HAZELLAB") != "" {
+		main()
+		return
+	}
+	os.Setenv("RUN_HAZELLAB", "1") // of the children, and theirs
+	os.Exit(m.Run())
+}
+
+// program is a command of the laboratory that runs.
+type program struct {
+	*exec.Cmd
+	out, err bytes.Buffer
+}
+
+func start(t *testing.T, args ...string) *program {
+	p := &program{Cmd: exec.Command(os.Args[0], args...)}
+	p.Stdout, p.Stderr = &p.out, &p.err
+	require.NoError(t, p.Start())
+	t.Cleanup(func() { _ = p.Process.Kill(); _ = p.Wait() })
+	return p
+}
+
+// ends waits for a command and returns its exit code.
+func ends(t *testing.T, args ...string) (code int, out, log string) {
+	p := start(t, args...)
+	_ = p.Wait()
+	return p.ProcessState.ExitCode(), p.out.String(), p.err.String()
+}
+
+// A client that is itself stopped for half a second shows it as waiting, not as requests that were never due.
+func TestClientThatStalls(t *testing.T) {
+	const stall = 500 * time.Millisecond
+	box := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "0") }))
+	defer box.Close()
+	p := start(t, "load", "--target", box.Listener.Addr().String(), "--rate", "200", "--for", "1500ms", "--links", "4", "--json", "-")
+	time.Sleep(600 * time.Millisecond)
+	require.NoError(t, p.Process.Signal(syscall.SIGSTOP))
+	time.Sleep(stall)
+	require.NoError(t, p.Process.Signal(syscall.SIGCONT))
+	require.NoError(t, p.Wait())
+	var r load.Result
+	require.NoError(t, json.Unmarshal(p.out.Bytes(), &r))
+	assert.InDelta(t, 300, r.Offered, 2)
+	assert.Equal(t, r.Offered, r.Served)
+	assert.Greater(t, r.Max, 0.9*float64(stall/time.Millisecond))
+	// A third of all requests were due within the stall and waited for half of it on average.
+	assert.Greater(t, r.P90, 0.5*float64(stall/time.Millisecond))
+	assert.Less(t, r.P50, 0.5*float64(stall/time.Millisecond))
+}
+
+// What a command is told wrong is one line that names it, and exit code 2.
+func TestBadFlags(t *testing.T) {
+	for _, c := range []struct{ args, says string }{
+		{"load --rate=-5", "rate"},
+		{"load --rate ten", "rate"},
+		{"load --rate 10:5", "rate"},
+		{"load --class reading", "class"},
+		{"load --class reading:safe=0", "class"},
+		{"load --from nowhere", "from"},
+		{"load --links 0", "links"},
+		{"flood --kind biblical", "kind"},
+		{"flood --from 10.0.0.1", "from"},
+		{"flood --links 30000", "links"},
+		{"standin --boxes 0", "boxes"},
+		{"standin --base 10.0.0.1", "base"},
+		{"proxy --kind best", "kind"},
+		{"proxy --kind fasthttp --retries 1", "retries"},
+		{"pressure --binary /nowhere", "/nowhere"},
+		{"pressure --binary /dev/null --cores 1,2", "cores"},
+	} {
+		t.Run(c.args, func(t *testing.T) {
+			t.Parallel()
+			code, _, log := ends(t, strings.Fields(c.args)...)
+			assert.Equal(t, 2, code, log)
+			assert.Equal(t, 1, strings.Count(log, "\n"), log)
+			assert.Contains(t, log, c.says)
+		})
+	}
+}
+
+// A port that is taken is told, and ends the command with 1.
+func TestPortTaken(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	code, _, log := ends(t, "standin", "--discovery", l.Addr().String(), "--port", "9337", "--base", "127.77.0.1")
+	assert.Equal(t, 1, code)
+	assert.Contains(t, log, "address already in use")
+}
--- a/cmd/hazellab/standin.go
+++ b/cmd/hazellab/standin.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/netip"
-	"os"
 
 	"github.com/urfave/cli/v3"
 
@@ -21,6 +20,8 @@
 			&cli.IntFlag{Name: "port", Value: 9000, Usage: "the boxes' port"},
 			&cli.DurationFlag{Name: "delay", Usage: "from a request's last byte to its answer"},
 			&cli.IntFlag{Name: "body", Value: 16, Usage: "bytes of an answer's body"},
+			&cli.IntFlag{Name: "slots", Usage: "requests that a box works on at once; 0: as many as come"},
+			&cli.IntFlag{Name: "waiting", Usage: "requests that may wait for a slot"},
 			&cli.IntFlag{Name: "threads", Value: 1, Usage: "event loops"},
 			&cli.StringSliceFlag{Name: "zone", Value: []string{"amman-north"}, Usage: "the zones, which the boxes take in turns"},
 			&cli.StringFlag{Name: "discovery", Value: "127.0.0.1:8500", Usage: "where discovery listens"},
@@ -41,7 +42,8 @@
 		return fault(fmt.Errorf("base: %w", err))
 	}
 	s := standin.Settings{Boxes: c.Int("boxes"), Base: base, Port: c.Int("port"), Delay: c.Duration("delay"),
-		Body: c.Int("body"), Threads: c.Int("threads"), Zones: c.StringSlice("zone")}
+		Body: c.Int("body"), Threads: c.Int("threads"), Zones: c.StringSlice("zone"),
+		Slots: c.Int("slots"), Waiting: c.Int("waiting")}
 	if err := s.Err(); err != nil {
 		return fault(err)
 	}
@@ -49,11 +51,7 @@
 		sidecar := standin.Sidecar{Name: "n0", Listen: c.String("listen"), Discovery: c.String("discovery"),
 			Cores: c.Float("cores"), MemoryMB: c.Int("memory"), Sockets: c.Int("sockets"), Pushed: c.Bool("pushed"),
 			Zones: s.Zones, Replicas: 1}
-		text, err := sidecar.Config()
-		if err == nil {
-			err = os.WriteFile(path, text, 0o644)
-		}
-		if err != nil {
+		if err := sidecar.Write(path); err != nil {
 			return err
 		}
 	}
@@ -61,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	discovery, err := standin.StartDiscovery(c.String("discovery"), s.List())
+	discovery, err := standin.StartDiscovery(c.String("discovery"), boxes)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -6,7 +6,6 @@
 package load
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"time"
@@ -18,6 +17,11 @@
 	Safe  bool    `json:"safe"`  // a GET without a body; otherwise a POST
 	Keyed bool    `json:"keyed"` // with an Idempotency-Key
 	Share float64 `json:"share"` // of all requests, in proportion to the other classes' shares; above 0
+	// Worth is what a served request is worth, and LateShare which part of it where the answer came after Aim. Where Aim
+	// is 0 no answer is late. A worth of 0 counts as 1.
+	Worth     float64       `json:"worth"`
+	LateShare float64       `json:"late_share"`
+	Aim       time.Duration `json:"aim_ns"`
 }
 
 // Stage is a part of an open loop: the rate goes from one figure to another, both in requests a second.
@@ -40,11 +44,13 @@
 	Patience time.Duration // the Request-Timeout, after which the client gives up
 	Threads  int           // at least 1; each has its share of the links and of the rate
 	Seed     uint64        // of ids, classes and arrivals
+	Step     time.Duration // of the result's series; 0: a second
 }
 
 const (
 	mostLinks = 20000
 	mostFor   = time.Hour
+	mostSteps = 4000 // of the series: each has a histogram on each thread
 )
 
 // Err returns what is wrong with the plan, in words that name the field.
@@ -60,6 +66,7 @@
 		{p.New >= 0 && p.New <= 1, fmt.Sprintf("new: %g, not 0 to 1", p.New)},
 		{p.Body >= 0 && p.Body <= 64<<10, fmt.Sprintf("body: %d, not 0 to 65536", p.Body)},
 		{p.Patience > 0, "patience: not above 0"},
+		{p.Step >= 0 && total <= mostSteps*p.step(), fmt.Sprintf("step: %s, below 0 or more than %d steps", p.Step, mostSteps)},
 		{total > 0 && total <= mostFor, fmt.Sprintf("for: %s, not above 0 and at most %s", total, mostFor)},
 	}
 	for _, c := range checks {
@@ -87,6 +94,13 @@
 	return nil
 }
 
+func (p *Plan) step() time.Duration {
+	if p.Step == 0 {
+		return time.Second
+	}
+	return p.Step
+}
+
 // Length returns how long requests are sent.
 func (p *Plan) Length() time.Duration {
 	if len(p.Stages) == 0 {
@@ -136,7 +150,9 @@
 	return 0, false
 }
 
-// MarshalJSON writes durations in seconds.
-func (s Stage) MarshalJSON() ([]byte, error) {
-	return json.Marshal(map[string]float64{"from": s.From, "to": s.To, "for_s": s.For.Seconds()})
+func (c *Class) worth() float64 {
+	if c.Worth == 0 {
+		return 1
+	}
+	return c.Worth
 }
--- a/internal/lab/load/result.go
+++ b/internal/lab/load/result.go
@@ -65,36 +65,40 @@
 	Max  float64 `json:"max_ms"`
 }
 
-// Second is what came of the requests that were due in one second of the run.
-type Second struct {
+// Step is what came of the requests that were due in one step of the run.
+type Step struct {
 	Counts
 	Times
-	Answered int64 `json:"answered"` // answers of any status that came in this second
+	Answered int64 `json:"answered"` // answers of any status that came in this step
 }
 
 // Result is what came of a plan.
 type Result struct {
 	Counts
-	Times                                // of what was served
-	Classes            map[string]Counts `json:"classes"`
-	ClassTimes         map[string]Times  `json:"class_times"` // of what was served
-	Seconds            []Second          `json:"seconds"`
-	ForS               float64           `json:"for_s"`
-	ServedPS           float64           `json:"served_ps"`     // a second, within the time in which requests were sent
-	Opened             int64             `json:"opened"`        // connections
-	OpenFailed         int64             `json:"open_failed"`   // dials that were refused or never came up
-	Resent             int64             `json:"resent"`        // requests that a closing link crossed, sent once more
-	OwnLateP99         float64           `json:"own_late_ms"`   // 99th percentile of how late this client sent though a link was free
-	Unread             int64             `json:"unread_format"` // answers in a form that this client does not read; part of failed
-	BeganMS            int64             `json:"began_ms"`      // Unix time
-	Histogram          string            `json:"histogram"`     // of what was served, in microseconds: HdrHistogram, V2, compressed, base64
-	served             *hdrhistogram.Histogram
-	classes            []*hdrhistogram.Histogram
-	late               *hdrhistogram.Histogram
-	seconds            []*hdrhistogram.Histogram
-	byClass            []Counts
-	servedInTime       int64
-	answeredBeyondTime int64
+	Times                              // of what was served
+	Classes          map[string]Counts `json:"classes"`
+	ClassTimes       map[string]Times  `json:"class_times"` // of what was served
+	StepS            float64           `json:"step_s"`      // length of the series' steps
+	Steps            []Step            `json:"steps"`
+	Worth            float64           `json:"worth"` // of what was served, as a share of what all that was offered was worth
+	ForS             float64           `json:"for_s"`
+	ServedPS         float64           `json:"served_ps"`     // a second, within the time in which requests were sent
+	Opened           int64             `json:"opened"`        // connections
+	OpenFailed       int64             `json:"open_failed"`   // dials that were refused or never came up
+	Resent           int64             `json:"resent"`        // requests that a closing link crossed, sent once more
+	OwnLateP99       float64           `json:"own_late_ms"`   // 99th percentile of how late this client sent though a link was free
+	Unread           int64             `json:"unread_format"` // answers in a form that this client does not read; part of failed
+	BeganMS          int64             `json:"began_ms"`      // Unix time
+	Histogram        string            `json:"histogram"`     // of what was served, in microseconds: HdrHistogram, V2, compressed, base64
+	served           *hdrhistogram.Histogram
+	classes          []*hdrhistogram.Histogram
+	late             *hdrhistogram.Histogram
+	steps            []*hdrhistogram.Histogram
+	byClass          []Counts
+	kinds            []Class
+	step             time.Duration
+	servedInTime     int64
+	gained, askedFor float64 // worth
 }
 
 const longestUS = 600 * 1000 * 1000
@@ -103,39 +107,41 @@
 
 // newResult returns an empty one for a plan.
 func newResult(p *Plan) *Result {
-	r := &Result{served: newHistogram(), late: newHistogram(), byClass: make([]Counts, len(p.Classes))}
+	r := &Result{served: newHistogram(), late: newHistogram(), byClass: make([]Counts, len(p.Classes)),
+		kinds: p.Classes, step: p.step()}
 	for range p.Classes {
 		r.classes = append(r.classes, newHistogram())
 	}
 	return r
 }
 
-// second returns the entry of a second from the start of the run.
-func (r *Result) second(at time.Duration) (*Second, *hdrhistogram.Histogram) {
-	i := max(int(at/time.Second), 0)
-	for len(r.Seconds) <= i {
-		r.Seconds = append(r.Seconds, Second{})
-		r.seconds = append(r.seconds, hdrhistogram.New(1, longestUS, 2))
+// at returns the entry of a time from the start of the run.
+func (r *Result) at(at time.Duration) (*Step, *hdrhistogram.Histogram) {
+	i := max(int(at/r.step), 0)
+	for len(r.Steps) <= i {
+		r.Steps = append(r.Steps, Step{})
+		r.steps = append(r.steps, hdrhistogram.New(1, longestUS, 2))
 	}
-	return &r.Seconds[i], r.seconds[i]
+	return &r.Steps[i], r.steps[i]
 }
 
 // offered notes a request that was due at a time of the run.
 func (r *Result) offered(class int, due time.Duration) {
 	r.Offered++
 	r.byClass[class].Offered++
-	s, _ := r.second(due)
+	s, _ := r.at(due)
 	s.Offered++
+	r.askedFor += r.kinds[class].worth()
 }
 
 // ended notes what came of it.
 func (r *Result) ended(class int, due, at, length time.Duration, o Outcome) {
 	*r.of(o)++
 	*r.byClass[class].of(o)++
-	s, h := r.second(due)
+	s, h := r.at(due)
 	*s.of(o)++
 	if o <= Failed && at < length {
-		then, _ := r.second(at)
+		then, _ := r.at(at)
 		then.Answered++
 	}
 	if o != Served {
@@ -144,6 +150,11 @@
 	if at < length {
 		r.servedInTime++
 	}
+	if k := &r.kinds[class]; k.Aim == 0 || at-due <= k.Aim {
+		r.gained += k.worth()
+	} else {
+		r.gained += k.worth() * k.LateShare
+	}
 	us := max(int64((at-due)/time.Microsecond), 1)
 	_ = r.served.RecordValue(min(us, longestUS)) // fails only above longestUS
 	_ = r.classes[class].RecordValue(min(us, longestUS))
@@ -154,17 +165,19 @@
 	r.Add(&o.Counts)
 	r.Opened, r.OpenFailed, r.Resent, r.Unread = r.Opened+o.Opened, r.OpenFailed+o.OpenFailed, r.Resent+o.Resent, r.Unread+o.Unread
 	r.servedInTime += o.servedInTime
+	r.gained += o.gained
+	r.askedFor += o.askedFor
 	r.served.Merge(o.served)
 	r.late.Merge(o.late)
 	for i := range o.byClass {
 		r.byClass[i].Add(&o.byClass[i])
 		r.classes[i].Merge(o.classes[i])
 	}
-	for i := range o.Seconds {
-		s, h := r.second(time.Duration(i) * time.Second)
-		s.Add(&o.Seconds[i].Counts)
-		s.Answered += o.Seconds[i].Answered
-		h.Merge(o.seconds[i])
+	for i := range o.Steps {
+		s, h := r.at(time.Duration(i) * r.step)
+		s.Add(&o.Steps[i].Counts)
+		s.Answered += o.Steps[i].Answered
+		h.Merge(o.steps[i])
 	}
 }
 
@@ -175,8 +188,12 @@
 		r.Classes[c.Name] = r.byClass[i]
 		r.ClassTimes[c.Name] = times(r.classes[i])
 	}
-	for i := range r.Seconds {
-		r.Seconds[i].Times = times(r.seconds[i])
+	for i := range r.Steps {
+		r.Steps[i].Times = times(r.steps[i])
+	}
+	r.StepS = r.step.Seconds()
+	if r.askedFor > 0 {
+		r.Worth = r.gained / r.askedFor
 	}
 	r.Times = times(r.served)
 	r.OwnLateP99 = float64(r.late.ValueAtQuantile(99)) / 1000
@@ -192,8 +209,8 @@
 	return Times{at(50), at(90), at(99), at(99.9), float64(h.Max()) / 1000}
 }
 
-// Print writes the result as lines for people; with seconds also one line for each second.
-func (r *Result) Print(w io.Writer, seconds bool) {
+// Print writes the result as lines for people; with steps also one line for each step.
+func (r *Result) Print(w io.Writer, steps bool) {
 	fmt.Fprintf(w, "offered %d, served %d (%.2f %%, %.0f/s), refused %d (%.2f %%), failed %d, broken %d, unanswered %d, unsent %d\n",
 		r.Offered, r.Served, 100*r.Share(Served), r.ServedPS, r.Refused, 100*r.Share(Refused),
 		r.Failed, r.Broken, r.Unanswered, r.Unsent)
@@ -204,11 +221,11 @@
 	if r.Unread > 0 {
 		fmt.Fprintf(w, "%d answers had a form that this client does not read\n", r.Unread)
 	}
-	if !seconds {
+	if !steps {
 		return
 	}
-	for i, s := range r.Seconds {
-		fmt.Fprintf(w, "%4d s: offered %6d, served %6d, refused %5d, failed %5d, other %5d, p50 %8.2f, p99 %8.2f, max %8.2f ms\n", i,
+	for i, s := range r.Steps {
+		fmt.Fprintf(w, "%6.1f s: offered %6d, served %6d, refused %5d, failed %5d, other %5d, p50 %8.2f, p99 %8.2f, max %8.2f ms\n", float64(i)*r.StepS,
 			s.Offered, s.Served, s.Refused, s.Failed, s.Broken+s.Unanswered+s.Unsent, s.P50, s.P99, s.Max)
 	}
 }
--- a/internal/lab/load/worker.go
+++ b/internal/lab/load/worker.go
@@ -457,15 +457,18 @@
 		return
 	}
 	l.carried = 0
-	if w.now() < w.length {
+	if w.wanted() {
 		w.open(l)
 	}
 }
 
+// wanted tells whether there is still work for a link that is opened now.
+func (w *worker) wanted() bool { return w.now() < w.length || len(w.waiting) > 0 }
+
 // look opens links again, and ends what the client has waited for in vain.
 func (w *worker) look(now time.Duration) {
 	for _, l := range w.kept {
-		if l.state == down && l.again <= now && now < w.length {
+		if l.state == down && l.again <= now && w.wanted() {
 			w.open(l)
 		}
 	}
--- a/internal/lab/pressure/measurements.go
+++ b/internal/lab/pressure/measurements.go
@@ -137,7 +137,7 @@
 // since adds up the seconds of a result from one on.
 func since(r *load.Result, from int) load.Counts {
 	var n load.Counts
-	for i, s := range r.Seconds {
+	for i, s := range r.Steps {
 		if i >= from {
 			n.Add(&s.Counts)
 		}
--- a/internal/lab/standin/boxes.go
+++ b/internal/lab/standin/boxes.go
@@ -1,6 +1,6 @@
 // Package standin plays the servers of a deployment and their discovery service at little cost, so that what is measured
 // is the sidecar and not what stands behind it: all boxes are one process with one event loop, and each answers every
-// request alike, at once or after a fixed time.
+// request alike, at once or after a fixed time, all together or so many at a time. Troubles can be done to them.
 package standin
 
 import (
@@ -25,6 +25,8 @@
 	Port    int           // the port of each
 	Delay   time.Duration // from a request's last byte to its answer
 	Body    int           // bytes of an answer's body
+	Slots   int           // requests that a box works on at once; 0: as many as come. Needs a delay
+	Waiting int           // requests that may wait for a slot; those beyond are turned away
 	Threads int           // event loops, at least 1
 	Zones   []string      // boxes are in these in turn
 }
@@ -59,6 +61,10 @@
 		return fmt.Errorf("body: %d, not 0 to 65536", s.Body)
 	case s.Threads < 1 || s.Threads > 64:
 		return fmt.Errorf("threads: %d, not 1 to 64", s.Threads)
+	case s.Slots < 0 || s.Waiting < 0:
+		return fmt.Errorf("slots, waiting: %d and %d, not 0 or more", s.Slots, s.Waiting)
+	case s.Slots > 0 && s.Delay == 0:
+		return fmt.Errorf("slots: a box that answers at once has none")
 	case len(s.Zones) == 0:
 		return fmt.Errorf("zones: none")
 	}
@@ -87,26 +93,45 @@
 	engine   gnet.Engine
 	up       chan struct{}
 	down     chan error
-	requests atomic.Int64
-	late     *queue // nil: answers go out at once
+	boxes    []*station
+	at       map[string]*station // by address
+	late     *queue
 	stop     context.CancelFunc
 }
 
+// Counts are what a box has been asked.
+type Counts struct {
+	Name     string `json:"name"`
+	Requests int64  `json:"requests"` // without probes
+	Turned   int64  `json:"turned_away"`
+}
+
+// station is one box.
+type station struct {
+	Box
+	requests, turned atomic.Int64
+	trouble          atomic.Pointer[Trouble] // nil: none
+	conns            sync.Map                // gnet.Conn to nothing: those that are open
+	mu               sync.Mutex
+	free             []time.Time // when each slot is free, in the order in which they are taken
+	next             int         // the slot to be taken next
+}
+
 // Start has the boxes listen. An error names the address that could not be had.
 func Start(s Settings) (*Boxes, error) {
 	if err := s.Err(); err != nil {
 		return nil, err
 	}
 	body := bytes.Repeat([]byte("x"), s.Body)
-	b := &Boxes{settings: s, up: make(chan struct{}), down: make(chan error, 1)}
+	b := &Boxes{settings: s, up: make(chan struct{}), down: make(chan error, 1), at: map[string]*station{}, late: newQueue()}
 	b.answer = append([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: "+strconv.Itoa(s.Body)+"\r\n\r\n"), body...)
 	ctx, stop := context.WithCancel(context.Background())
-	if b.stop = stop; s.Delay > 0 {
-		b.late = newQueue(b.answer)
-		go b.late.run(ctx)
-	}
+	b.stop = stop
+	go b.late.run(ctx)
 	var addresses []string
 	for _, box := range s.List() {
+		x := &station{Box: box, free: make([]time.Time, s.Slots)}
+		b.boxes, b.at[box.Address] = append(b.boxes, x), x
 		addresses = append(addresses, "tcp://"+box.Address)
 	}
 	go func() {
@@ -122,8 +147,22 @@
 	}
 }
 
-// Requests returns how many requests the boxes have taken, without probes.
-func (b *Boxes) Requests() int64 { return b.requests.Load() }
+// Counts returns what each box has been asked.
+func (b *Boxes) Counts() []Counts {
+	var all []Counts
+	for _, x := range b.boxes {
+		all = append(all, Counts{x.Name, x.requests.Load(), x.turned.Load()})
+	}
+	return all
+}
+
+// Requests returns how many requests the boxes have taken together, without probes.
+func (b *Boxes) Requests() (n int64) {
+	for _, x := range b.boxes {
+		n += x.requests.Load()
+	}
+	return n
+}
 
 // Stop ends the boxes; their connections are closed.
 func (b *Boxes) Stop() error {
@@ -140,21 +179,35 @@
 	return gnet.None
 }
 
-// OnOpen gives a connection its state.
+// OnOpen gives a connection its state, or ends it where the box is down.
 func (b *Boxes) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	c.SetContext(&conn{})
+	x := b.at[c.LocalAddr().String()]
+	state := &conn{box: x}
+	c.SetContext(state)
+	if t := x.trouble.Load(); t != nil && t.Kind == Crash {
+		return nil, reset(c)
+	}
+	x.conns.Store(c, nil)
 	return nil, gnet.None
 }
 
+// reset ends a connection with a reset.
+func reset(c gnet.Conn) gnet.Action {
+	_ = c.SetLinger(0) // fails only where the connection has gone
+	return gnet.Close
+}
+
 // OnClose has what is still to be answered dropped.
 func (b *Boxes) OnClose(c gnet.Conn, _ error) gnet.Action {
-	c.Context().(*conn).gone.Store(true)
+	state := c.Context().(*conn)
+	state.gone.Store(true)
+	state.box.conns.Delete(c)
 	return gnet.None
 }
 
 // conn is what is known of a connection.
 type conn struct {
-	skip int // bytes of a body still to come
+	box  *station
 	gone atomic.Bool
 }
 
@@ -162,6 +215,8 @@
 	headEnd   = []byte("\r\n\r\n")
 	probes    = [][]byte{[]byte("GET /health"), []byte("GET /status/load")}
 	probed    = []byte("HTTP/1.1 200 OK\r\nContent-Length: 21\r\n\r\ncpu_share=0,pending=0")
+	failed    = []byte("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+	turned    = []byte("HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
 	lengthIs  = []byte("\r\nContent-Length: ")
 	lengthIs2 = []byte("\r\ncontent-length: ")
 )
@@ -170,6 +225,10 @@
 func (b *Boxes) OnTraffic(c gnet.Conn) gnet.Action {
 	state := c.Context().(*conn)
 	data, _ := c.Peek(-1) // fails only for more than there is
+	t := state.box.trouble.Load()
+	if t != nil && t.Kind == Crash {
+		return reset(c)
+	}
 	used := 0
 	for {
 		rest := data[used:]
@@ -183,21 +242,67 @@
 			break
 		}
 		used += whole
-		switch {
-		case bytes.HasPrefix(head, probes[0]) || bytes.HasPrefix(head, probes[1]):
+		probe := bytes.HasPrefix(head, probes[0]) || bytes.HasPrefix(head, probes[1])
+		if t != nil && t.Kind == Hang {
+			if !probe {
+				state.box.requests.Add(1)
+			}
+			continue // never answered
+		}
+		if probe {
 			c.Write(probed) // an error closes the connection
-		case b.late != nil:
-			b.requests.Add(1)
-			b.late.push(entry{due: time.Now().Add(b.settings.Delay), c: c, state: state})
-		default:
-			b.requests.Add(1)
-			c.Write(b.answer)
+			continue
 		}
+		b.serve(c, state, t)
 	}
 	c.Discard(used)
 	return gnet.None
 }
 
+// serve answers a request, at once or when it is due.
+func (b *Boxes) serve(c gnet.Conn, state *conn, t *Trouble) {
+	state.box.requests.Add(1)
+	answer, delay := b.answer, b.settings.Delay
+	if t != nil && t.Kind == Errors {
+		answer = failed
+	}
+	if t != nil && t.Kind == Slow {
+		delay += t.Delay
+	}
+	if delay == 0 {
+		c.Write(answer)
+		return
+	}
+	due, ok := state.box.due(time.Now(), delay, b.settings.Waiting)
+	if !ok {
+		state.box.turned.Add(1)
+		c.Write(turned)
+		return
+	}
+	b.late.push(entry{due: due, c: c, state: state, answer: answer})
+}
+
+// due takes a slot and returns when the work is done; ok is false where more wait than may.
+func (x *station) due(now time.Time, delay time.Duration, waiting int) (due time.Time, ok bool) {
+	if len(x.free) == 0 {
+		return now.Add(delay), true
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	slot := &x.free[x.next]
+	begin := now
+	if slot.After(now) {
+		begin = *slot
+		// The slot that is free next has its work and all that waits for it before this one.
+		if ahead := float64(slot.Sub(now)) / float64(delay) * float64(len(x.free)); ahead > float64(waiting)+float64(len(x.free)) {
+			return due, false
+		}
+	}
+	*slot = begin.Add(delay)
+	x.next = (x.next + 1) % len(x.free)
+	return *slot, true
+}
+
 // bodyLength returns how many bytes of a body follow a head.
 func bodyLength(head []byte) (n int) {
 	if head[0] == 'G' {
@@ -219,58 +324,6 @@
 	return n
 }
 
-// entry is an answer that is due later.
-type entry struct {
-	due   time.Time
-	c     gnet.Conn
-	state *conn
-}
-
-// queue sends answers when they are due. All wait as long, so they go out in the order in which they came.
-type queue struct {
-	mu      sync.Mutex
-	entries []entry
-	more    chan struct{}
-	answer  []byte
-}
-
-func newQueue(answer []byte) *queue { return &queue{more: make(chan struct{}, 1), answer: answer} }
-
-func (q *queue) push(e entry) {
-	q.mu.Lock()
-	q.entries = append(q.entries, e)
-	q.mu.Unlock()
-	select {
-	case q.more <- struct{}{}:
-	default:
-	}
-}
-
-// run sends until ctx ends.
-func (q *queue) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		q.mu.Lock()
-		due := q.entries
-		q.entries = nil
-		q.mu.Unlock()
-		for _, e := range due {
-			if wait := time.Until(e.due); wait > 0 {
-				time.Sleep(wait)
-			}
-			if !e.state.gone.Load() {
-				_ = e.c.AsyncWrite(q.answer, nil) // fails only where the connection has gone
-			}
-		}
-		if len(due) > 0 {
-			continue
-		}
-		select {
-		case <-q.more:
-		case <-ctx.Done():
-		}
-	}
-}
-
 // quietLog passes on what gnet says of errors.
 type quietLog struct{}
 
--- a/internal/lab/standin/config.go
+++ b/internal/lab/standin/config.go
@@ -1,6 +1,9 @@
 package standin
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"os"
+)
 
 // Sidecar is what a sidecar beside the stand-ins is told.
 type Sidecar struct {
@@ -21,8 +24,16 @@
 
 type object = map[string]any
 
-// Config returns the text of the sidecar's configuration file.
-func (s *Sidecar) Config() ([]byte, error) {
+// Write writes the sidecar's configuration file.
+func (s *Sidecar) Write(path string) error {
+	text, err := s.text()
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o644)
+}
+
+func (s *Sidecar) text() ([]byte, error) {
 	discovery := "on_request"
 	if s.Pushed {
 		discovery = "pushed"
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -10,22 +10,35 @@
 // quietEvery is how often a watch brings an empty line while nothing changes.
 const quietEvery = 2 * time.Second
 
-// Discovery lists boxes at an address, also to watches, until Close.
+// Discovery lists boxes at an address, also to watches, until Close. Beside that it tells at /lab/boxes what each was
+// asked, and takes at /lab/trouble a Trouble by POST.
 type Discovery struct {
 	server http.Server
 	done   chan struct{}
-	boxes  []Box
+	list   []Box
+	boxes  *Boxes
 }
 
 // StartDiscovery begins to list.
-func StartDiscovery(address string, boxes []Box) (*Discovery, error) {
+func StartDiscovery(address string, boxes *Boxes) (*Discovery, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	d := &Discovery{done: make(chan struct{}), boxes: boxes}
+	d := &Discovery{done: make(chan struct{}), list: boxes.settings.List(), boxes: boxes}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/endpoints", d.list)
+	mux.HandleFunc("GET /v1/endpoints", d.tell)
+	mux.HandleFunc("GET /lab/boxes", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(boxes.Counts()) })
+	mux.HandleFunc("POST /lab/trouble", func(w http.ResponseWriter, r *http.Request) {
+		var t Trouble
+		err := json.NewDecoder(r.Body).Decode(&t)
+		if err == nil {
+			err = boxes.Trouble(t)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}
+	})
 	d.server.Handler = mux
 	go d.server.Serve(l) // returns when the server is closed
 	return d, nil
@@ -40,11 +53,11 @@
 // listIndex is the version of the list, which never changes.
 const listIndex = 1
 
-// list answers with the whole list, and goes on with empty lines where a watch is asked for.
-func (d *Discovery) list(w http.ResponseWriter, r *http.Request) {
+// tell answers with the whole list, and goes on with empty lines where a watch is asked for.
+func (d *Discovery) tell(w http.ResponseWriter, r *http.Request) {
 	follow := r.FormValue("follow") == "1"
 	if !follow || r.FormValue("since") != "1" {
-		if err := json.NewEncoder(w).Encode(map[string]any{"index": listIndex, "snapshot": true, "endpoints": d.boxes}); err != nil {
+		if err := json.NewEncoder(w).Encode(map[string]any{"index": listIndex, "snapshot": true, "endpoints": d.list}); err != nil {
 			return
 		}
 	}
