Give a place that becomes free to the first request that waits

Cause: a request that no host could take looked again after 0.12 of its aim, whatever became free until then. Bursts of 1,000 requests met 312 places (13 boxes, 24 each), and the rest waited 72 ms and more beside idle boxes: 20 % refused and a median of 330 ms at 20,000 a second, with the core idle for a third of the time. Change: each outcome that frees a place has the first of the queue placed, until one finds no host. Where reports are polled for each pick nothing changes.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -574,9 +574,7 @@
 		b.giveUp(r) // it was the host that died, not the connection alone
 		return
 	}
-	if h := b.pick(r); h != nil && b.send(r, h) {
-		r.waiting = false
-		b.queue.drop(r)
+	if b.settle(r) {
 		return
 	}
 	hopeless := r.HasWork && b.reports && b.now+hope*b.svc*r.units > r.aim // even for an idle host
@@ -595,6 +593,17 @@
 	b.due(r.decideAt)
 }
 
+// settle sends a waiting request if there is a host for it, and tells whether.
+func (b *Balancer) settle(r *request) bool {
+	h := b.pick(r)
+	if h == nil || !b.send(r, h) {
+		return false
+	}
+	r.waiting = false
+	b.queue.drop(r)
+	return true
+}
+
 // giveUp answers a request at once: refused if nothing may have run, else failed. Its aim is kept for the
 // client's next try: work on a marked repeat is lost once the aim of the first try has passed.
 func (b *Balancer) giveUp(r *request) {
@@ -723,6 +732,9 @@
 		b.again(r)
 	}
 	b.pump()
+	// Danger: hosts are idle while requests wait for their next look. The place that has become free goes to the first.
+	for first := b.queue.first(); first != nil && !b.polls && b.settle(first); first = b.queue.first() {
+	}
 }
 
 // again tries a request once more after a failed attempt, or gives it up.
