--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,6 +39,7 @@
 	lineWeight  = 1.5  // a line probably grows before a request comes to its head
 	doubt       = 1.3  // a guessed time may well be so many times longer
 	farWeight   = 20.0 // how much dearer a host of another zone is, for the price of crossing
+	briskPart   = 0.1  // of the aim: an answer within it came from a host that has room
 	shunPart    = 0.05 // of the aim: shortest pause after a host has turned a request away
 
 	mostUnserved = 1000 // requests whose clients' next tries are known
@@ -732,8 +733,10 @@
 		b.again(r)
 	}
 	b.pump()
-	// Danger: hosts are idle while requests wait for their next look. The place that has become free goes to the first.
-	for first := b.queue.first(); first != nil && !b.polls && b.settle(first); first = b.queue.first() {
+	// Danger: hosts are idle while requests wait for their next look. What a host that is far from its limits has
+	// made free goes to the first; one with a line must have time to work it off.
+	brisk := res.Outcome == OK && res.DelayS < briskPart*b.aim && !b.polls
+	for first := b.queue.first(); brisk && first != nil && b.settle(first); first = b.queue.first() {
 	}
 }
 
