--- /dev/null
+++ b/internal/judge/event.go
@@ -0,0 +1,154 @@
+// Package judge checks the standing rules of the deployment from what crossed the wire, and never from what a sidecar
+// says of itself. The actors of a world (clients, boxes, discovery, the network) tell it events in the order of their
+// time; it keeps findings, the service that the clients had, and its price. It is pure: no clock, no I/O, no goroutine,
+// and the same events give the same findings.
+package judge
+
+// Kind says what an Event tells, and which of its fields count; At counts in all.
+type Kind uint8
+
+// What clients tell. All name Sidecar, the one beside them.
+const (
+	// Asked: a client begins a try. Request; First, the id of the first try of the same request (its own for a first
+	// one); Class; Until, when this try's wait is over.
+	Asked Kind = iota + 1
+	// Taken: the try's last byte is written to a connection that the sidecar's machine has accepted. Request; Link;
+	// Until; Reused, where the connection has carried a request before.
+	Taken
+	// Answered: the last byte of an answer has come. Request, Link, Status; Digest, that of its body.
+	Answered
+	// Broken: part of an answer has come and no more will, or it can't be read; the client can tell. Request, Link.
+	Broken
+	// Dropped: the sidecar's side ended the connection of a taken request with nothing of an answer on it. Request,
+	// Link, Reused.
+	Dropped
+	// Left: the client's wait is over, or it has gone away; no answer is owed any more. Request.
+	Left
+	// Unreached: no connection to the sidecar came up, so nothing was taken. Request.
+	Unreached
+	// Stray: bytes have come on a connection on which nothing was asked. Link.
+	Stray
+	// Hostile: a client that may not be served has connected. Link; Until, when it is owed an error or an end.
+	Hostile
+	// HostileAnswered: it has got an answer. Link, Status.
+	HostileAnswered
+	// HostileEnded: its connection has ended. Link.
+	HostileEnded
+)
+
+// What boxes tell. All name Box.
+const (
+	// BoxStarted: a process has begun, cold unless Since is 0. Zone, Cell, Address; Since, as discovery will have it.
+	BoxStarted Kind = iota + 32
+	// BoxEnded: the process has died, or its machine has gone silent.
+	BoxEnded
+	// BoxFell: it was cold and has got more work than it bears.
+	BoxFell
+	// Execution: a request's last byte has come. Sidecar, whose connection it is; Request; Link; Class, -1 where the
+	// box knows none such; FirstSent and Sent, when the first and the last byte were sent; Work, in seconds of the
+	// box's own time when warm.
+	Execution
+	// Replied: the box has written its answer. Request, Link, Status, Digest; NotStarted, where the answer says so;
+	// Spoilt, where nobody can take it for a whole answer.
+	Replied
+	// LinkOpened: a connection has come up. Sidecar, Link; Work that it costs.
+	LinkOpened
+	// LinkClosed: a connection has ended, by the sidecar at Sent or by the box (ByBox). Sidecar, Link.
+	LinkClosed
+	// Probed: a probe has come. Sidecar, Work.
+	Probed
+)
+
+// What discovery tells.
+const (
+	// Listed: the list has taken a change. Box, Status (one of the list's), Since, Address.
+	Listed Kind = iota + 64
+	// Told: discovery has written an entry to a sidecar, or the sidecar's configuration held it at its start. Sidecar,
+	// Box, Status, Since, Address.
+	Told
+	// Called: a sidecar has asked discovery for its list, or for a watch. Sidecar.
+	Called
+	// CallFailed: such a call ended without the list. Sidecar.
+	CallFailed
+	// WatchUp and WatchEnded bound a watch. Sidecar, Link.
+	WatchUp
+	WatchEnded
+	// DiscoveryDown and DiscoveryUp bound the time in which discovery tells nothing.
+	DiscoveryDown
+	DiscoveryUp
+)
+
+// What the network and the processes tell. All but PathCut and PathMended name Sidecar.
+const (
+	// SidecarStarted: a process has begun; what it holds is what its configuration told it.
+	SidecarStarted Kind = iota + 96
+	// SidecarKilled: it was killed, or its machine has gone silent; what it had is excused.
+	SidecarKilled
+	// SidecarTermed: it was told to end in its own time.
+	SidecarTermed
+	// SidecarEnded: it has ended by itself. Status, its exit code.
+	SidecarEnded
+	// SidecarPanicked: Text.
+	SidecarPanicked
+	// Reloaded: it was told to read its configuration again.
+	Reloaded
+	// Descriptors: it holds N descriptors.
+	Descriptors
+	// Leftover: at the end of the day it still holds N of what Text names.
+	Leftover
+	// PathCut and PathMended bound a trouble on the way between Sidecar and Box; -1 stands for all. Discovery is
+	// toDiscovery. What is on such a way may be late or lost, and nobody at its end can tell.
+	PathCut
+	PathMended
+)
+
+// ToDiscovery stands for discovery in the Box of PathCut and PathMended.
+const ToDiscovery = -2
+
+// The statuses of a Listed or Told entry.
+const (
+	Serving int32 = iota + 1
+	Draining
+	Deleted
+)
+
+// Event is one thing that crossed the wire. Times are in seconds of one clock that all share.
+type Event struct {
+	Kind    Kind
+	Sidecar int32
+	Box     int32
+	Class   int32
+	Status  int32
+	Zone    int32
+	Cell    int32
+	N       int32
+
+	Reused, NotStarted, Spoilt, ByBox bool
+
+	At        float64
+	FirstSent float64 // when the peer sent the first byte, where the network can tell; else when it came
+	Sent      float64 // when the peer sent the last byte, or ended the connection; likewise
+	Until     float64
+	Since     float64
+	Work      float64
+
+	Request uint64
+	First   uint64
+	Link    uint64
+	Digest  uint64
+
+	Address string
+	Text    string
+}
+
+// Witness is told events in the order of their time. The actors of a world hold one.
+type Witness interface{ See(e Event) }
+
+// Digest returns a body's digest, by which an answer is known again. It is FNV-1a.
+func Digest(body []byte) uint64 {
+	h := uint64(14695981039346656037)
+	for _, c := range body {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return h
+}
--- /dev/null
+++ b/internal/judge/rules.go
@@ -0,0 +1,87 @@
+package judge
+
+// Effect tells what running a request of a class twice does.
+type Effect uint8
+
+// The effects.
+const (
+	Safe   Effect = iota // may run any number of times
+	Keyed                // the boxes of one group drop a repeat within the window
+	Unsafe               // must never run twice
+)
+
+// Group tells which boxes drop the repeats of a keyed request.
+type Group uint8
+
+// The groups.
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Class is a class of requests as the deployment promises it.
+type Class struct {
+	Name      string
+	Effect    Effect
+	Group     Group
+	WindowS   float64 // for a keyed class: how long a repeat is dropped
+	AimS      float64 // an answer by then has its whole worth
+	Worth     float64
+	LateWorth float64 // part of the worth of an answer after the aim
+}
+
+// Rules are the figures that the rules are checked by.
+type Rules struct {
+	Classes  []Class
+	Sidecars int
+	Sites    []int32 // of each sidecar
+	Sockets  int     // descriptors that a sidecar may hold
+
+	AnswerSlackS float64 // after its time is over a request may still be answered
+	SocketSlackS float64 // added to each limit on real or simulated sockets
+	DrainGraceS  float64 // after it was told a sidecar sends nothing new to a box that drains or is gone
+	AskWithinS   float64 // without a watch and a call for so long a sidecar counts as told; four times after a failure
+	ToldWithinS  float64 // what the list has taken counts as told then
+	ReloadToldS  float64 // and not before this long after a reload
+	FallS        float64 // the window in which work brings a cold box down
+	ColdShare    float64 // the share of that work by sidecars that knew, from which the rule is broken
+	AtOnceS      float64 // what can't be tried again is answered within this
+	HostileOwedS float64 // price: hostile clients are owed an error or an end; what Hostile says counts
+	MostAttempts int     // for one request; 0: any number
+	SecondCopies bool    // two executions of a request may be out at once
+
+	// Unanswered makes a request lost that has no answer when its time and slack are over. Troubled days count it as
+	// failed instead.
+	Unanswered bool
+	// Calm makes the first request on a connection lost, too, where the sidecar closes without having sent anything on.
+	Calm bool
+}
+
+// Rule names a rule.
+type Rule string
+
+// The rules.
+const (
+	OneAnswer   Rule = "one-answer"   // each request taken gets one final answer
+	NoInvention Rule = "no-invention" // none that no box made for it
+	NoRepeat    Rule = "no-repeat"    // no resend and no refusal beyond the class's right
+	OneCopy     Rule = "one-copy"     // never two executions of a request out at once
+	SafeDrain   Rule = "safe-drain"   // nothing new to a box known to drain or to be gone
+	ColdBox     Rule = "cold-box"     // no cold box pushed over by sidecars that knew
+	AtOnce      Rule = "at-once"      // what is given up is answered at once
+	InLimits    Rule = "in-limits"    // descriptors
+	AtRest      Rule = "at-rest"      // nothing is left when the day is over
+	NoCrash     Rule = "no-crash"     // no panic and no exit unasked
+)
+
+// Finding is one break of a rule.
+type Finding struct {
+	Rule    Rule
+	At      float64
+	Sidecar int32
+	Box     int32 // -1: none
+	Request uint64
+	Why     string
+	Events  []Event // those that show it, oldest first
+}
--- /dev/null
+++ b/internal/world/draw.go
@@ -0,0 +1,34 @@
+package world
+
+import (
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+)
+
+// Range is what a figure is drawn from, evenly.
+type Range struct{ Least, Most float64 }
+
+func (r Range) draw(rng *rand.Rand) float64 { return r.Least + (r.Most-r.Least)*rng.Float64() }
+
+// count draws a whole number, both ends included.
+func (r Range) count(rng *rand.Rand) int {
+	return int(r.Least) + rng.IntN(int(r.Most)-int(r.Least)+1)
+}
+
+// stream returns a source of chance that a seed and a purpose have to themselves. Danger: were one source shared, an
+// actor that draws once more would change the chance of all others, and a shortened script would tell another story.
+func stream(seed uint64, purpose string, number int) *rand.Rand {
+	h := fnv.New64a()
+	h.Write([]byte(purpose)) // never fails
+	return rand.New(rand.NewPCG(seed, h.Sum64()+uint64(number)*0x9e3779b97f4a7c15))
+}
+
+// spread draws a factor with mean 1 whose logarithm is normal; cv is its coefficient of variation.
+func spread(rng *rand.Rand, cv float64) float64 {
+	if cv <= 0 {
+		return 1
+	}
+	sigma := math.Sqrt(math.Log1p(cv * cv))
+	return math.Exp(sigma*rng.NormFloat64() - sigma*sigma/2)
+}
--- /dev/null
+++ b/internal/world/ground.go
@@ -0,0 +1,39 @@
+package world
+
+import "hazelwheel/internal/netio"
+
+// Ground is what machines, processes and paths stand on, in simulated time a network of its own. Troubles that are
+// none of the actors' are done to it. A machine is named by its IP; a sidecar and its application share one, and what
+// is said of a sidecar's process leaves its application alone. All take effect at once.
+type Ground interface {
+	// Kill ends a machine's process: its connections are reset, new ones are refused.
+	Kill(ip string)
+	// Vanish takes a machine away without a word: open connections stay open and silent, new ones never come up.
+	Vanish(ip string)
+	// Return begins a process on a machine that was killed or has vanished. What was open before is reset when it
+	// speaks next.
+	Return(ip string)
+	// Terminate tells a sidecar's process to end in its own time; Ended comes of it.
+	Terminate(sidecar int)
+	// Hangup tells a sidecar's process to read its configuration again.
+	Hangup(sidecar int, configuration []byte)
+	// Cut loses what is sent from one machine to another, in this direction alone, until Mend. Connections stay.
+	Cut(from, to string)
+	Mend(from, to string)
+	// Reset breaks all connections between two machines.
+	Reset(a, b string)
+	// Stall slows what a sidecar's application reads to a share of its time, 0 to 1, until it is called with 1.
+	Stall(sidecar int, share float64)
+}
+
+// Machine is a host of the world for a Ground to run.
+type Machine struct {
+	Name   string
+	IP     string
+	Listen string // address and port; empty: it dials only
+	Site   int
+	// Boot returns a new life of its program. One that is up already must have been ended.
+	Boot func(net netio.Net) netio.Host
+	// Late machines begin when the Ground is told to Return them.
+	Late bool
+}
--- /dev/null
+++ b/internal/world/script.go
@@ -0,0 +1,215 @@
+package world
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// Trouble kinds, as a script names them.
+const (
+	Hang          = "hang"           // boxes take work and answer nothing
+	Crash         = "crash"          // boxes die and return cold, at the same address
+	CrashMoved    = "crash-moved"    // or at another
+	SiteLoss      = "site-loss"      // all boxes of a site go, with or without its sidecars, and return cold
+	Shrink        = "shrink"         // boxes drain and then end
+	StaleList     = "stale-list"     // discovery learns of everything later
+	DiscoveryDown = "discovery-down" // discovery is gone
+	Resets        = "resets"         // connections to boxes are reset again and again
+	HalfOpen      = "half-open"      // boxes' machines vanish: what is open stays open and silent
+	OneWay        = "one-way"        // bytes in one direction between sidecars and boxes are lost
+	SlowReader    = "slow-reader"    // applications read slowly
+	Spoilt        = "spoilt"         // boxes spoil a share of their answers
+	Behind        = "behind"         // boxes send bytes behind a share of their answers
+	Interim       = "interim"        // boxes send 1xx answers in front of a share of their answers
+	BadClients    = "bad-clients"    // clients that may not be served
+	SilentFlood   = "silent-flood"   // connections that say nothing
+	SidecarKill   = "sidecar-kill"   // a sidecar is killed and begins again
+	SidecarTerm   = "sidecar-term"   // a sidecar is told to end and begins again
+	Reload        = "reload"         // discovery moves, and sidecars are told so by a new configuration
+	Reuse         = "reuse"          // a box ends, and another one begins at its address
+)
+
+// Trouble is one thing that goes wrong. A kind needs the fields that its line in kinds names, and has no others.
+type Trouble struct {
+	Kind  string   `toml:"kind"`
+	AtS   float64  `toml:"at_s"`            // since the day's start
+	ForS  float64  `toml:"for_s,omitempty"` // until it is over, or until what went returns
+	Boxes []string `toml:"boxes,omitempty"` // names
+	Site  string   `toml:"site,omitempty"`
+	// Sidecars are numbers, from 0.
+	Sidecars     []int   `toml:"sidecars,omitempty"`
+	WithSidecars bool    `toml:"with_sidecars,omitempty"` // a site's sidecars go with it
+	Silent       bool    `toml:"silent,omitempty"`        // machines vanish; else processes die
+	Share        float64 `toml:"share,omitempty"`         // of the answers, or of the bytes' time
+	PerS         float64 `toml:"per_s,omitempty"`         // clients, connections or resets a second
+	DrainS       float64 `toml:"drain_s,omitempty"`       // time between the notice and the end
+	LagS         float64 `toml:"lag_s,omitempty"`         // further delay of what discovery learns
+	ToBox        bool    `toml:"to_box,omitempty"`        // the direction that is lost; else to the sidecar
+}
+
+// Script is a day's troubles. With its seed it is all that a day needs to be played again.
+type Script struct {
+	Seed uint64 `toml:"seed"`
+	// Sidecars, Boxes and LengthS cut the day of the seed down, for whoever looks for the smallest one; 0: whole.
+	Sidecars int     `toml:"sidecars,omitempty"`
+	Boxes    int     `toml:"boxes,omitempty"`
+	LengthS  float64 `toml:"length_s,omitempty"`
+
+	Troubles []Trouble `toml:"trouble,omitempty"`
+}
+
+// Day draws the day that the script is about.
+func (s *Script) Day(r Ranges) Day {
+	d := Draw(s.Seed, r)
+	d.Shorten(s.Sidecars, s.Boxes, s.LengthS)
+	return d
+}
+
+// kind says which fields a kind of trouble has and how one is drawn.
+type kind struct {
+	name   string
+	fields []string // beside kind and at_s
+	may    []string // that it may leave out
+	draw   func(t *Trouble, d *Day, rng *rand.Rand)
+}
+
+// kinds are all there are, in the order in which they are drawn.
+var kinds = []kind{
+	{Hang, []string{"for_s", "boxes"}, nil, someBoxes(0.05, 0.2, 5, 25)},
+	{Crash, []string{"for_s", "boxes"}, nil, someBoxes(0.05, 0.25, 1, 10)},
+	{CrashMoved, []string{"for_s", "boxes"}, nil, someBoxes(0.05, 0.25, 1, 10)},
+	{SiteLoss, []string{"for_s", "site"}, []string{"with_sidecars", "silent"}, func(t *Trouble, d *Day, rng *rand.Rand) {
+		t.ForS, t.Site = between(rng, 8, 25), d.Sites[rng.IntN(len(d.Sites))]
+		t.WithSidecars, t.Silent = rng.IntN(2) == 0, rng.IntN(2) == 0
+	}},
+	{Shrink, []string{"drain_s", "boxes"}, []string{"for_s"}, func(t *Trouble, d *Day, rng *rand.Rand) {
+		t.Boxes, t.DrainS = d.pick(rng, 0.1, 0.45), between(rng, 2, 6)
+		if rng.IntN(2) == 0 {
+			t.ForS = between(rng, 8, 25)
+		}
+	}},
+	{StaleList, []string{"for_s", "lag_s"}, nil, func(t *Trouble, _ *Day, rng *rand.Rand) {
+		t.ForS, t.LagS = between(rng, 10, 30), between(rng, 2, 30)
+	}},
+	{DiscoveryDown, []string{"for_s"}, nil, func(t *Trouble, _ *Day, rng *rand.Rand) { t.ForS = between(rng, 2, 20) }},
+	{Resets, []string{"for_s", "boxes", "per_s"}, nil, func(t *Trouble, d *Day, rng *rand.Rand) {
+		someBoxes(0.05, 0.4, 3, 15)(t, d, rng)
+		t.PerS = between(rng, 0.5, 5)
+	}},
+	{HalfOpen, []string{"for_s", "boxes"}, nil, someBoxes(0.05, 0.2, 5, 20)},
+	{OneWay, []string{"for_s", "boxes"}, []string{"sidecars", "to_box"}, func(t *Trouble, d *Day, rng *rand.Rand) {
+		someBoxes(0.05, 0.3, 3, 15)(t, d, rng)
+		t.ToBox = rng.IntN(2) == 0
+		if rng.IntN(2) == 0 {
+			t.Sidecars = []int{rng.IntN(len(d.Sidecars))}
+		}
+	}},
+	{SlowReader, []string{"for_s", "sidecars", "share"}, nil, func(t *Trouble, d *Day, rng *rand.Rand) {
+		t.ForS, t.Share, t.Sidecars = between(rng, 3, 15), between(rng, 0.2, 0.9), d.oneSidecar(rng)
+	}},
+	{Spoilt, []string{"for_s", "boxes", "share"}, nil, spoils},
+	{Behind, []string{"for_s", "boxes", "share"}, nil, spoils},
+	{Interim, []string{"for_s", "boxes", "share"}, nil, spoils},
+	{BadClients, []string{"for_s", "sidecars", "per_s"}, nil, func(t *Trouble, d *Day, rng *rand.Rand) {
+		t.ForS, t.PerS, t.Sidecars = between(rng, 3, 20), between(rng, 2, 40), d.oneSidecar(rng)
+	}},
+	{SilentFlood, []string{"for_s", "sidecars", "per_s"}, nil, func(t *Trouble, d *Day, rng *rand.Rand) {
+		t.ForS, t.PerS, t.Sidecars = between(rng, 1, 8), between(rng, 20, 300), d.oneSidecar(rng)
+	}},
+	{SidecarKill, []string{"for_s", "sidecars"}, nil, func(t *Trouble, d *Day, rng *rand.Rand) {
+		t.ForS, t.Sidecars = between(rng, 0.2, 6), d.oneSidecar(rng)
+	}},
+	{SidecarTerm, []string{"for_s", "sidecars"}, nil, func(t *Trouble, d *Day, rng *rand.Rand) {
+		t.ForS, t.Sidecars = between(rng, 3.7, 8), d.oneSidecar(rng)
+	}},
+	{Reload, nil, nil, func(*Trouble, *Day, *rand.Rand) {}},
+	{Reuse, []string{"for_s", "boxes"}, nil, someBoxes(0.05, 0.15, 1, 8)},
+}
+
+// Kinds returns the names of all kinds of trouble.
+func Kinds() []string {
+	names := make([]string, len(kinds))
+	for i, k := range kinds {
+		names[i] = k.name
+	}
+	return names
+}
+
+func kindOf(name string) *kind {
+	if i := slices.IndexFunc(kinds, func(k kind) bool { return k.name == name }); i >= 0 {
+		return &kinds[i]
+	}
+	return nil
+}
+
+// between draws a figure and rounds it to milliseconds, so that a script can be read and edited.
+func between(rng *rand.Rand, least, most float64) float64 {
+	return math.Round((least+(most-least)*rng.Float64())*1e3) / 1e3
+}
+
+func someBoxes(least, most, leastS, mostS float64) func(*Trouble, *Day, *rand.Rand) {
+	return func(t *Trouble, d *Day, rng *rand.Rand) {
+		t.Boxes, t.ForS = d.pick(rng, least, most), between(rng, leastS, mostS)
+	}
+}
+
+func spoils(t *Trouble, d *Day, rng *rand.Rand) {
+	someBoxes(0.1, 1, 3, 20)(t, d, rng)
+	t.Share = between(rng, 0.01, 0.3)
+}
+
+// pick returns the names of a share of the boxes that stand, one at least.
+func (d *Day) pick(rng *rand.Rand, least, most float64) []string {
+	n := max(1, int(math.Round(between(rng, least, most)*float64(d.Standing))))
+	names := make([]string, 0, n)
+	for _, i := range rng.Perm(d.Standing)[:n] {
+		names = append(names, d.Boxes[i].Name)
+	}
+	return names
+}
+
+func (d *Day) oneSidecar(rng *rand.Rand) []int { return []int{rng.IntN(len(d.Sidecars))} }
+
+// settleS is how long a day runs before its first trouble, and quietS how long before its end the last one begins.
+const (
+	settleS = 3.0
+	quietS  = 5.0
+)
+
+// DrawScript returns the troubles of a seed. Each day plays a mix of its own: every kind is turned off on about half
+// of the days. Danger: with all kinds on every day the loud ones hide the others.
+func DrawScript(d *Day) Script {
+	rng := stream(d.Seed, "script", 0)
+	s := Script{Seed: d.Seed}
+	var on []*kind
+	for i := range kinds {
+		if rng.IntN(2) == 0 {
+			on = append(on, &kinds[i])
+		}
+	}
+	if len(on) == 0 || rng.IntN(10) == 0 {
+		return s // a quiet day
+	}
+	moves := 0
+	for range 1 + rng.IntN(7) {
+		k := on[rng.IntN(len(on))]
+		t := Trouble{Kind: k.name, AtS: between(rng, settleS, max(d.LengthS-quietS, settleS))}
+		if k.name == Reload {
+			if moves++; moves >= discoveryMoves {
+				continue
+			}
+		}
+		k.draw(&t, d, rng)
+		s.Troubles = append(s.Troubles, t)
+	}
+	slices.SortStableFunc(s.Troubles, func(a, b Trouble) int {
+		if a.AtS < b.AtS {
+			return -1
+		} else if a.AtS > b.AtS {
+			return 1
+		}
+		return 0
+	})
+	return s
+}
