--- a/internal/judge/event.go
+++ b/internal/judge/event.go
@@ -124,6 +124,7 @@
 	N       int32
 
 	Reused, NotStarted, Spoilt, ByBox bool
+	Uncounted                         bool // of an Asked one: the service is not measured by it
 
 	At        float64
 	FirstSent float64 // when the peer sent the first byte, where the network can tell; else when it came
--- /dev/null
+++ b/internal/world/agenda.go
@@ -0,0 +1,69 @@
+package world
+
+import "math"
+
+// agenda holds what is due, by time and then in the order in which it was put in. What is no longer wanted stays until
+// its time; who takes it out checks.
+type agenda[T any] struct {
+	heap []due[T]
+	seq  uint64
+}
+
+type due[T any] struct {
+	at   float64
+	seq  uint64
+	what T
+}
+
+func (d *due[T]) before(o *due[T]) bool { return d.at < o.at || d.at == o.at && d.seq < o.seq }
+
+func (a *agenda[T]) put(at float64, what T) {
+	a.seq++
+	a.heap = append(a.heap, due[T]{at, a.seq, what})
+	h := a.heap
+	for i := len(h) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !h[i].before(&h[parent]) {
+			break
+		}
+		h[i], h[parent] = h[parent], h[i]
+		i = parent
+	}
+}
+
+// next returns when something is due, +Inf where nothing is.
+func (a *agenda[T]) next() float64 {
+	if len(a.heap) == 0 {
+		return math.Inf(1)
+	}
+	return a.heap[0].at
+}
+
+// take returns the first that is due by now.
+func (a *agenda[T]) take(now float64) (what T, at float64, ok bool) {
+	h := a.heap
+	if len(h) == 0 || h[0].at > now {
+		return what, 0, false
+	}
+	first := h[0]
+	last := len(h) - 1
+	h[0] = h[last]
+	h[last] = due[T]{}
+	h = h[:last]
+	a.heap = h
+	for i := 0; ; {
+		child := 2*i + 1
+		if child >= last {
+			break
+		}
+		if child+1 < last && h[child+1].before(&h[child]) {
+			child++
+		}
+		if !h[child].before(&h[i]) {
+			break
+		}
+		h[i], h[child] = h[child], h[i]
+		i = child
+	}
+	return first.what, first.at, true
+}
--- /dev/null
+++ b/internal/world/app.go
@@ -0,0 +1,530 @@
+package world
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+
+	"hazelwheel/internal/http1"
+	"hazelwheel/internal/judge"
+	"hazelwheel/internal/netio"
+)
+
+// Application is the client beside one sidecar: requests come to it whether earlier ones are answered or not, and it
+// tries them again as its kind of client does. It begins once the sidecar says that it is ready.
+type Application struct {
+	number  int32
+	day     *Day
+	spec    *ClientSpec
+	witness judge.Witness
+	rng     *rand.Rand // arrivals
+	ids     *rand.Rand
+	chance  *rand.Rand // what a request does
+	net     netio.Net
+	due     agenda[appTask]
+	armed   float64
+	ready   bool
+	begunAt float64
+
+	burstAt, burstEnd float64
+	idle              []*appLink // the one that was used last at the end
+	waiting           []*ask     // for a connection
+	links             int        // open, or coming up
+	linkNumber        uint64
+	recent            *ask // that was written last
+	out               []byte
+	body              []byte
+}
+
+// ask is a request of the application, over all its tries.
+type ask struct {
+	first  uint64
+	class  int
+	endAt  float64 // its whole time
+	tries  int
+	key    uint64
+	size   int // of the body
+	id     uint64
+	until  float64 // of the present try
+	link   *appLink
+	resent bool
+	over   bool
+}
+
+// appLink is a connection to the sidecar, or one that is coming up.
+type appLink struct {
+	app    *Application
+	conn   netio.Conn
+	number uint64
+	buf    http1.Buffer
+	parser http1.ResponseParser
+	ask    *ask // that is out, or waits for the connection
+	used   int
+	asking bool // whether the sidecar is ready
+	taken  bool
+}
+
+type appTask struct {
+	kind appTaskKind
+	ask  *ask
+	id   uint64 // of the try that is meant
+}
+
+type appTaskKind uint8
+
+const (
+	taskArrival appTaskKind = iota
+	taskRetry
+	taskOver  // the wait for a try
+	taskReady // asks whether the sidecar is
+	taskEnd
+)
+
+// readyEveryS is the time between two questions whether the sidecar is ready.
+const readyEveryS = 0.05
+
+// NewApplication returns the application beside a sidecar.
+func NewApplication(d *Day, sidecar int, w judge.Witness) *Application {
+	return &Application{number: int32(sidecar), day: d, spec: &d.Clients, witness: w, rng: stream(d.Seed, "arrivals", sidecar),
+		ids: stream(d.Seed, "ids", sidecar), chance: stream(d.Seed, "clients", sidecar), armed: math.Inf(1),
+		body: []byte(bodyText)}
+}
+
+// Boot begins the application.
+func (a *Application) Boot(net netio.Net) netio.Host {
+	a.net = net
+	return a
+}
+
+// Start asks whether the sidecar is ready.
+func (a *Application) Start() {
+	a.due.put(a.net.Now(), appTask{kind: taskReady})
+	a.arm()
+}
+
+// see tells the witness of a try.
+func (a *Application) see(kind judge.Kind, k *ask, link *appLink) judge.Event {
+	now := a.net.Now()
+	e := judge.Event{Kind: kind, At: now, FirstSent: now, Sent: now, Sidecar: a.number, Box: -1, Class: -1}
+	if k != nil {
+		e.Request, e.First, e.Class, e.Until = k.id, k.first, int32(k.class), k.until
+	}
+	if link != nil {
+		e.Link, e.Reused = link.number, link.used > 1
+	}
+	return e
+}
+
+func (a *Application) tell(kind judge.Kind, k *ask, link *appLink) {
+	a.witness.See(a.see(kind, k, link))
+}
+
+// Alarm does what is due.
+func (a *Application) Alarm() {
+	a.armed = math.Inf(1)
+	now := a.net.Now()
+	for {
+		t, _, ok := a.due.take(now)
+		if !ok {
+			break
+		}
+		k := t.ask
+		switch t.kind {
+		case taskReady:
+			if !a.ready {
+				a.askReady(now)
+			}
+		case taskArrival:
+			a.arrive(now)
+		case taskRetry:
+			if !k.over {
+				a.try(k, now)
+			}
+		case taskOver:
+			if !k.over && k.id == t.id {
+				a.giveUp(k, now)
+			}
+		case taskEnd:
+			a.finish()
+		}
+	}
+	a.arm()
+}
+
+func (a *Application) arm() {
+	if at := a.due.next(); at != a.armed && at < math.Inf(1) {
+		a.armed = at
+		a.net.Alarm(at)
+	}
+}
+
+func (a *Application) askReady(now float64) {
+	a.linkNumber++
+	link := &appLink{app: a, number: a.linkNumber, asking: true, parser: http1.NewResponseParser(messageLimits)}
+	a.links++
+	a.net.Dial(a.day.Sidecars[a.number].Address, now+1, link, func(err error) {
+		if err != nil {
+			a.links--
+		}
+	})
+	a.due.put(now+readyEveryS, appTask{kind: taskReady})
+}
+
+// rate returns how many requests a second come at a time.
+func (a *Application) rate(at float64) float64 {
+	s := a.spec
+	r := s.RatePS * a.day.Sidecars[a.number].Share * (1 + s.Swing*math.Sin(2*math.Pi*(at-a.day.Start)/s.PeriodS))
+	for at >= a.burstEnd {
+		a.burstAt = max(a.burstEnd, a.day.Start) + s.EveryS*a.rng.ExpFloat64()
+		a.burstEnd = a.burstAt + s.BurstS*(0.5+a.rng.Float64())
+	}
+	if at >= a.burstAt {
+		r *= s.Burst
+	}
+	return r
+}
+
+// nextArrival returns when the next request comes after a time.
+func (a *Application) nextArrival(at float64) float64 {
+	most := a.spec.RatePS * a.day.Sidecars[a.number].Share * (1 + a.spec.Swing) * a.spec.Burst
+	for {
+		at += a.rng.ExpFloat64() / most
+		if a.rng.Float64()*most <= a.rate(at) {
+			return at
+		}
+	}
+}
+
+// arrive takes up a new request.
+func (a *Application) arrive(now float64) {
+	if at := a.nextArrival(now); at < a.day.Start+a.day.LengthS {
+		a.due.put(at, appTask{kind: taskArrival})
+	} else {
+		a.due.put(now+a.longest()+2, appTask{kind: taskEnd})
+	}
+	class, at := 0, a.rng.Float64()
+	for class < len(a.day.Classes)-1 && at >= a.day.Classes[class].Share {
+		at -= a.day.Classes[class].Share
+		class++
+	}
+	c := &a.day.Classes[class]
+	k := &ask{class: class, endAt: now + c.GiveUpS}
+	if c.BodyBytes > 0 {
+		k.size = 1 + a.rng.IntN(2*c.BodyBytes)
+	}
+	if c.Effect == judge.Keyed {
+		k.key = a.ids.Uint64()
+	}
+	a.try(k, now)
+}
+
+// longest returns the longest time that a request may have.
+func (a *Application) longest() float64 {
+	most := 0.0
+	for _, c := range a.day.Classes {
+		most = max(most, c.GiveUpS)
+	}
+	return most
+}
+
+// repeats tells whether a class is tried again after a failure that may have run.
+func (a *Application) repeats(class int) bool {
+	c := &a.day.Classes[class]
+	return c.Effect == judge.Safe || c.Effect == judge.Keyed && c.Group == judge.GroupAll
+}
+
+// try begins the next try of a request.
+func (a *Application) try(k *ask, now float64) {
+	k.id, k.tries, k.resent, k.link = a.ids.Uint64()|1, k.tries+1, false, nil
+	if k.first == 0 {
+		k.first = k.id
+	}
+	k.until = k.endAt
+	if k.tries <= a.spec.Retries && a.repeats(k.class) {
+		k.until = min(k.endAt, now+a.spec.TryShare*a.day.Classes[k.class].GiveUpS)
+	}
+	if a.chance.Float64() < a.spec.Impatient {
+		k.until = now + a.chance.Float64()*(k.until-now) // it goes away early
+	}
+	a.tell(judge.Asked, k, nil)
+	a.due.put(k.until, appTask{kind: taskOver, ask: k, id: k.id})
+	a.send(k, now)
+}
+
+// send writes a request to an idle connection, or opens one for it.
+func (a *Application) send(k *ask, now float64) {
+	if n := len(a.idle); n > 0 && !k.resent {
+		link := a.idle[n-1]
+		a.idle = a.idle[:n-1]
+		a.write(link, k)
+		return
+	}
+	if a.links >= a.spec.MostConnections {
+		a.waiting = append(a.waiting, k)
+		return
+	}
+	a.dial(k)
+}
+
+func (a *Application) dial(k *ask) {
+	a.linkNumber++
+	link := &appLink{app: a, number: a.linkNumber, ask: k, parser: http1.NewResponseParser(messageLimits)}
+	k.link = link
+	a.links++
+	a.net.Dial(a.day.Sidecars[a.number].Address, k.until, link, func(err error) {
+		if err == nil {
+			return
+		}
+		a.links--
+		k := link.ask
+		if link.ask = nil; k != nil && !k.over && k.link == link {
+			k.link = nil
+			a.tell(judge.Unreached, k, nil)
+			a.failed(k, a.net.Now(), true)
+		}
+		a.serveWaiting()
+		a.arm()
+	})
+}
+
+// serveWaiting gives room that has come free to who waits for it.
+func (a *Application) serveWaiting() {
+	for len(a.waiting) > 0 && (len(a.idle) > 0 || a.links < a.spec.MostConnections) {
+		k := a.waiting[0]
+		a.waiting = a.waiting[1:]
+		if !k.over && k.id != 0 && k.link == nil && k.until > a.net.Now() {
+			a.send(k, a.net.Now())
+		}
+	}
+}
+
+// Open takes a connection that has come up.
+func (a *Application) Open(c netio.Conn) bool {
+	link := c.Context().(*appLink)
+	link.conn = c
+	switch {
+	case link.asking:
+		link.used++
+		c.Write(http1.AppendRequest(a.out[:0], "GET", "/ready", http1.Header{{Name: "Host", Value: "service.internal"}}, nil))
+	case link.ask != nil && link.ask.link == link && !link.ask.over:
+		a.write(link, link.ask)
+	default:
+		link.ask = nil
+		a.idle = append(a.idle, link)
+		a.serveWaiting()
+	}
+	return true
+}
+
+// write writes a request to a connection.
+func (a *Application) write(link *appLink, k *ask) {
+	link.ask, k.link, a.recent = k, link, k
+	link.used++
+	c := &a.day.Classes[k.class]
+	method := "POST"
+	if c.Effect == judge.Safe {
+		method = "GET"
+	}
+	out := append(append(a.out[:0], method...), " /"...)
+	out = append(append(out, c.Name...), "/item HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: "...)
+	out = append(appendID(out, k.id), "\r\nRequest-Timeout: "...)
+	out = strconv.AppendInt(out, max(1, int64((k.until-a.net.Now())*1e6)), 10)
+	out = append(out, "u\r\n"...)
+	if k.key != 0 {
+		out = append(appendID(append(out, "Idempotency-Key: "...), k.key), "\r\n"...)
+	}
+	if method == "POST" {
+		out = strconv.AppendInt(append(out, "Content-Length: "...), int64(k.size), 10)
+		out = append(out, "\r\n"...)
+	}
+	out = append(append(out, "\r\n"...), a.body[:k.size]...)
+	a.out = out
+	conn := link.conn
+	link.taken = false
+	if _, err := conn.Write(out); err == nil && link.conn == conn && link.ask == k {
+		a.taken(link)
+	}
+}
+
+// taken notes that the sidecar's machine has been handed a request whole.
+func (a *Application) taken(link *appLink) {
+	if !link.taken && link.conn.OutboundBuffered() == 0 {
+		link.taken = true
+		a.tell(judge.Taken, link.ask, link)
+	}
+}
+
+// Traffic takes bytes of an answer.
+func (a *Application) Traffic(c netio.Conn, data []byte) {
+	link := c.Context().(*appLink)
+	if link.ask == nil && !link.asking {
+		a.tell(judge.Stray, nil, link)
+		a.net.Close(c)
+		return
+	}
+	link.buf.Write(data)
+	done, err := link.parser.Next(&link.buf)
+	switch {
+	case link.asking:
+		if err != nil || done {
+			a.readyAnswered(link, err == nil && link.parser.Status == 200)
+		}
+	case err != nil:
+		k := link.ask
+		a.tell(judge.Broken, k, link)
+		link.ask = nil
+		a.net.Close(c)
+		a.failed(k, a.net.Now(), false)
+	case done:
+		a.answered(link)
+	}
+	a.arm()
+}
+
+func (a *Application) readyAnswered(link *appLink, ready bool) {
+	a.net.Close(link.conn)
+	if !ready || a.ready {
+		return
+	}
+	a.ready, a.begunAt = true, a.net.Now()
+	a.due.put(a.nextArrival(a.begunAt), appTask{kind: taskArrival})
+}
+
+// answered takes a whole answer.
+func (a *Application) answered(link *appLink) {
+	k, now := link.ask, a.net.Now()
+	a.taken(link)
+	e := a.see(judge.Answered, k, link)
+	e.Status, e.Digest = int32(link.parser.Status), judge.Digest(link.parser.Body)
+	a.witness.See(e)
+	link.ask = nil
+	status, after := link.parser.Status, 0.0
+	if text := link.parser.Header.Get(fieldRetryAfter); text != "" {
+		after, _ = strconv.ParseFloat(text, 64) // what can't be read is no advice
+	}
+	switch {
+	case link.buf.Len() > 0:
+		a.tell(judge.Stray, nil, link)
+		a.net.Close(link.conn)
+	case !link.parser.Keep():
+		a.net.Close(link.conn)
+	default:
+		a.idle = append(a.idle, link)
+	}
+	switch status {
+	case 200:
+		a.settle(k)
+	case 429, 503:
+		a.refused(k, now, after)
+	default:
+		a.failed(k, now, false)
+	}
+	a.serveWaiting()
+}
+
+// settle ends a request.
+func (a *Application) settle(k *ask) { k.over = true }
+
+// refused takes a refusal: trying again is harmless.
+func (a *Application) refused(k *ask, now, after float64) {
+	pause := a.pause(k)
+	if after > 0 && a.chance.Float64() < a.spec.Honour {
+		pause = max(pause, min(after, a.spec.MaxRetryAfterS))
+	}
+	a.again(k, now+pause)
+}
+
+// failed takes a failure; unreached ones have not even been taken.
+func (a *Application) failed(k *ask, now float64, unreached bool) {
+	if !unreached && !a.repeats(k.class) {
+		a.settle(k)
+		return
+	}
+	a.again(k, now+a.pause(k))
+}
+
+func (a *Application) pause(k *ask) float64 {
+	return a.spec.BackoffS * math.Ldexp(0.5+a.chance.Float64(), min(k.tries-1, 8))
+}
+
+// again has a request tried once more, if it has tries and time left.
+func (a *Application) again(k *ask, at float64) {
+	k.id, k.link = 0, nil
+	if k.tries > a.spec.Retries || at >= k.endAt {
+		a.settle(k)
+		return
+	}
+	a.due.put(at, appTask{kind: taskRetry, ask: k})
+}
+
+// giveUp ends the wait for a try.
+func (a *Application) giveUp(k *ask, now float64) {
+	a.tell(judge.Left, k, k.link)
+	if link := k.link; link != nil {
+		link.ask = nil
+		if link.conn != nil {
+			a.net.Close(link.conn)
+		} // one that still comes up serves another
+	}
+	a.failed(k, now, false)
+	a.serveWaiting()
+}
+
+// Closed takes the end of a connection.
+func (a *Application) Closed(c netio.Conn, err error) {
+	link := c.Context().(*appLink)
+	a.links--
+	link.conn = nil
+	for i, other := range a.idle {
+		if other == link {
+			a.idle = append(a.idle[:i], a.idle[i+1:]...)
+			break
+		}
+	}
+	k := link.ask
+	if link.ask = nil; k == nil || k.over || k.link != link || err == nil {
+		a.arm()
+		return
+	}
+	now := a.net.Now()
+	k.link = nil
+	switch {
+	case link.parser.Begun():
+		a.tell(judge.Broken, k, link)
+		a.failed(k, now, false)
+	case link.used > 1 && !k.resent && now < k.until:
+		a.tell(judge.Dropped, k, link)
+		k.resent = true // its close may have crossed the request: once more, on a new connection
+		a.send(k, now)
+	default:
+		a.tell(judge.Dropped, k, link)
+		a.failed(k, now, !link.taken)
+	}
+	a.serveWaiting()
+	a.arm()
+}
+
+// openID returns the id of a request that is out; false: there is none that is known of.
+func (a *Application) openID() (uint64, bool) {
+	k := a.recent
+	if k == nil || k.over || k.link == nil || k.link.ask != k {
+		return 0, false
+	}
+	return k.id, true
+}
+
+// finish closes the connections at the day's end.
+func (a *Application) finish() {
+	for len(a.idle) > 0 {
+		a.net.Close(a.idle[len(a.idle)-1].conn)
+	}
+}
+
+// bodyText is what bodies are cut from.
+var bodyText = func() string {
+	text := make([]byte, 0, 1024)
+	for len(text) < 1024 {
+		text = append(text, "reading=17.25;sensor=amb-0421;unit=C;"...)
+	}
+	return string(text)
+}()
--- /dev/null
+++ b/internal/world/configuration.go
@@ -0,0 +1,68 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"hazelwheel/internal/judge"
+)
+
+// mostKnownAgeS is how old the list in a new process's configuration may be.
+const mostKnownAgeS = 20.0
+
+// StartConfiguration returns the configuration that a sidecar's new process begins with. The list in it may be old. The
+// witness is told of the start and of the list.
+func (w *World) StartConfiguration(sidecar int, now float64) []byte {
+	age := stream(w.Day.Seed, "known", sidecar).Float64() * mostKnownAgeS
+	index, list := w.Registry.asOf(max(now-age, w.Day.Start))
+	w.witness.See(judge.Event{Kind: judge.SidecarStarted, At: now, Sidecar: int32(sidecar), Box: -1})
+	w.Registry.tell(int32(sidecar), list, 0, true, now)
+	return w.configuration(sidecar, w.Registry.appendList(nil, index, list, 0, true))
+}
+
+// ReloadConfiguration returns what a sidecar's configuration says now to a process that is told to read it again.
+func (w *World) ReloadConfiguration(sidecar int) []byte {
+	index, list := w.Registry.asOf(w.Day.Start)
+	return w.configuration(sidecar, w.Registry.appendList(nil, index, list, 0, true))
+}
+
+type object = map[string]any
+
+func (w *World) configuration(sidecar int, known []byte) []byte {
+	d, s := w.Day, &w.Day.Sidecars[sidecar]
+	raw, err := json.Marshal(object{"name": s.Name, "listen": s.Address, "discovery": w.Registry.Address(),
+		"seed":   fmt.Sprintf("%016x", s.Seed),
+		"limits": object{"cores": 1, "memory_mb": d.MemoryMB, "sockets": d.Sockets},
+		"known":  json.RawMessage(known), "settings": d.settings(sidecar)})
+	if err != nil {
+		panic(err) // all of it is ours, and can be marshalled
+	}
+	return raw
+}
+
+var (
+	effectText = map[judge.Effect]string{judge.Safe: "free", judge.Keyed: "guarded", judge.Unsafe: "single_shot"}
+	groupText  = map[judge.Group]string{judge.GroupAll: "all", judge.GroupZone: "zone", judge.GroupCell: "cell"}
+)
+
+// settings returns the settings object that a sidecar finds in its configuration.
+func (d *Day) settings(sidecar int) object {
+	var classes []object
+	for _, c := range d.Classes {
+		classes = append(classes, object{"name": c.Name, "effect": effectText[c.Effect], "dedupScope": groupText[c.Group],
+			"giveUpS": c.GiveUpS, "objectiveS": c.AimS, "windowS": c.WindowS, "importance": c.Worth, "lateWorth": c.LateWorth,
+			"stream": false})
+	}
+	return object{
+		"classes": classes, "clients": object{"marksRetry": false}, "dcs": d.Sites, "hostTypes": d.Kinds,
+		"deductions": object{"crossZone": 0.06, "probe": 0.0081, "waste": 0.02, "lateFail": 0.055},
+		"discovery":  "on_request", "locality": d.Sidecars[sidecar].Site,
+		"limits": object{"cancel": true, "connIdleS": d.ConnIdle, "connectTimeoutS": connectS, "maxRetryAfterS": maxRetryAfter,
+			"peers": false, "probes": true, "retryAfter": true, "secondCopies": false, "sendCap": mostAttempts, "streamsPerConn": 1},
+		"obligations": object{"answerSlackS": answerSlackS, "askWithinS": askWithinS, "coldFrom": coldFrom, "coldS": coldS,
+			"drainGraceS": drainGraceS, "fallMultiple": fallMultiple, "fallS": fallS},
+		"replicasOfMe": len(d.Sidecars), "selfIndex": sidecar, "roundS": tickS, "stage": 0, "tenants": []object{},
+		"tiers": []string{"readings"}, "weights": "rough", "workload": "mesh", "valueBy": "request",
+		"report": object{"fields": []string{"cpu_share", "failed_ps", "pending"}, "how": "on_probe"},
+	}
+}
--- /dev/null
+++ b/internal/world/mischief.go
@@ -0,0 +1,360 @@
+package world
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+
+	"hazelwheel/internal/http1"
+	"hazelwheel/internal/judge"
+	"hazelwheel/internal/netio"
+)
+
+// Mischief is the clients beside one sidecar that may not be served: they send what nobody can use, or say nothing.
+// They send at full speed and read what they are sent.
+type Mischief struct {
+	number  int32
+	day     *Day
+	app     *Application
+	witness judge.Witness
+	rng     *rand.Rand
+	net     netio.Net
+	due     agenda[mischiefTask]
+	armed   float64
+	visits  uint64
+	out     []byte
+}
+
+// wave is a time in which such clients come.
+type wave struct {
+	perS, until float64
+	silent      bool
+}
+
+// The ways of clients that may not be served.
+type malice uint8
+
+const (
+	sendsNoise malice = iota
+	sendsEndlessHead
+	sendsOddLength
+	sendsNegativeLength
+	sendsHugeBody
+	asksNoClass
+	asksOddDeadline
+	asksWithoutID
+	asksWithOthersID
+	asksHalf
+	hidesAnother
+	asksAgain // what it asks may be served; it is the same once more, at once, when it is refused
+	malices
+	saysNothing = malices
+)
+
+// What such a client does at most.
+const (
+	mostPieces   = 64   // of an endless head or body
+	pieceEveryS  = 0.01 // between two
+	mostAgain    = 20
+	owedS        = 3.0
+	owedHugeS    = 6.0
+	visitS       = 8.0 // then it goes by itself
+	pieceBytes   = 16 << 10
+	hugeBody     = 60_000_000
+	visitRoundS  = 0.5 // how long it waits for a connection
+	againPatient = 1.0 // seconds that it gives each try
+)
+
+// visit is one such client.
+type visit struct {
+	kind   malice
+	conn   netio.Conn
+	number uint64
+	parser http1.ResponseParser
+	buf    http1.Buffer
+	pieces int
+	id     uint64 // of its request, where that may be served
+	tries  int
+	heard  bool
+}
+
+type mischiefTask struct {
+	wave  *wave  // one more is due
+	visit *visit // goes on, or away
+	leave bool
+}
+
+// NewMischief returns the clients beside a sidecar that may not be served. None comes before Come is called.
+func NewMischief(d *Day, sidecar int, app *Application, w judge.Witness) *Mischief {
+	return &Mischief{number: int32(sidecar), day: d, app: app, witness: w, rng: stream(d.Seed, "mischief", sidecar),
+		armed: math.Inf(1)}
+}
+
+// Boot begins the machine's program.
+func (m *Mischief) Boot(net netio.Net) netio.Host {
+	m.net = net
+	return m
+}
+
+// Start does nothing: who comes is told by Come.
+func (m *Mischief) Start() {}
+
+// Come has so many such clients a second come until a time; silent ones say nothing.
+func (m *Mischief) Come(perS, until float64, silent bool) {
+	m.net.Post(func() {
+		m.due.put(m.net.Now(), mischiefTask{wave: &wave{perS, until, silent}})
+		m.arm()
+	})
+}
+
+// Alarm does what is due.
+func (m *Mischief) Alarm() {
+	m.armed = math.Inf(1)
+	now := m.net.Now()
+	for {
+		t, _, ok := m.due.take(now)
+		if !ok {
+			break
+		}
+		switch {
+		case t.wave != nil:
+			if now < t.wave.until {
+				m.visit(t.wave.silent, now)
+				m.due.put(now+m.rng.ExpFloat64()/t.wave.perS, t)
+			}
+		case t.visit.conn == nil:
+		case t.leave:
+			m.net.Close(t.visit.conn)
+		default:
+			m.goOn(t.visit, now)
+		}
+	}
+	m.arm()
+}
+
+func (m *Mischief) arm() {
+	if at := m.due.next(); at != m.armed && at < math.Inf(1) {
+		m.armed = at
+		m.net.Alarm(at)
+	}
+}
+
+func (m *Mischief) visit(silent bool, now float64) {
+	m.visits++
+	v := &visit{kind: malice(m.rng.IntN(int(malices))), number: 1<<40 | m.visits, parser: http1.NewResponseParser(messageLimits)}
+	if silent {
+		v.kind = saysNothing
+	}
+	m.net.Dial(m.day.Sidecars[m.number].Address, now+visitRoundS, v, func(error) {})
+}
+
+// Open begins what a client has come for.
+func (m *Mischief) Open(c netio.Conn) bool {
+	v := c.Context().(*visit)
+	v.conn = c
+	now := m.net.Now()
+	m.due.put(now+visitS, mischiefTask{visit: v, leave: true})
+	if v.kind != asksAgain && v.kind != asksHalf {
+		e := m.see(judge.Hostile, v)
+		if e.Until = now + owedS; v.kind == sendsHugeBody {
+			e.Until = now + owedHugeS
+		}
+		m.witness.See(e)
+	}
+	m.begin(v, now)
+	m.arm()
+	return true
+}
+
+func (m *Mischief) see(kind judge.Kind, v *visit) judge.Event {
+	now := m.net.Now()
+	return judge.Event{Kind: kind, At: now, FirstSent: now, Sent: now, Sidecar: m.number, Box: -1, Class: -1, Link: v.number, Request: v.id}
+}
+
+func (m *Mischief) begin(v *visit, now float64) {
+	class, unsafe := m.classOf(judge.Safe), m.classOf(judge.Unsafe)
+	out := m.out[:0]
+	post := func() { out = append(append(append(out, "POST /"...), unsafe...), " HTTP/1.1\r\nHost: h\r\n"...) }
+	get := func() { out = append(append(append(out, "GET /"...), class...), " HTTP/1.1\r\nHost: h\r\n"...) }
+	id := func() {
+		out = append(appendID(append(out, fieldID+": "...), m.rng.Uint64()|1), "\r\n"...)
+	}
+	switch v.kind {
+	case sendsNoise:
+		for range 20 + m.rng.IntN(300) {
+			out = append(out, byte(m.rng.Uint32()))
+		}
+		out = append(out, "\r\n\r\n"...)
+	case sendsEndlessHead:
+		get()
+		m.due.put(now, mischiefTask{visit: v})
+	case sendsOddLength:
+		post()
+		id()
+		out = append(out, "Content-Length: twelve\r\n\r\nabc"...)
+	case sendsNegativeLength:
+		post()
+		id()
+		out = append(out, "Content-Length: -12\r\n\r\nabc"...)
+	case sendsHugeBody:
+		post()
+		id()
+		out = append(strconv.AppendInt(append(out, "Content-Length: "...), hugeBody, 10), "\r\n\r\n"...)
+		m.due.put(now, mischiefTask{visit: v})
+	case asksNoClass:
+		out = append(out, "GET /no-such-class HTTP/1.1\r\nHost: h\r\n"...)
+		id()
+		out = append(out, "\r\n"...)
+	case asksOddDeadline:
+		get()
+		id()
+		out = append(out, fieldPatience+": soon\r\n\r\n"...)
+	case asksWithoutID:
+		get()
+		out = append(out, "\r\n"...)
+	case asksWithOthersID:
+		other, ok := m.app.openID()
+		if !ok {
+			m.net.Close(v.conn)
+			return
+		}
+		get()
+		out = append(appendID(append(out, fieldID+": "...), other), "\r\n\r\n"...)
+	case asksHalf:
+		post()
+		id()
+		out = append(out, "Content-Length: 100\r\n\r\nhalf"...)
+		m.due.put(now+m.rng.Float64(), mischiefTask{visit: v, leave: true})
+	case hidesAnother:
+		post()
+		id()
+		out = append(out, "Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"...)
+		post()
+		id()
+		out = append(out, "Content-Length: 0\r\n\r\n"...)
+	case asksAgain:
+		m.ask(v, now)
+		return
+	}
+	m.out = out
+	if len(out) > 0 {
+		v.conn.Write(out) // a connection that breaks here is closed by the network
+	}
+}
+
+func (m *Mischief) classOf(effect judge.Effect) string {
+	for _, c := range m.day.Classes {
+		if c.Effect == effect {
+			return c.Name
+		}
+	}
+	return m.day.Classes[0].Name
+}
+
+// ask asks for something that may be served.
+func (m *Mischief) ask(v *visit, now float64) {
+	class := 0
+	for class < len(m.day.Classes)-1 && m.day.Classes[class].Effect != judge.Safe {
+		class++
+	}
+	v.tries++
+	v.id = m.rng.Uint64() | 1
+	e := m.see(judge.Asked, v)
+	e.First, e.Class, e.Until, e.Uncounted = v.id, int32(class), now+againPatient, true
+	m.witness.See(e)
+	out := append(append(append(m.out[:0], "GET /"...), m.day.Classes[class].Name...), " HTTP/1.1\r\nHost: h\r\nRequest-Id: "...)
+	out = append(appendID(out, v.id), "\r\nRequest-Timeout: 1000m\r\n\r\n"...)
+	m.out = out
+	conn := v.conn
+	if _, err := conn.Write(out); err == nil && v.conn == conn && conn.OutboundBuffered() == 0 {
+		e.Kind, e.Reused = judge.Taken, v.tries > 1
+		m.witness.See(e)
+	}
+}
+
+// goOn sends the next piece of what never ends.
+func (m *Mischief) goOn(v *visit, now float64) {
+	if v.pieces++; v.pieces > mostPieces {
+		return
+	}
+	if v.conn.OutboundBuffered() == 0 {
+		out := m.out[:0]
+		if v.kind == sendsEndlessHead {
+			out = append(append(out, "X-Fill-"...), bodyText[:500]...)
+			for i := range out {
+				if out[i] == '=' || out[i] == ';' {
+					out[i] = 'a'
+				}
+			}
+			out = append(out, ": a\r\n"...)
+		} else {
+			for len(out) < pieceBytes {
+				out = append(out, bodyText...)
+			}
+		}
+		m.out = out
+		v.conn.Write(out)
+	}
+	m.due.put(now+pieceEveryS, mischiefTask{visit: v})
+}
+
+// Traffic takes what such a client is sent.
+func (m *Mischief) Traffic(c netio.Conn, data []byte) {
+	v := c.Context().(*visit)
+	if v.heard {
+		return
+	}
+	v.buf.Write(data)
+	done, err := v.parser.Next(&v.buf)
+	if v.kind == asksAgain {
+		if err != nil {
+			m.witness.See(m.see(judge.Broken, v))
+			v.id = 0
+			m.net.Close(c)
+		} else if done {
+			m.answeredAgain(v)
+		}
+		m.arm()
+		return
+	}
+	if err != nil || done {
+		e := m.see(judge.HostileAnswered, v)
+		e.Status = int32(v.parser.Status)
+		m.witness.See(e)
+		v.heard = true
+		m.net.Close(c)
+	}
+	m.arm()
+}
+
+func (m *Mischief) answeredAgain(v *visit) {
+	e := m.see(judge.Answered, v)
+	e.Status, e.Digest = int32(v.parser.Status), judge.Digest(v.parser.Body)
+	m.witness.See(e)
+	v.id = 0
+	refused := v.parser.Status == 429 || v.parser.Status == 503
+	if !refused || v.tries >= mostAgain || !v.parser.Keep() {
+		m.net.Close(v.conn)
+		return
+	}
+	m.ask(v, m.net.Now())
+}
+
+// Closed takes the end of a connection.
+func (m *Mischief) Closed(c netio.Conn, err error) {
+	v := c.Context().(*visit)
+	v.conn = nil
+	switch {
+	case v.kind == asksAgain && v.id != 0 && err == nil:
+		m.witness.See(m.see(judge.Left, v))
+	case v.kind == asksAgain && v.id != 0 && v.parser.Begun():
+		m.witness.See(m.see(judge.Broken, v))
+	case v.kind == asksAgain && v.id != 0:
+		e := m.see(judge.Dropped, v)
+		e.Reused = v.tries > 1
+		m.witness.See(e)
+	case v.kind != asksAgain && v.kind != asksHalf && err != nil:
+		m.witness.See(m.see(judge.HostileEnded, v))
+	}
+	m.arm()
+}
--- /dev/null
+++ b/internal/world/player.go
@@ -0,0 +1,343 @@
+package world
+
+import (
+	"fmt"
+	"math"
+
+	"hazelwheel/internal/judge"
+)
+
+// Player plays a script's troubles at their times. Those of boxes, discovery and clients it does itself, those of
+// machines, processes and paths it has the Ground do.
+type Player struct {
+	w       *World
+	ground  Ground
+	witness judge.Witness
+	steps   agenda[func(now float64)]
+	spares  int    // boxes that have been brought in
+	hung    []int  // by box: troubles that hold it
+	slow    []int  // by application: troubles that slow it
+	gone    []bool // by sidecar: its next process has been arranged
+}
+
+// NewPlayer returns a player that has played nothing. A script that names what the day has not is an error.
+func NewPlayer(w *World, s *Script, g Ground, witness judge.Witness) (*Player, error) {
+	p := &Player{w: w, ground: g, witness: witness, hung: make([]int, len(w.Boxes)), slow: make([]int, len(w.Apps)),
+		gone: make([]bool, len(w.Apps))}
+	for i := range s.Troubles {
+		t := &s.Troubles[i]
+		if field, why := t.fault(w.Day); field != "" {
+			return nil, fmt.Errorf("trouble %d: %s: %s", i+1, field, why)
+		}
+		p.steps.put(w.Day.Start+t.AtS, func(now float64) { p.begin(t, now) })
+	}
+	return p, nil
+}
+
+// Next returns when Play is next to be called; false: nothing is left.
+func (p *Player) Next() (at float64, ok bool) {
+	at = p.steps.next()
+	return at, at < math.Inf(1)
+}
+
+// Play does what is due by now.
+func (p *Player) Play(now float64) {
+	for {
+		step, at, ok := p.steps.take(now)
+		if !ok {
+			return
+		}
+		step(at)
+	}
+}
+
+// later arranges a step after a time.
+func (p *Player) later(now, afterS float64, step func(now float64)) { p.steps.put(now+afterS, step) }
+
+func (p *Player) boxes(t *Trouble) []*Box {
+	var found []*Box
+	for _, name := range t.Boxes {
+		for _, b := range p.w.Boxes {
+			if b.Spec.Name == name {
+				found = append(found, b)
+			}
+		}
+	}
+	return found
+}
+
+// begin begins a trouble and arranges its end.
+func (p *Player) begin(t *Trouble, now float64) {
+	boxes := p.boxes(t)
+	switch t.Kind {
+	case Hang:
+		p.hang(boxes, t, now)
+	case Crash:
+		p.goAndReturn(boxes, t, now, false, false)
+	case CrashMoved:
+		p.goAndReturn(boxes, t, now, false, true)
+	case HalfOpen:
+		p.goAndReturn(boxes, t, now, true, false)
+	case SiteLoss:
+		p.loseSite(t, now)
+	case Shrink:
+		p.shrink(boxes, t, now)
+	case StaleList:
+		p.w.Registry.StaleS += t.LagS
+		p.later(now, t.ForS, func(float64) { p.w.Registry.StaleS -= t.LagS })
+	case DiscoveryDown:
+		p.w.Registry.Down(true, now)
+		p.later(now, t.ForS, func(now float64) { p.w.Registry.Down(false, now) })
+	case Resets:
+		p.resets(boxes, t, now, now+t.ForS)
+	case OneWay:
+		p.oneWay(boxes, t, now)
+	case SlowReader:
+		p.slowReaders(t, now)
+	case Spoilt, Behind, Interim:
+		for _, b := range boxes {
+			share := b.Manners.share(t.Kind)
+			*share += t.Share
+			p.later(now, t.ForS, func(float64) { *share = max(0, *share-t.Share) })
+		}
+	case BadClients, SilentFlood:
+		for _, i := range t.Sidecars {
+			p.w.Mischief[i].Come(t.PerS, now+t.ForS, t.Kind == SilentFlood)
+		}
+	case SidecarKill:
+		for _, i := range t.Sidecars {
+			p.killSidecar(i, t.ForS, now)
+		}
+	case SidecarTerm:
+		for _, i := range t.Sidecars {
+			if p.gone[i] {
+				continue
+			}
+			p.sidecar(judge.SidecarTermed, i, now)
+			p.ground.Terminate(i)
+			// What has not ended by then is killed, as a platform does before it begins the next process.
+			p.later(now, t.ForS, func(now float64) { p.killSidecar(i, 0, now) })
+		}
+	case Reload:
+		p.moveDiscovery(now)
+	case Reuse:
+		for _, b := range boxes {
+			p.replace(b, t, now)
+		}
+	}
+}
+
+// share returns the share of answers that a trouble is about.
+func (m *Manners) share(kind string) *float64 {
+	switch kind {
+	case Spoilt:
+		return &m.Spoilt
+	case Behind:
+		return &m.Behind
+	default:
+		return &m.Interim
+	}
+}
+
+// hang counts how many troubles hold a box, so that the end of one does not end the others.
+func (p *Player) hang(boxes []*Box, t *Trouble, now float64) {
+	for _, b := range boxes {
+		n := b.Spec.Number
+		p.hung[n]++
+		b.Hang(true)
+		p.later(now, t.ForS, func(float64) {
+			if p.hung[n]--; p.hung[n] == 0 {
+				b.Hang(false)
+			}
+		})
+	}
+}
+
+// end ends a box's process, or has its machine vanish; false: it has none.
+func (p *Player) end(b *Box, silent bool, now float64) bool {
+	if !b.Alive() {
+		return false
+	}
+	if silent {
+		p.cut(-1, int32(b.Spec.Number), true, now)
+	}
+	b.Ended(now) // before its connections' ends come
+	if silent {
+		p.ground.Vanish(b.machine())
+	} else {
+		p.ground.Kill(b.machine())
+	}
+	p.w.Registry.Lost(b.Spec.Number, silent, now)
+	return true
+}
+
+// back begins a box's next life at an IP.
+func (p *Player) back(b *Box, ip string, silent bool, now float64) {
+	if tenant := p.w.tenants[ip]; b.Alive() || tenant.Alive() && tenant.machine() == ip {
+		return // it is back already, or another has its place
+	}
+	if silent {
+		p.cut(-1, int32(b.Spec.Number), false, now)
+	}
+	p.w.tenants[ip] = b
+	p.ground.Return(ip)
+}
+
+func (p *Player) goAndReturn(boxes []*Box, t *Trouble, now float64, silent, moved bool) {
+	for _, b := range boxes {
+		if !p.end(b, silent, now) {
+			continue
+		}
+		ip := b.machine()
+		if moved {
+			if ip == b.Spec.IP {
+				ip = otherIP(&b.Spec)
+			} else {
+				ip = b.Spec.IP
+			}
+		}
+		p.later(now, t.ForS, func(now float64) { p.back(b, ip, silent, now) })
+	}
+}
+
+func (p *Player) loseSite(t *Trouble, now float64) {
+	for i, site := range p.w.Day.Sites {
+		if site != t.Site {
+			continue
+		}
+		var boxes []*Box
+		for _, b := range p.w.Boxes {
+			if b.Spec.Site == i {
+				boxes = append(boxes, b)
+			}
+		}
+		p.goAndReturn(boxes, t, now, t.Silent, false)
+		for k, s := range p.w.Day.Sidecars {
+			if t.WithSidecars && s.Site == i {
+				p.killSidecar(k, t.ForS, now)
+			}
+		}
+	}
+}
+
+// shrink has boxes drain, and ends them after their notice.
+func (p *Player) shrink(boxes []*Box, t *Trouble, now float64) {
+	for _, b := range boxes {
+		if !b.Alive() {
+			continue
+		}
+		life := b.life
+		p.w.Registry.Drained(b.Spec.Number, now)
+		b.Drain()
+		p.later(now, t.DrainS, func(now float64) {
+			if b.life != life || !p.end(b, false, now) || t.ForS == 0 {
+				return
+			}
+			p.later(now, t.ForS, func(now float64) { p.back(b, b.machine(), false, now) })
+		})
+	}
+}
+
+func (p *Player) resets(boxes []*Box, t *Trouble, now, until float64) {
+	n := 0
+	var step func(now float64)
+	step = func(now float64) {
+		if now >= until || len(boxes) == 0 {
+			return
+		}
+		b := boxes[n%len(boxes)]
+		s := p.w.Day.Sidecars[n/len(boxes)%len(p.w.Day.Sidecars)]
+		n++
+		p.ground.Reset(s.IP, b.machine())
+		p.later(now, 1/t.PerS, step)
+	}
+	step(now)
+}
+
+// cut tells the witness of a way that is cut, or mended.
+func (p *Player) cut(sidecar, box int32, on bool, now float64) {
+	kind := judge.PathMended
+	if on {
+		kind = judge.PathCut
+	}
+	p.witness.See(judge.Event{Kind: kind, At: now, Sidecar: sidecar, Box: box})
+}
+
+func (p *Player) oneWay(boxes []*Box, t *Trouble, now float64) {
+	sidecars := t.Sidecars
+	if len(sidecars) == 0 {
+		for i := range p.w.Day.Sidecars {
+			sidecars = append(sidecars, i)
+		}
+	}
+	for _, b := range boxes {
+		for _, i := range sidecars {
+			from, to := p.w.Day.Sidecars[i].IP, b.machine()
+			if !t.ToBox {
+				from, to = to, from
+			}
+			p.cut(int32(i), int32(b.Spec.Number), true, now)
+			p.ground.Cut(from, to)
+			p.later(now, t.ForS, func(now float64) {
+				p.ground.Mend(from, to)
+				p.cut(int32(i), int32(b.Spec.Number), false, now)
+			})
+		}
+	}
+}
+
+func (p *Player) slowReaders(t *Trouble, now float64) {
+	for _, i := range t.Sidecars {
+		p.slow[i]++
+		p.ground.Stall(i, t.Share)
+		p.later(now, t.ForS, func(float64) {
+			if p.slow[i]--; p.slow[i] == 0 {
+				p.ground.Stall(i, 1)
+			}
+		})
+	}
+}
+
+func (p *Player) sidecar(kind judge.Kind, sidecar int, now float64) {
+	p.witness.See(judge.Event{Kind: kind, At: now, Sidecar: int32(sidecar), Box: -1})
+}
+
+// killSidecar ends a sidecar's process and begins the next one after a while.
+func (p *Player) killSidecar(sidecar int, afterS, now float64) {
+	if p.gone[sidecar] {
+		return // another trouble has it
+	}
+	p.gone[sidecar] = true
+	ip := p.w.Day.Sidecars[sidecar].IP
+	p.sidecar(judge.SidecarKilled, sidecar, now)
+	p.ground.Kill(ip)
+	p.later(now, afterS, func(float64) {
+		p.gone[sidecar] = false
+		p.ground.Return(ip)
+	})
+}
+
+// moveDiscovery has discovery go on elsewhere and tells the sidecars so by a new configuration.
+func (p *Player) moveDiscovery(now float64) {
+	ip, ok := p.w.Registry.nextIP()
+	if !ok {
+		return
+	}
+	p.ground.Return(ip)
+	p.w.Registry.Move()
+	for i := range p.w.Apps {
+		p.sidecar(judge.Reloaded, i, now)
+		p.ground.Hangup(i, p.w.ReloadConfiguration(i))
+	}
+}
+
+// replace ends a box and begins another one at its address after a while.
+func (p *Player) replace(b *Box, t *Trouble, now float64) {
+	next := p.w.Day.Standing + p.spares
+	if next >= len(p.w.Boxes) || !p.end(b, false, now) {
+		return
+	}
+	p.spares++
+	ip := b.machine()
+	p.later(now, t.ForS, func(now float64) { p.back(p.w.Boxes[next], ip, false, now) })
+}
--- /dev/null
+++ b/internal/world/registry.go
@@ -0,0 +1,284 @@
+package world
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+
+	"hazelwheel/internal/judge"
+)
+
+// Registry is discovery: one service for all sidecars, at one of its addresses after another. It knows only what boxes'
+// processes do, and that late; it works through calls in turn.
+type Registry struct {
+	StaleS float64 // further delay of all that it learns from now on
+
+	day      *Day
+	spec     *RegistrySpec
+	witness  judge.Witness
+	who      neighbours
+	rng      *rand.Rand
+	entries  []entry   // by box
+	changes  []change  // all that the list has taken, oldest first
+	known    []learned // by box
+	pending  agenda[change]
+	index    uint64
+	publish  float64 // when what is due is taken up next
+	down     bool
+	refusing bool // while it is down calls are not even answered
+	present  int  // the address in use
+	fronts   []*registryFront
+	links    uint64
+
+	calls    []*registryLink // that wait, oldest first
+	serving  bool
+	servedAt float64 // when the one in hand is done
+}
+
+// entry is what the list says of a box; a status of 0: it was never on it.
+type entry struct {
+	status  int32
+	address string
+	since   float64
+	index   uint64 // of the change that made it so
+}
+
+// change is a box's new entry, from a time on.
+type change struct {
+	box   int
+	life  int // of the box; one that ended a life that has been followed by another says nothing
+	entry entry
+	at    float64
+}
+
+// learned is what the registry has been told of a box.
+type learned struct {
+	life  int
+	dueAt float64 // of the last change: a later one does not overtake it
+}
+
+// NewRegistry returns a discovery service that lists the boxes that stand at the day's start.
+func NewRegistry(d *Day, w judge.Witness) *Registry {
+	r := &Registry{day: d, spec: &d.Registry, witness: w, who: newNeighbours(d), rng: stream(d.Seed, "discovery", 0),
+		entries: make([]entry, len(d.Boxes)), known: make([]learned, len(d.Boxes)), index: 40, publish: d.Start}
+	for i := range d.Boxes[:d.Standing] {
+		r.take(change{box: i, entry: entry{status: judge.Serving, address: d.Boxes[i].Address}, at: d.Start})
+	}
+	return r
+}
+
+// Up tells the registry of a box's new life.
+func (r *Registry) Up(box int, address string, since, now float64) {
+	r.known[box].life++
+	r.learn(box, entry{status: judge.Serving, address: address, since: since}, now+r.spec.AddS)
+}
+
+// Drained tells it that a box drains.
+func (r *Registry) Drained(box int, now float64) {
+	e := r.entries[box]
+	e.status = judge.Draining
+	r.learn(box, e, now+r.spec.AddS/4)
+}
+
+// Lost tells it that a box's process has gone, or that its machine has gone silent.
+func (r *Registry) Lost(box int, silent bool, now float64) {
+	e := r.entries[box]
+	e.status = judge.Deleted
+	at := now + r.spec.NoticeS
+	if silent {
+		at = now + r.spec.SilentNoticeS
+	}
+	r.learn(box, e, at)
+}
+
+func (r *Registry) learn(box int, e entry, at float64) {
+	k := &r.known[box]
+	k.dueAt = max(k.dueAt, at+r.StaleS)
+	r.pending.put(k.dueAt, change{box: box, life: k.life, entry: e, at: k.dueAt})
+	r.arm()
+}
+
+// take puts a change into the list.
+func (r *Registry) take(c change) {
+	r.index++
+	c.entry.index = r.index
+	r.entries[c.box] = c.entry
+	r.changes = append(r.changes, c)
+	r.see(judge.Listed, -1, c.box, c.entry, c.at)
+}
+
+func (r *Registry) see(kind judge.Kind, sidecar int32, box int, e entry, now float64) {
+	r.witness.See(judge.Event{Kind: kind, At: now, FirstSent: now, Sent: now, Sidecar: sidecar, Box: int32(box), Status: e.status,
+		Since: e.since, Address: e.address})
+}
+
+// due returns when the registry has something to do.
+func (r *Registry) due() float64 {
+	at := math.Inf(1)
+	if !r.down && len(r.pending.heap) > 0 {
+		at = max(r.publish, r.pending.next())
+	}
+	if r.serving {
+		at = min(at, r.servedAt)
+	}
+	return at
+}
+
+// work does what is due by now: it takes up what it has learned and serves calls.
+func (r *Registry) work(now float64) {
+	if !r.down && now >= r.publish && r.pending.next() <= now {
+		before := r.index
+		for {
+			c, _, ok := r.pending.take(now)
+			if !ok {
+				break
+			}
+			if c.at = now; c.life == r.known[c.box].life {
+				r.take(c)
+			}
+		}
+		r.publish = now + r.spec.PublishS
+		if r.index > before {
+			for _, f := range r.fronts {
+				f.spread(now)
+			}
+		}
+	}
+	for r.serving && r.servedAt <= now {
+		k := r.calls[0]
+		r.calls = r.calls[1:]
+		r.serving = false
+		at := r.servedAt
+		if k.conn != nil {
+			k.front.serve(k)
+		}
+		r.next(at)
+	}
+}
+
+// next takes the next call in hand, and turns away those that have waited too long.
+func (r *Registry) next(now float64) {
+	for !r.serving && len(r.calls) > 0 {
+		k := r.calls[0]
+		switch {
+		case k.conn == nil:
+			r.calls = r.calls[1:]
+		case now-k.calledAt > r.spec.CallTimeoutS:
+			r.calls = r.calls[1:]
+			k.front.turnAway(k)
+		default:
+			r.serving = true
+			r.servedAt = now + (1+float64(len(r.day.Boxes))/r.spec.CallLines)/r.spec.CallsPS
+		}
+	}
+}
+
+// Down ends discovery's service, or brings it back. While it is down it answers 503, or ends connections at once.
+func (r *Registry) Down(down bool, now float64) {
+	if r.down == down {
+		return
+	}
+	r.down, r.refusing = down, r.rng.IntN(2) == 0
+	kind := judge.DiscoveryUp
+	if down {
+		kind = judge.DiscoveryDown
+		r.calls, r.serving = nil, false
+		for _, f := range r.fronts {
+			f.net.Post(f.closeAll)
+		}
+	}
+	r.witness.See(judge.Event{Kind: kind, At: now, Sidecar: -1, Box: -1})
+	r.arm()
+}
+
+// Move has discovery go on at its next address, whose machine must have begun; false: there is none. The present one
+// takes no new connections and ends the open ones after a while.
+func (r *Registry) Move() bool {
+	if r.present+1 >= len(r.spec.Addresses) {
+		return false
+	}
+	old := r.present
+	r.present++
+	for _, f := range r.fronts {
+		if f.number == old {
+			f.net.Post(f.leave)
+		}
+	}
+	return true
+}
+
+// Address returns where discovery is now.
+func (r *Registry) Address() string { return r.spec.Addresses[r.present] }
+
+// nextIP returns the IP of the address that it moves to next; false: there is none.
+func (r *Registry) nextIP() (string, bool) {
+	if r.present+1 >= len(r.spec.IPs) {
+		return "", false
+	}
+	return r.spec.IPs[r.present+1], true
+}
+
+// arm has all fronts look again at what is due. It may be called from anywhere.
+func (r *Registry) arm() {
+	for _, f := range r.fronts {
+		f.net.Post(f.arm)
+	}
+}
+
+// asOf returns the entries as they stood at a time.
+func (r *Registry) asOf(at float64) (index uint64, list []entry) {
+	list = make([]entry, len(r.entries))
+	for _, c := range r.changes {
+		if c.at <= at {
+			list[c.box], index = c.entry, c.entry.index
+		}
+	}
+	return index, list
+}
+
+var statusText = map[int32]string{judge.Serving: "SERVING", judge.Draining: "DRAINING", judge.Deleted: "DELETED"}
+
+// appendList appends one object of discovery: the entries that changed after an index, or the whole list.
+func (r *Registry) appendList(dst []byte, index uint64, list []entry, since uint64, snapshot bool) []byte {
+	dst = strconv.AppendUint(append(dst, `{"index":`...), index, 10)
+	dst = strconv.AppendBool(append(dst, `,"snapshot":`...), snapshot)
+	dst = append(dst, `,"endpoints":[`...)
+	first := true
+	for i := range list {
+		e, b := &list[i], &r.day.Boxes[i]
+		if !e.tells(since, snapshot) {
+			continue
+		}
+		if !first {
+			dst = append(dst, ',')
+		}
+		first = false
+		dst = append(append(append(dst, `{"name":"`...), b.Name...), `","address":"`...)
+		dst = append(append(append(dst, e.address...), `","zone":"`...), r.day.Sites[b.Site]...)
+		dst = append(append(append(dst, `","type":"`...), r.day.Kinds[b.Kind]...), `","group":`...)
+		dst = append(append(append(strconv.AppendInt(dst, int64(b.Cell), 10), `,"status":"`...), statusText[e.status]...), `","weight":`...)
+		dst = strconv.AppendFloat(dst, b.Weight, 'f', -1, 64)
+		dst = strconv.AppendInt(append(dst, `,"since_ms":`...), int64(math.Round(e.since*1e3)), 10)
+		dst = append(dst, '}')
+	}
+	return append(dst, "]}"...)
+}
+
+// tells whether an object holds the entry. A whole list leaves out what is gone.
+func (e *entry) tells(since uint64, snapshot bool) bool {
+	if snapshot {
+		return e.status == judge.Serving || e.status == judge.Draining
+	}
+	return e.status != 0 && e.index > since
+}
+
+// tell notes that a sidecar has been written such an object. Danger: a whole list says of what it leaves out that it is
+// gone; a judge that forgot that would never blame a sidecar for using it.
+func (r *Registry) tell(sidecar int32, list []entry, since uint64, snapshot bool, now float64) {
+	for i := range list {
+		e := list[i]
+		if snapshot && e.status == judge.Deleted || e.tells(since, snapshot) {
+			r.see(judge.Told, sidecar, i, e, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/world/scriptfile.go
@@ -0,0 +1,220 @@
+package world
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Format returns a script as TOML. ReadScript returns the same script for it.
+func (s *Script) Format() ([]byte, error) { return toml.Marshal(s) }
+
+// ScriptError is a script that can't be played: one line that names the file, the line and the field.
+type ScriptError struct {
+	File      string
+	Line, Col int
+	Field     string
+	Why       string
+}
+
+func (e *ScriptError) Error() string {
+	field := ""
+	if e.Field != "" {
+		field = e.Field + ": "
+	}
+	return fmt.Sprintf("%s:%d:%d: %s%s", e.File, e.Line, e.Col, field, e.Why)
+}
+
+// ReadScript reads a script's text; file is what errors call it. Every error is a *ScriptError. Whether a script's day
+// has what it names is checked too.
+func ReadScript(file string, text []byte, r Ranges) (*Script, error) {
+	s := &Script{}
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := decoder.Decode(s); err != nil {
+		return nil, scriptError(file, err)
+	}
+	places := fieldPlaces(text)
+	fault := func(table int, field, why string) error {
+		at, ok := places[place{table, field}]
+		if !ok { // the field is missing: its table has a line
+			at = places[place{table, ""}]
+		}
+		return &ScriptError{file, max(at.Line, 1), max(at.Column, 1), field, why}
+	}
+	for i := range s.Troubles {
+		if field, why := s.Troubles[i].misshapen(func(field string) bool {
+			_, ok := places[place{i, field}]
+			return ok
+		}); field != "" {
+			return nil, fault(i, field, why)
+		}
+	}
+	if field, why := s.misshapen(r); field != "" {
+		return nil, fault(-1, field, why)
+	}
+	d := s.Day(r)
+	for i := range s.Troubles {
+		if field, why := s.Troubles[i].fault(&d); field != "" {
+			return nil, fault(i, field, why)
+		}
+	}
+	return s, nil
+}
+
+// scriptError puts an error of the TOML reader into one line.
+func scriptError(file string, err error) error {
+	e := &ScriptError{File: file, Line: 1, Col: 1}
+	var strict *toml.StrictMissingError
+	var decode *toml.DecodeError
+	switch {
+	case errors.As(err, &strict) && len(strict.Errors) > 0:
+		first := &strict.Errors[0]
+		e.Line, e.Col = first.Position()
+		e.Field, e.Why = strings.Join(first.Key(), "."), "no such field"
+	case errors.As(err, &decode):
+		e.Line, e.Col = decode.Position()
+		e.Field, e.Why = strings.Join(decode.Key(), "."), decode.Error()
+	default:
+		e.Why = err.Error()
+	}
+	e.Why = strings.Join(strings.Fields(strings.TrimPrefix(e.Why, "toml: ")), " ")
+	return e
+}
+
+// place is a field of a table: -1, the script itself; else the trouble of that number. An empty field is the table.
+type place struct {
+	table int
+	field string
+}
+
+// fieldPlaces returns where the fields of a script that has been read stand in its text.
+func fieldPlaces(text []byte) map[place]unstable.Position {
+	places := map[place]unstable.Position{}
+	table := -1
+	p := unstable.Parser{}
+	p.Reset(text)
+	for p.NextExpression() {
+		e := p.Expression()
+		keys := e.Key()
+		if !keys.Next() {
+			continue
+		}
+		node := keys.Node()
+		at := p.Shape(node.Raw).Start
+		switch e.Kind {
+		case unstable.ArrayTable:
+			table++
+			places[place{table, ""}] = at
+		case unstable.KeyValue:
+			places[place{table, string(node.Data)}] = at
+			if value := e.Value(); string(node.Data) == "trouble" && value.Kind == unstable.Array {
+				inlinePlaces(&p, value, at, places)
+			}
+		}
+	}
+	return places
+}
+
+// inlinePlaces does so for troubles that stand in an array of inline tables.
+func inlinePlaces(p *unstable.Parser, array *unstable.Node, at unstable.Position, places map[place]unstable.Position) {
+	table := 0
+	for tables := array.Children(); tables.Next(); {
+		if tables.Node().Kind != unstable.InlineTable {
+			continue
+		}
+		places[place{table, ""}] = at
+		for fields := tables.Node().Children(); fields.Next(); {
+			if keys := fields.Node().Key(); keys.Next() {
+				places[place{table, string(keys.Node().Data)}] = p.Shape(keys.Node().Raw).Start
+			}
+		}
+		table++
+	}
+}
+
+// misshapen returns the first field of a script that is out of range, with what is wrong.
+func (s *Script) misshapen(r Ranges) (field, why string) {
+	switch {
+	case s.Sidecars < 0 || s.Sidecars > int(r.Sidecars.Most):
+		return "sidecars", fmt.Sprintf("not between 0 and %d", int(r.Sidecars.Most))
+	case s.Boxes < 0 || s.Boxes > int(r.Boxes.Most):
+		return "boxes", fmt.Sprintf("not between 0 and %d", int(r.Boxes.Most))
+	case !(s.LengthS >= 0 && s.LengthS <= r.LengthS.Most):
+		return "length_s", fmt.Sprintf("not between 0 and %g", r.LengthS.Most)
+	}
+	return "", ""
+}
+
+// Most of what a script may ask for.
+const (
+	mostTroubleS = 3600.0
+	mostPerS     = 1000.0
+)
+
+// misshapen returns the first field of a trouble that is missing, odd or not its kind's, with what is wrong. has tells
+// whether the text gives a field.
+func (t *Trouble) misshapen(has func(field string) bool) (field, why string) {
+	k := kindOf(t.Kind)
+	if k == nil {
+		return "kind", fmt.Sprintf("%q is none of %s", t.Kind, strings.Join(Kinds(), ", "))
+	}
+	for _, f := range append([]string{"at_s"}, k.fields...) {
+		if !has(f) {
+			return f, "missing; " + t.Kind + " needs it"
+		}
+	}
+	v := reflect.TypeFor[Trouble]()
+	for i := range v.NumField() {
+		name, _, _ := strings.Cut(v.Field(i).Tag.Get("toml"), ",")
+		known := name == "kind" || name == "at_s" || slices.Contains(k.fields, name) || slices.Contains(k.may, name)
+		if has(name) && !known {
+			return name, t.Kind + " has no such field"
+		}
+	}
+	for _, f := range []struct {
+		name        string
+		v           float64
+		least, most float64
+	}{
+		{"at_s", t.AtS, 0, mostTroubleS}, {"for_s", t.ForS, 0, mostTroubleS}, {"share", t.Share, 0, 1}, {"per_s", t.PerS, 0, mostPerS},
+		{"drain_s", t.DrainS, 0, mostTroubleS}, {"lag_s", t.LagS, 0, mostTroubleS},
+	} {
+		if !(f.v >= f.least && f.v <= f.most) || math.IsInf(f.v, 0) {
+			return f.name, fmt.Sprintf("not between %g and %g", f.least, f.most)
+		}
+	}
+	for _, f := range []struct {
+		name string
+		ok   bool
+	}{{"per_s", t.PerS > 0}, {"boxes", len(t.Boxes) > 0}, {"sidecars", len(t.Sidecars) > 0}, {"site", t.Site != ""}} {
+		if slices.Contains(k.fields, f.name) && !f.ok {
+			return f.name, "empty"
+		}
+	}
+	return "", ""
+}
+
+// fault returns the first field of a trouble that names what a day has not.
+func (t *Trouble) fault(d *Day) (field, why string) {
+	for _, name := range t.Boxes {
+		if !slices.ContainsFunc(d.Boxes, func(b BoxSpec) bool { return b.Name == name }) {
+			return "boxes", fmt.Sprintf("the day has no box %q", name)
+		}
+	}
+	for _, n := range t.Sidecars {
+		if n < 0 || n >= len(d.Sidecars) {
+			return "sidecars", fmt.Sprintf("the day has sidecars 0 to %d", len(d.Sidecars)-1)
+		}
+	}
+	if t.Site != "" && !slices.Contains(d.Sites, t.Site) {
+		return "site", fmt.Sprintf("the day's sites are %s", strings.Join(d.Sites, ", "))
+	}
+	return "", ""
+}
--- /dev/null
+++ b/internal/world/wire.go
@@ -0,0 +1,107 @@
+package world
+
+import (
+	"net"
+	"net/netip"
+	"strings"
+
+	"hazelwheel/internal/http1"
+	"hazelwheel/internal/netio"
+)
+
+// Header fields of the deployment.
+const (
+	fieldID         = "Request-Id"
+	fieldPatience   = "Request-Timeout"
+	fieldKey        = "Idempotency-Key"
+	fieldRetry      = "Client-Retry"
+	fieldNotStarted = "Not-Started"
+	fieldRetryAfter = "Retry-After"
+)
+
+var messageLimits = http1.Limits{Head: 16 << 10, Body: 64 << 10}
+
+// remembering is a connection of a network that knows more than what has come: when the other end did it. On others
+// the time at which something came stands for it.
+type remembering interface {
+	// PeerWrote returns when the peer wrote last, in Unix time; PeerEnded, when it ended the connection. 0: not yet.
+	PeerWrote() float64
+	PeerEnded() float64
+}
+
+// sentAt returns when what has come now was sent.
+func sentAt(c netio.Conn, now float64) float64 {
+	if r, ok := c.(remembering); ok {
+		if at := r.PeerWrote(); at > 0 {
+			return min(at, now)
+		}
+	}
+	return now
+}
+
+// endedAt returns when the peer ended a connection whose end has come now.
+func endedAt(c netio.Conn, now float64) float64 {
+	if r, ok := c.(remembering); ok {
+		if at := r.PeerEnded(); at > 0 {
+			return min(at, now)
+		}
+	}
+	return now
+}
+
+// neighbours finds sidecars by the address that they speak from.
+type neighbours []netip.Addr
+
+func newNeighbours(d *Day) neighbours {
+	var all neighbours
+	for _, s := range d.Sidecars {
+		all = append(all, netip.MustParseAddr(s.IP))
+	}
+	return all
+}
+
+// number returns a sidecar's number, -1 for anybody else.
+func (n neighbours) number(from net.Addr) int32 {
+	if tcp, ok := from.(*net.TCPAddr); ok {
+		ip := tcp.AddrPort().Addr().Unmap()
+		for i, known := range n {
+			if known == ip {
+				return int32(i)
+			}
+		}
+	}
+	return -1
+}
+
+const hexDigits = "0123456789abcdef"
+
+// appendID appends a request's id as it stands on the wire: sixteen hexadecimal digits.
+func appendID(dst []byte, id uint64) []byte {
+	for shift := 60; shift >= 0; shift -= 4 {
+		dst = append(dst, hexDigits[id>>shift&15])
+	}
+	return dst
+}
+
+// parseID reads an id that a client of this world may have sent; 0: none has.
+func parseID(text string) uint64 {
+	if len(text) != 16 {
+		return 0
+	}
+	id := uint64(0)
+	for i := range len(text) {
+		digit := strings.IndexByte(hexDigits, text[i])
+		if digit < 0 {
+			return 0
+		}
+		id = id<<4 | uint64(digit)
+	}
+	return id
+}
+
+// path returns a target's first part, and the target less its query.
+func path(target string) (first, whole string) {
+	whole, _, _ = strings.Cut(target, "?")
+	first, _, _ = strings.Cut(strings.TrimPrefix(whole, "/"), "/")
+	return first, whole
+}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -1,7 +1,10 @@
 package world
 
 import (
+	"strings"
+
 	"hazelwheel/internal/judge"
+	"hazelwheel/internal/netio"
 )
 
 // World holds the actors of a day.
@@ -11,18 +14,22 @@
 	Registry *Registry      // discovery
 	Apps     []*Application // by sidecar
 	Mischief []*Mischief    // likewise: the clients that may not be served
+
+	witness judge.Witness
+	tenants map[string]*Box // by IP, whose process begins there next; looked up, never walked
 }
 
 // New returns the actors of a day. They tell a witness all that crosses the wire.
 func New(d *Day, witness judge.Witness) *World {
-	w := &World{Day: d}
+	w := &World{Day: d, witness: witness, tenants: map[string]*Box{}}
 	memories := make([]keyMemory, len(d.Sites))
+	w.Registry = NewRegistry(d, witness)
 	for i := range d.Boxes {
-		b := NewBox(d, i, witness)
-		b.keys = &memories[b.Spec.Site]
+		b := NewBox(d, i, w.Registry, &memories[d.Boxes[i].Site], witness)
 		w.Boxes = append(w.Boxes, b)
+		w.tenants[b.Spec.IP] = b
+		w.tenants[otherIP(&b.Spec)] = b
 	}
-	w.Registry = NewRegistry(d, witness)
 	for i := range d.Sidecars {
 		a := NewApplication(d, i, witness)
 		w.Apps = append(w.Apps, a)
@@ -31,13 +38,22 @@
 	return w
 }
 
+// boxPort is where boxes listen.
+const boxPort = ":3000"
+
+// otherIP is the address at which a box returns that returns elsewhere.
+func otherIP(b *BoxSpec) string { return strings.Replace(b.IP, "10.1.", "10.3.", 1) }
+
 // Machines returns what a Ground runs beside the sidecars, in the order in which they begin: boxes, discovery's
 // addresses, and for each sidecar its application and the hostile clients.
 func (w *World) Machines() []Machine {
 	var all []Machine
 	for _, b := range w.Boxes {
-		all = append(all, Machine{Name: b.Spec.Name, IP: b.Spec.IP, Listen: b.Spec.Address, Site: b.Spec.Site, Boot: b.Boot,
-			Late: b.Spec.Number >= w.Day.Standing})
+		for i, ip := range []string{b.Spec.IP, otherIP(&b.Spec)} {
+			all = append(all, Machine{Name: b.Spec.Name, IP: ip, Listen: ip + boxPort, Site: b.Spec.Site,
+				Boot: func(net netio.Net) netio.Host { return w.tenants[ip].Boot(ip+boxPort, net) },
+				Late: i > 0 || b.Spec.Number >= w.Day.Standing})
+		}
 	}
 	for i, ip := range w.Day.Registry.IPs {
 		all = append(all, Machine{Name: "discovery", IP: ip, Listen: w.Day.Registry.Addresses[i], Boot: w.Registry.Boot(i), Late: i > 0})
@@ -49,3 +65,9 @@
 	}
 	return all
 }
+
+// machine returns the IP of the machine that a box's present life is on, or its last one was.
+func (b *Box) machine() string {
+	ip, _, _ := strings.Cut(b.Address, ":")
+	return ip
+}
