--- /dev/null
+++ b/internal/netio/virtual/machine.go
@@ -0,0 +1,151 @@
+package virtual
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+)
+
+func bits(f float64) uint64 { return math.Float64bits(f) }
+
+// Path is how packets travel from one machine to another.
+type Path struct {
+	LatencyS float64
+	JitterS  float64 // up to so much more, drawn for each packet; order within a connection is kept all the same
+	Loss     float64 // how many are lost, from 0 to 1
+}
+
+// Machine has an address, processes and sockets.
+type Machine struct {
+	w         *World
+	ip        netip.Addr
+	text      string
+	number    int
+	down      bool
+	listeners map[uint16]*listener // looked up, never walked
+	processes []*Process
+	port      uint16 // that was given to a dial last
+}
+
+// Machine returns the machine of an address, a new one where there is none.
+func (w *World) Machine(ip string) *Machine {
+	if m := w.byIP[ip]; m != nil {
+		return m
+	}
+	m := &Machine{w: w, ip: netip.MustParseAddr(ip), text: ip, number: len(w.machines), listeners: map[uint16]*listener{}, port: 32767}
+	w.machines, w.byIP[ip] = append(w.machines, m), m
+	for i := range w.paths {
+		w.paths[i] = append(w.paths[i], w.Path)
+	}
+	row := make([]Path, len(w.machines))
+	for i := range row {
+		row[i] = w.Path
+	}
+	row[m.number] = w.Loopback
+	w.paths = append(w.paths, row)
+	return m
+}
+
+// IP returns the machine's address.
+func (m *Machine) IP() string { return m.text }
+
+// Down tells whether the machine has vanished.
+func (m *Machine) Down() bool { return m.down }
+
+// SetPath says how packets travel from one machine to another. The way back is another path.
+func (w *World) SetPath(from, to *Machine, p Path) { w.paths[from.number][to.number] = p }
+
+// PathOf returns how packets travel from one machine to another.
+func (w *World) PathOf(from, to *Machine) Path { return w.paths[from.number][to.number] }
+
+// Cut loses all packets from one machine to another from now on, or no longer. What TCP has not got across by then
+// it sends again, with longer and longer waits.
+func (w *World) Cut(from, to *Machine, cut bool) {
+	p := &w.paths[from.number][to.number]
+	if p.Loss = 0; cut {
+		p.Loss = 1
+	}
+}
+
+// travel returns when a packet that leaves now, or at a later time, arrives.
+func (w *World) travel(from, to *Machine, at float64) float64 {
+	p := &w.paths[from.number][to.number]
+	return max(at, w.now) + p.LatencyS + p.JitterS*w.rand.Float64()
+}
+
+// passes tells whether a packet that would arrive now does.
+func (w *World) passes(from, to *Machine) bool {
+	if to.down {
+		return false
+	}
+	loss := w.paths[from.number][to.number].Loss
+	return loss == 0 || loss < 1 && w.rand.Float64() >= loss
+}
+
+// Vanish takes the machine away without a word, as when its power fails: its processes are gone, and who is connected
+// to it is not told. Danger: this is no Kill; peers keep connections that are open on their side alone.
+func (m *Machine) Vanish() {
+	m.down = true
+	for _, p := range m.processes {
+		p.die(false)
+	}
+	m.processes = nil
+	m.w.trace(Event{Kind: Changed, Process: m.text, Peer: "vanished"})
+}
+
+// Return brings a machine back that has vanished, with no process. What is still sent to its former connections is
+// answered by a reset.
+func (m *Machine) Return() {
+	m.down = false
+	m.w.trace(Event{Kind: Changed, Process: m.text, Peer: "returned"})
+}
+
+// Process returns a process that has not begun.
+func (m *Machine) Process(o ProcessOptions) *Process {
+	o.fill()
+	m.w.processes++
+	return &Process{w: m.w, machine: m, opt: o, number: m.w.processes}
+}
+
+// listener is a listening socket.
+type listener struct {
+	owner   *Process
+	backlog int
+	queue   []*Conn // connections that are up and not accepted
+	starved bool    // the last accept found no descriptor
+	closed  bool
+}
+
+// nextPort returns a port for a dial.
+func (m *Machine) nextPort() uint16 {
+	for {
+		m.port++
+		if m.port < 32768 {
+			m.port = 32768
+		}
+		if m.listeners[m.port] == nil {
+			return m.port
+		}
+	}
+}
+
+// parse reads an address and port, which may be those of no machine.
+func (w *World) parse(address string) (*Machine, netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, a, fmt.Errorf("dial %s: %w", address, err)
+	}
+	return w.byIP[a.Addr().String()], a, nil
+}
+
+func tcpAddr(a netip.AddrPort) net.Addr { return net.TCPAddrFromAddrPort(a) }
+
+func (w *World) trace(e Event) {
+	if w.Trace != nil {
+		if e.At == 0 {
+			e.At = w.now
+		}
+		w.Trace(e)
+	}
+}
--- /dev/null
+++ b/internal/netio/virtual/process.go
@@ -0,0 +1,444 @@
+package virtual
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+
+	"hazelwheel/internal/netio"
+)
+
+// ProcessOptions is what a process is started with.
+type ProcessOptions struct {
+	Name          string
+	Listen        []string // addresses and ports of its machine
+	Descriptors   int      // the most it may hold; 0: as many as it likes
+	Held          int      // descriptors that are no connection, listener or dial
+	Backlog       int      // of each listener; 0: 128
+	SendBuffer    int      // of each connection, in bytes; 0: 64 KiB
+	ReceiveBuffer int      // likewise
+	WakeS         float64  // the loop turns up to so much after something has come
+	CallS         float64  // how long each call of the host takes
+	Shuffle       bool     // what has come for one turn is handed over in any order
+	ReadRate      float64  // of each connection, in bytes a second; 0: as fast as they come; below 0: nothing is read
+	Exited        func()   // called once the process has ended by itself
+}
+
+func (o *ProcessOptions) fill() {
+	if o.Descriptors == 0 {
+		o.Descriptors = math.MaxInt32
+	}
+	if o.Backlog == 0 {
+		o.Backlog = 128
+	}
+	if o.SendBuffer == 0 {
+		o.SendBuffer = 64 << 10
+	}
+	if o.ReceiveBuffer == 0 {
+		o.ReceiveBuffer = 64 << 10
+	}
+}
+
+// Process is a program on a machine: the netio.Net of its host, with one event loop.
+type Process struct {
+	w       *World
+	machine *Machine
+	opt     ProcessOptions
+	number  int
+	host    netio.Host
+
+	listeners []*listener
+	conns     []*Conn // that hold a descriptor, in no order that matters
+	dials     []*dial
+	ready     []item
+	batch     []item
+	posts     []func()
+	alarmAt   float64 // NaN: none is asked for
+	rungAt    float64 // the first time at which an alarm event waits; +Inf: none does
+	ringing   bool
+	spent     float64 // by the calls of this turn
+	busyUntil float64
+	stalled   float64 // the loop does not turn before
+	turnAt    float64
+	turnSet   bool
+	inTurn    bool
+	started   bool
+	stopping  bool
+	dead      bool
+
+	used, peak, denied int
+}
+
+// item is something that has come for a process: on a connection, or a connection to accept.
+type item struct {
+	conn   *Conn
+	listen *listener
+}
+
+var _ netio.Net = (*Process)(nil)
+
+// errInUse is the error of Run where another process listens at an address.
+var errInUse = errors.New("address already in use")
+
+// Run starts a program. Its first call comes with the first turn of the loop; who dials until then waits. An address
+// that can't be listened at is an error, and nothing is started.
+func (p *Process) Run(host netio.Host) error {
+	for _, text := range p.opt.Listen {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return fmt.Errorf("listen %s: %w", text, err)
+		}
+		if a.Addr() != p.machine.ip {
+			return fmt.Errorf("listen %s: not the address of machine %s", text, p.machine.text)
+		}
+		if p.machine.listeners[a.Port()] != nil {
+			p.closeListeners()
+			return fmt.Errorf("listen %s: %w", text, errInUse)
+		}
+		l := &listener{owner: p, backlog: p.opt.Backlog}
+		p.machine.listeners[a.Port()] = l
+		p.listeners = append(p.listeners, l)
+	}
+	p.host, p.alarmAt, p.rungAt = host, math.NaN(), math.Inf(1)
+	p.used = p.opt.Held + len(p.listeners)
+	p.peak = p.used
+	p.machine.processes = append(p.machine.processes, p)
+	p.w.trace(Event{Kind: Changed, Process: p.opt.Name, Peer: "started"})
+	p.wake()
+	return nil
+}
+
+// Name returns what the options call the process.
+func (p *Process) Name() string { return p.opt.Name }
+
+// Machine returns where the process runs.
+func (p *Process) Machine() *Machine { return p.machine }
+
+// Alive tells whether the process has been started and has not ended.
+func (p *Process) Alive() bool { return p.host != nil && !p.dead }
+
+// Descriptors returns how many the process holds, and the most that it has held.
+func (p *Process) Descriptors() (now, most int) { return p.used, p.peak }
+
+// Denied returns how many times the process has found no descriptor.
+func (p *Process) Denied() int { return p.denied }
+
+// Conns returns the connections that the process holds; valid until the next event.
+func (p *Process) Conns() []*Conn { return p.conns }
+
+// Dialing returns how many dials are under way.
+func (p *Process) Dialing() int { return len(p.dials) }
+
+// Kill ends the process at once, as SIGKILL does: its connections are reset, and who dials it is refused.
+func (p *Process) Kill() {
+	if p.dead || p.host == nil {
+		return
+	}
+	p.die(true)
+	p.leaveMachine()
+	p.w.trace(Event{Kind: Changed, Process: p.opt.Name, Peer: "killed"})
+}
+
+func (p *Process) leaveMachine() {
+	for i, q := range p.machine.processes {
+		if q == p {
+			p.machine.processes = append(p.machine.processes[:i], p.machine.processes[i+1:]...)
+			return
+		}
+	}
+}
+
+// die ends the process without a call. Where it may speak its peers are told.
+func (p *Process) die(speak bool) {
+	if p.dead {
+		return
+	}
+	p.dead = true
+	for _, c := range p.conns {
+		if c.fd = false; speak {
+			c.sendReset()
+		}
+		c.state = dead
+	}
+	for _, d := range p.dials {
+		d.over = true
+		if d.conn != nil {
+			d.conn.state = dead
+		}
+	}
+	p.closeListenersAs(speak)
+	p.conns, p.dials, p.ready, p.posts = nil, nil, nil, nil
+}
+
+// Stall keeps the loop from turning before a time. What comes waits, and is then handed over as one batch.
+func (p *Process) Stall(until float64) {
+	p.stalled = max(p.stalled, until)
+}
+
+// ReadRate says how fast the process reads from a connection, in bytes a second; 0: as fast as they come; below 0:
+// not at all.
+func (p *Process) ReadRate(conn netio.Conn, rate float64) {
+	if c := conn.(*Conn); c.p == p {
+		if c.readRate = rate; rate >= 0 {
+			c.notify()
+		}
+	}
+}
+
+// Now returns the time. Calls of the host take some, where the options say so.
+func (p *Process) Now() float64 { return p.w.now + p.spent }
+
+// Post has f called after the present call, and after what else has come for this turn of the loop.
+func (p *Process) Post(f func()) {
+	if p.dead {
+		return
+	}
+	p.posts = append(p.posts, f)
+	p.wake()
+}
+
+// Alarm asks for one call at a time, in place of what was asked for before.
+func (p *Process) Alarm(at float64) {
+	if p.alarmAt = at; at < p.rungAt && !p.dead {
+		p.rungAt = max(at, p.w.now)
+		p.w.schedule(at, event{kind: doAlarm, proc: p})
+	}
+}
+
+// alarm takes an alarm's time.
+func (p *Process) alarm() {
+	if p.dead || p.w.now < p.rungAt {
+		return // one that was asked for earlier has come in between
+	}
+	p.rungAt = math.Inf(1)
+	switch {
+	case math.IsNaN(p.alarmAt):
+	case p.alarmAt > p.w.now:
+		p.Alarm(p.alarmAt)
+	default:
+		p.ringing = true
+		p.wake()
+	}
+}
+
+// wake has the loop turn, as soon as it can.
+func (p *Process) wake() {
+	if p.turnSet || p.inTurn || p.dead || p.host == nil {
+		return
+	}
+	at := p.w.now
+	if p.opt.WakeS > 0 {
+		at += p.opt.WakeS * p.w.rand.Float64()
+	}
+	p.turnSet = true
+	p.w.schedule(max(at, p.busyUntil, p.stalled), event{kind: doTurn, proc: p})
+}
+
+// called notes that a call of the host is over.
+func (p *Process) called() { p.spent += p.opt.CallS }
+
+// turn is one turn of the loop: connections, then posts, then the alarm.
+func (p *Process) turn() {
+	p.turnSet = false
+	if p.dead {
+		return
+	}
+	if p.stalled > p.w.now {
+		p.wake()
+		return
+	}
+	p.inTurn = true
+	if !p.started {
+		p.started = true
+		p.w.mix(p.Now(), Changed, p, 0, nil)
+		p.host.Start()
+		p.called()
+		p.runPosts()
+	}
+	p.batch, p.ready = p.ready, p.batch[:0]
+	if p.opt.Shuffle && len(p.batch) > 1 {
+		p.w.rand.Shuffle(len(p.batch), func(i, j int) { p.batch[i], p.batch[j] = p.batch[j], p.batch[i] })
+	}
+	for i := 0; i < len(p.batch) && !p.dead && !p.stopping; i++ {
+		if t := p.batch[i]; t.listen != nil {
+			p.accept(t.listen)
+		} else {
+			t.conn.serve()
+		}
+	}
+	p.runPosts()
+	if p.ringing && !p.dead && !p.stopping {
+		p.ringing = false
+		if p.alarmAt <= p.Now() {
+			p.alarmAt = math.NaN()
+			p.w.mix(p.Now(), Alarmed, p, 0, nil)
+			p.host.Alarm()
+			p.called()
+			p.runPosts()
+		} else if p.alarmAt > p.Now() {
+			p.Alarm(p.alarmAt)
+		}
+	}
+	if p.stopping && !p.dead {
+		p.exit()
+	}
+	p.busyUntil, p.spent, p.inTurn = p.w.now+p.spent, 0, false
+	if len(p.ready) > 0 || len(p.posts) > 0 {
+		p.wake()
+	}
+}
+
+// mostPosts bounds the posts of one turn: a post that posts itself must not keep the world from going on.
+const mostPosts = 4096
+
+func (p *Process) runPosts() {
+	done := 0
+	for ; done < len(p.posts) && done < mostPosts && !p.dead && !p.stopping; done++ {
+		f := p.posts[done]
+		p.posts[done] = nil
+		f()
+		p.called()
+	}
+	if done == len(p.posts) {
+		p.posts = p.posts[:0]
+	} else if done > 0 && len(p.posts) > 0 {
+		p.posts = append(p.posts[:0], p.posts[done:]...)
+	}
+}
+
+// accept takes one connection that a listener has.
+func (p *Process) accept(l *listener) {
+	if len(l.queue) == 0 || l.closed {
+		return
+	}
+	if !p.take() {
+		// As with EMFILE: the connection stays where it is.
+		l.starved = true
+		return
+	}
+	c := l.queue[0]
+	copy(l.queue, l.queue[1:])
+	l.queue[len(l.queue)-1] = nil
+	l.queue = l.queue[:len(l.queue)-1]
+	c.listen = nil
+	p.hold(c)
+	c.open(nil)
+}
+
+// take takes a descriptor; false: there is none.
+func (p *Process) take() bool {
+	if p.used >= p.opt.Descriptors {
+		p.denied++
+		p.w.trace(Event{At: p.Now(), Kind: Exhausted, Process: p.opt.Name})
+		return false
+	}
+	p.used++
+	p.peak = max(p.peak, p.used)
+	return true
+}
+
+// release gives a descriptor back, for which a connection may wait.
+func (p *Process) release() {
+	p.used--
+	for _, l := range p.listeners {
+		if l.starved {
+			l.starved = false
+			for range l.queue {
+				p.ready = append(p.ready, item{listen: l})
+			}
+			p.wake()
+		}
+	}
+}
+
+// hold notes a connection's descriptor, which has been taken.
+func (p *Process) hold(c *Conn) {
+	c.fd, c.place = true, len(p.conns)
+	p.conns = append(p.conns, c)
+}
+
+// drop gives a connection's descriptor back.
+func (p *Process) drop(c *Conn) {
+	if !c.fd {
+		return
+	}
+	c.fd = false
+	last := len(p.conns) - 1
+	p.conns[c.place] = p.conns[last]
+	p.conns[c.place].place = c.place
+	p.conns[last] = nil
+	p.conns = p.conns[:last]
+	p.release()
+}
+
+// StopListening closes the listeners; what they have not accepted is reset.
+func (p *Process) StopListening() { p.closeListeners() }
+
+func (p *Process) closeListeners() {
+	p.used -= len(p.listeners)
+	p.closeListenersAs(true)
+}
+
+func (p *Process) closeListenersAs(speak bool) {
+	for _, l := range p.listeners {
+		l.closed = true
+		for _, c := range l.queue {
+			if speak {
+				c.sendReset()
+			}
+			c.state = dead
+		}
+		l.queue = nil
+	}
+	for _, text := range p.opt.Listen {
+		a, _ := netip.ParseAddrPort(text)
+		if l := p.machine.listeners[a.Port()]; l != nil && l.owner == p {
+			delete(p.machine.listeners, a.Port())
+		}
+	}
+	p.listeners = nil
+}
+
+// Stop ends the loop after the present call.
+func (p *Process) Stop() {
+	p.stopping = true
+	p.wake()
+}
+
+// exit ends the process in order: each connection that is still open is closed, and the host told.
+func (p *Process) exit() {
+	p.closeListeners()
+	for len(p.conns) > 0 {
+		p.conns[0].end(nil)
+	}
+	for len(p.dials) > 0 {
+		p.dials[0].abort()
+	}
+	p.dead = true
+	p.leaveMachine()
+	p.w.trace(Event{At: p.Now(), Kind: Changed, Process: p.opt.Name, Peer: "ended"})
+	if p.opt.Exited != nil {
+		p.w.schedule(p.Now(), event{kind: doCall, f: p.opt.Exited})
+	}
+}
+
+// Close ends a connection at once.
+func (p *Process) Close(conn netio.Conn) {
+	if c := conn.(*Conn); c.p == p && c.fd {
+		c.end(nil)
+	}
+}
+
+// CloseWrite tells the peer that nothing more will come.
+func (p *Process) CloseWrite(conn netio.Conn) {
+	if c := conn.(*Conn); c.p == p && c.fd {
+		c.shut()
+	}
+}
+
+// Quiet tells whether nothing waits in a connection's socket.
+func (p *Process) Quiet(conn netio.Conn) bool {
+	c := conn.(*Conn)
+	return c.fd && c.unread() == 0 && !c.finIn && !c.resetIn
+}
--- /dev/null
+++ b/internal/netio/virtual/world.go
@@ -0,0 +1,278 @@
+// Package virtual is a netio.Net whose clock and network are simulated: any number of processes on any number of
+// machines, in one goroutine, as a discrete-event world. A seed and the same calls give the same history, to the byte.
+//
+// Its connections are as hostile as Linux's are on a bad day: bytes come cut at any place, sockets take less than is
+// written, a peer reads slowly or not at all, resets destroy what is under way, machines fall silent with their
+// connections open. Order is kept within one direction of one connection alone.
+package virtual
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// World is a clock and a network. It belongs to one goroutine.
+type World struct {
+	// Path is how packets travel between two machines of which SetPath has said nothing; Loopback, within one.
+	Path, Loopback Path
+	// CutShare is how many of the segments are cut once more, at a place drawn from the seed, from 0 to 1.
+	CutShare float64
+	// EveryByte has each byte travel alone.
+	EveryByte bool
+	// Trace, where it is set, is told of all that happens.
+	Trace func(Event)
+
+	now       float64
+	seq       uint64
+	queue     []slot
+	events    []event
+	free      []int32
+	rand      *rand.Rand
+	digest    *xxhash.Digest
+	mixed     [40]byte
+	steps     uint64
+	conns     uint64
+	processes int
+
+	machines []*Machine
+	byIP     map[string]*Machine // looked up, never walked
+	paths    [][]Path            // by the numbers of two machines
+}
+
+// New returns a world at a time in seconds of Unix time. Danger: programs take a start of 0 for "long ago"; the time
+// should be that of a real day.
+func New(seed uint64, start float64) *World {
+	return &World{
+		Path: Path{LatencyS: 0.0003, JitterS: 0.0002}, Loopback: Path{LatencyS: 0.00002, JitterS: 0.00001},
+		CutShare: 0.1, now: start, rand: rand.New(rand.NewPCG(seed, 0x6e6574)), digest: xxhash.NewWithSeed(seed),
+		byIP: map[string]*Machine{},
+	}
+}
+
+// Now returns the time in seconds of Unix time.
+func (w *World) Now() float64 { return w.now }
+
+// Steps returns how many events have happened.
+func (w *World) Steps() uint64 { return w.steps }
+
+// Hash returns a hash of all calls that programs have had, with their times and bytes: two histories that differ
+// anywhere differ in it.
+func (w *World) Hash() uint64 { return w.digest.Sum64() }
+
+// At has f called at a time. It is for whoever drives the world; programs have their own alarms.
+func (w *World) At(at float64, f func()) { w.schedule(at, event{kind: doCall, f: f}) }
+
+// Step has the next event happen; false: there is none.
+func (w *World) Step() bool {
+	if len(w.queue) == 0 {
+		return false
+	}
+	first := w.pop()
+	w.now = first.at
+	e := w.events[first.event]
+	w.events[first.event] = event{}
+	w.free = append(w.free, first.event)
+	w.steps++
+	w.handle(&e)
+	return true
+}
+
+// Until has all events happen up to a time, which is then the present.
+func (w *World) Until(t float64) {
+	for len(w.queue) > 0 && w.queue[0].at <= t {
+		w.Step()
+	}
+	w.now = max(w.now, t)
+}
+
+type action uint8
+
+const (
+	doCall action = iota
+	doTurn
+	doAlarm
+	doSegment
+	doReset
+	doResend
+	doPush
+	doRead
+	doSyn
+	doSynAck
+	doRefuse
+	doSynAgain
+	doGiveUp
+)
+
+// event is what happens at a time. Its fields are those of its action.
+type event struct {
+	kind  action
+	fin   bool
+	n     int32
+	epoch uint32
+	conn  *Conn
+	proc  *Process
+	dial  *dial
+	f     func()
+}
+
+func (w *World) handle(e *event) {
+	switch e.kind {
+	case doCall:
+		e.f()
+	case doTurn:
+		e.proc.turn()
+	case doAlarm:
+		e.proc.alarm()
+	case doSegment:
+		e.conn.arrive(int(e.n), e.fin, e.epoch)
+	case doReset:
+		e.conn.resetBy(e.n)
+	case doResend:
+		e.conn.resend()
+	case doPush:
+		e.conn.opensWindow()
+	case doRead:
+		e.conn.readAgain()
+	case doSyn:
+		e.dial.synArrives()
+	case doSynAck:
+		e.dial.synAckArrives(e.conn)
+	case doRefuse:
+		e.dial.refusalArrives()
+	case doSynAgain:
+		e.dial.sendSyn()
+	case doGiveUp:
+		e.dial.fail(errTimeout)
+	}
+}
+
+// slot is an event's place in the queue, a heap of four children: by time, and at one time in the order of asking.
+type slot struct {
+	at    float64
+	seq   uint64
+	event int32
+}
+
+func (a *slot) before(b *slot) bool { return a.at < b.at || a.at == b.at && a.seq < b.seq }
+
+func (w *World) schedule(at float64, e event) {
+	if !(at > w.now) { // also what is no number
+		at = w.now
+	}
+	var place int32
+	if n := len(w.free); n > 0 {
+		place, w.free = w.free[n-1], w.free[:n-1]
+		w.events[place] = e
+	} else {
+		place, w.events = int32(len(w.events)), append(w.events, e)
+	}
+	w.seq++
+	s := slot{at, w.seq, place}
+	i := len(w.queue)
+	w.queue = append(w.queue, s)
+	for i > 0 {
+		up := (i - 1) / 4
+		if !s.before(&w.queue[up]) {
+			break
+		}
+		w.queue[i], i = w.queue[up], up
+	}
+	w.queue[i] = s
+}
+
+func (w *World) pop() slot {
+	q := w.queue
+	first, last := q[0], q[len(q)-1]
+	q = q[:len(q)-1]
+	w.queue = q
+	if len(q) == 0 {
+		return first
+	}
+	i := 0
+	for {
+		least := 4*i + 1
+		if least >= len(q) {
+			break
+		}
+		for c := least + 1; c < min(4*i+5, len(q)); c++ {
+			if q[c].before(&q[least]) {
+				least = c
+			}
+		}
+		if !q[least].before(&last) {
+			break
+		}
+		q[i], i = q[least], least
+	}
+	q[i] = last
+	return first
+}
+
+// Kind is what an Event tells of.
+type Kind uint8
+
+// The kinds of events.
+const (
+	Opened    Kind = iota // a process has been given a connection
+	Received              // a process has been given N bytes
+	Sent                  // a process has written N bytes
+	Ended                 // a process has been told of a connection's end
+	Dialed                // a process has begun to dial
+	NotUp                 // a dial has failed
+	Alarmed               // a process has had its alarm
+	Lost                  // a segment of N bytes was lost on the way
+	ResetSent             // a reset was sent
+	Exhausted             // a process has found no descriptor
+	Changed               // a process or machine was started, stopped, killed, lost
+)
+
+var kindNames = [...]string{"opened", "received", "sent", "ended", "dialed", "not up", "alarm", "lost", "reset", "no descriptor", "changed"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// Event is what Trace is told.
+type Event struct {
+	At      float64
+	Kind    Kind
+	Process string
+	Peer    string // the other side's process or address, where there is one
+	Conn    uint64 // both ends of a connection have one number; 0: it is about none
+	N       int
+	Err     error
+	Data    []byte // of Received and Sent; valid until Trace returns
+}
+
+// String returns the event as one line, less its time.
+func (e Event) String() string {
+	s := fmt.Sprintf("%-12s %s", e.Process, e.Kind)
+	if e.Peer != "" {
+		s += " " + e.Peer
+	}
+	if e.Conn != 0 {
+		s += fmt.Sprintf(" #%d", e.Conn)
+	}
+	if e.N != 0 {
+		s += fmt.Sprintf(" %d B", e.N)
+	}
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// mix adds a call to the hash of the history.
+func (w *World) mix(at float64, kind Kind, p *Process, conn uint64, data []byte) {
+	b := w.mixed[:]
+	binary.LittleEndian.PutUint64(b, bits(at))
+	b[8] = byte(kind)
+	binary.LittleEndian.PutUint32(b[12:], uint32(p.number))
+	binary.LittleEndian.PutUint64(b[16:], conn)
+	binary.LittleEndian.PutUint64(b[24:], uint64(len(data)))
+	w.digest.Write(b)
+	if len(data) > 0 {
+		w.digest.Write(data)
+	}
+}
