Remember on virtual connections when their bytes were written

A rule that counts from a send's first byte can't be judged by when it came. PeerWrote and PeerEnded tell when the other side wrote what has just been read, and when it ended the connection.

--- a/internal/netio/virtual/conn.go
+++ b/internal/netio/virtual/conn.go
@@ -64,7 +64,6 @@
 	place   int       // among the process's connections
 	told    bool      // the host has been given it
 	queued  bool      // for the next turn
-	calling bool      // a turn has it in hand
 
 	out      []byte
 	head     int
@@ -92,6 +91,18 @@
 	readOn   bool    // an event for that waits
 	starved  bool    // the peer has more than this end's window takes
 	silent   bool    // nothing passes any more
+
+	written uint64 // bytes that the process has written so far
+	read    uint64 // that it has been given
+	marks   []mark // of what was written and the peer's process has not been given yet
+	wroteAt float64
+	endedAt float64
+}
+
+// mark says when the bytes up to a place were written.
+type mark struct {
+	end uint64
+	at  float64
 }
 
 // ID returns the connection's number, which is that of both ends.
@@ -100,6 +111,17 @@
 // Peer returns the other end; nil before it is there.
 func (c *Conn) Peer() *Conn { return c.peer }
 
+// PeerWrote returns when the last byte that has been given to this end's process was written; 0: there was none.
+func (c *Conn) PeerWrote() float64 { return c.wroteAt }
+
+// PeerEnded returns when the other side has ended the connection or its own direction of it; 0: it has not.
+func (c *Conn) PeerEnded() float64 {
+	if c.peer == nil {
+		return 0
+	}
+	return c.peer.endedAt
+}
+
 // Process returns whose end it is.
 func (c *Conn) Process() *Process { return c.p }
 
@@ -145,6 +167,8 @@
 		c.out, c.head = c.out[:0], 0
 	}
 	c.out = append(c.out, p...)
+	c.written += uint64(len(p))
+	c.marks = append(c.marks, mark{c.written, c.p.Now()})
 	if !c.writable {
 		c.fillSocket()
 	}
@@ -420,6 +444,8 @@
 		}
 		data := c.in[c.inHead : c.inHead+n : c.inHead+n]
 		c.inHead += n
+		c.read += uint64(n)
+		c.wroteAt = c.peer.writtenAt(c.read)
 		p.w.mix(p.Now(), Received, p, c.id, data)
 		p.w.trace(Event{At: p.Now(), Kind: Received, Process: p.opt.Name, Peer: c.peerName(), Conn: c.id, N: n, Data: data})
 		c.tellWindow()
@@ -445,6 +471,20 @@
 	}
 }
 
+// writtenAt returns when the byte before a place was written, and forgets those before it.
+func (c *Conn) writtenAt(place uint64) float64 {
+	i := 0
+	for c.marks[i].end < place {
+		i++
+	}
+	at := c.marks[i].at
+	if c.marks[i].end == place {
+		i++
+	}
+	c.marks = append(c.marks[:0], c.marks[i:]...)
+	return at
+}
+
 // readLater has a slow reader come back.
 func (c *Conn) readLater() {
 	if !c.readOn {
@@ -478,7 +518,7 @@
 // shut sends a FIN behind what the socket holds.
 func (c *Conn) shut() {
 	if !c.finDue && !c.resetIn {
-		c.finDue = true
+		c.finDue, c.endedAt = true, c.p.Now()
 		if c.user() == 0 {
 			c.push()
 		}
@@ -491,6 +531,9 @@
 	p := c.p
 	c.fillSocket()
 	c.out = c.out[:c.head+c.sock]
+	if c.endedAt == 0 {
+		c.endedAt = p.Now()
+	}
 	switch {
 	case c.resetIn:
 		c.state = dead
--- a/internal/netio/virtual/process.go
+++ b/internal/netio/virtual/process.go
@@ -156,7 +156,7 @@
 	}
 	p.dead = true
 	for _, c := range p.conns {
-		if c.fd = false; speak {
+		if c.fd, c.endedAt = false, p.w.now; speak {
 			c.sendReset()
 		}
 		c.state = dead
--- a/internal/netio/virtual/virtual_test.go
+++ b/internal/netio/virtual/virtual_test.go
@@ -141,8 +141,12 @@
 		assert.Equal(t, sent[0].Bytes(), b.got[ends[0].id].Bytes())
 		assert.Equal(t, sent[1].Bytes(), a.got[ends[0].id].Bytes())
 		assert.Zero(t, ends[0].OutboundBuffered()+ends[1].OutboundBuffered())
-		ends[0].p.Close(ends[0])
+		last := rapid.SliceOfN(rapid.Byte(), 1, ends[0].p.opt.SendBuffer).Draw(t, "last")
+		_, err := ends[0].Write(last)
+		require.NoError(t, err)
+		ends[0].p.Close(ends[0]) // behind what the socket has taken
 		w.Until(w.Now() + 40)
+		assert.Equal(t, append(sent[0].Bytes(), last...), b.got[ends[0].id].Bytes())
 		assert.Equal(t, map[uint64]error{ends[0].id: nil}, a.ended)
 		assert.ErrorIs(t, b.ended[ends[0].id], io.EOF)
 		assert.Zero(t, a.net.used)
@@ -359,6 +363,8 @@
 	assert.Empty(t, b.calls)
 	w.Until(w.Now() + 1)
 	assert.Equal(t, []string{"traffic", "closed", "post", "alarm"}, b.calls)
+	assert.InDelta(t, day+0.6, b.conns[0].PeerWrote(), 1e-3) // the time of "two"
+	assert.Equal(t, b.conns[0].PeerWrote(), b.conns[0].PeerEnded())
 	assert.Equal(t, "onetwo", b.text(0))
 }
 
