--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -78,6 +78,11 @@
 	return parse(raw, getenv, began)
 }
 
+// Parse reads a configuration's text, as Load does, with no variable in the place of a field.
+func Parse(raw []byte) (Config, error) {
+	return parse(raw, func(string) string { return "" }, nil)
+}
+
 // parse reads a file's text; began is what its names were at the start, nil at the start itself.
 func parse(raw []byte, getenv func(string) string, began *[3]string) (Config, error) {
 	f := file{Limits: Limits{Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}}
--- a/internal/netio/virtual/process.go
+++ b/internal/netio/virtual/process.go
@@ -186,6 +186,16 @@
 	}
 }
 
+// SlowDown says how fast the process reads from each connection of which ReadRate has said nothing, as ReadRate does.
+func (p *Process) SlowDown(rate float64) {
+	p.opt.ReadRate = rate
+	for _, c := range p.conns {
+		if c.unread() > 0 || c.finIn {
+			c.notify()
+		}
+	}
+}
+
 // Now returns the time. Calls of the host take some, where the options say so.
 func (p *Process) Now() float64 { return p.w.now + p.spent }
 
