--- /dev/null
+++ b/internal/judge/box.go
@@ -0,0 +1,200 @@
+package judge
+
+import "math"
+
+// seeBox takes what boxes tell.
+func (j *Judge) seeBox(e *Event) {
+	s := j.station(e.Box)
+	switch e.Kind {
+	case BoxStarted:
+		s.life++
+		s.ends = append(s.ends, math.Inf(1))
+		s.zone, s.cell, s.address, s.since, s.work = e.Zone, e.Cell, e.Address, e.Since, s.work[:0]
+	case BoxEnded:
+		if len(s.ends) > 0 {
+			s.ends[len(s.ends)-1] = e.At
+		}
+	case BoxFell:
+		j.fell(s, e)
+	case LinkOpened:
+		j.prices.Connections++
+		j.burden(s, e)
+	case LinkClosed:
+		if l := j.links[e.Link]; l != nil {
+			a := &l.try.attempts[l.index]
+			a.closedAt, a.exact = e.Sent, e.Sent < e.At
+			delete(j.links, e.Link)
+		}
+	case Probed:
+		j.prices.Probes++
+		j.burden(s, e)
+	case Execution:
+		j.burden(s, e)
+		j.execution(s, e)
+	case Replied:
+		if l := j.links[e.Link]; l != nil && l.try.id == e.Request {
+			a := &l.try.attempts[l.index]
+			a.repliedAt, a.status, a.digest, a.notStarted, a.spoilt = e.At, e.Status, e.Digest, e.NotStarted, e.Spoilt
+		}
+	}
+}
+
+// execution checks a request that has come whole to a box.
+func (j *Judge) execution(s *station, e *Event) {
+	r, p := j.tries[e.Request], j.party(e.Sidecar)
+	j.prices.Executions++
+	if int(e.Sidecar) < len(j.rules.Sites) && e.Sidecar >= 0 && j.rules.Sites[e.Sidecar] != s.zone {
+		j.prices.CrossZone++
+	}
+	if r == nil || p == nil {
+		j.find(NoInvention, e.Sidecar, e.Box, e.Request, nil, "an execution of a request that no client has sent")
+		return
+	}
+	if e.Sent <= p.killedAt || e.FirstSent < p.startedAt {
+		return // the last words of a process that has been killed
+	}
+	j.checkDrain(s, p, e)
+	if r.claimed && r.fate != unended {
+		return // another client has used its id since
+	}
+	j.checkOpen(r, p, e)
+	a := attempt{box: e.Box, boxLife: s.life, life: p.life, link: e.Link, firstSent: e.FirstSent, sent: e.Sent}
+	r.attempts = append(r.attempts, a)
+	j.links[e.Link] = &linkState{r, len(r.attempts) - 1}
+	n := 0
+	for i := range r.attempts {
+		if r.attempts[i].life == p.life {
+			n++
+		}
+	}
+	if j.rules.MostAttempts > 0 && n > j.rules.MostAttempts {
+		j.find(NoRepeat, e.Sidecar, e.Box, e.Request, nil, "execution %d of at most %d", n, j.rules.MostAttempts)
+	}
+	for i := range r.attempts[:len(r.attempts)-1] {
+		if r.attempts[i].life != p.life {
+			continue
+		}
+		first, second := i, len(r.attempts)-1
+		if r.attempts[first].sent > e.Sent {
+			first, second = second, first
+		}
+		j.checkRepeat(r, first, second)
+		j.checkCopies(r, first, second)
+	}
+}
+
+// checkOpen checks that an execution was sent while its request was open.
+func (j *Judge) checkOpen(r *record, p *party, e *Event) {
+	c := j.class(r.class)
+	switch r.fate {
+	case served, failed:
+		if e.FirstSent > r.endedAt {
+			j.find(OneAnswer, e.Sidecar, e.Box, e.Request, nil, "sent on %.6f s after its final answer", e.FirstSent-r.endedAt)
+		}
+	case refused:
+		if c != nil && c.Effect != Safe && (c.Effect != Keyed || c.Group != GroupAll) || e.FirstSent > r.endedAt {
+			j.find(NoRepeat, e.Sidecar, e.Box, e.Request, nil, "an execution of a request that was refused")
+		}
+	case unsent:
+		if e.FirstSent <= r.endedAt {
+			j.find(OneAnswer, e.Sidecar, e.Box, e.Request, nil, "its connection was closed without an answer, though it had been sent on")
+			return
+		}
+		fallthrough
+	case left, lost:
+		if late := e.FirstSent - r.endedAt; late > j.rules.SocketSlackS {
+			j.find(OneAnswer, e.Sidecar, e.Box, e.Request, nil, "sent on %.6f s after its client had gone", late)
+		}
+	}
+}
+
+// checkRepeat checks that the second of two attempts was the sidecar's right after the first.
+func (j *Judge) checkRepeat(r *record, first, second int) {
+	c := j.class(r.class)
+	a, b := &r.attempts[first], &r.attempts[second]
+	if c == nil || c.Effect == Safe || a.provenUnrun(b.sent) {
+		return
+	}
+	if c.Effect == Unsafe {
+		j.find(NoRepeat, r.sidecar, b.box, r.id, nil, "sent again at %.6f, though the execution sent at %.6f may have run", b.sent, a.sent)
+		return
+	}
+	x, y := j.station(a.box), j.station(b.box)
+	if c.Group == GroupZone && x.zone != y.zone || c.Group == GroupCell && x.cell != y.cell {
+		j.find(NoRepeat, r.sidecar, b.box, r.id, nil, "sent again to a box outside the group of box %d, where it may have run", a.box)
+	}
+	if span := b.sent - a.sent; span > c.WindowS+j.rules.SocketSlackS {
+		j.find(NoRepeat, r.sidecar, b.box, r.id, nil, "sent again %.3f s after the first that may have run; its window is %.3f s", span, c.WindowS)
+	}
+}
+
+// checkCopies checks that the first of two attempts was over when the second was sent, or leaves it for later.
+func (j *Judge) checkCopies(r *record, first, second int) {
+	if j.rules.SecondCopies || j.over(&r.attempts[first], r.attempts[second].sent) {
+		return
+	}
+	j.copies = append(j.copies, copies{r, first, second, j.now + copyWaitS})
+}
+
+// over tells whether an attempt is known to have been over at a time.
+func (j *Judge) over(a *attempt, at float64) bool {
+	slack := exactS
+	if a.closedAt > 0 && !a.exact {
+		slack = j.rules.SocketSlackS // when it came stands for when it was done
+	}
+	return a.endedBy(j.station(a.box).endOf(a.boxLife)) <= at+slack
+}
+
+// decideCopies decides the first pair that waits.
+func (j *Judge) decideCopies() {
+	c := j.copies[0]
+	j.copies = j.copies[1:]
+	a, b := &c.try.attempts[c.first], &c.try.attempts[c.second]
+	if j.over(a, b.sent) || j.troubled(c.try.sidecar, a.box, a.sent, j.now) {
+		return
+	}
+	j.find(OneCopy, c.try.sidecar, b.box, c.try.id, nil, "sent at %.6f while the execution sent at %.6f was still out at box %d", b.sent, a.sent, a.box)
+}
+
+// burden notes work that reaches a cold box.
+func (j *Judge) burden(s *station, e *Event) {
+	if s.since == 0 {
+		return
+	}
+	old := 0
+	for old < len(s.work) && s.work[old].at < e.At-j.rules.FallS {
+		old++
+	}
+	s.work = append(s.work[:0], s.work[old:]...)
+	p := j.party(e.Sidecar)
+	s.work = append(s.work, work{e.At, e.Work, p != nil && j.knowsStart(p, s, e.Box, e.At)})
+}
+
+// knowsStart tells whether a sidecar has been told of a box's present start, or counts as told.
+func (j *Judge) knowsStart(p *party, s *station, box int32, at float64) bool {
+	if k := p.knows(box); k.status != 0 && k.since >= s.since-exactS {
+		return true
+	}
+	for i := len(s.listed) - 1; i >= 0; i-- {
+		if l := &s.listed[i]; l.Status == Serving && l.Since >= s.since-exactS {
+			return j.countsAsTold(p, l, at) <= at
+		}
+	}
+	return false
+}
+
+// fell checks who has pushed a cold box over.
+func (j *Judge) fell(s *station, e *Event) {
+	all, knew := 0.0, 0.0
+	for _, w := range s.work {
+		if w.at >= e.At-j.rules.FallS {
+			if all += w.seconds; w.knew {
+				knew += w.seconds
+			}
+		}
+	}
+	if all > 0 && knew >= j.rules.ColdShare*all {
+		j.find(ColdBox, -1, e.Box, 0, nil, "%.3f s of work in %g s brought it down, %.0f %% of it from sidecars that knew of its start",
+			all, j.rules.FallS, 100*knew/all)
+	}
+}
--- /dev/null
+++ b/internal/judge/client.go
@@ -0,0 +1,229 @@
+package judge
+
+// seeClient takes what clients tell.
+func (j *Judge) seeClient(e *Event) {
+	switch e.Kind {
+	case Hostile:
+		j.prices.Hostile++
+		j.hostile[e.Link] = &hostile{until: e.Until, try: j.tries[e.Request]}
+		if r := j.tries[e.Request]; r != nil {
+			r.claimed = true
+		}
+		return
+	case HostileAnswered, HostileEnded:
+		j.seeHostile(e)
+		return
+	case Stray:
+		j.find(OneAnswer, e.Sidecar, -1, 0, nil, "bytes on a connection on which nothing was asked")
+		return
+	case Asked:
+		j.asked(e)
+		return
+	}
+	r, p := j.tries[e.Request], j.party(e.Sidecar)
+	if r == nil || p == nil {
+		return
+	}
+	switch e.Kind {
+	case Taken:
+		if r.fate != unended {
+			return
+		}
+		r.taken, r.takenAt, r.until = true, e.At, e.Until
+		p.take(r)
+	case Answered:
+		j.answered(r, e)
+	case Broken:
+		j.brokenOff(r, e)
+	case Dropped:
+		j.dropped(r, e)
+	case Left:
+		if r.taken && r.fate == unended && e.At >= r.until && j.rules.Unanswered {
+			j.find(OneAnswer, e.Sidecar, -1, e.Request, nil, "no answer when its time was over")
+		}
+		j.end(r, left, e.At)
+	case Unreached:
+		j.end(r, notTaken, e.At)
+	}
+}
+
+// asked takes up a try.
+func (j *Judge) asked(e *Event) {
+	r := &record{id: e.Request, sidecar: e.Sidecar, class: e.Class, askedAt: e.At, until: e.Until, place: -1}
+	r.attempts = r.room[:0]
+	if first := j.tries[e.First]; first != nil {
+		r.want = first.want
+	} else {
+		r.want = &want{askedAt: e.At, class: e.Class, counted: !e.Uncounted}
+		if c := j.class(e.Class); c != nil && r.want.counted {
+			j.classes[e.Class].Asked++
+			j.classes[e.Class].Worth += c.Worth
+		}
+	}
+	j.tries[e.Request] = r
+}
+
+// end notes how a try ended.
+func (j *Judge) end(r *record, f fate, at float64) {
+	if r.fate != unended {
+		return
+	}
+	r.fate, r.endedAt = f, at
+	j.parties[r.sidecar].drop(r)
+	c := j.class(r.class)
+	if c == nil || !r.want.counted {
+		return
+	}
+	s := &j.classes[r.class]
+	switch f {
+	case refused:
+		s.Refused++
+	case served, excused, notTaken:
+	default:
+		s.Failed++
+	}
+	late := at-r.askedAt > (r.until-r.askedAt)/2
+	if len(r.attempts) == 0 && r.taken && (f == left || late && (f == refused || f == failed)) {
+		j.prices.SlowRefusal += 0.3 * c.Worth
+	}
+}
+
+// answered takes a whole answer.
+func (j *Judge) answered(r *record, e *Event) {
+	if r.fate == served || r.fate == refused || r.fate == failed {
+		j.find(OneAnswer, e.Sidecar, -1, e.Request, nil, "a second answer, of status %d", e.Status)
+		return
+	}
+	switch e.Status {
+	case 200:
+		if !r.made(e.Digest) {
+			j.find(NoInvention, e.Sidecar, -1, e.Request, nil, "an answer that no box has made for it")
+		}
+		j.end(r, served, e.At)
+		j.serve(r, e.At)
+	case 429, 503:
+		j.checkRefusal(r, e)
+		j.checkAtOnce(r, e)
+		j.end(r, refused, e.At)
+	default:
+		j.checkAtOnce(r, e)
+		j.end(r, failed, e.At)
+	}
+}
+
+// made tells whether a box has made this answer for the try.
+func (r *record) made(digest uint64) bool {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.repliedAt > 0 && a.status == 200 && !a.spoilt && a.digest == digest {
+			return true
+		}
+	}
+	return false
+}
+
+// serve counts a request that has been served, once.
+func (j *Judge) serve(r *record, at float64) {
+	w := r.want
+	c := j.class(w.class)
+	if w.served || !w.counted || c == nil {
+		return
+	}
+	w.served = true
+	s := &j.classes[w.class]
+	if at-w.askedAt <= c.AimS {
+		s.InAim++
+		s.Earned += c.Worth
+		return
+	}
+	s.Late++
+	s.Earned += c.Worth * c.LateWorth
+}
+
+// checkRefusal checks that trying again is as harmless as a refusal says.
+func (j *Judge) checkRefusal(r *record, e *Event) {
+	if c := j.class(r.class); c == nil || c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll {
+		return
+	}
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.life == j.parties[r.sidecar].life && !a.provenUnrun(e.At) {
+			j.find(NoRepeat, r.sidecar, a.box, r.id, nil, "refused, though the execution sent at %.6f may have run", a.sent)
+			return
+		}
+	}
+}
+
+// checkAtOnce checks that a try was given its answer when nothing more could be done for it: the sidecar had no right
+// to another execution, and none was out.
+func (j *Judge) checkAtOnce(r *record, e *Event) {
+	c := j.class(r.class)
+	if c == nil || len(r.attempts) == 0 || j.troubled(r.sidecar, ToClients, r.askedAt, e.At) {
+		return
+	}
+	spent := j.rules.MostAttempts > 0 && len(r.attempts) >= j.rules.MostAttempts
+	last := 0.0
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		end := a.endedBy(j.station(a.box).endOf(a.boxLife))
+		if end > e.At || j.troubled(r.sidecar, a.box, a.sent, e.At) {
+			return
+		}
+		last = max(last, end)
+		spent = spent || c.Effect == Unsafe && !a.notStarted
+	}
+	if held := e.At - last; spent && held > j.rules.AtOnceS {
+		j.find(AtOnce, r.sidecar, -1, r.id, nil, "its answer was held back for %.3f s after all was over", held)
+	}
+}
+
+// brokenOff takes the end of part of an answer. Whole ones that a box has made must reach the client whole.
+func (j *Judge) brokenOff(r *record, e *Event) {
+	if r.fate == unended {
+		for i := range r.attempts {
+			a := &r.attempts[i]
+			if a.repliedAt > 0 && a.status == 200 && !a.spoilt && a.life == j.parties[r.sidecar].life && j.parties[r.sidecar].termedAt == 0 &&
+				!j.troubled(r.sidecar, ToClients, a.sent, e.At) {
+				j.find(OneAnswer, r.sidecar, a.box, r.id, nil, "part of an answer, though a box had given it whole")
+				break
+			}
+		}
+	}
+	j.end(r, failed, e.At)
+}
+
+// dropped takes the end of a connection by the sidecar's side while a try was out on it.
+func (j *Judge) dropped(r *record, e *Event) {
+	if r.fate != unended || !r.taken {
+		return
+	}
+	sent := false
+	for i := range r.attempts {
+		sent = sent || r.attempts[i].life == j.parties[r.sidecar].life
+	}
+	switch {
+	case !sent && e.Reused && !r.dropped:
+		r.dropped, r.taken = true, false // the close has crossed the request: its client sends it once more
+		j.parties[r.sidecar].drop(r)
+	case !sent && !e.Reused && !r.dropped && !j.rules.Calm:
+		j.end(r, unsent, e.At)
+	default:
+		j.find(OneAnswer, e.Sidecar, -1, e.Request, nil, "its connection was closed without an answer")
+		j.end(r, lost, e.At)
+	}
+}
+
+// seeHostile takes how a client fared that may not be served.
+func (j *Judge) seeHostile(e *Event) {
+	h := j.hostile[e.Link]
+	if h == nil || h.settled {
+		return
+	}
+	h.settled = true
+	if e.At > h.until+j.rules.SocketSlackS {
+		j.prices.HostileOwed++
+	}
+	over := h.try != nil && h.try.fate != unended // what it claims was no open request's id any more
+	if e.Kind == HostileAnswered && e.Status >= 200 && e.Status < 300 && !over {
+		j.find(OneAnswer, e.Sidecar, -1, 0, nil, "a client that may not be served was answered with %d", e.Status)
+	}
+}
--- a/internal/judge/event.go
+++ b/internal/judge/event.go
@@ -28,7 +28,8 @@
 	Unreached
 	// Stray: bytes have come on a connection on which nothing was asked. Link.
 	Stray
-	// Hostile: a client that may not be served has connected. Link; Until, when it is owed an error or an end.
+	// Hostile: a client that may not be served has connected. Link; Until, when it is owed an error or an end; Request,
+	// if it uses the id of another client's open request.
 	Hostile
 	// HostileAnswered: it has got an answer. Link, Status.
 	HostileAnswered
@@ -96,14 +97,17 @@
 	Descriptors
 	// Leftover: at the end of the day it still holds N of what Text names.
 	Leftover
-	// PathCut and PathMended bound a trouble on the way between Sidecar and Box; -1 stands for all. Discovery is
-	// toDiscovery. What is on such a way may be late or lost, and nobody at its end can tell.
+	// PathCut and PathMended bound a trouble on the way between Sidecar and Box; -1 stands for all, ToClients for the
+	// clients beside it. What is on such a way may be late or lost, and nobody at its end can tell.
 	PathCut
 	PathMended
 )
 
-// ToDiscovery stands for discovery in the Box of PathCut and PathMended.
-const ToDiscovery = -2
+// What stands in Box for who is no box.
+const (
+	ToDiscovery = -2
+	ToClients   = -3
+)
 
 // The statuses of a Listed or Told entry.
 const (
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -1,21 +1,274 @@
 package judge
 
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
 // Judge checks the rules event by event. It is not safe for concurrent use.
 type Judge struct {
 	rules    Rules
 	findings []Finding
+	broken   int // rules broken, also beyond the findings that are kept
+	recent   []Event
+	seen     int
+
+	tries    map[uint64]*record
+	links    map[uint64]*linkState
+	hostile  map[uint64]*hostile
+	stations []station
+	parties  []party
+	copies   []copies
+	cuts     []cut
+	downAt   float64 // since when discovery is down; 0: it is up
+	upAt     float64
+
+	classes []ClassService
+	prices  Prices
+	now     float64
+}
+
+// linkState is a connection at a box with the attempt that came over it last.
+type linkState struct {
+	try   *record
+	index int
+}
+
+// hostile is a client that may not be served.
+type hostile struct {
+	until   float64
+	settled bool
+	try     *record // whose id it uses
+}
+
+// copies are two attempts of a try of which the first had no end when the second came. Whether it had one when the
+// second was sent shows when its connection's end arrives.
+type copies struct {
+	try           *record
+	first, second int
+	until         float64
 }
 
+// cut is a way that is in trouble.
+type cut struct {
+	sidecar, box int32
+	from, until  float64 // +Inf: it still is
+}
+
+const (
+	mostFindings = 100
+	mostRecent   = 1 << 14
+	mostShown    = 30
+	// copyWaitS is how long the end of a first attempt may be under way.
+	copyWaitS = 1.0
+	// exactS is what rounding takes of times that are known exactly.
+	exactS = 1e-4
+)
+
 var _ Witness = (*Judge)(nil)
 
 // New returns a judge that has seen nothing.
-func New(rules Rules) *Judge { return &Judge{rules: rules} }
+func New(rules Rules) *Judge {
+	j := &Judge{rules: rules, tries: map[uint64]*record{}, links: map[uint64]*linkState{}, hostile: map[uint64]*hostile{},
+		recent: make([]Event, 0, mostRecent), parties: make([]party, rules.Sidecars)}
+	for _, c := range rules.Classes {
+		j.classes = append(j.classes, ClassService{Name: c.Name})
+	}
+	return j
+}
+
+// Findings returns the first breaks found, oldest first.
+func (j *Judge) Findings() []Finding { return j.findings }
+
+// Broken returns how many breaks there were, also those beyond Findings.
+func (j *Judge) Broken() int { return j.broken }
 
 // See takes one event. Events come in the order of At.
-func (j *Judge) See(e Event) {}
+func (j *Judge) See(e Event) {
+	j.now = e.At
+	if len(j.recent) < mostRecent {
+		j.recent = append(j.recent, e)
+	} else {
+		j.recent[j.seen%mostRecent] = e
+	}
+	j.seen++
+	for len(j.copies) > 0 && j.copies[0].until <= e.At {
+		j.decideCopies()
+	}
+	switch {
+	case e.Kind < BoxStarted:
+		j.seeClient(&e)
+	case e.Kind < Listed:
+		j.seeBox(&e)
+	default:
+		j.seeRest(&e)
+	}
+}
 
 // End tells that the day is over: what waits for more time is decided.
-func (j *Judge) End(now float64) {}
+func (j *Judge) End(now float64) {
+	j.now = now
+	for len(j.copies) > 0 {
+		j.decideCopies()
+	}
+	for i := range j.parties {
+		for _, r := range slices.Clone(j.parties[i].open) {
+			if now > r.until+j.rules.AnswerSlackS+j.rules.SocketSlackS {
+				j.end(r, left, now)
+			}
+		}
+	}
+}
 
-// Findings returns the breaks found so far, oldest first.
-func (j *Judge) Findings() []Finding { return j.findings }
+// find notes a break of a rule, with the events that show it.
+func (j *Judge) find(rule Rule, sidecar, box int32, request uint64, more []Event, why string, args ...any) {
+	if j.broken++; len(j.findings) >= mostFindings {
+		return
+	}
+	f := Finding{Rule: rule, At: j.now, Sidecar: sidecar, Box: box, Request: request, Why: fmt.Sprintf(why, args...)}
+	f.Events = append(f.Events, more...)
+	first := max(0, j.seen-len(j.recent))
+	for i := first; i < j.seen; i++ {
+		e := &j.recent[i%mostRecent]
+		if request != 0 && e.Request == request || request == 0 && box >= 0 && e.Box == box && e.At >= j.now-j.rules.FallS ||
+			request == 0 && box < 0 && e.Sidecar == sidecar && i >= j.seen-4 {
+			f.Events = append(f.Events, *e)
+		}
+	}
+	if n := len(f.Events); n > mostShown {
+		f.Events = f.Events[n-mostShown:]
+	}
+	j.findings = append(j.findings, f)
+}
+
+// party returns what is known of a sidecar; nil: there is none such.
+func (j *Judge) party(sidecar int32) *party {
+	if sidecar < 0 || int(sidecar) >= len(j.parties) {
+		return nil
+	}
+	return &j.parties[sidecar]
+}
+
+// station returns what is known of a box.
+func (j *Judge) station(box int32) *station {
+	for int(box) >= len(j.stations) {
+		j.stations = append(j.stations, station{})
+	}
+	return &j.stations[box]
+}
+
+// knows returns what a sidecar was told of a box.
+func (p *party) knows(box int32) *knowledge {
+	for int(box) >= len(p.told) {
+		p.told = append(p.told, knowledge{})
+	}
+	return &p.told[box]
+}
+
+// class returns a request's class; nil: there is none such.
+func (j *Judge) class(n int32) *Class {
+	if n < 0 || int(n) >= len(j.rules.Classes) {
+		return nil
+	}
+	return &j.rules.Classes[n]
+}
+
+// troubled tells whether a way was in trouble between two times, or shortly before: what the trouble has held back comes
+// later.
+func (j *Judge) troubled(sidecar, box int32, from, until float64) bool {
+	const after = 11 // seconds until lost bytes are sent again
+	for i := range j.cuts {
+		c := &j.cuts[i]
+		on := (c.sidecar == sidecar || c.sidecar < 0) && c.box == box
+		if on && c.from <= until && c.until+after >= from {
+			return true
+		}
+	}
+	return false
+}
+
+// seeRest takes what discovery, the network and the processes tell.
+func (j *Judge) seeRest(e *Event) {
+	p := j.party(e.Sidecar)
+	switch e.Kind {
+	case Listed:
+		s := j.station(e.Box)
+		s.listed = append(s.listed, *e)
+	case DiscoveryDown:
+		j.downAt = e.At
+	case DiscoveryUp:
+		j.downAt, j.upAt = 0, e.At
+	case PathCut:
+		j.cuts = append(j.cuts, cut{e.Sidecar, e.Box, e.At, math.Inf(1)})
+	case PathMended:
+		for i := range j.cuts {
+			c := &j.cuts[i]
+			if c.sidecar == e.Sidecar && c.box == e.Box && math.IsInf(c.until, 1) {
+				c.until = e.At
+				break
+			}
+		}
+	}
+	if p == nil {
+		return
+	}
+	switch e.Kind {
+	case Told:
+		k := p.knows(e.Box)
+		if e.Status == Serving {
+			*k = knowledge{status: Serving, at: e.At, since: e.Since, said: *e}
+		} else if k.status == Serving || k.status == 0 { // from the first word on it counts
+			*k = knowledge{status: e.Status, at: e.At, since: k.since, said: *e}
+		} else {
+			k.status = e.Status
+		}
+	case Called:
+		p.askedAt = e.At
+	case CallFailed:
+		p.askFailed = true
+	case WatchUp:
+		p.watches++
+		p.askFailed = false
+	case WatchEnded:
+		p.watches--
+		p.askedAt = e.At
+	case SidecarStarted:
+		*p = party{life: p.life + 1, startedAt: e.At, askedAt: e.At, watches: p.watches, killedAt: p.killedAt, open: p.open, told: p.told[:0]}
+	case SidecarKilled:
+		j.killed(p, e)
+	case SidecarTermed:
+		p.termedAt = e.At
+	case SidecarEnded:
+		if p.termedAt == 0 {
+			j.find(NoCrash, e.Sidecar, -1, 0, nil, "the process ended unasked with status %d", e.Status)
+		} else if e.Status != 0 {
+			j.find(NoCrash, e.Sidecar, -1, 0, nil, "the process ended with status %d", e.Status)
+		}
+	case SidecarPanicked:
+		j.find(NoCrash, e.Sidecar, -1, 0, nil, "panic: %s", e.Text)
+	case Reloaded:
+		p.reloadedAt = e.At
+	case Descriptors:
+		if int(e.N) > j.rules.Sockets {
+			j.find(InLimits, e.Sidecar, -1, 0, nil, "%d descriptors of %d", e.N, j.rules.Sockets)
+		}
+	case Leftover:
+		if e.N > 0 {
+			j.find(AtRest, e.Sidecar, -1, 0, nil, "%d %s left when the day was over", e.N, e.Text)
+		}
+	}
+}
+
+// killed excuses what a killed sidecar had open, unless it had been told to end and took more.
+func (j *Judge) killed(p *party, e *Event) {
+	p.killedAt = e.At
+	for len(p.open) > 0 {
+		r := p.open[0]
+		if late := p.termedAt > 0 && r.takenAt > p.termedAt+j.rules.TermGraceS+j.rules.SocketSlackS && e.At < r.until; late {
+			j.find(OneAnswer, r.sidecar, -1, r.id, nil, "taken %.3f s after the order to end and not answered when killed", r.takenAt-p.termedAt)
+		}
+		j.end(r, excused, e.At)
+	}
+	p.life++
+}
--- /dev/null
+++ b/internal/judge/judge_test.go
@@ -0,0 +1,265 @@
+package judge
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// The classes, sidecars and boxes of the tests.
+const (
+	safe int32 = iota
+	keyed
+	unsafe
+)
+
+func rules() Rules {
+	return Rules{
+		Classes: []Class{{Name: "safe", AimS: 1, Worth: 1, LateWorth: 0.2},
+			{Name: "keyed", Effect: Keyed, Group: GroupZone, WindowS: 12, AimS: 1, Worth: 10},
+			{Name: "unsafe", Effect: Unsafe, AimS: 1, Worth: 5}},
+		Sidecars: 2, Sites: []int32{0, 1}, Sockets: 256, AnswerSlackS: 0.02, SocketSlackS: 0.05, TermGraceS: 0.7, DrainGraceS: 0.75,
+		AskWithinS: 10, ToldWithinS: 6, ReloadToldS: 4, FallS: 1, ColdShare: 2.0 / 3, AtOnceS: 0.25, MostAttempts: 3,
+	}
+}
+
+// tale is a day told event by event, from one request's point of view. Boxes 0 and 1 are in zone 0, box 2 is in zone 1;
+// sidecar 0 has been told of them, at 0 s.
+type tale struct{ events []Event }
+
+func newTale() *tale {
+	s := &tale{}
+	s.add(Event{Kind: SidecarStarted}, Event{Kind: WatchUp}, Event{Kind: SidecarStarted, Sidecar: 1}, Event{Kind: WatchUp, Sidecar: 1})
+	for box := range int32(3) {
+		address := string('a' + box)
+		s.add(Event{Kind: BoxStarted, Sidecar: -1, Box: box, Zone: box / 2, Address: address},
+			Event{Kind: Listed, Sidecar: -1, Box: box, Status: Serving, Address: address},
+			Event{Kind: Told, Box: box, Status: Serving, Address: address})
+	}
+	return s
+}
+
+func (s *tale) add(e ...Event) *tale { s.events = append(s.events, e...); return s }
+
+// ask has a client ask at a time, with 3 s of patience.
+func (s *tale) ask(at float64, id uint64, class int32) *tale {
+	return s.add(Event{Kind: Asked, At: at, Request: id, First: id, Class: class, Until: at + 3, Box: -1},
+		Event{Kind: Taken, At: at, Request: id, Link: 100 + id, Until: at + 3, Box: -1})
+}
+
+// run has a request come to a box at a time, over a link.
+func (s *tale) run(at float64, id uint64, box int32, link uint64) *tale {
+	return s.add(Event{Kind: Execution, At: at, FirstSent: at, Sent: at, Request: id, Box: box, Link: link})
+}
+
+func (s *tale) reply(at float64, id uint64, box int32, link uint64, status int32) *tale {
+	return s.add(Event{Kind: Replied, At: at, Request: id, Box: box, Link: link, Status: status, Digest: id, NotStarted: status == 503})
+}
+
+// hangUp has a link closed by the sidecar at a time; the box sees it 1 ms later.
+func (s *tale) hangUp(at float64, box int32, link uint64) *tale {
+	return s.add(Event{Kind: LinkClosed, At: at + 0.001, Sent: at, Box: box, Link: link})
+}
+
+func (s *tale) answer(at float64, id uint64, status int32) *tale {
+	return s.add(Event{Kind: Answered, At: at, Request: id, Link: 100 + id, Status: status, Digest: id, Box: -1})
+}
+
+func (s *tale) tell(at float64, box, status int32) *tale {
+	address := string('a' + box)
+	return s.add(Event{Kind: Listed, At: at, Sidecar: -1, Box: box, Status: status, Address: address},
+		Event{Kind: Told, At: at, Box: box, Status: status, Address: address})
+}
+
+func (s *tale) drop(at float64, id uint64, reused bool) *tale {
+	return s.add(Event{Kind: Dropped, At: at, Request: id, Link: 100 + id, Reused: reused, Box: -1})
+}
+
+// cold has box 3 start cold at 1 s, known to both sidecars where told says so, and sidecar 0 and 1 bring it work.
+func (s *tale) cold(told bool, first, second float64) *tale {
+	s.add(Event{Kind: BoxStarted, At: 1, Sidecar: -1, Box: 3, Since: 1, Address: "d"},
+		Event{Kind: Listed, At: 1.5, Sidecar: -1, Box: 3, Status: Serving, Since: 1, Address: "d"})
+	if told {
+		s.add(Event{Kind: Told, At: 1.5, Box: 3, Status: Serving, Since: 1, Address: "d"})
+	}
+	return s.add(Event{Kind: Probed, At: 2, Box: 3, Work: first}, Event{Kind: Probed, At: 2, Sidecar: 1, Box: 3, Work: second},
+		Event{Kind: BoxFell, At: 2, Sidecar: -1, Box: 3})
+}
+
+// Each rule has tales that break it, and beside each the nearest one that does not.
+func TestRules(t *testing.T) {
+	alive := func(kind Kind, at float64, n int32) Event { return Event{Kind: kind, At: at, Box: -1, N: n, Status: n} }
+	for _, c := range []struct {
+		name   string
+		rule   Rule
+		breaks *tale
+		keeps  *tale
+	}{
+		{"answered twice", OneAnswer,
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 200).answer(1.3, 9, 200).answer(1.4, 9, 200),
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 200).answer(1.3, 9, 200)},
+		{"bytes that nobody asked for", OneAnswer,
+			newTale().add(alive(Stray, 1, 0)), newTale()},
+		{"closed without an answer, though sent on", OneAnswer,
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).drop(1.2, 9, true),
+			newTale().ask(1, 9, safe).drop(1.2, 9, true)},
+		{"closed twice", OneAnswer,
+			newTale().ask(1, 9, safe).drop(1.2, 9, true).add(Event{Kind: Taken, At: 1.3, Request: 9, Until: 4}).drop(1.4, 9, false),
+			newTale().ask(1, 9, safe).drop(1.2, 9, true).add(Event{Kind: Taken, At: 1.3, Request: 9, Until: 4}).answer(1.4, 9, 500)},
+		{"closed, and sent on before", OneAnswer,
+			newTale().ask(1, 9, safe).drop(1.2, 9, false).add(Event{Kind: Execution, At: 1.3, FirstSent: 1.1, Sent: 1.1, Request: 9}),
+			newTale().ask(1, 9, safe).drop(1.2, 9, false)},
+		{"closed while it runs; a kill is excused", OneAnswer,
+			newTale().ask(1, 9, unsafe).run(1.1, 9, 0, 1).drop(1.2, 9, false),
+			newTale().ask(1, 9, unsafe).run(1.1, 9, 0, 1).add(alive(SidecarKilled, 1.15, 0)).drop(1.2, 9, false)},
+		{"taken late after an order to end", OneAnswer,
+			newTale().add(alive(SidecarTermed, 1, 0)).ask(2, 9, safe).add(alive(SidecarKilled, 4.8, 0)),
+			newTale().add(alive(SidecarTermed, 1, 0)).ask(1.6, 9, safe).add(alive(SidecarKilled, 4.5, 0))},
+		{"sent on after its answer", OneAnswer,
+			newTale().ask(1, 9, safe).answer(1.2, 9, 500).run(1.3, 9, 0, 1),
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).hangUp(1.15, 0, 1).answer(1.2, 9, 500)},
+		{"sent on after its client went", OneAnswer,
+			newTale().ask(1, 9, safe).add(Event{Kind: Left, At: 1.5, Request: 9}).run(1.6, 9, 0, 1),
+			newTale().ask(1, 9, safe).add(Event{Kind: Left, At: 1.5, Request: 9}).run(1.54, 9, 0, 1)},
+		{"part of an answer that was whole", OneAnswer,
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 200).add(Event{Kind: Broken, At: 1.3, Request: 9}),
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).add(Event{Kind: Replied, At: 1.2, Request: 9, Link: 1, Spoilt: true}, Event{Kind: Broken, At: 1.3, Request: 9})},
+		{"a hostile client served", OneAnswer,
+			newTale().add(Event{Kind: Hostile, At: 1, Link: 5, Until: 4}, Event{Kind: HostileAnswered, At: 1.1, Link: 5, Status: 200}),
+			newTale().add(Event{Kind: Hostile, At: 1, Link: 5, Until: 4}, Event{Kind: HostileAnswered, At: 1.1, Link: 5, Status: 400})},
+		{"an answer that no box made", NoInvention,
+			newTale().ask(1, 9, safe).answer(1.2, 9, 200),
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).reply(1.15, 9, 0, 1, 200).answer(1.2, 9, 200)},
+		{"the answer of another request", NoInvention,
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).add(Event{Kind: Replied, At: 1.15, Request: 9, Link: 1, Status: 200, Digest: 8}).answer(1.2, 9, 200),
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).reply(1.15, 9, 0, 1, 200).answer(1.2, 9, 200)},
+		{"an answer that was an error", NoInvention,
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).reply(1.15, 9, 0, 1, 500).answer(1.2, 9, 200),
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).reply(1.15, 9, 0, 1, 500).answer(1.2, 9, 500)},
+		{"a request that no client sent", NoInvention,
+			newTale().run(1.1, 9, 0, 1), newTale().ask(1, 9, safe).run(1.1, 9, 0, 1)},
+		{"unsafe again after an error", NoRepeat,
+			newTale().ask(1, 9, unsafe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 500).run(1.3, 9, 1, 2),
+			newTale().ask(1, 9, unsafe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 503).run(1.3, 9, 1, 2)},
+		{"unsafe again after its link was closed", NoRepeat,
+			newTale().ask(1, 9, unsafe).run(1.1, 9, 0, 1).hangUp(1.2, 0, 1).run(1.3, 9, 1, 2),
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).hangUp(1.2, 0, 1).run(1.3, 9, 1, 2)},
+		{"unsafe refused after it may have run", NoRepeat,
+			newTale().ask(1, 9, unsafe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 500).answer(1.3, 9, 503),
+			newTale().ask(1, 9, unsafe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 503).answer(1.3, 9, 503)},
+		{"keyed of a zone refused after it may have run", NoRepeat,
+			newTale().ask(1, 9, keyed).run(1.1, 9, 0, 1).hangUp(1.2, 0, 1).answer(1.3, 9, 429),
+			newTale().ask(1, 9, keyed).run(1.1, 9, 0, 1).hangUp(1.2, 0, 1).answer(1.3, 9, 500)},
+		{"keyed again in another zone", NoRepeat,
+			newTale().ask(1, 9, keyed).run(1.1, 9, 0, 1).hangUp(1.2, 0, 1).run(1.3, 9, 2, 2),
+			newTale().ask(1, 9, keyed).run(1.1, 9, 0, 1).hangUp(1.2, 0, 1).run(1.3, 9, 1, 2)},
+		{"keyed again outside its window", NoRepeat,
+			newTale().ask(1, 9, keyed).run(1.1, 9, 0, 1).hangUp(1.2, 0, 1).run(13.2, 9, 1, 2),
+			newTale().ask(1, 9, keyed).run(1.1, 9, 0, 1).hangUp(1.2, 0, 1).run(13.1, 9, 1, 2)},
+		{"one execution too many", NoRepeat,
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 503).run(1.3, 9, 1, 2).reply(1.4, 9, 1, 2, 503).
+				run(1.5, 9, 0, 1).reply(1.6, 9, 0, 1, 503).run(1.7, 9, 1, 2),
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 503).run(1.3, 9, 1, 2).reply(1.4, 9, 1, 2, 503).run(1.5, 9, 0, 1)},
+		{"two copies", OneCopy,
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).run(1.3, 9, 1, 2).hangUp(1.4, 0, 1),
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).run(1.3, 9, 1, 2).hangUp(1.3, 0, 1)},
+		{"two copies for ever; a lost end is excused", OneCopy,
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).run(1.3, 9, 1, 2),
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).add(Event{Kind: PathCut, At: 1.2}).run(1.3, 9, 1, 2)},
+		{"sent to a box that drains", SafeDrain,
+			newTale().tell(1, 0, Draining).ask(1.5, 9, safe).run(1.82, 9, 0, 1),
+			newTale().tell(1, 0, Draining).ask(1.5, 9, safe).run(1.79, 9, 0, 1)},
+		{"sent to a box whose end counts as told", SafeDrain,
+			newTale().add(Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}).ask(7.5, 9, safe).run(7.82, 9, 0, 1),
+			newTale().add(Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}).ask(7.5, 9, safe).run(7.78, 9, 0, 1)},
+		{"told after a reload; while discovery is down nothing counts", SafeDrain,
+			newTale().add(Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}, alive(Reloaded, 6, 0)).ask(10, 9, safe).run(10.82, 9, 0, 1),
+			newTale().add(Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}, alive(DiscoveryDown, 2, 0)).ask(10, 9, safe).run(10.82, 9, 0, 1)},
+		{"who neither watches nor asks counts as told", SafeDrain,
+			newTale().add(Event{Kind: WatchEnded, At: 0.5}, Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}, alive(DiscoveryDown, 2, 0)).
+				ask(11.5, 9, safe).run(11.82, 9, 0, 1),
+			newTale().add(Event{Kind: WatchEnded, At: 0.5}, Event{Kind: Called, At: 0.6}, Event{Kind: CallFailed, At: 0.7}, Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}, alive(DiscoveryDown, 2, 0)).
+				ask(11.5, 9, safe).run(11.82, 9, 0, 1)},
+		{"the old address of a box that is gone; a new box there is told", SafeDrain,
+			newTale().tell(1, 0, Deleted).add(Event{Kind: BoxStarted, At: 2, Sidecar: -1, Box: 5, Address: "a", Since: 2}).ask(3, 9, safe).run(3.1, 9, 5, 1),
+			newTale().tell(1, 0, Deleted).add(Event{Kind: BoxStarted, At: 2, Sidecar: -1, Box: 5, Address: "a", Since: 2},
+				Event{Kind: Told, At: 2.5, Box: 5, Status: Serving, Address: "a", Since: 2}).ask(3, 9, safe).run(3.1, 9, 5, 1)},
+		{"a cold box pushed over by who knew", ColdBox, newTale().cold(true, 2, 1), newTale().cold(true, 1.9, 1)},
+		{"a cold box pushed over by who counts as told", ColdBox,
+			newTale().cold(false, 3, 0).add(Event{Kind: Probed, At: 7.6, Box: 3, Work: 3}, Event{Kind: BoxFell, At: 7.6, Sidecar: -1, Box: 3}),
+			newTale().cold(false, 3, 0)},
+		{"an unsafe failure held back", AtOnce,
+			newTale().ask(1, 9, unsafe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 500).answer(1.5, 9, 500),
+			newTale().ask(1, 9, unsafe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 500).answer(1.4, 9, 500)},
+		{"a last try held back; one with a try left may wait", AtOnce,
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 503).run(1.3, 9, 1, 2).reply(1.4, 9, 1, 2, 503).
+				run(1.5, 9, 0, 1).reply(1.6, 9, 0, 1, 503).answer(2, 9, 503),
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 503).run(1.3, 9, 1, 2).reply(1.4, 9, 1, 2, 503).answer(2, 9, 503)},
+		{"descriptors", InLimits, newTale().add(alive(Descriptors, 1, 257)), newTale().add(alive(Descriptors, 1, 256))},
+		{"left over", AtRest, newTale().add(Event{Kind: Leftover, At: 9, N: 1, Text: "timers"}), newTale().add(Event{Kind: Leftover, At: 9, Text: "timers"})},
+		{"an exit unasked", NoCrash, newTale().add(alive(SidecarEnded, 2, 0)), newTale().add(alive(SidecarTermed, 1, 0), alive(SidecarEnded, 2, 0))},
+		{"a panic", NoCrash, newTale().add(Event{Kind: SidecarPanicked, At: 1, Text: "index out of range"}), newTale()},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, []Rule{c.rule}, broken(c.breaks), "breaks")
+			assert.Empty(t, broken(c.keeps), "keeps")
+		})
+	}
+}
+
+// broken returns the rules that a tale breaks, each once.
+func broken(s *tale) []Rule {
+	j := New(rules())
+	for _, e := range s.events {
+		j.See(e)
+	}
+	j.End(1000)
+	var names []Rule
+	seen := map[Rule]bool{}
+	for _, f := range j.Findings() {
+		if !seen[f.Rule] {
+			names = append(names, f.Rule)
+		}
+		seen[f.Rule] = true
+	}
+	return names
+}
+
+// What a finding shows names the request's own events.
+func TestFindingShowsItsEvents(t *testing.T) {
+	j := New(rules())
+	for _, e := range newTale().ask(1, 8, safe).ask(1, 9, safe).answer(1.2, 9, 200).events {
+		j.See(e)
+	}
+	f := j.Findings()[0]
+	assert.Equal(t, uint64(9), f.Request)
+	assert.Equal(t, 1.2, f.At)
+	var kinds []Kind
+	for _, e := range f.Events {
+		assert.Equal(t, uint64(9), e.Request)
+		kinds = append(kinds, e.Kind)
+	}
+	assert.Equal(t, []Kind{Asked, Taken, Answered}, kinds)
+}
+
+// Service is worth answered within the aim over worth asked; a client's later tries belong to its first.
+func TestService(t *testing.T) {
+	j := New(rules())
+	s := newTale()
+	s.ask(1, 1, safe).run(1.1, 1, 0, 1).reply(1.2, 1, 0, 1, 200).answer(1.3, 1, 200) // in time
+	s.ask(1, 2, unsafe).answer(3.1, 2, 503)                                          // refused late, and no box was given it
+	s.ask(1, 3, keyed).answer(1.1, 3, 503)                                           // refused, and served at its next try, late
+	s.add(Event{Kind: Asked, At: 2, Request: 4, First: 3, Class: keyed, Until: 4},
+		Event{Kind: Taken, At: 2, Request: 4, Link: 104, Until: 4})
+	s.run(2.1, 4, 2, 2).reply(2.2, 4, 2, 2, 200).answer(2.3, 4, 200)
+	for _, e := range s.events {
+		j.See(e)
+	}
+	r := j.Report()
+	assert.Equal(t, 1.0/16, r.Service)
+	assert.Equal(t, []int{1, 0, 0}, []int{r.Classes[safe].InAim, r.Classes[keyed].InAim, r.Classes[unsafe].InAim})
+	assert.Equal(t, []int{0, 1, 0}, []int{r.Classes[safe].Late, r.Classes[keyed].Late, r.Classes[unsafe].Late})
+	assert.Equal(t, 1, r.Classes[unsafe].Unserved)
+	assert.Equal(t, Prices{Executions: 2, CrossZone: 1, SlowRefusal: 0.3 * 5}, r.Prices)
+	assert.Empty(t, j.Findings())
+}
--- a/internal/judge/rules.go
+++ b/internal/judge/rules.go
@@ -40,6 +40,7 @@
 
 	AnswerSlackS float64 // after its time is over a request may still be answered
 	SocketSlackS float64 // added to each limit on real or simulated sockets
+	TermGraceS   float64 // what is taken so long after an order to end must be answered even if the process is killed
 	DrainGraceS  float64 // after it was told a sidecar sends nothing new to a box that drains or is gone
 	AskWithinS   float64 // without a watch and a call for so long a sidecar counts as told; four times after a failure
 	ToldWithinS  float64 // what the list has taken counts as told then
@@ -47,7 +48,6 @@
 	FallS        float64 // the window in which work brings a cold box down
 	ColdShare    float64 // the share of that work by sidecars that knew, from which the rule is broken
 	AtOnceS      float64 // what can't be tried again is answered within this
-	HostileOwedS float64 // price: hostile clients are owed an error or an end; what Hostile says counts
 	MostAttempts int     // for one request; 0: any number
 	SecondCopies bool    // two executions of a request may be out at once
 
--- /dev/null
+++ b/internal/judge/told.go
@@ -0,0 +1,73 @@
+package judge
+
+import "math"
+
+// countsAsTold returns when a sidecar counts as told of a change of the list, as far as can be said at a time; +Inf:
+// not yet.
+func (j *Judge) countsAsTold(p *party, listed *Event, at float64) float64 {
+	told := max(listed.At, p.startedAt) + j.rules.ToldWithinS
+	if p.reloadedAt > 0 && p.reloadedAt < told {
+		told = max(told, p.reloadedAt+j.rules.ReloadToldS)
+	}
+	switch { // what discovery can't tell does not count
+	case j.downAt > 0 && j.downAt < told:
+		told = math.Inf(1)
+	case j.upAt > listed.At:
+		told = max(told, j.upAt+j.rules.ToldWithinS)
+	}
+	if p.watches > 0 {
+		return told
+	}
+	within := j.rules.AskWithinS
+	if p.askFailed {
+		within *= 4
+	}
+	if unasked := max(listed.At, p.askedAt) + within; unasked <= at {
+		told = min(told, unasked)
+	}
+	return told
+}
+
+// notServingSince returns since when a sidecar knew at a time that a box drains or is gone, +Inf: it did not.
+func (j *Judge) notServingSince(p *party, box int32, at float64) float64 {
+	k, s := p.knows(box), j.station(box)
+	since := math.Inf(1)
+	if k.status != 0 && k.status != Serving {
+		since = k.at
+	}
+	run := -1 // the first of the last changes that say so
+	for i := len(s.listed) - 1; i >= 0 && s.listed[i].Status != Serving; i-- {
+		run = i
+	}
+	if run >= 0 {
+		since = min(since, j.countsAsTold(p, &s.listed[run], at))
+	}
+	return since
+}
+
+// checkDrain checks that nothing new goes to a box that drains or is gone.
+//
+// Danger: another box may have come up at the address of one that is gone. What counts is what the sidecar was told of
+// the address that it used.
+func (j *Judge) checkDrain(s *station, p *party, e *Event) {
+	grace := j.rules.DrainGraceS + j.rules.SocketSlackS
+	if k := p.knows(e.Box); k.status == Serving && e.FirstSent <= j.notServingSince(p, e.Box, e.FirstSent)+grace {
+		return
+	}
+	latest, named := math.Inf(-1), int32(-1)
+	for box := range p.told {
+		k := &p.told[box]
+		if k.status != 0 && k.said.Address == s.address {
+			if since := j.notServingSince(p, int32(box), e.FirstSent); since > latest {
+				latest, named = since, int32(box)
+			}
+		}
+	}
+	switch {
+	case named < 0:
+		j.find(SafeDrain, e.Sidecar, e.Box, e.Request, nil, "sent to an address that the sidecar was never told of")
+	case e.FirstSent > latest+grace:
+		j.find(SafeDrain, e.Sidecar, e.Box, e.Request, []Event{p.told[named].said},
+			"sent %.3f s after the sidecar was told, or counted as told, that box %d drains or is gone", e.FirstSent-latest, named)
+	}
+}
--- a/internal/world/app.go
+++ b/internal/world/app.go
@@ -49,6 +49,7 @@
 	link   *appLink
 	resent bool
 	over   bool
+	sentAt float64 // when the present try was written
 }
 
 // appLink is a connection to the sidecar, or one that is coming up.
@@ -160,7 +161,7 @@
 
 func (a *Application) askReady(now float64) {
 	a.linkNumber++
-	link := &appLink{app: a, number: a.linkNumber, asking: true, parser: http1.NewResponseParser(messageLimits)}
+	link := &appLink{app: a, number: uint64(a.number+1)<<48 | a.linkNumber, asking: true, parser: http1.NewResponseParser(messageLimits)}
 	a.links++
 	a.net.Dial(a.day.Sidecars[a.number].Address, now+1, link, func(err error) {
 		if err != nil {
@@ -268,7 +269,7 @@
 
 func (a *Application) dial(k *ask) {
 	a.linkNumber++
-	link := &appLink{app: a, number: a.linkNumber, ask: k, parser: http1.NewResponseParser(messageLimits)}
+	link := &appLink{app: a, number: uint64(a.number+1)<<48 | a.linkNumber, ask: k, parser: http1.NewResponseParser(messageLimits)}
 	k.link = link
 	a.links++
 	a.net.Dial(a.day.Sidecars[a.number].Address, k.until, link, func(err error) {
@@ -318,7 +319,7 @@
 
 // write writes a request to a connection.
 func (a *Application) write(link *appLink, k *ask) {
-	link.ask, k.link, a.recent = k, link, k
+	link.ask, k.link, k.sentAt, a.recent = k, link, a.net.Now(), k
 	link.used++
 	c := &a.day.Classes[k.class]
 	method := "POST"
@@ -504,10 +505,12 @@
 	a.arm()
 }
 
-// openID returns the id of a request that is out; false: there is none that is known of.
+// openID returns the id of a request that is out; false: there is none that is known of. Danger: one that is still on
+// its way to the sidecar could come behind who uses its id, and would then be the second.
 func (a *Application) openID() (uint64, bool) {
+	const settledS = 0.005
 	k := a.recent
-	if k == nil || k.over || k.link == nil || k.link.ask != k {
+	if k == nil || k.over || k.link == nil || k.link.ask != k || k.sentAt > a.net.Now()-settledS {
 		return 0, false
 	}
 	return k.id, true
--- a/internal/world/box.go
+++ b/internal/world/box.go
@@ -313,24 +313,24 @@
 	j := &boxJob{link: k, id: parseID(k.parser.Header.Get(fieldID)), class: class}
 	c := &l.day.Classes[class]
 	l.same.Seed(l.day.Seed, j.id)
-	j.Seconds = c.WorkS * spread(l.cost, c.WorkCV) * spread(l.rng, 0.3) / l.Spec.Speed
+	work := c.WorkS * spread(l.cost, c.WorkCV) * spread(l.rng, 0.3) / l.Spec.Speed
 	if key := k.parser.Header.Get(fieldKey); c.Effect == judge.Keyed && l.keys.repeat(key, now, c.WindowS) {
-		j.Seconds *= 0.05 // the key is looked up, and nothing more
+		work *= 0.05 // the key is looked up, and nothing more
 	}
-	if !k.used {
+	if j.Seconds = work; !k.used { // the connection's cost is paid by its first request
 		j.Seconds += l.Spec.HandshakeS / l.Spec.Speed
 	}
 	k.used = true
 	j.failing = l.rng.Float64() < l.Spec.Errors
 	e := l.event(judge.Execution, k)
-	e.Request, e.Class, e.Work, e.FirstSent, e.Sent = j.id, int32(class), j.Seconds, k.firstAt, sentAt(k.conn, now)
+	e.Request, e.Class, e.Work, e.FirstSent, e.Sent = j.id, int32(class), work, k.firstAt, sentAt(k.conn, now)
 	e.FirstSent = min(e.FirstSent, e.Sent)
 	l.witness.See(e)
 	if j.id == 0 {
 		l.say(k, 400, false, nil)
 		return
 	}
-	l.bear(j.Seconds)
+	l.bear(work)
 	if l.draining || k.over || !l.engine.Take(now, &j.Job) {
 		k.job = j
 		l.turnAway(k)
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -122,6 +122,7 @@
 	fallMultiple  = 2.5
 	fallS         = 1.0
 	drainGraceS   = 0.75
+	termGraceS    = 0.7
 	askWithinS    = 10.0
 	answerSlackS  = 0.02
 	socketSlackS  = 0.05
@@ -302,7 +303,7 @@
 func (d *Day) Rules() judge.Rules {
 	r := judge.Rules{
 		Sidecars: len(d.Sidecars), Sockets: d.Sockets, AnswerSlackS: answerSlackS, SocketSlackS: socketSlackS,
-		DrainGraceS: drainGraceS, AskWithinS: askWithinS, ToldWithinS: toldWithinS, ReloadToldS: reloadToldS,
+		TermGraceS: termGraceS, DrainGraceS: drainGraceS, AskWithinS: askWithinS, ToldWithinS: toldWithinS, ReloadToldS: reloadToldS,
 		FallS: fallS, ColdShare: 2.0 / 3, AtOnceS: 0.25, MostAttempts: mostAttempts,
 	}
 	for _, c := range d.Classes {
--- a/internal/world/mischief.go
+++ b/internal/world/mischief.go
@@ -141,7 +141,7 @@
 
 func (m *Mischief) visit(silent bool, now float64) {
 	m.visits++
-	v := &visit{kind: malice(m.rng.IntN(int(malices))), number: 1<<40 | m.visits, parser: http1.NewResponseParser(messageLimits)}
+	v := &visit{kind: malice(m.rng.IntN(int(malices))), number: uint64(m.number+1)<<48 | 1<<40 | m.visits, parser: http1.NewResponseParser(messageLimits)}
 	if silent {
 		v.kind = saysNothing
 	}
@@ -154,6 +154,9 @@
 	v.conn = c
 	now := m.net.Now()
 	m.due.put(now+visitS, mischiefTask{visit: v, leave: true})
+	if v.kind == asksWithOthersID {
+		v.id, _ = m.app.openID()
+	}
 	if v.kind != asksAgain && v.kind != asksHalf {
 		e := m.see(judge.Hostile, v)
 		if e.Until = now + owedS; v.kind == sendsHugeBody {
@@ -213,13 +216,12 @@
 		get()
 		out = append(out, "\r\n"...)
 	case asksWithOthersID:
-		other, ok := m.app.openID()
-		if !ok {
+		if v.id == 0 { // no request is out
 			m.net.Close(v.conn)
 			return
 		}
 		get()
-		out = append(appendID(append(out, fieldID+": "...), other), "\r\n\r\n"...)
+		out = append(appendID(append(out, fieldID+": "...), v.id), "\r\n\r\n"...)
 	case asksHalf:
 		post()
 		id()
--- a/internal/world/player.go
+++ b/internal/world/player.go
@@ -290,10 +290,12 @@
 	for _, i := range t.Sidecars {
 		p.slow[i]++
 		p.ground.Stall(i, t.Share)
-		p.later(now, t.ForS, func(float64) {
+		p.cut(int32(i), judge.ToClients, true, now)
+		p.later(now, t.ForS, func(now float64) {
 			if p.slow[i]--; p.slow[i] == 0 {
 				p.ground.Stall(i, 1)
 			}
+			p.cut(int32(i), judge.ToClients, false, now)
 		})
 	}
 }
