--- a/internal/world/app.go
+++ b/internal/world/app.go
@@ -320,6 +320,8 @@
 // write writes a request to a connection.
 func (a *Application) write(link *appLink, k *ask) {
 	link.ask, k.link, k.sentAt, a.recent = k, link, a.net.Now(), k
+	// Danger: a parser that has read an answer takes the next one for the same answer's body.
+	link.parser = http1.NewResponseParser(messageLimits)
 	link.used++
 	c := &a.day.Classes[k.class]
 	method := "POST"
