Have applications leave with their sidecar, and judge cuts by the address

An application went on opening connections to a sidecar that had been told to end, which then never could.

--- a/internal/world/app.go
+++ b/internal/world/app.go
@@ -26,6 +26,8 @@
 	ready   bool
 	begunAt float64
 
+	leaveAt float64 // from then on no connection is opened; +Inf: it stays
+
 	burstAt, burstEnd float64
 	idle              []*appLink // the one that was used last at the end
 	waiting           []*ask     // for a connection
@@ -87,7 +89,7 @@
 // NewApplication returns the application beside a sidecar.
 func NewApplication(d *Day, sidecar int, w judge.Witness) *Application {
 	return &Application{number: int32(sidecar), day: d, spec: &d.Clients, witness: w, rng: stream(d.Seed, "arrivals", sidecar),
-		ids: stream(d.Seed, "ids", sidecar), chance: stream(d.Seed, "clients", sidecar), armed: math.Inf(1),
+		ids: stream(d.Seed, "ids", sidecar), chance: stream(d.Seed, "clients", sidecar), armed: math.Inf(1), leaveAt: math.Inf(1),
 		body: []byte(bodyText)}
 }
 
@@ -138,7 +140,7 @@
 		case taskArrival:
 			a.arrive(now)
 		case taskRetry:
-			if !k.over {
+			if !k.over && !a.alone(now) {
 				a.try(k, now)
 			}
 		case taskOver:
@@ -203,6 +205,9 @@
 	} else {
 		a.due.put(now+a.longest()+2, appTask{kind: taskEnd})
 	}
+	if a.alone(now) {
+		return
+	}
 	class, at := 0, a.rng.Float64()
 	for class < len(a.day.Classes)-1 && at >= a.day.Classes[class].Share {
 		at -= a.day.Classes[class].Share
@@ -219,6 +224,16 @@
 	a.try(k, now)
 }
 
+// Leave tells the application that its sidecar has been told to end: connections are opened for a short while yet, and
+// those that there are used for as long as they stay open.
+func (a *Application) Leave(now float64) { a.leaveAt = now + 0.2 + 0.2*a.chance.Float64() }
+
+// Stay tells it that there is another sidecar.
+func (a *Application) Stay() { a.leaveAt = math.Inf(1) }
+
+// alone tells whether the application has no way to a sidecar any more.
+func (a *Application) alone(now float64) bool { return now >= a.leaveAt && len(a.idle) == 0 }
+
 // longest returns the longest time that a request may have.
 func (a *Application) longest() float64 {
 	most := 0.0
@@ -260,7 +275,7 @@
 		a.write(link, k)
 		return
 	}
-	if a.links >= a.spec.MostConnections {
+	if a.links >= a.spec.MostConnections || now >= a.leaveAt {
 		a.waiting = append(a.waiting, k)
 		return
 	}
@@ -290,7 +305,8 @@
 
 // serveWaiting gives room that has come free to who waits for it.
 func (a *Application) serveWaiting() {
-	for len(a.waiting) > 0 && (len(a.idle) > 0 || a.links < a.spec.MostConnections) {
+	// Danger: what can't be served yet goes back to the end of the line, so one round is enough.
+	for n := len(a.waiting); n > 0 && (len(a.idle) > 0 || a.links < a.spec.MostConnections && a.net.Now() < a.leaveAt); n-- {
 		k := a.waiting[0]
 		a.waiting = a.waiting[1:]
 		if !k.over && k.id != 0 && k.link == nil && k.until > a.net.Now() {
--- a/internal/world/player.go
+++ b/internal/world/player.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	"hazelwheel/internal/judge"
 )
@@ -18,6 +19,14 @@
 	hung    []int  // by box: troubles that hold it
 	slow    []int  // by application: troubles that slow it
 	gone    []bool // by sidecar: its next process has been arranged
+	cuts    []*oneWayCut
+}
+
+// oneWayCut is a way that is cut between a sidecar and whatever boxes are at an IP meanwhile.
+type oneWayCut struct {
+	sidecar int32
+	ip      string
+	boxes   []int32
 }
 
 // NewPlayer returns a player that has played nothing. A script that names what the day has not is an error.
@@ -114,6 +123,7 @@
 				continue
 			}
 			p.sidecar(judge.SidecarTermed, i, now)
+			p.w.Apps[i].Leave(now)
 			p.ground.Terminate(i)
 			// What has not ended by then is killed, as a platform does before it begins the next process.
 			p.later(now, t.ForS, func(now float64) { p.killSidecar(i, 0, now) })
@@ -180,6 +190,12 @@
 		p.cut(-1, int32(b.Spec.Number), false, now)
 	}
 	p.w.tenants[ip] = b
+	for _, c := range p.cuts {
+		if n := int32(b.Spec.Number); c.ip == ip && !slices.Contains(c.boxes, n) {
+			c.boxes = append(c.boxes, n)
+			p.cut(c.sidecar, n, true, now)
+		}
+	}
 	p.ground.Return(ip)
 }
 
@@ -276,11 +292,16 @@
 			if !t.ToBox {
 				from, to = to, from
 			}
-			p.cut(int32(i), int32(b.Spec.Number), true, now)
+			c := &oneWayCut{sidecar: int32(i), ip: b.machine(), boxes: []int32{int32(b.Spec.Number)}}
+			p.cuts = append(p.cuts, c)
+			p.cut(c.sidecar, c.boxes[0], true, now)
 			p.ground.Cut(from, to)
 			p.later(now, t.ForS, func(now float64) {
 				p.ground.Mend(from, to)
-				p.cut(int32(i), int32(b.Spec.Number), false, now)
+				p.cuts = slices.DeleteFunc(p.cuts, func(other *oneWayCut) bool { return other == c })
+				for _, n := range c.boxes {
+					p.cut(c.sidecar, n, false, now)
+				}
 			})
 		}
 	}
@@ -315,6 +336,7 @@
 	p.ground.Kill(ip)
 	p.later(now, afterS, func(float64) {
 		p.gone[sidecar] = false
+		p.w.Apps[sidecar].Stay()
 		p.ground.Return(ip)
 	})
 }
