--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -21,13 +21,13 @@
 	return &cli.Command{
 		Name:  "hazellab",
 		Usage: "play the sidecar's world and judge what comes of it",
-		Commands: []*cli.Command{
+		Commands: append([]*cli.Command{
 			standinCommand(),
 			loadCommand(),
 			floodCommand(),
 			proxyCommand(),
 			pressureCommand(),
-		},
+		}, simCommands()...),
 	}
 }
 
--- /dev/null
+++ b/cmd/hazellab/sim.go
@@ -0,0 +1,321 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/term"
+
+	"hazelwheel/internal/judge"
+	"hazelwheel/internal/sim"
+	"hazelwheel/internal/world"
+)
+
+// errBroken is the error of a command that has found a rule broken, and has said which.
+var errBroken = errors.New("a rule was broken")
+
+// simCommands play the sidecar in simulated time.
+func simCommands() []*cli.Command {
+	seed := &cli.Uint64Flag{Name: "seed", Usage: "the `SEED` of the day"}
+	script := &cli.StringFlag{Name: "script", Usage: "the `FILE` that holds the day's script, in place of a seed"}
+	jobs := &cli.IntFlag{Name: "jobs", Usage: "`N` days at a time", Value: 1}
+	core := &cli.StringFlag{Name: "core", Usage: "what is played: sidecar, random or least", Value: "sidecar"}
+	asJSON := &cli.BoolFlag{Name: "json", Usage: "print the result as JSON"}
+	rule := &cli.StringFlag{Name: "rule", Usage: "the `RULE` that is to stay broken; without it the first that breaks"}
+	return []*cli.Command{
+		{Name: "sim", Usage: "play days in simulated time and judge them", Action: simulate, Flags: []cli.Flag{seed, script, jobs, core, asJSON,
+			&cli.StringFlag{Name: "seeds", Usage: "the `RANGE` of seeds, as 1-10000"},
+			&cli.BoolFlag{Name: "trace", Usage: "print what happens, one line a step"},
+			&cli.BoolFlag{Name: "first", Usage: "stop at the first day that breaks a rule"},
+			&cli.BoolFlag{Name: "quiet-days", Usage: "play the days without their troubles"},
+			&cli.BoolFlag{Name: "show-script", Usage: "print the script of the seed and play nothing"}}},
+		{Name: "shrink", Usage: "find a smaller day that breaks the same rule", Action: shrink, Flags: []cli.Flag{seed, script, core, rule,
+			&cli.StringFlag{Name: "out", Usage: "the `FILE` for the smallest script; without it, standard output"},
+			&cli.IntFlag{Name: "budget", Usage: "play `N` days at most", Value: 400}}},
+		{Name: "mutants", Usage: "break the program in many ways and see whether the rules notice", Action: mutants, Flags: []cli.Flag{jobs, asJSON,
+			&cli.StringFlag{Name: "dir", Usage: "the `DIR` of the patches", Value: sim.MutantsDir},
+			&cli.StringFlag{Name: "only", Usage: "a `PART` of the names of those to try"},
+			&cli.Uint64Flag{Name: "last", Usage: "the last `SEED` that is played; the first is 1", Value: 100}}},
+	}
+}
+
+// options returns how days are played.
+func options(c *cli.Command) (sim.Options, error) {
+	o := sim.Options{}
+	core, ok := sim.Cores[c.String("core")]
+	if !ok {
+		return o, fault(fmt.Errorf("core: %q is none of sidecar, random, least", c.String("core")))
+	}
+	o.Core = core
+	return o, nil
+}
+
+// scriptOf returns the script of --script or --seed, and how to name it in a command.
+func scriptOf(c *cli.Command) (world.Script, string, error) {
+	file := c.String("script")
+	switch {
+	case (file == "") == !c.IsSet("seed"):
+		return world.Script{}, "", fault(errors.New("give one of --seed and --script"))
+	case file == "":
+		return sim.DrawScript(c.Uint64("seed")), "--seed " + strconv.FormatUint(c.Uint64("seed"), 10), nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return world.Script{}, "", fault(err)
+	}
+	s, err := world.ReadScript(file, text, world.Usual())
+	if err != nil {
+		return world.Script{}, "", fault(err)
+	}
+	return *s, "--script " + file, nil
+}
+
+func simulate(_ context.Context, c *cli.Command) error {
+	if c.IsSet("seeds") {
+		return simulateMany(c)
+	}
+	o, err := options(c)
+	if err != nil {
+		return err
+	}
+	s, name, err := scriptOf(c)
+	if err != nil {
+		return err
+	}
+	out := bufio.NewWriter(c.Root().Writer)
+	defer out.Flush()
+	if c.Bool("quiet-days") {
+		s.Troubles = nil
+	}
+	if c.Bool("show-script") {
+		return writeScript(out, &s)
+	}
+	if c.Bool("trace") {
+		o.Trace = func(at float64, line string) { fmt.Fprintf(out, "%11.6f %s\n", at, line) }
+	}
+	began := time.Now()
+	r, err := sim.Play(s, o)
+	if err != nil {
+		return wrong(err)
+	}
+	if c.Bool("json") {
+		if err := json.NewEncoder(out).Encode(r); err != nil {
+			return err
+		}
+	} else {
+		var t sim.Tally
+		t.Add(r)
+		t.Close()
+		fmt.Fprintf(out, "history %016x\n", r.Hash)
+		printFindings(out, r, name)
+		printTally(out, &t, time.Since(began).Seconds(), 1)
+	}
+	if len(r.Findings) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// wrong makes the error of a bad script one that ends the program with 2.
+func wrong(err error) error {
+	if errors.Is(err, sim.ErrScript) {
+		return fault(err)
+	}
+	return err
+}
+
+// mostFindings is how many findings of a day are printed.
+const mostFindings = 10
+
+func printFindings(w io.Writer, r *sim.Result, name string) {
+	for i, f := range r.Findings {
+		if i == mostFindings {
+			fmt.Fprintf(w, "and %d more\n", len(r.Findings)-i)
+			break
+		}
+		fmt.Fprintf(w, "BROKEN %s at %.6f: %s; replay with: hazellab sim %s --trace\n", f.Rule, r.Since(f.At), f.Why, name)
+	}
+}
+
+func simulateMany(c *cli.Command) error {
+	first, last, err := seedRange(c.String("seeds"))
+	if err != nil {
+		return fault(err)
+	}
+	if c.IsSet("seed") || c.IsSet("script") || c.Bool("trace") {
+		return fault(errors.New("--seeds goes without --seed, --script and --trace"))
+	}
+	o, err := options(c)
+	if err != nil {
+		return err
+	}
+	o.Quiet = c.Bool("quiet-days")
+	debug.SetGCPercent(400) // days leave much behind, and little of it lives
+	out := c.Root().Writer
+	bar := progressBar(int64(last-first)+1, "days")
+	began := time.Now()
+	var t sim.Tally
+	var failed error
+	sim.Fleet(first, last, c.Int("jobs"), o, func(d sim.Outcome) bool {
+		_ = bar.Add(1) // a bar that can't be drawn harms nothing
+		if d.Err != nil {
+			failed = fmt.Errorf("seed %d: %w", d.Seed, d.Err)
+			return false
+		}
+		t.Add(d.Result)
+		if len(d.Result.Findings) > 0 && !c.Bool("json") {
+			_ = bar.Clear()
+			f := d.Result.Findings[0]
+			fmt.Fprintf(out, "BROKEN %s: %s; replay with: hazellab sim --seed %d --trace\n", f.Rule, f.Why, d.Seed)
+		}
+		return !c.Bool("first") || len(d.Result.Findings) == 0
+	})
+	_ = bar.Finish()
+	if failed != nil {
+		return failed
+	}
+	t.Close()
+	if c.Bool("json") {
+		if err := json.NewEncoder(out).Encode(&t); err != nil {
+			return err
+		}
+	} else {
+		printTally(out, &t, time.Since(began).Seconds(), c.Int("jobs"))
+	}
+	if len(t.Broken) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+func printTally(w io.Writer, t *sim.Tally, took float64, jobs int) {
+	fmt.Fprintf(w, "%d days, %.0f simulated s in %.1f s: %.0f simulated s a second on each of %d jobs, %d events\n",
+		t.Days, t.SimulatedS, took, t.SimulatedS/took/float64(max(jobs, 1)), jobs, t.Steps)
+	fmt.Fprintf(w, "service %.3f\n", t.Service)
+	for _, k := range t.Classes {
+		fmt.Fprintf(w, "  %-16s %.3f  asked %d, in aim %d, late %d, refused %d, failed %d\n", k.Name, k.Service, k.Asked, k.InAim, k.Late, k.Refused, k.Failed)
+	}
+	p := &t.Prices
+	fmt.Fprintf(w, "executions %d (%d in another site), probes %d, connections %d; hostile clients %d, owed %d\n", p.Executions, p.CrossZone, p.Probes,
+		p.Connections, p.Hostile, p.HostileOwed)
+	for _, b := range t.Broken {
+		seeds := make([]string, len(b.Seeds))
+		for i, s := range b.Seeds {
+			seeds[i] = strconv.FormatUint(s, 10)
+		}
+		fmt.Fprintf(w, "BROKEN %s on %d days, seeds %s\n", b.Rule, b.Days, strings.Join(seeds, " "))
+	}
+	if len(t.Broken) == 0 {
+		fmt.Fprintln(w, "all rules were kept")
+	}
+}
+
+// seedRange reads a range of seeds, or one.
+func seedRange(text string) (first, last uint64, err error) {
+	from, to, two := strings.Cut(text, "-")
+	if !two {
+		to = from
+	}
+	first, err1 := strconv.ParseUint(from, 10, 64)
+	last, err2 := strconv.ParseUint(to, 10, 64)
+	if err1 != nil || err2 != nil || first > last {
+		return 0, 0, fmt.Errorf("seeds: %q is not a range such as 1-10000", text)
+	}
+	return first, last, nil
+}
+
+// progressBar returns a bar on standard error, which shows nothing where that is no terminal.
+func progressBar(n int64, what string) *progressbar.ProgressBar {
+	return progressbar.NewOptions64(n, progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetDescription(what),
+		progressbar.OptionSetVisibility(term.IsTerminal(int(os.Stderr.Fd()))), progressbar.OptionShowCount(),
+		progressbar.OptionSetPredictTime(true), progressbar.OptionClearOnFinish())
+}
+
+func writeScript(w io.Writer, s *world.Script) error {
+	text, err := s.Format()
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(text)
+	return err
+}
+
+func shrink(_ context.Context, c *cli.Command) error {
+	o, err := options(c)
+	if err != nil {
+		return err
+	}
+	s, name, err := scriptOf(c)
+	if err != nil {
+		return err
+	}
+	rule := judge.Rule(c.String("rule"))
+	r, err := sim.Play(s, o)
+	if err != nil {
+		return wrong(err)
+	}
+	if rule == "" && len(r.Findings) > 0 {
+		rule = r.Findings[0].Rule
+	}
+	if !r.Breaks(rule) {
+		return fault(fmt.Errorf("%s breaks no such rule", name))
+	}
+	small := sim.Shrink(s, rule, o, c.Int("budget"), func(s *world.Script, played int) {
+		fmt.Fprintf(os.Stderr, "%d days played: %d troubles, %d sidecars, %d boxes, %g s\n", played, len(s.Troubles), s.Sidecars, s.Boxes, s.LengthS)
+	})
+	out := c.Root().Writer
+	if file := c.String("out"); file != "" {
+		f, err := os.Create(file)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		out = f
+	}
+	if err := writeScript(out, &small); err != nil {
+		return err
+	}
+	fmt.Fprintf(os.Stderr, "breaks %s; replay with: hazellab sim --script %s --trace\n", rule, c.String("out"))
+	return errBroken
+}
+
+func mutants(_ context.Context, c *cli.Command) error {
+	out := c.Root().Writer
+	var all []sim.Mutant
+	err := sim.Mutants(sim.MutantsOptions{Root: ".", Dir: c.String("dir"), Only: c.String("only"), Last: c.Uint64("last"), Jobs: c.Int("jobs")},
+		func(m sim.Mutant) {
+			all = append(all, m)
+			if !c.Bool("json") {
+				fmt.Fprintln(out, m)
+			}
+		})
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		if err := json.NewEncoder(out).Encode(all); err != nil {
+			return err
+		}
+	}
+	missed := 0
+	for _, m := range all {
+		if m.Seed == 0 {
+			missed++
+		}
+	}
+	if missed > 0 {
+		return fmt.Errorf("%d of %d mutants were not caught", missed, len(all))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sim/fleet.go
@@ -0,0 +1,138 @@
+package sim
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"hazelwheel/internal/judge"
+)
+
+// Outcome is what came of a seed: a result, or what kept it from being played.
+type Outcome struct {
+	Seed   uint64
+	Result *Result
+	Err    error
+}
+
+// Fleet plays the days of seeds from first to last, so many at a time, and calls each for each outcome, one at a time
+// but in the order in which they end. Where each returns false no more days are begun. Each day is a goroutine's own:
+// its history does not depend on how many are played beside it.
+func Fleet(first, last uint64, jobs int, o Options, each func(Outcome) bool) {
+	var next atomic.Uint64
+	next.Store(first)
+	var stopped atomic.Bool
+	outcomes := make(chan Outcome)
+	var workers sync.WaitGroup
+	for range max(jobs, 1) {
+		workers.Go(func() {
+			for !stopped.Load() {
+				seed := next.Add(1) - 1
+				if seed > last || seed < first {
+					return
+				}
+				r, err := Play(DrawScript(seed), o)
+				outcomes <- Outcome{seed, r, err}
+			}
+		})
+	}
+	go func() {
+		workers.Wait()
+		close(outcomes)
+	}()
+	for outcome := range outcomes {
+		if !stopped.Load() && !each(outcome) {
+			stopped.Store(true)
+		}
+	}
+}
+
+// Tally adds up what came of many days.
+type Tally struct {
+	Days       int          `json:"days"`
+	SimulatedS float64      `json:"simulated_s"`
+	Steps      uint64       `json:"steps"`
+	Broken     []BrokenRule `json:"broken,omitempty"`
+	Service    float64      `json:"service"` // the mean of the days'
+	Classes    []ClassTally `json:"classes,omitempty"`
+	Prices     judge.Prices `json:"prices"`
+	byRule     map[judge.Rule]*BrokenRule
+	service    float64
+}
+
+// BrokenRule is a rule with the seeds that broke it.
+type BrokenRule struct {
+	Rule  judge.Rule `json:"rule"`
+	Days  int        `json:"days"`
+	Seeds []uint64   `json:"seeds"` // the least of them
+}
+
+// ClassTally is the service of a class over many days.
+type ClassTally struct {
+	Name    string  `json:"name"`
+	Asked   int     `json:"asked"`
+	InAim   int     `json:"in_aim"`
+	Late    int     `json:"late"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
+	Service float64 `json:"service"` // worth earned over worth asked for
+	worth   float64
+	earned  float64
+}
+
+// mostSeeds is how many seeds of a broken rule are listed.
+const mostSeeds = 20
+
+// Add adds a day.
+func (t *Tally) Add(r *Result) {
+	t.Days++
+	t.SimulatedS += r.SimulatedS
+	t.Steps += r.Steps
+	t.service += r.Report.Service
+	t.Service = t.service / float64(t.Days)
+	if t.byRule == nil {
+		t.byRule = map[judge.Rule]*BrokenRule{}
+	}
+	seen := map[judge.Rule]bool{}
+	for _, f := range r.Findings {
+		if seen[f.Rule] {
+			continue
+		}
+		seen[f.Rule] = true
+		b := t.byRule[f.Rule]
+		if b == nil {
+			b = &BrokenRule{Rule: f.Rule}
+			t.byRule[f.Rule] = b
+		}
+		b.Days++
+		b.Seeds = append(b.Seeds, r.Seed)
+	}
+	for i, c := range r.Report.Classes {
+		if i >= len(t.Classes) {
+			t.Classes = append(t.Classes, ClassTally{Name: c.Name})
+		}
+		k := &t.Classes[i]
+		k.Asked, k.InAim, k.Late, k.Refused, k.Failed = k.Asked+c.Asked, k.InAim+c.InAim, k.Late+c.Late, k.Refused+c.Refused, k.Failed+c.Failed
+		k.worth, k.earned = k.worth+c.Worth, k.earned+c.Earned
+		if k.worth > 0 {
+			k.Service = k.earned / k.worth
+		}
+	}
+	p, q := &t.Prices, &r.Report.Prices
+	p.Executions, p.CrossZone, p.Probes, p.Connections = p.Executions+q.Executions, p.CrossZone+q.CrossZone, p.Probes+q.Probes, p.Connections+q.Connections
+	p.SlowRefusal, p.Hostile, p.HostileOwed = p.SlowRefusal+q.SlowRefusal, p.Hostile+q.Hostile, p.HostileOwed+q.HostileOwed
+}
+
+// Close sorts what has been added up; it is called last.
+func (t *Tally) Close() {
+	t.Broken = nil
+	for _, b := range t.byRule {
+		slices.Sort(b.Seeds)
+		b.Seeds = b.Seeds[:min(len(b.Seeds), mostSeeds)]
+		t.Broken = append(t.Broken, *b)
+	}
+	slices.SortFunc(t.Broken, func(a, b BrokenRule) int {
+		return cmp.Or(cmp.Compare(b.Days, a.Days), cmp.Compare(a.Rule, b.Rule))
+	})
+}
--- /dev/null
+++ b/internal/sim/ground.go
@@ -0,0 +1,294 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/judge"
+	"hazelwheel/internal/netio/virtual"
+	"hazelwheel/internal/world"
+)
+
+// machine is one of the world's hosts on its virtual machine.
+type machine struct {
+	world.Machine
+	vm   *virtual.Machine
+	proc *virtual.Process // the last life; nil: there was none
+}
+
+// instance is a sidecar, over all its lives.
+type instance struct {
+	d       *day
+	number  int
+	spec    world.SidecarSpec
+	vm      *virtual.Machine
+	proc    *virtual.Process // the last life; nil: there was none
+	program Program
+	termed  bool
+	told    int // the descriptors that the judge knows of
+	denied  int
+	stalls  *rand.Rand
+}
+
+var _ world.Ground = (*day)(nil)
+
+// lay puts the machines into the network, with the ways between them.
+func (d *day) lay() {
+	sites := map[*virtual.Machine]int{} // looked up, never walked
+	var all []*virtual.Machine
+	place := func(ip string, site int) *virtual.Machine {
+		vm := d.net.Machine(ip)
+		if _, known := sites[vm]; !known {
+			sites[vm] = site
+			all = append(all, vm)
+		}
+		return vm
+	}
+	for i, s := range d.spec.Sidecars {
+		d.sidecars = append(d.sidecars, &instance{d: d, number: i, spec: s, vm: place(s.IP, s.Site),
+			stalls: rand.New(rand.NewPCG(d.spec.Seed, uint64(i)+0x7374))})
+	}
+	for _, m := range d.world.Machines() {
+		d.machines = append(d.machines, &machine{Machine: m, vm: place(m.IP, m.Site)})
+	}
+	for _, a := range all {
+		for _, b := range all {
+			way := d.spec.ClientS
+			if a != b {
+				way = d.spec.PathBetween(sites[a], sites[b])
+			}
+			d.net.SetPath(a, b, virtual.Path{LatencyS: way, JitterS: way * d.spec.Jitter})
+		}
+	}
+}
+
+// begin starts all that stands at the day's beginning.
+func (d *day) begin() error {
+	for _, m := range d.machines {
+		if !m.Late {
+			if err := m.begin(d); err != nil {
+				return err
+			}
+		}
+	}
+	for _, s := range d.sidecars {
+		if err := s.begin(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// begin begins a life of a machine's program.
+func (m *machine) begin(d *day) error {
+	o := virtual.ProcessOptions{Name: m.Name, Shuffle: d.weather.shuffle}
+	if m.Listen != "" {
+		o.Listen = []string{m.Listen}
+	}
+	m.proc = m.vm.Process(o)
+	return m.proc.Run(m.Boot(m.proc))
+}
+
+// begin begins a life of a sidecar, with the configuration that the platform writes now.
+func (s *instance) begin() error {
+	d := s.d
+	cfg, err := config.Parse(d.world.StartConfiguration(s.number, d.net.Now()))
+	if err != nil {
+		return fmt.Errorf("configuration of %s: %w", s.spec.Name, err)
+	}
+	w := &d.weather
+	// A process holds descriptors beside its links: standard streams, pollers, files.
+	s.proc = s.vm.Process(virtual.ProcessOptions{Name: s.spec.Name, Listen: []string{s.spec.Address}, Descriptors: d.spec.Sockets,
+		Held: 8, Backlog: w.backlog, SendBuffer: w.send, ReceiveBuffer: w.receive, WakeS: w.wakeS, CallS: w.callS, Shuffle: w.shuffle,
+		Exited: s.exited})
+	s.termed, s.told, s.denied = false, 0, 0
+	if s.program, err = d.core(cfg, s.proc, slog.New(&logs{s: s})); err != nil {
+		return fmt.Errorf("%s: %w", s.spec.Name, err)
+	}
+	if err := s.proc.Run(s.program); err != nil {
+		return err
+	}
+	if w.everyS > 0 {
+		s.stall(s.proc)
+	}
+	return nil
+}
+
+// stall has the loop of a life stand still now and then.
+func (s *instance) stall(life *virtual.Process) {
+	w := &s.d.weather
+	s.d.net.At(s.d.net.Now()+w.everyS*s.stalls.ExpFloat64(), func() {
+		if s.proc == life && life.Alive() {
+			life.Stall(s.d.net.Now() + w.stallS*s.stalls.Float64())
+			s.stall(life)
+		}
+	})
+}
+
+// exited takes the end of a process that has ended by itself.
+func (s *instance) exited() {
+	s.d.see(judge.Event{Kind: judge.SidecarEnded, Sidecar: int32(s.number)})
+}
+
+// Kill ends the process of a machine: that of a sidecar, where there is one, and else all that is there.
+func (d *day) Kill(ip string) {
+	if s := d.sidecarAt(ip); s != nil {
+		if s.proc != nil {
+			s.proc.Kill()
+		}
+		return
+	}
+	for _, m := range d.machines {
+		if m.IP == ip && m.proc != nil {
+			m.proc.Kill()
+		}
+	}
+}
+
+// Vanish takes a machine away without a word, with all that runs there.
+func (d *day) Vanish(ip string) { d.net.Machine(ip).Vanish() }
+
+// Return begins what does not run on a machine.
+func (d *day) Return(ip string) {
+	if vm := d.net.Machine(ip); vm.Down() {
+		vm.Return()
+	}
+	var err error
+	for _, m := range d.machines {
+		if m.IP == ip && (m.proc == nil || !m.proc.Alive()) && err == nil {
+			err = m.begin(d)
+		}
+	}
+	if s := d.sidecarAt(ip); s != nil && !s.proc.Alive() && err == nil {
+		err = s.begin()
+	}
+	if err != nil {
+		// Danger: a process that can't begin again would make a day easier without a word.
+		panic(fmt.Sprintf("%s does not come back: %v", ip, err))
+	}
+}
+
+// Terminate tells a sidecar's process to end in its own time.
+func (d *day) Terminate(sidecar int) {
+	s := d.sidecars[sidecar]
+	if s.proc == nil || !s.proc.Alive() || s.termed {
+		return
+	}
+	s.termed = true
+	s.program.Do(s.program.Drain)
+}
+
+// Hangup has a sidecar's process read its configuration again.
+func (d *day) Hangup(sidecar int, configuration []byte) {
+	s := d.sidecars[sidecar]
+	if s.proc == nil || !s.proc.Alive() {
+		return
+	}
+	cfg, err := config.Parse(configuration)
+	s.program.Do(func() { s.program.Reload(cfg, err) })
+}
+
+// Cut loses what is sent from one machine to another, until as many Mends as there were Cuts.
+func (d *day) Cut(from, to string) {
+	d.cuts[[2]string{from, to}]++
+	d.net.Cut(d.net.Machine(from), d.net.Machine(to), true)
+}
+
+// Mend ends that.
+func (d *day) Mend(from, to string) {
+	way := [2]string{from, to}
+	if d.cuts[way]--; d.cuts[way] == 0 {
+		d.net.Cut(d.net.Machine(from), d.net.Machine(to), false)
+	}
+}
+
+// Reset breaks all connections between two machines.
+func (d *day) Reset(a, b string) {
+	far := d.net.Machine(b)
+	for _, p := range d.processes(a) {
+		for _, c := range p.Conns() {
+			if peer := c.Peer(); peer != nil && peer.Process().Machine() == far {
+				d.net.Reset(c)
+			}
+		}
+	}
+}
+
+// slowestRate is what an application reads of each connection in a second, in bytes, where it gives all its time to a
+// trouble of slow reading; answers are some 200 bytes.
+const slowestRate = 4000.0
+
+// Stall slows what a sidecar's application reads.
+func (d *day) Stall(sidecar int, share float64) {
+	for _, m := range d.machines {
+		if m.vm == d.sidecars[sidecar].vm && m.proc != nil {
+			if share >= 1 {
+				m.proc.SlowDown(0)
+			} else {
+				m.proc.SlowDown(max(share, 0.001) * slowestRate)
+			}
+		}
+	}
+}
+
+func (d *day) sidecarAt(ip string) *instance {
+	for _, s := range d.sidecars {
+		if s.spec.IP == ip {
+			return s
+		}
+	}
+	return nil
+}
+
+// processes returns what runs on a machine.
+func (d *day) processes(ip string) []*virtual.Process {
+	var all []*virtual.Process
+	if s := d.sidecarAt(ip); s != nil && s.proc != nil {
+		all = append(all, s.proc)
+	}
+	for _, m := range d.machines {
+		if m.IP == ip && m.proc != nil {
+			all = append(all, m.proc)
+		}
+	}
+	return all
+}
+
+// logs is where a sidecar's log goes: to the trace; and the judge is told of its panics.
+type logs struct {
+	s     *instance
+	attrs []slog.Attr
+}
+
+func (l *logs) Enabled(_ context.Context, level slog.Level) bool {
+	return level >= slog.LevelError || l.s.d.trace != nil
+}
+
+func (l *logs) Handle(_ context.Context, r slog.Record) error {
+	d := l.s.d
+	if r.Level >= slog.LevelError && r.Message == "panic" {
+		text := ""
+		r.Attrs(func(a slog.Attr) bool {
+			if a.Key == "cause" {
+				text = a.Value.String()
+			}
+			return true
+		})
+		d.see(judge.Event{Kind: judge.SidecarPanicked, Sidecar: int32(l.s.number), Text: text})
+	}
+	if d.trace != nil {
+		line := fmt.Sprintf("%-12s log: %s", l.s.spec.Name, r.Message)
+		r.Attrs(func(a slog.Attr) bool {
+			line += fmt.Sprintf(" %s=%s", a.Key, a.Value)
+			return true
+		})
+		d.trace(d.net.Now()-d.spec.Start, line)
+	}
+	return nil
+}
+
+func (l *logs) WithAttrs([]slog.Attr) slog.Handler { return l }
+func (l *logs) WithGroup(string) slog.Handler      { return l }
--- /dev/null
+++ b/internal/sim/mutants.go
@@ -0,0 +1,163 @@
+package sim
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+
+	"hazelwheel/internal/judge"
+)
+
+// MutantsDir is where the project's mutants are: unified patches, each of which breaks one thing.
+const MutantsDir = "internal/judge/testdata/mutants"
+
+// MutantsOptions say which mutants are tried, and how.
+type MutantsOptions struct {
+	Root string // of the tree
+	Dir  string // of the patches
+	Only string // a part of the names of those to try
+	Last uint64 // seeds from 1 to this are played, until one catches the mutant
+	Jobs int    // mutants at a time
+}
+
+// Mutant is what came of one.
+type Mutant struct {
+	Name string     `json:"name"`
+	Seed uint64     `json:"seed"` // that caught it; 0: none has
+	Rule judge.Rule `json:"rule,omitempty"`
+	Why  string     `json:"why,omitempty"`
+}
+
+func (m Mutant) String() string {
+	if m.Seed == 0 {
+		return fmt.Sprintf("%-32s NOT CAUGHT", m.Name)
+	}
+	return fmt.Sprintf("%-32s caught by seed %d: %s", m.Name, m.Seed, m.Rule)
+}
+
+// Mutants builds each mutant in a copy of the tree, plays seeds with it, and tells what came of it in the order of the
+// names. A patch that does not apply, or does not build, is an error: it breaks nothing any more.
+func Mutants(o MutantsOptions, tell func(Mutant)) error {
+	patches, err := filepath.Glob(filepath.Join(o.Dir, "*.patch"))
+	if err != nil {
+		return err
+	}
+	patches = slices.DeleteFunc(patches, func(p string) bool { return !strings.Contains(filepath.Base(p), o.Only) })
+	if len(patches) == 0 {
+		return fmt.Errorf("%s holds no such patch", o.Dir)
+	}
+	slices.Sort(patches)
+	type end struct {
+		m   Mutant
+		err error
+	}
+	ends := make([]chan end, len(patches))
+	slots := make(chan struct{}, max(o.Jobs, 1))
+	var all sync.WaitGroup
+	for i, p := range patches {
+		ends[i] = make(chan end, 1)
+		all.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			m, err := tryMutant(o, p)
+			ends[i] <- end{m, err}
+		})
+	}
+	var errs []error
+	for _, e := range ends {
+		if r := <-e; r.err != nil {
+			errs = append(errs, r.err)
+		} else {
+			tell(r.m)
+		}
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+func tryMutant(o MutantsOptions, patch string) (Mutant, error) {
+	m := Mutant{Name: strings.TrimSuffix(filepath.Base(patch), ".patch")}
+	dir, err := os.MkdirTemp("", "mutant-")
+	if err != nil {
+		return m, err
+	}
+	defer os.RemoveAll(dir)
+	if err := copySources(o.Root, dir); err != nil {
+		return m, err
+	}
+	text, err := os.ReadFile(patch)
+	if err != nil {
+		return m, err
+	}
+	apply := exec.Command("git", "apply", "--whitespace=nowarn", "-")
+	apply.Dir, apply.Stdin = dir, bytes.NewReader(text)
+	// Danger: inside another repository git would look for the files there.
+	apply.Env = append(os.Environ(), "GIT_CEILING_DIRECTORIES="+filepath.Dir(dir))
+	if out, err := apply.CombinedOutput(); err != nil {
+		return m, fmt.Errorf("%s: %w: %s", m.Name, err, out)
+	}
+	build := exec.Command("go", "build", "-o", "mutant", "./cmd/hazellab")
+	build.Dir = dir
+	if out, err := build.CombinedOutput(); err != nil {
+		return m, fmt.Errorf("%s: %w: %s", m.Name, err, out)
+	}
+	play := exec.Command(filepath.Join(dir, "mutant"), "sim", "--seeds", fmt.Sprintf("1-%d", max(o.Last, 1)), "--first", "--json")
+	out, err := play.Output()
+	var exit *exec.ExitError
+	if err != nil && (!errors.As(err, &exit) || exit.ExitCode() != 1) {
+		return m, fmt.Errorf("%s: %w: %s", m.Name, err, out)
+	}
+	var t Tally
+	if err := json.Unmarshal(out, &t); err != nil {
+		return m, fmt.Errorf("%s: %w: %s", m.Name, err, out)
+	}
+	if len(t.Broken) > 0 {
+		m.Seed, m.Rule = t.Broken[0].Seeds[0], t.Broken[0].Rule
+	}
+	return m, nil
+}
+
+// copySources copies what a build needs.
+func copySources(from, to string) error {
+	for _, part := range []string{"cmd", "internal", "policy"} {
+		root := filepath.Join(from, part)
+		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			rel, err := filepath.Rel(from, path)
+			if err != nil {
+				return err
+			}
+			return copyFile(path, filepath.Join(to, rel))
+		})
+		if err != nil {
+			return err
+		}
+	}
+	for _, name := range []string{"go.mod", "go.sum"} {
+		if err := copyFile(filepath.Join(from, name), filepath.Join(to, name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func copyFile(from, to string) error {
+	text, err := os.ReadFile(from)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Dir(to), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(to, text, 0o644)
+}
--- /dev/null
+++ b/internal/sim/shrink.go
@@ -0,0 +1,144 @@
+package sim
+
+import (
+	"slices"
+
+	"hazelwheel/internal/judge"
+	"hazelwheel/internal/world"
+)
+
+// Shrink looks for a smaller script that breaks the same rule: without some of the troubles, sidecars and boxes, with
+// fewer boxes in a trouble, shorter, and over sooner. It plays at most budget days, and tells progress of each that
+// came out smaller. A script that does not break the rule is returned as it is.
+func Shrink(s world.Script, rule judge.Rule, o Options, budget int, progress func(s *world.Script, played int)) world.Script {
+	h := &shrinker{best: s, rule: rule, o: o, budget: budget, progress: progress}
+	h.o.Until = rule
+	if rule == judge.AtRest { // it is seen at the day's end alone
+		h.o.Until = ""
+	}
+	if at, ok := h.breaks(s); ok {
+		h.at = at
+		for before := -1; h.budget > 0 && before != h.size(); {
+			before = h.size()
+			h.round()
+		}
+	}
+	return h.best
+}
+
+type shrinker struct {
+	best     world.Script
+	at       float64 // when the rule breaks, since the day's start
+	rule     judge.Rule
+	o        Options
+	budget   int
+	played   int
+	progress func(*world.Script, int)
+}
+
+// breaks plays a script and tells when it breaks the rule.
+func (h *shrinker) breaks(s world.Script) (at float64, ok bool) {
+	if h.budget <= 0 {
+		return 0, false
+	}
+	h.budget--
+	h.played++
+	r, err := Play(s, h.o)
+	if err != nil {
+		return 0, false // what it names may have been left out
+	}
+	for _, f := range r.Findings {
+		if f.Rule == h.rule {
+			return r.Since(f.At), true
+		}
+	}
+	return 0, false
+}
+
+// try takes a script for the best one where it breaks the rule still.
+func (h *shrinker) try(s world.Script) bool {
+	at, ok := h.breaks(s)
+	if ok {
+		h.best, h.at = s, at
+		if h.progress != nil {
+			h.progress(&s, h.played)
+		}
+	}
+	return ok
+}
+
+// size tells how much a script holds; a round that leaves it as it was is the last.
+func (h *shrinker) size() int {
+	n := len(h.best.Troubles)
+	for _, t := range h.best.Troubles {
+		n += len(t.Boxes) + len(t.Sidecars)
+	}
+	d := h.best.Day(world.Usual())
+	return n + len(d.Sidecars) + d.Standing + int(d.LengthS)
+}
+
+// round tries each kind of leaving out once.
+func (h *shrinker) round() {
+	for step := max(len(h.best.Troubles)/2, 1); step > 0; step /= 2 {
+		for from := 0; from < len(h.best.Troubles); {
+			s := copyOf(h.best)
+			s.Troubles = slices.Delete(s.Troubles, from, min(from+step, len(s.Troubles)))
+			if !h.try(s) {
+				from += step
+			}
+		}
+	}
+	h.shorten()
+	h.fewer(func(s *world.Script) int { d := s.Day(world.Usual()); return len(d.Sidecars) },
+		func(s *world.Script, n int) { s.Sidecars = n })
+	h.fewer(func(s *world.Script) int { d := s.Day(world.Usual()); return d.Standing },
+		func(s *world.Script, n int) { s.Boxes = n })
+	for i := range h.best.Troubles {
+		for k := 0; k < len(h.best.Troubles[i].Boxes) && len(h.best.Troubles[i].Boxes) > 1; {
+			s := copyOf(h.best)
+			s.Troubles[i].Boxes = slices.Delete(s.Troubles[i].Boxes, k, k+1)
+			if !h.try(s) {
+				k++
+			}
+		}
+	}
+}
+
+// shorten ends the day soon after the rule has broken.
+func (h *shrinker) shorten() {
+	d := h.best.Day(world.Usual())
+	for _, more := range []float64{0.5, 2, 5} {
+		if length := float64(int(h.at + more + 1)); length < d.LengthS {
+			s := copyOf(h.best)
+			s.LengthS = length
+			if h.try(s) {
+				return
+			}
+		}
+	}
+}
+
+// fewer tries smaller and smaller numbers of something.
+func (h *shrinker) fewer(count func(*world.Script) int, set func(*world.Script, int)) {
+	for n := count(&h.best); n > 1; {
+		s := copyOf(h.best)
+		smaller := n / 2
+		if set(&s, smaller); h.try(s) {
+			n = smaller
+			continue
+		}
+		s = copyOf(h.best)
+		if set(&s, n-1); !h.try(s) {
+			return
+		}
+		n--
+	}
+}
+
+func copyOf(s world.Script) world.Script {
+	s.Troubles = slices.Clone(s.Troubles)
+	for i := range s.Troubles {
+		s.Troubles[i].Boxes = slices.Clone(s.Troubles[i].Boxes)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/sim/sim.go
@@ -0,0 +1,220 @@
+// Package sim plays days in simulated time: the real sidecars, the world that they serve and the troubles of a script,
+// on a virtual network, with the judge looking on. A script and its seed are one history, the same on any machine.
+package sim
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/judge"
+	"hazelwheel/internal/netio"
+	"hazelwheel/internal/netio/virtual"
+	"hazelwheel/internal/world"
+)
+
+// Program is a sidecar as a day needs it.
+type Program interface {
+	netio.Host
+	// Do calls f on the program's loop, with what follows from it.
+	Do(f func())
+	// Drain has the program end once all that it has taken is answered.
+	Drain()
+	// Reload gives it a new configuration, or the error that came of reading it.
+	Reload(cfg config.Config, err error)
+	// Held says what the program holds, by name; a program at rest holds nothing.
+	Held() []Holding
+}
+
+// Holding is a number of things that a program holds.
+type Holding struct {
+	Name string
+	N    int
+}
+
+// Core returns a program that has not begun, on its network.
+type Core func(cfg config.Config, net netio.Net, log *slog.Logger) (Program, error)
+
+// Options are how a day is played.
+type Options struct {
+	Core  Core                          // nil: the sidecar
+	Trace func(at float64, line string) // told of all that happens, in seconds since the day's start; nil: nobody is
+	// Until stops the day at the first finding of this rule; "any" at the first of all. Danger: what the day has left
+	// at its end is then not looked at.
+	Until judge.Rule
+	Quiet bool // leave the troubles of the script out
+}
+
+// Any stands for all rules in Options.Until.
+const Any judge.Rule = "any"
+
+// Result is what came of a day.
+type Result struct {
+	Seed       uint64
+	Hash       uint64  // of the history
+	Steps      uint64  // events
+	Start      float64 // of the day, in Unix time
+	SimulatedS float64
+	Findings   []judge.Finding
+	Report     judge.Report
+}
+
+// Since returns how long after the day's start a time is.
+func (r *Result) Since(at float64) float64 { return at - r.Start }
+
+// Breaks tells whether the day broke a rule.
+func (r *Result) Breaks(rule judge.Rule) bool {
+	for _, f := range r.Findings {
+		if f.Rule == rule {
+			return true
+		}
+	}
+	return false
+}
+
+// DrawScript returns the script of a seed.
+func DrawScript(seed uint64) world.Script {
+	d := world.Draw(seed, world.Usual())
+	return world.DrawScript(&d)
+}
+
+// ErrScript is wrapped by errors that a script is at fault for.
+var ErrScript = errors.New("script")
+
+// restS is how long after the last arrival a day goes on: requests end, links grow old and are closed.
+const restS = 14.0
+
+// Play plays a script from its beginning to its end. An error means that the day could not be played.
+func Play(s world.Script, o Options) (*Result, error) {
+	if o.Quiet {
+		s.Troubles = nil
+	}
+	d, err := newDay(s, o)
+	if err != nil {
+		return nil, err
+	}
+	d.run(o.Until)
+	return &Result{Seed: s.Seed, Hash: d.net.Hash(), Steps: d.net.Steps(), Start: d.spec.Start, SimulatedS: d.net.Now() - d.spec.Start,
+		Findings: d.judge.Findings(), Report: d.judge.Report()}, nil
+}
+
+// day is a day that is being played.
+type day struct {
+	spec     world.Day
+	weather  weather
+	net      *virtual.World
+	judge    *judge.Judge
+	world    *world.World
+	player   *world.Player
+	core     Core
+	trace    func(at float64, line string)
+	machines []*machine
+	sidecars []*instance
+	cuts     map[[2]string]int // by two machines: cuts that have not been mended; looked up, never walked
+}
+
+func newDay(s world.Script, o Options) (*day, error) {
+	d := &day{spec: s.Day(world.Usual()), core: o.Core, trace: o.Trace, cuts: map[[2]string]int{}}
+	if d.core == nil {
+		d.core = Sidecar
+	}
+	d.weather = drawWeather(s.Seed)
+	d.net = virtual.New(s.Seed, d.spec.Start)
+	d.net.CutShare = d.weather.cutShare
+	d.judge = judge.New(d.spec.Rules())
+	var witness judge.Witness = d.judge
+	if d.trace != nil {
+		witness = &teller{d}
+		d.traceNetwork()
+	}
+	d.world = world.New(&d.spec, witness)
+	d.lay()
+	var err error
+	if d.player, err = world.NewPlayer(d.world, &s, d, witness); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrScript, err)
+	}
+	return d, d.begin()
+}
+
+// run plays the day out.
+func (d *day) run(until judge.Rule) {
+	end := d.spec.Start + d.spec.LengthS + restS
+	for now := d.spec.Start; now < end && !d.broken(until); {
+		next := min(now+lookEveryS, end)
+		for at, ok := d.player.Next(); ok && at <= next; at, ok = d.player.Next() {
+			d.net.Until(at)
+			d.player.Play(at)
+		}
+		d.net.Until(next)
+		now = next
+		d.look(now)
+	}
+	if until == "" {
+		d.leftovers()
+	}
+	d.judge.End(d.net.Now())
+}
+
+// broken tells whether a rule has been broken.
+func (d *day) broken(rule judge.Rule) bool {
+	if rule == "" {
+		return false
+	}
+	for _, f := range d.judge.Findings() {
+		if rule == Any || f.Rule == rule {
+			return true
+		}
+	}
+	return false
+}
+
+// lookEveryS is the time between two looks at what the processes hold.
+const lookEveryS = 0.1
+
+// look tells the judge how many descriptors the sidecars hold, and of accepts and dials that found none.
+func (d *day) look(now float64) {
+	for _, s := range d.sidecars {
+		if s.proc == nil || !s.proc.Alive() {
+			continue
+		}
+		held, most := s.proc.Descriptors()
+		if denied := s.proc.Denied(); denied > s.denied {
+			most, s.denied = d.spec.Sockets+denied-s.denied, denied
+		}
+		if most != s.told {
+			s.told = most
+			d.see(judge.Event{Kind: judge.Descriptors, Sidecar: int32(s.number), N: int32(max(held, most))})
+		}
+	}
+}
+
+// leftovers tells the judge what sidecars still hold when the day is over.
+func (d *day) leftovers() {
+	for _, s := range d.sidecars {
+		if s.proc == nil || !s.proc.Alive() {
+			continue
+		}
+		held := s.program.Held()
+		unsent := 0
+		for _, c := range s.proc.Conns() {
+			unsent += c.OutboundBuffered()
+		}
+		held = append(held, Holding{"dials", s.proc.Dialing()}, Holding{"bytes that are not sent", unsent})
+		for _, h := range held {
+			if h.N != 0 {
+				d.see(judge.Event{Kind: judge.Leftover, Sidecar: int32(s.number), N: int32(h.N), Text: h.Name})
+			}
+		}
+	}
+}
+
+// see tells the judge of something that happens now.
+func (d *day) see(e judge.Event) {
+	e.At, e.Box = d.net.Now(), -1
+	if d.trace != nil {
+		(&teller{d}).See(e)
+	} else {
+		d.judge.See(e)
+	}
+}
--- /dev/null
+++ b/internal/sim/sim_test.go
@@ -0,0 +1,86 @@
+package sim
+
+import (
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/judge"
+)
+
+// days is how many seeds the tests play. The laboratory's command plays more.
+const days = 12
+
+// hashes plays the tests' days and returns their histories' hashes, by seed.
+func hashes(t *testing.T, jobs int) map[uint64]uint64 {
+	all := map[uint64]uint64{}
+	Fleet(1, days, jobs, Options{}, func(o Outcome) bool {
+		require.NoError(t, o.Err)
+		all[o.Seed] = o.Result.Hash
+		for _, f := range o.Result.Findings {
+			t.Errorf("seed %d breaks %s at %.6f: %s", o.Seed, f.Rule, o.Result.Since(f.At), f.Why)
+		}
+		return true
+	})
+	return all
+}
+
+// The rules are kept, and a seed's history is the same however many are played beside it, on however many cores.
+func TestDays(t *testing.T) {
+	wide := hashes(t, runtime.NumCPU())
+	assert.Len(t, wide, days)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	assert.Equal(t, wide, hashes(t, 1))
+	seen := map[uint64]bool{}
+	for _, h := range wide {
+		assert.False(t, seen[h], "two days are one")
+		seen[h] = true
+	}
+}
+
+// Who looks on changes nothing.
+func TestTraceChangesNothing(t *testing.T) {
+	lines := 0
+	traced, err := Play(DrawScript(3), Options{Trace: func(float64, string) { lines++ }})
+	require.NoError(t, err)
+	plain, err := Play(DrawScript(3), Options{})
+	require.NoError(t, err)
+	assert.Equal(t, plain.Hash, traced.Hash)
+	assert.Greater(t, lines, 10_000)
+}
+
+// The plain balancers serve, and earn less than the decisions do.
+func TestPlainBalancers(t *testing.T) {
+	service := func(c Core) float64 {
+		var tally Tally
+		Fleet(1, 6, 2, Options{Core: c, Quiet: true}, func(o Outcome) bool {
+			require.NoError(t, o.Err)
+			tally.Add(o.Result)
+			return true
+		})
+		return tally.Service
+	}
+	decisions, random, least := service(Sidecar), service(Plain(Random)), service(Plain(LeastOutstanding))
+	t.Logf("the decisions %.3f, random choice %.3f, least outstanding %.3f", decisions, random, least)
+	assert.Greater(t, random, 0.2)
+	assert.Greater(t, least, random)
+	assert.Greater(t, decisions, random)
+}
+
+// A rule that a program breaks stays broken in what the shrinker leaves, and that is less.
+func TestShrink(t *testing.T) {
+	s := DrawScript(5)
+	require.NotEmpty(t, s.Troubles)
+	o := Options{Core: Plain(Random)} // it sends to whom it should not
+	r, err := Play(s, o)
+	require.NoError(t, err)
+	require.True(t, r.Breaks(judge.SafeDrain) || len(r.Findings) > 0)
+	rule := r.Findings[0].Rule
+	small := Shrink(s, rule, o, 40, nil)
+	after, err := Play(small, o)
+	require.NoError(t, err)
+	assert.True(t, after.Breaks(rule))
+	assert.Less(t, after.SimulatedS, r.SimulatedS)
+}
--- a/internal/world/player.go
+++ b/internal/world/player.go
@@ -293,8 +293,13 @@
 				from, to = to, from
 			}
 			c := &oneWayCut{sidecar: int32(i), ip: b.machine(), boxes: []int32{int32(b.Spec.Number)}}
+			if other := p.w.tenants[c.ip]; other != b && other.Alive() && other.machine() == c.ip {
+				c.boxes = append(c.boxes, int32(other.Spec.Number)) // it has taken the place of the one that is meant
+			}
 			p.cuts = append(p.cuts, c)
-			p.cut(c.sidecar, c.boxes[0], true, now)
+			for _, n := range c.boxes {
+				p.cut(c.sidecar, n, true, now)
+			}
 			p.ground.Cut(from, to)
 			p.later(now, t.ForS, func(now float64) {
 				p.ground.Mend(from, to)
