--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -200,7 +200,7 @@
 		for _, c := range s.proc.Conns() {
 			unsent += c.OutboundBuffered()
 		}
-		held = append(held, Holding{"dials", s.proc.Dialing()}, Holding{"bytes that are not sent", unsent})
+		held = append(held, Holding{"dials", beyond(s.proc.Dialing(), restingLinks)}, Holding{"bytes that are not sent", unsent})
 		for _, h := range held {
 			if h.N != 0 {
 				d.see(judge.Event{Kind: judge.Leftover, Sidecar: int32(s.number), N: int32(h.N), Text: h.Name})
--- a/internal/world/mischief.go
+++ b/internal/world/mischief.go
@@ -260,6 +260,7 @@
 		class++
 	}
 	v.tries++
+	v.parser = http1.NewResponseParser(messageLimits) // one answer each
 	v.id = m.rng.Uint64() | 1
 	e := m.see(judge.Asked, v)
 	e.First, e.Class, e.Until, e.Uncounted = v.id, int32(class), now+againPatient, true
