--- a/cmd/hazellab/sim.go
+++ b/cmd/hazellab/sim.go
@@ -37,6 +37,7 @@
 		{Name: "sim", Usage: "play days in simulated time and judge them", Action: simulate, Flags: []cli.Flag{seed, script, jobs, core, asJSON,
 			&cli.StringFlag{Name: "seeds", Usage: "the `RANGE` of seeds, as 1-10000"},
 			&cli.BoolFlag{Name: "trace", Usage: "print what happens, one line a step"},
+			&cli.BoolFlag{Name: "each", Usage: "print a line for each day"},
 			&cli.BoolFlag{Name: "first", Usage: "stop at the first day that breaks a rule"},
 			&cli.BoolFlag{Name: "quiet-days", Usage: "play the days without their troubles"},
 			&cli.BoolFlag{Name: "show-script", Usage: "print the script of the seed and play nothing"}}},
@@ -117,7 +118,7 @@
 		var t sim.Tally
 		t.Add(r)
 		t.Close()
-		fmt.Fprintf(out, "history %016x\n", r.Hash)
+		t.History = fmt.Sprintf("%016x", r.Hash)
 		printFindings(out, r, name)
 		printTally(out, &t, time.Since(began).Seconds(), 1)
 	}
@@ -174,6 +175,9 @@
 			return false
 		}
 		t.Add(d.Result)
+		if c.Bool("each") {
+			fmt.Fprintf(out, "seed %d history %016x, %d events, service %.4f\n", d.Seed, d.Result.Hash, d.Result.Steps, d.Result.Report.Service)
+		}
 		if len(d.Result.Findings) > 0 && !c.Bool("json") {
 			_ = bar.Clear()
 			f := d.Result.Findings[0]
@@ -202,7 +206,7 @@
 func printTally(w io.Writer, t *sim.Tally, took float64, jobs int) {
 	fmt.Fprintf(w, "%d days, %.0f simulated s in %.1f s: %.0f simulated s a second on each of %d jobs, %d events\n",
 		t.Days, t.SimulatedS, took, t.SimulatedS/took/float64(max(jobs, 1)), jobs, t.Steps)
-	fmt.Fprintf(w, "service %.3f\n", t.Service)
+	fmt.Fprintf(w, "history %s\nservice %.3f\n", t.History, t.Service)
 	for _, k := range t.Classes {
 		fmt.Fprintf(w, "  %-16s %.3f  asked %d, in aim %d, late %d, refused %d, failed %d\n", k.Name, k.Service, k.Asked, k.InAim, k.Late, k.Refused, k.Failed)
 	}
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -51,6 +52,7 @@
 // Tally adds up what came of many days.
 type Tally struct {
 	Days       int          `json:"days"`
+	History    string       `json:"history"` // a hash of all days' histories, whatever their order
 	SimulatedS float64      `json:"simulated_s"`
 	Steps      uint64       `json:"steps"`
 	Broken     []BrokenRule `json:"broken,omitempty"`
@@ -59,6 +61,7 @@
 	Prices     judge.Prices `json:"prices"`
 	byRule     map[judge.Rule]*BrokenRule
 	service    float64
+	history    uint64
 }
 
 // BrokenRule is a rule with the seeds that broke it.
@@ -87,6 +90,7 @@
 // Add adds a day.
 func (t *Tally) Add(r *Result) {
 	t.Days++
+	t.history += r.Hash * (2*r.Seed + 1)
 	t.SimulatedS += r.SimulatedS
 	t.Steps += r.Steps
 	t.service += r.Report.Service
@@ -126,7 +130,7 @@
 
 // Close sorts what has been added up; it is called last.
 func (t *Tally) Close() {
-	t.Broken = nil
+	t.History, t.Broken = fmt.Sprintf("%016x", t.history), nil
 	for _, b := range t.byRule {
 		slices.Sort(b.Seeds)
 		b.Seeds = b.Seeds[:min(len(b.Seeds), mostSeeds)]
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -101,6 +101,7 @@
 
 // day is a day that is being played.
 type day struct {
+	script   world.Script
 	spec     world.Day
 	weather  weather
 	net      *virtual.World
@@ -115,7 +116,7 @@
 }
 
 func newDay(s world.Script, o Options) (*day, error) {
-	d := &day{spec: s.Day(world.Usual()), core: o.Core, trace: o.Trace, cuts: map[[2]string]int{}}
+	d := &day{script: s, spec: s.Day(world.Usual()), core: o.Core, trace: o.Trace, cuts: map[[2]string]int{}}
 	if d.core == nil {
 		d.core = Sidecar
 	}
@@ -139,7 +140,7 @@
 
 // run plays the day out.
 func (d *day) run(until judge.Rule) {
-	end := d.spec.Start + d.spec.LengthS + restS
+	end := d.spec.Start + d.lastComingS() + restS
 	for now := d.spec.Start; now < end && !d.broken(until); {
 		next := min(now+lookEveryS, end)
 		for at, ok := d.player.Next(); ok && at <= next; at, ok = d.player.Next() {
@@ -156,6 +157,18 @@
 	d.judge.End(d.net.Now())
 }
 
+// lastComingS returns when the last client comes, since the day's start: hostile ones may do so when the others have
+// ceased.
+func (d *day) lastComingS() float64 {
+	last := d.spec.LengthS
+	for _, t := range d.script.Troubles {
+		if t.Kind == world.BadClients || t.Kind == world.SilentFlood {
+			last = max(last, t.AtS+t.ForS)
+		}
+	}
+	return last
+}
+
 // broken tells whether a rule has been broken.
 func (d *day) broken(rule judge.Rule) bool {
 	if rule == "" {
