Check the box's engine and the script's reader by properties and by fuzz

The engine: no job is lost or done twice, no slot stands empty, warmth never falls, a box falls over exactly when a window's work is over its budget. Scripts: 400 drawn ones are read back as printed, every kind is drawn, and 16 bad texts give one line with file, line, column and field.

--- /dev/null
+++ b/internal/world/engine_test.go
@@ -0,0 +1,151 @@
+package world
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// drawnBox draws a box of any kind.
+func drawnBox(t *rapid.T) *BoxSpec {
+	between := func(name string, least, most float64) float64 { return rapid.Float64Range(least, most).Draw(t, name) }
+	return &BoxSpec{Slots: rapid.IntRange(1, 3).Draw(t, "slots"), Waiting: rapid.IntRange(0, 6).Draw(t, "waiting"),
+		Thrash: between("thrash", 0, 0.2), ThrashAt: between("thrashAt", 0, 4), ColdFrom: between("coldFrom", 0.1, 0.9),
+		ColdS: between("coldS", 0.5, 20), WarmWork: between("warmWork", 0.5, 5), PauseS: float64(rapid.IntRange(0, 20).Draw(t, "pauseS")) / 10,
+		PauseLen: between("pauseLen", 0, 0.5), Fall: FallSpec{Multiple: 2.5, WindowS: 1, SlackS: between("slack", 0, 1)},
+		ConnCap: 100, FullTax: between("tax", 0, 0.4), CancelStops: rapid.Bool().Draw(t, "cancelStops")}
+}
+
+// Whatever a box goes through: each job that it takes is done once, dropped once or still there; no slot stands empty
+// while something waits; warmth rises alone; and it falls over when a window's work is over the budget, never else.
+func TestEngine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spec := drawnBox(t)
+		cold := rapid.Bool().Draw(t, "cold")
+		now := 100.0
+		e := NewEngine(spec, stream(rapid.Uint64().Draw(t, "seed"), "test", 0), now, cold)
+		state := map[*Job]int{} // 1: in the box
+		var held []*Job
+		var borne []arrival
+		warmth, fallen := e.Warmth(now), false
+		take := func(j *Job) {
+			state[j]++
+			held = append(held, j)
+		}
+		leave := func(j *Job) {
+			require.Equal(t, 1, state[j], "done or dropped once, and only what was taken")
+			state[j]++
+			for i := range held {
+				if held[i] == j {
+					held = append(held[:i], held[i+1:]...)
+					break
+				}
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			until := now + rapid.Float64Range(0, 0.6).Draw(t, "wait")
+			for e.Due() <= until {
+				now = max(now, e.Due())
+				for _, j := range e.Advance(now) {
+					leave(j)
+				}
+			}
+			now = until
+			switch rapid.IntRange(0, 5).Draw(t, "do") {
+			case 0, 1, 2:
+				j := &Job{Seconds: rapid.Float64Range(0, 1.5).Draw(t, "work")}
+				before := e.Warmth(now)
+				borne = append(borne, arrival{now, j.Seconds})
+				sum := 0.0
+				for _, a := range borne {
+					if a.at >= now-spec.Fall.WindowS {
+						sum += a.seconds
+					}
+				}
+				fell := e.Bear(now, j.Seconds)
+				over := sum - 2.5*before*float64(spec.Slots) - spec.Fall.SlackS
+				if math.Abs(over) > 1e-9 {
+					require.Equal(t, before < 1 && !fallen && over > 0, fell)
+				}
+				if fallen = fallen || fell; before >= 1 {
+					borne = nil
+				}
+				room := e.Waiting() < spec.Waiting || !e.still() && len(e.inWork) < spec.Slots
+				taken := e.Take(now, j)
+				require.Equal(t, room, taken)
+				if taken {
+					take(j)
+				}
+			case 3:
+				e.Hang(now, rapid.Bool().Draw(t, "hang"))
+			case 4:
+				if len(held) > 0 {
+					j := held[rapid.IntRange(0, len(held)-1).Draw(t, "which")]
+					if e.Drop(j) {
+						require.True(t, spec.CancelStops)
+						leave(j)
+					}
+				}
+			case 5:
+				e.Connected(rapid.IntRange(0, 200).Draw(t, "connections"))
+			}
+			require.Len(t, held, e.Held())
+			require.LessOrEqual(t, len(e.inWork), spec.Slots)
+			require.LessOrEqual(t, e.Waiting(), spec.Waiting)
+			if !e.still() && len(e.inWork) < spec.Slots {
+				require.Zero(t, e.Waiting(), "a slot stands empty")
+			}
+			require.GreaterOrEqual(t, e.Warmth(now), warmth)
+			require.LessOrEqual(t, e.Warmth(now), 1.0)
+			require.Equal(t, fallen, e.Fallen())
+			warmth = e.Warmth(now)
+			if cold && now-100 >= spec.ColdS {
+				require.Equal(t, 1.0, warmth)
+			}
+		}
+		// Left alone a box that has not fallen ends all that it has.
+		e.Hang(now, false)
+		for until := now + 1000; !fallen && len(held) > 0; {
+			require.LessOrEqual(t, e.Due(), until)
+			for _, j := range e.Advance(e.Due()) {
+				leave(j)
+			}
+		}
+	})
+}
+
+// Time that a box stands still is added to what it has in work, to the microsecond, however hang and pauses overlap.
+func TestStandingStillAddsUp(t *testing.T) {
+	spec := &BoxSpec{Slots: 1, Waiting: 5, PauseS: 0.2, PauseLen: 0.1}
+	e := NewEngine(spec, stream(1, "test", 0), 0, false)
+	require.True(t, e.Take(0, &Job{Seconds: 5}))
+	paused, since := 0.0, math.NaN()
+	for i := 0; ; i++ {
+		at := e.Due()
+		pausing := e.pausing
+		done := e.Advance(at)
+		if !pausing && e.pausing {
+			since = at
+		} else if pausing && !e.pausing {
+			paused += at - since
+		}
+		if len(done) > 0 {
+			assert.InDelta(t, 5+paused+1, at, 1e-6)
+			return
+		}
+		if i == 10 && !e.pausing { // a hang of one second
+			e.Hang(at, true)
+			require.Equal(t, math.Inf(1), e.Due())
+			e.Hang(at+1, false)
+		} else if i == 10 {
+			since++ // the pause ends with the hang, and counts once
+			e.Hang(at, true)
+			e.Hang(at+1, false)
+			paused += at - (since - 1)
+		}
+		require.Less(t, i, 1000)
+	}
+}
--- /dev/null
+++ b/internal/world/script_test.go
@@ -0,0 +1,110 @@
+package world
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// What is drawn, printed and read back is the same, and is drawn alike a second time.
+func TestScriptIsReadBackAsPrinted(t *testing.T) {
+	r := Usual()
+	drawn := map[string]bool{}
+	for seed := range uint64(400) {
+		d := Draw(seed, r)
+		s := DrawScript(&d)
+		text, err := s.Format()
+		require.NoError(t, err)
+		back, err := ReadScript("drawn.toml", text, r)
+		require.NoError(t, err, "%s", text)
+		require.Equal(t, s, *back)
+		again := Draw(seed, r)
+		require.Equal(t, d, again)
+		require.Equal(t, s, DrawScript(&again))
+		for _, trouble := range s.Troubles {
+			drawn[trouble.Kind] = true
+		}
+	}
+	assert.Len(t, drawn, len(Kinds()), "some kind is never drawn")
+}
+
+// A bad script is one line that names the file, the line, the column and the field.
+func TestBadScripts(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"seed = 1\nsede = 2\n", "x.toml:2:1: sede: no such field"},
+		{"seed = -1\n", "x.toml:1:8: seed: "},
+		{"seed = \"one\"\n", "x.toml:1:8: seed: "},
+		{"seed = 1\nlength_s = -4.0\n", "x.toml:2:1: length_s: not between"},
+		{"seed = 1\nsidecars = 90\n", "x.toml:2:1: sidecars: not between"},
+		{"[[trouble]]\nkind = \"hang\"\nat_s = 5.0\nfor_s = 2.0\nbxes = [\"s-1\"]\n", "x.toml:5:1: trouble.bxes: no such field"},
+		{"[[trouble]]\nkind = \"hung\"\nat_s = 5.0\n", "x.toml:2:1: kind: \"hung\" is none of hang, "},
+		{"seed = 1\n\n[[trouble]]\nkind = \"hang\"\nat_s = 5.0\n", "x.toml:3:3: for_s: missing; hang needs it"},
+		{"[[trouble]]\nkind = \"reload\"\nat_s = 5.0\nfor_s = 1.0\n", "x.toml:4:1: for_s: reload has no such field"},
+		{"[[trouble]]\nkind = \"reload\"\nat_s = nan\n", "x.toml:3:1: at_s: not between"},
+		{"[[trouble]]\nkind = \"resets\"\nat_s = 5.0\nfor_s = 1.0\nboxes = []\nper_s = 2.0\n", "x.toml:5:1: boxes: empty"},
+		{"[[trouble]]\nkind = \"hang\"\nat_s = 5.0\nfor_s = 1.0\nboxes = [\"s-none\"]\n", "x.toml:5:1: boxes: the day has no box \"s-none\""},
+		{"[[trouble]]\nkind = \"sidecar-kill\"\nat_s = 5.0\nfor_s = 1.0\nsidecars = [9]\n", "x.toml:5:1: sidecars: the day has sidecars 0 to "},
+		{"[[trouble]]\nkind = \"site-loss\"\nat_s = 5.0\nfor_s = 1.0\nsite = \"moon\"\n", "x.toml:5:1: site: the day's sites are "},
+		{"trouble = [{kind = \"reload\", at_s = -1.0}]\n", "x.toml:1:30: at_s: not between"},
+		{"[[trouble]\n", "x.toml:1:"},
+	} {
+		_, err := ReadScript("x.toml", []byte(c.text), Usual())
+		require.Error(t, err, c.text)
+		assert.True(t, strings.HasPrefix(err.Error(), c.want), "%q, want %q", err, c.want)
+		assert.NotContains(t, err.Error(), "\n")
+	}
+}
+
+// Whatever the text, reading it ends in a script that prints and reads alike, or in one line of error.
+func FuzzReadScript(f *testing.F) {
+	for seed := range uint64(4) {
+		d := Draw(seed, Usual())
+		s := DrawScript(&d)
+		text, err := s.Format()
+		require.NoError(f, err)
+		f.Add(text)
+	}
+	f.Add([]byte("trouble = [{kind = 'reload', at_s = 1.0}]\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := ReadScript("f.toml", text, Usual())
+		if err != nil {
+			var e *ScriptError
+			require.True(t, errors.As(err, &e))
+			require.Positive(t, e.Line)
+			require.NotContains(t, err.Error(), "\n")
+			return
+		}
+		again, err := s.Format()
+		require.NoError(t, err)
+		back, err := ReadScript("f.toml", again, Usual())
+		require.NoError(t, err, "%s", again)
+		require.Equal(t, s, back)
+	})
+}
+
+// What is due comes out by time, and of one time in the order in which it went in.
+func TestAgenda(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var a agenda[int]
+		times := rapid.SliceOf(rapid.IntRange(0, 5)).Draw(t, "times")
+		for i, at := range times {
+			a.put(float64(at), i)
+		}
+		lastAt, lastIndex := -1.0, -1
+		for range times {
+			next := a.next()
+			_, _, early := a.take(next - 0.5)
+			require.False(t, early)
+			i, at, ok := a.take(next)
+			require.True(t, ok)
+			require.Equal(t, float64(times[i]), at)
+			require.True(t, at > lastAt || at == lastAt && i > lastIndex)
+			lastAt, lastIndex = at, i
+		}
+		require.Empty(t, a.heap)
+	})
+}
