--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -19,9 +19,15 @@
 
 func command() *cli.Command {
 	return &cli.Command{
-		Name:     "hazellab",
-		Usage:    "play the sidecar's world and judge what comes of it",
-		Commands: []*cli.Command{},
+		Name:  "hazellab",
+		Usage: "play the sidecar's world and judge what comes of it",
+		Commands: append([]*cli.Command{
+			standinCommand(),
+			loadCommand(),
+			floodCommand(),
+			proxyCommand(),
+			pressureCommand(),
+		}, simCommands()...),
 	}
 }
 
