--- a/internal/judge/record.go
+++ b/internal/judge/record.go
@@ -44,6 +44,16 @@
 	served  bool
 }
 
+// mayBeOver tells whether the sidecar may have answered the try: its client may not have read the answer yet.
+func (r *record) mayBeOver() bool {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.repliedAt > 0 && !a.spoilt && !a.notStarted {
+			return true
+		}
+	}
+	return r.fate != unended
+}
+
 // attempt is an execution that came whole to a box.
 type attempt struct {
 	box, boxLife int32
--- a/internal/world/mischief.go
+++ b/internal/world/mischief.go
@@ -261,6 +261,8 @@
 	}
 	v.tries++
 	v.id = m.rng.Uint64() | 1
+	// Danger: a parser that has read an answer takes the next one for the same answer's body.
+	v.parser = http1.NewResponseParser(messageLimits)
 	e := m.see(judge.Asked, v)
 	e.First, e.Class, e.Until, e.Uncounted = v.id, int32(class), now+againPatient, true
 	m.witness.See(e)
