--- a/internal/judge/event.go
+++ b/internal/judge/event.go
@@ -46,8 +46,8 @@
 	// BoxFell: it was cold and has got more work than it bears.
 	BoxFell
 	// Execution: a request's last byte has come. Sidecar, whose connection it is; Request; Link; Class, -1 where the
-	// box knows none such; FirstSent and Sent, when the first and the last byte were sent; Work, in seconds of the
-	// box's own time when warm.
+	// box knows none such; FirstSent and Sent, when the first and the last byte were sent; Work that counts
+	// against a cold box, in seconds of its own time when warm.
 	Execution
 	// Replied: the box has written its answer. Request, Link, Status, Digest; NotStarted, where the answer says so;
 	// Spoilt, where nobody can take it for a whole answer.
--- a/internal/world/box.go
+++ b/internal/world/box.go
@@ -323,14 +323,15 @@
 	k.used = true
 	j.failing = l.rng.Float64() < l.Spec.Errors
 	e := l.event(judge.Execution, k)
-	e.Request, e.Class, e.Work, e.FirstSent, e.Sent = j.id, int32(class), work, k.firstAt, sentAt(k.conn, now)
+	e.Request, e.Class, e.Work, e.FirstSent, e.Sent = j.id, int32(class), min(work, mostCounted*c.WorkS/l.Spec.Speed), k.firstAt, sentAt(k.conn, now)
 	e.FirstSent = min(e.FirstSent, e.Sent)
 	l.witness.See(e)
 	if j.id == 0 {
 		l.say(k, 400, false, nil)
 		return
 	}
-	l.bear(work)
+	// Danger: who sends a request can't know that it is a heavy one; nobody is to be blamed for the weight of it.
+	l.bear(e.Work)
 	if l.draining || k.over || !l.engine.Take(now, &j.Job) {
 		k.job = j
 		l.turnAway(k)
@@ -340,6 +341,9 @@
 	k.job = j
 }
 
+// mostCounted is how many mean requests of its class one request counts for against a cold box.
+const mostCounted = 2
+
 // bear counts work against a cold box.
 func (l *life) bear(seconds float64) {
 	if now := l.net.Now(); l.engine.Bear(now, seconds) {
--- a/internal/world/player.go
+++ b/internal/world/player.go
@@ -63,6 +63,17 @@
 // later arranges a step after a time.
 func (p *Player) later(now, afterS float64, step func(now float64)) { p.steps.put(now+afterS, step) }
 
+// endsAt returns when a trouble of boxes, discovery, paths or clients is over: as the script says, and at the latest with
+// the day's arrivals. Danger: one that outlasted the day would leave dials and links that nobody could call left over.
+func (p *Player) endsAt(t *Trouble, now float64) float64 {
+	return max(now, min(now+t.ForS, p.w.Day.Start+p.w.Day.LengthS))
+}
+
+// atEnd arranges a step for the end of a trouble that begins now.
+func (p *Player) atEnd(t *Trouble, now float64, step func(now float64)) {
+	p.steps.put(p.endsAt(t, now), step)
+}
+
 func (p *Player) boxes(t *Trouble) []*Box {
 	var found []*Box
 	for _, name := range t.Boxes {
@@ -93,12 +104,12 @@
 		p.shrink(boxes, t, now)
 	case StaleList:
 		p.w.Registry.StaleS += t.LagS
-		p.later(now, t.ForS, func(float64) { p.w.Registry.StaleS -= t.LagS })
+		p.atEnd(t, now, func(float64) { p.w.Registry.StaleS -= t.LagS })
 	case DiscoveryDown:
 		p.w.Registry.Down(true, now)
-		p.later(now, t.ForS, func(now float64) { p.w.Registry.Down(false, now) })
+		p.atEnd(t, now, func(now float64) { p.w.Registry.Down(false, now) })
 	case Resets:
-		p.resets(boxes, t, now, now+t.ForS)
+		p.resets(boxes, t, now, p.endsAt(t, now))
 	case OneWay:
 		p.oneWay(boxes, t, now)
 	case SlowReader:
@@ -107,15 +118,15 @@
 		for _, b := range boxes {
 			share := b.Manners.share(t.Kind)
 			*share += t.Share
-			p.later(now, t.ForS, func(float64) { *share = max(0, *share-t.Share) })
+			p.atEnd(t, now, func(float64) { *share = max(0, *share-t.Share) })
 		}
 	case BadClients, SilentFlood:
 		for _, i := range t.Sidecars {
-			p.w.Mischief[i].Come(t.PerS, now+t.ForS, t.Kind == SilentFlood)
+			p.w.Mischief[i].Come(t.PerS, p.endsAt(t, now), t.Kind == SilentFlood)
 		}
 	case SidecarKill:
 		for _, i := range t.Sidecars {
-			p.killSidecar(i, t.ForS, now)
+			p.killSidecar(i, p.endsAt(t, now)-now, now)
 		}
 	case SidecarTerm:
 		for _, i := range t.Sidecars {
@@ -155,7 +166,7 @@
 		n := b.Spec.Number
 		p.hung[n]++
 		b.Hang(true)
-		p.later(now, t.ForS, func(float64) {
+		p.atEnd(t, now, func(float64) {
 			if p.hung[n]--; p.hung[n] == 0 {
 				b.Hang(false)
 			}
@@ -212,7 +223,7 @@
 				ip = b.Spec.IP
 			}
 		}
-		p.later(now, t.ForS, func(now float64) { p.back(b, ip, silent, now) })
+		p.atEnd(t, now, func(now float64) { p.back(b, ip, silent, now) })
 	}
 }
 
@@ -230,7 +241,7 @@
 		p.goAndReturn(boxes, t, now, t.Silent, false)
 		for k, s := range p.w.Day.Sidecars {
 			if t.WithSidecars && s.Site == i {
-				p.killSidecar(k, t.ForS, now)
+				p.killSidecar(k, p.endsAt(t, now)-now, now)
 			}
 		}
 	}
@@ -249,7 +260,7 @@
 			if b.life != life || !p.end(b, false, now) || t.ForS == 0 {
 				return
 			}
-			p.later(now, t.ForS, func(now float64) { p.back(b, b.machine(), false, now) })
+			p.atEnd(t, now, func(now float64) { p.back(b, b.machine(), false, now) })
 		})
 	}
 }
@@ -301,7 +312,7 @@
 				p.cut(c.sidecar, n, true, now)
 			}
 			p.ground.Cut(from, to)
-			p.later(now, t.ForS, func(now float64) {
+			p.atEnd(t, now, func(now float64) {
 				p.ground.Mend(from, to)
 				p.cuts = slices.DeleteFunc(p.cuts, func(other *oneWayCut) bool { return other == c })
 				for _, n := range c.boxes {
@@ -317,7 +328,7 @@
 		p.slow[i]++
 		p.ground.Stall(i, t.Share)
 		p.cut(int32(i), judge.ToClients, true, now)
-		p.later(now, t.ForS, func(now float64) {
+		p.atEnd(t, now, func(now float64) {
 			if p.slow[i]--; p.slow[i] == 0 {
 				p.ground.Stall(i, 1)
 			}
@@ -368,5 +379,5 @@
 	}
 	p.spares++
 	ip := b.machine()
-	p.later(now, t.ForS, func(now float64) { p.back(p.w.Boxes[next], ip, false, now) })
+	p.atEnd(t, now, func(now float64) { p.back(p.w.Boxes[next], ip, false, now) })
 }
