--- a/internal/world/mischief.go
+++ b/internal/world/mischief.go
@@ -76,6 +76,7 @@
 	id     uint64 // of its request, where that may be served
 	tries  int
 	heard  bool
+	told   bool // the witness knows of it
 }
 
 type mischiefTask struct {
@@ -155,7 +156,10 @@
 	now := m.net.Now()
 	m.due.put(now+visitS, mischiefTask{visit: v, leave: true})
 	if v.kind == asksWithOthersID {
-		v.id, _ = m.app.openID()
+		var open bool
+		if v.id, open = m.app.openID(); !open {
+			return false // there is no id to use, so nothing to ask
+		}
 	}
 	if v.kind != asksAgain && v.kind != asksHalf {
 		e := m.see(judge.Hostile, v)
@@ -163,6 +167,7 @@
 			e.Until = now + owedHugeS
 		}
 		m.witness.See(e)
+		v.told = true
 	}
 	m.begin(v, now)
 	m.arm()
@@ -216,10 +221,6 @@
 		get()
 		out = append(out, "\r\n"...)
 	case asksWithOthersID:
-		if v.id == 0 { // no request is out
-			m.net.Close(v.conn)
-			return
-		}
 		get()
 		out = append(appendID(append(out, fieldID+": "...), v.id), "\r\n\r\n"...)
 	case asksHalf:
@@ -357,7 +358,7 @@
 		e := m.see(judge.Dropped, v)
 		e.Reused = v.tries > 1
 		m.witness.See(e)
-	case v.kind != asksAgain && v.kind != asksHalf && err != nil:
+	case v.kind != asksAgain && v.kind != asksHalf && err != nil && v.told:
 		m.witness.See(m.see(judge.HostileEnded, v))
 	}
 	m.arm()
