--- a/internal/world/app.go
+++ b/internal/world/app.go
@@ -347,8 +347,14 @@
 	out := append(append(a.out[:0], method...), " /"...)
 	out = append(append(out, c.Name...), "/item HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: "...)
 	out = append(appendID(out, k.id), "\r\nRequest-Timeout: "...)
-	out = strconv.AppendInt(out, max(1, int64((k.until-a.net.Now())*1e6)), 10)
-	out = append(out, "u\r\n"...)
+	if wait := k.until - a.net.Now(); k.id>>1&1 == 0 { // both units are in use
+		out = append(strconv.AppendInt(out, max(1, int64(wait*1e6)), 10), "u\r\n"...)
+	} else {
+		out = append(strconv.AppendInt(out, max(1, int64(wait*1e3)), 10), "m\r\n"...)
+	}
+	if k.tries > 1 && a.spec.MarksRetry {
+		out = append(out, fieldRetry+": 1\r\n"...)
+	}
 	if k.key != 0 {
 		out = append(appendID(append(out, "Idempotency-Key: "...), k.key), "\r\n"...)
 	}
--- a/internal/world/box.go
+++ b/internal/world/box.go
@@ -300,9 +300,9 @@
 	case whole == "/health" || whole == "/status/load":
 		l.probe(k, whole == "/health")
 	case !ok:
-		l.say(k, 404, false, nil)
+		l.say(k, 404, nil)
 	case k.parser.Header.Get(fieldID) == "":
-		l.say(k, 404, false, nil)
+		l.say(k, 404, nil)
 	default:
 		l.execute(k, class)
 	}
@@ -327,7 +327,7 @@
 	e.FirstSent = min(e.FirstSent, e.Sent)
 	l.witness.See(e)
 	if j.id == 0 {
-		l.say(k, 400, false, nil)
+		l.say(k, 400, nil)
 		return
 	}
 	// Danger: who sends a request can't know that it is a heavy one; nobody is to be blamed for the weight of it.
@@ -379,7 +379,7 @@
 		l.probesAt, l.probes = now, 0
 	}
 	if l.probes++; float64(l.probes) > l.Spec.ProbePS || health && l.draining || !l.engine.Take(now, &j.Job) {
-		l.say(k, 503, false, nil)
+		l.say(k, 503, nil)
 		return
 	}
 	j.Owner = j
@@ -404,13 +404,13 @@
 		switch {
 		case j.Probe && done.Since < now-probeWaitS:
 			k.job = nil
-			l.say(k, 503, false, nil)
+			l.say(k, 503, nil)
 		case j.Probe && j.health:
 			k.job = nil
-			l.say(k, 200, false, []byte("ok\n"))
+			l.say(k, 200, []byte("ok\n"))
 		case j.Probe:
 			k.job = nil
-			l.say(k, 200, false, l.reports.shown)
+			l.say(k, 200, l.reports.shown)
 		default:
 			l.answer(k, j)
 		}
@@ -444,20 +444,30 @@
 			out = append(out, "HTTP/1.1 103 Early Hints\r\nLink: </style>; rel=preload\r\n\r\n"...)
 		}
 	}
-	out = http1.AppendResponse(out, status, nil, body)
-	if m := &l.Manners; m.Behind > 0 && l.rng.Float64() < m.Behind {
+	misbehaves := l.Manners.Behind > 0 && l.rng.Float64() < l.Manners.Behind
+	out = http1.AppendResponse(out, status, l.loadField(misbehaves), body)
+	if misbehaves {
 		out = l.behind(out)
 	}
 	l.write(k, out)
 }
 
-// say writes an answer that no execution stands behind.
-func (l *life) say(k *boxLink, status int, notStarted bool, body []byte) {
-	var h http1.Header
-	if notStarted {
-		h = http1.Header{{Name: fieldNotStarted, Value: "1"}}
+// loadField returns the load report of an answer, where answers have one; a box that misbehaves may say what nobody can
+// read.
+func (l *life) loadField(misbehaves bool) http1.Header {
+	if !l.day.Inline {
+		return nil
+	}
+	text := string(l.reports.shown[:len(l.reports.shown)-1]) // without its line's end
+	if misbehaves && l.rng.IntN(2) == 0 {
+		text = "util=many,,queue;=\t-1e999"
 	}
-	l.write(k, http1.AppendResponse(l.out[:0], status, h, body))
+	return http1.Header{{Name: fieldLoad, Value: text}}
+}
+
+// say writes an answer that no execution stands behind.
+func (l *life) say(k *boxLink, status int, body []byte) {
+	l.write(k, http1.AppendResponse(l.out[:0], status, nil, body))
 }
 
 func (l *life) write(k *boxLink, out []byte) {
--- a/internal/world/configuration.go
+++ b/internal/world/configuration.go
@@ -53,8 +53,12 @@
 			"giveUpS": c.GiveUpS, "objectiveS": c.AimS, "windowS": c.WindowS, "importance": c.Worth, "lateWorth": c.LateWorth,
 			"stream": false})
 	}
+	how := "on_probe"
+	if d.Inline {
+		how = "inline"
+	}
 	return object{
-		"classes": classes, "clients": object{"marksRetry": false}, "dcs": d.Sites, "hostTypes": d.Kinds,
+		"classes": classes, "clients": object{"marksRetry": d.Clients.MarksRetry}, "dcs": d.Sites, "hostTypes": d.Kinds,
 		"deductions": object{"crossZone": 0.06, "probe": 0.0081, "waste": 0.02, "lateFail": 0.055},
 		"discovery":  "on_request", "locality": d.Sidecars[sidecar].Site,
 		"limits": object{"cancel": true, "connIdleS": d.ConnIdle, "connectTimeoutS": connectS, "maxRetryAfterS": maxRetryAfter,
@@ -63,6 +67,6 @@
 			"drainGraceS": drainGraceS, "fallMultiple": fallMultiple, "fallS": fallS},
 		"replicasOfMe": len(d.Sidecars), "selfIndex": sidecar, "roundS": tickS, "stage": 0, "tenants": []object{},
 		"tiers": []string{"readings"}, "weights": "rough", "workload": "mesh", "valueBy": "request",
-		"report": object{"fields": []string{"cpu_share", "failed_ps", "pending"}, "how": "on_probe"},
+		"report": object{"fields": []string{"cpu_share", "failed_ps", "pending"}, "how": how},
 	}
 }
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -34,6 +34,7 @@
 	ClientS  float64     // one way between an application and its sidecar
 	Jitter   float64     // of a way's time, as a share of it
 	ConnIdle float64     // seconds
+	Inline   bool        // load reports come with answers; else with probes alone
 	Sockets  int         // descriptors that each sidecar may hold
 	MemoryMB int
 }
@@ -68,7 +69,8 @@
 	Retries                int
 	TryShare, BackoffS     float64
 	Honour, Impatient      float64
-	MostConnections        int // of one application
+	MostConnections        int  // of one application
+	MarksRetry             bool // later tries say that they are
 	MaxRetryAfterS         float64
 }
 
@@ -170,6 +172,7 @@
 		d.Registry.IPs = append(d.Registry.IPs, ip)
 		d.Registry.Addresses = append(d.Registry.Addresses, ip+":2300")
 	}
+	d.Clients.MarksRetry, d.Inline = rng.IntN(3) == 0, rng.IntN(3) == 0
 	return d
 }
 
--- a/internal/world/mischief.go
+++ b/internal/world/mischief.go
@@ -261,7 +261,6 @@
 		class++
 	}
 	v.tries++
-	v.parser = http1.NewResponseParser(messageLimits) // one answer each
 	v.id = m.rng.Uint64() | 1
 	// Danger: a parser that has read an answer takes the next one for the same answer's body.
 	v.parser = http1.NewResponseParser(messageLimits)
--- a/internal/world/wire.go
+++ b/internal/world/wire.go
@@ -17,6 +17,7 @@
 	fieldRetry      = "Client-Retry"
 	fieldNotStarted = "Not-Started"
 	fieldRetryAfter = "Retry-After"
+	fieldLoad       = "Server-Load"
 )
 
 var messageLimits = http1.Limits{Head: 16 << 10, Body: 64 << 10}
