Measure balancers against each other in turns, and keep what was measured

Ctrl-C, a kill, a balancer that dies, a full disk and a port that was taken each have a test: the runs before are kept, the folder says that it is partial, no process stays behind.

--- /dev/null
+++ b/cmd/hazellab/experiment.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/term"
+
+	"hazelwheel/internal/lab/experiment"
+)
+
+func experimentCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "experiment",
+		Usage:     "measure balancers against each other, in turns",
+		ArgsUsage: "FILE.toml",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Usage: "the `FOLDER` for the figures; default: the experiment's name and the time"},
+			&cli.BoolFlag{Name: "dry-run", Usage: "print the plan and how long it takes"},
+		},
+		Action: runExperiment,
+	}
+}
+
+func runExperiment(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return fault(errors.New("experiment: one FILE.toml is wanted"))
+	}
+	spec, text, err := experiment.ReadFile(c.Args().First())
+	if err != nil {
+		return fault(err)
+	}
+	out := c.Root().Writer
+	if c.Bool("dry-run") {
+		printPlan(out, spec)
+		return nil
+	}
+	s := experiment.Settings{Spec: spec, Text: text, Folder: c.String("out"), Say: os.Stderr}
+	if s.Folder == "" {
+		s.Folder = spec.Name + "-" + time.Now().Format("20060102-150405")
+	}
+	if s.Self, err = os.Executable(); err != nil {
+		return err
+	}
+	watch(&s)
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	err = experiment.Do(ctx, &s)
+	if data, openErr := experiment.Open(s.Folder); openErr == nil {
+		fmt.Fprintf(out, "%s: %d of %d runs whole\n", s.Folder, data.Done, data.Planned)
+		if data.Partial {
+			fmt.Fprintf(out, "partial: %s\n", data.Why)
+		}
+	}
+	return err
+}
+
+// watch tells of the progress: a bar on a terminal, a line a run elsewhere.
+func watch(s *experiment.Settings) {
+	failed := func(r *experiment.Record) {
+		if r.Partial {
+			fmt.Fprintf(os.Stderr, "run %d, %s: %s\n", r.Number, r.Balancer, r.Why)
+		}
+	}
+	if !term.IsTerminal(int(os.Stderr.Fd())) {
+		s.Ended = func(r *experiment.Record) {
+			if failed(r); !r.Partial {
+				fmt.Fprintf(os.Stderr, "run %d: %s, %s, %s, %s, repeat %d\n", r.Number, r.Balancer, r.Size, r.Load, r.Trouble, r.Repeat)
+			}
+		}
+		return
+	}
+	bar := progressbar.NewOptions(len(s.Spec.Plan()), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionShowCount(),
+		progressbar.OptionSetPredictTime(true), progressbar.OptionClearOnFinish())
+	s.Began = func(r experiment.Run) { bar.Describe(r.Balancer + ", " + r.Size + ", " + r.Load + ", " + r.Trouble) }
+	s.Ended = func(r *experiment.Record) {
+		failed(r)
+		_ = bar.Add(1) // fails only beyond its end
+	}
+}
+
+func printPlan(w io.Writer, s *experiment.Spec) {
+	for _, r := range s.Plan() {
+		fmt.Fprintf(w, "%4d  %s, %s, %s, %s, repeat %d\n", r.Number, r.Balancer, r.Size, r.Load, r.Trouble, r.Repeat)
+	}
+	fmt.Fprintf(w, "%d runs, about %s\n", len(s.Plan()), s.Takes().Round(time.Second))
+}
--- /dev/null
+++ b/cmd/hazellab/experiment_test.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/lab/experiment"
+)
+
+// smallExperiment takes about 4 s.
+const smallExperiment = `name = "small"
+repeats = 2
+step = "100ms"
+[[balancer]]
+name = "round robin"
+kind = "roundrobin"
+[[balancer]]
+name = "random"
+kind = "random"
+retries = 1
+[[size]]
+name = "3 boxes"
+boxes = 3
+delay = "2ms"
+[[load]]
+name = "200/s"
+for = "500ms"
+rate = 200
+links = 8
+classes = [{name = "latest-reading", share = 3}, {name = "raise-alert", share = 1}]
+`
+
+// experimentFile writes one and returns its path and a folder for its figures.
+func experimentFile(t *testing.T, text string) (path, folder string) {
+	dir := t.TempDir()
+	path = filepath.Join(dir, "x.toml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o644))
+	return path, filepath.Join(dir, "figures")
+}
+
+const patience = 20 * time.Second
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	require.Eventually(t, f, patience, 2*time.Millisecond, what)
+}
+
+// children returns the processes that a process has started, with their command lines.
+func children(pid int) map[int]string {
+	all := map[int]string{}
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", pid))
+	for _, task := range tasks {
+		raw, _ := os.ReadFile(task)
+		for _, text := range strings.Fields(string(raw)) {
+			child, _ := strconv.Atoi(text)
+			line, _ := os.ReadFile(fmt.Sprintf("/proc/%d/cmdline", child))
+			all[child] = strings.ReplaceAll(string(line), "\x00", " ")
+		}
+	}
+	return all
+}
+
+// gone waits until none of some processes is left.
+func gone(t *testing.T, pids map[int]string) {
+	require.NotEmpty(t, pids)
+	for pid, line := range pids {
+		eventually(t, "the end of "+line, func() bool { return syscall.Kill(pid, 0) != nil })
+	}
+}
+
+// running starts an experiment and returns it once its second run sends.
+func running(t *testing.T) (p *program, folder string, pids map[int]string) {
+	path, folder := experimentFile(t, smallExperiment)
+	p = start(t, "experiment", "--out", folder, path)
+	eventually(t, "the second run's load", func() bool {
+		pids = children(p.Process.Pid)
+		_, err := os.Stat(filepath.Join(folder, "runs", "0001", "run.json"))
+		return err == nil && len(pids) == 3
+	})
+	time.Sleep(200 * time.Millisecond) // into the middle of its half second
+	return p, folder, pids
+}
+
+// kept checks that an experiment's folder holds its first run whole and says that it is partial.
+func kept(t *testing.T, folder, why string) *experiment.Data {
+	data, err := experiment.Open(folder)
+	require.NoError(t, err)
+	assert.True(t, data.Partial)
+	assert.Contains(t, data.Why, why)
+	require.NotEmpty(t, data.Records)
+	first := data.Records[0]
+	assert.False(t, first.Partial)
+	assert.InDelta(t, 100, first.Result.Served, 2)
+	return data
+}
+
+// Ctrl-C ends an experiment in order, and a kill ends it at once: neither loses what was measured, or leaves a process.
+func TestExperimentCutOff(t *testing.T) {
+	for _, c := range []struct {
+		signal syscall.Signal
+		code   int
+		why    string
+	}{{syscall.SIGINT, 1, "context canceled"}, {syscall.SIGKILL, -1, "cut off"}} {
+		t.Run(c.signal.String(), func(t *testing.T) {
+			t.Parallel()
+			p, folder, pids := running(t)
+			require.NoError(t, p.Process.Signal(c.signal))
+			_ = p.Wait()
+			assert.Equal(t, c.code, p.ProcessState.ExitCode())
+			gone(t, pids)
+			data := kept(t, folder, c.why)
+			if c.signal == syscall.SIGINT {
+				require.Len(t, data.Records, 2)
+				assert.True(t, data.Records[1].Partial)
+				assert.Contains(t, p.out.String(), "partial")
+			}
+		})
+	}
+}
+
+// A balancer that dies in a run spoils that run alone, which says so.
+func TestBalancerDies(t *testing.T) {
+	t.Parallel()
+	p, folder, pids := running(t)
+	for pid, line := range pids {
+		if strings.Contains(line, " proxy ") {
+			require.NoError(t, syscall.Kill(pid, syscall.SIGKILL))
+		}
+	}
+	_ = p.Wait()
+	assert.Equal(t, 1, p.ProcessState.ExitCode())
+	data := kept(t, folder, "1 of 4 runs failed")
+	require.Len(t, data.Records, 4)
+	for i, r := range data.Records {
+		assert.Equal(t, i == 1, r.Partial)
+	}
+	assert.Contains(t, data.Records[1].Why, "ended in the middle of the run: signal: killed")
+	assert.Positive(t, data.Records[1].Result.Unsent+data.Records[1].Result.Broken)
+	assert.Equal(t, 3, data.Done)
+}
+
+// A disk that is full ends the experiment, with what was written before.
+func TestDiskFull(t *testing.T) {
+	t.Parallel()
+	path, folder := experimentFile(t, smallExperiment)
+	p := start(t, "experiment", "--out", folder, path)
+	eventually(t, "the first run", func() bool { _, err := os.Stat(filepath.Join(folder, "runs")); return err == nil })
+	second := filepath.Join(folder, "runs", "0002")
+	require.NoError(t, os.Mkdir(second, 0o755))
+	require.NoError(t, os.Symlink("/dev/full", filepath.Join(second, "load.json")))
+	_ = p.Wait()
+	assert.Equal(t, 1, p.ProcessState.ExitCode())
+	assert.Contains(t, p.err.String(), "no space left on device")
+	kept(t, folder, "no space left on device")
+}
+
+// A port that another process has taken in the meantime costs a try, not the run.
+func TestPortTakenInTheMeantime(t *testing.T) {
+	t.Parallel()
+	path, folder := experimentFile(t, strings.Replace(smallExperiment, "repeats = 2", "repeats = 1", 1))
+	script := filepath.Join(filepath.Dir(path), "lab")
+	require.NoError(t, os.WriteFile(script, []byte(`#!/bin/sh
+if [ "$1" = proxy ] && mkdir "`+script+`.tried" 2>/dev/null; then echo "bind: address already in use" >&2; exit 1; fi
+exec `+os.Args[0]+` "$@"
+`), 0o755))
+	spec, text, err := experiment.ReadFile(path)
+	require.NoError(t, err)
+	err = experiment.Do(t.Context(), &experiment.Settings{Spec: spec, Text: text, Folder: folder, Self: script})
+	require.NoError(t, err)
+	data, err := experiment.Open(folder)
+	require.NoError(t, err)
+	assert.Equal(t, 2, data.Done)
+	assert.DirExists(t, script+".tried")
+}
+
+// What is wrong with a file is one line and exit code 2, and nothing has begun.
+func TestBadExperiment(t *testing.T) {
+	t.Parallel()
+	path, folder := experimentFile(t, strings.Replace(smallExperiment, "rate = 200", "rate = -200", 1))
+	code, _, log := ends(t, "experiment", "--out", folder, path)
+	assert.Equal(t, 2, code)
+	assert.Equal(t, "hazellab: "+path+":18:1: load[0].rate: not 0 to 10,000,000\n", log)
+	assert.NoDirExists(t, folder)
+}
+
+// Figures are never mixed with those of another experiment.
+func TestFolderInUse(t *testing.T) {
+	t.Parallel()
+	path, _ := experimentFile(t, smallExperiment)
+	code, _, log := ends(t, "experiment", "--out", filepath.Dir(path), path)
+	assert.Equal(t, 1, code)
+	assert.Contains(t, log, "there is something in it already")
+}
--- a/cmd/hazellab/load.go
+++ b/cmd/hazellab/load.go
@@ -24,7 +24,7 @@
 		Description: "A class is NAME:safe, NAME:keyed or NAME:unsafe, or one of the stand-in's names; with =SHARE behind it\n" +
 			"it has that part of the requests. Several classes stand apart by commas.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "target", Value: "127.0.0.1:3000", Usage: "the sidecar's `ADDRESS`"},
+			&cli.StringFlag{Name: "target", Value: "127.0.0.1:3000", Usage: "the sidecar's `ADDRESS`; several apart by commas share the links and the rate"},
 			&cli.StringFlag{Name: "from", Usage: "the source `ADDRESS`"},
 			&cli.StringFlag{Name: "class", Value: standin.SafeClass, Usage: "the classes"},
 			&cli.StringFlag{Name: "rate", Usage: "open loop: requests a second, or stages like 100:5s,100-400:10s,0:2s; without it the loop is closed"},
@@ -50,12 +50,15 @@
 	if err != nil {
 		return fault(err)
 	}
-	if err := p.Err(); err != nil {
-		return fault(err)
+	targets := strings.Split(c.String("target"), ",")
+	for _, p.Target = range targets {
+		if err := p.Err(); err != nil {
+			return fault(err)
+		}
 	}
 	ctx, stop := untilSignal(ctx)
 	defer stop()
-	r, err := load.Run(ctx, &p)
+	r, err := load.RunAll(ctx, &p, targets)
 	if r == nil {
 		return err
 	}
--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -27,6 +27,7 @@
 			floodCommand(),
 			proxyCommand(),
 			pressureCommand(),
+			experimentCommand(),
 		},
 	}
 }
--- a/internal/lab/load/result.go
+++ b/internal/lab/load/result.go
@@ -181,10 +181,10 @@
 	}
 }
 
-// finish works out what is reported.
-func (r *Result) finish(p *Plan) error {
+// finish works out what is reported of a plan that lasted so long.
+func (r *Result) finish(length time.Duration) error {
 	r.Classes, r.ClassTimes = map[string]Counts{}, map[string]Times{}
-	for i, c := range p.Classes {
+	for i, c := range r.kinds {
 		r.Classes[c.Name] = r.byClass[i]
 		r.ClassTimes[c.Name] = times(r.classes[i])
 	}
@@ -197,7 +197,7 @@
 	}
 	r.Times = times(r.served)
 	r.OwnLateP99 = float64(r.late.ValueAtQuantile(99)) / 1000
-	r.ForS = p.Length().Seconds()
+	r.ForS = length.Seconds()
 	r.ServedPS = float64(r.servedInTime) / r.ForS
 	raw, err := r.served.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
 	r.Histogram = string(raw)
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 )
@@ -10,6 +11,53 @@
 // patience later. When ctx ends before, the result holds what came until then, with ctx's error beside it. Any other
 // error says that the plan could not begin, and the result is nil.
 func Run(ctx context.Context, p *Plan) (*Result, error) {
+	r, err := run(ctx, p)
+	if r == nil {
+		return nil, err
+	}
+	if err := r.finish(p.Length()); err != nil {
+		return nil, err
+	}
+	return r, err
+}
+
+// RunAll carries out a plan against several sidecars at once, each with its part of the links and of the rate; the plan's
+// threads are for each. It returns what came of it all, as Run does.
+func RunAll(ctx context.Context, p *Plan, targets []string) (*Result, error) {
+	if p.Links < len(targets)*p.Threads {
+		return nil, fmt.Errorf("links: %d are not one for each thread of %d targets", p.Links, len(targets))
+	}
+	results, errs := make([]*Result, len(targets)), make([]error, len(targets))
+	var all sync.WaitGroup
+	for i, target := range targets {
+		part := *p
+		part.Target, part.Seed = target, p.Seed+uint64(i)<<32
+		if part.Links = p.Links / len(targets); i < p.Links%len(targets) {
+			part.Links++
+		}
+		part.Stages = nil
+		for _, s := range p.Stages {
+			part.Stages = append(part.Stages, Stage{s.From / float64(len(targets)), s.To / float64(len(targets)), s.For})
+		}
+		all.Go(func() { results[i], errs[i] = run(ctx, &part) })
+	}
+	all.Wait()
+	sum := newResult(p)
+	for i, r := range results {
+		if r == nil {
+			return nil, errs[i]
+		}
+		sum.merge(r)
+		sum.BeganMS = r.BeganMS
+	}
+	if err := sum.finish(p.Length()); err != nil {
+		return nil, err
+	}
+	return sum, ctx.Err()
+}
+
+// run does so, with what is reported still to be worked out.
+func run(ctx context.Context, p *Plan) (*Result, error) {
 	if err := p.Err(); err != nil {
 		return nil, err
 	}
@@ -40,8 +88,5 @@
 	for _, w := range workers {
 		sum.merge(w.result)
 	}
-	if err := sum.finish(p); err != nil {
-		return nil, err
-	}
 	return sum, ctx.Err()
 }
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -124,6 +124,9 @@
 // Done is closed when the process has ended.
 func (c *Child) Done() <-chan struct{} { return c.done }
 
+// Err returns how the process ended, nil for exit code 0. It is for after Done.
+func (c *Child) Err() error { return c.err }
+
 // ErrStillRuns says that a process has not ended by the time it was given.
 var ErrStillRuns = errors.New("still runs")
 
--- a/internal/lab/standin/config.go
+++ b/internal/lab/standin/config.go
@@ -22,6 +22,19 @@
 	UnsafeClass = "log-calibration"
 )
 
+// ClassSpec is what the configuration says of a class. Times are in seconds.
+type ClassSpec struct {
+	Name, Effect, Scope                 string
+	GiveUpS, AimS, Worth, Late, WindowS float64
+}
+
+// ClassSpecs are all there are.
+var ClassSpecs = []ClassSpec{
+	{SafeClass, "free", "all", 3.0, 0.6, 1, 0.2, 5},
+	{UnsafeClass, "single_shot", "all", 3.0, 1.0, 5, 0.3, 5},
+	{KeyedClass, "guarded", "zone", 2.5, 1.0, 10, 0.25, 12},
+}
+
 type object = map[string]any
 
 // Write writes the sidecar's configuration file.
@@ -38,20 +51,18 @@
 	if s.Pushed {
 		discovery = "pushed"
 	}
+	var classes []object
+	for _, c := range ClassSpecs {
+		classes = append(classes, object{"name": c.Name, "effect": c.Effect, "dedupScope": c.Scope, "giveUpS": c.GiveUpS,
+			"objectiveS": c.AimS, "importance": c.Worth, "lateWorth": c.Late, "windowS": c.WindowS})
+	}
 	return json.MarshalIndent(object{
 		"name": s.Name, "listen": s.Listen, "discovery": s.Discovery, "seed": "8c1f30d27a5be964",
 		"limits": object{"cores": s.Cores, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
 		"known":  object{"index": 0, "snapshot": true, "endpoints": []any{}},
 		"settings": object{
-			"classes": []object{
-				{"name": SafeClass, "effect": "free", "dedupScope": "all", "giveUpS": 3.0, "objectiveS": 0.6,
-					"importance": 1.0, "lateWorth": 0.2, "windowS": 5.0},
-				{"name": UnsafeClass, "effect": "single_shot", "dedupScope": "all", "giveUpS": 3.0, "objectiveS": 1.0,
-					"importance": 5.0, "lateWorth": 0.3, "windowS": 5.0},
-				{"name": KeyedClass, "effect": "guarded", "dedupScope": "zone", "giveUpS": 2.5, "objectiveS": 1.0,
-					"importance": 10.0, "lateWorth": 0.25, "windowS": 12.0},
-			},
-			"dcs": s.Zones, "locality": 0, "deductions": object{"crossZone": 0.06},
+			"classes": classes,
+			"dcs":     s.Zones, "locality": 0, "deductions": object{"crossZone": 0.06},
 			"hostTypes": []string{"large", "medium", "small"}, "discovery": discovery,
 			"limits": object{"cancel": true, "probes": true, "secondCopies": false, "sendCap": 3, "connIdleS": 5.0,
 				"connectTimeoutS": 0.25, "maxRetryAfterS": 1.5, "retryAfter": true},
