Turn experiments into pages, and say which figures differ by more than chance

hazellab report writes one HTML file that needs nothing beside it, and Markdown: service over time with the troubles, percentiles on a log scale, refusals and failures by class, load by box, recovery, cost. hazellab compare gives differences with bootstrap intervals that hold for all figures together.

--- a/cmd/hazellab/experiment_test.go
+++ b/cmd/hazellab/experiment_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -200,3 +201,53 @@
 	assert.Equal(t, 1, code)
 	assert.Contains(t, log, "there is something in it already")
 }
+
+// One small experiment from its file to its pages and the verdicts: the sidecar against a plain balancer, with a box that
+// hangs, and two variants that are the same program.
+func TestExperimentEndToEnd(t *testing.T) {
+	t.Parallel()
+	binary := filepath.Join(t.TempDir(), "hazelwheel")
+	raw, err := exec.Command("go", "build", "-o", binary, "../hazelwheel").CombinedOutput()
+	require.NoError(t, err, string(raw))
+	text := strings.NewReplacer("repeats = 2", "repeats = 3", `name = "random"`, `name = "round robin again"`,
+		`kind = "random"`, `kind = "roundrobin"`, "retries = 1\n", "", `for = "500ms"`, `for = "1500ms"`).Replace(smallExperiment) + `
+[[balancer]]
+name = "sidecar"
+kind = "hazelwheel"
+binary = "` + binary + `"
+[[trouble]]
+name = "a box hangs"
+events = [{kind = "hang", at = "300ms", for = "1100ms", boxes = [1]}]
+`
+	path, folder := experimentFile(t, text)
+	code, out, log := ends(t, "experiment", "--out", folder, path)
+	require.Equal(t, 0, code, log)
+	assert.Contains(t, out, "9 of 9 runs whole")
+
+	code, _, log = ends(t, "report", folder)
+	require.Equal(t, 0, code, log)
+	page, err := os.ReadFile(filepath.Join(folder, "report.html"))
+	require.NoError(t, err)
+	assert.Equal(t, 6, strings.Count(string(page), "<svg"), "service, percentiles, classes, boxes, recovery, cost")
+	assert.NotRegexp(t, `(src|href)="?http`, string(page), "it needs nothing beside it")
+	table, err := os.ReadFile(filepath.Join(folder, "report.md"))
+	require.NoError(t, err)
+	assert.Regexp(t, `\| served % \| [^|]+\| [^|]+\| [^|]+\|`, string(table))
+
+	// The plain balancers lose what they send to the box that hangs; the sidecar does not.
+	code, out, _ = ends(t, "compare", folder+":round robin", folder+":sidecar")
+	require.Equal(t, 0, code)
+	assert.Regexp(t, `(?m)^\|[^|]*\| served % \|.*\| better \|$`, out)
+	assert.Regexp(t, `(?m)^\|[^|]*\| failed % \|.*\| better \|$`, out)
+
+	// Of two that are the same program nothing is said of service.
+	code, out, _ = ends(t, "compare", folder+":round robin", folder+":round robin again")
+	require.Equal(t, 0, code)
+	assert.Regexp(t, `(?m)^\|[^|]*\| served % \|.*\|  \|$`, out)
+
+	code, _, log = ends(t, "compare", folder+":round robin", folder+":nobody")
+	assert.Equal(t, 2, code)
+	assert.Contains(t, log, `no balancer "nobody"`)
+	code, _, _ = ends(t, "report", t.TempDir())
+	assert.Equal(t, 2, code)
+}
--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -28,6 +28,8 @@
 			proxyCommand(),
 			pressureCommand(),
 			experimentCommand(),
+			reportCommand(),
+			compareCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/lab/report/report.go
@@ -0,0 +1,145 @@
+// Package report turns the folders of experiments into pages: one HTML file that needs nothing beside it, and Markdown.
+package report
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"strings"
+	"time"
+
+	"hazelwheel/internal/lab/experiment"
+	"hazelwheel/internal/lab/figures"
+)
+
+// row is a figure of a cell with the balancers' values.
+type row struct {
+	Figure string
+	Values []string
+}
+
+// section is a cell of an experiment.
+type section struct {
+	Title     string
+	Balancers []string
+	Rows      []row
+	Partial   string // which runs are left out; empty: none
+	Plots     []template.HTML
+}
+
+// chapter is an experiment.
+type chapter struct {
+	*experiment.Data
+	Took     time.Duration
+	Pinned   string
+	Sections []section
+}
+
+func newChapter(d *experiment.Data, plots bool) (chapter, error) {
+	c := chapter{Data: d, Took: d.Ended.Sub(d.Began).Round(time.Second), Pinned: pinned(d.Spec.Cores)}
+	if d.Ended.IsZero() {
+		c.Took = 0
+	}
+	for _, cell := range figures.Cells(d) {
+		s := section{Title: fmt.Sprintf("%s, %s", cell.Size, cell.Load)}
+		if cell.Trouble != "none" {
+			s.Title += ", " + cell.Trouble
+		}
+		var left []string
+		for _, b := range cell.Columns {
+			s.Balancers = append(s.Balancers, b.Balancer)
+			if b.Partial > 0 {
+				left = append(left, fmt.Sprintf("%d of %s", b.Partial, b.Balancer))
+			}
+		}
+		s.Partial = strings.Join(left, ", ")
+		for _, f := range figures.All {
+			r, told := row{Figure: f.Name}, false
+			for i := range cell.Columns {
+				values := cell.Columns[i].Values(f)
+				told = told || len(values) > 0
+				r.Values = append(r.Values, figures.Spread(values))
+			}
+			if told {
+				s.Rows = append(s.Rows, r)
+			}
+		}
+		if plots {
+			var err error
+			if s.Plots, err = draw(&cell); err != nil {
+				return c, fmt.Errorf("%s: %w", s.Title, err)
+			}
+		}
+		c.Sections = append(c.Sections, s)
+	}
+	return c, nil
+}
+
+func pinned(c experiment.Cores) string {
+	var parts []string
+	for _, x := range []struct {
+		name  string
+		cores []int
+	}{{"balancers", c.Balancer}, {"boxes", c.Boxes}, {"load", c.Load}} {
+		if len(x.cores) > 0 {
+			parts = append(parts, fmt.Sprintf("%s on cores %s", x.name, strings.Trim(fmt.Sprint(x.cores), "[]")))
+		}
+	}
+	if len(parts) == 0 {
+		return "nothing was pinned to cores"
+	}
+	return strings.Join(parts, ", ")
+}
+
+//go:embed report.html
+var page string
+
+var pageTemplate = template.Must(template.New("report").Parse(page))
+
+// HTML writes one page of experiments that needs no other file.
+func HTML(w io.Writer, all []*experiment.Data) error {
+	var chapters []chapter
+	for _, d := range all {
+		c, err := newChapter(d, true)
+		if err != nil {
+			return fmt.Errorf("%s: %w", d.Folder, err)
+		}
+		chapters = append(chapters, c)
+	}
+	return pageTemplate.Execute(w, chapters)
+}
+
+// Markdown writes experiments as tables.
+func Markdown(w io.Writer, all []*experiment.Data) error {
+	var b bytes.Buffer
+	for _, d := range all {
+		c, err := newChapter(d, false)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(&b, "# %s\n\n", c.Name)
+		if c.About.About != "" {
+			fmt.Fprintf(&b, "%s\n\n", c.About.About)
+		}
+		if c.Partial {
+			fmt.Fprintf(&b, "**Partial:** %d of %d runs; %s.\n\n", c.Done, c.Planned, c.Why)
+		}
+		fmt.Fprintf(&b, "%s, %d cores, %d MB, %s, %s; load average at the start %s; %s. Seed %d, %d repeats, balancers in turns.\n",
+			c.Machine.CPU, c.Machine.Cores, c.Machine.MemoryMB, c.Machine.Kernel, c.Machine.Go, c.Machine.LoadAvg, c.Pinned, c.Spec.Seed, c.Spec.Repeats)
+		b.WriteString("Medians, with the least and the most of the runs.\n")
+		for _, s := range c.Sections {
+			fmt.Fprintf(&b, "\n## %s\n\n| | %s |\n| --- |%s\n", s.Title, strings.Join(s.Balancers, " | "), strings.Repeat(" ---: |", len(s.Balancers)))
+			for _, r := range s.Rows {
+				fmt.Fprintf(&b, "| %s | %s |\n", r.Figure, strings.Join(r.Values, " | "))
+			}
+			if s.Partial != "" {
+				fmt.Fprintf(&b, "\nRuns that were not whole are left out: %s.\n", s.Partial)
+			}
+		}
+		b.WriteString("\n")
+	}
+	_, err := w.Write(b.Bytes())
+	return err
+}
