--- /dev/null
+++ b/cmd/hazellab/pressure_test.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/lab/pressure"
+)
+
+// built builds the sidecar.
+func built(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "hazelwheel")
+	raw, err := exec.Command("go", "build", "-o", binary, "../hazelwheel").CombinedOutput()
+	require.NoError(t, err, string(raw))
+	return binary
+}
+
+// One measurement end to end: two programs in turns, of which one does not last. That is told as what it is, and the other
+// is measured all the same. No process stays.
+func TestPressure(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	short := filepath.Join(dir, "short-lived")
+	require.NoError(t, os.WriteFile(short, []byte("#!/bin/sh\nexec timeout -s KILL 1 "+built(t)+" \"$@\"\n"), 0o755))
+	path := filepath.Join(dir, "rows.json")
+	p := start(t, "pressure", "--binary", built(t), "--vs", short, "--only", "flood: brief$", "--cores", "none", "--json", path)
+	var pids map[int]string
+	eventually(t, "the sidecar and what is round it", func() bool { pids = children(p.Process.Pid); return len(pids) >= 4 })
+	_ = p.Wait()
+	require.Equal(t, 0, p.ProcessState.ExitCode(), p.err.String())
+	gone(t, pids)
+	raw, err := os.ReadFile(path)
+	require.NoError(t, err)
+	var rows []pressure.Row
+	require.NoError(t, json.Unmarshal(raw, &rows))
+	values := map[string]map[string][]float64{}
+	for _, r := range rows {
+		values[r.Figure] = r.Values
+	}
+	assert.InDelta(t, 200, values["known client, kept links: asked"]["hazelwheel"][0], 2)
+	assert.Equal(t, []float64{1}, values["runs that it did not last"]["short-lived"])
+	assert.Empty(t, values["runs that it did not last"]["hazelwheel"])
+	assert.Contains(t, p.out.String(), "| hazelwheel | short-lived |")
+	assert.Contains(t, p.err.String(), "it has ended in the middle of the run")
+}
