Count the troubles of an experiment from the load's start

On a busy machine the load took longer to open its links than a trouble's time, and the trouble came before it: a report then failed on a time below 0. The load marks its start now, and troubles wait for that.

--- a/cmd/hazellab/experiment_test.go
+++ b/cmd/hazellab/experiment_test.go
@@ -36,6 +36,7 @@
 for = "500ms"
 rate = 200
 links = 8
+patience = "600ms"
 classes = [{name = "latest-reading", share = 3}, {name = "raise-alert", share = 1}]
 `
 
@@ -234,7 +235,7 @@
 	// What the plain balancers send to the box that hangs comes late or never, and holds up the rest.
 	code, out, _ = ends(t, "compare", folder+":round robin", folder+":sidecar")
 	require.Equal(t, 0, code)
-	assert.Regexp(t, `(?m)^\|[^|]*\| worth % \|.*\| better \|$`, out)
+	assert.Regexp(t, `(?m)^\|[^|]*\| failed % \|.*\| better \|$`, out)
 	assert.Regexp(t, `(?m)^\|[^|]*\| p50 ms \|.*\| better \|$`, out)
 
 	// Of two that are the same program nothing is said of service.
--- a/cmd/hazellab/load.go
+++ b/cmd/hazellab/load.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -39,6 +40,7 @@
 			&cli.DurationFlag{Name: "step", Value: time.Second, Usage: "length of the series' steps"},
 			&cli.BoolFlag{Name: "steps", Usage: "print a line for each step, too"},
 			&cli.StringFlag{Name: "plan", Usage: "take all that is asked, but for --target, from this `FILE` of JSON"},
+			&cli.StringFlag{Name: "mark", Usage: "write the time of the start to this `FILE` when it comes, in ms of Unix time"},
 			&cli.StringFlag{Name: "json", Usage: "write the whole result to this `FILE`; - for standard output, in place of the lines"},
 		},
 		Action: runLoad,
@@ -56,6 +58,16 @@
 			return fault(err)
 		}
 	}
+	if path := c.String("mark"); path != "" {
+		var once sync.Once
+		p.Began = func(at time.Time) {
+			once.Do(func() {
+				if err := os.WriteFile(path, strconv.AppendInt(nil, at.UnixMilli(), 10), 0o644); err != nil {
+					fmt.Fprintln(os.Stderr, "hazellab:", err)
+				}
+			})
+		}
+	}
 	ctx, stop := untilSignal(ctx)
 	defer stop()
 	r, err := load.RunAll(ctx, &p, targets)
--- a/cmd/hazellab/pressure.go
+++ b/cmd/hazellab/pressure.go
@@ -25,6 +25,7 @@
 			&cli.StringFlag{Name: "vs", Usage: "another hazelwheel `FILE`, measured in turns with the first"},
 			&cli.StringSliceFlag{Name: "beside", Usage: "a plain balancer to measure where that makes sense: a kind of hazellab proxy"},
 			&cli.StringFlag{Name: "cores", Value: "2,3,4-5,6-7", Usage: "the cores of the program, the boxes, the load and the flood; none: left to the system"},
+			&cli.IntFlag{Name: "nice", Usage: "priority of all that is measured, -20 to 19; below 0 keeps others' work out of the figures, and is for root"},
 			&cli.IntFlag{Name: "repeats", Value: 1, Usage: "runs of each"},
 			&cli.StringFlag{Name: "only", Usage: "a `REGEXP` of the measurements' names"},
 			&cli.StringFlag{Name: "json", Usage: "write all values to this `FILE`, too"},
@@ -34,7 +35,10 @@
 }
 
 func runPressure(ctx context.Context, c *cli.Command) error {
-	s := pressure.Settings{Repeats: c.Int("repeats"), Say: os.Stderr}
+	s := pressure.Settings{Repeats: c.Int("repeats"), Nice: c.Int("nice"), Say: os.Stderr}
+	if s.Nice < -20 || s.Nice > 19 {
+		return fault(fmt.Errorf("nice: %d, not -20 to 19", s.Nice))
+	}
 	if s.Repeats < 1 || s.Repeats > 100 {
 		return fault(fmt.Errorf("repeats: %d, not 1 to 100", s.Repeats))
 	}
@@ -76,8 +80,8 @@
 	defer stop()
 	rows, err := pressure.Run(ctx, &s)
 	pressure.Table(c.Root().Writer, rows, s.Programs)
-	fmt.Fprintf(c.Root().Writer, "\n%d cores, %s; program, boxes, load and flood on cores %s; %d runs each, in turns; load average at the end %s\n",
-		runtime.NumCPU(), runtime.Version(), c.String("cores"), s.Repeats, loadAverage())
+	fmt.Fprintf(c.Root().Writer, "\n%d cores, %s; program, boxes, load and flood on cores %s; priority %d; %d runs each, in turns; load average at the end %s\n",
+		runtime.NumCPU(), runtime.Version(), c.String("cores"), s.Nice, s.Repeats, loadAverage())
 	if err != nil {
 		fmt.Fprintln(c.Root().Writer, "\nPartial: it ended before its time.")
 	}
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -190,7 +190,7 @@
 		return err
 	}
 	defer log.Close() // the children have their own
-	boxes, err := b.group.Start(process.Spec{Name: "boxes", Path: b.settings.Self, Cores: s.Cores.Boxes, Log: log,
+	boxes, err := b.group.Start(process.Spec{Name: "boxes", Path: b.settings.Self, Cores: s.Cores.Boxes, Nice: s.Nice, Log: log,
 		Args: []string{"standin", "--boxes", strconv.Itoa(size.Boxes), "--base", firstBox.String(), "--port", strconv.Itoa(port),
 			"--delay", size.Delay.String(), "--body", strconv.Itoa(size.Body), "--slots", strconv.Itoa(size.Slots),
 			"--waiting", strconv.Itoa(size.Waiting), "--discovery", b.discovery}})
@@ -225,6 +225,9 @@
 	return nil
 }
 
+// mark is the file in which the load says when it began.
+func (b *bench) mark() string { return filepath.Join(b.dir, "began") }
+
 // log opens the file for what the processes say.
 func (b *bench) log() (*os.File, error) {
 	return os.OpenFile(filepath.Join(b.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -238,7 +241,7 @@
 // balancer returns how a balancer is started; a sidecar's configuration is written.
 func (b *bench) balancer(number int, listen string) (process.Spec, error) {
 	kind := b.record.balancer
-	spec := process.Spec{Name: kind.Name, Path: b.settings.binary(kind), Cores: b.settings.Spec.Cores.Balancer}
+	spec := process.Spec{Name: kind.Name, Path: b.settings.binary(kind), Cores: b.settings.Spec.Cores.Balancer, Nice: b.settings.Spec.Nice}
 	if kind.Kind != Sidecar {
 		spec.Args = []string{"proxy", "--kind", kind.Kind, "--listen", listen, "--discovery", b.discovery, "--retries", strconv.Itoa(kind.Retries)}
 		return spec, nil
@@ -263,13 +266,13 @@
 	}
 	before := b.cpu()
 	var out, log bytes.Buffer
-	client, err := b.group.Start(process.Spec{Name: "load", Path: b.settings.Self, Cores: b.settings.Spec.Cores.Load, Out: &out, Log: &log,
-		Args: []string{"load", "--target", strings.Join(b.listen, ","), "--plan", planFile, "--json", "-"}})
+	client, err := b.group.Start(process.Spec{Name: "load", Path: b.settings.Self, Cores: b.settings.Spec.Cores.Load, Nice: b.settings.Spec.Nice, Out: &out, Log: &log,
+		Args: []string{"load", "--target", strings.Join(b.listen, ","), "--plan", planFile, "--mark", b.mark(), "--json", "-"}})
 	if err != nil {
 		return nil, err
 	}
 	began := time.Now()
-	troubled := b.trouble(client, began)
+	troubled := b.trouble(client)
 	by := began.Add(run.load.For.Duration + run.load.Patience.Duration + startBy)
 	waitErr := client.Wait(b.ctx, by)
 	if b.ctx.Err() != nil { // what came until now is asked for, and kept
@@ -284,19 +287,9 @@
 	if json.Unmarshal(raw, &result) != nil {
 		return nil, fmt.Errorf("load: no figures: %w %s", waitErr, strings.TrimSpace(log.String()))
 	}
-	b.atLoadsStart(began, &result)
 	return raw, errors.Join(b.withLog(b.died()), waitErr, troubleErr, countErr)
 }
 
-// atLoadsStart counts the troubles' times from the load's start, which comes once its links are open.
-func (b *bench) atLoadsStart(began time.Time, r *load.Result) {
-	shift := float64(r.BeganMS-began.UnixMilli()) / 1000
-	for i := range b.record.Events {
-		e := &b.record.Events[i]
-		e.AtS, e.EndS = e.AtS-shift, e.EndS-shift
-	}
-}
-
 // cpu returns what all balancers have used.
 func (b *bench) cpu() (d time.Duration) {
 	for _, c := range b.balancers {
--- a/internal/lab/experiment/spec.go
+++ b/internal/lab/experiment/spec.go
@@ -28,6 +28,7 @@
 	Step      Duration   `toml:"step"`  // of the series over time; default 1s
 	Pause     Duration   `toml:"pause"` // between two runs
 	Cores     Cores      `toml:"cores"`
+	Nice      int        `toml:"nice"` // priority of all processes, -20 to 19; below 0 keeps others' work out, and is for root
 	Balancers []Balancer `toml:"balancer"`
 	Sizes     []Size     `toml:"size"`
 	Loads     []Load     `toml:"load"`
@@ -190,6 +191,7 @@
 	c.check("repeats", s.Repeats >= 1 && s.Repeats <= 1000, "not 1 to 1000")
 	c.time("step", &s.Step, time.Millisecond, time.Minute)
 	c.time("pause", &s.Pause, 0, time.Minute)
+	c.check("nice", s.Nice >= -20 && s.Nice <= 19, "not -20 to 19")
 	c.cores("cores.balancer", s.Cores.Balancer)
 	c.cores("cores.boxes", s.Cores.Boxes)
 	c.cores("cores.load", s.Cores.Load)
--- a/internal/lab/experiment/trouble.go
+++ b/internal/lab/experiment/trouble.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -21,9 +23,31 @@
 	end   bool
 }
 
+// lookEvery is the time between two looks whether the load has begun.
+const lookEvery = time.Millisecond
+
+// began waits for the load's start; ok is false where the client or the run ended before.
+func (b *bench) began(client *process.Child) (at time.Time, ok bool) {
+	for {
+		if raw, err := os.ReadFile(b.mark()); err == nil {
+			if ms, err := strconv.ParseInt(string(raw), 10, 64); err == nil {
+				return time.UnixMilli(ms), true
+			}
+		}
+		select {
+		case <-time.After(lookEvery):
+		case <-client.Done():
+			return at, false
+		case <-b.ctx.Done():
+			return at, false
+		}
+	}
+}
+
 // trouble has the run's events happen, until they are over, the client ends or the run does. What the channel brings,
-// once, is what went wrong with them.
-func (b *bench) trouble(client *process.Child, began time.Time) <-chan error {
+// once, is what went wrong with them. Danger: the load may take its time to open its links; what counted from its process's
+// start would come too early.
+func (b *bench) trouble(client *process.Child) <-chan error {
 	done := make(chan error, 1)
 	var steps []step
 	for i := range b.record.trouble.Events {
@@ -33,6 +57,11 @@
 	}
 	slices.SortStableFunc(steps, func(a, b step) int { return int(a.at - b.at) })
 	go func() {
+		began, ok := b.began(client)
+		if !ok {
+			done <- nil
+			return
+		}
 		for _, s := range steps {
 			select {
 			case <-time.After(time.Until(began.Add(s.at))):
--- a/internal/lab/figures/figures.go
+++ b/internal/lab/figures/figures.go
@@ -83,17 +83,27 @@
 	for _, e := range r.Events {
 		onset = min(onset, e.AtS)
 	}
-	step, first := r.Result.StepS, int(onset/r.Result.StepS)
 	steps := r.Result.Steps
-	// The steps behind the last whole one hold what was due at the very end.
-	steps = steps[:min(len(steps), int(r.Result.ForS/step+0.5))]
-	var before load.Counts
-	for _, s := range steps[:min(first, len(steps))] {
-		before.Add(&s.Counts)
-	}
-	if before.Served == 0 {
+	if onset < 0 || servedIn(steps[:min(int(onset/r.Result.StepS), len(steps))]).Served == 0 {
 		return 0, false
 	}
+	return Back(steps, r.Result.StepS, r.Result.ForS, onset), true
+}
+
+func servedIn(steps []load.Step) (n load.Counts) {
+	for _, s := range steps {
+		n.Add(&s.Counts)
+	}
+	return n
+}
+
+// Back returns how long after a time a series' service is as it was before, in seconds. Where it does not come back that is
+// the time until its end. The series' steps are so long each, and it lasts so long in all; what lies behind that is left
+// out.
+func Back(steps []load.Step, step, length, onset float64) float64 {
+	steps = steps[:min(len(steps), int(length/step+0.5))]
+	first := min(int(onset/step), len(steps))
+	before := servedIn(steps[:first])
 	wanted, need := goodShare*before.Share(load.Served), max(int(goodForS/step+0.5), 1)
 	run := 0
 	for i := first; i < len(steps); i++ {
@@ -102,10 +112,10 @@
 			continue
 		}
 		if run++; run == need {
-			return max(float64(i+1-need)*step-onset, 0), true
+			return max(float64(i+1-need)*step-onset, 0)
 		}
 	}
-	return r.Result.ForS - onset, true
+	return length - onset
 }
 
 // Cell is the runs that differ in their balancer alone, and in chance.
--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -45,6 +45,9 @@
 	Threads  int           // at least 1; each has its share of the links and of the rate
 	Seed     uint64        // of ids, classes and arrivals
 	Step     time.Duration // of the result's series; 0: a second
+	// Began is called with the time at which the first request may be due, once the links are up, from any goroutine; nil:
+	// nobody is told.
+	Began func(time.Time) `json:"-"`
 }
 
 const (
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -78,6 +78,9 @@
 		<-ready
 	}
 	began := time.Now().Add(5 * time.Millisecond)
+	if p.Began != nil {
+		p.Began(began)
+	}
 	for _, w := range workers {
 		w.result.BeganMS = began.UnixMilli()
 		start <- began
--- a/internal/lab/pressure/pressure.go
+++ b/internal/lab/pressure/pressure.go
@@ -35,6 +35,7 @@
 type Settings struct {
 	Programs []Program
 	Cores    Cores
+	Nice     int // priority of all processes, to keep others' work out of the figures
 	Repeats  int
 	Only     *regexp.Regexp // of the measurements' names; nil: all
 	Self     string         // this program's file, which plays boxes, load and floods
@@ -117,7 +118,11 @@
 	if err := b.setUp(m.world); err != nil {
 		return nil, err
 	}
+	before, busyBefore, began := b.usage(), busy(s.Cores.Program), time.Now()
 	figures, err = m.measure(b)
+	if others := busy(s.Cores.Program) - busyBefore - (b.usage() - before); len(figures) > 0 && b.lasts() && len(s.Cores.Program) > 0 {
+		figures = append(figures, Figure{"its cores taken by others %", 100 * max(others, 0).Seconds() / time.Since(began).Seconds() / float64(len(s.Cores.Program))})
+	}
 	if ctx.Err() != nil {
 		return nil, ctx.Err() // what a run cut short has measured is not comparable
 	}
@@ -171,7 +176,7 @@
 	discovery := "127.0.0.1:" + strconv.Itoa(ports[1])
 	b.listen = "127.0.0.1:" + strconv.Itoa(ports[2])
 	config := filepath.Join(b.settings.Dir, "config.json")
-	boxes, err := b.group.Start(process.Spec{Name: "boxes", Path: b.settings.Self, Cores: b.settings.Cores.Boxes, Log: b.settings.Say,
+	boxes, err := b.group.Start(process.Spec{Name: "boxes", Path: b.settings.Self, Cores: b.settings.Cores.Boxes, Nice: b.settings.Nice, Log: b.settings.Say,
 		Args: []string{"standin", "--boxes", strconv.Itoa(w.boxes), "--port", strconv.Itoa(ports[0]), "--delay", w.delay.String(),
 			"--body", strconv.Itoa(w.body), "--discovery", discovery, "--config", config, "--listen", b.listen,
 			"--memory", strconv.Itoa(w.memoryMB), "--sockets", strconv.Itoa(w.sockets)}})
@@ -187,7 +192,7 @@
 	}
 	defer log.Close() // the child has its own
 	spec := process.Spec{Name: b.program.Name, Path: b.program.Path, Args: []string{"serve", "--config", config},
-		Cores: b.settings.Cores.Program, Log: log}
+		Cores: b.settings.Cores.Program, Nice: b.settings.Nice, Log: log}
 	if b.program.Proxy != "" {
 		spec.Path, spec.Args = b.settings.Self, []string{"proxy", "--kind", b.program.Proxy, "--listen", b.listen, "--discovery", discovery}
 	}
@@ -209,7 +214,7 @@
 	b.seed++
 	c := &client{out: &bytes.Buffer{}, length: length}
 	var err error
-	c.child, err = b.group.Start(process.Spec{Name: "load", Path: b.settings.Self, Cores: b.settings.Cores.Load, Out: c.out, Log: b.settings.Say,
+	c.child, err = b.group.Start(process.Spec{Name: "load", Path: b.settings.Self, Cores: b.settings.Cores.Load, Nice: b.settings.Nice, Out: c.out, Log: b.settings.Say,
 		Args: append([]string{"load", "--target", b.listen, "--json", "-", "--seed", strconv.Itoa(b.seed), "--for", length.String()}, args...)})
 	return c, err
 }
@@ -240,7 +245,7 @@
 
 // flood starts a flood.
 func (b *bench) flood(length time.Duration, args ...string) (*process.Child, error) {
-	return b.group.Start(process.Spec{Name: "flood", Path: b.settings.Self, Cores: b.settings.Cores.Flood, Log: b.settings.Say,
+	return b.group.Start(process.Spec{Name: "flood", Path: b.settings.Self, Cores: b.settings.Cores.Flood, Nice: b.settings.Nice, Log: b.settings.Say,
 		Args: append([]string{"flood", "--target", b.listen, "--for", length.String()}, args...)})
 }
 
@@ -254,6 +259,18 @@
 	}
 }
 
+// lasts tells whether the program still runs.
+func (b *bench) lasts() bool { return b.alive() == nil }
+
+// usage returns what the program has used of its cores; 0 where it has ended.
+func (b *bench) usage() time.Duration {
+	u, err := b.sidecar.Usage()
+	if err != nil {
+		return 0
+	}
+	return u.CPU
+}
+
 // peakMB returns the most memory that the program has held, in MB of 2^20 bytes.
 func (b *bench) peakMB() (float64, error) {
 	u, err := b.sidecar.Usage()
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -25,6 +25,7 @@
 	Path  string
 	Args  []string
 	Cores []int     // the cores it may run on; none: all
+	Nice  int       // its priority, -20 (the highest) to 19; below 0 is for root
 	Out   io.Writer // standard output; nil: dropped
 	Log   io.Writer // standard error; nil: dropped
 }
@@ -86,6 +87,13 @@
 			}
 			defer unix.SchedSetaffinity(0, &before)
 		}
+		if s.Nice != 0 {
+			if err = unix.Setpriority(unix.PRIO_PROCESS, 0, s.Nice); err != nil { // of this thread, whose children inherit it
+				err = fmt.Errorf("priority %d: %w", s.Nice, err)
+				return
+			}
+			defer unix.Setpriority(unix.PRIO_PROCESS, 0, 0)
+		}
 		err = c.cmd.Start()
 	})
 	if err != nil {
