--- a/cmd/hazellab/load.go
+++ b/cmd/hazellab/load.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -24,7 +25,7 @@
 		Description: "A class is NAME:safe, NAME:keyed or NAME:unsafe, or one of the stand-in's names; with =SHARE behind it\n" +
 			"it has that part of the requests. Several classes stand apart by commas.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "target", Value: "127.0.0.1:3000", Usage: "the sidecar's `ADDRESS`"},
+			&cli.StringFlag{Name: "target", Value: "127.0.0.1:3000", Usage: "the sidecar's `ADDRESS`; several apart by commas share the links and the rate"},
 			&cli.StringFlag{Name: "from", Usage: "the source `ADDRESS`"},
 			&cli.StringFlag{Name: "class", Value: standin.SafeClass, Usage: "the classes"},
 			&cli.StringFlag{Name: "rate", Usage: "open loop: requests a second, or stages like 100:5s,100-400:10s,0:2s; without it the loop is closed"},
@@ -39,6 +40,7 @@
 			&cli.DurationFlag{Name: "step", Value: time.Second, Usage: "length of the series' steps"},
 			&cli.BoolFlag{Name: "steps", Usage: "print a line for each step, too"},
 			&cli.StringFlag{Name: "plan", Usage: "take all that is asked, but for --target, from this `FILE` of JSON"},
+			&cli.StringFlag{Name: "mark", Usage: "write the time of the start to this `FILE` when it comes, in ms of Unix time"},
 			&cli.StringFlag{Name: "json", Usage: "write the whole result to this `FILE`; - for standard output, in place of the lines"},
 		},
 		Action: runLoad,
@@ -50,12 +52,25 @@
 	if err != nil {
 		return fault(err)
 	}
-	if err := p.Err(); err != nil {
-		return fault(err)
+	targets := strings.Split(c.String("target"), ",")
+	for _, p.Target = range targets {
+		if err := p.Err(); err != nil {
+			return fault(err)
+		}
+	}
+	if path := c.String("mark"); path != "" {
+		var once sync.Once
+		p.Began = func(at time.Time) {
+			once.Do(func() {
+				if err := os.WriteFile(path, strconv.AppendInt(nil, at.UnixMilli(), 10), 0o644); err != nil {
+					fmt.Fprintln(os.Stderr, "hazellab:", err)
+				}
+			})
+		}
 	}
 	ctx, stop := untilSignal(ctx)
 	defer stop()
-	r, err := load.Run(ctx, &p)
+	r, err := load.RunAll(ctx, &p, targets)
 	if r == nil {
 		return err
 	}
--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -27,6 +27,9 @@
 			floodCommand(),
 			proxyCommand(),
 			pressureCommand(),
+			experimentCommand(),
+			reportCommand(),
+			compareCommand(),
 		}, simCommands()...),
 	}
 }
