Free what is learned of boxes from the sidecar's own lateness

Cause: an answer counted as late as the loop came round to it, and timers fired before what they waited for was read; a loop that is late or stood still cut limits, raised phi and gave up executions whose answers lay in the sockets. Change: answers and requests are dated by when their bytes reached the socket (TCP_INFO, asked once a millisecond and for each while the loop is late); deadlines count from there. Timers fire after the loop has looked at all that had come (Yield, through the wake-up socket). A stall of the loop is told to the decisions, which forgive the silence nobody listened to; dials whose time was up in it prove nothing.

--- a/internal/capture/line.go
+++ b/internal/capture/line.go
@@ -26,6 +26,7 @@
 	kindProbe    = "probe"
 	kindWake     = "wake"
 	kindGone     = "gone"
+	kindStalled  = "stalled"
 	kindDecision = "dec"
 )
 
@@ -227,6 +228,7 @@
 	Held     number     `json:"held"`
 	Outcome  uint8      `json:"outcome"`
 	Delay    number     `json:"delay"`
+	Late     number     `json:"late"`
 	Final    bool       `json:"final"`
 	Report   []number   `json:"report"`
 
@@ -247,7 +249,7 @@
 
 func (l *line) result() policy.Result {
 	r := policy.Result{ID: l.Request, Attempt: l.Attempt, Host: l.Host, Outcome: policy.Outcome(l.Outcome),
-		DelayS: float64(l.Delay), Final: l.Final}
+		DelayS: float64(l.Delay), LateS: float64(l.Late), Final: l.Final}
 	r.Report.N = min(len(l.Report), len(r.Report.Values))
 	for i := range r.Report.N {
 		r.Report.Values[i] = float32(l.Report[i])
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -249,6 +249,13 @@
 	}
 }
 
+// Stalled notes that the sidecar stood still.
+func (c *Recorder) Stalled(now, seconds float64) {
+	if c != nil {
+		c.input(appendFloat(append(c.begun(now, kindStalled), `,"late":`...), seconds))
+	}
+}
+
 // Gone notes the departure of a request's client.
 func (c *Recorder) Gone(now float64, request uint32, l Label) {
 	if c != nil {
@@ -279,6 +286,9 @@
 	dst = appendInt(append(dst, `,"host":`...), int64(r.Host))
 	dst = appendInt(append(dst, `,"outcome":`...), int64(r.Outcome))
 	dst = appendFloat(append(dst, `,"delay":`...), r.DelayS)
+	if r.LateS != 0 {
+		dst = appendFloat(append(dst, `,"late":`...), r.LateS)
+	}
 	if r.Report.N == 0 {
 		return dst
 	}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -49,6 +49,9 @@
 	Alarm(at float64)
 	// Post has the loop call f after the present call, in the order of the posts. It may be called from anywhere.
 	Post(f func())
+	// Yield has the loop call f once it has looked at all that had come for it when it was asked. What is late is done
+	// after that: whatever it waited for may be there, unread.
+	Yield(f func())
 	// Dial opens a connection to an address and port. When it comes up Host.Open is called with context as the
 	// connection's; done is called after that with nil, or alone with an error where the connection does not come up
 	// until the given time. What it returns gives the dial up: done is still called, once.
@@ -61,6 +64,14 @@
 	// Quiet tells whether nothing waits in a connection's socket: no bytes and no end. The loop learns of sockets in
 	// turns; what has come since its last look shows here alone.
 	Quiet(c Conn) bool
+	// Waited returns for how many seconds the bytes that Traffic brings, or has just brought, have lain in the socket,
+	// as far as the machine can tell: to some milliseconds, and 0 where it can't.
+	Waited(c Conn) float64
+	// PauseReading leaves what comes from now on in the socket, so that the peer is held up, until ResumeReading. False
+	// says that it can't be done here; the bytes go on coming. The end of a connection may show only once reading is
+	// resumed.
+	PauseReading(c Conn) bool
+	ResumeReading(c Conn)
 	// StopListening closes the listening socket: who dials from now on is refused at once.
 	StopListening()
 	// Stop ends the loop after the present call. Connections that are still open are closed.
--- a/internal/netio/sockets/handler.go
+++ b/internal/netio/sockets/handler.go
@@ -42,9 +42,10 @@
 func (h *handler) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	// Danger: a client can be quicker than the wake-up socket, and its request would be sent without a loop.
 	if h.n.loop == nil {
-		h.n.start(c.EventLoop())
+		h.n.start(c)
 	}
-	if _, own := c.Context().(*waker); own {
+	if w, own := c.Context().(*waker); own {
+		h.n.wake = w
 		return nil, gnet.None
 	}
 	if !h.n.host.Open(c) {
@@ -55,9 +56,15 @@
 
 // OnTraffic hands on what has been received.
 func (h *handler) OnTraffic(c gnet.Conn) gnet.Action {
-	if data, err := c.Next(-1); err == nil {
+	data, err := c.Next(-1)
+	if _, own := c.Context().(*waker); own {
+		h.n.yields()
+	} else if err == nil {
 		h.n.host.Traffic(c, data)
 	}
+	if h.n.stopping {
+		return gnet.Shutdown
+	}
 	return gnet.None
 }
 
@@ -73,13 +80,24 @@
 // program needs the loop before it has any.
 type waker struct{ far int }
 
+// ring has gnet bring a byte of the near end.
+func (w *waker) ring() error {
+	if w == nil {
+		return errOver
+	}
+	_, err := unix.Write(w.far, []byte{0})
+	return err
+}
+
 // register gives the near end to gnet.
 func (w *waker) register(e gnet.Engine) error {
 	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return err
 	}
-	w.far = fds[1]
+	if w.far = fds[1]; unix.SetNonblock(w.far, true) != nil {
+		return err
+	}
 	f := os.NewFile(uintptr(fds[0]), "wake-up")
 	defer f.Close()
 	near, err := net.FileConn(f)
--- a/internal/netio/sockets/sockets.go
+++ b/internal/netio/sockets/sockets.go
@@ -26,6 +26,9 @@
 	loop   gnet.EventLoop
 
 	alarm    *time.Timer
+	wake     *waker
+	yielded  []func()
+	epoll    int // gnet's own descriptor; below 0: it can't be had
 	stopping bool
 
 	mu      sync.Mutex
@@ -97,9 +100,10 @@
 	}
 }
 
-// start takes the loop into use.
-func (n *Net) start(loop gnet.EventLoop) {
-	n.loop = loop
+// start takes the loop of a first connection into use.
+func (n *Net) start(c gnet.Conn) {
+	n.loop = c.EventLoop()
+	n.epoll = findEpoll(c.Fd())
 	n.host.Start()
 	n.mu.Lock()
 	posted := n.posted
@@ -110,6 +114,25 @@
 	}
 }
 
+// Yield goes through the wake-up socket. Danger: a task of gnet's runs at the end of the present round, or within the
+// same, and sockets beyond the round's size have not been looked at by then. epoll tells of sockets in the order in
+// which they became ready, so all that were ready before come first.
+func (n *Net) Yield(f func()) {
+	n.yielded = append(n.yielded, f)
+	if len(n.yielded) == 1 && n.wake.ring() != nil { // it has gone with the engine
+		n.execute(n.yields)
+	}
+}
+
+// yields calls what Yield was given.
+func (n *Net) yields() {
+	todo := n.yielded
+	n.yielded = nil
+	for _, f := range todo {
+		f()
+	}
+}
+
 // Alarm sets the one runtime timer.
 func (n *Net) Alarm(at float64) {
 	wait := max(time.Until(n.clock.time(at)), 0)
@@ -166,8 +189,14 @@
 	return errors.Is(err, unix.EAGAIN)
 }
 
-// StopListening is not there yet: gnet ends with its listener.
-func (n *Net) StopListening() {}
+// Waited asks the kernel, which counts in its own ticks of some milliseconds.
+func (n *Net) Waited(c netio.Conn) float64 {
+	info, err := unix.GetsockoptTCPInfo(c.(gnet.Conn).Fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return float64(info.Last_data_recv) / 1000
+}
 
 // Stop ends Run.
 func (n *Net) Stop() {
--- a/internal/netio/virtual/conn.go
+++ b/internal/netio/virtual/conn.go
@@ -89,6 +89,7 @@
 	readRate float64
 	readAt   float64 // of a slow reader: when it reads on
 	readOn   bool    // an event for that waits
+	paused   bool    // the process does not read on
 	starved  bool    // the peer has more than this end's window takes
 	silent   bool    // nothing passes any more
 
@@ -97,6 +98,8 @@
 	marks   []mark // of what was written and the peer's process has not been given yet
 	wroteAt float64
 	endedAt float64
+
+	receivedAt float64 // when bytes last came into the socket
 }
 
 // mark says when the bytes up to a place were written.
@@ -327,6 +330,7 @@
 		c.in, c.inHead = c.in[:0], 0
 	}
 	c.in = append(c.in, data...)
+	c.receivedAt = c.w.now
 	c.notify()
 }
 
@@ -429,7 +433,7 @@
 	if rate == 0 {
 		rate = p.opt.ReadRate
 	}
-	if rate < 0 && !c.resetIn {
+	if (rate < 0 || c.paused) && !c.resetIn {
 		return
 	}
 	if n := c.unread(); n > 0 {
--- a/internal/netio/virtual/process.go
+++ b/internal/netio/virtual/process.go
@@ -208,6 +208,27 @@
 	p.wake()
 }
 
+// Yield has f called after what has come for this turn of the loop, as Post does: a turn looks at all that has come.
+func (p *Process) Yield(f func()) { p.Post(f) }
+
+// Waited returns how long ago the socket was given bytes last.
+func (p *Process) Waited(conn netio.Conn) float64 { return p.Now() - conn.(*Conn).receivedAt }
+
+// PauseReading leaves what comes in the socket.
+func (p *Process) PauseReading(conn netio.Conn) bool {
+	conn.(*Conn).paused = true
+	return true
+}
+
+// ResumeReading reads on.
+func (p *Process) ResumeReading(conn netio.Conn) {
+	if c := conn.(*Conn); c.paused {
+		if c.paused = false; c.fd && (c.unread() > 0 || c.finIn || c.resetIn) {
+			c.notify()
+		}
+	}
+}
+
 // Alarm asks for one call at a time, in place of what was asked for before.
 func (p *Process) Alarm(at float64) {
 	if p.alarmAt = at; at < p.rungAt && !p.dead {
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -192,9 +192,10 @@
 		l.throttle(l.s.cfg.Settings.Policy.MaxRetryAfterS)
 		return
 	}
-	r := &request{name: id, class: c.Name, deadline: l.s.now() + min(patience, longestS), call: newHTTPCall(l.s, p, c.Name, l.conn.RemoteAddr()), origin: l}
+	waited := l.s.waited(l.conn)
+	r := &request{name: id, class: c.Name, deadline: l.s.now() - waited + min(patience, longestS), call: newHTTPCall(l.s, p, c.Name, l.conn.RemoteAddr()), origin: l}
 	l.request = r
-	l.s.take(r, policy.Request{Class: class, Repeat: p.Header.Get(fieldRetry) == "1"})
+	l.s.take(r, policy.Request{Class: class, Held: waited, Repeat: p.Header.Get(fieldRetry) == "1"})
 }
 
 // serve passes on a server's answer.
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -47,6 +47,8 @@
 	ReloadFailed uint64 `json:"reload_failed"` // configurations that could not be read or were not valid
 	Panics       uint64 `json:"panics"`
 
+	Stalls uint64 `json:"stalls"` // times that the loop stood still for 30 ms or longer though something was due
+
 	Descriptors int     `json:"descriptors"` // held by links now
 	LateMS      float64 `json:"late_ms"`     // how late the latest of all timers was
 
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -103,7 +103,8 @@
 	progress progress
 	timer    *timer
 	over     bool
-	second   bool // a probe that has been begun again
+	second   bool    // a probe that has been begun again
+	late     float64 // how long its answer lay in the socket
 }
 
 // finish ends an execution. err is nil where a whole answer has come.
@@ -133,7 +134,7 @@
 		}
 		s.counters.probes.count(result.Outcome)
 		s.push(func(now float64) {
-			result.DelayS = now - e.sentAt
+			result.DelayS, result.LateS = e.took(now)
 			s.capture.Probe(now, result)
 			s.balancer.ProbeDone(now, result)
 		})
@@ -149,7 +150,7 @@
 	}
 	result.Final = r.answered
 	s.push(func(now float64) {
-		result.DelayS = now - e.sentAt
+		result.DelayS, result.LateS = e.took(now)
 		result.Final = result.Final || r.answered
 		s.capture.Outcome(now, result, r.label())
 		s.balancer.AttemptDone(now, result)
@@ -157,6 +158,12 @@
 	})
 }
 
+// took returns how long an execution that ends now took to its answer's arrival, and how long that lay unread.
+func (e *execution) took(now float64) (delay, late float64) {
+	late = min(e.late, now-e.sentAt)
+	return now - e.sentAt - late, late
+}
+
 // probeAgain begins a probe once more, on a new link, where its link broke. Danger: a probe asks after the server;
 // a link's end says nothing of it, and a sound server that seems silent is shut out and then taken for cold.
 func (s *Sidecar) probeAgain(e *execution, err *execError) bool {
--- /dev/null
+++ b/internal/sidecar/lateness.go
@@ -0,0 +1,62 @@
+package sidecar
+
+import "hazelwheel/internal/netio"
+
+const (
+	// sampleEveryS is the time between two looks at how long what comes has lain in its socket; lateS is from when on
+	// each answer and each request is looked at. It must be above what the machine counts in.
+	sampleEveryS = 0.001
+	lateS        = 0.006
+	// stallS is how long the loop may not have turned though something was due before that counts as a stall.
+	stallS = 0.03
+)
+
+// lateness is what the sidecar knows of its own load. Danger: it sees an answer when the loop comes round to it. Under
+// load that is later than the answer was there, by more than many boxes take; read as the boxes' time it cuts their
+// limits, and requests are refused that idle boxes would have served.
+type lateness struct {
+	sampledAt float64
+	waited    float64 // what the last sample had lain there
+	most      float64 // since the counters were last asked for
+	turnedAt  float64 // when the last callback ended
+	owed      float64 // a stall within a callback, which the decisions have not been told of
+	stalledAt float64 // when the last stall ended
+}
+
+// waited returns for how long what a connection brings has lain in its socket, 0 while the loop is in time.
+func (s *Sidecar) waited(c netio.Conn) float64 {
+	l, now := &s.late, s.now()
+	if l.waited < lateS && now-l.sampledAt < sampleEveryS {
+		return 0
+	}
+	l.sampledAt, l.waited = now, s.net.Waited(c)
+	l.most = max(l.most, l.waited)
+	if l.waited < lateS {
+		return 0
+	}
+	return l.waited
+}
+
+// noteStall tells the decisions if the loop has not turned for a while: since the last callback, or since the time for
+// which the alarm was set if that is later.
+func (s *Sidecar) noteStall(now float64) {
+	l := &s.late
+	due := l.turnedAt
+	if s.timers.armed > due {
+		due = s.timers.armed
+	}
+	seconds := l.owed
+	if gap := now - due; l.turnedAt > 0 && gap > stallS {
+		seconds += gap
+	}
+	if l.owed = 0; seconds == 0 {
+		return
+	}
+	l.stalledAt = now
+	s.counters.Stalls++
+	s.log.Debug("the loop stood still", "seconds", seconds)
+	s.push(func(now float64) {
+		s.capture.Stalled(now, seconds)
+		s.balancer.Stalled(now, seconds)
+	})
+}
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -52,7 +52,7 @@
 		s.tellAbandoned(r)
 	})
 	decide := func(held float64) {
-		q.Held = held
+		q.Held += held
 		s.push(func(now float64) {
 			if !r.answered { // its client may have gone since
 				s.capture.Request(now, q, r.label())
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -88,11 +88,16 @@
 		return
 	}
 	s.counters.Dials++
-	until := min(e.until, s.now()+s.cfg.Settings.ConnectTimeoutS)
+	began := s.now()
+	until := min(e.until, began+s.cfg.Settings.ConnectTimeoutS)
 	l.stopDial = s.connect(h.Address, until, l, func(err error) {
 		if e := l.execution; e != nil {
 			l.execution = nil
-			s.finish(e, &execError{notConnected, broke, err})
+			why := broke
+			if s.late.stalledAt > began { // the time was up while this program stood still
+				why = overtaken
+			}
+			s.finish(e, &execError{notConnected, why, err})
 		}
 	})
 }
@@ -201,6 +206,7 @@
 		return
 	}
 	if done {
+		e.late = l.s.waited(l.conn)
 		l.complete(e)
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -39,6 +39,8 @@
 	net      netio.Net
 	timers   timers
 	counters counters
+	late     lateness
+	firing   bool // the timers that are due are fired soon
 
 	balancer *policy.Balancer
 	hosts    *hostgroup.Group
@@ -158,8 +160,10 @@
 	}
 }
 
-// Alarm fires the timers that are due.
-func (s *Sidecar) Alarm() { s.enter(func() {}) }
+// Alarm comes when timers are due.
+func (s *Sidecar) Alarm() {
+	s.enter(func() { s.timers.armed = 0 })
+}
 
 // link is what a connection belongs to.
 type link interface {
@@ -183,32 +187,48 @@
 // push queues an event for the decisions. It is handled before the present callback ends.
 func (s *Sidecar) push(event func(now float64)) { s.queue = append(s.queue, event) }
 
-// enter wraps every callback on the loop: a panic stops here, and the outermost drains the queue and fires
-// the timers that are due.
+// enter wraps every callback on the loop: a panic stops here, and the outermost drains the queue and has the timers
+// fired that are due.
 func (s *Sidecar) enter(f func()) {
-	s.depth++
+	began := 0.0
+	if s.depth++; s.depth == 1 {
+		began = s.now()
+		s.noteStall(began)
+	}
 	s.guard(f)
-	if s.depth--; s.depth > 0 {
+	if s.depth > 1 {
+		s.depth--
 		return
 	}
-	s.depth++
 	s.settle()
-	for {
-		now := s.now()
-		t := s.timers.due(now)
-		if t == nil {
-			break
-		}
-		s.counters.LateMS = max(s.counters.LateMS, (now-t.at)*1000)
-		s.guard(t.call)
-		s.settle()
-	}
 	s.depth--
-	// The alarm has gone off, or the first timer has changed.
-	s.timers.armed = 0
+	now := s.now()
+	if now-began > stallS {
+		s.late.owed += now - began
+	}
+	s.late.turnedAt = now
+	if s.timers.due(now) && !s.firing {
+		s.firing = true
+		s.net.Yield(s.fire)
+	}
 	s.timers.arm()
 }
 
+// fire fires the timers that are due, in their order. Danger: the answer that an execution waits for may be there
+// already, unread while the loop was busy or stood still; given up for late it accuses a host that was in time. So the
+// loop looks at its connections first.
+func (s *Sidecar) fire() {
+	s.enter(func() {
+		s.firing = false
+		for now := s.now(); s.timers.due(now); now = s.now() {
+			t := s.timers.pop()
+			s.counters.LateMS = max(s.counters.LateMS, (now-t.at)*1000)
+			s.guard(t.call)
+			s.settle()
+		}
+	})
+}
+
 // settle hands the queued events to the decisions, with what follows from them.
 func (s *Sidecar) settle() {
 	for i := 0; i < len(s.queue); i++ {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -45,6 +45,8 @@
 func (testNet) Close(netio.Conn)        {}
 func (testNet) Quiet(c netio.Conn) bool { return c.(*testConn).quiet }
 func (testNet) Post(func())             {}
+func (testNet) Yield(f func())          { f() }
+func (testNet) Alarm(float64)           {}
 
 type testConn struct {
 	netio.Conn
--- a/internal/sidecar/timers.go
+++ b/internal/sidecar/timers.go
@@ -31,13 +31,11 @@
 	}
 }
 
-// due returns the next call whose time has come, nil if there is none.
-func (t *timers) due(now float64) *timer {
-	if len(t.heap) == 0 || t.heap[0].at > now {
-		return nil
-	}
-	return heap.Pop(&t.heap).(*timer)
-}
+// due tells whether the time of any call has come.
+func (t *timers) due(now float64) bool { return len(t.heap) > 0 && t.heap[0].at <= now }
+
+// pop takes out the call whose time comes first.
+func (t *timers) pop() *timer { return heap.Pop(&t.heap).(*timer) }
 
 // arm sets the alarm to the first call.
 func (t *timers) arm() {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -264,7 +264,7 @@
 	if h == nil {
 		return
 	}
-	sent := now - r.DelayS
+	sent := now - r.LateS - r.DelayS
 	out := func(at float64) bool { return math.Abs(sent-at) <= b.s.TickS+1e-4 } // a tick's wait
 	cadence := out(h.probedAt)
 	if cadence {
@@ -291,7 +291,8 @@
 	}
 	// Danger: an outage's gap would inflate the mean and slow the next verdict, and the host may be cold. The
 	// gap is not learned; trust comes back as to a cold host.
-	gap := (b.now - h.answered) / h.every
+	at := b.now - r.LateS
+	gap := (at - h.answered) / h.every
 	switch {
 	case gap > outageGaps:
 		h.rampFrom, h.ratio = b.now, 1
@@ -303,7 +304,16 @@
 		}
 		b.meanGap += 0.02 * (gap - b.meanGap)
 	}
-	h.answered, h.every = b.now, h.planned
+	h.answered, h.every = at, h.planned
+}
+
+// Stalled tells that the host program itself stood still for so long until now. Danger: silence that nobody listened
+// to is no sign against a host; read as one, a pause of this program shuts out the whole fleet.
+func (b *Balancer) Stalled(now, seconds float64) {
+	b.now = now
+	for _, h := range b.members {
+		h.answered = min(h.answered+seconds, now)
+	}
 }
 
 // learnLine takes the delay of a probe for the line at a host: a deep probe waits and is served like a
