Admit connections by what they have done, and end drains

Cause: half requests could not be spared, so 366 of them held all places of clients and newcomers were closed unread: 0 to 1 % of a known client's alerts served. Answers that nobody read were written on without a bound (595 MB of 64). After SIGTERM the listener stayed open, and clients that came back kept the process alive for minutes. Change: internal/decide/admission ranks links by state, age, address and prefix in O(log n); addresses whose requests ran whole are known, in a bounded memory. What goes for a newcomer is the least worthy link of the address that holds most. Links with unread answers take no further request, are not read on (epoll, netio.PauseReading) and are closed after 2 s without a byte taken; bytes that wait are bounded at a quarter of the memory. Requests are turned away where a client has more out than its part and there is not enough for all. 0.7 s after SIGTERM the listener is emptied and closed; the process ends by the longest wait and 0.9 s. Open: requests refused and sent again at once, 512 links that do not read.

--- /dev/null
+++ b/internal/decide/admission/room.go
@@ -0,0 +1,391 @@
+package admission
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// State is what a client link is doing.
+type State uint8
+
+// The states. Asking links are owed an answer and are never given up.
+const (
+	Silent  State = iota // nothing has come on it
+	Partial              // a part of a request has come
+	Asking               // a request is out
+	Unread               // an answer is written, and the socket does not take it
+	Resting              // it has carried a request, and nothing is under way
+	Ending               // its last answer is written; it is read until the client closes
+	states
+)
+
+// String names a state.
+func (s State) String() string {
+	return [...]string{"silent", "partial", "asking", "unread", "resting", "ending"}[s]
+}
+
+// How long a link may be in a state before it can be given up for a newcomer, in seconds. Danger: the first request of a
+// link that has just come up is on its way, and so is the rest of one that has begun to come.
+const (
+	silentGrace = 0.01
+	partGrace   = 0.1
+	restGrace   = 0.1
+)
+
+const (
+	// knownDiscount is what a link of a known address weighs beside a stranger's.
+	knownDiscount = 0.25
+	// knownAfter requests that ran whole make an address known; each of its links that wasted room takes back wasteCost,
+	// and no more than mostScore are remembered.
+	knownAfter = 2
+	wasteCost  = 2
+	mostScore  = 64
+	// mostKnown addresses are remembered. The memory keeps those that come again before those that came once, so a flood
+	// of addresses that each ask once does not push out who asks all day.
+	mostKnown = 4096
+	// fatBytes is from when on a link counts among those that hold much.
+	fatBytes = 4 << 10
+)
+
+// Cap bounds the links of all addresses in a prefix together.
+type Cap struct {
+	Prefix netip.Prefix
+	Links  int
+}
+
+// Settings are the bounds of a Room. The zero value has none but Most.
+type Settings struct {
+	Most       int // links in all
+	Reserve    int // of these, for known clients alone
+	PerAddress int // links of one address; 0: any number
+	Caps       []Cap
+	Known      []netip.Prefix // clients that are known from the start
+	Bytes      int            // that links may hold together and the socket can't; 0: any number
+}
+
+// groupBits are how many bits of an address a group of neighbours shares: a site's network has many addresses of IPv4,
+// and a single host of IPv6 has all of its own.
+const (
+	groupBits4 = 24
+	groupBits6 = 64
+)
+
+// Room holds the links of clients. All its decisions cost O(log n).
+type Room struct {
+	s       Settings
+	clients map[netip.Addr]*address
+	groups  [2]map[netip.Prefix]*group // of strangers and of the known
+	heavy   [2]heap[*group]
+	all     [states]list // all links by state, the longest in it first
+	fat     heap[*Link]  // that hold many bytes and are owed nothing
+	scores  *lru.TwoQueueCache[netip.Addr, float64]
+	caps    []int // links within each of Settings.Caps
+	links   int
+	strange int // of these, of strangers
+	asking  int
+	askers  int // addresses with requests out
+	bytes   int
+}
+
+// Link is a client link in a Room.
+type Link struct {
+	Owner any // whose it is; the Room passes it on
+
+	client *address
+	state  State
+	since  float64
+	bytes  int
+	hooks  [2]hook // in the lists of the Room and of its address
+	place  int     // in Room.fat, from 1
+}
+
+// address is what is known of a client's address.
+type address struct {
+	addr     netip.Addr
+	known    bool
+	settings bool // known by the settings
+	in       *group
+	counted  float64 // its weight in the group's
+	place    int     // in group.clients, from 1
+	links    int
+	own      [states]list
+	caps     []int // places in Room.caps
+}
+
+// group is a prefix with its addresses that are known, or those that are not.
+type group struct {
+	prefix  netip.Prefix
+	known   bool
+	clients heap[*address]
+	weight  float64
+	place   int // in Room.heavy, from 1
+}
+
+// NewRoom returns an empty room.
+func NewRoom(s Settings) *Room {
+	scores, err := lru.New2Q[netip.Addr, float64](mostKnown)
+	if err != nil {
+		panic(err) // the size is a constant above 0
+	}
+	return &Room{s: s, clients: map[netip.Addr]*address{}, scores: scores, caps: make([]int, len(s.Caps)),
+		groups: [2]map[netip.Prefix]*group{{}, {}}}
+}
+
+// Resize changes how many links there may be, and of these for known clients alone. Who is there stays.
+func (r *Room) Resize(most, reserve int) { r.s.Most, r.s.Reserve = most, reserve }
+
+// Len returns how many links there are.
+func (r *Room) Len() int { return r.links }
+
+// Verdict says what a newcomer finds.
+type Verdict uint8
+
+// The verdicts. What is not Admitted can be once Victim has named a link that goes for it.
+const (
+	Admitted Verdict = iota
+	Crowded          // there are too many links
+	OverCap          // its address or prefix has its cap
+)
+
+// Open takes a link of an address that has just come up. Whatever the verdict it is in the room, until Close.
+func (r *Room) Open(now float64, addr netip.Addr, owner any) (*Link, Verdict) {
+	a := r.address(addr.Unmap())
+	v := Admitted
+	if r.links >= r.s.Most || !a.known && r.strange >= r.s.Most-r.s.Reserve {
+		v = Crowded
+	}
+	if r.s.PerAddress > 0 && a.links >= r.s.PerAddress {
+		v = OverCap
+	}
+	for _, i := range a.caps {
+		if r.caps[i] >= r.s.Caps[i].Links {
+			v = OverCap
+		}
+		r.caps[i]++
+	}
+	l := &Link{Owner: owner, client: a, since: now}
+	a.links++
+	r.links++
+	if !a.known {
+		r.strange++
+	}
+	r.enter(l, Silent, now)
+	return l, v
+}
+
+// Victim returns the link that goes for a newcomer, nil if none does: each is worth as much, owed something, or about to
+// ask. One that has its cap may only put its own links in place of each other.
+func (r *Room) Victim(now float64, newcomer *Link, v Verdict) *Link {
+	if v == OverCap {
+		return r.sparable(now, newcomer.client, true, newcomer)
+	}
+	return r.victim(now, newcomer.client, newcomer)
+}
+
+// Spare returns the link that is missed least, nil if each is owed something or about to ask.
+func (r *Room) Spare(now float64) *Link { return r.victim(now, nil, nil) }
+
+// Renew has a link count as one that has just come into its state: its next request waits in its socket.
+func (r *Room) Renew(now float64, l *Link) {
+	r.leave(l)
+	r.enter(l, l.state, now)
+}
+
+// Move notes what a link does from now on.
+func (r *Room) Move(now float64, l *Link, s State) {
+	if l.state != s {
+		r.leave(l)
+		r.enter(l, s, now)
+	}
+}
+
+// Hold notes how many bytes a link holds that have come and are no request yet, or are written and not sent.
+func (r *Room) Hold(l *Link, bytes int) {
+	r.bytes += bytes - l.bytes
+	l.bytes = bytes
+	r.weigh(l)
+}
+
+// Heavy returns the link to be closed since all together hold too much: the one that holds most of those that are owed
+// nothing. Nil: they do not, or none is owed nothing.
+func (r *Room) Heavy() *Link {
+	if r.s.Bytes == 0 || r.bytes <= r.s.Bytes || r.fat.len() == 0 {
+		return nil
+	}
+	return r.fat.first()
+}
+
+// Full tells whether links hold so much that no new request should be taken up.
+func (r *Room) Full() bool { return r.s.Bytes > 0 && r.bytes > r.s.Bytes }
+
+// Served notes that a request of a link has run whole.
+func (r *Room) Served(l *Link) {
+	score, _ := r.scores.Get(l.client.addr)
+	r.score(l.client, min(score+1, mostScore))
+}
+
+// Wasted notes that a link had to go without a request having come whole, or an answer having been read.
+func (r *Room) Wasted(l *Link) {
+	if score, ok := r.scores.Peek(l.client.addr); ok {
+		r.score(l.client, max(score-wasteCost, 0))
+	}
+}
+
+// Client is what one address holds.
+type Client struct {
+	Address string         `json:"address"`
+	Known   bool           `json:"known"`
+	Links   int            `json:"links"`
+	States  map[string]int `json:"states"`
+	Bytes   int            `json:"bytes"`
+}
+
+// Clients tells who holds what, those with most links first: at most so many addresses, and how many there are.
+func (r *Room) Clients(most int) (shown []Client, all int) {
+	list := slices.SortedFunc(maps.Values(r.clients), func(x, y *address) int {
+		return cmp.Or(cmp.Compare(y.links, x.links), x.addr.Compare(y.addr))
+	})
+	for _, a := range list[:min(most, len(list))] {
+		c := Client{Address: a.addr.String(), Known: a.known, Links: a.links, States: map[string]int{}}
+		for s := range states {
+			if a.own[s].n > 0 {
+				c.States[s.String()] = a.own[s].n
+			}
+			for l := a.own[s].first; l != nil; l = l.hooks[ofAddress].after {
+				c.Bytes += l.bytes
+			}
+		}
+		shown = append(shown, c)
+	}
+	return shown, len(list)
+}
+
+// Known tells whether a link's client is known.
+func (l *Link) Known() bool { return l.client.known }
+
+// State returns what a link does, and since when.
+func (l *Link) State() (State, float64) { return l.state, l.since }
+
+// Greedy tells whether the client of a link has clearly more requests out than its fair part of all. It says who goes
+// first when there is not enough for all.
+func (r *Room) Greedy(l *Link) bool {
+	a := l.client
+	fair := max(2*float64(r.asking)/float64(max(r.askers, 1)), 4)
+	if a.known {
+		fair *= 1 / knownDiscount
+	}
+	return r.askers > 1 && float64(a.own[Asking].n) > fair
+}
+
+// Close takes a link out.
+func (r *Room) Close(l *Link) {
+	a := l.client
+	r.Hold(l, 0)
+	r.leave(l)
+	a.links--
+	r.links--
+	if !a.known {
+		r.strange--
+	}
+	for _, i := range a.caps {
+		r.caps[i]--
+	}
+	if a.links == 0 {
+		delete(r.clients, a.addr)
+		r.ungroup(a)
+	}
+}
+
+// Each calls f with the links in a state, the longest in it first. f may close the link that it is given.
+func (r *Room) Each(s State, f func(*Link)) {
+	for l := r.all[s].first; l != nil; {
+		next := l.hooks[ofRoom].after
+		f(l)
+		l = next
+	}
+}
+
+// Oldest returns the link that has been longest in a state, nil if none is in it.
+func (r *Room) Oldest(s State) *Link { return r.all[s].first }
+
+// address returns what is known of an address.
+func (r *Room) address(addr netip.Addr) *address {
+	if a := r.clients[addr]; a != nil {
+		return a
+	}
+	a := &address{addr: addr}
+	for i := range a.own {
+		a.own[i].hook = ofAddress
+	}
+	for _, p := range r.s.Known {
+		a.settings = a.settings || p.Contains(addr)
+	}
+	score, _ := r.scores.Peek(addr)
+	a.known = a.settings || score >= knownAfter
+	for i, c := range r.s.Caps {
+		if c.Prefix.Contains(addr) {
+			a.caps = append(a.caps, i)
+		}
+	}
+	r.clients[addr] = a
+	r.group(a)
+	return a
+}
+
+// score remembers how an address has done, and has it known or not accordingly.
+func (r *Room) score(a *address, score float64) {
+	r.scores.Add(a.addr, score)
+	known := a.settings || score >= knownAfter
+	if known == a.known {
+		return
+	}
+	r.ungroup(a)
+	if a.known = known; known {
+		r.strange -= a.links
+	} else {
+		r.strange += a.links
+	}
+	r.group(a)
+}
+
+// enter puts a link into a state.
+func (r *Room) enter(l *Link, s State, now float64) {
+	a := l.client
+	l.state, l.since = s, now
+	r.all[s].put(l)
+	if a.own[s].put(l); s == Asking {
+		r.asking++
+		if a.own[Asking].n == 1 {
+			r.askers++
+		}
+	}
+	r.weigh(l)
+	r.reweigh(a)
+}
+
+// leave takes a link out of its state.
+func (r *Room) leave(l *Link) {
+	a := l.client
+	r.all[l.state].drop(l)
+	if a.own[l.state].drop(l); l.state == Asking {
+		r.asking--
+		if a.own[Asking].n == 0 {
+			r.askers--
+		}
+	}
+	r.fat.drop(l)
+	r.reweigh(a)
+}
+
+// weigh has a link among those that hold much, or not.
+func (r *Room) weigh(l *Link) {
+	if l.bytes >= fatBytes && (l.state == Partial || l.state == Unread) {
+		r.fat.put(l)
+	} else {
+		r.fat.drop(l)
+	}
+}
--- /dev/null
+++ b/internal/decide/admission/victim.go
@@ -0,0 +1,142 @@
+package admission
+
+import "net/netip"
+
+// victim returns the link that goes for a newcomer, nil if none does: what is only read until its client closes; then
+// links of the address that has most that are owed nothing, in the prefix that has most; a known address counts for a
+// quarter. Danger: whatever a flood makes its links look like, it must lose its own before anybody else's.
+func (r *Room) victim(now float64, a *address, not *Link) *Link {
+	strangers := a != nil && !a.known && r.strange >= r.s.Most-r.s.Reserve // room is made only where a stranger goes
+	if l := r.all[Ending].first; l != nil && l.since < now-silentGrace && !(strangers && l.client.known) {
+		return l
+	}
+	heaviest := r.heaviest(strangers)
+	if heaviest == nil {
+		return nil
+	}
+	mine := 0.0
+	if a != nil {
+		mine = a.weight()
+	}
+	greedy := a != nil && heaviest != a && (heaviest.weight() > mine || heaviest.in != a.in && heaviest.in.weight > a.in.weight)
+	if l := r.sparable(now, heaviest, greedy, not); l != nil {
+		return l
+	}
+	// Those that are heaviest may all be about to ask, and others have long had nothing to say.
+	for _, s := range [...]State{Silent, Partial, Unread, Resting} {
+		l := r.all[s].first
+		if l == nil || l == not || l.since >= now-grace(s) || strangers && l.client.known {
+			continue
+		}
+		// A stranger does not take the kept links of the known.
+		if a == nil || s != Resting || a.known || !l.client.known {
+			return l
+		}
+	}
+	return nil
+}
+
+// heaviest returns the address that has most links that are owed nothing, nil if none has any.
+func (r *Room) heaviest(strangersOnly bool) (most *address) {
+	for known, h := range r.heavy {
+		if h.len() == 0 || strangersOnly && known == 1 {
+			continue
+		}
+		if a := h.first().clients.first(); a.weight() > 0 && (most == nil || h.first().weight > most.in.weight) {
+			most = a
+		}
+	}
+	return most
+}
+
+// sparable returns the link of an address that is missed least: one that has been long enough in its state, or, where the
+// address is greedy, any that is owed nothing.
+func (r *Room) sparable(now float64, a *address, greedy bool, not *Link) *Link {
+	order := [...]State{Ending, Silent, Partial, Unread, Resting}
+	for _, s := range order {
+		if l := a.own[s].first; l != nil && l != not && l.since < now-grace(s) {
+			return l
+		}
+	}
+	for _, s := range order {
+		if l := a.own[s].first; greedy && l != nil && l != not {
+			return l
+		}
+	}
+	return nil
+}
+
+func grace(s State) float64 {
+	switch s {
+	case Partial, Unread:
+		return partGrace
+	case Resting:
+		return restGrace
+	}
+	return silentGrace
+}
+
+// weight is how many links of an address are owed nothing; those of a known one count less.
+func (a *address) weight() float64 {
+	w := float64(a.links - a.own[Asking].n)
+	if a.known {
+		w *= knownDiscount
+	}
+	return w
+}
+
+// groupOf returns the prefix of an address's neighbours.
+func groupOf(addr netip.Addr) netip.Prefix {
+	bits := groupBits4
+	if addr.Is6() {
+		bits = groupBits6
+	}
+	p, err := addr.Prefix(bits)
+	if err != nil {
+		return netip.Prefix{} // an address that is none is its own group
+	}
+	return p
+}
+
+// group puts an address among its neighbours.
+func (r *Room) group(a *address) {
+	of := r.groups[tree(a.known)]
+	p := groupOf(a.addr)
+	g := of[p]
+	if g == nil {
+		g = &group{prefix: p, known: a.known}
+		of[p] = g
+	}
+	a.in, a.counted = g, 0
+	r.reweigh(a)
+}
+
+// ungroup takes an address from its neighbours.
+func (r *Room) ungroup(a *address) {
+	g := a.in
+	g.clients.drop(a)
+	g.weight -= a.counted
+	if g.clients.len() > 0 {
+		r.heavy[tree(g.known)].put(g)
+		return
+	}
+	r.heavy[tree(g.known)].drop(g)
+	delete(r.groups[tree(g.known)], g.prefix)
+}
+
+// reweigh follows a change of an address's links.
+func (r *Room) reweigh(a *address) {
+	w := a.weight()
+	a.in.weight += w - a.counted // quarters of whole numbers, which add up exactly
+	a.counted = w
+	a.in.clients.put(a)
+	r.heavy[tree(a.in.known)].put(a.in)
+}
+
+// tree is the place of the known or of strangers in pairs of both.
+func tree(known bool) int {
+	if known {
+		return 1
+	}
+	return 0
+}
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -17,6 +17,7 @@
 
 	"hazelwheel/internal/capture"
 	"hazelwheel/internal/config"
+	"hazelwheel/internal/decide/admission"
 	"hazelwheel/internal/drill"
 	"hazelwheel/internal/health"
 	"hazelwheel/internal/http1"
@@ -29,6 +30,16 @@
 	Rewrites rewrite.Settings
 	Health   health.Settings
 	Capture  capture.Settings
+
+	Admission Admission
+}
+
+// Admission bounds what clients may hold. Its zero value has no caps and no reserve.
+type Admission struct{ admission.Settings }
+
+// On tells whether the file says anything of it.
+func (a *Admission) On() bool {
+	return a.Reserve > 0 || a.PerAddress > 0 || a.Bytes > 0 || len(a.Caps) > 0 || len(a.Known) > 0
 }
 
 // String says in a few words what is on.
@@ -46,6 +57,9 @@
 	if f.Capture.On {
 		on = append(on, fmt.Sprintf("capture (%d bytes in %d segments)", f.Capture.MaxBytes, f.Capture.Files))
 	}
+	if f.Admission.On() {
+		on = append(on, fmt.Sprintf("admission (reserve %d, %d caps, %d known)", f.Admission.Reserve, len(f.Admission.Caps), len(f.Admission.Known)))
+	}
 	if len(on) == 0 {
 		return "none"
 	}
@@ -74,6 +88,7 @@
 	f.readRewrites(o, c)
 	f.readHealth(o, c)
 	f.readCapture(o, c)
+	f.readAdmission(o, c)
 	return f, o.rest()
 }
 
@@ -165,6 +180,52 @@
 	field(o, "capture.dir", &c.Dir, "the path of a folder", func(s string) bool { return s != "" })
 }
 
+// readAdmission takes the bounds on what clients may hold.
+func (f *Features) readAdmission(o *object, cfg *config.Config) {
+	a := &f.Admission
+	o.unfold("admission", "reserve", "per_address", "waiting_bytes", "caps", "known")
+	most := cfg.Limits.Sockets / 4
+	field(o, "admission.reserve", &a.Reserve, fmt.Sprintf("a whole number from 0 to %d, a quarter of limits.sockets", most),
+		func(v int) bool { return v >= 0 && v <= most })
+	field(o, "admission.per_address", &a.PerAddress, "a whole number from 1", func(v int) bool { return v >= 1 })
+	field(o, "admission.waiting_bytes", &a.Bytes, "a whole number from 65536", func(v int) bool { return v >= 64<<10 })
+	var known []string
+	field(o, "admission.known", &known, "a list of addresses or prefixes", func([]string) bool { return true })
+	for i, text := range known {
+		p, err := parsePrefix(text)
+		if err != nil {
+			o.fail(fmt.Sprintf("admission.known[%d]", i), fmt.Sprintf("%q is neither an address nor a prefix", text))
+		}
+		a.Known = append(a.Known, p)
+	}
+	for _, e := range o.list("admission.caps") {
+		var text string
+		var c admission.Cap
+		var err error
+		field(e, "prefix", &text, "an address or a prefix like 10.1.0.0/16", func(s string) bool {
+			c.Prefix, err = parsePrefix(s)
+			return err == nil
+		})
+		field(e, "links", &c.Links, "a whole number from 1", func(v int) bool { return v >= 1 })
+		e.need("prefix", "links")
+		for j, other := range a.Caps {
+			if c.Prefix.IsValid() && other.Prefix.Overlaps(c.Prefix) && other.Links != c.Links {
+				e.fail("prefix", fmt.Sprintf("%s overlaps with admission.caps[%d], %s, which has another cap", c.Prefix, j, other.Prefix))
+			}
+		}
+		a.Caps = append(a.Caps, c)
+	}
+}
+
+// parsePrefix reads a prefix; an address is one of its own.
+func parsePrefix(text string) (netip.Prefix, error) {
+	if a, err := netip.ParseAddr(text); err == nil {
+		return netip.PrefixFrom(a.Unmap(), a.Unmap().BitLen()), nil
+	}
+	p, err := netip.ParsePrefix(text)
+	return p.Masked(), err
+}
+
 func hasClass(c *config.Config, name string) bool {
 	for _, class := range c.Settings.Policy.Classes {
 		if class.Name == name {
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"hazelwheel/internal/decide/admission"
 	"hazelwheel/internal/http1"
 	"hazelwheel/internal/netio"
 	"hazelwheel/policy"
@@ -29,7 +30,8 @@
 type clientLink struct {
 	s        *Sidecar
 	conn     netio.Conn
-	place    int // in Sidecar.clients
+	index    int // in Sidecar.clients
+	place    *admission.Link
 	buf      http1.Buffer
 	parser   http1.RequestParser
 	request  *request // the one that is out
@@ -41,30 +43,27 @@
 	linger   *timer
 	arrival  *timer // of the request that is on its way in
 	openedAt float64
-	restedAt float64 // when it last answered; 0: never
-	shutAt   float64 // when it was shut
-	heardAt  float64 // when bytes last came after that
-}
+	answered bool    // it has brought a request
+	heardAt  float64 // when bytes last came after it was shut
 
-// newClient returns the link of a connection that was accepted.
-func (s *Sidecar) newClient() *clientLink {
-	l := &clientLink{s: s, openedAt: s.now(), parser: http1.NewRequestParser(httpLimits)}
-	l.throng = !s.clientRoom()
-	l.place = len(s.clients)
-	s.clients = append(s.clients, l)
-	return l
+	unreadFrom float64 // since when an answer waits for the client
+	tookAt     float64 // when the client last took a byte of it
+	untaken    int     // what it has not taken
+	held       int     // bytes of the request that is out
+	paused     bool    // what comes stays in the socket
 }
 
 // leaveClients takes the link from the sidecar's.
 func (l *clientLink) leaveClients() {
 	all := l.s.clients
 	last := all[len(all)-1]
-	all[l.place], last.place = last, l.place
+	all[l.index], last.index = last, l.index
 	all[len(all)-1] = nil
 	l.s.clients = all[:len(all)-1]
+	l.s.room.Close(l.place)
 }
 
-func (l *clientLink) opened(c netio.Conn) { l.conn = c }
+func (l *clientLink) opened(netio.Conn) {}
 
 // traffic reads what the client says.
 func (l *clientLink) traffic(data []byte) {
@@ -73,28 +72,41 @@
 		return
 	}
 	l.buf.Write(data)
-	if l.request != nil && l.buf.Len() > mostAhead {
-		l.s.closeConn(l.conn)
+	if l.request != nil || l.untaken > 0 {
+		switch {
+		case l.buf.Len() > mostAhead: // reading can't be paused here
+			l.s.closeConn(l.conn)
+		case l.buf.Len() > aheadBytes:
+			l.pause()
+			l.hold(l.buf.Len() + l.held + l.untaken)
+		}
 		return
 	}
-	l.next()
+	if l.next(); l.conn != nil && l.request == nil && !l.last {
+		if state, _ := l.place.State(); state == admission.Silent || state == admission.Resting {
+			l.s.room.Move(l.s.now(), l.place, admission.Partial)
+		}
+		l.hold(l.buf.Len() + len(l.parser.Body))
+	}
 }
 
 // next takes up the requests that have come, until one is out.
 func (l *clientLink) next() {
-	for l.conn != nil && l.request == nil && !l.last { // a link may have gone since this was queued
+	for l.conn != nil && l.request == nil && !l.last && l.untaken == 0 { // a link may have gone since this was queued
 		whole, err := l.parser.Next(&l.buf)
 		if err != nil {
 			l.malformed(err)
 			return
 		}
 		if !whole {
+			l.resume()
 			if l.arrival == nil && (l.buf.Len() > 0 || l.parser.Begun()) {
 				by := l.s.now() + arrivalS
-				if l.restedAt == 0 {
+				if !l.answered {
 					by = min(by, l.openedAt+firstS)
 				}
 				l.arrival = l.s.timers.at(by, func() {
+					l.s.room.Wasted(l.place)
 					l.malformed(&http1.Error{Status: 408, Reason: "request did not arrive"})
 				})
 			}
@@ -147,6 +159,8 @@
 		l.take(class)
 	case path == "/ready" && p.Method == "GET":
 		l.respond(200, http1.Header{textPlain}, []byte("ready\n"))
+	case path == "/clients" && p.Method == "GET":
+		l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, l.s.clientsText())
 	case path == "/counters" && p.Method == "GET":
 		l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, l.s.Counters())
 	case armed:
@@ -185,22 +199,33 @@
 	case !ok:
 		l.decline(400, fieldPatience+" is not a number with m or u")
 		return
-	case l.throng && !l.s.room(serverRoom):
-		l.s.counters.Requests++
-		l.s.counters.Throttled++
-		l.keep = false
-		l.throttle(l.s.cfg.Settings.Policy.MaxRetryAfterS)
+	case l.throng && !l.s.hasRoom(serverRoom), l.s.room.Full(), l.s.short() && l.s.room.Greedy(l.place):
+		l.turnAway()
 		return
 	}
+	l.s.room.Move(l.s.now(), l.place, admission.Asking)
+	l.held = len(p.Body)
+	l.s.room.Hold(l.place, l.held+l.buf.Len())
 	waited := l.s.waited(l.conn)
 	r := &request{name: id, class: c.Name, deadline: l.s.now() - waited + min(patience, longestS), call: newHTTPCall(l.s, p, c.Name, l.conn.RemoteAddr()), origin: l}
 	l.request = r
 	l.s.take(r, policy.Request{Class: class, Held: waited, Repeat: p.Header.Get(fieldRetry) == "1"})
 }
 
+// turnAway throttles a request that is not taken up: there is no room for it, or its client has more out than its part.
+func (l *clientLink) turnAway() {
+	l.s.counters.Requests++
+	l.s.counters.Throttled++
+	l.s.counters.TurnedAway++
+	l.s.notice("requests are turned away: there is no room for them")
+	l.keep = false
+	l.throttle(l.s.cfg.Settings.Policy.MaxRetryAfterS)
+}
+
 // serve passes on a server's answer.
 func (l *clientLink) serve(x exchange) {
 	h := x.(*httpExchange)
+	l.s.room.Served(l.place)
 	l.respond(h.parser.Status, h.header(), h.parser.Body)
 }
 
@@ -234,15 +259,36 @@
 		h = append(h[:len(h):len(h)], http1.Field{Name: "Connection", Value: "close"})
 	}
 	l.s.scratch = http1.AppendResponse(l.s.scratch[:0], status, h, body)
-	if l.write(l.s.scratch); l.last && l.conn != nil {
+	l.answered = true
+	if l.write(l.s.scratch); l.conn == nil {
+		return
+	}
+	if l.conn.OutboundBuffered() > 0 {
+		l.unread()
+		return
+	}
+	l.afterAnswer()
+}
+
+// afterAnswer goes on once the client's socket has taken an answer.
+func (l *clientLink) afterAnswer() {
+	l.untaken, l.held = 0, 0
+	if l.last {
+		l.resume()
 		l.finish()
 		return
 	}
-	l.restedAt = l.s.now()
+	l.s.room.Move(l.s.now(), l.place, admission.Resting)
 	l.buf.Rest()
+	l.hold(l.buf.Len())
 	// The next request may be in the buffer already; it is taken up as an event of its own.
+	if l.conn == nil {
+		return
+	}
 	if l.buf.Len() > 0 {
 		l.s.push(func(float64) { l.next() })
+	} else {
+		l.resume()
 	}
 }
 
@@ -250,28 +296,20 @@
 	l.conn.Write(b) // gnet keeps what the socket does not take, and closes the link on an error
 }
 
-// finish ends the link after its last answer: no more is sent, and what comes is read and dropped until
-// the client has closed or the time is over.
+// finish ends the link after its last answer, which the socket has taken: no more is sent, and what comes is read and
+// dropped until the client has closed or the time is over.
 func (l *clientLink) finish() {
-	if l.conn == nil {
+	if l.conn == nil || l.shut {
 		return
 	}
 	now := l.s.now()
-	if l.linger == nil {
-		l.linger = l.s.timers.at(now+lingerS, func() { l.leave(now + lingerMostS) })
-	}
-	if l.conn.OutboundBuffered() > 0 { // a slow reader; gnet does not tell when all is sent
-		l.s.timers.at(now+flushEveryS, l.finish)
-		return
-	}
-	if !l.shut {
-		l.shut, l.shutAt = true, now
-		l.s.net.CloseWrite(l.conn)
-	}
+	l.shut = true
+	l.s.room.Move(now, l.place, admission.Ending)
+	l.s.room.Hold(l.place, 0)
+	l.linger = l.s.timers.at(now+lingerS, func() { l.leave(now + lingerMostS) })
+	l.s.net.CloseWrite(l.conn)
 }
 
-const flushEveryS = 0.01
-
 // leave closes a link that lingers once its client has been silent for a while, at the latest at the given time.
 func (l *clientLink) leave(latest float64) {
 	if at := min(l.heardAt+lingerS, latest); at > l.s.now() {
@@ -283,7 +321,7 @@
 
 // idle tells whether nothing of a request has come and none is out.
 func (l *clientLink) idle() bool {
-	return l.request == nil && !l.last && l.buf.Len() == 0 && !l.parser.Begun()
+	return l.request == nil && !l.last && l.untaken == 0 && l.buf.Len() == 0 && !l.parser.Begun()
 }
 
 // ended takes the client's departure.
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -1,16 +1,31 @@
 package sidecar
 
+import (
+	"encoding/json"
+	"net"
+	"net/netip"
+
+	"hazelwheel/internal/decide/admission"
+	"hazelwheel/internal/http1"
+	"hazelwheel/internal/netio"
+)
+
 const (
-	// freshS is how long a new link is taken to be about to carry its first request. Whether that waits in the
-	// socket is looked at, too.
-	freshS = 0.01
 	// silentS after it was opened a link that has said nothing is closed.
 	silentS = 2.2
-	// briefS is how long links rest undisturbed, however many there are, and restS while there are not too many.
-	briefS = 0.1
-	restS  = 2.0
+	// restS is how long links may rest while there are too many.
+	restS = 2.0
 	// sweepEveryS is the time between two looks for such links.
 	sweepEveryS = 0.2
+	// unreadS without the client taking a byte of an answer ends its link, and so does longestReadS in all.
+	unreadS      = 2.0
+	longestReadS = 10.0
+	// aheadBytes of further requests may come while one is out; what is beyond waits in the socket.
+	aheadBytes = 4 << 10
+	// flushEveryS is the time between two looks whether answers have been taken: the loop does not tell.
+	flushEveryS = 0.01
+	// lookedAt bounds the links whose sockets are looked into before one goes.
+	lookedAt = 4
 )
 
 // serverRoom descriptors are kept from clients when a request comes over a link that is beyond mostClients.
@@ -19,69 +34,209 @@
 // mostClients is how many client links leave enough descriptors for the servers.
 func (s *Sidecar) mostClients() int { return s.mostLinks() * 3 / 4 }
 
+// beyondRoom is how many links beyond mostClients are taken for a word to their clients. Danger: each takes a descriptor
+// that an execution may need.
+func (s *Sidecar) beyondRoom() int { return s.mostLinks() / 16 }
+
 // crowded tells whether client links are so many that none is kept for its own sake. Danger: clients that ask once and
 // stay come to hold all the connections that the application may have, long before the descriptors here run out; its
 // other requests then find none. So from there on an answer is the last on its link.
 func (s *Sidecar) crowded() bool { return len(s.clients) > s.cfg.Limits.Sockets/5 }
 
-// clientRoom tells whether there is room for one more client link. Where there is none a link is closed for it;
-// where none can be spared, the newcomer's request is throttled unless enough descriptors are left.
-func (s *Sidecar) clientRoom() bool {
-	for now := s.now(); len(s.clients) >= s.mostClients(); {
-		var spare *clientLink
-		var worth int
-		var since float64
-		for _, l := range s.clients {
-			if w, at := l.spare(now); w > 0 && (spare == nil || w < worth || w == worth && at < since) {
-				spare, worth, since = l, w, at
-			}
+// admissionSettings are the operators' bounds, within the descriptors and the memory that there are.
+func (s *Sidecar) admissionSettings() admission.Settings {
+	a := s.admission.Settings
+	a.Most = s.mostClients()
+	if a.Bytes == 0 {
+		a.Bytes = s.cfg.Limits.MemoryMB << 20 / 4
+	}
+	return a
+}
+
+// accept takes a connection of a client, and tells whether it may stay. Where there is no room a link is closed for it;
+// where none can be spared, its request is throttled unless enough descriptors are left.
+func (s *Sidecar) accept(c netio.Conn) bool {
+	now := s.now()
+	l := &clientLink{s: s, conn: c, openedAt: now, parser: http1.NewRequestParser(httpLimits), index: len(s.clients)}
+	s.clients = append(s.clients, l)
+	c.SetContext(link(l))
+	var verdict admission.Verdict
+	l.place, verdict = s.room.Open(now, clientAddress(c), l)
+	for looked := 0; verdict != admission.Admitted; {
+		gone := s.room.Victim(now, l.place, verdict)
+		if gone == nil {
+			break
 		}
-		if spare == nil {
-			return false
+		old := gone.Owner.(*clientLink)
+		if looked++; looked <= lookedAt && old.mayBeAsking() {
+			s.room.Renew(now, gone)
+			continue
 		}
-		spare.retire()
+		old.giveUp()
+		verdict = admission.Admitted
 	}
-	return true
+	switch {
+	case verdict == admission.OverCap:
+		s.counters.OverCap++
+		s.notice("connections beyond the cap of an address or prefix are refused")
+		return false
+	case verdict == admission.Crowded && len(s.clients) > s.mostClients()+s.beyondRoom():
+	case s.hasRoom(0) || s.makeRoom(0):
+		l.throng = verdict == admission.Crowded
+		return true
+	}
+	// Danger: the next accept would fail for want of a descriptor, and the loop would end. Not a byte of a request has
+	// been read from this link.
+	s.counters.NoRoom++
+	s.notice("connections are refused: there is no room for them")
+	return false
 }
 
-// spare tells how hard it is to do without a link, from 1; 0: it can't be spared; and since when it could be.
-// Danger: floods of links that say nothing must not cost the clients that ask theirs; so what has never carried a
-// request goes first, but for one so new that its first request is on the way.
-func (l *clientLink) spare(now float64) (worth int, since float64) {
-	switch {
-	case l.shut && l.shutAt < now-freshS:
-		return 1, l.shutAt
-	case !l.idle():
-		return 0, 0
-	case l.restedAt > 0 && l.restedAt < now-briefS:
-		return 2, l.restedAt // the clients that ask once and stay are more than there is room for
-	case l.restedAt == 0 && l.openedAt < now-freshS:
-		return 1, l.openedAt
+// clientAddress returns where a connection comes from.
+func clientAddress(c netio.Conn) netip.Addr {
+	if tcp, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		return tcp.AddrPort().Addr().Unmap()
 	}
-	return 0, 0
+	return netip.Addr{}
+}
+
+// mayBeAsking tells whether the next request of a link that seems to have none waits in its socket.
+func (l *clientLink) mayBeAsking() bool {
+	state, _ := l.place.State()
+	return (state == admission.Silent || state == admission.Resting) && !l.s.net.Quiet(l.conn)
+}
+
+// giveUp closes a link that goes for another.
+func (l *clientLink) giveUp() {
+	s := l.s
+	switch state, _ := l.place.State(); state {
+	case admission.Partial, admission.Unread:
+		s.room.Wasted(l.place)
+		s.counters.GivenUp++
+	case admission.Silent:
+		s.room.Wasted(l.place)
+		s.counters.Retired++
+	case admission.Resting:
+		s.counters.Retired++
+	}
+	s.notice("connections that have no request out are closed to make room")
+	s.closeConn(l.conn)
 }
 
 // retire closes a link that is of no more use, unless a request waits in its socket.
 func (l *clientLink) retire() {
-	if !l.shut && !l.s.net.Quiet(l.conn) {
-		l.openedAt, l.restedAt = l.s.now(), 0 // as one whose first request is on the way
+	if l.mayBeAsking() {
+		l.s.room.Renew(l.s.now(), l.place)
 		return
 	}
-	if !l.shut {
-		l.s.counters.Retired++
-	}
+	l.s.counters.Retired++
 	l.s.closeConn(l.conn)
 }
 
+// hold notes how much of a request or of an answer the link holds. Where all hold too much, who holds most goes.
+func (l *clientLink) hold(bytes int) {
+	s := l.s
+	s.room.Hold(l.place, bytes)
+	for gone := s.room.Heavy(); gone != nil; gone = s.room.Heavy() {
+		s.notice("connections that hold much are closed: there is no memory for more")
+		gone.Owner.(*clientLink).giveUp()
+	}
+}
+
 // sweep closes links that have never said anything, and where links are many also those that rest.
 func (s *Sidecar) sweep() {
-	now, many := s.now(), s.crowded()
-	for i := len(s.clients) - 1; i >= 0; i-- { // Danger: a link that goes leaves its place to the last one
-		l := s.clients[i]
-		silent := l.restedAt == 0 && l.openedAt < now-silentS
-		if l.idle() && (silent || many && l.restedAt > 0 && l.restedAt < now-restS) {
-			l.retire()
+	now := s.now()
+	old := func(state admission.State, since float64) {
+		for l := s.room.Oldest(state); l != nil; l = s.room.Oldest(state) {
+			if _, at := l.State(); at >= since {
+				return
+			}
+			l.Owner.(*clientLink).retire()
 		}
 	}
+	if old(admission.Silent, now-silentS); s.crowded() {
+		old(admission.Resting, now-restS)
+	}
 	s.timers.at(now+sweepEveryS, s.sweep)
 }
+
+// unread has a link wait until its client has taken what is written. Danger: requests that are taken up while answers
+// wait grow what waits without a bound, and with it the process, which is killed with all that it has taken.
+func (l *clientLink) unread() {
+	s, now := l.s, l.s.now()
+	l.unreadFrom, l.tookAt, l.untaken = now, now, l.conn.OutboundBuffered()
+	s.room.Move(now, l.place, admission.Unread)
+	l.pause()
+	l.hold(l.untaken + l.buf.Len())
+	if !s.flushing {
+		s.flushing = true
+		s.timers.at(now+flushEveryS, s.flush)
+	}
+}
+
+// pause leaves what the client sends in the socket.
+func (l *clientLink) pause() {
+	l.s.net.PauseReading(l.conn)
+	l.paused = true
+}
+
+// resume reads on.
+func (l *clientLink) resume() {
+	if l.paused {
+		l.paused = false
+		l.s.net.ResumeReading(l.conn)
+	}
+}
+
+// flush looks at the links whose answers wait: one whose client has taken all goes on, one whose client takes nothing is
+// closed.
+func (s *Sidecar) flush() {
+	now := s.now()
+	s.room.Each(admission.Unread, func(place *admission.Link) {
+		l := place.Owner.(*clientLink)
+		left := l.conn.OutboundBuffered()
+		if left < l.untaken {
+			l.untaken, l.tookAt = left, now
+			s.room.Hold(place, left+l.buf.Len())
+		}
+		switch {
+		case left == 0:
+			l.afterAnswer()
+		case now > l.tookAt+unreadS || now > l.unreadFrom+longestReadS:
+			s.counters.Unread++
+			s.notice("connections are closed whose clients do not read their answers")
+			s.room.Wasted(place)
+			s.closeConn(l.conn)
+		}
+	})
+	if s.flushing = s.room.Oldest(admission.Unread) != nil; s.flushing {
+		s.timers.at(now+flushEveryS, s.flush)
+	}
+}
+
+// short tells whether there is not enough for all: requests wait for a server, or for the sidecar itself.
+func (s *Sidecar) short() bool {
+	return s.arrivals.queue.Len() > 0 || s.balancer.Waiting() > 0
+}
+
+// mostShown bounds the addresses that are told of at a time.
+const mostShown = 200
+
+// clientsText tells who holds what, as JSON.
+func (s *Sidecar) clientsText() []byte {
+	var all struct {
+		Links     int                `json:"links"`
+		Most      int                `json:"most"`
+		Reserve   int                `json:"reserve"`
+		Addresses int                `json:"addresses"`
+		Clients   []admission.Client `json:"clients"`
+	}
+	settings := s.admissionSettings()
+	all.Links, all.Most, all.Reserve = s.room.Len(), settings.Most, settings.Reserve
+	all.Clients, all.Addresses = s.room.Clients(mostShown)
+	raw, err := json.Marshal(all)
+	if err != nil { // numbers and names always marshal
+		panic(err)
+	}
+	return append(raw, '\n')
+}
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -37,6 +37,12 @@
 	Malformed uint64 `json:"malformed"` // messages answered with 4xx or 501 and never handed on
 	Retired   uint64 `json:"retired"`   // client links closed since they said nothing, or rested
 
+	TurnedAway uint64 `json:"turned_away"` // throttled without a word of the decisions: no room, or more than a fair part
+	GivenUp    uint64 `json:"given_up"`    // client links closed to make room that had brought no whole request, or not read
+	OverCap    uint64 `json:"over_cap"`    // client links refused beyond the cap of an address or prefix
+	NoRoom     uint64 `json:"no_room"`     // client links refused since all descriptors were taken
+	Unread     uint64 `json:"unread"`      // client links closed since their clients did not read
+
 	Executions uint64 `json:"executions"`
 	Probes     uint64 `json:"probes"`
 	Dials      uint64 `json:"dials"` // server links opened
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -1,10 +1,14 @@
 package sidecar
 
 // After the word to end, clients go on coming for a while and use the links that they have. Those who come in
-// stragglersS are served; then what is idle is closed, and the program ends with the last answer.
+// stragglersS are served; then nobody is accepted any more, links that have had nothing to say for quietS are closed, and
+// the program ends with the last answer.
 const (
-	stragglersS = 0.6
+	stragglersS = 0.7
+	quietS      = 0.2
 	drainEveryS = 0.01
+	// graceS is how long after the longest deadline the program ends whatever is left.
+	graceS = 0.9
 )
 
 // Drain begins the end: every answer from now on is the last on its link.
@@ -12,27 +16,48 @@
 	if s.draining {
 		return
 	}
-	s.draining = true
+	s.draining, s.drainedAt = true, s.now()
 	s.log.Info("ending", "open", s.counters.Open)
-	s.timers.at(s.now()+stragglersS, s.leave)
+	s.timers.at(s.drainedAt+stragglersS, func() {
+		// Danger: clients that are told to close come back on new connections for as long as these are accepted, and
+		// the end never comes.
+		s.net.StopListening()
+		s.leave()
+	})
 }
 
-// leave closes the links that are idle, and ends the loop once there is no other.
+// leave closes the links that are idle, and ends the loop once there is no other, or once no time is left.
 func (s *Sidecar) leave() {
+	now := s.now()
+	busy := s.counters.Open > 0
 	for i := len(s.clients) - 1; i >= 0; i-- { // Danger: a link that goes leaves its place to the last one
-		if l := s.clients[i]; l.idle() {
+		l := s.clients[i]
+		if _, since := l.place.State(); l.idle() && since < now-quietS && !l.mayBeAsking() {
 			l.last = true
 			l.finish()
 		}
-	}
-	busy := s.counters.Open > 0
-	for _, l := range s.clients {
 		busy = busy || !l.shut
 	}
-	if busy {
-		s.timers.at(s.now()+drainEveryS, s.leave)
+	if busy && now < s.drainedAt+s.longestWait()+graceS {
+		s.timers.at(now+drainEveryS, s.leave)
 		return
 	}
+	if busy {
+		left := map[string]int{}
+		for _, l := range s.clients {
+			state, _ := l.place.State()
+			left[state.String()]++
+		}
+		s.log.Warn("ended with work left", "requests", s.counters.Open, "links", left)
+	}
 	s.stopping = true
 	s.net.Stop()
 }
+
+// longestWait is how long a client waits at most by the settings.
+func (s *Sidecar) longestWait() (longest float64) {
+	for _, c := range s.cfg.Settings.Policy.Classes {
+		longest = max(longest, c.GiveUpS)
+	}
+	return longest
+}
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -83,7 +83,7 @@
 func (s *Sidecar) dial(h *hostgroup.Host, e *execution) {
 	l := &serverLink{s: s, host: h.ID, address: h.Address, execution: e}
 	e.link = l
-	if !s.makeRoom() {
+	if !s.makeRoom(dialDescriptors) {
 		s.finish(e, &execError{notConnected, broke, errDescriptors})
 		return
 	}
@@ -102,9 +102,10 @@
 	})
 }
 
-// makeRoom closes the idle links that have rested longest until a dial has room, and tells whether it has.
-func (s *Sidecar) makeRoom() bool {
-	for !s.room(dialDescriptors) {
+// makeRoom closes the idle links to servers that have rested longest until there is room for n descriptors, and tells
+// whether there is.
+func (s *Sidecar) makeRoom(n int) bool {
+	for !s.hasRoom(n) {
 		var oldest *serverLink
 		for _, links := range s.idle {
 			if len(links) > 0 && (oldest == nil || links[0].older(oldest)) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -50,27 +50,32 @@
 	queue    []func(now float64)
 	depth    int // of callbacks within each other
 
-	arrivals arrivals
-	requests map[uint32]*request
-	named    map[string]*request // by their clients' ids
-	lastID   uint32
-	clients  []*clientLink
-	idle     map[uint32][]*serverLink
-	watcher  *watcher
-	drills   *drill.Set
-	rewrites rewrite.Settings
-	health   *health.Server // nil: there is no side port
-	listAt   float64        // when anything was last read from discovery
-	listed   bool           // a list has been read from discovery
-	capture  *capture.Recorder
-	reserved int // descriptors that are kept for features
-	slack    float64
+	arrivals  arrivals
+	requests  map[uint32]*request
+	named     map[string]*request // by their clients' ids
+	lastID    uint32
+	clients   []*clientLink
+	room      *admission.Room
+	flushing  bool // answers are looked after that clients have not taken
+	notices   notices
+	idle      map[uint32][]*serverLink
+	watcher   *watcher
+	admission features.Admission
+	drills    *drill.Set
+	rewrites  rewrite.Settings
+	health    *health.Server // nil: there is no side port
+	listAt    float64        // when anything was last read from discovery
+	listed    bool           // a list has been read from discovery
+	capture   *capture.Recorder
+	reserved  int // descriptors that are kept for features
+	slack     float64
 
-	conns    int // connections that gnet holds
-	dialing  int // descriptors that dials may hold
-	scratch  []byte
-	draining bool
-	stopping bool
+	conns     int // connections that gnet holds
+	dialing   int // descriptors that dials may hold
+	scratch   []byte
+	draining  bool
+	drainedAt float64
+	stopping  bool
 
 	// Limits, if it is set, is told of the limits at the start and at each change.
 	Limits func(config.Limits)
@@ -83,11 +88,12 @@
 	s := &Sidecar{cfg: cfg, log: log, net: loop, classes: map[string]int{}, lastID: 1,
 		requests: map[uint32]*request{}, named: map[string]*request{}, idle: map[uint32][]*serverLink{},
 		hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
-		drills: drill.New(on.Drills), rewrites: on.Rewrites}
+		admission: on.Admission, notices: notices{}, drills: drill.New(on.Drills), rewrites: on.Rewrites}
 	if s.listAt = s.now(); on.Health.On() {
 		s.health = health.New(on.Health, loop.Now, log)
 		s.reserved += health.Descriptors
 	}
+	s.room = admission.NewRoom(s.admissionSettings())
 	var classes []admission.Class
 	for i, c := range cfg.Settings.Policy.Classes {
 		s.classes[c.Name] = i
@@ -139,15 +145,15 @@
 // Open takes a connection: one that was dialed brings its link, any other is a client's.
 func (s *Sidecar) Open(c netio.Conn) bool {
 	s.conns++
-	l, dialed := c.Context().(link)
-	if !dialed {
-		l = s.newClient()
-		c.SetContext(l)
-	}
-	s.within(c, func() { l.opened(c) })
-	// Danger: the next accept would fail for want of a descriptor, and the loop would end. Not a byte of a
-	// request has been read from this link.
-	return dialed || s.room(0)
+	keep := true
+	s.within(c, func() {
+		if l, dialed := c.Context().(link); dialed {
+			l.opened(c)
+		} else {
+			keep = s.accept(c)
+		}
+	})
+	return keep
 }
 
 // Traffic hands what has been received to the connection's link.
@@ -258,8 +264,8 @@
 	return false
 }
 
-// room tells whether n more descriptors can be held.
-func (s *Sidecar) room(n int) bool {
+// hasRoom tells whether n more descriptors can be held.
+func (s *Sidecar) hasRoom(n int) bool {
 	return s.conns+s.dialing+n <= s.mostLinks()
 }
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -166,7 +166,7 @@
 	Outcome Outcome
 	DelayS  float64 // from the send to the answer's arrival
 	LateS   float64 // for how long the answer had arrived and nobody had looked; then it is this event's time
-	Final   bool // the request has had its final answer
+	Final   bool    // the request has had its final answer
 	Report  Report
 }
 
--- a/policy/usable.go
+++ b/policy/usable.go
@@ -15,6 +15,9 @@
 	return phi
 }
 
+// Waiting returns how many requests no host could take so far.
+func (b *Balancer) Waiting() int { return b.queue.len() }
+
 // Usable returns how many members may be sent something new and are not taken for dead. It counts each member for
 // itself: when all fall silent the decisions go on with the least suspected, but none of them is known to be sound.
 func (b *Balancer) Usable(now float64) (n int) {
