Judge greed by what the others have out, and standing by whose fault it was

Cause: in a flood of requests sent again at once the flooder was known and the alert client was not: links that were closed to make room took their clients' standing, and half of all requests counted as a fair part. Change: greedy is who has more than twice the others' average and 4 out while there is not enough for all; it costs standing, as requests that never arrive and links that never speak do; being closed for another does not.

--- a/internal/decide/admission/room.go
+++ b/internal/decide/admission/room.go
@@ -47,6 +47,9 @@
 	// mostKnown addresses are remembered. The memory keeps those that come again before those that came once, so a flood
 	// of addresses that each ask once does not push out who asks all day.
 	mostKnown = 4096
+	// A client is greedy that has greedyTimes as many requests out as the others on average, and freeRequests more.
+	greedyTimes  = 2.0
+	freeRequests = 4.0
 	// fatBytes is from when on a link counts among those that hold much.
 	fatBytes = 4 << 10
 )
@@ -273,12 +276,19 @@
 // Greedy tells whether the client of a link has clearly more requests out than its fair part of all. It says who goes
 // first when there is not enough for all.
 func (r *Room) Greedy(l *Link) bool {
-	a := l.client
-	fair := max(2*float64(r.asking)/float64(max(r.askers, 1)), 4)
+	a, own := l.client, l.client.own[Asking].n
+	others := r.askers
+	if own > 0 {
+		others--
+	}
+	if others == 0 {
+		return false
+	}
+	fair := freeRequests + greedyTimes*float64(r.asking-own)/float64(others)
 	if a.known {
-		fair *= 1 / knownDiscount
+		fair /= knownDiscount
 	}
-	return r.askers > 1 && float64(a.own[Asking].n) > fair
+	return float64(own) >= fair
 }
 
 // Close takes a link out.
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -199,7 +199,11 @@
 	case !ok:
 		l.decline(400, fieldPatience+" is not a number with m or u")
 		return
-	case l.throng && !l.s.hasRoom(serverRoom), l.s.room.Full(), l.s.short() && l.s.room.Greedy(l.place):
+	case l.throng && !l.s.hasRoom(serverRoom), l.s.room.Full():
+		l.turnAway()
+		return
+	case l.s.short() && l.s.room.Greedy(l.place):
+		l.s.room.Wasted(l.place)
 		l.turnAway()
 		return
 	}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -111,12 +111,8 @@
 	s := l.s
 	switch state, _ := l.place.State(); state {
 	case admission.Partial, admission.Unread:
-		s.room.Wasted(l.place)
 		s.counters.GivenUp++
-	case admission.Silent:
-		s.room.Wasted(l.place)
-		s.counters.Retired++
-	case admission.Resting:
+	case admission.Silent, admission.Resting:
 		s.counters.Retired++
 	}
 	s.notice("connections that have no request out are closed to make room")
@@ -129,6 +125,9 @@
 		l.s.room.Renew(l.s.now(), l.place)
 		return
 	}
+	if state, _ := l.place.State(); state == admission.Silent {
+		l.s.room.Wasted(l.place)
+	}
 	l.s.counters.Retired++
 	l.s.closeConn(l.conn)
 }
