--- a/internal/decide/admission/room.go
+++ b/internal/decide/admission/room.go
@@ -83,8 +83,8 @@
 	clients map[netip.Addr]*address
 	groups  [2]map[netip.Prefix]*group // of strangers and of the known
 	heavy   [2]heap[*group]
-	all     [states]list // all links by state, the longest in it first
-	fat     heap[*Link]  // that hold many bytes and are owed nothing
+	all     [2][states]list // the links of strangers and of the known by state, the longest in it first
+	fat     heap[*Link]     // that hold many bytes and are owed nothing
 	scores  *lru.TwoQueueCache[netip.Addr, float64]
 	caps    []int // links within each of Settings.Caps
 	links   int
@@ -115,6 +115,7 @@
 	counted  float64 // its weight in the group's
 	place    int     // in group.clients, from 1
 	links    int
+	free     int // of these, that are owed nothing
 	own      [states]list
 	caps     []int // places in Room.caps
 }
@@ -312,15 +313,23 @@
 
 // Each calls f with the links in a state, the longest in it first. f may close the link that it is given.
 func (r *Room) Each(s State, f func(*Link)) {
-	for l := r.all[s].first; l != nil; {
-		next := l.hooks[ofRoom].after
-		f(l)
-		l = next
+	for i := range r.all {
+		for l := r.all[i][s].first; l != nil; {
+			next := l.hooks[ofRoom].after
+			f(l)
+			l = next
+		}
 	}
 }
 
 // Oldest returns the link that has been longest in a state, nil if none is in it.
-func (r *Room) Oldest(s State) *Link { return r.all[s].first }
+func (r *Room) Oldest(s State) *Link {
+	x, y := r.all[0][s].first, r.all[1][s].first
+	if x == nil || y != nil && y.since < x.since {
+		return y
+	}
+	return x
+}
 
 // address returns what is known of an address.
 func (r *Room) address(addr netip.Addr) *address {
@@ -354,6 +363,12 @@
 		return
 	}
 	r.ungroup(a)
+	for s := range states {
+		for l := a.own[s].first; l != nil; l = l.hooks[ofAddress].after {
+			r.all[tree(a.known)][s].drop(l)
+			r.all[tree(known)][s].putBySince(l)
+		}
+	}
 	if a.known = known; known {
 		r.strange -= a.links
 	} else {
@@ -366,12 +381,11 @@
 func (r *Room) enter(l *Link, s State, now float64) {
 	a := l.client
 	l.state, l.since = s, now
-	r.all[s].put(l)
-	if a.own[s].put(l); s == Asking {
-		r.asking++
-		if a.own[Asking].n == 1 {
-			r.askers++
-		}
+	r.all[tree(a.known)][s].put(l)
+	if a.own[s].put(l); s != Asking {
+		a.free++
+	} else if r.asking++; a.own[Asking].n == 1 {
+		r.askers++
 	}
 	r.weigh(l)
 	r.reweigh(a)
@@ -380,12 +394,11 @@
 // leave takes a link out of its state.
 func (r *Room) leave(l *Link) {
 	a := l.client
-	r.all[l.state].drop(l)
-	if a.own[l.state].drop(l); l.state == Asking {
-		r.asking--
-		if a.own[Asking].n == 0 {
-			r.askers--
-		}
+	r.all[tree(a.known)][l.state].drop(l)
+	if a.own[l.state].drop(l); l.state != Asking {
+		a.free--
+	} else if r.asking--; a.own[Asking].n == 0 {
+		r.askers--
 	}
 	r.fat.drop(l)
 	r.reweigh(a)
--- a/internal/decide/admission/structure.go
+++ b/internal/decide/admission/structure.go
@@ -31,6 +31,28 @@
 	t.n++
 }
 
+// putBySince puts a link in by the time since which it is in its state. It is for the few that come from another list.
+func (t *list) putBySince(l *Link) {
+	after := t.last
+	for after != nil && after.since > l.since {
+		after = after.hooks[t.hook].before
+	}
+	if after == t.last {
+		t.put(l)
+		return
+	}
+	h := hook{before: after}
+	if after == nil {
+		h.after, t.first = t.first, l
+	} else {
+		h.after = after.hooks[t.hook].after
+		after.hooks[t.hook].after = l
+	}
+	h.after.hooks[t.hook].before = l
+	l.hooks[t.hook] = h
+	t.n++
+}
+
 func (t *list) drop(l *Link) {
 	h := l.hooks[t.hook]
 	if h.before != nil {
--- a/internal/decide/admission/victim.go
+++ b/internal/decide/admission/victim.go
@@ -7,8 +7,10 @@
 // quarter. Danger: whatever a flood makes its links look like, it must lose its own before anybody else's.
 func (r *Room) victim(now float64, a *address, not *Link) *Link {
 	strangers := a != nil && !a.known && r.strange >= r.s.Most-r.s.Reserve // room is made only where a stranger goes
-	if l := r.all[Ending].first; l != nil && l.since < now-silentGrace && !(strangers && l.client.known) {
-		return l
+	for i := range r.all {
+		if l := r.all[i][Ending].first; l != nil && l.since < now-silentGrace && (i == 0 || !strangers) {
+			return l
+		}
 	}
 	heaviest := r.heaviest(strangers)
 	if heaviest == nil {
@@ -22,14 +24,21 @@
 	if l := r.sparable(now, heaviest, greedy, not); l != nil {
 		return l
 	}
-	// Those that are heaviest may all be about to ask, and others have long had nothing to say.
-	for _, s := range [...]State{Silent, Partial, Unread, Resting} {
-		l := r.all[s].first
-		if l == nil || l == not || l.since >= now-grace(s) || strangers && l.client.known {
-			continue
+	// Those that are heaviest may all be about to ask, and others have long had nothing to say. A stranger does not take
+	// the kept links of the known.
+	for i := range r.all {
+		for _, s := range [...]State{Silent, Partial, Unread, Resting} {
+			l := r.all[i][s].first
+			allowed := i == 0 || !strangers && (s != Resting || a == nil || a.known)
+			if l != nil && l != not && l.since < now-grace(s) && allowed {
+				return l
+			}
 		}
-		// A stranger does not take the kept links of the known.
-		if a == nil || s != Resting || a.known || !l.client.known {
+	}
+	// Danger: a flood from thousands of networks that is quicker than any grace would shut every newcomer out. Who came
+	// first of the strangers that are owed nothing goes.
+	for _, s := range [...]State{Ending, Silent, Partial, Resting, Unread} {
+		if l := r.all[0][s].first; a != nil && l != nil && l != not && l.since < now {
 			return l
 		}
 	}
@@ -78,7 +87,7 @@
 
 // weight is how many links of an address are owed nothing; those of a known one count less.
 func (a *address) weight() float64 {
-	w := float64(a.links - a.own[Asking].n)
+	w := float64(a.free)
 	if a.known {
 		w *= knownDiscount
 	}
