Let who holds most make room for itself alone; cause the floods with the real program

Cause: newcomers of a flood that found none of their own links stale took those of strangers. Process tests with the laboratory's floods showed it at once. Change: the heaviest address gives way to everybody, and its own newcomers to nobody else's links. hazelwheel clients shows who holds what. Tests: each kind of flood, drains with clients that come back and that stay.

--- /dev/null
+++ b/cmd/hazelwheel/clients.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/decide/admission"
+)
+
+// showClients prints who holds which connections at the running sidecar. One that can't be reached ends with 1.
+func showClients(ctx context.Context, c *cli.Command) error {
+	cfg, err := config.Load(c.String("config"), os.Getenv)
+	if err != nil {
+		return err
+	}
+	raw, err := ask(ctx, cfg.Listen, "/clients")
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		_, err := c.Root().Writer.Write(raw)
+		return err
+	}
+	var all struct {
+		Links, Most, Reserve, Addresses int
+		Clients                         []admission.Client
+	}
+	if err := json.Unmarshal(raw, &all); err != nil {
+		return fmt.Errorf("the sidecar's answer makes no sense: %w", err)
+	}
+	t := tabwriter.NewWriter(c.Root().Writer, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "ADDRESS\tKNOWN\tLINKS\tBYTES\tSTATES")
+	for _, client := range all.Clients {
+		known := "no"
+		if client.Known {
+			known = "yes"
+		}
+		var states []string
+		for name, n := range client.States {
+			states = append(states, fmt.Sprintf("%s %d", name, n))
+		}
+		slices.Sort(states)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\n", client.Address, known, client.Links, client.Bytes, strings.Join(states, ", "))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if more := all.Addresses - len(all.Clients); more > 0 {
+		fmt.Fprintf(c.Root().Writer, "and %d more addresses\n", more)
+	}
+	_, err = fmt.Fprintf(c.Root().Writer, "%d links of at most %d, of which %d are for known clients alone\n", all.Links, all.Most, all.Reserve)
+	return err
+}
+
+// ask gets what the running sidecar says at a path of its own.
+func ask(ctx context.Context, listen, path string) ([]byte, error) {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(startWithinS*time.Second))
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+listen+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return nil, fmt.Errorf("the sidecar can't be reached: %w", err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("the sidecar answers %d", resp.StatusCode)
+	}
+	return raw, err
+}
--- a/cmd/hazelwheel/main.go
+++ b/cmd/hazelwheel/main.go
@@ -39,6 +39,8 @@
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "serve the application beside it", Flags: []cli.Flag{file, extras, verbose}, Action: serve},
 			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{file, extras}, Action: check},
+			{Name: "clients", Usage: "show who holds which connections at the running sidecar", Flags: []cli.Flag{file,
+				&cli.BoolFlag{Name: "json", Usage: "as the sidecar says it"}}, Action: showClients},
 			{Name: "drill", Usage: "rehearse slow and failed requests", Commands: []*cli.Command{
 				{Name: "start", Usage: "start a drill at the running sidecar", Flags: drill, Action: startDrill},
 			}},
--- /dev/null
+++ b/cmd/hazelwheel/pressure_test.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/lab/flood"
+	lab "hazelwheel/internal/lab/load"
+)
+
+// from returns a client whose connections come from an address; kept tells whether it keeps them.
+func from(t *testing.T, address string, kept bool) *http.Client {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(address)}}
+	c := &http.Client{Timeout: patience, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: !kept}}
+	t.Cleanup(c.CloseIdleConnections)
+	return c
+}
+
+// Each flood from one address, or from a thousand: alerts of a client that was there before are served all the while, on
+// kept connections and on new ones, and so are those of a stranger who comes in the middle of it.
+func TestFloods(t *testing.T) {
+	for _, kind := range flood.Kinds() {
+		for name, addresses := range map[string]int{kind: 1, kind + ", 1,000 addresses": 1000} {
+			if addresses > 1 && kind != "half-head" && kind != "silent" {
+				continue // what an address has asked for makes no difference to the others
+			}
+			t.Run(name, func(t *testing.T) {
+				body := ""
+				if kind == "unread" {
+					body = strings.Repeat("x", 60<<10)
+				}
+				w := newWorld(t, newServer(t, "s-00000001", says(200, body)), newServer(t, "s-00000002", says(200, body)))
+				w.limits["sockets"], w.limits["memory_mb"] = 192, 64
+				w.start()
+				ask := func(c *http.Client) {
+					r, err := c.Do(w.request("alert", "", "x"))
+					require.NoError(t, err)
+					defer r.Body.Close()
+					text, err := io.ReadAll(r.Body)
+					require.NoError(t, err)
+					assert.Equal(t, 200, r.StatusCode)
+					assert.Equal(t, body, string(text))
+				}
+				kept, fresh := from(t, "127.0.0.3", true), from(t, "127.0.0.3", false)
+				for range 4 { // it is known from now on
+					ask(kept)
+				}
+				p := flood.Plan{Kind: kind, Target: netip.MustParseAddrPort(w.listen), From: netip.MustParseAddr("127.0.0.2"),
+					Addresses: addresses, Threads: 2, Links: 400, For: 90 * time.Second, Ahead: 200, Within: 2 * time.Second, Seed: 1,
+					Class: lab.Class{Name: "read", Safe: true}}
+				if addresses > 1 {
+					p.From = netip.MustParseAddr("127.1.0.0")
+				}
+				ctx, end := context.WithCancel(context.Background())
+				over := make(chan error, 1)
+				go func() {
+					_, err := flood.Run(ctx, &p)
+					over <- err
+				}()
+				t.Cleanup(func() {
+					end()
+					<-over
+				})
+				w.eventually("the flood is there", func() bool { return w.pressed(kept) })
+				stranger := from(t, "127.0.0.4", false)
+				for range 12 {
+					ask(kept)
+					ask(fresh)
+					ask(stranger)
+				}
+				assert.Zero(t, w.counter("panics"))
+				r, err := fresh.Get("http://" + w.listen + "/clients")
+				require.NoError(t, err)
+				defer r.Body.Close()
+				var all struct {
+					Links, Most int
+					Clients     []struct{ Bytes int }
+				}
+				require.NoError(t, json.NewDecoder(r.Body).Decode(&all))
+				bytes := 0
+				for _, c := range all.Clients {
+					bytes += c.Bytes
+				}
+				assert.LessOrEqual(t, all.Links, all.Most+all.Most/8)
+				assert.LessOrEqual(t, bytes, 16<<20, "a quarter of the memory")
+			})
+		}
+	}
+}
+
+// pressed tells, as a client is told, whether what others do has cost any of them something, or many have come.
+func (w *world) pressed(c *http.Client) bool {
+	r, err := c.Get("http://" + w.listen + "/counters")
+	require.NoError(w, err)
+	defer r.Body.Close()
+	var all map[string]any
+	require.NoError(w, json.NewDecoder(r.Body).Decode(&all))
+	sum := 0.0
+	for _, name := range []string{"retired", "given_up", "no_room", "unread", "turned_away"} {
+		sum += all[name].(float64)
+	}
+	return sum > 0 || all["descriptors"].(float64) > 60 || all["accepted"].(float64) > 500
+}
+
+// SIGTERM while clients come back at once whenever they are told to close: the process ends, and soon, and nobody who was
+// let in goes without an answer.
+func TestDrainEnds(t *testing.T) {
+	w := newWorld(t, newServer(t, "s-00000001", says(200, "x"))).start()
+	const clients = 8
+	type tally struct{ served, unanswered int }
+	tallies := make(chan tally, clients)
+	for range clients {
+		go func() {
+			var n tally
+			defer func() { tallies <- n }()
+			for {
+				c, err := net.Dial("tcp", w.listen)
+				if err != nil {
+					return // refused: the listener is closed
+				}
+				_ = c.SetDeadline(time.Now().Add(patience))
+				_, _ = io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+				text, _ := io.ReadAll(c)
+				c.Close()
+				switch {
+				case strings.HasPrefix(string(text), "HTTP/1.1 200"):
+					n.served++
+				case len(text) == 0:
+					n.unanswered++
+				}
+			}
+		}()
+	}
+	w.eventually("clients ask", func() bool { return w.counter("malformed") == 0 && w.counter("descriptors") > 1 })
+	w.signal(syscall.SIGTERM)
+	said := time.Now()
+	ended := make(chan error, 1)
+	go func() { ended <- w.cmd.Wait() }()
+	select {
+	case err := <-ended:
+		assert.NoError(t, err)
+	case <-time.After(patience):
+		t.Fatal("it does not end")
+	}
+	assert.Less(t, time.Since(said), 10*time.Second)
+	all := tally{}
+	for range clients {
+		n := <-tallies
+		all.served += n.served
+		all.unanswered += n.unanswered
+	}
+	assert.Greater(t, all.served, clients)
+	assert.Zero(t, all.unanswered)
+}
+
+// A client that never closes its connection and never asks does not keep the process.
+func TestDrainWithAClientThatStays(t *testing.T) {
+	w := newWorld(t, newServer(t, "s-00000001", hangs)).start()
+	c, err := net.Dial("tcp", w.listen)
+	require.NoError(t, err)
+	defer c.Close()
+	late := w.askAside("write", "", "", "Request-Timeout", "1500m")
+	w.eventually("a request is out", func() bool { return w.counter("open") == 1 })
+	w.signal(syscall.SIGTERM)
+	assert.Equal(t, 504, (<-late).status)
+	require.NoError(t, w.cmd.Wait())
+}
+
+// Clients shows at the running sidecar who holds what.
+func TestClients(t *testing.T) {
+	w := newWorld(t, newServer(t, "s-00000001", says(200, "x"))).start()
+	for range 3 {
+		assert.Equal(t, 200, w.ask("read", "", "").status)
+	}
+	out, err := program("clients", "--config", w.path).Output()
+	require.NoError(t, err)
+	assert.Regexp(t, `(?m)^ADDRESS +KNOWN +LINKS +BYTES +STATES$`, string(out))
+	assert.Regexp(t, `(?m)^127\.0\.0\.1 +yes +\d+ +\d+ .*resting 1`, string(out))
+	w.signal(syscall.SIGTERM)
+	require.NoError(t, w.cmd.Wait())
+	err = program("clients", "--config", w.path).Run()
+	require.Error(t, err)
+	assert.Contains(t, err.Error(), "exit status 1")
+}
--- a/internal/decide/admission/room.go
+++ b/internal/decide/admission/room.go
@@ -50,6 +50,8 @@
 	// A client is greedy that has greedyTimes as many requests out as the others on average, and freeRequests more.
 	greedyTimes  = 2.0
 	freeRequests = 4.0
+	// manyFree links that are owed nothing in one prefix are enough to take any of them for a newcomer.
+	manyFree = 4.0
 	// fatBytes is from when on a link counts among those that hold much.
 	fatBytes = 4 << 10
 )
--- a/internal/decide/admission/victim.go
+++ b/internal/decide/admission/victim.go
@@ -20,9 +20,10 @@
 	if a != nil {
 		mine = a.weight()
 	}
-	greedy := a != nil && heaviest != a && (heaviest.weight() > mine || heaviest.in != a.in && heaviest.in.weight > a.in.weight)
-	if l := r.sparable(now, heaviest, greedy, not); l != nil {
-		return l
+	self := heaviest == a
+	greedy := a != nil && !(self && a.known) && (heaviest.weight() > mine || heaviest.in.weight >= manyFree)
+	if l := r.sparable(now, heaviest, greedy, not); l != nil || self {
+		return l // who holds most makes room for itself alone
 	}
 	// Those that are heaviest may all be about to ask, and others have long had nothing to say. A stranger does not take
 	// the kept links of the known.
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -59,6 +59,7 @@
 	now := s.now()
 	l := &clientLink{s: s, conn: c, openedAt: now, parser: http1.NewRequestParser(httpLimits), index: len(s.clients)}
 	s.clients = append(s.clients, l)
+	s.counters.Accepted++
 	c.SetContext(link(l))
 	var verdict admission.Verdict
 	l.place, verdict = s.room.Open(now, clientAddress(c), l)
@@ -68,7 +69,10 @@
 			break
 		}
 		old := gone.Owner.(*clientLink)
-		if looked++; looked <= lookedAt && old.mayBeAsking() {
+		if old.mayBeAsking() {
+			if looked++; looked > lookedAt {
+				break
+			}
 			s.room.Renew(now, gone)
 			continue
 		}
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -26,6 +26,7 @@
 
 // counters count what the sidecar takes in, sends and answers.
 type counters struct {
+	Accepted  uint64 `json:"accepted"`  // client links that have come up
 	Requests  uint64 `json:"requests"`  // taken whole from clients
 	Open      int    `json:"open"`      // of these, not answered yet
 	Served    uint64 `json:"served"`    // answered with what a server said
