Let discovery go on from what it was told last, not from what it lists yet

A box that returned elsewhere and was told to drain within discovery's lag stood on the list at its old address again.

--- a/internal/world/actors_test.go
+++ b/internal/world/actors_test.go
@@ -158,7 +158,7 @@
 		r := s.world.Registry
 		s.begin(t, r.spec.IPs[0])
 		held := map[string]string{}
-		index, have := uint64(0), false
+		index, have, forget := uint64(0), false, false
 		var watch func()
 		var parser http1.ResponseParser
 		var buf http1.Buffer
@@ -192,6 +192,7 @@
 					Endpoints []struct{ Name, Address, Status string }
 				}
 				require.NoError(t, json.Unmarshal(line, &l))
+				require.Equal(t, !have, l.Snapshot, "who has no version is given the whole list")
 				if index, have = l.Index, true; l.Snapshot {
 					clear(held)
 				}
@@ -202,7 +203,10 @@
 				}
 			}
 		}
-		s.host.closed = func(netio.Conn, error) { s.net.At(s.net.Now()+0.3, watch) }
+		s.host.closed = func(netio.Conn, error) {
+			have, forget = have && !forget, false
+			s.net.At(s.net.Now()+0.3, watch)
+		}
 		watch = func() {
 			s.host.net.Dial(r.Address(), s.net.Now()+1, nil, func(err error) {
 				if err != nil {
@@ -211,18 +215,30 @@
 			})
 		}
 		s.net.At(s.day.Start, watch)
+		last := map[int]entry{} // what the boxes have done last
+		for i, b := range s.day.Boxes[:s.day.Standing] {
+			last[i] = entry{status: judge.Serving, address: b.Address}
+		}
 		at := 1.0
 		for range rapid.IntRange(0, 12).Draw(t, "events") {
 			at += rapid.Float64Range(0, 4).Draw(t, "wait")
 			s.until(at)
 			box, now := rapid.IntRange(0, len(s.day.Boxes)-1).Draw(t, "box"), s.net.Now()
-			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			was := last[box]
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 0:
-				r.Up(box, "10.9.9.9:1", now, now)
+				last[box] = entry{status: judge.Serving, address: "10.9.9." + strconv.Itoa(int(at))}
+				r.Up(box, last[box].address, now, now)
 			case 1:
-				r.Drained(box, now)
+				if was.status == judge.Serving {
+					last[box] = entry{status: judge.Draining, address: was.address}
+					r.Drained(box, now)
+				}
 			case 2:
-				r.Lost(box, rapid.Bool().Draw(t, "silent"), now)
+				if was.status != 0 && was.status != judge.Deleted {
+					last[box] = entry{status: judge.Deleted, address: was.address}
+					r.Lost(box, rapid.Bool().Draw(t, "silent"), now)
+				}
 			case 3:
 				r.StaleS = rapid.Float64Range(0, 10).Draw(t, "stale")
 			case 4:
@@ -232,6 +248,8 @@
 					s.begin(t, ip)
 					r.Move()
 				}
+			case 6:
+				forget = true // it begins anew when its watch ends
 			}
 		}
 		r.Down(false, s.net.Now())
@@ -244,6 +262,8 @@
 			}
 		}
 		for i, e := range r.entries {
+			require.Equal(t, last[i].status, e.status)
+			require.Equal(t, last[i].address, e.address)
 			if e.status == judge.Serving || e.status == judge.Draining {
 				want[s.day.Boxes[i].Name] = e.address + statusText[e.status]
 			}
--- a/internal/world/registry.go
+++ b/internal/world/registry.go
@@ -55,6 +55,7 @@
 type learned struct {
 	life  int
 	dueAt float64 // of the last change: a later one does not overtake it
+	entry entry   // what it says then. Danger: the list may not have it yet, and what follows must not undo it
 }
 
 // NewRegistry returns a discovery service that lists the boxes that stand at the day's start.
@@ -62,7 +63,8 @@
 	r := &Registry{day: d, spec: &d.Registry, witness: w, who: newNeighbours(d), rng: stream(d.Seed, "discovery", 0),
 		entries: make([]entry, len(d.Boxes)), known: make([]learned, len(d.Boxes)), index: 40, publish: d.Start}
 	for i := range d.Boxes[:d.Standing] {
-		r.take(change{box: i, entry: entry{status: judge.Serving, address: d.Boxes[i].Address}, at: d.Start})
+		r.known[i].entry = entry{status: judge.Serving, address: d.Boxes[i].Address}
+		r.take(change{box: i, entry: r.known[i].entry, at: d.Start})
 	}
 	return r
 }
@@ -75,14 +77,14 @@
 
 // Drained tells it that a box drains.
 func (r *Registry) Drained(box int, now float64) {
-	e := r.entries[box]
+	e := r.known[box].entry
 	e.status = judge.Draining
 	r.learn(box, e, now+r.spec.AddS/4)
 }
 
 // Lost tells it that a box's process has gone, or that its machine has gone silent.
 func (r *Registry) Lost(box int, silent bool, now float64) {
-	e := r.entries[box]
+	e := r.known[box].entry
 	e.status = judge.Deleted
 	at := now + r.spec.NoticeS
 	if silent {
@@ -93,7 +95,7 @@
 
 func (r *Registry) learn(box int, e entry, at float64) {
 	k := &r.known[box]
-	k.dueAt = max(k.dueAt, at+r.StaleS)
+	k.dueAt, k.entry = max(k.dueAt, at+r.StaleS), e
 	r.pending.put(k.dueAt, change{box: box, life: k.life, entry: e, at: k.dueAt})
 	r.arm()
 }
