--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -263,3 +263,24 @@
 	assert.Equal(t, Prices{Executions: 2, CrossZone: 1, SlowRefusal: 0.3 * 5}, r.Prices)
 	assert.Empty(t, j.Findings())
 }
+
+// On days that are held to be calm what runs out of time is lost, too, and so is a first request that is hung up on.
+func TestCalmDays(t *testing.T) {
+	out := newTale().ask(1, 9, safe).add(Event{Kind: Left, At: 4, Request: 9})
+	early := newTale().ask(1, 9, safe).add(Event{Kind: Left, At: 3.9, Request: 9})
+	hungUp := newTale().ask(1, 9, safe).drop(1.2, 9, false)
+	strict := rules()
+	strict.Unanswered, strict.Calm = true, true
+	for _, c := range []struct {
+		tale  *tale
+		rules Rules
+		want  int
+	}{{out, rules(), 0}, {out, strict, 1}, {early, strict, 0}, {hungUp, rules(), 0}, {hungUp, strict, 1}} {
+		j := New(c.rules)
+		for _, e := range c.tale.events {
+			j.See(e)
+		}
+		assert.Len(t, j.Findings(), c.want)
+		assert.Equal(t, c.want, j.Broken())
+	}
+}
--- a/internal/world/script_test.go
+++ b/internal/world/script_test.go
@@ -68,6 +68,7 @@
 		require.NoError(f, err)
 		f.Add(text)
 	}
+	f.Add([]byte("seed = 7\ntrouble = []\n"))
 	f.Add([]byte("trouble = [{kind = 'reload', at_s = 1.0}]\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		s, err := ReadScript("f.toml", text, Usual())
--- a/internal/world/scriptfile.go
+++ b/internal/world/scriptfile.go
@@ -40,6 +40,7 @@
 	if err := decoder.Decode(s); err != nil {
 		return nil, scriptError(file, err)
 	}
+	s.tidy()
 	places := fieldPlaces(text)
 	fault := func(table int, field, why string) error {
 		at, ok := places[place{table, field}]
@@ -68,6 +69,22 @@
 	return s, nil
 }
 
+// tidy makes lists that are there and hold nothing the same as none.
+func (s *Script) tidy() {
+	if len(s.Troubles) == 0 {
+		s.Troubles = nil
+	}
+	for i := range s.Troubles {
+		t := &s.Troubles[i]
+		if len(t.Boxes) == 0 {
+			t.Boxes = nil
+		}
+		if len(t.Sidecars) == 0 {
+			t.Sidecars = nil
+		}
+	}
+}
+
 // scriptError puts an error of the TOML reader into one line.
 func scriptError(file string, err error) error {
 	e := &ScriptError{File: file, Line: 1, Col: 1}
