--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,6 +39,7 @@
 	lineWeight  = 1.5  // a line probably grows before a request comes to its head
 	doubt       = 1.3  // a guessed time may well be so many times longer
 	farWeight   = 20.0 // how much dearer a host of another zone is, for the price of crossing
+	briskPart   = 0.1  // of the aim: an answer within it came from a host that has room
 	shunPart    = 0.05 // of the aim: shortest pause after a host has turned a request away
 
 	mostUnserved = 1000 // requests whose clients' next tries are known
@@ -574,9 +575,7 @@
 		b.giveUp(r) // it was the host that died, not the connection alone
 		return
 	}
-	if h := b.pick(r); h != nil && b.send(r, h) {
-		r.waiting = false
-		b.queue.drop(r)
+	if b.settle(r) {
 		return
 	}
 	hopeless := r.HasWork && b.reports && b.now+hope*b.svc*r.units > r.aim // even for an idle host
@@ -595,6 +594,17 @@
 	b.due(r.decideAt)
 }
 
+// settle sends a waiting request if there is a host for it, and tells whether.
+func (b *Balancer) settle(r *request) bool {
+	h := b.pick(r)
+	if h == nil || !b.send(r, h) {
+		return false
+	}
+	r.waiting = false
+	b.queue.drop(r)
+	return true
+}
+
 // giveUp answers a request at once: refused if nothing may have run, else failed. Its aim is kept for the
 // client's next try: work on a marked repeat is lost once the aim of the first try has passed.
 func (b *Balancer) giveUp(r *request) {
@@ -723,6 +733,11 @@
 		b.again(r)
 	}
 	b.pump()
+	// Danger: hosts are idle while requests wait for their next look. What a host that is far from its limits has
+	// made free goes to the first; one with a line must have time to work it off.
+	brisk := res.Outcome == OK && res.DelayS < briskPart*b.aim && !b.polls
+	for first := b.queue.first(); brisk && first != nil && b.settle(first); first = b.queue.first() {
+	}
 }
 
 // again tries a request once more after a failed attempt, or gives it up.
