--- a/internal/judge/client.go
+++ b/internal/judge/client.go
@@ -38,7 +38,9 @@
 	case Dropped:
 		j.dropped(r, e)
 	case Left:
-		if r.taken && r.fate == unended && e.At >= r.until && j.rules.Unanswered {
+		// Danger: a client may give so little time that nobody could answer in it, or read too slowly.
+		enough := e.At-r.askedAt >= j.rules.AnswerSlackS+j.rules.SocketSlackS && !j.troubled(r.sidecar, ToClients, r.askedAt, e.At)
+		if r.taken && r.fate == unended && e.At >= r.until && j.rules.Unanswered && enough {
 			j.find(OneAnswer, e.Sidecar, -1, e.Request, nil, "no answer when its time was over")
 		}
 		j.end(r, left, e.At)
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -123,7 +123,9 @@
 	d.weather = drawWeather(s.Seed)
 	d.net = virtual.New(s.Seed, d.spec.Start)
 	d.net.CutShare = d.weather.cutShare
-	d.judge = judge.New(d.spec.Rules())
+	rules := d.spec.Rules()
+	rules.Unanswered = d.weather.everyS == 0 // a loop that stands still may miss a deadline
+	d.judge = judge.New(rules)
 	var witness judge.Witness = d.judge
 	if d.trace != nil {
 		witness = &teller{d}
