--- a/internal/world/spoil.go
+++ b/internal/world/spoil.go
@@ -15,16 +15,18 @@
 	negative
 	twoLengths
 	hugeAndComing
+	endsEarly
 	spoilings
 )
 
-// spoil writes an answer that nobody can take for whole, though its request has run. The connection stays open and is
-// of no further use.
+// spoil writes an answer that nobody can take for whole, though its request has run. The connection stays open, mostly,
+// and is of no further use.
 func (l *life) spoil(k *boxLink, body []byte) {
 	l.replied(k, 0, false, true, nil)
 	k.job, k.spent = nil, true
 	out := l.out[:0]
-	switch l.rng.IntN(spoilings) {
+	how := l.rng.IntN(spoilings)
+	switch how {
 	case noise:
 		out = l.appendNoise(out, 20+l.rng.IntN(400))
 	case badHead:
@@ -34,7 +36,7 @@
 		for range 1 + l.rng.IntN(40<<10) {
 			out = append(out, 'a')
 		}
-	case tooLong:
+	case tooLong, endsEarly:
 		out = append(http1.AppendHeader(append(out, "HTTP/1.1 200 OK\r\n"...), nil, len(body)+1+l.rng.IntN(1000)), body...)
 	case negative:
 		out = append(append(out, "HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\n"...), body...)
@@ -48,7 +50,9 @@
 			out = append(out, 'a')
 		}
 	}
-	l.write(k, out)
+	if l.write(k, out); how == endsEarly && k.conn != nil {
+		l.net.Close(k.conn)
+	}
 }
 
 // behind appends what does not belong to an answer: a copy of it, or noise.
