Show what was never sent at a virtual connection's end, and cause the hard cases exactly

A reset took away what the socket had not taken, so a request that had never been written whole seemed to be, and one that could have gone elsewhere failed; gnet still shows it when it tells the end. Found by a test that has a box die under a half-written request. Mutants copy what programs embed.

--- a/internal/netio/virtual/conn.go
+++ b/internal/netio/virtual/conn.go
@@ -158,8 +158,7 @@
 		return 0, net.ErrClosed
 	}
 	c.w.trace(Event{At: c.p.Now(), Kind: Sent, Process: c.p.opt.Name, Peer: c.peerName(), Conn: c.id, N: len(p), Data: p})
-	if c.resetIn || c.finDue && len(p) > 0 {
-		c.out = c.out[:c.head+c.sock]
+	if c.user() == 0 && (c.resetIn || c.finDue && len(p) > 0) {
 		c.end(errPipe) // as gnet does, before Write returns
 		return 0, errPipe
 	}
@@ -359,7 +358,10 @@
 	}
 	c.resetIn = true
 	c.epoch++
-	c.out, c.head, c.sock, c.flight, c.arrived = c.out[:0], 0, 0, 0, 0
+	// Danger: what the socket had not taken still shows as such, until the process has been told. It is how a program knows
+	// that a request has never been written whole.
+	c.out = append(c.out[:0], c.out[c.head+c.sock:]...)
+	c.head, c.sock, c.flight, c.arrived = 0, 0, 0, 0
 	if c.state == orphan {
 		c.state = dead
 		return
@@ -415,10 +417,13 @@
 		return
 	}
 	p := c.p
+	if c.resetIn && c.user() > 0 {
+		c.end(errPipe) // writing goes first, and finds the end
+		return
+	}
 	if c.writable && !c.resetIn {
 		c.writable = false
 		if c.finDue {
-			c.out = c.out[:c.head+c.sock]
 			c.end(errPipe)
 			return
 		}
@@ -525,15 +530,24 @@
 	}
 }
 
-// end closes the connection and tells the host. What has not been sent is tried once and then dropped. Danger: bytes
-// that nobody has read make it a reset, which destroys what the peer has not confirmed, on either side.
+// end tells the host of the connection's end, and closes it. What has not been sent is tried once and then dropped. Danger:
+// bytes that nobody has read make it a reset, which destroys what the peer has not confirmed, on either side.
 func (c *Conn) end(err error) {
 	p := c.p
-	c.fillSocket()
-	c.out = c.out[:c.head+c.sock]
+	p.drop(c)
 	if c.endedAt == 0 {
 		c.endedAt = p.Now()
 	}
+	if c.told { // as gnet does, before the socket is closed
+		p.w.mix(p.Now(), Ended, p, c.id, nil)
+		p.w.trace(Event{At: p.Now(), Kind: Ended, Process: p.opt.Name, Peer: c.peerName(), Conn: c.id, Err: err})
+		p.host.Closed(c, err)
+		p.called()
+	}
+	if !c.finDue && !c.resetIn {
+		c.fillSocket()
+	}
+	c.out = c.out[:c.head+c.sock]
 	switch {
 	case c.resetIn:
 		c.state = dead
@@ -544,13 +558,6 @@
 		c.state, c.finDue = orphan, true
 		c.push()
 	}
-	p.drop(c)
-	if c.told {
-		p.w.mix(p.Now(), Ended, p, c.id, nil)
-		p.w.trace(Event{At: p.Now(), Kind: Ended, Process: p.opt.Name, Peer: c.peerName(), Conn: c.id, Err: err})
-		p.host.Closed(c, err)
-		p.called()
-	}
 }
 
 func (c *Conn) peerName() string {
--- a/internal/netio/virtual/virtual_test.go
+++ b/internal/netio/virtual/virtual_test.go
@@ -328,6 +328,17 @@
 	w.Until(w.Now() + 3)
 	assert.Len(t, b.text(0), 10_000)
 	assert.True(t, b.net.Quiet(b.conns[0]))
+	// At the end it still shows what was never sent.
+	b.net.ReadRate(b.conns[0], -1)
+	_, err = a.conns[0].Write(make([]byte, 10_000))
+	require.NoError(t, err)
+	left := 0
+	a.onClosed = func(c netio.Conn) { left = c.OutboundBuffered() }
+	w.Until(w.Now() + 1)
+	b.net.Kill()
+	w.Until(w.Now() + 1)
+	assert.Equal(t, 8_500, left)
+	assert.ErrorIs(t, a.ended[a.conns[0].id], syscall.EPIPE)
 }
 
 // Connections beyond the limit wait in the backlog until a descriptor is free.
--- a/internal/sim/mutants.go
+++ b/internal/sim/mutants.go
@@ -30,17 +30,20 @@
 
 // Mutant is what came of one.
 type Mutant struct {
-	Name string     `json:"name"`
-	Seed uint64     `json:"seed"` // that caught it; 0: none has
-	Rule judge.Rule `json:"rule,omitempty"`
-	Why  string     `json:"why,omitempty"`
+	Name  string       `json:"name"`
+	Seed  uint64       `json:"seed"`            // that caught it; 0: none has
+	Rules []judge.Rule `json:"rules,omitempty"` // that it broke
 }
 
 func (m Mutant) String() string {
 	if m.Seed == 0 {
 		return fmt.Sprintf("%-32s NOT CAUGHT", m.Name)
 	}
-	return fmt.Sprintf("%-32s caught by seed %d: %s", m.Name, m.Seed, m.Rule)
+	rules := make([]string, len(m.Rules))
+	for i, r := range m.Rules {
+		rules[i] = string(r)
+	}
+	return fmt.Sprintf("%-32s caught by seed %d: %s", m.Name, m.Seed, strings.Join(rules, ", "))
 }
 
 // Mutants builds each mutant in a copy of the tree, plays seeds with it, and tells what came of it in the order of the
@@ -119,8 +122,9 @@
 	if err := json.Unmarshal(out, &t); err != nil {
 		return m, fmt.Errorf("%s: %w: %s", m.Name, err, out)
 	}
-	if len(t.Broken) > 0 {
-		m.Seed, m.Rule = t.Broken[0].Seeds[0], t.Broken[0].Rule
+	for _, b := range t.Broken {
+		m.Seed = b.Seeds[0]
+		m.Rules = append(m.Rules, b.Rule)
 	}
 	return m, nil
 }
@@ -130,7 +134,10 @@
 	for _, part := range []string{"cmd", "internal", "policy"} {
 		root := filepath.Join(from, part)
 		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
-			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			if d != nil && d.IsDir() && d.Name() == "testdata" {
+				return fs.SkipDir
+			}
+			if err != nil || !d.Type().IsRegular() || strings.HasSuffix(path, "_test.go") {
 				return err
 			}
 			rel, err := filepath.Rel(from, path)
