--- a/internal/judge/box.go
+++ b/internal/judge/box.go
@@ -54,13 +54,16 @@
 		return // the last words of a process that has been killed
 	}
 	j.checkDrain(s, p, e)
-	if r.claimed && r.mayBeOver() {
-		return // another client has used its id since
+	another := r.claimed && r.mayBeOver() // a hostile client has used its id since
+	if !another {
+		j.checkOpen(r, p, e)
 	}
-	j.checkOpen(r, p, e)
 	a := attempt{box: e.Box, boxLife: s.life, life: p.life, link: e.Link, firstSent: e.FirstSent, sent: e.Sent}
 	r.attempts = append(r.attempts, a)
 	j.links[e.Link] = &linkState{r, len(r.attempts) - 1}
+	if another {
+		return
+	}
 	n := 0
 	for i := range r.attempts {
 		if r.attempts[i].life == p.life {
