--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -160,7 +160,11 @@
 		TryShare: r.TryShare.draw(rng), BackoffS: r.BackoffMS.draw(rng) / 1e3, Honour: r.Honour.draw(rng),
 		Impatient: r.Impatient.draw(rng), MostConnections: d.Sockets / 3, MaxRetryAfterS: maxRetryAfter,
 	}
-	d.pace(r.Load.draw(rng))
+	load := r.Load.draw(rng)
+	if crowd := stream(seed, "crowd", 0); crowd.Float64() < r.Crowds {
+		load, d.Clients.RatePS = r.Crowded.draw(crowd), r.CrowdedPS.draw(crowd)
+	}
+	d.pace(load)
 	d.Registry = RegistrySpec{
 		NoticeS: r.NoticeS.draw(rng), SilentNoticeS: r.SilentNoticeS.draw(rng), AddS: r.AddS.draw(rng),
 		PublishS: r.PublishMS.draw(rng) / 1e3, SpreadS: r.SpreadMS.draw(rng) / 1e3, CallsPS: r.CallsPS.draw(rng),
--- a/internal/world/ranges.go
+++ b/internal/world/ranges.go
@@ -7,14 +7,17 @@
 	Boxes    Range // at the start of the day
 	Sites    Range // boxes and sidecars are dealt out among so many
 
-	RatePS  Range // requests a second of all sidecars together, clients' retries not counted
-	Load    Range // work asked for, as a share of what all boxes bear when warm
-	Swing   Range // arrivals go up and down by this share
-	PeriodS Range // of the swing
-	Burst   Range // in a burst arrivals are multiplied by this
-	BurstS  Range // a burst's length
-	EveryS  Range // mean time between bursts
-	Skew    Range // how unevenly sidecars are used: the spread of their shares
+	RatePS    Range   // requests a second of all sidecars together, clients' retries not counted
+	Load      Range   // work asked for, as a share of what all boxes bear when warm
+	Crowds    float64 // share of the days that are crowded
+	CrowdedPS Range   // requests a second then: many small ones, since boxes that begin cold bear few large ones
+	Crowded   Range   // and their work
+	Swing     Range   // arrivals go up and down by this share
+	PeriodS   Range   // of the swing
+	Burst     Range   // in a burst arrivals are multiplied by this
+	BurstS    Range   // a burst's length
+	EveryS    Range   // mean time between bursts
+	Skew      Range   // how unevenly sidecars are used: the spread of their shares
 
 	SameMS   Range // one way within a site
 	CrossMS  Range // one way between two sites
@@ -92,7 +95,7 @@
 	}
 	return Ranges{
 		LengthS: Range{40, 50}, Sidecars: Range{3, 5}, Boxes: Range{12, 19}, Sites: Range{3, 4},
-		RatePS: Range{85, 320}, Load: Range{0.3, 0.8}, Swing: Range{0.1, 0.35}, PeriodS: Range{15, 40},
+		RatePS: Range{85, 320}, Load: Range{0.3, 0.8}, Crowds: 0.1, CrowdedPS: Range{240, 320}, Crowded: Range{0.95, 1.3}, Swing: Range{0.1, 0.35}, PeriodS: Range{15, 40},
 		Burst: Range{1.2, 2}, BurstS: Range{0.3, 1.5}, EveryS: Range{4, 12}, Skew: Range{0.1, 0.45},
 		SameMS: Range{0.1, 0.4}, CrossMS: Range{0.4, 0.9}, ClientMS: Range{0.02, 0.1}, Jitter: Range{0.1, 0.3},
 		Retries: Range{1, 2}, TryShare: Range{0.4, 0.8}, BackoffMS: Range{30, 220}, Honour: Range{0.3, 0.6},
