--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -30,12 +30,19 @@
 	Open      int    `json:"open"`      // of these, not answered yet
 	Served    uint64 `json:"served"`    // answered with what a server said
 	Throttled uint64 `json:"throttled"` // refused
+	Shed      uint64 `json:"shed"`      // of these, since they had waited for the sidecar itself for too long
 	Failed    uint64 `json:"failed"`    // answered without a server's answer
 	Abandoned uint64 `json:"abandoned"` // whose client went away
 	Overdue   uint64 `json:"overdue"`   // failed because the decisions were late
 	Malformed uint64 `json:"malformed"` // messages answered with 4xx or 501 and never handed on
 	Retired   uint64 `json:"retired"`   // client links closed since they said nothing, or rested
 
+	TurnedAway uint64 `json:"turned_away"` // throttled without a word of the decisions: no room, or more than a fair part
+	GivenUp    uint64 `json:"given_up"`    // client links closed to make room that had brought no whole request, or not read
+	OverCap    uint64 `json:"over_cap"`    // client links refused beyond the cap of an address or prefix
+	NoRoom     uint64 `json:"no_room"`     // client links refused since all descriptors were taken
+	Unread     uint64 `json:"unread"`      // client links closed since their clients did not read
+
 	Executions uint64 `json:"executions"`
 	Probes     uint64 `json:"probes"`
 	Dials      uint64 `json:"dials"` // server links opened
