Keep places and descriptors for those who hold little, and let executions wait for links

Cause: the flood of requests sent again at once, with 192 descriptors, showed four more ways in which it shut others out: its requests in work count for no weight, so links of the modest were the heaviest; links beyond the room used up the reserve; dials took the last descriptors; and an execution without a descriptor blamed its server and came back three times in a millisecond. Change: who holds half gets none of the last eighth, of all places or of the strangers'; links beyond take no place; what servers hold is not there for clients, and dials leave the reserve alone; executions without a descriptor wait for an idle link of their server or a free descriptor, in order.

--- a/internal/decide/admission/room.go
+++ b/internal/decide/admission/room.go
@@ -50,6 +50,8 @@
 	// A client is greedy that has greedyTimes as many requests out as the others on average, and freeRequests more.
 	greedyTimes  = 2.0
 	freeRequests = 4.0
+	// lastPart is the part of all places, or of those for strangers, that no address gets which holds half of them.
+	lastPart = 8
 	// manyFree links that are owed nothing in one prefix are enough to take any of them for a newcomer.
 	manyFree = 4.0
 	// fatBytes is from when on a link counts among those that hold much.
@@ -91,6 +93,7 @@
 	caps    []int // links within each of Settings.Caps
 	links   int
 	strange int // of these, of strangers
+	beyond  int // links that take no place
 	asking  int
 	askers  int // addresses with requests out
 	bytes   int
@@ -104,6 +107,7 @@
 	state  State
 	since  float64
 	bytes  int
+	beyond bool    // it takes no place
 	hooks  [2]hook // in the lists of the Room and of its address
 	place  int     // in Room.fat, from 1
 }
@@ -161,7 +165,13 @@
 func (r *Room) Open(now float64, addr netip.Addr, owner any) (*Link, Verdict) {
 	a := r.address(addr.Unmap())
 	v := Admitted
-	if r.links >= r.s.Most || !a.known && r.strange >= r.s.Most-r.s.Reserve {
+	// The last places are for the known; and the last of these, as those of the strangers, not for one who holds half of
+	// them already.
+	room, held := r.s.Most, r.links
+	if strangers := r.s.Most - r.s.Reserve; !a.known && room-held > strangers-r.strange {
+		room, held = strangers, r.strange
+	}
+	if held >= room || held >= room-room/lastPart && 2*a.links >= room {
 		v = Crowded
 	}
 	if r.s.PerAddress > 0 && a.links >= r.s.PerAddress {
@@ -192,6 +202,20 @@
 	return r.victim(now, newcomer.client, newcomer)
 }
 
+// Beyond has a newcomer stay that found no room, for a word to its client. It takes no place; how many there may be is the
+// caller's matter.
+func (r *Room) Beyond(l *Link) {
+	l.beyond = true
+	r.links--
+	if !l.client.known {
+		r.strange--
+	}
+	r.beyond++
+}
+
+// BeyondLen returns how many links are beyond.
+func (r *Room) BeyondLen() int { return r.beyond }
+
 // Spare returns the link that is missed least, nil if each is owed something or about to ask.
 func (r *Room) Spare(now float64) *Link { return r.victim(now, nil, nil) }
 
@@ -300,8 +324,9 @@
 	r.Hold(l, 0)
 	r.leave(l)
 	a.links--
-	r.links--
-	if !a.known {
+	if l.beyond {
+		r.beyond--
+	} else if r.links--; !a.known {
 		r.strange--
 	}
 	for _, i := range a.caps {
@@ -365,16 +390,20 @@
 		return
 	}
 	r.ungroup(a)
+	beyond := 0
 	for s := range states {
 		for l := a.own[s].first; l != nil; l = l.hooks[ofAddress].after {
 			r.all[tree(a.known)][s].drop(l)
 			r.all[tree(known)][s].putBySince(l)
+			if l.beyond {
+				beyond++
+			}
 		}
 	}
 	if a.known = known; known {
-		r.strange -= a.links
+		r.strange -= a.links - beyond
 	} else {
-		r.strange += a.links
+		r.strange += a.links - beyond
 	}
 	r.group(a)
 }
--- a/internal/decide/admission/victim.go
+++ b/internal/decide/admission/victim.go
@@ -16,12 +16,8 @@
 	if heaviest == nil {
 		return nil
 	}
-	mine := 0.0
-	if a != nil {
-		mine = a.weight()
-	}
 	self := heaviest == a
-	greedy := a != nil && !(self && a.known) && (heaviest.weight() > mine || heaviest.in.weight >= manyFree)
+	greedy := a != nil && !(self && a.known) && (self || heaviest.burden() > a.burden() || heaviest.in.weight >= manyFree && a.in.weight < heaviest.in.weight)
 	if l := r.sparable(now, heaviest, greedy, not); l != nil || self {
 		return l // who holds most makes room for itself alone
 	}
@@ -39,7 +35,7 @@
 	// Danger: a flood from thousands of networks that is quicker than any grace would shut every newcomer out. Who came
 	// first of the strangers that are owed nothing goes.
 	for _, s := range [...]State{Ending, Silent, Partial, Resting, Unread} {
-		if l := r.all[0][s].first; a != nil && l != nil && l != not && l.since < now {
+		if l := r.all[0][s].first; a != nil && l != nil && l != not && l.since < now && l.client.links >= a.links {
 			return l
 		}
 	}
@@ -86,6 +82,14 @@
 	return silentGrace
 }
 
+// burden is how many links of an address there are in all; those of a known one count less.
+func (a *address) burden() float64 {
+	if a.known {
+		return float64(a.links) * knownDiscount
+	}
+	return float64(a.links)
+}
+
 // weight is how many links of an address are owed nothing; those of a known one count less.
 func (a *address) weight() float64 {
 	w := float64(a.free)
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -185,8 +185,8 @@
 	a := &f.Admission
 	o.unfold("admission", "reserve", "per_address", "waiting_bytes", "caps", "known")
 	most := cfg.Limits.Sockets / 4
-	field(o, "admission.reserve", &a.Reserve, fmt.Sprintf("a whole number from 0 to %d, a quarter of limits.sockets", most),
-		func(v int) bool { return v >= 0 && v <= most })
+	field(o, "admission.reserve", &a.Reserve, fmt.Sprintf("a whole number from 1 to %d, a quarter of limits.sockets", most),
+		func(v int) bool { return v >= 1 && v <= most })
 	field(o, "admission.per_address", &a.PerAddress, "a whole number from 1", func(v int) bool { return v >= 1 })
 	field(o, "admission.waiting_bytes", &a.Bytes, "a whole number from 65536", func(v int) bool { return v >= 64<<10 })
 	var known []string
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -200,11 +200,11 @@
 		l.decline(400, fieldPatience+" is not a number with m or u")
 		return
 	case l.throng && !l.s.hasRoom(serverRoom), l.s.room.Full():
-		l.turnAway()
+		l.turnAway("there is no room for them")
 		return
 	case l.s.short() && l.s.room.Greedy(l.place):
 		l.s.room.Wasted(l.place)
-		l.turnAway()
+		l.turnAway("their client has more out than its part, and there is not enough for all")
 		return
 	}
 	l.s.room.Move(l.s.now(), l.place, admission.Asking)
@@ -217,11 +217,12 @@
 }
 
 // turnAway throttles a request that is not taken up: there is no room for it, or its client has more out than its part.
-func (l *clientLink) turnAway() {
+func (l *clientLink) turnAway(why string) {
 	l.s.counters.Requests++
 	l.s.counters.Throttled++
 	l.s.counters.TurnedAway++
-	l.s.notice("requests are turned away: there is no room for them")
+	l.s.notice("requests are turned away: " + why)
+	l.s.log.Debug("request turned away", "client", l.conn.RemoteAddr(), "why", why)
 	l.keep = false
 	l.throttle(l.s.cfg.Settings.Policy.MaxRetryAfterS)
 }
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -24,6 +24,8 @@
 	aheadBytes = 4 << 10
 	// flushEveryS is the time between two looks whether answers have been taken: the loop does not tell.
 	flushEveryS = 0.01
+	// reservePart is the part of the client links that is kept for known clients where the operators set no number.
+	reservePart = 8
 	// lookedAt bounds the links whose sockets are looked into before one goes.
 	lookedAt = 4
 )
@@ -43,16 +45,30 @@
 // other requests then find none. So from there on an answer is the last on its link.
 func (s *Sidecar) crowded() bool { return len(s.clients) > s.cfg.Limits.Sockets/5 }
 
-// admissionSettings are the operators' bounds, within the descriptors and the memory that there are.
-func (s *Sidecar) admissionSettings() admission.Settings {
+// admissionSettings are the operators' bounds, within the descriptors and the memory that there are; newcomers are client
+// links that are not in the room yet.
+func (s *Sidecar) admissionSettings(newcomers int) admission.Settings {
 	a := s.admission.Settings
-	a.Most = s.mostClients()
+	a.Reserve = s.reserve()
+	// What servers hold is not there for clients.
+	a.Most = max(min(s.mostClients(), s.mostLinks()-s.serverSide()+newcomers), a.Reserve)
 	if a.Bytes == 0 {
 		a.Bytes = s.cfg.Limits.MemoryMB << 20 / 4
 	}
 	return a
 }
 
+// serverSide is how many descriptors links to servers and to discovery hold, or may come to hold.
+func (s *Sidecar) serverSide() int { return s.conns - s.room.Len() - s.room.BeyondLen() + s.dialing }
+
+// reserve is how many links are kept for known clients.
+func (s *Sidecar) reserve() int {
+	if n := s.admission.Reserve; n > 0 {
+		return n
+	}
+	return s.mostClients() / reservePart
+}
+
 // accept takes a connection of a client, and tells whether it may stay. Where there is no room a link is closed for it;
 // where none can be spared, its request is throttled unless enough descriptors are left.
 func (s *Sidecar) accept(c netio.Conn) bool {
@@ -62,6 +78,8 @@
 	s.counters.Accepted++
 	c.SetContext(link(l))
 	var verdict admission.Verdict
+	bounds := s.admissionSettings(1)
+	s.room.Resize(bounds.Most, bounds.Reserve)
 	l.place, verdict = s.room.Open(now, clientAddress(c), l)
 	for looked := 0; verdict != admission.Admitted; {
 		gone := s.room.Victim(now, l.place, verdict)
@@ -84,15 +102,19 @@
 		s.counters.OverCap++
 		s.notice("connections beyond the cap of an address or prefix are refused")
 		return false
-	case verdict == admission.Crowded && len(s.clients) > s.mostClients()+s.beyondRoom():
+	case verdict == admission.Crowded && (s.room.BeyondLen() >= s.beyondRoom() || !s.hasRoom(s.reserve())):
 	case s.hasRoom(0) || s.makeRoom(0):
-		l.throng = verdict == admission.Crowded
+		if verdict == admission.Crowded {
+			l.throng = true
+			s.room.Beyond(l.place)
+		}
 		return true
 	}
 	// Danger: the next accept would fail for want of a descriptor, and the loop would end. Not a byte of a request has
 	// been read from this link.
 	s.counters.NoRoom++
 	s.notice("connections are refused: there is no room for them")
+	s.log.Debug("client link refused", "client", c.RemoteAddr(), "crowded", verdict == admission.Crowded, "links", s.room.Len())
 	return false
 }
 
@@ -120,9 +142,15 @@
 		s.counters.Retired++
 	}
 	s.notice("connections that have no request out are closed to make room")
+	s.log.Debug("client link given up", "client", l.conn.RemoteAddr(), "state", l.stateName())
 	s.closeConn(l.conn)
 }
 
+func (l *clientLink) stateName() string {
+	state, _ := l.place.State()
+	return state.String()
+}
+
 // retire closes a link that is of no more use, unless a request waits in its socket.
 func (l *clientLink) retire() {
 	if l.mayBeAsking() {
@@ -234,7 +262,7 @@
 		Addresses int                `json:"addresses"`
 		Clients   []admission.Client `json:"clients"`
 	}
-	settings := s.admissionSettings()
+	settings := s.admissionSettings(0)
 	all.Links, all.Most, all.Reserve = s.room.Len(), settings.Most, settings.Reserve
 	all.Clients, all.Addresses = s.room.Clients(mostShown)
 	raw, err := json.Marshal(all)
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -45,6 +45,7 @@
 	Unread     uint64 `json:"unread"`      // client links closed since their clients did not read
 
 	Executions uint64 `json:"executions"`
+	Starved    uint64 `json:"starved"` // of these, that waited for a descriptor
 	Probes     uint64 `json:"probes"`
 	Dials      uint64 `json:"dials"` // server links opened
 	Watches    uint64 `json:"watches"`
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -197,6 +197,10 @@
 	if e.over {
 		return
 	}
+	if s.unstarve(e) { // it has never had a link, which is no fault of its server
+		s.finish(e, &execError{notConnected, overtaken, nil})
+		return
+	}
 	l, err := e.link, &execError{e.progress, why, nil}
 	l.execution = nil
 	if l.conn == nil {
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -30,7 +30,6 @@
 	}
 	if cfg.Limits != old.Limits {
 		old.Limits = cfg.Limits
-		s.room.Resize(s.mostClients(), s.admission.Reserve)
 		s.obeyLimits()
 	}
 	s.log.Info("configuration read", "discovery", cfg.Discovery, "before", old.Discovery)
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -15,9 +15,6 @@
 // errStray is the end of a link that said something nobody had asked for.
 var errStray = errors.New("unasked bytes")
 
-// errDescriptors is the end of a dial that the limit on descriptors forbids.
-var errDescriptors = errors.New("no descriptors left")
-
 // serverLink is a connection to a server. It carries one execution at a time.
 type serverLink struct {
 	s         *Sidecar
@@ -73,6 +70,9 @@
 func (l *serverLink) rest() {
 	l.execution, l.restedAt = nil, l.s.now()
 	l.buf.Rest()
+	if l.s.feed(l) {
+		return
+	}
 	l.s.idle[l.host] = append(l.s.idle[l.host], l)
 	if limit := l.s.cfg.Settings.Policy.ConnIdleS; limit > 0 {
 		l.retire = l.s.timers.at(l.restedAt+min(0.8*limit, max(limit-0.5, 0.5*limit)), l.close)
@@ -81,12 +81,13 @@
 
 // dial opens a link for an execution.
 func (s *Sidecar) dial(h *hostgroup.Host, e *execution) {
-	l := &serverLink{s: s, host: h.ID, address: h.Address, execution: e}
-	e.link = l
-	if !s.makeRoom(dialDescriptors) {
-		s.finish(e, &execError{notConnected, broke, errDescriptors})
+	// Danger: executions that take the last descriptors shut out who comes next, whoever that is.
+	if !s.makeRoom(dialDescriptors + s.reserve()) {
+		s.starve(e)
 		return
 	}
+	l := &serverLink{s: s, host: h.ID, address: h.Address, execution: e}
+	e.link = l
 	s.counters.Dials++
 	began := s.now()
 	until := min(e.until, began+s.cfg.Settings.ConnectTimeoutS)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -59,6 +59,7 @@
 	flushing  bool // answers are looked after that clients have not taken
 	notices   notices
 	idle      map[uint32][]*serverLink
+	starved   []*execution // that wait for a link or a descriptor
 	watcher   *watcher
 	admission features.Admission
 	drills    *drill.Set
@@ -93,7 +94,8 @@
 		s.health = health.New(on.Health, loop.Now, log)
 		s.reserved += health.Descriptors
 	}
-	s.room = admission.NewRoom(s.admissionSettings())
+	s.room = admission.NewRoom(admission.Settings{})
+	s.room = admission.NewRoom(s.admissionSettings(0))
 	var classes []admission.Class
 	for i, c := range cfg.Settings.Policy.Classes {
 		s.classes[c.Name] = i
@@ -167,7 +169,11 @@
 func (s *Sidecar) Closed(c netio.Conn, err error) {
 	s.conns--
 	if l, ok := c.Context().(link); ok {
-		s.enter(func() { l.ended(err) })
+		s.enter(func() {
+			if l.ended(err); len(s.starved) > 0 {
+				s.push(func(float64) { s.feedDials() })
+			}
+		})
 	}
 }
 
