Give the modest longer to say what they want, and bound what each address holds

Cause: under the race detector on a busy machine clients take longer than 10 ms from connecting to asking, and lost their links to a flooder's newcomers; and bytes that a flooder held turned everybody's requests away. Change: known clients and those that hold less than the newcomer's have a second; where too much is held it is the address that holds most that loses a link, and only clients with a good part of all are turned away. In the laboratory a start word that any of the threads could take raced with its time.

--- a/internal/decide/admission/room.go
+++ b/internal/decide/admission/room.go
@@ -34,6 +34,7 @@
 	silentGrace = 0.01
 	partGrace   = 0.1
 	restGrace   = 0.1
+	modestGrace = 1.0
 )
 
 const (
@@ -52,10 +53,10 @@
 	freeRequests = 4.0
 	// lastPart is the part of all places, or of those for strangers, that no address gets which holds half of them.
 	lastPart = 8
+	// fullPart of all that is held is a good part, the other way round.
+	fullPart = 4
 	// manyFree links that are owed nothing in one prefix are enough to take any of them for a newcomer.
 	manyFree = 4.0
-	// fatBytes is from when on a link counts among those that hold much.
-	fatBytes = 4 << 10
 )
 
 // Cap bounds the links of all addresses in a prefix together.
@@ -88,7 +89,7 @@
 	groups  [2]map[netip.Prefix]*group // of strangers and of the known
 	heavy   [2]heap[*group]
 	all     [2][states]list // the links of strangers and of the known by state, the longest in it first
-	fat     heap[*Link]     // that hold many bytes and are owed nothing
+	fat     heap[fatness]   // addresses whose links hold something and are owed nothing
 	scores  *lru.TwoQueueCache[netip.Addr, float64]
 	caps    []int // links within each of Settings.Caps
 	links   int
@@ -109,7 +110,6 @@
 	bytes  int
 	beyond bool    // it takes no place
 	hooks  [2]hook // in the lists of the Room and of its address
-	place  int     // in Room.fat, from 1
 }
 
 // address is what is known of a client's address.
@@ -124,6 +124,9 @@
 	free     int // of these, that are owed nothing
 	own      [states]list
 	caps     []int // places in Room.caps
+	held     int   // bytes of its links
+	fat      int   // of these, of links that are owed nothing
+	fatPlace int   // in Room.fat, from 1
 }
 
 // group is a prefix with its addresses that are known, or those that are not.
@@ -197,7 +200,7 @@
 // ask. One that has its cap may only put its own links in place of each other.
 func (r *Room) Victim(now float64, newcomer *Link, v Verdict) *Link {
 	if v == OverCap {
-		return r.sparable(now, newcomer.client, true, newcomer)
+		return r.sparable(now, newcomer.client, newcomer.client, true, newcomer)
 	}
 	return r.victim(now, newcomer.client, newcomer)
 }
@@ -236,21 +239,44 @@
 // Hold notes how many bytes a link holds that have come and are no request yet, or are written and not sent.
 func (r *Room) Hold(l *Link, bytes int) {
 	r.bytes += bytes - l.bytes
+	l.client.held += bytes - l.bytes
+	if l.owedNothing() {
+		r.fatten(l.client, bytes-l.bytes)
+	}
 	l.bytes = bytes
-	r.weigh(l)
 }
 
-// Heavy returns the link to be closed since all together hold too much: the one that holds most of those that are owed
-// nothing. Nil: they do not, or none is owed nothing.
+// owedNothing tells whether what a link holds is no request that is out.
+func (l *Link) owedNothing() bool { return l.state == Partial || l.state == Unread }
+
+// fatten notes a change of what an address's links hold that are owed nothing.
+func (r *Room) fatten(a *address, bytes int) {
+	if a.fat += bytes; a.fat > 0 {
+		r.fat.put(fatness{a})
+	} else {
+		r.fat.drop(fatness{a})
+	}
+}
+
+// Heavy returns the link to be closed since all together hold too much: of the address whose links that are owed nothing
+// hold most, the one that has been longest in its state, or holds more. Nil: they do not, or none is owed nothing.
 func (r *Room) Heavy() *Link {
 	if r.s.Bytes == 0 || r.bytes <= r.s.Bytes || r.fat.len() == 0 {
 		return nil
 	}
-	return r.fat.first()
+	a := r.fat.first()
+	part, unread := a.own[Partial].first, a.own[Unread].first
+	if part == nil || unread != nil && unread.bytes > part.bytes {
+		return unread
+	}
+	return part
 }
 
-// Full tells whether links hold so much that no new request should be taken up.
-func (r *Room) Full() bool { return r.s.Bytes > 0 && r.bytes > r.s.Bytes }
+// Full tells whether links hold so much that no new request of a link should be taken up: its client holds a good part of
+// all, or all hold far too much.
+func (r *Room) Full(l *Link) bool {
+	return r.s.Bytes > 0 && r.bytes > r.s.Bytes && (fullPart*l.client.held >= r.bytes || r.bytes > 2*r.s.Bytes)
+}
 
 // Served notes that a request of a link has run whole.
 func (r *Room) Served(l *Link) {
@@ -418,7 +444,9 @@
 	} else if r.asking++; a.own[Asking].n == 1 {
 		r.askers++
 	}
-	r.weigh(l)
+	if l.owedNothing() {
+		r.fatten(a, l.bytes)
+	}
 	r.reweigh(a)
 }
 
@@ -431,15 +459,8 @@
 	} else if r.asking--; a.own[Asking].n == 0 {
 		r.askers--
 	}
-	r.fat.drop(l)
-	r.reweigh(a)
-}
-
-// weigh has a link among those that hold much, or not.
-func (r *Room) weigh(l *Link) {
-	if l.bytes >= fatBytes && (l.state == Partial || l.state == Unread) {
-		r.fat.put(l)
-	} else {
-		r.fat.drop(l)
+	if l.owedNothing() {
+		r.fatten(a, -l.bytes)
 	}
+	r.reweigh(a)
 }
--- a/internal/decide/admission/structure.go
+++ b/internal/decide/admission/structure.go
@@ -131,8 +131,11 @@
 	}
 }
 
-func (l *Link) above(other *Link) bool { return l.bytes > other.bytes }
-func (l *Link) at() *int               { return &l.place }
+// fatness is an address by what its links hold.
+type fatness struct{ *address }
+
+func (f fatness) above(other fatness) bool { return f.fat > other.fat }
+func (f fatness) at() *int                 { return &f.fatPlace }
 
 func (a *address) above(other *address) bool { return a.counted > other.counted }
 func (a *address) at() *int                  { return &a.place }
--- a/internal/decide/admission/victim.go
+++ b/internal/decide/admission/victim.go
@@ -18,7 +18,7 @@
 	}
 	self := heaviest == a
 	greedy := a != nil && !(self && a.known) && (self || heaviest.burden() > a.burden() || heaviest.in.weight >= manyFree && a.in.weight < heaviest.in.weight)
-	if l := r.sparable(now, heaviest, greedy, not); l != nil || self {
+	if l := r.sparable(now, heaviest, a, greedy, not); l != nil || self {
 		return l // who holds most makes room for itself alone
 	}
 	// Those that are heaviest may all be about to ask, and others have long had nothing to say. A stranger does not take
@@ -27,7 +27,7 @@
 		for _, s := range [...]State{Silent, Partial, Unread, Resting} {
 			l := r.all[i][s].first
 			allowed := i == 0 || !strangers && (s != Resting || a == nil || a.known)
-			if l != nil && l != not && l.since < now-grace(s) && allowed {
+			if l != nil && l != not && l.since < now-l.grace(a) && allowed {
 				return l
 			}
 		}
@@ -57,10 +57,10 @@
 
 // sparable returns the link of an address that is missed least: one that has been long enough in its state, or, where the
 // address is greedy, any that is owed nothing.
-func (r *Room) sparable(now float64, a *address, greedy bool, not *Link) *Link {
+func (r *Room) sparable(now float64, a, newcomer *address, greedy bool, not *Link) *Link {
 	order := [...]State{Ending, Silent, Partial, Unread, Resting}
 	for _, s := range order {
-		if l := a.own[s].first; l != nil && l != not && l.since < now-grace(s) {
+		if l := a.own[s].first; l != nil && l != not && l.since < now-l.grace(newcomer) {
 			return l
 		}
 	}
@@ -72,14 +72,20 @@
 	return nil
 }
 
-func grace(s State) float64 {
-	switch s {
+// grace is how long a link may be in its state before it can be given up for a newcomer. One that holds less than the
+// newcomer's client, or is known, has longer. Danger: its client may be slow, or on a slow machine, and means well.
+func (l *Link) grace(newcomer *address) float64 {
+	g := silentGrace
+	switch l.state {
 	case Partial, Unread:
-		return partGrace
+		g = partGrace
 	case Resting:
 		return restGrace
 	}
-	return silentGrace
+	if l.client.known || newcomer != nil && newcomer != l.client && newcomer.burden() > l.client.burden() {
+		g = max(g, modestGrace)
+	}
+	return g
 }
 
 // burden is how many links of an address there are in all; those of a known one count less.
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -83,6 +83,8 @@
 	}
 	for _, w := range workers {
 		w.result.BeganMS = began.UnixMilli()
+	}
+	for range workers { // Danger: any of them may take any word
 		start <- began
 	}
 	all.Wait()
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -199,7 +199,7 @@
 	case !ok:
 		l.decline(400, fieldPatience+" is not a number with m or u")
 		return
-	case l.throng && !l.s.hasRoom(serverRoom), l.s.room.Full():
+	case l.throng && !l.s.hasRoom(serverRoom), l.s.room.Full(l.place):
 		l.turnAway("there is no room for them")
 		return
 	case l.s.short() && l.s.room.Greedy(l.place):
