--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -295,6 +295,30 @@
 	}
 }
 
+// Silence that the host program did not listen to says nothing of the hosts; silence beyond it does.
+func TestStalled(t *testing.T) {
+	s := plain()
+	s.Probes = true
+	r := newRecorder(t, s)
+	r.b.rate = 1e6
+	r.list(ListFull, ready(1, 2, 3)...)
+	for r.now < 20 {
+		r.advance(r.now + 0.01)
+		r.answer(OK, nil)
+	}
+	for _, told := range []float64{10, 0} {
+		r.now += 10
+		if told > 0 {
+			r.b.Stalled(r.now, told)
+		}
+		for _, h := range r.b.members {
+			if r.b.now = r.now; (r.b.suspicion(h) < phiCut) != (told > 0) {
+				t.Fatalf("phi %v after 10 s of which %v s were told as a stall", r.b.suspicion(h), told)
+			}
+		}
+	}
+}
+
 func TestFirstAnswerIsNoGap(t *testing.T) {
 	s := plain()
 	s.Probes = true
