Play the world in real time: a demo in ten seconds, and worlds to run a sidecar in

A newcomer needed three terminals to see one request. hazellab demo begins boxes in four sites, discovery, an application and the sidecar as its own process, has boxes hang and the sidecar's site lost, and ends with a report by the judge: exit code 1 if a rule was broken. hazellab serve plays a world's boxes and discovery for a sidecar that somebody else runs, hazellab trouble has things go wrong in it.

--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -30,6 +30,9 @@
 			experimentCommand(),
 			reportCommand(),
 			compareCommand(),
+			demoCommand(),
+			serveCommand(),
+			troubleCommand(),
 		}, simCommands()...),
 	}
 }
--- /dev/null
+++ b/cmd/hazellab/serve.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"hazelwheel/internal/lab/live"
+	"hazelwheel/internal/world"
+)
+
+const controlAddress = "127.0.0.1:8600"
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "serve",
+		Usage:       "play a world's boxes and discovery in real time, for a sidecar that you run",
+		ArgsUsage:   "WORLD.toml",
+		Description: "The file is a script: a seed, and troubles at their times. hazellab sim --show-script prints one.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Value: "sidecar.json", Usage: "write the sidecar's configuration to this `FILE`"},
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:3000", Usage: "where that sidecar is to listen"},
+			&cli.StringFlag{Name: "control", Value: controlAddress, Usage: "where hazellab trouble asks"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return fault(errors.New("serve: one WORLD.toml is wanted"))
+			}
+			path := c.Args().First()
+			text, err := os.ReadFile(path)
+			if err != nil {
+				return fault(err)
+			}
+			script, err := world.ReadScript(path, text, world.Usual())
+			if err != nil {
+				return fault(err)
+			}
+			ctx, stop := untilSignal(ctx)
+			defer stop()
+			s := live.Server{Day: script.Day(world.Usual()), Script: *script, Listen: c.String("listen"), Config: c.String("config"),
+				Control: c.String("control"), Out: c.Root().Writer}
+			return s.Run(ctx)
+		},
+	}
+}
+
+func troubleCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "trouble",
+		Usage:     "have something go wrong in the world that hazellab serve plays",
+		ArgsUsage: "KIND",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "control", Value: controlAddress, Usage: "the `ADDRESS` of hazellab serve"},
+			&cli.StringSliceFlag{Name: "box", Usage: "a box's `NAME` or number"},
+			&cli.StringFlag{Name: "site", Usage: "a site's `NAME`"},
+			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "how long"},
+			&cli.FloatFlag{Name: "share", Usage: "of the answers, 0 to 1"},
+			&cli.FloatFlag{Name: "per-second", Usage: "resets a second"},
+			&cli.DurationFlag{Name: "drain", Usage: "shrink: from the notice to the end"},
+			&cli.DurationFlag{Name: "lag", Usage: "stale-list: how much later discovery learns"},
+			&cli.BoolFlag{Name: "silent", Usage: "site-loss: machines vanish without a word"},
+		},
+		Action: askTrouble,
+	}
+}
+
+func askTrouble(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return fault(fmt.Errorf("trouble: a KIND is wanted: %s", strings.Join(world.Kinds(), ", ")))
+	}
+	t := world.Trouble{Kind: c.Args().First(), ForS: c.Duration("for").Seconds(), Boxes: c.StringSlice("box"), Site: c.String("site"),
+		Share: c.Float("share"), PerS: c.Float("per-second"), DrainS: c.Duration("drain").Seconds(), LagS: c.Duration("lag").Seconds(),
+		Silent: c.Bool("silent")}
+	raw, err := json.Marshal(t)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithTimeout(ctx, 5*time.Second)
+	defer stop()
+	r, err := http.NewRequestWithContext(ctx, "POST", "http://"+c.String("control")+"/trouble", bytes.NewReader(raw))
+	if err != nil {
+		return fault(err)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		return fault(errors.New(strings.TrimSpace(string(text))))
+	}
+	return nil
+}
--- a/internal/lab/ground/conn.go
+++ b/internal/lab/ground/conn.go
@@ -14,6 +14,10 @@
 	mostInWay    = 256 << 10 // bytes that are on their way to a program; the socket holds what is beyond
 	stallStep    = 50 * time.Millisecond
 	stallBytes   = 2048
+	// lookS is how much later than another connection's bytes an end may be looked at that came before them. Danger: of
+	// two connections that a peer used one after the other, the one that it ended first could seem to have outlived the
+	// other's beginning.
+	lookS = 0.02
 )
 
 var (
@@ -31,6 +35,8 @@
 	context any
 	delay   time.Duration
 	dead    bool
+	wroteAt float64 // when the peer wrote what has come last
+	endAt   float64 // when it ended the connection; 0: not yet
 	in, out *lane
 }
 
@@ -65,6 +71,12 @@
 func (c *conn) Context() any           { return c.context }
 func (c *conn) SetContext(context any) { c.context = context }
 
+// PeerWrote returns when the peer wrote what has come last, as the socket tells it, in Unix time; 0: nothing has come.
+func (c *conn) PeerWrote() float64 { return c.wroteAt }
+
+// PeerEnded returns when the peer ended the connection, in Unix time, and rather too early than too late; 0: not yet.
+func (c *conn) PeerEnded() float64 { return c.endAt }
+
 // abort ends the socket with a reset, whatever waits.
 func (c *conn) abort() {
 	_ = c.tcp.SetLinger(0)
@@ -96,7 +108,7 @@
 			room = buf[:stallBytes]
 		}
 		n, err := c.tcp.Read(room)
-		p := parcel{due: time.Now().Add(c.delay), err: err}
+		p := parcel{at: c.m.g.Now(), due: time.Now().Add(c.delay), err: err}
 		p.data = append(p.data, buf[:n]...)
 		if !c.in.put(p) || err != nil {
 			return
@@ -120,7 +132,11 @@
 			if l := c.life; c.dead || l == nil || l.m.life != l {
 				return
 			}
+			if p.err != nil {
+				c.endAt = p.at - lookS
+			}
 			if len(p.data) > 0 {
+				c.wroteAt = p.at
 				c.life.host.Traffic(c, p.data)
 			}
 			if p.err != nil && !c.dead {
@@ -175,9 +191,10 @@
 // parcel is what is on its way.
 type parcel struct {
 	data []byte
-	err  error // the end of what is read
-	half bool  // nothing more is written
-	end  bool  // the connection ends
+	err  error   // the end of what is read
+	at   float64 // when it was read
+	half bool    // nothing more is written
+	end  bool    // the connection ends
 	due  time.Time
 }
 
--- a/internal/lab/ground/machine.go
+++ b/internal/lab/ground/machine.go
@@ -124,7 +124,7 @@
 func (g *Ground) who(c *net.TCPConn) netip.AddrPort {
 	peer := c.RemoteAddr().(*net.TCPAddr).AddrPort()
 	if g.Who != nil {
-		return g.Who(peer)
+		return g.Who(peer, c.LocalAddr().(*net.TCPAddr).AddrPort())
 	}
 	return peer
 }
--- /dev/null
+++ b/internal/lab/live/demo.go
@@ -0,0 +1,136 @@
+package live
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"hazelwheel/internal/judge"
+	"hazelwheel/internal/world"
+)
+
+// Demo is a world of a few seconds, to be looked at.
+type Demo struct {
+	Binary string // hazelwheel's file
+	Seed   uint64
+	Dir    string // for configurations and logs
+	Log    io.Writer
+	Out    io.Writer
+	Screen bool // redraw a terminal; otherwise a line a second
+}
+
+// demoRanges are those of a calm and even world of four sites.
+func demoRanges() world.Ranges {
+	one := func(x float64) world.Range { return world.Range{Least: x, Most: x} }
+	r := world.Usual()
+	r.LengthS, r.Sidecars, r.Boxes, r.Sites = one(7), one(1), one(12), one(4)
+	r.RatePS, r.Load, r.Swing, r.Burst = one(200), one(0.3), one(0), one(1)
+	r.Impatient, r.Retries = one(0), one(1)
+	r.NoticeS, r.PublishMS, r.SpreadMS = one(0.9), one(150), one(40)
+	return r
+}
+
+// demoScript has boxes hang, and loses a site that returns: the sidecar's own, which it uses most.
+func demoScript(d *world.Day) world.Script {
+	var hanging []string
+	home := d.Sidecars[0].Site
+	for _, b := range d.Boxes[:d.Standing] {
+		if b.Site == home && len(hanging) < 2 {
+			hanging = append(hanging, b.Name)
+		}
+	}
+	return world.Script{Seed: d.Seed, Troubles: []world.Trouble{
+		{Kind: world.Hang, AtS: 1.5, ForS: 2, Boxes: hanging},
+		{Kind: world.SiteLoss, AtS: 4, ForS: 1.5, Site: d.Sites[home]},
+	}}
+}
+
+// tells say what the demo's troubles are.
+func tells(d *world.Day, t *world.Trouble) (begins, ends string) {
+	if t.Kind == world.Hang {
+		return fmt.Sprintf("%d boxes hang: they take work and answer nothing", len(t.Boxes)), "they answer again"
+	}
+	return fmt.Sprintf("%s is lost, with all its boxes", t.Site), t.Site + " returns, its boxes cold"
+}
+
+const viewEvery = 500 * time.Millisecond
+
+// Run plays the demo and returns whether all rules were kept. An error says that it could not be played.
+func (d *Demo) Run(ctx context.Context) (kept bool, err error) {
+	day := world.Draw(d.Seed, demoRanges())
+	script := demoScript(&day)
+	s := &Settings{Day: day, Script: script, Binary: d.Binary, Dir: d.Dir, Log: d.Log}
+	board := NewBoard(&s.Day)
+	s.Watch = board
+	var notes []string
+	note := func(p *Play, text string) {
+		line := fmt.Sprintf("%4.1f s  %s", p.Now()-p.Day.Start, text)
+		notes = append(notes, line)
+		if !d.Screen {
+			fmt.Fprintln(d.Out, "      -> "+line)
+		}
+	}
+	s.Started = func(p *Play) {
+		for i := range script.Troubles {
+			t := &script.Troubles[i]
+			begins, ends := tells(p.Day, t)
+			p.ground.At(p.Day.Start+t.AtS, func() { board.Hangs(t.Boxes, true); note(p, begins) })
+			p.ground.At(p.Day.Start+t.AtS+t.ForS, func() { board.Hangs(t.Boxes, false); note(p, ends) })
+		}
+		every := time.Second
+		if d.Screen {
+			every = viewEvery
+		}
+		var show func()
+		show = func() {
+			if d.Screen {
+				board.Screen(d.Out, p.Now(), notes)
+			} else {
+				board.Line(d.Out, p.Now())
+			}
+			if p.Now() < p.Day.Start+p.Day.LengthS+settleS {
+				p.ground.At(p.Now()+every.Seconds(), show)
+			}
+		}
+		p.ground.At(p.Day.Start+every.Seconds(), show)
+	}
+	p, err := Do(ctx, s)
+	if err != nil {
+		return false, err
+	}
+	if ctx.Err() != nil {
+		return false, ctx.Err()
+	}
+	d.report(p, board)
+	return p.Judge.Broken() == 0, nil
+}
+
+// report says what came of it.
+func (d *Demo) report(p *Play, board *Board) {
+	r := p.Judge.Report()
+	fmt.Fprintf(d.Out, "\n%-16s %7s %7s %6s %9s %8s\n", "class", "asked", "in time", "late", "unserved", "refused")
+	for _, c := range r.Classes {
+		fmt.Fprintf(d.Out, "%-16s %7d %7d %6d %9d %8d\n", c.Name, c.Asked, c.InAim, c.Late, c.Unserved, c.Refused)
+	}
+	fmt.Fprintf(d.Out, "%.2f %% of the worth that was asked for was served in time; %d executions, %d probes, %d connections to boxes\n",
+		100*r.Service, r.Prices.Executions, r.Prices.Probes, r.Prices.Connections)
+	for i := range p.settings.Script.Troubles {
+		t := &p.settings.Script.Troubles[i]
+		begins, _ := tells(p.Day, t)
+		fmt.Fprintf(d.Out, "%s (for %.1f s): service as before %.1f s after\n", begins, t.ForS, board.Back(p.Day.Start+t.AtS))
+	}
+	if p.Late() > BusyS {
+		fmt.Fprintf(d.Out, "the machine was too busy for real time: the world was up to %.0f ms late\n", 1000*p.Late())
+	}
+	if n := p.Judge.Broken(); n > 0 {
+		fmt.Fprintf(d.Out, "rules broken: %d\n", n)
+		for _, f := range p.Judge.Findings() {
+			fmt.Fprintf(d.Out, "  %.3f s %s: %s\n", f.At-p.Day.Start, f.Rule, f.Why)
+		}
+		return
+	}
+	fmt.Fprintln(d.Out, "all standing rules were kept")
+}
+
+var _ judge.Witness = (*Board)(nil)
--- /dev/null
+++ b/internal/lab/live/live.go
@@ -0,0 +1,288 @@
+// Package live plays a world in real time on real sockets: its boxes, discovery and applications on loopback addresses, the
+// sidecars as processes of their own, a script's troubles, and the judge who looks on.
+package live
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"hazelwheel/internal/judge"
+	"hazelwheel/internal/lab/ground"
+	"hazelwheel/internal/world"
+)
+
+// Settings are a world to be played.
+type Settings struct {
+	Day     world.Day // as drawn; its clock and its addresses are moved to this machine
+	Script  world.Script
+	Binary  string        // hazelwheel's file; empty: no sidecar and no application is begun, only what they depend on
+	Dir     string        // for configurations and logs
+	Log     io.Writer     // what the sidecars say; nil: dropped
+	Watch   judge.Witness // told of all that the judge is told; may be nil. It is called by the loop
+	Started func(*Play)   // called by the loop when all has begun; may be nil
+}
+
+// Play is a world that is being played. Its methods are for its loop, but for Post.
+type Play struct {
+	Day      *world.Day
+	World    *world.World
+	Judge    *judge.Judge
+	settings *Settings
+	ground   *ground.Ground
+	players  []*world.Player
+	sidecars []*sidecar
+	late     float64 // how long after the day's start the last sidecar was up
+	stop     context.CancelCauseFunc
+}
+
+// leadS is how long before the day's start all but the clients begin: the sidecars' processes need it to come up.
+const leadS = 1.0
+
+// restS is how long after the last arrival a day goes on, beyond what its requests may wait.
+const restS = 1.0
+
+// Do plays a world until its day is over or ctx ends. The play's judge holds what came of it; an error says that the world
+// could not be played.
+func Do(ctx context.Context, s *Settings) (*Play, error) {
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	p := &Play{Day: &s.Day, settings: s, ground: ground.New(), stop: stop}
+	if err := p.move(); err != nil {
+		return nil, err
+	}
+	p.Judge = judge.New(s.Day.Rules())
+	var witness judge.Witness = p.Judge
+	if s.Watch != nil {
+		witness = both{p.Judge, s.Watch}
+	}
+	p.World = world.New(p.Day, witness)
+	for _, m := range p.World.Machines() {
+		if s.Binary == "" && m.Listen == "" {
+			continue // an application, or who else dials
+		}
+		// Whoever dials begins with the day, when the sidecars are up.
+		if err := p.ground.Add(ground.Machine{Name: m.Name, IP: m.IP, Listen: m.Listen, Boot: m.Boot, Late: m.Late || m.Listen == ""}); err != nil {
+			return nil, err
+		}
+	}
+	p.ground.Delay, p.ground.Who = p.delay(), p.who()
+	if err := p.Trouble(&s.Script); err != nil {
+		return nil, err
+	}
+	defer p.endSidecars()
+	p.ground.Post(func() { p.begin(ctx) })
+	if err := p.ground.Run(ctx); err != nil {
+		return nil, err
+	}
+	if cause := context.Cause(ctx); cause != nil && cause != errOver && cause != context.Canceled && cause != context.DeadlineExceeded {
+		return nil, cause
+	}
+	p.Judge.End(p.ground.Now())
+	return p, nil
+}
+
+// errOver is the cause of a day's end.
+var errOver = fmt.Errorf("the day is over")
+
+// Post has the play's loop call f. It may be called from anywhere.
+func (p *Play) Post(f func()) { p.ground.Post(f) }
+
+// Now returns the time in seconds of Unix time.
+func (p *Play) Now() float64 { return p.ground.Now() }
+
+// Late returns how late the loop was at most once the clients had begun, or the sidecars for them, in seconds.
+func (p *Play) Late() float64 { return max(p.late, p.ground.Late()) }
+
+// BusyS is how late a loop may be whose play is to be taken for real time.
+const BusyS = 0.1
+
+// begin begins what stands at the day's start, and arranges the troubles and the end.
+func (p *Play) begin(ctx context.Context) {
+	for i := range p.sidecars {
+		if err := p.sidecars[i].begin(ctx); err != nil {
+			p.stop(err)
+			return
+		}
+	}
+	p.ground.At(p.Day.Start, func() {
+		p.ground.WatchLate()
+		for i := range p.Day.Sidecars {
+			p.ground.Return(p.Day.Sidecars[i].IP) // the application beside it
+		}
+	})
+	if p.settings.Binary != "" {
+		longest := 0.0
+		for _, c := range p.Day.Classes {
+			longest = max(longest, c.GiveUpS)
+		}
+		p.ground.At(p.Day.Start+p.Day.LengthS+longest+restS, func() { p.stop(errOver) })
+	}
+	for _, player := range p.players {
+		p.schedule(player)
+	}
+	if p.settings.Started != nil {
+		p.settings.Started(p)
+	}
+}
+
+// Trouble has a script's troubles happen, at their times since the day's start.
+func (p *Play) Trouble(s *world.Script) error {
+	var witness judge.Witness = p.Judge
+	if p.settings.Watch != nil {
+		witness = both{p.Judge, p.settings.Watch}
+	}
+	player, err := world.NewPlayer(p.World, s, loopback{p}, witness)
+	if err != nil {
+		return err
+	}
+	p.players = append(p.players, player)
+	return nil
+}
+
+// schedule has a player play whenever something is due.
+func (p *Play) schedule(player *world.Player) {
+	at, ok := player.Next()
+	if !ok {
+		return
+	}
+	p.ground.At(at, func() {
+		player.Play(p.Now())
+		p.schedule(player)
+	})
+}
+
+// TroubleNow has a trouble begin at once. An error says what is wrong with it, and that it has not begun.
+func (p *Play) TroubleNow(t world.Trouble) error {
+	// What a script's file may say is checked where files are read.
+	s := p.settings.Script
+	s.Troubles = []world.Trouble{t}
+	text, err := s.Format()
+	if err != nil {
+		return err
+	}
+	if _, err := world.ReadScript("trouble", text, world.Usual()); err != nil {
+		var fault *world.ScriptError
+		if errors.As(err, &fault) {
+			return fmt.Errorf("%s: %s", fault.Field, fault.Why)
+		}
+		return err
+	}
+	t.AtS = p.Now() - p.Day.Start
+	if err := p.Trouble(&world.Script{Seed: p.Day.Seed, Troubles: []world.Trouble{t}}); err != nil {
+		return err
+	}
+	p.schedule(p.players[len(p.players)-1])
+	return nil
+}
+
+// both is two witnesses.
+type both [2]judge.Witness
+
+func (b both) See(e judge.Event) {
+	b[0].See(e)
+	b[1].See(e)
+}
+
+// move puts the day on this machine's clock and on its loopback addresses. Worlds that are played side by side get
+// addresses of their own.
+func (p *Play) move() error {
+	d := p.Day
+	d.Start = p.ground.Now() + leadS
+	shift, err := freeShift(d)
+	if err != nil {
+		return err
+	}
+	for i := range d.Sidecars {
+		s := &d.Sidecars[i]
+		s.IP = moved(s.IP, shift)
+		port, err := freePort("127.0.0.1")
+		if err != nil {
+			return err
+		}
+		s.Address = "127.0.0.1:" + strconv.Itoa(port)
+		p.sidecars = append(p.sidecars, &sidecar{p: p, number: i, spec: s})
+	}
+	for i := range d.Boxes {
+		d.Boxes[i].IP, d.Boxes[i].Address = moved(d.Boxes[i].IP, shift), movedAddress(d.Boxes[i].Address, shift)
+	}
+	for i := range d.Registry.IPs {
+		d.Registry.IPs[i], d.Registry.Addresses[i] = moved(d.Registry.IPs[i], shift), movedAddress(d.Registry.Addresses[i], shift)
+	}
+	if p.settings.Binary == "" {
+		p.sidecars = nil
+	}
+	return nil
+}
+
+// A world's addresses are in 10.0.0.0 to 10.3.255.255; they go to such a block of 127.0.0.0/8. The first block has the
+// addresses that others use.
+const (
+	blockSize = 4
+	blocks    = 60
+)
+
+// moved returns where a world's address goes.
+func moved(ip string, shift byte) string {
+	a := netip.MustParseAddr(ip).As4()
+	return netip.AddrFrom4([4]byte{127, a[1] + shift, a[2], a[3]}).String()
+}
+
+func movedAddress(address string, shift byte) string {
+	a := netip.MustParseAddrPort(address)
+	return netip.AddrPortFrom(netip.MustParseAddr(moved(a.Addr().String(), shift)), a.Port()).String()
+}
+
+// freeShift finds a block in which nobody listens where discovery will.
+func freeShift(d *world.Day) (byte, error) {
+	var err error
+	for range 10 {
+		shift := byte(blockSize * (1 + rand.IntN(blocks-1)))
+		var l net.Listener
+		if l, err = net.Listen("tcp", movedAddress(d.Registry.Addresses[0], shift)); err == nil {
+			return shift, l.Close()
+		}
+	}
+	return 0, err
+}
+
+func freePort(ip string) (int, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port, nil
+}
+
+// delay returns how long bytes take one way.
+func (p *Play) delay() func(machine, other string) time.Duration {
+	sites := map[string]int{}
+	for _, m := range p.World.Machines() {
+		sites[m.IP] = m.Site
+	}
+	for _, s := range p.Day.Sidecars {
+		sites[s.IP] = s.Site
+	}
+	paths := p.Day.PathS
+	return func(machine, other string) time.Duration {
+		a, known := sites[machine]
+		b, also := sites[other]
+		if !known || !also || machine == other {
+			return 0 // a client beside its sidecar
+		}
+		return time.Duration(paths[a][b] * float64(time.Second))
+	}
+}
+
+// configFile is where a sidecar's configuration is.
+func (p *Play) configFile(sidecar int) string {
+	return filepath.Join(p.settings.Dir, fmt.Sprintf("sidecar-%d.json", sidecar))
+}
--- /dev/null
+++ b/internal/lab/live/sidecar.go
@@ -0,0 +1,156 @@
+package live
+
+import (
+	"context"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"hazelwheel/internal/judge"
+	"hazelwheel/internal/lab/process"
+	"hazelwheel/internal/world"
+)
+
+// readyWithin is how long a process is waited for.
+const readyWithin = 10 * time.Second
+
+// sidecar is a sidecar over all lives of its process.
+type sidecar struct {
+	p      *Play
+	number int
+	spec   *world.SidecarSpec
+	ctx    context.Context
+	group  process.Group
+	child  *process.Child // nil: none runs
+	pid    atomic.Int64   // of the last process, for who asks beside the loop
+	begun  bool
+}
+
+// begin begins a process with the configuration that the platform writes now.
+func (s *sidecar) begin(ctx context.Context) error {
+	s.ctx = ctx
+	path := s.p.configFile(s.number)
+	if err := os.WriteFile(path, s.p.World.StartConfiguration(s.number, s.p.Now()), 0o644); err != nil {
+		return err
+	}
+	child, err := s.group.Start(process.Spec{Name: s.spec.Name, Path: s.p.settings.Binary, Args: []string{"serve", "--config", path}, Log: s.p.settings.Log})
+	if err != nil {
+		return err
+	}
+	s.child = child
+	s.pid.Store(int64(child.PID()))
+	first := !s.begun
+	s.begun = true
+	go func() {
+		if child.Ready(ctx, s.spec.Address, time.Now().Add(readyWithin)) == nil && first {
+			s.p.Post(func() { s.p.late = max(s.p.late, s.p.Now()-s.p.Day.Start) })
+		}
+		<-child.Done()
+		s.p.Post(func() { s.ended(child) })
+	}()
+	return nil
+}
+
+// ended takes the end of a process that nobody has killed.
+func (s *sidecar) ended(child *process.Child) {
+	if s.child != child {
+		return
+	}
+	s.child = nil
+	status := int32(0)
+	if child.Err() != nil {
+		status = 1
+	}
+	s.see(judge.Event{Kind: judge.SidecarEnded, Status: status})
+}
+
+func (s *sidecar) see(e judge.Event) {
+	e.At, e.Sidecar, e.Box = s.p.Now(), int32(s.number), -1
+	s.p.Judge.See(e)
+	if s.p.settings.Watch != nil {
+		s.p.settings.Watch.See(e)
+	}
+}
+
+// endSidecars ends all processes, after the loop has gone.
+func (p *Play) endSidecars() {
+	for _, s := range p.sidecars {
+		s.group.End()
+	}
+}
+
+// loopback is the world's Ground: machines are the ground's, sidecars are processes.
+type loopback struct{ p *Play }
+
+var _ world.Ground = loopback{}
+
+func (l loopback) at(ip string) *sidecar {
+	for _, s := range l.p.sidecars {
+		if s.spec.IP == ip {
+			return s
+		}
+	}
+	return nil
+}
+
+// Kill ends a sidecar's process, or a machine's.
+func (l loopback) Kill(ip string) {
+	s := l.at(ip)
+	switch {
+	case s == nil:
+		l.p.ground.Kill(ip)
+	case s.child != nil:
+		child := s.child
+		s.child = nil
+		_ = child.Signal(syscall.SIGKILL) // fails only where it has ended
+		<-child.Done()
+	}
+}
+
+// Vanish takes a machine away.
+func (l loopback) Vanish(ip string) { l.p.ground.Vanish(ip) }
+
+// Return begins a sidecar's next process, or a machine's.
+func (l loopback) Return(ip string) {
+	s := l.at(ip)
+	if s == nil {
+		l.p.ground.Return(ip)
+		return
+	}
+	if s.child == nil {
+		if err := s.begin(s.ctx); err != nil {
+			l.p.stop(err)
+		}
+	}
+}
+
+// Terminate tells a sidecar's process to end.
+func (l loopback) Terminate(sidecar int) { l.signal(sidecar, syscall.SIGTERM) }
+
+// Hangup tells it to read its configuration again.
+func (l loopback) Hangup(sidecar int, configuration []byte) {
+	if sidecar >= len(l.p.sidecars) {
+		return
+	}
+	if err := os.WriteFile(l.p.configFile(sidecar), configuration, 0o644); err != nil {
+		l.p.stop(err)
+		return
+	}
+	l.signal(sidecar, syscall.SIGHUP)
+}
+
+func (l loopback) signal(sidecar int, signal syscall.Signal) {
+	if sidecar < len(l.p.sidecars) && l.p.sidecars[sidecar].child != nil {
+		_ = l.p.sidecars[sidecar].child.Signal(signal) // fails only where it has ended
+	}
+}
+
+func (l loopback) Cut(from, to string)  { l.p.ground.Cut(from, to) }
+func (l loopback) Mend(from, to string) { l.p.ground.Mend(from, to) }
+func (l loopback) Reset(a, b string)    { l.p.ground.Reset(a, b) }
+
+// Stall slows what a sidecar's application reads.
+func (l loopback) Stall(sidecar int, share float64) {
+	l.p.ground.Stall("app-"+l.p.Day.Sidecars[sidecar].Name, share)
+}
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -126,6 +126,9 @@
 	g.children = nil
 }
 
+// PID returns the process's number.
+func (c *Child) PID() int { return c.cmd.Process.Pid }
+
 // Signal sends a signal to a process.
 func (c *Child) Signal(s syscall.Signal) error { return c.cmd.Process.Signal(s) }
 
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"net/netip"
 	"strings"
 
 	"hazelwheel/internal/judge"
@@ -42,7 +43,11 @@
 const boxPort = ":3000"
 
 // otherIP is the address at which a box returns that returns elsewhere.
-func otherIP(b *BoxSpec) string { return strings.Replace(b.IP, "10.1.", "10.3.", 1) }
+func otherIP(b *BoxSpec) string {
+	a := netip.MustParseAddr(b.IP).As4()
+	a[1] += 2
+	return netip.AddrFrom4(a).String()
+}
 
 // Machines returns what a Ground runs beside the sidecars, in the order in which they begin: boxes, discovery's
 // addresses, and for each sidecar its application and the hostile clients.
