--- a/cmd/hazellab/experiment.go
+++ b/cmd/hazellab/experiment.go
@@ -51,6 +51,11 @@
 	watch(&s)
 	ctx, stop := untilSignal(ctx)
 	defer stop()
+	unlock, err := lockCores(ctx, spec.Cores.Balancer, spec.Cores.Boxes, spec.Cores.Load)
+	if err != nil {
+		return err
+	}
+	defer unlock()
 	err = experiment.Do(ctx, &s)
 	if data, openErr := experiment.Open(s.Folder); openErr == nil {
 		fmt.Fprintf(out, "%s: %d of %d runs whole\n", s.Folder, data.Done, data.Planned)
--- a/cmd/hazellab/experiment_test.go
+++ b/cmd/hazellab/experiment_test.go
@@ -222,8 +222,9 @@
 	require.Equal(t, 0, code, log)
 	assert.Contains(t, out, "9 of 9 runs whole")
 
-	code, _, log = ends(t, "report", folder)
+	code, _, log = ends(t, "report", "--pictures", folder)
 	require.Equal(t, 0, code, log)
+	assert.FileExists(t, filepath.Join(folder, "small-3-boxes-200-s-a-box-hangs-service.svg"))
 	page, err := os.ReadFile(filepath.Join(folder, "report.html"))
 	require.NoError(t, err)
 	assert.Equal(t, 6, strings.Count(string(page), "<svg"), "service, percentiles, classes, boxes, recovery, cost")
--- a/cmd/hazellab/pressure.go
+++ b/cmd/hazellab/pressure.go
@@ -8,12 +8,14 @@
 	"path/filepath"
 	"regexp"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/urfave/cli/v3"
 
 	"hazelwheel/internal/lab/pressure"
+	"hazelwheel/internal/lab/process"
 )
 
 func pressureCommand() *cli.Command {
@@ -78,6 +80,11 @@
 	defer os.RemoveAll(s.Dir)
 	ctx, stop := untilSignal(ctx)
 	defer stop()
+	unlock, err := lockCores(ctx, s.Cores.Program, s.Cores.Boxes, s.Cores.Load, s.Cores.Flood)
+	if err != nil {
+		return err
+	}
+	defer unlock()
 	rows, err := pressure.Run(ctx, &s)
 	pressure.Table(c.Root().Writer, rows, s.Programs)
 	fmt.Fprintf(c.Root().Writer, "\n%d cores, %s; program, boxes, load and flood on cores %s; priority %d; %d runs each, in turns; load average at the end %s\n",
@@ -97,6 +104,13 @@
 	return err
 }
 
+// lockCores keeps other measurements off some cores.
+func lockCores(ctx context.Context, lists ...[]int) (unlock func(), err error) {
+	return process.LockCores(ctx, slices.Concat(lists...), func(core int) {
+		fmt.Fprintf(os.Stderr, "waiting for core %d, which another measurement has\n", core)
+	})
+}
+
 func loadAverage() string {
 	raw, err := os.ReadFile("/proc/loadavg")
 	if err != nil {
--- a/cmd/hazellab/report.go
+++ b/cmd/hazellab/report.go
@@ -19,8 +19,11 @@
 		Name:      "report",
 		Usage:     "turn experiments' folders into report.html and report.md",
 		ArgsUsage: "FOLDER...",
-		Flags:     []cli.Flag{&cli.StringFlag{Name: "out", Usage: "the `FOLDER` for the pages; default: the first of those that are read"}},
-		Action:    writeReport,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Usage: "the `FOLDER` for the pages; default: the first of those that are read"},
+			&cli.BoolFlag{Name: "pictures", Usage: "write each plot as an SVG file, too"},
+		},
+		Action: writeReport,
 	}
 }
 
@@ -50,6 +53,14 @@
 			return err
 		}
 	}
+	for _, d := range all {
+		if !c.Bool("pictures") {
+			break
+		}
+		if err := report.Pictures(out, d); err != nil {
+			return err
+		}
+	}
 	fmt.Fprintf(c.Root().Writer, "%s and report.md\n", filepath.Join(out, "report.html"))
 	return nil
 }
--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -28,11 +28,20 @@
 // errNothing says that a cell has nothing for a plot to show.
 var errNothing = errors.New("nothing to show")
 
+// picture is a plot as an element of a page.
+type picture struct {
+	name string
+	svg  template.HTML
+}
+
 // draw returns a cell's plots.
-func draw(c *figures.Cell) ([]template.HTML, error) {
-	var all []template.HTML
-	for _, f := range []func(*figures.Cell) (*plot.Plot, error){overTime, percentiles, byClass, byBox, recovery, cost} {
-		p, err := f(c)
+func draw(c *figures.Cell) ([]picture, error) {
+	var all []picture
+	for _, d := range []struct {
+		name string
+		draw func(*figures.Cell) (*plot.Plot, error)
+	}{{"service", overTime}, {"times", percentiles}, {"classes", byClass}, {"boxes", byBox}, {"recovery", recovery}, {"cost", cost}} {
+		p, err := d.draw(c)
 		if errors.Is(err, errNothing) {
 			continue
 		}
@@ -43,7 +52,7 @@
 		if err != nil {
 			return nil, err
 		}
-		all = append(all, svg)
+		all = append(all, picture{d.name, svg})
 	}
 	return all, nil
 }
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"html/template"
 	"io"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
+	"unicode"
 
 	"hazelwheel/internal/lab/experiment"
 	"hazelwheel/internal/lab/figures"
@@ -67,10 +70,13 @@
 			}
 		}
 		if plots {
-			var err error
-			if s.Plots, err = draw(&cell); err != nil {
+			drawn, err := draw(&cell)
+			if err != nil {
 				return c, fmt.Errorf("%s: %w", s.Title, err)
 			}
+			for _, p := range drawn {
+				s.Plots = append(s.Plots, p.svg)
+			}
 		}
 		c.Sections = append(c.Sections, s)
 	}
@@ -143,3 +149,26 @@
 	_, err := w.Write(b.Bytes())
 	return err
 }
+
+// Pictures writes the plots of an experiment as SVG files into a folder, each named after its cell and what it shows.
+func Pictures(folder string, d *experiment.Data) error {
+	for _, cell := range figures.Cells(d) {
+		drawn, err := draw(&cell)
+		if err != nil {
+			return err
+		}
+		for _, p := range drawn {
+			name := fileName(strings.Join([]string{d.Name, cell.Size, cell.Load, cell.Trouble, p.name}, " ")) + ".svg"
+			if err := os.WriteFile(filepath.Join(folder, name), []byte(p.svg), 0o644); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// fileName returns a text with letters and digits alone, and hyphens between them.
+func fileName(text string) string {
+	words := strings.FieldsFunc(strings.ToLower(text), func(r rune) bool { return !unicode.IsLetter(r) && !unicode.IsDigit(r) })
+	return strings.Join(words, "-")
+}
