--- a/cmd/hazellab/demo_test.go
+++ b/cmd/hazellab/demo_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -72,7 +73,7 @@
 	dir, listen, control := t.TempDir(), freeAddress(t), freeAddress(t)
 	file, config := filepath.Join(dir, "world.toml"), filepath.Join(dir, "sidecar.json")
 	require.NoError(t, os.WriteFile(file, []byte("seed = 3\nsidecars = 1\nboxes = 4\n"), 0o644))
-	start(t, "serve", "--config", config, "--listen", listen, "--control", control, file)
+	world := start(t, "serve", "--config", config, "--listen", listen, "--control", control, file)
 	eventually(t, "the control", func() bool { c, err := net.Dial("tcp", control); return err == nil && c.Close() == nil })
 	sidecar := exec.Command(built(t), "serve", "--config", config)
 	require.NoError(t, sidecar.Start())
@@ -90,7 +91,7 @@
 	for try := 1; calm.Share(load.Served) <= 0.97 && try < 4; try++ { // a busy machine is no world's fault
 		calm = ask()
 	}
-	assert.Greater(t, calm.Share(load.Served), 0.97, "%+v", calm.Counts)
+	require.Greater(t, calm.Share(load.Served), 0.97, "%+v %s %s", calm.Counts, world.out.String(), world.err.String())
 	code, _, log := ends(t, "trouble", "hang", "--control", control, "--for", "60s", "--box", "0", "--box", "1", "--box", "2", "--box", "3")
 	require.Equal(t, 0, code, log)
 	hung := ask()
@@ -101,6 +102,10 @@
 		assert.Equal(t, 2, code, c.args)
 		assert.Contains(t, log, c.says)
 	}
+	require.NoError(t, world.Process.Signal(syscall.SIGTERM))
+	_ = world.Wait()
+	assert.Equal(t, 0, world.ProcessState.ExitCode(), world.err.String())
+
 	bad := filepath.Join(dir, "bad.toml")
 	require.NoError(t, os.WriteFile(bad, []byte("seed = 3\nboxs = 4\n"), 0o644))
 	code, _, log = ends(t, "serve", bad)
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -52,7 +52,8 @@
 // Do plays a world until its day is over or ctx ends. The play's judge holds what came of it; an error says that the world
 // could not be played.
 func Do(ctx context.Context, s *Settings) (*Play, error) {
-	ctx, stop := context.WithCancelCause(ctx)
+	parent := ctx
+	ctx, stop := context.WithCancelCause(parent)
 	defer stop(nil)
 	p := &Play{Day: &s.Day, settings: s, ground: ground.New(), stop: stop}
 	if err := p.move(); err != nil {
@@ -82,7 +83,7 @@
 	if err := p.ground.Run(ctx); err != nil {
 		return nil, err
 	}
-	if cause := context.Cause(ctx); cause != nil && cause != errOver && cause != context.Canceled && cause != context.DeadlineExceeded {
+	if cause := context.Cause(ctx); parent.Err() == nil && cause != errOver {
 		return nil, cause
 	}
 	p.Judge.End(p.ground.Now())
--- a/internal/lab/live/serve.go
+++ b/internal/lab/live/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -31,7 +30,8 @@
 		return err
 	}
 	defer control.Close()
-	ctx, stop := context.WithCancelCause(ctx)
+	parent := ctx
+	ctx, stop := context.WithCancelCause(parent)
 	defer stop(nil)
 	settings := &Settings{Day: s.Day, Script: s.Script, Started: func(p *Play) {
 		if err := s.started(p); err != nil {
@@ -45,8 +45,8 @@
 	if _, err := Do(ctx, settings); err != nil {
 		return err
 	}
-	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
-		return cause
+	if parent.Err() == nil {
+		return context.Cause(ctx)
 	}
 	return nil
 }
