--- a/cmd/hazellab/experiment_test.go
+++ b/cmd/hazellab/experiment_test.go
@@ -206,13 +206,12 @@
 // hangs, and two variants that are the same program.
 func TestExperimentEndToEnd(t *testing.T) {
 	t.Parallel()
-	binary := built(t)
 	text := strings.NewReplacer("repeats = 2", "repeats = 3", `name = "random"`, `name = "round robin again"`,
 		`kind = "random"`, `kind = "roundrobin"`, "retries = 1\n", "", `for = "500ms"`, `for = "1500ms"`).Replace(smallExperiment) + `
 [[balancer]]
 name = "sidecar"
 kind = "hazelwheel"
-binary = "` + binary + `"
+profile = true
 [[trouble]]
 name = "a box hangs"
 events = [{kind = "hang", at = "300ms", for = "1100ms", boxes = [1]}]
@@ -233,6 +232,8 @@
 	require.NoError(t, err)
 	assert.Regexp(t, `\| served % \| [^|]+\| [^|]+\| [^|]+\|`, string(table))
 
+	assert.Contains(t, string(table), "hazelwheel/internal/sidecar.", "the profile")
+
 	// What the plain balancers send to the box that hangs comes late or never, and holds up the rest.
 	code, out, _ = ends(t, "compare", folder+":round robin", folder+":sidecar")
 	require.Equal(t, 0, code)
--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -26,6 +26,7 @@
 			loadCommand(),
 			floodCommand(),
 			proxyCommand(),
+			sidecarCommand(),
 			pressureCommand(),
 			experimentCommand(),
 			reportCommand(),
--- /dev/null
+++ b/cmd/hazellab/sidecar.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/pprof"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/features"
+	"hazelwheel/internal/process"
+)
+
+func sidecarCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "sidecar",
+		Usage: "be the sidecar as this tree has it, and write a profile of its CPU time when it is told to end",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Required: true, Usage: "the configuration `FILE`"},
+			&cli.StringFlag{Name: "cpu-profile", Required: true, Usage: "the `FILE` for the profile, in pprof's form"},
+		},
+		Action: func(_ context.Context, c *cli.Command) (err error) {
+			hangups := make(chan os.Signal, 1)
+			signal.Notify(hangups, syscall.SIGHUP)
+			path := c.String("config")
+			cfg, err := config.Load(path, os.Getenv)
+			if err != nil {
+				return fault(err)
+			}
+			s, err := process.New(cfg, features.Features{}, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+			if err != nil {
+				return err
+			}
+			f, err := os.Create(c.String("cpu-profile"))
+			if err != nil {
+				return err
+			}
+			defer func() { err = errors.Join(err, f.Close()) }()
+			if err := pprof.StartCPUProfile(f); err != nil {
+				return err
+			}
+			defer pprof.StopCPUProfile()
+			return s.Run(hangups, nil, func() (config.Config, error) { return cfg.Reload(path, os.Getenv) })
+		},
+	}
+}
--- a/internal/lab/experiment/folder.go
+++ b/internal/lab/experiment/folder.go
@@ -49,6 +49,8 @@
 	Boxes   []standin.Counts `json:"boxes"`
 	Events  []Happened       `json:"events"`
 	Result  *load.Result     `json:"-"` // nil: there is none
+
+	Profiles []string `json:"-"` // files
 }
 
 // Happened is a trouble as it took place, in seconds from the load's start.
@@ -72,6 +74,8 @@
 	runsDir   = "runs"
 	runFile   = "run.json"
 	loadFile  = "load.json"
+
+	profilePrefix = "cpu-"
 )
 
 // ErrNoFolder says that a folder holds no experiment.
@@ -94,6 +98,7 @@
 			d.Partial = true
 			continue
 		}
+		r.Profiles, _ = filepath.Glob(filepath.Join(dir, profilePrefix+"*.pprof")) // fails only for a bad pattern
 		var result load.Result
 		if readJSON(filepath.Join(dir, loadFile), &result) == nil {
 			r.Result = &result
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -107,7 +107,7 @@
 // binary returns the file of a balancer's program.
 func (s *Settings) binary(b *Balancer) string {
 	switch {
-	case b.Kind != Sidecar:
+	case b.Kind != Sidecar || b.Profile:
 		return s.Self
 	case b.Binary != "":
 		return b.Binary
@@ -250,6 +250,9 @@
 	sidecar := standin.Sidecar{Name: "n" + strconv.Itoa(number), Listen: listen, Discovery: b.discovery, Cores: kind.Cores,
 		MemoryMB: kind.MemoryMB, Sockets: kind.Sockets, Zones: []string{"amman-north"}, Replicas: b.record.size.Balancers, Self: number}
 	spec.Args = []string{"serve", "--config", config}
+	if kind.Profile {
+		spec.Args = []string{"sidecar", "--config", config, "--cpu-profile", filepath.Join(b.dir, fmt.Sprintf("%s%d.pprof", profilePrefix, number))}
+	}
 	return spec, sidecar.Write(config)
 }
 
@@ -287,7 +290,27 @@
 	if json.Unmarshal(raw, &result) != nil {
 		return nil, fmt.Errorf("load: no figures: %w %s", waitErr, strings.TrimSpace(log.String()))
 	}
-	return raw, errors.Join(b.withLog(b.died()), waitErr, troubleErr, countErr)
+	return raw, errors.Join(b.withLog(b.died()), waitErr, troubleErr, countErr, b.endProfiles())
+}
+
+// drainWithin is how long a balancer may take to end, and to write its profile.
+const drainWithin = 10 * time.Second
+
+// endProfiles has balancers that are profiled end, which writes their profiles.
+func (b *bench) endProfiles() error {
+	if !b.record.balancer.Profile {
+		return nil
+	}
+	for _, c := range b.balancers {
+		_ = c.Signal(syscall.SIGTERM) // fails only where it has ended, which is told elsewhere
+	}
+	by := time.Now().Add(drainWithin)
+	for _, c := range b.balancers {
+		if err := c.Wait(context.WithoutCancel(b.ctx), by); err != nil {
+			return fmt.Errorf("no profile: %w", err)
+		}
+	}
+	return nil
 }
 
 // cpu returns what all balancers have used.
--- a/internal/lab/experiment/spec.go
+++ b/internal/lab/experiment/spec.go
@@ -51,6 +51,8 @@
 	Cores    float64 `toml:"cores"`     // hazelwheel's limits; defaults 1, 192 and 4096
 	MemoryMB int     `toml:"memory_mb"` //
 	Sockets  int     `toml:"sockets"`   //
+	// Profile has hazelwheel run within hazellab, as this tree has it, and leave profiles of its CPU time with the figures.
+	Profile bool `toml:"profile"`
 }
 
 // Sidecar is the kind of the program that this project is about.
@@ -259,6 +261,7 @@
 	own := b.Kind == Sidecar
 	c.check("kind", own || slices.Contains(proxy.Kinds, b.Kind), fmt.Sprintf("%q is neither %s nor one of %v", b.Kind, Sidecar, proxy.Kinds))
 	c.check("binary", own || b.Binary == "", "only "+Sidecar+" has one")
+	c.check("profile", !b.Profile || own && b.Binary == "", "only "+Sidecar+" without a binary can be profiled")
 	c.check("retries", b.Retries >= 0 && b.Retries <= 10, "not 0 to 10")
 	c.check("retries", b.Retries == 0 || !own && b.Kind != "fasthttp", b.Kind+" has none to set")
 	c.check("cores", b.Cores >= 0 && b.Cores <= 1024 && (own || b.Cores == 0), "out of range, or not "+Sidecar)
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -30,6 +30,7 @@
 	Rows      []row
 	Partial   string // which runs are left out; empty: none
 	Plots     []template.HTML
+	Profiles  []profiled
 }
 
 // chapter is an experiment.
@@ -69,6 +70,10 @@
 				s.Rows = append(s.Rows, r)
 			}
 		}
+		var err error
+		if s.Profiles, err = profiles(&cell); err != nil {
+			return c, err
+		}
 		if plots {
 			drawn, err := draw(&cell)
 			if err != nil {
@@ -140,6 +145,24 @@
 			for _, r := range s.Rows {
 				fmt.Fprintf(&b, "| %s | %s |\n", r.Figure, strings.Join(r.Values, " | "))
 			}
+			for _, p := range s.Profiles {
+				fmt.Fprintf(&b, "\nWhere the CPU time of %s went, %%:\n\n| by itself | | with what it calls | |\n| --- | ---: | --- | ---: |\n", p.Balancer)
+				for i := range max(len(p.Own), len(p.Whole)) {
+					b.WriteString("|")
+					for _, side := range [][]hot{p.Own, p.Whole} {
+						if i >= len(side) {
+							b.WriteString(" | |")
+							continue
+						}
+						share := side[i].Own
+						if &side[0] == &p.Whole[0] {
+							share = side[i].Whole
+						}
+						fmt.Fprintf(&b, " `%s` | %.1f |", side[i].Name, share)
+					}
+					b.WriteString("\n")
+				}
+			}
 			if s.Partial != "" {
 				fmt.Fprintf(&b, "\nRuns that were not whole are left out: %s.\n", s.Partial)
 			}
