--- a/internal/decide/admission/room.go
+++ b/internal/decide/admission/room.go
@@ -47,6 +47,13 @@
 	// mostKnown addresses are remembered. The memory keeps those that come again before those that came once, so a flood
 	// of addresses that each ask once does not push out who asks all day.
 	mostKnown = 4096
+	// A client is greedy that has greedyTimes as many requests out as the others on average, and freeRequests more.
+	greedyTimes  = 2.0
+	freeRequests = 4.0
+	// lastPart is the part of all places, or of those for strangers, that no address gets which holds half of them.
+	lastPart = 8
+	// manyFree links that are owed nothing in one prefix are enough to take any of them for a newcomer.
+	manyFree = 4.0
 	// fatBytes is from when on a link counts among those that hold much.
 	fatBytes = 4 << 10
 )
@@ -80,12 +87,13 @@
 	clients map[netip.Addr]*address
 	groups  [2]map[netip.Prefix]*group // of strangers and of the known
 	heavy   [2]heap[*group]
-	all     [states]list // all links by state, the longest in it first
-	fat     heap[*Link]  // that hold many bytes and are owed nothing
+	all     [2][states]list // the links of strangers and of the known by state, the longest in it first
+	fat     heap[*Link]     // that hold many bytes and are owed nothing
 	scores  *lru.TwoQueueCache[netip.Addr, float64]
 	caps    []int // links within each of Settings.Caps
 	links   int
 	strange int // of these, of strangers
+	beyond  int // links that take no place
 	asking  int
 	askers  int // addresses with requests out
 	bytes   int
@@ -99,6 +107,7 @@
 	state  State
 	since  float64
 	bytes  int
+	beyond bool    // it takes no place
 	hooks  [2]hook // in the lists of the Room and of its address
 	place  int     // in Room.fat, from 1
 }
@@ -112,6 +121,7 @@
 	counted  float64 // its weight in the group's
 	place    int     // in group.clients, from 1
 	links    int
+	free     int // of these, that are owed nothing
 	own      [states]list
 	caps     []int // places in Room.caps
 }
@@ -155,7 +165,13 @@
 func (r *Room) Open(now float64, addr netip.Addr, owner any) (*Link, Verdict) {
 	a := r.address(addr.Unmap())
 	v := Admitted
-	if r.links >= r.s.Most || !a.known && r.strange >= r.s.Most-r.s.Reserve {
+	// The last places are for the known; and the last of these, as those of the strangers, not for one who holds half of
+	// them already.
+	room, held := r.s.Most, r.links
+	if strangers := r.s.Most - r.s.Reserve; !a.known && room-held > strangers-r.strange {
+		room, held = strangers, r.strange
+	}
+	if held >= room || held >= room-room/lastPart && 2*a.links >= room {
 		v = Crowded
 	}
 	if r.s.PerAddress > 0 && a.links >= r.s.PerAddress {
@@ -186,6 +202,20 @@
 	return r.victim(now, newcomer.client, newcomer)
 }
 
+// Beyond has a newcomer stay that found no room, for a word to its client. It takes no place; how many there may be is the
+// caller's matter.
+func (r *Room) Beyond(l *Link) {
+	l.beyond = true
+	r.links--
+	if !l.client.known {
+		r.strange--
+	}
+	r.beyond++
+}
+
+// BeyondLen returns how many links are beyond.
+func (r *Room) BeyondLen() int { return r.beyond }
+
 // Spare returns the link that is missed least, nil if each is owed something or about to ask.
 func (r *Room) Spare(now float64) *Link { return r.victim(now, nil, nil) }
 
@@ -273,12 +303,19 @@
 // Greedy tells whether the client of a link has clearly more requests out than its fair part of all. It says who goes
 // first when there is not enough for all.
 func (r *Room) Greedy(l *Link) bool {
-	a := l.client
-	fair := max(2*float64(r.asking)/float64(max(r.askers, 1)), 4)
+	a, own := l.client, l.client.own[Asking].n
+	others := r.askers
+	if own > 0 {
+		others--
+	}
+	if others == 0 {
+		return false
+	}
+	fair := freeRequests + greedyTimes*float64(r.asking-own)/float64(others)
 	if a.known {
-		fair *= 1 / knownDiscount
+		fair /= knownDiscount
 	}
-	return r.askers > 1 && float64(a.own[Asking].n) > fair
+	return float64(own) >= fair
 }
 
 // Close takes a link out.
@@ -287,8 +324,9 @@
 	r.Hold(l, 0)
 	r.leave(l)
 	a.links--
-	r.links--
-	if !a.known {
+	if l.beyond {
+		r.beyond--
+	} else if r.links--; !a.known {
 		r.strange--
 	}
 	for _, i := range a.caps {
@@ -302,15 +340,23 @@
 
 // Each calls f with the links in a state, the longest in it first. f may close the link that it is given.
 func (r *Room) Each(s State, f func(*Link)) {
-	for l := r.all[s].first; l != nil; {
-		next := l.hooks[ofRoom].after
-		f(l)
-		l = next
+	for i := range r.all {
+		for l := r.all[i][s].first; l != nil; {
+			next := l.hooks[ofRoom].after
+			f(l)
+			l = next
+		}
 	}
 }
 
 // Oldest returns the link that has been longest in a state, nil if none is in it.
-func (r *Room) Oldest(s State) *Link { return r.all[s].first }
+func (r *Room) Oldest(s State) *Link {
+	x, y := r.all[0][s].first, r.all[1][s].first
+	if x == nil || y != nil && y.since < x.since {
+		return y
+	}
+	return x
+}
 
 // address returns what is known of an address.
 func (r *Room) address(addr netip.Addr) *address {
@@ -344,10 +390,20 @@
 		return
 	}
 	r.ungroup(a)
+	beyond := 0
+	for s := range states {
+		for l := a.own[s].first; l != nil; l = l.hooks[ofAddress].after {
+			r.all[tree(a.known)][s].drop(l)
+			r.all[tree(known)][s].putBySince(l)
+			if l.beyond {
+				beyond++
+			}
+		}
+	}
 	if a.known = known; known {
-		r.strange -= a.links
+		r.strange -= a.links - beyond
 	} else {
-		r.strange += a.links
+		r.strange += a.links - beyond
 	}
 	r.group(a)
 }
@@ -356,12 +412,11 @@
 func (r *Room) enter(l *Link, s State, now float64) {
 	a := l.client
 	l.state, l.since = s, now
-	r.all[s].put(l)
-	if a.own[s].put(l); s == Asking {
-		r.asking++
-		if a.own[Asking].n == 1 {
-			r.askers++
-		}
+	r.all[tree(a.known)][s].put(l)
+	if a.own[s].put(l); s != Asking {
+		a.free++
+	} else if r.asking++; a.own[Asking].n == 1 {
+		r.askers++
 	}
 	r.weigh(l)
 	r.reweigh(a)
@@ -370,12 +425,11 @@
 // leave takes a link out of its state.
 func (r *Room) leave(l *Link) {
 	a := l.client
-	r.all[l.state].drop(l)
-	if a.own[l.state].drop(l); l.state == Asking {
-		r.asking--
-		if a.own[Asking].n == 0 {
-			r.askers--
-		}
+	r.all[tree(a.known)][l.state].drop(l)
+	if a.own[l.state].drop(l); l.state != Asking {
+		a.free--
+	} else if r.asking--; a.own[Asking].n == 0 {
+		r.askers--
 	}
 	r.fat.drop(l)
 	r.reweigh(a)
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -26,6 +26,7 @@
 
 // counters count what the sidecar takes in, sends and answers.
 type counters struct {
+	Accepted  uint64 `json:"accepted"`  // client links that have come up
 	Requests  uint64 `json:"requests"`  // taken whole from clients
 	Open      int    `json:"open"`      // of these, not answered yet
 	Served    uint64 `json:"served"`    // answered with what a server said
@@ -44,6 +45,7 @@
 	Unread     uint64 `json:"unread"`      // client links closed since their clients did not read
 
 	Executions uint64 `json:"executions"`
+	Starved    uint64 `json:"starved"` // of these, that waited for a descriptor
 	Probes     uint64 `json:"probes"`
 	Dials      uint64 `json:"dials"` // server links opened
 	Watches    uint64 `json:"watches"`
