--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -42,6 +42,8 @@
 	New      float64       // the share of requests that each come on a connection of their own, 0 to 1
 	Body     int           // bytes of a POST's body
 	Patience time.Duration // the Request-Timeout, after which the client gives up
+	Retries  int           // how often a request is tried again that was refused, or, if it may run twice, failed or broke
+	Backoff  time.Duration // before the first retry, doubled before each further one; a longer Retry-After is kept
 	Threads  int           // at least 1; each has its share of the links and of the rate
 	Seed     uint64        // of ids, classes and arrivals
 	Step     time.Duration // of the result's series; 0: a second
@@ -69,6 +71,8 @@
 		{p.New >= 0 && p.New <= 1, fmt.Sprintf("new: %g, not 0 to 1", p.New)},
 		{p.Body >= 0 && p.Body <= 64<<10, fmt.Sprintf("body: %d, not 0 to 65536", p.Body)},
 		{p.Patience > 0, "patience: not above 0"},
+		{p.Retries >= 0 && p.Retries <= 10, fmt.Sprintf("retries: %d, not 0 to 10", p.Retries)},
+		{p.Backoff >= 0 && p.Backoff <= time.Minute, fmt.Sprintf("backoff: %s, not 0 to 1 minute", p.Backoff)},
 		{p.Step >= 0 && total <= mostSteps*p.step(), fmt.Sprintf("step: %s, below 0 or more than %d steps", p.Step, mostSteps)},
 		{total > 0 && total <= mostFor, fmt.Sprintf("for: %s, not above 0 and at most %s", total, mostFor)},
 	}
--- a/internal/lab/load/result.go
+++ b/internal/lab/load/result.go
@@ -85,6 +85,7 @@
 	ServedPS         float64           `json:"served_ps"`     // a second, within the time in which requests were sent
 	Opened           int64             `json:"opened"`        // connections
 	OpenFailed       int64             `json:"open_failed"`   // dials that were refused or never came up
+	Retried          int64             `json:"retried"`       // tries beyond the first of a request
 	Resent           int64             `json:"resent"`        // requests that a closing link crossed, sent once more
 	OwnLateP99       float64           `json:"own_late_ms"`   // 99th percentile of how late this client sent though a link was free
 	Unread           int64             `json:"unread_format"` // answers in a form that this client does not read; part of failed
@@ -163,6 +164,7 @@
 
 func (r *Result) merge(o *Result) {
 	r.Add(&o.Counts)
+	r.Retried += o.Retried
 	r.Opened, r.OpenFailed, r.Resent, r.Unread = r.Opened+o.Opened, r.OpenFailed+o.OpenFailed, r.Resent+o.Resent, r.Unread+o.Unread
 	r.servedInTime += o.servedInTime
 	r.gained += o.gained
@@ -216,8 +218,8 @@
 		r.Failed, r.Broken, r.Unanswered, r.Unsent)
 	fmt.Fprintf(w, "time to an answer of what was served, ms: p50 %.2f, p90 %.2f, p99 %.2f, p99.9 %.2f, max %.2f\n",
 		r.P50, r.P90, r.P99, r.P999, r.Max)
-	fmt.Fprintf(w, "connections opened %d, dials failed %d, requests sent once more %d, sent late by this client itself: p99 %.2f ms\n",
-		r.Opened, r.OpenFailed, r.Resent, r.OwnLateP99)
+	fmt.Fprintf(w, "connections opened %d, dials failed %d, tried again %d, sent once more %d, sent late by this client itself: p99 %.2f ms\n",
+		r.Opened, r.OpenFailed, r.Retried, r.Resent, r.OwnLateP99)
 	if r.Unread > 0 {
 		fmt.Fprintf(w, "%d answers had a form that this client does not read\n", r.Unread)
 	}
