Choose ports that no connection is given

A test's load asked a stranger now and then: a port that was free had become that of another's connection or listener by the time the sidecar wanted it. Ports come from below the range that the system hands out.

--- a/cmd/hazellab/demo_test.go
+++ b/cmd/hazellab/demo_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hazelwheel/internal/lab/load"
+	"hazelwheel/internal/lab/process"
 )
 
 // The demo shows what goes wrong and that it is mended, and ends by itself with all rules kept. No process stays.
@@ -61,10 +62,9 @@
 }
 
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := process.FreePort("127.0.0.1")
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", port)
 }
 
 // A world is served to a sidecar that somebody else runs, and troubles come to it while it is.
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -16,6 +16,7 @@
 
 	"hazelwheel/internal/judge"
 	"hazelwheel/internal/lab/ground"
+	"hazelwheel/internal/lab/process"
 	"hazelwheel/internal/world"
 )
 
@@ -204,7 +205,7 @@
 	for i := range d.Sidecars {
 		s := &d.Sidecars[i]
 		s.IP = moved(s.IP, shift)
-		port, err := freePort("127.0.0.1")
+		port, err := process.FreePort("127.0.0.1")
 		if err != nil {
 			return err
 		}
@@ -254,15 +255,6 @@
 	return 0, err
 }
 
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
-
 // delay returns how long bytes take one way.
 func (p *Play) delay() func(machine, other string) time.Duration {
 	sites := map[string]int{}
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -205,7 +206,12 @@
 	for {
 		conn, err := net.DialTimeout("tcp", address, time.Until(by))
 		if err == nil {
-			return conn.Close()
+			conn.Close()
+			select {
+			case <-c.done: // whoever listens there is somebody else
+			default:
+				return nil
+			}
 		}
 		select {
 		case <-c.done:
@@ -220,13 +226,23 @@
 	}
 }
 
-// FreePort returns a port that nobody listens at on a loopback address. Danger: another may take it before it is used;
-// whoever starts a listener there learns it from its error.
-func FreePort(address string) (int, error) {
-	l, err := net.Listen("tcp", address+":0")
-	if err != nil {
-		return 0, err
+// Ports that are chosen here are below those that the system gives to connections. Danger: one of these would be taken by
+// anybody's next connection, and who listens there then is not who was meant.
+const (
+	leastPort = 10000
+	mostPort  = 32000
+	portTries = 100
+)
+
+// FreePort returns a port that nobody listens at on a loopback address. Another may take it before it is used; whoever
+// starts a listener there learns it from its error.
+func FreePort(address string) (port int, err error) {
+	for range portTries {
+		port = leastPort + rand.IntN(mostPort-leastPort)
+		var l net.Listener
+		if l, err = net.Listen("tcp", net.JoinHostPort(address, strconv.Itoa(port))); err == nil {
+			return port, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, err
 }
