--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"html/template"
 	"io"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
+	"unicode"
 
 	"hazelwheel/internal/lab/experiment"
 	"hazelwheel/internal/lab/figures"
@@ -27,6 +30,7 @@
 	Rows      []row
 	Partial   string // which runs are left out; empty: none
 	Plots     []template.HTML
+	Profiles  []profiled
 }
 
 // chapter is an experiment.
@@ -66,11 +70,18 @@
 				s.Rows = append(s.Rows, r)
 			}
 		}
+		var err error
+		if s.Profiles, err = profiles(&cell); err != nil {
+			return c, err
+		}
 		if plots {
-			var err error
-			if s.Plots, err = draw(&cell); err != nil {
+			drawn, err := draw(&cell)
+			if err != nil {
 				return c, fmt.Errorf("%s: %w", s.Title, err)
 			}
+			for _, p := range drawn {
+				s.Plots = append(s.Plots, p.svg)
+			}
 		}
 		c.Sections = append(c.Sections, s)
 	}
@@ -134,6 +145,24 @@
 			for _, r := range s.Rows {
 				fmt.Fprintf(&b, "| %s | %s |\n", r.Figure, strings.Join(r.Values, " | "))
 			}
+			for _, p := range s.Profiles {
+				fmt.Fprintf(&b, "\nWhere the CPU time of %s went, %%:\n\n| by itself | | with what it calls | |\n| --- | ---: | --- | ---: |\n", p.Balancer)
+				for i := range max(len(p.Own), len(p.Whole)) {
+					b.WriteString("|")
+					for _, side := range [][]hot{p.Own, p.Whole} {
+						if i >= len(side) {
+							b.WriteString(" | |")
+							continue
+						}
+						share := side[i].Own
+						if &side[0] == &p.Whole[0] {
+							share = side[i].Whole
+						}
+						fmt.Fprintf(&b, " `%s` | %.1f |", side[i].Name, share)
+					}
+					b.WriteString("\n")
+				}
+			}
 			if s.Partial != "" {
 				fmt.Fprintf(&b, "\nRuns that were not whole are left out: %s.\n", s.Partial)
 			}
@@ -143,3 +172,26 @@
 	_, err := w.Write(b.Bytes())
 	return err
 }
+
+// Pictures writes the plots of an experiment as SVG files into a folder, each named after its cell and what it shows.
+func Pictures(folder string, d *experiment.Data) error {
+	for _, cell := range figures.Cells(d) {
+		drawn, err := draw(&cell)
+		if err != nil {
+			return err
+		}
+		for _, p := range drawn {
+			name := fileName(strings.Join([]string{d.Name, cell.Size, cell.Load, cell.Trouble, p.name}, " ")) + ".svg"
+			if err := os.WriteFile(filepath.Join(folder, name), []byte(p.svg), 0o644); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// fileName returns a text with letters and digits alone, and hyphens between them.
+func fileName(text string) string {
+	words := strings.FieldsFunc(strings.ToLower(text), func(r rune) bool { return !unicode.IsLetter(r) && !unicode.IsDigit(r) })
+	return strings.Join(words, "-")
+}
