Test that descriptors taken whole cost nothing that is taken

The hard case of the issue: descriptors exhausted while dials are under way, during a reload, a dump of the capture and a drain.

--- a/cmd/hazelwheel/pressure_test.go
+++ b/cmd/hazelwheel/pressure_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -102,6 +104,8 @@
 				}
 				assert.LessOrEqual(t, all.Links, all.Most+all.Most/8)
 				assert.LessOrEqual(t, bytes, 16<<20, "a quarter of the memory")
+				w.signal(syscall.SIGTERM) // while it lasts
+				assert.NoError(t, w.cmd.Wait())
 			})
 		}
 	}
@@ -201,3 +205,54 @@
 	require.Error(t, err)
 	assert.Contains(t, err.Error(), "exit status 1")
 }
+
+// All descriptors are taken while the configuration is read again, the capture is dumped and the process is told to end: what
+// is taken is answered. Executions without a descriptor wait for the links of others.
+func TestNoDescriptorsLeft(t *testing.T) {
+	var open sync.WaitGroup
+	open.Add(1)
+	s := newServer(t, "s-00000001", func(rw http.ResponseWriter, _ *http.Request) {
+		open.Wait()
+		_, _ = io.WriteString(rw, "late")
+	})
+	w := newWorld(t, s)
+	w.limits["sockets"] = 64
+	w.settings["obligations"].(map[string]any)["coldS"] = 0
+	w.features = `{"capture":{}}`
+	w.start()
+	// Each wants a link of its own on either side, of 40 in all, and two descriptors while that is dialed. Who finds no place
+	// is closed unread and comes again; the last to come find the process ended.
+	answers := make(chan reply, 16)
+	for range cap(answers) {
+		r := w.request("write", "", "x")
+		go func() {
+			p := w.do(r)
+			for end := time.Now().Add(patience); p.err != nil && time.Now().Before(end) && !errors.Is(p.err, syscall.ECONNREFUSED); {
+				time.Sleep(10 * time.Millisecond) // between two tries, as a client does
+				r.Body = io.NopCloser(strings.NewReader("x"))
+				p = w.do(r)
+			}
+			answers <- p
+		}()
+	}
+	w.logs("executions wait for a descriptor", 1) // nobody else can be let in to ask
+	w.config()
+	w.signal(syscall.SIGHUP)
+	w.logs("configuration read", 1)
+	w.signal(syscall.SIGUSR1)
+	w.logs(`"k":"end"`, 1)
+	w.signal(syscall.SIGTERM)
+	w.logs("msg=ending", 1)
+	open.Done()
+	served := 0
+	for range cap(answers) {
+		if p := <-answers; p.err == nil {
+			assert.Equal(t, 200, p.status)
+			assert.Equal(t, "late", p.body)
+			served++
+		}
+	}
+	assert.NoError(t, w.cmd.Wait())
+	assert.Equal(t, served, s.got(), "all that it took, each once")
+	assert.Greater(t, served, 8)
+}
--- a/internal/decide/admission/room_test.go
+++ b/internal/decide/admission/room_test.go
@@ -206,8 +206,13 @@
 
 // Whatever comes and goes: counts add up, the memory is bounded by who is there, none that asks is given up, a known
 // client is never refused while strangers hold what is owed nothing, and the least worthy goes first.
-func TestRoomProperties(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+func TestRoomProperties(t *testing.T) { rapid.Check(t, roomProperties) }
+
+// The same for whatever order of events the fuzzer thinks of.
+func FuzzRoom(f *testing.F) { f.Fuzz(rapid.MakeFuzz(roomProperties)) }
+
+func roomProperties(t *rapid.T) {
+	{
 		s := Settings{Most: rapid.IntRange(4, 30).Draw(t, "most"), Bytes: 50_000}
 		s.Reserve = rapid.IntRange(0, s.Most/2).Draw(t, "reserve")
 		c := newCrowd(s)
@@ -293,7 +298,7 @@
 			}
 			check(t, c.Room, here)
 		}
-	})
+	}
 }
 
 // check compares what a room counts with who is there.
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -1,6 +1,7 @@
 package features
 
 import (
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"hazelwheel/internal/capture"
 	"hazelwheel/internal/config"
+	"hazelwheel/internal/decide/admission"
 	"hazelwheel/internal/drill"
 	"hazelwheel/internal/health"
 	"hazelwheel/internal/rewrite"
@@ -20,7 +22,7 @@
 const hash = "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"
 
 func read(text string) (Features, error) {
-	c := config.Config{Listen: "127.0.0.1:3000", Limits: config.Limits{MemoryMB: 64}}
+	c := config.Config{Listen: "127.0.0.1:3000", Limits: config.Limits{MemoryMB: 64, Sockets: 1024}}
 	c.Settings.Policy.Classes = []policy.Class{{Name: "latest-reading"}, {Name: "log-calibration"}}
 	return parse([]byte(text), &c)
 }
@@ -57,9 +59,16 @@
 		assert.Equal(t, want, f.Capture)
 	}
 
+	f, err = read(`{"admission":{"reserve":64,"known":["10.1.2.3","2001:db8::/32"],"caps":[{"prefix":"10.1.7.9/16","links":5}]},
+		"admission.per_address":200}`)
+	require.NoError(t, err)
+	assert.Equal(t, admission.Settings{Reserve: 64, PerAddress: 200,
+		Known: []netip.Prefix{netip.MustParsePrefix("10.1.2.3/32"), netip.MustParsePrefix("2001:db8::/32")},
+		Caps:  []admission.Cap{{Prefix: netip.MustParsePrefix("10.1.0.0/16"), Links: 5}}}, f.Admission.Settings)
+
 	f, err = read(`{}`)
 	require.NoError(t, err)
-	assert.False(t, f.Drills.List != nil || f.Drills.Secret != nil || f.Rewrites.On() || f.Health.On() || f.Capture.On, "what is not named is off")
+	assert.False(t, f.Drills.List != nil || f.Drills.Secret != nil || f.Rewrites.On() || f.Health.On() || f.Capture.On || f.Admission.On(), "what is not named is off")
 	_, err = Load(filepath.Join(t.TempDir(), "none.json"), &config.Config{})
 	assert.ErrorIs(t, err, os.ErrNotExist)
 }
@@ -112,6 +121,17 @@
 		{`{"rewrites":[{"dir":"in","when":{"class":"x"},"op":"drop","name":"X-A"}]}`, "rewrites[0].when.class: want"},
 		{`{"rewrites":[{"dir":"in","when":{"path_prefix":"l"},"op":"drop","name":"X-A"}]}`, "rewrites[0].when.path_prefix: want"},
 		{`{"health":{"port":9000},"health.port":9000}`, "health.port: given twice"},
+		{`{"admission":{"reserve":0}}`, "admission.reserve: want"},
+		{`{"admission.reserve":257}`, "admission.reserve: want a whole number from 1 to 256"},
+		{`{"admission.per_address":0}`, "admission.per_address: want"},
+		{`{"admission.waiting_bytes":1000}`, "admission.waiting_bytes: want"},
+		{`{"admission":{"known":["10.0.0.1","here"]}}`, `admission.known[1]: "here" is neither`},
+		{`{"admission":{"caps":[{"prefix":"10.0.0.0/8","links":0}]}}`, "admission.caps[0].links: want"},
+		{`{"admission":{"caps":[{"prefix":"10.0.0.0/40","links":1}]}}`, "admission.caps[0].prefix: want"},
+		{`{"admission":{"caps":[{"links":1}]}}`, "admission.caps[0].prefix: missing"},
+		{`{"admission":{"caps":[{"prefix":"10.0.0.0/8","links":5},{"prefix":"10.1.0.0/16","links":6}]}}`,
+			"admission.caps[1].prefix: 10.1.0.0/16 overlaps with admission.caps[0], 10.0.0.0/8, which has another cap"},
+		{`{"admission":{"reserves":1}}`, "admission.reserves: unknown"},
 		{`{"capture":true}`, "capture: not"},
 		{`{"capture":{"file":4}}`, "capture.file: unknown"},
 		{`{"capture":{"files":4},"capture.files":4}`, "capture.files: given twice"},
