--- a/policy/policy.go
+++ b/policy/policy.go
@@ -890,9 +890,12 @@
 		h.winSent, h.winFrom, h.winLuck = 0, b.now, b.rng.Float64()
 	}
 	strength, sent := b.strength(h), h.winSent+h.winPrev
+	if strength >= 1 {
+		return true
+	}
 	warm := max(b.capacity, 0.6*float64(len(b.members)), 1)
 	room := 0.5 * b.s.ColdMultiple * strength * b.usualRate() * b.s.ColdWindowS / warm
-	return strength >= 1 || sent < room && (room >= 1 || sent == 0 && h.winLuck < room)
+	return sent < room && (room >= 1 || sent == 0 && h.winLuck < room)
 }
 
 // --- Time ---
