--- a/internal/netio/virtual/process.go
+++ b/internal/netio/virtual/process.go
@@ -54,6 +54,7 @@
 	ready     []item
 	batch     []item
 	posts     []func()
+	yields    []func()
 	alarmAt   float64 // NaN: none is asked for
 	rungAt    float64 // the first time at which an alarm event waits; +Inf: none does
 	ringing   bool
@@ -208,8 +209,28 @@
 	p.wake()
 }
 
-// Yield has f called after what has come for this turn of the loop, as Post does: a turn looks at all that has come.
-func (p *Process) Yield(f func()) { p.Post(f) }
+// Yield has f called once a turn has handed over all that had come: this turn where its connections are still being gone
+// through, else the next. Danger: run with the posts it would come before bytes that had come while these took their time.
+func (p *Process) Yield(f func()) {
+	if p.dead {
+		return
+	}
+	p.yields = append(p.yields, f)
+	p.wake()
+}
+
+// runYields calls what was asked for before now.
+func (p *Process) runYields() {
+	due := p.yields
+	p.yields = nil
+	for _, f := range due {
+		if p.dead || p.stopping {
+			return
+		}
+		f()
+		p.called()
+	}
+}
 
 // Waited returns how long ago the socket was given bytes last.
 func (p *Process) Waited(conn netio.Conn) float64 { return p.Now() - conn.(*Conn).receivedAt }
@@ -298,6 +319,7 @@
 			t.conn.serve()
 		}
 	}
+	p.runYields()
 	p.runPosts()
 	if p.ringing && !p.dead && !p.stopping {
 		p.ringing = false
@@ -315,7 +337,7 @@
 		p.exit()
 	}
 	p.busyUntil, p.spent, p.inTurn = p.w.now+p.spent, 0, false
-	if len(p.ready) > 0 || len(p.posts) > 0 {
+	if len(p.ready) > 0 || len(p.posts) > 0 || len(p.yields) > 0 {
 		p.wake()
 	}
 }
--- a/internal/netio/virtual/virtual_test.go
+++ b/internal/netio/virtual/virtual_test.go
@@ -396,6 +396,19 @@
 	b.calls = nil
 	w.Until(w.Now() + 1)
 	assert.Equal(t, []string{"traffic", "closed", "end of call", "first", "second", "third"}, b.calls)
+	// What yields comes once all that had come has been looked at, also what came while posts took their time.
+	a.net.Dial(far, w.Now()+1, nil, func(error) {})
+	w.Until(w.Now() + 1)
+	b.calls, b.onData = nil, nil
+	b.net.opt.CallS = 0.01
+	b.net.Post(func() {
+		b.calls = append(b.calls, "post")
+		b.net.Yield(func() { b.calls = append(b.calls, "yield") })
+	})
+	_, _ = a.conns[1].Write([]byte("came meanwhile"))
+	w.Until(w.Now() + 1)
+	assert.Equal(t, []string{"post", "traffic", "yield"}, b.calls)
+	b.net.opt.CallS = 0
 	// The latest alarm counts, and it rings once.
 	b.calls = nil
 	start := w.Now()
