Check the commands of the simulation by their exit codes, and say more behind an answer a moment later

Exit codes, the line of a script's fault and one history in two processes with 1 and 8 cores are tested now. Noise behind an answer comes a moment later half of the time.

--- /dev/null
+++ b/cmd/hazellab/sim_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/sim"
+)
+
+// What a simulation is told wrong is one line that names it, and exit code 2; of a script with file, line and field.
+func TestBadSimulations(t *testing.T) {
+	script := filepath.Join(t.TempDir(), "day.toml")
+	require.NoError(t, os.WriteFile(script, []byte("seed = 1\n\n[[trouble]]\nkind = 'hang'\nat_s = 3.0\nfor_s = -1.0\nboxes = ['s-4da2ca63']\n"), 0o600))
+	for _, c := range []struct{ args, says string }{
+		{"sim", "--seed"},
+		{"sim --seeds 9-1", "seeds"},
+		{"sim --seeds 1-2 --seed 1", "--seeds"},
+		{"sim --seeds 1-2 --trace", "--trace"},
+		{"sim --seed 1 --core best", "core"},
+		{"sim --script /nowhere", "/nowhere"},
+		{"sim --script " + script, script + ":6:1: for_s"},
+		{"shrink --script " + script, script + ":6:1: for_s"},
+		{"shrink --seed 1 --rule no-such", "no-such"},
+	} {
+		t.Run(c.args, func(t *testing.T) {
+			t.Parallel()
+			code, _, log := ends(t, strings.Fields(c.args)...)
+			assert.Equal(t, 2, code, log)
+			assert.Equal(t, 1, strings.Count(log, "\n"), log)
+			assert.Contains(t, log, c.says)
+		})
+	}
+}
+
+// Days that keep the rules end with 0, broken ones with 1 and the line that replays them; and a range is the same history
+// in another process, on one core or many.
+func TestSimulations(t *testing.T) {
+	var all [2]sim.Tally
+	for i, c := range []struct{ cores, jobs string }{{"1", "1"}, {"8", "8"}} {
+		t.Setenv("GOMAXPROCS", c.cores)
+		code, out, log := ends(t, "sim", "--seeds", "1-4", "--jobs", c.jobs, "--json")
+		require.Equal(t, 0, code, log)
+		require.NoError(t, json.Unmarshal([]byte(out), &all[i]))
+	}
+	assert.Equal(t, all[0].History, all[1].History)
+	assert.Equal(t, 4, all[0].Days)
+
+	code, out, _ := ends(t, "sim", "--seeds", "1-2", "--core", "random")
+	assert.Equal(t, 1, code)
+	assert.Contains(t, out, "replay with: hazellab sim --seed 1 --trace")
+	code, out, _ = ends(t, "sim", "--seed", "1", "--core", "random", "--trace")
+	assert.Equal(t, 1, code)
+	assert.Contains(t, out, "BROKEN one-answer")
+}
--- a/internal/world/box.go
+++ b/internal/world/box.go
@@ -447,9 +447,18 @@
 	misbehaves := l.Manners.Behind > 0 && l.rng.Float64() < l.Manners.Behind
 	out = http1.AppendResponse(out, status, l.loadField(misbehaves), body)
 	if misbehaves {
-		out = l.behind(out)
+		whole := len(out)
+		var copied bool
+		if out, copied = l.behind(out); !copied && l.rng.IntN(2) == 0 {
+			// What comes a moment later meets a connection that seems to be at rest. A copy comes at once: one that meets
+			// the next request can't be told from its answer, by nobody who uses a connection twice.
+			l.write(k, out[:whole])
+			out = out[whole:]
+		}
+	}
+	if k.conn != nil {
+		l.write(k, out)
 	}
-	l.write(k, out)
 }
 
 // loadField returns the load report of an answer, where answers have one; a box that misbehaves may say what nobody can
--- a/internal/world/spoil.go
+++ b/internal/world/spoil.go
@@ -56,11 +56,11 @@
 }
 
 // behind appends what does not belong to an answer: a copy of it, or noise.
-func (l *life) behind(out []byte) []byte {
+func (l *life) behind(out []byte) (more []byte, copied bool) {
 	if l.rng.IntN(2) == 0 {
-		return append(out, out...)
+		return append(out, out...), true
 	}
-	return l.appendNoise(out, 1+l.rng.IntN(60))
+	return l.appendNoise(out, 1+l.rng.IntN(60)), false
 }
 
 func (l *life) appendNoise(out []byte, n int) []byte {
