--- a/cmd/hazellab/sim.go
+++ b/cmd/hazellab/sim.go
@@ -46,7 +46,7 @@
 			&cli.IntFlag{Name: "budget", Usage: "play `N` days at most", Value: 400}}},
 		{Name: "mutants", Usage: "break the program in many ways and see whether the rules notice", Action: mutants, Flags: []cli.Flag{jobs, asJSON,
 			&cli.StringFlag{Name: "dir", Usage: "the `DIR` of the patches", Value: sim.MutantsDir},
-			&cli.StringFlag{Name: "only", Usage: "a `PART` of the names of those to try"},
+			&cli.StringSliceFlag{Name: "only", Usage: "a `PART` of the names of those to try; may be given again"},
 			&cli.Uint64Flag{Name: "last", Usage: "the last `SEED` that is played; the first is 1", Value: 100}}},
 	}
 }
@@ -297,7 +297,7 @@
 func mutants(_ context.Context, c *cli.Command) error {
 	out := c.Root().Writer
 	var all []sim.Mutant
-	err := sim.Mutants(sim.MutantsOptions{Root: ".", Dir: c.String("dir"), Only: c.String("only"), Last: c.Uint64("last"), Jobs: c.Int("jobs")},
+	err := sim.Mutants(sim.MutantsOptions{Root: ".", Dir: c.String("dir"), Only: c.StringSlice("only"), Last: c.Uint64("last"), Jobs: c.Int("jobs")},
 		func(m sim.Mutant) {
 			all = append(all, m)
 			if !c.Bool("json") {
--- a/internal/sim/mutants.go
+++ b/internal/sim/mutants.go
@@ -21,11 +21,11 @@
 
 // MutantsOptions say which mutants are tried, and how.
 type MutantsOptions struct {
-	Root string // of the tree
-	Dir  string // of the patches
-	Only string // a part of the names of those to try
-	Last uint64 // seeds from 1 to this are played, until one catches the mutant
-	Jobs int    // mutants at a time
+	Root string   // of the tree
+	Dir  string   // of the patches
+	Only []string // parts of the names of those to try; none: all
+	Last uint64   // seeds from 1 to this are played, until one catches the mutant
+	Jobs int      // mutants at a time
 }
 
 // Mutant is what came of one.
@@ -53,7 +53,9 @@
 	if err != nil {
 		return err
 	}
-	patches = slices.DeleteFunc(patches, func(p string) bool { return !strings.Contains(filepath.Base(p), o.Only) })
+	patches = slices.DeleteFunc(patches, func(p string) bool {
+		return len(o.Only) > 0 && !slices.ContainsFunc(o.Only, func(part string) bool { return strings.Contains(filepath.Base(p), part) })
+	})
 	if len(patches) == 0 {
 		return fmt.Errorf("%s holds no such patch", o.Dir)
 	}
