--- a/internal/decide/admission/victim.go
+++ b/internal/decide/admission/victim.go
@@ -18,8 +18,8 @@
 	}
 	self := heaviest == a
 	greedy := a != nil && !(self && a.known) && (self || heaviest.burden() > a.burden() || heaviest.in.weight >= manyFree && a.in.weight < heaviest.in.weight)
-	if l := r.sparable(now, heaviest, a, greedy, not); l != nil || self {
-		return l // who holds most makes room for itself alone
+	if l := r.sparable(now, heaviest, a, greedy, not); l != nil {
+		return l
 	}
 	// Those that are heaviest may all be about to ask, and others have long had nothing to say. A stranger does not take
 	// the kept links of the known.
