Have the parts of a cold host's budget add up each time, not on average

Change: windows begin at the same instants for all, and the draw of a window is one number given by host and window, spread by the sidecar's own place; what a part has beyond whole requests is drawn, too.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -880,14 +880,18 @@
 // --- Drain and cold budget (rules 3 and 4) ---
 
 // coldRoom tells whether this proxy's part of a cold host's budget has room, measured by what it sends to a
-// warm host. Danger: a thousand proxies that may each send one request push a cold host over. A part below
-// one request is thinned at random, so that the parts add up.
+// warm host. Danger: a thousand proxies that may each send one request push a cold host over. What a part
+// has beyond whole requests is thinned by a draw, so that the parts add up.
 func (b *Balancer) coldRoom(h *host) bool {
 	if w := b.s.ColdWindowS; b.now >= h.winFrom+w { // two adjoining counts, each of one window
 		if h.winPrev = h.winSent; b.now >= h.winFrom+2*w {
 			h.winPrev = 0
 		}
-		h.winSent, h.winFrom, h.winLuck = 0, b.now, b.rng.Float64()
+		h.winSent, h.winFrom = 0, b.now
+		if w > 0 { // all proxies' windows begin at the same instants
+			h.winFrom = math.Floor(b.now/w) * w
+		}
+		h.winLuck = b.luck(h)
 	}
 	strength, sent := b.strength(h), h.winSent+h.winPrev
 	if strength >= 1 {
@@ -895,7 +899,16 @@
 	}
 	warm := max(b.capacity, 0.6*float64(len(b.members)), 1)
 	room := 0.5 * b.s.ColdMultiple * strength * b.usualRate() * b.s.ColdWindowS / warm
-	return sent < room && (room >= 1 || sent == 0 && h.winLuck < room)
+	return sent+h.winLuck < room
+}
+
+// luck is this proxy's draw for a host's window, 0 to 1. Danger: draws that know nothing of each other add up on average
+// only, and now and then all proxies win. One number that host and window give to all is spread by place.
+func (b *Balancer) luck(h *host) float64 {
+	x := (uint64(h.ID)<<32 ^ uint64(int64(1000*h.winFrom))) * 0x9e3779b97f4a7c15
+	x = (x ^ x>>29) * 0xbf58476d1ce4e5b9
+	place := float64(b.s.Self%max(b.s.Replicas, 1)) / float64(max(b.s.Replicas, 1))
+	return math.Mod(float64((x^x>>32)>>11)/(1<<53)+place, 1)
 }
 
 // --- Time ---
