Move the HTTP front into a room of its own

A second protocol is to stand before the same decisions. Until now the core knew HTTP/1.1: its client links parsed it, its reports and probes were HTTP's.

internal/front/http1 has what is HTTP's: reading and routing, header fields, patience, load reports, the word that starts a drill, calls, exchanges and probes. The core has what is the same in all protocols (a client link's place, its states, answers that are not read, admission, drain, hold and pause) and knows a front by the interfaces in internal/sidecar/front.go alone; it is handed in by New. A link is one allocation as before: the protocol's part holds the core's. The connection buffer is a package of its own below both parsers.

--- a/internal/http1/buffer.go
+++ b/internal/buffer/buffer.go
@@ -1,6 +1,5 @@
-// Package http1 reads and writes HTTP/1.1 messages. Its parsers take bytes as they come and know no
-// sockets.
-package http1
+// Package buffer holds what connections have received until a parser reads it.
+package buffer
 
 // Buffer holds what a connection has received and nobody has read yet. It grows as it needs and is
 // compacted in place: bytes that were read make room before more memory is taken.
--- /dev/null
+++ b/internal/front/http1/call.go
@@ -0,0 +1,90 @@
+package http1
+
+import (
+	"net"
+	"net/netip"
+	"strings"
+
+	"hazelwheel/internal/buffer"
+	"hazelwheel/internal/http1"
+	"hazelwheel/internal/sidecar"
+	"hazelwheel/policy"
+)
+
+// call is what a client has asked for over HTTP.
+type call struct {
+	front          *Front
+	method, target string
+	header         http1.Header // passed on; Request-Timeout is written anew
+	body           []byte
+	class          string
+}
+
+func (c *call) Exchange() sidecar.Exchange {
+	return &exchange{call: c, parser: http1.NewResponseParser(limits)}
+}
+
+// newCall takes over a parsed request of a class that has come from an address. Its header is rewritten here, once
+// for all executions: each begins with the same.
+func newCall(f *Front, p *http1.RequestParser, class string, from net.Addr) *call {
+	c := &call{front: f, method: p.Method, target: p.Target, body: p.Body, class: class}
+	header := p.Header
+	if f.rewrites.On() {
+		var client netip.Addr
+		if tcp, ok := from.(*net.TCPAddr); ok {
+			client = tcp.AddrPort().Addr()
+		}
+		header = f.rewrites.Request(header, class, c.path(), client)
+	} else {
+		header = header.EndToEnd()
+	}
+	for _, f := range header {
+		if !strings.EqualFold(f.Name, fieldPatience) {
+			c.header = append(c.header, f)
+		}
+	}
+	return c
+}
+
+// path returns the target less its query.
+func (c *call) path() string {
+	path, _, _ := strings.Cut(c.target, "?")
+	return path
+}
+
+// exchange is one execution of a call.
+type exchange struct {
+	call   *call
+	parser http1.ResponseParser
+}
+
+func (x *exchange) Append(dst []byte, now, until float64) []byte {
+	h := append(x.call.header[:len(x.call.header):len(x.call.header)],
+		http1.Field{Name: fieldPatience, Value: formatPatience(until - now)})
+	return http1.AppendRequest(dst, x.call.method, x.call.target, h, x.call.body)
+}
+
+func (x *exchange) Read(buf *buffer.Buffer) (bool, error) { return x.parser.Next(buf) }
+func (x *exchange) Begun() bool                           { return x.parser.Begun() }
+func (x *exchange) End() bool                             { return x.parser.End() }
+
+// header returns what the client is sent of an answer's header.
+func (x *exchange) header() http1.Header {
+	if r := &x.call.front.rewrites; r.On() {
+		return r.Answer(x.parser.Header, x.call.class, x.call.path())
+	}
+	return x.parser.Header.EndToEnd()
+}
+
+// Verdict reads the status. Only a server's word that it has not started proves that nothing has run.
+func (x *exchange) Verdict() (policy.Outcome, policy.Report, bool) {
+	p := &x.parser
+	outcome := policy.HostError
+	switch {
+	case p.Status == 200:
+		outcome = policy.OK
+	case (p.Status == 503 || p.Status == 504) && p.Header.Get(fieldNotStarted) == "1":
+		outcome = policy.Rejected
+	}
+	return outcome, x.call.front.report(p.Header.Get(fieldLoad)), p.Keep()
+}
--- /dev/null
+++ b/internal/front/http1/drills.go
@@ -0,0 +1,44 @@
+package http1
+
+import (
+	"encoding/base64"
+	"errors"
+	"strings"
+
+	"hazelwheel/internal/drill"
+	"hazelwheel/internal/http1"
+)
+
+// A drill is started by a POST to its path. The secret comes in a header field, in base64: it may hold any bytes.
+const (
+	DrillPath   = "/drills/"
+	DrillSecret = "Drill-Secret"
+)
+
+// startDrill answers the operators' word to start a drill.
+func (l *link) startDrill(name string) {
+	if l.parser.Method != "POST" {
+		l.decline(405, "a drill is started by POST", http1.Field{Name: "Allow", Value: "POST"})
+		return
+	}
+	secret, err := base64.StdEncoding.DecodeString(l.parser.Header.Get(DrillSecret))
+	if err != nil {
+		secret = nil // which is nobody's
+	}
+	d, err := l.Sidecar().StartDrill(secret, name)
+	if err != nil {
+		status := 404
+		if errors.Is(err, drill.ErrSecret) {
+			status = 403
+		}
+		l.decline(status, err.Error())
+		return
+	}
+	l.respond(200, http1.Header{textPlain}, []byte("drill "+d.Name+" started\n"))
+}
+
+// drillName returns the drill that a path names, if drills can be started.
+func (l *link) drillName(path string) (string, bool) {
+	name, ok := strings.CutPrefix(path, DrillPath)
+	return name, ok && l.Sidecar().DrillsArmed()
+}
--- /dev/null
+++ b/internal/front/http1/fields_test.go
@@ -0,0 +1,41 @@
+package http1
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/rewrite"
+)
+
+func TestReports(t *testing.T) {
+	var cfg config.Config
+	cfg.Settings.ReportFields = []string{"cpu_share", "failed_ps", "pending"}
+	f := New(cfg, rewrite.Settings{})
+	for _, text := range []string{"util=0.61,eps=0,queue=2", " pending=2,extra=5,cpu_share=0.61,odd,failed_ps=0\n"} {
+		r := f.report(text)
+		assert.Equal(t, 3, r.N)
+		assert.Equal(t, []float32{0.61, 0, 2}, r.Values[:3])
+	}
+	r := f.report("util=x,queue=Inf")
+	for _, v := range r.Values[:3] {
+		assert.True(t, math.IsNaN(float64(v)), "a value that is absent or odd is none")
+	}
+	assert.Zero(t, f.report("").N)
+}
+
+func TestPatience(t *testing.T) {
+	for text, want := range map[string]float64{"480m": 0.48, "250u": 0.00025, "1.5m": 0.0015, "0m": 0} {
+		s, ok := parsePatience(text)
+		assert.True(t, ok, text)
+		assert.InDelta(t, want, s, 1e-9, text)
+	}
+	for _, text := range []string{"", "m", "5", "5s", "-1m", "NaNm", "Infm"} {
+		_, ok := parsePatience(text)
+		assert.False(t, ok, text)
+	}
+	assert.Equal(t, "1500u", formatPatience(0.0015))
+	assert.Equal(t, "0u", formatPatience(-1))
+}
--- /dev/null
+++ b/internal/front/http1/front.go
@@ -0,0 +1,62 @@
+// Package http1 is the front that speaks HTTP/1.1: its client links, what it passes on to servers, and its probes.
+package http1
+
+import (
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/http1"
+	"hazelwheel/internal/rewrite"
+	"hazelwheel/internal/sidecar"
+	"hazelwheel/policy"
+)
+
+var limits = http1.Limits{Head: sidecar.MostHead, Body: sidecar.MostBody}
+
+// Front speaks HTTP/1.1 as the settings say.
+type Front struct {
+	name     string // of this sidecar
+	settings config.Settings
+	classes  map[string]int
+	rewrites rewrite.Settings
+}
+
+var _ sidecar.Front = (*Front)(nil)
+
+// New returns a front for the classes of a configuration.
+func New(cfg config.Config, rewrites rewrite.Settings) *Front {
+	f := &Front{name: cfg.Name, settings: cfg.Settings, classes: map[string]int{}, rewrites: rewrites}
+	for i, c := range cfg.Settings.Policy.Classes {
+		f.classes[c.Name] = i
+	}
+	return f
+}
+
+// Client returns a link that has read nothing.
+func (f *Front) Client() sidecar.Client {
+	return &link{front: f, parser: http1.NewRequestParser(limits)}
+}
+
+// probe asks a server for a sign of life.
+type probe struct{ exchange }
+
+// Probe asks in the way that the settings name.
+func (f *Front) Probe() sidecar.Exchange {
+	path := "/health"
+	if f.settings.Policy.ReportsOnProbe {
+		path = "/status/load"
+	}
+	c := &call{front: f, method: "GET", target: path, header: http1.Header{{Name: "Host", Value: f.name}}}
+	return &probe{exchange{call: c, parser: http1.NewResponseParser(limits)}}
+}
+
+// Verdict reads the report from the body, where it comes so. A probe runs nothing: a server that does not serve
+// one has turned it away, and need not say so as it must of a request.
+func (x *probe) Verdict() (policy.Outcome, policy.Report, bool) {
+	outcome, report, keep := x.exchange.Verdict()
+	if x.parser.Status == 503 {
+		outcome = policy.Rejected
+	}
+	if x.call.front.settings.Policy.ReportsOnProbe && x.parser.Status == 200 {
+		report = x.call.front.report(string(x.parser.Body))
+	}
+	return outcome, report, keep
+}
--- /dev/null
+++ b/internal/front/http1/link.go
@@ -0,0 +1,151 @@
+package http1
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+
+	"hazelwheel/internal/buffer"
+	"hazelwheel/internal/http1"
+	"hazelwheel/internal/sidecar"
+	"hazelwheel/policy"
+)
+
+// link is a client link that speaks HTTP/1.1.
+type link struct {
+	sidecar.ClientLink
+	front  *Front
+	parser http1.RequestParser
+	told   bool // 100 Continue is sent
+}
+
+// Read sends word to a client that waits for it before it sends the body.
+func (l *link) Read(buf *buffer.Buffer) (bool, error) {
+	whole, err := l.parser.Next(buf)
+	if !whole && err == nil && !l.told && l.parser.WantsContinue() {
+		l.told = true
+		l.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	return whole, err
+}
+
+// Partial counts the body, which is taken off the buffer as it comes.
+func (l *link) Partial() (held int, begun bool) { return len(l.parser.Body), l.parser.Begun() }
+
+// Take routes a request.
+func (l *link) Take() {
+	l.told = false
+	l.Keep(l.parser.Keep())
+	l.route()
+	l.parser.Rest()
+}
+
+// Decline names the status of what is wrong.
+func (l *link) Decline(err error) {
+	var e *http1.Error
+	switch {
+	case errors.Is(err, sidecar.ErrUnarrived):
+		e = &http1.Error{Status: 408, Reason: err.Error()}
+	case !errors.As(err, &e):
+		e = &http1.Error{Status: 400, Reason: err.Error()}
+	}
+	l.decline(e.Status, e.Reason)
+}
+
+// decline answers a message that is no request to decide on.
+func (l *link) decline(status int, why string, more ...http1.Field) {
+	l.Malformed()
+	l.respond(status, append(more, textPlain), []byte(why+"\n"))
+}
+
+var textPlain = http1.Field{Name: "Content-Type", Value: "text/plain"}
+
+// route answers what concerns the sidecar itself, and hands on the rest.
+func (l *link) route() {
+	p := &l.parser
+	path, _, _ := strings.Cut(p.Target, "?")
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	class, ok := l.front.classes[name]
+	drill, armed := l.drillName(path)
+	switch {
+	case ok:
+		l.take(class)
+	case path == "/ready" && p.Method == "GET":
+		l.respond(200, http1.Header{textPlain}, []byte("ready\n"))
+	case path == "/clients" && p.Method == "GET":
+		l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, l.Sidecar().Clients())
+	case path == "/counters" && p.Method == "GET":
+		l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, l.Sidecar().Counters())
+	case armed:
+		l.startDrill(drill)
+	default:
+		l.decline(404, "no such class of requests")
+	}
+}
+
+// take checks a request of a class and hands it to the decisions.
+func (l *link) take(class int) {
+	p, c := &l.parser, &l.front.settings.Policy.Classes[class]
+	method := "POST"
+	if c.Effect == policy.Safe {
+		method = "GET"
+	}
+	id := p.Header.Get(fieldID)
+	patience, ok := c.GiveUpS, true
+	if text := p.Header.Get(fieldPatience); text != "" {
+		patience, ok = parsePatience(text)
+	}
+	switch {
+	case p.Method != method:
+		l.decline(405, "class "+c.Name+" takes "+method, http1.Field{Name: "Allow", Value: method})
+	case id == "":
+		l.decline(400, fieldID+" is missing")
+	case l.Sidecar().IsOpen(id):
+		l.decline(409, fieldID+" is that of an open request")
+	case c.Effect == policy.Keyed && p.Header.Get(fieldKey) == "":
+		l.decline(400, fieldKey+" is missing")
+	case !ok:
+		l.decline(400, fieldPatience+" is not a number with m or u")
+	case l.Admit():
+		l.HandOn(sidecar.Ask{ID: id, Class: class, Patience: patience, Repeat: p.Header.Get(fieldRetry) == "1", Size: len(p.Body),
+			Call: newCall(l.front, p, c.Name, l.RemoteAddr())})
+	}
+}
+
+// Serve passes on a server's answer.
+func (l *link) Serve(x sidecar.Exchange) {
+	h := x.(*exchange)
+	l.Served()
+	l.respond(h.parser.Status, h.header(), h.parser.Body)
+}
+
+// Throttle refuses.
+func (l *link) Throttle(retryAfterS float64) {
+	h := http1.Header{textPlain}
+	if l.front.settings.RetryAfter {
+		after := strconv.FormatFloat(max(retryAfterS, 0), 'f', 3, 64)
+		h = append(h, http1.Field{Name: fieldRetryAfter, Value: after})
+	}
+	l.respond(503, h, []byte("throttled\n"))
+}
+
+// Fail says that there is no answer.
+func (l *link) Fail(late bool) {
+	if late {
+		l.respond(504, http1.Header{textPlain}, []byte("no answer in time\n"))
+		return
+	}
+	l.respond(502, http1.Header{textPlain}, []byte("no answer\n"))
+}
+
+// respond answers, and tells the client where the answer is the last.
+func (l *link) respond(status int, h http1.Header, body []byte) {
+	dst, last, there := l.BeginAnswer()
+	if !there {
+		return
+	}
+	if last {
+		h = append(h[:len(h):len(h)], http1.Field{Name: "Connection", Value: "close"})
+	}
+	l.EndAnswer(http1.AppendResponse(dst, status, h, body))
+}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -1,3 +1,5 @@
+// Package http1 reads and writes HTTP/1.1 messages. Its parsers take bytes as they come and know no
+// sockets.
 package http1
 
 import (
@@ -6,8 +8,13 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"hazelwheel/internal/buffer"
 )
 
+// Buffer is what the parsers read from.
+type Buffer = buffer.Buffer
+
 // Error says why a message can't be read, with the status that tells a client so.
 type Error struct {
 	Status int
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -16,6 +16,7 @@
 	"hazelwheel/internal/capture"
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/features"
+	"hazelwheel/internal/front/http1"
 	"hazelwheel/internal/netio/sockets"
 	"hazelwheel/internal/sidecar"
 )
@@ -40,7 +41,7 @@
 // New returns a process that does not serve yet.
 func New(cfg config.Config, on features.Features, log *slog.Logger) (*Process, error) {
 	loop := sockets.New(cfg.Listen, log)
-	s, err := sidecar.New(cfg, on, loop, log)
+	s, err := sidecar.New(cfg, on, http1.New(cfg, on.Rewrites), loop, log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/arrivals.go
+++ b/internal/sidecar/arrivals.go
@@ -70,7 +70,7 @@
 		case shed:
 			s.counters.Shed++
 			s.counters.Throttled++
-			s.answer(r, func() { r.origin.throttle(s.cfg.Settings.Policy.MaxRetryAfterS) })
+			s.answer(r, func() { r.origin.Throttle(s.cfg.Settings.Policy.MaxRetryAfterS) })
 		default:
 			q.Held += now - w.Of.at
 			s.decide(r, q)
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -6,7 +6,6 @@
 	"net/netip"
 
 	"hazelwheel/internal/decide/admission"
-	"hazelwheel/internal/http1"
 	"hazelwheel/internal/netio"
 )
 
@@ -73,7 +72,9 @@
 // where none can be spared, its request is throttled unless enough descriptors are left.
 func (s *Sidecar) accept(c netio.Conn) bool {
 	now := s.now()
-	l := &clientLink{s: s, conn: c, openedAt: now, parser: http1.NewRequestParser(httpLimits), index: len(s.clients)}
+	client := s.front.Client()
+	l := client.Shared()
+	l.s, l.client, l.conn, l.openedAt, l.index = s, client, c, now, len(s.clients)
 	s.clients = append(s.clients, l)
 	s.counters.Accepted++
 	c.SetContext(link(l))
@@ -86,7 +87,7 @@
 		if gone == nil {
 			break
 		}
-		old := gone.Owner.(*clientLink)
+		old := gone.Owner.(*ClientLink)
 		if old.mayBeAsking() {
 			if looked++; looked > lookedAt {
 				break
@@ -127,13 +128,13 @@
 }
 
 // mayBeAsking tells whether the next request of a link that seems to have none waits in its socket.
-func (l *clientLink) mayBeAsking() bool {
+func (l *ClientLink) mayBeAsking() bool {
 	state, _ := l.place.State()
 	return (state == admission.Silent || state == admission.Resting) && !l.s.net.Quiet(l.conn)
 }
 
 // giveUp closes a link that goes for another.
-func (l *clientLink) giveUp() {
+func (l *ClientLink) giveUp() {
 	s := l.s
 	switch state, _ := l.place.State(); state {
 	case admission.Partial, admission.Unread:
@@ -146,13 +147,13 @@
 	s.closeConn(l.conn)
 }
 
-func (l *clientLink) stateName() string {
+func (l *ClientLink) stateName() string {
 	state, _ := l.place.State()
 	return state.String()
 }
 
 // retire closes a link that is of no more use, unless a request waits in its socket.
-func (l *clientLink) retire() {
+func (l *ClientLink) retire() {
 	if l.mayBeAsking() {
 		l.s.room.Renew(l.s.now(), l.place)
 		return
@@ -165,12 +166,12 @@
 }
 
 // hold notes how much of a request or of an answer the link holds. Where all hold too much, who holds most goes.
-func (l *clientLink) hold(bytes int) {
+func (l *ClientLink) hold(bytes int) {
 	s := l.s
 	s.room.Hold(l.place, bytes)
 	for gone := s.room.Heavy(); gone != nil; gone = s.room.Heavy() {
 		s.notice("connections that hold much are closed: there is no memory for more")
-		gone.Owner.(*clientLink).giveUp()
+		gone.Owner.(*ClientLink).giveUp()
 	}
 }
 
@@ -182,7 +183,7 @@
 			if _, at := l.State(); at >= since {
 				return
 			}
-			l.Owner.(*clientLink).retire()
+			l.Owner.(*ClientLink).retire()
 		}
 	}
 	if old(admission.Silent, now-silentS); s.crowded() {
@@ -193,7 +194,7 @@
 
 // unread has a link wait until its client has taken what is written. Danger: requests that are taken up while answers
 // wait grow what waits without a bound, and with it the process, which is killed with all that it has taken.
-func (l *clientLink) unread() {
+func (l *ClientLink) unread() {
 	s, now := l.s, l.s.now()
 	l.unreadFrom, l.tookAt, l.untaken = now, now, l.conn.OutboundBuffered()
 	s.room.Move(now, l.place, admission.Unread)
@@ -206,13 +207,13 @@
 }
 
 // pause leaves what the client sends in the socket.
-func (l *clientLink) pause() {
+func (l *ClientLink) pause() {
 	l.s.net.PauseReading(l.conn)
 	l.paused = true
 }
 
 // resume reads on.
-func (l *clientLink) resume() {
+func (l *ClientLink) resume() {
 	if l.paused {
 		l.paused = false
 		l.s.net.ResumeReading(l.conn)
@@ -224,7 +225,7 @@
 func (s *Sidecar) flush() {
 	now := s.now()
 	s.room.Each(admission.Unread, func(place *admission.Link) {
-		l := place.Owner.(*clientLink)
+		l := place.Owner.(*ClientLink)
 		left := l.conn.OutboundBuffered()
 		if left < l.untaken {
 			l.untaken, l.tookAt = left, now
@@ -253,8 +254,8 @@
 // mostShown bounds the addresses that are told of at a time.
 const mostShown = 200
 
-// clientsText tells who holds what, as JSON.
-func (s *Sidecar) clientsText() []byte {
+// Clients tells who holds what, as JSON.
+func (s *Sidecar) Clients() []byte {
 	var all struct {
 		Links     int                `json:"links"`
 		Most      int                `json:"most"`
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -1,9 +1,6 @@
 package sidecar
 
-import (
-	"hazelwheel/internal/http1"
-	"hazelwheel/policy"
-)
+import "hazelwheel/policy"
 
 // progress is how far an execution has come.
 type progress uint8
@@ -75,21 +72,6 @@
 	}
 }
 
-// exchange is one protocol's side of an execution: it writes the request to a server link and reads the
-// answer off it. A request carries one for each execution, in the protocol that it came in.
-type exchange interface {
-	// append appends the request; the server is told until when anybody waits for its answer.
-	append(dst []byte, until float64) []byte
-	// read reads on from what the link has received and tells whether the answer is whole.
-	read(buf *http1.Buffer) (bool, error)
-	// begun tells whether any of the answer has come.
-	begun() bool
-	// end takes the end of the link and tells whether that makes the answer whole.
-	end() bool
-	// verdict tells what a whole answer means, the load report it holds, and whether the link can be kept.
-	verdict() (outcome policy.Outcome, report policy.Report, keep bool)
-}
-
 // execution is one attempt of a request at a server, or a probe of it, which has no request. It ends with
 // exactly one outcome.
 type execution struct {
@@ -98,7 +80,7 @@
 	host     uint32
 	sentAt   float64
 	until    float64 // when the wait is over
-	exchange exchange
+	exchange Exchange
 	link     *serverLink
 	progress progress
 	timer    *timer
@@ -119,7 +101,7 @@
 		result.Outcome = err.outcome()
 		s.log.Debug("execution ended", "host", e.host, "probe", e.request == nil, "error", err)
 	} else {
-		result.Outcome, result.Report, _ = e.exchange.verdict()
+		result.Outcome, result.Report, _ = e.exchange.Verdict()
 	}
 	if e.request == nil {
 		// A server turns a probe away at once, or after it has waited in line for as long as probes may.
@@ -146,7 +128,7 @@
 	result.ID = r.id
 	if result.Outcome == policy.OK && !r.answered {
 		s.counters.Served++
-		s.answer(r, func() { r.origin.serve(e.exchange) })
+		s.answer(r, func() { r.origin.Serve(e.exchange) })
 	}
 	result.Final = r.answered
 	s.push(func(now float64) {
@@ -171,7 +153,7 @@
 	if e.request != nil || e.second || h == nil || err == nil || err.cause != broke || err.progress == notConnected {
 		return false
 	}
-	e.second, e.progress, e.exchange = true, notConnected, s.probe()
+	e.second, e.progress, e.exchange = true, notConnected, s.front.Probe()
 	s.dial(h, e)
 	return true
 }
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -6,8 +6,8 @@
 	"io"
 	"slices"
 
+	"hazelwheel/internal/buffer"
 	"hazelwheel/internal/hostgroup"
-	"hazelwheel/internal/http1"
 	"hazelwheel/internal/netio"
 	"hazelwheel/policy"
 )
@@ -22,7 +22,7 @@
 	address   string
 	conn      netio.Conn // nil until it is up
 	stopDial  func()
-	buf       http1.Buffer
+	buf       buffer.Buffer
 	execution *execution // nil while idle
 	retire    *timer
 	restedAt  float64 // when it became idle
@@ -170,7 +170,7 @@
 func (l *serverLink) begin(e *execution) {
 	l.execution, e.link = e, l
 	e.progress = partlyWritten
-	l.s.scratch = e.exchange.append(l.s.scratch[:0], e.until)
+	l.s.scratch = e.exchange.Append(l.s.scratch[:0], l.s.now(), e.until)
 	l.writing = true
 	_, err := l.conn.Write(l.s.scratch) // gnet closes the link on an error, which ends the execution
 	l.writing = false
@@ -184,7 +184,7 @@
 	if e.progress == partlyWritten && !l.writing && l.conn.OutboundBuffered() == 0 {
 		e.progress = writtenWhole
 	}
-	if e.progress == writtenWhole && e.exchange.begun() {
+	if e.progress == writtenWhole && e.exchange.Begun() {
 		e.progress = answering
 	}
 	return e.progress
@@ -199,7 +199,7 @@
 		l.close()
 		return
 	}
-	done, err := e.exchange.read(&l.buf)
+	done, err := e.exchange.Read(&l.buf)
 	if err != nil {
 		l.execution = nil
 		far := l.progress(e)
@@ -216,7 +216,7 @@
 // complete ends an execution whose answer is whole. The link is kept only if nothing is left on it, neither
 // of the answer nor of the request.
 func (l *serverLink) complete(e *execution) {
-	_, _, keep := e.exchange.verdict()
+	_, _, keep := e.exchange.Verdict()
 	if keep && l.buf.Len() == 0 && l.conn.OutboundBuffered() == 0 && l.s.mayServe(l.host) {
 		l.rest()
 	} else {
@@ -235,7 +235,7 @@
 		return
 	}
 	l.execution = nil
-	if (err == nil || errors.Is(err, io.EOF)) && e.exchange.end() {
+	if (err == nil || errors.Is(err, io.EOF)) && e.exchange.End() {
 		l.s.finish(e, nil)
 		return
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -19,7 +19,6 @@
 	"hazelwheel/internal/health"
 	"hazelwheel/internal/hostgroup"
 	"hazelwheel/internal/netio"
-	"hazelwheel/internal/rewrite"
 	"hazelwheel/policy"
 )
 
@@ -54,7 +53,8 @@
 	requests  map[uint32]*request
 	named     map[string]*request // by their clients' ids
 	lastID    uint32
-	clients   []*clientLink
+	front     Front
+	clients   []*ClientLink
 	room      *admission.Room
 	flushing  bool // answers are looked after that clients have not taken
 	notices   notices
@@ -63,7 +63,6 @@
 	watcher   *watcher
 	admission features.Admission
 	drills    *drill.Set
-	rewrites  rewrite.Settings
 	health    *health.Server // nil: there is no side port
 	listAt    float64        // when anything was last read from discovery
 	listed    bool           // a list has been read from discovery
@@ -84,12 +83,13 @@
 
 var _ netio.Host = (*Sidecar)(nil)
 
-// New returns a sidecar that has not begun, for the loop that is to call it.
-func New(cfg config.Config, on features.Features, loop netio.Net, log *slog.Logger) (*Sidecar, error) {
+// New returns a sidecar that has not begun, for clients and servers that speak what front does and for the loop that is
+// to call it.
+func New(cfg config.Config, on features.Features, front Front, loop netio.Net, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{cfg: cfg, log: log, net: loop, classes: map[string]int{}, lastID: 1,
 		requests: map[uint32]*request{}, named: map[string]*request{}, idle: map[uint32][]*serverLink{},
 		hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
-		admission: on.Admission, notices: notices{}, drills: drill.New(on.Drills), rewrites: on.Rewrites}
+		admission: on.Admission, notices: notices{}, drills: drill.New(on.Drills), front: front}
 	if s.listAt = s.now(); on.Health.On() {
 		s.health = health.New(on.Health, loop.Now, log)
 		s.reserved += health.Descriptors
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -52,7 +52,7 @@
 		w.stop()
 	}
 	now := s.now()
-	w := &watcher{s: s, parser: http1.NewResponseParser(http1.Limits{Head: mostHead, Body: mostList})}
+	w := &watcher{s: s, parser: http1.NewResponseParser(http1.Limits{Head: MostHead, Body: mostList})}
 	s.watcher = w
 	s.counters.Watches++
 	w.alive = s.timers.at(now+headWaitS, func() { w.fail(errSilent) })
