--- a/cmd/hazelwheel/pressure_test.go
+++ b/cmd/hazelwheel/pressure_test.go
@@ -220,14 +220,14 @@
 	w.settings["obligations"].(map[string]any)["coldS"] = 0
 	w.features = `{"capture":{}}`
 	w.start()
-	// Each wants a link of its own on either side, of 40 in all, and two descriptors while that is dialed. Who finds no place
-	// is closed unread and comes again; the last to come find the process ended.
-	answers := make(chan reply, 16)
+	// Each wants a link of its own on either side, of 40 in all less a reserve of 3. Who finds no place is closed unread or
+	// told so, and comes again; the last to come may find the process ended.
+	answers := make(chan reply, 18)
 	for range cap(answers) {
 		r := w.request("write", "", "x")
 		go func() {
 			p := w.do(r)
-			for end := time.Now().Add(patience); p.err != nil && time.Now().Before(end) && !errors.Is(p.err, syscall.ECONNREFUSED); {
+			for end := time.Now().Add(patience); (p.err != nil || p.status == 503) && time.Now().Before(end) && !errors.Is(p.err, syscall.ECONNREFUSED); {
 				time.Sleep(10 * time.Millisecond) // between two tries, as a client does
 				r.Body = io.NopCloser(strings.NewReader("x"))
 				p = w.do(r)
