Set timers in a wheel, and keep events, executions and timers without garbage

Cause: a profile of one core at 13 boxes: 12 % in allocation, 5 % in reading the clock a dozen times a request, 4 % in a heap of timers most of which are stopped again. Change: a wheel of 1,024 slots with a heap for what is due now and one for what is far; timers are parts of requests and executions; the two events of each request are values; a callback has one time.

--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -20,7 +20,7 @@
 	e := &execution{request: r, number: r.sent, host: host, sentAt: s.eventAt,
 		until: r.deadline - s.answerRoom(), exchange: r.call.Exchange()}
 	r.sent++
-	r.out[e.number] = e
+	r.out = append(r.out, e)
 	s.counters.Executions++
 	if r.answered || len(r.out) > 1 && !s.cfg.Settings.Policy.SecondCopies {
 		s.finish(e, &execError{notConnected, overtaken, nil})
@@ -32,8 +32,10 @@
 // Cancel ends the wait for one execution.
 func (s *Sidecar) Cancel(id uint32, attempt int) {
 	s.noteFor(id, capture.Decision{Do: capture.Cancel, Attempt: attempt})
-	if r := s.requests[id]; r != nil && r.out[attempt] != nil {
-		s.abandon(r.out[attempt], cancelled)
+	if r := s.requests[id]; r != nil {
+		if e := r.execution(attempt); e != nil {
+			s.abandon(e, cancelled)
+		}
 	}
 }
 
--- a/internal/sidecar/arrivals.go
+++ b/internal/sidecar/arrivals.go
@@ -84,10 +84,5 @@
 
 // decide hands a request to the decisions.
 func (s *Sidecar) decide(r *request, q policy.Request) {
-	s.push(func(now float64) {
-		if !r.answered { // its client may have gone since
-			s.capture.Request(now, q, r.label())
-			s.balancer.Request(now, q)
-		}
-	})
+	s.queue = append(s.queue, event{request: r, told: q})
 }
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -83,7 +83,8 @@
 	exchange Exchange
 	link     *serverLink
 	progress progress
-	timer    *timer
+	timer    timer // when the wait is over
+	s        *Sidecar
 	over     bool
 	second   bool    // a probe that has been begun again
 	late     float64 // how long its answer lay in the socket
@@ -95,7 +96,7 @@
 		return
 	}
 	e.over = true
-	s.timers.stop(e.timer)
+	s.timers.stop(&e.timer)
 	result := policy.Result{Host: e.host, Attempt: e.number}
 	if err != nil {
 		result.Outcome = err.outcome()
@@ -124,22 +125,19 @@
 	}
 	s.counters.executions.count(result.Outcome)
 	r := e.request
-	delete(r.out, e.number)
+	r.drop(e)
 	result.ID = r.id
 	if result.Outcome == policy.OK && !r.answered {
 		s.counters.Served++
 		s.answer(r, func() { r.origin.Serve(e.exchange) })
 	}
 	result.Final = r.answered
-	s.push(func(now float64) {
-		result.DelayS, result.LateS = e.took(now)
-		result.Final = result.Final || r.answered
-		s.capture.Outcome(now, result, r.label())
-		s.balancer.AttemptDone(now, result)
-		s.forget(r)
-	})
+	s.queue = append(s.queue, event{ended: e, result: result})
 }
 
+// ring ends the wait.
+func (e *execution) ring() { e.s.abandon(e, timedOut) }
+
 // took returns how long an execution that ends now took to its answer's arrival, and how long that lay unread.
 func (e *execution) took(now float64) (delay, late float64) {
 	late = min(e.late, now-e.sentAt)
@@ -165,7 +163,8 @@
 		s.finish(e, &execError{notConnected, overtaken, nil})
 		return
 	}
-	e.timer = s.timers.at(e.until, func() { s.abandon(e, timedOut) })
+	e.s = s
+	s.timers.set(&e.timer, e.until, e)
 	if l := s.idleLink(h); l != nil {
 		l.begin(e)
 		return
--- a/internal/sidecar/holdings.go
+++ b/internal/sidecar/holdings.go
@@ -14,7 +14,7 @@
 // Holdings returns what is held now. It is for the loop, between its calls.
 func (s *Sidecar) Holdings() Holdings {
 	h := Holdings{Requests: max(len(s.requests), len(s.named)), ClientLinks: len(s.clients), ServerLinks: s.conns - len(s.clients),
-		Timers: len(s.timers.heap), Events: len(s.queue)}
+		Timers: s.timers.n, Events: len(s.queue)}
 	if w := s.watcher; w != nil && w.conn != nil {
 		h.ServerLinks--
 		h.Buffered += w.buf.Len()
--- a/internal/sidecar/lateness.go
+++ b/internal/sidecar/lateness.go
@@ -18,8 +18,7 @@
 	sampledAt float64
 	waited    float64 // what the last sample had lain there
 	most      float64 // since the counters were last asked for
-	turnedAt  float64 // when the last callback ended
-	owed      float64 // a stall within a callback, which the decisions have not been told of
+	turnedAt  float64 // when the last callback began
 	stalledAt float64 // when the last stall ended
 }
 
@@ -37,19 +36,13 @@
 	return l.waited
 }
 
-// noteStall tells the decisions if the loop has not turned for a while: since the last callback, or since the time for
+// noteStall tells the decisions if the loop has not turned for a while: since the last callback began, or since the time for
 // which the alarm was set if that is later.
 func (s *Sidecar) noteStall(now float64) {
 	l := &s.late
-	due := l.turnedAt
-	if s.timers.armed > due {
-		due = s.timers.armed
-	}
-	seconds := l.owed
-	if gap := now - due; l.turnedAt > 0 && gap > stallS {
-		seconds += gap
-	}
-	if l.owed = 0; seconds == 0 {
+	due := max(l.turnedAt, s.timers.armed)
+	seconds := now - due
+	if l.turnedAt == 0 || seconds <= stallS {
 		return
 	}
 	l.stalledAt = now
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -1,6 +1,10 @@
 package sidecar
 
-import "hazelwheel/policy"
+import (
+	"slices"
+
+	"hazelwheel/policy"
+)
 
 // request is one that a client link has brought whole and that has not been answered, or has executions out.
 type request struct {
@@ -10,10 +14,12 @@
 	deadline float64
 	call     Call
 	origin   Origin
+	s        *Sidecar
 	sent     int // executions begun
-	out      map[int]*execution
-	answered bool // it has its final answer, or nobody waits for one
-	safety   *timer
+	out      []*execution
+	room     [1]*execution // for out: more than one at a time is rare
+	answered bool          // it has its final answer, or nobody waits for one
+	safety   timer
 	delay    *timer // of the drill that holds it back
 }
 
@@ -22,18 +28,14 @@
 	for s.requests[s.lastID] != nil || s.lastID == 0 {
 		s.lastID++ // the counter has come round: an id may only be used again when it is free
 	}
-	r.id, r.out = s.lastID, map[int]*execution{}
+	r.s, r.id, r.out = s, s.lastID, r.room[:0]
 	s.lastID++
 	s.requests[r.id], s.named[r.name] = r, r
 	s.counters.Requests++
 	s.counters.Open++
 	q.ID, q.Deadline = r.id, r.deadline
 	// Whatever the decisions do, the client gets its one answer in time.
-	r.safety = s.timers.at(r.deadline+s.slack/2, func() {
-		s.counters.Overdue++
-		s.answer(r, func() { r.origin.Fail(true) })
-		s.tellAbandoned(r)
-	})
+	s.timers.set(&r.safety, r.deadline+s.slack/2, r)
 	held := func(seconds float64) {
 		q.Held += seconds
 		s.arrive(r, q)
@@ -53,14 +55,39 @@
 		return
 	}
 	r.answered = true
-	s.timers.stop(r.safety)
+	s.timers.stop(&r.safety)
 	s.timers.stop(r.delay)
 	s.counters.Open--
 	if len(r.out) == 0 {
 		s.unname(r)
 	}
-	give()
-	s.push(func(float64) { s.forget(r) })
+	if give(); len(r.out) == 0 {
+		s.push(func(float64) { s.forget(r) })
+	}
+}
+
+// ring ends a request that the decisions have let run out of time.
+func (r *request) ring() {
+	r.s.counters.Overdue++
+	r.s.answer(r, func() { r.origin.Fail(true) })
+	r.s.tellAbandoned(r)
+}
+
+// execution returns the one of a number that is out, nil if it is not.
+func (r *request) execution(number int) *execution {
+	for _, e := range r.out {
+		if e.number == number {
+			return e
+		}
+	}
+	return nil
+}
+
+// drop takes an execution from those that are out.
+func (r *request) drop(e *execution) {
+	if i := slices.Index(r.out, e); i >= 0 {
+		r.out = slices.Delete(r.out, i, i+1)
+	}
 }
 
 // forget drops a request that is answered and has nothing out.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -46,8 +46,9 @@
 	hosts    *hostgroup.Group
 	classes  map[string]int
 	eventAt  float64 // the time of the event that the decisions handle
-	queue    []func(now float64)
-	depth    int // of callbacks within each other
+	queue    []event
+	depth    int     // of callbacks within each other
+	at       float64 // the time of the outermost
 
 	arrivals  arrivals
 	requests  map[uint32]*request
@@ -90,6 +91,7 @@
 		requests: map[uint32]*request{}, named: map[string]*request{}, idle: map[uint32][]*serverLink{},
 		hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
 		admission: on.Admission, notices: notices{}, drills: drill.New(on.Drills), front: front}
+	s.timers.tick = int64(s.now() / slotS)
 	if s.listAt = s.now(); on.Health.On() {
 		s.health = health.New(on.Health, loop.Now, log)
 		s.reserved += health.Descriptors
@@ -123,8 +125,6 @@
 // answerRoom is how long before its deadline a request's wait ends.
 func (s *Sidecar) answerRoom() float64 { return min(mostAnswerRoomS, s.slack) }
 
-func (s *Sidecar) now() float64 { return s.net.Now() }
-
 // Start begins work.
 func (s *Sidecar) Start() {
 	s.timers.alarm = s.net.Alarm
@@ -201,62 +201,51 @@
 // Do calls f on the loop, with what follows from it; it may be called from anywhere.
 func (s *Sidecar) Do(f func()) { s.net.Post(func() { s.enter(f) }) }
 
-// push queues an event for the decisions. It is handled before the present callback ends.
-func (s *Sidecar) push(event func(now float64)) { s.queue = append(s.queue, event) }
-
 // enter wraps every callback on the loop: a panic stops here, and the outermost drains the queue and has the timers
-// fired that are due.
+// fired that are due. Until it ends the time is that of its beginning.
 func (s *Sidecar) enter(f func()) {
-	began := 0.0
-	if s.depth++; s.depth == 1 {
-		began = s.now()
-		s.noteStall(began)
-	}
-	s.guard(f)
-	if s.depth > 1 {
+	if s.depth++; s.depth > 1 {
+		s.guard(f)
 		s.depth--
 		return
 	}
+	s.at = s.net.Now()
+	s.noteStall(s.at)
+	s.guard(f)
 	s.settle()
 	s.depth--
-	now := s.now()
-	if now-began > stallS {
-		s.late.owed += now - began
-	}
-	s.late.turnedAt = now
-	if s.timers.due(now) && !s.firing {
+	s.late.turnedAt = s.at
+	if s.timers.due(s.at) && !s.firing {
 		s.firing = true
 		s.net.Yield(s.fire)
 	}
 	s.timers.arm()
 }
 
+// now returns the time: of the present callback, or of the timer that fires.
+func (s *Sidecar) now() float64 {
+	if s.depth == 0 {
+		return s.net.Now()
+	}
+	return s.at
+}
+
 // fire fires the timers that are due, in their order. Danger: the answer that an execution waits for may be there
 // already, unread while the loop was busy or stood still; given up for late it accuses a host that was in time. So the
 // loop looks at its connections first.
 func (s *Sidecar) fire() {
 	s.enter(func() {
 		s.firing = false
-		for now := s.now(); s.timers.due(now); now = s.now() {
+		for s.timers.due(s.at) {
 			t := s.timers.pop()
-			s.counters.LateMS = max(s.counters.LateMS, (now-t.at)*1000)
-			s.guard(t.call)
+			s.counters.LateMS = max(s.counters.LateMS, (s.at-t.at)*1000)
+			s.guard(t.who.ring)
 			s.settle()
+			s.at = s.net.Now()
 		}
 	})
 }
 
-// settle hands the queued events to the decisions, with what follows from them.
-func (s *Sidecar) settle() {
-	for i := 0; i < len(s.queue); i++ {
-		event := s.queue[i]
-		s.queue[i] = nil
-		s.eventAt = s.now()
-		s.guard(func() { event(s.eventAt) })
-	}
-	s.queue = s.queue[:0]
-}
-
 // guard calls f; a panic is logged and counted, and true is returned.
 func (s *Sidecar) guard(f func()) (failed bool) {
 	defer func() {
