Draw from sorted members where there are more than 32, in place of a look at each

Change: at each reading of phi members are sorted into sound ones of the own zone, of others, and cold ones; a pick draws a few of each, and looks at all only where that finds none, at a bounded rate. Windows keep mean and sigma. Of up to 32 members each is looked at as before, to the same decisions.

--- a/internal/front/http1/call.go
+++ b/internal/front/http1/call.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"hazelwheel/internal/buffer"
@@ -38,11 +39,7 @@
 	} else {
 		header = header.EndToEnd()
 	}
-	for _, f := range header {
-		if !strings.EqualFold(f.Name, fieldPatience) {
-			c.header = append(c.header, f)
-		}
-	}
+	c.header = slices.DeleteFunc(header, func(f http1.Field) bool { return strings.EqualFold(f.Name, fieldPatience) })
 	return c
 }
 
@@ -59,9 +56,10 @@
 }
 
 func (x *exchange) Append(dst []byte, now, until float64) []byte {
-	h := append(x.call.header[:len(x.call.header):len(x.call.header)],
-		http1.Field{Name: fieldPatience, Value: formatPatience(until - now)})
-	return http1.AppendRequest(dst, x.call.method, x.call.target, h, x.call.body)
+	c := x.call
+	dst = http1.AppendFields(http1.AppendFirst(dst, c.method, c.target), c.header)
+	dst = append(appendPatience(append(dst, fieldPatience+": "...), until-now), "\r\n"...)
+	return http1.AppendRest(dst, c.method, c.body)
 }
 
 func (x *exchange) Read(buf *buffer.Buffer) (bool, error) { return x.parser.Next(buf) }
--- a/internal/front/http1/fields.go
+++ b/internal/front/http1/fields.go
@@ -51,9 +51,9 @@
 var reportAlias = map[string]string{"busy_reqs": "inflight", "pending": "queue", "cpu_share": "util",
 	"svc_ms": "latency_ms", "served_ps": "qps", "failed_ps": "eps"}
 
-// formatPatience writes a span as the deployment does.
-func formatPatience(s float64) string {
-	return strconv.FormatInt(max(int64(s*1e6), 0), 10) + "u"
+// appendPatience appends a span as the deployment writes it.
+func appendPatience(dst []byte, s float64) []byte {
+	return append(strconv.AppendInt(dst, max(int64(s*1e6), 0), 10), 'u')
 }
 
 // parsePatience reads a number and a unit, m or u, as seconds.
--- a/internal/front/http1/fields_test.go
+++ b/internal/front/http1/fields_test.go
@@ -36,6 +36,6 @@
 		_, ok := parsePatience(text)
 		assert.False(t, ok, text)
 	}
-	assert.Equal(t, "1500u", formatPatience(0.0015))
-	assert.Equal(t, "0u", formatPatience(-1))
+	assert.Equal(t, "1500u", string(appendPatience(nil, 0.0015)))
+	assert.Equal(t, "0u", string(appendPatience(nil, -1)))
 }
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -62,22 +62,37 @@
 	return false
 }
 
-// hopByHop are the fields that concern one connection alone, and those that framing writes anew.
-var hopByHop = map[string]bool{
-	"connection": true, "keep-alive": true, "proxy-authenticate": true, "proxy-authorization": true,
-	"proxy-connection": true, "te": true, "trailer": true, "transfer-encoding": true, "upgrade": true,
-	"content-length": true, "expect": true,
-}
+// hopByHop are the fields that concern one connection alone, and those that framing writes anew, by the length of their
+// names.
+var hopByHop = func() (by [32][]string) {
+	for _, name := range []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+		"TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"} {
+		by[len(name)] = append(by[len(name)], name)
+	}
+	return by
+}()
 
 // HopByHop tells whether a field is of one connection or its framing, whatever Connection says.
-func HopByHop(name string) bool { return hopByHop[strings.ToLower(name)] }
+func HopByHop(name string) bool {
+	if len(name) >= len(hopByHop) {
+		return false
+	}
+	for _, other := range hopByHop[len(name)] {
+		if strings.EqualFold(name, other) {
+			return true
+		}
+	}
+	return false
+}
 
-// EndToEnd returns the fields that a proxy passes on; of those that Connection names, only the ones in spite.
+// EndToEnd returns the fields that a proxy passes on; of those that Connection names, only the ones in spite. The result
+// is the caller's.
 func (h Header) EndToEnd(spite ...string) Header {
-	kept := make(Header, 0, len(h))
+	kept := make(Header, 0, len(h)+1)
+	names := h.Get("Connection") != ""
 	for _, f := range h {
 		named := func(name string) bool { return strings.EqualFold(name, f.Name) }
-		if !HopByHop(f.Name) && (!h.has("Connection", f.Name) || slices.ContainsFunc(spite, named)) {
+		if !HopByHop(f.Name) && (!names || !h.has("Connection", f.Name) || slices.ContainsFunc(spite, named)) {
 			kept = append(kept, f)
 		}
 	}
@@ -156,39 +171,90 @@
 
 // readHead takes lines until the head is whole.
 func (m *message) readHead(buf *Buffer) (done bool, err error) {
+	if done, err = m.readWholeHead(buf); done || err != nil {
+		return done, err
+	}
 	for {
 		line, ok, err := m.nextLine(buf)
 		switch {
 		case err != nil || !ok:
 			return false, err
-		case m.first == "" && len(line) == 0: // an empty line before a message means nothing
-		case m.first == "":
-			m.first = string(line)
-		case len(line) == 0:
+		case m.first != "" && len(line) == 0:
 			m.taken = 0
 			return true, nil
-		default:
-			f, err := field(line)
-			if err != nil {
-				return false, err
-			}
-			m.Header = append(m.Header, f)
+		}
+		if err := m.headLine(string(line)); err != nil {
+			return false, err
 		}
 	}
 }
 
-func field(line []byte) (Field, error) {
-	name, value, ok := bytes.Cut(line, []byte{':'})
+// readWholeHead takes a head that is there whole, as most are, off the buffer at once: its lines are parts of one text.
+func (m *message) readWholeHead(buf *Buffer) (done bool, err error) {
+	raw := buf.Bytes()
+	if m.first != "" || m.line > 0 || m.taken > 0 {
+		return false, nil
+	}
+	end := bytes.Index(raw, headEnd)
+	if end <= 0 || end+len(headEnd) > m.limits.Head {
+		return false, nil
+	}
+	text := string(raw[:end+len("\r\n")])
+	for rest := text; rest != ""; {
+		i := strings.IndexByte(rest, '\n')
+		if i == 0 || rest[i-1] != '\r' {
+			return false, malformed("line without carriage return")
+		}
+		if err := m.headLine(rest[:i-1]); err != nil {
+			return false, err
+		}
+		rest = rest[i+1:]
+	}
+	if m.first == "" { // empty lines alone
+		buf.Discard(len(text))
+		return false, nil
+	}
+	buf.Discard(end + len(headEnd))
+	return true, nil
+}
+
+var headEnd = []byte("\r\n\r\n")
+
+// usualFields is the room for header fields that most messages need.
+const usualFields = 8
+
+// headLine takes a line of the head, but for the one that ends it.
+func (m *message) headLine(line string) error {
+	switch {
+	case m.first == "" && line == "": // an empty line before a message means nothing
+		return nil
+	case m.first == "":
+		m.first = line
+		return nil
+	}
+	f, err := field(line)
+	if err != nil {
+		return err
+	}
+	if m.Header == nil {
+		m.Header = make(Header, 0, usualFields)
+	}
+	m.Header = append(m.Header, f)
+	return nil
+}
+
+func field(line string) (Field, error) {
+	name, value, ok := strings.Cut(line, ":")
 	if !ok || !token(name) {
 		return Field{}, malformed("bad header field")
 	}
-	value = bytes.Trim(value, " \t")
-	for _, c := range value {
-		if c < ' ' && c != '\t' || c == 0x7f {
+	value = strings.Trim(value, " \t")
+	for i := range len(value) {
+		if c := value[i]; c < ' ' && c != '\t' || c == 0x7f {
 			return Field{}, malformed("bad header value")
 		}
 	}
-	return Field{string(name), string(value)}, nil
+	return Field{name, value}, nil
 }
 
 // Token tells whether a name is one that a header field can have.
@@ -272,7 +338,7 @@
 			}
 			if len(line) == 0 {
 				m.stage = complete
-			} else if _, err := field(line); err != nil {
+			} else if _, err := field(string(line)); err != nil {
 				return err
 			}
 		case untilEnd:
@@ -498,11 +564,21 @@
 // Keep tells whether the connection can carry another request.
 func (p *ResponseParser) Keep() bool { return p.keep() }
 
-// AppendHeader appends header fields and the empty line after them, with the length of a body.
-func AppendHeader(dst []byte, h Header, length int) []byte {
+// AppendFields appends header fields.
+func AppendFields(dst []byte, h Header) []byte {
 	for _, f := range h {
 		dst = append(append(append(append(dst, f.Name...), ": "...), f.Value...), "\r\n"...)
 	}
+	return dst
+}
+
+// AppendHeader appends header fields and the empty line after them, with the length of a body.
+func AppendHeader(dst []byte, h Header, length int) []byte {
+	return appendEnd(AppendFields(dst, h), length)
+}
+
+// appendEnd appends the length of a body, if it is not negative, and the empty line.
+func appendEnd(dst []byte, length int) []byte {
 	if length >= 0 {
 		dst = append(dst, "Content-Length: "...)
 		dst = append(strconv.AppendInt(dst, int64(length), 10), "\r\n"...)
@@ -512,12 +588,21 @@
 
 // AppendRequest appends a request. Without a body its length is not written.
 func AppendRequest(dst []byte, method, target string, h Header, body []byte) []byte {
-	dst = append(append(append(append(dst, method...), ' '), target...), " HTTP/1.1\r\n"...)
+	return AppendRest(AppendFields(AppendFirst(dst, method, target), h), method, body)
+}
+
+// AppendFirst appends a request's first line; header fields follow.
+func AppendFirst(dst []byte, method, target string) []byte {
+	return append(append(append(append(dst, method...), ' '), target...), " HTTP/1.1\r\n"...)
+}
+
+// AppendRest appends what follows the header fields of a request.
+func AppendRest(dst []byte, method string, body []byte) []byte {
 	length := len(body)
 	if length == 0 && method == "GET" {
 		length = -1
 	}
-	return append(AppendHeader(dst, h, length), body...)
+	return append(appendEnd(dst, length), body...)
 }
 
 // AppendResponse appends a response; its reason phrase is left empty.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -25,6 +25,9 @@
 	// memoryShare is the part of the memory limit that the garbage collector aims to stay under; the rest
 	// is for what it does not count.
 	memoryShare = 0.75
+	// garbagePercent is how much garbage there may be beside what lives, in percent of that. Danger: a sidecar's own state
+	// is a few MB, and at the usual 100 the one core collects thirty times a second. The memory limit goes before it.
+	garbagePercent = 400
 	// dumpWithin is how long a dump may go on once the event loop has gone.
 	dumpWithin = 2 * time.Second
 )
@@ -53,6 +56,7 @@
 func obey(l config.Limits) {
 	runtime.GOMAXPROCS(int(math.Ceil(l.Cores)))
 	debug.SetMemoryLimit(int64(memoryShare * float64(l.MemoryMB) * (1 << 20)))
+	debug.SetGCPercent(garbagePercent)
 }
 
 // Run serves until the process is told to end and all that was taken is answered. Each hangup has load called,
--- a/policy/checkpoint.go
+++ b/policy/checkpoint.go
@@ -187,6 +187,7 @@
 	for _, h := range c.b.members {
 		note(h)
 	}
+	note(c.b.found)
 	for _, r := range c.b.live {
 		note(r.suspect)
 		for i := range r.attempts {
@@ -199,7 +200,7 @@
 	b := c.b
 	c.random()
 	c.floats(&b.now, &b.wake, &b.need, &b.peers, &b.askAt, &b.aim, &b.rtt, &b.base, &b.crowd, &b.meanGap, &b.phiAt,
-		&b.capacity, &b.svc, &b.meanWork, &b.deadIdle, &b.dropAge, &b.dropUntil, &b.budget, &b.errors, &b.rate, &b.rateAt, &b.askedAt)
+		&b.capacity, &b.scanAt, &b.svc, &b.meanWork, &b.deadIdle, &b.dropAge, &b.dropUntil, &b.budget, &b.errors, &b.rate, &b.rateAt, &b.askedAt)
 	c.bools(&b.armed, &b.watching, &b.polls, &b.reports)
 	whole(c, &b.field)
 	c.perClass(&b.classMean)
@@ -210,7 +211,7 @@
 	c.failed = c.failed || len(b.tries) != len(b.s.Classes)
 	each(c, &b.asked, func(v *float64) { c.floats(v) })
 	c.failed = c.failed || len(b.asked) != len(b.s.Tenants)
-	each(c, &b.unserved, func(e *ended) {
+	each(c, (*[]ended)(&b.unserved), func(e *ended) {
 		c.class(&e.class)
 		whole(c, &e.tenant)
 		c.word(&e.key)
@@ -222,6 +223,7 @@
 	each(c, &b.order, c.host)
 	each(c, &c.past, c.host)
 	each(c, &b.members, c.link)
+	c.link(&b.found)
 	each(c, &b.live, c.request)
 	if !c.reading || c.failed {
 		return
@@ -229,6 +231,14 @@
 	for _, h := range b.order {
 		b.hosts[h.ID] = h
 	}
+	for _, h := range b.members {
+		if c.failed = c.failed || h == nil || h.set > cold; c.failed {
+			return
+		}
+		if len(b.members) > scanMost {
+			b.sets.put(h, h.set)
+		}
+	}
 	for i, r := range b.live {
 		r.index = i
 		b.byID[r.ID] = r
@@ -269,11 +279,15 @@
 		&h.refusedAt, &h.rampFrom, &h.servedAt, &h.reported, &h.seenAt, &h.ratio, &h.ratioAt, &h.line, &h.lineAt, &h.limit,
 		&h.cutAt, &h.winFrom, &h.winSent, &h.winPrev, &h.winLuck)
 	c.bools(&h.bound, &h.member, &h.met)
+	whole(c, &h.set)
 	each(c, &h.gaps, func(v *float32) {
 		bits := math.Float32bits(*v)
 		whole(c, &bits)
 		*v = math.Float32frombits(bits)
 	})
+	if c.reading && len(h.gaps) > 0 {
+		h.measure()
+	}
 	c.perClass(&h.turned)
 	c.perClass(&h.shunned)
 	each(c, &h.outs, func(o *out) {
--- a/policy/checkpoint_test.go
+++ b/policy/checkpoint_test.go
@@ -193,7 +193,7 @@
 		for i := range v.NumField() {
 			f := v.Field(i)
 			switch v.Type().Field(i).Name {
-			case "s", "do", "pcg", "rng", "ID", "id", "index":
+			case "s", "do", "pcg", "rng", "ID", "id", "index", "queue", "queued", "sets":
 			case "class", "Class":
 				if f.Kind() == reflect.Int {
 					set(f).SetInt(int64(*next)%2 + 1) // the others follow it
@@ -251,7 +251,7 @@
 		differ(t, at, a.Elem(), b.Elem(), seen, held)
 	case reflect.Struct:
 		for i := range a.NumField() {
-			if f := a.Type().Field(i).Name; !slices.Contains([]string{"s", "do", "rng", "queue", "queued"}, f) {
+			if f := a.Type().Field(i).Name; !slices.Contains([]string{"s", "do", "rng", "queue", "queued", "mean", "sigma", "was", "sets"}, f) {
 				differ(t, a.Type().Name()+"."+f, a.Field(i), b.Field(i), seen, held)
 			}
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,10 +39,10 @@
 	lineWeight  = 1.5  // a line probably grows before a request comes to its head
 	doubt       = 1.3  // a guessed time may well be so many times longer
 	farWeight   = 20.0 // how much dearer a host of another zone is, for the price of crossing
+	scanMost    = 32   // members that are looked at for each pick
+	scanPause   = 2e-6 // for each member: between two looks at all where they are more
 	briskPart   = 0.1  // of the aim: an answer within it came from a host that has room
 	shunPart    = 0.05 // of the aim: shortest pause after a host has turned a request away
-
-	mostUnserved = 1000 // requests whose clients' next tries are known
 )
 
 // New returns a Balancer that has not been told of any host yet.
@@ -132,6 +132,7 @@
 	for len(h.gaps) < seeded {
 		h.gaps = append(h.gaps, float32(b.meanGap))
 	}
+	h.measure()
 	h.member, h.met, h.answered, h.planned = true, false, b.now, b.cadence()
 	h.every = h.planned
 	h.limit = cmp.Or(h.limit, firstLine/b.peers)
@@ -169,7 +170,7 @@
 	from, size := Subset(len(ring), b.s.Self, b.s.Replicas, b.need)
 	b.peers = max(float64(size*b.s.Replicas)/float64(max(len(ring), 1)), 1)
 	for _, h := range b.members {
-		h.member = false
+		h.member, h.was = false, true
 	}
 	old := b.members
 	b.members = make([]*host, 0, size)
@@ -177,7 +178,7 @@
 	// run goes on until enough of it is warm; this holds in releases, enlargements and after a lost zone.
 	for i := 0; i < len(ring) && size > 0; i++ {
 		h := ring[(from+i)%len(ring)]
-		if b.members = append(b.members, h); slices.Contains(old, h) {
+		if b.members = append(b.members, h); h.was {
 			h.member = true
 		} else {
 			b.enlist(h)
@@ -186,6 +187,10 @@
 			size--
 		}
 	}
+	for _, h := range old {
+		h.was = false
+	}
+	b.sort()
 }
 
 // Subset returns the first place and the number of the members that proxy self of replicas takes from a ring
@@ -198,32 +203,16 @@
 
 // --- Probes and phi ---
 
-// Phi is the suspicion after a silence: -log10 of the probability that a gap is still longer.
-func Phi(silence, mean, sigma float64) float64 {
-	x := (silence - mean) / (sigma * math.Sqrt2)
-	if x > 20 { // erfc underflows; its asymptote does not
-		return (x*x + math.Log(2*x*math.Sqrt(math.Pi))) / math.Ln10
-	}
-	return -math.Log10(0.5 * math.Erfc(x))
-}
-
 // suspicion is phi of a member's silence, by the mean and the clamped sigma of its window.
 func (b *Balancer) suspicion(h *host) float64 {
-	var sum, sq float64
-	for _, g := range h.gaps {
-		sum += float64(g)
-		sq += float64(g * g)
-	}
-	mean := sum / float64(len(h.gaps))
-	sigma := math.Sqrt(max(sq/float64(len(h.gaps))-mean*mean, 0))
-	return Phi((b.now-h.answered)/h.every, mean, min(max(sigma, sigmaMin), 2*sigmaMin))
+	return Phi((b.now-h.answered)/h.every, h.mean, min(max(h.sigma, sigmaMin), 2*sigmaMin))
 }
 
 // readPhi reads every member's suspicion. Danger: when most members fall silent it is the network or
 // this prober, and shutting all of them out would lose everything; then only a member that is worse
 // than its peers is suspected. It hurts when most hosts really die: sends to them must fail first.
 func (b *Balancer) readPhi() {
-	if b.now-b.phiAt < 0.01 {
+	if b.now-b.phiAt < max(0.01, 1e-5*float64(len(b.members))) { // Danger: each reading of thousands costs a request
 		return
 	}
 	high := 0
@@ -234,12 +223,29 @@
 			high++
 		}
 	}
-	if 2*high <= len(b.members) {
-		return
+	if 2*high > len(b.members) {
+		low := slices.MinFunc(b.members, func(x, y *host) int { return cmp.Compare(x.phi, y.phi) }).phi
+		for _, h := range b.members {
+			h.phi -= low
+		}
 	}
-	low := slices.MinFunc(b.members, func(x, y *host) int { return cmp.Compare(x.phi, y.phi) }).phi
-	for _, h := range b.members {
-		h.phi -= low
+	b.sort()
+}
+
+// sort parts the members by what they are good for, where they are too many to look at each for a pick.
+func (b *Balancer) sort() {
+	b.sets.clear()
+	for i := 0; i < len(b.members) && len(b.members) > scanMost; i++ {
+		switch h := b.members[i]; {
+		case h.bound || h.phi > phiOut:
+			b.sets.put(h, outside)
+		case b.strength(h) < 1:
+			b.sets.put(h, cold)
+		case h.Zone == b.s.Zone || b.s.CrossZone == 0:
+			b.sets.put(h, near)
+		default:
+			b.sets.put(h, far)
+		}
 	}
 }
 
@@ -302,6 +308,7 @@
 		if h.gaps = append(h.gaps, float32(gap)); len(h.gaps) > window {
 			h.gaps = h.gaps[1:]
 		}
+		h.measure()
 		b.meanGap += 0.02 * (gap - b.meanGap)
 	}
 	h.answered, h.every = at, h.planned
@@ -451,15 +458,62 @@
 	return b.now+(hope*hinted+doubt*guessed)*b.slowness(h) <= r.aim
 }
 
-// pick returns the best host for a request, nil if none can answer it in time.
+// pick returns the best host for a request, nil if none can answer it in time. Where members are many it draws a few; only
+// where that finds none, and for what may not go to any, all are looked at, and that not at each request.
 func (b *Balancer) pick(r *request) *host {
 	b.readPhi()
+	if len(b.members) > scanMost && !b.polls && len(r.attempts) == 0 {
+		if h := b.draw(r); h != nil || b.now < b.scanAt {
+			return h
+		}
+		b.scanAt = b.now + scanPause*float64(len(b.members))
+		b.found = b.best(r, false) // where most are full, the next requests may go there, too
+		return b.found
+	}
 	if h := b.best(r, b.polls); h != nil || b.polls && slices.ContainsFunc(b.members, b.fresh) {
 		return h
 	}
 	return b.best(r, false)
 }
 
+// draw returns the best of some draws: of sound members of the own zone, of others, and of cold ones. What one set lacks is
+// drawn from the next.
+func (b *Balancer) draw(r *request) (best *host) {
+	least, want := math.Inf(1), 0
+	good := func(h *host) bool {
+		c := b.weigh(r, h)
+		if c < least {
+			best, least = h, c
+		}
+		return !math.IsInf(c, 1)
+	}
+	if b.found != nil && b.found.member {
+		good(b.found)
+	}
+	for set, more := range [...]int{near: 3, far: 1, cold: 1} {
+		want += more
+		for tries := 3 * want; tries > 0 && want > 0 && more > 0; tries-- {
+			if h := b.sets.draw(b.rng, set); h == nil {
+				break
+			} else if good(h) {
+				want--
+			}
+		}
+	}
+	return best
+}
+
+// weigh returns what it would cost to have a request at a host; infinity: it may not go there, or is not answered in time.
+func (b *Balancer) weigh(r *request, h *host) float64 {
+	if !b.allowed(r, h) || !b.polls && !b.candidate(h) || h.phi > phiOut || !b.fits(h, r) {
+		return math.Inf(1)
+	}
+	if h.Zone != b.s.Zone {
+		return b.cost(h, r) * (1 + farWeight*b.s.CrossZone)
+	}
+	return b.cost(h, r)
+}
+
 func (b *Balancer) fresh(h *host) bool { return h.seenAt > 0 && b.now-h.seenAt <= 2*b.pollWait() }
 
 func (b *Balancer) best(r *request, fresh bool) *host {
@@ -468,20 +522,13 @@
 	from := b.rng.IntN(max(len(b.members), 1)) // ties must not all go to the same host
 	for i := range b.members {
 		h := b.members[(from+i)%len(b.members)]
-		if !b.allowed(r, h) {
-			continue
-		}
-		if lowest == nil || h.phi < lowest.phi {
+		if (lowest == nil || h.phi < lowest.phi) && b.allowed(r, h) {
 			lowest = h
 		}
-		if fresh && !b.fresh(h) || !b.polls && !b.candidate(h) || h.phi > phiOut || !b.fits(h, r) {
+		if fresh && !b.fresh(h) {
 			continue
 		}
-		c := b.cost(h, r)
-		if h.Zone != b.s.Zone {
-			c *= 1 + farWeight*b.s.CrossZone
-		}
-		if c < least {
+		if c := b.weigh(r, h); c < least {
 			best, least = h, c
 		}
 	}
@@ -520,13 +567,7 @@
 	}
 	q.HasWork = q.HasWork && q.Work > 0 && q.Work < 1e6 // NaN is neither
 	aim := math.Inf(1)
-	i := -1
-	if q.Repeat {
-		i = slices.IndexFunc(b.unserved, func(e ended) bool {
-			return now < e.until && e.class == q.Class && e.tenant == q.Tenant && e.key == q.Key
-		})
-	}
-	if i >= 0 {
+	if i := b.unserved.find(now, &q); i >= 0 {
 		if aim = b.unserved[i].aim; aim <= now {
 			b.do.Refuse(q.ID, b.s.MaxRetryAfterS)
 			return
@@ -618,13 +659,8 @@
 // giveUp answers a request at once: refused if nothing may have run, else failed. Its aim is kept for the
 // client's next try: work on a marked repeat is lost once the aim of the first try has passed.
 func (b *Balancer) giveUp(r *request) {
-	// Danger: what clients may come back with is looked through at each of their repeats. Refusals by the thousand a
-	// second would make that the work of the whole program; what is older than the latest is let go.
-	for len(b.unserved) > 0 && (b.unserved[0].until <= b.now || len(b.unserved) >= mostUnserved) {
-		b.unserved = b.unserved[1:]
-	}
 	e := ended{r.Request.Class, r.Tenant, r.Key, r.aim, r.arrived + r.class.GiveUpS}
-	b.unserved = append(b.unserved, e)
+	b.unserved = b.unserved.with(e, b.now)
 	if b.mayRefuse(r) {
 		b.do.Refuse(r.ID, b.s.MaxRetryAfterS*(0.5+0.5*b.rng.Float64()))
 	} else {
@@ -891,7 +927,7 @@
 		if w > 0 { // all proxies' windows begin at the same instants
 			h.winFrom = math.Floor(b.now/w) * w
 		}
-		h.winLuck = b.luck(h)
+		h.winLuck = luck(h.ID, h.winFrom, b.s.Self, b.s.Replicas)
 	}
 	strength, sent := b.strength(h), h.winSent+h.winPrev
 	if strength >= 1 {
@@ -902,15 +938,6 @@
 	return sent+h.winLuck < room
 }
 
-// luck is this proxy's draw for a host's window, 0 to 1. Danger: draws that know nothing of each other add up on average
-// only, and now and then all proxies win. One number that host and window give to all is spread by place.
-func (b *Balancer) luck(h *host) float64 {
-	x := (uint64(h.ID)<<32 ^ uint64(int64(1000*h.winFrom))) * 0x9e3779b97f4a7c15
-	x = (x ^ x>>29) * 0xbf58476d1ce4e5b9
-	place := float64(b.s.Self%max(b.s.Replicas, 1)) / float64(max(b.s.Replicas, 1))
-	return math.Mod(float64((x^x>>32)>>11)/(1<<53)+place, 1)
-}
-
 // --- Time ---
 
 // due arms a wake-up for a time, unless an earlier one is armed.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -797,6 +797,7 @@
 		b := New(plain(), 3, newRecorder(t, plain()))
 		b.now = 1.4
 		h := &host{gaps: c.gaps[:], every: 1}
+		h.measure()
 		if got, want := b.suspicion(h), Phi(1.4, 1, c.sigma); math.Abs(got-want) > 1e-6 {
 			t.Errorf("%s gaps: phi %v, want %v", name, got, want)
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -47,11 +47,15 @@
 	bound  bool    // told that it drains or is gone: nothing new
 	goneAt float64 // when the list dropped it
 	member bool
+	was    bool // a member, while the subset is taken
+	set    part // where it was sorted to last
 
 	gaps      []float32 // between answers on cadence, in cadences
-	every     float64   // the cadence by which its present silence is judged
-	planned   float64   // the cadence from the last probe to the next
-	answered  float64   // last probe answer on cadence
+	mean      float64   // of the gaps
+	sigma     float64
+	every     float64 // the cadence by which its present silence is judged
+	planned   float64 // the cadence from the last probe to the next
+	answered  float64 // last probe answer on cadence
 	nextProbe float64
 	met       bool    // has answered on cadence in this life
 	probedAt  float64 // send time of the cadence probe that is out; 0: none
@@ -103,6 +107,9 @@
 	crowd     float64 // usual line, as a part of the tightest aim
 	meanGap   float64
 	phiAt     float64
+	sets      sets
+	scanAt    float64 // no look at all members before
+	found     *host   // by the last one
 	capacity  float64 // of the members, in warm hosts
 	polls     bool    // reports come with probes and are fetched for a pick
 	reports   bool
@@ -116,7 +123,7 @@
 	dropAge   float64 // connections that are idle for longer are closed before a send
 	dropUntil float64
 
-	unserved []ended
+	unserved unserved
 	live     []*request
 	queue    queue // of those that wait
 	byID     map[uint32]*request
