Use a server link again only once its last answer has settled

Change: a new link is opened then, as long as there are descriptors; after 2 ms the link is good again.

--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -34,8 +34,9 @@
 const settleS = 0.002
 
 // idleLink takes the link to a server that was used last, nil if there is none. The newest is the least
-// likely to have been closed by the other side for its rest, and the others can grow old and be retired. One
-// whose last answer has only just come is taken when there is no other.
+// likely to have been closed by the other side for its rest, and the others can grow old and be retired. Danger: what
+// a server sends behind its answer a moment later would answer the next request; one whose last answer has only just
+// come is taken only where no new link can be had.
 func (s *Sidecar) idleLink(h *hostgroup.Host) *serverLink {
 	for {
 		links := s.idle[h.ID]
@@ -46,6 +47,9 @@
 		for i := len(links) - 2; i >= 0 && l.restedAt > s.now()-settleS; i-- {
 			l = links[i]
 		}
+		if l.restedAt > s.now()-settleS && s.hasRoom(dialDescriptors+s.reserve()) {
+			return nil
+		}
 		// Danger: a request written to a link that its server has closed is lost; one written behind unread bytes
 		// would be answered with them.
 		if l.address == h.Address && s.net.Quiet(l.conn) {
