--- a/cmd/hazellab/sim.go
+++ b/cmd/hazellab/sim.go
@@ -31,11 +31,13 @@
 	script := &cli.StringFlag{Name: "script", Usage: "the `FILE` that holds the day's script, in place of a seed"}
 	jobs := &cli.IntFlag{Name: "jobs", Usage: "`N` days at a time", Value: 1}
 	core := &cli.StringFlag{Name: "core", Usage: "what is played: sidecar, random or least", Value: "sidecar"}
+	boxes := &cli.IntFlag{Name: "boxes", Usage: "`N` boxes at the start of a day, with as much more traffic; 0: 12 to 19"}
 	asJSON := &cli.BoolFlag{Name: "json", Usage: "print the result as JSON"}
 	rule := &cli.StringFlag{Name: "rule", Usage: "the `RULE` that is to stay broken; without it the first that breaks"}
 	return []*cli.Command{
 		{Name: "sim", Usage: "play days in simulated time and judge them", Action: simulate, Flags: []cli.Flag{seed, script, jobs, core, asJSON,
 			&cli.StringFlag{Name: "seeds", Usage: "the `RANGE` of seeds, as 1-10000"},
+			boxes,
 			&cli.BoolFlag{Name: "trace", Usage: "print what happens, one line a step"},
 			&cli.BoolFlag{Name: "each", Usage: "print a line for each day"},
 			&cli.BoolFlag{Name: "first", Usage: "stop at the first day that breaks a rule"},
@@ -53,7 +55,10 @@
 
 // options returns how days are played.
 func options(c *cli.Command) (sim.Options, error) {
-	o := sim.Options{}
+	o := sim.Options{Boxes: c.Int("boxes")}
+	if o.Boxes != 0 && (o.Boxes < 12 || o.Boxes > 2000) {
+		return o, fault(fmt.Errorf("boxes: %d is not 12 to 2000", o.Boxes))
+	}
 	core, ok := sim.Cores[c.String("core")]
 	if !ok {
 		return o, fault(fmt.Errorf("core: %q is none of sidecar, random, least", c.String("core")))
@@ -63,19 +68,19 @@
 }
 
 // scriptOf returns the script of --script or --seed, and how to name it in a command.
-func scriptOf(c *cli.Command) (world.Script, string, error) {
+func scriptOf(c *cli.Command, o sim.Options) (world.Script, string, error) {
 	file := c.String("script")
 	switch {
 	case (file == "") == !c.IsSet("seed"):
 		return world.Script{}, "", fault(errors.New("give one of --seed and --script"))
 	case file == "":
-		return sim.DrawScript(c.Uint64("seed")), "--seed " + strconv.FormatUint(c.Uint64("seed"), 10), nil
+		return o.DrawScript(c.Uint64("seed")), "--seed " + strconv.FormatUint(c.Uint64("seed"), 10), nil
 	}
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return world.Script{}, "", fault(err)
 	}
-	s, err := world.ReadScript(file, text, world.Usual())
+	s, err := world.ReadScript(file, text, o.Ranges())
 	if err != nil {
 		return world.Script{}, "", fault(err)
 	}
@@ -90,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	s, name, err := scriptOf(c)
+	s, name, err := scriptOf(c, o)
 	if err != nil {
 		return err
 	}
@@ -260,7 +265,7 @@
 	if err != nil {
 		return err
 	}
-	s, name, err := scriptOf(c)
+	s, name, err := scriptOf(c, o)
 	if err != nil {
 		return err
 	}
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -33,7 +33,7 @@
 				if seed > last || seed < first {
 					return
 				}
-				r, err := Play(DrawScript(seed), o)
+				r, err := Play(o.DrawScript(seed), o)
 				outcomes <- Outcome{seed, r, err}
 			}
 		})
--- a/internal/sim/shrink.go
+++ b/internal/sim/shrink.go
@@ -81,7 +81,7 @@
 	for _, t := range h.best.Troubles {
 		n += len(t.Boxes) + len(t.Sidecars)
 	}
-	d := h.best.Day(world.Usual())
+	d := h.best.Day(h.o.Ranges())
 	return n + len(d.Sidecars) + d.Standing + int(d.LengthS)
 }
 
@@ -97,9 +97,9 @@
 		}
 	}
 	h.shorten()
-	h.fewer(func(s *world.Script) int { d := s.Day(world.Usual()); return len(d.Sidecars) },
+	h.fewer(func(s *world.Script) int { d := s.Day(h.o.Ranges()); return len(d.Sidecars) },
 		func(s *world.Script, n int) { s.Sidecars = n })
-	h.fewer(func(s *world.Script) int { d := s.Day(world.Usual()); return d.Standing },
+	h.fewer(func(s *world.Script) int { d := s.Day(h.o.Ranges()); return d.Standing },
 		func(s *world.Script, n int) { s.Boxes = n })
 	for i := range h.best.Troubles {
 		for k := 0; k < len(h.best.Troubles[i].Boxes) && len(h.best.Troubles[i].Boxes) > 1; {
@@ -114,7 +114,7 @@
 
 // shorten ends the day soon after the rule has broken.
 func (h *shrinker) shorten() {
-	d := h.best.Day(world.Usual())
+	d := h.best.Day(h.o.Ranges())
 	for _, more := range []float64{0.5, 2, 5} {
 		if length := float64(int(h.at + more + 1)); length < d.LengthS {
 			s := copyOf(h.best)
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -44,6 +44,15 @@
 	// at its end is then not looked at.
 	Until judge.Rule
 	Quiet bool // leave the troubles of the script out
+	Boxes int  // at the start of the day, with as much traffic; 0: as usual
+}
+
+// Ranges returns what days are drawn from.
+func (o Options) Ranges() world.Ranges {
+	if o.Boxes > 0 {
+		return world.Large(o.Boxes)
+	}
+	return world.Usual()
 }
 
 // Any stands for all rules in Options.Until.
@@ -74,8 +83,11 @@
 }
 
 // DrawScript returns the script of a seed.
-func DrawScript(seed uint64) world.Script {
-	d := world.Draw(seed, world.Usual())
+func DrawScript(seed uint64) world.Script { return Options{}.DrawScript(seed) }
+
+// DrawScript returns the script of a seed for days drawn as the options say.
+func (o Options) DrawScript(seed uint64) world.Script {
+	d := world.Draw(seed, o.Ranges())
 	return world.DrawScript(&d)
 }
 
@@ -116,7 +128,7 @@
 }
 
 func newDay(s world.Script, o Options) (*day, error) {
-	d := &day{script: s, spec: s.Day(world.Usual()), core: o.Core, trace: o.Trace, cuts: map[[2]string]int{}}
+	d := &day{script: s, spec: s.Day(o.Ranges()), core: o.Core, trace: o.Trace, cuts: map[[2]string]int{}}
 	if d.core == nil {
 		d.core = Sidecar
 	}
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -236,7 +236,7 @@
 		}
 		taken[id] = true
 		site := n % len(d.Sites)
-		ip := fmt.Sprintf("10.1.%d.%d", site, n+1)
+		ip := fmt.Sprintf("10.%d.%d.%d", 1+n/250, site, n%250+1)
 		b := drawBox(rng, r, r.Kinds[kind], cv[kind])
 		b.Number, b.Name, b.IP, b.Address = n, fmt.Sprintf("s-%08x", id), ip, ip+":3000"
 		b.Site, b.Kind, b.Cell = site, kind, n/cellSize
--- a/internal/world/ranges.go
+++ b/internal/world/ranges.go
@@ -86,6 +86,19 @@
 	Errors   Range // share of the requests answered by 500 after they have run
 }
 
+// Large returns the usual ranges for so many boxes, with as much more traffic. Sidecars are as many as usual, so that each
+// is a busy one, whose subset is the whole fleet.
+func Large(boxes int) Ranges {
+	r := Usual()
+	times := 2 * float64(boxes) / (r.Boxes.Least + r.Boxes.Most)
+	r.Boxes = Range{float64(boxes), float64(boxes)}
+	for _, rate := range []*Range{&r.RatePS, &r.CrowdedPS} {
+		rate.Least *= times
+		rate.Most *= times
+	}
+	return r
+}
+
 // Usual returns the ranges of the days that the project is judged by.
 func Usual() Ranges {
 	kind := func(name string, share, speed, waiting Range) KindRanges {
