Measure a cold host's budget by its size

Change: the budget is scaled by the host's size beside the members' mean, where sizes can be compared.

--- a/policy/checkpoint.go
+++ b/policy/checkpoint.go
@@ -231,6 +231,9 @@
 	for _, h := range b.order {
 		b.hosts[h.ID] = h
 	}
+	if !slices.Contains(b.members, nil) {
+		b.sets.measure(b.members, b.s.SizesKnown)
+	}
 	for _, h := range b.members {
 		if c.failed = c.failed || h == nil || h.set > cold; c.failed {
 			return
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,4 @@
-// The interface (settings, events, actions) is in api.go, what is remembered in state.go, what can be
-// asked in usable.go, decisions here.
+// The interface is in api.go, what is remembered in state.go, what can be asked in usable.go, decisions here.
 
 package policy
 
@@ -212,7 +211,7 @@
 // this prober, and shutting all of them out would lose everything; then only a member that is worse
 // than its peers is suspected. It hurts when most hosts really die: sends to them must fail first.
 func (b *Balancer) readPhi() {
-	if b.now-b.phiAt < max(0.01, 1e-5*float64(len(b.members))) { // Danger: each reading of thousands costs a request
+	if b.now-b.phiAt < max(0.01, 1e-5*float64(len(b.members))) { // Danger: thousands take long
 		return
 	}
 	high := 0
@@ -235,6 +234,7 @@
 // sort parts the members by what they are good for, where they are too many to look at each for a pick.
 func (b *Balancer) sort() {
 	b.sets.clear()
+	b.sets.measure(b.members, b.s.SizesKnown)
 	for i := 0; i < len(b.members) && len(b.members) > scanMost; i++ {
 		switch h := b.members[i]; {
 		case h.bound || h.phi > phiOut:
@@ -314,8 +314,8 @@
 	h.answered, h.every = at, h.planned
 }
 
-// Stalled tells that the host program itself stood still for so long until now. Danger: silence that nobody listened
-// to is no sign against a host; read as one, a pause of this program shuts out the whole fleet.
+// Stalled tells that the host program itself stood still for so long until now. Danger: silence that nobody
+// listened to is no sign against a host; read as one, a pause of this program shuts out the whole fleet.
 func (b *Balancer) Stalled(now, seconds float64) {
 	b.now = now
 	for _, h := range b.members {
@@ -458,8 +458,8 @@
 	return b.now+(hope*hinted+doubt*guessed)*b.slowness(h) <= r.aim
 }
 
-// pick returns the best host for a request, nil if none can answer it in time. Where members are many it draws a few; only
-// where that finds none, and for what may not go to any, all are looked at, and that not at each request.
+// pick returns the best host for a request, nil if none can answer it in time. Where members are many it
+// draws a few; where that finds none all are looked at, but not at each request.
 func (b *Balancer) pick(r *request) *host {
 	b.readPhi()
 	if len(b.members) > scanMost && !b.polls && len(r.attempts) == 0 {
@@ -476,8 +476,8 @@
 	return b.best(r, false)
 }
 
-// draw returns the best of some draws: of sound members of the own zone, of others, and of cold ones. What one set lacks is
-// drawn from the next.
+// draw returns the best of some draws: of sound members of the own zone, of others, and of cold ones. What
+// one set lacks is drawn from the next.
 func (b *Balancer) draw(r *request) (best *host) {
 	least, want := math.Inf(1), 0
 	good := func(h *host) bool {
@@ -503,7 +503,7 @@
 	return best
 }
 
-// weigh returns what it would cost to have a request at a host; infinity: it may not go there, or is not answered in time.
+// weigh returns what a request would cost at a host; infinity: it may not go there, or comes too late.
 func (b *Balancer) weigh(r *request, h *host) float64 {
 	if !b.allowed(r, h) || !b.polls && !b.candidate(h) || h.phi > phiOut || !b.fits(h, r) {
 		return math.Inf(1)
@@ -669,8 +669,8 @@
 	b.finish(r, true)
 }
 
-// pump places the waiting requests whose time has come, those within their share first. Once all polls are answered
-// the time of those that wait for them has come, too: waiting longer tells nothing.
+// pump places the waiting requests whose time has come, those within their share first. Once all polls are
+// answered the time of those that wait for them has come, too: waiting longer tells nothing.
 func (b *Balancer) pump() {
 	due, wait := b.now, b.pollWait()
 	if b.polls && b.queue.len() > 0 && !slices.ContainsFunc(b.members, func(h *host) bool {
@@ -779,7 +779,7 @@
 		b.again(r)
 	}
 	b.pump()
-	// Danger: hosts are idle while requests wait for their next look. What a host that is far from its limits has
+	// Danger: hosts are idle while requests wait for their next look. What a host far from its limits has
 	// made free goes to the first; one with a line must have time to work it off.
 	brisk := res.Outcome == OK && res.DelayS < briskPart*b.aim && !b.polls
 	for first := b.queue.first(); brisk && first != nil && b.settle(first); first = b.queue.first() {
@@ -916,8 +916,8 @@
 // --- Drain and cold budget (rules 3 and 4) ---
 
 // coldRoom tells whether this proxy's part of a cold host's budget has room, measured by what it sends to a
-// warm host. Danger: a thousand proxies that may each send one request push a cold host over. What a part
-// has beyond whole requests is thinned by a draw, so that the parts add up.
+// warm host, less for a small one. Danger: a thousand proxies that may each send one request push a cold host
+// over. What a part has beyond whole requests is thinned by a draw, so that the parts add up.
 func (b *Balancer) coldRoom(h *host) bool {
 	if w := b.s.ColdWindowS; b.now >= h.winFrom+w { // two adjoining counts, each of one window
 		if h.winPrev = h.winSent; b.now >= h.winFrom+2*w {
@@ -934,7 +934,7 @@
 		return true
 	}
 	warm := max(b.capacity, 0.6*float64(len(b.members)), 1)
-	room := 0.5 * b.s.ColdMultiple * strength * b.usualRate() * b.s.ColdWindowS / warm
+	room := 0.5 * b.s.ColdMultiple * strength * b.sets.part(h) * b.usualRate() * b.s.ColdWindowS / warm
 	return sent+h.winLuck < room
 }
 
--- a/policy/sets.go
+++ b/policy/sets.go
@@ -19,8 +19,31 @@
 	cold
 )
 
-// sets holds members in parts, in the order in which they were put there.
-type sets struct{ parts [cold + 1][]*host }
+// sets holds members in parts, in the order in which they were put there, and the mean of their sizes.
+type sets struct {
+	parts [cold + 1][]*host
+	mean  float64
+}
+
+// measure takes the mean size of members, if sizes can be compared.
+func (s *sets) measure(members []*host, known bool) {
+	s.mean = 0
+	for _, h := range members {
+		if !known {
+			return
+		}
+		s.mean += h.Size / float64(len(members))
+	}
+}
+
+// part returns a host's size beside the mean, 1 where that is more or not known. Danger: a small host bears less than the
+// others.
+func (s *sets) part(h *host) float64 {
+	if s.mean <= 0 || h.Size <= 0 {
+		return 1
+	}
+	return min(h.Size/s.mean, 1)
+}
 
 func (s *sets) clear() {
 	for i := range s.parts {
