--- a/policy/usable.go
+++ b/policy/usable.go
@@ -2,7 +2,7 @@
 
 package policy
 
-// doubt is what a member's silence and its refusals say against it. Danger: probes notice a dead host late, and
+// doubt is what a member's silence and its refusals say against it. Danger: probes notice a dead host late,
 // requests die on it. Two connections that fail in a row shut it out till an answer or for two seconds; this
 // hurts a host that is only full.
 func (b *Balancer) doubt(h *host) (phi float64) {
@@ -18,7 +18,7 @@
 // Waiting returns how many requests no host could take so far.
 func (b *Balancer) Waiting() int { return b.queue.len() }
 
-// Usable returns how many members may be sent something new and are not taken for dead. Each counts for itself:
+// Usable returns how many members may be sent something new and are not taken for dead, each for itself:
 // when all fall silent the decisions go on with the least suspected, but none is known to be sound.
 func (b *Balancer) Usable(now float64) (n int) {
 	view := *b // Danger: what is asked must not move the clock by which the next event is judged
