--- a/internal/hostgroup/hostgroup.go
+++ b/internal/hostgroup/hostgroup.go
@@ -78,6 +78,9 @@
 // Unversion keeps the list and drops its version: another discovery service counts its own.
 func (g *Group) Unversion() { g.held = false }
 
+// Len returns how many servers are known.
+func (g *Group) Len() int { return len(g.byID) }
+
 // Host returns the server with an id, nil if it is unknown.
 func (g *Group) Host(id uint32) *Host { return g.byID[id] }
 
--- a/internal/sidecar/holdings.go
+++ b/internal/sidecar/holdings.go
@@ -9,12 +9,13 @@
 	Buffered    int // bytes that have come and have not been read
 	Timers      int
 	Events      int // for the decisions
+	Hosts       int // known, which may each have a link to probe them by
 }
 
 // Holdings returns what is held now. It is for the loop, between its calls.
 func (s *Sidecar) Holdings() Holdings {
 	h := Holdings{Requests: max(len(s.requests), len(s.named)), ClientLinks: len(s.clients), ServerLinks: s.conns - len(s.clients),
-		Timers: s.timers.n, Events: len(s.queue)}
+		Timers: s.timers.n, Events: len(s.queue), Hosts: s.hosts.Len()}
 	if w := s.watcher; w != nil && w.conn != nil {
 		h.ServerLinks--
 		h.Buffered += w.buf.Len()
--- a/internal/sim/core.go
+++ b/internal/sim/core.go
@@ -30,14 +30,16 @@
 // watch, the probes and the decisions.
 const (
 	restingLinks  = 64
-	restingTimers = 2*restingLinks + 32
+	linksPerBox   = 2
+	timersForRest = 32
 )
 
 // Held says what the sidecar holds beyond what one at rest does.
 func (c core) Held() []Holding {
 	h := c.Sidecar.Holdings()
+	links := max(restingLinks, linksPerBox*h.Hosts)
 	return []Holding{{"requests", h.Requests}, {"client links", h.ClientLinks}, {"bytes that are not read", h.Buffered},
-		{"events", h.Events}, {"links to boxes", beyond(h.ServerLinks, restingLinks)}, {"timers", beyond(h.Timers, restingTimers)}}
+		{"events", h.Events}, {"links to boxes", beyond(h.ServerLinks, links)}, {"timers", beyond(h.Timers, 2*links+timersForRest)}}
 }
 
 func beyond(n, most int) int {
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -47,6 +47,9 @@
 	Boxes int  // at the start of the day, with as much traffic; 0: as usual
 }
 
+// usualBoxes is how many boxes a day has that is not drawn with more.
+const usualBoxes = 15
+
 // Ranges returns what days are drawn from.
 func (o Options) Ranges() world.Ranges {
 	if o.Boxes > 0 {
@@ -133,6 +136,9 @@
 		d.core = Sidecar
 	}
 	d.weather = drawWeather(s.Seed)
+	if o.Boxes > 0 { // Danger: with as much more to do, loops whose calls take as long as ever never catch up
+		d.weather.callS *= usualBoxes / float64(o.Boxes)
+	}
 	d.net = virtual.New(s.Seed^s.Luck*0x9e3779b97f4a7c15, d.spec.Start)
 	d.net.CutShare = d.weather.cutShare
 	rules := d.spec.Rules()
