Decide on quotas in a tree of groups that lend and pay back

Clients belong to organisations; what one leaves should not be lost, and what it needs should be there at once.

A group's bucket overflows into the pool of its parent, and so up to the root; who has used up its own draws on the pools above it, the nearest first. Each token lies in one account, so none is lent twice, and each edge of the tree has one balance, a claim or a debt. Claims go before loans, loans in turns by weight; a tenth of a debtor's own pays its debt.

The state machine reads no clock.

--- /dev/null
+++ b/internal/decide/quota/bench_test.go
@@ -0,0 +1,100 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"testing"
+)
+
+// bigTree has about so many groups at so many levels, each inner one with as many children.
+func bigTree(t testing.TB, groups, depth int) *Tree {
+	fan := max(int(math.Round(math.Pow(float64(groups), 1/float64(depth)))), 1)
+	var all []Group
+	level := []string{""}
+	for d := 1; d <= depth; d++ {
+		var next []string
+		for _, parent := range level {
+			for range fan {
+				if len(all) == groups || len(all) == MostGroups {
+					break
+				}
+				g := Group{Name: fmt.Sprintf("g%d", len(all)), Parent: parent, Share: 90 / float64(fan), Weight: 1}
+				all = append(all, g)
+				next = append(next, g.Name)
+			}
+		}
+		level = next
+	}
+	for d := 1; len(all) < min(groups, MostGroups); d++ { // what the root of that power leaves out
+		all = append(all, Group{Name: fmt.Sprintf("more%d", d), Parent: all[len(all)-1].Parent, Weight: 1})
+	}
+	tr, err := NewTree([]Limit{perSecond(1e5)}, all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tr
+}
+
+func leavesOf(t *Tree) (leaves []int32) {
+	for g := range int32(t.Len()) {
+		if t.Takes(g) {
+			leaves = append(leaves, g)
+		}
+	}
+	return leaves
+}
+
+// BenchmarkAsk asks for requests of all groups in turns: at half of the quota, at one and a half times, and for one in 16
+// groups alone at the whole of it, which lives of loans.
+func BenchmarkAsk(b *testing.B) {
+	for _, groups := range []int{10, 1000, 100_000} {
+		for _, depth := range []int{2, 4, 8} {
+			if groups == 10 && depth == 8 {
+				continue // ten groups have no eight levels
+			}
+			tr := bigTree(b, groups, depth)
+			leaves := leavesOf(tr)
+			few := leaves[:max(len(leaves)/16, 1)]
+			for _, how := range []struct {
+				name   string
+				ratePS float64
+				who    []int32
+			}{{"half", 5e4, leaves}, {"over", 1.5e5, leaves}, {"loans", 1e5, few}} {
+				b.Run(fmt.Sprintf("groups=%d/depth=%d/%s", groups, depth, how.name), func(b *testing.B) {
+					b.ReportAllocs()
+					var before, after runtime.MemStats
+					runtime.GC()
+					runtime.ReadMemStats(&before)
+					m := New(tr, Settings{Repay: 0.1}, began)
+					runtime.GC()
+					runtime.ReadMemStats(&after)
+					at, served, step := began, 0, 1/how.ratePS
+					b.ResetTimer()
+					for i := range b.N {
+						at += step
+						if m.Ask(at, Request{Group: how.who[i*7919%len(how.who)]}).OK {
+							served++
+						}
+					}
+					b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(tr.Len()), "B/group")
+					b.ReportMetric(float64(served)/float64(b.N), "served")
+				})
+			}
+		}
+	}
+}
+
+func TestAskAllocatesNothing(t *testing.T) {
+	tr := bigTree(t, 1000, 4)
+	m := New(tr, Settings{Repay: 0.1, Replicas: 3, Stretch: 0.1}, began)
+	leaves := leavesOf(tr)
+	at, i := began, 0
+	if n := testing.AllocsPerRun(20000, func() {
+		at += 1e-5
+		i++
+		m.Ask(at, Request{Group: leaves[i*31%len(leaves)]})
+	}); n > 0 {
+		t.Fatalf("%g allocations", n)
+	}
+}
--- /dev/null
+++ b/internal/decide/quota/helpers_test.go
@@ -0,0 +1,85 @@
+package quota
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// perSecond is a limit of requests over 10 s.
+func perSecond(n float64) Limit { return Limit{Requests, 10, n * 10} }
+
+func tree(t testing.TB, limits []Limit, groups ...Group) *Tree {
+	t.Helper()
+	for i := range groups {
+		if groups[i].Weight == 0 {
+			groups[i].Weight = 1
+		}
+	}
+	tr, err := NewTree(limits, groups)
+	require.NoError(t, err)
+	return tr
+}
+
+// shop is a machine that is used, with a look at its books at the end.
+type shop struct {
+	*Machine
+	t     testing.TB
+	at    float64
+	names map[string]int32
+}
+
+const began = 1.8e9
+
+func newShop(t testing.TB, tr *Tree) *shop {
+	return &shop{Machine: New(tr, Settings{Repay: DefaultRepay}, began), t: t, at: began}
+}
+
+func (s *shop) group(name string) int32 {
+	g, ok := s.tree.Find(name)
+	require.True(s.t, ok, name)
+	return g
+}
+
+// ask asks for a request of a group now.
+func (s *shop) ask(name string) Verdict { return s.Ask(s.at, Request{Group: s.group(name)}) }
+
+// load has groups ask steadily for so many requests a second each, in turns, and returns how many were taken up.
+func (s *shop) load(forS float64, ratePS map[string]float64) map[string]float64 {
+	type source struct {
+		name   string
+		every  float64
+		nextAt float64
+	}
+	var all []source
+	for _, n := range s.tree.nodes { // in the order of the tree: maps have none
+		if r := ratePS[n.name]; r > 0 {
+			all = append(all, source{n.name, 1 / r, s.at + 1/r})
+		}
+	}
+	served, end := map[string]float64{}, s.at+forS
+	for {
+		first := &source{nextAt: end}
+		for i := range all {
+			if all[i].nextAt < first.nextAt {
+				first = &all[i]
+			}
+		}
+		if first.name == "" {
+			s.at = end
+			s.audit()
+			return served
+		}
+		s.at = first.nextAt
+		first.nextAt += first.every
+		if s.ask(first.name).OK {
+			served[first.name]++
+		}
+	}
+}
+
+func (s *shop) audit() {
+	s.t.Helper()
+	worst, at := s.Audit(s.at)
+	require.Less(s.t, worst, 1e-3, at)
+}
--- /dev/null
+++ b/internal/decide/quota/machine.go
@@ -0,0 +1,189 @@
+package quota
+
+import "math"
+
+// Settings are what a Machine goes by beside its tree.
+type Settings struct {
+	Replicas int     // sidecars that share the quotas; 0 means 1
+	Stretch  float64 // by what part of it a sidecar's part of a group's quota may be stretched or cut by the group's demand
+	Repay    float64 // what part of a debtor's own pays its debt
+	FadeS    float64 // in this time all but 37 % of an old debt, and of an old claim, are forgotten
+}
+
+// Defaults of the settings.
+const (
+	DefaultRepay   = 0.1
+	DefaultFadeS   = 6 * 3600.0
+	DefaultStretch = 0.1
+)
+
+// Machine decides who may take what. Calls come one at a time.
+type Machine struct {
+	tree     *Tree
+	settings Settings
+	books    []*book // of the limits with a window
+	opens    []*openBook
+	now      float64
+	stats    []Stats // by group
+	refusals []Refusal
+	trees    int       // that there have been before this one
+	moved    [][]int32 // for the last of them: where their groups' open requests count now; -1: nowhere
+}
+
+// Stats count a group's requests.
+type Stats struct {
+	Served  uint64
+	Refused uint64
+}
+
+// Refusal is why a group's last refusal was made.
+type Refusal struct {
+	At     float64
+	Limit  int32 // in Tree.Limits; -1: there was none
+	Capped bool  // a cap was reached, of the group or one above it
+	Lacked float64
+	AfterS float64
+	Own    float64 // the group's own level then
+}
+
+// Verdict says whether a request may be taken up.
+type Verdict struct {
+	OK     bool
+	Limit  int     // that refuses
+	AfterS float64 // when it could be had
+}
+
+// Request is what is known of a request before it is taken up.
+type Request struct {
+	Group int32 // that takes requests, see Tree.Takes
+	Bytes float64
+	Floor bool // it may touch the floors
+
+	tree int // which of the machine's trees, one after the other, Group is in
+}
+
+// Request returns a request of a group of the present tree.
+func (m *Machine) Request(g int32, bytes float64, floor bool) Request {
+	return Request{Group: g, Bytes: bytes, Floor: floor, tree: m.trees}
+}
+
+// New returns a machine in which nothing has been used.
+func New(t *Tree, s Settings, now float64) *Machine {
+	if s.FadeS <= 0 {
+		s.FadeS = DefaultFadeS
+	}
+	m := &Machine{tree: t, settings: s, now: now, stats: make([]Stats, t.Len()), refusals: make([]Refusal, t.Len())}
+	for i, l := range t.Limits {
+		if l.Measure == Open {
+			m.books, m.opens = append(m.books, nil), append(m.opens, newOpenBook(t, i, &m.settings))
+		} else {
+			m.books, m.opens = append(m.books, newBook(t, i, &m.settings, now)), append(m.opens, nil)
+		}
+	}
+	for i := range m.refusals {
+		m.refusals[i].Limit = -1
+	}
+	return m
+}
+
+// Tree returns the machine's tree.
+func (m *Machine) Tree() *Tree { return m.tree }
+
+// clock takes a time. One that is before the last, or no number, counts as the last.
+func (m *Machine) clock(now float64) float64 {
+	if now > m.now && !math.IsInf(now, 1) {
+		m.now = now
+	}
+	return m.now
+}
+
+// cost returns what a request costs of a measure before it is taken up, and what must be there for it. Danger: a message
+// that is larger than all that an account can hold would never be taken up; so what comes in bytes or work may be
+// overdrawn, and the debt counts.
+func (b *book) cost(q *Request) (cost, need float64) {
+	switch b.limit.Measure {
+	case Requests:
+		return 1, 1
+	case Bytes:
+		c := &b.cells[q.Group]
+		return q.Bytes, min(max(q.Bytes, 1), max(c.Depth-c.Reserve, 1))
+	default:
+		return 0, 1e-3
+	}
+}
+
+// Ask decides on a request and books what it costs so far. It takes nothing where it refuses.
+func (m *Machine) Ask(now float64, q Request) Verdict {
+	now = m.clock(now)
+	q.tree = m.trees
+	v := Verdict{OK: true}
+	for i, b := range m.books {
+		if b == nil {
+			if after := m.opens[i].refuses(q.Group, q.Floor); after > 0 && after > v.AfterS {
+				v = Verdict{Limit: i, AfterS: after}
+				m.refuse(i, after, 1, 0, false, &q)
+			}
+			continue
+		}
+		b.fire(now, mostFired, m.settings.Stretch)
+		cost, need := b.cost(&q)
+		b.settleChain(q.Group, now)
+		if m.settings.Stretch > 0 {
+			b.want(q.Group, max(cost, need), m.settings.Stretch, now)
+		}
+		after, lacks, capped := b.capped(q.Group, need, now), 0.0, true
+		if after == 0 {
+			if lacks = b.lacks(q.Group, need, q.Floor, now); lacks > 0 {
+				after, capped = b.wait(q.Group, need, q.Floor), false
+			}
+		}
+		if after > v.AfterS {
+			v = Verdict{Limit: i, AfterS: after}
+			m.refuse(i, after, lacks, b.cells[q.Group].Level, capped, &q)
+		}
+	}
+	if !v.OK {
+		m.stats[q.Group].Refused++
+		return v
+	}
+	m.stats[q.Group].Served++
+	for i, b := range m.books {
+		if b == nil {
+			m.opens[i].add(q.Group, 1)
+		} else if cost, _ := b.cost(&q); cost > 0 {
+			b.take(q.Group, cost, q.Floor, now)
+		}
+	}
+	return v
+}
+
+// refuse remembers why.
+func (m *Machine) refuse(limit int, afterS, lacks, own float64, capped bool, q *Request) {
+	m.refusals[q.Group] = Refusal{At: m.now, Limit: int32(limit), Capped: capped, Lacked: lacks, AfterS: afterS, Own: own}
+}
+
+// Done notes that a request that has been taken up is answered, after a time, with an answer of so many bytes that took
+// so much work. What they cost may go beyond what is there; the debt counts.
+func (m *Machine) Done(now float64, q Request, afterS, bytes, workS float64) {
+	now = m.clock(now)
+	if q.Group = m.present(&q); q.Group < 0 {
+		return
+	}
+	for i, b := range m.books {
+		amount := 0.0
+		switch m.tree.Limits[i].Measure {
+		case Open:
+			m.opens[i].add(q.Group, -1)
+			m.opens[i].held(afterS)
+			continue
+		case Bytes:
+			amount = bytes
+		case Work:
+			amount = workS
+		}
+		if amount > 0 && m.tree.Takes(q.Group) {
+			b.settleChain(q.Group, now)
+			b.take(q.Group, amount, q.Floor, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/quota/property_test.go
@@ -0,0 +1,218 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// drawTree draws a tree of any shape within the rules.
+func drawTree(t *rapid.T) *Tree {
+	limits := []Limit{{Requests, rapid.SampledFrom([]float64{1, 10, 60}).Draw(t, "window"), rapid.Float64Range(0.5, 500).Draw(t, "quota")}}
+	if rapid.Bool().Draw(t, "bytes") {
+		limits = append(limits, Limit{Bytes, 60, rapid.Float64Range(100, 1e5).Draw(t, "byte quota")})
+	}
+	if rapid.Bool().Draw(t, "long") {
+		limits = append(limits, Limit{Requests, 3600, rapid.Float64Range(50, 5e4).Draw(t, "long quota")})
+	}
+	var groups []Group
+	left := map[string]float64{"": 100}
+	for i := range rapid.IntRange(1, 12).Draw(t, "groups") {
+		parent := ""
+		if i > 0 && rapid.Bool().Draw(t, "nested") {
+			parent = groups[rapid.IntRange(0, i-1).Draw(t, "parent")].Name
+		}
+		g := Group{Name: fmt.Sprintf("g%d", i), Parent: parent, Share: rapid.Float64Range(0, left[parent]).Draw(t, "share"),
+			Weight: rapid.SampledFrom([]float64{0, 1, 1, 5}).Draw(t, "weight")}
+		if rapid.IntRange(0, 3).Draw(t, "has cap") == 0 {
+			g.Cap = rapid.Float64Range(g.Share, 100).Draw(t, "cap")
+		}
+		if rapid.IntRange(0, 3).Draw(t, "has floor") == 0 {
+			g.Floor = rapid.Float64Range(0, g.Share).Draw(t, "floor")
+		}
+		left[parent] -= g.Share
+		left[g.Name] = 100
+		groups = append(groups, g)
+	}
+	tr, err := NewTree(limits, groups)
+	if err != nil {
+		t.Skip(err)
+	}
+	return tr
+}
+
+// event is one thing that happens to a machine.
+type event struct {
+	at    float64
+	q     Request
+	bytes float64 // of the answer
+}
+
+func drawEvents(t *rapid.T, tr *Tree) []event {
+	var leaves []int32
+	for g := range int32(tr.Len()) {
+		if tr.Takes(g) {
+			leaves = append(leaves, g)
+		}
+	}
+	at := began
+	var all []event
+	for range rapid.IntRange(1, 25).Draw(t, "phases") {
+		at += rapid.SampledFrom([]float64{0, 0.5, 8, 100, 4000, -50}).Draw(t, "silence")
+		e := event{q: Request{Group: rapid.SampledFrom(leaves).Draw(t, "group"), Bytes: rapid.Float64Range(0, 3000).Draw(t, "bytes"),
+			Floor: rapid.Bool().Draw(t, "floor")}, bytes: rapid.Float64Range(0, 3000).Draw(t, "answer")}
+		other := rapid.SampledFrom(leaves).Draw(t, "other")
+		gap := rapid.SampledFrom([]float64{0, 0.001, 0.03, 0.7}).Draw(t, "gap")
+		for i := range rapid.IntRange(1, 150).Draw(t, "asked") {
+			at += gap
+			if e.at = at; i%2 == 1 {
+				e.q.Group, other = other, e.q.Group
+			}
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+func (e *event) play(m *Machine) Verdict {
+	q := m.Request(e.q.Group, e.q.Bytes, e.q.Floor)
+	v := m.Ask(e.at, q)
+	if v.OK {
+		m.Done(e.at, q, 0.01, e.bytes, 0)
+	}
+	return v
+}
+
+// Whatever happens the books agree, no token is used that has not come in, and no cap is passed by more than one answer.
+func TestBooksAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := drawTree(t)
+		m := New(tr, Settings{Repay: rapid.Float64Range(0, 1).Draw(t, "repay"), FadeS: rapid.Float64Range(10, 1e5).Draw(t, "fade")}, began)
+		first := m.State()
+		late := began
+		for i, e := range drawEvents(t, tr) {
+			v := e.play(m)
+			if late = max(late, e.at); !v.OK && (v.AfterS <= 0 || v.AfterS > 31*86400) {
+				t.Fatalf("refused for %g s", v.AfterS)
+			}
+			if i%32 == 0 {
+				worst, at := m.Audit(late)
+				if worst > 1e-3 {
+					t.Fatalf("event %d: %s is off by %g", i, at, worst)
+				}
+			}
+		}
+		for l, limit := range tr.Limits {
+			slack := 1.0
+			if limit.Measure == Bytes {
+				slack = 6001 // a request and its answer may pass what is there
+			}
+			stored, owed := 0.0, 0.0
+			for n := range m.books[l].cells {
+				stored += first.Books[l].cells[n].Level
+				if c := &m.books[l].cells[n]; c.Level < 0 {
+					owed -= c.Level
+				}
+			}
+			root := &m.books[l].cells[0]
+			most := limit.Quota/limit.WindowS*(late-began) + stored + owed
+			if root.Tally.Used > most*(1+1e-9)+1e-3 {
+				t.Fatalf("%s: %g is used of %g that there was", limit.Name(), root.Tally.Used, most)
+			}
+			for n := range m.books[l].cells {
+				c := &m.books[l].cells[n]
+				if c.CapRate < 1e300 && c.Tally.Used > c.CapRate*(late-began+limit.WindowS)+slack {
+					t.Fatalf("%s of %s: %g is used beyond its cap", limit.Name(), tr.Path(int32(n)), c.Tally.Used)
+				}
+			}
+		}
+	})
+}
+
+// The same events give the same answers, and so they do after a restart in their midst.
+func TestSnapshotGoesOnTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := drawTree(t)
+		s := Settings{Repay: 0.1, Replicas: rapid.IntRange(1, 3).Draw(t, "replicas"), Stretch: rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "stretch")}
+		one, two := New(tr, s, began), New(tr, s, began)
+		events := drawEvents(t, tr)
+		restart := rapid.IntRange(0, len(events)-1).Draw(t, "restart")
+		for i, e := range events {
+			if i == restart {
+				raw, err := two.State().Encode()
+				require.NoError(t, err)
+				st, err := Decode(raw)
+				require.NoError(t, err)
+				two = Restore(tr, s, st, two.now)
+			}
+			if x, y := e.play(one), e.play(two); x != y {
+				t.Fatalf("event %d: %+v and after a restart %+v", i, x, y)
+			}
+		}
+	})
+}
+
+// Once nobody asks for anything debts end, and so do claims but for what lies in the pools.
+func TestDebtsEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := drawTree(t)
+		m := New(tr, Settings{Repay: 0.2, FadeS: 600}, began)
+		late := began
+		for _, e := range drawEvents(t, tr) {
+			e.play(m)
+			late = max(late, e.at)
+		}
+		m.Audit(late + 40*600)
+		for l, b := range m.books {
+			for n := range b.cells {
+				c, held := &b.cells[n], 0.0
+				for p := tr.Parent(int32(n)); p >= 0; p = tr.Parent(p) {
+					held += b.cells[p].Level
+				}
+				if c.Balance < -1e-3*(1+c.Tally.Used) || c.Balance > held+0.01*(1+c.Tally.Used) {
+					t.Fatalf("%s of %s: a balance of %g is left, and there is %g", tr.Limits[l].Name(), tr.Path(int32(n)), c.Balance, held)
+				}
+			}
+		}
+	})
+}
+
+// The tree changes again and again while there are loans and requests out.
+func TestReplacedTreesKeepTheBooks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(drawTree(t), Settings{Repay: 0.1}, began)
+		late := began
+		for range 3 {
+			for _, e := range drawEvents(t, m.tree) {
+				e.at += late - began
+				e.play(m)
+				late = max(late, e.at)
+			}
+			m = m.Replace(late, drawTree(t), Settings{Repay: 0.1})
+			worst, at := m.Audit(late)
+			if worst > 1e-3 {
+				t.Fatalf("%s is off by %g", at, worst)
+			}
+		}
+	})
+}
+
+func TestManyGroupsAndStrangers(t *testing.T) {
+	tr := bigTree(t, 100_000, 4)
+	m := New(tr, Settings{Repay: 0.1}, began)
+	leaves := leavesOf(tr)
+	served := 0
+	for i := range 200_000 {
+		if m.Ask(began+float64(i)*1e-4, Request{Group: leaves[i*7919%len(leaves)]}).OK {
+			served++
+		}
+	}
+	assert.Greater(t, served, 150_000)
+	worst, at := m.Audit(began + 30)
+	assert.Less(t, worst, 1e-3, at)
+	_, found := tr.Find("nobody-knows-me")
+	assert.False(t, found)
+}
--- /dev/null
+++ b/internal/decide/quota/quota_test.go
@@ -0,0 +1,408 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// pair is a tree of two equal groups that share 100 requests a second.
+func pair(t testing.TB) *shop {
+	return newShop(t, tree(t, []Limit{perSecond(100)}, Group{Name: "a", Share: 50}, Group{Name: "b", Share: 50}))
+}
+
+func TestIdleLendsAndIsPaidBack(t *testing.T) {
+	s := pair(t)
+	got := s.load(600, map[string]float64{"a": 200})
+	assert.InDelta(t, 60000, got["a"], 600, "what b leaves is lent")
+	_, owed := s.Tally(1, 0)
+	assert.InDelta(t, -30000, owed, 600)
+
+	got = s.load(600, map[string]float64{"a": 200, "b": 200})
+	assert.InDelta(t, 33000, got["b"], 600, "b has its own, and a tenth of a's")
+	assert.InDelta(t, 60000, got["a"]+got["b"], 600)
+
+	s.load(4*3600, map[string]float64{"a": 60, "b": 60})
+	a, owed := s.Tally(1, 0)
+	_, claim := s.Tally(2, 0)
+	assert.InDelta(t, 0, owed, 1, "debts end")
+	assert.InDelta(t, 0, claim, 1)
+	assert.InDelta(t, a.Borrowed, a.Repaid+a.Forgiven, 1)
+}
+
+func TestTheLenderHasItsOwnWithinOneShortWindow(t *testing.T) {
+	s := pair(t)
+	s.load(600, map[string]float64{"a": 1000})
+	got := s.load(10, map[string]float64{"a": 1000, "b": 200})
+	assert.GreaterOrEqual(t, got["b"], 500.0, "its quota of one window, whatever a has borrowed")
+	got = s.load(10, map[string]float64{"a": 1000, "b": 200})
+	assert.GreaterOrEqual(t, got["b"], 495.0, "and of the next, out of what comes in")
+}
+
+func TestWeightsAmongEquals(t *testing.T) {
+	s := newShop(t, tree(t, []Limit{perSecond(100)}, Group{Name: "a", Share: 10, Weight: 3}, Group{Name: "b", Share: 10},
+		Group{Name: "none", Share: 10, Weight: -0.0}, Group{Name: "idle", Share: 70}))
+	s.load(60, map[string]float64{"a": 100, "b": 500}) // buckets are empty then
+	got := s.load(600, map[string]float64{"a": 100, "b": 500})
+	assert.InDelta(t, 6000+3.0/4*48000, got["a"], 1500, "three parts of four, though b asks more")
+	assert.InDelta(t, 60000, got["a"]+got["b"], 600)
+}
+
+func TestWeightOfNothingTakesWhatNobodyWants(t *testing.T) {
+	tr, err := NewTree([]Limit{perSecond(100)}, []Group{{Name: "a", Share: 10, Weight: 0}, {Name: "b", Share: 10, Weight: 1}, {Name: "idle", Share: 80, Weight: 1}})
+	require.NoError(t, err)
+	s := newShop(t, tr)
+	s.load(60, map[string]float64{"a": 300, "b": 300})
+	got := s.load(600, map[string]float64{"a": 300, "b": 300})
+	assert.InDelta(t, 6000, got["a"], 1500, "while b wants it all")
+	got = s.load(600, map[string]float64{"a": 300})
+	assert.InDelta(t, 60000, got["a"], 1500, "and then all of it")
+}
+
+func TestAllBorrowFromOneAndEachHasItsPart(t *testing.T) {
+	groups := []Group{{Name: "giver", Share: 80}}
+	rates := map[string]float64{}
+	for i := range 10 {
+		name := fmt.Sprintf("g%d", i)
+		groups = append(groups, Group{Name: name, Share: 2})
+		rates[name] = 20 + 50*float64(i)
+	}
+	s := newShop(t, tree(t, []Limit{perSecond(100)}, groups...))
+	s.load(60, rates)
+	got := s.load(600, rates)
+	total := 0.0
+	for name, n := range got {
+		assert.InDelta(t, 6000, n, 400, name)
+		total += n
+	}
+	assert.InDelta(t, 60000, total, 600, "nothing is lent twice, and nothing is lost")
+}
+
+// line is a tree in which c may borrow over three levels: from its sibling, its uncle, and its great-uncle.
+func line(t testing.TB) *shop {
+	return newShop(t, tree(t, []Limit{perSecond(100)}, Group{Name: "north", Share: 50}, Group{Name: "south", Share: 50},
+		Group{Name: "city", Parent: "north", Share: 50}, Group{Name: "plain", Parent: "north", Share: 50},
+		Group{Name: "c", Parent: "city", Share: 50}, Group{Name: "d", Parent: "city", Share: 50}))
+}
+
+func TestChainsOfLoansOverThreeLevels(t *testing.T) {
+	s := line(t)
+	got := s.load(3600, map[string]float64{"c": 200})
+	assert.InDelta(t, 360000, got["c"], 3600)
+	for name, owes := range map[string]float64{"c": 87.5, "city": 75, "north": 50} {
+		_, balance := s.Tally(s.group(name), 0)
+		assert.Negative(t, balance, name)
+		y, _ := s.Tally(s.group(name), 0)
+		assert.InDelta(t, owes*3600, y.Borrowed-y.Repaid, 3600*owes*0.02, name)
+	}
+	// The nearest goes first: as long as its sibling's part is enough, nobody else's is touched.
+	s = line(t)
+	s.load(100, map[string]float64{"c": 24, "d": 1, "plain": 24, "south": 49})
+	s.load(600, map[string]float64{"c": 22, "plain": 24, "south": 49})
+	north, _ := s.Tally(s.group("north"), 0)
+	assert.Less(t, north.Borrowed, 40.0)
+	// When they wake, each has its own at once.
+	got = s.load(10, map[string]float64{"c": 200, "d": 25, "plain": 50, "south": 100})
+	assert.GreaterOrEqual(t, got["d"], 124.0)
+	assert.GreaterOrEqual(t, got["plain"], 249.0)
+	assert.GreaterOrEqual(t, got["south"], 499.0)
+}
+
+func TestWhatComesBackToItsGiverIsNoLoan(t *testing.T) {
+	s := line(t)
+	s.load(600, map[string]float64{"south": 90}) // it borrows what c and d leave, over three levels
+	_, owed := s.Tally(s.group("south"), 0)
+	_, claim := s.Tally(s.group("c"), 0)
+	require.Less(t, owed, -10000.0)
+	require.Greater(t, claim, 1000.0)
+	got := s.load(600, map[string]float64{"c": 90})
+	assert.Greater(t, got["c"], 600*85.0)
+	c, balance := s.Tally(s.group("c"), 0)
+	assert.InEpsilon(t, claim, c.Returned+c.Expired, 0.03, "first it has back what it gave")
+	assert.Negative(t, balance, "then it borrows")
+	_, south := s.Tally(s.group("south"), 0)
+	assert.Greater(t, south, 0.0, "and south, which owed, has paid all back and is a lender")
+}
+
+func TestTheBorrowerDisappears(t *testing.T) {
+	s := newShop(t, tree(t, []Limit{perSecond(100)}, Group{Name: "a", Share: 40}, Group{Name: "b", Share: 40}, Group{Name: "c", Share: 20}))
+	s.load(600, map[string]float64{"a": 200})
+	_, claim := s.Tally(s.group("b"), 0)
+	require.Greater(t, claim, 20000.0)
+	taken := s.Request(s.group("a"), 0, false)
+
+	s.Machine = s.Replace(s.at, tree(t, []Limit{perSecond(100)}, Group{Name: "b", Share: 60}, Group{Name: "c", Share: 40}), Settings{Repay: DefaultRepay})
+	s.audit()
+	s.Done(s.at, taken, 1, 0, 0) // what it had out ends when it is gone
+	_, left := s.Tally(s.group("b"), 0)
+	assert.InDelta(t, claim, left, 1, "its lenders' claims stand")
+	got := s.load(600, map[string]float64{"b": 100, "c": 100})
+	assert.InDelta(t, 60000, got["b"]+got["c"], 2000, "but no more is taken than there is")
+	s.load(3*DefaultFadeS, map[string]float64{"b": 10, "c": 10})
+	_, left = s.Tally(s.group("b"), 0)
+	assert.Less(t, left, claim/10, "and they end")
+}
+
+func TestTheFileChangesWhileLoansAreOut(t *testing.T) {
+	s := pair(t)
+	s.load(600, map[string]float64{"a": 200})
+	tallied, owed := s.Tally(1, 0)
+	next := tree(t, []Limit{perSecond(200), {Bytes, 60, 1e6}}, Group{Name: "new", Share: 20}, Group{Name: "b", Share: 40},
+		Group{Name: "a", Share: 40}, Group{Name: "x", Parent: "a", Share: 50}) // a has become a group of groups
+	s.Machine = s.Replace(s.at, next, Settings{Repay: DefaultRepay})
+	s.audit()
+	now, still := s.Tally(s.group("a"), 0)
+	assert.Equal(t, owed, still)
+	assert.Equal(t, tallied, now)
+	s.load(600, map[string]float64{"x": 300, "b": 300, "new": 300})
+	_, still = s.Tally(s.group("a"), 0)
+	assert.Greater(t, still, owed, "it pays on")
+	s.Machine = s.Replace(s.at, tree(t, []Limit{perSecond(100)}, Group{Name: "a", Share: 50}, Group{Name: "b", Share: 50}), Settings{Repay: DefaultRepay})
+	s.audit()
+	got := s.load(600, map[string]float64{"a": 50, "b": 50})
+	assert.Greater(t, got["b"], 29000.0)
+}
+
+func TestShortAndLongWindows(t *testing.T) {
+	limits := []Limit{{Requests, 10, 100}, {Requests, 3600, 7200}}
+	s := newShop(t, tree(t, limits, Group{Name: "a", Share: 100}))
+	for range 100 {
+		require.True(t, s.ask("a").OK)
+	}
+	v := s.ask("a")
+	assert.False(t, v.OK)
+	assert.Equal(t, 0, v.Limit, "the short one is used up, the long one is open")
+	assert.InDelta(t, 0.1, v.AfterS, 0.01)
+	s.at += v.AfterS
+	assert.True(t, s.ask("a").OK, "when it was said")
+
+	s.load(1200, map[string]float64{"a": 10})
+	v = s.ask("a")
+	require.False(t, v.OK)
+	assert.Equal(t, 1, v.Limit, "the long one is used up")
+	s.at += 0.4
+	for !s.ask("a").OK {
+		s.at += 0.01
+	}
+	assert.Positive(t, s.books[0].cells[1].Level, "while the short one is open")
+	got := s.load(3600, map[string]float64{"a": 10})
+	assert.InDelta(t, 7200, got["a"], 10, "what comes in with the long one")
+}
+
+func TestTheClockStandsJumpsAndGoesBack(t *testing.T) {
+	s := pair(t)
+	served := 0
+	for range 10000 { // it stands
+		if s.ask("a").OK {
+			served++
+		}
+	}
+	assert.Equal(t, 500, served, "the bucket, and nothing comes in")
+	s.at += 3600 // the machine slept
+	served = 0
+	for range 10000 {
+		if s.ask("a").OK {
+			served++
+		}
+	}
+	assert.InDelta(t, 500+125, served, 1, "the bucket and the pool, not an hour's worth")
+	s.audit()
+	before := s.at
+	s.at -= 7200
+	assert.False(t, s.ask("a").OK)
+	s.at = math.NaN()
+	assert.False(t, s.ask("a").OK)
+	s.at = before
+	got := s.load(60, map[string]float64{"a": 40, "b": 40})
+	assert.InDelta(t, 2400, got["a"], 30)
+	assert.InDelta(t, 2400, got["b"], 30)
+}
+
+func TestQuotaBelowOneRequestAWindow(t *testing.T) {
+	s := newShop(t, tree(t, []Limit{{Requests, 10, 0.5}}, Group{Name: "a", Share: 50}, Group{Name: "b", Share: 50}))
+	got := s.load(4000, map[string]float64{"a": 5, "b": 5})
+	assert.InDelta(t, 100, got["a"], 4)
+	assert.InDelta(t, 100, got["b"], 4)
+	v := s.ask("a")
+	require.False(t, v.OK)
+	assert.LessOrEqual(t, v.AfterS, 45.0, "one request's time of its own, and what it pays back")
+}
+
+// Two groups want more than they have. One asks again at once, however often it is refused; the other waits as it is told.
+func TestRetriesEarnNoMoreThanWaiting(t *testing.T) {
+	s := newShop(t, tree(t, []Limit{perSecond(100)}, Group{Name: "hasty", Share: 20}, Group{Name: "patient", Share: 20}, Group{Name: "idle", Share: 60}))
+	var waiting [60]float64 // each of its clients has one request out, and sends the next when that is served
+	hasty, patient := 0, 0
+	for end := s.at + 120; s.at < end; s.at += 0.002 {
+		if s.ask("hasty").OK { // 500 a second
+			hasty++
+		}
+		for i := range waiting {
+			if s.at < waiting[i] {
+				continue
+			}
+			if v := s.ask("patient"); v.OK {
+				patient++
+				waiting[i] = s.at + 0.5
+			} else {
+				waiting[i] = s.at + v.AfterS
+			}
+		}
+	}
+	assert.Greater(t, float64(patient), 0.97*float64(hasty))
+	assert.InDelta(t, 12000, hasty+patient, 700)
+}
+
+func TestCapsAreHeld(t *testing.T) {
+	s := newShop(t, tree(t, []Limit{perSecond(100)}, Group{Name: "a", Share: 20, Cap: 30}, Group{Name: "b", Share: 80}))
+	got := s.load(600, map[string]float64{"a": 200})
+	assert.LessOrEqual(t, got["a"], 30*600+300.0)
+	assert.GreaterOrEqual(t, got["a"], 30*600.0-5)
+	assert.True(t, s.Explain(s.at, s.group("a")).Capped)
+}
+
+func TestTheFloorIsNeverLent(t *testing.T) {
+	s := newShop(t, tree(t, []Limit{perSecond(100)}, Group{Name: "a", Share: 50, Floor: 10}, Group{Name: "b", Share: 50}))
+	s.load(60, map[string]float64{"a": 500, "b": 500}) // the batch of its own group, and another
+	alerts := 0
+	for range 200 {
+		if s.Ask(s.at, Request{Group: s.group("a"), Floor: true}).OK {
+			alerts++
+		}
+	}
+	assert.InDelta(t, 100, alerts, 2, "a fifth of the bucket is there for them")
+	alerts = 0
+	for i := range 600 {
+		s.at += 0.1
+		for range 10 {
+			s.ask("a")
+			s.ask("b")
+		}
+		if i%3 == 0 && s.Ask(s.at, Request{Group: s.group("a"), Floor: true}).OK {
+			alerts++
+		}
+	}
+	assert.Equal(t, 200, alerts, "and all that comes in, before others")
+	s.audit()
+}
+
+func TestBytesAreChargedAfterwards(t *testing.T) {
+	s := newShop(t, tree(t, []Limit{{Bytes, 10, 10000}, {Work, 60, 6}}, Group{Name: "a", Share: 100, Cap: 100}))
+	q := Request{Group: s.group("a"), Bytes: 100}
+	require.True(t, s.Ask(s.at, q).OK)
+	s.Done(s.at, q, 0.1, 14900, 0.1)
+	v := s.Ask(s.at, q)
+	require.False(t, v.OK, "the debt counts")
+	assert.InDelta(t, 5.1, v.AfterS, 0.01)
+	s.at += v.AfterS
+	require.True(t, s.Ask(s.at, q).OK)
+	s.Done(s.at, q, 0.1, 0, 60)
+	v = s.Ask(s.at+20, q)
+	assert.Equal(t, 1, v.Limit)
+	huge := Request{Group: s.group("a"), Bytes: 1e6}
+	s.at += 3600
+	assert.True(t, s.Ask(s.at, huge).OK, "one that is larger than any window is taken up where all is there")
+	assert.False(t, s.Ask(s.at, huge).OK)
+}
+
+func TestOpenRequests(t *testing.T) {
+	s := newShop(t, tree(t, []Limit{{Open, 0, 10}}, Group{Name: "a", Share: 50, Cap: 80}, Group{Name: "b", Share: 50, Floor: 20}))
+	a, b := s.Request(s.group("a"), 0, false), s.Request(s.group("b"), 0, false)
+	for range 8 {
+		require.True(t, s.Ask(s.at, a).OK)
+	}
+	assert.False(t, s.Ask(s.at, a).OK, "beyond its cap")
+	for range 3 {
+		require.True(t, s.Ask(s.at, b).OK, "its own, at once")
+	}
+	assert.False(t, s.Ask(s.at, b).OK, "what is left is the floor")
+	b.Floor = true
+	for range 2 {
+		require.True(t, s.Ask(s.at, b).OK)
+	}
+	v := s.Ask(s.at, b)
+	assert.False(t, v.OK)
+	assert.Positive(t, v.AfterS)
+	for range 6 {
+		s.Done(s.at, a, 0.1, 0, 0)
+	}
+	assert.True(t, s.Ask(s.at, b).OK, "what others leave")
+	next := tree(t, []Limit{{Open, 0, 10}}, Group{Name: "b", Share: 100})
+	s.Machine = s.Replace(s.at, next, Settings{})
+	s.Done(s.at, a, 0.1, 0, 0)
+	s.Done(s.at, a, 0.1, 0, 0)
+	for range 6 {
+		s.Done(s.at, b, 0.1, 0, 0)
+	}
+	assert.Equal(t, int32(0), s.opens[0].open[0], "whoever goes, nothing is left over")
+}
+
+func TestFaultsNameTheGroup(t *testing.T) {
+	limits := []Limit{perSecond(100)}
+	long := []Group{}
+	for i := range MostDepth + 1 {
+		g := Group{Name: fmt.Sprintf("g%d", i), Share: 1}
+		if i > 0 {
+			g.Parent = fmt.Sprintf("g%d", i-1)
+		}
+		long = append(long, g)
+	}
+	for _, c := range []struct {
+		limits []Limit
+		groups []Group
+		want   string
+	}{
+		{limits, []Group{{Name: "x", Share: 5}, {Name: "a", Parent: "b"}, {Name: "b", Parent: "a"}}, "a.b.a: it is below itself"},
+		{limits, []Group{{Name: "x"}, {Name: "a", Parent: "x"}, {Name: "b", Parent: "z"}}, `b: its parent "z" is no group`},
+		{limits, []Group{{Name: "x"}, {Name: "a", Parent: "x", Share: 60}, {Name: "b", Parent: "x", Share: 50}}, "x: its children's shares come to 110 %"},
+		{limits, []Group{{Name: "x", Share: 60}, {Name: "b", Share: 50}}, "all: its children's shares come to 110 %"},
+		{limits, []Group{{Name: "x"}, {Name: "a", Parent: "x"}, {Name: "a"}}, "x.a: another group has the name"},
+		{limits, []Group{{Name: "x", Share: 50}, {Name: "a", Parent: "x", Share: 10, Floor: 20}}, "x.a: floor: 20 % of its parent is above its share"},
+		{limits, []Group{{Name: "x", Share: 50}, {Name: "a", Parent: "x", Share: 10, Floor: 101}}, "x.a: floor: 101 % is above the parent"},
+		{limits, []Group{{Name: "x", Share: 50, Cap: 40}}, "x: cap: "},
+		{limits, []Group{{Name: "x", Share: math.NaN()}}, "x: share: "},
+		{limits, []Group{{Name: "x", Weight: -1}}, "x: weight: "},
+		{limits, []Group{{Name: "x", Quotas: map[string]float64{"requests/11": 1}}}, "x: quotas: it names what is no limit; limits are requests/10"},
+		{limits, []Group{{Name: "x", Quotas: map[string]float64{"requests/10": 1001}}}, "x: quotas: requests/10: want 0 to 1000"},
+		{limits, []Group{{Name: "x", Quotas: map[string]float64{"requests/10": 600}}, {Name: "y", Quotas: map[string]float64{"requests/10": 600}}},
+			"all: its children's quotas of requests/10 come to 1200, over its own 1000"},
+		{limits, []Group{{Name: "x.y"}}, `"x.y": want a name`},
+		{limits, long, "g0.g1.g2.g3.g4.g5.g6.g7.g8.g9.g10.g11.g12: it is deeper"},
+		{limits, nil, "groups: there is none"},
+		{limits, make([]Group, MostGroups+1), "groups: 100001, want at most 100000"},
+		{[]Limit{{Requests, 0, 1}}, nil, "limits[0].window_s: want seconds"},
+		{[]Limit{{Open, 1, 1}}, nil, "limits[0].window_s: open requests have no window"},
+		{[]Limit{{measures, 1, 1}}, nil, "limits[0].measure: want"},
+		{[]Limit{perSecond(1), perSecond(2)}, nil, "limits[1]: requests/10 is given twice"},
+		{nil, nil, "limits: 0, want 1 to 8"},
+	} {
+		_, err := NewTree(c.limits, c.groups)
+		if assert.Error(t, err, c.want) {
+			assert.Contains(t, err.Error(), c.want)
+			assert.NotContains(t, err.Error(), "\n")
+		}
+	}
+}
+
+func TestSnapshotsThatCantBeRead(t *testing.T) {
+	s := pair(t)
+	raw, err := s.State().Encode()
+	require.NoError(t, err)
+	_, err = Decode(raw)
+	require.NoError(t, err)
+	for i := 0; i < len(raw); i += 7 { // any byte that differs is found out
+		bad := append([]byte(nil), raw...)
+		bad[i] ^= 0x40
+		_, err = Decode(bad)
+		require.Error(t, err, i)
+	}
+	_, err = Decode(raw[:len(raw)-1])
+	assert.ErrorIs(t, err, ErrDamaged)
+	newer := append([]byte(nil), raw...)
+	newer[len(stateMagic)]++
+	_, err = Decode(newer)
+	assert.ErrorIs(t, err, ErrNewer)
+}
--- /dev/null
+++ b/internal/decide/quota/share.go
@@ -0,0 +1,198 @@
+package quota
+
+import "math"
+
+// mayDraw tells whether a child may draw on a pool now, and notes that it asks. The account is settled.
+//
+// Who has deposited goes before who borrows. Those who borrow go in turns by their weights as long as the pool holds
+// less than half; beyond that nobody else wants what is there, and to keep it back would waste it.
+func (b *book) mayDraw(n int32, now float64) bool {
+	c, g := &b.cells[n], &b.tree.links[n]
+	p := &b.cells[g.parent]
+	e := int64(now / b.epochS)
+	if p.Epoch != e {
+		if p.Epoch != e-1 {
+			p.Wanting, p.Claiming = 0, 0
+		}
+		p.Epoch, p.Wanted, p.Claimed, p.Wanting, p.Claiming = e, p.Wanting, p.Claiming, 0, 0
+	}
+	if c.Asked != e {
+		c.Asked = e
+		if p.Wanting += g.weight; c.Balance > 0 {
+			p.Claiming += g.weight
+		}
+	}
+	switch {
+	case p.Level >= p.Depth/2, c.Balance > 0:
+		return true
+	case p.Claimed > 0, g.weight == 0:
+		return false
+	case p.Wanted <= g.weight: // nobody else wants anything
+		return true
+	}
+	// Danger: a turn that could be saved up, or overdrawn without bound, would shut others out later, or itself.
+	most := p.Depth / p.Wanted
+	c.Drawn = min(max(c.Drawn, p.Turn-most), p.Turn+most)
+	return c.Drawn <= p.Turn
+}
+
+// usable returns what a request may take of an account.
+func (c *cell) usable(floor bool) float64 {
+	if floor {
+		return max(c.Level, 0)
+	}
+	return max(c.Level-c.Reserve, 0)
+}
+
+// lacks returns what a need lacks in a group's own bucket and the pools above it, up to which the accounts are settled; 0:
+// it can be had.
+func (b *book) lacks(g int32, need float64, floor bool, now float64) float64 {
+	need -= b.cells[g].usable(floor)
+	for n := g; need > 0; {
+		parent := b.tree.links[n].parent
+		if parent < 0 {
+			return need
+		}
+		if b.mayDraw(n, now) {
+			need -= b.cells[parent].usable(floor)
+		}
+		n = parent
+	}
+	return 0
+}
+
+// capped returns how long a group, or one above it, is held by its cap; 0: it is not.
+func (b *book) capped(g int32, need, now float64) (waitS float64) {
+	for n := g; n > 0; n = b.tree.links[n].parent {
+		c := &b.cells[n]
+		if c.CapRate == math.Inf(1) {
+			continue
+		}
+		if dt := now - c.CapLast; dt > 0 {
+			c.CapLast = now
+			c.CapLevel = min(c.CapLevel+c.CapRate*dt, max(c.CapRate*b.limit.WindowS, b.least()))
+		}
+		if lacks := need - c.CapLevel; lacks > 0 {
+			waitS = max(waitS, b.until(lacks, c.CapRate))
+		}
+	}
+	return waitS
+}
+
+// take books an amount on a group: from its own bucket, then from the pools above it, the nearest first. What is not there
+// makes the bucket's level negative.
+func (b *book) take(g int32, amount float64, floor bool, now float64) {
+	for n := g; n >= 0; n = b.tree.links[n].parent {
+		c := &b.cells[n]
+		c.Tally.Used += amount
+		if c.CapRate < math.Inf(1) {
+			c.CapLevel -= amount
+		}
+	}
+	c := &b.cells[g]
+	b.touch(g, now)
+	own := min(amount, c.usable(floor))
+	c.Level -= own
+	amount -= own
+	for n := b.tree.links[g].parent; n >= 0 && amount > 0; n = b.tree.links[n].parent {
+		if p := &b.cells[n]; p.usable(floor) > 0 && b.mayDraw(b.childAbove(g, n), now) {
+			drawn := min(amount, p.usable(floor))
+			b.draw(g, n, drawn, now)
+			amount -= drawn
+		}
+	}
+	c.Level -= amount
+}
+
+// childAbove returns the child of a pool that a group is, or is below.
+func (b *book) childAbove(g, pool int32) int32 {
+	for b.tree.links[g].parent != pool {
+		g = b.tree.links[g].parent
+	}
+	return g
+}
+
+// draw has a group draw on a pool above it: each group on the way draws on its parent. What is nobody's deposit is free.
+func (b *book) draw(g, pool int32, amount, now float64) {
+	b.touch(pool, now)
+	p := &b.cells[pool]
+	p.Level -= amount
+	free := min(amount, max(p.Equity, 0))
+	p.Equity -= free
+	for n := g; n != pool; n = b.tree.links[n].parent {
+		c := &b.cells[n]
+		if w := b.tree.links[n].weight; w > 0 {
+			c.Drawn += amount / w
+		}
+		loan := amount - free
+		back := min(loan, max(c.Balance, 0))
+		c.Balance -= loan
+		c.Tally.Free += free
+		c.Tally.Returned += back
+		c.Tally.Borrowed += loan - back
+	}
+}
+
+// least is what every bucket and cap holds in time.
+func (b *book) least() float64 {
+	if b.limit.Measure == Requests {
+		return 1
+	}
+	return 0
+}
+
+// until returns how long an amount takes at a rate. Nobody is told to wait for longer than a window, or a request's time
+// where a window brings less than one.
+func (b *book) until(amount, rate float64) float64 {
+	longest := max(b.limit.WindowS, b.least()/max(rate, 1e-9))
+	return min(max(amount/max(rate, 1e-9)+1e-6, 1e-3), longest, 31*86400) // a clock's last digit is not waited for
+}
+
+// wait returns when what a need lacks could be had: of the own bucket alone, or of the group's turn at the nearest pool
+// that something comes to, whichever is sooner.
+func (b *book) wait(g int32, need float64, floor bool) float64 {
+	c := &b.cells[g]
+	rate := c.Rate
+	if c.Balance < 0 {
+		rate *= 1 - b.repay
+	}
+	reserve := c.Reserve
+	if floor {
+		reserve = 0
+	}
+	soonest := b.until(need+reserve-c.Level, rate)
+	for n := g; b.tree.links[n].parent >= 0; n = b.tree.links[n].parent {
+		p, w := &b.cells[b.tree.links[n].parent], b.tree.links[n].weight
+		if p.Rate > 0 && w > 0 && !floor {
+			lacks := need - c.usable(floor) - p.usable(floor)
+			return min(soonest, b.until(max(lacks, 0), p.Rate*w/max(p.Wanted, w)))
+		}
+	}
+	return soonest
+}
+
+// want notes what a group asks for, and stretches its part of a fleet's quota by what it has asked for lately, within the
+// bounds. Danger: without bounds the parts of all sidecars together would be any number of quotas.
+func (b *book) want(g int32, amount, stretch, now float64) {
+	c := &b.cells[g]
+	if e := int64(now / b.limit.WindowS); c.DemandIn != e {
+		if c.DemandIn >= 0 && c.Own > 0 {
+			if c.DemandIn < e-1 {
+				c.DemandAvg = 0
+			}
+			c.DemandAvg += 0.5 * (c.Demand/b.limit.WindowS - c.DemandAvg)
+			c.Boost = min(max(c.DemandAvg/c.Own-1, -stretch), stretch)
+			b.flow(g, c.Own*(1+c.Boost), now)
+		}
+		c.DemandIn, c.Demand = e, 0
+	}
+	c.Demand += amount
+}
+
+// calm has a group that has asked for nothing have the least part of its quota.
+func (b *book) calm(n int32, stretch float64) {
+	if c := &b.cells[n]; !b.tree.nodes[n].inner {
+		c.Boost, c.DemandAvg = -stretch, 0
+		c.Rate = c.Own * (1 - stretch)
+	}
+}
--- /dev/null
+++ b/internal/decide/quota/view.go
@@ -0,0 +1,145 @@
+package quota
+
+// View is what operators are shown: the groups in the order of the tree, parents before their children.
+type View struct {
+	At     float64     `json:"at"`
+	Groups []GroupView `json:"groups"`
+	All    int         `json:"all"`            // how many groups there are
+	Lost   []float64   `json:"lost,omitempty"` // by limit: what found no room since nobody wanted it
+	Limits []string    `json:"limits"`
+}
+
+// GroupView is a group.
+type GroupView struct {
+	Path    string      `json:"path"`
+	Depth   int         `json:"depth"`
+	Served  uint64      `json:"served"`
+	Refused uint64      `json:"refused"`
+	Limits  []LimitView `json:"limits"`
+}
+
+// LimitView is a group's account for one limit, in its unit. Quota is this sidecar's part, in a window.
+type LimitView struct {
+	Limit   string  `json:"limit"`
+	Quota   float64 `json:"quota"`
+	Holds   float64 `json:"holds"` // of open requests, how many there are
+	Depth   float64 `json:"depth"`
+	Claims  float64 `json:"claims,omitempty"` // deposited with its parent and not had back
+	Owes    float64 `json:"owes,omitempty"`
+	Lends   bool    `json:"lends,omitempty"` // all that comes in goes to its parent
+	Stretch float64 `json:"stretch,omitempty"`
+	Tally   `json:"tally"`
+}
+
+// View shows at most so many groups, and of a tree that has more those that have been asked for, as far as they go.
+func (m *Machine) View(now float64, most int) View {
+	now = m.clock(now)
+	v := View{At: now, All: m.tree.Len() - 1, Groups: []GroupView{}}
+	for i, b := range m.books {
+		v.Limits = append(v.Limits, m.tree.Limits[i].Name())
+		lost := 0.0
+		if b != nil {
+			b.settleAll(now)
+			lost = b.lost
+		}
+		v.Lost = append(v.Lost, lost)
+	}
+	served, refused := m.sums()
+	var visit func(n int32)
+	children := make([][]int32, m.tree.Len())
+	for n := 1; n < m.tree.Len(); n++ {
+		p := m.tree.nodes[n].parent
+		children[p] = append(children[p], int32(n))
+	}
+	quietToo := m.tree.Len() <= most
+	visit = func(n int32) {
+		if len(v.Groups) >= most || !quietToo && n > 0 && served[n]+refused[n] == 0 {
+			return
+		}
+		g := m.group(n)
+		g.Served, g.Refused = served[n], refused[n]
+		v.Groups = append(v.Groups, g)
+		for _, child := range children[n] {
+			visit(child)
+		}
+	}
+	visit(0)
+	return v
+}
+
+// sums adds up the requests of each group and all below it.
+func (m *Machine) sums() (served, refused []uint64) {
+	served, refused = make([]uint64, len(m.stats)), make([]uint64, len(m.stats))
+	for n := len(m.stats) - 1; n >= 0; n-- {
+		served[n] += m.stats[n].Served
+		refused[n] += m.stats[n].Refused
+		if p := m.tree.nodes[n].parent; p >= 0 {
+			served[p] += served[n]
+			refused[p] += refused[n]
+		}
+	}
+	return served, refused
+}
+
+func (m *Machine) group(n int32) GroupView {
+	t := &m.tree.nodes[n]
+	g := GroupView{Path: m.tree.Path(n), Depth: int(t.depth), Served: m.stats[n].Served, Refused: m.stats[n].Refused}
+	for i, l := range m.tree.Limits {
+		if o := m.opens[i]; o != nil {
+			g.Limits = append(g.Limits, LimitView{Limit: l.Name(), Quota: o.quota[n], Holds: float64(o.open[n]), Depth: float64(o.most[n])})
+			continue
+		}
+		c := &m.books[i].cells[n]
+		g.Limits = append(g.Limits, LimitView{Limit: l.Name(), Quota: t.quota[i] / float64(max(m.settings.Replicas, 1)), Holds: c.Level, Depth: c.Depth,
+			Claims: max(c.Balance, 0), Owes: max(-c.Balance, 0), Lends: c.Idle, Stretch: c.Boost, Tally: c.Tally})
+	}
+	return g
+}
+
+// Explanation is why a group's last refusal was made, and how it and those above it stand.
+type Explanation struct {
+	Group   string      `json:"group"`
+	Refused uint64      `json:"refused"`
+	AgoS    float64     `json:"ago_s"`
+	Limit   string      `json:"limit"` // "": none is remembered
+	Capped  bool        `json:"capped"`
+	Lacked  float64     `json:"lacked"`
+	Own     float64     `json:"own"`
+	AfterS  float64     `json:"after_s"`
+	Chain   []GroupView `json:"chain"` // the group first, the root last
+}
+
+// Explain tells of a group.
+func (m *Machine) Explain(now float64, g int32) Explanation {
+	now = m.clock(now)
+	_, refused := m.sums()
+	e := Explanation{Group: m.tree.Path(g), Refused: refused[g]}
+	if r := m.refusals[g]; r.Limit >= 0 {
+		e.AgoS, e.Limit, e.Capped, e.Lacked, e.Own, e.AfterS = now-r.At, m.tree.Limits[r.Limit].Name(), r.Capped, r.Lacked, r.Own, r.AfterS
+	}
+	for _, b := range m.books {
+		if b != nil {
+			b.settleChain(g, now)
+		}
+	}
+	for n := g; n >= 0; n = m.tree.nodes[n].parent {
+		e.Chain = append(e.Chain, m.group(n))
+	}
+	return e
+}
+
+// Stats returns a group's requests, without those of the groups below it.
+func (m *Machine) Stats(g int32) Stats { return m.stats[g] }
+
+// Tally returns what has happened to a group's account, and its balance with its parent. It is settled as of the last call.
+func (m *Machine) Tally(g int32, limit int) (t Tally, balance float64) {
+	b := m.books[limit]
+	b.settleChain(g, m.now)
+	return b.cells[g].Tally, b.cells[g].Balance
+}
+
+// Lost returns what of a limit's quota has found no room since nobody wanted it.
+func (m *Machine) Lost(limit int) float64 {
+	m.books[limit].settleAll(m.now)
+	return m.books[limit].lost
+}
