Ask the quotas before the decisions see a request

Operators need to say how a request's group is known, and the sidecar to refuse what is beyond it at once.

A request beyond its quota is answered with 429; bytes and work of answers are booked after them. With the key absent nothing of it is there but a counter that stays 0.

--- a/internal/decide/quota/view.go
+++ b/internal/decide/quota/view.go
@@ -1,5 +1,7 @@
 package quota
 
+import "slices"
+
 // View is what operators are shown: the groups in the order of the tree, parents before their children.
 type View struct {
 	At     float64     `json:"at"`
@@ -128,6 +130,32 @@
 	return e
 }
 
+// Busy is how often a group's requests were taken up and refused.
+type Busy struct {
+	Group   string `json:"group"`
+	Served  uint64 `json:"served"`
+	Refused uint64 `json:"refused"`
+}
+
+// MostRefused returns the groups with most refusals, at most so many, the one with most first.
+func (m *Machine) MostRefused(most int) []Busy {
+	all := make([]Busy, 0, most+1)
+	for g, s := range m.stats {
+		if s.Refused == 0 || len(all) == most && s.Refused <= all[most-1].Refused {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(all, s.Refused, func(b Busy, n uint64) int {
+			if b.Refused >= n { // of equals the first in the tree
+				return -1
+			}
+			return 1
+		})
+		all = slices.Insert(all, at, Busy{m.tree.Path(int32(g)), s.Served, s.Refused})
+		all = all[:min(len(all), most)]
+	}
+	return all
+}
+
 // Stats returns a group's requests, without those of the groups below it.
 func (m *Machine) Stats(g int32) Stats { return m.stats[g] }
 
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -21,6 +21,7 @@
 	"hazelwheel/internal/drill"
 	"hazelwheel/internal/health"
 	"hazelwheel/internal/http1"
+	"hazelwheel/internal/quotas"
 	"hazelwheel/internal/rewrite"
 )
 
@@ -32,6 +33,7 @@
 	Capture  capture.Settings
 
 	Admission Admission
+	Quotas    quotas.Settings
 }
 
 // Admission bounds what clients may hold. Its zero value has no caps and no reserve.
@@ -60,6 +62,9 @@
 	if f.Admission.On() {
 		on = append(on, fmt.Sprintf("admission (reserve %d, %d caps, %d known)", f.Admission.Reserve, len(f.Admission.Caps), len(f.Admission.Known)))
 	}
+	if f.Quotas.On() {
+		on = append(on, fmt.Sprintf("quotas (%d groups, %d limits)", f.Quotas.Tree.Len()-1, len(f.Quotas.Tree.Limits)))
+	}
 	if len(on) == 0 {
 		return "none"
 	}
@@ -89,6 +94,7 @@
 	f.readHealth(o, c)
 	f.readCapture(o, c)
 	f.readAdmission(o, c)
+	f.readQuotas(o, c)
 	return f, o.rest()
 }
 
--- /dev/null
+++ b/internal/features/quotas.go
@@ -0,0 +1,91 @@
+package features
+
+import (
+	"fmt"
+	"strings"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/http1"
+	"hazelwheel/internal/quotas"
+)
+
+// readQuotas takes the settings of quotas and reads the file of groups that they name.
+func (f *Features) readQuotas(o *object, cfg *config.Config) {
+	_, whole := o.fields["quotas"]
+	for name := range o.fields {
+		whole = whole || strings.HasPrefix(name, "quotas.")
+	}
+	if !whole {
+		return
+	}
+	q := &f.Quotas
+	*q = quotas.Defaults()
+	o.unfold("quotas", "file", "identify", "default", "exempt", "floor", "dir", "snapshot_s", "stretch", "repay", "forget_s")
+	text := func(s string) bool { return s != "" }
+	field(o, "quotas.file", &q.File, "the path of a file of groups", text)
+	field(o, "quotas.default", &q.Default, "the group of requests that no rule of quotas.identify knows", text)
+	field(o, "quotas.dir", &q.Dir, "the path of a folder", text)
+	field(o, "quotas.snapshot_s", &q.SnapshotS, "1 to 3600", func(v float64) bool { return v >= 1 && v <= 3600 })
+	field(o, "quotas.stretch", &q.Stretch, "0 to 0.5", func(v float64) bool { return v >= 0 && v <= 0.5 })
+	field(o, "quotas.repay", &q.Repay, "0 to 1", func(v float64) bool { return v >= 0 && v <= 1 })
+	field(o, "quotas.forget_s", &q.FadeS, "60 to 2678400", func(v float64) bool { return v >= 60 && v <= 31*86400 })
+	for _, list := range []struct {
+		name    string
+		classes *[]string
+	}{{"quotas.exempt", &q.Exempt}, {"quotas.floor", &q.Floor}} {
+		field(o, list.name, list.classes, "a list of classes of the settings", func(names []string) bool {
+			for _, name := range names {
+				if !hasClass(cfg, name) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	for _, e := range o.list("quotas.identify") {
+		q.Identify = append(q.Identify, readIdentity(e, cfg))
+	}
+	for _, name := range []string{"quotas.file", "quotas.default"} {
+		if _, ok := o.fields[name]; !ok {
+			o.fail(name, "missing")
+		}
+	}
+	if q.File == "" || o.err != nil {
+		return
+	}
+	tree, err := quotas.Read(q.File)
+	if err != nil {
+		o.err = err
+		return
+	}
+	q.Tree = tree
+	if err := q.Check(tree); err != nil {
+		o.err = fmt.Errorf("quotas.%w", err)
+	}
+}
+
+// readIdentity takes one rule by which a request's group is known.
+func readIdentity(e *object, cfg *config.Config) (r quotas.Rule) {
+	ways := 0
+	for _, way := range []string{"header", "class", "addresses"} {
+		if _, ok := e.fields[way]; ok {
+			ways++
+		}
+	}
+	field(e, "header", &r.Header, "the name of a header field", http1.Token)
+	field(e, "class", &r.Class, "a class of the settings", func(s string) bool { return hasClass(cfg, s) })
+	var text string
+	field(e, "addresses", &text, "an address or a prefix like 10.1.0.0/16", func(s string) (ok bool) {
+		var err error
+		r.Addresses, err = parsePrefix(s)
+		return err == nil
+	})
+	switch {
+	case ways != 1:
+		e.fail("header", "want one of header, class and addresses")
+	case r.Header == "": // elsewhere a group means nothing and is unknown
+		field(e, "group", &r.Group, "the path of a group", func(s string) bool { return s != "" })
+		e.need("group")
+	}
+	return r
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -79,7 +79,11 @@
 func (p *Process) heedHangups(hangups <-chan os.Signal, load func() (config.Config, error)) {
 	for range hangups {
 		cfg, err := load()
-		p.Do(func() { p.Reload(cfg, err) })
+		tree, fault := p.ReadQuotas()
+		p.Do(func() {
+			p.Reload(cfg, err)
+			p.ReplaceQuotas(tree, fault)
+		})
 	}
 }
 
--- /dev/null
+++ b/internal/quotas/settings.go
@@ -0,0 +1,116 @@
+package quotas
+
+import (
+	"fmt"
+	"net/netip"
+
+	"hazelwheel/internal/decide/quota"
+)
+
+// Settings are the operators' word on quotas. The zero value has none.
+type Settings struct {
+	File      string      // of groups; "": there are no quotas
+	Tree      *quota.Tree // what it said at the start
+	Identify  []Rule      // in the order in which they are tried
+	Default   string      // the group of whoever is in none
+	Exempt    []string    // classes that are neither counted nor refused
+	Floor     []string    // classes that may use the groups' floors
+	Dir       string      // of snapshots; "": none are made
+	SnapshotS float64     // the time between two
+	Stretch   float64     // of a sidecar's part, see quota.Settings
+	Repay     float64
+	FadeS     float64
+}
+
+// Defaults returns the settings where nothing is said.
+func Defaults() Settings {
+	return Settings{SnapshotS: 10, Stretch: quota.DefaultStretch, Repay: quota.DefaultRepay, FadeS: quota.DefaultFadeS}
+}
+
+// On tells whether there are quotas.
+func (s *Settings) On() bool { return s.File != "" }
+
+// Machine returns the settings of the decisions in one of so many sidecars.
+func (s *Settings) Machine(replicas int) quota.Settings {
+	stretch := s.Stretch
+	if replicas <= 1 {
+		stretch = 0 // its part is the whole, and exact
+	}
+	return quota.Settings{Replicas: replicas, Stretch: stretch, Repay: s.Repay, FadeS: s.FadeS}
+}
+
+// Rule is one way to know a request's group: the value of a header field names it, or it is that of all requests of a
+// class, or from addresses. One of Header, Class and Addresses is set.
+type Rule struct {
+	Header    string
+	Class     string
+	Addresses netip.Prefix
+	Group     string // of Class and Addresses
+}
+
+// Check tells what in the settings does not fit a tree. An error names the field.
+func (s *Settings) Check(t *quota.Tree) error {
+	if _, err := groupOf(t, s.Default); err != nil {
+		return fmt.Errorf("default: %w", err)
+	}
+	for i, r := range s.Identify {
+		if r.Header != "" {
+			continue
+		}
+		if _, err := groupOf(t, r.Group); err != nil {
+			return fmt.Errorf("identify[%d].group: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func groupOf(t *quota.Tree, path string) (int32, error) {
+	g, ok := t.Find(path)
+	switch {
+	case !ok:
+		return 0, fmt.Errorf("%q is no group of the file", path)
+	case !t.Takes(g):
+		return 0, fmt.Errorf("%q has groups below it; requests belong to one that has none", path)
+	}
+	return g, nil
+}
+
+// Directory knows the groups of requests. It holds what the tree and the settings name and nothing else, so whatever
+// names come, it does not grow.
+type Directory struct {
+	tree   *quota.Tree
+	rules  []Rule
+	groups []int32 // of the rules
+	other  int32
+}
+
+// NewDirectory returns the directory of a tree that the settings have been checked for.
+func NewDirectory(s *Settings, t *quota.Tree) *Directory {
+	d := &Directory{tree: t, rules: s.Identify}
+	for _, r := range s.Identify {
+		g, _ := t.Find(r.Group) // 0 of a field, which has no group of its own
+		d.groups = append(d.groups, g)
+	}
+	d.other, _ = t.Find(s.Default)
+	return d
+}
+
+// Group returns the group of a request; header returns the value of a field, "" if it is absent.
+func (d *Directory) Group(header func(name string) string, class string, from netip.Addr) int32 {
+	for i := range d.rules {
+		r := &d.rules[i]
+		switch {
+		case r.Header != "":
+			if g, ok := d.tree.Find(header(r.Header)); ok && d.tree.Takes(g) {
+				return g
+			}
+		case r.Class != "":
+			if r.Class == class {
+				return d.groups[i]
+			}
+		case r.Addresses.Contains(from):
+			return d.groups[i]
+		}
+	}
+	return d.other
+}
--- a/internal/sidecar/capture.go
+++ b/internal/sidecar/capture.go
@@ -72,5 +72,8 @@
 	return s.capture.Dump(s.now())
 }
 
-// End ends the capture once the loop has gone.
-func (s *Sidecar) End() { s.capture.Close() }
+// End ends what is written beside the loop once the loop has gone.
+func (s *Sidecar) End() {
+	s.endQuotas()
+	s.capture.Close()
+}
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -163,6 +163,8 @@
 		l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, l.s.clientsText())
 	case path == "/counters" && p.Method == "GET":
 		l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, l.s.Counters())
+	case path == QuotaPath && p.Method == "GET" && l.s.quotas != nil:
+		l.showQuotas()
 	case armed:
 		l.startDrill(drill)
 	default:
@@ -207,11 +209,15 @@
 		l.turnAway()
 		return
 	}
+	ticket, within := l.withinQuota(class)
+	if !within {
+		return
+	}
 	l.s.room.Move(l.s.now(), l.place, admission.Asking)
 	l.held = len(p.Body)
 	l.s.room.Hold(l.place, l.held+l.buf.Len())
 	waited := l.s.waited(l.conn)
-	r := &request{name: id, class: c.Name, deadline: l.s.now() - waited + min(patience, longestS), call: newHTTPCall(l.s, p, c.Name, l.conn.RemoteAddr()), origin: l}
+	r := &request{name: id, class: c.Name, deadline: l.s.now() - waited + min(patience, longestS), call: newHTTPCall(l.s, p, c.Name, l.conn.RemoteAddr()), origin: l, quota: ticket}
 	l.request = r
 	l.s.take(r, policy.Request{Class: class, Held: waited, Repeat: p.Header.Get(fieldRetry) == "1"})
 }
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -42,6 +42,7 @@
 	GivenUp    uint64 `json:"given_up"`    // client links closed to make room that had brought no whole request, or not read
 	OverCap    uint64 `json:"over_cap"`    // client links refused beyond the cap of an address or prefix
 	NoRoom     uint64 `json:"no_room"`     // client links refused since all descriptors were taken
+	OverQuota  uint64 `json:"over_quota"`  // throttled without a word of the decisions: beyond their group's quota
 	Unread     uint64 `json:"unread"`      // client links closed since their clients did not read
 
 	Executions uint64 `json:"executions"`
@@ -63,6 +64,7 @@
 	DrillHits []drill.Hits `json:"hazelwheel_drill_hits,omitempty"` // requests that each drill has touched
 
 	Capture *capture.Stats `json:"capture,omitempty"`
+	Quotas  *QuotaCounters `json:"quotas,omitempty"`
 
 	executions, probes outcomes
 }
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -146,6 +146,7 @@
 	result.ID = r.id
 	if result.Outcome == policy.OK && !r.answered {
 		s.counters.Served++
+		s.chargeAnswer(e)
 		s.answer(r, func() { r.origin.serve(e.exchange) })
 	}
 	result.Final = r.answered
--- /dev/null
+++ b/internal/sidecar/quotas.go
@@ -0,0 +1,242 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"hazelwheel/internal/decide/quota"
+	"hazelwheel/internal/http1"
+	"hazelwheel/internal/quotas"
+)
+
+// QuotaPath is where the sidecar tells of its quotas: of all groups, and of one with ?group=PATH.
+const QuotaPath = "/quota"
+
+// shownGroups bounds the groups that are told of at a time, countedGroups those in the counters.
+const (
+	shownGroups   = 500
+	countedGroups = 20
+)
+
+// quotaDesk is the quotas' place in the sidecar; nil where there are none.
+type quotaDesk struct {
+	settings  quotas.Settings
+	machine   *quota.Machine
+	directory *quotas.Directory
+	exempt    []bool // by class
+	floor     []bool
+	disk      *quotas.Disk // nil: no snapshots are made
+	counts    QuotaCounters
+}
+
+// QuotaCounters are the quotas' part of the counters.
+type QuotaCounters struct {
+	Groups       int          `json:"groups"`
+	Served       uint64       `json:"served"`
+	Refused      uint64       `json:"refused"`
+	Exempt       uint64       `json:"exempt"` // requests of exempt classes
+	Snapshots    uint64       `json:"snapshots"`
+	SnapshotLate uint64       `json:"snapshots_late"` // left out since the disk was slow
+	SnapshotErrs uint64       `json:"snapshot_errors"`
+	Reloads      uint64       `json:"reloads"` // files of groups taken into use while running
+	ReloadFailed uint64       `json:"reload_failed"`
+	MostRefused  []quota.Busy `json:"most_refused"` // the groups with most refusals
+}
+
+// quotaTicket is what a request has of its group's quota.
+type quotaTicket struct {
+	ask    quota.Request
+	taken  bool
+	at     float64
+	bytes  float64 // of the answer
+	worked float64 // seconds of a box
+}
+
+// newQuotas returns the desk of the settings, nil where there are no quotas.
+func (s *Sidecar) newQuotas(on quotas.Settings) *quotaDesk {
+	if !on.On() {
+		return nil
+	}
+	d := &quotaDesk{settings: on, machine: quota.New(on.Tree, on.Machine(s.cfg.Settings.Policy.Replicas), s.now()),
+		directory: quotas.NewDirectory(&on, on.Tree)}
+	named := func(names []string) (flags []bool) {
+		for _, c := range s.cfg.Settings.Policy.Classes {
+			is := false
+			for _, name := range names {
+				is = is || name == c.Name
+			}
+			flags = append(flags, is)
+		}
+		return flags
+	}
+	d.exempt, d.floor = named(on.Exempt), named(on.Floor)
+	if on.Dir != "" {
+		s.reserved += quotas.DiskDescriptors
+	}
+	return d
+}
+
+// beginQuotas goes on from the last snapshot and has the next ones made.
+func (s *Sidecar) beginQuotas() {
+	d := s.quotas
+	if d == nil || d.settings.Dir == "" {
+		return
+	}
+	if state := quotas.Load(d.settings.Dir, s.log); state != nil {
+		d.machine = quota.Restore(d.settings.Tree, d.settings.Machine(s.cfg.Settings.Policy.Replicas), state, s.now())
+	}
+	d.disk = quotas.NewDisk(d.settings.Dir, s.log)
+	s.timers.at(s.now()+d.settings.SnapshotS, s.snapshotQuotas)
+}
+
+// snapshotQuotas hands a copy of the quotas' state to the disk, again and again.
+func (s *Sidecar) snapshotQuotas() {
+	if s.quotas.disk.Ready() {
+		s.quotas.disk.Write(s.quotas.machine.State())
+	}
+	s.timers.at(s.now()+s.quotas.settings.SnapshotS, s.snapshotQuotas)
+}
+
+// endQuotas writes the last snapshot, once the loop has gone.
+func (s *Sidecar) endQuotas() {
+	if s.quotas != nil && s.quotas.disk != nil {
+		s.quotas.disk.Close(s.quotas.machine.State())
+	}
+}
+
+// ReadQuotas reads the file of groups again; nil: there are no quotas. It may be called beside the loop.
+func (s *Sidecar) ReadQuotas() (*quota.Tree, error) {
+	if s.quotas == nil {
+		return nil, nil
+	}
+	tree, err := quotas.Read(s.quotas.settings.File)
+	if err == nil {
+		err = s.quotas.settings.Check(tree)
+	}
+	return tree, err
+}
+
+// ReplaceQuotas takes another tree of groups into use, or keeps the old one where it is at fault.
+func (s *Sidecar) ReplaceQuotas(tree *quota.Tree, err error) {
+	d := s.quotas
+	switch {
+	case d == nil:
+	case err != nil:
+		d.counts.ReloadFailed++
+		s.log.Error("the quotas stay as they were", "error", err)
+	case tree != nil:
+		d.counts.Reloads++
+		d.machine = d.machine.Replace(s.now(), tree, d.settings.Machine(s.cfg.Settings.Policy.Replicas))
+		d.directory = quotas.NewDirectory(&d.settings, tree)
+		s.log.Info("quotas read", "groups", tree.Len()-1)
+	}
+}
+
+// withinQuota tells whether a request that has come may be taken up, and books it on its group. One that may not has been
+// refused, finally: nothing of it has gone anywhere.
+func (l *clientLink) withinQuota(class int) (quotaTicket, bool) {
+	s, d := l.s, l.s.quotas
+	if d == nil {
+		return quotaTicket{}, true
+	}
+	if d.exempt[class] {
+		d.counts.Exempt++
+		return quotaTicket{}, true
+	}
+	now, p := s.now(), &l.parser
+	g := d.directory.Group(p.Header.Get, s.cfg.Settings.Policy.Classes[class].Name, clientAddress(l.conn))
+	t := quotaTicket{ask: d.machine.Request(g, float64(len(p.Method)+len(p.Target)+headerBytes(p.Header)+len(p.Body)), d.floor[class]), taken: true, at: now}
+	v := d.machine.Ask(now, t.ask)
+	if v.OK {
+		d.counts.Served++
+		return t, true
+	}
+	d.counts.Refused++
+	s.counters.Requests++
+	s.counters.Throttled++
+	s.counters.OverQuota++
+	h := http1.Header{textPlain}
+	if s.cfg.Settings.RetryAfter {
+		h = append(h, http1.Field{Name: fieldRetryAfter, Value: strconv.FormatFloat(v.AfterS, 'f', 3, 64)})
+	}
+	l.respond(429, h, []byte("over the quota of "+d.machine.Tree().Path(g)+"\n"))
+	return t, false
+}
+
+// headerBytes is about what a header takes on the wire.
+func headerBytes(h http1.Header) (n int) {
+	for _, f := range h {
+		n += len(f.Name) + len(f.Value) + len(": \r\n")
+	}
+	return n
+}
+
+// chargeAnswer notes what the answer that an execution has brought costs its request's group.
+func (s *Sidecar) chargeAnswer(e *execution) {
+	t := &e.request.quota
+	x, ok := e.exchange.(*httpExchange)
+	if !t.taken || !ok {
+		return
+	}
+	t.bytes = float64(headerBytes(x.parser.Header) + len(x.parser.Body))
+	if t.worked, ok = workTold(x.parser.Header.Get(fieldLoad)); !ok {
+		t.worked = s.now() - e.sentAt
+	}
+}
+
+// workTold returns the seconds that a server says it has worked on an answer.
+func workTold(load string) (float64, bool) {
+	for pair := range strings.SplitSeq(load, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		if ms, err := strconv.ParseFloat(value, 64); name == reportAlias["svc_ms"] && err == nil && ms >= 0 && ms < 3.6e6 {
+			return ms / 1000, true
+		}
+	}
+	return 0, false
+}
+
+// settleQuota books what a request has cost now that it has its answer.
+func (s *Sidecar) settleQuota(r *request) {
+	if t := &r.quota; t.taken {
+		now := s.now()
+		s.quotas.machine.Done(now, t.ask, now-t.at, t.bytes, t.worked)
+	}
+}
+
+// quotaCounters returns the quotas' part of the counters, nil where there are none.
+func (s *Sidecar) quotaCounters() *QuotaCounters {
+	d := s.quotas
+	if d == nil {
+		return nil
+	}
+	c := &d.counts
+	c.Groups, c.MostRefused = d.machine.Tree().Len()-1, d.machine.MostRefused(countedGroups)
+	if d.disk != nil {
+		c.Snapshots, c.SnapshotLate, c.SnapshotErrs = d.disk.Written.Load(), d.disk.Late, d.disk.Errors.Load()
+	}
+	return c
+}
+
+// showQuotas answers operators who ask for the quotas.
+func (l *clientLink) showQuotas() {
+	m, now := l.s.quotas.machine, l.s.now()
+	_, query, _ := strings.Cut(l.parser.Target, "?")
+	var told any
+	if asked, _ := url.ParseQuery(query); asked.Has("group") {
+		g, ok := m.Tree().Find(asked.Get("group"))
+		if !ok {
+			l.decline(404, "no such group")
+			return
+		}
+		told = m.Explain(now, g)
+	} else {
+		told = m.View(now, shownGroups)
+	}
+	raw, err := json.Marshal(told)
+	if err != nil { // numbers and names always marshal
+		panic(err)
+	}
+	l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, append(raw, '\n'))
+}
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -32,6 +32,7 @@
 	answered bool // it has its final answer, or nobody waits for one
 	safety   *timer
 	delay    *timer // of the drill that holds it back
+	quota    quotaTicket
 }
 
 // take hands a request to the decisions.
@@ -73,6 +74,7 @@
 		s.unname(r)
 	}
 	give()
+	s.settleQuota(r)
 	s.push(func(float64) { s.forget(r) })
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -67,7 +67,8 @@
 	listAt    float64        // when anything was last read from discovery
 	listed    bool           // a list has been read from discovery
 	capture   *capture.Recorder
-	reserved  int // descriptors that are kept for features
+	quotas    *quotaDesk // nil: there are none
+	reserved  int        // descriptors that are kept for features
 	slack     float64
 
 	conns     int // connections that gnet holds
@@ -93,6 +94,7 @@
 		s.health = health.New(on.Health, loop.Now, log)
 		s.reserved += health.Descriptors
 	}
+	s.quotas = s.newQuotas(on.Quotas)
 	s.room = admission.NewRoom(s.admissionSettings())
 	var classes []admission.Class
 	for i, c := range cfg.Settings.Policy.Classes {
@@ -135,6 +137,7 @@
 		if !s.cfg.Settings.Policy.AskForList {
 			s.watch()
 		}
+		s.beginQuotas()
 		if s.capture.ToDisk() {
 			s.flushCapture()
 		}
@@ -283,5 +286,6 @@
 func (s *Sidecar) Counters() []byte {
 	s.counters.Descriptors = s.conns + s.dialing
 	s.counters.DrillHits, s.counters.Capture = s.drills.Hits(), s.capture.Stats()
+	s.counters.Quotas = s.quotaCounters()
 	return s.counters.text()
 }
