Show, explain and try out quotas on the command line

Operators want to know what a file of groups would do before they use it, and why a request was refused after.

hazelwheel quota show and explain ask the running sidecar; simulate plays a series of loads against a file of groups and draws a picture.

--- a/cmd/hazelwheel/main.go
+++ b/cmd/hazelwheel/main.go
@@ -41,6 +41,7 @@
 			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{file, extras}, Action: check},
 			{Name: "clients", Usage: "show who holds which connections at the running sidecar", Flags: []cli.Flag{file,
 				&cli.BoolFlag{Name: "json", Usage: "as the sidecar says it"}}, Action: showClients},
+			{Name: "quota", Usage: "look into the quotas of groups", Commands: quotaCommands(file)},
 			{Name: "drill", Usage: "rehearse slow and failed requests", Commands: []*cli.Command{
 				{Name: "start", Usage: "start a drill at the running sidecar", Flags: drill, Action: startDrill},
 			}},
--- a/internal/decide/quota/view.go
+++ b/internal/decide/quota/view.go
@@ -171,3 +171,12 @@
 	m.books[limit].settleAll(m.now)
 	return m.books[limit].lost
 }
+
+// LostBy is Lost at a time.
+func (m *Machine) LostBy(now float64, limit int) float64 {
+	m.clock(now)
+	return m.Lost(limit)
+}
+
+// Capped tells whether a group's last refusal was for a cap.
+func (m *Machine) Capped(g int32) bool { return m.refusals[g].Limit >= 0 && m.refusals[g].Capped }
--- /dev/null
+++ b/internal/quotas/replay/week_test.go
@@ -0,0 +1,204 @@
+package replay
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/decide/quota"
+	"hazelwheel/internal/quotas"
+)
+
+var (
+	whole   = flag.Bool("week", false, "play the whole week and not its first day")
+	write   = flag.Bool("write", false, "write the example's files anew")
+	picture = flag.String("picture", "", "the `FILE` for a picture of the week")
+)
+
+const (
+	groupsFile = "../../../example/quotas.json"
+	weekFile   = "../../../example/quota-week.csv"
+)
+
+type group struct {
+	Name   string   `json:"name"`
+	Parent string   `json:"parent,omitempty"`
+	Share  float64  `json:"share"`
+	Weight *float64 `json:"weight,omitempty"`
+	Cap    float64  `json:"cap,omitempty"`
+}
+
+// weekGroups are 58 groups on four levels, 36 of which take requests.
+func weekGroups() (all []group) {
+	rng := rand.New(rand.NewPCG(14, 1))
+	split := func(n int) []float64 { // of nearly all, into uneven parts
+		parts, sum := make([]float64, n), 0.0
+		for i := range parts {
+			parts[i] = 0.5 + rng.Float64()
+			sum += parts[i]
+		}
+		for i := range parts {
+			parts[i] = float64(int(parts[i]/sum*960)) / 10
+		}
+		return parts
+	}
+	for i, share := range split(3) {
+		top := []string{"ministry", "north", "south"}[i]
+		all = append(all, group{Name: top, Share: share})
+		for j, share := range split(2) {
+			mid := fmt.Sprintf("%s-%c", top, 'a'+j)
+			all = append(all, group{Name: mid, Parent: top, Share: share})
+			for k, share := range split(2) {
+				low := fmt.Sprintf("%s%d", mid, k+1)
+				all = append(all, group{Name: low, Parent: mid, Share: share})
+				for l, share := range split(3) {
+					g := group{Name: low + []string{"-alerts", "-readings", "-batch"}[l], Parent: low, Share: share}
+					if l == 2 && j == 1 {
+						half := 0.5
+						g.Weight = &half
+					}
+					if l == 2 && j == 0 && k == 1 {
+						g.Cap = 100
+					}
+					all = append(all, g)
+				}
+			}
+		}
+	}
+	// One that has nothing of its own.
+	return append(all, group{Name: "guests", Share: 0})
+}
+
+// weekLoad is a load over a week: readings by day, batches by night at many times their share, alerts in bursts, some that
+// sleep for days, some that always want more.
+func weekLoad(t *quota.Tree) string {
+	rng := rand.New(rand.NewPCG(14, 2))
+	type line struct {
+		at   float64
+		text string
+	}
+	var lines []line
+	say := func(at float64, name string, rate float64) {
+		lines = append(lines, line{at, fmt.Sprintf("%.0f,%s,%.4g,2000", at, name, rate)})
+	}
+	for g := int32(1); int(g) < t.Len(); g++ {
+		if !t.Takes(g) {
+			continue
+		}
+		share, name := t.Quota(g, 0)/t.Limits[0].WindowS, t.Path(g)
+		greedy, sleeps := rng.IntN(5) == 0, rng.IntN(6) == 0
+		for day := range 7 {
+			at := float64(day) * 86400
+			free := day >= 5
+			switch {
+			case name == "guests":
+				say(at, name, 0.3)
+			case sleeps && day%3 != 0:
+				say(at, name, 0)
+			case strings.HasSuffix(name, "-batch"):
+				begin := at + 3600*(18+4*rng.Float64())
+				say(at+3600*(5+2*rng.Float64()), name, share*0.1)
+				say(begin, name, share*(3+7*rng.Float64()))
+				if greedy {
+					say(begin+3600, name, share*10)
+				}
+			case strings.HasSuffix(name, "-readings"):
+				for hour := 0; hour < 24; hour += 2 {
+					busy := hour >= 8 && hour < 18
+					rate := share * (0.05 + 0.3*rng.Float64())
+					if busy && !free {
+						rate = share * (0.8 + 0.8*rng.Float64())
+					}
+					if greedy {
+						rate = share * (1.2 + 2*rng.Float64())
+					}
+					say(at+float64(hour)*3600+float64(rng.IntN(600)), name, rate)
+				}
+			default: // alerts
+				say(at, name, share*0.02)
+				for range 3 {
+					begin := at + 86000*rng.Float64()
+					say(begin, name, share*(1+4*rng.Float64()))
+					say(min(begin+300+7000*rng.Float64(), at+86399), name, share*0.02)
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(lines, func(x, y line) int {
+		switch {
+		case x.at < y.at:
+			return -1
+		case x.at > y.at:
+			return 1
+		}
+		return 0
+	})
+	var b strings.Builder
+	b.WriteString("at_s,group,rate_ps,bytes\n")
+	for _, l := range lines {
+		b.WriteString(l.text + "\n")
+	}
+	b.WriteString("604800,guests,0,2000\n")
+	return b.String()
+}
+
+// The scripted week, or its first day: whoever wants its share has it, loans and what became of them agree, and nothing is
+// left over while anybody wants it.
+func TestWeek(t *testing.T) {
+	if *write {
+		text, err := json.Marshal(weekGroups())
+		require.NoError(t, err)
+		list := strings.ReplaceAll(strings.TrimSuffix(strings.TrimPrefix(string(text), "["), "]"), "},{", "},\n    {")
+		raw := "{\n  \"limits\": [\n    {\"measure\": \"requests\", \"window_s\": 10, \"quota\": 200},\n" +
+			"    {\"measure\": \"bytes\", \"window_s\": 60, \"quota\": 3000000}\n  ],\n  \"groups\": [\n    " + list + "\n  ]\n}\n"
+		require.NoError(t, os.WriteFile(groupsFile, []byte(raw), 0o644))
+		tree, err := quotas.Read(groupsFile)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(weekFile, []byte(weekLoad(tree)), 0o644))
+	}
+	tree, err := quotas.Read(groupsFile)
+	require.NoError(t, err)
+	f, err := os.Open(weekFile)
+	require.NoError(t, err)
+	defer f.Close()
+	load, err := ReadSeries(f, tree)
+	require.NoError(t, err)
+	if !*whole {
+		const dayS = 86400
+		load.Steps = slices.DeleteFunc(load.Steps, func(s Step) bool { return s.AtS >= dayS })
+		load.EndS = dayS
+	}
+	s := quotas.Defaults()
+	began := time.Now()
+	r := Play(tree, load, s.Machine(1))
+	var text bytes.Buffer
+	require.NoError(t, r.Text(&text))
+	t.Logf("%d groups, %d decisions in %.1f s\n%s", tree.Len()-1, r.Asks, time.Since(began).Seconds(), text.String())
+
+	part, hours := r.Worst()
+	assert.Greater(t, hours, 150)
+	assert.Greater(t, part, 0.99, "each has its share in each hour in which it wants it")
+	part, hours = r.WorstOf()
+	assert.Greater(t, hours, 10)
+	assert.Greater(t, part, 0.99)
+	assert.Less(t, r.Imbalance(), 1.0)
+	assert.Less(t, r.Off, 0.01)
+	assert.Positive(t, r.Offered)
+	assert.Less(t, r.Unused/r.Offered, 0.01)
+	if *picture != "" {
+		out, err := os.Create(*picture)
+		require.NoError(t, err)
+		require.NoError(t, r.Picture(out))
+		require.NoError(t, out.Close())
+	}
+}
