--- a/internal/decide/quota/state.go
+++ b/internal/decide/quota/state.go
@@ -263,8 +263,12 @@
 			continue
 		}
 		c, o := &b.cells[g], &cells[n]
-		c.Level, c.CapLevel = min(o.Level, c.Depth), min(o.CapLevel, c.CapLevel)
-		if b.tree.nodes[g].inner {
+		c.CapLevel = min(o.CapLevel, c.CapLevel)
+		if c.Level = min(o.Level, c.Depth); !b.tree.links[g].inner {
+			// Danger: a bucket that has become larger and stays as empty is below its floor for as long as that takes to fill.
+			c.Level += max(c.Depth-o.Depth, 0)
+		}
+		if b.tree.links[g].inner {
 			c.Level = max(c.Level, 0)
 		}
 		c.Balance, c.Drawn, c.Quiet, c.Tally = o.Balance, o.Drawn, o.Quiet, o.Tally
--- a/internal/quotas/replay/picture.go
+++ b/internal/quotas/replay/picture.go
@@ -1,100 +1,64 @@
 package replay
 
 import (
+	"bytes"
+	"cmp"
 	"fmt"
 	"io"
+	"math"
 	"slices"
-	"strconv"
 
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
-	vgdraw "gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+	svg "github.com/ajstarks/svgo"
 )
 
-// mostLinesShown bounds the groups in the picture.
-const mostLinesShown = 6
+// The picture's measures, in pixels. Danger: a library of plots brings fonts and four megabytes into every sidecar's memory
+// for a command that few run; this needs lines and text alone.
+const (
+	wide, high      = 1080, 380 // of a panel
+	left, right     = 70, 330   // the legend is on the right
+	above, below    = 40, 45
+	mostLinesShown  = 7
+	legendLinePixel = 18
+)
 
-// Picture writes a picture of the hours as SVG: above, what all groups of the first level had beside the quota; below, of the
-// groups that borrowed most, what they had as a part of their shares.
-func (r *Result) Picture(out io.Writer) error {
-	top, err := r.levels()
-	if err != nil {
-		return err
-	}
-	below, err := r.parts()
-	if err != nil {
-		return err
-	}
-	canvas := vgsvg.New(26*vg.Centimeter, 20*vg.Centimeter)
-	area := vgdraw.New(canvas)
-	tiles := vgdraw.Tiles{Rows: 2, Cols: 1, PadY: vg.Centimeter}
-	grid := plot.Align([][]*plot.Plot{{top}, {below}}, tiles, area)
-	top.Draw(grid[0][0])
-	below.Draw(grid[1][0])
-	_, err = canvas.WriteTo(out)
-	return err
-}
+var colors = []string{"#1b6ca8", "#d1495b", "#3c8d5a", "#e09f3e", "#6a4c93", "#00798c", "#8d6e63", "#444444"}
 
-// newPlot returns an empty plot over the hours.
-func newPlot(title, y string) *plot.Plot {
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "hours since the start", y
-	p.Legend.Top, p.Y.Min = true, 0
-	p.Add(plotter.NewGrid())
-	return p
+// line is a value of each hour.
+type line struct {
+	name   string
+	dashed bool
+	value  func(hour int) float64
 }
 
-// add draws a value of each hour.
-func (r *Result) add(p *plot.Plot, name string, color int, dashed bool, value func(hour int) float64) error {
-	var xy plotter.XYs
-	for hour := range r.Hours[0] {
-		v := value(hour)
-		xy = append(xy, plotter.XY{X: float64(hour), Y: v}, plotter.XY{X: float64(hour + 1), Y: v})
-	}
-	line, err := plotter.NewLine(xy)
-	if err != nil {
-		return err
-	}
-	line.Color, line.Width = plotutil.Color(color), vg.Points(1)
-	if dashed {
-		line.Dashes = plotutil.Dashes(1)
-	}
-	p.Add(line)
-	p.Legend.Add(name, line)
-	return nil
-}
-
-// perSecond is the limit in a second.
-func (r *Result) perSecond() float64 {
-	l := r.Tree.Limits[r.Limit]
-	return l.Quota / l.WindowS
+// Picture writes a picture of the hours as SVG: above, what all and the groups of the first level had beside the quota; below,
+// of those that moved most by loans, what they had as a part of their shares.
+func (r *Result) Picture(out io.Writer) error {
+	var b bytes.Buffer
+	canvas := svg.New(&b)
+	canvas.Start(wide, 2*high)
+	canvas.Rect(0, 0, wide, 2*high, "fill:white")
+	canvas.Gstyle("font-family:sans-serif;font-size:12px")
+	limit := r.Tree.Limits[r.Limit]
+	r.panel(canvas, 0, "What all groups had, and those of the first level: "+limit.Measure.String()+" a second, hour by hour", r.levels())
+	r.panel(canvas, high, "Of the groups that borrowed or lent most: what they had, as a part of their share", r.parts())
+	canvas.Gend()
+	canvas.End()
+	_, err := b.WriteTo(out)
+	return err
 }
 
-func (r *Result) levels() (*plot.Plot, error) {
-	l := r.Tree.Limits[r.Limit]
-	p := newPlot("What the groups of the first level had", l.Measure.String()+" a second")
-	if err := r.add(p, "quota of all", 0, true, func(int) float64 { return r.perSecond() }); err != nil {
-		return nil, err
-	}
-	color := 1
-	for g := int32(0); int(g) < r.Tree.Len() && color < 10; g++ {
-		if g > 0 && r.Tree.Parent(g) != 0 {
-			continue
-		}
-		name := r.Tree.Path(g)
-		if err := r.add(p, name, color, false, func(h int) float64 { return r.Hours[g][h].Used / hourS }); err != nil {
-			return nil, err
+func (r *Result) levels() []line {
+	limit := r.Tree.Limits[r.Limit]
+	all := []line{{"the quota of all", true, func(int) float64 { return limit.Quota / limit.WindowS }}}
+	for g := int32(0); int(g) < r.Tree.Len() && len(all) <= mostLinesShown; g++ {
+		if r.Tree.Parent(g) <= 0 {
+			all = append(all, line{r.Tree.Path(g), false, func(h int) float64 { return r.Hours[g][h].Used / hourS }})
 		}
-		color++
 	}
-	return p, nil
+	return all
 }
 
-func (r *Result) parts() (*plot.Plot, error) {
-	p := newPlot("Of who borrowed or lent most: what they had, as a part of their shares", "part")
+func (r *Result) parts() []line {
 	var shown []int32
 	for g := range int32(r.Tree.Len()) {
 		if r.Tree.Takes(g) && r.Total[g].Share > 0 {
@@ -102,49 +66,63 @@
 		}
 	}
 	moved := func(g int32) float64 { return (r.Total[g].Borrowed + r.Total[g].Lent) / r.Total[g].Share }
-	slices.SortStableFunc(shown, func(x, y int32) int {
-		switch {
-		case moved(x) > moved(y):
-			return -1
-		case moved(x) < moved(y):
-			return 1
-		}
-		return 0
-	})
-	for i, g := range shown[:min(len(shown), mostLinesShown)] {
-		if err := r.add(p, r.Tree.Path(g), i, false, func(h int) float64 { return r.Hours[g][h].Used / max(r.Hours[g][h].Share, 1e-9) }); err != nil {
-			return nil, err
-		}
+	slices.SortStableFunc(shown, func(x, y int32) int { return cmp.Compare(moved(y), moved(x)) })
+	all := []line{{"its share", true, func(int) float64 { return 1 }}}
+	for _, g := range shown[:min(len(shown), mostLinesShown)] {
+		all = append(all, line{r.Tree.Path(g), false, func(h int) float64 { return r.Hours[g][h].Used / max(r.Hours[g][h].Share, 1e-9) }})
 	}
-	return p, r.add(p, "its share", mostLinesShown, true, func(int) float64 { return 1 })
+	return all
 }
 
-// Text writes the figures of each group and of all.
-func (r *Result) Text(out io.Writer) error {
-	l := r.Tree.Limits[r.Limit]
-	fmt.Fprintf(out, "%-54s %10s %10s %10s %7s %10s %10s %10s %10s\n", "GROUP", "ASKED", "SERVED", "REFUSED", "SHARE%", "BORROWED", "REPAID", "LENT", "RETURNED")
-	for g := int32(1); int(g) < r.Tree.Len(); g++ {
-		t := &r.Total[g]
-		if !r.Tree.Takes(g) {
-			fmt.Fprintf(out, "%-54s %10s %10s %10s %7s %10.0f %10.0f %10.0f %10.0f\n", r.Tree.Path(g), "", "", "", part(t), t.Borrowed, t.Repaid, t.Lent, t.Returned)
-			continue
+// panel draws lines over the hours, from a height on.
+func (r *Result) panel(canvas *svg.SVG, top int, title string, lines []line) {
+	hours, most := len(r.Hours[0]), 1e-9
+	for _, l := range lines {
+		for h := range hours {
+			most = max(most, l.value(h))
 		}
-		fmt.Fprintf(out, "%-54s %10d %10d %10d %7s %10.0f %10.0f %10.0f %10.0f\n", r.Tree.Path(g), t.Asked, t.Served, t.Refused, part(t), t.Borrowed, t.Repaid,
-			t.Lent, t.Returned)
 	}
-	worst, hours := r.Worst()
-	strict, clear := r.WorstOf()
-	fmt.Fprintf(out, "%s: in %d hours in which a group wanted its share, it had %.2f %% of it at least, less what it paid back; in the %d of them without debts %.2f %%\n",
-		l.Name(), hours, 100*worst, clear, 100*strict)
-	_, err := fmt.Fprintf(out, "in minutes in which somebody was refused for want of it, %.3f %% of the quota was lost and %.3f %% not served; loans and what became of them differ by %.3f at most, the books by %.6f\n",
-		100*r.Unused/max(r.Offered, 1e-9), 100*r.Unserved/max(r.Offered, 1e-9), r.Imbalance(), r.Off)
-	return err
+	step := niceStep(most / 5)
+	most = math.Ceil(most/step) * step
+	x := func(hour int) int { return left + hour*(wide-left-right)/max(hours, 1) }
+	y := func(v float64) int { return top + high - below - int(v/most*float64(high-above-below)) }
+	canvas.Text(left, top+22, title, "font-size:14px")
+	for v := 0.0; v <= most*1.001; v += step {
+		canvas.Line(left, y(v), wide-right, y(v), "stroke:#dddddd")
+		canvas.Text(left-8, y(v)+4, fmt.Sprintf("%.6g", math.Round(v/step)*step), "text-anchor:end")
+	}
+	every := max(int(niceStep(float64(hours)/8)), 1)
+	if hours > 48 {
+		every = 24
+	}
+	for h := 0; h <= hours; h += every {
+		canvas.Line(x(h), y(0), x(h), y(0)+5, "stroke:#444444")
+		canvas.Text(x(h), y(0)+18, fmt.Sprint(h), "text-anchor:middle")
+	}
+	canvas.Text(left, top+high-8, "hours since the start")
+	for i, l := range lines {
+		style := "fill:none;stroke-width:1.5;stroke:" + colors[(i+len(colors)-1)%len(colors)]
+		if l.dashed {
+			style += ";stroke-dasharray:6,4"
+		}
+		var xs, ys []int
+		for h := range hours {
+			xs, ys = append(xs, x(h), x(h+1)), append(ys, y(l.value(h)), y(l.value(h)))
+		}
+		canvas.Polyline(xs, ys, style)
+		at := top + above + i*legendLinePixel
+		canvas.Line(wide-right+12, at, wide-right+34, at, style)
+		canvas.Text(wide-right+40, at+4, l.name, "font-size:10px")
+	}
 }
 
-// part is what a group used of its share, in percent.
-func part(h *Hour) string {
-	if h.Share <= 0 {
-		return "-"
+// niceStep returns the least of 1, 2 and 5 times a power of ten that is no less than a value.
+func niceStep(v float64) float64 {
+	power := math.Pow(10, math.Floor(math.Log10(max(v, 1e-9))))
+	for _, m := range []float64{1, 2, 5} {
+		if m*power >= v {
+			return m * power
+		}
 	}
-	return strconv.FormatFloat(100*h.Used/h.Share, 'f', 1, 64)
+	return 10 * power
 }
--- a/internal/quotas/replay/replay.go
+++ b/internal/quotas/replay/replay.go
@@ -206,29 +206,19 @@
 	}
 }
 
-// Worst returns the least part of its share that a group had in an hour in which it wanted it, less what it paid back in that
-// hour; and how many such hours there were. Without debts the part is of the share alone.
-func (r *Result) Worst() (part float64, hours int) {
+// Worst returns the least part of its share that a group had in an hour in which it wanted it all the time, and how many such
+// hours there were; lessRepaid takes what it paid back off its share.
+func (r *Result) Worst(lessRepaid bool) (part float64, hours int) {
 	part = math.Inf(1)
 	for g := range r.Hours {
 		for _, h := range r.Hours[g] {
-			if due := h.Share - h.Repaid; h.Wants && due > 0 {
-				hours++
-				part = min(part, float64(h.Served)/due)
+			due := h.Share
+			if lessRepaid {
+				due -= h.Repaid
 			}
-		}
-	}
-	return part, hours
-}
-
-// WorstOf returns the same of the hours in which a group paid nothing back.
-func (r *Result) WorstOf() (part float64, hours int) {
-	part = math.Inf(1)
-	for g := range r.Hours {
-		for _, h := range r.Hours[g] {
-			if h.Wants && h.Repaid < 1 {
+			if h.Wants && due > 0 {
 				hours++
-				part = min(part, float64(h.Served)/h.Share)
+				part = min(part, float64(h.Served)/due)
 			}
 		}
 	}
