--- a/cmd/hazellab/experiment_test.go
+++ b/cmd/hazellab/experiment_test.go
@@ -100,7 +100,8 @@
 	require.NotEmpty(t, data.Records)
 	first := data.Records[0]
 	assert.False(t, first.Partial)
-	assert.InDelta(t, 100, first.Result.Served, 2)
+	assert.InDelta(t, 100, first.Result.Offered, 2)
+	assert.Positive(t, first.Result.Served)
 	return data
 }
 
@@ -206,13 +207,12 @@
 // hangs, and two variants that are the same program.
 func TestExperimentEndToEnd(t *testing.T) {
 	t.Parallel()
-	binary := built(t)
 	text := strings.NewReplacer("repeats = 2", "repeats = 3", `name = "random"`, `name = "round robin again"`,
 		`kind = "random"`, `kind = "roundrobin"`, "retries = 1\n", "", `for = "500ms"`, `for = "1500ms"`).Replace(smallExperiment) + `
 [[balancer]]
 name = "sidecar"
 kind = "hazelwheel"
-binary = "` + binary + `"
+profile = true
 [[trouble]]
 name = "a box hangs"
 events = [{kind = "hang", at = "300ms", for = "1100ms", boxes = [1]}]
@@ -222,8 +222,9 @@
 	require.Equal(t, 0, code, log)
 	assert.Contains(t, out, "9 of 9 runs whole")
 
-	code, _, log = ends(t, "report", folder)
+	code, _, log = ends(t, "report", "--pictures", folder)
 	require.Equal(t, 0, code, log)
+	assert.FileExists(t, filepath.Join(folder, "small-3-boxes-200-s-a-box-hangs-service.svg"))
 	page, err := os.ReadFile(filepath.Join(folder, "report.html"))
 	require.NoError(t, err)
 	assert.Equal(t, 6, strings.Count(string(page), "<svg"), "service, percentiles, classes, boxes, recovery, cost")
@@ -232,6 +233,8 @@
 	require.NoError(t, err)
 	assert.Regexp(t, `\| served % \| [^|]+\| [^|]+\| [^|]+\|`, string(table))
 
+	assert.Contains(t, string(table), "hazelwheel/internal/sidecar.", "the profile")
+
 	// What the plain balancers send to the box that hangs comes late or never, and holds up the rest.
 	code, out, _ = ends(t, "compare", folder+":round robin", folder+":sidecar")
 	require.Equal(t, 0, code)
--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -26,10 +26,14 @@
 			loadCommand(),
 			floodCommand(),
 			proxyCommand(),
+			sidecarCommand(),
 			pressureCommand(),
 			experimentCommand(),
 			reportCommand(),
 			compareCommand(),
+			demoCommand(),
+			serveCommand(),
+			troubleCommand(),
 		}, simCommands()...),
 	}
 }
--- a/cmd/hazellab/sim.go
+++ b/cmd/hazellab/sim.go
@@ -40,13 +40,15 @@
 			&cli.BoolFlag{Name: "each", Usage: "print a line for each day"},
 			&cli.BoolFlag{Name: "first", Usage: "stop at the first day that breaks a rule"},
 			&cli.BoolFlag{Name: "quiet-days", Usage: "play the days without their troubles"},
+			&cli.FloatFlag{Name: "batch", Usage: "have a batch come beside the applications' requests, at `N` times its share"},
+			&cli.BoolFlag{Name: "quotas", Usage: "have the sidecars hold groups to their quotas"},
 			&cli.BoolFlag{Name: "show-script", Usage: "print the script of the seed and play nothing"}}},
 		{Name: "shrink", Usage: "find a smaller day that breaks the same rule", Action: shrink, Flags: []cli.Flag{seed, script, core, rule,
 			&cli.StringFlag{Name: "out", Usage: "the `FILE` for the smallest script; without it, standard output"},
 			&cli.IntFlag{Name: "budget", Usage: "play `N` days at most", Value: 400}}},
 		{Name: "mutants", Usage: "break the program in many ways and see whether the rules notice", Action: mutants, Flags: []cli.Flag{jobs, asJSON,
 			&cli.StringFlag{Name: "dir", Usage: "the `DIR` of the patches", Value: sim.MutantsDir},
-			&cli.StringFlag{Name: "only", Usage: "a `PART` of the names of those to try"},
+			&cli.StringSliceFlag{Name: "only", Usage: "a `PART` of the names of those to try; may be given again"},
 			&cli.Uint64Flag{Name: "last", Usage: "the last `SEED` that is played; the first is 1", Value: 100}}},
 	}
 }
@@ -59,6 +61,10 @@
 		return o, fault(fmt.Errorf("core: %q is none of sidecar, random, least", c.String("core")))
 	}
 	o.Core = core
+	o.Batch, o.Quotas = c.Float("batch"), c.Bool("quotas")
+	if o.Batch < 0 || o.Batch > 100 {
+		return o, fault(fmt.Errorf("batch: want 0 to 100, not %g", o.Batch))
+	}
 	return o, nil
 }
 
@@ -273,7 +279,7 @@
 		rule = r.Findings[0].Rule
 	}
 	if !r.Breaks(rule) {
-		return fault(fmt.Errorf("%s breaks no such rule", name))
+		return fault(fmt.Errorf("rule: %s does not break %q", name, rule))
 	}
 	small := sim.Shrink(s, rule, o, c.Int("budget"), func(s *world.Script, played int) {
 		fmt.Fprintf(os.Stderr, "%d days played: %d troubles, %d sidecars, %d boxes, %g s\n", played, len(s.Troubles), s.Sidecars, s.Boxes, s.LengthS)
@@ -297,7 +303,7 @@
 func mutants(_ context.Context, c *cli.Command) error {
 	out := c.Root().Writer
 	var all []sim.Mutant
-	err := sim.Mutants(sim.MutantsOptions{Root: ".", Dir: c.String("dir"), Only: c.String("only"), Last: c.Uint64("last"), Jobs: c.Int("jobs")},
+	err := sim.Mutants(sim.MutantsOptions{Root: ".", Dir: c.String("dir"), Only: c.StringSlice("only"), Last: c.Uint64("last"), Jobs: c.Int("jobs")},
 		func(m sim.Mutant) {
 			all = append(all, m)
 			if !c.Bool("json") {
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -44,6 +44,10 @@
 	// at its end is then not looked at.
 	Until judge.Rule
 	Quiet bool // leave the troubles of the script out
+	// Batch is at how many times its share a batch of reads comes beside the applications' requests; 0: there is none. With
+	// Quotas the sidecars hold groups to their shares.
+	Batch  float64
+	Quotas bool
 }
 
 // Any stands for all rules in Options.Until.
@@ -117,9 +121,18 @@
 
 func newDay(s world.Script, o Options) (*day, error) {
 	d := &day{script: s, spec: s.Day(world.Usual()), core: o.Core, trace: o.Trace, cuts: map[[2]string]int{}}
+	if o.Batch > 0 {
+		d.spec.Batch = batch(&d.spec, o.Batch)
+	}
 	if d.core == nil {
 		d.core = Sidecar
 	}
+	if o.Quotas {
+		var err error
+		if d.core, err = withQuotas(&d.spec); err != nil {
+			return nil, err
+		}
+	}
 	d.weather = drawWeather(s.Seed)
 	d.net = virtual.New(s.Seed^s.Luck*0x9e3779b97f4a7c15, d.spec.Start)
 	d.net.CutShare = d.weather.cutShare
--- a/internal/world/app.go
+++ b/internal/world/app.go
@@ -32,7 +32,8 @@
 	waiting           []*ask     // for a connection
 	links             int        // open, or coming up
 	linkNumber        uint64
-	recent            *ask // that was written last
+	batch             *BatchSpec // it is the batch beside the application; nil: it is the application
+	recent            *ask       // that was written last
 	out               []byte
 	body              []byte
 }
@@ -92,6 +93,21 @@
 		body: []byte(bodyText)}
 }
 
+// NewBatch returns the batch beside a sidecar: it sends requests of one class in the name of an organisation, whatever
+// becomes of the applications. It tries again as they do. The service is not measured by it.
+func NewBatch(d *Day, sidecar int, w judge.Witness) *Application {
+	a := NewApplication(d, sidecar, w)
+	a.batch, a.linkNumber = d.Batch, batchLinks
+	a.rng, a.ids, a.chance = stream(d.Seed, "batch arrivals", sidecar), stream(d.Seed, "batch ids", sidecar), stream(d.Seed, "batch", sidecar)
+	spec := d.Clients
+	spec.RatePS = d.Batch.RatePS
+	a.spec = &spec
+	return a
+}
+
+// batchLinks is where the numbers of a batch's connections begin, beyond those of the application beside it.
+const batchLinks = 1 << 47
+
 // Boot begins the application.
 func (a *Application) Boot(net netio.Net) netio.Host {
 	a.net = net
@@ -109,7 +125,7 @@
 	now := a.net.Now()
 	e := judge.Event{Kind: kind, At: now, FirstSent: now, Sent: now, Sidecar: a.number, Box: -1, Class: -1}
 	if k != nil {
-		e.Request, e.First, e.Class, e.Until = k.id, k.first, int32(k.class), k.until
+		e.Request, e.First, e.Class, e.Until, e.Uncounted = k.id, k.first, int32(k.class), k.until, a.batch != nil
 	}
 	if link != nil {
 		e.Link, e.Reused = link.number, link.used > 1
@@ -126,7 +142,7 @@
 	a.armed = math.Inf(1)
 	now := a.net.Now()
 	for {
-		t, _, ok := a.due.take(now)
+		t, due, ok := a.due.take(now)
 		if !ok {
 			break
 		}
@@ -137,7 +153,7 @@
 				a.askReady(now)
 			}
 		case taskArrival:
-			a.arrive(now)
+			a.arrive(due, now)
 		case taskRetry:
 			if !k.over && !a.alone(now) {
 				a.try(k, now)
@@ -198,8 +214,9 @@
 }
 
 // arrive takes up a new request.
-func (a *Application) arrive(now float64) {
-	if at := a.nextArrival(now); at < a.day.Start+a.day.LengthS {
+func (a *Application) arrive(due, now float64) {
+	// Danger: the next one counted from now, a late loop would have fewer come.
+	if at := a.nextArrival(due); at < a.day.Start+a.day.LengthS {
 		a.due.put(at, appTask{kind: taskArrival})
 	} else {
 		a.due.put(now+a.longest()+2, appTask{kind: taskEnd})
@@ -208,7 +225,10 @@
 		return
 	}
 	class, at := 0, a.rng.Float64()
-	for class < len(a.day.Classes)-1 && at >= a.day.Classes[class].Share {
+	if a.batch != nil {
+		class, at = a.batch.Class, 0
+	}
+	for a.batch == nil && class < len(a.day.Classes)-1 && at >= a.day.Classes[class].Share {
 		at -= a.day.Classes[class].Share
 		class++
 	}
@@ -262,7 +282,8 @@
 		k.until = now + a.chance.Float64()*(k.until-now) // it goes away early
 	}
 	a.tell(judge.Asked, k, nil)
-	a.due.put(k.until, appTask{kind: taskOver, ask: k, id: k.id})
+	// An answer that comes a little late still counts.
+	a.due.put(k.until+answerSlackS+socketSlackS, appTask{kind: taskOver, ask: k, id: k.id})
 	a.send(k, now)
 }
 
@@ -354,6 +375,9 @@
 	if k.tries > 1 && a.spec.MarksRetry {
 		out = append(out, fieldRetry+": 1\r\n"...)
 	}
+	if a.batch != nil {
+		out = append(out, fieldOrganisation+": "+a.batch.Organisation+"\r\n"...)
+	}
 	if k.key != 0 {
 		out = append(appendID(append(out, "Idempotency-Key: "...), k.key), "\r\n"...)
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"net/netip"
 	"strings"
 
 	"hazelwheel/internal/judge"
@@ -13,6 +14,7 @@
 	Boxes    []*Box         // by number
 	Registry *Registry      // discovery
 	Apps     []*Application // by sidecar
+	Batches  []*Application // likewise; none where the day has no batch
 	Mischief []*Mischief    // likewise: the clients that may not be served
 
 	witness judge.Witness
@@ -33,6 +35,9 @@
 	for i := range d.Sidecars {
 		a := NewApplication(d, i, witness)
 		w.Apps = append(w.Apps, a)
+		if d.Batch != nil {
+			w.Batches = append(w.Batches, NewBatch(d, i, witness))
+		}
 		w.Mischief = append(w.Mischief, NewMischief(d, i, a, witness))
 	}
 	return w
@@ -42,7 +47,11 @@
 const boxPort = ":3000"
 
 // otherIP is the address at which a box returns that returns elsewhere.
-func otherIP(b *BoxSpec) string { return strings.Replace(b.IP, "10.1.", "10.3.", 1) }
+func otherIP(b *BoxSpec) string {
+	a := netip.MustParseAddr(b.IP).As4()
+	a[1] += 2
+	return netip.AddrFrom4(a).String()
+}
 
 // Machines returns what a Ground runs beside the sidecars, in the order in which they begin: boxes, discovery's
 // addresses, and for each sidecar its application and the hostile clients.
@@ -63,9 +72,29 @@
 			Machine{Name: "app-" + s.Name, IP: s.IP, Site: s.Site, Boot: w.Apps[i].Boot},
 			Machine{Name: "hostile-" + s.Name, IP: s.IP, Site: s.Site, Boot: w.Mischief[i].Boot})
 	}
+	for i, b := range w.Batches {
+		s := &w.Day.Sidecars[i]
+		all = append(all, Machine{Name: "batch-" + s.Name, IP: s.IP, Site: s.Site, Boot: b.Boot})
+	}
 	return all
 }
 
+// leave tells a sidecar's clients that it has been told to end.
+func (w *World) leave(sidecar int, now float64) {
+	w.Apps[sidecar].Leave(now)
+	if w.Batches != nil {
+		w.Batches[sidecar].Leave(now)
+	}
+}
+
+// stay tells them that there is another.
+func (w *World) stay(sidecar int) {
+	w.Apps[sidecar].Stay()
+	if w.Batches != nil {
+		w.Batches[sidecar].Stay()
+	}
+}
+
 // machine returns the IP of the machine that a box's present life is on, or its last one was.
 func (b *Box) machine() string {
 	ip, _, _ := strings.Cut(b.Address, ":")
