--- a/internal/decide/quota/book.go
+++ b/internal/decide/quota/book.go
@@ -328,7 +328,7 @@
 			continue
 		}
 		if stretch > 0 {
-			b.calm(n, stretch)
+			b.calm(n)
 		}
 		c.Idle = true
 		if parent := b.tree.links[n].parent; parent >= 0 {
--- a/internal/decide/quota/machine.go
+++ b/internal/decide/quota/machine.go
@@ -5,7 +5,7 @@
 // Settings are what a Machine goes by beside its tree.
 type Settings struct {
 	Replicas int     // sidecars that share the quotas; 0 means 1
-	Stretch  float64 // by what part of it a sidecar's part of a group's quota may be stretched or cut by the group's demand
+	Stretch  float64 // by what part of it a sidecar's part of a group's quota may be stretched by the group's demand
 	Repay    float64 // what part of a debtor's own pays its debt
 	FadeS    float64 // in this time all but 37 % of an old debt, and of an old claim, are forgotten
 }
--- a/internal/decide/quota/share.go
+++ b/internal/decide/quota/share.go
@@ -172,7 +172,8 @@
 }
 
 // want notes what a group asks for, and stretches its part of a fleet's quota by what it has asked for lately, within the
-// bounds. Danger: without bounds the parts of all sidecars together would be any number of quotas.
+// bounds: where it asks for more than its part, it asks for less elsewhere, as a rule. Danger: without bounds the parts of
+// all sidecars together would be any number of quotas. What nobody asks for here is not cut: it would be lent to nobody.
 func (b *book) want(g int32, amount, stretch, now float64) {
 	c := &b.cells[g]
 	if e := int64(now / b.limit.WindowS); c.DemandIn != e {
@@ -181,7 +182,7 @@
 				c.DemandAvg = 0
 			}
 			c.DemandAvg += 0.5 * (c.Demand/b.limit.WindowS - c.DemandAvg)
-			c.Boost = min(max(c.DemandAvg/c.Own-1, -stretch), stretch)
+			c.Boost = min(max(c.DemandAvg/c.Own-1, 0), stretch)
 			b.flow(g, c.Own*(1+c.Boost), now)
 		}
 		c.DemandIn, c.Demand = e, 0
@@ -189,10 +190,10 @@
 	c.Demand += amount
 }
 
-// calm has a group that has asked for nothing have the least part of its quota.
-func (b *book) calm(n int32, stretch float64) {
-	if c := &b.cells[n]; !b.tree.nodes[n].inner {
-		c.Boost, c.DemandAvg = -stretch, 0
-		c.Rate = c.Own * (1 - stretch)
+// calm has a group that has asked for nothing have its plain part.
+func (b *book) calm(n int32) {
+	if c := &b.cells[n]; !b.tree.links[n].inner {
+		c.Boost, c.DemandAvg = 0, 0
+		c.Rate = c.Own
 	}
 }
--- a/internal/decide/quota/tree.go
+++ b/internal/decide/quota/tree.go
@@ -321,6 +321,9 @@
 	return g, true
 }
 
+// Name returns the name of a group, the last of its path.
+func (t *Tree) Name(g int32) string { return t.nodes[g].name }
+
 // Takes tells whether a group takes requests: one that has children does not.
 func (t *Tree) Takes(g int32) bool { return g > 0 && !t.nodes[g].inner }
 
--- /dev/null
+++ b/internal/quotas/replay/fleet_test.go
@@ -0,0 +1,172 @@
+package replay
+
+import (
+	"flag"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sort"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/decide/quota"
+	"hazelwheel/internal/quotas"
+)
+
+var fleets = flag.Bool("fleets", false, "measure 3, 30 and 300 sidecars over a day and not 3 and 30 over three hours")
+
+// exactness is what a fleet did beside one machine that sees all requests.
+type exactness struct {
+	over   float64 // the most that all groups together had of the quota in an hour
+	had    float64 // the mean part of its share that a group had in hours in which it wanted it
+	worst  float64 // the least
+	served float64 // of what the one machine serves
+	unused float64 // of the quota, in the minutes in which somebody was refused
+}
+
+// playFleet deals the requests of a load out to so many sidecars at random: to each by a weight of its own, and of its own for
+// each group.
+func playFleet(t *testing.T, tree *quota.Tree, load *Series, s quota.Settings, n int, skew float64) exactness {
+	rng := rand.New(rand.NewPCG(14, uint64(n)))
+	spread := func() float64 { return math.Exp(skew * rng.NormFloat64()) }
+	machines, sums := make([]*quota.Machine, n), make([][]float64, tree.Len())
+	weights := make([]float64, n)
+	for i := range machines {
+		machines[i], weights[i] = quota.New(tree, s, startS), spread()
+	}
+	for g := range sums {
+		sum := 0.0
+		for i := range n {
+			sum += weights[i] * spread()
+			sums[g] = append(sums[g], sum)
+		}
+	}
+	// One machine's day says who wants what when; its requests are dealt out as they come.
+	var x exactness
+	hours := int(load.EndS / hourS)
+	served, wants := make([][]float64, tree.Len()), make([][]bool, tree.Len())
+	one := s
+	one.Replicas, one.Stretch = 1, 0
+	ref := Play(tree, load, one)
+	for g := range served {
+		served[g], wants[g] = make([]float64, hours), make([]bool, hours)
+		for h := range hours {
+			wants[g][h] = ref.Hours[g][h].Wants
+		}
+	}
+	limit := tree.Limits[0]
+	total, minute, wanted, offered, missed := make([]float64, hours), 0, false, 0.0, 0.0
+	inMinute := 0.0
+	p := &player{m: quota.New(tree, one, startS), r: &Result{Tree: tree}, sources: make([]*source, tree.Len()), least: make([]float64, tree.Len()), minute: math.Inf(1)}
+	p.dealt = func(g int32, at float64) {
+		if m := int(at / minuteS); m != minute {
+			if wanted {
+				offered += limit.Quota / limit.WindowS * minuteS
+				missed += max(0, limit.Quota/limit.WindowS*minuteS-inMinute)
+			}
+			minute, wanted, inMinute = m, false, 0
+		}
+		i := min(sort.SearchFloat64s(sums[g], rng.Float64()*sums[g][n-1]), n-1)
+		if machines[i].Ask(startS+at, machines[i].Request(g, 0, false)).OK {
+			served[g][int(at/hourS)]++
+			total[int(at/hourS)]++
+			inMinute++
+		} else {
+			wanted = true
+		}
+	}
+	for _, step := range load.Steps {
+		p.until(step.AtS)
+		p.begin(step)
+	}
+	p.until(load.EndS)
+	parts, all, want := []float64{}, 0.0, 0.0
+	for h := range hours {
+		x.over = max(x.over, total[h]/(limit.Quota/limit.WindowS*hourS))
+		for g := range served {
+			all += served[g][h]
+			want += float64(ref.Hours[g][h].Served)
+			if wants[g][h] {
+				parts = append(parts, served[g][h]/(tree.Quota(int32(g), 0)/limit.WindowS*hourS))
+			}
+		}
+	}
+	for _, v := range parts {
+		x.had += min(v, 1) / float64(len(parts))
+	}
+	require.NotEmpty(t, parts)
+	x.worst, x.served, x.unused = slices.Min(parts), all/want, missed/max(offered, 1e-9)
+	return x
+}
+
+// What it costs in exactness that sidecars share nothing.
+func TestFleets(t *testing.T) {
+	tree, err := quotas.Read(groupsFile)
+	require.NoError(t, err)
+	tree, err = quota.NewTree(tree.Limits[:1], groupsOf(tree))
+	require.NoError(t, err)
+	f, err := os.Open(weekFile)
+	require.NoError(t, err)
+	defer f.Close()
+	load, err := ReadSeries(f, tree)
+	require.NoError(t, err)
+	sizes, endS := []int{3, 30}, 3*3600.0
+	if *fleets {
+		sizes, endS = []int{3, 30, 300}, 86400
+	}
+	for i := range load.Steps { // a busy evening first, so that a part of the day shows it
+		load.Steps[i].RatePS *= 1.6
+	}
+	const fromS = 17 * 3600.0
+	if !*fleets {
+		last := map[int32]Step{}
+		var rest []Step
+		for _, s := range load.Steps {
+			if s.AtS <= fromS {
+				s.AtS = 0
+				last[s.Group] = s
+			} else if s.AtS < fromS+endS {
+				s.AtS -= fromS
+				rest = append(rest, s)
+			}
+		}
+		load.Steps = nil
+		for g := range int32(tree.Len()) {
+			if s, ok := last[g]; ok {
+				load.Steps = append(load.Steps, s)
+			}
+		}
+		load.Steps = append(load.Steps, rest...)
+	}
+	load.Steps = slices.DeleteFunc(load.Steps, func(s Step) bool { return s.AtS >= endS })
+	load.EndS = endS
+	for _, n := range sizes {
+		for _, skew := range []float64{0, 0.5} {
+			for _, stretch := range []float64{0, 0.1, 0.3} {
+				s := quotas.Defaults()
+				s.Stretch = stretch
+				x := playFleet(t, tree, load, s.Machine(n), n, skew)
+				t.Logf("%3d sidecars, skew %.1f, stretch %.1f: at most %.1f %% of the quota in an hour; who wanted its share had %.1f %% of it, at least %.1f %%; "+
+					"%.1f %% of what one machine serves; %.1f %% not served while somebody was refused", n, skew, stretch, 100*x.over, 100*x.had, 100*x.worst, 100*x.served, 100*x.unused)
+				assert.Less(t, x.over, 1.02+stretch, "no more than the quotas, stretched")
+				assert.Greater(t, x.served, 0.75)
+			}
+		}
+	}
+}
+
+// groupsOf returns a tree's groups with shares alone.
+func groupsOf(t *quota.Tree) (all []quota.Group) {
+	for g := int32(1); int(g) < t.Len(); g++ {
+		p := t.Parent(g)
+		name, parent := t.Name(g), ""
+		if p > 0 {
+			parent = t.Name(p)
+		}
+		all = append(all, quota.Group{Name: name, Parent: parent, Share: 100 * t.Quota(g, 0) / t.Quota(p, 0), Weight: 1})
+	}
+	return all
+}
--- a/internal/quotas/replay/replay.go
+++ b/internal/quotas/replay/replay.go
@@ -71,13 +71,14 @@
 	sources []*source // by group; nil: it has not asked
 	queue   due
 	hour    int
-	was     []quota.Tally // at the hour's start
-	least   []float64     // the least rate in this hour
-	minute  float64       // its end
-	lost    float64       // at its start
-	used    float64       // likewise
-	wanted  bool          // somebody has been refused in it for want of what there is
-	root    float64       // a second, of the limit
+	was     []quota.Tally             // at the hour's start
+	least   []float64                 // the least rate in this hour
+	minute  float64                   // its end
+	lost    float64                   // at its start
+	used    float64                   // likewise
+	wanted  bool                      // somebody has been refused in it for want of what there is
+	root    float64                   // a second, of the limit
+	dealt   func(g int32, at float64) // takes the requests in place of the machine, where it is set
 }
 
 // Play plays a load against a tree of quotas. Each request is answered at once; those that are refused do not come again.
@@ -129,13 +130,19 @@
 func (p *player) until(at float64) {
 	for len(p.queue) > 0 && p.queue[0].next < at {
 		src := p.queue[0]
-		p.turn(src.next)
-		p.ask(src)
+		if p.dealt != nil {
+			p.dealt(src.step.Group, src.next)
+		} else {
+			p.turn(src.next)
+			p.ask(src)
+		}
 		src.last = src.next
 		src.next += 1 / src.step.RatePS
 		heap.Fix(&p.queue, 0)
 	}
-	p.turn(at)
+	if p.dealt == nil {
+		p.turn(at)
+	}
 }
 
 // turn ends the hours and minutes that are over at a time.
