--- a/internal/decide/quota/book.go
+++ b/internal/decide/quota/book.go
@@ -6,7 +6,7 @@
 	// poolPart of a window's quota is what a pool holds. Danger: all that lies in buckets and pools can be taken at once,
 	// beyond what a window brings; and a pool that holds less than some requests has nothing to lend.
 	poolPart  = 1.0 / 8
-	leastPool = 4.0
+	leastPool = 2.0
 	// grainPart of a window is how long a group must have taken nothing before its overflow counts as a stream. Until then
 	// it is deposited when somebody looks.
 	grainPart = 1.0 / 16
--- a/internal/decide/quota/machine.go
+++ b/internal/decide/quota/machine.go
@@ -10,9 +10,10 @@
 	FadeS    float64 // in this time all but 37 % of an old debt, and of an old claim, are forgotten
 }
 
-// Defaults of the settings.
+// Defaults of the settings. Danger: what a debtor pays is missing in its share; a group that wants its share, and has
+// borrowed, is to have it to a hundredth all the same.
 const (
-	DefaultRepay   = 0.1
+	DefaultRepay   = 0.01
 	DefaultFadeS   = 6 * 3600.0
 	DefaultStretch = 0.1
 )
--- a/internal/decide/quota/share.go
+++ b/internal/decide/quota/share.go
@@ -90,6 +90,12 @@
 		}
 	}
 	c := &b.cells[g]
+	if parent := b.tree.links[g].parent; c.Idle && c.Balance >= amount && b.cells[parent].usable(floor) >= amount {
+		// Its bucket is full, and what it has let flow over is still there: it has that back. Danger: to wake up for each
+		// request and to overflow again soon after costs more than all the rest where 100,000 groups ask now and then.
+		b.draw(g, parent, amount, now)
+		return
+	}
 	b.touch(g, now)
 	own := min(amount, c.usable(floor))
 	c.Level -= own
