--- a/cmd/hazelwheel/quota.go
+++ b/cmd/hazelwheel/quota.go
@@ -15,9 +15,9 @@
 
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/decide/quota"
+	"hazelwheel/internal/front/http1"
 	"hazelwheel/internal/quotas"
 	played "hazelwheel/internal/quotas/replay"
-	"hazelwheel/internal/sidecar"
 )
 
 // quotaCommands ask the running sidecar for its quotas, or try a file of groups out.
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if raw, err = ask(ctx, cfg.Listen, sidecar.QuotaPath+query); err != nil {
+	if raw, err = ask(ctx, cfg.Listen, http1.QuotaPath+query); err != nil {
 		return nil, err
 	}
 	if err := json.Unmarshal(raw, told); err != nil {
--- /dev/null
+++ b/internal/front/http1/quotas.go
@@ -0,0 +1,67 @@
+package http1
+
+import (
+	"strconv"
+	"strings"
+
+	"hazelwheel/internal/http1"
+	"hazelwheel/internal/sidecar"
+)
+
+// QuotaPath is where the sidecar tells of its quotas: of all groups, and of one with ?group=PATH.
+const QuotaPath = "/quota"
+
+var (
+	_ sidecar.Quoted = (*link)(nil)
+	_ sidecar.Told   = (*exchange)(nil)
+)
+
+// Field returns a field as the client has sent it, whatever is rewritten later.
+func (l *link) Field(name string) string { return l.parser.Header.Get(name) }
+
+// Bytes counts the request's first line, header and body.
+func (l *link) Bytes() int {
+	p := &l.parser
+	return len(p.Method) + len(p.Target) + headerBytes(p.Header) + len(p.Body)
+}
+
+// OverQuota refuses with a status of its own.
+func (l *link) OverQuota(group string, retryAfterS float64) {
+	h := http1.Header{textPlain}
+	if l.front.settings.RetryAfter {
+		h = append(h, http1.Field{Name: fieldRetryAfter, Value: strconv.FormatFloat(retryAfterS, 'f', 3, 64)})
+	}
+	l.respond(429, h, []byte("over the quota of "+group+"\n"))
+}
+
+// showQuotas answers operators who ask for the quotas.
+func (l *link) showQuotas(query string) {
+	text, ok := l.Sidecar().Quotas(query)
+	if !ok {
+		l.decline(404, "there are no quotas, or no such group")
+		return
+	}
+	l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, text)
+}
+
+// Bytes counts the answer's header and body.
+func (x *exchange) Bytes() int { return headerBytes(x.parser.Header) + len(x.parser.Body) }
+
+// Worked reads the answer's own time off its load report.
+func (x *exchange) Worked() (seconds float64, ok bool) {
+	for pair := range strings.SplitSeq(x.parser.Header.Get(fieldLoad), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		if ms, err := strconv.ParseFloat(value, 64); name == reportAlias["svc_ms"] && err == nil && ms >= 0 && ms < 3.6e6 {
+			return ms / 1000, true
+		}
+	}
+	return 0, false
+}
+
+// headerBytes is about what a header takes on the wire.
+func headerBytes(h http1.Header) (n int) {
+	for _, f := range h {
+		n += len(f.Name) + len(f.Value) + len(": \r\n")
+	}
+	return n
+}
--- a/internal/quotas/settings.go
+++ b/internal/quotas/settings.go
@@ -95,13 +95,19 @@
 	return d
 }
 
-// Group returns the group of a request; header returns the value of a field, "" if it is absent.
-func (d *Directory) Group(header func(name string) string, class string, from netip.Addr) int32 {
+// Header is what a request says of itself.
+type Header interface {
+	// Field returns the value of a field, "" if it is absent.
+	Field(name string) string
+}
+
+// Group returns the group of a request.
+func (d *Directory) Group(header Header, class string, from netip.Addr) int32 {
 	for i := range d.rules {
 		r := &d.rules[i]
 		switch {
 		case r.Header != "":
-			if g, ok := d.tree.Find(header(r.Header)); ok && d.tree.Takes(g) {
+			if g, ok := d.tree.Find(header.Field(r.Header)); ok && d.tree.Takes(g) {
 				return g
 			}
 		case r.Class != "":
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -18,9 +18,9 @@
 		return
 	}
 	e := &execution{request: r, number: r.sent, host: host, sentAt: s.eventAt,
-		until: r.deadline - s.answerRoom(), exchange: r.call.exchange()}
+		until: r.deadline - s.answerRoom(), exchange: r.call.Exchange()}
 	r.sent++
-	r.out[e.number] = e
+	r.out = append(r.out, e)
 	s.counters.Executions++
 	if r.answered || len(r.out) > 1 && !s.cfg.Settings.Policy.SecondCopies {
 		s.finish(e, &execError{notConnected, overtaken, nil})
@@ -32,8 +32,10 @@
 // Cancel ends the wait for one execution.
 func (s *Sidecar) Cancel(id uint32, attempt int) {
 	s.noteFor(id, capture.Decision{Do: capture.Cancel, Attempt: attempt})
-	if r := s.requests[id]; r != nil && r.out[attempt] != nil {
-		s.abandon(r.out[attempt], cancelled)
+	if r := s.requests[id]; r != nil {
+		if e := r.execution(attempt); e != nil {
+			s.abandon(e, cancelled)
+		}
 	}
 }
 
@@ -41,7 +43,7 @@
 func (s *Sidecar) Probe(host uint32) {
 	s.capture.Decide(capture.Decision{Do: capture.Probe, Host: host})
 	s.counters.Probes++
-	s.begin(&execution{host: host, sentAt: s.eventAt, until: s.eventAt + probeWaitS, exchange: s.probe()})
+	s.begin(&execution{host: host, sentAt: s.eventAt, until: s.eventAt + probeWaitS, exchange: s.front.Probe()})
 }
 
 // CloseIdle closes the idle links to a server.
@@ -62,7 +64,7 @@
 	s.noteFor(id, capture.Decision{Do: capture.Refuse, After: retryAfterS})
 	if r := s.requests[id]; r != nil && !r.answered {
 		s.counters.Throttled++
-		s.answer(r, func() { r.origin.throttle(retryAfterS) })
+		s.answer(r, func() { r.origin.Throttle(retryAfterS) })
 	}
 }
 
@@ -71,7 +73,7 @@
 	s.noteFor(id, capture.Decision{Do: capture.Fail})
 	if r := s.requests[id]; r != nil && !r.answered {
 		s.counters.Failed++
-		s.answer(r, func() { r.origin.fail(s.now() >= r.deadline-2*s.answerRoom()) })
+		s.answer(r, func() { r.origin.Fail(s.now() >= r.deadline-2*s.answerRoom()) })
 	}
 }
 
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -1,9 +1,6 @@
 package sidecar
 
-import (
-	"hazelwheel/internal/http1"
-	"hazelwheel/policy"
-)
+import "hazelwheel/policy"
 
 // progress is how far an execution has come.
 type progress uint8
@@ -75,21 +72,6 @@
 	}
 }
 
-// exchange is one protocol's side of an execution: it writes the request to a server link and reads the
-// answer off it. A request carries one for each execution, in the protocol that it came in.
-type exchange interface {
-	// append appends the request; the server is told until when anybody waits for its answer.
-	append(dst []byte, until float64) []byte
-	// read reads on from what the link has received and tells whether the answer is whole.
-	read(buf *http1.Buffer) (bool, error)
-	// begun tells whether any of the answer has come.
-	begun() bool
-	// end takes the end of the link and tells whether that makes the answer whole.
-	end() bool
-	// verdict tells what a whole answer means, the load report it holds, and whether the link can be kept.
-	verdict() (outcome policy.Outcome, report policy.Report, keep bool)
-}
-
 // execution is one attempt of a request at a server, or a probe of it, which has no request. It ends with
 // exactly one outcome.
 type execution struct {
@@ -98,10 +80,11 @@
 	host     uint32
 	sentAt   float64
 	until    float64 // when the wait is over
-	exchange exchange
+	exchange Exchange
 	link     *serverLink
 	progress progress
-	timer    *timer
+	timer    timer // when the wait is over
+	s        *Sidecar
 	over     bool
 	second   bool    // a probe that has been begun again
 	late     float64 // how long its answer lay in the socket
@@ -113,13 +96,13 @@
 		return
 	}
 	e.over = true
-	s.timers.stop(e.timer)
+	s.timers.stop(&e.timer)
 	result := policy.Result{Host: e.host, Attempt: e.number}
 	if err != nil {
 		result.Outcome = err.outcome()
 		s.log.Debug("execution ended", "host", e.host, "probe", e.request == nil, "error", err)
 	} else {
-		result.Outcome, result.Report, _ = e.exchange.verdict()
+		result.Outcome, result.Report, _ = e.exchange.Verdict()
 	}
 	if e.request == nil {
 		// A server turns a probe away at once, or after it has waited in line for as long as probes may.
@@ -142,23 +125,20 @@
 	}
 	s.counters.executions.count(result.Outcome)
 	r := e.request
-	delete(r.out, e.number)
+	r.drop(e)
 	result.ID = r.id
 	if result.Outcome == policy.OK && !r.answered {
 		s.counters.Served++
 		s.chargeAnswer(e)
-		s.answer(r, func() { r.origin.serve(e.exchange) })
+		s.answer(r, func() { r.origin.Serve(e.exchange) })
 	}
 	result.Final = r.answered
-	s.push(func(now float64) {
-		result.DelayS, result.LateS = e.took(now)
-		result.Final = result.Final || r.answered
-		s.capture.Outcome(now, result, r.label())
-		s.balancer.AttemptDone(now, result)
-		s.forget(r)
-	})
+	s.queue = append(s.queue, event{ended: e, result: result})
 }
 
+// ring ends the wait.
+func (e *execution) ring() { e.s.abandon(e, timedOut) }
+
 // took returns how long an execution that ends now took to its answer's arrival, and how long that lay unread.
 func (e *execution) took(now float64) (delay, late float64) {
 	late = min(e.late, now-e.sentAt)
@@ -172,7 +152,7 @@
 	if e.request != nil || e.second || h == nil || err == nil || err.cause != broke || err.progress == notConnected {
 		return false
 	}
-	e.second, e.progress, e.exchange = true, notConnected, s.probe()
+	e.second, e.progress, e.exchange = true, notConnected, s.front.Probe()
 	s.dial(h, e)
 	return true
 }
@@ -184,7 +164,8 @@
 		s.finish(e, &execError{notConnected, overtaken, nil})
 		return
 	}
-	e.timer = s.timers.at(e.until, func() { s.abandon(e, timedOut) })
+	e.s = s
+	s.timers.set(&e.timer, e.until, e)
 	if l := s.idleLink(h); l != nil {
 		l.begin(e)
 		return
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -3,17 +3,11 @@
 import (
 	"encoding/json"
 	"net/url"
-	"strconv"
-	"strings"
 
 	"hazelwheel/internal/decide/quota"
-	"hazelwheel/internal/http1"
 	"hazelwheel/internal/quotas"
 )
 
-// QuotaPath is where the sidecar tells of its quotas: of all groups, and of one with ?group=PATH.
-const QuotaPath = "/quota"
-
 // shownGroups bounds the groups that are told of at a time, countedGroups those in the counters.
 const (
 	shownGroups   = 500
@@ -134,20 +128,48 @@
 	}
 }
 
+// Quoted is a Client that knows what quotas go by. One that is not is known by its class and address alone, and what is
+// beyond its quota is throttled.
+type Quoted interface {
+	// Field returns a field of the message's header, "" if it is absent.
+	Field(name string) string
+	// Bytes returns about what the message took on the wire.
+	Bytes() int
+	// OverQuota refuses: nothing has run, and the group will have more after the given time.
+	OverQuota(group string, retryAfterS float64)
+}
+
+// Told is an Exchange whose whole answer tells what it cost.
+type Told interface {
+	// Bytes returns about what the answer took on the wire.
+	Bytes() int
+	// Worked returns for how long the server says it has worked; ok: it does.
+	Worked() (seconds float64, ok bool)
+}
+
+// noFields has no header.
+type noFields struct{}
+
+func (noFields) Field(string) string { return "" }
+
 // withinQuota tells whether a request that has come may be taken up, and books it on its group. One that may not has been
 // refused, finally: nothing of it has gone anywhere.
-func (l *clientLink) withinQuota(class int) (quotaTicket, bool) {
+func (l *ClientLink) withinQuota(a *Ask) (quotaTicket, bool) {
 	s, d := l.s, l.s.quotas
 	if d == nil {
 		return quotaTicket{}, true
 	}
-	if d.exempt[class] {
+	if d.exempt[a.Class] {
 		d.counts.Exempt++
 		return quotaTicket{}, true
 	}
-	now, p := s.now(), &l.parser
-	g := d.directory.Group(p.Header.Get, s.cfg.Settings.Policy.Classes[class].Name, clientAddress(l.conn))
-	t := quotaTicket{ask: d.machine.Request(g, float64(len(p.Method)+len(p.Target)+headerBytes(p.Header)+len(p.Body)), d.floor[class]), taken: true, at: now}
+	now, bytes, header := s.now(), a.Size, quotas.Header(noFields{})
+	q, knows := l.client.(Quoted)
+	if knows {
+		bytes, header = q.Bytes(), q
+	}
+	g := d.directory.Group(header, s.cfg.Settings.Policy.Classes[a.Class].Name, clientAddress(l.conn))
+	t := quotaTicket{ask: d.machine.Request(g, float64(bytes), d.floor[a.Class]), taken: true, at: now}
 	v := d.machine.Ask(now, t.ask)
 	if v.OK {
 		d.counts.Served++
@@ -157,44 +179,28 @@
 	s.counters.Requests++
 	s.counters.Throttled++
 	s.counters.OverQuota++
-	h := http1.Header{textPlain}
-	if s.cfg.Settings.RetryAfter {
-		h = append(h, http1.Field{Name: fieldRetryAfter, Value: strconv.FormatFloat(v.AfterS, 'f', 3, 64)})
+	if knows {
+		q.OverQuota(d.machine.Tree().Path(g), v.AfterS)
+	} else {
+		l.client.Throttle(v.AfterS)
 	}
-	l.respond(429, h, []byte("over the quota of "+d.machine.Tree().Path(g)+"\n"))
 	return t, false
 }
 
-// headerBytes is about what a header takes on the wire.
-func headerBytes(h http1.Header) (n int) {
-	for _, f := range h {
-		n += len(f.Name) + len(f.Value) + len(": \r\n")
-	}
-	return n
-}
-
 // chargeAnswer notes what the answer that an execution has brought costs its request's group.
 func (s *Sidecar) chargeAnswer(e *execution) {
 	t := &e.request.quota
-	x, ok := e.exchange.(*httpExchange)
-	if !t.taken || !ok {
+	if !t.taken {
 		return
 	}
-	t.bytes = float64(headerBytes(x.parser.Header) + len(x.parser.Body))
-	if t.worked, ok = workTold(x.parser.Header.Get(fieldLoad)); !ok {
-		t.worked = s.now() - e.sentAt
+	ok := false
+	if x, told := e.exchange.(Told); told {
+		t.bytes = float64(x.Bytes())
+		t.worked, ok = x.Worked()
 	}
-}
-
-// workTold returns the seconds that a server says it has worked on an answer.
-func workTold(load string) (float64, bool) {
-	for pair := range strings.SplitSeq(load, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		if ms, err := strconv.ParseFloat(value, 64); name == reportAlias["svc_ms"] && err == nil && ms >= 0 && ms < 3.6e6 {
-			return ms / 1000, true
-		}
+	if !ok {
+		t.worked = s.now() - e.sentAt
 	}
-	return 0, false
 }
 
 // settleQuota books what a request has cost now that it has its answer.
@@ -219,16 +225,17 @@
 	return c
 }
 
-// showQuotas answers operators who ask for the quotas.
-func (l *clientLink) showQuotas() {
-	m, now := l.s.quotas.machine, l.s.now()
-	_, query, _ := strings.Cut(l.parser.Target, "?")
+// Quotas tells of all groups as JSON, or of the one that a query names; ok: there is such a group, and there are quotas.
+func (s *Sidecar) Quotas(query string) (text []byte, ok bool) {
+	if s.quotas == nil {
+		return nil, false
+	}
+	m, now := s.quotas.machine, s.now()
 	var told any
 	if asked, _ := url.ParseQuery(query); asked.Has("group") {
 		g, ok := m.Tree().Find(asked.Get("group"))
 		if !ok {
-			l.decline(404, "no such group")
-			return
+			return nil, false
 		}
 		told = m.Explain(now, g)
 	} else {
@@ -238,5 +245,5 @@
 	if err != nil { // numbers and names always marshal
 		panic(err)
 	}
-	l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, append(raw, '\n'))
+	return append(raw, '\n'), true
 }
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -1,23 +1,10 @@
 package sidecar
 
-import "hazelwheel/policy"
+import (
+	"slices"
 
-// origin is where a request's answer goes: a client link, in whatever protocol it speaks. Each request gets
-// one call, unless its client has gone.
-type origin interface {
-	// serve passes on a server's answer.
-	serve(x exchange)
-	// throttle refuses: trying again is harmless, best after the given time.
-	throttle(retryAfterS float64)
-	// fail says that there is no answer and that the request may have run; late, that time ran out.
-	fail(late bool)
-}
-
-// call is what a request asks for, in its protocol.
-type call interface {
-	// exchange returns the call's side of one execution.
-	exchange() exchange
-}
+	"hazelwheel/policy"
+)
 
 // request is one that a client link has brought whole and that has not been answered, or has executions out.
 type request struct {
@@ -25,12 +12,14 @@
 	name     string // its client's id of it
 	class    string
 	deadline float64
-	call     call
-	origin   origin
+	call     Call
+	origin   Origin
+	s        *Sidecar
 	sent     int // executions begun
-	out      map[int]*execution
-	answered bool // it has its final answer, or nobody waits for one
-	safety   *timer
+	out      []*execution
+	room     [1]*execution // for out: more than one at a time is rare
+	answered bool          // it has its final answer, or nobody waits for one
+	safety   timer
 	delay    *timer // of the drill that holds it back
 	quota    quotaTicket
 }
@@ -40,18 +29,14 @@
 	for s.requests[s.lastID] != nil || s.lastID == 0 {
 		s.lastID++ // the counter has come round: an id may only be used again when it is free
 	}
-	r.id, r.out = s.lastID, map[int]*execution{}
+	r.s, r.id, r.out = s, s.lastID, r.room[:0]
 	s.lastID++
 	s.requests[r.id], s.named[r.name] = r, r
 	s.counters.Requests++
 	s.counters.Open++
 	q.ID, q.Deadline = r.id, r.deadline
 	// Whatever the decisions do, the client gets its one answer in time.
-	r.safety = s.timers.at(r.deadline+s.slack/2, func() {
-		s.counters.Overdue++
-		s.answer(r, func() { r.origin.fail(true) })
-		s.tellAbandoned(r)
-	})
+	s.timers.set(&r.safety, r.deadline+s.slack/2, r)
 	held := func(seconds float64) {
 		q.Held += seconds
 		s.arrive(r, q)
@@ -61,13 +46,17 @@
 	}
 }
 
+// IsOpen tells whether a request with a client's id is open. Danger: two executions with one id look like a second copy to a
+// server, which may drop the wrong one.
+func (s *Sidecar) IsOpen(id string) bool { return s.named[id] != nil }
+
 // answer gives a request its final answer by calling give, unless it has had one.
 func (s *Sidecar) answer(r *request, give func()) {
 	if r.answered {
 		return
 	}
 	r.answered = true
-	s.timers.stop(r.safety)
+	s.timers.stop(&r.safety)
 	s.timers.stop(r.delay)
 	s.counters.Open--
 	if len(r.out) == 0 {
@@ -75,7 +64,33 @@
 	}
 	give()
 	s.settleQuota(r)
-	s.push(func(float64) { s.forget(r) })
+	if len(r.out) == 0 {
+		s.push(func(float64) { s.forget(r) })
+	}
+}
+
+// ring ends a request that the decisions have let run out of time.
+func (r *request) ring() {
+	r.s.counters.Overdue++
+	r.s.answer(r, func() { r.origin.Fail(true) })
+	r.s.tellAbandoned(r)
+}
+
+// execution returns the one of a number that is out, nil if it is not.
+func (r *request) execution(number int) *execution {
+	for _, e := range r.out {
+		if e.number == number {
+			return e
+		}
+	}
+	return nil
+}
+
+// drop takes an execution from those that are out.
+func (r *request) drop(e *execution) {
+	if i := slices.Index(r.out, e); i >= 0 {
+		r.out = slices.Delete(r.out, i, i+1)
+	}
 }
 
 // forget drops a request that is answered and has nothing out.
--- a/internal/sim/quotas.go
+++ b/internal/sim/quotas.go
@@ -6,9 +6,11 @@
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/decide/quota"
 	"hazelwheel/internal/features"
+	"hazelwheel/internal/front/http1"
 	"hazelwheel/internal/judge"
 	"hazelwheel/internal/netio"
 	"hazelwheel/internal/quotas"
+	"hazelwheel/internal/rewrite"
 	"hazelwheel/internal/sidecar"
 	"hazelwheel/internal/world"
 )
@@ -46,7 +48,7 @@
 	s.File, s.Tree, s.Default = "of the day", tree, "cities"
 	s.Identify = []quotas.Rule{{Header: "Organisation"}}
 	return func(cfg config.Config, net netio.Net, log *slog.Logger) (Program, error) {
-		p, err := sidecar.New(cfg, features.Features{Quotas: s}, net, log)
+		p, err := sidecar.New(cfg, features.Features{Quotas: s}, http1.New(cfg, rewrite.Settings{}), net, log)
 		if err != nil {
 			return nil, err
 		}
