--- a/internal/decide/quota/machine.go
+++ b/internal/decide/quota/machine.go
@@ -174,8 +174,10 @@
 		amount := 0.0
 		switch m.tree.Limits[i].Measure {
 		case Open:
-			m.opens[i].add(q.Group, -1)
-			m.opens[i].held(afterS)
+			if o := m.opens[i]; q.tree >= o.since { // what was open before has not been counted
+				o.add(q.Group, -1)
+				o.held(afterS)
+			}
 			continue
 		case Bytes:
 			amount = bytes
--- a/internal/decide/quota/open.go
+++ b/internal/decide/quota/open.go
@@ -11,6 +11,7 @@
 	quota []float64
 	caps  []float64
 	most  []int32
+	since int // from which of the machine's trees on it has counted
 	meanS float64
 }
 
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -338,6 +338,29 @@
 		s.Done(s.at, b, 0.1, 0, 0)
 	}
 	assert.Equal(t, int32(0), s.opens[0].open[0], "whoever goes, nothing is left over")
+
+	// A limit that comes while requests are out has not counted them.
+	s = newShop(t, tree(t, []Limit{perSecond(1)}, Group{Name: "a", Share: 100}))
+	q := s.Request(s.group("a"), 0, false)
+	require.True(t, s.Ask(s.at, q).OK)
+	s.Machine = s.Replace(s.at, tree(t, []Limit{perSecond(1), {Open, 0, 1}}, Group{Name: "a", Share: 100}), Settings{})
+	s.Done(s.at, q, 1, 0, 0)
+	assert.Equal(t, int32(0), s.opens[1].open[0])
+}
+
+// The machine comes up again with its clock an hour behind what the snapshot knows.
+func TestAClockThatWasSetBack(t *testing.T) {
+	s := pair(t)
+	s.load(60, map[string]float64{"a": 200, "b": 200})
+	raw, err := s.State().Encode()
+	require.NoError(t, err)
+	for _, tr := range []*Tree{s.tree, tree(t, []Limit{perSecond(100)}, Group{Name: "b", Share: 50}, Group{Name: "a", Share: 40})} {
+		st, err := Decode(raw)
+		require.NoError(t, err)
+		again := &shop{Machine: Restore(tr, s.settings, st, s.at-3600), t: t, at: s.at - 3600}
+		got := again.load(60, map[string]float64{"a": 200, "b": 200})
+		assert.InDelta(t, 6000, got["a"]+got["b"], 200)
+	}
 }
 
 func TestFaultsNameTheGroup(t *testing.T) {
--- a/internal/decide/quota/state.go
+++ b/internal/decide/quota/state.go
@@ -145,6 +145,9 @@
 // if nothing had been; else each group whose path and limit there still are keeps its account, see Replace.
 func Restore(t *Tree, settings Settings, s *State, now float64) *Machine {
 	s.name()
+	if now < s.At {
+		s.shift(now - s.At)
+	}
 	m := New(t, settings, s.At)
 	if t.mark(&m.settings) == s.Mark && len(s.Paths) == t.Len() {
 		copy(m.stats, s.Stats)
@@ -167,6 +170,26 @@
 	return m
 }
 
+// shift moves all times. Danger: a clock that was set back while the program was down would stand still, for this machine,
+// until it has come to where it was.
+func (s *State) shift(by float64) {
+	s.At += by
+	for i := range s.Refusals {
+		s.Refusals[i].At += by
+	}
+	for i := range s.Books {
+		b := &s.Books[i]
+		for n := range b.cells {
+			c := &b.cells[n]
+			c.Last, c.Quiet, c.CapLast = c.Last+by, c.Quiet+by, c.CapLast+by
+			c.Epoch, c.Asked, c.DemandIn = -1, -1, -1
+		}
+		for n := range b.Queue {
+			b.Queue[n].Due += by
+		}
+	}
+}
+
 // Replace puts another tree in a machine's place. What a group holds, owes and is owed goes on under its path, within its
 // new bounds. The debts of a group that is gone are written off, and its claims fall to the pool that they are on; a new
 // group begins with a full bucket.
@@ -189,7 +212,11 @@
 	// Danger: a request is answered long after its group's number has come to mean another group.
 	next.trees, next.moved = m.trees+1, append(slices.Clone(m.moved[max(0, len(m.moved)-mostTrees+1):]), moved)
 	for i, o := range next.opens {
+		if o != nil {
+			o.since = next.trees
+		}
 		if j := m.tree.same(t.Limits[i].Name()); o != nil && j >= 0 {
+			o.since = m.opens[j].since
 			o.meanS = m.opens[j].meanS
 			for n, to := range old {
 				if to >= 0 {
