--- a/cmd/hazelwheel/quota.go
+++ b/cmd/hazelwheel/quota.go
@@ -117,11 +117,14 @@
 			if e.Limit != "" && l.Limit != e.Limit {
 				continue
 			}
-			what := "holds"
+			what, of := "holds", l.Depth
 			if g.Path != e.Group {
 				what = "has to lend"
 			}
-			fmt.Fprintf(out, "  %s: %s %s %.4g of %.4g", g.Path, l.Limit, what, l.Holds, l.Depth)
+			if l.Limit == "open" {
+				what, of = "are", l.Quota
+			}
+			fmt.Fprintf(out, "  %s: %s %s %.4g of %.4g", g.Path, l.Limit, what, l.Holds, of)
 			switch {
 			case l.Owes >= 1:
 				fmt.Fprintf(out, ", owes %.0f", l.Owes)
--- /dev/null
+++ b/internal/sim/quotas_test.go
@@ -0,0 +1,33 @@
+package sim
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A batch at ten times its share takes from the alerts of others; held to its share it does not, whatever troubles there are.
+func TestABatchIsHeldToItsShare(t *testing.T) {
+	const days = 5
+	alerts := func(o Options) float64 {
+		var all Tally
+		Fleet(1, days, 4, o, func(d Outcome) bool {
+			require.NoError(t, d.Err)
+			all.Add(d.Result)
+			return true
+		})
+		all.Close()
+		assert.Empty(t, all.Broken)
+		for _, c := range all.Classes {
+			if c.Name == "raise-alert" {
+				return c.Service
+			}
+		}
+		return 0
+	}
+	without, batch, held := alerts(Options{}), alerts(Options{Batch: 10}), alerts(Options{Batch: 10, Quotas: true})
+	t.Logf("alerts served in time: %.4f without the batch, %.4f with it, %.4f with it and quotas", without, batch, held)
+	assert.Greater(t, held, without-0.02)
+	assert.Greater(t, held, batch+0.02)
+}
