--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -111,6 +111,15 @@
 	assert.GreaterOrEqual(t, got["south"], 499.0)
 }
 
+func TestRepaymentsGoUpToWhoHasLent(t *testing.T) {
+	s := newShop(t, tree(t, []Limit{perSecond(100)}, Group{Name: "north", Share: 50}, Group{Name: "south", Share: 50},
+		Group{Name: "city", Parent: "north", Share: 100}, Group{Name: "c", Parent: "city", Share: 100}))
+	s.load(600, map[string]float64{"c": 200})
+	got := s.load(600, map[string]float64{"c": 200, "south": 200})
+	assert.InDelta(t, 33000, got["south"], 600, "its own, and what c pays, over three levels")
+	assert.InDelta(t, 27000, got["c"], 600)
+}
+
 func TestWhatComesBackToItsGiverIsNoLoan(t *testing.T) {
 	s := line(t)
 	s.load(600, map[string]float64{"south": 90}) // it borrows what c and d leave, over three levels
