--- a/cmd/hazellab/sim.go
+++ b/cmd/hazellab/sim.go
@@ -42,6 +42,8 @@
 			&cli.BoolFlag{Name: "each", Usage: "print a line for each day"},
 			&cli.BoolFlag{Name: "first", Usage: "stop at the first day that breaks a rule"},
 			&cli.BoolFlag{Name: "quiet-days", Usage: "play the days without their troubles"},
+			&cli.FloatFlag{Name: "batch", Usage: "have a batch come beside the applications' requests, at `N` times its share"},
+			&cli.BoolFlag{Name: "quotas", Usage: "have the sidecars hold groups to their quotas"},
 			&cli.BoolFlag{Name: "show-script", Usage: "print the script of the seed and play nothing"}}},
 		{Name: "shrink", Usage: "find a smaller day that breaks the same rule", Action: shrink, Flags: []cli.Flag{seed, script, core, rule,
 			&cli.StringFlag{Name: "out", Usage: "the `FILE` for the smallest script; without it, standard output"},
@@ -64,6 +66,10 @@
 		return o, fault(fmt.Errorf("core: %q is none of sidecar, random, least", c.String("core")))
 	}
 	o.Core = core
+	o.Batch, o.Quotas = c.Float("batch"), c.Bool("quotas")
+	if o.Batch < 0 || o.Batch > 100 {
+		return o, fault(fmt.Errorf("batch: want 0 to 100, not %g", o.Batch))
+	}
 	return o, nil
 }
 
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -186,14 +186,18 @@
 	Call     Call
 }
 
-// HandOn hands a request that Admit has let in to the decisions.
+// HandOn hands a request that Admit has let in to the decisions, unless it is beyond its group's quota.
 func (l *ClientLink) HandOn(a Ask) {
+	ticket, within := l.withinQuota(&a)
+	if !within {
+		return
+	}
 	l.s.room.Move(l.s.now(), l.place, admission.Asking)
 	l.held = a.Size
 	l.s.room.Hold(l.place, l.held+l.buf.Len())
 	waited := l.s.waited(l.conn)
 	r := &request{name: a.ID, class: l.s.cfg.Settings.Policy.Classes[a.Class].Name,
-		deadline: l.s.now() - waited + min(a.Patience, longestS), call: a.Call, origin: l.client}
+		deadline: l.s.now() - waited + min(a.Patience, longestS), call: a.Call, origin: l.client, quota: ticket}
 	l.request = r
 	l.s.take(r, policy.Request{Class: a.Class, Held: waited, Repeat: a.Repeat})
 }
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -21,6 +21,7 @@
 	answered bool          // it has its final answer, or nobody waits for one
 	safety   timer
 	delay    *timer // of the drill that holds it back
+	quota    quotaTicket
 }
 
 // take hands a request to the decisions.
@@ -61,7 +62,9 @@
 	if len(r.out) == 0 {
 		s.unname(r)
 	}
-	if give(); len(r.out) == 0 {
+	give()
+	s.settleQuota(r)
+	if len(r.out) == 0 {
 		s.push(func(float64) { s.forget(r) })
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -68,7 +68,8 @@
 	listAt    float64        // when anything was last read from discovery
 	listed    bool           // a list has been read from discovery
 	capture   *capture.Recorder
-	reserved  int // descriptors that are kept for features
+	quotas    *quotaDesk // nil: there are none
+	reserved  int        // descriptors that are kept for features
 	slack     float64
 
 	conns     int // connections that gnet holds
@@ -96,6 +97,7 @@
 		s.health = health.New(on.Health, loop.Now, log)
 		s.reserved += health.Descriptors
 	}
+	s.quotas = s.newQuotas(on.Quotas)
 	s.room = admission.NewRoom(admission.Settings{})
 	s.room = admission.NewRoom(s.admissionSettings(0))
 	var classes []admission.Class
@@ -137,6 +139,7 @@
 		if !s.cfg.Settings.Policy.AskForList {
 			s.watch()
 		}
+		s.beginQuotas()
 		if s.capture.ToDisk() {
 			s.flushCapture()
 		}
@@ -278,5 +281,6 @@
 func (s *Sidecar) Counters() []byte {
 	s.counters.Descriptors = s.conns + s.dialing
 	s.counters.DrillHits, s.counters.Capture = s.drills.Hits(), s.capture.Stats()
+	s.counters.Quotas = s.quotaCounters()
 	return s.counters.text()
 }
--- /dev/null
+++ b/internal/sim/quotas.go
@@ -0,0 +1,57 @@
+package sim
+
+import (
+	"log/slog"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/decide/quota"
+	"hazelwheel/internal/features"
+	"hazelwheel/internal/front/http1"
+	"hazelwheel/internal/judge"
+	"hazelwheel/internal/netio"
+	"hazelwheel/internal/quotas"
+	"hazelwheel/internal/rewrite"
+	"hazelwheel/internal/sidecar"
+	"hazelwheel/internal/world"
+)
+
+// The quotas of days: the cities have twice what they ask for on average, the ministry a twentieth of it. What the cities leave
+// it may borrow up to its cap.
+const (
+	cityTimes     = 2.0
+	ministryTimes = 0.05
+	ministryCap   = 1.5 // times its share
+	quotaWindowS  = 5.0
+)
+
+// batch returns a batch at so many times the ministry's share.
+func batch(d *world.Day, times float64) *world.BatchSpec {
+	b := &world.BatchSpec{RatePS: times * ministryTimes * d.Clients.RatePS, Organisation: "ministry"}
+	for i, c := range d.Classes {
+		if c.Effect == judge.Safe {
+			b.Class = i
+		}
+	}
+	return b
+}
+
+// withQuotas returns the Core of the sidecar with quotas that go by what a day's clients ask for.
+func withQuotas(d *world.Day) (Core, error) {
+	const all = cityTimes + ministryTimes
+	share := 100 * ministryTimes / all
+	tree, err := quota.NewTree([]quota.Limit{{Measure: quota.Requests, WindowS: quotaWindowS, Quota: all * d.Clients.RatePS * quotaWindowS}},
+		[]quota.Group{{Name: "cities", Share: 100 - share, Weight: 1}, {Name: "ministry", Share: share, Weight: 1, Cap: ministryCap * share}})
+	if err != nil {
+		return nil, err
+	}
+	s := quotas.Defaults()
+	s.File, s.Tree, s.Default = "of the day", tree, "cities"
+	s.Identify = []quotas.Rule{{Header: "Organisation"}}
+	return func(cfg config.Config, net netio.Net, log *slog.Logger) (Program, error) {
+		p, err := sidecar.New(cfg, features.Features{Quotas: s}, http1.New(cfg, rewrite.Settings{}), net, log)
+		if err != nil {
+			return nil, err
+		}
+		return core{p}, nil
+	}, nil
+}
--- a/internal/world/wire.go
+++ b/internal/world/wire.go
@@ -11,13 +11,14 @@
 
 // Header fields of the deployment.
 const (
-	fieldID         = "Request-Id"
-	fieldPatience   = "Request-Timeout"
-	fieldKey        = "Idempotency-Key"
-	fieldRetry      = "Client-Retry"
-	fieldNotStarted = "Not-Started"
-	fieldRetryAfter = "Retry-After"
-	fieldLoad       = "Server-Load"
+	fieldID           = "Request-Id"
+	fieldPatience     = "Request-Timeout"
+	fieldKey          = "Idempotency-Key"
+	fieldOrganisation = "Organisation"
+	fieldRetry        = "Client-Retry"
+	fieldNotStarted   = "Not-Started"
+	fieldRetryAfter   = "Retry-After"
+	fieldLoad         = "Server-Load"
 )
 
 var messageLimits = http1.Limits{Head: 16 << 10, Body: 64 << 10}
