Judge what the load receives, as far as a client alone can tell

Need: hazellab load counted outcomes but found no break of a standing rule; a second answer or stray bytes went unseen, and a request without an answer was only a count.

Change: the load's threads tell internal/judge of a try, from its start on, when something comes of it that may be a break: a second answer, bytes nobody asked for, a connection ended without an answer, nothing until the time and its slack are over. A request that was given up is listened to for the slack. Sound requests tell nothing, so the hot path does no more than before.

--- a/cmd/hazellab/demo_test.go
+++ b/cmd/hazellab/demo_test.go
@@ -81,7 +81,7 @@
 	eventually(t, "the sidecar", func() bool { c, err := net.Dial("tcp", listen); return err == nil && c.Close() == nil })
 
 	ask := func() *load.Result {
-		code, out, log := ends(t, "load", "--target", listen, "--rate", "40", "--for", "2s", "--links", "8", "--json", "-")
+		code, out, log := ends(t, "load", "--target", listen, "--rate", "40", "--for", "2s", "--links", "8", "--slack", "2s", "--json", "-")
 		require.Equal(t, 0, code, log)
 		var r load.Result
 		require.NoError(t, json.Unmarshal([]byte(out), &r))
--- a/cmd/hazellab/load.go
+++ b/cmd/hazellab/load.go
@@ -22,7 +22,8 @@
 	return &cli.Command{
 		Name:  "load",
 		Usage: "ask a sidecar in an open or a closed loop, and tell what came of it",
-		Description: "A class is NAME:safe, NAME:keyed or NAME:unsafe, or one of the stand-in's names; with =SHARE behind it\n" +
+		Description: "It ends with 1 if what came breaks a standing rule that a client alone can judge.\n" +
+			"A class is NAME:safe, NAME:keyed or NAME:unsafe, or one of the stand-in's names; with =SHARE behind it\n" +
 			"it has that part of the requests. Several classes stand apart by commas.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "target", Value: "127.0.0.1:3000", Usage: "the sidecar's `ADDRESS`; several apart by commas share the links and the rate"},
@@ -35,6 +36,8 @@
 			&cli.FloatFlag{Name: "new", Usage: "share of requests that each come on a connection of their own, 0 to 1"},
 			&cli.IntFlag{Name: "body", Value: 64, Usage: "bytes of a POST's body"},
 			&cli.DurationFlag{Name: "patience", Value: 2 * time.Second, Usage: "the Request-Timeout"},
+			&cli.DurationFlag{Name: "slack", Value: 250 * time.Millisecond, Usage: "how long after its patience a request is still to be answered; 0: nothing is judged"},
+			&cli.BoolFlag{Name: "calm", Usage: "the sidecar has room for all connections: to close one on its first request breaks a rule"},
 			&cli.IntFlag{Name: "retries", Usage: "how often a request is tried again that was refused, or that failed and may run twice"},
 			&cli.DurationFlag{Name: "backoff", Value: 50 * time.Millisecond, Usage: "before the first retry, doubled before each further one"},
 			&cli.IntFlag{Name: "threads", Value: 1, Usage: "threads, each with its share of links and rate"},
@@ -94,6 +97,9 @@
 			return err
 		}
 	}
+	if err == nil && !r.Kept() {
+		err = errBroken
+	}
 	return err
 }
 
@@ -111,7 +117,7 @@
 		return p, nil
 	}
 	p = load.Plan{Target: c.String("target"), For: c.Duration("for"), Poisson: c.Bool("poisson"), Links: c.Int("links"),
-		New: c.Float("new"), Body: c.Int("body"), Patience: c.Duration("patience"),
+		New: c.Float("new"), Body: c.Int("body"), Patience: c.Duration("patience"), Slack: c.Duration("slack"), Calm: c.Bool("calm"),
 		Retries: c.Int("retries"), Backoff: c.Duration("backoff"), Threads: c.Int("threads"),
 		Seed: c.Uint64("seed"), Step: c.Duration("step")}
 	if p.Classes, err = parseClasses(c.String("class")); err != nil {
--- a/cmd/hazellab/main_test.go
+++ b/cmd/hazellab/main_test.go
@@ -71,6 +71,37 @@
 	assert.Less(t, r.P50, 0.5*float64(stall/time.Millisecond))
 }
 
+// A server that breaks a rule ends the load with 1, which says what it saw; with no slack nothing is judged.
+func TestLoadJudges(t *testing.T) {
+	twice := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		const answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+		_, _ = conn.Write([]byte(answer + answer)) // who is gone needs no answer
+	}))
+	defer twice.Close()
+	ask := []string{"load", "--target", twice.Listener.Addr().String(), "--rate", "50", "--for", "200ms", "--links", "2"}
+	code, out, log := ends(t, ask...)
+	assert.Equal(t, 1, code, log)
+	assert.Contains(t, out, "one-answer: a second answer, of status 200")
+	assert.Equal(t, "hazellab: a rule was broken\n", log)
+
+	code, out, log = ends(t, append(ask, "--json", "-")...)
+	assert.Equal(t, 1, code, log)
+	var r load.Result
+	require.NoError(t, json.Unmarshal([]byte(out), &r))
+	assert.True(t, r.Judged)
+	assert.NotEmpty(t, r.Findings)
+	assert.EqualValues(t, len(r.Findings), r.Breaks)
+
+	code, out, log = ends(t, append(ask, "--slack", "0")...)
+	assert.Equal(t, 0, code, log)
+	assert.NotContains(t, out, "judged")
+}
+
 // What a command is told wrong is one line that names it, and exit code 2.
 func TestBadFlags(t *testing.T) {
 	for _, c := range []struct{ args, says string }{
@@ -81,6 +112,7 @@
 		{"load --class reading:safe=0", "class"},
 		{"load --from nowhere", "from"},
 		{"load --links 0", "links"},
+		{"load --slack -1s", "slack"},
 		{"flood --kind biblical", "kind"},
 		{"flood --from 10.0.0.1", "from"},
 		{"flood --links 30000", "links"},
--- a/internal/judge/client.go
+++ b/internal/judge/client.go
@@ -98,7 +98,7 @@
 	}
 	switch e.Status {
 	case 200:
-		if !r.made(e.Digest) {
+		if !j.rules.ClientsAlone && !r.made(e.Digest) {
 			j.find(NoInvention, e.Sidecar, -1, e.Request, nil, "an answer that no box has made for it")
 		}
 		j.end(r, served, e.At)
--- a/internal/judge/rules.go
+++ b/internal/judge/rules.go
@@ -56,6 +56,8 @@
 	Unanswered bool
 	// Calm makes the first request on a connection lost, too, where the sidecar closes without having sent anything on.
 	Calm bool
+	// ClientsAlone says that no box tells what it did. What needs its word is not judged then.
+	ClientsAlone bool
 }
 
 // Rule names a rule.
--- a/internal/lab/load/link.go
+++ b/internal/lab/load/link.go
@@ -13,7 +13,8 @@
 	down linkState = iota // no socket; a kept one is opened again at link.again
 	opening
 	idle
-	busy // its request is out
+	busy    // its request is out
+	overdue // its client has given its request up; an answer may still come
 )
 
 // job is one request.
@@ -24,6 +25,7 @@
 	again bool   // it is sent a second time, since the link's closing crossed it
 	tries int    // before this one
 	id    uint64 // of a keyed class: the key, the same for all tries
+	tale  uint64 // the try's number for the judge; 0: it has not been told of
 }
 
 // link is a connection to the sidecar, kept or for one request.
@@ -34,9 +36,12 @@
 	has     bool // a job
 	job     job
 	carried int           // requests answered on this connection
-	again   time.Duration // when to open it again
-	pending []byte        // of the request, not taken by the socket yet
-	reply   reply
+	opened  time.Duration // when it came up
+	// answeredAt is when the last answer on it was whole.
+	answeredAt time.Duration
+	again      time.Duration // when to open it again
+	pending    []byte        // of the request, not taken by the socket yet
+	reply      reply
 }
 
 // reply is the answer that is on its way in.
@@ -48,6 +53,7 @@
 	last   bool          // the sidecar closes after it
 	any    bool          // some of it has come
 	odd    bool          // it has a form that is not read here
+	behind []byte        // what came behind it, until the next read
 	after  time.Duration // Retry-After
 }
 
@@ -61,7 +67,7 @@
 	afterName  = []byte("retry-after:")
 )
 
-// take reads what has come. It returns whether the answer is whole. Bytes behind it are dropped: a client that has one
+// take reads what has come. It returns whether the answer is whole. Bytes behind it are in r.behind: a client that has one
 // request out is owed nothing more.
 func (r *reply) take(data []byte) (whole bool) {
 	r.any = r.any || len(data) > 0
@@ -87,6 +93,9 @@
 		r.inBody = true
 	}
 	r.left -= len(data)
+	if r.left < 0 && !r.odd {
+		r.behind = data[len(data)+r.left:]
+	}
 	return r.left <= 0
 }
 
--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -47,6 +47,13 @@
 	Threads  int           // at least 1; each has its share of the links and of the rate
 	Seed     uint64        // of ids, classes and arrivals
 	Step     time.Duration // of the result's series; 0: a second
+	// Slack above 0 has what comes judged: the time after its client's patience within which a request is still to be
+	// answered. Who has given up listens for so long; the result has such a request as unanswered either way. 0: nothing
+	// is judged, and who gives up closes the connection at once.
+	Slack time.Duration
+	// Calm says that the sidecar has room for all that the plan opens. A connection that it closes on its first request
+	// is a break of a rule then; otherwise it is the sidecar's right.
+	Calm bool
 	// Began is called with the time at which the first request may be due, once the links are up, from any goroutine; nil:
 	// nobody is told.
 	Began func(time.Time) `json:"-"`
@@ -72,6 +79,7 @@
 		{p.Body >= 0 && p.Body <= 64<<10, fmt.Sprintf("body: %d, not 0 to 65536", p.Body)},
 		{p.Patience > 0, "patience: not above 0"},
 		{p.Retries >= 0 && p.Retries <= 10, fmt.Sprintf("retries: %d, not 0 to 10", p.Retries)},
+		{p.Slack >= 0 && p.Slack <= time.Minute, fmt.Sprintf("slack: %s, not 0 to 1 minute", p.Slack)},
 		{p.Backoff >= 0 && p.Backoff <= time.Minute, fmt.Sprintf("backoff: %s, not 0 to 1 minute", p.Backoff)},
 		{p.Step >= 0 && total <= mostSteps*p.step(), fmt.Sprintf("step: %s, below 0 or more than %d steps", p.Step, mostSteps)},
 		{total > 0 && total <= mostFor, fmt.Sprintf("for: %s, not above 0 and at most %s", total, mostFor)},
--- a/internal/lab/load/result.go
+++ b/internal/lab/load/result.go
@@ -91,6 +91,11 @@
 	Unread           int64             `json:"unread_format"` // answers in a form that this client does not read; part of failed
 	BeganMS          int64             `json:"began_ms"`      // Unix time
 	Histogram        string            `json:"histogram"`     // of what was served, in microseconds: HdrHistogram, V2, compressed, base64
+	Judged           bool              `json:"judged"`        // what came was judged
+	Breaks           int64             `json:"breaks"`        // of rules
+	Unjudged         int64             `json:"unjudged"`      // tries beyond those that the judge can look at, each of which may break one
+	Findings         []Finding         `json:"findings"`      // the first breaks
+	seen             testimony
 	served           *hdrhistogram.Histogram
 	classes          []*hdrhistogram.Histogram
 	late             *hdrhistogram.Histogram
@@ -167,6 +172,7 @@
 	r.Retried += o.Retried
 	r.Opened, r.OpenFailed, r.Resent, r.Unread = r.Opened+o.Opened, r.OpenFailed+o.OpenFailed, r.Resent+o.Resent, r.Unread+o.Unread
 	r.servedInTime += o.servedInTime
+	r.seen.merge(&o.seen)
 	r.gained += o.gained
 	r.askedFor += o.askedFor
 	r.served.Merge(o.served)
@@ -223,6 +229,7 @@
 	if r.Unread > 0 {
 		fmt.Fprintf(w, "%d answers had a form that this client does not read\n", r.Unread)
 	}
+	r.printFindings(w)
 	if !steps {
 		return
 	}
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -18,12 +18,16 @@
 	if err := r.finish(p.Length()); err != nil {
 		return nil, err
 	}
+	r.judge(p, 1)
 	return r, err
 }
 
 // RunAll carries out a plan against several sidecars at once, each with its part of the links and of the rate; the plan's
 // threads are for each. It returns what came of it all, as Run does.
 func RunAll(ctx context.Context, p *Plan, targets []string) (*Result, error) {
+	if len(targets) > mostSidecars {
+		return nil, fmt.Errorf("target: %d, more than %d", len(targets), mostSidecars)
+	}
 	if p.Links < len(targets)*p.Threads {
 		return nil, fmt.Errorf("links: %d are not one for each thread of %d targets", p.Links, len(targets))
 	}
@@ -47,12 +51,14 @@
 		if r == nil {
 			return nil, errs[i]
 		}
+		r.seen.of(i)
 		sum.merge(r)
 		sum.BeganMS = r.BeganMS
 	}
 	if err := sum.finish(p.Length()); err != nil {
 		return nil, err
 	}
+	sum.judge(p, len(targets))
 	return sum, ctx.Err()
 }
 
--- a/internal/lab/load/worker.go
+++ b/internal/lab/load/worker.go
@@ -29,6 +29,7 @@
 // worker is one thread with its own links, poll and figures.
 type worker struct {
 	plan     *Plan
+	index    int
 	ctx      context.Context
 	to       netip.AddrPort
 	rng      *rand.Rand
@@ -49,6 +50,9 @@
 	later   retries // by when they are due
 	out     int     // requests that are sent and not answered
 	lookAt  time.Duration
+	overdue int           // links that are listened to though their client has given up
+	polled  time.Duration // when the sockets were looked at last
+	gap     time.Duration // how long before that they had been looked at
 
 	shares  []float64 // of the classes, added up
 	request [][]byte  // of each class, with an id to be written at idAt; behind the classes' first tries, their retries
@@ -59,7 +63,7 @@
 }
 
 func newWorker(ctx context.Context, p *Plan, index int) (*worker, error) {
-	w := &worker{plan: p, ctx: ctx, length: p.Length(), closed: len(p.Stages) == 0, links: map[int32]*link{},
+	w := &worker{plan: p, index: index, ctx: ctx, length: p.Length(), closed: len(p.Stages) == 0, links: map[int32]*link{},
 		rng: rand.New(rand.NewPCG(p.Seed, uint64(index))), buf: make([]byte, 128<<10), result: newResult(p)}
 	var err error
 	if w.to, err = netip.ParseAddrPort(p.Target); err != nil {
@@ -166,7 +170,7 @@
 			w.next, w.more = w.arrivals.next()
 		}
 		// Danger: looked at before, a client that was stopped over the end would leave out what was due meanwhile.
-		if now >= w.length && (w.out == 0 && len(w.waiting) == 0 && len(w.waitNew) == 0 && len(w.later) == 0 || now >= w.last()) {
+		if now >= w.length && (w.out == 0 && w.overdue == 0 && len(w.waiting) == 0 && len(w.waitNew) == 0 && len(w.later) == 0 || now >= w.last()) {
 			break
 		}
 		for len(w.later) > 0 && w.later[0].sent <= now {
@@ -210,6 +214,8 @@
 	wait := unix.NsecToTimespec(max(int64(until-w.now()), 0))
 	n, _, errno := unix.Syscall6(unix.SYS_EPOLL_PWAIT2, uintptr(w.poll), uintptr(unsafe.Pointer(&events[0])),
 		uintptr(len(events)), uintptr(unsafe.Pointer(&wait)), 0, 0)
+	now := w.now()
+	w.gap, w.polled = now-w.polled, now
 	if errno != 0 {
 		return // interrupted by a signal
 	}
@@ -329,6 +335,7 @@
 			return
 		}
 		w.result.Opened++
+		l.opened = w.now()
 		if l.has {
 			l.state = idle
 			w.send(l, l.job)
@@ -399,8 +406,17 @@
 			w.ended(l)
 			return
 		}
-		if l.state == busy && l.reply.take(w.buf[:n]) {
-			w.answered(l)
+		switch l.state {
+		case busy:
+			if l.reply.take(w.buf[:n]) {
+				w.answered(l)
+			}
+		case overdue:
+			if l.reply.take(w.buf[:n]) {
+				w.heard(l)
+			}
+		case idle:
+			w.surplus(l, w.buf[:n])
 		}
 		if n < len(w.buf) && !ended {
 			return
@@ -415,8 +431,13 @@
 		w.result.Unread++
 	}
 	last := l.reply.last || l.reply.odd || !l.kept
+	l.answeredAt = w.now()
 	w.done(l, o)
 	l.carried++
+	if len(l.reply.behind) > 0 {
+		w.surplus(l, l.reply.behind)
+		return
+	}
 	if last {
 		w.close(l)
 		w.lost(l)
@@ -446,7 +467,7 @@
 	if o == Refused {
 		wait = max(wait, after)
 	}
-	j.tries, j.again, j.sent = j.tries+1, false, w.now()+wait
+	j.tries, j.again, j.tale, j.sent = j.tries+1, false, 0, w.now()+wait
 	w.result.Retried++
 	heap.Push(&w.later, j)
 	return true
@@ -454,7 +475,7 @@
 
 // last returns when a run is over whatever is out.
 func (w *worker) last() time.Duration {
-	d := w.length + w.plan.Patience + lookEvery
+	d := w.length + w.plan.Patience + w.plan.Slack + 2*lookEvery
 	if w.plan.Retries > 0 {
 		d += longestAfter + w.plan.Patience
 	}
@@ -479,7 +500,17 @@
 
 // ended takes the end of a connection by the other side.
 func (w *worker) ended(l *link) {
-	was, began, carried := l.state, l.reply.any, l.carried
+	was, began, carried, now := l.state, l.reply.any, l.carried, w.now()
+	switch {
+	case was == overdue && began: // who broke it off, a client alone can't tell
+		w.heard(l)
+		return
+	case was == overdue:
+		w.silent(l, now)
+		return
+	case was == busy && !began:
+		w.droppedOn(l, now)
+	}
 	w.close(l)
 	if was == busy {
 		if carried > 0 && !began && !l.job.again {
@@ -542,8 +573,14 @@
 	}
 	oldest := now - w.plan.Patience
 	for _, l := range w.links {
-		if l.has && l.job.sent <= oldest {
+		switch {
+		case l.has && l.job.sent <= oldest:
 			w.giveUp(l)
+		case l.state == overdue && l.job.sent <= oldest-w.plan.Slack:
+			// Danger: a client that was itself stopped finds what came meanwhile only when it reads.
+			if w.read(l, true); l.state == overdue {
+				w.silent(l, now)
+			}
 		}
 	}
 	w.waiting = w.unsent(w.waiting, oldest)
@@ -553,7 +590,11 @@
 // giveUp leaves a request as a client does that has waited long enough: it closes the connection.
 func (w *worker) giveUp(l *link) {
 	sent := l.state == busy
-	w.close(l)
+	if sent && w.plan.Slack > 0 && len(l.pending) == 0 {
+		w.listen(l)
+	} else {
+		w.close(l)
+	}
 	if sent {
 		w.done(l, Unanswered)
 	}
--- a/internal/lab/pressure/pressure.go
+++ b/internal/lab/pressure/pressure.go
@@ -215,7 +215,7 @@
 	c := &client{out: &bytes.Buffer{}, length: length}
 	var err error
 	c.child, err = b.group.Start(process.Spec{Name: "load", Path: b.settings.Self, Cores: b.settings.Cores.Load, Nice: b.settings.Nice, Out: c.out, Log: b.settings.Say,
-		Args: append([]string{"load", "--target", b.listen, "--json", "-", "--seed", strconv.Itoa(b.seed), "--for", length.String()}, args...)})
+		Args: append([]string{"load", "--target", b.listen, "--json", "-", "--slack", "0", "--seed", strconv.Itoa(b.seed), "--for", length.String()}, args...)})
 	return c, err
 }
 
