--- a/internal/lab/load/witness.go
+++ b/internal/lab/load/witness.go
@@ -64,6 +64,9 @@
 
 // droppedOn tells that the other side has ended a link with a request out and no byte of its answer.
 func (w *worker) droppedOn(l *link, now time.Duration) {
+	if first := l.carried == 0 && l.job.tale == 0; first && !w.plan.Calm { // its right
+		return
+	}
 	if len(l.pending) > 0 || !w.introduce(&l.job) { // Danger: what was not written whole was not taken
 		return
 	}
