Tell the judge of a load's closed links only where a rule may be broken

Change: the first closing is noted with the request, and told with the second. The clock is read for the judge only where there is one, so experiments and pressure pay nothing.

--- a/internal/lab/load/link.go
+++ b/internal/lab/load/link.go
@@ -26,6 +26,8 @@
 	tries int    // before this one
 	id    uint64 // of a keyed class: the key, the same for all tries
 	tale  uint64 // the try's number for the judge; 0: it has not been told of
+	// Of a request that is sent again: when it was sent first, and when its link's closing was seen.
+	askedAt, droppedAt time.Duration
 }
 
 // link is a connection to the sidecar, kept or for one request.
@@ -37,7 +39,7 @@
 	job     job
 	carried int           // requests answered on this connection
 	opened  time.Duration // when it came up
-	// answeredAt is when the last answer on it was whole.
+	// answeredAt is when the last answer on it was whole; kept for the judge alone.
 	answeredAt time.Duration
 	again      time.Duration // when to open it again
 	pending    []byte        // of the request, not taken by the socket yet
--- a/internal/lab/load/witness.go
+++ b/internal/lab/load/witness.go
@@ -49,8 +49,16 @@
 		}
 		t.tales++
 		j.tale = uint64(w.index)<<32 | t.tales
-		t.events = append(t.events, judge.Event{Kind: judge.Asked, Box: -1, Class: int32(j.class), At: at(j.sent), Until: until,
-			Request: j.tale, First: j.tale})
+		asked := judge.Event{Kind: judge.Asked, Box: -1, Class: int32(j.class), At: at(j.sent), Until: until, Request: j.tale, First: j.tale}
+		if j.again {
+			asked.At, asked.Until = at(j.askedAt), at(j.askedAt+w.plan.Patience)
+			taken := asked
+			taken.Kind, taken.Link = judge.Taken, j.tale
+			t.events = append(t.events, asked, taken)
+			w.tell(j, judge.Dropped, j.droppedAt, 0, true)
+		} else {
+			t.events = append(t.events, asked)
+		}
 	}
 	t.events = append(t.events, judge.Event{Kind: judge.Taken, Box: -1, At: at(j.sent), Until: until, Request: j.tale, Link: j.tale})
 	return true
@@ -64,14 +72,17 @@
 
 // droppedOn tells that the other side has ended a link with a request out and no byte of its answer.
 func (w *worker) droppedOn(l *link, now time.Duration) {
-	if first := l.carried == 0 && l.job.tale == 0; first && !w.plan.Calm { // its right
-		return
-	}
-	if len(l.pending) > 0 || !w.introduce(&l.job) { // Danger: what was not written whole was not taken
-		return
+	j := &l.job
+	rested := j.sent-l.opened >= crossWithin && now-j.sent < crossWithin
+	switch {
+	case w.plan.Slack == 0:
+	case l.carried > 0 && !j.again: // the close may have crossed the request, which is sent once more
+		j.askedAt, j.droppedAt = j.sent, now
+	case len(l.pending) > 0: // Danger: what was not written whole was not taken
+	case w.gap >= ownStall || !j.again && (rested || !w.plan.Calm):
+	case w.introduce(j):
+		w.tell(j, judge.Dropped, now, 0, false)
 	}
-	rested := l.job.sent-l.opened >= crossWithin && now-l.job.sent < crossWithin
-	w.tell(&l.job, judge.Dropped, now, 0, l.carried > 0 || rested || w.gap >= ownStall)
 }
 
 // surplus tells of bytes that nothing was asked for. The link is of no more use: whose answer comes on it next could not
--- a/internal/lab/load/witness_test.go
+++ b/internal/lab/load/witness_test.go
@@ -44,6 +44,9 @@
 		{"closes a link that has served once", func(c net.Conn, _, request int) bool {
 			return request != 3 && answers(ok)(c, 0, 0)
 		}, "", quiet, false},
+		{"closes each link that has served once", func(c net.Conn, _, request int) bool {
+			return request == 0 && answers(ok)(c, 0, 0)
+		}, "", quiet, false},
 		{"answers within the slack", func(c net.Conn, _, _ int) bool {
 			time.Sleep(300 * time.Millisecond) // the client gives up after 200 ms
 			return answers(ok)(c, 0, 0)
@@ -75,11 +78,11 @@
 			t.Parallel()
 			p := plan(scripted(t, c.answer))
 			p.Patience, p.Slack, p.Calm = 200*time.Millisecond, c.slack, c.calm
-			if c.why == "" && c.slack == quiet { // a machine that is busy is not to look like a server that is late
+			if c.slack == quiet { // a machine that is busy is not to look like a server that is late
 				p.Patience = 10 * time.Second
 			}
 			if c.name == "answers twice" {
-				p.Links, p.Stages = 1, []Stage{{100, 100, 40 * time.Millisecond}, {0, 0, quiet}}
+				p.Links, p.Stages = 1, []Stage{{100, 100, 40 * time.Millisecond}, {0, 0, 2 * time.Second}}
 			}
 			r, err := Run(context.Background(), p)
 			require.NoError(t, err)
--- a/internal/lab/load/worker.go
+++ b/internal/lab/load/worker.go
@@ -214,8 +214,10 @@
 	wait := unix.NsecToTimespec(max(int64(until-w.now()), 0))
 	n, _, errno := unix.Syscall6(unix.SYS_EPOLL_PWAIT2, uintptr(w.poll), uintptr(unsafe.Pointer(&events[0])),
 		uintptr(len(events)), uintptr(unsafe.Pointer(&wait)), 0, 0)
-	now := w.now()
-	w.gap, w.polled = now-w.polled, now
+	if w.plan.Slack > 0 {
+		now := w.now()
+		w.gap, w.polled = now-w.polled, now
+	}
 	if errno != 0 {
 		return // interrupted by a signal
 	}
@@ -431,7 +433,9 @@
 		w.result.Unread++
 	}
 	last := l.reply.last || l.reply.odd || !l.kept
-	l.answeredAt = w.now()
+	if w.plan.Slack > 0 {
+		l.answeredAt = w.now()
+	}
 	w.done(l, o)
 	l.carried++
 	if len(l.reply.behind) > 0 {
