--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -210,6 +210,9 @@
 			}
 		}
 	}
+	if len(classes) == 0 { // Danger: an axis without names panics
+		return nil, errNothing
+	}
 	slices.Sort(classes)
 	p := newPlot("refused, and above it failed", "", "% of the class's requests")
 	p.NominalX(classes...)
@@ -228,7 +231,7 @@
 		}
 		low, err := plotter.NewBarChart(refused, bar)
 		if err != nil {
-			return nil, errNothing // there is no class
+			return nil, err
 		}
 		high, err := plotter.NewBarChart(failed, bar)
 		if err != nil {
