Read, write and render an application's and a site's configuration

An application's deadlines and classes are written by hand as JSON that names units in field names and skips what it does not know. Package appconfig has one model with tags that describe four files: app.toml and site.toml, which people write with units in the text, and the platform's file and the features that they are rendered to. Reading goes on after every fault, also of syntax, and keeps the line and column of each field.

--- /dev/null
+++ b/internal/appconfig/decode.go
@@ -0,0 +1,502 @@
+package appconfig
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"reflect"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// decoder takes a tree over into the model. It goes on after each fault.
+type decoder struct {
+	f    *File
+	form form
+	side string // before the paths of the model: "app."
+}
+
+// object reads the fields of v, a pointer to a struct, from the top of a file.
+func (d *decoder) object(v any, n *node) {
+	d.fields(reflect.ValueOf(v).Elem(), n, d.side, "")
+}
+
+// fields reads the fields of a struct. path is its place in the model, shown its name in the file, both with a dot behind
+// them. In rendered files the tables of the model are no tables: their fields say where they are from the top, or from
+// the list's element, on.
+func (d *decoder) fields(v reflect.Value, n *node, path, shown string) {
+	for _, f := range fieldsOf(v.Type()) {
+		at, name, s := v.Field(f.index), f.in(d.form), (reflect.Type)(nil)
+		var many bool
+		if s, many = structure(f.kind); s != nil && !many {
+			d.section(at, &f, n, path, shown)
+			continue
+		}
+		if name == "" {
+			continue
+		}
+		e := n.walk(name)
+		if d.form == tomlForm {
+			e = n.get(name)
+		}
+		field := path + f.name
+		where := shown + strings.ReplaceAll(name, "/", ".")
+		if e == nil || e.kind == null && d.form != tomlForm {
+			if f.Need && !(f.name == "format") && !d.f.Bad(strings.TrimSuffix(path, ".")) {
+				place := d.f.At(field)
+				place.Field = where
+				d.f.fault(Missing, place, field, f.Comment)
+			}
+			continue
+		}
+		d.f.places[field] = d.f.placeOf(e, where)
+		switch {
+		case e.kind == broken:
+			d.f.bad[field] = true
+		case s != nil:
+			d.elements(at, s, &f, e, field, where)
+		default:
+			d.value(at, &f, e, field)
+		}
+	}
+}
+
+// section reads a table of the model.
+func (d *decoder) section(at reflect.Value, f *Field, n *node, path, shown string) {
+	field := path + f.name
+	optional := at.Kind() == reflect.Pointer
+	if d.form == tomlForm {
+		e := n.get(f.name)
+		if e != nil {
+			d.f.places[field] = d.f.placeOf(e, shown+f.name)
+			switch {
+			case e.kind == broken:
+				d.f.bad[field] = true
+				return
+			case e.kind != table:
+				d.f.faultField(WrongType, field, e.kind.String(), "a table, ["+shown+f.name+"]")
+				return
+			}
+		}
+		if e == nil && optional {
+			return
+		}
+		if optional {
+			at.Set(reflect.New(at.Type().Elem()))
+			at = at.Elem()
+			setDefaults(at)
+		}
+		if e == nil {
+			e = &node{kind: table}
+		}
+		d.fields(at, e, field+".", shown+f.name+".")
+		return
+	}
+	if optional {
+		name := f.in(d.form)
+		e, given := n.walk(name), false
+		for _, other := range n.items {
+			given = given || strings.HasPrefix(other.key, name+".")
+		}
+		if name == "" || e == nil && !given {
+			return
+		}
+		if e != nil {
+			d.f.places[field] = d.f.placeOf(e, name)
+			if e.kind != table {
+				d.f.faultField(WrongType, field, e.kind.String(), "an object")
+				return
+			}
+		}
+		at.Set(reflect.New(at.Type().Elem()))
+		at = at.Elem()
+		setDefaults(at)
+	}
+	d.fields(at, n, field+".", shown)
+}
+
+// elements reads a list of tables.
+func (d *decoder) elements(at reflect.Value, s reflect.Type, f *Field, e *node, field, where string) {
+	if e.kind != list {
+		wanted := "a list"
+		if d.form == tomlForm {
+			wanted = "a list of tables, [[" + where + "]]"
+		}
+		d.f.faultField(WrongType, field, e.kind.String(), wanted)
+		return
+	}
+	for i, item := range e.items {
+		v := reflect.New(s).Elem()
+		setDefaults(v)
+		one, shown := fmt.Sprintf("%s[%d]", field, i), fmt.Sprintf("%s[%d]", where, i)
+		d.f.places[one] = d.f.placeOf(item, shown)
+		if item.kind == table {
+			d.fields(v, item, one+".", shown+".")
+		} else if d.f.bad[one] = true; item.kind != broken {
+			d.f.faultField(WrongType, one, item.kind.String(), "a table")
+		}
+		at.Set(reflect.Append(at, v))
+	}
+	if f.Need && len(e.items) == 0 {
+		d.f.faultField(Missing, field, f.Comment)
+	}
+}
+
+// value reads a field that is no table. What is at fault keeps its default.
+func (d *decoder) value(at reflect.Value, f *Field, e *node, field string) {
+	switch p := at.Addr().Interface().(type) {
+	case *Duration:
+		if v, ok := d.measure(f, e, field, func(s string) (float64, *unitError) { v, err := parseDuration(s); return float64(v), err }); ok {
+			*p = Duration(v)
+		}
+	case *Size:
+		if v, ok := d.measure(f, e, field, func(s string) (float64, *unitError) { v, err := parseSize(s); return float64(v), err }); ok {
+			*p = Size(v)
+		}
+	case *float64:
+		if v, ok := d.number(f, e, field); ok {
+			*p = v
+		}
+	case *int:
+		if v, ok := d.number(f, e, field); ok {
+			if v != math.Trunc(v) {
+				d.f.faultField(NotWhole, field, e.text)
+			} else {
+				*p = int(v)
+			}
+		}
+	case *bool:
+		if e.kind != boolean {
+			d.f.faultField(WrongType, field, e.kind.String(), "true or false")
+			return
+		}
+		*p = e.truth
+	case *string:
+		if v, ok := d.word(f, e, field); ok {
+			*p = v
+		}
+	case *[]string:
+		d.words(p, e, field)
+	case *map[string]any:
+		if e.kind != table {
+			d.f.faultField(WrongType, field, e.kind.String(), "a table")
+			return
+		}
+		*p, _ = e.value().(map[string]any)
+		d.placesIn(e, field, d.f.places[field].Field)
+	}
+}
+
+// placesIn keeps the places within a section whose fields are not known here.
+func (d *decoder) placesIn(n *node, field, shown string) {
+	for i, e := range n.items {
+		name := "." + e.key
+		if n.kind == list {
+			name = fmt.Sprintf("[%d]", i)
+		}
+		d.f.places[field+name] = d.f.placeOf(e, shown+name)
+		d.placesIn(e, field+name, shown+name)
+	}
+}
+
+// measure reads a time span or a size, in nanoseconds or bytes.
+func (d *decoder) measure(f *Field, e *node, field string, parse func(string) (float64, *unitError)) (float64, bool) {
+	isNumber := e.kind == integer || e.kind == float
+	if d.form != tomlForm {
+		if !isNumber {
+			d.f.faultField(WrongType, field, e.kind.String(), "a number")
+			return 0, false
+		}
+		v, ok := d.finite(e, field)
+		if !ok {
+			return 0, false
+		}
+		v = math.Round(v * f.rate())
+		return v, d.inRange(f, v, e.text, field)
+	}
+	size := f.kind == reflect.TypeFor[Size]()
+	switch {
+	case isNumber && (e.huge || math.IsNaN(e.number) || math.IsInf(e.number, 0)):
+		d.f.faultField(TooHuge, field, e.text)
+		return 0, false
+	case isNumber:
+		d.f.faultField(NoUnit, field, e.text, meant(e, size))
+		return 0, false
+	case e.kind != text:
+		d.f.faultField(WrongType, field, e.kind.String(), f.Range())
+		return 0, false
+	}
+	v, err := parse(e.text)
+	switch {
+	case err != nil && err.huge:
+		d.f.faultField(TooHuge, field, e.text)
+	case err != nil && err.unit == "":
+		d.f.faultField(NoUnit, field, strconv.Quote(e.text), err.meant)
+	case err != nil:
+		d.f.faultField(BadUnit, field, e.text, err.meant)
+	default:
+		return v, d.inRange(f, v, e.text, field)
+	}
+	return 0, false
+}
+
+// meant guesses which time or size a bare number stands for.
+func meant(e *node, size bool) string {
+	v := e.number
+	short := func(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+	switch {
+	case size && v >= 1024 && v == math.Trunc(v):
+		return fmt.Sprintf("%q", Size(v).String())
+	case size:
+		return fmt.Sprintf("%q or %q", short(v)+"KiB", short(v)+"MiB")
+	case v != math.Trunc(v) && v < 1000 && v > 0:
+		return fmt.Sprintf("%q if seconds are meant", Seconds(v).String())
+	}
+	return fmt.Sprintf("%q or %q", short(v)+"ms", short(v)+"s")
+}
+
+// finite returns a number that can be held.
+func (d *decoder) finite(e *node, field string) (float64, bool) {
+	if e.huge || math.IsNaN(e.number) || math.IsInf(e.number, 0) {
+		d.f.faultField(TooHuge, field, e.text)
+		return 0, false
+	}
+	return e.number, true
+}
+
+func (d *decoder) number(f *Field, e *node, field string) (float64, bool) {
+	if e.kind != integer && e.kind != float {
+		d.f.faultField(WrongType, field, e.kind.String(), f.Range())
+		return 0, false
+	}
+	v, ok := d.finite(e, field)
+	return v + 0, ok && d.inRange(f, v, e.text, field)
+}
+
+func (d *decoder) inRange(f *Field, v float64, said, field string) bool {
+	if !f.allows(v) {
+		d.f.faultField(OutOfRange, field, said, f.Range())
+		return false
+	}
+	if v == 0 && strings.HasPrefix(said, "-") {
+		d.f.fault(MinusZero, d.f.At(field), "", said)
+	}
+	return true
+}
+
+func (d *decoder) word(f *Field, e *node, field string) (string, bool) {
+	if e.kind != text {
+		d.f.faultField(WrongType, field, e.kind.String(), f.Range())
+		return "", false
+	}
+	if e.text == "" && f.Need {
+		d.f.faultField(EmptyText, field, f.Comment)
+		return "", false
+	}
+	if len(f.Enum) == 0 {
+		return e.text, true
+	}
+	var words []string
+	for _, pair := range f.Enum {
+		shown := pair[0]
+		if d.form != tomlForm {
+			shown = pair[1]
+		}
+		if e.text == shown {
+			return pair[0], true
+		}
+		words = append(words, shown)
+	}
+	if e.text == "" && d.form != tomlForm {
+		return "", true
+	}
+	d.f.faultField(NotOneOf, field, e.text, strings.Join(words, ", "), Nearest(e.text, words))
+	return "", false
+}
+
+func (d *decoder) words(p *[]string, e *node, field string) {
+	if e.kind != list {
+		d.f.faultField(WrongType, field, e.kind.String(), "a list of texts")
+		return
+	}
+	for i, item := range e.items {
+		one := fmt.Sprintf("%s[%d]", field, i)
+		d.f.places[one] = d.f.placeOf(item, fmt.Sprintf("%s[%d]", d.f.places[field].Field, i))
+		if item.kind != text {
+			d.f.faultField(WrongType, one, item.kind.String(), "text")
+		}
+		*p = append(*p, item.text)
+	}
+}
+
+// names are the fields that tables of a kind of file have: by the table's name, without the numbers of lists.
+type names map[string]map[string]bool
+
+var (
+	namesOnce sync.Once
+	namesOf   map[Kind]names
+)
+
+// knownNames returns the names that a kind of file knows.
+func knownNames(k Kind) names {
+	namesOnce.Do(func() {
+		app, site := reflect.TypeFor[App](), reflect.TypeFor[Site]()
+		namesOf = map[Kind]names{AppFile: {}, SiteFile: {}, PlatformFile: {}, FeaturesFile: {}}
+		namesOf[AppFile].add(app, "", tomlForm)
+		namesOf[SiteFile].add(site, "", tomlForm)
+		namesOf[FeaturesFile].add(app, "", featuresForm)
+		namesOf[PlatformFile].add(app, "", platformForm)
+		namesOf[PlatformFile].add(site, "", platformForm)
+		for _, path := range elsewhere {
+			namesOf[PlatformFile].path("", strings.ReplaceAll(path, ".", "/"))
+		}
+	})
+	return namesOf[k]
+}
+
+// and returns the names at the top of both kinds.
+func (n names) and(other names) map[string]bool {
+	all := maps.Clone(n[""])
+	maps.Copy(all, other[""])
+	return all
+}
+
+// path adds a name and all that it stands in, and returns what it is called from the top.
+func (n names) path(under, path string) string {
+	for _, part := range strings.Split(path, "/") {
+		if n[under] == nil {
+			n[under] = map[string]bool{}
+		}
+		n[under][part] = true
+		if under != "" {
+			part = under + "." + part
+		}
+		under = part
+	}
+	return under
+}
+
+func (n names) add(t reflect.Type, under string, as form) {
+	for _, f := range fieldsOf(t) {
+		s, many := structure(f.kind)
+		at := under
+		if name := f.in(as); name != "" {
+			at = n.path(under, name)
+			if s == nil && f.kind.Kind() == reflect.Map {
+				n[at] = nil // anything
+			}
+		} else if s == nil || many {
+			continue
+		}
+		if s != nil {
+			if as != tomlForm && !many {
+				at = under // fields say where they are from the top on
+			}
+			n.add(s, at, as)
+		}
+	}
+}
+
+// mostNear bounds for how many unknown names a near one is looked for.
+const mostNear = 200
+
+// unknown adds a fault for each name that the file's kind does not have.
+func (d *decoder) unknown(n *node, known names) { d.unknownIn(n, known, "", "") }
+
+func (d *decoder) unknownIn(n *node, known names, generic, shown string) {
+	if n.kind == list {
+		for i, e := range n.items {
+			d.unknownIn(e, known, generic, fmt.Sprintf("%s[%d]", shown, i))
+		}
+		return
+	}
+	for _, e := range n.items {
+		name, where := e.key, e.key
+		if generic != "" {
+			name, where = generic+"."+e.key, shown+"."+e.key
+		}
+		if below, ok := known[name]; ok {
+			if below != nil && (e.kind == table || e.kind == list) {
+				d.unknownIn(e, known, name, where)
+			}
+			continue
+		}
+		if known[generic][e.key] || d.form == platformForm && foldIn(known[generic], e.key) || generic == "" && known.has(e.key) {
+			continue
+		}
+		near := ""
+		if len(d.f.Faults) < mostNear {
+			near = Nearest(e.key, sortedKeys(known[generic]))
+		}
+		place := d.f.placeOf(e, where)
+		kind, args := Unknown, []any{where, near}
+		switch {
+		case d.form == platformForm && near == "":
+			kind, args = UnknownFar, args[:1]
+		case d.form == platformForm:
+			kind = UnknownNear
+		default:
+			if home := homeOf(known, e.key); home != "" && d.form == tomlForm && near == "" {
+				kind, args = OtherTable, []any{where, home}
+			} else if other := otherKind(d.f.Kind, name); other != "" && near == "" {
+				kind, args = OtherFileField, []any{where, string(other)}
+			}
+		}
+		d.f.fault(kind, place, "", args...)
+	}
+}
+
+// has tells whether a name with dots is a field, as features may be written at their file's top.
+func (n names) has(dotted string) bool {
+	under, name, ok := cutLast(dotted)
+	return ok && n[under][name]
+}
+
+func cutLast(s string) (before, after string, found bool) {
+	i := strings.LastIndex(s, ".")
+	if i < 0 {
+		return "", s, false
+	}
+	return s[:i], s[i+1:], true
+}
+
+// homeOf says where a field belongs that stands in the wrong table; "" where that is not plain. In TOML all that follows a
+// table's header is the table's, which those who add a field at the end forget.
+func homeOf(known names, key string) string {
+	home, n := "", 0
+	for under, fields := range known {
+		if !fields[key] {
+			continue
+		}
+		n++
+		home = "the top of the file, before the first table"
+		if under != "" {
+			home = "[" + under + "]"
+		}
+	}
+	if n != 1 {
+		return ""
+	}
+	return home
+}
+
+// otherKind returns the kind of file that people write which has a field that this kind has not.
+func otherKind(k Kind, name string) Kind {
+	under, key, _ := cutLast(name)
+	for _, other := range []Kind{AppFile, SiteFile} {
+		if other != k && knownNames(other)[under][key] {
+			return other
+		}
+	}
+	return ""
+}
+
+func foldIn(m map[string]bool, key string) bool {
+	for name := range m {
+		if strings.EqualFold(name, key) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/appconfig/fields.go
@@ -0,0 +1,234 @@
+package appconfig
+
+import (
+	"reflect"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// form is how a text writes the model: which of its names a field goes by, and what stands for time spans.
+type form byte
+
+const (
+	tomlForm     form = 't'
+	platformForm form = 'p'
+	featuresForm form = 'f'
+)
+
+// Field describes a field of the model, as its tags say it.
+type Field struct {
+	Path    string // among the files that people write, "class.aim"
+	File    string // where it is rendered to, "p:settings/selfIndex"; in a list's element from the element on
+	Unit    string // of a number there
+	Comment string
+	Default string
+	Need    bool
+	Enum    [][2]string // what people write, what is rendered
+
+	least, above, most string
+	name               string
+	index              int
+	kind               reflect.Type
+}
+
+var fieldCache sync.Map // reflect.Type to []Field
+
+// fieldsOf returns a struct's fields.
+func fieldsOf(t reflect.Type) []Field {
+	if all, ok := fieldCache.Load(t); ok {
+		return all.([]Field)
+	}
+	var all []Field
+	for i := range t.NumField() {
+		tag := t.Field(i).Tag
+		name, _, _ := strings.Cut(tag.Get("toml"), ",")
+		f := Field{File: tag.Get("file"), Unit: tag.Get("unit"), Comment: tag.Get("comment"), Default: tag.Get("default"),
+			Need: tag.Get("need") != "", least: tag.Get("least"), above: tag.Get("above"), most: tag.Get("most"),
+			name: name, index: i, kind: t.Field(i).Type}
+		if e := tag.Get("enum"); e != "" {
+			for _, pair := range strings.Split(e, ",") {
+				word, other, _ := strings.Cut(pair, "=")
+				f.Enum = append(f.Enum, [2]string{word, other})
+			}
+		}
+		all = append(all, f)
+	}
+	fieldCache.Store(t, all)
+	return all
+}
+
+// in returns where a form has the field, "" where it has none.
+func (f *Field) in(as form) string {
+	if as == tomlForm {
+		return f.name
+	}
+	if path, ok := strings.CutPrefix(f.File, string(as)+":"); ok {
+		return path
+	}
+	return ""
+}
+
+// structure returns the struct type that a field's type is made of, and whether it is a list of them; nil for a value.
+func structure(t reflect.Type) (reflect.Type, bool) {
+	many := t.Kind() == reflect.Slice
+	if many || t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if t.Kind() == reflect.Struct {
+		return t, many
+	}
+	return nil, many
+}
+
+// Fields returns all fields of a kind of file, in its order, tables before what is in them.
+func Fields(k Kind) []Field {
+	t := reflect.TypeFor[App]()
+	if k == SiteFile {
+		t = reflect.TypeFor[Site]()
+	}
+	return under(t, "")
+}
+
+func under(t reflect.Type, path string) []Field {
+	var all []Field
+	for _, f := range fieldsOf(t) {
+		f.Path = path + f.name
+		all = append(all, f)
+		if s, _ := structure(f.kind); s != nil {
+			all = append(all, under(s, f.Path+".")...)
+		}
+	}
+	return all
+}
+
+// Range says in words which values a field takes.
+func (f *Field) Range() string {
+	var parts []string
+	switch f.kind {
+	case reflect.TypeFor[Duration]():
+		parts = append(parts, `a time with its unit, like "600ms"`)
+	case reflect.TypeFor[Size]():
+		parts = append(parts, `a size with its unit, like "64KiB"`)
+	default:
+		switch f.kind.Kind() {
+		case reflect.Int:
+			parts = append(parts, "a whole number")
+		case reflect.Float64:
+			parts = append(parts, "a number")
+		case reflect.Bool:
+			parts = append(parts, "true or false")
+		case reflect.String:
+			parts = append(parts, "text")
+		case reflect.Slice:
+			parts = append(parts, "a list")
+		default:
+			parts = append(parts, "a table")
+		}
+	}
+	if len(f.Enum) > 0 {
+		parts = []string{strings.Join(f.Words(), ", ")}
+	}
+	if f.least != "" {
+		parts = append(parts, "at least "+f.least)
+	}
+	if f.above != "" {
+		parts = append(parts, "above "+f.above)
+	}
+	if f.most != "" {
+		parts = append(parts, "at most "+f.most)
+	}
+	return strings.Join(parts, ", ")
+}
+
+// Words are what an enumerated field takes.
+func (f *Field) Words() []string {
+	var words []string
+	for _, pair := range f.Enum {
+		words = append(words, pair[0])
+	}
+	return words
+}
+
+// allows tells whether a value, in seconds, bytes or as it is, lies in the field's range.
+func (f *Field) allows(v float64) bool {
+	bound := func(s string) float64 {
+		if d, err := parseDuration(s); f.kind == reflect.TypeFor[Duration]() && err == nil {
+			return float64(d)
+		}
+		if b, err := parseSize(s); f.kind == reflect.TypeFor[Size]() && err == nil {
+			return float64(b)
+		}
+		n, _ := strconv.ParseFloat(s, 64) // a tag; the test of tags reads them all
+		return n
+	}
+	return (f.least == "" || v >= bound(f.least)) && (f.above == "" || v > bound(f.above)) && (f.most == "" || v <= bound(f.most))
+}
+
+// rate is how many bytes or nanoseconds one of the field's unit in a rendered file is.
+func (f *Field) rate() float64 {
+	switch f.Unit {
+	case "s":
+		return 1e9
+	case "ms":
+		return 1e6
+	case "MiB":
+		return 1 << 20
+	}
+	return 1
+}
+
+// setDefaults gives a struct what holds where a file says nothing.
+func setDefaults(v reflect.Value) {
+	for _, f := range fieldsOf(v.Type()) {
+		at := v.Field(f.index)
+		if at.Kind() == reflect.Struct {
+			setDefaults(at)
+		}
+		if f.Default == "" {
+			continue
+		}
+		switch p := at.Addr().Interface().(type) {
+		case *Duration:
+			*p, _ = parseDuration(f.Default)
+		case *Size:
+			*p, _ = parseSize(f.Default)
+		case *int:
+			*p, _ = strconv.Atoi(f.Default)
+		case *float64:
+			*p, _ = strconv.ParseFloat(f.Default, 64)
+		case *bool:
+			*p = f.Default == "true"
+		case *string:
+			*p = f.Default
+		}
+	}
+}
+
+// NewApp returns an application with all defaults.
+func NewApp() *App {
+	a := &App{Format: AppFormat}
+	setDefaults(reflect.ValueOf(a).Elem())
+	return a
+}
+
+// NewSite returns a site with all defaults.
+func NewSite() *Site {
+	s := &Site{Format: SiteFormat}
+	setDefaults(reflect.ValueOf(s).Elem())
+	return s
+}
+
+// NewHealth returns the side port's defaults, without a port.
+func NewHealth() *Health {
+	h := &Health{}
+	setDefaults(reflect.ValueOf(h).Elem())
+	return h
+}
+
+// NewCapture returns the capture's defaults.
+func NewCapture() *Capture {
+	c := &Capture{}
+	setDefaults(reflect.ValueOf(c).Elem())
+	return c
+}
--- /dev/null
+++ b/internal/appconfig/jsontree.go
@@ -0,0 +1,125 @@
+package appconfig
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// mostDepth bounds how deep a JSON text may be nested; no configuration comes near it.
+const mostDepth = 64
+
+var errDepth = errors.New("nested too deep")
+
+// parseJSON reads a text; nil where it is no JSON. Of a field that is given twice the last counts, as it does for serve.
+func (f *File) parseJSON() *node {
+	var raw json.RawMessage
+	if err := json.Unmarshal(f.Text, &raw); err != nil {
+		at := len(f.Text)
+		var syntax *json.SyntaxError
+		if errors.As(err, &syntax) {
+			at = int(syntax.Offset) - 1
+			if strings.Contains(err.Error(), "unexpected end") {
+				at = len(bytes.TrimRight(f.Text, " \t\r\n"))
+			}
+		}
+		f.faultAt(Syntax, at, "", strings.TrimPrefix(err.Error(), "json: "))
+		return nil
+	}
+	d := json.NewDecoder(bytes.NewReader(f.Text))
+	d.UseNumber()
+	n, err := f.jsonValue(d, 0)
+	if err != nil {
+		if errors.Is(err, errDepth) {
+			f.faultAt(TooDeep, int(d.InputOffset()), "", mostDepth)
+		} else if !errors.Is(err, io.EOF) {
+			f.faultAt(Syntax, int(d.InputOffset()), "", err.Error())
+		}
+		return nil
+	}
+	return n
+}
+
+// next returns the offset of the next token.
+func (f *File) next(d *json.Decoder) int {
+	at := int(d.InputOffset())
+	for at < len(f.Text) && strings.IndexByte(" \t\r\n,:", f.Text[at]) >= 0 {
+		at++
+	}
+	return at
+}
+
+func (f *File) jsonValue(d *json.Decoder, depth int) (*node, error) {
+	if depth > mostDepth {
+		return nil, errDepth
+	}
+	n := &node{offset: f.next(d)}
+	token, err := d.Token()
+	if err != nil {
+		return nil, err
+	}
+	switch v := token.(type) {
+	case json.Delim:
+		if v == '[' {
+			n.kind = list
+			for d.More() {
+				e, err := f.jsonValue(d, depth+1)
+				if err != nil {
+					return nil, err
+				}
+				n.items = append(n.items, e)
+			}
+		} else {
+			n.kind = table
+			for d.More() {
+				if err := f.jsonField(d, n, depth); err != nil {
+					return nil, err
+				}
+			}
+		}
+		if _, err := d.Token(); err != nil { // its end
+			return nil, err
+		}
+	case string:
+		n.kind, n.text = text, v
+	case bool:
+		n.kind, n.truth = boolean, v
+	case json.Number:
+		n.text = v.String()
+		n.number, err = strconv.ParseFloat(n.text, 64)
+		n.kind, n.huge = float, err != nil
+		if whole, err := strconv.ParseInt(n.text, 10, 64); err == nil {
+			n.kind, n.whole = integer, whole
+		} else if !strings.ContainsAny(n.text, ".eE") {
+			n.kind, n.huge = integer, true
+		}
+	default:
+		n.kind = null
+	}
+	return n, nil
+}
+
+func (f *File) jsonField(d *json.Decoder, n *node, depth int) error {
+	at := f.next(d)
+	token, err := d.Token()
+	if err != nil {
+		return err
+	}
+	key, _ := token.(string) // a JSON text that is valid has nothing else here
+	e, err := f.jsonValue(d, depth+1)
+	if err != nil {
+		return err
+	}
+	e.offset = at
+	if old := n.get(key); old != nil {
+		f.faultAt(Twice, at, key, f.lineOf(old.offset))
+		*old = *e
+		old.key = key
+		return nil
+	}
+	n.put(key, e)
+	return nil
+}
--- /dev/null
+++ b/internal/appconfig/lines.go
@@ -0,0 +1,29 @@
+package appconfig
+
+import (
+	"sort"
+	"unicode/utf8"
+)
+
+// lines finds places in a text.
+type lines struct {
+	text   []byte
+	starts []int // of each line
+}
+
+func newLines(text []byte) lines {
+	l := lines{text: text, starts: []int{0}}
+	for i, b := range text {
+		if b == '\n' {
+			l.starts = append(l.starts, i+1)
+		}
+	}
+	return l
+}
+
+// at returns the line and the column of an offset, both from 1; a column is a character, whatever its bytes.
+func (l *lines) at(offset int) (line, column int) {
+	offset = min(max(offset, 0), len(l.text))
+	line = sort.SearchInts(l.starts, offset+1)
+	return line, utf8.RuneCount(l.text[l.starts[line-1]:offset]) + 1
+}
--- /dev/null
+++ b/internal/appconfig/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package appconfig
+
+const slowness = 1
--- /dev/null
+++ b/internal/appconfig/units.go
@@ -0,0 +1,173 @@
+package appconfig
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/invopop/jsonschema"
+)
+
+// Duration is a time span. As text it has its unit behind it: "600ms", "12s", "1min30s".
+type Duration time.Duration
+
+// Size is a number of bytes. As text: "64KiB", "192MiB".
+type Size int64
+
+// S returns a time span in seconds.
+func (d Duration) S() float64 { return float64(d) / 1e9 }
+
+// Seconds returns the time span of so many seconds, to the nanosecond.
+func Seconds(s float64) Duration {
+	return Duration(math.Round(min(max(s*1e9, math.MinInt64), math.MaxInt64/2)))
+}
+
+var durationUnits = []struct {
+	name string
+	ns   int64
+}{{"d", 24 * 3600e9}, {"h", 3600e9}, {"min", 60e9}, {"s", 1e9}, {"ms", 1e6}, {"us", 1e3}, {"ns", 1}}
+
+var sizeUnits = []struct {
+	name  string
+	bytes int64
+}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+
+// String writes a time span in the largest unit that divides it.
+func (d Duration) String() string {
+	for _, u := range durationUnits {
+		if int64(d)%u.ns == 0 && d != 0 {
+			return strconv.FormatInt(int64(d)/u.ns, 10) + u.name
+		}
+	}
+	return "0s"
+}
+
+func (s Size) String() string {
+	for _, u := range sizeUnits {
+		if int64(s)%u.bytes == 0 && s != 0 {
+			return strconv.FormatInt(int64(s)/u.bytes, 10) + u.name
+		}
+	}
+	return "0B"
+}
+
+// MarshalText makes TOML write the unit.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// MarshalText makes TOML write the unit.
+func (s Size) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// JSONSchema says to editors what a time span looks like.
+func (Duration) JSONSchema() *jsonschema.Schema {
+	return &jsonschema.Schema{Type: "string", Pattern: `^(\d+(\.\d+)?(d|h|min|s|ms|us|ns))+$`, Examples: []any{"600ms", "12s"}}
+}
+
+// JSONSchema says to editors what a size looks like.
+func (Size) JSONSchema() *jsonschema.Schema {
+	return &jsonschema.Schema{Type: "string", Pattern: `^\d+(\.\d+)?(B|KiB|MiB|GiB)$`, Examples: []any{"64KiB", "192MiB"}}
+}
+
+// unitError says what is wrong with a unit and what may be meant; Huge: the number can't be held.
+type unitError struct {
+	unit, meant string
+	huge        bool
+}
+
+func (e *unitError) Error() string { return fmt.Sprintf("unit %q", e.unit) }
+
+// parseDuration reads a time span. Danger: "480m" is milliseconds in a request's header and minutes elsewhere, so m and u
+// are units here no more than no unit at all is.
+func parseDuration(s string) (Duration, *unitError) {
+	rest, negative := strings.CutPrefix(s, "-")
+	total := 0.0
+	var exact int64
+	isExact := true
+	for first := true; rest != "" || first; first = false {
+		digits := rest[:len(rest)-len(strings.TrimLeft(rest, "0123456789."))]
+		rest = rest[len(digits):]
+		unit := rest[:len(rest)-len(strings.TrimLeft(rest, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZµμ"))]
+		rest = rest[len(unit):]
+		number, err := strconv.ParseFloat(digits, 64)
+		if err != nil {
+			return 0, &unitError{unit: s, meant: `"600ms"`, huge: strings.Trim(digits, "0123456789") == "" && digits != ""}
+		}
+		ns := int64(0)
+		for _, u := range durationUnits {
+			if u.name == unit {
+				ns = u.ns
+			}
+		}
+		if ns == 0 {
+			return 0, &unitError{unit: unit, meant: meantDuration(digits, unit)}
+		}
+		total += number * float64(ns)
+		if whole, err := strconv.ParseInt(digits, 10, 64); err == nil && whole < math.MaxInt64/2/ns {
+			exact += whole * ns
+		} else {
+			isExact = false
+		}
+	}
+	if total > 1e18 {
+		return 0, &unitError{unit: s, huge: true}
+	}
+	d := Duration(exact)
+	if !isExact {
+		d = Duration(math.Round(total))
+	}
+	if negative {
+		d = -d
+	}
+	return d, nil
+}
+
+func meantDuration(digits, unit string) string {
+	switch strings.ToLower(unit) {
+	case "":
+		return fmt.Sprintf("%q or %q", digits+"ms", digits+"s")
+	case "m":
+		return fmt.Sprintf("%q (on the wire m is milliseconds) or %q", digits+"ms", digits+"min")
+	case "u", "µs", "μs", "usec":
+		return fmt.Sprintf("%q", digits+"us")
+	case "msec", "millis", "milliseconds":
+		return fmt.Sprintf("%q", digits+"ms")
+	case "sec", "secs", "second", "seconds":
+		return fmt.Sprintf("%q", digits+"s")
+	case "mins", "minute", "minutes":
+		return fmt.Sprintf("%q", digits+"min")
+	case "hours", "hour", "hr":
+		return fmt.Sprintf("%q", digits+"h")
+	}
+	return "a number with ms, s, min, h or d behind it"
+}
+
+// parseSize reads a number of bytes.
+func parseSize(s string) (Size, *unitError) {
+	digits := s[:len(s)-len(strings.TrimLeft(s, "-0123456789."))]
+	unit := strings.TrimSpace(s[len(digits):])
+	number, err := strconv.ParseFloat(digits, 64)
+	if err != nil {
+		return 0, &unitError{unit: s, meant: `"64KiB"`}
+	}
+	for _, u := range sizeUnits {
+		if u.name != unit {
+			continue
+		}
+		if whole, err := strconv.ParseInt(digits, 10, 64); err == nil && whole < math.MaxInt64/u.bytes && whole > math.MinInt64/u.bytes {
+			return Size(whole * u.bytes), nil
+		}
+		if bytes := number * float64(u.bytes); math.Abs(bytes) < 1<<62 {
+			return Size(bytes), nil
+		}
+		return 0, &unitError{unit: s, huge: true}
+	}
+	meant := "a number with B, KiB, MiB or GiB behind it"
+	switch letter := strings.ToUpper(strings.TrimSuffix(strings.TrimSuffix(strings.ToUpper(unit), "B"), "I")); letter {
+	case "K", "M", "G":
+		meant = fmt.Sprintf("%q", digits+letter+"iB")
+	case "":
+		meant = fmt.Sprintf("%q or %q", digits+"B", digits+"KiB")
+	}
+	return 0, &unitError{unit: unit, meant: meant}
+}
