Check configurations with 134 checks, and write, render, import and compare them

A wrong entry showed up when an alert went missing: check stopped at the first fault, in the program's words, and found nothing that is well-formed and wrong. Package lint has a table of 134 checks with a stable code, a severity, what is wrong, why it matters and to whom, and what to write instead; all findings come at once, in file order. hazelwheel config new, check, explain, render, import, diff and schema are the tool; serve, SIGHUP and check use the same checks: serve logs each finding once as a warning and refuses what it refused before. 188 broken files each get the messages that are written down for them, and every check has a trigger and a near miss.

--- a/cmd/hazelwheel/main.go
+++ b/cmd/hazelwheel/main.go
@@ -36,6 +36,8 @@
 	return &cli.Command{
 		Name:  "hazelwheel",
 		Usage: "a sidecar balancer",
+
+		EnableShellCompletion: true,
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "serve the application beside it", Flags: []cli.Flag{file, extras, verbose}, Action: serve},
 			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{file, extras}, Action: check},
@@ -47,6 +49,7 @@
 			{Name: "capture", Usage: "look into what the decisions knew", Commands: []*cli.Command{
 				{Name: "replay", Usage: "feed a capture through the decisions and print what differs", Flags: []cli.Flag{in}, Action: replay},
 			}},
+			configCommand(),
 			{Name: "version", Usage: "print the version", Action: version},
 		},
 	}
@@ -86,16 +89,23 @@
 	if c.Bool("verbose") {
 		level = slog.LevelDebug
 	}
-	s, err := process.New(cfg, on, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	s, err := process.New(cfg, on, log)
 	if err != nil {
 		return err
 	}
-	err = s.Run(hangups, dumps, func() (config.Config, error) { return cfg.Reload(c.String("config"), os.Getenv) })
+	advice := adviser{log, map[string]bool{}}
+	advice.look(c.String("config"), c.String("features"))
+	err = s.Run(hangups, dumps, func() (config.Config, error) {
+		advice.look(c.String("config"), c.String("features"))
+		return cfg.Reload(c.String("config"), os.Getenv)
+	})
 	fmt.Fprintf(c.Root().Writer, "%s", s.Counters())
 	return err
 }
 
 func check(_ context.Context, c *cli.Command) error {
+	sayFindings(c.Root().Writer, c.String("config"), c.String("features"))
 	cfg, on, err := load(c)
 	if err != nil {
 		return err
--- a/internal/appconfig/decode.go
+++ b/internal/appconfig/decode.go
@@ -5,6 +5,8 @@
 	"maps"
 	"math"
 	"reflect"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,6 +41,8 @@
 		e := n.walk(name)
 		if d.form == tomlForm {
 			e = n.get(name)
+		} else if f.kind.Kind() == reflect.Map {
+			e = n.gathered(name)
 		}
 		field := path + f.name
 		where := shown + strings.ReplaceAll(name, "/", ".")
@@ -276,7 +280,11 @@
 
 func (d *decoder) inRange(f *Field, v float64, said, field string) bool {
 	if !f.allows(v) {
-		d.f.faultField(OutOfRange, field, said, f.Range())
+		want := f.Range()
+		if d.form != tomlForm && f.Unit != "" {
+			want = "a number of " + f.Unit + f.bounds()
+		}
+		d.f.faultField(OutOfRange, field, said, want)
 		return false
 	}
 	if v == 0 && strings.HasPrefix(said, "-") {
@@ -336,6 +344,7 @@
 var (
 	namesOnce sync.Once
 	namesOf   map[Kind]names
+	modelOf   map[string]string // of a name in a platform's file or one of features: the model's, "app.class[].aim"
 )
 
 // knownNames returns the names that a kind of file knows.
@@ -343,11 +352,12 @@
 	namesOnce.Do(func() {
 		app, site := reflect.TypeFor[App](), reflect.TypeFor[Site]()
 		namesOf = map[Kind]names{AppFile: {}, SiteFile: {}, PlatformFile: {}, FeaturesFile: {}}
-		namesOf[AppFile].add(app, "", tomlForm)
-		namesOf[SiteFile].add(site, "", tomlForm)
-		namesOf[FeaturesFile].add(app, "", featuresForm)
-		namesOf[PlatformFile].add(app, "", platformForm)
-		namesOf[PlatformFile].add(site, "", platformForm)
+		modelOf = map[string]string{}
+		namesOf[AppFile].add(app, "", "", tomlForm)
+		namesOf[SiteFile].add(site, "", "", tomlForm)
+		namesOf[FeaturesFile].add(app, "", "app.", featuresForm)
+		namesOf[PlatformFile].add(app, "", "app.", platformForm)
+		namesOf[PlatformFile].add(site, "", "site.", platformForm)
 		for _, path := range elsewhere {
 			namesOf[PlatformFile].path("", strings.ReplaceAll(path, ".", "/"))
 		}
@@ -362,6 +372,19 @@
 	return all
 }
 
+// ModelName returns what a field of a rendered file is called in the files that people write, "" where it is none of them;
+// without the numbers of lists: "settings.classes.objectiveS" is "class.aim".
+func ModelName(rendered string) string {
+	knownNames(PlatformFile)
+	for _, as := range []form{platformForm, featuresForm} {
+		if model := modelOf[string(as)+rendered]; model != "" {
+			_, field, _ := strings.Cut(strings.ReplaceAll(model, "[]", ""), ".")
+			return field
+		}
+	}
+	return ""
+}
+
 // path adds a name and all that it stands in, and returns what it is called from the top.
 func (n names) path(under, path string) string {
 	for _, part := range strings.Split(path, "/") {
@@ -377,12 +400,16 @@
 	return under
 }
 
-func (n names) add(t reflect.Type, under string, as form) {
+func (n names) add(t reflect.Type, under, model string, as form) {
 	for _, f := range fieldsOf(t) {
 		s, many := structure(f.kind)
-		at := under
+		at, field := under, model+f.name
+		if many {
+			field += "[]"
+		}
 		if name := f.in(as); name != "" {
 			at = n.path(under, name)
+			modelOf[string(as)+at] = field
 			if s == nil && f.kind.Kind() == reflect.Map {
 				n[at] = nil // anything
 			}
@@ -393,7 +420,7 @@
 			if as != tomlForm && !many {
 				at = under // fields say where they are from the top on
 			}
-			n.add(s, at, as)
+			n.add(s, at, field+".", as)
 		}
 	}
 }
@@ -422,6 +449,11 @@
 			}
 			continue
 		}
+		if first, _, dotted := strings.Cut(e.key, "."); dotted && d.form == featuresForm && generic == "" {
+			if below, ok := known[first]; ok && below == nil {
+				continue // of a section whose fields are not known here
+			}
+		}
 		if known[generic][e.key] || d.form == platformForm && foldIn(known[generic], e.key) || generic == "" && known.has(e.key) {
 			continue
 		}
@@ -444,9 +476,33 @@
 			}
 		}
 		d.f.fault(kind, place, "", args...)
+		if near != "" {
+			d.meant(generic, shown, near)
+		}
 	}
 }
 
+// meant takes a field for given that a misspelt one stands for: that it is missing would only follow.
+func (d *decoder) meant(generic, shown, near string) {
+	if generic != "" {
+		generic, shown = generic+".", shown+"."
+	}
+	model := d.side + shown + near
+	if d.form != tomlForm {
+		model = modelOf[string(d.form)+generic+near]
+		for _, index := range indices.FindAllString(shown, -1) {
+			model = strings.Replace(model, "[]", index, 1)
+		}
+		model = strings.TrimSuffix(model, "[]")
+	}
+	if model != "" && !d.f.Has(model) {
+		d.f.bad[model] = true
+		d.f.Faults = slices.DeleteFunc(d.f.Faults, func(f Fault) bool { return f.Kind == Missing && f.path == model })
+	}
+}
+
+var indices = regexp.MustCompile(`\[\d+\]`)
+
 // has tells whether a name with dots is a field, as features may be written at their file's top.
 func (n names) has(dotted string) bool {
 	under, name, ok := cutLast(dotted)
--- a/internal/appconfig/fields.go
+++ b/internal/appconfig/fields.go
@@ -129,16 +129,18 @@
 	if len(f.Enum) > 0 {
 		parts = []string{strings.Join(f.Words(), ", ")}
 	}
-	if f.least != "" {
-		parts = append(parts, "at least "+f.least)
-	}
-	if f.above != "" {
-		parts = append(parts, "above "+f.above)
-	}
-	if f.most != "" {
-		parts = append(parts, "at most "+f.most)
+	return parts[0] + f.bounds()
+}
+
+// bounds says in words how small and how large a value may be.
+func (f *Field) bounds() string {
+	out := ""
+	for _, bound := range [][2]string{{"at least ", f.least}, {"above ", f.above}, {"at most ", f.most}} {
+		if bound[1] != "" {
+			out += ", " + bound[0] + bound[1]
+		}
 	}
-	return strings.Join(parts, ", ")
+	return out
 }
 
 // Words are what an enumerated field takes.
--- a/internal/appconfig/file.go
+++ b/internal/appconfig/file.go
@@ -71,6 +71,8 @@
 	Kind  FaultKind
 	Place Place
 	Args  []any
+
+	path string // of the field in the model, where there is one
 }
 
 // File is a file that has been read as far as it makes sense.
@@ -320,7 +322,7 @@
 	if path != "" {
 		f.bad[path] = true
 	}
-	f.Faults = append(f.Faults, Fault{kind, at, args})
+	f.Faults = append(f.Faults, Fault{kind, at, args, path})
 }
 
 func (f *File) faultAt(kind FaultKind, offset int, field string, args ...any) {
--- a/internal/appconfig/nearest.go
+++ b/internal/appconfig/nearest.go
@@ -12,7 +12,7 @@
 const mostNameLength = 40
 
 // Nearest returns the known name that somebody may have meant, "" if none is near. A name is near if at most a third of its
-// letters differ, not counting case, or if it is a beginning of the other.
+// letters differ, not counting case.
 func Nearest(name string, known []string) string {
 	if len(name) > mostNameLength || name == "" {
 		return ""
@@ -22,11 +22,22 @@
 		if len(k)-len(name) > least || len(name)-len(k) > least {
 			continue
 		}
-		if d := levenshtein.ComputeDistance(strings.ToLower(name), strings.ToLower(k)); k != name && d < least {
+		d := levenshtein.ComputeDistance(strings.ToLower(name), strings.ToLower(k))
+		if d == 2 && letters(name) == letters(k) {
+			d = 1 // two letters have changed places
+		}
+		if k != name && d < least {
 			best, least = k, d
 		}
 	}
 	return best
 }
 
+// letters returns a name's letters in their order.
+func letters(name string) string {
+	all := []rune(strings.ToLower(name))
+	slices.Sort(all)
+	return string(all)
+}
+
 func sortedKeys(m map[string]bool) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/appconfig/schema.go
@@ -0,0 +1,74 @@
+package appconfig
+
+import (
+	"encoding/json"
+	"reflect"
+
+	"github.com/invopop/jsonschema"
+)
+
+// Schema returns the JSON Schema of a kind of file, for editors that complete and check what is typed.
+func Schema(k Kind) ([]byte, error) {
+	var v any = &App{}
+	if k == SiteFile {
+		v = &Site{}
+	}
+	r := jsonschema.Reflector{FieldNameTag: "toml", RequiredFromJSONSchemaTags: true, DoNotReference: false, ExpandedStruct: true, Anonymous: true,
+		LookupComment: func(t reflect.Type, name string) string {
+			if f := fieldNamed(t, name); f != nil {
+				return f.Comment
+			}
+			return ""
+		}}
+	s := r.Reflect(v)
+	s.Title = "hazelwheel " + string(k)
+	s.Required = needed(reflect.TypeOf(v).Elem())
+	enumerate(reflect.TypeOf(v).Elem(), s)
+	for _, f := range under(reflect.TypeOf(v).Elem(), "") {
+		if t, _ := structure(f.kind); t != nil {
+			if d := s.Definitions[t.Name()]; d != nil {
+				d.Required = needed(t)
+				enumerate(t, d)
+			}
+		}
+	}
+	return json.MarshalIndent(s, "", "  ")
+}
+
+// needed lists the fields that must be there.
+func needed(t reflect.Type) []string {
+	var all []string
+	for _, f := range fieldsOf(t) {
+		if f.Need {
+			all = append(all, f.name)
+		}
+	}
+	return all
+}
+
+// enumerate adds what the tags say of a struct's fields beyond their types.
+func enumerate(t reflect.Type, s *jsonschema.Schema) {
+	for _, f := range fieldsOf(t) {
+		p, ok := s.Properties.Get(f.name)
+		if !ok {
+			continue
+		}
+		for _, word := range f.Words() {
+			p.Enum = append(p.Enum, word)
+		}
+		if k := f.kind.Kind(); (k == reflect.Int || k == reflect.Float64) && f.kind != reflect.TypeFor[Duration]() && f.kind != reflect.TypeFor[Size]() {
+			p.Minimum, p.ExclusiveMinimum, p.Maximum = json.Number(f.least), json.Number(f.above), json.Number(f.most)
+		}
+	}
+}
+
+func fieldNamed(t reflect.Type, goName string) *Field {
+	if t.Kind() != reflect.Struct {
+		return nil
+	}
+	sf, ok := t.FieldByName(goName)
+	if !ok {
+		return nil
+	}
+	return &fieldsOf(t)[sf.Index[0]]
+}
--- a/internal/appconfig/tomltree.go
+++ b/internal/appconfig/tomltree.go
@@ -16,7 +16,7 @@
 
 var (
 	expressionStart = regexp.MustCompile(`^\s*(\[|[A-Za-z0-9_"'.-]+(\s*\.\s*[A-Za-z0-9_"'.-]+)*\s*=)`)
-	keyOfLine       = regexp.MustCompile(`^\s*([A-Za-z0-9_-]+(\.[A-Za-z0-9_-]+)*)\s*=`)
+	keyOfLine       = regexp.MustCompile(`^\s*([A-Za-z0-9_-]+(\.[A-Za-z0-9_-]+)*)\s*[=:]`)
 	headerOfLine    = regexp.MustCompile(`^\s*(\[\[?)\s*([A-Za-z0-9_-]+(\.[A-Za-z0-9_-]+)*)`)
 )
 
@@ -129,7 +129,7 @@
 		return root, end, err
 	}
 	b.takeUpLost(len(raw))
-	if len(f.Faults) == faults { // what the builder lets pass: dates that do not exist, tables that are extended wrongly
+	if faults == 0 && len(f.Faults) == 0 && !b.huge { // what the builder lets pass: dates that do not exist, tables that are extended wrongly
 		var all map[string]any
 		var decode *toml.DecodeError
 		if err := toml.Unmarshal(raw, &all); errors.As(err, &decode) {
@@ -147,6 +147,7 @@
 	root *node
 	at   *node // the table that fields go into
 	end  int   // of what has been read
+	huge bool  // a number can't be held; the decoder will say so
 	lost int   // how many of what was taken out have been put in
 }
 
@@ -269,10 +270,12 @@
 		n.kind = integer
 		whole, err := strconv.ParseInt(strings.ReplaceAll(n.text, "_", ""), 0, 64)
 		n.whole, n.number, n.huge = whole, float64(whole), err != nil
+		b.huge = b.huge || n.huge
 	case unstable.Float:
 		n.kind = float
 		number, err := strconv.ParseFloat(strings.ReplaceAll(n.text, "_", ""), 64)
 		n.number, n.huge = number, err != nil
+		b.huge = b.huge || n.huge
 	case unstable.Array:
 		n.kind, n.inline = list, true
 		for it := v.Children(); it.Next(); {
--- a/internal/appconfig/tree.go
+++ b/internal/appconfig/tree.go
@@ -1,6 +1,9 @@
 package appconfig
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // kind is what a node of a text is.
 type kind uint8
@@ -86,6 +89,32 @@
 	return nil
 }
 
+// gathered returns the table of a name, together with the entries that are written with the name and a dot before theirs.
+func (n *node) gathered(name string) *node {
+	e := n.get(name)
+	all := &node{kind: table, key: name}
+	if e != nil {
+		if e.kind != table {
+			return e
+		}
+		all.offset, all.items = e.offset, slices.Clone(e.items)
+	}
+	for _, other := range n.items {
+		if rest, ok := strings.CutPrefix(other.key, name+"."); ok {
+			part := *other
+			part.key = rest
+			if all.offset == 0 {
+				all.offset = other.offset
+			}
+			all.items = append(all.items, &part)
+		}
+	}
+	if e == nil && len(all.items) == 0 {
+		return nil
+	}
+	return all
+}
+
 // value returns a node as plain Go values, for sections whose fields are not known here.
 func (n *node) value() any {
 	switch n.kind {
--- a/internal/appconfig/units.go
+++ b/internal/appconfig/units.go
@@ -86,7 +86,9 @@
 	isExact := true
 	for first := true; rest != "" || first; first = false {
 		digits := rest[:len(rest)-len(strings.TrimLeft(rest, "0123456789."))]
-		rest = rest[len(digits):]
+		after := strings.TrimLeft(rest[len(digits):], " ")
+		spaced := len(after)+len(digits) < len(rest)
+		rest = after
 		unit := rest[:len(rest)-len(strings.TrimLeft(rest, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZµμ"))]
 		rest = rest[len(unit):]
 		number, err := strconv.ParseFloat(digits, 64)
@@ -102,6 +104,9 @@
 		if ns == 0 {
 			return 0, &unitError{unit: unit, meant: meantDuration(digits, unit)}
 		}
+		if spaced {
+			return 0, &unitError{unit: s, meant: strconv.Quote(digits + unit)}
+		}
 		total += number * float64(ns)
 		if whole, err := strconv.ParseInt(digits, 10, 64); err == nil && whole < math.MaxInt64/2/ns {
 			exact += whole * ns
--- /dev/null
+++ b/internal/lint/features.go
@@ -0,0 +1,246 @@
+package lint
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"hazelwheel/internal/appconfig"
+)
+
+// classRefs says where sections whose fields are not known here name classes: the values of these keys, or lists of them. A
+// section that a feature adds gets a row.
+var classRefs = []struct {
+	section string
+	keys    []string
+	of      func(*appconfig.App) map[string]any
+}{
+	{"quotas", []string{"class", "exempt", "floor"}, func(a *appconfig.App) map[string]any { return a.Quotas }},
+	{"thrift", []string{"class", "methods"}, func(a *appconfig.App) map[string]any { return a.Thrift }},
+}
+
+// named calls f with each class that features name, and its place.
+func (u *unit) named(f func(name string, at ref)) {
+	for i, d := range u.extras.Drills {
+		f(d.Class, u.atExtra("drill[%d].class", i))
+	}
+	for i, r := range u.extras.Rewrites {
+		if r.Class != "" {
+			f(r.Class, u.atExtra("rewrite[%d].class", i))
+		}
+	}
+	for _, r := range classRefs {
+		namedIn(r.of(u.extras), r.keys, false, r.section, func(name, path string) { f(name, u.atExtra("%s", path)) })
+	}
+}
+
+// namedIn walks a section; inside tells whether all texts in it name classes.
+func namedIn(v any, keys []string, inside bool, path string, f func(name, path string)) {
+	switch v := v.(type) {
+	case map[string]any:
+		for key, e := range v {
+			namedIn(e, keys, inside || slices.Contains(keys, key), path+"."+key, f)
+		}
+	case []any:
+		for i, e := range v {
+			namedIn(e, keys, inside, fmt.Sprintf("%s[%d]", path, i), f)
+		}
+	case string:
+		if inside {
+			f(v, path)
+		}
+	}
+}
+
+var featureChecks = []Check{
+	{Code: "HW130", Severity: Error, Title: "feature for a class that is not there", Looks: "classes in drills, rewrites, quotas, Thrift methods",
+		Says: "there is no class %[1]q", Why: "It would never apply, and the sidecar refuses to start", Do: "%[2]s",
+		extras: func(u *unit, say say) {
+			if u.app == nil {
+				return
+			}
+			var names []string
+			for _, c := range u.app.Classes {
+				names = append(names, c.Name)
+			}
+			u.named(func(name string, at ref) {
+				if !slices.Contains(names, name) {
+					do := "Write one of " + strings.Join(names, ", ")
+					if near := appconfig.Nearest(name, names); near != "" {
+						do = "Write " + near + " if that is meant"
+					}
+					say(at.with(u.at("class")), name, do)
+				}
+			})
+		}},
+	{Code: "HW131", Severity: Warning, Title: "drills that nobody can start", Looks: "drill, drill_secret_sha256",
+		Says: "there are drills and no secret to start them with", Why: "The rehearsal does not take place", Do: "Write the SHA-256 of a secret as drill_secret_sha256 (drills.secret_sha256)",
+		extras: func(u *unit, say say) {
+			if len(u.extras.Drills) > 0 && u.extras.DrillSecret == "" {
+				say(u.atExtra("drill").with(u.atExtra("drill_secret_sha256")))
+			}
+		}},
+	{Code: "HW132", Severity: Error, Title: "secret's hash that is none", Looks: "drill_secret_sha256",
+		Says: "it is not the SHA-256 of a secret", Why: "Nobody could start a drill, and the sidecar refuses to start", Do: "Write 64 hexadecimal digits: printf %%s SECRET | sha256sum",
+		extras: func(u *unit, say say) {
+			if sum, err := hex.DecodeString(u.extras.DrillSecret); u.extras.DrillSecret != "" && (err != nil || len(sum) != sha256.Size) {
+				say(u.atExtra("drill_secret_sha256"), "")
+			}
+		}},
+	{Code: "HW133", Severity: Warning, Title: "secret that everybody has", Looks: "drill_secret_sha256",
+		Says: "it is the hash of %[1]s", Why: "Whoever reaches the sidecar can slow requests down or refuse them", Do: "Write the hash of a secret of your own",
+		extras: func(u *unit, say say) {
+			for text, what := range map[string]string{"": "nothing at all", "foo": "the documentation's example", "secret": `"secret"`, "password": `"password"`, "changeme": `"changeme"`} {
+				sum := sha256.Sum256([]byte(text))
+				if got, err := hex.DecodeString(u.extras.DrillSecret); err == nil && bytes.Equal(got, sum[:]) {
+					say(u.atExtra("drill_secret_sha256"), what)
+				}
+			}
+		}},
+	{Code: "HW134", Severity: Error, Title: "name of a drill", Looks: "drill.name",
+		Says: "%[1]q is not a name of its own of at most 64 letters, digits, '.', '_' and '-'", Why: "The sidecar refuses to start", Do: "Write a plain name that no other drill has",
+		extras: func(u *unit, say say) {
+			all := u.extras.Drills
+			for i, d := range all {
+				if !plain(d.Name) {
+					say(u.atExtra("drill[%d].name", i), d.Name)
+				}
+			}
+			eachTwice(len(all), func(i int) string { return all[i].Name }, func(i, _ int) { say(u.atExtra("drill[%d].name", i), all[i].Name) })
+		}},
+	{Code: "HW135", Severity: Warning, Title: "drill that does nothing", Looks: "drill.share, drill.delay, drill.abort",
+		Says: "the drill %[1]q touches no request, or changes nothing about it", Why: "A rehearsal that shows nothing is taken for one that went well", Do: "Write a share above 0, and a delay or abort = \"503\"",
+		extras: func(u *unit, say say) {
+			for i, d := range u.extras.Drills {
+				if d.Share == 0 || d.Delay == 0 && d.Abort == "none" {
+					say(u.atExtra("drill[%d]", i).with(u.atExtra("drill[%d].share", i), u.atExtra("drill[%d].delay", i), u.atExtra("drill[%d].abort", i)), d.Name)
+				}
+			}
+		}},
+	{Code: "HW136", Severity: Warning, Title: "drills that are more than all requests", Looks: "drill.share",
+		Says: "the drills of class %[1]s take %[2]g %% of its requests together", Why: "When all run, the last gets less than its share, and no request is served as usual", Do: "Write shares of a class that are at most 100 together",
+		extras: func(u *unit, say say) {
+			sum := map[string]float64{}
+			for i, d := range u.extras.Drills {
+				if sum[d.Class] += d.Share; sum[d.Class] > 100 && sum[d.Class]-d.Share <= 100 {
+					say(u.atExtra("drill[%d].share", i), d.Class, sum[d.Class])
+				}
+			}
+		}},
+	{Code: "HW137", Severity: Warning, Title: "drill longer than the request", Looks: "drill.delay, class.deadline",
+		Says: "the delay %[1]s is not below the deadline %[2]s of class %[3]s", Why: "Delays are cut to leave the decisions a fifth of the time, so the drill rehearses something else", Do: "Write a delay well below %[2]s",
+		extras: func(u *unit, say say) {
+			for i, d := range u.extras.Drills {
+				if c := u.classOf(d.Class); c != nil && c.Deadline > 0 && d.Delay >= c.Deadline {
+					say(u.atExtra("drill[%d].delay", i), d.Delay, c.Deadline, d.Class)
+				}
+			}
+		}},
+	{Code: "HW138", Severity: Error, Title: "reserve beyond the descriptors", Looks: "admission.reserve, limits.sockets",
+		Says: "%[1]d connections are kept for known clients, more than a quarter of %[2]d descriptors", Why: "Too little would be left for others, and the sidecar refuses to start", Do: "Write at most %[3]d",
+		extras: func(u *unit, say say) {
+			if a := u.extras.Admission; a != nil && u.app != nil && a.Reserve > u.app.Limits.Sockets/4 {
+				say(u.atExtra("admission.reserve").with(u.at("limits.sockets")), a.Reserve, u.app.Limits.Sockets, u.app.Limits.Sockets/4)
+			}
+		}},
+	{Code: "HW139", Severity: Error, Title: "no address or prefix", Looks: "admission.known, admission.cap.prefix",
+		Says: "%[1]q is neither an address nor a prefix", Why: "The sidecar refuses to start", Do: "Write it like 10.1.2.3 or 10.1.0.0/16",
+		extras: func(u *unit, say say) {
+			u.prefixes(func(text string, at ref) {
+				if !prefix(text).IsValid() {
+					say(at, text)
+				}
+			})
+		}},
+	{Code: "HW140", Severity: Error, Title: "caps that overlap", Looks: "admission.cap.prefix, admission.cap.links",
+		Says: "%[1]s overlaps with %[2]s, which has another cap", Why: "It would be a guess which holds, and the sidecar refuses to start", Do: "Write prefixes that do not overlap",
+		extras: func(u *unit, say say) {
+			if u.extras.Admission == nil {
+				return
+			}
+			for i, c := range u.extras.Admission.Caps {
+				for _, other := range u.extras.Admission.Caps[:i] {
+					if p, q := prefix(c.Prefix), prefix(other.Prefix); p.IsValid() && q.IsValid() && p.Overlaps(q) && c.Links != other.Links {
+						say(u.atExtra("admission.cap[%d].prefix", i), c.Prefix, other.Prefix)
+						break
+					}
+				}
+			}
+		}},
+	{Code: "HW141", Severity: Warning, Title: "everybody known", Looks: "admission.known",
+		Says: "%[1]s is every address", Why: "Who is known keeps a place in a flood; where all are, the flood is known, too", Do: "Write the prefixes of your own clients",
+		extras: func(u *unit, say say) {
+			if u.extras.Admission == nil {
+				return
+			}
+			for i, text := range u.extras.Admission.Known {
+				if p := prefix(text); p.IsValid() && p.Bits() == 0 {
+					say(u.atExtra("admission.known[%d]", i), text)
+				}
+			}
+		}},
+	{Code: "HW142", Severity: Note, Title: "bound that is never met", Looks: "admission.per_address, admission.cap.links, limits.sockets",
+		Says: "%[1]d is more than the %[2]d connections that clients can hold at all", Why: "The bound protects nobody", Do: "Write a number below %[2]d",
+		extras: func(u *unit, say say) {
+			a := u.extras.Admission
+			if a == nil || u.app == nil {
+				return
+			}
+			most := int(clientPart * float64(u.links()))
+			if a.PerAddress > most {
+				say(u.atExtra("admission.per_address").with(u.at("limits.sockets")), a.PerAddress, most)
+			}
+			for i, c := range a.Caps {
+				if c.Links > most {
+					say(u.atExtra("admission.cap[%d].links", i).with(u.at("limits.sockets")), c.Links, most)
+				}
+			}
+		}},
+}
+
+func (u *unit) classOf(name string) *appconfig.Class {
+	if u.app == nil {
+		return nil
+	}
+	for i := range u.app.Classes {
+		if u.app.Classes[i].Name == name {
+			return &u.app.Classes[i]
+		}
+	}
+	return nil
+}
+
+// prefixes calls f with each address or prefix of the admission.
+func (u *unit) prefixes(f func(text string, at ref)) {
+	if u.extras.Admission == nil {
+		return
+	}
+	for i, text := range u.extras.Admission.Known {
+		f(text, u.atExtra("admission.known[%d]", i))
+	}
+	for i, c := range u.extras.Admission.Caps {
+		f(c.Prefix, u.atExtra("admission.cap[%d].prefix", i))
+	}
+}
+
+// prefix reads a prefix; an address is one of its own.
+func prefix(text string) netip.Prefix {
+	if a, err := netip.ParseAddr(text); err == nil {
+		return netip.PrefixFrom(a.Unmap(), a.Unmap().BitLen())
+	}
+	p, _ := netip.ParsePrefix(text)
+	return p.Masked()
+}
+
+// plain tells whether a name means the same in a path, a log line and a figure.
+func plain(s string) bool {
+	odd := func(r rune) bool {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		return !letter && !strings.ContainsRune("._-", r)
+	}
+	return strings.Trim(s, ".") != "" && len(s) <= 64 && !strings.ContainsFunc(s, odd)
+}
--- /dev/null
+++ b/internal/lint/many.go
@@ -0,0 +1,106 @@
+package lint
+
+// manyChecks look at several files together.
+var manyChecks = []Check{
+	{Code: "HW160", Severity: Error, Title: "index used twice", Looks: "index, in all files",
+		Says: "the index %[1]d is that of %[2]s, too", Why: "Which boxes an instance uses follows from its index: two take the same ones, and some boxes get nothing", Do: "Give each instance an index of its own, from 0 on",
+		all: func(units []*unit, say say) {
+			pairs(units, func(a, b *unit) {
+				if sameFleet(a, b) && a.app.Index == b.app.Index {
+					say(b.at("index").with(a.at("index")), b.app.Index, a.file.Name)
+				}
+			})
+		}},
+	{Code: "HW161", Severity: Warning, Title: "seeds alike", Looks: "seed, in all files",
+		Says: "the seed is that of %[1]s, too", Why: "Both instances draw the same, so they go to the same boxes at the same moment", Do: "Write seeds that differ, or none",
+		all: func(units []*unit, say say) {
+			pairs(units, func(a, b *unit) {
+				if a.app.Seed == b.app.Seed && a.app.Seed != "" {
+					say(b.at("seed").with(a.at("seed")), a.file.Name)
+				}
+			})
+		}},
+	{Code: "HW162", Severity: Error, Title: "listen address taken twice", Looks: "listen, in all files",
+		Says: "%[1]s is the listen address of %[2]s, too", Why: "On one machine only one of the two can start", Do: "Give each instance an address or a port of its own",
+		all: func(units []*unit, say say) {
+			pairs(units, func(a, b *unit) {
+				if a.app.Listen == b.app.Listen && a.app.Listen != "" {
+					say(b.at("listen").with(a.at("listen")), b.app.Listen, a.file.Name)
+				}
+			})
+		}},
+	{Code: "HW163", Severity: Error, Title: "name used twice", Looks: "name, in all files",
+		Says: "%[1]q is the name of %[2]s, too", Why: "Logs and counters of the two can't be told apart", Do: "Give each instance a name of its own",
+		all: func(units []*unit, say say) {
+			pairs(units, func(a, b *unit) {
+				if a.app.Name == b.app.Name && a.app.Name != "" {
+					say(b.at("name").with(a.at("name")), b.app.Name, a.file.Name)
+				}
+			})
+		}},
+	{Code: "HW164", Severity: Error, Title: "replicas that differ", Looks: "replicas, in all files",
+		Says: "there are %[1]d replicas here, and %[2]d in %[3]s", Why: "Which boxes an instance uses follows from how many there are: the parts would overlap or leave boxes out", Do: "Write the same number in all files of an application",
+		all: func(units []*unit, say say) {
+			pairs(units, func(a, b *unit) {
+				if a.app.Replicas != b.app.Replicas && sameClasses(a, b) && a.app.Discovery == b.app.Discovery {
+					say(b.at("replicas").with(a.at("replicas")), b.app.Replicas, a.app.Replicas, a.file.Name)
+				}
+			})
+		}},
+	{Code: "HW165", Severity: Error, Title: "class that differs between instances", Looks: "class, in all files",
+		Says: "the class %[1]q has another %[2]s than in %[3]s", Why: "What may run twice must not depend on which instance takes the request", Do: "Write the same in all files",
+		all: func(units []*unit, say say) {
+			pairs(units, func(a, b *unit) {
+				for i, c := range b.app.Classes {
+					if o := a.classOf(c.Name); o != nil && o.Effect != c.Effect && o.Effect != "" && c.Effect != "" {
+						say(b.at("class[%d].effect", i).with(a.at("class")), c.Name, "effect", a.file.Name)
+					}
+				}
+			})
+		}},
+	{Code: "HW166", Severity: Error, Title: "side port taken by another instance", Looks: "health.port, listen, in all files",
+		Says: "the port %[1]d on that host is taken in %[2]s", Why: "On one machine only one of the two can start", Do: "Give each instance a port of its own",
+		all: func(units []*unit, say say) {
+			pairs(units, func(a, b *unit) {
+				la, lb := address(a.app.Listen), address(b.app.Listen)
+				if b.extras == nil || b.extras.Health == nil || b.extras.Health.Port == 0 || la.Addr() != lb.Addr() {
+					return
+				}
+				taken := int(la.Port()) == b.extras.Health.Port
+				if a.extras != nil && a.extras.Health != nil {
+					taken = taken || a.extras.Health.Port == b.extras.Health.Port
+				}
+				if taken {
+					say(b.atExtra("health.port").with(a.at("listen")), b.extras.Health.Port, a.file.Name)
+				}
+			})
+		}},
+}
+
+// pairs calls f with each instance and each one after it. Of many that are alike each is told of the first alone.
+func pairs(units []*unit, f func(a, b *unit)) {
+	for j, b := range units {
+		for _, a := range units[:j] {
+			if a.app != nil && b.app != nil && a.file != b.file {
+				f(a, b)
+			}
+		}
+	}
+}
+
+// sameFleet tells whether two instances are taken for replicas of one application.
+func sameFleet(a, b *unit) bool {
+	return a.app.Replicas == b.app.Replicas && a.app.Replicas > 1 && a.app.Discovery == b.app.Discovery && sameClasses(a, b)
+}
+
+func sameClasses(a, b *unit) bool {
+	if len(a.app.Classes) != len(b.app.Classes) {
+		return false
+	}
+	for _, c := range b.app.Classes {
+		if a.classOf(c.Name) == nil {
+			return false
+		}
+	}
+	return true
+}
