--- a/internal/appconfig/decode.go
+++ b/internal/appconfig/decode.go
@@ -38,11 +38,14 @@
 		if name == "" {
 			continue
 		}
-		e := n.walk(name)
-		if d.form == tomlForm {
+		var e *node
+		switch {
+		case d.form == tomlForm:
 			e = n.get(name)
-		} else if f.kind.Kind() == reflect.Map {
+		case f.kind.Kind() == reflect.Map:
 			e = n.gathered(name)
+		default:
+			e = n.walk(name)
 		}
 		field := path + f.name
 		where := shown + strings.ReplaceAll(name, "/", ".")
--- a/internal/appconfig/tomltree.go
+++ b/internal/appconfig/tomltree.go
@@ -14,6 +14,9 @@
 // mostRepairs bounds the faults of syntax that are looked for in one text; each costs a reading of it.
 const mostRepairs = 20
 
+// mostNames bounds the entries of a table for which the TOML library's own verdict is asked, too; its cost grows with the square.
+const mostNames = 500
+
 var (
 	expressionStart = regexp.MustCompile(`^\s*(\[|[A-Za-z0-9_"'.-]+(\s*\.\s*[A-Za-z0-9_"'.-]+)*\s*=)`)
 	keyOfLine       = regexp.MustCompile(`^\s*([A-Za-z0-9_-]+(\.[A-Za-z0-9_-]+)*)\s*[=:]`)
@@ -129,7 +132,7 @@
 		return root, end, err
 	}
 	b.takeUpLost(len(raw))
-	if faults == 0 && len(f.Faults) == 0 && !b.huge { // what the builder lets pass: dates that do not exist, tables that are extended wrongly
+	if faults == 0 && len(f.Faults) == 0 && !b.huge && b.widest < mostNames { // what the builder lets pass: dates that do not exist, tables that are extended wrongly
 		var all map[string]any
 		var decode *toml.DecodeError
 		if err := toml.Unmarshal(raw, &all); errors.As(err, &decode) {
@@ -142,13 +145,14 @@
 
 // builder makes a tree of expressions.
 type builder struct {
-	f    *File
-	p    unstable.Parser
-	root *node
-	at   *node // the table that fields go into
-	end  int   // of what has been read
-	huge bool  // a number can't be held; the decoder will say so
-	lost int   // how many of what was taken out have been put in
+	f      *File
+	p      unstable.Parser
+	root   *node
+	at     *node // the table that fields go into
+	end    int   // of what has been read
+	widest int   // entries of the largest table
+	huge   bool  // a number can't be held; the decoder will say so
+	lost   int   // how many of what was taken out have been put in
 }
 
 // takeUpLost puts in what has been taken out before an offset. Danger: fields below a header that is broken would count as
@@ -221,6 +225,7 @@
 		return
 	}
 	parent.put(key.key, v)
+	b.widest = max(b.widest, len(parent.items))
 }
 
 // descend returns the table that keys lead to, made where it is not there; of a list its last.
--- a/internal/lint/classes.go
+++ b/internal/lint/classes.go
@@ -255,6 +255,15 @@
 				}
 			}
 		}},
+	{Code: "HW069", Severity: Error, Title: "site's class without effect", Looks: "class.effect of a site",
+		Says: "the site does not say what running the class %[1]q twice does", Why: "Applications can't be held against it, and one that marks the class safe by mistake passes", Do: "Write effect = \"safe\", \"keyed\" or \"unsafe\"",
+		site: func(u *unit, say say) {
+			for _, c := range u.siteClasses() {
+				if c.Effect == "" {
+					say(c.at("effect"), c.Name)
+				}
+			}
+		}},
 	{Code: "HW068", Severity: Note, Title: "what no file can tell", Looks: "class.effect, the site's class",
 		Says: "both files say that running %[1]s twice does no harm", Why: "Files can contradict each other, but not the boxes: where both are wrong, no check sees it", Do: "Ask those who wrote the boxes' code, once for each class",
 		against: func(u *unit, say say) {
--- a/internal/lint/facts.go
+++ b/internal/lint/facts.go
@@ -44,7 +44,7 @@
 		Says: "report.how is %[1]q and %[2]d values are named", Why: "One of the two is not what is meant, and the sidecar goes without reports", Do: "Write both, or neither",
 		site: func(u *unit, say say) {
 			r := &u.site.Report
-			if on := r.How != "off" && r.How != ""; on != (len(r.Fields) > 0) && (on || r.How == "off") {
+			if on := r.How != "off" && r.How != ""; on != (len(r.Fields) > 0) {
 				say(u.atSite("report.how").with(u.atSite("report.fields")), r.How, len(r.Fields))
 			}
 		}},
@@ -71,13 +71,14 @@
 				say(u.atSite("rules.drain_grace"))
 			}
 		}},
-	{Code: "HW116", Severity: Warning, Title: "cold boxes that nothing protects", Looks: "rules.cold_from, cold_time, cold_multiple, cold_window",
-		Says: "cold boxes warm up in %[1]s, and %[2]s is not given", Why: "The sidecar can't reckon what a box takes that has just started, and may push it over", Do: "Write all four: cold_from, cold_time, cold_multiple and cold_window",
+	{Code: "HW116", Severity: Warning, Title: "cold boxes that nothing protects", Looks: "rules.cold_from, rules.cold_time, rules.cold_multiple, rules.cold_window",
+		Says: "%[1]s is not given, and others of the four figures of cold boxes are", Why: "The sidecar can't reckon what a box takes that has just started, and may push it over", Do: "Write all four: cold_from, cold_time, cold_multiple and cold_window",
 		site: func(u *unit, say say) {
 			r := &u.site.Rules
-			for field, given := range map[string]bool{"cold_from": r.ColdFrom > 0, "cold_multiple": r.ColdTimes > 0, "cold_window": r.ColdWindow > 0} {
-				if r.ColdTime > 0 && !given {
-					say(u.atSite("rules.%s", field).with(u.atSite("rules.cold_time")), r.ColdTime, field)
+			given := map[string]bool{"cold_from": r.ColdFrom > 0, "cold_time": r.ColdTime > 0, "cold_multiple": r.ColdTimes > 0, "cold_window": r.ColdWindow > 0}
+			for field, is := range given {
+				if !is && (r.ColdFrom > 0 || r.ColdTime > 0 || r.ColdTimes > 0 || r.ColdWindow > 0) {
+					say(u.atSite("rules.%s", field), field)
 				}
 			}
 		}},
@@ -166,6 +167,13 @@
 				}
 			})
 		}},
+	{Code: "HW128", Severity: Warning, Title: "list that nobody says how it comes", Looks: "discovery.mode, discovery.ask_within",
+		Says: "ask_within is given, and how the list comes is not", Why: "The sidecar takes it for pushed, and does not know what counts as told", Do: "Write mode = \"ask\" or \"push\"",
+		site: func(u *unit, say say) {
+			if u.site.List.Mode == "" && u.site.List.AskWithin > 0 {
+				say(u.atSite("discovery.mode").with(u.atSite("discovery.ask_within")))
+			}
+		}},
 	{Code: "HW127", Severity: Warning, Title: "round longer than a site's shortest time", Looks: "round, connections.timeout, rules.drain_grace",
 		Says: "the decisions are asked every %[1]s at most, and %[2]s is %[3]s", Why: "What must be done by then is done a round late", Do: "Write a round of some milliseconds",
 		site: func(u *unit, say say) {
--- a/internal/lint/lint.go
+++ b/internal/lint/lint.go
@@ -86,6 +86,7 @@
 	siteIn    *appconfig.File // the file of its site; nil where there is none
 	site      *appconfig.Site
 	siteIsOwn bool // the site's facts stand in the file itself, as they do in a platform's file
+	listed    []*class
 	alone     bool // there is nothing but the file of the site, or of features
 }
 
@@ -115,6 +116,9 @@
 
 // classes are those of the unit's own files.
 func (u *unit) classes() []*class {
+	if u.listed != nil {
+		return u.listed
+	}
 	var all []*class
 	if u.app != nil {
 		for i, c := range u.app.Classes {
@@ -124,6 +128,7 @@
 	if u.site != nil && (u.siteIsOwn || u.alone) {
 		all = append(all, u.siteClasses()...)
 	}
+	u.listed = all
 	return all
 }
 
@@ -144,6 +149,9 @@
 	return nil
 }
 
+// mostOfOne bounds how often one check tells of one file. Nobody reads more, and a file of nothing but faults would take long.
+const mostOfOne = 500
+
 // Run returns what is wrong with files that belong together, in their order. against is a site's file that all of them are
 // held against; nil: a site's file among them, if there is one.
 func Run(files []*appconfig.File, against *appconfig.File) []Finding {
@@ -162,16 +170,21 @@
 		}
 	}
 	sayOf := func(c *Check) say {
-		told := map[string]bool{}
+		told, shared := map[string]int{}, map[string]bool{}
 		return func(at ref, args ...any) {
-			key := at.path + "@"
-			if at.file != nil {
-				key += at.file.Name
+			if _, asked := order[at.file]; !asked || at.bad() {
+				return
 			}
-			if _, asked := order[at.file]; !asked || at.bad() || c.all != nil && told[key] {
-				return // what three files share is said once for each, and not of each pair
+			if c.all != nil { // what three files share is said once for each, and not of each pair
+				key := at.file.Name + "@" + at.path
+				if shared[key] {
+					return
+				}
+				shared[key] = true
+			}
+			if told[at.file.Name]++; told[at.file.Name] > mostOfOne {
+				return
 			}
-			told[key] = true
 			found = append(found, c.finding(at.file, at.file.At(at.path), args))
 		}
 	}
@@ -246,7 +259,10 @@
 	if at.Field != "" {
 		message = at.Field + ": " + message
 	}
-	return Finding{c, f.Name, at, strings.Join(strings.Fields(message), " ")}
+	if strings.ContainsAny(message, "\n\t") { // a finding is one line
+		message = strings.Join(strings.Fields(message), " ")
+	}
+	return Finding{c, f.Name, at, message}
 }
 
 // filled fills arguments into a format, which may leave some out if it counts them: %[1].
--- /dev/null
+++ b/internal/lint/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package lint
+
+const raceOn = false
