Test the configuration tool from the first command to a request of every class

The page on configuration walks from nothing to a running sidecar; its commands, examples and messages are run as they stand there. Five applications go from config new over config render to a sidecar that serves a request of every class. That showed that a rendered file without a list to begin with had the sidecar ask discovery only once a request had come and been refused: render writes an empty list now, and HW082 says so of others' files.

--- a/cmd/hazelwheel/config.go
+++ b/cmd/hazelwheel/config.go
@@ -22,10 +22,10 @@
 func configCommand() *cli.Command {
 	against := &cli.StringFlag{Name: "against", Usage: "the site's `FILE` that applications are held against"}
 	strict := &cli.BoolFlag{Name: "strict", Usage: "warnings count like errors"}
-	site := &cli.StringFlag{Name: "site", Usage: "the site's `FILE`", Required: true}
+	site := &cli.StringFlag{Name: "site", Usage: "the site's `FILE`; must be given"}
 	out := &cli.StringFlag{Name: "out", Usage: "the `FOLDER` that files are written to; without it they go to standard output"}
 	kinds := []string{"app", "site"}
-	return &cli.Command{
+	tool := &cli.Command{
 		Name:  "config",
 		Usage: "write and check configurations",
 		Commands: []*cli.Command{
@@ -42,6 +42,10 @@
 				ShellComplete: completeWith(func() []string { return kinds })},
 		},
 	}
+	for _, c := range tool.Commands {
+		c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return fault(err) }
+	}
+	return tool
 }
 
 // completeWith completes words.
@@ -213,6 +217,9 @@
 	if c.Args().Len() != 1 {
 		return fault(errors.New("config render: name one application's file"))
 	}
+	if c.String("site") == "" {
+		return fault(errors.New("config render: --site is missing"))
+	}
 	site, err := siteFile(c, "site")
 	if err != nil {
 		return fault(err)
--- /dev/null
+++ b/cmd/hazelwheel/config_test.go
@@ -0,0 +1,285 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/appconfig"
+)
+
+const (
+	exampleApp  = "../../example/app.toml"
+	exampleSite = "../../example/site.toml"
+	exampleCore = "../../example/config.json"
+)
+
+// Exit codes and what is printed, command by command.
+func TestConfigCommands(t *testing.T) {
+	dir := t.TempDir()
+	spoilt := filepath.Join(dir, "spoilt.toml")
+	raw, err := os.ReadFile(exampleApp)
+	require.NoError(t, err)
+	text := strings.NewReplacer(`"3s"`, `"4s"`, `waits = "4s"`, `waits = "3s"`).Replace(string(raw))
+	require.NoError(t, os.WriteFile(spoilt, []byte(strings.Replace(text, `waits = "4s"`, `waits = "3s"`, 1)), 0o600))
+	for _, c := range []struct {
+		args string
+		code int
+		want string
+	}{
+		{"check " + exampleApp, 0, ""},
+		{"check --against " + exampleSite + " " + exampleApp, 0, "note HW068"},
+		{"check --against " + exampleSite + " " + spoilt, 1, "error HW041: class[0].deadline: the deadline 4s is longer than the client waits, 3s"},
+		{"check --format json " + spoilt, 1, `"code": "HW041"`},
+		{"check --format sarif " + spoilt, 1, `"ruleId": "HW041"`},
+		{"check " + exampleCore + " ../../example/features.json", 0, "warning HW133"},
+		{"check --strict " + exampleCore + " ../../example/features.json", 1, "warning HW133"},
+		{"check", 2, "no file is named"},
+		{"check --format xml " + spoilt, 2, "none of text, json, sarif"},
+		{"check " + spoilt + " " + spoilt, 2, "named twice"},
+		{"check " + filepath.Join(dir, "none"), 2, "HW001"},
+		{"check --against " + spoilt + " " + exampleApp, 2, "not a site's file"},
+		{"check --colour " + exampleApp, 2, "colour"},
+		{"explain HW041", 0, "longer than the client waits"},
+		{"explain classes.aim", 0, "objectiveS"},
+		{"explain HW999", 2, "no"},
+		{"schema app", 0, "late_worth"},
+		{"schema site", 0, `"cold_multiple"`},
+		{"schema world", 2, "name app or site"},
+		{"diff " + exampleApp + " " + exampleApp, 0, ""},
+		{"diff " + exampleApp + " " + spoilt, 1, "class[latest-reading].deadline: requests are given up after 4s, not 3s (taken in at a restart)"},
+		{"diff " + exampleApp + " " + exampleSite, 2, "nothing to compare"},
+		{"render " + exampleApp, 2, "site"},
+		{"render --site " + exampleSite + " " + spoilt, 1, "HW041"},
+		{"render --site " + exampleSite + " " + exampleApp, 0, `"locality": 0`},
+		{"import " + exampleCore, 0, `deadline = "2500ms"`},
+		{"import " + exampleApp, 2, "want the platform's file"},
+		{"new --name n1", 2, "--discovery is missing"},
+		{"new --name n1 --discovery 127.0.0.1:8500 --class \"a effect=saef aim=1s deadline=2s\"", 1, "Write safe if that is meant"},
+		{"new --name n1 --discovery 127.0.0.1:8500 --class \"a effect=safe aim=1s deadline=2s\" --write " + spoilt, 2, "there already"},
+	} {
+		code, said := run(t, append([]string{"config"}, words(c.args)...)...)
+		assert.Equal(t, c.code, code, "%s: %s", c.args, said)
+		assert.Contains(t, said, c.want, c.args)
+		assert.NotContains(t, said, "\x1b", "no terminal, no colour")
+	}
+}
+
+// words splits a command line; quotes keep spaces.
+func words(line string) []string {
+	var all []string
+	for i, part := range strings.Split(line, `"`) {
+		if i%2 == 1 {
+			all = append(all, part)
+		} else {
+			all = append(all, strings.Fields(part)...)
+		}
+	}
+	return all
+}
+
+// Standard input stands for a file, and Windows' line ends for others.
+func TestConfigFromStandardInput(t *testing.T) {
+	raw, err := os.ReadFile(exampleApp)
+	require.NoError(t, err)
+	cmd := program("config", "check", "--against", exampleSite, "-")
+	cmd.Stdin = strings.NewReader(strings.ReplaceAll(string(raw), "\n", "\r\n"))
+	out, err := cmd.CombinedOutput()
+	assert.NoError(t, err, string(out))
+	assert.Contains(t, string(out), "-:22:1: note HW068")
+}
+
+func TestShellCompletion(t *testing.T) {
+	code, said := run(t, "completion", "bash")
+	assert.Zero(t, code)
+	assert.Contains(t, said, "complete")
+	_, said = run(t, "config", "explain", "--generate-shell-completion")
+	assert.Contains(t, said, "HW041")
+	assert.Contains(t, said, "class.aim")
+	_, said = run(t, "config", "--generate-shell-completion")
+	assert.Contains(t, said, "render")
+}
+
+// Five applications, each from config new over config render to a sidecar that serves a request of every class of its own.
+func TestNewConfigurationsServe(t *testing.T) {
+	for name, c := range map[string]struct {
+		flags, classes []string
+	}{
+		"dashboard":   {[]string{"--waits", "3s", "--connections", "40", "--rate", "27"}, []string{"latest-reading"}},
+		"alarms":      {[]string{"--waits", "3s", "--health-port", "free"}, []string{"raise-alert"}},
+		"calibration": {[]string{"--waits", "4s", "--capture", "256KiB"}, []string{"log-calibration"}},
+		"everything":  {nil, []string{"latest-reading", "log-calibration", "raise-alert"}},
+		"own words": {[]string{"--rate", "5"}, []string{"latest-reading effect=safe aim=900ms deadline=2s worth=2",
+			"raise-alert effect=keyed group=place window=10s aim=2s deadline=2500ms worth=9"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			box := newServer(t, "s-00000001", says(200, "own"))
+			w := newWorld(t, box)
+			dir := t.TempDir()
+			app := filepath.Join(dir, "app.toml")
+			args := []string{"config", "new", "--site", exampleSite, "--write", app, "--name", "n7", "--listen", w.listen,
+				"--discovery", w.discovery.address(), "--home", "zarqa"}
+			for _, flag := range c.flags {
+				if flag == "free" {
+					_, flag, _ = strings.Cut(freeAddress(t), ":")
+				}
+				args = append(args, flag)
+			}
+			for _, class := range c.classes {
+				args = append(args, "--class", class)
+			}
+			code, said := run(t, args...)
+			require.Zero(t, code, said)
+			code, said = run(t, "config", "render", "--site", exampleSite, "--out", dir, app)
+			require.Zero(t, code, said)
+			w.path = filepath.Join(dir, "config.json")
+			serve := []string{"serve", "--verbose", "--config", w.path}
+			if _, err := os.Stat(filepath.Join(dir, "features.json")); err == nil {
+				serve = append(serve, "--features", filepath.Join(dir, "features.json"))
+			}
+			w.launch(serve...)
+			w.discovery.answers <- list(line(t, 8, true, box))
+			w.eventually("the list", func() bool { return w.counter("lists") == 1 })
+			methods := map[string]string{"safe": "GET", "keyed": "POST", "unsafe": "POST"}
+			file := appconfig.Open(app, nil)
+			for _, class := range appconfig.Resolve(file.App, appconfig.Open(exampleSite, nil).Site).Classes {
+				r := w.request(class.Name, "", "")
+				r.Method = methods[class.Effect]
+				if class.Effect == "keyed" {
+					r.Header.Set("Idempotency-Key", "5c0f6e1a2b3d4c59")
+				}
+				p := w.do(r)
+				require.NoError(t, p.err)
+				assert.Equal(t, []any{200, "own"}, []any{p.status, p.body}, class.Name)
+			}
+			assert.NotContains(t, w.log.String(), "could not be checked")
+		})
+	}
+}
+
+// Danger: an example that does not pass is copied all the same. Every TOML and JSON text in the pages is checked, and every
+// command line of the tool must be one that it knows.
+func TestExamplesInThePagesAreSound(t *testing.T) {
+	pages, err := filepath.Glob("../../docs/operators/*.md")
+	require.NoError(t, err)
+	fence := regexp.MustCompile("(?s)```(toml|json)\n(.*?)```")
+	indented := regexp.MustCompile(`(?m)^    \{"(?:[^\n]*\n)(?:     [^\n]*\n)*`)
+	checked := 0
+	for _, page := range append(pages, "../../README.md") {
+		raw, err := os.ReadFile(page)
+		require.NoError(t, err)
+		var texts []string
+		for _, m := range fence.FindAllStringSubmatch(string(raw), -1) {
+			texts = append(texts, m[2])
+		}
+		for _, m := range indented.FindAllString(string(raw), -1) {
+			if features := appconfig.Read("", []byte(m)); features.Kind == appconfig.FeaturesFile && !strings.Contains(m, `"k":`) && !strings.Contains(m, `"ready"`) {
+				texts = append(texts, m)
+			}
+		}
+		for i, text := range texts {
+			path := filepath.Join(t.TempDir(), fmt.Sprintf("%d", i))
+			require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+			args := []string{"config", "check", "--against", exampleSite}
+			if strings.HasPrefix(strings.TrimSpace(text), "{") {
+				args = append(args, exampleCore)
+			}
+			code, said := run(t, append(args, path)...)
+			assert.Zero(t, code, "%s: %s\n%s", page, text, said)
+			checked++
+		}
+	}
+	assert.GreaterOrEqual(t, checked, 6, "the pages have examples")
+}
+
+// The walk from nothing to a running sidecar, as the page has it: each command ends with 0 and says what is shown.
+func TestWalkOfThePage(t *testing.T) {
+	raw, err := os.ReadFile("../../docs/operators/config.md")
+	require.NoError(t, err)
+	self, err := filepath.Abs(os.Args[0])
+	require.NoError(t, err)
+	dir, steps, said := t.TempDir(), 0, ""
+	for _, line := range strings.Split(string(raw), "\n") {
+		command, ok := strings.CutPrefix(line, "    $ hazelwheel ")
+		shown, is := strings.CutPrefix(line, "    ")
+		switch {
+		case ok:
+			steps++
+			cmd := program(words(command)...)
+			cmd.Path, cmd.Dir = self, dir
+			out, err := cmd.CombinedOutput()
+			require.NoError(t, err, "%s\n%s", command, out)
+			said = string(out)
+		case is && steps > 0 && said != "":
+			assert.Contains(t, said, shown)
+		case strings.HasPrefix(line, "## What a mistake"):
+			assert.Equal(t, 5, steps)
+			return
+		}
+	}
+}
+
+// The page's mistakes are told as it shows them.
+func TestMistakesOfThePage(t *testing.T) {
+	raw, err := os.ReadFile("../../docs/operators/config.md")
+	require.NoError(t, err)
+	_, text, _ := strings.Cut(string(raw), "```toml\n")
+	text, rest, _ := strings.Cut(text, "```")
+	text = strings.NewReplacer(`effect = "unsafe"`, `effect = "safe"`, `deadline = "3s"`, `deadline = "4s"`).Replace(text)
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "app.toml"), []byte(text), 0o600))
+	code, said := run(t, "config", "check", "--against", exampleSite, filepath.Join(dir, "app.toml"))
+	assert.Equal(t, 1, code)
+	shown := regexp.MustCompile(`(?m)^    (app\.toml:.*) \.\.\.$`).FindAllStringSubmatch(rest, -1)
+	require.Len(t, shown, 4)
+	for _, m := range shown {
+		assert.Contains(t, said, m[1])
+	}
+	assert.Equal(t, len(shown)+1, strings.Count(said, "\n"), "all of them, and the line that counts")
+}
+
+// At a terminal what no flag says is asked for, and asked again until it makes sense.
+func TestNewAsks(t *testing.T) {
+	script, err := exec.LookPath("script")
+	if err != nil {
+		t.Skip("script, which makes a terminal, is not there")
+	}
+	app := filepath.Join(t.TempDir(), "app.toml")
+	cmd := exec.Command(script, "-qec", program("config", "new", "--site", exampleSite, "--write", app).String(), "/dev/null")
+	cmd.Env = append(os.Environ(), "RUN_HAZELWHEEL=1")
+	cmd.Stdin = strings.NewReader("n3\n\n127.0.0.1:8500\nzarqa\n1\n3\n3\n3s\n40\n\n\n\nraise-alert\n")
+	out, err := cmd.CombinedOutput()
+	require.NoError(t, err, string(out))
+	assert.Contains(t, string(out), `Write "3ms" or "3s"`, "3 has no unit, and is asked for again")
+	f := appconfig.Open(app, nil)
+	require.Empty(t, f.Faults)
+	assert.Equal(t, []any{"n3", "127.0.0.1:3000", "zarqa", 1, 3, "3s", 40}, []any{f.App.Name, f.App.Listen, f.App.Home, f.App.Index, f.App.Replicas,
+		f.App.Client.Waits.String(), f.App.Client.Connections})
+	assert.Equal(t, "raise-alert", f.App.Classes[0].Name)
+	assert.Len(t, f.App.Classes, 1)
+}
+
+// Colour is for a terminal, and for one whose user has not declined it.
+func TestColour(t *testing.T) {
+	script, err := exec.LookPath("script")
+	if err != nil {
+		t.Skip("script, which makes a terminal, is not there")
+	}
+	for _, c := range []struct {
+		env    string
+		colour bool
+	}{{"A=1", true}, {"NO_COLOR=1", false}} {
+		cmd := exec.Command(script, "-qec", program("config", "check", exampleCore, "../../example/features.json").String(), "/dev/null")
+		cmd.Env = append(os.Environ(), "RUN_HAZELWHEEL=1", "TERM=xterm", c.env)
+		out, err := cmd.CombinedOutput()
+		require.NoError(t, err, string(out))
+		assert.Equal(t, c.colour, strings.Contains(string(out), "\x1b[33mwarning HW133"), string(out))
+	}
+}
--- a/cmd/hazelwheel/world_test.go
+++ b/cmd/hazelwheel/world_test.go
@@ -138,6 +138,11 @@
 	if w.features != "" {
 		args = append(args, "--features", w.file("features.json", w.features))
 	}
+	return w.launch(args...)
+}
+
+// launch does so by a command line of the caller's.
+func (w *world) launch(args ...string) *world {
 	w.cmd = program(args...)
 	w.cmd.Stderr, w.cmd.Stdout = &w.log, &w.out
 	w.cmd.Env = append(w.cmd.Env, w.env...)
--- a/internal/appconfig/file.go
+++ b/internal/appconfig/file.go
@@ -253,6 +253,9 @@
 	app.object(f.App, root)
 	site.object(f.Site, root)
 	f.readHome(root)
+	if known := root.walk("known"); known != nil {
+		f.places["app.known"] = f.placeOf(known, "known")
+	}
 	d := decoder{f: f, form: platformForm}
 	d.unknown(root, knownNames(PlatformFile))
 }
--- a/internal/appconfig/render.go
+++ b/internal/appconfig/render.go
@@ -57,6 +57,8 @@
 	render(p, reflect.ValueOf(s).Elem(), platformForm)
 	render(p, reflect.ValueOf(Resolve(a, s)).Elem(), platformForm)
 	render(f, reflect.ValueOf(a).Elem(), featuresForm)
+	// Danger: the decisions ask for the list once they have been told of one, and without any they never do.
+	put(p, "known", map[string]any{"index": 0, "snapshot": true, "endpoints": []any{}})
 	if a.Home != "" {
 		at := slices.Index(s.Places, a.Home)
 		if at < 0 {
--- a/internal/lint/instance.go
+++ b/internal/lint/instance.go
@@ -115,6 +115,13 @@
 				say(u.at("seed"), u.app.Seed)
 			}
 		}},
+	{Code: "HW082", Severity: Warning, Title: "no list to begin with", Looks: "known, settings.discovery",
+		Says: "the list of boxes comes when asked for, and there is none to begin with", Why: "The sidecar asks for it with its first request, which it then has to refuse", Do: "Write known, at least {\"index\": 0, \"snapshot\": true, \"endpoints\": []}",
+		against: func(u *unit, say say) {
+			if u.file.Kind == appconfig.PlatformFile && u.site.List.Mode == "ask" && !u.file.Has("app.known") {
+				say(u.at("known"))
+			}
+		}},
 	{Code: "HW081", Severity: Note, Title: "discovery on the instance's own machine", Looks: "listen, discovery",
 		Says: "discovery is at %[1]s, and the application connects from elsewhere", Why: "A loopback address is another machine's for nobody; it may be left from a trial", Do: "Write discovery's address in the network",
 		app: func(u *unit, say say) {
