Say each finding once while serving, and give editors a schema that is tested

A reload repeated what had been said when the text had moved. The JSON Schema of both files takes the examples and refuses wrong words, units and names in them, as another library reads it.

--- a/cmd/hazelwheel/config.go
+++ b/cmd/hazelwheel/config.go
@@ -339,7 +339,7 @@
 				alike++
 			}
 		}
-		text := f.String()
+		text := f.File + f.Code + f.Message // what has moved in the file is nothing new
 		if alike < 0 || f.Severity == lint.Note || a.said[text] {
 			continue
 		}
--- a/internal/appconfig/appconfig_test.go
+++ b/internal/appconfig/appconfig_test.go
@@ -1,11 +1,16 @@
 package appconfig
 
 import (
+	"bytes"
+	"encoding/json"
+	"os"
 	"reflect"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
+	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -177,3 +182,28 @@
 		}
 	})
 }
+
+// Editors get a schema that takes the examples, and no wrong word, unit or name in them.
+func TestSchema(t *testing.T) {
+	for _, kind := range []Kind{AppFile, SiteFile} {
+		text, err := Schema(kind)
+		require.NoError(t, err)
+		doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+		require.NoError(t, err)
+		c := jsonschema.NewCompiler()
+		require.NoError(t, c.AddResource("schema.json", doc))
+		schema, err := c.Compile("schema.json")
+		require.NoError(t, err)
+		raw, err := os.ReadFile("../../example/" + string(kind) + ".toml")
+		require.NoError(t, err)
+		for from, to := range map[string]string{"": "", `"safe"`: `"saef"`, `"3s"`: `"3m"`, `"600ms"`: `0.6`, "aim": "aims", "late_worth = 0.2": "late_worth = 2", "format =": "form ="} {
+			var v map[string]any
+			require.NoError(t, toml.Unmarshal([]byte(strings.Replace(string(raw), from, to, 1)), &v))
+			plain, err := json.Marshal(v)
+			require.NoError(t, err)
+			instance, err := jsonschema.UnmarshalJSON(bytes.NewReader(plain))
+			require.NoError(t, err)
+			assert.Equal(t, from == "", schema.Validate(instance) == nil, "%s: %s for %s", kind, to, from)
+		}
+	}
+}
--- a/internal/appconfig/model.go
+++ b/internal/appconfig/model.go
@@ -200,6 +200,8 @@
 
 // elsewhere are fields of the platform's file that the sidecar has no use for; they are known and skipped.
 var elsewhere = []string{"known", "settings.stage", "settings.tiers", "settings.workload", "settings.valueBy", "settings.familyInfo",
-	"settings.clients", "settings.deductions", "settings.scoringMix", "settings.overShareWorth", "settings.locality",
+	"settings.clients", "settings.deductions.connection", "settings.deductions.discovery", "settings.deductions.fleet",
+	"settings.deductions.handshake", "settings.deductions.lateFail", "settings.deductions.moves", "settings.deductions.origin",
+	"settings.deductions.peer", "settings.deductions.probe", "settings.deductions.waste", "settings.scoringMix", "settings.overShareWorth", "settings.locality",
 	"settings.limits.cpuUsPerRequest", "settings.limits.cpuUsPerS", "settings.limits.maxOpen", "settings.limits.peers",
 	"settings.limits.streamsPerConn"}
--- a/internal/lint/instance.go
+++ b/internal/lint/instance.go
@@ -92,7 +92,7 @@
 					return
 				}
 			}
-			if u.app.Home == "" || u.siteIsOwn {
+			if u.app.Home == "" || u.file.Kind == appconfig.PlatformFile { // whose places are compared whole
 				return
 			}
 			do := "Write one of " + strings.Join(places, ", ")
--- a/internal/lint/rooms.go
+++ b/internal/lint/rooms.go
@@ -58,7 +58,7 @@
 			}
 		}},
 	{Code: "HW093", Severity: Warning, Title: "probes that take too much of a box", Looks: "replicas, probes.cost, probes.part",
-		Says: "%[1]d replicas that probe a box each second, at %[2]s a probe, take up to %.0[3]f %% of it; the site allows %.0[4]f %%", Why: "Boxes answer probes in place of requests, most of all when they are busy", Do: "Have fewer replicas share a site, or ask those who run the boxes for a cheaper probe",
+		Says: "%[1]d replicas that probe a box each second, at %[2]s a probe, take up to %.3[3]g %% of it; the site allows %.3[4]g %%", Why: "Boxes answer probes in place of requests, most of all when they are busy", Do: "Have fewer replicas share a site, or ask those who run the boxes for a cheaper probe",
 		against: func(u *unit, say say) {
 			p := &u.site.Probes
 			if load := float64(u.app.Replicas) * probesPerS * p.Cost.S(); p.Allowed && p.Part > 0 && load > p.Part {
