--- a/cmd/hazelwheel/config.go
+++ b/cmd/hazelwheel/config.go
@@ -77,8 +77,8 @@
 	return ok && os.Getenv("NO_COLOR") == "" && os.Getenv("TERM") != "dumb" && term.IsTerminal(int(f.Fd()))
 }
 
-// open reads files; standard input stands for one of them at most.
-func open(c *cli.Command, names []string) ([]*appconfig.File, error) {
+// openFiles reads files; standard input stands for one of them at most.
+func openFiles(c *cli.Command, names []string) ([]*appconfig.File, error) {
 	var files []*appconfig.File
 	for i, name := range names {
 		if slices.Contains(names[:i], name) {
@@ -136,7 +136,7 @@
 	if err != nil {
 		return fault(err)
 	}
-	files, err := open(c, c.Args().Slice())
+	files, err := openFiles(c, c.Args().Slice())
 	if err != nil {
 		return fault(err)
 	}
@@ -178,9 +178,9 @@
 	text []byte
 }
 
-// write puts files into the folder that --out names, or one after the other on standard output. Danger: a sidecar that is told to read
-// its file again while it is written would read a half; so each is written beside its place and moved there.
-func write(c *cli.Command, all []output) error {
+// writeFiles puts files into the folder that --out names, or one after the other on standard output. Danger: a sidecar that is
+// told to read its file again while it is written would read a half; so each is written beside its place and moved there.
+func writeFiles(c *cli.Command, all []output) error {
 	folder := c.String("out")
 	for _, o := range all {
 		if len(o.text) == 0 {
@@ -235,7 +235,7 @@
 	if err != nil {
 		return fault(err)
 	}
-	return write(c, []output{{"config.json", platform}, {"features.json", features}})
+	return writeFiles(c, []output{{"config.json", platform}, {"features.json", features}})
 }
 
 func importFiles(_ context.Context, c *cli.Command) error {
@@ -246,7 +246,7 @@
 	if f := c.String("features"); f != "" {
 		names = append(names, f)
 	}
-	files, err := open(c, names)
+	files, err := openFiles(c, names)
 	if err != nil {
 		return fault(err)
 	}
@@ -272,7 +272,7 @@
 	if err != nil {
 		return err
 	}
-	return write(c, []output{{"app.toml", appText}, {"site.toml", siteText}})
+	return writeFiles(c, []output{{"app.toml", appText}, {"site.toml", siteText}})
 }
 
 // diffFiles ends with 1 where something is otherwise.
--- a/internal/appconfig/file.go
+++ b/internal/appconfig/file.go
@@ -253,8 +253,8 @@
 	app.object(f.App, root)
 	site.object(f.Site, root)
 	f.readHome(root)
-	if known := root.walk("known"); known != nil {
-		f.places["app.known"] = f.placeOf(known, "known")
+	if known := root.get(listField); known != nil {
+		f.places["app.known"] = f.placeOf(known, listField)
 	}
 	d := decoder{f: f, form: platformForm}
 	d.unknown(root, knownNames(PlatformFile))
--- a/internal/appconfig/jsontree.go
+++ b/internal/appconfig/jsontree.go
@@ -12,6 +12,10 @@
 // mostDepth bounds how deep a JSON text may be nested; no configuration comes near it.
 const mostDepth = 64
 
+// listField holds the list of boxes, which the platform writes and nobody else. It is passed over: it may be a hundred times as
+// large as all the rest, and a sidecar checks its file while it starts.
+const listField = "known"
+
 var errDepth = errors.New("nested too deep")
 
 // parseJSON reads a text; nil where it is no JSON. Of a field that is given twice the last counts, as it does for serve.
@@ -109,7 +113,13 @@
 		return err
 	}
 	key, _ := token.(string) // a JSON text that is valid has nothing else here
-	e, err := f.jsonValue(d, depth+1)
+	var e *node
+	if depth == 0 && key == listField {
+		var list json.RawMessage
+		err, e = d.Decode(&list), &node{kind: table}
+	} else {
+		e, err = f.jsonValue(d, depth+1)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/lint/facts.go
+++ b/internal/lint/facts.go
@@ -18,7 +18,9 @@
 
 var factChecks = []Check{
 	{Code: "HW110", Severity: Warning, Title: "reports that the decisions can't use", Looks: "report.how, report.fields",
-		Says: "none of %[1]s says how many requests a box holds", Why: "The sidecar asks for reports, which cost boxes work, and learns nothing from them", Do: "Have boxes report busy_reqs or pending, or write how = \"off\"",
+		Says: "none of %[1]s says how many requests a box holds",
+		Why:  "The sidecar asks for reports, which cost boxes work, and learns nothing from them",
+		Do:   "Have boxes report busy_reqs or pending, or write how = \"off\"",
 		site: func(u *unit, say say) {
 			r := &u.site.Report
 			if r.How != "off" && r.How != "" && len(r.Fields) > 0 && !slices.ContainsFunc(r.Fields, func(f string) bool {
@@ -28,7 +30,9 @@
 			}
 		}},
 	{Code: "HW111", Severity: Warning, Title: "unknown report value", Looks: "report.fields",
-		Says: "%[1]q is no value that boxes report", Why: "The sidecar skips it, and may miss the one that was meant", Do: "%[2]s",
+		Says: "%[1]q is no value that boxes report",
+		Why:  "The sidecar skips it, and may miss the one that was meant",
+		Do:   "%[2]s",
 		site: func(u *unit, say say) {
 			for i, f := range u.site.Report.Fields {
 				if !slices.Contains(reportValues, f) {
@@ -41,7 +45,9 @@
 			}
 		}},
 	{Code: "HW112", Severity: Warning, Title: "reports without values, or values without reports", Looks: "report.how, report.fields",
-		Says: "report.how is %[1]q and %[2]d values are named", Why: "One of the two is not what is meant, and the sidecar goes without reports", Do: "Write both, or neither",
+		Says: "report.how is %[1]q and %[2]d values are named",
+		Why:  "One of the two is not what is meant, and the sidecar goes without reports",
+		Do:   "Write both, or neither",
 		site: func(u *unit, say say) {
 			r := &u.site.Report
 			if on := r.How != "off" && r.How != ""; on != (len(r.Fields) > 0) {
@@ -49,14 +55,18 @@
 			}
 		}},
 	{Code: "HW113", Severity: Warning, Title: "reports on probes that are not allowed", Looks: "report.how, probes.allowed",
-		Says: "reports come with probes alone, and boxes answer none", Why: "The sidecar never gets a report", Do: "Write probes.allowed = true, or how = \"inline\" or \"off\"",
+		Says: "reports come with probes alone, and boxes answer none",
+		Why:  "The sidecar never gets a report",
+		Do:   "Write probes.allowed = true, or how = \"inline\" or \"off\"",
 		site: func(u *unit, say say) {
 			if u.site.Report.How == "on_probe" && !u.site.Probes.Allowed {
 				say(u.atSite("report.how").with(u.atSite("probes.allowed")))
 			}
 		}},
 	{Code: "HW114", Severity: Warning, Title: "report value twice or too many", Looks: "report.fields",
-		Says: "the report names %[1]s", Why: "A report has at most four values, in this order; what follows a wrong one is read as another", Do: "Name each value once, four at most",
+		Says: "the report names %[1]s",
+		Why:  "A report has at most four values, in this order; what follows a wrong one is read as another",
+		Do:   "Name each value once, four at most",
 		site: func(u *unit, say say) {
 			f := u.site.Report.Fields
 			if len(f) > 4 {
@@ -65,14 +75,18 @@
 			eachTwice(len(f), func(i int) string { return f[i] }, func(i, _ int) { say(u.atSite("report.fields[%d]", i), f[i]+" twice") })
 		}},
 	{Code: "HW115", Severity: Warning, Title: "drain without grace", Looks: "rules.drain_grace",
-		Says: "a drain binds at once", Why: "A request that is on its way when the drain is told breaks the rule, whatever the sidecar does", Do: "Write the site's grace, like \"750ms\"",
+		Says: "a drain binds at once",
+		Why:  "A request that is on its way when the drain is told breaks the rule, whatever the sidecar does",
+		Do:   "Write the site's grace, like \"750ms\"",
 		site: func(u *unit, say say) {
 			if u.site.Rules.DrainGrace == 0 {
 				say(u.atSite("rules.drain_grace"))
 			}
 		}},
 	{Code: "HW116", Severity: Warning, Title: "cold boxes that nothing protects", Looks: "rules.cold_from, rules.cold_time, rules.cold_multiple, rules.cold_window",
-		Says: "%[1]s is not given, and others of the four figures of cold boxes are", Why: "The sidecar can't reckon what a box takes that has just started, and may push it over", Do: "Write all four: cold_from, cold_time, cold_multiple and cold_window",
+		Says: "%[1]s is not given, and others of the four figures of cold boxes are",
+		Why:  "The sidecar can't reckon what a box takes that has just started, and may push it over",
+		Do:   "Write all four: cold_from, cold_time, cold_multiple and cold_window",
 		site: func(u *unit, say say) {
 			r := &u.site.Rules
 			given := map[string]bool{"cold_from": r.ColdFrom > 0, "cold_time": r.ColdTime > 0, "cold_multiple": r.ColdTimes > 0, "cold_window": r.ColdWindow > 0}
@@ -83,42 +97,54 @@
 			}
 		}},
 	{Code: "HW117", Severity: Warning, Title: "cold boxes that may get less than they take", Looks: "rules.cold_multiple",
-		Says: "a cold box falls over at %[1]g times its capacity, which it could bear", Why: "The sidecar sends it less than it can do, and the warm ones get the rest", Do: "Write a multiple above 1",
+		Says: "a cold box falls over at %[1]g times its capacity, which it could bear",
+		Why:  "The sidecar sends it less than it can do, and the warm ones get the rest",
+		Do:   "Write a multiple above 1",
 		site: func(u *unit, say say) {
 			if m := u.site.Rules.ColdTimes; m > 0 && m < 1 {
 				say(u.atSite("rules.cold_multiple"), m)
 			}
 		}},
 	{Code: "HW118", Severity: Warning, Title: "list that counts as told at once", Looks: "discovery.mode, discovery.ask_within",
-		Says: "the list is asked for, and ask_within is not given", Why: "Whoever has not asked counts as told of every change, so a drain binds before it is known", Do: "Write the site's ask_within, like \"10s\"",
+		Says: "the list is asked for, and ask_within is not given",
+		Why:  "Whoever has not asked counts as told of every change, so a drain binds before it is known",
+		Do:   "Write the site's ask_within, like \"10s\"",
 		site: func(u *unit, say say) {
 			if u.site.List.Mode == "ask" && u.site.List.AskWithin == 0 {
 				say(u.atSite("discovery.ask_within").with(u.atSite("discovery.mode")))
 			}
 		}},
 	{Code: "HW119", Severity: Note, Title: "time to ask for a list that comes by itself", Looks: "discovery.mode, discovery.ask_within",
-		Says: "the list is pushed, so ask_within means nothing", Why: "A reader may count on it", Do: "Take it out, or write mode = \"ask\"",
+		Says: "the list is pushed, so ask_within means nothing",
+		Why:  "A reader may count on it",
+		Do:   "Take it out, or write mode = \"ask\"",
 		site: func(u *unit, say say) {
 			if u.site.List.Mode == "push" && u.site.List.AskWithin > 0 && u.siteIn.Kind == appconfig.SiteFile {
 				say(u.atSite("discovery.ask_within").with(u.atSite("discovery.mode")))
 			}
 		}},
 	{Code: "HW120", Severity: Warning, Title: "connections that are idle too soon", Looks: "client.rate, connections.idle",
-		Says: "%[1]g requests a second are one in %[2]s, and boxes close a connection that is idle for %[3]s", Why: "Nearly each request opens a connection, which costs the box work and the request time", Do: "Write a longer connections.idle if the boxes allow it",
+		Says: "%[1]g requests a second are one in %[2]s, and boxes close a connection that is idle for %[3]s",
+		Why:  "Nearly each request opens a connection, which costs the box work and the request time",
+		Do:   "Write a longer connections.idle if the boxes allow it",
 		against: func(u *unit, say say) {
 			if r, idle := u.app.Client.Rate, u.site.Conns.Idle; r > 0 && idle > 0 && 1/r > idle.S() {
 				say(u.at("client.rate").with(u.atSite("connections.idle")), r, appconfig.Seconds(math.Round(10/r)/10), idle)
 			}
 		}},
 	{Code: "HW121", Severity: Warning, Title: "advice to come again when nobody waits", Looks: "requests.max_retry_after, client.waits",
-		Says: "a refused client may be told to come again after %[1]s, and it waits %[2]s in all", Why: "By then it has given the request up, so a refusal is as bad as a failure", Do: "Write a max_retry_after well below what clients wait",
+		Says: "a refused client may be told to come again after %[1]s, and it waits %[2]s in all",
+		Why:  "By then it has given the request up, so a refusal is as bad as a failure",
+		Do:   "Write a max_retry_after well below what clients wait",
 		against: func(u *unit, say say) {
 			if w, m := u.app.Client.Waits, u.site.Requests.MaxRetry; u.site.Requests.RetryAfter && w > 0 && m >= w {
 				say(u.at("client.waits").with(u.atSite("requests.max_retry_after")), m, w)
 			}
 		}},
 	{Code: "HW122", Severity: Note, Title: "no second attempt", Looks: "requests.attempts, class.effect",
-		Says: "a request has one attempt, and %[1]s could be sent again", Why: "A box that dies takes the request with it", Do: "Write requests.attempts = 2 or more if the site allows it",
+		Says: "a request has one attempt, and %[1]s could be sent again",
+		Why:  "A box that dies takes the request with it",
+		Do:   "Write requests.attempts = 2 or more if the site allows it",
 		against: func(u *unit, say say) {
 			if u.site.Requests.Attempts > 1 {
 				return
@@ -131,14 +157,18 @@
 			}
 		}},
 	{Code: "HW123", Severity: Warning, Title: "price that makes no place worth crossing to", Looks: "cross_cost",
-		Says: "a request that is served at another place costs %[1]g of its worth", Why: "From 1 on an answer from elsewhere is worth nothing, and requests fail that another place could serve", Do: "Write a part below 1",
+		Says: "a request that is served at another place costs %[1]g of its worth",
+		Why:  "From 1 on an answer from elsewhere is worth nothing, and requests fail that another place could serve",
+		Do:   "Write a part below 1",
 		site: func(u *unit, say say) {
 			if u.site.CrossCost >= 1 {
 				say(u.atSite("cross_cost"), u.site.CrossCost)
 			}
 		}},
 	{Code: "HW124", Severity: Error, Title: "tenants' shares above the whole", Looks: "tenant.share",
-		Says: "the shares are %.0[1]f %% together", Why: "Somebody does not get what the file promises", Do: "Write shares that are at most 1 together",
+		Says: "the shares are %.0[1]f %% together",
+		Why:  "Somebody does not get what the file promises",
+		Do:   "Write shares that are at most 1 together",
 		site: func(u *unit, say say) {
 			sum := 0.0
 			for i, t := range u.site.Tenants {
@@ -149,14 +179,18 @@
 			}
 		}},
 	{Code: "HW125", Severity: Warning, Title: "slack of an unlikely size", Looks: "rules.answer_slack, class.deadline",
-		Says: "an answer counts %[1]s after the deadline", Why: "The sidecar would keep clients waiting that have gone", Do: "Write the site's slack, mostly some milliseconds",
+		Says: "an answer counts %[1]s after the deadline",
+		Why:  "The sidecar would keep clients waiting that have gone",
+		Do:   "Write the site's slack, mostly some milliseconds",
 		site: func(u *unit, say say) {
 			if s := u.site.Rules.AnswerSlack; s > appconfig.Seconds(1) {
 				say(u.atSite("rules.answer_slack"), s)
 			}
 		}},
 	{Code: "HW126", Severity: Error, Title: "figure that differs from the site's", Looks: "a platform's file and the site's",
-		Says: "the figure is %[1]v here, and %[2]v at the site", Why: "The sidecar keeps to a rule that is not the site's", Do: "Write the site's figure, or have the site's file put right",
+		Says: "the figure is %[1]v here, and %[2]v at the site",
+		Why:  "The sidecar keeps to a rule that is not the site's",
+		Do:   "Write the site's figure, or have the site's file put right",
 		against: func(u *unit, say say) {
 			if u.file.Site == nil || u.file.Site == u.site {
 				return
@@ -168,14 +202,18 @@
 			})
 		}},
 	{Code: "HW128", Severity: Warning, Title: "list that nobody says how it comes", Looks: "discovery.mode, discovery.ask_within",
-		Says: "ask_within is given, and how the list comes is not", Why: "The sidecar takes it for pushed, and does not know what counts as told", Do: "Write mode = \"ask\" or \"push\"",
+		Says: "ask_within is given, and how the list comes is not",
+		Why:  "The sidecar takes it for pushed, and does not know what counts as told",
+		Do:   "Write mode = \"ask\" or \"push\"",
 		site: func(u *unit, say say) {
 			if u.site.List.Mode == "" && u.site.List.AskWithin > 0 {
 				say(u.atSite("discovery.mode").with(u.atSite("discovery.ask_within")))
 			}
 		}},
 	{Code: "HW127", Severity: Warning, Title: "round longer than a site's shortest time", Looks: "round, connections.timeout, rules.drain_grace",
-		Says: "the decisions are asked every %[1]s at most, and %[2]s is %[3]s", Why: "What must be done by then is done a round late", Do: "Write a round of some milliseconds",
+		Says: "the decisions are asked every %[1]s at most, and %[2]s is %[3]s",
+		Why:  "What must be done by then is done a round late",
+		Do:   "Write a round of some milliseconds",
 		site: func(u *unit, say say) {
 			for field, d := range map[string]appconfig.Duration{"connections.timeout": u.site.Conns.Timeout, "rules.drain_grace": u.site.Rules.DrainGrace} {
 				if d > 0 && u.site.Round >= d {
--- a/internal/lint/features.go
+++ b/internal/lint/features.go
@@ -58,7 +58,9 @@
 
 var featureChecks = []Check{
 	{Code: "HW130", Severity: Error, Title: "feature for a class that is not there", Looks: "classes in drills, rewrites, quotas, Thrift methods",
-		Says: "there is no class %[1]q", Why: "It would never apply, and the sidecar refuses to start", Do: "%[2]s",
+		Says: "there is no class %[1]q",
+		Why:  "It would never apply, and the sidecar refuses to start",
+		Do:   "%[2]s",
 		extras: func(u *unit, say say) {
 			if u.app == nil {
 				return
@@ -78,21 +80,27 @@
 			})
 		}},
 	{Code: "HW131", Severity: Warning, Title: "drills that nobody can start", Looks: "drill, drill_secret_sha256",
-		Says: "there are drills and no secret to start them with", Why: "The rehearsal does not take place", Do: "Write the SHA-256 of a secret as drill_secret_sha256 (drills.secret_sha256)",
+		Says: "there are drills and no secret to start them with",
+		Why:  "The rehearsal does not take place",
+		Do:   "Write the SHA-256 of a secret as drill_secret_sha256 (drills.secret_sha256)",
 		extras: func(u *unit, say say) {
 			if len(u.extras.Drills) > 0 && u.extras.DrillSecret == "" {
 				say(u.atExtra("drill").with(u.atExtra("drill_secret_sha256")))
 			}
 		}},
 	{Code: "HW132", Severity: Error, Title: "secret's hash that is none", Looks: "drill_secret_sha256",
-		Says: "it is not the SHA-256 of a secret", Why: "Nobody could start a drill, and the sidecar refuses to start", Do: "Write 64 hexadecimal digits: printf %%s SECRET | sha256sum",
+		Says: "it is not the SHA-256 of a secret",
+		Why:  "Nobody could start a drill, and the sidecar refuses to start",
+		Do:   "Write 64 hexadecimal digits: printf %%s SECRET | sha256sum",
 		extras: func(u *unit, say say) {
 			if sum, err := hex.DecodeString(u.extras.DrillSecret); u.extras.DrillSecret != "" && (err != nil || len(sum) != sha256.Size) {
 				say(u.atExtra("drill_secret_sha256"), "")
 			}
 		}},
 	{Code: "HW133", Severity: Warning, Title: "secret that everybody has", Looks: "drill_secret_sha256",
-		Says: "it is the hash of %[1]s", Why: "Whoever reaches the sidecar can slow requests down or refuse them", Do: "Write the hash of a secret of your own",
+		Says: "it is the hash of %[1]s",
+		Why:  "Whoever reaches the sidecar can slow requests down or refuse them",
+		Do:   "Write the hash of a secret of your own",
 		extras: func(u *unit, say say) {
 			for text, what := range map[string]string{"": "nothing at all", "foo": "the documentation's example", "secret": `"secret"`, "password": `"password"`, "changeme": `"changeme"`} {
 				sum := sha256.Sum256([]byte(text))
@@ -102,7 +110,9 @@
 			}
 		}},
 	{Code: "HW134", Severity: Error, Title: "name of a drill", Looks: "drill.name",
-		Says: "%[1]q is not a name of its own of at most 64 letters, digits, '.', '_' and '-'", Why: "The sidecar refuses to start", Do: "Write a plain name that no other drill has",
+		Says: "%[1]q is not a name of its own of at most 64 letters, digits, '.', '_' and '-'",
+		Why:  "The sidecar refuses to start",
+		Do:   "Write a plain name that no other drill has",
 		extras: func(u *unit, say say) {
 			all := u.extras.Drills
 			for i, d := range all {
@@ -113,7 +123,9 @@
 			eachTwice(len(all), func(i int) string { return all[i].Name }, func(i, _ int) { say(u.atExtra("drill[%d].name", i), all[i].Name) })
 		}},
 	{Code: "HW135", Severity: Warning, Title: "drill that does nothing", Looks: "drill.share, drill.delay, drill.abort",
-		Says: "the drill %[1]q touches no request, or changes nothing about it", Why: "A rehearsal that shows nothing is taken for one that went well", Do: "Write a share above 0, and a delay or abort = \"503\"",
+		Says: "the drill %[1]q touches no request, or changes nothing about it",
+		Why:  "A rehearsal that shows nothing is taken for one that went well",
+		Do:   "Write a share above 0, and a delay or abort = \"503\"",
 		extras: func(u *unit, say say) {
 			for i, d := range u.extras.Drills {
 				if d.Share == 0 || d.Delay == 0 && d.Abort == "none" {
@@ -122,7 +134,9 @@
 			}
 		}},
 	{Code: "HW136", Severity: Warning, Title: "drills that are more than all requests", Looks: "drill.share",
-		Says: "the drills of class %[1]s take %[2]g %% of its requests together", Why: "When all run, the last gets less than its share, and no request is served as usual", Do: "Write shares of a class that are at most 100 together",
+		Says: "the drills of class %[1]s take %[2]g %% of its requests together",
+		Why:  "When all run, the last gets less than its share, and no request is served as usual",
+		Do:   "Write shares of a class that are at most 100 together",
 		extras: func(u *unit, say say) {
 			sum := map[string]float64{}
 			for i, d := range u.extras.Drills {
@@ -132,7 +146,9 @@
 			}
 		}},
 	{Code: "HW137", Severity: Warning, Title: "drill longer than the request", Looks: "drill.delay, class.deadline",
-		Says: "the delay %[1]s is not below the deadline %[2]s of class %[3]s", Why: "Delays are cut to leave the decisions a fifth of the time, so the drill rehearses something else", Do: "Write a delay well below %[2]s",
+		Says: "the delay %[1]s is not below the deadline %[2]s of class %[3]s",
+		Why:  "Delays are cut to leave the decisions a fifth of the time, so the drill rehearses something else",
+		Do:   "Write a delay well below %[2]s",
 		extras: func(u *unit, say say) {
 			for i, d := range u.extras.Drills {
 				if c := u.classOf(d.Class); c != nil && c.Deadline > 0 && d.Delay >= c.Deadline {
@@ -141,14 +157,18 @@
 			}
 		}},
 	{Code: "HW138", Severity: Error, Title: "reserve beyond the descriptors", Looks: "admission.reserve, limits.sockets",
-		Says: "%[1]d connections are kept for known clients, more than a quarter of %[2]d descriptors", Why: "Too little would be left for others, and the sidecar refuses to start", Do: "Write at most %[3]d",
+		Says: "%[1]d connections are kept for known clients, more than a quarter of %[2]d descriptors",
+		Why:  "Too little would be left for others, and the sidecar refuses to start",
+		Do:   "Write at most %[3]d",
 		extras: func(u *unit, say say) {
 			if a := u.extras.Admission; a != nil && u.app != nil && a.Reserve > u.app.Limits.Sockets/4 {
 				say(u.atExtra("admission.reserve").with(u.at("limits.sockets")), a.Reserve, u.app.Limits.Sockets, u.app.Limits.Sockets/4)
 			}
 		}},
 	{Code: "HW139", Severity: Error, Title: "no address or prefix", Looks: "admission.known, admission.cap.prefix",
-		Says: "%[1]q is neither an address nor a prefix", Why: "The sidecar refuses to start", Do: "Write it like 10.1.2.3 or 10.1.0.0/16",
+		Says: "%[1]q is neither an address nor a prefix",
+		Why:  "The sidecar refuses to start",
+		Do:   "Write it like 10.1.2.3 or 10.1.0.0/16",
 		extras: func(u *unit, say say) {
 			u.prefixes(func(text string, at ref) {
 				if !prefix(text).IsValid() {
@@ -157,7 +177,9 @@
 			})
 		}},
 	{Code: "HW140", Severity: Error, Title: "caps that overlap", Looks: "admission.cap.prefix, admission.cap.links",
-		Says: "%[1]s overlaps with %[2]s, which has another cap", Why: "It would be a guess which holds, and the sidecar refuses to start", Do: "Write prefixes that do not overlap",
+		Says: "%[1]s overlaps with %[2]s, which has another cap",
+		Why:  "It would be a guess which holds, and the sidecar refuses to start",
+		Do:   "Write prefixes that do not overlap",
 		extras: func(u *unit, say say) {
 			if u.extras.Admission == nil {
 				return
@@ -172,7 +194,9 @@
 			}
 		}},
 	{Code: "HW141", Severity: Warning, Title: "everybody known", Looks: "admission.known",
-		Says: "%[1]s is every address", Why: "Who is known keeps a place in a flood; where all are, the flood is known, too", Do: "Write the prefixes of your own clients",
+		Says: "%[1]s is every address",
+		Why:  "Who is known keeps a place in a flood; where all are, the flood is known, too",
+		Do:   "Write the prefixes of your own clients",
 		extras: func(u *unit, say say) {
 			if u.extras.Admission == nil {
 				return
@@ -184,7 +208,9 @@
 			}
 		}},
 	{Code: "HW142", Severity: Note, Title: "bound that is never met", Looks: "admission.per_address, admission.cap.links, limits.sockets",
-		Says: "%[1]d is more than the %[2]d connections that clients can hold at all", Why: "The bound protects nobody", Do: "Write a number below %[2]d",
+		Says: "%[1]d is more than the %[2]d connections that clients can hold at all",
+		Why:  "The bound protects nobody",
+		Do:   "Write a number below %[2]d",
 		extras: func(u *unit, say say) {
 			a := u.extras.Admission
 			if a == nil || u.app == nil {
--- a/internal/lint/many.go
+++ b/internal/lint/many.go
@@ -3,7 +3,9 @@
 // manyChecks look at several files together.
 var manyChecks = []Check{
 	{Code: "HW160", Severity: Error, Title: "index used twice", Looks: "index, in all files",
-		Says: "the index %[1]d is that of %[2]s, too", Why: "Which boxes an instance uses follows from its index: two take the same ones, and some boxes get nothing", Do: "Give each instance an index of its own, from 0 on",
+		Says: "the index %[1]d is that of %[2]s, too",
+		Why:  "Which boxes an instance uses follows from its index: two take the same ones, and some boxes get nothing",
+		Do:   "Give each instance an index of its own, from 0 on",
 		all: func(units []*unit, say say) {
 			pairs(units, func(a, b *unit) {
 				if sameFleet(a, b) && a.app.Index == b.app.Index {
@@ -12,7 +14,9 @@
 			})
 		}},
 	{Code: "HW161", Severity: Warning, Title: "seeds alike", Looks: "seed, in all files",
-		Says: "the seed is that of %[1]s, too", Why: "Both instances draw the same, so they go to the same boxes at the same moment", Do: "Write seeds that differ, or none",
+		Says: "the seed is that of %[1]s, too",
+		Why:  "Both instances draw the same, so they go to the same boxes at the same moment",
+		Do:   "Write seeds that differ, or none",
 		all: func(units []*unit, say say) {
 			pairs(units, func(a, b *unit) {
 				if a.app.Seed == b.app.Seed && a.app.Seed != "" {
@@ -21,7 +25,9 @@
 			})
 		}},
 	{Code: "HW162", Severity: Error, Title: "listen address taken twice", Looks: "listen, in all files",
-		Says: "%[1]s is the listen address of %[2]s, too", Why: "On one machine only one of the two can start", Do: "Give each instance an address or a port of its own",
+		Says: "%[1]s is the listen address of %[2]s, too",
+		Why:  "On one machine only one of the two can start",
+		Do:   "Give each instance an address or a port of its own",
 		all: func(units []*unit, say say) {
 			pairs(units, func(a, b *unit) {
 				if a.app.Listen == b.app.Listen && a.app.Listen != "" {
@@ -30,7 +36,9 @@
 			})
 		}},
 	{Code: "HW163", Severity: Error, Title: "name used twice", Looks: "name, in all files",
-		Says: "%[1]q is the name of %[2]s, too", Why: "Logs and counters of the two can't be told apart", Do: "Give each instance a name of its own",
+		Says: "%[1]q is the name of %[2]s, too",
+		Why:  "Logs and counters of the two can't be told apart",
+		Do:   "Give each instance a name of its own",
 		all: func(units []*unit, say say) {
 			pairs(units, func(a, b *unit) {
 				if a.app.Name == b.app.Name && a.app.Name != "" {
@@ -39,7 +47,9 @@
 			})
 		}},
 	{Code: "HW164", Severity: Error, Title: "replicas that differ", Looks: "replicas, in all files",
-		Says: "there are %[1]d replicas here, and %[2]d in %[3]s", Why: "Which boxes an instance uses follows from how many there are: the parts would overlap or leave boxes out", Do: "Write the same number in all files of an application",
+		Says: "there are %[1]d replicas here, and %[2]d in %[3]s",
+		Why:  "Which boxes an instance uses follows from how many there are: the parts would overlap or leave boxes out",
+		Do:   "Write the same number in all files of an application",
 		all: func(units []*unit, say say) {
 			pairs(units, func(a, b *unit) {
 				if a.app.Replicas != b.app.Replicas && sameClasses(a, b) && a.app.Discovery == b.app.Discovery {
@@ -48,7 +58,9 @@
 			})
 		}},
 	{Code: "HW165", Severity: Error, Title: "class that differs between instances", Looks: "class, in all files",
-		Says: "the class %[1]q has another %[2]s than in %[3]s", Why: "What may run twice must not depend on which instance takes the request", Do: "Write the same in all files",
+		Says: "the class %[1]q has another %[2]s than in %[3]s",
+		Why:  "What may run twice must not depend on which instance takes the request",
+		Do:   "Write the same in all files",
 		all: func(units []*unit, say say) {
 			pairs(units, func(a, b *unit) {
 				for i, c := range b.app.Classes {
@@ -59,7 +71,9 @@
 			})
 		}},
 	{Code: "HW166", Severity: Error, Title: "side port taken by another instance", Looks: "health.port, listen, in all files",
-		Says: "the port %[1]d on that host is taken in %[2]s", Why: "On one machine only one of the two can start", Do: "Give each instance a port of its own",
+		Says: "the port %[1]d on that host is taken in %[2]s",
+		Why:  "On one machine only one of the two can start",
+		Do:   "Give each instance a port of its own",
 		all: func(units []*unit, say say) {
 			pairs(units, func(a, b *unit) {
 				la, lb := address(a.app.Listen), address(b.app.Listen)
--- a/internal/lint/names.go
+++ b/internal/lint/names.go
@@ -16,14 +16,18 @@
 
 var nameChecks = []Check{
 	{Code: "HW030", Severity: Error, Title: "two classes of one name", Looks: "class.name",
-		Says: "the class %[1]q is there before", Why: "A request of it could be meant for either, and the sidecar refuses to start", Do: "Give each class a name of its own, or take one out",
+		Says: "the class %[1]q is there before",
+		Why:  "A request of it could be meant for either, and the sidecar refuses to start",
+		Do:   "Give each class a name of its own, or take one out",
 		app: func(u *unit, say say) {
 			eachTwice(len(u.app.Classes), func(i int) string { return u.app.Classes[i].Name }, func(i, _ int) {
 				say(u.at("class[%d].name", i), u.app.Classes[i].Name)
 			})
 		}},
 	{Code: "HW031", Severity: Error, Title: "names that look the same", Looks: "class.name",
-		Says: "%[1]q and the class %[2]q differ in case, width or the way letters are put together alone", Why: "Paths are compared byte by byte, so clients will meet the wrong one of the two or a 404", Do: "Use one spelling",
+		Says: "%[1]q and the class %[2]q differ in case, width or the way letters are put together alone",
+		Why:  "Paths are compared byte by byte, so clients will meet the wrong one of the two or a 404",
+		Do:   "Use one spelling",
 		app: func(u *unit, say say) {
 			eachTwice(len(u.app.Classes), func(i int) string { return folded(u.app.Classes[i].Name) }, func(i, j int) {
 				if a, b := u.app.Classes[i].Name, u.app.Classes[j].Name; a != b {
@@ -32,7 +36,9 @@
 			})
 		}},
 	{Code: "HW032", Severity: Error, Title: "name that no path can begin with", Looks: "class.name",
-		Says: "%[1]q can't be the first part of a path: it holds %[2]q", Why: "No request would ever be of this class", Do: "Write a name without '/', '?', '#', '%%', spaces and control characters",
+		Says: "%[1]q can't be the first part of a path: it holds %[2]q",
+		Why:  "No request would ever be of this class",
+		Do:   "Write a name without '/', '?', '#', '%%', spaces and control characters",
 		class: func(_ *unit, c *class, say say) {
 			if at := strings.IndexFunc(c.Name, func(r rune) bool {
 				return strings.ContainsRune("/?#%", r) || unicode.IsSpace(r) || unicode.IsControl(r)
@@ -42,14 +48,18 @@
 			}
 		}},
 	{Code: "HW033", Severity: Warning, Title: "name outside ASCII", Looks: "class.name",
-		Says: "%[1]q holds letters outside ASCII", Why: "Clients send them as %%XX in a path, and the sidecar compares bytes, so their requests would get 404", Do: "Use a name of ASCII letters, digits, '-', '_' and '.'",
+		Says: "%[1]q holds letters outside ASCII",
+		Why:  "Clients send them as %%XX in a path, and the sidecar compares bytes, so their requests would get 404",
+		Do:   "Use a name of ASCII letters, digits, '-', '_' and '.'",
 		class: func(_ *unit, c *class, say say) {
 			if strings.ContainsFunc(c.Name, func(r rune) bool { return r > unicode.MaxASCII }) && hidden(c.Name) == "" && len(scripts(c.Name)) < 2 {
 				say(c.at("name"), c.Name)
 			}
 		}},
 	{Code: "HW034", Severity: Error, Title: "hidden characters in a name", Looks: "the names of classes, places and the instance",
-		Says: "%[1]q holds %[2]s, which nobody sees", Why: "It looks like another name and is none; whoever compares the two by eye looks for hours", Do: "Type the name anew",
+		Says: "%[1]q holds %[2]s, which nobody sees",
+		Why:  "It looks like another name and is none; whoever compares the two by eye looks for hours",
+		Do:   "Type the name anew",
 		class: func(_ *unit, c *class, say say) {
 			if h := hidden(c.Name); h != "" {
 				say(c.at("name"), c.Name, h)
@@ -70,14 +80,18 @@
 			}
 		}},
 	{Code: "HW035", Severity: Warning, Title: "letters of several scripts in a name", Looks: "class.name",
-		Says: "%[1]q mixes %[2]s letters", Why: "Letters of two scripts may look alike, and the name may be another than it seems", Do: "Write it in one script",
+		Says: "%[1]q mixes %[2]s letters",
+		Why:  "Letters of two scripts may look alike, and the name may be another than it seems",
+		Do:   "Write it in one script",
 		class: func(_ *unit, c *class, say say) {
 			if s := scripts(c.Name); len(s) > 1 {
 				say(c.at("name"), c.Name, strings.Join(s, " and "))
 			}
 		}},
 	{Code: "HW036", Severity: Warning, Title: "class that takes the sidecar's own path", Looks: "class.name",
-		Says: "the sidecar itself answers /%[1]s", Why: "With a class of that name the box answers in its place, and whoever watches the sidecar sees nothing of it", Do: "Give the class another name",
+		Says: "the sidecar itself answers /%[1]s",
+		Why:  "With a class of that name the box answers in its place, and whoever watches the sidecar sees nothing of it",
+		Do:   "Give the class another name",
 		app: func(u *unit, say say) {
 			for i, c := range u.app.Classes {
 				for _, own := range ownPaths {
@@ -88,7 +102,9 @@
 			}
 		}},
 	{Code: "HW037", Severity: Error, Title: "two entries of one name", Looks: "places, box_kinds, tenants, classes of a site",
-		Says: "%[1]q is in the list before", Why: "An entry's number says which it is, and one name would stand for two numbers", Do: "Take one of them out",
+		Says: "%[1]q is in the list before",
+		Why:  "An entry's number says which it is, and one name would stand for two numbers",
+		Do:   "Take one of them out",
 		site: func(u *unit, say say) {
 			for field, all := range map[string][]string{"places": u.site.Places, "box_kinds": u.site.BoxKinds} {
 				eachTwice(len(all), func(i int) string { return all[i] }, func(i, _ int) { say(u.atSite("%s[%d]", field, i), all[i]) })
--- a/internal/lint/output.go
+++ b/internal/lint/output.go
@@ -51,8 +51,8 @@
 	return writeJSON(w, lines)
 }
 
-// sarifText is SARIF 2.1.0, as much of it as is said here. Danger: the library for it would add a tenth to what the sidecar, which carries this
-// tool, holds at its start; it reads what is written here in the tests.
+// sarifText is SARIF 2.1.0, as much of it as is said here. Danger: the library for it would add a tenth to what the sidecar,
+// which carries this tool, holds at its start; it reads what is written here in the tests.
 type sarifText struct {
 	Schema  string     `json:"$schema"`
 	Version string     `json:"version"`
--- a/internal/lint/rewrites.go
+++ b/internal/lint/rewrites.go
@@ -10,7 +10,9 @@
 
 var rewriteChecks = []Check{
 	{Code: "HW150", Severity: Error, Title: "protected header field", Looks: "rewrite.name, rewrite.to",
-		Says: "%[1]q is no field that a rule may touch", Why: "Clients, sidecar and boxes rely on it: without its key a request runs twice. The sidecar refuses to start", Do: "Write the name of a field that is neither protected nor hop-by-hop",
+		Says: "%[1]q is no field that a rule may touch",
+		Why:  "Clients, sidecar and boxes rely on it: without its key a request runs twice. The sidecar refuses to start",
+		Do:   "Write the name of a field that is neither protected nor hop-by-hop",
 		extras: func(u *unit, say say) {
 			u.eachRule(func(i int, r *appconfig.Rewrite) {
 				for field, name := range map[string]string{"name": r.Name, "to": r.To} {
@@ -21,7 +23,9 @@
 			})
 		}},
 	{Code: "HW151", Severity: Error, Title: "rule that lacks its part", Looks: "rewrite.op, rewrite.value, rewrite.to",
-		Says: "%[1]s needs %[2]s", Why: "The sidecar refuses to start", Do: "Write it",
+		Says: "%[1]s needs %[2]s",
+		Why:  "The sidecar refuses to start",
+		Do:   "Write it",
 		extras: func(u *unit, say say) {
 			u.eachRule(func(i int, r *appconfig.Rewrite) {
 				if r.Op == "add" && r.Value == "" {
@@ -33,7 +37,9 @@
 			})
 		}},
 	{Code: "HW152", Severity: Error, Title: "rule with a part that is not its", Looks: "rewrite.op, rewrite.value, rewrite.to",
-		Says: "%[1]s has no %[2]s", Why: "It may be that another operation was meant; the sidecar refuses to start", Do: "Take it out, or write the operation that is meant",
+		Says: "%[1]s has no %[2]s",
+		Why:  "It may be that another operation was meant; the sidecar refuses to start",
+		Do:   "Take it out, or write the operation that is meant",
 		extras: func(u *unit, say say) {
 			u.eachRule(func(i int, r *appconfig.Rewrite) {
 				if r.Op != "add" && r.Op != "" && r.Value != "" {
@@ -45,7 +51,9 @@
 			})
 		}},
 	{Code: "HW153", Severity: Error, Title: "rule for no request", Looks: "rewrite.class, rewrite.path_prefix",
-		Says: "neither class nor path_prefix says for which requests the rule is", Why: "The sidecar refuses to start: a rule for everything is rarely meant", Do: "Write class, path_prefix or both; path_prefix = \"/\" is everything",
+		Says: "neither class nor path_prefix says for which requests the rule is",
+		Why:  "The sidecar refuses to start: a rule for everything is rarely meant",
+		Do:   "Write class, path_prefix or both; path_prefix = \"/\" is everything",
 		extras: func(u *unit, say say) {
 			u.eachRule(func(i int, r *appconfig.Rewrite) {
 				if r.Class == "" && r.PathPrefix == "" {
@@ -54,7 +62,9 @@
 			})
 		}},
 	{Code: "HW154", Severity: Error, Title: "prefix that is no path", Looks: "rewrite.path_prefix",
-		Says: "%[1]q does not begin with \"/\"", Why: "The sidecar refuses to start", Do: "Write the path from its \"/\" on",
+		Says: "%[1]q does not begin with \"/\"",
+		Why:  "The sidecar refuses to start",
+		Do:   "Write the path from its \"/\" on",
 		extras: func(u *unit, say say) {
 			u.eachRule(func(i int, r *appconfig.Rewrite) {
 				if r.PathPrefix != "" && r.PathPrefix[0] != '/' {
@@ -63,7 +73,9 @@
 			})
 		}},
 	{Code: "HW155", Severity: Warning, Title: "rule that never applies", Looks: "rewrite.class, rewrite.path_prefix, class.name",
-		Says: "no request fits: %[1]s", Why: "What the rule was to hide or add is not hidden or added", Do: "Write a path whose first part is the class",
+		Says: "no request fits: %[1]s",
+		Why:  "What the rule was to hide or add is not hidden or added",
+		Do:   "Write a path whose first part is the class",
 		extras: func(u *unit, say say) {
 			u.eachRule(func(i int, r *appconfig.Rewrite) {
 				path, ok := strings.CutPrefix(r.PathPrefix, "/")
@@ -87,7 +99,9 @@
 			})
 		}},
 	{Code: "HW156", Severity: Warning, Title: "rule that an earlier one covers", Looks: "rewrite",
-		Says: "the rule can never apply: rule %[1]d before it has taken %[2]s off all requests that this one is for", Why: "The file says something that does not happen", Do: "Take the rule out, or write it before the other",
+		Says: "the rule can never apply: rule %[1]d before it has taken %[2]s off all requests that this one is for",
+		Why:  "The file says something that does not happen",
+		Do:   "Take the rule out, or write it before the other",
 		extras: func(u *unit, say say) {
 			rules := u.extras.Rewrites
 			for j := range rules {
@@ -102,7 +116,9 @@
 			}
 		}},
 	{Code: "HW157", Severity: Warning, Title: "rule that changes nothing", Looks: "rewrite",
-		Says: "%[1]s", Why: "The file says something that does not happen, or happens twice", Do: "Take the rule out",
+		Says: "%[1]s",
+		Why:  "The file says something that does not happen, or happens twice",
+		Do:   "Take the rule out",
 		extras: func(u *unit, say say) {
 			rules := u.extras.Rewrites
 			for j, b := range rules {
@@ -117,7 +133,9 @@
 			}
 		}},
 	{Code: "HW158", Severity: Error, Title: "control characters in a header", Looks: "rewrite.value",
-		Says: "the value holds a control character", Why: "It would end the header field, and what follows be read as another; the sidecar refuses to start", Do: "Write plain text",
+		Says: "the value holds a control character",
+		Why:  "It would end the header field, and what follows be read as another; the sidecar refuses to start",
+		Do:   "Write plain text",
 		extras: func(u *unit, say say) {
 			u.eachRule(func(i int, r *appconfig.Rewrite) {
 				if strings.ContainsFunc(r.Value, func(c rune) bool { return c < ' ' || c == 0x7f }) {
--- a/internal/lint/rooms.go
+++ b/internal/lint/rooms.go
@@ -36,14 +36,18 @@
 
 var roomChecks = []Check{
 	{Code: "HW090", Severity: Error, Title: "more client connections than descriptors", Looks: "client.connections, limits.sockets",
-		Says: "the client opens up to %[1]d connections, and of %[2]d descriptors clients may hold %[3]d", Why: "Connections beyond that are refused, first on the busiest day", Do: "Write a larger limits.sockets, or have the client open fewer",
+		Says: "the client opens up to %[1]d connections, and of %[2]d descriptors clients may hold %[3]d",
+		Why:  "Connections beyond that are refused, first on the busiest day",
+		Do:   "Write a larger limits.sockets, or have the client open fewer",
 		app: func(u *unit, say say) {
 			if most := int(clientPart * float64(u.links())); u.app.Client.Connections > most {
 				say(u.at("client.connections").with(u.at("limits.sockets")), u.app.Client.Connections, u.app.Limits.Sockets, most)
 			}
 		}},
 	{Code: "HW091", Severity: Note, Title: "client connections that are not kept", Looks: "client.connections, limits.sockets",
-		Says: "the client opens up to %[1]d connections, more than a fifth of the %[2]d descriptors", Why: "From there on the sidecar closes a connection after each answer, and the client pays for new ones", Do: "Write a larger limits.sockets, or have the client open fewer",
+		Says: "the client opens up to %[1]d connections, more than a fifth of the %[2]d descriptors",
+		Why:  "From there on the sidecar closes a connection after each answer, and the client pays for new ones",
+		Do:   "Write a larger limits.sockets, or have the client open fewer",
 		app: func(u *unit, say say) {
 			n := u.app.Client.Connections
 			if n > u.app.Limits.Sockets/5 && n <= int(clientPart*float64(u.links())) {
@@ -51,14 +55,18 @@
 			}
 		}},
 	{Code: "HW092", Severity: Warning, Title: "descriptors that boxes and clients do not fit into", Looks: "limits.sockets, client.connections, boxes.count",
-		Says: "%[1]d boxes with a connection and a probe each, and %[2]d client connections, need more than the %[3]d descriptors that are there for links", Why: "Executions wait for a descriptor, and requests are late though boxes are idle", Do: "Write a larger limits.sockets",
+		Says: "%[1]d boxes with a connection and a probe each, and %[2]d client connections, need more than the %[3]d descriptors that are there for links",
+		Why:  "Executions wait for a descriptor, and requests are late though boxes are idle",
+		Do:   "Write a larger limits.sockets",
 		against: func(u *unit, say say) {
 			if need := 2*u.site.Boxes.Count + u.app.Client.Connections; need > u.links() {
 				say(u.at("limits.sockets").with(u.at("client.connections"), u.atSite("boxes.count")), u.site.Boxes.Count, u.app.Client.Connections, u.links())
 			}
 		}},
 	{Code: "HW093", Severity: Warning, Title: "probes that take too much of a box", Looks: "replicas, probes.cost, probes.part",
-		Says: "%[1]d replicas that probe a box each second, at %[2]s a probe, take up to %.3[3]g %% of it; the site allows %.3[4]g %%", Why: "Boxes answer probes in place of requests, most of all when they are busy", Do: "Have fewer replicas share a site, or ask those who run the boxes for a cheaper probe",
+		Says: "%[1]d replicas that probe a box each second, at %[2]s a probe, take up to %.3[3]g %% of it; the site allows %.3[4]g %%",
+		Why:  "Boxes answer probes in place of requests, most of all when they are busy",
+		Do:   "Have fewer replicas share a site, or ask those who run the boxes for a cheaper probe",
 		against: func(u *unit, say say) {
 			p := &u.site.Probes
 			if load := float64(u.app.Replicas) * probesPerS * p.Cost.S(); p.Allowed && p.Part > 0 && load > p.Part {
@@ -66,42 +74,54 @@
 			}
 		}},
 	{Code: "HW094", Severity: Warning, Title: "more sidecars than a box takes connections", Looks: "replicas, boxes.connections",
-		Says: "%[1]d replicas may hold a connection and a probe at a box, which takes %[2]d", Why: "A box that has no connection left refuses requests, and its sidecars take it for sick", Do: "Have fewer replicas share the boxes, or have boxes take more connections",
+		Says: "%[1]d replicas may hold a connection and a probe at a box, which takes %[2]d",
+		Why:  "A box that has no connection left refuses requests, and its sidecars take it for sick",
+		Do:   "Have fewer replicas share the boxes, or have boxes take more connections",
 		against: func(u *unit, say say) {
 			if most := u.site.Boxes.Connections; most > 0 && 2*u.app.Replicas > most {
 				say(u.at("replicas").with(u.atSite("boxes.connections")), u.app.Replicas, most)
 			}
 		}},
 	{Code: "HW095", Severity: Error, Title: "capture beyond a quarter of the memory", Looks: "capture.bytes, limits.memory",
-		Says: "the capture takes %[1]s, more than a quarter of %[2]s", Why: "A dump copies it, and the sidecar is killed beyond its memory, with all requests in it", Do: "Write at most a quarter of limits.memory",
+		Says: "the capture takes %[1]s, more than a quarter of %[2]s",
+		Why:  "A dump copies it, and the sidecar is killed beyond its memory, with all requests in it",
+		Do:   "Write at most a quarter of limits.memory",
 		extras: func(u *unit, say say) {
 			if c := u.extras.Capture; c != nil && u.app != nil && c.Bytes > u.app.Limits.Memory/4 {
 				say(u.atExtra("capture.bytes").with(u.at("limits.memory")), c.Bytes, u.app.Limits.Memory)
 			}
 		}},
 	{Code: "HW096", Severity: Error, Title: "capture with segments too small", Looks: "capture.bytes, capture.files",
-		Says: "%[1]s in %[2]d segments leaves less than 8KiB for each", Why: "A segment begins with a checkpoint of the decisions, which would fill it", Do: "Write a larger capture.bytes, or fewer capture.files",
+		Says: "%[1]s in %[2]d segments leaves less than 8KiB for each",
+		Why:  "A segment begins with a checkpoint of the decisions, which would fill it",
+		Do:   "Write a larger capture.bytes, or fewer capture.files",
 		extras: func(u *unit, say say) {
 			if c := u.extras.Capture; c != nil && c.Files > 0 && int64(c.Bytes)/int64(c.Files) < segment {
 				say(u.atExtra("capture.bytes").with(u.atExtra("capture.files")), c.Bytes, c.Files)
 			}
 		}},
 	{Code: "HW097", Severity: Warning, Title: "settings that take the memory", Looks: "capture.bytes, admission.waiting, limits.memory",
-		Says: "capture and waiting requests may take %[1]s of %[2]s, and the process needs 64MiB", Why: "The sidecar is killed beyond its memory, with all requests in it", Do: "Write a larger limits.memory, or smaller capture.bytes and admission.waiting",
+		Says: "capture and waiting requests may take %[1]s of %[2]s, and the process needs 64MiB",
+		Why:  "The sidecar is killed beyond its memory, with all requests in it",
+		Do:   "Write a larger limits.memory, or smaller capture.bytes and admission.waiting",
 		extras: func(u *unit, say say) {
 			if u.app != nil && u.kept()+ownMemory > u.app.Limits.Memory {
 				say(u.at("limits.memory").with(u.atExtra("capture.bytes"), u.atExtra("admission.waiting")), u.kept(), u.app.Limits.Memory)
 			}
 		}},
 	{Code: "HW098", Severity: Error, Title: "memory that is no whole MiB", Looks: "limits.memory",
-		Says: "%[1]s is not a whole number of MiB", Why: "The platform's file counts in MiB, and the sidecar refuses a fraction", Do: "Write whole MiB",
+		Says: "%[1]s is not a whole number of MiB",
+		Why:  "The platform's file counts in MiB, and the sidecar refuses a fraction",
+		Do:   "Write whole MiB",
 		app: func(u *unit, say say) {
 			if m := u.app.Limits.Memory; m%(1<<20) != 0 {
 				say(u.at("limits.memory"), m)
 			}
 		}},
 	{Code: "HW099", Severity: Warning, Title: "usual load that makes the instance not ready", Looks: "client.rate, class.deadline, health.max_open",
-		Says: "%[1]g requests a second that last up to %[2]s are more than the %[3]d open requests of health.max_open", Why: "The instance reports that it is not ready on a slow day, just when it is needed", Do: "Write a max_open of at least %[4]d",
+		Says: "%[1]g requests a second that last up to %[2]s are more than the %[3]d open requests of health.max_open",
+		Why:  "The instance reports that it is not ready on a slow day, just when it is needed",
+		Do:   "Write a max_open of at least %[4]d",
 		extras: func(u *unit, say say) {
 			if u.app == nil || u.extras.Health == nil || u.extras.Health.Port == 0 {
 				return
@@ -115,43 +135,55 @@
 			}
 		}},
 	{Code: "HW100", Severity: Error, Title: "instance that is never ready", Looks: "health.min_usable, boxes.count",
-		Says: "%[1]d boxes must be usable, and the site has %[2]d", Why: "The instance never reports that it is ready, and nothing is sent to it", Do: "Write a min_usable of at most %[2]d",
+		Says: "%[1]d boxes must be usable, and the site has %[2]d",
+		Why:  "The instance never reports that it is ready, and nothing is sent to it",
+		Do:   "Write a min_usable of at most %[2]d",
 		extras: func(u *unit, say say) {
 			if h := u.extras.Health; h != nil && u.site != nil && u.site.Boxes.Count > 0 && h.MinUsable > u.site.Boxes.Count {
 				say(u.atExtra("health.min_usable").with(u.atSite("boxes.count")), h.MinUsable, u.site.Boxes.Count)
 			}
 		}},
 	{Code: "HW101", Severity: Warning, Title: "list that is too old all the time", Looks: "health.list_age",
-		Says: "the list may be %[1]s old, and discovery says something every 2s", Why: "The instance is not ready again and again though all is well", Do: "Write a list_age of at least 4s",
+		Says: "the list may be %[1]s old, and discovery says something every 2s",
+		Why:  "The instance is not ready again and again though all is well",
+		Do:   "Write a list_age of at least 4s",
 		extras: func(u *unit, say say) {
 			if h := u.extras.Health; h != nil && h.Port > 0 && h.ListAge <= appconfig.Seconds(2) {
 				say(u.atExtra("health.list_age"), h.ListAge)
 			}
 		}},
 	{Code: "HW102", Severity: Warning, Title: "side port without a port", Looks: "health.port",
-		Says: "health is set up without a port", Why: "Nobody can ask, and whoever counts on it sees a dead instance", Do: "Write health.port, or take health out",
+		Says: "health is set up without a port",
+		Why:  "Nobody can ask, and whoever counts on it sees a dead instance",
+		Do:   "Write health.port, or take health out",
 		extras: func(u *unit, say say) {
 			if h := u.extras.Health; h != nil && h.Port == 0 {
 				say(u.atExtra("health.port"))
 			}
 		}},
 	{Code: "HW103", Severity: Warning, Title: "secret that all can read", Looks: "the file's permissions, drill_secret_sha256",
-		Says: "the file holds the hash of a secret, and everybody on the machine may read it (mode %[1]s)", Why: "A short secret is found from its hash in minutes, and whoever has it can slow requests down or refuse them", Do: "chmod o-r the file",
+		Says: "the file holds the hash of a secret, and everybody on the machine may read it (mode %[1]s)",
+		Why:  "A short secret is found from its hash in minutes, and whoever has it can slow requests down or refuse them",
+		Do:   "chmod o-r the file",
 		extras: func(u *unit, say say) {
 			if u.extras.DrillSecret != "" && u.extrasIn.Mode.IsRegular() && u.extrasIn.Mode.Perm()&0o004 != 0 {
 				say(u.atExtra("drill_secret_sha256"), u.extrasIn.Mode.Perm())
 			}
 		}},
 	{Code: "HW104", Severity: Warning, Title: "file that all can write", Looks: "the file's permissions",
-		Says: "everybody on the machine may write the file (mode %[1]s)", Why: "SIGHUP takes in whatever stands there, also another discovery", Do: "chmod o-w the file",
-		app: func(u *unit, say say) { sayWritable(u.file, say) },
+		Says: "everybody on the machine may write the file (mode %[1]s)",
+		Why:  "SIGHUP takes in whatever stands there, also another discovery",
+		Do:   "chmod o-w the file",
+		app:  func(u *unit, say say) { sayWritable(u.file, say) },
 		extras: func(u *unit, say say) {
 			if u.extrasIn != u.file {
 				sayWritable(u.extrasIn, say)
 			}
 		}},
 	{Code: "HW105", Severity: Warning, Title: "capture to a folder that moves", Looks: "capture.dir",
-		Says: "%[1]q is %[2]s", Why: "Whoever looks for the capture after an incident finds nothing", Do: "Write the whole path of a folder that lasts",
+		Says: "%[1]q is %[2]s",
+		Why:  "Whoever looks for the capture after an incident finds nothing",
+		Do:   "Write the whole path of a folder that lasts",
 		extras: func(u *unit, say say) {
 			if c := u.extras.Capture; c != nil && c.Dir != "" {
 				if !strings.HasPrefix(c.Dir, "/") {
