--- a/cmd/hazelwheel/config.go
+++ b/cmd/hazelwheel/config.go
@@ -32,7 +32,7 @@
 			newCommand(),
 			{Name: "check", Usage: "check files that belong together", ArgsUsage: "FILE...", Action: checkFiles, Flags: []cli.Flag{against, strict,
 				&cli.StringFlag{Name: "format", Value: "text", Usage: "text, json or sarif"}}},
-			{Name: "explain", Usage: "say what a code or a field means", ArgsUsage: "CODE|FIELD", Action: explain, ShellComplete: completeWith(explainable),
+			{Name: "explain", Usage: "say what a code or a field means", ArgsUsage: "CODE|FIELD", Action: explainWord, ShellComplete: completeWith(explainable),
 				Flags: []cli.Flag{&cli.BoolFlag{Name: "page", Usage: "the page of all codes"}}},
 			{Name: "render", Usage: "write the files by which the sidecar serves an application", ArgsUsage: "APP.toml", Action: renderFiles, Flags: []cli.Flag{site, out, strict}},
 			{Name: "import", Usage: "write an application's and a site's file from the platform's", ArgsUsage: "CONFIG.json", Action: importFiles, Flags: []cli.Flag{out,
@@ -143,7 +143,7 @@
 	return judge(c, c.Root().Writer, files, against, write)
 }
 
-func explain(_ context.Context, c *cli.Command) error {
+func explainWord(_ context.Context, c *cli.Command) error {
 	if c.Bool("page") {
 		_, err := io.WriteString(c.Root().Writer, lint.Page())
 		return err
--- a/cmd/hazelwheel/config_test.go
+++ b/cmd/hazelwheel/config_test.go
@@ -170,7 +170,7 @@
 	pages, err := filepath.Glob("../../docs/operators/*.md")
 	require.NoError(t, err)
 	fence := regexp.MustCompile("(?s)```(toml|json)\n(.*?)```")
-	indented := regexp.MustCompile(`(?m)^    \{"(?:[^\n]*\n)(?:     [^\n]*\n)*`)
+	indented := regexp.MustCompile(`(?m)^    \{"(?:drills|rewrites|health|capture|admission|quotas|thrift)[".](?:[^\n]*\n)(?:     [^\n]*\n)*`)
 	checked := 0
 	for _, page := range append(pages, "../../README.md") {
 		raw, err := os.ReadFile(page)
@@ -180,9 +180,7 @@
 			texts = append(texts, m[2])
 		}
 		for _, m := range indented.FindAllString(string(raw), -1) {
-			if features := appconfig.Read("", []byte(m)); features.Kind == appconfig.FeaturesFile && !strings.Contains(m, `"k":`) && !strings.Contains(m, `"ready"`) {
-				texts = append(texts, m)
-			}
+			texts = append(texts, m)
 		}
 		for i, text := range texts {
 			path := filepath.Join(t.TempDir(), fmt.Sprintf("%d", i))
--- a/internal/appconfig/file.go
+++ b/internal/appconfig/file.go
@@ -21,6 +21,7 @@
 	SiteFile     Kind = "site"
 	PlatformFile Kind = "platform"
 	FeaturesFile Kind = "features"
+	GroupsFile   Kind = "groups" // of quotas; what it holds is read elsewhere
 )
 
 // MostBytes bounds what is read of a file; the list in a platform's file is by far the largest that one holds.
@@ -241,6 +242,10 @@
 			f.Kind = PlatformFile
 		}
 	}
+	if root.get("groups") != nil && root.get("settings") == nil {
+		f.Kind = GroupsFile
+		return
+	}
 	f.App = NewApp()
 	if f.Kind == FeaturesFile {
 		d := decoder{f: f, form: featuresForm, side: "app."}
--- a/internal/appconfig/model.go
+++ b/internal/appconfig/model.go
@@ -28,7 +28,7 @@
 	Admission *Admission     `toml:"admission,omitempty" file:"f:admission" comment:"what clients may hold"`
 	Drills    []Drill        `toml:"drill,omitempty" file:"f:drills" comment:"rehearsals of slow and failed requests"`
 	Rewrites  []Rewrite      `toml:"rewrite,omitempty" file:"f:rewrites" comment:"changes of header fields, in their order"`
-	Quotas    map[string]any `toml:"quotas,omitempty" file:"f:quotas" comment:"as the operators' file has it"`
+	Quotas    *Quotas        `toml:"quotas,omitempty" file:"f:quotas" comment:"shares for groups of clients"`
 	Thrift    map[string]any `toml:"thrift,omitempty" file:"f:thrift" comment:"as the operators' file has it"`
 }
 
@@ -113,6 +113,28 @@
 	To         string `toml:"to,omitempty" file:"f:to" comment:"the new name of what is renamed"`
 }
 
+// Quotas are shares for groups of clients.
+type Quotas struct {
+	File     string     `toml:"file" file:"f:quotas/file" need:"yes" comment:"the file of groups"`
+	Default  string     `toml:"default" file:"f:quotas/default" need:"yes" comment:"the group of requests that no rule knows"`
+	Exempt   []string   `toml:"exempt,omitempty" file:"f:quotas/exempt" comment:"classes that are neither counted nor refused"`
+	Floor    []string   `toml:"floor,omitempty" file:"f:quotas/floor" comment:"classes that may use the groups' floors"`
+	Dir      string     `toml:"dir,omitempty" file:"f:quotas/dir" comment:"a folder for snapshots"`
+	Snapshot Duration   `toml:"snapshot" file:"f:quotas/snapshot_s" unit:"s" least:"1s" most:"1h" default:"10s" comment:"between two snapshots"`
+	Repay    float64    `toml:"repay" file:"f:quotas/repay" least:"0" most:"0.5" default:"0.01" comment:"the part of its own that a group pays back"`
+	Forget   Duration   `toml:"forget" file:"f:quotas/forget_s" unit:"s" least:"1min" most:"31d" default:"6h" comment:"all but 37 % of an old debt is forgotten after it"`
+	Stretch  float64    `toml:"stretch" file:"f:quotas/stretch" least:"0" most:"0.5" default:"0.1" comment:"by what part a sidecar's part may grow"`
+	Identify []Identity `toml:"identify,omitempty" file:"f:quotas/identify" comment:"how a request's group is known; the first rule that fits decides"`
+}
+
+// Identity is one way to know a request's group.
+type Identity struct {
+	Header    string `toml:"header,omitempty" file:"f:header" comment:"the field whose value is the group's path"`
+	Addresses string `toml:"addresses,omitempty" file:"f:addresses" comment:"the clients' address or prefix"`
+	Class     string `toml:"class,omitempty" file:"f:class" comment:"the requests' class"`
+	Group     string `toml:"group,omitempty" file:"f:group" comment:"the group's path"`
+}
+
 // Site is what holds for every application at a site.
 type Site struct {
 	Format    string   `toml:"format" need:"yes" comment:"what this file is, and the version of its form"`
--- a/internal/front/http1/link.go
+++ b/internal/front/http1/link.go
@@ -63,7 +63,7 @@
 // route answers what concerns the sidecar itself, and hands on the rest.
 func (l *link) route() {
 	p := &l.parser
-	path, _, _ := strings.Cut(p.Target, "?")
+	path, query, _ := strings.Cut(p.Target, "?")
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	class, ok := l.front.classes[name]
 	drill, armed := l.drillName(path)
@@ -76,6 +76,8 @@
 		l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, l.Sidecar().Clients())
 	case path == "/counters" && p.Method == "GET":
 		l.respond(200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, l.Sidecar().Counters())
+	case path == QuotaPath && p.Method == "GET":
+		l.showQuotas(query)
 	case armed:
 		l.startDrill(drill)
 	default:
--- a/internal/lint/features.go
+++ b/internal/lint/features.go
@@ -19,7 +19,6 @@
 	keys    []string
 	of      func(*appconfig.App) map[string]any
 }{
-	{"quotas", []string{"class", "exempt", "floor"}, func(a *appconfig.App) map[string]any { return a.Quotas }},
 	{"thrift", []string{"class", "methods"}, func(a *appconfig.App) map[string]any { return a.Thrift }},
 }
 
@@ -33,6 +32,19 @@
 			f(r.Class, u.atExtra("rewrite[%d].class", i))
 		}
 	}
+	if q := u.extras.Quotas; q != nil {
+		for i, name := range q.Exempt {
+			f(name, u.atExtra("quotas.exempt[%d]", i))
+		}
+		for i, name := range q.Floor {
+			f(name, u.atExtra("quotas.floor[%d]", i))
+		}
+		for i, r := range q.Identify {
+			if r.Class != "" {
+				f(r.Class, u.atExtra("quotas.identify[%d].class", i))
+			}
+		}
+	}
 	for _, r := range classRefs {
 		namedIn(r.of(u.extras), r.keys, false, r.section, func(name, path string) { f(name, u.atExtra("%s", path)) })
 	}
@@ -165,7 +177,7 @@
 				say(u.atExtra("admission.reserve").with(u.at("limits.sockets")), a.Reserve, u.app.Limits.Sockets, u.app.Limits.Sockets/4)
 			}
 		}},
-	{Code: "HW139", Severity: Error, Title: "no address or prefix", Looks: "admission.known, admission.cap.prefix",
+	{Code: "HW139", Severity: Error, Title: "no address or prefix", Looks: "admission.known, admission.cap.prefix, quotas.identify.addresses",
 		Says: "%[1]q is neither an address nor a prefix",
 		Why:  "The sidecar refuses to start",
 		Do:   "Write it like 10.1.2.3 or 10.1.0.0/16",
@@ -242,6 +254,13 @@
 
 // prefixes calls f with each address or prefix of the admission.
 func (u *unit) prefixes(f func(text string, at ref)) {
+	if q := u.extras.Quotas; q != nil {
+		for i, r := range q.Identify {
+			if r.Addresses != "" {
+				f(r.Addresses, u.atExtra("quotas.identify[%d].addresses", i))
+			}
+		}
+	}
 	if u.extras.Admission == nil {
 		return
 	}
--- a/internal/lint/lint.go
+++ b/internal/lint/lint.go
@@ -39,9 +39,10 @@
 	fault   appconfig.FaultKind // found while a file is read
 	app     func(*unit, say)    // of an instance
 	class   func(*unit, *class, say)
-	extras  func(*unit, say) // of a file that holds features
-	site    func(*unit, say) // of a file that holds facts of a site
-	against func(*unit, say) // of an instance and the site it is at
+	extras  func(*unit, say)           // of a file that holds features
+	site    func(*unit, say)           // of a file that holds facts of a site
+	against func(*unit, say)           // of an instance and the site it is at
+	groups  func(*appconfig.File, say) // of a file of groups
 	all     func([]*unit, say)
 }
 
@@ -83,6 +84,7 @@
 	app       *appconfig.App  // with what the site's classes say filled in
 	extrasIn  *appconfig.File // the file of its features; nil where there is none
 	extras    *appconfig.App
+	groupsIn  *appconfig.File // the file of its quotas' groups; nil where it is not checked
 	siteIn    *appconfig.File // the file of its site; nil where there is none
 	site      *appconfig.Site
 	siteIsOwn bool // the site's facts stand in the file itself, as they do in a platform's file
@@ -195,6 +197,11 @@
 		for _, u := range units {
 			c.look(u, say)
 		}
+		for _, f := range files {
+			if c.groups != nil && f.Kind == appconfig.GroupsFile {
+				c.groups(f, say)
+			}
+		}
 		if c.all != nil {
 			c.all(units, say)
 		}
@@ -322,7 +329,13 @@
 			last++
 		}
 	}
-	return append(units, core...)
+	units = append(units, core...)
+	if at := slices.IndexFunc(files, func(f *appconfig.File) bool { return f.Kind == appconfig.GroupsFile }); at >= 0 {
+		for _, u := range units {
+			u.groupsIn = files[at]
+		}
+	}
+	return units
 }
 
 // Checks returns the table, in the order of codes.
@@ -339,7 +352,7 @@
 
 // table holds all checks. Codes are never given twice, nor given anew when a check goes.
 var table = slices.SortedFunc(slices.Values(slices.Concat(readingChecks, nameChecks, classChecks, siteClassChecks, instanceChecks, roomChecks,
-	factChecks, featureChecks, rewriteChecks, manyChecks)), func(a, b Check) int { return strings.Compare(a.Code, b.Code) })
+	factChecks, featureChecks, rewriteChecks, quotaChecks, manyChecks)), func(a, b Check) int { return strings.Compare(a.Code, b.Code) })
 
 var byFault = func() map[appconfig.FaultKind]*Check {
 	m := map[appconfig.FaultKind]*Check{}
--- a/internal/lint/lint_test.go
+++ b/internal/lint/lint_test.go
@@ -187,6 +187,7 @@
 	assert.Empty(t, Run(open("app.toml"), nil))
 	assert.Empty(t, Run(open("site.toml"), nil))
 	assert.Empty(t, Run(open("config.json"), nil))
+	assert.Empty(t, Run(open("quotas.json"), nil))
 	assert.Equal(t, Note, Worst(Run(open("app.toml", "site.toml"), nil)))
 	assert.Equal(t, Warning, Worst(Run(open("config.json", "features.json"), nil)), "its secret is known to all")
 }
--- a/internal/lint/rooms.go
+++ b/internal/lint/rooms.go
@@ -22,7 +22,7 @@
 
 // kept is what the settings keep in memory.
 func (u *unit) kept() appconfig.Size {
-	kept := appconfig.Size(0)
+	kept := u.groupsKept()
 	if c := u.extras.Capture; c != nil {
 		kept += c.Bytes
 	}
@@ -100,10 +100,10 @@
 				say(u.atExtra("capture.bytes").with(u.atExtra("capture.files")), c.Bytes, c.Files)
 			}
 		}},
-	{Code: "HW097", Severity: Warning, Title: "settings that take the memory", Looks: "capture.bytes, admission.waiting, limits.memory",
-		Says: "capture and waiting requests may take %[1]s of %[2]s, and the process needs 64MiB",
+	{Code: "HW097", Severity: Warning, Title: "settings that take the memory", Looks: "capture.bytes, admission.waiting, the file of groups, limits.memory",
+		Says: "capture, waiting requests and groups of quotas may take %[1]s of %[2]s, and the process needs 64MiB",
 		Why:  "The sidecar is killed beyond its memory, with all requests in it",
-		Do:   "Write a larger limits.memory, or smaller capture.bytes and admission.waiting",
+		Do:   "Write a larger limits.memory, or smaller capture.bytes and admission.waiting, or fewer groups",
 		extras: func(u *unit, say say) {
 			if u.app != nil && u.kept()+ownMemory > u.app.Limits.Memory {
 				say(u.at("limits.memory").with(u.atExtra("capture.bytes"), u.atExtra("admission.waiting")), u.kept(), u.app.Limits.Memory)
@@ -180,16 +180,23 @@
 				sayWritable(u.extrasIn, say)
 			}
 		}},
-	{Code: "HW105", Severity: Warning, Title: "capture to a folder that moves", Looks: "capture.dir",
+	{Code: "HW105", Severity: Warning, Title: "folder that moves", Looks: "capture.dir, quotas.dir",
 		Says: "%[1]q is %[2]s",
-		Why:  "Whoever looks for the capture after an incident finds nothing",
+		Why:  "Whoever looks for the capture after an incident, or for snapshots after a restart, finds nothing",
 		Do:   "Write the whole path of a folder that lasts",
 		extras: func(u *unit, say say) {
-			if c := u.extras.Capture; c != nil && c.Dir != "" {
-				if !strings.HasPrefix(c.Dir, "/") {
-					say(u.atExtra("capture.dir"), c.Dir, "relative to wherever the sidecar is started")
-				} else if c.Dir == "/tmp" || strings.HasPrefix(c.Dir, "/tmp/") {
-					say(u.atExtra("capture.dir"), c.Dir, "emptied now and then")
+			dirs := map[string]string{}
+			if c := u.extras.Capture; c != nil {
+				dirs["capture.dir"] = c.Dir
+			}
+			if q := u.extras.Quotas; q != nil {
+				dirs["quotas.dir"] = q.Dir
+			}
+			for field, dir := range dirs {
+				if dir != "" && !strings.HasPrefix(dir, "/") {
+					say(u.atExtra("%s", field), dir, "relative to wherever the sidecar is started")
+				} else if dir == "/tmp" || strings.HasPrefix(dir, "/tmp/") {
+					say(u.atExtra("%s", field), dir, "emptied now and then")
 				}
 			}
 		}},
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -44,9 +44,16 @@
 	// at its end is then not looked at.
 	Until judge.Rule
 	Quiet bool // leave the troubles of the script out
-	Boxes int  // at the start of the day, with as much traffic; 0: as usual
+	// Batch is at how many times its share a batch of reads comes beside the applications' requests; 0: there is none. With
+	// Quotas the sidecars hold groups to their shares.
+	Batch  float64
+	Quotas bool
+	Boxes  int // at the start of the day, with as much traffic; 0: as usual
 }
 
+// usualBoxes is how many boxes a day has that is not drawn with more.
+const usualBoxes = 15
+
 // Ranges returns what days are drawn from.
 func (o Options) Ranges() world.Ranges {
 	if o.Boxes > 0 {
@@ -129,10 +136,22 @@
 
 func newDay(s world.Script, o Options) (*day, error) {
 	d := &day{script: s, spec: s.Day(o.Ranges()), core: o.Core, trace: o.Trace, cuts: map[[2]string]int{}}
+	if o.Batch > 0 {
+		d.spec.Batch = batch(&d.spec, o.Batch)
+	}
 	if d.core == nil {
 		d.core = Sidecar
 	}
+	if o.Quotas {
+		var err error
+		if d.core, err = withQuotas(&d.spec); err != nil {
+			return nil, err
+		}
+	}
 	d.weather = drawWeather(s.Seed)
+	if o.Boxes > 0 { // Danger: with as much more to do, loops whose calls take as long as ever never catch up
+		d.weather.callS *= usualBoxes / float64(o.Boxes)
+	}
 	d.net = virtual.New(s.Seed^s.Luck*0x9e3779b97f4a7c15, d.spec.Start)
 	d.net.CutShare = d.weather.cutShare
 	rules := d.spec.Rules()
--- a/internal/world/player.go
+++ b/internal/world/player.go
@@ -134,7 +134,7 @@
 				continue
 			}
 			p.sidecar(judge.SidecarTermed, i, now)
-			p.w.Apps[i].Leave(now)
+			p.w.leave(i, now)
 			p.ground.Terminate(i)
 			// What has not ended by then is killed, as a platform does before it begins the next process.
 			p.later(now, t.ForS, func(now float64) { p.killSidecar(i, 0, now) })
@@ -352,7 +352,7 @@
 	p.ground.Kill(ip)
 	p.later(now, afterS, func(float64) {
 		p.gone[sidecar] = false
-		p.w.Apps[sidecar].Stay()
+		p.w.stay(sidecar)
 		p.ground.Return(ip)
 	})
 }
