Import what is readable, whatever else is wrong with it

A platform's file whose index was not below its replicas could not be imported, though nothing of it would have been lost.

--- a/cmd/hazelwheel/config.go
+++ b/cmd/hazelwheel/config.go
@@ -260,8 +260,12 @@
 	if len(files) > 1 {
 		extras = files[1]
 	}
-	if err := judge(c, c.Root().ErrWriter, files, nil, asText); err != nil {
-		return err // a field that makes no sense would be left out of what is written without a word
+	found := lint.Run(files, nil)
+	if err := asText(c.Root().ErrWriter, found); err != nil {
+		return err
+	}
+	if slices.ContainsFunc(found, func(f lint.Finding) bool { return f.Lost() }) {
+		return cli.Exit("", 1) // what makes no sense would be left out of what is written without a word
 	}
 	app, site := appconfig.Import(files[0], extras)
 	appText, err := appconfig.Format(app)
--- a/cmd/hazelwheel/config_test.go
+++ b/cmd/hazelwheel/config_test.go
@@ -60,6 +60,8 @@
 		{"render --site " + exampleSite + " " + spoilt, 1, "HW041"},
 		{"render --site " + exampleSite + " " + exampleApp, 0, `"locality": 0`},
 		{"import " + exampleCore, 0, `deadline = "2500ms"`},
+		{"import ../../internal/lint/testdata/broken/alone/HW077-index.json", 0, `index = 1`},
+		{"import ../../internal/lint/testdata/broken/alone/HW014-text.json", 1, "error HW014"},
 		{"import " + exampleApp, 2, "want the platform's file"},
 		{"new --name n1", 2, "--discovery is missing"},
 		{"new --name n1 --discovery 127.0.0.1:8500 --class \"a effect=saef aim=1s deadline=2s\"", 1, "Write safe if that is meant"},
--- a/internal/lint/lint.go
+++ b/internal/lint/lint.go
@@ -58,6 +58,9 @@
 	return fmt.Sprintf("%s:%s: %s %s: %s", f.File, f.Place, f.Severity, f.Code, f.Message)
 }
 
+// Lost tells whether what the finding is about could not be read, so that nothing made of the file would hold it.
+func (f *Finding) Lost() bool { return f.fault != "" && f.Severity == Error }
+
 // ref is a field of a file that a finding is about, and further fields that it rests on.
 type ref struct {
 	file *appconfig.File
