Keep what is rendered or imported from all eyes where it holds a secret's hash

Written files had the mode of temporary ones, 0600, so a sidecar of another user could not read its configuration; they have 0644, and 0600 only with a secret's hash in them.

--- a/cmd/hazelwheel/config.go
+++ b/cmd/hazelwheel/config.go
@@ -174,8 +174,17 @@
 
 // output is a file that a command writes.
 type output struct {
-	name string
-	text []byte
+	name   string
+	text   []byte
+	secret bool // it holds the hash of one
+}
+
+// mode lets the sidecar's user read what another has rendered, unless that would show a secret's hash to all.
+func (o *output) mode() os.FileMode {
+	if o.secret {
+		return 0o600
+	}
+	return 0o644
 }
 
 // writeFiles puts files into the folder that --out names, or one after the other on standard output. Danger: a sidecar that is
@@ -192,7 +201,7 @@
 			}
 			continue
 		}
-		if err := writeWhole(filepath.Join(folder, o.name), o.text); err != nil {
+		if err := writeWhole(filepath.Join(folder, o.name), o.text, o.mode()); err != nil {
 			return fault(err)
 		}
 		fmt.Fprintln(c.Root().ErrWriter, "written:", filepath.Join(folder, o.name))
@@ -200,14 +209,14 @@
 	return nil
 }
 
-func writeWhole(path string, text []byte) error {
+func writeWhole(path string, text []byte, mode os.FileMode) error {
 	f, err := os.CreateTemp(filepath.Dir(path), ".hazelwheel-*")
 	if err != nil {
 		return err
 	}
 	defer os.Remove(f.Name())
 	_, err = f.Write(text)
-	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+	if err = errors.Join(err, f.Chmod(mode), f.Sync(), f.Close()); err != nil {
 		return err
 	}
 	return os.Rename(f.Name(), path)
@@ -235,7 +244,7 @@
 	if err != nil {
 		return fault(err)
 	}
-	return writeFiles(c, []output{{"config.json", platform}, {"features.json", features}})
+	return writeFiles(c, []output{{"config.json", platform, false}, {"features.json", features, app.App.DrillSecret != ""}})
 }
 
 func importFiles(_ context.Context, c *cli.Command) error {
@@ -276,7 +285,7 @@
 	if err != nil {
 		return err
 	}
-	return writeFiles(c, []output{{"app.toml", appText}, {"site.toml", siteText}})
+	return writeFiles(c, []output{{"app.toml", appText, app.DrillSecret != ""}, {"site.toml", siteText, false}})
 }
 
 // diffFiles ends with 1 where something is otherwise.
--- a/cmd/hazelwheel/config_test.go
+++ b/cmd/hazelwheel/config_test.go
@@ -74,6 +74,18 @@
 	}
 }
 
+// What shows a secret's hash is the owner's alone to read.
+func TestImportedSecretIsKept(t *testing.T) {
+	dir := t.TempDir()
+	code, said := run(t, "config", "import", "--out", dir, "--features", "../../example/features.json", exampleCore)
+	require.Zero(t, code, said)
+	for name, mode := range map[string]os.FileMode{"app.toml": 0o600, "site.toml": 0o644} {
+		info, err := os.Stat(filepath.Join(dir, name))
+		require.NoError(t, err)
+		assert.Equal(t, mode, info.Mode().Perm(), name)
+	}
+}
+
 // words splits a command line; quotes keep spaces.
 func words(line string) []string {
 	var all []string
--- a/cmd/hazelwheel/confignew.go
+++ b/cmd/hazelwheel/confignew.go
@@ -117,7 +117,7 @@
 		_, err = c.Root().Writer.Write(text)
 		return err
 	}
-	if err := writeWhole(path, text); err != nil {
+	if err := writeWhole(path, text, 0o644); err != nil {
 		return fault(err)
 	}
 	fmt.Fprintln(c.Root().ErrWriter, "written:", path)
