Read and write framed Thrift in binary and compact

The Thrift front needs a parser that fits gnet's loop: bytes as they come, no allocation a message, bounded whatever comes.

internal/thrift finds frames in what has come, reads message heads (strict and old binary, compact), passes over values of every type, finds fields by path in one pass, renumbers a message and writes messages of its own. Bounds: frame size, 64 levels (what the Apache libraries skip to), sizes against the bytes that are left, 10 bytes a number. A field that is asked for and comes twice is refused.

--- /dev/null
+++ b/internal/thrift/message.go
@@ -0,0 +1,153 @@
+package thrift
+
+import "encoding/binary"
+
+// Message is a message with its head read. It lies where the bytes do.
+type Message struct {
+	Raw      []byte // the frame's payload
+	Encoding Encoding
+	Kind     Kind
+	Name     []byte // the method's; "service:method" where services share a connection
+	Seq      int32
+
+	seqAt, seqEnd int // where Seq is written
+	body          int // where the struct of arguments or results begins
+}
+
+// Frame takes the first frame off b, which holds what has come so far: its payload, and how many bytes it takes in b; 0: it
+// is not whole. A frame holds no more than most bytes. Danger: what is no frame need never be whole, and is found out here
+// by its first bytes.
+func Frame(b []byte, most int) (payload []byte, size int, err error) {
+	if len(b) > 0 && b[0] != 0 && most < 1<<24 {
+		return nil, 0, ErrFrame
+	}
+	if len(b) < 4 {
+		return nil, 0, nil
+	}
+	n := binary.BigEndian.Uint32(b)
+	if n == 0 || n > uint32(most) {
+		return nil, 0, ErrFrame
+	}
+	if len(b) > 4 && b[4] != 0x80 && b[4] != compactID && b[4] != 0 {
+		return nil, 0, ErrProtocol
+	}
+	if len(b) < 4+int(n) {
+		return nil, 0, nil
+	}
+	return b[4 : 4+n], 4 + int(n), nil
+}
+
+const (
+	versionMask    = 0xffff0000
+	version1       = 0x80010000
+	compactID      = 0x82
+	compactVersion = 1
+)
+
+// Read reads a message's head, and what follows it for no more than where it begins.
+func Read(payload []byte) (Message, error) {
+	m := Message{Raw: payload}
+	var err error
+	switch r := (Reader{b: payload}); {
+	case len(payload) == 0:
+		return m, ErrShort
+	case payload[0] == compactID:
+		r.enc = Compact
+		err = m.compact(&r)
+	case payload[0] < 0x80:
+		r.enc = OldBinary
+		err = m.old(&r)
+	default:
+		err = m.strict(&r)
+	}
+	if err == nil && (m.Kind < Call || m.Kind > Oneway) {
+		err = ErrKind
+	}
+	return m, err
+}
+
+func (m *Message) strict(r *Reader) (err error) {
+	version, err := r.fixed(4)
+	if err != nil {
+		return err
+	}
+	word := binary.BigEndian.Uint32(version)
+	if word&versionMask != version1 {
+		return ErrProtocol
+	}
+	m.Kind = Kind(word)
+	if m.Name, err = r.Bytes(); err != nil {
+		return err
+	}
+	return m.sequence(r)
+}
+
+func (m *Message) old(r *Reader) (err error) {
+	m.Encoding = OldBinary
+	if m.Name, err = r.Bytes(); err != nil {
+		return err
+	}
+	kind, err := r.Byte()
+	if err != nil {
+		return err
+	}
+	m.Kind = Kind(kind)
+	return m.sequence(r)
+}
+
+// sequence ends a binary head.
+func (m *Message) sequence(r *Reader) (err error) {
+	m.seqAt = r.at
+	m.Seq, err = r.I32()
+	m.seqEnd, m.body = r.at, r.at
+	return err
+}
+
+func (m *Message) compact(r *Reader) error {
+	m.Encoding = Compact
+	head, err := r.fixed(2)
+	if err != nil {
+		return err
+	}
+	if head[1]&0x1f != compactVersion {
+		return ErrProtocol
+	}
+	m.Kind, m.seqAt = Kind(head[1]>>5), r.at
+	seq, err := r.varint()
+	if err != nil {
+		return err
+	}
+	m.Seq, m.seqEnd = int32(seq), r.at
+	m.Name, err = r.Bytes()
+	m.body = r.at
+	return err
+}
+
+// Body returns a reader of the struct of arguments or results.
+func (m *Message) Body() Reader { return Reader{b: m.Raw, at: m.body, enc: m.Encoding} }
+
+// Check reads a message to its end and says what is wrong with it.
+func (m *Message) Check() error {
+	r := m.Body()
+	if err := r.Skip(Struct); err != nil {
+		return err
+	}
+	if r.Left() > 0 {
+		return ErrLong
+	}
+	return nil
+}
+
+// AppendAs appends a message as a frame, with another sequence number.
+func (m *Message) AppendAs(dst []byte, seq int32) []byte {
+	start := len(dst)
+	dst = append(append(dst, 0, 0, 0, 0), m.Raw[:m.seqAt]...)
+	if m.Encoding == Compact {
+		dst = binary.AppendUvarint(dst, uint64(uint32(seq)))
+	} else {
+		dst = binary.BigEndian.AppendUint32(dst, uint32(seq))
+	}
+	dst = append(dst, m.Raw[m.seqEnd:]...)
+	binary.BigEndian.PutUint32(dst[start:], uint32(len(dst)-start-4))
+	return dst
+}
--- /dev/null
+++ b/internal/thrift/reader.go
@@ -0,0 +1,267 @@
+package thrift
+
+import (
+	"encoding/binary"
+	"math"
+)
+
+// Reader reads values, in either encoding, from bytes that are all there. After an error nothing more can be read.
+type Reader struct {
+	b     []byte
+	at    int
+	enc   Encoding
+	truth uint8 // of a compact bool field whose head has been read: 0 none, 1 true, 2 false
+}
+
+// NewReader returns a reader of values in an encoding.
+func NewReader(b []byte, enc Encoding) Reader { return Reader{b: b, enc: enc} }
+
+// Left returns how many bytes have not been read.
+func (r *Reader) Left() int { return len(r.b) - r.at }
+
+// fixed takes n bytes.
+func (r *Reader) fixed(n int) ([]byte, error) {
+	if n > len(r.b)-r.at {
+		return nil, ErrShort
+	}
+	r.at += n
+	return r.b[r.at-n : r.at], nil
+}
+
+// mostVarint is how many bytes a number takes at most.
+const mostVarint = 10
+
+// varint reads a number of the compact protocol. Danger: one that never ends would be read to the frame's end, time and
+// again, by whoever looks for a field behind it.
+func (r *Reader) varint() (uint64, error) {
+	var v uint64
+	for i := range mostVarint {
+		if r.at >= len(r.b) {
+			return 0, ErrShort
+		}
+		c := r.b[r.at]
+		r.at++
+		v |= uint64(c&0x7f) << (7 * i)
+		if c < 0x80 {
+			return v, nil
+		}
+	}
+	return 0, ErrVarint
+}
+
+// zigzag reads a signed number of the compact protocol.
+func (r *Reader) zigzag() (int64, error) {
+	v, err := r.varint()
+	return int64(v>>1) ^ -int64(v&1), err
+}
+
+// Bool reads a bool: of a field in the compact protocol it lies in the field's head.
+func (r *Reader) Bool() (bool, error) {
+	if r.truth != 0 {
+		v := r.truth == 1
+		r.truth = 0
+		return v, nil
+	}
+	v, err := r.Byte()
+	return v == 1, err
+}
+
+// Byte reads a byte, which Thrift takes for signed.
+func (r *Reader) Byte() (int8, error) {
+	if r.at >= len(r.b) {
+		return 0, ErrShort
+	}
+	r.at++
+	return int8(r.b[r.at-1]), nil
+}
+
+// I16 reads a number.
+func (r *Reader) I16() (int16, error) {
+	if r.enc == Compact {
+		v, err := r.I32()
+		return int16(v), err
+	}
+	b, err := r.fixed(2)
+	if err != nil {
+		return 0, err
+	}
+	return int16(binary.BigEndian.Uint16(b)), nil
+}
+
+// I32 reads a number; of a compact one that is too large the upper bits are dropped, as the Apache libraries do.
+func (r *Reader) I32() (int32, error) {
+	if r.enc == Compact {
+		v, err := r.varint()
+		u := uint32(v)
+		return int32(u>>1) ^ -int32(u&1), err
+	}
+	b, err := r.fixed(4)
+	if err != nil {
+		return 0, err
+	}
+	return int32(binary.BigEndian.Uint32(b)), nil
+}
+
+// I64 reads a number.
+func (r *Reader) I64() (int64, error) {
+	if r.enc == Compact {
+		return r.zigzag()
+	}
+	b, err := r.fixed(8)
+	if err != nil {
+		return 0, err
+	}
+	return int64(binary.BigEndian.Uint64(b)), nil
+}
+
+// Double reads a number. The encodings differ in the order of its bytes.
+func (r *Reader) Double() (float64, error) {
+	b, err := r.fixed(8)
+	if err != nil {
+		return 0, err
+	}
+	if r.enc == Compact {
+		return math.Float64frombits(binary.LittleEndian.Uint64(b)), nil
+	}
+	return math.Float64frombits(binary.BigEndian.Uint64(b)), nil
+}
+
+// Bytes reads a string or binary, which lies where the message does.
+func (r *Reader) Bytes() ([]byte, error) {
+	n, err := r.size()
+	if err != nil {
+		return nil, err
+	}
+	return r.fixed(n)
+}
+
+// UUID reads 16 bytes, which lie where the message does.
+func (r *Reader) UUID() ([]byte, error) { return r.fixed(16) }
+
+// size reads how long or how many something is.
+func (r *Reader) size() (int, error) {
+	var n int32
+	if r.enc == Compact {
+		v, err := r.varint()
+		if err != nil {
+			return 0, err
+		}
+		n = int32(v)
+	} else {
+		b, err := r.fixed(4)
+		if err != nil {
+			return 0, err
+		}
+		n = int32(binary.BigEndian.Uint32(b))
+	}
+	if n < 0 {
+		return 0, ErrSize
+	}
+	return int(n), nil
+}
+
+// compactTypes are the types by their numbers in the compact protocol; 1 and 2 are true and false.
+var compactTypes = [16]Type{0, Bool, Bool, Byte, I16, I32, I64, Double, String, List, Set, Map, Struct, UUID, noType, noType}
+
+const noType Type = 0xff
+
+// Field reads a field's head; Stop is the struct's end. last is the id of the field before it, 0 at first, and becomes this
+// one's.
+func (r *Reader) Field(last *int16) (Type, error) {
+	if r.at >= len(r.b) {
+		return 0, ErrShort
+	}
+	c := r.b[r.at]
+	r.at++
+	if r.enc != Compact {
+		if c == byte(Stop) {
+			return Stop, nil
+		}
+		id, err := r.I16()
+		*last = id
+		return Type(c), err
+	}
+	t := compactTypes[c&0xf]
+	switch {
+	case t == Stop:
+		return Stop, nil
+	case c>>4 != 0:
+		*last += int16(c >> 4)
+	default:
+		id, err := r.I16()
+		if *last = id; err != nil {
+			return 0, err
+		}
+	}
+	if t == noType {
+		return 0, ErrType
+	}
+	if t == Bool {
+		r.truth = c & 0xf
+	}
+	return t, nil
+}
+
+// ListHead reads the head of a list or set: the type of its elements, and how many there are.
+func (r *Reader) ListHead() (t Type, n int, err error) {
+	if r.at >= len(r.b) {
+		return 0, 0, ErrShort
+	}
+	c := r.b[r.at]
+	r.at++
+	if r.enc != Compact {
+		t = Type(c)
+		n, err = r.size()
+	} else {
+		if t = compactTypes[c&0xf]; t == noType {
+			return 0, 0, ErrType
+		}
+		if n = int(c >> 4); n == 15 {
+			n, err = r.size()
+		}
+	}
+	if err != nil || n == 0 {
+		return t, n, err
+	}
+	return t, n, r.holds(n, t.least(r.enc))
+}
+
+// MapHead reads the head of a map: the types of keys and values, and how many pairs there are.
+func (r *Reader) MapHead() (key, value Type, n int, err error) {
+	if r.enc != Compact {
+		types, err := r.fixed(2)
+		if err != nil {
+			return 0, 0, 0, err
+		}
+		key, value = Type(types[0]), Type(types[1])
+		n, err = r.size()
+		if err != nil || n == 0 {
+			return key, value, n, err
+		}
+	} else {
+		if n, err = r.size(); err != nil || n == 0 {
+			return 0, 0, n, err
+		}
+		types, err := r.fixed(1)
+		if err != nil {
+			return 0, 0, 0, err
+		}
+		key, value = compactTypes[types[0]>>4], compactTypes[types[0]&0xf]
+	}
+	if key.least(r.enc) == 0 || value.least(r.enc) == 0 {
+		return 0, 0, 0, ErrType
+	}
+	return key, value, n, r.holds(n, key.least(r.enc)+value.least(r.enc))
+}
+
+// holds tells whether what is left can hold n elements of at least so many bytes. Danger: whoever makes room for as many as
+// a message names is out of memory before the first is read.
+func (r *Reader) holds(n, least int) error {
+	if least == 0 {
+		return ErrType
+	}
+	if n > r.Left()/least {
+		return ErrShort
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/thrift/skip.go
@@ -0,0 +1,176 @@
+package thrift
+
+import "math/bits"
+
+// Skip passes over a value of a type.
+func (r *Reader) Skip(t Type) error { return r.skip(t, MostDepth) }
+
+// skip passes over a value within which others lie so deep at most.
+func (r *Reader) skip(t Type, depth int) error {
+	if depth <= 0 {
+		return ErrDepth
+	}
+	var err error
+	switch t {
+	case Bool:
+		_, err = r.Bool()
+	case Byte:
+		_, err = r.Byte()
+	case I16, I32, I64:
+		if r.enc == Compact {
+			_, err = r.varint()
+			return err
+		}
+		_, err = r.fixed(t.least(r.enc))
+	case Double, UUID:
+		_, err = r.fixed(t.least(r.enc))
+	case String:
+		_, err = r.Bytes()
+	case Struct:
+		var id int16
+		for {
+			t, err := r.Field(&id)
+			if err != nil || t == Stop {
+				return err
+			}
+			if err := r.skip(t, depth-1); err != nil {
+				return err
+			}
+		}
+	case Map:
+		key, value, n, err := r.MapHead()
+		if err != nil {
+			return err
+		}
+		for range n {
+			if err := r.skip(key, depth-1); err != nil {
+				return err
+			}
+			if err := r.skip(value, depth-1); err != nil {
+				return err
+			}
+		}
+	case List, Set:
+		t, n, err := r.ListHead()
+		if err != nil {
+			return err
+		}
+		for range n {
+			if err := r.skip(t, depth-1); err != nil {
+				return err
+			}
+		}
+	default:
+		return ErrType
+	}
+	return err
+}
+
+// Path is where a field lies: the ids of the structs' fields that lead to it, the outermost first. An empty path is none.
+type Path []int16
+
+// Value is a field that was found. Bytes lie where the message does.
+type Value struct {
+	Type   Type // Stop: there is none
+	Bytes  []byte
+	Int    int64
+	Double float64
+}
+
+// MostPaths can be asked for at a time.
+const MostPaths = 8
+
+// Find reads a message to its end, as Check does, and notes the values at the paths on the way, each in the place of its
+// path; what is on none is passed over. A field that is asked for and comes twice is an error: which one counts is a guess.
+func (m *Message) Find(paths []Path, found *[MostPaths]Value) error {
+	var on uint8
+	for i, p := range paths {
+		found[i] = Value{}
+		if len(p) > 0 {
+			on |= 1 << i
+		}
+	}
+	r := m.Body()
+	if err := r.find(paths, on, 0, found); err != nil {
+		return err
+	}
+	if r.Left() > 0 {
+		return ErrLong
+	}
+	return nil
+}
+
+// find reads a struct on the way to the paths whose bits are set; so many fields of each have led here.
+func (r *Reader) find(paths []Path, on uint8, depth int, found *[MostPaths]Value) error {
+	var id int16
+	for {
+		t, err := r.Field(&id)
+		if err != nil || t == Stop {
+			return err
+		}
+		var here, further uint8
+		for left := on; left != 0; left &= left - 1 {
+			i := bits.TrailingZeros8(left)
+			switch p := paths[i]; {
+			case p[depth] != id:
+			case len(p) == depth+1:
+				here |= 1 << i
+			default:
+				further |= 1 << i
+			}
+		}
+		switch {
+		case here != 0:
+			err = r.note(t, here, MostDepth-depth-1, found)
+		case further != 0 && t == Struct:
+			err = r.find(paths, further, depth+1, found)
+		default:
+			err = r.skip(t, MostDepth-depth-1)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// note reads a value and notes it for the paths whose bits are set.
+func (r *Reader) note(t Type, here uint8, depth int, found *[MostPaths]Value) (err error) {
+	v := Value{Type: t}
+	switch t {
+	case Bool:
+		var is bool
+		if is, err = r.Bool(); is {
+			v.Int = 1
+		}
+	case Byte:
+		var n int8
+		n, err = r.Byte()
+		v.Int = int64(n)
+	case I16:
+		var n int16
+		n, err = r.I16()
+		v.Int = int64(n)
+	case I32:
+		var n int32
+		n, err = r.I32()
+		v.Int = int64(n)
+	case I64:
+		v.Int, err = r.I64()
+	case Double:
+		v.Double, err = r.Double()
+	case String:
+		v.Bytes, err = r.Bytes()
+	case UUID:
+		v.Bytes, err = r.UUID()
+	default: // no value that anybody can use
+		err = r.skip(t, depth)
+	}
+	for ; here != 0 && err == nil; here &= here - 1 {
+		i := bits.TrailingZeros8(here)
+		if found[i].Type != Stop {
+			return ErrTwice
+		}
+		found[i] = v
+	}
+	return err
+}
--- /dev/null
+++ b/internal/thrift/thrift_test.go
@@ -0,0 +1,153 @@
+package thrift
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// call returns a framed call with an id, a struct with a patience in it, and fields that nobody asks for.
+func call(enc Encoding) []byte {
+	var w Writer
+	w.Begin(nil, enc, Call, "Readings:latestReading", 41)
+	scalars(&w)
+	w.Field(Struct, 20)
+	w.Open()
+	w.Field(Map, 1)
+	w.MapHead(String, I32, 1)
+	w.String("x")
+	w.I32(3)
+	w.Field(I32, 2)
+	w.I32(480)
+	w.Close()
+	w.Field(String, 31)
+	w.String("id-1")
+	return w.End()
+}
+
+func TestFrames(t *testing.T) {
+	for text, want := range map[string]error{
+		"\x00\x00\x00\x00":         ErrFrame,
+		"\xff\xff\xff\xff":         ErrFrame, // negative
+		"\x00\x01\x00\x01":         ErrFrame, // above the bound
+		"GET":                      ErrFrame,
+		"\x00\x00\x00\x09{":        ErrProtocol,
+		"\x00\x00\x00\x09\x80":     nil,
+		"\x00\x00\x00\x09\x82\x21": nil,
+		"\x00\x00\x00\x09\x00":     nil,
+		"\x00\x01\x00\x00\x80":     nil,
+		"":                         nil,
+		"\x00\x00":                 nil,
+	} {
+		payload, size, err := Frame([]byte(text), 1<<16)
+		assert.Equal(t, want, err, "%q", text)
+		assert.True(t, payload == nil && size == 0)
+	}
+}
+
+// Fields are found by their paths in all encodings; a field of another shape than the path wants is none, and one that
+// comes twice is an error.
+func TestFind(t *testing.T) {
+	for _, enc := range []Encoding{Binary, OldBinary, Compact} {
+		payload, _, err := Frame(call(enc), 1<<16)
+		require.NoError(t, err)
+		m, err := Read(payload)
+		require.NoError(t, err)
+		assert.Equal(t, "Readings:latestReading", string(m.Name))
+		assert.Equal(t, int32(41), m.Seq)
+		var found [MostPaths]Value
+		require.NoError(t, m.Find([]Path{{31}, {20, 2}, {20, 1}, {8, 1}, nil, {4}, {99}, {9}}, &found))
+		assert.Equal(t, "id-1", string(found[0].Bytes))
+		assert.Equal(t, int64(480), found[1].Int)
+		assert.Equal(t, Map, found[2].Type)
+		assert.Equal(t, Stop, found[3].Type, "a path into a string")
+		assert.Equal(t, Stop, found[4].Type)
+		assert.Equal(t, 3.25, found[5].Double)
+		assert.Equal(t, Stop, found[6].Type)
+		assert.Equal(t, byte(9), found[7].Bytes[15])
+
+		var w Writer
+		w.Begin(nil, enc, Call, "a", 1)
+		for range 2 {
+			w.Field(I32, 1)
+			w.I32(1)
+		}
+		twice, err := Read(w.End()[4:])
+		require.NoError(t, err)
+		assert.Equal(t, ErrTwice, twice.Find([]Path{{1}}, &found))
+		assert.NoError(t, twice.Find([]Path{{2}}, &found))
+	}
+}
+
+func TestExceptions(t *testing.T) {
+	for _, enc := range []Encoding{Binary, OldBinary, Compact} {
+		m, err := Read(AppendException(nil, enc, "m", -9, LoadShedding, "throttled")[4:])
+		require.NoError(t, err)
+		kind, text, err := m.Exception()
+		require.NoError(t, err)
+		assert.Equal(t, []any{Exception, int32(-9), int32(LoadShedding), "throttled"}, []any{m.Kind, m.Seq, kind, string(text)})
+	}
+}
+
+// Depths far beyond the bound, and lists whose sizes lie, cost neither the stack nor memory.
+func TestBounds(t *testing.T) {
+	deep := []byte{0x82, 0x21, 1, 1, 'a'}
+	for range 10_000 {
+		deep = append(deep, 0x1c)
+	}
+	m, err := Read(deep)
+	require.NoError(t, err)
+	assert.Equal(t, ErrDepth, m.Check())
+	lists := []byte{0x82, 0x21, 1, 1, 'a', 0x19}
+	for range 10_000 {
+		lists = append(lists, 0x19)
+	}
+	m, err = Read(lists)
+	require.NoError(t, err)
+	assert.Equal(t, ErrDepth, m.Check())
+	lie := append([]byte{0x80, 1, 0, 1, 0, 0, 0, 1, 'a', 0, 0, 0, 1, byte(List), 0, 1, byte(I64)}, 0x7f, 0xff, 0xff, 0xff)
+	m, err = Read(lie)
+	require.NoError(t, err)
+	assert.Zero(t, testing.AllocsPerRun(100, func() { err = m.Check() }))
+	assert.Equal(t, ErrShort, err)
+}
+
+// A message that is read, looked into and passed on allocates nothing.
+func TestNoAllocation(t *testing.T) {
+	paths := []Path{{31}, {20, 2}}
+	for _, enc := range []Encoding{Binary, OldBinary, Compact} {
+		framed, out := call(enc), make([]byte, 0, 1<<10)
+		assert.Zero(t, testing.AllocsPerRun(100, func() {
+			payload, _, _ := Frame(framed, 1<<16)
+			m, _ := Read(payload)
+			var found [MostPaths]Value
+			if m.Find(paths, &found) != nil || found[1].Int != 480 {
+				t.Fail()
+			}
+			out = m.AppendAs(out[:0], 1<<20)
+		}), enc)
+		assert.Equal(t, len(out)-4, int(binary.BigEndian.Uint32(out)))
+	}
+}
+
+func BenchmarkFind(b *testing.B) {
+	for _, enc := range []Encoding{Binary, Compact} {
+		b.Run(enc.String(), func(b *testing.B) {
+			framed := call(enc)
+			b.SetBytes(int64(len(framed)))
+			b.ReportAllocs()
+			for b.Loop() {
+				payload, _, _ := Frame(framed, 1<<16)
+				m, _ := Read(payload)
+				var found [MostPaths]Value
+				_ = m.Find([]Path{{31}, {20, 2}}, &found)
+			}
+		})
+	}
+}
