Speak Thrift on the same core

Older tools and two services speak framed Thrift. They are to have the same decisions and rules as HTTP.

internal/front/thrift has client links, calls, exchanges and probes; `thrift` in the operators' file switches it on: where it listens, which methods are which class, where id, key and patience lie, at which port servers speak it, how they are probed. The core holds several fronts: a connection's local port tells which (Conn.LocalAddr), an execution goes out in the protocol in which its request came, and links to a server are kept by protocol. Two words are new to it: a request that must not run twice whatever its class (a keyed one without a key), and one that has no answer (oneway), whose execution ends when it is written and tells the decisions nothing of its server's time. Thrift at the HTTP port and the reverse are closed with one line in the log.

The process tests of resends, refused connections, deadlines, throttles, open ids, idle links and drains run three ways, the same test each: over HTTP, and over binary and compact with the Apache library as client and its protocols at the server.

--- a/cmd/hazelwheel/serve_test.go
+++ b/cmd/hazelwheel/serve_test.go
@@ -46,7 +46,9 @@
 }
 
 // What a server's word or silence allows: a request that may have run and must not run twice goes out once.
-func TestResends(t *testing.T) {
+func TestResends(t *testing.T) { everyWay(t, testResends) }
+
+func testResends(t *testing.T) {
 	for _, c := range []struct {
 		name, class string
 		first       http.HandlerFunc
@@ -86,7 +88,9 @@
 }
 
 // A connection that nobody takes proves that nothing has run.
-func TestConnectionRefused(t *testing.T) {
+func TestConnectionRefused(t *testing.T) { everyWay(t, testConnectionRefused) }
+
+func testConnectionRefused(t *testing.T) {
 	sound := newServer(t, "s-00000001", says(200, ""))
 	w := newWorld(t, sound)
 	w.known = append(w.known, endpoint{"s-00000002", freeAddress(t), "a", "SERVING", 1, 0})
@@ -98,7 +102,9 @@
 	assert.EqualValues(t, w.counter("requests"), sound.got())
 }
 
-func TestDeadline(t *testing.T) {
+func TestDeadline(t *testing.T) { everyWay(t, testDeadline) }
+
+func testDeadline(t *testing.T) {
 	s := newServer(t, "s-00000001", hangs)
 	w := newWorld(t, s).start()
 	p := w.ask("write", "", "", "Request-Timeout", "2000m")
@@ -113,7 +119,9 @@
 }
 
 // Nothing is held back: what can't be served is refused at once, with word of when to come again.
-func TestThrottle(t *testing.T) {
+func TestThrottle(t *testing.T) { everyWay(t, testThrottle) }
+
+func testThrottle(t *testing.T) {
 	w := newWorld(t).start()
 	p := w.ask("write", "", "", "Request-Timeout", "8000m")
 	assert.Equal(t, 503, p.status)
@@ -124,7 +132,9 @@
 	assert.EqualValues(t, 1, w.counter("throttled"))
 }
 
-func TestThrottleWithoutAdvice(t *testing.T) {
+func TestThrottleWithoutAdvice(t *testing.T) { everyWay(t, testThrottleWithoutAdvice) }
+
+func testThrottleWithoutAdvice(t *testing.T) {
 	w := newWorld(t)
 	w.limit("retryAfter", false)
 	p := w.start().ask("write", "", "")
@@ -262,7 +272,9 @@
 }
 
 // A request with the id of one that is open is answered with an error; the first goes on.
-func TestIDOfAnOpenRequest(t *testing.T) {
+func TestIDOfAnOpenRequest(t *testing.T) { everyWay(t, testIDOfAnOpenRequest) }
+
+func testIDOfAnOpenRequest(t *testing.T) {
 	s, release := newServer(t, "s-00000001", nil), make(chan struct{})
 	s.set(func(rw http.ResponseWriter, r *http.Request) {
 		<-release
@@ -295,7 +307,9 @@
 	assert.Equal(t, 413, r.StatusCode)
 }
 
-func TestIdleServerLinksAreRetired(t *testing.T) {
+func TestIdleServerLinksAreRetired(t *testing.T) { everyWay(t, testIdleServerLinksAreRetired) }
+
+func testIdleServerLinksAreRetired(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, ""))
 	w := newWorld(t, s)
 	w.limit("connIdleS", 1)
@@ -308,7 +322,9 @@
 }
 
 // A request whose link comes up only after its server was told to drain is not written.
-func TestDrainWhileConnecting(t *testing.T) {
+func TestDrainWhileConnecting(t *testing.T) { everyWay(t, testDrainWhileConnecting) }
+
+func testDrainWhileConnecting(t *testing.T) {
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
 	require.NoError(t, err)
 	defer unix.Close(fd)
--- a/cmd/hazelwheel/world_test.go
+++ b/cmd/hazelwheel/world_test.go
@@ -40,6 +40,7 @@
 type world struct {
 	*testing.T
 	listen    string
+	thrift    string // the address of its Thrift port; empty: it has none
 	discovery *discovery
 	settings  map[string]any
 	limits    map[string]any
@@ -82,6 +83,11 @@
 	}
 	w.client.Timeout = patience
 	w.client.Transport = &http.Transport{}
+	if way := way(t); way != "http" {
+		w.thrift = freeAddress(t)
+		w.client.Transport = &tripper{way: way, address: w.thrift}
+		w.features = "{" + thriftFeatures(w.thrift) + "}"
+	}
 	t.Cleanup(w.client.CloseIdleConnections)
 	return w
 }
@@ -282,6 +288,7 @@
 			s.closed++
 		}
 	}
+	s.Listener = sniff(s)
 	s.Start()
 	t.Cleanup(s.CloseClientConnections)
 	return s
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -32,6 +32,7 @@
 	Capture  capture.Settings
 
 	Admission Admission
+	Thrift    Thrift
 }
 
 // Admission bounds what clients may hold. Its zero value has no caps and no reserve.
@@ -60,6 +61,13 @@
 	if f.Admission.On() {
 		on = append(on, fmt.Sprintf("admission (reserve %d, %d caps, %d known)", f.Admission.Reserve, len(f.Admission.Caps), len(f.Admission.Known)))
 	}
+	if f.Thrift.On() {
+		methods := 0
+		for _, c := range f.Thrift.Classes {
+			methods += len(c.Methods)
+		}
+		on = append(on, fmt.Sprintf("thrift (%s, %d methods)", f.Thrift.Listen, methods))
+	}
 	if len(on) == 0 {
 		return "none"
 	}
@@ -89,6 +97,7 @@
 	f.readHealth(o, c)
 	f.readCapture(o, c)
 	f.readAdmission(o, c)
+	f.readThrift(o, c)
 	return f, o.rest()
 }
 
--- /dev/null
+++ b/internal/features/thrift.go
@@ -0,0 +1,106 @@
+package features
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/thrift"
+)
+
+// Thrift says how Thrift is spoken; without a Listen it is not.
+type Thrift struct {
+	Listen     string        // address and port at which its clients come
+	Port       int           // at which servers speak it; 0: at the listed one
+	Probe      string        // the method that a probe calls, without arguments; "": servers are probed over HTTP
+	NotStarted string        // what the text of a server's TApplicationException begins with if the call has not begun
+	Classes    []ThriftClass // in the file's order
+}
+
+// ThriftClass is what methods of one class have in common. A path may be empty: then no call has what it leads to.
+type ThriftClass struct {
+	Class    string
+	Methods  []string // "service:method" where services share a connection
+	ID       thrift.Path
+	Key      thrift.Path
+	Patience thrift.Path
+	UnitS    float64 // of patience
+}
+
+// On tells whether Thrift is spoken.
+func (t *Thrift) On() bool { return t.Listen != "" }
+
+func (f *Features) readThrift(o *object, c *config.Config) {
+	if _, on := o.fields["thrift"]; !on {
+		return
+	}
+	t, p := &f.Thrift, o.part("thrift")
+	t.NotStarted = "not started"
+	field(p, "listen", &t.Listen, "an address and port of its own, like 127.0.0.1:9090", func(s string) bool {
+		a, err := netip.ParseAddrPort(s)
+		listen, _ := netip.ParseAddrPort(c.Listen)
+		return err == nil && a.Port() != 0 && a.Port() != listen.Port() && int(a.Port()) != f.Health.Port
+	})
+	field(p, "port", &t.Port, "1 to 65535", func(v int) bool { return v >= 1 && v <= 65535 })
+	field(p, "probe", &t.Probe, "a method's name", methodName)
+	field(p, "not_started", &t.NotStarted, "text", func(s string) bool { return s != "" })
+	p.need("listen", "classes")
+	classes, methods := map[string]bool{}, map[string]string{}
+	for _, e := range p.list("classes") {
+		k := ThriftClass{UnitS: 1e-3}
+		field(e, "class", &k.Class, "a class of the settings, once", func(s string) bool { return hasClass(c, s) && !classes[s] })
+		field(e, "methods", &k.Methods, `a list of methods, like "latestReading" or "Readings:latestReading"`, func(names []string) bool {
+			for _, name := range names {
+				if !methodName(name) {
+					return false
+				}
+				if of := methods[name]; of != "" {
+					e.fail("methods", fmt.Sprintf("%s is a method of %s, too", name, of))
+				}
+				methods[name] = k.Class
+			}
+			return len(names) > 0
+		})
+		path := func(name string, p *thrift.Path) {
+			var text string
+			field(e, name, &text, `a path of field ids, like "1" or "2.1"`, func(s string) (ok bool) {
+				*p, ok = parsePath(s)
+				return ok
+			})
+		}
+		path("id", &k.ID)
+		path("key", &k.Key)
+		path("patience_ms", &k.Patience)
+		if _, us := e.fields["patience_us"]; us {
+			if k.UnitS = 1e-6; k.Patience != nil {
+				e.fail("patience_us", "given in milliseconds, too")
+			}
+			path("patience_us", &k.Patience)
+		}
+		e.need("class", "methods")
+		classes[k.Class] = true
+		t.Classes = append(t.Classes, k)
+	}
+	if len(t.Classes) == 0 && p.err == nil {
+		p.fail("classes", "want one at least")
+	}
+}
+
+// methodName tells whether a name can be a method's, with its service's before it.
+func methodName(s string) bool {
+	return len(s) > 0 && len(s) <= 128 && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r >= 0x7f })
+}
+
+// parsePath reads field ids with dots between them.
+func parsePath(text string) (p thrift.Path, ok bool) {
+	for id := range strings.SplitSeq(text, ".") {
+		n, err := strconv.ParseInt(id, 10, 16)
+		if err != nil {
+			return nil, false
+		}
+		p = append(p, int16(n))
+	}
+	return p, len(p) <= thrift.MostDepth/2
+}
--- a/internal/front/http1/call.go
+++ b/internal/front/http1/call.go
@@ -66,6 +66,7 @@
 
 func (x *exchange) Read(buf *buffer.Buffer) (bool, error) { return x.parser.Next(buf) }
 func (x *exchange) Begun() bool                           { return x.parser.Begun() }
+func (x *exchange) Silent() bool                          { return false }
 func (x *exchange) End() bool                             { return x.parser.End() }
 
 // header returns what the client is sent of an answer's header.
--- a/internal/front/http1/fields.go
+++ b/internal/front/http1/fields.go
@@ -3,9 +3,9 @@
 import (
 	"math"
 	"strconv"
-	"strings"
 	"time"
 
+	"hazelwheel/internal/sidecar"
 	"hazelwheel/policy"
 )
 
@@ -20,37 +20,11 @@
 	fieldRetryAfter = "Retry-After"
 )
 
-// report reads a load report, `inflight=7,util=0.61`. A value that is absent or odd is not a number, which
-// the decisions pass over.
+// report reads a load report.
 func (f *Front) report(text string) policy.Report {
-	var r policy.Report
-	names := f.settings.ReportFields
-	if text == "" || len(names) == 0 {
-		return r
-	}
-	r.N = min(len(names), len(r.Values))
-	for i := range r.N {
-		r.Values[i] = float32(math.NaN())
-	}
-	for pair := range strings.SplitSeq(strings.TrimSpace(text), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		v, err := strconv.ParseFloat(value, 32)
-		if err != nil || math.IsInf(v, 0) {
-			continue
-		}
-		for i := range r.N {
-			if names[i] == name || reportAlias[names[i]] == name {
-				r.Values[i] = float32(v)
-			}
-		}
-	}
-	return r
+	return sidecar.ReadReport(f.settings.ReportFields, text)
 }
 
-// reportAlias are the names on the sockets of the values that the settings name.
-var reportAlias = map[string]string{"busy_reqs": "inflight", "pending": "queue", "cpu_share": "util",
-	"svc_ms": "latency_ms", "served_ps": "qps", "failed_ps": "eps"}
-
 // formatPatience writes a span as the deployment does.
 func formatPatience(s float64) string {
 	return strconv.FormatInt(max(int64(s*1e6), 0), 10) + "u"
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -14,6 +14,7 @@
 // Front speaks HTTP/1.1 as the settings say.
 type Front struct {
 	name     string // of this sidecar
+	listen   string
 	settings config.Settings
 	classes  map[string]int
 	rewrites rewrite.Settings
@@ -23,13 +24,19 @@
 
 // New returns a front for the classes of a configuration.
 func New(cfg config.Config, rewrites rewrite.Settings) *Front {
-	f := &Front{name: cfg.Name, settings: cfg.Settings, classes: map[string]int{}, rewrites: rewrites}
+	f := &Front{name: cfg.Name, listen: cfg.Listen, settings: cfg.Settings, classes: map[string]int{}, rewrites: rewrites}
 	for i, c := range cfg.Settings.Policy.Classes {
 		f.classes[c.Name] = i
 	}
 	return f
 }
 
+// Listen returns where clients come.
+func (f *Front) Listen() string { return f.listen }
+
+// Address returns a server's address as it is listed.
+func (f *Front) Address(listed string) string { return listed }
+
 // Client returns a link that has read nothing.
 func (f *Front) Client() sidecar.Client {
 	return &link{front: f, parser: http1.NewRequestParser(limits)}
--- a/internal/front/http1/link.go
+++ b/internal/front/http1/link.go
@@ -21,6 +21,9 @@
 
 // Read sends word to a client that waits for it before it sends the body.
 func (l *link) Read(buf *buffer.Buffer) (bool, error) {
+	if b := buf.Bytes(); !l.parser.Begun() && looksLikeThrift(b) {
+		return false, errThrift
+	}
 	whole, err := l.parser.Next(buf)
 	if !whole && err == nil && !l.told && l.parser.WantsContinue() {
 		l.told = true
@@ -40,8 +43,24 @@
 	l.parser.Rest()
 }
 
+// errThrift is the end of a link whose client has come to the wrong port. Danger: nothing that it sends need ever end a line,
+// and what it is answered it can't read.
+var errThrift = errors.New("connections at the HTTP port are closed that speak Thrift")
+
+// looksLikeThrift tells whether bytes begin as Thrift's do, framed or not, and as no request of HTTP can.
+func looksLikeThrift(b []byte) bool {
+	if len(b) > 4 && b[0] == 0 {
+		b = b[4:]
+	}
+	return len(b) > 1 && (b[0] == 0x80 && b[1] == 1 || b[0] == 0x82 && b[1]&0x1f == 1)
+}
+
 // Decline names the status of what is wrong.
 func (l *link) Decline(err error) {
+	if errors.Is(err, errThrift) {
+		l.Hangup(err.Error())
+		return
+	}
 	var e *http1.Error
 	switch {
 	case errors.Is(err, sidecar.ErrUnarrived):
@@ -140,7 +159,7 @@
 
 // respond answers, and tells the client where the answer is the last.
 func (l *link) respond(status int, h http1.Header, body []byte) {
-	dst, last, there := l.BeginAnswer()
+	dst, last, there := l.BeginAnswer(true)
 	if !there {
 		return
 	}
--- /dev/null
+++ b/internal/front/thrift/call.go
@@ -0,0 +1,147 @@
+package thrift
+
+import (
+	"bytes"
+	"strings"
+
+	"hazelwheel/internal/buffer"
+	"hazelwheel/internal/sidecar"
+	"hazelwheel/internal/thrift"
+	"hazelwheel/policy"
+)
+
+// call is what a client has asked for, in memory of its own: it outlives its link.
+type call struct {
+	front *Front
+	m     thrift.Message
+}
+
+// newCall takes over a message that lies in a link's buffer.
+func newCall(f *Front, m thrift.Message) *call {
+	c := &call{front: f}
+	raw := append([]byte(nil), m.Raw...)
+	c.m = m.Moved(raw)
+	return c
+}
+
+func (c *call) Exchange() sidecar.Exchange { return &exchange{call: c} }
+
+// exchange is one execution of a call.
+type exchange struct {
+	call  *call
+	seq   int32
+	begun bool
+	reply thrift.Message // lies in the server link's buffer until the next bytes come
+	ended policy.Outcome
+}
+
+// What is wrong with a reply that can be read.
+const (
+	errNoReply  thrift.Error = "a message that is no reply"
+	errSequence thrift.Error = "another sequence number than the call's"
+	errName     thrift.Error = "another method than the call's"
+	errEncoding thrift.Error = "another encoding than the call's"
+)
+
+// Append writes the call as it came, but for the sequence number: what it says of the client's patience goes on unchanged.
+func (x *exchange) Append(dst []byte, _, _ float64) []byte {
+	x.seq = x.call.front.number()
+	return x.call.m.AppendAs(dst, x.seq)
+}
+
+// Read takes a reply that is whole. What makes no sense, or answers another call, says that the server has come to this one.
+func (x *exchange) Read(buf *buffer.Buffer) (bool, error) {
+	x.begun = x.begun || buf.Len() > 0
+	payload, size, err := thrift.Frame(buf.Bytes(), mostFrame)
+	if err != nil || size == 0 {
+		return false, err
+	}
+	m, err := thrift.Read(payload)
+	if err != nil {
+		return false, err
+	}
+	if err := x.fits(&m); err != nil {
+		return false, err
+	}
+	x.ended = policy.OK
+	if m.Kind == thrift.Exception {
+		_, text, err := m.Exception()
+		if err != nil {
+			return false, err
+		}
+		x.ended = x.call.front.refusal(text)
+	} else if err := m.Check(); err != nil {
+		return false, err
+	}
+	x.reply = m
+	buf.Discard(size)
+	return true, nil
+}
+
+// refusal tells what a TApplicationException means. Only a server's word that it has not begun proves that nothing has run.
+func (f *Front) refusal(text []byte) policy.Outcome {
+	if strings.HasPrefix(string(text), f.on.NotStarted) {
+		return policy.Rejected
+	}
+	return policy.HostError
+}
+
+// fits tells what keeps a message from being the call's reply. A reply names the method, mostly without the service.
+func (x *exchange) fits(m *thrift.Message) error {
+	own := &x.call.m
+	switch {
+	case m.Kind != thrift.Reply && m.Kind != thrift.Exception:
+		return errNoReply
+	case m.Seq != x.seq:
+		return errSequence
+	case !bytes.Equal(m.Name, own.Name) && !bytes.Equal(m.Name, bare(own.Name)):
+		return errName
+	case (m.Encoding == thrift.Compact) != (own.Encoding == thrift.Compact):
+		return errEncoding
+	}
+	return nil
+}
+
+// bare returns a method's name without its service's.
+func bare(name []byte) []byte { return name[bytes.IndexByte(name, ':')+1:] }
+
+func (x *exchange) Begun() bool  { return x.begun }
+func (x *exchange) End() bool    { return false }
+func (x *exchange) Silent() bool { return x.call.m.Kind == thrift.Oneway }
+
+// Verdict says that a reply is the method's own answer, a declared exception as well.
+func (x *exchange) Verdict() (policy.Outcome, policy.Report, bool) { return x.ended, policy.Report{}, true }
+
+// probe calls the method that is to be called, and asks for nothing but a reply.
+type probe struct{ exchange }
+
+// Probe calls a method without arguments in the strict binary protocol, which every server knows.
+func (f *Front) Probe() sidecar.Exchange {
+	if f.on.Probe == "" {
+		return nil
+	}
+	var w thrift.Writer
+	w.Begin(nil, thrift.Binary, thrift.Call, f.on.Probe, 0)
+	m, err := thrift.Read(w.End()[4:])
+	if err != nil {
+		panic(err) // it is ours
+	}
+	return &probe{exchange{call: &call{front: f, m: m}}}
+}
+
+var resultPaths = []thrift.Path{{0}}
+
+// Verdict reads the load report from the result, where the deployment has one there. A server that does not know the method
+// lives all the same.
+func (x *probe) Verdict() (policy.Outcome, policy.Report, bool) {
+	outcome, report, keep := x.exchange.Verdict()
+	var found [thrift.MostPaths]thrift.Value
+	if x.reply.Kind == thrift.Exception {
+		if kind, _, err := x.reply.Exception(); err == nil && kind == thrift.UnknownMethod {
+			outcome = policy.OK
+		}
+	} else if f := x.call.front; f.settings.Policy.ReportsOnProbe && x.reply.Find(resultPaths, &found) == nil {
+		report = sidecar.ReadReport(f.settings.ReportFields, string(found[0].Bytes))
+	}
+	return outcome, report, keep
+}
--- /dev/null
+++ b/internal/front/thrift/front.go
@@ -0,0 +1,85 @@
+// Package thrift is the front that speaks framed Thrift, in the binary and the compact protocol: its client links, the calls
+// that go on to servers, and its probes. A call goes on in the encoding in which it came.
+package thrift
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/features"
+	"hazelwheel/internal/sidecar"
+	"hazelwheel/internal/thrift"
+	"hazelwheel/policy"
+)
+
+// mostFrame bounds a message, as an HTTP one's body.
+const mostFrame = sidecar.MostBody
+
+// Front speaks Thrift as the operators' file says.
+type Front struct {
+	name     string // of this sidecar
+	settings config.Settings
+	on       features.Thrift
+	methods  map[string]*class
+	sequence int32  // of the last execution
+	made     uint64 // ids for calls that bring none
+}
+
+// class is what the calls of one class have in common.
+type class struct {
+	features.ThriftClass
+	policy.Class
+	number int
+	paths  []thrift.Path // of id, key and patience
+}
+
+var _ sidecar.Front = (*Front)(nil)
+
+// New returns a front for the classes of a configuration.
+func New(cfg config.Config, on features.Thrift) *Front {
+	f := &Front{name: cfg.Name, settings: cfg.Settings, on: on, methods: map[string]*class{}}
+	for _, t := range on.Classes {
+		for i, c := range cfg.Settings.Policy.Classes {
+			if c.Name != t.Class {
+				continue
+			}
+			k := &class{ThriftClass: t, Class: c, number: i, paths: []thrift.Path{t.ID, t.Key, t.Patience}}
+			for _, name := range t.Methods {
+				f.methods[name] = k
+			}
+		}
+	}
+	return f
+}
+
+// Listen returns where clients come.
+func (f *Front) Listen() string { return f.on.Listen }
+
+// Address returns where a listed server speaks Thrift.
+func (f *Front) Address(listed string) string {
+	if f.on.Port == 0 {
+		return listed
+	}
+	if host, _, err := net.SplitHostPort(listed); err == nil {
+		return net.JoinHostPort(host, strconv.Itoa(f.on.Port))
+	}
+	return listed
+}
+
+// Client returns a link that has read nothing.
+func (f *Front) Client() sidecar.Client { return &link{front: f} }
+
+// id returns one of the sidecar's own for a call that brings none. It is for logs and captures alone.
+func (f *Front) id() string {
+	f.made++
+	return fmt.Sprintf("%s-thrift-%d", f.name, f.made)
+}
+
+// number returns the next execution's sequence number. Danger: a server link carries one call at a time, but what comes late
+// of an earlier one must not be taken for this one's.
+func (f *Front) number() int32 {
+	f.sequence++
+	return f.sequence
+}
--- /dev/null
+++ b/internal/front/thrift/link.go
@@ -0,0 +1,175 @@
+package thrift
+
+import (
+	"errors"
+	"strconv"
+
+	"hazelwheel/internal/buffer"
+	"hazelwheel/internal/sidecar"
+	"hazelwheel/internal/thrift"
+	"hazelwheel/policy"
+)
+
+// link is a client link that speaks Thrift. Calls that come ahead wait in its buffer and in the socket: they are answered in
+// their order, one at a time, as a server of the Apache libraries does.
+type link struct {
+	sidecar.ClientLink
+	front *Front
+	m     thrift.Message // the one that was read last, or is out
+}
+
+// Read takes one message off the buffer. It lies there until Take, which comes before any more bytes.
+func (l *link) Read(buf *buffer.Buffer) (bool, error) {
+	payload, size, err := thrift.Frame(buf.Bytes(), mostFrame)
+	if err != nil || size == 0 {
+		return false, err
+	}
+	if l.m, err = thrift.Read(payload); err != nil {
+		return false, err
+	}
+	buf.Discard(size)
+	return true, nil
+}
+
+// Partial holds nothing: a message stays in the buffer until it is whole.
+func (l *link) Partial() (held int, begun bool) { return 0, false }
+
+// Decline closes a link without a word: what can't be read has no sequence number to answer to.
+func (l *link) Decline(err error) {
+	if errors.Is(err, sidecar.ErrUnarrived) {
+		l.Hangup("connections are closed whose calls do not arrive")
+		return
+	}
+	l.Hangup("connections at the Thrift port are closed that speak no framed Thrift: " + err.Error())
+}
+
+// Take hands a call on, or answers it.
+func (l *link) Take() {
+	m := &l.m
+	l.Keep(true)
+	if m.Kind != thrift.Call && m.Kind != thrift.Oneway {
+		l.spoilt(thrift.InvalidKind, "a message that is no call")
+		return
+	}
+	class := l.front.methods[string(m.Name)]
+	var paths []thrift.Path
+	if class != nil {
+		paths = class.paths
+	}
+	var found [thrift.MostPaths]thrift.Value
+	if err := m.Find(paths, &found); err != nil {
+		l.spoilt(thrift.ProtocolError, err.Error())
+		return
+	}
+	if class == nil {
+		l.decline(thrift.UnknownMethod, "no method that is known here")
+		return
+	}
+	l.ask(class, found[0], found[1], found[2])
+}
+
+// ask hands a call of a class on, with the id, key and patience that were found in it.
+func (l *link) ask(c *class, id, key, patience thrift.Value) {
+	a := sidecar.Ask{Class: c.number, Patience: c.GiveUpS, Size: len(l.m.Raw), Detached: l.m.Kind == thrift.Oneway}
+	if patience.Type != thrift.Stop {
+		var ok bool
+		if a.Patience, ok = seconds(patience, c.UnitS); !ok {
+			l.decline(thrift.ProtocolError, "a patience that is no number from 0")
+			return
+		}
+	}
+	if a.ID = string(id.Bytes); id.Type == thrift.I64 || id.Type == thrift.I32 {
+		a.ID = strconv.FormatInt(id.Int, 10)
+	}
+	if a.ID == "" {
+		a.ID = l.front.id()
+	}
+	if l.Sidecar().IsOpen(a.ID) {
+		l.decline(thrift.InternalError, "its id is that of an open call")
+		return
+	}
+	// Without a key nothing drops a repeat, whatever the class says.
+	a.Once = c.Effect == policy.Keyed && len(key.Bytes) == 0 && key.Int == 0
+	if l.Admit() {
+		call := newCall(l.front, l.m)
+		l.m, a.Call = call.m, call
+		l.HandOn(a)
+	}
+}
+
+// seconds reads a span of time in a unit.
+func seconds(v thrift.Value, unitS float64) (float64, bool) {
+	n := float64(v.Int)
+	switch v.Type {
+	case thrift.Double:
+		n = v.Double
+	case thrift.I16, thrift.I32, thrift.I64:
+	default:
+		return 0, false
+	}
+	return n * unitS, n >= 0 && n < 1e15
+}
+
+// decline answers a call that is none to decide on. Such a call has not run.
+func (l *link) decline(kind int32, why string) {
+	l.Malformed()
+	l.exception(kind, why)
+}
+
+// spoilt ends a link with a message that makes no sense.
+func (l *link) spoilt(kind int32, why string) {
+	l.Keep(false)
+	l.decline(kind, why)
+}
+
+// Serve passes on a server's answer.
+func (l *link) Serve(x sidecar.Exchange) {
+	l.Served()
+	dst, _, there := l.BeginAnswer(false)
+	if !there {
+		return
+	}
+	if l.m.Kind != thrift.Oneway {
+		dst = x.(*exchange).reply.AppendAs(dst, l.m.Seq)
+	}
+	l.EndAnswer(dst)
+}
+
+// What a client is told of calls without an answer; programs tell them apart by the exception's type, and people by its text.
+const (
+	throttled = "throttled; retry-after="
+	failed    = "failed; it may have run"
+	late      = "no answer in time; it may have run"
+)
+
+// Throttle refuses, and says when to come again in seconds.
+func (l *link) Throttle(retryAfterS float64) {
+	text := throttled
+	if l.front.settings.RetryAfter {
+		text += strconv.FormatFloat(max(retryAfterS, 0), 'f', 3, 64)
+	} else {
+		text = text[:len("throttled")]
+	}
+	l.exception(thrift.LoadShedding, text)
+}
+
+// Fail says that there is no answer.
+func (l *link) Fail(isLate bool) {
+	if isLate {
+		l.exception(thrift.TimedOutException, late)
+		return
+	}
+	l.exception(thrift.InternalError, failed)
+}
+
+// exception answers with a TApplicationException, or with nothing where nobody waits for an answer.
+func (l *link) exception(kind int32, text string) {
+	dst, _, there := l.BeginAnswer(false)
+	if !there {
+		return
+	}
+	if l.m.Kind != thrift.Oneway {
+		dst = thrift.AppendException(dst, l.m.Encoding, string(bare(l.m.Name)), l.m.Seq, kind, text)
+	}
+	l.EndAnswer(dst)
+}
--- a/internal/lab/ground/conn.go
+++ b/internal/lab/ground/conn.go
@@ -56,7 +56,7 @@
 	go c.send()
 }
 
-// Write, OutboundBuffered, RemoteAddr, Context and SetContext are the netio.Conn.
+// Write, OutboundBuffered, RemoteAddr, LocalAddr, Context and SetContext are the netio.Conn.
 
 func (c *conn) Write(p []byte) (int, error) {
 	if c.dead {
@@ -68,6 +68,7 @@
 
 func (c *conn) OutboundBuffered() int  { return c.out.size() }
 func (c *conn) RemoteAddr() net.Addr   { return c.remote }
+func (c *conn) LocalAddr() net.Addr    { return c.tcp.LocalAddr() }
 func (c *conn) Context() any           { return c.context }
 func (c *conn) SetContext(context any) { c.context = context }
 
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -18,6 +18,8 @@
 	OutboundBuffered() int
 	// RemoteAddr returns the peer's address, a *net.TCPAddr.
 	RemoteAddr() net.Addr
+	// LocalAddr returns this end's address, a *net.TCPAddr; of a connection that was accepted its port is the listener's.
+	LocalAddr() net.Addr
 	// Context returns what SetContext was given last; before that what Dial was given, or nil for a connection that
 	// was accepted.
 	Context() any
@@ -72,7 +74,7 @@
 	// resumed.
 	PauseReading(c Conn) bool
 	ResumeReading(c Conn)
-	// StopListening closes the listening socket: who dials from now on is refused at once.
+	// StopListening closes the listening sockets: who dials from now on is refused at once.
 	StopListening()
 	// Stop ends the loop after the present call. Connections that are still open are closed.
 	Stop()
--- a/internal/netio/sockets/sockets.go
+++ b/internal/netio/sockets/sockets.go
@@ -19,7 +19,7 @@
 
 // Net is an event loop that has not begun to turn, or turns. What netio.Net says of the loop's own goroutine holds.
 type Net struct {
-	listen string
+	listen []string
 	log    *slog.Logger
 	clock  clock
 	host   netio.Host
@@ -39,8 +39,8 @@
 
 var _ netio.Net = (*Net)(nil)
 
-// New returns a loop that is to listen at an address and port.
-func New(listen string, log *slog.Logger) *Net {
+// New returns a loop that is to listen at addresses and ports.
+func New(log *slog.Logger, listen ...string) *Net {
 	return &Net{listen: listen, log: log, clock: newClock()}
 }
 
@@ -52,14 +52,18 @@
 		defer n.mu.Unlock()
 		n.over = true
 	}()
-	if err := claim(n.listen); err != nil {
-		return fmt.Errorf("listen %s: %w", n.listen, err)
+	var all []string
+	for _, address := range n.listen {
+		if err := claim(address); err != nil {
+			return fmt.Errorf("listen %s: %w", address, err)
+		}
+		all = append(all, "tcp://"+address)
 	}
 	// With ReusePort the loop accepts by itself, one connection at a time, and each can be turned away
 	// before the next takes a descriptor. Danger: gnet ends the engine when an accept fails.
 	// ReuseAddr is for the next start: without it the connections that this one closed stand in the way of
 	// claim for a minute.
-	return gnet.Run(&handler{n: n}, "tcp://"+n.listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
+	return gnet.Rotate(&handler{n: n}, all, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
 		gnet.WithReuseAddr(true), gnet.WithTicker(true), gnet.WithLogger(gnetLogger{n.log}))
 }
 
--- a/internal/netio/virtual/conn.go
+++ b/internal/netio/virtual/conn.go
@@ -132,7 +132,7 @@
 func (c *Conn) Dialed() bool { return c.dialed }
 
 // LocalAddr returns this end's address and port.
-func (c *Conn) LocalAddr() netip.AddrPort { return c.local }
+func (c *Conn) LocalAddr() net.Addr { return tcpAddr(c.local) }
 
 func (c *Conn) unread() int { return len(c.in) - c.inHead }
 func (c *Conn) user() int   { return len(c.out) - c.head - c.sock }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -17,6 +17,7 @@
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/features"
 	"hazelwheel/internal/front/http1"
+	"hazelwheel/internal/front/thrift"
 	"hazelwheel/internal/netio/sockets"
 	"hazelwheel/internal/sidecar"
 )
@@ -40,8 +41,13 @@
 
 // New returns a process that does not serve yet.
 func New(cfg config.Config, on features.Features, log *slog.Logger) (*Process, error) {
-	loop := sockets.New(cfg.Listen, log)
-	s, err := sidecar.New(cfg, on, http1.New(cfg, on.Rewrites), loop, log)
+	fronts := []sidecar.Front{http1.New(cfg, on.Rewrites)}
+	listen := []string{cfg.Listen}
+	if on.Thrift.On() {
+		fronts, listen = append(fronts, thrift.New(cfg, on.Thrift)), append(listen, on.Thrift.Listen)
+	}
+	loop := sockets.New(log, listen...)
+	s, err := sidecar.New(cfg, on, fronts, loop, log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -18,11 +18,11 @@
 		return
 	}
 	e := &execution{request: r, number: r.sent, host: host, sentAt: s.eventAt,
-		until: r.deadline - s.answerRoom(), exchange: r.call.Exchange()}
+		until: r.deadline - s.answerRoom(), exchange: r.call.Exchange(), front: r.front}
 	r.sent++
 	r.out[e.number] = e
 	s.counters.Executions++
-	if r.answered || len(r.out) > 1 && !s.cfg.Settings.Policy.SecondCopies {
+	if r.answered || len(r.out) > 1 && (r.once || !s.cfg.Settings.Policy.SecondCopies) {
 		s.finish(e, &execError{notConnected, overtaken, nil})
 		return
 	}
@@ -41,7 +41,7 @@
 func (s *Sidecar) Probe(host uint32) {
 	s.capture.Decide(capture.Decision{Do: capture.Probe, Host: host})
 	s.counters.Probes++
-	s.begin(&execution{host: host, sentAt: s.eventAt, until: s.eventAt + probeWaitS, exchange: s.front.Probe()})
+	s.begin(&execution{host: host, sentAt: s.eventAt, until: s.eventAt + probeWaitS, exchange: s.prober.Probe(), front: s.prober})
 }
 
 // CloseIdle closes the idle links to a server.
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -38,6 +38,7 @@
 // protocol's part is its Client, which holds it.
 type ClientLink struct {
 	s        *Sidecar
+	front    Front
 	client   Client
 	conn     netio.Conn
 	index    int // in Sidecar.clients
@@ -153,6 +154,14 @@
 // Keep says whether the client wants the link kept after the message that has been read.
 func (l *ClientLink) Keep(keep bool) { l.keep = keep }
 
+// Hangup closes a link whose client speaks another protocol: no answer that it could read is to be had here.
+func (l *ClientLink) Hangup(why string) {
+	l.endArrival()
+	l.s.counters.Malformed++
+	l.s.notice(why)
+	l.s.closeConn(l.conn)
+}
+
 // Malformed counts a message that is answered and never handed on.
 func (l *ClientLink) Malformed() { l.s.counters.Malformed++ }
 
@@ -182,6 +191,8 @@
 	Class    int     // its place in the settings
 	Patience float64 // seconds that the client waits from its sending
 	Repeat   bool    // the client marks it as a retry
+	Once     bool    // nothing tells its repeats apart: it must not run twice, whatever its class
+	Detached bool    // nobody waits for an answer: it goes on when its client goes
 	Size     int     // bytes that are held for it
 	Call     Call
 }
@@ -193,7 +204,8 @@
 	l.s.room.Hold(l.place, l.held+l.buf.Len())
 	waited := l.s.waited(l.conn)
 	r := &request{name: a.ID, class: l.s.cfg.Settings.Policy.Classes[a.Class].Name,
-		deadline: l.s.now() - waited + min(a.Patience, longestS), call: a.Call, origin: l.client}
+		deadline: l.s.now() - waited + min(a.Patience, longestS), call: a.Call, origin: l.client, front: l.front,
+		once: a.Once, detached: a.Detached}
 	l.request = r
 	l.s.take(r, policy.Request{Class: a.Class, Held: waited, Repeat: a.Repeat})
 }
@@ -213,13 +225,15 @@
 func (l *ClientLink) Served() { l.s.room.Served(l.place) }
 
 // BeginAnswer frees the link of its request. It tells whether the client is still there, and whether the answer to come is
-// the last on the link; what it is appended to is returned, for EndAnswer.
-func (l *ClientLink) BeginAnswer() (dst []byte, last, there bool) {
+// the last on the link; what it is appended to is returned, for EndAnswer. says tells whether the answer can say so itself.
+func (l *ClientLink) BeginAnswer(says bool) (dst []byte, last, there bool) {
 	if l.request = nil; l.conn == nil {
 		return nil, false, false
 	}
-	// Danger: what has come behind the request is taken, and is owed its answer here.
-	if !l.keep || l.s.draining || l.s.crowded() && l.buf.Len() == 0 {
+	// Danger: what has come behind the request is taken, and is owed its answer here. A client that is told so sends it
+	// again; to others each call that it has sent ahead is out.
+	ahead := l.buf.Len() > 0 || !says && !l.s.net.Quiet(l.conn)
+	if !l.keep || l.s.draining && (says || !ahead) || l.s.crowded() && !ahead {
 		l.last = true
 	}
 	return l.s.scratch[:0], l.last, true
@@ -229,7 +243,10 @@
 func (l *ClientLink) EndAnswer(answer []byte) {
 	l.s.scratch = answer
 	l.answered = true
-	if l.Write(answer); l.conn == nil {
+	if len(answer) > 0 {
+		l.Write(answer)
+	}
+	if l.conn == nil {
 		return
 	}
 	if l.conn.OutboundBuffered() > 0 {
@@ -302,7 +319,8 @@
 	l.endArrival()
 	l.leaveClients()
 	if r := l.request; r != nil {
-		l.request = nil
-		l.s.abandoned(r)
+		if l.request = nil; !r.detached {
+			l.s.abandoned(r)
+		}
 	}
 }
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -72,9 +72,10 @@
 // where none can be spared, its request is throttled unless enough descriptors are left.
 func (s *Sidecar) accept(c netio.Conn) bool {
 	now := s.now()
-	client := s.front.Client()
+	front := s.frontOf(c)
+	client := front.Client()
 	l := client.Shared()
-	l.s, l.client, l.conn, l.openedAt, l.index = s, client, c, now, len(s.clients)
+	l.s, l.front, l.client, l.conn, l.openedAt, l.index = s, front, client, c, now, len(s.clients)
 	s.clients = append(s.clients, l)
 	s.counters.Accepted++
 	c.SetContext(link(l))
@@ -119,6 +120,20 @@
 	return false
 }
 
+// frontOf returns what is spoken at the listener that has accepted a connection.
+func (s *Sidecar) frontOf(c netio.Conn) Front {
+	if len(s.fronts) > 1 {
+		if tcp, ok := c.LocalAddr().(*net.TCPAddr); ok {
+			for _, f := range s.fronts[1:] {
+				if a, err := netip.ParseAddrPort(f.Listen()); err == nil && int(a.Port()) == tcp.Port {
+					return f
+				}
+			}
+		}
+	}
+	return s.fronts[0]
+}
+
 // clientAddress returns where a connection comes from.
 func clientAddress(c netio.Conn) netip.Addr {
 	if tcp, ok := c.RemoteAddr().(*net.TCPAddr); ok {
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -81,6 +81,7 @@
 	sentAt   float64
 	until    float64 // when the wait is over
 	exchange Exchange
+	front    Front
 	link     *serverLink
 	progress progress
 	timer    *timer
@@ -122,14 +123,25 @@
 		})
 		return
 	}
+	served := result.Outcome == policy.OK
+	if served && e.exchange.Silent() {
+		// Danger: that a request is written tells nothing of its server's time; taken for an answer it makes the server look
+		// quicker than any.
+		result.Outcome = policy.Cancelled
+	}
 	s.counters.executions.count(result.Outcome)
 	r := e.request
 	delete(r.out, e.number)
 	result.ID = r.id
-	if result.Outcome == policy.OK && !r.answered {
+	if served && !r.answered {
 		s.counters.Served++
 		s.answer(r, func() { r.origin.Serve(e.exchange) })
 	}
+	if r.once && !r.answered && !result.Outcome.NeverRan() {
+		// Danger: the decisions go by the class, whose requests may run again because something drops their repeats.
+		s.counters.Failed++
+		s.answer(r, func() { r.origin.Fail(result.Outcome == policy.TimedOut) })
+	}
 	result.Final = r.answered
 	s.push(func(now float64) {
 		result.DelayS, result.LateS = e.took(now)
@@ -153,7 +165,7 @@
 	if e.request != nil || e.second || h == nil || err == nil || err.cause != broke || err.progress == notConnected {
 		return false
 	}
-	e.second, e.progress, e.exchange = true, notConnected, s.front.Probe()
+	e.second, e.progress, e.exchange = true, notConnected, s.prober.Probe()
 	s.dial(h, e)
 	return true
 }
@@ -166,7 +178,7 @@
 		return
 	}
 	e.timer = s.timers.at(e.until, func() { s.abandon(e, timedOut) })
-	if l := s.idleLink(h); l != nil {
+	if l := s.idleLink(h, e.front); l != nil {
 		l.begin(e)
 		return
 	}
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -7,9 +7,13 @@
 
 // Front is one protocol that clients and servers speak. The core knows no more of it than this.
 type Front interface {
+	// Listen returns the address and port at which its clients come.
+	Listen() string
+	// Address returns where a server speaks it that is listed at an address. It is asked for each dial.
+	Address(listed string) string
 	// Client returns the protocol's part of a client link that is about to come up.
 	Client() Client
-	// Probe returns the deployment's way to probe a server.
+	// Probe returns its way to probe a server, nil where another front's is the deployment's.
 	Probe() Exchange
 }
 
@@ -56,6 +60,8 @@
 	Read(buf *buffer.Buffer) (bool, error)
 	// Begun tells whether any of the answer has come.
 	Begun() bool
+	// Silent tells whether no answer ever comes: the execution is over once its request is written whole.
+	Silent() bool
 	// End takes the end of the link and tells whether that makes the answer whole.
 	End() bool
 	// Verdict tells what a whole answer means, the load report it holds, and whether the link can be kept.
--- /dev/null
+++ b/internal/sidecar/report.go
@@ -0,0 +1,39 @@
+package sidecar
+
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"hazelwheel/policy"
+)
+
+// ReadReport reads a load report, `inflight=7,util=0.61`, for the fields that the settings name. A value that is absent or
+// odd is not a number, which the decisions pass over.
+func ReadReport(names []string, text string) policy.Report {
+	var r policy.Report
+	if text == "" || len(names) == 0 {
+		return r
+	}
+	r.N = min(len(names), len(r.Values))
+	for i := range r.N {
+		r.Values[i] = float32(math.NaN())
+	}
+	for pair := range strings.SplitSeq(strings.TrimSpace(text), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		v, err := strconv.ParseFloat(value, 32)
+		if err != nil || math.IsInf(v, 0) {
+			continue
+		}
+		for i := range r.N {
+			if names[i] == name || reportAlias[names[i]] == name {
+				r.Values[i] = float32(v)
+			}
+		}
+	}
+	return r
+}
+
+// reportAlias are the names on the sockets of the values that the settings name.
+var reportAlias = map[string]string{"busy_reqs": "inflight", "pending": "queue", "cpu_share": "util",
+	"svc_ms": "latency_ms", "served_ps": "qps", "failed_ps": "eps"}
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -10,8 +10,11 @@
 	deadline float64
 	call     Call
 	origin   Origin
+	front    Front
 	sent     int // executions begun
 	out      map[int]*execution
+	once     bool // it is not sent again once it may have run
+	detached bool // its client waits for no answer and may go
 	answered bool // it has its final answer, or nobody waits for one
 	safety   *timer
 	delay    *timer // of the drill that holds it back
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -18,8 +18,9 @@
 // serverLink is a connection to a server. It carries one execution at a time.
 type serverLink struct {
 	s         *Sidecar
+	front     Front
 	host      uint32
-	address   string
+	address   string     // as it was listed
 	conn      netio.Conn // nil until it is up
 	stopDial  func()
 	buf       buffer.Buffer
@@ -36,15 +37,17 @@
 // idleLink takes the link to a server that was used last, nil if there is none. The newest is the least
 // likely to have been closed by the other side for its rest, and the others can grow old and be retired. One
 // whose last answer has only just come is taken when there is no other.
-func (s *Sidecar) idleLink(h *hostgroup.Host) *serverLink {
+func (s *Sidecar) idleLink(h *hostgroup.Host, front Front) *serverLink {
 	for {
 		links := s.idle[h.ID]
-		if len(links) == 0 {
-			return nil
+		var l *serverLink
+		for i := len(links) - 1; i >= 0 && (l == nil || l.restedAt > s.now()-settleS); i-- {
+			if links[i].front == front {
+				l = links[i]
+			}
 		}
-		l := links[len(links)-1]
-		for i := len(links) - 2; i >= 0 && l.restedAt > s.now()-settleS; i-- {
-			l = links[i]
+		if l == nil {
+			return nil
 		}
 		// Danger: a request written to a link that its server has closed is lost; one written behind unread bytes
 		// would be answered with them.
@@ -86,12 +89,12 @@
 		s.starve(e)
 		return
 	}
-	l := &serverLink{s: s, host: h.ID, address: h.Address, execution: e}
+	l := &serverLink{s: s, front: e.front, host: h.ID, address: h.Address, execution: e}
 	e.link = l
 	s.counters.Dials++
 	began := s.now()
 	until := min(e.until, began+s.cfg.Settings.ConnectTimeoutS)
-	l.stopDial = s.connect(h.Address, until, l, func(err error) {
+	l.stopDial = s.connect(e.front.Address(h.Address), until, l, func(err error) {
 		if e := l.execution; e != nil {
 			l.execution = nil
 			why := broke
@@ -176,6 +179,21 @@
 	l.writing = false
 	if err == nil && l.execution == e {
 		e.progress = l.progress(e)
+		l.silence(e)
+	}
+}
+
+// writtenEveryS is the time between two looks whether a request that has no answer is written whole: the loop does not tell.
+const writtenEveryS = 0.005
+
+// silence ends an execution that has no answer once its request is written whole.
+func (l *serverLink) silence(e *execution) {
+	switch {
+	case l.execution != e || !e.exchange.Silent():
+	case l.progress(e) == writtenWhole:
+		l.complete(e)
+	default:
+		l.s.timers.at(l.s.now()+writtenEveryS, func() { l.silence(e) })
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -53,7 +53,8 @@
 	requests  map[uint32]*request
 	named     map[string]*request // by their clients' ids
 	lastID    uint32
-	front     Front
+	fronts    []Front
+	prober    Front
 	clients   []*ClientLink
 	room      *admission.Room
 	flushing  bool // answers are looked after that clients have not taken
@@ -83,13 +84,18 @@
 
 var _ netio.Host = (*Sidecar)(nil)
 
-// New returns a sidecar that has not begun, for clients and servers that speak what front does and for the loop that is
-// to call it.
-func New(cfg config.Config, on features.Features, front Front, loop netio.Net, log *slog.Logger) (*Sidecar, error) {
+// New returns a sidecar that has not begun, for clients and servers that speak what the fronts do and for the loop that is
+// to call it. Of fronts that have a way to probe the last one's is used.
+func New(cfg config.Config, on features.Features, fronts []Front, loop netio.Net, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{cfg: cfg, log: log, net: loop, classes: map[string]int{}, lastID: 1,
 		requests: map[uint32]*request{}, named: map[string]*request{}, idle: map[uint32][]*serverLink{},
 		hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
-		admission: on.Admission, notices: notices{}, drills: drill.New(on.Drills), front: front}
+		admission: on.Admission, notices: notices{}, drills: drill.New(on.Drills), fronts: fronts}
+	for _, f := range fronts {
+		if f.Probe() != nil {
+			s.prober = f
+		}
+	}
 	if s.listAt = s.now(); on.Health.On() {
 		s.health = health.New(on.Health, loop.Now, log)
 		s.reserved += health.Descriptors
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -118,7 +118,7 @@
 		l, _ := restingLink(s, h)
 		links = append(links, l)
 	}
-	assert.Same(t, links[3], s.idleLink(h))
+	assert.Same(t, links[3], s.idleLink(h, nil))
 	s.CloseIdle(h.ID)
 	assert.Empty(t, s.idle[h.ID])
 	for i, l := range links {
@@ -126,7 +126,7 @@
 	}
 	links[3].rest()
 	h.Address = "b"
-	assert.Nil(t, s.idleLink(h), "a link to where the server was is of no use")
+	assert.Nil(t, s.idleLink(h, nil), "a link to where the server was is of no use")
 	assert.True(t, links[3].closed)
 }
 
@@ -139,8 +139,8 @@
 	c.quiet = false
 	fresh, _ := restingLink(s, h)
 	fresh.restedAt = s.now() + 1
-	assert.Same(t, sound, s.idleLink(h))
+	assert.Same(t, sound, s.idleLink(h, nil))
 	assert.True(t, noisy.closed)
-	assert.Same(t, fresh, s.idleLink(h), "better than a new one")
-	assert.Nil(t, s.idleLink(h))
+	assert.Same(t, fresh, s.idleLink(h, nil), "better than a new one")
+	assert.Nil(t, s.idleLink(h, nil))
 }
--- a/internal/sim/core.go
+++ b/internal/sim/core.go
@@ -19,7 +19,7 @@
 
 // Sidecar is the Core of the real sidecar, without the operators' features.
 func Sidecar(cfg config.Config, net netio.Net, log *slog.Logger) (Program, error) {
-	s, err := sidecar.New(cfg, features.Features{}, http1.New(cfg, rewrite.Settings{}), net, log)
+	s, err := sidecar.New(cfg, features.Features{}, []sidecar.Front{http1.New(cfg, rewrite.Settings{})}, net, log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/thrift/message.go
+++ b/internal/thrift/message.go
@@ -10,6 +10,7 @@
 	Name     []byte // the method's; "service:method" where services share a connection
 	Seq      int32
 
+	nameAt        int // where Name lies
 	seqAt, seqEnd int // where Seq is written
 	body          int // where the struct of arguments or results begins
 }
@@ -76,7 +77,7 @@
 		return ErrProtocol
 	}
 	m.Kind = Kind(word)
-	if m.Name, err = r.Bytes(); err != nil {
+	if m.Name, m.nameAt, err = r.name(); err != nil {
 		return err
 	}
 	return m.sequence(r)
@@ -84,7 +85,7 @@
 
 func (m *Message) old(r *Reader) (err error) {
 	m.Encoding = OldBinary
-	if m.Name, err = r.Bytes(); err != nil {
+	if m.Name, m.nameAt, err = r.name(); err != nil {
 		return err
 	}
 	kind, err := r.Byte()
@@ -95,6 +96,12 @@
 	return m.sequence(r)
 }
 
+// name reads a method's name, and where it lies.
+func (r *Reader) name() (name []byte, at int, err error) {
+	name, err = r.Bytes()
+	return name, r.at - len(name), err
+}
+
 // sequence ends a binary head.
 func (m *Message) sequence(r *Reader) (err error) {
 	m.seqAt = r.at
@@ -118,11 +125,19 @@
 		return err
 	}
 	m.Seq, m.seqEnd = int32(seq), r.at
-	m.Name, err = r.Bytes()
+	m.Name, m.nameAt, err = r.name()
 	m.body = r.at
 	return err
 }
 
+// Moved returns a message whose bytes have been copied elsewhere.
+func (m *Message) Moved(raw []byte) Message {
+	to := *m
+	to.Raw = raw
+	to.Name = raw[m.nameAt : m.nameAt+len(m.Name)]
+	return to
+}
+
 // Body returns a reader of the struct of arguments or results.
 func (m *Message) Body() Reader { return Reader{b: m.Raw, at: m.body, enc: m.Encoding} }
 
