Accept targets in absolute form, refuse requests with two ids

A target in absolute form (GET http://service.internal/latest-reading/7) got 404 where RFC 9112, 3.2.2, wants it accepted: it is read as its origin form, and its authority takes the place of Host. Two Request-Id or Idempotency-Key fields were accepted and the first counted, which a server need not agree with: 400.

--- a/internal/front/http1/link.go
+++ b/internal/front/http1/link.go
@@ -119,6 +119,8 @@
 		l.decline(405, "class "+c.Name+" takes "+method, http1.Field{Name: "Allow", Value: method})
 	case id == "":
 		l.decline(400, fieldID+" is missing")
+	case p.Header.Twice(fieldID), p.Header.Twice(fieldKey):
+		l.decline(400, fieldID+" or "+fieldKey+" comes twice: which one counts is a guess")
 	case l.Sidecar().IsOpen(id):
 		l.decline(409, fieldID+" is that of an open request")
 	case c.Effect == policy.Keyed && p.Header.Get(fieldKey) == "":
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -203,3 +203,27 @@
 		}
 	})
 }
+
+// A target in absolute form is one in origin form, and its authority the host.
+func TestAbsoluteForm(t *testing.T) {
+	for target, want := range map[string][2]string{
+		"http://service.internal/latest-reading/7?a=b": {"/latest-reading/7?a=b", "service.internal"},
+		"HTTP://h:80":           {"/", "h:80"},
+		"http://h?x=http://y/z": {"/?x=http://y/z", "h"},
+		"/a?u=http://h/b":       {"/a?u=http://h/b", "old"},
+		"*":                     {"*", "old"},
+		"ftp://h/a":             {"ftp://h/a", "old"},
+		"http://user@h/a":       {},
+		"http://":               {},
+	} {
+		p, buf := NewRequestParser(limits), Buffer{}
+		buf.Write([]byte("GET " + target + " HTTP/1.1\r\nHost: old\r\n\r\n"))
+		whole, err := p.Next(&buf)
+		if want[0] == "" {
+			assert.Error(t, err, target)
+			continue
+		}
+		assert.True(t, whole && err == nil, target)
+		assert.Equal(t, want, [2]string{p.Target, p.Header.Get("Host")}, target)
+	}
+}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -47,6 +47,17 @@
 	return ""
 }
 
+// Twice tells whether a field comes more than once.
+func (h Header) Twice(name string) bool {
+	n := 0
+	for _, f := range h {
+		if strings.EqualFold(f.Name, name) {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // has tells whether a comma-separated field holds a token.
 func (h Header) has(name, token string) bool {
 	for _, f := range h {
@@ -379,9 +390,41 @@
 		return malformed("one Host is needed")
 	}
 	p.Method, p.Target = method, target
+	if target[0] != '/' && target != "*" {
+		if err := p.relative(); err != nil {
+			return err
+		}
+	}
 	return p.frame(complete)
 }
 
+// relative turns a target in absolute form, which any server has to take (RFC 9112, 3.2.2), into one in origin form. Its
+// authority takes the place of what Host says. What is in no form that is known stays as it is: nobody serves it.
+func (p *RequestParser) relative() error {
+	const scheme = "http://"
+	if len(p.Target) < len(scheme) || !strings.EqualFold(p.Target[:len(scheme)], scheme) {
+		return nil
+	}
+	rest := p.Target[len(scheme):]
+	end := strings.IndexAny(rest, "/?")
+	if end < 0 {
+		end = len(rest)
+	}
+	authority := rest[:end]
+	if authority == "" || strings.Contains(authority, "@") { // who the latter leads astray is anybody's guess
+		return malformed("bad target")
+	}
+	for i, f := range p.Header {
+		if strings.EqualFold(f.Name, "Host") {
+			p.Header[i].Value = authority
+		}
+	}
+	if p.Target = rest[end:]; !strings.HasPrefix(p.Target, "/") {
+		p.Target = "/" + p.Target
+	}
+	return nil
+}
+
 // Rest drops the request that was read last, which may hold a large body.
 func (p *RequestParser) Rest() {
 	if p.stage == complete {
