--- a/cmd/hazellab/sim.go
+++ b/cmd/hazellab/sim.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -32,16 +33,17 @@
 	jobs := &cli.IntFlag{Name: "jobs", Usage: "`N` days at a time", Value: 1}
 	core := &cli.StringFlag{Name: "core", Usage: "what is played: sidecar, random or least", Value: "sidecar"}
 	asJSON := &cli.BoolFlag{Name: "json", Usage: "print the result as JSON"}
+	speech := &cli.StringFlag{Name: "speech", Usage: "what applications and boxes speak: http, binary or compact", Value: "http"}
 	rule := &cli.StringFlag{Name: "rule", Usage: "the `RULE` that is to stay broken; without it the first that breaks"}
 	return []*cli.Command{
-		{Name: "sim", Usage: "play days in simulated time and judge them", Action: simulate, Flags: []cli.Flag{seed, script, jobs, core, asJSON,
+		{Name: "sim", Usage: "play days in simulated time and judge them", Action: simulate, Flags: []cli.Flag{seed, script, jobs, core, speech, asJSON,
 			&cli.StringFlag{Name: "seeds", Usage: "the `RANGE` of seeds, as 1-10000"},
 			&cli.BoolFlag{Name: "trace", Usage: "print what happens, one line a step"},
 			&cli.BoolFlag{Name: "each", Usage: "print a line for each day"},
 			&cli.BoolFlag{Name: "first", Usage: "stop at the first day that breaks a rule"},
 			&cli.BoolFlag{Name: "quiet-days", Usage: "play the days without their troubles"},
 			&cli.BoolFlag{Name: "show-script", Usage: "print the script of the seed and play nothing"}}},
-		{Name: "shrink", Usage: "find a smaller day that breaks the same rule", Action: shrink, Flags: []cli.Flag{seed, script, core, rule,
+		{Name: "shrink", Usage: "find a smaller day that breaks the same rule", Action: shrink, Flags: []cli.Flag{seed, script, core, speech, rule,
 			&cli.StringFlag{Name: "out", Usage: "the `FILE` for the smallest script; without it, standard output"},
 			&cli.IntFlag{Name: "budget", Usage: "play `N` days at most", Value: 400}}},
 		{Name: "mutants", Usage: "break the program in many ways and see whether the rules notice", Action: mutants, Flags: []cli.Flag{jobs, asJSON,
@@ -58,7 +60,15 @@
 	if !ok {
 		return o, fault(fmt.Errorf("core: %q is none of sidecar, random, least", c.String("core")))
 	}
-	o.Core = core
+	o.Core, o.Speech = core, world.Speech(c.String("speech"))
+	switch {
+	case !slices.Contains(world.Speeches, o.Speech):
+		return o, fault(fmt.Errorf("speech: %q is none of http, binary, compact", o.Speech))
+	case o.Speech.Thrift() && c.String("core") != "sidecar":
+		return o, fault(errors.New("speech: only the sidecar speaks Thrift"))
+	case o.Speech.Thrift():
+		o.Core = sim.OverThrift
+	}
 	return o, nil
 }
 
--- /dev/null
+++ b/cmd/hazelwheel/thrift_test.go
@@ -0,0 +1,563 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	apache "github.com/apache/thrift/lib/go/thrift"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/thrift"
+)
+
+// newThriftWorld returns a world that has not begun, whose program has a Thrift port.
+func newThriftWorld(t *testing.T, servers ...*server) *world {
+	w := newWorld(t, servers...)
+	w.thrift = freeAddress(t)
+	w.features = "{" + thriftFeatures(w.thrift) + "}"
+	return w
+}
+
+var encodings = []thrift.Encoding{thrift.Binary, thrift.OldBinary, thrift.Compact}
+
+// frame returns a call as the tests' methods take it; what is empty is left out.
+func frame(enc thrift.Encoding, kind thrift.Kind, name string, seq int32, id, key, body string) []byte {
+	var w thrift.Writer
+	w.Begin(nil, enc, kind, name, seq)
+	w.Field(thrift.Struct, 1)
+	w.Open()
+	for i, text := range []string{id, key} {
+		if text != "" {
+			w.Field(thrift.String, int16(i+1))
+			w.String(text)
+		}
+	}
+	w.Field(thrift.Bool, 90)
+	w.Bool(true)
+	w.Field(thrift.String, 5)
+	w.String(body)
+	w.Close()
+	return w.End()
+}
+
+// dialThrift opens a connection to the Thrift port.
+func (w *world) dialThrift() net.Conn {
+	c, err := net.Dial("tcp", w.thrift)
+	require.NoError(w, err)
+	w.Cleanup(func() { c.Close() })
+	require.NoError(w, c.SetDeadline(time.Now().Add(patience)))
+	return c
+}
+
+// readFrame reads one message.
+func readFrame(c io.Reader) (thrift.Message, error) {
+	head := make([]byte, 4)
+	if _, err := io.ReadFull(c, head); err != nil {
+		return thrift.Message{}, err
+	}
+	payload := make([]byte, int(head[1])<<16+int(head[2])<<8+int(head[3]))
+	if _, err := io.ReadFull(c, payload); err != nil {
+		return thrift.Message{}, err
+	}
+	m, err := thrift.Read(payload)
+	if err == nil {
+		err = m.Check()
+	}
+	return m, err
+}
+
+// said returns a reply in a few words: its sequence number, and the result or the exception's type and text.
+func said(t *testing.T, c io.Reader) string {
+	t.Helper()
+	m, err := readFrame(c)
+	require.NoError(t, err)
+	if m.Kind == thrift.Exception {
+		kind, text, err := m.Exception()
+		require.NoError(t, err)
+		return fmt.Sprintf("%d %s exception %d %s", m.Seq, m.Name, kind, text)
+	}
+	var found [thrift.MostPaths]thrift.Value
+	require.NoError(t, m.Find([]thrift.Path{{0}, {1}}, &found))
+	return fmt.Sprintf("%d %s %s%s", m.Seq, m.Name, found[0].Bytes, found[1].Bytes)
+}
+
+// echo answers with what it has been asked.
+func echo(rw http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	_, _ = io.WriteString(rw, r.Header.Get("Request-Id")+"="+string(body))
+}
+
+// Calls are read however their bytes come, and calls that are sent ahead are answered in their order, in their encodings,
+// with their own sequence numbers.
+func TestThriftBytesComeInPieces(t *testing.T) {
+	w := newThriftWorld(t, newServer(t, "s-00000001", echo)).start()
+	for _, enc := range encodings {
+		call := frame(enc, thrift.Call, "read", -7, "", "", "x")
+		for cut := 1; cut < len(call); cut++ {
+			c := w.dialThrift()
+			require.NoError(t, c.(*net.TCPConn).SetNoDelay(true))
+			_, _ = c.Write(call[:cut])
+			if cut%16 == 0 {
+				time.Sleep(time.Millisecond) // mostly in two reads, at times in one; both must do
+			}
+			_, _ = c.Write(call[cut:])
+			require.Equal(t, "-7 read =x", said(t, c), "%v cut at %d", enc, cut)
+			c.Close()
+		}
+	}
+	c, many := w.dialThrift(), []byte(nil)
+	for i := range 60 {
+		many = append(many, frame(encodings[i%3], thrift.Call, "read", int32(i), fmt.Sprint(i), "", strings.Repeat("y", i*10))...)
+	}
+	go func() { _, _ = c.Write(many) }()
+	for i := range 60 {
+		require.Equal(t, fmt.Sprintf("%d read %d=%s", i, i, strings.Repeat("y", i*10)), said(t, c))
+	}
+	one := w.dialThrift()
+	for _, b := range frame(thrift.Compact, thrift.Call, "read", 1, "", "", "slow") {
+		_, _ = one.Write([]byte{b})
+	}
+	assert.Equal(t, "1 read =slow", said(t, one))
+}
+
+// What is no framed Thrift is closed with a line in the log; what is Thrift and no call that is known is told so.
+func TestThriftInput(t *testing.T) {
+	s := newServer(t, "s-00000001", echo)
+	w := newThriftWorld(t, s).start()
+	whole := frame(thrift.Binary, thrift.Call, "read", 3, "", "", "x")
+	cut := bytes.Clone(whole[:len(whole)-1])
+	cut[3]--
+	reply := frame(thrift.Binary, thrift.Reply, "read", 3, "", "", "x")
+	var twice thrift.Writer
+	twice.Begin(nil, thrift.Compact, thrift.Call, "read", 3)
+	twice.Field(thrift.Struct, 1)
+	twice.Open()
+	for _, id := range []string{"a", "b"} {
+		twice.Field(thrift.String, 1)
+		twice.String(id)
+	}
+	twice.Close()
+	var impatient thrift.Writer
+	impatient.Begin(nil, thrift.Binary, thrift.Call, "read", 3)
+	impatient.Field(thrift.Struct, 1)
+	impatient.Open()
+	impatient.Field(thrift.I32, 3)
+	impatient.I32(-1)
+	impatient.Close()
+	deep := append([]byte{0, 0, 0x27, 0x15, 0x82, 0x21, 3, 1, 'x'}, bytes.Repeat([]byte{0x1c}, 10_000)...)
+	for name, c := range map[string]struct {
+		text   string
+		want   string // empty: closed without a word
+		closes bool
+	}{
+		"HTTP":                    {"GET /read HTTP/1.1\r\nHost: h\r\n\r\n", "", true},
+		"beyond the bound":        {"\x00\x01\x00\x01\x80", "", true},
+		"negative length":         {"\xff\xff\xff\xff\x80\x01", "", true},
+		"empty frame":             {"\x00\x00\x00\x00", "", true},
+		"unframed":                {"\x80\x01\x00\x01\x00\x00\x00\x04read", "", true},
+		"no message":              {"\x00\x00\x00\x04\x80\x07\x00\x01", "", true},
+		"cut short":               {string(cut), "3 read exception 7 " + thrift.ErrShort.Error(), true},
+		"a reply":                 {string(reply), "3 read exception 2 a message that is no call", true},
+		"two ids":                 {string(twice.End()), "3 read exception 7 " + thrift.ErrTwice.Error(), true},
+		"patience below 0":        {string(impatient.End()), "3 read exception 7 a patience that is no number from 0", false},
+		"too deep":                {string(deep), "3 x exception 7 " + thrift.ErrDepth.Error(), true},
+		"unknown method":          {string(frame(thrift.Compact, thrift.Call, "Readings:other", 3, "", "", "")), "3 other exception 1 no method that is known here", false},
+		"unknown method, one way": {string(frame(thrift.Compact, thrift.Oneway, "other", 9, "", "", "")) + string(whole), "3 read =x", false},
+	} {
+		conn := w.dialThrift()
+		_, _ = io.WriteString(conn, c.text)
+		if c.want != "" {
+			assert.Equal(t, c.want, said(t, conn), name)
+		}
+		if c.closes {
+			_, err := conn.Read(make([]byte, 1))
+			assert.False(t, err == nil || strings.Contains(err.Error(), "timeout"), name)
+		} else {
+			_, _ = conn.Write(whole)
+			assert.Equal(t, "3 read =x", said(t, conn), name)
+		}
+		conn.Close()
+	}
+	c, err := net.Dial("tcp", w.listen) // the reverse
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	_, _ = c.Write(whole)
+	_, err = c.Read(make([]byte, 1))
+	assert.False(t, err == nil || strings.Contains(err.Error(), "timeout"))
+	w.logs("connections at the HTTP port are closed that speak Thrift", 1)
+	w.eventually("the log", func() bool {
+		return strings.Contains(w.log.String(), "connections at the Thrift port are closed that speak no framed Thrift")
+	})
+	w.eventually("no link leaks", func() bool { return w.counter("open") == 0 && w.counter("descriptors") < 10 })
+	assert.Zero(t, w.counter("panics"))
+}
+
+// scripted answers a call with bytes made of the reply that would be sound, and closes the connection where it is told to.
+func scripted(make func(sound []byte, seq int32) (bytes []byte, closes bool)) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		rec := rw.(*recorder)
+		var w thrift.Writer
+		w.Begin(nil, rec.enc, thrift.Reply, rec.name, rec.seq)
+		w.Field(thrift.String, 0)
+		w.String("odd")
+		raw, closes := make(w.End(), rec.seq)
+		c, _, _ := rec.Hijack()
+		_, _ = c.Write(raw)
+		if !closes {
+			<-r.Context().Done() // the program closes it
+		}
+	}
+}
+
+// A server's word is its word alone where it is a whole reply to this call; all else may have run, and goes out again only
+// where it may.
+func TestThriftResends(t *testing.T) {
+	cut := func(n func(int) int) http.HandlerFunc {
+		return scripted(func(sound []byte, _ int32) ([]byte, bool) { return sound[:n(len(sound))], true })
+	}
+	message := func(kind thrift.Kind, name string, add int32) http.HandlerFunc {
+		return scripted(func(_ []byte, seq int32) ([]byte, bool) {
+			var w thrift.Writer
+			w.Begin(nil, thrift.Compact, kind, name, seq+add)
+			return w.End(), false
+		})
+	}
+	for _, c := range []struct {
+		name, class string
+		first       http.HandlerFunc
+		sent        int
+		served      bool
+	}{
+		{"closes before the frame", "write", cut(func(int) int { return 0 }), 1, false},
+		{"closes in the length", "write", cut(func(int) int { return 3 }), 1, false},
+		{"closes in the head", "read", cut(func(int) int { return 9 }), 2, true},
+		{"closes in the frame", "write", cut(func(n int) int { return n - 1 }), 1, false},
+		{"closes in the frame, safe", "read", cut(func(n int) int { return n - 1 }), 2, true},
+		{"closes after the last byte", "write", cut(func(n int) int { return n }), 1, true},
+		{"another sequence number", "write", message(thrift.Reply, "write", 1), 1, false},
+		{"another sequence number, safe", "read", message(thrift.Reply, "read", -1), 2, true},
+		{"another name", "write", message(thrift.Reply, "read", 0), 1, false},
+		{"a call", "read", message(thrift.Call, "read", 0), 2, true},
+		{"a kind that is none", "read", message(7, "read", 0), 2, true},
+		{"a frame above the bound", "read", scripted(func([]byte, int32) ([]byte, bool) { return []byte{0, 1, 0, 1, 0x82}, false }), 2, true},
+		{"a negative length", "write", scripted(func([]byte, int32) ([]byte, bool) { return []byte{0xff, 0, 0, 0, 0x82}, false }), 1, false},
+		{"HTTP", "read", scripted(func([]byte, int32) ([]byte, bool) { return []byte("HTTP/1.1 200 OK\r\n"), false }), 2, true},
+		{"twice", "write", scripted(func(sound []byte, _ int32) ([]byte, bool) { return append(sound, sound...), false }), 1, true},
+		{"bytes behind", "write", scripted(func(sound []byte, _ int32) ([]byte, bool) { return append(sound, 0), false }), 1, true},
+		{"a declared exception", "write", says(200, "", "Declared", "unknown sensor"), 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newServer(t, "s-00000001", nil)
+			s.set(func(w http.ResponseWriter, r *http.Request) {
+				s.set(says(200, "sound"))
+				c.first(w, r)
+			})
+			w := newThriftWorld(t, s).start()
+			conn := w.dialThrift()
+			_, _ = conn.Write(frame(thrift.Compact, thrift.Call, c.class, 5, "1", "", ""))
+			m, err := readFrame(conn)
+			require.NoError(t, err)
+			assert.Equal(t, c.served, m.Kind == thrift.Reply)
+			assert.EqualValues(t, 5, m.Seq)
+			assert.Equal(t, c.sent, s.got())
+			_, _ = conn.Write(frame(thrift.Compact, thrift.Call, "read", 6, "2", "", ""))
+			assert.Equal(t, "6 read sound", said(t, conn), "nothing of it meets the next call")
+		})
+	}
+}
+
+// A call that must not run twice is sent once, wherever its server breaks the connection.
+func TestThriftBreaksAtEveryByte(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	var begun, take atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if n, _ := io.ReadFull(c, make([]byte, take.Load())); n > 0 {
+				begun.Add(1)
+			}
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	w := newThriftWorld(t)
+	w.known = append(w.known, endpoint{"s-00000001", l.Addr().String(), "a", "SERVING", 1, 0})
+	w.start()
+	call := frame(thrift.Compact, thrift.Call, "write", 1, "a", "", "x")
+	for cut := 1; cut <= len(call); cut++ {
+		take.Store(int32(cut))
+		c := w.dialThrift()
+		before := w.counter("executions")
+		for { // a server that has broken so often is left alone for a while
+			_, _ = c.Write(call)
+			m, err := readFrame(c)
+			require.NoError(t, err)
+			kind, _, err := m.Exception()
+			require.NoError(t, err)
+			if kind != thrift.LoadShedding {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		assert.Equal(t, before+1, w.counter("executions"))
+		assert.EqualValues(t, cut, begun.Load(), "broken at %d: sent once", cut)
+		c.Close()
+	}
+}
+
+// A call whose client goes before its last byte never runs.
+func TestThriftClientBreaksAtEveryByte(t *testing.T) {
+	s := newServer(t, "s-00000001", echo)
+	w := newThriftWorld(t, s).start()
+	call := frame(thrift.Compact, thrift.Call, "write", 1, "a", "", "x")
+	for cut := range call {
+		c := w.dialThrift()
+		_, _ = c.Write(call[:cut])
+		c.Close()
+	}
+	c := w.dialThrift()
+	_, _ = c.Write(call)
+	assert.Equal(t, "1 write a=x", said(t, c))
+	assert.Equal(t, 1, s.got())
+}
+
+// A keyed call without a key is sent once, as nothing would drop its repeat.
+func TestThriftWithoutAKey(t *testing.T) {
+	for key, want := range map[string]int{"": 1, "k": 2} {
+		t.Run("key "+key, func(t *testing.T) {
+			s := newServer(t, "s-00000001", nil)
+			s.set(func(w http.ResponseWriter, r *http.Request) {
+				s.set(echo)
+				says(500, "")(w, r)
+			})
+			w := newThriftWorld(t, s).start()
+			c := w.dialThrift()
+			_, _ = c.Write(frame(thrift.Binary, thrift.Call, "alert", 1, "a", key, "x"))
+			assert.Equal(t, map[int]string{1: "1 alert exception 6 failed; it may have run", 2: "1 alert a=x"}[want], said(t, c))
+			assert.Equal(t, want, s.got())
+			assert.EqualValues(t, 2-want, w.counter("failed"))
+		})
+	}
+}
+
+// The same key over HTTP and Thrift at once is two requests, which the servers tell to be one.
+func TestSameKeyOverBoth(t *testing.T) {
+	s := newServer(t, "s-00000001", nil)
+	var arrivals sync.WaitGroup // each waits for the other
+	arrivals.Add(2)
+	s.set(func(rw http.ResponseWriter, r *http.Request) {
+		assert.Equal(t, "k2", r.Header.Get("Idempotency-Key"))
+		arrivals.Done()
+		arrivals.Wait()
+		echo(rw, r)
+	})
+	w := newThriftWorld(t, s).start()
+	c := w.dialThrift()
+	over := w.askAside("alert", "", "x", "Request-Id", "h", "Idempotency-Key", "k2")
+	_, _ = c.Write(frame(thrift.Binary, thrift.Call, "alert", 3, "t", "k2", "x"))
+	assert.Equal(t, "3 alert t=x", said(t, c))
+	assert.Equal(t, "h=x", (<-over).body)
+	assert.Equal(t, 2, s.got())
+}
+
+// What was called before a drain is answered on the link that it is out on; the next goes to another server.
+func TestThriftDrains(t *testing.T) {
+	s := newServer(t, "s-00000001", nil)
+	other := newServer(t, "s-00000002", says(200, "other"))
+	release := make(chan struct{})
+	s.set(func(rw http.ResponseWriter, r *http.Request) {
+		<-release
+		says(200, "drained")(rw, r)
+	})
+	w := newThriftWorld(t, s)
+	drains := make(chan struct{})
+	w.discovery.answers <- func(d watch) {
+		<-drains
+		s.status = "DRAINING"
+		d.write(line(t, 8, false, s, other))
+		<-d.done
+	}
+	w.start()
+	c := w.dialThrift()
+	_, _ = c.Write(frame(thrift.Compact, thrift.Call, "write", 1, "a", "", ""))
+	w.eventually("the execution", func() bool { return s.got() == 1 })
+	close(drains)
+	w.eventually("the list", func() bool { return w.counter("lists") == 1 })
+	close(release)
+	assert.Equal(t, "1 write drained", said(t, c))
+	w.eventually("its link is closed", func() bool { _, _, closed := s.counts(); return closed == 1 })
+	_, _ = c.Write(frame(thrift.Compact, thrift.Call, "write", 2, "b", "", ""))
+	assert.Equal(t, "2 write other", said(t, c))
+	assert.Equal(t, 1, s.got())
+}
+
+// After SIGTERM all calls that were sent ahead are answered, then the link is closed and the program ends.
+func TestThriftEnds(t *testing.T) {
+	s, release := newServer(t, "s-00000001", nil), make(chan struct{})
+	s.set(func(rw http.ResponseWriter, r *http.Request) {
+		<-release
+		echo(rw, r)
+	})
+	w := newThriftWorld(t, s).start()
+	c := w.dialThrift()
+	var ahead []byte
+	for i := range 20 {
+		ahead = append(ahead, frame(thrift.Binary, thrift.Call, "write", int32(i), fmt.Sprint("i", i), "", strings.Repeat("z", 1000))...)
+	}
+	_, _ = c.Write(ahead)
+	w.eventually("the execution", func() bool { return s.got() == 1 })
+	w.signal(syscall.SIGTERM)
+	w.logs("msg=ending", 1)
+	close(release)
+	for i := range 20 {
+		require.Equal(t, fmt.Sprintf("%d write i%d=%s", i, i, strings.Repeat("z", 1000)), said(t, c))
+	}
+	_, err := c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	require.NoError(t, w.cmd.Wait())
+	assert.Equal(t, 20, s.got())
+}
+
+// A call without an answer is taken and sent once, also when its client goes at once; the next on its link is answered.
+func TestThriftOneway(t *testing.T) {
+	s := newServer(t, "s-00000001", echo)
+	w := newThriftWorld(t, s).start()
+	for i, enc := range encodings {
+		c := w.dialThrift()
+		_, _ = c.Write(append(frame(enc, thrift.Oneway, "writeAside", 1, "", "", "x"), frame(enc, thrift.Call, "read", 2, "", "", "y")...))
+		assert.Equal(t, "2 read =y", said(t, c))
+		_, _ = c.Write(frame(enc, thrift.Oneway, "writeAside", 3, "", "", "z"))
+		c.Close()
+		w.eventually("it arrives", func() bool { return s.got() == 3*(i+1) })
+	}
+	w.eventually("all are over", func() bool { return w.counter("open") == 0 })
+	assert.Equal(t, 9.0, w.counter("served"))
+	assert.Equal(t, 6.0, w.ends("execution_ends", "cancelled"), "how the servers fared is not known")
+	assert.Zero(t, w.counter("abandoned"))
+}
+
+// Servers are probed over Thrift where the operators say so, and a method that a server does not know proves that it lives.
+func TestThriftProbes(t *testing.T) {
+	s := newServer(t, "s-00000001", echo)
+	w := newThriftWorld(t, s)
+	w.limit("probes", true)
+	w.features = strings.Replace(w.features, `"classes"`, `"probe":"ping","classes"`, 1)
+	w.start()
+	w.eventually("a probe", func() bool { return w.ends("probe_ends", "ok") > 0 })
+	assert.Equal(t, 200, w.ask("read", "", "").status, "over HTTP")
+}
+
+// Drills, the capture, the counters and reloads take calls as they take requests.
+func TestThriftWithOtherFeatures(t *testing.T) {
+	s := newServer(t, "s-00000001", echo)
+	w := newThriftWorld(t, s).withDrills(`{"name":"cut","class":"write","share":100,"abort":"503"}`)
+	w.features = strings.TrimSuffix(w.features, "}") + `,"capture":{},` + thriftFeatures(w.thrift) + "}"
+	w.start()
+	c := w.dialThrift()
+	_, _ = c.Write(frame(thrift.Compact, thrift.Call, "write", 1, "call-1", "", ""))
+	assert.Equal(t, "1 write call-1=", said(t, c))
+	code, text := w.drill("cut", drillSecret)
+	require.Zero(t, code, text)
+	_, _ = c.Write(frame(thrift.Compact, thrift.Call, "Readings:write", 2, "call-2", "", ""))
+	assert.Equal(t, "2 write exception 11 throttled; retry-after=1.500", said(t, c))
+	assert.Equal(t, 1.0, w.drillHits())
+	dump := w.dump()
+	assert.Contains(t, dump, `"id":"call-1","class":"write"`)
+	w.signal(syscall.SIGHUP)
+	w.logs("configuration read", 1)
+	_, _ = c.Write(frame(thrift.Compact, thrift.Call, "read", 3, "", "", "x"))
+	assert.Equal(t, "3 read =x", said(t, c))
+	assert.Equal(t, []float64{3, 2, 1}, []float64{w.counter("requests"), w.counter("served"), w.counter("throttled")})
+}
+
+// allTypes answers with the struct that it was called with: the Apache library's processor, as a generator would write it.
+type allTypes struct{}
+
+func (allTypes) Process(ctx context.Context, in, out apache.TProtocol) (bool, apache.TException) {
+	name, _, seq, err := in.ReadMessageBegin(ctx)
+	if err != nil {
+		return false, apache.WrapTException(err)
+	}
+	var body bytes.Buffer
+	mem := apache.NewTMemoryBuffer()
+	copied := apache.NewTBinaryProtocolConf(mem, nil)
+	if err := copyStruct(ctx, in, copied); err != nil {
+		return false, apache.WrapTException(err)
+	}
+	body.Write(mem.Bytes())
+	back := apache.NewTMemoryBuffer()
+	back.Write(body.Bytes())
+	if err := out.WriteMessageBegin(ctx, name, apache.REPLY, seq); err != nil {
+		return false, apache.WrapTException(err)
+	}
+	if err := copyStruct(ctx, apache.NewTBinaryProtocolConf(back, nil), out); err != nil {
+		return false, apache.WrapTException(err)
+	}
+	return true, apache.WrapTException(out.Flush(ctx))
+}
+
+func (p allTypes) ProcessorMap() map[string]apache.TProcessorFunction { return nil }
+func (p allTypes) AddToProcessorMap(string, apache.TProcessorFunction) {
+}
+
+// The Apache library's own server and client, framed and framed-multiplexed, in both encodings, with a field of each type.
+func TestThriftWithApacheOnBothSides(t *testing.T) {
+	for _, way := range []string{"binary", "compact"} {
+		for _, multiplexed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s %v", way, multiplexed), func(t *testing.T) {
+				conf := &apache.TConfiguration{}
+				socket, err := apache.NewTServerSocket("127.0.0.1:0")
+				require.NoError(t, err)
+				require.NoError(t, socket.Listen())
+				var processor apache.TProcessor = allTypes{}
+				if multiplexed {
+					m := apache.NewTMultiplexedProcessor()
+					m.RegisterProcessor("Readings", allTypes{})
+					processor = m
+				}
+				var protocols apache.TProtocolFactory = apache.NewTBinaryProtocolFactoryConf(conf)
+				if way == "compact" {
+					protocols = apache.NewTCompactProtocolFactoryConf(conf)
+				}
+				server := apache.NewTSimpleServer4(processor, socket, apache.NewTFramedTransportFactoryConf(apache.NewTTransportFactory(), conf), protocols)
+				go server.Serve()
+				t.Cleanup(func() { _ = server.Stop() })
+
+				w := newThriftWorld(t)
+				w.known = append(w.known, endpoint{"s-00000001", socket.Addr().String(), "a", "SERVING", 1, 0})
+				w.start()
+				p := protocol(w.dialThrift(), way)
+				var client apache.TClient = apache.NewTStandardClient(p, p)
+				if multiplexed {
+					client = apache.NewTStandardClient(p, apache.NewTMultiplexedProtocol(p, "Readings"))
+				}
+				for i := range 50 {
+					asked := &everything{n: int64(i)}
+					var got everything
+					_, err := client.Call(t.Context(), "read", asked, &got)
+					require.NoError(t, err)
+					require.Equal(t, *asked, got)
+				}
+				assert.Equal(t, 50.0, w.counter("served"))
+				assert.Equal(t, 1.0, w.counter("dials"))
+			})
+		}
+	}
+}
--- a/cmd/hazelwheel/ways_test.go
+++ b/cmd/hazelwheel/ways_test.go
@@ -392,7 +392,10 @@
 	r.Header.Set("Request-Id", a.id)
 	r.Header.Set("Idempotency-Key", a.key)
 	r.Header.Set("Request-Timeout", strconv.Itoa(int(a.patienceMS)*1000)+"u")
-	rec := &recorder{ResponseRecorder: httptest.NewRecorder(), c: c}
+	rec := &recorder{ResponseRecorder: httptest.NewRecorder(), c: c, name: name, seq: seq}
+	if way == "compact" {
+		rec.enc = thrift.Compact
+	}
 	s.ServeHTTP(rec, r)
 	if rec.taken || ctx.Err() != nil {
 		return false
@@ -418,6 +421,9 @@
 type recorder struct {
 	*httptest.ResponseRecorder
 	c     net.Conn
+	name  string
+	seq   int32
+	enc   thrift.Encoding
 	taken bool
 }
 
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -80,14 +80,15 @@
 	if err != nil {
 		return Features{}, fmt.Errorf("features: %w", err)
 	}
-	f, err := parse(raw, c)
+	f, err := Parse(raw, c)
 	if err != nil {
 		return Features{}, fmt.Errorf("features: %w", err)
 	}
 	return f, nil
 }
 
-func parse(raw []byte, c *config.Config) (f Features, err error) {
+// Parse reads the file's text.
+func Parse(raw []byte, c *config.Config) (f Features, err error) {
 	o, err := readObject("", raw)
 	if err != nil {
 		return f, err
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -16,6 +16,7 @@
 	"hazelwheel/internal/drill"
 	"hazelwheel/internal/health"
 	"hazelwheel/internal/rewrite"
+	"hazelwheel/internal/thrift"
 	"hazelwheel/policy"
 )
 
@@ -24,7 +25,7 @@
 func read(text string) (Features, error) {
 	c := config.Config{Listen: "127.0.0.1:3000", Limits: config.Limits{MemoryMB: 64, Sockets: 1024}}
 	c.Settings.Policy.Classes = []policy.Class{{Name: "latest-reading"}, {Name: "log-calibration"}}
-	return parse([]byte(text), &c)
+	return Parse([]byte(text), &c)
 }
 
 // The page's examples hold, with the defaults that it names.
@@ -66,9 +67,19 @@
 		Known: []netip.Prefix{netip.MustParsePrefix("10.1.2.3/32"), netip.MustParsePrefix("2001:db8::/32")},
 		Caps:  []admission.Cap{{Prefix: netip.MustParsePrefix("10.1.0.0/16"), Links: 5}}}, f.Admission.Settings)
 
+	f, err = read(`{"thrift":{"listen":"127.0.0.1:9090","port":9091,"probe":"ping","classes":[
+		{"class":"latest-reading","methods":["latestReading","Readings:latestReading"],"id":"1.1","key":"-2","patience_us":"1.3","retry":"4"},
+		{"class":"log-calibration","methods":["logCalibration"],"patience_ms":"2"}]}}`)
+	require.NoError(t, err)
+	assert.Equal(t, Thrift{Listen: "127.0.0.1:9090", Port: 9091, Probe: "ping", NotStarted: "not started", Classes: []ThriftClass{
+		{Class: "latest-reading", Methods: []string{"latestReading", "Readings:latestReading"}, ID: thrift.Path{1, 1}, Key: thrift.Path{-2},
+			Patience: thrift.Path{1, 3}, Retry: thrift.Path{4}, UnitS: 1e-6},
+		{Class: "log-calibration", Methods: []string{"logCalibration"}, Patience: thrift.Path{2}, UnitS: 1e-3}}}, f.Thrift)
+	assert.Equal(t, "thrift (127.0.0.1:9090, 3 methods)", f.String())
+
 	f, err = read(`{}`)
 	require.NoError(t, err)
-	assert.False(t, f.Drills.List != nil || f.Drills.Secret != nil || f.Rewrites.On() || f.Health.On() || f.Capture.On || f.Admission.On(), "what is not named is off")
+	assert.False(t, f.Drills.List != nil || f.Drills.Secret != nil || f.Rewrites.On() || f.Health.On() || f.Capture.On || f.Admission.On() || f.Thrift.On(), "what is not named is off")
 	_, err = Load(filepath.Join(t.TempDir(), "none.json"), &config.Config{})
 	assert.ErrorIs(t, err, os.ErrNotExist)
 }
@@ -77,7 +88,27 @@
 func TestFaultsAreNamed(t *testing.T) {
 	d := func(more string) string { return `{"drills":[{"name":"a","class":"latest-reading"` + more + `}]}` }
 	r := func(more string) string { return `{"rewrites":[{"dir":"in","when":{"path_prefix":"/"},` + more + `}]}` }
+	th := func(more string) string {
+		return `{"thrift":{"listen":"127.0.0.1:9090","classes":[{"class":"latest-reading","methods":["a"]` + more + `}]}}`
+	}
 	for _, c := range []struct{ text, begins string }{
+		{`{"thrift":{}}`, "thrift.listen: missing"},
+		{`{"thrift":{"listen":"127.0.0.1:9090"}}`, "thrift.classes: missing"},
+		{`{"thrift":{"listen":"127.0.0.1:9090","classes":[]}}`, "thrift.classes: want one at least"},
+		{`{"thrift":{"listen":"127.0.0.1:3000","classes":[]}}`, "thrift.listen: want an address"},
+		{`{"thrift":{"listen":":9090","classes":[]}}`, "thrift.listen: want an address"},
+		{`{"thrift":{"listen":"127.0.0.1:9090","port":70000,"classes":[]}}`, "thrift.port: want 1 to 65535"},
+		{`{"thrift":{"listen":"127.0.0.1:9090","ports":1,"classes":[{"class":"latest-reading","methods":["a"]}]}}`, "thrift.ports: unknown field"},
+		{`{"health":{"port":9090},"thrift":{"listen":"127.0.0.1:9090","classes":[]}}`, "thrift.listen: want an address"},
+		{`{"thrift":{"listen":"127.0.0.1:9090","classes":[{"class":"none","methods":["a"]}]}}`, "thrift.classes[0].class: want a class"},
+		{th(`},{"class":"latest-reading","methods":["b"]`), "thrift.classes[1].class: want a class of the settings, once"},
+		{th(`},{"class":"log-calibration","methods":["a"]`), "thrift.classes[1].methods: a is a method of latest-reading, too"},
+		{th(`},{"class":"log-calibration","methods":["a b"]`), "thrift.classes[1].methods: want a list of methods"},
+		{th(`},{"class":"log-calibration"`), "thrift.classes[1].methods: missing"},
+		{th(`,"id":"1.x"`), "thrift.classes[0].id: want a path"},
+		{th(`,"key":"70000"`), "thrift.classes[0].key: want a path"},
+		{th(`,"patience_ms":"1","patience_us":"1"`), "thrift.classes[0].patience_us: given in milliseconds, too"},
+		{th(`,"patience_s":"1"`), "thrift.classes[0].patience_s: unknown field"},
 		{``, "the file: not"},
 		{`[]`, "the file: not"},
 		{`{"drills":[]`, "the file: not"},
--- a/internal/features/thrift.go
+++ b/internal/features/thrift.go
@@ -26,7 +26,8 @@
 	ID       thrift.Path
 	Key      thrift.Path
 	Patience thrift.Path
-	UnitS    float64 // of patience
+	Retry    thrift.Path // to a bool
+	UnitS    float64     // of patience
 }
 
 // On tells whether Thrift is spoken.
@@ -73,6 +74,7 @@
 		path("id", &k.ID)
 		path("key", &k.Key)
 		path("patience_ms", &k.Patience)
+		path("retry", &k.Retry)
 		if _, us := e.fields["patience_us"]; us {
 			if k.UnitS = 1e-6; k.Patience != nil {
 				e.fail("patience_us", "given in milliseconds, too")
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,192 @@
+// Package front_test holds the fronts against each other: the same calls through the same core.
+package front_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/features"
+	"hazelwheel/internal/front/http1"
+	thriftfront "hazelwheel/internal/front/thrift"
+	"hazelwheel/internal/netio"
+	"hazelwheel/internal/sidecar"
+	"hazelwheel/internal/thrift"
+)
+
+// loop is a network without sockets: what is written is there at once, and a box answers everything.
+type loop struct {
+	host   netio.Host
+	now    float64
+	todo   []func()
+	answer func(dst, asked []byte) []byte
+}
+
+func (n *loop) Now() float64                 { return n.now }
+func (n *loop) Alarm(float64)                {}
+func (n *loop) Post(f func())                { n.todo = append(n.todo, f) }
+func (n *loop) Yield(f func())               { n.todo = append(n.todo, f) }
+func (n *loop) CloseWrite(netio.Conn)        {}
+func (n *loop) Quiet(netio.Conn) bool        { return true }
+func (n *loop) Waited(netio.Conn) float64    { return 0 }
+func (n *loop) PauseReading(netio.Conn) bool { return false }
+func (n *loop) ResumeReading(netio.Conn)     {}
+func (n *loop) StopListening()               {}
+func (n *loop) Stop()                        {}
+func (n *loop) Close(c netio.Conn)           { n.host.Closed(c, nil) }
+
+func (n *loop) Dial(address string, _ float64, context any, done func(error)) func() {
+	n.Post(func() {
+		c := &conn{n: n, context: context, box: true, remote: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}}
+		if n.host.Open(c) {
+			done(nil)
+		}
+	})
+	return func() {}
+}
+
+// run does what has come up, and what follows from it.
+func (n *loop) run() {
+	for len(n.todo) > 0 {
+		f := n.todo[0]
+		n.todo = n.todo[1:]
+		f()
+		n.now += 1e-5
+	}
+	n.todo = n.todo[:0]
+}
+
+type conn struct {
+	n       *loop
+	context any
+	box     bool
+	remote  *net.TCPAddr
+	local   *net.TCPAddr
+	said    []byte // to the client
+	reply   []byte
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if !c.box {
+		c.said = append(c.said[:0], p...)
+		return len(p), nil
+	}
+	c.reply = c.n.answer(c.reply[:0], p)
+	c.n.Post(func() { c.n.host.Traffic(c, c.reply) })
+	return len(p), nil
+}
+func (c *conn) OutboundBuffered() int { return 0 }
+func (c *conn) RemoteAddr() net.Addr  { return c.remote }
+func (c *conn) LocalAddr() net.Addr   { return c.local }
+func (c *conn) Context() any          { return c.context }
+func (c *conn) SetContext(v any)      { c.context = v }
+
+// begin returns a sidecar that has begun, and a client's connection to it.
+func begin(t testing.TB, port int, answer func(dst, asked []byte) []byte) (*loop, *conn) {
+	known := `{"index":1,"snapshot":true,"endpoints":[{"name":"s-00000001","address":"127.0.0.1:3","zone":"a","status":"SERVING","weight":1}]}`
+	raw, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:9", "known": json.RawMessage(known),
+		"seed": "8c1f30d27a5be964", "settings": json.RawMessage(`{"dcs":["a"],"discovery":"on_request","replicasOfMe":1,"roundS":0.005,
+		"classes":[{"name":"read","effect":"free","objectiveS":5,"giveUpS":10,"importance":1}],"report":{"how":"off"},
+		"limits":{"cancel":true,"probes":false,"sendCap":3,"maxRetryAfterS":1.5,"connIdleS":60,"connectTimeoutS":5}}`)})
+	require.NoError(t, err)
+	cfg, err := config.Parse(raw)
+	require.NoError(t, err)
+	on, err := features.Parse([]byte(`{"thrift":{"listen":"127.0.0.1:2","classes":[{"class":"read","methods":["read"],"id":"1","patience_us":"3"}]}}`), &cfg)
+	require.NoError(t, err)
+	n := &loop{now: 1.7e9, answer: answer}
+	s, err := sidecar.New(cfg, on, []sidecar.Front{http1.New(cfg, on.Rewrites), thriftfront.New(cfg, on.Thrift)}, n, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	n.host = s
+	s.Start()
+	n.run()
+	c := &conn{n: n, remote: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 7}, local: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port}}
+	require.True(t, s.Open(c))
+	return n, c
+}
+
+// way is one protocol of the same call: 160 bytes of a reading.
+type way struct {
+	port   int
+	ask    func(dst []byte, i int) []byte
+	answer func(dst, asked []byte) []byte
+}
+
+var reading = fmt.Sprintf("%-160s", "17.25 C")
+
+func ways() map[string]way {
+	all := map[string]way{"http": {1,
+		func(dst []byte, i int) []byte {
+			return fmt.Appendf(dst, "GET /read/7 HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: %016x\r\nRequest-Timeout: 480m\r\n\r\n", i)
+		},
+		func(dst, _ []byte) []byte {
+			return fmt.Appendf(dst, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(reading), reading)
+		}}}
+	for _, enc := range []thrift.Encoding{thrift.Binary, thrift.Compact} {
+		all[enc.String()] = way{2,
+			func(dst []byte, i int) []byte {
+				var w thrift.Writer
+				w.Begin(dst, enc, thrift.Call, "read", int32(i))
+				w.Field(thrift.String, 1)
+				w.String(fmt.Sprintf("%016x", i))
+				w.Field(thrift.I64, 3)
+				w.I64(480_000)
+				w.Field(thrift.I32, 4)
+				w.I32(7)
+				return w.End()
+			},
+			func(dst, asked []byte) []byte {
+				m, err := thrift.Read(asked[4:])
+				if err != nil {
+					panic(err)
+				}
+				var w thrift.Writer
+				w.Begin(dst, enc, thrift.Reply, "read", m.Seq)
+				w.Field(thrift.String, 0)
+				w.String(reading)
+				return w.End()
+			}}
+	}
+	return all
+}
+
+// The same call over each front is answered with the same reading, from the one idle link that there is.
+func TestFrontsServe(t *testing.T) {
+	for name, w := range ways() {
+		n, c := begin(t, w.port, w.answer)
+		for i := range 3 {
+			n.host.Traffic(c, w.ask(nil, i))
+			n.run()
+			require.Contains(t, string(c.said), reading, name)
+			c.said = c.said[:0]
+		}
+	}
+}
+
+// BenchmarkFronts is what a call costs without its system calls, the client's and the box's writing aside.
+func BenchmarkFronts(b *testing.B) {
+	for _, name := range []string{"http", "binary", "compact"} {
+		w := ways()[name]
+		b.Run(name, func(b *testing.B) {
+			n, c := begin(b, w.port, w.answer)
+			asks := make([][]byte, 1024)
+			for i := range asks {
+				asks[i] = w.ask(nil, i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				n.host.Traffic(c, asks[i&1023])
+				n.run()
+				if len(c.said) == 0 {
+					b.Fatal("no answer")
+				}
+				c.said = c.said[:0]
+			}
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+		})
+	}
+}
--- a/internal/front/thrift/call.go
+++ b/internal/front/thrift/call.go
@@ -110,7 +110,9 @@
 func (x *exchange) Silent() bool { return x.call.m.Kind == thrift.Oneway }
 
 // Verdict says that a reply is the method's own answer, a declared exception as well.
-func (x *exchange) Verdict() (policy.Outcome, policy.Report, bool) { return x.ended, policy.Report{}, true }
+func (x *exchange) Verdict() (policy.Outcome, policy.Report, bool) {
+	return x.ended, policy.Report{}, true
+}
 
 // probe calls the method that is to be called, and asks for nothing but a reply.
 type probe struct{ exchange }
--- a/internal/front/thrift/front.go
+++ b/internal/front/thrift/front.go
@@ -32,7 +32,7 @@
 	features.ThriftClass
 	policy.Class
 	number int
-	paths  []thrift.Path // of id, key and patience
+	paths  []thrift.Path // of id, key, patience and the mark of a retry
 }
 
 var _ sidecar.Front = (*Front)(nil)
@@ -45,7 +45,7 @@
 			if c.Name != t.Class {
 				continue
 			}
-			k := &class{ThriftClass: t, Class: c, number: i, paths: []thrift.Path{t.ID, t.Key, t.Patience}}
+			k := &class{ThriftClass: t, Class: c, number: i, paths: []thrift.Path{t.ID, t.Key, t.Patience, t.Retry}}
 			for _, name := range t.Methods {
 				f.methods[name] = k
 			}
--- a/internal/front/thrift/link.go
+++ b/internal/front/thrift/link.go
@@ -65,12 +65,12 @@
 		l.decline(thrift.UnknownMethod, "no method that is known here")
 		return
 	}
-	l.ask(class, found[0], found[1], found[2])
+	l.ask(class, found[0], found[1], found[2], found[3].Int != 0)
 }
 
-// ask hands a call of a class on, with the id, key and patience that were found in it.
-func (l *link) ask(c *class, id, key, patience thrift.Value) {
-	a := sidecar.Ask{Class: c.number, Patience: c.GiveUpS, Size: len(l.m.Raw), Detached: l.m.Kind == thrift.Oneway}
+// ask hands a call of a class on, with what was found in it.
+func (l *link) ask(c *class, id, key, patience thrift.Value, again bool) {
+	a := sidecar.Ask{Class: c.number, Patience: c.GiveUpS, Size: len(l.m.Raw), Repeat: again, Detached: l.m.Kind == thrift.Oneway}
 	if patience.Type != thrift.Stop {
 		var ok bool
 		if a.Patience, ok = seconds(patience, c.UnitS); !ok {
--- a/internal/sim/core.go
+++ b/internal/sim/core.go
@@ -1,14 +1,17 @@
 package sim
 
 import (
+	"encoding/json"
 	"log/slog"
 
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/features"
 	"hazelwheel/internal/front/http1"
+	"hazelwheel/internal/front/thrift"
 	"hazelwheel/internal/netio"
 	"hazelwheel/internal/rewrite"
 	"hazelwheel/internal/sidecar"
+	"hazelwheel/internal/world"
 )
 
 // Cores are what a day can be played with, by name.
@@ -26,6 +29,29 @@
 	return core{s}, nil
 }
 
+// OverThrift is the Core of the real sidecar with a Thrift port, as the world's applications and boxes speak it.
+func OverThrift(cfg config.Config, net netio.Net, log *slog.Logger) (Program, error) {
+	var classes []map[string]any
+	for _, c := range cfg.Settings.Policy.Classes {
+		classes = append(classes, map[string]any{"class": c.Name, "methods": []string{c.Name}, "id": world.ThriftID,
+			"key": world.ThriftKey, "patience_us": world.ThriftPatience, "retry": world.ThriftRetry})
+	}
+	raw, err := json.Marshal(map[string]any{"thrift": map[string]any{"listen": world.ThriftAddress(cfg.Listen), "probe": world.ThriftProbe,
+		"classes": classes}})
+	if err != nil {
+		return nil, err
+	}
+	on, err := features.Parse(raw, &cfg)
+	if err != nil {
+		return nil, err
+	}
+	s, err := sidecar.New(cfg, on, []sidecar.Front{http1.New(cfg, on.Rewrites), thrift.New(cfg, on.Thrift)}, net, log)
+	if err != nil {
+		return nil, err
+	}
+	return core{s}, nil
+}
+
 // What a sidecar at rest may hold: a few links to each box, which probes use; for each a timer, and some for the sweep, the
 // watch, the probes and the decisions.
 const (
--- a/internal/sim/ground.go
+++ b/internal/sim/ground.go
@@ -101,7 +101,11 @@
 	}
 	w := &d.weather
 	// A process holds descriptors beside its links: standard streams, pollers, files.
-	s.proc = s.vm.Process(virtual.ProcessOptions{Name: s.spec.Name, Listen: []string{s.spec.Address}, Descriptors: d.spec.Sockets,
+	listen := []string{s.spec.Address}
+	if d.spec.Speech.Thrift() {
+		listen = append(listen, world.ThriftAddress(s.spec.Address))
+	}
+	s.proc = s.vm.Process(virtual.ProcessOptions{Name: s.spec.Name, Listen: listen, Descriptors: d.spec.Sockets,
 		Held: 8, Backlog: w.backlog, SendBuffer: w.send, ReceiveBuffer: w.receive, WakeS: w.wakeS, CallS: w.callS, Shuffle: w.shuffle,
 		Exited: s.exited})
 	s.termed, s.told, s.denied = false, 0, 0
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -44,6 +44,9 @@
 	// at its end is then not looked at.
 	Until judge.Rule
 	Quiet bool // leave the troubles of the script out
+	// Speech is what applications and boxes speak; empty: HTTP. It changes nothing else of a day, but that answers over Thrift
+	// hold no load reports: those come with probes.
+	Speech world.Speech
 }
 
 // Any stands for all rules in Options.Until.
@@ -117,8 +120,14 @@
 
 func newDay(s world.Script, o Options) (*day, error) {
 	d := &day{script: s, spec: s.Day(world.Usual()), core: o.Core, trace: o.Trace, cuts: map[[2]string]int{}}
+	if d.spec.Speech = o.Speech; o.Speech.Thrift() {
+		d.spec.Inline = false
+	}
 	if d.core == nil {
 		d.core = Sidecar
+		if o.Speech.Thrift() {
+			d.core = OverThrift
+		}
 	}
 	d.weather = drawWeather(s.Seed)
 	d.net = virtual.New(s.Seed^s.Luck*0x9e3779b97f4a7c15, d.spec.Start)
--- a/internal/world/app.go
+++ b/internal/world/app.go
@@ -59,7 +59,7 @@
 	conn   netio.Conn
 	number uint64
 	buf    http1.Buffer
-	parser http1.ResponseParser
+	parser answerReader
 	ask    *ask // that is out, or waits for the connection
 	used   int
 	asking bool // whether the sidecar is ready
@@ -162,7 +162,7 @@
 
 func (a *Application) askReady(now float64) {
 	a.linkNumber++
-	link := &appLink{app: a, number: uint64(a.number+1)<<48 | a.linkNumber, asking: true, parser: http1.NewResponseParser(messageLimits)}
+	link := &appLink{app: a, number: uint64(a.number+1)<<48 | a.linkNumber, asking: true, parser: newAnswerReader(HTTP)}
 	a.links++
 	a.net.Dial(a.day.Sidecars[a.number].Address, now+1, link, func(err error) {
 		if err != nil {
@@ -285,10 +285,10 @@
 
 func (a *Application) dial(k *ask) {
 	a.linkNumber++
-	link := &appLink{app: a, number: uint64(a.number+1)<<48 | a.linkNumber, ask: k, parser: http1.NewResponseParser(messageLimits)}
+	link := &appLink{app: a, number: uint64(a.number+1)<<48 | a.linkNumber, ask: k, parser: newAnswerReader(a.day.Speech)}
 	k.link = link
 	a.links++
-	a.net.Dial(a.day.Sidecars[a.number].Address, k.until, link, func(err error) {
+	a.net.Dial(a.address(), k.until, link, func(err error) {
 		if err == nil {
 			return
 		}
@@ -304,6 +304,15 @@
 	})
 }
 
+// address returns where the sidecar takes requests.
+func (a *Application) address() string {
+	at := a.day.Sidecars[a.number].Address
+	if a.day.Speech.Thrift() {
+		return ThriftAddress(at)
+	}
+	return at
+}
+
 // serveWaiting gives room that has come free to who waits for it.
 func (a *Application) serveWaiting() {
 	// Danger: what can't be served yet goes back to the end of the line, so one round is enough.
@@ -338,14 +347,28 @@
 func (a *Application) write(link *appLink, k *ask) {
 	link.ask, k.link, k.sentAt, a.recent = k, link, a.net.Now(), k
 	// Danger: a parser that has read an answer takes the next one for the same answer's body.
-	link.parser = http1.NewResponseParser(messageLimits)
+	link.parser = newAnswerReader(a.day.Speech)
 	link.used++
+	if a.day.Speech.Thrift() {
+		a.out = a.appendCall(a.out[:0], k)
+	} else {
+		a.out = a.appendRequest(a.out[:0], k)
+	}
+	conn := link.conn
+	link.taken = false
+	if _, err := conn.Write(a.out); err == nil && link.conn == conn && link.ask == k {
+		a.taken(link)
+	}
+}
+
+// appendRequest appends a request as HTTP has it.
+func (a *Application) appendRequest(out []byte, k *ask) []byte {
 	c := &a.day.Classes[k.class]
 	method := "POST"
 	if c.Effect == judge.Safe {
 		method = "GET"
 	}
-	out := append(append(a.out[:0], method...), " /"...)
+	out = append(append(out, method...), " /"...)
 	out = append(append(out, c.Name...), "/item HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: "...)
 	out = append(appendID(out, k.id), "\r\nRequest-Timeout: "...)
 	if wait := k.until - a.net.Now(); k.id>>1&1 == 0 { // both units are in use
@@ -363,13 +386,7 @@
 		out = strconv.AppendInt(append(out, "Content-Length: "...), int64(k.size), 10)
 		out = append(out, "\r\n"...)
 	}
-	out = append(append(out, "\r\n"...), a.body[:k.size]...)
-	a.out = out
-	conn := link.conn
-	link.taken = false
-	if _, err := conn.Write(out); err == nil && link.conn == conn && link.ask == k {
-		a.taken(link)
-	}
+	return append(append(out, "\r\n"...), a.body[:k.size]...)
 }
 
 // taken notes that the sidecar's machine has been handed a request whole.
@@ -425,7 +442,7 @@
 	a.witness.See(e)
 	link.ask = nil
 	status, after := link.parser.Status, 0.0
-	if text := link.parser.Header.Get(fieldRetryAfter); text != "" {
+	if text := link.parser.after; text != "" {
 		after, _ = strconv.ParseFloat(text, 64) // what can't be read is no advice
 	}
 	switch {
--- a/internal/world/box.go
+++ b/internal/world/box.go
@@ -105,6 +105,7 @@
 	sidecar    int32
 	buf        http1.Buffer
 	parser     http1.RequestParser
+	heard      heard   // the request that was read last
 	firstAt    float64 // when the first byte of what is being read was sent; 0: there is none
 	job        *boxJob // that is out
 	used       bool
@@ -272,7 +273,7 @@
 // read takes up the next request of a link that has come whole.
 func (l *life) read(k *boxLink) {
 	for k.conn != nil && k.job == nil && k.buf.Len() > 0 && !k.spent {
-		whole, err := k.parser.Next(&k.buf)
+		whole, err := k.hear()
 		if err != nil {
 			l.net.Close(k.conn) // what it cannot read is nothing to answer
 			return
@@ -294,14 +295,14 @@
 
 // request answers what has come, or gives it to the engine.
 func (l *life) request(k *boxLink) {
-	first, whole := path(k.parser.Target)
-	class, ok := l.classes[first]
+	whole := k.heard.path
+	class, ok := l.classes[k.heard.class]
 	switch {
 	case whole == "/health" || whole == "/status/load":
 		l.probe(k, whole == "/health")
 	case !ok:
 		l.say(k, 404, nil)
-	case k.parser.Header.Get(fieldID) == "":
+	case k.heard.id == "":
 		l.say(k, 404, nil)
 	default:
 		l.execute(k, class)
@@ -310,11 +311,11 @@
 
 func (l *life) execute(k *boxLink, class int) {
 	now := l.net.Now()
-	j := &boxJob{link: k, id: parseID(k.parser.Header.Get(fieldID)), class: class}
+	j := &boxJob{link: k, id: parseID(k.heard.id), class: class}
 	c := &l.day.Classes[class]
 	l.same.Seed(l.day.Seed, j.id)
 	work := c.WorkS * spread(l.cost, c.WorkCV) * spread(l.rng, 0.3) / l.Spec.Speed
-	if key := k.parser.Header.Get(fieldKey); c.Effect == judge.Keyed && l.keys.repeat(key, now, c.WindowS) {
+	if key := k.heard.key; c.Effect == judge.Keyed && l.keys.repeat(key, now, c.WindowS) {
 		work *= 0.05 // the key is looked up, and nothing more
 	}
 	if j.Seconds = work; !k.used { // the connection's cost is paid by its first request
@@ -360,7 +361,7 @@
 	if k.over {
 		header = h[:2]
 	}
-	l.write(k, http1.AppendResponse(l.out[:0], 503, header, nil))
+	l.write(k, k.appendAnswer(l.out[:0], 503, header, nil))
 	if k.over && k.conn != nil {
 		l.net.Close(k.conn)
 	}
@@ -439,13 +440,13 @@
 	l.replied(k, status, false, false, body)
 	k.job = nil
 	out := l.out[:0]
-	if m := &l.Manners; m.Interim > 0 && l.rng.Float64() < m.Interim {
+	if m := &l.Manners; m.Interim > 0 && !k.heard.thrift && l.rng.Float64() < m.Interim {
 		for range 1 + l.rng.IntN(3) {
 			out = append(out, "HTTP/1.1 103 Early Hints\r\nLink: </style>; rel=preload\r\n\r\n"...)
 		}
 	}
 	misbehaves := l.Manners.Behind > 0 && l.rng.Float64() < l.Manners.Behind
-	out = http1.AppendResponse(out, status, l.loadField(misbehaves), body)
+	out = k.appendAnswer(out, status, l.loadField(misbehaves), body)
 	if misbehaves {
 		whole := len(out)
 		var copied bool
@@ -476,7 +477,7 @@
 
 // say writes an answer that no execution stands behind.
 func (l *life) say(k *boxLink, status int, body []byte) {
-	l.write(k, http1.AppendResponse(l.out[:0], status, nil, body))
+	l.write(k, k.appendAnswer(l.out[:0], status, nil, body))
 }
 
 func (l *life) write(k *boxLink, out []byte) {
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -17,6 +17,7 @@
 // Day is one draw of a world, all that is true of it at its start.
 type Day struct {
 	Seed    uint64
+	Speech  Speech  // empty: HTTP
 	Start   float64 // Unix time in seconds at which it begins
 	LengthS float64 // arrivals end then
 
--- a/internal/world/mischief.go
+++ b/internal/world/mischief.go
@@ -146,7 +146,16 @@
 	if silent {
 		v.kind = saysNothing
 	}
-	m.net.Dial(m.day.Sidecars[m.number].Address, now+visitRoundS, v, func(error) {})
+	m.net.Dial(m.address(v), now+visitRoundS, v, func(error) {})
+}
+
+// address returns where a client comes to. Where there is a Thrift port, those that may never be served come there by turns.
+func (m *Mischief) address(v *visit) string {
+	at := m.day.Sidecars[m.number].Address
+	if m.day.Speech.Thrift() && v.kind != asksAgain && v.kind != asksWithOthersID && v.number&1 == 0 {
+		return ThriftAddress(at)
+	}
+	return at
 }
 
 // Open begins what a client has come for.
--- /dev/null
+++ b/internal/world/speech.go
@@ -0,0 +1,250 @@
+package world
+
+import (
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"hazelwheel/internal/http1"
+	"hazelwheel/internal/thrift"
+)
+
+// Speech is what applications, and through their sidecars boxes, speak.
+type Speech string
+
+// The speeches. What a day means does not depend on its speech.
+const (
+	HTTP          Speech = "http"
+	ThriftBinary  Speech = "binary"
+	ThriftCompact Speech = "compact"
+)
+
+// Speeches are all there are.
+var Speeches = []Speech{HTTP, ThriftBinary, ThriftCompact}
+
+// Thrift tells whether it is Thrift; a day that names no speech has HTTP.
+func (s Speech) Thrift() bool { return s == ThriftBinary || s == ThriftCompact }
+
+func (s Speech) encoding() thrift.Encoding {
+	if s == ThriftCompact {
+		return thrift.Compact
+	}
+	return thrift.Binary
+}
+
+// thriftPort is where sidecars listen for Thrift.
+const thriftPort = 9090
+
+// ThriftAddress returns where a sidecar listens for Thrift that listens for HTTP at an address.
+func ThriftAddress(address string) string {
+	return netip.AddrPortFrom(netip.MustParseAddrPort(address).Addr(), thriftPort).String()
+}
+
+// ThriftProbe is the method by which sidecars probe boxes.
+const ThriftProbe = "status"
+
+// The fields of a call's arguments; the method's name is that of the class. A result has the answer's body in field 0.
+const (
+	argID       = 1
+	argKey      = 2
+	argPatience = 3 // microseconds
+	argRetry    = 4
+	argBody     = 5
+)
+
+// The paths of the same.
+const (
+	ThriftID       = "1"
+	ThriftKey      = "2"
+	ThriftPatience = "3"
+	ThriftRetry    = "4"
+)
+
+// answerReader reads a sidecar's answer.
+type answerReader struct {
+	speech Speech
+	http   http1.ResponseParser
+	begun  bool
+	Status int // as over HTTP
+	Body   []byte
+	after  string // when to come again, in seconds; "": there is no word of it
+}
+
+func newAnswerReader(s Speech) answerReader {
+	return answerReader{speech: s, http: http1.NewResponseParser(messageLimits)}
+}
+
+// Next reads on and tells whether the answer is whole.
+func (r *answerReader) Next(buf *http1.Buffer) (bool, error) {
+	if r.speech.Thrift() {
+		return r.nextThrift(buf)
+	}
+	whole, err := r.http.Next(buf)
+	r.begun = r.http.Begun()
+	r.Status, r.Body, r.after = r.http.Status, r.http.Body, r.http.Header.Get(fieldRetryAfter)
+	return whole, err
+}
+
+// Begun tells whether anything of the answer has come.
+func (r *answerReader) Begun() bool { return r.begun }
+
+// Keep tells whether the answer lets its connection be used again.
+func (r *answerReader) Keep() bool { return r.speech.Thrift() || r.http.Keep() }
+
+var resultPath = []thrift.Path{{0}}
+
+func (r *answerReader) nextThrift(buf *http1.Buffer) (bool, error) {
+	r.begun = r.begun || buf.Len() > 0
+	payload, size, err := thrift.Frame(buf.Bytes(), messageLimits.Body)
+	if err != nil || size == 0 {
+		return false, err
+	}
+	m, err := thrift.Read(payload)
+	if err != nil {
+		return false, err
+	}
+	if m.Kind != thrift.Exception {
+		var found [thrift.MostPaths]thrift.Value
+		if err := m.Find(resultPath, &found); err != nil {
+			return false, err
+		}
+		r.Status, r.Body = 200, append([]byte(nil), found[0].Bytes...)
+		buf.Discard(size)
+		return true, nil
+	}
+	kind, text, err := m.Exception()
+	switch r.Status = 400; kind {
+	case thrift.LoadShedding:
+		r.Status = 503
+	case thrift.TimedOutException:
+		r.Status = 504
+	case thrift.InternalError:
+		r.Status = 502
+	}
+	_, r.after, _ = strings.Cut(string(text), "retry-after=")
+	buf.Discard(size)
+	return true, err
+}
+
+// appendCall appends a request of the application as a call.
+func (a *Application) appendCall(dst []byte, k *ask) []byte {
+	var w thrift.Writer
+	w.Begin(dst, a.day.Speech.encoding(), thrift.Call, a.day.Classes[k.class].Name, int32(k.id))
+	w.Field(thrift.String, argID)
+	w.String(string(appendID(nil, k.id)))
+	if k.key != 0 {
+		w.Field(thrift.String, argKey)
+		w.String(string(appendID(nil, k.key)))
+	}
+	w.Field(thrift.I64, argPatience)
+	w.I64(max(1, int64((k.until-a.net.Now())*1e6)))
+	if k.tries > 1 && a.spec.MarksRetry {
+		w.Field(thrift.Bool, argRetry)
+		w.Bool(true)
+	}
+	w.Field(thrift.String, argBody)
+	w.Bytes(a.body[:k.size])
+	return w.End()
+}
+
+// heard is what a box has read of a request.
+type heard struct {
+	class  string // or what stands in its place
+	path   string
+	id     string
+	key    string
+	thrift bool
+	m      thrift.Message // its head, of Thrift; its name lies in name
+	name   string
+}
+
+var callPaths = []thrift.Path{{argID}, {argKey}}
+
+// hear reads on from what a sidecar has sent and tells whether a request is whole.
+func (k *boxLink) hear() (bool, error) {
+	if b := k.buf.Bytes(); len(b) > 0 && b[0] == 0 && !k.parser.Begun() {
+		return k.hearThrift()
+	}
+	whole, err := k.parser.Next(&k.buf)
+	if whole {
+		k.heard = heard{id: k.parser.Header.Get(fieldID), key: k.parser.Header.Get(fieldKey)}
+		k.heard.class, k.heard.path = path(k.parser.Target)
+	}
+	return whole, err
+}
+
+func (k *boxLink) hearThrift() (bool, error) {
+	payload, size, err := thrift.Frame(k.buf.Bytes(), messageLimits.Body)
+	if err != nil || size == 0 {
+		return false, err
+	}
+	m, err := thrift.Read(payload)
+	if err != nil {
+		return false, err
+	}
+	var found [thrift.MostPaths]thrift.Value
+	if err := m.Find(callPaths, &found); err != nil {
+		return false, err
+	}
+	k.heard = heard{id: string(found[0].Bytes), key: string(found[1].Bytes), thrift: true, name: string(m.Name)}
+	k.heard.class, k.heard.path = k.heard.name, k.heard.name
+	if k.heard.name == ThriftProbe {
+		k.heard.path = "/status/load"
+	}
+	k.heard.m = thrift.Message{Encoding: m.Encoding, Seq: m.Seq}
+	k.buf.Discard(size)
+	return true, nil
+}
+
+// appendAnswer appends an answer to the request that was read last. Over Thrift its header fields have no place, but for the
+// word that it has not begun.
+func (k *boxLink) appendAnswer(dst []byte, status int, h http1.Header, body []byte) []byte {
+	if !k.heard.thrift {
+		return http1.AppendResponse(dst, status, h, body)
+	}
+	m := &k.heard.m
+	switch {
+	case status == 200:
+		var w thrift.Writer
+		w.Begin(dst, m.Encoding, thrift.Reply, k.heard.name, m.Seq)
+		w.Field(thrift.String, 0)
+		w.Bytes(body)
+		return w.End()
+	case status == 503:
+		return thrift.AppendException(dst, m.Encoding, k.heard.name, m.Seq, thrift.LoadShedding, "not started")
+	default:
+		return thrift.AppendException(dst, m.Encoding, k.heard.name, m.Seq, thrift.InternalError, strconv.Itoa(status))
+	}
+}
+
+// spoilThrift appends a reply that nobody can take for whole, and tells whether the connection is closed behind it.
+func (l *life) spoilThrift(k *boxLink, out, body []byte) (_ []byte, closes bool) {
+	sound := k.appendAnswer(nil, 200, nil, body)
+	m := &k.heard.m
+	switch l.rng.IntN(spoilings) {
+	case noise:
+		return l.appendNoise(out, 20+l.rng.IntN(400)), false
+	case badHead:
+		return append(out, 0, 0, 0, 9, 0x80, 7, 0, 2, 0, 0, 0, 0, 0), false
+	case endlessHead: // a frame above the bound that goes on
+		out = append(out, 0, 1, 0, 1, 0x80)
+		return append(out, make([]byte, l.rng.IntN(40<<10))...), false
+	case tooLong: // the frame names more than comes
+		out = append(out, sound...)
+		out[3]++
+		return out, l.rng.IntN(2) == 0
+	case negative:
+		return append(append(out, 0xff), sound[1:]...), false
+	case twoLengths: // the reply to another call
+		m.Seq++
+		return k.appendAnswer(out, 200, nil, body), false
+	case hugeAndComing: // a string that names more than the frame has
+		var w thrift.Writer
+		w.Begin(out, m.Encoding, thrift.Reply, k.heard.name, m.Seq)
+		w.Field(thrift.String, 0)
+		w.I32(1 << 30)
+		return w.End(), false
+	default:
+		return append(out, sound[:l.rng.IntN(len(sound))]...), true
+	}
+}
--- a/internal/world/spoil.go
+++ b/internal/world/spoil.go
@@ -25,6 +25,16 @@
 	l.replied(k, 0, false, true, nil)
 	k.job, k.spent = nil, true
 	out := l.out[:0]
+	if k.heard.thrift {
+		var closes bool
+		if out, closes = l.spoilThrift(k, out, body); len(out) > 0 {
+			l.write(k, out)
+		}
+		if closes && k.conn != nil {
+			l.net.Close(k.conn)
+		}
+		return
+	}
 	how := l.rng.IntN(spoilings)
 	switch how {
 	case noise:
