--- a/internal/front/http1/fields.go
+++ b/internal/front/http1/fields.go
@@ -25,9 +25,9 @@
 	return sidecar.ReadReport(f.settings.ReportFields, text)
 }
 
-// formatPatience writes a span as the deployment does.
-func formatPatience(s float64) string {
-	return strconv.FormatInt(max(int64(s*1e6), 0), 10) + "u"
+// appendPatience appends a span as the deployment writes it.
+func appendPatience(dst []byte, s float64) []byte {
+	return append(strconv.AppendInt(dst, max(int64(s*1e6), 0), 10), 'u')
 }
 
 // parsePatience reads a number and a unit, m or u, as seconds.
