Hold the fronts against each other, line by line

That a script has the same outcomes over HTTP, binary and compact was shown by process tests alone, which can't try every pair.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -5,10 +5,14 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
+	"strconv"
+	"strings"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"hazelwheel/internal/config"
@@ -27,6 +31,8 @@
 	alarm  float64 // 0: none
 	todo   []func()
 	answer func(dst, asked []byte) []byte
+	does   []string // what the box does with what it is sent, one after the other; behind them it answers
+	sent   int      // what the box has been sent
 }
 
 func (n *loop) Now() float64                 { return n.now }
@@ -40,11 +46,19 @@
 func (n *loop) ResumeReading(netio.Conn)     {}
 func (n *loop) StopListening()               {}
 func (n *loop) Stop()                        {}
-func (n *loop) Close(c netio.Conn)           { n.host.Closed(c, nil) }
+func (n *loop) Close(c netio.Conn) {
+	if c := c.(*conn); !c.gone {
+		c.gone = true
+		n.host.Closed(c, nil)
+	}
+}
+
+// box is where the box is listed; what is sent elsewhere, to discovery, nobody answers.
+const box = "127.0.0.1:3"
 
 func (n *loop) Dial(address string, _ float64, context any, done func(error)) func() {
 	n.Post(func() {
-		c := &conn{n: n, context: context, box: true, remote: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}}
+		c := &conn{n: n, context: context, box: address == box, remote: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}}
 		if n.host.Open(c) {
 			done(nil)
 		}
@@ -80,6 +94,7 @@
 	local   *net.TCPAddr
 	said    []byte // to the client
 	reply   []byte
+	gone    bool
 }
 
 func (c *conn) Write(p []byte) (int, error) {
@@ -88,9 +103,45 @@
 		return len(p), nil
 	}
 	c.reply = c.n.answer(c.reply[:0], p)
-	c.n.Post(func() { c.n.host.Traffic(c, c.reply) })
+	does := ""
+	if n := c.n.sent; n < len(c.n.does) {
+		does = c.n.does[n]
+	}
+	c.n.sent++
+	c.n.Post(func() { c.act(does) })
 	return len(p), nil
 }
+
+// act does what the box does; what it says otherwise is the protocol's own.
+func (c *conn) act(does string) {
+	bytes, ends := c.reply, false
+	switch does {
+	case "closes":
+		bytes, ends = nil, true
+	case "closes in the answer":
+		bytes, ends = bytes[:len(bytes)-1], true
+	case "makes no sense":
+		bytes = []byte("\x01\x02\x03\x04\x05\x06\x07\x08\r\n")
+	case "says more than it should":
+		bytes = append(bytes, bytes...)
+	case "answers and closes":
+		ends = true
+	case "says nothing":
+		return
+	}
+	if len(bytes) > 0 && !c.gone {
+		c.n.host.Traffic(c, bytes)
+	}
+	if ends && !c.gone {
+		c.gone = true
+		c.n.host.Closed(c, io.EOF)
+	}
+}
+
+// actions are what a box may do with a request.
+var actions = []string{"answers", "errs", "turns it away", "closes", "closes in the answer", "makes no sense",
+	"says more than it should", "answers and closes", "says nothing"}
+
 func (c *conn) OutboundBuffered() int { return 0 }
 func (c *conn) RemoteAddr() net.Addr  { return c.remote }
 func (c *conn) LocalAddr() net.Addr   { return c.local }
@@ -99,15 +150,19 @@
 
 // begin returns a sidecar that has begun, and a client's connection to it.
 func begin(t testing.TB, port int, answer func(dst, asked []byte) []byte) (*loop, *conn) {
-	known := `{"index":1,"snapshot":true,"endpoints":[{"name":"s-00000001","address":"127.0.0.1:3","zone":"a","status":"SERVING","weight":1}]}`
+	known := `{"index":1,"snapshot":true,"endpoints":[{"name":"s-00000001","address":"` + box + `","zone":"a","status":"SERVING","weight":1}]}`
 	raw, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:9", "known": json.RawMessage(known),
 		"seed": "8c1f30d27a5be964", "settings": json.RawMessage(`{"dcs":["a"],"discovery":"on_request","replicasOfMe":1,"roundS":0.005,
-		"classes":[{"name":"read","effect":"free","objectiveS":5,"giveUpS":10,"importance":1}],"report":{"how":"off"},
+		"classes":[{"name":"read","effect":"free","objectiveS":5,"giveUpS":10,"importance":1},
+		{"name":"alert","effect":"guarded","dedupScope":"all","windowS":10,"objectiveS":5,"giveUpS":10,"importance":1},
+		{"name":"write","effect":"single_shot","objectiveS":5,"giveUpS":10,"importance":1}],"report":{"how":"off"},
 		"limits":{"cancel":true,"probes":false,"sendCap":3,"maxRetryAfterS":1.5,"connIdleS":60,"connectTimeoutS":5}}`)})
 	require.NoError(t, err)
 	cfg, err := config.Parse(raw)
 	require.NoError(t, err)
-	on, err := features.Parse([]byte(`{"thrift":{"listen":"127.0.0.1:2","classes":[{"class":"read","methods":["read"],"id":"1","patience_us":"3"}]}}`), &cfg)
+	on, err := features.Parse([]byte(`{"thrift":{"listen":"127.0.0.1:2","classes":[
+		{"class":"read","methods":["read"],"id":"1","key":"2","patience_us":"3"},{"class":"alert","methods":["alert"],"id":"1","key":"2","patience_us":"3"},
+		{"class":"write","methods":["write"],"id":"1","key":"2","patience_us":"3"}]}}`), &cfg)
 	require.NoError(t, err)
 	n := &loop{now: 1.7e9, answer: answer}
 	s, err := sidecar.New(cfg, on, []sidecar.Front{http1.New(cfg, on.Rewrites), thriftfront.New(cfg, on.Thrift)}, n, slog.New(slog.DiscardHandler))
@@ -120,58 +175,145 @@
 	return n, c
 }
 
-// way is one protocol of the same call: 160 bytes of a reading.
+// way is one protocol of the same call and its answers, the usual one of 160 bytes.
 type way struct {
 	port   int
-	ask    func(dst []byte, i int) []byte
-	answer func(dst, asked []byte) []byte
+	ask    func(class string, i int) []byte
+	answer func(does string) func(dst, asked []byte) []byte
+	status func(said []byte) int // as over HTTP
 }
 
 var reading = fmt.Sprintf("%-160s", "17.25 C")
 
 func ways() map[string]way {
-	all := map[string]way{"http": {1,
-		func(dst []byte, i int) []byte {
-			return fmt.Appendf(dst, "GET /read/7 HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: %016x\r\nRequest-Timeout: 9900m\r\n\r\n", i)
+	all := map[string]way{"http": {port: 1,
+		ask: func(class string, i int) []byte {
+			method, more := "GET", ""
+			if class != "read" {
+				method, more = "POST", "Content-Length: 0\r\n"
+			}
+			return fmt.Appendf(nil, "%s /%s/7 HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: %016x\r\nIdempotency-Key: k\r\nRequest-Timeout: 9900m\r\n%s\r\n",
+				method, class, i, more)
+		},
+		answer: func(does string) func(dst, _ []byte) []byte {
+			switch does {
+			case "errs":
+				return func(dst, _ []byte) []byte { return append(dst, "HTTP/1.1 500 \r\nContent-Length: 0\r\n\r\n"...) }
+			case "turns it away":
+				return func(dst, _ []byte) []byte {
+					return append(dst, "HTTP/1.1 503 \r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"...)
+				}
+			}
+			return func(dst, _ []byte) []byte {
+				return fmt.Appendf(dst, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(reading), reading)
+			}
 		},
-		func(dst, _ []byte) []byte {
-			return fmt.Appendf(dst, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(reading), reading)
+		status: func(said []byte) int {
+			n, _ := strconv.Atoi(string(said[9:12]))
+			return n
 		}}}
 	for _, enc := range []thrift.Encoding{thrift.Binary, thrift.Compact} {
-		all[enc.String()] = way{2,
-			func(dst []byte, i int) []byte {
+		all[enc.String()] = way{port: 2,
+			ask: func(class string, i int) []byte {
 				var w thrift.Writer
-				w.Begin(dst, enc, thrift.Call, "read", int32(i))
+				w.Begin(nil, enc, thrift.Call, class, int32(i))
 				w.Field(thrift.String, 1)
 				w.String(fmt.Sprintf("%016x", i))
+				w.Field(thrift.String, 2)
+				w.String("k")
 				w.Field(thrift.I64, 3)
 				w.I64(9_900_000)
 				w.Field(thrift.I32, 4)
 				w.I32(7)
 				return w.End()
 			},
-			func(dst, asked []byte) []byte {
-				m, err := thrift.Read(asked[4:])
-				if err != nil {
-					panic(err)
+			answer: func(does string) func(dst, asked []byte) []byte {
+				return func(dst, asked []byte) []byte {
+					m, err := thrift.Read(asked[4:])
+					if err != nil {
+						panic(err)
+					}
+					switch does {
+					case "errs":
+						return thrift.AppendException(dst, enc, string(m.Name), m.Seq, thrift.InternalError, "no")
+					case "turns it away":
+						return thrift.AppendException(dst, enc, string(m.Name), m.Seq, thrift.InternalError, "not started")
+					}
+					var w thrift.Writer
+					w.Begin(dst, enc, thrift.Reply, string(m.Name), m.Seq)
+					w.Field(thrift.String, 0)
+					w.String(reading)
+					return w.End()
 				}
-				var w thrift.Writer
-				w.Begin(dst, enc, thrift.Reply, "read", m.Seq)
-				w.Field(thrift.String, 0)
-				w.String(reading)
-				return w.End()
+			},
+			status: func(said []byte) int {
+				m, err := thrift.Read(said[4:])
+				if err != nil || m.Kind == thrift.Reply {
+					return 200
+				}
+				kind, _, _ := m.Exception()
+				return map[int32]int{thrift.LoadShedding: 503, thrift.InternalError: 502, thrift.TimedOutException: 504}[kind]
 			}}
 	}
 	return all
 }
 
+// outcomes plays each class of request with each two things that the box may do with it, and returns a line for each.
+func outcomes(t *testing.T, w way) (lines []string) {
+	for _, class := range []string{"read", "alert", "write"} {
+		for _, first := range actions {
+			for _, second := range actions {
+				n, c := begin(t, w.port, nil)
+				n.does = []string{first, second}
+				n.answer = func(dst, asked []byte) []byte {
+					does := ""
+					if n.sent < len(n.does) {
+						does = n.does[n.sent]
+					}
+					return w.answer(does)(dst, asked)
+				}
+				n.host.Traffic(c, w.ask(class, 1))
+				n.run(c)
+				served := bytes.Contains(c.said, []byte(reading))
+				status := w.status(c.said)
+				require.Equal(t, status == 200, served)
+				lines = append(lines, fmt.Sprintf("%s: the box %s, then %s: %d, sent %d times", class, first, second, status, n.sent))
+			}
+		}
+	}
+	return lines
+}
+
+// The same script has the same outcomes over HTTP, binary and compact, line by line; what must not run twice is sent again
+// only where it has not run.
+func TestSameOutcomes(t *testing.T) {
+	all := ways()
+	want := outcomes(t, all["http"])
+	assert.Len(t, want, 3*len(actions)*len(actions))
+	for _, name := range []string{"binary", "compact"} {
+		got := outcomes(t, all[name])
+		require.Len(t, got, len(want))
+		for i := range want {
+			assert.Equal(t, want[i], got[i], name)
+		}
+	}
+	again := 0
+	for _, line := range want {
+		if strings.HasPrefix(line, "write") && strings.HasSuffix(line, "sent 2 times") {
+			assert.Contains(t, line, "the box turns it away, then")
+			again++
+		}
+	}
+	assert.Equal(t, len(actions), again)
+}
+
 // The same call over each front is answered with the same reading, from the one idle link that there is.
 func TestFrontsServe(t *testing.T) {
 	for name, w := range ways() {
-		n, c := begin(t, w.port, w.answer)
+		n, c := begin(t, w.port, w.answer(""))
 		for i := range 3 {
 			n.now += 0.005 // the link to the box has settled
-			n.host.Traffic(c, w.ask(nil, i))
+			n.host.Traffic(c, w.ask("read", i))
 			n.run(c)
 			require.Contains(t, string(c.said), reading, name)
 			c.said = c.said[:0]
@@ -184,10 +326,10 @@
 	for _, name := range []string{"http", "binary", "compact"} {
 		w := ways()[name]
 		b.Run(name, func(b *testing.B) {
-			n, c := begin(b, w.port, w.answer)
+			n, c := begin(b, w.port, w.answer(""))
 			asks := make([][]byte, 1024)
 			for i := range asks {
-				asks[i] = w.ask(nil, i)
+				asks[i] = w.ask("read", i)
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
