Let boxes with a list of their own speak Thrift alone

Thrift boxes may be on another list than HTTP's. `only` keeps requests over HTTP off them (404), and wants a probe over Thrift where the settings have boxes probed.

--- a/cmd/hazelwheel/thrift_test.go
+++ b/cmd/hazelwheel/thrift_test.go
@@ -487,6 +487,23 @@
 	assert.Equal(t, []float64{3, 2, 1}, []float64{w.counter("requests"), w.counter("served"), w.counter("throttled")})
 }
 
+// Where boxes speak nothing else, no request goes to them over HTTP.
+func TestThriftOnly(t *testing.T) {
+	s := newServer(t, "s-00000001", echo)
+	w := newThriftWorld(t, s)
+	w.limit("probes", true)
+	w.features = strings.Replace(w.features, `"classes"`, `"only":true,"classes"`, 1)
+	code, text := run(t, "check", "--config", w.config(), "--features", w.file("bad.json", w.features))
+	assert.Equal(t, 2, code)
+	assert.Contains(t, text, "thrift.probe: missing")
+	w.features = strings.Replace(w.features, `"classes"`, `"probe":"ping","classes"`, 1)
+	w.start()
+	assert.Equal(t, 404, w.ask("read", "", "").status)
+	c := w.dialThrift()
+	_, _ = c.Write(frame(thrift.Binary, thrift.Call, "read", 1, "", "", "x"))
+	assert.Equal(t, "1 read =x", said(t, c))
+}
+
 // allTypes answers with the struct that it was called with: the Apache library's processor, as a generator would write it.
 type allTypes struct{}
 
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -105,6 +105,7 @@
 		{th(`},{"class":"log-calibration","methods":["a"]`), "thrift.classes[1].methods: a is a method of latest-reading, too"},
 		{th(`},{"class":"log-calibration","methods":["a b"]`), "thrift.classes[1].methods: want a list of methods"},
 		{th(`},{"class":"log-calibration"`), "thrift.classes[1].methods: missing"},
+		{`{"thrift":{"listen":"127.0.0.1:9090","only":1,"classes":[{"class":"latest-reading","methods":["a"]}]}}`, "thrift.only: want true or false"},
 		{th(`,"id":"1.x"`), "thrift.classes[0].id: want a path"},
 		{th(`,"key":"70000"`), "thrift.classes[0].key: want a path"},
 		{th(`,"patience_ms":"1","patience_us":"1"`), "thrift.classes[0].patience_us: given in milliseconds, too"},
--- a/internal/features/thrift.go
+++ b/internal/features/thrift.go
@@ -13,6 +13,7 @@
 // Thrift says how Thrift is spoken; without a Listen it is not.
 type Thrift struct {
 	Listen     string        // address and port at which its clients come
+	Only       bool          // servers speak no HTTP, which is left for readiness, counters and drills
 	Port       int           // at which servers speak it; 0: at the listed one
 	Probe      string        // the method that a probe calls, without arguments; "": servers are probed over HTTP
 	NotStarted string        // what the text of a server's TApplicationException begins with if the call has not begun
@@ -44,10 +45,14 @@
 		listen, _ := netip.ParseAddrPort(c.Listen)
 		return err == nil && a.Port() != 0 && a.Port() != listen.Port() && int(a.Port()) != f.Health.Port
 	})
+	field(p, "only", &t.Only, "true or false", func(bool) bool { return true })
 	field(p, "port", &t.Port, "1 to 65535", func(v int) bool { return v >= 1 && v <= 65535 })
 	field(p, "probe", &t.Probe, "a method's name", methodName)
 	field(p, "not_started", &t.NotStarted, "text", func(s string) bool { return s != "" })
 	p.need("listen", "classes")
+	if t.Only && t.Probe == "" && c.Settings.Policy.Probes {
+		p.fail("probe", "missing: the boxes speak no HTTP, and the settings have them probed")
+	}
 	classes, methods := map[string]bool{}, map[string]string{}
 	for _, e := range p.list("classes") {
 		k := ThriftClass{UnitS: 1e-3}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -44,8 +44,11 @@
 
 // New returns a process that does not serve yet.
 func New(cfg config.Config, on features.Features, log *slog.Logger) (*Process, error) {
-	fronts := []sidecar.Front{http1.New(cfg, on.Rewrites)}
-	listen := []string{cfg.Listen}
+	http := cfg
+	if on.Thrift.Only {
+		http.Settings.Policy.Classes = nil // what concerns the sidecar itself is all that is left
+	}
+	fronts, listen := []sidecar.Front{http1.New(http, on.Rewrites)}, []string{cfg.Listen}
 	if on.Thrift.On() {
 		fronts, listen = append(fronts, thrift.New(cfg, on.Thrift)), append(listen, on.Thrift.Listen)
 	}
