Let a box finish a oneway call before its link is used again

A oneway call's link rested as soon as the call was written, and the next request went out behind it: its box looked slow, and the request waited for the call. The link is now kept, and used before the call's time is over only where no other can be had. Ids of calls are bounded to 256 bytes and written so that a line of a log can hold them.

--- a/cmd/hazelwheel/thrift_test.go
+++ b/cmd/hazelwheel/thrift_test.go
@@ -124,6 +124,8 @@
 		"patience below 0":        {string(impatient.End()), "3 read exception 7 a patience that is no number from 0", false},
 		"too deep":                {string(deep), "3 x exception 7 " + thrift.ErrDepth.Error(), true},
 		"unknown method":          {string(frame(thrift.Compact, thrift.Call, "Readings:other", 3, "", "", "")), "3 other exception 1 no method that is known here", false},
+		"an endless id":           {string(frame(thrift.Compact, thrift.Call, "read", 3, strings.Repeat("i", 257), "", "")), "3 read exception 7 an id of more than 256 bytes", false},
+		"an id of odd bytes":      {string(frame(thrift.Compact, thrift.Call, "read", 3, "a\nb", "", "")), "3 read a\nb=", false},
 		"unknown method, one way": {string(frame(thrift.Compact, thrift.Oneway, "other", 9, "", "", "")) + string(whole), "3 read =x", false},
 	} {
 		conn := w.dialThrift()
--- a/internal/front/thrift/link.go
+++ b/internal/front/thrift/link.go
@@ -1,6 +1,7 @@
 package thrift
 
 import (
+	"encoding/hex"
 	"errors"
 	"strconv"
 
@@ -78,10 +79,11 @@
 			return
 		}
 	}
-	if a.ID = string(id.Bytes); id.Type == thrift.I64 || id.Type == thrift.I32 {
-		a.ID = strconv.FormatInt(id.Int, 10)
+	if len(id.Bytes) > mostID {
+		l.decline(thrift.ProtocolError, "an id of more than 256 bytes")
+		return
 	}
-	if a.ID == "" {
+	if a.ID = name(id); a.ID == "" {
 		a.ID = l.front.id()
 	}
 	if l.Sidecar().IsOpen(a.ID) {
@@ -97,6 +99,22 @@
 	}
 }
 
+// mostID bounds an id. Danger: the capture and the log hold it many times over.
+const mostID = 256
+
+// name returns an id as text that a line of a log can hold; "": there is none.
+func name(id thrift.Value) string {
+	for _, b := range id.Bytes {
+		if b <= ' ' || b >= 0x7f {
+			return hex.EncodeToString(id.Bytes)
+		}
+	}
+	if id.Type == thrift.I64 || id.Type == thrift.I32 {
+		return strconv.FormatInt(id.Int, 10)
+	}
+	return string(id.Bytes)
+}
+
 // seconds reads a span of time in a unit.
 func seconds(v thrift.Value, unitS float64) (float64, bool) {
 	n := float64(v.Int)
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -74,15 +74,19 @@
 
 // rest puts a link among the idle ones. Danger: a request that is written to a link after the server's side
 // has closed it is lost, and one that must not run twice with it. Links are retired well before that.
-func (l *serverLink) rest() {
-	l.execution, l.restedAt = nil, l.s.now()
+func (l *serverLink) rest() { l.restFrom(l.s.now()) }
+
+// restFrom is rest for a link that its server may be at work on until a time: it is used before that only where no other can
+// be had.
+func (l *serverLink) restFrom(at float64) {
+	l.execution, l.restedAt = nil, at
 	l.buf.Rest()
 	if l.s.feed(l) {
 		return
 	}
 	l.s.idle[l.host] = append(l.s.idle[l.host], l)
 	if limit := l.s.cfg.Settings.Policy.ConnIdleS; limit > 0 {
-		l.retire = l.s.timers.at(l.restedAt+min(0.8*limit, max(limit-0.5, 0.5*limit)), l.close)
+		l.retire = l.s.timers.at(l.s.now()+min(0.8*limit, max(limit-0.5, 0.5*limit)), l.close)
 	}
 }
 
@@ -240,7 +244,11 @@
 func (l *serverLink) complete(e *execution) {
 	_, _, keep := e.exchange.Verdict()
 	if keep && l.buf.Len() == 0 && l.conn.OutboundBuffered() == 0 && l.s.mayServe(l.host) {
-		l.rest()
+		from := l.s.now()
+		if e.exchange.Silent() {
+			from = e.until // Danger: the server has only just got the request; a call behind it waits, and its server seems slow
+		}
+		l.restFrom(from)
 	} else {
 		l.execution = nil
 		l.close()
