--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -21,6 +21,7 @@
 	"hazelwheel/internal/drill"
 	"hazelwheel/internal/health"
 	"hazelwheel/internal/http1"
+	"hazelwheel/internal/quotas"
 	"hazelwheel/internal/rewrite"
 )
 
@@ -33,6 +34,7 @@
 
 	Admission Admission
 	Thrift    Thrift
+	Quotas    quotas.Settings
 }
 
 // Admission bounds what clients may hold. Its zero value has no caps and no reserve.
@@ -68,6 +70,9 @@
 		}
 		on = append(on, fmt.Sprintf("thrift (%s, %d methods)", f.Thrift.Listen, methods))
 	}
+	if f.Quotas.On() {
+		on = append(on, fmt.Sprintf("quotas (%d groups, %d limits)", f.Quotas.Tree.Len()-1, len(f.Quotas.Tree.Limits)))
+	}
 	if len(on) == 0 {
 		return "none"
 	}
@@ -99,6 +104,7 @@
 	f.readCapture(o, c)
 	f.readAdmission(o, c)
 	f.readThrift(o, c)
+	f.readQuotas(o, c)
 	return f, o.rest()
 }
 
--- a/internal/front/thrift/call.go
+++ b/internal/front/thrift/call.go
@@ -24,6 +24,8 @@
 	return c
 }
 
+var _ sidecar.Told = (*exchange)(nil)
+
 func (c *call) Exchange() sidecar.Exchange { return &exchange{call: c} }
 
 // exchange is one execution of a call.
@@ -109,6 +111,12 @@
 func (x *exchange) End() bool    { return false }
 func (x *exchange) Silent() bool { return x.call.m.Kind == thrift.Oneway }
 
+// Bytes counts the reply, as quotas do.
+func (x *exchange) Bytes() int { return len(x.reply.Raw) }
+
+// Worked knows nothing: a reply has no place for it.
+func (x *exchange) Worked() (seconds float64, ok bool) { return 0, false }
+
 // Verdict says that a reply is the method's own answer, a declared exception as well.
 func (x *exchange) Verdict() (policy.Outcome, policy.Report, bool) {
 	return x.ended, policy.Report{}, true
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -136,6 +136,7 @@
 	result.ID = r.id
 	if served && !r.answered {
 		s.counters.Served++
+		s.chargeAnswer(e)
 		s.answer(r, func() { r.origin.Serve(e.exchange) })
 	}
 	if r.once && !r.answered && !result.Outcome.NeverRan() {
--- a/internal/sidecar/report.go
+++ b/internal/sidecar/report.go
@@ -26,7 +26,7 @@
 			continue
 		}
 		for i := range r.N {
-			if names[i] == name || reportAlias[names[i]] == name {
+			if names[i] == name || ReportAlias[names[i]] == name {
 				r.Values[i] = float32(v)
 			}
 		}
@@ -34,6 +34,6 @@
 	return r
 }
 
-// reportAlias are the names on the sockets of the values that the settings name.
-var reportAlias = map[string]string{"busy_reqs": "inflight", "pending": "queue", "cpu_share": "util",
+// ReportAlias are the names on the sockets of the values that the settings name.
+var ReportAlias = map[string]string{"busy_reqs": "inflight", "pending": "queue", "cpu_share": "util",
 	"svc_ms": "latency_ms", "served_ps": "qps", "failed_ps": "eps"}
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -47,9 +47,16 @@
 	// Speech is what applications and boxes speak; empty: HTTP. It changes nothing else of a day, but that answers over Thrift
 	// hold no load reports: those come with probes.
 	Speech world.Speech
+	// Batch is at how many times its share a batch of reads comes beside the applications' requests; 0: there is none. With
+	// Quotas the sidecars hold groups to their shares.
+	Batch  float64
+	Quotas bool
 	Boxes  int // at the start of the day, with as much traffic; 0: as usual
 }
 
+// usualBoxes is how many boxes a day has that is not drawn with more.
+const usualBoxes = 15
+
 // Ranges returns what days are drawn from.
 func (o Options) Ranges() world.Ranges {
 	if o.Boxes > 0 {
@@ -135,13 +142,25 @@
 	if d.spec.Speech = o.Speech; o.Speech.Thrift() {
 		d.spec.Inline = false
 	}
+	if o.Batch > 0 {
+		d.spec.Batch = batch(&d.spec, o.Batch)
+	}
 	if d.core == nil {
 		d.core = Sidecar
 		if o.Speech.Thrift() {
 			d.core = OverThrift
 		}
 	}
+	if o.Quotas {
+		var err error
+		if d.core, err = withQuotas(&d.spec); err != nil {
+			return nil, err
+		}
+	}
 	d.weather = drawWeather(s.Seed)
+	if o.Boxes > 0 { // Danger: with as much more to do, loops whose calls take as long as ever never catch up
+		d.weather.callS *= usualBoxes / float64(o.Boxes)
+	}
 	d.net = virtual.New(s.Seed^s.Luck*0x9e3779b97f4a7c15, d.spec.Start)
 	d.net.CutShare = d.weather.cutShare
 	rules := d.spec.Rules()
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -29,6 +29,7 @@
 	Classes  []ClassSpec
 	Kinds    []string
 	Clients  ClientSpec
+	Batch    *BatchSpec // nil: there is none
 
 	WorkS    float64     // mean work of a request, in seconds of a standard core
 	PathS    [][]float64 // one way between two sites
@@ -75,6 +76,13 @@
 	MaxRetryAfterS         float64
 }
 
+// BatchSpec is a batch that comes beside the applications' requests.
+type BatchSpec struct {
+	RatePS       float64 // of all sidecars together, shared out among them as the applications' requests are
+	Class        int     // of all its requests
+	Organisation string  // in whose name they come
+}
+
 // BoxSpec is a box as drawn.
 type BoxSpec struct {
 	Number   int
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -14,6 +14,7 @@
 	Boxes    []*Box         // by number
 	Registry *Registry      // discovery
 	Apps     []*Application // by sidecar
+	Batches  []*Application // likewise; none where the day has no batch
 	Mischief []*Mischief    // likewise: the clients that may not be served
 
 	witness judge.Witness
@@ -34,6 +35,9 @@
 	for i := range d.Sidecars {
 		a := NewApplication(d, i, witness)
 		w.Apps = append(w.Apps, a)
+		if d.Batch != nil {
+			w.Batches = append(w.Batches, NewBatch(d, i, witness))
+		}
 		w.Mischief = append(w.Mischief, NewMischief(d, i, a, witness))
 	}
 	return w
@@ -68,9 +72,29 @@
 			Machine{Name: "app-" + s.Name, IP: s.IP, Site: s.Site, Boot: w.Apps[i].Boot},
 			Machine{Name: "hostile-" + s.Name, IP: s.IP, Site: s.Site, Boot: w.Mischief[i].Boot})
 	}
+	for i, b := range w.Batches {
+		s := &w.Day.Sidecars[i]
+		all = append(all, Machine{Name: "batch-" + s.Name, IP: s.IP, Site: s.Site, Boot: b.Boot})
+	}
 	return all
 }
 
+// leave tells a sidecar's clients that it has been told to end.
+func (w *World) leave(sidecar int, now float64) {
+	w.Apps[sidecar].Leave(now)
+	if w.Batches != nil {
+		w.Batches[sidecar].Leave(now)
+	}
+}
+
+// stay tells them that there is another.
+func (w *World) stay(sidecar int) {
+	w.Apps[sidecar].Stay()
+	if w.Batches != nil {
+		w.Batches[sidecar].Stay()
+	}
+}
+
 // machine returns the IP of the machine that a box's present life is on, or its last one was.
 func (b *Box) machine() string {
 	ip, _, _ := strings.Cut(b.Address, ":")
