Have clients that may not be served come to the Thrift port, too

Every second of those that may never be served now brings bad Thrift: negative and huge lengths, frames that go on for ever, half calls, calls hidden in the frame of another, unknown methods, odd deadlines.

--- a/internal/world/mischief.go
+++ b/internal/world/mischief.go
@@ -196,6 +196,9 @@
 	id := func() {
 		out = append(appendID(append(out, fieldID+": "...), m.rng.Uint64()|1), "\r\n"...)
 	}
+	if m.address(v) != m.day.Sidecars[m.number].Address && m.bad(v, now, unsafe) {
+		return
+	}
 	switch v.kind {
 	case sendsNoise:
 		for range 20 + m.rng.IntN(300) {
--- a/internal/world/speech.go
+++ b/internal/world/speech.go
@@ -248,3 +248,46 @@
 		return append(out, sound[:l.rng.IntN(len(sound))]...), true
 	}
 }
+
+// bad sends what no Thrift port may take for a call, and tells whether a client of this kind has such a thing; others send it
+// what belongs to HTTP. What is hidden or half must never run: it has ids that nobody has asked with.
+func (m *Mischief) bad(v *visit, now float64, class string) bool {
+	call := func(dst []byte, name string, patience int64) []byte {
+		var w thrift.Writer
+		w.Begin(dst, m.day.Speech.encoding(), thrift.Call, name, 1)
+		w.Field(thrift.String, argID)
+		w.String(string(appendID(nil, m.rng.Uint64()|1)))
+		w.Field(thrift.I64, argPatience)
+		w.I64(patience)
+		return w.End()
+	}
+	out := m.out[:0]
+	switch v.kind {
+	case sendsNegativeLength:
+		out = append(call(out, class, 1e6), 0xff, 0xff, 0xff, 0xff)
+		copy(out, out[len(out)-4:])
+	case sendsHugeBody:
+		out = append(out, hugeBody>>24, hugeBody>>16&0xff, hugeBody>>8&0xff, hugeBody&0xff, 0x82)
+		m.due.put(now, mischiefTask{visit: v})
+	case sendsEndlessHead: // a frame that goes on for as long as it may
+		out = append(out, 0, 0, 0xff, 0xff, 0x82, 0x21)
+		m.due.put(now, mischiefTask{visit: v})
+	case asksNoClass:
+		out = call(out, "no-such-method", 1e6)
+	case asksOddDeadline:
+		out = call(out, class, -1)
+	case asksHalf:
+		out = call(out, class, 1e6)
+		out = out[:len(out)/2]
+		m.due.put(now+m.rng.Float64(), mischiefTask{visit: v, leave: true})
+	case hidesAnother: // in the same frame
+		out = call(out, class, 1e6)
+		out = call(out, class, 1e6)
+		out[2], out[3] = byte((len(out)-4)>>8), byte(len(out)-4)
+	default:
+		return false
+	}
+	m.out = out
+	v.conn.Write(out) // a connection that breaks here is closed by the network
+	return true
+}
