Close no Thrift link behind its answer for want of room

Links whose protocol can't say that they end now end by their rest alone; in a drain they end as before.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -39,7 +39,7 @@
 func (n *loop) Alarm(at float64)             { n.alarm = at }
 func (n *loop) Post(f func())                { n.todo = append(n.todo, f) }
 func (n *loop) Yield(f func())               { n.todo = append(n.todo, f) }
-func (n *loop) CloseWrite(netio.Conn)        {}
+func (n *loop) CloseWrite(c netio.Conn)      { c.(*conn).ended = true }
 func (n *loop) Quiet(netio.Conn) bool        { return true }
 func (n *loop) Waited(netio.Conn) float64    { return 0 }
 func (n *loop) PauseReading(netio.Conn) bool { return false }
@@ -95,6 +95,7 @@
 	said    []byte // to the client
 	reply   []byte
 	gone    bool
+	ended   bool // nothing more will be said
 }
 
 func (c *conn) Write(p []byte) (int, error) {
@@ -350,6 +351,22 @@
 	}
 }
 
+// Where there are too many links an answer is the last on its own only if it can say so. A client that does not know may be
+// sending its next request, and finds no other link.
+func TestCrowdedLinks(t *testing.T) {
+	for name, w := range ways() {
+		n, c := begin(t, w.port, w.answer(""))
+		for range 300 {
+			n.host.Open(&conn{n: n, remote: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 8}, local: c.local})
+		}
+		n.host.Traffic(c, w.ask("read", 1))
+		n.run(c)
+		assert.Equal(t, 200, w.status(c.said), name)
+		assert.Equal(t, name == "http", c.ended, name)
+		assert.Equal(t, name == "http", bytes.Contains(c.said, []byte("Connection: close")), name)
+	}
+}
+
 // BenchmarkFronts is what a call costs without its system calls, the client's and the box's writing aside.
 func BenchmarkFronts(b *testing.B) {
 	for _, name := range []string{"http", "binary", "compact"} {
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -234,11 +234,14 @@
 	if l.request = nil; l.conn == nil {
 		return nil, false, false
 	}
-	// Danger: what has come behind the request is taken, and is owed its answer here. A client that is told so sends it
-	// again; to others each call that it has sent ahead is out.
-	ahead := l.buf.Len() > 0 || !says && !l.s.net.Quiet(l.conn)
-	if !l.keep || l.s.draining && (says || !ahead) || l.s.crowded() && !ahead {
-		l.last = true
+	// Danger: what has come behind the request is taken, and is owed its answer here. A client that is told of the end sends
+	// it again. One that is not may be sending its next request by now; where there are too many links it would find no
+	// other, so its own ends by its rest alone.
+	ahead := l.buf.Len() > 0
+	if says {
+		l.last = !l.keep || l.s.draining || l.s.crowded() && !ahead
+	} else {
+		l.last = !l.keep || l.s.draining && !ahead && l.s.net.Quiet(l.conn)
 	}
 	return l.s.scratch[:0], l.last, true
 }
