--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -14,10 +14,13 @@
 	deadline float64
 	call     Call
 	origin   Origin
+	front    Front
 	s        *Sidecar
 	sent     int // executions begun
 	out      []*execution
 	room     [1]*execution // for out: more than one at a time is rare
+	once     bool          // it is not sent again once it may have run
+	detached bool          // its client waits for no answer and may go
 	answered bool          // it has its final answer, or nobody waits for one
 	safety   timer
 	delay    *timer // of the drill that holds it back
--- a/internal/sim/quotas.go
+++ b/internal/sim/quotas.go
@@ -48,7 +48,7 @@
 	s.File, s.Tree, s.Default = "of the day", tree, "cities"
 	s.Identify = []quotas.Rule{{Header: "Organisation"}}
 	return func(cfg config.Config, net netio.Net, log *slog.Logger) (Program, error) {
-		p, err := sidecar.New(cfg, features.Features{Quotas: s}, http1.New(cfg, rewrite.Settings{}), net, log)
+		p, err := sidecar.New(cfg, features.Features{Quotas: s}, []sidecar.Front{http1.New(cfg, rewrite.Settings{})}, net, log)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/sim/speech_test.go
@@ -0,0 +1,36 @@
+package sim
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/world"
+)
+
+// Days with their troubles keep the rules over Thrift, and one seed is one history.
+func TestDaysOverThrift(t *testing.T) {
+	t.Parallel()
+	play := func(seed uint64, speech world.Speech) *Result {
+		s := DrawScript(seed)
+		require.NotEmpty(t, s.Troubles)
+		s.LengthS = 20
+		r, err := Play(s, Options{Speech: speech})
+		require.NoError(t, err)
+		for _, f := range r.Findings {
+			t.Errorf("%s, seed %d: %s at %.6f: %s; replay with: hazellab sim --seed %d --speech %s --trace", speech, seed, f.Rule,
+				r.Since(f.At), f.Why, seed, speech)
+		}
+		assert.Positive(t, r.Report.Service)
+		return r
+	}
+	seen := map[uint64]bool{}
+	for _, seed := range []uint64{1, 14, 21} {
+		for _, speech := range world.Speeches {
+			seen[play(seed, speech).Hash] = true
+		}
+	}
+	assert.Len(t, seen, 9, "no two days are one")
+	assert.Equal(t, play(14, world.ThriftCompact).Hash, play(14, world.ThriftCompact).Hash)
+}
--- /dev/null
+++ b/internal/thrift/apache_test.go
@@ -0,0 +1,260 @@
+package thrift
+
+import (
+	"context"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	apache "github.com/apache/thrift/lib/go/thrift"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var mutations = flag.Int("mutations", 40_000, "how many mutated messages both readers are given")
+
+// passOn reads a value and writes it again.
+func passOn(r *Reader, w *Writer, t Type, depth int) error {
+	if depth <= 0 {
+		return ErrDepth
+	}
+	n := 0
+	elements := func(t ...Type) (err error) {
+		for i := 0; err == nil && i < n*len(t); i++ {
+			err = passOn(r, w, t[i%len(t)], depth-1)
+		}
+		return err
+	}
+	switch t {
+	case Bool:
+		v, err := r.Bool()
+		w.Bool(v)
+		return err
+	case Byte:
+		v, err := r.Byte()
+		w.Byte(v)
+		return err
+	case I16:
+		v, err := r.I16()
+		w.I16(v)
+		return err
+	case I32:
+		v, err := r.I32()
+		w.I32(v)
+		return err
+	case I64:
+		v, err := r.I64()
+		w.I64(v)
+		return err
+	case Double:
+		v, err := r.Double()
+		w.Double(v)
+		return err
+	case String:
+		v, err := r.Bytes()
+		w.Bytes(v)
+		return err
+	case UUID:
+		v, err := r.UUID()
+		if err == nil {
+			w.UUID([16]byte(v))
+		}
+		return err
+	case Struct:
+		w.Open()
+		for id := int16(0); ; {
+			t, err := r.Field(&id)
+			if err != nil || t == Stop {
+				w.Close()
+				return err
+			}
+			w.Field(t, id)
+			if err := passOn(r, w, t, depth-1); err != nil {
+				return err
+			}
+		}
+	case Map:
+		k, v, size, err := r.MapHead()
+		if n = size; err != nil {
+			return err
+		}
+		w.MapHead(k, v, n)
+		return elements(k, v)
+	case List, Set:
+		e, size, err := r.ListHead()
+		if n = size; err != nil {
+			return err
+		}
+		w.ListHead(e, n)
+		return elements(e)
+	}
+	return ErrType
+}
+
+// both reads a payload with this package and with the Apache library, and returns what each makes of it, written again by
+// itself: "" where it does not take it for a message.
+func both(payload []byte, to Encoding) (own, other string) {
+	if m, err := Read(payload); err == nil {
+		r, w := m.Body(), Writer{enc: to}
+		if err := passOn(&r, &w, Struct, MostDepth); err == nil && r.Left() == 0 {
+			own = fmt.Sprintf("%s %d %d %x", m.Name, m.Kind, m.Seq, w.b)
+		}
+	}
+	ctx := context.Background()
+	protocol := func(mem *apache.TMemoryBuffer, compact bool) apache.TProtocol {
+		if compact {
+			return apache.NewTCompactProtocolConf(mem, nil)
+		}
+		return apache.NewTBinaryProtocolConf(mem, nil)
+	}
+	in, out := apache.NewTMemoryBuffer(), apache.NewTMemoryBuffer()
+	in.Write(payload)
+	p := protocol(in, len(payload) > 0 && payload[0] == compactID)
+	name, kind, seq, err := p.ReadMessageBegin(ctx)
+	if err != nil || kind < 1 || kind > 4 { // the library leaves the kind to whoever asked
+		return own, other
+	}
+	copied := &apache.TDuplicateToProtocol{Delegate: p, DuplicateTo: protocol(out, to == Compact)}
+	if apache.Skip(ctx, copied, apache.STRUCT, apache.DEFAULT_RECURSION_DEPTH) == nil && in.Len() == 0 {
+		other = fmt.Sprintf("%s %d %d %x", name, kind, seq, out.Bytes())
+	}
+	return own, other
+}
+
+// corpus returns the kept messages. A line has a name, the Apache library's verdict, and the payload.
+func corpus(t testing.TB) (names []string, sound []bool, payloads [][]byte) {
+	raw, err := os.ReadFile("testdata/messages.txt")
+	require.NoError(t, err)
+	for line := range strings.Lines(string(raw)) {
+		f := strings.Fields(line)
+		require.Len(t, f, 3)
+		b, err := hex.DecodeString(f[2])
+		require.NoError(t, err, f[0])
+		names, sound, payloads = append(names, f[0]), append(sound, f[1] == "sound"), append(payloads, b)
+	}
+	return names, sound, payloads
+}
+
+// The kept messages are read and written as the Apache library does; the sound ones pass unchanged but for the sequence
+// number, and are read from a frame that comes byte by byte.
+func TestCorpus(t *testing.T) {
+	names, sound, payloads := corpus(t)
+	assert.GreaterOrEqual(t, len(names), 50)
+	for i, p := range payloads {
+		for _, to := range []Encoding{Binary, Compact} {
+			own, other := both(p, to)
+			assert.Equal(t, other, own, names[i])
+			assert.Equal(t, sound[i], own != "", names[i])
+		}
+		m, err := Read(p)
+		assert.Equal(t, sound[i], err == nil && m.Check() == nil, "%s: %v", names[i], err)
+		if !sound[i] {
+			continue
+		}
+		for _, seq := range []int32{0, 1, 300, -1, 1<<31 - 1} {
+			framed := m.AppendAs([]byte("x"), seq)[1:]
+			for cut := range len(framed) {
+				_, size, err := Frame(framed[:cut], 1<<16)
+				assert.True(t, size == 0 && err == nil, "%s cut at %d", names[i], cut)
+			}
+			payload, size, err := Frame(append(framed, framed...), 1<<16)
+			require.NoError(t, err)
+			assert.Equal(t, len(framed), size)
+			again, err := Read(payload)
+			require.NoError(t, err)
+			assert.Equal(t, []any{seq, m.Name, m.Raw[m.body:]}, []any{again.Seq, again.Name, again.Raw[again.body:]})
+		}
+	}
+}
+
+// What one of the two readers takes for a message the other does, with the same values, over messages that are cut, spoilt,
+// spliced and grown.
+func TestReadsWhatApacheReads(t *testing.T) {
+	_, _, payloads := corpus(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	taken := 0
+	for n := range *mutations {
+		b := slices.Clone(payloads[rng.IntN(len(payloads))])
+		for range 1 + rng.IntN(3) {
+			b = mutate(rng, b, payloads)
+		}
+		own, other := both(b, []Encoding{Binary, Compact}[n%2])
+		if own != other {
+			t.Fatalf("mutation %d: %x\nours:   %q\napache: %q", n, b, own, other)
+		}
+		if own != "" {
+			taken++
+		}
+	}
+	assert.Greater(t, taken, *mutations/50, "mutations that both take for messages")
+	t.Logf("%d mutated messages, %d taken by both", *mutations, taken)
+}
+
+func mutate(rng *rand.Rand, b []byte, others [][]byte) []byte {
+	if len(b) == 0 {
+		return []byte{byte(rng.Uint32())}
+	}
+	switch at := rng.IntN(len(b)); rng.IntN(8) {
+	case 0:
+		b[at] ^= 1 << rng.IntN(8)
+	case 1:
+		b[at] = byte(rng.Uint32())
+	case 2:
+		b = slices.Delete(b, at, at+1)
+	case 3:
+		b = slices.Insert(b, at, byte(rng.Uint32()))
+	case 4:
+		b = b[:at]
+	case 5:
+		other := others[rng.IntN(len(others))]
+		b = append(b[:at], other[rng.IntN(len(other)+1):]...)
+	case 6:
+		b[at] = []byte{0, 1, 0x7f, 0x80, 0xff, 15, 0x1b, 0xf8}[rng.IntN(8)]
+	default:
+		b = slices.Insert(b, at, b[at:at+rng.IntN(len(b)-at+1)]...)
+	}
+	return b
+}
+
+// FuzzReader: whatever comes, both readers agree.
+func FuzzReader(f *testing.F) {
+	_, _, payloads := corpus(f)
+	for _, p := range payloads {
+		f.Add(p)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if own, other := both(b, Compact); own != other {
+			t.Fatalf("ours: %q\napache: %q", own, other)
+		}
+	})
+}
+
+// FuzzSkipper: Find passes over what Check does, and what is passed on is as sound.
+func FuzzSkipper(f *testing.F) {
+	_, _, payloads := corpus(f)
+	for _, p := range payloads {
+		f.Add(p, int16(1), int16(2))
+	}
+	f.Fuzz(func(t *testing.T, b []byte, one, two int16) {
+		m, err := Read(b)
+		if err != nil {
+			return
+		}
+		var found [MostPaths]Value
+		err = m.Find([]Path{{one}, {one, two}, {two}, {two, one, one}}, &found)
+		if checked := m.Check(); err == nil && checked != nil || err != nil && err != ErrTwice && checked == nil {
+			t.Fatalf("found %v, checked %v", err, checked)
+		} else if checked != nil {
+			return
+		}
+		again, err := Read(m.AppendAs(nil, m.Seq^0x55)[4:])
+		if err != nil || again.Check() != nil || string(again.Name) != string(m.Name) || again.Seq != m.Seq^0x55 {
+			t.Fatalf("passed on as %x: %v", again.Raw, err)
+		}
+	})
+}
