--- a/cmd/hazelwheel/quota_test.go
+++ b/cmd/hazelwheel/quota_test.go
@@ -202,11 +202,12 @@
 	for text, want := range faults {
 		n++
 		cmd := program("check", "--config", config, "--features", file("features"+strconv.Itoa(n)+".json", text))
-		out, err := cmd.CombinedOutput()
-		assert.Error(t, err, text)
+		var line strings.Builder // what the checks find besides is on standard output
+		cmd.Stderr = &line
+		assert.Error(t, cmd.Run(), text)
 		assert.Equal(t, 2, cmd.ProcessState.ExitCode(), text)
-		assert.Contains(t, string(out), want)
-		assert.Equal(t, 1, strings.Count(string(out), "\n"), string(out))
+		assert.Contains(t, line.String(), want)
+		assert.Equal(t, 1, strings.Count(line.String(), "\n"), line.String())
 	}
 	for text, want := range map[string]string{"at_s,group\n": "line 1: want the names", "at_s,group,rate_ps\n0,nobody,1\n": `line 2: group: "nobody"`,
 		"at_s,group,rate_ps\n5,city,1\n4,city,1\n": "line 3: at_s: 4 comes after 5", "at_s,group,rate_ps\n5,city,x\n": `line 2: rate_ps: "x"`,
--- a/cmd/hazelwheel/world_test.go
+++ b/cmd/hazelwheel/world_test.go
@@ -20,6 +20,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/lab/process"
 )
 
 // The tests start this test binary again as the program, and act as its client, servers and discovery.
@@ -40,6 +42,7 @@
 type world struct {
 	*testing.T
 	listen    string
+	thrift    string // the address of its Thrift port; empty: it has none
 	discovery *discovery
 	settings  map[string]any
 	limits    map[string]any
@@ -82,6 +85,11 @@
 	}
 	w.client.Timeout = patience
 	w.client.Transport = &http.Transport{}
+	if way := way(t); way != "http" {
+		w.thrift = freeAddress(t)
+		w.client.Transport = &tripper{way: way, address: w.thrift, idle: make(chan net.Conn, 100)}
+		w.features = "{" + thriftFeatures(w.thrift) + "}"
+	}
 	t.Cleanup(w.client.CloseIdleConnections)
 	return w
 }
@@ -105,11 +113,11 @@
 	return string(b.text)
 }
 
+// freeAddress returns one whose port no outgoing connection takes meanwhile.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := process.FreePort("127.0.0.1")
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", port)
 }
 
 func (w *world) limit(name string, v any) { w.settings["limits"].(map[string]any)[name] = v }
@@ -138,6 +146,11 @@
 	if w.features != "" {
 		args = append(args, "--features", w.file("features.json", w.features))
 	}
+	return w.launch(args...)
+}
+
+// launch does so by a command line of the caller's.
+func (w *world) launch(args ...string) *world {
 	w.cmd = program(args...)
 	w.cmd.Stderr, w.cmd.Stdout = &w.log, &w.out
 	w.cmd.Env = append(w.cmd.Env, w.env...)
@@ -282,6 +295,7 @@
 			s.closed++
 		}
 	}
+	s.Listener = sniff(s)
 	s.Start()
 	t.Cleanup(s.CloseClientConnections)
 	return s
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -33,6 +33,7 @@
 	Capture  capture.Settings
 
 	Admission Admission
+	Thrift    Thrift
 	Quotas    quotas.Settings
 }
 
@@ -62,6 +63,13 @@
 	if f.Admission.On() {
 		on = append(on, fmt.Sprintf("admission (reserve %d, %d caps, %d known)", f.Admission.Reserve, len(f.Admission.Caps), len(f.Admission.Known)))
 	}
+	if f.Thrift.On() {
+		methods := 0
+		for _, c := range f.Thrift.Classes {
+			methods += len(c.Methods)
+		}
+		on = append(on, fmt.Sprintf("thrift (%s, %d methods)", f.Thrift.Listen, methods))
+	}
 	if f.Quotas.On() {
 		on = append(on, fmt.Sprintf("quotas (%d groups, %d limits)", f.Quotas.Tree.Len()-1, len(f.Quotas.Tree.Limits)))
 	}
@@ -77,14 +85,15 @@
 	if err != nil {
 		return Features{}, fmt.Errorf("features: %w", err)
 	}
-	f, err := parse(raw, c)
+	f, err := Parse(raw, c)
 	if err != nil {
 		return Features{}, fmt.Errorf("features: %w", err)
 	}
 	return f, nil
 }
 
-func parse(raw []byte, c *config.Config) (f Features, err error) {
+// Parse reads the file's text.
+func Parse(raw []byte, c *config.Config) (f Features, err error) {
 	o, err := readObject("", raw)
 	if err != nil {
 		return f, err
@@ -94,6 +103,7 @@
 	f.readHealth(o, c)
 	f.readCapture(o, c)
 	f.readAdmission(o, c)
+	f.readThrift(o, c)
 	f.readQuotas(o, c)
 	return f, o.rest()
 }
--- a/internal/front/http1/quotas.go
+++ b/internal/front/http1/quotas.go
@@ -51,7 +51,7 @@
 func (x *exchange) Worked() (seconds float64, ok bool) {
 	for pair := range strings.SplitSeq(x.parser.Header.Get(fieldLoad), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		if ms, err := strconv.ParseFloat(value, 64); name == reportAlias["svc_ms"] && err == nil && ms >= 0 && ms < 3.6e6 {
+		if ms, err := strconv.ParseFloat(value, 64); name == sidecar.ReportAlias["svc_ms"] && err == nil && ms >= 0 && ms < 3.6e6 {
 			return ms / 1000, true
 		}
 	}
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -18,8 +18,9 @@
 // serverLink is a connection to a server. It carries one execution at a time.
 type serverLink struct {
 	s         *Sidecar
+	front     Front
 	host      uint32
-	address   string
+	address   string     // as it was listed
 	conn      netio.Conn // nil until it is up
 	stopDial  func()
 	buf       buffer.Buffer
@@ -37,15 +38,17 @@
 // likely to have been closed by the other side for its rest, and the others can grow old and be retired. Danger: what
 // a server sends behind its answer a moment later would answer the next request; one whose last answer has only just
 // come is taken only where no new link can be had.
-func (s *Sidecar) idleLink(h *hostgroup.Host) *serverLink {
+func (s *Sidecar) idleLink(h *hostgroup.Host, front Front) *serverLink {
 	for {
 		links := s.idle[h.ID]
-		if len(links) == 0 {
-			return nil
+		var l *serverLink
+		for i := len(links) - 1; i >= 0 && (l == nil || l.restedAt > s.now()-settleS); i-- {
+			if links[i].front == front {
+				l = links[i]
+			}
 		}
-		l := links[len(links)-1]
-		for i := len(links) - 2; i >= 0 && l.restedAt > s.now()-settleS; i-- {
-			l = links[i]
+		if l == nil {
+			return nil
 		}
 		if l.restedAt > s.now()-settleS && s.hasRoom(dialDescriptors+s.reserve()) {
 			return nil
@@ -71,15 +74,19 @@
 
 // rest puts a link among the idle ones. Danger: a request that is written to a link after the server's side
 // has closed it is lost, and one that must not run twice with it. Links are retired well before that.
-func (l *serverLink) rest() {
-	l.execution, l.restedAt = nil, l.s.now()
+func (l *serverLink) rest() { l.restFrom(l.s.now()) }
+
+// restFrom is rest for a link that its server may be at work on until a time: it is used before that only where no other can
+// be had.
+func (l *serverLink) restFrom(at float64) {
+	l.execution, l.restedAt = nil, at
 	l.buf.Rest()
 	if l.s.feed(l) {
 		return
 	}
 	l.s.idle[l.host] = append(l.s.idle[l.host], l)
 	if limit := l.s.cfg.Settings.Policy.ConnIdleS; limit > 0 {
-		l.retire = l.s.timers.at(l.restedAt+min(0.8*limit, max(limit-0.5, 0.5*limit)), l.close)
+		l.retire = l.s.timers.at(l.s.now()+min(0.8*limit, max(limit-0.5, 0.5*limit)), l.close)
 	}
 }
 
@@ -90,12 +97,12 @@
 		s.starve(e)
 		return
 	}
-	l := &serverLink{s: s, host: h.ID, address: h.Address, execution: e}
+	l := &serverLink{s: s, front: e.front, host: h.ID, address: h.Address, execution: e}
 	e.link = l
 	s.counters.Dials++
 	began := s.now()
 	until := min(e.until, began+s.cfg.Settings.ConnectTimeoutS)
-	l.stopDial = s.connect(h.Address, until, l, func(err error) {
+	l.stopDial = s.connect(e.front.Address(h.Address), until, l, func(err error) {
 		if e := l.execution; e != nil {
 			l.execution = nil
 			why := broke
@@ -180,6 +187,21 @@
 	l.writing = false
 	if err == nil && l.execution == e {
 		e.progress = l.progress(e)
+		l.silence(e)
+	}
+}
+
+// writtenEveryS is the time between two looks whether a request that has no answer is written whole: the loop does not tell.
+const writtenEveryS = 0.005
+
+// silence ends an execution that has no answer once its request is written whole.
+func (l *serverLink) silence(e *execution) {
+	switch {
+	case l.execution != e || !e.exchange.Silent():
+	case l.progress(e) == writtenWhole:
+		l.complete(e)
+	default:
+		l.s.timers.at(l.s.now()+writtenEveryS, func() { l.silence(e) })
 	}
 }
 
@@ -222,7 +244,11 @@
 func (l *serverLink) complete(e *execution) {
 	_, _, keep := e.exchange.Verdict()
 	if keep && l.buf.Len() == 0 && l.conn.OutboundBuffered() == 0 && l.s.mayServe(l.host) {
-		l.rest()
+		from := l.s.now()
+		if e.exchange.Silent() {
+			from = e.until // Danger: the server has only just got the request; a call behind it waits, and its server seems slow
+		}
+		l.restFrom(from)
 	} else {
 		l.execution = nil
 		l.close()
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -44,6 +44,9 @@
 	// at its end is then not looked at.
 	Until judge.Rule
 	Quiet bool // leave the troubles of the script out
+	// Speech is what applications and boxes speak; empty: HTTP. It changes nothing else of a day, but that answers over Thrift
+	// hold no load reports: those come with probes.
+	Speech world.Speech
 	// Batch is at how many times its share a batch of reads comes beside the applications' requests; 0: there is none. With
 	// Quotas the sidecars hold groups to their shares.
 	Batch  float64
@@ -136,11 +139,17 @@
 
 func newDay(s world.Script, o Options) (*day, error) {
 	d := &day{script: s, spec: s.Day(o.Ranges()), core: o.Core, trace: o.Trace, cuts: map[[2]string]int{}}
+	if d.spec.Speech = o.Speech; o.Speech.Thrift() {
+		d.spec.Inline = false
+	}
 	if o.Batch > 0 {
 		d.spec.Batch = batch(&d.spec, o.Batch)
 	}
 	if d.core == nil {
 		d.core = Sidecar
+		if o.Speech.Thrift() {
+			d.core = OverThrift
+		}
 	}
 	if o.Quotas {
 		var err error
