Test that a judge with clients alone holds no answer against a box that can't be asked

Need: the rule that the load's judgement rests on was tested through the load only. Change: a test of ClientsAlone beside that of Calm.

--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -284,3 +284,26 @@
 		assert.Equal(t, c.want, j.Broken())
 	}
 }
+
+// Where clients alone tell, an answer that no box is known to have made stands; a second one doesn't.
+func TestClientsAlone(t *testing.T) {
+	once := newTale().ask(1, 9, safe).answer(1.1, 9, 200)
+	twice := newTale().ask(1, 9, safe).answer(1.1, 9, 200).answer(1.2, 9, 200)
+	alone := rules()
+	alone.ClientsAlone = true
+	for _, c := range []struct {
+		tale  *tale
+		rules Rules
+		want  []Rule
+	}{{once, rules(), []Rule{NoInvention}}, {once, alone, nil}, {twice, alone, []Rule{OneAnswer}}} {
+		j := New(c.rules)
+		for _, e := range c.tale.events {
+			j.See(e)
+		}
+		var found []Rule
+		for _, f := range j.Findings() {
+			found = append(found, f.Rule)
+		}
+		assert.Equal(t, c.want, found)
+	}
+}
