--- a/cmd/hazelwheel/thrift_test.go
+++ b/cmd/hazelwheel/thrift_test.go
@@ -142,13 +142,17 @@
 		}
 		conn.Close()
 	}
-	c, err := net.Dial("tcp", w.listen) // the reverse
-	require.NoError(t, err)
-	defer c.Close()
-	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
-	_, _ = c.Write(whole)
-	_, err = c.Read(make([]byte, 1))
-	assert.False(t, err == nil || strings.Contains(err.Error(), "timeout"))
+	for _, enc := range encodings { // the reverse
+		c, err := net.Dial("tcp", w.listen)
+		require.NoError(t, err)
+		defer c.Close()
+		require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+		began := time.Now()
+		_, _ = c.Write(frame(enc, thrift.Call, "read", 3, "", "", "x"))
+		_, err = c.Read(make([]byte, 1))
+		assert.False(t, err == nil || strings.Contains(err.Error(), "timeout"))
+		assert.Less(t, time.Since(began), 2*time.Second, "before a request that does not arrive would be given up")
+	}
 	w.logs("connections at the HTTP port are closed that speak Thrift", 1)
 	w.eventually("the log", func() bool {
 		return strings.Contains(w.log.String(), "connections at the Thrift port are closed that speak no framed Thrift")
--- a/internal/front/http1/link.go
+++ b/internal/front/http1/link.go
@@ -50,7 +50,9 @@
 // looksLikeThrift tells whether bytes begin as Thrift's do, framed or not, and as no request of HTTP can.
 func looksLikeThrift(b []byte) bool {
 	if len(b) > 4 && b[0] == 0 {
-		b = b[4:]
+		if b = b[4:]; b[0] == 0 { // the old binary protocol
+			return true
+		}
 	}
 	return len(b) > 1 && (b[0] == 0x80 && b[1] == 1 || b[0] == 0x82 && b[1]&0x1f == 1)
 }
