--- a/cmd/hazellab/sim.go
+++ b/cmd/hazellab/sim.go
@@ -86,6 +86,14 @@
 	return o, nil
 }
 
+// spoken returns the flag of a day's speech, "" for HTTP's, which needs none.
+func spoken(o sim.Options) string {
+	if o.Speech.Thrift() {
+		return " --speech " + string(o.Speech)
+	}
+	return ""
+}
+
 // scriptOf returns the script of --script or --seed, and how to name it in a command.
 func scriptOf(c *cli.Command, o sim.Options) (world.Script, string, error) {
 	file := c.String("script")
@@ -93,7 +101,7 @@
 	case (file == "") == !c.IsSet("seed"):
 		return world.Script{}, "", fault(errors.New("give one of --seed and --script"))
 	case file == "":
-		return o.DrawScript(c.Uint64("seed")), "--seed " + strconv.FormatUint(c.Uint64("seed"), 10), nil
+		return o.DrawScript(c.Uint64("seed")), "--seed " + strconv.FormatUint(c.Uint64("seed"), 10) + spoken(o), nil
 	}
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -103,7 +111,7 @@
 	if err != nil {
 		return world.Script{}, "", fault(err)
 	}
-	return *s, "--script " + file, nil
+	return *s, "--script " + file + spoken(o), nil
 }
 
 func simulate(_ context.Context, c *cli.Command) error {
@@ -205,7 +213,7 @@
 		if len(d.Result.Findings) > 0 && !c.Bool("json") {
 			_ = bar.Clear()
 			f := d.Result.Findings[0]
-			fmt.Fprintf(out, "BROKEN %s: %s; replay with: hazellab sim --seed %d --trace\n", f.Rule, f.Why, d.Seed)
+			fmt.Fprintf(out, "BROKEN %s: %s; replay with: hazellab sim --seed %d%s --trace\n", f.Rule, f.Why, d.Seed, spoken(o))
 		}
 		return !c.Bool("first") || len(d.Result.Findings) == 0
 	})
@@ -314,7 +322,7 @@
 	if err := writeScript(out, &small); err != nil {
 		return err
 	}
-	fmt.Fprintf(os.Stderr, "breaks %s; replay with: hazellab sim --script %s --trace\n", rule, c.String("out"))
+	fmt.Fprintf(os.Stderr, "breaks %s; replay with: hazellab sim --script %s%s --trace\n", rule, c.String("out"), spoken(o))
 	return errBroken
 }
 
