--- a/policy/policy.go
+++ b/policy/policy.go
@@ -934,7 +934,7 @@
 		return true
 	}
 	warm := max(b.capacity, 0.6*float64(len(b.members)), 1)
-	room := 0.5 * b.s.ColdMultiple * strength * b.sets.part(h) * b.usualRate() * b.s.ColdWindowS / warm
+	room := 0.4 * b.s.ColdMultiple * strength * b.sets.part(h) * b.usualRate() * b.s.ColdWindowS / warm
 	return sent+h.winLuck < room
 }
 
