--- a/internal/lint/features.go
+++ b/internal/lint/features.go
@@ -19,7 +19,7 @@
 	keys    []string
 	of      func(*appconfig.App) map[string]any
 }{
-	{"thrift", []string{"class", "methods"}, func(a *appconfig.App) map[string]any { return a.Thrift }},
+	{"thrift", []string{"class"}, func(a *appconfig.App) map[string]any { return a.Thrift }},
 }
 
 // named calls f with each class that features name, and its place.
@@ -69,7 +69,7 @@
 }
 
 var featureChecks = []Check{
-	{Code: "HW130", Severity: Error, Title: "feature for a class that is not there", Looks: "classes in drills, rewrites, quotas, Thrift methods",
+	{Code: "HW130", Severity: Error, Title: "feature for a class that is not there", Looks: "classes in drills, rewrites, quotas, Thrift",
 		Says: "there is no class %[1]q",
 		Why:  "It would never apply, and the sidecar refuses to start",
 		Do:   "%[2]s",
