Have the test of a served world wait for the sidecar's configuration

Need: since the sidecar is built once for all tests, TestServe could begin it before the world had written its configuration: the control listens first. Once in three runs under load it waited 20 s for a sidecar that had ended. Change: the test waits until the configuration can be checked.

--- a/cmd/hazellab/demo_test.go
+++ b/cmd/hazellab/demo_test.go
@@ -75,6 +75,9 @@
 	require.NoError(t, os.WriteFile(file, []byte("seed = 3\nsidecars = 1\nboxes = 4\n"), 0o644))
 	world := start(t, "serve", "--config", config, "--listen", listen, "--control", control, file)
 	eventually(t, "the control", func() bool { c, err := net.Dial("tcp", control); return err == nil && c.Close() == nil })
+	eventually(t, "the configuration", func() bool { // Danger: it is written about when the control listens
+		return exec.Command(built(t), "check", "--config", config).Run() == nil
+	})
 	sidecar := exec.Command(built(t), "serve", "--config", config)
 	require.NoError(t, sidecar.Start())
 	t.Cleanup(func() { _ = sidecar.Process.Kill(); _ = sidecar.Wait() })
