Keep other tests' children from holding a test's script open for writing

On a clean clone TestDemoBrokenRule failed with 'text file busy': a test beside it started a process while the script was being written, and the child held it open. Scripts are now written under the lock that keeps processes from being started.

--- a/cmd/hazellab/demo_test.go
+++ b/cmd/hazellab/demo_test.go
@@ -54,7 +54,7 @@
 func TestDemoBrokenRule(t *testing.T) {
 	t.Parallel()
 	script := filepath.Join(t.TempDir(), "sidecar")
-	require.NoError(t, os.WriteFile(script, []byte("#!/bin/sh\nexec timeout -s KILL 3 "+built(t)+" \"$@\"\n"), 0o755))
+	writeProgram(t, script, "#!/bin/sh\nexec timeout -s KILL 3 "+built(t)+" \"$@\"\n")
 	code, out, log := ends(t, "demo", "--binary", script)
 	assert.Equal(t, 1, code)
 	assert.Contains(t, out, "no-crash")
--- a/cmd/hazellab/experiment_test.go
+++ b/cmd/hazellab/experiment_test.go
@@ -170,10 +170,10 @@
 	t.Parallel()
 	path, folder := experimentFile(t, strings.Replace(smallExperiment, "repeats = 2", "repeats = 1", 1))
 	script := filepath.Join(filepath.Dir(path), "lab")
-	require.NoError(t, os.WriteFile(script, []byte(`#!/bin/sh
+	writeProgram(t, script, `#!/bin/sh
 if [ "$1" = proxy ] && mkdir "`+script+`.tried" 2>/dev/null; then echo "bind: address already in use" >&2; exit 1; fi
 exec `+os.Args[0]+` "$@"
-`), 0o755))
+`)
 	spec, text, err := experiment.ReadFile(path)
 	require.NoError(t, err)
 	err = experiment.Do(t.Context(), &experiment.Settings{Spec: spec, Text: text, Folder: folder, Self: script})
--- a/cmd/hazellab/pressure_test.go
+++ b/cmd/hazellab/pressure_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -31,13 +32,21 @@
 	return binary
 }
 
+// writeProgram writes a program. Danger: a child that another test starts meanwhile would hold the file open for writing, and a
+// program that is being written can't be started.
+func writeProgram(t *testing.T, path, text string) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o755))
+}
+
 // One measurement end to end: two programs in turns, of which one does not last. That is told as what it is, and the other
 // is measured all the same. No process stays.
 func TestPressure(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
 	short := filepath.Join(dir, "short-lived")
-	require.NoError(t, os.WriteFile(short, []byte("#!/bin/sh\nexec timeout -s KILL 1 "+built(t)+" \"$@\"\n"), 0o755))
+	writeProgram(t, short, "#!/bin/sh\nexec timeout -s KILL 1 "+built(t)+" \"$@\"\n")
 	path := filepath.Join(dir, "rows.json")
 	p := start(t, "pressure", "--binary", built(t), "--vs", short, "--only", "flood: brief$", "--cores", "none", "--json", path)
 	var pids map[int]string
