Read scripts of troubles with the reader of the experiments' files

internal/world had a second error type, its own turning of TOML errors into one line, and a second walk over the text for where fields stand. The laboratory's reader, which does all of that, moves to internal/tomlfile below both.

--- a/internal/lab/experiment/spec.go
+++ b/internal/lab/experiment/spec.go
@@ -13,7 +13,7 @@
 	"hazelwheel/internal/lab/load"
 	"hazelwheel/internal/lab/proxy"
 	"hazelwheel/internal/lab/standin"
-	"hazelwheel/internal/lab/tomlfile"
+	"hazelwheel/internal/tomlfile"
 )
 
 // Duration is a time as the file has it.
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -17,6 +17,7 @@
 	"hazelwheel/internal/judge"
 	"hazelwheel/internal/lab/ground"
 	"hazelwheel/internal/lab/process"
+	"hazelwheel/internal/tomlfile"
 	"hazelwheel/internal/world"
 )
 
@@ -171,7 +172,7 @@
 		return err
 	}
 	if _, err := world.ReadScript("trouble", text, world.Usual()); err != nil {
-		var fault *world.ScriptError
+		var fault *tomlfile.Error
 		if errors.As(err, &fault) {
 			return fmt.Errorf("%s: %s", fault.Field, fault.Why)
 		}
--- a/internal/lab/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -79,6 +79,12 @@
 	return nil, e
 }
 
+// Has tells whether the file has a field, by its path.
+func (f *File) Has(path string) bool {
+	_, ok := f.places[path]
+	return ok
+}
+
 // Fault returns the error of a field, by its path. One that is not in the file has the line of the table it belongs to.
 func (f *File) Fault(path, why string) *Error {
 	e := &Error{File: f.name, Line: 1, Col: 1, Field: path, Why: why}
--- a/internal/world/script_test.go
+++ b/internal/world/script_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"hazelwheel/internal/tomlfile"
 )
 
 // What is drawn, printed and read back is the same, and is drawn alike a second time.
@@ -73,7 +75,7 @@
 	f.Fuzz(func(t *testing.T, text []byte) {
 		s, err := ReadScript("f.toml", text, Usual())
 		if err != nil {
-			var e *ScriptError
+			var e *tomlfile.Error
 			require.True(t, errors.As(err, &e))
 			require.Positive(t, e.Line)
 			require.NotContains(t, err.Error(), "\n")
--- a/internal/world/scriptfile.go
+++ b/internal/world/scriptfile.go
@@ -1,8 +1,6 @@
 package world
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
 	"math"
 	"reflect"
@@ -10,60 +8,41 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
+
+	"hazelwheel/internal/tomlfile"
 )
 
 // Format returns a script as TOML. ReadScript returns the same script for it.
 func (s *Script) Format() ([]byte, error) { return toml.Marshal(s) }
 
-// ScriptError is a script that can't be played: one line that names the file, the line and the field.
-type ScriptError struct {
-	File      string
-	Line, Col int
-	Field     string
-	Why       string
-}
-
-func (e *ScriptError) Error() string {
-	field := ""
-	if e.Field != "" {
-		field = e.Field + ": "
-	}
-	return fmt.Sprintf("%s:%d:%d: %s%s", e.File, e.Line, e.Col, field, e.Why)
-}
-
-// ReadScript reads a script's text; file is what errors call it. Every error is a *ScriptError. Whether a script's day
+// ReadScript reads a script's text; file is what errors call it. Every error is a *tomlfile.Error. Whether a script's day
 // has what it names is checked too.
 func ReadScript(file string, text []byte, r Ranges) (*Script, error) {
 	s := &Script{}
-	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := decoder.Decode(s); err != nil {
-		return nil, scriptError(file, err)
+	read, err := tomlfile.Read(file, text, s)
+	if err != nil {
+		return nil, err
 	}
 	s.tidy()
-	places := fieldPlaces(text)
-	fault := func(table int, field, why string) error {
-		at, ok := places[place{table, field}]
-		if !ok { // the field is missing: its table has a line
-			at = places[place{table, ""}]
-		}
-		return &ScriptError{file, max(at.Line, 1), max(at.Column, 1), field, why}
+	fault := func(table, field, why string) error {
+		e := read.Fault(table+field, why)
+		e.Field = field // its line tells the table
+		return e
 	}
 	for i := range s.Troubles {
 		if field, why := s.Troubles[i].misshapen(func(field string) bool {
-			_, ok := places[place{i, field}]
-			return ok
+			return read.Has(trouble(i) + field)
 		}); field != "" {
-			return nil, fault(i, field, why)
+			return nil, fault(trouble(i), field, why)
 		}
 	}
 	if field, why := s.misshapen(r); field != "" {
-		return nil, fault(-1, field, why)
+		return nil, fault("", field, why)
 	}
 	d := s.Day(r)
 	for i := range s.Troubles {
 		if field, why := s.Troubles[i].fault(&d); field != "" {
-			return nil, fault(i, field, why)
+			return nil, fault(trouble(i), field, why)
 		}
 	}
 	return s, nil
@@ -85,76 +64,8 @@
 	}
 }
 
-// scriptError puts an error of the TOML reader into one line.
-func scriptError(file string, err error) error {
-	e := &ScriptError{File: file, Line: 1, Col: 1}
-	var strict *toml.StrictMissingError
-	var decode *toml.DecodeError
-	switch {
-	case errors.As(err, &strict) && len(strict.Errors) > 0:
-		first := &strict.Errors[0]
-		e.Line, e.Col = first.Position()
-		e.Field, e.Why = strings.Join(first.Key(), "."), "no such field"
-	case errors.As(err, &decode):
-		e.Line, e.Col = decode.Position()
-		e.Field, e.Why = strings.Join(decode.Key(), "."), decode.Error()
-	default:
-		e.Why = err.Error()
-	}
-	e.Why = strings.Join(strings.Fields(strings.TrimPrefix(e.Why, "toml: ")), " ")
-	return e
-}
-
-// place is a field of a table: -1, the script itself; else the trouble of that number. An empty field is the table.
-type place struct {
-	table int
-	field string
-}
-
-// fieldPlaces returns where the fields of a script that has been read stand in its text.
-func fieldPlaces(text []byte) map[place]unstable.Position {
-	places := map[place]unstable.Position{}
-	table := -1
-	p := unstable.Parser{}
-	p.Reset(text)
-	for p.NextExpression() {
-		e := p.Expression()
-		keys := e.Key()
-		if !keys.Next() {
-			continue
-		}
-		node := keys.Node()
-		at := p.Shape(node.Raw).Start
-		switch e.Kind {
-		case unstable.ArrayTable:
-			table++
-			places[place{table, ""}] = at
-		case unstable.KeyValue:
-			places[place{table, string(node.Data)}] = at
-			if value := e.Value(); string(node.Data) == "trouble" && value.Kind == unstable.Array {
-				inlinePlaces(&p, value, at, places)
-			}
-		}
-	}
-	return places
-}
-
-// inlinePlaces does so for troubles that stand in an array of inline tables.
-func inlinePlaces(p *unstable.Parser, array *unstable.Node, at unstable.Position, places map[place]unstable.Position) {
-	table := 0
-	for tables := array.Children(); tables.Next(); {
-		if tables.Node().Kind != unstable.InlineTable {
-			continue
-		}
-		places[place{table, ""}] = at
-		for fields := tables.Node().Children(); fields.Next(); {
-			if keys := fields.Node().Key(); keys.Next() {
-				places[place{table, string(keys.Node().Data)}] = p.Shape(keys.Node().Raw).Start
-			}
-		}
-		table++
-	}
-}
+// trouble is how the paths of a trouble's fields begin.
+func trouble(i int) string { return fmt.Sprintf("trouble[%d].", i) }
 
 // misshapen returns the first field of a script that is out of range, with what is wrong.
 func (s *Script) misshapen(r Ranges) (field, why string) {
