Take out what nothing uses, and compare files of several instances in one place

Three checks of equal fields in several files share one function; percentiles of the demo's board are gonum's. All tests of the packages concerned pass; messages are the same.

--- a/cmd/hazelwheel/config_test.go
+++ b/cmd/hazelwheel/config_test.go
@@ -194,9 +194,7 @@
 		for _, m := range fence.FindAllStringSubmatch(string(raw), -1) {
 			texts = append(texts, m[2])
 		}
-		for _, m := range indented.FindAllString(string(raw), -1) {
-			texts = append(texts, m)
-		}
+		texts = append(texts, indented.FindAllString(string(raw), -1)...)
 		for i, text := range texts {
 			path := filepath.Join(t.TempDir(), fmt.Sprintf("%d", i))
 			require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
--- a/internal/appconfig/fields.go
+++ b/internal/appconfig/fields.go
@@ -220,17 +220,3 @@
 	setDefaults(reflect.ValueOf(s).Elem())
 	return s
 }
-
-// NewHealth returns the side port's defaults, without a port.
-func NewHealth() *Health {
-	h := &Health{}
-	setDefaults(reflect.ValueOf(h).Elem())
-	return h
-}
-
-// NewCapture returns the capture's defaults.
-func NewCapture() *Capture {
-	c := &Capture{}
-	setDefaults(reflect.ValueOf(c).Elem())
-	return c
-}
--- a/internal/appconfig/units.go
+++ b/internal/appconfig/units.go
@@ -75,8 +75,6 @@
 	huge        bool
 }
 
-func (e *unitError) Error() string { return fmt.Sprintf("unit %q", e.unit) }
-
 // parseDuration reads a time span. Danger: "480m" is milliseconds in a request's header and minutes elsewhere, so m and u
 // are units here no more than no unit at all is.
 func parseDuration(s string) (Duration, *unitError) {
--- a/internal/decide/quota/helpers_test.go
+++ b/internal/decide/quota/helpers_test.go
@@ -24,9 +24,8 @@
 // shop is a machine that is used, with a look at its books at the end.
 type shop struct {
 	*Machine
-	t     testing.TB
-	at    float64
-	names map[string]int32
+	t  testing.TB
+	at float64
 }
 
 const began = 1.8e9
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -44,7 +44,7 @@
 
 func TestWeightsAmongEquals(t *testing.T) {
 	s := newShop(t, tree(t, []Limit{perSecond(100)}, Group{Name: "a", Share: 10, Weight: 3}, Group{Name: "b", Share: 10},
-		Group{Name: "none", Share: 10, Weight: -0.0}, Group{Name: "idle", Share: 70}))
+		Group{Name: "none", Share: 10, Weight: 0}, Group{Name: "idle", Share: 70}))
 	s.load(60, map[string]float64{"a": 100, "b": 500}) // buckets are empty then
 	got := s.load(600, map[string]float64{"a": 100, "b": 500})
 	assert.InDelta(t, 6000+3.0/4*48000, got["a"], 1500, "three parts of four, though b asks more")
--- a/internal/judge/box.go
+++ b/internal/judge/box.go
@@ -56,7 +56,7 @@
 	j.checkDrain(s, p, e)
 	another := r.claimed && r.mayBeOver() // a hostile client has used its id since
 	if !another {
-		j.checkOpen(r, p, e)
+		j.checkOpen(r, e)
 	}
 	a := attempt{box: e.Box, boxLife: s.life, life: p.life, link: e.Link, firstSent: e.FirstSent, sent: e.Sent}
 	r.attempts = append(r.attempts, a)
@@ -87,7 +87,7 @@
 }
 
 // checkOpen checks that an execution was sent while its request was open.
-func (j *Judge) checkOpen(r *record, p *party, e *Event) {
+func (j *Judge) checkOpen(r *record, e *Event) {
 	c := j.class(r.class)
 	switch r.fate {
 	case served, failed:
--- a/internal/lab/live/board.go
+++ b/internal/lab/live/board.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 
+	"gonum.org/v1/gonum/stat"
+
 	"hazelwheel/internal/judge"
 	"hazelwheel/internal/lab/figures"
 	"hazelwheel/internal/lab/load"
@@ -187,7 +189,7 @@
 	if len(sorted) == 0 {
 		return 0
 	}
-	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+	return stat.Quantile(q, stat.Empirical, sorted, nil)
 }
 
 func share(n, of int64) string {
--- a/internal/lab/live/demo.go
+++ b/internal/lab/live/demo.go
@@ -47,7 +47,7 @@
 }
 
 // tells say what the demo's troubles are.
-func tells(d *world.Day, t *world.Trouble) (begins, ends string) {
+func tells(t *world.Trouble) (begins, ends string) {
 	if t.Kind == world.Hang {
 		return fmt.Sprintf("%d boxes hang: they take work and answer nothing", len(t.Boxes)), "they answer again"
 	}
@@ -74,7 +74,7 @@
 	s.Started = func(p *Play) {
 		for i := range script.Troubles {
 			t := &script.Troubles[i]
-			begins, ends := tells(p.Day, t)
+			begins, ends := tells(t)
 			p.ground.At(p.Day.Start+t.AtS, func() { board.Hangs(t.Boxes, true); note(p, begins) })
 			p.ground.At(p.Day.Start+t.AtS+t.ForS, func() { board.Hangs(t.Boxes, false); note(p, ends) })
 		}
@@ -117,7 +117,7 @@
 		100*r.Service, r.Prices.Executions, r.Prices.Probes, r.Prices.Connections)
 	for i := range p.settings.Script.Troubles {
 		t := &p.settings.Script.Troubles[i]
-		begins, _ := tells(p.Day, t)
+		begins, _ := tells(t)
 		fmt.Fprintf(d.Out, "%s (for %.1f s): service as before %.1f s after\n", begins, t.ForS, board.Back(p.Day.Start+t.AtS))
 	}
 	if p.Late() > BusyS {
--- a/internal/lint/many.go
+++ b/internal/lint/many.go
@@ -1,5 +1,16 @@
 package lint
 
+// alike tells of every two files that have the same text in a field: the text, and the other file.
+func alike(field string, of func(*unit) string) func([]*unit, say) {
+	return func(units []*unit, say say) {
+		pairs(units, func(a, b *unit) {
+			if of(a) == of(b) && of(a) != "" {
+				say(b.at("%s", field).with(a.at("%s", field)), of(b), a.file.Name)
+			}
+		})
+	}
+}
+
 // manyChecks look at several files together.
 var manyChecks = []Check{
 	{Code: "HW160", Severity: Error, Title: "index used twice", Looks: "index, in all files",
@@ -14,38 +25,20 @@
 			})
 		}},
 	{Code: "HW161", Severity: Warning, Title: "seeds alike", Looks: "seed, in all files",
-		Says: "the seed is that of %[1]s, too",
+		Says: "the seed is that of %[2]s, too",
 		Why:  "Both instances draw the same, so they go to the same boxes at the same moment",
 		Do:   "Write seeds that differ, or none",
-		all: func(units []*unit, say say) {
-			pairs(units, func(a, b *unit) {
-				if a.app.Seed == b.app.Seed && a.app.Seed != "" {
-					say(b.at("seed").with(a.at("seed")), a.file.Name)
-				}
-			})
-		}},
+		all:  alike("seed", func(u *unit) string { return u.app.Seed })},
 	{Code: "HW162", Severity: Error, Title: "listen address taken twice", Looks: "listen, in all files",
 		Says: "%[1]s is the listen address of %[2]s, too",
 		Why:  "On one machine only one of the two can start",
 		Do:   "Give each instance an address or a port of its own",
-		all: func(units []*unit, say say) {
-			pairs(units, func(a, b *unit) {
-				if a.app.Listen == b.app.Listen && a.app.Listen != "" {
-					say(b.at("listen").with(a.at("listen")), b.app.Listen, a.file.Name)
-				}
-			})
-		}},
+		all:  alike("listen", func(u *unit) string { return u.app.Listen })},
 	{Code: "HW163", Severity: Error, Title: "name used twice", Looks: "name, in all files",
 		Says: "%[1]q is the name of %[2]s, too",
 		Why:  "Logs and counters of the two can't be told apart",
 		Do:   "Give each instance a name of its own",
-		all: func(units []*unit, say say) {
-			pairs(units, func(a, b *unit) {
-				if a.app.Name == b.app.Name && a.app.Name != "" {
-					say(b.at("name").with(a.at("name")), b.app.Name, a.file.Name)
-				}
-			})
-		}},
+		all:  alike("name", func(u *unit) string { return u.app.Name })},
 	{Code: "HW164", Severity: Error, Title: "replicas that differ", Looks: "replicas, in all files",
 		Says: "there are %[1]d replicas here, and %[2]d in %[3]s",
 		Why:  "Which boxes an instance uses follows from how many there are: the parts would overlap or leave boxes out",
--- a/internal/netio/virtual/process.go
+++ b/internal/netio/virtual/process.go
@@ -61,7 +61,6 @@
 	spent     float64 // by the calls of this turn
 	busyUntil float64
 	stalled   float64 // the loop does not turn before
-	turnAt    float64
 	turnSet   bool
 	inTurn    bool
 	started   bool
--- a/internal/quotas/settings.go
+++ b/internal/quotas/settings.go
@@ -50,29 +50,30 @@
 
 // Check tells what in the settings does not fit a tree. An error names the field.
 func (s *Settings) Check(t *quota.Tree) error {
-	if _, err := groupOf(t, s.Default); err != nil {
+	if err := checkGroup(t, s.Default); err != nil {
 		return fmt.Errorf("default: %w", err)
 	}
 	for i, r := range s.Identify {
 		if r.Header != "" {
 			continue
 		}
-		if _, err := groupOf(t, r.Group); err != nil {
+		if err := checkGroup(t, r.Group); err != nil {
 			return fmt.Errorf("identify[%d].group: %w", i, err)
 		}
 	}
 	return nil
 }
 
-func groupOf(t *quota.Tree, path string) (int32, error) {
+// checkGroup says why requests can't belong to a group.
+func checkGroup(t *quota.Tree, path string) error {
 	g, ok := t.Find(path)
 	switch {
 	case !ok:
-		return 0, fmt.Errorf("%q is no group of the file", path)
+		return fmt.Errorf("%q is no group of the file", path)
 	case !t.Takes(g):
-		return 0, fmt.Errorf("%q has groups below it; requests belong to one that has none", path)
+		return fmt.Errorf("%q has groups below it; requests belong to one that has none", path)
 	}
-	return g, nil
+	return nil
 }
 
 // Directory knows the groups of requests. It holds what the tree and the settings name and nothing else, so whatever
--- a/internal/sim/ground.go
+++ b/internal/sim/ground.go
@@ -262,10 +262,7 @@
 }
 
 // logs is where a sidecar's log goes: to the trace; and the judge is told of its panics.
-type logs struct {
-	s     *instance
-	attrs []slog.Attr
-}
+type logs struct{ s *instance }
 
 func (l *logs) Enabled(_ context.Context, level slog.Level) bool {
 	return level >= slog.LevelError || l.s.d.trace != nil
--- a/internal/sim/hard_test.go
+++ b/internal/sim/hard_test.go
@@ -28,7 +28,6 @@
 	client  *actor
 	boxes   []*actor // as many as the list names
 	listed  *actor   // discovery
-	panics  int
 }
 
 // actor is a host that notes what it gets.
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -92,9 +92,6 @@
 	return false
 }
 
-// DrawScript returns the script of a seed.
-func DrawScript(seed uint64) world.Script { return Options{}.DrawScript(seed) }
-
 // DrawScript returns the script of a seed for days drawn as the options say.
 func (o Options) DrawScript(seed uint64) world.Script {
 	d := world.Draw(seed, o.Ranges())
@@ -191,7 +188,7 @@
 		}
 		d.net.Until(next)
 		now = next
-		d.look(now)
+		d.look()
 	}
 	if until == "" {
 		d.leftovers()
@@ -228,7 +225,7 @@
 const lookEveryS = 0.1
 
 // look tells the judge how many descriptors the sidecars hold, and of accepts and dials that found none.
-func (d *day) look(now float64) {
+func (d *day) look() {
 	for _, s := range d.sidecars {
 		if s.proc == nil || !s.proc.Alive() {
 			continue
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -68,7 +68,7 @@
 func TestTraceChangesNothing(t *testing.T) {
 	t.Parallel()
 	lines := 0
-	short := DrawScript(3)
+	short := Options{}.DrawScript(3)
 	short.LengthS = 15
 	traced, err := Play(short, Options{Trace: func(float64, string) { lines++ }})
 	require.NoError(t, err)
@@ -84,7 +84,7 @@
 	service := func(c Core) float64 {
 		var tally Tally
 		for seed := range uint64(3) {
-			s := DrawScript(seed + 1)
+			s := Options{}.DrawScript(seed + 1)
 			s.LengthS = 15
 			r, err := Play(s, Options{Core: c, Quiet: true})
 			require.NoError(t, err)
@@ -102,7 +102,7 @@
 // A rule that a program breaks stays broken in what the shrinker leaves, and that is less.
 func TestShrink(t *testing.T) {
 	t.Parallel()
-	s := DrawScript(5)
+	s := Options{}.DrawScript(5)
 	s.LengthS = 20
 	require.NotEmpty(t, s.Troubles)
 	o := Options{Core: Plain(Random)} // it sends to whom it should not
--- a/internal/sim/speech_test.go
+++ b/internal/sim/speech_test.go
@@ -13,7 +13,7 @@
 func TestDaysOverThrift(t *testing.T) {
 	t.Parallel()
 	play := func(seed uint64, speech world.Speech) *Result {
-		s := DrawScript(seed)
+		s := Options{}.DrawScript(seed)
 		require.NotEmpty(t, s.Troubles)
 		s.LengthS = 20
 		r, err := Play(s, Options{Speech: speech})
--- a/internal/thrift/reader.go
+++ b/internal/thrift/reader.go
@@ -13,9 +13,6 @@
 	truth uint8 // of a compact bool field whose head has been read: 0 none, 1 true, 2 false
 }
 
-// NewReader returns a reader of values in an encoding.
-func NewReader(b []byte, enc Encoding) Reader { return Reader{b: b, enc: enc} }
-
 // Left returns how many bytes have not been read.
 func (r *Reader) Left() int { return len(r.b) - r.at }
 
--- a/internal/world/configuration.go
+++ b/internal/world/configuration.go
@@ -17,13 +17,13 @@
 	index, list := w.Registry.asOf(max(now-age, w.Day.Start))
 	w.witness.See(judge.Event{Kind: judge.SidecarStarted, At: now, Sidecar: int32(sidecar), Box: -1})
 	w.Registry.tell(int32(sidecar), list, 0, true, now)
-	return w.configuration(sidecar, w.Registry.appendList(nil, index, list, 0, true))
+	return w.configuration(sidecar, w.Registry.list(index, list, 0, true))
 }
 
 // ReloadConfiguration returns what a sidecar's configuration says now to a process that is told to read it again.
 func (w *World) ReloadConfiguration(sidecar int) []byte {
 	index, list := w.Registry.asOf(w.Day.Start)
-	return w.configuration(sidecar, w.Registry.appendList(nil, index, list, 0, true))
+	return w.configuration(sidecar, w.Registry.list(index, list, 0, true))
 }
 
 type object = map[string]any
--- a/internal/world/registry.go
+++ b/internal/world/registry.go
@@ -240,9 +240,9 @@
 
 var statusText = map[int32]string{judge.Serving: "SERVING", judge.Draining: "DRAINING", judge.Deleted: "DELETED"}
 
-// appendList appends one object of discovery: the entries that changed after an index, or the whole list.
-func (r *Registry) appendList(dst []byte, index uint64, list []entry, since uint64, snapshot bool) []byte {
-	dst = strconv.AppendUint(append(dst, `{"index":`...), index, 10)
+// list writes one object of discovery: the entries that changed after an index, or the whole list.
+func (r *Registry) list(index uint64, list []entry, since uint64, snapshot bool) []byte {
+	dst := strconv.AppendUint([]byte(`{"index":`), index, 10)
 	dst = strconv.AppendBool(append(dst, `,"snapshot":`...), snapshot)
 	dst = append(dst, `,"endpoints":[`...)
 	first := true
--- a/internal/world/registryfront.go
+++ b/internal/world/registryfront.go
@@ -156,7 +156,7 @@
 	snapshot := !k.watch || !k.has || k.since > r.index
 	out := f.out[:0]
 	if !k.watch {
-		body := append(r.appendList(nil, r.index, r.entries, 0, true), '\n')
+		body := append(r.list(r.index, r.entries, 0, true), '\n')
 		f.write(k, http1.AppendResponse(out, 200, http1.Header{{Name: "Content-Type", Value: "application/json"}}, body))
 		r.tell(k.sidecar, r.entries, 0, true, now)
 		return
@@ -171,7 +171,7 @@
 // line writes an object to a watcher, behind what out holds already.
 func (f *registryFront) line(k *registryLink, out []byte, snapshot bool) {
 	r, now := f.r, f.net.Now()
-	body := append(r.appendList(nil, r.index, r.entries, k.since, snapshot), '\n')
+	body := append(r.list(r.index, r.entries, k.since, snapshot), '\n')
 	out = append(strconv.AppendInt(out, int64(len(body)), 16), "\r\n"...)
 	out = append(append(out, body...), "\r\n"...)
 	since := k.since
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -15,7 +15,6 @@
 	hang  map[uint32]bool // they answer nothing
 	asked []sentProbe
 	id    uint32
-	first bool // the host of the last request, if it found one
 }
 
 func newCrowd(s Settings, n int) *crowd {
