--- a/internal/netio/sockets/handler.go
+++ b/internal/netio/sockets/handler.go
@@ -5,11 +5,9 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"golang.org/x/sys/unix"
 )
 
 // handler takes gnet's callbacks. All come on the one event loop, but for OnBoot and the first OnTick.
@@ -32,7 +30,7 @@
 			return (<-result).Err
 		}
 		if err := h.bell.register(enroll); err != nil {
-			h.n.log.Error("the event loop can't be had", "error", err)
+			h.n.failed = fmt.Errorf("the event loop can't be had: %w", err)
 			return 0, gnet.Shutdown
 		}
 	}
@@ -85,34 +83,43 @@
 	return gnet.None
 }
 
-// waker is a pair of sockets whose one end gnet holds. gnet tells its event loop only to connections, and the
-// program needs the loop before it has any.
-type waker struct{ far int }
+// waker is a connection of the process with itself whose one end gnet holds. gnet tells its event loop only to connections, and
+// the program needs the loop before it has any. Danger: a pair of Unix sockets would be simpler, but there are platforms where
+// nothing but TCP and UDP over IPv4 is to be had, and the program would end before it has begun.
+type waker struct{ far net.Conn }
 
 // ring has gnet bring a byte of the near end.
 func (w *waker) ring() error {
 	if w == nil {
 		return errOver
 	}
-	_, err := unix.Write(w.far, []byte{0})
+	_, err := w.far.Write([]byte{0})
 	return err
 }
 
 // register gives the near end to gnet.
 func (w *waker) register(enroll func(net.Conn, *waker) error) error {
-	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	if w.far = fds[1]; unix.SetNonblock(w.far, true) != nil {
-		return err
-	}
-	f := os.NewFile(uintptr(fds[0]), "wake-up")
-	defer f.Close()
-	near, err := net.FileConn(f)
+	defer l.Close()
+	near, err := net.Dial("tcp4", l.Addr().String())
 	if err != nil {
 		return err
 	}
+	for w.far == nil {
+		c, err := l.Accept()
+		if err != nil {
+			near.Close()
+			return err
+		}
+		if c.RemoteAddr().String() != near.LocalAddr().String() {
+			c.Close() // Danger: anybody on the machine may have dialed meanwhile
+			continue
+		}
+		w.far = c
+	}
 	return enroll(near, w)
 }
 
--- a/internal/netio/sockets/passed.go
+++ b/internal/netio/sockets/passed.go
@@ -1,6 +1,7 @@
 package sockets
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -71,11 +72,11 @@
 		_, err := client.EnrollContext(c, w)
 		return err
 	}); err != nil {
-		n.log.Error("the event loop can't be had", "error", err)
+		n.failed = fmt.Errorf("the event loop can't be had: %w", err)
 		n.end()
 	}
 	<-n.ended
-	return client.Stop()
+	return cmp.Or(client.Stop(), n.failed)
 }
 
 // end lets runPassed go on to its end.
--- a/internal/netio/sockets/sockets.go
+++ b/internal/netio/sockets/sockets.go
@@ -2,6 +2,7 @@
 package sockets
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -33,6 +34,7 @@
 	yielded  []func()
 	epoll    int // gnet's own descriptor; below 0: it can't be had
 	stopping bool
+	failed   error // why there never was a loop
 
 	mu      sync.Mutex
 	posted  []func() // before there was a loop
@@ -69,8 +71,9 @@
 	// before the next takes a descriptor. Danger: gnet ends the engine when an accept fails.
 	// ReuseAddr is for the next start: without it the connections that this one closed stand in the way of
 	// claim for a minute.
-	return gnet.Rotate(&handler{n: n}, all, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
+	err := gnet.Rotate(&handler{n: n}, all, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
 		gnet.WithReuseAddr(true), gnet.WithTicker(true), gnet.WithLogger(gnetLogger{n.log}))
+	return cmp.Or(err, n.failed)
 }
 
 // Now is on the machine's monotonic clock.
