Keep a broken list an error of the start, and ask at once where there is none

At fault: sidecar.New, which logged it and went on. A broken `known` ends the start again; a missing or an empty one begins with a line in the log and a call to discovery.

Checked: cmd/hazelwheel, internal/sidecar, front and process pass.

--- a/cmd/hazelwheel/fleet_test.go
+++ b/cmd/hazelwheel/fleet_test.go
@@ -37,10 +37,10 @@
 	assert.Greater(t, sockets, 2)
 }
 
-// A start with nothing sound to go by: no list or a broken one, no word of the fleet. The list is asked for and requests are
+// A start with nothing sound to go by: no list or an empty one, no word of the fleet. The list is asked for and requests are
 // served; the log has a line for each.
 func TestStartsWithoutSoundFacts(t *testing.T) {
-	for _, known := range []string{`{"index":0,"snapshot":true,"endpoints":[]}`, `"what?"`, ``} {
+	for _, known := range []string{`{"index":0,"snapshot":true,"endpoints":[]}`, `{}`, ``} {
 		t.Run(known, func(t *testing.T) {
 			a := newServer(t, "a", says(200, "ok"))
 			w := newWorld(t)
@@ -63,6 +63,7 @@
 			w.launch("serve", "--config", path)
 			w.eventually("served", func() bool { return w.ask("read", "/read/1", "").status == 200 })
 			w.logs("settings.replicasOfMe: missing, or out of range:", 1)
+			w.logs("beginning without a list", 1)
 			w.logs("by the sidecar's name", 1)
 		})
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -7,7 +7,6 @@
 package sidecar
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
 	"runtime/debug"
@@ -34,9 +33,6 @@
 	spareDescriptors = 24
 )
 
-// errNoList is the end of a start that brings no list.
-var errNoList = errors.New("missing")
-
 // Sidecar is the program's state. It belongs to the event loop.
 type Sidecar struct {
 	cfg      config.Config
@@ -137,13 +133,14 @@
 			s.reserved += capture.DiskDescriptors
 		}
 	}
-	// Danger: a sidecar that was told of no server asks for the list only once the decisions have heard of a list.
-	err := errNoList
 	if len(cfg.Known) > 0 {
-		err = s.list(cfg.Known, policy.ListCached)
+		if err := s.list(cfg.Known, policy.ListCached); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
 	}
-	if err != nil {
-		log.Warn("beginning without a list of servers", "error", fmt.Errorf("known: %w", err))
+	// Danger: a sidecar that was told of no list asks for one only once the decisions have heard of it.
+	if s.hosts.Len() == 0 {
+		log.Warn("beginning without a list of servers: discovery is asked at once")
 		s.tellHosts(policy.ListCached, nil)
 	}
 	return s, nil
