Give each kind of machine what it bears, and let costs that differ little scatter

Speeds differ by 2.5 between kinds (0.59 to 1.5), and a proxy gets one answer of a host in a second, so `faded`, which forgets within 5 s, says little of any (`cost` in policy.go).

The times of each kind beside what is usual are learned from all answers together (`kinds`), and weigh in `expect` and `cost`; costs scatter by half (`scatter`), so that hosts alike share. The form of checkpoints is 3.

--- a/policy/checkpoint.go
+++ b/policy/checkpoint.go
@@ -13,7 +13,7 @@
 )
 
 // checkpointForm changes with every change of what is remembered or of how it is written.
-const checkpointForm = 2
+const checkpointForm = 3
 
 var errCheckpoint = errors.New("policy: not a checkpoint of this form")
 
@@ -204,6 +204,8 @@
 	c.bools(&b.armed, &b.watching, &b.polls, &b.reports)
 	whole(c, &b.field)
 	c.perClass(&b.classMean)
+	each(c, (*[]float64)(&b.kinds), func(v *float64) { c.floats(v) })
+	c.failed = c.failed || len(b.kinds) > mostKinds
 	each(c, &b.tries, func(t *try) {
 		c.floats(&t.usual)
 		whole(c, &t.votes)
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -155,3 +155,28 @@
 		}
 	}
 }
+
+// Machines differ by kind more than within one, and a proxy sees all of a kind often enough to know: where half of the hosts
+// take three times as long, they get less, in a fleet that could not serve them evenly.
+func TestKindsGetWhatTheyBear(t *testing.T) {
+	town := newTown(plain(), 300, 200, 0.03)
+	hosts := fleet(200)
+	for i := range hosts {
+		if hosts[i].Kind = i % 2; i%2 == 1 {
+			town.work[hosts[i].ID] = 0.09
+		}
+	}
+	for _, c := range town.proxies {
+		c.b.Hosts(0, ListFull, hosts)
+	}
+	town.play(20, 0.7*100*(1/0.03+1/0.09))
+	slow := 0
+	for id := 2; id <= 200; id += 2 {
+		slow += town.sends[id]
+	}
+	served, part := float64(town.served)/float64(town.asked), float64(slow)/float64(town.asked)
+	t.Logf("%.3f served in time, %.3f by the slow half", served, part)
+	if served < 0.985 || part > 0.2 {
+		t.Errorf("%.3f of the requests are served in time, %.3f by the slow half", served, part)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,12 +36,13 @@
 	rateMemory  = 10.0  // over which own traffic is measured
 	forgetAfter = 60.0  // what the list no longer names is forgotten then
 	likelier    = 1.4   // a cold host probably has so many times the least that it must have
-	hope        = 0.85  // and a hinted one shorter by so much, or heavy requests of high worth are all refused
+	hope        = 0.85  // and a hinted one shorter by so much, or heavy requests are all refused
 	relax       = 0.98  // what estimates keep at each request that nobody could take
 	coldPart    = 0.35  // of the work that pushes a cold host over
 	lineWeight  = 1.5   // a line probably grows before a request comes to its head
 	doubt       = 1.3   // a guessed time may well be so many times longer
 	farWeight   = 20.0  // how much dearer a host of another zone is, for the price of crossing
+	scatter     = 0.5   // costs that differ by less are alike, or all proxies would go to the same host
 	scanMost    = 32    // members that are looked at for each pick
 	scanPause   = 2e-6  // for each member: between two looks at all where they are more
 	briskPart   = 0.1   // of the aim: an answer within it came from a host that has room
@@ -144,8 +145,8 @@
 	b.due(h.nextProbe)
 }
 
-// cadence is the time between two probes of a member. Danger: many proxies with little traffic would probe more than
-// they serve: two probes an own request are the most, and half of one, or what it is worth, where many share a host.
+// cadence is the time between two probes of a member. Danger: many proxies with little traffic would probe
+// more than they serve: two probes an own request are the most; half of one, or less if dear, in a crowd.
 func (b *Balancer) cadence() float64 {
 	most := slowest - (slowest-1)*min(4*b.crowd, 1) // where probes wait, their news is needed
 	few, dear := float64(len(b.members))/max(b.usualRate(), 1e-9), max(b.s.ProbeCost/probeWorth, 2)
@@ -431,7 +432,7 @@
 func (b *Balancer) expect(h *host, r *request) (hinted, guessed float64) {
 	strength := min(1, likelier*b.strength(h))
 	if !b.reports {
-		return 0, b.classMean[r.Request.Class]/strength + lineWeight*b.line(h)
+		return 0, b.classMean[r.Request.Class]*b.kinds.of(h.Kind)/strength + lineWeight*b.line(h)
 	}
 	guessed = b.svc * b.load(h)
 	if r.HasWork {
@@ -450,14 +451,13 @@
 	if b.s.SizesKnown && h.Size > 0 {
 		ahead /= h.Size
 	}
-	return ahead * b.slowness(h) / b.strength(h)
+	return ahead * b.slowness(h) * b.kinds.of(h.Kind) / b.strength(h)
 }
 
-// fits tells whether a host can be expected to answer within the aim.
+// fits tells whether a host can be expected to answer within the aim. Danger: a limit below one shuts hosts.
 func (b *Balancer) fits(h *host, r *request) bool {
-	// Danger: a limit below one would shut a host for a part of the time, and refuse what its line can bear.
-	full := !b.reports && float64(len(h.outs)) >= max(h.limit*b.strength(h), 1)
-	if full || b.now < h.shunned[r.Request.Class] {
+	limit := max(h.limit*b.strength(h), 1)
+	if b.now < h.shunned[r.Request.Class] || !b.reports && float64(len(h.outs)) >= limit {
 		return false
 	}
 	hinted, guessed := b.expect(h, r)
@@ -512,10 +512,11 @@
 	if !b.allowed(r, h) || !b.polls && !b.candidate(h) || h.phi > phiOut || !b.fits(h, r) {
 		return math.Inf(1)
 	}
+	cost := b.cost(h, r) * (1 + scatter*b.rng.Float64())
 	if h.Zone != b.s.Zone {
-		return b.cost(h, r) * (1 + farWeight*b.s.CrossZone)
+		cost *= 1 + farWeight*b.s.CrossZone
 	}
-	return b.cost(h, r)
+	return cost
 }
 
 func (b *Balancer) fresh(h *host) bool { return h.seenAt > 0 && b.now-h.seenAt <= 2*b.pollWait() }
@@ -523,9 +524,7 @@
 func (b *Balancer) best(r *request, fresh bool) *host {
 	var best, lowest *host
 	least := math.Inf(1)
-	from := b.rng.IntN(max(len(b.members), 1)) // ties must not all go to the same host
-	for i := range b.members {
-		h := b.members[(from+i)%len(b.members)]
+	for _, h := range b.members {
 		if (lowest == nil || h.phi < lowest.phi) && b.allowed(r, h) {
 			lowest = h
 		}
@@ -885,6 +884,7 @@
 		return
 	}
 	mean := &b.classMean[r.Request.Class]
+	b.kinds.learn(h.Kind, max(delay-o.line, 0) / *mean)
 	*mean += 0.02 * (min(max(delay-o.line, 0.3**mean), 4*r.class.AimS) - *mean)
 	aim := math.Inf(1) // what this class may take while the class with the tightest aim still fits
 	for i, m := range b.classMean {
--- a/policy/state.go
+++ b/policy/state.go
@@ -119,6 +119,7 @@
 	svc       float64 // usual service time for each place in a host's line
 	meanWork  float64
 	classMean []float64
+	kinds     kinds
 	tries     []try
 
 	deadIdle  float64 // attempts in a row lost on idle connections
