Learn lines from answers and refusals, not from probes alone

Probes come every four to five seconds there, and `line` (policy.go) believed what the last one had told; a refusal moved nothing but the class's pause (`learn`, Rejected), an answer nothing but the mean.

An answer tells a line now: what it took beyond 2.2 times the usual, or half of what was believed; a host that turns away has one of half the aim. A line fades over the mean of a second and the cadence. The map of the module's files moved to api.go to make room.

--- a/policy/api.go
+++ b/policy/api.go
@@ -3,6 +3,8 @@
 // feeds it events with the time at which they happened and carries out the actions it asks for. It
 // starts no goroutines, reads no clock and does no I/O; the same events give the same actions.
 //
+// The interface is in api.go, what is remembered in state.go, what can be asked in usable.go, decisions in policy.go.
+//
 // A Balancer serves one proxy and is not safe for concurrent use.
 package policy
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,3 @@
-// The interface is in api.go, what is remembered in state.go, what can be asked in usable.go, decisions here.
-
 package policy
 
 import (
@@ -351,12 +349,12 @@
 	b.crowd += 0.1 * (min(h.line/b.aim, 1) - b.crowd)
 }
 
-// line is the wait that is expected at a host before work begins, by the last probe and the one still out.
+// line is the wait that is expected at a host before work begins, by what came last and the probe still out.
 func (b *Balancer) line(h *host) float64 {
 	if b.reports || b.base == 0 {
 		return 0
 	}
-	line := h.line / max(1, (b.now-h.lineAt)/h.every)
+	line := h.line / max(1, 2*(b.now-h.lineAt)/(probeEvery+h.every))
 	if h.probedAt > 0 {
 		line = max(line, b.now-h.probedAt-2*b.base)
 	}
@@ -830,18 +828,18 @@
 			b.errors += 0.05
 			b.budget += max(1-4*res.DelayS/o.expected, 0)
 		}
-		if res.Outcome == ConnectFailed || res.Outcome == Reset {
+		if res.Outcome == TimedOut {
+			b.cut(h)
+		} else if res.Outcome != HostError {
 			h.refused, h.refusedAt, b.phiAt = h.refused+1, b.now, b.now-1
 		}
 	case Rejected:
+		h.line, h.lineAt = max(b.line(h), 0.5*b.aim), b.now
 		b.shun(h, o.class, 1)
 		return false
 	default:
 		return false
 	}
-	if res.Outcome == TimedOut {
-		b.cut(h)
-	}
 	h.ratio, h.ratioAt = 0.9*b.faded(h)+0.1*x, b.now
 	return false
 }
@@ -885,6 +883,7 @@
 	}
 	mean := &b.classMean[r.Request.Class]
 	b.kinds.learn(h.Kind, max(delay-o.line, 0) / *mean)
+	h.line, h.lineAt = max(delay-2.2**mean*b.kinds.of(h.Kind)/b.strength(h), 0.5*b.line(h)), b.now
 	*mean += 0.02 * (min(max(delay-o.line, 0.3**mean), 4*r.class.AimS) - *mean)
 	aim := math.Inf(1) // what this class may take while the class with the tightest aim still fits
 	for i, m := range b.classMean {
