Scatter costs and learn lines from answers only where many proxies share a host

Three to five proxies share a host there, and what one has in flight itself tells its load: costs that scatter by half (`weigh`) and a line from each long answer (`learnTimes`, `learn`) throw that away.

Both follow the number of proxies that share a host now, as the first limits do: no line from answers up to eight, scatter from a twentieth up to half between four and eight.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -143,8 +143,7 @@
 	b.due(h.nextProbe)
 }
 
-// cadence is the time between two probes of a member. Danger: many proxies with little traffic would probe
-// more than they serve: two probes an own request are the most; half of one, or less if dear, in a crowd.
+// cadence is the time between two probes of a member. Danger: a crowd would probe more than it serves.
 func (b *Balancer) cadence() float64 {
 	most := slowest - (slowest-1)*min(4*b.crowd, 1) // where probes wait, their news is needed
 	few, dear := float64(len(b.members))/max(b.usualRate(), 1e-9), max(b.s.ProbeCost/probeWorth, 2)
@@ -510,7 +509,7 @@
 	if !b.allowed(r, h) || !b.polls && !b.candidate(h) || h.phi > phiOut || !b.fits(h, r) {
 		return math.Inf(1)
 	}
-	cost := b.cost(h, r) * (1 + scatter*b.rng.Float64())
+	cost := b.cost(h, r) * (1 + scatter*min(max(b.peers/probePeers-1, 0.1), 1)*b.rng.Float64())
 	if h.Zone != b.s.Zone {
 		cost *= 1 + farWeight*b.s.CrossZone
 	}
@@ -834,8 +833,9 @@
 			h.refused, h.refusedAt, b.phiAt = h.refused+1, b.now, b.now-1
 		}
 	case Rejected:
-		h.line, h.lineAt = max(b.line(h), 0.5*b.aim), b.now
-		b.shun(h, o.class, 1)
+		if b.shun(h, o.class, 1); b.peers > 2*probePeers {
+			h.line, h.lineAt = max(b.line(h), 0.5*b.aim), b.now
+		}
 		return false
 	default:
 		return false
@@ -844,8 +844,7 @@
 	return false
 }
 
-// shun leaves a host alone for a class, longer each time. Danger: one that drains unlisted, is full or fails
-// one class answers that soon; it looks idle and would get every pick.
+// shun leaves a host alone for a class, longer each time. Danger: one that refuses at once looks idle.
 func (b *Balancer) shun(h *host, class int, step float64) {
 	h.turned[class] = min(h.turned[class]+step, 8)
 	h.shunned[class] = b.now + min(shunPart*b.aim*math.Exp2(h.turned[class]), 2*probeEvery)
@@ -883,7 +882,9 @@
 	}
 	mean := &b.classMean[r.Request.Class]
 	b.kinds.learn(h.Kind, max(delay-o.line, 0) / *mean)
-	h.line, h.lineAt = max(delay-2.2**mean*b.kinds.of(h.Kind)/b.strength(h), 0.5*b.line(h)), b.now
+	if b.peers > 2*probePeers { // where few share a host, own requests in flight tell more than one answer
+		h.line, h.lineAt = max(delay-2.2**mean*b.kinds.of(h.Kind)/b.strength(h), 0.5*b.line(h)), b.now
+	}
 	*mean += 0.02 * (min(max(delay-o.line, 0.3**mean), 4*r.class.AimS) - *mean)
 	aim := math.Inf(1) // what this class may take while the class with the tightest aim still fits
 	for i, m := range b.classMean {
@@ -938,8 +939,6 @@
 	return h.winSent+h.winPrev*(1-(b.now-h.winFrom)/w)+h.winLuck < room
 }
 
-// --- Time ---
-
 // due arms a wake-up for a time, unless an earlier one is armed.
 func (b *Balancer) due(at float64) {
 	if b.armed && b.wake > b.now-1 && b.wake <= at {
