Weigh kinds of machine in the order of hosts alone, not in what is refused

At fault: `expect`, which multiplied the time of a class by that of the kind. In overload every kind seems slow, requests are refused by it, no answer comes, and `relax` fades the class's time and not the kind's. Tried and left: kinds beside the times of all answers (the same from twice the capacity on).

Kinds weigh in `cost` alone, where only their order counts.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -429,7 +429,7 @@
 func (b *Balancer) expect(h *host, r *request) (hinted, guessed float64) {
 	strength := min(1, likelier*b.strength(h))
 	if !b.reports {
-		return 0, b.classMean[r.Request.Class]*b.kinds.of(h.Kind)/strength + lineWeight*b.line(h)
+		return 0, b.classMean[r.Request.Class]/strength + lineWeight*b.line(h)
 	}
 	guessed = b.svc * b.load(h)
 	if r.HasWork {
@@ -883,7 +883,7 @@
 	mean := &b.classMean[r.Request.Class]
 	b.kinds.learn(h.Kind, max(delay-o.line, 0) / *mean)
 	if b.peers > 2*probePeers { // where few share a host, own requests in flight tell more than one answer
-		h.line, h.lineAt = max(delay-2.2**mean*b.kinds.of(h.Kind)/b.strength(h), 0.5*b.line(h)), b.now
+		h.line, h.lineAt = max(delay-2.2**mean/b.strength(h), 0.5*b.line(h)), b.now
 	}
 	*mean += 0.02 * (min(max(delay-o.line, 0.3**mean), 4*r.class.AimS) - *mean)
 	aim := math.Inf(1) // what this class may take while the class with the tightest aim still fits
