Spread places evenly over any part of a fleet, and scatter costs by an eighth everywhere

Need: replicasOfMe is wrong while a fleet grows; numbers taken as they come put all proxies of a fleet that is smaller than it was told before the same few hosts (Subset in policy/policy.go took self*n/replicas). Seen in the model: 60 proxies told of 600 served far less than told of 60. Scatter applied only where many proxies share a host (weigh), by up to a half; a smaller one everywhere serves as well and needs no case.

Change: a place is a step by the golden ratio around the ring (place in policy/sets.go), for subsets and for the draws of lines; costs scatter by 0.12; a line begins at 2.4 times the usual time. The hash of the settings is made once, not with each saved state. A sidecar with a known but empty list is told of that as before and says once that it begins without one.

--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -55,14 +55,17 @@
 // errOld is why a state is not taken that was made long ago.
 var errOld = errors.New("the hand-over is old")
 
-// settingsHash tells settings apart.
+// settingsHash tells settings apart. They stay as they were at the start.
 func (s *Sidecar) settingsHash() string {
-	raw, err := json.Marshal(s.cfg.Settings)
-	if err != nil { // numbers and names always marshal
-		panic(err)
+	if s.hash == "" {
+		raw, err := json.Marshal(s.cfg.Settings)
+		if err != nil { // numbers and names always marshal
+			panic(err)
+		}
+		sum := sha256.Sum256(raw)
+		s.hash = hex.EncodeToString(sum[:])
 	}
-	sum := sha256.Sum256(raw)
-	return hex.EncodeToString(sum[:])
+	return s.hash
 }
 
 // State returns what a successor begins with. It is for the loop, between events.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -82,7 +82,8 @@
 	away      bool // drained by the operators
 	succeeded bool // another process serves in this one's place
 	shelf     Shelf
-	parts     int // processes that live by the limits together
+	hash      string     // of the settings, once it was asked for
+	parts     int        // processes that live by the limits together
 	figures   atomic.Pointer[Figures]
 	drainedAt float64
 	stopping  bool
@@ -137,11 +138,11 @@
 		if err := s.list(cfg.Known, policy.ListCached); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
+	} else { // Danger: the decisions ask for a list only once they have heard of one
+		s.tellHosts(policy.ListCached, nil)
 	}
-	// Danger: a sidecar that was told of no list asks for one only once the decisions have heard of it.
 	if s.hosts.Len() == 0 {
 		log.Warn("beginning without a list of servers: discovery is asked at once")
-		s.tellHosts(policy.ListCached, nil)
 	}
 	return s, nil
 }
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -48,9 +48,13 @@
 
 func (t *town) at(when float64, do func()) { heap.Push(&t.events, happening{when, do}) }
 
+// newTown returns one whose proxies are told that there are s.Replicas of them, or how many there are where that is 1.
 func newTown(s Settings, proxies, hosts int, work float64) *town {
 	t := &town{rng: rand.New(rand.NewPCG(3, 9)), free: make([]float64, hosts+1), work: make([]float64, hosts+1), sends: make([]int, hosts+1)}
-	s.Probes, s.Replicas = true, proxies
+	s.Probes = true
+	if s.Replicas == 1 {
+		s.Replicas = proxies
+	}
 	for i := range t.work {
 		t.work[i] = work
 	}
@@ -122,17 +126,18 @@
 // all can do it must neither fill their lines nor refuse everything: an estimate that lets nothing through is never corrected.
 func TestLoadsOfAFleet(t *testing.T) {
 	for _, c := range []struct {
-		proxies            int
+		proxies, told      int
 		load, served, most float64 // load and the least that is served, as parts of what the hosts can do; the most that is refused
-	}{{60, 0.66, 0.95, 0.03}, {60, 1.15, 0.65, 1}, {60, 2, 0.35, 1}, {5, 0.9, 0.93, 0.03}, {5, 1.3, 0.75, 1}} {
+	}{{60, 60, 0.66, 0.95, 0.03}, {60, 60, 1.15, 0.65, 1}, {60, 60, 2, 0.35, 1}, {5, 5, 0.9, 0.93, 0.03}, {5, 5, 1.3, 0.75, 1},
+		{60, 600, 0.66, 0.9, 0.05}, {60, 6, 0.66, 0.85, 0.1}} {
 		s := plain()
-		s.ProbeCost = 0.08
+		s.ProbeCost, s.Replicas = 0.08, c.told
 		town := newTown(s, c.proxies, 40, 0.07)
 		town.play(20, c.load*40/0.07)
 		served, refused := float64(town.served)/float64(town.asked)*max(c.load, 1), float64(town.refused)/float64(town.asked)
-		t.Logf("%d proxies, load %.2f: %.3f served in time, %.3f refused", c.proxies, c.load, served, refused)
+		t.Logf("%d proxies, %d told, load %.2f: %.3f served in time, %.3f refused", c.proxies, c.told, c.load, served, refused)
 		if served < c.served || refused > c.most {
-			t.Errorf("%d proxies, load %.2f: %.3f served in time, %.3f refused", c.proxies, c.load, served, refused)
+			t.Errorf("%d proxies, %d told, load %.2f: %.3f served in time, %.3f refused", c.proxies, c.told, c.load, served, refused)
 		}
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,7 +40,7 @@
 	lineWeight  = 1.5   // a line probably grows before a request comes to its head
 	doubt       = 1.3   // a guessed time may well be so many times longer
 	farWeight   = 20.0  // how much dearer a host of another zone is, for the price of crossing
-	scatter     = 0.5   // costs that differ by less are alike, or all proxies would go to the same host
+	scatter     = 0.12  // costs that differ by less are alike, or all proxies would go to the same host
 	scanMost    = 32    // members that are looked at for each pick
 	scanPause   = 2e-6  // for each member: between two looks at all where they are more
 	briskPart   = 0.1   // of the aim: an answer within it came from a host that has room
@@ -151,7 +151,7 @@
 }
 
 // usualRate is this proxy's own traffic in requests of usual work a second.
-func (b *Balancer) usualRate() float64 { return b.rate * math.Exp(-(b.now-b.rateAt)/rateMemory) }
+func (b *Balancer) usualRate() float64 { return b.sends.now(b.now, rateMemory) }
 
 // resize follows own traffic: a busy proxy needs more members, or it fills the few that it has.
 func (b *Balancer) resize() {
@@ -201,7 +201,7 @@
 func Subset(n, self, replicas int, need float64) (from, size int) {
 	replicas, self = max(replicas, 1), max(self, 0)%max(replicas, 1)
 	size = min(n, max(int(min(need, 1e6)+6*float64(n)/float64(replicas)), 2*((n+replicas-1)/replicas)))
-	return self * n / replicas, size
+	return place(self, replicas) * n / replicas, size
 }
 
 // --- Probes and phi ---
@@ -509,7 +509,7 @@
 	if !b.allowed(r, h) || !b.polls && !b.candidate(h) || h.phi > phiOut || !b.fits(h, r) {
 		return math.Inf(1)
 	}
-	cost := b.cost(h, r) * (1 + scatter*min(max(b.peers/probePeers-1, 0.1), 1)*b.rng.Float64())
+	cost := b.cost(h, r) * (1 + scatter*b.rng.Float64())
 	if h.Zone != b.s.Zone {
 		cost *= 1 + farWeight*b.s.CrossZone
 	}
@@ -577,7 +577,7 @@
 	r := &request{Request: q, class: c, arrived: b.now, aim: b.now + c.AimS - b.lateness(q), units: 1,
 		index: len(b.live), over: b.overShare(q.Tenant)}
 	b.budget = min(b.budget+repeatRate, 10)
-	b.asks.add(b.now, askMemory)
+	b.asks.add(b.now, askMemory, 1)
 	if r.HasWork {
 		r.aim += c.Stretch * q.Work
 		mean := cmp.Or(b.meanWork, q.Work)
@@ -695,7 +695,7 @@
 		return false
 	}
 	h.winSent += r.units
-	b.rate, b.rateAt = b.usualRate()+r.units/rateMemory, b.now
+	b.sends.add(b.now, rateMemory, r.units)
 	r.attempts = append(r.attempts, attempt{host: h, sentAt: b.now, ran: true})
 	hint, rest := b.expect(h, r)
 	o := out{id: r.ID, class: r.Request.Class, sentAt: b.now, expected: max(hint+rest, 1e-6), line: b.line(h)}
@@ -883,7 +883,7 @@
 	mean := &b.classMean[r.Request.Class]
 	b.kinds.learn(h.Kind, max(delay-o.line, 0) / *mean)
 	if b.peers > 2*probePeers { // where few share a host, own requests in flight tell more than one answer
-		h.line, h.lineAt = max(delay-2.2**mean/b.strength(h), 0.5*b.line(h)), b.now
+		h.line, h.lineAt = max(delay-2.4**mean/b.strength(h), 0.5*b.line(h)), b.now
 	}
 	*mean += 0.02 * (min(max(delay-o.line, 0.3**mean), 4*r.class.AimS) - *mean)
 	aim := math.Inf(1) // what this class may take while the class with the tightest aim still fits
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -252,7 +252,7 @@
 	s := plain()
 	s.Probes = true
 	r := newRecorder(t, s)
-	r.b.rate = 1e6 // so much traffic keeps the cadence at its shortest
+	r.b.sends.rate = 1e6 // so much traffic keeps the cadence at its shortest
 	r.list(ListFull, ready(1, 2, 3)...)
 	run := func(until float64, silent uint32) {
 		for r.now < until {
@@ -300,7 +300,7 @@
 	s := plain()
 	s.Probes = true
 	r := newRecorder(t, s)
-	r.b.rate = 1e6
+	r.b.sends.rate = 1e6
 	r.list(ListFull, ready(1, 2, 3)...)
 	for r.now < 20 {
 		r.advance(r.now + 0.01)
--- a/policy/sets.go
+++ b/policy/sets.go
@@ -114,8 +114,24 @@
 func luck(host uint32, window float64, self, replicas int) float64 {
 	x := (uint64(host)<<32 ^ uint64(int64(1000*window))) * 0x9e3779b97f4a7c15
 	x = (x ^ x>>29) * 0xbf58476d1ce4e5b9
-	place := float64(self%max(replicas, 1)) / float64(max(replicas, 1))
-	return math.Mod(float64((x^x>>32)>>11)/(1<<53)+place, 1)
+	own := float64(place(self, max(replicas, 1))) / float64(max(replicas, 1))
+	return math.Mod(float64((x^x>>32)>>11)/(1<<53)+own, 1)
+}
+
+// place spreads proxies evenly over as many places, whatever part of them there is. Danger: numbers taken as they come put all
+// proxies of a fleet that is smaller than it was told before the same few hosts.
+func place(self, replicas int) int {
+	step := int(float64(replicas) * (math.Phi - 1))
+	for step = max(step, 1); gcd(step, replicas) != 1; step-- {
+	}
+	return self % replicas * step % replicas
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
 }
 
 // fading is a rate of events that forgets what is long ago.
@@ -124,8 +140,8 @@
 // now returns the rate, a second.
 func (f *fading) now(now, memory float64) float64 { return f.rate * math.Exp(-(now-f.at)/memory) }
 
-// add counts an event.
-func (f *fading) add(now, memory float64) { f.rate, f.at = f.now(now, memory)+1/memory, now }
+// add counts so many events.
+func (f *fading) add(now, memory, n float64) { f.rate, f.at = f.now(now, memory)+n/memory, now }
 
 // kinds are the times that hosts of each kind take beside what is usual, by the kind's number. Danger: a proxy with little
 // traffic sees each host too rarely to know its speed, but it sees all hosts of a kind often enough.
--- a/policy/state.go
+++ b/policy/state.go
@@ -131,9 +131,8 @@
 	queue    queue // of those that wait
 	byID     map[uint32]*request
 	budget   float64
-	errors   float64 // part of the attempts that end with an error, at whatever host
-	rate     float64 // sends a second
-	rateAt   float64
+	errors   float64   // part of the attempts that end with an error, at whatever host
+	sends    fading    // units of work sent, a second
 	asks     fading    // requests a second, sent or not
 	asked    []float64 // requests of each tenant, fading
 	askedAt  float64
