--- /dev/null
+++ b/cmd/hazellab/fleet.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"hazelwheel/internal/lab/troupe"
+	"hazelwheel/internal/sim/crowd"
+	"hazelwheel/internal/world"
+)
+
+func fleetCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "fleet",
+		Usage: "play a fleet of sidecars that know each other, as processes with troubles between them, and judge it from outside",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "sidecars", Usage: "`N` processes", Value: 7},
+			&cli.IntFlag{Name: "boxes", Usage: "`N` boxes", Value: 6},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of the world"},
+			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "how long clients ask"},
+			&cli.StringFlag{Name: "script", Usage: "the `FILE` that holds the troubles"},
+			&cli.BoolFlag{Name: "draw", Usage: "draw the troubles from the seed"},
+			&cli.BoolFlag{Name: "show-script", Usage: "print the troubles and play nothing"},
+			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
+			&cli.StringFlag{Name: "binary", Usage: "hazelwheel's `FILE`; default: beside this program"},
+			&cli.StringFlag{Name: "log", Usage: "the `FILE` for what the sidecars say"},
+		},
+		Action: runFleet,
+	}
+}
+
+func runFleet(ctx context.Context, c *cli.Command) error {
+	s := troupe.Settings{Sidecars: c.Int("sidecars"), Boxes: c.Int("boxes"), Seed: c.Uint64("seed"), For: c.Duration("for"), Draw: c.Bool("draw")}
+	switch {
+	case s.Sidecars < 1 || s.Sidecars > 400:
+		return fault(fmt.Errorf("sidecars: %d is not 1 to 400", s.Sidecars))
+	case s.Boxes < 3 || s.Boxes > 500:
+		return fault(fmt.Errorf("boxes: %d is not 3 to 500", s.Boxes))
+	case s.For < 5*time.Second || s.For > time.Hour:
+		return fault(fmt.Errorf("for: %v is not 5s to 1h", s.For))
+	case s.Draw && c.String("script") != "":
+		return fault(errors.New("give one of --script and --draw"))
+	}
+	if path := c.String("script"); path != "" {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return fault(err)
+		}
+		if s.Script, err = world.ReadScript(path, text, s.Ranges()); err != nil {
+			return fault(err)
+		}
+		s.Seed = s.Script.Seed
+	}
+	if c.Bool("show-script") {
+		script := s.DrawScript()
+		text, err := script.Format()
+		if err != nil {
+			return err
+		}
+		_, err = c.Root().Writer.Write(text)
+		return err
+	}
+	var err error
+	if s.Binary, err = beside(c.String("binary")); err != nil {
+		return err
+	}
+	if _, err := os.Stat(s.Binary); err != nil {
+		return fault(err)
+	}
+	if path := c.String("log"); path != "" {
+		f, err := os.Create(path)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		s.Log = f
+	}
+	if s.Dir, err = os.MkdirTemp("", "hazellab"); err != nil {
+		return err
+	}
+	defer os.RemoveAll(s.Dir)
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	r, err := troupe.Do(ctx, s)
+	if err != nil {
+		return err
+	}
+	out := c.Root().Writer
+	if c.Bool("json") {
+		raw, err := json.MarshalIndent(r, "", "  ")
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(out, string(raw))
+	} else {
+		for _, f := range r.Findings {
+			fmt.Fprintf(out, "%7.2f s  %-12s %-6s %s\n", f.AtS, f.Rule, f.Sidecar, f.Why)
+		}
+		fmt.Fprintf(out, "%d troubles; %.3f of the worth served in time; %d views asked for; %.0f bytes a second between peers, of each\n",
+			len(r.Troubles), r.Service, r.Views, r.PeerBytes)
+		fmt.Fprintf(out, "all agreed after %s; one that went was known after %s; the laboratory was %.2f s late at most\n", spread(r.AgreedS), spread(r.KnownS), r.LateS)
+		fmt.Fprintf(out, "fleet: %d sidecars, %d rules broken\n", r.Sidecars, r.Broken)
+	}
+	if r.Broken > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// spread says a median and the greatest of some times.
+func spread(all []float64) string {
+	if len(all) == 0 {
+		return "(never)"
+	}
+	all = slices.Clone(all)
+	slices.Sort(all)
+	return fmt.Sprintf("%.1f s (median; at most %.1f s, of %d)", all[len(all)/2], all[len(all)-1], len(all))
+}
+
+func crowdCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "crowd",
+		Usage: "measure in simulated time what knowing each other costs, and how soon a death is known, by the size of the fleet",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "members", Usage: "the `SIZES`", Value: []int{5, 50, 300}},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.FloatFlag{Name: "hours", Usage: "play drawn troubles for `N` hours in place of that, and count false deaths"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			for _, n := range c.IntSlice("members") {
+				if n < 2 || n > 6000 {
+					return fault(fmt.Errorf("members: %d is not 2 to 6000", n))
+				}
+				if h := c.Float("hours"); h > 0 {
+					t, err := crowd.Trouble(n, h*3600, c.Uint64("seed"))
+					for _, line := range t.Wrong {
+						fmt.Fprintln(c.Root().Writer, line)
+					}
+					fmt.Fprintf(c.Root().Writer, "%d members, %.1f hours, %d troubles: %d false deaths\n", n, t.HoursPlayed, t.Troubles, t.FalseDeaths)
+					if err != nil {
+						return err
+					}
+					continue
+				}
+				f, err := crowd.Measure(n, c.Uint64("seed"))
+				if err != nil {
+					return err
+				}
+				fmt.Fprintln(c.Root().Writer, f)
+			}
+			return nil
+		},
+	}
+}
--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -32,6 +32,8 @@
 			reportCommand(),
 			compareCommand(),
 			demoCommand(),
+			fleetCommand(),
+			crowdCommand(),
 			serveCommand(),
 			troubleCommand(),
 		}, simCommands()...),
--- /dev/null
+++ b/cmd/hazelwheel/fleetcases_test.go
@@ -0,0 +1,451 @@
+package main
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/decide/member"
+	"hazelwheel/internal/fleet"
+	"hazelwheel/internal/lab/troupe"
+	"hazelwheel/internal/peers/frames"
+)
+
+func names(all []*mate) (n []string) {
+	for _, m := range all {
+		n = append(n, m.name)
+	}
+	return n
+}
+
+// deaths returns how many deaths all of them have declared.
+func (c *crew) deaths(all ...*mate) (n uint64) {
+	c.Helper()
+	for _, m := range all {
+		s, ok := m.seen()
+		require.True(c, ok)
+		n += s.View.Deaths
+	}
+	return n
+}
+
+func (m *mate) id() string {
+	s, _ := m.seen()
+	return s.ID
+}
+
+// Seven are cut four to three: each side counts itself, and both serve; mended, they are one again. Then for a moment only.
+func TestFleetIsCut(t *testing.T) {
+	c := newCrew(t, 7).start()
+	c.ready(c.all...)
+	stop := c.serveAll()
+	c.agree(c.all...)
+	left, right := c.all[:4], c.all[4:]
+	ways := troupe.Between(names(left), names(right), false)
+	c.board.Set(troupe.Rule{Cut: true}, ways...)
+	t.Logf("the sides part after %v", max(c.view(left, left), c.view(right, right)))
+	c.placed(left...)
+	c.placed(right...)
+	c.board.Set(troupe.Rule{}, ways...)
+	t.Logf("one again after %v", c.agree(c.all...))
+	c.placed(c.all...)
+
+	c.board.Set(troupe.Rule{Cut: true}, ways...)
+	c.poll("somebody is suspected", func() bool {
+		s, _ := left[0].seen()
+		return slices.ContainsFunc(s.Members, func(m fleet.SeenMember) bool { return m.State != "alive" })
+	})
+	c.board.Set(troupe.Rule{}, ways...)
+	t.Logf("after a short cut one again after %v", c.agree(c.all...))
+	s, _ := c.all[0].seen()
+	assert.Len(t, s.Members, 7, "nobody is another than before")
+	stop()
+}
+
+// Who can be reached by most is not called dead: neither one that one other does not hear, nor one that two do not.
+func TestFleetHearsThroughOthers(t *testing.T) {
+	for name, deaf := range map[string][]int{"one way": {0}, "two of seven": {0, 1}} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrew(t, 7).start()
+			c.ready(c.all...)
+			c.agree(c.all...)
+			stop, mute := c.serveAll(), c.all[6]
+			var ways []troupe.Way
+			for _, i := range deaf {
+				ways = append(ways, troupe.Way{From: mute.name, To: c.all[i].name})
+			}
+			c.board.Set(troupe.Rule{Cut: true}, ways...)
+			// It is accused, says no, and is accused again after a while: by then it could have been called dead.
+			c.poll("it has said no twice", func() bool {
+				s, _ := mute.seen()
+				return s.View.Refutations >= 2
+			})
+			c.board.Set(troupe.Rule{}, ways...)
+			c.agree(c.all...)
+			assert.Zero(t, c.deaths(c.all...))
+			stop()
+		})
+	}
+}
+
+// One that stands still for a while goes on with what it knew, and nobody else is called dead for it.
+func TestFleetWithOneThatStandsStill(t *testing.T) {
+	for _, for_ := range []time.Duration{time.Second, 5 * time.Second, 30 * time.Second} {
+		t.Run(for_.String(), func(t *testing.T) {
+			c := newCrew(t, 5).start()
+			c.ready(c.all...)
+			c.agree(c.all...)
+			stop, still, others := c.serveAll(), c.all[2], c.all[:2]
+			others = append(slices.Clone(others), c.all[3:]...)
+			before, _ := still.seen()
+			began := time.Now()
+			still.freeze()
+			if for_ > 4*time.Second {
+				t.Logf("held for dead after %v", c.view(others, others))
+			}
+			time.Sleep(for_ - time.Since(began)) // the trouble itself; what follows from it is polled
+			still.thaw()
+			t.Logf("back after %v", c.agree(c.all...))
+			after, _ := still.seen()
+			assert.Equal(t, before.ID, after.ID)
+			for _, m := range c.all {
+				s, _ := m.seen()
+				assert.Len(t, s.Members, 5, "nobody is another than before")
+			}
+			if deaths := c.deaths(still); assert.Zero(t, deaths, "it doubts itself before others") && for_ > 4*time.Second {
+				assert.NotZero(t, after.View.Refutations+after.View.Stalls)
+			}
+			stop()
+		})
+	}
+}
+
+// A copied folder: two processes claim one identity. Both serve, the one that is not as far takes another, and both count.
+func TestFleetTellsACopyApart(t *testing.T) {
+	c := newCrew(t, 3).start()
+	c.ready(c.all...)
+	c.agree(c.all...)
+	was := c.all[2].id()
+	twin := c.add()
+	raw, err := os.ReadFile(filepath.Join(c.all[2].dir, "peer"))
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(filepath.Join(twin.dir, "peer"), raw, 0o600))
+	stop := c.serveAll()
+	twin.gone.Store(true)
+	twin.start()
+	c.ready(twin)
+	c.agree(c.all...)
+	ids := map[string]bool{}
+	for _, m := range c.all {
+		ids[m.id()] = true
+	}
+	assert.Len(t, ids, 4)
+	assert.True(t, ids[was], "one of the two keeps it")
+	assert.Contains(t, c.all[2].log.String()+twin.log.String(), "goes on under another identity")
+	// What was drawn anew is kept: after a restart all are who they are.
+	for _, m := range []*mate{c.all[2], twin} {
+		id := m.id()
+		m.kill()
+		c.ready(m.start())
+		c.agree(c.all...)
+		assert.Equal(t, id, m.id())
+	}
+	stop()
+}
+
+// All are killed and begin again within a second; of the addresses to join by one alone lives. And some that find nobody
+// serve alone until they meet.
+func TestFleetBeginsAgain(t *testing.T) {
+	c := newCrew(t, 6)
+	for _, m := range c.all { // two of the three never live
+		m.join = []string{freeAddress(t), freeAddress(t), c.all[0].advertise}
+	}
+	c.start().ready(c.all...)
+	c.agree(c.all...)
+	stop := c.serveAll()
+	ids := map[string]bool{}
+	for _, m := range c.all {
+		ids[m.id()] = true
+	}
+	for _, m := range c.all {
+		m.gone.Store(true)
+		m.signal(syscall.SIGKILL)
+	}
+	for _, m := range c.all {
+		<-m.ended
+		m.start()
+	}
+	c.ready(c.all...)
+	t.Logf("all again after %v", c.agree(c.all...))
+	for _, m := range c.all {
+		assert.True(t, ids[m.id()], "it is who it was")
+	}
+	stop()
+
+	lonely := newCrewIn(t, 3)
+	for _, m := range lonely.all {
+		m.join = []string{lonely.all[2].advertise}
+	}
+	for _, m := range lonely.all[:2] {
+		lonely.ready(m.start())
+		s, ok := m.seen()
+		require.True(t, ok)
+		assert.Equal(t, 1, s.Live)
+		assert.Equal(t, 3, s.Count, "alone it goes by its settings")
+	}
+	lonely.all[2].gone.Store(true)
+	lonely.ready(lonely.all[2].start())
+	t.Logf("met after %v", lonely.agree(lonely.all...))
+	lonely.placed(lonely.all...)
+}
+
+// What is on disk is lost, torn, of a later version, or can't be written: the process serves and is a new one; with its state
+// it is the same.
+func TestFleetState(t *testing.T) {
+	c := newCrew(t, 4).start()
+	c.ready(c.all...)
+	c.agree(c.all...)
+	stop, m := c.serveAll(), c.all[3]
+	file := filepath.Join(m.dir, "peer")
+	for _, k := range []struct {
+		name, says string
+		same       bool
+		spoil      func(raw []byte)
+	}{
+		{"kept", "", true, func([]byte) {}},
+		{"lost", "", false, func([]byte) { require.NoError(t, os.Remove(file)) }},
+		{"torn", "it is torn", false, func(raw []byte) { require.NoError(t, os.WriteFile(file, raw[:len(raw)-3], 0o600)) }},
+		{"changed", "it is torn", false, func(raw []byte) {
+			raw[len(raw)-3] ^= 1
+			require.NoError(t, os.WriteFile(file, raw, 0o600))
+		}},
+		{"of a later version", "of a form that is not known", false, func(raw []byte) {
+			require.NoError(t, os.WriteFile(file, []byte(strings.Replace(string(raw), "peer 1 ", "peer 2 ", 1)), 0o600))
+		}},
+		{"kept once more", "", true, func([]byte) {}},
+	} {
+		id := m.id()
+		m.kill()
+		raw, err := os.ReadFile(file)
+		require.NoError(t, err)
+		k.spoil(slices.Clone(raw))
+		m.log.forget()
+		m.start()
+		c.ready(m)
+		c.agree(c.all...)
+		assert.Equal(t, k.same, id == m.id(), k.name)
+		s, _ := m.seen()
+		assert.True(t, s.Stored, k.name)
+		assert.Contains(t, m.log.String(), k.says, k.name)
+		if k.says != "" {
+			kept, err := os.ReadFile(file + "-unusable")
+			assert.NoError(t, err)
+			assert.NotEmpty(t, kept, "nothing is lost")
+		}
+	}
+	m.kill()
+	m.dir = filepath.Join(file, "below a file") // nothing can be written there
+	m.start()
+	c.ready(m)
+	c.agree(c.all...)
+	s, _ := m.seen()
+	assert.False(t, s.Stored)
+	assert.Contains(t, m.log.String(), "the identity can't be kept")
+
+	// A disk that is full: no byte of a file can be written.
+	m.kill()
+	m.dir, m.full = t.TempDir(), true
+	m.start()
+	c.ready(m)
+	c.agree(c.all...)
+	s, _ = m.seen()
+	assert.False(t, s.Stored)
+	stop()
+}
+
+// A fleet of five grows to thirty and shrinks to three, under load. Ranks are dense each time.
+func TestFleetGrowsAndShrinks(t *testing.T) {
+	c := newCrew(t, 30)
+	for _, m := range c.all {
+		m.gone.Store(true)
+	}
+	stop := c.serveAll()
+	for _, m := range c.all[:5] {
+		m.start()
+	}
+	c.ready(c.all[:5]...)
+	c.agree(c.all[:5]...)
+	c.placed(c.all[:5]...)
+	for _, m := range c.all[5:] {
+		m.start()
+	}
+	c.ready(c.all...)
+	t.Logf("thirty agree after %v", c.agree(c.all...))
+	c.placed(c.all...)
+	for i, m := range c.all[3:] {
+		if m.gone.Store(true); i%2 == 0 {
+			m.signal(syscall.SIGTERM)
+		} else {
+			m.signal(syscall.SIGKILL)
+		}
+	}
+	t.Logf("three agree after %v", c.agree(c.all[:3]...))
+	c.placed(c.all[:3]...)
+	s, _ := c.all[0].seen()
+	assert.Equal(t, "left", states(s)["m03"])
+	assert.Equal(t, "dead", states(s)["m04"])
+	stop()
+}
+
+// A process takes the place of another with its socket: it keeps the identity, and never do the two count as two.
+func TestFleetReplacement(t *testing.T) {
+	c := newCrew(t, 4)
+	m := c.all[3]
+	l, err := net.Listen("tcp", m.listen)
+	require.NoError(t, err)
+	m.passed, err = l.(*net.TCPListener).File()
+	require.NoError(t, err)
+	defer m.passed.Close()
+	l.Close()
+	m.env = []string{"TMPDIR=" + m.tmp, "GW_PASSED_SOCKET=4"}
+	c.start().ready(c.all...)
+	c.agree(c.all...)
+	id := m.id()
+	over, most := make(chan struct{}), make(chan int)
+	go func() {
+		n := 0
+		for {
+			select {
+			case <-over:
+				most <- n
+				return
+			case <-time.After(5 * time.Millisecond):
+				if s, ok := c.all[0].seen(); ok {
+					n = max(n, s.Live, s.Count)
+				}
+			}
+		}
+	}()
+	for range 3 {
+		old, ended, door := m.cmd, m.ended, m.ops
+		m.ops = freeAddress(t) // each process has its own
+		m.start()
+		c.poll("it speaks for the sidecar", func() bool {
+			s, ok := m.seen()
+			return ok && s.ID == id && len(alive(s)) == 4 && s.Links.Links >= 3
+		})
+		c.poll("the old one is quiet", func() bool {
+			text, err := callOnce(door, "PEERS\n")
+			return err == nil && strings.Contains(text, `"quiet":true`)
+		})
+		require.NoError(t, old.Process.Signal(syscall.SIGTERM))
+		<-ended
+		c.agree(c.all...)
+		c.poll("peers reach the new one", func() bool { return strings.Contains(m.log.String(), "peers can come\"") })
+		m.log.forget()
+	}
+	close(over)
+	assert.Equal(t, 4, <-most)
+	assert.Equal(t, id, m.id())
+}
+
+// A peer says what it likes. It is told apart, the others go on, and nobody's memory grows without a bound.
+func TestFleetBearsALiar(t *testing.T) {
+	c := newCrew(t, 3).start()
+	c.ready(c.all...)
+	c.agree(c.all...)
+	stop, victim := c.serveAll(), c.all[0]
+	hello := func(fleetName string) []byte {
+		self := member.Record{ID: 7, Version: member.Version{Incarnation: 1 << 32, Life: 1}, Name: "liar", Address: "127.0.0.1:1"}
+		inner, err := frames.Pack(member.Hello{Self: self})
+		require.NoError(t, err)
+		body, err := frames.Pack(frames.Hello{Fleet: fleetName, Name: "liar", ID: 7, Address: self.Address, Body: inner})
+		require.NoError(t, err)
+		frame, err := frames.Append(nil, frames.TopicHello, body)
+		require.NoError(t, err)
+		return frame
+	}
+	records := func(n int, seed uint64) []byte {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		var m member.Message
+		for range n {
+			m.Records = append(m.Records, member.Record{ID: member.ID(rng.Uint64()), Version: member.Version{Incarnation: 1 << 32, Life: 1}, Name: "phantom",
+				Address: fmt.Sprintf("127.0.0.1:%d", 1+rng.IntN(9))})
+		}
+		body, err := frames.Pack(m)
+		require.NoError(t, err)
+		frame, err := frames.Append(nil, frames.TopicMember, body)
+		require.NoError(t, err)
+		return frame
+	}
+	bad := func(frame []byte, change func([]byte)) []byte {
+		frame = slices.Clone(frame)
+		change(frame)
+		return frame
+	}
+	speak := func(texts ...[]byte) {
+		conn, err := net.Dial("tcp", victim.peers)
+		require.NoError(t, err)
+		defer conn.Close()
+		require.NoError(t, conn.SetDeadline(time.Now().Add(patience)))
+		for _, text := range texts {
+			if _, err := conn.Write(text); err != nil {
+				return // it has been sent away
+			}
+		}
+		_, _ = io.Copy(io.Discard, conn) // until it is sent away; an error says so, too
+	}
+	for name, texts := range map[string][][]byte{
+		"a huge frame":           {hello("yard"), binary.BigEndian.AppendUint32(nil, 1<<31)},
+		"no frame":               {[]byte("GET / HTTP/1.1\r\n\r\n")},
+		"half a frame":           {hello("yard")[:20]},
+		"another fleet":          {hello("quarry")},
+		"another version":        {bad(hello("yard"), func(f []byte) { f[4] = 9 })},
+		"a body that is none":    {hello("yard"), bad(records(3, 1), func(f []byte) { f[6] = 0xc1 })},
+		"members before a hello": {records(3, 1)},
+	} {
+		speak(texts...)
+		_, ok := victim.seen()
+		require.True(t, ok, name)
+	}
+	var million [][]byte
+	for i := range 10000 {
+		million = append(million, records(100, uint64(i)))
+	}
+	speak(append([][]byte{hello("yard")}, million...)...)
+	s, _ := victim.seen()
+	t.Logf("known after a million lies: %d", len(s.Members))
+	assert.Less(t, len(s.Members), 4000)
+	assert.GreaterOrEqual(t, s.Links.Senseless, uint64(7))
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", victim.cmd.Process.Pid))
+	require.NoError(t, err)
+	peak := 0
+	for line := range strings.Lines(string(raw)) {
+		fmt.Sscanf(line, "VmHWM: %d kB", &peak)
+	}
+	t.Logf("at most %d kB resident", peak)
+	assert.Less(t, peak, 200<<10)
+	for _, text := range []string{"is of another fleet", "not spoken here"} {
+		assert.Equal(t, 1, strings.Count(victim.log.String(), text), "told once")
+	}
+	for _, m := range c.all {
+		s, ok := m.seen()
+		require.True(t, ok)
+		for _, other := range c.all {
+			assert.Equal(t, "alive", states(s)[other.name], "those that live are not forgotten for those that do not")
+		}
+	}
+	stop()
+}
--- a/cmd/hazelwheel/main.go
+++ b/cmd/hazelwheel/main.go
@@ -53,6 +53,7 @@
 			{Name: "capture", Usage: "look into what the decisions knew", Commands: []*cli.Command{
 				{Name: "replay", Usage: "feed a capture through the decisions and print what differs", Flags: []cli.Flag{in}, Action: replay},
 			}},
+			peersCommand(),
 			configCommand(),
 			{Name: "version", Usage: "print the version", Action: version},
 		},
--- /dev/null
+++ b/cmd/hazelwheel/peers_test.go
@@ -0,0 +1,361 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/fleet"
+	"hazelwheel/internal/lab/troupe"
+)
+
+// crew is several sidecars that know each other, each a process, with the switchboard between all of them.
+type crew struct {
+	*testing.T
+	board   *troupe.Switchboard
+	server  *server
+	all     []*mate
+	limits  map[string]any
+	replica int // what the settings say of the fleet's size
+}
+
+// mate is one sidecar over all lives of its process.
+type mate struct {
+	c                   *crew
+	name                string
+	dir                 string // of its state
+	tmp                 string
+	listen, ops         string
+	peers, advertise    string
+	join                []string
+	env                 []string
+	cmd                 *exec.Cmd
+	ended               chan struct{} // the process has
+	log                 *syncBuffer
+	frozen              atomic.Bool
+	gone                atomic.Bool // not to be asked
+	known               []endpoint
+	full                bool     // its disk takes nothing
+	passed              *os.File // the clients' socket, where the platform holds it
+	asked, refused, bad atomic.Int64
+}
+
+// newCrew returns sidecars that have not begun. They join by the first two.
+func newCrew(t *testing.T, n int) *crew {
+	t.Parallel()
+	return newCrewIn(t, n)
+}
+
+// newCrewIn does so for a test that has one already.
+func newCrewIn(t *testing.T, n int) *crew {
+	c := &crew{T: t, board: troupe.NewSwitchboard(), server: newServer(t, "s-00000001", says(200, "ok")), replica: n,
+		limits: map[string]any{"cores": 1, "sockets": 256}}
+	t.Cleanup(c.board.Close)
+	for range n {
+		c.add()
+	}
+	return c
+}
+
+// add adds a sidecar that has not begun.
+func (c *crew) add() *mate {
+	m := &mate{c: c, name: fmt.Sprintf("m%02d", len(c.all)), dir: c.TempDir(), tmp: c.TempDir(), listen: freeAddress(c.T), ops: freeAddress(c.T), peers: freeAddress(c.T),
+		log: &syncBuffer{}}
+	var err error
+	m.advertise, err = c.board.Add(m.name, m.peers)
+	require.NoError(c, err)
+	for _, o := range c.all[:min(len(c.all), 2)] {
+		m.join = append(m.join, o.advertise)
+	}
+	c.all = append(c.all, m)
+	if len(c.all) == 2 { // else the first would find nobody after a restart
+		c.all[0].join = []string{m.advertise}
+	}
+	c.Cleanup(func() {
+		if m.cmd != nil {
+			_ = m.cmd.Process.Signal(syscall.SIGCONT)
+			_ = m.cmd.Process.Kill()
+			<-m.ended
+		}
+		assert.NotContains(c, m.log.String(), "DATA RACE")
+		assert.NotContains(c, m.log.String(), "msg=panic")
+		if c.Failed() {
+			c.Logf("%s:\n%s", m.name, m.log.String())
+		}
+	})
+	return m
+}
+
+func (m *mate) fleet() map[string]any {
+	return map[string]any{"name": "yard", "listen": m.peers, "advertise": m.advertise, "join": m.join, "dir": m.dir}
+}
+
+// start begins the sidecar's process. It does not wait.
+func (m *mate) start() *mate {
+	m.c.Helper()
+	w := &world{T: m.c.T, discovery: newDiscovery(m.c.T), listen: m.listen, limits: m.c.limits, path: filepath.Join(m.tmp, "config.json")}
+	w.settings = map[string]any{
+		"classes": []map[string]any{{"name": "read", "effect": "free", "objectiveS": 5, "giveUpS": 10, "importance": 1}},
+		"dcs":     []string{"a"}, "discovery": "on_request", "replicasOfMe": m.c.replica, "selfIndex": slices.Index(m.c.all, m), "roundS": 0.005,
+		"limits":      map[string]any{"cancel": true, "probes": false, "sendCap": 3, "maxRetryAfterS": 1.5, "connIdleS": 60, "connectTimeoutS": 5},
+		"obligations": map[string]any{"answerSlackS": 0.02, "askWithinS": 10, "drainGraceS": 0.75},
+		"report":      map[string]any{"how": "off"},
+	}
+	w.known = append([]endpoint{m.c.server.endpoint()}, m.known...)
+	path := w.config()
+	raw, err := os.ReadFile(path)
+	require.NoError(m.c, err)
+	require.NoError(m.c, os.WriteFile(path, []byte(strings.Replace(string(raw), `"name":"n0"`, `"name":"`+m.name+`"`, 1)), 0o600))
+	text, err := json.Marshal(map[string]any{"fleet": m.fleet()})
+	require.NoError(m.c, err)
+	features := filepath.Join(m.tmp, "features.json")
+	require.NoError(m.c, os.WriteFile(features, text, 0o600))
+	m.cmd = program("serve", "--config", path, "--features", features)
+	if m.full { // no file of the process may have a byte
+		m.cmd.Path, m.cmd.Args = "/bin/sh", append([]string{"sh", "-c", `ulimit -f 0; exec "$0" "$@"`}, m.cmd.Args...)
+	}
+	m.cmd.Env = append(append(m.cmd.Env, "GW_OPS="+m.ops), m.env...)
+	if m.passed != nil {
+		m.cmd.ExtraFiles = []*os.File{m.passed, m.passed}
+	}
+	m.cmd.Stderr = m.log
+	require.NoError(m.c, m.cmd.Start())
+	m.frozen.Store(false)
+	ended, cmd := make(chan struct{}), m.cmd
+	m.ended = ended
+	go func() {
+		_ = cmd.Wait()
+		close(ended)
+	}()
+	return m
+}
+
+func (c *crew) start() *crew {
+	for _, m := range c.all {
+		m.start()
+	}
+	return c
+}
+
+func (m *mate) signal(s syscall.Signal) {
+	m.c.Helper()
+	require.NoError(m.c, m.cmd.Process.Signal(s))
+}
+
+// kill ends the process at once, and term in its own time.
+func (m *mate) kill() {
+	m.gone.Store(true)
+	m.signal(syscall.SIGKILL)
+	<-m.ended
+}
+
+func (m *mate) term() {
+	m.gone.Store(true)
+	m.signal(syscall.SIGTERM)
+	select {
+	case <-m.ended:
+	case <-time.After(patience):
+		require.Fail(m.c, m.name+" does not end")
+	}
+}
+
+// freeze has the process stand still, and returns once the system says that it does.
+func (m *mate) freeze() {
+	m.c.Helper()
+	m.frozen.Store(true)
+	m.signal(syscall.SIGSTOP)
+	m.c.poll(m.name+" stands still", func() bool {
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.cmd.Process.Pid))
+		if err != nil {
+			return false
+		}
+		rest := string(raw[strings.LastIndexByte(string(raw), ')')+1:])
+		return strings.HasPrefix(rest, " T")
+	})
+}
+
+func (m *mate) thaw() {
+	m.signal(syscall.SIGCONT)
+	m.frozen.Store(false)
+}
+
+// poll waits for a condition.
+func (c *crew) poll(what string, f func() bool) {
+	c.Helper()
+	for end := time.Now().Add(3 * patience); !f(); time.Sleep(20 * time.Millisecond) {
+		require.True(c, time.Now().Before(end), what)
+	}
+}
+
+// seen asks the sidecar at its door who is there; false: it does not say.
+func (m *mate) seen() (s fleet.Seen, ok bool) {
+	if m.frozen.Load() {
+		return s, false
+	}
+	text, err := callOnce(m.ops, "PEERS\n")
+	return s, err == nil && json.Unmarshal([]byte(text), &s) == nil
+}
+
+// states returns what a sidecar holds of each name; of several identities of one name the one that lives, or else the last.
+func states(s fleet.Seen) map[string]string {
+	all := map[string]string{}
+	for _, m := range s.Members {
+		if old, ok := all[m.Name]; !ok || old != "alive" {
+			all[m.Name] = m.State
+		}
+	}
+	return all
+}
+
+// alive returns the names of those whom a sidecar holds for alive, sorted; one that is alive twice stands there twice.
+func alive(s fleet.Seen) (names []string) {
+	for _, m := range s.Members {
+		if m.State == "alive" {
+			names = append(names, m.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// agree waits until each of them holds exactly these for alive and ranks are dense; it returns how long that took.
+func (c *crew) agree(all ...*mate) time.Duration {
+	c.Helper()
+	return c.view(all, all)
+}
+
+// view waits until some hold exactly others for alive.
+func (c *crew) view(some, others []*mate) time.Duration {
+	c.Helper()
+	began := time.Now()
+	var want []string
+	for _, m := range others {
+		want = append(want, m.name)
+	}
+	slices.Sort(want)
+	last := ""
+	for end := time.Now().Add(3 * patience); ; time.Sleep(20 * time.Millisecond) {
+		done := true
+		for _, m := range some {
+			s, ok := m.seen()
+			unsure := slices.ContainsFunc(s.Members, func(m fleet.SeenMember) bool { return m.State == "suspected" })
+			if got := alive(s); !ok || unsure || !slices.Equal(got, want) {
+				done, last = false, fmt.Sprintf("%s holds %v alive, wanted %v", m.name, states(s), want)
+				break
+			}
+		}
+		if done {
+			return time.Since(began)
+		}
+		require.True(c, time.Now().Before(end), last)
+	}
+}
+
+// placed waits until the ranks in force are 0 to n-1, each once, among n.
+func (c *crew) placed(all ...*mate) {
+	c.Helper()
+	c.poll("ranks are dense", func() bool {
+		ranks := make([]int, len(all))
+		for _, m := range all {
+			s, ok := m.seen()
+			if !ok || s.Count != len(all) || s.Rank >= len(all) {
+				return false
+			}
+			ranks[s.Rank]++
+		}
+		return !slices.ContainsFunc(ranks, func(n int) bool { return n != 1 })
+	})
+}
+
+// serveAll asks all sidecars again and again, from a client each, until what it returns is called. Each request must get its
+// answer, and a sidecar that neither stands still nor ends must serve.
+func (c *crew) serveAll() (stop func()) {
+	over := make(chan struct{})
+	var clients sync.WaitGroup
+	for _, m := range c.all {
+		clients.Go(func() {
+			client := http.Client{Timeout: 2 * patience, Transport: &http.Transport{DisableKeepAlives: true}}
+			for n := 0; ; n++ {
+				select {
+				case <-over:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+				r, err := http.NewRequest("GET", "http://"+m.listen+"/read/1", nil)
+				if err != nil {
+					panic(err)
+				}
+				lastID.Lock()
+				lastID.n++
+				r.Header.Set("Request-Id", fmt.Sprintf("%016x", lastID.n))
+				lastID.Unlock()
+				r.Header.Set("Request-Timeout", "8000m")
+				awayBefore := m.gone.Load() || m.frozen.Load()
+				p, err := client.Do(r)
+				away := awayBefore || m.gone.Load() || m.frozen.Load()
+				switch {
+				case err == nil:
+					p.Body.Close()
+					if m.asked.Add(1); p.StatusCode != 200 && !away {
+						m.refused.Add(1)
+					}
+				case !away:
+					m.bad.Add(1)
+					c.Logf("%s: %v", m.name, err)
+				}
+			}
+		})
+	}
+	return func() {
+		close(over)
+		clients.Wait()
+		for _, m := range c.all {
+			assert.Zero(c, m.bad.Load(), "%s left requests without an answer", m.name)
+			assert.Zero(c, m.refused.Load(), "%s did not serve", m.name)
+		}
+	}
+}
+
+// ready waits until all of them serve.
+func (c *crew) ready(all ...*mate) {
+	c.Helper()
+	for _, m := range all {
+		c.poll(m.name+" serves", func() bool {
+			r, err := outside.Get("http://" + m.listen + "/ready")
+			return err == nil && r.Body.Close() == nil && r.StatusCode == 200
+		})
+		m.gone.Store(false)
+	}
+}
+
+// Two sidecars find each other; one is killed, and the other holds it for dead, counts itself alone and goes on serving.
+func TestFleetOfTwo(t *testing.T) {
+	c := newCrew(t, 2).start()
+	c.ready(c.all...)
+	stop := c.serveAll()
+	t.Logf("they know each other after %v", c.agree(c.all...))
+	c.placed(c.all...)
+	c.all[1].kill()
+	t.Logf("dead after %v", c.agree(c.all[0]))
+	s, _ := c.all[0].seen()
+	assert.Equal(t, "dead", states(s)["m01"])
+	c.all[1].start()
+	c.ready(c.all...)
+	t.Logf("back after %v", c.agree(c.all...))
+	s, _ = c.all[0].seen()
+	assert.Len(t, s.Members, 2, "with its state it is the same sidecar")
+	stop()
+}
--- a/internal/appconfig/model.go
+++ b/internal/appconfig/model.go
@@ -31,6 +31,16 @@
 	Rewrites  []Rewrite      `toml:"rewrite,omitempty" file:"f:rewrites" comment:"changes of header fields, in their order"`
 	Quotas    *Quotas        `toml:"quotas,omitempty" file:"f:quotas" comment:"shares for groups of clients"`
 	Thrift    map[string]any `toml:"thrift,omitempty" file:"f:thrift" comment:"as the operators' file has it"`
+	Fleet     *Fleet         `toml:"fleet,omitempty" file:"f:fleet" comment:"how the sidecar and others of its fleet find each other"`
+}
+
+// Fleet is how sidecars find each other.
+type Fleet struct {
+	Name      string   `toml:"name" file:"f:fleet/name" need:"yes" comment:"of the fleet; sidecars of another are turned away"`
+	Listen    string   `toml:"listen" file:"f:fleet/listen" need:"yes" comment:"address and port for other sidecars"`
+	Advertise string   `toml:"advertise,omitempty" file:"f:fleet/advertise" comment:"where others dial it, if that is elsewhere"`
+	Join      []string `toml:"join,omitempty" file:"f:fleet/join" comment:"addresses of a few others; any of them may be down"`
+	Dir       string   `toml:"dir,omitempty" file:"f:fleet/dir" comment:"a folder that outlives the process; without it each start is a new sidecar"`
 }
 
 // Limits bound what the process may use.
--- a/internal/appconfig/render.go
+++ b/internal/appconfig/render.go
@@ -189,7 +189,7 @@
 	if features != nil && features.App != nil {
 		f := features.App
 		a.Forwarded, a.DrillSecret, a.Health, a.Capture = f.Forwarded, f.DrillSecret, f.Health, f.Capture
-		a.Admission, a.Drills, a.Rewrites, a.Quotas, a.Thrift = f.Admission, f.Drills, f.Rewrites, f.Quotas, f.Thrift
+		a.Admission, a.Drills, a.Rewrites, a.Quotas, a.Thrift, a.Fleet = f.Admission, f.Drills, f.Rewrites, f.Quotas, f.Thrift, f.Fleet
 	}
 	return &a, &s
 }
--- a/internal/capture/line.go
+++ b/internal/capture/line.go
@@ -27,6 +27,7 @@
 	kindWake     = "wake"
 	kindGone     = "gone"
 	kindStalled  = "stalled"
+	kindPlace    = "place"
 	kindDecision = "dec"
 )
 
@@ -231,6 +232,8 @@
 	Late     number     `json:"late"`
 	Final    bool       `json:"final"`
 	Report   []number   `json:"report"`
+	Rank     int        `json:"rank"`
+	Count    int        `json:"count"`
 
 	Decision        // and of inputs, its names
 	After    number `json:"after"`
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -263,6 +263,13 @@
 	}
 }
 
+// Place notes the sidecar's place in its fleet.
+func (c *Recorder) Place(now float64, rank, count int) {
+	if c != nil {
+		c.input(appendInt(append(appendInt(append(c.begun(now, kindPlace), `,"rank":`...), int64(rank)), `,"count":`...), int64(count)))
+	}
+}
+
 // Gone notes the departure of a request's client.
 func (c *Recorder) Gone(now float64, request uint32, l Label) {
 	if c != nil {
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -152,7 +152,7 @@
 		d := l.Decision
 		d.After = float64(l.After)
 		r.said = append(r.said, recorded{Decision: d, number: r.number, text: text})
-	case kindHosts, kindRequest, kindOutcome, kindProbe, kindWake, kindGone, kindStalled:
+	case kindHosts, kindRequest, kindOutcome, kindProbe, kindWake, kindGone, kindStalled, kindPlace:
 		r.finish(true)
 		if r.b == nil {
 			r.tally.Skipped++
@@ -228,6 +228,8 @@
 		r.b.Wake(r.now)
 	case kindGone:
 		r.b.Abandoned(r.now, l.Request)
+	case kindPlace:
+		r.b.Place(r.now, l.Rank, l.Count)
 	case kindStalled:
 		r.b.Stalled(r.now, float64(l.Late))
 	}
--- /dev/null
+++ b/internal/config/dialable.go
@@ -0,0 +1,19 @@
+package config
+
+import (
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+)
+
+// Dialable tells whether a text is an address with a port that others can dial.
+func Dialable(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	n, bad := strconv.ParseUint(port, 10, 16)
+	if err != nil || bad != nil || n == 0 || host == "" || len(s) > 256 || strings.ContainsAny(s, " \t\r\n") {
+		return false
+	}
+	ip, err := netip.ParseAddr(host)
+	return err != nil || !ip.IsUnspecified()
+}
--- /dev/null
+++ b/internal/decide/member/part.go
@@ -0,0 +1,55 @@
+package member
+
+// Part is a sidecar's place in its fleet as its decisions are told it. It follows the live count late: a rank or a count
+// moves the subset, and with it links and what is known of hosts.
+type Part struct {
+	Self, Replicas int // by the settings; they hold where nobody else is heard
+	rank, count    int // in force
+	next           [2]int
+	since, first   float64 // of next, and of the first that differed
+	on             bool
+}
+
+const (
+	calmS  = 2.0 // for which a new place must hold
+	longS  = 6.0 // after which the latest is taken even though it goes on changing
+	farOff = 32  // times the settings' count, or a part of it, that the live one may be: beyond is no fleet that was planned
+)
+
+// HoldS is how long one that has died still counts.
+const HoldS = 8.0
+
+// NewPart returns the place that the settings tell.
+func NewPart(self, replicas int) Part {
+	return Part{Self: self, Replicas: replicas, rank: self, count: max(replicas, 1)}
+}
+
+// Now returns the place that is in force.
+func (p *Part) Now() (rank, count int) { return p.rank, p.count }
+
+// Update takes what is seen now, and tells whether another place is in force from here on. Who sees nobody else is cut off
+// and goes by its settings.
+func (p *Part) Update(now float64, rank, count int) bool {
+	if count <= 1 {
+		rank, count = p.Self, max(p.Replicas, 1)
+	}
+	told := max(p.Replicas, 1)
+	if bounded := min(max(count, (told+farOff-1)/farOff), told*farOff); bounded != count {
+		rank, count = rank%bounded, bounded
+	}
+	next := [2]int{rank, count}
+	if next == [2]int{p.rank, p.count} {
+		p.on = false
+		return false
+	}
+	if !p.on {
+		p.on, p.first, p.since, p.next = true, now, now, next
+	} else if next != p.next {
+		p.next, p.since = next, now
+	}
+	if now-p.since < calmS && now-p.first < longS {
+		return false
+	}
+	p.on, p.rank, p.count = false, rank, count
+	return true
+}
--- /dev/null
+++ b/internal/decide/member/view.go
@@ -0,0 +1,566 @@
+package member
+
+import (
+	"cmp"
+	"math"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+)
+
+// entry is what is held of a member.
+type entry struct {
+	Record
+	since float64 // of the state
+	due   float64 // of one that is suspected: when it is dead
+
+	link    *link // nil: there is none that both know of
+	wanted  bool  // a neighbour on a ring
+	watched float64
+	heard   float64 // when it last said anything, or was first waited for
+	fails   int     // dials in a row
+	dialing bool
+	nextTry float64
+	met     bool    // there was a link, with this version of it
+	mute    float64 // no accusation by this member alone before
+	muteFor float64
+	hot     bool // is looked at with each tick
+	fresh   bool // is to be told
+	from    int  // the link that it came by; 0: none
+}
+
+// link is one that is up and whose other end is known.
+type link struct {
+	number int
+	to     *entry
+	life   uint64 // of the process at the other end
+	dialed bool   // by this member
+	wants  bool   // the other does
+	differ int    // beats in a row with another sum
+}
+
+// View is one member's view of its fleet.
+type View struct {
+	set  Settings
+	do   Actions
+	rng  *rand.Rand
+	self *entry
+	all  []*entry      // by ID, with self
+	hot  []*entry      // that are suspected or watched: Danger: a look at all with each message costs by the square of the fleet
+	byID map[ID]*entry // looked up, never walked
+
+	links         []*link
+	dials         map[string]ID // those under way whose other end is known; 0: it is not
+	met           map[string]ID // who was found at an address to join by
+	name, address string
+	teacher       int     // the first link
+	taughtAt      float64 // when it came up
+	now           float64
+	tickAt        float64
+	sweepAt       float64 // when the gone are looked at next
+	beatAt        float64
+	healAt        float64
+	verifyAt      float64
+	verified      *entry  // who is being called
+	pace          float64 // between two calls
+	newFrom       float64 // when newcomers were counted anew
+	newLeft       int     // that may come until then
+	syncAt        float64
+	health        int // doubts about oneself
+	healthy       float64
+	changed       float64 // when the sum last changed
+	sum           uint64
+	dirty         bool // the neighbours are to be chosen anew
+	quiet         bool // nothing is said: the identity is another's
+	left          bool
+	succeeded     bool
+	news          []*entry
+	figures       Figures
+}
+
+// Figures count what a View has done.
+type Figures struct {
+	Accusations uint64 `json:"accusations"` // made by this member
+	Refutations uint64 `json:"refutations"` // of what was said of it
+	Deaths      uint64 `json:"deaths"`      // declared by this member
+	Stalls      uint64 `json:"stalls"`      // times that it stood still
+	Refused     uint64 `json:"refused"`     // records that made no sense or had no room
+	Syncs       uint64 `json:"syncs"`       // comparisons of views that it began
+}
+
+// New returns the view of a member that knows itself alone.
+func New(now float64, self Record, set Settings, do Actions) *View {
+	v := &View{set: set, do: do, rng: rand.New(rand.NewPCG(set.Seed, uint64(self.ID))), byID: map[ID]*entry{}, dials: map[string]ID{},
+		met: map[string]ID{}, now: now, pace: verifyS, name: self.Name, address: self.Address, tickAt: now, beatAt: now, changed: now, healthy: now}
+	v.become(self)
+	return v
+}
+
+func (v *View) become(self Record) {
+	self.State, self.By, self.AgeS = Alive, nil, 0
+	v.self = &entry{Record: self, since: v.now}
+	v.insert(v.self)
+	v.quiet, v.dirty = false, true
+}
+
+// Become goes on under another identity.
+func (v *View) Become(now float64, id ID, version Version) {
+	v.enter(now)
+	next := Record{ID: id, Version: version, Name: v.name, Address: v.address}
+	v.self.due = math.Inf(1)
+	v.become(next)
+	v.tell(v.self, 0)
+	v.settle()
+}
+
+// Self returns the record of the member itself.
+func (v *View) Self() Record { return v.self.Record }
+
+// Quiet tells whether the identity is another process's now.
+func (v *View) Quiet() bool { return v.quiet }
+
+// Succeeded tells whether another process has taken this one's place, under its identity and at its address.
+func (v *View) Succeeded() bool { return v.succeeded }
+
+// Figures returns the counts so far.
+func (v *View) Figures() Figures { return v.figures }
+
+// Health returns how many doubts the member has about itself.
+func (v *View) Health() int { return v.health }
+
+// Seen is what is held of a member, for who asks.
+type Seen struct {
+	Record
+	SinceS float64 // for how long the state has held
+	Linked bool
+}
+
+// Members calls yield for all members that are known, by their IDs.
+func (v *View) Members(yield func(Seen) bool) {
+	for _, e := range v.all {
+		if !yield(Seen{e.Record, v.now - e.since, e.link != nil}) {
+			return
+		}
+	}
+}
+
+// Part returns this member's place among those that live, and how many these are. One that died counts for a while still:
+// one that comes and goes is to move nothing.
+func (v *View) Part(holdS float64) (rank, count int) {
+	for _, e := range v.all {
+		if !e.State.Gone() || e.State == Dead && v.now-e.since < holdS && e != v.self {
+			if count++; e.ID < v.self.ID {
+				rank++
+			}
+		}
+	}
+	return rank, count
+}
+
+// Live returns how many members live, this one included.
+func (v *View) Live() (n int) {
+	for _, e := range v.all {
+		if !e.State.Gone() {
+			n++
+		}
+	}
+	return n
+}
+
+// Sum returns a number that is the same for two members that hold the same of all, but for suspicions.
+func (v *View) Sum() uint64 { return v.sum }
+
+// Next returns when Tick is to be called.
+func (v *View) Next() float64 { return v.tickAt }
+
+// --- What is known ---
+
+// weight is an entry's part of the sums.
+func (v *View) weight(e *entry) uint64 {
+	class := uint64(0)
+	if e.State.Gone() {
+		if class = uint64(e.State); v.now-e.since > forgetS-edgeS {
+			return 0
+		}
+	}
+	return mix(uint64(e.ID) ^ mix(e.Version.Incarnation^mix(e.Version.Life^class<<56)))
+}
+
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (v *View) place(id ID) (int, bool) {
+	return slices.BinarySearchFunc(v.all, id, func(e *entry, id ID) int { return cmp.Compare(e.ID, id) })
+}
+
+func (v *View) insert(e *entry) {
+	i, _ := v.place(e.ID)
+	v.all = slices.Insert(v.all, i, e)
+	v.byID[e.ID] = e
+	v.sum ^= v.weight(e)
+}
+
+// alter changes an entry and what follows from that.
+func (v *View) alter(e *entry, known bool, change func()) {
+	was := e.State
+	v.sum ^= v.weight(e)
+	change()
+	v.sum ^= v.weight(e)
+	if e.State != was || !known {
+		if !(was <= Suspected && e.State <= Suspected) || !known {
+			v.changed = v.now
+		}
+		v.dirty = true
+		v.do.Changed(e.Record, was, known)
+	}
+}
+
+// sane tells whether a record can be one.
+func sane(r *Record) bool {
+	return r.Version.Incarnation < 1<<62 && r.State <= Left && r.ID != 0 && len(r.Name) <= 128 && len(r.Address) <= 256 && r.Address != "" && len(r.By) <= 16 &&
+		r.AgeS >= 0 && r.AgeS < 1e9
+}
+
+// Merge makes one record of two of the same identity, and tells whether that is another than the first.
+func Merge(a, b Record) (Record, bool) {
+	switch c := b.Version.Compare(a.Version); {
+	case c < 0:
+		return a, false
+	case c > 0:
+		return b, true
+	}
+	if b.State > a.State {
+		if b.State == Suspected {
+			b.By = union(a.By, b.By)
+		}
+		return b, true
+	}
+	if b.State == a.State && a.State == Suspected {
+		if by := union(a.By, b.By); len(by) > len(a.By) {
+			a.By = by
+			return a, true
+		}
+	}
+	return a, false
+}
+
+// union returns the accusers of both, the least ones where they are more than enough.
+func union(a, b []ID) []ID {
+	all := append(slices.Clone(a), b...)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return all[:min(len(all), enough)]
+}
+
+// hear takes a record that came by a link.
+func (v *View) hear(r Record, from int) {
+	if !sane(&r) {
+		v.figures.Refused++
+		return
+	}
+	e := v.byID[r.ID]
+	if e == v.self {
+		v.hearOfSelf(r, from)
+		return
+	}
+	if e == nil {
+		if r.State.Gone() && r.AgeS > forgetS-edgeS || !v.admit(from) || len(v.all) >= mostKnown && !v.forgetOne() {
+			v.figures.Refused++
+			return
+		}
+		e = &entry{Record: r, since: v.now - r.AgeS, heard: v.now}
+		v.insert(e)
+		v.alter(e, false, func() {})
+		v.suspect(e)
+		v.tell(e, from)
+		return
+	}
+	merged, news := Merge(e.Record, r)
+	if !news {
+		return
+	}
+	if merged.Version != e.Version {
+		e.met = false
+	}
+	risen := merged.Version.Compare(e.Version) > 0
+	v.alter(e, true, func() {
+		was := e.State
+		e.Record = merged
+		if e.AgeS = 0; merged.State != was || merged.State.Gone() {
+			e.since = v.now - r.AgeS
+		}
+	})
+	if risen && !e.State.Gone() {
+		e.due = 0
+		if e.link == nil {
+			e.heard = max(e.heard, v.now-silentS/2) // it has spoken to others just now
+		}
+	}
+	v.suspect(e)
+	v.tell(e, from)
+}
+
+// admit tells whether one more that nobody knew is believed in. Danger: one broken sidecar can tell of thousands that do not
+// exist, and each would have to be called before it counts as dead. Who has just come believes the first that it meets.
+func (v *View) admit(from int) bool {
+	if v.now >= v.newFrom+newcomersS || v.newFrom == 0 {
+		v.newFrom, v.newLeft = v.now, max(newcomers, 2*len(v.all))
+	}
+	if from != 0 && from == v.teacher && v.now < v.taughtAt+teachS {
+		return true
+	}
+	if v.newLeft--; v.newLeft < 0 {
+		return false
+	}
+	return true
+}
+
+// hearOfSelf takes what is said of this member.
+func (v *View) hearOfSelf(r Record, from int) {
+	s := v.self
+	switch c := r.Version.Compare(s.Version); {
+	case v.quiet || v.left && c <= 0:
+	case c > 0 && r.Version.Incarnation > s.Version.Incarnation+mostAhead:
+		// Danger: a greater one yet would run out of numbers, and without one this member stays what others call it.
+		v.quiet = true
+		v.hush()
+		v.alter(s, true, func() { s.Record, s.since = r, v.now })
+		v.do.Renew("others are told of an incarnation that this identity can't have")
+	case c > 0 && r.Version.Life != s.Version.Life:
+		// Another process has this identity, and a later state of it.
+		v.quiet = true
+		if r.Address == s.Address && v.set.Replaceable {
+			v.succeeded = true
+			v.hush()
+			return
+		}
+		why := "another process has this identity: a copied folder"
+		if r.Address == s.Address {
+			why = "this identity was already further than the state on disk: an old copy"
+		}
+		v.hush()
+		v.alter(s, true, func() { s.Record, s.since = r, v.now })
+		v.do.Renew(why)
+	case c > 0 || c == 0 && (r.State == Suspected || r.State.Gone() && !v.left):
+		v.alter(s, true, func() { s.Version.Incarnation = max(r.Version.Incarnation, s.Version.Incarnation) + 1 })
+		v.changed = v.now
+		v.figures.Refutations++
+		v.doubt()
+		v.tell(s, 0)
+	case c < 0:
+		v.tell(s, 0)
+	}
+}
+
+// hush ends all links without a word about this member.
+func (v *View) hush() {
+	for len(v.links) > 0 {
+		l := v.links[0]
+		v.do.Send(l.number, &Message{Bye: true})
+		v.cut(l)
+	}
+	v.news = v.news[:0]
+	for _, e := range v.all {
+		e.fresh = false
+	}
+}
+
+// suspect sets when one that is suspected is dead: the sooner the more do not hear it.
+func (v *View) suspect(e *entry) {
+	if e.State != Suspected || e == v.self {
+		return
+	}
+	at := e.since + v.patience(len(e.By))
+	if e.due == 0 || at < e.due {
+		e.due = at
+	}
+	v.heat(e)
+	// Danger: one that two others miss as well is no fault of this member's link.
+	if len(e.By) < enough && e.watchedBy(v.now) && v.silent(e) && !slices.Contains(e.By, v.self.ID) {
+		v.accuse(e)
+	}
+}
+
+// heat has an entry looked at with each tick.
+func (v *View) heat(e *entry) {
+	if !e.hot && e != v.self {
+		e.hot = true
+		v.hot = append(v.hot, e)
+	}
+}
+
+// patience is how long one is suspected that so many do not hear.
+func (v *View) patience(accusers int) float64 {
+	able := 0 // to accuse it
+	for _, e := range v.all {
+		if e.State == Alive {
+			if able++; able >= enough {
+				break
+			}
+		}
+	}
+	if able = max(able, 1); accusers >= able {
+		return soonestS
+	}
+	return latestS - (latestS-soonestS)*math.Log(float64(accusers))/math.Log(float64(able))
+}
+
+// accuse says that this member does not hear another.
+func (v *View) accuse(e *entry) {
+	v.figures.Accusations++
+	v.alter(e, true, func() {
+		if e.State == Alive {
+			e.State, e.since, e.due = Suspected, v.now, 0
+		}
+		e.By = union(e.By, []ID{v.self.ID})
+	})
+	v.suspect(e)
+	v.tell(e, 0)
+}
+
+// doubt notes that this member has reason to doubt itself.
+func (v *View) doubt() {
+	v.health, v.healthy = min(v.health+1, mostHealth), v.now
+}
+
+// tell has a record told to all links but the one that it came by.
+func (v *View) tell(e *entry, from int) {
+	if e.fresh {
+		if e.from != from {
+			e.from = 0
+		}
+		return
+	}
+	e.fresh, e.from = true, from
+	v.news = append(v.news, e)
+}
+
+// record returns what is said of an entry.
+func (v *View) record(e *entry) Record {
+	r := e.Record
+	if r.State.Gone() {
+		r.AgeS = math.Round(10*(v.now-e.since)) / 10
+	}
+	return r
+}
+
+// flush tells what is new.
+func (v *View) flush() {
+	if len(v.news) == 0 {
+		return
+	}
+	if !v.quiet {
+		for _, l := range v.links {
+			var m Message
+			for _, e := range v.news {
+				if e.from == l.number {
+					continue
+				}
+				if m.Records = append(m.Records, v.record(e)); len(m.Records) == mostSent {
+					v.do.Send(l.number, &Message{Records: m.Records})
+					m.Records = nil
+				}
+			}
+			if len(m.Records) > 0 {
+				v.do.Send(l.number, &m)
+			}
+		}
+	}
+	for _, e := range v.news {
+		e.fresh, e.from = false, 0
+	}
+	v.news = v.news[:0]
+}
+
+// forgetOne makes room: the one goes that has been gone the longest.
+func (v *View) forgetOne() bool {
+	var oldest *entry
+	for _, e := range v.all {
+		if e.State.Gone() && e != v.self && (oldest == nil || e.since < oldest.since) {
+			oldest = e
+		}
+	}
+	if oldest != nil {
+		v.forget(oldest)
+	}
+	return oldest != nil
+}
+
+func (v *View) forget(e *entry) {
+	if v.verified == e {
+		v.verified = nil
+	}
+	v.hot = slices.DeleteFunc(v.hot, func(o *entry) bool { return o == e })
+	v.sum ^= v.weight(e)
+	if i, ok := v.place(e.ID); ok {
+		v.all = slices.Delete(v.all, i, i+1)
+	}
+	delete(v.byID, e.ID)
+	if e.link != nil {
+		v.cut(e.link)
+	}
+}
+
+// --- Comparing views ---
+
+// buckets is how many sums are compared.
+const buckets = 64
+
+func bucket(id ID) int { return int(mix(uint64(id)) >> 58) }
+
+func (v *View) sums() []uint64 {
+	sums := make([]uint64, buckets)
+	for _, e := range v.all {
+		sums[bucket(e.ID)] ^= v.weight(e)
+	}
+	return sums
+}
+
+// compare asks a neighbour what differs.
+func (v *View) compare(l *link) {
+	v.syncAt = v.now
+	v.figures.Syncs++
+	v.do.Send(l.number, &Message{Sums: v.sums()})
+}
+
+// differing tells a neighbour what is held otherwise here, and asks for what it holds.
+func (v *View) differing(l *link, theirs []uint64) {
+	if len(theirs) != buckets {
+		v.figures.Refused++
+		return
+	}
+	mask := uint64(0)
+	for i, sum := range v.sums() {
+		if sum != theirs[i] {
+			mask |= 1 << i
+		}
+	}
+	if mask != 0 {
+		v.sendBuckets(l, mask)
+		v.do.Send(l.number, &Message{Want: []uint64{mask}})
+	}
+}
+
+func (v *View) sendBuckets(l *link, mask uint64) {
+	var records []Record
+	for _, e := range v.all {
+		if mask>>bucket(e.ID)&1 == 0 || v.weight(e) == 0 {
+			continue
+		}
+		if records = append(records, v.record(e)); len(records) == mostSent {
+			v.do.Send(l.number, &Message{Records: records})
+			records = nil
+		}
+	}
+	if len(records) > 0 {
+		v.do.Send(l.number, &Message{Records: records})
+	}
+}
+
+// ringOrder is a member's place on a ring.
+func ringOrder(id ID, ring int) uint64 {
+	return mix(uint64(id) + bits.RotateLeft64(0x9e3779b97f4a7c15, 11*ring))
+}
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -35,6 +35,7 @@
 	Admission Admission
 	Thrift    Thrift
 	Quotas    quotas.Settings
+	Fleet     Fleet
 }
 
 // Admission bounds what clients may hold. Its zero value has no caps and no reserve.
@@ -73,6 +74,9 @@
 	if f.Quotas.On() {
 		on = append(on, fmt.Sprintf("quotas (%d groups, %d limits)", f.Quotas.Tree.Len()-1, len(f.Quotas.Tree.Limits)))
 	}
+	if f.Fleet.On() {
+		on = append(on, fmt.Sprintf("fleet (%s, at %s, %d to join)", f.Fleet.Name, f.Fleet.Listen, len(f.Fleet.Join)))
+	}
 	if len(on) == 0 {
 		return "none"
 	}
@@ -105,6 +109,7 @@
 	f.readAdmission(o, c)
 	f.readThrift(o, c)
 	f.readQuotas(o, c)
+	f.readFleet(o, c)
 	return f, o.rest()
 }
 
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,403 @@
+// Package fleet has a sidecar know the others of its fleet: it drives the decisions about who is there over the links to
+// peers, keeps the identity on disk, and tells the core its place. Serving never waits for it; with all peers gone the core
+// goes by its settings. It belongs to the core's loop.
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"runtime/debug"
+	"strconv"
+
+	"hazelwheel/internal/decide/member"
+	"hazelwheel/internal/netio"
+	"hazelwheel/internal/peers"
+	"hazelwheel/internal/peers/frames"
+	"hazelwheel/internal/sidecar"
+)
+
+// Settings say how a sidecar is found and whom it looks for.
+type Settings struct {
+	Name      string   // of the fleet; empty: the sidecar knows no other
+	Listen    string   // address and port for peers
+	Advertise string   // where peers dial it; empty: Listen
+	Join      []string // addresses to begin with
+	Dir       string   // for what must survive a restart; empty: each start is a new process
+}
+
+// On tells whether the sidecar looks for peers.
+func (s *Settings) On() bool { return s.Name != "" }
+
+// Disk keeps the state. What Save was given is on disk, synced, when done is called with nil, on the loop.
+type Disk interface {
+	Save(data []byte, done func(error))
+}
+
+// Options are what a fleet is made of.
+type Options struct {
+	Settings
+	Sidecar        string // its name
+	Self, Replicas int    // by the configuration
+	Replaceable    bool   // another process may take this one's place, with its identity and address
+	Asked          sidecar.Asked
+	Told           sidecar.Placed
+	Rand           *rand.Rand
+	Net            netio.Net
+	Log            *slog.Logger
+}
+
+// Fleet is a sidecar's part in its fleet. It is a netio.Host for the connections that Owns tells of.
+type Fleet struct {
+	o        Options
+	net      netio.Net
+	log      *slog.Logger
+	port     int
+	peers    *peers.Peers
+	view     *member.View
+	part     member.Part
+	links    map[int]*peers.Link // looked up, never walked
+	stop     func()              // listening
+	again    float64             // when to try to listen again; 0: it listens
+	told     bool                // that it can't
+	alarm    float64
+	depth    int
+	posted   []func()
+	disk     Disk // nil: there is none
+	saved    []byte
+	savedErr error
+	notes    notes
+	stored   bool // the identity is on disk
+	hushed   bool
+	left     bool
+	panics   uint64
+}
+
+var _ netio.Host = (*Fleet)(nil)
+
+// New returns a fleet that has not begun. What is saved is taken over first; where it can't be, the process is a new one.
+func New(o Options) (*Fleet, error) {
+	f := &Fleet{o: o, net: o.Net, log: o.Log.With("part", "fleet"), links: map[int]*peers.Link{}, part: member.NewPart(o.Self, o.Replicas)}
+	if f.o.Advertise == "" {
+		f.o.Advertise = o.Listen
+	}
+	_, port, err := net.SplitHostPort(o.Listen)
+	if err == nil {
+		f.port, err = strconv.Atoi(port)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("fleet.listen: %w", err)
+	}
+	f.o.Log = f.log
+	f.peers = peers.New(o.Name, f, o.Net, f.log)
+	return f, nil
+}
+
+// Keep says where the state is kept, what is there already (nil: nothing), or why that can't be read. It comes before Start.
+func (f *Fleet) Keep(disk Disk, saved []byte, err error) {
+	f.disk, f.saved, f.savedErr = disk, saved, err
+}
+
+// Usable tells why what is saved can't be taken over; nil where it can, or where there is nothing.
+func Usable(saved []byte) error {
+	if saved == nil {
+		return nil
+	}
+	_, err := decodeState(saved)
+	return err
+}
+
+// drawn returns a number that is not 0.
+func (f *Fleet) drawn() uint64 { return f.o.Rand.Uint64() | 1 }
+
+// Start reads the identity and begins to look for others. Danger: what was promised under an identity must not be forgotten
+// under it; one that can't be written again is not used.
+func (f *Fleet) Start() {
+	f.enter(func() {
+		id, generation := member.ID(f.drawn()), uint64(1)
+		if st, err := decodeState(f.saved); f.savedErr == nil && f.saved != nil && err == nil {
+			id, generation = st.ID, st.Generation+1
+		} else if err := cmpErr(f.savedErr, err, f.saved); err != nil {
+			f.log.Warn("what was saved of this sidecar can't be used: it is a new one", "error", err)
+		}
+		version := member.Version{Incarnation: generation << 32, Life: f.drawn()}
+		f.save(id, generation, func(err error) {
+			if err != nil {
+				id, version.Incarnation = member.ID(f.drawn()), 1<<32
+				f.log.Warn("the identity can't be kept: the next start is a new sidecar", "error", err)
+			}
+			f.stored = err == nil
+			f.begin(id, version)
+		})
+	})
+}
+
+// cmpErr returns why what was saved is of no use; nil where there is nothing.
+func cmpErr(reading, decoding error, saved []byte) error {
+	switch {
+	case reading != nil:
+		return reading
+	case saved != nil:
+		return decoding
+	}
+	return nil
+}
+
+// save keeps an identity. A sidecar without a folder has nothing to keep.
+func (f *Fleet) save(id member.ID, generation uint64, done func(error)) {
+	if f.disk == nil {
+		f.later(func() { done(errNoDisk) })
+		return
+	}
+	f.disk.Save(encodeState(state{ID: id, Generation: generation}), func(err error) { f.enter(func() { done(err) }) })
+}
+
+var errNoDisk = errors.New("there is no folder")
+
+// begin comes once the identity is on disk, or known not to be.
+func (f *Fleet) begin(id member.ID, version member.Version) {
+	if f.hushed {
+		return
+	}
+	self := member.Record{ID: id, Version: version, Name: f.o.Sidecar, Address: f.o.Advertise}
+	f.view = member.New(f.net.Now(), self, member.Settings{Join: f.o.Join, Replaceable: f.o.Replaceable, Seed: f.o.Rand.Uint64()}, actions{f})
+	f.log.Info("looking for peers", "fleet", f.o.Name, "listen", f.o.Listen, "advertise", f.o.Advertise, "id", id, "incarnation", version.Incarnation)
+	f.listen()
+	f.tick()
+}
+
+// listen opens the listener. Another process may still hold it, the one that this one replaces; nothing waits for that.
+func (f *Fleet) listen() {
+	stop, err := f.net.Listen(f.o.Listen)
+	if err != nil {
+		if f.again = f.net.Now() + 0.2; !f.told {
+			f.told = true
+			f.log.Warn("peers can't come yet: trying again", "error", err)
+		}
+		return
+	}
+	f.stop, f.again = stop, 0
+	if f.told {
+		f.log.Info("peers can come", "listen", f.o.Listen)
+	}
+	f.told = false
+}
+
+// tick does what is due, and asks for the next call.
+func (f *Fleet) tick() {
+	now := f.net.Now()
+	if f.again > 0 && now >= f.again && !f.hushed {
+		f.listen()
+	}
+	f.heed()
+	if f.view.Succeeded() && !f.hushed {
+		f.log.Info("another process speaks for this sidecar")
+		f.hushed = true
+		f.shut()
+	}
+	f.peers.Tick()
+	if now >= f.view.Next() {
+		f.view.Tick(now)
+	}
+	rank, count := f.view.Part(member.HoldS)
+	if f.hushed || f.left {
+		rank, count = 0, 1
+	}
+	if f.part.Update(now, rank, count) {
+		rank, count = f.part.Now()
+		f.log.Info("place in the fleet", "rank", rank, "of", count, "live", f.view.Live())
+		f.o.Told.TakePlace(rank, count)
+	}
+	f.notes.flush(now, f.log)
+	f.alarm = f.view.Next()
+	if f.alarm <= now {
+		f.alarm = now + 0.25
+	}
+	f.net.Alarm(f.alarm)
+}
+
+// Heed looks whether the core has been told to end.
+func (f *Fleet) Heed() { f.enter(f.heed) }
+
+func (f *Fleet) heed() {
+	switch ending, succeeded := f.o.Asked.Ending(); {
+	case !ending || f.hushed || f.left || f.view == nil:
+	case succeeded: // another process speaks under this identity
+		f.hushed = true
+		f.view.Hush(f.net.Now())
+		f.shut()
+	default:
+		f.left = true
+		f.view.Leave(f.net.Now())
+	}
+}
+
+func (f *Fleet) shut() {
+	if f.stop != nil {
+		f.stop()
+		f.stop = nil
+	}
+	f.again = 0
+}
+
+// enter wraps each call on the loop: a panic stops here, and what follows from the call is done before it ends.
+func (f *Fleet) enter(do func()) {
+	f.depth++
+	f.guard(do)
+	for f.depth == 1 && len(f.posted) > 0 {
+		next := f.posted[0]
+		f.posted = f.posted[1:]
+		f.guard(next)
+	}
+	f.depth--
+}
+
+func (f *Fleet) guard(do func()) (failed bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			failed = true
+			f.panics++
+			f.log.Error("panic", "cause", cause, "stack", string(debug.Stack()))
+		}
+	}()
+	do()
+	return false
+}
+
+// later has something done at the end of the present call. Danger: the decisions' actions must not call back into them.
+func (f *Fleet) later(do func()) { f.posted = append(f.posted, do) }
+
+// --- the loop's calls ---
+
+// Owns tells whether a connection is a peer's.
+func (f *Fleet) Owns(c netio.Conn) bool {
+	switch c.Context().(type) {
+	case *peers.Link:
+		return true
+	case nil:
+		tcp, ok := c.LocalAddr().(*net.TCPAddr)
+		return ok && tcp.Port == f.port
+	}
+	return false
+}
+
+// Open takes a connection.
+func (f *Fleet) Open(c netio.Conn) (keep bool) {
+	f.enter(func() { keep = f.view != nil && !f.hushed && f.peers.Open(c) })
+	return keep
+}
+
+// Traffic takes what has come over one.
+func (f *Fleet) Traffic(c netio.Conn, data []byte) {
+	f.enter(func() {
+		if f.guard(func() { f.peers.Traffic(c, data) }) {
+			f.net.Close(c)
+		}
+	})
+}
+
+// Closed takes its end.
+func (f *Fleet) Closed(c netio.Conn, err error) { f.enter(func() { f.peers.Closed(c, err) }) }
+
+// Alarm comes when something is due.
+func (f *Fleet) Alarm() {
+	f.enter(func() {
+		if f.view != nil {
+			f.tick()
+		}
+	})
+}
+
+// --- the links' calls ---
+
+// Hello says who this sidecar is.
+func (f *Fleet) Hello() frames.Hello {
+	h := f.view.Hello()
+	body, err := frames.Pack(h)
+	if err != nil { // numbers and names always pack
+		panic(err)
+	}
+	return frames.Hello{Fleet: f.o.Name, Name: f.o.Sidecar, ID: uint64(h.Self.ID), Address: f.o.Advertise, Body: body}
+}
+
+// Up takes a link.
+func (f *Fleet) Up(l *peers.Link, h frames.Hello) bool {
+	var hello member.Hello
+	if err := frames.Unpack(h.Body, &hello); err != nil || f.left || f.view.Quiet() {
+		return false
+	}
+	f.links[l.Number] = l
+	f.view.LinkUp(f.net.Now(), l.Number, l.Address, hello)
+	return true
+}
+
+// Down takes a link's end.
+func (f *Fleet) Down(l *peers.Link, _ error) {
+	delete(f.links, l.Number)
+	f.view.LinkDown(f.net.Now(), l.Number)
+}
+
+// NotUp takes the end of a dial.
+func (f *Fleet) NotUp(address string, err error) {
+	f.log.Debug("a peer can't be reached", "address", address, "error", err)
+	f.enter(func() { f.view.NotUp(f.net.Now(), address) })
+}
+
+// Heard takes a frame. A topic that is not known here is a later version's, and skipped.
+func (f *Fleet) Heard(l *peers.Link, topic frames.Topic, body []byte) error {
+	if topic != frames.TopicMember {
+		return nil
+	}
+	var m member.Message
+	if err := frames.Unpack(body, &m); err != nil {
+		return err
+	}
+	f.view.Heard(f.net.Now(), l.Number, &m)
+	return nil
+}
+
+// --- the decisions' actions ---
+
+type actions struct{ f *Fleet }
+
+func (a actions) Dial(address string) { a.f.later(func() { a.f.peers.Dial(address) }) }
+
+func (a actions) Send(link int, m *member.Message) {
+	l := a.f.links[link]
+	if l == nil {
+		return
+	}
+	body, err := frames.Pack(m)
+	if err != nil { // numbers and names always pack
+		panic(err)
+	}
+	l.Send(frames.TopicMember, body)
+}
+
+func (a actions) Close(link int) {
+	if l := a.f.links[link]; l != nil {
+		delete(a.f.links, link)
+		a.f.later(func() { a.f.peers.Close(l) })
+	}
+}
+
+func (a actions) Changed(r member.Record, was member.State, known bool) {
+	a.f.notes.changed(a.f.net.Now(), a.f.log, r, was, known)
+}
+
+// Renew draws another identity and speaks under it once it is on disk.
+func (a actions) Renew(why string) {
+	f := a.f
+	f.log.Warn("this sidecar goes on under another identity", "why", why, "was", f.view.Self().ID)
+	id, version := member.ID(f.drawn()), member.Version{Incarnation: 1 << 32, Life: f.drawn()}
+	f.later(func() {
+		f.save(id, 1, func(err error) {
+			if f.stored = err == nil; err != nil {
+				f.log.Warn("the identity can't be kept: the next start is a new sidecar", "error", err)
+			}
+			f.view.Become(f.net.Now(), id, version)
+		})
+	})
+}
--- /dev/null
+++ b/internal/fleet/seen.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"math"
+
+	"hazelwheel/internal/decide/member"
+	"hazelwheel/internal/peers"
+	"hazelwheel/internal/sidecar"
+)
+
+// Seen is what a sidecar says of its fleet.
+type Seen struct {
+	Fleet   string         `json:"fleet"`
+	ID      string         `json:"id"`
+	Stored  bool           `json:"stored"` // the identity survives a restart
+	Quiet   bool           `json:"quiet,omitempty"`
+	Rank    int            `json:"rank"` // in force
+	Count   int            `json:"count"`
+	Live    int            `json:"live"`
+	Doubts  int            `json:"doubts"` // that it has about itself
+	Sum     string         `json:"sum"`    // of what it holds of all; equal at those that agree
+	View    member.Figures `json:"view"`
+	Links   peers.Figures  `json:"peers"`
+	Panics  uint64         `json:"panics,omitempty"`
+	Members []SeenMember   `json:"members"`
+	More    int            `json:"more,omitempty"` // members that are not listed
+}
+
+// SeenMember is what is held of one.
+type SeenMember struct {
+	ID          string   `json:"id"`
+	Name        string   `json:"name"`
+	Address     string   `json:"address"`
+	State       string   `json:"state"`
+	Incarnation uint64   `json:"incarnation"`
+	ForS        float64  `json:"for_s"`
+	By          []string `json:"by,omitempty"` // whose word it is; none: its own
+	Linked      bool     `json:"linked,omitempty"`
+}
+
+// Seen returns what this sidecar knows, of so many members at most.
+func (f *Fleet) Seen(most int) (s Seen) {
+	if f.view == nil {
+		return Seen{Fleet: f.o.Name}
+	}
+	rank, count := f.part.Now()
+	self := f.view.Self()
+	s = Seen{Fleet: f.o.Name, ID: self.ID.String(), Stored: f.stored, Quiet: f.view.Quiet() || f.hushed, Rank: rank, Count: count,
+		Live: f.view.Live(), Doubts: f.view.Health(), Sum: member.ID(f.view.Sum()).String(), View: f.view.Figures(), Links: f.peers.Figures(), Panics: f.panics}
+	for m := range f.view.Members {
+		if len(s.Members) >= most {
+			s.More++
+			continue
+		}
+		e := SeenMember{ID: m.ID.String(), Name: m.Name, Address: m.Address, State: m.State.String(), Incarnation: m.Version.Incarnation,
+			ForS: math.Round(10*m.SinceS) / 10, Linked: m.Linked}
+		for _, by := range m.By {
+			e.By = append(e.By, by.String())
+		}
+		s.Members = append(s.Members, e)
+	}
+	return s
+}
+
+// Figures returns what a sidecar's door tells of its fleet.
+func (f *Fleet) Figures() []sidecar.Figure {
+	if f.view == nil {
+		return nil
+	}
+	rank, count := f.part.Now()
+	byState := [member.Left + 1]uint64{}
+	for m := range f.view.Members {
+		byState[m.State]++
+	}
+	v, l := f.view.Figures(), f.peers.Figures()
+	return []sidecar.Figure{{Name: "peers_alive", Value: byState[member.Alive]}, {Name: "peers_suspected", Value: byState[member.Suspected]},
+		{Name: "peers_dead", Value: byState[member.Dead]}, {Name: "peers_left", Value: byState[member.Left]}, {Name: "peers_links", Value: uint64(l.Links)},
+		{Name: "peers_rank", Value: uint64(rank)}, {Name: "peers_count", Value: uint64(count)}, {Name: "peers_deaths", Value: v.Deaths},
+		{Name: "peers_refutations", Value: v.Refutations}, {Name: "peers_sent_bytes", Value: l.SentBytes}}
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -35,17 +36,18 @@
 	sent   int      // what the box has been sent
 }
 
-func (n *loop) Now() float64                 { return n.now }
-func (n *loop) Alarm(at float64)             { n.alarm = at }
-func (n *loop) Post(f func())                { n.todo = append(n.todo, f) }
-func (n *loop) Yield(f func())               { n.todo = append(n.todo, f) }
-func (n *loop) CloseWrite(c netio.Conn)      { c.(*conn).ended = true }
-func (n *loop) Quiet(netio.Conn) bool        { return true }
-func (n *loop) Waited(netio.Conn) float64    { return 0 }
-func (n *loop) PauseReading(netio.Conn) bool { return false }
-func (n *loop) ResumeReading(netio.Conn)     {}
-func (n *loop) StopListening(done func())    { done() }
-func (n *loop) Stop()                        {}
+func (n *loop) Now() float64                  { return n.now }
+func (n *loop) Alarm(at float64)              { n.alarm = at }
+func (n *loop) Post(f func())                 { n.todo = append(n.todo, f) }
+func (n *loop) Yield(f func())                { n.todo = append(n.todo, f) }
+func (n *loop) CloseWrite(c netio.Conn)       { c.(*conn).ended = true }
+func (n *loop) Quiet(netio.Conn) bool         { return true }
+func (n *loop) Waited(netio.Conn) float64     { return 0 }
+func (n *loop) PauseReading(netio.Conn) bool  { return false }
+func (n *loop) ResumeReading(netio.Conn)      {}
+func (n *loop) Listen(string) (func(), error) { return nil, errors.ErrUnsupported }
+func (n *loop) StopListening(done func())     { done() }
+func (n *loop) Stop()                         {}
 func (n *loop) Close(c netio.Conn) {
 	if c := c.(*conn); !c.gone {
 		c.gone = true
--- a/internal/front/ops/ops.go
+++ b/internal/front/ops/ops.go
@@ -51,6 +51,9 @@
 	now     func() float64 // on the clock of the figures
 	listen  net.Listener
 
+	// Peers, if it is set, tells on the loop who is there, for the call PEERS. Without it there is no such call.
+	Peers func() []byte
+
 	mu      sync.Mutex
 	waiting []net.Conn // whose line has not come whole, the oldest first
 	n       int        // callers
@@ -199,6 +202,19 @@
 	}},
 }
 
+// peers tells who is there.
+func (d *Door) peers() []byte {
+	var text []byte
+	answer := d.onLoop("", func() error {
+		text = d.Peers()
+		return nil
+	})
+	if bytes.HasPrefix(answer, []byte("OK")) {
+		return text
+	}
+	return answer
+}
+
 // call answers one line.
 func (d *Door) call(line string) []byte {
 	words := strings.Fields(line)
@@ -221,6 +237,9 @@
 		}
 		return c.do(d, words[wanted-1])
 	}
+	if d.Peers != nil && len(words) == 1 && strings.EqualFold(words[0], "PEERS") {
+		return d.peers()
+	}
 	return fmt.Appendf(nil, "ERR unknown call %.40q\n", words[0])
 }
 
@@ -272,5 +291,8 @@
 	one("pending", uint64(f.Open))
 	one("members", uint64(f.Members))
 	one("members_unavailable", uint64(f.Unavailable))
+	for _, g := range f.Fleet {
+		one(g.Name, g.Value)
+	}
 	return append(b, "END\n"...)
 }
--- a/internal/judge/client.go
+++ b/internal/judge/client.go
@@ -171,6 +171,9 @@
 	for i := range r.attempts {
 		a := &r.attempts[i]
 		end := a.endedBy(j.station(a.box).endOf(a.boxLife))
+		if a.life != j.parties[r.sidecar].life { // an earlier process has sent it, and this one knows nothing of it
+			return
+		}
 		if end > e.At || j.troubled(r.sidecar, a.box, a.sent, e.At) {
 			return
 		}
--- a/internal/judge/event.go
+++ b/internal/judge/event.go
@@ -104,6 +104,18 @@
 	// TakenOut: the sidecar has said yes to its operators, who take Box out of use; GivenBack: they end that.
 	TakenOut
 	GivenBack
+	// SidecarFrozen and SidecarThawed bound the time in which a process stands still. It learns of nothing meanwhile.
+	SidecarFrozen
+	SidecarThawed
+	// FleetWrong: a sidecar holds something of its fleet that is not so, for longer than it may. Status, which rule; Text.
+	FleetWrong
+)
+
+// What a FleetWrong is about.
+const (
+	ViewWrong  int32 = iota + 1 // who lives, when there has been time to know
+	DeathWrong                  // one that lives and can be reached by most is called dead
+	RankWrong                   // two have one rank, or a rank is beyond the count
 )
 
 // What stands in Box for who is no box.
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -60,6 +60,8 @@
 	mostFindings = 100
 	mostRecent   = 1 << 14
 	mostShown    = 30
+	// catchUpS is how long a process that stood still may take to come to what has come meanwhile.
+	catchUpS = 0.25
 	// copyWaitS is how long the end of a first attempt may be under way.
 	copyWaitS = 1.0
 	// exactS is what rounding takes of times that are known exactly.
@@ -248,6 +250,17 @@
 		}
 	case SidecarPanicked:
 		j.find(NoCrash, e.Sidecar, -1, 0, nil, "panic: %s", e.Text)
+	case SidecarFrozen:
+		p.frozenAt, p.thawedAt = e.At, math.Inf(1)
+	case SidecarThawed:
+		p.thawedAt, p.askedAt = e.At, max(p.askedAt, e.At)
+		for i := range p.told { // what was said to it meanwhile it hears now
+			if k := &p.told[i]; k.at >= p.frozenAt {
+				k.at = e.At
+			}
+		}
+	case FleetWrong:
+		j.find([...]Rule{ViewWrong: FleetView, DeathWrong: FalseDeath, RankWrong: FleetRank}[e.Status], e.Sidecar, -1, 0, nil, "%s", e.Text)
 	case Reloaded:
 		p.reloadedAt = e.At
 	case TakenOut:
--- a/internal/judge/record.go
+++ b/internal/judge/record.go
@@ -126,6 +126,8 @@
 	killedAt   float64
 	termedAt   float64 // 0: it was not told to end
 	reloadedAt float64
+	frozenAt   float64 // when it stood still last, until thawedAt
+	thawedAt   float64
 	watches    int
 	askedAt    float64 // when it called discovery last
 	askFailed  bool
--- a/internal/judge/rules.go
+++ b/internal/judge/rules.go
@@ -75,6 +75,10 @@
 	InLimits    Rule = "in-limits"    // descriptors
 	AtRest      Rule = "at-rest"      // nothing is left when the day is over
 	NoCrash     Rule = "no-crash"     // no panic and no exit unasked
+
+	FleetView  Rule = "fleet-view"  // some time after the last trouble all know who is there
+	FalseDeath Rule = "false-death" // nobody is called dead that lives and that most can reach
+	FleetRank  Rule = "fleet-rank"  // ranks are dense, and each is one's alone
 )
 
 // Finding is one break of a rule.
--- a/internal/judge/told.go
+++ b/internal/judge/told.go
@@ -9,6 +9,9 @@
 	if p.reloadedAt > 0 && p.reloadedAt < told {
 		told = max(told, p.reloadedAt+j.rules.ReloadToldS)
 	}
+	if p.frozenAt > 0 && told >= p.frozenAt && listed.At <= p.thawedAt {
+		told = max(told, p.thawedAt+j.rules.ToldWithinS)
+	}
 	switch { // what discovery can't tell does not count
 	case j.downAt > 0 && j.downAt < told:
 		told = math.Inf(1)
--- a/internal/lab/ground/machine.go
+++ b/internal/lab/ground/machine.go
@@ -235,6 +235,11 @@
 	return err == nil && quiet
 }
 
+// Listen is for programs that listen at more than the machine's address; none on a ground does.
+func (l *life) Listen(address string) (func(), error) {
+	return nil, fmt.Errorf("listen %s: a machine on a ground has one listener", address)
+}
+
 func (l *life) StopListening(done func()) {
 	defer done()
 	if l.m.listener != nil {
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -30,6 +30,19 @@
 	Log     io.Writer     // what the sidecars say; nil: dropped
 	Watch   judge.Witness // told of all that the judge is told; may be nil. It is called by the loop
 	Started func(*Play)   // called by the loop when all has begun; may be nil
+	Crew    Crew          // nil: sidecars know nothing of each other
+}
+
+// Crew has the sidecars of a play know each other, and troubles come between them.
+type Crew interface {
+	// Prepare returns what a sidecar's process is started with beside its configuration.
+	Prepare(sidecar int) (args, env []string, err error)
+	PeersCut(from, to int, on bool)
+	PeersHold(from, to int, on bool)
+	PeersReset(a, b int)
+	Spoil(sidecar int, state string)
+	// Standing tells of each process that begins, stands still, goes on or ends.
+	Standing(sidecar int, on bool)
 }
 
 // Play is a world that is being played. Its methods are for its loop, but for Post.
--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -34,10 +34,19 @@
 	if err := os.WriteFile(path, s.p.World.StartConfiguration(s.number, s.p.Now()), 0o644); err != nil {
 		return err
 	}
-	child, err := s.group.Start(process.Spec{Name: s.spec.Name, Path: s.p.settings.Binary, Args: []string{"serve", "--config", path}, Log: s.p.settings.Log})
+	o := process.Spec{Name: s.spec.Name, Path: s.p.settings.Binary, Args: []string{"serve", "--config", path}, Log: s.p.settings.Log}
+	if c := s.p.settings.Crew; c != nil {
+		more, env, err := c.Prepare(s.number)
+		if err != nil {
+			return err
+		}
+		o.Args, o.Env = append(o.Args, more...), env
+	}
+	child, err := s.group.Start(o)
 	if err != nil {
 		return err
 	}
+	s.p.standing(s.number, true)
 	s.child = child
 	s.pid.Store(int64(child.PID()))
 	first := !s.begun
@@ -58,6 +67,7 @@
 		return
 	}
 	s.child = nil
+	s.p.standing(s.number, false)
 	status := int32(0)
 	if child.Err() != nil {
 		status = 1
@@ -103,6 +113,7 @@
 	case s.child != nil:
 		child := s.child
 		s.child = nil
+		l.p.standing(s.number, false)
 		_ = child.Signal(syscall.SIGKILL) // fails only where it has ended
 		<-child.Done()
 	}
@@ -126,7 +137,10 @@
 }
 
 // Terminate tells a sidecar's process to end.
-func (l loopback) Terminate(sidecar int) { l.signal(sidecar, syscall.SIGTERM) }
+func (l loopback) Terminate(sidecar int) {
+	l.p.standing(sidecar, false)
+	l.signal(sidecar, syscall.SIGTERM)
+}
 
 // Now returns the time of the ground.
 func (l loopback) Now() float64 { return l.p.Now() }
@@ -134,6 +148,49 @@
 // TakeOut does nothing: the sidecars of a world in real time have no door.
 func (l loopback) TakeOut(int, string, bool, func()) {}
 
+// PeersCut, PeersHold, PeersReset and Spoil are the crew's.
+func (l loopback) PeersCut(from, to int, on bool) {
+	if c := l.p.settings.Crew; c != nil {
+		c.PeersCut(from, to, on)
+	}
+}
+
+func (l loopback) PeersHold(from, to int, on bool) {
+	if c := l.p.settings.Crew; c != nil {
+		c.PeersHold(from, to, on)
+	}
+}
+
+func (l loopback) PeersReset(a, b int) {
+	if c := l.p.settings.Crew; c != nil {
+		c.PeersReset(a, b)
+	}
+}
+
+func (l loopback) Spoil(sidecar int, state string) {
+	if c := l.p.settings.Crew; c != nil {
+		c.Spoil(sidecar, state)
+	}
+}
+
+// standing tells the crew.
+func (p *Play) standing(sidecar int, on bool) {
+	if c := p.settings.Crew; c != nil {
+		c.Standing(sidecar, on)
+	}
+}
+
+// Freeze has a process stand still, or go on.
+func (l loopback) Freeze(sidecar int, on bool) {
+	if on {
+		l.p.standing(sidecar, false)
+		l.signal(sidecar, syscall.SIGSTOP)
+	} else {
+		l.signal(sidecar, syscall.SIGCONT)
+		l.p.standing(sidecar, true)
+	}
+}
+
 // Hangup tells it to read its configuration again.
 func (l loopback) Hangup(sidecar int, configuration []byte) {
 	if sidecar >= len(l.p.sidecars) {
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -25,6 +25,7 @@
 	Name  string // what errors call it
 	Path  string
 	Args  []string
+	Env   []string  // beside the laboratory's own
 	Cores []int     // the cores it may run on; none: all
 	Nice  int       // its priority, -20 (the highest) to 19; below 0 is for root
 	Out   io.Writer // standard output; nil: dropped
@@ -71,6 +72,9 @@
 func (g *Group) Start(s Spec) (*Child, error) {
 	c := &Child{name: s.Name, cmd: exec.Command(s.Path, s.Args...), done: make(chan struct{})}
 	c.cmd.Stdout, c.cmd.Stderr = s.Out, s.Log
+	if len(s.Env) > 0 {
+		c.cmd.Env = append(os.Environ(), s.Env...)
+	}
 	c.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	var err error
 	onStarter(func() {
@@ -237,12 +241,24 @@
 // FreePort returns a port that nobody listens at on a loopback address. Another may take it before it is used; whoever
 // starts a listener there learns it from its error.
 func FreePort(address string) (port int, err error) {
+	given.Lock()
+	defer given.Unlock()
 	for range portTries {
 		port = leastPort + rand.IntN(mostPort-leastPort)
+		if given.ports[port] { // whoever has it may not listen yet
+			continue
+		}
 		var l net.Listener
 		if l, err = net.Listen("tcp", net.JoinHostPort(address, strconv.Itoa(port))); err == nil {
+			given.ports[port] = true
 			return port, l.Close()
 		}
 	}
 	return 0, err
 }
+
+// given are the ports that FreePort has returned. Danger: of hundreds that are drawn before anybody listens some would be the same.
+var given = struct {
+	sync.Mutex
+	ports map[int]bool
+}{ports: map[int]bool{}}
--- /dev/null
+++ b/internal/lab/troupe/switchboard.go
@@ -0,0 +1,291 @@
+// Package troupe plays fleets of real sidecars that know each other: it starts their processes, stands between all of them,
+// has troubles come between them, and judges from outside.
+package troupe
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"hazelwheel/internal/peers/frames"
+)
+
+// Way is a direction between two sidecars, by their names.
+type Way struct{ From, To string }
+
+// Rule is what befalls the bytes of a way. The zero value is none.
+type Rule struct {
+	Cut   bool          // they are lost; links that lost any are reset once the cut is mended, as TCP gives up
+	Hold  bool          // they wait, and links stay up
+	Delay time.Duration // they come so much later
+	PerS  int           // so many come a second; 0: all
+}
+
+// Switchboard stands between sidecars: each is dialed at a port of it, and who speaks is read from a link's first frame. It
+// changes nothing that passes. It can be used from any goroutine.
+type Switchboard struct {
+	mu      sync.Mutex
+	changed *sync.Cond
+	rules   map[Way]Rule
+	calls   map[*call]struct{}
+	lines   []net.Listener
+	passed  map[Way]uint64 // bytes
+	closed  bool
+}
+
+// call is one link.
+type call struct {
+	a, b   string // who has dialed, and who is dialed
+	conns  [2]net.Conn
+	doomed bool
+}
+
+// NewSwitchboard returns one that nobody uses yet.
+func NewSwitchboard() *Switchboard {
+	s := &Switchboard{rules: map[Way]Rule{}, calls: map[*call]struct{}{}, passed: map[Way]uint64{}}
+	s.changed = sync.NewCond(&s.mu)
+	return s
+}
+
+// Add opens a port at which a sidecar is dialed that listens elsewhere.
+func (s *Switchboard) Add(name, listens string) (advertise string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	s.lines = append(s.lines, l)
+	s.mu.Unlock()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			go s.serve(c, name, listens)
+		}
+	}()
+	return l.Addr().String(), nil
+}
+
+// Close ends all.
+func (s *Switchboard) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, l := range s.lines {
+		l.Close()
+	}
+	for c := range s.calls {
+		c.end()
+	}
+	s.changed.Broadcast()
+}
+
+// Set has a rule hold for ways from now on.
+func (s *Switchboard) Set(r Rule, ways ...Way) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range ways {
+		if s.rules[w] = r; r == (Rule{}) {
+			delete(s.rules, w)
+		}
+	}
+	if !r.Cut {
+		for c := range s.calls {
+			if c.doomed && !s.rules[Way{c.a, c.b}].Cut && !s.rules[Way{c.b, c.a}].Cut {
+				c.end()
+			}
+		}
+	}
+	s.changed.Broadcast()
+}
+
+// Reset breaks all links between two sidecars.
+func (s *Switchboard) Reset(a, b string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.calls {
+		if c.a == a && c.b == b || c.a == b && c.b == a {
+			c.end()
+		}
+	}
+}
+
+// Passed returns how many bytes have gone each way so far, all ways together.
+func (s *Switchboard) Passed() (total uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.passed {
+		total += n
+	}
+	return total
+}
+
+// Between returns the ways between two groups; both directions, or from the first to the second alone.
+func Between(from, to []string, oneWay bool) (ways []Way) {
+	for _, a := range from {
+		for _, b := range to {
+			if a == b || slices.Contains(from, b) && slices.Contains(to, a) && a > b {
+				continue
+			}
+			if ways = append(ways, Way{a, b}); !oneWay {
+				ways = append(ways, Way{b, a})
+			}
+		}
+	}
+	return ways
+}
+
+// end breaks a link: both ends are reset.
+func (c *call) end() {
+	for _, conn := range c.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only on one that is closed
+			tcp.Close()
+		}
+	}
+}
+
+// mostHello bounds the wait for a first frame.
+const mostHello = 10 * time.Second
+
+// serve passes one link on.
+func (s *Switchboard) serve(in net.Conn, name, listens string) {
+	defer in.Close()
+	_ = in.SetReadDeadline(time.Now().Add(mostHello)) // fails only on one that is closed
+	first, hello, err := readHello(bufio.NewReaderSize(in, frames.Most))
+	if err != nil {
+		// Whoever speaks otherwise speaks to the sidecar itself: it must cope.
+		hello.Name = ""
+	}
+	_ = in.SetReadDeadline(time.Time{})
+	// Danger: where either way is cut no link comes up at all; passed on, the target would see one that says nothing.
+	s.mu.Lock()
+	cut := false
+	for !s.closed && (s.rules[Way{hello.Name, name}].Cut || s.rules[Way{name, hello.Name}].Cut) {
+		cut = true
+		s.changed.Wait()
+	}
+	s.mu.Unlock()
+	if cut {
+		(&call{conns: [2]net.Conn{in, nil}}).end()
+		return
+	}
+	out, err := net.Dial("tcp", listens)
+	if err != nil {
+		(&call{conns: [2]net.Conn{in, nil}}).end()
+		return
+	}
+	defer out.Close()
+	c := &call{a: hello.Name, b: name, conns: [2]net.Conn{in, out}}
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.calls[c] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.calls, c)
+		s.mu.Unlock()
+	}()
+	done := make(chan struct{}, 2)
+	go func() { s.pump(c, in, out, Way{c.a, c.b}, first); done <- struct{}{} }()
+	go func() { s.pump(c, out, in, Way{c.b, c.a}, nil); done <- struct{}{} }()
+	<-done
+	c.end()
+	<-done
+}
+
+// readHello reads up to the end of the first frame; what was read is returned also after an error.
+func readHello(r *bufio.Reader) (first []byte, h frames.Hello, err error) {
+	head, err := r.Peek(4)
+	if err == nil {
+		n := min(int(binary.BigEndian.Uint32(head)), frames.Most-4)
+		_, err = r.Peek(4 + n)
+	}
+	first, _ = r.Peek(r.Buffered())
+	first = slices.Clone(first)
+	if err != nil {
+		return first, h, err
+	}
+	topic, body, _, err := frames.Next(first)
+	if err == nil && topic == frames.TopicHello {
+		err = frames.Unpack(body, &h)
+	}
+	return first, h, err
+}
+
+// pump passes bytes one way, as its rule says.
+func (s *Switchboard) pump(c *call, from, to net.Conn, w Way, first []byte) {
+	b := make([]byte, 32<<10)
+	for {
+		data := first
+		if first = nil; len(data) == 0 {
+			n, err := from.Read(b)
+			if n == 0 && err != nil {
+				s.await(c, w, 0)
+				if errors.Is(err, io.EOF) {
+					if tcp, ok := to.(*net.TCPConn); ok {
+						_ = tcp.CloseWrite() // fails only on one that is closed
+					}
+				}
+				return
+			}
+			data = b[:n]
+		}
+		for len(data) > 0 {
+			n, pass := s.await(c, w, len(data))
+			if n == 0 {
+				return
+			}
+			if pass {
+				if _, err := to.Write(data[:n]); err != nil {
+					return
+				}
+			}
+			data = data[n:]
+		}
+	}
+}
+
+// await waits until some of the bytes may pass, and tells how many of them do or are lost; 0: the link is over.
+func (s *Switchboard) await(c *call, w Way, n int) (int, bool) {
+	s.mu.Lock()
+	for s.rules[w].Hold && !s.closed {
+		s.changed.Wait()
+	}
+	r := s.rules[w]
+	_, on := s.calls[c]
+	switch {
+	case s.closed || !on:
+		n = 0
+	case r.Cut:
+		c.doomed = true
+		s.mu.Unlock()
+		return n, false
+	}
+	if r.PerS > 0 {
+		n = min(n, max(r.PerS/20, 1))
+	}
+	s.passed[w] += uint64(n)
+	s.mu.Unlock()
+	if r.Delay > 0 {
+		time.Sleep(r.Delay)
+	}
+	if r.PerS > 0 {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return n, true
+}
--- /dev/null
+++ b/internal/lab/troupe/troupe.go
@@ -0,0 +1,412 @@
+package troupe
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"hazelwheel/internal/judge"
+	"hazelwheel/internal/lab/live"
+	"hazelwheel/internal/lab/process"
+	"hazelwheel/internal/world"
+)
+
+// Settings are a fleet to be played.
+type Settings struct {
+	Binary   string // hazelwheel's file
+	Sidecars int
+	Boxes    int
+	Seed     uint64
+	For      time.Duration
+	Script   *world.Script // nil: there are no troubles, or with Draw those that the seed draws
+	Draw     bool
+	Dir      string // for configurations, states and logs
+	Log      io.Writer
+}
+
+// Report is what came of it.
+type Report struct {
+	Sidecars  int             `json:"sidecars"`
+	Seed      uint64          `json:"seed"`
+	ForS      float64         `json:"for_s"`
+	Troubles  []world.Trouble `json:"troubles,omitempty"`
+	Broken    int             `json:"broken"`
+	Findings  []Finding       `json:"findings,omitempty"`
+	Service   float64         `json:"service"`
+	LateS     float64         `json:"loop_late_s"`        // how late the laboratory's own loop was at most
+	PeerBytes float64         `json:"peer_bytes_per_s"`   // of a sidecar
+	AgreedS   []float64       `json:"agreed_s,omitempty"` // after each calm's begin, until all held what was so
+	KnownS    []float64       `json:"known_s,omitempty"`  // of each process that was killed or stood still, until all others knew
+	Views     int             `json:"views"`              // that were asked for and came
+}
+
+// Finding is one break of a rule.
+type Finding struct {
+	Rule    string  `json:"rule"`
+	AtS     float64 `json:"at_s"`
+	Sidecar string  `json:"sidecar"`
+	Why     string  `json:"why"`
+}
+
+// Ranges are what fleets are drawn from.
+func (s *Settings) Ranges() world.Ranges {
+	one := func(x float64) world.Range { return world.Range{Least: x, Most: x} }
+	r := world.Usual()
+	r.Sidecars, r.Boxes, r.LengthS = one(float64(s.Sidecars)), one(float64(s.Boxes)), one(s.For.Seconds())
+	r.Crowds = 0
+	r.RatePS, r.Load = one(200), world.Range{Least: 0.3, Most: 0.6}
+	return r
+}
+
+// lotS is for how long a lot of troubles is drawn at a time.
+const lotS = 45.0
+
+// DrawScript draws the troubles of a seed for as long as the fleet is played. Each lot leaves time to agree.
+func (s *Settings) DrawScript() world.Script {
+	d := world.Draw(s.Seed, s.Ranges())
+	all := world.Script{Seed: s.Seed}
+	for from := 0.0; from+lotS <= d.LengthS || from == 0; from += lotS {
+		part := d
+		part.Seed, part.LengthS = s.Seed*1_000_003+uint64(from), min(lotS-20, d.LengthS)
+		lot := world.DrawScript(&part)
+		world.DrawPeerTroubles(&part, &lot)
+		for _, t := range lot.Troubles {
+			if t.AtS += from; t.Kind != world.Reload { // discovery moves a few times a day at the most
+				t.ForS = min(t.ForS, from+part.LengthS-t.AtS)
+				all.Troubles = append(all.Troubles, t)
+			}
+		}
+	}
+	return all
+}
+
+// Troupe is a fleet that is being played.
+type Troupe struct {
+	s     Settings
+	board *Switchboard
+	mates []*mate
+
+	mu        sync.Mutex
+	wrong     []Finding
+	broken    int
+	troubleAt time.Time
+	agreed    bool
+	agreedS   []float64
+	known     []float64
+	views     int
+	began     time.Time
+}
+
+// mate is a sidecar over all lives of its process.
+type mate struct {
+	name, dir, features string
+	ops, advertise      string
+	up                  bool // as the laboratory itself has it
+	since               time.Time
+	id                  string    // of the last life, as its own door has said
+	goneAt              time.Time // when it went and the others do not all know yet
+}
+
+// Do plays a fleet until its day is over or ctx ends.
+func Do(ctx context.Context, s Settings) (*Report, error) {
+	day := world.Draw(s.Seed, s.Ranges())
+	script := world.Script{Seed: s.Seed}
+	switch {
+	case s.Script != nil:
+		script = *s.Script
+	case s.Draw:
+		script = s.DrawScript()
+	}
+	t := &Troupe{s: s, board: NewSwitchboard(), began: time.Now(), troubleAt: time.Now()}
+	defer t.board.Close()
+	for _, spec := range day.Sidecars {
+		if err := t.add(spec.Name); err != nil {
+			return nil, err
+		}
+	}
+	for _, m := range t.mates {
+		if err := t.write(m); err != nil {
+			return nil, err
+		}
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var watching sync.WaitGroup
+	watching.Go(func() { t.watch(ctx) })
+	p, err := live.Do(ctx, &live.Settings{Day: day, Script: script, Binary: s.Binary, Dir: s.Dir, Log: s.Log, Crew: t,
+		Started: func(p *live.Play) { t.begin(p) }})
+	stop()
+	watching.Wait()
+	if err != nil {
+		return nil, err
+	}
+	r := &Report{Sidecars: len(t.mates), Seed: s.Seed, ForS: s.For.Seconds(), Troubles: script.Troubles, Broken: p.Judge.Broken() + t.broken, Findings: t.wrong,
+		Service: p.Judge.Report().Service, LateS: p.Late(), AgreedS: t.agreedS, KnownS: t.known, Views: t.views}
+	r.PeerBytes = float64(t.board.Passed()) / time.Since(t.began).Seconds() / float64(len(t.mates))
+	for _, f := range p.Judge.Findings() {
+		r.Findings = append(r.Findings, Finding{Rule: string(f.Rule), AtS: f.At - p.Day.Start, Sidecar: day.Sidecars[max(f.Sidecar, 0)].Name, Why: f.Why})
+	}
+	return r, nil
+}
+
+func (t *Troupe) begin(p *live.Play) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.began = time.Now().Add(time.Duration((p.Day.Start - p.Now()) * float64(time.Second)))
+}
+
+// add prepares a sidecar.
+func (t *Troupe) add(name string) error {
+	m := &mate{name: name, dir: filepath.Join(t.s.Dir, "state-"+name), features: filepath.Join(t.s.Dir, "features-"+name+".json")}
+	address := func() (string, error) {
+		port, err := process.FreePort("127.0.0.1")
+		return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)), err
+	}
+	var err error
+	if m.ops, err = address(); err != nil {
+		return err
+	}
+	listen, err := address()
+	if err != nil {
+		return err
+	}
+	if m.advertise, err = t.board.Add(name, listen); err != nil {
+		return err
+	}
+	t.mates = append(t.mates, m)
+	m.id = listen // until it is known, kept here for write
+	return nil
+}
+
+// write writes the operators' file of a sidecar.
+func (t *Troupe) write(m *mate) error {
+	var join []string
+	for _, o := range t.mates[:min(3, len(t.mates))] {
+		join = append(join, o.advertise)
+	}
+	raw, err := json.Marshal(map[string]any{"fleet": map[string]any{"name": "troupe", "listen": m.id, "advertise": m.advertise, "join": join, "dir": m.dir}})
+	if err != nil {
+		return err
+	}
+	m.id = ""
+	return os.WriteFile(m.features, raw, 0o600)
+}
+
+// Prepare, the troubles and Standing are what the play asks for.
+
+func (t *Troupe) Prepare(sidecar int) (args, env []string, err error) {
+	m := t.mates[sidecar]
+	return []string{"--features", m.features}, []string{"GW_OPS=" + m.ops}, nil
+}
+
+func (t *Troupe) way(from, to int) Way { return Way{t.mates[from].name, t.mates[to].name} }
+
+func (t *Troupe) PeersCut(from, to int, on bool) {
+	t.trouble()
+	t.board.Set(Rule{Cut: on}, t.way(from, to))
+}
+
+func (t *Troupe) PeersHold(from, to int, on bool) {
+	t.trouble()
+	t.board.Set(Rule{Hold: on}, t.way(from, to))
+}
+
+func (t *Troupe) PeersReset(a, b int) {
+	t.trouble()
+	t.board.Reset(t.mates[a].name, t.mates[b].name)
+}
+
+func (t *Troupe) Spoil(sidecar int, state string) {
+	file := filepath.Join(t.mates[sidecar].dir, "peer")
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return // it has kept nothing yet
+	}
+	if state == world.Lost {
+		_ = os.Remove(file) // the next process tells what it finds
+	} else {
+		_ = os.WriteFile(file, raw[:len(raw)/2], 0o600)
+	}
+}
+
+func (t *Troupe) Standing(sidecar int, on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, now := t.mates[sidecar], time.Now()
+	if m.up && !on {
+		m.goneAt = now
+	}
+	m.up, m.since = on, now
+	t.troubleAt, t.agreed = now, false
+}
+
+func (t *Troupe) trouble() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.troubleAt, t.agreed = time.Now(), false
+}
+
+// --- what the doors say ---
+
+// seen is what a door tells, as far as it is looked at here.
+type seen struct {
+	ID      string `json:"id"`
+	Live    int    `json:"live"`
+	Rank    int    `json:"rank"`
+	Count   int    `json:"count"`
+	Members []struct {
+		ID    string  `json:"id"`
+		Name  string  `json:"name"`
+		State string  `json:"state"`
+		ForS  float64 `json:"for_s"`
+	} `json:"members"`
+}
+
+const (
+	lookEvery = 250 * time.Millisecond
+	askWithin = 3 * time.Second
+	// agreeWithin after the last trouble all hold what is so. Aim: 10 s; what fails is twice that, since the machine is shared.
+	agreeWithin = 20 * time.Second
+	// livesFor is how long one must have lived, and no trouble been between any, to be called dead by nobody.
+	livesFor = 15 * time.Second
+)
+
+// ask asks a door who is there.
+func ask(address string) (s seen, err error) {
+	c, err := net.DialTimeout("tcp", address, askWithin)
+	if err != nil {
+		return s, err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(askWithin)) // fails only on one that is closed
+	if _, err = io.WriteString(c, "PEERS\n"); err != nil {
+		return s, err
+	}
+	return s, json.NewDecoder(bufio.NewReader(c)).Decode(&s)
+}
+
+// watch asks all doors again and again, and holds what they say beside what is so.
+func (t *Troupe) watch(ctx context.Context) {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		t.mu.Lock()
+		up := make([]bool, len(t.mates))
+		for i, m := range t.mates {
+			up[i] = m.up
+		}
+		asked := t.troubleAt
+		t.mu.Unlock()
+		views := make([]*seen, len(t.mates))
+		var asking sync.WaitGroup
+		for i, m := range t.mates {
+			if up[i] {
+				asking.Go(func() {
+					if s, err := ask(m.ops); err == nil && s.ID != "" {
+						views[i] = &s
+					}
+				})
+			}
+		}
+		asking.Wait()
+		t.judge(views, asked)
+	}
+}
+
+func (t *Troupe) find(rule judge.Rule, sidecar, format string, args ...any) {
+	t.broken++
+	if len(t.wrong) < 50 {
+		t.wrong = append(t.wrong, Finding{Rule: string(rule), AtS: time.Since(t.began).Seconds(), Sidecar: sidecar, Why: fmt.Sprintf(format, args...)})
+	}
+}
+
+// judge compares one round of answers with what is so. A trouble that came meanwhile makes the round worth nothing.
+func (t *Troupe) judge(views []*seen, asked time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.troubleAt != asked {
+		return
+	}
+	calm := time.Since(t.troubleAt)
+	byID := map[string]*mate{}
+	up, answered := 0, 0
+	for i, m := range t.mates {
+		if m.up {
+			up++
+		}
+		if views[i] != nil {
+			answered++
+			t.views++
+			m.id = views[i].ID
+			byID[m.id] = m
+		}
+	}
+	differs := ""
+	for i, v := range views {
+		if v == nil {
+			continue
+		}
+		live := 0
+		for _, x := range v.Members {
+			o := byID[x.ID]
+			switch {
+			case x.State == "alive" && o != nil:
+				live++
+			case x.State == "alive" && answered == up, x.State == "suspected":
+				differs = fmt.Sprintf("%s holds %s (%s) for %s", t.mates[i].name, x.Name, x.ID, x.State)
+			case x.State == "dead" && o != nil && o.up && time.Since(o.since) > livesFor && calm > livesFor:
+				t.find(judge.FalseDeath, t.mates[i].name, "%s is held for dead and lives, %.1f s after the last trouble", o.name, calm.Seconds())
+				o.since = time.Now() // once
+			}
+		}
+		if live != up {
+			differs = fmt.Sprintf("%s knows %d that live, of %d", t.mates[i].name, live, up)
+		}
+	}
+	t.noteKnown(views)
+	switch {
+	case t.agreed:
+	case differs == "" && answered == up:
+		t.agreed = true
+		t.agreedS = append(t.agreedS, calm.Seconds())
+	case calm > agreeWithin && differs != "":
+		t.agreed = true // once for each calm
+		t.find(judge.FleetView, "", "%.1f s after the last trouble: %s", calm.Seconds(), differs)
+	}
+}
+
+// noteKnown notes when all who are there know of one that went.
+func (t *Troupe) noteKnown(views []*seen) {
+	for _, m := range t.mates {
+		if m.goneAt.IsZero() || m.up {
+			m.goneAt = time.Time{}
+			continue
+		}
+		known := true
+		for _, v := range views {
+			if v == nil {
+				continue
+			}
+			for _, x := range v.Members {
+				known = known && !(x.ID == m.id && (x.State == "alive" || x.State == "suspected"))
+			}
+		}
+		if known {
+			t.known = append(t.known, time.Since(m.goneAt).Seconds())
+			m.goneAt = time.Time{}
+		}
+	}
+}
--- a/internal/lint/features.go
+++ b/internal/lint/features.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"hazelwheel/internal/appconfig"
+	"hazelwheel/internal/config"
 )
 
 // classRefs says where sections whose fields are not known here name classes: the values of these keys, or lists of them. A
@@ -238,6 +239,46 @@
 				}
 			}
 		}},
+	{Code: "HW143", Severity: Error, Title: "address of a fleet that nobody can dial", Looks: "fleet.listen, fleet.advertise, fleet.join",
+		Says: "%[1]q is no address with a port that another sidecar can dial",
+		Why:  "The sidecar refuses to start",
+		Do:   "Write it like 10.0.0.7:7946; where fleet.listen is 0.0.0.0, write fleet.advertise beside it",
+		extras: func(u *unit, say say) {
+			f := u.extras.Fleet
+			if f == nil {
+				return
+			}
+			if a, err := netip.ParseAddrPort(f.Listen); f.Listen != "" && (err != nil || a.Port() == 0 || a.Addr().IsUnspecified() && f.Advertise == "") {
+				say(u.atExtra("fleet.listen"), f.Listen)
+			}
+			if f.Advertise != "" && !config.Dialable(f.Advertise) {
+				say(u.atExtra("fleet.advertise"), f.Advertise)
+			}
+			for i, s := range f.Join {
+				if !config.Dialable(s) {
+					say(u.atExtra("fleet.join[%d]", i), s)
+				}
+			}
+		}},
+	{Code: "HW144", Severity: Warning, Title: "nobody to join", Looks: "fleet.join",
+		Says: "the fleet %[1]q has no address to join but this sidecar's own",
+		Why:  "It finds others only if one of them joins here; after a restart of all nobody may",
+		Do:   "Write the addresses of two or three others",
+		extras: func(u *unit, say say) {
+			f := u.extras.Fleet
+			if f != nil && !slices.ContainsFunc(f.Join, func(s string) bool { return s != f.Listen && s != f.Advertise }) {
+				say(u.atExtra("fleet.join").with(u.atExtra("fleet.listen")), f.Name)
+			}
+		}},
+	{Code: "HW145", Severity: Warning, Title: "sidecar that forgets who it was", Looks: "fleet.dir",
+		Says: "fleet.dir is missing: each start of the process is a new sidecar",
+		Why:  "The old one counts as dead for a while beside the new one, and may own nothing",
+		Do:   "Write a folder that outlives the process",
+		extras: func(u *unit, say say) {
+			if f := u.extras.Fleet; f != nil && f.Dir == "" {
+				say(u.atExtra("fleet"))
+			}
+		}},
 }
 
 func (u *unit) classOf(name string) *appconfig.Class {
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -74,6 +74,9 @@
 	// resumed.
 	PauseReading(c Conn) bool
 	ResumeReading(c Conn)
+	// Listen opens a further listener, whose connections come to Host.Open as others do, with its port as that of LocalAddr.
+	// What it returns closes that listener alone; StopListening leaves it. It is for a loop that turns.
+	Listen(address string) (stop func(), err error)
 	// StopListening closes the listening sockets: who dials from now on is refused at once, unless another process listens
 	// there too. done is called once all who have been accepted here are open.
 	StopListening(done func())
--- a/internal/netio/virtual/machine.go
+++ b/internal/netio/virtual/machine.go
@@ -115,6 +115,8 @@
 	queue   []*Conn // connections that are up and not accepted
 	starved bool    // the last accept found no descriptor
 	closed  bool
+	port    uint16
+	late    bool // it was opened by Listen
 }
 
 // nextPort returns a port for a dial.
--- a/internal/netio/virtual/process.go
+++ b/internal/netio/virtual/process.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 
 	"hazelwheel/internal/netio"
 )
@@ -96,9 +97,7 @@
 			p.closeListeners()
 			return fmt.Errorf("listen %s: %w", text, errInUse)
 		}
-		l := &listener{owner: p, backlog: p.opt.Backlog}
-		p.machine.listeners[a.Port()] = l
-		p.listeners = append(p.listeners, l)
+		p.listenAt(a.Port(), false)
 	}
 	p.host, p.alarmAt, p.rungAt = host, math.NaN(), math.Inf(1)
 	p.used = p.opt.Held + len(p.listeners)
@@ -109,6 +108,35 @@
 	return nil
 }
 
+func (p *Process) listenAt(port uint16, late bool) *listener {
+	l := &listener{owner: p, backlog: p.opt.Backlog, port: port, late: late}
+	p.machine.listeners[port] = l
+	p.listeners = append(p.listeners, l)
+	return l
+}
+
+// Listen opens a further listener.
+func (p *Process) Listen(address string) (stop func(), err error) {
+	a, err := netip.ParseAddrPort(address)
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("listen %s: %w", address, err)
+	case a.Addr() != p.machine.ip:
+		return nil, fmt.Errorf("listen %s: not the address of machine %s", address, p.machine.text)
+	case p.machine.listeners[a.Port()] != nil:
+		return nil, fmt.Errorf("listen %s: %w", address, errInUse)
+	case !p.take():
+		return nil, fmt.Errorf("listen %s: %w", address, errFiles)
+	}
+	l := p.listenAt(a.Port(), true)
+	return func() {
+		if !l.closed {
+			p.used--
+			p.closeListenersAs(true, func(o *listener) bool { return o == l })
+		}
+	}, nil
+}
+
 // Name returns what the options call the process.
 func (p *Process) Name() string { return p.opt.Name }
 
@@ -167,7 +195,7 @@
 			d.conn.state = dead
 		}
 	}
-	p.closeListenersAs(speak)
+	p.closeListenersAs(speak, all)
 	p.conns, p.dials, p.ready, p.posts = nil, nil, nil, nil
 }
 
@@ -176,6 +204,15 @@
 	p.stalled = max(p.stalled, until)
 }
 
+// Thaw ends a Stall at once.
+func (p *Process) Thaw() {
+	p.stalled = 0
+	if !p.dead && p.host != nil && !p.inTurn { // a turn that waits for the stall's end would come too late
+		p.turnSet = true
+		p.w.schedule(max(p.w.now, p.busyUntil), event{kind: doTurn, proc: p})
+	}
+}
+
 // ReadRate says how fast the process reads from a connection, in bytes a second; 0: as fast as they come; below 0:
 // not at all.
 func (p *Process) ReadRate(conn netio.Conn, rate float64) {
@@ -424,19 +461,30 @@
 	p.release()
 }
 
-// StopListening closes the listeners; what they have not accepted is reset.
+// StopListening closes the listeners that the options name; what they have not accepted is reset.
 func (p *Process) StopListening(done func()) {
-	p.closeListeners()
+	for _, l := range p.listeners {
+		if !l.late {
+			p.used--
+		}
+	}
+	p.closeListenersAs(true, func(l *listener) bool { return !l.late })
 	done()
 }
 
 func (p *Process) closeListeners() {
 	p.used -= len(p.listeners)
-	p.closeListenersAs(true)
+	p.closeListenersAs(true, all)
 }
 
-func (p *Process) closeListenersAs(speak bool) {
-	for _, l := range p.listeners {
+func all(*listener) bool { return true }
+
+// closeListenersAs closes those that which picks.
+func (p *Process) closeListenersAs(speak bool, which func(*listener) bool) {
+	p.listeners = slices.DeleteFunc(p.listeners, func(l *listener) bool {
+		if !which(l) {
+			return false
+		}
 		l.closed = true
 		for _, c := range l.queue {
 			if speak {
@@ -445,14 +493,11 @@
 			c.state = dead
 		}
 		l.queue = nil
-	}
-	for _, text := range p.opt.Listen {
-		a, _ := netip.ParseAddrPort(text)
-		if l := p.machine.listeners[a.Port()]; l != nil && l.owner == p {
-			delete(p.machine.listeners, a.Port())
+		if p.machine.listeners[l.port] == l {
+			delete(p.machine.listeners, l.port)
 		}
-	}
-	p.listeners = nil
+		return true
+	})
 }
 
 // Stop ends the loop after the present call.
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,329 @@
+// Package peers holds the links between sidecars: frames over TCP, and bounds on what they may cost. Who is there and what
+// is said is its owner's to decide. It belongs to the loop that calls it.
+package peers
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+
+	"hazelwheel/internal/buffer"
+	"hazelwheel/internal/netio"
+	"hazelwheel/internal/peers/frames"
+)
+
+const (
+	// MostLinks bounds the links of a sidecar, with those that come up.
+	MostLinks = 48
+	// Descriptors is what all of them may hold, with the listener.
+	Descriptors = MostLinks + 4
+	// helloS is how long a link may take to come up and to say who speaks.
+	helloS = 2.0
+	// mostQueued bounds what a peer has not read, in bytes; beyond it its link ends.
+	mostQueued = 256 << 10
+	// sentPerS and sentAtOnce bound what is said to all peers together, in bytes; what is beyond is not said.
+	sentPerS, sentAtOnce = 128 << 10, 2 << 20
+	// heardPerS and heardAtOnce bound what one peer says; beyond it its link ends.
+	heardPerS, heardAtOnce = 128 << 10, 1 << 20
+)
+
+// Owner decides what the links are for.
+type Owner interface {
+	// Hello returns what is said first on a link that comes up.
+	Hello() frames.Hello
+	// Up takes a link of which both ends have said who they are; false has it closed.
+	Up(l *Link, h frames.Hello) bool
+	// Down takes the end of a link that was up and that Close has not ended.
+	Down(l *Link, err error)
+	// NotUp takes the end of a dial that came to nothing.
+	NotUp(address string, err error)
+	// Heard takes a frame. After an error the link is closed, and Down follows.
+	Heard(l *Link, topic frames.Topic, body []byte) error
+}
+
+// Link is a connection to a peer.
+type Link struct {
+	Number  int
+	Address string // that was dialed; empty: the other has dialed
+	Hello   frames.Hello
+
+	p      *Peers
+	conn   netio.Conn
+	buf    buffer.Buffer
+	up     bool
+	over   bool
+	by     float64 // when it must have come up
+	budget bucket
+}
+
+// bucket is a budget of bytes.
+type bucket struct{ left, at float64 }
+
+func (b *bucket) take(now, n, perS, most float64) bool {
+	b.left, b.at = min(b.left+(now-b.at)*perS, most), now
+	if b.left < n {
+		return false
+	}
+	b.left -= n
+	return true
+}
+
+// Figures count what the links have done.
+type Figures struct {
+	Links      int    `json:"links"` // now
+	Dials      uint64 `json:"dials"`
+	Up         uint64 `json:"links_up"`
+	SentBytes  uint64 `json:"sent_bytes"`
+	HeardBytes uint64 `json:"heard_bytes"`
+	Unsaid     uint64 `json:"unsaid"`    // frames beyond the budget, or for links that had gone
+	Senseless  uint64 `json:"senseless"` // links ended for what came over them
+	Unread     uint64 `json:"unread"`    // links ended since the peer did not read
+	TooMany    uint64 `json:"too_many"`  // links refused beyond MostLinks
+}
+
+// Peers holds the links.
+type Peers struct {
+	fleet   string
+	owner   Owner
+	net     netio.Net
+	log     *slog.Logger
+	links   []*Link
+	last    int
+	said    bucket
+	told    map[string]bool // what was told of links that made no sense
+	scratch []byte
+	figures Figures
+	closed  bool
+}
+
+// New returns links that have not begun, of a fleet's sidecar.
+func New(fleet string, owner Owner, net netio.Net, log *slog.Logger) *Peers {
+	return &Peers{fleet: fleet, owner: owner, net: net, log: log, told: map[string]bool{}, said: bucket{sentAtOnce, net.Now()}}
+}
+
+// Figures returns the counts so far.
+func (p *Peers) Figures() Figures {
+	p.figures.Links = len(p.links)
+	return p.figures
+}
+
+// Dial opens a link.
+func (p *Peers) Dial(address string) {
+	if p.closed || len(p.links) >= MostLinks {
+		p.figures.TooMany++
+		p.net.Post(func() { p.owner.NotUp(address, errMany) })
+		return
+	}
+	p.figures.Dials++
+	l := p.add(address)
+	p.net.Dial(address, p.net.Now()+helloS, l, func(err error) {
+		if err != nil && !l.over {
+			p.end(l, err)
+		}
+	})
+}
+
+var (
+	errMany  = errors.New("there are as many links as there may be")
+	errHello = errors.New("the other end did not say who it is")
+	errFleet = errors.New("the other end is of another fleet")
+	errFlood = errors.New("the other end says too much")
+)
+
+func (p *Peers) add(address string) *Link {
+	p.last++
+	now := p.net.Now()
+	l := &Link{Number: p.last, Address: address, p: p, by: now + helloS, budget: bucket{heardAtOnce, now}}
+	p.links = append(p.links, l)
+	return l
+}
+
+// Open takes a connection that is up. The one who dialed speaks first: whoever stands between reads who it is.
+func (p *Peers) Open(c netio.Conn) bool {
+	l, dialed := c.Context().(*Link)
+	if !dialed {
+		if p.closed || len(p.links) >= MostLinks {
+			p.figures.TooMany++
+			return false
+		}
+		l = p.add("")
+		c.SetContext(l)
+	}
+	if l.over {
+		return false
+	}
+	if l.conn = c; dialed {
+		l.hello()
+	}
+	return true
+}
+
+func (l *Link) hello() {
+	body, err := frames.Pack(l.p.owner.Hello())
+	if err != nil { // numbers and names always pack
+		panic(err)
+	}
+	l.Send(frames.TopicHello, body)
+}
+
+// Traffic reads what has come.
+func (p *Peers) Traffic(c netio.Conn, data []byte) {
+	l, ok := c.Context().(*Link)
+	if !ok || l.over {
+		return
+	}
+	p.figures.HeardBytes += uint64(len(data))
+	if !l.budget.take(p.net.Now(), float64(len(data)), heardPerS, heardAtOnce) {
+		p.senseless(l, errFlood)
+		return
+	}
+	l.buf.Write(data)
+	for !l.over {
+		topic, body, n, err := frames.Next(l.buf.Bytes())
+		if err != nil {
+			p.senseless(l, err)
+			return
+		}
+		if n == 0 {
+			break
+		}
+		if err := l.take(topic, body); err != nil {
+			p.senseless(l, err)
+			return
+		}
+		l.buf.Discard(n)
+	}
+	l.buf.Rest()
+}
+
+// take takes one frame.
+func (l *Link) take(topic frames.Topic, body []byte) error {
+	if l.up {
+		if topic == frames.TopicHello {
+			return nil
+		}
+		return l.p.owner.Heard(l, topic, body)
+	}
+	if topic != frames.TopicHello {
+		return errHello
+	}
+	if err := frames.Unpack(body, &l.Hello); err != nil {
+		return err
+	}
+	if l.Hello.Fleet != l.p.fleet {
+		return fmt.Errorf("%w: %.64q", errFleet, l.Hello.Fleet)
+	}
+	if l.Address == "" {
+		l.hello()
+	}
+	if l.over {
+		return nil
+	}
+	l.up = true
+	l.p.figures.Up++
+	if !l.p.owner.Up(l, l.Hello) {
+		l.p.Close(l)
+	}
+	return nil
+}
+
+// senseless ends a link for what came over it. Each cause is told once.
+func (p *Peers) senseless(l *Link, err error) {
+	p.figures.Senseless++
+	cause := err.Error()
+	if len(p.told) < 16 && !p.told[cause] {
+		p.told[cause] = true
+		from := ""
+		if tcp, ok := l.conn.RemoteAddr().(*net.TCPAddr); ok {
+			from = tcp.String()
+		}
+		p.log.Warn("a link to a peer is ended for what came over it", "cause", cause, "from", from, "name", fmt.Sprintf("%.64q", l.Hello.Name))
+	}
+	p.end(l, err)
+}
+
+// Send sends a frame. One that the link can't take is lost.
+func (l *Link) Send(topic frames.Topic, body []byte) {
+	p := l.p
+	if l.over || l.conn == nil {
+		p.figures.Unsaid++
+		return
+	}
+	frame, err := frames.Append(p.scratch[:0], topic, body)
+	p.scratch = frame[:0]
+	if err != nil || !p.said.take(p.net.Now(), float64(len(frame)), sentPerS, sentAtOnce) {
+		p.figures.Unsaid++
+		return
+	}
+	// Danger: what a peer does not read would grow without a bound, and with it this process.
+	if l.conn.OutboundBuffered() > mostQueued {
+		p.figures.Unread++
+		p.net.Post(func() { p.end(l, errUnread) })
+		return
+	}
+	p.figures.SentBytes += uint64(len(frame))
+	if _, err := l.conn.Write(frame); err != nil {
+		p.net.Post(func() { p.end(l, err) })
+	}
+}
+
+var errUnread = errors.New("the other end does not read")
+
+// Close ends a link of the owner's.
+func (p *Peers) Close(l *Link) {
+	l.up = false
+	p.end(l, nil)
+}
+
+// Closed takes the end of a connection.
+func (p *Peers) Closed(c netio.Conn, err error) {
+	if l, ok := c.Context().(*Link); ok {
+		l.conn = nil
+		p.end(l, err)
+	}
+}
+
+// end ends a link, once, and tells the owner.
+func (p *Peers) end(l *Link, err error) {
+	if l.over {
+		return
+	}
+	l.over = true
+	for i, o := range p.links {
+		if o == l {
+			p.links = append(p.links[:i], p.links[i+1:]...)
+			break
+		}
+	}
+	if c := l.conn; c != nil {
+		l.conn = nil
+		p.net.Close(c)
+	}
+	switch {
+	case l.up:
+		p.owner.Down(l, err)
+	case l.Address != "" && err != nil:
+		p.owner.NotUp(l.Address, err)
+	}
+}
+
+// Tick ends links that take too long to say who speaks.
+func (p *Peers) Tick() {
+	now := p.net.Now()
+	for i := len(p.links) - 1; i >= 0; i-- {
+		if i < len(p.links) && !p.links[i].up && now > p.links[i].by {
+			p.end(p.links[i], errHello)
+		}
+	}
+}
+
+// Shut ends all links, and none comes up any more.
+func (p *Peers) Shut() {
+	p.closed = true
+	for len(p.links) > 0 {
+		l := p.links[len(p.links)-1]
+		l.up, l.Address = false, ""
+		p.end(l, nil)
+	}
+}
--- /dev/null
+++ b/internal/process/join.go
@@ -0,0 +1,57 @@
+package process
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+
+	"hazelwheel/internal/config"
+	"hazelwheel/internal/features"
+	"hazelwheel/internal/fleet"
+	"hazelwheel/internal/fleet/folder"
+	"hazelwheel/internal/netio/beside"
+	"hazelwheel/internal/peers"
+)
+
+// What is told of a fleet's members, at most: at the door, where one asks for them, and among the counters.
+const (
+	mostAtDoor  = 10000
+	mostCounted = 100
+)
+
+// join has the sidecar know the others of its fleet.
+func (p *Process) join(cfg config.Config, on features.Fleet, shared *beside.Loop) (err error) {
+	p.fleet, err = fleet.New(fleet.Options{
+		Settings: fleet.Settings(on), Sidecar: cfg.Name, Self: cfg.Settings.Policy.Self, Replicas: cfg.Settings.Policy.Replicas,
+		Replaceable: cfg.Passed > 0, Asked: p.Sidecar, Told: p.Sidecar, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Net: shared.Companion(), Log: p.log})
+	if err != nil {
+		return err
+	}
+	p.host = shared.Host(p.Sidecar, p.fleet, p.fleet.Owns)
+	p.Reserve(peers.Descriptors)
+	p.ShowFleet(func() any { return p.fleet.Seen(mostCounted) }, p.fleet)
+	if p.door != nil {
+		p.door.Peers = func() []byte {
+			raw, err := json.Marshal(p.fleet.Seen(mostAtDoor))
+			if err != nil { // numbers and names always marshal
+				panic(err)
+			}
+			return append(raw, '\n')
+		}
+	}
+	if on.Dir != "" {
+		p.folder = folder.Open(on.Dir, p.loop.Post)
+	}
+	return nil
+}
+
+// remember reads what an earlier life of the sidecar has left.
+func (p *Process) remember() {
+	saved, err := p.folder.Load()
+	if err == nil && fleet.Usable(saved) != nil {
+		if err := p.folder.Aside(); err != nil {
+			p.log.Error("what was saved can't be put aside", "error", err)
+		}
+	}
+	p.fleet.Keep(p.folder, saved, err)
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -16,10 +16,14 @@
 	"hazelwheel/internal/capture"
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/features"
+	"hazelwheel/internal/fleet"
+	"hazelwheel/internal/fleet/folder"
 	"hazelwheel/internal/front/http1"
 	"hazelwheel/internal/front/ops"
 	"hazelwheel/internal/front/thrift"
 	"hazelwheel/internal/handover"
+	"hazelwheel/internal/netio"
+	"hazelwheel/internal/netio/beside"
 	"hazelwheel/internal/netio/sockets"
 	"hazelwheel/internal/sidecar"
 )
@@ -39,7 +43,10 @@
 type Process struct {
 	*sidecar.Sidecar
 	loop   *sockets.Net
-	door   *ops.Door // nil: there is none
+	host   netio.Host     // what the loop calls: the sidecar, or the sidecar and its fleet
+	fleet  *fleet.Fleet   // nil: it knows no other sidecar
+	folder *folder.Folder // of the fleet; nil: nothing is kept
+	door   *ops.Door      // nil: there is none
 	passed int
 	store  *handover.Store // nil: there is no successor to think of
 
@@ -60,15 +67,25 @@
 		fronts, listen = append(fronts, thrift.New(cfg, on.Thrift)), append(listen, on.Thrift.Listen)
 	}
 	loop := sockets.New(log, listen...)
-	s, err := sidecar.New(cfg, on, fronts, loop, log)
+	p := &Process{loop: loop, log: log, passed: cfg.Passed, over: make(chan struct{})}
+	var own netio.Net = loop
+	var shared *beside.Loop
+	if on.Fleet.On() {
+		shared = beside.New(loop)
+		own = shared.Core()
+	}
+	s, err := sidecar.New(cfg, on, fronts, own, log)
 	if err != nil {
 		return nil, err
 	}
 	s.Limits = obey
-	p := &Process{Sidecar: s, loop: loop, log: log, passed: cfg.Passed, over: make(chan struct{})}
+	p.Sidecar, p.host = s, s
 	if cfg.Ops != "" {
 		p.door = ops.New(cfg.Ops, s, loop.Now)
 	}
+	if shared != nil {
+		return p, p.join(cfg, on.Fleet, shared)
+	}
 	return p, nil
 }
 
@@ -101,6 +118,10 @@
 		}
 		defer p.door.Close()
 	}
+	if p.folder != nil {
+		defer p.folder.Close()
+		p.remember()
+	}
 	ends := make(chan os.Signal, 1)
 	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -111,12 +132,15 @@
 			}
 		}
 		p.Do(p.Drain)
+		if p.fleet != nil {
+			p.Do(p.fleet.Heed)
+		}
 		<-ends // a second one does not wait
 		os.Exit(1)
 	}()
 	go p.heedHangups(hangups, load)
 	go p.heedDumps(dumps)
-	return p.loop.Run(p.Sidecar)
+	return p.loop.Run(p.host)
 }
 
 // heedHangups reads the configuration again at each SIGHUP. Those that come while it is being read count as one
--- a/internal/process/succeed.go
+++ b/internal/process/succeed.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// folder is where a process leaves what its successor needs, in the folder for temporary files.
-	folder = "hazelwheel"
+	// stateFolder is where a process leaves what its successor needs, in the folder for temporary files.
+	stateFolder = "hazelwheel"
 	// lookEvery is the time between two looks at what operators have said to a neighbour; at each tenth, at who lives.
 	lookEvery = 50 * time.Millisecond
 )
@@ -24,7 +24,7 @@
 	if err := p.loop.Inherit(p.passed); err != nil {
 		return fmt.Errorf("%s: %w", config.EnvPassed, err)
 	}
-	p.store, err = handover.Open(filepath.Join(os.TempDir(), folder), func(err error) {
+	p.store, err = handover.Open(filepath.Join(os.TempDir(), stateFolder), func(err error) {
 		p.log.Error("nothing is kept for a successor", "error", err)
 	})
 	if err != nil {
--- a/internal/sidecar/arrivals.go
+++ b/internal/sidecar/arrivals.go
@@ -11,6 +11,9 @@
 	takenAtOnce = 32
 	// takenWithinS is from when on requests no longer count as one burst.
 	takenWithinS = 0.001
+	// staleS in the socket, and a request is taken up only once the loop has looked at its connections. Danger: the end of its
+	// client may lie right behind it, unread, and a process that stood still would send on what nobody waits for.
+	staleS = 0.05
 )
 
 // arrivals are the requests that the decisions have not been given yet, and how many they have been given in this burst.
@@ -31,7 +34,7 @@
 // arrive hands a request to the decisions, or has it wait its turn.
 func (s *Sidecar) arrive(r *request, q policy.Request) {
 	a, now := &s.arrivals, s.now()
-	if a.queue.Len() == 0 && !a.waiting {
+	if a.queue.Len() == 0 && !a.waiting && q.Held < staleS {
 		if now-a.since > takenWithinS {
 			a.taken, a.since = 0, now
 		}
@@ -41,7 +44,11 @@
 			return
 		}
 	}
-	a.queue.Put(admission.Waiting[arrival]{Of: arrival{r, q, now}, Class: q.Class, Arrived: now - q.Held})
+	from := now - q.Held
+	if q.Held >= staleS { // its wait is not shed load: it waits for this one look
+		from = now
+	}
+	a.queue.Put(admission.Waiting[arrival]{Of: arrival{r, q, now}, Class: q.Class, Arrived: from})
 	s.takeUpLater()
 }
 
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -66,6 +66,7 @@
 
 	Capture *capture.Stats `json:"capture,omitempty"`
 	Quotas  *QuotaCounters `json:"quotas,omitempty"`
+	Fleet   any            `json:"fleet,omitempty"` // what it knows of its fleet
 
 	Written uint64        `json:"written"`           // executions whose request was written whole
 	Classes []classCounts `json:"classes,omitempty"` // how requests ended, by class
--- a/internal/sidecar/lateness.go
+++ b/internal/sidecar/lateness.go
@@ -9,6 +9,8 @@
 	lateS        = 0.006
 	// stallS is how long the loop may not have turned though something was due before that counts as a stall.
 	stallS = 0.03
+	// afterStallS is for how long after a stall each request and answer is looked at.
+	afterStallS = 0.1
 )
 
 // lateness is what the sidecar knows of its own load. Danger: it sees an answer when the loop comes round to it. Under
@@ -25,7 +27,9 @@
 // waited returns for how long what a connection brings has lain in its socket, 0 while the loop is in time.
 func (s *Sidecar) waited(c netio.Conn) float64 {
 	l, now := &s.late, s.now()
-	if l.waited < lateS && now-l.sampledAt < sampleEveryS {
+	// Danger: after a stall some have just come and others have waited for all of it; one sample is no word on the next. Taken for
+	// new, a request would be sent on whose client has long gone.
+	if l.waited < lateS && now-l.sampledAt < sampleEveryS && now-l.stalledAt > afterStallS {
 		return 0
 	}
 	l.sampledAt, l.waited = now, s.net.Waited(c)
--- a/internal/sidecar/operate.go
+++ b/internal/sidecar/operate.go
@@ -22,8 +22,18 @@
 	Open        int    // requests taken and not ended
 	Members     int    // servers on the list
 	Unavailable int    // of these, that are not to be used, by hand or by choice
+	Fleet       []Figure
 }
 
+// Figure is one number of a part that is not the core.
+type Figure struct {
+	Name  string
+	Value uint64
+}
+
+// Counted is a part of a program that has figures of its own.
+type Counted interface{ Figures() []Figure }
+
 // Figures returns the latest snapshot, nil before the first. It may be called from anywhere, and waits for nobody.
 func (s *Sidecar) Figures() *Figures { return s.figures.Load() }
 
@@ -38,6 +48,9 @@
 			f.Unavailable++
 		}
 	}
+	if s.counted != nil {
+		f.Fleet = s.counted.Figures()
+	}
 	s.figures.Store(f)
 	s.timers.at(now+publishEveryS, s.publish)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -82,6 +82,8 @@
 	away      bool // drained by the operators
 	succeeded bool // another process serves in this one's place
 	shelf     Shelf
+	counted   Counted    // a fleet's figures; nil: there is none
+	fleet     func() any // what a fleet says of itself; nil: there is none
 	hash      string     // of the settings, once it was asked for
 	parts     int        // processes that live by the limits together
 	figures   atomic.Pointer[Figures]
@@ -314,5 +316,8 @@
 	s.counters.Descriptors = s.conns + s.dialing
 	s.counters.DrillHits, s.counters.Capture = s.drills.Hits(), s.capture.Stats()
 	s.counters.Quotas = s.quotaCounters()
+	if s.fleet != nil {
+		s.counters.Fleet = s.fleet()
+	}
 	return s.counters.text()
 }
--- a/internal/sim/core.go
+++ b/internal/sim/core.go
@@ -14,8 +14,8 @@
 	"hazelwheel/internal/world"
 )
 
-// Cores are what a day can be played with, by name.
-var Cores = map[string]Core{"sidecar": Sidecar, "random": Plain(Random), "least": Plain(LeastOutstanding)}
+// Cores are what a day can be played with, by name; nil is the sidecar, with or without a fleet as the seed says.
+var Cores = map[string]Core{"sidecar": nil, "random": Plain(Random), "least": Plain(LeastOutstanding)}
 
 // core is the sidecar as a Program.
 type core struct{ *sidecar.Sidecar }
--- /dev/null
+++ b/internal/sim/crowd/agree.go
@@ -0,0 +1,53 @@
+package crowd
+
+import (
+	"fmt"
+
+	"hazelwheel/internal/decide/member"
+)
+
+// Wrong returns what members that live hold otherwise than it is, a line each, at most so many: who lives and is not held for
+// alive, who does not and is, and ranks that two share.
+func (c *Crowd) Wrong(most int) (wrong []string) {
+	say := func(format string, args ...any) {
+		if len(wrong) < most {
+			wrong = append(wrong, fmt.Sprintf(format, args...))
+		}
+	}
+	up := 0
+	truth := map[member.ID]bool{}
+	for _, n := range c.Nodes {
+		if n.Up && !n.Frozen {
+			up++
+			truth[n.View.Self().ID] = true
+		}
+	}
+	ranks := map[int]int{}
+	for _, n := range c.Nodes {
+		if !n.Up || n.Frozen {
+			continue
+		}
+		live := 0
+		for m := range n.View.Members {
+			switch {
+			case m.State.Gone():
+				if truth[m.ID] {
+					say("s%d holds %s for %s, which lives", n.Number, m.Name, m.State)
+				}
+			case !truth[m.ID]:
+				say("s%d holds %s (%s) for %s, which does not live", n.Number, m.Name, m.ID, m.State)
+			default:
+				live++
+			}
+		}
+		if live != up {
+			say("s%d knows %d that live, of %d", n.Number, live, up)
+		}
+		rank, _ := n.View.Part(0)
+		if other, twice := ranks[rank]; twice {
+			say("s%d and s%d both have rank %d", other, n.Number, rank)
+		}
+		ranks[rank] = n.Number
+	}
+	return wrong
+}
--- /dev/null
+++ b/internal/sim/crowd/crowd.go
@@ -0,0 +1,367 @@
+// Package crowd plays the decisions about who is there by themselves, for as many members as a fleet may have: no sockets,
+// no sidecars, a clock and a network that a seed draws. It judges from its own record of who lived, and counts what it costs.
+package crowd
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+
+	"hazelwheel/internal/decide/member"
+	"hazelwheel/internal/peers/frames"
+)
+
+// Crowd is members on a network. It belongs to one goroutine.
+type Crowd struct {
+	// LatencyS is how long a message takes, with as much again drawn.
+	LatencyS float64
+
+	now   float64
+	seq   uint64
+	queue events
+	rng   *rand.Rand
+	Nodes []*Node
+	at    map[string]*Node // by address; looked up, never walked
+	cut   map[[2]int]bool  // ways; looked up, never walked
+
+	// Told is called for each change of what a member holds of another; nil: nobody is.
+	Told func(at float64, by *Node, r member.Record, was member.State, known bool)
+}
+
+// Node is one sidecar over all lives of its process.
+type Node struct {
+	Number  int
+	Address string
+	View    *member.View
+	Up      bool // its process lives
+	Frozen  bool
+
+	c          *Crowd
+	id         member.ID
+	generation uint64
+	life       int // of the process; what was meant for an earlier one is lost
+	ends       map[int]*end
+	last       int
+	waiting    []func()
+	Sent       uint64 // bytes
+	Messages   uint64
+	Calls      uint64 // of its loop
+	MostLinks  int
+}
+
+// end is one end of a link.
+type end struct {
+	node   *Node
+	life   int
+	number int
+	other  *end
+	told   bool // LinkUp was called
+	over   bool
+	lastAt float64 // what is sent later must not arrive earlier
+	lost   bool
+}
+
+type event struct {
+	at  float64
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return e
+}
+
+// New returns a crowd of nobody.
+func New(seed uint64) *Crowd {
+	return &Crowd{LatencyS: 0.001, now: 1000, rng: rand.New(rand.NewPCG(seed, 0x63726f7764)), at: map[string]*Node{}, cut: map[[2]int]bool{}}
+}
+
+// Now returns the time in seconds.
+func (c *Crowd) Now() float64 { return c.now }
+
+// At has something done at a time.
+func (c *Crowd) At(at float64, do func()) {
+	c.seq++
+	heap.Push(&c.queue, event{max(at, c.now), c.seq, do})
+}
+
+// Until plays up to a time.
+func (c *Crowd) Until(t float64) {
+	for len(c.queue) > 0 && c.queue[0].at <= t {
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.do()
+	}
+	c.now = max(c.now, t)
+}
+
+// Add adds a sidecar that has not begun.
+func (c *Crowd) Add() *Node {
+	n := &Node{Number: len(c.Nodes), c: c, ends: map[int]*end{}}
+	n.Address = fmt.Sprintf("10.%d.%d.%d:7946", n.Number>>16, n.Number>>8&255, n.Number&255)
+	c.Nodes = append(c.Nodes, n)
+	c.at[n.Address] = n
+	return n
+}
+
+// Start begins a process; with its state it is who it was.
+func (n *Node) Start(kept bool, join ...string) {
+	if n.Up {
+		return
+	}
+	if !kept || n.id == 0 {
+		n.id, n.generation = member.ID(n.c.rng.Uint64()|1), 0
+	}
+	n.generation++
+	n.Up, n.Frozen = true, false
+	n.life++
+	self := member.Record{ID: n.id, Version: member.Version{Incarnation: n.generation << 32, Life: n.c.rng.Uint64()}, Name: fmt.Sprintf("s%d", n.Number),
+		Address: n.Address}
+	n.View = member.New(n.c.now, self, member.Settings{Join: join, Seed: n.c.rng.Uint64()}, actions{n})
+	n.ticks(n.life)
+}
+
+// ID returns the identity, and 0 before the first start.
+func (n *Node) ID() member.ID { return n.id }
+
+func (n *Node) ticks(life int) {
+	n.c.At(n.View.Next(), func() {
+		n.call(life, func() { n.View.Tick(n.c.now) })
+		if n.life == life && n.Up {
+			if n.Frozen {
+				n.waiting = append(n.waiting, func() { n.ticks(life) })
+			} else {
+				n.ticks(life)
+			}
+		}
+	})
+}
+
+// call has the process do something, unless it has ended; one that stands still does it later.
+func (n *Node) call(life int, do func()) {
+	switch {
+	case n.life != life || !n.Up:
+	case n.Frozen:
+		n.waiting = append(n.waiting, func() { n.call(life, do) })
+	default:
+		n.Calls++
+		do()
+	}
+}
+
+// Kill ends the process: its links are reset.
+func (n *Node) Kill() {
+	if !n.Up {
+		return
+	}
+	n.Up, n.Frozen, n.waiting = false, false, nil
+	n.life++
+	for i := 1; i <= n.last; i++ { // in order: the same history each time
+		if e := n.ends[i]; e != nil {
+			e.close()
+		}
+	}
+	n.ends = map[int]*end{}
+}
+
+// Leave ends it with a word to the others.
+func (n *Node) Leave() {
+	if n.Up && !n.Frozen {
+		n.View.Leave(n.c.now)
+		life := n.life
+		n.c.At(n.c.now+0.3, func() {
+			if n.life == life {
+				n.Kill()
+			}
+		})
+	}
+}
+
+// Freeze has the process stand still, and Thaw go on.
+func (n *Node) Freeze() { n.Frozen = n.Up }
+
+// Thaw hands over what has come meanwhile.
+func (n *Node) Thaw() {
+	if !n.Frozen {
+		return
+	}
+	n.Frozen = false
+	waiting := n.waiting
+	n.waiting = nil
+	for _, do := range waiting {
+		do()
+	}
+}
+
+// Cut loses what goes one way; Mend ends that, and links that lost anything break.
+func (c *Crowd) Cut(from, to *Node) { c.cut[[2]int{from.Number, to.Number}] = true }
+
+// Mend ends a Cut.
+func (c *Crowd) Mend(from, to *Node) {
+	delete(c.cut, [2]int{from.Number, to.Number})
+	for i := 1; i <= from.last; i++ {
+		if e := from.ends[i]; e != nil && e.other.node == to && (e.lost || e.other.lost) {
+			e.close()
+			from.down(e)
+		}
+	}
+}
+
+// Reset breaks the links between two.
+func (c *Crowd) Reset(a, b *Node) {
+	for i := 1; i <= a.last; i++ {
+		if e := a.ends[i]; e != nil && e.other.node == b {
+			e.close()
+			a.down(e)
+		}
+	}
+}
+
+func (c *Crowd) latency() float64 { return c.LatencyS * (1 + c.rng.Float64()) }
+
+// deliver has something done at the other end, behind all that went there before.
+func (e *end) deliver(do func()) {
+	c := e.node.c
+	at := max(c.now+c.latency(), e.lastAt)
+	e.lastAt = at
+	o := e.other
+	c.At(at, func() {
+		if !o.over {
+			o.node.call(o.life, func() {
+				if !o.over {
+					do()
+				}
+			})
+		}
+	})
+}
+
+// close ends a link; the other end learns of it.
+func (e *end) close() {
+	if e.over {
+		return
+	}
+	e.deliver(func() { e.other.node.down(e.other) })
+	e.over = true
+	delete(e.node.ends, e.number)
+}
+
+// down has a process learn that a link has ended.
+func (n *Node) down(e *end) {
+	if e.over && n.ends[e.number] == nil && !e.told {
+		return
+	}
+	e.over = true
+	delete(n.ends, e.number)
+	if e.told && n.Up {
+		n.View.LinkDown(n.c.now, e.number)
+	}
+}
+
+// actions are a node's.
+type actions struct{ n *Node }
+
+const (
+	mostWaitS = 2.0  // for a link that does not come up
+	helloLen  = 150  // bytes, about
+	beatLen   = 22.0 // with its head
+)
+
+func (a actions) Dial(address string) {
+	n, c := a.n, a.n.c
+	life := n.life
+	fail := func(after float64) {
+		c.At(c.now+after, func() { n.call(life, func() { n.View.NotUp(c.now, address) }) })
+	}
+	to := c.at[address]
+	n.Sent += helloLen
+	switch {
+	case to == nil || c.cut[[2]int{n.Number, to.Number}] || c.cut[[2]int{to.Number, n.Number}]:
+		fail(mostWaitS)
+		return
+	case !to.Up || len(to.ends) >= 48:
+		fail(2 * c.latency())
+		return
+	}
+	n.last++
+	to.last++
+	near, far := &end{node: n, life: n.life, number: n.last}, &end{node: to, life: to.life, number: to.last}
+	near.other, far.other = far, near
+	n.ends[near.number], to.ends[far.number] = near, far
+	to.MostLinks, n.MostLinks = max(to.MostLinks, len(to.ends)), max(n.MostLinks, len(n.ends))
+	hello := n.View.Hello()
+	near.deliver(func() {
+		answer := to.View.Hello()
+		to.Sent += helloLen
+		far.deliver(func() {
+			near.told = true
+			n.View.LinkUp(c.now, near.number, address, answer)
+		})
+		far.told = true
+		to.View.LinkUp(c.now, far.number, "", hello)
+	})
+	// A target that stands still takes the link and says nothing.
+	c.At(c.now+mostWaitS, func() {
+		if !near.told && !near.over {
+			near.close()
+			n.call(life, func() { n.View.NotUp(c.now, address) })
+		}
+	})
+}
+
+func (a actions) Send(link int, m *member.Message) {
+	n, c := a.n, a.n.c
+	e := n.ends[link]
+	if e == nil || e.over {
+		return
+	}
+	size := uint64(beatLen)
+	if m.Records != nil || m.Sums != nil || m.Want != nil {
+		body, err := frames.Pack(m)
+		if err != nil { // numbers and names always pack
+			panic(err)
+		}
+		size = uint64(len(body) + frames.HeadLen)
+	}
+	n.Sent += size
+	n.Messages++
+	o := e.other
+	if c.cut[[2]int{n.Number, o.node.Number}] {
+		e.lost = true
+		return
+	}
+	copied := *m
+	e.deliver(func() { o.node.View.Heard(c.now, o.number, &copied) })
+}
+
+func (a actions) Close(link int) {
+	if e := a.n.ends[link]; e != nil {
+		e.close()
+	}
+}
+
+func (a actions) Changed(r member.Record, was member.State, known bool) {
+	if a.n.c.Told != nil {
+		a.n.c.Told(a.n.c.now, a.n, r, was, known)
+	}
+}
+
+func (a actions) Renew(string) {
+	n := a.n
+	n.id, n.generation = member.ID(n.c.rng.Uint64()|1), 1
+	id, life := n.id, n.life
+	version := member.Version{Incarnation: 1 << 32, Life: n.c.rng.Uint64()}
+	n.c.At(n.c.now+0.01, func() { n.call(life, func() { n.View.Become(n.c.now, id, version) }) })
+}
--- /dev/null
+++ b/internal/sim/crowd/crowd_test.go
@@ -0,0 +1,44 @@
+package crowd
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func settled(t *testing.T, c *Crowd, within float64) float64 {
+	t.Helper()
+	began := c.Now()
+	for c.Now() < began+within {
+		c.Until(c.Now() + 0.1)
+		if len(c.Wrong(1)) == 0 {
+			return c.Now() - began
+		}
+	}
+	require.Empty(t, c.Wrong(5))
+	return 0
+}
+
+func begin(seed uint64, n int) *Crowd {
+	c := New(seed)
+	for i := range n {
+		node := c.Add()
+		join := c.Nodes[c.rng.IntN(max(i, 1))].Address
+		c.At(c.Now()+float64(i)/100, func() { node.Start(true, join, c.Nodes[0].Address) })
+	}
+	return c
+}
+
+func TestCrowdMeetsAndMournsItsDead(t *testing.T) {
+	for _, n := range []int{2, 3, 7, 50, 300} {
+		c := begin(1, n)
+		c.Until(c.Now() + float64(n)/100)
+		t.Logf("%d: met after %.1f s", n, settled(t, c, 20))
+		c.Nodes[n-1].Kill()
+		t.Logf("%d: a death known after %.1f s", n, settled(t, c, 10))
+		c.Nodes[0].Freeze()
+		t.Logf("%d: one that stands still is known after %.1f s", n, settled(t, c, 15))
+		c.Nodes[0].Thaw()
+		t.Logf("%d: and back after %.1f s", n, settled(t, c, 10))
+	}
+}
--- /dev/null
+++ b/internal/sim/crowd/measure.go
@@ -0,0 +1,265 @@
+package crowd
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+
+	"hazelwheel/internal/decide/member"
+)
+
+// Figures are what a fleet of a size costs, and how soon it knows.
+type Figures struct {
+	Members     int     `json:"members"`
+	FormedS     float64 `json:"formed_s"` // until all knew all, from the last start on
+	KnownMedian float64 `json:"death_known_median_s"`
+	Known99     float64 `json:"death_known_99_s"`
+	FrozenMed   float64 `json:"frozen_known_median_s"`
+	Frozen99    float64 `json:"frozen_known_99_s"`
+	SentPerS    float64 `json:"sent_bytes_per_s"` // of a sidecar, while nothing happens
+	ChurnPerS   float64 `json:"sent_bytes_per_s_in_change"`
+	CallsPerS   float64 `json:"wake_ups_per_s"`
+	MostLinks   int     `json:"most_links"`
+	KiB         float64 `json:"kib_of_a_view"`
+}
+
+func (f Figures) String() string {
+	return fmt.Sprintf("%5d  formed %5.1f s  kill known %4.2f / %4.2f s  freeze known %4.2f / %4.2f s  %4.0f B/s quiet, %5.0f in change  %4.1f wake-ups/s  %2d links  %6.1f KiB",
+		f.Members, f.FormedS, f.KnownMedian, f.Known99, f.FrozenMed, f.Frozen99, f.SentPerS, f.ChurnPerS, f.CallsPerS, f.MostLinks, f.KiB)
+}
+
+// form adds members that join by a few that are there already, so many a second, and waits until all know all.
+func (c *Crowd) form(n int, perS float64) (formedS float64, ok bool) {
+	from := len(c.Nodes)
+	for i := range n {
+		node := c.Add()
+		var join []string
+		for range 3 {
+			join = append(join, c.Nodes[c.rng.IntN(from+i+1)].Address)
+		}
+		c.At(c.now+float64(i)/perS, func() { node.Start(true, join...) })
+	}
+	c.Until(c.now + float64(n)/perS)
+	began := c.now
+	for c.now < began+60 {
+		if len(c.Wrong(1)) == 0 {
+			return c.now - began, true
+		}
+		c.Until(c.now + 0.25)
+	}
+	return 60, false
+}
+
+// Measure plays a fleet of a size: it forms, rests, and loses some by kills and freezes, one after the other.
+func Measure(n int, seed uint64) (f Figures, err error) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	c := New(seed)
+	var ok bool
+	if f.FormedS, ok = c.form(n, max(20, float64(n)/20)); !ok {
+		return f, fmt.Errorf("%d members: not formed: %v", n, c.Wrong(3))
+	}
+	f.Members = n
+	c.Until(c.now + 5)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	f.KiB = float64(after.HeapAlloc-before.HeapAlloc) / float64(n) / 1024
+
+	sent := func() (bytes, calls uint64) {
+		for _, node := range c.Nodes {
+			bytes, calls = bytes+node.Sent, calls+node.Calls
+		}
+		return bytes, calls
+	}
+	const restS = 10.0
+	b0, c0 := sent()
+	c.Until(c.now + restS)
+	b1, c1 := sent()
+	f.SentPerS, f.CallsPerS = float64(b1-b0)/restS/float64(n), float64(c1-c0)/restS/float64(n)
+
+	began := c.now
+	var killed, frozen []float64
+	deaths := min(10, max(n/2, 1))
+	for i := range deaths {
+		victim, at, stands := c.Nodes[1+i], c.now, i%2 == 1
+		id := victim.View.Self().ID
+		told := map[int]bool{} // by observer; looked up, never walked
+		c.Told = func(now float64, by *Node, r member.Record, _ member.State, _ bool) {
+			if r.ID != id || r.State != member.Dead || told[by.Number] {
+				return
+			}
+			told[by.Number] = true
+			if stands {
+				frozen = append(frozen, now-at)
+			} else {
+				killed = append(killed, now-at)
+			}
+		}
+		if stands {
+			victim.Freeze()
+		} else {
+			victim.Kill()
+		}
+		c.Until(at + 10)
+		if want := n - 1 - i; len(told) < want {
+			return f, fmt.Errorf("%d members: a death is known to %d of %d after 10 s", n, len(told), want)
+		}
+	}
+	c.Told = nil
+	b2, _ := sent()
+	f.ChurnPerS = float64(b2-b1) / (c.now - began) / float64(n)
+	f.KnownMedian, f.Known99 = quantile(killed, 0.5), quantile(killed, 0.99)
+	f.FrozenMed, f.Frozen99 = quantile(frozen, 0.5), quantile(frozen, 0.99)
+	for _, node := range c.Nodes {
+		f.MostLinks = max(f.MostLinks, node.MostLinks)
+	}
+	return f, nil
+}
+
+func quantile(all []float64, q float64) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	all = slices.Clone(all)
+	slices.Sort(all)
+	return all[min(int(q*float64(len(all))), len(all)-1)]
+}
+
+// Troubled is what came of a fleet in drawn troubles.
+type Troubled struct {
+	HoursPlayed float64  `json:"hours"`
+	Troubles    int      `json:"troubles"`
+	FalseDeaths int      `json:"false_deaths"` // of members that lived, stood not still and that most could reach
+	Wrong       []string `json:"wrong,omitempty"`
+}
+
+// reachS is how long one must have been well and in reach before its death is a false one.
+const reachS = 1.0
+
+// Trouble plays a fleet in drawn troubles: members stand still for up to 4 s again and again, ways are cut for moments or for
+// long, links are reset, members are killed and come back, a third begins again within a second. After each lot of troubles
+// there is calm, and ten seconds later all must hold what is so.
+func Trouble(n int, seconds float64, seed uint64) (t Troubled, err error) {
+	c := New(seed)
+	if _, ok := c.form(n, 50); !ok {
+		return t, fmt.Errorf("%d members: not formed: %v", n, c.Wrong(3))
+	}
+	well := make([]float64, n) // since when each has been well; +Inf while it is not
+	const ill = 1e18
+	cuts := map[[2]int]int{} // by two members; looked up, never walked
+	cutOff := make([]int, n) // how many others each is cut from, one way or both
+	c.Told = func(now float64, by *Node, r member.Record, was member.State, known bool) {
+		if r.State != member.Dead || was == member.Dead {
+			return
+		}
+		for i, node := range c.Nodes {
+			if node.Up && node.View.Self().ID == r.ID && node.View.Self().Version == r.Version && now-well[i] > reachS && !by.Frozen && cutOff[by.Number] == 0 {
+				t.FalseDeaths++
+				if len(t.Wrong) < 10 {
+					t.Wrong = append(t.Wrong, fmt.Sprintf("%.2f: s%d holds s%d for dead, by the word of %v", now, by.Number, i, r.By))
+				}
+			}
+		}
+	}
+	mark := func(i int) func() { // ill until what is returned is called
+		well[i] = ill
+		return func() { well[i] = c.now }
+	}
+	for end := c.now + seconds; c.now < end; {
+		for range 1 + c.rng.IntN(5) {
+			t.Troubles++
+			i := c.rng.IntN(n)
+			node := c.Nodes[i]
+			at := c.now + 10*c.rng.Float64()
+			switch kind := c.rng.IntN(6); kind {
+			case 0: // stands still again and again
+				for k := range 1 + c.rng.IntN(4) {
+					for_ := 4 * c.rng.Float64()
+					from := at + 5*float64(k)
+					c.At(from, func() {
+						if node.Up && !node.Frozen {
+							heal := mark(i)
+							node.Freeze()
+							c.At(c.now+for_, func() { node.Thaw(); heal() })
+						}
+					})
+				}
+			case 1, 2: // cut from some others, one way or both
+				some, for_, oneWay := c.rng.Perm(n)[:1+c.rng.IntN(max(n/2, 1))], 0.3+6*c.rng.Float64(), kind == 1
+				c.At(at, func() {
+					for _, j := range some {
+						if j == i {
+							continue
+						}
+						o := c.Nodes[j]
+						for _, w := range [][2]int{{i, j}, {j, i}} {
+							if w[0] == j && oneWay {
+								continue
+							}
+							if cuts[w]++; cuts[w] == 1 {
+								c.Cut(c.Nodes[w[0]], c.Nodes[w[1]])
+							}
+							c.At(c.now+for_, func() {
+								if cuts[w]--; cuts[w] == 0 {
+									c.Mend(c.Nodes[w[0]], c.Nodes[w[1]])
+								}
+							})
+						}
+						cutOff[i]++
+						cutOff[j]++
+						// Who is cut from half of the others or more is not reached by most.
+						if cutOff[i]*2 >= n-1 {
+							well[i] = ill
+						}
+						if cutOff[j]*2 >= n-1 {
+							well[j] = ill
+						}
+						c.At(c.now+for_, func() {
+							cutOff[i]--
+							cutOff[j]--
+							for _, k := range []int{i, j} {
+								if well[k] == ill && cutOff[k]*2 < n-1 && !c.Nodes[k].Frozen {
+									well[k] = c.now
+								}
+							}
+						})
+						_ = o
+					}
+				})
+			case 3: // links are reset
+				for k := range 1 + c.rng.IntN(20) {
+					j := c.rng.IntN(n)
+					c.At(at+0.2*float64(k), func() { c.Reset(node, c.Nodes[j]) })
+				}
+			case 4: // killed, and back with its state or without
+				for_, kept := 8*c.rng.Float64(), c.rng.IntN(3) > 0
+				c.At(at, func() {
+					heal := mark(i)
+					node.Kill()
+					c.At(c.now+for_, func() { node.Start(kept, c.Nodes[0].Address, c.Nodes[n/2].Address); heal() })
+				})
+			case 5: // a third begins again within a second
+				for _, j := range c.rng.Perm(n)[:max(n/3, 1)] {
+					o := c.Nodes[j]
+					down := c.rng.Float64()
+					c.At(at, func() {
+						heal := mark(j)
+						o.Kill()
+						c.At(c.now+down, func() { o.Start(true, c.Nodes[0].Address, c.Nodes[n/2].Address); heal() })
+					})
+				}
+			}
+		}
+		c.Until(c.now + 32) // the last trouble is over
+		for _, node := range c.Nodes {
+			node.Thaw()
+		}
+		c.Until(c.now + 10)
+		if wrong := c.Wrong(3); len(wrong) > 0 {
+			return t, fmt.Errorf("%d members, seed %d, 10 s after the last trouble: %v", n, seed, wrong)
+		}
+	}
+	t.HoursPlayed = seconds / 3600
+	return t, nil
+}
--- a/internal/world/ground.go
+++ b/internal/world/ground.go
@@ -26,6 +26,15 @@
 	Mend(from, to string)
 	// Reset breaks all connections between two machines.
 	Reset(a, b string)
+	// PeersCut loses what one sidecar sends to another, in this direction alone, or ends that; PeersHold has it wait.
+	PeersCut(from, to int, on bool)
+	PeersHold(from, to int, on bool)
+	// PeersReset breaks the links between two sidecars.
+	PeersReset(a, b int)
+	// Freeze has a sidecar's process stand still, or go on.
+	Freeze(sidecar int, on bool)
+	// Spoil loses or tears what a sidecar's process, which does not run, has kept on its disk.
+	Spoil(sidecar int, state string)
 	// Stall slows what a sidecar's application reads to a share of its time, 0 to 1, until it is called with 1.
 	Stall(sidecar int, share float64)
 }
--- a/policy/checkpoint.go
+++ b/policy/checkpoint.go
@@ -13,7 +13,7 @@
 )
 
 // checkpointForm changes with every change of what is remembered or of how it is written.
-const checkpointForm = 3
+const checkpointForm = 4
 
 var errCheckpoint = errors.New("policy: not a checkpoint of this form")
 
@@ -203,6 +203,7 @@
 		&b.capacity, &b.brisk, &b.scanAt, &b.svc, &b.meanWork, &b.deadIdle, &b.dropAge, &b.dropUntil, &b.budget, &b.errors, &b.sends.rate, &b.sends.at, &b.asks.rate, &b.asks.at, &b.askedAt)
 	c.bools(&b.armed, &b.watching, &b.polls, &b.reports)
 	whole(c, &b.field)
+	whole(c, &b.told, &b.s.Self, &b.s.Replicas)
 	c.perClass(&b.classMean)
 	each(c, (*[]float64)(&b.kinds), func(v *float64) { c.floats(v) })
 	c.failed = c.failed || len(b.kinds) > mostKinds
@@ -340,6 +341,7 @@
 		h.outs, h.probedAt, h.polledAt = nil, 0, 0
 	}
 	b.armed, b.watching = false, false
+	b.told, b.s.Self, b.s.Replicas = s.Replicas, s.Self, s.Replicas
 	b.Stalled(now, max(now-b.now, 0))
 	return b, nil
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,7 +50,7 @@
 // New returns a Balancer that has not been told of any host yet.
 func New(s Settings, seed uint64, do Actions) *Balancer {
 	pcg := rand.NewPCG(seed, ^seed)
-	b := &Balancer{s: s, do: do, pcg: pcg, rng: rand.New(pcg),
+	b := &Balancer{s: s, told: s.Replicas, do: do, pcg: pcg, rng: rand.New(pcg),
 		field: slices.Index(s.ReportFields, FieldInflight),
 		hosts: map[uint32]*host{}, byID: map[uint32]*request{}, meanGap: 1, budget: 3,
 		rtt: 2 * s.TickS, aim: math.Inf(1), asked: make([]float64, len(s.Tenants))}
@@ -170,7 +170,7 @@
 			ring = append(ring, h)
 		}
 	}
-	from, size := Subset(len(ring), b.s.Self, b.s.Replicas, b.need)
+	from, size := b.run(len(ring))
 	b.peers = max(float64(size*b.s.Replicas)/float64(max(len(ring), 1)), 1)
 	for _, h := range b.members {
 		h.member, h.was = false, true
@@ -196,14 +196,6 @@
 	b.sort()
 }
 
-// Subset returns the first place and the number of the members that proxy self of replicas takes from a ring
-// of n hosts: need, and more the more hosts there are for each proxy. Every host gets two proxies at least.
-func Subset(n, self, replicas int, need float64) (from, size int) {
-	replicas, self = max(replicas, 1), max(self, 0)%max(replicas, 1)
-	size = min(n, max(int(min(need, 1e6)+6*float64(n)/float64(replicas)), 2*((n+replicas-1)/replicas)))
-	return place(self, replicas) * n / replicas, size
-}
-
 // --- Probes and phi ---
 
 // suspicion is phi of a member's silence, by the mean and the clamped sigma of its window.
--- a/policy/state.go
+++ b/policy/state.go
@@ -133,6 +133,7 @@
 	budget   float64
 	errors   float64   // part of the attempts that end with an error, at whatever host
 	sends    fading    // units of work sent, a second
+	told     int       // how many proxies there are by the settings; b.s has what is so now
 	asks     fading    // requests a second, sent or not
 	asked    []float64 // requests of each tenant, fading
 	askedAt  float64
