--- a/cmd/hazellab/sim.go
+++ b/cmd/hazellab/sim.go
@@ -35,13 +35,15 @@
 	boxes := &cli.IntFlag{Name: "boxes", Usage: "`N` boxes at the start of a day, with as much more traffic; 0: 12 to 19"}
 	sidecars := &cli.IntFlag{Name: "sidecars", Usage: "`N` sidecars; 0: 3 to 5"}
 	together := &cli.StringFlag{Name: "fleet", Usage: "whether sidecars know each other: on, off, or on a third of the seeds where nothing is said"}
+	told := &cli.IntFlag{Name: "told", Usage: "have configurations say that there are `N` sidecars; 0: as many as there are"}
 	asJSON := &cli.BoolFlag{Name: "json", Usage: "print the result as JSON"}
 	speech := &cli.StringFlag{Name: "speech", Usage: "what applications and boxes speak: http, binary or compact", Value: "http"}
 	rule := &cli.StringFlag{Name: "rule", Usage: "the `RULE` that is to stay broken; without it the first that breaks"}
 	return []*cli.Command{
 		{Name: "sim", Usage: "play days in simulated time and judge them", Action: simulate, Flags: []cli.Flag{seed, script, jobs, core, speech, asJSON,
 			&cli.StringFlag{Name: "seeds", Usage: "the `RANGE` of seeds, as 1-10000"},
-			boxes, sidecars, together,
+			boxes, sidecars, together, told,
+			&cli.BoolFlag{Name: "by-second", Usage: "print what boxes and discovery are asked in each second"},
 			&cli.BoolFlag{Name: "trace", Usage: "print what happens, one line a step"},
 			&cli.BoolFlag{Name: "each", Usage: "print a line for each day"},
 			&cli.BoolFlag{Name: "first", Usage: "stop at the first day that breaks a rule"},
@@ -65,6 +67,9 @@
 	if o.Sidecars != 0 && (o.Sidecars < 1 || o.Sidecars > 1000) {
 		return o, fault(fmt.Errorf("sidecars: %d is not 1 to 1000", o.Sidecars))
 	}
+	if o.Told = c.Int("told"); o.Told < 0 || o.Told > 10000 {
+		return o, fault(fmt.Errorf("told: %d is not 0 to 10000", o.Told))
+	}
 	if o.Together != sim.TogetherSome && o.Together != sim.TogetherAll && o.Together != sim.TogetherNever {
 		return o, fault(fmt.Errorf("fleet: %q is none of on, off", o.Together))
 	}
@@ -145,11 +150,18 @@
 	if c.Bool("trace") {
 		o.Trace = func(at float64, line string) { fmt.Fprintf(out, "%11.6f %s\n", at, line) }
 	}
+	var seconds bySecond
+	if c.Bool("by-second") {
+		o.Watch = &seconds
+	}
 	began := time.Now()
 	r, err := sim.Play(s, o)
 	if err != nil {
 		return wrong(err)
 	}
+	if o.Watch != nil {
+		seconds.print(out, r.Start)
+	}
 	if c.Bool("json") {
 		if err := json.NewEncoder(out).Encode(r); err != nil {
 			return err
@@ -168,6 +180,42 @@
 	return nil
 }
 
+// bySecond counts by second what boxes and discovery are asked.
+type bySecond struct {
+	boxes map[int32]bool // that were probed; counted, never walked
+	all   []struct{ at, probes, calls, links, executions int }
+}
+
+// See counts an event.
+func (b *bySecond) See(e judge.Event) {
+	at := int(e.At)
+	if n := len(b.all); n == 0 || b.all[n-1].at < at {
+		b.all = append(b.all, struct{ at, probes, calls, links, executions int }{at: at})
+	}
+	now := &b.all[len(b.all)-1]
+	switch e.Kind {
+	case judge.Probed:
+		if b.boxes == nil {
+			b.boxes = map[int32]bool{}
+		}
+		b.boxes[e.Box] = true
+		now.probes++
+	case judge.Called:
+		now.calls++
+	case judge.LinkOpened:
+		now.links++
+	case judge.Execution:
+		now.executions++
+	}
+}
+
+func (b *bySecond) print(w io.Writer, start float64) {
+	fmt.Fprintln(w, "second  probes of a box  calls for the list  links opened  executions")
+	for _, s := range b.all {
+		fmt.Fprintf(w, "%6d  %15.2f  %18d  %12d  %10d\n", s.at-int(start), float64(s.probes)/float64(max(len(b.boxes), 1)), s.calls, s.links, s.executions)
+	}
+}
+
 // wrong makes the error of a bad script one that ends the program with 2.
 func wrong(err error) error {
 	if errors.Is(err, sim.ErrScript) {
--- /dev/null
+++ b/internal/decide/member/member_test.go
@@ -0,0 +1,134 @@
+package member
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func drawRecord(t *rapid.T) Record {
+	r := Record{ID: 1, Version: Version{Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"), Life: rapid.Uint64Range(1, 2).Draw(t, "life")},
+		State: State(rapid.IntRange(0, int(Left)).Draw(t, "state")), Address: "a"}
+	if r.State == Suspected {
+		r.By = union(rapid.SliceOfN(rapid.Map(rapid.Uint64Range(1, 5), func(n uint64) ID { return ID(n) }), 1, 3).Draw(t, "by"), nil)
+	}
+	return r
+}
+
+// In whatever order and however often records come, the same is held in the end.
+func TestMergeIsAJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawRecord(t), drawRecord(t), drawRecord(t)
+		merge := func(a, b Record) Record {
+			m, changed := Merge(a, b)
+			if !changed {
+				require.Equal(t, a, m)
+			}
+			return m
+		}
+		require.Equal(t, merge(a, b), merge(b, a))
+		require.Equal(t, merge(merge(a, b), c), merge(a, merge(b, c)))
+		require.Equal(t, a, merge(a, a))
+		m := merge(a, b)
+		require.GreaterOrEqual(t, m.Version.Compare(a.Version), 0, "nobody rises by an old incarnation")
+		if m.Version == a.Version {
+			require.GreaterOrEqual(t, m.State, a.State)
+		}
+	})
+}
+
+// A place follows late: one that comes and goes moves nothing, a lasting change does, one that goes on changing does in the end,
+// and who sees nobody goes by the settings.
+func TestPart(t *testing.T) {
+	p := NewPart(4, 5)
+	now := 100.0
+	see := func(rank, count int, forS float64) (moves int) {
+		for end := now + forS; now < end; now += 0.25 {
+			if p.Update(now, rank, count) {
+				moves++
+			}
+		}
+		return moves
+	}
+	place := func(rank, count int) {
+		t.Helper()
+		r, c := p.Now()
+		assert.Equal(t, [2]int{rank, count}, [2]int{r, c})
+	}
+	place(4, 5)
+	assert.Zero(t, see(0, 1, 30), "alone")
+	for range 20 {
+		assert.Zero(t, see(3, 5, 1)+see(4, 5, 1))
+	}
+	assert.Equal(t, 1, see(7, 60, 10))
+	place(7, 60)
+	moves := 0
+	for i := range 40 {
+		moves += see(7, 61+i, 0.5)
+	}
+	assert.InDelta(t, 3, moves, 1, "in a change that goes on, now and then")
+	see(7, 100, 5)
+	place(7, 100)
+	see(0, 1, 5)
+	place(4, 5)
+	see(1_000_003, 2_000_000, 5)
+	r, c := p.Now()
+	assert.Equal(t, 5*farOff, c, "no count is believed that is far from what was planned")
+	assert.Less(t, r, c)
+}
+
+// noActions asks for nothing.
+type noActions struct{ sent int }
+
+func (*noActions) Dial(string)                 {}
+func (a *noActions) Send(int, *Message)        { a.sent++ }
+func (*noActions) Close(int)                   {}
+func (*noActions) Changed(Record, State, bool) {}
+func (*noActions) Renew(string)                {}
+
+// Whatever a peer says, no call fails, nobody who is known and lives is forgotten for it, and what is known stays bounded.
+func TestViewBearsWhatItIsTold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		self := Record{ID: 1, Version: Version{Incarnation: 1 << 32, Life: 1}, Name: "self", Address: "self:1"}
+		friend := Record{ID: 2, Version: Version{Incarnation: 1 << 32, Life: 1}, Name: "friend", Address: "friend:1"}
+		v, now := New(100, self, Settings{Seed: 1}, &noActions{}), 100.0
+		v.LinkUp(now, 1, "", Hello{Self: friend})
+		number := 1
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += rapid.Float64Range(0, 2).Draw(t, "wait")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				v.Tick(now)
+			case 1:
+				number++
+				r := drawRecord(t)
+				r.ID = ID(rapid.Uint64Range(0, 6).Draw(t, "id"))
+				v.LinkUp(now, number, "", Hello{Self: r})
+			case 2:
+				v.LinkDown(now, rapid.IntRange(2, number+1).Draw(t, "link"))
+			default:
+				m := &Message{Bye: rapid.IntRange(0, 9).Draw(t, "bye") == 0, Sums: make([]uint64, rapid.SampledFrom([]int{0, 3, 64}).Draw(t, "sums"))}
+				for range rapid.IntRange(0, 5).Draw(t, "records") {
+					r := drawRecord(t)
+					r.ID, r.AgeS = ID(rapid.Uint64Range(0, 6).Draw(t, "id")), rapid.Float64Range(-1, 700).Draw(t, "age")
+					r.Version.Incarnation = rapid.SampledFrom([]uint64{0, 1 << 32, 1<<32 + 1, 1 << 61, 1<<64 - 1}).Draw(t, "of")
+					m.Records = append(m.Records, r)
+				}
+				v.Heard(now, rapid.IntRange(1, number+1).Draw(t, "link"), m)
+			}
+			rank, count := v.Part(HoldS)
+			require.Less(t, rank, count)
+			require.Less(t, v.Self().Version.Incarnation, uint64(1)<<62)
+			seen, last := 0, ID(0)
+			for m := range v.Members {
+				if seen++; seen > 1 {
+					require.Greater(t, m.ID, last)
+				}
+				last = m.ID
+			}
+			require.LessOrEqual(t, seen, 8)
+		}
+	})
+}
--- a/internal/judge/event.go
+++ b/internal/judge/event.go
@@ -116,6 +116,8 @@
 	ViewWrong  int32 = iota + 1 // who lives, when there has been time to know
 	DeathWrong                  // one that lives and can be reached by most is called dead
 	RankWrong                   // two have one rank, or a rank is beyond the count
+	RisenWrong                  // one that was held for gone lives again by the same incarnation
+	QueueWrong                  // more waits for a peer than may
 )
 
 // What stands in Box for who is no box.
--- a/internal/judge/rules.go
+++ b/internal/judge/rules.go
@@ -78,6 +78,8 @@
 
 	FleetView  Rule = "fleet-view"  // some time after the last trouble all know who is there
 	FalseDeath Rule = "false-death" // nobody is called dead that lives and that most can reach
+	FleetRisen Rule = "fleet-risen" // who is gone comes back by a greater incarnation alone
+	FleetQueue Rule = "fleet-queue" // what waits for a peer that does not read is bounded
 	FleetRank  Rule = "fleet-rank"  // ranks are dense, and each is one's alone
 )
 
--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -167,6 +167,9 @@
 	}
 }
 
+// PeersDeaf is played in simulated time alone.
+func (l loopback) PeersDeaf(int, float64, float64) {}
+
 func (l loopback) Spoil(sidecar int, state string) {
 	if c := l.p.settings.Crew; c != nil {
 		c.Spoil(sidecar, state)
--- /dev/null
+++ b/internal/peers/frames/frames_test.go
@@ -0,0 +1,45 @@
+package frames
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A field that is not known is skipped; what is known is read.
+func TestUnknownFieldsAreSkipped(t *testing.T) {
+	body, err := Pack(map[string]any{"f": "yard", "z": map[string]any{"deep": []int{1, 2}}, "n": "m01", "i": 7})
+	require.NoError(t, err)
+	var h Hello
+	require.NoError(t, Unpack(body, &h))
+	assert.Equal(t, Hello{Fleet: "yard", Name: "m01", ID: 7}, h)
+}
+
+// FuzzNext reads what comes over a link, in whatever pieces: it never fails otherwise than by an error, takes no more than is
+// there, and a frame that was appended comes back.
+func FuzzNext(f *testing.F) {
+	hello, err := Pack(Hello{Fleet: "yard", Name: "m01", ID: 7})
+	require.NoError(f, err)
+	frame, err := Append(nil, TopicHello, hello)
+	require.NoError(f, err)
+	f.Add(frame)
+	f.Add(append(frame[:len(frame)-3:len(frame)-3], 0xc1, 0, 0, 0, 2, 1, 2))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{0, 0, 0, 12, 1, 1, 0xdd, 0xff, 0xff, 0xff, 0xff}) // an array of four billion
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for rest := data; ; {
+			topic, body, n, err := Next(rest)
+			if err != nil || n == 0 {
+				return
+			}
+			require.LessOrEqual(t, n, len(rest))
+			var h Hello
+			_ = Unpack(body, &h) // an error is an answer, too
+			again, err := Append(nil, topic, body)
+			require.NoError(t, err)
+			require.Equal(t, rest[:n], again)
+			rest = rest[n:]
+		}
+	})
+}
--- a/internal/sim/ground.go
+++ b/internal/sim/ground.go
@@ -33,12 +33,14 @@
 	denied  int
 	stalls  *rand.Rand
 
-	fleet  *fleet.Fleet // of the last life; nil: sidecars do not know each other
-	saved  []byte       // on its disk
-	lives  int
-	frozen bool
-	upAt   float64 // since when it has been there; 0: it has not been yet
-	downAt float64 // since when it is not; 0: it is there
+	fleet    *fleet.Fleet // of the last life; nil: sidecars do not know each other
+	saved    []byte       // on its disk
+	lives    int
+	gone     map[string]uint64 // by identity, the incarnation by which the present life has held one for gone; looked up, never walked
+	goneLife int
+	frozen   bool
+	upAt     float64 // since when it has been there; 0: it has not been yet
+	downAt   float64 // since when it is not; 0: it is there
 }
 
 var _ world.Ground = (*day)(nil)
@@ -107,6 +109,9 @@
 	if err != nil {
 		return fmt.Errorf("configuration of %s: %w", s.spec.Name, err)
 	}
+	if d.told > 0 {
+		cfg.Settings.Policy.Replicas, cfg.Settings.Policy.Self = d.told, s.number%d.told
+	}
 	w := &d.weather
 	// A process holds descriptors beside its links: standard streams, pollers, files.
 	listen := []string{s.spec.Address}
--- a/internal/sim/peers.go
+++ b/internal/sim/peers.go
@@ -7,13 +7,16 @@
 	"net"
 
 	"hazelwheel/internal/config"
+	"hazelwheel/internal/decide/member"
 	"hazelwheel/internal/features"
 	"hazelwheel/internal/fleet"
 	"hazelwheel/internal/front/http1"
 	"hazelwheel/internal/judge"
 	"hazelwheel/internal/netio"
 	"hazelwheel/internal/netio/beside"
+	"hazelwheel/internal/netio/virtual"
 	"hazelwheel/internal/peers"
+	"hazelwheel/internal/peers/frames"
 	"hazelwheel/internal/rewrite"
 	"hazelwheel/internal/sidecar"
 	"hazelwheel/internal/world"
@@ -54,7 +57,10 @@
 // Held leaves out the links to peers, which are none of the sidecar's.
 func (k known) Held() []Holding { return k.core.Held() }
 
-const peersPort = "7946"
+const (
+	peersPort = "7946"
+	fleetName = "day"
+)
 
 // peersAddress is where the others of its fleet reach a sidecar.
 func peersAddress(s *world.SidecarSpec) string { return net.JoinHostPort(s.IP, peersPort) }
@@ -92,7 +98,7 @@
 		for i := range min(3, len(d.sidecars)) {
 			join = append(join, peersAddress(&d.sidecars[i].spec))
 		}
-		f, err := fleet.New(fleet.Options{Settings: fleet.Settings{Name: "day", Listen: peersAddress(&s.spec), Join: join}, Sidecar: s.spec.Name,
+		f, err := fleet.New(fleet.Options{Settings: fleet.Settings{Name: fleetName, Listen: peersAddress(&s.spec), Join: join}, Sidecar: s.spec.Name,
 			Self: cfg.Settings.Policy.Self, Replicas: cfg.Settings.Policy.Replicas, Asked: sc, Told: sc, Rand: rng, Net: shared.Companion(), Log: log})
 		if err != nil {
 			return nil, err
@@ -129,6 +135,93 @@
 	d.troubledAt = d.net.Now()
 }
 
+// deafPeer is a program that says hello to a sidecar as a peer does, asks what it knows again and again, and reads nothing.
+type deafPeer struct {
+	net   netio.Net
+	to    string
+	perS  float64
+	until float64
+	conn  netio.Conn
+	again bool
+}
+
+func (h *deafPeer) Start() { h.Alarm() }
+
+func (h *deafPeer) Open(c netio.Conn) bool {
+	h.conn = c
+	inner, err := frames.Pack(member.Hello{Self: member.Record{ID: 3, Version: member.Version{Incarnation: 1 << 32, Life: 3}, Name: "deaf",
+		Address: h.to}})
+	if err == nil {
+		var body, frame []byte
+		if body, err = frames.Pack(frames.Hello{Fleet: fleetName, Name: "deaf", ID: 3, Address: h.to, Body: inner}); err == nil {
+			if frame, err = frames.Append(nil, frames.TopicHello, body); err == nil {
+				c.Write(frame)
+			}
+		}
+	}
+	return err == nil
+}
+
+func (h *deafPeer) Traffic(netio.Conn, []byte)     {}
+func (h *deafPeer) Closed(c netio.Conn, err error) { h.conn = nil }
+
+// Alarm asks, or dials again.
+func (h *deafPeer) Alarm() {
+	now := h.net.Now()
+	if now >= h.until {
+		h.net.Stop()
+		return
+	}
+	h.net.Alarm(now + 1/h.perS)
+	if h.conn == nil {
+		if !h.again {
+			h.again = true
+			h.net.Dial(h.to, now+1, nil, func(error) { h.again = false })
+		}
+		return
+	}
+	body, err := frames.Pack(member.Message{Sums: make([]uint64, 64)})
+	if err != nil { // numbers always pack
+		panic(err)
+	}
+	if frame, err := frames.Append(nil, frames.TopicMember, body); err == nil && h.conn.OutboundBuffered() < 1<<16 {
+		h.conn.Write(frame)
+	}
+}
+
+// PeersDeaf begins such a program on a machine of its own.
+func (d *day) PeersDeaf(sidecar int, perS, until float64) {
+	d.deaf++
+	d.peerCuts++ // a trouble that goes on
+	vm := d.net.Machine(fmt.Sprintf("10.9.0.%d", d.deaf))
+	p := vm.Process(virtual.ProcessOptions{Name: "deaf", ReadRate: -1, Exited: func() {
+		d.peerCuts--
+		d.troubledAt = d.net.Now()
+	}})
+	if err := p.Run(&deafPeer{net: p, to: peersAddress(&d.sidecars[sidecar].spec), perS: perS, until: until}); err != nil {
+		panic(err) // it listens nowhere
+	}
+}
+
+// lookAtQueues tells the judge of what waits for peers.
+func (d *day) lookAtQueues() {
+	for _, s := range d.sidecars {
+		if s.proc == nil || !s.proc.Alive() {
+			continue
+		}
+		for _, c := range s.proc.Conns() {
+			if _, peer := c.Context().(*peers.Link); peer && c.OutboundBuffered() > mostQueued && !d.long {
+				d.long = true
+				d.see(judge.Event{Kind: judge.FleetWrong, Sidecar: int32(s.number), Status: judge.QueueWrong,
+					Text: fmt.Sprintf("%d bytes wait for a peer that does not read", c.OutboundBuffered())})
+			}
+		}
+	}
+}
+
+// mostQueued is what may wait for one peer: the bound, and a frame.
+const mostQueued = 256<<10 + frames.Most
+
 // endless is long after any day.
 const endless = 1e12
 
@@ -171,6 +264,7 @@
 	if !d.together {
 		return
 	}
+	d.lookAtQueues()
 	now := d.net.Now()
 	if d.peerCuts > 0 {
 		d.troubledAt = now
@@ -192,6 +286,7 @@
 		up++
 		seen[i] = s.fleet.Seen(len(d.sidecars) * 20)
 		byID[seen[i].ID] = s
+		d.lookForRisen(s, &seen[i])
 	}
 	if calm < agreeS || d.wrong {
 		return
@@ -216,8 +311,8 @@
 				wrong(judge.DeathWrong, "%s holds %s for %s, %.1f s after the last trouble, and it lives", s.spec.Name, m.Name, m.State, calm)
 			}
 		}
-		if live != up {
-			wrong(judge.ViewWrong, "%s knows %d that live, of %d, %.1f s after the last trouble", s.spec.Name, live, up, calm)
+		if live != up || seen[i].Live != up {
+			wrong(judge.ViewWrong, "%s knows %d that live and counts %d, of %d, %.1f s after the last trouble", s.spec.Name, live, seen[i].Live, up, calm)
 		}
 		if calm > agreeS+placedS {
 			if other, twice := ranks[seen[i].Rank]; twice || seen[i].Rank >= seen[i].Count || seen[i].Count != up {
@@ -228,5 +323,21 @@
 	}
 }
 
+// lookForRisen tells the judge of one that a process held for gone and that lives again as it was.
+func (d *day) lookForRisen(s *instance, seen *fleet.Seen) {
+	if s.goneLife != s.lives {
+		s.gone, s.goneLife = map[string]uint64{}, s.lives
+	}
+	for _, m := range seen.Members {
+		if m.State == "dead" || m.State == "left" {
+			s.gone[m.ID] = m.Incarnation
+		} else if was, ok := s.gone[m.ID]; ok && m.Incarnation <= was && !d.wrong {
+			d.wrong = true
+			d.see(judge.Event{Kind: judge.FleetWrong, Sidecar: int32(s.number), Status: judge.RisenWrong,
+				Text: fmt.Sprintf("%s holds %s for %s by the incarnation %d by which it was gone", s.spec.Name, m.Name, m.State, m.Incarnation)})
+		}
+	}
+}
+
 // placedS is how long a place may take to follow what is known: the dead count for a while, and a new place must hold.
 const placedS = 12.0
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -56,6 +56,9 @@
 	Batch  float64
 	Quotas bool
 	Boxes  int // at the start of the day, with as much traffic; 0: as usual
+	Told   int // how many sidecars the configurations say there are; 0: as many as the day has
+	// Watch is told of all that the judge is told; nil: nobody is.
+	Watch judge.Witness
 	// Together says on which days sidecars know each other. Those of other cores, speeches and quotas never do.
 	Together Together
 	Sidecars int // that the day has, with as much traffic each has as usual together; 0: as usual
@@ -153,6 +156,9 @@
 	sidecars   []*instance
 	together   bool              // sidecars know each other
 	troubledAt float64           // when anything between them was in trouble last
+	told       int               // sidecars that the configurations speak of; 0: those that there are
+	deaf       int               // programs that asked and did not read, so far
+	long       bool              // the judge has been told of a queue
 	peerCuts   int               // ways between sidecars that are cut now
 	wrong      bool              // the judge has been told of what they hold
 	cuts       map[[2]string]int // by two machines: cuts that have not been mended; looked up, never walked
@@ -194,6 +200,9 @@
 		witness = &teller{d}
 		d.traceNetwork()
 	}
+	if d.told = o.Told; o.Watch != nil {
+		witness = witnesses{witness, o.Watch}
+	}
 	d.world = world.New(&d.spec, witness)
 	d.lay()
 	var err error
@@ -203,6 +212,14 @@
 	return d, d.begin()
 }
 
+// witnesses are two that are told the same.
+type witnesses [2]judge.Witness
+
+func (w witnesses) See(e judge.Event) {
+	w[0].See(e)
+	w[1].See(e)
+}
+
 // run plays the day out.
 func (d *day) run(until judge.Rule) {
 	end := d.spec.Start + d.lastComingS() + restS
--- a/internal/world/ground.go
+++ b/internal/world/ground.go
@@ -31,6 +31,8 @@
 	PeersHold(from, to int, on bool)
 	// PeersReset breaks the links between two sidecars.
 	PeersReset(a, b int)
+	// PeersDeaf has somebody ask a sidecar so many times a second what it knows, until a time, and read nothing.
+	PeersDeaf(sidecar int, perS, until float64)
 	// Freeze has a sidecar's process stand still, or go on.
 	Freeze(sidecar int, on bool)
 	// Spoil loses or tears what a sidecar's process, which does not run, has kept on its disk.
--- a/internal/world/player.go
+++ b/internal/world/player.go
@@ -142,6 +142,10 @@
 		p.between(t, now, p.ground.PeersHold)
 	case PeerReset:
 		p.resetPeers(t, now, p.endsAt(t, now))
+	case PeerDeaf:
+		for _, i := range t.Sidecars {
+			p.ground.PeersDeaf(i, t.PerS, p.endsAt(t, now))
+		}
 	case Freeze:
 		p.freeze(t, now)
 	case SidecarTerm:
--- a/internal/world/script.go
+++ b/internal/world/script.go
@@ -37,6 +37,7 @@
 	PeerCut    = "peer-cut"    // bytes between sidecars are lost, both ways or one
 	PeerHold   = "peer-hold"   // bytes between sidecars wait, and links stay up
 	PeerReset  = "peer-reset"  // links between sidecars are reset again and again
+	PeerDeaf   = "peer-deaf"   // somebody asks sidecars again and again for what they know, as a peer does, and reads nothing
 	Freeze     = "freeze"      // sidecars' processes stand still
 	RestartAll = "restart-all" // all sidecars are killed and begin again
 )
@@ -168,6 +169,9 @@
 	{PeerReset, []string{"for_s", "from", "per_s"}, []string{"to"}, func(t *Trouble, d *Day, rng *rand.Rand) {
 		t.ForS, t.From, t.PerS = between(rng, 1, 10), d.someSidecars(rng), between(rng, 0.5, 5)
 	}},
+	{PeerDeaf, []string{"for_s", "sidecars", "per_s"}, nil, func(t *Trouble, d *Day, rng *rand.Rand) {
+		t.ForS, t.PerS, t.Sidecars = between(rng, 5, 15), between(rng, 100, 1000), d.oneSidecar(rng)
+	}},
 	{Freeze, []string{"for_s", "sidecars"}, nil, func(t *Trouble, d *Day, rng *rand.Rand) {
 		t.ForS, t.Sidecars = between(rng, 0.3, 9), d.oneSidecar(rng)
 	}},
