--- a/cmd/hazellab/fleet.go
+++ b/cmd/hazellab/fleet.go
@@ -29,6 +29,7 @@
 			&cli.BoolFlag{Name: "draw", Usage: "draw the troubles from the seed"},
 			&cli.BoolFlag{Name: "show-script", Usage: "print the troubles and play nothing"},
 			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
+			&cli.StringFlag{Name: "picture", Usage: "the `FILE` for a picture, an SVG: who was there, and who was held for alive"},
 			&cli.StringFlag{Name: "binary", Usage: "hazelwheel's `FILE`; default: beside this program"},
 			&cli.StringFlag{Name: "log", Usage: "the `FILE` for what the sidecars say"},
 		},
@@ -92,6 +93,11 @@
 	if err != nil {
 		return err
 	}
+	if path := c.String("picture"); path != "" {
+		if err := r.Picture(path); err != nil {
+			return err
+		}
+	}
 	out := c.Root().Writer
 	if c.Bool("json") {
 		raw, err := json.MarshalIndent(r, "", "  ")
@@ -131,10 +137,12 @@
 		Flags: []cli.Flag{
 			&cli.IntSliceFlag{Name: "members", Usage: "the `SIZES`", Value: []int{5, 50, 300}},
 			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.StringFlag{Name: "picture", Usage: "the `FILE` for a picture of the figures by size, an SVG"},
 			&cli.BoolFlag{Name: "ways", Usage: "model the other ways that were weighed, too"},
 			&cli.FloatFlag{Name: "hours", Usage: "play drawn troubles for `N` hours in place of that, and count false deaths"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
+			var all []crowd.Figures
 			for _, n := range c.IntSlice("members") {
 				if n < 2 || n > 6000 {
 					return fault(fmt.Errorf("members: %d is not 2 to 6000", n))
@@ -155,12 +163,16 @@
 					return err
 				}
 				fmt.Fprintln(c.Root().Writer, f)
+				all = append(all, f)
 				if c.Bool("ways") {
 					for _, w := range crowd.Ways(n, c.Uint64("seed")) {
 						fmt.Fprintln(c.Root().Writer, "      ", w)
 					}
 				}
 			}
+			if path := c.String("picture"); path != "" && len(all) > 1 {
+				return crowd.Picture(path, all)
+			}
 			return nil
 		},
 	}
--- a/cmd/hazelwheel/fleetcases_test.go
+++ b/cmd/hazelwheel/fleetcases_test.go
@@ -309,6 +309,30 @@
 	stop()
 }
 
+// What a capture holds of a sidecar whose place in its fleet changes replays without a difference.
+func TestFleetInACapture(t *testing.T) {
+	c := newCrew(t, 4)
+	c.replica = 2 // the settings are wrong; what counts is who is there
+	for _, m := range c.all {
+		m.capture = true
+	}
+	c.start().ready(c.all...)
+	c.agree(c.all...)
+	c.placed(c.all...)
+	m := c.all[0]
+	w := &world{T: t, listen: m.listen}
+	w.client.Timeout = patience
+	w.load(80)
+	m.signal(syscall.SIGUSR1)
+	c.poll("a dump", func() bool { return strings.Contains(m.log.String(), `"k":"end"}`) })
+	text := m.log.String()
+	text = text[strings.Index(text, `"k":"dump"}`)-len(`{"t":1234567890123,`):]
+	assert.Contains(t, text, `"k":"place"`)
+	code, out := w.replay(text)
+	assert.Zero(t, code, out)
+	assert.Greater(t, compared(t, out), 20)
+}
+
 // A process takes the place of another with its socket: it keeps the identity, and never do the two count as two.
 func TestFleetReplacement(t *testing.T) {
 	c := newCrew(t, 4)
--- a/cmd/hazelwheel/peers_test.go
+++ b/cmd/hazelwheel/peers_test.go
@@ -48,6 +48,7 @@
 	frozen              atomic.Bool
 	gone                atomic.Bool // not to be asked
 	known               []endpoint
+	capture             bool     // what its decisions knew is recorded
 	full                bool     // its disk takes nothing
 	passed              *os.File // the clients' socket, where the platform holds it
 	asked, refused, bad atomic.Int64
@@ -119,7 +120,11 @@
 	raw, err := os.ReadFile(path)
 	require.NoError(m.c, err)
 	require.NoError(m.c, os.WriteFile(path, []byte(strings.Replace(string(raw), `"name":"n0"`, `"name":"`+m.name+`"`, 1)), 0o600))
-	text, err := json.Marshal(map[string]any{"fleet": m.fleet()})
+	extras := map[string]any{"fleet": m.fleet()}
+	if m.capture {
+		extras["capture"] = map[string]any{"max_bytes": 1 << 20, "files": 1}
+	}
+	text, err := json.Marshal(extras)
 	require.NoError(m.c, err)
 	features := filepath.Join(m.tmp, "features.json")
 	require.NoError(m.c, os.WriteFile(features, text, 0o600))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,6 +41,7 @@
 	Settings
 	Sidecar        string // its name
 	Self, Replicas int    // by the configuration
+	Links          int    // that there may be to peers
 	Replaceable    bool   // another process may take this one's place, with its identity and address
 	Asked          sidecar.Asked
 	Told           sidecar.Placed
@@ -91,7 +92,7 @@
 		return nil, fmt.Errorf("fleet.listen: %w", err)
 	}
 	f.o.Log = f.log
-	f.peers = peers.New(o.Name, f, o.Net, f.log)
+	f.peers = peers.New(o.Name, o.Links, f, o.Net, f.log)
 	return f, nil
 }
 
--- a/internal/lab/troupe/troupe.go
+++ b/internal/lab/troupe/troupe.go
@@ -45,7 +45,8 @@
 	PeerBytes float64         `json:"peer_bytes_per_s"`   // of a sidecar
 	AgreedS   []float64       `json:"agreed_s,omitempty"` // after each calm's begin, until all held what was so
 	KnownS    []float64       `json:"known_s,omitempty"`  // of each process that was killed or stood still, until all others knew
-	Views     int             `json:"views"`              // that were asked for and came
+	Rounds    []Round         `json:"rounds,omitempty"`
+	Views     int             `json:"views"` // that were asked for and came
 }
 
 // Finding is one break of a rule.
@@ -102,6 +103,7 @@
 	agreedS   []float64
 	known     []float64
 	views     int
+	rounds    []Round
 	began     time.Time
 }
 
@@ -149,7 +151,7 @@
 		return nil, err
 	}
 	r := &Report{Sidecars: len(t.mates), Seed: s.Seed, ForS: s.For.Seconds(), Troubles: script.Troubles, Broken: p.Judge.Broken() + t.broken, Findings: t.wrong,
-		Service: p.Judge.Report().Service, LateS: p.Late(), AgreedS: t.agreedS, KnownS: t.known, Views: t.views}
+		Service: p.Judge.Report().Service, LateS: p.Late(), AgreedS: t.agreedS, KnownS: t.known, Views: t.views, Rounds: t.rounds}
 	r.PeerBytes = float64(t.board.Passed()) / time.Since(t.began).Seconds() / float64(len(t.mates))
 	for _, f := range p.Judge.Findings() {
 		r.Findings = append(r.Findings, Finding{Rule: string(f.Rule), AtS: f.At - p.Day.Start, Sidecar: day.Sidecars[max(f.Sidecar, 0)].Name, Why: f.Why})
@@ -354,6 +356,7 @@
 			byID[m.id] = m
 		}
 	}
+	round := Round{AtS: time.Since(t.began).Seconds(), There: up, Least: len(t.mates)}
 	differs := ""
 	for i, v := range views {
 		if v == nil {
@@ -372,10 +375,14 @@
 				o.since = time.Now() // once
 			}
 		}
+		round.Least, round.Most = min(round.Least, v.Live), max(round.Most, v.Live)
 		if live != up {
 			differs = fmt.Sprintf("%s knows %d that live, of %d", t.mates[i].name, live, up)
 		}
 	}
+	if answered > 0 {
+		t.rounds = append(t.rounds, round)
+	}
 	t.noteKnown(views)
 	switch {
 	case t.agreed:
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// MostLinks bounds the links of a sidecar, with those that come up.
-	MostLinks = 48
-	// Descriptors is what all of them may hold, with the listener.
-	Descriptors = MostLinks + 4
+	// mostLinks bounds the links of a sidecar, with those that come up; leastLinks is enough to watch and be watched.
+	mostLinks, leastLinks = 48, 12
+	// linksPart of the descriptors that a process has may be links to peers.
+	linksPart = 6
 	// helloS is how long a link may take to come up and to say who speaks.
 	helloS = 2.0
 	// mostQueued bounds what a peer has not read, in bytes; beyond it its link ends.
@@ -28,6 +28,12 @@
 	heardPerS, heardAtOnce = 128 << 10, 1 << 20
 )
 
+// Links returns how many links a process may have that has so many descriptors.
+func Links(sockets int) int { return min(max(sockets/linksPart, leastLinks), mostLinks) }
+
+// Descriptors returns what so many links hold, with the listener and what is being closed.
+func Descriptors(links int) int { return links + 4 }
+
 // Owner decides what the links are for.
 type Owner interface {
 	// Hello returns what is said first on a link that comes up.
@@ -79,12 +85,13 @@
 	Unsaid     uint64 `json:"unsaid"`    // frames beyond the budget, or for links that had gone
 	Senseless  uint64 `json:"senseless"` // links ended for what came over them
 	Unread     uint64 `json:"unread"`    // links ended since the peer did not read
-	TooMany    uint64 `json:"too_many"`  // links refused beyond MostLinks
+	TooMany    uint64 `json:"too_many"`  // links refused beyond the bound
 }
 
 // Peers holds the links.
 type Peers struct {
 	fleet   string
+	most    int // links
 	owner   Owner
 	net     netio.Net
 	log     *slog.Logger
@@ -97,9 +104,9 @@
 	closed  bool
 }
 
-// New returns links that have not begun, of a fleet's sidecar.
-func New(fleet string, owner Owner, net netio.Net, log *slog.Logger) *Peers {
-	return &Peers{fleet: fleet, owner: owner, net: net, log: log, told: map[string]bool{}, said: bucket{sentAtOnce, net.Now()}}
+// New returns links that have not begun, at most so many, of a fleet's sidecar.
+func New(fleet string, most int, owner Owner, net netio.Net, log *slog.Logger) *Peers {
+	return &Peers{fleet: fleet, most: most, owner: owner, net: net, log: log, told: map[string]bool{}, said: bucket{sentAtOnce, net.Now()}}
 }
 
 // Figures returns the counts so far.
@@ -110,7 +117,7 @@
 
 // Dial opens a link.
 func (p *Peers) Dial(address string) {
-	if p.closed || len(p.links) >= MostLinks {
+	if p.closed || len(p.links) >= p.most {
 		p.figures.TooMany++
 		p.net.Post(func() { p.owner.NotUp(address, errMany) })
 		return
@@ -143,7 +150,7 @@
 func (p *Peers) Open(c netio.Conn) bool {
 	l, dialed := c.Context().(*Link)
 	if !dialed {
-		if p.closed || len(p.links) >= MostLinks {
+		if p.closed || len(p.links) >= p.most {
 			p.figures.TooMany++
 			return false
 		}
--- a/internal/process/join.go
+++ b/internal/process/join.go
@@ -20,7 +20,8 @@
 
 // join has the sidecar know the others of its fleet.
 func (p *Process) join(cfg config.Config, on features.Fleet, shared *beside.Loop) (err error) {
-	p.fleet, err = fleet.New(fleet.Options{
+	links := peers.Links(cfg.Limits.Sockets)
+	p.fleet, err = fleet.New(fleet.Options{Links: links,
 		Settings: fleet.Settings(on), Sidecar: cfg.Name, Self: cfg.Settings.Policy.Self, Replicas: cfg.Settings.Policy.Replicas,
 		Replaceable: cfg.Passed > 0, Asked: p.Sidecar, Told: p.Sidecar, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Net: shared.Companion(), Log: p.log})
@@ -28,7 +29,7 @@
 		return err
 	}
 	p.host = shared.Host(p.Sidecar, p.fleet, p.fleet.Owns)
-	p.Reserve(peers.Descriptors)
+	p.Reserve(peers.Descriptors(links))
 	p.ShowFleet(func() any { return p.fleet.Seen(mostCounted) }, p.fleet)
 	if p.door != nil {
 		p.door.Peers = func() []byte {
--- a/internal/sim/peers.go
+++ b/internal/sim/peers.go
@@ -30,6 +30,8 @@
 	TogetherSome  Together = ""
 	TogetherNever Together = "off"
 	TogetherAll   Together = "on"
+	// TogetherApart plays the days of TogetherAll, with the same troubles, for sidecars that know nothing of each other.
+	TogetherApart Together = "apart"
 )
 
 // on tells whether the sidecars of a seed's day know each other.
@@ -98,13 +100,14 @@
 		for i := range min(3, len(d.sidecars)) {
 			join = append(join, peersAddress(&d.sidecars[i].spec))
 		}
-		f, err := fleet.New(fleet.Options{Settings: fleet.Settings{Name: fleetName, Listen: peersAddress(&s.spec), Join: join}, Sidecar: s.spec.Name,
+		links := peers.Links(d.spec.Sockets)
+		f, err := fleet.New(fleet.Options{Links: links, Settings: fleet.Settings{Name: fleetName, Listen: peersAddress(&s.spec), Join: join}, Sidecar: s.spec.Name,
 			Self: cfg.Settings.Policy.Self, Replicas: cfg.Settings.Policy.Replicas, Asked: sc, Told: sc, Rand: rng, Net: shared.Companion(), Log: log})
 		if err != nil {
 			return nil, err
 		}
 		f.Keep(disk{s, loop, 0.02 * rng.Float64()}, s.saved, nil)
-		sc.Reserve(peers.Descriptors)
+		sc.Reserve(peers.Descriptors(links))
 		s.fleet = f
 		return known{core{sc}, shared.Host(sc, f, f.Owns), f}, nil
 	}
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -115,7 +115,7 @@
 func (o Options) DrawScript(seed uint64) world.Script {
 	d := world.Draw(seed, o.Ranges())
 	s := world.DrawScript(&d)
-	if o.together(seed) {
+	if o.together(seed) || o.Together == TogetherApart {
 		world.DrawPeerTroubles(&d, &s)
 	}
 	return s
