Let nobody be called dead by one that was cut off, before it could say no

Need: in three hours of drawn troubles at 30 members 21 false deaths, all of one instant: a member cut off from half of the others had called three of them dead by itself (its accusations were lost on the cut ways), and when it was back its records were believed as they came (hear in internal/decide/member/view.go). They answered within milliseconds, but had been dead to most.

Change: a death that one hears of whom it holds for alive is an accusation first, and counts after the second in which it can be answered. Where all hold the suspicion already nothing is later.

--- a/internal/decide/member/view.go
+++ b/internal/decide/member/view.go
@@ -279,6 +279,19 @@
 		v.tell(e, from)
 		return
 	}
+	if r.State == Dead && e.State == Alive && r.Version.Compare(e.Version) >= 0 {
+		// Danger: one that was cut off has called others dead that nobody asked, and comes back with that. They get the time to
+		// say no that they would have had.
+		defer func() {
+			if e.State == Suspected && e.Version == r.Version {
+				e.due = v.now + soonestS
+			}
+		}()
+		r.State = Suspected
+		if r.AgeS = 0; len(r.By) == 0 {
+			r.By = []ID{v.self.ID}
+		}
+	}
 	merged, news := Merge(e.Record, r)
 	if !news {
 		return
