Make accusers a join, dial again after a link that was not taken, and play a fleet's troubles in simulated time

Need: reading the change once more, and more draws of its properties, found four faults. Of three accusers and three others each member kept its own, so the order in which records came mattered (Merge). A dial whose link was turned away at once, while the sidecar took another identity, was never told to the decisions, and that address never dialed again (Up in internal/fleet). A member whose identity was another's counted nobody, itself neither (Part). An accusation without an accuser would never have come due (patience).

--- a/cmd/hazellab/fleet.go
+++ b/cmd/hazellab/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"hazelwheel/internal/lab/troupe"
+	"hazelwheel/internal/sim"
 	"hazelwheel/internal/sim/crowd"
 	"hazelwheel/internal/world"
 )
@@ -28,6 +30,8 @@
 			&cli.StringFlag{Name: "script", Usage: "the `FILE` that holds the troubles"},
 			&cli.BoolFlag{Name: "draw", Usage: "draw the troubles from the seed"},
 			&cli.BoolFlag{Name: "show-script", Usage: "print the troubles and play nothing"},
+			&cli.BoolFlag{Name: "simulated", Usage: "play the same fleet and troubles in simulated time, with no process"},
+			&cli.BoolFlag{Name: "trace", Usage: "with --simulated: print what happens, one line a step"},
 			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
 			&cli.StringFlag{Name: "picture", Usage: "the `FILE` for a picture, an SVG: who was there, and who was held for alive"},
 			&cli.StringFlag{Name: "binary", Usage: "hazelwheel's `FILE`; default: beside this program"},
@@ -68,6 +72,9 @@
 		_, err = c.Root().Writer.Write(text)
 		return err
 	}
+	if c.Bool("simulated") {
+		return simulateFleet(c, &s)
+	}
 	var err error
 	if s.Binary, err = beside(c.String("binary")); err != nil {
 		return err
@@ -120,6 +127,37 @@
 	return nil
 }
 
+// simulateFleet plays a fleet in simulated time: what both judges find is the sidecar's, what one finds alone may be the machine's.
+func simulateFleet(c *cli.Command, s *troupe.Settings) error {
+	r := s.Ranges()
+	o := sim.Options{Drawn: &r, Together: sim.TogetherAll}
+	script := world.Script{Seed: s.Seed}
+	switch {
+	case s.Script != nil:
+		script = *s.Script
+	case s.Draw:
+		script = s.DrawScript()
+	}
+	out := bufio.NewWriter(c.Root().Writer)
+	defer out.Flush()
+	if c.Bool("trace") {
+		o.Trace = func(at float64, line string) { fmt.Fprintf(out, "%11.6f %s\n", at, line) }
+	}
+	got, err := sim.Play(script, o)
+	if err != nil {
+		return wrong(err)
+	}
+	for _, f := range got.Findings {
+		fmt.Fprintf(out, "%7.2f s  %-12s n%-5d %s\n", got.Since(f.At), f.Rule, f.Sidecar, f.Why)
+	}
+	fmt.Fprintf(out, "%d troubles; %.3f of the worth served in time\n", len(script.Troubles), got.Report.Service)
+	fmt.Fprintf(out, "fleet: %d sidecars, %d rules broken\n", s.Sidecars, len(got.Findings))
+	if len(got.Findings) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
 // spread says a median and the greatest of some times.
 func spread(all []float64) string {
 	if len(all) == 0 {
--- a/internal/decide/member/links.go
+++ b/internal/decide/member/links.go
@@ -20,7 +20,7 @@
 		v.figures.Stalls++
 		for _, e := range v.all {
 			e.heard = max(e.heard, now-silentS/2)
-			if e.State == Suspected {
+			if e.State == Suspected && e.due > 0 {
 				e.due += gap
 			}
 		}
@@ -46,7 +46,9 @@
 	defer v.settle()
 	if address != "" {
 		v.dialed(address, hello.Self.ID)
-		v.met[address] = hello.Self.ID
+		if slices.Contains(v.set.Join, address) {
+			v.met[address] = hello.Self.ID
+		}
 	}
 	if hello.Self.ID == v.self.ID {
 		v.hearOfSelf(hello.Self, 0)
--- a/internal/decide/member/view.go
+++ b/internal/decide/member/view.go
@@ -149,7 +149,7 @@
 // one that comes and goes is to move nothing.
 func (v *View) Part(holdS float64) (rank, count int) {
 	for _, e := range v.all {
-		if !e.State.Gone() || e.State == Dead && v.now-e.since < holdS && e != v.self {
+		if e == v.self || !e.State.Gone() || e.State == Dead && v.now-e.since < holdS {
 			if count++; e.ID < v.self.ID {
 				rank++
 			}
@@ -240,7 +240,7 @@
 		return b, true
 	}
 	if b.State == a.State && a.State == Suspected {
-		if by := union(a.By, b.By); len(by) > len(a.By) {
+		if by := union(a.By, b.By); !slices.Equal(by, a.By) {
 			a.By = by
 			return a, true
 		}
@@ -419,7 +419,7 @@
 	if able = max(able, 1); accusers >= able {
 		return soonestS
 	}
-	return latestS - (latestS-soonestS)*math.Log(float64(accusers))/math.Log(float64(able))
+	return latestS - (latestS-soonestS)*math.Log(float64(max(accusers, 1)))/math.Log(float64(able))
 }
 
 // accuse says that this member does not hear another.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -327,6 +327,9 @@
 func (f *Fleet) Up(l *peers.Link, h frames.Hello) bool {
 	var hello member.Hello
 	if err := frames.Unpack(h.Body, &hello); err != nil || f.left || f.view.Quiet() {
+		if l.Address != "" { // Danger: a dial of which the decisions hear nothing is never made again
+			f.view.NotUp(f.net.Now(), l.Address)
+		}
 		return false
 	}
 	f.links[l.Number] = l
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -55,8 +55,9 @@
 	// Quotas the sidecars hold groups to their shares.
 	Batch  float64
 	Quotas bool
-	Boxes  int // at the start of the day, with as much traffic; 0: as usual
-	Told   int // how many sidecars the configurations say there are; 0: as many as the day has
+	Boxes  int           // at the start of the day, with as much traffic; 0: as usual
+	Drawn  *world.Ranges // that days are drawn from in place of all that is said here of sizes; nil: none
+	Told   int           // how many sidecars the configurations say there are; 0: as many as the day has
 	// Watch is told of all that the judge is told; nil: nobody is.
 	Watch judge.Witness
 	// Together says on which days sidecars know each other. Those of other cores, speeches and quotas never do.
@@ -74,6 +75,9 @@
 
 // Ranges returns what days are drawn from.
 func (o Options) Ranges() world.Ranges {
+	if o.Drawn != nil {
+		return *o.Drawn
+	}
 	r := world.Usual()
 	if o.Boxes > 0 {
 		r = world.Large(o.Boxes)
