Accept passed and late listeners in one loop, and drop what nothing used

The loop that accepts beside gnet stood twice (listen.go and passed.go), so did the choice of a fleet's troubles (hazellab fleet and troupe), and the switchboard had delays and rates that no script and no test uses.

Measured: the tests of sockets, of the process, and of replacements and fleets (restart, copy, passed socket) pass under the race detector.

--- a/cmd/hazellab/fleet.go
+++ b/cmd/hazellab/fleet.go
@@ -131,13 +131,7 @@
 func simulateFleet(c *cli.Command, s *troupe.Settings) error {
 	r := s.Ranges()
 	o := sim.Options{Drawn: &r, Together: sim.TogetherAll}
-	script := world.Script{Seed: s.Seed}
-	switch {
-	case s.Script != nil:
-		script = *s.Script
-	case s.Draw:
-		script = s.DrawScript()
-	}
+	script := s.Troubles()
 	out := bufio.NewWriter(c.Root().Writer)
 	defer out.Flush()
 	if c.Bool("trace") {
--- a/internal/lab/troupe/switchboard.go
+++ b/internal/lab/troupe/switchboard.go
@@ -20,10 +20,8 @@
 
 // Rule is what befalls the bytes of a way. The zero value is none.
 type Rule struct {
-	Cut   bool          // they are lost; links that lost any are reset once the cut is mended, as TCP gives up
-	Hold  bool          // they wait, and links stay up
-	Delay time.Duration // they come so much later
-	PerS  int           // so many come a second; 0: all
+	Cut  bool // they are lost; links that lost any are reset once the cut is mended, as TCP gives up
+	Hold bool // they wait, and links stay up
 }
 
 // Switchboard stands between sidecars: each is dialed at a port of it, and who speaks is read from a link's first frame. It
@@ -276,16 +274,7 @@
 		s.mu.Unlock()
 		return n, false
 	}
-	if r.PerS > 0 {
-		n = min(n, max(r.PerS/20, 1))
-	}
 	s.passed[w] += uint64(n)
 	s.mu.Unlock()
-	if r.Delay > 0 {
-		time.Sleep(r.Delay)
-	}
-	if r.PerS > 0 {
-		time.Sleep(50 * time.Millisecond)
-	}
 	return n, true
 }
--- a/internal/lab/troupe/troupe.go
+++ b/internal/lab/troupe/troupe.go
@@ -67,6 +67,17 @@
 	return r
 }
 
+// Troubles returns the script that is played: the one that is given, one that the seed draws, or none.
+func (s *Settings) Troubles() world.Script {
+	switch {
+	case s.Script != nil:
+		return *s.Script
+	case s.Draw:
+		return s.DrawScript()
+	}
+	return world.Script{Seed: s.Seed}
+}
+
 // lotS is for how long a lot of troubles is drawn at a time.
 const lotS = 45.0
 
@@ -120,13 +131,7 @@
 // Do plays a fleet until its day is over or ctx ends.
 func Do(ctx context.Context, s Settings) (*Report, error) {
 	day := world.Draw(s.Seed, s.Ranges())
-	script := world.Script{Seed: s.Seed}
-	switch {
-	case s.Script != nil:
-		script = *s.Script
-	case s.Draw:
-		script = s.DrawScript()
-	}
+	script := s.Troubles()
 	t := &Troupe{s: s, board: NewSwitchboard(), began: time.Now(), troubleAt: time.Now()}
 	defer t.board.Close()
 	for _, spec := range day.Sidecars {
--- a/internal/netio/sockets/passed.go
+++ b/internal/netio/sockets/passed.go
@@ -116,33 +116,16 @@
 // stopWithin bounds the wait for an accept that has begun.
 const stopWithin = 500 * time.Millisecond
 
-// pause is waited when no descriptor is to be had for a connection.
-const pause = 5 * time.Millisecond
-
-// accept hands connections to the loop, one at a time, so that each can be turned away before the next takes a descriptor.
+// accept hands connections to the loop.
 func (p *passed) accept(n *Net, l net.Listener) {
 	raw, err := l.(syscall.Conn).SyscallConn()
 	if err != nil {
 		n.log.Error("nobody can be accepted", "error", err)
 		return
 	}
-	for {
-		// Danger: whoever else holds the socket may make it block, for all of them. An accept that blocks outlives the listener's
-		// end, and the process with it.
+	// Danger: whoever else holds the socket may make it block, for all of them. An accept that blocks outlives the listener's
+	// end, and the process with it.
+	n.accept(l, func() {
 		_ = raw.Control(func(fd uintptr) { _ = unix.SetNonblock(int(fd), true) }) // a closed listener shows in Accept
-		c, err := l.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return
-		case err != nil:
-			time.Sleep(pause)
-			continue
-		}
-		result, err := n.loop.Enroll(context.Background(), c)
-		if err != nil {
-			c.Close()
-			continue
-		}
-		<-result
-	}
+	})
 }
