Ask discovery again within 2 s, notice a silent watch in 3 s, read lists in all forms

Seen by reading, beside the contract that a change counts as told 6 s after discovery had it and could be reached: after a failed call the decisions waited by the size of the fleet, 37 to 225 s at 300 sidecars (policy.go, Hosts, askWait), a silent watch was noticed after 5 s (watch.go, silenceS), a call that waited in discovery's line was ended and begun anew (beginWatch), a watch on pushed lists stayed away for 1 s, more than the 0.5 or 0.75 s of grace for drains (askAgain). An object of discovery had to stand on one line (watcher.traffic): an indented list ended its watch, again and again, and so did one without a newline at its end.

Now: calls after a failure go in turns by number within 1 s and then 2 s, whatever the size of the fleet; silence shows after 3 s; a call in line is left there; pushed lists are asked for again within a quarter of the grace. A scanner splits a stream into objects and heartbeats, however it is cut. A malformed object is logged once with its peer and leaves the list in use.

--- a/internal/sidecar/feed.go
+++ b/internal/sidecar/feed.go
@@ -85,7 +85,7 @@
 	if held, ok := s.hosts.Index(); ok && index < held {
 		return ErrOldList
 	}
-	s.enter(func() { err = s.list(raw, policy.ListDelta) })
+	s.enter(func() { err = s.list(raw) })
 	return err
 }
 
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -101,7 +101,7 @@
 	}
 	before := s.queue // the list that was last known, which is older
 	s.queue = nil
-	if err := s.list(st.List, policy.ListCached); err != nil {
+	if err := s.listKnown(st.List); err != nil {
 		s.queue = before
 		return err
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -72,6 +72,7 @@
 	health    *health.Server // nil: there is no side port
 	listAt    float64        // when anything was last read from discovery
 	listed    bool           // a list has been read from discovery
+	listFault string         // of discovery's last object, which made no sense; empty: it did
 	capture   *capture.Recorder
 	quotas    *quotaDesk // nil: there are none
 	reserved  int        // descriptors that are kept for features
@@ -143,7 +144,7 @@
 		}
 	}
 	if len(cfg.Known) > 0 {
-		if err := s.list(cfg.Known, policy.ListCached); err != nil {
+		if err := s.listKnown(cfg.Known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	} else { // Danger: the decisions ask for a list only once they have heard of one
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"errors"
 	"maps"
 	"slices"
@@ -17,12 +16,16 @@
 	// headWaitS is how long discovery may take to begin its answer; it works through calls in turn and
 	// gives those up that wait too long.
 	headWaitS = 3.0
-	// silenceS without a byte ends a watch: discovery sends an empty line every 2 s while nothing changes.
-	silenceS = 5.0
-	// mostList bounds one line of discovery.
+	// silenceS without a byte ends a watch: discovery sends an empty line every 2 s while nothing changes. Danger: what a silent
+	// watch misses counts as told 6 s after it fell silent, and within that time another call has to be answered.
+	silenceS = 3.0
+	// mostList bounds one object of discovery.
 	mostList = 8 << 20
-	// rewatchS is the wait before a watch that nobody asks for is begun again.
+	// rewatchS is the longest wait before a watch that the decisions never ask for is begun again.
 	rewatchS = 1.0
+	// rewatchPart of the time for which a draining server may still be sent requests is waited at most: where lists are pushed, a
+	// change counts as told at once, whether or not a watch is open.
+	rewatchPart = 0.25
 )
 
 var (
@@ -38,13 +41,14 @@
 	stopDial func()
 	buf      http1.Buffer
 	parser   http1.ResponseParser
+	scanner  hostgroup.StreamScanner // of the answer's body
 	alive    *timer
 	over     bool
-	heard    bool   // a line has come
+	heard    bool   // an object or an empty line has come
 	since    uint64 // the version that was asked from
 }
 
-// watch begins a watch. One that is up already answers for it; one that has not begun to answer is dropped.
+// watch begins a watch. One that is up already answers for it.
 func (s *Sidecar) watch() {
 	if s.passed.on {
 		s.tellHosts(policy.ListDelta, nil)
@@ -59,7 +63,8 @@
 			s.tellHosts(policy.ListDelta, nil)
 			return
 		}
-		w.stop()
+		// Danger: discovery works through calls in turn. One that is ended and begun anew goes to the end of the line.
+		return
 	}
 	now := s.now()
 	w := &watcher{s: s, parser: http1.NewResponseParser(http1.Limits{Head: MostHead, Body: mostList})}
@@ -95,13 +100,8 @@
 	if err == nil && w.parser.HeadRead() && w.parser.Status != 200 {
 		err = errRefused
 	}
-	for err == nil {
-		line, rest, ok := bytes.Cut(w.parser.Body, []byte{'\n'})
-		if !ok {
-			break
-		}
-		w.parser.Body = rest
-		err = w.line(bytes.TrimSpace(line))
+	if err == nil {
+		err = w.handleBody()
 	}
 	if err == nil && w.parser.HeadRead() { // an empty line, too, says that the list is as it was
 		w.s.listAt = w.s.now()
@@ -121,25 +121,56 @@
 	}
 }
 
-// line takes one line: an object with changes, or an empty sign of life. The first of either tells the
-// decisions that the watch is up.
-func (w *watcher) line(line []byte) error {
-	if len(line) == 0 {
-		if !w.heard {
-			w.heard = true
-			w.s.tellHosts(policy.ListDelta, nil)
+// handleBody handles the objects and heartbeats that have come whole. An object that makes no sense ends the watch; the list that is
+// held stays in use.
+func (w *watcher) handleBody() error {
+	for {
+		token, text, rest, err := w.scanner.Next(w.parser.Body)
+		w.parser.Body = rest
+		switch {
+		case err != nil:
+		case token == hostgroup.Heartbeat:
+			w.handleHeartbeat()
+		case token == hostgroup.Object:
+			err = w.handleObject(text)
+		default:
+			return nil
 		}
-		if w.s.passed.to != nil {
-			index, held := w.s.hosts.Index()
-			w.s.passed.to.Listed(index, held, nil)
+		if err != nil {
+			w.s.noticeMalformedList(err)
+			return err
 		}
-		return nil
+	}
+}
+
+// noticeMalformedList logs that discovery has sent something that is no list, once for each fault in a row.
+func (s *Sidecar) noticeMalformedList(err error) {
+	if errors.Is(err, ErrOldList) || err.Error() == s.listFault {
+		return
+	}
+	s.listFault = err.Error()
+	s.log.Warn("discovery has sent a malformed list, the present one stays in use", "discovery", s.cfg.Discovery, "error", err)
+}
+
+// handleHeartbeat handles an empty line. The first one tells the decisions that the watch is up.
+func (w *watcher) handleHeartbeat() {
+	if !w.heard {
+		w.heard = true
+		w.s.tellHosts(policy.ListDelta, nil)
 	}
 	if w.s.passed.to != nil {
-		return w.pass(line)
+		index, held := w.s.hosts.Index()
+		w.s.passed.to.Listed(index, held, nil)
+	}
+}
+
+// handleObject handles an object with a list or with changes. The first one tells the decisions that the watch is up.
+func (w *watcher) handleObject(object []byte) error {
+	if w.s.passed.to != nil {
+		return w.pass(object)
 	}
 	w.heard = true
-	return w.s.list(line, policy.ListDelta)
+	return w.s.list(object)
 }
 
 // pass takes an object that is passed on. Danger: others may have passed on a later one meanwhile. Changes are in that already; a
@@ -163,23 +194,34 @@
 		s.tellHosts(policy.ListDelta, nil)
 		return nil
 	}
-	if err := s.list(line, policy.ListDelta); err != nil {
+	if err := s.list(line); err != nil {
 		return err
 	}
 	s.passed.to.Listed(before, held, line)
 	return nil
 }
 
-// list applies one object of discovery and tells the decisions; kind is what an object with changes is.
-func (s *Sidecar) list(raw []byte, kind policy.ListKind) error {
-	snapshot, infos, err := s.hosts.Apply(raw, s.now())
+// listKnown applies the list that was held last and tells the decisions.
+func (s *Sidecar) listKnown(raw []byte) error {
+	infos, err := s.hosts.ApplyKnown(raw, s.now())
 	if err != nil {
 		return err
 	}
-	if kind != policy.ListCached {
-		s.counters.Lists++
+	s.tellHosts(policy.ListCached, infos)
+	s.dropIdle()
+	return nil
+}
+
+// list applies one object of discovery and tells the decisions.
+func (s *Sidecar) list(raw []byte) error {
+	snapshot, infos, err := s.hosts.Apply(raw, s.now())
+	if err != nil {
+		return err
 	}
-	if snapshot && kind == policy.ListDelta {
+	s.counters.Lists++
+	s.listFault = ""
+	kind := policy.ListDelta
+	if snapshot {
 		kind = policy.ListFull
 	}
 	s.tellHosts(kind, infos)
@@ -249,7 +291,15 @@
 		s.tellHosts(policy.ListFailed, nil)
 		return
 	}
-	s.timers.at(s.now()+rewatchS, s.watch)
+	s.timers.at(s.now()+s.rewatchWait(), s.watch)
+}
+
+// rewatchWait returns how long a watch that the decisions never ask for stays away after it has failed.
+func (s *Sidecar) rewatchWait() float64 {
+	if grace := s.cfg.Settings.Policy.DrainGraceS; grace > 0 {
+		return min(rewatchS, rewatchPart*grace)
+	}
+	return rewatchS
 }
 
 // ended takes the end of the connection.
--- a/policy/place.go
+++ b/policy/place.go
@@ -1,32 +1,25 @@
 package policy
 
+// soonestAsk is the part of a wait for the list that is always waited.
+const soonestAsk = 0.2
+
 // Place tells this proxy that it is the one of a number among so many. Until it is called the settings say so.
 func (b *Balancer) Place(now float64, self, replicas int) {
 	b.now, b.placed = now, true
 	b.s.Self, b.s.Replicas = self, max(replicas, 1)
 	if b.s.AskForList && !b.watching && b.askWait > 0 { // the wait that goes on was one by the settings' number
-		b.askAt = min(b.askAt, now+b.turn(false))
+		b.askAt = min(b.askAt, now+b.askTurn())
 		b.due(b.askAt)
 	}
 	b.subset()
 	b.pump()
 }
 
-// turn returns the wait until the list is asked for again, after the first failure since it came or a later one. Who knows its
-// rank among those that live asks in turn, so that together they ask evenly, however soon that is. Danger: who has no watch and
-// has not asked within the time of the settings counts as told of what it never heard, after a call that failed within four
-// times as long; waits that grow with the fleet alone go beyond both.
-func (b *Balancer) turn(first bool) float64 {
-	luck := b.rng.Float64()
-	if !b.placed {
-		return b.askWait * (0.5 + luck)
-	}
-	most := 2.4 * max(b.s.AskWithinS, 10)
-	if first {
-		most = 0.36 * max(b.s.AskWithinS, 10)
-	}
-	b.askWait = min(b.askWait, most)
-	return b.askWait * (0.5 + (float64(place(b.s.Self, b.s.Replicas))+luck)/float64(b.s.Replicas))
+// askTurn returns the wait until the list is asked for again after a failure, at most askWait. Proxies ask in the order of
+// their numbers, so that together they ask evenly whatever the size of the fleet.
+func (b *Balancer) askTurn() float64 {
+	turn := (float64(place(b.s.Self, b.s.Replicas)) + b.rng.Float64()) / float64(max(b.s.Replicas, 1))
+	return b.askWait * (soonestAsk + (1-soonestAsk)*turn)
 }
 
 // run is the part of a ring of n hosts that this proxy takes. Danger: others' word moves the part and may make it smaller, but
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,6 +45,8 @@
 	scanPause   = 2e-6  // for each member: between two looks at all where they are more
 	briskPart   = 0.1   // of the aim: an answer within it came from a host that has room
 	shunPart    = 0.05  // of the aim: shortest pause after a host has turned a request away
+	firstAsk    = 1.0   // longest wait until the list is asked for after a failure
+	longestAsk  = 2.0   // and after further ones: what a failed call missed counts as told 6 s later
 )
 
 // New returns a Balancer that has not been told of any host yet.
@@ -69,14 +71,14 @@
 func (b *Balancer) Hosts(now float64, kind ListKind, list []HostInfo) {
 	b.now = now
 	if kind == ListFailed {
-		// Danger: all proxies asking again at once keep the list service down: jitter, and waits that grow.
+		// Danger: all proxies asking again at once keep the list service down; they ask in turn. A wait beyond a
+		// few seconds would send to hosts whose drain counts as told by then.
 		if b.watching {
 			b.do.Log("the list of hosts is not to be had: asking again, hosts are known by their answers")
 		}
-		first := b.askWait == 0
 		b.watching = false
-		b.askWait = min(max(2*b.askWait, 1, float64(b.s.Replicas)/8), max(float64(b.s.Replicas)/2, 4))
-		b.askAt = now + b.turn(first)
+		b.askWait = min(max(2*b.askWait, firstAsk), longestAsk)
+		b.askAt = now + b.askTurn()
 		b.due(b.askAt)
 		return
 	}
