Answer all that comes late in a drain in time, and end once clients have the last bytes

Seen in process tests: of an answer of 60 KB a client that takes little at a time received 4,037 bytes where the process ended meanwhile; a request whose second half came 1.5 s after SIGTERM, with a server that hangs, got no answer; the end came 3.94 s after SIGTERM with a longest deadline of 3 s, where the platform may kill at 3.7 s. Cause: drain.go, endIdle counted a connection as done once the kernel had taken the answer, and at the process's end the client's next byte has the rest dropped; clientlink.go (HandOn) and flow.go (upload) gave late requests their whole deadline; graceS was 0.9 s.

Now the seam tells whether the peer's machine has confirmed everything (TIOCOUTQ; in simulated time the peer's window), the drain waits for that, deadlines are cut to what the platform leaves, and the end comes 0.65 s after the longest deadline. What is cut off is told to the decisions as time held back, so that it does not look like a late retry.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -42,6 +42,7 @@
 func (n *loop) Yield(f func())                { n.todo = append(n.todo, f) }
 func (n *loop) CloseWrite(c netio.Conn)       { c.(*conn).ended = true }
 func (n *loop) Quiet(netio.Conn) bool         { return true }
+func (n *loop) Delivered(netio.Conn) bool     { return true }
 func (n *loop) Waited(netio.Conn) float64     { return 0 }
 func (n *loop) PauseReading(netio.Conn) bool  { return false }
 func (n *loop) ResumeReading(netio.Conn)      {}
--- a/internal/lab/ground/machine.go
+++ b/internal/lab/ground/machine.go
@@ -216,6 +216,9 @@
 	c.out.put(parcel{half: true, due: time.Now().Add(c.delay)})
 }
 
+// Delivered knows of what has left the program alone.
+func (l *life) Delivered(nc netio.Conn) bool { return nc.OutboundBuffered() == 0 }
+
 // Quiet looks at the socket, and at what is on its way to the program.
 func (l *life) Quiet(nc netio.Conn) bool {
 	c := nc.(*conn)
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -66,6 +66,9 @@
 	// Quiet tells whether nothing waits in a connection's socket: no bytes and no end. The loop learns of sockets in
 	// turns; what has come since its last look shows here alone.
 	Quiet(c Conn) bool
+	// Delivered tells whether the peer's machine has confirmed all that was written to a connection, as far as the machine can
+	// tell; true where it can't. Danger: what it has not is dropped if the peer writes to a connection whose process has ended.
+	Delivered(c Conn) bool
 	// Waited returns for how many seconds the bytes that Traffic brings, or has just brought, have lain in the socket,
 	// as far as the machine can tell: to some milliseconds, and 0 where it can't.
 	Waited(c Conn) float64
--- a/internal/netio/sockets/sockets.go
+++ b/internal/netio/sockets/sockets.go
@@ -205,6 +205,15 @@
 	return errors.Is(err, unix.EAGAIN)
 }
 
+// Delivered asks the kernel how much it holds that is not confirmed.
+func (n *Net) Delivered(c netio.Conn) bool {
+	if c.OutboundBuffered() > 0 {
+		return false
+	}
+	held, err := unix.IoctlGetInt(c.(gnet.Conn).Fd(), unix.TIOCOUTQ)
+	return err != nil || held == 0
+}
+
 // Waited asks the kernel, which counts in its own ticks of some milliseconds.
 func (n *Net) Waited(c netio.Conn) float64 {
 	info, err := unix.GetsockoptTCPInfo(c.(gnet.Conn).Fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
--- a/internal/netio/virtual/process.go
+++ b/internal/netio/virtual/process.go
@@ -572,6 +572,12 @@
 	}
 }
 
+// Delivered tells whether the peer's machine has confirmed all that was written to a connection.
+func (p *Process) Delivered(conn netio.Conn) bool {
+	c := conn.(*Conn)
+	return !c.fd || len(c.out) == c.head
+}
+
 // Quiet tells whether nothing waits in a connection's socket.
 func (p *Process) Quiet(conn netio.Conn) bool {
 	c := conn.(*Conn)
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -255,11 +255,15 @@
 	l.held = a.Size
 	l.s.room.Hold(l.place, l.held+l.buf.Len())
 	waited := l.s.waited(l.conn)
-	r := &request{name: a.ID, class: l.s.cfg.Settings.Policy.Classes[a.Class].Name, classNo: a.Class,
-		deadline: l.s.now() - waited + min(a.Patience, longestS), call: a.Call, origin: l.client, client: l, body: a.Body, patience: min(a.Patience, longestS),
-		front: l.front, once: a.Once, detached: a.Detached, quota: ticket}
+	patience := min(a.Patience, longestS)
+	deadline := l.s.now() - waited + patience
+	cut := max(deadline-l.s.latestAnswer(), 0)
+	r := &request{name: a.ID, class: l.s.cfg.Settings.Policy.Classes[a.Class].Name, classNo: a.Class, deadline: deadline - cut,
+		call: a.Call, origin: l.client, client: l, body: a.Body, patience: patience, front: l.front, once: a.Once, detached: a.Detached,
+		quota: ticket}
 	l.request = r
-	q := policy.Request{Class: a.Class, Held: waited, Repeat: a.Repeat, Deadline: r.deadline}
+	// Danger: the decisions take a wait that is shorter than usual for a late retry's; what is cut off here is no sign of that.
+	q := policy.Request{Class: a.Class, Held: waited + cut, Repeat: a.Repeat, Deadline: r.deadline}
 	if r.uploading() { // its time counts from its last byte; the decisions go by what they are used to
 		r.deadline += longestUploadS
 		l.pause()
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -1,5 +1,7 @@
 package sidecar
 
+import "math"
+
 // After the word to end, clients go on coming for a while and use the links that they have. Those who come in
 // stragglersS are served; then nobody is accepted any more, links that have had nothing to say for quietS are closed, and
 // the program ends with the last answer.
@@ -7,8 +9,13 @@
 	stragglersS = 0.7
 	quietS      = 0.2
 	drainEveryS = 0.01
-	// graceS is how long after the longest deadline the program ends whatever is left.
-	graceS = 0.9
+	// graceS is how long after the longest deadline the program ends whatever is left, and answeredS until when all that has come
+	// after the word to end is answered. The platform kills the process no sooner than killGraceS after the longest deadline, of
+	// which it counts no more than longestCountedS.
+	killGraceS      = 0.7
+	longestCountedS = 3.0
+	graceS          = killGraceS - 0.05
+	answeredS       = killGraceS - 0.1
 )
 
 // Drain begins the end: every answer from now on is the last on its link.
@@ -41,7 +48,7 @@
 			l.last = true
 			l.finish()
 		}
-		busy = busy || !l.shut
+		busy = busy || !l.shut || !s.net.Delivered(l.conn)
 	}
 	return busy
 }
@@ -66,6 +73,19 @@
 	s.net.Stop()
 }
 
+// latestAnswer returns when a request that comes now has its answer at the latest: before this process ends or, for one that comes
+// after the stragglers, before the platform may kill it.
+func (s *Sidecar) latestAnswer() float64 {
+	if !s.draining {
+		return math.Inf(1)
+	}
+	longest := s.longestWait()
+	if s.now() > s.drainedAt+stragglersS {
+		longest = min(longest, longestCountedS)
+	}
+	return s.drainedAt + longest + answeredS
+}
+
 // longestWait is how long a client waits at most by the settings.
 func (s *Sidecar) longestWait() (longest float64) {
 	for _, c := range s.cfg.Settings.Policy.Classes {
--- a/internal/sidecar/flow.go
+++ b/internal/sidecar/flow.go
@@ -81,7 +81,7 @@
 	}
 	if r.body.Whole {
 		l.endArrival()
-		r.deadline = s.now() + r.patience
+		r.deadline = min(s.now()+r.patience, s.latestAnswer())
 		s.timers.stop(&r.safety)
 		s.timers.set(&r.safety, r.deadline+s.slack/2, r)
 		for _, e := range r.out {
