Keep bad clients that a trouble sends before their machine has begun

Cause: Mischief.Come posts to a network that Boot sets. Change: such waves are kept until Start, which begins them; a wave that is over by then brings nobody. Checked: the new test plays bad clients and a silent flood before their machine begins.

--- a/internal/world/mischief.go
+++ b/internal/world/mischief.go
@@ -20,6 +20,7 @@
 	rng     *rand.Rand
 	net     netio.Net
 	due     agenda[mischiefTask]
+	early   []*wave // told before the machine's program had begun
 	armed   float64
 	visits  uint64
 	out     []byte
@@ -97,15 +98,29 @@
 	return m
 }
 
-// Start does nothing: who comes is told by Come.
-func (m *Mischief) Start() {}
+// Start begins the waves that Come was told of before.
+func (m *Mischief) Start() {
+	for _, w := range m.early {
+		m.beginWave(w)
+	}
+	m.early = nil
+}
 
-// Come has so many such clients a second come until a time; silent ones say nothing.
+// Come has so many such clients a second come until a time; silent ones say nothing. Danger: in real time a trouble can begin
+// before the machine has, and there is no loop to post to yet; its clients come from Start on.
 func (m *Mischief) Come(perS, until float64, silent bool) {
-	m.net.Post(func() {
-		m.due.put(m.net.Now(), mischiefTask{wave: &wave{perS, until, silent}})
-		m.arm()
-	})
+	w := &wave{perS, until, silent}
+	if m.net == nil {
+		m.early = append(m.early, w)
+		return
+	}
+	m.net.Post(func() { m.beginWave(w) })
+}
+
+// beginWave has the first client of a wave come at once.
+func (m *Mischief) beginWave(w *wave) {
+	m.due.put(m.net.Now(), mischiefTask{wave: w})
+	m.arm()
 }
 
 // Alarm does what is due.
