--- /dev/null
+++ b/cmd/hazelwheel/crossing_test.go
@@ -0,0 +1,335 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// The tests of crossings force two events to meet: an end, a close or a reset, and bytes on their way. They speak over plain
+// sockets on both sides of the program, and hold the program still (SIGSTOP) where both events have to be there at once.
+
+// attempt is a request as a backend has read it, to its last byte.
+type attempt struct {
+	id, path, body string
+	told           time.Duration // its Request-Timeout
+	at             time.Time     // when its last byte was read
+	connection     int           // the number of its connection, from 0
+}
+
+// script answers an attempt on its connection, and tells whether the connection goes on.
+type script func(c *net.TCPConn, a attempt) (keep bool)
+
+// backend is a server on a plain listener: a test decides on each byte of it, and on how its connections end.
+type backend struct {
+	name     string
+	address  string
+	listener net.Listener // nil: its connections are not taken yet
+	fd       int          // of a listener whose connections are not taken yet
+
+	mu       sync.Mutex
+	script   script
+	attempts []attempt
+	open     []*net.TCPConn // all connections so far
+}
+
+// newBackend returns a backend that takes connections.
+func newBackend(t *testing.T, name string, script script) *backend {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := &backend{name: name, address: listener.Addr().String(), listener: listener, script: script}
+	t.Cleanup(func() { listener.Close() })
+	go b.accept()
+	return b
+}
+
+// newLateBackend returns a backend whose queue of new connections is full: a connection comes up only some time after comeUp.
+func newLateBackend(t *testing.T, name string, script script) *backend {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, unix.Listen(fd, 0))
+	bound, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	b := &backend{name: name, address: "127.0.0.1:" + strconv.Itoa(bound.(*unix.SockaddrInet4).Port), fd: fd, script: script}
+	filler, err := net.Dial("tcp", b.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { filler.Close() })
+	return b
+}
+
+// comeUp takes connections from now on; the kernel of the other side tries again after one second, three and seven.
+func (b *backend) comeUp(t *testing.T) {
+	again, err := unix.Dup(b.fd)
+	require.NoError(t, err)
+	file := os.NewFile(uintptr(again), "listener")
+	defer file.Close()
+	b.listener, err = net.FileListener(file)
+	require.NoError(t, err)
+	t.Cleanup(func() { b.listener.Close() })
+	go b.accept()
+}
+
+func (b *backend) accept() {
+	for {
+		c, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		number := len(b.open)
+		b.open = append(b.open, c.(*net.TCPConn))
+		b.mu.Unlock()
+		go b.serve(c.(*net.TCPConn), number)
+	}
+}
+
+func (b *backend) serve(c *net.TCPConn, number int) {
+	defer c.Close()
+	for r := bufio.NewReader(c); ; {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		us, _ := strconv.Atoi(strings.TrimSuffix(request.Header.Get("Request-Timeout"), "u"))
+		a := attempt{request.Header.Get("Request-Id"), request.URL.Path, string(body), time.Duration(us) * time.Microsecond, time.Now(), number}
+		b.mu.Lock()
+		b.attempts = append(b.attempts, a)
+		script := b.script
+		b.mu.Unlock()
+		if !script(c, a) {
+			return
+		}
+	}
+}
+
+// got returns the attempts that have come whole so far.
+func (b *backend) got() []attempt {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]attempt(nil), b.attempts...)
+}
+
+// of returns the attempts of one request.
+func (b *backend) of(id string) (all []attempt) {
+	for _, a := range b.got() {
+		if a.id == id {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+// connections returns all so far.
+func (b *backend) connections() []*net.TCPConn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]*net.TCPConn(nil), b.open...)
+}
+
+func (b *backend) set(script script) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.script = script
+}
+
+func (b *backend) endpoint() endpoint { return endpoint{b.name, b.address, "a", "SERVING", 1, 0} }
+
+// listOf is one object of discovery with the whole list.
+func listOf(t *testing.T, index int, endpoints ...endpoint) string {
+	raw, err := json.Marshal(map[string]any{"index": index, "snapshot": true, "endpoints": endpoints})
+	require.NoError(t, err)
+	return string(raw) + "\n"
+}
+
+// reset ends a connection by a reset.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	c.Close()
+}
+
+// message is an answer with a length.
+func message(status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), len(body), body)
+}
+
+// sends answers with some bytes and keeps the connection.
+func sends(text string) script {
+	return func(c *net.TCPConn, _ attempt) bool {
+		_, err := io.WriteString(c, text)
+		return err == nil
+	}
+}
+
+// sendsWhen does so once a channel is closed.
+func sendsWhen(release <-chan struct{}, text string) script {
+	return func(c *net.TCPConn, a attempt) bool {
+		<-release
+		return sends(text)(c, a)
+	}
+}
+
+// onceThen has the first attempt answered by one script and all others by another.
+func onceThen(one, others script) script {
+	var once sync.Once
+	return func(c *net.TCPConn, a attempt) bool {
+		do := others
+		once.Do(func() { do = one })
+		return do(c, a)
+	}
+}
+
+// client is a plain connection to the program.
+type client struct {
+	*net.TCPConn
+	r *bufio.Reader
+}
+
+// dial opens one; receive is the size of its receive buffer, 0: the system's.
+func (w *world) dial(receive int) *client {
+	w.Helper()
+	dialer := net.Dialer{Timeout: patience}
+	if receive > 0 {
+		dialer.Control = bounded(receive)
+	}
+	c, err := dialer.Dial("tcp4", w.listen)
+	require.NoError(w, err)
+	w.Cleanup(func() { c.Close() })
+	require.NoError(w, c.SetDeadline(time.Now().Add(patience)))
+	return &client{c.(*net.TCPConn), bufio.NewReader(c)}
+}
+
+// bounded sets the size of a socket's receive buffer before it connects.
+func bounded(receive int) func(_, _ string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) { failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receive) })
+		return errors.Join(err, failed)
+	}
+}
+
+func (c *client) send(text string) { _, _ = io.WriteString(c.TCPConn, text) }
+
+// received is what came back on a connection.
+type received struct {
+	status int
+	body   string
+	last   bool
+}
+
+// answer reads one. An error tells that it did not come whole: io.EOF that nothing of it did before an end in order.
+func (c *client) answer() (received, error) {
+	if _, err := c.r.Peek(1); err != nil {
+		return received{}, err
+	}
+	response, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return received{}, err
+	}
+	body, err := io.ReadAll(response.Body)
+	return received{response.StatusCode, string(body), response.Close}, err
+}
+
+// end reads to the end of a connection and returns io.EOF where it is in order, or how else it ended.
+func (c *client) end() error {
+	for {
+		if _, err := c.r.ReadByte(); err != nil {
+			return err
+		}
+	}
+}
+
+// newID returns a Request-Id that no other request has.
+func newID() string {
+	lastID.Lock()
+	defer lastID.Unlock()
+	lastID.n++
+	return fmt.Sprintf("%016x", lastID.n)
+}
+
+// text is a request of a class as a client writes it.
+func text(class, id string, timeout time.Duration, body string) string {
+	method, more := "POST", fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	switch class {
+	case "read":
+		method, more = "GET", ""
+	case "alert":
+		more += "Idempotency-Key: 5c0f6e1a2b3d4c59\r\n"
+	}
+	return fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Timeout: %dm\r\n%s\r\n%s", method, class, id,
+		timeout.Milliseconds(), more, body)
+}
+
+// within polls until a condition holds, and tells whether it came to hold in time.
+func within(limit time.Duration, f func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return true
+		}
+	}
+	return f()
+}
+
+// newCrossing returns a world of backends whose program runs, where what is not told otherwise takes long.
+func newCrossing(t *testing.T, change func(w *world), backends ...*backend) *world {
+	w := newWorld(t)
+	for _, b := range backends {
+		w.known = append(w.known, b.endpoint())
+	}
+	if change != nil {
+		change(w)
+	}
+	return w.start()
+}
+
+// classes sets a field of all classes.
+func (w *world) classes(name string, value any) {
+	for _, class := range w.settings["classes"].([]map[string]any) {
+		class[name] = value
+	}
+}
+
+// ended waits for the program's end by itself and returns how long after a time it came.
+func (w *world) ended(since time.Time) time.Duration {
+	w.Helper()
+	over := make(chan error, 1)
+	go func() { over <- w.cmd.Wait() }()
+	select {
+	case err := <-over:
+		require.NoError(w, err)
+	case <-time.After(patience):
+		require.Fail(w, "it does not end")
+	}
+	return time.Since(since)
+}
+
+// refuses polls until the program takes no more connections.
+func (w *world) refuses() {
+	w.Helper()
+	w.eventually("the listener is closed", func() bool {
+		c, err := net.Dial("tcp4", w.listen)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+}
