Test that the last answer is received and that the end comes in time

Need: a client may write while the process ends, may stay for ever, and a new configuration may come just then. Change: cases of the last answer, of the longest time to the end (what the machine itself stood still is allowed), of SIGHUP.

--- a/cmd/hazelwheel/crossing_test.go
+++ b/cmd/hazelwheel/crossing_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -333,3 +334,34 @@
 		return err != nil
 	})
 }
+
+// stalls measures for how long the machine itself stands still: what is late by that much accuses nobody else.
+type stalls struct {
+	late atomic.Int64
+	over chan struct{}
+}
+
+// newStalls measures from now on to the end of the test.
+func newStalls(t *testing.T) *stalls {
+	const nap, usual = 5 * time.Millisecond, 10 * time.Millisecond
+	s := &stalls{over: make(chan struct{})}
+	t.Cleanup(func() { close(s.over) })
+	go func() {
+		for last := time.Now(); ; {
+			select {
+			case <-s.over:
+				return
+			case <-time.After(nap):
+			}
+			now := time.Now()
+			if late := now.Sub(last) - nap; late > usual {
+				s.late.Add(int64(late))
+			}
+			last = now
+		}
+	}()
+	return s
+}
+
+// sum is how long the machine has stood still so far.
+func (s *stalls) sum() time.Duration { return time.Duration(s.late.Load()) }
--- /dev/null
+++ b/cmd/hazelwheel/shutdown_late_test.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// longestDeadline is that of all classes in the tests of how long the end may take.
+	longestDeadline = 3 * time.Second
+	// killAfter is the soonest time after SIGTERM at which a process may be killed, beyond the longest deadline.
+	killAfter = 700 * time.Millisecond
+)
+
+// newEnding returns a world whose longest deadline is known.
+func newEnding(t *testing.T, backends ...*backend) *world {
+	return newCrossing(t, func(w *world) {
+		w.classes("objectiveS", 2.5)
+		w.classes("giveUpS", longestDeadline.Seconds())
+	}, backends...)
+}
+
+// The last answer, written when nothing keeps the process any more, is received whole by a client that reads it 300 ms later and
+// has written more meanwhile, and the connection ends in order behind it: no reset takes it away.
+func TestShutdownLastAnswerIsReceived(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		body    int
+		receive int // the client's receive buffer; 0: the system's
+	}{
+		{"small", 100, 0},
+		{"60 KB", 60 << 10, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			release := make(chan struct{})
+			body := strings.Repeat("x", c.body)
+			s := newBackend(t, "s-00000001", sendsWhen(release, message(200, body)))
+			w := newEnding(t, s)
+			conn := w.dial(c.receive)
+			conn.send(text("write", newID(), longestDeadline, "body"))
+			w.eventually("the attempt", func() bool { return len(s.got()) == 1 })
+			w.signal(syscall.SIGTERM)
+			w.refuses()
+			close(release)
+			next := newID()
+			for range 15 { // 300 ms
+				time.Sleep(20 * time.Millisecond)
+				conn.send(text("write", next, longestDeadline, "body"))
+			}
+			a, err := conn.answer()
+			assert.NoError(t, err, "%d of %d bytes", len(a.body), c.body)
+			assert.Equal(t, c.body, len(a.body))
+			assert.Equal(t, io.EOF, conn.end())
+			assert.Empty(t, s.of(next))
+			w.ended(time.Now())
+		})
+	}
+}
+
+// The process ends by itself within the longest deadline and 0.7 s, whatever its clients do, and answers what had come by then.
+func TestShutdownEndsInTime(t *testing.T) {
+	hanging := func(c *net.TCPConn, _ attempt) bool { _, _ = c.Read(make([]byte, 1)); return false }
+	for _, c := range []struct {
+		name    string
+		answers script
+		// acts has a client act around SIGTERM, which term sends, and returns what is to hold once the process has ended.
+		acts func(w *world, s *backend, term func()) (check func())
+	}{
+		{"a client rests and never closes", hanging, func(w *world, s *backend, term func()) func() {
+			w.dial(0)
+			conn := w.dial(0)
+			conn.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+			_, err := conn.answer()
+			require.NoError(w, err)
+			term()
+			return func() { assert.Equal(w, io.EOF, conn.end()) }
+		}},
+		{"a request hangs that came 0.3 s after the word", hanging, func(w *world, s *backend, term func()) func() {
+			term()
+			time.Sleep(300 * time.Millisecond)
+			conn := w.dial(0)
+			conn.send(text("write", newID(), longestDeadline, "body"))
+			return func() {
+				a, err := conn.answer()
+				require.NoError(w, err)
+				assert.Equal(w, 504, a.status)
+			}
+		}},
+		{"a request never arrives whole", hanging, func(w *world, s *backend, term func()) func() {
+			conn := w.dial(0)
+			conn.send("GET /read HTT")
+			term()
+			return func() {
+				a, err := conn.answer()
+				require.NoError(w, err)
+				assert.Equal(w, 408, a.status)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newBackend(t, "s-00000001", c.answers)
+			w := newEnding(t, s)
+			var said time.Time
+			still := newStalls(t)
+			check := c.acts(w, s, func() {
+				said = time.Now()
+				w.signal(syscall.SIGTERM)
+			})
+			assert.Less(t, w.ended(said), longestDeadline+killAfter+still.sum())
+			check()
+		})
+	}
+}
+
+// A new configuration just before SIGTERM, at once after it, and while requests are waited for, does not cost any of them.
+// TestReloadsInARow has it without requests.
+func TestShutdownMeetsReload(t *testing.T) {
+	release := make(chan struct{})
+	s := newBackend(t, "s-00000001", sendsWhen(release, message(200, "sound")))
+	w := newCrossing(t, nil, s)
+	reload := func() {
+		w.discovery = newDiscovery(t)
+		w.config()
+		w.signal(syscall.SIGHUP)
+	}
+	held, second, rest := w.dial(0), w.dial(0), text("write", newID(), 8*time.Second, "body")
+	held.send(text("write", newID(), 8*time.Second, "body"))
+	second.send(rest[:30])
+	w.eventually("the attempt", func() bool { return len(s.got()) == 1 })
+	reload()
+	w.signal(syscall.SIGTERM)
+	w.logs("msg=ending", 1)
+	reload()
+	w.logs("configuration read", 2)
+	second.send(rest[30:])
+	w.eventually("the other attempt", func() bool { return len(s.got()) == 2 })
+	reload()
+	w.logs("configuration read", 3)
+	close(release)
+	for _, conn := range []*client{held, second} {
+		a, err := conn.answer()
+		require.NoError(t, err)
+		assert.Equal(t, "sound", a.body)
+		assert.Equal(t, io.EOF, conn.end())
+	}
+	w.ended(time.Now())
+	assert.Len(t, s.got(), 2)
+}
