Test that nothing is sent on for a client that has gone, wherever it waits

Need: a request may wait for a server, a connection, a further attempt or the loop itself when its client goes. Change: a table of four waits and three departures; a half-close is taken for a departure today, and the test records it. Not forced: a close in the same turn of the loop, within which an attempt may begin.

--- /dev/null
+++ b/cmd/hazelwheel/gone_test.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// departures are the ways in which a client goes. A client that ends its sending alone can't be told from one that has closed until
+// something is written to it, and is taken for gone: the protocol calls both the end of a wait where a sidecar gives up an attempt.
+var departures = map[string]func(c *client){
+	"closes":           func(c *client) { c.Close() },
+	"resets":           func(c *client) { reset(c.TCPConn) },
+	"ends its sending": func(c *client) { _ = c.CloseWrite() },
+}
+
+// No attempt begins for a client that has gone, wherever its request waits: once the cause of the wait is over, the next client's
+// request is sent on and that of the one who has gone is not. TestClientGoes has one whose attempt is out.
+func TestGoneClientIsNotServed(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// begin has a client's request wait and returns the backend for it, and what ends the cause of the wait.
+		begin    func(t *testing.T, departs func(w *world, conn *client)) (w *world, s *backend, id string)
+		attempts int // that are in order
+	}{
+		{"no server is listed", goneWhileUnlisted, 0},
+		{"its connection comes up", goneWhileConnecting, 0},
+		{"between two attempts", goneBetweenAttempts, 1},
+		{"it is not looked at yet", goneBeforeTheLook, 0},
+	} {
+		for how, depart := range departures {
+			t.Run(c.name+", client "+how, func(t *testing.T) {
+				w, s, id := c.begin(t, func(w *world, conn *client) { depart(conn) })
+				next, other := newID(), w.dial(0)
+				other.send(text("read", next, 15*time.Second, "")) // of another class: what was turned away says nothing about it
+				a, err := other.answer()
+				require.NoError(t, err)
+				assert.Equal(t, 200, a.status)
+				assert.Len(t, s.of(next), 1)
+				w.eventually("nothing is open", func() bool { return w.counter("open") == 0 })
+				assert.Len(t, s.of(id), c.attempts, "no attempt for a client that has gone")
+				assert.EqualValues(t, 1, w.counter("abandoned"))
+			})
+		}
+	}
+}
+
+// seen waits until the program has noticed that a client has gone. One that is not noticed soon is left to the test's other checks.
+func seen(w *world) {
+	within(2*time.Second, func() bool { return w.counter("abandoned") == 1 })
+}
+
+func goneWhileUnlisted(t *testing.T, departs func(*world, *client)) (*world, *backend, string) {
+	s, listed := newBackend(t, "s-00000001", sends(message(200, "sound"))), make(chan struct{})
+	w := newCrossing(t, func(w *world) {
+		w.classes("objectiveS", 40) // a request is held for 4.8 s before it is looked at again
+		w.classes("giveUpS", 40)
+		w.discovery.answers <- func(d watch) {
+			<-listed
+			d.write(listOf(t, 8, s.endpoint()))
+			<-d.done
+		}
+	})
+	id, conn := newID(), w.dial(0)
+	conn.send(text("write", id, 35*time.Second, "body"))
+	w.eventually("it is taken", func() bool { return w.counter("open") == 1 })
+	departs(w, conn)
+	seen(w)
+	close(listed)
+	w.eventually("the list", func() bool { return w.counter("lists") == 1 })
+	w.eventually("it is over", func() bool { return w.counter("open") == 0 })
+	return w, s, id
+}
+
+func goneWhileConnecting(t *testing.T, departs func(*world, *client)) (*world, *backend, string) {
+	s := newLateBackend(t, "s-00000001", sends(message(200, "sound")))
+	w := newCrossing(t, nil, s)
+	id, conn := newID(), w.dial(0)
+	conn.send(text("write", id, 8*time.Second, "body"))
+	w.eventually("the dial", func() bool { return w.counter("dials") == 1 })
+	departs(w, conn)
+	seen(w)
+	s.comeUp(t)
+	return w, s, id
+}
+
+// goneBetweenAttempts has the first attempt turned away, and a pause before the next.
+func goneBetweenAttempts(t *testing.T, departs func(*world, *client)) (*world, *backend, string) {
+	turnedAway := make(chan struct{})
+	refuse := func(c *net.TCPConn, _ attempt) bool {
+		close(turnedAway)
+		return sends("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")(c, attempt{})
+	}
+	s := newBackend(t, "s-00000001", onceThen(refuse, sends(message(200, "sound"))))
+	w := newCrossing(t, func(w *world) {
+		w.classes("objectiveS", 40) // it is looked at again after 4.8 s
+		w.classes("giveUpS", 40)
+	}, s)
+	id, conn := newID(), w.dial(0)
+	conn.send(text("write", id, 35*time.Second, "body"))
+	<-turnedAway
+	w.eventually("it waits", func() bool { return w.ends("execution_ends", "rejected") == 1 })
+	departs(w, conn)
+	seen(w)
+	w.eventually("it is over", func() bool { return w.counter("open") == 0 })
+	return w, s, id
+}
+
+// goneBeforeTheLook has the request and the end both in the socket when the program looks at it.
+func goneBeforeTheLook(t *testing.T, departs func(*world, *client)) (*world, *backend, string) {
+	s := newBackend(t, "s-00000001", sends(message(200, "sound")))
+	w := newCrossing(t, nil, s)
+	id, conn := newID(), w.dial(0)
+	conn.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err := conn.answer()
+	require.NoError(t, err)
+	w.signal(syscall.SIGSTOP)
+	conn.send(text("write", id, 8*time.Second, "body"))
+	departs(w, conn)
+	time.Sleep(200 * time.Millisecond) // from 0.1 s on after the end no attempt may begin
+	w.signal(syscall.SIGCONT)
+	return w, s, id
+}
