Test what servers do to attempts at each point, by resets and at rest

Need: a server may reset, close, answer again or never end at any point; each class has its own attempts. Change: a table of resets and odd answers for the three effects, of connections that are over when they are used again, of large answers that are reset while nobody reads them, of answers that never end.

--- /dev/null
+++ b/cmd/hazelwheel/backend_test.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// cuts answers with some bytes and resets the connection behind them, after a pause.
+func cuts(text string, after time.Duration) script {
+	return func(c *net.TCPConn, a attempt) bool {
+		sends(text)(c, a)
+		time.Sleep(after) // a server's work
+		reset(c)
+		return false
+	}
+}
+
+// drips answers with some bytes and goes on with one after the other, for as long as anybody takes them.
+func drips(text string) script {
+	return func(c *net.TCPConn, a attempt) bool {
+		for ok := sends(text)(c, a); ok; ok = sends("x")(c, a) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		return false
+	}
+}
+
+// What one server makes of an attempt: each class has as many attempts as it may have, and its client gets a whole answer of a
+// server or a failure. TestResends has the same of connections that end in order.
+func TestBackendCrossings(t *testing.T) {
+	const close1 = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+	long := strings.Repeat("x", 900<<10) // that is held whole
+	for _, c := range []struct {
+		name   string
+		first  script
+		body   string
+		again  bool // where the class allows it the request is sent once more
+		served bool // the first answer is served
+	}{
+		{name: "reset before the answer", first: cuts("", 0), again: true},
+		{name: "reset before the answer, long body", first: cuts("", 0), body: long, again: true},
+		{name: "reset long after the begin", first: cuts("", 1500*time.Millisecond)},
+		{name: "reset in the head", first: cuts("HTTP/1.1 200 O", 0), again: true},
+		{name: "reset in the body", first: cuts(message(200, "spoilt")[:40], 0), again: true},
+		{name: "reset in a chunk", first: cuts("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nhalf", 0), again: true},
+		{name: "reset before the last chunk", first: cuts("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", 0), again: true},
+		{name: "reset where the end is the length", first: cuts(close1+"half", 0), again: true},
+		{name: "reset some time later where the end is the length", first: cuts(close1+"half", 100*time.Millisecond), again: true},
+		{name: "reset behind a whole answer", first: cuts(message(200, "sound"), 0), served: true},
+		{name: "answered twice", first: sends(message(200, "sound") + message(200, "other")), served: true},
+		{name: "answered by halves", first: func(conn *net.TCPConn, a attempt) bool {
+			sends(message(200, "sound")[:30])(conn, a)
+			time.Sleep(50 * time.Millisecond) // so that they come apart
+			return sends(message(200, "sound")[30:])(conn, a)
+		}, served: true},
+	} {
+		for class, may := range map[string]bool{"read": true, "alert": true, "write": false} {
+			if class == "read" && c.body != "" {
+				continue
+			}
+			t.Run(c.name+", "+class, func(t *testing.T) {
+				s := newBackend(t, "s-00000001", onceThen(c.first, sends(message(200, "sound"))))
+				w := newCrossing(t, func(w *world) {
+					w.classes("objectiveS", 8)
+					w.classes("giveUpS", 16)
+				}, s)
+				id, conn := newID(), w.dial(0)
+				conn.send(text(class, id, 12*time.Second, c.body))
+				a, err := conn.answer()
+				require.NoError(t, err)
+				attempts, status := 1, 502
+				if c.again && may {
+					attempts = 2
+				}
+				if attempts == 2 || c.served {
+					status = 200
+					assert.Equal(t, "sound", a.body)
+				}
+				if c.name == "reset long after the begin" { // it may be sent again or not: the decisions guess at the cause
+					assert.Contains(t, []int{502, 503}, a.status)
+				} else {
+					assert.Equal(t, status, a.status)
+				}
+				assert.Len(t, s.of(id), attempts)
+			})
+		}
+	}
+}
+
+// A connection that rested has been closed or reset by its server, or has brought what nobody asked for, when the next request is
+// taken up, unseen as yet: the request goes out on another, once, whatever its class.
+func TestRestingConnectionIsOver(t *testing.T) {
+	for name, ends := range map[string]func(c *net.TCPConn){
+		"closed":         func(c *net.TCPConn) { c.Close() },
+		"reset":          reset,
+		"half closed":    func(c *net.TCPConn) { _ = c.CloseWrite() },
+		"answered again": func(c *net.TCPConn) { _, _ = io.WriteString(c, message(200, "other")) },
+	} {
+		for _, class := range []string{"read", "alert", "write"} {
+			t.Run(name+", "+class, func(t *testing.T) {
+				s := newBackend(t, "s-00000001", sends(message(200, "sound")))
+				w := newCrossing(t, nil, s)
+				conn := w.dial(0)
+				conn.send(text(class, newID(), 8*time.Second, ""))
+				_, err := conn.answer()
+				require.NoError(t, err)
+				time.Sleep(20 * time.Millisecond) // the connection has settled and would be used again
+				w.signal(syscall.SIGSTOP)
+				ends(s.connections()[0])
+				id := newID()
+				conn.send(text(class, id, 8*time.Second, ""))
+				w.signal(syscall.SIGCONT)
+				a, err := conn.answer()
+				require.NoError(t, err)
+				assert.Equal(t, 200, a.status)
+				assert.Equal(t, "sound", a.body)
+				if assert.Len(t, s.of(id), 1) {
+					assert.Equal(t, 1, s.of(id)[0].connection)
+				}
+			})
+		}
+	}
+}
+
+// A connection that rested is reset by its server as the request on it has been written and not been answered: the request may
+// have run.
+func TestReusedConnectionIsReset(t *testing.T) {
+	for class, attempts := range map[string]int{"read": 2, "alert": 2, "write": 1} {
+		t.Run(class, func(t *testing.T) {
+			var n atomic.Int32
+			s := newBackend(t, "s-00000001", func(c *net.TCPConn, a attempt) bool {
+				if n.Add(1) == 2 {
+					return cuts("", 0)(c, a)
+				}
+				return sends(message(200, "sound"))(c, a)
+			})
+			w := newCrossing(t, nil, s)
+			conn := w.dial(0)
+			conn.send(text(class, newID(), 8*time.Second, ""))
+			_, err := conn.answer()
+			require.NoError(t, err)
+			time.Sleep(20 * time.Millisecond) // the connection has settled and is used again
+			id := newID()
+			conn.send(text(class, id, 8*time.Second, ""))
+			a, err := conn.answer()
+			require.NoError(t, err)
+			assert.Equal(t, map[int]int{1: 502, 2: 200}[attempts], a.status)
+			if assert.Len(t, s.of(id), attempts) {
+				assert.Zero(t, s.of(id)[0].connection, "it was the one that rested")
+			}
+		})
+	}
+}
+
+// A large answer whose end would be its length is reset while its client reads nothing, so that its server is left unread: to the
+// client it is not whole.
+func TestLargeAnswerIsReset(t *testing.T) {
+	const size = 16 << 20
+	for name, head := range map[string]string{
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1000000\r\n",
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 16777216\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			stuck := make(chan struct{})
+			s := newBackend(t, "s-00000001", func(c *net.TCPConn, a attempt) bool {
+				sends(head)(c, a)
+				_ = c.SetWriteDeadline(time.Now().Add(2 * time.Second)) // then nobody takes any more
+				_, err := c.Write(make([]byte, size))
+				assert.Error(t, err, "it is not read to its end")
+				reset(c)
+				close(stuck)
+				return false
+			})
+			w := newCrossing(t, nil, s)
+			conn := w.dial(4 << 10)
+			conn.send(text("read", newID(), 8*time.Second, ""))
+			<-stuck
+			within(500*time.Millisecond, func() bool { return w.counter("open") == 0 })
+			a, err := conn.answer()
+			assert.Error(t, err, "%d bytes of %d seem whole", len(a.body), size)
+			w.eventually("it is over", func() bool { return w.counter("open") == 0 })
+			assert.Zero(t, w.counter("served"))
+		})
+	}
+}
+
+// An answer that never ends is not waited for for ever: the client gets a failure in time.
+func TestAnswerNeverEnds(t *testing.T) {
+	const deadline = time.Second
+	for name, begin := range map[string]string{
+		"nothing":                 "",
+		"half a status line":      "HTTP/1.1 20",
+		"a field":                 "HTTP/1.1 200 OK\r\nX: ",
+		"a small body":            "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n",
+		"a body without a length": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newBackend(t, "s-00000001", drips(begin))
+			if begin == "" {
+				s.set(func(c *net.TCPConn, _ attempt) bool { _, _ = c.Read(make([]byte, 1)); return false })
+			}
+			w := newCrossing(t, func(w *world) { w.classes("objectiveS", 0.5) }, s) // its deadline is long beside what is usual
+			id, conn, began := newID(), w.dial(0), time.Now()
+			conn.send(text("write", id, deadline, ""))
+			_ = conn.SetReadDeadline(began.Add(deadline + 6*time.Second))
+			a, err := conn.answer()
+			took := time.Since(began)
+			require.NoError(t, err, "after %v", took)
+			assert.Contains(t, []int{502, 504}, a.status)
+			assert.Len(t, s.of(id), 1)
+		})
+	}
+}
