Have load reports no longer decide whether a server can answer in time

Ruled out: limits of requests in flight and probes, which are not consulted there. Cause: policy.go, expect and fits took the reported number times a time learned in one figure for all classes, cores and kinds of host as the wait, and what refuses everything never learns better; want and poll fetched four reports for each request whatever a probe costs.

Now reports in answers are not read at all, and reports that come with probes are fetched for a pick only where four of them cost less than what probes may cost. Everything else goes by own requests in flight, classes' usual times and probes, as on deployments without.

--- a/policy/api.go
+++ b/policy/api.go
@@ -82,7 +82,6 @@
 	ConnIdleS       float64 // connections that are idle for longer close by themselves
 	ReportFields    []ReportField
 	ReportsOnProbe  bool // reports come with probe answers alone
-	ReportsOnAnswer bool // reports come with every answer
 	SizesKnown      bool // HostInfo.Size may be compared between hosts
 	AskForList      bool // the list comes only when asked for
 	AskWithinS      float64
--- a/policy/checkpoint.go
+++ b/policy/checkpoint.go
@@ -13,7 +13,7 @@
 )
 
 // checkpointForm changes with every change of what is remembered or of how it is written.
-const checkpointForm = 6
+const checkpointForm = 7
 
 var errCheckpoint = errors.New("policy: not a checkpoint of this form")
 
@@ -201,7 +201,7 @@
 	c.random()
 	c.floats(&b.now, &b.wake, &b.need, &b.peers, &b.askAt, &b.askWait, &b.aim, &b.rtt, &b.base, &b.crowd, &b.meanGap, &b.slow, &b.phiAt,
 		&b.capacity, &b.brisk, &b.scanAt, &b.svc, &b.meanWork, &b.deadIdle, &b.dropAge, &b.dropUntil, &b.budget, &b.errors, &b.sends.rate, &b.sends.at, &b.asks.rate, &b.asks.at, &b.askedAt)
-	c.bools(&b.armed, &b.watching, &b.polls, &b.reports, &b.placed)
+	c.bools(&b.armed, &b.watching, &b.polls, &b.placed)
 	whole(c, &b.field)
 	whole(c, &b.told, &b.s.Self, &b.s.Replicas)
 	c.perClass(&b.classMean)
--- a/policy/checkpoint_test.go
+++ b/policy/checkpoint_test.go
@@ -46,7 +46,7 @@
 	lines := plain()
 	lines.Probes, lines.OnlyDrainBinds, lines.SecondCopies, lines.ConnIdleS, lines.AskForList = true, true, false, 5, true
 	answers := plain()
-	answers.ReportsOnAnswer, answers.ReportFields, answers.Replicas, answers.Self = true, []ReportField{FieldQueue, FieldInflight}, 3, 2
+	answers.ReportFields, answers.Replicas, answers.Self = []ReportField{FieldQueue, FieldInflight}, 3, 2
 	for i := range answers.Classes { // requests that outlive the hosts that they went to
 		answers.Classes[i].AimS, answers.Classes[i].GiveUpS = 800, 1000
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -56,8 +56,7 @@
 		field: slices.Index(s.ReportFields, FieldInflight),
 		hosts: map[uint32]*host{}, byID: map[uint32]*request{}, meanGap: 1, budget: 3,
 		rtt: 2 * s.TickS, aim: math.Inf(1), asked: make([]float64, len(s.Tenants))}
-	b.reports = b.field >= 0 && (s.ReportsOnProbe || s.ReportsOnAnswer)
-	b.polls = b.reports && s.ReportsOnProbe && s.Probes
+	b.polls = b.field >= 0 && s.ReportsOnProbe && s.Probes && drawn*s.ProbeCost <= probeWorth
 	b.classMean, b.tries = make([]float64, len(s.Classes)), make([]try, len(s.Classes))
 	for i := len(s.Classes) - 1; i >= 0; i-- {
 		b.classMean[i], b.svc, b.aim = s.Classes[i].AimS/5, s.Classes[i].AimS/4, min(b.aim, s.Classes[i].AimS)
@@ -329,7 +328,7 @@
 // learnLine takes the delay of a probe for the line at a host: a deep probe waits and is served like a
 // request, so where reports are absent it tells the load; a shallow one tells no line and does no harm.
 func (b *Balancer) learnLine(h *host, how Outcome, delay float64) {
-	if b.reports || how == Reset || how == ConnectFailed { // a connection's end tells no line
+	if b.polls || how == Reset || how == ConnectFailed { // a connection's end tells no line
 		return
 	}
 	ok := how == OK
@@ -346,7 +345,7 @@
 
 // line is the wait that is expected at a host before work begins, by what came last and the probe still out.
 func (b *Balancer) line(h *host) float64 {
-	if b.reports || b.base == 0 {
+	if b.polls || b.base == 0 {
 		return 0
 	}
 	line := h.line / max(1, 2*(b.now-h.lineAt)/(probeEvery+h.every))
@@ -425,7 +424,7 @@
 // expect is the time that a host no slower than usual should take: the part hinted at, and the part guessed.
 func (b *Balancer) expect(h *host, r *request) (hinted, guessed float64) {
 	strength := min(1, likelier*b.strength(h))
-	if !b.reports {
+	if !b.polls {
 		return 0, b.classMean[r.Request.Class]/strength + lineWeight*b.line(h)
 	}
 	guessed = b.svc * b.load(h)
@@ -437,7 +436,7 @@
 
 // cost orders the hosts that could take a request.
 func (b *Balancer) cost(h *host, r *request) float64 {
-	if b.reports {
+	if b.polls {
 		hinted, guessed := b.expect(h, r)
 		return (hinted + guessed) * b.slowness(h)
 	}
@@ -451,7 +450,7 @@
 // fits tells whether a host can be expected to answer within the aim. Danger: a limit below one shuts hosts.
 func (b *Balancer) fits(h *host, r *request) bool {
 	limit := max(h.limit*b.strength(h), 1)
-	if b.now < h.shunned[r.Request.Class] || !b.reports && float64(len(h.outs)) >= limit {
+	if b.now < h.shunned[r.Request.Class] || !b.polls && float64(len(h.outs)) >= limit {
 		return false
 	}
 	hinted, guessed := b.expect(h, r)
@@ -628,7 +627,7 @@
 	if b.settle(r) {
 		return
 	}
-	hopeless := r.HasWork && b.reports && b.now+hope*b.svc*r.units > r.aim // even for an idle host
+	hopeless := r.HasWork && b.polls && b.now+hope*b.svc*r.units > r.aim // even for an idle host
 	if r.over || hopeless || b.now-r.arrived >= holdPart*(r.aim-r.arrived) {
 		// Danger: an estimate that lets nothing through is never corrected by an answer. It fades.
 		for _, guess := range [...]*float64{&b.svc, &b.classMean[r.Request.Class]} {
@@ -802,9 +801,6 @@
 	}
 	o := h.outs[i]
 	h.outs = slices.Delete(h.outs, i, i+1)
-	if b.s.ReportsOnAnswer {
-		b.takeReport(h, b.now, res.Report)
-	}
 	if b.lostIdle(o, res) {
 		return true
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -115,7 +115,6 @@
 	capacity  float64 // of the members, in warm hosts
 	brisk     float64 // what a warm member was sent in the last whole window
 	polls     bool    // reports come with probes and are fetched for a pick
-	reports   bool
 	field     int     // of the report: requests held
 	svc       float64 // usual service time for each place in a host's line
 	meanWork  float64
