Test the time that attempts tell, short deadlines and the window for repeats

Need: an attempt tells its server at most what is left to the client, and none begins after the deadline or after its class's window. Change: tests of what a request can wait for, of deadlines of 50 to 280 ms with servers that answer about then, of windows, and of a connection that comes up while the program stands still.

--- /dev/null
+++ b/cmd/hazelwheel/deadline_test.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// turnsAway answers an attempt that has not begun.
+const turnsAway = "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+
+// answersAfter answers so long after it has read an attempt: a server's work.
+func answersAfter(work time.Duration, answer string) script {
+	return func(c *net.TCPConn, a attempt) bool {
+		time.Sleep(work)
+		return sends(answer)(c, a)
+	}
+}
+
+// The time that an attempt tells its server is never more than what is left to the client, whatever its request has waited for. How
+// long it has waited at least is known, so that a busy machine only makes the bound wider than it need be.
+func TestToldTimeIsLeft(t *testing.T) {
+	const timeout = 6 * time.Second
+	ask := func(body string) (id, all string) { id = newID(); return id, text("write", id, timeout, body) }
+	for _, c := range []struct {
+		name string
+		// wait has a request sent and brings it to its server, and returns its id and how long it has waited by then at least.
+		wait func(w *world, s *backend) (id string, waited time.Duration)
+		late bool
+	}{
+		{name: "nothing", wait: func(w *world, s *backend) (string, time.Duration) {
+			id, all := ask("body")
+			w.dial(0).send(all)
+			return id, 0
+		}},
+		{name: "a server that turns away", wait: func(w *world, s *backend) (string, time.Duration) {
+			s.set(onceThen(answersAfter(400*time.Millisecond, turnsAway), sends(message(200, "sound"))))
+			id, all := ask("body")
+			w.dial(0).send(all)
+			w.eventually("the next attempt", func() bool { return len(s.of(id)) == 2 })
+			return id, 400 * time.Millisecond
+		}},
+		{name: "its connection", late: true, wait: func(w *world, s *backend) (string, time.Duration) {
+			id, all := ask("body")
+			began := time.Now()
+			w.dial(0).send(all)
+			w.eventually("the dial", func() bool { return w.counter("dials") == 1 })
+			waited := time.Since(began)
+			s.comeUp(w.T) // the kernel tries again after a second
+			return id, waited
+		}},
+		{name: "the program, which stood still", wait: func(w *world, s *backend) (string, time.Duration) {
+			conn := w.dial(0)
+			conn.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+			_, err := conn.answer()
+			require.NoError(w, err)
+			w.signal(syscall.SIGSTOP)
+			id, all := ask("body")
+			conn.send(all)
+			time.Sleep(500 * time.Millisecond) // it lies in the socket
+			w.signal(syscall.SIGCONT)
+			return id, 500 * time.Millisecond
+		}},
+		{name: "its own body", wait: func(w *world, s *backend) (string, time.Duration) {
+			id, all := ask(strings.Repeat("x", 60<<10))
+			conn, pieces := w.dial(0), 6
+			for i := range pieces { // its time counts from its last byte
+				conn.send(all[i*len(all)/pieces : (i+1)*len(all)/pieces])
+				time.Sleep(50 * time.Millisecond)
+			}
+			return id, 0
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			answers := sends(message(200, "sound"))
+			var s *backend
+			if c.late {
+				s = newLateBackend(t, "s-00000001", answers)
+			} else {
+				s = newBackend(t, "s-00000001", answers)
+			}
+			w := newCrossing(t, nil, s)
+			id, waited := c.wait(w, s)
+			w.eventually("the attempt", func() bool { return len(s.of(id)) > 0 })
+			all := s.of(id)
+			told := all[len(all)-1].told
+			const tick = 15 * time.Millisecond // of the kernel's count of what lies in a socket, with room
+			assert.LessOrEqual(t, told, timeout-waited+tick)
+			assert.Greater(t, told, time.Second)
+		})
+	}
+}
+
+// A short deadline is kept: an answer comes, no attempt is begun after it, and none tells its server more time than there is.
+func TestShortDeadlines(t *testing.T) {
+	for _, timeout := range []time.Duration{50 * time.Millisecond, 120 * time.Millisecond, 280 * time.Millisecond} {
+		for name, answers := range map[string]script{
+			"hangs":                   func(c *net.TCPConn, _ attempt) bool { _, _ = c.Read(make([]byte, 1)); return false },
+			"turns away":              sends(turnsAway),
+			"turns away near its end": answersAfter(timeout*9/10, turnsAway),
+			"errs near its end":       answersAfter(timeout*9/10, message(500, "")),
+			"answers late":            answersAfter(2*timeout, message(200, "late")),
+		} {
+			t.Run(fmt.Sprint(timeout, ", server ", name), func(t *testing.T) {
+				still := newStalls(t)
+				s := newBackend(t, "s-00000001", answers)
+				w := newCrossing(t, func(w *world) {
+					w.classes("objectiveS", timeout.Seconds()*0.8)
+					w.classes("giveUpS", timeout.Seconds())
+				}, s)
+				for _, class := range []string{"read", "alert", "write"} {
+					id, conn, began := newID(), w.dial(0), time.Now()
+					conn.send(text(class, id, timeout, ""))
+					a, err := conn.answer()
+					took := time.Since(began)
+					require.NoError(t, err)
+					assert.NotEqual(t, 200, a.status)
+					assert.Less(t, took, timeout+500*time.Millisecond+still.sum(), class)
+					time.Sleep(timeout) // for attempts that must not come
+					for _, attempt := range s.of(id) {
+						assert.LessOrEqual(t, attempt.told, timeout)
+						assert.Less(t, attempt.at.Sub(began), timeout+50*time.Millisecond+still.sum(), class)
+					}
+					assert.LessOrEqual(t, len(s.of(id)), 3)
+				}
+				assert.Zero(t, w.counter("overdue"), "the decisions answered, not the net below them")
+			})
+		}
+	}
+}
+
+// Where the window for repeats is shorter than the deadline, no further attempt of a guarded class begins after it, and what
+// has not run does not count.
+func TestWindowForRepeats(t *testing.T) {
+	const window = 600 * time.Millisecond
+	setWindow := func(w *world) {
+		w.classes("objectiveS", 8)
+		w.classes("giveUpS", 16)
+		w.classes("windowS", window.Seconds())
+	}
+	t.Run("an error after it", func(t *testing.T) {
+		s := newBackend(t, "s-00000001", onceThen(answersAfter(window, message(500, "")), sends(message(200, "sound"))))
+		w := newCrossing(t, setWindow, s)
+		id, conn := newID(), w.dial(0)
+		conn.send(text("alert", id, 12*time.Second, ""))
+		a, err := conn.answer()
+		require.NoError(t, err)
+		assert.Equal(t, 502, a.status)
+		assert.Len(t, s.of(id), 1)
+	})
+	t.Run("an error before it", func(t *testing.T) {
+		s := newBackend(t, "s-00000001", onceThen(sends(message(500, "")), sends(message(200, "sound"))))
+		w := newCrossing(t, func(w *world) {
+			setWindow(w)
+			w.classes("windowS", 5)
+		}, s)
+		id, conn := newID(), w.dial(0)
+		conn.send(text("alert", id, 12*time.Second, ""))
+		a, err := conn.answer()
+		require.NoError(t, err)
+		assert.Equal(t, 200, a.status)
+		assert.Len(t, s.of(id), 2)
+	})
+	t.Run("turned away after it", func(t *testing.T) { // nothing has run: the window has not begun
+		s := newBackend(t, "s-00000001", onceThen(answersAfter(window, turnsAway), sends(message(200, "sound"))))
+		w := newCrossing(t, setWindow, s)
+		id, conn := newID(), w.dial(0)
+		conn.send(text("alert", id, 12*time.Second, ""))
+		a, err := conn.answer()
+		require.NoError(t, err)
+		assert.Equal(t, 200, a.status)
+		assert.Len(t, s.of(id), 2)
+	})
+}
+
+// A connection comes up while the program stands still, and its request's time is over by the time it looks: nothing is written.
+func TestConnectionComesUpAtTheDeadline(t *testing.T) {
+	const timeout = 1300 * time.Millisecond
+	for i := range 8 { // whether the connection or the end of the time is seen first is not settled
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			s := newLateBackend(t, "s-00000001", sends(message(200, "sound")))
+			w := newCrossing(t, func(w *world) { w.classes("objectiveS", 1) }, s)
+			id, conn := newID(), w.dial(0)
+			conn.send(text("write", id, timeout, ""))
+			began := time.Now()
+			w.eventually("the dial", func() bool { return w.counter("dials") == 1 })
+			w.signal(syscall.SIGSTOP)
+			s.comeUp(t)
+			w.eventually("it is up", func() bool { return len(s.connections()) == 2 }) // the first fills the queue
+			time.Sleep(time.Until(began.Add(timeout + 200*time.Millisecond)))
+			w.signal(syscall.SIGCONT)
+			a, err := conn.answer()
+			require.NoError(t, err)
+			assert.NotEqual(t, 200, a.status)
+			w.eventually("nothing is open", func() bool { return w.counter("open") == 0 })
+			w.ask("read", "", "") // by then what was written has come
+			assert.Empty(t, s.of(id), "no attempt begins after the deadline")
+		})
+	}
+}
