--- a/cmd/hazelwheel/deadline_test.go
+++ b/cmd/hazelwheel/deadline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"syscall"
@@ -76,6 +77,14 @@
 			}
 			return id, 0
 		}},
+		{name: "its own long body", wait: func(w *world, s *backend) (string, time.Duration) {
+			id, all := ask(strings.Repeat("x", 3<<20)) // it is sent on while it comes
+			conn := w.dial(0)
+			conn.send(all[:2<<20])
+			w.eventually("it is sent on", func() bool { return len(s.connections()) == 1 })
+			conn.send(all[2<<20:])
+			return id, 0
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			answers := sends(message(200, "sound"))
@@ -97,6 +106,30 @@
 	}
 }
 
+// A request that waits behind another on its connection has as long as one whose client waits from its sending.
+func TestToldTimeBehindAnother(t *testing.T) {
+	const timeout, work = 6 * time.Second, 700 * time.Millisecond
+	for name, more := range map[string]bool{"alone": false, "more comes behind it": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newBackend(t, "s-00000001", onceThen(answersAfter(work, message(200, "sound")), sends(message(200, "sound"))))
+			w := newCrossing(t, nil, s)
+			conn, id := w.dial(0), newID()
+			conn.send(text("write", newID(), timeout, "") + text("write", id, timeout, ""))
+			w.eventually("the first attempt", func() bool { return len(s.got()) == 1 })
+			if more {
+				time.Sleep(work / 2)
+				conn.send(text("write", newID(), timeout, ""))
+			}
+			for range 2 {
+				_, err := conn.answer()
+				require.NoError(t, err)
+			}
+			require.Len(t, s.of(id), 1)
+			assert.LessOrEqual(t, s.of(id)[0].told, timeout-work+15*time.Millisecond)
+		})
+	}
+}
+
 // A short deadline is kept: an answer comes, no attempt is begun after it, and none tells its server more time than there is.
 func TestShortDeadlines(t *testing.T) {
 	for _, timeout := range []time.Duration{50 * time.Millisecond, 120 * time.Millisecond, 280 * time.Millisecond} {
@@ -135,8 +168,8 @@
 	}
 }
 
-// Where the window for repeats is shorter than the deadline, no further attempt of a guarded class begins after it, and what
-// has not run does not count.
+// Where the window for repeats is shorter than the deadline, no further attempt of a guarded class begins after it: neither one that
+// is decided then, nor one that was decided before and whose connection comes up then.
 func TestWindowForRepeats(t *testing.T) {
 	const window = 600 * time.Millisecond
 	setWindow := func(w *world) {
@@ -177,6 +210,28 @@
 		assert.Equal(t, 200, a.status)
 		assert.Len(t, s.of(id), 2)
 	})
+	t.Run("its connection comes up after it", func(t *testing.T) {
+		errs := newBackend(t, "s-00000001", sends(message(500, "")))
+		late := newLateBackend(t, "s-00000002", sends(message(200, "sound")))
+		w := newCrossing(t, setWindow, errs, late)
+		var id string
+		var conn *client
+		for range 30 { // until the first attempt of one goes to the server that errs, and the next to the other
+			id, conn = newID(), w.dial(0)
+			conn.send(text("alert", id, 12*time.Second, ""))
+			if within(300*time.Millisecond, func() bool { return len(errs.of(id)) == 1 }) {
+				break
+			}
+			conn.Close()
+		}
+		require.Len(t, errs.of(id), 1)
+		late.comeUp(t) // the kernel tries again a second after it began
+		_, err := conn.answer()
+		require.NoError(t, err)
+		for _, again := range late.of(id) {
+			assert.Less(t, again.at.Sub(errs.of(id)[0].at), window)
+		}
+	})
 }
 
 // A connection comes up while the program stands still, and its request's time is over by the time it looks: nothing is written.
@@ -204,3 +259,49 @@
 		})
 	}
 }
+
+// A program that gets the processor by fits and starts writes no attempt whose time is over: each tells its server some.
+func TestNoAttemptWithoutTime(t *testing.T) {
+	const requests, timeout = 200, 50 * time.Millisecond
+	s := newBackend(t, "s-00000001", func(c *net.TCPConn, a attempt) bool { // each attempt has a connection of its own
+		sends("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")(c, a)
+		return false
+	})
+	w := newCrossing(t, func(w *world) {
+		w.classes("objectiveS", 0.045)
+		w.classes("giveUpS", timeout.Seconds())
+	}, s)
+	over, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-over:
+				return
+			default:
+			}
+			_ = w.cmd.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(time.Duration(10+rand.IntN(40)) * time.Millisecond)
+			_ = w.cmd.Process.Signal(syscall.SIGCONT)
+			time.Sleep(time.Duration(100+rand.IntN(900)) * time.Microsecond)
+		}
+	}()
+	for range requests {
+		conn := w.dial(0)
+		conn.send(text("read", newID(), timeout, ""))
+		_, err := conn.answer()
+		assert.NoError(t, err)
+		conn.Close()
+	}
+	close(over)
+	<-stopped
+	late := 0
+	for _, a := range s.got() {
+		if a.told <= 0 {
+			late++
+		}
+	}
+	t.Logf("%d attempts, %d without time", len(s.got()), late)
+	assert.NotEmpty(t, s.got())
+	assert.Zero(t, late)
+}
