Test clients that come as the listener closes, and such that go at once

Need: what the system has accepted while the program stood still is taken; a client that sends and closes at once may have one attempt, within 0.1 s. Change: a test of each.

--- a/cmd/hazelwheel/gone_test.go
+++ b/cmd/hazelwheel/gone_test.go
@@ -130,3 +130,29 @@
 	w.signal(syscall.SIGCONT)
 	return w, s, id
 }
+
+// A client that sends its request and closes at once may be looked at before its end has come; an attempt begins then or never.
+func TestClientGoesAtOnce(t *testing.T) {
+	const clients, atMost = 100, 100 * time.Millisecond
+	s := newBackend(t, "s-00000001", sends(message(200, "sound")))
+	w := newCrossing(t, nil, s)
+	still, closed := newStalls(t), map[string]time.Time{}
+	for i := range clients {
+		id, conn := newID(), w.dial(0)
+		conn.send(text("write", id, 8*time.Second, "body"))
+		if i%2 == 0 {
+			conn.Close()
+		} else {
+			reset(conn.TCPConn)
+		}
+		closed[id] = time.Now()
+	}
+	w.ask("read", "", "")
+	w.eventually("nothing is open", func() bool { return w.counter("open") == 0 })
+	for _, a := range s.got() {
+		if at, gone := closed[a.id]; gone {
+			assert.Less(t, a.at.Sub(at), atMost+still.sum())
+			assert.Len(t, s.of(a.id), 1)
+		}
+	}
+}
--- a/cmd/hazelwheel/shutdown_test.go
+++ b/cmd/hazelwheel/shutdown_test.go
@@ -254,3 +254,34 @@
 	w.ended(said)
 	all.Wait()
 }
+
+// Clients connect and send while the program stands still, right before it would stop listening: what the system has accepted for it
+// by then is answered.
+func TestShutdownMeetsNewClients(t *testing.T) {
+	const clients = 60
+	s := newBackend(t, "s-00000001", sends(message(200, "sound")))
+	w := newCrossing(t, nil, s)
+	said := time.Now()
+	w.signal(syscall.SIGTERM)
+	w.logs("msg=ending", 1)
+	time.Sleep(time.Until(said.Add(400 * time.Millisecond)))
+	w.signal(syscall.SIGSTOP)
+	var ids []string
+	var conns []*client
+	for range clients {
+		id, conn := newID(), w.dial(0)
+		conn.send(text("write", id, 8*time.Second, "body"))
+		ids, conns = append(ids, id), append(conns, conn)
+	}
+	time.Sleep(time.Until(said.Add(800 * time.Millisecond)))
+	w.signal(syscall.SIGCONT)
+	for i, conn := range conns {
+		a, err := conn.answer()
+		if assert.NoError(t, err, "client %d", i) {
+			assert.Contains(t, []int{200, 503}, a.status)
+			assert.Equal(t, io.EOF, conn.end())
+			assert.Len(t, s.of(ids[i]), map[int]int{200: 1}[a.status])
+		}
+	}
+	w.ended(said)
+}
