Look again at all that an attempt may need before its first byte; tell resets from ends

Now mayBegin looks at the time, the client, the server and the window before each first byte; a paused client connection shows its end while an answer is owed; ends that were not read count as resets; arrivals are kept for what is buffered; an answer that comes slower than 32 KB/s on the whole ends 0.3 s after its deadline.

Measured: the tests of the topics fail on the code before in the cases named, and pass now: TestWindowForRepeats, TestNoAttemptWithoutTime, TestLargeAnswerIsReset, TestToldTimeBehindAnother, TestToldTimeIsLeft, TestAnswerNeverEnds, the cases of clients that go.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -44,11 +44,13 @@
 func (n *loop) Quiet(netio.Conn) bool         { return true }
 func (n *loop) Delivered(netio.Conn) bool     { return true }
 func (n *loop) Waited(netio.Conn) float64     { return 0 }
-func (n *loop) PauseReading(netio.Conn) bool  { return false }
 func (n *loop) ResumeReading(netio.Conn)      {}
 func (n *loop) Listen(string) (func(), error) { return nil, errors.ErrUnsupported }
 func (n *loop) StopListening(done func())     { done() }
-func (n *loop) Stop()                         {}
+func (n *loop) PauseReading(netio.Conn, netio.PausedEnds) bool {
+	return false
+}
+func (n *loop) Stop() {}
 func (n *loop) Close(c netio.Conn) {
 	if c := c.(*conn); !c.gone {
 		c.gone = true
--- a/internal/lab/ground/machine.go
+++ b/internal/lab/ground/machine.go
@@ -164,10 +164,12 @@
 // Yield, Waited, PauseReading and ResumeReading are for programs under load; those here have a machine to themselves, and
 // nothing they do hangs on them.
 
-func (l *life) Yield(f func())               { l.Post(f) }
-func (l *life) Waited(netio.Conn) float64    { return 0 }
-func (l *life) PauseReading(netio.Conn) bool { return false }
-func (l *life) ResumeReading(netio.Conn)     {}
+func (l *life) Yield(f func())            { l.Post(f) }
+func (l *life) Waited(netio.Conn) float64 { return 0 }
+func (l *life) ResumeReading(netio.Conn)  {}
+
+// PauseReading can't be done here.
+func (l *life) PauseReading(netio.Conn, netio.PausedEnds) bool { return false }
 
 // Post drops what is for a process that has ended.
 func (l *life) Post(f func()) {
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -26,6 +26,15 @@
 	SetContext(context any)
 }
 
+// PausedEnds says what becomes of the orderly end of a connection that is not read.
+type PausedEnds uint8
+
+// What PauseReading can be told of ends.
+const (
+	EndsWait PausedEnds = iota // it waits behind the unread bytes
+	EndsShow                   // it ends the connection at once
+)
+
 // Host is a program on a loop.
 type Host interface {
 	// Start is the first call.
@@ -73,9 +82,10 @@
 	// as far as the machine can tell: to some milliseconds, and 0 where it can't.
 	Waited(c Conn) float64
 	// PauseReading leaves what comes from now on in the socket, so that the peer is held up, until ResumeReading. False
-	// says that it can't be done here; the bytes go on coming. The end of a connection may show only once reading is
-	// resumed.
-	PauseReading(c Conn) bool
+	// says that it can't be done here; the bytes go on coming. With EndsShow the connection is closed as soon as the peer has
+	// said its last, with what lies unread before that; with EndsWait the end shows once reading is resumed. A reset shows in
+	// either case, and never as an orderly end.
+	PauseReading(c Conn, ends PausedEnds) bool
 	ResumeReading(c Conn)
 	// Listen opens a further listener, whose connections come to Host.Open as others do, with its port as that of LocalAddr.
 	// What it returns closes that listener alone; StopListening leaves it. It is for a loop that turns.
--- a/internal/netio/sockets/epoll.go
+++ b/internal/netio/sockets/epoll.go
@@ -56,10 +56,13 @@
 // PauseReading has epoll tell of a connection no more, but that it can be written to again while it can't. Danger: gnet
 // itself asks for reading again once all that it holds for the connection has been sent; who pauses a connection that
 // is owed an answer finds it resumed when its peer has taken that.
-func (n *Net) PauseReading(c netio.Conn) bool {
+func (n *Net) PauseReading(c netio.Conn, ends netio.PausedEnds) bool {
 	events := uint32(0)
 	if c.OutboundBuffered() > 0 {
-		events = unix.EPOLLOUT
+		events |= unix.EPOLLOUT
+	}
+	if ends == netio.EndsShow {
+		events |= unix.EPOLLRDHUP
 	}
 	return n.listenFor(c, events)
 }
--- a/internal/netio/sockets/handler.go
+++ b/internal/netio/sockets/handler.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
+	"os"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 )
 
 // handler takes gnet's callbacks. All come on the one event loop, but for OnBoot and the first OnTick.
@@ -73,8 +76,15 @@
 	return gnet.None
 }
 
-// OnClose tells of a connection's end.
+// errUnread is the end of a connection that was not being read. Whether it was reset or closed, what lay unread is lost.
+var errUnread = os.NewSyscallError("read", unix.ECONNRESET)
+
+// OnClose tells of a connection's end. Danger: gnet calls any end of a connection that it is not asked to read io.EOF, also a
+// reset, and an answer without a length that was cut would pass for whole. An end that was read comes as an error of the read.
 func (h *handler) OnClose(c gnet.Conn, err error) gnet.Action {
+	if err == io.EOF { //nolint:errorlint // the bare value alone is meant
+		err = errUnread
+	}
 	if _, own := c.Context().(*waker); !own {
 		h.n.host.Closed(c, err)
 	} else {
--- a/internal/netio/virtual/conn.go
+++ b/internal/netio/virtual/conn.go
@@ -90,6 +90,7 @@
 	readAt   float64 // of a slow reader: when it reads on
 	readOn   bool    // an event for that waits
 	paused   bool    // the process does not read on
+	endsShow bool    // and is told of the peer's end all the same
 	starved  bool    // the peer has more than this end's window takes
 	silent   bool    // nothing passes any more
 	paceAt   float64 // when the path takes more
@@ -467,6 +468,10 @@
 	if rate == 0 {
 		rate = p.opt.ReadRate
 	}
+	if c.paused && c.endsShow && c.finIn && !c.resetIn {
+		c.end(errReset) // what lies unread is lost
+		return
+	}
 	if (rate < 0 || c.paused) && !c.resetIn {
 		return
 	}
--- a/internal/netio/virtual/process.go
+++ b/internal/netio/virtual/process.go
@@ -302,8 +302,12 @@
 func (p *Process) Waited(conn netio.Conn) float64 { return p.real() - conn.(*Conn).receivedAt }
 
 // PauseReading leaves what comes in the socket.
-func (p *Process) PauseReading(conn netio.Conn) bool {
-	conn.(*Conn).paused = true
+func (p *Process) PauseReading(conn netio.Conn, ends netio.PausedEnds) bool {
+	c := conn.(*Conn)
+	c.paused, c.endsShow = true, ends == netio.EndsShow
+	if c.fd && c.endsShow && c.finIn {
+		c.notify()
+	}
 	return true
 }
 
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -17,7 +17,7 @@
 		s.log.Error("send for an unknown request", "request", id)
 		return
 	}
-	e := &execution{request: r, number: r.sent, host: host, sentAt: s.eventAt,
+	e := &execution{request: r, number: r.sent, host: host, asked: s.eventAt, sentAt: s.eventAt,
 		until: r.deadline - s.answerRoom(), exchange: r.call.Exchange(), front: r.front}
 	r.sent++
 	r.out = append(r.out, e)
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -55,11 +55,12 @@
 	index    int // in Sidecar.clients
 	place    *admission.Link
 	buf      buffer.Buffer
-	request  *request // the one that is out
-	keep     bool     // the client wants the link kept after it
-	last     bool     // the last answer is written
-	shut     bool     // and no byte is left to send
-	throng   bool     // the link is beyond the limit on descriptors
+	ahead    arrivalTimes // of what is in buf and waits for the answer to what came before it
+	request  *request     // the one that is out
+	keep     bool         // the client wants the link kept after it
+	last     bool         // the last answer is written
+	shut     bool         // and no byte is left to send
+	throng   bool         // the link is beyond the limit on descriptors
 	linger   *timer
 	arrival  *timer  // of the request that is on its way in
 	arriving float64 // when the time for it began to count
@@ -98,6 +99,10 @@
 		return
 	}
 	l.buf.Write(data)
+	if r := l.request; r == nil && l.untaken == 0 || r != nil && r.uploading() {
+		l.ahead.restart()
+	}
+	l.ahead.add(len(data), l.s.now())
 	if r := l.request; r != nil && r.uploading() {
 		l.upload(r)
 		return
@@ -107,7 +112,7 @@
 		case l.buf.Len() > mostAhead: // reading can't be paused here
 			l.s.closeConn(l.conn)
 		case l.buf.Len() > aheadBytes:
-			l.pause()
+			l.pause(l.endsWhilePaused())
 			l.hold(l.buf.Len() + l.held + l.untaken)
 		}
 		return
@@ -121,6 +126,15 @@
 	}
 }
 
+// endsWhilePaused returns whether the client's end counts while what it sends is left unread: as long as it is owed an answer of
+// which nothing has been written.
+func (l *ClientLink) endsWhilePaused() netio.PausedEnds {
+	if l.request == nil || l.request.answered {
+		return netio.EndsWait
+	}
+	return netio.EndsShow
+}
+
 // next takes up the requests that have come, until one is out.
 func (l *ClientLink) next() {
 	for l.conn != nil && l.request == nil && !l.last && l.untaken == 0 { // a link may have gone since this was queued
@@ -254,7 +268,7 @@
 	l.s.room.Move(l.s.now(), l.place, admission.Asking)
 	l.held = a.Size
 	l.s.room.Hold(l.place, l.held+l.buf.Len())
-	waited := l.s.waited(l.conn)
+	waited := max(l.s.waited(l.conn), l.s.now()-l.ahead.of(l.buf.Len(), l.s.now()))
 	patience := min(a.Patience, longestS)
 	deadline := l.s.now() - waited + patience
 	cut := max(deadline-l.s.latestAnswer(), 0)
@@ -266,7 +280,7 @@
 	q := policy.Request{Class: a.Class, Held: waited + cut, Repeat: a.Repeat, Deadline: r.deadline}
 	if r.uploading() { // its time counts from its last byte; the decisions go by what they are used to
 		r.deadline += longestUploadS
-		l.pause()
+		l.pause(netio.EndsShow)
 		l.arriving = l.s.now() + arrivalS - float64(len(a.Body.Kept))/leastRate
 		l.arrival = l.s.timers.at(l.s.now()+arrivalS, l.overdue)
 	}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -213,7 +213,7 @@
 	s, now := l.s, l.s.now()
 	l.unreadFrom, l.tookAt, l.untaken = now, now, l.conn.OutboundBuffered()
 	s.room.Move(now, l.place, admission.Unread)
-	l.pause()
+	l.pause(netio.EndsWait) // a client that has said its last may still read
 	l.hold(l.untaken + l.buf.Len())
 	if !s.flushing {
 		s.flushing = true
@@ -221,9 +221,10 @@
 	}
 }
 
-// pause leaves what the client sends in the socket.
-func (l *ClientLink) pause() {
-	l.s.net.PauseReading(l.conn)
+// pause leaves what the client sends in the socket. Danger: while a request waits its client may go, behind bytes that nobody reads;
+// sent on all the same, the request would run for nobody.
+func (l *ClientLink) pause(ends netio.PausedEnds) {
+	l.s.net.PauseReading(l.conn, ends)
 	l.paused = true
 }
 
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -78,6 +78,7 @@
 	request  *request // nil for a probe
 	number   int
 	host     uint32
+	asked    float64 // when the decisions asked for it
 	sentAt   float64
 	until    float64 // when the wait is over
 	exchange Exchange
@@ -137,6 +138,7 @@
 	s.counters.executions.count(result.Outcome)
 	r := e.request
 	r.drop(e)
+	r.noteRun(e, result.Outcome)
 	result.ID = r.id
 	if good && !r.answered {
 		s.chargeAnswer(e)
@@ -148,7 +150,7 @@
 	}
 	if r.body != nil && r.body.Gone() && !r.answered && result.Outcome != policy.OK {
 		// What has been sent of its body is no longer there, so nobody else can get it.
-		if result.Outcome.NeverRan() {
+		if r.ranFrom == 0 {
 			s.answer(r, throttled, func() { r.origin.Throttle(s.cfg.Settings.Policy.MaxRetryAfterS) })
 		} else {
 			s.answer(r, failed, func() { r.origin.Fail(result.Outcome == policy.TimedOut) })
@@ -179,10 +181,21 @@
 	return true
 }
 
+// mayBegin tells whether an attempt may be written to its server now. Danger: while it waited for a connection or a descriptor its
+// time may have run out, its client may have gone, its server may have been told to drain, and the servers that would drop it as a
+// repeat may have forgotten the attempt before.
+func (s *Sidecar) mayBegin(e *execution) bool {
+	now, r := s.now(), e.request
+	if e.until <= now {
+		return false
+	}
+	return r == nil || !r.answered && s.mayServe(e.host) && now < r.repeatsUntil(e)
+}
+
 // begin starts an execution on an idle server link, or on a new one.
 func (s *Sidecar) begin(e *execution) {
 	h := s.hosts.Host(e.host)
-	if h == nil || e.until <= s.now() {
+	if h == nil || !s.mayBegin(e) {
 		s.finish(e, &execError{notConnected, overtaken, nil})
 		return
 	}
--- a/internal/sidecar/flow.go
+++ b/internal/sidecar/flow.go
@@ -4,12 +4,16 @@
 	"slices"
 
 	"hazelwheel/internal/decide/admission"
+	"hazelwheel/internal/netio"
 	"hazelwheel/policy"
 )
 
 const (
 	// lagS without a byte ends what flows: nobody takes it, or nobody brings it.
 	lagS = 10.0
+	// lateFlowS after its request's deadline an answer has to have come at leastRate on the whole, or it ends: its client waits for the
+	// last byte, and one that a server never ends would hold it for ever.
+	lateFlowS = 0.3
 	// flowEveryS is the time between two looks at those who lag: the loop does not tell when a peer has taken what it was sent.
 	flowEveryS = 0.005
 	// mostScratch is the memory that is kept for what is written next.
@@ -100,7 +104,7 @@
 		return
 	}
 	if l.held = len(r.body.Kept); r.uploading() && r.body.Left() >= PieceBytes {
-		l.pause()
+		l.pause(netio.EndsShow)
 	}
 	s.room.Hold(l.place, l.held+l.buf.Len())
 }
@@ -153,6 +157,9 @@
 	origin  FlowOrigin
 	paused  bool    // the server's link is left unread
 	heardAt float64 // when the server last brought something, or could not
+	came    int     // bytes that it has brought since the flow began
+	from    float64 // when it began, plus the time for which the server was not read
+	held    float64 // since when it is not read
 	untaken int     // what the client has not taken
 	tookAt  float64 // when it last took something
 	over    bool
@@ -177,7 +184,7 @@
 	s.timers.stop(r.delay)
 	s.counters.executions.count(result.Outcome)
 	r.drop(e)
-	f := &flow{s: s, e: e, link: l, client: r.client, origin: origin, heardAt: now, tookAt: now}
+	f := &flow{s: s, e: e, link: l, client: r.client, origin: origin, heardAt: now, tookAt: now, from: now}
 	e.flow, r.flow, r.answered, result.Final = f, f, true, true
 	s.flows.answers = append(s.flows.answers, f)
 	s.queue = append(s.queue, event{ended: e, result: result})
@@ -186,8 +193,9 @@
 	s.tend()
 }
 
-// traffic passes on what has come.
-func (f *flow) traffic(done bool, err error) {
+// traffic passes on what has come, so many bytes.
+func (f *flow) traffic(n int, done bool, err error) {
+	f.came += n
 	if f.heardAt = f.s.now(); err != nil {
 		f.end(failed)
 		return
@@ -227,23 +235,30 @@
 	f.untaken = left
 	switch {
 	case !f.paused && left >= f.s.flowRoom():
-		f.paused = f.s.net.PauseReading(f.link.conn)
+		f.paused, f.held = f.s.net.PauseReading(f.link.conn, netio.EndsWait), now
 	case f.paused && left < f.s.flowRoom()/2:
 		f.paused, f.heardAt = false, now
+		f.from += now - f.held
 		f.s.net.ResumeReading(f.link.conn)
 	}
 	if f.paused {
 		f.heardAt = now
 	}
-	if now > f.tookAt+lagS {
+	switch {
+	case now > f.tookAt+lagS:
 		f.s.counters.Unread++
 		f.s.room.Wasted(f.client.place)
 		f.end(failed)
-	} else if now > f.heardAt+lagS {
+	case now > f.heardAt+lagS, f.drips(now):
 		f.end(failed)
 	}
 }
 
+// drips tells whether the deadline is over and the server brings too little for the answer to come to its end.
+func (f *flow) drips(now float64) bool {
+	return !f.paused && now > f.e.request.deadline+lateFlowS && float64(f.came) < leastRate*(now-f.from)
+}
+
 // end ends a flow: with its last byte, or with its client's link, which tells the client that it is not whole.
 func (f *flow) end(how ending) {
 	if f.over {
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"math"
 	"slices"
 
 	"hazelwheel/policy"
@@ -24,6 +25,7 @@
 	sent     int // executions begun
 	out      []*execution
 	room     [1]*execution // for out: more than one at a time is rare
+	ranFrom  float64       // when the first attempt began that may have run and is over; 0: none may have
 	once     bool          // it is not sent again once it may have run
 	detached bool          // its client waits for no answer and may go
 	answered bool          // it has its final answer, or nobody waits for one
@@ -92,6 +94,32 @@
 	r.s.tellAbandoned(r)
 }
 
+// noteRun notes the end of an attempt that may have run.
+func (r *request) noteRun(e *execution, outcome policy.Outcome) {
+	if !outcome.NeverRan() && (r.ranFrom == 0 || e.asked < r.ranFrom) {
+		r.ranFrom = e.asked
+	}
+}
+
+// repeatsUntil returns until when a further attempt is dropped as a repeat by servers that have seen one before; +Inf where none may
+// have, or where the class does not go by that.
+func (r *request) repeatsUntil(e *execution) float64 {
+	class := &r.s.cfg.Settings.Policy.Classes[r.classNo]
+	if class.Effect != policy.Keyed {
+		return math.Inf(1)
+	}
+	from := r.ranFrom
+	for _, other := range r.out {
+		if other != e && (from == 0 || other.asked < from) {
+			from = other.asked
+		}
+	}
+	if from == 0 {
+		return math.Inf(1)
+	}
+	return from + class.WindowS
+}
+
 // execution returns the one of a number that is out, nil if it is not.
 func (r *request) execution(number int) *execution {
 	for _, e := range r.out {
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -152,16 +152,15 @@
 	})
 }
 
-// opened takes the link into use. Danger: while it was connecting its request may have ended, and its server
-// may have been told to drain; both are looked at again before the first byte.
+// opened takes the link into use.
 func (l *serverLink) opened(c netio.Conn) {
 	l.conn = c
-	e, may := l.execution, l.s.mayServe(l.host)
-	if e != nil && (e.request == nil || may && !e.request.answered) {
+	e := l.execution
+	if e != nil && l.s.mayBegin(e) {
 		l.begin(e)
 		return
 	}
-	if l.execution = nil; may {
+	if l.execution = nil; l.s.mayServe(l.host) {
 		l.rest()
 	} else {
 		l.close()
@@ -181,7 +180,7 @@
 func (l *serverLink) begin(e *execution) {
 	l.execution, e.link = e, l
 	e.progress = partlyWritten
-	l.s.scratch = e.exchange.Append(l.s.scratch[:0], l.s.now(), e.until)
+	l.s.scratch = e.exchange.Append(l.s.scratch[:0], l.s.now(), l.s.told(e))
 	l.writing = true
 	_, err := l.conn.Write(l.s.scratch) // gnet closes the link on an error, which ends the execution
 	l.writing = false
@@ -192,6 +191,15 @@
 	}
 }
 
+// told returns until when an attempt tells its server that anybody waits. The time for a body that is still on its way in is not the
+// client's.
+func (s *Sidecar) told(e *execution) float64 {
+	if r := e.request; r != nil && r.uploading() {
+		return min(e.until, s.now()+r.patience-s.answerRoom())
+	}
+	return e.until
+}
+
 // writtenEveryS is the time between two looks whether a request that has no answer is written whole: the loop does not tell.
 const writtenEveryS = 0.005
 
@@ -234,7 +242,7 @@
 	}
 	done, err := e.exchange.Read(&l.buf)
 	if e.flow != nil {
-		e.flow.traffic(done, err)
+		e.flow.traffic(len(data), done, err)
 		return
 	}
 	if err != nil {
--- a/internal/sidecar/starved.go
+++ b/internal/sidecar/starved.go
@@ -25,7 +25,7 @@
 // feed gives a link that has become idle to the first execution that waits for its server, and tells whether there was one.
 func (s *Sidecar) feed(l *serverLink) bool {
 	for _, e := range s.starved {
-		if e.host == l.host && e.front == l.front && s.net.Quiet(l.conn) {
+		if e.host == l.host && e.front == l.front && s.mayBegin(e) && s.net.Quiet(l.conn) {
 			s.unstarve(e)
 			l.begin(e)
 			return true
@@ -39,7 +39,7 @@
 	for len(s.starved) > 0 && !s.stopping && s.makeRoom(dialDescriptors+s.reserve()) {
 		e := s.starved[0]
 		s.unstarve(e)
-		if h := s.hosts.Host(e.host); h != nil && (e.request == nil || s.mayServe(e.host)) {
+		if h := s.hosts.Host(e.host); h != nil && s.mayBegin(e) {
 			s.dial(h, e)
 		} else {
 			s.finish(e, &execError{notConnected, overtaken, nil})
