--- a/internal/fleet/list_test.go
+++ b/internal/fleet/list_test.go
@@ -137,7 +137,7 @@
 	h := &holder{g: hostgroup.New(nil, nil), at: "d:1"}
 	f, net := fedFleet(h)
 	l := f.owners.lists
-	require.NoError(t, h.TakeList([]byte(`{"index":7,"snapshot":true}`)))
+	require.NoError(t, h.TakeList([]byte(`{"index":7,"snapshot":true,"endpoints":[]}`)))
 	v, _ := h.ListVersion()
 	say := func(at float64) {
 		l.jobs[1].Heard(net.link, &frames.Effect{Job: l.jobs[1].name, Token: 1, Kind: kindWord, Body: packed(listWord{Discovery: "d:1", Index: 7, Sum: v.Sum, AtS: at})})
--- a/internal/hostgroup/hostgroup.go
+++ b/internal/hostgroup/hostgroup.go
@@ -41,10 +41,25 @@
 type list struct {
 	Index     uint64
 	Snapshot  bool
-	Endpoints []endpoint
+	Endpoints endpoints
 	Lifted    map[string]float64 `json:",omitempty"` // in an export alone: Host.liftAt by name
 }
 
+// endpoints are the entries of a list; nil: the list has no such field.
+type endpoints []endpoint
+
+// UnmarshalJSON takes null for no entries, which a service may write.
+func (e *endpoints) UnmarshalJSON(raw []byte) error {
+	all := []endpoint{}
+	if err := json.Unmarshal(raw, &all); err != nil {
+		return err
+	}
+	if *e = all; all == nil {
+		*e = endpoints{}
+	}
+	return nil
+}
+
 // endpoint is one server as discovery lists it.
 type endpoint struct {
 	Name, Address, Zone, Type, Status string
--- a/internal/hostgroup/hostgroup_test.go
+++ b/internal/hostgroup/hostgroup_test.go
@@ -61,7 +61,7 @@
 	info, err := g.Ban("box", now+1)
 	require.NoError(t, err)
 	assert.Equal(t, policy.Draining, info.State)
-	again, infos := apply(t, g, now+2, `{"index":2,"snapshot":true}`)
+	again, infos := apply(t, g, now+2, `{"index":2,"snapshot":true,"endpoints":[]}`)
 	assert.True(t, again)
 	require.Len(t, infos, 1, "it is told as draining, not left out")
 	assert.Equal(t, policy.Draining, infos[0].State)
