Have the judge hold attempts for clients that have gone, and clients leave early in bursts

Need: a client that closes its connection is gone, and an attempt that begins for it over 0.1 s later is a break. The judge knew this as a case of one-answer, and clients left only at the time that they had told the sidecar, so that hardly anything showed it.

--- a/internal/judge/event.go
+++ b/internal/judge/event.go
@@ -35,6 +35,9 @@
 	HostileAnswered
 	// HostileEnded: its connection has ended. Link.
 	HostileEnded
+	// HalfClosed: the client has ended its direction of the connection and still reads. Whether it waits for its answer nobody at the
+	// other end can tell, so none is owed and none is forbidden. Request, Link.
+	HalfClosed
 )
 
 // What boxes tell. All name Box.
--- a/internal/judge/record.go
+++ b/internal/judge/record.go
@@ -30,6 +30,7 @@
 	endedAt  float64
 	taken    bool
 	dropped  bool // its connection was closed once, and it was sent again
+	halved   bool // its client has ended its direction of the connection
 	claimed  bool // a hostile client has used its id
 	place    int  // among the sidecar's open ones; -1: it is none
 	attempts []attempt
--- a/internal/judge/rules.go
+++ b/internal/judge/rules.go
@@ -79,6 +79,7 @@
 	AtRest      Rule = "at-rest"      // nothing is left when the day is over
 	ListAsked   Rule = "list-asked"   // who has no watch at the end of the day has asked for the list within the time of the settings
 	NoCrash     Rule = "no-crash"     // no panic and no exit unasked
+	GoneClient  Rule = "gone-client"  // no attempt begins for a client that has closed its connection
 
 	FleetView  Rule = "fleet-view"  // some time after the last trouble all know who is there
 	FalseDeath Rule = "false-death" // nobody is called dead that lives and that most can reach
--- a/internal/sim/trace.go
+++ b/internal/sim/trace.go
@@ -89,7 +89,7 @@
 
 var kindNames = map[judge.Kind]string{
 	judge.Asked: "asked", judge.Taken: "taken", judge.Answered: "answered", judge.Broken: "broken", judge.Dropped: "dropped",
-	judge.Left: "left", judge.Unreached: "unreached", judge.Stray: "stray", judge.Hostile: "hostile",
+	judge.Left: "left", judge.Unreached: "unreached", judge.Stray: "stray", judge.Hostile: "hostile", judge.HalfClosed: "half closed",
 	judge.SidecarFrozen: "stands still", judge.SidecarThawed: "goes on", judge.FleetWrong: "fleet wrong",
 	judge.HostileAnswered: "hostile answered", judge.HostileEnded: "hostile ended",
 	judge.BoxStarted: "box started", judge.BoxEnded: "box ended", judge.BoxFell: "box fell", judge.Execution: "execution",
--- a/internal/world/player.go
+++ b/internal/world/player.go
@@ -151,6 +151,12 @@
 			}
 			p.w.Mischief[i].Come(t.PerS, p.endsAt(t, now), t.Kind == SilentFlood)
 		}
+	case ClientsLeave:
+		for _, i := range t.Sidecars {
+			if i < p.standBy { // else its machine has not begun
+				p.w.Apps[i].LeaveEarly(t.Share, p.endsAt(t, now))
+			}
+		}
 	case SidecarKill:
 		for _, i := range t.Sidecars {
 			p.killSidecar(i, p.endsAt(t, now)-now, now)
