Hold sidecars to what a silent watch or a failed call keeps from them for 6 s at most

Need: a silent watch is broken, and what it misses counts as told 6 s after it fell silent; after a call that failed, was refused or given up a change counts 6 s after discovery had it and could be reached. The judge knew no silent watch, and gave four times the time of the settings after a failed call, from the last one on.

Change: the judge is told when a watch falls silent and when calls stand in line at discovery; outages and lines are kept as spans, so that what counted before an outage counts still. Time in a line is taken off, at most as much as a call of each sidecar needs. Who keeps to a silent watch breaks list-asked. The world has silent-watch, watch-reset, whole-list and short outages, half of them with servers that drain within seconds and stay up.

--- a/internal/judge/event.go
+++ b/internal/judge/event.go
@@ -77,6 +77,12 @@
 	// WatchUp and WatchEnded bound a watch. Sidecar, Link.
 	WatchUp
 	WatchEnded
+	// WatchSilent: nothing is written to an open watch any more. Sidecar, Link.
+	WatchSilent
+	// LineFormed and LineGone bound the time in which calls wait behind the one that discovery works on. One that comes then may be
+	// turned away for having waited.
+	LineFormed
+	LineGone
 	// DiscoveryDown and DiscoveryUp bound the time in which discovery tells nothing.
 	DiscoveryDown
 	DiscoveryUp
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -23,6 +23,8 @@
 	cuts     []cut
 	downAt   float64 // since when discovery is down; 0: it is up
 	upAt     float64
+	outages  []span // of discovery, oldest first
+	lines    []span // times in which calls waited there, oldest first
 
 	classes []ClassService
 	prices  Prices
@@ -50,6 +52,9 @@
 	until         float64
 }
 
+// span is a time between two.
+type span struct{ from, until float64 } // +Inf: it goes on
+
 // cut is a way that is in trouble.
 type cut struct {
 	sidecar, box int32
@@ -200,8 +205,17 @@
 		s.listed = append(s.listed, *e)
 	case DiscoveryDown:
 		j.downAt = e.At
+		j.outages = append(j.outages, span{e.At, math.Inf(1)})
+		for i := range j.parties { // all watches end, which their sidecars are told
+			j.parties[i].silentAt = 0
+		}
 	case DiscoveryUp:
 		j.downAt, j.upAt = 0, e.At
+		endSpan(j.outages, e.At)
+	case LineFormed:
+		j.lines = append(j.lines, span{e.At, math.Inf(1)})
+	case LineGone:
+		endSpan(j.lines, e.At)
 	case PathCut:
 		j.cuts = append(j.cuts, cut{e.Sidecar, e.Box, e.At, math.Inf(1)})
 	case PathMended:
@@ -237,12 +251,19 @@
 		p.askFailed = true
 	case WatchUp:
 		p.watches++
-		p.askFailed = false
+		p.askFailed, p.silentAt = false, 0
+	case WatchSilent:
+		p.silent = append(p.silent, e.Link)
+		p.fellSilent(e.At)
 	case WatchEnded:
 		p.watches--
+		p.silent = slices.DeleteFunc(p.silent, func(link uint64) bool { return link == e.Link })
+		if j.downAt == 0 {
+			p.fellSilent(e.At)
+		}
 		p.askedAt, p.called = e.At, false
 	case SidecarStarted:
-		*p = party{life: p.life + 1, startedAt: e.At, askedAt: e.At, watches: p.watches, killedAt: p.killedAt, open: p.open, told: p.told[:0],
+		*p = party{life: p.life + 1, startedAt: e.At, askedAt: e.At, watches: p.watches, silent: p.silent, killedAt: p.killedAt, open: p.open, told: p.told[:0],
 			askFailed: j.downAt > 0} // its first call is refused, which nobody sees
 	case SidecarKilled:
 		j.killed(p, e)
@@ -290,6 +311,13 @@
 	}
 }
 
+// endSpan ends the last of some times, if it goes on.
+func endSpan(all []span, at float64) {
+	if n := len(all); n > 0 && math.IsInf(all[n-1].until, 1) {
+		all[n-1].until = at
+	}
+}
+
 // killed excuses what a killed sidecar had open, unless it had been told to end and took more.
 func (j *Judge) killed(p *party, e *Event) {
 	p.killedAt = e.At
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -19,7 +19,7 @@
 			{Name: "keyed", Effect: Keyed, Group: GroupZone, WindowS: 12, AimS: 1, Worth: 10},
 			{Name: "unsafe", Effect: Unsafe, AimS: 1, Worth: 5}},
 		Sidecars: 2, Sites: []int32{0, 1}, Sockets: 256, AnswerSlackS: 0.02, SocketSlackS: 0.05, TermGraceS: 0.7, DrainGraceS: 0.75,
-		AskWithinS: 10, ToldWithinS: 6, ReloadToldS: 4, FallS: 1, ColdShare: 2.0 / 3, AtOnceS: 0.25, MostAttempts: 3,
+		AskWithinS: 10, ToldWithinS: 6, FleetCallsS: 2, ReloadToldS: 4, FallS: 1, ColdShare: 2.0 / 3, AtOnceS: 0.25, MostAttempts: 3,
 	}
 }
 
@@ -197,6 +197,28 @@
 				ask(11.5, 9, safe).run(11.82, 9, 0, 1),
 			newTale().add(Event{Kind: WatchEnded, At: 0.5}, Event{Kind: Called, At: 0.6}, Event{Kind: CallFailed, At: 0.7}, Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}, alive(DiscoveryDown, 2, 0)).
 				ask(11.5, 9, safe).run(11.82, 9, 0, 1)},
+		{"who has called in vain counts as told once discovery could be reached", SafeDrain,
+			newTale().add(Event{Kind: WatchEnded, At: 0.5}, Event{Kind: Called, At: 0.6}, Event{Kind: CallFailed, At: 0.7}, Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}).
+				ask(7.5, 9, safe).run(7.82, 9, 0, 1).add(alive(WatchUp, 20, 0)),
+			newTale().add(Event{Kind: WatchEnded, At: 0.5}, Event{Kind: Called, At: 0.6}, Event{Kind: CallFailed, At: 0.7}, Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}).
+				ask(7.5, 9, safe).run(7.78, 9, 0, 1).add(alive(WatchUp, 20, 0))},
+		{"not before discovery is back, whatever was asked meanwhile", SafeDrain,
+			newTale().add(Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}, alive(DiscoveryDown, 1.1, 0), Event{Kind: WatchEnded, At: 1.1},
+				Event{Kind: Called, At: 5}, Event{Kind: CallFailed, At: 5}, alive(DiscoveryUp, 9, 0), Event{Kind: Called, At: 15}).ask(15, 9, safe).run(15.82, 9, 0, 1).add(alive(WatchUp, 20, 0)),
+			newTale().add(Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}, alive(DiscoveryDown, 1.1, 0), Event{Kind: WatchEnded, At: 1.1},
+				Event{Kind: Called, At: 5}, Event{Kind: CallFailed, At: 5}, alive(DiscoveryUp, 9, 0), Event{Kind: Called, At: 15}).ask(15, 9, safe).run(15.78, 9, 0, 1).add(alive(WatchUp, 20, 0))},
+		{"a line at discovery excuses as long as a call of each sidecar takes", SafeDrain,
+			newTale().add(Event{Kind: WatchEnded, At: 0.5}, Event{Kind: Called, At: 0.6}, Event{Kind: CallFailed, At: 0.7}, Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"},
+				alive(LineFormed, 2, 0), alive(LineGone, 5, 0)).ask(8.5, 9, safe).run(9.82, 9, 0, 1).add(alive(WatchUp, 20, 0)),
+			newTale().add(Event{Kind: WatchEnded, At: 0.5}, Event{Kind: Called, At: 0.6}, Event{Kind: CallFailed, At: 0.7}, Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"},
+				alive(LineFormed, 2, 0), alive(LineGone, 5, 0)).ask(8.5, 9, safe).run(9.78, 9, 0, 1).add(alive(WatchUp, 20, 0))},
+		{"what a silent watch misses counts as told 6 s after it fell silent", SafeDrain,
+			newTale().add(Event{Kind: WatchSilent, At: 1}, Event{Kind: Listed, At: 3, Status: Deleted, Address: "a"}).ask(7.5, 9, safe).run(7.82, 9, 0, 1).add(alive(WatchUp, 20, 0)),
+			newTale().add(Event{Kind: WatchSilent, At: 1}, Event{Kind: Listed, At: 3, Status: Deleted, Address: "a"}).ask(7.5, 9, safe).run(7.78, 9, 0, 1).add(alive(WatchUp, 20, 0))},
+		{"and at once what is made later than that, also when its sidecar has ended it", SafeDrain,
+			newTale().add(Event{Kind: WatchSilent, At: 1}, Event{Kind: WatchEnded, At: 8}, Event{Kind: Listed, At: 9, Status: Deleted, Address: "a"}).ask(9, 9, safe).run(9.82, 9, 0, 1).add(alive(WatchUp, 20, 0)),
+			newTale().add(Event{Kind: WatchSilent, At: 1}, Event{Kind: WatchEnded, At: 4}, Event{Kind: WatchUp, At: 5, Link: 2}, Event{Kind: Listed, At: 9, Status: Deleted, Address: "a"}).
+				ask(9, 9, safe).run(9.82, 9, 0, 1).add(alive(WatchUp, 20, 0))},
 		{"the old address of a box that is gone; a new box there is told", SafeDrain,
 			newTale().tell(1, 0, Deleted).add(Event{Kind: BoxStarted, At: 2, Sidecar: -1, Box: 5, Address: "a", Since: 2}).ask(3, 9, safe).run(3.1, 9, 5, 1),
 			newTale().tell(1, 0, Deleted).add(Event{Kind: BoxStarted, At: 2, Sidecar: -1, Box: 5, Address: "a", Since: 2},
@@ -223,6 +245,9 @@
 		{"a list that is asked for no more", ListAsked,
 			newTale().add(alive(WatchEnded, 985, 0)),
 			newTale().add(alive(WatchEnded, 985, 0), alive(Called, 992, 0))},
+		{"a silent watch that is kept", ListAsked,
+			newTale().add(Event{Kind: WatchSilent, At: 990}),
+			newTale().add(Event{Kind: WatchSilent, At: 990}, Event{Kind: WatchUp, At: 995, Link: 2})},
 		{"after a call that failed there is four times as long", ListAsked,
 			newTale().add(alive(WatchEnded, 900, 0), alive(Called, 920, 0), alive(CallFailed, 921, 0)),
 			newTale().add(alive(WatchEnded, 900, 0), alive(Called, 965, 0), alive(CallFailed, 966, 0))},
--- a/internal/judge/record.go
+++ b/internal/judge/record.go
@@ -130,7 +130,9 @@
 	frozenAt   float64 // when it stood still last, until thawedAt
 	thawedAt   float64
 	watches    int
-	askedAt    float64 // when it called discovery last
+	silent     []uint64 // links of those to which nothing is written any more
+	silentAt   float64  // since when it has had no watch that speaks, the last of which fell silent then; 0: it has one, or lost it otherwise
+	askedAt    float64  // when it called discovery last
 	askFailed  bool
 	called     bool // since its last watch ended
 	open       []*record
@@ -138,6 +140,16 @@
 	index      uint64      // of the latest list that it was told of
 }
 
+// fellSilent notes that all watches that are open are silent, if they are.
+func (p *party) fellSilent(at float64) {
+	if p.watches > 0 && p.watches <= len(p.silent) && p.silentAt == 0 {
+		p.silentAt = at
+	}
+}
+
+// watched tells whether a watch is open that speaks.
+func (p *party) watched() bool { return p.watches > len(p.silent) }
+
 // take and drop keep the list of a sidecar's open tries. Its order is that of what happened, never that of a map.
 func (p *party) take(r *record) {
 	if r.place < 0 {
--- a/internal/judge/rules.go
+++ b/internal/judge/rules.go
@@ -44,6 +44,7 @@
 	DrainGraceS  float64 // after it was told a sidecar sends nothing new to a box that drains or is gone
 	AskWithinS   float64 // without a watch and a call for so long a sidecar counts as told; four times after a failure
 	ToldWithinS  float64 // what the list has taken counts as told then
+	FleetCallsS  float64 // in which discovery can work through a call of each sidecar; a line lasts no longer, as far as it excuses
 	ReloadToldS  float64 // and not before this long after a reload
 	FallS        float64 // the window in which work brings a cold box down
 	ColdShare    float64 // the share of that work by sidecars that knew, from which the rule is broken
--- a/internal/judge/told.go
+++ b/internal/judge/told.go
@@ -1,42 +1,96 @@
 package judge
 
-import "math"
+import (
+	"math"
+	"slices"
+	"sort"
+)
 
-// countsAsTold returns when a sidecar counts as told of a change of the list, as far as can be said at a time; +Inf:
-// not yet.
+// countsAsTold returns when a sidecar counts as told of a change of the list, as far as can be said at a time; +Inf: not
+// yet.
 func (j *Judge) countsAsTold(p *party, listed *Event, at float64) float64 {
-	told := max(listed.At, p.startedAt) + j.rules.ToldWithinS
-	if p.reloadedAt > 0 && p.reloadedAt < told {
-		told = max(told, p.reloadedAt+j.rules.ReloadToldS)
-	}
-	if p.frozenAt > 0 && told >= p.frozenAt && listed.At <= p.thawedAt {
-		told = max(told, p.thawedAt+j.rules.ToldWithinS)
+	made := max(listed.At, p.startedAt)
+	told := j.hears(p, listed, j.there(made, j.rules.ToldWithinS))
+	if p.watched() {
+		return told
 	}
-	switch { // what discovery can't tell does not count
-	case j.downAt > 0 && j.downAt < told:
-		told = math.Inf(1)
-	case j.upAt > listed.At:
-		told = max(told, j.upAt+j.rules.ToldWithinS)
+	missed := math.Inf(1)
+	if p.silentAt > 0 { // what is made once the silence should have been noticed is missed as it is made
+		missed = max(made, j.hears(p, listed, j.reachable(p.silentAt, j.rules.ToldWithinS)))
 	}
 	if p.watches > 0 {
-		return told
+		return missed
 	}
 	within := j.rules.AskWithinS
-	if p.askFailed {
-		within *= 4
+	if !p.called {
+		if p.askFailed {
+			within *= 4
+		}
+		if unasked := max(listed.At, p.askedAt) + within; unasked <= at {
+			told = min(told, unasked)
+		}
+		return min(told, missed)
 	}
 	// Who has called since its watch ended is held to its list for as long as the settings give, counted anew when discovery is
-	// back. Danger: discovery that works through three calls a second has sixty wait; the few seconds that a watch may be silent
-	// would blame each of them.
-	if p.called {
-		return max(listed.At, p.askedAt, j.upAt) + within
+	// back; but after a call that failed a change counts once discovery had it and could be reached for a while. Danger: discovery
+	// that works through three calls a second has sixty wait; what it could not have answered in time blames nobody.
+	if p.askFailed {
+		return min(j.hears(p, listed, j.reachable(made, j.rules.ToldWithinS)), missed)
 	}
-	if unasked := max(listed.At, p.askedAt) + within; unasked <= at {
-		told = min(told, unasked)
+	return min(max(listed.At, p.askedAt, j.upAt)+within, missed)
+}
+
+// hears returns when a sidecar counts as told of a change that would count from a time on, had it not been given a new
+// configuration and not stood still.
+func (j *Judge) hears(p *party, listed *Event, told float64) float64 {
+	if p.reloadedAt > 0 && p.reloadedAt < told {
+		told = max(told, p.reloadedAt+j.rules.ReloadToldS)
+	}
+	if p.frozenAt > 0 && told >= p.frozenAt && listed.At <= p.thawedAt {
+		told = max(told, p.thawedAt+j.rules.ToldWithinS)
 	}
 	return told
 }
 
+// there returns when discovery has been up for so long on end since a time; +Inf: not yet. What it can't tell does not count.
+func (j *Judge) there(from, forS float64) float64 {
+	for i := range j.outages {
+		if o := &j.outages[i]; o.until > from && o.from < from+forS {
+			from = o.until
+		}
+	}
+	return from + forS
+}
+
+// reachable returns when discovery has been up for so long on end since a time, and would have answered a call; +Inf: not yet. Time in
+// which calls stood in line there does not count, since another one could have waited in vain. Danger: a fleet whose calls never end
+// would never count as told, so no more of that is taken off than a call of each sidecar needs.
+func (j *Judge) reachable(from, forS float64) float64 {
+	for {
+		until := j.beyondLines(from, forS)
+		next := slices.IndexFunc(j.outages, func(o span) bool { return o.until > from && o.from < until })
+		if next < 0 {
+			return until
+		}
+		if from = j.outages[next].until; math.IsInf(from, 1) {
+			return from
+		}
+	}
+}
+
+// beyondLines returns when so much time without a line has passed since a time.
+func (j *Judge) beyondLines(from, forS float64) float64 {
+	until, excused := from+forS, 0.0
+	first := sort.Search(len(j.lines), func(i int) bool { return j.lines[i].until > from })
+	for i := first; i < len(j.lines) && j.lines[i].from < until; i++ {
+		l := &j.lines[i]
+		waited := min(l.until-max(l.from, from), j.rules.FleetCallsS-excused)
+		excused += waited
+		until += waited
+	}
+	return until
+}
+
 // notServingSince returns since when a sidecar knew at a time that a box drains or is gone, +Inf: it did not.
 func (j *Judge) notServingSince(p *party, box int32, at float64) float64 {
 	k, s := p.knows(box), j.station(box)
@@ -89,7 +143,7 @@
 // list for ever, and seldom meets a box within a day that shows it.
 func (j *Judge) checkAsked(sidecar int32, now float64) {
 	p := &j.parties[sidecar]
-	if p.watches > 0 || p.life == 0 || p.termedAt > 0 || p.killedAt > p.startedAt || now < p.thawedAt || j.downAt > 0 {
+	if p.watched() || p.life == 0 || p.termedAt > 0 || p.killedAt > p.startedAt || now < p.thawedAt || j.downAt > 0 {
 		return
 	}
 	for i := range j.cuts { // its calls may have been lost, which nobody sees
@@ -97,6 +151,12 @@
 			return
 		}
 	}
+	if p.silentAt > 0 && p.askedAt < p.silentAt {
+		if noticed := j.reachable(max(p.silentAt, p.reloadedAt, p.thawedAt), j.rules.ToldWithinS) + j.rules.SocketSlackS; now > noticed {
+			j.find(ListAsked, sidecar, -1, 0, nil, "on a watch that has said nothing for %.1f s, and has not asked for another", now-p.silentAt)
+		}
+		return
+	}
 	within := j.rules.AskWithinS
 	if p.askFailed {
 		within *= 4
--- a/internal/sim/trace.go
+++ b/internal/sim/trace.go
@@ -95,7 +95,7 @@
 	judge.BoxStarted: "box started", judge.BoxEnded: "box ended", judge.BoxFell: "box fell", judge.Execution: "execution",
 	judge.Replied: "replied", judge.LinkOpened: "link opened", judge.LinkClosed: "link closed", judge.Probed: "probed",
 	judge.Listed: "listed", judge.Told: "told", judge.Fed: "fed", judge.Called: "called", judge.CallFailed: "call failed", judge.WatchUp: "watch up",
-	judge.WatchEnded: "watch ended", judge.DiscoveryDown: "discovery down", judge.DiscoveryUp: "discovery up",
+	judge.WatchEnded: "watch ended", judge.WatchSilent: "watch silent", judge.LineFormed: "line formed", judge.LineGone: "line gone", judge.DiscoveryDown: "discovery down", judge.DiscoveryUp: "discovery up",
 	judge.SidecarStarted: "sidecar started", judge.SidecarKilled: "sidecar killed", judge.SidecarTermed: "sidecar termed",
 	judge.SidecarEnded: "sidecar ended", judge.SidecarPanicked: "sidecar panicked", judge.Reloaded: "reloaded",
 	judge.TakenOut: "taken out", judge.GivenBack: "given back",
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -129,6 +129,9 @@
 	OldClosesS                            float64 // an address that was left closes what is open after this
 }
 
+// callS returns how long discovery works on a call where there are so many boxes.
+func (r *RegistrySpec) callS(boxes int) float64 { return (1 + float64(boxes)/r.CallLines) / r.CallsPS }
+
 // Figures of the deployment that are not drawn.
 const (
 	fallMultiple = 2.5
@@ -335,6 +338,7 @@
 		TermGraceS: termGraceS, DrainGraceS: drainGraceS, AskWithinS: askWithinS, ToldWithinS: toldWithinS, ReloadToldS: reloadToldS,
 		FallS: cmp.Or(d.FallS, fallS), ColdShare: 2.0 / 3, AtOnceS: 0.25, MostAttempts: mostAttempts,
 	}
+	r.FleetCallsS = float64(len(d.Sidecars)) * d.Registry.callS(len(d.Boxes))
 	for _, c := range d.Classes {
 		r.Classes = append(r.Classes, judge.Class{Name: c.Name, Effect: c.Effect, Group: c.Group, WindowS: c.WindowS,
 			AimS: c.AimS, Worth: c.Worth, LateWorth: c.LateWorth})
--- a/internal/world/player.go
+++ b/internal/world/player.go
@@ -151,6 +151,15 @@
 			}
 			p.w.Mischief[i].Come(t.PerS, p.endsAt(t, now), t.Kind == SilentFlood)
 		}
+	case SilentWatch:
+		p.w.Registry.Hush()
+	case WatchReset:
+		for i := range p.w.Apps {
+			p.ground.Reset(p.w.Day.Sidecars[i].IP, p.w.Registry.ip())
+		}
+	case WholeList:
+		p.w.Registry.BeginWhole(true)
+		p.atEnd(t, now, func(float64) { p.w.Registry.BeginWhole(false) })
 	case ClientsLeave:
 		for _, i := range t.Sidecars {
 			if i < p.standBy { // else its machine has not begun
--- a/internal/world/registry.go
+++ b/internal/world/registry.go
@@ -33,6 +33,8 @@
 	calls    []*registryLink // that wait, oldest first
 	serving  bool
 	servedAt float64 // when the one in hand is done
+	line     bool    // calls wait behind it
+	whole    int     // troubles by which a watch begins with the whole list
 }
 
 // entry is what the list says of a box; a status of 0: it was never on it.
@@ -156,6 +158,7 @@
 		}
 		r.next(at)
 	}
+	r.lookAtLine(now)
 }
 
 // next takes the next call in hand, and turns away those that have waited too long.
@@ -170,11 +173,43 @@
 			k.front.turnAway(k)
 		default:
 			r.serving = true
-			r.servedAt = now + (1+float64(len(r.day.Boxes))/r.spec.CallLines)/r.spec.CallsPS
+			r.servedAt = now + r.spec.callS(len(r.day.Boxes))
 		}
 	}
 }
 
+// lookAtLine tells the witness whether calls wait behind the one in hand.
+func (r *Registry) lookAtLine(now float64) {
+	waiting := false
+	for i := 1; i < len(r.calls) && !waiting; i++ {
+		waiting = r.calls[i].conn != nil
+	}
+	if waiting == r.line {
+		return
+	}
+	kind := judge.LineGone
+	if r.line = waiting; waiting {
+		kind = judge.LineFormed
+	}
+	r.witness.See(judge.Event{Kind: kind, At: now, Sidecar: -1, Box: -1})
+}
+
+// Hush has all watches that are open say nothing more. Those that begin from then on speak.
+func (r *Registry) Hush() {
+	for _, f := range r.fronts {
+		f.net.Post(f.hush)
+	}
+}
+
+// BeginWhole has each watch begin with the whole list, which leaves out servers that drain, or ends that.
+func (r *Registry) BeginWhole(on bool) {
+	if on {
+		r.whole++
+	} else {
+		r.whole--
+	}
+}
+
 // Down ends discovery's service, or brings it back. While it is down it answers 503, or ends connections at once.
 func (r *Registry) Down(down bool, now float64) {
 	if r.down == down {
@@ -185,6 +220,7 @@
 	if down {
 		kind = judge.DiscoveryDown
 		r.calls, r.serving = nil, false
+		r.lookAtLine(now)
 		for _, f := range r.fronts {
 			f.net.Post(f.closeAll)
 		}
@@ -212,6 +248,9 @@
 // Address returns where discovery is now.
 func (r *Registry) Address() string { return r.spec.Addresses[r.present] }
 
+// ip returns the IP of the present address.
+func (r *Registry) ip() string { return r.spec.IPs[r.present] }
+
 // nextIP returns the IP of the address that it moves to next; false: there is none.
 func (r *Registry) nextIP() (string, bool) {
 	if r.present+1 >= len(r.spec.IPs) {
@@ -248,7 +287,7 @@
 	first := true
 	for i := range list {
 		e, b := &list[i], &r.day.Boxes[i]
-		if !e.tells(since, snapshot) {
+		if !r.tells(e, since, snapshot) {
 			continue
 		}
 		if !first {
@@ -266,10 +305,10 @@
 	return append(dst, "]}"...)
 }
 
-// tells whether an object holds the entry. A whole list leaves out what is gone.
-func (e *entry) tells(since uint64, snapshot bool) bool {
+// tells whether an object holds an entry. A whole list leaves out what is gone, and at times what drains.
+func (r *Registry) tells(e *entry, since uint64, snapshot bool) bool {
 	if snapshot {
-		return e.status == judge.Serving || e.status == judge.Draining
+		return e.status == judge.Serving || e.status == judge.Draining && r.whole == 0
 	}
 	return e.status != 0 && e.index > since
 }
@@ -279,7 +318,11 @@
 func (r *Registry) tell(sidecar int32, index uint64, list []entry, since uint64, snapshot bool, now float64) {
 	for i := range list {
 		e := list[i]
-		if snapshot && e.status == judge.Deleted || e.tells(since, snapshot) {
+		leftOut := snapshot && e.status != 0 && !r.tells(&e, since, snapshot)
+		if leftOut {
+			e.status = judge.Deleted
+		}
+		if leftOut || r.tells(&e, since, snapshot) {
 			r.see(judge.Told, sidecar, i, e, index, now)
 		}
 	}
--- a/internal/world/registryfront.go
+++ b/internal/world/registryfront.go
@@ -43,6 +43,7 @@
 	since    uint64 // the last index that it has been told
 	has      bool   // since is known
 	watching bool
+	silent   bool // nothing is written to the watch any more
 	toldAt   float64
 }
 
@@ -87,6 +88,7 @@
 	if k.calling {
 		k.calling = false
 		f.see(judge.CallFailed, k)
+		f.r.lookAtLine(f.net.Now())
 	}
 }
 
@@ -145,6 +147,7 @@
 	}
 	f.r.calls = append(f.r.calls, k)
 	f.r.next(k.calledAt)
+	f.r.lookAtLine(k.calledAt)
 }
 
 func (f *registryFront) turnAway(k *registryLink) {
@@ -158,7 +161,7 @@
 	r, now := f.r, f.net.Now()
 	k.calling = false
 	// A version that nobody has had from here is no version.
-	snapshot := !k.watch || !k.has || k.since > r.index
+	snapshot := !k.watch || !k.has || k.since > r.index || r.whole > 0
 	out := f.out[:0]
 	if !k.watch {
 		body := append(r.list(r.index, r.entries, 0, true), '\n')
@@ -201,6 +204,16 @@
 	}
 }
 
+// hush has nothing more be written to the watches that are open.
+func (f *registryFront) hush() {
+	for _, k := range f.links {
+		if k.watching && !k.silent {
+			k.silent = true
+			f.see(judge.WatchSilent, k)
+		}
+	}
+}
+
 // closeAll ends all connections.
 func (f *registryFront) closeAll() {
 	for len(f.links) > 0 {
@@ -227,7 +240,7 @@
 		switch {
 		case t.leave:
 			f.closeAll()
-		case t.link.conn == nil || !t.link.watching:
+		case t.link.conn == nil || !t.link.watching || t.link.silent:
 		case !t.pulse:
 			if t.link.since < f.r.index {
 				f.line(t.link, f.out[:0], false)
--- a/internal/world/script.go
+++ b/internal/world/script.go
@@ -35,6 +35,9 @@
 // Faults of connections and watches, and clients that leave early.
 const (
 	ClientsLeave = "clients-leave" // clients close connections while their requests wait or are out
+	SilentWatch  = "silent-watch"  // all open watches say nothing more; new ones do
+	WatchReset   = "watch-reset"   // all connections to discovery are reset
+	WholeList    = "whole-list"    // a watch begins with the whole list, which leaves out what drains
 )
 
 // Troubles between sidecars that know each other.
@@ -170,6 +173,10 @@
 	{ClientsLeave, []string{"for_s", "sidecars", "share"}, nil, func(t *Trouble, d *Day, rng *rand.Rand) {
 		t.ForS, t.Share, t.Sidecars = between(rng, 3, 15), between(rng, 0.05, 0.5), d.someSidecars(rng)
 	}},
+	{SilentWatch, nil, nil, func(*Trouble, *Day, *rand.Rand) {}},
+	{WatchReset, nil, nil, func(*Trouble, *Day, *rand.Rand) {}},
+	{WholeList, []string{"for_s"}, nil, func(t *Trouble, _ *Day, rng *rand.Rand) { t.ForS = between(rng, 5, 25) }},
+	{DiscoveryDown, []string{"for_s"}, nil, func(t *Trouble, _ *Day, rng *rand.Rand) { t.ForS = between(rng, 2, 8) }},
 }
 
 // besideIt draws what a trouble of connections comes with on half of the days, since it shows little without.
@@ -177,7 +184,16 @@
 	if rng.IntN(2) == 0 {
 		return nil
 	}
+	// Danger: a server that ends soon after its notice shows nobody who goes by an old list.
+	drains := Trouble{Kind: Shrink, AtS: t.AtS + between(rng, 0, 5), DrainS: between(rng, 12, 25), Boxes: d.pick(rng, 0.05, 0.25)}
 	switch t.Kind {
+	case SilentWatch, WatchReset:
+		return []Trouble{drains}
+	case DiscoveryDown:
+		drains.AtS += t.ForS
+		return []Trouble{drains}
+	case WholeList: // what drains is left out of what follows an end of the watches
+		return []Trouble{drains, {Kind: WatchReset, AtS: drains.AtS + between(rng, 0, 6)}}
 	case ClientsLeave: // attempts that get no answer are followed by others, and clients leave meanwhile
 		return []Trouble{{Kind: Hang, AtS: t.AtS, ForS: t.ForS, Boxes: d.pick(rng, 0.1, 0.4)}}
 	}
