--- a/internal/judge/client.go
+++ b/internal/judge/client.go
@@ -1,5 +1,9 @@
 package judge
 
+// unansweredS is how long after its time a request is lost that has no answer, on any day: no loop that stands still and no clock that
+// runs slow explains more.
+const unansweredS = 1.0
+
 // seeClient takes what clients tell.
 func (j *Judge) seeClient(e *Event) {
 	switch e.Kind {
@@ -42,7 +46,8 @@
 	case Left:
 		// Danger: a client may give so little time that nobody could answer in it, or read too slowly.
 		enough := e.At-r.askedAt >= j.rules.AnswerSlackS+j.rules.SocketSlackS && !j.troubled(r.sidecar, ToClients, r.askedAt, e.At)
-		if r.taken && !r.halved && r.fate == unended && e.At >= r.until && j.rules.Unanswered && enough {
+		over := e.At >= r.until && j.rules.Unanswered || e.At >= r.until+unansweredS
+		if r.taken && !r.halved && r.fate == unended && over && enough {
 			j.find(OneAnswer, e.Sidecar, -1, e.Request, nil, "no answer when its time was over")
 		}
 		j.end(r, left, e.At)
@@ -216,6 +221,9 @@
 		sent = sent || r.attempts[i].life == j.parties[r.sidecar].life
 	}
 	switch {
+	case e.Read:
+		j.find(OneAnswer, e.Sidecar, -1, e.Request, nil, "it was read, and its connection closed without an answer")
+		j.end(r, lost, e.At)
 	case !sent && e.Reused && !r.dropped:
 		r.dropped, r.taken = true, false // the close has crossed the request: its client sends it once more
 		j.parties[r.sidecar].drop(r)
--- a/internal/judge/event.go
+++ b/internal/judge/event.go
@@ -20,7 +20,7 @@
 	// Broken: part of an answer has come and no more will, or it can't be read; the client can tell. Request, Link.
 	Broken
 	// Dropped: the sidecar's side ended the connection of a taken request with nothing of an answer on it. Request,
-	// Link, Reused.
+	// Link, Reused; Read, where its process is known to have read the request before that.
 	Dropped
 	// Left: the client's wait is over, or it has gone away; no answer is owed any more. Request.
 	Left
@@ -161,8 +161,8 @@
 	Cell    int32
 	N       int32
 
-	Reused, NotStarted, Spoilt, ByBox bool
-	Uncounted                         bool // of an Asked one: the service is not measured by it
+	Reused, Read, NotStarted, Spoilt, ByBox bool
+	Uncounted                               bool // of an Asked one: the service is not measured by it
 
 	At        float64
 	FirstSent float64 // when the peer sent the first byte, where the network can tell; else when it came
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -108,6 +108,9 @@
 		{"closed without an answer, though sent on", OneAnswer,
 			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).drop(1.2, 9, true),
 			newTale().ask(1, 9, safe).drop(1.2, 9, true)},
+		{"read, and closed without an answer", OneAnswer,
+			newTale().ask(1, 9, safe).add(Event{Kind: Dropped, At: 1.2, Request: 9, Reused: true, Read: true}),
+			newTale().ask(1, 9, safe).add(Event{Kind: Dropped, At: 1.2, Request: 9, Reused: true})},
 		{"closed twice", OneAnswer,
 			newTale().ask(1, 9, safe).drop(1.2, 9, true).add(Event{Kind: Taken, At: 1.3, Request: 9, Until: 4}).drop(1.4, 9, false),
 			newTale().ask(1, 9, safe).drop(1.2, 9, true).add(Event{Kind: Taken, At: 1.3, Request: 9, Until: 4}).answer(1.4, 9, 500)},
@@ -321,6 +324,7 @@
 // On days that are held to be calm what runs out of time is lost, too, and so is a first request that is hung up on.
 func TestCalmDays(t *testing.T) {
 	out := newTale().ask(1, 9, safe).add(Event{Kind: Left, At: 4, Request: 9})
+	late := newTale().ask(1, 9, safe).add(Event{Kind: Left, At: 5.1, Request: 9})
 	early := newTale().ask(1, 9, safe).add(Event{Kind: Left, At: 3.9, Request: 9})
 	hungUp := newTale().ask(1, 9, safe).drop(1.2, 9, false)
 	strict := rules()
@@ -329,7 +333,7 @@
 		tale  *tale
 		rules Rules
 		want  int
-	}{{out, rules(), 0}, {out, strict, 1}, {early, strict, 0}, {hungUp, rules(), 0}, {hungUp, strict, 1}} {
+	}{{out, rules(), 0}, {out, strict, 1}, {late, rules(), 1}, {early, strict, 0}, {hungUp, rules(), 0}, {hungUp, strict, 1}} {
 		j := New(c.rules)
 		for _, e := range c.tale.events {
 			j.See(e)
--- a/internal/netio/virtual/conn.go
+++ b/internal/netio/virtual/conn.go
@@ -95,11 +95,12 @@
 	paceAt   float64 // when the path takes more
 	paceOn   bool    // an event for that waits
 
-	written uint64 // bytes that the process has written so far
-	read    uint64 // that it has been given
-	marks   []mark // of what was written and the peer's process has not been given yet
-	wroteAt float64
-	endedAt float64
+	written  uint64 // bytes that the process has written so far
+	read     uint64 // that it has been given
+	marks    []mark // of what was written and the peer's process has not been given yet
+	wroteAt  float64
+	endedAt  float64
+	readThen uint64 // how much it had been given when it ended its direction
 
 	receivedAt float64 // when bytes last came into the socket
 }
@@ -127,6 +128,12 @@
 	return c.peer.endedAt
 }
 
+// PeerRead tells whether the other side's process had been given all that this one has written when it ended the connection or its own
+// direction of it.
+func (c *Conn) PeerRead() bool {
+	return c.peer != nil && c.peer.endedAt > 0 && c.peer.readThen >= c.written
+}
+
 // Process returns whose end it is.
 func (c *Conn) Process() *Process { return c.p }
 
@@ -556,7 +563,7 @@
 // shut sends a FIN behind what the socket holds.
 func (c *Conn) shut() {
 	if !c.finDue && !c.resetIn {
-		c.finDue, c.endedAt = true, c.p.real()
+		c.finDue, c.endedAt, c.readThen = true, c.p.real(), c.read
 		if c.user() == 0 {
 			c.push()
 		}
@@ -569,7 +576,7 @@
 	p := c.p
 	p.drop(c)
 	if c.endedAt == 0 {
-		c.endedAt = p.real()
+		c.endedAt, c.readThen = p.real(), c.read
 	}
 	if c.told { // as gnet does, before the socket is closed
 		p.w.mix(p.real(), Ended, p, c.id, nil)
--- a/internal/world/app.go
+++ b/internal/world/app.go
@@ -612,17 +612,24 @@
 		a.tell(judge.Broken, k, link)
 		a.failed(k, now, false)
 	case link.used > 1 && !k.resent && now < k.until && !link.halved:
-		a.tell(judge.Dropped, k, link)
+		a.dropped(c, k, link)
 		k.resent = true // its close may have crossed the request: once more, on a new connection
 		a.send(k, now)
 	default:
-		a.tell(judge.Dropped, k, link)
+		a.dropped(c, k, link)
 		a.failed(k, now, !link.taken)
 	}
 	a.serveWaiting()
 	a.arm()
 }
 
+// dropped tells the witness of a request whose connection the sidecar's side has ended.
+func (a *Application) dropped(c netio.Conn, k *ask, link *appLink) {
+	e := a.see(judge.Dropped, k, link)
+	e.Read = readByPeer(c)
+	a.witness.See(e)
+}
+
 // openID returns the id of a request that is out; false: there is none that is known of. Danger: one that is still on
 // its way to the sidecar could come behind who uses its id, and would then be the second.
 func (a *Application) openID() (uint64, bool) {
--- a/internal/world/mischief.go
+++ b/internal/world/mischief.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 
 	"hazelwheel/internal/http1"
@@ -46,6 +47,7 @@
 	asksWithOthersID
 	asksHalf
 	hidesAnother
+	asksAhead // several requests at once, which may be served, one after the other
 	asksAgain // what it asks may be served; it is the same once more, at once, when it is refused
 	malices
 	saysNothing = malices
@@ -56,6 +58,7 @@
 	mostPieces   = 64   // of an endless head or body
 	pieceEveryS  = 0.01 // between two
 	mostAgain    = 20
+	mostAhead    = 4 // that are sent at once
 	owedS        = 3.0
 	owedHugeS    = 6.0
 	visitS       = 8.0 // then it goes by itself
@@ -73,7 +76,8 @@
 	parser http1.ResponseParser
 	buf    http1.Buffer
 	pieces int
-	id     uint64 // of its request, where that may be served
+	id     uint64   // of its request, where that may be served
+	ids    []uint64 // of those that were sent at once and are not answered yet, in their order
 	tries  int
 	heard  bool
 	told   bool // the witness knows of it
@@ -152,7 +156,7 @@
 // address returns where a client comes to. Where there is a Thrift port, those that may never be served come there by turns.
 func (m *Mischief) address(v *visit) string {
 	at := m.day.Sidecars[m.number].Address
-	if m.day.Speech.Thrift() && v.kind != asksAgain && v.kind != asksWithOthersID && v.number&1 == 0 {
+	if m.day.Speech.Thrift() && !v.served() && v.kind != asksWithOthersID && v.number&1 == 0 {
 		return ThriftAddress(at)
 	}
 	return at
@@ -170,7 +174,7 @@
 			return false // there is no id to use, so nothing to ask
 		}
 	}
-	if v.kind != asksAgain && v.kind != asksHalf {
+	if !v.served() && v.kind != asksHalf {
 		e := m.see(judge.Hostile, v)
 		if e.Until = now + owedS; v.kind == sendsHugeBody {
 			e.Until = now + owedHugeS
@@ -250,6 +254,9 @@
 	case asksAgain:
 		m.ask(v, now)
 		return
+	case asksAhead:
+		m.askAhead(v, now)
+		return
 	}
 	m.out = out
 	if len(out) > 0 {
@@ -289,6 +296,93 @@
 	}
 }
 
+// served tells whether what such a client asks may be served.
+func (v *visit) served() bool { return v.kind == asksAgain || v.kind == asksAhead }
+
+// askAhead sends several requests that may be served at once, without waiting for the answers between.
+func (m *Mischief) askAhead(v *visit, now float64) {
+	class := m.classOf(judge.Safe)
+	number := slices.IndexFunc(m.day.Classes, func(c ClassSpec) bool { return c.Name == class })
+	var out []byte
+	var asked []judge.Event
+	for range 2 + m.rng.IntN(mostAhead-1) {
+		v.id = m.rng.Uint64() | 1
+		v.ids = append(v.ids, v.id)
+		e := m.see(judge.Asked, v)
+		e.First, e.Class, e.Until, e.Uncounted = v.id, int32(number), now+againPatient, true
+		m.witness.See(e)
+		asked = append(asked, e)
+		out = append(append(append(out, "GET /"...), class...), " HTTP/1.1\r\nHost: h\r\nRequest-Id: "...)
+		out = append(appendID(out, v.id), "\r\nRequest-Timeout: 1000m\r\n\r\n"...)
+	}
+	conn := v.conn
+	if _, err := conn.Write(out); err != nil || v.conn != conn || conn.OutboundBuffered() > 0 {
+		return
+	}
+	for i, e := range asked {
+		e.Kind, e.Reused = judge.Taken, i > 0
+		m.witness.See(e)
+	}
+}
+
+// answeredAhead takes the answers of requests that were sent at once. One that says that the connection ends is the last: the client
+// goes, and is owed nothing for the others.
+func (m *Mischief) answeredAhead(v *visit) {
+	for v.conn != nil && len(v.ids) > 0 {
+		done, err := v.parser.Next(&v.buf)
+		switch {
+		case err != nil:
+			m.each(v, judge.Broken)
+			m.net.Close(v.conn)
+		case !done:
+			return
+		default:
+			v.id = v.ids[0]
+			v.ids = v.ids[1:]
+			v.tries++
+			e := m.see(judge.Answered, v)
+			e.Status, e.Digest = int32(v.parser.Status), judge.Digest(v.parser.Body)
+			m.witness.See(e)
+			if len(v.ids) == 0 || !v.parser.Keep() {
+				m.net.Close(v.conn)
+			}
+			v.parser = http1.NewResponseParser(messageLimits)
+		}
+	}
+}
+
+// each tells the witness of all requests of a client that are not answered yet.
+func (m *Mischief) each(v *visit, kind judge.Kind) {
+	for i, id := range v.ids {
+		v.id = id
+		e := m.see(kind, v)
+		e.Reused = i > 0
+		m.witness.See(e)
+	}
+	v.ids = nil
+}
+
+// endedAhead takes the end of the connection of requests that were sent at once.
+func (m *Mischief) endedAhead(c netio.Conn, v *visit, err error) {
+	if err == nil {
+		m.each(v, judge.Left)
+		return
+	}
+	rest := v.ids
+	if len(rest) > 0 && v.parser.Begun() {
+		v.ids, rest = rest[:1], rest[1:]
+		m.each(v, judge.Broken)
+	}
+	for i, id := range rest {
+		v.id = id
+		e := m.see(judge.Dropped, v)
+		e.Reused, e.Read = v.tries > 0 || i > 0, readByPeer(c)
+		m.witness.See(e)
+		m.witness.See(m.see(judge.Left, v)) // it does not come again
+	}
+	v.ids = nil
+}
+
 // goOn sends the next piece of what never ends.
 func (m *Mischief) goOn(v *visit, now float64) {
 	if v.pieces++; v.pieces > mostPieces {
@@ -322,6 +416,11 @@
 		return
 	}
 	v.buf.Write(data)
+	if v.kind == asksAhead {
+		m.answeredAhead(v)
+		m.arm()
+		return
+	}
 	done, err := v.parser.Next(&v.buf)
 	if v.kind == asksAgain {
 		if err != nil {
@@ -362,13 +461,15 @@
 	v := c.Context().(*visit)
 	v.conn = nil
 	switch {
+	case v.kind == asksAhead:
+		m.endedAhead(c, v, err)
 	case v.kind == asksAgain && v.id != 0 && err == nil:
 		m.witness.See(m.see(judge.Left, v))
 	case v.kind == asksAgain && v.id != 0 && v.parser.Begun():
 		m.witness.See(m.see(judge.Broken, v))
 	case v.kind == asksAgain && v.id != 0:
 		e := m.see(judge.Dropped, v)
-		e.Reused = v.tries > 1
+		e.Reused, e.Read = v.tries > 1, readByPeer(c)
 		m.witness.See(e)
 	case v.kind != asksAgain && v.kind != asksHalf && err != nil && v.told:
 		m.witness.See(m.see(judge.HostileEnded, v))
--- a/internal/world/wire.go
+++ b/internal/world/wire.go
@@ -51,6 +51,18 @@
 	return now
 }
 
+// attentive is a connection of a network that knows what the other end's process has been given of it.
+type attentive interface {
+	// PeerRead tells whether that was all, when the peer ended the connection or its own direction of it.
+	PeerRead() bool
+}
+
+// readByPeer tells whether a connection's peer is known to have read all that was written before it ended the connection.
+func readByPeer(c netio.Conn) bool {
+	a, ok := c.(attentive)
+	return ok && a.PeerRead()
+}
+
 // neighbours finds sidecars by the address that they speak from.
 type neighbours []netip.Addr
 
