--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -199,6 +199,9 @@
 // Clock does nothing: scripts for real processes are read without it.
 func (l loopback) Clock(int, float64) {}
 
+// LateConnects does nothing: scripts for real processes are read without it.
+func (l loopback) LateConnects(string, float64, float64) {}
+
 // Begin begins a sidecar that has stood by; the application beside it follows once it listens.
 func (l loopback) Begin(sidecar int) {
 	if sidecar >= len(l.p.sidecars) || !l.p.sidecars[sidecar].waits {
--- a/internal/lab/troupe/troupe.go
+++ b/internal/lab/troupe/troupe.go
@@ -114,8 +114,8 @@
 		lot := world.DrawScript(&part)
 		world.DrawPeerTroubles(&part, &lot)
 		for _, t := range lot.Troubles {
-			// Discovery moves a few times a day at the most, and real processes share the machine's clock.
-			if t.AtS += from; t.Kind != world.Reload && t.Kind != world.Clock {
+			// Discovery moves a few times a day at the most.
+			if t.AtS += from; t.Kind != world.Reload && t.Simulated() == "" {
 				t.ForS = min(t.ForS, from+part.LengthS-t.AtS)
 				if len(s.Jobs) > 0 && t.State == world.Torn && int(t.AtS*1000)%2 == 0 {
 					t.State = world.Old
--- a/internal/netio/virtual/dial.go
+++ b/internal/netio/virtual/dial.go
@@ -80,7 +80,7 @@
 	s := &Conn{w: w, p: l.owner, machine: m, peer: c, id: c.id, local: d.to, remote: c.local, listen: l,
 		window: l.owner.opt.ReceiveBuffer, lastAt: w.now}
 	c.peer = s
-	w.schedule(w.travel(m, d.p.machine, 0), event{kind: doSynAck, dial: d, conn: s})
+	w.schedule(w.travel(m, d.p.machine, 0)+m.late(), event{kind: doSynAck, dial: d, conn: s})
 }
 
 // synAckArrives takes the answer: the connection is up.
--- a/internal/netio/virtual/machine.go
+++ b/internal/netio/virtual/machine.go
@@ -26,7 +26,9 @@
 	down      bool
 	listeners map[uint16]*listener // looked up, never walked
 	processes []*Process
-	port      uint16 // that was given to a dial last
+	port      uint16  // that was given to a dial last
+	lateShare float64 // of the connections that come up late
+	lateS     float64 // by so much at most
 }
 
 // Machine returns the machine of an address, a new one where there is none.
@@ -54,6 +56,18 @@
 // Down tells whether the machine has vanished.
 func (m *Machine) Down() bool { return m.down }
 
+// LateConnects has a share of the connections that are dialed to the machine come up late, by up to so many seconds; a share of 0 ends
+// that.
+func (m *Machine) LateConnects(share, mostS float64) { m.lateShare, m.lateS = share, mostS }
+
+// late returns by how much a connection that is dialed now comes up late.
+func (m *Machine) late() float64 {
+	if m.lateShare == 0 || m.w.rand.Float64() >= m.lateShare {
+		return 0
+	}
+	return m.lateS * m.w.rand.Float64()
+}
+
 // SetPath says how packets travel from one machine to another. The way back is another path.
 func (w *World) SetPath(from, to *Machine, p Path) { w.paths[from.number][to.number] = p }
 
--- a/internal/sim/ground.go
+++ b/internal/sim/ground.go
@@ -261,6 +261,11 @@
 	}
 }
 
+// LateConnects has connections to a machine come up late.
+func (d *day) LateConnects(ip string, share, mostS float64) {
+	d.net.Machine(ip).LateConnects(share, mostS)
+}
+
 // Reset breaks all connections between two machines.
 func (d *day) Reset(a, b string) {
 	far := d.net.Machine(b)
--- a/internal/sim/troubles_test.go
+++ b/internal/sim/troubles_test.go
@@ -1,11 +1,13 @@
 package sim
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"hazelwheel/internal/judge"
 	"hazelwheel/internal/world"
 )
 
@@ -70,3 +72,83 @@
 	require.NoError(t, err)
 	assert.Empty(t, r.Findings)
 }
+
+// tally counts what a day's judge is told.
+type tally struct {
+	kinds     map[judge.Kind]int
+	early     int // clients that have left before their time was over
+	byBoxes   int // connections that boxes have closed
+	leftOut   int // boxes that a list has left out while they drained
+	drains    map[int32]bool
+	notInTime int // connections that were not up in time
+}
+
+func (c *tally) See(e judge.Event) {
+	c.kinds[e.Kind]++
+	switch {
+	case e.Kind == judge.Left && e.At < e.Until:
+		c.early++
+	case e.Kind == judge.LinkClosed && e.ByBox:
+		c.byBoxes++
+	case e.Kind == judge.Listed:
+		c.drains[e.Box] = e.Status == judge.Draining
+	case e.Kind == judge.Told && e.Status == judge.Deleted && c.drains[e.Box]:
+		c.leftOut++
+	}
+}
+
+// Each trouble of connections, watches and clients does what its word says, breaks no rule, and without it that does not come.
+func TestConnectionTroubles(t *testing.T) {
+	const seed, at = 3, 6.0
+	o := Options{Together: TogetherNever}
+	d := world.Draw(seed, o.Ranges())
+	var boxes []string
+	for _, b := range d.Boxes[:d.Standing] {
+		boxes = append(boxes, b.Name)
+	}
+	for _, c := range []struct {
+		name   string
+		with   world.Trouble
+		beside []world.Trouble
+		does   func(c *tally) bool
+	}{
+		{"silent-watch", world.Trouble{Kind: world.SilentWatch, AtS: at}, nil, func(c *tally) bool {
+			return c.kinds[judge.WatchSilent] == len(d.Sidecars) && c.kinds[judge.WatchUp] == 2*len(d.Sidecars)
+		}},
+		{"watch-reset", world.Trouble{Kind: world.WatchReset, AtS: at}, nil, func(c *tally) bool {
+			return c.kinds[judge.WatchEnded] == len(d.Sidecars) && c.kinds[judge.WatchUp] == 2*len(d.Sidecars)
+		}},
+		{"whole-list", world.Trouble{Kind: world.WholeList, AtS: at, ForS: 10},
+			[]world.Trouble{{Kind: world.Shrink, AtS: at, DrainS: 14, Boxes: boxes[:2]}, {Kind: world.WatchReset, AtS: at + 4}}, func(c *tally) bool {
+				return c.leftOut == 2*len(d.Sidecars)
+			}},
+		{"clients-leave", world.Trouble{Kind: world.ClientsLeave, AtS: at, ForS: 10, Sidecars: []int{0, 1}, Share: 0.5}, nil, func(c *tally) bool {
+			return c.early > 10 && c.kinds[judge.HalfClosed] > 5
+		}},
+		{"late-connect", world.Trouble{Kind: world.LateConnect, AtS: at, ForS: 10, Boxes: boxes, Share: 0.5, LagS: 1.5},
+			[]world.Trouble{{Kind: world.EarlyClose, AtS: at, ForS: 10, Boxes: boxes, Share: 0.2}}, func(c *tally) bool { return c.notInTime > 10 }},
+		{"early-close", world.Trouble{Kind: world.EarlyClose, AtS: at, ForS: 10, Boxes: boxes, Share: 0.2}, nil, func(c *tally) bool { return c.byBoxes > 100 }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for _, on := range []bool{true, false} {
+				s := world.Script{Seed: seed, LengthS: 20, Troubles: c.beside}
+				if on {
+					s.Troubles = append([]world.Trouble{c.with}, c.beside...)
+				}
+				seen := &tally{kinds: map[judge.Kind]int{}, drains: map[int32]bool{}}
+				o := o
+				o.Watch = seen
+				o.Trace = func(_ float64, line string) {
+					if strings.Contains(line, " not up ") {
+						seen.notInTime++
+					}
+				}
+				r, err := Play(s, o)
+				require.NoError(t, err)
+				assert.Empty(t, r.Findings)
+				assert.Equal(t, on, c.does(seen), "%+v", seen)
+			}
+		})
+	}
+}
--- a/internal/world/box.go
+++ b/internal/world/box.go
@@ -38,6 +38,9 @@
 	Spoilt  float64 // nobody can read the answer to its end
 	Behind  float64 // bytes come behind it
 	Interim float64 // 1xx answers come in front
+	// EarlyClose is the share of the times that a connection is at rest in which the box closes it soon, and of those that end with
+	// a request in which it closes it on that.
+	EarlyClose float64
 }
 
 // NewBox returns a box of a day that has never run.
@@ -91,6 +94,7 @@
 	open     int
 	first    *boxLink // of the idle ones, the one that has been idle for longest
 	last     *boxLink
+	early    agenda[earlyClose]
 	reports  loadReports
 	probes   int // since probesAt
 	probesAt float64
@@ -98,6 +102,12 @@
 	armed    float64
 }
 
+// earlyClose is a connection that is to be closed if it is still at rest as it was.
+type earlyClose struct {
+	link   *boxLink
+	idleAt float64
+}
+
 // boxLink is a connection from a sidecar.
 type boxLink struct {
 	conn       netio.Conn
@@ -237,8 +247,14 @@
 		l.first = k
 	}
 	l.last = k
+	if m := &l.Manners; m.EarlyClose > 0 && k.used && l.rng.Float64() < m.EarlyClose {
+		l.early.put(k.idleAt+mostEarlyS*l.rng.Float64(), earlyClose{k, k.idleAt})
+	}
 }
 
+// mostEarlyS is how long a box that closes connections early lets them rest at most.
+const mostEarlyS = 1.0
+
 func (l *life) unrest(k *boxLink) {
 	if !k.idle {
 		return
@@ -262,6 +278,11 @@
 	if !ok || k.spent {
 		return
 	}
+	if m := &l.Manners; m.EarlyClose > 0 && k.idle && k.used && l.rng.Float64() < m.EarlyClose {
+		l.net.Close(c) // as the request comes: it is not read
+		l.arm()
+		return
+	}
 	if k.firstAt == 0 {
 		k.firstAt = sentAt(c, l.net.Now())
 	}
@@ -504,12 +525,21 @@
 		l.unrest(k)
 		l.net.Close(k.conn)
 	}
+	for {
+		e, _, ok := l.early.take(now)
+		if !ok {
+			break
+		}
+		if k := e.link; k.conn != nil && k.idle && k.idleAt == e.idleAt {
+			l.net.Close(k.conn)
+		}
+	}
 	l.arm()
 }
 
 // arm asks for the next alarm.
 func (l *life) arm() {
-	at := min(l.engine.Due(), l.reports.next)
+	at := min(l.engine.Due(), l.reports.next, l.early.next())
 	if l.first != nil {
 		at = min(at, l.first.idleAt+l.Spec.IdleS)
 	}
--- a/internal/world/ground.go
+++ b/internal/world/ground.go
@@ -24,6 +24,9 @@
 	// Cut loses what is sent from one machine to another, in this direction alone, until Mend. Connections stay.
 	Cut(from, to string)
 	Mend(from, to string)
+	// LateConnects has a share of the connections that are dialed to a machine come up late, by up to so many seconds; a share of 0
+	// ends that.
+	LateConnects(ip string, share, mostS float64)
 	// Reset breaks all connections between two machines.
 	Reset(a, b string)
 	// PeersCut loses what one sidecar sends to another, in this direction alone, or ends that; PeersHold has it wait.
--- a/internal/world/player.go
+++ b/internal/world/player.go
@@ -16,6 +16,7 @@
 	witness judge.Witness
 	steps   agenda[func(now float64)]
 	taken   []bool // by box: it is to be brought in
+	late    []int  // by box: troubles that have connections to it come up late
 	hung    []int  // by box: troubles that hold it
 	slow    []int  // by application: troubles that slow it
 	gone    []bool // by sidecar: its next process has been arranged, or there is none to come
@@ -39,7 +40,7 @@
 // NewPlayer returns a player that has played nothing. A script that names what the day has not is an error.
 func NewPlayer(w *World, s *Script, g Ground, witness judge.Witness) (*Player, error) {
 	p := &Player{w: w, ground: g, witness: witness, hung: make([]int, len(w.Boxes)), slow: make([]int, len(w.Apps)),
-		gone: make([]bool, len(w.Apps)), taken: make([]bool, len(w.Boxes)),
+		gone: make([]bool, len(w.Apps)), taken: make([]bool, len(w.Boxes)), late: make([]int, len(w.Boxes)),
 		frozen: make([]bool, len(w.Apps)), ending: make([]bool, len(w.Apps)), full: make([]int, len(w.Apps)), clocks: make([]int, len(w.Apps)),
 		peers: map[peerWay]int{}, rates: map[peerWay][]float64{}}
 	if i, field, why := s.fault(w.Day); field != "" {
@@ -138,7 +139,9 @@
 		p.oneWay(boxes, t, now)
 	case SlowReader:
 		p.slowReaders(t, now)
-	case Spoilt, Behind, Interim:
+	case LateConnect:
+		p.connectLate(boxes, t, now)
+	case Spoilt, Behind, Interim, EarlyClose:
 		for _, b := range boxes {
 			share := b.Manners.share(t.Kind)
 			*share += t.Share
@@ -229,6 +232,20 @@
 	}
 }
 
+// connectLate has connections to boxes come up late, at the machines where they are now.
+func (p *Player) connectLate(boxes []*Box, t *Trouble, now float64) {
+	for _, b := range boxes {
+		ip := b.machine()
+		p.counted(p.late, b.Spec.Number, t, now, func(_ int, on bool) {
+			if on {
+				p.ground.LateConnects(ip, t.Share, t.LagS)
+			} else {
+				p.ground.LateConnects(ip, 0, 0)
+			}
+		})
+	}
+}
+
 // terminate tells a sidecar's process to end, and its clients so.
 func (p *Player) terminate(sidecar int, now float64) {
 	p.sidecar(judge.SidecarTermed, sidecar, now)
@@ -260,7 +277,7 @@
 	}
 }
 
-// counted has something befall a sidecar until the trouble is over. Of those that overlap the last one to end ends it.
+// counted has something befall a sidecar or a box until the trouble is over. Of those that overlap the last one to end ends it.
 func (p *Player) counted(all []int, sidecar int, t *Trouble, now float64, befall func(sidecar int, on bool)) {
 	all[sidecar]++
 	befall(sidecar, true)
@@ -386,6 +403,8 @@
 		return &m.Spoilt
 	case Behind:
 		return &m.Behind
+	case EarlyClose:
+		return &m.EarlyClose
 	default:
 		return &m.Interim
 	}
--- a/internal/world/script.go
+++ b/internal/world/script.go
@@ -37,6 +37,8 @@
 	ClientsLeave = "clients-leave" // clients close connections while their requests wait or are out
 	SilentWatch  = "silent-watch"  // all open watches say nothing more; new ones do
 	WatchReset   = "watch-reset"   // all connections to discovery are reset
+	LateConnect  = "late-connect"  // connections to boxes come up late, or not in time
+	EarlyClose   = "early-close"   // boxes close connections at rest early, some just as they are used again
 	WholeList    = "whole-list"    // a watch begins with the whole list, which leaves out what drains
 )
 
@@ -173,6 +175,14 @@
 	{ClientsLeave, []string{"for_s", "sidecars", "share"}, nil, func(t *Trouble, d *Day, rng *rand.Rand) {
 		t.ForS, t.Share, t.Sidecars = between(rng, 3, 15), between(rng, 0.05, 0.5), d.someSidecars(rng)
 	}},
+	{LateConnect, []string{"for_s", "boxes", "share", "lag_s"}, nil, func(t *Trouble, d *Day, rng *rand.Rand) {
+		someBoxes(0.2, 1, 5, 20)(t, d, rng)
+		t.Share, t.LagS = between(rng, 0.02, 0.4), between(rng, 0.1, 1.5)
+	}},
+	{EarlyClose, []string{"for_s", "boxes", "share"}, nil, func(t *Trouble, d *Day, rng *rand.Rand) {
+		someBoxes(0.1, 1, 5, 20)(t, d, rng)
+		t.Share = between(rng, 0.01, 0.2)
+	}},
 	{SilentWatch, nil, nil, func(*Trouble, *Day, *rand.Rand) {}},
 	{WatchReset, nil, nil, func(*Trouble, *Day, *rand.Rand) {}},
 	{WholeList, []string{"for_s"}, nil, func(t *Trouble, _ *Day, rng *rand.Rand) { t.ForS = between(rng, 5, 25) }},
@@ -196,6 +206,8 @@
 		return []Trouble{drains, {Kind: WatchReset, AtS: drains.AtS + between(rng, 0, 6)}}
 	case ClientsLeave: // attempts that get no answer are followed by others, and clients leave meanwhile
 		return []Trouble{{Kind: Hang, AtS: t.AtS, ForS: t.ForS, Boxes: d.pick(rng, 0.1, 0.4)}}
+	case LateConnect: // connections that are there last, so that few are dialed
+		return []Trouble{{Kind: EarlyClose, AtS: t.AtS, ForS: t.ForS, Boxes: t.Boxes, Share: between(rng, 0.05, 0.3)}}
 	}
 	return nil
 }
--- a/internal/world/script_test.go
+++ b/internal/world/script_test.go
@@ -59,6 +59,8 @@
 		{"[[trouble]]\nkind = \"peer-slow\"\nat_s = 5.0\nfor_s = 1.0\nfrom = [0]\n", "x.toml:1:3: per_s: missing; peer-slow needs it"},
 		{"[[trouble]]\nkind = \"peer-slow\"\nat_s = 5.0\nfor_s = 1.0\nfrom = [0]\nper_s = 2e6\n", "x.toml:6:1: per_s: not between 0 and 1e+06"},
 		{"[[trouble]]\nkind = \"disk-full\"\nat_s = 5.0\nfor_s = 1.0\nsidecars = [0]\nstate = \"lost\"\n", "x.toml:6:1: state: disk-full has no such field"},
+		{"[[trouble]]\nkind = \"silent-watch\"\nat_s = 5.0\nfor_s = 1.0\n", "x.toml:4:1: for_s: silent-watch has no such field"},
+		{"[[trouble]]\nkind = \"clients-leave\"\nat_s = 5.0\nfor_s = 1.0\nsidecars = [0]\n", "x.toml:1:3: share: missing; clients-leave needs it"},
 		{"[[trouble]]\nkind = \"clock\"\nat_s = 5.0\nfor_s = 1.0\nsidecars = [0]\nrate = 1.06\n", "x.toml:6:1: rate: not between 0.95 and 1.05"},
 		{"[[trouble]]\nkind = \"grow\"\nat_s = 5.0\nby = 0\n", "x.toml:4:1: by: empty"},
 		{"[[trouble]]\nkind = \"grow\"\nat_s = 5.0\nby = 9\n", "x.toml:4:1: by: the day has "},
@@ -74,6 +76,8 @@
 
 // What real processes can't play their reader refuses, and no other.
 func TestRealScripts(t *testing.T) {
+	d := Draw(1, Usual())
+	box := d.Boxes[0].Name
 	text := "seed = 1\n\n[[trouble]]\nkind = \"shrink\"\nat_s = 5.0\nby = 1\n"
 	s, err := ReadRealScript("x.toml", []byte(text), Usual())
 	require.NoError(t, err)
@@ -81,6 +85,11 @@
 	text += "\n[[trouble]]\nkind = \"clock\"\nat_s = 5.0\nfor_s = 9.0\nsidecars = [0]\nrate = 0.97\n"
 	_, err = ReadRealScript("x.toml", []byte(text), Usual())
 	assert.EqualError(t, err, "x.toml:9:1: kind: clock is played in simulated time alone: real processes share the machine's clock")
+	text = "seed = 1\n\n[[trouble]]\nkind = \"late-connect\"\nat_s = 5.0\nfor_s = 1.0\nboxes = [\"" + box + "\"]\nshare = 0.5\nlag_s = 1.0\n"
+	_, err = ReadScript("x.toml", []byte(text), Usual())
+	require.NoError(t, err)
+	_, err = ReadRealScript("x.toml", []byte(text), Usual())
+	assert.EqualError(t, err, "x.toml:4:1: kind: late-connect is played in simulated time alone: the machine's connections to itself come up at once")
 	_, err = ReadScript("x.toml", []byte(text), Usual())
 	assert.NoError(t, err)
 }
--- a/internal/world/scriptfile.go
+++ b/internal/world/scriptfile.go
@@ -46,21 +46,33 @@
 	return s, nil
 }
 
-// ReadRealScript reads a script for real processes, whose clocks nobody can change.
+// Simulated returns why a trouble is played in simulated time alone; empty: it is played with real processes, too.
+func (t *Trouble) Simulated() string {
+	switch t.Kind {
+	case Clock:
+		return "real processes share the machine's clock"
+	case LateConnect:
+		return "the machine's connections to itself come up at once"
+	}
+	return ""
+}
+
+// ReadRealScript reads a script for real processes. What is played in simulated time alone is an error.
 func ReadRealScript(file string, text []byte, r Ranges) (*Script, error) {
 	s, err := ReadScript(file, text, r)
 	if err != nil {
 		return nil, err
 	}
 	for i := range s.Troubles {
-		if s.Troubles[i].Kind != Clock {
+		why := s.Troubles[i].Simulated()
+		if why == "" {
 			continue
 		}
 		read, err := tomlfile.Read(file, text, &Script{})
 		if err != nil {
 			return nil, err
 		}
-		e := read.Fault(trouble(i)+"kind", Clock+" is played in simulated time alone: real processes share the machine's clock")
+		e := read.Fault(trouble(i)+"kind", s.Troubles[i].Kind+" is played in simulated time alone: "+why)
 		e.Field = "kind"
 		return nil, e
 	}
