--- a/internal/sim/trace.go
+++ b/internal/sim/trace.go
@@ -89,13 +89,13 @@
 
 var kindNames = map[judge.Kind]string{
 	judge.Asked: "asked", judge.Taken: "taken", judge.Answered: "answered", judge.Broken: "broken", judge.Dropped: "dropped",
-	judge.Left: "left", judge.Unreached: "unreached", judge.Stray: "stray", judge.Hostile: "hostile",
+	judge.Left: "left", judge.Unreached: "unreached", judge.Stray: "stray", judge.Hostile: "hostile", judge.HalfClosed: "half closed",
 	judge.SidecarFrozen: "stands still", judge.SidecarThawed: "goes on", judge.FleetWrong: "fleet wrong",
 	judge.HostileAnswered: "hostile answered", judge.HostileEnded: "hostile ended",
 	judge.BoxStarted: "box started", judge.BoxEnded: "box ended", judge.BoxFell: "box fell", judge.Execution: "execution",
 	judge.Replied: "replied", judge.LinkOpened: "link opened", judge.LinkClosed: "link closed", judge.Probed: "probed",
 	judge.Listed: "listed", judge.Told: "told", judge.Fed: "fed", judge.Called: "called", judge.CallFailed: "call failed", judge.WatchUp: "watch up",
-	judge.WatchEnded: "watch ended", judge.DiscoveryDown: "discovery down", judge.DiscoveryUp: "discovery up",
+	judge.WatchEnded: "watch ended", judge.WatchSilent: "watch silent", judge.LineFormed: "line formed", judge.LineGone: "line gone", judge.DiscoveryDown: "discovery down", judge.DiscoveryUp: "discovery up",
 	judge.SidecarStarted: "sidecar started", judge.SidecarKilled: "sidecar killed", judge.SidecarTermed: "sidecar termed",
 	judge.SidecarEnded: "sidecar ended", judge.SidecarPanicked: "sidecar panicked", judge.Reloaded: "reloaded",
 	judge.TakenOut: "taken out", judge.GivenBack: "given back",
