--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -19,7 +19,7 @@
 			{Name: "keyed", Effect: Keyed, Group: GroupZone, WindowS: 12, AimS: 1, Worth: 10},
 			{Name: "unsafe", Effect: Unsafe, AimS: 1, Worth: 5}},
 		Sidecars: 2, Sites: []int32{0, 1}, Sockets: 256, AnswerSlackS: 0.02, SocketSlackS: 0.05, TermGraceS: 0.7, DrainGraceS: 0.75,
-		AskWithinS: 10, ToldWithinS: 6, ReloadToldS: 4, FallS: 1, ColdShare: 2.0 / 3, AtOnceS: 0.25, MostAttempts: 3,
+		AskWithinS: 10, ToldWithinS: 6, FleetCallsS: 2, ReloadToldS: 4, FallS: 1, ColdShare: 2.0 / 3, AtOnceS: 0.25, MostAttempts: 3,
 	}
 }
 
@@ -108,6 +108,9 @@
 		{"closed without an answer, though sent on", OneAnswer,
 			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).drop(1.2, 9, true),
 			newTale().ask(1, 9, safe).drop(1.2, 9, true)},
+		{"read, and closed without an answer", OneAnswer,
+			newTale().ask(1, 9, safe).add(Event{Kind: Dropped, At: 1.2, Request: 9, Reused: true, Read: true}),
+			newTale().ask(1, 9, safe).add(Event{Kind: Dropped, At: 1.2, Request: 9, Reused: true})},
 		{"closed twice", OneAnswer,
 			newTale().ask(1, 9, safe).drop(1.2, 9, true).add(Event{Kind: Taken, At: 1.3, Request: 9, Until: 4}).drop(1.4, 9, false),
 			newTale().ask(1, 9, safe).drop(1.2, 9, true).add(Event{Kind: Taken, At: 1.3, Request: 9, Until: 4}).answer(1.4, 9, 500)},
@@ -123,9 +126,21 @@
 		{"sent on after its answer", OneAnswer,
 			newTale().ask(1, 9, safe).answer(1.2, 9, 500).run(1.3, 9, 0, 1),
 			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).hangUp(1.15, 0, 1).answer(1.2, 9, 500)},
-		{"sent on after its client went", OneAnswer,
+		{"sent on after its client went", GoneClient,
 			newTale().ask(1, 9, safe).add(Event{Kind: Left, At: 1.5, Request: 9}).run(1.6, 9, 0, 1),
 			newTale().ask(1, 9, safe).add(Event{Kind: Left, At: 1.5, Request: 9}).run(1.54, 9, 0, 1)},
+		{"sent on after its connection was closed", OneAnswer,
+			newTale().ask(1, 9, safe).drop(1.5, 9, false).run(1.6, 9, 0, 1),
+			newTale().ask(1, 9, safe).drop(1.5, 9, false).run(1.54, 9, 0, 1)},
+		{"sent on again for a client that has gone", GoneClient,
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).add(Event{Kind: Left, At: 1.5, Request: 9}).hangUp(1.55, 0, 1).run(1.56, 9, 1, 2),
+			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).add(Event{Kind: Left, At: 1.5, Request: 9}).hangUp(1.52, 0, 1).run(1.53, 9, 1, 2)},
+		{"half a close is none; the whole one counts", GoneClient,
+			newTale().ask(1, 9, safe).add(Event{Kind: HalfClosed, At: 1.5, Request: 9}, Event{Kind: Left, At: 2, Request: 9}).run(2.2, 9, 0, 1),
+			newTale().ask(1, 9, safe).add(Event{Kind: HalfClosed, At: 1.5, Request: 9}).run(2.2, 9, 0, 1)},
+		{"half a close owes no answer; two are too many", OneAnswer,
+			newTale().ask(1, 9, unsafe).add(Event{Kind: HalfClosed, At: 1.1, Request: 9}).answer(1.2, 9, 500).answer(1.3, 9, 500),
+			newTale().ask(1, 9, unsafe).run(1.05, 9, 0, 1).add(Event{Kind: HalfClosed, At: 1.1, Request: 9}).hangUp(1.1, 0, 1).drop(1.2, 9, false)},
 		{"part of an answer that was whole", OneAnswer,
 			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).reply(1.2, 9, 0, 1, 200).add(Event{Kind: Broken, At: 1.3, Request: 9}),
 			newTale().ask(1, 9, safe).run(1.1, 9, 0, 1).add(Event{Kind: Replied, At: 1.2, Request: 9, Link: 1, Spoilt: true}, Event{Kind: Broken, At: 1.3, Request: 9})},
@@ -185,6 +200,28 @@
 				ask(11.5, 9, safe).run(11.82, 9, 0, 1),
 			newTale().add(Event{Kind: WatchEnded, At: 0.5}, Event{Kind: Called, At: 0.6}, Event{Kind: CallFailed, At: 0.7}, Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}, alive(DiscoveryDown, 2, 0)).
 				ask(11.5, 9, safe).run(11.82, 9, 0, 1)},
+		{"who has called in vain counts as told once discovery could be reached", SafeDrain,
+			newTale().add(Event{Kind: WatchEnded, At: 0.5}, Event{Kind: Called, At: 0.6}, Event{Kind: CallFailed, At: 0.7}, Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}).
+				ask(7.5, 9, safe).run(7.82, 9, 0, 1).add(alive(WatchUp, 20, 0)),
+			newTale().add(Event{Kind: WatchEnded, At: 0.5}, Event{Kind: Called, At: 0.6}, Event{Kind: CallFailed, At: 0.7}, Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}).
+				ask(7.5, 9, safe).run(7.78, 9, 0, 1).add(alive(WatchUp, 20, 0))},
+		{"not before discovery is back, whatever was asked meanwhile", SafeDrain,
+			newTale().add(Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}, alive(DiscoveryDown, 1.1, 0), Event{Kind: WatchEnded, At: 1.1},
+				Event{Kind: Called, At: 5}, Event{Kind: CallFailed, At: 5}, alive(DiscoveryUp, 9, 0), Event{Kind: Called, At: 15}).ask(15, 9, safe).run(15.82, 9, 0, 1).add(alive(WatchUp, 20, 0)),
+			newTale().add(Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"}, alive(DiscoveryDown, 1.1, 0), Event{Kind: WatchEnded, At: 1.1},
+				Event{Kind: Called, At: 5}, Event{Kind: CallFailed, At: 5}, alive(DiscoveryUp, 9, 0), Event{Kind: Called, At: 15}).ask(15, 9, safe).run(15.78, 9, 0, 1).add(alive(WatchUp, 20, 0))},
+		{"a line at discovery excuses as long as a call of each sidecar takes", SafeDrain,
+			newTale().add(Event{Kind: WatchEnded, At: 0.5}, Event{Kind: Called, At: 0.6}, Event{Kind: CallFailed, At: 0.7}, Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"},
+				alive(LineFormed, 2, 0), alive(LineGone, 5, 0)).ask(8.5, 9, safe).run(9.82, 9, 0, 1).add(alive(WatchUp, 20, 0)),
+			newTale().add(Event{Kind: WatchEnded, At: 0.5}, Event{Kind: Called, At: 0.6}, Event{Kind: CallFailed, At: 0.7}, Event{Kind: Listed, At: 1, Status: Deleted, Address: "a"},
+				alive(LineFormed, 2, 0), alive(LineGone, 5, 0)).ask(8.5, 9, safe).run(9.78, 9, 0, 1).add(alive(WatchUp, 20, 0))},
+		{"what a silent watch misses counts as told 6 s after it fell silent", SafeDrain,
+			newTale().add(Event{Kind: WatchSilent, At: 1}, Event{Kind: Listed, At: 3, Status: Deleted, Address: "a"}).ask(7.5, 9, safe).run(7.82, 9, 0, 1).add(alive(WatchUp, 20, 0)),
+			newTale().add(Event{Kind: WatchSilent, At: 1}, Event{Kind: Listed, At: 3, Status: Deleted, Address: "a"}).ask(7.5, 9, safe).run(7.78, 9, 0, 1).add(alive(WatchUp, 20, 0))},
+		{"and at once what is made later than that, also when its sidecar has ended it", SafeDrain,
+			newTale().add(Event{Kind: WatchSilent, At: 1}, Event{Kind: WatchEnded, At: 8}, Event{Kind: Listed, At: 9, Status: Deleted, Address: "a"}).ask(9, 9, safe).run(9.82, 9, 0, 1).add(alive(WatchUp, 20, 0)),
+			newTale().add(Event{Kind: WatchSilent, At: 1}, Event{Kind: WatchEnded, At: 4}, Event{Kind: WatchUp, At: 5, Link: 2}, Event{Kind: Listed, At: 9, Status: Deleted, Address: "a"}).
+				ask(9, 9, safe).run(9.82, 9, 0, 1).add(alive(WatchUp, 20, 0))},
 		{"the old address of a box that is gone; a new box there is told", SafeDrain,
 			newTale().tell(1, 0, Deleted).add(Event{Kind: BoxStarted, At: 2, Sidecar: -1, Box: 5, Address: "a", Since: 2}).ask(3, 9, safe).run(3.1, 9, 5, 1),
 			newTale().tell(1, 0, Deleted).add(Event{Kind: BoxStarted, At: 2, Sidecar: -1, Box: 5, Address: "a", Since: 2},
@@ -211,6 +248,9 @@
 		{"a list that is asked for no more", ListAsked,
 			newTale().add(alive(WatchEnded, 985, 0)),
 			newTale().add(alive(WatchEnded, 985, 0), alive(Called, 992, 0))},
+		{"a silent watch that is kept", ListAsked,
+			newTale().add(Event{Kind: WatchSilent, At: 990}),
+			newTale().add(Event{Kind: WatchSilent, At: 990}, Event{Kind: WatchUp, At: 995, Link: 2})},
 		{"after a call that failed there is four times as long", ListAsked,
 			newTale().add(alive(WatchEnded, 900, 0), alive(Called, 920, 0), alive(CallFailed, 921, 0)),
 			newTale().add(alive(WatchEnded, 900, 0), alive(Called, 965, 0), alive(CallFailed, 966, 0))},
@@ -284,6 +324,7 @@
 // On days that are held to be calm what runs out of time is lost, too, and so is a first request that is hung up on.
 func TestCalmDays(t *testing.T) {
 	out := newTale().ask(1, 9, safe).add(Event{Kind: Left, At: 4, Request: 9})
+	late := newTale().ask(1, 9, safe).add(Event{Kind: Left, At: 5.1, Request: 9})
 	early := newTale().ask(1, 9, safe).add(Event{Kind: Left, At: 3.9, Request: 9})
 	hungUp := newTale().ask(1, 9, safe).drop(1.2, 9, false)
 	strict := rules()
@@ -292,7 +333,7 @@
 		tale  *tale
 		rules Rules
 		want  int
-	}{{out, rules(), 0}, {out, strict, 1}, {early, strict, 0}, {hungUp, rules(), 0}, {hungUp, strict, 1}} {
+	}{{out, rules(), 0}, {out, strict, 1}, {late, rules(), 1}, {early, strict, 0}, {hungUp, rules(), 0}, {hungUp, strict, 1}} {
 		j := New(c.rules)
 		for _, e := range c.tale.events {
 			j.See(e)
