--- a/cmd/hazelwheel/backend_test.go
+++ b/cmd/hazelwheel/backend_test.go
@@ -115,8 +115,11 @@
 				_, err := conn.answer()
 				require.NoError(t, err)
 				time.Sleep(20 * time.Millisecond) // the connection has settled and would be used again
-				w.signal(syscall.SIGSTOP)
+				w.hold()
 				ends(s.connections()[0])
+				if name != "answered again" { // it may take the system some time
+					w.eventually("it is over", func() bool { return !s.isIn(t, established) })
+				}
 				id := newID()
 				conn.send(text(class, id, 8*time.Second, ""))
 				w.signal(syscall.SIGCONT)
--- a/cmd/hazelwheel/crossing_test.go
+++ b/cmd/hazelwheel/crossing_test.go
@@ -147,6 +147,27 @@
 	return append([]*net.TCPConn(nil), b.open...)
 }
 
+// The states of a connection as the system counts them.
+const (
+	established = "01"
+	synSent     = "02"
+)
+
+// isIn tells whether a connection to the backend is in a state, as the system of the one who dialed it sees it.
+func (b *backend) isIn(t *testing.T, state string) bool {
+	raw, err := os.ReadFile("/proc/net/tcp")
+	require.NoError(t, err)
+	number, err := strconv.Atoi(b.address[strings.LastIndex(b.address, ":")+1:])
+	require.NoError(t, err)
+	remote := fmt.Sprintf(":%04X", number)
+	for line := range strings.Lines(string(raw)) {
+		if fields := strings.Fields(line); len(fields) > 3 && strings.HasSuffix(fields[2], remote) && fields[3] == state {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *backend) set(script script) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -309,6 +330,16 @@
 	}
 }
 
+// hold has the program stand still, and returns once it does.
+func (w *world) hold() {
+	w.Helper()
+	w.signal(syscall.SIGSTOP)
+	w.eventually("it stands still", func() bool {
+		status, err := readStatus(w.cmd.Process.Pid)
+		return err == nil && strings.Contains(status, "State:\tT")
+	})
+}
+
 // ended waits for the program's end by itself and returns how long after a time it came.
 func (w *world) ended(since time.Time) time.Duration {
 	w.Helper()
--- a/cmd/hazelwheel/deadline_test.go
+++ b/cmd/hazelwheel/deadline_test.go
@@ -51,7 +51,7 @@
 			id, all := ask("body")
 			began := time.Now()
 			w.dial(0).send(all)
-			w.eventually("the dial", func() bool { return w.counter("dials") == 1 })
+			w.eventually("the dial", func() bool { return s.isIn(w.T, synSent) })
 			waited := time.Since(began)
 			s.comeUp(w.T) // the kernel tries again after a second
 			return id, waited
@@ -61,7 +61,7 @@
 			conn.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
 			_, err := conn.answer()
 			require.NoError(w, err)
-			w.signal(syscall.SIGSTOP)
+			w.hold()
 			id, all := ask("body")
 			conn.send(all)
 			time.Sleep(500 * time.Millisecond) // it lies in the socket
@@ -225,6 +225,7 @@
 			conn.Close()
 		}
 		require.Len(t, errs.of(id), 1)
+		w.eventually("the dial", func() bool { return late.isIn(t, synSent) })
 		late.comeUp(t) // the kernel tries again a second after it began
 		_, err := conn.answer()
 		require.NoError(t, err)
@@ -244,8 +245,8 @@
 			id, conn := newID(), w.dial(0)
 			conn.send(text("write", id, timeout, ""))
 			began := time.Now()
-			w.eventually("the dial", func() bool { return w.counter("dials") == 1 })
-			w.signal(syscall.SIGSTOP)
+			w.eventually("the dial", func() bool { return s.isIn(t, synSent) })
+			w.hold()
 			s.comeUp(t)
 			w.eventually("it is up", func() bool { return len(s.connections()) == 2 }) // the first fills the queue
 			time.Sleep(time.Until(began.Add(timeout + 200*time.Millisecond)))
--- a/cmd/hazelwheel/gone_test.go
+++ b/cmd/hazelwheel/gone_test.go
@@ -86,7 +86,7 @@
 	w := newCrossing(t, nil, s)
 	id, conn := newID(), w.dial(0)
 	conn.send(text("write", id, 8*time.Second, "body"))
-	w.eventually("the dial", func() bool { return w.counter("dials") == 1 })
+	w.eventually("the dial", func() bool { return s.isIn(t, synSent) })
 	departs(w, conn)
 	seen(w)
 	s.comeUp(t)
@@ -123,7 +123,7 @@
 	conn.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
 	_, err := conn.answer()
 	require.NoError(t, err)
-	w.signal(syscall.SIGSTOP)
+	w.hold()
 	conn.send(text("write", id, 8*time.Second, "body"))
 	departs(w, conn)
 	time.Sleep(200 * time.Millisecond) // from 0.1 s on after the end no attempt may begin
--- a/cmd/hazelwheel/shutdown_test.go
+++ b/cmd/hazelwheel/shutdown_test.go
@@ -74,7 +74,7 @@
 			conn.send(all[:before])
 			switch {
 			case c.late:
-				w.eventually("the dial", func() bool { return w.counter("dials") == 1 })
+				w.eventually("the dial", func() bool { return s.isIn(t, synSent) })
 			case c.unlisted:
 				w.eventually("it is taken", func() bool { return w.counter("open") == 1 })
 			case c.before == 0:
@@ -265,7 +265,7 @@
 	w.signal(syscall.SIGTERM)
 	w.logs("msg=ending", 1)
 	time.Sleep(time.Until(said.Add(400 * time.Millisecond)))
-	w.signal(syscall.SIGSTOP)
+	w.hold()
 	var ids []string
 	var conns []*client
 	for range clients {
