Have lists that others pass on take the place of a silent watch

Need: a sidecar whose watch fell silent counted as told of each change as it was made until it had another watch; one that is given its list by others never has one, and hears of a change a little later than a watch would tell it.

Change: what is passed on ends the silence.

--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -238,6 +238,9 @@
 			return
 		}
 		p.index = max(p.index, e.Index)
+		if e.Kind == Fed { // others take the place of a watch that fell silent; what they pass on comes later than a watch would bring it
+			p.silentAt = 0
+		}
 		if e.Status == Serving {
 			*k = knowledge{status: Serving, at: e.At, since: e.Since, said: *e}
 		} else if k.status == Serving || k.status == 0 { // from the first word on it counts
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -222,6 +222,11 @@
 			newTale().add(Event{Kind: WatchSilent, At: 1}, Event{Kind: WatchEnded, At: 8}, Event{Kind: Listed, At: 9, Status: Deleted, Address: "a"}).ask(9, 9, safe).run(9.82, 9, 0, 1).add(alive(WatchUp, 20, 0)),
 			newTale().add(Event{Kind: WatchSilent, At: 1}, Event{Kind: WatchEnded, At: 4}, Event{Kind: WatchUp, At: 5, Link: 2}, Event{Kind: Listed, At: 9, Status: Deleted, Address: "a"}).
 				ask(9, 9, safe).run(9.82, 9, 0, 1).add(alive(WatchUp, 20, 0))},
+		{"what others pass on takes the place of a silent watch", SafeDrain,
+			newTale().add(Event{Kind: WatchSilent, At: 1}, Event{Kind: WatchEnded, At: 4}, Event{Kind: Listed, At: 9, Status: Deleted, Address: "a"}).
+				ask(9, 9, safe).run(10, 9, 0, 1).add(alive(WatchUp, 20, 0)),
+			newTale().add(Event{Kind: WatchSilent, At: 1}, Event{Kind: WatchEnded, At: 4}, passed(5, Serving, 7), Event{Kind: Listed, At: 9, Status: Deleted, Address: "a"}).
+				ask(9, 9, safe).run(10, 9, 0, 1).add(alive(WatchUp, 20, 0))},
 		{"the old address of a box that is gone; a new box there is told", SafeDrain,
 			newTale().tell(1, 0, Deleted).add(Event{Kind: BoxStarted, At: 2, Sidecar: -1, Box: 5, Address: "a", Since: 2}).ask(3, 9, safe).run(3.1, 9, 5, 1),
 			newTale().tell(1, 0, Deleted).add(Event{Kind: BoxStarted, At: 2, Sidecar: -1, Box: 5, Address: "a", Since: 2},
