--- a/internal/hostgroup/hostgroup.go
+++ b/internal/endpointset/endpointset.go
@@ -1,6 +1,6 @@
-// Package hostgroup keeps the list of servers as discovery tells it, and turns it into what the decisions
+// Package endpointset keeps the list of servers as discovery tells it, and turns it into what the decisions
 // read. It knows no sockets.
-package hostgroup
+package endpointset
 
 import (
 	"encoding/binary"
@@ -35,7 +35,7 @@
 }
 
 // ErrNoEndpoints is the fault of a whole list that does not say which servers there are.
-var ErrNoEndpoints = errors.New("host group: endpoints: missing in a whole list")
+var ErrNoEndpoints = errors.New("endpoint set: endpoints: missing in a whole list")
 
 // list is one object of discovery.
 type list struct {
@@ -68,8 +68,8 @@
 	SinceMS                           float64 `json:"since_ms"`
 }
 
-// Group is the list of servers.
-type Group struct {
+// Set is the list of servers.
+type Set struct {
 	byName map[string]*Host
 	byID   map[uint32]*Host
 	zones  numbers
@@ -95,9 +95,9 @@
 	return i
 }
 
-// New returns an empty group; zones and types are the settings' names.
-func New(zones, types []string) *Group {
-	g := &Group{byName: map[string]*Host{}, byID: map[uint32]*Host{}, zones: numbers{}, types: numbers{},
+// New returns an empty set; zones and types are the settings' names.
+func New(zones, types []string) *Set {
+	g := &Set{byName: map[string]*Host{}, byID: map[uint32]*Host{}, zones: numbers{}, types: numbers{},
 		bans: map[string]float64{}, agreed: map[string]float64{}, kept: map[string]bool{}}
 	for _, z := range zones {
 		g.zones.of(z)
@@ -109,19 +109,19 @@
 }
 
 // Index returns the version of the list that is held; ok is false while there is none.
-func (g *Group) Index() (index uint64, ok bool) { return g.index, g.held }
+func (g *Set) Index() (index uint64, ok bool) { return g.index, g.held }
 
 // Unversion keeps the list and drops its version: another discovery service counts its own.
-func (g *Group) Unversion() { g.held = false }
+func (g *Set) Unversion() { g.held = false }
 
 // Len returns how many servers are known.
-func (g *Group) Len() int { return len(g.byID) }
+func (g *Set) Len() int { return len(g.byID) }
 
 // Host returns the server with an id, nil if it is unknown.
-func (g *Group) Host(id uint32) *Host { return g.byID[id] }
+func (g *Set) Host(id uint32) *Host { return g.byID[id] }
 
 // Names calls yield with the id and the name of each server that is known, by id.
-func (g *Group) Names(yield func(id uint32, name string) bool) {
+func (g *Set) Names(yield func(id uint32, name string) bool) {
 	for _, id := range slices.Sorted(maps.Keys(g.byID)) {
 		if !yield(id, g.byID[id].Name) {
 			return
@@ -130,7 +130,7 @@
 }
 
 // Apply takes one object of discovery. The times of the result are in seconds of Unix time, as now is.
-func (g *Group) Apply(raw []byte, now float64) (snapshot bool, infos []policy.HostInfo, err error) {
+func (g *Set) Apply(raw []byte, now float64) (snapshot bool, infos []policy.HostInfo, err error) {
 	l, err := parseList(raw)
 	if err != nil {
 		return false, nil, err
@@ -143,7 +143,7 @@
 }
 
 // ApplyKnown takes the list that was held last, which may be empty in any form.
-func (g *Group) ApplyKnown(raw []byte, now float64) ([]policy.HostInfo, error) {
+func (g *Set) ApplyKnown(raw []byte, now float64) ([]policy.HostInfo, error) {
 	l, err := parseList(raw)
 	if err != nil {
 		return nil, err
@@ -154,12 +154,12 @@
 func parseList(raw []byte) (*list, error) {
 	var l list
 	if err := json.Unmarshal(raw, &l); err != nil {
-		return nil, fmt.Errorf("host group: %w", err)
+		return nil, fmt.Errorf("endpoint set: %w", err)
 	}
 	return &l, nil
 }
 
-func (g *Group) apply(l *list, now float64) (infos []policy.HostInfo) {
+func (g *Set) apply(l *list, now float64) (infos []policy.HostInfo) {
 	missing := map[string]*Host{} // of the banned ones: who is not in a whole list would count as gone
 	if l.Snapshot {
 		for _, h := range g.byName {
@@ -210,7 +210,7 @@
 	return infos
 }
 
-func (g *Group) leave(h *Host, now float64) {
+func (g *Set) leave(h *Host, now float64) {
 	if h.listed != policy.Gone {
 		h.listed, h.goneAt = policy.Gone, now
 	}
@@ -218,12 +218,12 @@
 }
 
 // banned tells whether a server is out, by hand or by agreement; what was said by hand here goes before.
-func (g *Group) banned(h *Host) bool {
+func (g *Set) banned(h *Host) bool {
 	return g.bans[h.Name] > 0 || g.agreed[h.Name] > 0 && !g.kept[h.Name]
 }
 
 // told returns what the decisions are told of a server: what the list says, under the ban if there is one.
-func (g *Group) told(h *Host) policy.HostInfo {
+func (g *Set) told(h *Host) policy.HostInfo {
 	if h.State = h.listed; g.banned(h) {
 		h.State = policy.Draining
 	}
@@ -237,7 +237,7 @@
 
 // Ban takes a server out of use until Lift, whatever the list says of it meanwhile. What the decisions are to be told
 // is returned. A ban that is there already stays.
-func (g *Group) Ban(name string, now float64) (policy.HostInfo, error) {
+func (g *Set) Ban(name string, now float64) (policy.HostInfo, error) {
 	h := g.byName[name]
 	if h == nil {
 		return policy.HostInfo{}, ErrUnlisted
@@ -249,7 +249,7 @@
 // Lift ends a ban, if there is one. Danger: servers are restarted while they are banned, and the list tells of it seconds
 // late; a cold one that is taken for warm is pushed over. So one that the list has not called newer since the ban
 // began counts as started now.
-func (g *Group) Lift(name string, now float64) (policy.HostInfo, error) {
+func (g *Set) Lift(name string, now float64) (policy.HostInfo, error) {
 	h := g.byName[name]
 	if h == nil {
 		return policy.HostInfo{}, ErrUnlisted
@@ -265,7 +265,7 @@
 }
 
 // lifted takes that a server is no longer out, and was since a time; 0: it was not.
-func (g *Group) lifted(h *Host, at, now float64) {
+func (g *Set) lifted(h *Host, at, now float64) {
 	if at > 0 && h.info.Started < at {
 		h.liftAt, h.banAt = now, at
 	}
@@ -276,7 +276,7 @@
 
 // Agree has servers be out that all sidecars have agreed on: exactly these, in place of those before, whether a list has named them
 // or not. What the decisions are to be told is returned, by name.
-func (g *Group) Agree(names []string, now float64) (infos []policy.HostInfo) {
+func (g *Set) Agree(names []string, now float64) (infos []policy.HostInfo) {
 	var changed []string
 	for name, at := range g.agreed {
 		if !slices.Contains(names, name) {
@@ -305,10 +305,10 @@
 }
 
 // Agreed tells whether a server is out by agreement, and whether it was given back here by hand all the same.
-func (g *Group) Agreed(name string) (out, kept bool) { return g.agreed[name] > 0, g.kept[name] }
+func (g *Set) Agreed(name string) (out, kept bool) { return g.agreed[name] > 0, g.kept[name] }
 
 // ByHand tells whether a server is out by hand.
-func (g *Group) ByHand(name string) bool { return g.bans[name] > 0 }
+func (g *Set) ByHand(name string) bool { return g.bans[name] > 0 }
 
 // Known is what the list says of a server.
 type Known struct {
@@ -323,7 +323,7 @@
 }
 
 // Hold bans a server that no list need have named yet. A ban that is there already stays.
-func (g *Group) Hold(name string, now float64) {
+func (g *Set) Hold(name string, now float64) {
 	delete(g.kept, name) // what was said last by hand holds
 	if g.bans[name] == 0 {
 		g.bans[name] = now
@@ -331,10 +331,10 @@
 }
 
 // Bans returns the names of all that are banned, sorted.
-func (g *Group) Bans() []string { return slices.Sorted(maps.Keys(g.bans)) }
+func (g *Set) Bans() []string { return slices.Sorted(maps.Keys(g.bans)) }
 
 // Export returns what is known of all servers, for Import. Bans are not in it.
-func (g *Group) Export() json.RawMessage {
+func (g *Set) Export() json.RawMessage {
 	l := list{Index: g.index, Snapshot: true, Lifted: map[string]float64{}}
 	for id := range g.Names {
 		h := g.byID[id]
@@ -352,7 +352,7 @@
 }
 
 // Whole returns the list that is held as discovery would write it: what has gone is left out, and bans are not in it.
-func (g *Group) Whole() json.RawMessage {
+func (g *Set) Whole() json.RawMessage {
 	l := list{Index: g.index, Snapshot: true, Endpoints: []endpoint{}}
 	for id := range g.Names {
 		if h := g.byID[id]; h.listed != policy.Gone {
@@ -369,7 +369,7 @@
 }
 
 // Sum returns the same number for lists that say the same, whoever told them and in whatever pieces.
-func (g *Group) Sum() uint64 {
+func (g *Set) Sum() uint64 {
 	if g.summed {
 		return g.sum
 	}
@@ -401,13 +401,13 @@
 		Snapshot bool
 	}
 	if err := json.Unmarshal(raw, &l); err != nil {
-		return 0, false, fmt.Errorf("host group: %w", err)
+		return 0, false, fmt.Errorf("endpoint set: %w", err)
 	}
 	return l.Index, l.Snapshot, nil
 }
 
 // Listed calls yield with each server that is on the list, in no order: it is for counting.
-func (g *Group) Listed(yield func(*Host) bool) {
+func (g *Set) Listed(yield func(*Host) bool) {
 	for _, h := range g.byID {
 		if h.listed != policy.Gone && !yield(h) {
 			return
@@ -417,7 +417,7 @@
 
 // freeID returns the id of a name. Should another name hold it, the next free one is taken: then alone the
 // order of arrival matters.
-func (g *Group) freeID(name string) uint32 {
+func (g *Set) freeID(name string) uint32 {
 	id := ID(name)
 	for g.byID[id] != nil {
 		id++
--- a/internal/hostgroup/hostgroup_test.go
+++ b/internal/endpointset/endpointset_test.go
@@ -1,4 +1,4 @@
-package hostgroup
+package endpointset
 
 import (
 	"encoding/json"
@@ -11,7 +11,7 @@
 	"hazelwheel/policy"
 )
 
-func apply(t *testing.T, g *Group, now float64, text string) (bool, []policy.HostInfo) {
+func apply(t *testing.T, g *Set, now float64, text string) (bool, []policy.HostInfo) {
 	snapshot, infos, err := g.Apply([]byte(text), now)
 	require.NoError(t, err)
 	return snapshot, infos
--- a/internal/hostgroup/stream.go
+++ b/internal/endpointset/stream.go
@@ -1,4 +1,4 @@
-package hostgroup
+package endpointset
 
 import (
 	"errors"
--- a/internal/fleet/list_test.go
+++ b/internal/fleet/list_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"hazelwheel/internal/hostgroup"
+	"hazelwheel/internal/endpointset"
 	"hazelwheel/internal/netio"
 	"hazelwheel/internal/peers"
 	"hazelwheel/internal/peers/frames"
@@ -43,7 +43,7 @@
 
 // holder is a sidecar as one that is fed.
 type holder struct {
-	g             *hostgroup.Group
+	g             *endpointset.Set
 	at            string
 	fed, own      bool
 	starved, wary int
@@ -69,11 +69,11 @@
 // counts as fed, and does so no longer than news may be old.
 func TestWordsInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := &holder{g: hostgroup.New(nil, nil), at: "d:1"}
+		h := &holder{g: endpointset.New(nil, nil), at: "d:1"}
 		f, net := fedFleet(h)
 		l := f.owners.lists
 		// What discovery has: the version n is the first n changes.
-		truth := hostgroup.New(nil, nil)
+		truth := endpointset.New(nil, nil)
 		var sums []uint64
 		var words []listWord
 		n := rapid.IntRange(1, 10).Draw(t, "versions")
@@ -134,7 +134,7 @@
 
 // What waited in a queue is as old as it waited, however fresh it looks.
 func TestHeldWordsAreOld(t *testing.T) {
-	h := &holder{g: hostgroup.New(nil, nil), at: "d:1"}
+	h := &holder{g: endpointset.New(nil, nil), at: "d:1"}
 	f, net := fedFleet(h)
 	l := f.owners.lists
 	require.NoError(t, h.TakeList([]byte(`{"index":7,"snapshot":true,"endpoints":[]}`)))
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -22,7 +22,7 @@
 var floors = [][]string{
 	{"policy", "internal/decide", "internal/netio", "internal/buffer", "internal/judge", "internal/health", "internal/handover",
 		"internal/tomlfile"},
-	{"internal/peers", "internal/http1", "internal/thrift", "internal/config", "internal/hostgroup", "internal/drill", "internal/quotas",
+	{"internal/peers", "internal/http1", "internal/thrift", "internal/config", "internal/endpointset", "internal/drill", "internal/quotas",
 		"internal/appconfig", "internal/workplan"},
 	{"internal/rewrite", "internal/capture", "internal/world", "internal/wire"},
 	{"internal/features", "internal/lint"},
--- a/internal/sidecar/feed.go
+++ b/internal/sidecar/feed.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 
-	"hazelwheel/internal/hostgroup"
+	"hazelwheel/internal/endpointset"
 	"hazelwheel/policy"
 )
 
@@ -78,7 +78,7 @@
 
 // TakeList is for the loop.
 func (s *Sidecar) TakeList(raw []byte) (err error) {
-	index, _, err := hostgroup.Heading(raw)
+	index, _, err := endpointset.Heading(raw)
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"hazelwheel/internal/buffer"
-	"hazelwheel/internal/hostgroup"
+	"hazelwheel/internal/endpointset"
 	"hazelwheel/internal/netio"
 	"hazelwheel/policy"
 )
@@ -65,7 +65,7 @@
 // likely to have been closed by the other side for its rest, and the others can grow old and be retired. Danger: what
 // a server sends behind its answer a moment later would answer the next request; one whose last answer has only just
 // come is taken only where no new link can be had.
-func (s *Sidecar) idleLink(h *hostgroup.Host, front Front) *serverLink {
+func (s *Sidecar) idleLink(h *endpointset.Host, front Front) *serverLink {
 	for {
 		links := s.idle[h.ID]
 		var l *serverLink
@@ -119,7 +119,7 @@
 }
 
 // dial opens a link for an execution.
-func (s *Sidecar) dial(h *hostgroup.Host, e *execution) {
+func (s *Sidecar) dial(h *endpointset.Host, e *execution) {
 	// Danger: executions that take the last descriptors shut out who comes next, whoever that is.
 	if !s.makeRoom(dialDescriptors + s.reserve()) {
 		s.starve(e)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,9 +16,9 @@
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/decide/admission"
 	"hazelwheel/internal/drill"
+	"hazelwheel/internal/endpointset"
 	"hazelwheel/internal/features"
 	"hazelwheel/internal/health"
-	"hazelwheel/internal/hostgroup"
 	"hazelwheel/internal/netio"
 	"hazelwheel/policy"
 )
@@ -45,7 +45,7 @@
 	firing   bool // the timers that are due are fired soon
 
 	balancer *policy.Balancer
-	hosts    *hostgroup.Group
+	hosts    *endpointset.Set
 	classes  map[string]int
 	eventAt  float64 // the time of the event that the decisions handle
 	queue    []event
@@ -109,7 +109,7 @@
 func New(cfg config.Config, on features.Features, fronts []Front, loop netio.Net, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{cfg: cfg, log: log, net: loop, classes: map[string]int{}, lastID: 1,
 		requests: map[uint32]*request{}, named: map[string]*request{}, idle: map[uint32][]*serverLink{},
-		hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
+		hosts: endpointset.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
 		admission: on.Admission, notices: notices{}, drills: drill.New(on.Drills), fronts: fronts, shelf: noShelf{}, parts: 1}
 	s.timers.tick = int64(s.now() / slotS)
 	for _, f := range fronts {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"hazelwheel/internal/config"
+	"hazelwheel/internal/endpointset"
 	"hazelwheel/internal/features"
-	"hazelwheel/internal/hostgroup"
 	"hazelwheel/internal/netio"
 	"hazelwheel/policy"
 )
@@ -101,7 +101,7 @@
 }
 
 // restingLink returns a link that has rested for a while.
-func restingLink(s *Sidecar, h *hostgroup.Host) (*serverLink, *testConn) {
+func restingLink(s *Sidecar, h *endpointset.Host) (*serverLink, *testConn) {
 	c := &testConn{quiet: true}
 	l := &serverLink{s: s, host: h.ID, address: h.Address, conn: c}
 	l.rest()
@@ -112,7 +112,7 @@
 // The newest idle link is used first, and closing them all spares none: each close shortens the list.
 func TestIdleLinks(t *testing.T) {
 	s := newTestSidecar(t)
-	h := &hostgroup.Host{ID: 7, Address: "a"}
+	h := &endpointset.Host{ID: 7, Address: "a"}
 	var links []*serverLink
 	for range 4 {
 		l, _ := restingLink(s, h)
@@ -133,7 +133,7 @@
 // What the event loop has not read yet decides, too: bytes that would answer the next request, or the link's end.
 func TestIdleLinkIsLookedAtBeforeUse(t *testing.T) {
 	s := newTestSidecar(t)
-	h := &hostgroup.Host{ID: 7, Address: "a"}
+	h := &endpointset.Host{ID: 7, Address: "a"}
 	sound, _ := restingLink(s, h)
 	noisy, c := restingLink(s, h)
 	c.quiet = false
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strconv"
 
-	"hazelwheel/internal/hostgroup"
+	"hazelwheel/internal/endpointset"
 	"hazelwheel/internal/http1"
 	"hazelwheel/internal/netio"
 	"hazelwheel/policy"
@@ -41,7 +41,7 @@
 	stopDial func()
 	buf      http1.Buffer
 	parser   http1.ResponseParser
-	scanner  hostgroup.StreamScanner // of the answer's body
+	scanner  endpointset.StreamScanner // of the answer's body
 	alive    *timer
 	over     bool
 	heard    bool   // an object or an empty line has come
@@ -129,9 +129,9 @@
 		w.parser.Body = rest
 		switch {
 		case err != nil:
-		case token == hostgroup.Heartbeat:
+		case token == endpointset.Heartbeat:
 			w.handleHeartbeat()
-		case token == hostgroup.Object:
+		case token == endpointset.Object:
 			err = w.handleObject(text)
 		default:
 			return nil
@@ -178,7 +178,7 @@
 func (w *watcher) pass(line []byte) error {
 	s := w.s
 	before, held := s.hosts.Index()
-	index, snapshot, err := hostgroup.Heading(line)
+	index, snapshot, err := endpointset.Heading(line)
 	if err != nil {
 		return err
 	}
--- a/internal/sim/plain.go
+++ b/internal/sim/plain.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"hazelwheel/internal/config"
-	"hazelwheel/internal/hostgroup"
+	"hazelwheel/internal/endpointset"
 	"hazelwheel/internal/http1"
 	"hazelwheel/internal/netio"
 	"hazelwheel/policy"
@@ -43,7 +43,7 @@
 func Plain(choose Choose) Core {
 	return func(cfg config.Config, net netio.Net, _ *slog.Logger) (Program, error) {
 		p := &plain{cfg: cfg, net: net, choose: choose, rng: rand.New(rand.NewPCG(cfg.Seed, 0x706c61696e)),
-			hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), out: map[uint32]int{}, idle: map[uint32][]*plainLink{}}
+			hosts: endpointset.New(cfg.Settings.Zones, cfg.Settings.HostTypes), out: map[uint32]int{}, idle: map[uint32][]*plainLink{}}
 		if len(cfg.Known) > 0 {
 			if err := p.list(cfg.Known); err != nil {
 				return nil, err
@@ -59,7 +59,7 @@
 	net      netio.Net
 	choose   Choose
 	rng      *rand.Rand
-	hosts    *hostgroup.Group
+	hosts    *endpointset.Set
 	serving  []uint32
 	out      map[uint32]int // looked up, never walked
 	idle     map[uint32][]*plainLink
