--- a/cmd/hazelwheel/backend_test.go
+++ b/cmd/hazelwheel/backend_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -261,3 +263,32 @@
 	}
 	assert.LessOrEqual(t, wrong, 1)
 }
+
+// A backend answers before it has the whole request. The client, which sends on for longer than a request may take to arrive, gets
+// that answer and nothing else: the rest of the request is no longer waited for.
+func TestAnswerBeforeTheRequestIsWhole(t *testing.T) {
+	const sendsFor = 3200 * time.Millisecond // more than the time for a body that arrives
+	s := newServer(t, "s-00000001", nil)
+	s.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		_, _ = io.CopyN(io.Discard, r.Body, 1<<20)
+		w.Header().Set("Content-Length", "5")
+		_, _ = io.WriteString(w, "early")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	w := newWorld(t, s).start()
+	conn := w.dial(0)
+	conn.send(fmt.Sprintf("POST /write HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Timeout: 15000m\r\nContent-Length: %d\r\n\r\n", newID(), 60<<20))
+	_, _ = conn.Write(make([]byte, 2<<20))
+	for began := time.Now(); time.Since(began) < sendsFor; time.Sleep(20 * time.Millisecond) {
+		if _, err := conn.Write(make([]byte, 2000)); err != nil {
+			assert.NoError(t, err, "after %v", time.Since(began))
+			break
+		}
+	}
+	a, err := conn.answer()
+	require.NoError(t, err)
+	assert.Equal(t, "early", a.body)
+	assert.Zero(t, w.counter("malformed"))
+}
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -38,7 +38,7 @@
 	}
 	f, err := os.OpenFile(s.path("lives", s.name), os.O_CREATE|os.O_RDWR, 0o600)
 	if err == nil {
-		err = unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB)
+		err = lockSoon(f)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
@@ -48,6 +48,24 @@
 	return s, nil
 }
 
+const (
+	// lockWithin bounds the wait for a lock that another process holds for a moment.
+	lockWithin = 500 * time.Millisecond
+	// lockEvery is the time between two tries.
+	lockEvery = time.Millisecond
+)
+
+// lockSoon locks a process's own file. Danger: a neighbour that looks whether its owner lives holds the lock just then, and the
+// process would fail to start.
+func lockSoon(f *os.File) error {
+	for by := time.Now().Add(lockWithin); ; time.Sleep(lockEvery) {
+		err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB)
+		if !errors.Is(err, unix.EWOULDBLOCK) || time.Now().After(by) {
+			return err
+		}
+	}
+}
+
 func (s *Store) path(parts ...string) string {
 	return filepath.Join(append([]string{s.dir}, parts...)...)
 }
--- a/internal/netio/sockets/epoll.go
+++ b/internal/netio/sockets/epoll.go
@@ -89,25 +89,36 @@
 		n.passed.stop(n, done)
 		return
 	}
-	defer done()
-	for _, fd := range n.listeners() {
+	listeners := n.listeners()
+	if len(listeners) == 0 {
+		done()
+		return
+	}
+	left := len(listeners)
+	closed := func() {
+		if left--; left == 0 {
+			done()
+		}
+	}
+	for _, fd := range listeners {
 		nothing := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
 		program := unix.SockFprog{Len: 1, Filter: &nothing}
 		if err := unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program); err != nil {
 			n.log.Warn("newcomers may be reset", "error", err)
 		}
-		n.execute(func() { n.closeListener(fd) })
+		n.execute(func() { n.closeListener(fd, closed) })
 	}
 }
 
-// closeListener closes a listener that is empty. It is for gnet's tasks: they come when all events of a round have been
+// closeListener closes a listener once it is empty, and calls closed. It is for gnet's tasks: they come when all events of a round have been
 // handled, and none of the listener's can wait. Danger: an accept that fails ends the engine.
-func (n *Net) closeListener(fd int) {
+func (n *Net) closeListener(fd int, closed func()) {
 	wait := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
 	if ready, err := unix.Poll(wait, 0); ready > 0 || err == unix.EINTR {
-		n.Yield(func() { n.execute(func() { n.closeListener(fd) }) })
+		n.Yield(func() { n.execute(func() { n.closeListener(fd, closed) }) })
 		return
 	}
+	defer closed()
 	if err := unix.EpollCtl(n.epoll, unix.EPOLL_CTL_DEL, fd, nil); err != nil {
 		n.log.Error("the listener stays open", "error", err)
 		return
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientlink.go
@@ -308,6 +308,9 @@
 // BeginAnswer frees the link of its request. It tells whether the client is still there, and whether the answer to come is
 // the last on the link; what it is appended to is returned, for EndAnswer. says tells whether the answer can say so itself.
 func (l *ClientLink) BeginAnswer(says bool) (dst []byte, last, there bool) {
+	// Danger: the rest of a request that is answered before it has come whole is waited for no longer; its time would end with a
+	// second answer.
+	l.endArrival()
 	if l.request = nil; l.conn == nil {
 		return nil, false, false
 	}
@@ -367,6 +370,7 @@
 
 // endFlow makes ready for the next request once an answer has flowed to its end.
 func (l *ClientLink) endFlow() {
+	l.endArrival()
 	if l.request = nil; l.conn != nil {
 		l.last = l.flowLast
 		l.EndAnswer(nil)
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -176,6 +176,9 @@
 			if s.dialing -= dialDescriptors; err != nil {
 				failed(err)
 			}
+			if len(s.starved) > 0 {
+				s.push(func(float64) { s.feedDials() })
+			}
 		})
 	})
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -53,6 +53,43 @@
 	quiet bool
 }
 
+// dialingNet keeps what dials are to be told.
+type dialingNet struct {
+	testNet
+	done []func(error)
+}
+
+func (n *dialingNet) Dial(_ string, _ float64, _ any, done func(error)) func() {
+	n.done = append(n.done, done)
+	return func() {}
+}
+
+// listedFront is a front whose backends are reached where they are listed.
+type listedFront struct{ Front }
+
+func (listedFront) Address(listed string) string { return listed }
+
+// An attempt that waits for a descriptor gets that of a dial which has failed.
+func TestFailedDialMakesRoom(t *testing.T) {
+	var cfg config.Config
+	cfg.Settings.Policy.Classes = []policy.Class{{Name: "read", AimS: 1, GiveUpS: 3}}
+	cfg.Settings.ConnectTimeoutS = 1
+	n := &dialingNet{}
+	s, err := New(cfg, features.Features{}, nil, n, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	require.NoError(t, s.list([]byte(`{"index":1,"snapshot":true,"endpoints":[{"name":"s-00000007","address":"a","status":"SERVING"}]}`)))
+	s.admission.Reserve = 1
+	s.cfg.Limits.Sockets = spareDescriptors + s.reserved + s.reserve() + dialDescriptors // room for one dial
+	for range 2 {
+		s.dial(s.hosts.Host(7), &execution{s: s, host: 7, until: testNow + 10, front: listedFront{}, second: true})
+	}
+	require.Len(t, n.done, 1)
+	require.Len(t, s.starved, 1)
+	n.done[0](errors.New("refused"))
+	assert.Len(t, n.done, 2)
+	assert.Empty(t, s.starved)
+}
+
 func newTestSidecar(t *testing.T) *Sidecar {
 	var cfg config.Config
 	cfg.Settings.Policy.Classes = []policy.Class{{Name: "read", AimS: 1, GiveUpS: 3}}
