Rename execution to attempt in the core and the fronts

What the core sends of a request to a server is an attempt, as in the decisions and in the field. Counters ('executions', 'execution_ends') and flags keep their spelling; one log line says 'attempts wait for a descriptor' now.

--- a/cmd/hazelwheel/pressure_test.go
+++ b/cmd/hazelwheel/pressure_test.go
@@ -235,7 +235,7 @@
 			answers <- p
 		}()
 	}
-	w.logs("executions wait for a descriptor", 1) // nobody else can be let in to ask
+	w.logs("attempts wait for a descriptor", 1) // nobody else can be let in to ask
 	w.config()
 	w.signal(syscall.SIGHUP)
 	w.logs("configuration read", 1)
--- a/internal/front/http1/call.go
+++ b/internal/front/http1/call.go
@@ -27,7 +27,7 @@
 }
 
 // newCall takes over a parsed request of a class that has come from an address. Its header is rewritten here, once
-// for all executions: each begins with the same.
+// for all attempts: each begins with the same.
 func newCall(f *Front, p *http1.RequestParser, class string, from net.Addr) *call {
 	c := &call{front: f, method: p.Method, target: p.Target, class: class,
 		body: sidecar.Body{Kept: p.Body, Length: p.Length(), Whole: p.Whole()}}
@@ -51,7 +51,7 @@
 	return path
 }
 
-// exchange is one execution of a call.
+// exchange is one attempt of a call.
 type exchange struct {
 	call   *call
 	parser http1.ResponseParser
--- a/internal/front/thrift/call.go
+++ b/internal/front/thrift/call.go
@@ -28,7 +28,7 @@
 
 func (c *call) Exchange() sidecar.Exchange { return &exchange{call: c} }
 
-// exchange is one execution of a call.
+// exchange is one attempt of a call.
 type exchange struct {
 	call  *call
 	seq   int32
--- a/internal/front/thrift/front.go
+++ b/internal/front/thrift/front.go
@@ -23,7 +23,7 @@
 	settings config.Settings
 	on       features.Thrift
 	methods  map[string]*class
-	sequence int32  // of the last execution
+	sequence int32  // of the last attempt
 	made     uint64 // ids for calls that bring none
 }
 
@@ -77,7 +77,7 @@
 	return fmt.Sprintf("%s-thrift-%d", f.name, f.made)
 }
 
-// number returns the next execution's sequence number. Danger: a server link carries one call at a time, but what comes late
+// number returns the next attempt's sequence number. Danger: a server link carries one call at a time, but what comes late
 // of an earlier one must not be taken for this one's.
 func (f *Front) number() int32 {
 	f.sequence++
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -9,7 +9,7 @@
 // call back: what follows from them at once waits in the queue.
 var _ policy.Actions = (*Sidecar)(nil)
 
-// Send starts the next execution of a request.
+// Send starts the next attempt of a request.
 func (s *Sidecar) Send(id, host uint32) {
 	s.noteFor(id, capture.Decision{Do: capture.Send, Host: host})
 	r := s.requests[id]
@@ -17,23 +17,23 @@
 		s.log.Error("send for an unknown request", "request", id)
 		return
 	}
-	e := &execution{request: r, number: r.sent, host: host, asked: s.eventAt, sentAt: s.eventAt,
+	e := &attempt{request: r, number: r.sent, host: host, asked: s.eventAt, sentAt: s.eventAt,
 		until: r.deadline - s.answerRoom(), exchange: r.call.Exchange(), front: r.front}
 	r.sent++
 	r.out = append(r.out, e)
 	s.counters.Executions++
 	if r.answered || len(r.out) > 1 && (r.once || !s.cfg.Settings.Policy.SecondCopies) {
-		s.finish(e, &execError{notConnected, overtaken, nil})
+		s.finish(e, &attemptError{notConnected, overtaken, nil})
 		return
 	}
 	s.begin(e)
 }
 
-// Cancel ends the wait for one execution.
+// Cancel ends the wait for one attempt.
 func (s *Sidecar) Cancel(id uint32, attempt int) {
 	s.noteFor(id, capture.Decision{Do: capture.Cancel, Attempt: attempt})
 	if r := s.requests[id]; r != nil {
-		if e := r.execution(attempt); e != nil {
+		if e := r.attempt(attempt); e != nil {
 			s.abandon(e, cancelled)
 		}
 	}
@@ -43,7 +43,7 @@
 func (s *Sidecar) Probe(host uint32) {
 	s.capture.Decide(capture.Decision{Do: capture.Probe, Host: host})
 	s.counters.Probes++
-	s.begin(&execution{host: host, sentAt: s.eventAt, until: s.eventAt + probeWaitS, exchange: s.prober.Probe(), front: s.prober})
+	s.begin(&attempt{host: host, sentAt: s.eventAt, until: s.eventAt + probeWaitS, exchange: s.prober.Probe(), front: s.prober})
 }
 
 // CloseIdle closes the idle links to a server.
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/attempt.go
@@ -2,7 +2,7 @@
 
 import "hazelwheel/policy"
 
-// progress is how far an execution has come.
+// progress is how far an attempt has come.
 type progress uint8
 
 const (
@@ -16,7 +16,7 @@
 	return [...]string{"not connected", "partly written", "written whole", "answering"}[p]
 }
 
-// cause is what ended an execution before its answer.
+// cause is what ended an attempt before its answer.
 type cause uint8
 
 const (
@@ -31,14 +31,14 @@
 	return [...]string{"broke", "timed out", "cancelled", "overtaken", "spoilt"}[c]
 }
 
-// execError is the end of an execution without an answer, and how far it had come.
-type execError struct {
+// attemptError is the end of an attempt without an answer, and how far it had come.
+type attemptError struct {
 	progress progress
 	cause    cause
 	err      error // what the network said, if anything
 }
 
-func (e *execError) Error() string {
+func (e *attemptError) Error() string {
 	text := e.cause.String() + ", " + e.progress.String()
 	if e.err != nil {
 		text += ": " + e.err.Error()
@@ -46,12 +46,12 @@
 	return text
 }
 
-func (e *execError) Unwrap() error { return e.err }
+func (e *attemptError) Unwrap() error { return e.err }
 
-// outcome tells the decisions how an execution ended. Danger: an outcome that claims too much (that nothing
+// outcome tells the decisions how an attempt ended. Danger: an outcome that claims too much (that nothing
 // can have run) makes a request run twice. A server begins a request with its last byte, so only what broke
 // before that byte was written is known never to have run.
-func (e *execError) outcome() policy.Outcome {
+func (e *attemptError) outcome() policy.Outcome {
 	if e.cause == spoilt || e.cause == broke && e.progress == answering {
 		// The server is there, it has come to the request and has said something: it erred, whatever it said.
 		// Danger: taken for a server that died, two such answers in a row would shut a sound one out.
@@ -72,9 +72,9 @@
 	}
 }
 
-// execution is one attempt of a request at a server, or a probe of it, which has no request. It ends with
+// attempt is one attempt of a request at a server, or a probe of it, which has no request. It ends with
 // exactly one outcome.
-type execution struct {
+type attempt struct {
 	request  *request // nil for a probe
 	number   int
 	host     uint32
@@ -93,8 +93,8 @@
 	late     float64 // how long its answer lay in the socket
 }
 
-// finish ends an execution. err is nil where a whole answer has come.
-func (s *Sidecar) finish(e *execution, err *execError) {
+// finish ends an attempt. err is nil where a whole answer has come.
+func (s *Sidecar) finish(e *attempt, err *attemptError) {
 	if e.over || s.probeAgain(e, err) {
 		return
 	}
@@ -103,7 +103,7 @@
 	result := policy.Result{Host: e.host, Attempt: e.number}
 	if err != nil {
 		result.Outcome = err.outcome()
-		s.log.Debug("execution ended", "host", e.host, "probe", e.request == nil, "error", err)
+		s.log.Debug("attempt ended", "host", e.host, "probe", e.request == nil, "error", err)
 	} else {
 		result.Outcome, result.Report, _ = e.exchange.Verdict()
 	}
@@ -135,7 +135,7 @@
 		// quicker than any.
 		result.Outcome = policy.Cancelled
 	}
-	s.counters.executions.count(result.Outcome)
+	s.counters.attempts.count(result.Outcome)
 	r := e.request
 	r.drop(e)
 	r.noteRun(e, result.Outcome)
@@ -161,17 +161,17 @@
 }
 
 // ring ends the wait.
-func (e *execution) ring() { e.s.abandon(e, timedOut) }
+func (e *attempt) ring() { e.s.abandon(e, timedOut) }
 
-// took returns how long an execution that ends now took to its answer's arrival, and how long that lay unread.
-func (e *execution) took(now float64) (delay, late float64) {
+// took returns how long an attempt that ends now took to its answer's arrival, and how long that lay unread.
+func (e *attempt) took(now float64) (delay, late float64) {
 	late = min(e.late, now-e.sentAt)
 	return now - e.sentAt - late, late
 }
 
 // probeAgain begins a probe once more, on a new link, where its link broke. Danger: a probe asks after the server;
 // a link's end says nothing of it, and a sound server that seems silent is shut out and then taken for cold.
-func (s *Sidecar) probeAgain(e *execution, err *execError) bool {
+func (s *Sidecar) probeAgain(e *attempt, err *attemptError) bool {
 	h := s.hosts.Host(e.host)
 	if e.request != nil || e.second || h == nil || err == nil || err.cause != broke || err.progress == notConnected {
 		return false
@@ -184,7 +184,7 @@
 // mayBegin tells whether an attempt may be written to its server now. Danger: while it waited for a connection or a descriptor its
 // time may have run out, its client may have gone, its server may have been told to drain, and the servers that would drop it as a
 // repeat may have forgotten the attempt before.
-func (s *Sidecar) mayBegin(e *execution) bool {
+func (s *Sidecar) mayBegin(e *attempt) bool {
 	now, r := s.now(), e.request
 	if e.until <= now {
 		return false
@@ -192,11 +192,11 @@
 	return r == nil || !r.answered && s.mayServe(e.host) && now < r.repeatsUntil(e)
 }
 
-// begin starts an execution on an idle server link, or on a new one.
-func (s *Sidecar) begin(e *execution) {
+// begin starts an attempt on an idle server link, or on a new one.
+func (s *Sidecar) begin(e *attempt) {
 	h := s.hosts.Host(e.host)
 	if h == nil || !s.mayBegin(e) {
-		s.finish(e, &execError{notConnected, overtaken, nil})
+		s.finish(e, &attemptError{notConnected, overtaken, nil})
 		return
 	}
 	e.s = s
@@ -208,18 +208,18 @@
 	s.dial(h, e)
 }
 
-// abandon gives an execution up. Its link is closed before the outcome is told: nothing may be sent again
+// abandon gives an attempt up. Its link is closed before the outcome is told: nothing may be sent again
 // while a copy is still out on an open link, and no late answer may meet another request.
-func (s *Sidecar) abandon(e *execution, why cause) {
+func (s *Sidecar) abandon(e *attempt, why cause) {
 	if e.over {
 		return
 	}
 	if s.unstarve(e) { // it has never had a link, which is no fault of its server
-		s.finish(e, &execError{notConnected, overtaken, nil})
+		s.finish(e, &attemptError{notConnected, overtaken, nil})
 		return
 	}
-	l, err := e.link, &execError{e.progress, why, nil}
-	l.execution = nil
+	l, err := e.link, &attemptError{e.progress, why, nil}
+	l.attempt = nil
 	if l.conn == nil {
 		l.stopDial()
 	} else {
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -36,7 +36,7 @@
 func (s *Sidecar) mostClients() int { return s.mostLinks() * 3 / 4 }
 
 // beyondRoom is how many links beyond mostClients are taken for a word to their clients. Danger: each takes a descriptor
-// that an execution may need.
+// that an attempt may need.
 func (s *Sidecar) beyondRoom() int { return s.mostLinks() / 16 }
 
 // crowded tells whether client links are so many that none is kept for its own sake. Danger: clients that ask once and
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -8,7 +8,7 @@
 	"hazelwheel/policy"
 )
 
-// outcomes counts executions or probes by how they ended.
+// outcomes counts attempts or probes by how they ended.
 type outcomes [policy.NotSent + 1]uint64
 
 var outcomeNames = [len(outcomes{})]string{"ok", "host_error", "rejected", "timed_out", "connect_failed", "reset",
@@ -68,10 +68,10 @@
 	Quotas  *QuotaCounters `json:"quotas,omitempty"`
 	Fleet   any            `json:"fleet,omitempty"` // what it knows of its fleet
 
-	Written uint64        `json:"written"`           // executions whose request was written whole
+	Written uint64        `json:"written"`           // attempts whose request was written whole
 	Classes []classCounts `json:"classes,omitempty"` // how requests ended, by class
 
-	executions, probes outcomes
+	attempts, probes outcomes
 }
 
 // ending is how a request ended.
@@ -123,7 +123,7 @@
 		*plain
 		ExecutionEnds map[string]uint64 `json:"execution_ends"`
 		ProbeEnds     map[string]uint64 `json:"probe_ends"`
-	}{(*plain)(c), c.executions.named(), c.probes.named()})
+	}{(*plain)(c), c.attempts.named(), c.probes.named()})
 	if err != nil { // numbers and names always marshal
 		panic(err)
 	}
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -8,7 +8,7 @@
 	do      func(now float64) // of all others
 	request *request          // that has come, with what the decisions are told of it
 	told    policy.Request
-	ended   *execution // of a request
+	ended   *attempt // of a request
 	result  policy.Result
 }
 
--- a/internal/sidecar/fit.go
+++ b/internal/sidecar/fit.go
@@ -7,7 +7,7 @@
 	fitWindowS = 5.0
 	// stoodShare of a window that the loop stood still is too much.
 	stoodShare = 0.3
-	// unansweredS is for how long no box has said anything, while at least so many executions were tried, when it counts as cut off.
+	// unansweredS is for how long no box has said anything, while at least so many attempts were tried, when it counts as cut off.
 	unansweredS = 3.0
 	unanswered  = 5
 )
@@ -17,7 +17,7 @@
 	stood             float64 // seconds that the loop has stood still, so far
 	from, stoodBefore float64 // the window's begin, and stood by then
 	starvedUntil      float64
-	answers, silences uint64  // executions that a box has said anything to, and those that none has, by the last look
+	answers, silences uint64  // attempts that a box has said anything to, and those that none has, by the last look
 	answeredAt        float64 // when answers last grew
 	silencesAt        uint64  // silences by then
 }
@@ -31,7 +31,7 @@
 		}
 		f.from, f.stoodBefore = now, f.stood
 	}
-	by := &s.counters.executions
+	by := &s.counters.attempts
 	answers := by[policy.OK] + by[policy.HostError] + by[policy.Rejected]
 	silences := by[policy.TimedOut] + by[policy.ConnectFailed] + by[policy.Reset]
 	if answers != f.answers || f.answeredAt == 0 {
--- a/internal/sidecar/fit_test.go
+++ b/internal/sidecar/fit_test.go
@@ -27,7 +27,7 @@
 		}
 		return why
 	}
-	by := &s.counters.executions
+	by := &s.counters.attempts
 	answered := func() { by.count(policy.OK) }
 	assert.Empty(t, look(20, answered))
 	assert.Empty(t, look(20, func() { answered(); s.fit.stood += 0.2 }), "now and then is no harm")
--- a/internal/sidecar/flow.go
+++ b/internal/sidecar/flow.go
@@ -58,7 +58,7 @@
 	lagging := f.lagging
 	f.lagging = nil
 	for _, l := range lagging {
-		if e := l.execution; e != nil && l.conn != nil && !l.closed {
+		if e := l.attempt; e != nil && l.conn != nil && !l.closed {
 			l.pump(e)
 		}
 	}
@@ -95,7 +95,7 @@
 		}
 	}
 	for _, e := range r.out {
-		if e.link != nil && e.link.conn != nil && e.link.execution == e {
+		if e.link != nil && e.link.conn != nil && e.link.attempt == e {
 			e.link.pump(e)
 			break
 		}
@@ -115,8 +115,8 @@
 	s.tellAbandoned(r)
 }
 
-// pump writes on what has come of an execution's request, as far as its server takes it.
-func (l *serverLink) pump(e *execution) {
+// pump writes on what has come of an attempt's request, as far as its server takes it.
+func (l *serverLink) pump(e *attempt) {
 	for !e.exchange.Written() && l.conn.OutboundBuffered() < l.s.flowRoom() {
 		piece := e.exchange.More(l.s.scratch[:0], PieceBytes)
 		if l.s.keepScratch(piece); len(piece) == 0 {
@@ -125,7 +125,7 @@
 		l.writing = true
 		_, err := l.conn.Write(piece)
 		l.writing = false
-		if err != nil || l.execution != e {
+		if err != nil || l.attempt != e {
 			return
 		}
 	}
@@ -151,7 +151,7 @@
 // flow is an answer that is passed on as it comes. Its request has its answer with the first of it, and is over with the last.
 type flow struct {
 	s       *Sidecar
-	e       *execution
+	e       *attempt
 	link    *serverLink
 	client  *ClientLink
 	origin  FlowOrigin
@@ -165,15 +165,15 @@
 	over    bool
 }
 
-// beginFlow passes on what has come of a large answer. One that nobody waits for, or that says that the execution failed, is not
+// beginFlow passes on what has come of a large answer. One that nobody waits for, or that says that the attempt failed, is not
 // read to its end.
-func (s *Sidecar) beginFlow(l *serverLink, e *execution) {
+func (s *Sidecar) beginFlow(l *serverLink, e *attempt) {
 	r, now := e.request, s.now()
 	result := policy.Result{ID: r.id, Host: e.host, Attempt: e.number}
 	result.Outcome, result.Report, _ = e.exchange.Verdict()
 	origin, can := r.origin.(FlowOrigin)
 	if result.Outcome != policy.OK || r.answered || !can {
-		l.execution = nil
+		l.attempt = nil
 		l.close()
 		s.finish(e, nil)
 		return
@@ -182,7 +182,7 @@
 	s.timers.stop(&e.timer)
 	s.timers.stop(&r.safety)
 	s.timers.stop(r.delay)
-	s.counters.executions.count(result.Outcome)
+	s.counters.attempts.count(result.Outcome)
 	r.drop(e)
 	f := &flow{s: s, e: e, link: l, client: r.client, origin: origin, heardAt: now, tookAt: now, from: now}
 	e.flow, r.flow, r.answered, result.Final = f, f, true, true
@@ -275,7 +275,7 @@
 	s.settleQuota(r)
 	s.unname(r)
 	if !l.closed {
-		if l.execution = nil; how == served && l.reusable(f.e) {
+		if l.attempt = nil; how == served && l.reusable(f.e) {
 			l.rest()
 		} else {
 			l.close()
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -49,12 +49,12 @@
 
 // Call is what a request asks for, in its protocol.
 type Call interface {
-	// Exchange returns the call's side of one execution.
+	// Exchange returns the call's side of one attempt.
 	Exchange() Exchange
 }
 
-// Exchange is one protocol's side of an execution: it writes the request to a server link and reads the
-// answer off it. A request carries one for each execution, in the protocol that it came in.
+// Exchange is one protocol's side of an attempt: it writes the request to a server link and reads the
+// answer off it. A request carries one for each attempt, in the protocol that it came in.
 type Exchange interface {
 	// Append appends the request's head, and of its body as much as is sent at once; the server is told until when anybody
 	// waits for its answer.
@@ -67,7 +67,7 @@
 	Read(buf *buffer.Buffer) (bool, error)
 	// Begun tells whether any of the answer has come.
 	Begun() bool
-	// Silent tells whether no answer ever comes: the execution is over once its request is written whole.
+	// Silent tells whether no answer ever comes: the attempt is over once its request is written whole.
 	Silent() bool
 	// End takes the end of the link and tells whether that makes the answer whole.
 	End() bool
@@ -94,12 +94,12 @@
 type Body struct {
 	Kept   []byte // what is held of it, from the byte From on
 	From   int    // bytes that have been sent and dropped
-	Sent   int    // bytes that the present execution has been given
+	Sent   int    // bytes that the present attempt has been given
 	Length int    // in all; -1: it is not told beforehand
 	Whole  bool   // its end has come
 }
 
-// Part returns the next bytes for the present execution, at most so many, and counts them as sent.
+// Part returns the next bytes for the present attempt, at most so many, and counts them as sent.
 func (b *Body) Part(most int) []byte {
 	part := b.Kept[b.Sent-b.From:]
 	part = part[:min(len(part), most)]
--- a/internal/sidecar/operate.go
+++ b/internal/sidecar/operate.go
@@ -18,7 +18,7 @@
 	At          float64 // when it was made
 	Ending      bool    // the process has been told to end
 	Classes     []classCounts
-	Written     uint64 // executions whose request was written whole
+	Written     uint64 // attempts whose request was written whole
 	Open        int    // requests taken and not ended
 	Members     int    // servers on the list
 	Unavailable int    // of these, that are not to be used, by hand or by choice
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -187,8 +187,8 @@
 	return t, false
 }
 
-// chargeAnswer notes what the answer that an execution has brought costs its request's group.
-func (s *Sidecar) chargeAnswer(e *execution) {
+// chargeAnswer notes what the answer that an attempt has brought costs its request's group.
+func (s *Sidecar) chargeAnswer(e *attempt) {
 	t := &e.request.quota
 	if !t.taken {
 		return
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -7,7 +7,7 @@
 	"hazelwheel/policy"
 )
 
-// request is one that a client link has brought whole and that has not been answered, or has executions out.
+// request is one that a client link has brought whole and that has not been answered, or has attempts out.
 type request struct {
 	id       uint32
 	name     string // its client's id of it
@@ -22,13 +22,13 @@
 	patience float64
 	front    Front
 	s        *Sidecar
-	sent     int // executions begun
-	out      []*execution
-	room     [1]*execution // for out: more than one at a time is rare
-	ranFrom  float64       // when the first attempt began that may have run and is over; 0: none may have
-	once     bool          // it is not sent again once it may have run
-	detached bool          // its client waits for no answer and may go
-	answered bool          // it has its final answer, or nobody waits for one
+	sent     int // attempts begun
+	out      []*attempt
+	room     [1]*attempt // for out: more than one at a time is rare
+	ranFrom  float64     // when the first attempt began that may have run and is over; 0: none may have
+	once     bool        // it is not sent again once it may have run
+	detached bool        // its client waits for no answer and may go
+	answered bool        // it has its final answer, or nobody waits for one
 	safety   timer
 	delay    *timer // of the drill that holds it back
 	quota    quotaTicket
@@ -56,7 +56,7 @@
 	}
 }
 
-// IsOpen tells whether a request with a client's id is open. Danger: two executions with one id look like a second copy to a
+// IsOpen tells whether a request with a client's id is open. Danger: two attempts with one id look like a second copy to a
 // server, which may drop the wrong one.
 func (s *Sidecar) IsOpen(id string) bool { return s.named[id] != nil }
 
@@ -95,7 +95,7 @@
 }
 
 // noteRun notes the end of an attempt that may have run.
-func (r *request) noteRun(e *execution, outcome policy.Outcome) {
+func (r *request) noteRun(e *attempt, outcome policy.Outcome) {
 	if !outcome.NeverRan() && (r.ranFrom == 0 || e.asked < r.ranFrom) {
 		r.ranFrom = e.asked
 	}
@@ -103,7 +103,7 @@
 
 // repeatsUntil returns until when a further attempt is dropped as a repeat by servers that have seen one before; +Inf where none may
 // have, or where the class does not go by that.
-func (r *request) repeatsUntil(e *execution) float64 {
+func (r *request) repeatsUntil(e *attempt) float64 {
 	class := &r.s.cfg.Settings.Policy.Classes[r.classNo]
 	if class.Effect != policy.Keyed {
 		return math.Inf(1)
@@ -120,8 +120,8 @@
 	return from + class.WindowS
 }
 
-// execution returns the one of a number that is out, nil if it is not.
-func (r *request) execution(number int) *execution {
+// attempt returns the one of a number that is out, nil if it is not.
+func (r *request) attempt(number int) *attempt {
 	for _, e := range r.out {
 		if e.number == number {
 			return e
@@ -130,8 +130,8 @@
 	return nil
 }
 
-// drop takes an execution from those that are out.
-func (r *request) drop(e *execution) {
+// drop takes an attempt from those that are out.
+func (r *request) drop(e *attempt) {
 	if i := slices.Index(r.out, e); i >= 0 {
 		r.out = slices.Delete(r.out, i, i+1)
 	}
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/serverlink.go
@@ -15,20 +15,20 @@
 // errStray is the end of a link that said something nobody had asked for.
 var errStray = errors.New("unasked bytes")
 
-// serverLink is a connection to a server. It carries one execution at a time.
+// serverLink is a connection to a server. It carries one attempt at a time.
 type serverLink struct {
-	s         *Sidecar
-	front     Front
-	host      uint32
-	address   string     // as it was listed
-	conn      netio.Conn // nil until it is up
-	stopDial  func()
-	buf       buffer.Buffer
-	execution *execution // nil while idle
-	retire    *timer
-	restedAt  float64 // when it became idle
-	writing   bool
-	closed    bool
+	s        *Sidecar
+	front    Front
+	host     uint32
+	address  string     // as it was listed
+	conn     netio.Conn // nil until it is up
+	stopDial func()
+	buf      buffer.Buffer
+	attempt  *attempt // nil while idle
+	retire   *timer
+	restedAt float64 // when it became idle
+	writing  bool
+	closed   bool
 }
 
 const (
@@ -107,7 +107,7 @@
 // restFrom is rest for a link that its server may be at work on until a time: it is used before that only where no other can
 // be had.
 func (l *serverLink) restFrom(at float64) {
-	l.execution, l.restedAt = nil, at
+	l.attempt, l.restedAt = nil, at
 	l.buf.Rest()
 	if l.s.feed(l) {
 		return
@@ -118,26 +118,26 @@
 	}
 }
 
-// dial opens a link for an execution.
-func (s *Sidecar) dial(h *endpointset.Host, e *execution) {
-	// Danger: executions that take the last descriptors shut out who comes next, whoever that is.
+// dial opens a link for an attempt.
+func (s *Sidecar) dial(h *endpointset.Host, e *attempt) {
+	// Danger: attempts that take the last descriptors shut out who comes next, whoever that is.
 	if !s.makeRoom(dialDescriptors + s.reserve()) {
 		s.starve(e)
 		return
 	}
-	l := &serverLink{s: s, front: e.front, host: h.ID, address: h.Address, execution: e}
+	l := &serverLink{s: s, front: e.front, host: h.ID, address: h.Address, attempt: e}
 	e.link = l
 	s.counters.Dials++
 	began := s.now()
 	until := min(e.until, began+s.cfg.Settings.ConnectTimeoutS)
 	l.stopDial = s.connect(e.front.Address(h.Address), until, l, func(err error) {
-		if e := l.execution; e != nil {
-			l.execution = nil
+		if e := l.attempt; e != nil {
+			l.attempt = nil
 			why := broke
 			if s.late.stalledAt > began { // the time was up while this program stood still
 				why = overtaken
 			}
-			s.finish(e, &execError{notConnected, why, err})
+			s.finish(e, &attemptError{notConnected, why, err})
 		}
 	})
 }
@@ -186,18 +186,18 @@
 // opened takes the link into use.
 func (l *serverLink) opened(c netio.Conn) {
 	l.conn = c
-	e := l.execution
+	e := l.attempt
 	if e != nil && l.s.mayBegin(e) {
 		l.begin(e)
 		return
 	}
-	if l.execution = nil; l.s.mayServe(l.host) {
+	if l.attempt = nil; l.s.mayServe(l.host) {
 		l.rest()
 	} else {
 		l.close()
 	}
 	if e != nil {
-		l.s.finish(e, &execError{notConnected, overtaken, nil})
+		l.s.finish(e, &attemptError{notConnected, overtaken, nil})
 	}
 }
 
@@ -207,16 +207,16 @@
 	return h != nil && (h.State == policy.Ready || h.State == policy.Gone && s.cfg.Settings.Policy.OnlyDrainBinds)
 }
 
-// begin writes an execution's request.
-func (l *serverLink) begin(e *execution) {
-	l.execution, e.link = e, l
+// begin writes an attempt's request.
+func (l *serverLink) begin(e *attempt) {
+	l.attempt, e.link = e, l
 	e.progress = partlyWritten
 	l.s.scratch = e.exchange.Append(l.s.scratch[:0], l.s.now(), l.s.told(e))
 	l.writing = true
-	_, err := l.conn.Write(l.s.scratch) // gnet closes the link on an error, which ends the execution
+	_, err := l.conn.Write(l.s.scratch) // gnet closes the link on an error, which ends the attempt
 	l.writing = false
 	l.s.keepScratch(l.s.scratch)
-	if err == nil && l.execution == e {
+	if err == nil && l.attempt == e {
 		l.pump(e)
 		l.silence(e)
 	}
@@ -224,7 +224,7 @@
 
 // told returns until when an attempt tells its server that anybody waits. The time for a body that is still on its way in is not the
 // client's.
-func (s *Sidecar) told(e *execution) float64 {
+func (s *Sidecar) told(e *attempt) float64 {
 	if r := e.request; r != nil && r.uploading() {
 		return min(e.until, s.now()+r.patience-s.answerRoom())
 	}
@@ -234,10 +234,10 @@
 // writtenEveryS is the time between two looks whether a request that has no answer is written whole: the loop does not tell.
 const writtenEveryS = 0.005
 
-// silence ends an execution that has no answer once its request is written whole.
-func (l *serverLink) silence(e *execution) {
+// silence ends an attempt that has no answer once its request is written whole.
+func (l *serverLink) silence(e *attempt) {
 	switch {
-	case l.execution != e || !e.exchange.Silent():
+	case l.attempt != e || !e.exchange.Silent():
 	case l.progress(e) == writtenWhole:
 		l.complete(e)
 	default:
@@ -245,8 +245,8 @@
 	}
 }
 
-// progress tells how far the link's execution has come by now.
-func (l *serverLink) progress(e *execution) progress {
+// progress tells how far the link's attempt has come by now.
+func (l *serverLink) progress(e *attempt) progress {
 	if e.progress == partlyWritten && !l.writing && e.exchange.Written() && l.conn.OutboundBuffered() == 0 {
 		e.progress = writtenWhole
 		if r := e.request; r != nil {
@@ -265,7 +265,7 @@
 // traffic reads what the server says.
 func (l *serverLink) traffic(data []byte) {
 	l.buf.Write(data)
-	e := l.execution
+	e := l.attempt
 	if e == nil {
 		now := l.s.now()
 		l.s.settling.stray(now, now-l.restedAt)
@@ -279,10 +279,10 @@
 		return
 	}
 	if err != nil {
-		l.execution = nil
+		l.attempt = nil
 		far := l.progress(e)
 		l.close()
-		l.s.finish(e, &execError{far, spoilt, err})
+		l.s.finish(e, &attemptError{far, spoilt, err})
 		return
 	}
 	if done {
@@ -296,9 +296,9 @@
 	}
 }
 
-// complete ends an execution whose answer is whole. The link is kept only if nothing is left on it, neither
+// complete ends an attempt whose answer is whole. The link is kept only if nothing is left on it, neither
 // of the answer nor of the request.
-func (l *serverLink) complete(e *execution) {
+func (l *serverLink) complete(e *attempt) {
 	l.progress(e)
 	if l.reusable(e) {
 		from := l.s.now()
@@ -307,14 +307,14 @@
 		}
 		l.restFrom(from)
 	} else {
-		l.execution = nil
+		l.attempt = nil
 		l.close()
 	}
 	l.s.finish(e, nil)
 }
 
-// reusable tells whether a link can carry another execution after a whole answer.
-func (l *serverLink) reusable(e *execution) bool {
+// reusable tells whether a link can carry another attempt after a whole answer.
+func (l *serverLink) reusable(e *attempt) bool {
 	_, _, keep := e.exchange.Verdict()
 	return keep && e.exchange.Written() && l.buf.Len() == 0 && l.conn.OutboundBuffered() == 0 && l.s.mayServe(l.host)
 }
@@ -323,11 +323,11 @@
 func (l *serverLink) ended(err error) {
 	l.closed = true
 	l.unidle()
-	e := l.execution
+	e := l.attempt
 	if e == nil {
 		return
 	}
-	l.execution = nil
+	l.attempt = nil
 	if e.flow != nil {
 		e.flow.serverEnded(err == nil || errors.Is(err, io.EOF))
 		return
@@ -336,7 +336,7 @@
 		l.s.finish(e, nil)
 		return
 	}
-	l.s.finish(e, &execError{l.progress(e), broke, err})
+	l.s.finish(e, &attemptError{l.progress(e), broke, err})
 }
 
 // close ends the connection at once.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -64,7 +64,7 @@
 	notices   notices
 	idle      map[uint32][]*serverLink
 	settling  settling
-	starved   []*execution // that wait for a link or a descriptor
+	starved   []*attempt // that wait for a link or a descriptor
 	watcher   *watcher
 	passed    passed
 	admission features.Admission
@@ -273,7 +273,7 @@
 	return s.at
 }
 
-// fire fires the timers that are due, in their order. Danger: the answer that an execution waits for may be there
+// fire fires the timers that are due, in their order. Danger: the answer that an attempt waits for may be there
 // already, unread while the loop was busy or stood still; given up for late it accuses a host that was in time. So the
 // loop looks at its connections first.
 func (s *Sidecar) fire() {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -18,7 +18,7 @@
 
 // A claim that nothing has run lets a request go out again: it is made only where it is certain.
 func TestOutcomes(t *testing.T) {
-	o := func(p progress, c cause) policy.Outcome { return (&execError{p, c, nil}).outcome() }
+	o := func(p progress, c cause) policy.Outcome { return (&attemptError{p, c, nil}).outcome() }
 	table := map[cause][4]policy.Outcome{
 		broke:     {policy.ConnectFailed, policy.ConnectFailed, policy.Reset, policy.HostError},
 		timedOut:  {policy.ConnectFailed, policy.TimedOut, policy.TimedOut, policy.TimedOut},
@@ -31,7 +31,7 @@
 			assert.Equal(t, want, o(progress(p), c), "%v, %v", c, progress(p))
 		}
 	}
-	err := &execError{answering, broke, errStray}
+	err := &attemptError{answering, broke, errStray}
 	assert.Equal(t, "broke, answering: unasked bytes", err.Error())
 	assert.True(t, errors.Is(err, errStray))
 }
@@ -81,7 +81,7 @@
 	s.admission.Reserve = 1
 	s.cfg.Limits.Sockets = spareDescriptors + s.reserved + s.reserve() + dialDescriptors // room for one dial
 	for range 2 {
-		s.dial(s.hosts.Host(7), &execution{s: s, host: 7, until: testNow + 10, front: listedFront{}, second: true})
+		s.dial(s.hosts.Host(7), &attempt{s: s, host: 7, until: testNow + 10, front: listedFront{}, second: true})
 	}
 	require.Len(t, n.done, 1)
 	require.Len(t, s.starved, 1)
--- a/internal/sidecar/starved.go
+++ b/internal/sidecar/starved.go
@@ -2,19 +2,19 @@
 
 import "slices"
 
-// Executions that find neither an idle link nor the descriptors for a new one wait for either, in the order in which they
+// Attempts that find neither an idle link nor the descriptors for a new one wait for either, in the order in which they
 // came. Danger: ended at once, they would come back as often as they may within a millisecond and be refused, while links
 // to their servers become free all the time.
 
-// starve has an execution wait.
-func (s *Sidecar) starve(e *execution) {
+// starve has an attempt wait.
+func (s *Sidecar) starve(e *attempt) {
 	s.counters.Starved++
-	s.notice("executions wait for a descriptor")
+	s.notice("attempts wait for a descriptor")
 	s.starved = append(s.starved, e)
 }
 
-// unstarve takes an execution from those that wait, and tells whether it was one.
-func (s *Sidecar) unstarve(e *execution) bool {
+// unstarve takes an attempt from those that wait, and tells whether it was one.
+func (s *Sidecar) unstarve(e *attempt) bool {
 	i := slices.Index(s.starved, e)
 	if i >= 0 {
 		s.starved = slices.Delete(s.starved, i, i+1)
@@ -22,7 +22,7 @@
 	return i >= 0
 }
 
-// feed gives a link that has become idle to the first execution that waits for its server, and tells whether there was one.
+// feed gives a link that has become idle to the first attempt that waits for its server, and tells whether there was one.
 func (s *Sidecar) feed(l *serverLink) bool {
 	for _, e := range s.starved {
 		if e.host == l.host && e.front == l.front && s.mayBegin(e) && s.net.Quiet(l.conn) {
@@ -42,7 +42,7 @@
 		if h := s.hosts.Host(e.host); h != nil && s.mayBegin(e) {
 			s.dial(h, e)
 		} else {
-			s.finish(e, &execError{notConnected, overtaken, nil})
+			s.finish(e, &attemptError{notConnected, overtaken, nil})
 		}
 	}
 }
--- a/internal/sidecar/works.go
+++ b/internal/sidecar/works.go
@@ -37,7 +37,7 @@
 	Kept             bool // it is out by what is agreed, and was given back here by hand: it is in use
 	Cold             bool
 	Silent           bool // it is not to be used by choice: silent, suspected, failing
-	Out              int  // executions that may be under way there
+	Out              int  // attempts that may be under way there
 	Ended            uint64
 	Busy             bool // by its own last report, if that came within the last seconds
 }
@@ -45,16 +45,16 @@
 // boxWork is what a sidecar remembers for it.
 type boxWork struct {
 	field  int               // of reports; below 0: they do not tell what is under way
-	mostS  float64           // for which an execution that was given up may go on
-	ended  map[uint32]uint64 // executions, by box
+	mostS  float64           // for which an attempt that was given up may go on
+	ended  map[uint32]uint64 // attempts, by box
 	report map[uint32]boxReport
-	given  map[uint32][]float64 // when executions were given up that may go on, by box, the last ones
+	given  map[uint32][]float64 // when attempts were given up that may go on, by box, the last ones
 	hungUp map[uint32]hangUps
 }
 
 type boxReport struct{ at, inflight float64 }
 
-// hangUps counts the executions in a row whose link broke before an answer came, with when the last one did.
+// hangUps counts the attempts in a row whose link broke before an answer came, with when the last one did.
 type hangUps struct {
 	n  int
 	at float64
@@ -63,7 +63,7 @@
 const (
 	// reportS is for how long a box's own report says anything.
 	reportS = 3.0
-	// mostGiven bounds the executions of a box that were given up and are remembered.
+	// mostGiven bounds the attempts of a box that were given up and are remembered.
 	mostGiven = 64
 	// lateListS is for how long nothing may come of discovery, which says something every 2 s.
 	lateListS = 8.0
@@ -81,9 +81,9 @@
 	s.works = w
 }
 
-// note takes the end of an execution. Danger: who gave up on one does not know that its box did; work on it would begin under a
+// note takes the end of an attempt. Danger: who gave up on one does not know that its box did; work on it would begin under a
 // request that still runs.
-func (w *boxWork) note(e *execution, err *execError, result *policy.Result, now float64) {
+func (w *boxWork) note(e *attempt, err *attemptError, result *policy.Result, now float64) {
 	if e.request != nil {
 		w.ended[e.host]++
 		switch {
@@ -109,7 +109,7 @@
 	return h.n >= failsAfter && now-h.at < failsS
 }
 
-// open counts the executions that were given up and may go on. A report that came after tells of all.
+// open counts the attempts that were given up and may go on. A report that came after tells of all.
 func (w *boxWork) open(host uint32, now float64) (n int) {
 	given := w.given[host]
 	if len(given) == 0 {
--- a/internal/sidecar/works_test.go
+++ b/internal/sidecar/works_test.go
@@ -14,11 +14,11 @@
 	s := newTestSidecar(t)
 	s.WorkOnBoxes()
 	w, now := s.works, testNow
-	ends := func(request *request, err *execError) {
-		w.note(&execution{host: 7, request: request}, err, &policy.Result{}, now)
+	ends := func(request *request, err *attemptError) {
+		w.note(&attempt{host: 7, request: request}, err, &policy.Result{}, now)
 	}
 	r := &request{}
-	hangsUp, left := &execError{writtenWhole, broke, errStray}, &execError{writtenWhole, cancelled, nil}
+	hangsUp, left := &attemptError{writtenWhole, broke, errStray}, &attemptError{writtenWhole, cancelled, nil}
 	ends(r, hangsUp)
 	assert.False(t, w.fails(7, now), "one link may have died while idle")
 	ends(r, left)
