Rename client and server links to client and backend connections

ClientLink is ClientConn, serverLink backendConn, their files with them; comments say client connection and backend connection.

--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -1,4 +1,4 @@
-// Package http1 is the front that speaks HTTP/1.1: its client links, what it passes on to servers, and its probes.
+// Package http1 is the front that speaks HTTP/1.1: its client connections, what it passes on to servers, and its probes.
 package http1
 
 import (
--- a/internal/front/http1/link.go
+++ b/internal/front/http1/link.go
@@ -11,9 +11,9 @@
 	"hazelwheel/policy"
 )
 
-// link is a client link that speaks HTTP/1.1.
+// link is a client connection that speaks HTTP/1.1.
 type link struct {
-	sidecar.ClientLink
+	sidecar.ClientConn
 	front  *Front
 	parser http1.RequestParser
 	told   bool  // 100 Continue is sent
--- a/internal/front/thrift/call.go
+++ b/internal/front/thrift/call.go
@@ -33,7 +33,7 @@
 	call  *call
 	seq   int32
 	begun bool
-	reply thrift.Message // lies in the server link's buffer until the next bytes come
+	reply thrift.Message // lies in the backend connection's buffer until the next bytes come
 	ended policy.Outcome
 }
 
--- a/internal/front/thrift/front.go
+++ b/internal/front/thrift/front.go
@@ -1,4 +1,4 @@
-// Package thrift is the front that speaks framed Thrift, in the binary and the compact protocol: its client links, the calls
+// Package thrift is the front that speaks framed Thrift, in the binary and the compact protocol: its client connections, the calls
 // that go on to servers, and its probes. A call goes on in the encoding in which it came.
 package thrift
 
@@ -77,7 +77,7 @@
 	return fmt.Sprintf("%s-thrift-%d", f.name, f.made)
 }
 
-// number returns the next attempt's sequence number. Danger: a server link carries one call at a time, but what comes late
+// number returns the next attempt's sequence number. Danger: a backend connection carries one call at a time, but what comes late
 // of an earlier one must not be taken for this one's.
 func (f *Front) number() int32 {
 	f.sequence++
--- a/internal/front/thrift/link.go
+++ b/internal/front/thrift/link.go
@@ -11,10 +11,10 @@
 	"hazelwheel/policy"
 )
 
-// link is a client link that speaks Thrift. Calls that come ahead wait in its buffer and in the socket: they are answered in
+// link is a client connection that speaks Thrift. Calls that come ahead wait in its buffer and in the socket: they are answered in
 // their order, one at a time, as a server of the Apache libraries does.
 type link struct {
-	sidecar.ClientLink
+	sidecar.ClientConn
 	front *Front
 	m     thrift.Message // the one that was read last, or is out
 }
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -83,7 +83,7 @@
 	until    float64 // when the wait is over
 	exchange Exchange
 	front    Front
-	link     *serverLink
+	link     *backendConn
 	progress progress
 	timer    timer // when the wait is over
 	s        *Sidecar
@@ -192,7 +192,7 @@
 	return r == nil || !r.answered && s.mayServe(e.host) && now < r.repeatsUntil(e)
 }
 
-// begin starts an attempt on an idle server link, or on a new one.
+// begin starts an attempt on an idle backend connection, or on a new one.
 func (s *Sidecar) begin(e *attempt) {
 	h := s.hosts.Host(e.host)
 	if h == nil || !s.mayBegin(e) {
@@ -201,7 +201,7 @@
 	}
 	e.s = s
 	s.timers.set(&e.timer, e.until, e)
-	if l := s.idleLink(h, e.front); l != nil {
+	if l := s.idleConn(h, e.front); l != nil {
 		l.begin(e)
 		return
 	}
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/backendconn.go
@@ -15,8 +15,8 @@
 // errStray is the end of a link that said something nobody had asked for.
 var errStray = errors.New("unasked bytes")
 
-// serverLink is a connection to a server. It carries one attempt at a time.
-type serverLink struct {
+// backendConn is a connection to a server. It carries one attempt at a time.
+type backendConn struct {
 	s        *Sidecar
 	front    Front
 	host     uint32
@@ -61,14 +61,14 @@
 	s.until = now + strayMemoryS
 }
 
-// idleLink takes the link to a server that was used last, nil if there is none. The newest is the least
+// idleConn takes the link to a server that was used last, nil if there is none. The newest is the least
 // likely to have been closed by the other side for its rest, and the others can grow old and be retired. Danger: what
 // a server sends behind its answer a moment later would answer the next request; one whose last answer has only just
 // come is taken only where no new link can be had.
-func (s *Sidecar) idleLink(h *endpointset.Host, front Front) *serverLink {
+func (s *Sidecar) idleConn(h *endpointset.Host, front Front) *backendConn {
 	for {
 		links := s.idle[h.ID]
-		var l *serverLink
+		var l *backendConn
 		rested := s.now() - s.settling.at(s.now())
 		for i := len(links) - 1; i >= 0 && (l == nil || l.restedAt > rested); i-- {
 			if links[i].front == front {
@@ -92,7 +92,7 @@
 }
 
 // unidle takes a link from the idle ones.
-func (l *serverLink) unidle() {
+func (l *backendConn) unidle() {
 	links := l.s.idle[l.host]
 	if i := slices.Index(links, l); i >= 0 {
 		l.s.idle[l.host] = slices.Delete(links, i, i+1)
@@ -102,11 +102,11 @@
 
 // rest puts a link among the idle ones. Danger: a request that is written to a link after the server's side
 // has closed it is lost, and one that must not run twice with it. Links are retired well before that.
-func (l *serverLink) rest() { l.restFrom(l.s.now()) }
+func (l *backendConn) rest() { l.restFrom(l.s.now()) }
 
 // restFrom is rest for a link that its server may be at work on until a time: it is used before that only where no other can
 // be had.
-func (l *serverLink) restFrom(at float64) {
+func (l *backendConn) restFrom(at float64) {
 	l.attempt, l.restedAt = nil, at
 	l.buf.Rest()
 	if l.s.feed(l) {
@@ -125,7 +125,7 @@
 		s.starve(e)
 		return
 	}
-	l := &serverLink{s: s, front: e.front, host: h.ID, address: h.Address, attempt: e}
+	l := &backendConn{s: s, front: e.front, host: h.ID, address: h.Address, attempt: e}
 	e.link = l
 	s.counters.Dials++
 	began := s.now()
@@ -142,11 +142,11 @@
 	})
 }
 
-// makeRoom closes the idle links to servers that have rested longest until there is room for n descriptors, and tells
+// makeRoom closes the idle backend connections that have rested longest until there is room for n descriptors, and tells
 // whether there is.
 func (s *Sidecar) makeRoom(n int) bool {
 	for !s.hasRoom(n) {
-		var oldest *serverLink
+		var oldest *backendConn
 		for _, links := range s.idle {
 			if len(links) > 0 && (oldest == nil || links[0].older(oldest)) {
 				oldest = links[0]
@@ -161,7 +161,7 @@
 }
 
 // older tells whether a link has rested longer than another.
-func (l *serverLink) older(other *serverLink) bool {
+func (l *backendConn) older(other *backendConn) bool {
 	return cmp.Or(cmp.Compare(l.restedAt, other.restedAt), cmp.Compare(l.host, other.host)) < 0
 }
 
@@ -184,7 +184,7 @@
 }
 
 // opened takes the link into use.
-func (l *serverLink) opened(c netio.Conn) {
+func (l *backendConn) opened(c netio.Conn) {
 	l.conn = c
 	e := l.attempt
 	if e != nil && l.s.mayBegin(e) {
@@ -208,7 +208,7 @@
 }
 
 // begin writes an attempt's request.
-func (l *serverLink) begin(e *attempt) {
+func (l *backendConn) begin(e *attempt) {
 	l.attempt, e.link = e, l
 	e.progress = partlyWritten
 	l.s.scratch = e.exchange.Append(l.s.scratch[:0], l.s.now(), l.s.told(e))
@@ -235,7 +235,7 @@
 const writtenEveryS = 0.005
 
 // silence ends an attempt that has no answer once its request is written whole.
-func (l *serverLink) silence(e *attempt) {
+func (l *backendConn) silence(e *attempt) {
 	switch {
 	case l.attempt != e || !e.exchange.Silent():
 	case l.progress(e) == writtenWhole:
@@ -246,7 +246,7 @@
 }
 
 // progress tells how far the link's attempt has come by now.
-func (l *serverLink) progress(e *attempt) progress {
+func (l *backendConn) progress(e *attempt) progress {
 	if e.progress == partlyWritten && !l.writing && e.exchange.Written() && l.conn.OutboundBuffered() == 0 {
 		e.progress = writtenWhole
 		if r := e.request; r != nil {
@@ -263,13 +263,13 @@
 }
 
 // traffic reads what the server says.
-func (l *serverLink) traffic(data []byte) {
+func (l *backendConn) traffic(data []byte) {
 	l.buf.Write(data)
 	e := l.attempt
 	if e == nil {
 		now := l.s.now()
 		l.s.settling.stray(now, now-l.restedAt)
-		l.s.log.Debug("server link closed", "host", l.host, "error", errStray)
+		l.s.log.Debug("backend connection closed", "host", l.host, "error", errStray)
 		l.close()
 		return
 	}
@@ -298,7 +298,7 @@
 
 // complete ends an attempt whose answer is whole. The link is kept only if nothing is left on it, neither
 // of the answer nor of the request.
-func (l *serverLink) complete(e *attempt) {
+func (l *backendConn) complete(e *attempt) {
 	l.progress(e)
 	if l.reusable(e) {
 		from := l.s.now()
@@ -314,13 +314,13 @@
 }
 
 // reusable tells whether a link can carry another attempt after a whole answer.
-func (l *serverLink) reusable(e *attempt) bool {
+func (l *backendConn) reusable(e *attempt) bool {
 	_, _, keep := e.exchange.Verdict()
 	return keep && e.exchange.Written() && l.buf.Len() == 0 && l.conn.OutboundBuffered() == 0 && l.s.mayServe(l.host)
 }
 
 // ended takes the end of the connection, from whatever side.
-func (l *serverLink) ended(err error) {
+func (l *backendConn) ended(err error) {
 	l.closed = true
 	l.unidle()
 	e := l.attempt
@@ -340,7 +340,7 @@
 }
 
 // close ends the connection at once.
-func (l *serverLink) close() {
+func (l *backendConn) close() {
 	if !l.closed {
 		l.closed = true
 		l.unidle()
--- a/internal/sidecar/clientlink.go
+++ b/internal/sidecar/clientconn.go
@@ -45,9 +45,9 @@
 	longestS = 3600.0
 )
 
-// ClientLink is a connection from the application, one request at a time, in what is the same in all protocols. The
+// ClientConn is a connection from the application, one request at a time, in what is the same in all protocols. The
 // protocol's part is its Client, which holds it.
-type ClientLink struct {
+type ClientConn struct {
 	s        *Sidecar
 	front    Front
 	client   Client
@@ -77,11 +77,11 @@
 	paused     bool    // what comes stays in the socket
 }
 
-// Shared is what a protocol's part has from the ClientLink that it holds.
-func (l *ClientLink) Shared() *ClientLink { return l }
+// Shared is what a protocol's part has from the ClientConn that it holds.
+func (l *ClientConn) Shared() *ClientConn { return l }
 
 // leaveClients takes the link from the sidecar's.
-func (l *ClientLink) leaveClients() {
+func (l *ClientConn) leaveClients() {
 	all := l.s.clients
 	last := all[len(all)-1]
 	all[l.index], last.index = last, l.index
@@ -90,10 +90,10 @@
 	l.s.room.Close(l.place)
 }
 
-func (l *ClientLink) opened(netio.Conn) {}
+func (l *ClientConn) opened(netio.Conn) {}
 
 // traffic reads what the client says.
-func (l *ClientLink) traffic(data []byte) {
+func (l *ClientConn) traffic(data []byte) {
 	if l.last {
 		l.heardAt = l.s.now()
 		return
@@ -128,7 +128,7 @@
 
 // endsWhilePaused returns whether the client's end counts while what it sends is left unread: as long as it is owed an answer of
 // which nothing has been written.
-func (l *ClientLink) endsWhilePaused() netio.PausedEnds {
+func (l *ClientConn) endsWhilePaused() netio.PausedEnds {
 	if l.request == nil || l.request.answered {
 		return netio.EndsWait
 	}
@@ -136,7 +136,7 @@
 }
 
 // next takes up the requests that have come, until one is out.
-func (l *ClientLink) next() {
+func (l *ClientConn) next() {
 	for l.conn != nil && l.request == nil && !l.last && l.untaken == 0 { // a link may have gone since this was queued
 		whole, err := l.client.Read(&l.buf)
 		if err != nil {
@@ -155,7 +155,7 @@
 }
 
 // await has the rest of a request come.
-func (l *ClientLink) await() {
+func (l *ClientConn) await() {
 	l.resume()
 	if _, begun := l.client.Partial(); l.arrival != nil || l.buf.Len() == 0 && !begun {
 		return
@@ -170,7 +170,7 @@
 
 // overdue ends a request that has not come whole in time. A longer body has as much more as it needs at the least rate, and
 // the time in which it was left unread does not count.
-func (l *ClientLink) overdue() {
+func (l *ClientConn) overdue() {
 	now, came := l.s.now(), 0
 	l.arrival = nil
 	if r := l.request; r != nil {
@@ -194,23 +194,23 @@
 }
 
 // endArrival notes that no request is on its way in.
-func (l *ClientLink) endArrival() {
+func (l *ClientConn) endArrival() {
 	l.s.timers.stop(l.arrival)
 	l.arrival = nil
 }
 
 // decline ends a link that brings no message.
-func (l *ClientLink) decline(err error) {
+func (l *ClientConn) decline(err error) {
 	l.endArrival()
 	l.keep = false
 	l.client.Decline(err)
 }
 
 // Keep says whether the client wants the link kept after the message that has been read.
-func (l *ClientLink) Keep(keep bool) { l.keep = keep }
+func (l *ClientConn) Keep(keep bool) { l.keep = keep }
 
 // Hangup closes a link whose client speaks another protocol: no answer that it could read is to be had here.
-func (l *ClientLink) Hangup(why string) {
+func (l *ClientConn) Hangup(why string) {
 	l.endArrival()
 	l.s.counters.Malformed++
 	l.s.notice(why)
@@ -218,22 +218,22 @@
 }
 
 // Spoilt counts a request of a class that is answered and never handed on: nobody could decide on it.
-func (l *ClientLink) Spoilt(class int) {
+func (l *ClientConn) Spoilt(class int) {
 	l.s.counters.Requests++
 	l.s.counters.end(class, failed)
 }
 
 // Malformed counts a message that is answered and never handed on.
-func (l *ClientLink) Malformed() { l.s.counters.Malformed++ }
+func (l *ClientConn) Malformed() { l.s.counters.Malformed++ }
 
 // Sidecar returns whose link it is.
-func (l *ClientLink) Sidecar() *Sidecar { return l.s }
+func (l *ClientConn) Sidecar() *Sidecar { return l.s }
 
 // RemoteAddr returns the client's address.
-func (l *ClientLink) RemoteAddr() net.Addr { return l.conn.RemoteAddr() }
+func (l *ClientConn) RemoteAddr() net.Addr { return l.conn.RemoteAddr() }
 
 // Admit tells whether there is room for a request of a class; otherwise it has been throttled.
-func (l *ClientLink) Admit(class int) bool {
+func (l *ClientConn) Admit(class int) bool {
 	switch {
 	case l.throng && !l.s.hasRoom(serverRoom), l.s.room.Full(l.place):
 		l.turnAway(class, "there is no room for them")
@@ -264,7 +264,7 @@
 }
 
 // HandOn hands a request that Admit has let in to the decisions, unless it is beyond its group's quota.
-func (l *ClientLink) HandOn(a Ask) {
+func (l *ClientConn) HandOn(a Ask) {
 	ticket, within := l.withinQuota(&a)
 	if !within {
 		return
@@ -292,7 +292,7 @@
 }
 
 // turnAway throttles a request that is not taken up: there is no room for it, or its client has more out than its part.
-func (l *ClientLink) turnAway(class int, why string) {
+func (l *ClientConn) turnAway(class int, why string) {
 	l.s.counters.Requests++
 	l.s.counters.end(class, throttled)
 	l.s.counters.TurnedAway++
@@ -303,11 +303,11 @@
 }
 
 // Served notes that the answer to come is a server's.
-func (l *ClientLink) Served() { l.s.room.Served(l.place) }
+func (l *ClientConn) Served() { l.s.room.Served(l.place) }
 
 // BeginAnswer frees the link of its request. It tells whether the client is still there, and whether the answer to come is
 // the last on the link; what it is appended to is returned, for EndAnswer. says tells whether the answer can say so itself.
-func (l *ClientLink) BeginAnswer(says bool) (dst []byte, last, there bool) {
+func (l *ClientConn) BeginAnswer(says bool) (dst []byte, last, there bool) {
 	// Danger: the rest of a request that is answered before it has come whole is waited for no longer; its time would end with a
 	// second answer.
 	l.endArrival()
@@ -327,7 +327,7 @@
 }
 
 // EndAnswer writes an answer and makes ready for the next request.
-func (l *ClientLink) EndAnswer(answer []byte) {
+func (l *ClientConn) EndAnswer(answer []byte) {
 	l.s.keepScratch(answer)
 	l.answered = true
 	if len(answer) > 0 {
@@ -344,11 +344,11 @@
 }
 
 // Spool returns how much of a request's body is held before the rest of it flows.
-func (l *ClientLink) Spool() int { return l.s.spool() }
+func (l *ClientConn) Spool() int { return l.s.spool() }
 
 // BeginFlow is BeginAnswer for an answer that comes in pieces, which end with the link where nothing else tells their end.
 // What is appended goes to Flow.
-func (l *ClientLink) BeginFlow(endless bool) (dst []byte, last, there bool) {
+func (l *ClientConn) BeginFlow(endless bool) (dst []byte, last, there bool) {
 	if l.conn == nil {
 		return nil, false, false
 	}
@@ -358,10 +358,10 @@
 }
 
 // Scratch returns empty memory for what Flow is to write.
-func (l *ClientLink) Scratch() []byte { return l.s.scratch[:0] }
+func (l *ClientConn) Scratch() []byte { return l.s.scratch[:0] }
 
 // Flow writes a part of an answer.
-func (l *ClientLink) Flow(b []byte) {
+func (l *ClientConn) Flow(b []byte) {
 	l.s.keepScratch(b)
 	if l.conn != nil && len(b) > 0 {
 		l.Write(b)
@@ -369,7 +369,7 @@
 }
 
 // endFlow makes ready for the next request once an answer has flowed to its end.
-func (l *ClientLink) endFlow() {
+func (l *ClientConn) endFlow() {
 	l.endArrival()
 	if l.request = nil; l.conn != nil {
 		l.last = l.flowLast
@@ -378,7 +378,7 @@
 }
 
 // afterAnswer goes on once the client's socket has taken an answer.
-func (l *ClientLink) afterAnswer() {
+func (l *ClientConn) afterAnswer() {
 	l.untaken, l.held, l.flowed = 0, 0, false
 	if l.last {
 		l.resume()
@@ -400,13 +400,13 @@
 }
 
 // Write sends what is no answer, or a part of one.
-func (l *ClientLink) Write(b []byte) {
+func (l *ClientConn) Write(b []byte) {
 	l.conn.Write(b) // gnet keeps what the socket does not take, and closes the link on an error
 }
 
 // finish ends the link after its last answer, which the socket has taken: no more is sent, and what comes is read and
 // dropped until the client has closed or the time is over.
-func (l *ClientLink) finish() {
+func (l *ClientConn) finish() {
 	if l.conn == nil || l.shut {
 		return
 	}
@@ -419,7 +419,7 @@
 }
 
 // leave closes a link that lingers once its client has been silent for a while, at the latest at the given time.
-func (l *ClientLink) leave(latest float64) {
+func (l *ClientConn) leave(latest float64) {
 	if at := min(l.heardAt+lingerS, latest); at > l.s.now() {
 		l.linger = l.s.timers.at(at, func() { l.leave(latest) })
 		return
@@ -428,13 +428,13 @@
 }
 
 // idle tells whether nothing of a request has come and none is out.
-func (l *ClientLink) idle() bool {
+func (l *ClientConn) idle() bool {
 	_, begun := l.client.Partial()
 	return l.request == nil && !l.last && l.untaken == 0 && l.buf.Len() == 0 && !begun
 }
 
 // ended takes the client's departure.
-func (l *ClientLink) ended(error) {
+func (l *ClientConn) ended(error) {
 	l.conn = nil
 	l.s.timers.stop(l.linger)
 	l.endArrival()
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -23,7 +23,7 @@
 	aheadBytes = 4 << 10
 	// flushEveryS is the time between two looks whether answers have been taken: the loop does not tell.
 	flushEveryS = 0.01
-	// reservePart is the part of the client links that is kept for known clients where the operators set no number.
+	// reservePart is the part of the client connections that is kept for known clients where the operators set no number.
 	reservePart = 8
 	// lookedAt bounds the links whose sockets are looked into before one goes.
 	lookedAt = 4
@@ -32,14 +32,14 @@
 // serverRoom descriptors are kept from clients when a request comes over a link that is beyond mostClients.
 const serverRoom = 16
 
-// mostClients is how many client links leave enough descriptors for the servers.
+// mostClients is how many client connections leave enough descriptors for the servers.
 func (s *Sidecar) mostClients() int { return s.mostLinks() * 3 / 4 }
 
 // beyondRoom is how many links beyond mostClients are taken for a word to their clients. Danger: each takes a descriptor
 // that an attempt may need.
 func (s *Sidecar) beyondRoom() int { return s.mostLinks() / 16 }
 
-// crowded tells whether client links are so many that none is kept for its own sake. Danger: clients that ask once and
+// crowded tells whether client connections are so many that none is kept for its own sake. Danger: clients that ask once and
 // stay come to hold all the connections that the application may have, long before the descriptors here run out; its
 // other requests then find none. So from there on an answer is the last on its link.
 func (s *Sidecar) crowded() bool { return len(s.clients) > s.cfg.Limits.Sockets/s.parts/5 }
@@ -57,7 +57,7 @@
 	return a
 }
 
-// serverSide is how many descriptors links to servers and to discovery hold, or may come to hold.
+// serverSide is how many descriptors backend connections and to discovery hold, or may come to hold.
 func (s *Sidecar) serverSide() int { return s.conns - s.room.Len() - s.room.BeyondLen() + s.dialing }
 
 // reserve is how many links are kept for known clients.
@@ -88,7 +88,7 @@
 		if gone == nil {
 			break
 		}
-		old := gone.Owner.(*ClientLink)
+		old := gone.Owner.(*ClientConn)
 		if old.mayBeAsking() {
 			if looked++; looked > lookedAt {
 				break
@@ -116,7 +116,7 @@
 	// been read from this link.
 	s.counters.NoRoom++
 	s.notice("connections are refused: there is no room for them")
-	s.log.Debug("client link refused", "client", c.RemoteAddr(), "crowded", verdict == admission.Crowded, "links", s.room.Len())
+	s.log.Debug("client connection refused", "client", c.RemoteAddr(), "crowded", verdict == admission.Crowded, "links", s.room.Len())
 	return false
 }
 
@@ -143,13 +143,13 @@
 }
 
 // mayBeAsking tells whether the next request of a link that seems to have none waits in its socket.
-func (l *ClientLink) mayBeAsking() bool {
+func (l *ClientConn) mayBeAsking() bool {
 	state, _ := l.place.State()
 	return (state == admission.Silent || state == admission.Resting) && !l.s.net.Quiet(l.conn)
 }
 
 // giveUp closes a link that goes for another.
-func (l *ClientLink) giveUp() {
+func (l *ClientConn) giveUp() {
 	s := l.s
 	switch state, _ := l.place.State(); state {
 	case admission.Partial, admission.Unread:
@@ -158,17 +158,17 @@
 		s.counters.Retired++
 	}
 	s.notice("connections that have no request out are closed to make room")
-	s.log.Debug("client link given up", "client", l.conn.RemoteAddr(), "state", l.stateName())
+	s.log.Debug("client connection given up", "client", l.conn.RemoteAddr(), "state", l.stateName())
 	s.closeConn(l.conn)
 }
 
-func (l *ClientLink) stateName() string {
+func (l *ClientConn) stateName() string {
 	state, _ := l.place.State()
 	return state.String()
 }
 
 // retire closes a link that is of no more use, unless a request waits in its socket.
-func (l *ClientLink) retire() {
+func (l *ClientConn) retire() {
 	if l.mayBeAsking() {
 		l.s.room.Renew(l.s.now(), l.place)
 		return
@@ -181,12 +181,12 @@
 }
 
 // hold notes how much of a request or of an answer the link holds. Where all hold too much, who holds most goes.
-func (l *ClientLink) hold(bytes int) {
+func (l *ClientConn) hold(bytes int) {
 	s := l.s
 	s.room.Hold(l.place, bytes)
 	for gone := s.room.Heavy(); gone != nil; gone = s.room.Heavy() {
 		s.notice("connections that hold much are closed: there is no memory for more")
-		gone.Owner.(*ClientLink).giveUp()
+		gone.Owner.(*ClientConn).giveUp()
 	}
 }
 
@@ -198,7 +198,7 @@
 			if _, at := l.State(); at >= since {
 				return
 			}
-			l.Owner.(*ClientLink).retire()
+			l.Owner.(*ClientConn).retire()
 		}
 	}
 	if old(admission.Silent, now-silentS); s.crowded() {
@@ -209,7 +209,7 @@
 
 // unread has a link wait until its client has taken what is written. Danger: requests that are taken up while answers
 // wait grow what waits without a bound, and with it the process, which is killed with all that it has taken.
-func (l *ClientLink) unread() {
+func (l *ClientConn) unread() {
 	s, now := l.s, l.s.now()
 	l.unreadFrom, l.tookAt, l.untaken = now, now, l.conn.OutboundBuffered()
 	s.room.Move(now, l.place, admission.Unread)
@@ -223,13 +223,13 @@
 
 // pause leaves what the client sends in the socket. Danger: while a request waits its client may go, behind bytes that nobody reads;
 // sent on all the same, the request would run for nobody.
-func (l *ClientLink) pause(ends netio.PausedEnds) {
+func (l *ClientConn) pause(ends netio.PausedEnds) {
 	l.s.net.PauseReading(l.conn, ends)
 	l.paused = true
 }
 
 // resume reads on.
-func (l *ClientLink) resume() {
+func (l *ClientConn) resume() {
 	if l.paused {
 		l.paused = false
 		l.s.net.ResumeReading(l.conn)
@@ -241,7 +241,7 @@
 func (s *Sidecar) flush() {
 	now := s.now()
 	s.room.Each(admission.Unread, func(place *admission.Link) {
-		l := place.Owner.(*ClientLink)
+		l := place.Owner.(*ClientConn)
 		left := l.conn.OutboundBuffered()
 		if left < l.untaken {
 			l.untaken, l.tookAt = left, now
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -26,7 +26,7 @@
 
 // counters count what the sidecar takes in, sends and answers.
 type counters struct {
-	Accepted  uint64 `json:"accepted"`  // client links that have come up
+	Accepted  uint64 `json:"accepted"`  // client connections that have come up
 	Requests  uint64 `json:"requests"`  // taken whole from clients
 	Open      int    `json:"open"`      // of these, not answered yet
 	Served    uint64 `json:"served"`    // answered with what a server said
@@ -36,19 +36,19 @@
 	Abandoned uint64 `json:"abandoned"` // whose client went away
 	Overdue   uint64 `json:"overdue"`   // failed because the decisions were late
 	Malformed uint64 `json:"malformed"` // messages answered with 4xx or 501 and never handed on
-	Retired   uint64 `json:"retired"`   // client links closed since they said nothing, or rested
+	Retired   uint64 `json:"retired"`   // client connections closed since they said nothing, or rested
 
 	TurnedAway uint64 `json:"turned_away"` // throttled without a word of the decisions: no room, or more than a fair part
-	GivenUp    uint64 `json:"given_up"`    // client links closed to make room that had brought no whole request, or not read
-	OverCap    uint64 `json:"over_cap"`    // client links refused beyond the cap of an address or prefix
-	NoRoom     uint64 `json:"no_room"`     // client links refused since all descriptors were taken
+	GivenUp    uint64 `json:"given_up"`    // client connections closed to make room that had brought no whole request, or not read
+	OverCap    uint64 `json:"over_cap"`    // client connections refused beyond the cap of an address or prefix
+	NoRoom     uint64 `json:"no_room"`     // client connections refused since all descriptors were taken
 	OverQuota  uint64 `json:"over_quota"`  // throttled without a word of the decisions: beyond their group's quota
-	Unread     uint64 `json:"unread"`      // client links closed since their clients did not read
+	Unread     uint64 `json:"unread"`      // client connections closed since their clients did not read
 
 	Executions uint64 `json:"executions"`
 	Starved    uint64 `json:"starved"` // of these, that waited for a descriptor
 	Probes     uint64 `json:"probes"`
-	Dials      uint64 `json:"dials"` // server links opened
+	Dials      uint64 `json:"dials"` // backend connections opened
 	Watches    uint64 `json:"watches"`
 	Lists      uint64 `json:"lists"`       // objects taken from discovery
 	ListFailed uint64 `json:"list_failed"` // watches that failed
--- a/internal/sidecar/flow.go
+++ b/internal/sidecar/flow.go
@@ -38,7 +38,7 @@
 // flows are what is looked at again and again while it flows: answers, and requests whose server lags.
 type flows struct {
 	answers []*flow
-	lagging []*serverLink
+	lagging []*backendConn
 	ticking bool
 }
 
@@ -73,7 +73,7 @@
 func (r *request) uploading() bool { return r.body != nil && !r.body.Whole }
 
 // upload takes more of a request's body, and passes it on.
-func (l *ClientLink) upload(r *request) {
+func (l *ClientConn) upload(r *request) {
 	s := l.s
 	if r.answered { // whoever it was for has it or never will
 		l.buf.Discard(l.buf.Len())
@@ -116,7 +116,7 @@
 }
 
 // pump writes on what has come of an attempt's request, as far as its server takes it.
-func (l *serverLink) pump(e *attempt) {
+func (l *backendConn) pump(e *attempt) {
 	for !e.exchange.Written() && l.conn.OutboundBuffered() < l.s.flowRoom() {
 		piece := e.exchange.More(l.s.scratch[:0], PieceBytes)
 		if l.s.keepScratch(piece); len(piece) == 0 {
@@ -152,8 +152,8 @@
 type flow struct {
 	s       *Sidecar
 	e       *attempt
-	link    *serverLink
-	client  *ClientLink
+	link    *backendConn
+	client  *ClientConn
 	origin  FlowOrigin
 	paused  bool    // the server's link is left unread
 	heardAt float64 // when the server last brought something, or could not
@@ -167,7 +167,7 @@
 
 // beginFlow passes on what has come of a large answer. One that nobody waits for, or that says that the attempt failed, is not
 // read to its end.
-func (s *Sidecar) beginFlow(l *serverLink, e *attempt) {
+func (s *Sidecar) beginFlow(l *backendConn, e *attempt) {
 	r, now := e.request, s.now()
 	result := policy.Result{ID: r.id, Host: e.host, Attempt: e.number}
 	result.Outcome, result.Report, _ = e.exchange.Verdict()
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -11,21 +11,21 @@
 	Listen() string
 	// Address returns where a server speaks it that is listed at an address. It is asked for each dial.
 	Address(listed string) string
-	// Client returns the protocol's part of a client link that is about to come up.
+	// Client returns the protocol's part of a client connection that is about to come up.
 	Client() Client
 	// Probe returns its way to probe a server, nil where another front's is the deployment's.
 	Probe() Exchange
 }
 
-// Client is a protocol's part of a client link; it holds a ClientLink, whose methods answer and hand on what it reads.
+// Client is a protocol's part of a client connection; it holds a ClientConn, whose methods answer and hand on what it reads.
 type Client interface {
 	Origin
-	// Shared returns the ClientLink that it holds.
-	Shared() *ClientLink
+	// Shared returns the ClientConn that it holds.
+	Shared() *ClientConn
 	// Read reads on from what the link has received and tells whether a message can be taken: it is whole, or as much of
 	// it has come as is held, and the rest is to flow. After an error nothing more can be read.
 	Read(buf *buffer.Buffer) (ready bool, err error)
-	// Take answers the message that Read has told of, or hands it on by ClientLink.HandOn, and drops it if it is whole.
+	// Take answers the message that Read has told of, or hands it on by ClientConn.HandOn, and drops it if it is whole.
 	Take()
 	// More reads on in the body of a message that was handed on before it was whole.
 	More(buf *buffer.Buffer) error
@@ -36,7 +36,7 @@
 	Partial() (held int, begun bool)
 }
 
-// Origin is where a request's answer goes: a client link, in whatever protocol it speaks. Each request gets
+// Origin is where a request's answer goes: a client connection, in whatever protocol it speaks. Each request gets
 // one call, unless its client has gone.
 type Origin interface {
 	// Serve passes on a server's answer.
@@ -53,7 +53,7 @@
 	Exchange() Exchange
 }
 
-// Exchange is one protocol's side of an attempt: it writes the request to a server link and reads the
+// Exchange is one protocol's side of an attempt: it writes the request to a backend connection and reads the
 // answer off it. A request carries one for each attempt, in the protocol that it came in.
 type Exchange interface {
 	// Append appends the request's head, and of its body as much as is sent at once; the server is told until when anybody
--- a/internal/sidecar/holdings.go
+++ b/internal/sidecar/holdings.go
@@ -1,7 +1,7 @@
 package sidecar
 
 // Holdings is how much of what it takes up a sidecar holds. One that has had nothing to do for a while holds no more than
-// links to servers, its watch, and the timers of these.
+// backend connections, its watch, and the timers of these.
 type Holdings struct {
 	Requests    int // that are not over, or named
 	ClientLinks int
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -154,7 +154,7 @@
 
 // withinQuota tells whether a request that has come may be taken up, and books it on its group. One that may not has been
 // refused, finally: nothing of it has gone anywhere.
-func (l *ClientLink) withinQuota(a *Ask) (quotaTicket, bool) {
+func (l *ClientConn) withinQuota(a *Ask) (quotaTicket, bool) {
 	s, d := l.s, l.s.quotas
 	if d == nil {
 		return quotaTicket{}, true
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -7,7 +7,7 @@
 	"hazelwheel/policy"
 )
 
-// request is one that a client link has brought whole and that has not been answered, or has attempts out.
+// request is one that a client connection has brought whole and that has not been answered, or has attempts out.
 type request struct {
 	id       uint32
 	name     string // its client's id of it
@@ -16,7 +16,7 @@
 	deadline float64
 	call     Call
 	origin   Origin
-	client   *ClientLink // which has brought it
+	client   *ClientConn // which has brought it
 	body     *Body       // that was not whole when it was taken; nil: it was
 	flow     *flow       // of its answer, which has begun to be passed on
 	patience float64
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -58,11 +58,11 @@
 	lastID    uint32
 	fronts    []Front
 	prober    Front
-	clients   []*ClientLink
+	clients   []*ClientConn
 	room      *admission.Room
 	flushing  bool // answers are looked after that clients have not taken
 	notices   notices
-	idle      map[uint32][]*serverLink
+	idle      map[uint32][]*backendConn
 	settling  settling
 	starved   []*attempt // that wait for a link or a descriptor
 	watcher   *watcher
@@ -108,7 +108,7 @@
 // to call it. Of fronts that have a way to probe the last one's is used.
 func New(cfg config.Config, on features.Features, fronts []Front, loop netio.Net, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{cfg: cfg, log: log, net: loop, classes: map[string]int{}, lastID: 1,
-		requests: map[uint32]*request{}, named: map[string]*request{}, idle: map[uint32][]*serverLink{},
+		requests: map[uint32]*request{}, named: map[string]*request{}, idle: map[uint32][]*backendConn{},
 		hosts: endpointset.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
 		admission: on.Admission, notices: notices{}, drills: drill.New(on.Drills), fronts: fronts, shelf: noShelf{}, parts: 1}
 	s.timers.tick = int64(s.now() / slotS)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -137,10 +137,10 @@
 	assert.EqualValues(t, 3, r.id, "an id that is in use is passed over")
 }
 
-// restingLink returns a link that has rested for a while.
-func restingLink(s *Sidecar, h *endpointset.Host) (*serverLink, *testConn) {
+// restingConn returns a link that has rested for a while.
+func restingConn(s *Sidecar, h *endpointset.Host) (*backendConn, *testConn) {
 	c := &testConn{quiet: true}
-	l := &serverLink{s: s, host: h.ID, address: h.Address, conn: c}
+	l := &backendConn{s: s, host: h.ID, address: h.Address, conn: c}
 	l.rest()
 	l.restedAt -= 2 * settleS
 	return l, c
@@ -150,12 +150,12 @@
 func TestIdleLinks(t *testing.T) {
 	s := newTestSidecar(t)
 	h := &endpointset.Host{ID: 7, Address: "a"}
-	var links []*serverLink
+	var links []*backendConn
 	for range 4 {
-		l, _ := restingLink(s, h)
+		l, _ := restingConn(s, h)
 		links = append(links, l)
 	}
-	assert.Same(t, links[3], s.idleLink(h, nil))
+	assert.Same(t, links[3], s.idleConn(h, nil))
 	s.CloseIdle(h.ID)
 	assert.Empty(t, s.idle[h.ID])
 	for i, l := range links {
@@ -163,7 +163,7 @@
 	}
 	links[3].rest()
 	h.Address = "b"
-	assert.Nil(t, s.idleLink(h, nil), "a link to where the server was is of no use")
+	assert.Nil(t, s.idleConn(h, nil), "a link to where the server was is of no use")
 	assert.True(t, links[3].closed)
 }
 
@@ -171,16 +171,16 @@
 func TestIdleLinkIsLookedAtBeforeUse(t *testing.T) {
 	s := newTestSidecar(t)
 	h := &endpointset.Host{ID: 7, Address: "a"}
-	sound, _ := restingLink(s, h)
-	noisy, c := restingLink(s, h)
+	sound, _ := restingConn(s, h)
+	noisy, c := restingConn(s, h)
 	c.quiet = false
-	fresh, _ := restingLink(s, h)
+	fresh, _ := restingConn(s, h)
 	fresh.restedAt = s.now() + 1
-	assert.Same(t, sound, s.idleLink(h, nil))
+	assert.Same(t, sound, s.idleConn(h, nil))
 	assert.True(t, noisy.closed)
 	s.cfg.Limits.Sockets = 1000
-	assert.Nil(t, s.idleLink(h, nil), "more of its answer may be on the way")
+	assert.Nil(t, s.idleConn(h, nil), "more of its answer may be on the way")
 	s.cfg.Limits.Sockets = 0
-	assert.Same(t, fresh, s.idleLink(h, nil), "better than none")
-	assert.Nil(t, s.idleLink(h, nil))
+	assert.Same(t, fresh, s.idleConn(h, nil), "better than none")
+	assert.Nil(t, s.idleConn(h, nil))
 }
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -229,7 +229,7 @@
 	return nil
 }
 
-// dropIdle closes the idle links to servers that nothing new goes to.
+// dropIdle closes the idle backend connections that nothing new goes to.
 func (s *Sidecar) dropIdle() {
 	for _, id := range slices.Sorted(maps.Keys(s.idle)) {
 		if !s.mayServe(id) {
