--- a/internal/netio/virtual/conn.go
+++ b/internal/netio/virtual/conn.go
@@ -90,16 +90,18 @@
 	readAt   float64 // of a slow reader: when it reads on
 	readOn   bool    // an event for that waits
 	paused   bool    // the process does not read on
+	endsShow bool    // and is told of the peer's end all the same
 	starved  bool    // the peer has more than this end's window takes
 	silent   bool    // nothing passes any more
 	paceAt   float64 // when the path takes more
 	paceOn   bool    // an event for that waits
 
-	written uint64 // bytes that the process has written so far
-	read    uint64 // that it has been given
-	marks   []mark // of what was written and the peer's process has not been given yet
-	wroteAt float64
-	endedAt float64
+	written  uint64 // bytes that the process has written so far
+	read     uint64 // that it has been given
+	marks    []mark // of what was written and the peer's process has not been given yet
+	wroteAt  float64
+	endedAt  float64
+	readThen uint64 // how much it had been given when it ended its direction
 
 	receivedAt float64 // when bytes last came into the socket
 }
@@ -127,6 +129,12 @@
 	return c.peer.endedAt
 }
 
+// PeerRead tells whether the other side's process had been given all that this one has written when it ended the connection or its own
+// direction of it.
+func (c *Conn) PeerRead() bool {
+	return c.peer != nil && c.peer.endedAt > 0 && c.peer.readThen >= c.written
+}
+
 // Process returns whose end it is.
 func (c *Conn) Process() *Process { return c.p }
 
@@ -467,6 +475,10 @@
 	if rate == 0 {
 		rate = p.opt.ReadRate
 	}
+	if c.paused && c.endsShow && c.finIn && !c.resetIn {
+		c.end(errReset) // what lies unread is lost
+		return
+	}
 	if (rate < 0 || c.paused) && !c.resetIn {
 		return
 	}
@@ -556,7 +568,7 @@
 // shut sends a FIN behind what the socket holds.
 func (c *Conn) shut() {
 	if !c.finDue && !c.resetIn {
-		c.finDue, c.endedAt = true, c.p.real()
+		c.finDue, c.endedAt, c.readThen = true, c.p.real(), c.read
 		if c.user() == 0 {
 			c.push()
 		}
@@ -569,7 +581,7 @@
 	p := c.p
 	p.drop(c)
 	if c.endedAt == 0 {
-		c.endedAt = p.real()
+		c.endedAt, c.readThen = p.real(), c.read
 	}
 	if c.told { // as gnet does, before the socket is closed
 		p.w.mix(p.real(), Ended, p, c.id, nil)
