--- a/internal/front/thrift/call.go
+++ b/internal/front/thrift/call.go
@@ -28,12 +28,12 @@
 
 func (c *call) Exchange() sidecar.Exchange { return &exchange{call: c} }
 
-// exchange is one execution of a call.
+// exchange is one attempt of a call.
 type exchange struct {
 	call  *call
 	seq   int32
 	begun bool
-	reply thrift.Message // lies in the server link's buffer until the next bytes come
+	reply thrift.Message // lies in the backend connection's buffer until the next bytes come
 	ended policy.Outcome
 }
 
--- a/internal/sidecar/serverlink.go
+++ b/internal/sidecar/backendconn.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"hazelwheel/internal/buffer"
-	"hazelwheel/internal/hostgroup"
+	"hazelwheel/internal/endpointset"
 	"hazelwheel/internal/netio"
 	"hazelwheel/policy"
 )
@@ -15,20 +15,20 @@
 // errStray is the end of a link that said something nobody had asked for.
 var errStray = errors.New("unasked bytes")
 
-// serverLink is a connection to a server. It carries one execution at a time.
-type serverLink struct {
-	s         *Sidecar
-	front     Front
-	host      uint32
-	address   string     // as it was listed
-	conn      netio.Conn // nil until it is up
-	stopDial  func()
-	buf       buffer.Buffer
-	execution *execution // nil while idle
-	retire    *timer
-	restedAt  float64 // when it became idle
-	writing   bool
-	closed    bool
+// backendConn is a connection to a server. It carries one attempt at a time.
+type backendConn struct {
+	s        *Sidecar
+	front    Front
+	host     uint32
+	address  string     // as it was listed
+	conn     netio.Conn // nil until it is up
+	stopDial func()
+	buf      buffer.Buffer
+	attempt  *attempt // nil while idle
+	retire   *timer
+	restedAt float64 // when it became idle
+	writing  bool
+	closed   bool
 }
 
 const (
@@ -61,14 +61,14 @@
 	s.until = now + strayMemoryS
 }
 
-// idleLink takes the link to a server that was used last, nil if there is none. The newest is the least
+// idleConn takes the link to a server that was used last, nil if there is none. The newest is the least
 // likely to have been closed by the other side for its rest, and the others can grow old and be retired. Danger: what
 // a server sends behind its answer a moment later would answer the next request; one whose last answer has only just
 // come is taken only where no new link can be had.
-func (s *Sidecar) idleLink(h *hostgroup.Host, front Front) *serverLink {
+func (s *Sidecar) idleConn(h *endpointset.Host, front Front) *backendConn {
 	for {
 		links := s.idle[h.ID]
-		var l *serverLink
+		var l *backendConn
 		rested := s.now() - s.settling.at(s.now())
 		for i := len(links) - 1; i >= 0 && (l == nil || l.restedAt > rested); i-- {
 			if links[i].front == front {
@@ -92,7 +92,7 @@
 }
 
 // unidle takes a link from the idle ones.
-func (l *serverLink) unidle() {
+func (l *backendConn) unidle() {
 	links := l.s.idle[l.host]
 	if i := slices.Index(links, l); i >= 0 {
 		l.s.idle[l.host] = slices.Delete(links, i, i+1)
@@ -102,12 +102,12 @@
 
 // rest puts a link among the idle ones. Danger: a request that is written to a link after the server's side
 // has closed it is lost, and one that must not run twice with it. Links are retired well before that.
-func (l *serverLink) rest() { l.restFrom(l.s.now()) }
+func (l *backendConn) rest() { l.restFrom(l.s.now()) }
 
 // restFrom is rest for a link that its server may be at work on until a time: it is used before that only where no other can
 // be had.
-func (l *serverLink) restFrom(at float64) {
-	l.execution, l.restedAt = nil, at
+func (l *backendConn) restFrom(at float64) {
+	l.attempt, l.restedAt = nil, at
 	l.buf.Rest()
 	if l.s.feed(l) {
 		return
@@ -118,35 +118,35 @@
 	}
 }
 
-// dial opens a link for an execution.
-func (s *Sidecar) dial(h *hostgroup.Host, e *execution) {
-	// Danger: executions that take the last descriptors shut out who comes next, whoever that is.
+// dial opens a link for an attempt.
+func (s *Sidecar) dial(h *endpointset.Host, e *attempt) {
+	// Danger: attempts that take the last descriptors shut out who comes next, whoever that is.
 	if !s.makeRoom(dialDescriptors + s.reserve()) {
 		s.starve(e)
 		return
 	}
-	l := &serverLink{s: s, front: e.front, host: h.ID, address: h.Address, execution: e}
+	l := &backendConn{s: s, front: e.front, host: h.ID, address: h.Address, attempt: e}
 	e.link = l
 	s.counters.Dials++
 	began := s.now()
 	until := min(e.until, began+s.cfg.Settings.ConnectTimeoutS)
 	l.stopDial = s.connect(e.front.Address(h.Address), until, l, func(err error) {
-		if e := l.execution; e != nil {
-			l.execution = nil
+		if e := l.attempt; e != nil {
+			l.attempt = nil
 			why := broke
 			if s.late.stalledAt > began { // the time was up while this program stood still
 				why = overtaken
 			}
-			s.finish(e, &execError{notConnected, why, err})
+			s.finish(e, &attemptError{notConnected, why, err})
 		}
 	})
 }
 
-// makeRoom closes the idle links to servers that have rested longest until there is room for n descriptors, and tells
+// makeRoom closes the idle backend connections that have rested longest until there is room for n descriptors, and tells
 // whether there is.
 func (s *Sidecar) makeRoom(n int) bool {
 	for !s.hasRoom(n) {
-		var oldest *serverLink
+		var oldest *backendConn
 		for _, links := range s.idle {
 			if len(links) > 0 && (oldest == nil || links[0].older(oldest)) {
 				oldest = links[0]
@@ -161,7 +161,7 @@
 }
 
 // older tells whether a link has rested longer than another.
-func (l *serverLink) older(other *serverLink) bool {
+func (l *backendConn) older(other *backendConn) bool {
 	return cmp.Or(cmp.Compare(l.restedAt, other.restedAt), cmp.Compare(l.host, other.host)) < 0
 }
 
@@ -176,25 +176,28 @@
 			if s.dialing -= dialDescriptors; err != nil {
 				failed(err)
 			}
+			if len(s.starved) > 0 {
+				s.push(func(float64) { s.feedDials() })
+			}
 		})
 	})
 }
 
 // opened takes the link into use.
-func (l *serverLink) opened(c netio.Conn) {
+func (l *backendConn) opened(c netio.Conn) {
 	l.conn = c
-	e := l.execution
+	e := l.attempt
 	if e != nil && l.s.mayBegin(e) {
 		l.begin(e)
 		return
 	}
-	if l.execution = nil; l.s.mayServe(l.host) {
+	if l.attempt = nil; l.s.mayServe(l.host) {
 		l.rest()
 	} else {
 		l.close()
 	}
 	if e != nil {
-		l.s.finish(e, &execError{notConnected, overtaken, nil})
+		l.s.finish(e, &attemptError{notConnected, overtaken, nil})
 	}
 }
 
@@ -204,16 +207,16 @@
 	return h != nil && (h.State == policy.Ready || h.State == policy.Gone && s.cfg.Settings.Policy.OnlyDrainBinds)
 }
 
-// begin writes an execution's request.
-func (l *serverLink) begin(e *execution) {
-	l.execution, e.link = e, l
+// begin writes an attempt's request.
+func (l *backendConn) begin(e *attempt) {
+	l.attempt, e.link = e, l
 	e.progress = partlyWritten
 	l.s.scratch = e.exchange.Append(l.s.scratch[:0], l.s.now(), l.s.told(e))
 	l.writing = true
-	_, err := l.conn.Write(l.s.scratch) // gnet closes the link on an error, which ends the execution
+	_, err := l.conn.Write(l.s.scratch) // gnet closes the link on an error, which ends the attempt
 	l.writing = false
 	l.s.keepScratch(l.s.scratch)
-	if err == nil && l.execution == e {
+	if err == nil && l.attempt == e {
 		l.pump(e)
 		l.silence(e)
 	}
@@ -221,7 +224,7 @@
 
 // told returns until when an attempt tells its server that anybody waits. The time for a body that is still on its way in is not the
 // client's.
-func (s *Sidecar) told(e *execution) float64 {
+func (s *Sidecar) told(e *attempt) float64 {
 	if r := e.request; r != nil && r.uploading() {
 		return min(e.until, s.now()+r.patience-s.answerRoom())
 	}
@@ -231,10 +234,10 @@
 // writtenEveryS is the time between two looks whether a request that has no answer is written whole: the loop does not tell.
 const writtenEveryS = 0.005
 
-// silence ends an execution that has no answer once its request is written whole.
-func (l *serverLink) silence(e *execution) {
+// silence ends an attempt that has no answer once its request is written whole.
+func (l *backendConn) silence(e *attempt) {
 	switch {
-	case l.execution != e || !e.exchange.Silent():
+	case l.attempt != e || !e.exchange.Silent():
 	case l.progress(e) == writtenWhole:
 		l.complete(e)
 	default:
@@ -242,8 +245,8 @@
 	}
 }
 
-// progress tells how far the link's execution has come by now.
-func (l *serverLink) progress(e *execution) progress {
+// progress tells how far the link's attempt has come by now.
+func (l *backendConn) progress(e *attempt) progress {
 	if e.progress == partlyWritten && !l.writing && e.exchange.Written() && l.conn.OutboundBuffered() == 0 {
 		e.progress = writtenWhole
 		if r := e.request; r != nil {
@@ -260,13 +263,13 @@
 }
 
 // traffic reads what the server says.
-func (l *serverLink) traffic(data []byte) {
+func (l *backendConn) traffic(data []byte) {
 	l.buf.Write(data)
-	e := l.execution
+	e := l.attempt
 	if e == nil {
 		now := l.s.now()
 		l.s.settling.stray(now, now-l.restedAt)
-		l.s.log.Debug("server link closed", "host", l.host, "error", errStray)
+		l.s.log.Debug("backend connection closed", "host", l.host, "error", errStray)
 		l.close()
 		return
 	}
@@ -276,10 +279,10 @@
 		return
 	}
 	if err != nil {
-		l.execution = nil
+		l.attempt = nil
 		far := l.progress(e)
 		l.close()
-		l.s.finish(e, &execError{far, spoilt, err})
+		l.s.finish(e, &attemptError{far, spoilt, err})
 		return
 	}
 	if done {
@@ -293,9 +296,9 @@
 	}
 }
 
-// complete ends an execution whose answer is whole. The link is kept only if nothing is left on it, neither
+// complete ends an attempt whose answer is whole. The link is kept only if nothing is left on it, neither
 // of the answer nor of the request.
-func (l *serverLink) complete(e *execution) {
+func (l *backendConn) complete(e *attempt) {
 	l.progress(e)
 	if l.reusable(e) {
 		from := l.s.now()
@@ -304,27 +307,27 @@
 		}
 		l.restFrom(from)
 	} else {
-		l.execution = nil
+		l.attempt = nil
 		l.close()
 	}
 	l.s.finish(e, nil)
 }
 
-// reusable tells whether a link can carry another execution after a whole answer.
-func (l *serverLink) reusable(e *execution) bool {
+// reusable tells whether a link can carry another attempt after a whole answer.
+func (l *backendConn) reusable(e *attempt) bool {
 	_, _, keep := e.exchange.Verdict()
 	return keep && e.exchange.Written() && l.buf.Len() == 0 && l.conn.OutboundBuffered() == 0 && l.s.mayServe(l.host)
 }
 
 // ended takes the end of the connection, from whatever side.
-func (l *serverLink) ended(err error) {
+func (l *backendConn) ended(err error) {
 	l.closed = true
 	l.unidle()
-	e := l.execution
+	e := l.attempt
 	if e == nil {
 		return
 	}
-	l.execution = nil
+	l.attempt = nil
 	if e.flow != nil {
 		e.flow.serverEnded(err == nil || errors.Is(err, io.EOF))
 		return
@@ -333,11 +336,11 @@
 		l.s.finish(e, nil)
 		return
 	}
-	l.s.finish(e, &execError{l.progress(e), broke, err})
+	l.s.finish(e, &attemptError{l.progress(e), broke, err})
 }
 
 // close ends the connection at once.
-func (l *serverLink) close() {
+func (l *backendConn) close() {
 	if !l.closed {
 		l.closed = true
 		l.unidle()
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -11,21 +11,21 @@
 	Listen() string
 	// Address returns where a server speaks it that is listed at an address. It is asked for each dial.
 	Address(listed string) string
-	// Client returns the protocol's part of a client link that is about to come up.
+	// Client returns the protocol's part of a client connection that is about to come up.
 	Client() Client
 	// Probe returns its way to probe a server, nil where another front's is the deployment's.
 	Probe() Exchange
 }
 
-// Client is a protocol's part of a client link; it holds a ClientLink, whose methods answer and hand on what it reads.
+// Client is a protocol's part of a client connection; it holds a ClientConn, whose methods answer and hand on what it reads.
 type Client interface {
 	Origin
-	// Shared returns the ClientLink that it holds.
-	Shared() *ClientLink
+	// Shared returns the ClientConn that it holds.
+	Shared() *ClientConn
 	// Read reads on from what the link has received and tells whether a message can be taken: it is whole, or as much of
 	// it has come as is held, and the rest is to flow. After an error nothing more can be read.
 	Read(buf *buffer.Buffer) (ready bool, err error)
-	// Take answers the message that Read has told of, or hands it on by ClientLink.HandOn, and drops it if it is whole.
+	// Take answers the message that Read has told of, or hands it on by ClientConn.HandOn, and drops it if it is whole.
 	Take()
 	// More reads on in the body of a message that was handed on before it was whole.
 	More(buf *buffer.Buffer) error
@@ -36,7 +36,7 @@
 	Partial() (held int, begun bool)
 }
 
-// Origin is where a request's answer goes: a client link, in whatever protocol it speaks. Each request gets
+// Origin is where a request's answer goes: a client connection, in whatever protocol it speaks. Each request gets
 // one call, unless its client has gone.
 type Origin interface {
 	// Serve passes on a server's answer.
@@ -49,12 +49,12 @@
 
 // Call is what a request asks for, in its protocol.
 type Call interface {
-	// Exchange returns the call's side of one execution.
+	// Exchange returns the call's side of one attempt.
 	Exchange() Exchange
 }
 
-// Exchange is one protocol's side of an execution: it writes the request to a server link and reads the
-// answer off it. A request carries one for each execution, in the protocol that it came in.
+// Exchange is one protocol's side of an attempt: it writes the request to a backend connection and reads the
+// answer off it. A request carries one for each attempt, in the protocol that it came in.
 type Exchange interface {
 	// Append appends the request's head, and of its body as much as is sent at once; the server is told until when anybody
 	// waits for its answer.
@@ -67,7 +67,7 @@
 	Read(buf *buffer.Buffer) (bool, error)
 	// Begun tells whether any of the answer has come.
 	Begun() bool
-	// Silent tells whether no answer ever comes: the execution is over once its request is written whole.
+	// Silent tells whether no answer ever comes: the attempt is over once its request is written whole.
 	Silent() bool
 	// End takes the end of the link and tells whether that makes the answer whole.
 	End() bool
@@ -94,12 +94,12 @@
 type Body struct {
 	Kept   []byte // what is held of it, from the byte From on
 	From   int    // bytes that have been sent and dropped
-	Sent   int    // bytes that the present execution has been given
+	Sent   int    // bytes that the present attempt has been given
 	Length int    // in all; -1: it is not told beforehand
 	Whole  bool   // its end has come
 }
 
-// Part returns the next bytes for the present execution, at most so many, and counts them as sent.
+// Part returns the next bytes for the present attempt, at most so many, and counts them as sent.
 func (b *Body) Part(most int) []byte {
 	part := b.Kept[b.Sent-b.From:]
 	part = part[:min(len(part), most)]
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,9 +16,9 @@
 	"hazelwheel/internal/config"
 	"hazelwheel/internal/decide/admission"
 	"hazelwheel/internal/drill"
+	"hazelwheel/internal/endpointset"
 	"hazelwheel/internal/features"
 	"hazelwheel/internal/health"
-	"hazelwheel/internal/hostgroup"
 	"hazelwheel/internal/netio"
 	"hazelwheel/policy"
 )
@@ -45,7 +45,7 @@
 	firing   bool // the timers that are due are fired soon
 
 	balancer *policy.Balancer
-	hosts    *hostgroup.Group
+	hosts    *endpointset.Set
 	classes  map[string]int
 	eventAt  float64 // the time of the event that the decisions handle
 	queue    []event
@@ -58,13 +58,13 @@
 	lastID    uint32
 	fronts    []Front
 	prober    Front
-	clients   []*ClientLink
+	clients   []*ClientConn
 	room      *admission.Room
 	flushing  bool // answers are looked after that clients have not taken
 	notices   notices
-	idle      map[uint32][]*serverLink
+	idle      map[uint32][]*backendConn
 	settling  settling
-	starved   []*execution // that wait for a link or a descriptor
+	starved   []*attempt // that wait for a link or a descriptor
 	watcher   *watcher
 	passed    passed
 	admission features.Admission
@@ -108,8 +108,8 @@
 // to call it. Of fronts that have a way to probe the last one's is used.
 func New(cfg config.Config, on features.Features, fronts []Front, loop netio.Net, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{cfg: cfg, log: log, net: loop, classes: map[string]int{}, lastID: 1,
-		requests: map[uint32]*request{}, named: map[string]*request{}, idle: map[uint32][]*serverLink{},
-		hosts: hostgroup.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
+		requests: map[uint32]*request{}, named: map[string]*request{}, idle: map[uint32][]*backendConn{},
+		hosts: endpointset.New(cfg.Settings.Zones, cfg.Settings.HostTypes), slack: cfg.Settings.AnswerSlackS,
 		admission: on.Admission, notices: notices{}, drills: drill.New(on.Drills), fronts: fronts, shelf: noShelf{}, parts: 1}
 	s.timers.tick = int64(s.now() / slotS)
 	for _, f := range fronts {
@@ -273,7 +273,7 @@
 	return s.at
 }
 
-// fire fires the timers that are due, in their order. Danger: the answer that an execution waits for may be there
+// fire fires the timers that are due, in their order. Danger: the answer that an attempt waits for may be there
 // already, unread while the loop was busy or stood still; given up for late it accuses a host that was in time. So the
 // loop looks at its connections first.
 func (s *Sidecar) fire() {
