Rename what timers call, the heartbeat of the health port and the wake-up connection

Timers had 'ringers' that 'ring': they have targets that expire. The loop's 'beat' for the health port is publishHealth, the 'bell' a waker, a connection in a 'throng' one over the limit of descriptors.

--- a/internal/netio/sockets/handler.go
+++ b/internal/netio/sockets/handler.go
@@ -18,13 +18,13 @@
 	gnet.BuiltinEventEngine
 	n      *Net
 	engine gnet.Engine
-	bell   *waker
+	waker  *waker
 }
 
 // OnTick is called first when the event loop is there, on a goroutine of its own; it sends for the loop.
 func (h *handler) OnTick() (time.Duration, gnet.Action) {
-	if h.bell == nil {
-		h.bell = &waker{}
+	if h.waker == nil {
+		h.waker = &waker{}
 		enroll := func(c net.Conn, w *waker) error {
 			result, err := h.engine.Register(gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), w))
 			if err != nil {
@@ -32,7 +32,7 @@
 			}
 			return (<-result).Err
 		}
-		if err := h.bell.register(enroll); err != nil {
+		if err := h.waker.register(enroll); err != nil {
 			h.n.failed = fmt.Errorf("the event loop can't be had: %w", err)
 			return 0, gnet.Shutdown
 		}
--- a/internal/netio/sockets/passed.go
+++ b/internal/netio/sockets/passed.go
@@ -67,8 +67,8 @@
 	if err := client.Start(); err != nil {
 		return err
 	}
-	bell := &waker{}
-	if err := bell.register(func(c net.Conn, w *waker) error {
+	wakeUp := &waker{}
+	if err := wakeUp.register(func(c net.Conn, w *waker) error {
 		_, err := client.EnrollContext(c, w)
 		return err
 	}); err != nil {
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -86,7 +86,7 @@
 // wakeUp is a sidecar as what its decisions' timer calls.
 type wakeUp Sidecar
 
-func (w *wakeUp) ring() {
+func (w *wakeUp) expire() {
 	s := (*Sidecar)(w)
 	s.push(func(now float64) {
 		s.capture.Wake(now)
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -160,8 +160,8 @@
 	s.queue = append(s.queue, event{ended: e, result: result})
 }
 
-// ring ends the wait.
-func (e *attempt) ring() { e.s.abandon(e, timedOut) }
+// expire ends the wait.
+func (e *attempt) expire() { e.s.abandon(e, timedOut) }
 
 // took returns how long an attempt that ends now took to its answer's arrival, and how long that lay unread.
 func (e *attempt) took(now float64) (delay, late float64) {
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -48,25 +48,25 @@
 // ClientConn is a connection from the application, one request at a time, in what is the same in all protocols. The
 // protocol's part is its Client, which holds it.
 type ClientConn struct {
-	s        *Sidecar
-	front    Front
-	client   Client
-	conn     netio.Conn
-	index    int // in Sidecar.clients
-	place    *admission.Link
-	buf      buffer.Buffer
-	ahead    arrivalTimes // of what is in buf and waits for the answer to what came before it
-	request  *request     // the one that is out
-	keep     bool         // the client wants the link kept after it
-	last     bool         // the last answer is written
-	shut     bool         // and no byte is left to send
-	throng   bool         // the link is beyond the limit on descriptors
-	linger   *timer
-	arrival  *timer  // of the request that is on its way in
-	arriving float64 // when the time for it began to count
-	openedAt float64
-	answered bool    // it has brought a request
-	heardAt  float64 // when bytes last came after it was shut
+	s         *Sidecar
+	front     Front
+	client    Client
+	conn      netio.Conn
+	index     int // in Sidecar.clients
+	place     *admission.Link
+	buf       buffer.Buffer
+	ahead     arrivalTimes // of what is in buf and waits for the answer to what came before it
+	request   *request     // the one that is out
+	keep      bool         // the client wants the link kept after it
+	last      bool         // the last answer is written
+	shut      bool         // and no byte is left to send
+	overLimit bool         // the link is beyond the limit on descriptors
+	linger    *timer
+	arrival   *timer  // of the request that is on its way in
+	arriving  float64 // when the time for it began to count
+	openedAt  float64
+	answered  bool    // it has brought a request
+	heardAt   float64 // when bytes last came after it was shut
 
 	unreadFrom float64 // since when an answer waits for the client
 	tookAt     float64 // when the client last took a byte of it
@@ -235,7 +235,7 @@
 // Admit tells whether there is room for a request of a class; otherwise it has been throttled.
 func (l *ClientConn) Admit(class int) bool {
 	switch {
-	case l.throng && !l.s.hasRoom(serverRoom), l.s.room.Full(l.place):
+	case l.overLimit && !l.s.hasRoom(serverRoom), l.s.room.Full(l.place):
 		l.turnAway(class, "there is no room for them")
 		return false
 	case l.s.short() && l.s.room.Greedy(l.place):
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -107,7 +107,7 @@
 	case verdict == admission.Crowded && (s.room.BeyondLen() >= s.beyondRoom() || !s.hasRoom(s.reserve())):
 	case s.hasRoom(0) || s.makeRoom(0):
 		if verdict == admission.Crowded {
-			l.throng = true
+			l.overLimit = true
 			s.room.Beyond(l.place)
 		}
 		return true
--- a/internal/sidecar/beat.go
+++ b/internal/sidecar/health.go
@@ -6,16 +6,16 @@
 	"hazelwheel/internal/health"
 )
 
-// beatEveryS is the time between two beats of the event loop.
-const beatEveryS = 0.1
+// heartbeatEveryS is the time between two heartbeats of the event loop.
+const heartbeatEveryS = 0.1
 
-// beat tells the side port how the loop is, again and again. Danger: the port must answer while the loop stalls, so it
+// publishHealth tells the side port how the loop is, again and again. Danger: the port must answer while the loop stalls, so it
 // never asks the loop.
-func (s *Sidecar) beat() {
+func (s *Sidecar) publishHealth() {
 	now := s.now()
 	s.health.Beat(health.Snapshot{At: now, ListAt: s.listAt, Started: s.listed, Draining: s.leaving(),
 		Usable: s.balancer.Usable(now), Inflight: s.counters.Open})
-	s.timers.at(now+beatEveryS, s.beat)
+	s.timers.at(now+heartbeatEveryS, s.publishHealth)
 }
 
 // ListenSide opens the side port on the host of the listen address, if there is one.
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// ring ends a request that the decisions have let run out of time.
-func (r *request) ring() {
+// expire ends a request that the decisions have let run out of time.
+func (r *request) expire() {
 	r.s.answer(r, overdue, func() { r.origin.Fail(true) })
 	r.s.tellAbandoned(r)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -167,7 +167,7 @@
 		s.obeyLimits()
 		s.sweep()
 		if s.health != nil {
-			s.beat()
+			s.publishHealth()
 		}
 		if s.cfg.Ops != "" {
 			s.publish()
@@ -282,7 +282,7 @@
 		for s.timers.due(s.at) {
 			t := s.timers.pop()
 			s.counters.LateMS = max(s.counters.LateMS, (s.at-t.at)*1000)
-			s.guard(t.who.ring)
+			s.guard(t.who.expire)
 			s.settle()
 			s.at = s.net.Now()
 		}
--- a/internal/sidecar/timers.go
+++ b/internal/sidecar/timers.go
@@ -5,18 +5,18 @@
 	"math/bits"
 )
 
-// ringer is what a timer calls.
-type ringer interface{ ring() }
+// timerTarget is what a timer calls once its time has come.
+type timerTarget interface{ expire() }
 
-// ringFunc is a function as a ringer.
-type ringFunc func()
+// timerFunc is a function as a timer's target.
+type timerFunc func()
 
-func (f ringFunc) ring() { f() }
+func (f timerFunc) expire() { f() }
 
 // timer is a call that is due at a time. Its zero value is not set.
 type timer struct {
 	at            float64
-	who           ringer
+	who           timerTarget
 	where         place
 	index         int    // in a heap, or the wheel's slot
 	before, after *timer // in the slot
@@ -56,12 +56,12 @@
 // at arranges a call of a function.
 func (t *timers) at(at float64, call func()) *timer {
 	n := &timer{}
-	t.set(n, at, ringFunc(call))
+	t.set(n, at, timerFunc(call))
 	return n
 }
 
 // set arranges a call by a timer that is not set.
-func (t *timers) set(n *timer, at float64, who ringer) {
+func (t *timers) set(n *timer, at float64, who timerTarget) {
 	n.at, n.who = at, who
 	t.put(n)
 	t.n++
