--- a/internal/sidecar/backendconn.go
+++ b/internal/sidecar/backendconn.go
@@ -34,32 +34,26 @@
 const (
 	// settleS is how long after an answer more of it, or the link's end, may well be on the way.
 	settleS = 0.002
-	// mostSettleS bounds that where servers have been seen to send more behind their answers, and strayMemoryS is for how long it
-	// is remembered.
-	mostSettleS  = 0.1
+	// straySettleS is that where servers have been seen to send more behind their answers, and strayMemoryS for how long it is
+	// remembered.
+	straySettleS = 0.05
 	strayMemoryS = 60.0
 )
 
 // settling is how long a connection rests before it is used again while others can be had.
-type settling struct {
-	seconds float64
-	until   float64 // then it is settleS again
-}
+type settling struct{ longUntil float64 }
 
 // at returns the time that holds at present.
 func (s *settling) at(now float64) float64 {
-	if now < s.until {
-		return s.seconds
+	if now < s.longUntil {
+		return straySettleS
 	}
 	return settleS
 }
 
-// stray notes bytes that a server has sent so long after its answer. Danger: a second copy of an answer that comes on a connection
-// which is in use again would be taken for the answer to its next request.
-func (s *settling) stray(now, after float64) {
-	s.seconds = min(max(s.at(now), 2*after), mostSettleS)
-	s.until = now + strayMemoryS
-}
+// noteStray notes that a server has sent bytes behind its answer. Danger: a second copy of an answer that comes on a connection which
+// is in use again would be taken for the answer to its next request.
+func (s *settling) noteStray(now float64) { s.longUntil = now + strayMemoryS }
 
 // idleConn takes the link to a server that was used last, nil if there is none. The newest is the least
 // likely to have been closed by the other side for its rest, and the others can grow old and be retired. Danger: what
@@ -267,8 +261,7 @@
 	l.buf.Write(data)
 	e := l.attempt
 	if e == nil {
-		now := l.s.now()
-		l.s.settling.stray(now, now-l.restedAt)
+		l.s.settling.noteStray(l.s.now())
 		l.s.log.Debug("backend connection closed", "host", l.host, "error", errStray)
 		l.close()
 		return
