--- a/policy/api.go
+++ b/policy/api.go
@@ -72,25 +72,25 @@
 
 	ProbeCost float64 // price of a probe for each request, in parts of its worth; 0: none
 
-	TickS           float64 // least time between two events
-	Marked          bool    // clients mark their retries: what has no mark is a first try
-	Probes          bool
-	Cancel          bool
-	SecondCopies    bool
-	MaxAttempts     int     // for one request; 0 means 1
-	MaxRetryAfterS  float64 // longest advice that clients follow
-	ConnIdleS       float64 // connections that are idle for longer close by themselves
-	ReportFields    []ReportField
-	ReportsOnProbe  bool // reports come with probe answers alone
-	SizesKnown      bool // HostInfo.Size may be compared between hosts
-	AskForList      bool // the list comes only when asked for
-	AskWithinS      float64
-	DrainGraceS     float64
-	OnlyDrainBinds  bool // a host that is gone may be used while it answers
-	ColdFrom        float64
-	ColdS           float64
-	ColdMultiple    float64
-	ColdWindowS     float64
+	TickS          float64 // least time between two events
+	Marked         bool    // clients mark their retries: what has no mark is a first try
+	Probes         bool
+	Cancel         bool
+	SecondCopies   bool
+	MaxAttempts    int     // for one request; 0 means 1
+	MaxRetryAfterS float64 // longest advice that clients follow
+	ConnIdleS      float64 // connections that are idle for longer close by themselves
+	ReportFields   []ReportField
+	ReportsOnProbe bool // reports come with probe answers alone
+	SizesKnown     bool // HostInfo.Size may be compared between hosts
+	AskForList     bool // the list comes only when asked for
+	AskWithinS     float64
+	DrainGraceS    float64
+	OnlyDrainBinds bool // a host that is gone may be used while it answers
+	ColdFrom       float64
+	ColdS          float64
+	ColdMultiple   float64
+	ColdWindowS    float64
 }
 
 // HostState is what the list says of a host.
