--- a/policy/policy.go
+++ b/policy/policy.go
@@ -70,8 +70,8 @@
 func (b *Balancer) Hosts(now float64, kind ListKind, list []HostInfo) {
 	b.now = now
 	if kind == ListFailed {
-		// Danger: all proxies asking again at once keep the list service down: turns. Waits beyond some seconds
-		// send to hosts whose drain counts as told by then.
+		// Danger: all proxies asking again at once keep the list service down: they ask in turn. Waits
+		// beyond some seconds send to hosts whose drain counts as told by then.
 		if b.watching {
 			b.do.Log("the list of hosts is not to be had: asking again, hosts are known by their answers")
 		}
