Open a watch anew whose first object comes byte by byte

Found on reading the change again: since a call that waits is left in discovery's line (watch.go, beginWatch), a watch whose first object drips was never up and never opened anew; before, the decisions' next call replaced it. The first object or heartbeat now has the time for the head and one silence, 6 s. TestWatchThatDrips fails without the mend and passes with it.

--- a/cmd/hazelwheel/hosts_test.go
+++ b/cmd/hazelwheel/hosts_test.go
@@ -52,6 +52,29 @@
 	assert.EqualValues(t, 1, w.counter("list_failed"))
 }
 
+// A watch whose first object comes byte by byte is never silent and never up; it is opened anew all the same.
+func TestWatchThatDrips(t *testing.T) {
+	w := newWorld(t)
+	w.discovery.answers <- func(d watch) {
+		d.write("{")
+		for {
+			select {
+			case <-d.done:
+				return
+			case <-time.After(100 * time.Millisecond):
+				d.write(" ")
+			}
+		}
+	}
+	w.start()
+	<-w.discovery.calls
+	select {
+	case <-w.discovery.calls:
+	case <-time.After(patience):
+		t.Fatal("no second call")
+	}
+}
+
 // After each call that fails, in whatever way, the next one comes soon enough for its answer to be there within 6 s of when
 // discovery can be reached again.
 func TestFailedCallsAreRepeatedSoon(t *testing.T) {
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -71,6 +71,12 @@
 	s.watcher = w
 	s.counters.Watches++
 	w.alive = s.timers.at(now+headWaitS, func() { w.fail(errSilent) })
+	// Danger: a first object that comes byte by byte would keep the watch from being up, and from being opened anew, for ever.
+	s.timers.at(now+headWaitS+silenceS, func() {
+		if !w.heard {
+			w.fail(errSilent)
+		}
+	})
 	w.stopDial = s.connect(s.cfg.Discovery, now+s.cfg.Settings.ConnectTimeoutS, w, w.fail)
 }
 
