--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -43,6 +43,7 @@
 	parser   http1.ResponseParser
 	scanner  endpointset.StreamScanner // of the answer's body
 	alive    *timer
+	first    *timer // until the first object or heartbeat has come
 	over     bool
 	heard    bool   // an object or an empty line has come
 	since    uint64 // the version that was asked from
@@ -72,11 +73,7 @@
 	s.counters.Watches++
 	w.alive = s.timers.at(now+headWaitS, func() { w.fail(errSilent) })
 	// Danger: a first object that comes byte by byte would keep the watch from being up, and from being opened anew, for ever.
-	s.timers.at(now+headWaitS+silenceS, func() {
-		if !w.heard {
-			w.fail(errSilent)
-		}
-	})
+	w.first = s.timers.at(now+headWaitS+silenceS, func() { w.fail(errSilent) })
 	w.stopDial = s.connect(s.cfg.Discovery, now+s.cfg.Settings.ConnectTimeoutS, w, w.fail)
 }
 
@@ -109,6 +106,9 @@
 	if err == nil {
 		err = w.handleBody()
 	}
+	if w.heard {
+		w.s.timers.stop(w.first)
+	}
 	if err == nil && w.parser.HeadRead() { // an empty line, too, says that the list is as it was
 		w.s.listAt = w.s.now()
 		_, held := w.s.hosts.Index()
@@ -257,6 +257,7 @@
 func (w *watcher) stop() {
 	w.over = true
 	w.s.timers.stop(w.alive)
+	w.s.timers.stop(w.first)
 	w.stopDial()
 	w.s.closeConn(w.conn)
 	if w.s.watcher == w {
