--- /dev/null
+++ b/cmd/hazelfleet/main.go
@@ -0,0 +1,123 @@
+// Command hazelfleet runs the processes of the router fleet: proxies, the agents beside them, and control.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hazelwheel/internal/agent"
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/control"
+	"hazelwheel/internal/proxy"
+)
+
+const (
+	statusFailed = 1
+	statusUsage  = 2
+	// reloadEvery is how often the settings file is looked at. It may change without a signal.
+	reloadEvery = 2 * time.Second
+	// memoryPart is the part of the machine's memory at which the collector works harder.
+	memoryPart = 0.5
+	// collectAt is the growth of the heap, in parts of a hundred, at which it is collected. Memory is dearer than time here.
+	collectAt = 50
+)
+
+const usage = `usage: hazelfleet [--log-level LEVEL] ROLE
+  proxy    takes requests from clients and passes them to servers
+  agent    keeps a proxy's link to the rest of the fleet
+  control  holds the configuration and takes it from the operator
+  check    checks the settings file and ends
+The settings file is named by ` + boot.EnvFile + `.
+`
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(arguments []string) int {
+	flags := flag.NewFlagSet("hazelfleet", flag.ContinueOnError)
+	level := flags.String("log-level", "info", "what is logged at least: debug, info, warning or error")
+	flags.Usage = func() { fmt.Fprint(os.Stderr, usage) }
+	if err := flags.Parse(arguments); err != nil || flags.NArg() != 1 {
+		flags.Usage()
+		return statusUsage
+	}
+	parsed, err := logrus.ParseLevel(*level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hazelfleet: --log-level:", err)
+		return statusUsage
+	}
+	logrus.SetLevel(parsed)
+	// Danger: a SIGHUP that nobody catches ends the process, also while it is still reading its settings.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	settings, err := boot.Load(boot.Path())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hazelfleet:", err)
+		return statusUsage
+	}
+	debug.SetGCPercent(collectAt)
+	if settings.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(settings.Limits.MemoryMB) * (1 << 20)))
+	}
+	return start(flags.Arg(0), settings, hangups)
+}
+
+func start(role string, settings *boot.Settings, hangups <-chan os.Signal) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log := logrus.WithField("node", settings.NodeID).WithField("role", role)
+	reload := watch(ctx, hangups, log)
+	var err error
+	switch role {
+	case "proxy":
+		err = proxy.Run(ctx, settings, log)
+	case "agent":
+		err = agent.Run(ctx, settings, reload, log)
+	case "control":
+		err = control.Run(ctx, settings, reload, log)
+	case "check":
+		fmt.Println("the settings are in order")
+	default:
+		fmt.Fprint(os.Stderr, usage)
+		return statusUsage
+	}
+	if err != nil {
+		log.WithError(err).Error("ended")
+		return statusFailed
+	}
+	return 0
+}
+
+// watch reads the settings file again after SIGHUP and now and then. A file that can't be used is passed over.
+func watch(ctx context.Context, hangups <-chan os.Signal, log *logrus.Entry) <-chan *boot.Settings {
+	changed := make(chan *boot.Settings)
+	go func() {
+		ticker := time.NewTicker(reloadEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+			case <-ticker.C:
+			}
+			settings, err := boot.Load(boot.Path())
+			if err != nil {
+				log.WithError(err).Warn("the settings are kept")
+				continue
+			}
+			select {
+			case changed <- settings:
+			case <-time.After(reloadEvery): // this role heeds none
+			}
+		}
+	}()
+	return changed
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,124 @@
+// Package agent hosts the process beside each proxy. It keeps the link to the rest of the fleet and feeds the proxy over
+// loopback, so that the proxy holds no connections of the control plane and serves on with its last facts while this restarts.
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/cluster"
+	"hazelwheel/internal/decide/membership"
+	"hazelwheel/internal/transport"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("agent")
+
+const (
+	// staleAfter is the age of the list at which an agent reads it itself, staleSpread what is added by its rank.
+	staleAfter    = 1900 * time.Millisecond
+	staleSpread   = 400 * time.Millisecond
+	checkEvery    = 150 * time.Millisecond
+	headerTimeout = 3 * time.Second
+	idleTimeout   = time.Minute
+	writeWithin   = 2 * time.Second
+	// lingerFor is the part of the grace period for which an agent outlives the signal, so that its proxy can end first.
+	lingerFor = 0.9
+)
+
+// Agent is an agent process.
+type Agent struct {
+	settings *boot.Settings
+	log      *logrus.Entry
+	node     *cluster.Node
+	platform *cluster.Platform
+}
+
+// Run runs an agent until the context ends and its proxy is gone.
+func Run(ctx context.Context, settings *boot.Settings, reload <-chan *boot.Settings, log *logrus.Entry) error {
+	address := settings.Internal(settings.IP, boot.AgentPort)
+	a := &Agent{settings: settings, log: log, platform: cluster.NewPlatform(settings.Cloud.Address)}
+	a.node = cluster.New(settings, membership.Record{Kind: membership.Agent, Address: address}, transport.NewClient(), log)
+	internal, err := net.Listen("tcp4", address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	feed, err := net.Listen("tcp4", settings.Internal(loopback, boot.FeedPort))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	router := mux.NewRouter()
+	a.node.Register(router)
+	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(internal) }()
+	proxies := newProxies(a)
+	go proxies.serve(feed)
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	go a.node.Run(work)
+	go a.readStaleLists(work)
+	for {
+		select {
+		case err := <-failed:
+			return Error.Wrap(err)
+		case changed := <-reload:
+			a.node.SetSeeds(changed.SeedAddresses())
+		case <-ctx.Done():
+			a.node.Leave()
+			proxies.wait(time.Duration(lingerFor * float64(settings.Grace())))
+			return nil
+		}
+	}
+}
+
+const loopback = "127.0.0.1"
+
+// readStaleLists reads the platform's list where nobody's reading has come for too long. Agents do so in turns by rank.
+func (a *Agent) readStaleLists(ctx context.Context) {
+	ticker := time.NewTicker(checkEvery)
+	defer ticker.Stop()
+	began := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		facts, _ := a.node.Facts()
+		turn := staleAfter + time.Duration(float64(staleSpread)*float64(facts.Rank)/float64(max(facts.Count, 1)))
+		last := facts.List.ReadAt
+		if last.IsZero() {
+			last = began
+		}
+		if time.Since(last) < turn {
+			continue
+		}
+		a.readList(ctx)
+	}
+}
+
+func (a *Agent) readList(ctx context.Context) {
+	began := time.Now()
+	instances, err := a.platform.Read(ctx)
+	if err != nil {
+		a.log.WithError(err).Debug("the list was not read")
+		time.Sleep(rand.N(a.spacing()))
+		return
+	}
+	a.node.SetList(instances, began)
+}
+
+// spacing is the pause after a failed reading at which all agents together keep half of the platform's rate.
+func (a *Agent) spacing() time.Duration {
+	facts, _ := a.node.Facts()
+	return min(boot.Seconds(4*float64(max(facts.Count, 1))/max(a.settings.Cloud.RatePerS, 1)), 2*time.Second) + checkEvery
+}
--- /dev/null
+++ b/internal/agent/feed.go
@@ -0,0 +1,98 @@
+package agent
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"hazelwheel/internal/cluster"
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/transport"
+)
+
+// proxies serves those that are connected over loopback.
+type proxies struct {
+	agent *Agent
+
+	mu    sync.Mutex
+	count int
+}
+
+func newProxies(agent *Agent) *proxies { return &proxies{agent: agent} }
+
+func (p *proxies) serve(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			p.agent.log.WithError(err).Error("the feed ended")
+			return
+		}
+		p.add(1)
+		go func() {
+			defer p.add(-1)
+			defer conn.Close()
+			p.feed(conn)
+		}()
+	}
+}
+
+func (p *proxies) add(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.count += n
+}
+
+// wait returns once no proxy is connected, or after a time.
+func (p *proxies) wait(most time.Duration) {
+	deadline := time.Now().Add(most)
+	for time.Now().Before(deadline) {
+		p.mu.Lock()
+		left := p.count
+		p.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		time.Sleep(checkEvery)
+	}
+}
+
+// feed tells a proxy what changes until the connection ends.
+func (p *proxies) feed(conn net.Conn) {
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		var report message.ProxyReport
+		for transport.ReadFrame(conn, &report) == nil {
+		}
+	}()
+	var told cluster.Facts
+	for {
+		facts, changed := p.agent.node.Facts()
+		if out, news := difference(told, facts); news {
+			_ = conn.SetWriteDeadline(time.Now().Add(writeWithin)) // the write tells of a connection that is gone
+			if err := transport.WriteFrame(conn, out); err != nil {
+				return
+			}
+			told = facts
+		}
+		select {
+		case <-gone:
+			return
+		case <-changed:
+		}
+	}
+}
+
+// difference returns what a proxy that knows one set of facts lacks of another.
+func difference(told, facts cluster.Facts) (*message.Feed, bool) {
+	out := &message.Feed{Rank: facts.Rank, Count: facts.Count}
+	news := told.Rank != facts.Rank || told.Count != facts.Count
+	if facts.Table != nil && (told.Table == nil || facts.Table.Version > told.Table.Version) {
+		out.Table, news = facts.Table, true
+	}
+	if facts.List.Digest != told.List.Digest {
+		age := float64(time.Since(facts.List.ReadAt)) / float64(time.Millisecond)
+		out.List, news = &message.List{Digest: facts.List.Digest, AgeMs: age, Instances: facts.List.Instances}, true
+	}
+	return out, news
+}
--- /dev/null
+++ b/internal/boot/boot.go
@@ -0,0 +1,231 @@
+// Package boot reads and checks the settings file of a fleet process. Fields that it doesn't know are ignored.
+package boot
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/zeebo/errs"
+	"go.yaml.in/yaml/v3"
+)
+
+// EnvFile names the environment variable that holds the path of the settings file.
+const EnvFile = "HAZELWHEEL_CONFIG"
+
+// DefaultFile is read where EnvFile is not set.
+const DefaultFile = "/etc/hazelwheel/boot.yaml"
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("settings")
+
+// Listen holds the addresses (IP:PORT) of what the process serves; those of other roles are empty.
+type Listen struct {
+	Front   string `yaml:"Front"`
+	Ready   string `yaml:"Ready"`
+	Control string `yaml:"Control"`
+}
+
+// Limits bounds what the process may use.
+type Limits struct {
+	MemoryMB int     `yaml:"MemoryMb"`
+	MaxFDs   int     `yaml:"MaxFds"`
+	DiskMB   int     `yaml:"DiskMb"`
+	LinkMbps float64 `yaml:"LinkMbps"`
+	CPUShare float64 `yaml:"CpuShare"`
+}
+
+// FaultTolerance says how many machines, zones or regions may be lost at once.
+type FaultTolerance struct {
+	Machines int `yaml:"Machines"`
+	Zones    int `yaml:"Zones"`
+	Regions  int `yaml:"Regions"`
+}
+
+// Bounds holds the figures of the rules in force. Fields ending in S are seconds, in Ms milliseconds.
+type Bounds struct {
+	ContactMs        float64 `yaml:"ContactMs"`
+	AckMs            float64 `yaml:"AckMs"`
+	DrainMs          float64 `yaml:"DrainMs"`
+	GraceS           float64 `yaml:"GraceS"`
+	ConfigApplyMs    float64 `yaml:"ConfigApplyMs"`
+	RetryBudgetRatio float64 `yaml:"RetryBudgetRatio"`
+	BudgetWindowS    float64 `yaml:"BudgetWindowS"`
+	BudgetSlack      float64 `yaml:"BudgetSlack"`
+	ReuseAfterS      float64 `yaml:"ReuseAfterS"`
+	AgainS           float64 `yaml:"again_s"`
+	LeaseMs          float64 `yaml:"LeaseMs"`
+	Fenced           bool    `yaml:"Fenced"`
+}
+
+// Cloud describes the platform's list of servers.
+type Cloud struct {
+	Address  string  `yaml:"Address"`
+	RatePerS float64 `yaml:"RatePerS"`
+	LagMs    float64 `yaml:"LagMs"`
+}
+
+// Settings is the content of a settings file.
+type Settings struct {
+	NodeID            string            `yaml:"NodeId"`
+	IP                string            `yaml:"Ip"`
+	Zone              string            `yaml:"Zone"`
+	Region            string            `yaml:"Region"`
+	Zones             map[string]string `yaml:"Zones"`
+	Listen            Listen            `yaml:"Listen"`
+	InternalPortRange []int             `yaml:"InternalPortRange"`
+	Seeds             []string          `yaml:"Seeds"`
+	Bootstrap         bool              `yaml:"Bootstrap"`
+	CountsForQuorum   bool              `yaml:"CountsForQuorum"`
+	Limits            Limits            `yaml:"Limits"`
+	DataDir           string            `yaml:"DataDir"`
+	HeartbeatMs       float64           `yaml:"HeartbeatMs"`
+	FaultTolerance    FaultTolerance    `yaml:"FaultTolerance"`
+	Bounds            Bounds            `yaml:"Bounds"`
+	Cloud             Cloud             `yaml:"Cloud"`
+}
+
+// Path returns the path of the settings file.
+func Path() string {
+	if path := os.Getenv(EnvFile); path != "" {
+		return path
+	}
+	return DefaultFile
+}
+
+// Load reads and checks the settings file at path. Its error names the file, the line where there is one, and the field.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	settings, err := Parse(data)
+	if err != nil {
+		return nil, Error.New("%s: %v", path, err)
+	}
+	return settings, nil
+}
+
+// Parse reads and checks settings.
+func Parse(data []byte) (*Settings, error) {
+	var document yaml.Node
+	if err := yaml.Unmarshal(data, &document); err != nil {
+		return nil, err
+	}
+	settings := defaults()
+	if err := document.Decode(settings); err != nil {
+		return nil, err
+	}
+	if err := settings.check(&document); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+// defaults holds what stands in for figures that a file leaves out.
+func defaults() *Settings {
+	return &Settings{
+		HeartbeatMs: 1000,
+		Bounds: Bounds{ContactMs: 3000, AckMs: 4000, DrainMs: 3000, GraceS: 8, ConfigApplyMs: 2000, RetryBudgetRatio: 0.1,
+			BudgetWindowS: 10, BudgetSlack: 0, ReuseAfterS: 2, AgainS: 8, LeaseMs: 3000, Fenced: true},
+		Cloud: Cloud{RatePerS: 1, LagMs: 1000},
+	}
+}
+
+func (s *Settings) check(document *yaml.Node) error {
+	if s.NodeID == "" {
+		return fault(document, "NodeId", "a name is missing")
+	}
+	if _, err := netip.ParseAddr(s.IP); err != nil {
+		return fault(document, "Ip", "not an IP address: %q", s.IP)
+	}
+	if len(s.InternalPortRange) != 2 || s.InternalPortRange[0] < 1 || s.InternalPortRange[1] > 65535 ||
+		s.InternalPortRange[1] < s.InternalPortRange[0]+int(lastPort) {
+		return fault(document, "InternalPortRange", "want two ports, the first and the last of %d or more", int(lastPort)+1)
+	}
+	for _, seed := range s.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			return fault(document, "Seeds", "not IP:PORT: %q", seed)
+		}
+	}
+	for field, address := range map[string]string{"Front": s.Listen.Front, "Ready": s.Listen.Ready, "Control": s.Listen.Control,
+		"Address": s.Cloud.Address} {
+		if _, err := netip.ParseAddrPort(address); address != "" && err != nil {
+			return fault(document, field, "not IP:PORT: %q", address)
+		}
+	}
+	return s.Bounds.check(document)
+}
+
+func (b *Bounds) check(document *yaml.Node) error {
+	for field, figure := range map[string]float64{"DrainMs": b.DrainMs, "GraceS": b.GraceS, "ConfigApplyMs": b.ConfigApplyMs,
+		"BudgetWindowS": b.BudgetWindowS, "LeaseMs": b.LeaseMs} {
+		if figure <= 0 {
+			return fault(document, field, "want a figure above 0, not %v", figure)
+		}
+	}
+	if b.RetryBudgetRatio < 0 || b.BudgetSlack < 0 {
+		return fault(document, "RetryBudgetRatio", "want figures of 0 or more")
+	}
+	return nil
+}
+
+// fault names the field and, where the file holds it, its line.
+func fault(document *yaml.Node, field, format string, args ...any) error {
+	text := fmt.Sprintf(format, args...)
+	if line := lineOf(document, field); line > 0 {
+		return fmt.Errorf("line %d: %s: %s", line, field, text)
+	}
+	return fmt.Errorf("%s: %s", field, text)
+}
+
+func lineOf(node *yaml.Node, field string) int {
+	if node.Kind == yaml.MappingNode {
+		for i := 0; i+1 < len(node.Content); i += 2 {
+			if node.Content[i].Value == field {
+				return node.Content[i].Line
+			}
+		}
+	}
+	for _, child := range node.Content {
+		if line := lineOf(child, field); line > 0 {
+			return line
+		}
+	}
+	return 0
+}
+
+// Service is what listens on one of the internal ports.
+type Service int
+
+// The internal ports in their order from the first of InternalPortRange.
+const (
+	ControlPort Service = iota
+	AgentPort
+	FeedPort
+	lastPort = FeedPort
+)
+
+// Internal returns the address of an internal service on the machine with this IP.
+func (s *Settings) Internal(ip string, service Service) string {
+	return netip.AddrPortFrom(netip.MustParseAddr(ip), uint16(s.InternalPortRange[0]+int(service))).String()
+}
+
+// SeedAddresses returns the internal addresses of the control processes that the seeds name.
+func (s *Settings) SeedAddresses() []string {
+	addresses := make([]string, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		addresses = append(addresses, s.Internal(netip.MustParseAddrPort(seed).Addr().String(), ControlPort))
+	}
+	return addresses
+}
+
+// Grace is the time from SIGTERM to SIGKILL.
+func (s *Settings) Grace() time.Duration { return Seconds(s.Bounds.GraceS) }
+
+// Seconds turns a figure in seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Millis turns a figure in milliseconds into a duration.
+func Millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,358 @@
+// Package cluster hosts a process's part in the fleet: it exchanges records, the configuration and the list of servers with
+// other processes, so that each reaches all. What decides is in internal/decide/membership.
+package cluster
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/decide/membership"
+	"hazelwheel/internal/decide/register"
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/routes"
+	"hazelwheel/internal/transport"
+)
+
+const (
+	gossipPath = "/fleet/v1/gossip"
+	// ExchangeEvery is the time between exchanges.
+	ExchangeEvery = 400 * time.Millisecond
+	// callWithin bounds one exchange.
+	callWithin = 900 * time.Millisecond
+	// pushFanout is to how many processes news are sent at once; each of them sends them on.
+	pushFanout   = 3
+	viewSize     = 8
+	sampleSize   = 24
+	suspectAfter = 2.5 // seconds
+	forgetAfter  = 12  // seconds
+	// freshBy is by how much a reading of the list must be younger to take the place of one that differs.
+	freshBy = 20 * time.Millisecond
+	// meshMost bounds the control processes to which each of them speaks at every exchange.
+	meshMost = 6
+)
+
+// List is a reading of the platform's list and when it was read.
+type List struct {
+	Digest    uint64
+	Instances []message.Instance
+	ReadAt    time.Time // zero: there is none
+}
+
+// Facts is what a process has learned.
+type Facts struct {
+	Table  *routes.Table
+	List   List
+	Voters register.Value // the voters alone, of the newest epoch heard of
+	Rank   int            // of this process among its kind
+	Count  int
+}
+
+// Node takes part in the fleet.
+type Node struct {
+	log    *logrus.Entry
+	client *transport.Client
+	start  time.Time
+
+	mu      sync.Mutex
+	view    *membership.View
+	facts   Facts
+	changed chan struct{} // closed and replaced when facts change
+}
+
+// New returns a node for the process of the settings. The record's name, address, zone and life are filled in.
+func New(settings *boot.Settings, self membership.Record, client *transport.Client, log *logrus.Entry) *Node {
+	self.Name, self.Zone = settings.NodeID+"/"+string(self.Kind), settings.Zone
+	self.Life = rand.Uint64()
+	self.Incarnation = uint64(max(time.Now().UnixMilli(), 1))
+	seeds := settings.SeedAddresses()
+	view := membership.New(membership.Settings{SuspectAfterS: suspectAfter, ForgetAfterS: forgetAfter, ViewSize: viewSize,
+		SampleSize: sampleSize}, self, seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	return &Node{log: log, client: client, start: time.Now(), view: view, changed: make(chan struct{})}
+}
+
+// Register adds the node's paths to a router.
+func (n *Node) Register(router *mux.Router) {
+	router.HandleFunc(gossipPath, transport.Handle(n.serveGossip)).Methods("POST")
+}
+
+// now is the time of the view: seconds on the steady clock.
+func (n *Node) now() float64 { return time.Since(n.start).Seconds() }
+
+// Run exchanges until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	ticker := time.NewTicker(ExchangeEvery)
+	defer ticker.Stop()
+	for {
+		n.tick(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) tick(ctx context.Context) {
+	n.mu.Lock()
+	n.view.Tick(n.now())
+	n.place()
+	partners := []string{n.view.Partner()}
+	partners = append(partners, n.mesh()...)
+	n.mu.Unlock()
+	slices.Sort(partners)
+	for _, partner := range slices.Compact(partners) {
+		if partner != "" {
+			go n.exchange(ctx, partner)
+		}
+	}
+}
+
+// mesh returns the other control processes where this is one: they have to notice fast that one of them is gone.
+func (n *Node) mesh() (addresses []string) {
+	self := n.view.Self()
+	if self.Kind != membership.Control {
+		return nil
+	}
+	for _, member := range n.view.Members(n.now()) {
+		if member.Kind == membership.Control && member.Name != self.Name && len(addresses) < meshMost {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
+// exchange tells a peer what is known here and takes what it knows; where it lacks news, they follow.
+func (n *Node) exchange(ctx context.Context, address string) {
+	reply, err := n.call(ctx, address, n.digest(false, false))
+	if err != nil {
+		n.log.WithField("peer", address).WithError(err).Debug("exchange failed")
+		return
+	}
+	n.absorb(reply)
+	if reply.WantTable || reply.WantList {
+		if answer, err := n.call(ctx, address, n.digest(reply.WantTable, reply.WantList)); err == nil {
+			n.absorb(answer)
+		}
+	}
+}
+
+func (n *Node) call(ctx context.Context, address string, request *message.Gossip) (*message.Gossip, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	reply := &message.Gossip{}
+	return reply, n.client.Call(ctx, address, gossipPath, request, reply)
+}
+
+// push sends news to a few processes at once.
+func (n *Node) push(table, list bool) {
+	n.mu.Lock()
+	addresses := n.view.Fanout(n.now(), pushFanout)
+	n.mu.Unlock()
+	request := n.digest(table, list)
+	for _, address := range addresses {
+		go func() {
+			if reply, err := n.call(context.Background(), address, request); err == nil {
+				n.absorb(reply)
+			}
+		}()
+	}
+}
+
+// digest builds a message, with the table or the list where they are asked for.
+func (n *Node) digest(table, list bool) *message.Gossip {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := &message.Gossip{Format: message.FormatVersion, Records: n.view.Sample(n.now()), Voters: votersOf(n.facts.Voters)}
+	if n.facts.Table != nil {
+		out.Version = n.facts.Table.Version
+	}
+	if table {
+		out.Table = n.facts.Table
+	}
+	if !n.facts.List.ReadAt.IsZero() {
+		out.List = message.List{Digest: n.facts.List.Digest, AgeMs: float64(time.Since(n.facts.List.ReadAt)) / float64(time.Millisecond)}
+		if list {
+			out.List.Instances = n.facts.List.Instances
+		}
+	}
+	return out
+}
+
+func votersOf(value register.Value) register.Value {
+	return register.Value{Epoch: value.Epoch, Voters: value.Voters, Previous: value.Previous}
+}
+
+// serveGossip answers an exchange with what the peer lacks, and says what is lacking here.
+func (n *Node) serveGossip(_ context.Context, request *message.Gossip) (*message.Gossip, error) {
+	if request.Format != message.FormatVersion {
+		return nil, transport.Error.New("format %d, want %d", request.Format, message.FormatVersion)
+	}
+	lacksTable, lacksList := n.lacks(request)
+	n.absorb(request)
+	reply := n.digest(false, false)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if table := n.facts.Table; table != nil && table.Version > request.Version {
+		reply.Table = table
+	}
+	if n.facts.List.Digest != request.List.Digest && !lacksList {
+		reply.List.Instances = n.facts.List.Instances
+	}
+	reply.WantTable = lacksTable && request.Table == nil
+	reply.WantList = lacksList && request.List.Instances == nil
+	return reply, nil
+}
+
+// lacks tells whether the peer has a newer table or list than this process.
+func (n *Node) lacks(request *message.Gossip) (table, list bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	table = request.Version > 0 && (n.facts.Table == nil || request.Version > n.facts.Table.Version)
+	return table, n.younger(request.List) && request.List.Digest != n.facts.List.Digest
+}
+
+// younger tells whether a peer's reading of the list is younger than the own one. Danger: readings that were sent at the same
+// moment differ by what the network took; freshBy keeps an older one from taking its place.
+func (n *Node) younger(list message.List) bool {
+	if list.Digest == 0 {
+		return false
+	}
+	return n.facts.List.ReadAt.IsZero() || readAt(list).After(n.facts.List.ReadAt.Add(freshBy))
+}
+
+func readAt(list message.List) time.Time {
+	return time.Now().Add(-time.Duration(list.AgeMs * float64(time.Millisecond)))
+}
+
+// absorb takes what a peer told.
+func (n *Node) absorb(told *message.Gossip) {
+	n.mu.Lock()
+	n.view.Merge(n.now(), told.Records)
+	n.place()
+	if told.Voters.Epoch > n.facts.Voters.Epoch {
+		n.facts.Voters = votersOf(told.Voters)
+	}
+	younger := n.younger(told.List)
+	if younger && told.List.Digest == n.facts.List.Digest {
+		n.facts.List.ReadAt = readAt(told.List)
+		younger = false
+	}
+	n.mu.Unlock()
+	if told.Table != nil {
+		n.SetTable(told.Table)
+	}
+	if younger && told.List.Instances != nil {
+		n.SetList(told.List.Instances, readAt(told.List))
+	}
+}
+
+// place takes the own place among processes of the kind.
+func (n *Node) place() {
+	self := n.view.Self()
+	rank, count := n.view.Rank(self.Name, self.Kind)
+	if rank != n.facts.Rank || count != n.facts.Count {
+		n.facts.Rank, n.facts.Count = rank, count
+		n.announce()
+	}
+}
+
+// announce wakes those that wait for changes.
+func (n *Node) announce() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// SetTable takes a configuration that holds. Versions never go back.
+func (n *Node) SetTable(table *routes.Table) {
+	n.mu.Lock()
+	if n.facts.Table != nil && table.Version <= n.facts.Table.Version {
+		n.mu.Unlock()
+		return
+	}
+	n.facts.Table = table
+	n.announce()
+	n.mu.Unlock()
+	n.log.WithField("version", table.Version).Info("configuration")
+	n.push(true, false)
+}
+
+// SetList takes a reading of the platform's list.
+func (n *Node) SetList(instances []message.Instance, at time.Time) {
+	digest := listDigest(instances)
+	n.mu.Lock()
+	if !n.facts.List.ReadAt.IsZero() && !at.After(n.facts.List.ReadAt) {
+		n.mu.Unlock()
+		return
+	}
+	differs := digest != n.facts.List.Digest
+	n.facts.List = List{Digest: digest, Instances: instances, ReadAt: at}
+	if differs {
+		n.announce()
+	}
+	n.mu.Unlock()
+	if differs {
+		n.push(false, true)
+	}
+}
+
+// SetVoters takes the voters of a value that holds.
+func (n *Node) SetVoters(value register.Value) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if value.Epoch > n.facts.Voters.Epoch {
+		n.facts.Voters = votersOf(value)
+	}
+}
+
+// listDigest never is 0 and does not go by order.
+func listDigest(instances []message.Instance) uint64 {
+	sum := uint64(1)
+	for i := range instances {
+		data, err := msgpack.Marshal(&instances[i])
+		if err != nil {
+			continue // an Instance holds nothing that can't be marshalled
+		}
+		hash := fnv.New64a()
+		_, _ = hash.Write(data)
+		sum += hash.Sum64()
+	}
+	return max(sum, 1)
+}
+
+// Facts returns what is known, and a channel that is closed once that has changed.
+func (n *Node) Facts() (Facts, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.facts, n.changed
+}
+
+// Members returns who is there.
+func (n *Node) Members() []membership.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.Members(n.now())
+}
+
+// SetSeeds replaces the seeds.
+func (n *Node) SetSeeds(seeds []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.view.SetSeeds(seeds)
+}
+
+// Leave tells others that this process is about to end.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	n.view.Leave()
+	n.mu.Unlock()
+	n.push(false, false)
+}
--- /dev/null
+++ b/internal/control/registrar.go
@@ -0,0 +1,257 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"hazelwheel/internal/decide/register"
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/transport"
+)
+
+// The paths of the register between control processes.
+const (
+	preparePath = "/fleet/v1/prepare"
+	acceptPath  = "/fleet/v1/accept"
+	readPath    = "/fleet/v1/read"
+	configPath  = "/fleet/v1/config"
+)
+
+const (
+	// voteWithin bounds the wait for one voter's answer.
+	voteWithin = 900 * time.Millisecond
+	// backoffStep is what the pause after a lost round grows by.
+	backoffStep = 20 * time.Millisecond
+	backoffMost = 300 * time.Millisecond
+)
+
+// errNoVoters is returned while nobody has told who votes.
+var errNoVoters = errors.New("the voters are not known yet")
+
+// registrar changes and reads the register.
+type registrar struct {
+	self    register.Voter
+	ballots string // proposer of this life's ballots: no other life has the same
+	local   *replica
+	client  *transport.Client
+	voters  func() register.Value // of the newest epoch heard of
+	learned func(register.Value)  // told of each value that holds
+
+	mu    sync.Mutex
+	round uint64 // the highest heard of
+}
+
+// answer is what came of one call to a voter.
+type answer struct {
+	from      register.Voter
+	accepting bool
+	promise   *register.Promise
+	accepted  *register.Accepted
+	err       error
+}
+
+// known returns the voters to begin with: those of the newest epoch that the own disk or others tell.
+func (r *registrar) known() (register.Value, error) {
+	told := r.voters()
+	if own := r.local.state().Value; own.Epoch >= told.Epoch {
+		told = own
+	}
+	if len(told.Voters) == 0 {
+		return register.Value{}, errNoVoters
+	}
+	return register.Value{Epoch: told.Epoch, Voters: told.Voters, Previous: told.Previous}, nil
+}
+
+// Change makes a change in as many rounds as it takes. Once an error is returned nothing is known of the change: it may hold.
+// config holds the bytes of the configuration that the change brings, if it brings one.
+func (r *registrar) Change(ctx context.Context, change register.Change, config []byte) (register.Value, register.Outcome, error) {
+	pause := time.Duration(0)
+	for {
+		if err := wait(ctx, pause); err != nil {
+			return register.Value{}, register.Abandoned, err
+		}
+		value, outcome, err := r.tryRound(ctx, change, config)
+		if err != nil {
+			return register.Value{}, register.Abandoned, err
+		}
+		if outcome == register.Chosen || outcome == register.Refused {
+			r.learned(value)
+			return value, outcome, nil
+		}
+		pause = min(pause+backoffStep+rand.N(backoffStep), backoffMost)
+	}
+}
+
+func wait(ctx context.Context, pause time.Duration) error {
+	if pause == 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// nextBallot returns a ballot above all that were heard of.
+func (r *registrar) nextBallot() register.Ballot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.round = max(r.round, r.local.state().Promised.Round) + 1
+	return register.Ballot{Round: r.round, Proposer: r.ballots}
+}
+
+func (r *registrar) heard(ballot register.Ballot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.round = max(r.round, ballot.Round)
+}
+
+func (r *registrar) tryRound(ctx context.Context, change register.Change, config []byte) (register.Value, register.Outcome, error) {
+	known, err := r.known()
+	if err != nil {
+		return register.Value{}, register.Abandoned, err
+	}
+	round, step := register.NewRound(r.nextBallot(), known, change)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer)
+	for !step.Done {
+		r.carryOut(ctx, round, step, config, answers)
+		select {
+		case <-ctx.Done():
+			return register.Value{}, register.Abandoned, ctx.Err()
+		case got := <-answers:
+			step = feed(round, got)
+		}
+	}
+	r.heard(round.Above)
+	return round.Value, round.Outcome, nil
+}
+
+// feed hands what came of a call to the round.
+func feed(round *register.Round, got answer) register.Step {
+	switch {
+	case got.err != nil:
+		return round.Lost(got.from, got.accepting)
+	case got.promise != nil:
+		return round.Promised(got.from, *got.promise)
+	default:
+		return round.Accepted(got.from, *got.accepted)
+	}
+}
+
+func (r *registrar) carryOut(ctx context.Context, round *register.Round, step register.Step, config []byte, answers chan<- answer) {
+	send := func(call func() answer) {
+		go func() {
+			got := call()
+			select {
+			case answers <- got:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	for _, voter := range step.Prepare {
+		request := &register.Prepare{To: voter.ID, Ballot: round.Ballot}
+		send(func() answer { return r.callPrepare(ctx, voter, request) })
+	}
+	for _, voter := range step.Accept {
+		request := &register.Accept{To: voter.ID, Ballot: round.Ballot, Value: round.Value, Config: config}
+		send(func() answer { return r.callAccept(ctx, voter, request) })
+	}
+	for _, voter := range step.Config {
+		request := &register.Accept{To: voter.ID, Ballot: round.Ballot, Value: round.Value}
+		send(func() answer {
+			data, err := r.Config(ctx, request.Value)
+			if err != nil {
+				return answer{from: voter, accepting: true, err: err}
+			}
+			request.Config = data
+			return r.callAccept(ctx, voter, request)
+		})
+	}
+}
+
+// call asks a voter, the own replica without the network.
+func call[Request, Reply any](ctx context.Context, r *registrar, voter register.Voter, path string, request *Request,
+	local func(context.Context, *Request) (*Reply, error)) (*Reply, error) {
+	if voter.Address == r.self.Address {
+		return local(ctx, request)
+	}
+	ctx, cancel := context.WithTimeout(ctx, voteWithin)
+	defer cancel()
+	reply := new(Reply)
+	return reply, r.client.Call(ctx, voter.Address, path, request, reply)
+}
+
+func (r *registrar) callPrepare(ctx context.Context, voter register.Voter, request *register.Prepare) answer {
+	promise, err := call(ctx, r, voter, preparePath, request, r.local.prepare)
+	return answer{from: voter, promise: promise, err: err}
+}
+
+func (r *registrar) callAccept(ctx context.Context, voter register.Voter, request *register.Accept) answer {
+	accepted, err := call(ctx, r, voter, acceptPath, request, r.local.accept)
+	return answer{from: voter, accepting: true, accepted: accepted, err: err}
+}
+
+// Read returns the value that holds. Where voters differ it makes them agree first.
+func (r *registrar) Read(ctx context.Context) (register.Value, error) {
+	known, err := r.known()
+	if err != nil {
+		return register.Value{}, err
+	}
+	reading, step := register.NewReading(known)
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer)
+	for !step.Done {
+		for _, voter := range step.Prepare {
+			go func() {
+				promise, err := call(readCtx, r, voter, readPath, &register.Read{To: voter.ID}, r.local.read)
+				select {
+				case answers <- answer{from: voter, promise: promise, err: err}:
+				case <-readCtx.Done():
+				}
+			}()
+		}
+		select {
+		case <-ctx.Done():
+			return register.Value{}, ctx.Err()
+		case got := <-answers:
+			if got.err != nil {
+				step = reading.Lost()
+			} else {
+				step = reading.Answered(got.from, *got.promise)
+			}
+		}
+	}
+	if reading.Outcome == register.Chosen {
+		r.learned(reading.Value)
+		return reading.Value, nil
+	}
+	value, _, err := r.Change(ctx, register.Keep, nil)
+	return value, err
+}
+
+// Config returns the bytes of a value's configuration, from another voter where they aren't here.
+func (r *registrar) Config(ctx context.Context, value register.Value) ([]byte, error) {
+	if data := r.local.config(value.Config); data != nil {
+		return data, nil
+	}
+	for _, voter := range value.Everyone() {
+		if voter.Address == r.self.Address {
+			continue
+		}
+		reply, err := call(ctx, r, voter, configPath, &message.ConfigRequest{Digest: value.Config}, r.local.serveConfig)
+		if err == nil && len(reply.Data) > 0 && register.DigestOf(reply.Data) == value.Config {
+			return reply.Data, nil
+		}
+	}
+	return nil, Error.New("no voter has the bytes of configuration %d", value.Version)
+}
--- /dev/null
+++ b/internal/control/replica.go
@@ -0,0 +1,252 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/decide/register"
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/store"
+)
+
+// The kinds of records in the store.
+const (
+	stateRecord  store.Kind = 1
+	configRecord store.Kind = 2
+)
+
+const (
+	// snapshotAt is the size of a segment, in bytes, at which a snapshot takes its place.
+	snapshotAt = 8 << 20
+	// retryWrite is the pause before a start that could not write its identity tries again.
+	retryWrite = 200 * time.Millisecond
+	// mostConfigs bounds the configurations whose bytes are kept in memory and in snapshots.
+	mostConfigs = 2
+)
+
+// replica hosts the acceptor and its disk.
+type replica struct {
+	log *logrus.Entry
+
+	writing sync.Mutex // held while the disk works; orders all that changes the state
+	store   *store.Store
+
+	mu       sync.Mutex // guards what follows; never held while the disk works
+	acceptor *register.Acceptor
+	configs  []storedConfig // the newest at the end
+}
+
+type storedConfig struct {
+	digest register.Digest
+	data   []byte
+}
+
+// openReplica reads the disk. A process without a state founds the register if it is one of the founders, else it gets an
+// identity that never voted.
+func openReplica(settings *boot.Settings, log *logrus.Entry) (*replica, error) {
+	opened, records, damage, err := store.Open(settings.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	r := &replica{log: log, store: opened}
+	state, found := r.load(records)
+	for _, place := range damage {
+		log.WithField("tail", place.Tail).Warn("store: " + place.String())
+		if !place.Tail {
+			// Danger: what can't be read may have been a promise. Who forgot one must not vote as the one that made it.
+			found = false
+		}
+	}
+	if !found {
+		state = newState(settings)
+	}
+	r.acceptor = register.NewAcceptor(state)
+	return r, nil
+}
+
+func (r *replica) load(records []store.Record) (state register.State, found bool) {
+	for _, record := range records {
+		switch record.Kind {
+		case stateRecord:
+			var next register.State
+			if err := msgpack.Unmarshal(record.Data, &next); err != nil {
+				r.log.WithError(err).Error("store: a state that can't be read")
+				return state, false
+			}
+			state, found = next, true
+		case configRecord:
+			r.keep(register.DigestOf(record.Data), record.Data)
+		}
+	}
+	return state, found
+}
+
+// newState returns the state of a disk that is empty.
+func newState(settings *boot.Settings) register.State {
+	own := settings.Internal(settings.IP, boot.ControlPort)
+	founders := settings.SeedAddresses()
+	if settings.Bootstrap && slices.Contains(founders, own) {
+		return register.State{ID: founderID(own), Value: founding(founders)}
+	}
+	var nonce [8]byte
+	_, _ = rand.Read(nonce[:]) // never fails
+	return register.State{ID: own + "#" + hex.EncodeToString(nonce[:])}
+}
+
+func founderID(address string) string { return "founder@" + address }
+
+// founding returns the value with which all founders begin.
+func founding(addresses []string) register.Value {
+	value := register.Value{Epoch: 1}
+	for _, address := range addresses {
+		value.Voters = append(value.Voters, register.Voter{ID: founderID(address), Address: address})
+	}
+	return value
+}
+
+// begin writes a snapshot of what was read. Nothing may be answered before: an identity that is not on disk is none.
+func (r *replica) begin(ctx context.Context) error {
+	for {
+		r.writing.Lock()
+		err := r.snapshot()
+		r.writing.Unlock()
+		if err == nil {
+			return nil
+		}
+		r.log.WithError(err).Warn("store: the first write failed")
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(retryWrite):
+		}
+	}
+}
+
+// snapshot is for who holds writing.
+func (r *replica) snapshot() error {
+	r.mu.Lock()
+	state, configs := r.acceptor.State(), slices.Clone(r.configs)
+	r.mu.Unlock()
+	var records []store.Record
+	for _, config := range configs {
+		records = append(records, store.Record{Kind: configRecord, Data: config.data})
+	}
+	data, err := msgpack.Marshal(&state)
+	if err != nil {
+		return err
+	}
+	return r.store.Snapshot(append(records, store.Record{Kind: stateRecord, Data: data})...)
+}
+
+// write puts a state, and a configuration where there is one, on the disk.
+func (r *replica) write(state *register.State, config []byte) error {
+	data, err := msgpack.Marshal(state)
+	if err != nil {
+		return err
+	}
+	var records []store.Record
+	if config != nil {
+		records = append(records, store.Record{Kind: configRecord, Data: config})
+	}
+	if err := r.store.Append(append(records, store.Record{Kind: stateRecord, Data: data})...); err != nil {
+		r.log.WithError(err).Warn("store: a write failed")
+		return err
+	}
+	r.mu.Lock()
+	r.acceptor.Stored(*state)
+	if config != nil {
+		r.keep(state.Value.Config, config)
+	}
+	r.mu.Unlock()
+	if r.store.Size() > snapshotAt {
+		if err := r.snapshot(); err != nil {
+			r.log.WithError(err).Warn("store: a snapshot failed")
+		}
+	}
+	return nil
+}
+
+// keep holds a configuration's bytes. Danger: those of the accepted value must never give way, so they are the newest.
+func (r *replica) keep(digest register.Digest, data []byte) {
+	r.configs = slices.DeleteFunc(r.configs, func(c storedConfig) bool { return c.digest == digest })
+	r.configs = append(r.configs, storedConfig{digest, data})
+	if excess := len(r.configs) - mostConfigs; excess > 0 {
+		r.configs = slices.Delete(r.configs, 0, excess)
+	}
+}
+
+// config returns a configuration's bytes, nil if they aren't here.
+func (r *replica) config(digest register.Digest) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, config := range r.configs {
+		if config.digest == digest {
+			return config.data
+		}
+	}
+	return nil
+}
+
+// state returns what is on disk.
+func (r *replica) state() register.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.acceptor.State()
+}
+
+func (r *replica) prepare(_ context.Context, request *register.Prepare) (*register.Promise, error) {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	r.mu.Lock()
+	next, answer := r.acceptor.HandlePrepare(*request)
+	r.mu.Unlock()
+	if next != nil {
+		if err := r.write(next, nil); err != nil {
+			return nil, err
+		}
+	}
+	return &answer, nil
+}
+
+func (r *replica) accept(_ context.Context, request *register.Accept) (*register.Accepted, error) {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	digest := request.Value.Config
+	held := r.config(digest) != nil
+	if len(request.Config) > 0 && register.DigestOf(request.Config) != digest {
+		return nil, Error.New("the bytes of a configuration don't match its digest")
+	}
+	r.mu.Lock()
+	next, answer := r.acceptor.HandleAccept(*request, held || len(request.Config) > 0)
+	r.mu.Unlock()
+	if next == nil {
+		return &answer, nil
+	}
+	var fresh []byte
+	if !held {
+		fresh = request.Config
+	}
+	if err := r.write(next, fresh); err != nil {
+		return nil, err
+	}
+	return &answer, nil
+}
+
+func (r *replica) read(_ context.Context, request *register.Read) (*register.Promise, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	answer := r.acceptor.HandleRead(*request)
+	return &answer, nil
+}
+
+func (r *replica) serveConfig(_ context.Context, request *message.ConfigRequest) (*message.ConfigReply, error) {
+	return &message.ConfigReply{Data: r.config(request.Digest)}, nil
+}
--- /dev/null
+++ b/internal/decide/membership/membership.go
@@ -0,0 +1,257 @@
+// Package membership keeps who is there: a partial view of peers that is shuffled at each exchange, and a roster of
+// records that spread with it. It is a pure state machine; time comes as seconds on the host's steady clock.
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+)
+
+// Kind is what a process does.
+type Kind string
+
+// The kinds of processes that take part.
+const (
+	Control Kind = "control"
+	Agent   Kind = "agent"
+)
+
+// Record is what is told of a process. A higher incarnation, then a higher heartbeat, is newer.
+type Record struct {
+	Name        string `msgpack:"n"`
+	Kind        Kind   `msgpack:"k"`
+	Address     string `msgpack:"a"` // where peers reach it, IP:PORT
+	Zone        string `msgpack:"z"`
+	Incarnation uint64 `msgpack:"i"`
+	Life        uint64 `msgpack:"l"` // drawn at each start; tells lives of one incarnation apart
+	Heartbeat   uint64 `msgpack:"b"`
+	Leaving     bool   `msgpack:"x"`
+	Voter       string `msgpack:"v"` // the identity on its disk, for control processes
+	Operator    string `msgpack:"o"` // where the operator reaches it, for control processes
+}
+
+// newer tells whether r says more than other.
+func (r *Record) newer(other *Record) bool {
+	return cmp.Or(cmp.Compare(r.Incarnation, other.Incarnation), cmp.Compare(r.Heartbeat, other.Heartbeat)) > 0
+}
+
+// Settings are the figures of a view. Times are in seconds.
+type Settings struct {
+	SuspectAfterS float64 // without news, a process counts as silent
+	ForgetAfterS  float64 // without news, its record is dropped
+	ViewSize      int     // peers that are kept for exchanges
+	SampleSize    int     // records that are told in one exchange
+}
+
+type entry struct {
+	record Record
+	heard  float64 // when news came last
+}
+
+// View is what one process knows of the others.
+type View struct {
+	settings Settings
+	rng      *rand.Rand
+	self     Record
+	entries  map[string]*entry
+	dead     map[string]Record // the newest record of those that were dropped, so that old news don't revive them
+	peers    []string          // names of the partial view
+	seeds    []string          // addresses
+	next     int               // of the peers, whose turn it is
+	rebuttal []Record          // newer than what was told lately by a life that does not know it; told in the next exchange
+}
+
+// New returns a view that knows itself and the addresses of seeds.
+func New(settings Settings, self Record, seeds []string, rng *rand.Rand) *View {
+	return &View{settings: settings, rng: rng, self: self, entries: map[string]*entry{}, dead: map[string]Record{},
+		seeds: slices.Clone(seeds)}
+}
+
+// SetSeeds replaces the addresses that are asked where the view is thin.
+func (v *View) SetSeeds(seeds []string) { v.seeds = slices.Clone(seeds) }
+
+// Self returns the own record.
+func (v *View) Self() Record { return v.self }
+
+// Leave marks the own record as one that is about to end.
+func (v *View) Leave() {
+	v.self.Leaving = true
+	v.self.Heartbeat++
+}
+
+// Tick raises the own heartbeat and drops who was silent for too long.
+func (v *View) Tick(now float64) {
+	v.self.Heartbeat++
+	for name, e := range v.entries {
+		if now-e.heard > v.settings.ForgetAfterS {
+			v.dead[name] = e.record
+			delete(v.entries, name)
+		}
+	}
+	v.peers = slices.DeleteFunc(v.peers, func(name string) bool { return v.entries[name] == nil })
+	v.refill(now)
+}
+
+// refill takes random live processes into the partial view until it is full.
+func (v *View) refill(now float64) {
+	if len(v.peers) >= v.settings.ViewSize || len(v.peers) >= len(v.entries) {
+		return
+	}
+	names := slices.Sorted(maps.Keys(v.entries))
+	v.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range names {
+		if len(v.peers) >= v.settings.ViewSize {
+			return
+		}
+		if v.alive(v.entries[name], now) && !slices.Contains(v.peers, name) {
+			v.peers = append(v.peers, name)
+		}
+	}
+}
+
+// Partner returns the address for the next exchange, "" if there is none. Now and then, and while nobody is known, it is a seed.
+func (v *View) Partner() string {
+	const seedEvery = 8
+	if len(v.seeds) > 0 && (len(v.peers) == 0 || v.rng.IntN(seedEvery) == 0) {
+		if seed := v.seeds[v.rng.IntN(len(v.seeds))]; seed != v.self.Address {
+			return seed
+		}
+	}
+	if len(v.peers) == 0 {
+		return ""
+	}
+	v.next = (v.next + 1) % len(v.peers)
+	return v.entries[v.peers[v.next]].record.Address
+}
+
+// Fanout returns up to n addresses of random live processes, for news that can't wait.
+func (v *View) Fanout(now float64, n int) []string {
+	var addresses []string
+	for _, e := range v.entries {
+		if v.alive(e, now) {
+			addresses = append(addresses, e.record.Address)
+		}
+	}
+	slices.Sort(addresses)
+	v.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(n, len(addresses))]
+}
+
+// Sample returns the records to tell in an exchange: the own one and the freshest of others, drawn at random.
+func (v *View) Sample(now float64) []Record {
+	records := append([]Record{v.self}, v.rebuttal...)
+	v.rebuttal = nil
+	names := slices.Sorted(maps.Keys(v.entries))
+	v.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range names {
+		if len(records) >= v.settings.SampleSize {
+			break
+		}
+		// Danger: who is silent is not passed on, or old news would go round for ever.
+		if e := v.entries[name]; v.alive(e, now) {
+			records = append(records, e.record)
+		}
+	}
+	return records
+}
+
+// Merge takes records that a peer told. It returns whether a process came that was not known.
+func (v *View) Merge(now float64, records []Record) (came bool) {
+	for i := range records {
+		if v.merge(now, &records[i]) {
+			came = true
+		}
+	}
+	v.refill(now)
+	v.shuffle(records)
+	return came
+}
+
+func (v *View) merge(now float64, record *Record) bool {
+	if record.Name == "" || record.Address == "" {
+		return false
+	}
+	if record.Name == v.self.Name {
+		v.outbid(record)
+		return false
+	}
+	if old, ok := v.dead[record.Name]; ok && !record.newer(&old) {
+		v.rebut(&old, record)
+		return false
+	}
+	known := v.entries[record.Name]
+	if known == nil {
+		delete(v.dead, record.Name)
+		v.entries[record.Name] = &entry{*record, now}
+		return true
+	}
+	if record.newer(&known.record) {
+		came := record.Life != known.record.Life
+		known.record, known.heard = *record, now
+		return came
+	}
+	v.rebut(&known.record, record)
+	return false
+}
+
+// rebut keeps a record for the next exchange where another life of the same process told an older one, so that it outbids it.
+func (v *View) rebut(newest, told *Record) {
+	const most = 4
+	if newest.Life != told.Life && len(v.rebuttal) < most {
+		v.rebuttal = append(v.rebuttal, *newest)
+	}
+}
+
+// outbid makes sure that this life's record is newer than that of one before. Clocks jump and diskless processes remember nothing.
+func (v *View) outbid(record *Record) {
+	if record.Life != v.self.Life && record.Incarnation >= v.self.Incarnation {
+		v.self.Incarnation = record.Incarnation + 1
+	}
+}
+
+// shuffle trades a peer of the partial view for one of those that were told.
+func (v *View) shuffle(told []Record) {
+	if len(v.peers) < v.settings.ViewSize || len(told) == 0 {
+		return
+	}
+	name := told[v.rng.IntN(len(told))].Name
+	if v.entries[name] != nil && !slices.Contains(v.peers, name) {
+		v.peers[v.rng.IntN(len(v.peers))] = name
+	}
+}
+
+func (v *View) alive(e *entry, now float64) bool { return now-e.heard <= v.settings.SuspectAfterS }
+
+// Member is a record with the state in which it is held.
+type Member struct {
+	Record
+	SilentS float64 // seconds without news
+	Alive   bool
+}
+
+// Members returns all that are known by name, this process among them.
+func (v *View) Members(now float64) []Member {
+	members := []Member{{Record: v.self, Alive: true}}
+	for _, e := range v.entries {
+		members = append(members, Member{Record: e.record, SilentS: now - e.heard, Alive: v.alive(e, now)})
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return members
+}
+
+// Rank returns the place of a process among those of its kind by name, and how many there are. Those that are silent keep their
+// places until they are forgotten, so that one that restarts moves nobody.
+func (v *View) Rank(name string, kind Kind) (rank, count int) {
+	for other, e := range v.entries {
+		if e.record.Kind != kind || other == name {
+			continue
+		}
+		count++
+		if other < name {
+			rank++
+		}
+	}
+	return rank, count + 1
+}
--- /dev/null
+++ b/internal/decide/placement/engine.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"strconv"
+
+	"hazelwheel/internal/message"
+)
+
+// Engine tells what model servers of a service are like.
+type Engine struct {
+	Present      bool
+	KVTokenBytes float64
+	KVTokens     float64
+	LinkMbps     float64
+}
+
+// Part is a piece of a prompt that other prompts may begin with too.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+func parseCount(text string) int {
+	count, err := strconv.Atoi(text)
+	if err != nil || count < 0 {
+		return 0
+	}
+	return count
+}
+
+const (
+	// pacePrior is the reading pace that is assumed before any was seen, in tokens per second.
+	pacePrior = 60_000
+	// paceDecay is by how much a fast pace is forgotten with each slower one.
+	paceDecay = 0.02
+	// paceLeast is the number of tokens from which on a reading tells of the pace.
+	paceLeast = 1000
+	// waitTau is the time in seconds in which a wait that was seen counts for a third.
+	waitTau = 0.4
+	// partsMost bounds the parts that are remembered of a server.
+	partsMost = 4096
+	// crossPenalty is what another zone counts for, in seconds.
+	crossPenalty = 0.02
+	// directPart is how much slower a decode server reads than a prefill server, until both were seen.
+	directPart = 0.5
+	// moveSetup is what a move takes beside its bytes, in seconds.
+	moveSetup = 0.004
+)
+
+// engineView is what a proxy knows of a model server.
+type engineView struct {
+	tokens  float64 // own prompt tokens that are being read there
+	wait    float64 // seconds waited beyond the reading itself, as seen last
+	waitAt  float64
+	running int
+	waiting int
+	parts   map[string]float64 // when own requests used them last there
+}
+
+// Prompt is what the choice of servers goes by.
+type Prompt struct {
+	Parts  []Part
+	Tokens int // of the whole prompt
+	Output int // most tokens to go out
+}
+
+// Shared returns the key of the parts that others may share, "" if there are none.
+func (q *Prompt) Shared() string {
+	if len(q.Parts) < 2 {
+		return ""
+	}
+	return q.Parts[len(q.Parts)-2].ID
+}
+
+// paces holds what was learned of how fast servers of a stage read, in tokens per second.
+type paces struct {
+	prefill, decode float64
+}
+
+func (p *paces) of(stage message.Stage) *float64 {
+	if stage == message.Prefill {
+		return &p.prefill
+	}
+	return &p.decode
+}
+
+// Plan says where a prompt is read and where its answer is made. Without Reader the runner reads it.
+type Plan struct {
+	Reader *Endpoint
+	Runner *Endpoint
+	Key    string
+}
+
+// fresh returns the tokens of a prompt that a server has to read, as far as is known here. Its home is taken to hold the shared
+// parts, since other proxies send them there too.
+func (e *Endpoint) fresh(q *Prompt, now, keepS float64, home bool) float64 {
+	left := q.Tokens
+	for i, part := range q.Parts {
+		if i == len(q.Parts)-1 {
+			break
+		}
+		used, known := e.engine.parts[part.ID]
+		if !home && (!known || now-used > keepS) {
+			break
+		}
+		left -= part.Tokens
+	}
+	return float64(max(left, 1))
+}
--- /dev/null
+++ b/internal/decide/placement/pool.go
@@ -0,0 +1,305 @@
+package placement
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"hazelwheel/internal/message"
+	"hazelwheel/policy"
+)
+
+const (
+	// subsetFloor is the number of servers that each proxy takes at least, where there are so many.
+	subsetFloor = 12
+	// coolFirst and coolMost bound how long a server that fails requests gets none, in seconds. It doubles from failure to failure.
+	coolFirst = 0.4
+	coolMost  = 6.0
+	// coolAfter is the number of failures in a row after which it does.
+	coolAfter = 2
+	// connectionPart is the part of a service's connections that all proxies together use.
+	connectionPart = 0.8
+	// goneFor is for how long an instance that left the list is not taken back from an older reading, in seconds.
+	goneFor = 10.0
+)
+
+// Endpoint is a server as one proxy knows it.
+type Endpoint struct {
+	message.Instance
+	InFlight int // own requests
+
+	window    window
+	nextProbe float64
+	probing   bool
+	failures  int
+	coolUntil float64
+	misplaced bool // another instance answered at the address
+	engine    engineView
+}
+
+// Pool holds the servers of one service.
+type Pool struct {
+	Service string
+	Zone    string // of the proxy
+	Engine  Engine
+	Budget  Budget
+
+	rng         *rand.Rand
+	endpoints   map[string]*Endpoint
+	ids         []string // in order
+	members     []*Endpoint
+	gone        map[string]float64 // when instances left the list
+	rank, count int
+	most        int // connections of this proxy to one server
+}
+
+// NewPool returns a pool without servers.
+func NewPool(service, zone string, budget Budget, rng *rand.Rand) *Pool {
+	return &Pool{Service: service, Zone: zone, Budget: budget, rng: rng, endpoints: map[string]*Endpoint{}, gone: map[string]float64{}, count: 1}
+}
+
+// Place tells the proxy's number among so many.
+func (p *Pool) Place(rank, count int) {
+	if count > 0 && (rank != p.rank || count != p.count) {
+		p.rank, p.count = rank, count
+		p.subset()
+	}
+}
+
+// Count returns the number of proxies that is known of.
+func (p *Pool) Count() int { return p.count }
+
+// SetConnections tells how many connections a server takes from all callers together.
+func (p *Pool) SetConnections(most int) {
+	p.most = max(int(connectionPart*float64(most))/max(p.count, 1), 2)
+	if most <= 0 {
+		p.most = 1 << 20
+	}
+}
+
+// Update takes a reading of the list. Draining never ends but by leaving, and who has left does not come back.
+func (p *Pool) Update(now float64, instances []message.Instance) {
+	for id, at := range p.gone {
+		if now-at > goneFor {
+			delete(p.gone, id)
+		}
+	}
+	listed := map[string]bool{}
+	for i := range instances {
+		if instances[i].Service == p.Service {
+			listed[instances[i].ID] = true
+			p.update(now, &instances[i])
+		}
+	}
+	for id := range p.endpoints {
+		if !listed[id] {
+			delete(p.endpoints, id)
+			p.gone[id] = now
+		}
+	}
+	p.ids = p.ids[:0]
+	for id := range p.endpoints {
+		p.ids = append(p.ids, id)
+	}
+	slices.Sort(p.ids)
+	p.subset()
+}
+
+func (p *Pool) update(now float64, listed *message.Instance) {
+	if _, left := p.gone[listed.ID]; left {
+		return
+	}
+	known := p.endpoints[listed.ID]
+	if known == nil {
+		known = &Endpoint{}
+		known.window.seed(now, p.meanGap())
+		known.nextProbe = now + p.rng.Float64()*ProbeEvery
+		p.endpoints[listed.ID] = known
+	}
+	draining := known.Draining || listed.Draining
+	known.Instance = *listed
+	known.Draining = draining
+}
+
+// meanGap is the mean of all windows.
+func (p *Pool) meanGap() float64 {
+	if len(p.endpoints) == 0 {
+		return ProbeEvery
+	}
+	sum := 0.0
+	for _, endpoint := range p.endpoints {
+		sum += endpoint.window.mean()
+	}
+	return sum / float64(len(p.endpoints))
+}
+
+// subset takes an even part of the servers by the proxy's number, of each stage by itself.
+func (p *Pool) subset() {
+	p.members = p.members[:0]
+	for _, stage := range []message.Stage{"", message.Prefill, message.Decode} {
+		var ring []*Endpoint
+		for _, id := range p.ids {
+			if endpoint := p.endpoints[id]; endpoint.Stage == stage && !endpoint.Draining {
+				ring = append(ring, endpoint)
+			}
+		}
+		if len(ring) == 0 {
+			continue
+		}
+		from, size := policy.Subset(len(ring), p.rank, p.count, subsetFloor)
+		for i := range size {
+			p.members = append(p.members, ring[(from+i)%len(ring)])
+		}
+	}
+}
+
+// usable tells whether an endpoint may get a request, but for its suspicion.
+func (p *Pool) usable(e *Endpoint, now float64) bool {
+	return !e.Draining && !e.misplaced && now >= e.coolUntil && (p.most == 0 || e.InFlight < p.most)
+}
+
+// candidates returns the members of a stage that may be drawn now. Where all are suspected the least suspected is.
+func (p *Pool) candidates(now float64, stage message.Stage, without []*Endpoint) []*Endpoint {
+	var drawn []*Endpoint
+	var lowest *Endpoint
+	lowestPhi := 0.0
+	for _, e := range p.members {
+		if e.Stage != stage || !p.usable(e, now) || slices.Contains(without, e) {
+			continue
+		}
+		phi := e.window.phi(now)
+		if lowest == nil || phi < lowestPhi {
+			lowest, lowestPhi = e, phi
+		}
+		if phi <= phiHalf || phi <= phiOut && p.rng.IntN(2) == 0 {
+			drawn = append(drawn, e)
+		}
+	}
+	if len(drawn) == 0 && lowest != nil {
+		drawn = append(drawn, lowest)
+	}
+	return drawn
+}
+
+// Pick returns the one of two random members with fewer own requests in flight, nil if none may be drawn.
+func (p *Pool) Pick(now float64, without []*Endpoint) *Endpoint {
+	stage := message.Stage("")
+	if p.Engine.Present {
+		stage = message.Decode // a request without a prompt goes to the servers that make answers
+	}
+	drawn := p.candidates(now, stage, without)
+	if len(drawn) == 0 {
+		drawn = p.lastResort(now, stage, without)
+	}
+	if len(drawn) == 0 {
+		return nil
+	}
+	first, second := p.two(drawn)
+	if second.load() < first.load() {
+		return second
+	}
+	return first
+}
+
+// lastResort returns members that cool down where there is nobody else: the one whose time is over first.
+func (p *Pool) lastResort(now float64, stage message.Stage, without []*Endpoint) []*Endpoint {
+	var best *Endpoint
+	for _, e := range p.members {
+		if e.Stage != stage || e.Draining || e.misplaced || slices.Contains(without, e) || now >= e.coolUntil {
+			continue
+		}
+		if best == nil || e.coolUntil < best.coolUntil {
+			best = e
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []*Endpoint{best}
+}
+
+func (p *Pool) two(drawn []*Endpoint) (first, second *Endpoint) {
+	i := p.rng.IntN(len(drawn))
+	j := i
+	if len(drawn) > 1 {
+		j = (i + 1 + p.rng.IntN(len(drawn)-1)) % len(drawn)
+	}
+	return drawn[i], drawn[j]
+}
+
+// load is the part of a server's slots that own requests take.
+func (e *Endpoint) load() float64 { return float64(e.InFlight) / float64(max(e.Slots, 1)) }
+
+// Begin counts an own request.
+func (e *Endpoint) Begin() { e.InFlight++ }
+
+// End takes it away.
+func (e *Endpoint) End() { e.InFlight-- }
+
+// Succeeded tells that a server served a request.
+func (e *Endpoint) Succeeded() { e.failures, e.coolUntil = 0, 0 }
+
+// Failed tells that a request failed at a server by the server's fault. After some in a row it gets none for a while, and
+// it is probed at once.
+func (e *Endpoint) Failed(now float64, unreachable bool) {
+	e.failures++
+	e.nextProbe = min(e.nextProbe, now)
+	if e.failures >= coolAfter || unreachable {
+		shift := min(max(e.failures-coolAfter, 0), 4)
+		e.coolUntil = now + min(coolFirst*float64(int(1)<<shift), coolMost)
+	}
+}
+
+// Misplaced tells that another instance answered at the server's address.
+func (e *Endpoint) Misplaced() { e.misplaced = true }
+
+// DueProbes returns the members to probe now.
+func (p *Pool) DueProbes(now float64) (due []*Endpoint) {
+	for _, e := range p.members {
+		if !e.probing && !e.misplaced && now >= e.nextProbe {
+			e.probing = true
+			e.nextProbe = now + ProbeEvery
+			due = append(due, e)
+		}
+	}
+	return due
+}
+
+// Probed takes what came of a probe.
+func (e *Endpoint) Probed(now float64, answered bool) {
+	e.probing = false
+	if answered {
+		e.window.arrive(now)
+		return
+	}
+	e.nextProbe = min(e.nextProbe, now+probeAgain)
+}
+
+// Size returns the number of members and of all servers that are listed.
+func (p *Pool) Size() (members, all int) { return len(p.members), len(p.endpoints) }
+
+// homeScore orders the servers for a key the same way at every proxy (rendezvous hashing).
+func homeScore(key, id string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(key))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(id))
+	x := hash.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// ParsePrefix reads ID:TOKENS parts, separated by commas.
+func ParsePrefix(field string) (parts []Part) {
+	for piece := range strings.SplitSeq(field, ",") {
+		id, tokens, ok := strings.Cut(strings.TrimSpace(piece), ":")
+		count := parseCount(tokens)
+		if ok && id != "" && count > 0 {
+			parts = append(parts, Part{ID: id, Tokens: count})
+		}
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/decide/register/register.go
@@ -0,0 +1,209 @@
+// Package register is a compare-and-swap register that is replicated on voters and changed in two quorum rounds, without a
+// log and without a leader. It holds the state machines alone: a host sends, writes to disk and keeps time.
+//
+// A change prepares a ballot at a majority, learns the value of the highest accepted ballot, derives the next value from it
+// and has it accepted by a majority. The set of voters is a part of the value. While it changes, the value names the old and
+// the new voters and each round needs a majority of both.
+package register
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"slices"
+)
+
+// Ballot orders rounds. The zero Ballot is below all others.
+type Ballot struct {
+	Round    uint64 `msgpack:"r"`
+	Proposer string `msgpack:"p"`
+}
+
+// Compare returns -1, 0 or 1 as b is below, equal to or above other.
+func (b Ballot) Compare(other Ballot) int {
+	return cmp.Or(cmp.Compare(b.Round, other.Round), cmp.Compare(b.Proposer, other.Proposer))
+}
+
+// Digest names the bytes of a configuration.
+type Digest [16]byte
+
+// DigestOf returns the digest of data.
+func DigestOf(data []byte) Digest {
+	sum := sha256.Sum256(data)
+	return Digest(sum[:16])
+}
+
+// Voter is a replica: the identity that its disk holds, and where it is reached. A disk that was lost takes the identity with it.
+type Voter struct {
+	ID      string `msgpack:"i"`
+	Address string `msgpack:"a"`
+}
+
+// Grant says who holds a singleton role. Token only grows.
+type Grant struct {
+	Role   string `msgpack:"r"`
+	Holder string `msgpack:"h"`
+	Token  uint64 `msgpack:"t"`
+}
+
+// Value is what the register holds.
+type Value struct {
+	Epoch    uint64   `msgpack:"e"` // counts changes of the voters
+	Voters   []Voter  `msgpack:"v"`
+	Previous []Voter  `msgpack:"o"` // the voters before, while both sets decide; else empty
+	Version  uint64   `msgpack:"n"` // of the configuration; 0: there is none yet
+	Config   Digest   `msgpack:"c"`
+	Accepted []Digest `msgpack:"d"` // the configurations accepted last, the newest at the end
+	Grants   []Grant  `msgpack:"g"`
+}
+
+// Clone returns a value that shares no memory with v.
+func (v Value) Clone() Value {
+	v.Voters, v.Previous = slices.Clone(v.Voters), slices.Clone(v.Previous)
+	v.Accepted, v.Grants = slices.Clone(v.Accepted), slices.Clone(v.Grants)
+	return v
+}
+
+// Grant returns who holds a role, the zero Grant if nobody ever did.
+func (v *Value) Grant(role string) Grant {
+	for _, grant := range v.Grants {
+		if grant.Role == role {
+			return grant
+		}
+	}
+	return Grant{Role: role}
+}
+
+// Everyone returns the voters of both sets, each once.
+func (v *Value) Everyone() []Voter { return union(v.Voters, v.Previous) }
+
+func union(sets ...[]Voter) (all []Voter) {
+	for _, set := range sets {
+		for _, voter := range set {
+			if !slices.Contains(all, voter) {
+				all = append(all, voter)
+			}
+		}
+	}
+	return all
+}
+
+// quorum tells whether a majority of every set that isn't empty is in.
+func quorum(in func(Voter) bool, sets ...[]Voter) bool {
+	for _, set := range sets {
+		count := 0
+		for _, voter := range set {
+			if in(voter) {
+				count++
+			}
+		}
+		if len(set) > 0 && count <= len(set)/2 {
+			return false
+		}
+	}
+	return true
+}
+
+// Prepare asks a voter to promise a ballot. The voter whose identity is not To turns it away.
+type Prepare struct {
+	To     string `msgpack:"t"`
+	Ballot Ballot `msgpack:"b"`
+}
+
+// Promise answers Prepare and Read. Where OK is false, Promised is the ballot that stands in the way.
+type Promise struct {
+	OK       bool   `msgpack:"k"`
+	Stranger bool   `msgpack:"s"` // the voter has another identity
+	Promised Ballot `msgpack:"p"`
+	Ballot   Ballot `msgpack:"b"` // the accepted ballot
+	Value    Value  `msgpack:"v"`
+}
+
+// Accept asks a voter to accept a value. Config holds the configuration's bytes where the voter may lack them.
+type Accept struct {
+	To     string `msgpack:"t"`
+	Ballot Ballot `msgpack:"b"`
+	Value  Value  `msgpack:"v"`
+	Config []byte `msgpack:"c"`
+}
+
+// Accepted answers Accept.
+type Accepted struct {
+	OK         bool   `msgpack:"k"`
+	Stranger   bool   `msgpack:"s"`
+	NeedConfig bool   `msgpack:"n"` // the voter lacks the configuration's bytes
+	Promised   Ballot `msgpack:"p"`
+}
+
+// Read asks a voter for its accepted value.
+type Read struct {
+	To string `msgpack:"t"`
+}
+
+// State is what a voter keeps on its disk.
+type State struct {
+	ID       string `msgpack:"i"`
+	Promised Ballot `msgpack:"p"`
+	Ballot   Ballot `msgpack:"b"`
+	Value    Value  `msgpack:"v"`
+}
+
+// Acceptor is a voter's state machine. Each method returns the state that must be on disk before the answer is sent, nil
+// where nothing changes; the host calls Stored once it is there.
+type Acceptor struct {
+	state State
+}
+
+// NewAcceptor returns an acceptor that goes on from what the disk holds.
+func NewAcceptor(state State) *Acceptor { return &Acceptor{state} }
+
+// State returns what is on disk.
+func (a *Acceptor) State() State { return a.state }
+
+// Stored tells that a state that a method has returned is on disk.
+func (a *Acceptor) Stored(state State) { a.state = state }
+
+// HandlePrepare promises a ballot that is above all promised before.
+func (a *Acceptor) HandlePrepare(request Prepare) (*State, Promise) {
+	if request.To != a.state.ID {
+		return nil, Promise{Stranger: true}
+	}
+	if request.Ballot.Compare(a.state.Promised) < 0 {
+		return nil, Promise{Promised: a.state.Promised}
+	}
+	answer := Promise{OK: true, Promised: request.Ballot, Ballot: a.state.Ballot, Value: a.state.Value}
+	if request.Ballot == a.state.Promised {
+		return nil, answer
+	}
+	next := a.state
+	next.Promised = request.Ballot
+	return &next, answer
+}
+
+// HandleAccept accepts a value unless a higher ballot was promised. hasConfig tells whether the configuration's bytes are on
+// disk or come with the request.
+func (a *Acceptor) HandleAccept(request Accept, hasConfig bool) (*State, Accepted) {
+	if request.To != a.state.ID {
+		return nil, Accepted{Stranger: true}
+	}
+	if request.Ballot.Compare(a.state.Promised) < 0 {
+		return nil, Accepted{Promised: a.state.Promised}
+	}
+	if !hasConfig && request.Value.Version != 0 {
+		return nil, Accepted{NeedConfig: true}
+	}
+	answer := Accepted{OK: true, Promised: request.Ballot}
+	if request.Ballot == a.state.Ballot {
+		return nil, answer
+	}
+	next := a.state
+	next.Promised, next.Ballot, next.Value = request.Ballot, request.Ballot, request.Value
+	return &next, answer
+}
+
+// HandleRead tells the accepted value. It promises nothing.
+func (a *Acceptor) HandleRead(request Read) Promise {
+	if request.To != a.state.ID {
+		return Promise{Stranger: true}
+	}
+	return Promise{OK: true, Promised: a.state.Promised, Ballot: a.state.Ballot, Value: a.state.Value}
+}
--- /dev/null
+++ b/internal/decide/register/round.go
@@ -0,0 +1,254 @@
+package register
+
+// Step is what a proposer wants of its host.
+type Step struct {
+	Prepare []Voter // to send Prepare to
+	Accept  []Voter // to send Accept to
+	Config  []Voter // to send Accept to, with the configuration's bytes
+	Done    bool
+}
+
+// Outcome says how a round has ended.
+type Outcome int
+
+// The outcomes of a round.
+const (
+	Running   Outcome = iota
+	Chosen            // Value holds, and is the change's
+	Refused           // Value holds, and the change does not go on top of it
+	Outvoted          // another ballot stands in the way; nothing is known of the change
+	Abandoned         // the host has given it up; nothing is known of the change
+)
+
+// Change derives the next value. It returns false where it does not go on top of the current one.
+type Change func(current Value) (next Value, ok bool)
+
+// Keep is the change that changes nothing: it makes sure that the value holds.
+func Keep(current Value) (Value, bool) { return current, true }
+
+// Round is the proposer's state machine for one ballot.
+type Round struct {
+	Ballot  Ballot
+	Outcome Outcome
+	Value   Value  // what holds, once the outcome is Chosen or Refused; what is proposed, while values are being accepted
+	Above   Ballot // the highest ballot that stood in the way
+
+	change    Change
+	known     Value // the voters to begin with
+	promises  map[Voter]Promise
+	asked     map[Voter]bool
+	proposing bool
+	refused   bool
+	sets      [][]Voter // whose majorities must accept
+	accepted  map[Voter]bool
+	lost      map[Voter]bool
+}
+
+// NewRound returns a round and its first step. known names the voters, of this epoch or an older one.
+func NewRound(ballot Ballot, known Value, change Change) (*Round, Step) {
+	r := &Round{Ballot: ballot, change: change, known: known, promises: map[Voter]Promise{}, asked: map[Voter]bool{},
+		accepted: map[Voter]bool{}, lost: map[Voter]bool{}}
+	return r, Step{Prepare: r.ask(known)}
+}
+
+// ask returns the voters of a value that weren't asked yet.
+func (r *Round) ask(value Value) (voters []Voter) {
+	for _, voter := range value.Everyone() {
+		if !r.asked[voter] {
+			r.asked[voter] = true
+			voters = append(voters, voter)
+		}
+	}
+	return voters
+}
+
+// Promised takes a voter's answer to Prepare.
+func (r *Round) Promised(from Voter, answer Promise) Step {
+	if r.Outcome != Running || r.proposing {
+		return Step{}
+	}
+	if !answer.OK {
+		return r.turnedDown(from, answer.Stranger, answer.Promised)
+	}
+	r.promises[from] = answer
+	newest := r.newest()
+	if more := r.ask(newest.Value); len(more) > 0 {
+		return Step{Prepare: more}
+	}
+	promised := func(voter Voter) bool { _, ok := r.promises[voter]; return ok }
+	if !quorum(promised, newest.Value.Voters, newest.Value.Previous) {
+		return Step{}
+	}
+	return r.propose(newest)
+}
+
+// newest returns the promise with the highest accepted ballot. Danger: a voter that has accepted nothing says nothing of the
+// voters; until something was accepted, those hold with which the round began, and all founders begin with the same.
+func (r *Round) newest() Promise {
+	newest := Promise{Value: r.known}
+	for _, promise := range r.promises {
+		if promise.Ballot.Compare(newest.Ballot) > 0 {
+			newest = promise
+		}
+	}
+	return newest
+}
+
+func (r *Round) propose(newest Promise) Step {
+	next, ok := r.change(newest.Value.Clone())
+	if !ok {
+		r.refused, next = true, newest.Value
+		if r.holds(newest) {
+			return r.end(Refused, next)
+		}
+	}
+	r.proposing, r.Value = true, next
+	r.lost = map[Voter]bool{}
+	r.sets = [][]Voter{newest.Value.Voters, newest.Value.Previous, next.Voters, next.Previous}
+	return Step{Accept: union(r.sets...)}
+}
+
+// holds tells whether a majority has accepted the newest value already.
+func (r *Round) holds(newest Promise) bool {
+	same := func(voter Voter) bool {
+		promise, ok := r.promises[voter]
+		return ok && promise.Ballot == newest.Ballot
+	}
+	return newest.Ballot != Ballot{} && quorum(same, newest.Value.Voters, newest.Value.Previous)
+}
+
+// Accepted takes a voter's answer to Accept.
+func (r *Round) Accepted(from Voter, answer Accepted) Step {
+	if r.Outcome != Running || !r.proposing {
+		return Step{}
+	}
+	switch {
+	case answer.NeedConfig:
+		return Step{Config: []Voter{from}}
+	case !answer.OK:
+		return r.turnedDown(from, answer.Stranger, answer.Promised)
+	}
+	r.accepted[from] = true
+	if !quorum(func(voter Voter) bool { return r.accepted[voter] }, r.sets...) {
+		return Step{}
+	}
+	if r.refused {
+		return r.end(Refused, r.Value)
+	}
+	return r.end(Chosen, r.Value)
+}
+
+// Lost tells that a voter could not be reached or did not answer Accept or, where accepting is false, Prepare.
+func (r *Round) Lost(from Voter, accepting bool) Step {
+	if r.Outcome != Running || accepting != r.proposing {
+		return Step{}
+	}
+	r.lost[from] = true
+	return r.checkHope()
+}
+
+// Abandon ends the round.
+func (r *Round) Abandon() {
+	if r.Outcome == Running {
+		r.Outcome = Abandoned
+	}
+}
+
+func (r *Round) turnedDown(from Voter, stranger bool, promised Ballot) Step {
+	r.lost[from] = true
+	if !stranger && promised.Compare(r.Above) > 0 {
+		r.Above = promised
+	}
+	return r.checkHope()
+}
+
+// checkHope ends the round once no majority is left.
+func (r *Round) checkHope() Step {
+	sets := r.sets
+	if !r.proposing {
+		newest := r.newest()
+		sets = [][]Voter{newest.Value.Voters, newest.Value.Previous}
+	}
+	if quorum(func(voter Voter) bool { return !r.lost[voter] }, sets...) {
+		return Step{}
+	}
+	return r.end(Outvoted, r.Value)
+}
+
+func (r *Round) end(outcome Outcome, value Value) Step {
+	r.Outcome, r.Value = outcome, value
+	return Step{Done: true}
+}
+
+// Reading is the state machine of a read that changes nothing. Where voters differ it can't tell, and a round of Keep must.
+type Reading struct {
+	Value   Value
+	Outcome Outcome // Chosen: Value holds; Outvoted: a round of Keep is needed
+
+	known   Value
+	answers map[Voter]Promise
+	asked   map[Voter]bool
+	lost    int
+}
+
+// NewReading returns a read and its first step, whose Prepare names the voters to send Read to.
+func NewReading(known Value) (*Reading, Step) {
+	r := &Reading{known: known, answers: map[Voter]Promise{}, asked: map[Voter]bool{}}
+	return r, Step{Prepare: r.ask(known)}
+}
+
+func (r *Reading) ask(value Value) (voters []Voter) {
+	for _, voter := range value.Everyone() {
+		if !r.asked[voter] {
+			r.asked[voter] = true
+			voters = append(voters, voter)
+		}
+	}
+	return voters
+}
+
+// Answered takes a voter's answer to Read.
+func (r *Reading) Answered(from Voter, answer Promise) Step {
+	if r.Outcome != Running {
+		return Step{}
+	}
+	if !answer.OK {
+		return r.Lost()
+	}
+	r.answers[from] = answer
+	newest := answer
+	for _, other := range r.answers {
+		if other.Ballot.Compare(newest.Ballot) > 0 {
+			newest = other
+		}
+	}
+	if more := r.ask(newest.Value); len(more) > 0 {
+		return Step{Prepare: more}
+	}
+	same := func(voter Voter) bool {
+		other, ok := r.answers[voter]
+		return ok && other.Ballot == newest.Ballot
+	}
+	if newest.Ballot != (Ballot{}) && quorum(same, newest.Value.Voters, newest.Value.Previous) {
+		r.Outcome, r.Value = Chosen, newest.Value
+		return Step{Done: true}
+	}
+	return r.checkAll()
+}
+
+// Lost tells that a voter gave no answer.
+func (r *Reading) Lost() Step {
+	if r.Outcome != Running {
+		return Step{}
+	}
+	r.lost++
+	return r.checkAll()
+}
+
+func (r *Reading) checkAll() Step {
+	if len(r.answers)+r.lost < len(r.asked) {
+		return Step{}
+	}
+	r.Outcome = Outvoted
+	return Step{Done: true}
+}
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -20,14 +20,16 @@
 // floors are the rooms of the program from the ground up. A package may know its own room and the floors below; a new
 // room that stands on none is a failure, else it would be free of the rule by oversight.
 var floors = [][]string{
-	{"policy", "internal/decide", "internal/netio", "internal/buffer", "internal/judge", "internal/health", "internal/handover",
+	{"policy", "internal/decide/register", "internal/decide/membership", "internal/routes", "internal/boot", "internal/store"},
+	{"internal/message", "internal/transport"},
+	{"internal/decide", "internal/netio", "internal/buffer", "internal/judge", "internal/health", "internal/handover",
 		"internal/tomlfile"},
 	{"internal/peers", "internal/http1", "internal/thrift", "internal/config", "internal/endpointset", "internal/drill", "internal/quotas",
 		"internal/appconfig", "internal/workplan"},
 	{"internal/rewrite", "internal/capture", "internal/world", "internal/wire"},
-	{"internal/features", "internal/lint"},
+	{"internal/features", "internal/lint", "internal/cluster"},
 	{"internal/sidecar"},
-	{"internal/front", "internal/fleet"},
+	{"internal/front", "internal/fleet", "internal/control", "internal/agent", "internal/proxy"},
 	{"internal/process", "internal/sim", "internal/lab"},
 	{"cmd", "example", "internal/ci"},
 }
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,74 @@
+// Package message holds what processes of the fleet say to one another. Package transport carries it.
+package message
+
+import (
+	"hazelwheel/internal/decide/membership"
+	"hazelwheel/internal/decide/register"
+	"hazelwheel/internal/routes"
+)
+
+// FormatVersion is told with each message. A receiver turns other versions away.
+const FormatVersion = 1
+
+// Stage is what a model server does.
+type Stage string
+
+// The stages of model servers. Servers without a model have none.
+const (
+	Prefill Stage = "prefill"
+	Decode  Stage = "decode"
+)
+
+// Instance is a server as the platform lists it.
+type Instance struct {
+	ID       string  `msgpack:"i"`
+	Service  string  `msgpack:"s"`
+	Address  string  `msgpack:"a"`
+	Zone     string  `msgpack:"z"`
+	Slots    int     `msgpack:"n"`
+	Draining bool    `msgpack:"d"`
+	Stage    Stage   `msgpack:"g"`
+	ColdMs   float64 `msgpack:"c"`
+}
+
+// List is a reading of the platform's list. It ages while it travels.
+type List struct {
+	Digest    uint64     `msgpack:"d"`
+	AgeMs     float64    `msgpack:"a"` // since it was read, when this was sent
+	Instances []Instance `msgpack:"i"` // missing where only the age is told
+}
+
+// Gossip is one half of an exchange between two processes.
+type Gossip struct {
+	Format    int                 `msgpack:"f"`
+	Records   []membership.Record `msgpack:"r"`
+	Voters    register.Value      `msgpack:"v"` // the voters alone
+	Version   uint64              `msgpack:"n"` // of the configuration
+	Table     *routes.Table       `msgpack:"t"`
+	List      List                `msgpack:"l"`
+	WantTable bool                `msgpack:"wt"`
+	WantList  bool                `msgpack:"wl"`
+}
+
+// ConfigRequest asks a control process for the bytes of a configuration.
+type ConfigRequest struct {
+	Digest register.Digest `msgpack:"d"`
+}
+
+// ConfigReply holds them, empty if they aren't there.
+type ConfigReply struct {
+	Data []byte `msgpack:"b"`
+}
+
+// Feed is what an agent tells its proxy. Fields that have not changed are missing.
+type Feed struct {
+	Table *routes.Table `msgpack:"t"`
+	List  *List         `msgpack:"l"`
+	Rank  int           `msgpack:"r"`
+	Count int           `msgpack:"c"` // of the proxies, 0: not told
+}
+
+// ProxyReport is what a proxy tells its agent.
+type ProxyReport struct {
+	Version uint64 `msgpack:"v"` // of the configuration in force
+}
--- /dev/null
+++ b/internal/proxy/handler.go
@@ -0,0 +1,300 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/decide/placement"
+	"hazelwheel/internal/routes"
+)
+
+const (
+	// maxAnswer bounds an answer that is held until it is whole, in bytes.
+	maxAnswer = 16 << 20
+	// retryAfterS is told with requests that were not run, in seconds.
+	retryAfterS = 0.1
+	// backendDialWithin bounds the opening of a connection to a server.
+	backendDialWithin = 300 * time.Millisecond
+	// waitPart is the part of a route's objective for which a request may wait for a place.
+	waitPart = 0.2
+	waitStep = 4 * time.Millisecond
+	// bodySlack is what an unset limit of bodies stands for, in bytes.
+	bodyDefault = 4 << 20
+)
+
+// job is a request of a client on its way.
+type job struct {
+	request  *http.Request
+	body     []byte
+	id       string
+	route    *routes.Route
+	service  string
+	arrived  time.Time
+	deadline time.Time
+
+	tried    []*placement.Endpoint
+	arrivals int     // at servers, the first reading of its prompt apart
+	runs     int     // servers that may have run it
+	last     Verdict // of the attempt before
+}
+
+// left is the time that remains.
+func (j *job) left() time.Duration { return time.Until(j.deadline) }
+
+// ServeHTTP serves a request of a client.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	table := p.state.routes()
+	if table == nil {
+		refuse(w, retryAfterS)
+		return
+	}
+	route := table.find(r.Host, r.URL.Path)
+	if route == nil {
+		http.Error(w, "no route", http.StatusNotFound)
+		return
+	}
+	body, status := readBody(w, r, table.limits)
+	if status != 0 {
+		http.Error(w, http.StatusText(status), status)
+		return
+	}
+	j := &job{request: r, body: body, id: r.Header.Get(headerRequestID), route: route, service: target(route), arrived: arrived}
+	j.deadline = arrived.Add(timeFor(r, route))
+	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	defer cancel()
+	_ = http.NewResponseController(w).SetWriteDeadline(j.deadline.Add(time.Second)) // connections without deadlines serve on without
+	engine := false
+	p.state.do(j.service, func(now float64, pool *placement.Pool, _ *placement.Planner) {
+		if pool != nil {
+			pool.Budget.Request(now)
+			engine = pool.Engine.Present
+		}
+	})
+	if route.Kind == routes.Streaming {
+		p.stream(ctx, w, j, engine)
+		return
+	}
+	p.plain(ctx, w, j)
+}
+
+// readBody returns the whole body, or the status with which it is turned away.
+func readBody(w http.ResponseWriter, r *http.Request, limits routes.Limits) ([]byte, int) {
+	most := limits.MaxBodyBytes
+	if most <= 0 {
+		most = bodyDefault
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, http.StatusRequestEntityTooLarge
+	case err != nil:
+		return nil, http.StatusBadRequest
+	}
+	return body, 0
+}
+
+// timeFor is how long a request may take: what the client waits, and what the route allows.
+func timeFor(r *http.Request, route *routes.Route) time.Duration {
+	limit := boot.Millis(route.TimeoutMs)
+	if ms, err := strconv.ParseFloat(r.Header.Get(headerDeadline), 64); err == nil && ms > 0 {
+		limit = min(limit, boot.Millis(ms))
+	}
+	return limit
+}
+
+// refuse tells that a request was not run and when to come back.
+func refuse(w http.ResponseWriter, afterS float64) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(afterS, 'f', 2, 64))
+	http.Error(w, "no server can take it now", http.StatusServiceUnavailable)
+}
+
+// fail ends a request that brought no answer.
+func fail(ctx context.Context, w http.ResponseWriter, j *job) {
+	switch {
+	case ctx.Err() == nil && j.runs == 0:
+		refuse(w, retryAfterS)
+	case j.runs == 0 && j.left() <= 0:
+		refuse(w, retryAfterS)
+	case j.left() <= 0:
+		http.Error(w, "out of time", http.StatusGatewayTimeout)
+	default:
+		http.Error(w, "the server broke off", http.StatusBadGateway)
+	}
+}
+
+// pick returns the next server for a job, waiting a little for a place, nil if there is none.
+func (p *Proxy) pick(ctx context.Context, j *job) *placement.Endpoint {
+	until := j.arrived.Add(time.Duration(waitPart * float64(boot.Millis(j.route.TargetMs))))
+	for {
+		var picked *placement.Endpoint
+		p.state.do(j.service, func(now float64, pool *placement.Pool, _ *placement.Planner) {
+			if pool == nil {
+				return
+			}
+			if picked = pool.Pick(now, j.tried); picked == nil && len(j.tried) > 0 {
+				picked = pool.Pick(now, nil)
+			}
+			if picked != nil {
+				picked.Begin()
+			}
+		})
+		if picked != nil || time.Now().After(until) || ctx.Err() != nil {
+			return picked
+		}
+		time.Sleep(waitStep)
+	}
+}
+
+// allowed takes a further arrival out of the budget. What never reached a server is none.
+func (p *Proxy) allowed(j *job) bool {
+	if j.arrivals == 0 || j.last == NotSent {
+		return true
+	}
+	ok := false
+	p.state.do(j.service, func(now float64, pool *placement.Pool, _ *placement.Planner) {
+		ok = pool != nil && pool.Budget.Spend(now, pool.Count())
+	})
+	return ok
+}
+
+// attemptsMost bounds the tries at servers that can't be reached.
+const attemptsMost = 4
+
+// plain serves a request whose answer is short.
+func (p *Proxy) plain(ctx context.Context, w http.ResponseWriter, j *job) {
+	for range attemptsMost {
+		if !p.allowed(j) {
+			break
+		}
+		endpoint := p.pick(ctx, j)
+		if endpoint == nil {
+			break
+		}
+		answer, body := p.attempt(ctx, j, endpoint)
+		if answer != nil {
+			passHead(w, answer)
+			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+			w.WriteHeader(answer.StatusCode)
+			_, _ = w.Write(body) // a client that is gone needs none
+			return
+		}
+		if !j.last.MayRepeat(j.route) || j.runs >= j.route.MaxAttempts || ctx.Err() != nil {
+			break
+		}
+	}
+	fail(ctx, w, j)
+}
+
+// attempt sends a request to a server and reads the whole answer. Without an answer for the client, j.last says why.
+func (p *Proxy) attempt(ctx context.Context, j *job, endpoint *placement.Endpoint) (*http.Response, []byte) {
+	got, verdict := p.exchange(ctx, j, endpoint, encodeRequest(j.request, j.body, j.left(), field{headerExpectInstance, endpoint.ID}))
+	if verdict != Served {
+		p.settle(ctx, j, endpoint, verdict)
+		return nil, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(got.answer.Body, maxAnswer))
+	if err != nil || !whole(got.answer) {
+		got.abort()
+		p.settle(ctx, j, endpoint, MayHaveRun)
+		return nil, nil
+	}
+	got.finish(p.backends, endpoint.Address)
+	verdict = judge(got.answer)
+	failed := got.answer.StatusCode >= http.StatusInternalServerError
+	repeats := failed && j.route.Kind == routes.Idempotent && j.runs+1 < j.route.MaxAttempts
+	if verdict == Served && !repeats {
+		p.settle(ctx, j, endpoint, Served)
+		return got.answer, body
+	}
+	if repeats && verdict == Served {
+		verdict = MayHaveRun
+	}
+	p.settle(ctx, j, endpoint, verdict)
+	return nil, nil
+}
+
+// whole tells whether the end of an answer can be known.
+func whole(answer *http.Response) bool { return answer.ContentLength >= 0 || chunked(answer) }
+
+// judge tells what an answer that came whole means.
+func judge(answer *http.Response) Verdict {
+	switch {
+	case refusal(answer):
+		return NotExecuted
+	case answer.StatusCode < http.StatusMultipleChoices && (answer.Header.Get(headerStamp) == "" || answer.Header.Get("Content-Encoding") != ""):
+		return MayHaveRun
+	case answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests ||
+		answer.StatusCode == http.StatusRequestTimeout:
+		// Danger: without the server's word that it was not run, these statuses must not be passed on.
+		return MayHaveRun
+	}
+	return Served
+}
+
+// exchange sends bytes to a server and reads the head of the answer.
+func (p *Proxy) exchange(ctx context.Context, j *job, endpoint *placement.Endpoint, request []byte) (*exchange, Verdict) {
+	dialCtx, cancel := context.WithTimeout(ctx, backendDialWithin)
+	conn, err := p.backends.get(dialCtx, endpoint.Address)
+	cancel()
+	if err != nil {
+		p.log.WithField("server", endpoint.ID).WithError(err).Debug("not connected")
+		return nil, NotSent
+	}
+	got, verdict, err := send(ctx, conn, j.request.Method, j.id, request)
+	if err != nil {
+		p.log.WithField("server", endpoint.ID).WithField("request", j.id).WithError(err).Debug("no answer")
+		return nil, verdict
+	}
+	p.state.with(func(float64) {
+		if running, waiting, ok := serverLoad(got.answer.Header); ok {
+			endpoint.Loaded(running, waiting)
+		}
+		if got.answer.StatusCode == http.StatusMisdirectedRequest {
+			endpoint.Misplaced()
+		}
+	})
+	return got, Served
+}
+
+// settle counts what came of an attempt.
+func (p *Proxy) settle(ctx context.Context, j *job, endpoint *placement.Endpoint, verdict Verdict) {
+	j.last = verdict
+	j.tried = append(j.tried, endpoint)
+	if verdict != NotSent {
+		j.arrivals++
+	}
+	if verdict.Ran() {
+		j.runs++
+	}
+	p.state.with(func(now float64) {
+		endpoint.End()
+		switch {
+		case verdict == Served:
+			endpoint.Succeeded()
+		case verdict == NotSent && ctx.Err() == nil:
+			endpoint.Failed(now, true)
+		case verdict == MayHaveRun && ctx.Err() == nil:
+			endpoint.Failed(now, false)
+		}
+	})
+	if verdict != Served {
+		p.log.WithField("server", endpoint.ID).WithField("request", j.id).WithField("verdict", verdict).Debug("attempt failed")
+	}
+}
+
+// promptOf reads what the choice of model servers goes by.
+func promptOf(r *http.Request) placement.Prompt {
+	prompt := placement.Prompt{Parts: placement.ParsePrefix(r.Header.Get(headerPrefixHash))}
+	in, out, _ := strings.Cut(r.Header.Get(headerTokenCounts), ",")
+	prompt.Tokens, _ = strconv.Atoi(strings.TrimSpace(in)) // a field that can't be read leaves the sizes unknown
+	prompt.Output, _ = strconv.Atoi(strings.TrimSpace(out))
+	return prompt
+}
--- /dev/null
+++ b/internal/proxy/headers.go
@@ -0,0 +1,110 @@
+package proxy
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// The fields of the fleet's protocol.
+const (
+	headerRequestID      = "Hazelwheel-Request-Id"
+	headerDeadline       = "Hazelwheel-Deadline-Ms"
+	headerExpectInstance = "Hazelwheel-Expect-Instance"
+	headerInstanceID     = "Hazelwheel-Instance-Id"
+	headerNotExecuted    = "Hazelwheel-Not-Executed"
+	headerStamp          = "Hazelwheel-Response-Stamp"
+	headerServerLoad     = "Hazelwheel-Server-Load"
+	headerTokenCounts    = "Hazelwheel-Token-Counts"
+	headerPrefixHash     = "Hazelwheel-Prefix-Hash"
+	headerServingStage   = "Hazelwheel-Serving-Stage"
+	headerKVFrom         = "Kv-From"
+	headerPriority       = "Priority"
+	headerLastEventID    = "Last-Event-Id"
+	stagePrefill         = "prefill"
+)
+
+// connectionFields concern one connection only.
+var connectionFields = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te",
+	"Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
+
+// perHop tells whether a field must not be passed on.
+func perHop(name string, header http.Header) bool {
+	if slices.Contains(connectionFields, name) {
+		return true
+	}
+	for _, line := range header["Connection"] {
+		for listed := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(listed), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// field is one that the proxy sets.
+type field struct{ name, value string }
+
+// encodeRequest writes a client's request as it goes to a server, with fields set in place of the client's.
+func encodeRequest(r *http.Request, body []byte, left time.Duration, set ...field) []byte {
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI()
+	}
+	var out strings.Builder
+	out.Grow(len(body) + 1024)
+	out.WriteString(r.Method + " " + target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	set = append(set, field{headerDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10)})
+	for name, values := range r.Header {
+		if perHop(name, r.Header) || slices.ContainsFunc(set, func(f field) bool { return f.name == name }) {
+			continue
+		}
+		for _, value := range values {
+			out.WriteString(name + ": " + value + "\r\n")
+		}
+	}
+	for _, f := range set {
+		if f.value != "" {
+			out.WriteString(f.name + ": " + f.value + "\r\n")
+		}
+	}
+	if len(body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		out.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
+	}
+	out.WriteString("\r\n")
+	out.Write(body)
+	return []byte(out.String())
+}
+
+// passHead copies the fields of a server's answer that are for the client.
+func passHead(w http.ResponseWriter, answer *http.Response) {
+	header := w.Header()
+	for name, values := range answer.Header {
+		if !perHop(name, answer.Header) {
+			header[name] = values
+		}
+	}
+	// Danger: net/http would add what the server has not sent.
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, sent := header[name]; !sent {
+			header[name] = nil
+		}
+	}
+}
+
+// serverLoad reads "running,waiting,slots".
+func serverLoad(header http.Header) (running, waiting int, ok bool) {
+	pieces := strings.Split(header.Get(headerServerLoad), ",")
+	if len(pieces) != 3 {
+		return 0, 0, false
+	}
+	running, err := strconv.Atoi(strings.TrimSpace(pieces[0]))
+	if err != nil {
+		return 0, 0, false
+	}
+	waiting, err = strconv.Atoi(strings.TrimSpace(pieces[1]))
+	return running, waiting, err == nil
+}
--- /dev/null
+++ b/internal/proxy/probe.go
@@ -0,0 +1,93 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"hazelwheel/internal/decide/placement"
+)
+
+const (
+	probeTick   = 100 * time.Millisecond
+	probeWithin = 3 * time.Second
+	sweepEvery  = 20 // ticks
+)
+
+// probe asks each member for its health in its time, until the context ends.
+func (p *Proxy) probe(ctx context.Context) {
+	ticker := time.NewTicker(probeTick)
+	defer ticker.Stop()
+	for tick := 0; ; tick++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		p.probeDue(ctx)
+		if tick%sweepEvery == 0 {
+			wanted := p.state.addresses()
+			p.backends.sweep(func(address string) bool { return wanted[address] })
+		}
+	}
+}
+
+// dueProbe is a server to be probed.
+type dueProbe struct {
+	endpoint         *placement.Endpoint
+	address, id      string
+	healthPath, host string
+}
+
+func (p *Proxy) probeDue(ctx context.Context) {
+	var due []dueProbe
+	p.state.with(func(now float64) {
+		for name, pool := range p.state.pools {
+			service := p.state.table.services[name]
+			pool.Budget.Trim(now)
+			for _, endpoint := range pool.DueProbes(now) {
+				due = append(due, dueProbe{endpoint, endpoint.Address, endpoint.ID, service.HealthPath, name})
+			}
+		}
+	})
+	for _, target := range due {
+		go p.probeOne(ctx, target)
+	}
+}
+
+// probeOne takes an answer of 200 of the instance that is meant for a sign of life; nothing else is.
+func (p *Proxy) probeOne(ctx context.Context, target dueProbe) {
+	ctx, cancel := context.WithTimeout(ctx, probeWithin)
+	defer cancel()
+	header, status := p.askHealth(ctx, target)
+	p.state.with(func(now float64) {
+		other := header.Get(headerInstanceID)
+		if other != "" && other != target.id {
+			target.endpoint.Misplaced()
+		}
+		alive := status == http.StatusOK && (other == "" || other == target.id)
+		if running, waiting, ok := serverLoad(header); ok {
+			target.endpoint.Loaded(running, waiting)
+		}
+		target.endpoint.Probed(now, alive)
+	})
+}
+
+func (p *Proxy) askHealth(ctx context.Context, target dueProbe) (http.Header, int) {
+	conn, err := p.backends.get(ctx, target.address)
+	if err != nil {
+		return nil, 0
+	}
+	request := "GET " + target.healthPath + " HTTP/1.1\r\nHost: " + target.host + "\r\n\r\n"
+	got, _, err := send(ctx, conn, http.MethodGet, "", []byte(request))
+	if err != nil {
+		return nil, 0
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(got.answer.Body, maxSurplus)); err != nil {
+		got.abort()
+		return nil, 0
+	}
+	got.finish(p.backends, target.address)
+	return got.answer.Header, got.answer.StatusCode
+}
--- /dev/null
+++ b/internal/proxy/state.go
@@ -0,0 +1,133 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/decide/placement"
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/routes"
+)
+
+// state holds what the decisions know. All of it is guarded by one lock, which is never held during I/O.
+type state struct {
+	settings *boot.Settings
+	start    time.Time
+
+	mu       sync.Mutex
+	table    *routeTable
+	list     []message.Instance
+	listed   bool // a list was told at all
+	rank     int
+	count    int
+	pools    map[string]*placement.Pool
+	planners map[string]*placement.Planner
+}
+
+func newState(settings *boot.Settings) *state {
+	return &state{settings: settings, start: time.Now(), pools: map[string]*placement.Pool{}, planners: map[string]*placement.Planner{}}
+}
+
+// now is the time of the decisions: seconds on the steady clock.
+func (s *state) now() float64 { return time.Since(s.start).Seconds() }
+
+// ready tells whether requests can be served at all.
+func (s *state) ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table != nil && s.listed
+}
+
+// routes returns the table in force, nil before the first.
+func (s *state) routes() *routeTable {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table
+}
+
+// take takes what the agent tells. Danger: an agent that has restarted may know an older configuration; versions never go back.
+func (s *state) take(feed *message.Feed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if feed.Table != nil && (s.table == nil || feed.Table.Version > s.table.version) {
+		s.table = newRouteTable(feed.Table)
+		s.openPools()
+	}
+	if feed.Count > 0 {
+		s.rank, s.count = feed.Rank, feed.Count
+	}
+	if feed.List != nil {
+		s.list, s.listed = feed.List.Instances, true
+	}
+	now := s.now()
+	for name, pool := range s.pools {
+		pool.Place(s.rank, s.count)
+		if feed.List != nil {
+			pool.Update(now, s.list)
+		}
+		if service := s.table.services[name]; service != nil {
+			pool.SetConnections(service.MaxConnections)
+		}
+	}
+}
+
+// openPools makes a pool for each service of the table that has none, and drops those of services that are gone.
+func (s *state) openPools() {
+	for name, service := range s.table.services {
+		if s.pools[name] == nil {
+			s.pools[name] = s.openPool(name)
+			s.planners[name] = placement.NewPlanner(s.pools[name], s.settings.Bounds.AgainS)
+		}
+		s.pools[name].Engine = engineOf(service)
+	}
+	for name := range s.pools {
+		if s.table.services[name] == nil {
+			delete(s.pools, name)
+			delete(s.planners, name)
+		}
+	}
+}
+
+func (s *state) openPool(name string) *placement.Pool {
+	bounds := s.settings.Bounds
+	budget := placement.Budget{WindowS: bounds.BudgetWindowS, Ratio: bounds.RetryBudgetRatio, Slack: bounds.BudgetSlack}
+	pool := placement.NewPool(name, s.settings.Zone, budget, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	pool.Place(s.rank, s.count)
+	pool.Update(s.now(), s.list)
+	return pool
+}
+
+func engineOf(service *routes.Service) placement.Engine {
+	if service.Engine == nil {
+		return placement.Engine{}
+	}
+	return placement.Engine{Present: true, KVTokenBytes: service.Engine.KVTokenBytes, KVTokens: float64(service.Engine.KVTokens),
+		LinkMbps: service.Engine.LinkMbps}
+}
+
+// addresses returns those of all servers that are listed and not leaving.
+func (s *state) addresses() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wanted := map[string]bool{}
+	for i := range s.list {
+		wanted[s.list[i].Address] = true
+	}
+	return wanted
+}
+
+// do runs f on a service's pool and planner under the lock; f gets nil where the service is unknown.
+func (s *state) do(service string, f func(now float64, pool *placement.Pool, planner *placement.Planner)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.now(), s.pools[service], s.planners[service])
+}
+
+// with runs f under the lock.
+func (s *state) with(f func(now float64)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.now())
+}
--- /dev/null
+++ b/internal/proxy/stream.go
@@ -0,0 +1,353 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"hazelwheel/internal/decide/placement"
+)
+
+const (
+	// readingMost is how long the reading of a prompt is waited for, in times the route's objective.
+	readingMost  = 2
+	maxHandle    = 64 << 10
+	eventBuffer  = 4 << 10
+	freeWithin   = time.Second
+	priorityMost = 9
+)
+
+// relay passes a stream's events on to a client. It holds the head back until there is an event to go with it.
+type relay struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	begun   bool
+	lastID  string
+}
+
+// errClient says that the client takes no more.
+var errClient = errors.New("the client is gone")
+
+// head writes the head of the first server's answer.
+func (s *relay) head(answer *http.Response) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	passHead(s.w, answer)
+	s.w.WriteHeader(answer.StatusCode)
+}
+
+// event passes on one whole event.
+func (s *relay) event(answer *http.Response, event []byte) error {
+	s.head(answer)
+	if _, err := s.w.Write(event); err != nil {
+		return errClient
+	}
+	if err := s.control.Flush(); err != nil {
+		return errClient
+	}
+	if id := eventID(event); id != "" {
+		s.lastID = id
+	}
+	return nil
+}
+
+func eventID(event []byte) string {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return strings.TrimSpace(string(value))
+		}
+	}
+	return ""
+}
+
+// readEvent returns the bytes up to and with the next empty line. At a proper end it returns what is left with io.EOF.
+func readEvent(in *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := in.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+		case err != nil:
+			return event, err
+		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(line) <= 2:
+			return event, nil
+		}
+	}
+}
+
+// stream serves a request whose answer is a series of events.
+func (p *Proxy) stream(ctx context.Context, w http.ResponseWriter, j *job, engine bool) {
+	out := &relay{w: w, control: http.NewResponseController(w)}
+	prompt := promptOf(j.request)
+	for range attemptsMost {
+		if !p.allowed(j) {
+			break
+		}
+		done := false
+		if engine {
+			done = p.runPrompt(ctx, out, j, &prompt)
+		} else if endpoint := p.pick(ctx, j); endpoint != nil {
+			done = p.runStream(ctx, out, j, run{endpoint: endpoint})
+		}
+		if done {
+			return
+		}
+		if !j.last.MayRepeat(j.route) || j.runs >= j.route.MaxAttempts || ctx.Err() != nil {
+			break
+		}
+	}
+	if out.begun {
+		// Danger: an answer that ends here must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+	fail(ctx, w, j)
+}
+
+// run is one try to have a stream made.
+type run struct {
+	endpoint *placement.Endpoint
+	handle   string // the cache to take over, as IP:PORT/HANDLE; empty: the prompt is read here
+	reading  float64
+	prompt   *placement.Prompt
+}
+
+// runPrompt chooses servers for a prompt, has it read and its answer made. It returns whether the client has its answer.
+func (p *Proxy) runPrompt(ctx context.Context, out *relay, j *job, prompt *placement.Prompt) bool {
+	var plan placement.Plan
+	found := false
+	p.state.do(j.service, func(now float64, pool *placement.Pool, planner *placement.Planner) {
+		if planner == nil {
+			return
+		}
+		if plan, found = planner.Choose(now, prompt, j.tried); !found {
+			return
+		}
+		if j.arrivals > 0 || out.begun {
+			plan.Reader = nil
+		}
+		if plan.Reader != nil {
+			plan.Reader.Begin()
+		}
+		plan.Runner.Begin()
+	})
+	if !found {
+		j.last = NotSent
+		return false
+	}
+	handle := ""
+	if plan.Reader != nil {
+		handle = p.readPrompt(ctx, j, plan.Reader, prompt)
+		if ctx.Err() != nil {
+			p.state.with(func(float64) { plan.Runner.End() })
+			p.freeHandle(handle)
+			j.last = Canceled
+			return false
+		}
+	}
+	return p.runStream(ctx, out, j, run{endpoint: plan.Runner, handle: handle, prompt: prompt})
+}
+
+// readPrompt has a prompt read and returns the handle of its cache, "" if that failed.
+func (p *Proxy) readPrompt(ctx context.Context, j *job, reader *placement.Endpoint, prompt *placement.Prompt) string {
+	var tokens float64
+	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
+		tokens = planner.BeginReading(now, reader, prompt)
+	})
+	began := time.Now()
+	limit := time.Duration(readingMost * j.route.TargetMs * float64(time.Millisecond))
+	readCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	handle, verdict := p.callReader(readCtx, j, reader)
+	seconds := 0.0
+	if verdict == Served {
+		seconds = time.Since(began).Seconds()
+	}
+	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
+		reader.End()
+		if planner != nil {
+			planner.EndReading(now, reader, tokens, seconds)
+		}
+		switch {
+		case verdict == Served:
+			reader.Succeeded()
+		case ctx.Err() == nil && verdict != NotExecuted:
+			reader.Failed(now, verdict == NotSent)
+		}
+	})
+	if verdict == NotExecuted {
+		j.arrivals++ // one that was turned away counts
+	}
+	return handle
+}
+
+type handleAnswer struct {
+	KvHandle string
+}
+
+func (p *Proxy) callReader(ctx context.Context, j *job, reader *placement.Endpoint) (string, Verdict) {
+	request := encodeRequest(j.request, j.body, j.left(), field{headerExpectInstance, reader.ID}, field{headerServingStage, stagePrefill},
+		field{headerPriority, priorityOf(j)})
+	got, verdict := p.exchange(ctx, j, reader, request)
+	if verdict != Served {
+		return "", verdict
+	}
+	body, err := io.ReadAll(io.LimitReader(got.answer.Body, maxHandle))
+	if err != nil || !whole(got.answer) {
+		got.abort()
+		return "", MayHaveRun
+	}
+	got.finish(p.backends, reader.Address)
+	var answer handleAnswer
+	switch {
+	case refusal(got.answer):
+		return "", NotExecuted
+	case got.answer.StatusCode != http.StatusOK || json.Unmarshal(body, &answer) != nil || answer.KvHandle == "":
+		return "", MayHaveRun
+	}
+	return reader.Address + "/" + answer.KvHandle, Served
+}
+
+func priorityOf(j *job) string { return strconv.Itoa(min(max(j.route.Priority, 0), priorityMost)) }
+
+// freeHandle lets a server forget a cache that nobody takes.
+func (p *Proxy) freeHandle(handle string) {
+	address, id, ok := strings.Cut(handle, "/")
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeWithin)
+		defer cancel()
+		conn, err := p.backends.get(ctx, address)
+		if err != nil {
+			return
+		}
+		request := "DELETE /kv-handle/" + id + " HTTP/1.1\r\nHost: " + address + "\r\nContent-Length: 0\r\n\r\n"
+		got, _, err := send(ctx, conn, http.MethodDelete, "", []byte(request))
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(got.answer.Body, maxSurplus)); err != nil {
+			got.abort()
+			return
+		}
+		got.finish(p.backends, address)
+	}()
+}
+
+// runStream has an answer made and passes it on. It returns whether the client has its answer, else j.last says why not.
+func (p *Proxy) runStream(ctx context.Context, out *relay, j *job, r run) bool {
+	set := []field{{headerExpectInstance, r.endpoint.ID}, {headerPriority, priorityOf(j)}}
+	if r.handle != "" {
+		set = append(set, field{headerKVFrom, r.handle})
+	}
+	if out.lastID != "" {
+		set = append(set, field{headerLastEventID, out.lastID})
+	}
+	began := time.Now()
+	p.beginReading(j, &r)
+	got, verdict := p.exchange(ctx, j, r.endpoint, encodeRequest(j.request, j.body, j.left(), set...))
+	if verdict != Served {
+		p.endReading(j, &r, 0)
+		if verdict == NotSent {
+			p.freeHandle(r.handle)
+		}
+		p.settle(ctx, j, r.endpoint, verdict)
+		return false
+	}
+	if got.answer.StatusCode != http.StatusOK {
+		p.endReading(j, &r, 0)
+		return p.passFailure(ctx, out, j, r.endpoint, got)
+	}
+	verdict = p.passEvents(out, j, &r, got, began)
+	p.settle(ctx, j, r.endpoint, verdict)
+	return verdict == Served
+}
+
+func (p *Proxy) beginReading(j *job, r *run) {
+	if r.prompt == nil || r.handle != "" {
+		return
+	}
+	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
+		if planner != nil {
+			r.reading = planner.BeginReading(now, r.endpoint, r.prompt)
+		}
+	})
+}
+
+func (p *Proxy) endReading(j *job, r *run, seconds float64) {
+	if r.reading == 0 {
+		return
+	}
+	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
+		if planner != nil {
+			planner.EndReading(now, r.endpoint, r.reading, seconds)
+		}
+	})
+	r.reading = 0
+}
+
+// passFailure passes on an answer that is no stream, where it may be.
+func (p *Proxy) passFailure(ctx context.Context, out *relay, j *job, endpoint *placement.Endpoint, got *exchange) bool {
+	body, err := io.ReadAll(io.LimitReader(got.answer.Body, maxAnswer))
+	verdict := MayHaveRun
+	if err == nil && whole(got.answer) {
+		got.finish(p.backends, endpoint.Address)
+		verdict = judge(got.answer)
+	} else {
+		got.abort()
+	}
+	repeats := j.route.Resumable && j.runs+1 < j.route.MaxAttempts
+	if verdict != Served || out.begun || repeats {
+		if verdict == Served {
+			verdict = MayHaveRun
+		}
+		p.settle(ctx, j, endpoint, verdict)
+		return false
+	}
+	p.settle(ctx, j, endpoint, Served)
+	out.head(got.answer)
+	_, _ = out.w.Write(body) // a client that is gone needs none
+	return true
+}
+
+// passEvents passes events on until the stream ends. Only whole events go out.
+func (p *Proxy) passEvents(out *relay, j *job, r *run, got *exchange, began time.Time) Verdict {
+	if !whole(got.answer) || got.answer.Header.Get(headerStamp) == "" || got.answer.Header.Get("Content-Encoding") != "" {
+		got.abort()
+		p.endReading(j, r, 0)
+		return MayHaveRun
+	}
+	in := bufio.NewReaderSize(got.answer.Body, eventBuffer)
+	for {
+		event, err := readEvent(in)
+		if r.reading > 0 {
+			p.endReading(j, r, time.Since(began).Seconds())
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			got.abort()
+			return MayHaveRun
+		}
+		if len(event) > 0 {
+			if failed := out.event(got.answer, event); failed != nil {
+				got.abort()
+				return Canceled
+			}
+		}
+		if err != nil {
+			out.head(got.answer)
+			got.finish(p.backends, r.endpoint.Address)
+			return Served
+		}
+	}
+}
