Move model servers between stages by demand; give each prompt opening one home

Ruled out: reading at decode servers by estimate alone (it delays the answers there); homes by zone (the price of crossing is a thirtieth of reading again). Change: decide/stages and decide/election, a holder on the control processes with a fencing token from the register, demand told in the roster; homes for the whole fleet; direct reading and reading again weigh more.

--- a/internal/agent/feed.go
+++ b/internal/agent/feed.go
@@ -61,8 +61,12 @@
 	gone := make(chan struct{})
 	go func() {
 		defer close(gone)
-		var report message.ProxyReport
-		for transport.ReadFrame(conn, &report) == nil {
+		for {
+			report := &message.ProxyReport{}
+			if transport.ReadFrame(conn, report) != nil {
+				return
+			}
+			p.agent.node.SetDemands(report.Demands)
 		}
 	}()
 	var told cluster.Facts
@@ -90,6 +94,9 @@
 	if facts.Table != nil && (told.Table == nil || facts.Table.Version > told.Table.Version) {
 		out.Table, news = facts.Table, true
 	}
+	if facts.Plan.Newer(&told.Plan) {
+		out.Plan, news = &facts.Plan, true
+	}
 	if facts.List.Digest != told.List.Digest {
 		age := float64(time.Since(facts.List.ReadAt)) / float64(time.Millisecond)
 		out.List, news = &message.List{Digest: facts.List.Digest, AgeMs: age, Instances: facts.List.Instances}, true
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -52,7 +52,9 @@
 	Table  *routes.Table
 	List   List
 	Voters register.Value // the voters alone, of the newest epoch heard of
-	Rank   int            // of this process among its kind
+	Grants []register.Grant
+	Plan   message.StagePlan
+	Rank   int // of this process among its kind
 	Count  int
 }
 
@@ -171,7 +173,8 @@
 func (n *Node) digest(table, list bool) *message.Gossip {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := &message.Gossip{Format: message.FormatVersion, Records: n.view.Sample(n.now()), Voters: votersOf(n.facts.Voters)}
+	out := &message.Gossip{Format: message.FormatVersion, Records: n.view.Sample(n.now()), Voters: votersOf(n.facts.Voters),
+		Grants: n.facts.Grants, Plan: n.facts.Plan}
 	if n.facts.Table != nil {
 		out.Version = n.facts.Table.Version
 	}
@@ -241,6 +244,11 @@
 	if told.Voters.Epoch > n.facts.Voters.Epoch {
 		n.facts.Voters = votersOf(told.Voters)
 	}
+	n.mergeGrants(told.Grants)
+	if told.Plan.Newer(&n.facts.Plan) {
+		n.facts.Plan = told.Plan
+		n.announce()
+	}
 	younger := n.younger(told.List)
 	if younger && told.List.Digest == n.facts.List.Digest {
 		n.facts.List.ReadAt = readAt(told.List)
@@ -304,10 +312,45 @@
 	}
 }
 
-// SetVoters takes the voters of a value that holds.
+// mergeGrants takes those with higher tokens.
+func (n *Node) mergeGrants(grants []register.Grant) {
+	for _, grant := range grants {
+		i := slices.IndexFunc(n.facts.Grants, func(g register.Grant) bool { return g.Role == grant.Role })
+		if i < 0 {
+			n.facts.Grants = append(slices.Clone(n.facts.Grants), grant)
+		} else if grant.Token > n.facts.Grants[i].Token {
+			n.facts.Grants = slices.Clone(n.facts.Grants)
+			n.facts.Grants[i] = grant
+		}
+	}
+}
+
+// SetPlan takes the plan of the process that orders stages, and has it carried to all.
+func (n *Node) SetPlan(plan message.StagePlan) {
+	n.mu.Lock()
+	newer := plan.Newer(&n.facts.Plan)
+	if newer {
+		n.facts.Plan = plan
+		n.announce()
+	}
+	n.mu.Unlock()
+	if newer {
+		n.push(false, false)
+	}
+}
+
+// SetDemands replaces what this process tells of its proxy.
+func (n *Node) SetDemands(demands []membership.Demand) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.view.SetDemands(demands)
+}
+
+// SetVoters takes the voters and the grants of a value that holds.
 func (n *Node) SetVoters(value register.Value) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.mergeGrants(value.Grants)
 	if value.Epoch > n.facts.Voters.Epoch {
 		n.facts.Voters = votersOf(value)
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -75,6 +75,7 @@
 	go c.upkeep(work)
 	go c.scrub(work)
 	go c.readLists(work)
+	go newStageKeeper(c).run(work)
 	for {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/control/stages.go
@@ -0,0 +1,211 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/decide/election"
+	"hazelwheel/internal/decide/membership"
+	"hazelwheel/internal/decide/register"
+	"hazelwheel/internal/decide/stages"
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/transport"
+)
+
+const (
+	// stagesRole is the role of the process that orders servers to change their stage.
+	stagesRole  = "stages"
+	stagesEvery = 300 * time.Millisecond
+	orderWithin = 800 * time.Millisecond
+	maxReply    = 64 << 10
+	orderStage  = "Stage"
+)
+
+// stageKeeper orders model servers to change their stage while this process holds the role.
+type stageKeeper struct {
+	control  *Control
+	holder   *election.Holder
+	planner  *stages.Planner
+	http     *http.Client
+	start    time.Time
+	sequence uint64
+}
+
+func newStageKeeper(c *Control) *stageKeeper {
+	k := &stageKeeper{control: c, planner: stages.New(), start: time.Now(),
+		http: &http.Client{Transport: &http.Transport{DialContext: transport.Dialer().DialContext, MaxIdleConnsPerHost: 1}}}
+	k.holder = election.New(stagesRole, c.settings.NodeID, boot.Millis(c.settings.Bounds.LeaseMs).Seconds(), k.now())
+	return k
+}
+
+func (k *stageKeeper) now() float64 { return time.Since(k.start).Seconds() }
+
+func (k *stageKeeper) run(ctx context.Context) {
+	for wait(ctx, stagesEvery) == nil {
+		facts, _ := k.control.node.Facts()
+		if !hasEngines(facts.Table != nil, facts.List.Instances) {
+			continue
+		}
+		grant := (&register.Value{Grants: facts.Grants}).Grant(stagesRole)
+		switch k.holder.Look(k.now(), grant, k.silence(grant)) {
+		case election.Take:
+			k.take(ctx, grant)
+		case election.Confirm:
+			k.confirm(ctx)
+		case election.Act:
+			k.act(ctx)
+		case election.Wait:
+		}
+	}
+}
+
+func hasEngines(configured bool, instances []message.Instance) bool {
+	if !configured {
+		return false
+	}
+	for i := range instances {
+		if instances[i].Stage != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// silence returns for how long the holder of a grant was not heard of.
+func (k *stageKeeper) silence(grant register.Grant) float64 {
+	for _, member := range k.control.node.Members() {
+		if member.Kind == membership.Control && member.Name == grant.Holder+"/"+string(membership.Control) {
+			return member.SilentS
+		}
+	}
+	const forever = 1e9
+	return forever
+}
+
+// take tries to take the role with the token after the one that is known. Processes try in turns by rank.
+func (k *stageKeeper) take(ctx context.Context, grant register.Grant) {
+	facts, _ := k.control.node.Facts()
+	if wait(ctx, time.Duration(facts.Rank+1)*50*time.Millisecond) != nil {
+		return
+	}
+	began := k.now()
+	ctx, cancel := context.WithTimeout(ctx, changeWithin)
+	defer cancel()
+	name := k.control.settings.NodeID
+	value, outcome, err := k.control.registrar.Change(ctx, register.Take(stagesRole, name, grant.Token), nil)
+	if err != nil || outcome != register.Chosen {
+		return
+	}
+	k.holder.Took(began, value.Grant(stagesRole).Token)
+	k.control.log.WithField("token", k.holder.Token()).Info("role taken: stages")
+}
+
+// confirm reads the grant at a majority.
+func (k *stageKeeper) confirm(ctx context.Context) {
+	began := k.now()
+	ctx, cancel := context.WithTimeout(ctx, readWithin)
+	defer cancel()
+	value, err := k.control.registrar.Read(ctx)
+	if err == nil {
+		k.holder.Granted(began, value.Grant(stagesRole))
+	}
+}
+
+// act gives the orders that the demand asks for.
+func (k *stageKeeper) act(ctx context.Context) {
+	facts, _ := k.control.node.Facts()
+	demands := k.demands()
+	for _, service := range facts.Table.Services {
+		if service.Engine == nil {
+			continue
+		}
+		view := stages.Service{Name: service.Name, SwitchS: service.Engine.SwitchS}
+		for _, instance := range facts.List.Instances {
+			if instance.Service == service.Name {
+				view.Instances = append(view.Instances, instance)
+			}
+		}
+		orders := k.planner.Plan(k.now(), view, demands[service.Name])
+		if len(orders) == 0 {
+			continue
+		}
+		k.publish()
+		for _, order := range orders {
+			k.order(ctx, order)
+		}
+		k.publish()
+	}
+}
+
+// demands sums what live proxies ask.
+func (k *stageKeeper) demands() map[string]stages.Demand {
+	sums := map[string]stages.Demand{}
+	for _, member := range k.control.node.Members() {
+		if !member.Alive {
+			continue
+		}
+		for _, demand := range member.Demands {
+			sum := sums[demand.Service]
+			sum.ReadPerS += demand.ReadPerS
+			sum.Streams += demand.Streams
+			sum.PacePerS = max(sum.PacePerS, demand.PacePerS)
+			sums[demand.Service] = sum
+		}
+	}
+	return sums
+}
+
+// publish tells all proxies which servers are changing.
+func (k *stageKeeper) publish() {
+	k.sequence++
+	k.control.node.SetPlan(message.StagePlan{Token: k.holder.Token(), Sequence: k.sequence, Stages: k.planner.Pending(k.now())})
+}
+
+type orderBody struct {
+	Op         string
+	Stage      message.Stage
+	Holder     string
+	FenceToken uint64
+}
+
+// order sends one order. An order without an answer may have been taken and counts as such.
+func (k *stageKeeper) order(ctx context.Context, order stages.Order) {
+	if !k.holder.MayAct(k.now()) {
+		k.planner.Refused(order)
+		return
+	}
+	body, err := json.Marshal(orderBody{orderStage, order.Stage, k.control.settings.NodeID, k.holder.Token()})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+order.Instance.Address+"/order", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	request.Header.Set("Content-Type", jsonType)
+	request.Header.Set("Hazelwheel-Expect-Instance", order.Instance.ID)
+	// Danger: the library must not send an order again by itself.
+	request.GetBody = nil
+	answer, err := k.http.Do(request)
+	if err != nil {
+		return
+	}
+	defer answer.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxReply))
+	k.control.log.WithField("server", order.Instance.ID).WithField("stage", order.Stage).WithField("status", answer.StatusCode).Info("order")
+	switch answer.StatusCode {
+	case http.StatusAccepted, http.StatusOK:
+	case http.StatusPreconditionFailed:
+		k.holder.Lost()
+		k.planner.Refused(order)
+	default:
+		k.planner.Refused(order)
+	}
+}
--- /dev/null
+++ b/internal/decide/election/election.go
@@ -0,0 +1,91 @@
+// Package election decides when a process takes a singleton role and when it may act in it. It is pure; time comes as
+// seconds on the process's steady clock. The grant itself, with its fencing token, is made in the register.
+package election
+
+import "hazelwheel/internal/decide/register"
+
+const (
+	// confirmPart is the part of the lease for which a holder acts without confirming its grant at a majority.
+	confirmPart = 0.33
+	// marginS is added to the lease before a silent holder's role counts as vacant, in seconds: what the holder may act on before
+	// it notices, and what its last heartbeat took.
+	marginS = 1.5
+)
+
+// Holder is a process that stands for one role.
+type Holder struct {
+	Role   string
+	Name   string
+	LeaseS float64
+
+	began     float64
+	token     uint64 // of the own grant, 0: none
+	confirmed float64
+	heard     float64 // when the grant's holder was heard of last
+	watched   uint64  // the token whose holder heard is about
+}
+
+// New returns a process that begins at now without a grant.
+func New(role, name string, leaseS, now float64) *Holder {
+	return &Holder{Role: role, Name: name, LeaseS: leaseS, began: now, heard: now}
+}
+
+// Next is what a process has to do about its role.
+type Next int
+
+// What there is to do.
+const (
+	Wait    Next = iota
+	Act          // it holds the role and may act
+	Confirm      // it has to read its grant at a majority first
+	Take         // the role is vacant: it has to take it
+)
+
+// Look tells what there is to do. grant is the newest that is known, silentS for how long its holder was not heard of.
+func (h *Holder) Look(now float64, grant register.Grant, silentS float64) Next {
+	if h.token > 0 && grant.Token > h.token {
+		h.token = 0
+	}
+	if h.token > 0 {
+		if now-h.confirmed <= confirmPart*h.LeaseS {
+			return Act
+		}
+		return Confirm
+	}
+	if grant.Token != h.watched {
+		h.watched, h.heard = grant.Token, now
+	}
+	// A grant that this process held in an earlier life may be taken anew at once: the holder stays the same.
+	if grant.Token == 0 || grant.Holder == h.Name {
+		return Take
+	}
+	h.heard = max(h.heard, now-silentS)
+	// Danger: who has just begun does not know when the holder acted last.
+	if now-h.heard > h.LeaseS+marginS && now-h.began > h.LeaseS+marginS {
+		return Take
+	}
+	return Wait
+}
+
+// Granted tells what the register holds after a Take or a Confirm that began at a time.
+func (h *Holder) Granted(began float64, grant register.Grant) {
+	if grant.Holder != h.Name || grant.Token < h.token {
+		h.token = 0
+		return
+	}
+	h.token, h.confirmed = grant.Token, began
+}
+
+// Took tells that a Take was chosen with this token; only then is the grant this life's.
+func (h *Holder) Took(began float64, token uint64) { h.token, h.confirmed = token, began }
+
+// Lost gives the role up.
+func (h *Holder) Lost() { h.token = 0 }
+
+// Token returns the token to act with, 0 without a grant.
+func (h *Holder) Token() uint64 { return h.token }
+
+// MayAct tells whether the grant was confirmed lately enough, looked at again right before and after acting.
+func (h *Holder) MayAct(now float64) bool {
+	return h.token > 0 && now-h.confirmed <= confirmPart*h.LeaseS
+}
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -20,16 +20,25 @@
 
 // Record is what is told of a process. A higher incarnation, then a higher heartbeat, is newer.
 type Record struct {
-	Name        string `msgpack:"n"`
-	Kind        Kind   `msgpack:"k"`
-	Address     string `msgpack:"a"` // where peers reach it, IP:PORT
-	Zone        string `msgpack:"z"`
-	Incarnation uint64 `msgpack:"i"`
-	Life        uint64 `msgpack:"l"` // drawn at each start; tells lives of one incarnation apart
-	Heartbeat   uint64 `msgpack:"b"`
-	Leaving     bool   `msgpack:"x"`
-	Voter       string `msgpack:"v"` // the identity on its disk, for control processes
-	Operator    string `msgpack:"o"` // where the operator reaches it, for control processes
+	Name        string   `msgpack:"n"`
+	Kind        Kind     `msgpack:"k"`
+	Address     string   `msgpack:"a"` // where peers reach it, IP:PORT
+	Zone        string   `msgpack:"z"`
+	Incarnation uint64   `msgpack:"i"`
+	Life        uint64   `msgpack:"l"` // drawn at each start; tells lives of one incarnation apart
+	Heartbeat   uint64   `msgpack:"b"`
+	Leaving     bool     `msgpack:"x"`
+	Voter       string   `msgpack:"v"` // the identity on its disk, for control processes
+	Operator    string   `msgpack:"o"` // where the operator reaches it, for control processes
+	Demands     []Demand `msgpack:"d"` // what a proxy asks of model servers
+}
+
+// Demand is what one proxy asks of the model servers of a service.
+type Demand struct {
+	Service  string  `msgpack:"s"`
+	ReadPerS float64 `msgpack:"r"` // prompt tokens to be read a second
+	Streams  float64 `msgpack:"n"` // answers under way
+	PacePerS float64 `msgpack:"p"` // prompt tokens that one server was seen to read a second
 }
 
 // newer tells whether r says more than other.
@@ -75,6 +84,9 @@
 // Self returns the own record.
 func (v *View) Self() Record { return v.self }
 
+// SetDemands replaces what the own record tells of the proxy.
+func (v *View) SetDemands(demands []Demand) { v.self.Demands = demands }
+
 // Leave marks the own record as one that is about to end.
 func (v *View) Leave() {
 	v.self.Leaving = true
--- a/internal/decide/placement/engine.go
+++ b/internal/decide/placement/engine.go
@@ -39,8 +39,16 @@
 	waitTau = 0.4
 	// partsMost bounds the parts that are remembered of a server.
 	partsMost = 4096
-	// crossPenalty is what another zone counts for, in seconds.
-	crossPenalty = 0.02
+	// crossPenalty is what another zone counts for when a prompt is read, in seconds; crossRunner when its answer is made, as a part of
+	// a server's slots.
+	crossPenalty = 0.003
+	crossRunner  = 0.08
+	// againPenalty is what a token of a shared part counts for that is read where it is not held, in seconds.
+	againPenalty = 60e-6
+	// directPenalty is by how much more a prompt counts that is read at a server that makes answers.
+	directPenalty = 4
+	// demandTau is the time in seconds over which what is asked is averaged.
+	demandTau = 1.5
 	// directPart is how much slower a decode server reads than a prefill server, until both were seen.
 	directPart = 0.5
 	// moveSetup is what a move takes beside its bytes, in seconds.
@@ -72,6 +80,14 @@
 	return q.Parts[len(q.Parts)-2].ID
 }
 
+// own returns the tokens that no other prompt shares.
+func (q *Prompt) own() float64 {
+	if len(q.Parts) == 0 {
+		return float64(max(q.Tokens, 1))
+	}
+	return float64(q.Parts[len(q.Parts)-1].Tokens)
+}
+
 // paces holds what was learned of how fast servers of a stage read, in tokens per second.
 type paces struct {
 	prefill, decode float64
--- a/internal/decide/placement/pool.go
+++ b/internal/decide/placement/pool.go
@@ -35,6 +35,7 @@
 	failures  int
 	coolUntil float64
 	misplaced bool // another instance answered at the address
+	switching bool // it is changing its stage
 	engine    engineView
 }
 
@@ -122,6 +123,14 @@
 	known.Draining = draining
 }
 
+// Switching tells which servers are changing their stage, by instance and the stage that they will have.
+func (p *Pool) Switching(stages map[string]message.Stage) {
+	for id, e := range p.endpoints {
+		stage, ordered := stages[id]
+		e.switching = ordered && stage != e.Stage
+	}
+}
+
 // meanGap is the mean of all windows.
 func (p *Pool) meanGap() float64 {
 	if len(p.endpoints) == 0 {
@@ -156,7 +165,7 @@
 
 // usable tells whether an endpoint may get a request, but for its suspicion.
 func (p *Pool) usable(e *Endpoint, now float64) bool {
-	return !e.Draining && !e.misplaced && now >= e.coolUntil && (p.most == 0 || e.InFlight < p.most)
+	return !e.Draining && !e.misplaced && !e.switching && now >= e.coolUntil && (p.most == 0 || e.InFlight < p.most)
 }
 
 // candidates returns the members of a stage that may be drawn now. Where all are suspected the least suspected is.
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -46,6 +46,8 @@
 	Version   uint64              `msgpack:"n"` // of the configuration
 	Table     *routes.Table       `msgpack:"t"`
 	List      List                `msgpack:"l"`
+	Plan      StagePlan           `msgpack:"p"`
+	Grants    []register.Grant    `msgpack:"g"`
 	WantTable bool                `msgpack:"wt"`
 	WantList  bool                `msgpack:"wl"`
 }
@@ -64,11 +66,25 @@
 type Feed struct {
 	Table *routes.Table `msgpack:"t"`
 	List  *List         `msgpack:"l"`
+	Plan  *StagePlan    `msgpack:"p"`
 	Rank  int           `msgpack:"r"`
 	Count int           `msgpack:"c"` // of the proxies, 0: not told
 }
 
 // ProxyReport is what a proxy tells its agent.
 type ProxyReport struct {
-	Version uint64 `msgpack:"v"` // of the configuration in force
+	Version uint64              `msgpack:"v"` // of the configuration in force
+	Demands []membership.Demand `msgpack:"d"`
+}
+
+// StagePlan names the servers that are changing their stage. A higher token, then a higher sequence, is newer.
+type StagePlan struct {
+	Token    uint64           `msgpack:"t"`
+	Sequence uint64           `msgpack:"s"`
+	Stages   map[string]Stage `msgpack:"m"` // by instance
+}
+
+// Newer tells whether p takes the place of other.
+func (p *StagePlan) Newer(other *StagePlan) bool {
+	return p.Token > other.Token || p.Token == other.Token && p.Sequence > other.Sequence
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -31,6 +31,7 @@
 	// leaveMargin is what is left of the grace period for the end itself.
 	leaveMargin = 700 * time.Millisecond
 	feedPause   = 100 * time.Millisecond
+	reportEvery = 400 * time.Millisecond
 )
 
 // Proxy is a proxy process.
@@ -111,6 +112,9 @@
 		return err
 	}
 	defer conn.Close()
+	stop := make(chan struct{})
+	defer close(stop)
+	go p.report(conn, stop)
 	for {
 		feed := &message.Feed{}
 		if err := transport.ReadFrame(conn, feed); err != nil {
@@ -122,3 +126,20 @@
 		}
 	}
 }
+
+// report tells the agent what this proxy asks of servers, until it is stopped.
+func (p *Proxy) report(conn net.Conn, stop <-chan struct{}) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		_ = conn.SetWriteDeadline(time.Now().Add(time.Second)) // the write tells of a connection that is gone
+		if transport.WriteFrame(conn, p.state.report()) != nil {
+			return
+		}
+	}
+}
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -20,6 +20,7 @@
 	table    *routeTable
 	list     []message.Instance
 	listed   bool // a list was told at all
+	plan     message.StagePlan
 	rank     int
 	count    int
 	pools    map[string]*placement.Pool
@@ -55,6 +56,9 @@
 		s.table = newRouteTable(feed.Table)
 		s.openPools()
 	}
+	if feed.Plan != nil {
+		s.plan = *feed.Plan
+	}
 	if feed.Count > 0 {
 		s.rank, s.count = feed.Rank, feed.Count
 	}
@@ -64,8 +68,9 @@
 	now := s.now()
 	for name, pool := range s.pools {
 		pool.Place(s.rank, s.count)
-		if feed.List != nil {
+		if feed.List != nil || feed.Plan != nil {
 			pool.Update(now, s.list)
+			pool.Switching(s.plan.Stages)
 		}
 		if service := s.table.services[name]; service != nil {
 			pool.SetConnections(service.MaxConnections)
@@ -118,6 +123,22 @@
 	return wanted
 }
 
+// report sums up what this proxy asks of model servers.
+func (s *state) report() *message.ProxyReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := &message.ProxyReport{}
+	if s.table != nil {
+		out.Version = s.table.version
+	}
+	for name, planner := range s.planners {
+		if s.pools[name].Engine.Present {
+			out.Demands = append(out.Demands, planner.Demand(s.now()))
+		}
+	}
+	return out
+}
+
 // do runs f on a service's pool and planner under the lock; f gets nil where the service is unknown.
 func (s *state) do(service string, f func(now float64, pool *placement.Pool, planner *placement.Planner)) {
 	s.mu.Lock()
