Choose the server of an answer after its prompt was read; change stages in calmer steps

Cause: runners chosen before the reading had changed stage or filled up meanwhile (503 after a reading, which then was made anew beside answers); four rounds of orders within 1.3 s left four servers for answers. Change: Planner.Runner after the reading; a cache that was refused once is offered to one more server; orders of a service rest for 2.5 s; reading beside answers counts by how many it holds up.

--- a/internal/decide/placement/engine.go
+++ b/internal/decide/placement/engine.go
@@ -45,8 +45,8 @@
 	crossRunner  = 0.08
 	// againPenalty is what a token of a shared part counts for that is read where it is not held, in seconds.
 	againPenalty = 60e-6
-	// directPenalty is by how much more a prompt counts that is read at a server that makes answers.
-	directPenalty = 4
+	// directPenalty is what each answer under way counts for that is held up by a prompt read beside it, as a part of the time.
+	directPenalty = 0.15
 	// demandTau is the time in seconds over which what is asked is averaged.
 	demandTau = 1.5
 	// directPart is how much slower a decode server reads than a prefill server, until both were seen.
@@ -100,11 +100,11 @@
 	return &p.decode
 }
 
-// Plan says where a prompt is read and where its answer is made. Without Reader the runner reads it.
+// Plan says where a prompt is read: at Reader, after which Runner has to be asked for, or where Reader is nil at Runner, which makes
+// the answer too.
 type Plan struct {
 	Reader *Endpoint
 	Runner *Endpoint
-	Key    string
 }
 
 // fresh returns the tokens of a prompt that a server has to read, as far as is known here. Its home is taken to hold the shared
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -73,23 +73,42 @@
 
 func (v *engineView) waitNow(now float64) float64 { return v.wait * math.Exp(-(now-v.waitAt)/waitTau) }
 
-// Choose returns the servers for a prompt, and false if there are none. Readers that are in without are passed over.
-func (l *Planner) Choose(now float64, q *Prompt, without []*Endpoint) (Plan, bool) {
-	decoders := l.pool.candidates(now, message.Decode, without)
-	if len(decoders) == 0 {
-		decoders = l.pool.candidates(now, message.Decode, nil)
+// Choose returns where a prompt is to be read, and false if there is no server. Those in without are passed over.
+func (l *Planner) Choose(now float64, q *Prompt, without []*Endpoint, apart bool) (Plan, bool) {
+	key := q.Shared()
+	direct, directS := l.best(now, q, key, l.decoders(now, without))
+	if !apart {
+		return Plan{Runner: direct}, direct != nil
 	}
-	if len(decoders) == 0 {
+	reader, readS := l.best(now, q, key, l.pool.candidates(now, message.Prefill, without))
+	switch {
+	case direct == nil:
 		return Plan{}, false
+	case reader == nil || directS*direct.heldUp() <= readS+l.moveSeconds(q, reader, direct):
+		return Plan{Runner: direct}, true
 	}
-	key := q.Shared()
-	reader, readS := l.best(now, q, key, l.pool.candidates(now, message.Prefill, without))
-	direct, directS := l.best(now, q, key, decoders)
-	// Reading at a server that makes answers holds those up: each prompt there counts for more than its own time.
-	if reader == nil || directS*directPenalty <= readS+l.moveSeconds(q, reader, direct) {
-		return Plan{Runner: direct, Key: key}, true
+	return Plan{Reader: reader}, true
+}
+
+func (l *Planner) decoders(now float64, without []*Endpoint) []*Endpoint {
+	if drawn := l.pool.candidates(now, message.Decode, without); len(drawn) > 0 {
+		return drawn
+	}
+	return l.pool.candidates(now, message.Decode, nil)
+}
+
+// heldUp is by how much a prompt counts more that is read beside answers under way.
+func (e *Endpoint) heldUp() float64 {
+	return 1 + directPenalty*float64(max(e.engine.running, e.InFlight))
+}
+
+// Runner returns the server that makes the answer of a prompt that was read in a zone, nil if there is none.
+func (l *Planner) Runner(now float64, zone string, without []*Endpoint) *Endpoint {
+	drawn := l.decoders(now, without)
+	if len(drawn) == 0 {
+		return nil
 	}
-	return Plan{Reader: reader, Runner: l.runner(decoders, reader.Zone), Key: key}, true
+	return l.runner(drawn, zone)
 }
 
 // best returns the candidate that has read the prompt first.
--- a/internal/decide/stages/stages.go
+++ b/internal/decide/stages/stages.go
@@ -23,8 +23,11 @@
 	shrinkFor = 6.0
 	// mostAtOnce is the part of a stage's servers that change together.
 	mostAtOnce = 0.34
-	// settleMargin is added to the time that a change takes, for the list to show it, in seconds.
-	settleMargin = 2.5
+	// settleMargin is added to the time that a change takes, for answers under way to end and the list to show it, in seconds.
+	settleMargin = 10
+	// restFor is the time between two rounds of orders to a service, in seconds: answers take seconds, so that fewer servers for them
+	// show late.
+	restFor = 2.5
 )
 
 // Demand is what all proxies together ask of a service.
@@ -56,6 +59,7 @@
 type Planner struct {
 	pending   map[string]pending // by instance
 	wantSince map[string]want    // by service
+	ordered   map[string]float64 // when a service was given orders last
 }
 
 type want struct {
@@ -64,7 +68,9 @@
 }
 
 // New returns a planner that has ordered nothing.
-func New() *Planner { return &Planner{pending: map[string]pending{}, wantSince: map[string]want{}} }
+func New() *Planner {
+	return &Planner{pending: map[string]pending{}, wantSince: map[string]want{}, ordered: map[string]float64{}}
+}
 
 // Wanted returns the number of n servers that are to read prompts.
 func Wanted(n int, slots float64, demand Demand) int {
@@ -117,9 +123,11 @@
 		delete(p.wantSince, service.Name)
 		return nil
 	}
-	if !p.persists(now, service.Name, missing > 0) {
+	last, before := p.ordered[service.Name]
+	if !p.persists(now, service.Name, missing > 0) || before && now-last < restFor {
 		return nil
 	}
+	p.ordered[service.Name] = now
 	if missing > 0 {
 		return p.order(now, service, runners, readers, missing, message.Prefill)
 	}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -42,6 +42,7 @@
 	arrivals int     // at servers, the first reading of its prompt apart
 	runs     int     // servers that may have run it
 	last     Verdict // of the attempt before
+	handle   handle
 }
 
 // left is the time that remains.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -17,7 +17,7 @@
 
 const (
 	// readingMost is how long the reading of a prompt is waited for, in times the route's objective.
-	readingMost  = 2
+	readingMost  = 3
 	maxHandle    = 64 << 10
 	eventBuffer  = 4 << 10
 	freeWithin   = time.Second
@@ -88,6 +88,7 @@
 // stream serves a request whose answer is a series of events.
 func (p *Proxy) stream(ctx context.Context, w http.ResponseWriter, j *job, engine bool) {
 	out := &relay{w: w, control: http.NewResponseController(w)}
+	defer func() { p.freeHandle(j.handle.cache) }()
 	prompt := promptOf(j.request)
 	for range attemptsMost {
 		if !p.allowed(j) {
@@ -113,48 +114,80 @@
 	fail(ctx, w, j)
 }
 
+// handle is a cache that was read and not taken yet.
+type handle struct {
+	cache    string // IP:PORT/HANDLE; empty: there is none
+	zone     string // where it was read
+	refusals int
+}
+
+// refused tells that a server did not run the request that names the cache. The first time the cache may still be there, as
+// where the server was full; after that it is given up.
+func (h *handle) refused(answer *http.Response) {
+	if h.refusals++; h.refusals > 1 || !refusal(answer) {
+		h.cache = ""
+	}
+}
+
 // run is one try to have a stream made.
 type run struct {
 	endpoint *placement.Endpoint
-	handle   string // the cache to take over, as IP:PORT/HANDLE; empty: the prompt is read here
-	reading  float64
+	reading  float64 // tokens, where the prompt is read here
 	prompt   *placement.Prompt
 }
 
 // runPrompt chooses servers for a prompt, has it read and its answer made. It returns whether the client has its answer.
 func (p *Proxy) runPrompt(ctx context.Context, out *relay, j *job, prompt *placement.Prompt) bool {
+	if j.handle.cache != "" {
+		return p.runRead(ctx, out, j, prompt)
+	}
 	var plan placement.Plan
 	found := false
 	p.state.do(j.service, func(now float64, pool *placement.Pool, planner *placement.Planner) {
 		if planner == nil {
 			return
 		}
-		if plan, found = planner.Choose(now, prompt, j.tried); !found {
+		apart := j.arrivals == 0 && !out.begun
+		if plan, found = planner.Choose(now, prompt, j.tried, apart); !found {
 			return
 		}
-		if j.arrivals > 0 || out.begun {
-			plan.Reader = nil
-		}
 		if plan.Reader != nil {
 			plan.Reader.Begin()
+		} else {
+			plan.Runner.Begin()
 		}
-		plan.Runner.Begin()
 	})
 	if !found {
 		j.last = NotSent
 		return false
 	}
-	handle := ""
-	if plan.Reader != nil {
-		handle = p.readPrompt(ctx, j, plan.Reader, prompt)
-		if ctx.Err() != nil {
-			p.state.with(func(float64) { plan.Runner.End() })
-			p.freeHandle(handle)
-			j.last = Canceled
-			return false
+	if plan.Reader == nil {
+		return p.runStream(ctx, out, j, run{endpoint: plan.Runner, prompt: prompt})
+	}
+	j.handle = handle{cache: p.readPrompt(ctx, j, plan.Reader, prompt), zone: plan.Reader.Zone}
+	if ctx.Err() != nil {
+		j.last = Canceled
+		return false
+	}
+	return p.runRead(ctx, out, j, prompt)
+}
+
+// runRead has an answer made of the cache that was read, or without one where reading failed. Its server is chosen only now.
+func (p *Proxy) runRead(ctx context.Context, out *relay, j *job, prompt *placement.Prompt) bool {
+	var runner *placement.Endpoint
+	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
+		if planner == nil {
+			return
 		}
+		if runner = planner.Runner(now, j.handle.zone, j.tried); runner != nil {
+			runner.Begin()
+		}
+	})
+	if runner == nil {
+		j.last = NotSent
+		return false
 	}
-	return p.runStream(ctx, out, j, run{endpoint: plan.Runner, handle: handle, prompt: prompt})
+	return p.runStream(ctx, out, j, run{endpoint: runner, prompt: prompt})
 }
 
 // readPrompt has a prompt read and returns the handle of its cache, "" if that failed.
@@ -248,8 +281,9 @@
 // runStream has an answer made and passes it on. It returns whether the client has its answer, else j.last says why not.
 func (p *Proxy) runStream(ctx context.Context, out *relay, j *job, r run) bool {
 	set := []field{{headerExpectInstance, r.endpoint.ID}, {headerPriority, priorityOf(j)}}
-	if r.handle != "" {
-		set = append(set, field{headerKVFrom, r.handle})
+	taken := j.handle.cache
+	if taken != "" {
+		set = append(set, field{headerKVFrom, taken})
 	}
 	if out.lastID != "" {
 		set = append(set, field{headerLastEventID, out.lastID})
@@ -259,23 +293,25 @@
 	got, verdict := p.exchange(ctx, j, r.endpoint, encodeRequest(j.request, j.body, j.left(), set...))
 	if verdict != Served {
 		p.endReading(j, &r, 0)
-		if verdict == NotSent {
-			p.freeHandle(r.handle)
+		if verdict != NotSent {
+			j.handle.cache = "" // it may have been taken
 		}
 		p.settle(ctx, j, r.endpoint, verdict)
 		return false
 	}
 	if got.answer.StatusCode != http.StatusOK {
 		p.endReading(j, &r, 0)
+		j.handle.refused(got.answer)
 		return p.passFailure(ctx, out, j, r.endpoint, got)
 	}
+	j.handle.cache = ""
 	verdict = p.passEvents(out, j, &r, got, began)
 	p.settle(ctx, j, r.endpoint, verdict)
 	return verdict == Served
 }
 
 func (p *Proxy) beginReading(j *job, r *run) {
-	if r.prompt == nil || r.handle != "" {
+	if r.prompt == nil || j.handle.cache != "" {
 		return
 	}
 	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
