--- /dev/null
+++ b/internal/decide/register/register_suite_test.go
@@ -0,0 +1,13 @@
+package register_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestRegister(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "register")
+}
--- /dev/null
+++ b/internal/decide/register/register_test.go
@@ -0,0 +1,148 @@
+package register_test
+
+import (
+	"os"
+	"strconv"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/decide/register"
+)
+
+// seeds is how many histories are played; REGISTER_SEEDS asks for more.
+func seeds() uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("REGISTER_SEEDS"), 10, 64); err == nil {
+		return n
+	}
+	return 1500
+}
+
+var _ = Describe("the register under loss, crashes, lost disks and changes of voters", func() {
+	DescribeTable("keeps what it has acknowledged", func(nodes int) {
+		done, acked := 0, 0
+		for seed := range seeds() {
+			w := play(seed, nodes, 1000, faults{})
+			Expect(w.broken).To(BeEmpty(), "seed %d", seed)
+			done, acked = done+w.done, acked+len(w.acked)
+		}
+		Expect(done).To(BeNumerically(">", int(seeds())*5), "calls that ended")
+		Expect(acked).To(BeNumerically(">", int(seeds())*2), "changes that were acknowledged")
+	}, Entry("with three voters", 3), Entry("with five", 5))
+
+	DescribeTable("shows a host that makes a mistake", func(f faults) {
+		for seed := range uint64(200) {
+			if play(seed, 3, 1500, f).broken != "" {
+				return
+			}
+		}
+		Fail("no rule was broken in 200 histories")
+	},
+		Entry("that answers before its disk has synced", faults{answerBeforeSync: true}),
+		Entry("whose lost disk votes as before", faults{wipedVotes: true}),
+		Entry("that uses ballots again after a restart", faults{reuseBallots: true}),
+		Entry("that reads at a minority", faults{minorityRead: true}),
+		Entry("that forgets which configurations it accepted", faults{forgetsAccepted: true}),
+	)
+})
+
+var _ = Describe("an acceptor", func() {
+	founder := register.State{ID: "a", Value: register.Value{Epoch: 1, Voters: []register.Voter{{ID: "a"}}}}
+
+	It("turns away who means another identity", func() {
+		_, promise := register.NewAcceptor(founder).HandlePrepare(register.Prepare{To: "b", Ballot: register.Ballot{Round: 1}})
+		Expect(promise.Stranger).To(BeTrue())
+		Expect(promise.OK).To(BeFalse())
+	})
+
+	It("promises nothing below what it has promised, and names what stands in the way", func() {
+		a := register.NewAcceptor(founder)
+		next, _ := a.HandlePrepare(register.Prepare{To: "a", Ballot: register.Ballot{Round: 5}})
+		a.Stored(*next)
+		_, promise := a.HandlePrepare(register.Prepare{To: "a", Ballot: register.Ballot{Round: 4, Proposer: "z"}})
+		Expect(promise.OK).To(BeFalse())
+		Expect(promise.Promised.Round).To(BeEquivalentTo(5))
+	})
+
+	It("asks for the bytes of a configuration that it lacks", func() {
+		a := register.NewAcceptor(founder)
+		request := register.Accept{To: "a", Ballot: register.Ballot{Round: 1}, Value: register.Value{Version: 3}}
+		next, answer := a.HandleAccept(request, false)
+		Expect(next).To(BeNil())
+		Expect(answer.NeedConfig).To(BeTrue())
+	})
+})
+
+var _ = Describe("a round", func() {
+	It("does not take a voter that has accepted nothing for one that knows the voters", func() {
+		voters := []register.Voter{{ID: "a", Address: "1"}, {ID: "b", Address: "2"}, {ID: "c", Address: "3"}}
+		round, step := register.NewRound(register.Ballot{Round: 1}, register.Value{Epoch: 2, Voters: voters}, register.Keep)
+		Expect(step.Prepare).To(HaveLen(3))
+		step = round.Promised(voters[0], register.Promise{OK: true})
+		Expect(step.Accept).To(BeEmpty(), "one of three is no majority")
+	})
+
+	It("changes the voters by majorities of those before and those after", func() {
+		voter := func(id string) register.Voter { return register.Voter{ID: id, Address: id} }
+		before := register.Value{Epoch: 1, Voters: []register.Voter{voter("a"), voter("b"), voter("c")}}
+		after := []register.Voter{voter("d"), voter("e"), voter("f")}
+		round, _ := register.NewRound(register.Ballot{Round: 1}, before, register.Reconfigure(1, after))
+		round.Promised(voter("a"), register.Promise{OK: true})
+		step := round.Promised(voter("b"), register.Promise{OK: true})
+		Expect(step.Accept).To(HaveLen(6))
+		for _, id := range []string{"d", "e", "f", "a"} {
+			Expect(round.Accepted(voter(id), register.Accepted{OK: true}).Done).To(BeFalse(), "after %s", id)
+		}
+		Expect(round.Accepted(voter("b"), register.Accepted{OK: true}).Done).To(BeTrue())
+		Expect(round.Outcome).To(Equal(register.Chosen))
+	})
+})
+
+var _ = Describe("the judgement of a configuration", func() {
+	value := register.Value{Version: 7, Accepted: []register.Digest{register.DigestOf([]byte("old")), register.DigestOf([]byte("now"))}}
+
+	DescribeTable("goes by what was accepted first", func(version, base uint64, data string, want register.Verdict) {
+		Expect(value.Judge(version, base, register.DigestOf([]byte(data)))).To(Equal(want))
+	},
+		Entry("sent again", uint64(7), uint64(5), "now", register.Repeated),
+		Entry("sent again though a later one is in force", uint64(5), uint64(1), "old", register.Repeated),
+		Entry("based on an older version", uint64(9), uint64(5), "new", register.Stale),
+		Entry("not above the current version", uint64(7), uint64(7), "new", register.NotAbove),
+		Entry("on top of the current one", uint64(8), uint64(7), "new", register.Fits),
+	)
+})
+
+var _ = Describe("the next voters", func() {
+	a, b, c := register.Voter{ID: "a", Address: "1"}, register.Voter{ID: "b", Address: "2"}, register.Voter{ID: "c", Address: "3"}
+	d, wiped := register.Voter{ID: "d", Address: "4"}, register.Voter{ID: "c2", Address: "3"}
+	alive := func(voters ...register.Voter) (out []register.Candidate) {
+		for _, voter := range voters {
+			out = append(out, register.Candidate{Voter: voter, Alive: true})
+		}
+		return out
+	}
+	voters := []register.Voter{a, b, c}
+
+	It("keeps a silent voter while there is nobody in its place", func() {
+		_, changed := register.Membership(voters, alive(a, b), 3)
+		Expect(changed).To(BeFalse())
+	})
+
+	It("puts the new identity of an address in the place of the old one", func() {
+		next, changed := register.Membership(voters, alive(a, b, wiped), 3)
+		Expect(changed).To(BeTrue())
+		Expect(next).To(ConsistOf(a, b, wiped))
+	})
+
+	It("puts a newcomer in the place of a silent voter", func() {
+		next, changed := register.Membership(voters, alive(a, b, d), 3)
+		Expect(changed).To(BeTrue())
+		Expect(next).To(ConsistOf(a, b, d))
+	})
+
+	It("lets further core machines join", func() {
+		next, changed := register.Membership(voters, alive(a, b, c, d), 3)
+		Expect(changed).To(BeTrue())
+		Expect(next).To(ConsistOf(a, b, c, d))
+	})
+})
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,118 @@
+package store_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/store"
+)
+
+func TestStore(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "store")
+}
+
+func record(text string) store.Record { return store.Record{Kind: 1, Data: []byte(text)} }
+
+func texts(records []store.Record) (out []string) {
+	for _, r := range records {
+		out = append(out, string(r.Data))
+	}
+	return out
+}
+
+var _ = Describe("a store", func() {
+	var dir string
+	BeforeEach(func() { dir = GinkgoT().TempDir() })
+
+	open := func() (*store.Store, []string, []store.Damage) {
+		s, records, damage, err := store.Open(dir)
+		Expect(err).NotTo(HaveOccurred())
+		return s, texts(records), damage
+	}
+	segments := func() []string {
+		found, err := filepath.Glob(filepath.Join(dir, "*.seg"))
+		Expect(err).NotTo(HaveOccurred())
+		return found
+	}
+
+	It("returns what was appended in each life", func() {
+		for life := range 3 {
+			s, found, damage := open()
+			Expect(found).To(HaveLen(life))
+			Expect(damage).To(BeEmpty())
+			Expect(s.Append(record(fmt.Sprint(life)))).To(Succeed())
+			Expect(s.Close()).To(Succeed())
+		}
+	})
+
+	It("goes on from a snapshot and removes what came before", func() {
+		s, _, _ := open()
+		Expect(s.Append(record("a"), record("b"))).To(Succeed())
+		Expect(s.Snapshot(record("ab"))).To(Succeed())
+		Expect(segments()).To(BeEmpty())
+		Expect(s.Append(record("c"))).To(Succeed())
+		_, found, _ := open()
+		Expect(found).To(Equal([]string{"ab", "c"}))
+	})
+
+	It("drops a torn end, at each place where it may be torn", func() {
+		s, _, _ := open()
+		Expect(s.Append(record("first"))).To(Succeed())
+		whole, err := os.ReadFile(segments()[0])
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Append(record("second"))).To(Succeed())
+		both, err := os.ReadFile(segments()[0])
+		Expect(err).NotTo(HaveOccurred())
+		for cut := len(whole) + 1; cut < len(both); cut++ {
+			Expect(os.WriteFile(segments()[0], both[:cut], 0o644)).To(Succeed())
+			records, damage, _, err := store.Read(dir)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(texts(records)).To(Equal([]string{"first"}), "cut at %d", cut)
+			Expect(damage).To(HaveLen(1))
+			Expect(damage[0].Tail).To(BeTrue())
+		}
+	})
+
+	It("says where the middle is damaged and does not call it a torn end", func() {
+		s, _, _ := open()
+		Expect(s.Append(record("first"), record("second"))).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		path := segments()[0]
+		data, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		data[20] ^= 1
+		Expect(os.WriteFile(path, data, 0o644)).To(Succeed())
+		s, _, _ = open()
+		Expect(s.Append(record("third"))).To(Succeed())
+		_, damage, _, err := store.Read(dir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(damage).To(HaveLen(1))
+		Expect(damage[0].Tail).To(BeFalse())
+		Expect(damage[0].File).To(Equal(path))
+	})
+
+	It("passes over a snapshot that was not finished", func() {
+		s, _, _ := open()
+		Expect(s.Append(record("a"))).To(Succeed())
+		Expect(os.WriteFile(filepath.Join(dir, "0000000000000009.snap.tmp"), []byte("half"), 0o644)).To(Succeed())
+		_, found, damage := open()
+		Expect(found).To(Equal([]string{"a"}))
+		Expect(damage).To(BeEmpty())
+	})
+
+	It("reports a write that fails and goes on once there is room", func() {
+		s, _, _ := open()
+		Expect(s.Append(record("a"))).To(Succeed())
+		Expect(s.Close()).To(Succeed()) // the next write meets a file that is closed
+		Expect(s.Append(record("b"))).NotTo(Succeed())
+		Expect(s.Append(record("c"))).To(Succeed())
+		_, found, _ := open()
+		Expect(found).To(Equal([]string{"a", "c"}))
+	})
+})
