Let requests wait for a proxy that has just begun; read lines from overdue prompts and load answers

Change: requests wait up to 1.2 s for the first facts; exchanges each 80 ms until then; a prompt that is overdue and the load that answers tell count as wait.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -26,6 +26,9 @@
 	gossipPath = "/fleet/v1/gossip"
 	// ExchangeEvery is the time between exchanges.
 	ExchangeEvery = 400 * time.Millisecond
+	// firstEvery is the time between exchanges until a configuration and a list were heard of.
+	firstEvery = 80 * time.Millisecond
+	firstFor   = 3 * time.Second
 	// callWithin bounds one exchange.
 	callWithin = 900 * time.Millisecond
 	// pushFanout is to how many processes news are sent at once; each of them sends them on.
@@ -91,18 +94,29 @@
 
 // Run exchanges until the context ends.
 func (n *Node) Run(ctx context.Context) {
-	ticker := time.NewTicker(ExchangeEvery)
-	defer ticker.Stop()
 	for {
 		n.tick(ctx)
+		pause := time.NewTimer(n.pause())
 		select {
 		case <-ctx.Done():
+			pause.Stop()
 			return
-		case <-ticker.C:
+		case <-pause.C:
 		}
 	}
 }
 
+// pause is short for a process that has just begun.
+func (n *Node) pause() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	lacks := n.facts.Table == nil || n.facts.List.ReadAt.IsZero()
+	if lacks && time.Since(n.start) < firstFor {
+		return firstEvery
+	}
+	return ExchangeEvery
+}
+
 func (n *Node) tick(ctx context.Context) {
 	n.mu.Lock()
 	n.view.Tick(n.now())
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -31,7 +31,7 @@
 	upkeepEvery = 300 * time.Millisecond
 	// scrubEvery is the time between reads that find voters that are behind; scrubSoon holds until the first one succeeds.
 	scrubEvery = 2 * time.Second
-	scrubSoon  = 200 * time.Millisecond
+	scrubSoon  = 60 * time.Millisecond
 	// listEvery is the time between readings of the platform's list by one process.
 	listEvery = time.Second
 	// stopWithin bounds the end of calls that are under way at SIGTERM.
@@ -172,7 +172,7 @@
 
 // scrub reads the register now and then. A read that finds voters behind makes them agree.
 func (c *Control) scrub(ctx context.Context) {
-	pause := scrubSoon
+	pause := scrubSoon / 6
 	for wait(ctx, pause) == nil {
 		readCtx, cancel := context.WithTimeout(ctx, readWithin)
 		value, err := c.registrar.Read(readCtx)
@@ -258,7 +258,7 @@
 
 // readLists reads the platform's list. Processes read out of step with one another.
 func (c *Control) readLists(ctx context.Context) {
-	pause := rand.N(listEvery)
+	pause := rand.N(listEvery / 4)
 	for wait(ctx, pause) == nil {
 		began := time.Now()
 		instances, err := c.platform.Read(ctx)
--- a/internal/decide/placement/engine.go
+++ b/internal/decide/placement/engine.go
@@ -36,7 +36,11 @@
 	// paceLeast is the number of tokens from which on a reading tells of the pace.
 	paceLeast = 1000
 	// waitTau is the time in seconds in which a wait that was seen counts for a third.
-	waitTau = 0.4
+	waitTau = 0.6
+	// metPart is the part of the wait that a prompt met that is taken to last.
+	metPart = 0.5
+	// sizeWeight is the weight of a prompt in the mean size.
+	sizeWeight = 0.05
 	// partsMost bounds the parts that are remembered of a server.
 	partsMost = 4096
 	// crossPenalty is what another zone counts for when a prompt is read, in seconds; crossRunner when its answer is made, as a part of
@@ -57,12 +61,20 @@
 
 // engineView is what a proxy knows of a model server.
 type engineView struct {
-	tokens  float64 // own prompt tokens that are being read there
-	wait    float64 // seconds waited beyond the reading itself, as seen last
-	waitAt  float64
-	running int
-	waiting int
-	parts   map[string]float64 // when own requests used them last there
+	tokens   float64 // own prompt tokens that are being read there
+	wait     float64 // seconds waited beyond the reading itself, as seen last
+	waitAt   float64
+	running  int
+	waiting  int
+	parts    map[string]float64 // when own requests used them last there
+	readings []*Reading         // that are under way
+}
+
+// Reading is a prompt that a server reads.
+type Reading struct {
+	tokens   float64
+	began    float64
+	expected float64 // seconds, if it is read at once
 }
 
 // Prompt is what the choice of servers goes by.
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"hazelwheel/internal/decide/membership"
 	"hazelwheel/internal/message"
@@ -13,6 +14,7 @@
 	pace  paces
 	keepS float64 // for how long a part that was read is taken to be held
 	read  decayed // prompt tokens
+	size  float64 // mean tokens of a prompt
 }
 
 // decayed sums what comes, and forgets it in demandTau seconds.
@@ -71,7 +73,15 @@
 	return seconds + againPenalty*max(fresh-q.own(), 0)
 }
 
-func (v *engineView) waitNow(now float64) float64 { return v.wait * math.Exp(-(now-v.waitAt)/waitTau) }
+// waitNow is how long a prompt is taken to wait before it is read: by what the server told or was seen to take, which fades, and by
+// the prompts that are overdue there now.
+func (v *engineView) waitNow(now float64) float64 {
+	wait := v.wait * math.Exp(-(now-v.waitAt)/waitTau)
+	for _, r := range v.readings {
+		wait = max(wait, now-r.began-r.expected)
+	}
+	return wait
+}
 
 // Choose returns where a prompt is to be read, and false if there is no server. Those in without are passed over.
 func (l *Planner) Choose(now float64, q *Prompt, without []*Endpoint, apart bool) (Plan, bool) {
@@ -163,11 +173,14 @@
 	return seconds + moveSetup
 }
 
-// BeginReading counts a prompt that a server begins to read and returns the tokens that it is taken to read.
-func (l *Planner) BeginReading(now float64, e *Endpoint, q *Prompt) float64 {
+// BeginReading counts a prompt that a server begins to read.
+func (l *Planner) BeginReading(now float64, e *Endpoint, q *Prompt) *Reading {
 	tokens := e.fresh(q, now, l.keepS, false)
+	r := &Reading{tokens: tokens, began: now, expected: tokens / l.paceOf(e.Stage)}
+	e.engine.readings = append(e.engine.readings, r)
 	e.engine.tokens += tokens
 	l.read.add(now, tokens)
+	l.size += sizeWeight * (tokens - l.size)
 	if e.engine.parts == nil || len(e.engine.parts) > partsMost {
 		e.engine.parts = map[string]float64{}
 	}
@@ -176,24 +189,31 @@
 			e.engine.parts[part.ID] = now
 		}
 	}
-	return tokens
+	return r
 }
 
-// EndReading takes the tokens away. seconds is how long it took, 0 or less if it failed.
-func (l *Planner) EndReading(now float64, e *Endpoint, tokens, seconds float64) {
-	e.engine.tokens -= tokens
-	if seconds <= 0 {
+// EndReading takes a prompt away. read tells whether it was read to its end.
+func (l *Planner) EndReading(now float64, e *Endpoint, r *Reading, read bool) {
+	e.engine.tokens -= r.tokens
+	e.engine.readings = slices.DeleteFunc(e.engine.readings, func(other *Reading) bool { return other == r })
+	if !read {
 		return
 	}
+	seconds := now - r.began
 	pace := l.pace.of(e.Stage)
-	if seen := tokens / seconds; tokens >= paceLeast {
+	if seen := r.tokens / max(seconds, 1e-4); r.tokens >= paceLeast {
 		if seen > *pace {
 			*pace = seen
 		} else {
 			*pace += paceDecay * (seen - *pace)
 		}
 	}
-	e.engine.wait, e.engine.waitAt = max(seconds-tokens/l.paceOf(e.Stage), 0), now
+	queued := float64(e.engine.running+e.engine.waiting) * l.size / l.paceOf(e.Stage)
+	if e.Stage == message.Decode {
+		queued = 0 // what runs there are answers
+	}
+	// What the server has in line now says more than what this prompt met when it came.
+	e.engine.wait, e.engine.waitAt = max(queued, (seconds-r.tokens/l.paceOf(e.Stage))*metPart), now
 }
 
 // Loaded takes the figures that a server told with an answer: requests running and waiting.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -24,7 +24,9 @@
 	// waitPart is the part of a route's objective for which a request may wait for a place.
 	waitPart = 0.2
 	waitStep = 4 * time.Millisecond
-	// bodySlack is what an unset limit of bodies stands for, in bytes.
+	// startWithin is how long a request waits for a proxy that has just begun.
+	startWithin = 1200 * time.Millisecond
+	// bodyDefault is what an unset limit of bodies stands for, in bytes.
 	bodyDefault = 4 << 20
 )
 
@@ -51,7 +53,7 @@
 // ServeHTTP serves a request of a client.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	table := p.state.routes()
+	table := p.awaitRoutes(r.Context())
 	if table == nil {
 		refuse(w, retryAfterS)
 		return
@@ -85,6 +87,22 @@
 	p.plain(ctx, w, j)
 }
 
+// awaitRoutes returns the table in force. A proxy that has just begun is told within a moment; until then requests wait, since
+// clients come back only so often.
+func (p *Proxy) awaitRoutes(ctx context.Context) *routeTable {
+	if p.state.ready() {
+		return p.state.routes()
+	}
+	timer := time.NewTimer(startWithin)
+	defer timer.Stop()
+	select {
+	case <-p.state.begun:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return p.state.routes()
+}
+
 // readBody returns the whole body, or the status with which it is turned away.
 func readBody(w http.ResponseWriter, r *http.Request, limits routes.Limits) ([]byte, int) {
 	most := limits.MaxBodyBytes
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -15,11 +15,13 @@
 type state struct {
 	settings *boot.Settings
 	start    time.Time
+	begun    chan struct{} // closed once requests can be served
 
 	mu       sync.Mutex
 	table    *routeTable
 	list     []message.Instance
 	listed   bool // a list was told at all
+	served   bool // begun is closed
 	plan     message.StagePlan
 	rank     int
 	count    int
@@ -28,7 +30,7 @@
 }
 
 func newState(settings *boot.Settings) *state {
-	return &state{settings: settings, start: time.Now(), pools: map[string]*placement.Pool{}, planners: map[string]*placement.Planner{}}
+	return &state{settings: settings, start: time.Now(), begun: make(chan struct{}), pools: map[string]*placement.Pool{}, planners: map[string]*placement.Planner{}}
 }
 
 // now is the time of the decisions: seconds on the steady clock.
@@ -76,6 +78,10 @@
 			pool.SetConnections(service.MaxConnections)
 		}
 	}
+	if s.table != nil && s.listed && !s.served {
+		s.served = true
+		close(s.begun)
+	}
 }
 
 // openPools makes a pool for each service of the table that has none, and drops those of services that are gone.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -132,7 +132,7 @@
 // run is one try to have a stream made.
 type run struct {
 	endpoint *placement.Endpoint
-	reading  float64 // tokens, where the prompt is read here
+	reading  *placement.Reading // where the prompt is read here
 	prompt   *placement.Prompt
 }
 
@@ -192,23 +192,20 @@
 
 // readPrompt has a prompt read and returns the handle of its cache, "" if that failed.
 func (p *Proxy) readPrompt(ctx context.Context, j *job, reader *placement.Endpoint, prompt *placement.Prompt) string {
-	var tokens float64
+	var reading *placement.Reading
 	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
-		tokens = planner.BeginReading(now, reader, prompt)
+		if planner != nil {
+			reading = planner.BeginReading(now, reader, prompt)
+		}
 	})
-	began := time.Now()
 	limit := time.Duration(readingMost * j.route.TargetMs * float64(time.Millisecond))
 	readCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	handle, verdict := p.callReader(readCtx, j, reader)
-	seconds := 0.0
-	if verdict == Served {
-		seconds = time.Since(began).Seconds()
-	}
 	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
 		reader.End()
-		if planner != nil {
-			planner.EndReading(now, reader, tokens, seconds)
+		if planner != nil && reading != nil {
+			planner.EndReading(now, reader, reading, verdict == Served)
 		}
 		switch {
 		case verdict == Served:
@@ -288,11 +285,10 @@
 	if out.lastID != "" {
 		set = append(set, field{headerLastEventID, out.lastID})
 	}
-	began := time.Now()
 	p.beginReading(j, &r)
 	got, verdict := p.exchange(ctx, j, r.endpoint, encodeRequest(j.request, j.body, j.left(), set...))
 	if verdict != Served {
-		p.endReading(j, &r, 0)
+		p.endReading(j, &r, false)
 		if verdict != NotSent {
 			j.handle.cache = "" // it may have been taken
 		}
@@ -300,12 +296,12 @@
 		return false
 	}
 	if got.answer.StatusCode != http.StatusOK {
-		p.endReading(j, &r, 0)
+		p.endReading(j, &r, false)
 		j.handle.refused(got.answer)
 		return p.passFailure(ctx, out, j, r.endpoint, got)
 	}
 	j.handle.cache = ""
-	verdict = p.passEvents(out, j, &r, got, began)
+	verdict = p.passEvents(out, j, &r, got)
 	p.settle(ctx, j, r.endpoint, verdict)
 	return verdict == Served
 }
@@ -321,16 +317,16 @@
 	})
 }
 
-func (p *Proxy) endReading(j *job, r *run, seconds float64) {
-	if r.reading == 0 {
+func (p *Proxy) endReading(j *job, r *run, read bool) {
+	if r.reading == nil {
 		return
 	}
 	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
 		if planner != nil {
-			planner.EndReading(now, r.endpoint, r.reading, seconds)
+			planner.EndReading(now, r.endpoint, r.reading, read)
 		}
 	})
-	r.reading = 0
+	r.reading = nil
 }
 
 // passFailure passes on an answer that is no stream, where it may be.
@@ -358,18 +354,16 @@
 }
 
 // passEvents passes events on until the stream ends. Only whole events go out.
-func (p *Proxy) passEvents(out *relay, j *job, r *run, got *exchange, began time.Time) Verdict {
+func (p *Proxy) passEvents(out *relay, j *job, r *run, got *exchange) Verdict {
 	if !whole(got.answer) || got.answer.Header.Get(headerStamp) == "" || got.answer.Header.Get("Content-Encoding") != "" {
 		got.abort()
-		p.endReading(j, r, 0)
+		p.endReading(j, r, false)
 		return MayHaveRun
 	}
 	in := bufio.NewReaderSize(got.answer.Body, eventBuffer)
 	for {
 		event, err := readEvent(in)
-		if r.reading > 0 {
-			p.endReading(j, r, time.Since(began).Seconds())
-		}
+		p.endReading(j, r, err == nil)
 		if err != nil && !errors.Is(err, io.EOF) {
 			got.abort()
 			return MayHaveRun
