Count the memory that answers hold when stages are split; read less beside answers

Change: Demand.Held against KvTokens; each answer held up counts half of the reading time, before 0.15.

--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -124,7 +124,7 @@
 		if service.Engine == nil {
 			continue
 		}
-		view := stages.Service{Name: service.Name, SwitchS: service.Engine.SwitchS}
+		view := stages.Service{Name: service.Name, SwitchS: service.Engine.SwitchS, Memory: float64(service.Engine.KVTokens)}
 		for _, instance := range facts.List.Instances {
 			if instance.Service == service.Name {
 				view.Instances = append(view.Instances, instance)
@@ -153,6 +153,7 @@
 			sum := sums[demand.Service]
 			sum.ReadPerS += demand.ReadPerS
 			sum.Streams += demand.Streams
+			sum.Held += demand.Held
 			sum.PacePerS = max(sum.PacePerS, demand.PacePerS)
 			sums[demand.Service] = sum
 		}
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -38,6 +38,7 @@
 	Service  string  `msgpack:"s"`
 	ReadPerS float64 `msgpack:"r"` // prompt tokens to be read a second
 	Streams  float64 `msgpack:"n"` // answers under way
+	Held     float64 `msgpack:"h"` // tokens that those answers hold in memory
 	PacePerS float64 `msgpack:"p"` // prompt tokens that one server was seen to read a second
 }
 
--- a/internal/decide/placement/engine.go
+++ b/internal/decide/placement/engine.go
@@ -50,7 +50,7 @@
 	// againPenalty is what a token of a shared part counts for that is read where it is not held, in seconds.
 	againPenalty = 60e-6
 	// directPenalty is what each answer under way counts for that is held up by a prompt read beside it, as a part of the time.
-	directPenalty = 0.15
+	directPenalty = 0.5
 	// demandTau is the time in seconds over which what is asked is averaged.
 	demandTau = 1.5
 	// directPart is how much slower a decode server reads than a prefill server, until both were seen.
@@ -66,6 +66,7 @@
 	waitAt   float64
 	running  int
 	waiting  int
+	held     float64            // tokens that own answers hold in memory
 	parts    map[string]float64 // when own requests used them last there
 	readings []*Reading         // that are under way
 }
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -41,6 +41,7 @@
 	for _, e := range l.pool.endpoints {
 		if e.Stage == message.Decode {
 			demand.Streams += float64(e.InFlight)
+			demand.Held += e.engine.held
 		}
 	}
 	return demand
@@ -216,6 +217,12 @@
 	e.engine.wait, e.engine.waitAt = max(queued, (seconds-r.tokens/l.paceOf(e.Stage))*metPart), now
 }
 
+// BeginAnswer counts an answer that a server makes, EndAnswer takes it away.
+func (e *Endpoint) BeginAnswer(q *Prompt) { e.engine.held += float64(q.Tokens + q.Output) }
+
+// EndAnswer takes an answer away that BeginAnswer counted.
+func (e *Endpoint) EndAnswer(q *Prompt) { e.engine.held -= float64(q.Tokens + q.Output) }
+
 // Loaded takes the figures that a server told with an answer: requests running and waiting.
 func (e *Endpoint) Loaded(running, waiting int) {
 	e.engine.running, e.engine.waiting = running, waiting
--- a/internal/decide/stages/stages.go
+++ b/internal/decide/stages/stages.go
@@ -34,6 +34,7 @@
 type Demand struct {
 	ReadPerS float64 // prompt tokens to be read a second
 	Streams  float64 // answers under way
+	Held     float64 // tokens that they hold in memory
 	PacePerS float64 // prompt tokens that one server reads a second, 0: not known yet
 }
 
@@ -41,6 +42,7 @@
 type Service struct {
 	Name      string
 	SwitchS   float64 // what a change takes, in seconds
+	Memory    float64 // tokens that one server holds, 0: not known
 	Instances []message.Instance
 }
 
@@ -73,12 +75,15 @@
 }
 
 // Wanted returns the number of n servers that are to read prompts.
-func Wanted(n int, slots float64, demand Demand) int {
+func Wanted(n int, slots, memory float64, demand Demand) int {
 	if demand.PacePerS <= 0 || slots <= 0 {
 		return -1
 	}
 	read := demand.ReadPerS / (demand.PacePerS * readBusy)
 	run := demand.Streams / (slots * runBusy)
+	if memory > 0 {
+		run = max(run, demand.Held/(memory*runBusy))
+	}
 	if read+run <= 0 {
 		return -1
 	}
@@ -117,7 +122,7 @@
 		}
 	}
 	n := len(readers) + len(runners)
-	wanted := Wanted(n, slots, demand)
+	wanted := Wanted(n, slots, service.Memory, demand)
 	missing := wanted - len(readers)
 	if wanted < 0 || math.Abs(float64(missing)) < max(1, smallMove*float64(n)) {
 		delete(p.wantSince, service.Name)
--- a/internal/decide/stages/stages_test.go
+++ b/internal/decide/stages/stages_test.go
@@ -65,7 +65,7 @@
 		service := servers(7, 11)
 		p := stages.New()
 		Expect(play(p, service, heavy, 0, 30)).To(BeNumerically(">", 0))
-		Expect(readers(service)).To(BeNumerically("~", stages.Wanted(18, 100, heavy), 1))
+		Expect(readers(service)).To(BeNumerically("~", stages.Wanted(18, 100, 0, heavy), 1))
 		Expect(play(p, service, heavy, 30, 120)).To(BeZero())
 	})
 
@@ -109,6 +109,11 @@
 		Expect(p.Pending(6)).NotTo(HaveKey(first[0].Instance.ID))
 	})
 
+	It("counts memory where answers fill it before the slots", func() {
+		demand := stages.Demand{ReadPerS: 600e3, Streams: 100, Held: 1.2e6, PacePerS: 100e3}
+		Expect(stages.Wanted(18, 100, 300e3, demand)).To(BeNumerically("<", stages.Wanted(18, 100, 0, demand)))
+	})
+
 	It("passes over servers that are leaving", func() {
 		service := servers(7, 11)
 		for i := range service.Instances {
