--- a/internal/decide/placement/engine.go
+++ b/internal/decide/placement/engine.go
@@ -48,7 +48,7 @@
 	crossPenalty = 0.003
 	crossRunner  = 0.08
 	// againPenalty is what a token of a shared part counts for that is read where it is not held, in seconds.
-	againPenalty = 60e-6
+	againPenalty = 100e-6
 	// directPenalty is what each answer under way counts for that is held up by a prompt read beside it, as a part of the time.
 	directPenalty = 0.5
 	// demandTau is the time in seconds over which what is asked is averaged.
--- a/internal/decide/stages/stages.go
+++ b/internal/decide/stages/stages.go
@@ -136,7 +136,8 @@
 	if missing > 0 {
 		return p.order(now, service, runners, readers, missing, message.Prefill)
 	}
-	return p.order(now, service, readers, runners, -missing, message.Decode)
+	// A rush may come back: half of the way is enough, and the rest follows if it doesn't.
+	return p.order(now, service, readers, runners, (1-missing)/2, message.Decode)
 }
 
 // persists tells whether the same has been wanted for long enough.
