Test the proxy against servers that are played byte by byte; learn the pace from what was surely read

Cause: a reading of parts that another proxy had left there looked up to twice as fast as servers are, as a test of a prompt that is asked again showed. Change: the pace comes from the part that nobody shares. 26 tests of requests, streams and prompts at stand-in servers.

--- a/internal/decide/placement/engine.go
+++ b/internal/decide/placement/engine.go
@@ -74,6 +74,7 @@
 // Reading is a prompt that a server reads.
 type Reading struct {
 	tokens   float64
+	own      float64 // tokens that nobody shares
 	began    float64
 	expected float64 // seconds, if it is read at once
 }
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -177,7 +177,7 @@
 // BeginReading counts a prompt that a server begins to read.
 func (l *Planner) BeginReading(now float64, e *Endpoint, q *Prompt) *Reading {
 	tokens := e.fresh(q, now, l.keepS, false)
-	r := &Reading{tokens: tokens, began: now, expected: tokens / l.paceOf(e.Stage)}
+	r := &Reading{tokens: tokens, own: q.own(), began: now, expected: tokens / l.paceOf(e.Stage)}
 	e.engine.readings = append(e.engine.readings, r)
 	e.engine.tokens += tokens
 	l.read.add(now, tokens)
@@ -202,7 +202,8 @@
 	}
 	seconds := now - r.began
 	pace := l.pace.of(e.Stage)
-	if seen := r.tokens / max(seconds, 1e-4); r.tokens >= paceLeast {
+	// Danger: what other proxies had read there is not known here. Only the part that nobody shares was read for certain.
+	if seen := r.own / max(seconds, 1e-4); r.own >= paceLeast {
 		if seen > *pace {
 			*pace = seen
 		} else {
--- /dev/null
+++ b/internal/proxy/plain_test.go
@@ -0,0 +1,197 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/routes"
+)
+
+var _ = Describe("a request with a short answer", func() {
+	It("reaches the server unchanged, and its answer the client", func() {
+		s := startServer("i-1", "s", "", echo)
+		_, front := startProxy(route(routes.NonIdempotent), false, s)
+		answer, body, err := ask(front, "X-Own", "kept", "Connection", "X-Hop", "X-Hop", "dropped")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("answer of body"))
+		Expect(answer.Header.Get(headerStamp)).To(Equal("stamp"))
+		got := s.seen()[0]
+		Expect(got.RequestURI).To(Equal("/p/x?q=1"))
+		Expect(got.Host).To(Equal("h.example"))
+		Expect(got.body).To(Equal("body"))
+		Expect(got.Header.Get(headerRequestID)).To(Equal("id-1"))
+		Expect(got.Header.Get(headerExpectInstance)).To(Equal("i-1"))
+		Expect(got.Header.Get("X-Own")).To(Equal("kept"))
+		Expect(got.Header).NotTo(HaveKey("X-Hop"))
+	})
+
+	It("is sent once where it may run once only and the server breaks off", func() {
+		one, two := startServer("i-1", "s", "", reset), startServer("i-2", "s", "", reset)
+		_, front := startProxy(route(routes.NonIdempotent), false, one, two)
+		answer, _, err := ask(front)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusBadGateway), "a 503 would promise that it has not run")
+		Expect(len(one.seen()) + len(two.seen())).To(Equal(1))
+	})
+
+	It("goes to another server where it may run again", func() {
+		one, two := startServer("i-1", "s", "", reset), startServer("i-2", "s", "", reset)
+		_, front := startProxy(route(routes.Idempotent), false, one, two)
+		answer, _, err := ask(front)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(one.seen()).To(HaveLen(1))
+		Expect(two.seen()).To(HaveLen(1))
+	})
+
+	It("goes to another server where the first has not run it", func() {
+		one, two := startServer("i-1", "s", "", full), startServer("i-2", "s", "", echo)
+		_, front := startProxy(route(routes.NonIdempotent), false, one, two)
+		for range 4 {
+			answer, _, err := ask(front)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.StatusCode).To(Equal(http.StatusOK))
+		}
+	})
+
+	It("is refused with a time to come back where no server has run it", func() {
+		_, front := startProxy(route(routes.NonIdempotent), false, startServer("i-1", "s", "", full))
+		answer, _, err := ask(front)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(answer.Header.Get(headerStamp)).To(BeEmpty())
+	})
+
+	DescribeTable("never is answered with what no server gave whole", func(broken behaviour) {
+		_, front := startProxy(route(routes.NonIdempotent), false, startServer("i-1", "s", "", broken))
+		answer, _, err := ask(front)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusBadGateway))
+	},
+		Entry("no stamp", behaviour(func(conn net.Conn, r taken, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nHazelwheel-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get(headerRequestID))
+			return true
+		})),
+		Entry("an encoded body", behaviour(func(conn net.Conn, r taken, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nHazelwheel-Request-Id: %s\r\nHazelwheel-Response-Stamp: s\r\nContent-Encoding: br\r\n"+
+				"Content-Length: 2\r\n\r\nok", r.Header.Get(headerRequestID))
+			return true
+		})),
+		Entry("a body that ends early", behaviour(func(conn net.Conn, r taken, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nHazelwheel-Request-Id: %s\r\nHazelwheel-Response-Stamp: s\r\nContent-Length: 20\r\n\r\nok",
+				r.Header.Get(headerRequestID))
+			return false
+		})),
+		Entry("a body whose end can't be known", behaviour(func(conn net.Conn, r taken, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nHazelwheel-Request-Id: %s\r\nHazelwheel-Response-Stamp: s\r\n\r\nok", r.Header.Get(headerRequestID))
+			return false
+		})),
+		Entry("bytes that are no answer", behaviour(func(conn net.Conn, _ taken, _ int) bool {
+			fmt.Fprint(conn, "no answer at all\r\n\r\n")
+			return false
+		})),
+		Entry("a refusal without the word that it was not run", behaviour(func(conn net.Conn, r taken, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\nHazelwheel-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get(headerRequestID))
+			return true
+		})),
+	)
+
+	It("gets its own answer where one of another request comes before it", func() {
+		s := startServer("i-1", "s", "", func(conn net.Conn, r taken, n int) bool {
+			if n == 2 {
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nHazelwheel-Request-Id: other\r\nHazelwheel-Response-Stamp: x\r\nContent-Length: 5\r\n\r\nother")
+			}
+			return wholeAnswer(conn, r, fmt.Sprint("answer ", n))
+		})
+		_, front := startProxy(route(routes.NonIdempotent), false, s)
+		for n := 1; n <= 3; n++ {
+			_, body, err := ask(front, headerRequestID, fmt.Sprint("id-", n))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(fmt.Sprint("answer ", n)))
+		}
+	})
+
+	It("does not use a connection on which more came than was asked", func() {
+		s := startServer("i-1", "s", "", func(conn net.Conn, r taken, n int) bool {
+			wholeAnswer(conn, r, "one")
+			return wholeAnswer(conn, r, "again")
+		})
+		_, front := startProxy(route(routes.NonIdempotent), false, s)
+		for range 3 {
+			_, body, err := ask(front)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal("one"))
+		}
+	})
+
+	It("passes a server's own failure on with its stamp", func() {
+		s := startServer("i-1", "s", "", func(conn net.Conn, r taken, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 500 Oops\r\nHazelwheel-Request-Id: %s\r\nHazelwheel-Response-Stamp: st\r\nContent-Length: 4\r\n\r\noops",
+				r.Header.Get(headerRequestID))
+			return true
+		})
+		_, front := startProxy(route(routes.NonIdempotent), false, s)
+		answer, body, err := ask(front)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusInternalServerError))
+		Expect(answer.Header.Get(headerStamp)).To(Equal("st"))
+		Expect(body).To(Equal("oops"))
+	})
+
+	It("leaves a server alone whose address another has", func() {
+		one := startServer("i-1", "s", "", func(conn net.Conn, _ taken, _ int) bool {
+			fmt.Fprint(conn, "HTTP/1.1 421 Misdirected\r\nHazelwheel-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n")
+			return true
+		})
+		_, front := startProxy(route(routes.NonIdempotent), false, one, startServer("i-2", "s", "", echo))
+		for range 8 {
+			answer, _, err := ask(front)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.StatusCode).To(Equal(http.StatusOK))
+		}
+		Expect(len(one.seen())).To(BeNumerically("<=", 1))
+	})
+
+	It("is turned away where there is no route, and where its body is too large", func() {
+		_, front := startProxy(route(routes.NonIdempotent), false, startServer("i-1", "s", "", echo))
+		answer, err := front.Client().Post(front.URL+"/elsewhere/", "", nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusNotFound))
+		request, err := http.NewRequest(http.MethodPost, front.URL+"/p/x", strings.NewReader(strings.Repeat("x", 1<<17)))
+		Expect(err).NotTo(HaveOccurred())
+		request.Host = "h.example"
+		answer, err = front.Client().Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+	})
+
+	It("goes to no server that is draining, also where an older list says otherwise", func() {
+		one, two := startServer("i-1", "s", "", echo), startServer("i-2", "s", "", echo)
+		p, front := startProxy(route(routes.NonIdempotent), false, one, two)
+		draining := one.Instance
+		draining.Draining = true
+		p.state.take(&message.Feed{List: &message.List{Digest: 2, Instances: []message.Instance{draining, two.Instance}}})
+		p.state.take(&message.Feed{List: &message.List{Digest: 1, Instances: []message.Instance{one.Instance, two.Instance}}})
+		for range 10 {
+			_, _, err := ask(front)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(one.seen()).To(BeEmpty())
+	})
+
+	It("never goes by an older configuration than before", func() {
+		p, front := startProxy(route(routes.NonIdempotent), false, startServer("i-1", "s", "", echo))
+		p.state.take(&message.Feed{Table: &routes.Table{Version: 0}})
+		answer, _, err := ask(front)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusOK))
+	})
+})
--- /dev/null
+++ b/internal/proxy/proxy_suite_test.go
@@ -0,0 +1,199 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/routes"
+)
+
+func TestProxy(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "proxy")
+}
+
+// taken is a request that a server has read.
+type taken struct {
+	*http.Request
+	body string
+}
+
+// server is a stand-in for a server: what it answers is written by the test, byte by byte.
+type server struct {
+	message.Instance
+	listener net.Listener
+
+	mu       sync.Mutex
+	requests []taken
+	conns    int
+}
+
+// behaviour answers the n-th request of a server on its connection. It returns whether the connection goes on.
+type behaviour func(conn net.Conn, r taken, n int) bool
+
+func startServer(id, service string, stage message.Stage, answer behaviour) *server {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &server{listener: listener, Instance: message.Instance{ID: id, Service: service, Address: listener.Addr().String(), Zone: "z",
+		Slots: 4, Stage: stage}}
+	DeferCleanup(func() { _ = listener.Close() }) // a test may have closed it
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, answer)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(conn net.Conn, answer behaviour) {
+	defer conn.Close()
+	s.mu.Lock()
+	s.conns++
+	s.mu.Unlock()
+	in := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		if request.URL.Path == "/health" {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nHazelwheel-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.ID)
+			continue
+		}
+		r := taken{request, string(body)}
+		s.mu.Lock()
+		s.requests = append(s.requests, r)
+		n := len(s.requests)
+		s.mu.Unlock()
+		if !answer(conn, r, n) {
+			return
+		}
+	}
+}
+
+func (s *server) seen() []taken {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]taken(nil), s.requests...)
+}
+
+// whole answers with a body and everything that a server's answer has.
+func wholeAnswer(conn net.Conn, r taken, body string) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nHazelwheel-Request-Id: %s\r\nHazelwheel-Response-Stamp: stamp\r\nContent-Length: %d\r\n\r\n%s",
+		r.Header.Get(headerRequestID), len(body), body)
+	return err == nil
+}
+
+func echo(conn net.Conn, r taken, _ int) bool { return wholeAnswer(conn, r, "answer of "+r.body) }
+
+// full refuses a request as a server does that has no place.
+func full(conn net.Conn, r taken, _ int) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nHazelwheel-Request-Id: %s\r\nHazelwheel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		r.Header.Get(headerRequestID))
+	return err == nil
+}
+
+// reset ends the connection without an answer, as a process does that is killed.
+func reset(conn net.Conn, _ taken, _ int) bool {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return false
+}
+
+// streamHead begins an answer of events.
+func streamHead(conn net.Conn, r taken) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nHazelwheel-Request-Id: %s\r\nHazelwheel-Response-Stamp: stamp\r\n"+
+		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get(headerRequestID))
+}
+
+func chunk(conn net.Conn, text string) { fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text) }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+func endOfStream(conn net.Conn) bool {
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	return err == nil
+}
+
+// events answers with all events after the one that the request names.
+func events(count int) behaviour {
+	return func(conn net.Conn, r taken, _ int) bool {
+		streamHead(conn, r)
+		from := 0
+		if _, err := fmt.Sscan(r.Header.Get(headerLastEventID), &from); err != nil {
+			from = 0
+		}
+		for id := from + 1; id <= count; id++ {
+			chunk(conn, event(id))
+		}
+		return endOfStream(conn)
+	}
+}
+
+// route is one to the service "s" with two attempts.
+func route(kind routes.Kind) routes.Route {
+	return routes.Route{Name: "r", Host: "h.example", PathPrefix: "/p/", Kind: kind, TimeoutMs: 5000, TargetMs: 500, Priority: 1,
+		Targets: []routes.Target{{Service: "s", Weight: 1}}, MaxAttempts: 2}
+}
+
+// startProxy begins a proxy with one route and these servers. The budget allows some repeats.
+func startProxy(r routes.Route, engine bool, servers ...*server) (*Proxy, *httptest.Server) {
+	settings := &boot.Settings{NodeID: "n", Zone: "z", Bounds: boot.Bounds{RetryBudgetRatio: 0.2, BudgetWindowS: 10, BudgetSlack: 100, AgainS: 8}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	p := &Proxy{settings: settings, log: logrus.NewEntry(log), state: newState(settings), backends: newBackends()}
+	table := &routes.Table{Version: 1, Routes: []routes.Route{r}, Services: []routes.Service{{Name: "s", HealthPath: "/health", MaxConnections: 100}},
+		Limits: routes.Limits{MaxBodyBytes: 1 << 16}}
+	if engine {
+		table.Services[0].Engine = &routes.Engine{Slots: 4, KVTokens: 1e6, KVTokenBytes: 1000, LinkMbps: 1e6, HandleTTLS: 5}
+	}
+	list := &message.List{Digest: 1}
+	for _, s := range servers {
+		list.Instances = append(list.Instances, s.Instance)
+	}
+	p.state.take(&message.Feed{Table: table, List: list, Rank: 0, Count: 1})
+	front := httptest.NewServer(p)
+	DeferCleanup(front.Close)
+	return p, front
+}
+
+// ask sends a request and returns the answer, its body and how the body ended.
+func ask(front *httptest.Server, set ...string) (*http.Response, string, error) {
+	request, err := http.NewRequest(http.MethodPost, front.URL+"/p/x?q=1", strings.NewReader("body"))
+	Expect(err).NotTo(HaveOccurred())
+	request.Host = "h.example"
+	request.Header.Set(headerRequestID, "id-1")
+	request.Header.Set(headerDeadline, "4000")
+	for i := 0; i+1 < len(set); i += 2 {
+		request.Header.Set(set[i], set[i+1])
+	}
+	answer, err := front.Client().Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return answer, string(body), err
+}
--- /dev/null
+++ b/internal/proxy/stream_test.go
@@ -0,0 +1,147 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/routes"
+)
+
+// allEvents is the body of a stream of so many.
+func allEvents(count int) (out string) {
+	for id := 1; id <= count; id++ {
+		out += event(id)
+	}
+	return out
+}
+
+// breakAfter sends some events and half of the next one, and is gone.
+func breakAfter(count int) behaviour {
+	return func(conn net.Conn, r taken, n int) bool {
+		streamHead(conn, r)
+		for id := 1; id <= count; id++ {
+			chunk(conn, event(id))
+		}
+		chunk(conn, event(count + 1)[:7])
+		return reset(conn, r, n)
+	}
+}
+
+var _ = Describe("a stream", func() {
+	It("is passed on event by event", func() {
+		_, front := startProxy(route(routes.Streaming), false, startServer("i-1", "s", "", events(5)))
+		answer, body, err := ask(front)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Header.Get("Content-Type")).To(Equal("text/event-stream"))
+		Expect(body).To(Equal(allEvents(5)))
+	})
+
+	It("that breaks off does not look complete, and no half event goes out", func() {
+		one, two := startServer("i-1", "s", "", breakAfter(2)), startServer("i-2", "s", "", breakAfter(2))
+		_, front := startProxy(route(routes.Streaming), false, one, two)
+		_, body, err := ask(front)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(body).To(Equal(allEvents(2)))
+		Expect(len(one.seen()) + len(two.seen())).To(Equal(1))
+	})
+
+	It("goes on at another server where it may, without losing or repeating an event", func() {
+		resumable := route(routes.Streaming)
+		resumable.Resumable = true
+		broken, good := startServer("i-1", "s", "", breakAfter(2)), startServer("i-2", "s", "", events(4))
+		_, front := startProxy(resumable, false, broken, good)
+		for range 6 {
+			_, body, err := ask(front)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(allEvents(4)))
+		}
+		Expect(broken.seen()).NotTo(BeEmpty(), "the draw never met the server that breaks off")
+		Expect(good.seen()[0].Header.Get(headerLastEventID)).To(Or(Equal("2"), BeEmpty()))
+	})
+})
+
+// prefix is of a prompt so long that it is worth moving.
+const prefix = "aa:500,bb:300,cc:20000"
+
+// reads answers the reading of a prompt with a handle.
+func reads(conn net.Conn, r taken, _ int) bool {
+	if r.Method == http.MethodDelete {
+		_, err := fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	body := `{"KvHandle":"h1","Tokens":1000,"Version":1}`
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nHazelwheel-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get(headerRequestID), len(body), body)
+	return err == nil
+}
+
+var _ = Describe("a prompt", func() {
+	tokens := []string{headerPrefixHash, prefix, headerTokenCounts, "20800,20"}
+
+	It("is read at one server and answered at another", func() {
+		reader := startServer("i-1", "s", message.Prefill, reads)
+		runner := startServer("i-2", "s", message.Decode, events(3))
+		_, front := startProxy(route(routes.Streaming), true, reader, runner)
+		_, body, err := ask(front, tokens...)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(allEvents(3)))
+		Expect(reader.seen()[0].Header.Get(headerServingStage)).To(Equal("prefill"))
+		Expect(runner.seen()[0].Header.Get(headerKVFrom)).To(Equal(reader.Address + "/h1"))
+		Expect(runner.seen()[0].Header.Get(headerPriority)).To(Equal("1"))
+	})
+
+	It("is read where the answer is made when its reading fails", func() {
+		reader := startServer("i-1", "s", message.Prefill, reset)
+		runner := startServer("i-2", "s", message.Decode, events(3))
+		_, front := startProxy(route(routes.Streaming), true, reader, runner)
+		_, body, err := ask(front, tokens...)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(allEvents(3)))
+		Expect(runner.seen()[0].Header).NotTo(HaveKey(headerKVFrom))
+	})
+
+	It("offers its cache to one more server when the first has no room", func() {
+		reader := startServer("i-1", "s", message.Prefill, reads)
+		one, two := startServer("i-2", "s", message.Decode, full), startServer("i-3", "s", message.Decode, events(3))
+		for range 6 { // a proxy that has seen nothing yet, each time
+			_, front := startProxy(route(routes.Streaming), true, reader, one, two)
+			_, body, err := ask(front, tokens...)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(allEvents(3)))
+		}
+		Expect(one.seen()).NotTo(BeEmpty())
+		for _, r := range two.seen() {
+			Expect(r.Header.Get(headerKVFrom)).To(Equal(reader.Address + "/h1"))
+		}
+	})
+
+	It("frees its cache where no answer can be made", func() {
+		reader := startServer("i-1", "s", message.Prefill, reads)
+		runner := startServer("i-2", "s", message.Decode, full)
+		Expect(runner.listener.Close()).To(Succeed())
+		_, front := startProxy(route(routes.Streaming), true, reader, runner)
+		answer, _, err := ask(front, tokens...)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Eventually(func() (paths []string) {
+			for _, r := range reader.seen() {
+				paths = append(paths, r.Method+" "+r.URL.Path)
+			}
+			return paths
+		}).Should(ContainElement("DELETE /kv-handle/h1"))
+	})
+
+	It("without parts goes to the servers that make answers, whatever its route's kind", func() {
+		runner := startServer("i-2", "s", message.Decode, echo)
+		_, front := startProxy(route(routes.Idempotent), true, startServer("i-1", "s", message.Prefill, full), runner)
+		_, body, err := ask(front)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.HasPrefix(body, "answer of")).To(BeTrue())
+	})
+})
