--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -134,6 +134,9 @@
 		if len(orders) == 0 {
 			continue
 		}
+		demand := demands[service.Name]
+		k.control.log.WithField("service", service.Name).WithField("read_per_s", int(demand.ReadPerS)).WithField("streams", int(demand.Streams)).
+			WithField("held", int(demand.Held)).WithField("pace", int(demand.PacePerS)).WithField("orders", len(orders)).Info("stages")
 		k.publish()
 		for _, order := range orders {
 			k.order(ctx, order)
