Split stages by what answers need, and fit the time of a reading by latency and pace

Cause: the split went by the pace of readers, which no proxy can tell well (50,000 to 900,000 tokens/s were learned where servers read 112,000): parts that others had read, lines and a latency of each reading lie in what is seen. Change: answers get the servers that their slots and memory need at 0.42, readers all others; the wait for a reading goes by a fitted latency and pace.

--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -136,7 +136,7 @@
 		}
 		demand := demands[service.Name]
 		k.control.log.WithField("service", service.Name).WithField("read_per_s", int(demand.ReadPerS)).WithField("streams", int(demand.Streams)).
-			WithField("held", int(demand.Held)).WithField("pace", int(demand.PacePerS)).WithField("orders", len(orders)).Info("stages")
+			WithField("held", int(demand.Held)).WithField("orders", len(orders)).Info("stages")
 		k.publish()
 		for _, order := range orders {
 			k.order(ctx, order)
@@ -157,7 +157,6 @@
 			sum.ReadPerS += demand.ReadPerS
 			sum.Streams += demand.Streams
 			sum.Held += demand.Held
-			sum.PacePerS = max(sum.PacePerS, demand.PacePerS)
 			sums[demand.Service] = sum
 		}
 	}
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -39,7 +39,6 @@
 	ReadPerS float64 `msgpack:"r"` // prompt tokens to be read a second
 	Streams  float64 `msgpack:"n"` // answers under way
 	Held     float64 `msgpack:"h"` // tokens that those answers hold in memory
-	PacePerS float64 `msgpack:"p"` // prompt tokens that one server was seen to read a second
 }
 
 // newer tells whether r says more than other.
--- a/internal/decide/placement/engine.go
+++ b/internal/decide/placement/engine.go
@@ -31,10 +31,12 @@
 const (
 	// pacePrior is the reading pace that is assumed before any was seen, in tokens per second.
 	pacePrior = 60_000
-	// paceDecay is by how much a fast pace is forgotten with each slower one.
-	paceDecay = 0.02
-	// paceLeast is the number of tokens from which on a reading tells of the pace.
-	paceLeast = 1000
+	// fastStep and slowStep are the weights of a reading that was faster or slower than expected.
+	fastStep = 0.15
+	slowStep = 0.03
+	// learnUnit is the number of tokens by which readings are scaled, perTokenLeast a bound against nonsense, in seconds.
+	learnUnit     = 10_000
+	perTokenLeast = 1e-7
 	// waitTau is the time in seconds in which a wait that was seen counts for a third.
 	waitTau = 0.6
 	// metPart is the part of the wait that a prompt met that is taken to last.
@@ -102,18 +104,42 @@
 	return float64(q.Parts[len(q.Parts)-1].Tokens)
 }
 
-// paces holds what was learned of how fast servers of a stage read, in tokens per second.
+// paces holds what was learned of how fast servers of each stage read.
 type paces struct {
-	prefill, decode float64
+	prefill, decode pace
 }
 
-func (p *paces) of(stage message.Stage) *float64 {
+func newPaces() paces {
+	return paces{prefill: pace{perToken: 1 / pacePrior}, decode: pace{perToken: 1 / (pacePrior * directPart)}}
+}
+
+func (p *paces) of(stage message.Stage) *pace {
 	if stage == message.Prefill {
 		return &p.prefill
 	}
 	return &p.decode
 }
 
+// pace says that reading takes a latency and a time for each token, where nothing else is read. It is fitted to the readings
+// that went fast: one that was held up tells little.
+type pace struct {
+	latency  float64 // seconds
+	perToken float64 // seconds
+}
+
+// learn takes a reading, by a step of a regression that weighs fast readings more.
+func (p *pace) learn(tokens, seconds float64) {
+	x := tokens / learnUnit
+	wrong := seconds - p.latency - tokens*p.perToken
+	step := slowStep
+	if wrong < 0 {
+		step = fastStep
+	}
+	step *= wrong / (1 + x*x)
+	p.latency = max(p.latency+step, 0)
+	p.perToken = max(p.perToken+step*x/learnUnit, perTokenLeast)
+}
+
 // Plan says where a prompt is read: at Reader, after which Runner has to be asked for, or where Reader is nil at Runner, which makes
 // the answer too.
 type Plan struct {
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -33,11 +33,13 @@
 }
 
 // NewPlanner returns a planner for a pool.
-func NewPlanner(pool *Pool, keepS float64) *Planner { return &Planner{pool: pool, keepS: keepS} }
+func NewPlanner(pool *Pool, keepS float64) *Planner {
+	return &Planner{pool: pool, keepS: keepS, pace: newPaces()}
+}
 
 // Demand returns what this proxy asks of the service.
 func (l *Planner) Demand(now float64) membership.Demand {
-	demand := membership.Demand{Service: l.pool.Service, ReadPerS: l.read.perS(now), PacePerS: l.pace.prefill}
+	demand := membership.Demand{Service: l.pool.Service, ReadPerS: l.read.perS(now)}
 	for _, e := range l.pool.endpoints {
 		if e.Stage == message.Decode {
 			demand.Streams += float64(e.InFlight)
@@ -47,27 +49,18 @@
 	return demand
 }
 
-func (l *Planner) paceOf(stage message.Stage) float64 {
-	if pace := *l.pace.of(stage); pace > 0 {
-		return pace
-	}
-	if stage == message.Decode {
-		if l.pace.prefill > 0 {
-			return l.pace.prefill * directPart
-		}
-		return pacePrior * directPart
-	}
-	if l.pace.decode > 0 {
-		return l.pace.decode / directPart
-	}
-	return pacePrior
+// seconds is what a server of a stage takes to read so many tokens at once.
+func (l *Planner) seconds(stage message.Stage, tokens float64) float64 {
+	return l.pace.of(stage).latency + tokens/l.paceOf(stage)
 }
 
+func (l *Planner) paceOf(stage message.Stage) float64 { return 1 / l.pace.of(stage).perToken }
+
 // reading estimates the cost of having a server read a prompt, in seconds: the time until it is read, and what reading shared
 // parts again counts for.
 func (l *Planner) reading(e *Endpoint, q *Prompt, now float64, home bool) float64 {
 	fresh := e.fresh(q, now, l.keepS, home)
-	seconds := e.engine.waitNow(now) + (e.engine.tokens+fresh)/l.paceOf(e.Stage)
+	seconds := e.engine.waitNow(now) + l.seconds(e.Stage, e.engine.tokens+fresh)
 	if e.Zone != l.pool.Zone {
 		seconds += crossPenalty
 	}
@@ -177,7 +170,7 @@
 // BeginReading counts a prompt that a server begins to read.
 func (l *Planner) BeginReading(now float64, e *Endpoint, q *Prompt) *Reading {
 	tokens := e.fresh(q, now, l.keepS, false)
-	r := &Reading{tokens: tokens, own: q.own(), began: now, expected: tokens / l.paceOf(e.Stage)}
+	r := &Reading{tokens: tokens, own: q.own(), began: now, expected: l.seconds(e.Stage, tokens)}
 	e.engine.readings = append(e.engine.readings, r)
 	e.engine.tokens += tokens
 	l.read.add(now, tokens)
@@ -201,21 +194,14 @@
 		return
 	}
 	seconds := now - r.began
-	pace := l.pace.of(e.Stage)
 	// Danger: what other proxies had read there is not known here. Only the part that nobody shares was read for certain.
-	if seen := r.own / max(seconds, 1e-4); r.own >= paceLeast {
-		if seen > *pace {
-			*pace = seen
-		} else {
-			*pace += paceDecay * (seen - *pace)
-		}
-	}
+	l.pace.of(e.Stage).learn(r.own, seconds)
 	queued := float64(e.engine.running+e.engine.waiting) * l.size / l.paceOf(e.Stage)
 	if e.Stage == message.Decode {
 		queued = 0 // what runs there are answers
 	}
 	// What the server has in line now says more than what this prompt met when it came.
-	e.engine.wait, e.engine.waitAt = max(queued, (seconds-r.tokens/l.paceOf(e.Stage))*metPart), now
+	e.engine.wait, e.engine.waitAt = max(queued, (seconds-l.seconds(e.Stage, r.tokens))*metPart), now
 }
 
 // BeginAnswer counts an answer that a server makes, EndAnswer takes it away.
--- a/internal/decide/stages/stages.go
+++ b/internal/decide/stages/stages.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	// readBusy and runBusy are how busy servers of a stage are meant to be, as parts of what they can do.
-	readBusy = 0.6
-	runBusy  = 0.5
+	// runBusy is the part of their slots and memory that servers are to have in use which make answers.
+	runBusy = 0.42
 	// leastEach is the number of servers that each stage keeps, where there are twice as many.
 	leastEach = 2
 	// smallMove is the part of the servers below which a difference is left alone.
@@ -35,7 +34,6 @@
 	ReadPerS float64 // prompt tokens to be read a second
 	Streams  float64 // answers under way
 	Held     float64 // tokens that they hold in memory
-	PacePerS float64 // prompt tokens that one server reads a second, 0: not known yet
 }
 
 // Service is a service with its servers as they are listed.
@@ -74,22 +72,18 @@
 	return &Planner{pending: map[string]pending{}, wantSince: map[string]want{}, ordered: map[string]float64{}}
 }
 
-// Wanted returns the number of n servers that are to read prompts.
+// Wanted returns the number of n servers that are to read prompts, -1 if nothing is asked: all that answers leave. Answers
+// need slots and memory, which are known; how fast servers read is not, and more readers only read sooner and hold more.
 func Wanted(n int, slots, memory float64, demand Demand) int {
-	if demand.PacePerS <= 0 || slots <= 0 {
+	if demand.ReadPerS < 1 || slots <= 0 {
 		return -1
 	}
-	read := demand.ReadPerS / (demand.PacePerS * readBusy)
 	run := demand.Streams / (slots * runBusy)
 	if memory > 0 {
 		run = max(run, demand.Held/(memory*runBusy))
 	}
-	if read+run <= 0 {
-		return -1
-	}
-	wanted := int(math.Round(float64(n) * read / (read + run)))
 	least := min(leastEach, n/2)
-	return min(max(wanted, least), n-least)
+	return min(max(n-int(math.Ceil(run)), least), n-least)
 }
 
 // stageOf is the stage that a server has or will have once its order is carried out.
