Tell heartbeats of all live processes in each exchange; begin with a finite pace; test both

Cause: tests of the roster at 60 processes with a tenth of the messages lost took four of 59 live ones for silent, since whole records carried the heartbeats; the first pace was a division of whole numbers, so 0 seconds a token. Change: Beats beside a smaller sample of records; suspicion widens with the fleet; the pace begins at 60,000 tokens/s. Tests of membership (12 to 330 processes, loss, restarts with clocks that went back) and of placement.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -34,8 +34,9 @@
 	// pushFanout is to how many processes news are sent at once; each of them sends them on.
 	pushFanout   = 3
 	viewSize     = 8
-	sampleSize   = 24
-	suspectAfter = 2.5 // seconds
+	sampleSize   = 12
+	beatSize     = 200
+	suspectAfter = 2.8 // seconds
 	forgetAfter  = 12  // seconds
 	// freshBy is by how much a reading of the list must be younger to take the place of one that differs.
 	freshBy = 20 * time.Millisecond
@@ -80,7 +81,7 @@
 	self.Incarnation = uint64(max(time.Now().UnixMilli(), 1))
 	seeds := settings.SeedAddresses()
 	view := membership.New(membership.Settings{SuspectAfterS: suspectAfter, ForgetAfterS: forgetAfter, ViewSize: viewSize,
-		SampleSize: sampleSize}, self, seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		SampleSize: sampleSize, BeatSize: beatSize}, self, seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	return &Node{log: log, client: client, start: time.Now(), view: view, changed: make(chan struct{})}
 }
 
@@ -187,7 +188,7 @@
 func (n *Node) digest(table, list bool) *message.Gossip {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := &message.Gossip{Format: message.FormatVersion, Records: n.view.Sample(n.now()), Voters: votersOf(n.facts.Voters),
+	out := &message.Gossip{Format: message.FormatVersion, Records: n.view.Sample(n.now()), Beats: n.view.Beats(n.now()), Voters: votersOf(n.facts.Voters),
 		Grants: n.facts.Grants, Plan: n.facts.Plan}
 	if n.facts.Table != nil {
 		out.Version = n.facts.Table.Version
@@ -254,6 +255,7 @@
 func (n *Node) absorb(told *message.Gossip) {
 	n.mu.Lock()
 	n.view.Merge(n.now(), told.Records)
+	n.view.MergeBeats(n.now(), told.Beats)
 	n.place()
 	if told.Voters.Epoch > n.facts.Voters.Epoch {
 		n.facts.Voters = votersOf(told.Voters)
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 )
@@ -46,12 +47,30 @@
 	return cmp.Or(cmp.Compare(r.Incarnation, other.Incarnation), cmp.Compare(r.Heartbeat, other.Heartbeat)) > 0
 }
 
+// Beat is the heartbeat of a life that the receiver knows by its record. Beats cost a few bytes, so that news of all live
+// processes goes with each exchange while records are told now and then.
+type Beat struct {
+	Key       uint32 `msgpack:"k"`
+	Heartbeat uint64 `msgpack:"b"`
+}
+
+// key tells lives apart.
+func (r *Record) key() uint32 {
+	const prime = 16777619
+	key := uint32(r.Life) ^ uint32(r.Life>>32)
+	for i := range len(r.Name) {
+		key = (key ^ uint32(r.Name[i])) * prime
+	}
+	return key
+}
+
 // Settings are the figures of a view. Times are in seconds.
 type Settings struct {
 	SuspectAfterS float64 // without news, a process counts as silent
 	ForgetAfterS  float64 // without news, its record is dropped
 	ViewSize      int     // peers that are kept for exchanges
 	SampleSize    int     // records that are told in one exchange
+	BeatSize      int     // heartbeats that are told in one exchange
 }
 
 type entry struct {
@@ -151,7 +170,7 @@
 	return addresses[:min(n, len(addresses))]
 }
 
-// Sample returns the records to tell in an exchange: the own one and the freshest of others, drawn at random.
+// Sample returns the records to tell in an exchange: the own one and others, drawn at random.
 func (v *View) Sample(now float64) []Record {
 	records := append([]Record{v.self}, v.rebuttal...)
 	v.rebuttal = nil
@@ -169,6 +188,38 @@
 	return records
 }
 
+// Beats returns heartbeats to tell in an exchange: of all that live, or of some drawn at random.
+func (v *View) Beats(now float64) []Beat {
+	var beats []Beat
+	for _, e := range v.entries {
+		if v.alive(e, now) {
+			beats = append(beats, Beat{e.record.key(), e.record.Heartbeat})
+		}
+	}
+	slices.SortFunc(beats, func(a, b Beat) int { return cmp.Compare(a.Key, b.Key) })
+	if len(beats) > v.settings.BeatSize {
+		v.rng.Shuffle(len(beats), func(i, j int) { beats[i], beats[j] = beats[j], beats[i] })
+		beats = beats[:v.settings.BeatSize]
+	}
+	return beats
+}
+
+// MergeBeats takes heartbeats that a peer told.
+func (v *View) MergeBeats(now float64, beats []Beat) {
+	if len(beats) == 0 {
+		return
+	}
+	byKey := make(map[uint32]uint64, len(beats))
+	for _, beat := range beats {
+		byKey[beat.Key] = beat.Heartbeat
+	}
+	for _, e := range v.entries {
+		if heartbeat, ok := byKey[e.record.key()]; ok && heartbeat > e.record.Heartbeat {
+			e.record.Heartbeat, e.heard = heartbeat, now
+		}
+	}
+}
+
 // Merge takes records that a peer told. It returns whether a process came that was not known.
 func (v *View) Merge(now float64, records []Record) (came bool) {
 	for i := range records {
@@ -234,7 +285,20 @@
 	}
 }
 
-func (v *View) alive(e *entry, now float64) bool { return now-e.heard <= v.settings.SuspectAfterS }
+const (
+	// wideFleet is the size from which on heartbeats don't all fit into an exchange and take longer to reach everybody, widen by how
+	// much longer for each doubling.
+	wideFleet = 64
+	widen     = 0.3
+)
+
+func (v *View) alive(e *entry, now float64) bool { return now-e.heard <= v.suspectAfterS() }
+
+// suspectAfterS grows with the fleet.
+func (v *View) suspectAfterS() float64 {
+	doublings := math.Log2(max(float64(len(v.entries))/wideFleet, 1))
+	return v.settings.SuspectAfterS * (1 + widen*doublings)
+}
 
 // Member is a record with the state in which it is held.
 type Member struct {
--- /dev/null
+++ b/internal/decide/membership/membership_test.go
@@ -0,0 +1,173 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/decide/membership"
+)
+
+func TestMembership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "membership")
+}
+
+const (
+	suspectAfter = 3.2
+	forgetAfter  = 10.0
+	tick         = 0.4
+)
+
+// fleet is a network of views that lose a part of their exchanges.
+type fleet struct {
+	rng   *rand.Rand
+	now   float64
+	views []*membership.View // nil: the process is down
+	loss  float64
+	lives uint64
+}
+
+func (f *fleet) start(i int, incarnation uint64) {
+	f.lives++
+	record := membership.Record{Name: fmt.Sprintf("n%03d", i), Kind: membership.Agent, Address: address(i), Incarnation: incarnation, Life: f.lives}
+	settings := membership.Settings{SuspectAfterS: suspectAfter, ForgetAfterS: forgetAfter, ViewSize: 8, SampleSize: 16, BeatSize: 200}
+	f.views[i] = membership.New(settings, record, []string{address(0), address(1), address(2)}, f.rng)
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/250, i%250) }
+
+func newFleet(seed uint64, size int, loss float64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 2)), views: make([]*membership.View, size), loss: loss}
+	for i := range size {
+		f.start(i, 100)
+	}
+	return f
+}
+
+// pass lets time go on by ticks in which each process exchanges once.
+func (f *fleet) pass(ticks int) {
+	for range ticks {
+		f.now += tick
+		for i, view := range f.views {
+			if view == nil {
+				continue
+			}
+			view.Tick(f.now)
+			j := f.index(view.Partner())
+			if j < 0 || j == i || f.views[j] == nil || f.rng.Float64() < f.loss {
+				continue
+			}
+			tell(f.now, view, f.views[j])
+			if f.rng.Float64() >= f.loss {
+				tell(f.now, f.views[j], view)
+			}
+		}
+	}
+}
+
+func tell(now float64, from, to *membership.View) {
+	to.Merge(now, from.Sample(now))
+	to.MergeBeats(now, from.Beats(now))
+}
+
+func (f *fleet) index(to string) int {
+	for i := range f.views {
+		if address(i) == to {
+			return i
+		}
+	}
+	return -1
+}
+
+// alive returns how many others a process takes to be alive.
+func (f *fleet) alive(i int) (count int) {
+	for _, member := range f.views[i].Members(f.now) {
+		if member.Alive && member.Name != f.views[i].Self().Name {
+			count++
+		}
+	}
+	return count
+}
+
+var _ = Describe("a fleet of views", func() {
+	DescribeTable("comes to know all that live, and keeps knowing them", func(size int, loss float64) {
+		for seed := range uint64(max(600/size, 1)) {
+			f := newFleet(seed, size, loss)
+			f.pass(40)
+			for range 20 {
+				f.pass(1)
+				for i := range f.views {
+					Expect(f.alive(i)).To(BeNumerically(">=", size-1-size/50), "seed %d, process %d at %.1f s", seed, i, f.now)
+				}
+			}
+		}
+	}, Entry("12", 12, 0.0), Entry("12 with loss", 12, 0.2), Entry("60 with loss", 60, 0.1),
+		Entry("330 with loss", 330, 0.05))
+
+	It("notices who is gone, and forgets them", func() {
+		f := newFleet(1, 20, 0.1)
+		f.pass(25)
+		f.views[7], f.views[9] = nil, nil
+		f.pass(int((suspectAfter+forgetAfter)/tick) + 20)
+		for i := range f.views {
+			if f.views[i] != nil {
+				Expect(f.views[i].Members(f.now)).To(HaveLen(18))
+			}
+		}
+	})
+
+	DescribeTable("takes back who begins again, whatever its clock says", func(incarnation uint64) {
+		f := newFleet(3, 15, 0.1)
+		f.pass(25)
+		f.views[4] = nil
+		f.pass(5)
+		f.start(4, incarnation)
+		f.pass(30)
+		for i := range f.views {
+			Expect(f.alive(i)).To(Equal(14))
+		}
+	}, Entry("a clock that went back", uint64(5)), Entry("the same moment", uint64(100)), Entry("a clock that went on", uint64(900)))
+
+	It("takes back who begins again after it was forgotten, with a clock that went back", func() {
+		f := newFleet(4, 15, 0)
+		f.pass(25)
+		f.views[4] = nil
+		f.pass(int(forgetAfter/tick) + 20)
+		f.start(4, 5)
+		f.pass(40)
+		for i := range f.views {
+			Expect(f.alive(i)).To(Equal(14), "process %d", i)
+		}
+	})
+
+	It("is not told that the dead live by old news", func() {
+		f := newFleet(5, 10, 0)
+		f.pass(25)
+		old := f.views[3].Self()
+		f.views[3] = nil
+		f.pass(int(forgetAfter/tick) + 20)
+		Expect(f.views[0].Merge(f.now, []membership.Record{old})).To(BeFalse())
+		Expect(f.alive(0)).To(Equal(8))
+	})
+
+	It("gives each a number of its own, which one that restarts keeps", func() {
+		f := newFleet(6, 12, 0)
+		f.pass(25)
+		ranks := map[int]bool{}
+		for _, view := range f.views {
+			rank, count := view.Rank(view.Self().Name, membership.Agent)
+			Expect(count).To(Equal(12))
+			ranks[rank] = true
+		}
+		Expect(ranks).To(HaveLen(12))
+		before, _ := f.views[8].Rank("n008", membership.Agent)
+		f.views[5] = nil
+		f.pass(8)
+		after, _ := f.views[8].Rank("n008", membership.Agent)
+		Expect(after).To(Equal(before))
+	})
+})
--- a/internal/decide/placement/engine.go
+++ b/internal/decide/placement/engine.go
@@ -30,7 +30,7 @@
 
 const (
 	// pacePrior is the reading pace that is assumed before any was seen, in tokens per second.
-	pacePrior = 60_000
+	pacePrior = 60_000.0
 	// fastStep and slowStep are the weights of a reading that was faster or slower than expected.
 	fastStep = 0.15
 	slowStep = 0.03
--- /dev/null
+++ b/internal/decide/placement/placement_test.go
@@ -0,0 +1,308 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/message"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+func instances(count int, stage message.Stage) (list []message.Instance) {
+	for i := range count {
+		list = append(list, message.Instance{ID: fmt.Sprintf("i-%s%03d", stage, i), Service: "s", Address: fmt.Sprint("a", i),
+			Zone: fmt.Sprint("z", i%3), Slots: 10, Stage: stage})
+	}
+	return list
+}
+
+func newPool(list []message.Instance) *Pool {
+	p := NewPool("s", "z0", Budget{WindowS: 10, Ratio: 0.2, Slack: 50}, rand.New(rand.NewPCG(1, 1)))
+	p.Update(0, list)
+	return p
+}
+
+// answerProbes has every due probe answered by all but some endpoints, in steps of 0.1 s.
+func answerProbes(p *Pool, from, to float64, silent ...string) {
+	for now := from; now < to; now += 0.1 {
+		for _, e := range p.DueProbes(now) {
+			answered := true
+			for _, id := range silent {
+				answered = answered && e.ID != id
+			}
+			e.Probed(now, answered)
+		}
+	}
+}
+
+var _ = Describe("the subset of a proxy", func() {
+	DescribeTable("covers every server evenly", func(servers, proxies int) {
+		uses := map[string]int{}
+		for rank := range proxies {
+			p := newPool(instances(servers, ""))
+			p.Place(rank, proxies)
+			for _, e := range p.members {
+				uses[e.ID]++
+			}
+		}
+		Expect(uses).To(HaveLen(servers))
+		least, most := 1<<30, 0
+		for _, count := range uses {
+			least, most = min(least, count), max(most, count)
+		}
+		Expect(most - least).To(BeNumerically("<=", 2))
+	}, Entry("few servers", 3, 9), Entry("as many", 20, 20), Entry("many servers", 300, 20), Entry("many proxies", 40, 300))
+})
+
+var _ = Describe("suspicion", func() {
+	It("keeps who answers, halves who is late and leaves out who is silent", func() {
+		p := newPool(instances(4, ""))
+		answerProbes(p, 0, 60)
+		Expect(p.endpoints["i-000"].window.phi(60.5)).To(BeNumerically("<", phiHalf))
+		answerProbes(p, 60, 90, "i-000")
+		Expect(p.endpoints["i-000"].window.phi(90)).To(BeNumerically(">", phiOut))
+		for range 200 {
+			Expect(p.Pick(90, nil).ID).NotTo(Equal("i-000"))
+		}
+	})
+
+	It("draws who is between the thresholds half as often", func() {
+		p := newPool(instances(2, ""))
+		answerProbes(p, 0, 60)
+		late := p.endpoints["i-000"]
+		now := 60.0
+		for late.window.phi(now) <= phiHalf {
+			now += 0.05
+		}
+		p.endpoints["i-001"].window.last = now
+		Expect(late.window.phi(now)).To(BeNumerically("<=", phiOut))
+		drawn := 0
+		for range 4000 {
+			for _, e := range p.candidates(now, "", nil) {
+				if e == late {
+					drawn++
+				}
+			}
+		}
+		Expect(drawn).To(BeNumerically("~", 2000, 200))
+	})
+
+	It("gives the least suspected the traffic where all are silent", func() {
+		p := newPool(instances(3, ""))
+		answerProbes(p, 0, 60)
+		for _, e := range p.endpoints {
+			e.window.seed(60, ProbeEvery)
+		}
+		p.endpoints["i-001"].window.last += 1
+		for range 50 {
+			Expect(p.Pick(500, nil).ID).To(Equal("i-001"))
+		}
+	})
+
+	It("grows its window on arrivals alone", func() {
+		p := newPool(instances(1, ""))
+		answerProbes(p, 0, 30)
+		gaps := len(p.endpoints["i-000"].window.gaps)
+		answerProbes(p, 30, 300, "i-000")
+		Expect(p.endpoints["i-000"].window.gaps).To(HaveLen(gaps))
+	})
+
+	It("seeds who comes with the mean of the others", func() {
+		p := newPool(instances(3, ""))
+		answerProbes(p, 0, 60)
+		p.Update(60, instances(4, ""))
+		Expect(p.endpoints["i-003"].window.mean()).To(BeNumerically("~", p.endpoints["i-000"].window.mean(), 0.5))
+		Expect(p.endpoints["i-003"].window.phi(60)).To(BeNumerically("<", phiHalf))
+	})
+
+	It("probes each member at least every five seconds", func() {
+		p := newPool(instances(10, ""))
+		last := map[string]float64{}
+		for now := 0.0; now < 100; now += 0.1 {
+			for _, e := range p.DueProbes(now) {
+				last[e.ID] = now
+				e.Probed(now, true)
+			}
+			for id := range p.endpoints {
+				Expect(now-last[id]).To(BeNumerically("<=", 5), id)
+			}
+		}
+	})
+})
+
+var _ = Describe("the choice of a server", func() {
+	It("takes the one of two with fewer own requests", func() {
+		p := newPool(instances(2, ""))
+		p.endpoints["i-000"].InFlight = 3
+		for range 50 {
+			Expect(p.Pick(0, nil).ID).To(Equal("i-001"))
+		}
+	})
+
+	It("never takes who is draining, gone, changing its stage or another instance", func() {
+		p := newPool(instances(5, ""))
+		list := instances(5, "")
+		list[0].Draining = true
+		p.Update(1, list[:4])
+		p.Update(2, instances(5, "")) // an older reading
+		p.Switching(map[string]message.Stage{"i-001": message.Prefill})
+		p.endpoints["i-002"].Misplaced()
+		for range 100 {
+			Expect(p.Pick(2, nil).ID).To(Equal("i-003"))
+		}
+	})
+
+	It("leaves who fails in a row alone for a while, and goes back on proof", func() {
+		p := newPool(instances(2, ""))
+		bad := p.endpoints["i-000"]
+		bad.Failed(1, false)
+		Expect(p.usable(bad, 1)).To(BeTrue(), "one failure proves little")
+		bad.Failed(1, false)
+		Expect(p.usable(bad, 1.1)).To(BeFalse())
+		Expect(p.usable(bad, 1+coolMost)).To(BeTrue())
+		bad.Failed(2, true)
+		bad.Succeeded()
+		Expect(p.usable(bad, 2)).To(BeTrue())
+	})
+
+	It("keeps within the connections of a server", func() {
+		p := newPool(instances(1, ""))
+		p.Place(0, 10)
+		p.SetConnections(50)
+		only := p.endpoints["i-000"]
+		only.InFlight = 3
+		Expect(p.Pick(0, nil)).NotTo(BeNil())
+		only.InFlight = 4 // a tenth of the part of 50 that is used
+		Expect(p.candidates(0, "", nil)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("the retry budget", func() {
+	It("is kept by all proxies together in every window", func() {
+		for seed := range uint64(40) {
+			rng := rand.New(rand.NewPCG(seed, 5))
+			proxies := 4 + rng.IntN(30)
+			budgets := make([]Budget, proxies)
+			for i := range budgets {
+				budgets[i] = Budget{WindowS: 10, Ratio: 0.2, Slack: 58}
+			}
+			var requests, extra []float64
+			for now := 0.0; now < 60; now += rng.ExpFloat64() / 200 {
+				b := &budgets[rng.IntN(rng.IntN(proxies)+1)] // uneven shares
+				b.Request(now)
+				requests = append(requests, now)
+				for range rng.IntN(4) {
+					if b.Spend(now, proxies) {
+						extra = append(extra, now)
+					}
+				}
+				requests, extra = since(requests, now-10), since(extra, now-10)
+				Expect(float64(len(extra))).To(BeNumerically("<=", 0.2*float64(len(requests))+58), "seed %d at %.2f s", seed, now)
+			}
+			Expect(extra).NotTo(BeEmpty())
+		}
+	})
+})
+
+var _ = Describe("the place of a prompt", func() {
+	prompt := &Prompt{Tokens: 12000, Output: 100, Parts: []Part{{"aa", 500}, {"bb", 4900}, {"cc", 6600}}}
+	list := append(instances(4, message.Prefill), instances(4, message.Decode)...)
+	engine := Engine{Present: true, KVTokenBytes: 35000, KVTokens: 900e3, LinkMbps: 1e6}
+
+	It("is the same for an opening at every proxy", func() {
+		var first *Endpoint
+		for rank := range 6 {
+			p := newPool(list)
+			p.Engine = engine
+			p.Place(rank, 6)
+			plan, ok := NewPlanner(p, 8).Choose(0, prompt, nil, true)
+			Expect(ok).To(BeTrue())
+			Expect(plan.Reader).NotTo(BeNil())
+			if first == nil {
+				first = plan.Reader
+			}
+			Expect(plan.Reader.ID).To(Equal(first.ID))
+		}
+	})
+
+	It("moves on when its home has a long line", func() {
+		p := newPool(list)
+		p.Engine = engine
+		l := NewPlanner(p, 8)
+		plan, _ := l.Choose(0, prompt, nil, true)
+		for range 20 {
+			l.BeginReading(0, plan.Reader, prompt)
+		}
+		next, _ := l.Choose(0.01, prompt, nil, true)
+		Expect(next.Reader).NotTo(Equal(plan.Reader))
+	})
+
+	It("moves on when a prompt there is overdue", func() {
+		p := newPool(list)
+		p.Engine = engine
+		l := NewPlanner(p, 8)
+		plan, _ := l.Choose(0, prompt, nil, true)
+		l.BeginReading(0, plan.Reader, prompt)
+		Expect(plan.Reader.engine.waitNow(2)).To(BeNumerically(">", 1))
+		next, _ := l.Choose(2, prompt, nil, true)
+		Expect(next.Reader).NotTo(Equal(plan.Reader))
+	})
+
+	It("is where the answer is made where nobody reads", func() {
+		p := newPool(instances(3, message.Decode))
+		plan, ok := NewPlanner(p, 8).Choose(0, prompt, nil, true)
+		Expect(ok).To(BeTrue())
+		Expect(plan.Reader).To(BeNil())
+		Expect(plan.Runner).NotTo(BeNil())
+	})
+
+	It("forgets what was counted once it has ended", func() {
+		p := newPool(list)
+		l := NewPlanner(p, 8)
+		e := p.endpoints["i-prefill000"]
+		for i := range 30 {
+			r := l.BeginReading(float64(i), e, prompt)
+			e.BeginAnswer(prompt)
+			l.EndReading(float64(i)+0.2, e, r, i%2 == 0)
+			e.EndAnswer(prompt)
+		}
+		Expect(e.engine.tokens).To(BeNumerically("~", 0, 1e-6))
+		Expect(e.engine.readings).To(BeEmpty())
+		Expect(e.engine.held).To(BeZero())
+	})
+
+	It("learns latency and pace from the fast ones among readings that are held up", func() {
+		l := newPaces()
+		rng := rand.New(rand.NewPCG(9, 9))
+		for range 3000 {
+			tokens := 500 + rng.Float64()*12000
+			seconds := 0.047 + tokens/112_000
+			if rng.IntN(2) == 0 {
+				seconds += rng.ExpFloat64() * 0.2
+			}
+			l.prefill.learn(tokens, seconds)
+		}
+		for _, tokens := range []float64{1000, 4000, 12000} {
+			alone := 0.047 + tokens/112_000
+			Expect(l.prefill.latency+tokens*l.prefill.perToken).To(BeNumerically("~", alone, 0.06), "%v tokens", tokens)
+		}
+	})
+
+	It("begins with a pace that is finite", func() {
+		l := newPaces()
+		Expect(l.prefill.perToken).To(BeNumerically("~", 1/pacePrior, 1e-9))
+		Expect(l.decode.perToken).To(BeNumerically(">", l.prefill.perToken))
+	})
+
+	DescribeTable("is read from the fields that a client sends", func(field string, want int) {
+		Expect(ParsePrefix(field)).To(HaveLen(want))
+	}, Entry("three parts", "5c1e07a2:800,91bd3f06:410, e4402b7d:250", 3), Entry("none", "", 0), Entry("no size", "aa,bb:0,cc:-4,dd:x", 0))
+})
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -42,6 +42,7 @@
 type Gossip struct {
 	Format    int                 `msgpack:"f"`
 	Records   []membership.Record `msgpack:"r"`
+	Beats     []membership.Beat   `msgpack:"b"`
 	Voters    register.Value      `msgpack:"v"` // the voters alone
 	Version   uint64              `msgpack:"n"` // of the configuration
 	Table     *routes.Table       `msgpack:"t"`
