--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -17,7 +17,7 @@
 
 const (
 	// readingMost is how long the reading of a prompt is waited for, in times the route's objective.
-	readingMost  = 3
+	readingMost  = 6
 	maxHandle    = 64 << 10
 	eventBuffer  = 4 << 10
 	freeWithin   = time.Second
