--- a/internal/decide/placement/pool.go
+++ b/internal/decide/placement/pool.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// subsetFloor is the number of servers that each proxy takes at least, where there are so many.
-	subsetFloor = 12
+	// subsetFloor is the number of servers that each proxy takes at least, where there are so many. Of those that read prompts it is
+	// more: openings that are held at one server are found there only by proxies that have it in their subset.
+	subsetFloor        = 6
+	subsetFloorReaders = 64
 	// coolFirst and coolMost bound how long a server that fails requests gets none, in seconds. It doubles from failure to failure.
 	coolFirst = 0.4
 	coolMost  = 6.0
@@ -156,7 +158,11 @@
 		if len(ring) == 0 {
 			continue
 		}
-		from, size := policy.Subset(len(ring), p.rank, p.count, subsetFloor)
+		floor := float64(subsetFloor)
+		if stage == message.Prefill {
+			floor = subsetFloorReaders
+		}
+		from, size := policy.Subset(len(ring), p.rank, p.count, floor)
 		for i := range size {
 			p.members = append(p.members, ring[(from+i)%len(ring)])
 		}
