Take servers that change their stage out of subsets

Servers were ordered in the order of their ids, which is that of subsets. Change: subsets are taken from those that don't change; orders go to scattered servers. Test: a subset that is ordered away whole.

--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -160,6 +160,18 @@
 		}
 	})
 
+	It("takes others into its subset while servers change their stage", func() {
+		p := newPool(instances(60, ""))
+		p.Place(0, 60)
+		stages := map[string]message.Stage{}
+		for _, e := range p.members {
+			stages[e.ID] = message.Prefill
+		}
+		p.Switching(stages)
+		Expect(p.Pick(0, nil)).NotTo(BeNil())
+		Expect(stages).NotTo(HaveKey(p.Pick(0, nil).ID))
+	})
+
 	It("leaves who fails in a row alone for a while, and goes back on proof", func() {
 		p := newPool(instances(2, ""))
 		bad := p.endpoints["i-000"]
--- a/internal/decide/placement/pool.go
+++ b/internal/decide/placement/pool.go
@@ -131,6 +131,7 @@
 		stage, ordered := stages[id]
 		e.switching = ordered && stage != e.Stage
 	}
+	p.subset()
 }
 
 // meanGap is the mean of all windows.
@@ -151,7 +152,7 @@
 	for _, stage := range []message.Stage{"", message.Prefill, message.Decode} {
 		var ring []*Endpoint
 		for _, id := range p.ids {
-			if endpoint := p.endpoints[id]; endpoint.Stage == stage && !endpoint.Draining {
+			if endpoint := p.endpoints[id]; endpoint.Stage == stage && !endpoint.Draining && !endpoint.switching {
 				ring = append(ring, endpoint)
 			}
 		}
--- a/internal/decide/stages/stages.go
+++ b/internal/decide/stages/stages.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"math"
 	"slices"
 
@@ -157,7 +158,8 @@
 	from = slices.Clone(from)
 	for range count {
 		best := slices.MinFunc(from, func(a, b message.Instance) int {
-			return cmp.Or(cmp.Compare(p.busy(now, &a), p.busy(now, &b)), cmp.Compare(perZone[a.Zone], perZone[b.Zone]), cmp.Compare(a.ID, b.ID))
+			return cmp.Or(cmp.Compare(p.busy(now, &a), p.busy(now, &b)), cmp.Compare(perZone[a.Zone], perZone[b.Zone]),
+				cmp.Compare(scattered(a.ID), scattered(b.ID)))
 		})
 		if p.busy(now, &best) > 0 {
 			return orders
@@ -170,6 +172,13 @@
 	return orders
 }
 
+// scattered orders servers so that those that change together are not neighbours in the subsets of proxies.
+func scattered(id string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(id))
+	return hash.Sum64()
+}
+
 // busy is 1 for a server that is under an order.
 func (p *Planner) busy(now float64, instance *message.Instance) int {
 	if ordered, ok := p.pending[instance.ID]; ok && now <= ordered.until {
