Share what servers tell of their load; leave an opening's home once it would be too late there

Change: loads ride on the exchanges, the youngest word counts; they choose who makes an answer. A reading that would miss the objective counts half a second more.

--- a/internal/agent/feed.go
+++ b/internal/agent/feed.go
@@ -67,12 +67,21 @@
 				return
 			}
 			p.agent.node.SetDemands(report.Demands)
+			p.agent.node.SetLoads(report.Loads)
 		}
 	}()
 	var told cluster.Facts
+	loads := time.NewTicker(cluster.ExchangeEvery)
+	defer loads.Stop()
+	loadsDue := false
 	for {
 		facts, changed := p.agent.node.Facts()
-		if out, news := difference(told, facts); news {
+		out, news := difference(told, facts)
+		if loadsDue {
+			out.Loads, loadsDue = p.agent.node.Loads(), false
+			news = news || len(out.Loads) > 0
+		}
+		if news {
 			_ = conn.SetWriteDeadline(time.Now().Add(writeWithin)) // the write tells of a connection that is gone
 			if err := transport.WriteFrame(conn, out); err != nil {
 				return
@@ -83,6 +92,8 @@
 		case <-gone:
 			return
 		case <-changed:
+		case <-loads.C:
+			loadsDue = true
 		}
 	}
 }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -82,6 +82,7 @@
 	view    *membership.View
 	facts   Facts
 	changed chan struct{} // closed and replaced when facts change
+	loads   loads
 	table   claim
 	list    claim
 }
@@ -250,7 +251,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	out := &message.Gossip{Format: message.FormatVersion, Records: n.view.Sample(n.now()), Beats: n.view.Beats(n.now()),
-		Voters: votersOf(n.facts.Voters), Grants: n.facts.Grants, Plan: n.facts.Plan}
+		Voters: votersOf(n.facts.Voters), Grants: n.facts.Grants, Plan: n.facts.Plan, Loads: n.loads.young()}
 	if n.facts.Table != nil {
 		out.Version = n.facts.Table.Version
 	}
@@ -309,6 +310,7 @@
 	n.mu.Lock()
 	n.view.Merge(n.now(), told.Records)
 	n.view.MergeBeats(n.now(), told.Beats)
+	n.loads.merge(told.Loads)
 	n.place()
 	if told.Voters.Epoch > n.facts.Voters.Epoch {
 		n.facts.Voters = votersOf(told.Voters)
--- a/internal/decide/placement/engine.go
+++ b/internal/decide/placement/engine.go
@@ -39,10 +39,13 @@
 	perTokenLeast = 1e-7
 	// waitTau is the time in seconds in which a wait that was seen counts for a third.
 	waitTau = 0.6
+	// latePenalty is what it counts for that a prompt is surely too late, in seconds; between lateFrom and lateTo, in parts of the
+	// objective, it grows.
+	latePenalty = 0.5
+	lateFrom    = 0.6
+	lateTo      = 1.1
 	// metPart is the part of the wait that a prompt met that is taken to last.
 	metPart = 0.5
-	// sizeWeight is the weight of a prompt in the mean size.
-	sizeWeight = 0.05
 	// partsMost bounds the parts that are remembered of a server.
 	partsMost = 4096
 	// crossPenalty is what another zone counts for when a prompt is read, in seconds; crossRunner when its answer is made, as a part of
@@ -66,6 +69,8 @@
 	tokens   float64 // own prompt tokens that are being read there
 	wait     float64 // seconds waited beyond the reading itself, as seen last
 	waitAt   float64
+	loadAt   float64 // when the server told running and waiting
+	untold   bool    // this was told here and not passed on yet
 	running  int
 	waiting  int
 	held     float64            // tokens that own answers hold in memory
@@ -84,8 +89,9 @@
 // Prompt is what the choice of servers goes by.
 type Prompt struct {
 	Parts  []Part
-	Tokens int // of the whole prompt
-	Output int // most tokens to go out
+	Tokens int     // of the whole prompt
+	Output int     // most tokens to go out
+	AimS   float64 // the objective for the first event, in seconds; 0: none
 }
 
 // Shared returns the key of the parts that others may share, "" if there are none.
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -268,6 +268,31 @@
 		Expect(next.Reader).NotTo(Equal(plan.Reader))
 	})
 
+	It("leaves its home once it would be too late there", func() {
+		p := newPool(list)
+		p.Engine = engine
+		l := NewPlanner(p, 8)
+		l.pace.prefill = pace{latency: 0.05, perToken: 1e-5}
+		inTime := &Prompt{Tokens: 12000, Parts: prompt.Parts, AimS: 0.5}
+		home, _ := l.Choose(0, inTime, nil, true)
+		r := l.BeginReading(0, home.Reader, inTime)
+		l.EndReading(0.7, home.Reader, r, true) // it took 0.5 s longer than alone
+		next, _ := l.Choose(0.7, inTime, nil, true)
+		Expect(next.Reader).NotTo(Equal(home.Reader))
+	})
+
+	It("takes the youngest word on a server's load, in any order", func() {
+		p := newPool(list)
+		p.Engine = engine
+		e := p.endpoints["i-decode001"]
+		e.Loaded(10, 3, 1)
+		p.SetLoads(10.5, []message.Load{{Key: e.key, Running: 9, Waiting: 2, AgeMs: 100}})
+		p.SetLoads(10.6, []message.Load{{Key: e.key, Running: 1, Waiting: 0, AgeMs: 900}})
+		Expect(e.engine.running).To(Equal(9))
+		Expect(p.TakeLoads(10.6)).To(HaveLen(1), "what was told here goes on to others once")
+		Expect(p.TakeLoads(10.7)).To(BeEmpty())
+	})
+
 	It("is where the answer is made where nobody reads", func() {
 		p := newPool(instances(3, message.Decode))
 		plan, ok := NewPlanner(p, 8).Choose(0, prompt, nil, true)
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -14,7 +14,6 @@
 	pace  paces
 	keepS float64 // for how long a part that was read is taken to be held
 	read  decayed // prompt tokens
-	size  float64 // mean tokens of a prompt
 }
 
 // decayed sums what comes, and forgets it in demandTau seconds.
@@ -64,7 +63,15 @@
 	if e.Zone != l.pool.Zone {
 		seconds += crossPenalty
 	}
-	return seconds + againPenalty*max(fresh-q.own(), 0)
+	return seconds + againPenalty*max(fresh-q.own(), 0) + lateness(seconds, q.AimS)
+}
+
+// lateness is what it counts for that a prompt is read too late for its objective, in seconds.
+func lateness(seconds, aim float64) float64 {
+	if aim <= 0 {
+		return 0
+	}
+	return latePenalty * min(max((seconds/aim-lateFrom)/(lateTo-lateFrom), 0), 1)
 }
 
 // waitNow is how long a prompt is taken to wait before it is read: by what the server told or was seen to take, which fades, and by
@@ -174,7 +181,6 @@
 	e.engine.readings = append(e.engine.readings, r)
 	e.engine.tokens += tokens
 	l.read.add(now, tokens)
-	l.size += sizeWeight * (tokens - l.size)
 	if e.engine.parts == nil || len(e.engine.parts) > partsMost {
 		e.engine.parts = map[string]float64{}
 	}
@@ -196,12 +202,7 @@
 	seconds := now - r.began
 	// Danger: what other proxies had read there is not known here. Only the part that nobody shares was read for certain.
 	l.pace.of(e.Stage).learn(r.own, seconds)
-	queued := float64(e.engine.running+e.engine.waiting) * l.size / l.paceOf(e.Stage)
-	if e.Stage == message.Decode {
-		queued = 0 // what runs there are answers
-	}
-	// What the server has in line now says more than what this prompt met when it came.
-	e.engine.wait, e.engine.waitAt = max(queued, (seconds-l.seconds(e.Stage, r.tokens))*metPart), now
+	e.engine.wait, e.engine.waitAt = (seconds-l.seconds(e.Stage, r.tokens))*metPart, now
 }
 
 // BeginAnswer counts an answer that a server makes, EndAnswer takes it away.
@@ -210,7 +211,44 @@
 // EndAnswer takes an answer away that BeginAnswer counted.
 func (e *Endpoint) EndAnswer(q *Prompt) { e.engine.held -= float64(q.Tokens + q.Output) }
 
-// Loaded takes the figures that a server told with an answer: requests running and waiting.
-func (e *Endpoint) Loaded(running, waiting int) {
-	e.engine.running, e.engine.waiting = running, waiting
+// Loaded takes the figures that a server told this proxy with an answer: requests running and waiting.
+func (e *Endpoint) Loaded(now float64, running, waiting int) {
+	e.engine.load(now, running, waiting)
+	e.engine.untold = true
+}
+
+func (v *engineView) load(at float64, running, waiting int) {
+	v.running, v.waiting, v.loadAt = running, waiting, at
+}
+
+// SetLoads takes what servers told other proxies, where it is younger.
+func (p *Pool) SetLoads(now float64, loads []message.Load) {
+	if len(loads) == 0 || !p.Engine.Present {
+		return
+	}
+	byKey := make(map[uint32]message.Load, len(loads))
+	for _, load := range loads {
+		byKey[load.Key] = load
+	}
+	for _, e := range p.members {
+		load, ok := byKey[e.key]
+		if at := now - float64(load.AgeMs)/1000; ok && at > e.engine.loadAt {
+			e.engine.load(at, int(load.Running), int(load.Waiting))
+		}
+	}
+}
+
+// TakeLoads returns what servers have told this proxy since it was called last.
+func (p *Pool) TakeLoads(now float64) (loads []message.Load) {
+	for _, e := range p.members {
+		if !e.engine.untold {
+			continue
+		}
+		e.engine.untold = false
+		age := min(max(now-e.engine.loadAt, 0)*1000, math.MaxUint16)
+		loads = append(loads, message.Load{Key: e.key, Running: clamp(e.engine.running), Waiting: clamp(e.engine.waiting), AgeMs: uint16(age)})
+	}
+	return loads
 }
+
+func clamp(count int) uint16 { return uint16(min(max(count, 0), math.MaxUint16)) }
--- a/internal/decide/placement/pool.go
+++ b/internal/decide/placement/pool.go
@@ -31,6 +31,7 @@
 	message.Instance
 	InFlight int // own requests
 
+	key       uint32 // in loads
 	window    window
 	nextProbe float64
 	probing   bool
@@ -115,7 +116,7 @@
 	}
 	known := p.endpoints[listed.ID]
 	if known == nil {
-		known = &Endpoint{}
+		known = &Endpoint{key: message.LoadKey(listed.ID)}
 		known.window.seed(now, p.meanGap())
 		known.nextProbe = now + p.rng.Float64()*ProbeEvery
 		p.endpoints[listed.ID] = known
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -2,6 +2,8 @@
 package message
 
 import (
+	"hash/fnv"
+
 	"hazelwheel/internal/decide/membership"
 	"hazelwheel/internal/decide/register"
 )
@@ -49,6 +51,7 @@
 	Version   uint64              `msgpack:"n"` // of the configuration
 	Table     *Table              `msgpack:"t"`
 	List      List                `msgpack:"l"`
+	Loads     []Load              `msgpack:"o"`
 	TakeTable bool                `msgpack:"tt"` // a newer configuration is wanted in the answer, or in the next message
 	TakeList  bool                `msgpack:"tl"` // the same of a younger list
 }
@@ -67,15 +70,32 @@
 type Feed struct {
 	Table *Table     `msgpack:"t"`
 	List  *List      `msgpack:"l"`
+	Loads []Load     `msgpack:"o"`
 	Plan  *StagePlan `msgpack:"p"`
 	Rank  int        `msgpack:"r"`
 	Count int        `msgpack:"c"` // of the proxies, 0: not told
 }
 
+// Load is what a server told of itself: requests running and waiting there.
+type Load struct {
+	Key     uint32 `msgpack:"k"` // of the instance
+	Running uint16 `msgpack:"r"`
+	Waiting uint16 `msgpack:"w"`
+	AgeMs   uint16 `msgpack:"a"` // since it was told, when this was sent
+}
+
+// LoadKey returns the key of an instance in loads.
+func LoadKey(instance string) uint32 {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(instance))
+	return hash.Sum32()
+}
+
 // ProxyReport is what a proxy tells its agent.
 type ProxyReport struct {
 	Version uint64              `msgpack:"v"` // of the configuration in force
 	Demands []membership.Demand `msgpack:"d"`
+	Loads   []Load              `msgpack:"l"` // that servers have told this proxy since the report before
 }
 
 // StagePlan names the servers that are changing their stage. A higher token, then a higher sequence, is newer.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -272,9 +272,9 @@
 		p.log.WithField("server", endpoint.ID).WithField("request", j.id).WithError(err).Debug("no answer")
 		return nil, verdict
 	}
-	p.state.with(func(float64) {
+	p.state.with(func(now float64) {
 		if running, waiting, ok := serverLoad(got.answer.Header); ok {
-			endpoint.Loaded(running, waiting)
+			endpoint.Loaded(now, running, waiting)
 		}
 		if got.answer.StatusCode == http.StatusMisdirectedRequest {
 			endpoint.Misplaced()
@@ -310,8 +310,9 @@
 }
 
 // promptOf reads what the choice of model servers goes by.
-func promptOf(r *http.Request) placement.Prompt {
+func promptOf(r *http.Request, route *routes.Route) placement.Prompt {
 	prompt := placement.Prompt{Parts: placement.ParsePrefix(r.Header.Get(headerPrefixHash))}
+	prompt.AimS = boot.Millis(route.TargetMs).Seconds()
 	in, out, _ := strings.Cut(r.Header.Get(headerTokenCounts), ",")
 	prompt.Tokens, _ = strconv.Atoi(strings.TrimSpace(in)) // a field that can't be read leaves the sizes unknown
 	prompt.Output, _ = strconv.Atoi(strings.TrimSpace(out))
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -68,7 +68,7 @@
 		}
 		alive := status == http.StatusOK && (other == "" || other == target.id)
 		if running, waiting, ok := serverLoad(header); ok {
-			target.endpoint.Loaded(running, waiting)
+			target.endpoint.Loaded(now, running, waiting)
 		}
 		target.endpoint.Probed(now, alive)
 	})
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -82,6 +82,9 @@
 			pool.SetConnections(service.MaxConnections)
 		}
 	}
+	for _, pool := range s.pools {
+		pool.SetLoads(now, feed.Loads)
+	}
 	if s.table != nil && s.listed && !s.served {
 		s.served = true
 		close(s.begun)
@@ -155,9 +158,11 @@
 	if s.table != nil {
 		out.Version = s.table.version
 	}
+	now := s.now()
 	for name, planner := range s.planners {
 		if s.pools[name].Engine.Present {
-			out.Demands = append(out.Demands, planner.Demand(s.now()))
+			out.Demands = append(out.Demands, planner.Demand(now))
+			out.Loads = append(out.Loads, s.pools[name].TakeLoads(now)...)
 		}
 	}
 	return out
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -89,7 +89,7 @@
 func (p *Proxy) stream(ctx context.Context, w http.ResponseWriter, j *job, engine bool) {
 	out := &relay{w: w, control: http.NewResponseController(w)}
 	defer func() { p.freeHandle(j.handle.cache) }()
-	prompt := promptOf(j.request)
+	prompt := promptOf(j.request, j.route)
 	for range attemptsMost {
 		if !p.allowed(j) {
 			break
