Test the fleet with real processes on loopback

Three control processes, agent and proxy: configurations sent again, stale and invalid ones, one and two of three killed, all restarted, a lost disk, SIGHUP, SIGTERM, settings with a fault.

--- /dev/null
+++ b/cmd/hazelfleet/fleet_test.go
@@ -0,0 +1,254 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "processes of the fleet")
+}
+
+var binary string
+
+var _ = BeforeSuite(func() {
+	binary = filepath.Join(GinkgoT().TempDir(), "hazelfleet")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+})
+
+// within bounds each wait for the processes; it is far above what they need.
+const within = 30 * time.Second
+
+// fleet is three control processes, an agent and a proxy on loopback addresses, with a stand-in for the platform and one server.
+type fleet struct {
+	dir      string
+	base     int // first port
+	platform string
+	running  map[string]*exec.Cmd
+}
+
+func startFleet() *fleet {
+	f := &fleet{dir: GinkgoT().TempDir(), base: 20000 + rand.IntN(20000), running: map[string]*exec.Cmd{}}
+	f.startPlatform()
+	DeferCleanup(func() {
+		for name := range f.running {
+			f.kill(name)
+		}
+	})
+	for i := range 3 {
+		f.start(controlName(i), true)
+	}
+	f.start("agent", true)
+	f.start("proxy", true)
+	return f
+}
+
+func controlName(i int) string { return fmt.Sprint("control", i) }
+
+// ip returns the loopback address of a process's machine. The agent's feed is on 127.0.0.1 as everywhere.
+func ip(name string) string {
+	if number, ok := strings.CutPrefix(name, "control"); ok {
+		return "127.0.3.1" + number
+	}
+	return "127.0.3.20"
+}
+
+func (f *fleet) operator(i int) string { return fmt.Sprintf("%s:%d", ip(controlName(i)), f.base+20) }
+func (f *fleet) front() string         { return fmt.Sprintf("%s:%d", ip("proxy"), f.base+21) }
+func (f *fleet) ready() string         { return fmt.Sprintf("%s:%d", ip("proxy"), f.base+22) }
+
+// startPlatform serves a list with one server, which answers with the body that it was sent.
+func (f *fleet) startPlatform() {
+	server := listen(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		w.Header().Set("Hazelwheel-Request-Id", r.Header.Get("Hazelwheel-Request-Id"))
+		w.Header().Set("Hazelwheel-Response-Stamp", "stamp")
+		_, _ = w.Write(body)
+	})
+	f.platform = listen(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(map[string]any{"NextPageToken": nil, "Instances": []map[string]any{{"Id": "i-1", "Service": "s",
+			"Address": server, "Zone": "z", "Slots": 4, "State": "ready"}}})
+	})
+}
+
+func listen(handler http.HandlerFunc) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: within}
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(server.Close)
+	return listener.Addr().String()
+}
+
+// settings writes the settings file of a process and returns its path.
+func (f *fleet) settings(name string, bootstrap bool) string {
+	seeds := ""
+	for i := range 3 {
+		seeds += fmt.Sprintf("  - %q\n", f.operator(i))
+	}
+	text := fmt.Sprintf("NodeId: %q\nIp: %q\nZone: z\nBootstrap: %v\nInternalPortRange: [%d, %d]\nSeeds:\n%sDataDir: %q\n"+
+		"FaultTolerance: {Machines: 1}\nBounds: {GraceS: 4}\nCloud: {Address: %q, RatePerS: 50}\nListen:\n",
+		name, ip(name), bootstrap, f.base, f.base+15, seeds, filepath.Join(f.dir, "data-"+name), f.platform)
+	switch {
+	case name == "proxy":
+		text += fmt.Sprintf("  Front: %q\n  Ready: %q\n", f.front(), f.ready())
+	case strings.HasPrefix(name, "control"):
+		text += fmt.Sprintf("  Control: \"%s:%d\"\n", ip(name), f.base+20)
+	}
+	path := filepath.Join(f.dir, name+".yaml")
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+func (f *fleet) start(name string, bootstrap bool) {
+	process := exec.Command(binary, strings.TrimRight(name, "0123456789"))
+	process.Env = append(os.Environ(), "HAZELWHEEL_CONFIG="+f.settings(name, bootstrap))
+	process.Stdout, process.Stderr = GinkgoWriter, GinkgoWriter
+	Expect(process.Start()).To(Succeed())
+	f.running[name] = process
+}
+
+func (f *fleet) kill(name string) {
+	_ = f.running[name].Process.Kill() // it may have ended
+	_ = f.running[name].Wait()
+	delete(f.running, name)
+}
+
+// put sends a configuration and returns the status, 0 where there was none.
+func (f *fleet) put(i int, version, base int, timeout string) int {
+	body := fmt.Sprintf(`{"Version":%d,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","RouteType":"non_idempotent","TimeoutMs":%s,`+
+		`"TargetLatencyMs":500,"Service":"s","MaxAttempts":1}],"Services":[{"Name":"s","HealthPath":"/health","MaxConnections":10}]}`, version, timeout)
+	request, err := http.NewRequest(http.MethodPut, "http://"+f.operator(i)+"/config", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("If-Match", fmt.Sprint(base))
+	answer, err := (&http.Client{Timeout: within}).Do(request)
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode
+}
+
+// version returns the configuration's version as a control process tells it, 0 where it doesn't.
+func (f *fleet) version(i int) int {
+	answer, err := (&http.Client{Timeout: within}).Get("http://" + f.operator(i) + "/config")
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	var config struct{ Version int }
+	if answer.StatusCode != http.StatusOK || json.NewDecoder(answer.Body).Decode(&config) != nil {
+		return 0
+	}
+	return config.Version
+}
+
+// ask sends a request through the proxy and returns status and body.
+func (f *fleet) ask() string {
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.front()+"/p/x", bytes.NewBufferString("hello"))
+	Expect(err).NotTo(HaveOccurred())
+	request.Host = "h"
+	request.Header.Set("Hazelwheel-Request-Id", "id")
+	request.Header.Set("Hazelwheel-Deadline-Ms", "3000")
+	answer, err := (&http.Client{Timeout: within}).Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return fmt.Sprint(answer.StatusCode, " ", string(body))
+}
+
+var _ = Describe("a fleet of processes", func() {
+	It("takes a configuration, carries it to the proxy and keeps it through kills and a lost disk", func() {
+		f := startFleet()
+		Eventually(func() int { return f.put(0, 3, 0, "2000") }, within).Should(Equal(http.StatusOK))
+		Eventually(f.ask, within).Should(Equal("200 hello"))
+
+		By("answering a change that is sent again, and refusing what does not go on top")
+		Expect(f.put(1, 3, 0, "2000")).To(Equal(http.StatusOK))
+		Expect(f.put(1, 4, 0, "2500")).To(Equal(http.StatusPreconditionFailed))
+		Expect(f.put(1, 3, 3, "2500")).To(Equal(http.StatusBadRequest))
+		Expect(f.put(1, 5, 3, "0")).To(Equal(http.StatusBadRequest))
+
+		By("going on while one of three is killed")
+		f.kill(controlName(0))
+		Eventually(func() int { return f.put(1, 7, 3, "2500") }, within).Should(Equal(http.StatusOK))
+		Eventually(func() int { return f.version(2) }, within).Should(Equal(7))
+
+		By("refusing at once where no majority is there")
+		f.kill(controlName(1))
+		Expect(f.put(2, 9, 7, "2600")).To(Equal(http.StatusServiceUnavailable))
+		Expect(f.ask()).To(Equal("200 hello"), "the proxy serves on")
+
+		By("reading back what was acknowledged after all were killed")
+		f.kill(controlName(2))
+		for i := range 3 {
+			f.start(controlName(i), false)
+		}
+		Eventually(func() int { return f.version(0) }, within).Should(BeNumerically(">=", 7))
+
+		By("taking a voter back whose disk was lost, so that another may go")
+		current := f.version(0)
+		f.kill(controlName(1))
+		Expect(os.RemoveAll(filepath.Join(f.dir, "data-"+controlName(1)))).To(Succeed())
+		f.start(controlName(1), false)
+		Eventually(func() int { return f.put(1, current+5, current, "2700") }, within).Should(Equal(http.StatusOK))
+		Eventually(func() int { return f.version(1) }, within).Should(Equal(current + 5))
+	})
+
+	It("begins again at its agent and ends in order", func() {
+		f := startFleet()
+		Eventually(func() int { return f.put(0, 1, 0, "2000") }, within).Should(Equal(http.StatusOK))
+		Eventually(f.ask, within).Should(Equal("200 hello"))
+		f.kill("agent")
+		Expect(f.ask()).To(Equal("200 hello"))
+		f.start("agent", false)
+		f.kill("proxy")
+		f.start("proxy", false)
+		Eventually(f.ask, within).Should(Equal("200 hello"))
+		for _, process := range f.running {
+			Expect(process.Process.Signal(syscall.SIGHUP)).To(Succeed())
+		}
+		Expect(f.ask()).To(Equal("200 hello"), "a SIGHUP ends nothing")
+		for _, name := range []string{"proxy", "agent", controlName(1)} {
+			Expect(f.running[name].Process.Signal(syscall.SIGTERM)).To(Succeed())
+		}
+		for _, name := range []string{"proxy", "agent", controlName(1)} {
+			Expect(f.running[name].Wait()).To(Succeed(), name)
+			delete(f.running, name)
+		}
+	})
+
+	It("names a fault of its settings in one line and ends with 2", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "boot.yaml")
+		Expect(os.WriteFile(path, []byte("NodeId: a\nIp: nowhere\n"), 0o600)).To(Succeed())
+		process := exec.Command(binary, "check")
+		process.Env = append(os.Environ(), "HAZELWHEEL_CONFIG="+path)
+		out, err := process.CombinedOutput()
+		Expect(err).To(HaveOccurred())
+		Expect(process.ProcessState.ExitCode()).To(Equal(statusUsage))
+		Expect(string(out)).To(Equal("hazelfleet: settings: " + path + ": line 2: Ip: not an IP address: \"nowhere\"\n"))
+	})
+})
