--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,181 @@
+package cluster_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/cluster"
+	"hazelwheel/internal/decide/membership"
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/routes"
+	"hazelwheel/internal/transport"
+)
+
+func TestCluster(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cluster")
+}
+
+const (
+	size   = 10
+	within = 20 * time.Second
+)
+
+// fleet is nodes on loopback addresses; received counts the bytes of the requests and answers that they take.
+type fleet struct {
+	nodes    []*cluster.Node
+	received atomic.Int64
+}
+
+// countingBody counts what is read.
+type countingBody struct {
+	io.ReadCloser
+	count *atomic.Int64
+}
+
+func (b countingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.count.Add(int64(n))
+	return n, err
+}
+
+// countingWriter counts what is written.
+type countingWriter struct {
+	http.ResponseWriter
+	count *atomic.Int64
+}
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	w.count.Add(int64(len(p)))
+	return w.ResponseWriter.Write(p)
+}
+
+func startFleet() *fleet {
+	f := &fleet{}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	base := 20000 + rand.IntN(20000)
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	for i := range size {
+		settings := &boot.Settings{NodeID: fmt.Sprint("n", i), IP: fmt.Sprint("127.0.4.", 10+i), InternalPortRange: []int{base, base + 15},
+			Seeds: []string{"127.0.4.10:1"}}
+		address := settings.Internal(settings.IP, boot.ControlPort)
+		node := cluster.New(settings, membership.Record{Kind: membership.Agent, Address: address}, transport.NewClient(), logrus.NewEntry(log))
+		f.serve(address, node)
+		f.nodes = append(f.nodes, node)
+		go node.Run(ctx)
+	}
+	Eventually(f.least, within).Should(Equal(size))
+	return f
+}
+
+func (f *fleet) serve(address string, node *cluster.Node) {
+	listener, err := net.Listen("tcp4", address)
+	Expect(err).NotTo(HaveOccurred())
+	router := mux.NewRouter()
+	node.Register(router)
+	server := &http.Server{ReadHeaderTimeout: within, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = countingBody{r.Body, &f.received}
+		router.ServeHTTP(countingWriter{w, &f.received}, r)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(server.Close)
+}
+
+// least is the smallest number of members that a node knows.
+func (f *fleet) least() int {
+	least := size + 1
+	for _, node := range f.nodes {
+		least = min(least, len(node.Members()))
+	}
+	return least
+}
+
+// versions returns how many nodes have a configuration of this version.
+func (f *fleet) versions(version uint64) (count int) {
+	for _, node := range f.nodes {
+		if facts, _ := node.Facts(); facts.Table != nil && facts.Table.Version == version {
+			count++
+		}
+	}
+	return count
+}
+
+// large is a configuration that hardly can be packed.
+func large(version uint64) *routes.Table {
+	table := &routes.Table{Version: version}
+	for range 4000 {
+		table.Routes = append(table.Routes, routes.Route{Name: fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())})
+	}
+	return table
+}
+
+var _ = Describe("what is large", func() {
+	It("is taken about once by each node", func() {
+		f := startFleet()
+		table := large(5)
+		packed, err := message.PackTable(table)
+		Expect(err).NotTo(HaveOccurred())
+		before := f.received.Load()
+		f.nodes[0].SetTable(table)
+		Eventually(func() int { return f.versions(5) }, within).Should(Equal(size))
+		Expect(f.received.Load() - before).To(BeNumerically("<", 2*int64(size)*int64(len(packed.Data))))
+	})
+
+	It("reaches all when it changes often, and never goes back", func() {
+		f := startFleet()
+		for version := uint64(1); version <= 20; version++ {
+			f.nodes[int(version)%size].SetTable(&routes.Table{Version: version})
+		}
+		Eventually(func() int { return f.versions(20) }, within).Should(Equal(size))
+		f.nodes[3].SetTable(&routes.Table{Version: 7})
+		Expect(f.versions(20)).To(Equal(size))
+	})
+
+	It("is the youngest reading where it is a list", func() {
+		f := startFleet()
+		now := time.Now()
+		f.nodes[0].SetList([]message.Instance{{ID: "old"}}, now.Add(-2*time.Second))
+		f.nodes[1].SetList([]message.Instance{{ID: "new"}}, now)
+		newest := func() (count int) {
+			for _, node := range f.nodes {
+				facts, _ := node.Facts()
+				if servers, err := facts.List.Unpack(); err == nil && len(servers) == 1 && servers[0].ID == "new" {
+					count++
+				}
+			}
+			return count
+		}
+		Eventually(newest, within).Should(Equal(size))
+	})
+
+	It("spreads what a server told one node of its load", func() {
+		f := startFleet()
+		f.nodes[2].SetLoads([]message.Load{{Key: 7, Running: 3}})
+		Eventually(func() (count int) {
+			for _, node := range f.nodes {
+				for _, load := range node.Loads() {
+					if load.Key == 7 && load.Running == 3 {
+						count++
+						break
+					}
+				}
+			}
+			return count
+		}, within, 10*time.Millisecond).Should(BeNumerically(">=", size-2))
+	})
+})
