--- a/internal/decide/register/round.go
+++ b/internal/decide/register/round.go
@@ -36,7 +36,7 @@
 	change    Change
 	known     Value // the voters to begin with
 	promises  map[Voter]Promise
-	asked     map[Voter]bool
+	asked     askedVoters
 	proposing bool
 	refused   bool
 	sets      [][]Voter // whose majorities must accept
@@ -46,16 +46,19 @@
 
 // NewRound returns a round and its first step. known names the voters, of this epoch or an older one.
 func NewRound(ballot Ballot, known Value, change Change) (*Round, Step) {
-	r := &Round{Ballot: ballot, change: change, known: known, promises: map[Voter]Promise{}, asked: map[Voter]bool{},
+	r := &Round{Ballot: ballot, change: change, known: known, promises: map[Voter]Promise{}, asked: askedVoters{},
 		accepted: map[Voter]bool{}, lost: map[Voter]bool{}}
-	return r, Step{Prepare: r.ask(known)}
+	return r, Step{Prepare: r.asked.ask(known)}
 }
 
+// askedVoters are those that a call has turned to.
+type askedVoters map[Voter]bool
+
 // ask returns the voters of a value that weren't asked yet.
-func (r *Round) ask(value Value) (voters []Voter) {
+func (a askedVoters) ask(value Value) (voters []Voter) {
 	for _, voter := range value.Everyone() {
-		if !r.asked[voter] {
-			r.asked[voter] = true
+		if !a[voter] {
+			a[voter] = true
 			voters = append(voters, voter)
 		}
 	}
@@ -72,7 +75,7 @@
 	}
 	r.promises[from] = answer
 	newest := r.newest()
-	if more := r.ask(newest.Value); len(more) > 0 {
+	if more := r.asked.ask(newest.Value); len(more) > 0 {
 		return Step{Prepare: more}
 	}
 	promised := func(voter Voter) bool { _, ok := r.promises[voter]; return ok }
@@ -187,24 +190,14 @@
 
 	known   Value
 	answers map[Voter]Promise
-	asked   map[Voter]bool
+	asked   askedVoters
 	lost    int
 }
 
 // NewReading returns a read and its first step, whose Prepare names the voters to send Read to.
 func NewReading(known Value) (*Reading, Step) {
-	r := &Reading{known: known, answers: map[Voter]Promise{}, asked: map[Voter]bool{}}
-	return r, Step{Prepare: r.ask(known)}
-}
-
-func (r *Reading) ask(value Value) (voters []Voter) {
-	for _, voter := range value.Everyone() {
-		if !r.asked[voter] {
-			r.asked[voter] = true
-			voters = append(voters, voter)
-		}
-	}
-	return voters
+	r := &Reading{known: known, answers: map[Voter]Promise{}, asked: askedVoters{}}
+	return r, Step{Prepare: r.asked.ask(known)}
 }
 
 // Answered takes a voter's answer to Read.
@@ -222,7 +215,7 @@
 			newest = other
 		}
 	}
-	if more := r.ask(newest.Value); len(more) > 0 {
+	if more := r.asked.ask(newest.Value); len(more) > 0 {
 		return Step{Prepare: more}
 	}
 	same := func(voter Voter) bool {
