--- a/internal/decide/register/world_test.go
+++ b/internal/decide/register/world_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/anishathalye/porcupine"
+
 	"hazelwheel/internal/decide/register"
 )
 
@@ -41,6 +43,7 @@
 	base     uint64
 	ballot   register.Ballot
 	isChange bool
+	began    int64
 }
 
 type packet struct {
@@ -69,6 +72,8 @@
 	newest  register.Value             // by epoch, of those that hold
 	broken  string
 	done    int // calls that ended with an answer
+	now     int64
+	history []porcupine.Operation
 }
 
 func newWorld(seed uint64, nodes int, f faults) *world {
@@ -100,6 +105,7 @@
 
 // step does one thing that may happen.
 func (w *world) step() {
+	w.now++
 	switch draw := w.rng.IntN(100); {
 	case draw < 72 && len(w.packets) > 0:
 		w.deliver()
@@ -208,7 +214,7 @@
 	if own := n.acceptor.State().Value; own.Epoch > n.known.Epoch {
 		n.known = own
 	}
-	op := &operation{id: w.nextOp, node: n, life: n.life, must: slices.Clone(w.acked), version: w.highest}
+	op := &operation{id: w.nextOp, node: n, life: n.life, must: slices.Clone(w.acked), version: w.highest, began: w.now}
 	w.nextOp++
 	n.op = op
 	voters := register.Value{Epoch: n.known.Epoch, Voters: n.known.Voters, Previous: n.known.Previous}
@@ -280,8 +286,10 @@
 		n.round = max(n.round, op.round.Above.Round)
 	}
 	if outcome != register.Chosen && outcome != register.Refused {
+		w.recordUnknown(op)
 		return
 	}
+	w.record(op, value, outcome)
 	w.done++
 	if value.Epoch > n.known.Epoch {
 		n.known = value
@@ -339,12 +347,14 @@
 		if n.op.round != nil {
 			n.op.round.Abandon()
 		}
+		w.recordUnknown(n.op)
 		n.op = nil
 	}
 }
 
 func (w *world) crash() {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	w.recordUnknown(n.op)
 	n.up, n.op = false, nil
 }
 
@@ -390,6 +400,7 @@
 		id = n.durable.ID
 	}
 	value := n.known
+	w.recordUnknown(n.op)
 	n.up, n.op = false, nil
 	n.durable = register.State{ID: id}
 	if w.faults.wipedVotes {
@@ -406,5 +417,8 @@
 			break
 		}
 	}
+	for _, n := range w.nodes {
+		w.recordUnknown(n.op)
+	}
 	return w
 }
