--- a/internal/decide/placement/pool.go
+++ b/internal/decide/placement/pool.go
@@ -293,9 +293,6 @@
 	e.nextProbe = min(e.nextProbe, now+probeAgain)
 }
 
-// Size returns the number of members and of all servers that are listed.
-func (p *Pool) Size() (members, all int) { return len(p.members), len(p.endpoints) }
-
 // homeScore orders the servers for a key the same way at every proxy (rendezvous hashing).
 func homeScore(key, id string) uint64 {
 	hash := fnv.New64a()
