Change voters only from a chosen value; let newcomers learn first; copy by pieces

Cause: a round derived a change of the voters from a value that one voter had accepted alone, so that two such changes in a row led to voters that share no majority with those that went on without them: an acknowledged configuration was lost. A member that returned caught up only as a by-product of a round that was over as soon as the others had accepted. The first voter by name did the upkeep as long as anybody carried its heartbeats, also while it reached no majority.

Ruled out: a separate register for the voters (two agreements to keep in step); a longer wait of the round for all voters (one that is cut off would hold up every change).

Change: a round makes an unproven value chosen first (outcome Confirmed) before it changes its voters; voters that join hold the value and its bytes before (Learn); catching up is a task of its own that fetches bytes by pieces and goes on where it stopped; upkeep goes by turns among voters that are in touch, on what a majority says; a leaving voter waits for others to take its place; a process out of touch with a majority answers the operator within 0.35 s. The store keeps records of one write together, tells damage in the middle from a torn end in the newest segment too, and says in the next segment where the good part of one before ends. A founder whose disk held anything is none.

--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -56,6 +56,8 @@
 	BudgetWindowS    float64 `yaml:"BudgetWindowS"`
 	BudgetSlack      float64 `yaml:"BudgetSlack"`
 	ReuseAfterS      float64 `yaml:"ReuseAfterS"`
+	CatchUpS         float64 `yaml:"CatchUpS"`
+	RecoveryS        float64 `yaml:"RecoveryS"`
 	AgainS           float64 `yaml:"again_s"`
 	LeaseMs          float64 `yaml:"LeaseMs"`
 	Fenced           bool    `yaml:"Fenced"`
@@ -139,7 +141,8 @@
 	return &Settings{
 		HeartbeatMs: 1000,
 		Bounds: Bounds{ContactMs: 3000, AckMs: 4000, DrainMs: 3000, GraceS: 8, ConfigApplyMs: 2000, RetryBudgetRatio: 0.1,
-			BudgetWindowS: 10, BudgetSlack: 0, ReuseAfterS: 2, AgainS: 8, LeaseMs: 3000, Fenced: true},
+			BudgetWindowS: 10, BudgetSlack: 0, ReuseAfterS: 2, AgainS: 8, LeaseMs: 3000, Fenced: true,
+			CatchUpS: 4, RecoveryS: 12},
 		Cloud: Cloud{RatePerS: 1, LagMs: 1000},
 	}
 }
@@ -171,7 +174,7 @@
 
 func (b *Bounds) check(document *yaml.Node) error {
 	for field, figure := range map[string]float64{"DrainMs": b.DrainMs, "GraceS": b.GraceS, "ConfigApplyMs": b.ConfigApplyMs,
-		"BudgetWindowS": b.BudgetWindowS, "LeaseMs": b.LeaseMs} {
+		"BudgetWindowS": b.BudgetWindowS, "LeaseMs": b.LeaseMs, "CatchUpS": b.CatchUpS, "RecoveryS": b.RecoveryS} {
 		if figure <= 0 {
 			return fault(document, field, "want a figure above 0, not %v", figure)
 		}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -42,7 +42,7 @@
 	claimFor = 350 * time.Millisecond
 	// freshBy is by how much a reading of the list must be younger to take the place of one that differs.
 	freshBy = 20 * time.Millisecond
-	// meshMost bounds the control processes to which each of them speaks at every exchange.
+	// meshMost bounds the control processes to which each of them speaks at every exchange; where there are more they take turns.
 	meshMost = 6
 )
 
@@ -85,6 +85,10 @@
 	loads   loads
 	table   claim
 	list    claim
+
+	contact  *contact
+	meshSize int // other control processes that are called in turns
+	meshNext int // whose turn it is
 }
 
 // New returns a node for the process of the settings. The record's name, address, zone and life are filled in.
@@ -95,7 +99,8 @@
 	seeds := settings.SeedAddresses()
 	view := membership.New(membership.Settings{SuspectAfterS: suspectAfter, ForgetAfterS: forgetAfter, ViewSize: viewSize,
 		SampleSize: sampleSize, BeatSize: beatSize}, self, seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	return &Node{log: log, client: client, start: time.Now(), view: view, changed: make(chan struct{})}
+	return &Node{log: log, client: client, start: time.Now(), view: view, changed: make(chan struct{}),
+		contact: newContact(time.Now())}
 }
 
 // Register adds the node's paths to a router.
@@ -134,6 +139,7 @@
 func (n *Node) tick(ctx context.Context) {
 	n.mu.Lock()
 	n.view.Tick(n.now())
+	n.contact.tick(time.Now())
 	n.place()
 	partners := []string{n.view.Partner()}
 	partners = append(partners, n.mesh()...)
@@ -146,18 +152,25 @@
 	}
 }
 
-// mesh returns the other control processes where this is one: they have to notice fast that one of them is gone.
-func (n *Node) mesh() (addresses []string) {
+// mesh returns other control processes where this is one, all where they are few: they have to notice fast that one of them is gone.
+func (n *Node) mesh() []string {
 	self := n.view.Self()
 	if self.Kind != membership.Control {
 		return nil
 	}
+	var addresses []string
 	for _, member := range n.view.Members(n.now()) {
-		if member.Kind == membership.Control && member.Name != self.Name && len(addresses) < meshMost {
+		if member.Kind == membership.Control && member.Name != self.Name {
 			addresses = append(addresses, member.Address)
 		}
 	}
-	return addresses
+	n.meshSize = len(addresses)
+	if len(addresses) <= meshMost {
+		return addresses
+	}
+	from := n.meshNext % len(addresses)
+	n.meshNext = from + meshMost
+	return append(addresses[from:], addresses[:from]...)[:meshMost]
 }
 
 // claim says that something large has been asked for, so that it is not taken from several peers at once.
@@ -227,7 +240,13 @@
 	ctx, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
 	reply := &message.Gossip{}
-	return reply, n.client.Call(ctx, address, gossipPath, request, reply)
+	if err := n.client.Call(ctx, address, gossipPath, request, reply); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	n.contact.answer(address, time.Now())
+	n.mu.Unlock()
+	return reply, nil
 }
 
 // push tells a few processes at once that there is news. Those that lack it ask for it and tell others.
@@ -495,6 +514,10 @@
 func (n *Node) Leave() {
 	n.mu.Lock()
 	n.view.Leave()
+	partners := n.mesh()
 	n.mu.Unlock()
 	n.push()
+	for _, partner := range partners {
+		go n.exchange(context.Background(), partner)
+	}
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,7 +19,6 @@
 	"hazelwheel/internal/cluster"
 	"hazelwheel/internal/decide/membership"
 	"hazelwheel/internal/decide/register"
-	"hazelwheel/internal/routes"
 	"hazelwheel/internal/transport"
 )
 
@@ -27,11 +26,6 @@
 var Error = errs.Class("control")
 
 const (
-	// upkeepEvery is the time between looks at the voters.
-	upkeepEvery = 300 * time.Millisecond
-	// scrubEvery is the time between reads that find voters that are behind; scrubSoon holds until the first one succeeds.
-	scrubEvery = 2 * time.Second
-	scrubSoon  = 60 * time.Millisecond
 	// listEvery is the time between readings of the platform's list by one process.
 	listEvery = time.Second
 	// stopWithin bounds the end of calls that are under way at SIGTERM.
@@ -48,6 +42,7 @@
 	replica   *replica
 	registrar *registrar
 	platform  *cluster.Platform
+	follower  *follower
 }
 
 // Run runs a control process until the context ends. reload tells that the settings file may have changed.
@@ -74,12 +69,14 @@
 	go c.node.Run(work)
 	go c.upkeep(work)
 	go c.scrub(work)
+	go c.follow(work)
 	go c.readLists(work)
 	go newStageKeeper(c).run(work)
 	for {
 		select {
 		case <-ctx.Done():
 			c.node.Leave()
+			c.awaitSuccession()
 			return shutdown(servers)
 		case changed := <-reload:
 			c.node.SetSeeds(changed.SeedAddresses())
@@ -90,13 +87,17 @@
 func newControl(settings *boot.Settings, opened *replica, log *logrus.Entry) *Control {
 	client := transport.NewClient()
 	own := register.Voter{ID: opened.state().ID, Address: settings.Internal(settings.IP, boot.ControlPort)}
-	c := &Control{settings: settings, log: log, replica: opened, platform: cluster.NewPlatform(settings.Cloud.Address)}
+	c := &Control{settings: settings, log: log, replica: opened, platform: cluster.NewPlatform(settings.Cloud.Address),
+		follower: newFollower()}
 	c.node = cluster.New(settings, membership.Record{Kind: membership.Control, Address: own.Address, Voter: own.ID,
 		Operator: settings.Listen.Control}, client, log)
 	c.registrar = &registrar{self: own, ballots: fmt.Sprintf("%s/%016x", settings.NodeID, rand.Uint64()), local: opened, client: client,
+		copies: &copies{}, linkMbps: settings.Limits.LinkMbps,
 		voters:  func() register.Value { facts, _ := c.node.Facts(); return facts.Voters },
 		learned: c.learned}
-	c.node.SetVoters(opened.state().Value)
+	if state := opened.state(); state.Ballot == (register.Ballot{}) {
+		c.node.SetVoters(state.Value) // the founders; what was accepted later may not have been chosen
+	}
 	return c
 }
 
@@ -132,6 +133,7 @@
 	router.HandleFunc(preparePath, transport.Handle(c.replica.prepare)).Methods("POST")
 	router.HandleFunc(acceptPath, transport.Handle(c.replica.accept)).Methods("POST")
 	router.HandleFunc(readPath, transport.Handle(c.replica.read)).Methods("POST")
+	router.HandleFunc(learnPath, transport.Handle(c.serveLearn)).Methods("POST")
 	router.HandleFunc(configPath, transport.Handle(c.replica.serveConfig)).Methods("POST")
 	return router
 }
@@ -143,117 +145,10 @@
 	return router
 }
 
-// learned takes a value that holds: its voters, and its configuration where others may lack it.
-func (c *Control) learned(value register.Value) {
-	c.node.SetVoters(value)
-	facts, _ := c.node.Facts()
-	if value.Version == 0 || facts.Table != nil && facts.Table.Version >= value.Version {
-		return
-	}
-	go c.spread(value)
-}
-
-// spread fetches the configuration of a value that holds, and has it carried to all.
-func (c *Control) spread(value register.Value) {
-	ctx, cancel := context.WithTimeout(context.Background(), readWithin)
-	defer cancel()
-	data, err := c.registrar.Config(ctx, value)
-	if err != nil {
-		c.log.WithError(err).Warn("configuration not found")
-		return
-	}
-	table, err := routes.Parse(data)
-	if err != nil {
-		c.log.WithError(err).Error("the configuration that holds can't be read")
-		return
-	}
-	c.node.SetTable(table)
-}
-
-// scrub reads the register now and then. A read that finds voters behind makes them agree.
-func (c *Control) scrub(ctx context.Context) {
-	pause := scrubSoon / 6
-	for wait(ctx, pause) == nil {
-		readCtx, cancel := context.WithTimeout(ctx, readWithin)
-		value, err := c.registrar.Read(readCtx)
-		cancel()
-		pause = scrubEvery
-		if err != nil {
-			pause = scrubSoon
-			continue
-		}
-		c.repair(ctx, value)
-	}
-}
-
-// repair brings the own disk up to date where it votes and is behind.
-func (c *Control) repair(ctx context.Context, value register.Value) {
-	own := c.replica.state()
-	if own.Value.Version == value.Version && own.Value.Epoch == value.Epoch {
-		return
-	}
-	for _, voter := range value.Voters {
-		if voter.ID == own.ID {
-			repairCtx, cancel := context.WithTimeout(ctx, readWithin)
-			_, _, err := c.registrar.Change(repairCtx, register.Keep, nil)
-			cancel()
-			if err != nil {
-				c.log.WithError(err).Debug("repair failed")
-			}
-		}
-	}
-}
-
-// upkeep has lost voters replaced. The first live voter by name does it, so that proposals don't meet.
-func (c *Control) upkeep(ctx context.Context) {
-	for wait(ctx, upkeepEvery) == nil {
-		facts, _ := c.node.Facts()
-		if len(facts.Voters.Voters) == 0 || !c.leads(facts.Voters) {
-			continue
-		}
-		change := c.votersChange(facts.Voters)
-		if change == nil {
-			continue
-		}
-		changeCtx, cancel := context.WithTimeout(ctx, changeWithin)
-		value, outcome, err := c.registrar.Change(changeCtx, change, nil)
-		cancel()
-		c.log.WithField("epoch", value.Epoch).WithField("voters", len(value.Voters)).WithField("outcome", outcome).WithError(err).Info("voters")
-	}
-}
-
-// leads tells whether this process is the first by name of the control processes that vote and live.
-func (c *Control) leads(value register.Value) bool {
-	for _, member := range c.node.Members() {
-		if member.Kind != membership.Control || !member.Alive || member.Leaving {
-			continue
-		}
-		for _, voter := range value.Everyone() {
-			if voter.ID == member.Voter {
-				return member.Voter == c.registrar.self.ID
-			}
-		}
-	}
-	return false
-}
-
-// votersChange returns the change that the voters need, nil if they need none.
-func (c *Control) votersChange(value register.Value) register.Change {
-	if len(value.Previous) > 0 {
-		return register.Settle
-	}
-	var candidates []register.Candidate
-	for _, member := range c.node.Members() {
-		if member.Kind == membership.Control && member.Voter != "" {
-			voter := register.Voter{ID: member.Voter, Address: member.Address}
-			candidates = append(candidates, register.Candidate{Voter: voter, Alive: member.Alive})
-		}
-	}
-	next, changed := register.Membership(value.Voters, candidates, 2*c.settings.FaultTolerance.Machines+1)
-	if !changed {
-		return nil
-	}
-	return register.Reconfigure(value.Epoch, next)
+// learned takes a value that holds: its voters are told, and its configuration where others may lack it.
+func (c *Control) learned(value found) {
+	c.node.SetVoters(value.Value)
+	c.follower.tell(value)
 }
 
 // readLists reads the platform's list. Processes read out of step with one another.
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -18,7 +18,10 @@
 	// changeWithin bounds a call of the operator. It moves on to another process by itself after a second.
 	changeWithin = 2500 * time.Millisecond
 	readWithin   = 1500 * time.Millisecond
-	jsonType     = "application/json"
+	// aloneWithin bounds a call of the operator where this process is out of touch with a majority: it tells so at once, and the
+	// operator turns to another process.
+	aloneWithin = 350 * time.Millisecond
+	jsonType    = "application/json"
 )
 
 // putConfig takes a configuration.
@@ -43,7 +46,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), changeWithin)
+	ctx, cancel := context.WithTimeout(r.Context(), c.within(changeWithin))
 	defer cancel()
 	status, text := c.configure(ctx, table, base, data)
 	c.log.WithField("version", table.Version).WithField("base", base).WithField("status", status).Info("put config")
@@ -54,6 +57,14 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// within is how long a call of the operator may take.
+func (c *Control) within(usual time.Duration) time.Duration {
+	if c.reachesMajority() {
+		return usual
+	}
+	return aloneWithin
+}
+
 // configure returns the status that a configuration earns.
 func (c *Control) configure(ctx context.Context, table *routes.Table, base uint64, data []byte) (int, string) {
 	digest := register.DigestOf(data)
@@ -79,7 +90,7 @@
 
 // getConfig returns the configuration that holds.
 func (c *Control) getConfig(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), readWithin)
+	ctx, cancel := context.WithTimeout(r.Context(), c.within(readWithin))
 	defer cancel()
 	value, err := c.registrar.Read(ctx)
 	if err != nil {
@@ -90,7 +101,7 @@
 		http.Error(w, "there is no configuration yet", http.StatusNotFound)
 		return
 	}
-	data, err := c.registrar.Config(ctx, value)
+	data, err := c.registrar.Config(ctx, value.Value)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	"hazelwheel/internal/boot"
 	"hazelwheel/internal/decide/register"
-	"hazelwheel/internal/message"
 	"hazelwheel/internal/transport"
 )
 
@@ -18,6 +18,7 @@
 	acceptPath  = "/fleet/v1/accept"
 	readPath    = "/fleet/v1/read"
 	configPath  = "/fleet/v1/config"
+	learnPath   = "/fleet/v1/learn"
 )
 
 const (
@@ -26,6 +27,10 @@
 	// backoffStep is what the pause after a lost round grows by.
 	backoffStep = 20 * time.Millisecond
 	backoffMost = 300 * time.Millisecond
+	// largeConfig is the size in bytes from which on a configuration goes only to voters that ask for it.
+	largeConfig = 64 << 10
+	// shareOfLink is how many times as long bytes may take as they would alone on the link: they go to several voters at once.
+	shareOfLink = 6
 )
 
 // errNoVoters is returned while nobody has told who votes.
@@ -33,15 +38,24 @@
 
 // registrar changes and reads the register.
 type registrar struct {
-	self    register.Voter
-	ballots string // proposer of this life's ballots: no other life has the same
-	local   *replica
-	client  *transport.Client
-	voters  func() register.Value // of the newest epoch heard of
-	learned func(register.Value)  // told of each value that holds
+	self     register.Voter
+	ballots  string // proposer of this life's ballots: no other life has the same
+	local    *replica
+	client   *transport.Client
+	copies   *copies // of configurations that are fetched
+	linkMbps float64
+	voters   func() register.Value // of the newest epoch heard of
+	learned  func(found)           // told of each value that holds
 
-	mu    sync.Mutex
-	round uint64 // the highest heard of
+	mu     sync.Mutex
+	round  uint64          // the highest heard of
+	proven register.Ballot // the highest at which this life has found a value chosen
+}
+
+// found is a value that holds, with the ballot at which it was chosen.
+type found struct {
+	register.Value
+	At register.Ballot
 }
 
 // answer is what came of one call to a voter.
@@ -67,20 +81,25 @@
 
 // Change makes a change in as many rounds as it takes. Once an error is returned nothing is known of the change: it may hold.
 // config holds the bytes of the configuration that the change brings, if it brings one.
-func (r *registrar) Change(ctx context.Context, change register.Change, config []byte) (register.Value, register.Outcome, error) {
+func (r *registrar) Change(ctx context.Context, change register.Change, config []byte) (found, register.Outcome, error) {
 	pause := time.Duration(0)
 	for {
 		if err := wait(ctx, pause); err != nil {
-			return register.Value{}, register.Abandoned, err
+			return found{}, register.Abandoned, err
 		}
 		value, outcome, err := r.tryRound(ctx, change, config)
 		if err != nil {
-			return register.Value{}, register.Abandoned, err
+			return found{}, register.Abandoned, err
 		}
 		if outcome == register.Chosen || outcome == register.Refused {
 			r.learned(value)
 			return value, outcome, nil
 		}
+		if outcome == register.Confirmed {
+			r.learned(value)
+			pause = 0
+			continue
+		}
 		pause = min(pause+backoffStep+rand.N(backoffStep), backoffMost)
 	}
 }
@@ -113,12 +132,28 @@
 	r.round = max(r.round, ballot.Round)
 }
 
-func (r *registrar) tryRound(ctx context.Context, change register.Change, config []byte) (register.Value, register.Outcome, error) {
+// trust notes a ballot at which a value was found chosen.
+func (r *registrar) trust(at register.Ballot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.Compare(r.proven) > 0 {
+		r.proven = at
+	}
+}
+
+func (r *registrar) trusted() register.Ballot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.proven
+}
+
+func (r *registrar) tryRound(ctx context.Context, change register.Change, config []byte) (found, register.Outcome, error) {
 	known, err := r.known()
 	if err != nil {
-		return register.Value{}, register.Abandoned, err
+		return found{}, register.Abandoned, err
 	}
 	round, step := register.NewRound(r.nextBallot(), known, change)
+	round.TrustChosen(r.trusted())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer)
@@ -126,13 +161,16 @@
 		r.carryOut(ctx, round, step, config, answers)
 		select {
 		case <-ctx.Done():
-			return register.Value{}, register.Abandoned, ctx.Err()
+			return found{}, register.Abandoned, ctx.Err()
 		case got := <-answers:
 			step = feed(round, got)
 		}
 	}
 	r.heard(round.Above)
-	return round.Value, round.Outcome, nil
+	if round.At != (register.Ballot{}) && round.Outcome != register.Outvoted {
+		r.trust(round.At)
+	}
+	return found{round.Value, round.At}, round.Outcome, nil
 }
 
 // feed hands what came of a call to the round.
@@ -163,12 +201,19 @@
 	}
 	for _, voter := range step.Accept {
 		request := &register.Accept{To: voter.ID, Ballot: round.Ballot, Value: round.Value, Config: config}
+		if len(config) > largeConfig {
+			// A voter that has the bytes from a round before doesn't need them again; one that lacks them asks.
+			request.Config = nil
+		}
 		send(func() answer { return r.callAccept(ctx, voter, request) })
 	}
 	for _, voter := range step.Config {
 		request := &register.Accept{To: voter.ID, Ballot: round.Ballot, Value: round.Value}
 		send(func() answer {
-			data, err := r.Config(ctx, request.Value)
+			data, err := config, error(nil)
+			if register.DigestOf(data) != request.Value.Config {
+				data, err = r.Config(ctx, request.Value)
+			}
 			if err != nil {
 				return answer{from: voter, accepting: true, err: err}
 			}
@@ -179,32 +224,40 @@
 }
 
 // call asks a voter, the own replica without the network.
-func call[Request, Reply any](ctx context.Context, r *registrar, voter register.Voter, path string, request *Request,
+func call[Request, Reply any](ctx context.Context, r *registrar, voter register.Voter, path string, within time.Duration, request *Request,
 	local func(context.Context, *Request) (*Reply, error)) (*Reply, error) {
 	if voter.Address == r.self.Address {
 		return local(ctx, request)
 	}
-	ctx, cancel := context.WithTimeout(ctx, voteWithin)
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	reply := new(Reply)
 	return reply, r.client.Call(ctx, voter.Address, path, request, reply)
 }
 
 func (r *registrar) callPrepare(ctx context.Context, voter register.Voter, request *register.Prepare) answer {
-	promise, err := call(ctx, r, voter, preparePath, request, r.local.prepare)
+	promise, err := call(ctx, r, voter, preparePath, voteWithin, request, r.local.prepare)
 	return answer{from: voter, promise: promise, err: err}
 }
 
 func (r *registrar) callAccept(ctx context.Context, voter register.Voter, request *register.Accept) answer {
-	accepted, err := call(ctx, r, voter, acceptPath, request, r.local.accept)
+	accepted, err := call(ctx, r, voter, acceptPath, voteWithin+r.transfer(len(request.Config)), request, r.local.accept)
 	return answer{from: voter, accepting: true, accepted: accepted, err: err}
 }
 
+// transfer is what bytes take on the own link while they go to all voters.
+func (r *registrar) transfer(size int) time.Duration {
+	if r.linkMbps <= 0 {
+		return 0
+	}
+	return boot.Seconds(float64(size) * 8 * shareOfLink / (r.linkMbps * 1e6))
+}
+
 // Read returns the value that holds. Where voters differ it makes them agree first.
-func (r *registrar) Read(ctx context.Context) (register.Value, error) {
+func (r *registrar) Read(ctx context.Context) (found, error) {
 	known, err := r.known()
 	if err != nil {
-		return register.Value{}, err
+		return found{}, err
 	}
 	reading, step := register.NewReading(known)
 	readCtx, cancel := context.WithCancel(ctx)
@@ -213,7 +266,7 @@
 	for !step.Done {
 		for _, voter := range step.Prepare {
 			go func() {
-				promise, err := call(readCtx, r, voter, readPath, &register.Read{To: voter.ID}, r.local.read)
+				promise, err := call(readCtx, r, voter, readPath, voteWithin, &register.Read{To: voter.ID}, r.local.read)
 				select {
 				case answers <- answer{from: voter, promise: promise, err: err}:
 				case <-readCtx.Done():
@@ -222,7 +275,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return register.Value{}, ctx.Err()
+			return found{}, ctx.Err()
 		case got := <-answers:
 			if got.err != nil {
 				step = reading.Lost()
@@ -232,26 +285,11 @@
 		}
 	}
 	if reading.Outcome == register.Chosen {
-		r.learned(reading.Value)
-		return reading.Value, nil
+		value := found{reading.Value, reading.At}
+		r.trust(value.At)
+		r.learned(value)
+		return value, nil
 	}
 	value, _, err := r.Change(ctx, register.Keep, nil)
 	return value, err
 }
-
-// Config returns the bytes of a value's configuration, from another voter where they aren't here.
-func (r *registrar) Config(ctx context.Context, value register.Value) ([]byte, error) {
-	if data := r.local.config(value.Config); data != nil {
-		return data, nil
-	}
-	for _, voter := range value.Everyone() {
-		if voter.Address == r.self.Address {
-			continue
-		}
-		reply, err := call(ctx, r, voter, configPath, &message.ConfigRequest{Digest: value.Config}, r.local.serveConfig)
-		if err == nil && len(reply.Data) > 0 && register.DigestOf(reply.Data) == value.Config {
-			return reply.Data, nil
-		}
-	}
-	return nil, Error.New("no voter has the bytes of configuration %d", value.Version)
-}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -42,6 +42,9 @@
 	mu       sync.Mutex // guards what follows; never held while the disk works
 	acceptor *register.Acceptor
 	configs  []storedConfig // the newest at the end
+	found    bool           // the disk held a state at the start
+
+	accepted chan struct{} // gets a signal when a configuration was accepted or learned
 }
 
 type storedConfig struct {
@@ -56,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{log: log, store: opened}
+	r := &replica{log: log, store: opened, accepted: make(chan struct{}, 1)}
 	state, found := r.load(records)
 	for _, place := range damage {
 		log.WithField("tail", place.Tail).Warn("store: " + place.String())
@@ -66,8 +69,10 @@
 		}
 	}
 	if !found {
-		state = newState(settings)
+		// Danger: a founder whose disk held something may have promised something. Only an empty disk founds.
+		state = newState(settings, !opened.Used())
 	}
+	r.found = found
 	r.acceptor = register.NewAcceptor(state)
 	return r, nil
 }
@@ -89,11 +94,11 @@
 	return state, found
 }
 
-// newState returns the state of a disk that is empty.
-func newState(settings *boot.Settings) register.State {
+// newState returns the state of a disk without one. empty tells whether nothing was ever written to it.
+func newState(settings *boot.Settings, empty bool) register.State {
 	own := settings.Internal(settings.IP, boot.ControlPort)
 	founders := settings.SeedAddresses()
-	if settings.Bootstrap && slices.Contains(founders, own) {
+	if empty && settings.Bootstrap && slices.Contains(founders, own) {
 		return register.State{ID: founderID(own), Value: founding(founders)}
 	}
 	var nonce [8]byte
@@ -112,7 +117,8 @@
 	return value
 }
 
-// begin writes a snapshot of what was read. Nothing may be answered before: an identity that is not on disk is none.
+// begin writes a snapshot of what was read. Nothing may be answered before an identity is on the disk. Where it was found there,
+// a disk that takes no more bytes does not keep the process from telling what it holds.
 func (r *replica) begin(ctx context.Context) error {
 	for {
 		r.writing.Lock()
@@ -122,6 +128,9 @@
 			return nil
 		}
 		r.log.WithError(err).Warn("store: the first write failed")
+		if r.found {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -161,11 +170,15 @@
 		return err
 	}
 	r.mu.Lock()
+	newer := state.Value.Version > r.acceptor.State().Value.Version
 	r.acceptor.Stored(*state)
 	if config != nil {
 		r.keep(state.Value.Config, config)
 	}
 	r.mu.Unlock()
+	if newer {
+		signal(r.accepted)
+	}
 	if r.store.Size() > snapshotAt {
 		if err := r.snapshot(); err != nil {
 			r.log.WithError(err).Warn("store: a snapshot failed")
@@ -247,6 +260,33 @@
 	return &answer, nil
 }
 
+// learn takes a value that was chosen. config holds the configuration's bytes where they may be lacking.
+func (r *replica) learn(value found, config []byte) (held bool, err error) {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	have := r.config(value.Config) != nil
+	r.mu.Lock()
+	next, held := r.acceptor.HandleLearn(value.At, value.Value, have || config != nil)
+	r.mu.Unlock()
+	if next == nil {
+		return held, nil
+	}
+	if have {
+		config = nil
+	}
+	return held, r.write(next, config)
+}
+
+// serveConfig returns a piece of a configuration's bytes.
 func (r *replica) serveConfig(_ context.Context, request *message.ConfigRequest) (*message.ConfigReply, error) {
-	return &message.ConfigReply{Data: r.config(request.Digest)}, nil
+	data := r.config(request.Digest)
+	reply := &message.ConfigReply{Size: len(data)}
+	if request.Offset < 0 || request.Offset > len(data) || request.Length < 0 {
+		return nil, Error.New("a piece at %d of %d bytes", request.Offset, len(data))
+	}
+	reply.Data = data[request.Offset:]
+	if request.Length > 0 {
+		reply.Data = reply.Data[:min(request.Length, len(reply.Data))]
+	}
+	return reply, nil
 }
--- /dev/null
+++ b/internal/control/upkeep.go
@@ -0,0 +1,166 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/decide/membership"
+	"hazelwheel/internal/decide/register"
+	"hazelwheel/internal/decide/upkeep"
+	"hazelwheel/internal/message"
+)
+
+const (
+	// upkeepEvery is the time between looks at the voters.
+	upkeepEvery = 150 * time.Millisecond
+	// learnWithin bounds the question whether a newcomer holds the newest value.
+	learnWithin = 700 * time.Millisecond
+	// upkeepAgain is the pause after a try that changed nothing.
+	upkeepAgain = 250 * time.Millisecond
+	// leavePart is the part of the grace period for which a voter that ends stays for others to take its place.
+	leavePart = 0.4
+	leaveLook = 50 * time.Millisecond
+)
+
+// upkeep has lost voters replaced and newcomers join.
+func (c *Control) upkeep(ctx context.Context) {
+	var turns upkeep.Turns
+	began := time.Now()
+	for wait(ctx, upkeepEvery) == nil {
+		facts, _ := c.node.Facts()
+		needed := upkeep.Needed(&facts.Voters, c.candidates(), c.wantedVoters())
+		rank, votes := upkeep.Rank(c.registrar.self.ID, &facts.Voters, c.inTouch)
+		if !turns.Due(time.Since(began).Seconds(), needed && votes, rank) {
+			continue
+		}
+		changed, err := c.mendVoters(ctx)
+		if err != nil {
+			c.log.WithError(err).Warn("the voters could not be changed")
+		}
+		if !changed && wait(ctx, upkeepAgain) != nil {
+			return
+		}
+	}
+}
+
+// wantedVoters is the number of voters of which so many may be lost at once as the settings say.
+func (c *Control) wantedVoters() int { return 2*c.settings.FaultTolerance.Machines + 1 }
+
+// inTouch tells whether a voter has answered this process lately.
+func (c *Control) inTouch(voter register.Voter) bool {
+	return voter.Address == c.registrar.self.Address || c.node.InTouch(voter.Address)
+}
+
+// reachesMajority tells whether this process is in touch with a majority of the voters that it knows.
+func (c *Control) reachesMajority() bool {
+	known, err := c.registrar.known()
+	return err != nil || known.Majority(c.inTouch)
+}
+
+// candidates returns the control processes that are known. Those that are alive count as not caught up.
+func (c *Control) candidates() (candidates []register.Candidate) {
+	for _, member := range c.node.Members() {
+		if member.Kind != membership.Control || member.Voter == "" {
+			continue
+		}
+		voter := register.Voter{ID: member.Voter, Address: member.Address}
+		candidates = append(candidates, register.Candidate{Voter: voter, Alive: member.Alive && c.inTouch(voter), Leaving: member.Leaving})
+	}
+	return candidates
+}
+
+// mendVoters makes the next change of the voters that is needed. It goes by what a majority says, never by what is told of it.
+func (c *Control) mendVoters(ctx context.Context) (changed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, changeWithin)
+	defer cancel()
+	value, err := c.registrar.Read(ctx)
+	if err != nil {
+		return false, err
+	}
+	if len(value.Previous) == 0 {
+		candidates := c.askLearners(ctx, value, c.candidates())
+		next, needed := register.Membership(value.Voters, candidates, c.wantedVoters())
+		if !needed {
+			return false, nil
+		}
+		if value, err = c.changeVoters(ctx, register.Reconfigure(value.Epoch, next)); err != nil {
+			return false, err
+		}
+	}
+	_, err = c.changeVoters(ctx, register.Settle)
+	return true, err
+}
+
+func (c *Control) changeVoters(ctx context.Context, change register.Change) (found, error) {
+	value, outcome, err := c.registrar.Change(ctx, change, nil)
+	c.log.WithField("epoch", value.Epoch).WithField("voters", len(value.Voters)).WithField("before", len(value.Previous)).
+		WithField("outcome", outcome).WithError(err).Info("voters")
+	return value, err
+}
+
+// askLearners asks the live candidates that don't vote whether they hold a value. Those that don't fetch it.
+func (c *Control) askLearners(ctx context.Context, value found, candidates []register.Candidate) []register.Candidate {
+	votes := map[register.Voter]bool{}
+	for _, voter := range value.Voters {
+		votes[voter] = true
+	}
+	var asking sync.WaitGroup
+	for i := range candidates {
+		candidate := &candidates[i]
+		if votes[candidate.Voter] || !candidate.Alive || candidate.Leaving {
+			continue
+		}
+		asking.Go(func() { candidate.CaughtUp = c.askLearner(ctx, candidate.Voter, value) })
+	}
+	asking.Wait()
+	return candidates
+}
+
+func (c *Control) askLearner(ctx context.Context, voter register.Voter, value found) bool {
+	ctx, cancel := context.WithTimeout(ctx, learnWithin)
+	defer cancel()
+	request := &message.Learn{To: voter.ID, At: value.At, Value: value.Value}
+	reply := &message.Learned{}
+	if voter.Address == c.registrar.self.Address {
+		return false // a process that doesn't vote leaves its joining to those that do
+	}
+	if err := c.registrar.client.Call(ctx, voter.Address, learnPath, request, reply); err != nil {
+		c.log.WithField("peer", voter.Address).WithError(err).Debug("a newcomer did not answer")
+		return false
+	}
+	return reply.Held
+}
+
+// awaitSuccession waits, once this process has told that it leaves, until it votes no longer. It does not wait where too few would
+// be left without it.
+func (c *Control) awaitSuccession() {
+	deadline := time.Now().Add(boot.Seconds(leavePart * c.settings.Bounds.GraceS))
+	for time.Now().Before(deadline) {
+		facts, _ := c.node.Facts()
+		if !c.votes(&facts.Voters) || c.othersStaying() < c.wantedVoters() {
+			return
+		}
+		time.Sleep(leaveLook)
+	}
+}
+
+func (c *Control) votes(value *register.Value) bool {
+	for _, voter := range value.Everyone() {
+		if voter.ID == c.registrar.self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// othersStaying counts the other control processes that are there and go on.
+func (c *Control) othersStaying() (count int) {
+	for _, candidate := range c.candidates() {
+		if candidate.ID != c.registrar.self.ID && candidate.Alive && !candidate.Leaving {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/decide/register/changes.go
+++ b/internal/decide/register/changes.go
@@ -3,7 +3,7 @@
 import "slices"
 
 // mostAccepted bounds the digests of accepted configurations that are kept for changes that are sent again.
-const mostAccepted = 512
+const mostAccepted = 1536
 
 // Verdict says how a change of the configuration fares on top of a value.
 type Verdict int
@@ -83,44 +83,55 @@
 // Candidate is a control process that could vote.
 type Candidate struct {
 	Voter
-	Alive bool // heard of lately
+	Alive    bool // heard of lately
+	Leaving  bool // about to end
+	CaughtUp bool // holds the newest value and the bytes of its configuration on its disk; asked only of those that don't vote
 }
 
-// Membership decides on the next set of voters: the candidates that live and don't vote yet join, those with the identity that
-// an address had before leave with the disk that they lost, and voters that are silent leave for others or where more than wanted vote.
-// It returns false where nothing is to be changed.
+// joins tells whether a candidate that doesn't vote may.
+func (c *Candidate) joins() bool { return c.Alive && c.CaughtUp && !c.Leaving }
+
+// Membership decides on the next set of voters: candidates that have caught up join; voters leave that lost their disk, that are
+// about to end or that are silent, in this order, while as many as wanted are left. It returns false where nothing is to be changed.
 func Membership(current []Voter, candidates []Candidate, wanted int) ([]Voter, bool) {
-	var silent, next, joining []Voter
+	var next, leaving, silent, replaced []Voter
 	for _, voter := range current {
-		switch {
-		case replaced(voter, candidates):
-		case alive(voter, candidates):
+		switch candidate := find(voter, candidates); {
+		case candidate != nil && candidate.Leaving:
+			leaving = append(leaving, voter)
+		case candidate != nil:
 			next = append(next, voter)
+		case replacedBy(voter, candidates):
+			replaced = append(replaced, voter)
 		default:
 			silent = append(silent, voter)
 		}
 	}
+	joined := false
 	for _, candidate := range candidates {
-		if candidate.Alive && !slices.Contains(current, candidate.Voter) {
-			joining = append(joining, candidate.Voter)
+		if candidate.joins() && !slices.Contains(current, candidate.Voter) {
+			next, joined = append(next, candidate.Voter), true
 		}
 	}
-	next = append(next, joining...)
-	// Silent voters stay only while fewer than wanted are left without them.
-	for len(next) < wanted && len(silent) > 0 {
-		next, silent = append(next, silent[0]), silent[1:]
+	// Those that can't vote for long stay only while fewer than wanted are left without them.
+	spare := slices.Concat(leaving, silent, replaced)
+	next = append(next, spare[:min(max(wanted-len(next), 0), len(spare))]...)
+	return next, (joined || len(next) < len(current)) && len(next) > 0
+}
+
+// find returns the live candidate that is a voter, nil if there is none.
+func find(voter Voter, candidates []Candidate) *Candidate {
+	for i := range candidates {
+		if candidates[i].Alive && candidates[i].Voter == voter {
+			return &candidates[i]
+		}
 	}
-	changed := len(next) != len(current) || len(joining) > 0
-	return next, changed && len(next) > 0
+	return nil
 }
 
-// replaced tells whether another identity lives at a voter's address.
-func replaced(voter Voter, candidates []Candidate) bool {
+// replacedBy tells whether another identity lives at a voter's address.
+func replacedBy(voter Voter, candidates []Candidate) bool {
 	return slices.ContainsFunc(candidates, func(c Candidate) bool {
 		return c.Alive && c.Address == voter.Address && c.ID != voter.ID
 	})
 }
-
-func alive(voter Voter, candidates []Candidate) bool {
-	return slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Alive && c.Voter == voter })
-}
--- a/internal/decide/register/register.go
+++ b/internal/decide/register/register.go
@@ -76,6 +76,9 @@
 // Everyone returns the voters of both sets, each once.
 func (v *Value) Everyone() []Voter { return union(v.Voters, v.Previous) }
 
+// Majority tells whether a majority of the voters, and of those before while both decide, is in.
+func (v *Value) Majority(in func(Voter) bool) bool { return quorum(in, v.Voters, v.Previous) }
+
 func union(sets ...[]Voter) (all []Voter) {
 	for _, set := range sets {
 		for _, voter := range set {
@@ -207,3 +210,18 @@
 	}
 	return Promise{OK: true, Promised: a.state.Promised, Ballot: a.state.Ballot, Value: a.state.Value}
 }
+
+// HandleLearn takes a value that was chosen at a ballot. It promises nothing, and may be told of a ballot below the promised one:
+// whoever was promised more has met the value at one of those that accepted it. hasConfig is as for HandleAccept. It returns
+// whether the voter holds the value, or a later one, once the state is on disk.
+func (a *Acceptor) HandleLearn(at Ballot, value Value, hasConfig bool) (*State, bool) {
+	if at.Compare(a.state.Ballot) <= 0 {
+		return nil, true
+	}
+	if !hasConfig && value.Version != 0 {
+		return nil, false
+	}
+	next := a.state
+	next.Ballot, next.Value = at, value
+	return &next, true
+}
--- a/internal/decide/register/round.go
+++ b/internal/decide/register/round.go
@@ -16,6 +16,7 @@
 	Running   Outcome = iota
 	Chosen            // Value holds, and is the change's
 	Refused           // Value holds, and the change does not go on top of it
+	Confirmed         // Value holds now, which was not known before; the change was not made and may be tried again
 	Outvoted          // another ballot stands in the way; nothing is known of the change
 	Abandoned         // the host has given it up; nothing is known of the change
 )
@@ -30,15 +31,17 @@
 type Round struct {
 	Ballot  Ballot
 	Outcome Outcome
-	Value   Value  // what holds, once the outcome is Chosen or Refused; what is proposed, while values are being accepted
+	Value   Value  // what holds, once the outcome is Chosen, Refused or Confirmed; what is proposed, while values are being accepted
+	At      Ballot // the ballot at which Value was chosen, once it holds
 	Above   Ballot // the highest ballot that stood in the way
 
 	change    Change
-	known     Value // the voters to begin with
+	known     Value  // the voters to begin with
+	proven    Ballot // a ballot at which a value is known to be chosen
 	promises  map[Voter]Promise
 	asked     askedVoters
 	proposing bool
-	refused   bool
+	ending    Outcome   // of the round once enough have accepted
 	sets      [][]Voter // whose majorities must accept
 	accepted  map[Voter]bool
 	lost      map[Voter]bool
@@ -51,6 +54,9 @@
 	return r, Step{Prepare: r.asked.ask(known)}
 }
 
+// TrustChosen tells that a value was chosen at a ballot, as an earlier round or read of this process has found.
+func (r *Round) TrustChosen(ballot Ballot) { r.proven = ballot }
+
 // askedVoters are those that a call has turned to.
 type askedVoters map[Voter]bool
 
@@ -97,27 +103,37 @@
 	return newest
 }
 
+// propose derives the next value and has it accepted. Danger: a change of the voters must not be derived from a value that may
+// not be chosen. Two such changes in a row would lead to voters of whom no majority has met the majorities before, while those
+// go on without them. A value that isn't known to be chosen is made so first, by its own voters.
 func (r *Round) propose(newest Promise) Step {
 	next, ok := r.change(newest.Value.Clone())
-	if !ok {
-		r.refused, next = true, newest.Value
-		if r.holds(newest) {
-			return r.end(Refused, next)
-		}
+	r.ending = Chosen
+	switch {
+	case !ok && r.holds(newest):
+		r.At = newest.Ballot
+		return r.end(Refused, newest.Value)
+	case !ok:
+		r.ending, next = Refused, newest.Value
+	case next.Epoch != newest.Value.Epoch && !r.holds(newest):
+		r.ending, next = Confirmed, newest.Value
 	}
-	r.proposing, r.Value = true, next
+	r.proposing, r.Value, r.At = true, next, r.Ballot
 	r.lost = map[Voter]bool{}
 	r.sets = [][]Voter{newest.Value.Voters, newest.Value.Previous, next.Voters, next.Previous}
 	return Step{Accept: union(r.sets...)}
 }
 
-// holds tells whether a majority has accepted the newest value already.
+// holds tells whether the newest value is known to be chosen.
 func (r *Round) holds(newest Promise) bool {
 	same := func(voter Voter) bool {
 		promise, ok := r.promises[voter]
 		return ok && promise.Ballot == newest.Ballot
 	}
-	return newest.Ballot != Ballot{} && quorum(same, newest.Value.Voters, newest.Value.Previous)
+	if newest.Ballot == (Ballot{}) {
+		return false
+	}
+	return newest.Ballot == r.proven || quorum(same, newest.Value.Voters, newest.Value.Previous)
 }
 
 // Accepted takes a voter's answer to Accept.
@@ -135,10 +151,7 @@
 	if !quorum(func(voter Voter) bool { return r.accepted[voter] }, r.sets...) {
 		return Step{}
 	}
-	if r.refused {
-		return r.end(Refused, r.Value)
-	}
-	return r.end(Chosen, r.Value)
+	return r.end(r.ending, r.Value)
 }
 
 // Lost tells that a voter could not be reached or did not answer Accept or, where accepting is false, Prepare.
@@ -186,6 +199,7 @@
 // Reading is the state machine of a read that changes nothing. Where voters differ it can't tell, and a round of Keep must.
 type Reading struct {
 	Value   Value
+	At      Ballot  // the ballot at which Value was chosen
 	Outcome Outcome // Chosen: Value holds; Outvoted: a round of Keep is needed
 
 	known   Value
@@ -223,7 +237,7 @@
 		return ok && other.Ballot == newest.Ballot
 	}
 	if newest.Ballot != (Ballot{}) && quorum(same, newest.Value.Voters, newest.Value.Previous) {
-		r.Outcome, r.Value = Chosen, newest.Value
+		r.Outcome, r.Value, r.At = Chosen, newest.Value, newest.Ballot
 		return Step{Done: true}
 	}
 	return r.checkAll()
--- /dev/null
+++ b/internal/decide/upkeep/upkeep.go
@@ -0,0 +1,64 @@
+// Package upkeep decides which control process looks after the voters of the register, and when. There is no leader: each voter
+// has its turn, in an order that all derive from whom they are in touch with, and the turns of those that fail pass by themselves.
+// It is pure; time comes as seconds on the process's steady clock.
+package upkeep
+
+import (
+	"slices"
+	"strings"
+
+	"hazelwheel/internal/decide/register"
+)
+
+// turnS is how long a process has for its turn before the next one tries as well, in seconds.
+const turnS = 0.7
+
+// Turns keeps for how long a change of the voters has been needed.
+type Turns struct {
+	needed bool
+	since  float64
+}
+
+// Due tells whether it is this process's turn: the process of rank 0 acts at once, each next one where the need is still there a
+// turn later. Danger: two processes may act at the same time. Changes of the register allow that; turns only make it rare.
+func (t *Turns) Due(now float64, needed bool, rank int) bool {
+	if !needed {
+		t.needed = false
+		return false
+	}
+	if !t.needed {
+		t.needed, t.since = true, now
+	}
+	return now-t.since >= turnS*float64(rank)
+}
+
+// Rank returns the place of a process among the voters that it is in touch with, itself among them, by their identities. It returns
+// false for a process that doesn't vote.
+func Rank(self string, value *register.Value, inTouch func(register.Voter) bool) (int, bool) {
+	var ids []string
+	for _, voter := range value.Everyone() {
+		if voter.ID == self || inTouch(voter) {
+			ids = append(ids, voter.ID)
+		}
+	}
+	slices.SortFunc(ids, strings.Compare)
+	rank := slices.Index(ids, self)
+	return rank, rank >= 0
+}
+
+// Needed tells whether the voters should be changed: a change is not finished, or there is somebody to join or to leave.
+// Candidates that don't vote count as caught up here; whether they are is asked by who changes the voters.
+func Needed(value *register.Value, candidates []register.Candidate, wanted int) bool {
+	if len(value.Voters) == 0 {
+		return false
+	}
+	if len(value.Previous) > 0 {
+		return true
+	}
+	assumed := slices.Clone(candidates)
+	for i := range assumed {
+		assumed[i].CaughtUp = true
+	}
+	_, changed := register.Membership(value.Voters, assumed, wanted)
+	return changed
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -56,14 +56,29 @@
 	TakeList  bool                `msgpack:"tl"` // the same of a younger list
 }
 
-// ConfigRequest asks a control process for the bytes of a configuration.
+// ConfigRequest asks a control process for a piece of a configuration's bytes.
 type ConfigRequest struct {
 	Digest register.Digest `msgpack:"d"`
+	Offset int             `msgpack:"o"`
+	Length int             `msgpack:"l"` // at most; 0: all
 }
 
-// ConfigReply holds them, empty if they aren't there.
+// ConfigReply holds the piece, and the size of the whole: 0 if it isn't there.
 type ConfigReply struct {
 	Data []byte `msgpack:"b"`
+	Size int    `msgpack:"s"`
+}
+
+// Learn tells a control process of a value that was chosen, and that it may fetch the configuration's bytes of the voters.
+type Learn struct {
+	To    string          `msgpack:"t"` // the identity that is meant
+	At    register.Ballot `msgpack:"b"`
+	Value register.Value  `msgpack:"v"`
+}
+
+// Learned answers Learn.
+type Learned struct {
+	Held bool `msgpack:"h"` // the value, or a later one, is on the disk, with the bytes of its configuration
 }
 
 // Feed is what an agent tells its proxy. Fields that have not changed are missing.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -51,6 +52,8 @@
 	Reason string
 	// Tail is true where nothing but the end of the newest segment is missing, as after a loss of power.
 	Tail bool
+
+	followed bool // a whole record stands behind it in the same file
 }
 
 func (d Damage) String() string { return fmt.Sprintf("%s: offset %d: %s", d.File, d.Offset, d.Reason) }
@@ -62,6 +65,34 @@
 	file     *os.File
 	size     int64 // of the good part of the segment
 	broken   bool  // the segment's end is unknown: a new one must be begun
+	cut      *cut  // what the next segment says of one before it
+}
+
+// cut says where the good part of an earlier segment ends. What stands behind it was never reported as written.
+type cut struct {
+	sequence uint64
+	size     int64
+}
+
+// The kinds that the store itself uses; callers use lower ones.
+const (
+	cutKind   Kind = 255 // at the beginning of a segment: holds a cut
+	batchKind Kind = 254 // holds the records of one Append, so that they are there together or not at all
+)
+
+func (c *cut) record() Record {
+	data := binary.LittleEndian.AppendUint64(nil, c.sequence)
+	return Record{cutKind, binary.LittleEndian.AppendUint64(data, uint64(c.size))}
+}
+
+// readCut returns the cut at the beginning of a segment, nil if there is none.
+func readCut(records []Record) *cut {
+	const length = 16
+	if len(records) == 0 || records[0].Kind != cutKind || len(records[0].Data) != length {
+		return nil
+	}
+	data := records[0].Data
+	return &cut{binary.LittleEndian.Uint64(data), int64(binary.LittleEndian.Uint64(data[8:]))}
 }
 
 // Open reads the folder, making it where it isn't there, and returns its records in order: those of the newest snapshot, then
@@ -75,7 +106,13 @@
 		return nil, nil, nil, err
 	}
 	// Danger: never write behind an end that may be torn. Each life begins a segment of its own, at its first write.
-	return &Store{dir: dir, sequence: last, broken: true}, records, damage, nil
+	s := &Store{dir: dir, sequence: last, broken: true}
+	for _, place := range damage {
+		if place.Tail {
+			s.cut = &cut{last, place.Offset}
+		}
+	}
+	return s, records, damage, nil
 }
 
 // Read reads the folder without changing it. last is the highest number that a file has.
@@ -94,15 +131,25 @@
 		}
 		damage = append(damage, *bad)
 	}
+	segments = slices.DeleteFunc(segments, func(sequence uint64) bool { return sequence < from })
+	found := map[uint64]*Damage{}
 	for i, sequence := range segments {
 		last = max(last, sequence)
-		if sequence < from {
-			continue
+		more, bad := readFile(filepath.Join(dir, name(sequence, segmentSuffix)))
+		if end := readCut(more); end != nil {
+			more = more[1:]
+			if before := found[end.sequence]; before != nil && before.Offset >= end.size && !before.followed {
+				delete(found, end.sequence)
+			}
 		}
-		found, bad := readFile(filepath.Join(dir, name(sequence, segmentSuffix)))
-		records = append(records, found...)
+		records = append(records, more...)
 		if bad != nil {
-			bad.Tail = i == len(segments)-1
+			bad.Tail = i == len(segments)-1 && !bad.followed
+			found[sequence] = bad
+		}
+	}
+	for _, sequence := range segments {
+		if bad := found[sequence]; bad != nil {
 			damage = append(damage, *bad)
 		}
 	}
@@ -154,12 +201,65 @@
 			return records, nil
 		}
 		if err != nil {
-			return records, &Damage{File: path, Offset: offset, Reason: err.Error()}
+			bad := &Damage{File: path, Offset: offset, Reason: err.Error()}
+			bad.followed, err = recordBehind(file, offset)
+			if err != nil {
+				bad.Reason += "; " + err.Error()
+			}
+			return records, bad
+		}
+		more, err := unbatch(record)
+		if err != nil {
+			return records, &Damage{File: path, Offset: offset, Reason: err.Error(), followed: true}
+		}
+		records, offset = append(records, more...), offset+size
+	}
+}
+
+// unbatch returns the records of a batch, or the record itself where it is none.
+func unbatch(record Record) (records []Record, err error) {
+	if record.Kind != batchKind {
+		return []Record{record}, nil
+	}
+	in := bufio.NewReader(bytes.NewReader(record.Data))
+	for {
+		inner, _, err := readRecord(in)
+		if errors.Is(err, io.EOF) {
+			return records, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("a batch: %w", err)
 		}
-		records, offset = append(records, record), offset+size
+		records = append(records, inner)
 	}
 }
 
+// recordBehind tells whether a whole batch stands behind a place that can't be read. Each Append is synced before the next one
+// begins, so that a loss of power spoils nothing but the last one: what stands before another was damaged in another way.
+func recordBehind(file *os.File, offset int64) (bool, error) {
+	if _, err := file.Seek(offset+1, io.SeekStart); err != nil {
+		return false, err
+	}
+	rest, err := io.ReadAll(file)
+	if err != nil {
+		return false, err
+	}
+	for at := range rest {
+		if Kind(rest[at]) != batchKind || len(rest)-at < headerSize {
+			continue
+		}
+		header := rest[at : at+headerSize]
+		length := int(binary.LittleEndian.Uint32(header[1:]))
+		if length == 0 || length > len(rest)-at-headerSize {
+			continue
+		}
+		if checksum(header[0], rest[at+headerSize:at+headerSize+length]) == binary.LittleEndian.Uint32(header[5:]) {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 // readRecord returns io.EOF at a proper end alone.
 func readRecord(in *bufio.Reader) (Record, int64, error) {
 	var header [headerSize]byte
@@ -202,7 +302,7 @@
 			return err
 		}
 	}
-	data := encode(records)
+	data := encode([]Record{{batchKind, encode(records)}})
 	if _, err := s.file.WriteAt(data, s.size); err != nil {
 		return s.fail(err)
 	}
@@ -216,24 +316,31 @@
 // fail cuts off what a failed write may have left behind; where that fails too, the next write begins a new segment.
 func (s *Store) fail(cause error) error {
 	if err := s.file.Truncate(s.size); err != nil {
-		s.broken = true
+		s.broken, s.cut = true, &cut{s.sequence, s.size}
 	}
 	return Error.Wrap(cause)
 }
 
+// Used tells whether the folder holds anything that was written before.
+func (s *Store) Used() bool { return s.sequence > 0 }
+
 // Size returns the bytes in the segment that is written.
 func (s *Store) Size() int64 { return s.size }
 
 // begin makes the next segment.
 func (s *Store) begin() error {
-	file, err := s.create(name(s.sequence+1, segmentSuffix), []byte(magic))
+	head := []byte(magic)
+	if s.cut != nil {
+		head = append(head, encode([]Record{s.cut.record()})...)
+	}
+	file, err := s.create(name(s.sequence+1, segmentSuffix), head)
 	if err != nil {
 		return err
 	}
 	if s.file != nil {
 		s.file.Close()
 	}
-	s.file, s.sequence, s.size, s.broken = file, s.sequence+1, int64(len(magic)), false
+	s.file, s.sequence, s.size, s.broken, s.cut = file, s.sequence+1, int64(len(head)), false, nil
 	return nil
 }
 
@@ -271,7 +378,7 @@
 	if err := os.Rename(filepath.Join(s.dir, temporary), filepath.Join(s.dir, name(sequence, snapSuffix))); err != nil {
 		return Error.Wrap(err)
 	}
-	s.sequence, s.broken = sequence, true
+	s.sequence, s.broken, s.cut = sequence, true, nil
 	// Danger: older files must outlive the new name.
 	if err := syncDir(s.dir); err != nil {
 		return Error.Wrap(err)
