Simulate the control side whole: cuts, lost disks, replacements; test control processes on loopback

Need: the register's world has no cut that lasts, no spare machines and loses one disk at a time, and control had no tests of its own.

Change: a world of register, upkeep, learners and contact on a simulated network with lasting cuts (one machine, one way, halves), freezes, disks lost one after another, planned and unplanned replacement by spares, losses of power with disks gone; rules after each answer, and all whole in the quiet at the end. Control processes in tests speak over a network that cuts and slows.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -54,24 +54,25 @@
 	if err := opened.begin(ctx); err != nil {
 		return err
 	}
-	c := newControl(settings, opened, log)
-	internal, err := listen(settings.Internal(settings.IP, boot.ControlPort))
+	return newControl(settings, opened, transport.NewClient(), log).run(ctx, reload)
+}
+
+// run serves until the context ends.
+func (c *Control) run(ctx context.Context, reload <-chan *boot.Settings) error {
+	internal, err := listen(c.registrar.self.Address)
 	if err != nil {
 		return err
 	}
-	operator, err := listen(settings.Listen.Control)
+	operator, err := listen(c.settings.Listen.Control)
 	if err != nil {
-		return err
+		return errs.Combine(err, internal.Close())
 	}
 	servers := []*http.Server{serve(internal, c.internalRouter()), serve(operator, c.operatorRouter())}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	go c.node.Run(work)
-	go c.upkeep(work)
-	go c.scrub(work)
-	go c.follow(work)
-	go c.readLists(work)
-	go newStageKeeper(c).run(work)
+	for _, task := range []func(context.Context){c.node.Run, c.upkeep, c.scrub, c.follow, c.readLists, newStageKeeper(c).run} {
+		go task(work)
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -84,8 +85,7 @@
 	}
 }
 
-func newControl(settings *boot.Settings, opened *replica, log *logrus.Entry) *Control {
-	client := transport.NewClient()
+func newControl(settings *boot.Settings, opened *replica, client *transport.Client, log *logrus.Entry) *Control {
 	own := register.Voter{ID: opened.state().ID, Address: settings.Internal(settings.IP, boot.ControlPort)}
 	c := &Control{settings: settings, log: log, replica: opened, platform: cluster.NewPlatform(settings.Cloud.Address),
 		follower: newFollower()}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,411 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/decide/register"
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/transport"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+// within bounds each wait. It is far above what is needed.
+const within = 30 * time.Second
+
+// errCut ends connections that a cut has met.
+var errCut = fmt.Errorf("the network is cut")
+
+// network stands between control processes: it cuts single machines off and slows bytes down.
+type network struct {
+	mu    sync.Mutex
+	cut   map[string]bool // by IP
+	perKB time.Duration   // what 1,000 bytes take, on every connection
+}
+
+func (n *network) setCut(ip string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[ip] = cut
+}
+
+// blocked tells whether anything goes between two machines.
+func (n *network) blocked(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return a != b && (n.cut[a] || n.cut[b])
+}
+
+// dial opens connections of the machine with this IP. Behind a cut they hang as they would without packets.
+func (n *network) dial(from string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		to, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		if n.blocked(from, to) {
+			<-ctx.Done()
+			return nil, errCut
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+		if err != nil {
+			return nil, err
+		}
+		return &slowConn{Conn: conn, network: n, from: from, to: to}, nil
+	}
+}
+
+// slowConn is a connection on the network.
+type slowConn struct {
+	net.Conn
+	network  *network
+	from, to string
+}
+
+func (c *slowConn) Write(data []byte) (int, error) {
+	if c.network.blocked(c.from, c.to) {
+		return 0, errCut
+	}
+	return c.Conn.Write(data)
+}
+
+func (c *slowConn) Read(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	if c.network.blocked(c.from, c.to) {
+		return 0, errCut
+	}
+	c.network.mu.Lock()
+	pause := c.network.perKB * time.Duration(count) / 1000
+	c.network.mu.Unlock()
+	if pause > 0 {
+		time.Sleep(pause) // the bytes are still on their way
+	}
+	return count, err
+}
+
+// machine is a control process within the test.
+type machine struct {
+	ip      string
+	control *Control
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+// side is the control side: machines on loopback addresses.
+type side struct {
+	dir      string
+	base     int
+	network  *network
+	founders int
+	machines map[int]*machine
+}
+
+func newSide(founders int) *side {
+	s := &side{dir: GinkgoT().TempDir(), base: 20000 + rand.IntN(20000), founders: founders, machines: map[int]*machine{},
+		network: &network{cut: map[string]bool{}}}
+	DeferCleanup(func() {
+		for i := range s.machines {
+			s.stop(i)
+		}
+	})
+	for i := range founders {
+		s.start(i, true)
+	}
+	return s
+}
+
+func (s *side) ip(i int) string       { return fmt.Sprintf("127.0.5.%d", 10+i) }
+func (s *side) operator(i int) string { return fmt.Sprintf("%s:%d", s.ip(i), s.base+20) }
+func (s *side) data(i int) string     { return filepath.Join(s.dir, fmt.Sprint(i)) }
+
+func (s *side) settings(i int, bootstrap bool) *boot.Settings {
+	seeds := ""
+	for founder := range s.founders {
+		seeds += fmt.Sprintf("  - %q\n", s.operator(founder))
+	}
+	settings, err := boot.Parse(fmt.Appendf(nil, "NodeId: \"c%d\"\nIp: %q\nZone: z\nBootstrap: %v\nInternalPortRange: [%d, %d]\nSeeds:\n%sDataDir: %q\n"+
+		"FaultTolerance: {Machines: %d}\nBounds: {GraceS: 4}\nCloud: {Address: \"127.0.0.1:1\"}\nListen:\n  Control: %q\n",
+		i, s.ip(i), bootstrap, s.base, s.base+15, seeds, s.data(i), (s.founders-1)/2, s.operator(i)))
+	Expect(err).NotTo(HaveOccurred())
+	return settings
+}
+
+func (s *side) start(i int, bootstrap bool) {
+	settings := s.settings(i, bootstrap)
+	logger := logrus.New()
+	logger.SetOutput(GinkgoWriter)
+	log := logger.WithField("node", settings.NodeID)
+	opened, err := openReplica(settings, log)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, stop := context.WithCancel(context.Background())
+	Expect(opened.begin(ctx)).To(Succeed())
+	m := &machine{ip: s.ip(i), stop: stop, ended: make(chan error, 1),
+		control: newControl(settings, opened, transport.NewClientOn(s.network.dial(s.ip(i))), log)}
+	s.machines[i] = m
+	go func() { m.ended <- m.control.run(ctx, nil) }()
+}
+
+func (s *side) stop(i int) {
+	m := s.machines[i]
+	delete(s.machines, i)
+	m.stop()
+	Eventually(m.ended, within).Should(Receive())
+	Expect(m.control.replica.store.Close()).To(Succeed())
+}
+
+// configuration returns the bytes of a version, with a text of a size in it.
+func configuration(version int, size int) []byte {
+	return fmt.Appendf(nil, `{"Version":%d,"Routes":[{"Name":"%s","Host":"h","PathPrefix":"/p/","RouteType":"non_idempotent","TimeoutMs":2000,`+
+		`"TargetLatencyMs":500,"Service":"s","MaxAttempts":1}],"Services":[{"Name":"s","HealthPath":"/health","MaxConnections":10}]}`,
+		version, strings.Repeat("r", max(size, 1)))
+}
+
+// put sends a configuration and returns the status, 0 where there was none.
+func (s *side) put(i, base int, data []byte) int {
+	request, err := http.NewRequest(http.MethodPut, "http://"+s.operator(i)+"/config", bytes.NewReader(data))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("If-Match", fmt.Sprint(base))
+	answer, err := (&http.Client{Timeout: within}).Do(request)
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode
+}
+
+// get returns the status and the version of the configuration that a process tells.
+func (s *side) get(i int) (status, version int) {
+	answer, err := (&http.Client{Timeout: within}).Get("http://" + s.operator(i) + "/config")
+	if err != nil {
+		return 0, 0
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	Expect(err).NotTo(HaveOccurred())
+	var told struct{ Version int }
+	if answer.StatusCode == http.StatusOK {
+		Expect(json.Unmarshal(data, &told)).To(Succeed())
+	}
+	return answer.StatusCode, told.Version
+}
+
+func (s *side) version(i int) int {
+	_, version := s.get(i)
+	return version
+}
+
+// held returns the version on a machine's disk, 0 where the bytes of its configuration are not there.
+func (s *side) held(i int) int {
+	value := s.machines[i].control.replica.state().Value
+	if s.machines[i].control.replica.config(value.Config) == nil {
+		return 0
+	}
+	return int(value.Version)
+}
+
+// votes tells whether a machine's disk votes and decides alone with the other voters.
+func (s *side) votes(i int) bool {
+	facts, _ := s.machines[0].control.node.Facts()
+	for _, voter := range facts.Voters.Voters {
+		if voter.ID == s.machines[i].control.registrar.self.ID {
+			return len(facts.Voters.Previous) == 0
+		}
+	}
+	return false
+}
+
+// begin has the first configuration taken.
+func (s *side) begin() {
+	Eventually(func() int { return s.put(0, 0, configuration(1, 0)) }, within).Should(Equal(http.StatusOK))
+	for i := range s.founders {
+		Eventually(func() int { return s.held(i) }, within).Should(Equal(1))
+	}
+}
+
+var _ = Describe("a control process that is cut off", func() {
+	It("answers 503 to reads and changes, soon once it knows, and tells the newest when it is back", func() {
+		s := newSide(3)
+		s.begin()
+		s.network.setCut(s.ip(2), true)
+		Eventually(func() bool { return s.machines[2].control.reachesMajority() }, within).Should(BeFalse())
+		began := time.Now()
+		status, _ := s.get(2)
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(s.put(2, 1, configuration(2, 0))).To(Equal(http.StatusServiceUnavailable))
+		Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+
+		Expect(s.put(0, 1, configuration(3, 0))).To(Equal(http.StatusOK))
+		status, _ = s.get(2)
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		s.network.setCut(s.ip(2), false)
+		for range 200 {
+			if status, version := s.get(2); status == http.StatusOK {
+				Expect(version).To(Equal(3), "never an older one")
+			}
+		}
+		Eventually(func() int { return s.held(2) }, within).Should(Equal(3))
+	})
+
+	It("does not hold the upkeep of the voters up", func() {
+		s := newSide(5)
+		s.begin()
+		s.network.setCut(s.ip(0), true)
+		s.stop(1)
+		Expect(os.RemoveAll(s.data(1))).To(Succeed())
+		s.start(1, false)
+		Eventually(func() bool {
+			facts, _ := s.machines[2].control.node.Facts()
+			return s.machines[1].control.votes(&facts.Voters) && len(facts.Voters.Previous) == 0
+		}, within).Should(BeTrue())
+		s.stop(3)
+		Eventually(func() int { return s.put(2, 1, configuration(2, 0)) }, within).Should(Equal(http.StatusOK))
+	})
+})
+
+var _ = Describe("two operators", func() {
+	It("are not both confirmed on one version, and what is sent again is answered as before", func() {
+		s := newSide(3)
+		s.begin()
+		for base := 1; base < 12; base++ {
+			first, second := configuration(base+1, 2), configuration(base+1, 3)
+			statuses := make(chan int, 2)
+			go func() { statuses <- s.put(0, base, first) }()
+			go func() { statuses <- s.put(1, base, second) }()
+			one, other := <-statuses, <-statuses
+			Expect([]int{one, other}).To(ContainElement(http.StatusOK))
+			Expect([]int{one, other}).To(ContainElement(http.StatusPreconditionFailed))
+		}
+		taken, refused := http.StatusOK, http.StatusPreconditionFailed
+		again := []int{s.put(2, 1, configuration(2, 2)), s.put(2, 1, configuration(2, 3))}
+		Expect(again).To(ConsistOf(taken, refused), "ten versions later, at a third process")
+		Expect(s.put(2, 12, configuration(12, 9))).To(Equal(http.StatusBadRequest), "a version that is not above the current one")
+	})
+
+	It("get the same answer across a restart of all", func() {
+		s := newSide(3)
+		s.begin()
+		Expect(s.put(1, 1, configuration(5, 0))).To(Equal(http.StatusOK))
+		for i := range 3 {
+			s.stop(i)
+		}
+		for i := range 3 {
+			s.start(i, true) // settings may still say that this is the first start
+		}
+		Eventually(func() int { return s.put(2, 1, configuration(5, 0)) }, within).Should(Equal(http.StatusOK))
+		Expect(s.put(2, 1, configuration(6, 0))).To(Equal(http.StatusPreconditionFailed))
+		Expect(s.version(0)).To(Equal(5))
+	})
+})
+
+var _ = Describe("losses one after another", func() {
+	It("leave a majority that holds the newest, as each lost disk is made good", func() {
+		s := newSide(3)
+		s.begin()
+		for i := range 3 {
+			Expect(s.put((i+1)%3, i+1, configuration(i+2, 0))).To(Equal(http.StatusOK))
+			s.stop(i)
+			Expect(os.RemoveAll(s.data(i))).To(Succeed())
+			s.start(i, false)
+			Eventually(func() bool { return s.votes(i) && s.held(i) == i+2 }, within).Should(BeTrue(), "machine %d", i)
+		}
+		for i := range 3 {
+			Eventually(func() int { return s.version(i) }, within).Should(Equal(4))
+		}
+	})
+
+	It("let a newcomer in before the one that leaves is gone", func() {
+		s := newSide(3)
+		s.begin()
+		s.start(3, false)
+		Eventually(func() bool { return s.votes(3) }, within).Should(BeTrue())
+		Expect(s.held(3)).To(Equal(1))
+		s.stop(1)
+		facts, _ := s.machines[0].control.node.Facts()
+		Expect(facts.Voters.Voters).To(HaveLen(3), "the one that left does not vote any longer")
+		s.stop(2)
+		Eventually(func() int { return s.put(3, 1, configuration(2, 0)) }, within).Should(Equal(http.StatusOK))
+	})
+})
+
+var _ = Describe("a member that comes back after many changes", func() {
+	It("catches up though configurations are large and the network is slow", func() {
+		s := newSide(3)
+		s.begin()
+		s.stop(2)
+		const size = 400_000
+		for base := 1; base <= 8; base++ {
+			Expect(s.put(base%2, base, configuration(base+1, size))).To(Equal(http.StatusOK))
+		}
+		s.network.mu.Lock()
+		s.network.perKB = 200 * time.Microsecond
+		s.network.mu.Unlock()
+		s.start(2, false)
+		Eventually(func() int { return s.held(2) }, within).Should(Equal(9))
+		Expect(s.machines[2].control.replica.state().Value.Accepted).To(HaveLen(9))
+	})
+})
+
+var _ = Describe("a disk", func() {
+	It("that held something does not found, though the settings still say that this is the first start", func() {
+		s := newSide(3)
+		s.begin()
+		s.stop(0)
+		files, err := filepath.Glob(filepath.Join(s.data(0), "*"))
+		Expect(err).NotTo(HaveOccurred())
+		for _, file := range files {
+			Expect(os.WriteFile(file, []byte("spoiled"), 0o600)).To(Succeed())
+		}
+		s.start(0, true)
+		Expect(s.machines[0].control.registrar.self.ID).NotTo(Equal(founderID(s.machines[0].control.registrar.self.Address)))
+		Eventually(func() bool { return s.votes(0) }, within).Should(BeTrue())
+	})
+})
+
+var _ = Describe("pieces of a configuration", func() {
+	It("go on at another source where the first one fails, and are checked", func() {
+		s := newSide(3)
+		s.begin()
+		data := configuration(2, 700_000)
+		Expect(s.put(0, 1, data)).To(Equal(http.StatusOK))
+		c := s.machines[0].control
+		value := c.replica.state().Value
+		Expect(c.replica.config(value.Config)).To(HaveLen(len(data)))
+		Eventually(func() int { return s.held(1) }, within).Should(Equal(2))
+		fetched := &copies{}
+		calls := 0
+		ask := func(ctx context.Context, from register.Voter, request *message.ConfigRequest) (*message.ConfigReply, error) {
+			if calls++; calls == 3 {
+				return nil, errCut
+			}
+			return c.replica.serveConfig(ctx, request)
+		}
+		got, err := fetched.fetch(context.Background(), value.Config, value.Voters[:1], ask)
+		Expect(err).To(HaveOccurred())
+		Expect(got).To(BeNil())
+		got, err = fetched.fetch(context.Background(), value.Config, value.Voters[:1], ask)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(data))
+		Expect(calls).To(Equal((len(data)+pieceSize-1)/pieceSize+1), "no piece is fetched twice")
+	})
+})
--- /dev/null
+++ b/internal/decide/upkeep/upkeep_test.go
@@ -0,0 +1,81 @@
+package upkeep_test
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/decide/register"
+	"hazelwheel/internal/decide/upkeep"
+)
+
+func TestUpkeep(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "upkeep")
+}
+
+// seeds is how many histories are played; UPKEEP_SEEDS asks for more.
+func seeds() uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("UPKEEP_SEEDS"), 10, 64); err == nil {
+		return n
+	}
+	return 60
+}
+
+var _ = Describe("the control side under lasting cuts, freezes, lost disks, replacements and losses of power", func() {
+	DescribeTable("keeps what it has acknowledged, and is whole in the end", func(machines, spares int) {
+		acked, changes := 0, 0
+		for seed := range seeds() {
+			w := play(seed, machines, spares, mistakes{})
+			Expect(w.broken).To(BeEmpty(), "seed %d", seed)
+			acked, changes = acked+len(w.acked), changes+w.changes
+		}
+		GinkgoWriter.Printf("%d acknowledged, %d changes of the voters\n", acked, changes)
+		Expect(acked).To(BeNumerically(">", int(seeds())*40))
+		Expect(changes).To(BeNumerically(">", int(seeds())*3))
+	}, Entry("with three voters", 3, 2), Entry("with five", 5, 2), Entry("with seven", 7, 2))
+
+	DescribeTable("shows a host that makes a mistake", func(machines int, m mistakes) {
+		for seed := range uint64(500) {
+			if w := play(seed, machines, 2, m); w.broken != "" {
+				GinkgoWriter.Printf("seed %d: %s\n", seed, w.broken)
+				return
+			}
+		}
+		Fail("no rule was broken in 500 histories")
+	},
+		Entry("that lets newcomers vote before they hold the newest value", 3, mistakes{learnersVote: true}),
+		Entry("that answers before its disk has synced", 3, mistakes{answerFirst: true}),
+		Entry("that leaves the upkeep to one that reaches no majority", 5, mistakes{noTurns: true}),
+	)
+})
+
+var _ = Describe("turns", func() {
+	It("begin with the first and go on to the next where the need stays", func() {
+		var first, second upkeep.Turns
+		Expect(first.Due(10, true, 0)).To(BeTrue())
+		Expect(second.Due(10, true, 1)).To(BeFalse())
+		Expect(second.Due(10.5, true, 1)).To(BeFalse())
+		Expect(second.Due(10.8, true, 1)).To(BeTrue())
+	})
+
+	It("begin anew once there was no need", func() {
+		var turns upkeep.Turns
+		turns.Due(10, true, 1)
+		turns.Due(10.6, false, 1)
+		Expect(turns.Due(10.8, true, 1)).To(BeFalse())
+	})
+
+	It("pass over voters that can't be reached", func() {
+		voter := func(id string) register.Voter { return register.Voter{ID: id, Address: id} }
+		value := &register.Value{Voters: []register.Voter{voter("a"), voter("b"), voter("c")}}
+		rank, votes := upkeep.Rank("b", value, func(v register.Voter) bool { return v.ID != "a" })
+		Expect(rank).To(BeZero())
+		Expect(votes).To(BeTrue())
+		_, votes = upkeep.Rank("x", value, func(register.Voter) bool { return true })
+		Expect(votes).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/decide/upkeep/world_test.go
@@ -0,0 +1,564 @@
+package upkeep_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"hazelwheel/internal/decide/register"
+	"hazelwheel/internal/decide/upkeep"
+)
+
+// The times of the world, in seconds. They are those of the host.
+const (
+	exchangeS  = 0.4
+	upkeepS    = 0.15
+	scrubS     = 2.0
+	callS      = 0.9
+	touchS     = 1.5
+	catchUpS   = 4.0
+	changeS    = 2.5
+	pieceS     = 0.25 // what the bytes of a configuration take to come
+	troubleS   = 60.0 // for how long there is trouble
+	quietS     = 12.0 // what is left until the end
+	leaveS     = 3.2
+	clientGapS = 0.35
+)
+
+// mistakes are faults of a host, to show that the rules notice them.
+type mistakes struct {
+	learnersVote bool // a newcomer votes before it holds the newest value
+	answerFirst  bool // an answer leaves before the disk has synced
+	noTurns      bool // the first voter by name does the upkeep, whether it reaches a majority or not
+}
+
+type event struct {
+	at    float64
+	order int
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// node is a control machine.
+type node struct {
+	address  string
+	disk     register.State // what a loss of power leaves
+	acceptor *register.Acceptor
+	up       bool
+	gone     bool // for good
+	leaving  bool
+	frozen   bool
+	life     int
+	resumed  float64
+	round    uint64
+	proven   register.Ballot
+	told     register.Value // the voters as they are told
+	contact  map[string]float64
+	peers    map[string]peer // by address, as heard
+	turns    upkeep.Turns
+	mending  bool
+}
+
+// peer is what is told of another machine.
+type peer struct {
+	id      string
+	leaving bool
+}
+
+// world is a control side with its network, disks and operators, all drawn from one seed.
+type world struct {
+	rng      *rand.Rand
+	mistakes mistakes
+	now      float64
+	queue    events
+	order    int
+	nodes    []*node
+	spares   []*node
+	cut      map[[2]string]float64 // until when nothing goes from one to the other
+	wanted   int
+	tolerate int
+	lost     map[*node]float64 // until when a machine counts as lost
+
+	acked    []register.Digest
+	byBase   map[uint64]register.Digest
+	highest  uint64
+	newestAt register.Ballot
+	broken   string
+	changes  int
+}
+
+func newWorld(seed uint64, machines, spares int, m mistakes) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), mistakes: m, cut: map[[2]string]float64{}, wanted: machines,
+		tolerate: (machines - 1) / 2, lost: map[*node]float64{}, byBase: map[uint64]register.Digest{}}
+	founding := register.Value{Epoch: 1}
+	for i := range machines {
+		address := fmt.Sprintf("n%d", i)
+		founding.Voters = append(founding.Voters, register.Voter{ID: address, Address: address})
+	}
+	for i := range machines + spares {
+		address := fmt.Sprintf("n%d", i)
+		n := &node{address: address}
+		if i < machines {
+			n.disk = register.State{ID: address, Value: founding}
+			w.nodes = append(w.nodes, n)
+			w.boot(n)
+		} else {
+			w.spares = append(w.spares, n)
+		}
+	}
+	return w
+}
+
+func (w *world) after(delay float64, run func()) {
+	w.order++
+	heap.Push(&w.queue, event{w.now + delay, w.order, run})
+}
+
+// every repeats a task of one life of a node. A frozen node does nothing.
+func (w *world) every(n *node, period float64, task func()) {
+	life := n.life
+	var again func()
+	again = func() {
+		if n.life != life || !n.up {
+			return
+		}
+		if !n.frozen {
+			task()
+		}
+		w.after(period*(0.9+0.2*w.rng.Float64()), again)
+	}
+	w.after(period*w.rng.Float64(), again)
+}
+
+func (w *world) boot(n *node) {
+	n.life++
+	n.up, n.frozen, n.leaving, n.mending = true, false, false, false
+	n.acceptor = register.NewAcceptor(n.disk)
+	n.round, n.proven, n.told = 0, register.Ballot{}, register.Value{}
+	n.contact, n.peers, n.turns, n.resumed = map[string]float64{}, map[string]peer{}, upkeep.Turns{}, w.now
+	if n.disk.Ballot == (register.Ballot{}) {
+		n.told = n.disk.Value
+	}
+	w.every(n, exchangeS, func() { w.exchange(n) })
+	w.every(n, upkeepS, func() { w.upkeep(n) })
+	w.after(0.05, func() { w.scrub(n, n.life) })
+}
+
+func (w *world) breakRule(format string, args ...any) {
+	if w.broken == "" {
+		w.broken = fmt.Sprintf("%.2f s: ", w.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *world) reaches(from, to *node) bool {
+	return w.now >= w.cut[[2]string{from.address, to.address}] && w.rng.IntN(200) > 0
+}
+
+func (w *world) find(address string) *node {
+	for _, n := range w.nodes {
+		if n.address == address {
+			return n
+		}
+	}
+	return nil
+}
+
+// call has something done at another node. done is told whether an answer came.
+func (w *world) call(from *node, address string, act func(to *node), done func(answered bool)) {
+	life, answered := from.life, false
+	finish := func(ok bool) {
+		if !answered && from.life == life && from.up {
+			answered = true
+			done(ok)
+		}
+	}
+	w.after(callS, func() { finish(false) })
+	to := w.find(address)
+	if to == nil {
+		return
+	}
+	delay := func() float64 { return 0.001 + 0.008*w.rng.Float64() }
+	if address == from.address {
+		delay = func() float64 { return 0.0005 }
+	}
+	w.after(delay(), func() {
+		if !to.up || to.frozen || from != to && !w.reaches(from, to) {
+			return
+		}
+		act(to)
+		w.after(delay(), func() {
+			if from == to || w.reaches(to, from) && !from.frozen {
+				finish(true)
+			}
+		})
+	})
+}
+
+func (w *world) store(n *node, next *register.State) {
+	if next == nil {
+		return
+	}
+	n.acceptor.Stored(*next)
+	if !w.mistakes.answerFirst || w.rng.IntN(3) > 0 {
+		n.disk = *next
+	}
+}
+
+// exchange tells every other machine who is there and who votes, and takes what they know.
+func (w *world) exchange(n *node) {
+	for _, other := range w.nodes {
+		if other == n {
+			continue
+		}
+		address := other.address
+		var heard map[string]peer
+		var told register.Value
+		w.call(n, address, func(to *node) {
+			to.peers[n.address] = peer{n.disk.ID, n.leaving}
+			w.takeTold(to, n.told)
+			told, heard = to.told, map[string]peer{address: {to.disk.ID, to.leaving}}
+		}, func(answered bool) {
+			if !answered {
+				return
+			}
+			n.contact[address] = w.now
+			n.peers[address] = heard[address]
+			w.takeTold(n, told)
+		})
+	}
+}
+
+func (w *world) takeTold(n *node, told register.Value) {
+	if told.Epoch > n.told.Epoch {
+		n.told = told
+	}
+}
+
+func (w *world) inTouch(n *node, address string) bool {
+	return address == n.address || w.now-max(n.contact[address], n.resumed) <= touchS && n.peers[address].id != ""
+}
+
+func (w *world) known(n *node) register.Value {
+	value := n.told
+	if own := n.acceptor.State().Value; own.Epoch >= value.Epoch {
+		value = own
+	}
+	return register.Value{Epoch: value.Epoch, Voters: value.Voters, Previous: value.Previous}
+}
+
+// change makes one round after the other until one ends with an outcome or the time is over.
+func (w *world) change(n *node, change register.Change, until float64, done func(round *register.Round)) {
+	known := w.known(n)
+	if w.now > until || len(known.Voters) == 0 {
+		done(nil)
+		return
+	}
+	n.round = max(n.round, n.acceptor.State().Promised.Round) + 1
+	ballot := register.Ballot{Round: n.round, Proposer: fmt.Sprintf("%s/%d", n.address, n.life)}
+	round, step := register.NewRound(ballot, known, change)
+	round.TrustChosen(n.proven)
+	ended := false
+	var carryOut func(register.Step)
+	carryOut = func(step register.Step) {
+		if ended {
+			return
+		}
+		if step.Done {
+			ended = true
+			n.round = max(n.round, round.Above.Round)
+			switch round.Outcome {
+			case register.Chosen, register.Refused:
+				w.found(n, round.Value, round.At)
+				done(round)
+			case register.Confirmed:
+				w.found(n, round.Value, round.At)
+				w.change(n, change, until, done)
+			default:
+				w.after(0.02+0.1*w.rng.Float64(), w.alive(n, func() { w.change(n, change, until, done) }))
+			}
+			return
+		}
+		for _, voter := range step.Prepare {
+			var promise register.Promise
+			w.call(n, voter.Address, func(to *node) {
+				var next *register.State
+				next, promise = to.acceptor.HandlePrepare(register.Prepare{To: voter.ID, Ballot: ballot})
+				w.store(to, next)
+			}, func(answered bool) {
+				if answered {
+					carryOut(round.Promised(voter, promise))
+				} else {
+					carryOut(round.Lost(voter, false))
+				}
+			})
+		}
+		for _, voter := range step.Accept {
+			var accepted register.Accepted
+			w.call(n, voter.Address, func(to *node) {
+				var next *register.State
+				next, accepted = to.acceptor.HandleAccept(register.Accept{To: voter.ID, Ballot: ballot, Value: round.Value.Clone()}, true)
+				w.store(to, next)
+			}, func(answered bool) {
+				if answered {
+					carryOut(round.Accepted(voter, accepted))
+				} else {
+					carryOut(round.Lost(voter, true))
+				}
+			})
+		}
+	}
+	carryOut(step)
+}
+
+// alive returns a function that does nothing once the life of a node is over.
+func (w *world) alive(n *node, run func()) func() {
+	life := n.life
+	return func() {
+		if n.life == life && n.up {
+			run()
+		}
+	}
+}
+
+// found notes a value that was chosen.
+func (w *world) found(n *node, value register.Value, at register.Ballot) {
+	if at.Compare(n.proven) > 0 {
+		n.proven = at
+	}
+	if at.Compare(w.newestAt) > 0 {
+		w.newestAt = at
+	}
+	w.takeTold(n, register.Value{Epoch: value.Epoch, Voters: value.Voters, Previous: value.Previous})
+}
+
+// read returns the value that holds, or false.
+func (w *world) read(n *node, until float64, done func(value register.Value, at register.Ballot, ok bool)) {
+	known := w.known(n)
+	if len(known.Voters) == 0 {
+		done(register.Value{}, register.Ballot{}, false)
+		return
+	}
+	reading, step := register.NewReading(known)
+	ended := false
+	var carryOut func(register.Step)
+	carryOut = func(step register.Step) {
+		if ended {
+			return
+		}
+		if step.Done {
+			ended = true
+			if reading.Outcome == register.Chosen {
+				w.found(n, reading.Value, reading.At)
+				done(reading.Value, reading.At, true)
+				return
+			}
+			w.change(n, register.Keep, until, func(round *register.Round) {
+				if round == nil {
+					done(register.Value{}, register.Ballot{}, false)
+				} else {
+					done(round.Value, round.At, true)
+				}
+			})
+			return
+		}
+		for _, voter := range step.Prepare {
+			var promise register.Promise
+			w.call(n, voter.Address, func(to *node) { promise = to.acceptor.HandleRead(register.Read{To: voter.ID}) },
+				func(answered bool) {
+					if answered {
+						carryOut(reading.Answered(voter, promise))
+					} else {
+						carryOut(reading.Lost())
+					}
+				})
+		}
+	}
+	carryOut(step)
+}
+
+// scrub reads now and then and brings the own disk up to what holds.
+func (w *world) scrub(n *node, life int) {
+	if n.life != life || !n.up {
+		return
+	}
+	pause := scrubS
+	if n.frozen {
+		w.after(pause, func() { w.scrub(n, life) })
+		return
+	}
+	w.read(n, w.now+1.5, func(value register.Value, at register.Ballot, ok bool) {
+		if !ok {
+			pause = 0.1
+		} else {
+			w.after(pieceS, w.alive(n, func() { w.learn(n, value, at) }))
+		}
+		w.after(pause, func() { w.scrub(n, life) })
+	})
+}
+
+func (w *world) learn(n *node, value register.Value, at register.Ballot) {
+	if next, _ := n.acceptor.HandleLearn(at, value.Clone(), true); next != nil {
+		n.acceptor.Stored(*next)
+		n.disk = *next
+	}
+}
+
+func (w *world) candidates(n *node) (out []register.Candidate) {
+	for _, other := range w.nodes {
+		id, leaving := n.peers[other.address].id, n.peers[other.address].leaving
+		if other == n {
+			id, leaving = n.disk.ID, n.leaving
+		}
+		if id != "" {
+			out = append(out, register.Candidate{Voter: register.Voter{ID: id, Address: other.address}, Leaving: leaving,
+				Alive: w.inTouch(n, other.address)})
+		}
+	}
+	return out
+}
+
+func (w *world) upkeep(n *node) {
+	needed := upkeep.Needed(&n.told, w.candidates(n), w.wanted)
+	rank, votes := upkeep.Rank(n.disk.ID, &n.told, func(v register.Voter) bool { return w.mistakes.noTurns || w.inTouch(n, v.Address) })
+	if w.mistakes.noTurns && rank > 0 {
+		return
+	}
+	if n.mending || !n.turns.Due(w.now, needed && votes, rank) {
+		return
+	}
+	n.mending = true
+	stop := func() { w.after(0.25, w.alive(n, func() { n.mending = false })) }
+	until := w.now + changeS
+	w.read(n, until, func(value register.Value, at register.Ballot, ok bool) {
+		switch {
+		case !ok:
+			stop()
+		case len(value.Previous) > 0:
+			w.change(n, register.Settle, until, func(*register.Round) { stop() })
+		default:
+			w.askLearners(n, value, at, until, stop)
+		}
+	})
+}
+
+// askLearners asks those that don't vote whether they hold a value, and changes the voters then.
+func (w *world) askLearners(n *node, value register.Value, at register.Ballot, until float64, stop func()) {
+	candidates := w.candidates(n)
+	open := 1
+	proceed := func() {
+		if open--; open > 0 {
+			return
+		}
+		next, needed := register.Membership(value.Voters, candidates, w.wanted)
+		if !needed {
+			stop()
+			return
+		}
+		w.change(n, register.Reconfigure(value.Epoch, next), until, func(round *register.Round) {
+			if round == nil || round.Outcome != register.Chosen {
+				stop()
+				return
+			}
+			w.changes++
+			w.checkNewcomers(value, next)
+			w.change(n, register.Settle, until, func(*register.Round) { stop() })
+		})
+	}
+	for i := range candidates {
+		candidate := &candidates[i]
+		if slices.Contains(value.Voters, candidate.Voter) || !candidate.Alive || candidate.Address == n.address {
+			continue
+		}
+		if w.mistakes.learnersVote {
+			candidate.CaughtUp = true
+			continue
+		}
+		open++
+		held := false
+		w.call(n, candidate.Address, func(to *node) {
+			if to.disk.ID != candidate.ID {
+				return
+			}
+			held = to.acceptor.State().Ballot.Compare(at) >= 0
+			if !held {
+				w.after(pieceS, w.alive(to, func() { w.learn(to, value, at) }))
+			}
+		}, func(answered bool) {
+			candidate.CaughtUp = answered && held
+			proceed()
+		})
+	}
+	proceed()
+}
+
+// checkNewcomers looks whether those that join hold on their disks what held when the change began.
+func (w *world) checkNewcomers(value register.Value, next []register.Voter) {
+	for _, voter := range next {
+		n := w.find(voter.Address)
+		if slices.Contains(value.Voters, voter) || n == nil || n.disk.ID != voter.ID {
+			continue
+		}
+		if n.disk.Value.Version < value.Version {
+			w.breakRule("%s votes with version %d, %d holds", voter.ID, n.disk.Value.Version, value.Version)
+		}
+	}
+}
+
+// operate sends a change or a read to any machine.
+func (w *world) operate() {
+	w.after(clientGapS*(0.5+w.rng.Float64()), w.operate)
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if !n.up || n.frozen {
+		return
+	}
+	must, seen := slices.Clone(w.acked), w.highest
+	check := func(value register.Value) {
+		for _, digest := range must {
+			if !slices.Contains(value.Accepted, digest) {
+				w.breakRule("%s returns version %d without an acknowledged change", n.address, value.Version)
+			}
+		}
+		if value.Version < seen {
+			w.breakRule("%s returns version %d after %d was seen", n.address, value.Version, seen)
+		}
+		w.highest = max(w.highest, value.Version)
+	}
+	if w.rng.IntN(3) == 0 {
+		w.read(n, w.now+1.5, func(value register.Value, _ register.Ballot, ok bool) {
+			if ok {
+				check(value)
+			}
+		})
+		return
+	}
+	base := w.highest
+	digest := register.DigestOf(fmt.Append(nil, w.order))
+	w.change(n, register.Configure(base+1, base, digest), w.now+changeS, func(round *register.Round) {
+		if round == nil {
+			return
+		}
+		check(round.Value)
+		if round.Outcome != register.Chosen {
+			return
+		}
+		if other, taken := w.byBase[base]; taken && other != digest {
+			w.breakRule("two changes on top of version %d are acknowledged", base)
+		}
+		w.byBase[base] = digest
+		w.acked = append(w.acked, digest)
+	})
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -48,8 +48,11 @@
 }
 
 // NewClient returns a client whose connections are kept for a while.
-func NewClient() *Client {
-	return &Client{&http.Client{Transport: &http.Transport{DialContext: Dialer().DialContext, MaxIdleConnsPerHost: idlePerHost,
+func NewClient() *Client { return NewClientOn(Dialer().DialContext) }
+
+// NewClientOn returns a client that opens its connections with dial.
+func NewClientOn(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	return &Client{&http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout: idleFor, DisableCompression: true, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10}}}
 }
 
