Take no refusal that names nobody on a connection that has served others

Cause, by reading: `readAnswer` took a refusal without an id for the answer to its own request, also on a connection that had carried requests before; and a request that was refused could be sent again on the connection that had carried its first sending, so that a second copy of the first refusal answered the second sending. Either way a request that runs counted as not run.

Ruled out: closing each connection that has carried a refusal (a handshake is priced, and servers refuse most when they are full).

Change: such a refusal ends the connection with the verdict that the request may have run; a connection is not taken for the request that it carried last.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -261,7 +261,7 @@
 // exchange sends bytes to a server and reads the head of the answer.
 func (p *Proxy) exchange(ctx context.Context, j *job, endpoint *placement.Endpoint, request []byte) (*exchange, Verdict) {
 	dialCtx, cancel := context.WithTimeout(ctx, backendDialWithin)
-	conn, err := p.backends.get(dialCtx, endpoint.Address)
+	conn, err := p.backends.get(dialCtx, endpoint.Address, j.id)
 	cancel()
 	if err != nil {
 		p.log.WithField("server", endpoint.ID).WithError(err).Debug("not connected")
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -75,7 +75,7 @@
 }
 
 func (p *Proxy) askHealth(ctx context.Context, target dueProbe) (http.Header, int) {
-	conn, err := p.backends.get(ctx, target.address)
+	conn, err := p.backends.get(ctx, target.address, "")
 	if err != nil {
 		return nil, 0
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -258,7 +258,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeWithin)
 		defer cancel()
-		conn, err := p.backends.get(ctx, address)
+		conn, err := p.backends.get(ctx, address, "")
 		if err != nil {
 			return
 		}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,14 +28,21 @@
 	readBuffer  = 4 << 10
 )
 
-var errSurplus = errors.New("too many answers that belong to other requests")
+var (
+	errSurplus = errors.New("too many answers that belong to other requests")
+	// errUnnamed says that an answer on a connection that has served before names no request. Danger: it may be a second answer to an
+	// earlier one, and its word that the request was not run does not hold for this one.
+	errUnnamed = errors.New("a refusal that names no request, on a connection that has served others")
+)
 
 // backendConn is a connection to a server.
 type backendConn struct {
 	net.Conn
 	reader  *bufio.Reader
 	expires time.Time
-	tainted bool // it has carried an answer that belongs to no request
+	tainted bool   // it has carried an answer that belongs to no request
+	used    bool   // it has carried an exchange before
+	last    string // the id of the request before, "" where that had none
 }
 
 // backends holds the connections at rest by address.
@@ -49,10 +57,12 @@
 	return &backends{dialer: transport.Dialer(), rest: map[string][]*backendConn{}}
 }
 
-// get returns a connection at rest that is still good, or a new one.
-func (b *backends) get(ctx context.Context, address string) (*backendConn, error) {
+// get returns a connection at rest that is still good, or a new one. Danger: a server may answer a request twice. A connection that
+// has just carried the request with this id is not taken for it again, since the second answer to the first sending would be taken
+// for the answer to the next one.
+func (b *backends) get(ctx context.Context, address, id string) (*backendConn, error) {
 	for {
-		conn := b.takeResting(address)
+		conn := b.takeResting(address, id)
 		if conn == nil {
 			break
 		}
@@ -68,16 +78,19 @@
 	return &backendConn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
-func (b *backends) takeResting(address string) *backendConn {
+func (b *backends) takeResting(address, id string) *backendConn {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	resting := b.rest[address]
-	if len(resting) == 0 {
-		return nil
+	for i := len(resting) - 1; i >= 0; i-- {
+		conn := resting[i]
+		if id != "" && conn.last == id {
+			continue
+		}
+		b.rest[address] = slices.Delete(resting, i, i+1)
+		return conn
 	}
-	conn := resting[len(resting)-1]
-	b.rest[address] = resting[:len(resting)-1]
-	return conn
+	return nil
 }
 
 // put lets a connection rest.
@@ -161,6 +174,7 @@
 		return nil, MayHaveRun, err
 	}
 	answer, err := readAnswer(conn, method, id)
+	conn.used, conn.last = true, id
 	if err != nil {
 		stop()
 		conn.Close()
@@ -179,8 +193,14 @@
 		if answer.StatusCode < http.StatusOK {
 			continue
 		}
-		if echoed := answer.Header.Get(headerRequestID); id == "" || echoed == id || echoed == "" && refusal(answer) {
+		echoed := answer.Header.Get(headerRequestID)
+		switch {
+		case echoed == id:
+			return answer, nil
+		case echoed == "" && refusal(answer) && !conn.used:
 			return answer, nil
+		case echoed == "" && refusal(answer):
+			return nil, errUnnamed
 		}
 		conn.tainted = true
 		if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxSurplus)); err != nil {
