--- a/cmd/hazelfleet/main.go
+++ b/cmd/hazelfleet/main.go
@@ -73,6 +73,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log := logrus.WithField("node", settings.NodeID).WithField("role", role)
+	for _, doubt := range settings.Doubts() {
+		log.Warn("settings: " + doubt)
+	}
 	reload := watch(ctx, hangups, log)
 	var err error
 	switch role {
--- a/cmd/hazelwheel/world_test.go
+++ b/cmd/hazelwheel/world_test.go
@@ -375,7 +375,6 @@
 	*httptest.Server
 	calls   chan string      // the query of each call
 	answers chan func(watch) // one for each call; a call beyond them waits
-	down    chan struct{}
 }
 
 type watch struct {
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -174,7 +174,7 @@
 
 func (b *Bounds) check(document *yaml.Node) error {
 	for field, figure := range map[string]float64{"DrainMs": b.DrainMs, "GraceS": b.GraceS, "ConfigApplyMs": b.ConfigApplyMs,
-		"BudgetWindowS": b.BudgetWindowS, "LeaseMs": b.LeaseMs, "CatchUpS": b.CatchUpS, "RecoveryS": b.RecoveryS} {
+		"BudgetWindowS": b.BudgetWindowS, "LeaseMs": b.LeaseMs} {
 		if figure <= 0 {
 			return fault(document, field, "want a figure above 0, not %v", figure)
 		}
@@ -185,6 +185,34 @@
 	return nil
 }
 
+const (
+	// largestConfig is the size in bytes of the largest configuration that deployments allow.
+	largestConfig = 4 << 20
+	// noticeS is what a control process needs before and after it copies a configuration, in seconds: to be noticed, and to be taken
+	// in as a voter.
+	noticeS = 1.2
+)
+
+// Doubts names bounds that can't be kept together on this machine, a line each. They don't keep a process from running.
+func (s *Settings) Doubts() (doubts []string) {
+	if !s.CountsForQuorum {
+		return nil
+	}
+	if copyS := largestConfig * 8 / (max(s.Limits.LinkMbps, 1e-3) * 1e6); s.Limits.LinkMbps > 0 && copyS+noticeS > s.Bounds.CatchUpS {
+		doubts = append(doubts, fmt.Sprintf("CatchUpS: %v s are too short to copy %d MB at LinkMbps %v, which takes %.1f s: a member that lost "+
+			"its disk counts late where configurations are that large", s.Bounds.CatchUpS, largestConfig>>20, s.Limits.LinkMbps, copyS))
+	}
+	if s.Bounds.RecoveryS < s.Bounds.CatchUpS {
+		doubts = append(doubts, fmt.Sprintf("RecoveryS: %v s are fewer than CatchUpS, %v: members are not caught up when all are to serve again",
+			s.Bounds.RecoveryS, s.Bounds.CatchUpS))
+	}
+	if wanted := 2*s.FaultTolerance.Machines + 1; s.FaultTolerance.Machines > 0 && len(s.Seeds) < min(wanted, 3) {
+		doubts = append(doubts, fmt.Sprintf("Seeds: %d are too few to found a register of which %d may be lost at once", len(s.Seeds),
+			s.FaultTolerance.Machines))
+	}
+	return doubts
+}
+
 // fault names the field and, where the file holds it, its line.
 func fault(document *yaml.Node, field, format string, args ...any) error {
 	text := fmt.Sprintf(format, args...)
--- a/internal/boot/boot_test.go
+++ b/internal/boot/boot_test.go
@@ -64,3 +64,28 @@
 		Expect(err).To(MatchError(ContainSubstring("/nowhere/boot.yaml")))
 	})
 })
+
+var _ = Describe("bounds that can't be kept together", func() {
+	settings := func(extra string) *boot.Settings {
+		parsed, err := boot.Parse([]byte(sound + "CountsForQuorum: true\nFaultTolerance: {Machines: 1}\n" + extra))
+		Expect(err).NotTo(HaveOccurred())
+		parsed.Seeds = []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+		return parsed
+	}
+
+	It("are named once each", func() {
+		s := settings("Limits: {LinkMbps: 8}\n")
+		Expect(s.Doubts()).To(ConsistOf(HavePrefix("CatchUpS: 4 s are too short to copy 4 MB at LinkMbps 8")))
+		s.Bounds.RecoveryS = 2
+		s.Seeds = s.Seeds[:1]
+		Expect(s.Doubts()).To(ConsistOf(HavePrefix("CatchUpS:"), HavePrefix("RecoveryS:"), HavePrefix("Seeds: 1 are too few")))
+	})
+
+	It("are not found where there are none, nor on machines that hold no copy", func() {
+		Expect(settings("Limits: {LinkMbps: 120}\n").Doubts()).To(BeEmpty())
+		Expect(settings("").Doubts()).To(BeEmpty())
+		s := settings("Limits: {LinkMbps: 1}\n")
+		s.CountsForQuorum = false
+		Expect(s.Doubts()).To(BeEmpty())
+	})
+})
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,13 +11,11 @@
 
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"hazelwheel/internal/boot"
 	"hazelwheel/internal/decide/membership"
 	"hazelwheel/internal/decide/register"
 	"hazelwheel/internal/message"
-	"hazelwheel/internal/routes"
 	"hazelwheel/internal/transport"
 )
 
@@ -173,186 +170,6 @@
 	return append(addresses[from:], addresses[:from]...)[:meshMost]
 }
 
-// claim says that something large has been asked for, so that it is not taken from several peers at once.
-type claim struct {
-	until time.Time
-}
-
-// take returns whether nobody else has asked lately.
-func (c *claim) take() bool {
-	if time.Now().Before(c.until) {
-		return false
-	}
-	c.until = time.Now().Add(claimFor)
-	return true
-}
-
-func (c *claim) release() { c.until = time.Time{} }
-
-// exchange tells a peer what is known here and takes what it knows; where it lacks news, they follow.
-func (n *Node) exchange(ctx context.Context, address string) {
-	request := n.digest()
-	n.mu.Lock()
-	request.TakeTable, request.TakeList = n.table.take(), n.list.take()
-	n.mu.Unlock()
-	reply, err := n.call(ctx, address, request)
-	n.mu.Lock()
-	if request.TakeTable {
-		n.table.release()
-	}
-	if request.TakeList {
-		n.list.release()
-	}
-	n.mu.Unlock()
-	if err != nil {
-		n.log.WithField("peer", address).WithError(err).Debug("exchange failed")
-		return
-	}
-	n.absorb(reply)
-	n.supply(ctx, address, reply)
-}
-
-// supply sends a peer what it asks for.
-func (n *Node) supply(ctx context.Context, address string, reply *message.Gossip) {
-	if !reply.TakeTable && !reply.TakeList {
-		return
-	}
-	news := n.digest()
-	n.attach(news, reply.TakeTable, reply.TakeList)
-	if answer, err := n.call(ctx, address, news); err == nil {
-		n.absorb(answer)
-	}
-}
-
-// attach adds the configuration or the list to a message.
-func (n *Node) attach(out *message.Gossip, table, list bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if table {
-		out.Table = n.facts.Table
-	}
-	if list && out.List.Digest == n.facts.List.Digest {
-		out.List.Data = n.facts.List.Data
-	}
-}
-
-func (n *Node) call(ctx context.Context, address string, request *message.Gossip) (*message.Gossip, error) {
-	ctx, cancel := context.WithTimeout(ctx, callWithin)
-	defer cancel()
-	reply := &message.Gossip{}
-	if err := n.client.Call(ctx, address, gossipPath, request, reply); err != nil {
-		return nil, err
-	}
-	n.mu.Lock()
-	n.contact.answer(address, time.Now())
-	n.mu.Unlock()
-	return reply, nil
-}
-
-// push tells a few processes at once that there is news. Those that lack it ask for it and tell others.
-func (n *Node) push() {
-	n.mu.Lock()
-	addresses := n.view.Fanout(n.now(), pushFanout)
-	n.mu.Unlock()
-	request := n.digest()
-	for _, address := range addresses {
-		go func() {
-			if reply, err := n.call(context.Background(), address, request); err == nil {
-				n.absorb(reply)
-				n.supply(context.Background(), address, reply)
-			}
-		}()
-	}
-}
-
-// digest builds a message that names what is known here.
-func (n *Node) digest() *message.Gossip {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	out := &message.Gossip{Format: message.FormatVersion, Records: n.view.Sample(n.now()), Beats: n.view.Beats(n.now()),
-		Voters: votersOf(n.facts.Voters), Grants: n.facts.Grants, Plan: n.facts.Plan, Loads: n.loads.young()}
-	if n.facts.Table != nil {
-		out.Version = n.facts.Table.Version
-	}
-	if !n.facts.List.ReadAt.IsZero() {
-		age := float64(time.Since(n.facts.List.ReadAt)) / float64(time.Millisecond)
-		out.List = message.List{Digest: n.facts.List.Digest, AgeMs: age}
-	}
-	return out
-}
-
-func votersOf(value register.Value) register.Value {
-	return register.Value{Epoch: value.Epoch, Voters: value.Voters, Previous: value.Previous}
-}
-
-// serveGossip answers an exchange with what the peer asks for, and asks for what is lacking here.
-func (n *Node) serveGossip(_ context.Context, request *message.Gossip) (*message.Gossip, error) {
-	if request.Format != message.FormatVersion {
-		return nil, message.Error.New("format %d, want %d", request.Format, message.FormatVersion)
-	}
-	lacksTable, lacksList := n.lacks(request)
-	n.absorb(request)
-	reply := n.digest()
-	newerTable := reply.Version > request.Version
-	newerList := reply.List.Digest != request.List.Digest && !lacksList
-	n.attach(reply, request.TakeTable && newerTable, request.TakeList && newerList)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	reply.TakeTable = lacksTable && request.Table == nil && n.table.take()
-	reply.TakeList = lacksList && request.List.Data == nil && n.list.take()
-	return reply, nil
-}
-
-// lacks tells whether the peer has a newer table or list than this process.
-func (n *Node) lacks(request *message.Gossip) (table, list bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	table = request.Version > 0 && (n.facts.Table == nil || request.Version > n.facts.Table.Version)
-	return table, n.younger(request.List) && request.List.Digest != n.facts.List.Digest
-}
-
-// younger tells whether a peer's reading of the list is younger than the own one. Danger: readings that were sent at the same
-// moment differ by what the network took; freshBy keeps an older one from taking its place.
-func (n *Node) younger(list message.List) bool {
-	if list.Digest == 0 {
-		return false
-	}
-	return n.facts.List.ReadAt.IsZero() || readAt(list).After(n.facts.List.ReadAt.Add(freshBy))
-}
-
-func readAt(list message.List) time.Time {
-	return time.Now().Add(-time.Duration(list.AgeMs * float64(time.Millisecond)))
-}
-
-// absorb takes what a peer told.
-func (n *Node) absorb(told *message.Gossip) {
-	n.mu.Lock()
-	n.view.Merge(n.now(), told.Records)
-	n.view.MergeBeats(n.now(), told.Beats)
-	n.loads.merge(told.Loads)
-	n.place()
-	if told.Voters.Epoch > n.facts.Voters.Epoch {
-		n.facts.Voters = votersOf(told.Voters)
-	}
-	n.mergeGrants(told.Grants)
-	if told.Plan.Newer(&n.facts.Plan) {
-		n.facts.Plan = told.Plan
-		n.announce()
-	}
-	younger := n.younger(told.List)
-	if younger && told.List.Digest == n.facts.List.Digest {
-		n.facts.List.ReadAt = readAt(told.List)
-		younger = false
-	}
-	n.mu.Unlock()
-	if told.Table != nil {
-		n.takeTable(told.Table)
-	}
-	if younger && told.List.Data != nil {
-		n.takeList(List{Digest: told.List.Digest, Data: told.List.Data, ReadAt: readAt(told.List)})
-	}
-}
-
 // place takes the own place among processes of the kind.
 func (n *Node) place() {
 	self := n.view.Self()
@@ -369,94 +186,6 @@
 	n.changed = make(chan struct{})
 }
 
-// SetTable takes a configuration that holds.
-func (n *Node) SetTable(table *routes.Table) {
-	packed, err := message.PackTable(table)
-	if err != nil {
-		n.log.WithError(err).Error("a configuration can't be packed")
-		return
-	}
-	n.takeTable(packed)
-}
-
-// takeTable takes a configuration. Versions never go back.
-func (n *Node) takeTable(table *message.Table) {
-	n.mu.Lock()
-	n.table.release()
-	if n.facts.Table != nil && table.Version <= n.facts.Table.Version {
-		n.mu.Unlock()
-		return
-	}
-	n.facts.Table = table
-	n.announce()
-	n.mu.Unlock()
-	n.log.WithField("version", table.Version).WithField("bytes", len(table.Data)).Info("configuration")
-	n.push()
-}
-
-// SetList takes a reading of the platform's list.
-func (n *Node) SetList(instances []message.Instance, at time.Time) {
-	digest := listDigest(instances)
-	n.mu.Lock()
-	same := digest == n.facts.List.Digest
-	data := n.facts.List.Data
-	n.mu.Unlock()
-	if !same {
-		packed, err := message.PackList(instances)
-		if err != nil {
-			n.log.WithError(err).Error("a list can't be packed")
-			return
-		}
-		data = packed
-	}
-	n.takeList(List{Digest: digest, Data: data, ReadAt: at})
-}
-
-func (n *Node) takeList(list List) {
-	n.mu.Lock()
-	n.list.release()
-	if !n.facts.List.ReadAt.IsZero() && !list.ReadAt.After(n.facts.List.ReadAt) {
-		n.mu.Unlock()
-		return
-	}
-	differs := list.Digest != n.facts.List.Digest
-	n.facts.List = list
-	if differs {
-		n.announce()
-	}
-	n.mu.Unlock()
-	if differs {
-		n.push()
-	}
-}
-
-// mergeGrants takes those with higher tokens.
-func (n *Node) mergeGrants(grants []register.Grant) {
-	for _, grant := range grants {
-		i := slices.IndexFunc(n.facts.Grants, func(g register.Grant) bool { return g.Role == grant.Role })
-		if i < 0 {
-			n.facts.Grants = append(slices.Clone(n.facts.Grants), grant)
-		} else if grant.Token > n.facts.Grants[i].Token {
-			n.facts.Grants = slices.Clone(n.facts.Grants)
-			n.facts.Grants[i] = grant
-		}
-	}
-}
-
-// SetPlan takes the plan of the process that orders stages, and has it carried to all.
-func (n *Node) SetPlan(plan message.StagePlan) {
-	n.mu.Lock()
-	newer := plan.Newer(&n.facts.Plan)
-	if newer {
-		n.facts.Plan = plan
-		n.announce()
-	}
-	n.mu.Unlock()
-	if newer {
-		n.push()
-	}
-}
-
 // SetDemands replaces what this process tells of its proxy.
 func (n *Node) SetDemands(demands []membership.Demand) {
 	n.mu.Lock()
@@ -474,21 +203,6 @@
 	}
 }
 
-// listDigest never is 0 and does not go by order.
-func listDigest(instances []message.Instance) uint64 {
-	sum := uint64(1)
-	for i := range instances {
-		data, err := msgpack.Marshal(&instances[i])
-		if err != nil {
-			continue // an Instance holds nothing that can't be marshalled
-		}
-		hash := fnv.New64a()
-		_, _ = hash.Write(data)
-		sum += hash.Sum64()
-	}
-	return max(sum, 1)
-}
-
 // Facts returns what is known, and a channel that is closed once that has changed.
 func (n *Node) Facts() (Facts, <-chan struct{}) {
 	n.mu.Lock()
--- /dev/null
+++ b/internal/cluster/facts.go
@@ -0,0 +1,116 @@
+package cluster
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hazelwheel/internal/decide/register"
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/routes"
+)
+
+// SetTable takes a configuration that holds.
+func (n *Node) SetTable(table *routes.Table) {
+	packed, err := message.PackTable(table)
+	if err != nil {
+		n.log.WithError(err).Error("a configuration can't be packed")
+		return
+	}
+	n.takeTable(packed)
+}
+
+// takeTable takes a configuration. Versions never go back.
+func (n *Node) takeTable(table *message.Table) {
+	n.mu.Lock()
+	n.table.release()
+	if n.facts.Table != nil && table.Version <= n.facts.Table.Version {
+		n.mu.Unlock()
+		return
+	}
+	n.facts.Table = table
+	n.announce()
+	n.mu.Unlock()
+	n.log.WithField("version", table.Version).WithField("bytes", len(table.Data)).Info("configuration")
+	n.push()
+}
+
+// SetList takes a reading of the platform's list.
+func (n *Node) SetList(instances []message.Instance, at time.Time) {
+	digest := listDigest(instances)
+	n.mu.Lock()
+	same := digest == n.facts.List.Digest
+	data := n.facts.List.Data
+	n.mu.Unlock()
+	if !same {
+		packed, err := message.PackList(instances)
+		if err != nil {
+			n.log.WithError(err).Error("a list can't be packed")
+			return
+		}
+		data = packed
+	}
+	n.takeList(List{Digest: digest, Data: data, ReadAt: at})
+}
+
+func (n *Node) takeList(list List) {
+	n.mu.Lock()
+	n.list.release()
+	if !n.facts.List.ReadAt.IsZero() && !list.ReadAt.After(n.facts.List.ReadAt) {
+		n.mu.Unlock()
+		return
+	}
+	differs := list.Digest != n.facts.List.Digest
+	n.facts.List = list
+	if differs {
+		n.announce()
+	}
+	n.mu.Unlock()
+	if differs {
+		n.push()
+	}
+}
+
+// mergeGrants takes those with higher tokens.
+func (n *Node) mergeGrants(grants []register.Grant) {
+	for _, grant := range grants {
+		i := slices.IndexFunc(n.facts.Grants, func(g register.Grant) bool { return g.Role == grant.Role })
+		if i < 0 {
+			n.facts.Grants = append(slices.Clone(n.facts.Grants), grant)
+		} else if grant.Token > n.facts.Grants[i].Token {
+			n.facts.Grants = slices.Clone(n.facts.Grants)
+			n.facts.Grants[i] = grant
+		}
+	}
+}
+
+// SetPlan takes the plan of the process that orders stages, and has it carried to all.
+func (n *Node) SetPlan(plan message.StagePlan) {
+	n.mu.Lock()
+	newer := plan.Newer(&n.facts.Plan)
+	if newer {
+		n.facts.Plan = plan
+		n.announce()
+	}
+	n.mu.Unlock()
+	if newer {
+		n.push()
+	}
+}
+
+// listDigest never is 0 and does not go by order.
+func listDigest(instances []message.Instance) uint64 {
+	sum := uint64(1)
+	for i := range instances {
+		data, err := msgpack.Marshal(&instances[i])
+		if err != nil {
+			continue // an Instance holds nothing that can't be marshalled
+		}
+		hash := fnv.New64a()
+		_, _ = hash.Write(data)
+		sum += hash.Sum64()
+	}
+	return max(sum, 1)
+}
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -125,6 +125,9 @@
 		return
 	}
 	k.holder.Took(began, value.Grant(stagesRole).Token)
+	if facts, _ := k.control.node.Facts(); facts.Plan.Token < k.holder.Token() {
+		k.planner.Adopt(k.now(), facts.Plan.Stages)
+	}
 	k.control.log.WithField("token", k.holder.Token()).Info("role taken: stages")
 }
 
--- a/internal/decide/stages/stages.go
+++ b/internal/decide/stages/stages.go
@@ -73,6 +73,15 @@
 	return &Planner{pending: map[string]pending{}, wantSince: map[string]want{}, ordered: map[string]float64{}}
 }
 
+// Adopt takes over what the holder of the role before has ordered, so that it is not ordered again while it is being done.
+func (p *Planner) Adopt(now float64, ordered map[string]message.Stage) {
+	for id, stage := range ordered {
+		if _, known := p.pending[id]; !known {
+			p.pending[id] = pending{stage, now + settleMargin}
+		}
+	}
+}
+
 // Wanted returns the number of n servers that are to read prompts, -1 if nothing is asked: all that answers leave. Answers
 // need slots and memory, which are known; how fast servers read is not, and more readers only read sooner and hold more.
 func Wanted(n int, slots, memory float64, demand Demand) int {
--- a/internal/decide/stages/stages_test.go
+++ b/internal/decide/stages/stages_test.go
@@ -121,3 +121,24 @@
 		Expect(play(stages.New(), service, heavy, 0, 30)).To(BeZero())
 	})
 })
+
+var _ = Describe("a new holder of the role", func() {
+	It("does not order again what the holder before has under way, and tells it", func() {
+		heavy := stages.Demand{ReadPerS: 900e3, Streams: 100}
+		before, service := stages.New(), servers(7, 11)
+		var ordered []stages.Order
+		for now := 0.0; len(ordered) == 0; now += 0.3 {
+			Expect(now).To(BeNumerically("<", 60))
+			ordered = before.Plan(now, service, heavy)
+		}
+		under := before.Pending(0)
+		after := stages.New()
+		after.Adopt(0, under)
+		Expect(after.Pending(0)).To(Equal(under))
+		for now := 0.0; now < 8; now += 0.3 {
+			for _, order := range after.Plan(now, service, heavy) {
+				Expect(under).NotTo(HaveKey(order.Instance.ID))
+			}
+		}
+	})
+})
--- a/internal/decide/tenure/tenure.go
+++ b/internal/decide/tenure/tenure.go
@@ -52,7 +52,6 @@
 	group    *group
 
 	table    Table
-	told     Table // that was flooded last
 	compared float64
 
 	holder
--- a/internal/sidecar/fit.go
+++ b/internal/sidecar/fit.go
@@ -17,7 +17,7 @@
 	stood             float64 // seconds that the loop has stood still, so far
 	from, stoodBefore float64 // the window's begin, and stood by then
 	starvedUntil      float64
-	answers, silences uint64  // attempts that a box has said anything to, and those that none has, by the last look
+	answers           uint64  // attempts that a box has said anything to, by the last look
 	answeredAt        float64 // when answers last grew
 	silencesAt        uint64  // silences by then
 }
--- a/internal/sim/share/share.go
+++ b/internal/sim/share/share.go
@@ -204,7 +204,6 @@
 	rng  *rand.Rand
 	next int // box
 	fleet
-	numbers int
 }
 
 func (w *world) box() share.Box {
