--- /dev/null
+++ b/internal/store/folder.go
@@ -0,0 +1,64 @@
+package store
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+)
+
+const (
+	filePerm = 0o644
+	dirPerm  = 0o755
+)
+
+// folder is where a store keeps its files. What is made, renamed or removed in it lasts once it was synced; a new file also once it
+// was synced itself.
+type folder interface {
+	path(name string) string // for messages
+	list() ([]string, error)
+	open(name string) (io.ReadSeekCloser, error)
+	create(name string) (writable, error) // empty, also where there was one
+	rename(from, to string) error
+	remove(name string) error
+	sync() error
+}
+
+// writable is a file that is written.
+type writable interface {
+	io.WriterAt
+	io.Closer
+	Truncate(size int64) error
+	Sync() error
+}
+
+// osFolder is a folder of the operating system.
+type osFolder string
+
+func (f osFolder) path(name string) string { return filepath.Join(string(f), name) }
+
+func (f osFolder) list() (names []string, err error) {
+	entries, err := os.ReadDir(string(f))
+	for _, entry := range entries {
+		names = append(names, entry.Name())
+	}
+	return names, err
+}
+
+func (f osFolder) open(name string) (io.ReadSeekCloser, error) { return os.Open(f.path(name)) }
+
+func (f osFolder) create(name string) (writable, error) {
+	return os.OpenFile(f.path(name), os.O_RDWR|os.O_CREATE|os.O_TRUNC, filePerm)
+}
+
+func (f osFolder) rename(from, to string) error { return os.Rename(f.path(from), f.path(to)) }
+
+func (f osFolder) remove(name string) error { return os.Remove(f.path(name)) }
+
+func (f osFolder) sync() error {
+	opened, err := os.Open(string(f))
+	if err != nil {
+		return err
+	}
+	defer opened.Close()
+	return opened.Sync()
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -11,7 +11,6 @@
 	"hash/crc32"
 	"io"
 	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -30,8 +29,6 @@
 	tempSuffix    = ".tmp"
 	// maxRecord bounds a record, in bytes, so that a damaged length is noticed.
 	maxRecord = 64 << 20
-	filePerm  = 0o644
-	dirPerm   = 0o755
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -50,22 +47,23 @@
 	File   string
 	Offset int64
 	Reason string
-	// Tail is true where nothing but the end of the newest segment is missing, as after a loss of power.
+	// Tail is true where nothing that was written is found behind it, as after a loss of power.
 	Tail bool
 
-	followed bool // a whole record stands behind it in the same file
+	sequence uint64 // of the segment
+	followed bool   // a whole record stands behind it in the same file
 }
 
 func (d Damage) String() string { return fmt.Sprintf("%s: offset %d: %s", d.File, d.Offset, d.Reason) }
 
 // Store is an open folder. It is for one goroutine.
 type Store struct {
-	dir      string
+	folder   folder
 	sequence uint64 // of the segment that is written
-	file     *os.File
+	file     writable
 	size     int64 // of the good part of the segment
 	broken   bool  // the segment's end is unknown: a new one must be begun
-	cut      *cut  // what the next segment says of one before it
+	cuts     []cut // what the next segment says of those before it
 }
 
 // cut says where the good part of an earlier segment ends. What stands behind it was never reported as written.
@@ -85,14 +83,15 @@
 	return Record{cutKind, binary.LittleEndian.AppendUint64(data, uint64(c.size))}
 }
 
-// readCut returns the cut at the beginning of a segment, nil if there is none.
-func readCut(records []Record) *cut {
+// readCuts returns the cuts at the beginning of a segment, and the records behind them.
+func readCuts(records []Record) (cuts []cut, rest []Record) {
 	const length = 16
-	if len(records) == 0 || records[0].Kind != cutKind || len(records[0].Data) != length {
-		return nil
+	for len(records) > 0 && records[0].Kind == cutKind && len(records[0].Data) == length {
+		data := records[0].Data
+		cuts = append(cuts, cut{binary.LittleEndian.Uint64(data), int64(binary.LittleEndian.Uint64(data[8:]))})
+		records = records[1:]
 	}
-	data := records[0].Data
-	return &cut{binary.LittleEndian.Uint64(data), int64(binary.LittleEndian.Uint64(data[8:]))}
+	return cuts, records
 }
 
 // Open reads the folder, making it where it isn't there, and returns its records in order: those of the newest snapshot, then
@@ -101,15 +100,19 @@
 	if err := os.MkdirAll(dir, dirPerm); err != nil {
 		return nil, nil, nil, Error.Wrap(err)
 	}
-	records, damage, last, err := Read(dir)
+	return open(osFolder(dir))
+}
+
+func open(on folder) (*Store, []Record, []Damage, error) {
+	records, damage, last, err := read(on)
 	if err != nil {
 		return nil, nil, nil, err
 	}
 	// Danger: never write behind an end that may be torn. Each life begins a segment of its own, at its first write.
-	s := &Store{dir: dir, sequence: last, broken: true}
+	s := &Store{folder: on, sequence: last, broken: true}
 	for _, place := range damage {
 		if place.Tail {
-			s.cut = &cut{last, place.Offset}
+			s.cuts = append(s.cuts, cut{place.sequence, place.Offset})
 		}
 	}
 	return s, records, damage, nil
@@ -117,34 +120,45 @@
 
 // Read reads the folder without changing it. last is the highest number that a file has.
 func Read(dir string) (records []Record, damage []Damage, last uint64, err error) {
-	segments, snapshots, err := list(dir)
+	return read(osFolder(dir))
+}
+
+func read(on folder) (records []Record, damage []Damage, last uint64, err error) {
+	segments, snapshots, err := list(on)
 	if err != nil {
 		return nil, nil, 0, err
 	}
 	from := uint64(0)
 	for _, sequence := range slices.Backward(snapshots) {
 		last = max(last, sequence)
-		found, bad := readFile(filepath.Join(dir, name(sequence, snapSuffix)))
+		found, bad := readFile(on, name(sequence, snapSuffix))
 		if bad == nil {
 			records, from = found, sequence
 			break
 		}
 		damage = append(damage, *bad)
 	}
-	segments = slices.DeleteFunc(segments, func(sequence uint64) bool { return sequence < from })
+	// Danger: a segment that could not be begun may come back under the number that a snapshot was given then.
+	segments = slices.DeleteFunc(segments, func(sequence uint64) bool { return from > 0 && sequence <= from })
 	found := map[uint64]*Damage{}
-	for i, sequence := range segments {
+	for _, sequence := range segments {
 		last = max(last, sequence)
-		more, bad := readFile(filepath.Join(dir, name(sequence, segmentSuffix)))
-		if end := readCut(more); end != nil {
-			more = more[1:]
+		more, bad := readFile(on, name(sequence, segmentSuffix))
+		cuts, more := readCuts(more)
+		if len(more) > 0 {
+			// Something was written after what the segments before hold.
+			for _, before := range found {
+				before.Tail = false
+			}
+		}
+		for _, end := range cuts {
 			if before := found[end.sequence]; before != nil && before.Offset >= end.size && !before.followed {
 				delete(found, end.sequence)
 			}
 		}
 		records = append(records, more...)
 		if bad != nil {
-			bad.Tail = i == len(segments)-1 && !bad.followed
+			bad.sequence, bad.Tail = sequence, !bad.followed
 			found[sequence] = bad
 		}
 	}
@@ -158,13 +172,13 @@
 
 func name(sequence uint64, suffix string) string { return fmt.Sprintf("%016d%s", sequence, suffix) }
 
-func list(dir string) (segments, snapshots []uint64, err error) {
-	entries, err := os.ReadDir(dir)
+func list(on folder) (segments, snapshots []uint64, err error) {
+	names, err := on.list()
 	if err != nil {
 		return nil, nil, Error.Wrap(err)
 	}
-	for _, entry := range entries {
-		base, suffix, _ := strings.Cut(entry.Name(), ".")
+	for _, name := range names {
+		base, suffix, _ := strings.Cut(name, ".")
 		sequence, err := strconv.ParseUint(base, 10, 64)
 		if err != nil {
 			continue
@@ -182,8 +196,9 @@
 }
 
 // readFile returns the records up to the first that can't be read, and where that is.
-func readFile(path string) (records []Record, damage *Damage) {
-	file, err := os.Open(path)
+func readFile(on folder, name string) (records []Record, damage *Damage) {
+	path := on.path(name)
+	file, err := on.open(name)
 	if err != nil {
 		return nil, &Damage{File: path, Reason: err.Error()}
 	}
@@ -236,7 +251,7 @@
 
 // recordBehind tells whether a whole batch stands behind a place that can't be read. Each Append is synced before the next one
 // begins, so that a loss of power spoils nothing but the last one: what stands before another was damaged in another way.
-func recordBehind(file *os.File, offset int64) (bool, error) {
+func recordBehind(file io.ReadSeeker, offset int64) (bool, error) {
 	if _, err := file.Seek(offset+1, io.SeekStart); err != nil {
 		return false, err
 	}
@@ -316,7 +331,7 @@
 // fail cuts off what a failed write may have left behind; where that fails too, the next write begins a new segment.
 func (s *Store) fail(cause error) error {
 	if err := s.file.Truncate(s.size); err != nil {
-		s.broken, s.cut = true, &cut{s.sequence, s.size}
+		s.broken, s.cuts = true, append(s.cuts, cut{s.sequence, s.size})
 	}
 	return Error.Wrap(cause)
 }
@@ -330,24 +345,23 @@
 // begin makes the next segment.
 func (s *Store) begin() error {
 	head := []byte(magic)
-	if s.cut != nil {
-		head = append(head, encode([]Record{s.cut.record()})...)
+	for _, end := range s.cuts {
+		head = append(head, encode([]Record{end.record()})...)
 	}
 	file, err := s.create(name(s.sequence+1, segmentSuffix), head)
 	if err != nil {
 		return err
 	}
 	if s.file != nil {
-		s.file.Close()
+		_ = s.file.Close() // all that counts in it is synced
 	}
-	s.file, s.sequence, s.size, s.broken, s.cut = file, s.sequence+1, int64(len(head)), false, nil
+	s.file, s.sequence, s.size, s.broken, s.cuts = file, s.sequence+1, int64(len(head)), false, nil
 	return nil
 }
 
 // create writes and syncs a new file and its folder. It leaves no file behind when it fails.
-func (s *Store) create(base string, data []byte) (*os.File, error) {
-	path := filepath.Join(s.dir, base)
-	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, filePerm)
+func (s *Store) create(base string, data []byte) (writable, error) {
+	file, err := s.folder.create(base)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -356,11 +370,11 @@
 		err = file.Sync()
 	}
 	if err == nil {
-		err = syncDir(s.dir)
+		err = s.folder.sync()
 	}
 	if err != nil {
-		file.Close()
-		os.Remove(path)
+		_ = file.Close()
+		_ = s.folder.remove(base) // what stays is passed over, or begun anew under the same name
 		return nil, Error.Wrap(err)
 	}
 	return file, nil
@@ -374,31 +388,33 @@
 	if err != nil {
 		return err
 	}
-	file.Close()
-	if err := os.Rename(filepath.Join(s.dir, temporary), filepath.Join(s.dir, name(sequence, snapSuffix))); err != nil {
+	if err := file.Close(); err != nil {
 		return Error.Wrap(err)
 	}
-	s.sequence, s.broken, s.cut = sequence, true, nil
+	if err := s.folder.rename(temporary, name(sequence, snapSuffix)); err != nil {
+		return Error.Wrap(err)
+	}
+	s.sequence, s.broken, s.cuts = sequence, true, nil
 	// Danger: older files must outlive the new name.
-	if err := syncDir(s.dir); err != nil {
+	if err := s.folder.sync(); err != nil {
 		return Error.Wrap(err)
 	}
 	return s.removeBefore(sequence)
 }
 
 func (s *Store) removeBefore(sequence uint64) error {
-	segments, snapshots, err := list(s.dir)
+	segments, snapshots, err := list(s.folder)
 	if err != nil {
 		return err
 	}
 	for _, old := range segments {
 		if old < sequence {
-			err = errs.Combine(err, os.Remove(filepath.Join(s.dir, name(old, segmentSuffix))))
+			err = errs.Combine(err, s.folder.remove(name(old, segmentSuffix)))
 		}
 	}
 	for _, old := range snapshots {
 		if old < sequence {
-			err = errs.Combine(err, os.Remove(filepath.Join(s.dir, name(old, snapSuffix))))
+			err = errs.Combine(err, s.folder.remove(name(old, snapSuffix)))
 		}
 	}
 	return Error.Wrap(err)
@@ -411,12 +427,3 @@
 	}
 	return Error.Wrap(s.file.Close())
 }
-
-func syncDir(dir string) error {
-	folder, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	defer folder.Close()
-	return folder.Sync()
-}
