--- a/internal/control/upkeep.go
+++ b/internal/control/upkeep.go
@@ -85,19 +85,21 @@
 		if !needed {
 			return false, nil
 		}
-		if value, err = c.changeVoters(ctx, register.Reconfigure(value.Epoch, next)); err != nil {
-			return false, err
+		if changed, err = c.changeVoters(ctx, register.Reconfigure(value.Epoch, next)); err != nil || !changed {
+			return changed, err
 		}
 	}
-	_, err = c.changeVoters(ctx, register.Settle)
-	return true, err
+	return c.changeVoters(ctx, register.Settle)
 }
 
-func (c *Control) changeVoters(ctx context.Context, change register.Change) (found, error) {
+// changeVoters makes one change. It returns false where another process has changed the voters meanwhile.
+func (c *Control) changeVoters(ctx context.Context, change register.Change) (bool, error) {
 	value, outcome, err := c.registrar.Change(ctx, change, nil)
-	c.log.WithField("epoch", value.Epoch).WithField("voters", len(value.Voters)).WithField("before", len(value.Previous)).
-		WithField("outcome", outcome).WithError(err).Info("voters")
-	return value, err
+	if err != nil || outcome != register.Chosen {
+		return false, err
+	}
+	c.log.WithField("epoch", value.Epoch).WithField("voters", len(value.Voters)).WithField("before", len(value.Previous)).Info("voters changed")
+	return true, nil
 }
 
 // askLearners asks the live candidates that don't vote whether they hold a value. Those that don't fetch it.
--- /dev/null
+++ b/internal/proxy/deadline_test.go
@@ -0,0 +1,78 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/routes"
+)
+
+var _ = Describe("the time that a request has", func() {
+	DescribeTable("is handed on to the server, as much as is left", func(deadline string, mostMs float64) {
+		s := startServer("i-1", "s", "", echo)
+		_, front := startProxy(route(routes.NonIdempotent), false, s)
+		_, _, err := ask(front, headerDeadline, deadline)
+		Expect(err).NotTo(HaveOccurred())
+		told, err := strconv.ParseFloat(s.seen()[0].Header.Get(headerDeadline), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(told).To(BeNumerically("<=", mostMs))
+		Expect(told).To(BeNumerically(">", 0))
+	},
+		Entry("the client's", "3000", 3000.0),
+		Entry("the route's, where the client would wait for longer", "60000", 5000.0),
+		Entry("the route's, where the client does not say", "", 5000.0),
+	)
+
+	It("ends at the route's limit though the server is silent", func() {
+		limited := route(routes.NonIdempotent)
+		limited.TimeoutMs = 300
+		s := startServer("i-1", "s", "", func(conn net.Conn, _ taken, _ int) bool {
+			_, _ = io.Copy(io.Discard, conn) // until the proxy hangs up
+			return false
+		})
+		_, front := startProxy(limited, false, s)
+		began := time.Now()
+		answer, _, err := ask(front)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusGatewayTimeout))
+		Expect(time.Since(began)).To(BeNumerically(">=", 300*time.Millisecond))
+		Expect(s.seen()).To(HaveLen(1))
+	})
+
+	It("is over once the client has left: the server's connection ends, and no other server is asked", func() {
+		hungUp := make(chan struct{}, 2)
+		silent := func(conn net.Conn, _ taken, _ int) bool {
+			_, _ = io.Copy(io.Discard, conn)
+			hungUp <- struct{}{}
+			return false
+		}
+		one, two := startServer("i-1", "s", "", silent), startServer("i-2", "s", "", silent)
+		_, front := startProxy(route(routes.Idempotent), false, one, two)
+		ctx, leave := context.WithCancel(context.Background())
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, front.URL+"/p/x", strings.NewReader("body"))
+		Expect(err).NotTo(HaveOccurred())
+		request.Host = "h.example"
+		request.Header.Set(headerRequestID, "id-1")
+		ended := make(chan error, 1)
+		go func() {
+			answer, err := front.Client().Do(request)
+			if err == nil {
+				err = answer.Body.Close()
+			}
+			ended <- err
+		}()
+		Eventually(func() int { return len(one.seen()) + len(two.seen()) }).WithTimeout(10 * time.Second).Should(Equal(1))
+		leave()
+		Eventually(ended).WithTimeout(10 * time.Second).Should(Receive(HaveOccurred()))
+		Eventually(hungUp).WithTimeout(10 * time.Second).Should(Receive())
+		Expect(len(one.seen()) + len(two.seen())).To(Equal(1))
+	})
+})
