--- a/cmd/hazelfleet/fleet_test.go
+++ b/cmd/hazelfleet/fleet_test.go
@@ -134,6 +134,24 @@
 	delete(f.running, name)
 }
 
+func (f *fleet) signal(name string, signal syscall.Signal) {
+	Expect(f.running[name].Process.Signal(signal)).To(Succeed())
+}
+
+// processState returns the letter by which the system tells what a process does.
+func (f *fleet) processState(name string) string {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", f.running[name].Process.Pid))
+	Expect(err).NotTo(HaveOccurred())
+	return strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))[0]
+}
+
+// serves tells whether a process tells a version while another one stands still.
+func (f *fleet) serves(i, without, version int) bool {
+	f.signal(controlName(without), syscall.SIGSTOP)
+	defer f.signal(controlName(without), syscall.SIGCONT)
+	return f.version(i) == version
+}
+
 // put sends a configuration and returns the status, 0 where there was none.
 func (f *fleet) put(i int, version, base int, timeout string) int {
 	body := fmt.Sprintf(`{"Version":%d,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","RouteType":"non_idempotent","TimeoutMs":%s,`+
@@ -218,6 +236,42 @@
 		Eventually(func() int { return f.version(1) }, within).Should(Equal(current + 5))
 	})
 
+	It("never tells an older configuration at a process that stood still", func() {
+		f := startFleet()
+		Eventually(func() int { return f.put(0, 3, 0, "2000") }, within).Should(Equal(http.StatusOK))
+		Eventually(func() int { return f.version(2) }, within).Should(Equal(3))
+		version := 3
+		for range 3 {
+			f.signal(controlName(2), syscall.SIGSTOP)
+			Eventually(func() string { return f.processState(controlName(2)) }, within).Should(Equal("T"))
+			for range 5 {
+				Expect(f.put(version%2, version+1, version, "2000")).To(Equal(http.StatusOK))
+				version++
+			}
+			f.signal(controlName(2), syscall.SIGCONT)
+			Expect(f.version(2)).To(BeElementOf(0, version), "0: it does not tell")
+			Expect(f.put(2, version, version-1, "2000")).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable), "what was taken is not refused")
+			Eventually(func() int { return f.version(2) }, within).Should(Equal(version))
+		}
+	})
+
+	It("loses one disk after the other and keeps what it has confirmed", func() {
+		f := startFleet()
+		Eventually(func() int { return f.put(0, 3, 0, "2000") }, within).Should(Equal(http.StatusOK))
+		version := 3
+		for lost := range 3 {
+			f.kill(controlName(lost))
+			Expect(os.RemoveAll(filepath.Join(f.dir, "data-"+controlName(lost)))).To(Succeed())
+			f.start(controlName(lost), false)
+			// With this one as a voter the two others are a majority no longer by themselves: another may stop.
+			other := (lost + 1) % 3
+			Eventually(func() bool { return f.serves(lost, other, version) }, within).Should(BeTrue(), "disk %d", lost)
+			Eventually(func() int { return f.put(lost, version+1, version, "2000") }, within).Should(Equal(http.StatusOK))
+			version++
+		}
+		Eventually(f.ask, within).Should(Equal("200 hello"))
+	})
+
 	It("begins again at its agent and ends in order", func() {
 		f := startFleet()
 		Eventually(func() int { return f.put(0, 1, 0, "2000") }, within).Should(Equal(http.StatusOK))
