Let a holder that reaches no majority give its role up; tell records apart by revision

Cause: heartbeats travel ahead of records, and a copy of a record from before a change (leaving, demands) got the later heartbeat and took the place of the newer one at other peers. And a holder of `stages` that was cut off from the core alone kept the role for as long as edge machines carried its heartbeats.

Ruled out: to go by direct contact for roles (a pair that can't reach each other would take turns within the lease).

Change: within a life a record's content goes by a revision, its life by the heartbeat. A holder that could not confirm for four thirds of the lease gives the grant up and tells it; others wait a lease and 1.5 s from then, as for a silent one. Also: who waits for pieces of a configuration heeds its own time; tries to catch up are spaced out to 1.2 s; a process of the version before that sends a configuration whole is understood.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -193,6 +193,13 @@
 	n.view.SetDemands(demands)
 }
 
+// SetReleased tells others that this process has given up the role that it held with a token.
+func (n *Node) SetReleased(token uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.view.SetReleased(token)
+}
+
 // SetVoters takes the voters and the grants of a value that holds.
 func (n *Node) SetVoters(value register.Value) {
 	n.mu.Lock()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -92,7 +92,7 @@
 	c.node = cluster.New(settings, membership.Record{Kind: membership.Control, Address: own.Address, Voter: own.ID,
 		Operator: settings.Listen.Control}, client, log)
 	c.registrar = &registrar{self: own, ballots: fmt.Sprintf("%s/%016x", settings.NodeID, rand.Uint64()), local: opened, client: client,
-		copies: &copies{}, linkMbps: settings.Limits.LinkMbps,
+		copies: newCopies(), linkMbps: settings.Limits.LinkMbps,
 		voters:  func() register.Value { facts, _ := c.node.Facts(); return facts.Voters },
 		learned: c.learned}
 	if state := opened.state(); state.Ballot == (register.Ballot{}) {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -392,7 +392,7 @@
 		value := c.replica.state().Value
 		Expect(c.replica.config(value.Config)).To(HaveLen(len(data)))
 		Eventually(func() int { return s.held(1) }, within).Should(Equal(2))
-		fetched := &copies{}
+		fetched := newCopies()
 		calls := 0
 		ask := func(ctx context.Context, from register.Voter, request *message.ConfigRequest) (*message.ConfigReply, error) {
 			if calls++; calls == 3 {
--- a/internal/control/copies.go
+++ b/internal/control/copies.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"hazelwheel/internal/decide/register"
@@ -20,19 +19,25 @@
 // copies fetches the bytes of configurations from other control processes, piece by piece. What has come of the newest one stays
 // when a call ends, so that the next call goes on from there.
 type copies struct {
-	fetching sync.Mutex // held while pieces are fetched, so that they come once
+	fetching chan struct{} // has room for the one call that fetches, so that pieces come once
 
 	digest register.Digest // of the configuration that is being fetched
 	data   []byte          // what has come of it
 }
 
+func newCopies() *copies { return &copies{fetching: make(chan struct{}, 1)} }
+
 // askPiece asks a control process for a piece.
 type askPiece func(ctx context.Context, from register.Voter, request *message.ConfigRequest) (*message.ConfigReply, error)
 
 // fetch returns the bytes with this digest. It turns to the sources in their order, and to the next one where one fails.
 func (c *copies) fetch(ctx context.Context, digest register.Digest, sources []register.Voter, ask askPiece) ([]byte, error) {
-	c.fetching.Lock()
-	defer c.fetching.Unlock()
+	select {
+	case c.fetching <- struct{}{}:
+		defer func() { <-c.fetching }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	if c.digest != digest {
 		c.digest, c.data = digest, nil
 	}
@@ -55,6 +60,9 @@
 	ctx, cancel := context.WithTimeout(ctx, pieceWithin)
 	defer cancel()
 	reply, err := ask(ctx, source, &message.ConfigRequest{Digest: c.digest, Offset: len(c.data), Length: pieceSize})
+	if err == nil && reply.Size == 0 && len(c.data) == 0 {
+		reply.Size = len(reply.Data) // a process of the version before sends all at once and tells no size
+	}
 	switch {
 	case err != nil:
 		return false, err
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -20,7 +20,9 @@
 	newsDelay = 120 * time.Millisecond
 	// followWithin bounds one try to fetch a configuration. What has come of it by then stays.
 	followWithin = 5 * time.Second
-	followAgain  = 150 * time.Millisecond
+	// followAgain is the pause after a try that failed; it doubles up to followMost.
+	followAgain = 150 * time.Millisecond
+	followMost  = 1200 * time.Millisecond
 )
 
 // signal wakes who waits on a channel with room for one.
@@ -69,14 +71,14 @@
 			return
 		case <-c.follower.wake:
 		}
-		for ctx.Err() == nil {
+		for pause := followAgain; ctx.Err() == nil; pause = min(2*pause, followMost) {
 			target := c.follower.target()
 			err := c.catchUp(ctx, target)
 			if err == nil {
 				break
 			}
 			c.log.WithField("version", target.Version).WithError(err).Warn("behind the newest configuration")
-			if wait(ctx, followAgain) != nil {
+			if wait(ctx, pause) != nil {
 				return
 			}
 		}
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -58,6 +58,10 @@
 		if !k.view(facts) || !k.hasEngines() {
 			continue
 		}
+		if token := k.holder.Release(k.now()); token != 0 {
+			k.control.log.WithField("token", token).Info("role given up: stages")
+			k.control.node.SetReleased(token)
+		}
 		grant := (&register.Value{Grants: facts.Grants}).Grant(stagesRole)
 		switch k.holder.Look(k.now(), grant, k.silence(grant)) {
 		case election.Take:
@@ -99,10 +103,10 @@
 	return slices.ContainsFunc(k.instances, func(i message.Instance) bool { return i.Stage != "" })
 }
 
-// silence returns for how long the holder of a grant was not heard of.
+// silence returns for how long the holder of a grant was not heard of. One that has given the grant up counts as never heard of.
 func (k *stageKeeper) silence(grant register.Grant) float64 {
 	for _, member := range k.control.node.Members() {
-		if member.Kind == membership.Control && member.Name == grant.Holder+"/"+string(membership.Control) {
+		if member.Kind == membership.Control && member.Name == grant.Holder+"/"+string(membership.Control) && member.Released != grant.Token {
 			return member.SilentS
 		}
 	}
--- a/internal/decide/election/election.go
+++ b/internal/decide/election/election.go
@@ -79,6 +79,17 @@
 // Took tells that a Take was chosen with this token; only then is the grant this life's.
 func (h *Holder) Took(began float64, token uint64) { h.token, h.confirmed = token, began }
 
+// Release gives the role up where the grant could not be confirmed for so long that this process has not acted for a whole lease. It
+// returns the token that was given up, 0 if none was.
+func (h *Holder) Release(now float64) uint64 {
+	if h.token == 0 || now-h.confirmed <= (1+confirmPart)*h.LeaseS {
+		return 0
+	}
+	token := h.token
+	h.token = 0
+	return token
+}
+
 // Lost gives the role up.
 func (h *Holder) Lost() { h.token = 0 }
 
--- a/internal/decide/election/election_test.go
+++ b/internal/decide/election/election_test.go
@@ -82,4 +82,32 @@
 		h.Granted(3, register.Grant{Role: "r", Holder: "b", Token: 2})
 		Expect(h.Token()).To(BeZero())
 	})
+
+	It("gives up what it could not confirm, a lease after it may have acted last", func() {
+		h := election.New("r", "a", lease, 0)
+		h.Took(1, 7)
+		last := 0.0
+		for now := 1.0; ; now += 0.05 {
+			if h.MayAct(now) {
+				last = now
+			}
+			if token := h.Release(now); token != 0 {
+				Expect(token).To(BeEquivalentTo(7))
+				Expect(now - last).To(BeNumerically(">=", lease))
+				Expect(now).To(BeNumerically("<", 1+2*lease))
+				break
+			}
+		}
+		Expect(h.Token()).To(BeZero())
+		Expect(h.Release(100)).To(BeZero())
+	})
+
+	It("keeps what it confirms", func() {
+		h := election.New("r", "a", lease, 0)
+		h.Took(1, 1)
+		for now := 1.0; now < 30; now += 0.9 {
+			Expect(h.Release(now)).To(BeZero())
+			h.Granted(now, register.Grant{Role: "r", Holder: "a", Token: 1})
+		}
+	})
 })
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -19,7 +19,8 @@
 	Agent   Kind = "agent"
 )
 
-// Record is what is told of a process. A higher incarnation, then a higher heartbeat, is newer.
+// Record is what is told of a process. A higher incarnation is a newer life. Within one, what a record says goes by its revision and
+// that the process lives by its heartbeat: heartbeats also travel without records, and so reach a peer ahead of what has changed.
 type Record struct {
 	Name        string   `msgpack:"n"`
 	Kind        Kind     `msgpack:"k"`
@@ -28,9 +29,11 @@
 	Incarnation uint64   `msgpack:"i"`
 	Life        uint64   `msgpack:"l"` // drawn at each start; tells lives of one incarnation apart
 	Heartbeat   uint64   `msgpack:"b"`
+	Revision    uint64   `msgpack:"w"` // counts changes of what the record says within a life
 	Leaving     bool     `msgpack:"x"`
 	Voter       string   `msgpack:"v"` // the identity on its disk, for control processes
 	Operator    string   `msgpack:"o"` // where the operator reaches it, for control processes
+	Released    uint64   `msgpack:"e"` // the token of the role that a control process has given up, 0: none
 	Demands     []Demand `msgpack:"d"` // what a proxy asks of model servers
 }
 
@@ -104,11 +107,26 @@
 func (v *View) Self() Record { return v.self }
 
 // SetDemands replaces what the own record tells of the proxy.
-func (v *View) SetDemands(demands []Demand) { v.self.Demands = demands }
+func (v *View) SetDemands(demands []Demand) {
+	v.self.Demands = demands
+	v.self.Revision++ // without a heartbeat: this is told with the next one
+}
+
+// SetReleased tells which token this process has given up.
+func (v *View) SetReleased(token uint64) {
+	v.self.Released = token
+	v.revise()
+}
 
 // Leave marks the own record as one that is about to end.
 func (v *View) Leave() {
 	v.self.Leaving = true
+	v.revise()
+}
+
+// revise marks the own record as changed.
+func (v *View) revise() {
+	v.self.Revision++
 	v.self.Heartbeat++
 }
 
@@ -250,6 +268,10 @@
 		v.entries[record.Name] = &entry{*record, now}
 		return true
 	}
+	if record.Incarnation == known.record.Incarnation && record.Life == known.record.Life {
+		known.update(now, record)
+		return false
+	}
 	if record.newer(&known.record) {
 		came := record.Life != known.record.Life
 		known.record, known.heard = *record, now
@@ -259,6 +281,18 @@
 	return false
 }
 
+// update takes what another copy of the same life's record says.
+func (e *entry) update(now float64, record *Record) {
+	heartbeat := e.record.Heartbeat
+	if record.Heartbeat > heartbeat {
+		heartbeat, e.heard = record.Heartbeat, now
+	}
+	if record.Revision > e.record.Revision {
+		e.record = *record
+	}
+	e.record.Heartbeat = heartbeat
+}
+
 // rebut keeps a record for the next exchange where another life of the same process told an older one, so that it outbids it.
 func (v *View) rebut(newest, told *Record) {
 	const most = 4
--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -179,4 +179,43 @@
 		after, _ := f.views[8].Rank("n008", membership.Agent)
 		Expect(after).To(Equal(before))
 	})
+
+	It("keeps what a record newly says where an older copy comes with a later heartbeat", func() {
+		f := newFleet(7, 3, 0)
+		f.pass(10)
+		leaving, told, behind := f.views[0], f.views[1], f.views[2]
+		leaving.Leave()
+		told.Merge(f.now, []membership.Record{leaving.Self()})
+		for range 5 {
+			leaving.Tick(f.now)
+		}
+		// Heartbeats alone reach the third process, which tells its copy of the record.
+		told.MergeBeats(f.now, beatsOf(f, 0))
+		behind.MergeBeats(f.now, beatsOf(f, 0))
+		for _, record := range behind.Sample(f.now) {
+			told.Merge(f.now, []membership.Record{record})
+		}
+		Expect(f.member(told, 0).Leaving).To(BeTrue())
+		Expect(f.member(behind, 0).Leaving).To(BeFalse())
+		behind.Merge(f.now, told.Sample(f.now))
+		Expect(f.member(behind, 0).Leaving).To(BeTrue())
+	})
 })
+
+// beatsOf returns the heartbeat of a process as another that knows it tells it.
+func beatsOf(f *fleet, i int) []membership.Beat {
+	settings := membership.Settings{SuspectAfterS: suspectAfter, ForgetAfterS: forgetAfter, ViewSize: 8, SampleSize: 16, BeatSize: 200}
+	witness := membership.New(settings, membership.Record{Name: "witness", Address: "w"}, nil, f.rng)
+	witness.Merge(f.now, []membership.Record{f.views[i].Self()})
+	return witness.Beats(f.now)
+}
+
+// member returns what a view holds of a process.
+func (f *fleet) member(view *membership.View, i int) membership.Member {
+	for _, member := range view.Members(f.now) {
+		if member.Name == f.views[i].Self().Name {
+			return member
+		}
+	}
+	return membership.Member{}
+}
