--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -167,7 +167,7 @@
 	}
 	from := n.meshNext % len(addresses)
 	n.meshNext = from + meshMost
-	return append(addresses[from:], addresses[:from]...)[:meshMost]
+	return slices.Concat(addresses[from:], addresses[:from])[:meshMost]
 }
 
 // place takes the own place among processes of the kind.
--- a/internal/cluster/contact_test.go
+++ b/internal/cluster/contact_test.go
@@ -1,12 +1,40 @@
 package cluster
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/decide/membership"
+	"hazelwheel/internal/transport"
 )
 
+var _ = Describe("the calls between control processes", func() {
+	It("reach each of many in turns", func() {
+		settings := &boot.Settings{NodeID: "self", Zone: "z"}
+		log := logrus.New()
+		n := New(settings, membership.Record{Kind: membership.Control, Address: "10.0.0.1:1"}, transport.NewClient(), log.WithField("node", "self"))
+		const others = 10
+		for i := range others {
+			n.view.Merge(0, []membership.Record{{Name: fmt.Sprint("c", i), Kind: membership.Control, Address: fmt.Sprintf("10.0.1.%d:1", i), Incarnation: 1}})
+		}
+		called := map[string]int{}
+		for range 3 {
+			partners := n.mesh()
+			Expect(partners).To(HaveLen(meshMost))
+			for _, partner := range partners {
+				called[partner]++
+			}
+		}
+		Expect(called).To(HaveLen(others))
+		Expect(called).NotTo(HaveKey("10.0.0.1:1"))
+	})
+})
+
 var _ = Describe("contact", func() {
 	start := time.Unix(1000, 0)
 	after := func(d time.Duration) time.Time { return start.Add(d) }
