Count the ballot of a learned value as promised

Cause, by reading: a learner that had promised nothing could promise and accept a ballot below that of the value which it had learned, so that its own ballot went back. No majority could follow it there, since a chosen value's acceptors have promised its ballot; but the order of ballots on one disk is what the argument for reads rests on.

Change: learning raises the promise. A test prepares and accepts a lower ballot; it fails without the change.

--- a/internal/decide/register/register.go
+++ b/internal/decide/register/register.go
@@ -211,8 +211,8 @@
 	return Promise{OK: true, Promised: a.state.Promised, Ballot: a.state.Ballot, Value: a.state.Value}
 }
 
-// HandleLearn takes a value that was chosen at a ballot. It promises nothing, and may be told of a ballot below the promised one:
-// whoever was promised more has met the value at one of those that accepted it. hasConfig is as for HandleAccept. It returns
+// HandleLearn takes a value that was chosen at a ballot, which counts as promised from then on. It may be told of a ballot below the
+// promised one: whoever was promised more has met the value at one of those that accepted it. hasConfig is as for HandleAccept. It returns
 // whether the voter holds the value, or a later one, once the state is on disk.
 func (a *Acceptor) HandleLearn(at Ballot, value Value, hasConfig bool) (*State, bool) {
 	if at.Compare(a.state.Ballot) <= 0 {
@@ -223,5 +223,9 @@
 	}
 	next := a.state
 	next.Ballot, next.Value = at, value
+	if at.Compare(next.Promised) > 0 {
+		// Danger: a voter never accepts a ballot below the one that its value has.
+		next.Promised = at
+	}
 	return &next, true
 }
--- a/internal/decide/register/register_test.go
+++ b/internal/decide/register/register_test.go
@@ -230,6 +230,16 @@
 		Expect(next.Promised).To(Equal(old.Promised))
 	})
 
+	It("accepts nothing below what it has learned", func() {
+		a := register.NewAcceptor(register.State{ID: "d"})
+		next, _ := a.HandleLearn(register.Ballot{Round: 5}, register.Value{Version: 4}, true)
+		a.Stored(*next)
+		_, promise := a.HandlePrepare(register.Prepare{To: "d", Ballot: register.Ballot{Round: 3}})
+		Expect(promise.OK).To(BeFalse())
+		_, accepted := a.HandleAccept(register.Accept{To: "d", Ballot: register.Ballot{Round: 3}}, true)
+		Expect(accepted.OK).To(BeFalse())
+	})
+
 	It("does not go back", func() {
 		next, held := learn(2, true)
 		Expect(held).To(BeTrue())
