Tell what each control process holds on its internal port

Need: nobody could see which disk holds the newest configuration, who votes and whom a process is in touch with.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -135,6 +135,7 @@
 	router.HandleFunc(readPath, transport.Handle(c.replica.read)).Methods("POST")
 	router.HandleFunc(learnPath, transport.Handle(c.serveLearn)).Methods("POST")
 	router.HandleFunc(configPath, transport.Handle(c.replica.serveConfig)).Methods("POST")
+	router.HandleFunc(holdingsPath, c.serveHoldings).Methods("GET")
 	return router
 }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -409,3 +409,26 @@
 		Expect(calls).To(Equal((len(data)+pieceSize-1)/pieceSize+1), "no piece is fetched twice")
 	})
 })
+
+var _ = Describe("what a process holds", func() {
+	It("is told by each", func() {
+		s := newSide(3)
+		s.begin()
+		for i := range 3 {
+			Eventually(func(g Gomega) {
+				answer, err := http.Get("http://" + s.machines[i].control.registrar.self.Address + holdingsPath)
+				g.Expect(err).NotTo(HaveOccurred())
+				defer answer.Body.Close()
+				var told holdings
+				g.Expect(json.NewDecoder(answer.Body).Decode(&told)).To(Succeed())
+				g.Expect(told.Identity).To(Equal(s.machines[i].control.registrar.self.ID))
+				g.Expect(told.Votes).To(BeTrue())
+				g.Expect(told.TouchMajority).To(BeTrue())
+				g.Expect(told.Version).To(BeEquivalentTo(1))
+				g.Expect(told.Bytes).To(Equal(len(configuration(1, 0))))
+				g.Expect(told.Told).To(BeEquivalentTo(1))
+				g.Expect(told.Voters).To(HaveLen(3))
+			}, within).Should(Succeed())
+		}
+	})
+})
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -19,6 +19,8 @@
 	readPath    = "/fleet/v1/read"
 	configPath  = "/fleet/v1/config"
 	learnPath   = "/fleet/v1/learn"
+	// holdingsPath tells people what a process holds, as JSON.
+	holdingsPath = "/fleet/v1/holdings"
 )
 
 const (
