--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -70,7 +70,7 @@
 	servers := []*http.Server{serve(internal, c.internalRouter()), serve(operator, c.operatorRouter())}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	for _, task := range []func(context.Context){c.node.Run, c.upkeep, c.scrub, c.follow, c.readLists, newStageKeeper(c).run} {
+	for _, task := range []func(context.Context){c.node.Run, c.upkeep, c.scrub, c.follow, c.checkDisk, c.readLists, newStageKeeper(c).run} {
 		go task(work)
 	}
 	for {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -382,6 +382,29 @@
 	})
 })
 
+var _ = Describe("a disk that is spoiled while its process runs", func() {
+	It("is written anew, so that its member keeps its identity and its value", func() {
+		s := newSide(3)
+		s.begin()
+		replica := s.machines[1].control.replica
+		replica.writing.Lock()
+		files, err := filepath.Glob(filepath.Join(s.data(1), "*"))
+		Expect(err).NotTo(HaveOccurred())
+		for _, file := range files {
+			Expect(os.WriteFile(file, []byte("spoiled"), 0o600)).To(Succeed())
+		}
+		replica.writing.Unlock()
+		replica.check()
+		before := replica.state()
+		s.stop(1)
+		s.start(1, false)
+		after := s.machines[1].control.replica.state()
+		Expect(after.ID).To(Equal(before.ID))
+		Expect(after.Value.Version).To(BeEquivalentTo(1))
+		Expect(s.held(1)).To(Equal(1))
+	})
+})
+
 var _ = Describe("pieces of a configuration", func() {
 	It("go on at another source where the first one fails, and are checked", func() {
 		s := newSide(3)
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -16,6 +16,8 @@
 	// first one succeeds.
 	scrubEvery = 2 * time.Second
 	scrubSoon  = 60 * time.Millisecond
+	// checkDiskEvery is the time between looks at what was written to the own disk.
+	checkDiskEvery = 30 * time.Second
 	// newsDelay is how long after it has accepted a configuration a process looks whether it was chosen, where nobody has told.
 	newsDelay = 120 * time.Millisecond
 	// followWithin bounds one try to fetch a configuration. What has come of it by then stays.
@@ -166,6 +168,13 @@
 	}
 }
 
+// checkDisk reads the own disk again now and then.
+func (c *Control) checkDisk(ctx context.Context) {
+	for wait(ctx, checkDiskEvery+rand.N(checkDiskEvery/4)) == nil {
+		c.replica.check()
+	}
+}
+
 // knowsLess tells whether a value has a newer configuration than the one that this process tells others.
 func (c *Control) knowsLess(value register.Value) bool {
 	facts, _ := c.node.Facts()
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -155,6 +155,18 @@
 	return r.store.Snapshot(append(records, store.Record{Kind: stateRecord, Data: data})...)
 }
 
+// check reads the disk again, and writes what this process holds anew where something was spoiled there.
+func (r *replica) check() {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	bad := r.store.Check()
+	if bad == nil {
+		return
+	}
+	err := r.snapshot()
+	r.log.WithError(err).WithField("place", bad.String()).Error("store: a file was spoiled; written anew")
+}
+
 // write puts a state, and a configuration where there is one, on the disk.
 func (r *replica) write(state *register.State, config []byte) error {
 	data, err := msgpack.Marshal(state)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -197,23 +197,29 @@
 
 // readFile returns the records up to the first that can't be read, and where that is.
 func readFile(on folder, name string) (records []Record, damage *Damage) {
+	damage = scanFile(on, name, func(more []Record) { records = append(records, more...) })
+	return records, damage
+}
+
+// scanFile hands over the records of each write up to the first that can't be read, and returns where that is.
+func scanFile(on folder, name string, visit func([]Record)) *Damage {
 	path := on.path(name)
 	file, err := on.open(name)
 	if err != nil {
-		return nil, &Damage{File: path, Reason: err.Error()}
+		return &Damage{File: path, Reason: err.Error()}
 	}
 	defer file.Close()
 	in := bufio.NewReader(file)
 	offset := int64(0)
 	head := make([]byte, len(magic))
 	if _, err := io.ReadFull(in, head); err != nil || string(head) != magic {
-		return nil, &Damage{File: path, Reason: "no file of this format"}
+		return &Damage{File: path, Reason: "no file of this format"}
 	}
 	offset += int64(len(magic))
 	for {
 		record, size, err := readRecord(in)
 		if errors.Is(err, io.EOF) {
-			return records, nil
+			return nil
 		}
 		if err != nil {
 			bad := &Damage{File: path, Offset: offset, Reason: err.Error()}
@@ -221,13 +227,14 @@
 			if err != nil {
 				bad.Reason += "; " + err.Error()
 			}
-			return records, bad
+			return bad
 		}
 		more, err := unbatch(record)
 		if err != nil {
-			return records, &Damage{File: path, Offset: offset, Reason: err.Error(), followed: true}
+			return &Damage{File: path, Offset: offset, Reason: err.Error(), followed: true}
 		}
-		records, offset = append(records, more...), offset+size
+		visit(more)
+		offset += size
 	}
 }
 
@@ -420,6 +427,30 @@
 	return Error.Wrap(err)
 }
 
+// Check reads what this life has written again and returns the first place that can't be read, nil if there is none. A snapshot
+// mends it.
+func (s *Store) Check() *Damage {
+	segments, snapshots, err := list(s.folder)
+	if err != nil {
+		return &Damage{File: s.folder.path(""), Reason: err.Error()}
+	}
+	ignore := func([]Record) {}
+	for _, sequence := range snapshots {
+		if sequence <= s.sequence {
+			if bad := scanFile(s.folder, name(sequence, snapSuffix), ignore); bad != nil {
+				return bad
+			}
+		}
+	}
+	// Earlier segments end where they end: their torn ends are named in those after them.
+	for _, sequence := range segments {
+		if sequence == s.sequence && !s.broken {
+			return scanFile(s.folder, name(sequence, segmentSuffix), ignore)
+		}
+	}
+	return nil
+}
+
 // Close closes the segment.
 func (s *Store) Close() error {
 	if s.file == nil {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -135,6 +135,35 @@
 		Expect(found).To(Equal([]string{"first"}))
 	})
 
+	It("finds what was spoiled since it was written, and mends it by a snapshot", func() {
+		s, _, _ := open()
+		Expect(s.Snapshot(record("a"))).To(Succeed())
+		Expect(s.Append(record("b"))).To(Succeed())
+		Expect(s.Check()).To(BeNil())
+		files, err := filepath.Glob(filepath.Join(dir, "*"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(files).To(HaveLen(2))
+		for _, path := range files {
+			data, err := os.ReadFile(path)
+			Expect(err).NotTo(HaveOccurred())
+			data[len(data)-1] ^= 1
+			Expect(os.WriteFile(path, data, 0o644)).To(Succeed())
+			Expect(s.Check()).NotTo(BeNil())
+			Expect(s.Check().File).To(Equal(path))
+			data[len(data)-1] ^= 1
+			Expect(os.WriteFile(path, data, 0o644)).To(Succeed())
+		}
+		data, err := os.ReadFile(files[0])
+		Expect(err).NotTo(HaveOccurred())
+		data[9] ^= 1
+		Expect(os.WriteFile(files[0], data, 0o644)).To(Succeed())
+		Expect(s.Snapshot(record("a"), record("b"))).To(Succeed())
+		Expect(s.Check()).To(BeNil())
+		_, found, damage := open()
+		Expect(found).To(Equal([]string{"a", "b"}))
+		Expect(damage).To(BeEmpty())
+	})
+
 	It("passes over a snapshot that was not finished", func() {
 		s, _, _ := open()
 		Expect(s.Append(record("a"))).To(Succeed())
