Count zones and regions that may be lost in the number of voters

Cause, by reading: where the settings allow the loss of a zone or a region and name no machines, one voter was wanted, so that silent voters were dropped down to a single disk.

Change: 2n+1 voters with n the greatest of machines, zones and regions. The choice of who is dropped does not look at zones yet.

--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -45,6 +45,9 @@
 	Regions  int `yaml:"Regions"`
 }
 
+// Voters is the least number of voters of which a majority is left after such a loss, where each is in a zone or region of its own.
+func (f *FaultTolerance) Voters() int { return 2*max(f.Machines, f.Zones, f.Regions) + 1 }
+
 // Bounds holds the figures of the rules in force. Fields ending in S are seconds, in Ms milliseconds.
 type Bounds struct {
 	ContactMs        float64 `yaml:"ContactMs"`
@@ -191,6 +194,8 @@
 	// noticeS is what a control process needs before and after it copies a configuration, in seconds: to be noticed, and to be taken
 	// in as a voter.
 	noticeS = 1.2
+	// mostSeeds is how many control processes the operators name at most.
+	mostSeeds = 3
 )
 
 // Doubts names bounds that can't be kept together on this machine, a line each. They don't keep a process from running.
@@ -206,9 +211,8 @@
 		doubts = append(doubts, fmt.Sprintf("RecoveryS: %v s are fewer than CatchUpS, %v: members are not caught up when all are to serve again",
 			s.Bounds.RecoveryS, s.Bounds.CatchUpS))
 	}
-	if wanted := 2*s.FaultTolerance.Machines + 1; s.FaultTolerance.Machines > 0 && len(s.Seeds) < min(wanted, 3) {
-		doubts = append(doubts, fmt.Sprintf("Seeds: %d are too few to found a register of which %d may be lost at once", len(s.Seeds),
-			s.FaultTolerance.Machines))
+	if wanted := s.FaultTolerance.Voters(); wanted > 1 && len(s.Seeds) < min(wanted, mostSeeds) {
+		doubts = append(doubts, fmt.Sprintf("Seeds: %d are too few to found a register of %d voters", len(s.Seeds), wanted))
 	}
 	return doubts
 }
--- a/internal/boot/boot_test.go
+++ b/internal/boot/boot_test.go
@@ -89,3 +89,15 @@
 		Expect(s.Doubts()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("the number of voters", func() {
+	DescribeTable("bears what may be lost at once", func(machines, zones, regions, want int) {
+		tolerance := boot.FaultTolerance{Machines: machines, Zones: zones, Regions: regions}
+		Expect(tolerance.Voters()).To(Equal(want))
+	},
+		Entry("nothing", 0, 0, 0, 1),
+		Entry("two machines", 2, 0, 0, 5),
+		Entry("a zone", 0, 1, 0, 3),
+		Entry("a machine, or a region", 1, 0, 2, 5),
+	)
+})
--- a/internal/control/upkeep.go
+++ b/internal/control/upkeep.go
@@ -46,7 +46,7 @@
 }
 
 // wantedVoters is the number of voters of which so many may be lost at once as the settings say.
-func (c *Control) wantedVoters() int { return 2*c.settings.FaultTolerance.Machines + 1 }
+func (c *Control) wantedVoters() int { return c.settings.FaultTolerance.Voters() }
 
 // inTouch tells whether a voter has answered this process lately.
 func (c *Control) inTouch(voter register.Voter) bool {
