--- a/internal/decide/register/world_test.go
+++ b/internal/decide/register/world_test.go
@@ -111,18 +111,18 @@
 func (w *world) step() {
 	w.now++
 	switch draw := w.rng.IntN(100); {
-	case draw < 72 && len(w.packets) > 0:
+	case draw < 70 && len(w.packets) > 0:
 		w.deliver()
+	case draw >= 70 && draw < 72:
+		w.learn()
 	case draw < 82:
 		w.begin()
 	case draw < 88:
 		w.lose()
 	case draw < 92:
 		w.crash()
-	case draw < 95:
-		w.restart()
 	case draw < 97:
-		w.learn()
+		w.restart()
 	case draw < 98:
 		w.wipe()
 	default:
