Wait for a voter before another process is frozen; end a stopped process's writes in tests

Cause: a test of real processes froze one of two remaining voters at every look, which left no majority to take the third one in (it timed out once on a busy machine). Tests of control closed a disk to which calls under way in the same process still wrote (found by the race detector).

--- a/cmd/hazelfleet/fleet_test.go
+++ b/cmd/hazelfleet/fleet_test.go
@@ -145,6 +145,20 @@
 	return strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))[0]
 }
 
+// holds tells whether a process votes and has a version on its disk.
+func (f *fleet) holds(i, version int) bool {
+	answer, err := (&http.Client{Timeout: within}).Get(fmt.Sprintf("http://%s:%d/fleet/v1/holdings", ip(controlName(i)), f.base))
+	if err != nil {
+		return false
+	}
+	defer answer.Body.Close()
+	var told struct {
+		Votes   bool
+		Version int
+	}
+	return json.NewDecoder(answer.Body).Decode(&told) == nil && told.Votes && told.Version == version
+}
+
 // serves tells whether a process tells a version while another one stands still.
 func (f *fleet) serves(i, without, version int) bool {
 	f.signal(controlName(without), syscall.SIGSTOP)
@@ -263,7 +277,8 @@
 			f.kill(controlName(lost))
 			Expect(os.RemoveAll(filepath.Join(f.dir, "data-"+controlName(lost)))).To(Succeed())
 			f.start(controlName(lost), false)
-			// With this one as a voter the two others are a majority no longer by themselves: another may stop.
+			Eventually(func() bool { return f.holds(lost, version) }, within).Should(BeTrue(), "disk %d", lost)
+			// With this one as a voter another may stop.
 			other := (lost + 1) % 3
 			Eventually(func() bool { return f.serves(lost, other, version) }, within).Should(BeTrue(), "disk %d", lost)
 			Eventually(func() int { return f.put(lost, version+1, version, "2000") }, within).Should(Equal(http.StatusOK))
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -171,6 +171,8 @@
 	delete(s.machines, i)
 	m.stop()
 	Eventually(m.ended, within).Should(Receive())
+	// What is still under way in this process must not write to the disk any longer, as in one that has ended.
+	m.control.replica.writing.Lock()
 	Expect(m.control.replica.store.Close()).To(Succeed())
 }
 
