--- a/internal/decide/register/register_test.go
+++ b/internal/decide/register/register_test.go
@@ -252,3 +252,20 @@
 		Expect(next).To(BeNil())
 	})
 })
+
+var _ = Describe("a configuration that is sent again", func() {
+	It("is known after a thousand later ones, by its bytes alone", func() {
+		const later = 1000
+		digest := func(version uint64) register.Digest {
+			return register.DigestOf([]byte(strconv.FormatUint(version, 10)))
+		}
+		value := register.Value{}
+		for version := uint64(1); version <= later+1; version++ {
+			next, fits := register.Configure(version, version-1, digest(version))(value.Clone())
+			Expect(fits).To(BeTrue())
+			value = next
+		}
+		Expect(value.Judge(1, 0, digest(1))).To(Equal(register.Repeated))
+		Expect(value.Judge(1, 0, digest(later+2))).To(Equal(register.Stale), "other bytes under its number")
+	})
+})
