--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -343,3 +343,19 @@
 		Expect(ParsePrefix(field)).To(HaveLen(want))
 	}, Entry("three parts", "5c1e07a2:800,91bd3f06:410, e4402b7d:250", 3), Entry("none", "", 0), Entry("no size", "aa,bb:0,cc:-4,dd:x", 0))
 })
+
+var _ = Describe("the standing of a pool", func() {
+	It("counts each member once, by why it is not chosen", func() {
+		p := newPool(instances(6, ""))
+		p.Place(0, 1)
+		answerProbes(p, 0, 60)
+		p.SetConnections(100)
+		p.endpoints["i-000"].Misplaced()
+		p.endpoints["i-001"].Failed(60, true)
+		for range p.most {
+			p.endpoints["i-002"].Begin()
+		}
+		Expect(p.Standing(60.1)).To(Equal(Standing{Listed: 6, Members: 6, Free: 3, Misplaced: 1, Cooling: 1, Full: 1}))
+		Expect(p.Standing(90)).To(Equal(Standing{Listed: 6, Members: 6, Misplaced: 1, Full: 1, Suspected: 4}))
+	})
+})
--- a/internal/decide/placement/pool.go
+++ b/internal/decide/placement/pool.go
@@ -176,6 +176,48 @@
 	return !e.Draining && !e.misplaced && !e.switching && now >= e.coolUntil && (p.most == 0 || e.InFlight < p.most)
 }
 
+// Standing counts the servers of a pool, and its members by why they are not chosen now. A member counts once, by the first reason
+// that holds.
+type Standing struct {
+	Listed    int
+	Draining  int // of those listed
+	Switching int // of those listed: they are changing their stage
+	Members   int // of the proxy's subset
+	Free      int // members that may be chosen
+	Misplaced int // another instance answered at the address
+	Cooling   int // requests failed there lately
+	Full      int // as many own requests are under way as connections are allowed
+	Suspected int // probes were not answered for too long
+}
+
+// Standing tells how the members stand now.
+func (p *Pool) Standing(now float64) Standing {
+	s := Standing{Listed: len(p.endpoints), Members: len(p.members)}
+	for _, e := range p.endpoints {
+		switch {
+		case e.Draining:
+			s.Draining++
+		case e.switching:
+			s.Switching++
+		}
+	}
+	for _, e := range p.members {
+		switch {
+		case e.misplaced:
+			s.Misplaced++
+		case now < e.coolUntil:
+			s.Cooling++
+		case p.most > 0 && e.InFlight >= p.most:
+			s.Full++
+		case e.window.phi(now) > phiOut:
+			s.Suspected++
+		default:
+			s.Free++
+		}
+	}
+	return s
+}
+
 // candidates returns the members of a stage that may be drawn now. Where all are suspected the least suspected is.
 func (p *Pool) candidates(now float64, stage message.Stage, without []*Endpoint) []*Endpoint {
 	var drawn []*Endpoint
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -136,11 +136,10 @@
 }
 
 // fail ends a request that brought no answer.
-func fail(ctx context.Context, w http.ResponseWriter, j *job) {
+func (p *Proxy) fail(ctx context.Context, w http.ResponseWriter, j *job) {
 	switch {
-	case ctx.Err() == nil && j.runs == 0:
-		refuse(w, retryAfterS)
-	case j.runs == 0 && j.left() <= 0:
+	case j.runs == 0 && (ctx.Err() == nil || j.left() <= 0):
+		p.observed.refuse(j.service)
 		refuse(w, retryAfterS)
 	case j.left() <= 0:
 		http.Error(w, "out of time", http.StatusGatewayTimeout)
@@ -209,7 +208,7 @@
 			break
 		}
 	}
-	fail(ctx, w, j)
+	p.fail(ctx, w, j)
 }
 
 // attempt sends a request to a server and reads the whole answer. Without an answer for the client, j.last says why.
@@ -272,6 +271,9 @@
 		p.log.WithField("server", endpoint.ID).WithField("request", j.id).WithError(err).Debug("no answer")
 		return nil, verdict
 	}
+	if got.answer.StatusCode == http.StatusMisdirectedRequest {
+		p.logMisdirected(j, endpoint, got.answer)
+	}
 	p.state.with(func(now float64) {
 		if running, waiting, ok := serverLoad(got.answer.Header); ok {
 			endpoint.Loaded(now, running, waiting)
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -13,6 +13,7 @@
 	headerRequestID      = "Hazelwheel-Request-Id"
 	headerDeadline       = "Hazelwheel-Deadline-Ms"
 	headerExpectInstance = "Hazelwheel-Expect-Instance"
+	headerExpectVersion  = "Expect-Version"
 	headerInstanceID     = "Hazelwheel-Instance-Id"
 	headerNotExecuted    = "Hazelwheel-Not-Executed"
 	headerStamp          = "Hazelwheel-Response-Stamp"
--- /dev/null
+++ b/internal/proxy/observe_test.go
@@ -0,0 +1,30 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("what operators see of refused requests", func() {
+	It("is counted by service and told once in a while", func() {
+		o := newObservations()
+		began := o.logged
+		o.refuse("s")
+		o.refuse("s")
+		o.refuse("t")
+		Expect(o.due(began.Add(refusedEvery - time.Millisecond))).To(BeNil())
+		Expect(o.due(began.Add(refusedEvery))).To(Equal(map[string]int{"s": 2, "t": 1}))
+		Expect(o.due(began.Add(3 * refusedEvery))).To(BeNil())
+	})
+
+	It("names the system's fields that a client has sent", func() {
+		header := http.Header{}
+		header.Set(headerRequestID, "id-1")
+		header.Set(headerServingStage, "prefill")
+		header.Set(headerKVFrom, "somewhere")
+		Expect(systemFieldsOf(header)).To(Equal([]string{headerServingStage, headerKVFrom}))
+	})
+})
--- a/internal/proxy/plain_test.go
+++ b/internal/proxy/plain_test.go
@@ -191,7 +191,7 @@
 	It("waits for a proxy that has just begun, and is refused when the first facts don't come", func() {
 		s := startServer("i-1", "s", "", echo)
 		ready, _ := startProxy(route(routes.NonIdempotent), false, s)
-		begun := &Proxy{settings: ready.settings, log: ready.log, state: newState(ready.settings), backends: newBackends()}
+		begun := newProxy(ready.settings, ready.log)
 		front := httptest.NewServer(begun)
 		DeferCleanup(front.Close)
 		answer, _, err := ask(front)
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -26,6 +26,7 @@
 		case <-ticker.C:
 		}
 		p.probeDue(ctx)
+		p.logRefused(time.Now())
 		if tick%sweepEvery == 0 {
 			wanted := p.state.addresses()
 			p.backends.sweep(func(address string) bool { return wanted[address] })
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -40,12 +40,17 @@
 	log      *logrus.Entry
 	state    *state
 	backends *backends
+	observed *observations
 	leaving  atomic.Bool
 }
 
+func newProxy(settings *boot.Settings, log *logrus.Entry) *Proxy {
+	return &Proxy{settings: settings, log: log, state: newState(settings), backends: newBackends(), observed: newObservations()}
+}
+
 // Run serves until the context ends and the requests that were taken are served.
 func Run(ctx context.Context, settings *boot.Settings, log *logrus.Entry) error {
-	p := &Proxy{settings: settings, log: log, state: newState(settings), backends: newBackends()}
+	p := newProxy(settings, log)
 	front, err := net.Listen("tcp4", settings.Listen.Front)
 	if err != nil {
 		return Error.Wrap(err)
--- a/internal/proxy/proxy_suite_test.go
+++ b/internal/proxy/proxy_suite_test.go
@@ -163,7 +163,7 @@
 	settings := &boot.Settings{NodeID: "n", Zone: "z", Bounds: boot.Bounds{RetryBudgetRatio: 0.2, BudgetWindowS: 10, BudgetSlack: 100, AgainS: 8}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	p := &Proxy{settings: settings, log: logrus.NewEntry(log), state: newState(settings), backends: newBackends()}
+	p := newProxy(settings, logrus.NewEntry(log))
 	table := &routes.Table{Version: 1, Routes: []routes.Route{r}, Services: []routes.Service{{Name: "s", HealthPath: "/health", MaxConnections: 100}},
 		Limits: routes.Limits{MaxBodyBytes: 1 << 16}}
 	if engine {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -111,7 +111,7 @@
 		// Danger: an answer that ends here must not look complete.
 		panic(http.ErrAbortHandler)
 	}
-	fail(ctx, w, j)
+	p.fail(ctx, w, j)
 }
 
 // handle is a cache that was read and not taken yet.
