Reproduce the incidents: fields of clients end the use of servers (known red)

A client that sends Hazelwheel-Serving-Stage, Expect-Version or Kv-From has it passed on; its server answers 421 and is neither probed nor chosen again, so that everybody after it is refused: the records' shape (421 within 0 ms from second 0 on, nothing sent any more from second 10 on, four seconds of service after a restart).

--- /dev/null
+++ b/internal/proxy/misdirected_test.go
@@ -0,0 +1,145 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/routes"
+)
+
+// modelServer is a stand-in that goes by the fields of a request as model servers do: what is not for its stage, its instance or its
+// weights gets 421.
+type modelServer struct {
+	instance message.Instance
+
+	mu    sync.Mutex
+	asked []http.Header
+}
+
+// seen returns the fields of all requests that have come.
+func (s *modelServer) seen() []http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.asked)
+}
+
+func newModelServer(t *testing.T, id string, stage message.Stage) *modelServer {
+	s := &modelServer{instance: message.Instance{ID: id, Service: "s", Zone: "z", Slots: 4, Stage: stage}}
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	s.instance.Address = strings.TrimPrefix(server.URL, "http://")
+	return s
+}
+
+const weightsVersion = "1"
+
+func (s *modelServer) misdirected(header http.Header) bool {
+	stage := message.Decode
+	if header.Get(headerServingStage) == stagePrefill {
+		stage = message.Prefill
+	}
+	version, instance := header.Get("Expect-Version"), header.Get(headerExpectInstance)
+	return stage != s.instance.Stage || version != "" && version != weightsVersion || instance != "" && instance != s.instance.ID
+}
+
+func (s *modelServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.asked = append(s.asked, r.Header)
+	s.mu.Unlock()
+	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+	switch {
+	case s.misdirected(r.Header):
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case r.Method == http.MethodDelete:
+	case s.instance.Stage == message.Prefill:
+		fmt.Fprint(w, `{"KvHandle":"h1","Tokens":1000,"Version":1}`)
+	default:
+		w.Header().Set(headerStamp, "stamp")
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, event(1))
+	}
+}
+
+// promptFront returns the front of a proxy with a route for prompts to these servers.
+func promptFront(t *testing.T, servers ...*modelServer) *httptest.Server {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	settings := &boot.Settings{NodeID: "n", Zone: "z", Bounds: boot.Bounds{RetryBudgetRatio: 0.2, BudgetWindowS: 10, BudgetSlack: 100, AgainS: 8}}
+	p := newProxy(settings, logrus.NewEntry(log))
+	table, err := message.PackTable(&routes.Table{Version: 1, Routes: []routes.Route{route(routes.Streaming)}, Services: []routes.Service{{Name: "s",
+		HealthPath: "/health", MaxConnections: 100, Engine: &routes.Engine{Slots: 4, KVTokens: 1e6, KVTokenBytes: 1000, LinkMbps: 1e6, HandleTTLS: 5}}},
+		Limits: routes.Limits{MaxBodyBytes: 1 << 16}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var listed []message.Instance
+	for _, s := range servers {
+		listed = append(listed, s.instance)
+	}
+	data, err := message.PackList(listed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.state.take(&message.Feed{Table: table, List: &message.List{Digest: 1, Data: data}, Count: 1}); err != nil {
+		t.Fatal(err)
+	}
+	front := httptest.NewServer(p)
+	t.Cleanup(front.Close)
+	return front
+}
+
+// sendPrompt returns the status that a prompt with these further fields gets.
+func sendPrompt(t *testing.T, front *httptest.Server, id string, fields ...field) int {
+	request, err := http.NewRequest(http.MethodPost, front.URL+"/p/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "h.example"
+	fields = append(fields, field{headerRequestID, id}, field{headerDeadline, "4000"}, field{headerPrefixHash, prefix}, field{headerTokenCounts, "20800,20"})
+	for _, f := range fields {
+		request.Header.Set(f.name, f.value)
+	}
+	answer, err := front.Client().Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		t.Fatal(err)
+	}
+	return answer.StatusCode
+}
+
+// TestClientsSendFieldsOfTheSystem lets clients send fields by which servers go and that are the system's to set. They get their answer,
+// and so does everybody after them.
+func TestClientsSendFieldsOfTheSystem(t *testing.T) {
+	reader, runner := newModelServer(t, "i-1", message.Prefill), newModelServer(t, "i-2", message.Decode)
+	front := promptFront(t, reader, runner)
+	sent := []field{{headerServingStage, stagePrefill}, {"Expect-Version", "7"}, {headerKVFrom, "10.0.0.1:1/h9"}, {headerExpectInstance, "i-9"},
+		{headerPriority, "0"}}
+	for i, f := range sent {
+		if status := sendPrompt(t, front, fmt.Sprint("id-", i), f); status != http.StatusOK {
+			t.Errorf("a client that sends %s gets %d", f.name, status)
+		}
+		if status := sendPrompt(t, front, fmt.Sprint("after-", i)); status != http.StatusOK {
+			t.Errorf("the client after one that has sent %s gets %d", f.name, status)
+		}
+	}
+	for _, header := range append(reader.seen(), runner.seen()...) {
+		for _, f := range sent {
+			if header.Get(f.name) == f.value && (f.name != headerServingStage || header.Get(headerExpectInstance) != "i-1") {
+				t.Errorf("%s: %s reached a server", f.name, f.value)
+			}
+		}
+	}
+}
