Let no word on one request keep a server out for good

Ruled out: stages ahead of the list (421 come before the first order), steady change (versions confirmed within 25 ms and in force at all proxies within 0.35 s through the refused seconds), servers (others are served by them at the same time).

Change, by class ("a verdict on one request or one moment is kept as a fact, and nothing takes it back"): - the system's fields of a client go no further (serving stage, handle, expected instance and version, priority, time left); - a 421 holds a server back for 0.4 s, doubling, and has it probed; who lives at an address is told by answers that name an instance, alone, and the next one that names it brings it back; such servers go on being probed each 4.5 s, as the design asks of each member; - a change of the stage is believed for as long as it may take from when it was heard of; the holder takes a plan back once an order has come to nothing, and puts its own in place of an earlier holder's; - an instance that was missing in one reading comes back after ten seconds though the list does not change again; - prompts wait for a place as requests without prompts do, and are sent to a server that is held back before they are refused; - what a client says of its tokens is bounded before it is summed over the fleet.

--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -170,6 +171,10 @@
 		for _, order := range orders {
 			k.order(ctx, order)
 		}
+	}
+	// Danger: a plan that is never taken back keeps servers out whose order has come to nothing.
+	facts, _ := k.control.node.Facts()
+	if !maps.Equal(k.planner.Pending(k.now()), facts.Plan.Stages) {
 		k.publish()
 	}
 }
--- /dev/null
+++ b/internal/control/stages_test.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"context"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"hazelwheel/internal/cluster"
+	"hazelwheel/internal/decide/membership"
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/routes"
+	"hazelwheel/internal/transport"
+)
+
+var _ = Describe("the plan of who orders stages", func() {
+	// longAgo is further back than any change takes, in seconds.
+	const longAgo = 1000.0
+
+	// keeper returns a holder of the role with a token, in a fleet of which it knows nobody else.
+	keeper := func(token uint64) *stageKeeper {
+		settings := (&side{founders: 1, base: 20000}).settings(0, true)
+		log := logrus.New()
+		log.SetOutput(GinkgoWriter)
+		node := cluster.New(settings, membership.Record{Kind: membership.Control, Address: "127.0.5.10:1"}, transport.NewClient(), logrus.NewEntry(log))
+		k := newStageKeeper(&Control{settings: settings, node: node, log: logrus.NewEntry(log)})
+		k.table = &routes.Table{Services: []routes.Service{{Name: "s", Engine: &routes.Engine{SwitchS: 2}}}}
+		k.holder.Took(k.now(), token)
+		return k
+	}
+	told := func(k *stageKeeper) message.StagePlan {
+		facts, _ := k.control.node.Facts()
+		return facts.Plan
+	}
+
+	It("is taken back once an order has come to nothing", func() {
+		k := keeper(3)
+		k.control.node.SetPlan(message.StagePlan{Token: 3, Sequence: k.sequence, Stages: map[string]message.Stage{"i-1": message.Prefill}})
+		k.planner.Adopt(k.now()-longAgo, told(k).Stages)
+		k.act(context.Background())
+		Expect(told(k).Stages).To(BeEmpty())
+		Expect(told(k).Token).To(Equal(uint64(3)))
+	})
+
+	It("takes the place of the one of a holder before, also where there is nothing to order", func() {
+		k := keeper(4)
+		k.control.node.SetPlan(message.StagePlan{Token: 3, Sequence: 90, Stages: map[string]message.Stage{"i-1": message.Prefill}})
+		k.act(context.Background())
+		Expect(told(k).Stages).To(BeEmpty())
+		Expect(told(k).Token).To(Equal(uint64(4)))
+	})
+
+	It("stays while an order is under way", func() {
+		k := keeper(4)
+		k.planner.Adopt(k.now(), map[string]message.Stage{"i-1": message.Prefill})
+		k.act(context.Background())
+		first := told(k)
+		Expect(first.Stages).To(HaveLen(1))
+		k.act(context.Background())
+		Expect(told(k).Sequence).To(Equal(first.Sequence), "nothing new is told")
+	})
+})
--- a/internal/decide/placement/engine.go
+++ b/internal/decide/placement/engine.go
@@ -12,6 +12,7 @@
 	KVTokenBytes float64
 	KVTokens     float64
 	LinkMbps     float64
+	SwitchS      float64 // what a change of the stage takes, in seconds
 }
 
 // Part is a piece of a prompt that other prompts may begin with too.
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -153,8 +153,8 @@
 		list[0].Draining = true
 		p.Update(1, list[:4])
 		p.Update(2, instances(5, "")) // an older reading
-		p.Switching(map[string]message.Stage{"i-001": message.Prefill})
-		p.endpoints["i-002"].Misplaced()
+		p.Switching(0, message.StagePlan{Stages: map[string]message.Stage{"i-001": message.Prefill}})
+		p.endpoints["i-002"].Identified("i-other")
 		for range 100 {
 			Expect(p.Pick(2, nil).ID).To(Equal("i-003"))
 		}
@@ -167,7 +167,7 @@
 		for _, e := range p.members {
 			stages[e.ID] = message.Prefill
 		}
-		p.Switching(stages)
+		p.Switching(0, message.StagePlan{Stages: stages})
 		Expect(p.Pick(0, nil)).NotTo(BeNil())
 		Expect(stages).NotTo(HaveKey(p.Pick(0, nil).ID))
 	})
@@ -350,7 +350,7 @@
 		p.Place(0, 1)
 		answerProbes(p, 0, 60)
 		p.SetConnections(100)
-		p.endpoints["i-000"].Misplaced()
+		p.endpoints["i-000"].Identified("i-other")
 		p.endpoints["i-001"].Failed(60, true)
 		for range p.most {
 			p.endpoints["i-002"].Begin()
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -101,11 +101,16 @@
 	return Plan{Reader: reader}, true
 }
 
+// decoders returns the servers that may make an answer. Where none is left that has not failed it, the others are asked again, and
+// those that cool down before the request is refused.
 func (l *Planner) decoders(now float64, without []*Endpoint) []*Endpoint {
 	if drawn := l.pool.candidates(now, message.Decode, without); len(drawn) > 0 {
 		return drawn
 	}
-	return l.pool.candidates(now, message.Decode, nil)
+	if drawn := l.pool.candidates(now, message.Decode, nil); len(drawn) > 0 {
+		return drawn
+	}
+	return l.pool.lastResort(now, message.Decode, without)
 }
 
 // heldUp is by how much a prompt counts more that is read beside answers under way.
--- a/internal/decide/placement/pool.go
+++ b/internal/decide/placement/pool.go
@@ -37,8 +37,8 @@
 	probing   bool
 	failures  int
 	coolUntil float64
-	misplaced bool // another instance answered at the address
-	switching bool // it is changing its stage
+	misplaced bool // another instance answered at the address, and this one has not since
+	switching switching
 	engine    engineView
 }
 
@@ -126,15 +126,6 @@
 	known.Draining = draining
 }
 
-// Switching tells which servers are changing their stage, by instance and the stage that they will have.
-func (p *Pool) Switching(stages map[string]message.Stage) {
-	for id, e := range p.endpoints {
-		stage, ordered := stages[id]
-		e.switching = ordered && stage != e.Stage
-	}
-	p.subset()
-}
-
 // meanGap is the mean of all windows.
 func (p *Pool) meanGap() float64 {
 	if len(p.endpoints) == 0 {
@@ -147,13 +138,23 @@
 	return sum / float64(len(p.endpoints))
 }
 
+// Returning tells whether an instance that was taken to be gone for long enough could come back with the next Update.
+func (p *Pool) Returning(now float64) bool {
+	for _, at := range p.gone {
+		if now-at > goneFor {
+			return true
+		}
+	}
+	return false
+}
+
 // subset takes an even part of the servers by the proxy's number, of each stage by itself.
 func (p *Pool) subset() {
 	p.members = p.members[:0]
 	for _, stage := range []message.Stage{"", message.Prefill, message.Decode} {
 		var ring []*Endpoint
 		for _, id := range p.ids {
-			if endpoint := p.endpoints[id]; endpoint.Stage == stage && !endpoint.Draining && !endpoint.switching {
+			if endpoint := p.endpoints[id]; endpoint.Stage == stage && !endpoint.Draining && !endpoint.switching.on {
 				ring = append(ring, endpoint)
 			}
 		}
@@ -173,7 +174,7 @@
 
 // usable tells whether an endpoint may get a request, but for its suspicion.
 func (p *Pool) usable(e *Endpoint, now float64) bool {
-	return !e.Draining && !e.misplaced && !e.switching && now >= e.coolUntil && (p.most == 0 || e.InFlight < p.most)
+	return !e.Draining && !e.misplaced && !e.switching.on && now >= e.coolUntil && (p.most == 0 || e.InFlight < p.most)
 }
 
 // Standing counts the servers of a pool, and its members by why they are not chosen now. A member counts once, by the first reason
@@ -197,7 +198,7 @@
 		switch {
 		case e.Draining:
 			s.Draining++
-		case e.switching:
+		case e.switching.on:
 			s.Switching++
 		}
 	}
@@ -310,13 +311,23 @@
 	}
 }
 
-// Misplaced tells that another instance answered at the server's address.
-func (e *Endpoint) Misplaced() { e.misplaced = true }
+// Identified takes the instance that an answer from the server's address names, "" where it names none. Another instance's keeps
+// requests away until this one's own is heard again.
+func (e *Endpoint) Identified(instance string) {
+	if instance != "" {
+		e.misplaced = instance != e.ID
+	}
+}
+
+// Misdirected tells that the server did not take a request for its own. Danger: that is the word on one request. It may go by the
+// stage, the weights or the request itself as well as by the instance, so that it holds the server back for a while and has it probed:
+// who lives at the address is told by answers that name an instance, alone.
+func (e *Endpoint) Misdirected(now float64) { e.Failed(now, true) }
 
 // DueProbes returns the members to probe now.
 func (p *Pool) DueProbes(now float64) (due []*Endpoint) {
 	for _, e := range p.members {
-		if !e.probing && !e.misplaced && now >= e.nextProbe {
+		if !e.probing && now >= e.nextProbe {
 			e.probing = true
 			e.nextProbe = now + ProbeEvery
 			due = append(due, e)
@@ -332,7 +343,9 @@
 		e.window.arrive(now)
 		return
 	}
-	e.nextProbe = min(e.nextProbe, now+probeAgain)
+	if !e.misplaced {
+		e.nextProbe = min(e.nextProbe, now+probeAgain)
+	}
 }
 
 // homeScore orders the servers for a key the same way at every proxy (rendezvous hashing).
--- a/internal/decide/placement/returns_test.go
+++ b/internal/decide/placement/returns_test.go
@@ -1,15 +1,24 @@
 package placement
 
-import "testing"
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/message"
+)
 
 // TestServerThatAnswersAsItselfReturns has a server turn a request away as not its own, and then answer a probe as itself: what it said
 // of one request holds no longer than its next sign of life.
 func TestServerThatAnswersAsItselfReturns(t *testing.T) {
 	p := newPool(instances(1, ""))
 	e := p.endpoints["i-000"]
-	e.Misplaced()
+	e.Misdirected(0)
+	e.Identified("i-other")
 	for now := 0.0; now < 10; now += 0.1 {
 		for _, due := range p.DueProbes(now) {
+			due.Identified(due.ID)
 			due.Probed(now, true)
 		}
 	}
@@ -17,3 +26,96 @@
 		t.Fatal("it is out for good")
 	}
 }
+
+// newEngine returns a pool of model servers, and its planner.
+func newEngine(readers, runners int) (*Pool, *Planner) {
+	p := newPool(append(instances(readers, message.Prefill), instances(runners, message.Decode)...))
+	p.Engine = Engine{Present: true, KVTokenBytes: 35000, KVTokens: 900e3, LinkMbps: 1e6}
+	return p, NewPlanner(p, 8)
+}
+
+var _ = Describe("a server that has turned a request away as not its own", func() {
+	It("is held back for a moment and probed at once", func() {
+		p := newPool(instances(2, ""))
+		answerProbes(p, 0, 20)
+		e := p.endpoints["i-000"]
+		e.Misdirected(20)
+		Expect(p.candidates(20.1, "", nil)).NotTo(ContainElement(e))
+		Expect(p.DueProbes(20.1)).To(ContainElement(e))
+		Expect(p.candidates(20.1+coolFirst, "", nil)).To(ContainElement(e))
+	})
+
+	It("is out while another instance answers at its address, and goes on being probed in its time", func() {
+		p := newPool(instances(2, ""))
+		answerProbes(p, 0, 20)
+		e := p.endpoints["i-000"]
+		probes := 0
+		for now := 20.0; now < 65; now += 0.1 {
+			for _, due := range p.DueProbes(now) {
+				if due != e {
+					due.Probed(now, true)
+					continue
+				}
+				probes++
+				e.Identified("i-other")
+				e.Probed(now, false)
+			}
+			if probes > 0 {
+				Expect(p.Pick(now, nil)).NotTo(Equal(e))
+			}
+		}
+		Expect(probes).To(BeNumerically("~", 45/ProbeEvery, 1.1))
+		e.Identified(e.ID)
+		e.Probed(65, true)
+		Expect(p.candidates(65, "", nil)).To(ContainElement(e))
+	})
+
+	It("makes an answer rather than none where all servers are held back", func() {
+		p, l := newEngine(2, 2)
+		for _, e := range p.members {
+			if e.Stage == message.Decode {
+				e.Misdirected(0)
+			}
+		}
+		plan, found := l.Choose(0.1, &Prompt{Tokens: 100}, nil, false)
+		Expect(found).To(BeTrue())
+		Expect(plan.Runner.Stage).To(Equal(message.Decode))
+		Expect(l.Runner(0.1, "z0", nil)).NotTo(BeNil())
+	})
+})
+
+var _ = Describe("a change of the stage that comes to nothing", func() {
+	plan := message.StagePlan{Token: 1, Stages: map[string]message.Stage{"i-decode000": message.Prefill}}
+	e := func(p *Pool) *Endpoint { return p.endpoints["i-decode000"] }
+
+	It("keeps a server out for as long as it may take, whoever goes on telling of it", func() {
+		p, _ := newEngine(0, 4)
+		p.Engine.SwitchS = 2
+		for now := 0.0; now < 2+switchMargin; now += 0.5 {
+			p.Switching(now, plan)
+			Expect(p.members).NotTo(ContainElement(e(p)))
+		}
+		Expect(p.Expire(2+switchMargin)).To(BeTrue(), "without another word of the holder")
+		Expect(p.members).To(ContainElement(e(p)))
+		p.Switching(20, plan)
+		Expect(p.members).To(ContainElement(e(p)))
+		plan.Token = 2
+		p.Switching(21, plan)
+		Expect(p.members).NotTo(ContainElement(e(p)), "another holder has ordered it anew")
+	})
+})
+
+var _ = Describe("an instance that was missing in one reading of the list", func() {
+	It("comes back with a later one, though nothing else changes", func() {
+		all := instances(3, "")
+		p := newPool(all)
+		p.Update(1, all[:2])
+		p.Update(1.1, all)
+		Expect(p.endpoints).To(HaveLen(2), "an older reading may come after")
+		Expect(p.Returning(1 + goneFor)).To(BeFalse())
+		Expect(p.Returning(1.1 + goneFor)).To(BeTrue())
+		p.Update(1.1+goneFor, all)
+		Expect(p.endpoints).To(HaveLen(3))
+		Expect(p.Returning(2 + goneFor)).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/decide/placement/switching.go
@@ -0,0 +1,47 @@
+package placement
+
+import "hazelwheel/internal/message"
+
+// switchMargin is what is added to the time that a change of the stage takes, for answers under way to end and the list to show it, in
+// seconds. After that the plan is no longer believed: who made it may be gone, and the order may have come to nothing.
+const switchMargin = 10.0
+
+// switching is what a proxy knows of a server's change of its stage.
+type switching struct {
+	on    bool
+	stage message.Stage // that it will have
+	token uint64        // of the holder that ordered it
+	until float64       // for how long the plan is believed, 0: it names no change
+}
+
+// Switching takes the plan of the holder of the role. A change that it names keeps the server out of the choice until the list shows
+// it, for as long as a change may take from when this proxy first heard of it.
+func (p *Pool) Switching(now float64, plan message.StagePlan) {
+	for id, e := range p.endpoints {
+		stage, ordered := plan.Stages[id]
+		s := &e.switching
+		switch {
+		case !ordered:
+			*s = switching{}
+		case s.until == 0 || s.stage != stage || s.token != plan.Token:
+			*s = switching{stage: stage, token: plan.Token, until: now + p.Engine.SwitchS + switchMargin}
+		}
+		s.on = ordered && stage != e.Stage && now < s.until
+	}
+	p.subset()
+}
+
+// Expire takes servers back whose change has not come about in its time. It returns whether there were any.
+func (p *Pool) Expire(now float64) bool {
+	expired := false
+	for _, e := range p.endpoints {
+		if e.switching.on && now >= e.switching.until {
+			e.switching.on = false
+			expired = true
+		}
+	}
+	if expired {
+		p.subset()
+	}
+	return expired
+}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -26,6 +26,8 @@
 	waitStep = 4 * time.Millisecond
 	// startWithin is how long a request waits for a proxy that has just begun.
 	startWithin = 1200 * time.Millisecond
+	// tokensMost bounds the tokens of a prompt or an answer that a client's word is believed for.
+	tokensMost = 1 << 22
 	// bodyDefault is what an unset limit of bodies stands for, in bytes.
 	bodyDefault = 4 << 20
 )
@@ -148,29 +150,38 @@
 	}
 }
 
-// pick returns the next server for a job, waiting a little for a place, nil if there is none.
-func (p *Proxy) pick(ctx context.Context, j *job) *placement.Endpoint {
+// choice looks for a server under the lock of the decisions, and returns whether there is one.
+type choice func(now float64, pool *placement.Pool, planner *placement.Planner) bool
+
+// await makes a choice, again and again for a part of the route's objective while there is no place. It returns whether one was found.
+func (p *Proxy) await(ctx context.Context, j *job, choose choice) bool {
 	until := j.arrived.Add(time.Duration(waitPart * float64(boot.Millis(j.route.TargetMs))))
 	for {
-		var picked *placement.Endpoint
-		p.state.do(j.service, func(now float64, pool *placement.Pool, _ *placement.Planner) {
-			if pool == nil {
-				return
-			}
-			if picked = pool.Pick(now, j.tried); picked == nil && len(j.tried) > 0 {
-				picked = pool.Pick(now, nil)
-			}
-			if picked != nil {
-				picked.Begin()
-			}
+		found := false
+		p.state.do(j.service, func(now float64, pool *placement.Pool, planner *placement.Planner) {
+			found = pool != nil && choose(now, pool, planner)
 		})
-		if picked != nil || time.Now().After(until) || ctx.Err() != nil {
-			return picked
+		if found || time.Now().After(until) || ctx.Err() != nil {
+			return found
 		}
 		time.Sleep(waitStep)
 	}
 }
 
+// pick returns the next server for a job, waiting a little for a place, nil if there is none.
+func (p *Proxy) pick(ctx context.Context, j *job) (picked *placement.Endpoint) {
+	p.await(ctx, j, func(now float64, pool *placement.Pool, _ *placement.Planner) bool {
+		if picked = pool.Pick(now, j.tried); picked == nil && len(j.tried) > 0 {
+			picked = pool.Pick(now, nil)
+		}
+		if picked != nil {
+			picked.Begin()
+		}
+		return picked != nil
+	})
+	return picked
+}
+
 // allowed takes a further arrival out of the budget. What never reached a server is none.
 func (p *Proxy) allowed(j *job) bool {
 	if j.arrivals == 0 || j.last == NotSent {
@@ -279,7 +290,8 @@
 			endpoint.Loaded(now, running, waiting)
 		}
 		if got.answer.StatusCode == http.StatusMisdirectedRequest {
-			endpoint.Misplaced()
+			endpoint.Misdirected(now)
+			endpoint.Identified(got.answer.Header.Get(headerInstanceID))
 		}
 	})
 	return got, Served
@@ -316,7 +328,15 @@
 	prompt := placement.Prompt{Parts: placement.ParsePrefix(r.Header.Get(headerPrefixHash))}
 	prompt.AimS = boot.Millis(route.TargetMs).Seconds()
 	in, out, _ := strings.Cut(r.Header.Get(headerTokenCounts), ",")
-	prompt.Tokens, _ = strconv.Atoi(strings.TrimSpace(in)) // a field that can't be read leaves the sizes unknown
-	prompt.Output, _ = strconv.Atoi(strings.TrimSpace(out))
+	prompt.Tokens, prompt.Output = tokenCount(in), tokenCount(out)
 	return prompt
 }
+
+// tokenCount reads a number of tokens, 0 where it can't be read. Danger: it is a client's word and is summed over the fleet.
+func tokenCount(text string) int {
+	count, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil {
+		return 0
+	}
+	return min(max(count, 0), tokensMost)
+}
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -49,6 +49,16 @@
 // field is one that the proxy sets.
 type field struct{ name, value string }
 
+// systemFields are those that only the system sets on requests to servers, which go by them. Danger: a server to which a client's
+// word comes in one of them turns the request away as misdirected, or takes it for what it is not.
+var systemFields = []string{headerServingStage, headerKVFrom, headerExpectInstance, headerExpectVersion, headerPriority, headerDeadline}
+
+// passedOn tells whether a client's field goes along to servers, beside those that are set.
+func passedOn(name string, header http.Header, set []field) bool {
+	return !perHop(name, header) && !slices.Contains(systemFields, name) &&
+		!slices.ContainsFunc(set, func(f field) bool { return f.name == name })
+}
+
 // encodeRequest writes a client's request as it goes to a server, with fields set in place of the client's.
 func encodeRequest(r *http.Request, body []byte, left time.Duration, set ...field) []byte {
 	target := r.RequestURI
@@ -60,7 +70,7 @@
 	out.WriteString(r.Method + " " + target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	set = append(set, field{headerDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10)})
 	for name, values := range r.Header {
-		if perHop(name, r.Header) || slices.ContainsFunc(set, func(f field) bool { return f.name == name }) {
+		if !passedOn(name, r.Header, set) {
 			continue
 		}
 		for _, value := range values {
--- a/internal/proxy/observe.go
+++ b/internal/proxy/observe.go
@@ -76,13 +76,10 @@
 	})
 }
 
-// systemFields are those that only the system sets on requests to servers.
-var systemFields = []string{headerServingStage, headerKVFrom, headerExpectInstance, headerExpectVersion, headerPriority}
-
-// systemFieldsOf returns those of the system's fields that a client has sent.
+// systemFieldsOf returns those of the system's fields that a client has sent, but for the time that it has.
 func systemFieldsOf(header http.Header) (names []string) {
 	for _, name := range systemFields {
-		if _, sent := header[name]; sent {
+		if _, sent := header[name]; sent && name != headerDeadline {
 			names = append(names, name)
 		}
 	}
--- a/internal/proxy/observe_test.go
+++ b/internal/proxy/observe_test.go
@@ -28,3 +28,8 @@
 		Expect(systemFieldsOf(header)).To(Equal([]string{headerServingStage, headerKVFrom}))
 	})
 })
+
+var _ = DescribeTable("the tokens that a client names", func(text string, tokens int) {
+	Expect(tokenCount(text)).To(Equal(tokens))
+}, Entry("a number", " 1460", 1460), Entry("nothing", "", 0), Entry("no number", "many", 0), Entry("a negative one", "-7", 0),
+	Entry("one that would outweigh the fleet", "999999999999", tokensMost), Entry("one that does not fit", "99999999999999999999999", 0))
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -28,6 +28,7 @@
 		p.probeDue(ctx)
 		p.logRefused(time.Now())
 		if tick%sweepEvery == 0 {
+			p.state.revisit()
 			wanted := p.state.addresses()
 			p.backends.sweep(func(address string) bool { return wanted[address] })
 		}
@@ -63,11 +64,9 @@
 	defer cancel()
 	header, status := p.askHealth(ctx, target)
 	p.state.with(func(now float64) {
-		other := header.Get(headerInstanceID)
-		if other != "" && other != target.id {
-			target.endpoint.Misplaced()
-		}
-		alive := status == http.StatusOK && (other == "" || other == target.id)
+		instance := header.Get(headerInstanceID)
+		target.endpoint.Identified(instance)
+		alive := status == http.StatusOK && (instance == "" || instance == target.id)
 		if running, waiting, ok := serverLoad(header); ok {
 			target.endpoint.Loaded(now, running, waiting)
 		}
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -74,9 +74,8 @@
 	now := s.now()
 	for name, pool := range s.pools {
 		pool.Place(s.rank, s.count)
-		if feed.List != nil || feed.Plan != nil {
-			pool.Update(now, s.list)
-			pool.Switching(s.plan.Stages)
+		if feed.List != nil || feed.Plan != nil || table != nil {
+			s.look(now, pool)
 		}
 		if service := s.table.services[name]; service != nil {
 			pool.SetConnections(service.MaxConnections)
@@ -92,6 +91,25 @@
 	return nil
 }
 
+// look has a pool go by the list and the plan that were told last.
+func (s *state) look(now float64, pool *placement.Pool) {
+	pool.Update(now, s.list)
+	pool.Switching(now, s.plan)
+}
+
+// revisit takes back servers that were kept out for a time that is over. Nothing new needs to be told for that.
+func (s *state) revisit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for _, pool := range s.pools {
+		pool.Expire(now)
+		if pool.Returning(now) {
+			s.look(now, pool)
+		}
+	}
+}
+
 // unpack returns the configuration and the servers that a feed brings, nil for what it does not.
 func unpack(feed *message.Feed) (table *routes.Table, instances []message.Instance, err error) {
 	if feed.Table != nil {
@@ -136,7 +154,7 @@
 		return placement.Engine{}
 	}
 	return placement.Engine{Present: true, KVTokenBytes: service.Engine.KVTokenBytes, KVTokens: float64(service.Engine.KVTokens),
-		LinkMbps: service.Engine.LinkMbps}
+		LinkMbps: service.Engine.LinkMbps, SwitchS: service.Engine.SwitchS}
 }
 
 // addresses returns those of all servers that are listed and not leaving.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -142,20 +142,17 @@
 		return p.runRead(ctx, out, j, prompt)
 	}
 	var plan placement.Plan
-	found := false
-	p.state.do(j.service, func(now float64, pool *placement.Pool, planner *placement.Planner) {
-		if planner == nil {
-			return
-		}
+	found := p.await(ctx, j, func(now float64, _ *placement.Pool, planner *placement.Planner) (found bool) {
 		apart := j.arrivals == 0 && !out.begun
 		if plan, found = planner.Choose(now, prompt, j.tried, apart); !found {
-			return
+			return false
 		}
 		if plan.Reader != nil {
 			plan.Reader.Begin()
 		} else {
 			plan.Runner.Begin()
 		}
+		return true
 	})
 	if !found {
 		j.last = NotSent
@@ -175,13 +172,11 @@
 // runRead has an answer made of the cache that was read, or without one where reading failed. Its server is chosen only now.
 func (p *Proxy) runRead(ctx context.Context, out *relay, j *job, prompt *placement.Prompt) bool {
 	var runner *placement.Endpoint
-	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
-		if planner == nil {
-			return
-		}
+	p.await(ctx, j, func(now float64, _ *placement.Pool, planner *placement.Planner) bool {
 		if runner = planner.Runner(now, j.handle.zone, j.tried); runner != nil {
 			runner.Begin()
 		}
+		return runner != nil
 	})
 	if runner == nil {
 		j.last = NotSent
