Let newcomers vote by what was chosen when they were asked first, not by what is newest

Cause: a newcomer had to hold the value that was newest at each question, with its bytes. It answered at once, fetched what it had been asked for, and was asked for the next one a quarter of a second later: with a change each 0.4 s it was behind nearly each time, and with changes as fast as they are confirmed it never joined. Superseded bytes were dropped after two changes while somebody fetched them, and a fetch ended after five seconds and began anew.

Ruled out: the pause between tries (0.15 to 1.2 s) makes it worse and is not the cause: the new test fails with small configurations that take a millisecond to fetch. Safety does not need the newest value at a newcomer: each value is chosen at majorities of the old and the new voters, with its bytes (docs/design/control-guarantees.md, point 3).

Change: upkeep.Learners keeps the value that was chosen when a candidate was asked first; that or a later one is enough. Bytes that somebody fetches stay for three seconds after the last piece, five configurations at most. A fetch goes on while pieces come. What was superseded is given up for the newest at once. An older process that tells no Since is asked as before.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -20,9 +20,7 @@
 	checkDiskEvery = 30 * time.Second
 	// newsDelay is how long after it has accepted a configuration a process looks whether it was chosen, where nobody has told.
 	newsDelay = 120 * time.Millisecond
-	// followWithin bounds one try to fetch a configuration. What has come of it by then stays.
-	followWithin = 5 * time.Second
-	// followAgain is the pause after a try that failed; it doubles up to followMost.
+	// followAgain is the pause after a try that failed, while nothing newer is known; it doubles up to followMost.
 	followAgain = 150 * time.Millisecond
 	followMost  = 1200 * time.Millisecond
 )
@@ -73,16 +71,20 @@
 			return
 		case <-c.follower.wake:
 		}
-		for pause := followAgain; ctx.Err() == nil; pause = min(2*pause, followMost) {
+		for pause := followAgain; ctx.Err() == nil; {
 			target := c.follower.target()
 			err := c.catchUp(ctx, target)
 			if err == nil {
 				break
 			}
 			c.log.WithField("version", target.Version).WithError(err).Warn("behind the newest configuration")
+			if c.follower.target().At != target.At {
+				continue // what was asked for has been superseded
+			}
 			if wait(ctx, pause) != nil {
 				return
 			}
+			pause = min(2*pause, followMost)
 		}
 	}
 }
@@ -97,8 +99,6 @@
 	}
 	var data []byte
 	if value.Version > 0 {
-		ctx, cancel := context.WithTimeout(ctx, followWithin)
-		defer cancel()
 		var err error
 		if data, err = c.registrar.Config(ctx, value.Value); err != nil {
 			return err
@@ -121,8 +121,8 @@
 	return err
 }
 
-// serveLearn takes a chosen value from who looks after the voters. Where the configuration's bytes are lacking they are fetched, and
-// the answer is that the value is not held yet.
+// serveLearn takes a chosen value from who looks after the voters. Where the configuration's bytes are lacking they are fetched; the
+// answer is whether what is held until then is new enough.
 func (c *Control) serveLearn(_ context.Context, request *message.Learn) (*message.Learned, error) {
 	if request.To != c.registrar.self.ID {
 		return nil, Error.New("%q is not the identity of this disk", request.To)
@@ -135,7 +135,11 @@
 	if !held {
 		c.follower.tell(value)
 	}
-	return &message.Learned{Held: held}, nil
+	since := request.Since
+	if since == (register.Ballot{}) {
+		since = request.At
+	}
+	return &message.Learned{Held: held || c.replica.state().Ballot.Compare(since) >= 0}, nil
 }
 
 // scrub reads the register now and then, and soon after this process has accepted a configuration of which nobody has told
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -28,8 +28,11 @@
 	snapshotAt = 8 << 20
 	// retryWrite is the pause before a start that could not write its identity tries again.
 	retryWrite = 200 * time.Millisecond
-	// mostConfigs bounds the configurations whose bytes are kept in memory and in snapshots.
+	// mostConfigs bounds the configurations whose bytes are kept in memory and in snapshots, mostLent those in memory while others
+	// fetch them, and lentFor is how long after a piece was asked for somebody may come for the next one.
 	mostConfigs = 2
+	mostLent    = 5
+	lentFor     = 3 * time.Second
 )
 
 // replica hosts the acceptor and its disk.
@@ -50,6 +53,7 @@
 type storedConfig struct {
 	digest register.Digest
 	data   []byte
+	lent   time.Time // when a piece of it was asked for last
 }
 
 // openReplica reads the disk. A process without a state founds the register if it is one of the founders, else it gets an
@@ -142,7 +146,7 @@
 // snapshot is for who holds writing.
 func (r *replica) snapshot() error {
 	r.mu.Lock()
-	state, configs := r.acceptor.State(), slices.Clone(r.configs)
+	state, configs := r.acceptor.State(), slices.Clone(r.configs[max(len(r.configs)-mostConfigs, 0):])
 	r.mu.Unlock()
 	var records []store.Record
 	for _, config := range configs {
@@ -199,12 +203,18 @@
 	return nil
 }
 
-// keep holds a configuration's bytes. Danger: those of the accepted value must never give way, so they are the newest.
+// keep holds a configuration's bytes. Danger: those of the accepted value must never give way, so they are the newest. Those before
+// stay while somebody fetches them: a newcomer on a slow link would else lose what has come of them with each change.
 func (r *replica) keep(digest register.Digest, data []byte) {
 	r.configs = slices.DeleteFunc(r.configs, func(c storedConfig) bool { return c.digest == digest })
-	r.configs = append(r.configs, storedConfig{digest, data})
-	if excess := len(r.configs) - mostConfigs; excess > 0 {
-		r.configs = slices.Delete(r.configs, 0, excess)
+	r.configs = append(r.configs, storedConfig{digest: digest, data: data})
+	now := time.Now()
+	for i := 0; i < len(r.configs)-mostConfigs; {
+		if now.Sub(r.configs[i].lent) <= lentFor && len(r.configs) <= mostLent {
+			i++
+			continue
+		}
+		r.configs = slices.Delete(r.configs, i, i+1)
 	}
 }
 
@@ -212,14 +222,29 @@
 func (r *replica) config(digest register.Digest) []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, config := range r.configs {
-		if config.digest == digest {
-			return config.data
-		}
+	if i := r.find(digest); i >= 0 {
+		return r.configs[i].data
 	}
 	return nil
 }
 
+// lend returns a configuration's bytes for another process, which may come for more of them.
+func (r *replica) lend(digest register.Digest) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := r.find(digest)
+	if i < 0 {
+		return nil
+	}
+	r.configs[i].lent = time.Now()
+	return r.configs[i].data
+}
+
+// find returns the place of a configuration, -1 if it isn't here. It is for who holds mu.
+func (r *replica) find(digest register.Digest) int {
+	return slices.IndexFunc(r.configs, func(c storedConfig) bool { return c.digest == digest })
+}
+
 // state returns what is on disk.
 func (r *replica) state() register.State {
 	r.mu.Lock()
@@ -291,7 +316,7 @@
 
 // serveConfig returns a piece of a configuration's bytes.
 func (r *replica) serveConfig(_ context.Context, request *message.ConfigRequest) (*message.ConfigReply, error) {
-	data := r.config(request.Digest)
+	data := r.lend(request.Digest)
 	reply := &message.ConfigReply{Size: len(data)}
 	if request.Offset < 0 || request.Offset > len(data) || request.Length < 0 {
 		return nil, Error.New("a piece at %d of %d bytes", request.Offset, len(data))
--- /dev/null
+++ b/internal/control/steady_test.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/decide/register"
+)
+
+// steadyChange puts one configuration after the other, each as soon as the one before is confirmed, until it is stopped.
+type steadyChange struct {
+	version atomic.Int64 // confirmed last
+	stopped chan struct{}
+	ended   chan struct{}
+}
+
+func (s *side) changeSteadily(through, size int) *steadyChange {
+	c := &steadyChange{stopped: make(chan struct{}), ended: make(chan struct{})}
+	c.version.Store(int64(s.version(through)))
+	go func() {
+		defer GinkgoRecover()
+		defer close(c.ended)
+		for {
+			select {
+			case <-c.stopped:
+				return
+			default:
+			}
+			base := int(c.version.Load())
+			if s.put(through, base, configuration(base+1, size)) == http.StatusOK {
+				c.version.Store(int64(base + 1))
+			}
+		}
+	}()
+	DeferCleanup(c.stop)
+	return c
+}
+
+func (c *steadyChange) stop() {
+	select {
+	case <-c.stopped:
+	default:
+		close(c.stopped)
+	}
+	<-c.ended
+}
+
+var _ = Describe("a machine whose disk was lost, while changes keep coming", func() {
+	DescribeTable("votes again before they end", func(size int, perKB time.Duration) {
+		s := newSide(3)
+		s.begin()
+		changes := s.changeSteadily(0, size)
+		Eventually(changes.version.Load, within).Should(BeNumerically(">", 5))
+		s.stop(2)
+		Expect(os.RemoveAll(s.data(2))).To(Succeed())
+		s.network.mu.Lock()
+		s.network.perKB = perKB
+		s.network.mu.Unlock()
+		before := changes.version.Load()
+		s.start(2, false)
+		Eventually(func() bool { return s.votes(2) }, within).Should(BeTrue(), func() string {
+			return fmt.Sprintf("%d changes came meanwhile", changes.version.Load()-before)
+		})
+		Expect(changes.version.Load()).To(BeNumerically(">", before), "changes went on")
+		changes.stop()
+		Eventually(func() int { return s.held(2) }, within).Should(BeEquivalentTo(changes.version.Load()))
+	},
+		Entry("small ones, as fast as they are confirmed", 0, time.Duration(0)),
+		Entry("large ones over a slow network", 300_000, 100*time.Microsecond))
+})
+
+var _ = Describe("the bytes of a configuration that was superseded", func() {
+	hold := func(r *replica, version int) []byte {
+		data := configuration(version, 0)
+		r.keep(register.DigestOf(data), data)
+		return data
+	}
+
+	It("stay for who fetches them, within bounds", func() {
+		r := &replica{}
+		first, second := hold(r, 1), hold(r, 2)
+		Expect(r.lend(register.DigestOf(first))).To(Equal(first))
+		for version := 3; version < 3+mostLent-mostConfigs; version++ {
+			hold(r, version)
+			Expect(r.config(register.DigestOf(first))).To(Equal(first))
+			Expect(r.config(register.DigestOf(second))).To(Or(BeNil(), HaveLen(len(second))))
+		}
+		for version := 20; version < 30; version++ {
+			data := hold(r, version)
+			r.lend(register.DigestOf(data))
+			Expect(len(r.configs)).To(BeNumerically("<=", mostLent))
+			Expect(r.config(register.DigestOf(data))).To(Equal(data), "the newest never gives way")
+		}
+	})
+
+	It("go where nobody fetches them", func() {
+		r := &replica{}
+		for version := 1; version < 9; version++ {
+			hold(r, version)
+		}
+		Expect(r.configs).To(HaveLen(mostConfigs))
+	})
+})
--- a/internal/control/upkeep.go
+++ b/internal/control/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 // upkeep has lost voters replaced and newcomers join.
 func (c *Control) upkeep(ctx context.Context) {
 	var turns upkeep.Turns
+	var learners upkeep.Learners
 	began := time.Now()
 	for wait(ctx, upkeepEvery) == nil {
 		facts, _ := c.node.Facts()
@@ -35,7 +37,7 @@
 		if !turns.Due(time.Since(began).Seconds(), needed && votes, rank) {
 			continue
 		}
-		changed, err := c.mendVoters(ctx)
+		changed, err := c.mendVoters(ctx, &learners)
 		if err != nil {
 			c.log.WithError(err).Warn("the voters could not be changed")
 		}
@@ -72,7 +74,7 @@
 }
 
 // mendVoters makes the next change of the voters that is needed. It goes by what a majority says, never by what is told of it.
-func (c *Control) mendVoters(ctx context.Context) (changed bool, err error) {
+func (c *Control) mendVoters(ctx context.Context, learners *upkeep.Learners) (changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, changeWithin)
 	defer cancel()
 	value, err := c.registrar.Read(ctx)
@@ -80,7 +82,7 @@
 		return false, err
 	}
 	if len(value.Previous) == 0 {
-		candidates := c.askLearners(ctx, value, c.candidates())
+		candidates := c.askLearners(ctx, value, c.candidates(), learners)
 		next, needed := register.Membership(value.Voters, candidates, c.wantedVoters())
 		if !needed {
 			return false, nil
@@ -102,28 +104,28 @@
 	return true, nil
 }
 
-// askLearners asks the live candidates that don't vote whether they hold a value. Those that don't fetch it.
-func (c *Control) askLearners(ctx context.Context, value found, candidates []register.Candidate) []register.Candidate {
-	votes := map[register.Voter]bool{}
-	for _, voter := range value.Voters {
-		votes[voter] = true
-	}
+// askLearners asks the live candidates that don't vote whether what they hold is new enough. Those that lack the newest value fetch it.
+func (c *Control) askLearners(ctx context.Context, value found, candidates []register.Candidate, learners *upkeep.Learners) []register.Candidate {
+	asked := map[register.Voter]bool{}
 	var asking sync.WaitGroup
 	for i := range candidates {
 		candidate := &candidates[i]
-		if votes[candidate.Voter] || !candidate.Alive || candidate.Leaving {
+		if slices.Contains(value.Voters, candidate.Voter) || !candidate.Alive || candidate.Leaving {
 			continue
 		}
-		asking.Go(func() { candidate.CaughtUp = c.askLearner(ctx, candidate.Voter, value) })
+		asked[candidate.Voter] = true
+		since := learners.Target(candidate.Voter, value.At)
+		asking.Go(func() { candidate.CaughtUp = c.askLearner(ctx, candidate.Voter, value, since) })
 	}
 	asking.Wait()
+	learners.Keep(func(candidate register.Voter) bool { return asked[candidate] })
 	return candidates
 }
 
-func (c *Control) askLearner(ctx context.Context, voter register.Voter, value found) bool {
+func (c *Control) askLearner(ctx context.Context, voter register.Voter, value found, since register.Ballot) bool {
 	ctx, cancel := context.WithTimeout(ctx, learnWithin)
 	defer cancel()
-	request := &message.Learn{To: voter.ID, At: value.At, Value: value.Value}
+	request := &message.Learn{To: voter.ID, At: value.At, Value: value.Value, Since: since}
 	reply := &message.Learned{}
 	if voter.Address == c.registrar.self.Address {
 		return false // a process that doesn't vote leaves its joining to those that do
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -69,16 +69,17 @@
 	Size int    `msgpack:"s"`
 }
 
-// Learn tells a control process of a value that was chosen, and that it may fetch the configuration's bytes of the voters.
+// Learn tells a control process of the value that was chosen last, and that it may fetch the configuration's bytes of the voters.
 type Learn struct {
 	To    string          `msgpack:"t"` // the identity that is meant
 	At    register.Ballot `msgpack:"b"`
 	Value register.Value  `msgpack:"v"`
+	Since register.Ballot `msgpack:"s"` // of the value from which on what it holds is new enough; zero: At
 }
 
 // Learned answers Learn.
 type Learned struct {
-	Held bool `msgpack:"h"` // the value, or a later one, is on the disk, with the bytes of its configuration
+	Held bool `msgpack:"h"` // what is on the disk, with the bytes of its configuration, is new enough
 }
 
 // Feed is what an agent tells its proxy. Fields that have not changed are missing.
