--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -141,11 +141,13 @@
 func (p *Proxy) fail(ctx context.Context, w http.ResponseWriter, j *job) {
 	switch {
 	case j.runs == 0 && (ctx.Err() == nil || j.left() <= 0):
-		p.observed.refuse(j.service)
+		p.observed.count(j.service, func(counts *unserved) { counts.Refused++ })
 		refuse(w, retryAfterS)
 	case j.left() <= 0:
+		p.observed.count(j.service, func(counts *unserved) { counts.OutOfTime++ })
 		http.Error(w, "out of time", http.StatusGatewayTimeout)
 	default:
+		p.observed.count(j.service, func(counts *unserved) { counts.BrokenOff++ })
 		http.Error(w, "the server broke off", http.StatusBadGateway)
 	}
 }
--- a/internal/proxy/observe.go
+++ b/internal/proxy/observe.go
@@ -14,56 +14,65 @@
 const (
 	// misdirectedEvery is the least time between log lines about servers that turn requests away as not theirs.
 	misdirectedEvery = 2 * time.Second
-	// refusedEvery is the time between log lines about requests that were refused.
-	refusedEvery = 5 * time.Second
+	// unservedEvery is the time between log lines about requests that were not served.
+	unservedEvery = 5 * time.Second
 )
 
 // observations counts what operators need to see of requests that no server took, and keeps its log lines few.
 type observations struct {
 	misdirected rate.Sometimes
 
-	mu      sync.Mutex
-	refused map[string]int // requests refused since the last line, by service
-	logged  time.Time
+	mu       sync.Mutex
+	unserved map[string]unserved // since the last line, by service
+	logged   time.Time
+}
+
+// unserved counts requests that brought no answer of a server.
+type unserved struct {
+	Refused   int // none has run
+	BrokenOff int // the server broke off and may have run it
+	OutOfTime int // the time was over and a server may have run it
 }
 
 func newObservations() *observations {
-	return &observations{misdirected: rate.Sometimes{Interval: misdirectedEvery}, refused: map[string]int{}, logged: time.Now()}
+	return &observations{misdirected: rate.Sometimes{Interval: misdirectedEvery}, unserved: map[string]unserved{}, logged: time.Now()}
 }
 
-// refuse counts a request that is refused.
-func (o *observations) refuse(service string) {
+// count adds to what is counted for a service.
+func (o *observations) count(service string, add func(counts *unserved)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.refused[service]++
+	counts := o.unserved[service]
+	add(&counts)
+	o.unserved[service] = counts
 }
 
 // due returns the counts once it is time for a line, nil before.
-func (o *observations) due(now time.Time) map[string]int {
+func (o *observations) due(now time.Time) map[string]unserved {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.refused) == 0 || now.Sub(o.logged) < refusedEvery {
+	if len(o.unserved) == 0 || now.Sub(o.logged) < unservedEvery {
 		return nil
 	}
-	counts := o.refused
-	o.refused, o.logged = map[string]int{}, now
+	counts := o.unserved
+	o.unserved, o.logged = map[string]unserved{}, now
 	return counts
 }
 
-// logRefused tells how many requests were refused, and why the servers of their services were not chosen.
-func (p *Proxy) logRefused(now time.Time) {
-	for service, count := range p.observed.due(now) {
+// logUnserved tells how many requests were not served, and why the servers of their services were not chosen.
+func (p *Proxy) logUnserved(now time.Time) {
+	for service, counts := range p.observed.due(now) {
 		var standing placement.Standing
 		p.state.do(service, func(now float64, pool *placement.Pool, _ *placement.Planner) {
 			if pool != nil {
 				standing = pool.Standing(now)
 			}
 		})
-		p.log.WithField("service", service).WithField("requests", count).WithField("listed", standing.Listed).
-			WithField("draining", standing.Draining).WithField("switching", standing.Switching).WithField("members", standing.Members).
-			WithField("free", standing.Free).WithField("misplaced", standing.Misplaced).
-			WithField("cooling", standing.Cooling).WithField("full", standing.Full).WithField("suspected", standing.Suspected).
-			Warn("requests refused")
+		p.log.WithField("service", service).WithField("refused", counts.Refused).WithField("broken_off", counts.BrokenOff).
+			WithField("out_of_time", counts.OutOfTime).WithField("listed", standing.Listed).WithField("draining", standing.Draining).
+			WithField("switching", standing.Switching).WithField("members", standing.Members).WithField("free", standing.Free).
+			WithField("misplaced", standing.Misplaced).WithField("cooling", standing.Cooling).WithField("full", standing.Full).
+			WithField("suspected", standing.Suspected).Warn("requests not served")
 	}
 }
 
--- a/internal/proxy/observe_test.go
+++ b/internal/proxy/observe_test.go
@@ -8,16 +8,17 @@
 	. "github.com/onsi/gomega"
 )
 
-var _ = Describe("what operators see of refused requests", func() {
+var _ = Describe("what operators see of requests that are not served", func() {
 	It("is counted by service and told once in a while", func() {
 		o := newObservations()
 		began := o.logged
-		o.refuse("s")
-		o.refuse("s")
-		o.refuse("t")
-		Expect(o.due(began.Add(refusedEvery - time.Millisecond))).To(BeNil())
-		Expect(o.due(began.Add(refusedEvery))).To(Equal(map[string]int{"s": 2, "t": 1}))
-		Expect(o.due(began.Add(3 * refusedEvery))).To(BeNil())
+		refused := func(counts *unserved) { counts.Refused++ }
+		o.count("s", refused)
+		o.count("s", refused)
+		o.count("t", func(counts *unserved) { counts.BrokenOff++ })
+		Expect(o.due(began.Add(unservedEvery - time.Millisecond))).To(BeNil())
+		Expect(o.due(began.Add(unservedEvery))).To(Equal(map[string]unserved{"s": {Refused: 2}, "t": {BrokenOff: 1}}))
+		Expect(o.due(began.Add(3 * unservedEvery))).To(BeNil())
 	})
 
 	It("names the system's fields that a client has sent", func() {
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -26,7 +26,7 @@
 		case <-ticker.C:
 		}
 		p.probeDue(ctx)
-		p.logRefused(time.Now())
+		p.logUnserved(time.Now())
 		if tick%sweepEvery == 0 {
 			p.state.revisit()
 			wanted := p.state.addresses()
