Leave room for the connections of processes that have lost power

Its servers keep the connections of processes that lost power until they have rested for too long, and reset what goes beyond MaxConnections (75): 58 proxies had all five servers in their subsets, so that the dead connections and the new ones don't fit. A request that may run once and meets a reset can't be sent again.

Change: a proxy's subset is bounded so that the proxies of a server take half of its connections, three servers at least. Services with more connections are as before.

What is left comes of two connections a proxy and is open.

--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -62,6 +62,35 @@
 	}, Entry("few servers", 3, 9), Entry("as many", 20, 20), Entry("many servers", 300, 20), Entry("many proxies", 40, 300))
 })
 
+var _ = Describe("the connections of a fleet", func() {
+	It("to a server leave room for those of processes that have lost power, and each proxy has its servers", func() {
+		const connections, servers, proxies = 75, 5, 58
+		uses := map[string]int{}
+		for rank := range proxies {
+			p := newPool(instances(servers, ""))
+			p.Place(rank, proxies)
+			p.SetConnections(connections)
+			Expect(len(p.members)).To(BeNumerically(">=", leastMembers))
+			for _, e := range p.members {
+				uses[e.ID]++
+			}
+		}
+		Expect(uses).To(HaveLen(servers))
+		for id, count := range uses {
+			Expect(2*count).To(BeNumerically("<=", connections), id)
+		}
+	})
+
+	It("bound nothing where a service takes many or does not tell", func() {
+		for _, connections := range []int{0, 500} {
+			p := newPool(instances(8, ""))
+			p.Place(3, 9)
+			p.SetConnections(connections)
+			Expect(len(p.members)).To(BeNumerically(">=", subsetFloor))
+		}
+	})
+})
+
 var _ = Describe("suspicion", func() {
 	It("keeps who answers, halves who is late and leaves out who is silent", func() {
 		p := newPool(instances(4, ""))
--- a/internal/decide/placement/pool.go
+++ b/internal/decide/placement/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -22,6 +23,12 @@
 	coolAfter = 2
 	// connectionPart is the part of a service's connections that all proxies together use.
 	connectionPart = 0.8
+	// memberPart is the part of a server's connections for which there are proxies with the server in their subset. Danger: a server keeps
+	// the connections of processes that lost power until they have rested for too long. Those and the ones of the processes that come back
+	// must fit, or it resets what is sent meanwhile, and a request that may run once can't be sent again.
+	memberPart = 0.5
+	// leastMembers is the number of servers that a proxy has all the same.
+	leastMembers = 3
 	// goneFor is for how long an instance that left the list is not taken back from an older reading, in seconds.
 	goneFor = 10.0
 )
@@ -56,6 +63,7 @@
 	gone        map[string]float64 // when instances left the list
 	rank, count int
 	most        int // connections of this proxy to one server
+	connections int // that a server takes from all callers, 0: not known
 }
 
 // NewPool returns a pool without servers.
@@ -76,6 +84,10 @@
 
 // SetConnections tells how many connections a server takes from all callers together.
 func (p *Pool) SetConnections(most int) {
+	if most != p.connections {
+		p.connections = most
+		p.subset()
+	}
 	p.most = max(int(connectionPart*float64(most))/max(p.count, 1), 2)
 	if most <= 0 {
 		p.most = 1 << 20
@@ -165,13 +177,21 @@
 		if stage == message.Prefill {
 			floor = subsetFloorReaders
 		}
-		from, size := policy.Subset(len(ring), p.rank, p.count, floor)
+		from, size := policy.Subset(len(ring), p.rank, p.count, min(floor, p.mostMembers(len(ring))))
 		for i := range size {
 			p.members = append(p.members, ring[(from+i)%len(ring)])
 		}
 	}
 }
 
+// mostMembers bounds a proxy's part of so many servers by their connections.
+func (p *Pool) mostMembers(servers int) float64 {
+	if p.connections <= 0 {
+		return float64(servers)
+	}
+	return max(math.Floor(memberPart*float64(p.connections*servers)/float64(max(p.count, 1))), leastMembers)
+}
+
 // usable tells whether an endpoint may get a request, but for its suspicion.
 func (p *Pool) usable(e *Endpoint, now float64) bool {
 	return !e.Draining && !e.misplaced && !e.switching.on && now >= e.coolUntil && (p.most == 0 || e.InFlight < p.most)
