--- a/cmd/hazellab/main.go
+++ b/cmd/hazellab/main.go
@@ -37,6 +37,7 @@
 			crowdCommand(),
 			shareCommand(),
 			mechanicCommand(),
+			soakCommand(),
 			serveCommand(),
 			troubleCommand(),
 		}, slices.Concat(ownersCommands(), worksCommands(), simCommands())...),
--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,186 @@
+package soak
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSoak(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "soak")
+}
+
+// sound is an outcome that breaks nothing.
+func sound() Outcome {
+	now := time.Now()
+	return Outcome{ID: "id", Kind: Once, Edge: "edge-0", Life: 1, Sent: now, Ended: now.Add(time.Millisecond), Status: 200, Body: answerTo(Once, "id"), Stamp: true}
+}
+
+var _ = Describe("the checker", func() {
+	DescribeTable("notices a fault of each rule", func(rule Rule, happens func(c *Checker)) {
+		c := NewChecker()
+		c.Sending("id", Once)
+		c.Ran("id")
+		c.Ended(sound())
+		c.Finish()
+		Expect(c.Broken()).To(BeEmpty(), "nothing is wrong yet")
+		happens(c)
+		c.Finish()
+		Expect(c.Broken()).To(HaveKey(rule))
+		Expect(c.Broken()).To(HaveLen(1))
+	},
+		Entry(nil, AtMostOnce, func(c *Checker) { c.Ran("id") }),
+		Entry(nil, OwnAnswer, func(c *Checker) { o := sound(); o.Body = answerTo(Once, "other"); c.Ended(o) }),
+		Entry(nil, OwnAnswer, func(c *Checker) { o := sound(); o.Stamp = false; c.Ended(o) }),
+		Entry(nil, Promise, func(c *Checker) { o := sound(); o.Status = 503; c.Ended(o) }),
+		Entry(nil, Promise, func(c *Checker) {
+			c.Sending("later", Once)
+			o := sound()
+			o.ID, o.Status = "later", 503
+			c.Ended(o)
+			c.Ran("later")
+		}),
+		Entry(nil, Answered, func(c *Checker) { o := sound(); o.Status, o.Closed = 0, true; c.Ended(o) }),
+		Entry(nil, Answered, func(c *Checker) { o := sound(); o.Status, o.Silent = 0, true; c.Ended(o) }),
+		Entry(nil, NeverOlder, func(c *Checker) {
+			o := sound()
+			o.Route = 7
+			c.Ended(o)
+			o.Route, o.Status = 6, 404
+			c.Ended(o)
+		}),
+		Entry(nil, InForce, func(c *Checker) {
+			o := sound()
+			c.Acknowledged(3, o.Sent.Add(-time.Minute))
+			o.Route, o.Status = 3, 404
+			c.Ended(o)
+		}),
+		Entry(nil, AddedRoutes, func(c *Checker) {
+			for range leastRequests {
+				o := sound()
+				c.Ended(o)
+				o.Route, o.Status = 1, 502
+				c.Ended(o)
+			}
+		}),
+		Entry(nil, Recovered, func(c *Checker) {
+			o := sound()
+			c.FaultsEnded(o.Sent.Add(-time.Second))
+			o.Status = 502
+			c.Ended(o)
+		}),
+	)
+
+	It("excuses what a machine's trouble explains, and nothing else", func() {
+		c := NewChecker()
+		o := sound()
+		o.Status, o.Closed, o.Trouble = 0, true, true
+		c.Ended(o)
+		o = sound()
+		o.Status, o.Fresh = 0, true
+		c.Ended(o)
+		c.Acknowledged(3, time.Now())
+		o = sound()
+		o.Route, o.Status = 3, 404
+		c.Ended(o)
+		Expect(c.Broken()).To(BeEmpty())
+	})
+})
+
+var _ = Describe("the trouble of a machine", func() {
+	at := func(seconds float64) time.Time {
+		return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+	}
+
+	It("excuses what was under way when it was killed, and not what was read before it was told to end", func() {
+		killed := &machine{acts: []act{{at(10), hard}}}
+		Expect(killed.troubled(at(9), at(10.01))).To(BeTrue())
+		Expect(killed.troubled(at(9), at(9.5))).To(BeFalse())
+		Expect(killed.troubled(at(15), at(15.1))).To(BeFalse())
+		ending := &machine{acts: []act{{at(10), gentle}}}
+		Expect(ending.troubled(at(9), at(11))).To(BeFalse(), "it has been read, and is to be answered")
+		Expect(ending.troubled(at(9.95), at(11))).To(BeTrue(), "the two crossed")
+		Expect(ending.troubled(at(11), at(11.1))).To(BeTrue())
+	})
+})
+
+var _ = Describe("a process", func() {
+	// growing returns a process that lives, with samples that grow by so much each.
+	growing := func(megabytes float64, descriptors int) *process {
+		p := &process{role: roleAgent, machine: &machine{name: "edge-0"}, fleet: &fleet{checker: NewChecker()}, cmd: exec.Command("none")}
+		for i := range 30 {
+			p.samples = append(p.samples, sample{megabytes: 20 + megabytes*float64(i), descriptors: 40 + descriptors*i})
+		}
+		return p
+	}
+
+	It("that grows is noticed", func() {
+		for _, p := range []*process{growing(2, 0), growing(0, 10)} {
+			p.checkGrowth(0)
+			Expect(p.fleet.checker.Broken()).To(HaveKey(Growth))
+		}
+		p := growing(0.1, 0)
+		p.checkGrowth(0)
+		Expect(p.fleet.checker.Broken()).To(BeEmpty())
+	})
+
+	It("that ends by itself, or not in its grace, is noticed", func() {
+		f := &fleet{settings: &Settings{Binary: "/bin/false"}, checker: NewChecker(), log: GinkgoWriter}
+		p := &process{role: roleAgent, machine: &machine{name: "edge-0"}, fleet: f}
+		Expect(p.start()).To(Succeed())
+		Eventually(f.checker.Broken).WithTimeout(10 * time.Second).Should(HaveKey(EndsByItself))
+		f.checker = NewChecker()
+		p.asked = true
+		p.await(exec.Command("/bin/none"), make(chan struct{}))
+		Expect(f.checker.Broken()).To(HaveKey(EndsInGrace))
+	})
+})
+
+var _ = Describe("a process that stood still before it was told to end", func() {
+	It("has its time from then", func() {
+		f := &fleet{settings: &Settings{Binary: "/bin/cat"}, checker: NewChecker(), log: GinkgoWriter}
+		p := &process{role: roleAgent, machine: &machine{name: "edge-0"}, fleet: f, cmd: exec.Command("cat")}
+		_, err := p.cmd.StdinPipe() // it waits for what never comes
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.cmd.Start()).To(Succeed())
+		DeferCleanup(func() {
+			Expect(p.cmd.Process.Kill()).To(Succeed())
+			_ = p.cmd.Wait() // it was killed
+		})
+		p.signal(syscall.SIGSTOP)
+		Expect(p.termAt).To(BeZero())
+		p.signal(syscall.SIGTERM)
+		Expect(p.termAt).To(BeTemporally("~", time.Now(), time.Minute))
+	})
+})
+
+var _ = Describe("settings that can't be kept", func() {
+	DescribeTable("are refused in one line that names them", func(s Settings, text string) {
+		Expect(s.Check()).To(MatchError(ContainSubstring(text)))
+	},
+		Entry("too few processes", Settings{Processes: 3, For: time.Minute}, "--processes 3: want 7 at least"),
+		Entry("too many", Settings{Processes: 301, For: time.Minute}, "--processes 301: want 300 at most"),
+		Entry("too short", Settings{Processes: 9, For: time.Second}, "--minutes"),
+		Entry("no program", Settings{Processes: 9, For: time.Minute, Binary: "/none"}, "--binary"))
+})
+
+var _ = Describe("a fleet of real processes", func() {
+	It("keeps all rules for half a minute of faults", func() {
+		binary := filepath.Join(GinkgoT().TempDir(), "hazelfleet")
+		out, err := exec.Command("go", "build", "-o", binary, "hazelwheel/cmd/hazelfleet").CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(out))
+		report, err := Run(context.Background(), Settings{Seed: 52, For: 30 * time.Second, Processes: 11, Binary: binary, Log: GinkgoWriter})
+		Expect(err).NotTo(HaveOccurred())
+		GinkgoWriter.Print(report)
+		Expect(report.Broken).To(BeEmpty(), report.String())
+		Expect(report.Outcomes["200"]).To(BeNumerically(">", 500))
+		Expect(report.Added).To(BeNumerically(">", 20))
+	})
+})
--- /dev/null
+++ b/internal/lab/soak/standins.go
@@ -0,0 +1,215 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The services and stages of the stand-ins.
+const (
+	plainService  = "plain"
+	modelService  = "model"
+	plainServers  = 3
+	modelServers  = 6
+	serverSlots   = 16
+	switchFor     = 300 * time.Millisecond
+	stagePrefill  = "prefill"
+	stageDecode   = "decode"
+	maxServerBody = 1 << 20
+)
+
+// The parts of requests that servers refuse as full, or break off before and after they run them.
+const (
+	partRefused     = 0.01
+	partBrokenOff   = 0.005
+	partAnswerLost  = 0.003
+	plainWork       = 5 * time.Millisecond
+	promptWork      = 15 * time.Millisecond
+	headerRequest   = "Hazelwheel-Request-Id"
+	headerInstance  = "Hazelwheel-Instance-Id"
+	headerExpected  = "Hazelwheel-Expect-Instance"
+	headerVersion   = "Expect-Version"
+	headerStage     = "Hazelwheel-Serving-Stage"
+	headerStamp     = "Hazelwheel-Response-Stamp"
+	headerNotRun    = "Hazelwheel-Not-Executed"
+	headerDeadline  = "Hazelwheel-Deadline-Ms"
+	headerTokens    = "Hazelwheel-Token-Counts"
+	headerPrefix    = "Hazelwheel-Prefix-Hash"
+	weightsVersion  = "1"
+	handleAnswer    = `{"KvHandle":"h-%s","Tokens":1000,"Version":1}`
+	twoEvents       = "id: 1\ndata: %s\n\nid: 2\ndata: end\n\n"
+	contentTypeJSON = "application/json"
+)
+
+// server stands in for a server. It goes by the fields of a request as the operators' pages say.
+type server struct {
+	id, service string
+	address     string
+	checker     *Checker
+
+	mu    sync.Mutex
+	stage string
+}
+
+// platform stands in for the list of servers.
+type platform struct {
+	address string
+	servers []*server
+	serving []*http.Server
+}
+
+func startPlatform(checker *Checker) (*platform, error) {
+	p := &platform{}
+	for i := range plainServers + modelServers {
+		s := &server{id: fmt.Sprintf("i-%02d", i), service: plainService, checker: checker}
+		if i >= plainServers {
+			s.service, s.stage = modelService, stageDecode
+			if i%2 == 0 {
+				s.stage = stagePrefill
+			}
+		}
+		address, err := p.serve(s)
+		if err != nil {
+			return nil, err
+		}
+		s.address = address
+		p.servers = append(p.servers, s)
+	}
+	address, err := p.serve(http.HandlerFunc(p.list))
+	p.address = address
+	return p, err
+}
+
+func (p *platform) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	serving := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	p.serving = append(p.serving, serving)
+	go func() { _ = serving.Serve(listener) }() // ends with close
+	return listener.Addr().String(), nil
+}
+
+func (p *platform) close() {
+	for _, serving := range p.serving {
+		_ = serving.Close()
+	}
+}
+
+type listedModel struct {
+	Name    string
+	Version int
+}
+
+type listedServer struct {
+	ID      string `json:"Id"`
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	State   string
+	Stage   string        `json:",omitempty"`
+	Models  []listedModel `json:",omitempty"`
+}
+
+type listPage struct {
+	Instances     []listedServer
+	NextPageToken *string
+}
+
+func (p *platform) list(w http.ResponseWriter, _ *http.Request) {
+	var page listPage
+	for i, s := range p.servers {
+		s.mu.Lock()
+		page.Instances = append(page.Instances, listedServer{ID: s.id, Service: s.service, Address: s.address, Zone: fmt.Sprint("z", i%3),
+			Slots: serverSlots, State: "ready", Stage: s.stage})
+		s.mu.Unlock()
+	}
+	w.Header().Set("Content-Type", contentTypeJSON)
+	_ = json.NewEncoder(w).Encode(page) // who asked and is gone asks again
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxServerBody))
+	if err != nil && r.URL.Path != "/order" {
+		return
+	}
+	w.Header().Set(headerRequest, r.Header.Get(headerRequest))
+	switch {
+	case r.URL.Path == "/health":
+		w.Header().Set(headerInstance, s.id)
+	case r.URL.Path == "/order":
+		s.order(w)
+	case r.Method == http.MethodDelete:
+	case s.misdirected(r.Header):
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case rand.Float64() < partRefused:
+		w.Header().Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.Header.Get(headerStage) == stagePrefill:
+		fmt.Fprintf(w, handleAnswer, r.Header.Get(headerRequest))
+	default:
+		s.run(w, r)
+	}
+}
+
+// misdirected tells whether a request is for another instance, stage or version.
+func (s *server) misdirected(header http.Header) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if expected := header.Get(headerExpected); expected != "" && expected != s.id {
+		return true
+	}
+	if s.stage == "" {
+		return false
+	}
+	version := header.Get(headerVersion)
+	return version != "" && version != weightsVersion || (header.Get(headerStage) == stagePrefill) != (s.stage == stagePrefill)
+}
+
+// order changes the stage after a while.
+func (s *server) order(w http.ResponseWriter) {
+	w.WriteHeader(http.StatusAccepted)
+	time.AfterFunc(switchFor, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.stage == stagePrefill {
+			s.stage = stageDecode
+		} else {
+			s.stage = stagePrefill
+		}
+	})
+}
+
+// run runs a request and answers it, but for some that are broken off.
+func (s *server) run(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(headerRequest)
+	draw := rand.Float64()
+	if draw < partBrokenOff {
+		panic(http.ErrAbortHandler)
+	}
+	s.checker.Ran(id)
+	w.Header().Set(headerStamp, s.id+"."+id)
+	if s.service == modelService {
+		time.Sleep(promptWork)
+		w.Header().Set("Content-Type", "text/event-stream")
+	} else {
+		time.Sleep(plainWork)
+	}
+	if draw > 1-partAnswerLost {
+		panic(http.ErrAbortHandler)
+	}
+	kind := Once
+	if s.service == modelService {
+		kind = Prompt
+	}
+	_, _ = io.Copy(w, strings.NewReader(answerTo(kind, id))) // a proxy that is gone needs none
+}
