--- a/cmd/hazelfleet/fleet_test.go
+++ b/cmd/hazelfleet/fleet_test.go
@@ -36,6 +36,12 @@
 // within bounds each wait for the processes; it is far above what they need.
 const within = 30 * time.Second
 
+// Ports are below those that the system gives to connections by itself, which would take them now and then.
+const (
+	lowestPort  = 10000
+	portChoices = 22000
+)
+
 // fleet is three control processes, an agent and a proxy on loopback addresses, with a stand-in for the platform and one server.
 type fleet struct {
 	dir      string
@@ -45,7 +51,7 @@
 }
 
 func startFleet() *fleet {
-	f := &fleet{dir: GinkgoT().TempDir(), base: 20000 + rand.IntN(20000), running: map[string]*exec.Cmd{}}
+	f := &fleet{dir: GinkgoT().TempDir(), base: lowestPort + rand.IntN(portChoices), running: map[string]*exec.Cmd{}}
 	f.startPlatform()
 	DeferCleanup(func() {
 		for name := range f.running {
--- a/cmd/hazellab/soak.go
+++ b/cmd/hazellab/soak.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -51,6 +53,9 @@
 		defer file.Close()
 		settings.Log = file
 	}
+	// Danger: who ends this program must not leave its processes behind.
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	defer stop()
 	broken := 0
 	for range c.Int("seeds") {
 		report, err := soak.Run(ctx, settings)
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -24,8 +24,9 @@
 	readyPort    = 22
 	edgePorts    = 100
 	portsEach    = 4
-	lowestPort   = 20000
-	portChoices  = 20000
+	// All ports are below those that the system gives to connections by itself (32768 and above).
+	lowestPort  = 10000
+	portChoices = 21000
 )
 
 // fleet is all processes, with the addresses at which they are met.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -101,8 +101,11 @@
 	pause(ctx, time.Until(from)+afterFor)
 	stopAsking()
 	work.Wait()
+	if ctx.Err() != nil {
+		return nil, Error.Wrap(ctx.Err())
+	}
 	r.finish(ctx, time.Since(began))
-	return r.report(time.Since(began)), ctx.Err()
+	return r.report(time.Since(began)), nil
 }
 
 // begin waits until the first configuration is taken and all proxies are ready.
