Test that each way out of the choice of servers has its way back

Why tests missed the incident: each way out had a test of its own, none of its way back. Five hundred drawn histories of refusals, failures, addresses taken over, orders that come to nothing and readings with gaps; afterwards all is well and nothing new is told, and every server must be free again. Two mistakes of a host (no second look, no probes) are noticed.

--- /dev/null
+++ b/internal/decide/placement/wayback_test.go
@@ -0,0 +1,130 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/message"
+)
+
+// carelessness is what a host leaves out, to show that the property notices it.
+type carelessness struct {
+	noRevisit bool // it goes by the list and the plan only when it is told something new
+	noProbes  bool // it does not ask servers for their health
+}
+
+// history is a pool whose host meets everything that keeps servers out of the choice.
+type history struct {
+	rng   *rand.Rand
+	pool  *Pool
+	list  []message.Instance // all servers that are there
+	plan  message.StagePlan
+	now   float64
+	other map[string]bool // servers whose addresses another instance answers for
+	host  carelessness
+}
+
+func newHistory(seed uint64, host carelessness) *history {
+	h := &history{rng: rand.New(rand.NewPCG(seed, 5)), list: append(instances(3, message.Prefill), instances(5, message.Decode)...),
+		other: map[string]bool{}, host: host}
+	h.pool = newPool(h.list)
+	h.pool.Engine = Engine{Present: true, SwitchS: 2}
+	return h
+}
+
+func (h *history) any() *Endpoint {
+	return h.pool.endpoints[h.pool.ids[h.rng.IntN(len(h.pool.ids))]]
+}
+
+// meet has something happen to a server.
+func (h *history) meet() {
+	if len(h.pool.ids) == 0 {
+		return
+	}
+	e := h.any()
+	switch h.rng.IntN(7) {
+	case 0:
+		e.Misdirected(h.now)
+	case 1:
+		e.Failed(h.now, h.rng.IntN(2) == 0)
+	case 2:
+		h.other[e.ID] = !h.other[e.ID]
+	case 3: // orders, some of which come to nothing
+		h.plan = message.StagePlan{Token: h.plan.Token + uint64(h.rng.IntN(2)), Sequence: h.plan.Sequence + 1,
+			Stages: map[string]message.Stage{e.ID: message.Prefill, h.any().ID: message.Decode}}
+		h.pool.Switching(h.now, h.plan)
+	case 4: // a reading in which a server is missing
+		h.pool.Update(h.now, slices.DeleteFunc(slices.Clone(h.list), func(i message.Instance) bool { return i.ID == e.ID }))
+		h.pool.Switching(h.now, h.plan)
+	case 5:
+		h.pool.Update(h.now, h.list)
+		h.pool.Switching(h.now, h.plan)
+	case 6:
+		h.pool.Place(h.rng.IntN(3), 1+h.rng.IntN(3))
+	}
+}
+
+// pass lets time go by for the host.
+func (h *history) pass(seconds float64) {
+	const tick = 0.5
+	for until := h.now + seconds; h.now < until; h.now += tick {
+		if !h.host.noProbes {
+			for _, e := range h.pool.DueProbes(h.now) {
+				instance := e.ID
+				if h.other[e.ID] {
+					instance = "i-other"
+				}
+				e.Identified(instance)
+				e.Probed(h.now, instance == e.ID)
+			}
+		}
+		if h.host.noRevisit {
+			continue
+		}
+		h.pool.Expire(h.now)
+		if h.pool.Returning(h.now) {
+			h.pool.Update(h.now, h.list)
+			h.pool.Switching(h.now, h.plan)
+		}
+	}
+}
+
+// play has a server meet something again and again, lets all be well for a while, and returns what still keeps servers out, "" if nothing does.
+func (h *history) play() string {
+	for range 60 {
+		h.meet()
+		h.pass(h.rng.ExpFloat64() * 1.5)
+	}
+	h.pool.Update(h.now, h.list) // the last word on the list; nothing new is told from here on
+	h.pool.Switching(h.now, h.plan)
+	clear(h.other)
+	h.pool.Place(0, 1)
+	h.pass(goneFor + h.pool.Engine.SwitchS + switchMargin + 2*ProbeEvery)
+	if s := h.pool.Standing(h.now); s.Free != len(h.list) {
+		return fmt.Sprintf("%+v", s)
+	}
+	return ""
+}
+
+var _ = Describe("each way out of the choice", func() {
+	It("has its way back once all is well, without another word from the list or the plan", func() {
+		for seed := range uint64(500) {
+			Expect(newHistory(seed, carelessness{}).play()).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+
+	DescribeTable("needs a host that", func(host carelessness) {
+		for seed := range uint64(500) {
+			if newHistory(seed, host).play() != "" {
+				return
+			}
+		}
+		Fail("nothing was kept out in 500 histories")
+	},
+		Entry("looks again at what was told before", carelessness{noRevisit: true}),
+		Entry("probes its servers", carelessness{noProbes: true}))
+})
