--- /dev/null
+++ b/internal/decide/upkeep/rounds_test.go
@@ -0,0 +1,120 @@
+package upkeep_test
+
+import (
+	"fmt"
+
+	"hazelwheel/internal/decide/register"
+)
+
+// change makes one round after the other until one ends with an outcome or the time is over.
+func (w *world) change(n *node, change register.Change, until float64, done func(round *register.Round)) {
+	known := w.known(n)
+	if w.now > until || len(known.Voters) == 0 {
+		done(nil)
+		return
+	}
+	n.round = max(n.round, n.acceptor.State().Promised.Round) + 1
+	ballot := register.Ballot{Round: n.round, Proposer: fmt.Sprintf("%s/%d", n.address, n.life)}
+	round, step := register.NewRound(ballot, known, change)
+	round.TrustChosen(n.proven)
+	ended := false
+	var carryOut func(register.Step)
+	carryOut = func(step register.Step) {
+		if ended {
+			return
+		}
+		if step.Done {
+			ended = true
+			n.round = max(n.round, round.Above.Round)
+			switch round.Outcome {
+			case register.Chosen, register.Refused:
+				w.found(n, round.Value, round.At)
+				done(round)
+			case register.Confirmed:
+				w.found(n, round.Value, round.At)
+				w.change(n, change, until, done)
+			default:
+				w.after(0.02+0.1*w.rng.Float64(), w.alive(n, func() { w.change(n, change, until, done) }))
+			}
+			return
+		}
+		for _, voter := range step.Prepare {
+			var promise register.Promise
+			w.askVoter(n, voter, func(to *node) (next *register.State) {
+				next, promise = to.acceptor.HandlePrepare(register.Prepare{To: voter.ID, Ballot: ballot})
+				return next
+			}, func() { carryOut(round.Promised(voter, promise)) }, func() { carryOut(round.Lost(voter, false)) })
+		}
+		for _, voter := range step.Accept {
+			var accepted register.Accepted
+			w.askVoter(n, voter, func(to *node) (next *register.State) {
+				next, accepted = to.acceptor.HandleAccept(register.Accept{To: voter.ID, Ballot: ballot, Value: round.Value.Clone()}, true)
+				return next
+			}, func() { carryOut(round.Accepted(voter, accepted)) }, func() { carryOut(round.Lost(voter, true)) })
+		}
+	}
+	carryOut(step)
+}
+
+// askVoter has a voter answer once what it has changed is on its disk.
+func (w *world) askVoter(n *node, voter register.Voter, handle func(to *node) *register.State, answered, lost func()) {
+	w.call(n, voter.Address, func(to *node) { w.store(to, handle(to)) }, func(ok bool) {
+		if ok {
+			answered()
+		} else {
+			lost()
+		}
+	})
+}
+
+// found notes a value that was chosen.
+func (w *world) found(n *node, value register.Value, at register.Ballot) {
+	if at.Compare(n.proven) > 0 {
+		n.proven = at
+	}
+	if at.Compare(w.newestAt) > 0 {
+		w.newestAt = at
+	}
+	w.takeTold(n, register.Value{Epoch: value.Epoch, Voters: value.Voters, Previous: value.Previous})
+}
+
+// read returns the value that holds, or false.
+func (w *world) read(n *node, until float64, done func(value register.Value, at register.Ballot, ok bool)) {
+	known := w.known(n)
+	if len(known.Voters) == 0 {
+		done(register.Value{}, register.Ballot{}, false)
+		return
+	}
+	reading, step := register.NewReading(known)
+	ended := false
+	var carryOut func(register.Step)
+	carryOut = func(step register.Step) {
+		if ended {
+			return
+		}
+		if step.Done {
+			ended = true
+			if reading.Outcome == register.Chosen {
+				w.found(n, reading.Value, reading.At)
+				done(reading.Value, reading.At, true)
+				return
+			}
+			w.change(n, register.Keep, until, func(round *register.Round) {
+				if round == nil {
+					done(register.Value{}, register.Ballot{}, false)
+				} else {
+					done(round.Value, round.At, true)
+				}
+			})
+			return
+		}
+		for _, voter := range step.Prepare {
+			var promise register.Promise
+			w.askVoter(n, voter, func(to *node) *register.State {
+				promise = to.acceptor.HandleRead(register.Read{To: voter.ID})
+				return nil
+			}, func() { carryOut(reading.Answered(voter, promise)) }, func() { carryOut(reading.Lost()) })
+		}
+	}
+	carryOut(step)
+}
