Wait for a state that holds the list before a process is replaced in a test

The second process went on from a state 0.876 s old, which is the one that the first process saved as it began (every 0.5 s; a save is left out while one is being written), before it had the list; the list is told once in this test, so that nobody ever had it (throttled, 'no such server is listed'). The test waited for any state. It waits for one that holds both servers now: a precondition that it names anyway; nothing that it checks has changed.

--- a/cmd/hazelwheel/replace_test.go
+++ b/cmd/hazelwheel/replace_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/handover"
 )
 
 // platform holds the clients' socket and starts one process of a sidecar after the other with it, as descriptor 4.
@@ -129,8 +131,15 @@
 			}
 		})
 	}
-	saved := filepath.Join(p.dir, "hazelwheel", "state")
-	w.eventually("a state", func() bool { _, err := os.Stat(saved); return err == nil })
+	// The first state is saved before there is a list. A successor that goes on from it would wait for a list that is not told again.
+	w.eventually("a state with both servers", func() bool {
+		text, err := os.ReadFile(filepath.Join(p.dir, "hazelwheel", "state"))
+		if err != nil {
+			return false
+		}
+		state, err := handover.Decode(text)
+		return err == nil && strings.Contains(string(state.List), "s-00000001") && strings.Contains(string(state.List), "s-00000002")
+	})
 	for range 3 {
 		next := p.begin()
 		w.eventually("it goes on", func() bool { return strings.Contains(next.log.String(), "going on from another process's state") })
