--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -200,6 +200,19 @@
 	})
 })
 
+var _ = Describe("the configuration that a control machine tells in the end", func() {
+	DescribeTable("must be the one that was confirmed last, or a later one", func(told string, broken bool) {
+		o := &operator{checker: NewChecker(), version: 7, sent: []byte(`{"Version":7}`)}
+		o.compare(&machine{name: "core-0"}, told)
+		if broken {
+			Expect(o.checker.Broken()).To(HaveKey(Confirmed))
+		} else {
+			Expect(o.checker.Broken()).To(BeEmpty())
+		}
+	}, Entry("the same", `{"Version":7}`, false), Entry("a later one", `{"Version":9}`, false), Entry("an older one", `{"Version":6}`, true),
+		Entry("another of that number", `{"Version":7,"Routes":[]}`, true), Entry("no configuration", `{`, true))
+})
+
 var _ = Describe("settings that can't be kept", func() {
 	DescribeTable("are refused in one line that names them", func(s Settings, text string) {
 		Expect(s.Check()).To(MatchError(ContainSubstring(text)))
