Control beside agents where a disk counts; redirects elsewhere; PATCH of a configuration

Need: a deployment without core machines; disks stand on some machines that carry traffic, no machine runs more than two roles, and operators change named items by PATCH. Ways weighed: a third role (refused by the deploy rules), control by count at the beginning of each zone (fits one deployment's order of machines), agents that forward calls (an answer of theirs that is lost leaves two places that may repeat a change). Chosen: the agent's process runs control where the settings name a disk that counts, and other agents answer 307 with a live control process: what is confirmed is confirmed by the voter itself. A patch is known by its own bytes and its base, not by what it makes: when it is sent again the bytes that it was made of may be gone.

--- a/cmd/hazelfleet/main.go
+++ b/cmd/hazelfleet/main.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"hazelwheel/internal/agent"
 	"hazelwheel/internal/boot"
@@ -82,7 +83,7 @@
 	case "proxy":
 		err = proxy.Run(ctx, settings, log)
 	case "agent":
-		err = agent.Run(ctx, settings, reload, log)
+		err = runAgent(ctx, settings, reload, log)
 	case "control":
 		err = control.Run(ctx, settings, reload, log)
 	case "check":
@@ -98,6 +99,35 @@
 	return 0
 }
 
+// runAgent runs an agent, and control in the same process on machines whose disk counts: no machine runs a third process.
+func runAgent(ctx context.Context, settings *boot.Settings, reload <-chan *boot.Settings, log *logrus.Entry) error {
+	if !settings.HoldsConfiguration() {
+		return agent.Run(ctx, settings, reload, log)
+	}
+	if err := settings.CheckControl(); err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	forAgent, forControl := make(chan *boot.Settings), make(chan *boot.Settings)
+	go func() {
+		for changed := range reload {
+			offer(ctx, forAgent, changed)
+			offer(ctx, forControl, changed)
+		}
+	}()
+	group.Go(func() error { return agent.Run(ctx, settings, forAgent, log) })
+	group.Go(func() error { return control.Run(ctx, settings, forControl, log.WithField("role", "control")) })
+	return group.Wait()
+}
+
+// offer hands settings to a role, unless it has ended.
+func offer(ctx context.Context, to chan<- *boot.Settings, changed *boot.Settings) {
+	select {
+	case to <- changed:
+	case <-ctx.Done():
+	}
+}
+
 // watch reads the settings file again after SIGHUP and now and then. A file that can't be used is passed over.
 func watch(ctx context.Context, hangups <-chan os.Signal, log *logrus.Entry) <-chan *boot.Settings {
 	changed := make(chan *boot.Settings)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"hazelwheel/internal/boot"
 	"hazelwheel/internal/cluster"
 	"hazelwheel/internal/decide/membership"
+	"hazelwheel/internal/gateway"
 	"hazelwheel/internal/transport"
 )
 
@@ -57,9 +58,17 @@
 	}
 	router := mux.NewRouter()
 	a.node.Register(router)
-	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(internal) }()
+	failed := make(chan error, 3)
+	serve := func(listener net.Listener, handler http.Handler) {
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		go func() { failed <- server.Serve(listener) }()
+	}
+	serve(internal, router)
+	if !settings.HoldsConfiguration() && settings.Listen.Control != "" {
+		if err := a.standIn(router, serve); err != nil {
+			return err
+		}
+	}
 	proxies := newProxies(a)
 	go proxies.serve(feed)
 	work, stop := context.WithCancel(context.Background())
@@ -80,6 +89,22 @@
 	}
 }
 
+// standIn answers where a control process would be on this machine: the operator gets the address of one, and processes whose seeds
+// name this machine find it.
+func (a *Agent) standIn(router http.Handler, serve func(net.Listener, http.Handler)) error {
+	operator, err := net.Listen("tcp4", a.settings.Listen.Control)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	seed, err := net.Listen("tcp4", a.settings.Internal(a.settings.IP, boot.ControlPort))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	serve(operator, gateway.New(a.node.Members).Router())
+	serve(seed, router)
+	return nil
+}
+
 const loopback = "127.0.0.1"
 
 // readStaleLists reads the platform's list where nobody's reading has come for too long. Agents do so in turns by rank.
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -91,6 +91,20 @@
 	FaultTolerance    FaultTolerance    `yaml:"FaultTolerance"`
 	Bounds            Bounds            `yaml:"Bounds"`
 	Cloud             Cloud             `yaml:"Cloud"`
+
+	listenLine int // of Listen in the file, 0: not there
+}
+
+// HoldsConfiguration tells whether this machine holds a part of the configuration: it has a disk, and the disk counts.
+func (s *Settings) HoldsConfiguration() bool { return s.CountsForQuorum && s.DataDir != "" }
+
+// CheckControl returns an error where this machine is to hold a part of the configuration and the operator can't reach it. Processes
+// that don't serve the operator are not asked.
+func (s *Settings) CheckControl() error {
+	if !s.HoldsConfiguration() || s.Listen.Control != "" {
+		return nil
+	}
+	return Error.New("line %d: Listen.Control: a machine whose disk counts needs an address for the operator", s.listenLine)
 }
 
 // Path returns the path of the settings file.
@@ -127,6 +141,7 @@
 	if err := settings.check(&document); err != nil {
 		return nil, err
 	}
+	settings.listenLine = lineOf(&document, "Listen")
 	return settings, nil
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -142,6 +142,7 @@
 func (c *Control) operatorRouter() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/config", c.putConfig).Methods("PUT")
+	router.HandleFunc("/config", c.patchConfig).Methods("PATCH")
 	router.HandleFunc("/config", c.getConfig).Methods("GET")
 	return router
 }
--- /dev/null
+++ b/internal/control/patch_test.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// patchText is a patch that sets the time of the route of configuration() and adds a route of its own.
+func patchText(version, mark int) []byte {
+	return fmt.Appendf(nil, `{"Version":%d,"Upsert":{"Routes":[{"Name":"p%d","Host":"h","PathPrefix":"/p%d/","RouteType":"idempotent",`+
+		`"TimeoutMs":%d,"Service":"s"}]}}`, version, mark%7, mark%7, 1000+mark)
+}
+
+// patch sends a patch and returns the status, 0 where there was none.
+func (s *side) patch(i, base int, data []byte) int {
+	request, err := http.NewRequest(http.MethodPatch, "http://"+s.operator(i)+"/config", bytes.NewReader(data))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("If-Match", fmt.Sprint(base))
+	answer, err := (&http.Client{Timeout: within}).Do(request)
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode
+}
+
+// text returns the configuration as a process tells it.
+func (s *side) text(i int) string {
+	answer, err := (&http.Client{Timeout: within}).Get("http://" + s.operator(i) + "/config")
+	Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(data)
+}
+
+var _ = Describe("a patch of the configuration", func() {
+	It("is taken on the version that it names, confirmed again after later changes, and else refused with nothing changed", func() {
+		s := newSide(3)
+		Eventually(func() int { return s.patch(0, 0, patchText(1, 1)) }, within).Should(Equal(http.StatusBadRequest), "there is none yet")
+		s.begin()
+		first := patchText(3, 1)
+		Expect(s.patch(0, 1, first)).To(Equal(http.StatusOK))
+		Expect(s.patch(1, 1, first)).To(Equal(http.StatusOK), "sent again")
+		Expect(s.patch(2, 1, patchText(4, 2))).To(Equal(http.StatusPreconditionFailed))
+		Expect(s.patch(2, 3, patchText(3, 2))).To(Equal(http.StatusBadRequest), "its version is not above")
+		Expect(s.patch(2, 3, first)).To(Equal(http.StatusBadRequest), "the same bytes on another base are another change")
+		for _, bad := range []string{`{`, `{"Version":9,"Remove":{"Routes":["none"]}}`, `{"Version":9,"Remove":{"Services":["s"]}}`, `{"Version":9,"Upsert":{"X":[]}}`} {
+			Expect(s.patch(1, 3, []byte(bad))).To(Equal(http.StatusBadRequest), bad)
+		}
+		Expect(s.version(2)).To(Equal(3))
+		Expect(s.put(1, 3, configuration(5, 0))).To(Equal(http.StatusOK))
+		Expect(s.patch(2, 1, first)).To(Equal(http.StatusOK), "its base and its result are gone")
+		Expect(s.version(0)).To(Equal(5))
+	})
+
+	It("makes what putting the result makes, with two operators and lost answers", func() {
+		s := newSide(3)
+		s.begin()
+		var confirmed sync.Map // text by version, as an operator without the system would make it
+		var operators sync.WaitGroup
+		for operator := range 2 {
+			operators.Go(func() {
+				defer GinkgoRecover()
+				s.operate(rand.New(rand.NewPCG(uint64(operator), 56)), operator, &confirmed)
+			})
+		}
+		operators.Wait()
+		version := s.version(0)
+		Expect(version).To(BeNumerically(">", 10))
+		want, known := confirmed.Load(version)
+		Expect(known).To(BeTrue(), "the newest was confirmed to one of them")
+		for i := range 3 {
+			Expect(s.text(i)).To(MatchJSON(want.(string)))
+		}
+	})
+})
+
+// operate makes changes on top of what it reads, by patches or whole, and sends each twice as if the first answer had been lost.
+func (s *side) operate(rng *rand.Rand, operator int, confirmed *sync.Map) {
+	for n := range 25 {
+		var current map[string]any
+		Expect(json.Unmarshal([]byte(s.text(rng.IntN(3))), &current)).To(Succeed())
+		base := int(current["Version"].(float64))
+		version := base + 1 + rng.IntN(3)
+		patch := patchText(version, 2*n+operator)
+		made := patchedByHand(current, patch)
+		send := func() int { return s.patch(rng.IntN(3), base, patch) }
+		if rng.IntN(3) == 0 {
+			send = func() int { return s.put(rng.IntN(3), base, made) }
+		}
+		first, again := send(), send()
+		Expect(first).To(BeElementOf(http.StatusOK, http.StatusPreconditionFailed, http.StatusServiceUnavailable))
+		if first == http.StatusOK {
+			Expect(again).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable), "what was taken is not refused")
+		}
+		if first == http.StatusOK || again == http.StatusOK {
+			_, twice := confirmed.LoadOrStore(version, string(made))
+			Expect(twice).To(BeFalse(), "version %d was confirmed to both", version)
+		}
+	}
+}
+
+// patchedByHand makes the configuration that patchText asks for, without the system's code.
+func patchedByHand(current map[string]any, text []byte) []byte {
+	var patch struct {
+		Version int
+		Upsert  struct{ Routes []map[string]any }
+	}
+	Expect(json.Unmarshal(text, &patch)).To(Succeed())
+	current["Version"] = patch.Version
+	list := current["Routes"].([]any)
+	for _, route := range patch.Upsert.Routes {
+		place := -1
+		for i, other := range list {
+			if other.(map[string]any)["Name"] == route["Name"] {
+				place = i
+			}
+		}
+		if place >= 0 {
+			list[place] = route
+		} else {
+			list = append(list, route)
+		}
+	}
+	current["Routes"] = list
+	made, err := json.Marshal(current)
+	Expect(err).NotTo(HaveOccurred())
+	return made
+}
--- a/internal/decide/register/changes.go
+++ b/internal/decide/register/changes.go
@@ -11,15 +11,15 @@
 // The verdicts on a change of the configuration.
 const (
 	Fits     Verdict = iota
-	Repeated         // exactly this configuration was accepted before
+	Repeated         // exactly this change was accepted before
 	Stale            // another version is current than the one it is based on
 	NotAbove         // its version is not above the current one
 )
 
-// Judge says how the configuration with this version, based on another, fares on top of v.
-func (v *Value) Judge(version, base uint64, digest Digest) Verdict {
+// Judge says how a change to this version, based on another, fares on top of v. identity tells changes apart.
+func (v *Value) Judge(version, base uint64, identity Digest) Verdict {
 	switch {
-	case slices.Contains(v.Accepted, digest):
+	case slices.Contains(v.Accepted, identity):
 		return Repeated
 	case base != v.Version:
 		return Stale
@@ -29,14 +29,21 @@
 	return Fits
 }
 
-// Configure returns the change that puts a configuration in place of the one that it is based on.
+// Configure returns the change that puts a configuration with this digest in place of the one that it is based on. A configuration that
+// comes whole is its own identity.
 func Configure(version, base uint64, digest Digest) Change {
+	return ConfigureAs(version, base, digest, digest)
+}
+
+// ConfigureAs is Configure for a change that is known by something else than by the configuration that it makes: it can be told to be a
+// repetition when what it was made of is gone.
+func ConfigureAs(version, base uint64, digest, identity Digest) Change {
 	return func(current Value) (Value, bool) {
-		if current.Judge(version, base, digest) != Fits {
+		if current.Judge(version, base, identity) != Fits {
 			return current, false
 		}
 		current.Version, current.Config = version, digest
-		current.Accepted = append(current.Accepted, digest)
+		current.Accepted = append(current.Accepted, identity)
 		if excess := len(current.Accepted) - mostAccepted; excess > 0 {
 			current.Accepted = slices.Delete(current.Accepted, 0, excess)
 		}
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -27,7 +27,7 @@
 	{"internal/peers", "internal/http1", "internal/thrift", "internal/config", "internal/endpointset", "internal/drill", "internal/quotas",
 		"internal/appconfig", "internal/workplan"},
 	{"internal/rewrite", "internal/capture", "internal/world", "internal/wire"},
-	{"internal/features", "internal/lint", "internal/cluster"},
+	{"internal/features", "internal/lint", "internal/cluster", "internal/gateway"},
 	{"internal/sidecar"},
 	{"internal/front", "internal/fleet", "internal/control", "internal/agent", "internal/proxy"},
 	{"internal/process", "internal/sim", "internal/lab"},
--- /dev/null
+++ b/internal/routes/patch_test.go
@@ -0,0 +1,136 @@
+package routes_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/routes"
+)
+
+// patched applies a patch to the sound configuration.
+func patched(patch string) (string, error) {
+	read, err := routes.ParsePatch([]byte(patch))
+	if err != nil {
+		return "", err
+	}
+	made, err := read.Apply([]byte(sound))
+	if err != nil {
+		return "", err
+	}
+	_, err = routes.Parse(made)
+	return string(made), err
+}
+
+var _ = Describe("a patch", func() {
+	It("replaces items in their places, adds others behind, removes, and leaves what it doesn't know", func() {
+		made, err := patched(`{"Version":9,"Upsert":{"Routes":[
+			{"Name":"c","Host":"h","PathPrefix":"/c/","RouteType":"idempotent","TimeoutMs":10,"Service":"s","Later":{"x":1}},
+			{"Name":"a","Host":"h","PathPrefix":"/a/","RouteType":"idempotent","TimeoutMs":70,"Service":"s"}]},"Remove":{"Routes":["b"]}}`)
+		Expect(err).NotTo(HaveOccurred())
+		table, err := routes.Parse([]byte(made))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(table.Version).To(BeEquivalentTo(9))
+		Expect(table.Routes).To(HaveLen(2))
+		Expect(table.Routes[0].Name).To(Equal("a"))
+		Expect(table.Routes[0].TimeoutMs).To(Equal(70.0))
+		Expect(table.Routes[1].Name).To(Equal("c"))
+		Expect(made).To(ContainSubstring(`"New":[1]`))
+		Expect(made).To(ContainSubstring(`"Later":{"x":1}`))
+		Expect(made).To(ContainSubstring(`"KvTokens":765689`), "what isn't named stays to the letter")
+	})
+
+	It("adds a list that a configuration lacks", func() {
+		read, err := routes.ParsePatch([]byte(`{"Version":2,"Upsert":{"Services":[{"Name":"s","HealthPath":"/h"}]}}`))
+		Expect(err).NotTo(HaveOccurred())
+		made, err := read.Apply([]byte(`{"Version":1}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(made)).To(Equal(`{"Version":2,"Services":[{"Name":"s","HealthPath":"/h"}]}`))
+	})
+
+	DescribeTable("is refused in one line that names list, item and field", func(patch string, names ...string) {
+		_, err := patched(patch)
+		Expect(err).To(HaveOccurred())
+		for _, name := range names {
+			Expect(err.Error()).To(ContainSubstring(name))
+		}
+		Expect(strings.Count(err.Error(), "\n")).To(BeZero())
+	},
+		Entry("no object", `[1]`, "patch", "object"),
+		Entry("cut short", `{"Version":9,"Upsert":{"Routes":[`, "Upsert"),
+		Entry("something behind", `{"Version":9} {}`, "behind"),
+		Entry("no version", `{"Upsert":{}}`, "Version"),
+		Entry("a version that is no number", `{"Version":"x"}`, "Version", "x"),
+		Entry("a field that isn't known", `{"Version":9,"Replace":{}}`, "Replace"),
+		Entry("a field twice", `{"Version":9,"Version":10}`, "Version", "twice"),
+		Entry("lists that are no object", `{"Version":9,"Upsert":[]}`, "Upsert", "object"),
+		Entry("a list that is none", `{"Version":9,"Upsert":{"Routes":{}}}`, "Upsert.Routes", "list"),
+		Entry("a list that isn't known", `{"Version":9,"Upsert":{"Roots":[]}}`, "Roots"),
+		Entry("a field that is no list", `{"Version":9,"Upsert":{"Limits":[{"Name":"x"}]}}`, "Limits"),
+		Entry("a list without names", `{"Version":9,"Upsert":{"New":[{"Name":"x"}]}}`, "New[0]", "Name"),
+		Entry("an item that is none", `{"Version":9,"Upsert":{"Routes":[{"Name":"c"},3]}}`, "Upsert.Routes[1]", "Name"),
+		Entry("an item without a name", `{"Version":9,"Upsert":{"Routes":[{"Host":"h"}]}}`, "Upsert.Routes[0].Name"),
+		Entry("an item twice", `{"Version":9,"Upsert":{"Routes":[{"Name":"c"},{"Name":"c"}]}}`, "Upsert.Routes", `"c"`),
+		Entry("an item changed and removed", `{"Version":9,"Upsert":{"Routes":[{"Name":"a"}]},"Remove":{"Routes":["a"]}}`, "Remove.Routes", `"a"`),
+		Entry("names that are none", `{"Version":9,"Remove":{"Routes":[{"Name":"a"}]}}`, "Remove.Routes"),
+		Entry("a name that isn't there", `{"Version":9,"Remove":{"Routes":["z"]}}`, "Remove.Routes", `"z"`),
+		Entry("a service in use removed", `{"Version":9,"Remove":{"Services":["t"]}}`, "Routes[1]", "t"),
+		Entry("a route to nowhere", `{"Version":9,"Upsert":{"Routes":[{"Name":"c","Host":"h","PathPrefix":"/c/","RouteType":"idempotent","TimeoutMs":1,"Service":"u"}]}}`,
+			"Routes[2].Service", "u"),
+	)
+
+	It("makes the same of a configuration as putting the result would, in random series", func() {
+		for seed := range uint64(300) {
+			playPatches(rand.New(rand.NewPCG(seed, 56)))
+		}
+	})
+})
+
+// playPatches makes random patches one after the other and compares with a plain list.
+func playPatches(rng *rand.Rand) {
+	type route struct {
+		Name string
+		Mark int
+	}
+	config, want := []byte(`{"Version":1,"Keep":{"a":[1,2]},"Routes":[]}`), []route{}
+	for version := 2; version < 20; version++ {
+		var upsert []route
+		var remove []string
+		for _, i := range rng.Perm(6)[:rng.IntN(6)] {
+			name := fmt.Sprint("r", i)
+			place := slices.IndexFunc(want, func(r route) bool { return r.Name == name })
+			changed := route{name, rng.IntN(1000)}
+			switch {
+			case place >= 0 && rng.IntN(2) == 0:
+				want = slices.Delete(want, place, place+1)
+				remove = append(remove, name)
+			case place >= 0:
+				want[place] = changed
+				upsert = append(upsert, changed)
+			default:
+				want = append(want, changed)
+				upsert = append(upsert, changed)
+			}
+		}
+		text, err := json.Marshal(map[string]any{"Version": version, "Upsert": map[string]any{"Routes": upsert}, "Remove": map[string]any{"Routes": remove}})
+		Expect(err).NotTo(HaveOccurred())
+		patch, err := routes.ParsePatch(text)
+		Expect(err).NotTo(HaveOccurred())
+		config, err = patch.Apply(config)
+		Expect(err).NotTo(HaveOccurred())
+		var told struct {
+			Version int
+			Keep    json.RawMessage
+			Routes  []route
+		}
+		Expect(json.Unmarshal(config, &told)).To(Succeed())
+		Expect(told.Version).To(Equal(version))
+		Expect(string(told.Keep)).To(Equal(`{"a":[1,2]}`))
+		Expect(told.Routes).To(Equal(want))
+	}
+}
