Stages: both as short of room as each other, and a split for services not asked yet

Ruled out: direct reading at servers that make answers (all but 7 of 7,940 prompts are read apart), the retry budget, memory there (39 %). Change: what readers tell of themselves (prompts there) gives the servers' worth of reading; the split leaves both stages equally near to where waits grow; where a stage is past that the change can't wait, and goes a part of the way at once. A service of which proxies say that nothing was ever asked is split by two thirds to readers. Where servers tell no load the rule before holds.

--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -28,6 +28,8 @@
 	orderWithin = 800 * time.Millisecond
 	maxReply    = 64 << 10
 	orderStage  = "Stage"
+	// standingEvery is the time between log lines on how the model servers stand.
+	standingEvery = 2 * time.Second
 )
 
 // stageKeeper orders model servers to change their stage while this process holds the role.
@@ -38,6 +40,7 @@
 	http     *http.Client
 	start    time.Time
 	sequence uint64
+	logged   time.Time // when the model servers' standing was
 
 	table     *routes.Table // as unpacked last
 	instances []message.Instance
@@ -150,6 +153,7 @@
 // act gives the orders that the demand asks for.
 func (k *stageKeeper) act(ctx context.Context) {
 	demands := k.demands()
+	k.logStanding(demands)
 	for _, service := range k.table.Services {
 		if service.Engine == nil {
 			continue
@@ -179,6 +183,49 @@
 	}
 }
 
+// standing counts the servers of a stage and what they tell of their load.
+type standing struct {
+	servers, told    int // told: those whose word is young
+	running, waiting int
+}
+
+// logStanding tells now and then how the model servers of each service stand, by their stage.
+func (k *stageKeeper) logStanding(demands map[string]stages.Demand) {
+	if time.Since(k.logged) < standingEvery {
+		return
+	}
+	k.logged = time.Now()
+	loads := k.loads()
+	byStage := map[string]map[message.Stage]*standing{}
+	for _, instance := range k.instances {
+		if instance.Stage == "" || instance.Draining {
+			continue
+		}
+		if byStage[instance.Service] == nil {
+			byStage[instance.Service] = map[message.Stage]*standing{message.Prefill: {}, message.Decode: {}}
+		}
+		sum := byStage[instance.Service][instance.Stage]
+		if sum == nil {
+			continue
+		}
+		sum.servers++
+		if load, ok := loads[message.LoadKey(instance.ID)]; ok {
+			sum.told++
+			sum.running += int(load.Running)
+			sum.waiting += int(load.Waiting)
+		}
+	}
+	for service, sums := range byStage {
+		demand := demands[service]
+		entry := k.control.log.WithField("service", service).WithField("read_per_s", int(demand.ReadPerS)).WithField("streams", int(demand.Streams)).
+			WithField("held", int(demand.Held)).WithField("busy", int(demand.Busy.Servers)).WithField("changing", len(k.planner.Pending(k.now())))
+		for stage, sum := range sums {
+			entry = entry.WithField(string(stage), sum.servers).WithField(string(stage)+"_running", sum.running).WithField(string(stage)+"_waiting", sum.waiting)
+		}
+		entry.Info("model servers")
+	}
+}
+
 // demands sums what live proxies ask.
 func (k *stageKeeper) demands() map[string]stages.Demand {
 	sums := map[string]stages.Demand{}
@@ -191,12 +238,37 @@
 			sum.ReadPerS += demand.ReadPerS
 			sum.Streams += demand.Streams
 			sum.Held += demand.Held
+			sum.Reports++
 			sums[demand.Service] = sum
 		}
 	}
+	k.addBusy(sums)
 	return sums
 }
 
+// addBusy adds what servers that read prompts have told of themselves.
+func (k *stageKeeper) addBusy(sums map[string]stages.Demand) {
+	loads := k.loads()
+	for _, instance := range k.instances {
+		load, told := loads[message.LoadKey(instance.ID)]
+		if !told || instance.Stage != message.Prefill {
+			continue
+		}
+		sum := sums[instance.Service]
+		sum.Busy.Add(int(load.Running), int(load.Waiting))
+		sums[instance.Service] = sum
+	}
+}
+
+// loads returns what servers have told lately.
+func (k *stageKeeper) loads() map[uint32]message.Load {
+	loads := map[uint32]message.Load{}
+	for _, load := range k.control.node.Loads() {
+		loads[load.Key] = load
+	}
+	return loads
+}
+
 // publish tells all proxies which servers are changing.
 func (k *stageKeeper) publish() {
 	k.sequence++
