Exchanges stay in their zone for the most part; news go out without records

Each change of the list, the plan or the configuration was pushed to three others by each process with all heartbeats, twelve records and all loads; partners were drawn from all. Change: a push says what is new and no more; of n processes of the own zone exchanges stay there for n/(n+4) of the time. Zones with few processes are as before. Leaving still tells the own record at once. Property: membership at 12 to 150 processes in 1, 4 and 7 zones with loss keeps the bounds that it had in one.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -138,7 +138,7 @@
 	n.view.Tick(n.now())
 	n.contact.tick(time.Now())
 	n.place()
-	partners := []string{n.view.Partner()}
+	partners := []string{n.view.Partner(n.now())}
 	partners = append(partners, n.mesh()...)
 	n.mu.Unlock()
 	slices.Sort(partners)
@@ -237,7 +237,7 @@
 	n.view.Leave()
 	partners := n.mesh()
 	n.mu.Unlock()
-	n.push()
+	n.pushOut(n.digest()) // the own record is the news
 	for _, partner := range partners {
 		go n.exchange(context.Background(), partner)
 	}
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -52,7 +52,7 @@
 	if !reply.TakeTable && !reply.TakeList {
 		return
 	}
-	news := n.digest()
+	news := n.news()
 	n.attach(news, reply.TakeTable, reply.TakeList)
 	if answer, err := n.call(ctx, address, news); err == nil {
 		n.absorb(answer)
@@ -85,11 +85,12 @@
 }
 
 // push tells a few processes at once that there is news. Those that lack it ask for it and tell others.
-func (n *Node) push() {
+func (n *Node) push() { n.pushOut(n.news()) }
+
+func (n *Node) pushOut(request *message.Gossip) {
 	n.mu.Lock()
 	addresses := n.view.Fanout(n.now(), pushFanout)
 	n.mu.Unlock()
-	request := n.digest()
 	for _, address := range addresses {
 		go func() {
 			if reply, err := n.call(context.Background(), address, request); err == nil {
@@ -100,12 +101,21 @@
 	}
 }
 
-// digest builds a message that names what is known here.
+// digest builds a message that names what is known here, and tells of processes and servers.
 func (n *Node) digest() *message.Gossip {
+	out := n.news()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out.News = false
+	out.Records, out.Beats, out.Loads = n.view.Sample(n.now()), n.view.Beats(n.now()), n.loads.young()
+	return out
+}
+
+// news builds a message that names what is known here and that all have to hold.
+func (n *Node) news() *message.Gossip {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := &message.Gossip{Format: message.FormatVersion, Records: n.view.Sample(n.now()), Beats: n.view.Beats(n.now()),
-		Voters: votersOf(n.facts.Voters), Grants: n.facts.Grants, Plan: n.facts.Plan, Loads: n.loads.young()}
+	out := &message.Gossip{Format: message.FormatVersion, News: true, Voters: votersOf(n.facts.Voters), Grants: n.facts.Grants, Plan: n.facts.Plan}
 	if n.facts.Table != nil {
 		out.Version = n.facts.Table.Version
 	}
@@ -127,7 +137,10 @@
 	}
 	lacksTable, lacksList := n.lacks(request)
 	n.absorb(request)
-	reply := n.digest()
+	reply := n.news()
+	if !request.News {
+		reply = n.digest()
+	}
 	newerTable := reply.Version > request.Version
 	newerList := reply.List.Digest != request.List.Digest && !lacksList
 	n.attach(reply, request.TakeTable && newerTable, request.TakeList && newerList)
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -160,9 +160,32 @@
 	}
 }
 
-// Partner returns the address for the next exchange, "" if there is none. Now and then, and while nobody is known, it is a seed.
-func (v *View) Partner() string {
+// farWeight is how many processes of the own zone weigh as much as all others when a partner is drawn. Bytes between zones are dear: what
+// is known in a zone goes round within it, and each of its processes fetches from others now and then. Where a zone has few, most
+// exchanges go beyond it.
+const farWeight = 4.0
+
+// near returns the addresses of live processes of the own zone, in order.
+func (v *View) near(now float64) (addresses []string) {
+	for _, e := range v.entries {
+		if e.record.Zone == v.self.Zone && v.alive(e, now) {
+			addresses = append(addresses, e.record.Address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// nearPart is the part of exchanges that stay in the zone.
+func nearPart(near int) float64 { return float64(near) / (float64(near) + farWeight) }
+
+// Partner returns the address for the next exchange, "" if there is none: of a process of the own zone or of a peer of the partial view;
+// now and then, and while nobody is known, of a seed.
+func (v *View) Partner(now float64) string {
 	const seedEvery = 8
+	if near := v.near(now); v.rng.Float64() < nearPart(len(near)) {
+		return near[v.rng.IntN(len(near))]
+	}
 	if len(v.seeds) > 0 && (len(v.peers) == 0 || v.rng.IntN(seedEvery) == 0) {
 		if seed := v.seeds[v.rng.IntN(len(v.seeds))]; seed != v.self.Address {
 			return seed
@@ -175,17 +198,28 @@
 	return v.entries[v.peers[v.next]].record.Address
 }
 
-// Fanout returns up to n addresses of random live processes, for news that can't wait.
+// Fanout returns up to n addresses of random live processes, for news that can't wait: most of the own zone, one at least of another.
 func (v *View) Fanout(now float64, n int) []string {
-	var addresses []string
+	near := v.near(now)
+	var far []string
 	for _, e := range v.entries {
-		if v.alive(e, now) {
-			addresses = append(addresses, e.record.Address)
+		if e.record.Zone != v.self.Zone && v.alive(e, now) {
+			far = append(far, e.record.Address)
 		}
 	}
-	slices.Sort(addresses)
+	slices.Sort(far)
+	v.shuffled(near)
+	v.shuffled(far)
+	fromNear := min(int(math.Round(float64(n)*nearPart(len(near)))), len(near))
+	if len(far) > 0 {
+		fromNear = min(fromNear, n-1)
+	}
+	fromFar := min(n-fromNear, len(far))
+	return append(near[:min(n-fromFar, len(near))], far[:fromFar]...)
+}
+
+func (v *View) shuffled(addresses []string) {
 	v.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(n, len(addresses))]
 }
 
 // Sample returns the records to tell in an exchange: the own one and others, drawn at random.
--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -29,19 +29,24 @@
 	views []*membership.View // nil: the process is down
 	loss  float64
 	lives uint64
+	zones int
 }
 
 func (f *fleet) start(i int, incarnation uint64) {
 	f.lives++
-	record := membership.Record{Name: fmt.Sprintf("n%03d", i), Kind: membership.Agent, Address: address(i), Incarnation: incarnation, Life: f.lives}
+	record := membership.Record{Name: fmt.Sprintf("n%03d", i), Kind: membership.Agent, Address: address(i), Incarnation: incarnation, Life: f.lives,
+		Zone: fmt.Sprint("z", i%f.zones)}
 	settings := membership.Settings{SuspectAfterS: suspectAfter, ForgetAfterS: forgetAfter, ViewSize: 8, SampleSize: 16, BeatSize: 200}
 	f.views[i] = membership.New(settings, record, []string{address(0), address(1), address(2)}, f.rng)
 }
 
 func address(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/250, i%250) }
 
-func newFleet(seed uint64, size int, loss float64) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 2)), views: make([]*membership.View, size), loss: loss}
+func newFleet(seed uint64, size int, loss float64) *fleet { return newZonedFleet(seed, size, loss, 1) }
+
+// newZonedFleet returns a fleet whose processes stand in zones by turns.
+func newZonedFleet(seed uint64, size int, loss float64, zones int) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 2)), views: make([]*membership.View, size), loss: loss, zones: zones}
 	for i := range size {
 		f.start(i, 100)
 	}
@@ -57,7 +62,7 @@
 				continue
 			}
 			view.Tick(f.now)
-			j := f.index(view.Partner())
+			j := f.index(view.Partner(f.now))
 			if j < 0 || j == i || f.views[j] == nil || f.rng.Float64() < f.loss {
 				continue
 			}
@@ -94,14 +99,14 @@
 }
 
 var _ = Describe("a fleet of views", func() {
-	DescribeTable("comes to know all that live, and keeps knowing them", func(size int, loss float64) {
+	DescribeTable("comes to know all that live, and keeps knowing them", func(size int, loss float64, zones int) {
 		// Loss now and then holds up a heartbeat for longer than suspicion waits: of one or a fiftieth, and seldom.
 		missedMost, looks, missed := 1+size/50, 0, 0
 		if loss == 0 {
 			missedMost = 0
 		}
 		for seed := range uint64(max(240/size, 1)) {
-			f := newFleet(seed, size, loss)
+			f := newZonedFleet(seed, size, loss, zones)
 			f.pass(30 + size/4)
 			for range 20 {
 				f.pass(1)
@@ -114,8 +119,34 @@
 			}
 		}
 		Expect(float64(missed)).To(BeNumerically("<=", 0.005*float64(looks)))
-	}, Entry("12", 12, 0.0), Entry("12 with loss", 12, 0.2), Entry("60 with loss", 60, 0.1),
-		Entry("150 with loss", 150, 0.05))
+	}, Entry("12", 12, 0.0, 1), Entry("12 with loss", 12, 0.2, 1), Entry("60 with loss", 60, 0.1, 1),
+		Entry("150 with loss", 150, 0.05, 1), Entry("12 in 4 zones", 12, 0.0, 4), Entry("12 in 4 zones with loss", 12, 0.2, 4),
+		Entry("100 in 4 zones with loss", 100, 0.05, 4), Entry("150 in 7 zones with loss", 150, 0.05, 7))
+
+	It("speaks within its zone for the most part where that has many, and beyond it where it has few", func() {
+		for _, c := range []struct {
+			zones       int
+			least, most float64
+		}{{4, 0.7, 0.95}, {48, 0.05, 0.4}} {
+			f := newZonedFleet(8, 96, 0, c.zones)
+			f.pass(60)
+			near, asked := 0, 0
+			for i, view := range f.views {
+				for range 40 {
+					asked++
+					if j := f.index(view.Partner(f.now)); j >= 0 && j%c.zones == i%c.zones {
+						near++
+					}
+				}
+				fanout := view.Fanout(f.now, 3)
+				Expect(fanout).To(HaveLen(3))
+				Expect(fanout).To(ContainElement(WithTransform(func(a string) int { return f.index(a) % c.zones }, Not(Equal(i%c.zones)))),
+					"news leave the zone")
+			}
+			Expect(float64(near) / float64(asked)).To(BeNumerically(">", c.least))
+			Expect(float64(near) / float64(asked)).To(BeNumerically("<", c.most))
+		}
+	})
 
 	It("notices who is gone, and forgets them", func() {
 		f := newFleet(1, 20, 0.1)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -54,6 +54,7 @@
 	Loads     []Load              `msgpack:"o"`
 	TakeTable bool                `msgpack:"tt"` // a newer configuration is wanted in the answer, or in the next message
 	TakeList  bool                `msgpack:"tl"` // the same of a younger list
+	News      bool                `msgpack:"w"`  // only what has changed is told: records, heartbeats and loads are left out here and in the answer
 }
 
 // ConfigRequest asks a control process for a piece of a configuration's bytes.
