Large prompts are not read beside answers; count what makes streams late

They were placed there for being 'at home': servers that make answers were taken to hold what others had read there, though no prompt has a home among them. Ruled out: the proxies' own processor (no node in common), moves, preemption (0). Change: no home beside answers, and a prompt whose reading takes longer than half of the longest pause in time counts as many late answers as are under way there. One expectation was wrong: 'leaves its home once it would be too late' left for such a server; it now stays where the line costs less than reading again and leaves for another reader once it costs more.

--- a/internal/decide/placement/engine.go
+++ b/internal/decide/placement/engine.go
@@ -57,6 +57,8 @@
 	againPenalty = 100e-6
 	// directPenalty is what each answer under way counts for that is held up by a prompt read beside it, as a part of the time.
 	directPenalty = 0.5
+	// pauseFrom is the part of the longest pause in time for which a prompt may be read beside answers without making them late.
+	pauseFrom = 0.5
 	// demandTau is the time in seconds over which what is asked is averaged.
 	demandTau = 1.5
 	// directPart is how much slower a decode server reads than a prefill server, until both were seen.
@@ -93,6 +95,7 @@
 	Tokens int     // of the whole prompt
 	Output int     // most tokens to go out
 	AimS   float64 // the objective for the first event, in seconds; 0: none
+	GapS   float64 // the longest pause between events that is in time, in seconds; 0: none
 }
 
 // Shared returns the key of the parts that others may share, "" if there are none.
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -87,7 +87,8 @@
 // Choose returns where a prompt is to be read, and false if there is no server. Those in without are passed over.
 func (l *Planner) Choose(now float64, q *Prompt, without []*Endpoint, apart bool) (Plan, bool) {
 	key := q.Shared()
-	direct, directS := l.best(now, q, key, l.decoders(now, without))
+	// Danger: nobody agrees on where a key is read beside answers, so that no such server is taken to hold what others had read there.
+	direct, directS := l.best(now, q, "", l.decoders(now, without))
 	if !apart {
 		return Plan{Runner: direct}, direct != nil
 	}
@@ -95,7 +96,7 @@
 	switch {
 	case direct == nil:
 		return Plan{}, false
-	case reader == nil || directS*direct.heldUp() <= readS+l.moveSeconds(q, reader, direct):
+	case reader == nil || directS*direct.heldUp()+l.pauses(now, q, direct) <= readS+l.moveSeconds(q, reader, direct):
 		return Plan{Runner: direct}, true
 	}
 	return Plan{Reader: reader}, true
@@ -118,6 +119,17 @@
 	return 1 + directPenalty*float64(max(e.engine.running, e.InFlight))
 }
 
+// pauses is what it counts for that answers under way at a server pause for too long while it reads a prompt, in seconds. Reading takes
+// turns with them, and for as long as it goes on they come several times as slowly.
+func (l *Planner) pauses(now float64, q *Prompt, e *Endpoint) float64 {
+	if q.GapS <= 0 {
+		return 0
+	}
+	reading := l.seconds(e.Stage, e.engine.tokens+e.fresh(q, now, l.keepS, false))
+	late := min(max(reading/q.GapS-pauseFrom, 0)/(1-pauseFrom), 1)
+	return latePenalty * late * float64(max(e.engine.running, e.InFlight))
+}
+
 // Runner returns the server that makes the answer of a prompt that was read in a zone, nil if there is none.
 func (l *Planner) Runner(now float64, zone string, without []*Endpoint) *Endpoint {
 	drawn := l.decoders(now, without)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -47,6 +47,7 @@
 	runs     int     // servers that may have run it
 	last     Verdict // of the attempt before
 	handle   handle
+	times    streamTimes
 }
 
 // left is the time that remains.
@@ -329,6 +330,7 @@
 func promptOf(r *http.Request, route *routes.Route) placement.Prompt {
 	prompt := placement.Prompt{Parts: placement.ParsePrefix(r.Header.Get(headerPrefixHash))}
 	prompt.AimS = boot.Millis(route.TargetMs).Seconds()
+	prompt.GapS = boot.Millis(route.GapMs).Seconds()
 	in, out, _ := strings.Cut(r.Header.Get(headerTokenCounts), ",")
 	prompt.Tokens, prompt.Output = tokenCount(in), tokenCount(out)
 	return prompt
--- a/internal/proxy/observe.go
+++ b/internal/proxy/observe.go
@@ -8,7 +8,9 @@
 
 	"golang.org/x/time/rate"
 
+	"hazelwheel/internal/boot"
 	"hazelwheel/internal/decide/placement"
+	"hazelwheel/internal/routes"
 )
 
 const (
@@ -25,6 +27,89 @@
 	mu       sync.Mutex
 	unserved map[string]unserved // since the last line, by service
 	logged   time.Time
+
+	streams       map[string]*streamCounts // since the last line, by route
+	streamsLogged time.Time
+}
+
+// streamCounts counts the streams of a route that were served, and those of them that came late by what made them so.
+type streamCounts struct {
+	Served      int
+	LateReading int // more than half of the objective was over when the prompt had been read
+	LateFirst   int // the first event came late all the same
+	LatePause   int // a pause between events was too long
+}
+
+// streamTimes is when what mattered to a stream happened.
+type streamTimes struct {
+	read  time.Time // the prompt had been read apart; zero: it was not
+	first time.Time // the first event went out
+	last  time.Time // the newest event went out
+	pause time.Duration
+}
+
+// event notes that an event goes out.
+func (s *streamTimes) event(now time.Time) {
+	if s.first.IsZero() {
+		s.first = now
+	} else {
+		s.pause = max(s.pause, now.Sub(s.last))
+	}
+	s.last = now
+}
+
+// readingPart is the part of the objective after which a prompt has been read late.
+const readingPart = 0.5
+
+// add counts a stream of a route that was served.
+func (c *streamCounts) add(route *routes.Route, arrived time.Time, times *streamTimes) {
+	c.Served++
+	target := boot.Millis(route.TargetMs)
+	switch {
+	case target > 0 && times.first.Sub(arrived) > target:
+		if !times.read.IsZero() && float64(times.read.Sub(arrived)) > readingPart*float64(target) {
+			c.LateReading++
+		} else {
+			c.LateFirst++
+		}
+	case route.GapMs > 0 && times.pause > boot.Millis(route.GapMs):
+		c.LatePause++
+	}
+}
+
+// stream counts a stream that was served.
+func (o *observations) stream(j *job) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	counts := o.streams[j.route.Name]
+	if counts == nil {
+		counts = &streamCounts{}
+		o.streams[j.route.Name] = counts
+	}
+	counts.add(j.route, j.arrived, &j.times)
+}
+
+// dueStreams returns the counts of streams once it is time for a line, nil before.
+func (o *observations) dueStreams(now time.Time) map[string]*streamCounts {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.streams) == 0 || now.Sub(o.streamsLogged) < unservedEvery {
+		return nil
+	}
+	counts := o.streams
+	o.streams, o.streamsLogged = map[string]*streamCounts{}, now
+	return counts
+}
+
+// logStreams tells of routes whose streams came late, and by what.
+func (p *Proxy) logStreams(now time.Time) {
+	for route, counts := range p.observed.dueStreams(now) {
+		if counts.LateReading+counts.LateFirst+counts.LatePause == 0 {
+			continue
+		}
+		p.log.WithField("route", route).WithField("served", counts.Served).WithField("late_reading", counts.LateReading).
+			WithField("late_first", counts.LateFirst).WithField("late_pause", counts.LatePause).Info("streams late")
+	}
 }
 
 // unserved counts requests that brought no answer of a server.
@@ -35,7 +120,8 @@
 }
 
 func newObservations() *observations {
-	return &observations{misdirected: rate.Sometimes{Interval: misdirectedEvery}, unserved: map[string]unserved{}, logged: time.Now()}
+	return &observations{misdirected: rate.Sometimes{Interval: misdirectedEvery}, unserved: map[string]unserved{}, logged: time.Now(),
+		streams: map[string]*streamCounts{}, streamsLogged: time.Now()}
 }
 
 // count adds to what is counted for a service.
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -27,6 +27,7 @@
 		}
 		p.probeDue(ctx)
 		p.logUnserved(time.Now())
+		p.logStreams(time.Now())
 		if tick%sweepEvery == 0 {
 			p.state.revisit()
 			wanted := p.state.addresses()
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -162,6 +162,7 @@
 		return p.runStream(ctx, out, j, run{endpoint: plan.Runner, prompt: prompt})
 	}
 	j.handle = handle{cache: p.readPrompt(ctx, j, plan.Reader, prompt), zone: plan.Reader.Zone}
+	j.times.read = time.Now()
 	if ctx.Err() != nil {
 		j.last = Canceled
 		return false
@@ -301,6 +302,9 @@
 	}
 	j.handle.cache = ""
 	verdict = p.passEvents(out, j, &r, got)
+	if verdict == Served {
+		p.observed.stream(j)
+	}
 	p.settle(ctx, j, r.endpoint, verdict)
 	return verdict == Served
 }
@@ -372,6 +376,7 @@
 				got.abort()
 				return Canceled
 			}
+			j.times.event(time.Now())
 		}
 		if err != nil {
 			out.head(got.answer)
