--- a/internal/decide/stages/stages_test.go
+++ b/internal/decide/stages/stages_test.go
@@ -122,6 +122,93 @@
 	})
 })
 
+// told returns a demand of which readers tell that so many servers' time is taken.
+func told(busy, streams float64) stages.Demand {
+	return stages.Demand{ReadPerS: 1, Streams: streams, Reports: 1, Busy: stages.Busy{Told: 1, Servers: busy}}
+}
+
+var _ = Describe("the split where readers tell how busy they are", func() {
+	It("leaves both stages as short of room as each other", func() {
+		for _, c := range []struct{ busy, streams float64 }{{6, 300}, {3, 900}, {10, 100}} {
+			service := servers(9, 9)
+			p := stages.New()
+			play(p, service, told(c.busy, c.streams), 0, 60)
+			Expect(readers(service)).To(BeNumerically("~", stages.Balanced(18, c.busy, c.streams/100), 1))
+			Expect(play(p, service, told(c.busy, c.streams), 60, 120)).To(BeZero(), "then it rests")
+		}
+	})
+
+	It("is left alone while neither is near that", func() {
+		Expect(play(stages.New(), servers(4, 14), told(1, 100), 0, 60)).To(BeZero())
+	})
+
+	It("changes at once where a stage is short, and after a while where none is", func() {
+		first := func(demand stages.Demand) (at float64) {
+			p := stages.New()
+			for now := 0.0; now < 30; now += 0.3 {
+				if len(p.Plan(now, servers(9, 9), demand)) > 0 {
+					return now
+				}
+			}
+			return 30
+		}
+		Expect(first(told(3, 900))).To(BeNumerically("<", 1.5), "answers need more than there is")
+		Expect(first(told(6.9, 100))).To(BeNumerically("<", 1.5), "readers do")
+		Expect(first(told(5, 100))).To(BeNumerically(">", 5))
+	})
+
+	It("never takes a stage's last servers, whatever is told", func() {
+		for _, demand := range []stages.Demand{told(1e6, 1), told(0.001, 1e6)} {
+			service := servers(4, 4)
+			play(stages.New(), service, demand, 0, 120)
+			Expect(readers(service)).To(BeNumerically(">=", 2))
+			Expect(readers(service)).To(BeNumerically("<=", 6))
+		}
+	})
+
+	It("goes a part of the way at once", func() {
+		p := stages.New()
+		p.Plan(0, servers(30, 60), told(30, 1000))
+		orders := p.Plan(1, servers(30, 60), told(30, 1000))
+		missing := stages.Balanced(90, 30, 10) - 30
+		Expect(len(orders)).To(BeNumerically(">", missing/2))
+		Expect(len(orders)).To(BeNumerically("<", missing))
+	})
+})
+
+var _ = Describe("how busy readers are", func() {
+	It("grows with the prompts there, by less and less for each server, and with lines", func() {
+		var idle, one, two, line stages.Busy
+		idle.Add(0, 0)
+		one.Add(1, 0)
+		two.Add(1, 1)
+		line.Add(1, 9)
+		Expect(idle.Servers).To(BeZero())
+		Expect(one.Servers).To(BeNumerically(">", 0.5))
+		Expect(two.Servers).To(BeNumerically(">", one.Servers))
+		Expect(two.Servers).To(BeNumerically("<", 1))
+		Expect(line.Servers).To(BeNumerically(">", 1), "one server is not enough for them")
+	})
+})
+
+var _ = Describe("a service of which nothing was asked yet", func() {
+	nothing := stages.Demand{Reports: 3}
+
+	It("is split for prompts that all have to be read, once", func() {
+		service, p := servers(7, 11), stages.New()
+		Expect(play(p, service, nothing, 0, 30)).To(BeNumerically(">", 0))
+		Expect(readers(service)).To(Equal(12))
+		Expect(play(p, service, nothing, 30, 60)).To(BeZero())
+	})
+
+	It("is left alone where no proxy is heard, and once something was asked", func() {
+		Expect(play(stages.New(), servers(7, 11), stages.Demand{}, 0, 60)).To(BeZero())
+		p := stages.New()
+		p.Plan(0, servers(7, 11), stages.Demand{ReadPerS: 10, Streams: 3, Reports: 3})
+		Expect(play(p, servers(7, 11), nothing, 0.3, 60)).To(BeZero())
+	})
+})
+
 var _ = Describe("a new holder of the role", func() {
 	It("does not order again what the holder before has under way, and tells it", func() {
 		heavy := stages.Demand{ReadPerS: 900e3, Streams: 100}
--- a/internal/proxy/observe_test.go
+++ b/internal/proxy/observe_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/routes"
 )
 
 var _ = Describe("what operators see of requests that are not served", func() {
@@ -30,6 +32,37 @@
 	})
 })
 
+var _ = DescribeTable("a stream counts by what made it late", func(read, first, pause time.Duration, want streamCounts) {
+	arrived := time.Now()
+	times := &streamTimes{}
+	if read > 0 {
+		times.read = arrived.Add(read)
+	}
+	times.event(arrived.Add(first))
+	times.event(arrived.Add(first + pause))
+	counts := &streamCounts{}
+	counts.add(&routes.Route{TargetMs: 400, GapMs: 200}, arrived, times)
+	want.Served = 1
+	Expect(*counts).To(Equal(want))
+}, Entry("in time", 100*time.Millisecond, 300*time.Millisecond, 50*time.Millisecond, streamCounts{}),
+	Entry("its prompt was read late", 250*time.Millisecond, 500*time.Millisecond, 500*time.Millisecond, streamCounts{LateReading: 1}),
+	Entry("its first event came late", 100*time.Millisecond, 500*time.Millisecond, 0*time.Second, streamCounts{LateFirst: 1}),
+	Entry("nothing was read apart", 0*time.Second, 500*time.Millisecond, 0*time.Second, streamCounts{LateFirst: 1}),
+	Entry("it paused", 100*time.Millisecond, 300*time.Millisecond, 250*time.Millisecond, streamCounts{LatePause: 1}))
+
+var _ = Describe("the counts of streams", func() {
+	It("are told once in a while, by route", func() {
+		o := newObservations()
+		j := &job{route: &routes.Route{Name: "r", TargetMs: 400}, arrived: time.Now()}
+		j.times.event(j.arrived)
+		o.stream(j)
+		o.stream(j)
+		Expect(o.dueStreams(o.streamsLogged.Add(unservedEvery - time.Millisecond))).To(BeNil())
+		Expect(o.dueStreams(o.streamsLogged.Add(unservedEvery))).To(Equal(map[string]*streamCounts{"r": {Served: 2}}))
+		Expect(o.dueStreams(o.streamsLogged.Add(3 * unservedEvery))).To(BeNil())
+	})
+})
+
 var _ = DescribeTable("the tokens that a client names", func(text string, tokens int) {
 	Expect(tokenCount(text)).To(Equal(tokens))
 }, Entry("a number", " 1460", 1460), Entry("nothing", "", 0), Entry("no number", "many", 0), Entry("a negative one", "-7", 0),
