--- a/cmd/hazelfleet/main.go
+++ b/cmd/hazelfleet/main.go
@@ -31,9 +31,17 @@
 	collectAt = 50
 )
 
+// What the first argument may be.
+const (
+	roleProxy   = "proxy"
+	roleAgent   = "agent"
+	roleControl = "control"
+	roleCheck   = "check"
+)
+
 const usage = `usage: hazelfleet [--log-level LEVEL] ROLE
   proxy    takes requests from clients and passes them to servers
-  agent    keeps a proxy's link to the rest of the fleet
+  agent    keeps a proxy's link to the rest of the fleet, and is control as well on machines whose disk counts
   control  holds the configuration and takes it from the operator
   check    checks the settings file and ends
 The settings file is named by ` + boot.EnvFile + `.
@@ -63,11 +71,18 @@
 		fmt.Fprintln(os.Stderr, "hazelfleet:", err)
 		return statusUsage
 	}
+	role := flags.Arg(0)
+	if role == roleAgent {
+		if err := settings.CheckControl(); err != nil {
+			fmt.Fprintf(os.Stderr, "hazelfleet: settings: %s: %v\n", boot.Path(), err)
+			return statusUsage
+		}
+	}
 	debug.SetGCPercent(collectAt)
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(settings.Limits.MemoryMB) * (1 << 20)))
 	}
-	return start(flags.Arg(0), settings, hangups)
+	return start(role, settings, hangups)
 }
 
 func start(role string, settings *boot.Settings, hangups <-chan os.Signal) int {
@@ -80,13 +95,13 @@
 	reload := watch(ctx, hangups, log)
 	var err error
 	switch role {
-	case "proxy":
+	case roleProxy:
 		err = proxy.Run(ctx, settings, log)
-	case "agent":
+	case roleAgent:
 		err = runAgent(ctx, settings, reload, log)
-	case "control":
+	case roleControl:
 		err = control.Run(ctx, settings, reload, log)
-	case "check":
+	case roleCheck:
 		fmt.Println("the settings are in order")
 	default:
 		fmt.Fprint(os.Stderr, usage)
@@ -104,9 +119,6 @@
 	if !settings.HoldsConfiguration() {
 		return agent.Run(ctx, settings, reload, log)
 	}
-	if err := settings.CheckControl(); err != nil {
-		return err
-	}
 	group, ctx := errgroup.WithContext(ctx)
 	forAgent, forControl := make(chan *boot.Settings), make(chan *boot.Settings)
 	go func() {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	feed, err := net.Listen("tcp4", settings.Internal(loopback, boot.FeedPort))
+	feed, err := net.Listen("tcp4", settings.FeedAddress())
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -105,8 +105,6 @@
 	return nil
 }
 
-const loopback = "127.0.0.1"
-
 // readStaleLists reads the platform's list where nobody's reading has come for too long. Agents do so in turns by rank.
 func (a *Agent) readStaleLists(ctx context.Context) {
 	ticker := time.NewTicker(checkEvery)
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -104,7 +104,7 @@
 	if !s.HoldsConfiguration() || s.Listen.Control != "" {
 		return nil
 	}
-	return Error.New("line %d: Listen.Control: a machine whose disk counts needs an address for the operator", s.listenLine)
+	return fmt.Errorf("line %d: Listen.Control: a machine whose disk counts needs an address for the operator", s.listenLine)
 }
 
 // Path returns the path of the settings file.
@@ -273,6 +273,18 @@
 	return netip.AddrPortFrom(netip.MustParseAddr(ip), uint16(s.InternalPortRange[0]+int(service))).String()
 }
 
+// loopback is where processes of one machine meet.
+const loopback = "127.0.0.1"
+
+// FeedAddress returns where an agent feeds its proxy. Where the machine's own address is a loopback one, several machines stand on one
+// host and each has its own feed.
+func (s *Settings) FeedAddress() string {
+	if netip.MustParseAddr(s.IP).IsLoopback() {
+		return s.Internal(s.IP, FeedPort)
+	}
+	return s.Internal(loopback, FeedPort)
+}
+
 // SeedAddresses returns the internal addresses of the control processes that the seeds name.
 func (s *Settings) SeedAddresses() []string {
 	addresses := make([]string, 0, len(s.Seeds))
--- a/internal/boot/boot_test.go
+++ b/internal/boot/boot_test.go
@@ -100,4 +100,22 @@
 		Entry("a zone", 0, 1, 0, 3),
 		Entry("a machine, or a region", 1, 0, 2, 5),
 	)
+
+	It("needs an address for the operator where the machine's disk counts, and only there", func() {
+		counting := strings.Replace(sound, "DataDir: null", "DataDir: /data\nCountsForQuorum: true", 1)
+		settings, err := boot.Parse([]byte(counting))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.HoldsConfiguration()).To(BeTrue())
+		Expect(settings.CheckControl()).To(MatchError(ContainSubstring("line 4: Listen.Control")))
+		settings, err = boot.Parse([]byte(strings.Replace(counting, "Listen:\n", "Listen:\n  Control: 10.1.0.13:8162\n", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.CheckControl()).To(Succeed())
+		for _, without := range []string{sound, strings.Replace(sound, "DataDir: null", "DataDir: /data", 1),
+			strings.Replace(sound, "DataDir: null", "CountsForQuorum: true", 1)} {
+			settings, err = boot.Parse([]byte(without))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(settings.HoldsConfiguration()).To(BeFalse())
+			Expect(settings.CheckControl()).To(Succeed())
+		}
+	})
 })
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -102,7 +102,7 @@
 
 // follow takes what the agent tells, and connects anew when the agent has restarted. The facts that are there stay.
 func (p *Proxy) follow(ctx context.Context) {
-	address := p.settings.Internal("127.0.0.1", boot.FeedPort)
+	address := p.settings.FeedAddress()
 	for ctx.Err() == nil {
 		if err := p.followOnce(ctx, address); err != nil {
 			p.log.WithError(err).Debug("the feed ended")
