--- a/cmd/hazellab/soak.go
+++ b/cmd/hazellab/soak.go
@@ -24,6 +24,7 @@
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "`N` runs, one after the other"},
 			&cli.FloatFlag{Name: "minutes", Value: 1, Usage: "how long there are faults"},
 			&cli.IntFlag{Name: "processes", Value: 15, Usage: "`N` processes at most"},
+			&cli.BoolFlag{Name: "beside", Usage: "run control within agents, on machines that take requests"},
 			&cli.StringFlag{Name: "binary", Usage: "hazelfleet's `FILE`; default: beside this program"},
 			&cli.StringFlag{Name: "report", Usage: "the `FILE` for the reports, one JSON object a line"},
 			&cli.StringFlag{Name: "log", Usage: "the `FILE` for what the processes say"},
@@ -34,7 +35,7 @@
 
 func runSoak(ctx context.Context, c *cli.Command) error {
 	settings := soak.Settings{Seed: c.Uint64("seed"), For: time.Duration(c.Float("minutes") * float64(time.Minute)), Processes: c.Int("processes"),
-		Binary: c.String("binary")}
+		Binary: c.String("binary"), Beside: c.Bool("beside")}
 	if settings.Binary == "" {
 		self, err := os.Executable()
 		if err != nil {
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -66,7 +66,7 @@
 	if c.http != nil {
 		c.http.CloseIdleConnections()
 	}
-	c.at = c.fleet.edges[c.rng.IntN(len(c.fleet.edges))]
+	c.at = c.fleet.fronts()[c.rng.IntN(len(c.fleet.fronts()))]
 	dialer := &net.Dialer{Timeout: connectWithin}
 	c.http = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true}}
 }
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -242,7 +242,7 @@
 type machine struct {
 	name      string
 	ip        string
-	first     int // of its internal ports
+	disk      bool // it holds a part of the configuration
 	file      string
 	processes []*process
 
--- a/internal/lab/soak/settings.go
+++ b/internal/lab/soak/settings.go
@@ -31,6 +31,7 @@
 
 const (
 	leastProcesses = 7 // three control processes, two agents and two proxies
+	leastBeside    = 8 // four machines with an agent and a proxy, three of them with a disk
 	mostProcesses  = 300
 	// processMB is what one process takes at most, in megabytes of 2^20 bytes.
 	processMB = 32
@@ -44,6 +45,7 @@
 	Seed      uint64
 	For       time.Duration // how long there are faults
 	Processes int
+	Beside    bool      // control runs within agents, on machines that take requests
 	Binary    string    // hazelfleet's file
 	Dir       string    // for disks and settings; empty: a folder that is removed
 	Log       io.Writer // what the processes write
@@ -54,6 +56,8 @@
 	switch {
 	case s.Processes < leastProcesses:
 		return Error.New("--processes %d: want %d at least (three control processes, two agents, two proxies)", s.Processes, leastProcesses)
+	case s.Beside && s.Processes < leastBeside:
+		return Error.New("--processes %d: want %d at least with --beside (four machines with an agent and a proxy)", s.Processes, leastBeside)
 	case s.Processes > mostProcesses:
 		return Error.New("--processes %d: want %d at most", s.Processes, mostProcesses)
 	case s.For < leastFor:
@@ -97,7 +101,15 @@
 	return 3
 }
 
-func (s *Settings) edges() int { return (s.Processes - s.controls()) / 2 }
+func (s *Settings) edges() int { return (s.Processes - s.controlProcesses()) / 2 }
+
+// controlProcesses is the number of processes on machines that hold a part of the configuration.
+func (s *Settings) controlProcesses() int {
+	if s.Beside {
+		return 2 * s.controls()
+	}
+	return s.controls()
+}
 
 // tolerate is how many control machines may be lost at once.
 func (s *Settings) tolerate() int { return (s.controls() - 1) / 2 }
