One control process reads the platform's list; the others by turns where it does not

Change: the first by rank reads it every 0.9 s; the others, who hear its age with each exchange, read where it is older than 1.5 s and 0.1 s for each rank. Agents read by themselves from 2.3 s on (1.9 before). A list that changes is pushed as before, so that a server that drains is known after 0.9 s and a push, or 1.9 s and a push where the reader has just gone; DrainMs is 3 s and more.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,7 +25,7 @@
 
 const (
 	// staleAfter is the age of the list at which an agent reads it itself, staleSpread what is added by its rank.
-	staleAfter    = 1900 * time.Millisecond
+	staleAfter    = 2300 * time.Millisecond
 	staleSpread   = 400 * time.Millisecond
 	checkEvery    = 150 * time.Millisecond
 	headerTimeout = 3 * time.Second
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -26,8 +26,13 @@
 var Error = errs.Class("control")
 
 const (
-	// listEvery is the time between readings of the platform's list by one process.
-	listEvery = time.Second
+	// listEvery is the time between readings of the platform's list by the process whose turn it is, listLook how often the others look
+	// whether it still reads. They do so themselves where the list is older than listStale, later by listStep for each rank.
+	listEvery = 900 * time.Millisecond
+	listLook  = 100 * time.Millisecond
+	listStale = 1500 * time.Millisecond
+	listStep  = 100 * time.Millisecond
+	listSteps = 4 // ranks that are told apart
 	// stopWithin bounds the end of calls that are under way at SIGTERM.
 	stopWithin    = 2 * time.Second
 	headerTimeout = 3 * time.Second
@@ -153,17 +158,29 @@
 	c.follower.tell(value)
 }
 
-// readLists reads the platform's list. Processes read out of step with one another.
+// readLists reads the platform's list where its turn has come. Calls to the platform cost all, and a list that one has read reaches the
+// others within a moment; how old theirs is tells them that nobody reads.
 func (c *Control) readLists(ctx context.Context) {
-	pause := rand.N(listEvery / 4)
-	for wait(ctx, pause) == nil {
+	for wait(ctx, listLook) == nil {
+		facts, _ := c.node.Facts()
+		if !facts.List.ReadAt.IsZero() && time.Since(facts.List.ReadAt) < listTurn(facts.Rank) {
+			continue
+		}
 		began := time.Now()
 		instances, err := c.platform.Read(ctx)
-		if err == nil {
-			c.node.SetList(instances, began)
-		} else {
+		if err != nil {
 			c.log.WithError(err).Debug("the list was not read")
+			_ = wait(ctx, rand.N(listEvery/2)) // an end is seen by the next look
+			continue
 		}
-		pause = max(listEvery-time.Since(began), listEvery/4)
+		c.node.SetList(instances, began)
+	}
+}
+
+// listTurn is the age of the list at which a process of a rank reads it.
+func listTurn(rank int) time.Duration {
+	if rank == 0 {
+		return listEvery
 	}
+	return listStale + listStep*time.Duration(min(rank, listSteps)-1)
 }
--- /dev/null
+++ b/internal/control/lists_test.go
@@ -0,0 +1,20 @@
+package control
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("the reading of the platform's list", func() {
+	It("goes to one process, and to the others by turns before half of the time to drain is over", func() {
+		const drain = 3 * time.Second // the shortest of the deployments
+		Expect(listTurn(0)).To(Equal(listEvery))
+		for rank := 1; rank < 40; rank++ {
+			Expect(listTurn(rank)).To(BeNumerically(">", listTurn(0)+400*time.Millisecond), "an exchange lies between")
+			Expect(listTurn(rank)).To(BeNumerically(">=", listTurn(rank-1)))
+			Expect(listTurn(rank)).To(BeNumerically("<", drain*2/3))
+		}
+	})
+})
