A prompt whose reader can't be reached is read at another one, not beside answers

Each proxy finds each of them by itself; a prompt whose reader could not be reached was at once read beside answers, a quarter of a second or more of what some 15 other streams wait for. Found by reading the ways that lead there, after large prompts beside answers had proved to be what makes streams pause. Change: while no server has taken a prompt up, up to three readers are tried; nothing of it counts in the budget, since nothing arrived. The test fails without the change, with either reader as the home.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,7 +18,9 @@
 
 const (
 	// readingMost is how long the reading of a prompt is waited for, in times the route's objective.
-	readingMost  = 6
+	readingMost = 6
+	// readersMost bounds the servers that are tried for the reading of a prompt while none has taken it up.
+	readersMost  = 3
 	maxHandle    = 64 << 10
 	eventBuffer  = 4 << 10
 	freeWithin   = time.Second
@@ -141,33 +144,46 @@
 	if j.handle.cache != "" {
 		return p.runRead(ctx, out, j, prompt)
 	}
-	var plan placement.Plan
-	found := p.await(ctx, j, func(now float64, _ *placement.Pool, planner *placement.Planner) (found bool) {
-		apart := j.arrivals == 0 && !out.begun
-		if plan, found = planner.Choose(now, prompt, j.tried, apart); !found {
+	without := slices.Clone(j.tried)
+	for range readersMost {
+		plan, found := p.place(ctx, j, prompt, without, j.arrivals == 0 && !out.begun)
+		if !found {
+			j.last = NotSent
 			return false
 		}
-		if plan.Reader != nil {
+		if plan.Reader == nil {
+			return p.runStream(ctx, out, j, run{endpoint: plan.Runner, prompt: prompt})
+		}
+		cache, verdict := p.readPrompt(ctx, j, plan.Reader, prompt)
+		j.handle, j.times.read = handle{cache: cache, zone: plan.Reader.Zone}, time.Now()
+		if ctx.Err() != nil {
+			j.last = Canceled
+			return false
+		}
+		if verdict != NotSent {
+			break
+		}
+		// No server has taken it up. Reading it beside answers would hold these up for a server that is merely gone.
+		without = append(without, plan.Reader)
+	}
+	return p.runRead(ctx, out, j, prompt)
+}
+
+// place chooses servers for a prompt and counts it at the one that is asked first.
+func (p *Proxy) place(ctx context.Context, j *job, prompt *placement.Prompt, without []*placement.Endpoint, apart bool) (plan placement.Plan, found bool) {
+	found = p.await(ctx, j, func(now float64, _ *placement.Pool, planner *placement.Planner) bool {
+		chosen, some := planner.Choose(now, prompt, without, apart)
+		if !some {
+			return false
+		}
+		if plan = chosen; plan.Reader != nil {
 			plan.Reader.Begin()
 		} else {
 			plan.Runner.Begin()
 		}
 		return true
 	})
-	if !found {
-		j.last = NotSent
-		return false
-	}
-	if plan.Reader == nil {
-		return p.runStream(ctx, out, j, run{endpoint: plan.Runner, prompt: prompt})
-	}
-	j.handle = handle{cache: p.readPrompt(ctx, j, plan.Reader, prompt), zone: plan.Reader.Zone}
-	j.times.read = time.Now()
-	if ctx.Err() != nil {
-		j.last = Canceled
-		return false
-	}
-	return p.runRead(ctx, out, j, prompt)
+	return plan, found
 }
 
 // runRead has an answer made of the cache that was read, or without one where reading failed. Its server is chosen only now.
@@ -186,8 +202,8 @@
 	return p.runStream(ctx, out, j, run{endpoint: runner, prompt: prompt})
 }
 
-// readPrompt has a prompt read and returns the handle of its cache, "" if that failed.
-func (p *Proxy) readPrompt(ctx context.Context, j *job, reader *placement.Endpoint, prompt *placement.Prompt) string {
+// readPrompt has a prompt read and returns the handle of its cache, "" if that failed, and how far it came.
+func (p *Proxy) readPrompt(ctx context.Context, j *job, reader *placement.Endpoint, prompt *placement.Prompt) (string, Verdict) {
 	var reading *placement.Reading
 	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
 		if planner != nil {
@@ -213,7 +229,7 @@
 	if verdict == NotExecuted {
 		j.arrivals++ // one that was turned away counts
 	}
-	return handle
+	return handle, verdict
 }
 
 type handleAnswer struct {
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -106,6 +106,21 @@
 		Expect(runner.seen()[0].Header).NotTo(HaveKey(headerKVFrom))
 	})
 
+	It("is read at another server where the first can't be reached, and not beside answers", func() {
+		for _, ids := range [][]string{{"i-1", "i-3"}, {"i-3", "i-1"}} { // either is the prompt's home
+			gone := startServer(ids[0], "s", message.Prefill, reads)
+			Expect(gone.listener.Close()).To(Succeed())
+			reader := startServer(ids[1], "s", message.Prefill, reads)
+			runner := startServer("i-2", "s", message.Decode, events(3))
+			_, front := startProxy(route(routes.Streaming), true, gone, reader, runner)
+			_, body, err := ask(front, tokens...)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(allEvents(3)))
+			Expect(runner.seen()).To(HaveLen(1))
+			Expect(runner.seen()[0].Header.Get(headerKVFrom)).To(Equal(reader.Address + "/h1"))
+		}
+	})
+
 	It("offers its cache to one more server when the first has no room", func() {
 		reader := startServer("i-1", "s", message.Prefill, reads)
 		one, two := startServer("i-2", "s", message.Decode, full), startServer("i-3", "s", message.Decode, events(3))
