A refused or lost reading is made at another reader, within budget and attempts

Readers that change their stage, are full or go down refuse or lose prompts, which then went beside answers. Change: a refusal is followed by another reader where the retry budget has room, a lost reading where the route's attempts and the budget have; both count as they did.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -190,6 +190,11 @@
 	if j.arrivals == 0 || j.last == NotSent {
 		return true
 	}
+	return p.spend(j)
+}
+
+// spend takes one arrival out of the budget, if there is room.
+func (p *Proxy) spend(j *job) bool {
 	ok := false
 	p.state.do(j.service, func(now float64, pool *placement.Pool, _ *placement.Planner) {
 		ok = pool != nil && pool.Budget.Spend(now, pool.Count())
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -144,9 +144,10 @@
 	if j.handle.cache != "" {
 		return p.runRead(ctx, out, j, prompt)
 	}
+	apart := j.arrivals == 0 && !out.begun
 	without := slices.Clone(j.tried)
 	for range readersMost {
-		plan, found := p.place(ctx, j, prompt, without, j.arrivals == 0 && !out.begun)
+		plan, found := p.place(ctx, j, prompt, without, apart)
 		if !found {
 			j.last = NotSent
 			return false
@@ -160,15 +161,35 @@
 			j.last = Canceled
 			return false
 		}
-		if verdict != NotSent {
+		if !p.readsAgain(j, verdict) {
 			break
 		}
-		// No server has taken it up. Reading it beside answers would hold these up for a server that is merely gone.
+		// Reading it beside answers would hold these up for a server that is merely gone or changing.
 		without = append(without, plan.Reader)
 	}
 	return p.runRead(ctx, out, j, prompt)
 }
 
+// readsAgain tells whether a prompt may be read at another server after a reading that ended so. Nothing counts until a server has taken it
+// up. A refusal counts as an arrival, and a reading that was lost as an attempt as well.
+func (p *Proxy) readsAgain(j *job, verdict Verdict) bool {
+	switch verdict {
+	case NotSent:
+		return true
+	case NotExecuted:
+		return p.spend(j)
+	case MayHaveRun:
+		if j.runs+1 >= j.route.MaxAttempts || !p.spend(j) {
+			return false
+		}
+		j.arrivals++
+		j.runs++
+		return true
+	default:
+		return false
+	}
+}
+
 // place chooses servers for a prompt and counts it at the one that is asked first.
 func (p *Proxy) place(ctx context.Context, j *job, prompt *placement.Prompt, without []*placement.Endpoint, apart bool) (plan placement.Plan, found bool) {
 	found = p.await(ctx, j, func(now float64, _ *placement.Pool, planner *placement.Planner) bool {
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -121,6 +121,23 @@
 		}
 	})
 
+	It("is read at another server where the first refuses, as far as the budget goes", func() {
+		for _, ids := range [][]string{{"i-1", "i-3"}, {"i-3", "i-1"}} { // either is the prompt's home
+			refusing := startServer(ids[0], "s", message.Prefill, full)
+			reader := startServer(ids[1], "s", message.Prefill, reads)
+			runner := startServer("i-2", "s", message.Decode, events(3))
+			_, front := startProxy(route(routes.Streaming), true, refusing, reader, runner)
+			for range 3 {
+				_, body, err := ask(front, tokens...)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(body).To(Equal(allEvents(3)))
+			}
+			for _, r := range runner.seen() {
+				Expect(r.Header.Get(headerKVFrom)).To(Equal(reader.Address + "/h1"))
+			}
+		}
+	})
+
 	It("offers its cache to one more server when the first has no room", func() {
 		reader := startServer("i-1", "s", message.Prefill, reads)
 		one, two := startServer("i-2", "s", message.Decode, full), startServer("i-3", "s", message.Decode, events(3))
