--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -53,7 +53,8 @@
 // Beat is the heartbeat of a life that the receiver knows by its record. Beats cost a few bytes, so that news of all live
 // processes goes with each exchange while records are told now and then.
 type Beat struct {
-	_msgpack struct{} `msgpack:",as_array"` // many go with each exchange; either form is read
+	//lint:ignore U1000 the library goes by this field: many values go with each exchange, and either form is read
+	_msgpack struct{} `msgpack:",as_array"`
 
 	Key       uint32 `msgpack:"k"`
 	Heartbeat uint64 `msgpack:"b"`
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -95,7 +95,8 @@
 
 // Load is what a server told of itself: requests running and waiting there.
 type Load struct {
-	_msgpack struct{} `msgpack:",as_array"` // many go with each exchange; either form is read
+	//lint:ignore U1000 the library goes by this field: many values go with each exchange, and either form is read
+	_msgpack struct{} `msgpack:",as_array"`
 
 	Key     uint32 `msgpack:"k"` // of the instance
 	Running uint16 `msgpack:"r"`
