--- /dev/null
+++ b/internal/proxy/reading.go
@@ -0,0 +1,118 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"hazelwheel/internal/decide/placement"
+)
+
+// readsAgain tells whether a prompt may be read at another server after a reading that ended so. Nothing counts until a server has taken it
+// up. A refusal counts as an arrival, and a reading that was lost as an attempt as well.
+func (p *Proxy) readsAgain(j *job, verdict Verdict) bool {
+	switch verdict {
+	case NotSent:
+		return true
+	case NotExecuted:
+		return p.spend(j)
+	case MayHaveRun:
+		if j.runs+1 >= j.route.MaxAttempts || !p.spend(j) {
+			return false
+		}
+		j.arrivals++
+		j.runs++
+		return true
+	default:
+		return false
+	}
+}
+
+// readPrompt has a prompt read and returns the handle of its cache, "" if that failed, and how far it came.
+func (p *Proxy) readPrompt(ctx context.Context, j *job, reader *placement.Endpoint, prompt *placement.Prompt) (string, Verdict) {
+	var reading *placement.Reading
+	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
+		if planner != nil {
+			reading = planner.BeginReading(now, reader, prompt)
+		}
+	})
+	limit := time.Duration(readingMost * j.route.TargetMs * float64(time.Millisecond))
+	readCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	handle, verdict := p.callReader(readCtx, j, reader)
+	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
+		reader.End()
+		if planner != nil && reading != nil {
+			planner.EndReading(now, reader, reading, verdict == Served)
+		}
+		switch {
+		case verdict == Served:
+			reader.Succeeded()
+		case ctx.Err() == nil && verdict != NotExecuted:
+			reader.Failed(now, verdict == NotSent)
+		}
+	})
+	if verdict == NotExecuted {
+		j.arrivals++ // one that was turned away counts
+	}
+	return handle, verdict
+}
+
+type handleAnswer struct {
+	KvHandle string
+}
+
+func (p *Proxy) callReader(ctx context.Context, j *job, reader *placement.Endpoint) (string, Verdict) {
+	request := encodeRequest(j.request, j.body, j.left(), field{headerExpectInstance, reader.ID}, field{headerServingStage, stagePrefill},
+		field{headerPriority, priorityOf(j)})
+	got, verdict := p.exchange(ctx, j, reader, request)
+	if verdict != Served {
+		return "", verdict
+	}
+	body, err := io.ReadAll(io.LimitReader(got.answer.Body, maxHandle))
+	if err != nil || !whole(got.answer) {
+		got.abort()
+		return "", MayHaveRun
+	}
+	got.finish(p.backends, reader.Address)
+	var answer handleAnswer
+	switch {
+	case refusal(got.answer):
+		return "", NotExecuted
+	case got.answer.StatusCode != http.StatusOK || json.Unmarshal(body, &answer) != nil || answer.KvHandle == "":
+		return "", MayHaveRun
+	}
+	return reader.Address + "/" + answer.KvHandle, Served
+}
+
+func priorityOf(j *job) string { return strconv.Itoa(min(max(j.route.Priority, 0), priorityMost)) }
+
+// freeHandle lets a server forget a cache that nobody takes.
+func (p *Proxy) freeHandle(handle string) {
+	address, id, ok := strings.Cut(handle, "/")
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeWithin)
+		defer cancel()
+		conn, err := p.backends.get(ctx, address, "")
+		if err != nil {
+			return
+		}
+		request := "DELETE /kv-handle/" + id + " HTTP/1.1\r\nHost: " + address + "\r\nContent-Length: 0\r\n\r\n"
+		got, _, err := send(ctx, conn, http.MethodDelete, "", []byte(request))
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(got.answer.Body, maxSurplus)); err != nil {
+			got.abort()
+			return
+		}
+		got.finish(p.backends, address)
+	}()
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -2,15 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"hazelwheel/internal/decide/placement"
@@ -27,67 +23,6 @@
 	priorityMost = 9
 )
 
-// relay passes a stream's events on to a client. It holds the head back until there is an event to go with it.
-type relay struct {
-	w       http.ResponseWriter
-	control *http.ResponseController
-	begun   bool
-	lastID  string
-}
-
-// errClient says that the client takes no more.
-var errClient = errors.New("the client is gone")
-
-// head writes the head of the first server's answer.
-func (s *relay) head(answer *http.Response) {
-	if s.begun {
-		return
-	}
-	s.begun = true
-	passHead(s.w, answer)
-	s.w.WriteHeader(answer.StatusCode)
-}
-
-// event passes on one whole event.
-func (s *relay) event(answer *http.Response, event []byte) error {
-	s.head(answer)
-	if _, err := s.w.Write(event); err != nil {
-		return errClient
-	}
-	if err := s.control.Flush(); err != nil {
-		return errClient
-	}
-	if id := eventID(event); id != "" {
-		s.lastID = id
-	}
-	return nil
-}
-
-func eventID(event []byte) string {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return strings.TrimSpace(string(value))
-		}
-	}
-	return ""
-}
-
-// readEvent returns the bytes up to and with the next empty line. At a proper end it returns what is left with io.EOF.
-func readEvent(in *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := in.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-		case err != nil:
-			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(line) <= 2:
-			return event, nil
-		}
-	}
-}
-
 // stream serves a request whose answer is a series of events.
 func (p *Proxy) stream(ctx context.Context, w http.ResponseWriter, j *job, engine bool) {
 	out := &relay{w: w, control: http.NewResponseController(w)}
@@ -170,26 +105,6 @@
 	return p.runRead(ctx, out, j, prompt)
 }
 
-// readsAgain tells whether a prompt may be read at another server after a reading that ended so. Nothing counts until a server has taken it
-// up. A refusal counts as an arrival, and a reading that was lost as an attempt as well.
-func (p *Proxy) readsAgain(j *job, verdict Verdict) bool {
-	switch verdict {
-	case NotSent:
-		return true
-	case NotExecuted:
-		return p.spend(j)
-	case MayHaveRun:
-		if j.runs+1 >= j.route.MaxAttempts || !p.spend(j) {
-			return false
-		}
-		j.arrivals++
-		j.runs++
-		return true
-	default:
-		return false
-	}
-}
-
 // place chooses servers for a prompt and counts it at the one that is asked first.
 func (p *Proxy) place(ctx context.Context, j *job, prompt *placement.Prompt, without []*placement.Endpoint, apart bool) (plan placement.Plan, found bool) {
 	found = p.await(ctx, j, func(now float64, _ *placement.Pool, planner *placement.Planner) bool {
@@ -223,91 +138,6 @@
 	return p.runStream(ctx, out, j, run{endpoint: runner, prompt: prompt})
 }
 
-// readPrompt has a prompt read and returns the handle of its cache, "" if that failed, and how far it came.
-func (p *Proxy) readPrompt(ctx context.Context, j *job, reader *placement.Endpoint, prompt *placement.Prompt) (string, Verdict) {
-	var reading *placement.Reading
-	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
-		if planner != nil {
-			reading = planner.BeginReading(now, reader, prompt)
-		}
-	})
-	limit := time.Duration(readingMost * j.route.TargetMs * float64(time.Millisecond))
-	readCtx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	handle, verdict := p.callReader(readCtx, j, reader)
-	p.state.do(j.service, func(now float64, _ *placement.Pool, planner *placement.Planner) {
-		reader.End()
-		if planner != nil && reading != nil {
-			planner.EndReading(now, reader, reading, verdict == Served)
-		}
-		switch {
-		case verdict == Served:
-			reader.Succeeded()
-		case ctx.Err() == nil && verdict != NotExecuted:
-			reader.Failed(now, verdict == NotSent)
-		}
-	})
-	if verdict == NotExecuted {
-		j.arrivals++ // one that was turned away counts
-	}
-	return handle, verdict
-}
-
-type handleAnswer struct {
-	KvHandle string
-}
-
-func (p *Proxy) callReader(ctx context.Context, j *job, reader *placement.Endpoint) (string, Verdict) {
-	request := encodeRequest(j.request, j.body, j.left(), field{headerExpectInstance, reader.ID}, field{headerServingStage, stagePrefill},
-		field{headerPriority, priorityOf(j)})
-	got, verdict := p.exchange(ctx, j, reader, request)
-	if verdict != Served {
-		return "", verdict
-	}
-	body, err := io.ReadAll(io.LimitReader(got.answer.Body, maxHandle))
-	if err != nil || !whole(got.answer) {
-		got.abort()
-		return "", MayHaveRun
-	}
-	got.finish(p.backends, reader.Address)
-	var answer handleAnswer
-	switch {
-	case refusal(got.answer):
-		return "", NotExecuted
-	case got.answer.StatusCode != http.StatusOK || json.Unmarshal(body, &answer) != nil || answer.KvHandle == "":
-		return "", MayHaveRun
-	}
-	return reader.Address + "/" + answer.KvHandle, Served
-}
-
-func priorityOf(j *job) string { return strconv.Itoa(min(max(j.route.Priority, 0), priorityMost)) }
-
-// freeHandle lets a server forget a cache that nobody takes.
-func (p *Proxy) freeHandle(handle string) {
-	address, id, ok := strings.Cut(handle, "/")
-	if !ok {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), freeWithin)
-		defer cancel()
-		conn, err := p.backends.get(ctx, address, "")
-		if err != nil {
-			return
-		}
-		request := "DELETE /kv-handle/" + id + " HTTP/1.1\r\nHost: " + address + "\r\nContent-Length: 0\r\n\r\n"
-		got, _, err := send(ctx, conn, http.MethodDelete, "", []byte(request))
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(got.answer.Body, maxSurplus)); err != nil {
-			got.abort()
-			return
-		}
-		got.finish(p.backends, address)
-	}()
-}
-
 // runStream has an answer made and passes it on. It returns whether the client has its answer, else j.last says why not.
 func (p *Proxy) runStream(ctx context.Context, out *relay, j *job, r run) bool {
 	set := []field{{headerExpectInstance, r.endpoint.ID}, {headerPriority, priorityOf(j)}}
