--- a/cmd/hazelfleet/main.go
+++ b/cmd/hazelfleet/main.go
@@ -44,6 +44,8 @@
   agent    keeps a proxy's link to the rest of the fleet, and is control as well on machines whose disk counts
   control  holds the configuration and takes it from the operator
   check    checks the settings file and ends
+  check CONFIG [PATCH]
+           checks a configuration, and a patch on top of it, and ends
 The settings file is named by ` + boot.EnvFile + `.
 `
 
@@ -53,10 +55,13 @@
 	flags := flag.NewFlagSet("hazelfleet", flag.ContinueOnError)
 	level := flags.String("log-level", "info", "what is logged at least: debug, info, warning or error")
 	flags.Usage = func() { fmt.Fprint(os.Stderr, usage) }
-	if err := flags.Parse(arguments); err != nil || flags.NArg() != 1 {
+	if err := flags.Parse(arguments); err != nil || flags.NArg() < 1 || flags.NArg() > mostArguments(flags.Arg(0)) {
 		flags.Usage()
 		return statusUsage
 	}
+	if flags.NArg() > 1 {
+		return checkConfiguration(flags.Args()[1:], os.Stdout, os.Stderr)
+	}
 	parsed, err := logrus.ParseLevel(*level)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "hazelfleet: --log-level:", err)
@@ -85,6 +90,14 @@
 	return start(role, settings, hangups)
 }
 
+// mostArguments is how many arguments there may be behind the flags.
+func mostArguments(role string) int {
+	if role == roleCheck {
+		return 3 // a configuration and a patch
+	}
+	return 1
+}
+
 func start(role string, settings *boot.Settings, hangups <-chan os.Signal) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
