--- a/internal/control/stages_test.go
+++ b/internal/control/stages_test.go
@@ -60,4 +60,20 @@
 		k.act(context.Background())
 		Expect(told(k).Sequence).To(Equal(first.Sequence), "nothing new is told")
 	})
+
+	It("goes by how busy readers tell that they are, and by what live proxies ask", func() {
+		k := keeper(4)
+		k.instances = []message.Instance{{ID: "r", Service: "s", Stage: message.Prefill, Slots: 8}, {ID: "silent", Service: "s", Stage: message.Prefill},
+			{ID: "d", Service: "s", Stage: message.Decode}, {ID: "gone", Service: "s", Stage: message.Decode, Draining: true}, {ID: "plain", Service: "t"}}
+		k.control.node.SetLoads([]message.Load{{Key: message.LoadKey("r"), Running: 1, Waiting: 3}, {Key: message.LoadKey("d"), Running: 5},
+			{Key: message.LoadKey("gone"), Running: 9}})
+		k.control.node.SetDemands([]membership.Demand{{Service: "s", ReadPerS: 100, Streams: 4, Held: 70}})
+		demand := k.demands()["s"]
+		Expect(demand.Busy.Told).To(Equal(1), "readers alone, and those that tell")
+		Expect(demand.Busy.Servers).To(BeNumerically(">", 0.8))
+		Expect(demand.Reports).To(Equal(1))
+		Expect(demand.Streams).To(Equal(4.0))
+		Expect(k.standings()).To(Equal(map[string]*byStage{"s": {prefill: standing{servers: 2, running: 1, waiting: 3},
+			decode: standing{servers: 1, running: 5}}}))
+	})
 })
