A sidecar asked before its loop has ended a lapsed lease doesn't say that it acts

Cause of TestOwnerWithoutAMajority (known red), found by reading: the door and the figures told the token of a job from what the loop keeps; a process that stood still, or starved, may be asked before the loop has come to the end of the lease, while what it does under the token is refused by the lease itself. So 'a lease has outlived a majority' was said of one that could do nothing. Change: what is told goes by the lease at that moment, by the same check as acting.

--- a/internal/fleet/effects.go
+++ b/internal/fleet/effects.go
@@ -40,13 +40,22 @@
 	return true
 }
 
+// actsUnder returns the token under which this sidecar may act for a job now, 0 if there is none. Danger: a process that stood still may be
+// asked before its loop has come to end what its lease no longer covers.
+func (o *owners) actsUnder(j *job) uint64 {
+	if o.t == nil || j.held == 0 {
+		return 0
+	}
+	if token, ok := o.t.Holds(o.f.net.Now(), j.name); !ok || token != j.held {
+		return 0
+	}
+	return j.held
+}
+
 // spread says something to all under the grant of a job, and tells whether it was said: not without a lease that is valid now.
 func (o *owners) spread(name string, kind uint8, body []byte) bool {
 	j := o.job(name)
-	if o.t == nil || j == nil || j.held == 0 {
-		return false
-	}
-	if token, ok := o.t.Holds(o.f.net.Now(), name); !ok || token != j.held {
+	if j == nil || o.actsUnder(j) == 0 {
 		return false
 	}
 	if Between != nil {
--- a/internal/fleet/seenowners.go
+++ b/internal/fleet/seenowners.go
@@ -80,7 +80,7 @@
 		o.job(g.Job)
 	}
 	for _, j := range o.jobs {
-		e := SeenJob{Job: j.name, Held: j.held, Taken: j.taken, Refused: j.refused, Foolish: j.foolish, Can: j.work != nil}
+		e := SeenJob{Job: j.name, Held: o.actsUnder(j), Taken: j.taken, Refused: j.refused, Foolish: j.foolish, Can: j.work != nil}
 		for _, g := range table.Grants {
 			if g.Job == j.name {
 				if e.Token = g.Token; g.Owner != 0 {
@@ -146,7 +146,7 @@
 	}
 	for _, j := range o.jobs {
 		label := `{job="` + j.name + `"}`
-		all = append(all, sidecar.Figure{Name: "owner_held" + label, Value: one(j.held != 0)}, sidecar.Figure{Name: "owner_token" + label, Value: j.heard.token},
+		all = append(all, sidecar.Figure{Name: "owner_held" + label, Value: one(o.actsUnder(j) != 0)}, sidecar.Figure{Name: "owner_token" + label, Value: j.heard.token},
 			sidecar.Figure{Name: "owner_taken" + label, Value: j.taken}, sidecar.Figure{Name: "owner_refused" + label, Value: j.refused})
 	}
 	return all
