--- a/cmd/hazelfleet/beside_test.go
+++ b/cmd/hazelfleet/beside_test.go
@@ -120,21 +120,7 @@
 	return held{config.Version, len(config.Routes)}
 }
 
-func (m *mixed) askAt(i int) string {
-	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/p/x", machineIP(i), m.base+21), strings.NewReader("hello"))
-	Expect(err).NotTo(HaveOccurred())
-	request.Host = "h"
-	request.Header.Set("Hazelwheel-Request-Id", "id")
-	request.Header.Set("Hazelwheel-Deadline-Ms", "3000")
-	answer, err := (&http.Client{Timeout: within}).Do(request)
-	if err != nil {
-		return err.Error()
-	}
-	defer answer.Body.Close()
-	body, err := io.ReadAll(answer.Body)
-	Expect(err).NotTo(HaveOccurred())
-	return fmt.Sprint(answer.StatusCode, " ", string(body))
-}
+func (m *mixed) askAt(i int) string { return askFront(fmt.Sprintf("%s:%d", machineIP(i), m.base+21)) }
 
 func (m *mixed) beginConfigured() {
 	Eventually(func() int { return m.order(http.MethodPut, allMachines-1, 0, firstConfig) }, within).Should(Equal(http.StatusOK))
--- a/cmd/hazelfleet/fleet_test.go
+++ b/cmd/hazelfleet/fleet_test.go
@@ -202,8 +202,11 @@
 }
 
 // ask sends a request through the proxy and returns status and body.
-func (f *fleet) ask() string {
-	request, err := http.NewRequest(http.MethodPost, "http://"+f.front()+"/p/x", bytes.NewBufferString("hello"))
+func (f *fleet) ask() string { return askFront(f.front()) }
+
+// askFront sends a request to a proxy's front address and returns status and body.
+func askFront(address string) string {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/p/x", bytes.NewBufferString("hello"))
 	Expect(err).NotTo(HaveOccurred())
 	request.Host = "h"
 	request.Header.Set("Hazelwheel-Request-Id", "id")
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -184,8 +184,11 @@
 }
 
 // put sends a configuration and returns the status, 0 where there was none.
-func (s *side) put(i, base int, data []byte) int {
-	request, err := http.NewRequest(http.MethodPut, "http://"+s.operator(i)+"/config", bytes.NewReader(data))
+func (s *side) put(i, base int, data []byte) int { return s.send(http.MethodPut, i, base, data) }
+
+// send sends a change and returns the status, 0 where there was none.
+func (s *side) send(method string, i, base int, data []byte) int {
+	request, err := http.NewRequest(method, "http://"+s.operator(i)+"/config", bytes.NewReader(data))
 	Expect(err).NotTo(HaveOccurred())
 	request.Header.Set("If-Match", fmt.Sprint(base))
 	answer, err := (&http.Client{Timeout: within}).Do(request)
--- a/internal/control/patch_test.go
+++ b/internal/control/patch_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -20,17 +19,7 @@
 }
 
 // patch sends a patch and returns the status, 0 where there was none.
-func (s *side) patch(i, base int, data []byte) int {
-	request, err := http.NewRequest(http.MethodPatch, "http://"+s.operator(i)+"/config", bytes.NewReader(data))
-	Expect(err).NotTo(HaveOccurred())
-	request.Header.Set("If-Match", fmt.Sprint(base))
-	answer, err := (&http.Client{Timeout: within}).Do(request)
-	if err != nil {
-		return 0
-	}
-	defer answer.Body.Close()
-	return answer.StatusCode
-}
+func (s *side) patch(i, base int, data []byte) int { return s.send(http.MethodPatch, i, base, data) }
 
 // text returns the configuration as a process tells it.
 func (s *side) text(i int) string {
