Soak: its test of SIGHUP works where SIGHUP was ignored, and as the first one

Cause of a whole run that stood still in this test: it was begun with nohup, so cat, which the test hangs up, ignored the signal and was waited for without end (the stack shows the wait). The test takes the signal itself first, so that its children get it as usual. Played alone it failed besides, since a process that has just begun has not taken the 10 ms of processor time that the test asks for; it takes them now. Shown: the test alone, with SIGHUP ignored and not, passes.

--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -142,6 +143,10 @@
 
 	// hungUp returns what the checker has seen of a process that SIGHUP ended.
 	hungUp := func(early bool) *Checker {
+		// Danger: where these tests were begun with SIGHUP ignored, as nohup does, what they begin would ignore it too, and never end.
+		caught := make(chan os.Signal, 1)
+		signal.Notify(caught, syscall.SIGHUP)
+		defer signal.Stop(caught)
 		f := &fleet{settings: &Settings{}, checker: NewChecker(), log: GinkgoWriter}
 		cmd := exec.Command("cat")
 		_, err := cmd.StdinPipe()
@@ -159,6 +164,12 @@
 		Expect(early.hungUp).To(Equal(1))
 		Expect(early.Broken()).To(BeEmpty())
 		Expect(hungUp(false).Broken()).To(HaveKey(EndsByItself))
+		const looks = 100_000 // each takes processor time, also where this test is the first one
+		for range looks {
+			if processorTime(os.Getpid()) > beginsWithin {
+				break
+			}
+		}
 		Expect(processorTime(os.Getpid())).To(BeNumerically(">", beginsWithin), "a test that has run for a while")
 		Expect(processorTime(-1)).To(BeZero())
 	})
