Test a reading that is lost: another reader within the attempts, else beside answers

Read again: the change that reads lost prompts at another server had a test of refusals and of servers out of reach alone. A comment said less than the bound does.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -15,7 +15,7 @@
 const (
 	// readingMost is how long the reading of a prompt is waited for, in times the route's objective.
 	readingMost = 6
-	// readersMost bounds the servers that are tried for the reading of a prompt while none has taken it up.
+	// readersMost bounds the servers that are tried for the reading of a prompt.
 	readersMost  = 3
 	maxHandle    = 64 << 10
 	eventBuffer  = 4 << 10
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -121,6 +121,28 @@
 		}
 	})
 
+	DescribeTable("whose reading is lost is read at another server as far as the route's attempts go", func(attempts int, apart bool) {
+		met := 0
+		for _, ids := range [][]string{{"i-1", "i-3"}, {"i-3", "i-1"}} { // either is the prompt's home
+			losing := startServer(ids[0], "s", message.Prefill, reset)
+			reader := startServer(ids[1], "s", message.Prefill, reads)
+			runner := startServer("i-2", "s", message.Decode, events(3))
+			limited := route(routes.Streaming)
+			limited.MaxAttempts = attempts
+			_, front := startProxy(limited, true, losing, reader, runner)
+			_, body, err := ask(front, tokens...)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(allEvents(3)))
+			if len(losing.seen()) == 0 {
+				continue // the other one is the home
+			}
+			met++
+			Expect(runner.seen()[0].Header.Get(headerKVFrom) != "").To(Equal(apart))
+			Expect(len(reader.seen()) > 0).To(Equal(apart))
+		}
+		Expect(met).To(Equal(1), "one of them is the home")
+	}, Entry("one attempt: beside answers", 1, false), Entry("two attempts", 2, true))
+
 	It("is read at another server where the first refuses, as far as the budget goes", func() {
 		for _, ids := range [][]string{{"i-1", "i-3"}, {"i-3", "i-1"}} { // either is the prompt's home
 			refusing := startServer(ids[0], "s", message.Prefill, full)
