Test that news go without the roster; addresses of one package's tests alone

Read again: what lowered the bytes between zones had no test (the zones have). The fleet whose disks stand on machines that take requests was played on the addresses of the cluster's tests, which may run at the same time; it has its own now.

--- a/cmd/hazelfleet/beside_test.go
+++ b/cmd/hazelfleet/beside_test.go
@@ -44,7 +44,7 @@
 
 func agentName(i int) string             { return fmt.Sprint("agent", i) }
 func proxyName(i int) string             { return fmt.Sprint("proxy", i) }
-func machineIP(i int) string             { return fmt.Sprintf("127.0.4.1%d", i) }
+func machineIP(i int) string             { return fmt.Sprintf("127.0.6.1%d", i) }
 func (m *mixed) operatorAt(i int) string { return fmt.Sprintf("%s:%d", machineIP(i), m.base+20) }
 func (m *mixed) disk(i int) string       { return filepath.Join(m.dir, fmt.Sprint("disk", i)) }
 
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -179,3 +179,22 @@
 		}, within, 10*time.Millisecond).Should(BeNumerically(">=", size-2))
 	})
 })
+
+var _ = Describe("news that can't wait", func() {
+	It("go without the roster, heartbeats and loads, and are answered so; an exchange tells all", func() {
+		f := startFleet()
+		address := f.nodes[0].Members()[0].Address
+		ask := func(news bool) *message.Gossip {
+			reply := &message.Gossip{}
+			request := &message.Gossip{Format: message.FormatVersion, News: news}
+			Expect(transport.NewClient().Call(context.Background(), address, "/fleet/v1/gossip", request, reply)).To(Succeed())
+			return reply
+		}
+		short, full := ask(true), ask(false)
+		Expect(short.Records).To(BeEmpty())
+		Expect(short.Beats).To(BeEmpty())
+		Expect(short.Loads).To(BeEmpty())
+		Expect(full.Records).NotTo(BeEmpty())
+		Expect(full.Beats).NotTo(BeEmpty())
+	})
+})
