--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hazelwheel/internal/config"
+	"hazelwheel/internal/drill"
 	"hazelwheel/internal/endpointset"
 	"hazelwheel/internal/features"
 	"hazelwheel/internal/netio"
@@ -184,3 +185,10 @@
 	assert.Same(t, fresh, s.idleConn(h, nil), "better than none")
 	assert.Nil(t, s.idleConn(h, nil))
 }
+
+// A drill holds a request for as long as it says, and leaves a fifth of the request's time for the send.
+func TestDrillLeavesTimeForTheSend(t *testing.T) {
+	for _, row := range []struct{ delayMS, leftS, want float64 }{{600, 10, 0.6}, {60_000, 15, 12}, {60_000, 1.5, 1.2}, {0, 3, 0}, {4000, 5, 4}} {
+		assert.InDelta(t, row.want, heldFor(&drill.Drill{DelayMS: row.delayMS}, row.leftS), 1e-9, "%v ms of %v s", row.delayMS, row.leftS)
+	}
+}
