The last reader that refuses a prompt spends nothing of the retry budget

Need: whether a prompt is read again was asked, and paid for, also where no further reader would be tried. Change: the last try ends without asking. The test counts what is left of the budget after three refusals; it fails before (3 spent, now 2).

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -81,7 +81,7 @@
 	}
 	apart := j.arrivals == 0 && !out.begun
 	without := slices.Clone(j.tried)
-	for range readersMost {
+	for tries := 1; tries <= readersMost; tries++ {
 		plan, found := p.place(ctx, j, prompt, without, apart)
 		if !found {
 			j.last = NotSent
@@ -96,7 +96,8 @@
 			j.last = Canceled
 			return false
 		}
-		if !p.readsAgain(j, verdict) {
+		// Danger: to ask whether it is read again spends of the budget, which the last one must not.
+		if tries == readersMost || !p.readsAgain(j, verdict) {
 			break
 		}
 		// Reading it beside answers would hold these up for a server that is merely gone or changing.
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"hazelwheel/internal/decide/placement"
 	"hazelwheel/internal/message"
 	"hazelwheel/internal/routes"
 )
@@ -143,6 +144,20 @@
 		Expect(met).To(Equal(1), "one of them is the home")
 	}, Entry("one attempt: beside answers", 1, false), Entry("two attempts", 2, true))
 
+	It("spends of the budget for readers that are asked again, and not for the last one", func() {
+		refusing := []*server{startServer("i-1", "s", message.Prefill, full), startServer("i-2", "s", message.Prefill, full), startServer("i-3", "s", message.Prefill, full)}
+		runner := startServer("i-4", "s", message.Decode, events(3))
+		asked, front := startProxy(route(routes.Streaming), true, append(refusing, runner)...)
+		untouched, _ := startProxy(route(routes.Streaming), true, runner)
+		_, body, err := ask(front, tokens...)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(allEvents(3)))
+		for _, reader := range refusing {
+			Expect(reader.seen()).To(HaveLen(1))
+		}
+		Expect(budgetLeft(asked)).To(Equal(budgetLeft(untouched) - 2))
+	})
+
 	It("is read at another server where the first refuses, as far as the budget goes", func() {
 		for _, ids := range [][]string{{"i-1", "i-3"}, {"i-3", "i-1"}} { // either is the prompt's home
 			refusing := startServer(ids[0], "s", message.Prefill, full)
@@ -199,3 +214,13 @@
 		Expect(strings.HasPrefix(body, "answer of")).To(BeTrue())
 	})
 })
+
+// budgetLeft uses a proxy's budget up, and returns how many arrivals there was room for.
+func budgetLeft(p *Proxy) (left int) {
+	p.state.do("s", func(now float64, pool *placement.Pool, _ *placement.Planner) {
+		for pool.Budget.Spend(now, pool.Count()) {
+			left++
+		}
+	})
+	return left
+}
