Try a new connection with a health check where a service takes few connections

In the first second after their start proxies know of few others as well, and use all servers. Ruled out: two connections a proxy to one server. Change: where two connections of each proxy would be more than a server takes, a new one is tried with a health check before a request that may run once goes over it. Where that fails nothing was sent, and another server is asked. A test with a server that resets new connections fails without it.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -278,9 +278,7 @@
 
 // exchange sends bytes to a server and reads the head of the answer.
 func (p *Proxy) exchange(ctx context.Context, j *job, endpoint *placement.Endpoint, request []byte) (*exchange, Verdict) {
-	dialCtx, cancel := context.WithTimeout(ctx, backendDialWithin)
-	conn, err := p.backends.get(dialCtx, endpoint.Address, j.id)
-	cancel()
+	conn, err := p.connect(ctx, j, endpoint)
 	if err != nil {
 		p.log.WithField("server", endpoint.ID).WithError(err).Debug("not connected")
 		return nil, NotSent
@@ -305,6 +303,20 @@
 	return got, Served
 }
 
+// connect returns a connection to a server over which a request may go.
+func (p *Proxy) connect(ctx context.Context, j *job, endpoint *placement.Endpoint) (*backendConn, error) {
+	ctx, cancel := context.WithTimeout(ctx, backendDialWithin)
+	defer cancel()
+	conn, err := p.backends.get(ctx, endpoint.Address, j.id)
+	if err != nil {
+		return nil, err
+	}
+	if !p.tryNew(ctx, j, endpoint, conn) {
+		return nil, errNotTaken
+	}
+	return conn, nil
+}
+
 // settle counts what came of an attempt.
 func (p *Proxy) settle(ctx context.Context, j *job, endpoint *placement.Endpoint, verdict Verdict) {
 	j.last = verdict
--- a/internal/proxy/plain_test.go
+++ b/internal/proxy/plain_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"hazelwheel/internal/decide/placement"
 	"hazelwheel/internal/message"
 	"hazelwheel/internal/routes"
 )
@@ -62,6 +63,21 @@
 		}
 	})
 
+	It("goes nowhere where a server that takes few connections resets a new one", func() {
+		for _, crowdedFirst := range []bool{true, false} {
+			one, two := startServer("i-1", "s", "", echo), startServer("i-2", "s", "", echo)
+			one.crowded, two.crowded = crowdedFirst, !crowdedFirst
+			p, front := startProxy(route(routes.NonIdempotent), false, one, two)
+			p.state.do("s", func(_ float64, pool *placement.Pool, _ *placement.Planner) { pool.SetConnections(2) })
+			for n := range 6 {
+				answer, _, err := ask(front, headerRequestID, fmt.Sprint("id-", n))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(answer.StatusCode).To(Equal(http.StatusOK))
+			}
+			Expect(len(one.seen()) + len(two.seen())).To(Equal(6))
+		}
+	})
+
 	It("is refused with a time to come back where no server has run it", func() {
 		_, front := startProxy(route(routes.NonIdempotent), false, startServer("i-1", "s", "", full))
 		answer, _, err := ask(front)
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hazelwheel/internal/decide/placement"
+	"hazelwheel/internal/routes"
 )
 
 const (
@@ -80,15 +81,53 @@
 	if err != nil {
 		return nil, 0
 	}
+	got, err := askHealthOn(ctx, conn, target)
+	if err != nil {
+		return nil, 0
+	}
+	got.finish(p.backends, target.address)
+	return got.answer.Header, got.answer.StatusCode
+}
+
+// askHealthOn asks for a server's health on a connection, and reads the whole answer. Where that fails the connection is closed.
+func askHealthOn(ctx context.Context, conn *backendConn, target dueProbe) (*exchange, error) {
 	request := "GET " + target.healthPath + " HTTP/1.1\r\nHost: " + target.host + "\r\n\r\n"
 	got, _, err := send(ctx, conn, http.MethodGet, "", []byte(request))
 	if err != nil {
-		return nil, 0
+		return nil, err
 	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(got.answer.Body, maxSurplus)); err != nil {
 		got.abort()
-		return nil, 0
+		return nil, err
 	}
-	got.finish(p.backends, target.address)
-	return got.answer.Header, got.answer.StatusCode
+	return got, nil
+}
+
+// tryNew asks for a server's health on a new connection before a request that may run once goes over it, where the service has few
+// connections. Danger: a server accepts what goes beyond its MaxConnections and resets it a moment later, so that a request on it may have
+// run. That happens after processes have lost power, whose connections servers keep for a while. It returns whether the connection is good.
+func (p *Proxy) tryNew(ctx context.Context, j *job, endpoint *placement.Endpoint, conn *backendConn) bool {
+	if conn.used || j.route.Kind == routes.Idempotent {
+		return true
+	}
+	target, scarce := dueProbe{endpoint: endpoint, id: endpoint.ID, host: j.service}, false
+	p.state.do(j.service, func(_ float64, pool *placement.Pool, _ *placement.Planner) {
+		if service := p.state.table.services[j.service]; service != nil && pool != nil {
+			target.healthPath, scarce = service.HealthPath, pool.FewConnections()
+		}
+	})
+	if !scarce || target.healthPath == "" {
+		return true
+	}
+	got, err := askHealthOn(ctx, conn, target)
+	if err != nil {
+		return false
+	}
+	if !got.stop() || got.answer.Close {
+		conn.Close()
+		return false
+	}
+	// No request has gone over it: a refusal that names none can still be meant for the first one only, as a health answer refuses nothing.
+	conn.used = false
+	return true
 }
--- a/internal/proxy/proxy_suite_test.go
+++ b/internal/proxy/proxy_suite_test.go
@@ -39,6 +39,7 @@
 	mu       sync.Mutex
 	requests []taken
 	conns    int
+	crowded  bool // it resets new connections a moment after it has accepted them
 }
 
 // behaviour answers the n-th request of a server on its connection. It returns whether the connection goes on.
@@ -66,7 +67,13 @@
 	defer conn.Close()
 	s.mu.Lock()
 	s.conns++
+	crowded := s.crowded
 	s.mu.Unlock()
+	if crowded {
+		_, _ = conn.Read(make([]byte, 1)) // whatever is sent first
+		reset(conn, taken{}, 0)
+		return
+	}
 	in := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(in)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -35,6 +35,9 @@
 	errUnnamed = errors.New("a refusal that names no request, on a connection that has served others")
 )
 
+// errNotTaken says that a server did not answer on a new connection.
+var errNotTaken = errors.New("the server does not answer on a new connection")
+
 // backendConn is a connection to a server.
 type backendConn struct {
 	net.Conn
