hazelfleet check names all faults with line and column; control without a disk redirects

Change: settings and configurations are examined as a whole (internal/finding, boot.Examine, routes.Examine): each fault in a line of its own with line, column and field, a warning for each field that isn't known. Processes still end with the first fault in one line. The command line says what is wrong with it before anything is read. 'control' on a machine whose disk doesn't count sends the operator on as agents there do. NaN and infinite times and weights, which JSON texts may hold in quotes, are refused. A test is replaced by a stricter one: it wanted one line of 'check' for a file with two faults; now both are wanted, and one line of a process. Three control processes of a test say that their disks count, as the deployments' files do.

--- a/cmd/hazelfleet/fleet_test.go
+++ b/cmd/hazelfleet/fleet_test.go
@@ -66,6 +66,9 @@
 	return f
 }
 
+// diskless is the control process whose disk doesn't count. It isn't started with the others.
+const diskless = 3
+
 func controlName(i int) string { return fmt.Sprint("control", i) }
 
 // ip returns the loopback address of a process's machine. The agent's feed is on 127.0.0.1 as everywhere.
@@ -119,7 +122,7 @@
 	case name == "proxy":
 		text += fmt.Sprintf("  Front: %q\n  Ready: %q\n", f.front(), f.ready())
 	case strings.HasPrefix(name, "control"):
-		text += fmt.Sprintf("  Control: \"%s:%d\"\n", ip(name), f.base+20)
+		text += fmt.Sprintf("  Control: \"%s:%d\"\nCountsForQuorum: %v\n", ip(name), f.base+20, name != controlName(diskless))
 	}
 	path := filepath.Join(f.dir, name+".yaml")
 	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
@@ -222,6 +225,17 @@
 }
 
 var _ = Describe("a fleet of processes", func() {
+	It("sends the operator on from a control process whose disk doesn't count", func() {
+		f := startFleet()
+		f.start(controlName(diskless), true)
+		Eventually(func() int { return f.put(diskless, 3, 0, "2000") }, within).Should(Equal(http.StatusOK))
+		Expect(f.version(diskless)).To(Equal(3))
+		Expect(f.put(diskless, 4, 0, "2500")).To(Equal(http.StatusPreconditionFailed))
+		Eventually(f.ask, within).Should(Equal("200 hello"))
+		entries, err := os.ReadDir(filepath.Join(f.dir, "data-"+controlName(diskless)))
+		Expect(err != nil || len(entries) == 0).To(BeTrue(), "nothing is stored there")
+	})
+
 	It("takes a configuration, carries it to the proxy and keeps it through kills and a lost disk", func() {
 		f := startFleet()
 		Eventually(func() int { return f.put(0, 3, 0, "2000") }, within).Should(Equal(http.StatusOK))
@@ -319,14 +333,20 @@
 		}
 	})
 
-	It("names a fault of its settings in one line and ends with 2", func() {
+	It("names the first fault of its settings in one line and ends with 2, the check names all", func() {
 		path := filepath.Join(GinkgoT().TempDir(), "boot.yaml")
 		Expect(os.WriteFile(path, []byte("NodeId: a\nIp: nowhere\n"), 0o600)).To(Succeed())
-		process := exec.Command(binary, "check")
-		process.Env = append(os.Environ(), "HAZELWHEEL_CONFIG="+path)
-		out, err := process.CombinedOutput()
-		Expect(err).To(HaveOccurred())
-		Expect(process.ProcessState.ExitCode()).To(Equal(statusUsage))
-		Expect(string(out)).To(Equal("hazelfleet: settings: " + path + ": line 2: Ip: not an IP address: \"nowhere\"\n"))
+		for role, want := range map[string]string{
+			"proxy": "line 2: Ip: not an IP address: \"nowhere\"\n",
+			"check": "line 2, column 1: Ip: not an IP address: \"nowhere\"\n" +
+				"hazelfleet: settings: " + path + ": InternalPortRange: want two ports, the first and the last of 3 or more\n",
+		} {
+			process := exec.Command(binary, role)
+			process.Env = append(os.Environ(), "HAZELWHEEL_CONFIG="+path)
+			out, err := process.CombinedOutput()
+			Expect(err).To(HaveOccurred())
+			Expect(process.ProcessState.ExitCode()).To(Equal(statusUsage))
+			Expect(string(out)).To(Equal("hazelfleet: settings: " + path + ": " + want))
+		}
 	})
 })
--- a/cmd/hazelfleet/main.go
+++ b/cmd/hazelfleet/main.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -46,6 +48,7 @@
   check    checks the settings file and ends
   check CONFIG [PATCH]
            checks a configuration, and a patch on top of it, and ends
+check names all faults at once, each with its line and column, and warns of fields that it doesn't know.
 The settings file is named by ` + boot.EnvFile + `.
 `
 
@@ -55,12 +58,28 @@
 	flags := flag.NewFlagSet("hazelfleet", flag.ContinueOnError)
 	level := flags.String("log-level", "info", "what is logged at least: debug, info, warning or error")
 	flags.Usage = func() { fmt.Fprint(os.Stderr, usage) }
-	if err := flags.Parse(arguments); err != nil || flags.NArg() < 1 || flags.NArg() > mostArguments(flags.Arg(0)) {
+	if err := flags.Parse(arguments); err != nil {
+		return statusOfUsage(err)
+	}
+	if flags.NArg() == 0 {
 		flags.Usage()
 		return statusUsage
 	}
-	if flags.NArg() > 1 {
-		return checkConfiguration(flags.Args()[1:], os.Stdout, os.Stderr)
+	role, files := flags.Arg(0), flags.Args()[1:]
+	if slices.ContainsFunc(files, asksForHelp) {
+		fmt.Print(usage)
+		return 0
+	}
+	if !slices.Contains([]string{roleProxy, roleAgent, roleControl, roleCheck}, role) {
+		fmt.Fprintf(os.Stderr, "hazelfleet: there is no %q: proxy, agent, control or check\n", role)
+		return statusUsage
+	}
+	if most := mostFiles(role); len(files) > most {
+		fmt.Fprintf(os.Stderr, "hazelfleet: %s: %q is one argument too many\n", role, files[most])
+		return statusUsage
+	}
+	if role == roleCheck {
+		return runCheck(files)
 	}
 	parsed, err := logrus.ParseLevel(*level)
 	if err != nil {
@@ -76,7 +95,6 @@
 		fmt.Fprintln(os.Stderr, "hazelfleet:", err)
 		return statusUsage
 	}
-	role := flags.Arg(0)
 	if role == roleAgent {
 		if err := settings.CheckControl(); err != nil {
 			fmt.Fprintf(os.Stderr, "hazelfleet: settings: %s: %v\n", boot.Path(), err)
@@ -90,12 +108,34 @@
 	return start(role, settings, hangups)
 }
 
-// mostArguments is how many arguments there may be behind the flags.
-func mostArguments(role string) int {
+// statusOfUsage is the status with which to end after flags that could not be read: asking for help is no fault.
+func statusOfUsage(err error) int {
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	return statusUsage
+}
+
+// asksForHelp tells whether an argument behind the role asks for help.
+func asksForHelp(argument string) bool {
+	return argument == "--help" || argument == "-help" || argument == "-h"
+}
+
+// mostFiles is how many files may be named behind a role.
+func mostFiles(role string) int {
 	if role == roleCheck {
-		return 3 // a configuration and a patch
+		return 2 // a configuration and a patch
+	}
+	return 0
+}
+
+// runCheck checks the settings file, or the files that are named.
+func runCheck(files []string) int {
+	check := checker{os.Stdout, os.Stderr}
+	if len(files) == 0 {
+		return check.settings(boot.Path())
 	}
-	return 1
+	return check.configuration(files)
 }
 
 func start(role string, settings *boot.Settings, hangups <-chan os.Signal) int {
@@ -113,12 +153,7 @@
 	case roleAgent:
 		err = runAgent(ctx, settings, reload, log)
 	case roleControl:
-		err = control.Run(ctx, settings, reload, log)
-	case roleCheck:
-		fmt.Println("the settings are in order")
-	default:
-		fmt.Fprint(os.Stderr, usage)
-		return statusUsage
+		err = runControl(ctx, settings, reload, log)
 	}
 	if err != nil {
 		log.WithError(err).Error("ended")
@@ -145,6 +180,15 @@
 	return group.Wait()
 }
 
+// runControl runs control, or where this machine's disk doesn't count what names a control process to the operator.
+func runControl(ctx context.Context, settings *boot.Settings, reload <-chan *boot.Settings, log *logrus.Entry) error {
+	if settings.HoldsConfiguration() {
+		return control.Run(ctx, settings, reload, log)
+	}
+	log.Warn("this machine's disk doesn't count: the operator is sent on to control processes of other machines")
+	return agent.RunGateway(ctx, settings, reload, log)
+}
+
 // offer hands settings to a role, unless it has ended.
 func offer(ctx context.Context, to chan<- *boot.Settings, changed *boot.Settings) {
 	select {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -16,7 +15,6 @@
 	"hazelwheel/internal/boot"
 	"hazelwheel/internal/cluster"
 	"hazelwheel/internal/decide/membership"
-	"hazelwheel/internal/gateway"
 	"hazelwheel/internal/transport"
 )
 
@@ -48,24 +46,18 @@
 	address := settings.Internal(settings.IP, boot.AgentPort)
 	a := &Agent{settings: settings, log: log, platform: cluster.NewPlatform(settings.Cloud.Address)}
 	a.node = cluster.New(settings, membership.Record{Kind: membership.Agent, Address: address}, transport.NewClient(), log)
-	internal, err := net.Listen("tcp4", address)
-	if err != nil {
-		return Error.Wrap(err)
-	}
 	feed, err := net.Listen("tcp4", settings.FeedAddress())
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	router := mux.NewRouter()
 	a.node.Register(router)
-	failed := make(chan error, 3)
-	serve := func(listener net.Listener, handler http.Handler) {
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		go func() { failed <- server.Serve(listener) }()
+	servers := newServers()
+	if err := servers.serve(address, router); err != nil {
+		return err
 	}
-	serve(internal, router)
 	if !settings.HoldsConfiguration() && settings.Listen.Control != "" {
-		if err := a.standIn(router, serve); err != nil {
+		if err := standIn(settings, a.node, router, servers); err != nil {
 			return err
 		}
 	}
@@ -77,7 +69,7 @@
 	go a.readStaleLists(work)
 	for {
 		select {
-		case err := <-failed:
+		case err := <-servers.failed:
 			return Error.Wrap(err)
 		case changed := <-reload:
 			a.node.SetSeeds(changed.SeedAddresses())
@@ -89,22 +81,6 @@
 	}
 }
 
-// standIn answers where a control process would be on this machine: the operator gets the address of one, and processes whose seeds
-// name this machine find it.
-func (a *Agent) standIn(router http.Handler, serve func(net.Listener, http.Handler)) error {
-	operator, err := net.Listen("tcp4", a.settings.Listen.Control)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	seed, err := net.Listen("tcp4", a.settings.Internal(a.settings.IP, boot.ControlPort))
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	serve(operator, gateway.New(a.node.Members).Router())
-	serve(seed, router)
-	return nil
-}
-
 // readStaleLists reads the platform's list where nobody's reading has come for too long. Agents do so in turns by rank.
 func (a *Agent) readStaleLists(ctx context.Context) {
 	ticker := time.NewTicker(checkEvery)
--- /dev/null
+++ b/internal/agent/gateway.go
@@ -0,0 +1,75 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+
+	"hazelwheel/internal/boot"
+	"hazelwheel/internal/cluster"
+	"hazelwheel/internal/decide/membership"
+	"hazelwheel/internal/gateway"
+	"hazelwheel/internal/transport"
+)
+
+// servers serve HTTP at several addresses of one process.
+type servers struct {
+	failed chan error // gets the end of each
+}
+
+// mostServers is how many there are in one process at most.
+const mostServers = 3
+
+func newServers() *servers { return &servers{make(chan error, mostServers)} }
+
+// serve begins to serve at an address.
+func (s *servers) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	go func() { s.failed <- server.Serve(listener) }()
+	return nil
+}
+
+// standIn answers where a control process would be on this machine: the operator gets the address of one, and processes whose seeds
+// name this machine find it. router serves other processes of the fleet.
+func standIn(settings *boot.Settings, node *cluster.Node, router http.Handler, servers *servers) error {
+	if err := servers.serve(settings.Listen.Control, gateway.New(node.Members).Router()); err != nil {
+		return err
+	}
+	return servers.serve(settings.Internal(settings.IP, boot.ControlPort), router)
+}
+
+// RunGateway runs what stands in for control on a machine that holds no part of the configuration and has no proxy, until the context ends.
+func RunGateway(ctx context.Context, settings *boot.Settings, reload <-chan *boot.Settings, log *logrus.Entry) error {
+	if settings.Listen.Control == "" {
+		return Error.New("Listen.Control: an address for the operator is needed")
+	}
+	node := cluster.New(settings, membership.Record{Kind: membership.Gateway, Address: settings.Internal(settings.IP, boot.ControlPort)},
+		transport.NewClient(), log)
+	router := mux.NewRouter()
+	node.Register(router)
+	servers := newServers()
+	if err := standIn(settings, node, router, servers); err != nil {
+		return err
+	}
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	go node.Run(work)
+	for {
+		select {
+		case err := <-servers.failed:
+			return Error.Wrap(err)
+		case changed := <-reload:
+			node.SetSeeds(changed.SeedAddresses())
+		case <-ctx.Done():
+			node.Leave()
+			return nil
+		}
+	}
+}
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -4,9 +4,9 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -128,30 +128,13 @@
 	return settings, nil
 }
 
-// Parse reads and checks settings.
+// Parse reads and checks settings. Its error is the first fault, with its line.
 func Parse(data []byte) (*Settings, error) {
-	var document yaml.Node
-	if err := yaml.Unmarshal(data, &document); err != nil {
-		return nil, oneLine(err)
+	report := Examine(data)
+	if len(report.Faults) > 0 {
+		return nil, errors.New(firstOf(report.Faults))
 	}
-	settings := defaults()
-	if err := document.Decode(settings); err != nil {
-		return nil, oneLine(err)
-	}
-	if err := settings.check(&document); err != nil {
-		return nil, err
-	}
-	settings.listenLine = lineOf(&document, "Listen")
-	return settings, nil
-}
-
-// oneLine joins the lines that the library gives to several faults.
-func oneLine(err error) error {
-	var several *yaml.TypeError
-	if errors.As(err, &several) {
-		return errors.New(strings.Join(several.Errors, "; "))
-	}
-	return errors.New(strings.ReplaceAll(err.Error(), "\n", " "))
+	return report.Settings, nil
 }
 
 // defaults holds what stands in for figures that a file leaves out.
@@ -165,42 +148,44 @@
 	}
 }
 
-func (s *Settings) check(document *yaml.Node) error {
+func (s *Settings) check(document *yaml.Node) (found faults) {
 	if s.NodeID == "" {
-		return fault(document, "NodeId", "a name is missing")
+		found.add(document, "NodeId", "a name is missing")
 	}
 	if _, err := netip.ParseAddr(s.IP); err != nil {
-		return fault(document, "Ip", "not an IP address: %q", s.IP)
+		found.add(document, "Ip", "not an IP address: %q", s.IP)
 	}
 	if len(s.InternalPortRange) != 2 || s.InternalPortRange[0] < 1 || s.InternalPortRange[1] > 65535 ||
 		s.InternalPortRange[1] < s.InternalPortRange[0]+int(lastPort) {
-		return fault(document, "InternalPortRange", "want two ports, the first and the last of %d or more", int(lastPort)+1)
+		found.add(document, "InternalPortRange", "want two ports, the first and the last of %d or more", int(lastPort)+1)
 	}
 	for _, seed := range s.Seeds {
 		if _, err := netip.ParseAddrPort(seed); err != nil {
-			return fault(document, "Seeds", "not IP:PORT: %q", seed)
+			found.add(document, "Seeds", "not IP:PORT: %q", seed)
 		}
 	}
-	for field, address := range map[string]string{"Front": s.Listen.Front, "Ready": s.Listen.Ready, "Control": s.Listen.Control,
-		"Address": s.Cloud.Address} {
+	for field, address := range map[string]string{"Listen.Front": s.Listen.Front, "Listen.Ready": s.Listen.Ready, "Listen.Control": s.Listen.Control,
+		"Cloud.Address": s.Cloud.Address} {
 		if _, err := netip.ParseAddrPort(address); address != "" && err != nil {
-			return fault(document, field, "not IP:PORT: %q", address)
+			found.add(document, field, "not IP:PORT: %q", address)
 		}
 	}
-	return s.Bounds.check(document)
+	s.Bounds.check(document, &found)
+	return found
 }
 
-func (b *Bounds) check(document *yaml.Node) error {
+func (b *Bounds) check(document *yaml.Node, found *faults) {
 	for field, figure := range map[string]float64{"DrainMs": b.DrainMs, "GraceS": b.GraceS, "ConfigApplyMs": b.ConfigApplyMs,
 		"BudgetWindowS": b.BudgetWindowS, "LeaseMs": b.LeaseMs} {
-		if figure <= 0 {
-			return fault(document, field, "want a figure above 0, not %v", figure)
+		if !(figure > 0) || math.IsInf(figure, 1) {
+			found.add(document, "Bounds."+field, "want a figure above 0, not %v", figure)
 		}
 	}
-	if b.RetryBudgetRatio < 0 || b.BudgetSlack < 0 {
-		return fault(document, "RetryBudgetRatio", "want figures of 0 or more")
+	for field, figure := range map[string]float64{"RetryBudgetRatio": b.RetryBudgetRatio, "BudgetSlack": b.BudgetSlack} {
+		if !(figure >= 0) || math.IsInf(figure, 1) {
+			found.add(document, "Bounds."+field, "want a figure of 0 or more, not %v", figure)
+		}
 	}
-	return nil
 }
 
 const (
@@ -232,31 +217,6 @@
 	return doubts
 }
 
-// fault names the field and, where the file holds it, its line.
-func fault(document *yaml.Node, field, format string, args ...any) error {
-	text := fmt.Sprintf(format, args...)
-	if line := lineOf(document, field); line > 0 {
-		return fmt.Errorf("line %d: %s: %s", line, field, text)
-	}
-	return fmt.Errorf("%s: %s", field, text)
-}
-
-func lineOf(node *yaml.Node, field string) int {
-	if node.Kind == yaml.MappingNode {
-		for i := 0; i+1 < len(node.Content); i += 2 {
-			if node.Content[i].Value == field {
-				return node.Content[i].Line
-			}
-		}
-	}
-	for _, child := range node.Content {
-		if line := lineOf(child, field); line > 0 {
-			return line
-		}
-	}
-	return 0
-}
-
 // Service is what listens on one of the internal ports.
 type Service int
 
--- /dev/null
+++ b/internal/boot/examine.go
@@ -0,0 +1,147 @@
+package boot
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+
+	"hazelwheel/internal/finding"
+)
+
+// Report is what an examination of a settings file has found.
+type Report struct {
+	Settings *Settings         // nil where there are faults
+	Faults   []finding.Finding // for any of which a process does not begin
+	Unknown  []finding.Finding // fields that are passed over
+}
+
+// Examine reads settings and returns all that is wrong with them.
+func Examine(data []byte) Report {
+	var document yaml.Node
+	if err := yaml.Unmarshal(data, &document); err != nil {
+		return Report{Faults: unreadable(err)}
+	}
+	settings := defaults()
+	var found faults
+	if err := document.Decode(settings); err != nil {
+		found = unreadable(err) // the library goes on behind a value that it can't read
+	}
+	for _, refused := range settings.check(&document) {
+		sameLine := func(other finding.Finding) bool { return other.Line == refused.Line && refused.Line > 0 }
+		if !slices.ContainsFunc(found, sameLine) {
+			found = append(found, refused)
+		}
+	}
+	finding.Sort(found)
+	report := Report{Faults: found}
+	if len(document.Content) > 0 {
+		report.Unknown = unknownFields(document.Content[0], "", reflect.TypeFor[Settings]())
+	}
+	if len(found) == 0 {
+		settings.listenLine, _ = placeOf(&document, "Listen")
+		report.Settings = settings
+	}
+	return report
+}
+
+// faults collects what is wrong with a settings file.
+type faults []finding.Finding
+
+func (f *faults) add(document *yaml.Node, place, format string, args ...any) {
+	line, column := placeOf(document, place)
+	*f = append(*f, finding.Finding{Line: line, Column: column, Place: place, Text: fmt.Sprintf(format, args...)})
+}
+
+// firstOf returns the first fault in one line.
+func firstOf(all []finding.Finding) string {
+	first := all[0]
+	if first.Line == 0 {
+		return first.String()
+	}
+	if first.Place == "" {
+		return fmt.Sprintf("line %d: %s", first.Line, first.Text)
+	}
+	return fmt.Sprintf("line %d: %s: %s", first.Line, first.Place, first.Text)
+}
+
+// lineOfText finds the line in an error of the library.
+var lineOfText = regexp.MustCompile(`^(?:yaml: )?line (\d+): `)
+
+// unreadable returns what the library says, a finding each.
+func unreadable(err error) (found faults) {
+	texts := []string{err.Error()}
+	var several *yaml.TypeError
+	if errors.As(err, &several) {
+		texts = several.Errors
+	}
+	for _, text := range texts {
+		text = strings.ReplaceAll(text, "\n", " ")
+		line := 0
+		if match := lineOfText.FindStringSubmatch(text); match != nil {
+			line, _ = strconv.Atoi(match[1]) // digits
+			text = text[len(match[0]):]
+		}
+		found = append(found, finding.Finding{Line: line, Column: min(line, 1), Text: text})
+	}
+	return found
+}
+
+// placeOf returns the line and column of a field, such as Bounds.GraceS, or of the outermost one that is there; 0: none is.
+func placeOf(document *yaml.Node, place string) (line, column int) {
+	if len(document.Content) == 0 {
+		return 0, 0
+	}
+	at := document.Content[0]
+	for name := range strings.SplitSeq(place, ".") {
+		i := keyIndex(at, name)
+		if i < 0 {
+			return line, column
+		}
+		line, column = at.Content[i].Line, at.Content[i].Column
+		at = at.Content[i+1]
+	}
+	return line, column
+}
+
+// keyIndex returns where a key of a mapping is, -1 where it isn't.
+func keyIndex(mapping *yaml.Node, name string) int {
+	if mapping.Kind != yaml.MappingNode {
+		return -1
+	}
+	for i := 0; i+1 < len(mapping.Content); i += 2 {
+		if mapping.Content[i].Value == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// unknownFields returns the fields of a mapping that a type does not have, and those of the mappings in it.
+func unknownFields(mapping *yaml.Node, place string, of reflect.Type) (unknown []finding.Finding) {
+	if mapping.Kind != yaml.MappingNode || of.Kind() != reflect.Struct {
+		return nil
+	}
+	types := map[string]reflect.Type{}
+	for i := range of.NumField() {
+		if name := of.Field(i).Tag.Get("yaml"); name != "" {
+			types[name] = of.Field(i).Type
+		}
+	}
+	for i := 0; i+1 < len(mapping.Content); i += 2 {
+		key := mapping.Content[i]
+		fieldPlace := strings.TrimPrefix(place+"."+key.Value, ".")
+		known, ok := types[key.Value]
+		if !ok {
+			unknown = append(unknown, finding.Finding{Line: key.Line, Column: key.Column, Place: fieldPlace, Text: "not known, passed over"})
+			continue
+		}
+		unknown = append(unknown, unknownFields(mapping.Content[i+1], fieldPlace, known)...)
+	}
+	return unknown
+}
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -17,6 +17,7 @@
 const (
 	Control Kind = "control"
 	Agent   Kind = "agent"
+	Gateway Kind = "gateway" // names control processes to the operator, and holds nothing itself
 )
 
 // Record is what is told of a process. A higher incarnation is a newer life. Within one, what a record says goes by its revision and
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -20,7 +20,8 @@
 // floors are the rooms of the program from the ground up. A package may know its own room and the floors below; a new
 // room that stands on none is a failure, else it would be free of the rule by oversight.
 var floors = [][]string{
-	{"policy", "internal/decide/register", "internal/decide/membership", "internal/routes", "internal/boot", "internal/store"},
+	{"policy", "internal/finding"},
+	{"internal/decide/register", "internal/decide/membership", "internal/routes", "internal/boot", "internal/store"},
 	{"internal/message", "internal/transport"},
 	{"internal/decide", "internal/netio", "internal/buffer", "internal/judge", "internal/health", "internal/handover",
 		"internal/tomlfile"},
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -2,9 +2,13 @@
 package routes
 
 import (
+	"fmt"
+	"math"
+
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"hazelwheel/internal/finding"
 	"hazelwheel/internal/routes/configpb"
 )
 
@@ -83,71 +87,85 @@
 	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, &config); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if err := check(&config); err != nil {
-		return nil, err
+	if faults := check(&config); len(faults) > 0 {
+		return nil, Error.New("%s", faults[0])
 	}
 	return compile(&config), nil
 }
 
-func check(config *configpb.Config) error {
+// faults collects what is wrong with a configuration.
+type faults []finding.Finding
+
+func (f *faults) add(place, format string, args ...any) {
+	*f = append(*f, finding.Finding{Place: place, Text: fmt.Sprintf(format, args...)})
+}
+
+// check returns all that is wrong with a configuration by itself.
+func check(config *configpb.Config) (found faults) {
 	if config.GetVersion() == 0 {
-		return Error.New("Version: want a number above 0")
+		found.add("Version", "want a number above 0")
 	}
 	services := map[string]bool{}
 	for i, service := range config.GetServices() {
 		name := service.GetName()
 		if name == "" || services[name] {
-			return Error.New("Services[%d].Name: %q is empty or stands twice", i, name)
+			found.add(fmt.Sprintf("Services[%d].Name", i), "%q is empty or stands twice", name)
 		}
 		services[name] = true
 	}
 	places := map[string]int{}
 	for i, route := range config.GetRoutes() {
-		if err := checkRoute(i, route, services); err != nil {
-			return err
-		}
+		at := fmt.Sprintf("Routes[%d]", i)
+		found.checkRoute(at, route, services)
 		place := route.GetHost() + route.GetPathPrefix()
 		if other, taken := places[place]; taken {
-			return Error.New("Routes[%d]: same Host and PathPrefix as Routes[%d]", i, other)
+			found.add(at, "same Host and PathPrefix as Routes[%d]", other)
+			continue
 		}
 		places[place] = i
 	}
-	return nil
+	return found
 }
 
-func checkRoute(i int, route *configpb.Route, services map[string]bool) error {
-	if route.GetTimeoutMs() <= 0 {
-		return Error.New("Routes[%d].TimeoutMs: want a time above 0", i)
+func (f *faults) checkRoute(at string, route *configpb.Route, services map[string]bool) {
+	if !positive(route.GetTimeoutMs()) {
+		f.add(at+".TimeoutMs", "want a time above 0")
 	}
 	switch Kind(route.GetRouteType()) {
 	case Idempotent, NonIdempotent, Streaming:
 	default:
-		return Error.New("Routes[%d].RouteType: unknown %q", i, route.GetRouteType())
+		f.add(at+".RouteType", "unknown %q", route.GetRouteType())
 	}
 	prefix := route.GetPathPrefix()
 	if prefix == "" || prefix[0] != '/' || prefix[len(prefix)-1] != '/' {
-		return Error.New("Routes[%d].PathPrefix: %q doesn't begin and end with a slash", i, prefix)
+		f.add(at+".PathPrefix", "%q doesn't begin and end with a slash", prefix)
 	}
-	if len(route.GetWeightedServices()) == 0 {
-		if !services[route.GetService()] {
-			return Error.New("Routes[%d].Service: unknown service %q", i, route.GetService())
-		}
-		return nil
+	if len(route.GetWeightedServices()) > 0 {
+		f.checkWeights(at+".WeightedServices", route.GetWeightedServices(), services)
+	} else if !services[route.GetService()] {
+		f.add(at+".Service", "unknown service %q", route.GetService())
 	}
+}
+
+// positive tells whether a figure is a number above 0; JSON texts may hold NaN and Infinity in quotes.
+func positive(figure float64) bool { return figure > 0 && !math.IsInf(figure, 1) }
+
+func (f *faults) checkWeights(at string, weights []*configpb.WeightedService, services map[string]bool) {
 	sum := 0.0
-	for j, weighted := range route.GetWeightedServices() {
+	for i, weighted := range weights {
+		place := fmt.Sprintf("%s[%d]", at, i)
 		if !services[weighted.GetService()] {
-			return Error.New("Routes[%d].WeightedServices[%d]: unknown service %q", i, j, weighted.GetService())
+			f.add(place, "unknown service %q", weighted.GetService())
 		}
-		if weighted.GetWeight() < 0 {
-			return Error.New("Routes[%d].WeightedServices[%d].Weight: below 0", i, j)
+		if weight := weighted.GetWeight(); weight != 0 && !positive(weight) {
+			f.add(place+".Weight", "want a number that is not below 0, not %v", weight)
+			return
 		}
 		sum += weighted.GetWeight()
 	}
-	if sum <= 0 {
-		return Error.New("Routes[%d].WeightedServices: weights add up to 0", i)
+	if !positive(sum) {
+		f.add(at, "weights add up to 0")
 	}
-	return nil
 }
 
 func compile(config *configpb.Config) *Table {
