A proxy whose part of the servers is full uses the others before it refuses

Change: where no member may be drawn, servers outside the proxy's part are, by two choices and within the same connections; what servers tell others of their load is kept for all of them. Draining, cooling, changing and failed ones are passed over as among members. Tests: all members first, then every other server up to its connections; who is passed over.

--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -226,6 +226,50 @@
 	})
 })
 
+var _ = Describe("a proxy whose part of the servers is full", func() {
+	It("uses the others before it refuses anything, each within its connections", func() {
+		p := newPool(instances(20, ""))
+		p.Place(3, 50)
+		p.SetConnections(200)
+		part := len(p.members)
+		Expect(part).To(BeNumerically("<", 20))
+		begun := map[string]int{}
+		for {
+			e := p.Pick(0, nil)
+			if e == nil {
+				break
+			}
+			e.Begin()
+			if begun[e.ID]++; len(begun) > part {
+				for _, member := range p.members {
+					Expect(member.InFlight).To(Equal(p.most), "members first")
+				}
+			}
+		}
+		Expect(begun).To(HaveLen(20))
+		for id, count := range begun {
+			Expect(count).To(Equal(p.most), id)
+		}
+	})
+
+	It("passes over others that drain, change their stage, cool down or have failed the request", func() {
+		p := newPool(instances(8, message.Decode))
+		p.Place(0, 100)
+		p.SetConnections(100)
+		l := NewPlanner(p, 60)
+		for _, member := range p.members {
+			member.InFlight = p.most
+		}
+		outside := p.outside(0, message.Decode, nil)
+		Expect(len(outside)).To(Equal(8 - len(p.members)))
+		outside[0].Draining = true
+		outside[1].Failed(0, true)
+		Expect(p.outside(0, message.Decode, nil)).To(Equal(outside[2:]))
+		Expect(l.decoders(0, outside[3:])).To(Equal(outside[2:3]))
+		Expect(p.outside(0, message.Prefill, nil)).To(BeEmpty())
+	})
+})
+
 var _ = Describe("the retry budget", func() {
 	It("is kept by all proxies together in every window", func() {
 		for seed := range uint64(40) {
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -102,12 +102,15 @@
 	return Plan{Reader: reader}, true
 }
 
-// decoders returns the servers that may make an answer. Where none is left that has not failed it, the others are asked again, and
-// those that cool down before the request is refused.
+// decoders returns the servers that may make an answer. Where none is left that has not failed it, those outside the proxy's part are asked,
+// then the others again, and those that cool down before the request is refused.
 func (l *Planner) decoders(now float64, without []*Endpoint) []*Endpoint {
 	if drawn := l.pool.candidates(now, message.Decode, without); len(drawn) > 0 {
 		return drawn
 	}
+	if outside := l.pool.outside(now, message.Decode, without); len(outside) > 0 {
+		return outside
+	}
 	if drawn := l.pool.candidates(now, message.Decode, nil); len(drawn) > 0 {
 		return drawn
 	}
@@ -247,7 +250,7 @@
 	for _, load := range loads {
 		byKey[load.Key] = load
 	}
-	for _, e := range p.members {
+	for _, e := range p.endpoints {
 		load, ok := byKey[e.key]
 		if at := now - float64(load.AgeMs)/1000; ok && at > e.engine.loadAt {
 			e.engine.load(at, int(load.Running), int(load.Waiting))
--- a/internal/decide/placement/pool.go
+++ b/internal/decide/placement/pool.go
@@ -286,8 +286,12 @@
 	return first
 }
 
-// lastResort returns members that cool down where there is nobody else: the one whose time is over first.
+// lastResort returns servers where no member may be drawn: those outside the proxy's part, and where there is none either the member that
+// cools down and whose time is over first.
 func (p *Pool) lastResort(now float64, stage message.Stage, without []*Endpoint) []*Endpoint {
+	if outside := p.outside(now, stage, without); len(outside) > 0 {
+		return outside
+	}
 	var best *Endpoint
 	for _, e := range p.members {
 		if e.Stage != stage || e.Draining || e.misplaced || slices.Contains(without, e) || now >= e.coolUntil {
@@ -303,6 +307,18 @@
 	return []*Endpoint{best}
 }
 
+// outside returns the servers that may be used and are not in the proxy's part. Where most proxies are gone the others get all requests, and
+// their parts are full long before the servers are.
+func (p *Pool) outside(now float64, stage message.Stage, without []*Endpoint) (servers []*Endpoint) {
+	for _, id := range p.ids {
+		e := p.endpoints[id]
+		if e.Stage == stage && p.usable(e, now) && !slices.Contains(p.members, e) && !slices.Contains(without, e) {
+			servers = append(servers, e)
+		}
+	}
+	return servers
+}
+
 func (p *Pool) two(drawn []*Endpoint) (first, second *Endpoint) {
 	i := p.rng.IntN(len(drawn))
 	j := i
