checktests says by which signal a run was ended, and judges what was run

Need: a whole run once ended without a word after 18 packages, and nothing told why. A caller that goes (hang-up, an end of its session) ended checktests before it had judged or printed anything; that this was the cause then can't be shown any more. Change: hang-up, interrupt and termination are named in a line, go test is ended, and the packages that were not finished count as problems.

--- a/internal/ci/checktests/main.go
+++ b/internal/ci/checktests/main.go
@@ -13,6 +13,8 @@
 	"io/fs"
 	"os"
 	"os/exec"
+	"os/signal"
+	"syscall"
 
 	"hazelwheel/internal/ci/knownred"
 )
@@ -69,9 +71,15 @@
 	if err != nil {
 		return 0, err
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(signals)
 	if err := cmd.Start(); err != nil {
 		return 0, err
 	}
+	over := make(chan struct{})
+	defer close(over)
+	go passOn(signals, over, cmd.Process, errs)
 	readErr := readLines(events, run.Add)
 	if readErr != nil {
 		io.Copy(io.Discard, events) // so that the command can end
@@ -84,6 +92,20 @@
 	return cmd.ProcessState.ExitCode(), readErr
 }
 
+// passOn says that a signal came, and ends the command with it, so that what was run until then is still judged. Danger: a run that is ended
+// with its terminal or its caller would else end without a word, as if its last line were still to come.
+func passOn(signals <-chan os.Signal, over <-chan struct{}, command *os.Process, errs io.Writer) {
+	for {
+		select {
+		case <-over:
+			return
+		case came := <-signals:
+			fmt.Fprintf(errs, "checktests: %v: the tests are ended before all were run\n", came)
+			_ = command.Signal(syscall.SIGTERM) // it may have ended by itself
+		}
+	}
+}
+
 // readLines calls add with each line, however long.
 func readLines(from io.Reader, add func(text []byte)) error {
 	lines := bufio.NewReader(from)
--- a/internal/ci/checktests/main_test.go
+++ b/internal/ci/checktests/main_test.go
@@ -105,3 +105,13 @@
 	require.NoError(t, readLines(strings.NewReader(long+"\nlast"), func(text []byte) { got = append(got, string(text)) }))
 	require.Equal(t, []string{long + "\n", "last"}, got)
 }
+
+// A run that is ended from outside says so, and fails.
+func TestEndedBySignal(t *testing.T) {
+	t.Chdir(t.TempDir())
+	var out, errs strings.Builder
+	status := check([]string{"sh", "-c", "kill -HUP $PPID; exec sleep 600"}, &out, &errs)
+	require.Equal(t, statusFailed, status)
+	require.Contains(t, errs.String(), "checktests: hangup: the tests are ended before all were run")
+	require.Contains(t, out.String(), "tests failed:")
+}
