A role is not taken by who was cut off or stood still until just now; roles in the world

Change: silence counts while this process reaches a majority and looks at least once a second; after that the whole lease and margin is waited anew. A holder of an earlier life still takes its own role at once. The world: each machine stands for a role with its own clock, the register grants it by the rounds that were there, a receiver checks tokens. Rules: no two lives under one token, no turns within the lease, no refusal of the newest token, somebody acts in the end. Mistakes that they notice: leases by the wall clock, a role taken whoever has taken it meanwhile, a token compared with <=, a role taken as soon as a cut is over. Two tests of the election look as often as their host does now, with the same expectations; two are new.

--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -65,7 +65,7 @@
 			k.control.node.SetReleased(token)
 		}
 		grant := (&register.Value{Grants: facts.Grants}).Grant(stagesRole)
-		switch k.holder.Look(k.now(), grant, k.silence(grant)) {
+		switch k.holder.Look(k.now(), grant, k.silence(grant), k.control.reachesMajority()) {
 		case election.Take:
 			k.take(ctx, grant)
 		case election.Confirm:
--- a/internal/decide/election/election.go
+++ b/internal/decide/election/election.go
@@ -10,6 +10,8 @@
 	// marginS is added to the lease before a silent holder's role counts as vacant, in seconds: what the holder may act on before
 	// it notices, and what its last heartbeat took.
 	marginS = 1.5
+	// stallS is the time between two looks, in seconds, from which on this process counts as having stood still.
+	stallS = 1.0
 )
 
 // Holder is a process that stands for one role.
@@ -23,11 +25,12 @@
 	confirmed float64
 	heard     float64 // when the grant's holder was heard of last
 	watched   uint64  // the token whose holder heard is about
+	looked    float64 // when this process looked last
 }
 
 // New returns a process that begins at now without a grant.
 func New(role, name string, leaseS, now float64) *Holder {
-	return &Holder{Role: role, Name: name, LeaseS: leaseS, began: now, heard: now}
+	return &Holder{Role: role, Name: name, LeaseS: leaseS, began: now, heard: now, looked: now}
 }
 
 // Next is what a process has to do about its role.
@@ -41,8 +44,11 @@
 	Take         // the role is vacant: it has to take it
 )
 
-// Look tells what there is to do. grant is the newest that is known, silentS for how long its holder was not heard of.
-func (h *Holder) Look(now float64, grant register.Grant, silentS float64) Next {
+// Look tells what there is to do. grant is the newest that is known, silentS for how long its holder was not heard of, and inTouch whether
+// this process reaches a majority.
+func (h *Holder) Look(now float64, grant register.Grant, silentS float64, inTouch bool) Next {
+	stalled := now-h.looked > stallS
+	h.looked = now
 	if h.token > 0 && grant.Token > h.token {
 		h.token = 0
 	}
@@ -60,6 +66,11 @@
 		return Take
 	}
 	h.heard = max(h.heard, now-silentS)
+	if !inTouch || stalled {
+		// Danger: who is cut off, or stood still, has heard nobody. Once that is over it would take the role of a holder that has acted just
+		// now.
+		h.heard = now
+	}
 	// Danger: who has just begun does not know when the holder acted last.
 	if now-h.heard > h.LeaseS+marginS && now-h.began > h.LeaseS+marginS {
 		return Take
--- a/internal/decide/election/election_test.go
+++ b/internal/decide/election/election_test.go
@@ -17,44 +17,70 @@
 
 const lease = 3.0
 
+// lookUntil has a process look every 0.3 s from one time to another, as its host does, and returns what the last look tells. The holder was
+// heard of last at a time.
+func lookUntil(h *election.Holder, from, to float64, grant register.Grant, heard float64, inTouch bool) (next election.Next) {
+	for now := from; ; now = min(now+0.3, to) {
+		if next = h.Look(now, grant, max(now-heard, 0), inTouch); now >= to {
+			return next
+		}
+	}
+}
+
 var _ = Describe("a process that stands for a role", func() {
 	other := register.Grant{Role: "r", Holder: "b", Token: 4}
 
 	It("takes a role that nobody ever held", func() {
-		Expect(election.New("r", "a", lease, 0).Look(0, register.Grant{}, 0)).To(Equal(election.Take))
+		Expect(election.New("r", "a", lease, 0).Look(0, register.Grant{}, 0, true)).To(Equal(election.Take))
 	})
 
 	It("waits while the holder is heard of", func() {
 		h := election.New("r", "a", lease, 0)
 		for now := 0.0; now < 60; now += 0.5 {
-			Expect(h.Look(now, other, 0.4)).To(Equal(election.Wait))
+			Expect(h.Look(now, other, 0.4, true)).To(Equal(election.Wait))
 		}
 	})
 
 	It("takes the role only when the lease and more has passed in silence", func() {
 		h := election.New("r", "a", lease, 0)
-		Expect(h.Look(20, other, 0)).To(Equal(election.Wait))
-		Expect(h.Look(20+lease, other, lease)).To(Equal(election.Wait))
-		Expect(h.Look(20+lease+2, other, lease+2)).To(Equal(election.Take))
+		Expect(lookUntil(h, 0, 20, other, 20, true)).To(Equal(election.Wait))
+		Expect(lookUntil(h, 20, 20+lease, other, 20, true)).To(Equal(election.Wait))
+		Expect(lookUntil(h, 20+lease, 20+lease+2, other, 20, true)).To(Equal(election.Take))
 	})
 
 	It("waits as long where it has just begun and knows nothing", func() {
 		h := election.New("r", "a", lease, 100)
-		Expect(h.Look(100.1, other, 1e9)).To(Equal(election.Wait))
-		Expect(h.Look(100+lease+2, other, 1e9)).To(Equal(election.Take))
+		Expect(h.Look(100.1, other, 1e9, true)).To(Equal(election.Wait))
+		Expect(lookUntil(h, 100.1, 100+lease+1, other, -1e9, true)).To(Equal(election.Wait))
+		Expect(lookUntil(h, 100+lease+1, 100+lease+2, other, -1e9, true)).To(Equal(election.Take))
+	})
+
+	It("waits as long once it is in touch again, whatever it did not hear while it was cut off", func() {
+		h := election.New("r", "a", lease, 0)
+		Expect(lookUntil(h, 0, 20, other, 20, true)).To(Equal(election.Wait))
+		Expect(lookUntil(h, 20, 30, other, 20, false)).To(Equal(election.Wait))
+		Expect(lookUntil(h, 30, 30+lease, other, 20, true)).To(Equal(election.Wait))
+		Expect(lookUntil(h, 30+lease, 30+lease+2, other, 20, true)).To(Equal(election.Take))
+	})
+
+	It("waits as long after it has stood still", func() {
+		h := election.New("r", "a", lease, 0)
+		Expect(lookUntil(h, 0, 20, other, 20, true)).To(Equal(election.Wait))
+		Expect(lookUntil(h, 27, 27+lease, other, 20, true)).To(Equal(election.Wait))
+		Expect(lookUntil(h, 27+lease, 27+lease+2, other, 20, true)).To(Equal(election.Take))
 	})
 
 	It("waits anew when the role has changed hands", func() {
 		h := election.New("r", "a", lease, 0)
-		h.Look(10, other, 0)
-		Expect(h.Look(14, register.Grant{Role: "r", Holder: "c", Token: 5}, 1e9)).To(Equal(election.Wait))
+		h.Look(10, other, 0, true)
+		Expect(h.Look(14, register.Grant{Role: "r", Holder: "c", Token: 5}, 1e9, true)).To(Equal(election.Wait))
 	})
 
 	It("takes its own role of an earlier life at once, with a new token", func() {
 		h := election.New("r", "b", lease, 50)
-		Expect(h.Look(50, other, 0)).To(Equal(election.Take))
+		Expect(h.Look(50, other, 0, true)).To(Equal(election.Take))
 		h.Took(50, 5)
-		Expect(h.Look(50.5, register.Grant{Role: "r", Holder: "b", Token: 5}, 0)).To(Equal(election.Act))
+		Expect(h.Look(50.5, register.Grant{Role: "r", Holder: "b", Token: 5}, 0, true)).To(Equal(election.Act))
 		Expect(h.Token()).To(BeEquivalentTo(5))
 	})
 
@@ -62,17 +88,17 @@
 		h := election.New("r", "a", lease, 0)
 		h.Took(1, 1)
 		own := register.Grant{Role: "r", Holder: "a", Token: 1}
-		Expect(h.Look(1.5, own, 0)).To(Equal(election.Act))
+		Expect(h.Look(1.5, own, 0, true)).To(Equal(election.Act))
 		Expect(h.MayAct(1 + lease)).To(BeFalse())
-		Expect(h.Look(1+lease, own, 0)).To(Equal(election.Confirm))
+		Expect(h.Look(1+lease, own, 0, true)).To(Equal(election.Confirm))
 		h.Granted(1+lease, own)
-		Expect(h.Look(1+lease, own, 0)).To(Equal(election.Act))
+		Expect(h.Look(1+lease, own, 0, true)).To(Equal(election.Act))
 	})
 
 	It("stops where another holds a higher token", func() {
 		h := election.New("r", "a", lease, 0)
 		h.Took(1, 1)
-		Expect(h.Look(1.1, register.Grant{Role: "r", Holder: "b", Token: 2}, 0)).To(Equal(election.Wait))
+		Expect(h.Look(1.1, register.Grant{Role: "r", Holder: "b", Token: 2}, 0, true)).To(Equal(election.Wait))
 		Expect(h.MayAct(1.1)).To(BeFalse())
 	})
 
--- a/internal/decide/upkeep/faults_test.go
+++ b/internal/decide/upkeep/faults_test.go
@@ -244,6 +244,7 @@
 	w := newWorld(seed, machines, spares, gapS, m)
 	w.after(0.5, w.operate)
 	w.after(2, w.trouble)
+	w.after(2, w.stepClocks)
 	const end = troubleS + 24 + quietS
 	w.after(end-1, w.checkQuiet)
 	for len(w.queue) > 0 && w.broken == "" && w.now < end {
@@ -256,6 +257,7 @@
 
 // checkQuiet looks whether all machines vote and hold what is newest once there has been no trouble for a while.
 func (w *world) checkQuiet() {
+	w.checkRole()
 	for _, n := range w.nodes {
 		if !n.up {
 			continue
--- a/internal/decide/upkeep/rounds_test.go
+++ b/internal/decide/upkeep/rounds_test.go
@@ -76,6 +76,7 @@
 		w.newestAt = at
 	}
 	w.takeTold(n, register.Value{Epoch: value.Epoch, Voters: value.Voters, Previous: value.Previous})
+	n.hearGrant(value.Grant(roleName), nil)
 }
 
 // read returns the value that holds, or false.
--- a/internal/decide/upkeep/upkeep_test.go
+++ b/internal/decide/upkeep/upkeep_test.go
@@ -56,6 +56,10 @@
 		Entry("that answers before its disk has synced", 3, someChanges, mistakes{answerFirst: true}),
 		Entry("that leaves the upkeep to one that reaches no majority", 5, someChanges, mistakes{noTurns: true}),
 		Entry("that asks newcomers for the newest value each time", 3, steadyChanges, mistakes{newestOnly: true}),
+		Entry("whose leases go by the wall clock", 3, someChanges, mistakes{wallLease: true}),
+		Entry("that takes a role whoever has taken it meanwhile", 5, someChanges, mistakes{grabsRole: true}),
+		Entry("that takes a role as soon as it is in touch again", 3, someChanges, mistakes{takesCutOff: true}),
+		Entry("whose servers refuse the token that they have seen", 3, someChanges, mistakes{refusesEqual: true}),
 	)
 })
 
--- a/internal/decide/upkeep/world_test.go
+++ b/internal/decide/upkeep/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -37,6 +38,10 @@
 	answerFirst  bool // an answer leaves before the disk has synced
 	noTurns      bool // the first voter by name does the upkeep, whether it reaches a majority or not
 	newestOnly   bool // a newcomer has to hold the value that is newest whenever it is asked
+	wallLease    bool // leases go by the wall clock
+	grabsRole    bool // a role is taken whoever has taken it meanwhile
+	takesCutOff  bool // a role is taken by who was cut off until just now
+	refusesEqual bool // a receiver refuses the token that it has seen as well as those below
 }
 
 type event struct {
@@ -79,6 +84,7 @@
 	learners upkeep.Learners
 	mending  bool
 	since    uint64 // the version that had been acknowledged when this life began
+	role     roleNode
 }
 
 // peer is what is told of another machine.
@@ -109,11 +115,12 @@
 	newestAt register.Ballot
 	broken   string
 	changes  int
+	receiver receiver
 }
 
 func newWorld(seed uint64, machines, spares int, gapS float64, m mistakes) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), mistakes: m, gapS: gapS, cut: map[[2]string]float64{}, wanted: machines,
-		tolerate: (machines - 1) / 2, lost: map[*node]float64{}, byBase: map[uint64]register.Digest{}}
+		tolerate: (machines - 1) / 2, lost: map[*node]float64{}, byBase: map[uint64]register.Digest{}, receiver: receiver{first: map[uint64]act{}}}
 	founding := register.Value{Epoch: 1}
 	for i := range machines {
 		address := fmt.Sprintf("n%d", i)
@@ -167,6 +174,7 @@
 	w.every(n, exchangeS, func() { w.exchange(n) })
 	w.every(n, upkeepS, func() { w.upkeep(n) })
 	w.after(0.05, func() { w.scrub(n, n.life) })
+	w.bootRole(n)
 	w.after(catchUpS, w.alive(n, func() { w.checkJoined(n, w.now-catchUpS) }))
 }
 
@@ -239,9 +247,17 @@
 		address := other.address
 		var heard map[string]peer
 		var told register.Value
+		var grant register.Grant
+		var released map[string]uint64
+		var beats map[string]float64
 		w.call(n, address, func(to *node) {
 			to.peers[n.address] = peer{n.disk.ID, n.leaving}
 			w.takeTold(to, n.told)
+			n.role.heard[n.address] = w.now
+			to.hearGrant(n.role.grant, n.role.released)
+			to.hearOf(n.role.heard)
+			to.role.heard[to.address] = w.now
+			grant, released, beats = to.role.grant, maps.Clone(to.role.released), maps.Clone(to.role.heard)
 			told, heard = to.told, map[string]peer{address: {to.disk.ID, to.leaving}}
 		}, func(answered bool) {
 			if !answered {
@@ -250,6 +266,8 @@
 			n.contact[address] = w.now
 			n.peers[address] = heard[address]
 			w.takeTold(n, told)
+			n.hearGrant(grant, released)
+			n.hearOf(beats)
 		})
 	}
 }
