Soak: a test that trips the check of voters

It was the only check that no test tripped. The time in which a machine that has come back must vote is a field of the player, so that the test needs no wait.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -30,6 +30,8 @@
 	checker *Checker
 	dir     string
 
+	voteWithin time.Duration // a control machine that has come back must vote
+
 	lost      chan struct{} // has room for the control machines that may be lost at once
 	allKilled atomic.Int64  // how often all processes were killed
 	playing   sync.WaitGroup
@@ -41,7 +43,7 @@
 }
 
 func newPlayer(f *fleet, checker *Checker, seed uint64) *player {
-	return &player{fleet: f, checker: checker, dir: f.dir, lost: make(chan struct{}, f.settings.tolerate()),
+	return &player{fleet: f, checker: checker, dir: f.dir, voteWithin: seconds(catchUpS) + machineSlack, lost: make(chan struct{}, f.settings.tolerate()),
 		rng: rand.New(rand.NewPCG(seed, 3)), played: map[string]int{}}
 }
 
@@ -251,7 +253,7 @@
 		if now := p.allKilled.Load(); now != kills {
 			began, kills = time.Now().Add(allDownFor), now
 		}
-		if waited := time.Since(began); waited > seconds(catchUpS)+machineSlack {
+		if waited := time.Since(began); waited > p.voteWithin {
 			p.checker.Break(Voters, "%s does not vote %v after it has come back", m.name, waited.Round(time.Millisecond))
 			return
 		}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -211,6 +214,29 @@
 	})
 })
 
+var _ = Describe("a control machine that has come back", func() {
+	It("has to vote in its time", func() {
+		for _, votes := range []bool{true, false} {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			told := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				fmt.Fprintf(w, `{"Votes": %v}`, votes)
+			})}
+			go func() { _ = told.Serve(listener) }()
+			DeferCleanup(told.Close)
+			c := NewChecker()
+			p := newPlayer(&fleet{settings: &Settings{}, base: listener.Addr().(*net.TCPAddr).Port}, c, 1)
+			p.voteWithin = 0 // its time is over at the first look
+			p.awaitVote(&machine{ip: "127.0.0.1", name: "core-0"})
+			if votes {
+				Expect(c.Broken()).To(BeEmpty())
+			} else {
+				Expect(c.Broken()).To(HaveKey(Voters))
+			}
+		}
+	})
+})
+
 var _ = Describe("the configuration that a control machine tells in the end", func() {
 	DescribeTable("must be the one that was confirmed last, or a later one", func(told string, broken bool) {
 		o := &operator{checker: NewChecker(), version: 7, sent: []byte(`{"Version":7}`)}
