Soak: bodies in pieces, servers that drain and whose addresses are used again

Need: requests without a length before, and addresses that pass from one instance to the next while proxies are killed, were played by no soak.

--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -14,6 +14,7 @@
 const (
 	AtMostOnce   Rule = "at-most-once"   // a request that may run once has run twice
 	OwnAnswer    Rule = "own-answer"     // a client got what no server answered to it
+	Intact       Rule = "intact"         // a server got another body than the client sent
 	Promise      Rule = "promise"        // a request was refused as not run and has run
 	Answered     Rule = "answered"       // a request neither had an answer nor its connection closed, or it was closed for no reason
 	InForce      Rule = "in-force"       // a confirmed configuration was not in force in time
@@ -127,6 +128,16 @@
 	}
 }
 
+// bodyOf is the body of a request.
+func bodyOf(id string) string { return "body of " + id }
+
+// Got takes the body with which a request came to a server.
+func (c *Checker) Got(id, body string) {
+	if body != bodyOf(id) {
+		c.Break(Intact, "%s came with the body %.60q", id, body)
+	}
+}
+
 // Sending tells that a client sends a request.
 func (c *Checker) Sending(id string, kind Kind) {
 	c.mu.Lock()
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -21,6 +21,9 @@
 	// mischiefPart is the part of the requests on which clients send fields that are the system's, addedPart that on added routes.
 	mischiefPart = 0.1
 	addedPart    = 0.25
+	// piecesPart is the part of the requests whose bodies come in pieces, without a length before, piecePause the time between two pieces.
+	piecesPart = 0.15
+	piecePause = 15 * time.Millisecond
 	// newestRoutes is how many of the newest routes clients ask for.
 	newestRoutes = 10
 )
@@ -80,7 +83,7 @@
 		o.Kind, o.Route = Once, max(newest-c.rng.IntN(newestRoutes), 1)
 		path = addedPath(o.Route) + "x"
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.fleet.front(c.at)+path, strings.NewReader("body of "+id))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.fleet.front(c.at)+path, c.body(id))
 	if err != nil {
 		return nil, o, err
 	}
@@ -99,6 +102,35 @@
 	return request, o, nil
 }
 
+// body returns the body of a request, of some in pieces.
+func (c *client) body(id string) io.Reader {
+	if c.rng.Float64() < piecesPart {
+		return &pieces{left: bodyOf(id)}
+	}
+	return strings.NewReader(bodyOf(id))
+}
+
+// pieces reads a text piece by piece, with a pause before each but the first.
+type pieces struct {
+	left  string
+	begun bool
+}
+
+const pieceBytes = 5
+
+func (p *pieces) Read(to []byte) (int, error) {
+	if p.left == "" {
+		return 0, io.EOF
+	}
+	if p.begun {
+		time.Sleep(piecePause)
+	}
+	p.begun = true
+	n := copy(to, p.left[:min(pieceBytes, len(p.left))])
+	p.left = p.left[n:]
+	return n, nil
+}
+
 // ask sends a request and tells the checker what came of it.
 func (c *client) ask(ctx context.Context) {
 	waiting, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestDeadline+machineSlack)
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -31,6 +31,7 @@
 	Added     int64          // routes, one a change
 	Series    map[string]int // by name
 	AllKilled int64
+	Renewed   int // servers that were replaced by another instance at their address
 	HungUp    int // processes that SIGHUP ended before they can have begun
 	// The slowest change until it was confirmed, and the slowest control machine until it voted again, in seconds.
 	SlowestChange, SlowestVote float64
@@ -62,7 +63,7 @@
 	defer listed.close()
 	f := newFleet(&s, checker, dir, listed.address)
 	defer f.end()
-	r := &run{settings: s, fleet: f, checker: checker, operator: newOperator(f, checker, s.Seed), player: newPlayer(f, checker, s.Seed)}
+	r := &run{settings: s, fleet: f, checker: checker, listed: listed, operator: newOperator(f, checker, s.Seed), player: newPlayer(f, checker, s.Seed)}
 	return r.play(ctx)
 }
 
@@ -71,9 +72,11 @@
 	settings Settings
 	fleet    *fleet
 	checker  *Checker
+	listed   *platform
 	operator *operator
 	player   *player
 	clients  *clients
+	renewed  int // servers
 }
 
 func (r *run) play(ctx context.Context) (*Result, error) {
@@ -96,6 +99,7 @@
 
 	troubled, stopTrouble := context.WithTimeout(ctx, r.settings.For)
 	defer stopTrouble()
+	work.Go(func() { r.renewed = r.listed.renew(troubled, rand.New(rand.NewPCG(r.settings.Seed, 5))) })
 	r.player.run(troubled)
 	from := time.Now().Add(seconds(recoveryS))
 	r.checker.FaultsEnded(from)
@@ -167,7 +171,7 @@
 	r.checker.mu.Unlock()
 	return &Result{Seed: r.settings.Seed, Processes: r.settings.controlProcesses() + 2*r.settings.edges(), Seconds: lasted.Seconds(),
 		Requests: r.clients.count.Load(), Outcomes: outcomes, Versions: r.operator.version, Added: r.operator.routes.Load(), Series: r.player.played,
-		AllKilled: r.player.allKilled.Load(), HungUp: hungUp, SlowestChange: r.operator.slowest.Seconds(), SlowestVote: r.player.slowest.Seconds(),
+		AllKilled: r.player.allKilled.Load(), Renewed: r.renewed, HungUp: hungUp, SlowestChange: r.operator.slowest.Seconds(), SlowestVote: r.player.slowest.Seconds(),
 		Broken: r.checker.Broken()}
 }
 
@@ -177,8 +181,8 @@
 	for _, count := range r.Series {
 		series += count
 	}
-	out := fmt.Sprintf("seed %d: %d processes, %.0f s, %d requests %v, %d changes (slowest %.1f s), %d series, all killed %d times, %d hung up before they began, slowest vote %.1f s, %d rules broken\n",
-		r.Seed, r.Processes, r.Seconds, r.Requests, r.Outcomes, r.Added, r.SlowestChange, series, r.AllKilled, r.HungUp, r.SlowestVote, len(r.Broken))
+	out := fmt.Sprintf("seed %d: %d processes, %.0f s, %d requests %v, %d changes (slowest %.1f s), %d series, all killed %d times, %d servers replaced, %d hung up before they began, slowest vote %.1f s, %d rules broken\n",
+		r.Seed, r.Processes, r.Seconds, r.Requests, r.Outcomes, r.Added, r.SlowestChange, series, r.AllKilled, r.Renewed, r.HungUp, r.SlowestVote, len(r.Broken))
 	for rule, cases := range r.Broken {
 		for _, one := range cases {
 			out += fmt.Sprintf("  %s: %s\n", rule, one)
--- a/internal/lab/soak/standins.go
+++ b/internal/lab/soak/standins.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -25,6 +26,12 @@
 	maxServerBody = 1 << 20
 )
 
+// renewEvery is the mean time between two replacements of servers, drainFor how long a server drains before.
+const (
+	renewEvery = 2 * time.Second
+	drainFor   = 3500 * time.Millisecond
+)
+
 // The parts of requests that servers refuse as full, or break off before and after they run them.
 const (
 	partRefused     = 0.01
@@ -50,12 +57,14 @@
 
 // server stands in for a server. It goes by the fields of a request as the operators' pages say.
 type server struct {
-	id, service string
-	address     string
-	checker     *Checker
+	service string
+	address string
+	checker *Checker
 
-	mu    sync.Mutex
-	stage string
+	mu       sync.Mutex
+	id       string // of the instance that has the address now
+	stage    string
+	draining bool
 }
 
 // platform stands in for the list of servers.
@@ -129,23 +138,65 @@
 	var page listPage
 	for i, s := range p.servers {
 		s.mu.Lock()
+		state := "ready"
+		if s.draining {
+			state = "draining"
+		}
 		page.Instances = append(page.Instances, listedServer{ID: s.id, Service: s.service, Address: s.address, Zone: fmt.Sprint("z", i%3),
-			Slots: serverSlots, State: "ready", Stage: s.stage})
+			Slots: serverSlots, State: state, Stage: s.stage})
 		s.mu.Unlock()
 	}
 	w.Header().Set("Content-Type", contentTypeJSON)
 	_ = json.NewEncoder(w).Encode(page) // who asked and is gone asks again
 }
 
+// renew replaces servers until the context ends, one at a time: it drains, is gone, and another instance has its address.
+func (p *platform) renew(ctx context.Context, rng *rand.Rand) (renewed int) {
+	for {
+		pause(ctx, time.Duration(rng.ExpFloat64()*float64(renewEvery)))
+		s := p.servers[rng.IntN(len(p.servers))]
+		s.setDraining(true)
+		pause(ctx, drainFor)
+		if ctx.Err() != nil {
+			s.setDraining(false)
+			return renewed
+		}
+		renewed++
+		s.replace(fmt.Sprintf("%s-%d", s.instance(), renewed))
+	}
+}
+
+func (s *server) setDraining(draining bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = draining
+}
+
+func (s *server) replace(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.id, s.draining = id, false
+}
+
+func (s *server) instance() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id
+}
+
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	_, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxServerBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxServerBody))
 	if err != nil && r.URL.Path != "/order" {
 		return
 	}
-	w.Header().Set(headerRequest, r.Header.Get(headerRequest))
+	id := r.Header.Get(headerRequest)
+	if id != "" && r.Method == http.MethodPost {
+		s.checker.Got(id, string(body))
+	}
+	w.Header().Set(headerRequest, id)
 	switch {
 	case r.URL.Path == "/health":
-		w.Header().Set(headerInstance, s.id)
+		w.Header().Set(headerInstance, s.instance())
 	case r.URL.Path == "/order":
 		s.order(w)
 	case r.Method == http.MethodDelete:
@@ -155,7 +206,7 @@
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case r.Header.Get(headerStage) == stagePrefill:
-		fmt.Fprintf(w, handleAnswer, r.Header.Get(headerRequest))
+		fmt.Fprintf(w, handleAnswer, id)
 	default:
 		s.run(w, r)
 	}
@@ -197,7 +248,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.checker.Ran(id)
-	w.Header().Set(headerStamp, s.id+"."+id)
+	w.Header().Set(headerStamp, s.instance()+"."+id)
 	if s.service == modelService {
 		time.Sleep(promptWork)
 		w.Header().Set("Content-Type", "text/event-stream")
