--- a/cmd/hazelfleet/beside_test.go
+++ b/cmd/hazelfleet/beside_test.go
@@ -27,14 +27,7 @@
 )
 
 func startMixed() *mixed {
-	f := &fleet{dir: GinkgoT().TempDir(), base: lowestPort + rand.IntN(portChoices), running: map[string]*exec.Cmd{}}
-	f.startPlatform()
-	DeferCleanup(func() {
-		for name := range f.running {
-			f.kill(name)
-		}
-	})
-	m := &mixed{f}
+	m := &mixed{newFleet()}
 	for i := range allMachines {
 		m.begin(agentName(i), true)
 		m.begin(proxyName(i), true)
@@ -70,13 +63,7 @@
 	return path
 }
 
-func (m *mixed) begin(name string, bootstrap bool) {
-	process := exec.Command(binary, strings.TrimRight(name, "0123456789"))
-	process.Env = append(os.Environ(), "HAZELWHEEL_CONFIG="+m.file(name, bootstrap))
-	process.Stdout, process.Stderr = GinkgoWriter, GinkgoWriter
-	Expect(process.Start()).To(Succeed())
-	m.running[name] = process
-}
+func (m *mixed) begin(name string, bootstrap bool) { m.startWith(name, m.file(name, bootstrap)) }
 
 // order sends a change to a machine and returns the status, 0 where there was none. Redirects are followed.
 func (m *mixed) order(method string, i, base int, body string) int {
--- a/cmd/hazelfleet/fleet_test.go
+++ b/cmd/hazelfleet/fleet_test.go
@@ -50,7 +50,8 @@
 	running  map[string]*exec.Cmd
 }
 
-func startFleet() *fleet {
+// newFleet returns one without processes; what is started in it is killed after the test.
+func newFleet() *fleet {
 	f := &fleet{dir: GinkgoT().TempDir(), base: lowestPort + rand.IntN(portChoices), running: map[string]*exec.Cmd{}}
 	f.startPlatform()
 	DeferCleanup(func() {
@@ -58,6 +59,11 @@
 			f.kill(name)
 		}
 	})
+	return f
+}
+
+func startFleet() *fleet {
+	f := newFleet()
 	for i := range 3 {
 		f.start(controlName(i), true)
 	}
@@ -129,9 +135,12 @@
 	return path
 }
 
-func (f *fleet) start(name string, bootstrap bool) {
+func (f *fleet) start(name string, bootstrap bool) { f.startWith(name, f.settings(name, bootstrap)) }
+
+// startWith starts a process, whose name is its role and a number, with a settings file.
+func (f *fleet) startWith(name, settings string) {
 	process := exec.Command(binary, strings.TrimRight(name, "0123456789"))
-	process.Env = append(os.Environ(), "HAZELWHEEL_CONFIG="+f.settings(name, bootstrap))
+	process.Env = append(os.Environ(), "HAZELWHEEL_CONFIG="+settings)
 	process.Stdout, process.Stderr = GinkgoWriter, GinkgoWriter
 	Expect(process.Start()).To(Succeed())
 	f.running[name] = process
