Explore a role beside a change of the voters and a patch sent twice; free states

New rules of the explorer: no token is granted twice, no change is made twice. Values are told apart by grants and accepted changes as well. States no longer hold the ones before them, so that a search by hand does not fill the machine's memory; the way to a state is kept as names.

--- a/internal/decide/register/explorer_test.go
+++ b/internal/decide/register/explorer_test.go
@@ -28,6 +28,7 @@
 	change func(known register.Value) register.Change
 	digest register.Digest // of the configuration that it brings
 	base   uint64
+	takes  bool // the role
 }
 
 func configures(node string, version uint64) scriptedCall {
@@ -36,6 +37,20 @@
 		change: func(register.Value) register.Change { return register.Configure(version, version-1, digest) }}
 }
 
+// patches is a change that is known by its own bytes, which are others than those that it makes.
+func patches(node string, version uint64) scriptedCall {
+	made, identity := register.DigestOf([]byte(fmt.Sprint("made ", version))), register.DigestOf([]byte(fmt.Sprint("patch ", version)))
+	return scriptedCall{node: node, digest: identity, base: version - 1,
+		change: func(register.Value) register.Change { return register.ConfigureAs(version, version-1, made, identity) }}
+}
+
+const scriptedRole = "r"
+
+// takes is a process that takes a role whose token it knows.
+func takes(node string, token uint64) scriptedCall {
+	return scriptedCall{node: node, takes: true, change: func(register.Value) register.Change { return register.Take(scriptedRole, node, token) }}
+}
+
 func reconfigures(node string, voters ...string) scriptedCall {
 	return scriptedCall{node: node, change: func(known register.Value) register.Change {
 		if len(known.Previous) > 0 {
@@ -86,19 +101,26 @@
 	proven map[string]register.Ballot
 	begun  int
 	acked  []register.Digest
-	chosen register.Value // of the highest ballot that any call has found chosen
+	grants []register.Grant // that calls were told are theirs
+	chosen register.Value   // of the highest ballot that any call has found chosen
 	at     register.Ballot
 	depth  int
-	parent *modelState
 	label  string // the step that led here
+	trail  int    // where the explorer's trail has that step
+}
+
+// trailStep is a step of a history. Danger: states that kept the ones before them would fill the machine's memory.
+type trailStep struct {
+	before int
+	label  string
 }
 
-// history returns the steps that led to a state.
-func (s *modelState) history() string {
-	if s.parent == nil {
-		return ""
+// history returns the steps that led to a place of the trail.
+func (e *explorer) history(at int) (text string) {
+	for ; at > 0; at = e.trail[at].before {
+		text = " " + e.trail[at].label + text
 	}
-	return s.parent.history() + " " + s.label
+	return text
 }
 
 func (s *modelState) clone() *modelState {
@@ -115,12 +137,12 @@
 	for name, ballot := range s.proven {
 		out.proven[name] = ballot
 	}
-	out.depth, out.parent = s.depth+1, s
+	out.depth = s.depth + 1
 	return &out
 }
 
 func (s *modelState) key(nodes []string, scratch []byte) (uint64, []byte) {
-	key := append(scratch[:0], byte(s.begun), byte(len(s.acked)), byte(s.at.Round))
+	key := append(scratch[:0], byte(s.begun), byte(len(s.acked)), byte(len(s.grants)), byte(s.at.Round))
 	for _, name := range nodes {
 		disk := s.disks[name]
 		key = append(disk.AppendKey(key), byte(s.proven[name].Round))
@@ -146,7 +168,8 @@
 	trustAccepted bool // a mistake of the host: what the own disk has accepted counts as chosen
 	most          int  // states
 	states, depth int
-	complete      bool // no state within the bounds was left out
+	trail         []trailStep // the first one leads nowhere
+	complete      bool        // no state within the bounds was left out
 }
 
 // run returns how a rule was broken, "" where none was.
@@ -154,9 +177,11 @@
 	start := e.first()
 	key, scratch := start.key(e.nodes, nil)
 	seen := map[uint64]bool{key: true}
+	e.trail = append(e.trail, trailStep{})
 	queue := []*modelState{start}
 	for len(queue) > 0 {
 		state := queue[0]
+		queue[0] = nil
 		queue = queue[1:]
 		e.states, e.depth = e.states+1, state.depth
 		if e.states > e.most {
@@ -164,10 +189,12 @@
 		}
 		for _, next := range e.successors(state) {
 			if broken := e.broken(next); broken != "" {
-				return broken + ":" + next.history()
+				return broken + ":" + e.history(state.trail) + " " + next.label
 			}
 			if key, scratch = next.key(e.nodes, scratch); !seen[key] {
 				seen[key] = true
+				e.trail = append(e.trail, trailStep{state.trail, next.label})
+				next.trail = len(e.trail) - 1
 				queue = append(queue, next)
 			}
 		}
@@ -316,10 +343,19 @@
 	if scripted.base > 0 && call.round.Outcome == register.Chosen {
 		s.acked = append(slices.Clone(s.acked), scripted.digest)
 	}
+	if scripted.takes && call.round.Outcome == register.Chosen {
+		s.grants = append(slices.Clone(s.grants), call.round.Value.Grant(scriptedRole))
+	}
 }
 
-// broken tells whether a call that has ended lacks a change that was acknowledged before it began.
+// broken tells whether a call that has ended lacks a change that was acknowledged before it began, or has one twice, and whether two calls
+// were told of one grant.
 func (e *explorer) broken(s *modelState) string {
+	for i, grant := range s.grants {
+		if slices.ContainsFunc(s.grants[:i], func(other register.Grant) bool { return other.Token == grant.Token }) {
+			return fmt.Sprintf("token %d is granted twice", grant.Token)
+		}
+	}
 	for _, name := range e.nodes {
 		call := s.calls[name]
 		if call == nil || !holds(call.round.Outcome) {
@@ -330,6 +366,11 @@
 				return fmt.Sprintf("call %d lacks an acknowledged change", call.index)
 			}
 		}
+		for i, digest := range call.round.Value.Accepted {
+			if slices.Contains(call.round.Value.Accepted[:i], digest) {
+				return fmt.Sprintf("call %d finds a change that was made twice", call.index)
+			}
+		}
 		delete(s.calls, name) // it is over
 	}
 	return ""
@@ -354,6 +395,10 @@
 			wipes("C"), learns("C"), reconfigures("A", "A", "B", "C#2"), settles("A"), configures("B", 2), keeps("A")),
 		Entry("two changes of the configuration beside a replacement",
 			configures("B", 2), reconfigures("A", "A", "B", "D"), configures("B", 3), settles("A"), keeps("C")),
+		Entry("a role that is taken while the voters change, and taken again by another",
+			takes("A", 0), reconfigures("B", "A", "B", "D"), settles("B"), takes("C", 1), keeps("A")),
+		Entry("a patch that is sent twice, through two nodes, beside a change of the configuration",
+			patches("A", 2), patches("B", 2), configures("C", 2), keeps("A")),
 		Entry("a spare that is taken in while another proposes another one",
 			reconfigures("A", "A", "B", "C", "D"), reconfigures("B", "A", "B", "C", "E"), settles("A"), configures("C", 2), keeps("A")),
 	}
--- a/internal/decide/register/export_test.go
+++ b/internal/decide/register/export_test.go
@@ -60,5 +60,11 @@
 			key = append(key, voter.ID...)
 		}
 	}
+	for _, grant := range v.Grants {
+		key = binary.AppendUvarint(append(append(key, '@'), grant.Holder...), grant.Token)
+	}
+	for _, digest := range v.Accepted {
+		key = append(key, digest[:4]...)
+	}
 	return key
 }
