--- a/internal/decide/upkeep/faults_test.go
+++ b/internal/decide/upkeep/faults_test.go
@@ -143,14 +143,18 @@
 	w.after(forS, w.alive(n, func() { n.frozen, n.resumed = false, w.now }))
 }
 
-// arrive starts a spare.
-func (w *world) arrive() *node {
+// reserve takes a spare, which nothing else brings in from then on.
+func (w *world) reserve() *node {
 	spare := w.spares[0]
 	w.spares = w.spares[1:]
+	return spare
+}
+
+// arrive starts a spare.
+func (w *world) arrive(spare *node) {
 	spare.disk = register.State{ID: spare.address}
 	w.nodes = append(w.nodes, spare)
 	w.boot(spare)
-	return spare
 }
 
 func (w *world) remove(n *node) {
@@ -173,13 +177,9 @@
 	comesIn := 0.3 + 2.7*w.rng.Float64()
 	w.lost[n] = w.now + comesIn + catchUpS
 	w.troubled(comesIn)
-	spare := w.spares[0]
+	spare := w.reserve()
 	w.lost[spare] = w.lost[n] - 0.001
-	w.after(comesIn, func() {
-		if len(w.spares) > 0 {
-			w.arrive()
-		}
-	})
+	w.after(comesIn, func() { w.arrive(spare) })
 }
 
 // replacePlanned starts the new machine first. The old one is told to end, waits for others to take its place and is gone.
@@ -189,7 +189,8 @@
 		return
 	}
 	came := w.now
-	spare := w.arrive()
+	spare := w.reserve()
+	w.arrive(spare)
 	w.lost[spare] = came + catchUpS
 	w.after(0.3+2.7*w.rng.Float64(), func() {
 		if !n.up {
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -37,6 +38,7 @@
 	Once   Kind = "once"   // it may run once
 	Safe   Kind = "safe"   // it may be repeated
 	Prompt Kind = "prompt" // an answer of events
+	Feed   Kind = "feed"   // an answer of events that another server may go on with
 )
 
 // Outcome is what a client saw of a request.
@@ -49,7 +51,7 @@
 	Sent    time.Time
 	Ended   time.Time
 	Status  int    // 0: no answer
-	Body    string // of a 200
+	Body    string // of a 200, as far as it came
 	Stamp   bool   // the answer has a server's stamp
 	Closed  bool   // the connection ended without a whole answer
 	Fresh   bool   // no connection could be had
@@ -69,6 +71,7 @@
 	counts   map[bool]served // of added routes, of first ones
 	byKind   map[Kind]served
 	outcomes map[string]int // by what clients saw
+	resumed  int            // feeds that another attempt went on with
 	hungUp   int            // processes that SIGHUP ended before they can have begun
 	since    time.Time      // from when on requests count as after the last fault; zero: not yet
 	after    served
@@ -159,6 +162,13 @@
 	c.since = from
 }
 
+// Resumed counts a feed that goes on after an event that its client has.
+func (c *Checker) Resumed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resumed++
+}
+
 // HungUpEarly counts a process that SIGHUP ended before it can have begun.
 func (c *Checker) HungUpEarly() {
 	c.mu.Lock()
@@ -168,10 +178,29 @@
 
 // answerTo is the body that servers answer.
 func answerTo(kind Kind, id string) string {
-	if kind == Prompt {
+	switch kind {
+	case Prompt:
 		return fmt.Sprintf(twoEvents, id)
+	case Feed:
+		return feedFrom(id, 1)
+	default:
+		return "answer to " + id
 	}
-	return "answer to " + id
+}
+
+// feedEvents is the number of events in the answer to a feed.
+const feedEvents = 6
+
+// feedFrom returns the events of a feed from one of them on.
+func feedFrom(id string, first int) (events string) {
+	for event := first; event <= feedEvents; event++ {
+		events += feedEvent(id, event)
+	}
+	return events
+}
+
+func feedEvent(id string, event int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", event, id, event)
 }
 
 // Ended takes what a client saw of a request.
@@ -222,6 +251,11 @@
 	switch {
 	case o.Status == 200 && (o.Body != answerTo(o.Kind, o.ID) || !o.Stamp):
 		c.breakLocked(OwnAnswer, "%s got %.60q, stamp %v", o.ID, o.Body, o.Stamp)
+	case o.Kind == Feed && o.Closed && o.Body != "":
+		// A feed that breaks off more often than the route has attempts ends with what came in order.
+		if !strings.HasPrefix(answerTo(Feed, o.ID), o.Body) {
+			c.breakLocked(OwnAnswer, "%s broke off after %.80q", o.ID, o.Body)
+		}
 	case o.Silent && !o.Trouble:
 		c.breakLocked(Answered, "%s (%s) at %s: no answer and no end after %v", o.ID, o.Kind, o.Edge, o.Ended.Sub(o.Sent))
 	case o.Closed && !o.Trouble:
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -77,7 +77,7 @@
 // draw makes a request.
 func (c *client) draw(ctx context.Context) (*http.Request, Outcome, error) {
 	id := fmt.Sprintf("%016x", c.rng.Uint64())
-	o := Outcome{ID: id, Kind: []Kind{Once, Safe, Prompt}[c.rng.IntN(3)], Edge: c.at.name}
+	o := Outcome{ID: id, Kind: []Kind{Once, Safe, Prompt, Feed}[c.rng.IntN(4)], Edge: c.at.name}
 	path := "/" + string(o.Kind) + "/x"
 	if newest := int(c.routes.Load()); newest > 0 && c.rng.Float64() < addedPart {
 		o.Kind, o.Route = Once, max(newest-c.rng.IntN(newestRoutes), 1)
@@ -159,8 +159,10 @@
 	if err == nil {
 		defer answer.Body.Close()
 		var body []byte
-		if body, err = io.ReadAll(answer.Body); err == nil {
-			o.Status, o.Body, o.Stamp = answer.StatusCode, string(body), answer.Header.Get(headerStamp) != ""
+		body, err = io.ReadAll(answer.Body)
+		o.Body = string(body)
+		if err == nil {
+			o.Status, o.Stamp = answer.StatusCode, answer.Header.Get(headerStamp) != ""
 			return
 		}
 	}
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -98,6 +98,8 @@
 	add("once", "/once/", "non_idempotent", plainService)
 	add("safe", "/safe/", "idempotent", plainService)
 	add("prompt", "/prompt/", "streaming", modelService)
+	add("feed", "/feed/", "streaming", plainService)
+	config.Routes[len(config.Routes)-1].Resumable = true
 	for route := 1; route <= added; route++ {
 		add(fmt.Sprint("added-", route), addedPath(route), "non_idempotent", plainService)
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -32,6 +32,7 @@
 	Series    map[string]int // by name
 	AllKilled int64
 	Renewed   int // servers that were replaced by another instance at their address
+	Resumed   int // feeds that another attempt went on with
 	HungUp    int // processes that SIGHUP ended before they can have begun
 	// The slowest change until it was confirmed, and the slowest control machine until it voted again, in seconds.
 	SlowestChange, SlowestVote float64
@@ -167,11 +168,11 @@
 
 func (r *run) report(lasted time.Duration) *Result {
 	r.checker.mu.Lock()
-	outcomes, hungUp := r.checker.outcomes, r.checker.hungUp
+	outcomes, hungUp, resumed := r.checker.outcomes, r.checker.hungUp, r.checker.resumed
 	r.checker.mu.Unlock()
 	return &Result{Seed: r.settings.Seed, Processes: r.settings.controlProcesses() + 2*r.settings.edges(), Seconds: lasted.Seconds(),
 		Requests: r.clients.count.Load(), Outcomes: outcomes, Versions: r.operator.version, Added: r.operator.routes.Load(), Series: r.player.played,
-		AllKilled: r.player.allKilled.Load(), Renewed: r.renewed, HungUp: hungUp, SlowestChange: r.operator.slowest.Seconds(), SlowestVote: r.player.slowest.Seconds(),
+		AllKilled: r.player.allKilled.Load(), Renewed: r.renewed, Resumed: resumed, HungUp: hungUp, SlowestChange: r.operator.slowest.Seconds(), SlowestVote: r.player.slowest.Seconds(),
 		Broken: r.checker.Broken()}
 }
 
@@ -181,8 +182,8 @@
 	for _, count := range r.Series {
 		series += count
 	}
-	out := fmt.Sprintf("seed %d: %d processes, %.0f s, %d requests %v, %d changes (slowest %.1f s), %d series, all killed %d times, %d servers replaced, %d hung up before they began, slowest vote %.1f s, %d rules broken\n",
-		r.Seed, r.Processes, r.Seconds, r.Requests, r.Outcomes, r.Added, r.SlowestChange, series, r.AllKilled, r.Renewed, r.HungUp, r.SlowestVote, len(r.Broken))
+	out := fmt.Sprintf("seed %d: %d processes, %.0f s, %d requests %v, %d changes (slowest %.1f s), %d series, all killed %d times, %d servers replaced, %d feeds resumed, %d hung up before they began, slowest vote %.1f s, %d rules broken\n",
+		r.Seed, r.Processes, r.Seconds, r.Requests, r.Outcomes, r.Added, r.SlowestChange, series, r.AllKilled, r.Renewed, r.Resumed, r.HungUp, r.SlowestVote, len(r.Broken))
 	for rule, cases := range r.Broken {
 		for _, one := range cases {
 			out += fmt.Sprintf("  %s: %s\n", rule, one)
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -52,6 +52,11 @@
 			c.Ended(o)
 			c.Ran("later")
 		}),
+		Entry(nil, OwnAnswer, func(c *Checker) {
+			o := sound()
+			o.Kind, o.Status, o.Closed, o.Body = Feed, 0, true, feedEvent("id", 2)
+			c.Ended(o)
+		}),
 		Entry(nil, Intact, func(c *Checker) { c.Got("id", "body of i") }),
 		Entry(nil, Answered, func(c *Checker) { o := sound(); o.Status, o.Closed = 0, true; c.Ended(o) }),
 		Entry(nil, Answered, func(c *Checker) { o := sound(); o.Status, o.Silent = 0, true; c.Ended(o) }),
--- a/internal/lab/soak/standins.go
+++ b/internal/lab/soak/standins.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -37,6 +38,7 @@
 	partRefused     = 0.01
 	partBrokenOff   = 0.005
 	partAnswerLost  = 0.003
+	partFeedBroken  = 0.03 // before each event
 	plainWork       = 5 * time.Millisecond
 	promptWork      = 15 * time.Millisecond
 	headerRequest   = "Hazelwheel-Request-Id"
@@ -47,6 +49,7 @@
 	headerStamp     = "Hazelwheel-Response-Stamp"
 	headerNotRun    = "Hazelwheel-Not-Executed"
 	headerDeadline  = "Hazelwheel-Deadline-Ms"
+	headerLastEvent = "Last-Event-Id"
 	headerTokens    = "Hazelwheel-Token-Counts"
 	headerPrefix    = "Hazelwheel-Prefix-Hash"
 	weightsVersion  = "1"
@@ -240,6 +243,25 @@
 	})
 }
 
+// feed sends the events after the last one that a client has, and breaks off after some of them now and then.
+func (s *server) feed(w http.ResponseWriter, id, last string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(last) // none: from the first on
+	if from > 0 {
+		s.checker.Resumed()
+	}
+	for event := from + 1; event <= feedEvents; event++ {
+		if event > from+1 && rand.Float64() < partFeedBroken {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, feedEvent(id, event)); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush() // a proxy that is gone needs none
+		time.Sleep(plainWork)
+	}
+}
+
 // run runs a request and answers it, but for some that are broken off.
 func (s *server) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(headerRequest)
@@ -249,6 +271,10 @@
 	}
 	s.checker.Ran(id)
 	w.Header().Set(headerStamp, s.instance()+"."+id)
+	if strings.HasPrefix(r.URL.Path, "/"+string(Feed)+"/") {
+		s.feed(w, id, r.Header.Get(headerLastEvent))
+		return
+	}
 	if s.service == modelService {
 		time.Sleep(promptWork)
 		w.Header().Set("Content-Type", "text/event-stream")
