Look at a bounded number of servers outside a proxy's part, told apart by a flag

Read again: each request that waits for a place looked at all servers and compared each with all members, which at thousands of servers costs more than the request. Of more than 256 a random stretch is looked at; below that nothing changes. The tests of the choice pass unchanged.

--- a/internal/decide/placement/pool.go
+++ b/internal/decide/placement/pool.go
@@ -29,6 +29,8 @@
 	memberPart = 0.5
 	// leastMembers is the number of servers that a proxy has all the same.
 	leastMembers = 3
+	// outsideMost bounds the servers outside a proxy's part that are looked at for one request.
+	outsideMost = 256
 	// goneFor is for how long an instance that left the list is not taken back from an older reading, in seconds.
 	goneFor = 10.0
 )
@@ -39,6 +41,7 @@
 	InFlight int // own requests
 
 	key       uint32 // in loads
+	member    bool   // of the proxy's part
 	window    window
 	nextProbe float64
 	probing   bool
@@ -166,6 +169,9 @@
 
 // subset takes an even part of the servers by the proxy's number, of each stage by itself.
 func (p *Pool) subset() {
+	for _, member := range p.members {
+		member.member = false
+	}
 	p.members = p.members[:0]
 	for _, stage := range []message.Stage{"", message.Prefill, message.Decode} {
 		var ring []*Endpoint
@@ -183,7 +189,9 @@
 		}
 		from, size := policy.Subset(len(ring), p.rank, p.count, min(floor, p.mostMembers(len(ring))))
 		for i := range size {
-			p.members = append(p.members, ring[(from+i)%len(ring)])
+			member := ring[(from+i)%len(ring)]
+			member.member = true
+			p.members = append(p.members, member)
 		}
 	}
 }
@@ -307,12 +315,16 @@
 	return []*Endpoint{best}
 }
 
-// outside returns the servers that may be used and are not in the proxy's part. Where most proxies are gone the others get all requests, and
-// their parts are full long before the servers are.
+// outside returns servers that may be used and are not in the proxy's part, of many a random stretch. Where most proxies are gone the others
+// get all requests, and their parts are full long before the servers are.
 func (p *Pool) outside(now float64, stage message.Stage, without []*Endpoint) (servers []*Endpoint) {
-	for _, id := range p.ids {
-		e := p.endpoints[id]
-		if e.Stage == stage && p.usable(e, now) && !slices.Contains(p.members, e) && !slices.Contains(without, e) {
+	from := 0
+	if len(p.ids) > outsideMost {
+		from = p.rng.IntN(len(p.ids))
+	}
+	for i := range min(len(p.ids), outsideMost) {
+		e := p.endpoints[p.ids[(from+i)%len(p.ids)]]
+		if e.Stage == stage && !e.member && p.usable(e, now) && !slices.Contains(without, e) {
 			servers = append(servers, e)
 		}
 	}
