--- a/internal/proxy/plain_test.go
+++ b/internal/proxy/plain_test.go
@@ -66,7 +66,8 @@
 	It("goes nowhere where a server that takes few connections resets a new one", func() {
 		for _, crowdedFirst := range []bool{true, false} {
 			one, two := startServer("i-1", "s", "", echo), startServer("i-2", "s", "", echo)
-			one.crowded, two.crowded = crowdedFirst, !crowdedFirst
+			one.setCrowded(crowdedFirst)
+			two.setCrowded(!crowdedFirst)
 			p, front := startProxy(route(routes.NonIdempotent), false, one, two)
 			p.state.do("s", func(_ float64, pool *placement.Pool, _ *placement.Planner) { pool.SetConnections(2) })
 			for n := range 6 {
--- a/internal/proxy/proxy_suite_test.go
+++ b/internal/proxy/proxy_suite_test.go
@@ -99,6 +99,12 @@
 	}
 }
 
+func (s *server) setCrowded(crowded bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crowded = crowded
+}
+
 func (s *server) seen() []taken {
 	s.mu.Lock()
 	defer s.mu.Unlock()
