--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -64,6 +64,7 @@
 	linger    *timer
 	arrival   *timer  // of the request that is on its way in
 	arriving  float64 // when the time for it began to count
+	stood     float64 // how long the loop had stood still in all by then, in seconds
 	openedAt  float64
 	answered  bool    // it has brought a request
 	heardAt   float64 // when bytes last came after it was shut
@@ -164,22 +165,28 @@
 	if !l.answered {
 		by = min(by, l.openedAt+firstS)
 	}
-	l.arriving = by
+	l.awaitUntil(by)
 	l.arrival = l.s.timers.at(by, l.overdue)
 }
 
-// overdue ends a request that has not come whole in time. A longer body has as much more as it needs at the least rate, and
-// the time in which it was left unread does not count.
+// awaitUntil has a request come by a time, plus what a longer body needs.
+func (l *ClientConn) awaitUntil(by float64) {
+	l.arriving, l.stood = by, l.s.fit.stood
+}
+
+// overdue ends a request that has not come whole in time. A longer body has as much more as it needs at the least rate, and the time in
+// which it was left unread does not count, nor that in which the loop stood still: what came then lay in the socket.
 func (l *ClientConn) overdue() {
 	now, came := l.s.now(), 0
 	l.arrival = nil
+	l.awaitUntil(l.arriving + l.s.fit.stood - l.stood)
 	if r := l.request; r != nil {
 		came = r.body.From + len(r.body.Kept)
 	} else {
 		came, _ = l.client.Partial()
 	}
 	if l.paused {
-		l.arriving = now + arrivalS - float64(came)/leastRate
+		l.awaitUntil(now + arrivalS - float64(came)/leastRate)
 	}
 	if by := l.arriving + float64(came)/leastRate; by > now {
 		l.arrival = l.s.timers.at(max(by, now+0.1), l.overdue)
@@ -285,7 +292,7 @@
 	if r.uploading() { // its time counts from its last byte; the decisions go by what they are used to
 		r.deadline += longestUploadS
 		l.pause(netio.EndsShow)
-		l.arriving = l.s.now() + arrivalS - float64(len(a.Body.Kept))/leastRate
+		l.awaitUntil(l.s.now() + arrivalS - float64(len(a.Body.Kept))/leastRate)
 		l.arrival = l.s.timers.at(l.s.now()+arrivalS, l.overdue)
 	}
 	l.s.take(r, q)
