A listener on the ground falls silent once its accepting goroutine has parked

Cause: TestDial failed once in the last whole run of the tests: a dial to a machine that had vanished came up. A trace of both shows the same: the accepting goroutine, under way as its deadline was set, took the connection that was to fill the queue; the second one that fills it had just been dropped by the system for the queue that was full a moment before, and the queue stayed empty.

--- a/internal/lab/ground/listener.go
+++ b/internal/lab/ground/listener.go
@@ -2,17 +2,24 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"os"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// listener is a listening socket that can fall silent: new connections then never come up, and are not refused either.
+// listener is a listening socket that can fall silent: new connections then never come up, and are not refused either. One goroutine
+// accepts; the other calls are those of the loop.
 type listener struct {
 	net.Listener
 	fillers []net.Conn
+	silent  bool          // the accepting goroutine is parked
+	parked  chan struct{} // it says so here
+	resumed chan struct{} // and goes on once it is told to
+	closed  chan struct{}
 }
 
 // fillFrom is the address of those that fill queues, and of nobody else.
@@ -24,7 +31,27 @@
 	if err != nil {
 		return nil, err
 	}
-	return &listener{Listener: l}, nil
+	return &listener{Listener: l, parked: make(chan struct{}), resumed: make(chan struct{}), closed: make(chan struct{})}, nil
+}
+
+// Accept returns the next connection. It waits while the listener is silent, and ends with net.ErrClosed.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return c, err
+		}
+		select {
+		case l.parked <- struct{}{}:
+		case <-l.closed:
+			return nil, net.ErrClosed
+		}
+		select {
+		case <-l.resumed:
+		case <-l.closed:
+			return nil, net.ErrClosed
+		}
+	}
 }
 
 // backlog sets how many connections may wait to be accepted.
@@ -37,10 +64,16 @@
 }
 
 // disappear has the system drop whoever calls: the queue has room for one, which is taken, and nobody accepts. Danger: the
-// accepting goroutine must be kept from it, so the deadline has passed for it until appear.
+// accepting goroutine may stand between its look at the deadline and its call of accept; it would take a connection that fills the
+// queue, and leave room for one that comes later. So the queue is filled once that goroutine has parked.
 func (l *listener) disappear() {
+	if l.silent {
+		return
+	}
+	l.silent = true
 	l.backlog(0)
 	_ = l.Listener.(*net.TCPListener).SetDeadline(longAgo)
+	<-l.parked
 	for range 2 { // Linux lets one more wait than it was told
 		dialer := net.Dialer{Timeout: fillWithin, LocalAddr: &net.TCPAddr{IP: fillFrom.AsSlice()}}
 		if c, err := dialer.Dial("tcp", l.Addr().String()); err == nil {
@@ -51,6 +84,10 @@
 
 // appear ends that.
 func (l *listener) appear() {
+	if !l.silent {
+		return
+	}
+	l.silent = false
 	for _, c := range l.fillers {
 		_ = c.(*net.TCPConn).SetLinger(0)
 		c.Close()
@@ -58,9 +95,11 @@
 	l.fillers = nil
 	l.backlog(usualBacklog)
 	_ = l.Listener.(*net.TCPListener).SetDeadline(never)
+	l.resumed <- struct{}{}
 }
 
 func (l *listener) close() {
+	close(l.closed)
 	for _, c := range l.fillers {
 		c.Close()
 	}
