Tests of fleets of processes overlap, and no more than six are played at once

That package sets the length of the run: alone it took 386 s, and its log shows that the first test marked as parallel began after 254 s. Seven tests whose cases are parallel were not so themselves: each held all others up until its slowest case was over (50, 35, 34, 30 s and less).

They are parallel now. Up to eight tests were played at a time, each with five to nine processes; it is six.

--- a/cmd/hazelwheel/fleetcases_test.go
+++ b/cmd/hazelwheel/fleetcases_test.go
@@ -94,6 +94,7 @@
 // Who can be reached by most is not called dead: neither one that one other does not hear, nor one that two do not. Those who do not hear
 // it are among its watchers: to anybody else its silence is nothing, since nothing is expected of it there.
 func TestFleetHearsThroughOthers(t *testing.T) {
+	t.Parallel() // else all other tests wait until its last case is over
 	for name, deaf := range map[string]int{"one way": 1, "two of seven": 2} {
 		t.Run(name, func(t *testing.T) {
 			c := newCrew(t, 7).start()
@@ -150,6 +151,7 @@
 
 // One that stands still for a while goes on with what it knew, and nobody else is called dead for it.
 func TestFleetWithOneThatStandsStill(t *testing.T) {
+	t.Parallel() // else all other tests wait until its last case is over
 	for _, for_ := range []time.Duration{time.Second, 5 * time.Second, 30 * time.Second} {
 		t.Run(for_.String(), func(t *testing.T) {
 			c := newCrew(t, 5).start()
--- a/cmd/hazelwheel/owner_test.go
+++ b/cmd/hazelwheel/owner_test.go
@@ -251,6 +251,7 @@
 // The owner is cut off one way and the other, from the electors alone, and from all but them. Whoever owns the job, its effects are
 // taken in the order of their tokens, and mended, all agree.
 func TestOwnerIsCut(t *testing.T) {
+	t.Parallel() // else all other tests wait until its last case is over
 	for name, cut := range map[string]func(c *crew, owner *mate, electors, others []string) []troupe.Way{
 		"its words are lost": func(c *crew, owner *mate, _, _ []string) []troupe.Way {
 			return troupe.Between([]string{owner.name}, names(c.without(owner)), true)
--- a/cmd/hazelwheel/workcases_test.go
+++ b/cmd/hazelwheel/workcases_test.go
@@ -78,6 +78,7 @@
 // A request whose answer takes half a minute, and one that was given up on, whose box works on: the box is not handed over before they
 // have ended, or can't go on any more.
 func TestWorkRequestIsOut(t *testing.T) {
+	t.Parallel() // else all other tests wait until its last case is over
 	for _, k := range []struct {
 		name     string
 		patience string // of its client
@@ -113,6 +114,7 @@
 // The load grows while boxes are out, and a site is lost: what nobody works on is given back, nothing more leaves, and once it is over the
 // plan goes on.
 func TestWorkFleetIsInTrouble(t *testing.T) {
+	t.Parallel() // else all other tests wait until its last case is over
 	for _, k := range []struct {
 		name, waits string
 		begins      func(y *yard) (ends func())
@@ -334,6 +336,7 @@
 // Discovery has its own word on a box that is out: it is dropped, listed at another address, listed as draining. It stays out, and comes
 // back in its time.
 func TestWorkDiscoveryMoves(t *testing.T) {
+	t.Parallel() // else all other tests wait until its last case is over
 	for name, change := range map[string]func(e *endpoint, other endpoint){
 		"dropped":         func(e *endpoint, _ endpoint) { e.Status = "DELETED" },
 		"another address": func(e *endpoint, other endpoint) { e.Address = other.Address },
--- a/cmd/hazelwheel/workstep_test.go
+++ b/cmd/hazelwheel/workstep_test.go
@@ -99,6 +99,7 @@
 // The coordinator is killed at a step, and the next one stands still at the same step, until a third one has handed over another box;
 // then it goes on. Each box is worked on once, the plan comes to its end.
 func TestWorkCoordinatorFalls(t *testing.T) {
+	t.Parallel() // else all other tests wait until its last case is over
 	for _, k := range []struct {
 		name string
 		step string      // at which it falls; empty: as soon as a box is at the stage
--- a/cmd/hazelwheel/world_test.go
+++ b/cmd/hazelwheel/world_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -33,9 +34,25 @@
 		main()
 		return
 	}
+	flag.Parse()
+	playAtMost(testsAtOnce)
 	os.Exit(m.Run())
 }
 
+// testsAtOnce is how many tests are played at a time, on however many cores. Danger: many of them are fleets of five to nine processes
+// each, and all go by real time; played more at once they starve each other.
+const testsAtOnce = 6
+
+// playAtMost lowers the number of tests that are played at a time.
+func playAtMost(most int) {
+	atOnce := flag.Lookup("test.parallel")
+	if n, err := strconv.Atoi(atOnce.Value.String()); err != nil || n > most {
+		if err := atOnce.Value.Set(strconv.Itoa(most)); err != nil {
+			panic(err) // it is the flag of the testing package, which takes any number from 1 on
+		}
+	}
+}
+
 const patience = 20 * time.Second // for what must come; nothing here is proved by waiting for it in vain
 
 // outside asks without leaving connections behind.
