Control that has just begun takes no voter for silent; turns go by who is alive

Voters that there was no time to hear of (1.5 s, as for contact) now count as there (upkeep.Assume). The order of turns counted a voter as in touch while its machine answered, under whatever identity; three identities that are gone had the first turns, 2.1 s in all. Turns go by candidates that are alive by their identity (upkeep.Alive).

The processes had both (internal/control), as had the world. Ruled out: a learner that asks for too much (each had what it needed at its first or second question). Tests of the decisions show either without the world.

--- a/internal/control/upkeep.go
+++ b/internal/control/upkeep.go
@@ -32,8 +32,9 @@
 	began := time.Now()
 	for wait(ctx, upkeepEvery) == nil {
 		facts, _ := c.node.Facts()
-		needed := upkeep.Needed(&facts.Voters, c.candidates(), c.wantedVoters())
-		rank, votes := upkeep.Rank(c.registrar.self.ID, &facts.Voters, c.inTouch)
+		candidates := upkeep.Assume(&facts.Voters, c.candidates(), c.inTouch)
+		needed := upkeep.Needed(&facts.Voters, candidates, c.wantedVoters())
+		rank, votes := upkeep.Rank(c.registrar.self.ID, &facts.Voters, upkeep.Alive(candidates))
 		if !turns.Due(time.Since(began).Seconds(), needed && votes, rank) {
 			continue
 		}
@@ -82,7 +83,8 @@
 		return false, err
 	}
 	if len(value.Previous) == 0 {
-		candidates := c.askLearners(ctx, value, c.candidates(), learners)
+		assumed := upkeep.Assume(&value.Value, c.candidates(), c.inTouch)
+		candidates := c.askLearners(ctx, value, assumed, learners)
 		next, needed := register.Membership(value.Voters, candidates, c.wantedVoters())
 		if !needed {
 			return false, nil
--- a/internal/decide/upkeep/upkeep.go
+++ b/internal/decide/upkeep/upkeep.go
@@ -33,12 +33,12 @@
 	return now-t.since >= turnS*float64(rank)
 }
 
-// Rank returns the place of a process among the voters that it is in touch with, itself among them, by their identities. It returns
-// false for a process that doesn't vote.
-func Rank(self string, value *register.Value, inTouch func(register.Voter) bool) (int, bool) {
+// Rank returns the place of a process among the voters that are alive, itself among them, by their identities. It returns false for a
+// process that doesn't vote.
+func Rank(self string, value *register.Value, alive func(register.Voter) bool) (int, bool) {
 	var ids []string
 	for _, voter := range value.Everyone() {
-		if voter.ID == self || inTouch(voter) {
+		if voter.ID == self || alive(voter) {
 			ids = append(ids, voter.ID)
 		}
 	}
@@ -64,6 +64,28 @@
 	return changed
 }
 
+// Assume returns the candidates and, as alive, each voter at whose address none is known though it still counts as in touch. Danger: a
+// process that has just begun has heard of nobody yet. It would take live voters for silent ones and, with a newcomer at hand, have them
+// leave in place of those that are dead; a majority then hangs on each one that is left, and changes come slowly.
+func Assume(value *register.Value, candidates []register.Candidate, inTouch func(register.Voter) bool) []register.Candidate {
+	all := slices.Clone(candidates)
+	for _, voter := range value.Everyone() {
+		known := slices.ContainsFunc(candidates, func(c register.Candidate) bool { return c.Address == voter.Address })
+		if !known && inTouch(voter) {
+			all = append(all, register.Candidate{Voter: voter, Alive: true})
+		}
+	}
+	return all
+}
+
+// Alive tells of a voter whether it is there by its identity. Danger: a machine that lost its disk has another identity at the same
+// address. Counted as the voter that it was, it would have a turn that it can't take.
+func Alive(candidates []register.Candidate) func(register.Voter) bool {
+	return func(voter register.Voter) bool {
+		return slices.ContainsFunc(candidates, func(c register.Candidate) bool { return c.Alive && c.Voter == voter })
+	}
+}
+
 // Learners keeps what each candidate that is asked must hold to vote: the value that was chosen when it was asked first, or a later one.
 // Danger: to ask for the newest one each time is a target that moves with each change, and a candidate that is as fast as all others
 // would never meet it. What is chosen meanwhile it learns as a voter does that was passed over by some rounds.
--- a/internal/decide/upkeep/upkeep_test.go
+++ b/internal/decide/upkeep/upkeep_test.go
@@ -90,6 +90,38 @@
 	})
 })
 
+var _ = Describe("who is there", func() {
+	voter := func(id, address string) register.Voter { return register.Voter{ID: id, Address: address} }
+	value := &register.Value{Epoch: 1, Voters: []register.Voter{voter("a", "A"), voter("b", "B"), voter("c", "C")}}
+	alive := func(id, address string) register.Candidate {
+		return register.Candidate{Voter: voter(id, address), Alive: true}
+	}
+	everyone := func(register.Voter) bool { return true }
+	nobody := func(register.Voter) bool { return false }
+
+	It("takes in voters that there was no time to hear of, so that none of them leaves for a newcomer", func() {
+		newcomer := alive("d", "D")
+		newcomer.CaughtUp = true
+		heard := []register.Candidate{alive("a", "A"), newcomer}
+		next, _ := register.Membership(value.Voters, heard, 3)
+		Expect(next).NotTo(ContainElement(voter("c", "C")), "what would happen without")
+		next, _ = register.Membership(value.Voters, upkeep.Assume(value, heard, everyone), 3)
+		Expect(next).To(ContainElements(value.Voters))
+	})
+
+	It("leaves voters out that had their time", func() {
+		Expect(upkeep.Assume(value, []register.Candidate{alive("a", "A")}, nobody)).To(HaveLen(1))
+	})
+
+	It("doesn't take a machine that lost its disk for the voter that it was", func() {
+		candidates := upkeep.Assume(value, []register.Candidate{alive("a#1", "A"), alive("b", "B"), alive("c", "C")}, everyone)
+		Expect(candidates).To(HaveLen(3))
+		rank, votes := upkeep.Rank("b", value, upkeep.Alive(candidates))
+		Expect(rank).To(BeZero(), "the first that can act")
+		Expect(votes).To(BeTrue())
+	})
+})
+
 var _ = Describe("what a newcomer must hold", func() {
 	candidate := register.Voter{ID: "d", Address: "d"}
 	at := func(round uint64) register.Ballot { return register.Ballot{Round: round} }
--- a/internal/decide/upkeep/world_test.go
+++ b/internal/decide/upkeep/world_test.go
@@ -327,7 +327,13 @@
 	}
 }
 
-func (w *world) candidates(n *node) (out []register.Candidate) {
+// candidates returns the machines that a node knows, and the voters that it has had no time to hear of.
+func (w *world) candidates(n *node, value *register.Value) []register.Candidate {
+	known := w.knownCandidates(n)
+	return upkeep.Assume(value, known, func(v register.Voter) bool { return w.now-max(n.contact[v.Address], n.resumed) <= touchS })
+}
+
+func (w *world) knownCandidates(n *node) (out []register.Candidate) {
 	for _, other := range w.nodes {
 		id, leaving := n.peers[other.address].id, n.peers[other.address].leaving
 		if other == n {
@@ -342,8 +348,10 @@
 }
 
 func (w *world) upkeep(n *node) {
-	needed := upkeep.Needed(&n.told, w.candidates(n), w.wanted)
-	rank, votes := upkeep.Rank(n.disk.ID, &n.told, func(v register.Voter) bool { return w.mistakes.noTurns || w.inTouch(n, v.Address) })
+	candidates := w.candidates(n, &n.told)
+	needed := upkeep.Needed(&n.told, candidates, w.wanted)
+	alive := upkeep.Alive(candidates)
+	rank, votes := upkeep.Rank(n.disk.ID, &n.told, func(v register.Voter) bool { return w.mistakes.noTurns || alive(v) })
 	if w.mistakes.noTurns && rank > 0 {
 		return
 	}
@@ -367,7 +375,7 @@
 
 // askLearners asks those that don't vote whether they hold a value, and changes the voters then.
 func (w *world) askLearners(n *node, value register.Value, at register.Ballot, until float64, stop func()) {
-	candidates := w.candidates(n)
+	candidates := w.candidates(n, &value)
 	asked := map[register.Voter]bool{}
 	open := 1
 	proceed := func() {
