A role whose grant has lapsed for a lease is taken anew, not confirmed

A reading doesn't keep others from taking the role.

A grant that could not be confirmed for a whole lease is now taken anew, with a new token, and the register decides between the two; a reading that began after that, or whose grant was given up meanwhile, confirms nothing. What orders the holders could give was fenced by the token all along.

Tests of the decisions show both without the world.

--- a/internal/decide/election/election.go
+++ b/internal/decide/election/election.go
@@ -41,7 +41,7 @@
 	Wait    Next = iota
 	Act          // it holds the role and may act
 	Confirm      // it has to read its grant at a majority first
-	Take         // the role is vacant: it has to take it
+	Take         // the role is vacant, or its own grant has lapsed: it has to take it
 )
 
 // Look tells what there is to do. grant is the newest that is known, silentS for how long its holder was not heard of, and inTouch whether
@@ -53,8 +53,11 @@
 		h.token = 0
 	}
 	if h.token > 0 {
-		if now-h.confirmed <= confirmPart*h.LeaseS {
+		switch {
+		case now-h.confirmed <= confirmPart*h.LeaseS:
 			return Act
+		case h.lapsed(now):
+			return Take
 		}
 		return Confirm
 	}
@@ -78,12 +81,20 @@
 	return Wait
 }
 
-// Granted tells what the register holds after a Take or a Confirm that began at a time.
+// lapsed tells whether the grant could not be confirmed for a whole lease. Danger: others may be about to take it, and a read that finds
+// it unchanged doesn't keep them from that. It is taken anew, so that the register decides between the two.
+func (h *Holder) lapsed(now float64) bool { return now-h.confirmed > h.LeaseS }
+
+// Granted tells what the register holds after a Confirm that began at a time. One that began when the grant had lapsed confirms nothing,
+// nor does one of a grant that was given up meanwhile.
 func (h *Holder) Granted(began float64, grant register.Grant) {
 	if grant.Holder != h.Name || grant.Token < h.token {
 		h.token = 0
 		return
 	}
+	if h.token == 0 || h.lapsed(began) {
+		return
+	}
 	h.token, h.confirmed = grant.Token, began
 }
 
--- a/internal/decide/election/election_test.go
+++ b/internal/decide/election/election_test.go
@@ -128,6 +128,27 @@
 		Expect(h.Release(100)).To(BeZero())
 	})
 
+	It("takes its grant anew once it has lapsed, whatever a reading says that began then", func() {
+		h := election.New("r", "a", lease, 0)
+		h.Took(1, 4)
+		own := register.Grant{Role: "r", Holder: "a", Token: 4}
+		Expect(h.Look(1+lease, own, 0, true)).To(Equal(election.Confirm))
+		const late = 1 + lease + 0.3
+		Expect(h.Look(late, own, 0, true)).To(Equal(election.Take))
+		h.Granted(late, own)
+		Expect(h.MayAct(late)).To(BeFalse(), "another may be about to take it")
+		h.Took(late, 5)
+		Expect(h.MayAct(late)).To(BeTrue())
+	})
+
+	It("doesn't take a grant back by a reading that was under way as it gave it up", func() {
+		h := election.New("r", "a", lease, 0)
+		h.Took(1, 4)
+		h.Lost()
+		h.Granted(1.5, register.Grant{Role: "r", Holder: "a", Token: 4})
+		Expect(h.Token()).To(BeZero())
+	})
+
 	It("keeps what it confirms", func() {
 		h := election.New("r", "a", lease, 0)
 		h.Took(1, 1)
