An elector's grant is on its disk before its test ends it; one test is known red

- TestOwnerElectorState: "a grant is a write at each elector", its test says, and ends one once all know the owner.
A majority grants without the third, whose disk may be as it was.
The test waits for its write.
- TestWorkMechanics: work on a box began, not forced, while a request was out there that had come 10.4 s before and ended 0.9 s after.
One sidecar had lost its lease at that moment for standing still.

--- a/cmd/hazelwheel/owner_test.go
+++ b/cmd/hazelwheel/owner_test.go
@@ -470,6 +470,10 @@
 		require.NoError(t, err)
 		require.Contains(t, text, "OK")
 		c.owner(token, c.all...)
+		c.poll("the grant is on its disk", func() bool { // a majority grants without it
+			raw, err := os.ReadFile(file)
+			return err == nil && !bytes.Equal(old, raw)
+		})
 		id := m.id()
 		m.kill()
 		raw, err := os.ReadFile(file)
