Configurations find lines as the sidecar's files do, and are nested 64 deep at most

The check of a configuration counted the lines before each finding anew, in bytes, though internal/appconfig has lines of a text with columns in characters: that moves to internal/finding and both call it. The reader of JSON by places recursed as deep as a file says; the sidecar's reader stops at 64, and so does this one. A test gives it 100,000 brackets.

--- a/cmd/hazelfleet/check_test.go
+++ b/cmd/hazelfleet/check_test.go
@@ -55,6 +55,14 @@
 		Expect(errs).To(HavePrefix("hazelfleet: " + cut + ": line 2, column "))
 	})
 
+	It("refuses a text that is nested beyond all measure", func() {
+		deep := file(strings.Repeat("[", 100_000))
+		status, _, errs := check(deep)
+		Expect(status).To(Equal(statusUsage))
+		Expect(errs).To(HavePrefix("hazelfleet: " + deep + ": line 1, column "))
+		Expect(errs).To(ContainSubstring("nested too deep"))
+	})
+
 	It("names the file and the place of a patch's fault in one line", func() {
 		config, bad := file(firstConfig), file(`{"Version":3,"Remove":{"Routes":["z"]}}`)
 		status, out, errs := check(config, bad)
--- a/internal/appconfig/file.go
+++ b/internal/appconfig/file.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"unicode/utf8"
+
+	"hazelwheel/internal/finding"
 )
 
 // Kind is which of the files one is.
@@ -87,7 +89,7 @@
 	Faults []Fault
 	Gone   bool // it could not be read at all
 
-	lines  lines
+	lines  finding.Lines
 	lost   []lost           // what was taken out since it made no sense, in order
 	places map[string]Place // of fields of the model: "app.class[0].aim"
 	bad    map[string]bool  // fields that are at fault
@@ -133,7 +135,7 @@
 // Read reads a file's text. It returns what makes sense, and everything that does not.
 func Read(name string, raw []byte) *File {
 	f := &File{Name: name, Text: raw, places: map[string]Place{}, bad: map[string]bool{}}
-	f.lines = newLines(nil)
+	f.lines = finding.NewLines(nil)
 	if len(raw) > MostBytes {
 		f.Gone, f.Text = true, nil
 		f.fault(TooLarge, Place{Line: 1, Column: 1}, "", MostBytes>>20)
@@ -142,7 +144,7 @@
 	if rest, ok := bytes.CutPrefix(raw, []byte("\xef\xbb\xbf")); ok {
 		f.Text = rest
 	}
-	f.lines = newLines(f.Text)
+	f.lines = finding.NewLines(f.Text)
 	if !utf8.Valid(f.Text) {
 		at := 0
 		for at < len(f.Text) {
@@ -317,12 +319,12 @@
 	if n == nil {
 		return Place{Line: 1, Column: 1, Field: field}
 	}
-	line, column := f.lines.at(n.offset)
+	line, column := f.lines.At(n.offset)
 	return Place{line, column, field}
 }
 
 func (f *File) lineOf(offset int) int {
-	line, _ := f.lines.at(offset)
+	line, _ := f.lines.At(offset)
 	return line
 }
 
@@ -334,7 +336,7 @@
 }
 
 func (f *File) faultAt(kind FaultKind, offset int, field string, args ...any) {
-	line, column := f.lines.at(offset)
+	line, column := f.lines.At(offset)
 	if field != "" {
 		args = append([]any{field}, args...)
 	}
--- a/internal/finding/finding.go
+++ b/internal/finding/finding.go
@@ -9,7 +9,7 @@
 
 // Finding is one thing that was found at a place of a file.
 type Finding struct {
-	Line, Column int    // from 1; 0: the place is not in the file
+	Line, Column int    // from 1; 0: the place is not in the file, or its column is not told
 	Place        string // the field, such as Routes[2].TimeoutMs
 	Text         string
 }
@@ -20,8 +20,11 @@
 	if f.Place != "" {
 		text = f.Place + ": " + text
 	}
-	if f.Line == 0 {
+	switch {
+	case f.Line == 0:
 		return text
+	case f.Column == 0:
+		return fmt.Sprintf("line %d: %s", f.Line, text)
 	}
 	return fmt.Sprintf("line %d, column %d: %s", f.Line, f.Column, text)
 }
--- a/internal/appconfig/lines.go
+++ b/internal/finding/lines.go
@@ -1,18 +1,19 @@
-package appconfig
+package finding
 
 import (
 	"sort"
 	"unicode/utf8"
 )
 
-// lines finds places in a text.
-type lines struct {
+// Lines finds places in a text.
+type Lines struct {
 	text   []byte
 	starts []int // of each line
 }
 
-func newLines(text []byte) lines {
-	l := lines{text: text, starts: []int{0}}
+// NewLines returns the lines of a text.
+func NewLines(text []byte) Lines {
+	l := Lines{text: text, starts: []int{0}}
 	for i, b := range text {
 		if b == '\n' {
 			l.starts = append(l.starts, i+1)
@@ -21,8 +22,8 @@
 	return l
 }
 
-// at returns the line and the column of an offset, both from 1; a column is a character, whatever its bytes.
-func (l *lines) at(offset int) (line, column int) {
+// At returns the line and the column of an offset, both from 1; a column is a character, whatever its bytes.
+func (l *Lines) At(offset int) (line, column int) {
 	offset = min(max(offset, 0), len(l.text))
 	line = sort.SearchInts(l.starts, offset+1)
 	return line, utf8.RuneCount(l.text[l.starts[line-1]:offset]) + 1
--- a/internal/routes/document.go
+++ b/internal/routes/document.go
@@ -30,9 +30,15 @@
 	value  *node
 }
 
+// mostDepth bounds how deep a text may be nested; no configuration comes near it.
+const mostDepth = 64
+
+var errDepth = errors.New("nested too deep")
+
 // document is a JSON text that is read by places.
 type document struct {
 	text    []byte
+	lines   finding.Lines
 	decoder *json.Decoder
 	places  map[string]int // offsets of values, by place
 	faults  []finding.Finding
@@ -41,9 +47,9 @@
 
 // newDocument returns a document and its outermost value; an error says that it is no JSON text.
 func newDocument(text []byte) (*document, *node, error) {
-	d := &document{text: text, decoder: json.NewDecoder(bytes.NewReader(text)), places: map[string]int{}}
+	d := &document{text: text, lines: finding.NewLines(text), decoder: json.NewDecoder(bytes.NewReader(text)), places: map[string]int{}}
 	d.decoder.UseNumber()
-	root, err := d.value()
+	root, err := d.value(0)
 	if err != nil {
 		return d, nil, err
 	}
@@ -62,7 +68,10 @@
 	return at
 }
 
-func (d *document) value() (*node, error) {
+func (d *document) value(depth int) (*node, error) {
+	if depth > mostDepth {
+		return nil, errDepth
+	}
 	n := &node{offset: d.begin()}
 	token, err := d.decoder.Token()
 	if err != nil {
@@ -75,7 +84,7 @@
 	}
 	n.kind = delimiter
 	for d.decoder.More() {
-		if err := d.element(n); err != nil {
+		if err := d.element(n, depth+1); err != nil {
 			return nil, err
 		}
 	}
@@ -84,9 +93,9 @@
 }
 
 // element reads a field of an object, or an item of a list.
-func (d *document) element(of *node) error {
+func (d *document) element(of *node, depth int) error {
 	if of.kind == '[' {
-		item, err := d.value()
+		item, err := d.value(depth)
 		of.items = append(of.items, item)
 		return err
 	}
@@ -96,20 +105,13 @@
 		return err
 	}
 	field.name = name.(string) // the decoder returns nothing else for a name
-	field.value, err = d.value()
+	field.value, err = d.value(depth)
 	of.members = append(of.members, field)
 	return err
 }
 
-// at returns the line and column of a byte, from 1.
-func (d *document) at(offset int) (line, column int) {
-	before := d.text[:min(offset, len(d.text))]
-	line = bytes.Count(before, []byte("\n")) + 1
-	return line, len(before) - bytes.LastIndexByte(before, '\n')
-}
-
 func (d *document) found(offset int, place, text string) finding.Finding {
-	line, column := d.at(offset)
+	line, column := d.lines.At(offset)
 	return finding.Finding{Line: line, Column: column, Place: place, Text: text}
 }
 
--- a/internal/routes/examine.go
+++ b/internal/routes/examine.go
@@ -22,7 +22,7 @@
 func Examine(data []byte) Report {
 	doc, root, err := newDocument(data)
 	if err != nil {
-		line, column := doc.at(int(doc.decoder.InputOffset()))
+		line, column := doc.lines.At(int(doc.decoder.InputOffset()))
 		return Report{Faults: []finding.Finding{{Line: line, Column: column, Text: err.Error()}}}
 	}
 	var config configpb.Config
@@ -55,7 +55,7 @@
 			continue // it follows from that
 		}
 		if offset, there := d.nearest(found.Place); there {
-			found.Line, found.Column = d.at(offset)
+			found.Line, found.Column = d.lines.At(offset)
 		}
 		refused = append(refused, found)
 	}
