Share the agent's loop, the look for a live candidate and a finding's line

What stood twice: the loop that gives settings to a node until the end, in the agent and in what stands in for control; the look for a live candidate, which register had; a finding as one line. Fields that a health check on a new connection never reads are not set.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -67,18 +67,11 @@
 	defer stop()
 	go a.node.Run(work)
 	go a.readStaleLists(work)
-	for {
-		select {
-		case err := <-servers.failed:
-			return Error.Wrap(err)
-		case changed := <-reload:
-			a.node.SetSeeds(changed.SeedAddresses())
-		case <-ctx.Done():
-			a.node.Leave()
-			proxies.wait(time.Duration(lingerFor * float64(settings.Grace())))
-			return nil
-		}
+	if err := servers.attend(ctx, a.node, reload); err != nil {
+		return err
 	}
+	proxies.wait(time.Duration(lingerFor * float64(settings.Grace())))
+	return nil
 }
 
 // readStaleLists reads the platform's list where nobody's reading has come for too long. Agents do so in turns by rank.
--- a/internal/agent/gateway.go
+++ b/internal/agent/gateway.go
@@ -36,6 +36,21 @@
 	return nil
 }
 
+// attend gives changed settings to a node until the context ends, and has it leave then. It ends before with the error of a server that fails.
+func (s *servers) attend(ctx context.Context, node *cluster.Node, reload <-chan *boot.Settings) error {
+	for {
+		select {
+		case err := <-s.failed:
+			return Error.Wrap(err)
+		case changed := <-reload:
+			node.SetSeeds(changed.SeedAddresses())
+		case <-ctx.Done():
+			node.Leave()
+			return nil
+		}
+	}
+}
+
 // standIn answers where a control process would be on this machine: the operator gets the address of one, and processes whose seeds
 // name this machine find it. router serves other processes of the fleet.
 func standIn(settings *boot.Settings, node *cluster.Node, router http.Handler, servers *servers) error {
@@ -61,15 +76,5 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	go node.Run(work)
-	for {
-		select {
-		case err := <-servers.failed:
-			return Error.Wrap(err)
-		case changed := <-reload:
-			node.SetSeeds(changed.SeedAddresses())
-		case <-ctx.Done():
-			node.Leave()
-			return nil
-		}
-	}
+	return servers.attend(ctx, node, reload)
 }
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -132,7 +132,9 @@
 func Parse(data []byte) (*Settings, error) {
 	report := Examine(data)
 	if len(report.Faults) > 0 {
-		return nil, errors.New(firstOf(report.Faults))
+		first := report.Faults[0]
+		first.Column = 0
+		return nil, errors.New(first.String())
 	}
 	return report.Settings, nil
 }
--- a/internal/boot/examine.go
+++ b/internal/boot/examine.go
@@ -58,18 +58,6 @@
 	*f = append(*f, finding.Finding{Line: line, Column: column, Place: place, Text: fmt.Sprintf(format, args...)})
 }
 
-// firstOf returns the first fault in one line.
-func firstOf(all []finding.Finding) string {
-	first := all[0]
-	if first.Line == 0 {
-		return first.String()
-	}
-	if first.Place == "" {
-		return fmt.Sprintf("line %d: %s", first.Line, first.Text)
-	}
-	return fmt.Sprintf("line %d: %s: %s", first.Line, first.Place, first.Text)
-}
-
 // lineOfText finds the line in an error of the library.
 var lineOfText = regexp.MustCompile(`^(?:yaml: )?line (\d+): `)
 
--- a/internal/decide/register/changes.go
+++ b/internal/decide/register/changes.go
@@ -103,7 +103,7 @@
 func Membership(current []Voter, candidates []Candidate, wanted int) ([]Voter, bool) {
 	var next, leaving, silent, replaced []Voter
 	for _, voter := range current {
-		switch candidate := find(voter, candidates); {
+		switch candidate := LiveCandidate(voter, candidates); {
 		case candidate != nil && candidate.Leaving:
 			leaving = append(leaving, voter)
 		case candidate != nil:
@@ -126,8 +126,8 @@
 	return next, (joined || len(next) < len(current)) && len(next) > 0
 }
 
-// find returns the live candidate that is a voter, nil if there is none.
-func find(voter Voter, candidates []Candidate) *Candidate {
+// LiveCandidate returns the live candidate that is a voter by its identity, nil if there is none.
+func LiveCandidate(voter Voter, candidates []Candidate) *Candidate {
 	for i := range candidates {
 		if candidates[i].Alive && candidates[i].Voter == voter {
 			return &candidates[i]
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -110,7 +110,7 @@
 	if conn.used || j.route.Kind == routes.Idempotent {
 		return true
 	}
-	target, scarce := dueProbe{endpoint: endpoint, id: endpoint.ID, host: j.service}, false
+	target, scarce := dueProbe{host: j.service}, false
 	p.state.do(j.service, func(_ float64, pool *placement.Pool, _ *placement.Planner) {
 		if service := p.state.table.services[j.service]; service != nil && pool != nil {
 			target.healthPath, scarce = service.HealthPath, pool.FewConnections()
