Tests of processes: a time in place of a type, a discovery whose rest is always set

A type with one field and one method stood for a time, and the stand-in for discovery had a nil to look after.

--- a/cmd/hazelwheel/peers_test.go
+++ b/cmd/hazelwheel/peers_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
@@ -360,7 +361,7 @@
 				case <-time.After(10 * time.Millisecond):
 				}
 				awayBefore := m.gone.Load() || m.frozen.Load()
-				p, sent, err := askOnce(&client, m.request("8000m"))
+				p, sentAfter, err := askOnce(&client, m.request("8000m"))
 				away := awayBefore || m.gone.Load() || m.frozen.Load()
 				switch {
 				case err == nil:
@@ -369,11 +370,11 @@
 						m.refused.Add(1)
 					}
 				case away:
-				case sent.tooLate():
-					c.Logf("%s: %v: the client stood still for %v before it sent its request", m.name, err, sent.after)
+				case sentAfter >= silentMost:
+					c.Logf("%s: %v: the client stood still for %v before it sent its request", m.name, err, sentAfter)
 				default:
 					m.bad.Add(1)
-					c.Logf("%s: %v (the request was sent after %v)", m.name, err, sent.after)
+					c.Logf("%s: %v (the request was sent after %v)", m.name, err, sentAfter)
 				}
 			}
 		})
@@ -389,29 +390,18 @@
 	}
 }
 
-// silentMost is how long a connection may be silent before a sidecar closes it at the earliest: silentS of internal/sidecar.
+// silentMost is how long a connection may be silent before a sidecar closes it at the earliest: silentS of internal/sidecar. Where the
+// machine is so busy that the client itself stands still for longer between its dial and its request, that is no fault of the sidecar's.
 const silentMost = 2200 * time.Millisecond
 
-// sending tells when the head of a request was written.
-type sending struct {
-	after time.Duration // since the connection's dial began; until the error, if it was never written
-}
-
-// tooLate tells whether the sidecar may have closed the connection because nothing had come on it. Where the machine is so busy that the
-// client itself stands still for seconds between its dial and its request, that is no fault of the sidecar's.
-func (s sending) tooLate() bool { return s.after >= silentMost }
-
-// askOnce sends a request over a connection of its own, and tells how long the client took to send it.
-func askOnce(client *http.Client, r *http.Request) (*http.Response, sending, error) {
+// askOnce sends a request over a connection of its own, and tells how long after its dial began the client had written it; where that
+// never came, how long the call took.
+func askOnce(client *http.Client, r *http.Request) (p *http.Response, sentAfter time.Duration, err error) {
 	var wrote atomic.Int64 // the transport writes in another goroutine
 	began := time.Now()
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(int64(time.Since(began))) }}
-	p, err := client.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	after := time.Duration(wrote.Load())
-	if after == 0 {
-		after = time.Since(began)
-	}
-	return p, sending{after}, err
+	p, err = client.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	return p, cmp.Or(time.Duration(wrote.Load()), time.Since(began)), err
 }
 
 // ready waits until all of them serve.
--- a/cmd/hazelwheel/world_test.go
+++ b/cmd/hazelwheel/world_test.go
@@ -393,7 +393,7 @@
 	*httptest.Server
 	calls   chan string      // the query of each call
 	answers chan func(watch) // one for each call; a call beyond them goes to rest
-	rest    func(watch)      // nil: it waits
+	rest    func(watch)
 }
 
 type watch struct {
@@ -410,19 +410,16 @@
 
 func newDiscovery(t *testing.T) *discovery {
 	d := &discovery{calls: make(chan string, 100), answers: make(chan func(watch), 100)}
+	d.rest = d.waits
 	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.calls <- r.URL.String()
+		call := watch{w, r.URL.Query().Get("since"), r.Context().Done()}
 		select {
 		case f := <-d.answers:
-			f(watch{w, r.URL.Query().Get("since"), r.Context().Done()})
-			return
+			f(call)
 		default:
+			d.rest(call)
 		}
-		rest := d.rest
-		if rest == nil {
-			rest = d.waits
-		}
-		rest(watch{w, r.URL.Query().Get("since"), r.Context().Done()})
 	}))
 	t.Cleanup(d.CloseClientConnections)
 	return d
