--- a/internal/decide/maintenance/coordinator_test.go
+++ b/internal/decide/maintenance/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -171,3 +172,28 @@
 	d.advance(1)
 	assert.Equal(t, taken, d.submit(Command{Kind: AcquireServer, Agent: "bob"}).Server, "it is cordoned again")
 }
+
+// The reply to a hand-out may be lost, as where the lease holder stands still once it is committed: its agent asks again, and has to learn from the
+// repeated reply as well that the server was forced past a sidecar that may still use it.
+func TestRepeatedHandOutSaysThatItWasForced(t *testing.T) {
+	d := newDriver(t, 3, 2, 3)
+	require.Empty(t, d.submit(Command{Kind: SubmitPlan, Spec: spec()}).Err)
+	for range 100 {
+		d.advance(0.5)
+		if d.countStages()[Draining] == 1 {
+			break
+		}
+	}
+	d.silent[2] = true
+	d.advance(1)
+	require.Equal(t, 1, d.countStages()[Draining])
+	servers := d.committed.State.Plans[0].Servers
+	forced := servers[slices.IndexFunc(servers, func(s Server) bool { return s.Stage == Draining })].Name
+	require.Equal(t, "past n1", d.submit(Command{Kind: ForceDrained, Server: forced, Agent: "operator"}).Text)
+	first := d.submit(Command{Kind: AcquireServer, Agent: "m"})
+	require.Equal(t, forced, first.Server)
+	require.Equal(t, "forced by operator", first.Text)
+	again := d.submit(Command{Kind: AcquireServer, Agent: "m"})
+	again.Nonce = first.Nonce
+	assert.Equal(t, first, again)
+}
--- a/internal/decide/maintenance/execute.go
+++ b/internal/decide/maintenance/execute.go
@@ -310,7 +310,8 @@
 			reply.Text = server.Name + ": " + reason
 			return false
 		}
-		reply.Plan, reply.Server, reply.Token = p.Number, server.Name, server.Token
+		// The first reply may have been lost: this one has to say as well that the server was forced, and may still be in use.
+		reply.Plan, reply.Server, reply.Token, reply.Text = p.Number, server.Name, server.Token, server.Reason
 		return true
 	}
 	var reasons []string
