--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
+	"golang.org/x/time/rate"
 
 	"hazelwheel/internal/decide/membership"
 	"hazelwheel/internal/decide/register"
@@ -29,8 +30,8 @@
 	idleTimeout   = time.Minute
 )
 
-// Control is the state of a control process. Its fields don't change after newControl has set them; what they point to is safe for
-// concurrent use.
+// Control is the state of a control process. Its fields don't change after newControl has set them; what they point to, and the
+// limiter of log lines, is safe for concurrent use.
 type Control struct {
 	settings *nodeconfig.Settings
 	log      *logrus.Entry
@@ -39,6 +40,8 @@
 	proposer *proposer
 	platform *gossip.PlatformClient
 	chosen   *chosenTracker
+
+	unknownFieldsLog rate.Sometimes // limits the lines about fields that this version ignores
 }
 
 // Run runs a control process until the context ends; then it announces that it leaves, waits until another process votes in its place
@@ -91,7 +94,7 @@
 func newControl(settings *nodeconfig.Settings, replica *replica, client *transport.Client, log *logrus.Entry) *Control {
 	self := register.Voter{ID: replica.state().ID, Address: settings.InternalAddress(settings.IP, nodeconfig.ControlPort)}
 	control := &Control{settings: settings, log: log, replica: replica, platform: gossip.NewPlatformClient(settings.Cloud.Address),
-		chosen: newChosenTracker()}
+		chosen: newChosenTracker(), unknownFieldsLog: rate.Sometimes{Interval: unknownFieldsInterval}}
 	control.node = gossip.New(settings, membership.Record{Kind: membership.Control, Address: self.Address, VoterID: self.ID,
 		OperatorAddress: settings.Listen.Control}, client, log)
 	control.proposer = &proposer{self: self, proposerID: fmt.Sprintf("%s/%016x", settings.NodeID, rand.Uint64()), replica: replica, client: client,
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -25,16 +25,19 @@
 	arrivedAt := time.Now()
 	table := p.awaitRoutes(r.Context())
 	if table == nil {
+		p.stats.countRejected(rejectedNoConfiguration)
 		respondUnavailable(w, retryAfterSeconds)
 		return
 	}
 	route := table.find(r.Host, r.URL.Path)
 	if route == nil {
+		p.stats.countRejected(rejectedNoRoute)
 		http.Error(w, "no route", http.StatusNotFound)
 		return
 	}
 	body, status := readBody(w, r, table.limits)
 	if status != 0 {
+		p.stats.countRejected(rejectedBody)
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
--- a/internal/proxy/healthcheck.go
+++ b/internal/proxy/healthcheck.go
@@ -32,6 +32,7 @@
 		p.checkDueEndpoints(ctx)
 		p.logUnserved(time.Now())
 		p.logStreams(time.Now())
+		p.logRejected(time.Now())
 		if tick%sweepTicks == 0 {
 			p.state.refreshExpired()
 			wanted := p.state.listedAddresses()
--- a/internal/proxy/requeststats.go
+++ b/internal/proxy/requeststats.go
@@ -29,6 +29,55 @@
 
 	streams         map[string]*streamCounts // since the last line, by route
 	streamsLoggedAt time.Time
+
+	rejected         map[rejection]int // since the last line
+	rejectedLoggedAt time.Time
+}
+
+// rejection is why a request was rejected before a server was chosen for it. Its text is a field of log lines.
+type rejection string
+
+// The reasons.
+const (
+	rejectedNoConfiguration rejection = "no_configuration" // the proxy knows none yet
+	rejectedNoRoute         rejection = "no_route"
+	rejectedBody            rejection = "body" // too large, or broken off
+)
+
+// countRejected counts a rejected request.
+func (s *requestStats) countRejected(reason rejection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejected[reason]++
+}
+
+// takeDueRejected returns the counts of rejected requests and resets them once a log line is due; it returns nil before.
+func (s *requestStats) takeDueRejected(now time.Time) map[rejection]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.rejected) == 0 || now.Sub(s.rejectedLoggedAt) < unservedLogInterval {
+		return nil
+	}
+	counts := s.rejected
+	s.rejected, s.rejectedLoggedAt = map[rejection]int{}, now
+	return counts
+}
+
+// logRejected logs how many requests were rejected for each reason, with the configuration in force, where that is due. It tells a proxy whose
+// configuration lags from clients that ask for what no configuration has.
+func (p *Proxy) logRejected(now time.Time) {
+	counts := p.stats.takeDueRejected(now)
+	if counts == nil {
+		return
+	}
+	fields := logrus.Fields{}
+	for reason, count := range counts {
+		fields[string(reason)] = count
+	}
+	if table := p.state.currentTable(); table != nil {
+		fields["version"] = table.version
+	}
+	p.log.WithFields(fields).Info("requests rejected")
 }
 
 // countStream counts a completed stream.
@@ -77,7 +126,8 @@
 func newRequestStats() *requestStats {
 	return &requestStats{misdirectedLog: rate.Sometimes{Interval: misdirectedLogInterval},
 		unserved: map[string]unservedCounts{}, unservedLoggedAt: time.Now(),
-		streams: map[string]*streamCounts{}, streamsLoggedAt: time.Now()}
+		streams: map[string]*streamCounts{}, streamsLoggedAt: time.Now(),
+		rejected: map[rejection]int{}, rejectedLoggedAt: time.Now()}
 }
 
 // countUnserved has add change the counts of a service.
