--- /dev/null
+++ b/internal/proxy/credentials_test.go
@@ -0,0 +1,241 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/message"
+	"hazelwheel/internal/nodeconfig"
+	"hazelwheel/internal/routeconfig"
+)
+
+// What users saw: model servers and web servers received the credentials of clients, requests were executed in nobody's name or in a name that the
+// client had chosen, and a key that had been taken away was served for as long as its owner used it.
+//
+// The order of events: a configuration with Tenants was acknowledged; the first request came with "Authorization: Token KEY"; the proxy sent it to
+// the server that prefills and to the one that decodes with the client's field, and without the tenant's name. A new version without the key
+// was in force at all proxies within 0.3 s, and requests with it went on being served.
+//
+// The cause: the configuration's message type had no field for tenants, and reading ignores what the type doesn't know; the proxy forwards each field
+// of a client that it doesn't know. The evidence: control's line "configuration has fields that this version ignores" names Tenants, the log shows
+// each version in force in time, and the servers of this test receive the field on each of the ways below.
+
+const (
+	keyOfAcme    = "Token key-of-acme"
+	keyOfBolt    = "Token key-of-bolt"
+	unknownKey   = "Token never-configured"
+	tenantHeader = "Hazelwheel-Tenant-Id"
+	acmeAndBolt  = `{"Name":"acme","ApiKeys":["key-of-acme"],"Priority":3},{"Name":"bolt","ApiKeys":["key-of-bolt"]}`
+	boltAlone    = `{"Name":"acme","ApiKeys":[]},{"Name":"bolt","ApiKeys":["key-of-bolt"]}`
+)
+
+// tenantDocument is a configuration with these tenants, or without any where tenants is empty. Its routes are /unary/, /prompt/, /feed/ and the public
+// /open/.
+func tenantDocument(version int, tenants string) string {
+	route := func(name, kind, service, more string) string {
+		return fmt.Sprintf(`{"Name":%q,"Host":"h.example","PathPrefix":"/%s/","RouteType":%q,"TimeoutMs":5000,"TargetLatencyMs":500,"Priority":1,"Service":%q,"MaxAttempts":2%s}`,
+			name, name, kind, service, more)
+	}
+	routes := strings.Join([]string{route("unary", "idempotent", "web", ""), route("prompt", "streaming", "model", ""),
+		route("feed", "streaming", "web", `,"Resumable":true`), route("open", "idempotent", "web", `,"Public":true`)}, ",")
+	if tenants != "" {
+		tenants = `,"Tenants":[` + tenants + `]`
+	}
+	return fmt.Sprintf(`{"Version":%d,"Routes":[%s],"Services":[{"Name":"web","HealthPath":"/health","MaxConnections":100},{"Name":"model","HealthPath":"/health",`+
+		`"MaxConnections":100,"Engine":{"Slots":4,"KvTokens":1000000,"KvTokenBytes":1000,"LinkMbps":1000000,"HandleTtlS":5}}]%s}`, version, routes, tenants)
+}
+
+// tenantFleet is a proxy with the servers of tenantDocument.
+type tenantFleet struct {
+	t       *testing.T
+	proxy   *Proxy
+	front   *httptest.Server
+	servers []*fakeServer
+	log     *strings.Builder
+	sent    atomic.Int64 // requests
+}
+
+// fakeServer is a fakeModelServer that fails some requests.
+type fakeServer struct {
+	*fakeModelServer
+	fails  func(r *http.Request) bool                      // nil: none
+	answer func(w http.ResponseWriter, header http.Header) // to a request that fails
+}
+
+func (s *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.fails == nil || r.URL.Path == "/health" || !s.fails(r) {
+		s.fakeModelServer.ServeHTTP(w, r)
+		return
+	}
+	s.mu.Lock()
+	s.asked = append(s.asked, r.Header)
+	s.mu.Unlock()
+	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+	s.answer(w, r.Header)
+}
+
+// failure is how web servers fail requests.
+type failure struct {
+	fails  func(r *http.Request) bool
+	answer func(w http.ResponseWriter, header http.Header)
+}
+
+// firstRequestFails has the first request to any server fail.
+func firstRequestFails() failure {
+	var failed atomic.Bool
+	return failure{func(*http.Request) bool { return !failed.Swap(true) },
+		func(w http.ResponseWriter, _ http.Header) { w.WriteHeader(http.StatusInternalServerError) }}
+}
+
+// streamsBreakOff has each stream that begins with its first event break off after that one.
+func streamsBreakOff() failure {
+	return failure{func(r *http.Request) bool { return r.Header.Get(headerLastEventID) == "" }, func(w http.ResponseWriter, _ http.Header) {
+		w.Header().Set(headerStamp, "stamp")
+		writeText(w, "%s", event(1))
+		_ = http.NewResponseController(w).Flush() // a proxy that has gone ends the test anyway
+		panic(http.ErrAbortHandler)
+	}}
+}
+
+// newTenantFleet starts a fleet whose web servers fail as said. An empty document is none.
+func newTenantFleet(t *testing.T, document string, webServers failure) *tenantFleet {
+	f := &tenantFleet{t: t, log: &strings.Builder{}}
+	log := logrus.New()
+	log.SetOutput(f.log)
+	log.SetLevel(logrus.DebugLevel)
+	f.proxy = newProxy(&nodeconfig.Settings{NodeID: "n", Zone: "z", Bounds: nodeconfig.Bounds{RetryBudgetRatio: 0.2, BudgetWindowSeconds: 10,
+		BudgetSlack: 100, PrefixCacheSeconds: 8}}, logrus.NewEntry(log))
+	var listed []message.Instance
+	for i, instance := range []message.Instance{{Service: "web"}, {Service: "web"}, {Service: "model", Stage: message.Prefill}, {Service: "model", Stage: message.Decode}} {
+		instance.ID, instance.Zone, instance.Slots = fmt.Sprint("i-", i), "z", 4
+		s := &fakeServer{fakeModelServer: &fakeModelServer{instance: instance}}
+		if instance.Service == "web" {
+			s.fails, s.answer = webServers.fails, webServers.answer
+			s.instance.Stage = message.Decode
+		}
+		server := httptest.NewServer(s)
+		t.Cleanup(server.Close)
+		instance.Address = strings.TrimPrefix(server.URL, "http://")
+		s.instance.Address = instance.Address
+		f.servers, listed = append(f.servers, s), append(listed, instance)
+	}
+	data, err := message.PackInstances(listed)
+	require.NoError(t, err)
+	require.NoError(t, f.proxy.state.applyFeed(&message.Feed{List: &message.InstanceList{Digest: 1, Data: data}, ProxyCount: 1}))
+	if document != "" {
+		f.apply(document)
+	}
+	f.front = httptest.NewServer(f.proxy)
+	t.Cleanup(f.front.Close)
+	return f
+}
+
+// apply puts a configuration in force, as control and agent do.
+func (f *tenantFleet) apply(document string) {
+	table, err := routeconfig.Parse([]byte(document))
+	require.NoError(f.t, err)
+	packed, err := message.PackTable(table)
+	require.NoError(f.t, err)
+	require.NoError(f.t, f.proxy.state.applyFeed(&message.Feed{Table: packed}))
+}
+
+// send sends a request with a key, if that is not empty, and a forged tenant's name. It returns the answer, whose body is read.
+func (f *tenantFleet) send(route, key string, fields ...headerField) (status int, body string) {
+	request, err := http.NewRequest(http.MethodPost, f.front.URL+"/"+route+"/x", strings.NewReader("body"))
+	require.NoError(f.t, err)
+	request.Host = "h.example"
+	if key != "" {
+		request.Header.Set("Authorization", key)
+	}
+	for _, field := range append([]headerField{{headerRequestID, fmt.Sprint("id-", f.sent.Add(1))}, {headerDeadline, "4000"}, {headerPrefixHash, prefix}, {headerTokenCounts, "20800,20"},
+		{tenantHeader, "forged"}}, fields...) {
+		request.Header.Add(field.name, field.value)
+	}
+	answer, err := f.front.Client().Do(request)
+	require.NoError(f.t, err)
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	require.NoError(f.t, err)
+	return answer.StatusCode, string(text)
+}
+
+// received returns the headers of all requests that reached servers.
+func (f *tenantFleet) received() (all []http.Header) {
+	for _, s := range f.servers {
+		all = append(all, s.seen()...)
+	}
+	return all
+}
+
+// ways are the ways on which a request reaches a server, each with its attempts and the failures that lead there.
+var ways = map[string]struct {
+	route    string
+	attempts int
+	failures func() failure
+}{
+	"first attempt":      {"unary", 1, func() failure { return failure{} }},
+	"retry":              {"unary", 2, firstRequestFails},
+	"prefill and decode": {"prompt", 2, func() failure { return failure{} }},
+	"resumed stream":     {"feed", 2, streamsBreakOff},
+}
+
+func TestKeysOfClientsReachNoServer(t *testing.T) {
+	for name, way := range ways {
+		f := newTenantFleet(t, tenantDocument(1, acmeAndBolt), way.failures())
+		status, _ := f.send(way.route, keyOfAcme)
+		assert.Equal(t, http.StatusOK, status, name)
+		received := f.received()
+		assert.Len(t, received, way.attempts, name)
+		for _, header := range received {
+			assert.NotContains(t, fmt.Sprint(header), "key-of-acme", "%s: a server received the key", name)
+			assert.Equal(t, []string{"acme"}, header[tenantHeader], "%s: the tenant is the key's, whatever the client has sent", name)
+		}
+		assert.NotContains(t, f.log.String(), "key-of-acme", "%s: a log holds the key", name)
+	}
+}
+
+func TestUnknownKeysAreRejected(t *testing.T) {
+	f := newTenantFleet(t, tenantDocument(1, acmeAndBolt), failure{})
+	for _, way := range ways {
+		for _, key := range []string{unknownKey, "", "key-of-acme", "Basic key-of-acme", "Token", "Token key-of-acme key-of-bolt"} {
+			status, body := f.send(way.route, key)
+			assert.Equal(t, http.StatusUnauthorized, status, key)
+			assert.NotContains(t, body, "key-of-acme", "an error holds the key")
+		}
+	}
+	assert.Empty(t, f.received(), "a server received a request without a key")
+	status, _ := f.send("open", "")
+	assert.Equal(t, http.StatusOK, status, "a public route wants no key")
+	for _, header := range f.received() {
+		assert.Empty(t, header[tenantHeader], "a request without a key is nobody's")
+	}
+}
+
+func TestKeysAreTakenAwayAndAddedOnOpenConnections(t *testing.T) {
+	f := newTenantFleet(t, tenantDocument(1, boltAlone), failure{})
+	for i, step := range []struct {
+		tenants string
+		want    int // for the key of acme
+	}{{boltAlone, http.StatusUnauthorized}, {acmeAndBolt, http.StatusOK}, {boltAlone, http.StatusUnauthorized}} {
+		f.apply(tenantDocument(2+i, step.tenants))
+		status, _ := f.send("unary", keyOfAcme)
+		assert.Equal(t, step.want, status, "version %d", 2+i)
+		status, _ = f.send("unary", keyOfBolt)
+		assert.Equal(t, http.StatusOK, status, "a key that stays")
+	}
+}
+
+func TestProxyWithoutConfigurationRejectsNoKey(t *testing.T) {
+	f := newTenantFleet(t, "", failure{})
+	status, _ := f.send("unary", unknownKey)
+	assert.Equal(t, http.StatusServiceUnavailable, status, "nothing is known of the key yet")
+}
