--- a/cmd/hazelfleet/check_test.go
+++ b/cmd/hazelfleet/check_test.go
@@ -49,7 +49,7 @@
 			"hazelfleet: " + bad + `: line 3, column 88: Routes[1].Service: unknown service "t"`,
 		}))
 		Expect(out).To(Equal("warning: " + bad + ": line 2, column 100: Routes[0].Keyz: not known, passed over\n" +
-			"warning: " + bad + ": line 5, column 2: Tenants: not known, passed over\n"))
+			"warning: " + bad + ": line 5, column 25: Tenants[0].Keyz: not known, passed over\n"))
 		cut := file("{\"Version\":1,\n\"Routes\":[")
 		_, _, errs = check(cut)
 		Expect(errs).To(HavePrefix("hazelfleet: " + cut + ": line 2, column "))
--- a/internal/agent/feed.go
+++ b/internal/agent/feed.go
@@ -109,7 +109,7 @@
 func updateSince(sent, facts gossip.State) (*message.Feed, bool) {
 	update := &message.Feed{ProxyRank: facts.Rank, ProxyCount: facts.Count}
 	differs := sent.Rank != facts.Rank || sent.Count != facts.Count
-	if facts.Table != nil && (sent.Table == nil || facts.Table.Version > sent.Table.Version) {
+	if facts.Table != nil && facts.Table.Supersedes(sent.Table) {
 		update.Table, differs = facts.Table, true
 	}
 	if facts.Plan.IsNewerThan(&sent.Plan) {
--- a/internal/control/catchup.go
+++ b/internal/control/catchup.go
@@ -86,7 +86,8 @@
 // where this disk is full.
 func (c *Control) catchUp(ctx context.Context, value chosenValue) error {
 	gossipState, _ := c.node.State()
-	isPublished := value.ConfigVersion == 0 || gossipState.Table != nil && gossipState.Table.Version >= value.ConfigVersion
+	isPublished := value.ConfigVersion == 0 || gossipState.Table != nil &&
+		!message.IsNewerTable(value.ConfigVersion, routeconfig.FormTenants, gossipState.Table.Version, gossipState.Table.Form)
 	isBehind := value.Ballot.Compare(c.replica.state().Accepted) > 0
 	if isPublished && !isBehind {
 		return nil
@@ -99,7 +100,7 @@
 		}
 	}
 	if !isPublished {
-		table, err := routeconfig.Parse(data)
+		table, err := routeconfig.ParseChosen(data)
 		if err != nil {
 			return Error.New("parsing the chosen configuration: %w", err)
 		}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hazelwheel/internal/message"
+	"hazelwheel/internal/routeconfig"
 )
 
 const (
@@ -126,9 +127,9 @@
 func (n *Node) buildUpdate() *message.Gossip {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := &message.Gossip{FormatVersion: message.FormatVersion, UpdatesOnly: true, Voters: votersOnly(n.state.Voters), Grants: n.state.Grants, Plan: n.state.Plan}
+	out := &message.Gossip{FormatVersion: message.FormatVersion, LatestForm: routeconfig.FormTenants, UpdatesOnly: true, Voters: votersOnly(n.state.Voters), Grants: n.state.Grants, Plan: n.state.Plan}
 	if n.state.Table != nil {
-		out.ConfigVersion = n.state.Table.Version
+		out.ConfigVersion, out.ConfigForm = n.state.Table.Version, n.state.Table.Form
 	}
 	if !n.state.Endpoints.ReadAt.IsZero() {
 		age := float64(time.Since(n.state.Endpoints.ReadAt)) / float64(time.Millisecond)
@@ -149,7 +150,7 @@
 	if !request.UpdatesOnly {
 		reply = n.buildExchange()
 	}
-	hasNewerTable := reply.ConfigVersion > request.ConfigVersion
+	hasNewerTable := request.WantsTable(reply.ConfigVersion, reply.ConfigForm)
 	hasOtherEndpoints := reply.List.Digest != request.List.Digest && !needsEndpoints
 	n.attachRequested(reply, request.NeedsTable && hasNewerTable, request.NeedsList && hasOtherEndpoints)
 	n.mu.Lock()
@@ -163,7 +164,8 @@
 func (n *Node) outdated(request *message.Gossip) (hasOldTable, hasOldEndpoints bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	hasOldTable = request.ConfigVersion > 0 && (n.state.Table == nil || request.ConfigVersion > n.state.Table.Version)
+	hasOldTable = request.ConfigVersion > 0 && (n.state.Table == nil ||
+		message.IsNewerTable(request.ConfigVersion, request.ConfigForm, n.state.Table.Version, n.state.Table.Form))
 	return hasOldTable, n.isYounger(request.List) && request.List.Digest != n.state.Endpoints.Digest
 }
 
--- a/internal/gossip/state.go
+++ b/internal/gossip/state.go
@@ -51,7 +51,7 @@
 	n.stateChanged = make(chan struct{})
 }
 
-// SetTable sets a configuration that is chosen, and sends it to other processes if it is newer than the known one.
+// SetTable sets a configuration that is chosen, and sends it to other processes if it supersedes the known one.
 func (n *Node) SetTable(table *routeconfig.Table) {
 	packed, err := message.PackTable(table)
 	if err != nil {
@@ -61,11 +61,11 @@
 	n.mergeTable(packed)
 }
 
-// mergeTable adopts a configuration with a higher version than the known one, and sends an update.
+// mergeTable adopts a configuration that supersedes the known one, and sends an update.
 func (n *Node) mergeTable(table *message.PackedTable) {
 	n.mu.Lock()
 	n.tableFetch.release()
-	if n.state.Table != nil && table.Version <= n.state.Table.Version {
+	if !table.Supersedes(n.state.Table) {
 		n.mu.Unlock()
 		return
 	}
--- a/internal/gossip/state_test.go
+++ b/internal/gossip/state_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -12,6 +13,7 @@
 	"hazelwheel/internal/decide/register"
 	"hazelwheel/internal/message"
 	"hazelwheel/internal/nodeconfig"
+	"hazelwheel/internal/routeconfig"
 	"hazelwheel/internal/transport"
 )
 
@@ -39,6 +41,15 @@
 		Expect(state().Table.Version).To(BeEquivalentTo(8))
 	})
 
+	It("by another table of the same version, unless that has a later form", func() {
+		earlier, complete := &message.PackedTable{Version: 7, Data: []byte("a")}, &message.PackedTable{Version: 7, Form: routeconfig.FormTenants, Data: []byte("b")}
+		n.mergeTable(earlier)
+		n.mergeTable(complete)
+		Expect(state().Table).To(BeIdenticalTo(complete))
+		n.mergeTable(earlier)
+		Expect(state().Table).To(BeIdenticalTo(complete))
+	})
+
 	It("by an older reading of the endpoints", func() {
 		read := time.Now()
 		n.mergeEndpoints(EndpointList{Digest: 1, Data: []byte("a"), ReadAt: read})
@@ -80,3 +91,35 @@
 		Expect(merge(5)).To(BeEquivalentTo(5))
 	})
 })
+
+var _ = Describe("a table of a later form", func() {
+	It("is fetched by processes that know the form, and isn't sent to others again and again", func() {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		n := New(&nodeconfig.Settings{NodeID: "self", Zone: "z"}, membership.Record{Kind: membership.Agent, Address: "127.0.0.1:1"}, transport.NewClient(),
+			log.WithField("node", "self"))
+		n.mergeTable(&message.PackedTable{Version: 7, Form: routeconfig.FormTenants, Data: []byte("b")})
+		sentTo := func(request message.Gossip) bool {
+			request.FormatVersion, request.NeedsTable = message.FormatVersion, true
+			reply, err := n.handleGossip(context.Background(), &request)
+			Expect(err).NotTo(HaveOccurred())
+			return reply.Table != nil
+		}
+		Expect(sentTo(message.Gossip{ConfigVersion: 6})).To(BeTrue(), "an older version, at a process of an earlier version")
+		Expect(sentTo(message.Gossip{ConfigVersion: 7})).To(BeFalse(), "the same version, at a process that knows no forms")
+		Expect(sentTo(message.Gossip{ConfigVersion: 7, LatestForm: routeconfig.FormTenants})).To(BeTrue(), "the same version in an earlier form")
+		Expect(sentTo(message.Gossip{ConfigVersion: 7, ConfigForm: routeconfig.FormTenants, LatestForm: routeconfig.FormTenants})).To(BeFalse(), "the same table")
+	})
+
+	It("is asked for where only an earlier form is known", func() {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		n := New(&nodeconfig.Settings{NodeID: "self", Zone: "z"}, membership.Record{Kind: membership.Agent, Address: "127.0.0.1:1"}, transport.NewClient(),
+			log.WithField("node", "self"))
+		n.mergeTable(&message.PackedTable{Version: 7, Data: []byte("a")})
+		reply, err := n.handleGossip(context.Background(), &message.Gossip{FormatVersion: message.FormatVersion, ConfigVersion: 7,
+			ConfigForm: routeconfig.FormTenants, LatestForm: routeconfig.FormTenants})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.NeedsTable).To(BeTrue())
+	})
+})
--- a/internal/gossip/wire_form_test.go
+++ b/internal/gossip/wire_form_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -18,6 +19,7 @@
 	"hazelwheel/internal/decide/membership"
 	"hazelwheel/internal/decide/register"
 	"hazelwheel/internal/message"
+	"hazelwheel/internal/routeconfig"
 )
 
 // listedServers is what the platform's page in testdata holds.
@@ -31,13 +33,17 @@
 	voter := register.Voter{ID: "v-1", Address: "10.1.0.16:7720"}
 	record := membership.Record{Name: "core-1/control", Kind: membership.Control, Address: "10.1.0.16:7720", Zone: "north", Incarnation: 1700000000000,
 		RunID: 3, Heartbeat: 70000, Revision: 12, VoterID: "v-1"}
-	checkForm(t, "gossip", message.Gossip{
+	first := message.Gossip{
 		FormatVersion: message.FormatVersion, Records: []membership.Record{record}, Heartbeats: []membership.Heartbeat{{Key: 7, Counter: 70000}},
 		Voters: register.Value{Epoch: 5, Voters: []register.Voter{voter}}, Grants: []register.Grant{{Role: "stages", Holder: "core-1/control", Token: 9}},
 		Plan: message.StagePlan{Token: 9, Sequence: 4, Stages: map[string]message.Stage{"i-1": message.Decode}}, ConfigVersion: 300,
 		Table: &message.PackedTable{Version: 300, Data: []byte("table")}, List: message.InstanceList{Digest: 1 << 60, AgeMs: 12.5, Data: []byte("list")},
 		Loads: []message.Load{{InstanceKey: 7, Running: 3, Waiting: 2, AgeMs: 900}}, NeedsTable: true, NeedsList: true, UpdatesOnly: true,
-	})
+	}
+	checkForm(t, "gossip", first, "ConfigForm", "LatestForm")
+	withForms := first
+	withForms.ConfigForm, withForms.LatestForm = routeconfig.FormTenants, routeconfig.FormTenants
+	checkForm(t, "gossip_with_forms", withForms)
 	assert.Equal(t, "/fleet/v1/gossip", gossipPath)
 }
 
@@ -64,12 +70,14 @@
 	assert.Equal(t, listedServers, instances)
 }
 
-// checkForm compares a value's encoding with a golden file, and what the golden file decodes to with the value.
-func checkForm[T any](t *testing.T, name string, value T) {
+// checkForm compares a value's encoding with a golden file, and what the golden file decodes to with the value. The later fields were added after
+// the file was written, and are not set; all others are.
+func checkForm[T any](t *testing.T, name string, value T, laterFields ...string) {
 	t.Helper()
 	fields := reflect.ValueOf(value)
 	for i := range fields.NumField() {
-		assert.False(t, fields.Field(i).IsZero(), "%s: field %s is zero", name, fields.Type().Field(i).Name)
+		field := fields.Type().Field(i).Name
+		assert.Equal(t, slices.Contains(laterFields, field), fields.Field(i).IsZero(), "%s: field %s", name, field)
 	}
 	text, err := os.ReadFile(filepath.Join("testdata", "wire_form", name+".hex"))
 	require.NoError(t, err)
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -20,7 +20,7 @@
 // layers are the packages of the program from the lowest layer up. A package may import packages below its own entry and those of lower
 // layers. A package that no layer lists is a failure, else it would be free of the rule by oversight.
 var layers = [][]string{
-	{"policy", "internal/diagnostic", "internal/msgpacklimit"},
+	{"policy", "internal/diagnostic", "internal/msgpacklimit", "internal/apikey"},
 	{"internal/decide/register", "internal/decide/membership", "internal/routeconfig", "internal/nodeconfig", "internal/store"},
 	{"internal/message", "internal/transport"},
 	{"internal/decide", "internal/netio", "internal/buffer", "internal/checker", "internal/health", "internal/hotrestart",
--- a/internal/message/packing.go
+++ b/internal/message/packing.go
@@ -22,12 +22,26 @@
 type PackedTable struct {
 	Version uint64 `msgpack:"v"` // of the configuration
 	Data    []byte `msgpack:"d"` // a routeconfig.Table as MessagePack, compressed by DEFLATE
+
+	// Form is that of the table, as far as the sender knows: processes of earlier versions forward the bytes and drop this field.
+	Form routeconfig.Form `msgpack:"f,omitempty"`
+}
+
+// Supersedes reports whether packed takes the place of other, which may be nil: it has a higher version, or the same one in a later form. Danger: of
+// one version there may be a table that a process of an earlier version has compiled, without what the configuration says of tenants.
+func (packed *PackedTable) Supersedes(other *PackedTable) bool {
+	return other == nil || IsNewerTable(packed.Version, packed.Form, other.Version, other.Form)
+}
+
+// IsNewerTable reports whether a table of a version and form takes the place of another one.
+func IsNewerTable(version uint64, form routeconfig.Form, otherVersion uint64, otherForm routeconfig.Form) bool {
+	return version > otherVersion || version == otherVersion && form > otherForm
 }
 
 // PackTable returns the packed form of table. The result is not to be used where there is an error.
 func PackTable(table *routeconfig.Table) (*PackedTable, error) {
 	data, err := pack(table)
-	return &PackedTable{Version: table.Version, Data: data}, err
+	return &PackedTable{Version: table.Version, Form: table.Form, Data: data}, err
 }
 
 // Unpack reverses PackTable. The result is not to be used where there is an error.
--- a/internal/message/wire_form_test.go
+++ b/internal/message/wire_form_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -16,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"hazelwheel/internal/apikey"
 	"hazelwheel/internal/decide/membership"
 	"hazelwheel/internal/decide/register"
 	"hazelwheel/internal/message"
@@ -64,11 +66,38 @@
 				Priority: 2, Services: []routeconfig.WeightedService{{Service: "chat", Weight: 0.75}}, MaxAttempts: 3, Sticky: true, Resumable: true, TokenGapTargetMs: 250.5}},
 			Services: []routeconfig.Service{{Name: "chat", HealthPath: "/health", MaxConnections: 100, Engine: &routeconfig.Engine{Slots: 8, KVTokens: 1e6,
 				KVTokenBytes: 1000.5, LinkMbps: 10000, HandleTTLSeconds: 5.5, StageSwitchSeconds: 2.5}}}},
+		"routes.TableWithTenants": tableWithTenants(),
+		"TableWithForm":           message.PackedTable{Version: 70000, Form: routeconfig.FormTenants, Data: []byte("packed table")},
+		"GossipWithForm": message.Gossip{FormatVersion: message.FormatVersion, Records: []membership.Record{record}, Heartbeats: []membership.Heartbeat{beat}, Voters: value,
+			Grants: value.Grants, Plan: plan, ConfigVersion: 70000, ConfigForm: routeconfig.FormTenants, LatestForm: routeconfig.FormTenants,
+			Table: &message.PackedTable{Version: 70000, Form: routeconfig.FormTenants, Data: []byte("packed table")}, List: list, Loads: []message.Load{load},
+			NeedsTable: true, NeedsList: true, UpdatesOnly: true},
 		"instances": []message.Instance{{ID: "i-1", Service: "chat", Address: "10.0.1.1:9000", Zone: "a", Slots: 8, Draining: true,
 			Stage: message.Decode, WarmupMs: 2500.5}},
 	}
 }
 
+// tableWithTenants is a table with every field set.
+func tableWithTenants() routeconfig.Table {
+	priority := 2
+	secret := apikey.NewSecret([]byte("document"))
+	return routeconfig.Table{Version: 70000, Form: routeconfig.FormTenants, KeySecret: secret,
+		Tenants: []routeconfig.Tenant{{Name: "acme", Priority: &priority, KeyDigests: []apikey.Digest{secret.NewDigester().Digest(apikey.New("key"))}}},
+		Routes: []routeconfig.Route{{Name: "r", Host: "h.example", PathPrefix: "/p/", Kind: routeconfig.Streaming, TimeoutMs: 30000, LatencyTargetMs: 800.5,
+			Priority: 2, Services: []routeconfig.WeightedService{{Service: "chat", Weight: 0.75}}, MaxAttempts: 3, Sticky: true, Resumable: true, TokenGapTargetMs: 250.5,
+			IsPublic: true}},
+		Services: []routeconfig.Service{{Name: "chat", HealthPath: "/health", MaxConnections: 100, Engine: &routeconfig.Engine{Slots: 8, KVTokens: 1e6,
+			KVTokenBytes: 1000.5, LinkMbps: 10000, HandleTTLSeconds: 5.5, StageSwitchSeconds: 2.5}}},
+		Limits: routeconfig.Limits{MaxHeaderBytes: 32768, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 4000.5, IdleTimeoutMs: 55000}}
+}
+
+// firstForms are the values whose golden files were written before some fields were added. They lack these fields, and their bytes have to be
+// the same all the same; a value with the fields has another name.
+var firstForms = map[string]bool{"Table": true, "Gossip": true, "Feed": true, "routes.Table": true}
+
+// laterFields are the fields that were added since.
+var laterFields = []string{"Form", "ConfigForm", "LatestForm", "Tenants", "KeySecret", "IsPublic"}
+
 // golden returns the content of a file that was written by the version that first sent this form.
 func golden(t *testing.T, name string, now []byte) []byte {
 	t.Helper()
@@ -104,7 +133,7 @@
 func TestWireForm(t *testing.T) {
 	for name, value := range wireValues() {
 		t.Run(name, func(t *testing.T) {
-			requireFieldsSet(t, name, reflect.ValueOf(value))
+			requireFieldsSet(t, name, reflect.ValueOf(value), firstForms[name])
 			now, err := msgpack.Marshal(value)
 			require.NoError(t, err)
 			sent := golden(t, name, now)
@@ -144,20 +173,25 @@
 	return out
 }
 
-// requireFieldsSet fails where a field has its zero value: its form would not be pinned.
-func requireFieldsSet(t *testing.T, path string, value reflect.Value) {
+// requireFieldsSet fails where a field has its zero value: its form would not be pinned. Of a first form, laterFields have to be zero.
+func requireFieldsSet(t *testing.T, path string, value reflect.Value, isFirstForm bool) {
 	t.Helper()
 	switch value.Kind() {
 	case reflect.Pointer:
 		require.False(t, value.IsNil(), path)
-		requireFieldsSet(t, path, value.Elem())
+		requireFieldsSet(t, path, value.Elem(), isFirstForm)
 	case reflect.Slice:
 		require.NotZero(t, value.Len(), path)
-		requireFieldsSet(t, path+"[0]", value.Index(0))
+		requireFieldsSet(t, path+"[0]", value.Index(0), isFirstForm)
 	case reflect.Struct:
 		for i := range value.NumField() {
-			if field := value.Type().Field(i); field.IsExported() {
-				requireFieldsSet(t, path+"."+field.Name, value.Field(i))
+			field := value.Type().Field(i)
+			switch {
+			case !field.IsExported():
+			case isFirstForm && slices.Contains(laterFields, field.Name):
+				require.True(t, value.Field(i).IsZero(), path+"."+field.Name)
+			default:
+				requireFieldsSet(t, path+"."+field.Name, value.Field(i), isFirstForm)
 			}
 		}
 	default:
--- a/internal/nodeconfig/settings.go
+++ b/internal/nodeconfig/settings.go
@@ -60,6 +60,7 @@
 	PrefixCacheSeconds  float64 `yaml:"again_s"`   // for which a shared prefix counts as cached after its last use
 	LeaseMs             float64 `yaml:"LeaseMs"`   // lease of a singleton role
 	Fenced              bool    `yaml:"Fenced"`
+	Revoked             bool    `yaml:"Revoked"` // requests in progress end when the key that they were sent with is taken away
 }
 
 // Cloud describes the platform's interface for the list of servers.
--- a/internal/nodeconfig/settings_form_test.go
+++ b/internal/nodeconfig/settings_form_test.go
@@ -25,7 +25,8 @@
 		Limits:  nodeconfig.Limits{MemoryMB: 512, MaxFDs: 4096, DiskMB: 1024, LinkMbps: 120.5, CPUShare: 0.5},
 		DataDir: "/data", HeartbeatMs: 900.5, FaultTolerance: nodeconfig.FaultTolerance{Machines: 1, Zones: 2, Regions: 3},
 		Bounds: nodeconfig.Bounds{ContactMs: 3001, AckMs: 4001, DrainMs: 3002, GraceSeconds: 9, ConfigApplyMs: 2001, RetryBudgetRatio: 0.2, BudgetWindowSeconds: 11,
-			BudgetSlack: 1.5, ReuseAfterSeconds: 2.5, CatchUpSeconds: 4.5, RecoverySeconds: 12.5, PrefixCacheSeconds: 8.5, LeaseMs: 3003, Fenced: true},
+			BudgetSlack: 1.5, ReuseAfterSeconds: 2.5, CatchUpSeconds: 4.5, RecoverySeconds: 12.5, PrefixCacheSeconds: 8.5, LeaseMs: 3003, Fenced: true,
+			Revoked: true},
 		Cloud: nodeconfig.Cloud{Address: "10.200.0.79:8169", RequestsPerSecond: 2.5, LagMs: 1001},
 	}
 	for _, value := range []any{want, want.Listen, want.Limits, want.FaultTolerance, want.Bounds, want.Cloud} {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -24,11 +24,14 @@
 type placementChoice func(now float64, pool *placement.Pool, planner *placement.Planner) bool
 
 // awaitPlacement calls choose until it finds a server, for queueFraction of the route's latency target since the request's arrival. It returns
-// whether one was found.
+// whether one was found. A request whose key was taken away meanwhile gets none.
 func (p *Proxy) awaitPlacement(ctx context.Context, req *proxyRequest, choose placementChoice) bool {
 	deadline := req.arrivedAt.Add(time.Duration(queueFraction * float64(nodeconfig.FromMillis(req.route.LatencyTargetMs))))
 	for {
 		found := false
+		if !p.reauthorize(req) {
+			return false
+		}
 		p.state.withService(req.service, func(now float64, pool *placement.Pool, planner *placement.Planner) {
 			found = pool != nil && choose(now, pool, planner)
 		})
--- a/internal/proxy/credentials_test.go
+++ b/internal/proxy/credentials_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
@@ -148,19 +149,24 @@
 	require.NoError(f.t, f.proxy.state.applyFeed(&message.Feed{Table: packed}))
 }
 
-// send sends a request with a key, if that is not empty, and a forged tenant's name. It returns the answer, whose body is read.
-func (f *tenantFleet) send(route, key string, fields ...headerField) (status int, body string) {
+// newRequest returns a request with a key, if that is not empty, and a forged tenant's name.
+func (f *tenantFleet) newRequest(route, key string) *http.Request {
 	request, err := http.NewRequest(http.MethodPost, f.front.URL+"/"+route+"/x", strings.NewReader("body"))
 	require.NoError(f.t, err)
 	request.Host = "h.example"
 	if key != "" {
 		request.Header.Set("Authorization", key)
 	}
-	for _, field := range append([]headerField{{headerRequestID, fmt.Sprint("id-", f.sent.Add(1))}, {headerDeadline, "4000"}, {headerPrefixHash, prefix}, {headerTokenCounts, "20800,20"},
-		{tenantHeader, "forged"}}, fields...) {
+	for _, field := range []headerField{{headerRequestID, fmt.Sprint("id-", f.sent.Add(1))}, {headerDeadline, "4000"}, {headerPrefixHash, prefix},
+		{headerTokenCounts, "20800,20"}, {tenantHeader, "forged"}} {
 		request.Header.Add(field.name, field.value)
 	}
-	answer, err := f.front.Client().Do(request)
+	return request
+}
+
+// send sends a request of newRequest and returns the answer.
+func (f *tenantFleet) send(route, key string) (status int, body string) {
+	answer, err := f.front.Client().Do(f.newRequest(route, key))
 	require.NoError(f.t, err)
 	defer answer.Body.Close()
 	text, err := io.ReadAll(answer.Body)
@@ -176,6 +182,15 @@
 	return all
 }
 
+// forgetReceived makes received start anew.
+func (f *tenantFleet) forgetReceived() {
+	for _, s := range f.servers {
+		s.mu.Lock()
+		s.asked = nil
+		s.mu.Unlock()
+	}
+}
+
 // ways are the ways on which a request reaches a server, each with its attempts and the failures that lead there.
 var ways = map[string]struct {
 	route    string
@@ -239,3 +254,129 @@
 	status, _ := f.send("unary", unknownKey)
 	assert.Equal(t, http.StatusServiceUnavailable, status, "nothing is known of the key yet")
 }
+
+// TestCredentialsWithoutTenants has clients of a configuration without tenants: what they send to the application reaches it, a key doesn't, whether
+// the configuration has no tenants or was compiled by a version that knows none.
+func TestCredentialsWithoutTenants(t *testing.T) {
+	f := newTenantFleet(t, tenantDocument(1, ""), failure{})
+	for sent, want := range map[string][]string{"Bearer of-the-application": {"Bearer of-the-application"}, keyOfAcme: nil, "token key-of-acme": nil} {
+		f.forgetReceived()
+		status, _ := f.send("prompt", sent)
+		assert.Equal(t, http.StatusOK, status, sent)
+		assert.Len(t, f.received(), 2)
+		for _, header := range f.received() {
+			assert.Equal(t, want, header["Authorization"], sent)
+			assert.Empty(t, header[tenantHeader], sent)
+		}
+	}
+}
+
+// TestTableOfAnEarlierVersionIsReplaced has a proxy that receives one version of the configuration twice: first as a process of an earlier version has
+// compiled it, then with its tenants. The other order changes nothing.
+func TestTableOfAnEarlierVersionIsReplaced(t *testing.T) {
+	f := newTenantFleet(t, "", failure{})
+	complete, err := routeconfig.Parse([]byte(tenantDocument(1, acmeAndBolt)))
+	require.NoError(t, err)
+	earlier := *complete
+	earlier.Form, earlier.Tenants, earlier.KeySecret = routeconfig.FormRoutes, nil, nil
+	for _, step := range []struct {
+		table *routeconfig.Table
+		want  int
+	}{{&earlier, http.StatusOK}, {complete, http.StatusUnauthorized}, {&earlier, http.StatusUnauthorized}} {
+		packed, err := message.PackTable(step.table)
+		require.NoError(t, err)
+		packed.Form = 0 // an agent of an earlier version has forwarded it
+		require.NoError(t, f.proxy.state.applyFeed(&message.Feed{Table: packed}))
+		status, _ := f.send("unary", unknownKey)
+		assert.Equal(t, step.want, status)
+	}
+}
+
+func TestPriorityOfTheTenantPrecedesThatOfTheRoute(t *testing.T) {
+	f := newTenantFleet(t, tenantDocument(1, acmeAndBolt), failure{})
+	for key, want := range map[string]string{keyOfAcme: "3", keyOfBolt: "1"} {
+		f.forgetReceived()
+		f.send("prompt", key)
+		assert.Len(t, f.received(), 2)
+		for _, header := range f.received() {
+			assert.Equal(t, want, header.Get(headerPriority), key)
+		}
+	}
+}
+
+// TestWaitingRequestIsNotExecutedWithAKeyTakenAway has a server refuse the first attempt; the key is taken away before the second one.
+func TestWaitingRequestIsNotExecutedWithAKeyTakenAway(t *testing.T) {
+	var f *tenantFleet
+	refuses := failure{func(*http.Request) bool { return true }, func(w http.ResponseWriter, _ http.Header) {
+		f.apply(tenantDocument(2, boltAlone))
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}}
+	f = newTenantFleet(t, tenantDocument(1, acmeAndBolt), refuses)
+	status, _ := f.send("unary", keyOfAcme)
+	assert.Equal(t, http.StatusUnauthorized, status)
+	assert.Len(t, f.received(), 1, "no further attempt is made")
+}
+
+// TestKeyThatIsPassedOnActsForItsNewTenant is the same with a key that another tenant gets.
+func TestKeyThatIsPassedOnActsForItsNewTenant(t *testing.T) {
+	var f *tenantFleet
+	var refused atomic.Bool
+	refusesFirst := failure{func(*http.Request) bool { return !refused.Swap(true) }, func(w http.ResponseWriter, _ http.Header) {
+		f.apply(tenantDocument(2, `{"Name":"bolt","ApiKeys":["key-of-bolt","key-of-acme"]}`))
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}}
+	f = newTenantFleet(t, tenantDocument(1, acmeAndBolt), refusesFirst)
+	status, _ := f.send("unary", keyOfAcme)
+	assert.Equal(t, http.StatusOK, status)
+	var names []string
+	for _, header := range f.received() {
+		names = append(names, header.Get(tenantHeader))
+	}
+	assert.ElementsMatch(t, []string{"acme", "bolt"}, names)
+}
+
+// TestOpenStreamsEndWithTheirKeys has a stream open while its key is taken away. It goes on, unless the settings say that it ends; then it doesn't look
+// complete, and a stream whose key stays is not touched.
+func TestOpenStreamsEndWithTheirKeys(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		release := make(chan struct{})
+		opened := failure{func(*http.Request) bool { return true }, func(w http.ResponseWriter, _ http.Header) {
+			w.Header().Set(headerStamp, "stamp")
+			writeText(w, "%s", event(1))
+			_ = http.NewResponseController(w).Flush() // a proxy that has gone shows below
+			<-release
+			writeText(w, "%s", event(2))
+		}}
+		f := newTenantFleet(t, tenantDocument(1, acmeAndBolt), opened)
+		if ends {
+			f.proxy.admitted = newAdmittedRequests()
+		}
+		streams := map[string]*http.Response{}
+		for _, key := range []string{keyOfAcme, keyOfBolt} {
+			answer, err := f.front.Client().Do(f.newRequest("feed", key))
+			require.NoError(t, err)
+			defer answer.Body.Close()
+			_, err = io.ReadFull(answer.Body, make([]byte, len(event(1))))
+			require.NoError(t, err)
+			streams[key] = answer
+		}
+		f.apply(tenantDocument(2, boltAlone))
+		f.proxy.endRevoked()
+		if ends {
+			_, err := io.ReadAll(streams[keyOfAcme].Body)
+			assert.Error(t, err, "a stream that ends with its key must not look complete")
+		}
+		close(release)
+		for key, answer := range streams {
+			if ends && key == keyOfAcme {
+				continue
+			}
+			rest, err := io.ReadAll(answer.Body)
+			assert.NoError(t, err)
+			assert.Equal(t, event(2), string(rest))
+		}
+		assert.Eventually(t, func() bool { return f.proxy.admitted.count() == 0 }, time.Minute, time.Millisecond)
+	}
+}
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -51,11 +51,19 @@
 			return err
 		}
 		if feed.Table != nil {
+			p.endRevoked()
 			p.log.WithField("version", feed.Table.Version).Info("configuration in force")
 		}
 	}
 }
 
+// endRevoked ends the requests in progress whose keys the configuration in force has not, where the settings say so.
+func (p *Proxy) endRevoked() {
+	if ended := p.admitted.endRevoked(p.state.currentTable()); ended > 0 {
+		p.log.WithField("requests", ended).Info("requests ended with their keys")
+	}
+}
+
 // sendReports sends a report at each interval, until it is stopped or the connection fails.
 func (p *Proxy) sendReports(conn net.Conn, stop <-chan struct{}) {
 	ticker := time.NewTicker(reportInterval)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -35,16 +35,25 @@
 		http.Error(w, "no route", http.StatusNotFound)
 		return
 	}
+	sent := takeCredentials(r.Header, table.tenants != nil)
+	tenant, err := table.authorize(route, sent)
+	if err != nil {
+		p.respondUnauthorized(w, err)
+		return
+	}
 	body, status := readBody(w, r, table.limits)
 	if status != 0 {
 		p.stats.countRejected(rejectedBody)
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
-	req := &proxyRequest{incoming: r, body: body, id: r.Header.Get(headerRequestID), route: route, service: drawService(route), arrivedAt: arrivedAt}
+	req := &proxyRequest{incoming: r, body: body, id: r.Header.Get(headerRequestID), route: route, service: drawService(route), arrivedAt: arrivedAt,
+		credentials: sent, tenant: tenant, authorizedBy: table}
 	req.deadline = arrivedAt.Add(timeLimit(r, route))
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
+	p.admitted.add(req, cancel)
+	defer p.admitted.remove(req)
 	_ = http.NewResponseController(w).SetWriteDeadline(req.deadline.Add(writeDeadlineMargin)) // a connection that supports none is served without
 	servesModel := false
 	p.state.withService(req.service, func(now float64, pool *placement.Pool, _ *placement.Planner) {
@@ -82,10 +91,12 @@
 	http.Error(w, "no server can take it now", http.StatusServiceUnavailable)
 }
 
-// respondFailure responds to a request that no server has answered: 503 where none can have executed it, else 504 after the deadline and 502
-// before it.
+// respondFailure responds to a request that no server has answered: 401 where its key was taken away and 503 otherwise if none can have executed
+// it, else 504 after the deadline and 502 before it.
 func (p *Proxy) respondFailure(ctx context.Context, w http.ResponseWriter, req *proxyRequest) {
 	switch {
+	case req.possibleExecutions == 0 && !p.reauthorize(req):
+		p.respondUnauthorized(w, errUnknownKey)
 	case req.possibleExecutions == 0 && (ctx.Err() == nil || req.remaining() <= 0):
 		p.stats.countUnserved(req.service, func(counts *unservedCounts) { counts.Rejected++ })
 		respondUnavailable(w, retryAfterSeconds)
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 )
 
 // The header fields of the protocol between proxies, clients and servers.
@@ -24,6 +23,7 @@
 	headerKVFrom         = "Kv-From"
 	headerPriority       = "Priority"
 	headerLastEventID    = "Last-Event-Id"
+	headerTenantID       = "Hazelwheel-Tenant-Id"
 	stagePrefill         = "prefill"
 )
 
@@ -50,8 +50,9 @@
 type headerField struct{ name, value string }
 
 // reservedHeaders are the fields that only proxies set on requests to servers. Danger: a server that received a client's value in one of them
-// would reject the request as misdirected, or run it as something that it is not.
-var reservedHeaders = []string{headerServingStage, headerKVFrom, headerExpectInstance, headerExpectVersion, headerPriority, headerDeadline}
+// would reject the request as misdirected, or run it as something that it is not, or in another tenant's name.
+var reservedHeaders = []string{headerServingStage, headerKVFrom, headerExpectInstance, headerExpectVersion, headerPriority, headerDeadline,
+	headerTenantID}
 
 // isForwarded reports whether a client's field is forwarded beside the fields that the proxy sets.
 func isForwarded(name string, header http.Header, set []headerField) bool {
@@ -59,9 +60,10 @@
 		!slices.ContainsFunc(set, func(f headerField) bool { return f.name == name })
 }
 
-// encodeRequest returns a client's request in the form that is sent to a server: with the given fields in place of the client's, and the
-// remaining time as its deadline.
-func encodeRequest(r *http.Request, body []byte, remaining time.Duration, set ...headerField) []byte {
+// encode returns the request in the form that is sent to a server: with the given fields in place of the client's, the tenant in whose name it is
+// executed, and the remaining time as its deadline.
+func (req *proxyRequest) encode(set ...headerField) []byte {
+	r, body := req.incoming, req.body
 	target := r.RequestURI
 	if !strings.HasPrefix(target, "/") {
 		target = r.URL.RequestURI()
@@ -69,7 +71,10 @@
 	var out strings.Builder
 	out.Grow(len(body) + 1024)
 	out.WriteString(r.Method + " " + target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	set = append(set, headerField{headerDeadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10)})
+	set = append(set, headerField{headerDeadline, strconv.FormatInt(max(req.remaining().Milliseconds(), 1), 10)})
+	if req.tenant != nil {
+		set = append(set, headerField{headerTenantID, req.tenant.Name})
+	}
 	for name, values := range r.Header {
 		if !isForwarded(name, r.Header, set) {
 			continue
--- a/internal/proxy/prefill.go
+++ b/internal/proxy/prefill.go
@@ -18,8 +18,6 @@
 	maxPrefillAttempts = 3
 	// maxPrefillResponseBytes bounds the body of a prefill server's response.
 	maxPrefillResponseBytes = 64 << 10
-	// maxPriority is the highest value of the Priority field.
-	maxPriority = 9
 )
 
 // retriesPrefill reports whether a prompt may be sent to another prefill server after this outcome, and charges the retry budget where that
@@ -81,7 +79,7 @@
 
 // sendPrefill sends a request to a prefill server, and returns the handle in its response as IP:PORT/HANDLE.
 func (p *Proxy) sendPrefill(ctx context.Context, req *proxyRequest, server *placement.Endpoint) (string, outcome) {
-	request := encodeRequest(req.incoming, req.body, req.remaining(), headerField{headerExpectInstance, server.ID},
+	request := req.encode(headerField{headerExpectInstance, server.ID},
 		headerField{headerServingStage, stagePrefill}, headerField{headerPriority, priorityValue(req)})
 	exchanged, result := p.roundTrip(ctx, req, server, request)
 	if result != outcomeAnswered {
@@ -103,7 +101,7 @@
 	return server.Address + "/" + response.KvHandle, outcomeAnswered
 }
 
-// priorityValue returns the Priority field of a request, by its route.
+// priorityValue returns the Priority field of a request.
 func priorityValue(req *proxyRequest) string {
-	return strconv.Itoa(min(max(req.route.Priority, 0), maxPriority))
+	return strconv.Itoa(req.authorizedBy.priorities.value(req.route, req.tenant))
 }
--- /dev/null
+++ b/internal/proxy/priority.go
@@ -0,0 +1,59 @@
+package proxy
+
+import (
+	"slices"
+
+	"hazelwheel/internal/routeconfig"
+)
+
+// maxPriority is the highest value of the Priority field, for the least urgent requests.
+const maxPriority = 9
+
+// priorityRanks derives the Priority field of requests from the priorities of tenants and routes. That of the tenant takes precedence; among
+// requests of equal precedence the route's decides, so that a tenant's urgent requests still go before its other ones.
+type priorityRanks struct {
+	precedences []int // those that occur: of tenants, and of routes for requests without one; sorted
+	routes      []int // priorities of routes, sorted
+}
+
+// newPriorityRanks returns the ranks of a configuration.
+func newPriorityRanks(table *routeconfig.Table) *priorityRanks {
+	ranks := &priorityRanks{}
+	for i := range table.Routes {
+		ranks.routes = append(ranks.routes, table.Routes[i].Priority)
+	}
+	ranks.routes = sortedUnique(ranks.routes)
+	ranks.precedences = slices.Clone(ranks.routes)
+	hasTenantPriority := false
+	for i := range table.Tenants {
+		if priority := table.Tenants[i].Priority; priority != nil {
+			ranks.precedences = append(ranks.precedences, *priority)
+			hasTenantPriority = true
+		}
+	}
+	ranks.precedences = sortedUnique(ranks.precedences)
+	if !hasTenantPriority || len(ranks.routes) < 2 || len(ranks.precedences)*len(ranks.routes) > maxPriority+1 {
+		ranks.routes = nil // the precedence alone: the routes add nothing to it, or there are too many pairs for the field
+	}
+	return ranks
+}
+
+// sortedUnique returns the distinct numbers in their order. It may modify its argument.
+func sortedUnique(numbers []int) []int {
+	slices.Sort(numbers)
+	return slices.Compact(numbers)
+}
+
+// value returns the value of the field for a request on a route in a tenant's name, which may be nil.
+func (ranks *priorityRanks) value(route *routeconfig.Route, tenant *routeconfig.Tenant) int {
+	precedence := route.Priority
+	if tenant != nil && tenant.Priority != nil {
+		precedence = *tenant.Priority
+	}
+	if len(ranks.routes) == 0 {
+		return min(max(precedence, 0), maxPriority)
+	}
+	rank, _ := slices.BinarySearch(ranks.precedences, precedence)
+	routeRank, _ := slices.BinarySearch(ranks.routes, route.Priority)
+	return min(rank*len(ranks.routes)+routeRank, maxPriority)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -47,12 +47,17 @@
 	state     *routingState
 	conns     *connPool
 	stats     *requestStats
-	isLeaving atomic.Bool // it reports that it is not ready, since it shuts down
+	admitted  *admittedRequests // nil unless requests in progress end with their keys
+	isLeaving atomic.Bool       // it reports that it is not ready, since it shuts down
 }
 
 // newProxy returns a proxy without configuration and endpoint list.
 func newProxy(settings *nodeconfig.Settings, log *logrus.Entry) *Proxy {
-	return &Proxy{settings: settings, log: log, state: newRoutingState(settings), conns: newConnPool(), stats: newRequestStats()}
+	p := &Proxy{settings: settings, log: log, state: newRoutingState(settings), conns: newConnPool(), stats: newRequestStats()}
+	if settings.Bounds.Revoked {
+		p.admitted = newAdmittedRequests()
+	}
+	return p
 }
 
 // Run serves until the context ends, and then until the requests in flight are served or the grace period is over. It returns early with the
--- a/internal/proxy/proxyrequest.go
+++ b/internal/proxy/proxyrequest.go
@@ -30,6 +30,10 @@
 	arrivedAt time.Time
 	deadline  time.Time
 
+	credentials  credentials
+	tenant       *routeconfig.Tenant // in whose name it is executed, nil: nobody's
+	authorizedBy *routeTable         // the configuration that tenant is by
+
 	triedEndpoints     []*placement.Endpoint // in the order of the attempts
 	deliveredAttempts  int                   // that have reached a server; a separate prefill counts where it was rejected or retried
 	possibleExecutions int                   // attempts that a server may have executed
--- a/internal/proxy/requeststats.go
+++ b/internal/proxy/requeststats.go
@@ -41,7 +41,8 @@
 const (
 	rejectedNoConfiguration rejection = "no_configuration" // the proxy knows none yet
 	rejectedNoRoute         rejection = "no_route"
-	rejectedBody            rejection = "body" // too large, or broken off
+	rejectedBody            rejection = "body"         // too large, or broken off
+	rejectedUnauthorized    rejection = "unauthorized" // no key, or one that is not known
 )
 
 // countRejected counts a rejected request.
--- /dev/null
+++ b/internal/proxy/revocation.go
@@ -0,0 +1,72 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+
+	"hazelwheel/internal/routeconfig"
+)
+
+// admittedRequests holds the requests in progress that were sent with a key, so that they can be ended when it is taken away. It is safe for
+// concurrent use; the nil value holds none.
+type admittedRequests struct {
+	mu       sync.Mutex // guards requests
+	requests map[*proxyRequest]context.CancelFunc
+}
+
+// newAdmittedRequests returns an empty set.
+func newAdmittedRequests() *admittedRequests {
+	return &admittedRequests{requests: map[*proxyRequest]context.CancelFunc{}}
+}
+
+// add adds a request, whose route and credentials must not change any more. cancel ends it, and must not block.
+func (a *admittedRequests) add(req *proxyRequest, cancel context.CancelFunc) {
+	if a == nil || req.credentials.key.IsZero() {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.requests[req] = cancel
+}
+
+// remove removes a request that has ended.
+func (a *admittedRequests) remove(req *proxyRequest) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.requests, req)
+}
+
+// endRevoked ends the requests that a configuration doesn't allow, and returns how many there were.
+func (a *admittedRequests) endRevoked(table *routeTable) (ended int) {
+	if a == nil || table == nil {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for req, cancel := range a.requests {
+		if !table.allows(req.route, req.credentials) {
+			cancel()
+			ended++
+		}
+	}
+	return ended
+}
+
+// count returns how many requests are in progress.
+func (a *admittedRequests) count() int {
+	if a == nil {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.requests)
+}
+
+// allows reports whether a request on a route is executed under the configuration.
+func (t *routeTable) allows(route *routeconfig.Route, sent credentials) bool {
+	_, err := t.authorize(route, sent)
+	return err == nil
+}
--- a/internal/proxy/routetable.go
+++ b/internal/proxy/routetable.go
@@ -9,17 +9,21 @@
 	"hazelwheel/internal/routeconfig"
 )
 
-// routeTable finds routes by host and path. It is immutable.
+// routeTable finds routes by host and path, and tenants by keys. It is immutable.
 type routeTable struct {
-	version  uint64
-	limits   routeconfig.Limits
-	byPlace  *iradix.Tree[*routeconfig.Route] // by routeKey
-	services map[string]*routeconfig.Service  // by name
+	version    uint64
+	form       routeconfig.Form
+	limits     routeconfig.Limits
+	tenants    *tenantIndex // nil where the configuration has no tenants
+	priorities *priorityRanks
+	byPlace    *iradix.Tree[*routeconfig.Route] // by routeKey
+	services   map[string]*routeconfig.Service  // by name
 }
 
 // newRouteTable returns the table of a configuration, which must not change afterwards.
 func newRouteTable(table *routeconfig.Table) *routeTable {
-	routes := &routeTable{version: table.Version, limits: table.Limits, services: map[string]*routeconfig.Service{}}
+	routes := &routeTable{version: table.Version, form: table.Form, limits: table.Limits, tenants: newTenantIndex(table), priorities: newPriorityRanks(table),
+		services: map[string]*routeconfig.Service{}}
 	txn := iradix.New[*routeconfig.Route]().Txn()
 	for i := range table.Routes {
 		route := &table.Routes[i]
--- a/internal/proxy/routingstate.go
+++ b/internal/proxy/routingstate.go
@@ -62,7 +62,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if table != nil && (s.table == nil || table.Version > s.table.version) {
+	if table != nil && (s.table == nil || message.IsNewerTable(table.Version, table.Form, s.table.version, s.table.form)) {
 		s.table = newRouteTable(table)
 		s.syncPools()
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -138,7 +138,7 @@
 		p.state.withLock(func(float64) { attempt.endpoint.StartDecode(attempt.prompt) })
 		defer p.state.withLock(func(float64) { attempt.endpoint.FinishDecode(attempt.prompt) })
 	}
-	exchanged, result := p.roundTrip(ctx, req, attempt.endpoint, encodeRequest(req.incoming, req.body, req.remaining(), fields...))
+	exchanged, result := p.roundTrip(ctx, req, attempt.endpoint, req.encode(fields...))
 	if result != outcomeAnswered {
 		p.finishPrefill(req, &attempt, false)
 		if result != outcomeNotSent {
--- a/internal/routeconfig/json_document.go
+++ b/internal/routeconfig/json_document.go
@@ -192,7 +192,7 @@
 		return
 	}
 	if !matchesKind(descriptor.Kind(), value, n.scalar) {
-		d.addFault(n, path, "want %s, not %s", describeKind(descriptor.Kind()), abbreviate(n.scalar))
+		d.addFault(n, path, "want %s, not %s", describeKind(descriptor.Kind()), quoteValue(path, n.scalar))
 	}
 }
 
--- a/internal/routeconfig/json_object.go
+++ b/internal/routeconfig/json_object.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"strings"
 )
 
 // jsonField is a field of a JSON object whose fields keep their order.
@@ -30,7 +31,7 @@
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	start, err := decoder.Token()
 	if err != nil || start != json.Delim('{') {
-		return nil, Error.New("%s: want an object, not %s", path, abbreviate(data))
+		return nil, Error.New("%s: want an object, not %s", path, describeValue(data))
 	}
 	var fields []jsonField
 	for decoder.More() {
@@ -73,6 +74,29 @@
 	return out.Bytes()
 }
 
+// quoteValue returns what an error says of a value that a scalar field has. Danger: the values of tenants are credentials, and are not quoted.
+func quoteValue(path string, value []byte) string {
+	if strings.Contains(path, tenantsKey) {
+		return "another value"
+	}
+	return abbreviate(value)
+}
+
+// describeValue returns what an error says of a value in place of an object or a list: its type alone, since it may hold anything, a credential
+// included.
+func describeValue(value []byte) string {
+	switch value = bytes.TrimSpace(value); {
+	case bytes.HasPrefix(value, []byte("{")):
+		return "an object"
+	case bytes.HasPrefix(value, []byte("[")):
+		return "a list"
+	case bytes.HasPrefix(value, []byte(`"`)):
+		return "a text"
+	default:
+		return "another value"
+	}
+}
+
 // abbreviate quotes a text, cut to a length that fits into an error of one line.
 func abbreviate(text []byte) string {
 	const maxBytes = 40
--- a/internal/routeconfig/patch.go
+++ b/internal/routeconfig/patch.go
@@ -32,10 +32,11 @@
 	versionKey = "Version"
 	upsertKey  = "Upsert"
 	removeKey  = "Remove"
+	tenantsKey = "Tenants"
 )
 
 // knownLists are the lists of named items that a patch may add to a document. Other lists must be in the document.
-var knownLists = []string{"Routes", "Services"}
+var knownLists = []string{"Routes", "Services", tenantsKey}
 
 // ParsePatch parses a patch. Its error names the list, the item and the field.
 func ParsePatch(data []byte) (*Patch, error) {
@@ -48,7 +49,7 @@
 		switch field.key {
 		case versionKey:
 			if err := json.Unmarshal(field.value, &patch.Version); err != nil {
-				return nil, Error.New("%s: want a whole number, not %s", versionKey, abbreviate(field.value))
+				return nil, Error.New("%s: want a whole number, not %s", versionKey, quoteValue(versionKey, field.value))
 			}
 		case upsertKey:
 			err = patch.parseUpsert(field.value)
@@ -102,7 +103,7 @@
 	for _, list := range lists {
 		var names []string
 		if err := json.Unmarshal(list.value, &names); err != nil {
-			return Error.New("%s.%s: want a list of names, not %s", removeKey, list.key, abbreviate(list.value))
+			return Error.New("%s.%s: want a list of names, not %s", removeKey, list.key, describeValue(list.value))
 		}
 		p.listNamed(list.key).remove = names
 	}
@@ -180,7 +181,7 @@
 func parseItems(path string, data json.RawMessage) ([]item, error) {
 	var texts []json.RawMessage
 	if err := json.Unmarshal(data, &texts); err != nil {
-		return nil, Error.New("%s: want a list, not %s", path, abbreviate(data))
+		return nil, Error.New("%s: want a list, not %s", path, describeValue(data))
 	}
 	list := make([]item, 0, len(texts))
 	for i, text := range texts {
@@ -188,7 +189,7 @@
 			Name string `json:"Name"`
 		}
 		if err := json.Unmarshal(text, &named); err != nil {
-			return nil, Error.New("%s[%d]: want an object with a Name, not %s", path, i, abbreviate(text))
+			return nil, Error.New("%s[%d]: want an object with a Name, not %s", path, i, describeValue(text))
 		}
 		if named.Name == "" {
 			return nil, Error.New("%s[%d].Name: a name is missing", path, i)
--- a/internal/routeconfig/stored_form_test.go
+++ b/internal/routeconfig/stored_form_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"hazelwheel/internal/apikey"
 	"hazelwheel/internal/routeconfig"
 )
 
@@ -33,34 +35,73 @@
 	Limits: routeconfig.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4194304, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 }
 
-// TestStoredForm pins the bytes of the table that control processes pack and send. Processes of other versions read these bytes.
+// tenantsTable is the table of testdata/stored_form/tenants.json. Its secret and digest were computed by another implementation.
+func tenantsTable() routeconfig.Table {
+	table, priority := goldenTable, 3
+	table.Form = routeconfig.FormTenants
+	table.Routes = slices.Clone(table.Routes)
+	table.Routes[0].IsPublic = true
+	table.KeySecret = apikey.Secret(decodeHex("82a32530d1f685722940428170c65f8992caba4ee2815ddf4c0e37234128f896"))
+	table.Tenants = []routeconfig.Tenant{{Name: "acme", Priority: &priority, KeyDigests: []apikey.Digest{apikey.Digest(decodeHex("9dc1b1d1863cc50b640b70c9b486f06f"))}},
+		{Name: "bolt"}}
+	return table
+}
+
+func decodeHex(text string) []byte {
+	data, err := hex.DecodeString(text)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// laterFields are the fields that goldenTable lacks: they were added after table.hex was written.
+var laterFields = []string{"Form", "Tenants", "KeySecret", "IsPublic"}
+
+// TestStoredForm pins the bytes of the tables that control processes pack and send. Processes of other versions read these bytes.
 func TestStoredForm(t *testing.T) {
-	table := goldenTable
-	for _, value := range []any{table, table.Routes[0], table.Routes[0].Services[0], table.Services[0], *table.Services[0].Engine, table.Limits} {
-		fields := reflect.ValueOf(value)
-		for i := range fields.NumField() {
-			assert.False(t, fields.Field(i).IsZero(), "%T: field %s is zero", value, fields.Type().Field(i).Name)
+	for _, c := range []struct {
+		file  string
+		table routeconfig.Table
+		later []string
+	}{{"table.hex", goldenTable, laterFields}, {"tenants.hex", tenantsTable(), nil}} {
+		parts := []any{c.table, c.table.Routes[0], c.table.Routes[0].Services[0], c.table.Services[0], *c.table.Services[0].Engine, c.table.Limits}
+		if len(c.table.Tenants) > 0 {
+			parts = append(parts, c.table.Tenants[0])
+		}
+		for _, value := range parts {
+			fields := reflect.ValueOf(value)
+			for i := range fields.NumField() {
+				field := fields.Type().Field(i).Name
+				assert.Equal(t, slices.Contains(c.later, field), fields.Field(i).IsZero(), "%s: %T: field %s", c.file, value, field)
+			}
 		}
+		golden, err := hex.DecodeString(strings.TrimSpace(string(stored(t, c.file))))
+		require.NoError(t, err)
+		encoded, err := msgpack.Marshal(&c.table)
+		require.NoError(t, err)
+		assert.Equal(t, golden, encoded, c.file)
+		var decoded routeconfig.Table
+		require.NoError(t, msgpack.Unmarshal(golden, &decoded))
+		assert.Equal(t, c.table, decoded, c.file)
 	}
-	text := string(stored(t, "table.hex"))
-	golden, err := hex.DecodeString(strings.TrimSpace(text))
-	require.NoError(t, err)
-	encoded, err := msgpack.Marshal(&table)
-	require.NoError(t, err)
-	assert.Equal(t, golden, encoded)
-	var decoded routeconfig.Table
-	require.NoError(t, msgpack.Unmarshal(golden, &decoded))
-	assert.Equal(t, table, decoded)
 }
 
 // TestStoredDocument pins what a stored document is read as: it is stored and digested as the operator sent it.
 func TestStoredDocument(t *testing.T) {
-	table, err := routeconfig.Parse(stored(t, "document.json"))
-	require.NoError(t, err)
-	assert.Equal(t, &goldenTable, table)
-	report := routeconfig.Validate(stored(t, "document.json"))
-	assert.Empty(t, report.Faults)
-	assert.Equal(t, &goldenTable, report.Table)
+	withoutTenants := goldenTable
+	withoutTenants.Form = routeconfig.FormTenants // it says that the document has none
+	for file, want := range map[string]routeconfig.Table{"document.json": withoutTenants, "tenants.json": tenantsTable()} {
+		table, err := routeconfig.Parse(stored(t, file))
+		require.NoError(t, err)
+		assert.Equal(t, &want, table, file)
+		chosen, err := routeconfig.ParseChosen(stored(t, file))
+		require.NoError(t, err)
+		assert.Equal(t, &want, chosen, file)
+		report := routeconfig.Validate(stored(t, file))
+		assert.Empty(t, report.Faults)
+		assert.Equal(t, &want, report.Table, file)
+	}
 }
 
 // TestPatchedDocument pins the document that a patch makes of a stored one: its digest is agreed on by voters of other versions.
--- a/internal/routeconfig/table.go
+++ b/internal/routeconfig/table.go
@@ -4,6 +4,7 @@
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"hazelwheel/internal/apikey"
 	"hazelwheel/internal/routeconfig/configpb"
 )
 
@@ -38,8 +39,9 @@
 	Services         []WeightedService `msgpack:"s"` // at least one
 	MaxAttempts      int               `msgpack:"m"` // at least 1
 	Sticky           bool              `msgpack:"y"`
-	Resumable        bool              `msgpack:"e"` // a stream may be continued by another attempt
-	TokenGapTargetMs float64           `msgpack:"g"` // objective for the pauses between events, 0: none
+	Resumable        bool              `msgpack:"e"`           // a stream may be continued by another attempt
+	TokenGapTargetMs float64           `msgpack:"g"`           // objective for the pauses between events, 0: none
+	IsPublic         bool              `msgpack:"u,omitempty"` // requests need no key
 }
 
 // Engine describes the model servers of a service; 0 means unknown.
@@ -74,24 +76,55 @@
 	Routes   []Route   `msgpack:"r"`
 	Services []Service `msgpack:"s"`
 	Limits   Limits    `msgpack:"l"`
+
+	// Tables of earlier versions lack these fields.
+	Form      Form          `msgpack:"f,omitempty"`
+	Tenants   []Tenant      `msgpack:"t,omitempty"` // none: requests need no key
+	KeySecret apikey.Secret `msgpack:"k,omitempty"` // of the tenants' key digests; nil where there are no tenants
 }
 
-// Parse validates and compiles a document. It doesn't compare its version with the current one. Its error names the first
-// problem; Validate returns all.
+// Parse validates and compiles a document that an operator sends. It doesn't compare its version with the current one. Its error names the
+// first problem, without any value of a tenant; Validate returns all.
 func Parse(data []byte) (*Table, error) {
-	var config configpb.Config
-	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, &config); err != nil {
-		return nil, Error.Wrap(err)
+	config, err := unmarshal(data)
+	if err != nil {
+		return nil, err
+	}
+	if problems := validateConfig(config); len(problems) > 0 {
+		return nil, Error.New("%s", problems[0])
+	}
+	return compileTable(config, data), nil
+}
+
+// ParseChosen compiles a document that the register holds. It may have been accepted by an earlier version, which did not validate all that Parse
+// does: such a document has to come into force all the same, or the fleet would serve nothing after an upgrade.
+func ParseChosen(data []byte) (*Table, error) {
+	config, err := unmarshal(data)
+	if err != nil {
+		return nil, err
 	}
-	if problems := validateConfig(&config); len(problems) > 0 {
+	if problems := validateRouting(config); len(problems) > 0 {
 		return nil, Error.New("%s", problems[0])
 	}
-	return compileTable(&config), nil
+	return compileTable(config, data), nil
 }
 
-// compileTable compiles a valid configuration.
-func compileTable(config *configpb.Config) *Table {
-	table := &Table{Version: config.GetVersion(), Limits: Limits{
+// unmarshal reads a document. Danger: the errors of protojson quote the document, and so may hold a key; the one that is returned in their place
+// names line and field alone.
+func unmarshal(data []byte) (*configpb.Config, error) {
+	config := &configpb.Config{}
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, config); err != nil {
+		if faults := Validate(data).Faults; len(faults) > 0 {
+			return nil, Error.New("%s", faults[0])
+		}
+		return nil, Error.New("can't be read")
+	}
+	return config, nil
+}
+
+// compileTable compiles a valid configuration, which was read from document.
+func compileTable(config *configpb.Config, document []byte) *Table {
+	table := &Table{Version: config.GetVersion(), Form: FormTenants, Limits: Limits{
 		MaxHeaderBytes:  config.GetLimits().GetMaxHeaderBytes(),
 		MaxBodyBytes:    config.GetLimits().GetMaxBodyBytes(),
 		HeaderTimeoutMs: config.GetLimits().GetHeaderTimeoutMs(),
@@ -103,6 +136,10 @@
 	for _, service := range config.GetServices() {
 		table.Services = append(table.Services, compileService(service))
 	}
+	if len(config.GetTenants()) > 0 {
+		table.KeySecret = apikey.NewSecret(document)
+		table.Tenants = compileTenants(config.GetTenants(), table.KeySecret)
+	}
 	return table
 }
 
@@ -112,7 +149,7 @@
 		Name: route.GetName(), Host: route.GetHost(), PathPrefix: route.GetPathPrefix(), Kind: RouteKind(route.GetRouteType()),
 		TimeoutMs: route.GetTimeoutMs(), LatencyTargetMs: route.GetTargetLatencyMs(), Priority: int(route.GetPriority()),
 		MaxAttempts: max(int(route.GetMaxAttempts()), 1), Sticky: route.GetSticky(), Resumable: route.GetResumable(),
-		TokenGapTargetMs: route.GetGapAim(),
+		TokenGapTargetMs: route.GetGapAim(), IsPublic: route.GetPublic(),
 	}
 	for _, weighted := range route.GetWeightedServices() {
 		compiled.Services = append(compiled.Services, WeightedService{weighted.GetService(), weighted.GetWeight()})
--- a/internal/routeconfig/validate.go
+++ b/internal/routeconfig/validate.go
@@ -22,7 +22,14 @@
 }
 
 // validateConfig returns all that is wrong with the values of a configuration. Its version is not compared with the current one.
-func validateConfig(config *configpb.Config) (problems problemList) {
+func validateConfig(config *configpb.Config) problemList {
+	problems := validateRouting(config)
+	problems.validateTenants(config.GetTenants())
+	return problems
+}
+
+// validateRouting returns what is wrong with the version, services and routes, which every version has validated.
+func validateRouting(config *configpb.Config) (problems problemList) {
 	if config.GetVersion() == 0 {
 		problems.add("Version", "want a number above 0")
 	}
@@ -114,7 +121,7 @@
 	diagnostic.Sort(report.Faults)
 	diagnostic.Sort(report.Unknown)
 	if len(report.Faults) == 0 {
-		report.Table = compileTable(&config)
+		report.Table = compileTable(&config, data)
 	}
 	return report
 }
@@ -125,7 +132,7 @@
 	var text bytes.Buffer
 	root.writeReadable(&text)
 	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(text.Bytes(), config); err != nil {
-		return []diagnostic.Finding{{Text: err.Error()}}
+		return []diagnostic.Finding{{Text: "can't be read"}} // the error may quote a key
 	}
 	unreadable := slices.Clone(d.faults)
 	for _, problem := range validateConfig(config) {
