The soak has tenants, keys that come and go, and a mutant for each of its new checks

Cause: no run of real processes had keys. Nothing would have seen that servers receive them, whose name a request is executed in, or whether a key that was taken away still counts. Change: three tenants with a key each for good and up to six that are added, taken away and passed on by changes of the configuration; clients with valid, withdrawn, unknown and no keys and forged tenants' names; a public route; an operator that sends a configuration with a shared key now and then. Checks: key-withheld, tenant-of-key, unknown-key, withdrawn-key, valid-key, key-not-shown (output of processes and answers).

--- a/cmd/hazellab/soak.go
+++ b/cmd/hazellab/soak.go
@@ -26,6 +26,7 @@
 			&cli.IntFlag{Name: "processes", Value: 15, Usage: "`N` processes at most"},
 			&cli.BoolFlag{Name: "beside", Usage: "run control within agents, on machines with a proxy"},
 			&cli.StringFlag{Name: "binary", Usage: "hazelfleet's `FILE`; default: beside this program"},
+			&cli.StringFlag{Name: "mutant", Usage: "run a program with the fault `NAME` instead, and fail where its check finds nothing; within the repository"},
 			&cli.StringFlag{Name: "report", Usage: "the `FILE` for the reports, one JSON object a line"},
 			&cli.StringFlag{Name: "log", Usage: "the `FILE` for the output of the processes"},
 		},
@@ -37,8 +38,11 @@
 func runSoak(ctx context.Context, c *cli.Command) error {
 	settings := soak.Settings{Seed: c.Uint64("seed"), FaultDuration: time.Duration(c.Float("minutes") * float64(time.Minute)), Processes: c.Int("processes"),
 		Binary: c.String("binary"), ControlInAgents: c.Bool("beside")}
+	mutant, err := buildMutant(c.String("mutant"), &settings)
+	if err != nil {
+		return usageError(err)
+	}
 	if settings.Binary == "" {
-		var err error
 		if settings.Binary, err = siblingProgram("hazelfleet"); err != nil {
 			return err
 		}
@@ -67,17 +71,39 @@
 		if err := appendReport(c.String("report"), report); err != nil {
 			return err
 		}
-		if len(report.Violations) > 0 {
+		_, isFound := report.Violations[mutant.Rule]
+		if mutant.Name != "" && !isFound || mutant.Name == "" && len(report.Violations) > 0 {
 			failedRuns++
 		}
 		settings.Seed++
 	}
+	if failedRuns > 0 && mutant.Name != "" {
+		return fmt.Errorf("%d of %d runs with the mutant %s did not break the rule %s", failedRuns, c.Int("seeds"), mutant.Name, mutant.Rule)
+	}
 	if failedRuns > 0 {
 		return fmt.Errorf("%d of %d runs broke a rule", failedRuns, c.Int("seeds"))
 	}
 	return nil
 }
 
+// buildMutant builds the program with a named fault, for settings to run, and returns the mutant; without a name the zero value, and nothing is
+// built. The program stays in the system's temporary folder for as long as the runs last.
+func buildMutant(name string, settings *soak.Settings) (soak.Mutant, error) {
+	if name == "" {
+		return soak.Mutant{}, nil
+	}
+	mutant, err := soak.FindMutant(name)
+	if err != nil {
+		return soak.Mutant{}, err
+	}
+	dir, err := os.MkdirTemp("", "soak-mutant-")
+	if err != nil {
+		return soak.Mutant{}, err
+	}
+	settings.Binary, err = mutant.Build(dir)
+	return *mutant, err
+}
+
 // appendReport appends a report to a file as one line of JSON, if a file is named.
 func appendReport(name string, report *soak.Result) error {
 	if name == "" {
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -25,6 +25,8 @@
 	hungUpEarly   int            // processes that SIGHUP terminated before their own code can have run
 	recoveredFrom time.Time      // requests sent later count for ServiceRecovered; zero while there are faults
 	afterRecovery requestCounts
+	credentials   map[string]sentCredentials // by request
+	keys          *keyring
 }
 
 // proxyIncarnation identifies an incarnation of the proxy of a machine.
@@ -37,7 +39,8 @@
 func NewChecker() *Checker {
 	return &Checker{violations: map[Rule][]string{}, executions: map[string]int{}, kinds: map[string]RequestKind{}, refused: map[string]bool{},
 		newestRoutes: map[proxyIncarnation]int{}, confirmedAt: map[int]time.Time{}, countsByAdded: map[bool]requestCounts{},
-		countsByKind: map[RequestKind]requestCounts{}, outcomes: map[string]int{}}
+		countsByKind: map[RequestKind]requestCounts{}, outcomes: map[string]int{},
+		credentials: map[string]sentCredentials{}, keys: newKeyring()}
 }
 
 // maxDetailsPerRule is the number of violations of a rule that are reported in detail.
@@ -129,6 +132,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes[o.label()]++
+	isOwed := c.checkCredentials(&o)
+	if !isOwed && o.ConnectionClosed {
+		o.Disturbed = true // a request in progress may end with its key
+	}
 	c.checkAnswer(&o)
 	c.checkRoute(&o)
 	if o.Status == http.StatusServiceUnavailable && o.Kind == NonIdempotent {
@@ -137,6 +144,9 @@
 			c.reportViolationLocked(RefusedNotExecuted, "%s has run and was refused", o.ID)
 		}
 	}
+	if !isOwed {
+		return // how often it is served says nothing
+	}
 	if !c.recoveredFrom.IsZero() && o.SentAt.After(c.recoveredFrom) {
 		c.afterRecovery = c.afterRecovery.add(o.Status == http.StatusOK)
 	}
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"io"
+	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -63,6 +65,52 @@
 			o.Route, o.Status = 3, 404
 			c.RequestEnded(o)
 		}),
+		Entry(nil, KeyWithheld, func(c *Checker) {
+			c.RequestArrived("id", http.Header{headerAuthorization: {keyScheme + c.keys.permanent[0].text}})
+		}),
+		Entry(nil, TenantOfKey, func(c *Checker) {
+			c.CredentialsSent("id", c.keys.permanent[0].text, false)
+			c.RequestArrived("id", http.Header{headerTenant: {tenantNames[1]}})
+		}),
+		Entry(nil, TenantOfKey, func(c *Checker) {
+			c.CredentialsSent("id", c.keys.permanent[0].text, false)
+			c.RequestArrived("id", http.Header{})
+		}),
+		Entry(nil, TenantOfKey, func(c *Checker) {
+			c.CredentialsSent("id", "", true)
+			c.RequestArrived("id", http.Header{headerTenant: {tenantNames[0]}})
+		}),
+		Entry(nil, UnknownKeyRejected, func(c *Checker) { c.CredentialsSent("id", keyMarker+"none", false); c.RequestEnded(validOutcome()) }),
+		Entry(nil, WithdrawnKeyRejected, func(c *Checker) {
+			key := c.keys.issue(tenantNames[0], false)
+			key.addedAt, key.withdrawnAt = time.Now().Add(-time.Hour), time.Now().Add(-time.Minute)
+			c.CredentialsSent("id", key.text, false)
+			c.RequestEnded(validOutcome())
+		}),
+		Entry(nil, ValidKeyServed, func(c *Checker) {
+			c.CredentialsSent("id", c.keys.permanent[0].text, false)
+			o := validOutcome()
+			o.Status, o.Disturbed = 401, true
+			c.RequestEnded(o)
+		}),
+		Entry(nil, ValidKeyServed, func(c *Checker) {
+			c.CredentialsSent("id", "", true)
+			o := validOutcome()
+			o.Status = 401
+			c.RequestEnded(o)
+		}),
+		Entry(nil, KeyNotShown, func(c *Checker) {
+			c.CredentialsSent("id", c.keys.permanent[0].text, false)
+			o := validOutcome()
+			o.Status, o.Body = 404, "no route for "+c.keys.permanent[0].text
+			c.RequestEnded(o)
+		}),
+		Entry(nil, KeyNotShown, func(c *Checker) {
+			out := &keyDetector{checker: c, destination: io.Discard}
+			line := "a line with " + c.keys.permanent[0].text + "\n"
+			_, _ = io.WriteString(out, line[:15]) // to io.Discard
+			_, _ = io.WriteString(out, line[15:])
+		}),
 		Entry(nil, AddedRoutesServed, func(c *Checker) {
 			for range minRequestsForRatio {
 				o := validOutcome()
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -85,14 +85,29 @@
 		request.Header.Set(headerTokens, "12000,4")
 		request.Header.Set(headerPrefix, fmt.Sprintf("aa:500,bb%d:5000,%s:6500", c.rng.IntN(4), id))
 	}
+	c.addCredentials(request, &o)
 	if c.rng.Float64() < reservedFieldFraction {
-		reservedFields := [][2]string{{headerStage, stagePrefill}, {headerVersion, "7"}, {headerExpected, "i-other"}, {"Kv-From", "127.0.0.1:1/none"}}
+		reservedFields := [][2]string{{headerStage, stagePrefill}, {headerVersion, "7"}, {headerExpected, "i-other"}, {"Kv-From", "127.0.0.1:1/none"},
+			{headerTenant, tenantNames[c.rng.IntN(len(tenantNames))]}}
 		field := reservedFields[c.rng.IntN(len(reservedFields))]
 		request.Header.Set(field[0], field[1])
 	}
 	return request, o, nil
 }
 
+// addCredentials draws a request's key, and sends some requests without one to the public route.
+func (c *client) addCredentials(request *http.Request, o *Outcome) {
+	key, isPublic := c.checker.keys.draw(c.rng), false
+	if key == "" && o.Route == 0 && c.rng.IntN(2) == 0 {
+		o.Kind, isPublic = Idempotent, true
+		request.URL.Path = publicRoutePrefix + "x"
+	}
+	if key != "" {
+		request.Header.Set(headerAuthorization, keyScheme+key)
+	}
+	c.checker.CredentialsSent(o.ID, key, isPublic)
+}
+
 // newBody returns the body of a request; that of some is sent in chunks.
 func (c *client) newBody(id string) io.Reader {
 	if c.rng.Float64() < chunkedFraction {
--- a/internal/lab/soak/configuration.go
+++ b/internal/lab/soak/configuration.go
@@ -8,12 +8,18 @@
 		Version  uint64
 		Routes   []configuredRoute
 		Services []configuredService
+		Tenants  []configuredTenant
 	}
 	configuredRoute struct {
 		Name, Host, PathPrefix, RouteType, Service string
 		TimeoutMs, TargetLatencyMs                 int
 		MaxAttempts, Priority                      int
-		Sticky, Resumable                          bool
+		Sticky, Resumable, Public                  bool
+	}
+	configuredTenant struct {
+		Name     string
+		ApiKeys  []string
+		Priority int
 	}
 	configuredService struct {
 		Name, HealthPath string
@@ -27,9 +33,9 @@
 	}
 )
 
-// newConfiguration returns the complete configuration of a version: both services, the first routes and addedRoutes more.
-func newConfiguration(version uint64, addedRoutes int) configuration {
-	config := configuration{Version: version, Services: []configuredService{{Name: plainService, HealthPath: "/health", MaxConnections: 2000},
+// newConfiguration returns the complete configuration of a version: both services, the tenants, the first routes and addedRoutes more.
+func newConfiguration(version uint64, addedRoutes int, tenants []configuredTenant) configuration {
+	config := configuration{Version: version, Tenants: tenants, Services: []configuredService{{Name: plainService, HealthPath: "/health", MaxConnections: 2000},
 		{Name: modelService, HealthPath: "/health", MaxConnections: 2000, Engine: &configuredEngine{Slots: serverSlots, KvTokens: 600_000, KvTokenBytes: 35_000,
 			LinkMbps: 1e6, HandleTTLS: 5, SwitchS: stageSwitchDuration.Seconds()}}}}
 	add := func(name, prefix, routeType, service string) {
@@ -41,17 +47,25 @@
 	add("prompt", "/prompt/", "streaming", modelService)
 	add("feed", "/feed/", "streaming", plainService)
 	config.Routes[len(config.Routes)-1].Resumable = true
+	add("open", publicRoutePrefix, "idempotent", plainService)
+	config.Routes[len(config.Routes)-1].Public = true
 	for route := 1; route <= addedRoutes; route++ {
 		add(fmt.Sprint("added-", route), addedRoutePrefix(route), "non_idempotent", plainService)
 	}
 	return config
 }
 
+// publicRoutePrefix is the path prefix of the route that needs no key.
+const publicRoutePrefix = "/open/"
+
 // addedRoutePrefix is the path prefix of an added route, which are numbered from 1.
 func addedRoutePrefix(route int) string { return fmt.Sprintf("/added-%d/", route) }
 
 // configPatch is the body of PATCH /config.
 type configPatch struct {
 	Version uint64
-	Upsert  struct{ Routes []configuredRoute }
+	Upsert  struct {
+		Routes  []configuredRoute
+		Tenants []configuredTenant
+	}
 }
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -44,7 +44,7 @@
 
 // newFleet lays out the machines of a fleet. Nothing is written or started before start.
 func newFleet(s *Settings, checker *Checker, dir, endpointListAddress string) *fleet {
-	f := &fleet{settings: s, checker: checker, dir: dir, log: &lockedWriter{destination: s.Log}, endpointListAddress: endpointListAddress,
+	f := &fleet{settings: s, checker: checker, dir: dir, log: &lockedWriter{destination: &keyDetector{checker: checker, destination: s.Log}}, endpointListAddress: endpointListAddress,
 		basePort: minBasePort + rand.IntN(basePortRange)}
 	for i := range s.controlMachineCount() {
 		m := &machine{name: fmt.Sprint("core-", i), ip: fmt.Sprintf("127.0.8.%d", 10+i), hasDisk: true}
@@ -111,7 +111,7 @@
 	}
 	text := fmt.Sprintf("NodeId: %q\nIp: %q\nZone: \"z%d\"\nBootstrap: %v\nCountsForQuorum: %v\nInternalPortRange: [%d, %d]\nSeeds:\n%sDataDir: %q\n"+
 		"FaultTolerance: {Machines: %d}\nBounds: {GraceS: %v, CatchUpS: %v, RecoveryS: %v, ContactMs: 3000, AckMs: 4000, DrainMs: 3000, ConfigApplyMs: %v, "+
-		"LeaseMs: %d, RetryBudgetRatio: 0.2, BudgetWindowS: 10, BudgetSlack: 60, again_s: 8}\nCloud: {Address: %q, RatePerS: 50}\nListen:\n",
+		"Revoked: true, LeaseMs: %d, RetryBudgetRatio: 0.2, BudgetWindowS: 10, BudgetSlack: 60, again_s: 8}\nCloud: {Address: %q, RatePerS: 50}\nListen:\n",
 		m.name, m.ip, len(m.name)%3, bootstrap, m.hasDisk, f.basePort, f.basePort+portsPerMachine-1, yamlList(seeds), m.dataDir(f.dir),
 		f.settings.tolerableLosses(), graceSeconds, catchUpSeconds, recoverySeconds, configApplySeconds*1000, leaseMilliseconds, f.endpointListAddress)
 	text += fmt.Sprintf("  Control: %q\n", f.operatorAddress(m))
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"reflect"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -21,6 +22,7 @@
 	retryInterval       = 100 * time.Millisecond
 	maxVersionStep      = 4 // by which a change raises the version
 	readBackTimeout     = 20 * time.Second
+	sharedKeyFraction   = 0.1 // of changes that are followed by an invalid one
 )
 
 // operator changes the configuration, one change after the other. Only addedRoutes may be read by other goroutines while it runs.
@@ -50,21 +52,21 @@
 	body        []byte
 }
 
-// nextChange makes the change after the confirmed configuration: the first configuration, or one more route, by PUT or PATCH.
-func (o *operator) made() (change, error) {
+// nextChange makes the change after the confirmed configuration: the first configuration, or one more route with a change of keys, by PUT or PATCH.
+func (o *operator) nextChange() (change, error) {
 	version := o.confirmedVersion + 1 + uint64(o.rng.IntN(maxVersionStep))
 	addedRoutes := int(o.addedRoutes.Load())
 	if o.confirmedVersion > 0 {
 		addedRoutes++
 	}
-	config := newConfiguration(version, addedRoutes)
+	config := newConfiguration(version, addedRoutes, o.checker.keys.prepareChange(o.rng))
 	data, err := json.Marshal(config)
 	made := change{version: version, addedRoutes: addedRoutes, config: data, httpMethod: http.MethodPut, body: data}
 	if err != nil || o.confirmedVersion == 0 || o.rng.IntN(2) == 0 {
 		return made, err
 	}
 	partial := configPatch{Version: version}
-	partial.Upsert.Routes = config.Routes[len(config.Routes)-1:]
+	partial.Upsert.Routes, partial.Upsert.Tenants = config.Routes[len(config.Routes)-1:], config.Tenants
 	made.httpMethod = http.MethodPatch
 	made.body, err = json.Marshal(partial)
 	return made, err
@@ -72,7 +74,7 @@
 
 // applyChange makes one change and sends it until it is confirmed or ctx ends. That it is refused is a violation.
 func (o *operator) applyChange(ctx context.Context) {
-	next, err := o.made()
+	next, err := o.nextChange()
 	if err != nil {
 		o.checker.ReportViolation(ConfigurationConfirmed, "a configuration can't be made: %v", err)
 		return
@@ -82,6 +84,7 @@
 		status, answer := o.send(ctx, &next)
 		if status == http.StatusOK {
 			o.confirmedVersion, o.confirmedConfig, o.wasSentComplete = next.version, next.config, next.httpMethod == http.MethodPut
+			o.checker.keys.confirm()
 			o.checker.ConfigurationAcknowledged(next.addedRoutes, time.Now())
 			o.addedRoutes.Store(int64(next.addedRoutes))
 			o.slowestChange = max(o.slowestChange, time.Since(startedAt))
@@ -122,10 +125,33 @@
 	return response.StatusCode, string(body)
 }
 
-// run makes changes until ctx ends.
+// sendSharedKey sends a configuration in which two tenants share a key. It must not be accepted, and its answer must not show the key.
+func (o *operator) sendSharedKey(ctx context.Context) {
+	const shared = keyMarker + "shared"
+	tenants := []configuredTenant{{Name: tenantNames[0], ApiKeys: []string{shared}}, {Name: tenantNames[1], ApiKeys: []string{shared}}}
+	data, err := json.Marshal(newConfiguration(o.confirmedVersion+1, 0, tenants))
+	if err != nil {
+		o.checker.ReportViolation(ConfigurationConfirmed, "a configuration can't be made: %v", err)
+		return
+	}
+	status, answer := o.send(ctx, &change{httpMethod: http.MethodPut, body: data})
+	switch {
+	case status == http.StatusOK:
+		o.checker.ReportViolation(ConfigurationConfirmed, "a configuration in which two tenants share a key was accepted")
+	case strings.Contains(answer, keyMarker):
+		o.checker.ReportViolation(KeyNotShown, "the answer to a configuration in which two tenants share a key shows it")
+	case status == http.StatusBadRequest && !(strings.Contains(answer, tenantNames[0]) && strings.Contains(answer, tenantNames[1])):
+		o.checker.ReportViolation(ConfigurationConfirmed, "the answer to a shared key names not both tenants: %.100q", answer)
+	}
+}
+
+// run makes changes until ctx ends, and sends an invalid one now and then.
 func (o *operator) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		o.applyChange(ctx)
+		if o.rng.Float64() < sharedKeyFraction {
+			o.sendSharedKey(ctx)
+		}
 		sleep(ctx, time.Duration((0.2+1.6*o.rng.Float64())*float64(changeInterval)))
 	}
 }
--- a/internal/lab/soak/rule.go
+++ b/internal/lab/soak/rule.go
@@ -19,5 +19,11 @@
 	VotesAfterRestart      Rule = "voters"         // a control machine does not vote in time after a restart
 	GracefulShutdown       Rule = "ends-in-grace"  // a process did not exit within its grace period after SIGTERM, or failed
 	NoUnexpectedExit       Rule = "ends-by-itself" // a process exited without a signal to do so
+	KeyWithheld            Rule = "key-withheld"   // a server received the key of a client
+	TenantOfKey            Rule = "tenant-of-key"  // a server received a request in the name of a tenant to which its key never belonged
+	UnknownKeyRejected     Rule = "unknown-key"    // a request without a key that was ever configured was executed
+	WithdrawnKeyRejected   Rule = "withdrawn-key"  // a request was executed with a key that had been taken away in time
+	ValidKeyServed         Rule = "valid-key"      // a request with a valid key, or on a public route, was rejected for its key
+	KeyNotShown            Rule = "key-not-shown"  // the output of a process, or an answer, shows a key
 	ResourcesBounded       Rule = "growth"         // memory or descriptors of a process grow beyond the bounds
 )
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -103,6 +103,7 @@
 	id := r.Header.Get(headerRequest)
 	if id != "" && r.Method == http.MethodPost {
 		s.checker.RequestBodyReceived(id, string(body))
+		s.checker.RequestArrived(id, r.Header)
 	}
 	w.Header().Set(headerRequest, id)
 	switch {
