A field of the configuration is compiled or listed; ignored ones are named

Cause: the class of the incident: what a configuration asks for and no code does is accepted in silence. Looked for elsewhere: Services[].Tls and Protocol are read and have no effect either (requests go in plain HTTP/1.1), and no line says so.

--- a/internal/control/configapi.go
+++ b/internal/control/configapi.go
@@ -23,8 +23,8 @@
 	// minorityTimeout bounds both where no majority of the voters is reachable: the client learns soon that it has to try another
 	// process.
 	minorityTimeout = 350 * time.Millisecond
-	// unknownFieldsInterval is the least time between two looks for fields of accepted configurations that this version ignores.
-	unknownFieldsInterval = time.Minute
+	// ignoredFieldsInterval is the least time between two looks for fields of accepted configurations that this version ignores.
+	ignoredFieldsInterval = time.Minute
 	jsonType              = "application/json"
 )
 
@@ -166,17 +166,17 @@
 	}
 	if outcome == register.Chosen {
 		c.node.SetTable(table)
-		c.unknownFieldsLog.Do(func() { c.logUnknownFields(table.Version, request.data) })
+		c.ignoredFieldsLog.Do(func() { c.logIgnoredFields(table.Version, request.data) })
 		return changeAccepted
 	}
 	return rejection(value.Value, value.CheckConfig(table.Version, request.base, identity))
 }
 
-// logUnknownFields logs what the operator has configured and this version ignores. Danger: a configuration is accepted with such fields, so that
+// logIgnoredFields logs what the operator has configured and this version ignores. Danger: a configuration is accepted with such fields, so that
 // processes of two versions can run beside one another; without this line nobody learns that a part of it has no effect.
-func (c *Control) logUnknownFields(version uint64, config []byte) {
-	if names := routeconfig.UnknownFields(config); len(names) > 0 {
-		c.log.WithFields(logrus.Fields{"version": version, "fields": names}).Warn("configuration has fields that this version ignores")
+func (c *Control) logIgnoredFields(version uint64, config []byte) {
+	if names := routeconfig.IgnoredFields(config); len(names) > 0 {
+		c.log.WithFields(logrus.Fields{"version": version, "fields": names}).Warn("configuration asks for what this version does not do")
 	}
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -41,7 +41,7 @@
 	platform *gossip.PlatformClient
 	chosen   *chosenTracker
 
-	unknownFieldsLog rate.Sometimes // limits the lines about fields that this version ignores
+	ignoredFieldsLog rate.Sometimes // limits the lines about fields that this version ignores
 }
 
 // Run runs a control process until the context ends; then it announces that it leaves, waits until another process votes in its place
@@ -94,7 +94,7 @@
 func newControl(settings *nodeconfig.Settings, replica *replica, client *transport.Client, log *logrus.Entry) *Control {
 	self := register.Voter{ID: replica.state().ID, Address: settings.InternalAddress(settings.IP, nodeconfig.ControlPort)}
 	control := &Control{settings: settings, log: log, replica: replica, platform: gossip.NewPlatformClient(settings.Cloud.Address),
-		chosen: newChosenTracker(), unknownFieldsLog: rate.Sometimes{Interval: unknownFieldsInterval}}
+		chosen: newChosenTracker(), ignoredFieldsLog: rate.Sometimes{Interval: ignoredFieldsInterval}}
 	control.node = gossip.New(settings, membership.Record{Kind: membership.Control, Address: self.Address, VoterID: self.ID,
 		OperatorAddress: settings.Listen.Control}, client, log)
 	control.proposer = &proposer{self: self, proposerID: fmt.Sprintf("%s/%016x", settings.NodeID, rand.Uint64()), replica: replica, client: client,
--- a/internal/proxy/credentials_test.go
+++ b/internal/proxy/credentials_test.go
@@ -27,7 +27,7 @@
 // was in force at all proxies within 0.3 s, and requests with it went on being served.
 //
 // The cause: the configuration's message type had no field for tenants, and reading ignores what the type doesn't know; the proxy forwards each field
-// of a client that it doesn't know. The evidence: control's line "configuration has fields that this version ignores" names Tenants, the log shows
+// of a client that it doesn't know. The evidence: control's line "configuration asks for what this version does not do" names Tenants, the log shows
 // each version in force in time, and the servers of this test receive the field on each of the ways below.
 
 const (
