A body is awaited until its deadline; the soak has long bodies and early answers

A proxy set the deadline of a request once its body was there, so that a client that sends its body slowly was waited for without an end. Rejections (401, 404) waited as well: net/http reads the body of a request before it sends a response without having read it. Change: the deadline bounds the reading, with 408 at its end; a rejection waits 0.2 s for the body and closes the connection otherwise. The soak sends some long bodies, its servers refuse some of them before they have read the body and read on later, and a check compares model, tokens and prefix at the server with the client's, with a mutant. Ruled out by a test: that the rest of a long body which a server answered early reaches the next request.

--- a/internal/lab/soak/answers.go
+++ b/internal/lab/soak/answers.go
@@ -1,9 +1,23 @@
 package soak
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
+
+// longBodyRepeats is how often the text of a body is repeated in a long one, which is more than the buffers of a connection hold.
+const longBodyRepeats = 20_000
+
+// hasLongBody reports whether the request with an identifier has a long body: one in sixteen.
+func hasLongBody(id string) bool { return strings.HasSuffix(id, "0") }
 
 // requestBody is the body of the request with an identifier.
-func requestBody(id string) string { return "body of " + id }
+func requestBody(id string) string {
+	if hasLongBody(id) {
+		return strings.Repeat("body of "+id+" ", longBodyRepeats)
+	}
+	return "body of " + id
+}
 
 // expectedAnswer is the complete body with which servers answer a request.
 func expectedAnswer(kind RequestKind, id string) string {
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -25,7 +25,7 @@
 	hungUpEarly   int            // processes that SIGHUP terminated before their own code can have run
 	recoveredFrom time.Time      // requests sent later count for ServiceRecovered; zero while there are faults
 	afterRecovery requestCounts
-	credentials   map[string]sentCredentials // by request
+	sentHeaders   map[string]sentHeader // by request
 	keys          *keyring
 }
 
@@ -40,7 +40,7 @@
 	return &Checker{violations: map[Rule][]string{}, executions: map[string]int{}, kinds: map[string]RequestKind{}, refused: map[string]bool{},
 		newestRoutes: map[proxyIncarnation]int{}, confirmedAt: map[int]time.Time{}, countsByAdded: map[bool]requestCounts{},
 		countsByKind: map[RequestKind]requestCounts{}, outcomes: map[string]int{},
-		credentials: map[string]sentCredentials{}, keys: newKeyring()}
+		sentHeaders: map[string]sentHeader{}, keys: newKeyring()}
 }
 
 // maxDetailsPerRule is the number of violations of a rule that are reported in detail.
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -69,38 +69,42 @@
 			c.RequestArrived("id", http.Header{headerAuthorization: {keyScheme + c.keys.permanent[0].text}})
 		}),
 		Entry(nil, TenantOfKey, func(c *Checker) {
-			c.CredentialsSent("id", c.keys.permanent[0].text, false)
+			c.HeaderSent("id", c.keys.permanent[0].text, false, nil)
 			c.RequestArrived("id", http.Header{headerTenant: {tenantNames[1]}})
 		}),
 		Entry(nil, TenantOfKey, func(c *Checker) {
-			c.CredentialsSent("id", c.keys.permanent[0].text, false)
+			c.HeaderSent("id", c.keys.permanent[0].text, false, nil)
 			c.RequestArrived("id", http.Header{})
 		}),
 		Entry(nil, TenantOfKey, func(c *Checker) {
-			c.CredentialsSent("id", "", true)
+			c.HeaderSent("id", "", true, nil)
 			c.RequestArrived("id", http.Header{headerTenant: {tenantNames[0]}})
 		}),
-		Entry(nil, UnknownKeyRejected, func(c *Checker) { c.CredentialsSent("id", keyMarker+"none", false); c.RequestEnded(validOutcome()) }),
+		Entry(nil, HeaderIntact, func(c *Checker) {
+			c.HeaderSent("id", "", true, http.Header{headerTokens: {"10,2"}})
+			c.RequestArrived("id", http.Header{headerTokens: {"10,3"}})
+		}),
+		Entry(nil, UnknownKeyRejected, func(c *Checker) { c.HeaderSent("id", keyMarker+"none", false, nil); c.RequestEnded(validOutcome()) }),
 		Entry(nil, WithdrawnKeyRejected, func(c *Checker) {
 			key := c.keys.issue(tenantNames[0], false)
 			key.addedAt, key.withdrawnAt = time.Now().Add(-time.Hour), time.Now().Add(-time.Minute)
-			c.CredentialsSent("id", key.text, false)
+			c.HeaderSent("id", key.text, false, nil)
 			c.RequestEnded(validOutcome())
 		}),
 		Entry(nil, ValidKeyServed, func(c *Checker) {
-			c.CredentialsSent("id", c.keys.permanent[0].text, false)
+			c.HeaderSent("id", c.keys.permanent[0].text, false, nil)
 			o := validOutcome()
 			o.Status, o.Disturbed = 401, true
 			c.RequestEnded(o)
 		}),
 		Entry(nil, ValidKeyServed, func(c *Checker) {
-			c.CredentialsSent("id", "", true)
+			c.HeaderSent("id", "", true, nil)
 			o := validOutcome()
 			o.Status = 401
 			c.RequestEnded(o)
 		}),
 		Entry(nil, KeyNotShown, func(c *Checker) {
-			c.CredentialsSent("id", c.keys.permanent[0].text, false)
+			c.HeaderSent("id", c.keys.permanent[0].text, false, nil)
 			o := validOutcome()
 			o.Status, o.Body = 404, "no route for "+c.keys.permanent[0].text
 			c.RequestEnded(o)
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -82,6 +82,7 @@
 	request.Header.Set(headerRequest, id)
 	request.Header.Set(headerDeadline, fmt.Sprint(requestDeadline.Milliseconds()))
 	if o.Kind == Prompt {
+		request.Header.Set(headerModel, "m")
 		request.Header.Set(headerTokens, "12000,4")
 		request.Header.Set(headerPrefix, fmt.Sprintf("aa:500,bb%d:5000,%s:6500", c.rng.IntN(4), id))
 	}
@@ -105,7 +106,7 @@
 	if key != "" {
 		request.Header.Set(headerAuthorization, keyScheme+key)
 	}
-	c.checker.CredentialsSent(o.ID, key, isPublic)
+	c.checker.HeaderSent(o.ID, key, isPublic, request.Header)
 }
 
 // newBody returns the body of a request; that of some is sent in chunks.
--- a/internal/lab/soak/credentialchecks.go
+++ b/internal/lab/soak/credentialchecks.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -14,7 +15,8 @@
 	keyScheme           = "Token "
 )
 
-// RequestArrived checks the header of a request that has reached a server: it holds no key, and names a tenant that the client's key belongs to.
+// RequestArrived checks the header of a request that has reached a server: it holds no key, names a tenant that the client's key belongs to, and has
+// the client's model and prompt.
 func (c *Checker) RequestArrived(id string, header http.Header) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -23,10 +25,15 @@
 			c.reportViolationLocked(KeyWithheld, "%s came to a server with a key in the field %s", id, name)
 		}
 	}
-	sent, isKnown := c.credentials[id]
+	sent, isKnown := c.sentHeaders[id]
 	if !isKnown {
 		return // of another test or part of the system
 	}
+	for _, name := range promptHeaders {
+		if !slices.Equal(header.Values(name), sent.prompt.Values(name)) {
+			c.reportViolationLocked(HeaderIntact, "%s came with %s %q, not %q", id, name, header.Values(name), sent.prompt.Values(name))
+		}
+	}
 	tenants := header.Values(headerTenant)
 	switch {
 	case sent.isPublic && sent.key == "":
@@ -38,22 +45,26 @@
 	}
 }
 
-// sentCredentials is what a client has sent to say for whom it acts.
-type sentCredentials struct {
+// promptHeaders are the fields of a client that servers run a request by.
+var promptHeaders = []string{headerModel, headerTokens, headerPrefix}
+
+// sentHeader is what a client has sent to say for whom it acts, and by what its request is run.
+type sentHeader struct {
 	key      string // empty: none
 	isPublic bool   // the route needs no key
+	prompt   http.Header
 }
 
-// CredentialsSent records the credentials of a request. It is called before the request is sent.
-func (c *Checker) CredentialsSent(id, key string, isPublic bool) {
+// HeaderSent records the key and header of a request. It is called before the request is sent.
+func (c *Checker) HeaderSent(id, key string, isPublic bool, header http.Header) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.credentials[id] = sentCredentials{key, isPublic}
+	c.sentHeaders[id] = sentHeader{key, isPublic, header.Clone()}
 }
 
 // checkCredentials checks an outcome against the client's key, and returns whether the client is owed service. The caller holds mu.
 func (c *Checker) checkCredentials(o *Outcome) (isOwed bool) {
-	sent, isKnown := c.credentials[o.ID]
+	sent, isKnown := c.sentHeaders[o.ID]
 	if !isKnown {
 		return true
 	}
--- a/internal/lab/soak/mutant.go
+++ b/internal/lab/soak/mutant.go
@@ -29,7 +29,7 @@
 	tenantsFile     = "internal/routeconfig/tenants.go"
 )
 
-// Mutants has a mutant for each check of keys and tenants.
+// Mutants has a mutant for each check of keys, tenants and the fields of prompts.
 var Mutants = []Mutant{
 	{"key-is-forwarded", KeyWithheld, credentialsFile, []Edit{{"\theader.Del(apikey.HeaderName)\n", ""}}},
 	{"tenant-is-always-the-same", TenantOfKey, headersFile, []Edit{{"headerField{headerTenantID, req.tenant.Name}", `headerField{headerTenantID, "acme"}`}}},
@@ -49,6 +49,7 @@
 var remembered sync.Map
 `}}},
 	{"further-keys-are-left-out", ValidKeyServed, tenantsFile, []Edit{{`if key != "" && !shared[key] {`, `if key != "" && !shared[key] && len(made.KeyDigests) == 0 {`}}},
+	{"tokens-are-left-out", HeaderIntact, headersFile, []Edit{{"\tfor name, values := range r.Header {\n", "\tfor name, values := range r.Header {\n\t\tif name == headerTokenCounts {\n\t\t\tcontinue\n\t\t}\n"}}},
 	{"header-is-logged", KeyNotShown, handlerFile, []Edit{{"\tsent := takeCredentials(", "\tp.log.WithField(\"header\", r.Header).Info(\"request\")\n\tsent := takeCredentials("}}},
 }
 
--- a/internal/lab/soak/rule.go
+++ b/internal/lab/soak/rule.go
@@ -8,6 +8,7 @@
 	AtMostOnce             Rule = "at-most-once"   // a non-idempotent request was executed twice
 	AnswerIsOwn            Rule = "own-answer"     // a client received what no server answered to its request
 	BodyIntact             Rule = "intact"         // a server received another body than the client sent
+	HeaderIntact           Rule = "header-intact"  // a server received other fields of the model or the prompt than the client sent
 	RefusedNotExecuted     Rule = "promise"        // a request was refused as not executed and was executed
 	AlwaysAnswered         Rule = "answered"       // a request had neither an answer nor a closed connection, or the connection was closed without cause
 	ConfigurationInForce   Rule = "in-force"       // a proxy did not apply a confirmed configuration in time
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -30,12 +30,16 @@
 	drainDuration       = 3500 * time.Millisecond
 )
 
+// lateReadDelay is how long after an early answer a server reads on.
+const lateReadDelay = 50 * time.Millisecond
+
 // The fractions of requests that servers refuse as overloaded, or abort before and after executing them, and the time that execution takes.
 const (
 	refusedFraction          = 0.01
 	abortedBeforeRunFraction = 0.005
 	answerLostFraction       = 0.003
 	feedAbortedFraction      = 0.03 // before each event
+	answeredEarlyFraction    = 0.2  // of long requests: refused before their body is read
 	plainServiceTime         = 5 * time.Millisecond
 	promptServiceTime        = 15 * time.Millisecond
 )
@@ -51,6 +55,7 @@
 	headerNotRun        = "Hazelwheel-Not-Executed"
 	headerDeadline      = "Hazelwheel-Deadline-Ms"
 	headerLastEvent     = "Last-Event-Id"
+	headerModel         = "Hazelwheel-Model-Id"
 	headerTokens        = "Hazelwheel-Token-Counts"
 	headerPrefix        = "Hazelwheel-Prefix-Hash"
 	weightsVersion      = "1"
@@ -96,6 +101,10 @@
 // ServeHTTP answers health checks, orders to switch the stage, cancellations and requests. Like a real server it refuses or aborts some of the
 // requests.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(headerRequest); hasLongBody(id) && r.Method == http.MethodPost && rand.Float64() < answeredEarlyFraction {
+		s.refuseEarly(w, r, id)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxServerBody))
 	if err != nil && r.URL.Path != "/order" {
 		return
@@ -124,6 +133,23 @@
 	}
 }
 
+// refuseEarly refuses a request before it has read the body, keeps the connection, and reads on later: what comes then is still that body.
+func (s *server) refuseEarly(w http.ResponseWriter, r *http.Request, id string) {
+	control := http.NewResponseController(w)
+	if control.EnableFullDuplex() != nil {
+		return
+	}
+	w.Header().Set(headerRequest, id)
+	w.Header().Set(headerNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = control.Flush() // fails if the proxy has closed the connection, which the reading shows
+	time.Sleep(lateReadDelay)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxServerBody))
+	if err == nil {
+		s.checker.RequestBodyReceived(id, string(body))
+	}
+}
+
 // isMisdirected reports whether the headers of a request name another instance, stage or version of the weights.
 func (s *server) isMisdirected(header http.Header) bool {
 	s.mu.Lock()
--- a/internal/proxy/credentials_test.go
+++ b/internal/proxy/credentials_test.go
@@ -68,8 +68,9 @@
 // fakeServer is a fakeModelServer that fails some requests.
 type fakeServer struct {
 	*fakeModelServer
-	fails  func(r *http.Request) bool                      // nil: none
-	answer func(w http.ResponseWriter, header http.Header) // to a request that fails
+	fails         func(r *http.Request) bool                      // nil: none
+	answer        func(w http.ResponseWriter, header http.Header) // to a request that fails
+	answerRequest func(w http.ResponseWriter, r *http.Request)    // in place of answer, nil: answer
 }
 
 func (s *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -81,6 +82,10 @@
 	s.asked = append(s.asked, r.Header)
 	s.mu.Unlock()
 	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+	if s.answerRequest != nil {
+		s.answerRequest(w, r)
+		return
+	}
 	s.answer(w, r.Header)
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -17,6 +17,8 @@
 	startupTimeout = 1200 * time.Millisecond
 	// writeDeadlineMargin is added to a request's deadline for the writing of its response.
 	writeDeadlineMargin = time.Second
+	// unreadBodyTimeout bounds the wait for the body of a request that is rejected without it.
+	unreadBodyTimeout = 200 * time.Millisecond
 )
 
 // ServeHTTP forwards a client's request to a server of its route's service, with retries as far as the route and the budget allow, and
@@ -26,35 +28,18 @@
 	table := p.awaitRoutes(r.Context())
 	if table == nil {
 		p.stats.countRejected(rejectedNoConfiguration)
+		limitUnreadBody(w)
 		respondUnavailable(w, retryAfterSeconds)
 		return
 	}
-	route := table.find(r.Host, r.URL.Path)
-	if route == nil {
-		p.stats.countRejected(rejectedNoRoute)
-		http.Error(w, "no route", http.StatusNotFound)
-		return
-	}
-	sent := takeCredentials(r.Header, table.tenants != nil)
-	tenant, err := table.authorize(route, sent)
-	if err != nil {
-		p.respondUnauthorized(w, err)
+	req := p.admit(w, r, table, arrivedAt)
+	if req == nil {
 		return
 	}
-	body, status := readBody(w, r, table.limits)
-	if status != 0 {
-		p.stats.countRejected(rejectedBody)
-		http.Error(w, http.StatusText(status), status)
-		return
-	}
-	req := &proxyRequest{incoming: r, body: body, id: r.Header.Get(headerRequestID), route: route, service: drawService(route), arrivedAt: arrivedAt,
-		credentials: sent, tenant: tenant, authorizedBy: table}
-	req.deadline = arrivedAt.Add(timeLimit(r, route))
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
 	p.admitted.add(req, cancel)
 	defer p.admitted.remove(req)
-	_ = http.NewResponseController(w).SetWriteDeadline(req.deadline.Add(writeDeadlineMargin)) // a connection that supports none is served without
 	servesModel := false
 	p.state.withService(req.service, func(now float64, pool *placement.Pool, _ *placement.Planner) {
 		if pool != nil {
@@ -62,13 +47,52 @@
 			servesModel = pool.Engine.IsPresent
 		}
 	})
-	if route.Kind == routeconfig.Streaming {
+	if req.route.Kind == routeconfig.Streaming {
 		p.serveStream(ctx, w, req, servesModel)
 		return
 	}
 	p.serveUnary(ctx, w, req)
 }
 
+// admit finds the route of a request, checks its key and reads its body. Where the request can't be forwarded it responds itself and returns nil.
+func (p *Proxy) admit(w http.ResponseWriter, r *http.Request, table *routeTable, arrivedAt time.Time) *proxyRequest {
+	sent := takeCredentials(r.Header, table.tenants != nil)
+	route := table.find(r.Host, r.URL.Path)
+	if route == nil {
+		p.stats.countRejected(rejectedNoRoute)
+		limitUnreadBody(w)
+		http.Error(w, "no route", http.StatusNotFound)
+		return nil
+	}
+	tenant, err := table.authorize(route, sent)
+	if err != nil {
+		limitUnreadBody(w)
+		p.respondUnauthorized(w, err)
+		return nil
+	}
+	deadline := arrivedAt.Add(timeLimit(r, route))
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(deadline.Add(writeDeadlineMargin)) // a connection that supports none is served without
+	// Danger: without a deadline a client that sends its body slowly would be waited for as long as it likes. The deadline has to be removed once the
+	// body is there: net/http goes on reading, and takes an error for a client that has gone.
+	_ = control.SetReadDeadline(deadline)
+	body, status := readBody(w, r, table.limits)
+	if status != 0 {
+		p.stats.countRejected(rejectedBody)
+		http.Error(w, http.StatusText(status), status)
+		return nil
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return &proxyRequest{incoming: r, body: body, id: r.Header.Get(headerRequestID), route: route, service: drawService(route), arrivedAt: arrivedAt,
+		deadline: deadline, credentials: sent, tenant: tenant, authorizedBy: table}
+}
+
+// limitUnreadBody bounds how long a response to a request whose body was not read waits for that body: net/http reads it before it sends the
+// response, so that the connection can be used again.
+func limitUnreadBody(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // a connection that supports none is served without
+}
+
 // awaitRoutes returns the route table in force, nil where there is none in time. A proxy that has just started gets one within a moment;
 // requests wait for it, since clients retry only a few times.
 func (p *Proxy) awaitRoutes(ctx context.Context) *routeTable {
--- a/internal/proxy/proxyrequest.go
+++ b/internal/proxy/proxyrequest.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -56,6 +57,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout
 	case err != nil:
 		return nil, http.StatusBadRequest
 	}
