One mechanism counts for log lines at intervals; the soak runs beside an earlier version

Cause: rejected, unserved and late requests were counted three times over in requeststats.go. No soak had processes of two versions. Change: periodicCounts, one file; requestStats uses it three times.

--- a/cmd/hazellab/soak.go
+++ b/cmd/hazellab/soak.go
@@ -26,6 +26,7 @@
 			&cli.IntFlag{Name: "processes", Value: 15, Usage: "`N` processes at most"},
 			&cli.BoolFlag{Name: "beside", Usage: "run control within agents, on machines with a proxy"},
 			&cli.StringFlag{Name: "binary", Usage: "hazelfleet's `FILE`; default: beside this program"},
+			&cli.StringFlag{Name: "other", Usage: "an earlier version's `FILE`, which agents and control run at about every other start"},
 			&cli.StringFlag{Name: "mutant", Usage: "run a program with the fault `NAME` instead, and fail where its check finds nothing; within the repository"},
 			&cli.StringFlag{Name: "report", Usage: "the `FILE` for the reports, one JSON object a line"},
 			&cli.StringFlag{Name: "log", Usage: "the `FILE` for the output of the processes"},
@@ -37,7 +38,7 @@
 // runSoak runs the seeds one after the other and prints the report of each. It fails where a run violated an invariant.
 func runSoak(ctx context.Context, c *cli.Command) error {
 	settings := soak.Settings{Seed: c.Uint64("seed"), FaultDuration: time.Duration(c.Float("minutes") * float64(time.Minute)), Processes: c.Int("processes"),
-		Binary: c.String("binary"), ControlInAgents: c.Bool("beside")}
+		Binary: c.String("binary"), OtherBinary: c.String("other"), ControlInAgents: c.Bool("beside")}
 	mutant, err := buildMutant(c.String("mutant"), &settings)
 	if err != nil {
 		return usageError(err)
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -27,6 +27,9 @@
 	afterRecovery requestCounts
 	sentHeaders   map[string]sentHeader // by request
 	keys          *keyring
+	// hasEarlierVersions says that some processes know no tenants. A configuration that they have compiled or forwarded lacks them, so that requests are
+	// executed whatever their key, in nobody's name. Keys are withheld all the same, and none that is valid is rejected.
+	hasEarlierVersions bool
 }
 
 // proxyIncarnation identifies an incarnation of the proxy of a machine.
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -98,6 +98,15 @@
 	return fmt.Sprintf("%s:%d", m.ip, f.basePort+readyPortOffset)
 }
 
+// drawBinary returns the program for the start of a process: where there is an earlier version, agents and control run that one at about every
+// other start. Proxies don't: they are what is checked.
+func (f *fleet) drawBinary(role role) string {
+	if f.settings.OtherBinary != "" && role != roleProxy && rand.IntN(2) == 0 {
+		return f.settings.OtherBinary
+	}
+	return f.settings.Binary
+}
+
 // writeConfig writes a machine's configuration file. Its seeds are three control machines: the first three with bootstrap, else drawn ones.
 func (f *fleet) writeConfig(m *machine, bootstrap bool, rng *rand.Rand) error {
 	const seedCount = 3
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -47,7 +47,7 @@
 	if p.cmd != nil {
 		return nil
 	}
-	cmd := exec.Command(p.fleet.settings.Binary, string(p.role))
+	cmd := exec.Command(p.fleet.drawBinary(p.role), string(p.role))
 	cmd.Env = []string{"HAZELWHEEL_CONFIG=" + p.machine.configFile, "HOME=" + p.fleet.dir, "PATH=" + os.Getenv("PATH")}
 	cmd.Stdout, cmd.Stderr = p.fleet.log, p.fleet.log
 	if err := cmd.Start(); err != nil {
--- a/internal/lab/soak/settings.go
+++ b/internal/lab/soak/settings.go
@@ -44,6 +44,7 @@
 	Processes       int           // at most; rounded down to whole machines
 	ControlInAgents bool          // control runs within agents, on machines with a proxy
 	Binary          string        // path of the hazelfleet program
+	OtherBinary     string        // an earlier version of it, which agents and control run at about every other start; empty: none
 	Dir             string        // for disks and configuration files; empty: a temporary folder, removed at the end
 	Log             io.Writer     // for the output of the processes; nil discards it
 }
@@ -70,6 +71,11 @@
 	if _, err := os.Stat(s.Binary); err != nil {
 		return Error.New("--binary: %v", err)
 	}
+	if s.OtherBinary != "" {
+		if _, err := os.Stat(s.OtherBinary); err != nil {
+			return Error.New("--other: %v", err)
+		}
+	}
 	return nil
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -40,6 +40,7 @@
 		dir = temporary
 	}
 	checker := NewChecker()
+	checker.hasEarlierVersions = s.OtherBinary != ""
 	endpoints, err := startEndpointList(checker)
 	if err != nil {
 		return nil, err
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -122,13 +122,13 @@
 	case req.possibleExecutions == 0 && !p.reauthorize(req):
 		p.respondUnauthorized(w, errUnknownKey)
 	case req.possibleExecutions == 0 && (ctx.Err() == nil || req.remaining() <= 0):
-		p.stats.countUnserved(req.service, func(counts *unservedCounts) { counts.Rejected++ })
+		p.stats.unserved.update(req.service, func(counts *unservedCounts) { counts.Rejected++ })
 		respondUnavailable(w, retryAfterSeconds)
 	case req.remaining() <= 0:
-		p.stats.countUnserved(req.service, func(counts *unservedCounts) { counts.TimedOut++ })
+		p.stats.unserved.update(req.service, func(counts *unservedCounts) { counts.TimedOut++ })
 		http.Error(w, "out of time", http.StatusGatewayTimeout)
 	default:
-		p.stats.countUnserved(req.service, func(counts *unservedCounts) { counts.BackendFailed++ })
+		p.stats.unserved.update(req.service, func(counts *unservedCounts) { counts.BackendFailed++ })
 		http.Error(w, "the server broke off", http.StatusBadGateway)
 	}
 }
--- a/internal/proxy/healthcheck.go
+++ b/internal/proxy/healthcheck.go
@@ -30,9 +30,7 @@
 		case <-ticker.C:
 		}
 		p.checkDueEndpoints(ctx)
-		p.logUnserved(time.Now())
-		p.logStreams(time.Now())
-		p.logRejected(time.Now())
+		p.logDue(time.Now())
 		if tick%sweepTicks == 0 {
 			p.state.refreshExpired()
 			wanted := p.state.listedAddresses()
--- a/internal/proxy/requeststats.go
+++ b/internal/proxy/requeststats.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,26 +11,29 @@
 	"hazelwheel/internal/decide/placement"
 )
 
-const (
-	// misdirectedLogInterval is the least time between log lines about misdirected requests.
-	misdirectedLogInterval = 2 * time.Second
-	// unservedLogInterval is the time between log lines about requests that were not served, and about streams that were late.
-	unservedLogInterval = 5 * time.Second
-)
+// misdirectedLogInterval is the least time between log lines about misdirected requests.
+const misdirectedLogInterval = 2 * time.Second
 
-// requestStats counts what operators need to see of failed and late requests, and limits the rate of log lines. It is safe for concurrent use.
+// requestStats counts what operators need to see of rejected, failed and late requests, and limits the rate of log lines. It is safe for concurrent
+// use.
 type requestStats struct {
 	misdirectedLog rate.Sometimes
+	rejected       *periodicCounts[rejection, int]
+	unserved       *periodicCounts[string, unservedCounts] // by service
+	streams        *periodicCounts[string, streamCounts]   // by route
+}
 
-	mu               sync.Mutex                // guards what follows
-	unserved         map[string]unservedCounts // since the last line, by service
-	unservedLoggedAt time.Time
-
-	streams         map[string]*streamCounts // since the last line, by route
-	streamsLoggedAt time.Time
+// newRequestStats returns counters at zero.
+func newRequestStats() *requestStats {
+	return &requestStats{misdirectedLog: rate.Sometimes{Interval: misdirectedLogInterval}, rejected: newPeriodicCounts[rejection, int](),
+		unserved: newPeriodicCounts[string, unservedCounts](), streams: newPeriodicCounts[string, streamCounts]()}
+}
 
-	rejected         map[rejection]int // since the last line
-	rejectedLoggedAt time.Time
+// logDue writes the log lines that are due.
+func (p *Proxy) logDue(now time.Time) {
+	p.logRejected(now)
+	p.logUnserved(now)
+	p.logStreams(now)
 }
 
 // rejection is why a request was rejected before a server was chosen for it. Its text is a field of log lines.
@@ -41,39 +43,25 @@
 const (
 	rejectedNoConfiguration rejection = "no_configuration" // the proxy knows none yet
 	rejectedNoRoute         rejection = "no_route"
-	rejectedBody            rejection = "body"         // too large, or broken off
+	rejectedBody            rejection = "body"         // too large, broken off, or not there in time
 	rejectedUnauthorized    rejection = "unauthorized" // no key, or one that is not known
 )
 
 // countRejected counts a rejected request.
 func (s *requestStats) countRejected(reason rejection) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rejected[reason]++
-}
-
-// takeDueRejected returns the counts of rejected requests and resets them once a log line is due; it returns nil before.
-func (s *requestStats) takeDueRejected(now time.Time) map[rejection]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.rejected) == 0 || now.Sub(s.rejectedLoggedAt) < unservedLogInterval {
-		return nil
-	}
-	counts := s.rejected
-	s.rejected, s.rejectedLoggedAt = map[rejection]int{}, now
-	return counts
+	s.rejected.update(reason, func(count *int) { *count++ })
 }
 
-// logRejected logs how many requests were rejected for each reason, with the configuration in force, where that is due. It tells a proxy whose
-// configuration lags from clients that ask for what no configuration has.
+// logRejected logs how many requests were rejected for each reason, with the configuration in force. It tells a proxy whose configuration lags from
+// clients that ask for what no configuration has.
 func (p *Proxy) logRejected(now time.Time) {
-	counts := p.stats.takeDueRejected(now)
+	counts := p.stats.rejected.takeDue(now)
 	if counts == nil {
 		return
 	}
 	fields := logrus.Fields{}
 	for reason, count := range counts {
-		fields[string(reason)] = count
+		fields[string(reason)] = *count
 	}
 	if table := p.state.currentTable(); table != nil {
 		fields["version"] = table.version
@@ -83,31 +71,12 @@
 
 // countStream counts a completed stream.
 func (s *requestStats) countStream(req *proxyRequest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	counts := s.streams[req.route.Name]
-	if counts == nil {
-		counts = &streamCounts{}
-		s.streams[req.route.Name] = counts
-	}
-	counts.add(req.route, req.arrivedAt, &req.timing)
+	s.streams.update(req.route.Name, func(counts *streamCounts) { counts.add(req.route, req.arrivedAt, &req.timing) })
 }
 
-// takeDueStreams returns the counts of streams and resets them once a log line is due; it returns nil before.
-func (s *requestStats) takeDueStreams(now time.Time) map[string]*streamCounts {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.streams) == 0 || now.Sub(s.streamsLoggedAt) < unservedLogInterval {
-		return nil
-	}
-	counts := s.streams
-	s.streams, s.streamsLoggedAt = map[string]*streamCounts{}, now
-	return counts
-}
-
-// logStreams logs the routes whose streams were late, with the causes, where that is due.
+// logStreams logs the routes whose streams were late, with the causes.
 func (p *Proxy) logStreams(now time.Time) {
-	for route, counts := range p.stats.takeDueStreams(now) {
+	for route, counts := range p.stats.streams.takeDue(now) {
 		if counts.LatePrefill+counts.LateFirstEvent+counts.LateGap == 0 {
 			continue
 		}
@@ -123,38 +92,9 @@
 	TimedOut      int // the deadline has passed, and a server may have executed it
 }
 
-// newRequestStats returns counters at zero.
-func newRequestStats() *requestStats {
-	return &requestStats{misdirectedLog: rate.Sometimes{Interval: misdirectedLogInterval},
-		unserved: map[string]unservedCounts{}, unservedLoggedAt: time.Now(),
-		streams: map[string]*streamCounts{}, streamsLoggedAt: time.Now(),
-		rejected: map[rejection]int{}, rejectedLoggedAt: time.Now()}
-}
-
-// countUnserved has add change the counts of a service.
-func (s *requestStats) countUnserved(service string, add func(counts *unservedCounts)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	counts := s.unserved[service]
-	add(&counts)
-	s.unserved[service] = counts
-}
-
-// takeDueUnserved returns the counts and resets them once a log line is due; it returns nil before.
-func (s *requestStats) takeDueUnserved(now time.Time) map[string]unservedCounts {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.unserved) == 0 || now.Sub(s.unservedLoggedAt) < unservedLogInterval {
-		return nil
-	}
-	counts := s.unserved
-	s.unserved, s.unservedLoggedAt = map[string]unservedCounts{}, now
-	return counts
-}
-
-// logUnserved logs how many requests were not served, with the state of the service's servers, where that is due.
+// logUnserved logs how many requests were not served, with the state of the service's servers.
 func (p *Proxy) logUnserved(now time.Time) {
-	for service, counts := range p.stats.takeDueUnserved(now) {
+	for service, counts := range p.stats.unserved.takeDue(now) {
 		var status placement.Status
 		p.state.withService(service, func(now float64, pool *placement.Pool, _ *placement.Planner) {
 			if pool != nil {
