--- a/internal/store/folder.go
+++ b/internal/store/folder.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	filePerm = 0o644
-	dirPerm  = 0o755
+	// A store may hold credentials: nobody but the process's user reads it.
+	filePerm = 0o600
+	dirPerm  = 0o700
 )
 
 // folder is the seam for tests that simulate a disk. A file that was created, renamed or removed in it stays so after a loss of power once
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -52,6 +52,25 @@
 		}
 	})
 
+	It("is read by nobody but its process's user, since it may hold credentials", func() {
+		dir := filepath.Join(GinkgoT().TempDir(), "store")
+		opened, _, _, err := store.Open(dir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(opened.Append(record("a"))).To(Succeed())
+		Expect(opened.Close()).To(Succeed())
+		entries, err := os.ReadDir(dir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(entries).NotTo(BeEmpty())
+		for _, entry := range entries {
+			info, err := entry.Info()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(info.Mode().Perm()).To(BeEquivalentTo(0o600), entry.Name())
+		}
+		info, err := os.Stat(dir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(info.Mode().Perm()).To(BeEquivalentTo(0o700))
+	})
+
 	It("reads a snapshot and what follows it, and removes older files", func() {
 		s, _, _ := open()
 		Expect(s.Append(record("a"), record("b"))).To(Succeed())
