--- a/internal/lab/soak/configuration.go
+++ b/internal/lab/soak/configuration.go
@@ -18,7 +18,7 @@
 	}
 	configuredTenant struct {
 		Name     string
-		ApiKeys  []string
+		APIKeys  []string `json:"ApiKeys"`
 		Priority int
 	}
 	configuredService struct {
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -128,7 +128,7 @@
 // sendSharedKey sends a configuration in which two tenants share a key. It must not be accepted, and its answer must not show the key.
 func (o *operator) sendSharedKey(ctx context.Context) {
 	const shared = keyMarker + "shared"
-	tenants := []configuredTenant{{Name: tenantNames[0], ApiKeys: []string{shared}}, {Name: tenantNames[1], ApiKeys: []string{shared}}}
+	tenants := []configuredTenant{{Name: tenantNames[0], APIKeys: []string{shared}}, {Name: tenantNames[1], APIKeys: []string{shared}}}
 	data, err := json.Marshal(newConfiguration(o.confirmedVersion+1, 0, tenants))
 	if err != nil {
 		o.checker.ReportViolation(ConfigurationConfirmed, "a configuration can't be made: %v", err)
--- a/internal/lab/soak/tenants.go
+++ b/internal/lab/soak/tenants.go
@@ -88,12 +88,12 @@
 func (k *keyring) configured() []configuredTenant {
 	tenants := make([]configuredTenant, len(tenantNames))
 	for i, name := range tenantNames {
-		tenants[i] = configuredTenant{Name: name, Priority: i, ApiKeys: []string{k.permanent[i].text}}
+		tenants[i] = configuredTenant{Name: name, Priority: i, APIKeys: []string{k.permanent[i].text}}
 	}
 	for _, key := range k.changing {
 		if key != k.pending.withdrawn {
 			i := slices.Index(tenantNames, key.owners[len(key.owners)-1])
-			tenants[i].ApiKeys = append(tenants[i].ApiKeys, key.text)
+			tenants[i].APIKeys = append(tenants[i].APIKeys, key.text)
 		}
 	}
 	return tenants
--- a/internal/proxy/credentials.go
+++ b/internal/proxy/credentials.go
@@ -63,9 +63,9 @@
 	return true
 }
 
-// respondUnauthorized responds that a request was not executed for want of a valid key, and says why.
-func (p *Proxy) respondUnauthorized(w http.ResponseWriter, err error) {
+// respondRevoked responds that a request was not executed since its key was taken away while it was waiting.
+func (p *Proxy) respondRevoked(w http.ResponseWriter) {
 	p.stats.countRejected(rejectedUnauthorized)
-	w.Header().Set("Www-Authenticate", apikey.Scheme)
-	http.Error(w, err.Error(), http.StatusUnauthorized)
+	w.Header().Set(headerAuthenticate, apikey.Scheme)
+	http.Error(w, errUnknownKey.Error(), http.StatusUnauthorized)
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"hazelwheel/internal/apikey"
 	"hazelwheel/internal/decide/placement"
 	"hazelwheel/internal/routeconfig"
 )
@@ -17,8 +18,8 @@
 	startupTimeout = 1200 * time.Millisecond
 	// writeDeadlineMargin is added to a request's deadline for the writing of its response.
 	writeDeadlineMargin = time.Second
-	// unreadBodyTimeout bounds the wait for the body of a request that is rejected without it.
-	unreadBodyTimeout = 200 * time.Millisecond
+	// unavailableText is the body of a response that says that the request was not executed and may be sent again.
+	unavailableText = "no server can take it now"
 )
 
 // ServeHTTP forwards a client's request to a server of its route's service, with retries as far as the route and the budget allow, and
@@ -28,8 +29,8 @@
 	table := p.awaitRoutes(r.Context())
 	if table == nil {
 		p.stats.countRejected(rejectedNoConfiguration)
-		limitUnreadBody(w)
-		respondUnavailable(w, retryAfterSeconds)
+		w.Header().Set("Retry-After", formatSeconds(retryAfterSeconds))
+		respondUnread(w, r, unavailableText, http.StatusServiceUnavailable)
 		return
 	}
 	req := p.admit(w, r, table, arrivedAt)
@@ -60,14 +61,14 @@
 	route := table.find(r.Host, r.URL.Path)
 	if route == nil {
 		p.stats.countRejected(rejectedNoRoute)
-		limitUnreadBody(w)
-		http.Error(w, "no route", http.StatusNotFound)
+		respondUnread(w, r, "no route", http.StatusNotFound)
 		return nil
 	}
 	tenant, err := table.authorize(route, sent)
 	if err != nil {
-		limitUnreadBody(w)
-		p.respondUnauthorized(w, err)
+		p.stats.countRejected(rejectedUnauthorized)
+		w.Header().Set(headerAuthenticate, apikey.Scheme)
+		respondUnread(w, r, err.Error(), http.StatusUnauthorized)
 		return nil
 	}
 	deadline := arrivedAt.Add(timeLimit(r, route))
@@ -79,7 +80,7 @@
 	body, status := readBody(w, r, table.limits)
 	if status != 0 {
 		p.stats.countRejected(rejectedBody)
-		http.Error(w, http.StatusText(status), status)
+		respondAndClose(w, http.StatusText(status), status)
 		return nil
 	}
 	_ = control.SetReadDeadline(time.Time{})
@@ -87,12 +88,6 @@
 		deadline: deadline, credentials: sent, tenant: tenant, authorizedBy: table}
 }
 
-// limitUnreadBody bounds how long a response to a request whose body was not read waits for that body: net/http reads it before it sends the
-// response, so that the connection can be used again.
-func limitUnreadBody(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // a connection that supports none is served without
-}
-
 // awaitRoutes returns the route table in force, nil where there is none in time. A proxy that has just started gets one within a moment;
 // requests wait for it, since clients retry only a few times.
 func (p *Proxy) awaitRoutes(ctx context.Context) *routeTable {
@@ -111,16 +106,19 @@
 
 // respondUnavailable responds that the request was not executed, and when to retry, in seconds.
 func respondUnavailable(w http.ResponseWriter, retryAfter float64) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter, 'f', 2, 64))
-	http.Error(w, "no server can take it now", http.StatusServiceUnavailable)
+	w.Header().Set("Retry-After", formatSeconds(retryAfter))
+	http.Error(w, unavailableText, http.StatusServiceUnavailable)
 }
 
+// formatSeconds formats a number of seconds for a header field.
+func formatSeconds(seconds float64) string { return strconv.FormatFloat(seconds, 'f', 2, 64) }
+
 // respondFailure responds to a request that no server has answered: 401 where its key was taken away and 503 otherwise if none can have executed
 // it, else 504 after the deadline and 502 before it.
 func (p *Proxy) respondFailure(ctx context.Context, w http.ResponseWriter, req *proxyRequest) {
 	switch {
 	case req.possibleExecutions == 0 && !p.reauthorize(req):
-		p.respondUnauthorized(w, errUnknownKey)
+		p.respondRevoked(w)
 	case req.possibleExecutions == 0 && (ctx.Err() == nil || req.remaining() <= 0):
 		p.stats.unserved.update(req.service, func(counts *unservedCounts) { counts.Rejected++ })
 		respondUnavailable(w, retryAfterSeconds)
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -24,6 +24,7 @@
 	headerPriority       = "Priority"
 	headerLastEventID    = "Last-Event-Id"
 	headerTenantID       = "Hazelwheel-Tenant-Id"
+	headerAuthenticate   = "Www-Authenticate"
 	stagePrefill         = "prefill"
 )
 
