Whether a route is public is by the configuration in force when a key is checked again

The request was admitted by a table that the earlier version had compiled, which knows no public routes; when the complete table of that version came, reauthorize asked for a key by the route of the first one. Change: reauthorize and the end of requests with their keys look the route up in the table in force. Measured: TestPublicRouteOfAnEarlierForm 401 before, 200 after.

--- a/internal/proxy/credentials.go
+++ b/internal/proxy/credentials.go
@@ -55,7 +55,7 @@
 	if table == req.authorizedBy {
 		return true
 	}
-	tenant, err := table.authorize(req.route, req.credentials)
+	tenant, err := table.authorize(table.routeNow(req), req.credentials)
 	if err != nil {
 		return false
 	}
@@ -63,6 +63,15 @@
 	return true
 }
 
+// routeNow returns the route of a request that was admitted by an earlier configuration, or by one in an earlier form: whether a route is public is by the
+// configuration in force. A request whose route is gone keeps the one that it has.
+func (t *routeTable) routeNow(req *proxyRequest) *routeconfig.Route {
+	if route := t.find(req.incoming.Host, req.incoming.URL.Path); route != nil {
+		return route
+	}
+	return req.route
+}
+
 // respondRevoked responds that a request was not executed since its key was taken away while it was waiting.
 func (p *Proxy) respondRevoked(w http.ResponseWriter) {
 	p.stats.countRejected(rejectedUnauthorized)
--- a/internal/proxy/credentials_test.go
+++ b/internal/proxy/credentials_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -323,6 +324,33 @@
 	assert.Len(t, f.received(), 1, "no further attempt is made")
 }
 
+// TestPublicRouteOfAnEarlierForm has a request on a public route admitted by a table that doesn't say which routes are public, and retried once the complete
+// table of that version is in force.
+func TestPublicRouteOfAnEarlierForm(t *testing.T) {
+	complete, err := routeconfig.Parse([]byte(tenantDocument(1, acmeAndBolt)))
+	require.NoError(t, err)
+	earlier := *complete
+	earlier.Form, earlier.Tenants, earlier.KeySecret = routeconfig.FormRoutes, nil, nil
+	earlier.Routes = slices.Clone(complete.Routes)
+	for i := range earlier.Routes {
+		earlier.Routes[i].IsPublic = false
+	}
+	var f *tenantFleet
+	var refused atomic.Bool
+	refusesFirst := failure{func(*http.Request) bool { return !refused.Swap(true) }, func(w http.ResponseWriter, _ http.Header) {
+		f.apply(tenantDocument(1, acmeAndBolt))
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}}
+	f = newTenantFleet(t, "", refusesFirst)
+	packed, err := message.PackTable(&earlier)
+	require.NoError(t, err)
+	require.NoError(t, f.proxy.state.applyFeed(&message.Feed{Table: packed}))
+	status, _ := f.send("open", "")
+	assert.Equal(t, http.StatusOK, status)
+	assert.Len(t, f.received(), 2)
+}
+
 // TestKeyThatIsPassedOnActsForItsNewTenant is the same with a key that another tenant gets.
 func TestKeyThatIsPassedOnActsForItsNewTenant(t *testing.T) {
 	var f *tenantFleet
--- a/internal/proxy/revocation.go
+++ b/internal/proxy/revocation.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"sync"
-
-	"hazelwheel/internal/routeconfig"
 )
 
 // admittedRequests holds the requests in progress that were sent with a key, so that they can be ended when it is taken away. It is safe for
@@ -47,7 +45,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for req, cancel := range a.requests {
-		if !table.allows(req.route, req.credentials) {
+		if _, err := table.authorize(table.routeNow(req), req.credentials); err != nil {
 			cancel()
 			ended++
 		}
@@ -64,9 +62,3 @@
 	defer a.mu.Unlock()
 	return len(a.requests)
 }
-
-// allows reports whether a request on a route is executed under the configuration.
-func (t *routeTable) allows(route *routeconfig.Route, sent credentials) bool {
-	_, err := t.authorize(route, sent)
-	return err == nil
-}
