A rejected client that waits for 100 Continue is not told to send its body

Cause: reading a body that was announced with Expect has net/http ask for it, only to drop it. Change: such a request is answered and its connection closed, as net/http did. Up to 256 KB are read of others, the library's own bound.

--- a/internal/proxy/unreadbody.go
+++ b/internal/proxy/unreadbody.go
@@ -13,7 +13,7 @@
 	// unreadBodyTimeout and maxUnreadBodyBytes bound what is awaited and read of the body of a request that is rejected without it, so that its
 	// connection can carry the next request.
 	unreadBodyTimeout  = 200 * time.Millisecond
-	maxUnreadBodyBytes = 64 << 10
+	maxUnreadBodyBytes = 256 << 10
 	// closeTimeout bounds how long a connection is held open behind a response while the client still sends.
 	closeTimeout = 500 * time.Millisecond
 )
@@ -27,8 +27,12 @@
 	respondAndClose(w, text, status)
 }
 
-// discardBody reads a body to its end and drops it. It returns false where that is not there in time, or too long.
+// discardBody reads a body to its end and drops it. It returns false where that is not there in time, is too long, or where the client waits to be told
+// before it sends it.
 func discardBody(w http.ResponseWriter, r *http.Request) bool {
+	if r.Header.Get("Expect") != "" {
+		return false
+	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // a connection that supports none is served without
 	if _, err := io.CopyN(io.Discard, r.Body, maxUnreadBodyBytes); !errors.Is(err, io.EOF) {
