Names and comments of the laboratory's stub servers and of the simulations' event queue

Change: internal/lab/stub speaks of servers, faults and rejections, with files named after them; internal/sim/seeds of violations, receivers and events that are scheduled. Flags, JSON keys, paths and error texts stay; no logic changes.

--- a/cmd/hazellab/leases.go
+++ b/cmd/hazellab/leases.go
@@ -44,7 +44,7 @@
 	}
 	start := time.Now()
 	var tally leasesim.Tally
-	runSeeds(c, out, first, last, leasesim.RunSeeds, func(r *leasesim.Result) (uint64, []seeds.Finding) {
+	runSeeds(c, out, first, last, leasesim.RunSeeds, func(r *leasesim.Result) (uint64, []seeds.Violation) {
 		tally.Add(r)
 		return r.Seed, r.Findings
 	})
--- a/cmd/hazellab/maintenance.go
+++ b/cmd/hazellab/maintenance.go
@@ -49,7 +49,7 @@
 	}
 	start := time.Now()
 	var tally maintenancesim.Tally
-	runSeeds(c, out, first, last, maintenancesim.RunSeeds, func(r *maintenancesim.Result) (uint64, []seeds.Finding) {
+	runSeeds(c, out, first, last, maintenancesim.RunSeeds, func(r *maintenancesim.Result) (uint64, []seeds.Violation) {
 		tally.Add(r)
 		return r.Seed, r.Findings
 	})
--- a/cmd/hazellab/seeds.go
+++ b/cmd/hazellab/seeds.go
@@ -54,7 +54,7 @@
 // the days on so many goroutines and calls done with the result of each, until done returns false. Add adds a result to the figures and
 // returns its seed and its violations; it is called by one goroutine at a time.
 func runSeeds[R any](c *cli.Command, out *bufio.Writer, first, last uint64, runAll func(first, last uint64, jobs int, done func(R) bool),
-	add func(R) (seed uint64, findings []seeds.Finding)) {
+	add func(R) (seed uint64, findings []seeds.Violation)) {
 	debug.SetGCPercent(simulationGCPercent)
 	bar := progressBar(int64(last-first)+1, "days")
 	runAll(first, last, c.Int("jobs"), func(r R) bool {
@@ -71,7 +71,7 @@
 }
 
 // printBroken prints the invariants that were violated, and returns the sum of their days.
-func printBroken(out *bufio.Writer, all []seeds.Broken) (days int) {
+func printBroken(out *bufio.Writer, all []seeds.BrokenRule) (days int) {
 	for _, b := range all {
 		days += b.Days
 		fmt.Fprintf(out, "BROKEN %s on %d days, seeds %s\n", b.Rule, b.Days, strings.Trim(fmt.Sprint(b.Seeds), "[]"))
--- a/cmd/hazellab/stub.go
+++ b/cmd/hazellab/stub.go
@@ -42,10 +42,10 @@
 	if err != nil {
 		return usageError(fmt.Errorf("base: %w", err))
 	}
-	s := stub.Settings{Boxes: c.Int("boxes"), Base: base, Port: c.Int("port"), Delay: c.Duration("delay"),
+	s := stub.Settings{Servers: c.Int("boxes"), Base: base, Port: c.Int("port"), Delay: c.Duration("delay"),
 		Body: c.Int("body"), Threads: c.Int("threads"), Zones: c.StringSlice("zone"),
 		Slots: c.Int("slots"), Waiting: c.Int("waiting")}
-	if err := s.Err(); err != nil {
+	if err := s.Validate(); err != nil {
 		return usageError(err)
 	}
 	if path := c.String("config"); path != "" {
@@ -64,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(c.Root().Writer, "%d boxes at %s and on, discovery at %s\n", s.Boxes, s.List()[0].Address, c.String("discovery"))
+	fmt.Fprintf(c.Root().Writer, "%d boxes at %s and on, discovery at %s\n", s.Servers, s.List()[0].Address, c.String("discovery"))
 	ctx, stop := signalContext(ctx)
 	defer stop()
 	<-ctx.Done()
--- a/internal/lab/experiment/spec.go
+++ b/internal/lab/experiment/spec.go
@@ -279,7 +279,7 @@
 	c.check("name", named, "missing, or there before")
 	c.time("delay", &s.Delay, 0, time.Minute)
 	c.check("balancers", s.Balancers >= 1 && s.Balancers <= mostBalancers, fmt.Sprintf("not 1 to %d", mostBalancers))
-	c.check("boxes", s.Boxes >= 1 && s.Boxes <= stub.MostBoxes, fmt.Sprintf("not 1 to %d", stub.MostBoxes))
+	c.check("boxes", s.Boxes >= 1 && s.Boxes <= stub.MaxServers, fmt.Sprintf("not 1 to %d", stub.MaxServers))
 	c.check("body", s.Body >= 0 && s.Body <= 64<<10, "not 0 to 65536")
 	c.check("slots", s.Slots >= 0 && (s.Slots == 0 || s.Delay.Duration > 0), "below 0, or without a delay")
 	c.check("waiting", s.Waiting >= 0, "below 0")
@@ -322,8 +322,8 @@
 		e := &t.Events[i]
 		c := c.in("events", i)
 		own := e.Kind == Freeze || e.Kind == Kill
-		c.check("kind", own || slices.Contains(stub.TroubleKinds, e.Kind),
-			fmt.Sprintf("%q is none of %v, %s, %s", e.Kind, stub.TroubleKinds, Freeze, Kill))
+		c.check("kind", own || slices.Contains(stub.FaultKinds, e.Kind),
+			fmt.Sprintf("%q is none of %v, %s, %s", e.Kind, stub.FaultKinds, Freeze, Kill))
 		c.time("at", &e.At, 0, time.Hour)
 		c.time("for", &e.For, time.Millisecond, time.Hour)
 		c.time("delay", &e.Delay, 0, time.Minute)
@@ -354,7 +354,7 @@
 		for _, x := range stub.ClassSpecs {
 			if x.Name == k.Name {
 				p.Classes = append(p.Classes, load.Class{Name: x.Name, Safe: x.Effect == "free", Keyed: x.Effect == "guarded", Share: k.Share,
-					Worth: x.Worth, LateShare: x.Late, Aim: time.Duration(x.AimS * float64(time.Second))})
+					Worth: x.Worth, LateShare: x.Late, Aim: time.Duration(x.ObjectiveSeconds * float64(time.Second))})
 			}
 		}
 	}
--- a/internal/lab/experiment/trouble.go
+++ b/internal/lab/experiment/trouble.go
@@ -115,7 +115,7 @@
 		b.balancers[0] = child
 		return child.Ready(b.ctx, b.listen[0], time.Now().Add(startBy))
 	}
-	t := stub.Trouble{Kind: s.event.Kind, Boxes: s.event.Boxes, Delay: s.event.Delay.Duration}
+	t := stub.Fault{Kind: s.event.Kind, Servers: s.event.Boxes, Delay: s.event.Delay.Duration}
 	if s.end {
 		t.Kind, t.Delay = "", 0
 	}
--- a/internal/lab/stub/config.go
+++ b/internal/lab/stub/config.go
@@ -5,30 +5,30 @@
 	"os"
 )
 
-// Sidecar is what a sidecar beside the stand-ins is told.
+// Sidecar is the configuration of a sidecar whose servers are stubs.
 type Sidecar struct {
 	Name, Listen, Discovery string
 	Cores                   float64
 	MemoryMB, Sockets       int
-	Pushed                  bool // discovery pushes; otherwise it is asked
+	Pushed                  bool // discovery pushes changes; otherwise the sidecar polls
 	Zones                   []string
 	Replicas, Self          int
 }
 
-// Classes of the configuration, as the shipped example has them.
+// The classes of the configuration, as in the shipped example.
 const (
 	SafeClass   = "latest-reading"
 	KeyedClass  = "raise-alert"
 	UnsafeClass = "log-calibration"
 )
 
-// ClassSpec is what the configuration says of a class. Times are in seconds.
+// ClassSpec configures a class. Times are in seconds.
 type ClassSpec struct {
-	Name, Effect, Scope                 string
-	GiveUpS, AimS, Worth, Late, WindowS float64
+	Name, Effect, Scope                             string
+	GiveUpS, ObjectiveSeconds, Worth, Late, WindowS float64
 }
 
-// ClassSpecs are all there are.
+// ClassSpecs holds all classes.
 var ClassSpecs = []ClassSpec{
 	{SafeClass, "free", "all", 3.0, 0.6, 1, 0.2, 5},
 	{UnsafeClass, "single_shot", "all", 3.0, 1.0, 5, 0.3, 5},
@@ -37,7 +37,7 @@
 
 type object = map[string]any
 
-// Write writes the sidecar's configuration file.
+// Write writes the configuration file.
 func (s *Sidecar) Write(path string) error {
 	text, err := s.text()
 	if err != nil {
@@ -54,7 +54,7 @@
 	var classes []object
 	for _, c := range ClassSpecs {
 		classes = append(classes, object{"name": c.Name, "effect": c.Effect, "dedupScope": c.Scope, "giveUpS": c.GiveUpS,
-			"objectiveS": c.AimS, "importance": c.Worth, "lateWorth": c.Late, "windowS": c.WindowS})
+			"objectiveS": c.ObjectiveSeconds, "importance": c.Worth, "lateWorth": c.Late, "windowS": c.WindowS})
 	}
 	return json.MarshalIndent(object{
 		"name": s.Name, "listen": s.Listen, "discovery": s.Discovery, "seed": "8c1f30d27a5be964",
--- a/internal/lab/stub/queue.go
+++ b/internal/lab/stub/queue.go
@@ -17,26 +17,35 @@
 	answer []byte
 }
 
-// entries are a heap by time.
+// entries is a heap by time; it implements heap.Interface.
 type entries []entry
 
-func (e entries) Len() int           { return len(e) }
+// Len returns the number of entries.
+func (e entries) Len() int { return len(e) }
+
+// Less orders entries by time.
 func (e entries) Less(i, j int) bool { return e[i].due.Before(e[j].due) }
-func (e entries) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *entries) Push(x any)        { *e = append(*e, x.(entry)) }
+
+// Swap swaps two entries.
+func (e entries) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push appends an entry.
+func (e *entries) Push(x any) { *e = append(*e, x.(entry)) }
+
+// Pop removes the last entry.
 func (e *entries) Pop() any {
 	old := *e
 	x := old[len(old)-1]
-	old[len(old)-1] = entry{} // what was answered must not be held
+	old[len(old)-1] = entry{} // so that its answer can be collected
 	*e = old[:len(old)-1]
 	return x
 }
 
-// queue sends answers when they are due.
+// queue sends delayed answers.
 type queue struct {
 	mu      sync.Mutex
 	entries entries
-	sooner  chan struct{} // told when another entry has become the first
+	sooner  chan struct{} // receives a signal when another entry has become the first
 }
 
 func newQueue() *queue { return &queue{sooner: make(chan struct{}, 1)} }
@@ -54,7 +63,7 @@
 	}
 }
 
-// due returns what is due, and how long until the next; that is below 0 while there is none.
+// due returns the entries that are due, and the time until the next one, below 0 where there is none.
 func (q *queue) due(now time.Time) (due []entry, wait time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -67,14 +76,14 @@
 	return due, -1
 }
 
-// run sends until ctx ends.
+// run sends answers until ctx ends.
 func (q *queue) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		due, wait := q.due(time.Now())
 		for _, e := range due {
-			if !e.state.gone.Load() {
+			if !e.state.closed.Load() {
 				_ = e.c.AsyncWrite(e.answer, nil) // fails only where the connection has gone
 			}
 		}
--- a/internal/lab/stub/standin_test.go
+++ b/internal/lab/stub/servers_test.go
@@ -17,7 +17,7 @@
 	"hazelwheel/internal/sidecarconfig"
 )
 
-func start(t *testing.T, s Settings) (*Boxes, *Discovery, string) {
+func start(t *testing.T, s Settings) (*Servers, *Discovery, string) {
 	host := "127.10.0.1"
 	port, err := process.FreePort(host)
 	require.NoError(t, err)
@@ -34,7 +34,7 @@
 	return b, d, address
 }
 
-func ask(box Box, method string) (status int, body string, err error) {
+func ask(box Listed, method string) (status int, body string, err error) {
 	r, err := http.NewRequest(method, "http://"+box.Address+"/x", strings.NewReader(strings.Repeat("y", 1000)))
 	if err != nil {
 		return 0, "", err
@@ -49,13 +49,13 @@
 	return resp.StatusCode, string(raw), err
 }
 
-// Boxes answer, are listed, and count; a trouble changes those that it names and no other.
+// Servers answer, are listed, and count; a fault changes those that it names and no other.
 func TestBoxes(t *testing.T) {
-	b, _, discovery := start(t, Settings{Boxes: 300, Delay: 5 * time.Millisecond, Body: 5})
+	b, _, discovery := start(t, Settings{Servers: 300, Delay: 5 * time.Millisecond, Body: 5})
 	resp, err := http.Get("http://" + discovery + "/v1/endpoints")
 	require.NoError(t, err)
 	defer resp.Body.Close()
-	var said struct{ Endpoints []Box }
+	var said struct{ Endpoints []Listed }
 	require.NoError(t, json.NewDecoder(resp.Body).Decode(&said))
 	require.Len(t, said.Endpoints, 300)
 	for _, i := range []int{0, 253, 254, 299} {
@@ -98,7 +98,7 @@
 
 // A box with slots works on so many at a time, lets so many wait, and turns the others away.
 func TestSlots(t *testing.T) {
-	x := &station{free: make([]time.Time, 2)}
+	x := &server{free: make([]time.Time, 2)}
 	now := time.Now()
 	var ends []float64
 	for range 8 {
@@ -114,7 +114,7 @@
 
 // Two that want one port: the second learns of it.
 func TestPortTaken(t *testing.T) {
-	b, _, discovery := start(t, Settings{Boxes: 2})
+	b, _, discovery := start(t, Settings{Servers: 2})
 	_, err := Start(b.settings)
 	assert.ErrorContains(t, err, "address already in use")
 	_, err = StartDiscovery(discovery, b)
--- a/internal/sim/leasesim/checker.go
+++ b/internal/sim/leasesim/checker.go
@@ -17,7 +17,7 @@
 )
 
 // Finding is a violation of a rule.
-type Finding = seeds.Finding
+type Finding = seeds.Violation
 
 // The rules. The names are printed and are kept.
 const (
--- a/internal/sim/leasesim/leasesim_test.go
+++ b/internal/sim/leasesim/leasesim_test.go
@@ -44,10 +44,10 @@
 			}
 		}
 		for until := s.Now() + 90; s.counts.VotersReplaced == 0 && s.Now() < until; {
-			s.Until(s.Now() + 0.1)
+			s.RunUntil(s.Now() + 0.1)
 		}
 		require.Positive(t, s.counts.VotersReplaced, "seed %d", seed)
-		s.Until(s.Now() + 1)
+		s.RunUntil(s.Now() + 1)
 		leader.removed = true
 		for _, n := range s.nodes {
 			if n.up {
@@ -55,7 +55,7 @@
 			}
 			n.start()
 		}
-		s.Until(s.Now() + 20)
+		s.RunUntil(s.Now() + 20)
 		require.NotNil(t, s.holderOf("list"), "seed %d", seed)
 		require.Empty(t, s.findings, "seed %d", seed)
 	}
@@ -71,14 +71,14 @@
 		require.NotNil(t, owner)
 		before, _ := owner.lease.Holds(owner.localTime(), "list")
 		owner.call(owner.incarnation, func() { owner.lease.RequestStepDown(owner.localTime(), "list") })
-		s.Until(s.Now() + s.uniform(0.02, 0.15))
+		s.RunUntil(s.Now() + s.uniform(0.02, 0.15))
 		for _, n := range s.nodes {
 			if n != owner && n != leader {
 				n.kill()
 				n.start()
 			}
 		}
-		s.Until(s.Now() + 6)
+		s.RunUntil(s.Now() + 6)
 		next := s.holderOf("list")
 		require.NotNil(t, next, "seed %d", seed)
 		after, _ := next.lease.Holds(next.localTime(), "list")
--- a/internal/sim/leasesim/measure.go
+++ b/internal/sim/leasesim/measure.go
@@ -17,7 +17,7 @@
 	for _, n := range s.nodes {
 		s.After(s.uniform(0, 0.3), n.start)
 	}
-	s.Until(s.Now() + 20 + s.uniform(0, 1))
+	s.RunUntil(s.Now() + 20 + s.uniform(0, 1))
 	return s
 }
 
@@ -69,7 +69,7 @@
 		at, grants := s.Now(), s.counts.Grants
 		way.inject(s, holder, leader)
 		for s.counts.Grants == grants && s.Now() < at+30 {
-			s.Until(s.Now() + 0.001)
+			s.RunUntil(s.Now() + 0.001)
 		}
 		all = append(all, s.Now()-at)
 	}
@@ -111,7 +111,7 @@
 	for _, n := range s.nodes {
 		n.bytes, n.messages, n.persists, n.calls = 0, 0, 0, 0
 	}
-	s.Until(s.Now() + seconds)
+	s.RunUntil(s.Now() + seconds)
 	type sum struct {
 		n                             int
 		bytes, messages, saves, calls uint64
@@ -147,7 +147,7 @@
 	most, sum, had, slowest := 0, 0, 0, 0.0
 	for seed := uint64(1); seed <= 5; seed++ {
 		s := newSettled(seed, members, 3, roleNames(roles)...)
-		s.Until(s.Now() + 60)
+		s.RunUntil(s.Now() + 60)
 		n := s.nodes[s.rng.IntN(len(s.nodes))]
 		own := 0
 		for _, l := range s.leases {
@@ -157,7 +157,7 @@
 		}
 		s.counts.Moves, s.gaps = 0, nil
 		n.kill()
-		s.Until(s.Now() + 30)
+		s.RunUntil(s.Now() + 30)
 		most, sum, had = max(most, s.counts.Moves-own), sum+s.counts.Moves, had+own
 		for _, g := range s.gaps {
 			slowest = max(slowest, g.Seconds)
--- a/internal/sim/leasesim/run.go
+++ b/internal/sim/leasesim/run.go
@@ -27,7 +27,7 @@
 	for _, n := range s.nodes {
 		s.After(s.uniform(0, 2), n.start)
 	}
-	s.Until(s.Now() + s.uniform(4, 10))
+	s.RunUntil(s.Now() + s.uniform(4, 10))
 	s.injectFaults()
 	s.settle()
 	return s.result(seed)
@@ -77,7 +77,7 @@
 		s.record("fault %s for %.2f s", f.name, seconds)
 		s.lastFault, s.lastFaultAt = f.name, s.Now()
 		f.inject(s, seconds)
-		s.Until(s.Now() + []float64{s.uniform(0, 0.5), s.uniform(0.5, 5), s.uniform(3, 20)}[s.rng.IntN(3)])
+		s.RunUntil(s.Now() + []float64{s.uniform(0, 0.5), s.uniform(0.5, 5), s.uniform(3, 20)}[s.rng.IntN(3)])
 	}
 }
 
@@ -87,7 +87,7 @@
 
 // settle ends all faults and checks that each role gets a holder.
 func (s *Simulation) settle() {
-	s.Until(s.Now() + 1.3) // faults that were scheduled have started
+	s.RunUntil(s.Now() + 1.3) // faults that were scheduled have started
 	s.record("faults over")
 	s.lossProbability, s.delayProbability, s.misreportProbability, s.stallProbability = 0, 0, 0, 0
 	for i, n := range s.nodes {
@@ -111,15 +111,15 @@
 			n.start()
 		}
 	}
-	s.Until(s.Now() + settleSeconds)
+	s.RunUntil(s.Now() + settleSeconds)
 	for i := range s.nodes {
 		if n := s.nodes[i]; !n.up && !n.removed { // it was leaving
 			n.start()
 		}
 	}
-	s.Until(s.Now() + settleSeconds)
+	s.RunUntil(s.Now() + settleSeconds)
 	for until := s.Now() + 4; s.Now() < until && slices.ContainsFunc(s.roles, func(role string) bool { return s.holderOf(role) == nil }); {
-		s.Until(s.Now() + 0.1) // a role may just be moving
+		s.RunUntil(s.Now() + 0.1) // a role may just be moving
 	}
 	if s.hasQuorum() {
 		for _, role := range s.roles {
@@ -163,5 +163,5 @@
 
 // RunSeeds runs seeds, up to parallel at a time, and calls yield with each result in order until it returns false.
 func RunSeeds(first, last uint64, parallel int, yield func(*Result) bool) {
-	seeds.Many(first, last, parallel, func(seed uint64) *Result { return Run(seed, Options{}) }, yield)
+	seeds.PlayRange(first, last, parallel, func(seed uint64) *Result { return Run(seed, Options{}) }, yield)
 }
--- a/internal/sim/leasesim/stored_form_test.go
+++ b/internal/sim/leasesim/stored_form_test.go
@@ -16,7 +16,7 @@
 	raw, err := json.Marshal(&Result{Seed: 1, Findings: []Finding{{At: 1.5, Rule: "rule", Why: "why"}}, Hash: 2, Steps: 3, Counts: counts, Gaps: []Gap{{}}})
 	require.NoError(t, err)
 	require.Equal(t, `{"seed":1,"findings":[{"at":1.5,"rule":"rule","why":"why"}],"hash":2,"steps":3,`+countsForm, string(raw))
-	raw, err = json.Marshal(&Tally{Tally: seeds.Tally{Days: 1, Steps: 2, Hash: 3, Broken: []seeds.Broken{{Rule: "rule", Days: 1, Seeds: []uint64{2}}}}, Counts: counts})
+	raw, err = json.Marshal(&Tally{Tally: seeds.Tally{Days: 1, Steps: 2, Hash: 3, Broken: []seeds.BrokenRule{{Rule: "rule", Days: 1, Seeds: []uint64{2}}}}, Counts: counts})
 	require.NoError(t, err)
 	require.Equal(t, `{"days":1,"steps":2,"hash":3,"broken":[{"rule":"rule","days":1,"seeds":[2]}],`+countsForm, string(raw))
 }
--- a/internal/sim/maintenancesim/checker.go
+++ b/internal/sim/maintenancesim/checker.go
@@ -10,7 +10,7 @@
 )
 
 // Finding is a rule that was broken.
-type Finding = seeds.Finding
+type Finding = seeds.Violation
 
 // The rules.
 const (
--- a/internal/sim/maintenancesim/faults.go
+++ b/internal/sim/maintenancesim/faults.go
@@ -103,9 +103,9 @@
 			a.crash(seconds)
 		}
 	}},
-	{"plan", func(s *Simulation, _ float64) { s.submitPlan(s.drawSpec(int(s.Asked())), 0) }},
+	{"plan", func(s *Simulation, _ float64) { s.submitPlan(s.drawSpec(int(s.Scheduled())), 0) }},
 	{"plan-twice", func(s *Simulation, _ float64) {
-		spec := s.drawSpec(int(s.Asked()))
+		spec := s.drawSpec(int(s.Scheduled()))
 		nonce := uint64(0)
 		if s.chance(0.5) { // the same command, not two for the same plan
 			nonce = s.rng.Uint64() | 1
--- a/internal/sim/maintenancesim/simulation.go
+++ b/internal/sim/maintenancesim/simulation.go
@@ -90,7 +90,7 @@
 
 // RunSeeds runs a range of seeds, jobs of them at a time, and calls handle with each result in order until it returns false.
 func RunSeeds(first, last uint64, jobs int, handle func(*Result) bool) {
-	seeds.Many(first, last, jobs, func(seed uint64) *Result { return Run(seed, Options{}) }, handle)
+	seeds.PlayRange(first, last, jobs, func(seed uint64) *Result { return Run(seed, Options{}) }, handle)
 }
 
 // Run runs a seed. A panic is a finding.
@@ -118,7 +118,7 @@
 	for _, a := range s.agents {
 		a.poll(0)
 	}
-	s.Until(s.Now() + startSeconds)
+	s.RunUntil(s.Now() + startSeconds)
 	s.submitPlan(s.drawSpec(0), 0)
 	s.injectFaults()
 	s.endFaults()
@@ -171,16 +171,16 @@
 			s.log("fault %s for %.2f s", f.name, seconds)
 			f.inject(s, seconds)
 		}
-		s.Until(s.Now() + []float64{s.uniform(0, 0.5), s.uniform(0.5, 5), s.uniform(3, 20)}[s.rng.IntN(3)])
+		s.RunUntil(s.Now() + []float64{s.uniform(0, 0.5), s.uniform(0.5, 5), s.uniform(3, 20)}[s.rng.IntN(3)])
 	}
 }
 
 // endFaults ends all faults, lets operators handle what waits for them, and checks that all plans end.
 func (s *Simulation) endFaults() {
-	s.Until(s.Now() + 1)
+	s.RunUntil(s.Now() + 1)
 	s.log("faults ended")
 	s.isCalm, s.holderFaultProbability = true, 0
-	s.Until(s.Now() + s.specTemplate.DeadMemberSeconds) // after which no fault has any effect
+	s.RunUntil(s.Now() + s.specTemplate.DeadMemberSeconds) // after which no fault has any effect
 	s.lossProbability = 0
 	s.sidecars[0].start() // at least one is needed
 	for _, n := range s.sidecars {
@@ -192,9 +192,9 @@
 	}
 	for end := s.Now() + maxRecoverySeconds; s.Now() < end && s.resolvePlans(); {
 		s.releaseAbandoned()
-		s.Until(s.Now() + recoveryStepSeconds)
+		s.RunUntil(s.Now() + recoveryStepSeconds)
 	}
-	s.Until(s.Now() + 5)
+	s.RunUntil(s.Now() + 5)
 	s.checkEnd()
 }
 
--- a/internal/sim/membershipsim/actions.go
+++ b/internal/sim/membershipsim/actions.go
@@ -88,7 +88,7 @@
 		e.hasLost = true
 		return
 	}
-	f.Hand(e.arrival(), e.other, m)
+	f.Deliver(e.arrival(), e.other, m)
 }
 
 // Close closes a link.
--- a/internal/sim/membershipsim/costs.go
+++ b/internal/sim/membershipsim/costs.go
@@ -51,13 +51,13 @@
 		}
 		f.At(f.Now()+float64(i)/perSecond, func() { node.Start(true, join...) })
 	}
-	f.Until(f.Now() + float64(n)/perSecond)
+	f.RunUntil(f.Now() + float64(n)/perSecond)
 	began := f.Now()
 	for f.Now() < began+formTimeoutSeconds {
 		if len(f.Discrepancies(1)) == 0 {
 			return f.Now() - began, true
 		}
-		f.Until(f.Now() + formCheckSeconds)
+		f.RunUntil(f.Now() + formCheckSeconds)
 	}
 	return formTimeoutSeconds, false
 }
@@ -74,13 +74,13 @@
 		return costs, fmt.Errorf("%d members: not formed: %v", n, f.Discrepancies(3))
 	}
 	costs.Members = n
-	f.Until(f.Now() + settleSeconds)
+	f.RunUntil(f.Now() + settleSeconds)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	costs.ViewKiB = float64(after.HeapAlloc-before.HeapAlloc) / float64(n) / 1024
 
 	bytesBefore, wakeupsBefore := f.totals()
-	f.Until(f.Now() + idleSeconds)
+	f.RunUntil(f.Now() + idleSeconds)
 	bytesIdle, wakeupsIdle := f.totals()
 	costs.IdleBytesPerSecond = float64(bytesIdle-bytesBefore) / idleSeconds / float64(n)
 	costs.WakeupsPerSecond = float64(wakeupsIdle-wakeupsBefore) / idleSeconds / float64(n)
@@ -132,7 +132,7 @@
 		} else {
 			victim.Kill()
 		}
-		f.Until(at + deathTimeoutSeconds)
+		f.RunUntil(at + deathTimeoutSeconds)
 		if want := len(f.Nodes) - 1 - i; len(observers) < want {
 			return nil, nil, fmt.Errorf("%d members: a death is known to %d of %d after 10 s", len(f.Nodes), len(observers), want)
 		}
--- a/internal/sim/membershipsim/faults.go
+++ b/internal/sim/membershipsim/faults.go
@@ -48,11 +48,11 @@
 		for range 1 + f.rng.IntN(maxFaultsOfBatch) {
 			p.scheduleFault()
 		}
-		f.Until(f.Now() + faultWindowSeconds)
+		f.RunUntil(f.Now() + faultWindowSeconds)
 		for _, node := range f.Nodes {
 			node.Thaw()
 		}
-		f.Until(f.Now() + recoverySeconds)
+		f.RunUntil(f.Now() + recoverySeconds)
 		if lines := f.Discrepancies(3); len(lines) > 0 {
 			return p.result, fmt.Errorf("%d members, seed %d, 10 s after the last fault: %v", n, seed, lines)
 		}
--- a/internal/sim/membershipsim/fleet_test.go
+++ b/internal/sim/membershipsim/fleet_test.go
@@ -10,7 +10,7 @@
 	t.Helper()
 	began := f.Now()
 	for f.Now() < began+within {
-		f.Until(f.Now() + 0.1)
+		f.RunUntil(f.Now() + 0.1)
 		if len(f.Discrepancies(1)) == 0 {
 			return f.Now() - began
 		}
@@ -32,7 +32,7 @@
 func TestFleetLearnsOfDeathsAndStalls(t *testing.T) {
 	for _, n := range []int{2, 3, 7, 50, 100} {
 		f := startFleet(1, n)
-		f.Until(f.Now() + float64(n)/100)
+		f.RunUntil(f.Now() + float64(n)/100)
 		t.Logf("%d: formed after %.1f s", n, requireAgreement(t, f, 20))
 		f.Nodes[n-1].Kill()
 		t.Logf("%d: a death known after %.1f s", n, requireAgreement(t, f, 10))
@@ -46,7 +46,7 @@
 // When most members die at once, the others know within ten seconds, though each watched only a few.
 func TestFleetLosesMostMembers(t *testing.T) {
 	f := startFleet(2, 60)
-	f.Until(f.Now() + 1)
+	f.RunUntil(f.Now() + 1)
 	requireAgreement(t, f, 20)
 	for _, n := range f.Nodes[5:] {
 		n.Kill()
--- a/internal/sim/membershipsim/link.go
+++ b/internal/sim/membershipsim/link.go
@@ -36,8 +36,8 @@
 	return e.lastArrival
 }
 
-// Take takes a message that arrives over the link.
-func (e *linkEnd) Take(m any) {
+// Receive takes a message that arrives over the link.
+func (e *linkEnd) Receive(m any) {
 	if !e.isClosed {
 		e.receive(m.(*swim.Message))
 	}
--- a/internal/sim/seeds/queue.go
+++ b/internal/sim/seeds/queue.go
@@ -2,77 +2,84 @@
 
 import "math"
 
-// Queue is the time of a small world, and what is to happen in it: by time, and of equal times what was asked for first. It belongs to one
-// goroutine.
+// Queue is the clock and the event queue of a simulation. Events run in the order of their times, those of equal times in the order in which they were
+// scheduled. It is for one goroutine.
 type Queue struct {
-	now    float64
-	asked  uint64
-	steps  uint64
-	trace  uint64
-	events events
+	now       float64
+	scheduled uint64
+	steps     uint64
+	trace     uint64
+	events    events
 }
 
-// Taker is whom something is handed to.
-type Taker interface{ Take(what any) }
+// Receiver receives what Queue.Deliver has scheduled.
+type Receiver interface{ Receive(message any) }
 
-// NewQueue returns an empty one at a time, in seconds.
+// NewQueue returns an empty queue whose clock stands at a time, in seconds.
 func NewQueue(now float64) Queue { return Queue{now: now} }
 
 // Now returns the time, in seconds.
 func (q *Queue) Now() float64 { return q.now }
 
-// Steps returns how many things have happened.
+// Steps returns how many events have run.
 func (q *Queue) Steps() uint64 { return q.steps }
 
-// Asked returns how many things have been asked for.
-func (q *Queue) Asked() uint64 { return q.asked }
+// Scheduled returns how many events were scheduled, those that have run included.
+func (q *Queue) Scheduled() uint64 { return q.scheduled }
 
-// Trace returns a number that is the same for two plays in which the same was due, in the same order and at the same times.
+// Trace returns a hash of the times and the order of all events that have run: equal runs have equal traces.
 func (q *Queue) Trace() uint64 { return q.trace }
 
-// At has something done at a time; at one that is over: now, after what was asked for before.
-func (q *Queue) At(at float64, do func()) { q.put(event{at: at, do: do}) }
+// At schedules a call at a time. One in the past runs now, after all that was scheduled for now before.
+func (q *Queue) At(at float64, do func()) { q.schedule(event{at: at, do: do}) }
 
-// After has something done so many seconds from now.
+// After schedules a call so many seconds from now.
 func (q *Queue) After(s float64, do func()) { q.At(q.now+s, do) }
 
-// Hand has something handed over at a time. Danger: in a world of thousands a closure for each message takes longer than the message.
-func (q *Queue) Hand(at float64, to Taker, what any) { q.put(event{at: at, to: to, what: what}) }
+// Deliver schedules the delivery of a message. It is there beside At since a simulation of thousands of members would spend more time on a closure for
+// each message than on the message.
+func (q *Queue) Deliver(at float64, to Receiver, message any) {
+	q.schedule(event{at: at, to: to, message: message})
+}
 
-func (q *Queue) put(e event) {
-	q.asked++
-	e.at, e.asked = max(e.at, q.now), q.asked
+// schedule adds an event.
+func (q *Queue) schedule(e event) {
+	q.scheduled++
+	e.at, e.sequence = max(e.at, q.now), q.scheduled
 	q.events.push(e)
 }
 
-// Until plays up to a time.
-func (q *Queue) Until(t float64) {
+// RunUntil runs the events up to a time, those that they schedule included, and sets the clock to it.
+func (q *Queue) RunUntil(t float64) {
 	for len(q.events) > 0 && q.events[0].at <= t {
 		e := q.events.pop()
 		q.now = e.at
 		q.steps++
-		q.trace = (q.trace ^ math.Float64bits(e.at) ^ e.asked) * 0x9e3779b97f4a7c15
+		q.trace = (q.trace ^ math.Float64bits(e.at) ^ e.sequence) * 0x9e3779b97f4a7c15
 		if e.do != nil {
 			e.do()
 		} else {
-			e.to.Take(e.what)
+			e.to.Receive(e.message)
 		}
 	}
 	q.now = max(q.now, t)
 }
 
-// event is something to do, or to hand over.
+// event is a call, or the delivery of a message.
 type event struct {
-	at    float64
-	asked uint64
-	do    func()
-	to    Taker
-	what  any
+	at       float64
+	sequence uint64
+	do       func()
+	to       Receiver
+	message  any
 }
 
-func (e *event) before(o *event) bool { return e.at < o.at || e.at == o.at && e.asked < o.asked }
+// isBefore reports whether the event runs before another one.
+func (e *event) isBefore(o *event) bool {
+	return e.at < o.at || e.at == o.at && e.sequence < o.sequence
+}
 
-// events is a heap whose nodes have four children each, the soonest first.
+// events is a heap whose nodes have four children each; the next event to run is the first.
 type events []event
 
 func (q *events) push(e event) {
@@ -80,7 +87,7 @@
 	i := len(all) - 1
 	for i > 0 {
 		parent := (i - 1) / 4
-		if !e.before(&all[parent]) {
+		if !e.isBefore(&all[parent]) {
 			break
 		}
 		all[i] = all[parent]
@@ -106,11 +113,11 @@
 			break
 		}
 		for child := least + 1; child < min(4*i+5, len(all)); child++ {
-			if all[child].before(&all[least]) {
+			if all[child].isBefore(&all[least]) {
 				least = child
 			}
 		}
-		if !all[least].before(&last) {
+		if !all[least].isBefore(&last) {
 			break
 		}
 		all[i] = all[least]
--- a/internal/sim/seeds/seeds.go
+++ b/internal/sim/seeds/seeds.go
@@ -1,4 +1,5 @@
-// Package seeds plays days of a small world by their seeds, many beside each other, and sums up what came of them.
+// Package seeds runs simulations by their seeds, several at a time, and sums up the violations that they report. It holds the event queue of the
+// simulations as well.
 package seeds
 
 import (
@@ -8,34 +9,36 @@
 	"sync"
 )
 
-// Finding is one break of a rule.
-type Finding struct {
+// Violation is one violation of a rule.
+type Violation struct {
 	At   float64 `json:"at"`
 	Rule string  `json:"rule"`
 	Why  string  `json:"why"`
 }
 
-func (f Finding) String() string { return fmt.Sprintf("%s at %.3f: %s", f.Rule, f.At, f.Why) }
+// String returns rule, time and reason in one line.
+func (f Violation) String() string { return fmt.Sprintf("%s at %.3f: %s", f.Rule, f.At, f.Why) }
 
-// Tally sums days.
+// Tally sums the results of runs. The keys of its JSON are read by scripts.
 type Tally struct {
-	Days   int      `json:"days"`
-	Steps  uint64   `json:"steps"`
-	Hash   uint64   `json:"hash"`
-	Broken []Broken `json:"broken,omitempty"` // by rule
+	Days   int          `json:"days"`
+	Steps  uint64       `json:"steps"`
+	Hash   uint64       `json:"hash"`
+	Broken []BrokenRule `json:"broken,omitempty"` // by rule
 }
 
-// Broken is a rule that days have broken.
-type Broken struct {
+// BrokenRule is a rule that runs have violated.
+type BrokenRule struct {
 	Rule  string   `json:"rule"`
 	Days  int      `json:"days"`
 	Seeds []uint64 `json:"seeds"` // the first few
 }
 
-const mostSeeds = 10
+// maxListedSeeds bounds the seeds that are listed for a rule.
+const maxListedSeeds = 10
 
-// Add adds a day.
-func (t *Tally) Add(seed, steps, hash uint64, findings []Finding) {
+// Add adds the result of a run.
+func (t *Tally) Add(seed, steps, hash uint64, findings []Violation) {
 	t.Days++
 	t.Steps += steps
 	t.Hash = t.Hash*1099511628211 ^ hash
@@ -46,19 +49,19 @@
 		}
 	}
 	for _, rule := range rules {
-		i, known := slices.BinarySearchFunc(t.Broken, rule, func(b Broken, rule string) int { return cmp.Compare(b.Rule, rule) })
+		i, known := slices.BinarySearchFunc(t.Broken, rule, func(b BrokenRule, rule string) int { return cmp.Compare(b.Rule, rule) })
 		if !known {
-			t.Broken = slices.Insert(t.Broken, i, Broken{Rule: rule})
+			t.Broken = slices.Insert(t.Broken, i, BrokenRule{Rule: rule})
 		}
 		b := &t.Broken[i]
-		if b.Days++; len(b.Seeds) < mostSeeds {
+		if b.Days++; len(b.Seeds) < maxListedSeeds {
 			b.Seeds = append(b.Seeds, seed)
 		}
 	}
 }
 
-// Many plays seeds, so many at a time, and calls told with each in order until it says no.
-func Many[R any](first, last uint64, jobs int, play func(seed uint64) R, told func(R) bool) {
+// PlayRange plays the seeds from first to last, up to jobs at a time, and calls report with each result in the order of the seeds until it returns false.
+func PlayRange[R any](first, last uint64, jobs int, play func(seed uint64) R, report func(R) bool) {
 	type slot = chan R
 	slots := make(chan slot, max(jobs, 1))
 	stop := make(chan struct{})
@@ -79,7 +82,7 @@
 		}
 	})
 	for s := range slots {
-		if !told(<-s) {
+		if !report(<-s) {
 			close(stop)
 			break
 		}
