The loopback host of plays in real time: names of the field, a comment at each method

Change: Host, process, packetQueue, packet, Partition and Heal, LimitReading, Lateness; comments state contract and goroutine. No logic changes.

--- a/internal/lab/loopback/conn.go
+++ b/internal/lab/loopback/conn.go
@@ -10,97 +10,104 @@
 )
 
 const (
-	usualBacklog = 1024
-	fillWithin   = 20 * time.Millisecond
-	mostInWay    = 256 << 10 // bytes that are on their way to a program; the socket holds what is beyond
-	stallStep    = 50 * time.Millisecond
-	stallBytes   = 2048
-	// lookS is how much later than another connection's bytes an end may be looked at that came before them. Danger: of
-	// two connections that a peer used one after the other, the one that it ended first could seem to have outlived the
-	// other's beginning.
-	lookS = 0.02
+	listenBacklog    = 1024
+	fillTimeout      = 20 * time.Millisecond
+	maxInFlightBytes = 256 << 10 // bytes that were read and not delivered; the socket holds the rest
+	stallStep        = 50 * time.Millisecond
+	stallBytes       = 2048
+	// endMarginSeconds is subtracted from the time at which the end of a connection was read. Danger: of two connections that a peer used one after the
+	// other, the first could otherwise seem to have ended after the second had begun.
+	endMarginSeconds = 0.02
 )
 
 var (
-	longAgo = time.Unix(1, 0)
-	never   = time.Time{}
+	pastDeadline = time.Unix(1, 0)
+	noDeadline   = time.Time{}
 )
 
-// conn is a connection's end at a machine. What is not marked is for the loop.
+// conn is a machine's end of a connection. Its methods are for the loop unless they say otherwise.
 type conn struct {
-	m       *machine
-	life    *life
-	tcp     *net.TCPConn
-	remote  net.Addr
-	peer    string // the other end's IP
-	context any
-	delay   time.Duration
-	dead    bool
-	wroteAt float64 // when the peer wrote what has come last
-	endAt   float64 // when it ended the connection; 0: not yet
-	in, out *lane
+	m        *machine
+	process  *process
+	tcp      *net.TCPConn
+	remote   net.Addr
+	peer     string // IP of the other end
+	context  any
+	delay    time.Duration
+	isClosed bool
+	wroteAt  float64 // when the newest bytes were read
+	endAt    float64 // when the peer ended the connection; 0: not yet
+	in, out  *packetQueue
 }
 
 func newConn(m *machine, tcp *net.TCPConn, peer netip.AddrPort, context any) *conn {
 	c := &conn{m: m, tcp: tcp, remote: net.TCPAddrFromAddrPort(peer), peer: peer.Addr().Unmap().String(), context: context,
-		in: newLane(), out: newLane()}
+		in: newPacketQueue(), out: newPacketQueue()}
 	if m.g.Delay != nil {
 		c.delay = m.g.Delay(m.IP, c.peer)
 	}
 	return c
 }
 
-// run begins to read and write.
+// run starts reading and writing.
 func (c *conn) run() {
 	go c.read()
 	go c.deliver()
 	go c.send()
 }
 
-// Write, OutboundBuffered, RemoteAddr, LocalAddr, Context and SetContext are the netio.Conn.
-
+// Write sends a copy of the bytes after the delay of the network.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.dead {
+	if c.isClosed {
 		return 0, net.ErrClosed
 	}
-	c.out.put(parcel{data: append([]byte(nil), p...), due: time.Now().Add(c.delay)})
+	c.out.put(packet{data: append([]byte(nil), p...), due: time.Now().Add(c.delay)})
 	return len(p), nil
 }
 
-func (c *conn) OutboundBuffered() int  { return c.out.size() }
-func (c *conn) RemoteAddr() net.Addr   { return c.remote }
-func (c *conn) LocalAddr() net.Addr    { return c.tcp.LocalAddr() }
-func (c *conn) Context() any           { return c.context }
+// OutboundBuffered returns the number of bytes that were not sent yet.
+func (c *conn) OutboundBuffered() int { return c.out.size() }
+
+// RemoteAddr returns the address of the other end.
+func (c *conn) RemoteAddr() net.Addr { return c.remote }
+
+// LocalAddr returns the address of this end.
+func (c *conn) LocalAddr() net.Addr { return c.tcp.LocalAddr() }
+
+// Context returns what SetContext has set.
+func (c *conn) Context() any { return c.context }
+
+// SetContext sets what Context returns.
 func (c *conn) SetContext(context any) { c.context = context }
 
-// PeerWrote returns when the peer wrote what has come last, as the socket tells it, in Unix time; 0: nothing has come.
+// PeerWrote returns the Unix time at which the newest bytes were read from the socket; 0: none were.
 func (c *conn) PeerWrote() float64 { return c.wroteAt }
 
-// PeerEnded returns when the peer ended the connection, in Unix time, and rather too early than too late; 0: not yet.
+// PeerEnded returns the Unix time at which the peer ended the connection, at most endMarginSeconds too early; 0: not yet.
 func (c *conn) PeerEnded() float64 { return c.endAt }
 
-// abort ends the socket with a reset, whatever waits.
-func (c *conn) abort() {
+// reset resets the socket and drops what is not sent.
+func (c *conn) reset() {
 	_ = c.tcp.SetLinger(0)
 	_ = c.tcp.Close() // the connection is given up
 	c.in.close()
 	c.out.close()
 }
 
-// ended tells the program of the end, once.
-func (c *conn) ended(err error) {
-	if c.dead {
+// notifyClosed notifies the program of the end, once.
+func (c *conn) notifyClosed(err error) {
+	if c.isClosed {
 		return
 	}
-	c.dead = true
+	c.isClosed = true
 	delete(c.m.conns, c)
 	c.in.close()
-	if l := c.life; l != nil && l.m.life == l {
+	if l := c.process; l != nil && l.m.life == l {
 		l.host.Closed(c, err)
 	}
 }
 
-// read takes from the socket what there is room for.
+// read reads from the socket, up to maxInFlightBytes ahead of the program. It runs in a goroutine of its own.
 func (c *conn) read() {
 	buf := make([]byte, 64<<10)
 	for {
@@ -110,18 +117,18 @@
 			room = buf[:stallBytes]
 		}
 		n, err := c.tcp.Read(room)
-		p := parcel{at: c.m.g.Now(), due: time.Now().Add(c.delay), err: err}
+		p := packet{at: c.m.g.Now(), due: time.Now().Add(c.delay), err: err}
 		p.data = append(p.data, buf[:n]...)
 		if !c.in.put(p) || err != nil {
 			return
 		}
-		if !c.in.waitBelow(mostInWay) {
+		if !c.in.waitBelow(maxInFlightBytes) {
 			return
 		}
 	}
 }
 
-// deliver hands what has come to the program.
+// deliver hands the bytes to the program in the loop. It runs in a goroutine of its own.
 func (c *conn) deliver() {
 	for {
 		p, ok := c.in.take()
@@ -131,42 +138,42 @@
 		done := make(chan struct{})
 		c.m.g.Post(func() {
 			defer close(done)
-			if l := c.life; c.dead || l == nil || l.m.life != l {
+			if l := c.process; c.isClosed || l == nil || l.m.life != l {
 				return
 			}
 			if p.err != nil {
-				c.endAt = p.at - lookS
+				c.endAt = p.at - endMarginSeconds
 			}
 			if len(p.data) > 0 {
 				c.wroteAt = p.at
-				c.life.host.Traffic(c, p.data)
+				c.process.host.Traffic(c, p.data)
 			}
-			if p.err != nil && !c.dead {
+			if p.err != nil && !c.isClosed {
 				if !errors.Is(p.err, io.EOF) {
-					c.abort()
+					c.reset()
 				}
-				c.life.closedByPeer(c, p.err)
+				c.process.closedByPeer(c, p.err)
 			}
 		})
 		select {
 		case <-done:
-		case <-c.m.g.over:
+		case <-c.m.g.done:
 			return
 		}
-		c.in.taken(len(p.data))
+		c.in.release(len(p.data))
 		if p.err != nil {
 			return
 		}
 	}
 }
 
-// closedByPeer tells of the other side's end. The socket goes once what was written is out.
-func (l *life) closedByPeer(c *conn, err error) {
-	c.out.put(parcel{end: true, due: time.Now().Add(c.delay)})
-	c.ended(err)
+// closedByPeer notifies the program that the peer has ended the connection. The socket is closed once everything was sent.
+func (l *process) closedByPeer(c *conn, err error) {
+	c.out.put(packet{end: true, due: time.Now().Add(c.delay)})
+	c.notifyClosed(err)
 }
 
-// send writes what is due.
+// send writes packets when they are due. It runs in a goroutine of its own.
 func (c *conn) send() {
 	defer func() { _ = c.tcp.Close() }() // the connection is given up
 	for {
@@ -186,38 +193,38 @@
 				return // the reader learns of it, too
 			}
 		}
-		c.out.taken(len(p.data))
+		c.out.release(len(p.data))
 	}
 }
 
-// parcel is what is on its way.
-type parcel struct {
+// packet is bytes, or an end, on their way through the network.
+type packet struct {
 	data []byte
-	err  error   // the end of what is read
+	err  error   // the end of the stream that is read
 	at   float64 // when it was read
 	half bool    // nothing more is written
 	end  bool    // the connection ends
 	due  time.Time
 }
 
-// lane is one direction of a connection, a queue that can be held. It may be used from anywhere.
-type lane struct {
+// packetQueue is one direction of a connection. It can be held, as in a partition. It is safe for concurrent use.
+type packetQueue struct {
 	mu     sync.Mutex
 	change *sync.Cond
-	queue  []parcel
+	queue  []packet
 	bytes  int
 	held   bool
 	closed bool
 }
 
-func newLane() *lane {
-	l := &lane{}
+func newPacketQueue() *packetQueue {
+	l := &packetQueue{}
 	l.change = sync.NewCond(&l.mu)
 	return l
 }
 
-// put adds to the queue; false: the lane is closed.
-func (l *lane) put(p parcel) bool {
+// put adds a packet, and returns false where the queue is closed.
+func (l *packetQueue) put(p packet) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.queue = append(l.queue, p)
@@ -226,8 +233,8 @@
 	return !l.closed
 }
 
-// take waits for the first parcel and for when it is due; false: the lane is closed.
-func (l *lane) take() (parcel, bool) {
+// take returns the first packet once it is due, and false where the queue is closed.
+func (l *packetQueue) take() (packet, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for {
@@ -235,7 +242,7 @@
 			l.change.Wait()
 		}
 		if l.closed {
-			return parcel{}, false
+			return packet{}, false
 		}
 		wait := time.Until(l.queue[0].due)
 		if wait <= 0 {
@@ -249,16 +256,16 @@
 	}
 }
 
-// taken notes that bytes have arrived.
-func (l *lane) taken(n int) {
+// release subtracts bytes that have arrived.
+func (l *packetQueue) release(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.bytes -= n
 	l.change.Broadcast()
 }
 
-// waitBelow waits until fewer bytes are on their way; false: the lane is closed.
-func (l *lane) waitBelow(n int) bool {
+// waitBelow waits until fewer bytes are on their way, and returns false where the queue is closed.
+func (l *packetQueue) waitBelow(n int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.bytes >= n && !l.closed {
@@ -267,20 +274,20 @@
 	return !l.closed
 }
 
-func (l *lane) size() int {
+func (l *packetQueue) size() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.bytes
 }
 
-func (l *lane) hold(on bool) {
+func (l *packetQueue) setHeld(on bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.held = on
 	l.change.Broadcast()
 }
 
-func (l *lane) close() {
+func (l *packetQueue) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
--- a/internal/lab/loopback/ground_test.go
+++ b/internal/lab/loopback/host_test.go
@@ -46,7 +46,7 @@
 // stage is a ground with one machine that echoes.
 type stage struct {
 	*testing.T
-	*Ground
+	*Host
 	echo    *echo
 	lives   atomic.Int64
 	address string
@@ -57,7 +57,7 @@
 func newStage(t *testing.T, delay time.Duration) *stage {
 	l, err := net.Listen("tcp", machineIP+":0")
 	require.NoError(t, err)
-	s := &stage{T: t, Ground: New(), address: l.Addr().String(), echo: &echo{closed: make(chan error, 10)}}
+	s := &stage{T: t, Host: New(), address: l.Addr().String(), echo: &echo{closed: make(chan error, 10)}}
 	l.Close()
 	s.Delay = func(string, string) time.Duration { return delay }
 	require.NoError(t, s.Add(Machine{Name: "box", IP: machineIP, Listen: s.address, Boot: func(n netio.EventLoop) netio.Handler {
@@ -67,7 +67,7 @@
 	}}))
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- s.Ground.Run(ctx) }()
+	go func() { done <- s.Host.Run(ctx) }()
 	t.Cleanup(func() { stop(); assert.NoError(t, <-done) })
 	s.do(func() {})
 	return s
@@ -183,14 +183,14 @@
 			before := s.dial()
 			io.WriteString(before, "a")
 			s.hears(before, "a")
-			s.do(func() { s.Cut(way[0], way[1]) })
+			s.do(func() { s.Partition(way[0], way[1]) })
 			after := s.dial()
 			for _, c := range []net.Conn{before, after} {
 				io.WriteString(c, "b")
 				s.silent(c, 30*time.Millisecond)
 			}
 			assert.Equal(t, name == "from", s.echo.heard.Load() == 3)
-			s.do(func() { s.Mend(way[0], way[1]) })
+			s.do(func() { s.Heal(way[0], way[1]) })
 			s.hears(before, "b")
 			s.hears(after, "b")
 		})
@@ -238,7 +238,7 @@
 // A program that reads slowly has its peer wait.
 func TestStall(t *testing.T) {
 	s := newStage(t, 0)
-	s.Stall("box", 0.5)
+	s.LimitReading("box", 0.5)
 	c := s.dial()
 	began := time.Now()
 	text := string(make([]byte, 5*stallBytes))
@@ -252,7 +252,7 @@
 	s := newStage(t, 0)
 	got := make(chan string, 1)
 	client := &dialer{got: got}
-	require.NoError(t, s.Add(Machine{Name: "app", IP: "127.9.0.2", Late: true, Boot: func(n netio.EventLoop) netio.Handler {
+	require.NoError(t, s.Add(Machine{Name: "app", IP: "127.9.0.2", StartsLater: true, Boot: func(n netio.EventLoop) netio.Handler {
 		client.net = n
 		return client
 	}}))
--- a/internal/lab/loopback/listener.go
+++ b/internal/lab/loopback/listener.go
@@ -11,18 +11,18 @@
 	"golang.org/x/sys/unix"
 )
 
-// listener is a listening socket that can fall silent: new connections then never come up, and are not refused either. One goroutine
-// accepts; the other calls are those of the loop.
+// listener is a listening socket that can be silenced: new connections are then neither accepted nor refused. One goroutine accepts; the other methods
+// are for the loop.
 type listener struct {
 	net.Listener
 	fillers []net.Conn
 	silent  bool          // the accepting goroutine is parked
-	parked  chan struct{} // it says so here
-	resumed chan struct{} // and goes on once it is told to
+	parked  chan struct{} // receives a signal from it then
+	resumed chan struct{} // receives a signal for it to go on
 	closed  chan struct{}
 }
 
-// fillFrom is the address of those that fill queues, and of nobody else.
+// fillFrom is the address of the connections that fill queues, and of no others.
 var fillFrom = netip.MustParseAddr("127.255.0.1")
 
 func listen(address string) (*listener, error) {
@@ -54,8 +54,8 @@
 	}
 }
 
-// backlog sets how many connections may wait to be accepted.
-func (l *listener) backlog(n int) {
+// setBacklog sets the number of connections that may wait to be accepted.
+func (l *listener) setBacklog(n int) {
 	raw, err := l.Listener.(*net.TCPListener).SyscallConn()
 	if err != nil {
 		return
@@ -63,27 +63,27 @@
 	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), n) })
 }
 
-// disappear has the system drop whoever calls: the queue has room for one, which is taken, and nobody accepts. Danger: the
+// silence has the system drop new connections: the queue has room for one, which is filled, and nothing accepts. Danger: the
 // accepting goroutine may stand between its look at the deadline and its call of accept; it would take a connection that fills the
 // queue, and leave room for one that comes later. So the queue is filled once that goroutine has parked.
-func (l *listener) disappear() {
+func (l *listener) silence() {
 	if l.silent {
 		return
 	}
 	l.silent = true
-	l.backlog(0)
-	_ = l.Listener.(*net.TCPListener).SetDeadline(longAgo)
+	l.setBacklog(0)
+	_ = l.Listener.(*net.TCPListener).SetDeadline(pastDeadline)
 	<-l.parked
-	for range 2 { // Linux lets one more wait than it was told
-		dialer := net.Dialer{Timeout: fillWithin, LocalAddr: &net.TCPAddr{IP: fillFrom.AsSlice()}}
+	for range 2 { // Linux lets one more wait than the backlog says
+		dialer := net.Dialer{Timeout: fillTimeout, LocalAddr: &net.TCPAddr{IP: fillFrom.AsSlice()}}
 		if c, err := dialer.Dial("tcp", l.Addr().String()); err == nil {
 			l.fillers = append(l.fillers, c)
 		}
 	}
 }
 
-// appear ends that.
-func (l *listener) appear() {
+// resume ends silence.
+func (l *listener) resume() {
 	if !l.silent {
 		return
 	}
@@ -93,8 +93,8 @@
 		c.Close()
 	}
 	l.fillers = nil
-	l.backlog(usualBacklog)
-	_ = l.Listener.(*net.TCPListener).SetDeadline(never)
+	l.setBacklog(listenBacklog)
+	_ = l.Listener.(*net.TCPListener).SetDeadline(noDeadline)
 	l.resumed <- struct{}{}
 }
 
@@ -106,9 +106,8 @@
 	l.Listener.Close()
 }
 
-// manyPorts leaves the choice of the port until the connection's other end is known. Danger: otherwise ports run out for
-// all targets at once.
-func manyPorts(_, _ string, raw syscall.RawConn) error {
+// bindWithoutPort leaves the choice of the port until the other end of the connection is known. Danger: otherwise ports run out for all targets at once.
+func bindWithoutPort(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1)
 	})
--- a/internal/lab/loopback/listener_test.go
+++ b/internal/lab/loopback/listener_test.go
@@ -43,12 +43,12 @@
 		client, err := net.Dial("tcp", l.Addr().String())
 		require.NoError(t, err)
 		(<-accepted).Close()
-		l.disappear()
+		l.silence()
 		late, err := net.DialTimeout("tcp", l.Addr().String(), comesUpBy)
 		if !assert.Truef(t, os.IsTimeout(err), "%v", err) {
 			late.Close()
 		}
-		l.appear()
+		l.resume()
 		client.Close()
 	}
 }
--- a/internal/lab/loopback/machine.go
+++ b/internal/lab/loopback/machine.go
@@ -14,34 +14,34 @@
 	"hazelwheel/internal/netio"
 )
 
-// machine is a Machine on a ground. All but what its goroutines are told is for the loop.
+// machine is a Machine of a host. Its fields are for the loop, but for share.
 type machine struct {
 	Machine
-	g        *Ground
-	share    atomic.Int64 // of its time that its program reads, in thousandths; 0: it was never told
-	life     *life        // nil: no process
+	g        *Host
+	share    atomic.Int64 // fraction of the time in which its program reads, in thousandths; 0: not limited
+	life     *process     // nil: no process
 	listener *listener
 	conns    map[*conn]struct{}
-	silent   map[*conn]struct{} // of a process that has vanished
+	silent   map[*conn]struct{} // open connections of a process that has vanished
 }
 
-// life is one process.
-type life struct {
-	m     *machine
-	host  netio.Handler
-	alarm *time.Timer
-	asked int // for alarms: the last one counts
+// process is one incarnation of a program. It is the netio.EventLoop of that program.
+type process struct {
+	m      *machine
+	host   netio.Handler
+	alarm  *time.Timer
+	alarms int // that were set: the last one counts
 }
 
-var _ netio.EventLoop = (*life)(nil)
+var _ netio.EventLoop = (*process)(nil)
 
-// begin begins a process, unless there is one.
-func (m *machine) begin() error {
+// start starts a process, unless one is running.
+func (m *machine) start() error {
 	if m.life != nil {
 		return nil
 	}
 	for c := range m.silent {
-		c.abort() // who speaks to the process that was here is told so
+		c.reset() // of the process before: its peers learn that it has gone
 	}
 	m.silent, m.conns = nil, map[*conn]struct{}{}
 	if m.Listen != "" && m.listener == nil {
@@ -51,16 +51,16 @@
 		}
 		go m.accept(m.listener)
 	} else if m.listener != nil {
-		m.listener.appear()
+		m.listener.resume()
 	}
-	l := &life{m: m}
+	l := &process{m: m}
 	m.life = l
 	l.host = m.Boot(l)
 	l.host.Start()
 	return nil
 }
 
-// kill ends the process and its connections.
+// kill ends the process and resets its connections.
 func (m *machine) kill() {
 	m.life = nil
 	if m.listener != nil {
@@ -68,29 +68,29 @@
 		m.listener = nil
 	}
 	for c := range m.conns {
-		c.abort()
+		c.reset()
 	}
 	for c := range m.silent {
-		c.abort()
+		c.reset()
 	}
 	m.conns, m.silent = nil, nil
 }
 
-// vanish ends the process and leaves its connections as they are.
+// vanish ends the process and leaves its connections open.
 func (m *machine) vanish() {
 	m.life = nil
 	m.silent = m.conns
 	m.conns = nil
 	for c := range m.silent {
-		c.in.hold(true)
-		c.out.hold(true)
+		c.in.setHeld(true)
+		c.out.setHeld(true)
 	}
 	if m.listener != nil {
-		m.listener.disappear()
+		m.listener.silence()
 	}
 }
 
-// accept takes connections until the listener is closed.
+// accept accepts connections until the listener is closed. It runs in a goroutine of its own.
 func (m *machine) accept(l *listener) {
 	for {
 		raw, err := l.Accept()
@@ -102,7 +102,7 @@
 			continue
 		}
 		tcp := raw.(*net.TCPConn)
-		peer := m.g.who(tcp)
+		peer := m.g.peerAddress(tcp)
 		if peer.Addr() == fillFrom || !peer.IsValid() {
 			_ = tcp.Close() // the connection is given up
 			continue
@@ -110,7 +110,7 @@
 		m.g.Post(func() {
 			switch c := newConn(m, tcp, peer, nil); {
 			case m.listener != l:
-				c.abort()
+				c.reset()
 			case m.life == nil: // it came up before the machine vanished
 				m.silent[c] = struct{}{}
 			default:
@@ -120,21 +120,21 @@
 	}
 }
 
-// who returns a peer's address.
-func (g *Ground) who(c *net.TCPConn) netip.AddrPort {
+// peerAddress returns the address that a peer counts as having.
+func (g *Host) peerAddress(c *net.TCPConn) netip.AddrPort {
 	peer := c.RemoteAddr().(*net.TCPAddr).AddrPort()
-	if g.Who != nil {
-		return g.Who(peer, c.LocalAddr().(*net.TCPAddr).AddrPort())
+	if g.ResolvePeer != nil {
+		return g.ResolvePeer(peer, c.LocalAddr().(*net.TCPAddr).AddrPort())
 	}
 	return peer
 }
 
-// open hands a connection that is up to the program.
-func (l *life) open(c *conn) {
-	c.life = l
+// open hands a new connection to the program.
+func (l *process) open(c *conn) {
+	c.process = l
 	l.m.conns[c] = struct{}{}
-	c.in.hold(l.m.g.cuts[way{c.peer, l.m.IP}])
-	c.out.hold(l.m.g.cuts[way{l.m.IP, c.peer}])
+	c.in.setHeld(l.m.g.partitioned[direction{c.peer, l.m.IP}])
+	c.out.setHeld(l.m.g.partitioned[direction{l.m.IP, c.peer}])
 	if !l.host.Open(c) {
 		l.Close(c)
 		return
@@ -142,37 +142,39 @@
 	c.run()
 }
 
-// Now, SetAlarm, Post, Dial, Close, CloseWrite, NothingToRead, StopListening and Stop are the process's netio.EventLoop.
+// Now returns the Unix time in seconds.
+func (l *process) Now() float64 { return l.m.g.Now() }
 
-func (l *life) Now() float64 { return l.m.g.Now() }
-
-func (l *life) SetAlarm(at float64) {
-	l.asked++
-	asked := l.asked
+// SetAlarm has the program's Alarm called at a time, in place of the alarm that was set before.
+func (l *process) SetAlarm(at float64) {
+	l.alarms++
+	asked := l.alarms
 	if l.alarm != nil {
 		l.alarm.Stop()
 	}
 	l.alarm = time.AfterFunc(max(l.m.g.until(at), 0), func() {
 		l.Post(func() {
-			if l.asked == asked {
+			if l.alarms == asked {
 				l.host.Alarm()
 			}
 		})
 	})
 }
 
-// Yield, Waited, PauseReading and ResumeReading are for programs under load; those here have a machine to themselves, and
-// nothing they do hangs on them.
+// Yield calls f behind the tasks that are posted already.
+func (l *process) Yield(f func()) { l.Post(f) }
+
+// ReceiveDelaySeconds returns 0: programs here are not under load.
+func (l *process) ReceiveDelaySeconds(netio.Conn) float64 { return 0 }
 
-func (l *life) Yield(f func())                         { l.Post(f) }
-func (l *life) ReceiveDelaySeconds(netio.Conn) float64 { return 0 }
-func (l *life) ResumeReading(netio.Conn)               {}
+// ResumeReading does nothing, as PauseReading.
+func (l *process) ResumeReading(netio.Conn) {}
 
-// PauseReading can't be done here.
-func (l *life) PauseReading(netio.Conn, netio.ClosePolicy) bool { return false }
+// PauseReading returns false: reading can't be paused here.
+func (l *process) PauseReading(netio.Conn, netio.ClosePolicy) bool { return false }
 
-// Post drops what is for a process that has ended.
-func (l *life) Post(f func()) {
+// Post has the loop call f, unless the process has ended by then.
+func (l *process) Post(f func()) {
 	l.m.g.Post(func() {
 		if l.m.life == l {
 			f()
@@ -180,10 +182,11 @@
 	})
 }
 
-func (l *life) Dial(address string, until float64, hostContext any, done func(error)) func() {
+// Dial connects from the machine's address and calls done in the loop.
+func (l *process) Dial(address string, until float64, hostContext any, done func(error)) func() {
 	ctx, cancel := context.WithTimeout(context.Background(), max(l.m.g.until(until), 0))
 	go func() {
-		dialer := net.Dialer{KeepAlive: -1, LocalAddr: &net.TCPAddr{IP: net.ParseIP(l.m.IP)}, Control: manyPorts}
+		dialer := net.Dialer{KeepAlive: -1, LocalAddr: &net.TCPAddr{IP: net.ParseIP(l.m.IP)}, Control: bindWithoutPort}
 		raw, err := dialer.DialContext(ctx, "tcp", address)
 		cancel()
 		l.m.g.Post(func() {
@@ -203,26 +206,27 @@
 	return cancel
 }
 
-// Close ends a connection; what has been written goes out before the end, as it is on its way already.
-func (l *life) Close(nc netio.Conn) {
+// Close ends a connection once everything was sent.
+func (l *process) Close(nc netio.Conn) {
 	c, ok := nc.(*conn)
-	if !ok || c.dead {
+	if !ok || c.isClosed {
 		return
 	}
-	c.out.put(parcel{end: true, due: time.Now().Add(c.delay)})
-	c.ended(nil)
+	c.out.put(packet{end: true, due: time.Now().Add(c.delay)})
+	c.notifyClosed(nil)
 }
 
-func (l *life) CloseWrite(nc netio.Conn) {
+// CloseWrite ends the direction from the program to the peer once everything was sent.
+func (l *process) CloseWrite(nc netio.Conn) {
 	c := nc.(*conn)
-	c.out.put(parcel{half: true, due: time.Now().Add(c.delay)})
+	c.out.put(packet{half: true, due: time.Now().Add(c.delay)})
 }
 
-// AllAcknowledged knows of what has left the program alone.
-func (l *life) AllAcknowledged(nc netio.Conn) bool { return nc.OutboundBuffered() == 0 }
+// AllAcknowledged reports whether everything was handed to the socket; acknowledgements are not looked at.
+func (l *process) AllAcknowledged(nc netio.Conn) bool { return nc.OutboundBuffered() == 0 }
 
-// NothingToRead looks at the socket, and at what is on its way to the program.
-func (l *life) NothingToRead(nc netio.Conn) bool {
+// NothingToRead reports whether nothing waits in the socket or on its way to the program.
+func (l *process) NothingToRead(nc netio.Conn) bool {
 	c := nc.(*conn)
 	if c.in.size() > 0 {
 		return false
@@ -240,12 +244,13 @@
 	return err == nil && quiet
 }
 
-// Listen is for programs that listen at more than the machine's address; none on a ground does.
-func (l *life) Listen(address string) (func(), error) {
-	return nil, fmt.Errorf("listen %s: a machine on a ground has one listener", address)
+// Listen fails: a machine has one listener.
+func (l *process) Listen(address string) (func(), error) {
+	return nil, fmt.Errorf("listen %s: a machine has one listener", address)
 }
 
-func (l *life) StopListening(done func()) {
+// StopListening closes the machine's listener.
+func (l *process) StopListening(done func()) {
 	defer done()
 	if l.m.listener != nil {
 		l.m.listener.close()
@@ -254,4 +259,4 @@
 }
 
 // Stop ends the process.
-func (l *life) Stop() { l.m.kill() }
+func (l *process) Stop() { l.m.kill() }
--- a/internal/lab/realtime/live.go
+++ b/internal/lab/realtime/live.go
@@ -58,7 +58,7 @@
 	World    *environment.Environment
 	Judge    *checker.Checker
 	settings *Settings
-	ground   *loopback.Ground
+	ground   *loopback.Host
 	players  []*environment.FaultInjector
 	sidecars []*sidecar
 	late     float64 // how long after the day's start the last sidecar was up
@@ -99,11 +99,11 @@
 			continue // an application, or who else dials
 		}
 		// Whoever dials begins with the day, when the sidecars are up.
-		if err := p.ground.Add(loopback.Machine{Name: m.Name, IP: m.IP, Listen: m.Listen, Boot: m.Boot, Late: m.StartsLater || m.Listen == ""}); err != nil {
+		if err := p.ground.Add(loopback.Machine{Name: m.Name, IP: m.IP, Listen: m.Listen, Boot: m.Boot, StartsLater: m.StartsLater || m.Listen == ""}); err != nil {
 			return nil, err
 		}
 	}
-	p.ground.Delay, p.ground.Who = p.delay(), p.who()
+	p.ground.Delay, p.ground.ResolvePeer = p.delay(), p.who()
 	if err := p.Trouble(&s.Script); err != nil {
 		return nil, err
 	}
@@ -132,7 +132,7 @@
 func (p *Play) Now() float64 { return p.ground.Now() }
 
 // Late returns how late the loop was at most once the clients had begun, or the sidecars for them, in seconds.
-func (p *Play) Late() float64 { return max(p.late, p.ground.Late()) }
+func (p *Play) Late() float64 { return max(p.late, p.ground.Lateness()) }
 
 // BusyS is how late a loop may be whose play is to be taken for real time.
 const BusyS = 0.1
@@ -149,7 +149,7 @@
 		}
 	}
 	p.ground.At(p.Day.Start, func() {
-		p.ground.WatchLate()
+		p.ground.MeasureLateness()
 		for i := range p.Day.Sidecars[:standing] {
 			p.ground.Return(p.Day.Sidecars[i].IP) // the application beside it
 		}
--- a/internal/lab/realtime/sidecar.go
+++ b/internal/lab/realtime/sidecar.go
@@ -256,11 +256,11 @@
 	}
 }
 
-func (l playedMachines) DropTraffic(from, to string)    { l.p.ground.Cut(from, to) }
-func (l playedMachines) RestoreTraffic(from, to string) { l.p.ground.Mend(from, to) }
+func (l playedMachines) DropTraffic(from, to string)    { l.p.ground.Partition(from, to) }
+func (l playedMachines) RestoreTraffic(from, to string) { l.p.ground.Heal(from, to) }
 func (l playedMachines) ResetConnections(a, b string)   { l.p.ground.Reset(a, b) }
 
 // Stall slows what a sidecar's application reads.
 func (l playedMachines) LimitReading(sidecar int, share float64) {
-	l.p.ground.Stall("app-"+l.p.Day.Sidecars[sidecar].Name, share)
+	l.p.ground.LimitReading("app-"+l.p.Day.Sidecars[sidecar].Name, share)
 }
