The soak takes the time to exit from the process, not from the end of its output

In the logs all processes of the machine are silent from 3 s after SIGTERM on, as after an orderly end, and others log on. Package exec's Wait returns once all output is copied, so the check measured the writing of the log as well. That this was the reason is not shown.

--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 )
 
 // role is what a process of the router fleet does. It is the subcommand that starts it.
@@ -34,8 +35,9 @@
 type fleet struct {
 	settings            *Settings
 	checker             *Checker
-	dir                 string    // for configuration files and disks
-	log                 io.Writer // for the output of all processes
+	dir                 string         // for configuration files and disks
+	log                 io.Writer      // for the output of all processes
+	outputs             sync.WaitGroup // of processes, while they are copied to log
 	basePort            int
 	endpointListAddress string
 	controlMachines     []*machine
@@ -152,11 +154,12 @@
 	return nil
 }
 
-// killAll kills the processes that are still running, and only those that the fleet started.
+// killAll kills the processes that are still running, and only those that the fleet started. It returns once all output is copied.
 func (f *fleet) killAll() {
 	for _, m := range f.machines() {
 		for _, p := range m.processes {
 			p.kill()
 		}
 	}
+	f.outputs.Wait()
 }
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -23,11 +24,13 @@
 	exited        chan struct{} // closed once this incarnation has exited
 	incarnations  int           // started so far
 	startedAt     time.Time
-	stopRequested bool             // it was sent SIGTERM or SIGKILL
-	killRequested bool             // it was sent SIGKILL
-	terminatedAt  time.Time        // when it was sent SIGTERM, or went on after a stop since
-	hungUpEarly   bool             // it was sent SIGHUP before its own code can have run
-	samples       []resourceSample // of this incarnation
+	stopRequested bool      // it was sent SIGTERM or SIGKILL
+	killRequested bool      // it was sent SIGKILL
+	terminatedAt  time.Time // when it was sent SIGTERM, or went on after a stop since
+	// cpuAtTermination is the processor time that it had taken when it was sent SIGTERM first.
+	cpuAtTermination time.Duration
+	hungUpEarly      bool             // it was sent SIGHUP before its own code can have run
+	samples          []resourceSample // of this incarnation
 }
 
 // name is machine/role, as it stands in details of violations.
@@ -49,12 +52,25 @@
 	}
 	cmd := exec.Command(p.fleet.drawBinary(p.role), string(p.role))
 	cmd.Env = []string{"HAZELWHEEL_CONFIG=" + p.machine.configFile, "HOME=" + p.fleet.dir, "PATH=" + os.Getenv("PATH")}
-	cmd.Stdout, cmd.Stderr = p.fleet.log, p.fleet.log
-	if err := cmd.Start(); err != nil {
+	// The output is copied here and not by package exec, whose Wait returns once all of it is copied: how long a process took to exit would then be
+	// how long the log took to be written.
+	output, processEnd, err := os.Pipe()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	cmd.Stdout, cmd.Stderr = processEnd, processEnd
+	err = cmd.Start()
+	_ = processEnd.Close() // the process has its own
+	if err != nil {
+		_ = output.Close() // nothing was written
 		return Error.Wrap(err)
 	}
+	p.fleet.outputs.Go(func() {
+		_, _ = io.Copy(p.fleet.log, output) // what can't be read any more is lost with the process
+		_ = output.Close()                  // read to its end
+	})
 	p.cmd, p.exited, p.startedAt = cmd, make(chan struct{}), time.Now()
-	p.stopRequested, p.killRequested, p.hungUpEarly, p.terminatedAt, p.samples = false, false, false, time.Time{}, nil
+	p.stopRequested, p.killRequested, p.hungUpEarly, p.terminatedAt, p.cpuAtTermination, p.samples = false, false, false, time.Time{}, 0, nil
 	p.incarnations++
 	p.machine.recordIntervention(abrupt)
 	go p.awaitExit(cmd, p.exited)
@@ -76,7 +92,8 @@
 		p.fleet.checker.ReportViolation(NoUnexpectedExit, "%s: %v", p.name(), err)
 	case p.killRequested:
 	case err != nil:
-		p.fleet.checker.ReportViolation(GracefulShutdown, "%s: %v", p.name(), err)
+		p.fleet.checker.ReportViolation(GracefulShutdown, "%s: %v, %v after SIGTERM, which came after %v of processor time", p.name(), err, shutdown,
+			p.cpuAtTermination)
 	case shutdown > durationOfSeconds(graceSeconds)+busyMachineSlack:
 		p.fleet.checker.ReportViolation(GracefulShutdown, "%s took %v", p.name(), shutdown)
 	}
@@ -94,7 +111,7 @@
 	case syscall.SIGTERM:
 		p.machine.recordIntervention(graceful)
 		if p.terminatedAt.IsZero() {
-			p.terminatedAt = time.Now()
+			p.terminatedAt, p.cpuAtTermination = time.Now(), cpuTime(p.cmd.Process.Pid)
 		}
 		p.stopRequested = true
 	case syscall.SIGKILL:
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -152,6 +152,7 @@
 		m.signal(syscall.SIGTERM)
 		m.forEachProcess((*process).awaitShutdown)
 	})
+	r.fleet.outputs.Wait() // a key may show in the last lines
 	r.checker.Finish()
 }
 
