The test of taken descriptors has its clients accepted before the first request

Cause: TestNoDescriptorsLeft waits until an attempt waits for a descriptor. That came only where dials overlapped: beside slow clients, one after the other, 17 connections to the server are open when the 18th client comes, and it is rejected for want of capacity before it asks for one.

Change: all 18 connections are accepted before the first request is written; beside them there is room for 17 to the server, so one waits whatever the pace.

--- a/cmd/hazelwheel/pressure_test.go
+++ b/cmd/hazelwheel/pressure_test.go
@@ -206,6 +206,32 @@
 	assert.Contains(t, err.Error(), "exit status 1")
 }
 
+// acceptBeforeRequests opens so many connections, which the program has accepted when it returns. The client's next requests use them.
+func (w *world) acceptBeforeRequests(connections int) {
+	w.Helper()
+	before, polls := w.counter("accepted"), 0
+	opened := make(chan net.Conn, connections)
+	for range connections {
+		c, err := net.Dial("tcp", w.listen)
+		require.NoError(w, err)
+		w.Cleanup(func() { _ = c.Close() })
+		opened <- c
+	}
+	w.eventually("connections are accepted", func() bool {
+		polls++ // each on a connection of its own
+		return w.counter("accepted") >= before+float64(connections+polls)
+	})
+	var dialer net.Dialer
+	w.client.Transport = &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		select {
+		case c := <-opened:
+			return c, nil
+		default:
+			return dialer.DialContext(ctx, network, address)
+		}
+	}}
+}
+
 // All descriptors are taken while the configuration is read again, the capture is dumped and the process is told to end: what
 // is taken is answered. Executions without a descriptor wait for the links of others.
 func TestNoDescriptorsLeft(t *testing.T) {
@@ -221,8 +247,11 @@
 	w.features = `{"capture":{}}`
 	w.start()
 	// Each wants a link of its own on either side, of 40 in all less a reserve of 3. Who finds no place is closed unread or
-	// told so, and comes again; the last to come may find the process ended.
+	// told so, and comes again; the last to come may find the process ended. All links of clients are accepted before the first
+	// request: beside 18 of them there is room for 17 to the server at most. One after the other, slow clients are rejected
+	// before they ask for the 18th, and no attempt ever waits.
 	answers := make(chan reply, 18)
+	w.acceptBeforeRequests(cap(answers))
 	for range cap(answers) {
 		r := w.request("write", "", "x")
 		go func() {
