A process keeps SIGTERM caught until it has exited

Cause: runRole took the signal with signal.NotifyContext and gave it back to the system when the role had ended. A second SIGTERM in the moment before the exit ended the process by the signal, after a shutdown in order.

Change: terminationContext catches SIGTERM and SIGINT for the rest of the process's life, from before the settings are read.

--- a/cmd/hazelfleet/fleet_test.go
+++ b/cmd/hazelfleet/fleet_test.go
@@ -19,6 +19,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"hazelwheel/internal/nodeconfig"
 )
 
 func TestFleet(t *testing.T) {
@@ -152,8 +154,11 @@
 }
 
 // startWith starts a process, whose name is its role and a number, with a settings file.
-func (f *fleet) startWith(name, settings string) {
-	process := exec.Command(nextBinary(), strings.TrimRight(name, "0123456789"))
+func (f *fleet) startWith(name, settings string) { f.startProgram(nextBinary(), name, settings) }
+
+// startProgram does so with one version's program.
+func (f *fleet) startProgram(program, name, settings string) {
+	process := exec.Command(program, strings.TrimRight(name, "0123456789"))
 	process.Env = append(os.Environ(), "HAZELWHEEL_CONFIG="+settings)
 	process.Stdout, process.Stderr = GinkgoWriter, GinkgoWriter
 	Expect(process.Start()).To(Succeed())
@@ -177,6 +182,15 @@
 	return strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))[0]
 }
 
+// connect reports as an error whether an address accepts no connection.
+func connect(address string) error {
+	connection, err := net.DialTimeout("tcp", address, within)
+	if err != nil {
+		return err
+	}
+	return connection.Close()
+}
+
 // holds reports whether a process votes and has a version on its disk.
 func (f *fleet) holds(i, version int) bool {
 	answer, err := (&http.Client{Timeout: within}).Get(fmt.Sprintf("http://%s:%d/fleet/v1/holdings", ip(controlName(i)), f.base))
@@ -356,6 +370,27 @@
 		}
 	})
 
+	// Who ends a process may tell it more than once, also while it exits.
+	It("ends with status 0 however often it is told to end", func() {
+		f := newFleet()
+		address := fmt.Sprintf("%s:%d", ip("agent"), f.base+int(nodeconfig.AgentPort))
+		settings := f.settings("agent", true)
+		for range 20 {
+			f.startProgram(binary, "agent", settings)
+			Eventually(func() error { return connect(address) }, within, "5ms").Should(Succeed())
+			process := f.running["agent"]
+			delete(f.running, "agent")
+			ended := make(chan error, 1)
+			go func() { ended <- process.Wait() }()
+			end := time.Now().Add(within)
+			for len(ended) == 0 && time.Now().Before(end) {
+				_ = process.Process.Signal(syscall.SIGTERM) // it may have ended
+			}
+			_ = process.Process.Kill()
+			Expect(<-ended).To(Succeed())
+		}
+	})
+
 	It("names the first fault of its settings in one line and ends with 2, the check names all", func() {
 		path := filepath.Join(GinkgoT().TempDir(), "boot.yaml")
 		Expect(os.WriteFile(path, []byte("NodeId: a\nIp: nowhere\n"), 0o600)).To(Succeed())
--- a/cmd/hazelfleet/main.go
+++ b/cmd/hazelfleet/main.go
@@ -80,7 +80,8 @@
 		return exitUsage
 	}
 	logrus.SetLevel(level)
-	// Danger: an uncaught SIGHUP ends the process, also while it still reads its settings.
+	// Danger: an uncaught signal ends the process without a status, also while it still reads its settings.
+	ctx := terminationContext()
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
 	settings, err := nodeconfig.Load(nodeconfig.FilePath())
@@ -98,7 +99,7 @@
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Limits.MemoryMB) * (1 << 20)))
 	}
-	return runRole(line.role, settings, reloadSignals)
+	return runRole(ctx, line.role, settings, reloadSignals)
 }
 
 // parseCommandLine parses the arguments. Where the program is to end at once, after help or a usage error, it prints the text and returns the
--- a/cmd/hazelfleet/roles.go
+++ b/cmd/hazelfleet/roles.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -15,10 +13,8 @@
 	"hazelwheel/internal/proxy"
 )
 
-// runRole runs a role until SIGTERM or SIGINT, and its graceful shutdown after that. It returns the status with which the program ends.
-func runRole(role string, settings *nodeconfig.Settings, reloadSignals <-chan os.Signal) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+// runRole runs a role until the context ends, and its graceful shutdown after that. It returns the status with which the program ends.
+func runRole(ctx context.Context, role string, settings *nodeconfig.Settings, reloadSignals <-chan os.Signal) int {
 	log := logrus.WithField("node", settings.NodeID).WithField("role", role)
 	for _, warning := range settings.Warnings() {
 		log.WithField("warning", warning).Warn("settings warning")
