A round that completes another's value sends that value's bytes alone

Cause: where a change did not apply to a value that one voter alone had accepted, the round had that value accepted first, and sent the bytes of its own change with it. Each voter rejects bytes that don't match the digest, so the round was undecided, and so was each that followed, until the time was over: the operator got 503 after 2.5 s where 412, or 200 for a repeat, was due. Only a read by another process ended that. A test of two operators has shown that picture once (a change that took 2.5 s to 503); that this was its cause is likely, not proved.

Change: the bytes go along only where they are those of the value that is proposed; voters ask for others as they lack them.

--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -203,11 +203,14 @@
 		request := &register.PrepareRequest{To: voter.ID, Ballot: proposal.Ballot}
 		send(func() voterReply { return p.prepare(ctx, voter, request) })
 	}
+	// Danger: the proposal may complete the value of another round, whose configuration is not this one. A voter rejects other bytes than the
+	// value's, in each round that follows too, and the operator would get no answer.
+	hasConfig := register.DigestOf(config) == proposal.Value.ConfigDigest
 	for _, voter := range step.SendAccept {
-		request := &register.AcceptRequest{To: voter.ID, Ballot: proposal.Ballot, Value: proposal.Value, ConfigData: config}
-		if len(config) > maxInlineConfigBytes {
-			// A voter that has the bytes from an earlier round doesn't need them again; one that lacks them replies so.
-			request.ConfigData = nil
+		request := &register.AcceptRequest{To: voter.ID, Ballot: proposal.Ballot, Value: proposal.Value}
+		if hasConfig && len(config) <= maxInlineConfigBytes {
+			// A larger one is sent to the voters that reply that they lack it.
+			request.ConfigData = config
 		}
 		send(func() voterReply { return p.accept(ctx, voter, request) })
 	}
@@ -215,7 +218,7 @@
 		request := &register.AcceptRequest{To: voter.ID, Ballot: proposal.Ballot, Value: proposal.Value}
 		send(func() voterReply {
 			data, err := config, error(nil)
-			if register.DigestOf(data) != request.Value.ConfigDigest {
+			if !hasConfig {
 				data, err = p.configBytes(ctx, request.Value)
 			}
 			if err != nil {
