--- a/cmd/hazelwheel/advice_test.go
+++ b/cmd/hazelwheel/advice_test.go
@@ -10,10 +10,10 @@
 
 // What the checks find is logged, and refuses nothing; each thing is said once, also where the file is read again.
 func TestFindingsAreLoggedOnce(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", says(200, "")))
+	w := newTestSidecar(t, newServer(t, "s-00000001", says(200, "")))
 	w.settings["selfIndex"], w.settings["newer"] = 3, map[string]any{"than": "this"}
 	w.start()
-	w.logs("code=HW077", 1)
+	w.awaitLog("code=HW077", 1)
 	assert.Equal(t, 200, w.ask("read", "", "").status)
 	reload := func(n float64) {
 		w.signal(syscall.SIGHUP)
@@ -22,9 +22,9 @@
 	reload(1)
 	assert.Equal(t, 1, strings.Count(w.log.String(), "code=HW077"))
 	w.settings["selfIndex"], w.limits["memory_mb"] = 4, 256
-	w.config()
+	w.writeConfig()
 	reload(2)
-	w.logs("code=HW077", 2)
+	w.awaitLog("code=HW077", 2)
 	assert.Equal(t, 1, strings.Count(w.log.String(), "code=HW044"))
 	assert.NotContains(t, w.log.String(), "HW013", "notes are for config check")
 }
--- a/cmd/hazelwheel/backend_test.go
+++ b/cmd/hazelwheel/backend_test.go
@@ -18,7 +18,7 @@
 )
 
 // cuts answers with some bytes and resets the connection behind them, after a pause.
-func cuts(text string, after time.Duration) script {
+func cuts(text string, after time.Duration) responder {
 	return func(c *net.TCPConn, a attempt) bool {
 		sends(text)(c, a)
 		time.Sleep(after) // a server's work
@@ -28,7 +28,7 @@
 }
 
 // drips answers with some bytes and goes on with one after the other, for as long as anybody takes them.
-func drips(text string) script {
+func drips(text string) responder {
 	return func(c *net.TCPConn, a attempt) bool {
 		for ok := sends(text)(c, a); ok; ok = sends("x")(c, a) {
 			time.Sleep(10 * time.Millisecond)
@@ -44,7 +44,7 @@
 	long := strings.Repeat("x", 900<<10) // that is held whole
 	for _, c := range []struct {
 		name   string
-		first  script
+		first  responder
 		body   string
 		again  bool // where the class allows it the request is sent once more
 		served bool // the first answer is served
@@ -72,9 +72,9 @@
 			}
 			t.Run(c.name+", "+class, func(t *testing.T) {
 				s := newBackend(t, "s-00000001", onceThen(c.first, sends(message(200, "sound"))))
-				w := newCrossing(t, func(w *world) { // a reset that comes late beside the aim may not be sent again, also on a busy machine
-					w.classes("objectiveS", 40)
-					w.classes("giveUpS", 80)
+				w := newCrossing(t, func(w *testSidecar) { // a reset that comes late beside the aim may not be sent again, also on a busy machine
+					w.setClassField("objectiveS", 40)
+					w.setClassField("giveUpS", 80)
 				}, s)
 				id, conn := newID(), w.dial(0)
 				conn.send(text(class, id, 60*time.Second, c.body))
@@ -119,7 +119,7 @@
 				_, err := conn.answer()
 				require.NoError(t, err)
 				time.Sleep(20 * time.Millisecond) // the connection has settled and would be used again
-				w.hold()
+				w.freeze()
 				ends(s.connections()[0])
 				if name != "answered again" { // it may take the system some time
 					w.eventually("it is over", func() bool { return !s.isIn(t, established) })
@@ -221,7 +221,7 @@
 			if begin == "" {
 				s.set(func(c *net.TCPConn, _ attempt) bool { _, _ = c.Read(make([]byte, 1)); return false })
 			}
-			w := newCrossing(t, func(w *world) { w.classes("objectiveS", 0.5) }, s) // its deadline is long beside what is usual
+			w := newCrossing(t, func(w *testSidecar) { w.setClassField("objectiveS", 0.5) }, s) // its deadline is long beside what is usual
 			id, conn, began := newID(), w.dial(0), time.Now()
 			conn.send(text("write", id, deadline, ""))
 			_ = conn.SetReadDeadline(began.Add(deadline + 6*time.Second))
@@ -286,7 +286,7 @@
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
 	})
-	w := newWorld(t, s).start()
+	w := newTestSidecar(t, s).start()
 	conn := w.dial(0)
 	conn.send(fmt.Sprintf("POST /write HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Timeout: 15000m\r\nContent-Length: %d\r\n\r\n", newID(), 60<<20))
 	_, _ = conn.Write(make([]byte, 2<<20))
--- a/cmd/hazelwheel/capture_test.go
+++ b/cmd/hazelwheel/capture_test.go
@@ -18,8 +18,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// busy returns a world of three servers, of which two fail at times, with a capture.
-func busy(t *testing.T, settings string) *world {
+// busy returns a sidecar with three servers, of which two fail at times, with a capture.
+func busy(t *testing.T, settings string) *testSidecar {
 	var n atomic.Int64
 	odd := func(w http.ResponseWriter, r *http.Request) {
 		switch i := n.Add(1); {
@@ -34,8 +34,8 @@
 		}
 	}
 	servers := []*server{newServer(t, "s-00000001", says(200, "")), newServer(t, "s-00000002", odd), newServer(t, "s-5be2a07c", odd)}
-	w := newWorld(t, servers...)
-	w.limit("probes", true)
+	w := newTestSidecar(t, servers...)
+	w.setLimit("probes", true)
 	w.settings["report"] = map[string]any{"how": "on_probe", "fields": []string{"pending", "cpu_share"}}
 	w.discovery.answers <- list(line(t, 8, true, servers...))
 	w.features = `{"capture":{` + settings + `}}`
@@ -43,12 +43,12 @@
 }
 
 // load sends some requests, several at a time.
-func (w *world) load(requests int) {
+func (w *testSidecar) load(requests int) {
 	var all sync.WaitGroup
 	for range 8 {
 		all.Go(func() {
 			for i := range requests / 8 {
-				w.do(w.request([]string{"read", "write", "alert"}[i%3], "/7", "x"))
+				w.send(w.request([]string{"read", "write", "alert"}[i%3], "/7", "x"))
 			}
 		})
 	}
@@ -56,16 +56,16 @@
 }
 
 // dump has the capture written and returns the log from there on.
-func (w *world) dump() string {
+func (w *testSidecar) dump() string {
 	before := strings.Count(w.log.String(), `"k":"end"}`)
 	w.signal(syscall.SIGUSR1)
-	w.logs(`"k":"end"}`, before+1)
+	w.awaitLog(`"k":"end"}`, before+1)
 	text := w.log.String()
 	return text[strings.LastIndex(text, `"k":"dump"}`)-len(`{"t":1234567890123,`):]
 }
 
-func (w *world) replay(text string) (int, string) {
-	return run(w.T, "capture", "replay", "--in", w.file("capture.log", text))
+func (w *testSidecar) replay(text string) (int, string) {
+	return run(w.T, "capture", "replay", "--in", w.writeFile("capture.log", text))
 }
 
 var summary = regexp.MustCompile(`(\d+) events replayed, (\d+) decisions compared, (\d+) differ; (\d+) lines truncated, (\d+) lines not compared`)
@@ -127,12 +127,12 @@
 // written to its end.
 func TestDumpAtAnyTime(t *testing.T) {
 	let := make(chan struct{})
-	w := newWorld(t, newServer(t, "s-00000001", func(http.ResponseWriter, *http.Request) { <-let }))
-	raw, err := os.ReadFile(w.config())
+	w := newTestSidecar(t, newServer(t, "s-00000001", func(http.ResponseWriter, *http.Request) { <-let }))
+	raw, err := os.ReadFile(w.writeConfig())
 	require.NoError(t, err)
 	require.NoError(t, os.Remove(w.path))
 	require.NoError(t, unix.Mkfifo(w.path, 0o600))
-	w.cmd = program("serve", "--config", w.path, "--features", w.file("features.json", `{"capture":{}}`))
+	w.cmd = program("serve", "--config", w.path, "--features", w.writeFile("features.json", `{"capture":{}}`))
 	w.cmd.Stderr, w.cmd.Stdout = &w.log, &w.out
 	require.NoError(t, w.cmd.Start())
 	t.Cleanup(func() { _ = w.cmd.Process.Kill() })
@@ -142,12 +142,12 @@
 	_, err = f.Write(raw)
 	require.NoError(t, err)
 	require.NoError(t, f.Close())
-	w.logs(`"k":"end"}`, 1)
+	w.awaitLog(`"k":"end"}`, 1)
 
 	last := w.askAside("write", "", "")
 	w.eventually("a request is out", func() bool { return w.counter("executions") == 1 })
 	w.signal(syscall.SIGTERM)
-	w.logs("msg=ending", 1)
+	w.awaitLog("msg=ending", 1)
 	assert.Contains(t, w.dump(), `"do":"send"`)
 	close(let)
 	assert.Equal(t, 200, (<-last).status)
@@ -172,7 +172,7 @@
 	defer r.Close()
 	defer stderr.Close()
 	w := busy(t, "")
-	w.cmd = program("serve", "--config", w.config(), "--features", w.file("features.json", w.features))
+	w.cmd = program("serve", "--config", w.writeConfig(), "--features", w.writeFile("features.json", w.features))
 	w.cmd.Stderr, w.cmd.Stdout = stderr, &w.out
 	require.NoError(t, w.cmd.Start())
 	t.Cleanup(func() { _ = w.cmd.Process.Kill() })
@@ -200,7 +200,7 @@
 
 // Without the file SIGUSR1 does what it always did: nothing.
 func TestNoCapture(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", says(200, ""))).start()
+	w := newTestSidecar(t, newServer(t, "s-00000001", says(200, ""))).start()
 	w.signal(syscall.SIGUSR1)
 	for range 20 {
 		assert.Equal(t, 200, w.ask("read", "", "").status)
--- a/cmd/hazelwheel/config_test.go
+++ b/cmd/hazelwheel/config_test.go
@@ -135,7 +135,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			box := newServer(t, "s-00000001", says(200, "own"))
-			w := newWorld(t, box)
+			w := newTestSidecar(t, box)
 			w.listen = freeAddress(t)
 			dir := t.TempDir()
 			app := filepath.Join(dir, "app.toml")
@@ -170,7 +170,7 @@
 				if class.Effect == "keyed" {
 					r.Header.Set("Idempotency-Key", "5c0f6e1a2b3d4c59")
 				}
-				p := w.do(r)
+				p := w.send(r)
 				require.NoError(t, p.err)
 				assert.Equal(t, []any{200, "own"}, []any{p.status, p.body}, class.Name)
 			}
--- a/cmd/hazelwheel/crossing_test.go
+++ b/cmd/hazelwheel/crossing_test.go
@@ -35,8 +35,8 @@
 	connection     int           // the number of its connection, from 0
 }
 
-// script answers an attempt on its connection, and reports whether the connection goes on.
-type script func(c *net.TCPConn, a attempt) (keep bool)
+// responder answers an attempt on its connection, and reports whether the connection goes on.
+type responder func(c *net.TCPConn, a attempt) (keep bool)
 
 // backend is a server on a plain listener: a test decides on each byte of it, and on how its connections end.
 type backend struct {
@@ -46,13 +46,13 @@
 	fd       int          // of a listener whose connections are not taken yet
 
 	mu       sync.Mutex
-	script   script
+	script   responder
 	attempts []attempt
 	open     []*net.TCPConn // all connections so far
 }
 
 // newBackend returns a backend that takes connections.
-func newBackend(t *testing.T, name string, script script) *backend {
+func newBackend(t *testing.T, name string, script responder) *backend {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	b := &backend{name: name, address: listener.Addr().String(), listener: listener, script: script}
@@ -62,7 +62,7 @@
 }
 
 // newLateBackend returns a backend whose queue of new connections is full: a connection comes up only some time after comeUp.
-func newLateBackend(t *testing.T, name string, script script) *backend {
+func newLateBackend(t *testing.T, name string, script responder) *backend {
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = unix.Close(fd) })
@@ -167,7 +167,7 @@
 	return bytes.Contains(table, fmt.Appendf(nil, " %X:%04X %s ", ip[:], remote.Port(), state))
 }
 
-func (b *backend) set(script script) {
+func (b *backend) set(script responder) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.script = script
@@ -194,7 +194,7 @@
 }
 
 // sends answers with some bytes and keeps the connection.
-func sends(text string) script {
+func sends(text string) responder {
 	return func(c *net.TCPConn, _ attempt) bool {
 		_, err := io.WriteString(c, text)
 		return err == nil
@@ -202,7 +202,7 @@
 }
 
 // sendsWhen does so once a channel is closed.
-func sendsWhen(release <-chan struct{}, text string) script {
+func sendsWhen(release <-chan struct{}, text string) responder {
 	return func(c *net.TCPConn, a attempt) bool {
 		<-release
 		return sends(text)(c, a)
@@ -210,7 +210,7 @@
 }
 
 // onceThen has the first attempt answered by one script and all others by another.
-func onceThen(one, others script) script {
+func onceThen(one, others responder) responder {
 	var once sync.Once
 	return func(c *net.TCPConn, a attempt) bool {
 		do := others
@@ -226,7 +226,7 @@
 }
 
 // dial opens one; receive is the size of its receive buffer, 0: the system's.
-func (w *world) dial(receive int) *client {
+func (w *testSidecar) dial(receive int) *client {
 	w.Helper()
 	dialer := net.Dialer{Timeout: patience}
 	if receive > 0 {
@@ -310,9 +310,9 @@
 	return f()
 }
 
-// newCrossing returns a world of backends whose program runs, where what is not told otherwise takes long.
-func newCrossing(t *testing.T, change func(w *world), backends ...*backend) *world {
-	w := newWorld(t)
+// newCrossing returns a running sidecar with backends, whose time limits are long where the test does not set them.
+func newCrossing(t *testing.T, change func(w *testSidecar), backends ...*backend) *testSidecar {
+	w := newTestSidecar(t)
 	for _, b := range backends {
 		w.known = append(w.known, b.endpoint())
 	}
@@ -322,15 +322,15 @@
 	return w.start()
 }
 
-// classes sets a field of all classes.
-func (w *world) classes(name string, value any) {
+// setClassField sets a field of all setClassField.
+func (w *testSidecar) setClassField(name string, value any) {
 	for _, class := range w.settings["classes"].([]map[string]any) {
 		class[name] = value
 	}
 }
 
-// hold has the program stand still, and returns once it does.
-func (w *world) hold() {
+// freeze has the program stand still, and returns once it does.
+func (w *testSidecar) freeze() {
 	w.Helper()
 	w.signal(syscall.SIGSTOP)
 	w.eventually("it stands still", func() bool {
@@ -339,8 +339,8 @@
 	})
 }
 
-// ended waits for the program's end by itself and returns how long after a time it came.
-func (w *world) ended(since time.Time) time.Duration {
+// awaitExit waits for the program's end by itself and returns how long after a time it came.
+func (w *testSidecar) awaitExit(since time.Time) time.Duration {
 	w.Helper()
 	over := make(chan error, 1)
 	go func() { over <- w.cmd.Wait() }()
@@ -353,8 +353,8 @@
 	return time.Since(since)
 }
 
-// refuses polls until the program takes no more connections.
-func (w *world) refuses() {
+// awaitNoAccept polls until the program takes no more connections.
+func (w *testSidecar) awaitNoAccept() {
 	w.Helper()
 	w.eventually("the listener is closed", func() bool {
 		c, err := net.Dial("tcp4", w.listen)
@@ -365,16 +365,16 @@
 	})
 }
 
-// stalls measures for how long the machine itself stands still: what is late by that much accuses nobody else.
-type stalls struct {
+// stallMeter measures for how long the machine itself stands still: what is late by that much accuses nobody else.
+type stallMeter struct {
 	late atomic.Int64
 	over chan struct{}
 }
 
-// newStalls measures from now on to the end of the test.
-func newStalls(t *testing.T) *stalls {
+// newStallMeter measures from now on to the end of the test.
+func newStallMeter(t *testing.T) *stallMeter {
 	const nap, usual = 5 * time.Millisecond, 10 * time.Millisecond
-	s := &stalls{over: make(chan struct{})}
+	s := &stallMeter{over: make(chan struct{})}
 	t.Cleanup(func() { close(s.over) })
 	go func() {
 		for last := time.Now(); ; {
@@ -394,4 +394,4 @@
 }
 
 // sum is how long the machine has stood still so far.
-func (s *stalls) sum() time.Duration { return time.Duration(s.late.Load()) }
+func (s *stallMeter) sum() time.Duration { return time.Duration(s.late.Load()) }
--- a/cmd/hazelwheel/deadline_test.go
+++ b/cmd/hazelwheel/deadline_test.go
@@ -17,7 +17,7 @@
 const turnsAway = "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
 
 // answersAfter answers so long after it has read an attempt: a server's work.
-func answersAfter(work time.Duration, answer string) script {
+func answersAfter(work time.Duration, answer string) responder {
 	return func(c *net.TCPConn, a attempt) bool {
 		time.Sleep(work)
 		return sends(answer)(c, a)
@@ -32,22 +32,22 @@
 	for _, c := range []struct {
 		name string
 		// wait has a request sent and brings it to its server, and returns its id and how long it has waited by then at least.
-		wait func(w *world, s *backend) (id string, waited time.Duration)
+		wait func(w *testSidecar, s *backend) (id string, waited time.Duration)
 		late bool
 	}{
-		{name: "nothing", wait: func(w *world, s *backend) (string, time.Duration) {
+		{name: "nothing", wait: func(w *testSidecar, s *backend) (string, time.Duration) {
 			id, all := ask("body")
 			w.dial(0).send(all)
 			return id, 0
 		}},
-		{name: "a server that turns away", wait: func(w *world, s *backend) (string, time.Duration) {
+		{name: "a server that turns away", wait: func(w *testSidecar, s *backend) (string, time.Duration) {
 			s.set(onceThen(answersAfter(400*time.Millisecond, turnsAway), sends(message(200, "sound"))))
 			id, all := ask("body")
 			w.dial(0).send(all)
 			w.eventually("the next attempt", func() bool { return len(s.of(id)) == 2 })
 			return id, 400 * time.Millisecond
 		}},
-		{name: "its connection", late: true, wait: func(w *world, s *backend) (string, time.Duration) {
+		{name: "its connection", late: true, wait: func(w *testSidecar, s *backend) (string, time.Duration) {
 			id, all := ask("body")
 			began := time.Now()
 			w.dial(0).send(all)
@@ -56,19 +56,19 @@
 			s.comeUp(w.T) // the kernel tries again after a second
 			return id, waited
 		}},
-		{name: "the program, which stood still", wait: func(w *world, s *backend) (string, time.Duration) {
+		{name: "the program, which stood still", wait: func(w *testSidecar, s *backend) (string, time.Duration) {
 			conn := w.dial(0)
 			conn.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
 			_, err := conn.answer()
 			require.NoError(w, err)
-			w.hold()
+			w.freeze()
 			id, all := ask("body")
 			conn.send(all)
 			time.Sleep(500 * time.Millisecond) // it lies in the socket
 			w.signal(syscall.SIGCONT)
 			return id, 500 * time.Millisecond
 		}},
-		{name: "its own body", wait: func(w *world, s *backend) (string, time.Duration) {
+		{name: "its own body", wait: func(w *testSidecar, s *backend) (string, time.Duration) {
 			id, all := ask(strings.Repeat("x", 60<<10))
 			conn, pieces := w.dial(0), 6
 			for i := range pieces { // its time counts from its last byte
@@ -77,7 +77,7 @@
 			}
 			return id, 0
 		}},
-		{name: "its own long body", wait: func(w *world, s *backend) (string, time.Duration) {
+		{name: "its own long body", wait: func(w *testSidecar, s *backend) (string, time.Duration) {
 			id, all := ask(strings.Repeat("x", 3<<20)) // it is sent on while it comes
 			conn := w.dial(0)
 			conn.send(all[:2<<20])
@@ -133,7 +133,7 @@
 // A short deadline is kept: an answer comes, no attempt is begun after it, and none tells its server more time than there is.
 func TestShortDeadlines(t *testing.T) {
 	for _, timeout := range []time.Duration{50 * time.Millisecond, 120 * time.Millisecond, 280 * time.Millisecond} {
-		for name, answers := range map[string]script{
+		for name, answers := range map[string]responder{
 			"hangs":                   func(c *net.TCPConn, _ attempt) bool { _, _ = c.Read(make([]byte, 1)); return false },
 			"turns away":              sends(turnsAway),
 			"turns away near its end": answersAfter(timeout*9/10, turnsAway),
@@ -141,11 +141,11 @@
 			"answers late":            answersAfter(2*timeout, message(200, "late")),
 		} {
 			t.Run(fmt.Sprint(timeout, ", server ", name), func(t *testing.T) {
-				still := newStalls(t)
+				still := newStallMeter(t)
 				s := newBackend(t, "s-00000001", answers)
-				w := newCrossing(t, func(w *world) {
-					w.classes("objectiveS", timeout.Seconds()*0.8)
-					w.classes("giveUpS", timeout.Seconds())
+				w := newCrossing(t, func(w *testSidecar) {
+					w.setClassField("objectiveS", timeout.Seconds()*0.8)
+					w.setClassField("giveUpS", timeout.Seconds())
 				}, s)
 				for _, class := range []string{"read", "alert", "write"} {
 					id, conn, began := newID(), w.dial(0), time.Now()
@@ -172,10 +172,10 @@
 // is decided then, nor one that was decided before and whose connection comes up then.
 func TestWindowForRepeats(t *testing.T) {
 	const window = 600 * time.Millisecond
-	setWindow := func(w *world) {
-		w.classes("objectiveS", 8)
-		w.classes("giveUpS", 16)
-		w.classes("windowS", window.Seconds())
+	setWindow := func(w *testSidecar) {
+		w.setClassField("objectiveS", 8)
+		w.setClassField("giveUpS", 16)
+		w.setClassField("windowS", window.Seconds())
 	}
 	t.Run("an error after it", func(t *testing.T) {
 		s := newBackend(t, "s-00000001", onceThen(answersAfter(window, message(500, "")), sends(message(200, "sound"))))
@@ -189,9 +189,9 @@
 	})
 	t.Run("an error before it", func(t *testing.T) {
 		s := newBackend(t, "s-00000001", onceThen(sends(message(500, "")), sends(message(200, "sound"))))
-		w := newCrossing(t, func(w *world) {
+		w := newCrossing(t, func(w *testSidecar) {
 			setWindow(w)
-			w.classes("windowS", 5)
+			w.setClassField("windowS", 5)
 		}, s)
 		id, conn := newID(), w.dial(0)
 		conn.send(text("alert", id, 12*time.Second, ""))
@@ -241,7 +241,7 @@
 	for i := range 6 {              // whether the connection or the end of the time is seen first is not settled
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			s := newLateBackend(t, "s-00000001", sends(message(200, "sound")))
-			w := newCrossing(t, func(w *world) { w.classes("objectiveS", 3) }, s)
+			w := newCrossing(t, func(w *testSidecar) { w.setClassField("objectiveS", 3) }, s)
 			var id string
 			var conn *client
 			var began time.Time
@@ -252,7 +252,7 @@
 				conn.send(text("write", id, timeout, ""))
 				began = time.Now()
 				w.eventually("the dial", func() bool { return s.isIn(t, synSent) })
-				w.hold()
+				w.freeze()
 				if held = s.isIn(t, synSent) && time.Since(began) < timeout/2; !held {
 					w.signal(syscall.SIGCONT)
 					_, err := conn.answer()
@@ -280,9 +280,9 @@
 		sends("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")(c, a)
 		return false
 	})
-	w := newCrossing(t, func(w *world) {
-		w.classes("objectiveS", 0.045)
-		w.classes("giveUpS", timeout.Seconds())
+	w := newCrossing(t, func(w *testSidecar) {
+		w.setClassField("objectiveS", 0.045)
+		w.setClassField("giveUpS", timeout.Seconds())
 	}, s)
 	over, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
--- a/cmd/hazelwheel/drill_test.go
+++ b/cmd/hazelwheel/drill_test.go
@@ -20,8 +20,8 @@
 
 const drillSecret = " a secret\twith \x01 odd bytes "
 
-// withDrills names a file of features with some drills.
-func (w *world) withDrills(drills string) *world {
+// withFaults names a file of features with some drills.
+func (w *testSidecar) withFaults(drills string) *testSidecar {
 	w.features = fmt.Sprintf(`{"drills":[%s],"drills.secret_sha256":"%x"}`, drills, sha256.Sum256([]byte(drillSecret)))
 	return w
 }
@@ -39,19 +39,19 @@
 	return code, string(out)
 }
 
-// file writes a file of the test's own.
-func (w *world) file(name, text string) string {
+// writeFile writes a writeFile of the test's own.
+func (w *testSidecar) writeFile(name, text string) string {
 	path := filepath.Join(w.TempDir(), name)
 	require.NoError(w, os.WriteFile(path, []byte(text), 0o600))
 	return path
 }
 
-func (w *world) drill(name, secret string) (int, string) {
-	return run(w.T, "drill", "start", "--config", w.path, "--name", name, "--secret-file", w.file("secret", secret))
+func (w *testSidecar) controlFault(name, secret string) (int, string) {
+	return run(w.T, "drill", "start", "--config", w.path, "--name", name, "--secret-file", w.writeFile("secret", secret))
 }
 
-// drillHits returns how many requests the first drill has touched.
-func (w *world) drillHits() float64 {
+// faultHits returns how many requests the first drill has touched.
+func (w *testSidecar) faultHits() float64 {
 	return w.counters()["hazelwheel_drill_hits"].([]any)[0].(map[string]any)["hits"].(float64)
 }
 
@@ -59,12 +59,12 @@
 // deviations away: chance alone does not break them once in a hundred million runs.
 func TestDrillDelaysItsShare(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, ""))
-	w := newWorld(t, s).withDrills(`{"name":"lag1","class":"read","share":10,"delay_ms":400}`).start()
+	w := newTestSidecar(t, s).withFaults(`{"name":"lag1","class":"read","share":10,"delay_ms":400}`).start()
 	for range 20 {
 		assert.Equal(t, 200, w.ask("read", "", "").status)
 	}
-	assert.Zero(t, w.drillHits(), "a drill runs when it is started")
-	code, text := w.drill("lag1", drillSecret+"\n")
+	assert.Zero(t, w.faultHits(), "a drill runs when it is started")
+	code, text := w.controlFault("lag1", drillSecret+"\n")
 	require.Zero(t, code, text)
 
 	var mu sync.Mutex
@@ -74,7 +74,7 @@
 		all.Go(func() {
 			for range 50 {
 				r := w.request("read", "", "")
-				p := w.do(r)
+				p := w.send(r)
 				assert.NoError(t, p.err)
 				assert.Equal(t, 200, p.status)
 				mu.Lock()
@@ -84,7 +84,7 @@
 		})
 	}
 	all.Wait()
-	w.logs("drill=lag1 request_id=", int(w.drillHits()))
+	w.awaitLog("drill=lag1 request_id=", int(w.faultHits()))
 	log := w.log.String()
 	for id, d := range took {
 		if strings.Contains(log, "drill=lag1 request_id="+id+"\n") {
@@ -93,36 +93,36 @@
 		}
 	}
 	assert.InDelta(t, 100, slow, 60)
-	assert.EqualValues(t, slow, w.drillHits())
+	assert.EqualValues(t, slow, w.faultHits())
 	assert.NotContains(t, log, "secret\\twith")
 	for range 5 {
 		assert.Equal(t, 200, w.ask("write", "", "").status, "other classes are left alone")
 	}
-	assert.EqualValues(t, slow, w.drillHits())
+	assert.EqualValues(t, slow, w.faultHits())
 }
 
 // Who does not know the secret starts nothing, and is told nothing; the sidecar's log tells of the attempt.
 func TestDrillIsRefused(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", says(200, ""))).withDrills(`{"name":"a","class":"read","share":100,"abort":"503"}`).start()
+	w := newTestSidecar(t, newServer(t, "s-00000001", says(200, ""))).withFaults(`{"name":"a","class":"read","share":100,"abort":"503"}`).start()
 	for _, c := range []struct {
 		name, secret, says string
 	}{{"a", "wrong", "wrong secret"}, {"a", drillSecret + "\n\n", "wrong secret"}, {"b", "wrong", "wrong secret"},
 		{"b", drillSecret, "no such drill"}, {"../counters", drillSecret, "404"}} {
-		code, text := w.drill(c.name, c.secret)
+		code, text := w.controlFault(c.name, c.secret)
 		assert.Equal(t, 2, code, text)
 		assert.Contains(t, text, c.says)
 		assert.Equal(t, 1, strings.Count(text, "\n"), text)
 	}
-	w.logs(`msg="drill refused" error="wrong secret"`, 3)
+	w.awaitLog(`msg="drill refused" error="wrong secret"`, 3)
 	assert.Equal(t, 200, w.ask("read", "", "").status)
 
-	code, text := w.drill("a", drillSecret)
+	code, text := w.controlFault("a", drillSecret)
 	require.Zero(t, code, text)
 	p := w.ask("read", "", "")
 	assert.Equal(t, 503, p.status)
 	assert.NotEmpty(t, p.header.Get("Retry-After"))
 	assert.EqualValues(t, 1, w.counter("throttled"))
-	assert.EqualValues(t, 1, w.drillHits())
+	assert.EqualValues(t, 1, w.faultHits())
 
 	w.signal(syscall.SIGTERM)
 	w.eventually("the end", func() bool {
@@ -132,20 +132,20 @@
 		}
 		return err != nil
 	})
-	code, text = w.drill("a", drillSecret)
+	code, text = w.controlFault("a", drillSecret)
 	assert.Equal(t, 1, code, text)
 }
 
 // Without a hash there is no such path, whatever drills the file holds.
 func TestNoDrillWithoutHash(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", says(200, "")))
+	w := newTestSidecar(t, newServer(t, "s-00000001", says(200, "")))
 	w.features = `{"drills":[{"name":"a","class":"read","share":100,"abort":"503"}]}`
 	w.start()
 	for _, path := range []string{"drills/a", "nothing"} {
-		status, _, _ := w.speak("POST /" + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		status, _, _ := w.writeRaw("POST /" + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
 		assert.Equal(t, 404, status)
 	}
-	code, text := w.drill("a", "")
+	code, text := w.controlFault("a", "")
 	assert.Equal(t, 2, code, text)
 	assert.Equal(t, 200, w.ask("read", "", "").status)
 }
@@ -154,14 +154,14 @@
 // has its answer, and the decisions keep a part of its time.
 func TestDelayedRequestsAreOpen(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, ""))
-	w := newWorld(t, s).withDrills(`{"name":"a","class":"read","share":100,"delay_ms":60000},
+	w := newTestSidecar(t, s).withFaults(`{"name":"a","class":"read","share":100,"delay_ms":60000},
 		{"name":"b","class":"write","share":100,"delay_ms":600}`)
 	read := w.settings["classes"].([]map[string]any)[0]
 	read["objectiveS"] = 0.5 // what is left must do for a send
 	read["giveUpS"] = 60
 	w.start()
 	for _, name := range []string{"a", "b"} {
-		code, text := w.drill(name, drillSecret)
+		code, text := w.controlFault(name, drillSecret)
 		require.Zero(t, code, text)
 	}
 	c, err := net.Dial("tcp", w.listen)
@@ -184,19 +184,19 @@
 	w.signal(syscall.SIGTERM)
 	assert.Equal(t, 200, (<-last).status)
 	require.NoError(t, w.cmd.Wait())
-	assert.Equal(t, 2, s.got(), "what was abandoned was never sent")
+	assert.Equal(t, 2, s.requestCount(), "what was abandoned was never sent")
 }
 
 // A read that is delayed beyond its aim is slow, not refused: what is left of its time must not be taken for that of a
 // client's later try, whose aim has passed.
 func TestDelayBeyondTheAim(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", says(200, ""))).withDrills(`{"name":"a","class":"read","share":100,"delay_ms":900}`)
+	w := newTestSidecar(t, newServer(t, "s-00000001", says(200, ""))).withFaults(`{"name":"a","class":"read","share":100,"delay_ms":900}`)
 	w.settings["classes"].([]map[string]any)[0]["objectiveS"] = 0.6
 	w.start()
 	for range 5 { // how long clients wait is learned
 		w.ask("read", "", "")
 	}
-	code, text := w.drill("a", drillSecret)
+	code, text := w.controlFault("a", drillSecret)
 	require.Zero(t, code, text)
 	p := w.ask("read", "", "")
 	assert.Equal(t, 200, p.status)
@@ -205,16 +205,16 @@
 
 // A file at fault ends the program before it begins, with one line that names the field.
 func TestFeaturesAtFault(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", says(200, "")))
-	path := w.file("features.json", `{"drills":[{"name":"a","class":"read","shares":1}]}`)
+	w := newTestSidecar(t, newServer(t, "s-00000001", says(200, "")))
+	path := w.writeFile("features.json", `{"drills":[{"name":"a","class":"read","shares":1}]}`)
 	for _, command := range []string{"serve", "check"} {
-		code, text := run(t, command, "--config", w.config(), "--features", path)
+		code, text := run(t, command, "--config", w.writeConfig(), "--features", path)
 		assert.Equal(t, 2, code)
 		assert.True(t, strings.HasSuffix("\n"+text, "\nhazelwheel: features: drills[0].shares: unknown field\n"), text)
 		assert.Equal(t, command == "check", strings.Contains(text, "HW011"), "serve says what it ends by, check all that it finds")
 	}
-	path = w.file("features.json", `{"drills":[{"name":"a","class":"read"}],"rewrites.forwarded":true,"health.port":9000,"capture":{}}`)
-	code, text := run(t, "check", "--config", w.config(), "--features", path)
+	path = w.writeFile("features.json", `{"drills":[{"name":"a","class":"read"}],"rewrites.forwarded":true,"health.port":9000,"capture":{}}`)
+	code, text := run(t, "check", "--config", w.writeConfig(), "--features", path)
 	assert.Zero(t, code, text)
 	assert.Contains(t, text, "features: rewrites (0 rules), health (port 9000), capture (524288 bytes in 4 segments)\n",
 		"drills without a secret are off")
--- a/cmd/hazelwheel/fleet_test.go
+++ b/cmd/hazelwheel/fleet_test.go
@@ -14,7 +14,7 @@
 
 // Where many sidecars run, a process has TCP and UDP over IPv4 and nothing else.
 func TestNoUnixSockets(t *testing.T) {
-	w := newWorld(t, newServer(t, "a", says(200, "ok"))).start()
+	w := newTestSidecar(t, newServer(t, "a", says(200, "ok"))).start()
 	require.Equal(t, 200, w.ask("read", "/read/1", "").status)
 	raw, err := os.ReadFile("/proc/net/unix")
 	require.NoError(t, err)
@@ -43,13 +43,13 @@
 	for _, known := range []string{`{"index":0,"snapshot":true,"endpoints":[]}`, `{}`, ``} {
 		t.Run(known, func(t *testing.T) {
 			a := newServer(t, "a", says(200, "ok"))
-			w := newWorld(t)
+			w := newTestSidecar(t)
 			w.settings["replicasOfMe"], w.settings["selfIndex"] = 0, 700
 			w.discovery.answers <- func(d watch) {
 				d.write(line(t, 8, true, a))
 				<-d.done
 			}
-			path := w.config()
+			path := w.writeConfig()
 			raw, err := os.ReadFile(path)
 			require.NoError(t, err)
 			var c map[string]json.RawMessage
@@ -62,9 +62,9 @@
 			require.NoError(t, os.WriteFile(path, raw, 0o600))
 			w.launch("serve", "--config", path)
 			w.eventually("served", func() bool { return w.ask("read", "/read/1", "").status == 200 })
-			w.logs("settings.replicasOfMe: missing, or out of range:", 1)
-			w.logs("beginning without a list", 1)
-			w.logs("by the sidecar's name", 1)
+			w.awaitLog("settings.replicasOfMe: missing, or out of range:", 1)
+			w.awaitLog("beginning without a list", 1)
+			w.awaitLog("by the sidecar's name", 1)
 		})
 	}
 }
--- a/cmd/hazelwheel/fleetcases_test.go
+++ b/cmd/hazelwheel/fleetcases_test.go
@@ -23,7 +23,7 @@
 	"hazelwheel/internal/peers/frames"
 )
 
-func names(all []*mate) (n []string) {
+func names(all []*fleetMember) (n []string) {
 	for _, m := range all {
 		n = append(n, m.name)
 	}
@@ -31,7 +31,7 @@
 }
 
 // deaths returns how many deaths all of them have declared.
-func (c *crew) deaths(all ...*mate) (n uint64) {
+func (c *testFleet) deaths(all ...*fleetMember) (n uint64) {
 	c.Helper()
 	for _, m := range all {
 		s, ok := m.seen()
@@ -41,14 +41,14 @@
 	return n
 }
 
-func (m *mate) id() string {
+func (m *fleetMember) id() string {
 	s, _ := m.seen()
 	return s.ID
 }
 
 // Seven are cut four to three: each side counts itself, and both serve; mended, they are one again. Then for a moment only.
 func TestFleetIsCut(t *testing.T) {
-	c := newCrew(t, 7).start()
+	c := newTestFleet(t, 7).start()
 	c.ready(c.all...)
 	stop := c.serveAll()
 	c.agree(c.all...)
@@ -76,7 +76,7 @@
 
 // All links go at ten bytes a second, less than beats take: somebody is suspected, all serve, and once it is over all agree.
 func TestFleetOverSlowLinks(t *testing.T) {
-	c := newCrew(t, 5).start()
+	c := newTestFleet(t, 5).start()
 	c.ready(c.all...)
 	stop := c.serveAll()
 	c.agree(c.all...)
@@ -97,7 +97,7 @@
 	t.Parallel() // else all other tests wait until its last case is over
 	for name, deaf := range map[string]int{"one way": 1, "two of seven": 2} {
 		t.Run(name, func(t *testing.T) {
-			c := newCrew(t, 7).start()
+			c := newTestFleet(t, 7).start()
 			c.ready(c.all...)
 			c.agree(c.all...)
 			stop := c.serveAll()
@@ -123,10 +123,10 @@
 
 // watched returns a member that so many others watch at least, and these. Who watches whom goes by identities, which are drawn at the
 // start: of seven a given two are no neighbours on any ring in a fifth of all cases.
-func (c *crew) watched(atLeast int) (by *mate, watchers []*mate) {
+func (c *testFleet) watched(atLeast int) (by *fleetMember, watchers []*fleetMember) {
 	c.Helper()
 	c.poll(fmt.Sprintf("one is watched by %d", atLeast), func() bool {
-		of := map[string][]*mate{}
+		of := map[string][]*fleetMember{}
 		for _, m := range c.all {
 			s, ok := m.seen()
 			if !ok {
@@ -154,7 +154,7 @@
 	t.Parallel() // else all other tests wait until its last case is over
 	for _, stall := range []time.Duration{time.Second, 5 * time.Second, 30 * time.Second} {
 		t.Run(stall.String(), func(t *testing.T) {
-			c := newCrew(t, 5).start()
+			c := newTestFleet(t, 5).start()
 			c.ready(c.all...)
 			c.agree(c.all...)
 			stop, still, others := c.serveAll(), c.all[2], c.all[:2]
@@ -166,7 +166,7 @@
 				t.Logf("held for dead after %v", c.view(others, others))
 			}
 			time.Sleep(stall - time.Since(began)) // the trouble itself; what follows from it is polled
-			still.thaw()
+			still.resume()
 			t.Logf("back after %v", c.agree(c.all...))
 			after, _ := still.seen()
 			assert.Equal(t, before.ID, after.ID)
@@ -184,7 +184,7 @@
 
 // A copied folder: two processes claim one identity. Both serve, the one that is not as far takes another, and both count.
 func TestFleetTellsACopyApart(t *testing.T) {
-	c := newCrew(t, 3).start()
+	c := newTestFleet(t, 3).start()
 	c.ready(c.all...)
 	c.agree(c.all...)
 	was := c.all[2].id()
@@ -207,7 +207,7 @@
 		return strings.Contains(c.all[2].log.String()+twin.log.String(), "goes on under another identity")
 	})
 	// What was drawn anew is kept: after a restart all are who they are.
-	for _, m := range []*mate{c.all[2], twin} {
+	for _, m := range []*fleetMember{c.all[2], twin} {
 		id := m.id()
 		m.kill()
 		c.ready(m.start())
@@ -220,7 +220,7 @@
 // All are killed and begin again within a second; of the addresses to join by one alone lives. And some that find nobody
 // serve alone until they meet.
 func TestFleetBeginsAgain(t *testing.T) {
-	c := newCrew(t, 6)
+	c := newTestFleet(t, 6)
 	for _, m := range c.all { // two of the three never live
 		m.join = []string{freeAddress(t), freeAddress(t), c.all[0].advertise}
 	}
@@ -246,7 +246,7 @@
 	}
 	stop()
 
-	lonely := newCrewIn(t, 3)
+	lonely := newTestFleetIn(t, 3)
 	for _, m := range lonely.all {
 		m.join = []string{lonely.all[2].advertise}
 	}
@@ -269,7 +269,7 @@
 // What is on disk is lost, torn, of a later version, or can't be written: the process serves and is a new one; with its state
 // it is the same.
 func TestFleetState(t *testing.T) {
-	c := newCrew(t, 4).start()
+	c := newTestFleet(t, 4).start()
 	c.ready(c.all...)
 	c.agree(c.all...)
 	stop, m := c.serveAll(), c.all[3]
@@ -332,7 +332,7 @@
 
 // A fleet of five grows to thirty and shrinks to three, under load. Ranks are dense each time.
 func TestFleetGrowsAndShrinks(t *testing.T) {
-	c := newCrew(t, 30)
+	c := newTestFleet(t, 30)
 	for _, m := range c.all {
 		m.gone.Store(true)
 	}
@@ -366,7 +366,7 @@
 
 // What a capture holds of a sidecar whose place in its fleet changes replays without a difference.
 func TestFleetInACapture(t *testing.T) {
-	c := newCrew(t, 4)
+	c := newTestFleet(t, 4)
 	c.replica = 2 // the settings are wrong; what counts is who is there
 	for _, m := range c.all {
 		m.capture = true
@@ -375,7 +375,7 @@
 	c.agree(c.all...)
 	c.placed(c.all...)
 	m := c.all[0]
-	w := &world{T: t, listen: m.listen}
+	w := &testSidecar{T: t, listen: m.listen}
 	w.client.Timeout = patience
 	w.load(80)
 	m.signal(syscall.SIGUSR1)
@@ -390,7 +390,7 @@
 
 // A process takes the place of another with its socket: it keeps the identity, and never do the two count as two.
 func TestFleetReplacement(t *testing.T) {
-	c := newCrew(t, 4)
+	c := newTestFleet(t, 4)
 	m := c.all[3]
 	l, err := net.Listen("tcp", m.listen)
 	require.NoError(t, err)
@@ -442,7 +442,7 @@
 
 // A peer says what it likes. It is told apart, the others go on, and nobody's memory grows without a bound.
 func TestFleetBearsALiar(t *testing.T) {
-	c := newCrew(t, 3).start()
+	c := newTestFleet(t, 3).start()
 	c.ready(c.all...)
 	c.agree(c.all...)
 	stop, victim := c.serveAll(), c.all[0]
--- a/cmd/hazelwheel/flow_test.go
+++ b/cmd/hazelwheel/flow_test.go
@@ -59,7 +59,7 @@
 // Bodies and answers of 32 MB come whole, in every form, many at a time, in a process that could not hold two of them.
 func TestLargeMessages(t *testing.T) {
 	body := bytes.Repeat([]byte("0123456789abcdef\n"), large/17)
-	w := newWorld(t, newFlowServer(t, body))
+	w := newTestSidecar(t, newFlowServer(t, body))
 	w.limits["memory_mb"] = 64
 	w.start()
 	var all sync.WaitGroup
@@ -67,7 +67,7 @@
 		all.Go(func() {
 			switch way := []string{"length", "chunks", "end", "up", "up in chunks", "up"}[i%6]; way {
 			case "length", "chunks", "end":
-				p := w.do(w.request("read", "?way="+way, ""))
+				p := w.send(w.request("read", "?way="+way, ""))
 				require.NoError(t, p.err, way)
 				assert.Equal(t, sum(body), sum([]byte(p.body)), way)
 			default:
@@ -76,7 +76,7 @@
 				if way == "up in chunks" {
 					r.ContentLength = -1
 				}
-				p := w.do(r)
+				p := w.send(r)
 				require.NoError(t, p.err, way)
 				assert.Equal(t, fmt.Sprint(len(body), " ", sum(body)), p.body, way)
 			}
@@ -108,12 +108,12 @@
 // A client that does not read holds up its own answer and nobody else's, and gets all of it once it reads.
 func TestSlowReaderOfALargeAnswer(t *testing.T) {
 	body := bytes.Repeat([]byte("x"), large)
-	w := newWorld(t, newFlowServer(t, body)).start()
+	w := newTestSidecar(t, newFlowServer(t, body)).start()
 	c, err := net.Dial("tcp", w.listen)
 	require.NoError(t, err)
 	defer c.Close()
 	fmt.Fprint(c, "GET /read?way=length HTTP/1.1\r\nHost: h\r\nRequest-Id: slow\r\n\r\n")
-	w.eventually("the answer has begun", func() bool { return w.ends("execution_ends", "ok") == 1 })
+	w.eventually("the answer has begun", func() bool { return w.countOfOutcome("execution_ends", "ok") == 1 })
 	for range 100 {
 		assert.Equal(t, 200, w.ask("read", "", "").status)
 	}
@@ -131,10 +131,10 @@
 	for _, head := range []string{"Content-Length: 1000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nF4240\r\n"} {
 		t.Run(head[:7], func(t *testing.T) {
 			s := newServer(t, "s-00000001", breaks("HTTP/1.1 200 OK\r\n"+head+strings.Repeat("x", 300_000)))
-			w := newWorld(t, s).start()
-			p := w.do(w.request("read", "", ""))
+			w := newTestSidecar(t, s).start()
+			p := w.send(w.request("read", "", ""))
 			assert.ErrorIs(t, p.err, io.ErrUnexpectedEOF)
-			assert.Equal(t, 1, s.got())
+			assert.Equal(t, 1, s.requestCount())
 			w.eventually("failed", func() bool { return w.counter("failed") == 1 && w.counter("open") == 0 })
 			assert.Zero(t, w.counter("served"))
 		})
@@ -143,7 +143,7 @@
 
 // A client that leaves in the middle of an answer costs the server's link and nothing more.
 func TestClientLeavesALargeAnswer(t *testing.T) {
-	w := newWorld(t, newFlowServer(t, bytes.Repeat([]byte("x"), large))).start()
+	w := newTestSidecar(t, newFlowServer(t, bytes.Repeat([]byte("x"), large))).start()
 	c, err := net.Dial("tcp", w.listen)
 	require.NoError(t, err)
 	fmt.Fprint(c, "GET /read?way=length HTTP/1.1\r\nHost: h\r\nRequest-Id: gone\r\n\r\n")
@@ -166,12 +166,12 @@
 		c, _, _ := w.(http.Hijacker).Hijack()
 		c.Close()
 	})
-	w := newWorld(t, broken).start()
+	w := newTestSidecar(t, broken).start()
 	for _, class := range []string{"write", "alert"} {
 		heads.Store(0)
 		r := w.request(class, "", "")
 		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, large))), large
-		p := w.do(r)
+		p := w.send(r)
 		if p.err == nil { // else the answer was cut off by the client's own sending
 			assert.Equal(t, 503, p.status, class)
 		}
@@ -184,10 +184,10 @@
 // A body that is held whole goes to another server where the first has died on it.
 func TestHeldBodyIsSentAgain(t *testing.T) {
 	s := newServer(t, "s-00000001", says(503, "", "Not-Started", "1"))
-	w := newWorld(t, s).start()
+	w := newTestSidecar(t, s).start()
 	body := strings.Repeat("x", 300_000)
 	asked := w.askAside("write", "", body)
-	w.eventually("turned away", func() bool { return s.got() > 0 })
+	w.eventually("turned away", func() bool { return s.requestCount() > 0 })
 	s.set(says(200, "done"))
 	assert.Equal(t, "done", (<-asked).body)
 	for _, got := range s.requests {
@@ -198,7 +198,7 @@
 // A body may take as long as it brings something; one that brings next to nothing is ended.
 func TestSlowUpload(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, "done"))
-	w := newWorld(t, s).start()
+	w := newTestSidecar(t, s).start()
 	send := func(pieces int, pause time.Duration) (status int) {
 		c, err := net.Dial("tcp", w.listen)
 		require.NoError(t, err)
--- a/cmd/hazelwheel/gone_test.go
+++ b/cmd/hazelwheel/gone_test.go
@@ -29,7 +29,7 @@
 	for _, c := range []struct {
 		name string
 		// begin has a client's request wait and returns the backend for it, and what ends the cause of the wait.
-		begin    func(t *testing.T, departs func(w *world, conn *client)) (w *world, s *backend, id string)
+		begin    func(t *testing.T, departs func(w *testSidecar, conn *client)) (w *testSidecar, s *backend, id string)
 		attempts int // that are in order
 	}{
 		{"no server is listed", goneWhileUnlisted, 0},
@@ -39,7 +39,7 @@
 	} {
 		for how, depart := range departures {
 			t.Run(c.name+", client "+how, func(t *testing.T) {
-				w, s, id := c.begin(t, func(w *world, conn *client) { depart(conn) })
+				w, s, id := c.begin(t, func(w *testSidecar, conn *client) { depart(conn) })
 				next, other := newID(), w.dial(0)
 				other.send(text("read", next, 15*time.Second, "")) // of another class: what was turned away says nothing about it
 				a, err := other.answer()
@@ -55,15 +55,15 @@
 }
 
 // seen waits until the program has noticed that a client has gone. One that is not noticed soon is left to the test's other checks.
-func seen(w *world) {
+func seen(w *testSidecar) {
 	within(2*time.Second, func() bool { return w.counter("abandoned") == 1 })
 }
 
-func goneWhileUnlisted(t *testing.T, departs func(*world, *client)) (*world, *backend, string) {
+func goneWhileUnlisted(t *testing.T, departs func(*testSidecar, *client)) (*testSidecar, *backend, string) {
 	s, listed := newBackend(t, "s-00000001", sends(message(200, "sound"))), make(chan struct{})
-	w := newCrossing(t, func(w *world) {
-		w.classes("objectiveS", 40) // a request is held for 4.8 s before it is looked at again
-		w.classes("giveUpS", 40)
+	w := newCrossing(t, func(w *testSidecar) {
+		w.setClassField("objectiveS", 40) // a request is held for 4.8 s before it is looked at again
+		w.setClassField("giveUpS", 40)
 		w.discovery.tellOnce(8, listed, func() string { return listOf(t, 8, s.endpoint()) })
 	})
 	id, conn := newID(), w.dial(0)
@@ -77,7 +77,7 @@
 	return w, s, id
 }
 
-func goneWhileConnecting(t *testing.T, departs func(*world, *client)) (*world, *backend, string) {
+func goneWhileConnecting(t *testing.T, departs func(*testSidecar, *client)) (*testSidecar, *backend, string) {
 	s := newLateBackend(t, "s-00000001", sends(message(200, "sound")))
 	w := newCrossing(t, nil, s)
 	id, conn := newID(), w.dial(0)
@@ -90,21 +90,21 @@
 }
 
 // goneBetweenAttempts has the first attempt turned away, and a pause before the next.
-func goneBetweenAttempts(t *testing.T, departs func(*world, *client)) (*world, *backend, string) {
+func goneBetweenAttempts(t *testing.T, departs func(*testSidecar, *client)) (*testSidecar, *backend, string) {
 	turnedAway := make(chan struct{})
 	refuse := func(c *net.TCPConn, _ attempt) bool {
 		close(turnedAway)
 		return sends("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")(c, attempt{})
 	}
 	s := newBackend(t, "s-00000001", onceThen(refuse, sends(message(200, "sound"))))
-	w := newCrossing(t, func(w *world) {
-		w.classes("objectiveS", 40) // it is looked at again after 4.8 s
-		w.classes("giveUpS", 40)
+	w := newCrossing(t, func(w *testSidecar) {
+		w.setClassField("objectiveS", 40) // it is looked at again after 4.8 s
+		w.setClassField("giveUpS", 40)
 	}, s)
 	id, conn := newID(), w.dial(0)
 	conn.send(text("write", id, 35*time.Second, "body"))
 	<-turnedAway
-	w.eventually("it waits", func() bool { return w.ends("execution_ends", "rejected") == 1 })
+	w.eventually("it waits", func() bool { return w.countOfOutcome("execution_ends", "rejected") == 1 })
 	departs(w, conn)
 	seen(w)
 	w.eventually("it is over", func() bool { return w.counter("open") == 0 })
@@ -112,14 +112,14 @@
 }
 
 // goneBeforeTheLook has the request and the end both in the socket when the program looks at it.
-func goneBeforeTheLook(t *testing.T, departs func(*world, *client)) (*world, *backend, string) {
+func goneBeforeTheLook(t *testing.T, departs func(*testSidecar, *client)) (*testSidecar, *backend, string) {
 	s := newBackend(t, "s-00000001", sends(message(200, "sound")))
 	w := newCrossing(t, nil, s)
 	id, conn := newID(), w.dial(0)
 	conn.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
 	_, err := conn.answer()
 	require.NoError(t, err)
-	w.hold()
+	w.freeze()
 	conn.send(text("write", id, 8*time.Second, "body"))
 	departs(w, conn)
 	time.Sleep(200 * time.Millisecond) // from 0.1 s on after the end no attempt may begin
@@ -132,7 +132,7 @@
 	const clients, atMost = 100, 100 * time.Millisecond
 	s := newBackend(t, "s-00000001", sends(message(200, "sound")))
 	w := newCrossing(t, nil, s)
-	still, closed := newStalls(t), map[string]time.Time{}
+	still, closed := newStallMeter(t), map[string]time.Time{}
 	for i := range clients {
 		id, conn := newID(), w.dial(0)
 		conn.send(text("write", id, 8*time.Second, "body"))
--- a/cmd/hazelwheel/health_test.go
+++ b/cmd/hazelwheel/health_test.go
@@ -33,7 +33,7 @@
 	return c
 }
 
-func (w *world) withHealth(more string) string {
+func (w *testSidecar) withHealth(more string) string {
 	address := freeAddress(w.T)
 	_, port, err := net.SplitHostPort(address)
 	require.NoError(w, err)
@@ -44,7 +44,7 @@
 // Discovery that says nothing new but is there keeps the list young; once it has stopped, ready turns 503.
 func TestReadyFollowsDiscovery(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, ""))
-	w := newWorld(t)
+	w := newTestSidecar(t)
 	address := w.withHealth(`,"health.max_list_age_ms":1500`)
 	w.start()
 	<-w.discovery.calls
@@ -93,7 +93,7 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 	})
-	w := newWorld(t, s)
+	w := newTestSidecar(t, s)
 	address := w.withHealth(`,"health":{"max_inflight":0}`)
 	w.start()
 	w.eventually("ready", func() bool { return side(t, address, "/ready").status == 200 })
@@ -112,11 +112,11 @@
 
 // A port that is taken is a fault to be told, not a sidecar without its side port.
 func TestSidePortTaken(t *testing.T) {
-	w := newWorld(t)
+	w := newTestSidecar(t)
 	taken := httptest.NewServer(nil)
 	t.Cleanup(taken.Close)
-	path := w.file("features.json", fmt.Sprintf(`{"health":{"port":%d}}`, taken.Listener.Addr().(*net.TCPAddr).Port))
-	code, text := run(t, "serve", "--config", w.config(), "--features", path)
+	path := w.writeFile("features.json", fmt.Sprintf(`{"health":{"port":%d}}`, taken.Listener.Addr().(*net.TCPAddr).Port))
+	code, text := run(t, "serve", "--config", w.writeConfig(), "--features", path)
 	assert.Equal(t, 1, code)
 	assert.Contains(t, text, "health.port")
 }
--- a/cmd/hazelwheel/hostile_test.go
+++ b/cmd/hazelwheel/hostile_test.go
@@ -15,7 +15,7 @@
 // server: at once or in pieces, on a new link or on one that has carried a request.
 func TestSmuggling(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, ""))
-	w := newWorld(t, s).start()
+	w := newTestSidecar(t, s).start()
 	const (
 		first  = "GET /read HTTP/1.1\r\nHost: h\r\nRequest-Id: first\r\n\r\n"
 		hidden = "POST /write HTTP/1.1\r\nHost: h\r\nRequest-Id: hidden\r\nContent-Length: 1\r\n\r\nx"
@@ -35,8 +35,8 @@
 	} {
 		text := "POST /write HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\n" + head + "\r\n0\r\n\r\n" + hidden
 		for _, kept := range []bool{false, true} {
-			before, piece := s.got(), len(text)
-			_, c, r := w.speak("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+			before, piece := s.requestCount(), len(text)
+			_, c, r := w.writeRaw("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
 			if kept {
 				io.WriteString(c, first)
 				answer, err := http.ReadResponse(r, nil)
@@ -54,7 +54,7 @@
 			assert.Contains(t, []int{400, 413, 501}, answer.StatusCode, name)
 			_, err = io.Copy(io.Discard, r)
 			assert.NoError(t, err, name)
-			assert.Equal(t, before, s.got(), name)
+			assert.Equal(t, before, s.requestCount(), name)
 			c.Close()
 		}
 	}
@@ -78,7 +78,7 @@
 					io.WriteString(c, text)
 				}
 			})
-			w := newWorld(t, s)
+			w := newTestSidecar(t, s)
 			w.start()
 			assert.Equal(t, "first", w.ask("write", "", "").body)
 			if name != "interim before" {
@@ -102,11 +102,11 @@
 					_, err = io.WriteString(c, strings.Repeat(text, 100))
 				}
 			})
-			w := newWorld(t, s).start()
+			w := newTestSidecar(t, s).start()
 			p := w.ask("write", "", "")
 			assert.Equal(t, 502, p.status)
 			assert.Less(t, p.took, 4*time.Second, "long before the deadline")
-			assert.Equal(t, 1, s.got())
+			assert.Equal(t, 1, s.requestCount())
 		})
 	}
 }
--- a/cmd/hazelwheel/hosts_test.go
+++ b/cmd/hazelwheel/hosts_test.go
@@ -16,7 +16,7 @@
 // A watch that fails is begun again, goes on from the list that is held, and its lines may be cut anywhere.
 func TestWatch(t *testing.T) {
 	first, second := newServer(t, "s-00000001", says(200, "1")), newServer(t, "s-00000002", says(200, "2"))
-	w := newWorld(t, first)
+	w := newTestSidecar(t, first)
 	w.discovery.answers <- func(d watch) { d.WriteHeader(503) }
 	w.discovery.answers <- func(d watch) {
 		text := line(t, 9, true, second)
@@ -32,13 +32,13 @@
 	assert.EqualValues(t, 3, w.counter("list_failed"))
 	assert.EqualValues(t, 1, w.counter("lists"))
 	assert.Equal(t, "2", w.ask("read", "", "").body, "the server that the whole list no longer has is gone")
-	assert.Zero(t, first.got())
+	assert.Zero(t, first.requestCount())
 }
 
 // A watch that says nothing, not even its empty lines, has failed. What it misses counts as told 6 s after it fell silent, so the
 // next call comes well before.
 func TestWatchFallsSilent(t *testing.T) {
-	w := newWorld(t)
+	w := newTestSidecar(t)
 	w.discovery.answers <- func(d watch) {
 		d.write("\n")
 		<-d.done
@@ -54,7 +54,7 @@
 
 // A watch whose first object comes byte by byte is never silent and never up; it is opened anew all the same.
 func TestWatchThatDrips(t *testing.T) {
-	w := newWorld(t)
+	w := newTestSidecar(t)
 	w.discovery.answers <- func(d watch) {
 		d.write("{")
 		for {
@@ -78,7 +78,7 @@
 // After each call that fails, in whatever way, the next one comes soon enough for its answer to be there within 6 s of when
 // discovery can be reached again.
 func TestFailedCallsAreRepeatedSoon(t *testing.T) {
-	w := newWorld(t)
+	w := newTestSidecar(t)
 	fails := []func(watch){
 		func(d watch) { d.WriteHeader(503) },
 		func(watch) { panic(http.ErrAbortHandler) },
@@ -103,7 +103,7 @@
 // still be sent requests.
 func TestPushedListsAreWatchedAgainAtOnce(t *testing.T) {
 	leaves, stays := newServer(t, "s-00000001", says(200, "")), newServer(t, "s-00000002", says(200, ""))
-	w := newWorld(t, leaves, stays)
+	w := newTestSidecar(t, leaves, stays)
 	w.settings["discovery"] = "pushed"
 	leaves.status = "DRAINING"
 	for range 3 {
@@ -121,11 +121,11 @@
 		assert.Less(t, time.Since(last), 700*time.Millisecond)
 	}
 	w.eventually("the list", func() bool { return w.counter("lists") == 1 })
-	before := leaves.got()
+	before := leaves.requestCount()
 	for range 20 {
 		assert.Equal(t, 200, w.ask("read", "", "").status)
 	}
-	assert.Equal(t, before, leaves.got())
+	assert.Equal(t, before, leaves.requestCount())
 }
 
 // Lists may be indented, come in pieces and follow each other on one line; a whole list may be the answer's end.
@@ -136,7 +136,7 @@
 		require.NoError(t, json.Indent(&out, []byte(line(t, index, snapshot, servers...)), "", "  "))
 		return out.String()
 	}
-	w := newWorld(t, first)
+	w := newTestSidecar(t, first)
 	w.discovery.answers <- func(d watch) {
 		for _, b := range []byte(indented(8, true, second)) {
 			d.write(string(b))
@@ -159,7 +159,7 @@
 // What is no list ends its watch, is logged once however often it comes, and leaves the present list in use.
 func TestMalformedLists(t *testing.T) {
 	first := newServer(t, "s-00000001", says(200, "1"))
-	w := newWorld(t, first)
+	w := newTestSidecar(t, first)
 	for _, text := range []string{"[]", `{"index":"x"}`, `{"index":9,"snapshot":true}`, `{"index":9,"snapshot":true}`, `{"index":9,"endpoints":[{"name":1}]}`} {
 		w.discovery.answers <- func(d watch) {
 			d.write("\n" + text + "\n")
@@ -177,19 +177,19 @@
 
 func TestDrainingServerGetsNothingNew(t *testing.T) {
 	leaves, stays := newServer(t, "s-00000001", says(200, "")), newServer(t, "s-00000002", says(200, ""))
-	w := newWorld(t, leaves, stays)
+	w := newTestSidecar(t, leaves, stays)
 	drains := make(chan struct{})
 	w.discovery.tellOnce(8, drains, func() string { return line(t, 8, false, leaves) })
 	w.start()
-	w.eventually("both serve", func() bool { w.ask("read", "", ""); return leaves.got() > 0 && stays.got() > 0 })
+	w.eventually("both serve", func() bool { w.ask("read", "", ""); return leaves.requestCount() > 0 && stays.requestCount() > 0 })
 	leaves.status = "DRAINING"
 	close(drains)
 	w.eventually("the list", func() bool { return w.counter("lists") == 1 })
-	before := leaves.got()
+	before := leaves.requestCount()
 	for range 30 {
 		assert.Equal(t, 200, w.ask("read", "", "").status)
 	}
-	assert.Equal(t, before, leaves.got())
+	assert.Equal(t, before, leaves.requestCount())
 	w.eventually("its idle links are closed", func() bool { _, opened, closed := leaves.counts(); return opened == closed })
 }
 
@@ -202,13 +202,13 @@
 				paths <- r.URL.Path
 				says(200, "inflight=1,queue=,odd,util=NaN\n")(w, r)
 			})
-			w := newWorld(t, s, newServer(t, "s-00000002", hangs))
-			w.limit("probes", true)
+			w := newTestSidecar(t, s, newServer(t, "s-00000002", hangs))
+			w.setLimit("probes", true)
 			w.settings["report"] = map[string]any{"how": how, "fields": []string{"busy_reqs", "pending"}}
 			w.start()
 			assert.Equal(t, path, <-paths)
-			w.eventually("a probe in vain", func() bool { return w.ends("probe_ends", "timed_out") > 0 })
-			assert.Positive(t, w.ends("probe_ends", "ok"))
+			w.eventually("a probe in vain", func() bool { return w.countOfOutcome("probe_ends", "timed_out") > 0 })
+			assert.Positive(t, w.countOfOutcome("probe_ends", "ok"))
 			assert.Zero(t, w.counter("panics"))
 		})
 	}
@@ -221,13 +221,13 @@
 		time.Sleep(300 * time.Millisecond)
 		w.WriteHeader(503)
 	})
-	w := newWorld(t, full, slow)
-	w.limit("probes", true)
+	w := newTestSidecar(t, full, slow)
+	w.setLimit("probes", true)
 	w.start()
 	w.eventually("an end of each kind", func() bool {
-		return w.ends("probe_ends", "rejected") > 0 && w.ends("probe_ends", "timed_out") > 0
+		return w.countOfOutcome("probe_ends", "rejected") > 0 && w.countOfOutcome("probe_ends", "timed_out") > 0
 	})
-	assert.Zero(t, w.ends("probe_ends", "host_error"))
+	assert.Zero(t, w.countOfOutcome("probe_ends", "host_error"))
 }
 
 // A probe whose link breaks is begun again on a new one: it asks after the server, not the link.
@@ -237,38 +237,38 @@
 		s.set(says(200, ""))
 		breaks("")(w, r)
 	})
-	w := newWorld(t, s)
-	w.limit("probes", true)
+	w := newTestSidecar(t, s)
+	w.setLimit("probes", true)
 	w.start()
-	w.eventually("its answer", func() bool { return w.ends("probe_ends", "ok") > 0 })
-	assert.Zero(t, w.ends("probe_ends", "reset"))
+	w.eventually("its answer", func() bool { return w.countOfOutcome("probe_ends", "ok") > 0 })
+	assert.Zero(t, w.countOfOutcome("probe_ends", "reset"))
 }
 
 // A probe whose answer can't be read has found its server alive, and says nothing of its load.
 func TestSpoiltProbes(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", breaks("\x00\x01noise")))
-	w.limit("probes", true)
+	w := newTestSidecar(t, newServer(t, "s-00000001", breaks("\x00\x01noise")))
+	w.setLimit("probes", true)
 	w.settings["report"] = map[string]any{"how": "on_probe", "fields": []string{"pending"}}
 	w.start()
-	w.eventually("a probe", func() bool { return w.ends("probe_ends", "ok") > 0 })
-	assert.Zero(t, w.ends("probe_ends", "host_error")+w.ends("probe_ends", "reset"))
+	w.eventually("a probe", func() bool { return w.countOfOutcome("probe_ends", "ok") > 0 })
+	assert.Zero(t, w.countOfOutcome("probe_ends", "host_error")+w.countOfOutcome("probe_ends", "reset"))
 }
 
 func TestCommands(t *testing.T) {
-	w := newWorld(t)
-	raw, err := program("check", "--config", w.config()).CombinedOutput()
+	w := newTestSidecar(t)
+	raw, err := program("check", "--config", w.writeConfig()).CombinedOutput()
 	assert.NoError(t, err)
 	assert.Contains(t, string(raw), "3 classes")
 	w.limits["sockets"] = 3
 	for _, command := range []string{"check", "serve"} {
-		cmd := program(command, "--config", w.config())
+		cmd := program(command, "--config", w.writeConfig())
 		var line strings.Builder
 		cmd.Stderr = &line
 		assert.Error(t, cmd.Run())
 		assert.Equal(t, "hazelwheel: limits.sockets: missing, or out of range\n", line.String())
 	}
 	w.limits["sockets"] = 100
-	path := w.config()
+	path := w.writeConfig()
 	text, err := os.ReadFile(path)
 	assert.NoError(t, err)
 	assert.NoError(t, os.WriteFile(path, []byte(strings.Replace(string(text), `"index":7`, `"index":"x"`, 1)), 0o600))
--- a/cmd/hazelwheel/jobs_test.go
+++ b/cmd/hazelwheel/jobs_test.go
@@ -20,8 +20,8 @@
 	"hazelwheel/internal/coordination"
 )
 
-// registry is discovery for many sidecars: it counts versions, tells changes since one, and says an empty line every 2 s.
-type registry struct {
+// discoveryRegistry is discovery for many sidecars: it counts versions, tells changes since one, and says an empty line every 2 s.
+type discoveryRegistry struct {
 	*httptest.Server
 	mu      sync.Mutex
 	index   int
@@ -36,15 +36,15 @@
 // first is a version before which nothing was told. Configurations hold an earlier one.
 const first = 40
 
-func newRegistry(t *testing.T) *registry {
-	r := &registry{index: first, odd: -1, down: make(chan struct{}), changed: make(chan struct{})}
+func newDiscoveryRegistry(t *testing.T) *discoveryRegistry {
+	r := &discoveryRegistry{index: first, odd: -1, down: make(chan struct{}), changed: make(chan struct{})}
 	r.Server = httptest.NewServer(http.HandlerFunc(r.serve))
 	t.Cleanup(r.CloseClientConnections)
 	return r
 }
 
 // publish makes a version of which one entry is new.
-func (r *registry) publish(e endpoint, split bool) (index uint64) {
+func (r *discoveryRegistry) publish(e endpoint, split bool) (index uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.index++
@@ -57,7 +57,7 @@
 }
 
 // fail ends all watches and answers 503 until it is called with false.
-func (r *registry) fail(on bool) {
+func (r *discoveryRegistry) fail(on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if on {
@@ -67,13 +67,13 @@
 	}
 }
 
-func (r *registry) state() (watches, calls int) {
+func (r *discoveryRegistry) state() (watches, calls int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return len(r.live), r.calls
 }
 
-func (r *registry) serve(w http.ResponseWriter, q *http.Request) {
+func (r *discoveryRegistry) serve(w http.ResponseWriter, q *http.Request) {
 	r.mu.Lock()
 	down, number := r.down, r.calls
 	r.calls++
@@ -125,7 +125,7 @@
 	}
 }
 
-func (r *registry) count(number int, up bool) {
+func (r *discoveryRegistry) count(number int, up bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.live = slices.DeleteFunc(r.live, func(n int) bool { return n == number }); up {
@@ -134,16 +134,16 @@
 }
 
 // newListeners returns sidecars that do the job list, and serve.
-func newListeners(t *testing.T) (c *crew, stop func()) {
+func newListeners(t *testing.T) (c *testFleet, stop func()) {
 	c = newOwners(t, 5, 5)
-	c.jobs, c.registry = []string{"list"}, newRegistry(t)
+	c.jobs, c.registry = []string{"list"}, newDiscoveryRegistry(t)
 	c.registry.publish(c.server.endpoint(), false)
 	c.start().ready(c.all...)
 	c.fed("at the start", c.all...)
 	return c, c.serveAll()
 }
 
-func (m *mate) lists() (l coordination.ListStats) {
+func (m *fleetMember) lists() (l coordination.ListStats) {
 	if s, ok := m.owners(); ok && s.Lists != nil {
 		l = *s.Lists
 	}
@@ -151,7 +151,7 @@
 }
 
 // fed waits until three of some own the job's parts and hold the only watches, and all go by what is passed on.
-func (c *crew) fed(what string, some ...*mate) (owners []*mate) {
+func (c *testFleet) fed(what string, some ...*fleetMember) (owners []*fleetMember) {
 	c.Helper()
 	began := time.Now()
 	c.poll("three watch "+what, func() bool {
@@ -177,11 +177,11 @@
 }
 
 // know waits until all of them hold a version, and says how long that took at the slowest.
-func (c *crew) know(index uint64, some ...*mate) time.Duration {
+func (c *testFleet) know(index uint64, some ...*fleetMember) time.Duration {
 	c.Helper()
 	began := time.Now()
 	c.poll(fmt.Sprintf("all hold version %d", index), func() bool {
-		return !slices.ContainsFunc(some, func(m *mate) bool { return m.lists().Index < index })
+		return !slices.ContainsFunc(some, func(m *fleetMember) bool { return m.lists().Index < index })
 	})
 	return time.Since(began)
 }
@@ -228,7 +228,7 @@
 	c, stop := newListeners(t)
 	c.registry.fail(true)
 	c.poll("nobody is fed", func() bool {
-		return !slices.ContainsFunc(c.all, func(m *mate) bool { return m.lists().Relayed })
+		return !slices.ContainsFunc(c.all, func(m *fleetMember) bool { return m.lists().Relayed })
 	})
 	index := c.registry.publish(c.server.endpoint(), false)
 	c.registry.fail(false)
@@ -251,7 +251,7 @@
 			c.registry.publish(c.server.endpoint(), true)
 			again = time.Now().Add(3 * time.Second)
 		}
-		return slices.ContainsFunc(c.all, func(m *mate) bool { return m.lists().Mismatches > 0 })
+		return slices.ContainsFunc(c.all, func(m *fleetMember) bool { return m.lists().Mismatches > 0 })
 	})
 	c.poll("discovery is asked", func() bool { _, calls := c.registry.state(); return calls > before })
 	c.know(c.registry.publish(c.server.endpoint(), false), c.all...)
@@ -264,7 +264,7 @@
 	c := newOwners(t, 5, 5)
 	c.jobs = []string{"drill"}
 	c.start().ready(c.all...)
-	owner := func(some ...*mate) (found *mate) {
+	owner := func(some ...*fleetMember) (found *fleetMember) {
 		c.poll("one owns the drills", func() bool {
 			for _, m := range some {
 				s, _ := m.owners()
@@ -288,9 +288,9 @@
 	out, code := start(drillSecret)
 	require.Zero(t, code, out)
 	began := time.Now()
-	drills := func(m *mate) []coordination.FaultStatus { s, _ := m.owners(); return s.Faults }
+	drills := func(m *fleetMember) []coordination.FaultStatus { s, _ := m.owners(); return s.Faults }
 	c.poll("it runs at all", func() bool {
-		return !slices.ContainsFunc(c.all, func(m *mate) bool {
+		return !slices.ContainsFunc(c.all, func(m *fleetMember) bool {
 			d := drills(m)
 			return len(d) != 1 || d[0].RemainingSeconds == 0 || !d[0].Announced
 		})
@@ -304,7 +304,7 @@
 	assert.LessOrEqual(t, late.RemainingSeconds, 6-time.Since(began).Seconds()+1, "it is the rest")
 	owner(c.all...)
 	c.poll("it has ended at all", func() bool {
-		return !slices.ContainsFunc(c.all, func(m *mate) bool { d := drills(m); return len(d) != 1 || d[0].RemainingSeconds > 0 })
+		return !slices.ContainsFunc(c.all, func(m *fleetMember) bool { d := drills(m); return len(d) != 1 || d[0].RemainingSeconds > 0 })
 	})
 	t.Logf("it has ended at all after %v", time.Since(began))
 	for _, m := range c.all {
--- a/cmd/hazelwheel/maintenancesubmit_test.go
+++ b/cmd/hazelwheel/maintenancesubmit_test.go
@@ -69,7 +69,7 @@
 // What each command submits to the admin endpoint, what it prints, and the status with which it ends.
 func TestMaintenanceCommandLines(t *testing.T) {
 	t.Parallel()
-	c := &crew{T: t}
+	c := &testFleet{T: t}
 	plan := filepath.Join(t.TempDir(), "plan.toml")
 	require.NoError(t, os.WriteFile(plan, []byte("name = 'n'\nboxes = ['s-00000001']\ntakes = '1s'\nat_once = 1\nkeep = 0.5\n"), 0o600))
 	bad := filepath.Join(t.TempDir(), "bad.toml")
@@ -124,7 +124,7 @@
 // with which to repeat it. A rejection, and an endpoint that was never reached, end it at once.
 func TestMaintenanceCommandIsRetriedUntilCommitted(t *testing.T) {
 	t.Parallel()
-	c := &crew{T: t}
+	c := &testFleet{T: t}
 	d := newFakeAdminEndpoint(t, "WAIT\n", "", "ERR the event loop is late: it will be done, ask again for a yes\n", "WAIT\n", `{"plan":1}`+"\n")
 	out, code := c.command("fleet", "work", "pause", "--nonce", "77", "--ops", d.address)
 	assert.Equal(t, "OK pause: plan 1\n", out)
@@ -151,7 +151,7 @@
 
 func TestMaintenanceStatusTable(t *testing.T) {
 	t.Parallel()
-	c := &crew{T: t}
+	c := &testFleet{T: t}
 	raw, err := json.Marshal(coordination.MaintenanceStatus{Version: 17, Holder: "m01", AgeSeconds: 0.3, Reinstated: []string{"s-2"},
 		Plans: []maintenance.Plan{{Number: 1, Spec: maintenance.Spec{Name: "firmware"}, AgeSeconds: 90, PausedBy: "anna", Servers: []maintenance.Server{
 			{Name: "s-1", Site: "site-a", Stage: maintenance.Draining, SinceVersion: 17},
--- a/cmd/hazelwheel/ops_test.go
+++ b/cmd/hazelwheel/ops_test.go
@@ -15,10 +15,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// withDoor gives the program an operators' door.
-func (w *world) withDoor() *world {
-	w.ops = freeAddress(w.T)
-	w.env = append(w.env, "GW_OPS="+w.ops)
+// withAdminEndpoint gives the program an operators' door.
+func (w *testSidecar) withAdminEndpoint() *testSidecar {
+	w.adminAddress = freeAddress(w.T)
+	w.env = append(w.env, "GW_OPS="+w.adminAddress)
 	return w
 }
 
@@ -46,12 +46,12 @@
 	return string(answer), err
 }
 
-func (w *world) call(line string) string { return call(w.T, w.ops, line+"\n") }
+func (w *testSidecar) callAdmin(line string) string { return call(w.T, w.adminAddress, line+"\n") }
 
 // figure returns one of the figures, -1 if it is not there.
-func (w *world) figure(name string) (n int) {
+func (w *testSidecar) figure(name string) (n int) {
 	n = -1
-	for line := range strings.Lines(w.call("DUMP")) {
+	for line := range strings.Lines(w.callAdmin("DUMP")) {
 		if text, ok := strings.CutPrefix(line, "gw_"+name+" "); ok {
 			fmt.Sscan(text, &n)
 		}
@@ -59,18 +59,18 @@
 	return n
 }
 
-func (w *world) becomes(name string, want int) {
+func (w *testSidecar) awaitFigure(name string, want int) {
 	w.Helper()
 	w.eventually(fmt.Sprint(name, " ", want), func() bool { return w.figure(name) == want })
 }
 
 // Calls that make no sense get one line that says why, and callers who say nothing cost nobody anything.
 func TestDoorCalls(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", says(200, ""))).withDoor().start()
-	w.eventually("health", func() bool { return strings.HasPrefix(w.call("HEALTH"), "OK") })
+	w := newTestSidecar(t, newServer(t, "s-00000001", says(200, ""))).withAdminEndpoint().start()
+	w.eventually("health", func() bool { return strings.HasPrefix(w.callAdmin("HEALTH"), "OK") })
 	var silent []net.Conn
 	for i := range 40 { // more than are let in
-		c, err := net.Dial("tcp", w.ops)
+		c, err := net.Dial("tcp", w.adminAddress)
 		require.NoError(t, err)
 		defer c.Close()
 		io.WriteString(c, strings.Repeat("x", (i+1)%2))
@@ -95,7 +95,7 @@
 		{"JOIN\n", "OK serving\n"},
 		{"HEALTH\n" + strings.Repeat("x", 40_000), "OK serving\n"},
 	} {
-		assert.Equal(t, c[1], call(t, w.ops, c[0]), "%.40q", c[0])
+		assert.Equal(t, c[1], call(t, w.adminAddress, c[0]), "%.40q", c[0])
 	}
 	assert.Equal(t, 200, w.ask("read", "", "").status)
 	_ = silent[39].SetReadDeadline(time.Now().Add(patience))
@@ -103,7 +103,7 @@
 	answer, err := io.ReadAll(silent[39])
 	require.NoError(t, err)
 	assert.Equal(t, "OK serving\n", string(answer))
-	half, err := net.Dial("tcp", w.ops)
+	half, err := net.Dial("tcp", w.adminAddress)
 	require.NoError(t, err)
 	defer half.Close()
 	io.WriteString(half, "HEAL")
@@ -116,16 +116,16 @@
 // The figures are what has crossed the wire, by class, and /counters says the same.
 func TestFigures(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, ""))
-	w := newWorld(t, s, newServer(t, "s-00000002", says(200, ""))).withDoor().start()
-	w.eventually("figures", func() bool { return strings.HasSuffix(w.call("DUMP"), "\nEND\n") })
-	dump := w.call("DUMP")
+	w := newTestSidecar(t, s, newServer(t, "s-00000002", says(200, ""))).withAdminEndpoint().start()
+	w.eventually("figures", func() bool { return strings.HasSuffix(w.callAdmin("DUMP"), "\nEND\n") })
+	dump := w.callAdmin("DUMP")
 	for _, class := range []string{"read", "alert", "write"} {
 		for _, how := range []string{"completed", "rejected", "failed"} {
 			assert.Contains(t, dump, fmt.Sprintf("gw_%s{lane=%q} 0\n", how, class), "from the start on")
 		}
 	}
 	assert.Equal(t, 2, w.figure("members"))
-	require.Contains(t, w.call("OFFLINE s-00000002"), "OK")
+	require.Contains(t, w.callAdmin("OFFLINE s-00000002"), "OK")
 	for range 3 {
 		assert.Equal(t, 200, w.ask("read", "", "").status)
 	}
@@ -134,22 +134,22 @@
 	s.set(says(503, "", "Not-Started", "1"))
 	assert.Equal(t, 503, w.ask("write", "", "", "Request-Timeout", "300m").status)
 	assert.Equal(t, 400, w.ask("alert", "", "", "Request-Timeout", "soon").status)
-	attempts := s.got()
-	w.becomes(`completed{lane="read"}`, 3)
-	w.becomes(`failed{lane="write"}`, 1)
-	w.becomes(`rejected{lane="write"}`, 1)
-	w.becomes(`failed{lane="alert"}`, 1)
-	w.becomes("upstream_requests", attempts)
-	w.becomes("pending", 0)
-	w.becomes("members_unavailable", 1)
+	attempts := s.requestCount()
+	w.awaitFigure(`completed{lane="read"}`, 3)
+	w.awaitFigure(`failed{lane="write"}`, 1)
+	w.awaitFigure(`rejected{lane="write"}`, 1)
+	w.awaitFigure(`failed{lane="alert"}`, 1)
+	w.awaitFigure("upstream_requests", attempts)
+	w.awaitFigure("pending", 0)
+	w.awaitFigure("members_unavailable", 1)
 	for name, want := range map[string]float64{"requests": 6, "served": 3, "failed": 2, "throttled": 1, "written": float64(attempts)} {
 		assert.Equal(t, want, w.counter(name), name)
 	}
 	release := make(chan struct{})
 	s.set(func(http.ResponseWriter, *http.Request) { <-release })
 	asked := w.askAside("read", "", "")
-	w.becomes("pending", 1)
-	w.becomes("upstream_requests", attempts+1)
+	w.awaitFigure("pending", 1)
+	w.awaitFigure("upstream_requests", attempts+1)
 	close(release)
 	<-asked
 }
@@ -157,7 +157,7 @@
 // A server that is out by hand gets nothing, whatever discovery says of it, until the call back; then it is used.
 func TestBans(t *testing.T) {
 	first, second := newServer(t, "s-00000001", says(200, "1")), newServer(t, "s-00000002", says(200, "2"))
-	w := newWorld(t, first, second).withDoor()
+	w := newTestSidecar(t, first, second).withAdminEndpoint()
 	lists := make(chan string, 9)
 	w.discovery.answers <- func(d watch) {
 		for {
@@ -183,9 +183,9 @@
 		}
 	}
 	told(line(t, 8, true, first, second))
-	require.Contains(t, w.call("OFFLINE s-00000002"), "OK")
+	require.Contains(t, w.callAdmin("OFFLINE s-00000002"), "OK")
 	only("1")
-	require.Contains(t, w.call("OFFLINE s-00000002"), "OK") // again is harmless
+	require.Contains(t, w.callAdmin("OFFLINE s-00000002"), "OK") // again is harmless
 	told(line(t, 9, false, second))
 	only("1")
 	second.status = "DELETED"
@@ -197,10 +197,10 @@
 	told(line(t, 12, true, first))
 	told(line(t, 13, true, first, second))
 	only("1")
-	w.becomes("members_unavailable", 1)
-	require.Contains(t, w.call("OFFLINE s-00000001"), "OK")
+	w.awaitFigure("members_unavailable", 1)
+	require.Contains(t, w.callAdmin("OFFLINE s-00000001"), "OK")
 	assert.Equal(t, 503, w.ask("write", "", "", "Request-Timeout", "300m").status, "all are out: nothing has run")
-	require.Contains(t, w.call("ONLINE s-00000002"), "OK")
+	require.Contains(t, w.callAdmin("ONLINE s-00000002"), "OK")
 	w.eventually("the one that is back is used", func() bool { return w.ask("read", "", "").body == "2" })
 	only("2")
 }
@@ -208,52 +208,52 @@
 // A ban while the watch is down does not keep the sidecar from watching again.
 func TestBanWhileUnwatched(t *testing.T) {
 	first, second := newServer(t, "s-00000001", says(200, "1")), newServer(t, "s-00000002", says(200, "2"))
-	w := newWorld(t, first, second).withDoor()
+	w := newTestSidecar(t, first, second).withAdminEndpoint()
 	w.start()
 	<-w.discovery.calls
 	w.discovery.CloseClientConnections()
 	w.eventually("the watch is down", func() bool { return w.counter("list_failed") >= 1 })
-	require.Contains(t, w.call("OFFLINE s-00000001"), "OK")
+	require.Contains(t, w.callAdmin("OFFLINE s-00000001"), "OK")
 	first.status = "DELETED"
 	for range 2 { // the call that was cut off may still take one with it
 		w.discovery.answers <- list(line(t, 9, false, first))
 	}
 	<-w.discovery.calls
 	w.eventually("the list", func() bool { return w.counter("lists") == 1 })
-	require.Contains(t, w.call("ONLINE s-00000001"), "OK")
+	require.Contains(t, w.callAdmin("ONLINE s-00000001"), "OK")
 	assert.Equal(t, "2", w.ask("read", "", "").body)
 }
 
 // A drain by hand says no, ends links without losing a request, and goes on serving who comes; one call ends it.
 func TestDrainByHand(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, "x"))
-	w := newWorld(t, s).withDoor().start()
+	w := newTestSidecar(t, s).withAdminEndpoint().start()
 	ready := func() int {
 		r, err := outside.Get("http://" + w.listen + "/ready")
 		require.NoError(t, err)
 		defer r.Body.Close()
 		return r.StatusCode
 	}
-	_, idle, _ := w.speak("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-	require.Equal(t, "OK draining\n", w.call("LEAVE"))
+	_, idle, _ := w.writeRaw("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.Equal(t, "OK draining\n", w.callAdmin("LEAVE"))
 	assert.Equal(t, 503, ready())
-	require.Equal(t, "OK draining\n", w.call("LEAVE"))
+	require.Equal(t, "OK draining\n", w.callAdmin("LEAVE"))
 	p := w.ask("read", "", "")
 	assert.Equal(t, 200, p.status)
 	assert.True(t, p.last, "each answer is the last on its link")
 	_, err := bufio.NewReader(idle).ReadByte()
 	assert.ErrorIs(t, err, io.EOF, "an idle link is ended")
-	assert.Contains(t, w.call("HEALTH"), "OK")
-	require.Equal(t, "OK serving\n", w.call("JOIN"))
+	assert.Contains(t, w.callAdmin("HEALTH"), "OK")
+	require.Equal(t, "OK serving\n", w.callAdmin("JOIN"))
 	assert.Equal(t, 200, ready())
 	assert.False(t, w.ask("read", "", "").last)
 	release := make(chan struct{})
 	s.set(func(http.ResponseWriter, *http.Request) { <-release })
 	open := w.askAside("read", "", "")
-	w.becomes("pending", 1)
+	w.awaitFigure("pending", 1)
 	w.signal(syscall.SIGTERM)
-	w.eventually("a process that ends does not join", func() bool { return w.call("JOIN") == "ERR this process has been told to end\n" })
-	w.eventually("no health", func() bool { return strings.HasPrefix(w.call("HEALTH"), "ERR") })
+	w.eventually("a process that ends does not join", func() bool { return w.callAdmin("JOIN") == "ERR this process has been told to end\n" })
+	w.eventually("no health", func() bool { return strings.HasPrefix(w.callAdmin("HEALTH"), "ERR") })
 	close(release)
 	<-open
 }
@@ -263,10 +263,10 @@
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer taken.Close()
-	w := newWorld(t)
+	w := newTestSidecar(t)
 	for ops, want := range map[string]string{"nowhere": `ops: "nowhere" is not an address and port`,
 		w.listen: "ops: " + w.listen + " is where clients connect (listen)", taken.Addr().String(): "ops: listen tcp "} {
-		cmd := program("serve", "--config", w.config())
+		cmd := program("serve", "--config", w.writeConfig())
 		cmd.Env = append(cmd.Env, "GW_OPS="+ops)
 		out, err := cmd.CombinedOutput()
 		assert.Error(t, err)
--- a/cmd/hazelwheel/owner_test.go
+++ b/cmd/hazelwheel/owner_test.go
@@ -46,8 +46,8 @@
 }
 
 // newOwners returns sidecars of which the first so many are electors and all can do the job.
-func newOwners(t *testing.T, n, electors int) *crew {
-	c := newCrew(t, n)
+func newOwners(t *testing.T, n, electors int) *testFleet {
+	c := newTestFleet(t, n)
 	for _, m := range c.all[:electors] {
 		c.electors = append(c.electors, m.advertise)
 	}
@@ -69,7 +69,7 @@
 }
 
 // owners asks the sidecar at its door who owns what; false: it does not say.
-func (m *mate) owners() (s coordination.LeaseStatus, ok bool) {
+func (m *fleetMember) owners() (s coordination.LeaseStatus, ok bool) {
 	if m.frozen.Load() || m.cmd == nil {
 		return s, false
 	}
@@ -78,10 +78,10 @@
 }
 
 // job returns what a sidecar knows of the job "report".
-func (m *mate) job() coordination.RoleStatus { return m.jobOf("report") }
+func (m *fleetMember) job() coordination.RoleStatus { return m.jobOf("report") }
 
 // report returns the last report that a sidecar knows.
-func (m *mate) report() (r coordination.Report) {
+func (m *fleetMember) report() (r coordination.Report) {
 	if text, err := callOnce(m.ops, "REPORT\n"); err == nil {
 		_ = json.Unmarshal([]byte(text), &r) // else it is empty
 	}
@@ -89,7 +89,7 @@
 }
 
 // owner waits until one of some owns the job under a token above another, and all of them know it and have taken its effects.
-func (c *crew) owner(above uint64, some ...*mate) (owner *mate, token uint64) {
+func (c *testFleet) owner(above uint64, some ...*fleetMember) (owner *fleetMember, token uint64) {
 	c.Helper()
 	c.poll("one owns the job", func() bool {
 		owner, token = nil, 0
@@ -116,7 +116,7 @@
 }
 
 // took waits for the next owner, and says after how long one held the job.
-func (c *crew) took(what string, above uint64, some ...*mate) (owner *mate, token uint64) {
+func (c *testFleet) took(what string, above uint64, some ...*fleetMember) (owner *fleetMember, token uint64) {
 	c.Helper()
 	began := time.Now()
 	owner, token = c.owner(above, some...)
@@ -125,7 +125,7 @@
 }
 
 // command runs the program for its output and exit code.
-func (c *crew) command(args ...string) (out string, code int) {
+func (c *testFleet) command(args ...string) (out string, code int) {
 	c.Helper()
 	cmd := program(args...)
 	raw, err := cmd.CombinedOutput()
@@ -136,12 +136,12 @@
 }
 
 // without returns all but some.
-func (c *crew) without(some ...*mate) []*mate {
-	return slices.DeleteFunc(slices.Clone(c.all), func(m *mate) bool { return slices.Contains(some, m) })
+func (c *testFleet) without(some ...*fleetMember) []*fleetMember {
+	return slices.DeleteFunc(slices.Clone(c.all), func(m *fleetMember) bool { return slices.Contains(some, m) })
 }
 
 // leader returns who leads the electors.
-func (c *crew) leader(some ...*mate) (leader *mate) {
+func (c *testFleet) leader(some ...*fleetMember) (leader *fleetMember) {
 	c.Helper()
 	c.poll("one leads", func() bool {
 		leader = nil
@@ -170,7 +170,7 @@
 
 	owner, token = c.owner(0, c.all...)
 	first := c.leader(c.all...)
-	for _, m := range []*mate{first, owner} {
+	for _, m := range []*fleetMember{first, owner} {
 		if !m.gone.Load() {
 			m.kill()
 		}
@@ -178,7 +178,7 @@
 	second := c.leader(c.without(first, owner)...)
 	second.kill()
 	_, token = c.took("owner, leader and the next leader killed", token, c.without(first, owner, second)...)
-	for _, m := range []*mate{first, owner, second} {
+	for _, m := range []*fleetMember{first, owner, second} {
 		if m.gone.Load() {
 			c.ready(m.start())
 		}
@@ -197,7 +197,7 @@
 	}
 	c.start().ready(c.all...)
 	stop := c.serveAll()
-	refused := func(some ...*mate) (n uint64) {
+	refused := func(some ...*fleetMember) (n uint64) {
 		for _, m := range some {
 			n += m.job().Rejected
 		}
@@ -220,16 +220,16 @@
 		})
 		if !still { // a busy machine: the job has moved before its owner had anything to say
 			_ = os.Remove(filepath.Join(owner.tmp, "stand")) // it may have been found meanwhile
-			owner.thaw()
+			owner.resume()
 			continue
 		}
 		later := uint64(0)
 		c.poll("another acts", func() bool {
 			later = others[0].job().MaxToken
-			return later > token && !slices.ContainsFunc(others[1:], func(m *mate) bool { return m.job().MaxToken < later })
+			return later > token && !slices.ContainsFunc(others[1:], func(m *fleetMember) bool { return m.job().MaxToken < later })
 		})
 		owner.log.forget()
-		owner.thaw()
+		owner.resume()
 		c.poll("it knows", func() bool { j := owner.job(); return j.HeldToken != token && j.MaxToken >= later })
 		c.poll("it says so", func() bool { return strings.Contains(owner.log.String(), "no longer the owner of a job") })
 		c.owner(later-1, c.all...)
@@ -243,7 +243,7 @@
 }
 
 // stopped reports whether the system says that the process stands still.
-func (m *mate) stopped() bool {
+func (m *fleetMember) stopped() bool {
 	raw, err := os.ReadFile("/proc/" + strconv.Itoa(m.cmd.Process.Pid) + "/stat")
 	return err == nil && strings.HasPrefix(string(raw[strings.LastIndexByte(string(raw), ')')+1:]), " T")
 }
@@ -252,17 +252,17 @@
 // taken in the order of their tokens, and mended, all agree.
 func TestOwnerIsCut(t *testing.T) {
 	t.Parallel() // else all other tests wait until its last case is over
-	for name, cut := range map[string]func(c *crew, owner *mate, electors, others []string) []processcluster.Direction{
-		"its words are lost": func(c *crew, owner *mate, _, _ []string) []processcluster.Direction {
+	for name, cut := range map[string]func(c *testFleet, owner *fleetMember, electors, others []string) []processcluster.Direction{
+		"its words are lost": func(c *testFleet, owner *fleetMember, _, _ []string) []processcluster.Direction {
 			return processcluster.Directions([]string{owner.name}, names(c.without(owner)), true)
 		},
-		"it hears nothing": func(c *crew, owner *mate, _, _ []string) []processcluster.Direction {
+		"it hears nothing": func(c *testFleet, owner *fleetMember, _, _ []string) []processcluster.Direction {
 			return processcluster.Directions(names(c.without(owner)), []string{owner.name}, true)
 		},
-		"from electors": func(_ *crew, owner *mate, electors, _ []string) []processcluster.Direction {
+		"from electors": func(_ *testFleet, owner *fleetMember, electors, _ []string) []processcluster.Direction {
 			return processcluster.Directions([]string{owner.name}, electors, false)
 		},
-		"from all": func(c *crew, owner *mate, _, _ []string) []processcluster.Direction {
+		"from all": func(c *testFleet, owner *fleetMember, _, _ []string) []processcluster.Direction {
 			return processcluster.Directions([]string{owner.name}, names(c.without(owner)), false)
 		},
 	} {
@@ -271,8 +271,8 @@
 			c.ready(c.all...)
 			stop := c.serveAll()
 			owner, token := c.owner(0, c.all...)
-			others := names(slices.DeleteFunc(slices.Clone(c.all[3:]), func(m *mate) bool { return m == owner }))
-			electors := names(slices.DeleteFunc(slices.Clone(c.all[:3]), func(m *mate) bool { return m == owner }))
+			others := names(slices.DeleteFunc(slices.Clone(c.all[3:]), func(m *fleetMember) bool { return m == owner }))
+			electors := names(slices.DeleteFunc(slices.Clone(c.all[:3]), func(m *fleetMember) bool { return m == owner }))
 			ways := cut(c, owner, electors, others)
 			c.board.SetFault(processcluster.LinkFault{Cut: true}, ways...)
 			_, later := c.took(name, token, c.without(owner)...)
@@ -292,7 +292,7 @@
 	held := false
 	for trial := 0; trial < 5 && !held; trial++ { // on a busy machine a lease may end by itself
 		owner, token := c.owner(0, c.all...)
-		others := slices.DeleteFunc(slices.Clone(c.all[3:]), func(m *mate) bool { return m == owner })
+		others := slices.DeleteFunc(slices.Clone(c.all[3:]), func(m *fleetMember) bool { return m == owner })
 		ways := processcluster.Directions([]string{owner.name}, names(others), false)
 		c.board.SetFault(processcluster.LinkFault{Cut: true}, ways...)
 		from := others[0].report()
@@ -311,7 +311,7 @@
 // What the owner has said is held by the network until another has owned the job for a while, and comes in after all.
 func TestOwnerWhoseBytesAreHeld(t *testing.T) {
 	c := newOwners(t, 5, 3)
-	recorded := &saidBefore{hello: map[string][]byte{}, effects: map[string][][]byte{}, tokens: map[string][]uint64{}}
+	recorded := &messageRecord{hello: map[string][]byte{}, effects: map[string][][]byte{}, tokens: map[string][]uint64{}}
 	judge := c.board.OnFrame
 	c.board.OnFrame = func(call uint64, w processcluster.Direction, topic frames.Topic, body []byte) {
 		recorded.tap(call, w, topic, body)
@@ -372,15 +372,15 @@
 	stop()
 }
 
-// saidBefore keeps what sidecars have said: of each its last hello, and its effects.
-type saidBefore struct {
+// messageRecord keeps what sidecars have said: of each its last hello, and its effects.
+type messageRecord struct {
 	sync.Mutex
 	hello   map[string][]byte
 	effects map[string][][]byte
 	tokens  map[string][]uint64
 }
 
-func (r *saidBefore) tap(_ uint64, w processcluster.Direction, topic frames.Topic, body []byte) {
+func (r *messageRecord) tap(_ uint64, w processcluster.Direction, topic frames.Topic, body []byte) {
 	r.Lock()
 	defer r.Unlock()
 	frame, err := frames.Append(nil, topic, body)
@@ -397,7 +397,7 @@
 }
 
 // of returns the frames with which one says hello and what it has said to all under a token.
-func (r *saidBefore) of(name string, token uint64) [][]byte {
+func (r *messageRecord) of(name string, token uint64) [][]byte {
 	r.Lock()
 	defer r.Unlock()
 	all := [][]byte{r.hello[name]}
@@ -418,7 +418,7 @@
 	for _, how := range []string{"frozen", "killed", "all killed"} {
 		_, token := c.owner(0, c.all...)
 		leader := c.leader(c.all[:3]...)
-		away := []*mate{leader}
+		away := []*fleetMember{leader}
 		for _, m := range c.all[:3] {
 			if m != leader && (len(away) < 2 || how == "all killed") {
 				away = append(away, m)
@@ -432,18 +432,18 @@
 			}
 		}
 		c.poll("nobody acts any more", func() bool {
-			return !slices.ContainsFunc(c.without(away...), func(m *mate) bool { return m.job().HeldToken != 0 })
+			return !slices.ContainsFunc(c.without(away...), func(m *fleetMember) bool { return m.job().HeldToken != 0 })
 		})
 		time.Sleep(4 * time.Second) // the trouble itself: the lease of one that is away ends, too
 		for _, m := range away {
 			if how == "frozen" {
-				m.thaw()
+				m.resume()
 			} else {
 				m.start()
 			}
 		}
 		c.ready(away...)
-		if slices.ContainsFunc(away, func(m *mate) bool { return m.job().HeldToken == token }) {
+		if slices.ContainsFunc(away, func(m *fleetMember) bool { return m.job().HeldToken == token }) {
 			assert.Fail(t, "a lease has outlived a majority", how)
 		}
 		c.took("a majority was "+how, token, c.all...)
@@ -460,7 +460,7 @@
 	c.owner(0, c.all...)
 	var old []byte
 	// comeBack has an elector killed and its file changed, where grants were written since old was read.
-	comeBack := func(m *mate, name, says string, same bool, spoil func(file string, raw []byte)) {
+	comeBack := func(m *fleetMember, name, says string, same bool, spoil func(file string, raw []byte)) {
 		file := filepath.Join(m.dir, "peer")
 		var err error
 		old, err = os.ReadFile(file)
@@ -565,7 +565,7 @@
 		if mine {
 			others := c.without(m)
 			c.poll("another owns the job", func() bool {
-				return slices.ContainsFunc(others, func(m *mate) bool { return m.job().HeldToken > token })
+				return slices.ContainsFunc(others, func(m *fleetMember) bool { return m.job().HeldToken > token })
 			})
 			gap := time.Since(at)
 			t.Logf("%s gave the job up: another had it after %v", m.name, gap.Round(time.Millisecond))
@@ -593,7 +593,7 @@
 		m.gone.Store(true)
 		m.signal(syscall.SIGTERM)
 		<-m.ended
-		rest := slices.DeleteFunc(slices.Clone(able), func(m *mate) bool { return m.gone.Load() })
+		rest := slices.DeleteFunc(slices.Clone(able), func(m *fleetMember) bool { return m.gone.Load() })
 		c.pollFor(90*time.Second, "those that have gone are no electors", func() bool {
 			s, ok := left[0].owners()
 			return ok && !slices.ContainsFunc(s.Voters, func(e coordination.VoterStatus) bool { return e.State != "alive" })
@@ -604,7 +604,7 @@
 	assert.Len(t, s.Voters, 3)
 	owner, token := c.owner(0, left...)
 	owner.kill()
-	c.took("killed, of three", token, slices.DeleteFunc(slices.Clone(left), func(m *mate) bool { return m == owner })...)
+	c.took("killed, of three", token, slices.DeleteFunc(slices.Clone(left), func(m *fleetMember) bool { return m == owner })...)
 	stop()
 }
 
@@ -614,8 +614,8 @@
 	c.ready(c.all...)
 	c.agree(c.all...)
 	c.owner(0, c.all...)
-	w := func(m *mate) *world {
-		w := &world{T: t, listen: m.listen}
+	w := func(m *fleetMember) *testSidecar {
+		w := &testSidecar{T: t, listen: m.listen}
 		w.client.Timeout = patience
 		return w
 	}
@@ -658,8 +658,8 @@
 	still := c.without(owner)[0]
 	still.freeze()
 	c.poll("who does not answer is named", func() bool { return slices.Equal(c.without(owner, still)[0].report().Missing, []string{still.name}) })
-	still.thaw()
-	var next *mate
+	still.resume()
+	var next *fleetMember
 	for n, before := 0, token-1; next == nil; n++ { // a lease may end for want of the machine: that grant is nobody's who stepped down
 		require.Less(t, n, 5, "leases end again and again")
 		owner, token = c.owner(before, c.all...) // it may have led the electors, and the lease have ended meanwhile
--- a/cmd/hazelwheel/peers_test.go
+++ b/cmd/hazelwheel/peers_test.go
@@ -25,25 +25,25 @@
 	"hazelwheel/internal/lab/processcluster"
 )
 
-// crew is several sidecars that know each other, each a process, with the switchboard between all of them.
-type crew struct {
+// testFleet is several sidecars that know each other, each a process, with a fault-injecting proxy between all of them.
+type testFleet struct {
 	*testing.T
 	board   *processcluster.FaultProxy
 	server  *server
-	all     []*mate
+	all     []*fleetMember
 	limits  map[string]any
 	replica int // what the settings say of the fleet's size
 
 	electors []string                      // addresses; none: there are none, and no jobs
 	jobs     []string                      // none: the report alone
-	registry *registry                     // discovery for all; nil: each sidecar has one that says nothing
+	registry *discoveryRegistry            // discovery for all; nil: each sidecar has one that says nothing
 	effects  *processcluster.EffectChecker // nil: nobody looks at them
 	settings func(s map[string]any)
 }
 
-// mate is one sidecar over all lives of its process.
-type mate struct {
-	c                   *crew
+// fleetMember is one sidecar, over all restarts of its process.
+type fleetMember struct {
+	c                   *testFleet
 	name                string
 	dir                 string // of its state
 	tmp                 string
@@ -64,15 +64,15 @@
 	asked, refused, bad atomic.Int64
 }
 
-// newCrew returns sidecars that have not begun. They join by the first two.
-func newCrew(t *testing.T, n int) *crew {
+// newTestFleet returns sidecars that have not begun. They join by the first two.
+func newTestFleet(t *testing.T, n int) *testFleet {
 	t.Parallel()
-	return newCrewIn(t, n)
+	return newTestFleetIn(t, n)
 }
 
-// newCrewIn does so for a test that has one already.
-func newCrewIn(t *testing.T, n int) *crew {
-	c := &crew{T: t, board: processcluster.NewFaultProxy(), server: newServer(t, "s-00000001", says(200, "ok")), replica: n,
+// newTestFleetIn does so for a test that has one already.
+func newTestFleetIn(t *testing.T, n int) *testFleet {
+	c := &testFleet{T: t, board: processcluster.NewFaultProxy(), server: newServer(t, "s-00000001", says(200, "ok")), replica: n,
 		limits: map[string]any{"cores": 1, "sockets": 256}}
 	t.Cleanup(c.board.Close)
 	for range n {
@@ -82,8 +82,8 @@
 }
 
 // add adds a sidecar that has not begun.
-func (c *crew) add() *mate {
-	m := &mate{c: c, name: fmt.Sprintf("m%02d", len(c.all)), dir: c.TempDir(), tmp: c.TempDir(), listen: freeAddress(c.T), ops: freeAddress(c.T), peers: freeAddress(c.T),
+func (c *testFleet) add() *fleetMember {
+	m := &fleetMember{c: c, name: fmt.Sprintf("m%02d", len(c.all)), dir: c.TempDir(), tmp: c.TempDir(), listen: freeAddress(c.T), ops: freeAddress(c.T), peers: freeAddress(c.T),
 		log: &syncBuffer{}}
 	var err error
 	m.advertise, err = c.board.Listen(m.name, m.peers)
@@ -110,7 +110,7 @@
 	return m
 }
 
-func (m *mate) fleet() map[string]any {
+func (m *fleetMember) fleet() map[string]any {
 	f := map[string]any{"name": "yard", "listen": m.peers, "advertise": m.advertise, "join": m.join, "dir": m.dir}
 	if len(m.c.electors) > 0 && !m.plain {
 		f["electors"], f["jobs"] = m.c.electors, []string{"report"}
@@ -122,9 +122,9 @@
 }
 
 // start begins the sidecar's process. It does not wait.
-func (m *mate) start() *mate {
+func (m *fleetMember) start() *fleetMember {
 	m.c.Helper()
-	w := &world{T: m.c.T, discovery: newDiscovery(m.c.T), listen: m.listen, limits: m.c.limits, path: filepath.Join(m.tmp, "config.json")}
+	w := &testSidecar{T: m.c.T, discovery: newDiscovery(m.c.T), listen: m.listen, limits: m.c.limits, path: filepath.Join(m.tmp, "config.json")}
 	w.settings = map[string]any{
 		"classes": []map[string]any{{"name": "read", "effect": "free", "objectiveS": 5, "giveUpS": 10, "importance": 1}},
 		"dcs":     []string{"a"}, "discovery": "on_request", "replicasOfMe": m.c.replica, "selfIndex": slices.Index(m.c.all, m), "roundS": 0.005,
@@ -140,7 +140,7 @@
 		w.discovery = &discovery{Server: m.c.registry.Server}
 	}
 	w.known = append([]endpoint{m.c.server.endpoint()}, m.known...)
-	path := w.config()
+	path := w.writeConfig()
 	raw, err := os.ReadFile(path)
 	require.NoError(m.c, err)
 	require.NoError(m.c, os.WriteFile(path, []byte(strings.Replace(string(raw), `"name":"n0"`, `"name":"`+m.name+`"`, 1)), 0o600))
@@ -176,26 +176,26 @@
 	return m
 }
 
-func (c *crew) start() *crew {
+func (c *testFleet) start() *testFleet {
 	for _, m := range c.all {
 		m.start()
 	}
 	return c
 }
 
-func (m *mate) signal(s syscall.Signal) {
+func (m *fleetMember) signal(s syscall.Signal) {
 	m.c.Helper()
 	require.NoError(m.c, m.cmd.Process.Signal(s))
 }
 
 // kill ends the process at once, and term in its own time.
-func (m *mate) kill() {
+func (m *fleetMember) kill() {
 	m.gone.Store(true)
 	m.signal(syscall.SIGKILL)
 	<-m.ended
 }
 
-func (m *mate) term() {
+func (m *fleetMember) term() {
 	m.gone.Store(true)
 	m.signal(syscall.SIGTERM)
 	select {
@@ -206,7 +206,7 @@
 }
 
 // freeze has the process stand still, and returns once the system says that it does.
-func (m *mate) freeze() {
+func (m *fleetMember) freeze() {
 	m.c.Helper()
 	m.frozen.Store(true)
 	m.signal(syscall.SIGSTOP)
@@ -220,30 +220,30 @@
 	})
 }
 
-func (m *mate) thaw() {
+func (m *fleetMember) resume() {
 	m.signal(syscall.SIGCONT)
 	m.frozen.Store(false)
 }
 
 // poll waits for a condition.
-func (c *crew) poll(what string, f func() bool) {
+func (c *testFleet) poll(what string, f func() bool) {
 	c.Helper()
 	c.pollFor(3*patience, what, f)
 }
 
 // pollFor waits for one that takes its time.
-func (c *crew) pollFor(patience time.Duration, what string, f func() bool) {
+func (c *testFleet) pollFor(patience time.Duration, what string, f func() bool) {
 	c.Helper()
 	c.pollUntil(patience, what, f, func() string { return "" })
 }
 
 // pollWith waits as poll does, and says what there was instead where it waits in vain.
-func (c *crew) pollWith(what string, f func() bool, instead func() string) {
+func (c *testFleet) pollWith(what string, f func() bool, instead func() string) {
 	c.Helper()
 	c.pollUntil(3*patience, what, f, instead)
 }
 
-func (c *crew) pollUntil(patience time.Duration, what string, f func() bool, instead func() string) {
+func (c *testFleet) pollUntil(patience time.Duration, what string, f func() bool, instead func() string) {
 	c.Helper()
 	for end := time.Now().Add(patience); !f(); time.Sleep(20 * time.Millisecond) {
 		if !time.Now().Before(end) {
@@ -253,7 +253,7 @@
 }
 
 // seen asks the sidecar at its door who is there; false: it does not say.
-func (m *mate) seen() (s coordination.Status, ok bool) {
+func (m *fleetMember) seen() (s coordination.Status, ok bool) {
 	if m.frozen.Load() {
 		return s, false
 	}
@@ -284,13 +284,13 @@
 }
 
 // agree waits until each of them holds exactly these for alive and ranks are dense; it returns how long that took.
-func (c *crew) agree(all ...*mate) time.Duration {
+func (c *testFleet) agree(all ...*fleetMember) time.Duration {
 	c.Helper()
 	return c.view(all, all)
 }
 
 // view waits until some hold exactly others for alive.
-func (c *crew) view(some, others []*mate) time.Duration {
+func (c *testFleet) view(some, others []*fleetMember) time.Duration {
 	c.Helper()
 	began := time.Now()
 	var want []string
@@ -317,7 +317,7 @@
 }
 
 // placed waits until the ranks in force are 0 to n-1, each once, among n.
-func (c *crew) placed(all ...*mate) {
+func (c *testFleet) placed(all ...*fleetMember) {
 	c.Helper()
 	c.poll("ranks are dense", func() bool {
 		ranks := make([]int, len(all))
@@ -333,7 +333,7 @@
 }
 
 // request returns a request of its own for a sidecar, with the time that its client has. Boxes know the sidecar by its path.
-func (m *mate) request(patience string) *http.Request {
+func (m *fleetMember) request(patience string) *http.Request {
 	r, err := http.NewRequest("GET", "http://"+m.listen+"/read/"+m.name, nil)
 	if err != nil {
 		panic(err)
@@ -348,7 +348,7 @@
 
 // serveAll asks all sidecars again and again, from a client each, until what it returns is called. Each request must get its
 // answer, and a sidecar that neither stands still nor ends must serve.
-func (c *crew) serveAll() (stop func()) {
+func (c *testFleet) serveAll() (stop func()) {
 	over := make(chan struct{})
 	var clients sync.WaitGroup
 	for _, m := range c.all {
@@ -405,7 +405,7 @@
 }
 
 // ready waits until all of them serve.
-func (c *crew) ready(all ...*mate) {
+func (c *testFleet) ready(all ...*fleetMember) {
 	c.Helper()
 	for _, m := range all {
 		c.poll(m.name+" serves", func() bool {
@@ -418,7 +418,7 @@
 
 // Two sidecars find each other; one is killed, and the other holds it for dead, counts itself alone and goes on serving.
 func TestFleetOfTwo(t *testing.T) {
-	c := newCrew(t, 2).start()
+	c := newTestFleet(t, 2).start()
 	c.ready(c.all...)
 	stop := c.serveAll()
 	t.Logf("they know each other after %v", c.agree(c.all...))
--- a/cmd/hazelwheel/pressure_test.go
+++ b/cmd/hazelwheel/pressure_test.go
@@ -42,7 +42,7 @@
 				if kind == "unread" {
 					body = strings.Repeat("x", 60<<10)
 				}
-				w := newWorld(t, newServer(t, "s-00000001", says(200, body)), newServer(t, "s-00000002", says(200, body)))
+				w := newTestSidecar(t, newServer(t, "s-00000001", says(200, body)), newServer(t, "s-00000002", says(200, body)))
 				w.limits["sockets"], w.limits["memory_mb"] = 192, 64
 				w.start()
 				again := 0
@@ -82,7 +82,7 @@
 					end()
 					assert.NoError(t, <-over)
 				})
-				w.eventually("the flood is there", func() bool { return w.pressed(kept) })
+				w.eventually("the flood is there", func() bool { return w.isUnderPressure(kept) })
 				stranger := from(t, "127.0.0.4", false)
 				for range 12 {
 					ask(kept)
@@ -111,8 +111,8 @@
 	}
 }
 
-// pressed tells, as a client is told, whether what others do has cost any of them something, or many have come.
-func (w *world) pressed(c *http.Client) bool {
+// isUnderPressure tells, as a client is told, whether what others do has cost any of them something, or many have come.
+func (w *testSidecar) isUnderPressure(c *http.Client) bool {
 	r, err := c.Get("http://" + w.listen + "/counters")
 	require.NoError(w, err)
 	defer r.Body.Close()
@@ -128,7 +128,7 @@
 // SIGTERM while clients come back at once whenever they are told to close: the process ends, and soon, and nobody who was
 // let in goes without an answer.
 func TestDrainEnds(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", says(200, "x"))).start()
+	w := newTestSidecar(t, newServer(t, "s-00000001", says(200, "x"))).start()
 	const clients = 8
 	type tally struct{ served, unanswered int }
 	tallies := make(chan tally, clients)
@@ -178,7 +178,7 @@
 
 // A client that never closes its connection and never asks does not keep the process.
 func TestDrainWithAClientThatStays(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", hangs)).start()
+	w := newTestSidecar(t, newServer(t, "s-00000001", hangs)).start()
 	c, err := net.Dial("tcp", w.listen)
 	require.NoError(t, err)
 	defer c.Close()
@@ -191,7 +191,7 @@
 
 // Clients shows at the running sidecar who holds what.
 func TestClients(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", says(200, "x"))).start()
+	w := newTestSidecar(t, newServer(t, "s-00000001", says(200, "x"))).start()
 	for range 3 {
 		assert.Equal(t, 200, w.ask("read", "", "").status)
 	}
@@ -207,7 +207,7 @@
 }
 
 // acceptBeforeRequests opens so many connections, which the program has accepted when it returns. The client's next requests use them.
-func (w *world) acceptBeforeRequests(connections int) {
+func (w *testSidecar) acceptBeforeRequests(connections int) {
 	w.Helper()
 	before, polls := w.counter("accepted"), 0
 	opened := make(chan net.Conn, connections)
@@ -241,7 +241,7 @@
 		open.Wait()
 		_, _ = io.WriteString(rw, "late")
 	})
-	w := newWorld(t, s)
+	w := newTestSidecar(t, s)
 	w.limits["sockets"] = 64
 	w.settings["obligations"].(map[string]any)["coldS"] = 0
 	w.features = `{"capture":{}}`
@@ -255,23 +255,23 @@
 	for range cap(answers) {
 		r := w.request("write", "", "x")
 		go func() {
-			p := w.do(r)
+			p := w.send(r)
 			for end := time.Now().Add(patience); (p.err != nil || p.status == 503) && time.Now().Before(end) && !errors.Is(p.err, syscall.ECONNREFUSED); {
 				time.Sleep(10 * time.Millisecond) // between two tries, as a client does
 				r.Body = io.NopCloser(strings.NewReader("x"))
-				p = w.do(r)
+				p = w.send(r)
 			}
 			answers <- p
 		}()
 	}
-	w.logs("attempts wait for a descriptor", 1) // nobody else can be let in to ask
-	w.config()
+	w.awaitLog("attempts wait for a descriptor", 1) // nobody else can be let in to ask
+	w.writeConfig()
 	w.signal(syscall.SIGHUP)
-	w.logs("configuration read", 1)
+	w.awaitLog("configuration read", 1)
 	w.signal(syscall.SIGUSR1)
-	w.logs(`"k":"end"`, 1)
+	w.awaitLog(`"k":"end"`, 1)
 	w.signal(syscall.SIGTERM)
-	w.logs("msg=ending", 1)
+	w.awaitLog("msg=ending", 1)
 	open.Done()
 	served := 0
 	for range cap(answers) {
@@ -282,6 +282,6 @@
 		}
 	}
 	assert.NoError(t, w.cmd.Wait())
-	assert.Equal(t, served, s.got(), "all that it took, each once")
+	assert.Equal(t, served, s.requestCount(), "all that it took, each once")
 	assert.Greater(t, served, 8)
 }
--- a/cmd/hazelwheel/quota_test.go
+++ b/cmd/hazelwheel/quota_test.go
@@ -22,9 +22,9 @@
 )
 
 // withQuotas starts a program with quotas; more is added to their settings.
-func withQuotas(t *testing.T, groups, more string, servers ...*server) (*world, string) {
-	w := newWorld(t, servers...)
-	path := w.file("quotas.json", groups)
+func withQuotas(t *testing.T, groups, more string, servers ...*server) (*testSidecar, string) {
+	w := newTestSidecar(t, servers...)
+	path := w.writeFile("quotas.json", groups)
 	w.features = `{"quotas": {"file": "` + path + `", ` + quotaFeature + more + `}}`
 	return w, path
 }
@@ -46,9 +46,9 @@
 	assert.Positive(t, after)
 	assert.Contains(t, r.body, "ministry.batch")
 	assert.False(t, r.last, "the link stays")
-	got := s.got()
+	got := s.requestCount()
 	assert.Equal(t, 429, w.ask("read", "", "", "Organisation", "nobody-"+strings.Repeat("x", 200)).status, "an unknown name is of the default group")
-	assert.Equal(t, got, s.got(), "a refused request goes nowhere")
+	assert.Equal(t, got, s.requestCount(), "a refused request goes nowhere")
 	assert.Equal(t, 200, w.ask("write", "", "x").status, "its class has another group")
 	for range 8 {
 		assert.Equal(t, 200, w.ask("read", "", "", "Organisation", "city").status, "and the city has its own")
@@ -129,7 +129,7 @@
 	raw[len(raw)/2] ^= 1
 	require.NoError(t, os.WriteFile(file, raw, 0o600))
 	w.start()
-	w.logs("the snapshot can't be used", 1)
+	w.awaitLog("the snapshot can't be used", 1)
 	assert.FileExists(t, file+".set-aside")
 	assert.Greater(t, use(), 7, "all begin anew")
 }
@@ -144,19 +144,19 @@
 	require.Equal(t, 429, w.ask("read", "", "", "Organisation", "city").status)
 	require.NoError(t, os.WriteFile(path, []byte(strings.ReplaceAll(quotaGroups, `"name": "city", "share": 50`, `"name": "city", "share": 500`)), 0o600))
 	w.signal(syscall.SIGHUP)
-	w.logs("the quotas stay as they were", 1)
+	w.awaitLog("the quotas stay as they were", 1)
 	require.Equal(t, 429, w.ask("read", "", "", "Organisation", "city").status)
 	require.NoError(t, os.WriteFile(path, []byte(strings.ReplaceAll(quotaGroups, `"quota": 20`, `"quota": 2e7`)), 0o600))
 	w.signal(syscall.SIGHUP)
-	w.logs("quotas read", 1)
+	w.awaitLog("quotas read", 1)
 	assert.Equal(t, 200, w.ask("read", "", "", "Organisation", "city").status, "at once")
 }
 
 // Each fault ends with 2 and one line that names the file and the place.
 func TestQuotaFaults(t *testing.T) {
 	dir := t.TempDir()
-	w := newWorld(t, newServer(t, "s-00000001", says(200, "")))
-	config := w.config()
+	w := newTestSidecar(t, newServer(t, "s-00000001", says(200, "")))
+	config := w.writeConfig()
 	file := func(name, text string) string {
 		path := filepath.Join(dir, name)
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
--- a/cmd/hazelwheel/replace_test.go
+++ b/cmd/hazelwheel/replace_test.go
@@ -21,12 +21,12 @@
 
 // platform holds the clients' socket and starts one process of a sidecar after the other with it, as descriptor 4.
 type platform struct {
-	*world
+	*testSidecar
 	socket *os.File
 	dir    string // $TMPDIR of all
 }
 
-func newPlatform(w *world) *platform {
+func newPlatform(w *testSidecar) *platform {
 	l, err := net.Listen("tcp", w.listen)
 	require.NoError(w, err)
 	socket, err := l.(*net.TCPListener).File()
@@ -36,8 +36,8 @@
 	return &platform{w, socket, w.TempDir()}
 }
 
-// started is one process of the sidecar.
-type started struct {
+// sidecarProcess is one process of the sidecar.
+type sidecarProcess struct {
 	*platform
 	cmd *exec.Cmd
 	ops string
@@ -46,7 +46,7 @@
 }
 
 // begin starts a process and waits for its yes.
-func (p *platform) begin() *started {
+func (p *platform) begin() *sidecarProcess {
 	q := p.spawn("4", p.socket)
 	p.eventually("health", func() bool {
 		c, err := net.Dial("tcp", q.ops)
@@ -59,9 +59,9 @@
 	return q
 }
 
-func (p *platform) spawn(named string, socket *os.File) *started {
-	q := &started{platform: p, ops: freeAddress(p.T), end: make(chan error, 1)}
-	q.cmd = program("serve", "--config", p.config())
+func (p *platform) spawn(named string, socket *os.File) *sidecarProcess {
+	q := &sidecarProcess{platform: p, ops: freeAddress(p.T), end: make(chan error, 1)}
+	q.cmd = program("serve", "--config", p.writeConfig())
 	q.cmd.Env = append(q.cmd.Env, "TMPDIR="+p.dir, "GW_OPS="+q.ops, "GW_PASSED_SOCKET="+named)
 	q.cmd.ExtraFiles = []*os.File{socket, socket}
 	q.cmd.Stderr = &q.log
@@ -77,7 +77,7 @@
 }
 
 // retire has a process end as the platform does.
-func (q *started) retire() {
+func (q *sidecarProcess) retire() {
 	q.Helper()
 	require.NoError(q, q.cmd.Process.Signal(syscall.SIGTERM))
 	select {
@@ -88,19 +88,19 @@
 	}
 }
 
-func (q *started) call(line string) string { return call(q.T, q.ops, line+"\n") }
+func (q *sidecarProcess) call(line string) string { return call(q.T, q.ops, line+"\n") }
 
 // Under load process after process takes over the socket: each request gets its one answer, bans hold over all of them, and
 // the list is known at once.
 func TestReplacement(t *testing.T) {
 	first, second := newServer(t, "s-00000001", says(200, "1")), newServer(t, "s-00000002", says(200, "2"))
-	w := newWorld(t)
+	w := newTestSidecar(t)
 	w.discovery.answers <- list(line(t, 8, true, first, second)) // it is told once: the second process lives on what the first knew
 	p := newPlatform(w)
 	old := p.begin()
 	w.eventually("served", func() bool { return w.ask("read", "", "").status == 200 })
 	require.Contains(t, old.call("OFFLINE s-00000002"), "OK")
-	before := second.got()
+	before := second.requestCount()
 
 	stop, asked := make(chan struct{}), make(chan int, 8)
 	var clients sync.WaitGroup
@@ -154,7 +154,7 @@
 	}
 	clients.Wait()
 	assert.Greater(t, total, 100)
-	assert.Equal(t, before, second.got(), "nothing new to the one that is out")
+	assert.Equal(t, before, second.requestCount(), "nothing new to the one that is out")
 	require.Contains(t, old.call("ONLINE s-00000002"), "OK")
 	w.eventually("back in use", func() bool { return w.ask("read", "", "").body == "2" })
 }
@@ -162,11 +162,11 @@
 // What operators say at one door holds at the other process too, and a drain by hand passes over.
 func TestReplacementHeedsBothDoors(t *testing.T) {
 	first, second := newServer(t, "s-00000001", says(200, "1")), newServer(t, "s-00000002", says(200, "2"))
-	w := newWorld(t, first, second)
+	w := newTestSidecar(t, first, second)
 	p := newPlatform(w)
 	old := p.begin()
 	next := p.begin()
-	unavailable := func(q *started, n int) {
+	unavailable := func(q *sidecarProcess, n int) {
 		t.Helper()
 		w.eventually(fmt.Sprint(n, " out"), func() bool { return strings.Contains(q.call("DUMP"), fmt.Sprint("gw_members_unavailable ", n, "\n")) })
 	}
@@ -198,7 +198,7 @@
 // A successor that dies before or after its yes leaves the old process serving; what it can't read means a plain start.
 func TestReplacementFails(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, "1"))
-	w := newWorld(t, s)
+	w := newTestSidecar(t, s)
 	p := newPlatform(w)
 	old := p.begin()
 	saved := filepath.Join(p.dir, "hazelwheel", "state")
@@ -222,9 +222,9 @@
 
 // A passed descriptor at which nobody can be accepted is one line and exit 2.
 func TestPassedFaults(t *testing.T) {
-	w := newWorld(t)
+	w := newTestSidecar(t)
 	p := newPlatform(w)
-	file, err := os.Open(w.config())
+	file, err := os.Open(w.writeConfig())
 	require.NoError(t, err)
 	defer file.Close()
 	for named, socket := range map[string]*os.File{"4": file, "77": p.socket, "four": p.socket} {
--- a/cmd/hazelwheel/rewrite_test.go
+++ b/cmd/hazelwheel/rewrite_test.go
@@ -52,7 +52,7 @@
 func TestRewrites(t *testing.T) {
 	address, heads := rawServer(t, fmt.Sprintf(answer, "200 OK"))
 	failing, failed := rawServer(t, fmt.Sprintf(answer, "503 no"))
-	w := newWorld(t)
+	w := newTestSidecar(t)
 	w.known = []endpoint{{"s-00000001", address, "a", "SERVING", 1, 0}}
 	w.features = `{"rewrites.forwarded":true,"rewrites":[
 		{"dir":"in","when":{"class":"read"},"op":"drop","name":"X-Station-Debug"},
@@ -100,7 +100,7 @@
 // Without the file headers pass as they always have.
 func TestNoRewrites(t *testing.T) {
 	got := make(chan http.Header, 1)
-	w := newWorld(t, newServer(t, "s-00000001", func(w http.ResponseWriter, r *http.Request) { got <- r.Header })).start()
+	w := newTestSidecar(t, newServer(t, "s-00000001", func(w http.ResponseWriter, r *http.Request) { got <- r.Header })).start()
 	w.ask("read", "", "", "X-Station-Debug", "1", "Forwarded", "for=_gate")
 	h := <-got
 	assert.Equal(t, "1", h.Get("X-Station-Debug"))
--- a/cmd/hazelwheel/serve_test.go
+++ b/cmd/hazelwheel/serve_test.go
@@ -29,7 +29,7 @@
 		io.WriteString(w, r.Method+" "+r.RequestURI+" "+r.Header.Get("Request-Id")+" "+
 			r.Header.Get("Idempotency-Key")+" "+string(body))
 	})
-	w := newWorld(t, s).start()
+	w := newTestSidecar(t, s).start()
 	body := strings.Repeat("x\x00\r\n", 15<<10)
 	p := w.ask("alert", "/7?a=b&c=%20", body, "Request-Id", "9b1f03aa5c7e2d41")
 	assert.Equal(t, 200, p.status)
@@ -82,14 +82,14 @@
 				s.set(says(200, "sound"))
 				c.first(w, r)
 			})
-			w := newWorld(t, s)
+			w := newTestSidecar(t, s)
 			for _, class := range w.settings["classes"].([]map[string]any) { // the pause after an error ends between two looks, on a busy machine, too
 				class["objectiveS"], class["giveUpS"] = 8, 16
 			}
 			w.start()
 			p := w.ask(c.class, "", "")
 			assert.Equal(t, map[int]int{1: 502, 2: 200}[c.sent], p.status)
-			assert.Equal(t, c.sent, s.got())
+			assert.Equal(t, c.sent, s.requestCount())
 		})
 	}
 }
@@ -99,27 +99,27 @@
 
 func testConnectionRefused(t *testing.T) {
 	sound := newServer(t, "s-00000001", says(200, ""))
-	w := newWorld(t, sound)
+	w := newTestSidecar(t, sound)
 	w.known = append(w.known, endpoint{"s-00000002", freeAddress(t), "a", "SERVING", 1, 0})
 	w.start()
 	w.eventually("a refused connection", func() bool {
 		assert.Equal(t, 200, w.ask("write", "", "").status)
-		return w.ends("execution_ends", "connect_failed") > 0
+		return w.countOfOutcome("execution_ends", "connect_failed") > 0
 	})
-	assert.EqualValues(t, w.counter("requests"), sound.got())
+	assert.EqualValues(t, w.counter("requests"), sound.requestCount())
 }
 
 func TestDeadline(t *testing.T) { everyWay(t, testDeadline) }
 
 func testDeadline(t *testing.T) {
 	s := newServer(t, "s-00000001", hangs)
-	w := newWorld(t, s).start()
+	w := newTestSidecar(t, s).start()
 	p := w.ask("write", "", "", "Request-Timeout", "2000m")
 	assert.Equal(t, 504, p.status)
 	assert.Greater(t, p.took, 1900*time.Millisecond)
 	assert.Less(t, p.took, 4*time.Second)
 	assert.Zero(t, w.counter("overdue"), "the decisions answered, not the net below them")
-	assert.EqualValues(t, 1, w.ends("execution_ends", "timed_out"))
+	assert.EqualValues(t, 1, w.countOfOutcome("execution_ends", "timed_out"))
 	w.eventually("the given-up link is closed", func() bool { _, _, closed := s.counts(); return closed == 1 })
 	s.set(says(200, "own"))
 	assert.Equal(t, "own", w.ask("write", "", "").body, "the late answer meets no other request")
@@ -129,7 +129,7 @@
 func TestThrottle(t *testing.T) { everyWay(t, testThrottle) }
 
 func testThrottle(t *testing.T) {
-	w := newWorld(t).start()
+	w := newTestSidecar(t).start()
 	p := w.ask("write", "", "", "Request-Timeout", "8000m")
 	assert.Equal(t, 503, p.status)
 	after, err := strconv.ParseFloat(p.header.Get("Retry-After"), 64)
@@ -142,8 +142,8 @@
 func TestThrottleWithoutAdvice(t *testing.T) { everyWay(t, testThrottleWithoutAdvice) }
 
 func testThrottleWithoutAdvice(t *testing.T) {
-	w := newWorld(t)
-	w.limit("retryAfter", false)
+	w := newTestSidecar(t)
+	w.setLimit("retryAfter", false)
 	p := w.start().ask("write", "", "")
 	assert.Equal(t, 503, p.status)
 	assert.Empty(t, p.header.Get("Retry-After"), "the settings do not allow it")
@@ -151,19 +151,19 @@
 
 func TestClientGoes(t *testing.T) {
 	s := newServer(t, "s-00000001", hangs)
-	w := newWorld(t, s).start()
+	w := newTestSidecar(t, s).start()
 	c, err := net.Dial("tcp", w.listen)
 	require.NoError(t, err)
 	io.WriteString(c, "GET /read HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n")
-	w.eventually("the execution", func() bool { return s.got() == 1 })
+	w.eventually("the execution", func() bool { return s.requestCount() == 1 })
 	c.Close()
 	w.eventually("abandoned", func() bool { return w.counter("abandoned") == 1 && w.counter("open") == 0 })
 	w.eventually("the execution is called off", func() bool { _, _, closed := s.counts(); return closed == 1 })
-	assert.EqualValues(t, 1, w.ends("execution_ends", "cancelled"))
+	assert.EqualValues(t, 1, w.countOfOutcome("execution_ends", "cancelled"))
 }
 
 func TestClientInput(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", func(rw http.ResponseWriter, r *http.Request) {
+	w := newTestSidecar(t, newServer(t, "s-00000001", func(rw http.ResponseWriter, r *http.Request) {
 		io.Copy(rw, r.Body)
 	})).start()
 	const id = "Host: h\r\nRequest-Id: 1\r\n"
@@ -192,13 +192,13 @@
 		{"chunks", "POST /write HTTP/1.1\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n3;x=1\r\nabc\r\n0\r\nX: y\r\n\r\n", 200},
 		{"old version", "GET /read HTTP/1.0\r\n" + id + "\r\n", 200},
 	} {
-		status, conn, _ := w.speak(c.text)
+		status, conn, _ := w.writeRaw(c.text)
 		assert.Equal(t, c.status, status, c.name)
 		conn.Close()
 	}
 	// What comes before its turn waits, and an expected word is given.
 	get := "GET /read HTTP/1.1\r\n" + id + "\r\n"
-	status, _, r := w.speak(get + get + "POST /write HTTP/1.1\r\n" + id + "Expect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	status, _, r := w.writeRaw(get + get + "POST /write HTTP/1.1\r\n" + id + "Expect: 100-continue\r\nContent-Length: 1\r\n\r\n")
 	assert.Equal(t, 200, status)
 	for _, want := range []int{200, 100} {
 		resp, err := http.ReadResponse(r, nil)
@@ -211,7 +211,7 @@
 
 // A client that never ends its request does not hold a link for ever.
 func TestRequestThatNeverArrives(t *testing.T) {
-	w := newWorld(t).start()
+	w := newTestSidecar(t).start()
 	for _, part := range []string{"GE", "GET /read HTTP/1.1\r\n", "POST /write HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf"} {
 		c, err := net.Dial("tcp", w.listen)
 		require.NoError(t, err)
@@ -230,11 +230,11 @@
 // Links that say nothing are closed soon, and a flood of them costs the clients that ask nothing.
 func TestSilentClients(t *testing.T) {
 	s, release := newServer(t, "s-00000001", says(200, "")), make(chan struct{})
-	w := newWorld(t, s)
+	w := newTestSidecar(t, s)
 	w.limits["sockets"] = 64
 	w.start()
 	const ask = "GET /read HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n\r\n"
-	_, kept, r := w.speak(fmt.Sprintf(ask, 1))
+	_, kept, r := w.writeRaw(fmt.Sprintf(ask, 1))
 	// It asks for as long as the others come. One that rests for 0.1 s may go while those that have just come are still to say their first
 	// word, which is so where many come in one turn of a busy machine.
 	s.set(func(rw http.ResponseWriter, r *http.Request) {
@@ -267,7 +267,7 @@
 // Clients that ask once and stay do not hold ever more connections: once links are a fifth of the descriptors an
 // answer is the last on its link.
 func TestClientsThatStay(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", says(200, "")))
+	w := newTestSidecar(t, newServer(t, "s-00000001", says(200, "")))
 	w.limits["sockets"] = 100
 	w.start()
 	const ask = "GET /read HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n"
@@ -281,7 +281,7 @@
 		assert.Equal(t, 200, answer.StatusCode)
 		if answer.Close {
 			assert.Greater(t, w.counter("served"), 15.0, "a few may stay")
-			_, _, r := w.speak(ask + ask)
+			_, _, r := w.writeRaw(ask + ask)
 			answer, err = http.ReadResponse(r, nil)
 			require.NoError(t, err, "what came behind a request is not dropped")
 			assert.True(t, answer.Close)
@@ -300,19 +300,19 @@
 		<-release
 		io.WriteString(rw, "first")
 	})
-	w := newWorld(t, s).start()
+	w := newTestSidecar(t, s).start()
 	first := w.askAside("write", "", "", "Request-Id", "a")
-	w.eventually("the execution", func() bool { return s.got() == 1 })
+	w.eventually("the execution", func() bool { return s.requestCount() == 1 })
 	assert.Equal(t, 409, w.ask("write", "", "", "Request-Id", "a").status)
 	close(release)
 	assert.Equal(t, "first", (<-first).body)
 	assert.Equal(t, 200, w.ask("write", "", "", "Request-Id", "a").status, "an id is free again after the answer")
-	assert.Equal(t, 2, s.got())
+	assert.Equal(t, 2, s.requestCount())
 }
 
 // A client that goes on sending after its error has time to read it: what comes is dropped, not reset.
 func TestErrorReachesAClientThatGoesOnSending(t *testing.T) {
-	w := newWorld(t).start()
+	w := newTestSidecar(t).start()
 	c, err := net.Dial("tcp", w.listen)
 	require.NoError(t, err)
 	defer c.Close()
@@ -331,8 +331,8 @@
 
 func testIdleServerLinksAreRetired(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, ""))
-	w := newWorld(t, s)
-	w.limit("connIdleS", 1)
+	w := newTestSidecar(t, s)
+	w.setLimit("connIdleS", 1)
 	w.start()
 	began := time.Now()
 	w.ask("read", "", "")
@@ -358,7 +358,7 @@
 	defer filler.Close()
 
 	s := newServer(t, "s-00000001", says(200, ""))
-	w := newWorld(t, s)
+	w := newTestSidecar(t, s)
 	w.known[0].Address = address
 	drains := make(chan struct{})
 	w.discovery.tellOnce(8, drains, func() string { return strings.Replace(line(t, 8, false, s), s.Listener.Addr().String(), address, 1) })
@@ -383,7 +383,7 @@
 }
 
 func TestDescriptorsAreBounded(t *testing.T) {
-	w := newWorld(t, newServer(t, "s-00000001", says(200, "")))
+	w := newTestSidecar(t, newServer(t, "s-00000001", says(200, "")))
 	w.limits["sockets"] = 64
 	w.start()
 	ask := "GET /read HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n"
@@ -393,13 +393,13 @@
 		t.Cleanup(func() { c.Close() })
 		io.WriteString(c, ask)
 	}
-	_, kept, _ := w.speak(ask + "\r\n")
+	_, kept, _ := w.writeRaw(ask + "\r\n")
 	for range 29 {
 		hold()
 	}
 	// A request that does not come gives way to one that does; the link that rests is closed in time.
 	w.eventually("a newcomer is served", func() bool {
-		status, _, _ := w.speak(ask + "\r\n")
+		status, _, _ := w.writeRaw(ask + "\r\n")
 		return status == 200
 	})
 	require.NoError(t, kept.SetReadDeadline(time.Now().Add(patience)))
@@ -416,7 +416,7 @@
 // With more servers than descriptors, idle links make room for new ones.
 func TestServerLinksMakeRoom(t *testing.T) {
 	s := newServer(t, "", says(200, ""))
-	w := newWorld(t)
+	w := newTestSidecar(t)
 	for i := range 60 {
 		e := s.endpoint()
 		e.Name = fmt.Sprintf("s-%08x", i)
@@ -434,15 +434,15 @@
 
 func TestEnd(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, ""))
-	w := newWorld(t, s).start()
-	_, resting, reader := w.speak("GET /read HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n")
+	w := newTestSidecar(t, s).start()
+	_, resting, reader := w.writeRaw("GET /read HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n")
 	release := make(chan struct{})
 	s.set(func(rw http.ResponseWriter, r *http.Request) {
 		<-release
 		io.WriteString(rw, "late")
 	})
 	late := w.askAside("write", "", "")
-	w.eventually("the execution", func() bool { return s.got() == 2 })
+	w.eventually("the execution", func() bool { return s.requestCount() == 2 })
 	w.signal(syscall.SIGTERM)
 	// A link that rests carries what comes soon after the word to end; its answer says that it is the last.
 	s.set(says(200, ""))
@@ -460,7 +460,7 @@
 	// The address can be had again at once, though connections of the first life still linger.
 	w.start()
 	assert.Equal(t, 200, w.ask("read", "", "").status)
-	raw, err := program("serve", "--config", w.config()).CombinedOutput()
+	raw, err := program("serve", "--config", w.writeConfig()).CombinedOutput()
 	assert.Error(t, err, "a second program does not share the address")
 	assert.Contains(t, string(raw), "address already in use")
 }
@@ -468,7 +468,7 @@
 // A client that is there before the program has found its feet is served like any other.
 func TestFirstClientIsEarly(t *testing.T) {
 	s := newServer(t, "s-00000001", says(200, ""))
-	w := newWorld(t, s)
+	w := newTestSidecar(t, s)
 	for range 5 {
 		answered := make(chan error, 1)
 		go func() {
--- a/cmd/hazelwheel/share_test.go
+++ b/cmd/hazelwheel/share_test.go
@@ -12,13 +12,13 @@
 	"github.com/stretchr/testify/require"
 )
 
-// usage is which sidecars sent to which boxes, as the boxes tell.
-type usage struct {
+// serverUsage is which sidecars sent to which boxes, as the boxes tell.
+type serverUsage struct {
 	mu   sync.Mutex
 	sent map[string]map[string]int // by sidecar and box
 }
 
-func (u *usage) note(by, box string) {
+func (u *serverUsage) note(by, box string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.sent[by] == nil {
@@ -28,7 +28,7 @@
 }
 
 // fresh forgets what was noted, and returns it once each of some sidecars has sent so many.
-func (u *usage) fresh(c *crew, some []*mate, each int) (sent map[string]map[string]int) {
+func (u *serverUsage) fresh(c *testFleet, some []*fleetMember, each int) (sent map[string]map[string]int) {
 	c.Helper()
 	u.mu.Lock()
 	u.sent = map[string]map[string]int{}
@@ -55,13 +55,13 @@
 // alone each of the 20 would hold another half of the boxes.
 func TestShareOneMore(t *testing.T) {
 	const standing, boxes, each = 20, 40, 120
-	c := newCrew(t, standing+1)
+	c := newTestFleet(t, standing+1)
 	c.replica = standing
 	c.settings = func(s map[string]any) { // little traffic and a tight aim: a sidecar holds half of the boxes
 		class := s["classes"].([]map[string]any)[0]
 		class["objectiveS"], class["giveUpS"] = 0.3, 2
 	}
-	u := &usage{}
+	u := &serverUsage{}
 	u.sent = map[string]map[string]int{}
 	for i := range boxes {
 		name := fmt.Sprintf("s-%08x", i+1)
--- a/cmd/hazelwheel/shutdown_late_test.go
+++ b/cmd/hazelwheel/shutdown_late_test.go
@@ -19,11 +19,11 @@
 	killAfter = 700 * time.Millisecond
 )
 
-// newEnding returns a world whose longest deadline is known.
-func newEnding(t *testing.T, backends ...*backend) *world {
-	return newCrossing(t, func(w *world) {
-		w.classes("objectiveS", 2.5)
-		w.classes("giveUpS", longestDeadline.Seconds())
+// newEnding returns a sidecar whose longest deadline is known.
+func newEnding(t *testing.T, backends ...*backend) *testSidecar {
+	return newCrossing(t, func(w *testSidecar) {
+		w.setClassField("objectiveS", 2.5)
+		w.setClassField("giveUpS", longestDeadline.Seconds())
 	}, backends...)
 }
 
@@ -48,7 +48,7 @@
 			conn.send(text("write", newID(), longestDeadline, "body"))
 			w.eventually("the attempt", func() bool { return len(s.got()) == 1 })
 			w.signal(syscall.SIGTERM)
-			w.refuses()
+			w.awaitNoAccept()
 			close(release)
 			next := newID()
 			for range 15 { // 300 ms
@@ -60,7 +60,7 @@
 			assert.Equal(t, c.body, len(a.body))
 			assert.Equal(t, io.EOF, conn.end())
 			assert.Empty(t, s.of(next))
-			w.ended(time.Now())
+			w.awaitExit(time.Now())
 		})
 	}
 }
@@ -71,11 +71,11 @@
 	hanging := func(c *net.TCPConn, _ attempt) bool { _, _ = c.Read(make([]byte, 1)); return false }
 	for _, c := range []struct {
 		name    string
-		answers script
+		answers responder
 		// acts has a client act around SIGTERM, which term sends, and returns what is to hold once the process has ended.
-		acts func(w *world, s *backend, term func()) (check func())
+		acts func(w *testSidecar, s *backend, term func()) (check func())
 	}{
-		{"a client rests and never closes", hanging, func(w *world, s *backend, term func()) func() {
+		{"a client rests and never closes", hanging, func(w *testSidecar, s *backend, term func()) func() {
 			w.dial(0)
 			conn := w.dial(0)
 			conn.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -84,7 +84,7 @@
 			term()
 			return func() { assert.Equal(w, io.EOF, conn.end()) }
 		}},
-		{"a request hangs that came 0.3 s after the word", hanging, func(w *world, s *backend, term func()) func() {
+		{"a request hangs that came 0.3 s after the word", hanging, func(w *testSidecar, s *backend, term func()) func() {
 			term()
 			time.Sleep(300 * time.Millisecond)
 			conn := w.dial(0)
@@ -95,7 +95,7 @@
 				assert.Equal(w, 504, a.status)
 			}
 		}},
-		{"a request never arrives whole", hanging, func(w *world, s *backend, term func()) func() {
+		{"a request never arrives whole", hanging, func(w *testSidecar, s *backend, term func()) func() {
 			conn := w.dial(0)
 			conn.send("GET /read HTT")
 			term()
@@ -105,7 +105,7 @@
 				assert.Equal(w, 408, a.status)
 			}
 		}},
-		{"a request arrives slowly and then hangs", hanging, func(w *world, s *backend, term func()) func() {
+		{"a request arrives slowly and then hangs", hanging, func(w *testSidecar, s *backend, term func()) func() {
 			conn, all := w.dial(0), text("write", newID(), longestDeadline, "body")
 			conn.send(all[:20])
 			term()
@@ -117,10 +117,10 @@
 				assert.GreaterOrEqual(w, a.status, 500)
 			}
 		}},
-		{"a large answer is not read", sends(large), func(w *world, s *backend, term func()) func() {
+		{"a large answer is not read", sends(large), func(w *testSidecar, s *backend, term func()) func() {
 			conn := w.dial(4 << 10)
 			conn.send(text("read", newID(), longestDeadline, ""))
-			w.eventually("the answer has begun", func() bool { return w.ends("execution_ends", "ok") == 1 })
+			w.eventually("the answer has begun", func() bool { return w.countOfOutcome("execution_ends", "ok") == 1 })
 			term()
 			return func() {
 				_, err := conn.answer()
@@ -132,12 +132,12 @@
 			s := newBackend(t, "s-00000001", c.answers)
 			w := newEnding(t, s)
 			var said time.Time
-			still := newStalls(t)
+			still := newStallMeter(t)
 			check := c.acts(w, s, func() {
 				said = time.Now()
 				w.signal(syscall.SIGTERM)
 			})
-			assert.Less(t, w.ended(said), longestDeadline+killAfter+still.sum())
+			assert.Less(t, w.awaitExit(said), longestDeadline+killAfter+still.sum())
 			check()
 		})
 	}
@@ -151,7 +151,7 @@
 	w := newCrossing(t, nil, s)
 	reload := func() {
 		w.discovery = newDiscovery(t)
-		w.config()
+		w.writeConfig()
 		w.signal(syscall.SIGHUP)
 	}
 	held, second, rest := w.dial(0), w.dial(0), text("write", newID(), 8*time.Second, "body")
@@ -160,14 +160,14 @@
 	w.eventually("the attempt", func() bool { return len(s.got()) == 1 })
 	reload()
 	w.signal(syscall.SIGTERM)
-	w.logs("msg=ending", 1)
-	w.logs("configuration read", 1) // before the file is written again: its reader would find half of it
+	w.awaitLog("msg=ending", 1)
+	w.awaitLog("configuration read", 1) // before the file is written again: its reader would find half of it
 	reload()
-	w.logs("configuration read", 2)
+	w.awaitLog("configuration read", 2)
 	second.send(rest[30:])
 	w.eventually("the other attempt", func() bool { return len(s.got()) == 2 })
 	reload()
-	w.logs("configuration read", 3)
+	w.awaitLog("configuration read", 3)
 	close(release)
 	for _, conn := range []*client{held, second} {
 		a, err := conn.answer()
@@ -175,6 +175,6 @@
 		assert.Equal(t, "sound", a.body)
 		assert.Equal(t, io.EOF, conn.end())
 	}
-	w.ended(time.Now())
+	w.awaitExit(time.Now())
 	assert.Len(t, s.got(), 2)
 }
--- a/cmd/hazelwheel/shutdown_test.go
+++ b/cmd/hazelwheel/shutdown_test.go
@@ -51,9 +51,9 @@
 			} else {
 				s = newBackend(t, "s-00000001", answers)
 			}
-			w := newCrossing(t, func(w *world) {
-				w.classes("objectiveS", 20)
-				w.classes("giveUpS", 20)
+			w := newCrossing(t, func(w *testSidecar) {
+				w.setClassField("objectiveS", 20)
+				w.setClassField("giveUpS", 20)
 				if c.unlisted {
 					w.discovery.tellOnce(8, release, func() string { return listOf(t, 8, s.endpoint()) })
 				} else {
@@ -77,7 +77,7 @@
 				w.eventually("the attempt", func() bool { return len(s.of(id)) == 1 })
 			}
 			w.signal(syscall.SIGTERM)
-			w.logs("msg=ending", 1)
+			w.awaitLog("msg=ending", 1)
 			conn.send(all[before:])
 			if c.late {
 				s.comeUp(t)
@@ -92,7 +92,7 @@
 			assert.Equal(t, 200, a.status)
 			assert.Equal(t, sum([]byte(want)), sum([]byte(a.body)))
 			assert.Equal(t, io.EOF, conn.end())
-			w.ended(time.Now())
+			w.awaitExit(time.Now())
 			if assert.Len(t, s.of(id), 1) {
 				assert.Equal(t, sum([]byte(c.body)), sum([]byte(s.of(id)[0].body)))
 			}
@@ -125,7 +125,7 @@
 			w.eventually("the attempt", func() bool { return len(s.got()) == 1 })
 			w.signal(syscall.SIGTERM)
 			conn.send(ask(after))
-			w.logs("msg=ending", 1)
+			w.awaitLog("msg=ending", 1)
 			close(release)
 			answers := 0
 			for {
@@ -141,7 +141,7 @@
 					break
 				}
 			}
-			w.ended(time.Now())
+			w.awaitExit(time.Now())
 			assert.Positive(t, answers)
 			for i, id := range ids {
 				assert.Len(t, s.of(id), map[bool]int{true: 1, false: 0}[i < answers], "%d of %d answers", i, answers)
@@ -198,7 +198,7 @@
 	}
 	w.eventually("clients ask", func() bool { return len(s.got()) > 5*clients })
 	w.signal(syscall.SIGTERM)
-	took := w.ended(time.Now())
+	took := w.awaitExit(time.Now())
 	all.Wait()
 	assert.Less(t, took, 10*time.Second)
 	assert.Empty(t, faults)
@@ -247,7 +247,7 @@
 			assert.Empty(t, s.of(id))
 		})
 	}
-	w.ended(said)
+	w.awaitExit(said)
 	all.Wait()
 }
 
@@ -259,9 +259,9 @@
 	w := newCrossing(t, nil, s)
 	said := time.Now()
 	w.signal(syscall.SIGTERM)
-	w.logs("msg=ending", 1)
+	w.awaitLog("msg=ending", 1)
 	time.Sleep(time.Until(said.Add(400 * time.Millisecond)))
-	w.hold()
+	w.freeze()
 	var ids []string
 	var conns []*client
 	for range clients {
@@ -279,5 +279,5 @@
 			assert.Len(t, s.of(ids[i]), map[int]int{200: 1}[a.status])
 		}
 	}
-	w.ended(said)
+	w.awaitExit(said)
 }
--- a/cmd/hazelwheel/world_test.go
+++ b/cmd/hazelwheel/testsidecar_test.go
@@ -58,23 +58,23 @@
 // outside asks without leaving connections behind.
 var outside = http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// world is a program with all that it talks to.
-type world struct {
+// testSidecar is a process of the program, with stand-ins for all that it talks to.
+type testSidecar struct {
 	*testing.T
-	listen    string
-	ops       string // the address of its operators' door; empty: it has none
-	thrift    string // the address of its Thrift port; empty: it has none
-	discovery *discovery
-	settings  map[string]any
-	limits    map[string]any
-	known     []endpoint
-	path      string   // of the configuration
-	features  string   // the text of the file of features; empty: none is named
-	env       []string // of the program
-	cmd       *exec.Cmd
-	log       syncBuffer
-	out       bytes.Buffer
-	client    http.Client
+	listen       string
+	adminAddress string // the address of its operators' door; empty: it has none
+	thrift       string // the address of its Thrift port; empty: it has none
+	discovery    *discovery
+	settings     map[string]any
+	limits       map[string]any
+	known        []endpoint
+	path         string   // of the configuration
+	features     string   // the text of the file of features; empty: none is named
+	env          []string // of the program
+	cmd          *exec.Cmd
+	log          syncBuffer
+	out          bytes.Buffer
+	client       http.Client
 }
 
 type endpoint struct {
@@ -86,10 +86,10 @@
 	SinceMS int64   `json:"since_ms"`
 }
 
-// newWorld returns a world whose program has not begun, with its servers on the list.
-func newWorld(t *testing.T, servers ...*server) *world {
+// newTestSidecar returns a sidecar that is not started yet, with its servers on the endpoint list.
+func newTestSidecar(t *testing.T, servers ...*server) *testSidecar {
 	t.Parallel()
-	w := &world{T: t, discovery: newDiscovery(t), listen: freeAddress(t), limits: map[string]any{"cores": 1}}
+	w := &testSidecar{T: t, discovery: newDiscovery(t), listen: freeAddress(t), limits: map[string]any{"cores": 1}}
 	w.settings = map[string]any{
 		"classes": []map[string]any{
 			{"name": "read", "effect": "free", "objectiveS": 5, "giveUpS": 10, "importance": 1},
@@ -108,7 +108,7 @@
 	w.client.Transport = &http.Transport{}
 	if way := way(t); way != "http" {
 		w.thrift = freeAddress(t)
-		w.client.Transport = &tripper{way: way, address: w.thrift, idle: make(chan net.Conn, 100)}
+		w.client.Transport = &thriftTransport{way: way, address: w.thrift, idle: make(chan net.Conn, 100)}
 		w.features = "{" + thriftFeatures(w.thrift) + "}"
 	}
 	t.Cleanup(w.client.CloseIdleConnections)
@@ -147,9 +147,9 @@
 	return fmt.Sprintf("127.0.0.1:%d", port)
 }
 
-func (w *world) limit(name string, v any) { w.settings["limits"].(map[string]any)[name] = v }
+func (w *testSidecar) setLimit(name string, v any) { w.settings["limits"].(map[string]any)[name] = v }
 
-func (w *world) config() string {
+func (w *testSidecar) writeConfig() string {
 	raw, err := json.Marshal(map[string]any{"name": "n0", "listen": w.listen, "discovery": w.discovery.address(),
 		"seed": "8c1f30d27a5be964", "limits": w.limits, "settings": w.settings,
 		"known": map[string]any{"index": 7, "snapshot": true, "endpoints": w.known}})
@@ -168,16 +168,16 @@
 }
 
 // start runs the program until it is ready. A program that still runs at the end of the test is ended there.
-func (w *world) start() *world {
-	args := []string{"serve", "--verbose", "--config", w.config()}
+func (w *testSidecar) start() *testSidecar {
+	args := []string{"serve", "--verbose", "--config", w.writeConfig()}
 	if w.features != "" {
-		args = append(args, "--features", w.file("features.json", w.features))
+		args = append(args, "--features", w.writeFile("features.json", w.features))
 	}
 	return w.launch(args...)
 }
 
 // launch does so by a command line of the caller's.
-func (w *world) launch(args ...string) *world {
+func (w *testSidecar) launch(args ...string) *testSidecar {
 	begin := func() {
 		w.cmd = program(args...)
 		w.cmd.Stderr, w.cmd.Stdout = &w.log, &w.out
@@ -198,7 +198,7 @@
 			_ = w.cmd.Wait()
 			w.log.forget()
 			w.listen = freeAddress(w.T)
-			w.config()
+			w.writeConfig()
 			begin()
 		}
 		r, err := outside.Get("http://" + w.listen + "/ready")
@@ -212,24 +212,24 @@
 }
 
 // eventually polls until a condition holds.
-func (w *world) eventually(what string, f func() bool) {
+func (w *testSidecar) eventually(what string, f func() bool) {
 	w.Helper()
 	for end := time.Now().Add(patience); !f(); time.Sleep(5 * time.Millisecond) {
 		require.True(w, time.Now().Before(end), what)
 	}
 }
 
-// logs waits until the program's log holds a text so many times. Danger: the log comes through a pipe of its own, and
+// awaitLog waits until the program's log holds a text so many times. Danger: the log comes through a pipe of its own, and
 // what an answer tells of may not have come through it yet.
-func (w *world) logs(text string, times int) {
+func (w *testSidecar) awaitLog(text string, times int) {
 	w.Helper()
 	w.eventually(text, func() bool { return strings.Count(w.log.String(), text) == times })
 }
 
-func (w *world) signal(s syscall.Signal) { require.NoError(w, w.cmd.Process.Signal(s)) }
+func (w *testSidecar) signal(s syscall.Signal) { require.NoError(w, w.cmd.Process.Signal(s)) }
 
 // counters asks the program for all its counters.
-func (w *world) counters() map[string]any {
+func (w *testSidecar) counters() map[string]any {
 	r, err := outside.Get("http://" + w.listen + "/counters")
 	require.NoError(w, err)
 	defer r.Body.Close()
@@ -238,9 +238,9 @@
 	return all
 }
 
-func (w *world) counter(name string) float64 { return w.counters()[name].(float64) }
+func (w *testSidecar) counter(name string) float64 { return w.counters()[name].(float64) }
 
-func (w *world) ends(kind, outcome string) float64 {
+func (w *testSidecar) countOfOutcome(kind, outcome string) float64 {
 	return w.counters()[kind].(map[string]any)[outcome].(float64)
 }
 
@@ -250,7 +250,7 @@
 }
 
 // request returns one of a class, with all that its class needs.
-func (w *world) request(class, path, body string, header ...string) *http.Request {
+func (w *testSidecar) request(class, path, body string, header ...string) *http.Request {
 	method := "POST"
 	if class == "read" {
 		method = "GET"
@@ -280,7 +280,7 @@
 	err    error
 }
 
-func (w *world) do(r *http.Request) reply {
+func (w *testSidecar) send(r *http.Request) reply {
 	began := time.Now()
 	resp, err := w.client.Do(r)
 	if err != nil {
@@ -292,17 +292,17 @@
 }
 
 // ask sends a request of a class.
-func (w *world) ask(class, path, body string, header ...string) reply {
+func (w *testSidecar) ask(class, path, body string, header ...string) reply {
 	w.Helper()
-	p := w.do(w.request(class, path, body, header...))
+	p := w.send(w.request(class, path, body, header...))
 	require.NoError(w, p.err)
 	return p
 }
 
 // askAside does so in the background.
-func (w *world) askAside(class, path, body string, header ...string) <-chan reply {
+func (w *testSidecar) askAside(class, path, body string, header ...string) <-chan reply {
 	c, r := make(chan reply, 1), w.request(class, path, body, header...)
-	go func() { c <- w.do(r) }()
+	go func() { c <- w.send(r) }()
 	return c
 }
 
@@ -360,7 +360,7 @@
 	return len(s.requests), s.opened, s.closed
 }
 
-func (s *server) got() int { n, _, _ := s.counts(); return n }
+func (s *server) requestCount() int { n, _, _ := s.counts(); return n }
 
 func (s *server) endpoint() endpoint {
 	return endpoint{s.name, s.Listener.Addr().String(), "a", s.status, 1, s.sinceMS}
@@ -463,8 +463,8 @@
 	return string(raw) + "\n"
 }
 
-// speak writes text to a connection of its own and returns the answer's status and what follows it.
-func (w *world) speak(text string) (status int, c net.Conn, r *bufio.Reader) {
+// writeRaw writes text to a connection of its own and returns the answer's status and what follows it.
+func (w *testSidecar) writeRaw(text string) (status int, c net.Conn, r *bufio.Reader) {
 	w.Helper()
 	c, err := net.Dial("tcp", w.listen)
 	require.NoError(w, err)
--- a/cmd/hazelwheel/thrift_test.go
+++ b/cmd/hazelwheel/thrift_test.go
@@ -24,9 +24,9 @@
 	"hazelwheel/internal/thrift"
 )
 
-// newThriftWorld returns a world that has not begun, whose program has a Thrift port.
-func newThriftWorld(t *testing.T, servers ...*server) *world {
-	w := newWorld(t, servers...)
+// newThriftTestSidecar returns a sidecar with a Thrift port, which is not started yet.
+func newThriftTestSidecar(t *testing.T, servers ...*server) *testSidecar {
+	w := newTestSidecar(t, servers...)
 	w.thrift = freeAddress(t)
 	w.features = "{" + thriftFeatures(w.thrift) + "}"
 	return w
@@ -35,7 +35,7 @@
 var encodings = []thrift.Encoding{thrift.Binary, thrift.OldBinary, thrift.Compact}
 
 // dialThrift opens a connection to the Thrift port.
-func (w *world) dialThrift() net.Conn {
+func (w *testSidecar) dialThrift() net.Conn {
 	c, err := net.Dial("tcp", w.thrift)
 	require.NoError(w, err)
 	w.Cleanup(func() { c.Close() })
@@ -52,7 +52,7 @@
 // Calls are read however their bytes come, and calls that are sent ahead are answered in their order, in their encodings,
 // with their own sequence numbers.
 func TestThriftBytesComeInPieces(t *testing.T) {
-	w := newThriftWorld(t, newServer(t, "s-00000001", echo)).start()
+	w := newThriftTestSidecar(t, newServer(t, "s-00000001", echo)).start()
 	for _, enc := range encodings {
 		call := frame(enc, thrift.Call, "read", -7, "", "", "x")
 		for cut := 1; cut < len(call); cut++ {
@@ -85,7 +85,7 @@
 // What is no framed Thrift is closed with a line in the log; what is Thrift and no call that is known is told so.
 func TestThriftInput(t *testing.T) {
 	s := newServer(t, "s-00000001", echo)
-	w := newThriftWorld(t, s).start()
+	w := newThriftTestSidecar(t, s).start()
 	whole := frame(thrift.Binary, thrift.Call, "read", 3, "", "", "x")
 	cut := bytes.Clone(whole[:len(whole)-1])
 	cut[3]--
@@ -153,7 +153,7 @@
 		assert.False(t, err == nil || strings.Contains(err.Error(), "timeout"))
 		assert.Less(t, time.Since(began), 2*time.Second, "before a request that does not arrive would be given up")
 	}
-	w.logs("connections at the HTTP port are closed that speak Thrift", 1)
+	w.awaitLog("connections at the HTTP port are closed that speak Thrift", 1)
 	w.eventually("the log", func() bool {
 		return strings.Contains(w.log.String(), "connections at the Thrift port are closed that speak no framed Thrift")
 	})
@@ -180,7 +180,7 @@
 			c.Close()
 		}
 	}()
-	w := newThriftWorld(t)
+	w := newThriftTestSidecar(t)
 	w.known = append(w.known, endpoint{"s-00000001", l.Addr().String(), "a", "SERVING", 1, 0})
 	w.start()
 	call := frame(thrift.Compact, thrift.Call, "write", 1, "a", "", "x")
@@ -208,7 +208,7 @@
 // A call whose client goes before its last byte never runs.
 func TestThriftClientBreaksAtEveryByte(t *testing.T) {
 	s := newServer(t, "s-00000001", echo)
-	w := newThriftWorld(t, s).start()
+	w := newThriftTestSidecar(t, s).start()
 	call := frame(thrift.Compact, thrift.Call, "write", 1, "a", "", "x")
 	for cut := range call {
 		c := w.dialThrift()
@@ -218,7 +218,7 @@
 	c := w.dialThrift()
 	_, _ = c.Write(call)
 	assert.Equal(t, "1 write a=x", said(t, c))
-	assert.Equal(t, 1, s.got())
+	assert.Equal(t, 1, s.requestCount())
 }
 
 // A keyed call without a key is sent once, as nothing would drop its repeat.
@@ -230,11 +230,11 @@
 				s.set(echo)
 				says(500, "")(w, r)
 			})
-			w := newThriftWorld(t, s).start()
+			w := newThriftTestSidecar(t, s).start()
 			c := w.dialThrift()
 			_, _ = c.Write(frame(thrift.Binary, thrift.Call, "alert", 1, "a", key, "x"))
 			assert.Equal(t, map[int]string{1: "1 alert exception 6 failed; it may have run", 2: "1 alert a=x"}[want], said(t, c))
-			assert.Equal(t, want, s.got())
+			assert.Equal(t, want, s.requestCount())
 			assert.EqualValues(t, 2-want, w.counter("failed"))
 		})
 	}
@@ -251,13 +251,13 @@
 		arrivals.Wait()
 		echo(rw, r)
 	})
-	w := newThriftWorld(t, s).start()
+	w := newThriftTestSidecar(t, s).start()
 	c := w.dialThrift()
 	over := w.askAside("alert", "", "x", "Request-Id", "h", "Idempotency-Key", "k2")
 	_, _ = c.Write(frame(thrift.Binary, thrift.Call, "alert", 3, "t", "k2", "x"))
 	assert.Equal(t, "3 alert t=x", said(t, c))
 	assert.Equal(t, "h=x", (<-over).body)
-	assert.Equal(t, 2, s.got())
+	assert.Equal(t, 2, s.requestCount())
 }
 
 // What was called before a drain is answered on the link that it is out on; the next goes to another server.
@@ -269,13 +269,13 @@
 		<-release
 		says(200, "drained")(rw, r)
 	})
-	w := newThriftWorld(t, s)
+	w := newThriftTestSidecar(t, s)
 	drains := make(chan struct{})
 	w.discovery.tellOnce(8, drains, func() string { return line(t, 8, false, s, other) })
 	w.start()
 	c := w.dialThrift()
 	_, _ = c.Write(frame(thrift.Compact, thrift.Call, "write", 1, "a", "", ""))
-	w.eventually("the execution", func() bool { return s.got() == 1 })
+	w.eventually("the execution", func() bool { return s.requestCount() == 1 })
 	s.status = "DRAINING"
 	close(drains)
 	w.eventually("the list", func() bool { return w.counter("lists") == 1 })
@@ -284,7 +284,7 @@
 	w.eventually("its link is closed", func() bool { _, _, closed := s.counts(); return closed == 1 })
 	_, _ = c.Write(frame(thrift.Compact, thrift.Call, "write", 2, "b", "", ""))
 	assert.Equal(t, "2 write other", said(t, c))
-	assert.Equal(t, 1, s.got())
+	assert.Equal(t, 1, s.requestCount())
 }
 
 // After SIGTERM all calls that were sent ahead are answered, then the link is closed and the program ends.
@@ -294,16 +294,16 @@
 		<-release
 		echo(rw, r)
 	})
-	w := newThriftWorld(t, s).start()
+	w := newThriftTestSidecar(t, s).start()
 	c := w.dialThrift()
 	var ahead []byte
 	for i := range 20 {
 		ahead = append(ahead, frame(thrift.Binary, thrift.Call, "write", int32(i), fmt.Sprint("i", i), "", strings.Repeat("z", 1000))...)
 	}
 	_, _ = c.Write(ahead)
-	w.eventually("the execution", func() bool { return s.got() == 1 })
+	w.eventually("the execution", func() bool { return s.requestCount() == 1 })
 	w.signal(syscall.SIGTERM)
-	w.logs("msg=ending", 1)
+	w.awaitLog("msg=ending", 1)
 	close(release)
 	for i := range 20 {
 		require.Equal(t, fmt.Sprintf("%d write i%d=%s", i, i, strings.Repeat("z", 1000)), said(t, c))
@@ -311,45 +311,45 @@
 	_, err := c.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF)
 	require.NoError(t, w.cmd.Wait())
-	assert.Equal(t, 20, s.got())
+	assert.Equal(t, 20, s.requestCount())
 }
 
 // A call without an answer is taken and sent once, also when its client goes at once; the next on its link is answered.
 func TestThriftOneway(t *testing.T) {
 	s := newServer(t, "s-00000001", echo)
-	w := newThriftWorld(t, s).start()
+	w := newThriftTestSidecar(t, s).start()
 	for i, enc := range encodings {
 		c := w.dialThrift()
 		_, _ = c.Write(append(frame(enc, thrift.Oneway, "writeAside", 1, "", "", "x"), frame(enc, thrift.Call, "read", 2, "", "", "y")...))
 		assert.Equal(t, "2 read =y", said(t, c))
 		_, _ = c.Write(frame(enc, thrift.Oneway, "writeAside", 3, "", "", "z"))
 		c.Close()
-		w.eventually("it arrives", func() bool { return s.got() == 3*(i+1) })
+		w.eventually("it arrives", func() bool { return s.requestCount() == 3*(i+1) })
 	}
 	w.eventually("all are over", func() bool { return w.counter("open") == 0 })
 	assert.Equal(t, 9.0, w.counter("served"))
-	assert.Equal(t, 6.0, w.ends("execution_ends", "cancelled"), "how the servers fared is not known")
+	assert.Equal(t, 6.0, w.countOfOutcome("execution_ends", "cancelled"), "how the servers fared is not known")
 	assert.Zero(t, w.counter("abandoned"))
 }
 
 // Drills, the capture, the counters and reloads take calls as they take requests.
 func TestThriftWithOtherFeatures(t *testing.T) {
 	s := newServer(t, "s-00000001", echo)
-	w := newThriftWorld(t, s).withDrills(`{"name":"cut","class":"write","share":100,"abort":"503"}`)
+	w := newThriftTestSidecar(t, s).withFaults(`{"name":"cut","class":"write","share":100,"abort":"503"}`)
 	w.features = strings.TrimSuffix(w.features, "}") + `,"capture":{},` + thriftFeatures(w.thrift) + "}"
 	w.start()
 	c := w.dialThrift()
 	_, _ = c.Write(frame(thrift.Compact, thrift.Call, "write", 1, "call-1", "", ""))
 	assert.Equal(t, "1 write call-1=", said(t, c))
-	code, text := w.drill("cut", drillSecret)
+	code, text := w.controlFault("cut", drillSecret)
 	require.Zero(t, code, text)
 	_, _ = c.Write(frame(thrift.Compact, thrift.Call, "Readings:write", 2, "call-2", "", ""))
 	assert.Equal(t, "2 write exception 11 throttled; retry-after=1.500", said(t, c))
-	assert.Equal(t, 1.0, w.drillHits())
+	assert.Equal(t, 1.0, w.faultHits())
 	dump := w.dump()
 	assert.Contains(t, dump, `"id":"call-1","class":"write"`)
 	w.signal(syscall.SIGHUP)
-	w.logs("configuration read", 1)
+	w.awaitLog("configuration read", 1)
 	_, _ = c.Write(frame(thrift.Compact, thrift.Call, "read", 3, "", "", "x"))
 	assert.Equal(t, "3 read =x", said(t, c))
 	assert.Equal(t, []float64{3, 2, 1}, []float64{w.counter("requests"), w.counter("served"), w.counter("throttled")})
@@ -358,15 +358,15 @@
 // Where boxes speak nothing else, no request goes to them over HTTP.
 func TestThriftOnly(t *testing.T) {
 	s := newServer(t, "s-00000001", echo)
-	w := newThriftWorld(t, s)
-	w.limit("probes", true)
+	w := newThriftTestSidecar(t, s)
+	w.setLimit("probes", true)
 	w.features = strings.Replace(w.features, `"classes"`, `"only":true,"classes"`, 1)
-	code, text := run(t, "check", "--config", w.config(), "--features", w.file("bad.json", w.features))
+	code, text := run(t, "check", "--config", w.writeConfig(), "--features", w.writeFile("bad.json", w.features))
 	assert.Equal(t, 2, code)
 	assert.Contains(t, text, "thrift.probe: missing")
 	w.features = strings.Replace(w.features, `"classes"`, `"probe":"ping","classes"`, 1)
 	w.start()
-	w.eventually("a probe", func() bool { return w.ends("probe_ends", "ok") > 0 })
+	w.eventually("a probe", func() bool { return w.countOfOutcome("probe_ends", "ok") > 0 })
 	assert.Equal(t, 404, w.ask("read", "", "").status)
 	c := w.dialThrift()
 	_, _ = c.Write(frame(thrift.Binary, thrift.Call, "read", 1, "", "", "x"))
@@ -410,7 +410,7 @@
 				go server.Serve()
 				t.Cleanup(func() { _ = server.Stop() })
 
-				w := newThriftWorld(t)
+				w := newThriftTestSidecar(t)
 				w.features = fmt.Sprintf(`{"thrift":{"listen":"%s","classes":[{"class":"read","methods":["read","Readings:read"]}]}}`, w.thrift)
 				w.known = append(w.known, endpoint{"s-00000001", socket.Addr().String(), "a", "SERVING", 1, 0})
 				w.start()
--- a/cmd/hazelwheel/ways_test.go
+++ b/cmd/hazelwheel/ways_test.go
@@ -110,13 +110,13 @@
 	return apache.NewTBinaryProtocolConf(framed, conf)
 }
 
-// tripper carries HTTP requests to the program's Thrift port by the Apache library's client, and what comes back as HTTP.
-type tripper struct {
+// thriftTransport carries HTTP requests to the program's Thrift port by the Apache library's client, and what comes back as HTTP.
+type thriftTransport struct {
 	way, address string
 	idle         chan net.Conn
 }
 
-func (t *tripper) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t *thriftTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	class, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.RequestURI(), "/"), "/")
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -163,7 +163,7 @@
 	return response(200, string(found[0].Bytes), http.Header{}), err
 }
 
-func (t *tripper) CloseIdleConnections() {
+func (t *thriftTransport) CloseIdleConnections() {
 	for len(t.idle) > 0 {
 		(<-t.idle).Close()
 	}
@@ -186,24 +186,24 @@
 	return response(status, e.Error(), h)
 }
 
-// sniffer is a listener that keeps connections which speak Thrift from an HTTP server, and has them served otherwise.
-type sniffer struct {
+// protocolListener is a listener that keeps connections which speak Thrift from an HTTP server, and has them served otherwise.
+type protocolListener struct {
 	net.Listener
-	thrift func(peeked)
+	thrift func(peekedConn)
 	http   chan net.Conn
 	over   chan struct{}
 }
 
-// peeked is a connection whose first bytes have been looked at.
-type peeked struct {
+// peekedConn is a connection whose first bytes have been looked at.
+type peekedConn struct {
 	net.Conn
 	r *bufio.Reader
 }
 
-func (p peeked) Read(b []byte) (int, error) { return p.r.Read(b) }
+func (p peekedConn) Read(b []byte) (int, error) { return p.r.Read(b) }
 
-func sniff(s *server) *sniffer {
-	l := &sniffer{s.Listener, s.serveThrift, make(chan net.Conn), make(chan struct{})}
+func sniff(s *server) *protocolListener {
+	l := &protocolListener{s.Listener, s.serveThrift, make(chan net.Conn), make(chan struct{})}
 	go func() {
 		defer close(l.over)
 		for {
@@ -211,13 +211,13 @@
 			if err != nil {
 				return
 			}
-			go l.sort(peeked{c, bufio.NewReader(c)})
+			go l.sort(peekedConn{c, bufio.NewReader(c)})
 		}
 	}()
 	return l
 }
 
-func (l *sniffer) Accept() (net.Conn, error) {
+func (l *protocolListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.http:
 		return c, nil
@@ -226,7 +226,7 @@
 	}
 }
 
-func (l *sniffer) sort(c peeked) {
+func (l *protocolListener) sort(c peekedConn) {
 	if first, err := c.r.Peek(1); err == nil && first[0] == 0 {
 		l.thrift(c)
 		return
@@ -239,7 +239,7 @@
 }
 
 // serveThrift has the server's handler answer calls, one after the other. That the connection ends shows while one is served.
-func (s *server) serveThrift(c peeked) {
+func (s *server) serveThrift(c peekedConn) {
 	s.count(&s.opened)
 	gone, cancel := context.WithCancel(context.Background())
 	calls := make(chan thrift.Message)
--- a/cmd/hazelwheel/work_test.go
+++ b/cmd/hazelwheel/work_test.go
@@ -25,40 +25,41 @@
 	"hazelwheel/internal/maintenanceplan"
 )
 
-// yard is a crew whose boxes are worked on by plans. Boxes keep what comes to them, mechanics what they do: both are judged at the end.
-type yard struct {
-	*crew
-	boxes     []*box
+// maintenanceFleet is a fleet on whose machines plans do maintenance. Machines record the requests that they get, maintenance agents what they
+// do: both are checked at the end.
+type maintenanceFleet struct {
+	*testFleet
+	boxes     []*machine
 	mechanics []*maintenanceagent.Agent
 	plans     []maintenance.Spec
 	times     map[string]int // that a box is in a plan, by name
 	serving   func()         // ends the clients and judges what they got
-	stood     []standing
+	stood     []stallPeriod
 	past      int // requests of sidecars that had counted as gone, to boxes that were worked on
 }
 
-// box is a server that notes each request.
-type box struct {
+// machine is a server that notes each request.
+type machine struct {
 	*server
 	site    string
 	mu      sync.Mutex
-	came    []visit
+	came    []recordedRequest
 	waiting chan struct{} // requests that ask to be held wait for it
 }
 
-// visit is a request at a box; to is the zero time while the box works on it.
-type visit struct {
+// recordedRequest is a request at a box; to is the zero time while the box works on it.
+type recordedRequest struct {
 	from, to time.Time
 	by       string // the sidecar that has sent it, where its client says
 	held     bool   // until the box is released
 }
 
-func (b *box) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (b *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // what was not read can't be worked on either
 	held := strings.HasSuffix(r.URL.Path, "/hold")
 	b.mu.Lock()
 	at, waiting := len(b.came), b.waiting
-	b.came = append(b.came, visit{from: time.Now(), by: strings.TrimPrefix(r.URL.Path, "/read/"), held: held})
+	b.came = append(b.came, recordedRequest{from: time.Now(), by: strings.TrimPrefix(r.URL.Path, "/read/"), held: held})
 	b.mu.Unlock()
 	if held {
 		<-waiting // also when its client has gone: a box does not know that
@@ -69,7 +70,7 @@
 	b.mu.Unlock()
 }
 
-func (b *box) release() {
+func (b *machine) release() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	close(b.waiting)
@@ -77,7 +78,7 @@
 }
 
 // entry returns the endpoint as discovery lists it.
-func (b *box) entry() endpoint {
+func (b *machine) entry() endpoint {
 	e := b.endpoint()
 	e.Zone = b.site
 	return e
@@ -90,17 +91,17 @@
 	takesIn = 300 * time.Millisecond
 )
 
-// newYard returns so many sidecars, of which some are electors, with boxes at sites a, b and c in turn.
-func newYard(t *testing.T, sidecars, electors, boxes int) *yard {
-	y := &yard{crew: newOwners(t, sidecars, electors), times: map[string]int{}}
-	y.jobs, y.registry = []string{"works"}, newRegistry(t)
-	y.crew.settings = func(s map[string]any) {
+// newMaintenanceFleet returns so many sidecars, of which some are electors, with boxes at sites a, b and c in turn.
+func newMaintenanceFleet(t *testing.T, sidecars, electors, boxes int) *maintenanceFleet {
+	y := &maintenanceFleet{testFleet: newOwners(t, sidecars, electors), times: map[string]int{}}
+	y.jobs, y.registry = []string{"works"}, newDiscoveryRegistry(t)
+	y.testFleet.settings = func(s map[string]any) {
 		s["dcs"] = []string{"a", "b", "c"}
 		s["classes"] = append(s["classes"].([]map[string]any),
 			map[string]any{"name": "write", "effect": "single_shot", "objectiveS": 5, "giveUpS": 10, "importance": 1})
 	}
 	for i := range boxes {
-		b := &box{server: y.server, site: []string{"a", "b", "c"}[i%3], waiting: make(chan struct{})}
+		b := &machine{server: y.server, site: []string{"a", "b", "c"}[i%3], waiting: make(chan struct{})}
 		if i > 0 {
 			b.server = newServer(t, fmt.Sprintf("s-%08x", i+1), nil)
 		}
@@ -114,12 +115,12 @@
 			}
 		}
 	}
-	t.Cleanup(y.judge)
+	t.Cleanup(y.checkRules)
 	return y
 }
 
 // open starts all, and has clients ask.
-func (y *yard) open() *yard {
+func (y *maintenanceFleet) open() *maintenanceFleet {
 	y.start().ready(y.all...)
 	y.agree(y.all...)
 	y.asked()
@@ -127,13 +128,13 @@
 }
 
 // asked has clients ask, until serving is called or the test ends.
-func (y *yard) asked() {
+func (y *maintenanceFleet) asked() {
 	y.serving = sync.OnceFunc(y.serveAll())
 	y.Cleanup(y.serving) // Danger: a client that goes on would log to a test that has ended
 }
 
 // mechanic has somebody work until the test ends or what it returns is called.
-func (y *yard) mechanic(name string, change func(m *maintenanceagent.Agent)) (m *maintenanceagent.Agent, stop func()) {
+func (y *maintenanceFleet) mechanic(name string, change func(m *maintenanceagent.Agent)) (m *maintenanceagent.Agent, stop func()) {
 	m = &maintenanceagent.Agent{Name: name, WorkDuration: func(string) time.Duration { return takesIn }, AdminEndpoints: y.doors}
 	if change != nil {
 		change(m)
@@ -143,7 +144,7 @@
 }
 
 // runs has a mechanic begin, or begin again.
-func (y *yard) runs(m *maintenanceagent.Agent) (stop func()) {
+func (y *maintenanceFleet) runs(m *maintenanceagent.Agent) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	over := make(chan struct{})
 	go func() {
@@ -159,7 +160,7 @@
 }
 
 // doors are those of the sidecars that answer.
-func (y *yard) doors() (all []string) {
+func (y *maintenanceFleet) doors() (all []string) {
 	for _, m := range y.all {
 		if !m.gone.Load() && !m.frozen.Load() {
 			all = append(all, m.ops)
@@ -169,7 +170,7 @@
 }
 
 // work says a command of the command line at a sidecar's door, which must do it.
-func (y *yard) work(m *mate, args ...string) string {
+func (y *maintenanceFleet) work(m *fleetMember, args ...string) string {
 	y.Helper()
 	out, code := y.command(append(append([]string{"fleet", "work"}, args...), "--ops", m.ops)...)
 	require.Zero(y, code, "%v: %s", args, out)
@@ -177,7 +178,7 @@
 }
 
 // plan writes a plan's file and gives it at a sidecar's door. What it says replaces the lines that plans here have.
-func (y *yard) plan(m *mate, lines string, of ...*box) {
+func (y *maintenanceFleet) plan(m *fleetMember, lines string, of ...*machine) {
 	y.Helper()
 	file := y.file(lines, of...)
 	y.given(file, of...)
@@ -185,7 +186,7 @@
 }
 
 // given notes a plan for the judge.
-func (y *yard) given(file string, of ...*box) {
+func (y *maintenanceFleet) given(file string, of ...*machine) {
 	y.Helper()
 	text, err := os.ReadFile(file)
 	require.NoError(y, err)
@@ -197,7 +198,7 @@
 	}
 }
 
-func (y *yard) file(lines string, of ...*box) string {
+func (y *maintenanceFleet) file(lines string, of ...*machine) string {
 	y.Helper()
 	var names []string
 	for _, b := range of {
@@ -216,7 +217,7 @@
 }
 
 // works returns what a sidecar's door tells of plans.
-func (m *mate) works() (s coordination.MaintenanceStatus, ok bool) {
+func (m *fleetMember) works() (s coordination.MaintenanceStatus, ok bool) {
 	if m.frozen.Load() || m.gone.Load() || m.cmd == nil {
 		return s, false
 	}
@@ -225,7 +226,7 @@
 }
 
 // newest returns the latest version that any door tells.
-func (y *yard) newest() (newest coordination.MaintenanceStatus) {
+func (y *maintenanceFleet) newest() (newest coordination.MaintenanceStatus) {
 	for _, m := range y.all {
 		if s, ok := m.works(); ok && (s.Version > newest.Version || s.Version == newest.Version && s.AgeSeconds < newest.AgeSeconds) {
 			newest = s
@@ -235,7 +236,7 @@
 }
 
 // stage returns how far the work on a box has come, by the latest plan that has it.
-func stage(s *coordination.MaintenanceStatus, b *box) (found maintenance.Server) {
+func stage(s *coordination.MaintenanceStatus, b *machine) (found maintenance.Server) {
 	for _, p := range s.Plans {
 		for _, k := range p.Servers {
 			if k.Name == b.name {
@@ -247,7 +248,7 @@
 }
 
 // comes waits until a box has come to a stage, by the latest word.
-func (y *yard) comes(b *box, to ...maintenance.Stage) (found maintenance.Server) {
+func (y *maintenanceFleet) comes(b *machine, to ...maintenance.Stage) (found maintenance.Server) {
 	y.Helper()
 	y.poll(fmt.Sprintf("%s comes to %v", b.name, to), func() bool {
 		s := y.newest()
@@ -258,7 +259,7 @@
 }
 
 // waits waits until something of a box is waited for, for somebody of that name (empty: anybody), and returns for what.
-func (y *yard) waits(b *box, why, who string) {
+func (y *maintenanceFleet) waits(b *machine, why, who string) {
 	y.Helper()
 	last := ""
 	defer func() {
@@ -276,7 +277,7 @@
 }
 
 // ended waits until no plan goes on, and returns the last one.
-func (y *yard) ended() maintenance.Plan {
+func (y *maintenanceFleet) ended() maintenance.Plan {
 	y.Helper()
 	var s coordination.MaintenanceStatus
 	y.pollFor(6*patience, "all plans have ended", func() bool {
@@ -287,7 +288,7 @@
 }
 
 // owner waits until one of some owns the job, and returns it.
-func (y *yard) owner(some ...*mate) (owner *mate) {
+func (y *maintenanceFleet) owner(some ...*fleetMember) (owner *fleetMember) {
 	y.Helper()
 	y.poll("one settles the order", func() bool {
 		owner = nil
@@ -302,13 +303,13 @@
 }
 
 // jobOf returns what a sidecar knows of a job; nothing where its door does not answer.
-func (m *mate) jobOf(name string) coordination.RoleStatus {
+func (m *fleetMember) jobOf(name string) coordination.RoleStatus {
 	j, _ := m.toldOf(name)
 	return j
 }
 
 // toldOf does so, and reports whether the door has answered: without an answer nothing is known of who owns the job.
-func (m *mate) toldOf(name string) (j coordination.RoleStatus, told bool) {
+func (m *fleetMember) toldOf(name string) (j coordination.RoleStatus, told bool) {
 	s, told := m.owners()
 	for _, k := range s.Roles {
 		if k.Role == name {
@@ -319,12 +320,12 @@
 }
 
 // hold has a request be held by a box, and returns which one it is. It was sent by a sidecar, and is out there until it is released.
-func (y *yard) hold(by *mate, class string, header ...string) *box {
+func (y *maintenanceFleet) hold(by *fleetMember, class string, header ...string) *machine {
 	y.Helper()
-	w := &world{T: y.T, listen: by.listen}
+	w := &testSidecar{T: y.T, listen: by.listen}
 	w.client.Timeout = 3 * patience
 	w.askAside(class, "/hold", "", header...)
-	var found *box
+	var found *machine
 	y.poll("a box holds a request", func() bool {
 		for _, b := range y.boxes {
 			b.mu.Lock()
@@ -341,7 +342,7 @@
 }
 
 // records returns what mechanics did, in the order in which it began.
-func (y *yard) records() (all []maintenanceagent.Record) {
+func (y *maintenanceFleet) records() (all []maintenanceagent.Record) {
 	for _, m := range y.mechanics {
 		all = append(all, m.Records()...)
 	}
@@ -349,12 +350,12 @@
 	return all
 }
 
-// judge holds what mechanics did beside what came to the boxes: nobody works on a box that got a request less than the settle time
+// checkRules holds what mechanics did beside what came to the boxes: nobody works on a box that got a request less than the settle time
 // before, or has one out, but by force; no more boxes are out or cold at once than plans allow, and none twice under one plan.
-func (y *yard) judge() {
+func (y *maintenanceFleet) checkRules() {
 	all := y.records()
 	for _, r := range all {
-		i := slices.IndexFunc(y.boxes, func(b *box) bool { return b.name == r.Server })
+		i := slices.IndexFunc(y.boxes, func(b *machine) bool { return b.name == r.Server })
 		require.GreaterOrEqual(y, i, 0, r.Server)
 		b := y.boxes[i]
 		to := r.EndedAt
@@ -413,15 +414,15 @@
 }
 
 // settle and cold are the shortest that plans here have.
-func (y *yard) settle() time.Duration {
+func (y *maintenanceFleet) settle() time.Duration {
 	return y.least(func(p *maintenance.Spec) float64 { return p.QuietSeconds })
 }
 
-func (y *yard) cold() time.Duration {
+func (y *maintenanceFleet) cold() time.Duration {
 	return y.least(func(p *maintenance.Spec) float64 { return p.WarmUpSeconds })
 }
 
-func (y *yard) least(of func(*maintenance.Spec) float64) time.Duration {
+func (y *maintenanceFleet) least(of func(*maintenance.Spec) float64) time.Duration {
 	s := 3600.0
 	for i := range y.plans {
 		s = min(s, of(&y.plans[i]))
@@ -430,16 +431,16 @@
 }
 
 // wasGone reports whether a request is of a sidecar that stood still for so long that it counted as gone.
-func (y *yard) wasGone(v visit) bool {
-	return slices.ContainsFunc(y.stood, func(s standing) bool {
-		return s.mate.name == v.by && v.from.After(s.from) && v.from.Before(s.until.Add(awakeIn))
+func (y *maintenanceFleet) wasGone(v recordedRequest) bool {
+	return slices.ContainsFunc(y.stood, func(s stallPeriod) bool {
+		return s.member.name == v.by && v.from.After(s.from) && v.from.Before(s.until.Add(awakeIn))
 	})
 }
 
-// standing is a sidecar that stood still for longer than it takes to count as gone. What it sends when it goes on, until it has heard
+// stallPeriod is a sidecar that stood still for longer than it takes to count as gone. What it sends when it goes on, until it has heard
 // what was agreed meanwhile, nobody could have waited for.
-type standing struct {
-	mate        *mate
+type stallPeriod struct {
+	member      *fleetMember
 	from, until time.Time
 }
 
@@ -449,7 +450,7 @@
 // The thin line: a sidecar is cut off from its peers and not from the boxes while a box is emptied. It is named, waited for, and the
 // box is not handed over; it returns, and the plan goes on.
 func TestWorkWaitsForWhoIsCutOff(t *testing.T) {
-	y := newYard(t, 3, 3, 3).open()
+	y := newMaintenanceFleet(t, 3, 3, 3).open()
 	y.mechanic("anna", nil)
 	owner := y.owner(y.all...)
 	cut := y.without(owner)[0]
@@ -460,7 +461,7 @@
 	y.board.SetFault(processcluster.LinkFault{Cut: true}, ways...)
 	b.release()
 	y.waits(b, "not heard to have stopped sending there", cut.name)
-	y.view([]*mate{owner}, y.without(cut)) // it is held for dead, and waited for all the same
+	y.view([]*fleetMember{owner}, y.without(cut)) // it is held for dead, and waited for all the same
 	assert.Equal(t, maintenance.Draining, y.comes(b, maintenance.Draining).Stage)
 	assert.Empty(t, y.records())
 	y.board.SetFault(processcluster.LinkFault{}, ways...)
--- a/cmd/hazelwheel/workcases_test.go
+++ b/cmd/hazelwheel/workcases_test.go
@@ -21,7 +21,7 @@
 
 // A sidecar is killed for good while a box is emptied: it is named, and counts as gone after the time that the plan states.
 func TestWorkWithoutWhoIsGone(t *testing.T) {
-	y := newYard(t, 4, 3, 3).open()
+	y := newMaintenanceFleet(t, 4, 3, 3).open()
 	y.mechanic("anna", nil)
 	dead := y.without(y.owner(y.all...), y.all[0], y.all[1], y.all[2])
 	if len(dead) == 0 {
@@ -41,7 +41,7 @@
 // While a box is worked on, sidecars start from the list of boxes that their configuration had before: one with its state, one that has
 // lost it, one that was killed before the box left and has never heard of it; and one reads its configuration again.
 func TestWorkSidecarsStart(t *testing.T) {
-	y := newYard(t, 6, 3, 3).open()
+	y := newMaintenanceFleet(t, 6, 3, 3).open()
 	y.mechanic("anna", func(m *maintenanceagent.Agent) {
 		m.WorkDuration = func(string) time.Duration { return 12 * time.Second }
 	})
@@ -61,12 +61,12 @@
 	}
 	y.all[2].signal(syscall.SIGHUP)
 	y.ready(y.all[3:]...)
-	asked := map[*mate]int64{}
+	asked := map[*fleetMember]int64{}
 	for _, m := range y.all {
 		asked[m] = m.asked.Load()
 	}
 	y.poll("all have served", func() bool {
-		return !slices.ContainsFunc(y.all, func(m *mate) bool { return m.asked.Load() < asked[m]+50 })
+		return !slices.ContainsFunc(y.all, func(m *fleetMember) bool { return m.asked.Load() < asked[m]+50 })
 	})
 	for _, m := range y.all {
 		y.poll(m.name+" has it out", func() bool { s, ok := m.works(); return ok && slices.Equal(s.Cordoned, []string{b.name}) })
@@ -88,9 +88,9 @@
 		heldS    float64
 	}{{"for half a minute", "40000m", 40, 30}, {"given up", "3000m", 8, 5}} {
 		t.Run(k.name, func(t *testing.T) {
-			y := newYard(t, 3, 3, 3)
-			usual := y.crew.settings
-			y.crew.settings = func(s map[string]any) {
+			y := newMaintenanceFleet(t, 3, 3, 3)
+			usual := y.testFleet.settings
+			y.testFleet.settings = func(s map[string]any) {
 				usual(s)
 				class := s["classes"].([]map[string]any)[1]
 				class["giveUpS"], class["objectiveS"] = k.giveUpS, k.giveUpS
@@ -119,9 +119,9 @@
 	t.Parallel() // else all other tests wait until its last case is over
 	for _, k := range []struct {
 		name, waits string
-		begins      func(y *yard) (ends func())
+		begins      func(y *maintenanceFleet) (ends func())
 	}{
-		{"a site is lost", "site c is lost", func(y *yard) func() {
+		{"a site is lost", "site c is lost", func(y *maintenanceFleet) func() {
 			for _, b := range y.boxes {
 				if b.site == "c" {
 					b.set(breaks(""))
@@ -133,7 +133,7 @@
 				}
 			}
 		}},
-		{"the load doubles and doubles again", "of the capacity serves", func(y *yard) func() {
+		{"the load doubles and doubles again", "of the capacity serves", func(y *maintenanceFleet) func() {
 			var all []func()
 			for range 3 {
 				all = append(all, sync.OnceFunc(y.serveAll()))
@@ -147,7 +147,7 @@
 		}},
 	} {
 		t.Run(k.name, func(t *testing.T) {
-			y := newYard(t, 3, 3, 6).open()
+			y := newMaintenanceFleet(t, 3, 3, 6).open()
 			y.plan(y.owner(y.all...), "at_once = 2\nkeep = 0.6", y.boxes[0], y.boxes[1], y.boxes[3], y.boxes[4]) // sites a and b
 			y.poll("two are ready", func() bool { return y.counts()[maintenance.Drained] == 2 })
 			y.poll("some time has passed", func() bool { s := y.newest(); return s.Plans[0].AgeSeconds > 15 })
@@ -174,7 +174,7 @@
 // A box that a plan has out is given back by hand at one sidecar: it is in use there, and not handed over until it is taken out there by
 // hand. It stays out there when the plan has ended, until it is given back by hand, too.
 func TestWorkAndHands(t *testing.T) {
-	y := newYard(t, 3, 3, 3).open()
+	y := newMaintenanceFleet(t, 3, 3, 3).open()
 	y.mechanic("anna", nil)
 	b, hand := y.hold(y.all[0], "write"), y.all[2]
 	said := func(line string) {
@@ -185,8 +185,8 @@
 	y.plan(y.all[1], "", b)
 	y.waits(b, "has something out there", "m00")
 	said("ONLINE")
-	before := b.got()
-	y.poll("it is used there", func() bool { return b.got() > before })
+	before := b.requestCount()
+	y.poll("it is used there", func() bool { return b.requestCount() > before })
 	b.release()
 	y.waits(b, "in use there by hand", hand.name)
 	s, _ := hand.works()
@@ -215,7 +215,7 @@
 // One plan is given at both sides of a cut. The side that has a majority takes it, and waits; the other says that it is not known. Mended,
 // the second is told of the first, and the plan is carried out once. A command that is repeated is done once.
 func TestWorkOnBothSidesOfACut(t *testing.T) {
-	y := newYard(t, 5, 5, 3).open()
+	y := newMaintenanceFleet(t, 5, 5, 3).open()
 	y.mechanic("anna", nil)
 	y.owner(y.all...)
 	left, right := y.all[:3], y.all[3:]
@@ -248,13 +248,13 @@
 
 // A plan is aborted while boxes are in three states: what nobody works on is given back at once, what is worked on comes back in its time.
 func TestWorkIsAborted(t *testing.T) {
-	y := newYard(t, 3, 3, 6).open()
+	y := newMaintenanceFleet(t, 3, 3, 6).open()
 	long := make(chan struct{})
 	y.mechanic("anna", func(m *maintenanceagent.Agent) {
 		m.WorkDuration = func(string) time.Duration { <-long; return 0 }
 	})
 	b := y.hold(y.all[0], "write")
-	others := slices.DeleteFunc(slices.Clone(y.boxes), func(o *box) bool { return o == b })
+	others := slices.DeleteFunc(slices.Clone(y.boxes), func(o *machine) bool { return o == b })
 	y.plan(y.all[1], "at_once = 5\nby_site = 2\nkeep = 0.1", append(others[:4], b)...)
 	y.pollFor(6*patience, "boxes are leaving, ready and taken", func() bool {
 		count := y.counts()
@@ -280,7 +280,7 @@
 // A mechanic dies with a box, and goes on with it when it is back; another one gets nothing meanwhile. One that is too slow loses it, and
 // its word comes too late. Old tokens and second words are turned away.
 func TestWorkMechanics(t *testing.T) {
-	y := newYard(t, 3, 3, 3).open()
+	y := newMaintenanceFleet(t, 3, 3, 3).open()
 	owner := y.owner(y.all...)
 	slow := func(m *maintenanceagent.Agent) {
 		m.WorkDuration = func(string) time.Duration { return 4 * time.Second }
@@ -310,17 +310,17 @@
 	y.poll("his word came too late", func() bool { r := bob.Records(); return len(r) == 1 && len(r[0].CompletionErrors) == 2 })
 	assert.Contains(t, bob.Records()[0].CompletionErrors[0], "is not worked on under")
 	stop()
-	lost := y.boxes[1].got()
+	lost := y.boxes[1].requestCount()
 	asked := owner.asked.Load()
 	y.poll("others serve", func() bool { return owner.asked.Load() > asked+100 })
-	assert.Equal(t, lost, y.boxes[1].got(), "what was lost stays out")
+	assert.Equal(t, lost, y.boxes[1].requestCount(), "what was lost stays out")
 	out, code := y.command("fleet", "work", "done", y.boxes[0].name, formatToken(first.Token-1), "--ops", owner.ops)
 	assert.Equal(t, 1, code)
 	assert.Contains(t, out, "nobody works on "+y.boxes[0].name)
 	out, code = y.command("fleet", "work", "failed", y.boxes[0].name, formatToken(first.Token), "--ops", owner.ops)
 	assert.Equal(t, 1, code, out)
 	y.work(owner, "skip", y.boxes[1].name)
-	y.poll("it is given back", func() bool { return y.boxes[1].got() > lost })
+	y.poll("it is given back", func() bool { return y.boxes[1].requestCount() > lost })
 
 	// By force, past a request that is out: on record with who had it.
 	b := y.hold(owner, "write")
@@ -345,35 +345,35 @@
 		"draining":        func(e *endpoint, _ endpoint) { e.Status = "DRAINING" },
 	} {
 		t.Run(name, func(t *testing.T) {
-			y := newYard(t, 3, 3, 4).open()
+			y := newMaintenanceFleet(t, 3, 3, 4).open()
 			over := make(chan struct{})
 			y.mechanic("anna", func(m *maintenanceagent.Agent) {
 				m.WorkDuration = func(string) time.Duration { <-over; return 0 }
 			})
 			b := y.boxes[0]
-			moved := &box{server: newServer(t, b.name, nil), site: b.site}
+			moved := &machine{server: newServer(t, b.name, nil), site: b.site}
 			moved.set(moved.ServeHTTP)
 			y.plan(y.all[0], "", b)
 			y.comes(b, maintenance.InMaintenance)
 			e := b.entry()
 			change(&e, moved.entry())
-			lists := func(m *mate) float64 { return (&world{T: t, listen: m.listen}).counter("lists") }
-			before := map[*mate]float64{}
+			lists := func(m *fleetMember) float64 { return (&testSidecar{T: t, listen: m.listen}).counter("lists") }
+			before := map[*fleetMember]float64{}
 			for _, m := range y.all {
 				before[m] = lists(m)
 			}
 			y.registry.publish(e, false)
 			y.poll("all know", func() bool {
-				return !slices.ContainsFunc(y.all, func(m *mate) bool { return lists(m) == before[m] })
+				return !slices.ContainsFunc(y.all, func(m *fleetMember) bool { return lists(m) == before[m] })
 			})
 			asked := y.all[0].asked.Load()
 			y.poll("they serve by it", func() bool { return y.all[0].asked.Load() > asked+100 })
-			assert.Zero(t, moved.got(), "it is out wherever it is listed")
+			assert.Zero(t, moved.requestCount(), "it is out wherever it is listed")
 			close(over)
 			assert.Equal(t, maintenance.Done, y.ended().Servers[0].Stage)
 			y.registry.publish(b.entry(), false)
-			was := b.got()
-			y.poll("it serves again", func() bool { return b.got() > was })
+			was := b.requestCount()
+			y.poll("it serves again", func() bool { return b.requestCount() > was })
 			y.serving()
 		})
 	}
@@ -382,7 +382,7 @@
 // The fleet grows to twice its size during a plan and shrinks again; then a majority of the electors is lost: nothing more leaves, and
 // what is out can be given back by hand.
 func TestWorkFleetChanges(t *testing.T) {
-	y := newYard(t, 8, 3, 4)
+	y := newMaintenanceFleet(t, 8, 3, 4)
 	for _, m := range y.all[4:] {
 		m.gone.Store(true)
 	}
@@ -410,7 +410,7 @@
 	}
 	y.poll("it goes on without them", func() bool { return y.counts()[maintenance.Done] >= 3 })
 	dies()
-	var last *box
+	var last *machine
 	y.poll("the last one is ready", func() bool {
 		s := y.newest()
 		for _, b := range y.boxes {
@@ -428,7 +428,7 @@
 	// Danger: a door that does not answer in time says nothing; an owner whose lease runs still may hand the box over meanwhile, and that
 	// is agreed once the majority is back.
 	y.poll("nobody settles anything", func() bool {
-		return !slices.ContainsFunc(left, func(m *mate) bool {
+		return !slices.ContainsFunc(left, func(m *fleetMember) bool {
 			j, told := m.toldOf("works")
 			return !told || j.HeldToken != 0
 		})
@@ -438,13 +438,13 @@
 	assert.Equal(t, 1, code)
 	assert.Contains(t, out, "not known")
 	assert.Empty(t, bob.Records(), "nothing is handed over")
-	before := last.got()
+	before := last.requestCount()
 	for _, m := range left {
 		text, err := callOnce(m.ops, "ONLINE "+last.name+"\n")
 		require.NoError(t, err)
 		require.Contains(t, text, "OK")
 	}
-	y.poll("it serves", func() bool { return last.got() > before })
+	y.poll("it serves", func() bool { return last.requestCount() > before })
 	ends()
 	for _, m := range y.all[:2] {
 		m.start()
@@ -457,7 +457,7 @@
 // While a box is worked on, a process takes the place of a sidecar with its socket, and then all are killed at once and begin again, as
 // after a power cut: what is out stays out, and the plan goes on.
 func TestWorkAllBeginAgain(t *testing.T) {
-	y := newYard(t, 3, 3, 3)
+	y := newMaintenanceFleet(t, 3, 3, 3)
 	m := y.all[2]
 	l, err := net.Listen("tcp", m.listen)
 	require.NoError(t, err)
@@ -475,13 +475,13 @@
 	y.plan(y.all[0], "", b)
 	out := func() {
 		t.Helper()
-		asked := map[*mate]int64{}
+		asked := map[*fleetMember]int64{}
 		for _, m := range y.all {
 			y.poll(m.name+" has it out", func() bool { s, ok := m.works(); return ok && slices.Equal(s.Cordoned, []string{b.name}) })
 			asked[m] = m.asked.Load()
 		}
 		y.poll("all serve", func() bool {
-			return !slices.ContainsFunc(y.all, func(m *mate) bool { return m.asked.Load() < asked[m]+30 })
+			return !slices.ContainsFunc(y.all, func(m *fleetMember) bool { return m.asked.Load() < asked[m]+30 })
 		})
 	}
 	y.comes(b, maintenance.InMaintenance)
--- a/cmd/hazelwheel/workstep_test.go
+++ b/cmd/hazelwheel/workstep_test.go
@@ -48,7 +48,7 @@
 }
 
 // arm has a sidecar stand still or end at a step, the first so many times not.
-func (m *mate) arm(step string, kill bool, times int) {
+func (m *fleetMember) arm(step string, kill bool, times int) {
 	text := fmt.Sprint(step, " stop ", times)
 	if kill {
 		text = fmt.Sprint(step, " kill ", times)
@@ -61,7 +61,7 @@
 }
 
 // fell reports whether an armed sidecar stands still or has ended.
-func (m *mate) fell(kill bool) bool {
+func (m *fleetMember) fell(kill bool) bool {
 	if !kill {
 		return m.stopped()
 	}
@@ -75,7 +75,7 @@
 
 // falls arms the owner, and waits until it has come to the step. Danger: on a busy machine the job may move meanwhile; then it is not armed
 // any more, and false is returned.
-func (y *yard) falls(owner *mate, step string, kill bool, times int) bool {
+func (y *maintenanceFleet) falls(owner *fleetMember, step string, kill bool, times int) bool {
 	y.Helper()
 	owner.arm(step, kill, times)
 	moved := false
@@ -84,7 +84,7 @@
 			return true
 		}
 		s := y.newest()
-		moved = s.Plans[len(s.Plans)-1].Ended || slices.ContainsFunc(y.without(owner), func(m *mate) bool { return m.jobOf("works").HeldToken != 0 })
+		moved = s.Plans[len(s.Plans)-1].Ended || slices.ContainsFunc(y.without(owner), func(m *fleetMember) bool { return m.jobOf("works").HeldToken != 0 })
 		return moved
 	})
 	if !moved || os.Remove(filepath.Join(owner.tmp, "step")) != nil { // it is there just now
@@ -117,7 +117,7 @@
 		{"it is cold", "", maintenance.WarmingUp, false},
 	} {
 		t.Run(k.name, func(t *testing.T) {
-			y := newYard(t, 5, 5, 4)
+			y := newMaintenanceFleet(t, 5, 5, 4)
 			for _, m := range y.all {
 				m.env = append(m.env, "STOP_AT_STEP="+filepath.Join(m.tmp, "step"))
 			}
@@ -137,7 +137,7 @@
 			}
 			over := func() bool { s := y.newest(); return s.Plans[len(s.Plans)-1].Ended }
 			give()
-			var old *mate
+			var old *fleetMember
 			var token uint64 // under which it owned the job
 			var from time.Time
 			for i, kill := range []bool{true, false} {
@@ -195,8 +195,8 @@
 				}
 				return len(all) > 0 && all[len(all)-1].StartedAt.After(from)
 			})
-			y.stood = append(y.stood, standing{old, from, time.Now()})
-			old.thaw()
+			y.stood = append(y.stood, stallPeriod{old, from, time.Now()})
+			old.resume()
 			p := y.ended()
 			for _, b := range p.Servers {
 				assert.Equal(t, maintenance.Done, b.Stage, b.Name)
@@ -217,7 +217,7 @@
 }
 
 // counts returns how many boxes of the last plan are at each stage.
-func (y *yard) counts() map[maintenance.Stage]int {
+func (y *maintenanceFleet) counts() map[maintenance.Stage]int {
 	count := map[maintenance.Stage]int{}
 	if s := y.newest(); len(s.Plans) > 0 {
 		for _, b := range s.Plans[len(s.Plans)-1].Servers {
