--- a/cmd/hazellab/main_test.go
+++ b/cmd/hazellab/main_test.go
@@ -89,10 +89,23 @@
 func TestStalledLoadCountsWaitingTime(t *testing.T) {
 	t.Parallel()
 	const stall = 500 * time.Millisecond
-	box := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "0") }))
+	begun := make(chan struct{}, 1)
+	box := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "0")
+		select {
+		case begun <- struct{}{}:
+		default: // it was the first one alone that is waited for
+		}
+	}))
 	defer box.Close()
 	p := start(t, "load", "--target", box.Listener.Addr().String(), "--rate", "200", "--for", "1500ms", "--links", "4", "--json", "-")
-	time.Sleep(600 * time.Millisecond)
+	// Danger: on a busy machine a stall that is timed from the start of the process may be over before the first request is due.
+	select {
+	case <-begun:
+	case <-time.After(patience):
+		t.Fatal("no request came")
+	}
+	time.Sleep(300 * time.Millisecond)
 	require.NoError(t, p.Process.Signal(syscall.SIGSTOP))
 	time.Sleep(stall)
 	require.NoError(t, p.Process.Signal(syscall.SIGCONT))
