Two specs share the control process that does not run

Cause: its set-up stood twice; a comment said the reverse of what the bound of a holder's silence is.

Change: idleControl; the comment. No check is changed.

Measured: the specs pass.

--- a/internal/control/joining_test.go
+++ b/internal/control/joining_test.go
@@ -21,14 +21,7 @@
 	// the next disk was the second one of three outgoing voters that was lost, and for 30 s no change was accepted ("voters changed before=3",
 	// then "the voters could not be changed: context deadline exceeded" again and again).
 	It("is told to vote once the change of the voters is complete", func() {
-		cluster := &testCluster{dir: GinkgoT().TempDir(), base: 20000, founders: 3}
-		settings := cluster.settings(4, false)
-		logger := logrus.New()
-		logger.SetOutput(GinkgoWriter)
-		opened, err := openReplica(settings, logger.WithField("node", settings.NodeID))
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(opened.store.Close)
-		c := newControl(settings, opened, transport.NewClient(), opened.log)
+		c := idleControl()
 		voters := []register.Voter{c.proposer.self, {ID: "b", Address: "127.0.5.11:20000"}}
 		outgoing := []register.Voter{{ID: "a", Address: c.proposer.self.Address}, voters[1]}
 		c.node.MergeRegisterValue(register.Value{Epoch: 2, Voters: voters, OutgoingVoters: outgoing})
@@ -38,14 +31,7 @@
 	})
 
 	It("is not up to date before it holds what a round of its own has found chosen since it started", func() {
-		cluster := &testCluster{dir: GinkgoT().TempDir(), base: 20000, founders: 3}
-		settings := cluster.settings(4, false)
-		logger := logrus.New()
-		logger.SetOutput(GinkgoWriter)
-		opened, err := openReplica(settings, logger.WithField("node", settings.NodeID))
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(opened.store.Close)
-		c := newControl(settings, opened, transport.NewClient(), opened.log)
+		c := idleControl()
 		value := func(number uint64) chosenValue {
 			return chosenValue{register.Value{Epoch: number}, register.Ballot{Number: number}}
 		}
@@ -62,3 +48,15 @@
 		Expect(isUpToDate(value(7))).To(BeTrue(), "later changes don't move what it must hold")
 	})
 })
+
+// idleControl returns a control process with an empty disk, whose servers and tasks don't run.
+func idleControl() *Control {
+	cluster := &testCluster{dir: GinkgoT().TempDir(), base: 20000, founders: 3}
+	settings := cluster.settings(4, false)
+	logger := logrus.New()
+	logger.SetOutput(GinkgoWriter)
+	opened, err := openReplica(settings, logger.WithField("node", settings.NodeID))
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(opened.store.Close)
+	return newControl(settings, opened, transport.NewClient(), opened.log)
+}
--- a/internal/decide/election/candidate.go
+++ b/internal/decide/election/candidate.go
@@ -14,7 +14,7 @@
 	// holder does between its last check and its last action, and the delay of its last heartbeat.
 	vacancyMarginSeconds = 1.5
 	// maxQuorumSilenceSeconds is for how long a holder acts after a quorum has last replied to its heartbeats. It is below
-	// vacancyMarginSeconds and what clocks may drift in a lease.
+	// vacancyMarginSeconds by what clocks may drift during a lease.
 	//
 	// Danger: a holder that is partitioned may confirm its grant in a moment in which no heartbeat falls. The others count its
 	// silence from its last heartbeat, so that it would still act when they are about to take the role.
