Prepare requests don't compute the digest of a configuration

Cause: each step of a round hashed the configuration's bytes, up to 8 MB, also the one that carries none.

Change: the digest is computed where an accept request is sent.

--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -210,7 +210,9 @@
 	}
 	// Danger: the proposal may complete the value of another round, whose configuration is not this one. A voter rejects other bytes than the
 	// value's, in each round that follows too, and the operator would get no answer.
-	hasConfig := register.DigestOf(config) == proposal.Value.ConfigDigest
+	//
+	// Prepare requests carry no bytes, and the digest of large ones takes a while.
+	hasConfig := len(step.SendAccept)+len(step.SendConfig) > 0 && register.DigestOf(config) == proposal.Value.ConfigDigest
 	for _, voter := range step.SendAccept {
 		request := &register.AcceptRequest{To: voter.ID, Ballot: proposal.Ballot, Value: proposal.Value}
 		if hasConfig && len(config) <= maxInlineConfigBytes {
