Refuse two routes at one place also where the letter case of their hosts differs

From then on requests of the one route ran at the other route's service, and its clients got that service's answers.

Cause: two rules said when two routes are at one place. validateRouting compared the text of host and prefix; the proxies' table and its lookup put the host into lower case, so the later route replaced the earlier one. By the same text a host "h/p" with prefix "/q/" was refused beside "h" with "/p/q/".

Change: routeconfig.RouteKey is the place of a route. Validation (Parse, Validate, and so PUT, PATCH and hazelfleet check), the proxies' table and their lookup go by it. ParseChosen doesn't check places: an earlier version may have accepted such a configuration, and it stays in force. Its table is compiled as before, with all routes, so that a process of an earlier version is sent the same; the last route of a place wins, as in proxies of earlier versions.

Why it works: whatever is accepted has a key for each route of its own, and a request finds a route by nothing but its key.

--- a/internal/proxy/routetable.go
+++ b/internal/proxy/routetable.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strings"
 
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
 
@@ -16,18 +15,21 @@
 	limits     routeconfig.Limits
 	tenants    *tenantIndex // nil if the configuration has no tenants
 	priorities *priorityRanks
-	byRouteKey *iradix.Tree[*routeconfig.Route] // by routeKey
+	byRouteKey *iradix.Tree[*routeconfig.Route] // by routeconfig.RouteKey
 	services   map[string]*routeconfig.Service  // by name
 }
 
 // newRouteTable returns the routeTable of a configuration, which must not change afterwards.
+//
+// Danger: earlier versions have accepted configurations in which routes share a place. The last one of these replaces the others, as in proxies
+// of those versions: they run side by side with this one.
 func newRouteTable(table *routeconfig.Table) *routeTable {
 	routes := &routeTable{version: table.Version, form: table.Form, limits: table.Limits, tenants: newTenantIndex(table), priorities: newPriorityRanks(table),
 		services: map[string]*routeconfig.Service{}}
 	txn := iradix.New[*routeconfig.Route]().Txn()
 	for i := range table.Routes {
 		route := &table.Routes[i]
-		txn.Insert([]byte(routeKey(route.Host, route.PathPrefix)), route)
+		txn.Insert([]byte(route.Key()), route)
 	}
 	routes.byRouteKey = txn.Commit()
 	for i := range table.Services {
@@ -36,15 +38,9 @@
 	return routes
 }
 
-// routeKey joins a host and a path prefix. The zero byte between them, which no host contains, keeps one host from being a prefix of another.
-func routeKey(host, path string) string { return strings.ToLower(host) + "\x00" + path }
-
-// find returns the route with the longest matching path prefix, or nil if there is none. A port in the host is ignored.
+// find returns the route with the longest matching path prefix, or nil if there is none. host is the Host field of a request.
 func (t *routeTable) find(host, path string) *routeconfig.Route {
-	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
-		host = host[:colon]
-	}
-	_, route, found := t.byRouteKey.Root().LongestPrefix([]byte(routeKey(host, path)))
+	_, route, found := t.byRouteKey.Root().LongestPrefix([]byte(routeconfig.KeyOfRequest(host, path)))
 	if !found {
 		return nil
 	}
--- /dev/null
+++ b/internal/routeconfig/routekey_test.go
@@ -0,0 +1,89 @@
+package routeconfig_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hazelwheel/internal/routeconfig"
+)
+
+// configOfPlaces returns a configuration with one route for each pair of a host and a prefix. The routes are named r-0, r-1 and so on.
+func configOfPlaces(version int, places ...[2]string) []byte {
+	var routes []string
+	for i, place := range places {
+		routes = append(routes, fmt.Sprintf(`{"Name":"r-%d","Host":%q,"PathPrefix":%q,"RouteType":"non_idempotent","TimeoutMs":1500,"Service":"s"}`,
+			i, place[0], place[1]))
+	}
+	return fmt.Appendf(nil, `{"Version":%d,"Services":[{"Name":"s"}],"Routes":[`+"\n%s]}", version, strings.Join(routes, ",\n"))
+}
+
+// TestRoutesAtOnePlace guards against a configuration that is acknowledged although the requests of one route are executed by the service of
+// another: hosts were compared with their letter case here, and without it by the proxies.
+func TestRoutesAtOnePlace(t *testing.T) {
+	for name, c := range map[string]struct {
+		places [][2]string
+		fault  string // "" if the configuration is valid
+	}{
+		"the same text":                 {[][2]string{{"h.example", "/p/"}, {"h.example", "/p/"}}, "Routes[1]: same Host and PathPrefix as Routes[0]"},
+		"hosts in other letters":        {[][2]string{{"h.example", "/p/"}, {"H.Example", "/p/"}}, "Routes[1]: same Host and PathPrefix as Routes[0]"},
+		"the third route":               {[][2]string{{"H.example", "/p/"}, {"h.example", "/q/"}, {"h.exAmple", "/p/"}}, "Routes[2]: same Host and PathPrefix as Routes[0]"},
+		"prefixes in other letters":     {[][2]string{{"h.example", "/p/"}, {"h.example", "/P/"}}, ""},
+		"another host":                  {[][2]string{{"h.example", "/p/"}, {"i.example", "/p/"}}, ""},
+		"a longer prefix":               {[][2]string{{"h.example", "/p/"}, {"H.example", "/p/p/"}}, ""},
+		"a host that ends like a path":  {[][2]string{{"h/p", "/q/"}, {"h", "/p/q/"}}, ""},
+		"no host, and a host with text": {[][2]string{{"", "/p/"}, {"h", "/p/"}}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			document := configOfPlaces(2, c.places...)
+			_, err := routeconfig.Parse(document)
+			report := routeconfig.Validate(document)
+			if c.fault == "" {
+				require.NoError(t, err)
+				assert.Empty(t, report.Faults)
+				return
+			}
+			require.ErrorContains(t, err, c.fault)
+			require.Len(t, report.Faults, 1)
+			assert.Contains(t, report.Faults[0].String(), c.fault)
+			assert.Equal(t, len(c.places)+1, report.Faults[0].Line, "the line of the last route")
+		})
+	}
+}
+
+// TestRoutesAtOnePlaceAfterAnUpgrade guards against a fleet that serves nothing after an upgrade, since it rejects the configuration in force.
+func TestRoutesAtOnePlaceAfterAnUpgrade(t *testing.T) {
+	table, err := routeconfig.ParseChosen(configOfPlaces(2, [2]string{"h.example", "/p/"}, [2]string{"H.example", "/p/"}, [2]string{"h.example", "/q/"}))
+	require.NoError(t, err)
+	require.Len(t, table.Routes, 3, "processes of earlier versions get the table that they would have compiled")
+	assert.Equal(t, "h.example", table.Routes[0].Host)
+	assert.Equal(t, "H.example", table.Routes[1].Host)
+	assert.Equal(t, table.Routes[0].Key(), table.Routes[1].Key())
+}
+
+// TestPatchToOnePlace guards against a patch that adds a route at the place of another one.
+func TestPatchToOnePlace(t *testing.T) {
+	for name, c := range map[string]struct{ patch, fault string }{
+		"adds a route at a place that is taken": {`{"Version":3,"Upsert":{"Routes":[{"Name":"r-9","Host":"H.EXAMPLE","PathPrefix":"/p/","RouteType":"idempotent","TimeoutMs":1,"Service":"s"}]}}`,
+			"Routes[2]: same Host and PathPrefix as Routes[0]"},
+		"moves a route to a place that is taken": {`{"Version":3,"Upsert":{"Routes":[{"Name":"r-1","Host":"H.EXAMPLE","PathPrefix":"/p/","RouteType":"idempotent","TimeoutMs":1,"Service":"s"}]}}`,
+			"Routes[1]: same Host and PathPrefix as Routes[0]"},
+		"replaces the route at its place": {`{"Version":3,"Upsert":{"Routes":[{"Name":"r-0","Host":"H.EXAMPLE","PathPrefix":"/p/","RouteType":"idempotent","TimeoutMs":1,"Service":"s"}]}}`, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			patch, err := routeconfig.ParsePatch([]byte(c.patch))
+			require.NoError(t, err)
+			patched, err := patch.Apply(configOfPlaces(2, [2]string{"h.example", "/p/"}, [2]string{"h.example", "/q/"}))
+			require.NoError(t, err)
+			_, err = routeconfig.Parse(patched)
+			if c.fault == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorContains(t, err, c.fault)
+		})
+	}
+}
--- a/internal/routeconfig/validate.go
+++ b/internal/routeconfig/validate.go
@@ -24,11 +24,12 @@
 // validateConfig returns all problems of a configuration's values. It doesn't compare the version with the current one.
 func validateConfig(config *configpb.Config) problemList {
 	problems := validateRouting(config)
+	problems.validatePlaces(config.GetRoutes())
 	problems.validateTenants(config.GetTenants())
 	return problems
 }
 
-// validateRouting returns the problems of the version, services and routes, which all earlier versions have validated as well.
+// validateRouting returns the problems without which a configuration can be compiled. All earlier versions have validated these as well.
 func validateRouting(config *configpb.Config) (problems problemList) {
 	if config.GetVersion() == 0 {
 		problems.add("Version", "want a number above 0")
@@ -41,18 +42,23 @@
 		}
 		services[name] = true
 	}
-	routeIndex := map[string]int{}
 	for i, route := range config.GetRoutes() {
-		path := fmt.Sprintf("Routes[%d]", i)
-		problems.validateRoute(path, route, services)
-		prefix := route.GetHost() + route.GetPathPrefix()
-		if other, isTaken := routeIndex[prefix]; isTaken {
-			problems.add(path, "same Host and PathPrefix as Routes[%d]", other)
+		problems.validateRoute(fmt.Sprintf("Routes[%d]", i), route, services)
+	}
+	return problems
+}
+
+// validatePlaces adds a problem for each route at the place of an earlier one.
+func (l *problemList) validatePlaces(routes []*configpb.Route) {
+	indexByKey := map[RouteKey]int{}
+	for i, route := range routes {
+		key := newRouteKey(route.GetHost(), route.GetPathPrefix())
+		if other, isTaken := indexByKey[key]; isTaken {
+			l.add(fmt.Sprintf("Routes[%d]", i), "same Host and PathPrefix as Routes[%d]", other)
 			continue
 		}
-		routeIndex[prefix] = i
+		indexByKey[key] = i
 	}
-	return problems
 }
 
 // validateRoute adds the problems of a route. services holds the names of the services.
