Acknowledge again what an earlier version has accepted and this one would reject

What operators would see: a configuration that an earlier version accepts, with its acknowledgement lost during an upgrade, is in force; sent again, it got 400.

Cause: handlePut validated before it looked whether exactly this change had been accepted. PATCH has always looked first.

Change: a PUT that Parse rejects and that an earlier version may have accepted (ParseChosen reads it) is looked up in the register by a quorum read: accepted before, 200; not known whether, 503; else 400 as before. What no version accepts gets its 400 without a read.

The spec "is acknowledged again if an earlier version has accepted it" fails before ("Expected 400 to equal 200") and passes now.

--- a/internal/control/configapi.go
+++ b/internal/control/configapi.go
@@ -76,16 +76,39 @@
 	if !ok {
 		return
 	}
+	ctx, cancel := context.WithTimeout(r.Context(), c.callTimeout(changeTimeout))
+	defer cancel()
 	table, err := routeconfig.Parse(request.data)
 	if err != nil {
+		if c.answerEarlierAccepted(ctx, w, request) {
+			return
+		}
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), c.callTimeout(changeTimeout))
-	defer cancel()
 	c.respond(w, r.Method, table.Version, request.base, c.proposeConfig(ctx, table, request, register.DigestOf(request.data)))
 }
 
+// answerEarlierAccepted answers a PUT of an invalid configuration that an earlier version, which validated less, may have accepted: if exactly this
+// change was accepted before, it is acknowledged again, and if that can't be found out it gets no clear answer. It returns false if the change was
+// not accepted, and so has to be rejected.
+//
+// Danger: a change whose acknowledgement was lost during an upgrade is in force. A rejection would tell the operator the opposite.
+func (c *Control) answerEarlierAccepted(ctx context.Context, w http.ResponseWriter, request changeRequest) bool {
+	table, err := routeconfig.ParseChosen(request.data)
+	if err != nil {
+		return false // no version has accepted it
+	}
+	result := changeAccepted
+	if value, err := c.proposer.read(ctx); err != nil {
+		result = unavailableChange(err)
+	} else if value.CheckConfig(table.Version, request.base, register.DigestOf(request.data)) != register.ConfigDuplicate {
+		return false
+	}
+	c.respond(w, http.MethodPut, table.Version, request.base, result)
+	return true
+}
+
 // handlePatch changes named items of the configuration.
 func (c *Control) handlePatch(w http.ResponseWriter, r *http.Request) {
 	request, ok := parseChange(w, r)
--- a/internal/control/places_test.go
+++ b/internal/control/places_test.go
@@ -59,10 +59,27 @@
 			Eventually(func() bool { table := s.publishedTable(i); return table != nil && len(table.Routes) == 3 }, waitTimeout).Should(BeTrue(), "machine %d", i)
 		}
 		Expect(s.configText(1)).To(Equal(string(document)))
+		Expect(s.sendUntilDecided(http.MethodPut, 2, 0, configWithHosts(1, "h.example", "H.example"))).To(Equal(http.StatusBadRequest), "another change")
+		Expect(s.sendUntilDecided(http.MethodPut, 2, 1, configWithHosts(2, "h.example", "H.example"))).To(Equal(http.StatusBadRequest), "a later change")
 
 		Expect(s.patchUntilDecided(0, 1, []byte(`{"Version":2,"Remove":{"Routes":["r1"]}}`))).To(Equal(http.StatusBadRequest), "the result is still invalid")
 		Expect(s.patchUntilDecided(0, 1, []byte(`{"Version":2,"Remove":{"Routes":["r2"]}}`))).To(Equal(http.StatusOK))
 		Eventually(func() uint64 { return s.publishedTable(2).Version }, waitTimeout).Should(BeEquivalentTo(2))
 		Expect(s.publishedTable(2).Routes).To(HaveLen(2))
 	})
+
+	// Guards against the rejection of a change that is in force: its acknowledgement was lost while the control processes were upgraded.
+	It("is acknowledged again if an earlier version has accepted it, also after later changes", func() {
+		s := newTestCluster(3)
+		document := configWithHosts(1, "h.example", "H.example")
+		s.commitAsEarlierVersion(0, 1, 0, document)
+		Expect(s.sendUntilDecided(http.MethodPut, 1, 0, document)).To(Equal(http.StatusOK))
+		Expect(s.sendUntilDecided(http.MethodPut, 2, 1, testConfig(2, 0))).To(Equal(http.StatusOK))
+		Expect(s.sendUntilDecided(http.MethodPut, 0, 0, document)).To(Equal(http.StatusOK))
+		Expect(s.configVersion(0)).To(Equal(2))
+
+		s.network.setPartitioned(s.ip(2), true)
+		Eventually(func() bool { return s.machines[2].control.reachesMajority() }, waitTimeout).Should(BeFalse())
+		Expect(s.put(2, 0, document)).To(Equal(http.StatusServiceUnavailable), "whether it was accepted is not known")
+	})
 })
