hazelfleet check judges a patch by its result, as control does

What operators would see: for a configuration in force that an earlier version has accepted with two routes at one place, "hazelfleet check config.json patch.json" rejected every patch, also the one that corrects it and that control accepts.

Cause: the check validated the configuration before it applied the patch; control validates the result alone.

Change: with a patch, what is wrong with the configuration is a warning, and the result decides.

The spec "rejects two routes at one place, with the line, and accepts the patch that corrects such a configuration" fails before (status 2 where 0 is wanted) and passes now.

--- a/cmd/hazelfleet/check.go
+++ b/cmd/hazelfleet/check.go
@@ -57,15 +57,17 @@
 		return exitUsage
 	}
 	report := routeconfig.Validate(config)
-	c.print(files[0], report.Faults, report.Unknown)
-	if len(report.Faults) > 0 {
-		return exitUsage
-	}
 	table := report.Table
 	if len(files) > 1 {
-		if table = c.checkPatch(config, files[1]); table == nil {
-			return exitUsage
-		}
+		// Control checks the result of a patch alone. The configuration may be one that an earlier version has accepted and that the patch corrects.
+		c.printWarnings(files[0], report.Faults)
+		c.printWarnings(files[0], report.Unknown)
+		table = c.checkPatch(config, files[1])
+	} else {
+		c.print(files[0], report.Faults, report.Unknown)
+	}
+	if table == nil {
+		return exitUsage
 	}
 	fmt.Fprintf(c.out, "version %d is in order: %d routes, %d services\n", table.Version, len(table.Routes), len(table.Services))
 	return exitOK
@@ -99,11 +101,16 @@
 	return patch.Apply(config)
 }
 
-// print writes the findings about a file, one per line: unknown fields as warnings, faults as errors.
-func (c checker) print(file string, faults, unknown []diagnostic.Finding) {
-	for _, finding := range unknown {
+// printWarnings writes findings about a file that don't make it invalid, one per line.
+func (c checker) printWarnings(file string, findings []diagnostic.Finding) {
+	for _, finding := range findings {
 		fmt.Fprintf(c.out, "warning: %s: %s\n", file, finding)
 	}
+}
+
+// print writes the findings about a file, one per line: unknown fields as warnings, faults as errors.
+func (c checker) print(file string, faults, unknown []diagnostic.Finding) {
+	c.printWarnings(file, unknown)
 	for _, finding := range faults {
 		fmt.Fprintf(c.errs, "hazelfleet: %s: %s\n", file, finding)
 	}
--- a/cmd/hazelfleet/check_test.go
+++ b/cmd/hazelfleet/check_test.go
@@ -55,6 +55,28 @@
 		Expect(errs).To(HavePrefix("hazelfleet: " + cut + ": line 2, column "))
 	})
 
+	// Guards against a check that says something else than control: requests of one route were executed by the service of another.
+	It("rejects two routes at one place, with the line, and accepts the patch that corrects such a configuration", func() {
+		faulty := writeFile(`{"Version":1,"Services":[{"Name":"s"}],"Routes":[
+ {"Name":"a","Host":"h.example","PathPrefix":"/a/","RouteType":"idempotent","TimeoutMs":5,"Service":"s"},
+ {"Name":"b","Host":"H.example","PathPrefix":"/a/","RouteType":"idempotent","TimeoutMs":5,"Service":"s"}]}`)
+		fault := faulty + ": line 3, column 2: Routes[1]: same Host and PathPrefix as Routes[0]\n"
+		status, _, errs := check(faulty)
+		Expect(status).To(Equal(exitUsage))
+		Expect(errs).To(Equal("hazelfleet: " + fault))
+
+		status, out, errs := check(faulty, writeFile(`{"Version":2,"Remove":{"Routes":["b"]}}`))
+		Expect(status).To(BeZero())
+		Expect(out).To(Equal("warning: " + fault + "version 2 is in order: 1 routes, 1 services\n"))
+		Expect(errs).To(BeEmpty())
+
+		unrelated := writeFile(`{"Version":2,"Upsert":{"Services":[{"Name":"t"}]}}`)
+		status, out, errs = check(faulty, unrelated)
+		Expect(status).To(Equal(exitUsage))
+		Expect(out).To(Equal("warning: " + fault))
+		Expect(errs).To(Equal("hazelfleet: " + unrelated + ": Routes[1]: same Host and PathPrefix as Routes[0]\n"))
+	})
+
 	It("rejects a text that is nested too deeply", func() {
 		deep := writeFile(strings.Repeat("[", 100_000))
 		status, _, errs := check(deep)
