--- a/internal/control/catchup.go
+++ b/internal/control/catchup.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"hazelwheel/internal/decide/register"
 	"hazelwheel/internal/message"
 	"hazelwheel/internal/routeconfig"
@@ -124,6 +126,9 @@
 		if err != nil {
 			return Error.New("parsing the chosen configuration: %w", err)
 		}
+		if names := table.OverriddenRoutes(); len(names) > 0 {
+			c.log.WithFields(logrus.Fields{"version": table.Version, "routes": names}).Warn("routes without effect: others have the same host and prefix")
+		}
 		c.node.SetTable(table)
 	}
 	if !isBehind {
--- a/internal/routeconfig/routekey.go
+++ b/internal/routeconfig/routekey.go
@@ -58,5 +58,20 @@
 	return byKey
 }
 
+// OverriddenRoutes returns the names of the routes that are not in force, since another route has the same place. Only a configuration that an
+// earlier version has accepted has any.
+func (t *Table) OverriddenRoutes() (names []string) {
+	byKey := t.RoutesByKey()
+	if len(byKey) == len(t.Routes) {
+		return nil
+	}
+	for i := range t.Routes {
+		if route := &t.Routes[i]; byKey[route.Key()] != route {
+			names = append(names, route.Name)
+		}
+	}
+	return names
+}
+
 // hasPlainHost reports whether the host has neither a port nor an IPv6 address without its brackets.
 func (r *Route) hasPlainHost() bool { return withoutPort(r.Host) == r.Host }
--- a/internal/routeconfig/routekey_test.go
+++ b/internal/routeconfig/routekey_test.go
@@ -67,6 +67,13 @@
 	assert.Equal(t, "h.example", table.Routes[0].Host)
 	assert.Equal(t, "H.example", table.Routes[1].Host)
 	assert.Equal(t, table.Routes[0].Key(), table.Routes[1].Key())
+	assert.Equal(t, []string{"r-0"}, table.OverriddenRoutes(), "the last route of a place is in force")
+	table, err = routeconfig.ParseChosen(configOfPlaces(2, [2]string{"h.example", "/p/"}, [2]string{"h.example:80", "/p/"}))
+	require.NoError(t, err)
+	assert.Equal(t, []string{"r-1"}, table.OverriddenRoutes(), "but none whose host has a port: earlier versions never find it")
+	table, err = routeconfig.ParseChosen(configOfPlaces(2, [2]string{"h.example", "/p/"}, [2]string{"h.example", "/q/"}))
+	require.NoError(t, err)
+	assert.Empty(t, table.OverriddenRoutes())
 }
 
 // TestPatchToOnePlace guards against a patch that adds a route at the place of another one.
