--- a/internal/proxy/backendexchange.go
+++ b/internal/proxy/backendexchange.go
@@ -32,7 +32,8 @@
 type backendExchange struct {
 	conn          *backendConn
 	response      *http.Response
-	detachContext func() bool // stops the context from aborting I/O on the connection; returns false if the context has already ended
+	body          *responseBody // of response
+	detachContext func() bool   // stops the context from aborting I/O on the connection; returns false if the context has already ended
 }
 
 // sendRequest writes an encoded request and reads the head of its response, until the context ends. If it returns no exchange, the connection
@@ -55,7 +56,9 @@
 		conn.discard()
 		return nil, outcomeMayHaveExecuted, err
 	}
-	return &backendExchange{conn: conn, response: response, detachContext: detachContext}, outcomeAnswered, nil
+	body := newResponseBody(response.Body)
+	response.Body = body
+	return &backendExchange{conn: conn, response: response, body: body, detachContext: detachContext}, outcomeAnswered, nil
 }
 
 // readResponse reads the head of the response to a request. It skips informational responses, and responses with another ID: a server may
@@ -100,10 +103,11 @@
 	return err
 }
 
-// finish ends an exchange whose body was read completely. The connection is returned to the pool if it can be reused, and closed otherwise.
+// finish ends an exchange. The connection is returned to the pool if it can be reused, and closed otherwise.
 func (e *backendExchange) finish(pool *connPool, address string) {
-	// Danger: if the context has ended, its callback may set the connection's deadline at any moment.
-	if !e.detachContext() || e.response.Close || e.response.ContentLength < 0 && !isChunked(e.response) {
+	// Danger: if the context has ended, its callback may set the connection's deadline at any moment. What is left of a body would be read as the
+	// response to the next request.
+	if !e.detachContext() || !e.body.reachedEnd || e.response.Close || !hasDelimitedBody(e.response) {
 		e.conn.discard()
 		return
 	}
@@ -137,12 +141,7 @@
 	return defaultKeepAlive
 }
 
-// hasDelimitedBody reports whether the end of the body is marked by its length or by chunks. Otherwise a truncated body would look complete.
-func hasDelimitedBody(response *http.Response) bool {
-	return response.ContentLength >= 0 || isChunked(response)
-}
-
-// classifyResponse returns the outcome of an attempt from its complete response. A success without the response stamp, or with an encoded body,
+// classifyResponse returns the outcome of an attempt from the head of its response. A success without the response stamp, or with an encoded body,
 // does not come from the application and counts as outcomeMayHaveExecuted.
 func classifyResponse(response *http.Response) outcome {
 	switch {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -195,26 +195,8 @@
 // forwardFailure handles a response with a status other than 200. It forwards the response, and returns true, if it is valid, nothing has been
 // written to the client and no retry is allowed.
 func (p *Proxy) forwardFailure(ctx context.Context, relay *eventRelay, req *proxyRequest, endpoint *placement.Endpoint, exchange *backendExchange) bool {
-	body, err := io.ReadAll(io.LimitReader(exchange.response.Body, maxResponseBytes))
-	result := outcomeMayHaveExecuted
-	if err == nil && hasDelimitedBody(exchange.response) {
-		exchange.finish(p.conns, endpoint.Address)
-		result = classifyResponse(exchange.response)
-	} else {
-		exchange.abort()
-	}
 	retries := req.route.Resumable && req.possibleExecutions+1 < req.route.MaxAttempts
-	if result != outcomeAnswered || relay.headWritten || retries {
-		if result == outcomeAnswered {
-			result = outcomeMayHaveExecuted
-		}
-		p.recordOutcome(ctx, req, endpoint, result)
-		return false
-	}
-	p.recordOutcome(ctx, req, endpoint, outcomeAnswered)
-	relay.writeHead(exchange.response)
-	_, _ = relay.w.Write(body) // fails only if the client has disconnected
-	return true
+	return p.forwardOrRetry(ctx, relay.w, req, endpoint, exchange, relay.headWritten || retries)
 }
 
 // forwardEvents forwards events until the stream ends, and returns the outcome. Only complete events are written.
--- a/internal/proxy/unary.go
+++ b/internal/proxy/unary.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"strconv"
 
 	"hazelwheel/internal/decide/placement"
 	"hazelwheel/internal/routeconfig"
 )
 
-// maxResponseBytes bounds a response that is buffered until it is complete.
-const maxResponseBytes = 16 << 20
-
-// serveUnary serves a request whose response is buffered and forwarded once it is complete, so that it can be retried up to then.
+// serveUnary serves a request whose response is no stream of events. Attempts are made until the beginning of a response has been read that can be
+// forwarded, see maxHeldBytes.
 func (p *Proxy) serveUnary(ctx context.Context, w http.ResponseWriter, req *proxyRequest) {
 	for range maxAttemptsPerRequest {
 		if !p.chargeAttempt(req) {
@@ -23,12 +19,7 @@
 		if endpoint == nil {
 			break
 		}
-		response, body := p.attemptUnary(ctx, req, endpoint) //nolint:bodyclose // the body has been read completely
-		if response != nil {
-			copyResponseHeader(w, response)
-			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-			w.WriteHeader(response.StatusCode)
-			_, _ = w.Write(body) // fails only if the client has disconnected
+		if p.attemptUnary(ctx, w, req, endpoint) {
 			return
 		}
 		if !req.lastOutcome.allowsRetry(req.route) || req.possibleExecutions >= req.route.MaxAttempts || ctx.Err() != nil {
@@ -38,32 +29,16 @@
 	p.respondFailure(ctx, w, req)
 }
 
-// attemptUnary makes one attempt, and returns the response with its complete body. If it returns nil, req.lastOutcome says why. A server error for an
-// idempotent request is treated as a failed attempt as long as another attempt is allowed.
-func (p *Proxy) attemptUnary(ctx context.Context, req *proxyRequest, endpoint *placement.Endpoint) (*http.Response, []byte) {
+// attemptUnary makes one attempt, and returns whether the client has its response. If not, nothing was sent to the client, and req.lastOutcome says
+// why. A server error for an idempotent request is treated as a failed attempt as long as another attempt is allowed.
+func (p *Proxy) attemptUnary(ctx context.Context, w http.ResponseWriter, req *proxyRequest, endpoint *placement.Endpoint) bool {
 	req.tokens.commit()
 	exchange, result := p.roundTrip(ctx, req, endpoint, req.encode(headerField{headerExpectInstance, endpoint.ID}))
 	if result != outcomeAnswered {
 		p.recordOutcome(ctx, req, endpoint, result)
-		return nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(exchange.response.Body, maxResponseBytes))
-	if err != nil || !hasDelimitedBody(exchange.response) {
-		exchange.abort()
-		p.recordOutcome(ctx, req, endpoint, outcomeMayHaveExecuted)
-		return nil, nil
-	}
-	exchange.finish(p.conns, endpoint.Address)
-	result = classifyResponse(exchange.response)
-	isServerError := exchange.response.StatusCode >= http.StatusInternalServerError
-	retries := isServerError && req.route.Kind == routeconfig.Idempotent && req.possibleExecutions+1 < req.route.MaxAttempts
-	if result == outcomeAnswered && !retries {
-		p.recordOutcome(ctx, req, endpoint, outcomeAnswered)
-		return exchange.response, body
-	}
-	if retries && result == outcomeAnswered {
-		result = outcomeMayHaveExecuted
+		return false
 	}
-	p.recordOutcome(ctx, req, endpoint, result)
-	return nil, nil
+	response := exchange.response
+	retriesError := req.route.Kind == routeconfig.Idempotent && response.StatusCode >= http.StatusInternalServerError
+	return p.forwardOrRetry(ctx, w, req, endpoint, exchange, retriesError && req.possibleExecutions+1 < req.route.MaxAttempts)
 }
