Keep the events of a stream whole where a line fills the read buffer

Cause: readEvent took each part that ReadSlice returns for a line. Of a line that fills the buffer the end comes as a part of its own, which looked like the empty line that ends an event. So half an event was passed on with its id, and the stream was resumed after that id.

Change: parts are joined until the line's end, and whole lines alone are judged.

--- a/internal/proxy/eventrelay.go
+++ b/internal/proxy/eventrelay.go
@@ -59,15 +59,20 @@
 // other error the event is incomplete.
 func readEvent(in *bufio.Reader) ([]byte, error) {
 	var event []byte
+	lineStart := 0 // in event
 	for {
-		line, err := in.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-		case err != nil:
+		part, err := in.ReadSlice('\n')
+		event = append(event, part...)
+		// Danger: a line that is longer than the buffer comes in several parts, and the last one may be its end alone.
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil || isEmptyLine(event[lineStart:]) {
 			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(line) <= 2:
-			return event, nil
 		}
+		lineStart = len(event)
 	}
 }
+
+// isEmptyLine reports whether a line, with its end, is empty. An empty line ends an event.
+func isEmptyLine(line []byte) bool { return string(line) == "\n" || string(line) == "\r\n" }
