Bound the heads of responses and the events of streams

Cause: http.ReadResponse bounds neither status line nor fields, and an event was held until its empty line came. Both were read until the request's deadline.

Change: while a head is read, the connection yields maxResponseHeadBytes (64 KiB) and then an error; an event over maxEventBytes (1 MiB) is an error too. Either ends the attempt as one that may have run; a resumable stream goes on at another server. Chunk lines and trailers have bounds in the library; the specs pin them.

Before, 10 of the 15 specs "bytes that form no response" fail.

--- a/internal/proxy/backendexchange.go
+++ b/internal/proxy/backendexchange.go
@@ -68,7 +68,7 @@
 // answer an earlier request twice. A response without an ID is accepted only if it is a rejection and the connection has carried no other request.
 func readResponse(conn *backendConn, method, id string) (*http.Response, error) {
 	for range maxSurplusResponses {
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+		response, err := conn.readHead(method)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/proxy/connpool.go
+++ b/internal/proxy/connpool.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"slices"
@@ -50,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &backendConn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	return newBackendConn(raw), nil
 }
 
 // takeIdle removes and returns the most recently used idle connection that may carry the request with this ID, or nil if there is none.
--- a/internal/proxy/eventrelay.go
+++ b/internal/proxy/eventrelay.go
@@ -17,6 +17,12 @@
 	lastEventID string // of the last event that was written; a retry resumes after it
 }
 
+// maxEventBytes bounds one event of a stream, which is held until it is complete.
+const maxEventBytes = 1 << 20
+
+// errLongEvent is returned for an event that is longer than maxEventBytes.
+var errLongEvent = errors.New("an event of the stream is too long")
+
 // errClientDisconnected is returned if writing to the client fails.
 var errClientDisconnected = errors.New("the client has disconnected")
 
@@ -62,6 +68,9 @@
 	lineStart := 0 // in event
 	for {
 		part, err := in.ReadSlice('\n')
+		if len(event)+len(part) > maxEventBytes {
+			return nil, errLongEvent
+		}
 		event = append(event, part...)
 		// Danger: a line that is longer than the buffer comes in several parts, and the last one may be its end alone.
 		if errors.Is(err, bufio.ErrBufferFull) {
