Compare prefixes and paths as they are sent, with their escapes normalized

Cause: the lookup compared the decoded path with the prefix as it was sent. PROTOCOL.md: "of that host's routes, the one whose PathPrefix begins the path". Decoding also took /p%2Fq/ for /p/q/.

Change: the key of a route and of a request go through normalizePath: an escape is the same as its character, but for %2F and %25. Requests are found by the path as it was sent. Two prefixes that differ by such escapes are at one place and are refused together; one that an earlier version has accepted counts as before: a route without escapes precedes one with them, which earlier proxies never find.

TestAcceptedRoutesAreFound now reads each request as from a connection, and draws prefixes with escapes, dots, doubled slashes, spaces and question marks: in 12,000 random configurations each accepted route is found by its own host and prefix, and whatever is refused shares a place.

--- a/internal/proxy/credentials.go
+++ b/internal/proxy/credentials.go
@@ -67,7 +67,7 @@
 // currentRoute returns the route of a request in the current configuration, which decides whether the route is public. The request may have been
 // admitted by an earlier configuration, or by one in an earlier form. A request whose route no longer exists keeps the one that it has.
 func (t *routeTable) currentRoute(req *proxyRequest) *routeconfig.Route {
-	if route := t.find(req.incoming.Host, req.incoming.URL.Path); route != nil {
+	if route := t.find(req.incoming); route != nil {
 		return route
 	}
 	return req.route
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -77,7 +77,7 @@
 		return nil
 	}
 	sent := takeCredentials(r.Header, table.tenants != nil)
-	route := table.find(r.Host, r.URL.Path)
+	route := table.find(r)
 	if route == nil {
 		p.stats.countRejected(rejectedNoRoute)
 		respondUnread(w, r, "no route", http.StatusNotFound)
--- a/internal/proxy/routetable.go
+++ b/internal/proxy/routetable.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
+	"strings"
 
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
 
@@ -34,15 +36,28 @@
 	return routes
 }
 
-// find returns the route with the longest matching path prefix, or nil if there is none. host is the Host field of a request.
-func (t *routeTable) find(host, path string) *routeconfig.Route {
-	_, route, found := t.byRouteKey.Root().LongestPrefix([]byte(routeconfig.NewRouteKey(host, path)))
+// usualKeyBytes is the size of most requests' keys. A longer one is allocated.
+const usualKeyBytes = 128
+
+// find returns the route of a request, which is the one with the longest matching path prefix, or nil if there is none.
+func (t *routeTable) find(r *http.Request) *routeconfig.Route {
+	var buffer [usualKeyBytes]byte
+	_, route, found := t.byRouteKey.Root().LongestPrefix(routeconfig.AppendKey(buffer[:0], r.Host, sentPath(r)))
 	if !found {
 		return nil
 	}
 	return route
 }
 
+// sentPath returns the path of a request as the client has sent it.
+func sentPath(r *http.Request) string {
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return r.URL.EscapedPath()
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
 // pickService chooses the service of a request at random, by the weights of the route.
 func pickService(route *routeconfig.Route) string {
 	if len(route.Services) == 1 {
--- a/internal/proxy/routetable_test.go
+++ b/internal/proxy/routetable_test.go
@@ -1,8 +1,12 @@
 package proxy
 
 import (
+	"bufio"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
 	"strings"
 	"testing"
 
@@ -26,6 +30,29 @@
 	return fmt.Appendf(nil, `{"Version":1,"Routes":[%s],"Services":[%s]}`, strings.Join(routes, ","), strings.Join(services, ","))
 }
 
+// targetOf returns the request target for a path: characters that can't stand there are percent-encoded.
+func targetOf(path string) string {
+	var target strings.Builder
+	for i, char := range path {
+		_, err := url.PathUnescape(path[i:min(i+len("%2F"), len(path))])
+		switch {
+		case char == '%' && err != nil, char == '?', char == ' ':
+			fmt.Fprintf(&target, "%%%02X", char)
+		default:
+			target.WriteRune(char)
+		}
+	}
+	return target.String()
+}
+
+// findByTarget finds the route of a request with this Host field and request target, as it is read from a connection.
+func findByTarget(t testing.TB, routes *routeTable, host, target string) *routeconfig.Route {
+	t.Helper()
+	request, err := http.ReadRequest(bufio.NewReader(strings.NewReader("POST " + target + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n")))
+	require.NoError(t, err, "%s %s", host, target)
+	return routes.find(request)
+}
+
 // drawPlaces returns up to eight places with hosts and prefixes that are alike.
 func drawPlaces(rng *rand.Rand, hosts, prefixes []string) []place {
 	places := make([]place, 1+rng.IntN(8))
@@ -40,9 +67,11 @@
 func TestAcceptedRoutesAreFound(t *testing.T) {
 	hosts := []string{"h.example", "H.example", "h.EXAMPLE", "i.example", "h.example.", "xn--h-1ga.example", "192.0.2.7", "h", "",
 		"h.example:8080", "H.example:80", "i.example:", "192.0.2.7:80", "[2001:db8::1]", "[2001:DB8::1]:8080", "2001:db8::1", ":80", "[", "[2001:db8::1"}
-	prefixes := []string{"/", "/p/", "/P/", "/p/q/", "/p//", "//p/", "/p/../p/", "/p/./", "/p.q/"}
+	prefixes := []string{"/", "/p/", "/P/", "/p/q/", "/p//", "//p/", "/p/../p/", "/p/./", "/p.q/",
+		"/%D8%B9%D9%85%D8%A7%D9%86/", "/%d8%b9%d9%85%d8%a7%d9%86/", "/\u0639\u0645\u0627\u0646/", "/p%2Fq/", "/p%2fq/", "/%70/", "/p%252Fq/", "/100%/", "/100%25/",
+		"/a b/", "/a%20b/", "/a+b/", "/a?b/", "/a%3Fb/", "/a#b/", "/a:b/", "/a%3Ab/", "/%2E%2E/", "/../", "/%/", "/%zz/", "/%4" + "/"}
 	accepted, rejected := 0, 0
-	for seed := range uint64(5000) {
+	for seed := range uint64(12000) {
 		places := drawPlaces(rand.New(rand.NewPCG(seed, 84)), hosts, prefixes)
 		document := documentOf(places)
 		chosen, err := routeconfig.ParseChosen(document)
@@ -50,7 +79,7 @@
 		routes := newRouteTable(chosen)
 		confused := 0
 		for i, at := range places {
-			if found := routes.find(at.host, at.prefix+"x"); found != &chosen.Routes[i] {
+			if found := findByTarget(t, routes, at.host, targetOf(at.prefix)+"x?y=1"); found != &chosen.Routes[i] {
 				confused++
 			}
 		}
@@ -87,17 +116,19 @@
 func TestRoutesAtOnePlaceOfEarlierVersions(t *testing.T) {
 	hosts := []string{"h.example", "H.example", "h.example:8080", "H.EXAMPLE:80", "i.example", "[2001:db8::1]", "[2001:DB8::1]:80", "2001:db8::1"}
 	requestHosts := []string{"h.example", "H.Example", "h.example:8080", "i.example:80", "[2001:db8::1]:80", "[2001:DB8::1]:8080"}
-	prefixes := []string{"/p/", "/q/"}
+	prefixes := []string{"/p/", "/q/", "/%70/", "/a b/", "/a%20b/", "/100%/", "/100%25/"}
 	compared := 0
 	for seed := range uint64(2000) {
 		table, err := routeconfig.ParseChosen(documentOf(drawPlaces(rand.New(rand.NewPCG(seed, 85)), hosts, prefixes)))
 		require.NoError(t, err)
 		routes := newRouteTable(table)
 		for _, host := range requestHosts {
-			for _, prefix := range prefixes {
-				if want := findAsEarlierVersion(table, host, prefix); want != nil {
+			for _, target := range []string{"/p/", "/%70/", "/q/", "/a%20b/", "/100%25/"} {
+				path, err := url.PathUnescape(target)
+				require.NoError(t, err)
+				if want := findAsEarlierVersion(table, host, path); want != nil {
 					compared++
-					require.Equal(t, want.Name, routes.find(host, prefix+"x").Name, "seed %d: %s%s", seed, host, prefix)
+					require.Equal(t, want.Name, findByTarget(t, routes, host, target+"x").Name, "seed %d: %s%s", seed, host, target)
 				}
 			}
 		}
@@ -114,8 +145,9 @@
 	table, err := routeconfig.Parse(documentOf(places))
 	require.NoError(b, err)
 	routes := newRouteTable(table)
+	request := httptest.NewRequest(http.MethodPost, "http://h7.example:8080/p347/2f", nil)
 	for b.Loop() {
-		if routes.find("h7.example:8080", "/p347/2f") == nil {
+		if routes.find(request) == nil {
 			b.Fatal("no route")
 		}
 	}
--- a/internal/routeconfig/routekey_test.go
+++ b/internal/routeconfig/routekey_test.go
@@ -15,7 +15,7 @@
 func configOfPlaces(version int, places ...[2]string) []byte {
 	var routes []string
 	for i, place := range places {
-		routes = append(routes, fmt.Sprintf(`{"Name":"r-%d","Host":%q,"PathPrefix":%q,"RouteType":"non_idempotent","TimeoutMs":1500,"Service":"s"}`,
+		routes = append(routes, fmt.Sprintf(`{"Name":"r-%d","Host":%q,"PathPrefix":"%s","RouteType":"non_idempotent","TimeoutMs":1500,"Service":"s"}`,
 			i, place[0], place[1]))
 	}
 	return fmt.Appendf(nil, `{"Version":%d,"Services":[{"Name":"s"}],"Routes":[`+"\n%s]}", version, strings.Join(routes, ",\n"))
@@ -36,6 +36,13 @@
 		"an IPv6 address with a port":   {[][2]string{{"[2001:db8::1]", "/p/"}, {"[2001:DB8::1]:80", "/p/"}}, "Routes[1]: same Host and PathPrefix as Routes[0]"},
 		"an IPv6 address, no brackets":  {[][2]string{{"[2001:db8::1]", "/p/"}, {"2001:db8::1", "/p/"}}, "Routes[1]: same Host and PathPrefix as Routes[0]"},
 		"other IPv6 addresses":          {[][2]string{{"[2001:db8::1]", "/p/"}, {"[2001:db8::2]", "/p/"}}, ""},
+		"an encoded letter":             {[][2]string{{"h.example", "/p/"}, {"h.example", "/%70/"}}, "Routes[1]: same Host and PathPrefix as Routes[0]"},
+		"escapes in other letters":      {[][2]string{{"h.example", "/%d8%b9/"}, {"h.example", "/%D8%B9/"}}, "Routes[1]: same Host and PathPrefix as Routes[0]"},
+		"an escape and its character":   {[][2]string{{"h.example", "/%D8%B9/"}, {"h.example", "/\u0639/"}}, "Routes[1]: same Host and PathPrefix as Routes[0]"},
+		"an encoded slash":              {[][2]string{{"h.example", "/p%2Fq/"}, {"h.example", "/p/q/"}}, ""},
+		"an encoded percent sign":       {[][2]string{{"h.example", "/%2570/"}, {"h.example", "/%70/"}}, ""},
+		"dots and doubled slashes":      {[][2]string{{"h.example", "/p/../q/"}, {"h.example", "/q/"}, {"h.example", "//q/"}}, ""},
+		"a final dot of the host":       {[][2]string{{"h.example", "/p/"}, {"h.example.", "/p/"}}, ""},
 		"prefixes in other letters":     {[][2]string{{"h.example", "/p/"}, {"h.example", "/P/"}}, ""},
 		"another host":                  {[][2]string{{"h.example", "/p/"}, {"i.example", "/p/"}}, ""},
 		"a longer prefix":               {[][2]string{{"h.example", "/p/"}, {"H.example", "/p/p/"}}, ""},
--- a/internal/routeconfig/validate.go
+++ b/internal/routeconfig/validate.go
@@ -52,7 +52,7 @@
 func (l *problemList) validatePlaces(routes []*configpb.Route) {
 	indexByKey := map[RouteKey]int{}
 	for i, route := range routes {
-		key := NewRouteKey(route.GetHost(), route.GetPathPrefix())
+		key := newRouteKey(route.GetHost(), route.GetPathPrefix())
 		if other, isTaken := indexByKey[key]; isTaken {
 			l.add(fmt.Sprintf("Routes[%d]", i), "same Host and PathPrefix as Routes[%d]", other)
 			continue
