Refuse a route that names an unknown service beside its weighted ones

Seen by the review: such a route was accepted, and hazelfleet check called it in order. PROTOCOL.md: a configuration is invalid "if a route names an unknown service".

Cause: validateRoute checked the field that a route uses alone. Change: validateUnusedServices checks the other one, for PUT, PATCH and the check; ParseChosen doesn't, so that a configuration that an earlier version has accepted stays in force, with its weighted services.

Before, the entry "an unknown service beside weights" and the spec "may name a known service beside weights ..." fail; now they pass.

--- a/internal/routeconfig/table_test.go
+++ b/internal/routeconfig/table_test.go
@@ -44,6 +44,7 @@
 	},
 		Entry("cut short", `"Limits"`, `"Lim`, "configuration"),
 		Entry("an unknown service", `"Service":"s","MaxAttempts":2`, `"Service":"x","MaxAttempts":2`, "Routes[0].Service"),
+		Entry("an unknown service beside weights", `"TimeoutMs":1000.5,`, `"TimeoutMs":1000.5,"Service":"x",`, "Routes[1].Service"),
 		Entry("an unknown service among weights", `{"Service":"t","Weight":10}`, `{"Service":"y","Weight":10}`, "Routes[1].WeightedServices[1]"),
 		Entry("the same host and prefix twice", `"/b/"`, `"/a/"`, "Routes[1]"),
 		Entry("weights that add up to 0", `"Weight":90},
@@ -57,4 +58,18 @@
 		Entry("a service twice", `{"Name":"t"`, `{"Name":"s"`, "Services[1].Name"),
 		Entry("a text for a number", `"Priority":0`, `"Priority":"first"`, "configuration"),
 	)
+
+	// Guards against a configuration that is acknowledged although a route names a service that doesn't exist.
+	It("may name a known service beside weights, and one with an unknown service stays in force if an earlier version has accepted it", func() {
+		known := strings.Replace(validConfig, `"TimeoutMs":1000.5,`, `"TimeoutMs":1000.5,"Service":"t",`, 1)
+		table, err := routeconfig.Parse([]byte(known))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(table.Routes[1].Services).To(HaveLen(2), "the weighted services are used")
+		unknown := strings.Replace(known, `"Service":"t","WeightedServices"`, `"Service":"x","WeightedServices"`, 1)
+		Expect(unknown).NotTo(Equal(known))
+		Expect(routeconfig.Validate([]byte(unknown)).Faults).To(HaveLen(1))
+		chosen, err := routeconfig.ParseChosen([]byte(unknown))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(chosen).To(Equal(table), "as every proxy has used it")
+	})
 })
--- a/internal/routeconfig/validate.go
+++ b/internal/routeconfig/validate.go
@@ -25,6 +25,7 @@
 func validateConfig(config *configpb.Config) problemList {
 	problems := validateRouting(config)
 	problems.validatePlaces(config.GetRoutes())
+	problems.validateUnusedServices(config)
 	problems.validateTenants(config.GetTenants())
 	return problems
 }
@@ -61,6 +62,20 @@
 	}
 }
 
+// validateUnusedServices adds a problem for each route that names an unknown service beside its weighted services, which are used instead. Earlier
+// versions have accepted such a route.
+func (l *problemList) validateUnusedServices(config *configpb.Config) {
+	services := map[string]bool{"": true} // a route with weighted services needs no other
+	for _, service := range config.GetServices() {
+		services[service.GetName()] = true
+	}
+	for i, route := range config.GetRoutes() {
+		if name := route.GetService(); len(route.GetWeightedServices()) > 0 && !services[name] {
+			l.add(fmt.Sprintf("Routes[%d].Service", i), "unknown service %q", name)
+		}
+	}
+}
+
 // validateRoute adds the problems of a route. services holds the names of the services.
 func (l *problemList) validateRoute(path string, route *configpb.Route, services map[string]bool) {
 	if !isPositive(route.GetTimeoutMs()) {
