Take over a new address of the platform, and name settings that need a restart

A new Cloud.Address had no effect: proxies went on with the list of the old platform.

Cause: each role took what it knew of the settings that watchSettings sent. Change: control and agents take over Cloud.Address too (PlatformClient.SetAddress).

--- a/cmd/hazelfleet/fleet_test.go
+++ b/cmd/hazelfleet/fleet_test.go
@@ -99,18 +99,24 @@
 func (f *fleet) readyAddress() string { return fmt.Sprintf("%s:%d", ip("proxy"), f.base+22) }
 
 // startPlatform starts a fake platform that lists one server, which responds with the body of the request.
-func (f *fleet) startPlatform() {
+func (f *fleet) startPlatform() { f.startPlatformWith("i-1", "") }
+
+// startPlatformWith is startPlatform for a server with this ID and answer; if the answer is empty, the server responds with the body of the request.
+func (f *fleet) startPlatformWith(id, answer string) {
 	server := serve(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
 		}
+		if answer != "" {
+			body = []byte(answer)
+		}
 		w.Header().Set("Hazelwheel-Request-Id", r.Header.Get("Hazelwheel-Request-Id"))
 		w.Header().Set("Hazelwheel-Response-Stamp", "stamp")
 		_, _ = w.Write(body)
 	})
 	f.platform = serve(func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(map[string]any{"NextPageToken": nil, "Instances": []map[string]any{{"Id": "i-1", "Service": "s",
+		_ = json.NewEncoder(w).Encode(map[string]any{"NextPageToken": nil, "Instances": []map[string]any{{"Id": id, "Service": "s",
 			"Address": server, "Zone": "z", "Slots": 4, "State": "ready"}}})
 	})
 }
--- a/cmd/hazelfleet/roles.go
+++ b/cmd/hazelfleet/roles.go
@@ -19,7 +19,7 @@
 	for _, warning := range settings.Warnings() {
 		log.WithField("warning", warning).Warn("settings warning")
 	}
-	reload := watchSettings(ctx, reloadSignals, log)
+	reload := watchSettings(ctx, settings, reloadSignals, log)
 	var err error
 	switch role {
 	case roleProxy:
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,7 +55,7 @@
 }
 
 // Run runs an agent until the context ends and its proxy has disconnected, for lingerFraction of the grace period at most. Settings from
-// reload replace the seeds. It returns early with the error of a server that fails.
+// reload replace the seeds and the platform's address. It returns early with the error of a server that fails.
 func Run(ctx context.Context, settings *nodeconfig.Settings, reload <-chan *nodeconfig.Settings, log *logrus.Entry) error {
 	address := settings.InternalAddress(settings.IP, nodeconfig.AgentPort)
 	a := &Agent{settings: settings, log: log, client: transport.NewClient(), platform: gossip.NewPlatformClient(settings.Cloud.Address)}
@@ -82,9 +82,15 @@
 	defer stop()
 	go a.node.Run(taskCtx)
 	go a.refreshStaleLists(taskCtx)
-	if err := servers.run(ctx, a.node, reload); err != nil {
+	if err := servers.run(ctx, a.node, reload, a.applySettings); err != nil {
 		return err
 	}
 	proxies.awaitDisconnect(time.Duration(lingerFraction * float64(settings.GracePeriod())))
 	return nil
 }
+
+// applySettings applies the fields of changed settings that need no restart.
+func (a *Agent) applySettings(changed *nodeconfig.Settings) {
+	a.node.SetSeeds(changed.SeedAddresses())
+	a.platform.SetAddress(changed.Cloud.Address)
+}
--- a/internal/agent/redirector.go
+++ b/internal/agent/redirector.go
@@ -40,5 +40,5 @@
 	taskCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go node.Run(taskCtx)
-	return servers.run(ctx, node, reload)
+	return servers.run(ctx, node, reload, func(changed *nodeconfig.Settings) { node.SetSeeds(changed.SeedAddresses()) })
 }
--- a/internal/agent/servergroup.go
+++ b/internal/agent/servergroup.go
@@ -30,15 +30,15 @@
 	return nil
 }
 
-// run applies reloaded settings to the node until the context ends; then it has the node announce that it leaves, and returns nil. It
+// run calls apply with reloaded settings until the context ends; then it has the node announce that it leaves, and returns nil. It
 // returns early with the error of a server that fails.
-func (s *serverGroup) run(ctx context.Context, node *gossip.Node, reload <-chan *nodeconfig.Settings) error {
+func (s *serverGroup) run(ctx context.Context, node *gossip.Node, reload <-chan *nodeconfig.Settings, apply func(*nodeconfig.Settings)) error {
 	for {
 		select {
 		case err := <-s.ended:
 			return Error.Wrap(err)
 		case changed := <-reload:
-			node.SetSeeds(changed.SeedAddresses())
+			apply(changed)
 		case <-ctx.Done():
 			node.AnnounceLeaving()
 			return nil
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -49,7 +49,7 @@
 }
 
 // Run runs a control process until the context ends; then it announces that it leaves, waits until another process votes in its place
-// (see awaitReplacement), and shuts its servers down. Settings from reload replace the seeds. It returns an error if the disk
+// (see awaitReplacement), and shuts its servers down. Settings from reload replace the seeds and the platform's address. It returns an error if the disk
 // can't be opened or it can't listen at an address.
 func Run(ctx context.Context, settings *nodeconfig.Settings, reload <-chan *nodeconfig.Settings, log *logrus.Entry) error {
 	replica, err := openReplica(settings, log)
@@ -92,6 +92,7 @@
 			return shutdown(servers, shutdownTimeout)
 		case newSettings := <-reload:
 			c.node.SetSeeds(newSettings.SeedAddresses())
+			c.platform.SetAddress(newSettings.Cloud.Address)
 		}
 	}
 }
--- a/internal/gossip/platform_client.go
+++ b/internal/gossip/platform_client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -25,18 +26,23 @@
 	maxPages     = 400
 )
 
-// PlatformClient reads the platform's list of servers.
+// PlatformClient reads the platform's list of servers. It is safe for concurrent use.
 type PlatformClient struct {
-	address string
+	address atomic.Pointer[string]
 	client  *http.Client
 }
 
 // NewPlatformClient returns a client for the platform at an address, IP:PORT.
 func NewPlatformClient(address string) *PlatformClient {
-	return &PlatformClient{address, &http.Client{Transport: &http.Transport{DialContext: transport.NewDialer().DialContext, MaxIdleConnsPerHost: 1,
+	client := &PlatformClient{client: &http.Client{Transport: &http.Transport{DialContext: transport.NewDialer().DialContext, MaxIdleConnsPerHost: 1,
 		IdleConnTimeout: time.Minute, DisableCompression: true}}}
+	client.SetAddress(address)
+	return client
 }
 
+// SetAddress sets the platform's address, IP:PORT, for the pages that are read from now on.
+func (p *PlatformClient) SetAddress(address string) { p.address.Store(&address) }
+
 // platformInstance is a server as the platform lists it.
 type platformInstance struct {
 	ID              string  `json:"Id"`
@@ -84,7 +90,7 @@
 
 // fetchPage reads one page; token is empty for the first one.
 func (p *PlatformClient) fetchPage(ctx context.Context, token string) (*instancePage, error) {
-	target := url.URL{Scheme: "http", Host: p.address, Path: "/instances"}
+	target := url.URL{Scheme: "http", Host: *p.address.Load(), Path: "/instances"}
 	if token != "" {
 		target.RawQuery = url.Values{"PageToken": {token}}.Encode()
 	}
