Soak: routes at one place, other spellings of host and path, long answers that are cut

Now the operator sends configurations and patches with two routes at one place (letter case, a port, an escape), which must not be accepted (rule "invalid"); a tenth of the requests writes host and path in another way; one answer in sixteen is longer than a proxy holds, and a tenth of these is cut in the middle, which its client has to see (rule "own-answer").

--- a/internal/lab/soak/answers.go
+++ b/internal/lab/soak/answers.go
@@ -19,13 +19,21 @@
 	return "body of " + id
 }
 
+// longAnswerRepeats is how often the text of an answer is repeated in a long one, which is more than a proxy holds for another attempt.
+const longAnswerRepeats = 12_000
+
+// hasLongAnswer reports whether the answer to the request with an identifier is long: one in sixteen, if it is no stream.
+func hasLongAnswer(id string) bool { return strings.HasSuffix(id, "1") }
+
 // expectedAnswer is the complete body with which servers answer a request.
 func expectedAnswer(kind RequestKind, id string) string {
-	switch kind {
-	case Prompt:
+	switch {
+	case kind == Prompt:
 		return fmt.Sprintf(promptAnswerFormat, id)
-	case ResumableFeed:
+	case kind == ResumableFeed:
 		return feedEventsFrom(id, 1)
+	case hasLongAnswer(id):
+		return strings.Repeat("answer to "+id+" ", longAnswerRepeats)
 	default:
 		return "answer to " + id
 	}
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -62,6 +62,23 @@
 			o.Route, o.Status, o.SentAt = 6, 404, o.EndedAt.Add(time.Nanosecond)
 			c.RequestEnded(o)
 		}),
+		Entry(nil, AnswerIsOwn, func(c *Checker) {
+			o := validOutcome()
+			c.AnswerCut(o.ID)
+			o.Body = o.Body[:5]
+			c.RequestEnded(o)
+		}),
+		Entry(nil, AnswerIsOwn, func(c *Checker) {
+			o := validOutcome()
+			c.AnswerCut(o.ID)
+			o.Status, o.ConnectionClosed, o.Body = 0, true, "another answer"
+			c.RequestEnded(o)
+		}),
+		Entry(nil, AlwaysAnswered, func(c *Checker) {
+			o := validOutcome()
+			o.Status, o.ConnectionClosed, o.Body = 0, true, o.Body[:5]
+			c.RequestEnded(o)
+		}),
 		Entry(nil, ConfigurationInForce, func(c *Checker) {
 			o := validOutcome()
 			c.ConfigurationAcknowledged(3, o.SentAt.Add(-time.Minute))
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -24,6 +24,8 @@
 	// chunkedFraction is the fraction of requests whose bodies are sent in chunks without a Content-Length, chunkPause the time between two chunks.
 	chunkedFraction = 0.15
 	chunkPause      = 15 * time.Millisecond
+	// otherSpellingFraction is the fraction of requests whose host and path are written in another way than in the configuration.
+	otherSpellingFraction = 0.1
 	// newestRouteCount is the number of newest added routes from which clients draw.
 	newestRouteCount = 10
 )
@@ -87,6 +89,10 @@
 		return nil, o, err
 	}
 	request.Host = routeHost
+	if c.rng.Float64() < otherSpellingFraction {
+		request.Host = otherHostSpelling
+		request.URL.RawPath = escapeLetter(path)
+	}
 	request.Header.Set(headerRequest, id)
 	request.Header.Set(headerDeadline, fmt.Sprint(requestDeadline.Milliseconds()))
 	if o.Kind == Prompt {
@@ -123,6 +129,12 @@
 	c.checker.HeaderSent(o.ID, key, isPublic, request.Header)
 }
 
+// otherHostSpelling is routeHost written in another way.
+const otherHostSpelling = "SOAK.Example:8080"
+
+// escapeLetter returns a path with its first letter percent-encoded, which is the same path.
+func escapeLetter(path string) string { return fmt.Sprintf("/%%%02X%s", path[1], path[2:]) }
+
 // newBody returns the body of a request; that of some is sent in chunks.
 func (c *client) newBody(id string) io.Reader {
 	if c.rng.Float64() < chunkedFraction {
--- a/internal/lab/soak/mutant.go
+++ b/internal/lab/soak/mutant.go
@@ -29,9 +29,11 @@
 	tenantsFile     = "internal/routeconfig/tenants.go"
 	limiterFile     = "internal/proxy/tenantlimiter.go"
 	accountFile     = "internal/decide/tokenlease/account.go"
+	validateFile    = "internal/routeconfig/validate.go"
+	bodyFile        = "internal/proxy/responsebody.go"
 )
 
-// Mutants has a mutant for each check of keys, tenants, their limits and the fields of prompts.
+// Mutants has a mutant for each check of keys, tenants, their limits, the fields of prompts, places of routes and long answers.
 var Mutants = []Mutant{
 	{"key-is-forwarded", KeyWithheld, credentialsFile, []Edit{{"\theader.Del(apikey.HeaderName)\n", ""}}},
 	{"tenant-is-always-the-same", TenantOfKey, headersFile, []Edit{{"headerField{headerTenantID, req.tenant.Name}", `headerField{headerTenantID, "acme"}`}}},
@@ -55,6 +57,8 @@
 	{"header-is-logged", KeyNotShown, handlerFile, []Edit{{"\tsent := takeCredentials(", "\tp.log.WithField(\"header\", r.Header).Info(\"request\")\n\tsent := takeCredentials("}}},
 	{"grants-cost-nothing", TenantLimitHolds, accountFile, []Edit{{"a.available -= float64(tokens)", "_ = tokens"}}},
 	{"limits-allow-nothing", BelowLimitServed, limiterFile, []Edit{{"if cost > l.allowance.MaxCost(limit) {", "if cost > 0 {"}}},
+	{"places-are-not-compared", InvalidRefused, validateFile, []Edit{{"\tproblems.validatePlaces(config.GetRoutes())\n", ""}}},
+	{"long-answers-are-cut", AnswerIsOwn, bodyFile, []Edit{{"\t\tresult = forwardRest(w, exchange.body)\n", "\t\tresult = outcomeAnswered\n"}}},
 	{"tokens-never-come", TenantsServed, limiterFile, []Edit{{"	reply := &tokenlease.Reply{}\n", "	reply := &tokenlease.Reply{}\n	cancel()\n"}}},
 }
 
--- a/internal/lab/soak/mutant_test.go
+++ b/internal/lab/soak/mutant_test.go
@@ -10,7 +10,7 @@
 )
 
 var _ = Describe("mutants", func() {
-	It("fit the program, and there is one for each check of keys, limits and prompts", func() {
+	It("fit the program, and there is one for each check of keys, limits, prompts, places and long answers", func() {
 		root, err := filepath.Abs("../../..")
 		Expect(err).NotTo(HaveOccurred())
 		rules := map[Rule]bool{}
@@ -20,7 +20,7 @@
 			rules[mutant.Rule] = true
 		}
 		for _, rule := range []Rule{HeaderIntact, KeyWithheld, TenantOfKey, UnknownKeyRejected, WithdrawnKeyRejected, ValidKeyServed, KeyNotShown, TenantLimitHolds,
-			BelowLimitServed, TenantsServed} {
+			BelowLimitServed, TenantsServed, InvalidRefused, AnswerIsOwn} {
 			Expect(rules).To(HaveKey(rule))
 		}
 	})
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -22,7 +22,8 @@
 	retryInterval       = 100 * time.Millisecond
 	maxVersionStep      = 4 // by which a change raises the version
 	readBackTimeout     = 20 * time.Second
-	sharedKeyFraction   = 0.1 // of changes that are followed by an invalid one
+	sharedKeyFraction   = 0.1 // of changes that are followed by a configuration in which two tenants share a key
+	samePlaceFraction   = 0.1 // of changes that are followed by one in which two routes are at one place
 )
 
 // operator changes the configuration, one change after the other. Only addedRoutes may be read by other goroutines while it runs.
@@ -145,6 +146,37 @@
 	}
 }
 
+// samePlaces are routes at the place of the first one, written in another way.
+var samePlaces = []configuredRoute{{Host: routeHost, PathPrefix: "/once/"}, {Host: "Soak.Example", PathPrefix: "/once/"},
+	{Host: routeHost + ":8080", PathPrefix: "/once/"}, {Host: routeHost, PathPrefix: "/%6fnce/"}}
+
+// sendSamePlace sends a configuration with two routes at one place, as a whole or as a patch. It must not be accepted.
+func (o *operator) sendSamePlace(ctx context.Context) {
+	added := samePlaces[o.rng.IntN(len(samePlaces))]
+	added.Name, added.RouteType, added.Service, added.TimeoutMs = "same-place", "idempotent", plainService, int(requestDeadline.Milliseconds())
+	config := newConfiguration(o.confirmedVersion+1, 0, nil)
+	config.Routes = append(config.Routes, added)
+	partial := configPatch{Version: o.confirmedVersion + 1}
+	partial.Upsert.Routes = []configuredRoute{added}
+	invalid, content := change{httpMethod: http.MethodPut}, any(config)
+	if o.rng.IntN(2) == 0 {
+		invalid.httpMethod, content = http.MethodPatch, any(partial)
+	}
+	body, err := json.Marshal(content)
+	if err != nil {
+		o.checker.ReportViolation(ConfigurationConfirmed, "a configuration can't be made: %v", err)
+		return
+	}
+	invalid.body = body
+	status, answer := o.send(ctx, &invalid)
+	switch {
+	case status == http.StatusOK:
+		o.checker.ReportViolation(InvalidRefused, "%s of a route at %s%s beside the first one was accepted", invalid.httpMethod, added.Host, added.PathPrefix)
+	case status == http.StatusBadRequest && !strings.Contains(answer, "Routes["):
+		o.checker.ReportViolation(InvalidRefused, "the answer to two routes at one place doesn't name the route: %.100q", answer)
+	}
+}
+
 // run makes changes until ctx ends, and sends an invalid one now and then.
 func (o *operator) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -152,6 +184,9 @@
 		if o.rng.Float64() < sharedKeyFraction && !o.checker.hasEarlierVersions { // which accept it
 			o.sendSharedKey(ctx)
 		}
+		if o.rng.Float64() < samePlaceFraction && !o.checker.hasEarlierVersions {
+			o.sendSamePlace(ctx)
+		}
 		sleep(ctx, time.Duration((0.2+1.6*o.rng.Float64())*float64(changeInterval)))
 	}
 }
--- a/internal/lab/soak/rule.go
+++ b/internal/lab/soak/rule.go
@@ -14,6 +14,7 @@
 	ConfigurationInForce   Rule = "in-force"       // a proxy did not apply a confirmed configuration in time
 	ConfigurationMonotonic Rule = "never-older"    // a proxy used an older configuration than before
 	ConfigurationConfirmed Rule = "confirmed"      // a valid change was refused, or the confirmed configuration is not read back at the end
+	InvalidRefused         Rule = "invalid"        // an invalid change was accepted
 	AddedRoutesServed      Rule = "added-routes"   // added routes are served less than a quarter as often as the first ones
 	KindsServed            Rule = "starved"        // a kind of requests is served less than a quarter as often as all requests
 	ServiceRecovered       Rule = "recovered"      // less than a quarter of requests is served after the time to recover
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -39,6 +39,7 @@
 	abortedBeforeRunFraction = 0.005
 	answerLostFraction       = 0.003
 	feedAbortedFraction      = 0.03 // before each event
+	answerCutFraction        = 0.1  // of long answers: in the middle
 	answeredEarlyFraction    = 0.2  // of long requests: refused before their body is read
 	plainServiceTime         = 5 * time.Millisecond
 	promptServiceTime        = 15 * time.Millisecond
@@ -223,5 +224,11 @@
 	if s.service == modelService {
 		kind = Prompt
 	}
-	_, _ = io.Copy(w, strings.NewReader(expectedAnswer(kind, id))) // fails if the proxy has closed the connection, which its client reports
+	answer := expectedAnswer(kind, id)
+	if kind == NonIdempotent && hasLongAnswer(id) && rand.Float64() < answerCutFraction {
+		s.checker.AnswerCut(id)
+		_, _ = io.WriteString(w, answer[:rand.IntN(len(answer))])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.Copy(w, strings.NewReader(answer)) // fails if the proxy has closed the connection, which its client reports
 }
