--- a/internal/diagnostic/finding.go
+++ b/internal/diagnostic/finding.go
@@ -1,4 +1,4 @@
-// Package diagnostic says what is wrong in a file that somebody has written, and where.
+// Package diagnostic describes problems of files that operators write, with their lines and columns.
 package diagnostic
 
 import (
@@ -7,18 +7,18 @@
 	"slices"
 )
 
-// Finding is one thing that was found at a place of a file.
+// Finding is a problem of a file, or a warning about it.
 type Finding struct {
-	Line, Column int    // from 1; 0: the place is not in the file, or its column is not told
-	Place        string // the field, such as Routes[2].TimeoutMs
+	Line, Column int    // from 1, or 0 if unknown
+	Path         string // of the field, such as Routes[2].TimeoutMs; empty: the file as a whole
 	Text         string
 }
 
 // String returns the finding in one line.
 func (f Finding) String() string {
 	text := f.Text
-	if f.Place != "" {
-		text = f.Place + ": " + text
+	if f.Path != "" {
+		text = f.Path + ": " + text
 	}
 	switch {
 	case f.Line == 0:
@@ -29,7 +29,7 @@
 	return fmt.Sprintf("line %d, column %d: %s", f.Line, f.Column, text)
 }
 
-// Sort orders findings by where they stand, those whose place is not in the file behind the others.
+// Sort sorts findings by line and column. Those without a line come last.
 func Sort(all []Finding) {
 	slices.SortStableFunc(all, func(a, b Finding) int {
 		if (a.Line == 0) != (b.Line == 0) {
--- a/internal/diagnostic/lines.go
+++ b/internal/diagnostic/lines.go
@@ -5,7 +5,7 @@
 	"unicode/utf8"
 )
 
-// Lines finds places in a text.
+// Lines converts offsets in a text to lines and columns.
 type Lines struct {
 	text   []byte
 	starts []int // of each line
--- a/internal/nodeconfig/validate.go
+++ b/internal/nodeconfig/validate.go
@@ -17,18 +17,18 @@
 	maxConfigBytes = 4 << 20
 	// joinOverheadSeconds is what a control process needs beside the transfer of a configuration to become a voter.
 	joinOverheadSeconds = 1.2
-	// maxSeeds is the number of control processes that the operators name at most.
+	// maxSeeds is the maximum number of seeds that the platform writes.
 	maxSeeds = 3
 )
 
 // Report is the result of validating a settings file.
 type Report struct {
-	Settings *Settings            // nil where there are faults
+	Settings *Settings            // nil if there are faults
 	Faults   []diagnostic.Finding // each of them keeps a process from starting
 	Unknown  []diagnostic.Finding // keys that are ignored
 }
 
-// Validate reads the text of a settings file and returns all that is wrong with it, in the order of lines.
+// Validate parses the text of a settings file and returns all its problems, sorted by line.
 func Validate(data []byte) Report {
 	var document yaml.Node
 	if err := yaml.Unmarshal(data, &document); err != nil {
@@ -37,7 +37,7 @@
 	settings := defaults()
 	var problems problemList
 	if err := document.Decode(settings); err != nil {
-		problems = decodeProblems(err) // the decoder continues behind a value that it can't read
+		problems = decodeProblems(err) // the decoder continues after a value that it can't decode
 	}
 	for _, problem := range settings.validate(&document) {
 		isSameLine := func(other diagnostic.Finding) bool { return other.Line == problem.Line && problem.Line > 0 }
@@ -57,16 +57,16 @@
 	return report
 }
 
-// problemList collects what is wrong with a settings file.
+// problemList collects the problems of a settings file.
 type problemList []diagnostic.Finding
 
 // add adds a problem with the field at a path, such as Bounds.GraceS.
 func (l *problemList) add(document *yaml.Node, path, format string, args ...any) {
 	line, column := positionOf(document, path)
-	*l = append(*l, diagnostic.Finding{Line: line, Column: column, Place: path, Text: fmt.Sprintf(format, args...)})
+	*l = append(*l, diagnostic.Finding{Line: line, Column: column, Path: path, Text: fmt.Sprintf(format, args...)})
 }
 
-// validate returns what is wrong with values that could be read.
+// validate returns the problems of the values. Values that could not be parsed have their defaults.
 func (s *Settings) validate(document *yaml.Node) (problems problemList) {
 	if s.NodeID == "" {
 		problems.add(document, "NodeId", "a name is missing")
@@ -93,7 +93,7 @@
 	return problems
 }
 
-// validate adds what is wrong with the bounds.
+// validate adds the problems of the bounds.
 func (b *Bounds) validate(document *yaml.Node, problems *problemList) {
 	for field, value := range map[string]float64{"DrainMs": b.DrainMs, "GraceS": b.GraceSeconds, "ConfigApplyMs": b.ConfigApplyMs,
 		"BudgetWindowS": b.BudgetWindowSeconds, "LeaseMs": b.LeaseMs} {
@@ -118,7 +118,7 @@
 	return fmt.Errorf("line %d: Listen.Control: a machine whose disk counts needs an address for the operator", s.listenLine)
 }
 
-// Warnings names bounds that can't be kept together on this machine, a line each. They don't keep a process from running.
+// Warnings describes bounds that contradict each other on this machine, in a line each. A process starts nevertheless.
 func (s *Settings) Warnings() (warnings []string) {
 	if !s.CountsForQuorum {
 		return nil
--- a/internal/nodeconfig/yaml.go
+++ b/internal/nodeconfig/yaml.go
@@ -52,7 +52,7 @@
 	return line, column
 }
 
-// keyIndex returns the index of a key in the content of a mapping, -1 if it is not there.
+// keyIndex returns the index of a key in the content of a mapping, or -1 if the mapping lacks it.
 func keyIndex(mapping *yaml.Node, name string) int {
 	if mapping.Kind != yaml.MappingNode {
 		return -1
@@ -81,7 +81,7 @@
 		fieldPath := strings.TrimPrefix(path+"."+key.Value, ".")
 		known, ok := types[key.Value]
 		if !ok {
-			unknown = append(unknown, diagnostic.Finding{Line: key.Line, Column: key.Column, Place: fieldPath, Text: "not known, passed over"})
+			unknown = append(unknown, diagnostic.Finding{Line: key.Line, Column: key.Column, Path: fieldPath, Text: "not known, passed over"})
 			continue
 		}
 		unknown = append(unknown, unknownFields(mapping.Content[i+1], fieldPath, known)...)
--- a/internal/routeconfig/ignored_fields.go
+++ b/internal/routeconfig/ignored_fields.go
@@ -27,7 +27,7 @@
 	doc.checkMessage(root, "", config.ProtoReflect().Descriptor())
 	names := make([]string, 0, len(doc.unknown))
 	for _, finding := range doc.unknown {
-		names = append(names, listIndex.ReplaceAllString(finding.Place, "[]"))
+		names = append(names, listIndex.ReplaceAllString(finding.Path, "[]"))
 	}
 	if (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, config) == nil {
 		names = append(names, ignoredServiceFields(config.GetServices())...)
--- a/internal/routeconfig/json_document.go
+++ b/internal/routeconfig/json_document.go
@@ -117,7 +117,7 @@
 // newFinding returns a finding with the line and column of an offset.
 func (d *jsonDocument) newFinding(offset int, path, text string) diagnostic.Finding {
 	line, column := d.lines.At(offset)
-	return diagnostic.Finding{Line: line, Column: column, Place: path, Text: text}
+	return diagnostic.Finding{Line: line, Column: column, Path: path, Text: text}
 }
 
 // addFault records a value of the wrong type and marks it as omitted.
--- a/internal/routeconfig/validate.go
+++ b/internal/routeconfig/validate.go
@@ -18,7 +18,7 @@
 
 // add adds a problem with the field at a path.
 func (l *problemList) add(path, format string, args ...any) {
-	*l = append(*l, diagnostic.Finding{Place: path, Text: fmt.Sprintf(format, args...)})
+	*l = append(*l, diagnostic.Finding{Path: path, Text: fmt.Sprintf(format, args...)})
 }
 
 // validateConfig returns all problems of a configuration's values. It doesn't compare the version with the current one.
@@ -158,12 +158,12 @@
 	unreadable := slices.Clone(d.faults)
 	for _, problem := range validateConfig(config) {
 		isRelated := func(fault diagnostic.Finding) bool {
-			return strings.HasPrefix(problem.Place, fault.Place) || strings.HasPrefix(fault.Place, problem.Place)
+			return strings.HasPrefix(problem.Path, fault.Path) || strings.HasPrefix(fault.Path, problem.Path)
 		}
 		if slices.ContainsFunc(unreadable, isRelated) {
 			continue
 		}
-		if offset, isKnown := d.nearestOffset(problem.Place); isKnown {
+		if offset, isKnown := d.nearestOffset(problem.Path); isKnown {
 			problem.Line, problem.Column = d.lines.At(offset)
 		}
 		problems = append(problems, problem)
