Soak: excuse SIGHUP before a process's own code also where SIGTERM came first

Cause: the soak's own. It excuses SIGTERM and SIGHUP in the first 10 ms, but not a process that both have met by then and that ends by SIGHUP.

The spec for it fails before; later than 10 ms it is a broken rule, as before.

--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -95,7 +95,8 @@
 	case !p.stopRequested:
 		p.fleet.checker.ReportViolation(NoUnexpectedExit, "%s: %v", p.name(), err)
 	case p.killRequested:
-	case !p.terminatedLate && terminatingSignal(err) == syscall.SIGTERM:
+	case !p.terminatedLate && terminatingSignal(err) == syscall.SIGTERM, p.hungUpEarly && terminatingSignal(err) == syscall.SIGHUP:
+		// Of two signals that have come before the process runs, the kernel delivers SIGHUP first.
 		p.fleet.checker.ProcessEndedEarly()
 	case err != nil:
 		p.fleet.checker.ReportViolation(GracefulShutdown, "%s: %v, %v after SIGTERM, which came after %v of processor time", p.name(), err, shutdown,
--- a/internal/lab/soak/process_test.go
+++ b/internal/lab/soak/process_test.go
@@ -84,6 +84,29 @@
 		Expect(terminated(true).Violations()).To(HaveKey(GracefulShutdown))
 	})
 
+	// Seed 9409 (16 processes, --beside): SIGTERM and SIGHUP had both come after 2.7 ms of processor time, and the process ended by SIGHUP.
+	It("that SIGHUP terminates after SIGTERM is excused only before its own code can have run", func() {
+		terminated := func(early bool) *Checker {
+			f := &fleet{settings: &Settings{}, checker: NewChecker(), log: GinkgoWriter}
+			caught := make(chan os.Signal, 1)
+			signal.Notify(caught, syscall.SIGHUP) // as above
+			defer signal.Stop(caught)
+			cmd := exec.Command("cat")
+			_, err := cmd.StdinPipe()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(cmd.Start()).To(Succeed())
+			p := &process{role: roleAgent, machine: &machine{name: "edge-0"}, fleet: f, cmd: cmd}
+			p.signal(syscall.SIGHUP)
+			p.stopRequested, p.terminatedAt, p.hungUpEarly = true, time.Now(), early
+			p.awaitExit(cmd, make(chan struct{}))
+			return f.checker
+		}
+		early := terminated(true)
+		Expect(early.endedEarly).To(Equal(1))
+		Expect(early.Violations()).To(BeEmpty())
+		Expect(terminated(false).Violations()).To(HaveKey(GracefulShutdown))
+	})
+
 	It("that was started again since SIGTERM is not waited for", func() {
 		f := &fleet{settings: &Settings{}, checker: NewChecker(), log: GinkgoWriter}
 		p := &process{role: roleAgent, machine: &machine{name: "edge-0"}, fleet: f, cmd: exec.Command("none"), exited: make(chan struct{})}
