Bound heads of responses by io.LimitedReader instead of a reader of its own

The library's reader does what boundedReader did; readHead sets its limit. The 15 specs of bytes that form no response and all others of the package pass, with the bounds as they were.

--- a/internal/proxy/backendconn.go
+++ b/internal/proxy/backendconn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -32,45 +33,29 @@
 // backendConn is a connection to a server. One exchange uses it at a time.
 type backendConn struct {
 	net.Conn
-	reader     *bufio.Reader // of source
-	source     *boundedReader
-	expiresAt  time.Time // from then on the server may close the connection, so it is not reused
-	tainted    bool      // a response arrived that belongs to another request: the connection is not reused
-	hasCarried bool      // it has carried an exchange, be it a health check
-	requestIDs []string  // of the last exchanges, maxRememberedIDs at most
+	reader     *bufio.Reader     // of source
+	source     *io.LimitedReader // limits the reading of a response's head; bodies have bounds of their own
+	expiresAt  time.Time         // from then on the server may close the connection, so it is not reused
+	tainted    bool              // a response arrived that belongs to another request: the connection is not reused
+	hasCarried bool              // it has carried an exchange, be it a health check
+	requestIDs []string          // of the last exchanges, maxRememberedIDs at most
 }
 
 // newBackendConn returns a connection that has carried nothing.
 func newBackendConn(conn net.Conn) *backendConn {
-	source := &boundedReader{reader: conn}
+	source := &io.LimitedReader{R: conn, N: math.MaxInt64}
 	return &backendConn{Conn: conn, reader: bufio.NewReaderSize(source, readBufferSize), source: source}
 }
 
-// boundedReader bounds how much is read while the head of a response is being read. Bodies have bounds of their own.
-type boundedReader struct {
-	reader    io.Reader
-	isBounded bool
-	remaining int // bytes, if isBounded is set
-}
-
-// Read implements io.Reader. It returns errLongResponseHead once nothing remains.
-func (r *boundedReader) Read(data []byte) (int, error) {
-	if !r.isBounded {
-		return r.reader.Read(data)
-	}
-	if r.remaining <= 0 {
-		return 0, errLongResponseHead
-	}
-	n, err := r.reader.Read(data)
-	r.remaining -= n
-	return n, err
-}
-
 // readHead reads the head of the response to a request with this method.
 func (c *backendConn) readHead(method string) (*http.Response, error) {
-	c.source.isBounded, c.source.remaining = true, maxResponseHeadBytes
-	defer func() { c.source.isBounded = false }()
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	c.source.N = maxResponseHeadBytes
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil && c.source.N <= 0 {
+		return nil, errLongResponseHead
+	}
+	c.source.N = math.MaxInt64
+	return response, err
 }
 
 // recordCarried records an exchange with the ID of its request, or "" if that has none.
