Tests of the proxy: skip no input, and ask for the case that they are about

FuzzReadEvent skipped pieces over 64 bytes; it shortens them now. The memory of many long answers is measured with all 60 answered, where 503 was allowed before. The specs of second answers to health checks want at least one request that is executed behind a check.

--- a/internal/proxy/longanswer_test.go
+++ b/internal/proxy/longanswer_test.go
@@ -258,7 +258,7 @@
 				mu.Lock()
 				defer mu.Unlock()
 				conns = append(conns, conn)
-				Expect(answer.StatusCode).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
+				Expect(answer.StatusCode).To(Equal(http.StatusOK))
 			})
 		}
 		clients.Wait()
--- a/internal/proxy/proof_test.go
+++ b/internal/proxy/proof_test.go
@@ -92,6 +92,7 @@
 		p, front := startProxy(route(kind), false)
 		Expect(p.state.applyFeed(&message.Feed{List: list(one.Instance, two.Instance)})).To(Succeed())
 		p.state.withService("s", func(_ float64, pool *placement.Pool, _ *placement.Planner) { pool.SetMaxConnections(2) })
+		allExecutions := 0
 		for n := range 6 {
 			id := fmt.Sprint("id-", n)
 			answer, _, err := sendClientRequest(front, headerRequestID, id)
@@ -101,7 +102,9 @@
 			if executions > 0 {
 				Expect(answer.StatusCode).NotTo(Equal(http.StatusServiceUnavailable), "the client may send it again")
 			}
+			allExecutions += executions
 		}
+		Expect(allExecutions).To(BeNumerically(">", 0), "requests have followed a health check")
 	},
 		Entry("on a route whose requests must not be executed twice", routeconfig.NonIdempotent),
 		Entry("of a stream", routeconfig.Streaming),
--- a/internal/proxy/readevent_test.go
+++ b/internal/proxy/readevent_test.go
@@ -93,10 +93,7 @@
 	f.Add([]byte("x\n"), uint16(2*eventBufferSize))
 	f.Add([]byte("\r\n\r"), uint16(9))
 	f.Fuzz(func(t *testing.T, piece []byte, repeats uint16) {
-		if len(piece) > 64 {
-			t.Skip()
-		}
-		text := bytes.Repeat(piece, int(repeats)%(3*eventBufferSize))
+		text := bytes.Repeat(piece[:min(len(piece), 64)], int(repeats)%(3*eventBufferSize))
 		for _, tail := range []string{"", "\n\nid: 2\n\n", "\r\n\r\nx"} {
 			events, err := readEvents(strings.NewReader(string(text) + tail))
 			require.ErrorIs(t, err, io.EOF)
