--- a/internal/lab/soak/process_test.go
+++ b/internal/lab/soak/process_test.go
@@ -31,8 +31,8 @@
 		Expect(p.fleet.checker.Violations()).To(BeEmpty())
 	})
 
-	// hungUp returns the checker after SIGHUP has terminated a process.
-	hungUp := func(early bool) *Checker {
+	// endedBy returns the checker after a signal has terminated a process. change sets what is recorded of the process meanwhile.
+	endedBy := func(sent syscall.Signal, change func(p *process)) *Checker {
 		// Danger: if these tests were started with SIGHUP ignored, as by nohup, their child processes would inherit that and never exit.
 		caught := make(chan os.Signal, 1)
 		signal.Notify(caught, syscall.SIGHUP)
@@ -43,11 +43,14 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(cmd.Start()).To(Succeed())
 		p := &process{role: roleAgent, machine: &machine{name: "edge-0"}, fleet: f, cmd: cmd}
-		p.signal(syscall.SIGHUP)
-		p.hungUpEarly = early
+		p.signal(sent)
+		change(p)
 		p.awaitExit(cmd, make(chan struct{}))
 		return f.checker
 	}
+	hungUp := func(early bool) *Checker {
+		return endedBy(syscall.SIGHUP, func(p *process) { p.hungUpEarly = early })
+	}
 
 	It("that SIGHUP terminates is excused only before its own code can have run", func() {
 		early := hungUp(true)
@@ -67,16 +70,7 @@
 	// A run of 28 minutes with 39 processes met three that SIGTERM terminated after 0.7, 1.6 and 1.7 ms of processor time.
 	It("that SIGTERM terminates is excused only before its own code can have run", func() {
 		terminated := func(late bool) *Checker {
-			f := &fleet{settings: &Settings{}, checker: NewChecker(), log: GinkgoWriter}
-			cmd := exec.Command("cat")
-			_, err := cmd.StdinPipe()
-			Expect(err).NotTo(HaveOccurred())
-			Expect(cmd.Start()).To(Succeed())
-			p := &process{role: roleAgent, machine: &machine{name: "edge-0"}, fleet: f, cmd: cmd}
-			p.signal(syscall.SIGTERM)
-			p.terminatedLate = late
-			p.awaitExit(cmd, make(chan struct{}))
-			return f.checker
+			return endedBy(syscall.SIGTERM, func(p *process) { p.terminatedLate = late })
 		}
 		early := terminated(false)
 		Expect(early.endedEarly).To(Equal(1))
@@ -87,19 +81,7 @@
 	// Seed 9409 (16 processes, --beside): SIGTERM and SIGHUP had both come after 2.7 ms of processor time, and the process ended by SIGHUP.
 	It("that SIGHUP terminates after SIGTERM is excused only before its own code can have run", func() {
 		terminated := func(early bool) *Checker {
-			f := &fleet{settings: &Settings{}, checker: NewChecker(), log: GinkgoWriter}
-			caught := make(chan os.Signal, 1)
-			signal.Notify(caught, syscall.SIGHUP) // as above
-			defer signal.Stop(caught)
-			cmd := exec.Command("cat")
-			_, err := cmd.StdinPipe()
-			Expect(err).NotTo(HaveOccurred())
-			Expect(cmd.Start()).To(Succeed())
-			p := &process{role: roleAgent, machine: &machine{name: "edge-0"}, fleet: f, cmd: cmd}
-			p.signal(syscall.SIGHUP)
-			p.stopRequested, p.terminatedAt, p.hungUpEarly = true, time.Now(), early
-			p.awaitExit(cmd, make(chan struct{}))
-			return f.checker
+			return endedBy(syscall.SIGHUP, func(p *process) { p.stopRequested, p.terminatedAt, p.hungUpEarly = true, time.Now(), early })
 		}
 		early := terminated(true)
 		Expect(early.endedEarly).To(Equal(1))
