--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -16,7 +16,7 @@
 	executions    map[string]int // by request
 	kinds         map[string]RequestKind
 	refused       map[string]bool                   // non-idempotent requests that were refused as not executed
-	cut           map[string]bool                   // requests whose answer a server has cut in the middle
+	truncated     map[string]bool                   // requests whose answer a server has truncated
 	knownRoutes   map[proxyIncarnation][]knownRoute // the added routes that it has answered for, where each was the newest so far
 	confirmedAt   map[int]time.Time                 // by added route
 	countsByAdded map[bool]requestCounts            // true: on added routes
@@ -49,7 +49,7 @@
 
 // NewChecker returns a checker without observations.
 func NewChecker() *Checker {
-	return &Checker{violations: map[Rule][]string{}, executions: map[string]int{}, kinds: map[string]RequestKind{}, refused: map[string]bool{}, cut: map[string]bool{},
+	return &Checker{violations: map[Rule][]string{}, executions: map[string]int{}, kinds: map[string]RequestKind{}, refused: map[string]bool{}, truncated: map[string]bool{},
 		knownRoutes: map[proxyIncarnation][]knownRoute{}, confirmedAt: map[int]time.Time{}, countsByAdded: map[bool]requestCounts{},
 		countsByKind: map[RequestKind]requestCounts{}, outcomes: map[string]int{},
 		sentHeaders: map[string]sentHeader{}, keys: newKeyring(), limitedUse: map[string][]limitedExecution{}, tenantCounts: map[string]requestCounts{}}
@@ -126,11 +126,11 @@
 	c.recoveredFrom = from
 }
 
-// AnswerCut records that a server breaks off in the middle of an answer. If a part of it was forwarded, its client has to see the end of its connection.
-func (c *Checker) AnswerCut(id string) {
+// AnswerTruncated records that a server breaks off in the middle of an answer. If a part of it was forwarded, its client has to see the end of its connection.
+func (c *Checker) AnswerTruncated(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cut[id] = true
+	c.truncated[id] = true
 }
 
 // FeedResumed counts a feed that a server resumed after an event that its client has received.
@@ -188,7 +188,7 @@
 		if !strings.HasPrefix(expectedAnswer(ResumableFeed, o.ID), o.Body) {
 			c.reportViolationLocked(AnswerIsOwn, "%s broke off after %.80q", o.ID, o.Body)
 		}
-	case c.cut[o.ID] && o.ConnectionClosed && o.Body != "":
+	case c.truncated[o.ID] && o.ConnectionClosed && o.Body != "":
 		if !strings.HasPrefix(expectedAnswer(o.Kind, o.ID), o.Body) {
 			c.reportViolationLocked(AnswerIsOwn, "%s was cut after %.60q", o.ID, o.Body)
 		}
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -64,13 +64,13 @@
 		}),
 		Entry(nil, AnswerIsOwn, func(c *Checker) {
 			o := validOutcome()
-			c.AnswerCut(o.ID)
+			c.AnswerTruncated(o.ID)
 			o.Body = o.Body[:5]
 			c.RequestEnded(o)
 		}),
 		Entry(nil, AnswerIsOwn, func(c *Checker) {
 			o := validOutcome()
-			c.AnswerCut(o.ID)
+			c.AnswerTruncated(o.ID)
 			o.Status, o.ConnectionClosed, o.Body = 0, true, "another answer"
 			c.RequestEnded(o)
 		}),
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -91,7 +91,7 @@
 	request.Host = routeHost
 	if c.rng.Float64() < otherSpellingFraction {
 		request.Host = otherHostSpelling
-		request.URL.RawPath = escapeLetter(path)
+		request.URL.RawPath = percentEncodeFirst(path)
 	}
 	request.Header.Set(headerRequest, id)
 	request.Header.Set(headerDeadline, fmt.Sprint(requestDeadline.Milliseconds()))
@@ -132,8 +132,8 @@
 // otherHostSpelling is routeHost written in another way.
 const otherHostSpelling = "SOAK.Example:8080"
 
-// escapeLetter returns a path with its first letter percent-encoded, which is the same path.
-func escapeLetter(path string) string { return fmt.Sprintf("/%%%02X%s", path[1], path[2:]) }
+// percentEncodeFirst returns a path with its first character percent-encoded, which is the same path.
+func percentEncodeFirst(path string) string { return fmt.Sprintf("/%%%02X%s", path[1], path[2:]) }
 
 // newBody returns the body of a request; that of some is sent in chunks.
 func (c *client) newBody(id string) io.Reader {
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -39,7 +39,7 @@
 	abortedBeforeRunFraction = 0.005
 	answerLostFraction       = 0.003
 	feedAbortedFraction      = 0.03 // before each event
-	answerCutFraction        = 0.1  // of long answers: in the middle
+	answerTruncatedFraction        = 0.1  // of long answers: in the middle
 	answeredEarlyFraction    = 0.2  // of long requests: refused before their body is read
 	plainServiceTime         = 5 * time.Millisecond
 	promptServiceTime        = 15 * time.Millisecond
@@ -225,8 +225,8 @@
 		kind = Prompt
 	}
 	answer := expectedAnswer(kind, id)
-	if kind == NonIdempotent && hasLongAnswer(id) && rand.Float64() < answerCutFraction {
-		s.checker.AnswerCut(id)
+	if kind == NonIdempotent && hasLongAnswer(id) && rand.Float64() < answerTruncatedFraction {
+		s.checker.AnswerTruncated(id)
 		_, _ = io.WriteString(w, answer[:rand.IntN(len(answer))])
 		panic(http.ErrAbortHandler)
 	}
