--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -39,7 +39,7 @@
 	abortedBeforeRunFraction = 0.005
 	answerLostFraction       = 0.003
 	feedAbortedFraction      = 0.03 // before each event
-	answerTruncatedFraction        = 0.1  // of long answers: in the middle
+	answerTruncatedFraction  = 0.1  // of long answers: in the middle
 	answeredEarlyFraction    = 0.2  // of long requests: refused before their body is read
 	plainServiceTime         = 5 * time.Millisecond
 	promptServiceTime        = 15 * time.Millisecond
